Set down the workspace, the core types and the checks

Libraries under libs/ as one namespace package, core types as NamedTuple, registries filled by decorators, the timer service, and import contracts that keep decisions free of input and output.

--- /dev/null
+++ b/libs/batch/src/damaskjunction/batch/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on batch jobs: claims, commits, cancellation and the peak."""
--- /dev/null
+++ b/libs/cli/src/damaskjunction/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The damaskjunction command."""
--- /dev/null
+++ b/libs/core/src/damaskjunction/core/registry.py
@@ -0,0 +1,79 @@
+"""Registries that decorators fill: behaviour that varies, chosen by a short name."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from typing import Generic, TypeVar
+
+from damaskjunction.core.errors import DamaskjunctionError
+
+T = TypeVar("T")
+
+
+class UnknownNameError(DamaskjunctionError, KeyError):
+    """A registry has no entry of this name; the message lists those it has."""
+
+    def __str__(self) -> str:
+        return str(self.args[0])
+
+
+class Registry(Generic[T]):
+    """Entries of one kind by name.
+
+    Parameters
+    ----------
+    kind : str
+        What the entries are, for error messages, such as ``"usage meter"``.
+
+    Examples
+    --------
+    >>> greetings: Registry[Callable[[], str]] = Registry("greeting")
+    >>> @greetings.register("plain")
+    ... def greet() -> str:
+    ...     return "hello"
+    >>> greetings.get("plain")()
+    'hello'
+    """
+
+    def __init__(self, kind: str) -> None:
+        self.kind = kind
+        self._entries_by_name: dict[str, T] = {}
+
+    def register(self, name: str) -> Callable[[T], T]:
+        """Return a decorator that enters its object under ``name``.
+
+        Raises
+        ------
+        ValueError
+            When the name is taken.
+        """
+
+        def enter(entry: T) -> T:
+            if name in self._entries_by_name:
+                raise ValueError(f"{self.kind} {name!r} is registered already")
+            self._entries_by_name[name] = entry
+            return entry
+
+        return enter
+
+    def get(self, name: str) -> T:
+        """Return the entry called ``name``.
+
+        Raises
+        ------
+        UnknownNameError
+            When there is none.
+        """
+        try:
+            return self._entries_by_name[name]
+        except KeyError:
+            known = ", ".join(sorted(self._entries_by_name))
+            raise UnknownNameError(
+                f"no {self.kind} is called {name!r}; known: {known}"
+            ) from None
+
+    def __iter__(self) -> Iterator[str]:
+        return iter(sorted(self._entries_by_name))
+
+    def __contains__(self, name: object) -> bool:
+        return name in self._entries_by_name
--- /dev/null
+++ b/libs/core/src/damaskjunction/core/timers.py
@@ -0,0 +1,130 @@
+"""The timer service: the only source of time, and of calls at a time.
+
+Parts subscribe to it and are called back on the loop's thread. ``LoopTimers`` follows
+the event loop's clock; ``ManualTimers`` is moved by hand in tests and experiments.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import heapq
+import itertools
+import time
+from collections.abc import Callable
+from typing import Protocol, TypeAlias
+
+Callback: TypeAlias = Callable[[], None]
+
+
+class Subscription:
+    """A pending call, single or repeated, that ``cancel`` ends."""
+
+    def __init__(self, callback: Callback, interval_s: float | None) -> None:
+        self.callback = callback
+        self.interval_s = interval_s
+        self.is_cancelled = False
+        self.handle: asyncio.TimerHandle | None = None
+
+    def cancel(self) -> None:
+        """Make no further call."""
+        self.is_cancelled = True
+        if self.handle is not None:
+            self.handle.cancel()
+
+
+class Timers(Protocol):
+    """What parts may ask of the timer service."""
+
+    def now(self) -> float:
+        """Seconds on a clock that never goes back and counts while suspended."""
+
+    def wall(self) -> float:
+        """Seconds since the epoch; may jump, so never used to measure a duration."""
+
+    def once(self, delay_s: float, callback: Callback) -> Subscription:
+        """Call back once, ``delay_s`` seconds from now."""
+
+    def every(self, interval_s: float, callback: Callback) -> Subscription:
+        """Call back each ``interval_s`` seconds until cancelled."""
+
+
+class LoopTimers:
+    """The timer service of a running process, on the event loop of its thread."""
+
+    def now(self) -> float:
+        """Seconds on the monotonic clock."""
+        return time.monotonic()
+
+    def wall(self) -> float:
+        """Seconds since the epoch."""
+        return time.time()
+
+    def once(self, delay_s: float, callback: Callback) -> Subscription:
+        """Call back once, ``delay_s`` seconds from now."""
+        subscription = Subscription(callback, None)
+        self._arm(subscription, delay_s)
+        return subscription
+
+    def every(self, interval_s: float, callback: Callback) -> Subscription:
+        """Call back each ``interval_s`` seconds until cancelled."""
+        subscription = Subscription(callback, interval_s)
+        self._arm(subscription, interval_s)
+        return subscription
+
+    def _arm(self, subscription: Subscription, delay_s: float) -> None:
+        loop = asyncio.get_running_loop()
+        subscription.handle = loop.call_later(delay_s, self._fire, subscription)
+
+    def _fire(self, subscription: Subscription) -> None:
+        if subscription.is_cancelled:
+            return
+        if subscription.interval_s is not None:
+            self._arm(subscription, subscription.interval_s)
+        subscription.callback()
+
+
+class ManualTimers:
+    """A timer service whose time moves only through ``advance``."""
+
+    def __init__(self, start_s: float = 0.0, wall_start_s: float = 1.8e9) -> None:
+        self._now_s = start_s
+        self._wall_offset_s = wall_start_s - start_s
+        self._order = itertools.count()
+        self._pending: list[tuple[float, int, Subscription]] = []
+
+    def now(self) -> float:
+        """Seconds of the hand-moved clock."""
+        return self._now_s
+
+    def wall(self) -> float:
+        """Seconds since the epoch, moving with ``now``."""
+        return self._now_s + self._wall_offset_s
+
+    def once(self, delay_s: float, callback: Callback) -> Subscription:
+        """Call back once, ``delay_s`` seconds from now."""
+        return self._push(Subscription(callback, None), delay_s)
+
+    def every(self, interval_s: float, callback: Callback) -> Subscription:
+        """Call back each ``interval_s`` seconds until cancelled."""
+        return self._push(Subscription(callback, interval_s), interval_s)
+
+    def advance(self, duration_s: float) -> None:
+        """Move time on and make the calls that fall due, in order."""
+        end_s = self._now_s + duration_s
+        while self._pending and self._pending[0][0] <= end_s:
+            due_s, _, subscription = heapq.heappop(self._pending)
+            self._now_s = due_s
+            self._fire(subscription)
+        self._now_s = end_s
+
+    def _fire(self, subscription: Subscription) -> None:
+        if subscription.is_cancelled:
+            return
+        if subscription.interval_s is not None:
+            self._push(subscription, subscription.interval_s)
+        subscription.callback()
+
+    def _push(self, subscription: Subscription, delay_s: float) -> Subscription:
+        entry = (self._now_s + delay_s, next(self._order), subscription)
+        heapq.heappush(self._pending, entry)
+        return subscription
--- /dev/null
+++ b/libs/http/src/damaskjunction/http/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP server and client on h11."""
--- /dev/null
+++ b/libs/lab/src/damaskjunction/lab/__init__.py
@@ -0,0 +1,1 @@
+"""Load and experiment tool."""
--- /dev/null
+++ b/libs/node/src/damaskjunction/node/__init__.py
@@ -0,0 +1,1 @@
+"""Composition root and daemon of one host."""
--- /dev/null
+++ b/libs/placement/src/damaskjunction/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on what runs where and on orders to runners."""
--- /dev/null
+++ b/libs/platform/src/damaskjunction/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Client of the platform's object API and host list."""
--- /dev/null
+++ b/libs/routing/src/damaskjunction/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on admission, runner choice, limits and retries."""
--- /dev/null
+++ b/libs/settings/src/damaskjunction/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Checked settings of a host and the operators' text."""
--- /dev/null
+++ b/libs/telemetry/src/damaskjunction/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""JSON logs, metrics and the state dump."""
--- /dev/null
+++ b/libs/wire/src/damaskjunction/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Thrift messages and multiplexed links between hosts."""
--- /dev/null
+++ b/tools/check.py
@@ -0,0 +1,185 @@
+"""Run the checks of the workspace and count their results.
+
+The last line is ``N passed, N failed``: each static check counts as one, each behave
+scenario as one, from the results that behave reports. A failure that ``KNOWN-RED.txt``
+names is printed and not counted as failed.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import os
+import sys
+import tempfile
+from pathlib import Path
+from typing import NamedTuple
+
+ROOT = Path(__file__).resolve().parent.parent
+KNOWN_RED = ROOT / "KNOWN-RED.txt"
+SUITE_TIMEOUT_S = 600.0
+PARALLEL_SUITES = 4
+KNOWN_RED_PREFIX = "test:"
+SLOW_TAG = "matrix"
+
+
+class Result(NamedTuple):
+    """One check or scenario: its name, and the reason when it failed."""
+
+    name: str
+    failure: str | None
+
+
+class Finished(NamedTuple):
+    """Exit code and output of a finished command."""
+
+    code: int
+    output: str
+
+
+async def run_command(*command: str) -> Finished:
+    """Run a command at the workspace's root and collect what it prints."""
+    process = await asyncio.create_subprocess_exec(
+        *command,
+        cwd=ROOT,
+        stdin=asyncio.subprocess.DEVNULL,
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.STDOUT,
+    )
+    try:
+        async with asyncio.timeout(SUITE_TIMEOUT_S):
+            output, _ = await process.communicate()
+    except TimeoutError:
+        process.kill()
+        await process.wait()
+        return Finished(1, f"no end after {SUITE_TIMEOUT_S:.0f} s")
+    return Finished(process.returncode or 0, output.decode(errors="replace"))
+
+
+async def run_static_checks() -> list[Result]:
+    """Run formatter, linter, type checker and import contracts."""
+    python = sys.executable
+    scripts = Path(python).parent
+    sources = sorted(str(path) for path in ROOT.glob("libs/*/src"))
+    commands = {
+        "ruff format": (python, "-m", "ruff", "format", "--check", "libs", "tools"),
+        "ruff check": (python, "-m", "ruff", "check", "libs", "tools"),
+        "mypy": (python, "-m", "mypy", *sources, "tools"),
+        "import contracts": (str(scripts / "lint-imports"), "--no-cache"),
+    }
+    finished = await asyncio.gather(*(run_command(*c) for c in commands.values()))
+    return [
+        Result(name, None if done.code == 0 else done.output)
+        for name, done in zip(commands, finished, strict=True)
+    ]
+
+
+def read_scenarios(suite: str, report: Path) -> list[Result]:
+    """Return a result per scenario of behave's JSON report."""
+    results = []
+    for feature in json.loads(report.read_text()):
+        for element in feature.get("elements", []):
+            if element["type"] == "background" or element["status"] == "skipped":
+                continue
+            name = f"{suite}: {feature['name']}: {element['name']}"
+            results.append(Result(name, scenario_failure(element)))
+    return results
+
+
+def scenario_failure(element: dict[str, object]) -> str | None:
+    """Return why a scenario did not pass, or None when it did."""
+    if element["status"] == "passed":
+        return None
+    steps = element["steps"]
+    assert isinstance(steps, list)
+    for step in steps:
+        result = step.get("result", {})
+        if result.get("status") != "passed":
+            message = "\n".join(result.get("error_message", ["not run"]))
+            return f"{step['keyword']} {step['name']}\n{message}"
+    return str(element["status"])
+
+
+async def run_suite(suite: Path, tags: str, limit: asyncio.Semaphore) -> list[Result]:
+    """Run the features of one library."""
+    name = suite.parent.name
+    with tempfile.TemporaryDirectory() as folder:
+        report = Path(folder) / "report.json"
+        command = (sys.executable, "-m", "behave", "--no-summary", "--tags", tags)
+        output = ("--format", "json", "--outfile", str(report), str(suite))
+        async with limit:
+            done = await run_command(*command, *output)
+        try:
+            results = read_scenarios(name, report)
+        except (OSError, ValueError):
+            return [Result(f"{name}: behave", done.output)]
+    if done.code != 0 and all(result.failure is None for result in results):
+        results.append(Result(f"{name}: behave", done.output))
+    return results
+
+
+async def run_features(tags: str) -> list[Result]:
+    """Run the features of all libraries, some libraries at a time."""
+    limit = asyncio.Semaphore(PARALLEL_SUITES)
+    suites = sorted(
+        path for path in ROOT.glob("libs/*/features") if any(path.glob("**/*.feature"))
+    )
+    per_suite = await asyncio.gather(*(run_suite(s, tags, limit) for s in suites))
+    return [result for results in per_suite for result in results]
+
+
+def known_red_names() -> set[str]:
+    """Return the names of the tests that ``KNOWN-RED.txt`` lists."""
+    if not KNOWN_RED.exists():
+        return set()
+    lines = KNOWN_RED.read_text().splitlines()
+    return {
+        line.removeprefix(KNOWN_RED_PREFIX).strip()
+        for line in lines
+        if line.startswith(KNOWN_RED_PREFIX)
+    }
+
+
+def report(results: list[Result]) -> int:
+    """Print failures and the closing line; return the number that failed."""
+    known_red = known_red_names()
+    n_failed = 0
+    for result in results:
+        if result.failure is None:
+            continue
+        is_known = result.name in known_red
+        n_failed += not is_known
+        print(f"{'KNOWN RED' if is_known else 'FAILED'} {result.name}")
+        print(result.failure)
+    n_passed = sum(result.failure is None for result in results)
+    print(f"{n_passed} passed, {n_failed} failed")
+    return n_failed
+
+
+async def run_all(only: str) -> list[Result]:
+    """Run the chosen checks."""
+    results: list[Result] = []
+    if only in ("all", "lint"):
+        results += await run_static_checks()
+    if only in ("all", "features"):
+        results += await run_features(f"not @{SLOW_TAG}")
+    if only == "matrix":
+        results += await run_features(f"@{SLOW_TAG}")
+    return results
+
+
+def main() -> None:
+    """Run the checks named on the command line."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument(
+        "--only", choices=("all", "lint", "features", "matrix"), default="all"
+    )
+    arguments = parser.parse_args()
+    os.environ.setdefault("PYTHONHASHSEED", "0")
+    results = asyncio.run(run_all(arguments.only))
+    sys.exit(1 if report(results) else 0)
+
+
+if __name__ == "__main__":
+    main()
