--- a/libs/cli/src/damaskjunction/cli/__init__.py
+++ b/libs/cli/src/damaskjunction/cli/__init__.py
@@ -1,1 +1,5 @@
 """The damaskjunction command."""
+
+from damaskjunction.cli.main import main
+
+__all__ = ["main"]
--- /dev/null
+++ b/libs/cli/src/damaskjunction/cli/__main__.py
@@ -0,0 +1,6 @@
+"""Run the command as ``python -m damaskjunction.cli``."""
+
+from damaskjunction.cli.main import main
+
+if __name__ == "__main__":
+    main()
--- a/libs/http/src/damaskjunction/http/__init__.py
+++ b/libs/http/src/damaskjunction/http/__init__.py
@@ -1,1 +1,43 @@
-"""HTTP server and client on h11."""
+"""HTTP server and client on h11, server-sent events and routes."""
+
+from damaskjunction.http.client import ClientResponse, HttpClient
+from damaskjunction.http.events import Event, EventParser, encode_event
+from damaskjunction.http.messages import (
+    EVENT_STREAM_TYPE,
+    JSON_TYPE,
+    BodyReader,
+    BrokenResponseError,
+    ConnectFailedError,
+    HttpError,
+    HttpLimits,
+    Request,
+    Response,
+    read_json,
+    request_error_document,
+    to_json_response,
+)
+from damaskjunction.http.routes import Handler, Routes
+from damaskjunction.http.server import HttpServer
+
+__all__ = [
+    "EVENT_STREAM_TYPE",
+    "JSON_TYPE",
+    "BodyReader",
+    "BrokenResponseError",
+    "ClientResponse",
+    "ConnectFailedError",
+    "Event",
+    "EventParser",
+    "Handler",
+    "HttpClient",
+    "HttpError",
+    "HttpLimits",
+    "HttpServer",
+    "Request",
+    "Response",
+    "Routes",
+    "encode_event",
+    "read_json",
+    "request_error_document",
+    "to_json_response",
+]
--- /dev/null
+++ b/libs/http/src/damaskjunction/http/server.py
@@ -0,0 +1,321 @@
+"""HTTP/1.1 server: h11 for the protocol, asyncio streams for the bytes."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import ssl
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import TypeAlias
+from urllib.parse import parse_qsl, urlsplit
+
+import h11
+
+from damaskjunction.core import Address, RequestError
+from damaskjunction.http.messages import (
+    BodyReader,
+    HttpError,
+    HttpLimits,
+    Request,
+    Response,
+    error_response,
+    request_error_response,
+)
+
+RequestHandler: TypeAlias = Callable[[Request], Awaitable[Response]]
+
+READ_BYTES = 64 * 1024
+
+logger = logging.getLogger(__name__)
+
+
+class HttpServer:
+    """A listener that answers requests by one handler.
+
+    Parameters
+    ----------
+    address : Address
+        Where to listen.
+    handle : callable
+        Answers a request; an ``HttpError`` or ``RequestError`` it raises becomes the
+        error body of that kind.
+    limits : HttpLimits, optional
+        What one peer may take.
+    tls : ssl.SSLContext, optional
+        Serve over TLS.
+    """
+
+    def __init__(
+        self,
+        address: Address,
+        handle: RequestHandler,
+        *,
+        limits: HttpLimits | None = None,
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
+        self.address = address
+        self._handle = handle
+        self._limits = limits or HttpLimits()
+        self._tls = tls
+        self._server: asyncio.Server | None = None
+        self._busy_by_task: dict[asyncio.Task[None], _Connection] = {}
+        self._is_draining = False
+
+    async def start(self) -> None:
+        """Listen and serve."""
+        self._server = await asyncio.start_server(
+            self._serve,
+            self.address.ip,
+            self.address.port,
+            ssl=self._tls,
+            backlog=1024,
+        )
+
+    async def drain(self) -> None:
+        """Stop listening and return when every request in progress has its answer."""
+        self._is_draining = True
+        if self._server is not None:
+            self._server.close()
+        for task, connection in list(self._busy_by_task.items()):
+            if connection.is_idle:
+                task.cancel()
+        if self._busy_by_task:
+            await asyncio.wait(list(self._busy_by_task))
+
+    async def close(self) -> None:
+        """Stop listening and cut the connections that are left."""
+        if self._server is not None:
+            self._server.close()
+        tasks = list(self._busy_by_task)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        if len(self._busy_by_task) >= self._limits.n_connections:
+            writer.close()
+            return
+        task = asyncio.current_task()
+        assert task is not None
+        connection = _Connection(reader, writer, self._handle, self._limits)
+        self._busy_by_task[task] = connection
+        try:
+            while not self._is_draining:
+                if not await connection.serve_one():
+                    break
+        except asyncio.CancelledError:
+            pass  # the server closes
+        except (OSError, TimeoutError, h11.ProtocolError) as error:
+            logger.debug("connection ended", extra={"error": repr(error)})
+        finally:
+            del self._busy_by_task[task]
+            writer.close()
+
+
+class _Connection:
+    """One accepted connection, serving one request after the other."""
+
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        handle: RequestHandler,
+        limits: HttpLimits,
+    ) -> None:
+        self._reader = reader
+        self._writer = writer
+        self._handle = handle
+        self._limits = limits
+        self._protocol = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=limits.header_bytes
+        )
+        self.is_idle = True
+        self._body_read = asyncio.Event()
+
+    async def serve_one(self) -> bool:
+        """Serve one request; return whether another may follow."""
+        self.is_idle = True
+        try:
+            head = await self._read_head()
+        except h11.RemoteProtocolError as error:
+            await self._refuse(HttpError(error.error_status_hint, "bad_request"))
+            return False
+        if head is None:
+            return False
+        self.is_idle = False
+        self._body_read.clear()
+        self._skip_absent_body(head)
+        response = await self._answer(head)
+        if response is None:
+            return False
+        await self._send(head, response)
+        return self._restart()
+
+    async def _read_head(self) -> h11.Request | None:
+        waited_s = self._limits.keep_alive_s
+        while True:
+            event = self._protocol.next_event()
+            if isinstance(event, h11.Request):
+                return event
+            if event is not h11.NEED_DATA:
+                return None
+            async with asyncio.timeout(waited_s):
+                data = await self._reader.read(READ_BYTES)
+            self._protocol.receive_data(data)
+            waited_s = self._limits.header_timeout_s
+
+    async def _answer(self, head: h11.Request) -> Response | None:
+        """Run the handler; return None when the peer has gone meanwhile."""
+        try:
+            request = self._to_request(head)
+        except HttpError as error:
+            return error_response(error)
+        handler = asyncio.ensure_future(self._run_handler(request))
+        watcher = asyncio.ensure_future(self._watch_peer(handler))
+        try:
+            return await handler
+        except asyncio.CancelledError:
+            handler.cancel()
+            if watcher.done() and not watcher.cancelled():
+                return None
+            raise
+        finally:
+            watcher.cancel()
+            await asyncio.gather(watcher, return_exceptions=True)
+
+    async def _run_handler(self, request: Request) -> Response:
+        try:
+            return await self._handle(request)
+        except HttpError as error:
+            return error_response(error)
+        except RequestError as error:
+            return request_error_response(error)
+        except (OSError, TimeoutError):
+            raise
+        except Exception:
+            logger.exception("handler failed", extra={"path": request.path})
+            return error_response(HttpError(500, "internal_error"))
+
+    async def _watch_peer(self, handler: asyncio.Future[Response]) -> None:
+        """Cancel the handler when the peer closes while it waits for the answer."""
+        await self._body_read.wait()
+        data = await self._reader.read(READ_BYTES)
+        if data:
+            self._protocol.receive_data(data)
+            return
+        self._protocol.receive_data(b"")
+        handler.cancel()
+
+    def _to_request(self, head: h11.Request) -> Request:
+        if len(head.headers) > self._limits.n_headers:
+            detail = f"at most {self._limits.n_headers} headers are taken"
+            raise HttpError(431, "too_many_headers", detail)
+        parts = urlsplit(head.target.decode("ascii"))
+        headers = {
+            name.decode("ascii"): value.decode("latin-1")
+            for name, value in head.headers
+        }
+        body = BodyReader(self._body_chunks(), self._limits.body_bytes)
+        query = dict(parse_qsl(parts.query, keep_blank_values=True))
+        return Request(head.method.decode("ascii"), parts.path, query, headers, body)
+
+    async def _body_chunks(self) -> AsyncIterator[bytes]:
+        if self._protocol.they_are_waiting_for_100_continue:
+            await self._write(
+                h11.InformationalResponse(status_code=100, headers=[], reason=b"")
+            )
+        while not self._body_read.is_set():
+            event = self._protocol.next_event()
+            if isinstance(event, h11.Data):
+                yield bytes(event.data)
+            elif event is h11.NEED_DATA:
+                async with asyncio.timeout(self._limits.body_stall_s):
+                    data = await self._reader.read(READ_BYTES)
+                self._protocol.receive_data(data)
+            else:
+                self._body_read.set()
+
+    def _skip_absent_body(self, head: h11.Request) -> None:
+        """Take the end of a request that has no body, so that its peer is watched."""
+        names = {name for name, _ in head.headers}
+        if names.isdisjoint((b"content-length", b"transfer-encoding")):
+            self._protocol.next_event()
+            self._body_read.set()
+
+    async def _send(self, head: h11.Request, response: Response) -> None:
+        is_whole = isinstance(response.body, bytes)
+        headers = [("Content-Type", response.content_type), *response.headers.items()]
+        if isinstance(response.body, bytes):
+            headers.append(("Content-Length", str(len(response.body))))
+        if self._protocol.their_state is not h11.DONE:
+            headers.append(("Connection", "close"))
+        await self._write(
+            h11.Response(status_code=response.status, headers=headers, reason=b"")
+        )
+        if is_whole:
+            assert isinstance(response.body, bytes)
+            if head.method != b"HEAD":
+                await self._write(h11.Data(data=response.body))
+        else:
+            assert not isinstance(response.body, bytes)
+            await self._send_stream(response.body)
+        await self._write(h11.EndOfMessage())
+
+    async def _send_stream(self, chunks: AsyncIterator[bytes]) -> None:
+        """Send chunks as they come, and stop when the peer closes."""
+        sender = asyncio.ensure_future(self._send_chunks(chunks))
+        watcher = asyncio.ensure_future(self._reader.read(READ_BYTES))
+        try:
+            await asyncio.wait((sender, watcher), return_when=asyncio.FIRST_COMPLETED)
+            if watcher.done() and not sender.done():
+                self._protocol.receive_data(watcher.result())
+                if not watcher.result():
+                    raise ConnectionResetError("the caller closed its connection")
+            await sender
+        finally:
+            sender.cancel()
+            watcher.cancel()
+            await asyncio.gather(sender, watcher, return_exceptions=True)
+
+    async def _send_chunks(self, chunks: AsyncIterator[bytes]) -> None:
+        try:
+            async for chunk in chunks:
+                await self._write(h11.Data(data=chunk))
+        finally:
+            close = getattr(chunks, "aclose", None)
+            if close is not None:
+                await close()
+
+    async def _refuse(self, error: HttpError) -> None:
+        if self._protocol.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        response = error_response(error)
+        assert isinstance(response.body, bytes)
+        headers = [
+            ("Content-Type", response.content_type),
+            ("Content-Length", str(len(response.body))),
+            ("Connection", "close"),
+        ]
+        await self._write(
+            h11.Response(status_code=response.status, headers=headers, reason=b"")
+        )
+        await self._write(h11.Data(data=response.body))
+        await self._write(h11.EndOfMessage())
+
+    async def _write(self, event: h11.Event) -> None:
+        data = self._protocol.send(event)
+        if not data:
+            return
+        self._writer.write(data)
+        async with asyncio.timeout(self._limits.write_stall_s):
+            await self._writer.drain()
+
+    def _restart(self) -> bool:
+        if self._protocol.our_state is not h11.DONE:
+            return False
+        if self._protocol.their_state is not h11.DONE:
+            return False
+        self._protocol.start_next_cycle()
+        return True
--- /dev/null
+++ b/libs/lab/src/damaskjunction/lab/demo.py
@@ -0,0 +1,101 @@
+"""The demo: a small fleet on loopback, one path of each kind through it."""
+
+from __future__ import annotations
+
+import json
+
+from damaskjunction.standins import (
+    CALLER_KEY,
+    DeployedFleet,
+    deployments,
+    parse_events,
+    token_text,
+)
+
+N_ITEMS = 200
+PROMPT = "May I move a loose impediment in a bunker?"
+AUTHORIZATION = {"Authorization": f"Bearer {CALLER_KEY}"}
+
+
+async def run_demo() -> None:
+    """Start the fleet, run the path and print what happened."""
+    deployed = DeployedFleet(deployments.get("lima"))
+    try:
+        await deployed.start()
+        print(
+            f"started {len(deployed.hosts_by_id)} hosts, "
+            f"{len(deployed.runners_by_id)} runners and the platform's stand-in"
+        )
+        await _apply(deployed)
+        await _ask(deployed)
+        await _call_plain(deployed)
+        await _run_job(deployed)
+    finally:
+        await deployed.close()
+    print("stopped")
+
+
+async def _apply(deployed: DeployedFleet) -> None:
+    answer = await deployed.apply_text()
+    revision = answer.to_json()["revision"]
+    await deployed.wait_until_serving(revision)
+    print(f"revision {revision} is in force everywhere, the engines are ready")
+
+
+async def _ask(deployed: DeployedFleet) -> None:
+    first = next(iter(deployed.hosts_by_id))
+    answer = await deployed.fleet.call(first, "GET", "/v1/addresses")
+    print(f"addresses to use: {', '.join(answer.to_json()['addresses'])}")
+    answer = await deployed.fleet.call(
+        first,
+        "POST",
+        "/v1/services/caddie-llm/generate",
+        document={"prompt": PROMPT, "max_tokens": 12},
+        headers=AUTHORIZATION,
+    )
+    events = parse_events(answer.body)
+    texts = [json.loads(event.data)["text"] for event in events[:-1]]
+    expected = [token_text(PROMPT, position) for position in range(12)]
+    is_whole = texts == expected and events[-1].name == "end"
+    print(f"caddie-llm answered {len(texts)} tokens, whole: {is_whole}")
+
+
+async def _call_plain(deployed: DeployedFleet) -> None:
+    last = list(deployed.hosts_by_id)[-1]
+    answer = await deployed.fleet.call(
+        last,
+        "POST",
+        "/v1/services/fleet-api/call/battery/7",
+        document={"cart": 7},
+        headers=AUTHORIZATION,
+    )
+    print(f"fleet-api answered {answer.status}: {answer.body.decode().strip()}")
+
+
+async def _run_job(deployed: DeployedFleet) -> None:
+    host = list(deployed.hosts_by_id)[1]
+    lines = [
+        json.dumps({"prompt": f"faults of cart {number}", "max_tokens": 8})
+        for number in range(N_ITEMS)
+    ]
+    answer = await deployed.fleet.call(
+        host,
+        "POST",
+        "/v1/jobs?service=caddie-llm&key=night-1",
+        body="\n".join(lines).encode(),
+        headers=AUTHORIZATION,
+    )
+    job = answer.to_json()
+    print(f"job {job['job_id']} accepted with {job['n_items']} items")
+
+    async def is_complete() -> bool:
+        target = f"/v1/jobs/{job['job_id']}"
+        answer = await deployed.fleet.call(host, "GET", target, headers=AUTHORIZATION)
+        return bool(answer.to_json()["state"] == "complete")
+
+    await deployed.fleet.wait_for(is_complete, "the job is complete", 60.0)
+    target = f"/v1/jobs/{job['job_id']}/results"
+    answer = await deployed.fleet.call(host, "GET", target, headers=AUTHORIZATION)
+    results = answer.to_json()["results"]
+    n_good = sum("text" in result for result in results)
+    print(f"job complete: {len(results)} results read, {n_good} with an answer")
--- /dev/null
+++ b/libs/node/features/steps/path_steps.py
@@ -0,0 +1,94 @@
+"""Steps of the whole path's feature."""
+
+from __future__ import annotations
+
+import json
+
+from behave import given, then, when
+
+from damaskjunction.standins.scenarios import (
+    AUTHORIZATION,
+    assert_whole,
+    generate,
+    run,
+    start_fleet,
+)
+
+
+@given('a running "{name}" fleet')
+def start(context, name):
+    start_fleet(context, name)
+
+
+@when('"{prompt}" is asked for {n_tokens:d} tokens through each host')
+def ask(context, prompt, n_tokens):
+    context.prompt, context.n_tokens = prompt, n_tokens
+    context.answers = [
+        run(context, generate(context.deployed, host, prompt, n_tokens))
+        for host in context.deployed.hosts_by_id
+    ]
+
+
+@then("every answer is whole")
+def check_answers(context):
+    for answer in context.answers:
+        assert_whole(answer, context.prompt, context.n_tokens)
+
+
+@when('"{path}" of "{service}" is called with "{body}" through each host')
+def call(context, path, service, body):
+    target = f"/v1/services/{service}/call{path}"
+    context.answers = [
+        run(
+            context,
+            context.deployed.fleet.call(
+                host, "POST", target, body=body.encode(), headers=AUTHORIZATION
+            ),
+        )
+        for host in context.deployed.hosts_by_id
+    ]
+
+
+@then('every call is answered with "{body}"')
+def check_calls(context, body):
+    for answer in context.answers:
+        assert answer.status == 200, answer
+        assert answer.to_json()["body"] == body, answer
+
+
+@when("a job of {n_items:d} items is submitted through the first host")
+def submit(context, n_items):
+    context.prompts = [f"faults of cart {number}" for number in range(n_items)]
+    lines = [json.dumps({"prompt": p, "max_tokens": 4}) for p in context.prompts]
+    first = next(iter(context.deployed.hosts_by_id))
+    answer = run(
+        context,
+        context.deployed.fleet.call(
+            first,
+            "POST",
+            "/v1/jobs?service=caddie-llm&key=night",
+            body="\n".join(lines).encode(),
+            headers=AUTHORIZATION,
+        ),
+    )
+    assert answer.status == 201, answer
+    context.job_id = answer.to_json()["job_id"]
+
+
+@then("the job completes with an answer for each item, read through the last host")
+def check_job(context):
+    last = list(context.deployed.hosts_by_id)[-1]
+    fleet = context.deployed.fleet
+    target = f"/v1/jobs/{context.job_id}"
+
+    async def is_complete():
+        answer = await fleet.call(last, "GET", target, headers=AUTHORIZATION)
+        return answer.to_json()["state"] == "complete"
+
+    run(context, fleet.wait_for(is_complete, "the job is complete"))
+    answer = run(
+        context, fleet.call(last, "GET", f"{target}/results", headers=AUTHORIZATION)
+    )
+    results = answer.to_json()["results"]
+    assert [result["index"] for result in results] == list(range(len(context.prompts)))
+    assert all(result.get("text") for result in results), results
--- /dev/null
+++ b/libs/node/src/damaskjunction/node/daemon.py
@@ -0,0 +1,35 @@
+"""The daemon around a host: signals in, an orderly stop out."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import signal
+
+from damaskjunction.node.root import HostProcess
+from damaskjunction.settings import HostSettings
+from damaskjunction.telemetry import configure_logs
+
+logger = logging.getLogger(__name__)
+
+
+async def run_host(settings: HostSettings) -> None:
+    """Run a host until SIGTERM or SIGINT; then drain and stop."""
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    process = HostProcess(settings)
+    await process.start()
+    logger.info("host started", extra={"caller": str(settings.caller)})
+    await stop.wait()
+    logger.info("host drains")
+    await process.drain()
+    await process.close()
+    logger.info("host stopped")
+
+
+def main(settings: HostSettings) -> None:
+    """Run a host in this process."""
+    configure_logs(settings.log_level, process=settings.host_id)
+    asyncio.run(run_host(settings))
--- /dev/null
+++ b/libs/node/src/damaskjunction/node/front.py
@@ -0,0 +1,195 @@
+"""Routes for callers: addresses, answers of engines and calls of plain services."""
+
+from __future__ import annotations
+
+import json
+import uuid
+from collections.abc import AsyncIterator
+from typing import Any
+
+from damaskjunction.core import (
+    RequestError,
+    ServiceKind,
+    ServiceSpec,
+    WorkClass,
+    WorkspaceName,
+    rendezvous_order,
+)
+from damaskjunction.http import (
+    EVENT_STREAM_TYPE,
+    Event,
+    HttpError,
+    Request,
+    Response,
+    Routes,
+    encode_event,
+    read_json,
+    request_error_document,
+    to_json_response,
+)
+from damaskjunction.node.entry import CallerRequest, Entry
+from damaskjunction.node.runners import AnswerMessage
+from damaskjunction.node.state import HostView
+from damaskjunction.routing import PlainAnswer, StreamEnd, Token
+
+ADDRESSES_TTL_S = 10
+MAX_ADDRESSES = 3
+DEFAULT_MAX_TOKENS = 64
+ENGINE_PATH = "/v1/generate"
+JSON_TYPE = "application/json"
+
+
+def authenticate(view: HostView, request: Request) -> WorkspaceName:
+    """Return the workspace of a request by its ``Authorization: Bearer`` key.
+
+    Raises
+    ------
+    HttpError
+        With status 503 before there is a configuration, 401 for no or a wrong key.
+    """
+    if not view.is_ready:
+        raise HttpError(503, "no_configuration", "this host has no configuration yet")
+    scheme, _, key = request.headers.get("authorization", "").partition(" ")
+    workspace = view.workspace_of_key(key) if scheme.lower() == "bearer" else None
+    if workspace is None:
+        raise HttpError(401, "unknown_key", "send 'Authorization: Bearer <key>'")
+    return workspace
+
+
+class Front:
+    """The callers' routes of one host.
+
+    Parameters
+    ----------
+    view : HostView
+        Tells services, workspaces and hosts.
+    entry : Entry
+        Runs requests.
+    """
+
+    def __init__(self, view: HostView, entry: Entry) -> None:
+        self._view = view
+        self._entry = entry
+
+    def register(self, routes: Routes) -> None:
+        """Enter the callers' routes."""
+        routes.register("GET", "/v1/addresses")(self.addresses)
+        routes.register("POST", "/v1/services/{service}/generate")(self.generate)
+        routes.register("POST", "/v1/services/{service}/call/{path:path}")(self.call)
+
+    async def addresses(self, request: Request) -> Response:
+        """Tell which addresses a caller should use, and for how long."""
+        if not self._view.is_ready:
+            raise HttpError(503, "no_configuration")
+        near = request.query.get("data_centre", self._view.own.data_centre)
+        hosts = {host.host_id: host for host in self._view.serving_hosts()}
+        caller = request.query.get("caller", uuid.uuid4().hex)
+        order = rendezvous_order(caller, [(host_id, 1.0) for host_id in hosts])
+        order.sort(key=lambda host_id: hosts[host_id].data_centre != near)
+        chosen = [str(hosts[host_id].caller) for host_id in order[:MAX_ADDRESSES]]
+        document = {"addresses": chosen, "ttl_s": ADDRESSES_TTL_S}
+        return to_json_response(document)
+
+    async def generate(self, request: Request, service: str) -> Response:
+        """Stream an engine's answer as server-sent events."""
+        workspace = authenticate(self._view, request)
+        spec = self._service(service, ServiceKind.ENGINE)
+        document = check_prompt(await read_json(request))
+        call = CallerRequest(
+            request_id=uuid.uuid4().hex,
+            service=service,
+            workspace=workspace,
+            work_class=WorkClass.ONLINE,
+            deadline_s=float(document.get("deadline_s", spec.deadline_s)),
+            idempotent=True,
+            path=ENGINE_PATH,
+            content_type=JSON_TYPE,
+            body=json.dumps(document).encode(),
+            prompt=document["prompt"],
+        )
+        messages = self._entry.run(call)
+        first = await anext(messages)
+        headers = {"Request-Id": call.request_id}
+        return Response(200, _to_events(first, messages), EVENT_STREAM_TYPE, headers)
+
+    async def call(self, request: Request, service: str, path: str) -> Response:
+        """Pass a call to a plain service and its answer back."""
+        workspace = authenticate(self._view, request)
+        spec = self._service(service, ServiceKind.PLAIN)
+        target = f"/{path}"
+        call = CallerRequest(
+            request_id=uuid.uuid4().hex,
+            service=service,
+            workspace=workspace,
+            work_class=WorkClass.ONLINE,
+            deadline_s=spec.deadline_s,
+            idempotent=is_idempotent(spec, target),
+            path=target,
+            content_type=request.headers.get("content-type", JSON_TYPE),
+            body=await request.body.read(),
+        )
+        answer = [message async for message in self._entry.run(call)][-1]
+        assert isinstance(answer, PlainAnswer)
+        headers = {"Request-Id": call.request_id}
+        return Response(answer.status, answer.body, answer.content_type, headers)
+
+    def _service(self, name: str, kind: ServiceKind) -> ServiceSpec:
+        spec = self._view.configuration.services_by_name.get(name)
+        if spec is None:
+            raise HttpError(404, "no_such_service", f"no service is called {name!r}")
+        if spec.kind is not kind:
+            detail = f"{name!r} is of kind {spec.kind.value}, not {kind.value}"
+            raise HttpError(409, "wrong_kind", detail)
+        return spec
+
+
+def is_idempotent(spec: ServiceSpec, path: str) -> bool:
+    """Return whether a call to a path may be repeated; the longest prefix decides."""
+    matching = [call for call in spec.calls if path.startswith(call.path)]
+    if not matching:
+        return True
+    return max(matching, key=lambda call: len(call.path)).idempotent
+
+
+def check_prompt(document: Any) -> dict[str, Any]:
+    """Return the document of a request to an engine, its defaults filled in.
+
+    Raises
+    ------
+    HttpError
+        With status 400 when a value is missing or out of range.
+    """
+    if not isinstance(document, dict):
+        raise HttpError(400, "bad_request", "expected a JSON object")
+    if not isinstance(document.get("prompt"), str):
+        raise HttpError(400, "bad_request", "expected a text", key="prompt")
+    n_tokens = document.setdefault("max_tokens", DEFAULT_MAX_TOKENS)
+    if not isinstance(n_tokens, int) or not 1 <= n_tokens <= 100_000:
+        raise HttpError(400, "bad_request", "expected 1 to 100000", key="max_tokens")
+    deadline_s = document.get("deadline_s", 1.0)
+    if not isinstance(deadline_s, int | float) or not 0 < deadline_s <= 3600:
+        raise HttpError(400, "bad_request", "expected 0 to 3600 s", key="deadline_s")
+    return document
+
+
+async def _to_events(
+    first: AnswerMessage, rest: AsyncIterator[AnswerMessage]
+) -> AsyncIterator[bytes]:
+    """Yield an answer as events; what breaks it is its last event."""
+    yield _to_event(first)
+    try:
+        async for message in rest:
+            yield _to_event(message)
+    except RequestError as error:
+        data = json.dumps(request_error_document(error))
+        yield encode_event(Event("error", data))
+
+
+def _to_event(message: AnswerMessage) -> bytes:
+    match message:
+        case Token(_, position, text):
+            data = {"position": position, "text": text}
+            return encode_event(Event("token", json.dumps(data)))
+        case StreamEnd(_, n_tokens):
+            return encode_event(Event("end", json.dumps({"n_tokens": n_tokens})))
+    raise TypeError(f"no event for {message!r}")
--- /dev/null
+++ b/libs/node/src/damaskjunction/node/root.py
@@ -0,0 +1,94 @@
+"""The composition root: makes the parts of a host and wires them."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+from damaskjunction.core import LoopTimers
+from damaskjunction.http import HttpServer, Routes
+from damaskjunction.node.admin import Admin
+from damaskjunction.node.control import Control
+from damaskjunction.node.entry import Entry
+from damaskjunction.node.front import Front
+from damaskjunction.node.home import Home
+from damaskjunction.node.jobs import JobFront, JobWorker
+from damaskjunction.node.state import HostView
+from damaskjunction.platform import PlatformClient
+from damaskjunction.routing import Forward
+from damaskjunction.settings import HostSettings
+from damaskjunction.telemetry import Metrics, StateDump
+from damaskjunction.wire import Message, PeerLinks, PeerServer, Reply, StatusQuery
+
+
+class HostProcess:
+    """All parts of one host.
+
+    Parameters
+    ----------
+    settings : HostSettings
+        The host's settings.
+    """
+
+    def __init__(self, settings: HostSettings) -> None:
+        timers = LoopTimers()
+        metrics = Metrics()
+        dump = StateDump()
+        self._view = HostView(settings.to_entry_host())
+        self._store = PlatformClient(settings.platform, timers)
+        self._links = PeerLinks(timers)
+        self._home = Home(self._view, timers)
+        entry = Entry(self._view, self._home, self._links, timers)
+        self._control = Control(self._view, self._store, timers)
+        self._worker = JobWorker(self._view, self._store, entry, timers)
+        self._admin = Admin(
+            self._view,
+            self._store,
+            self._links,
+            metrics=metrics,
+            dump=dump,
+            token=_read_token(settings),
+        )
+        routes = Routes()
+        Front(self._view, entry).register(routes)
+        JobFront(self._view, self._store, timers).register(routes)
+        self._admin.register(routes)
+        self._callers = HttpServer(settings.caller, routes.handle)
+        self._peers = PeerServer(settings.peer, timers, self._handle_peer)
+        dump.sections.register("host")(lambda: self._admin.own_status()._asdict())
+        dump.sections.register("runners")(self._home.to_document)
+
+    async def start(self) -> None:
+        """Start every part; callers are served from now on."""
+        await self._peers.start()
+        await self._control.start()
+        await self._worker.start()
+        await self._callers.start()
+
+    async def drain(self) -> None:
+        """Take no new work and return when what is in progress has ended."""
+        self._view.start_draining()
+        await self._callers.drain()
+
+    async def close(self) -> None:
+        """Stop every part."""
+        await self._callers.close()
+        await self._worker.close()
+        await self._control.close()
+        await self._peers.close()
+        self._links.close()
+        self._home.close()
+        self._store.close()
+
+    async def _handle_peer(self, message: Message, reply: Reply) -> None:
+        match message:
+            case Forward():
+                async for answer in self._home.run(message):
+                    await reply(answer)
+            case StatusQuery():
+                await reply(self._admin.own_status())
+
+
+def _read_token(settings: HostSettings) -> str:
+    if not settings.admin_token_file:
+        return ""
+    return Path(settings.admin_token_file).read_text().strip()
--- /dev/null
+++ b/libs/platform/src/damaskjunction/platform/client.py
@@ -0,0 +1,302 @@
+"""Client of the platform's object API over HTTP."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from typing import Any
+from urllib.parse import quote, urlencode
+
+from damaskjunction.core import (
+    Address,
+    ConflictError,
+    PlatformUnavailableError,
+    PlatformUnknownError,
+    Revision,
+    Timers,
+)
+from damaskjunction.http import (
+    BrokenResponseError,
+    ClientResponse,
+    ConnectFailedError,
+    HttpClient,
+)
+from damaskjunction.platform.documents import (
+    HostListDocument,
+    ObjectDocument,
+    to_entry_host,
+    to_runner,
+)
+from damaskjunction.platform.types import (
+    HostList,
+    ObjectList,
+    StoredObject,
+    WatchResult,
+)
+
+DEFAULT_TIMEOUT_S = 2.0
+VERSION_HEADER = "object-version"
+OPERATION_HEADER = "operation-id"
+
+
+def _path(kind: str, name: str) -> str:
+    return f"/v1/objects/{quote(kind, safe='')}/{quote(name, safe='')}"
+
+
+def _to_object(kind: str, document: ObjectDocument) -> StoredObject:
+    return StoredObject(
+        kind,
+        document["name"],
+        document["version"],
+        document["value"].encode(),
+        document["operation_id"],
+    )
+
+
+class PlatformClient:
+    """The object API and host list over HTTP.
+
+    Calls and watches use separate connections, so a waiting watch delays no call.
+
+    Parameters
+    ----------
+    address : Address
+        Where the platform's service listens.
+    timers : Timers
+        The process's timer service.
+    timeout_s : float, optional
+        Seconds without a byte after which a call is given up.
+    """
+
+    def __init__(
+        self,
+        address: Address,
+        timers: Timers,
+        *,
+        timeout_s: float = DEFAULT_TIMEOUT_S,
+    ) -> None:
+        self._address = address
+        self._timeout_s = timeout_s
+        self._calls = HttpClient(timers)
+        self._watches = HttpClient(timers)
+        self.n_calls = 0
+
+    def close(self) -> None:
+        """Close the connections."""
+        self._calls.close()
+        self._watches.close()
+
+    async def get(self, kind: str, name: str) -> StoredObject | None:
+        """Return an object, None when there is none.
+
+        Raises
+        ------
+        PlatformUnavailableError
+            When no answer came.
+        """
+        response = await self._read("GET", _path(kind, name))
+        body = await self._read_body(response)
+        if response.status == 404:
+            return None
+        self._check(response)
+        version = int(response.headers[VERSION_HEADER])
+        operation_id = response.headers.get(OPERATION_HEADER, "")
+        return StoredObject(kind, name, version, body, operation_id)
+
+    async def put(
+        self,
+        kind: str,
+        name: str,
+        value: bytes,
+        *,
+        expected_version: Revision,
+        operation_id: str,
+    ) -> Revision:
+        """Write an object if it is at ``expected_version`` (0: absent).
+
+        A write whose answer is lost is resolved by reading the object back and
+        comparing its operation id.
+
+        Raises
+        ------
+        ConflictError
+            When the object is at another version.
+        PlatformUnavailableError
+            When the write had no effect.
+        PlatformUnknownError
+            When it may have had and reading back failed too.
+        """
+        try:
+            response = await self._write(
+                "PUT", _path(kind, name), value, expected_version, operation_id
+            )
+            body = await self._written_body(response)
+        except PlatformUnknownError:
+            return await self._resolve(kind, name, expected_version, operation_id)
+        if response.status == 409:
+            version = int(response.headers[VERSION_HEADER])
+            writer = response.headers.get(OPERATION_HEADER, "")
+            if writer == operation_id:
+                return version
+            raise ConflictError(version, body, writer)
+        self._check(response)
+        return int(response.headers[VERSION_HEADER])
+
+    async def delete(
+        self, kind: str, name: str, *, expected_version: Revision, operation_id: str
+    ) -> None:
+        """Delete an object if it is at ``expected_version``.
+
+        Raises
+        ------
+        ConflictError
+            When the object is at another version.
+        PlatformUnavailableError
+            When the call had no effect.
+        PlatformUnknownError
+            When it may have had.
+        """
+        response = await self._write(
+            "DELETE", _path(kind, name), b"", expected_version, operation_id
+        )
+        body = await self._written_body(response)
+        if response.status == 409:
+            version = int(response.headers[VERSION_HEADER])
+            raise ConflictError(
+                version, body, response.headers.get(OPERATION_HEADER, "")
+            )
+        self._check(response)
+
+    async def list_objects(
+        self, kind: str, *, prefix: str = "", after: str = "", limit: int = 100
+    ) -> ObjectList:
+        """Return objects of a kind by name, one page.
+
+        Raises
+        ------
+        PlatformUnavailableError
+            When no answer came.
+        """
+        query = urlencode({"prefix": prefix, "after": after, "limit": limit})
+        target = f"/v1/objects/{quote(kind, safe='')}?{query}"
+        document = await self._read_json(target)
+        objects = tuple(_to_object(kind, entry) for entry in document["objects"])
+        return ObjectList(objects, document["after"], document["revision"])
+
+    async def watch(
+        self, kind: str, *, after_revision: Revision, timeout_s: float
+    ) -> WatchResult:
+        """Return what changed after a revision, waiting at most ``timeout_s``.
+
+        Raises
+        ------
+        PlatformUnavailableError
+            When no answer came.
+        """
+        query = urlencode({"after": after_revision, "timeout_s": timeout_s})
+        target = f"/v1/watch/{quote(kind, safe='')}?{query}"
+        document = await self._read_json(
+            target, client=self._watches, stall_s=timeout_s + self._timeout_s
+        )
+        objects = tuple(_to_object(kind, entry) for entry in document["objects"])
+        return WatchResult(document["revision"], objects, tuple(document["deleted"]))
+
+    async def hosts(self) -> HostList:
+        """Return the list of hosts.
+
+        Raises
+        ------
+        PlatformUnavailableError
+            When no answer came.
+        """
+        document: HostListDocument = await self._read_json("/v1/hosts")
+        return HostList(
+            document["revision"],
+            tuple(to_entry_host(entry) for entry in document["hosts"]),
+            tuple(to_runner(entry) for entry in document["runners"]),
+        )
+
+    async def _resolve(
+        self, kind: str, name: str, expected_version: Revision, operation_id: str
+    ) -> Revision:
+        """Find out whether a write without an answer took effect."""
+        try:
+            stored = await self.get(kind, name)
+        except PlatformUnavailableError as error:
+            raise PlatformUnknownError(f"{kind}/{name}: {error}") from None
+        if stored is not None and stored.operation_id == operation_id:
+            return stored.version
+        if stored is not None and stored.version != expected_version:
+            raise ConflictError(stored.version, stored.value, stored.operation_id)
+        raise PlatformUnknownError(f"{kind}/{name}: the write may still arrive")
+
+    async def _read_json(
+        self,
+        target: str,
+        *,
+        client: HttpClient | None = None,
+        stall_s: float | None = None,
+    ) -> Any:
+        response = await self._read("GET", target, client=client, stall_s=stall_s)
+        body = await self._read_body(response)
+        self._check(response)
+        return json.loads(body)
+
+    async def _read(
+        self,
+        method: str,
+        target: str,
+        *,
+        client: HttpClient | None = None,
+        stall_s: float | None = None,
+    ) -> ClientResponse:
+        self.n_calls += 1
+        try:
+            return await (client or self._calls).send(
+                self._address, method, target, stall_s=stall_s or self._timeout_s
+            )
+        except (ConnectFailedError, BrokenResponseError) as error:
+            raise PlatformUnavailableError(str(error)) from None
+
+    async def _write(
+        self,
+        method: str,
+        target: str,
+        body: bytes,
+        expected_version: Revision,
+        operation_id: str,
+    ) -> ClientResponse:
+        self.n_calls += 1
+        headers: Mapping[str, str] = {
+            "If-Match": str(expected_version),
+            OPERATION_HEADER: operation_id,
+        }
+        try:
+            return await self._calls.send(
+                self._address,
+                method,
+                target,
+                headers=headers,
+                body=body,
+                stall_s=self._timeout_s,
+            )
+        except ConnectFailedError as error:
+            raise PlatformUnavailableError(str(error)) from None
+        except BrokenResponseError as error:
+            raise PlatformUnknownError(str(error)) from None
+
+    async def _read_body(self, response: ClientResponse) -> bytes:
+        try:
+            return await response.read()
+        except BrokenResponseError as error:
+            raise PlatformUnavailableError(str(error)) from None
+
+    async def _written_body(self, response: ClientResponse) -> bytes:
+        try:
+            return await response.read()
+        except BrokenResponseError as error:
+            raise PlatformUnknownError(str(error)) from None
+
+    def _check(self, response: ClientResponse) -> None:
+        if response.status >= 400:
+            raise PlatformUnavailableError(f"the platform answered {response.status}")
--- /dev/null
+++ b/libs/platform/src/damaskjunction/platform/documents.py
@@ -0,0 +1,106 @@
+"""JSON documents of the platform's API, and their conversion to values."""
+
+from __future__ import annotations
+
+from typing import NotRequired, TypedDict
+
+from damaskjunction.core import Address, EntryHost, HostState, Runner, ServiceKind
+
+
+class EntryHostDocument(TypedDict):
+    """An entry host in the host list."""
+
+    host_id: str
+    region: str
+    data_centre: str
+    caller: str
+    peer: str
+    probe: str
+    state: NotRequired[str]
+
+
+class RunnerDocument(TypedDict):
+    """A backend server in the host list."""
+
+    runner_id: str
+    region: str
+    data_centre: str
+    address: str
+    kind: str
+    service: NotRequired[str]
+    accelerators: NotRequired[int]
+    slots: NotRequired[int]
+    state: NotRequired[str]
+
+
+class HostListDocument(TypedDict):
+    """The host list."""
+
+    revision: int
+    hosts: list[EntryHostDocument]
+    runners: list[RunnerDocument]
+
+
+class ObjectDocument(TypedDict):
+    """An object within a listing or a watch; ``value`` is text in UTF-8."""
+
+    name: str
+    version: int
+    value: str
+    operation_id: str
+
+
+def to_entry_host(document: EntryHostDocument) -> EntryHost:
+    """Return the entry host that a document describes."""
+    return EntryHost(
+        host_id=document["host_id"],
+        region=document["region"],
+        data_centre=document["data_centre"],
+        caller=Address.from_text(document["caller"]),
+        peer=Address.from_text(document["peer"]),
+        probe=Address.from_text(document["probe"]),
+        state=HostState(document.get("state", "live")),
+    )
+
+
+def from_entry_host(host: EntryHost) -> EntryHostDocument:
+    """Return the document that describes an entry host."""
+    return {
+        "host_id": host.host_id,
+        "region": host.region,
+        "data_centre": host.data_centre,
+        "caller": str(host.caller),
+        "peer": str(host.peer),
+        "probe": str(host.probe),
+        "state": host.state.value,
+    }
+
+
+def to_runner(document: RunnerDocument) -> Runner:
+    """Return the runner that a document describes."""
+    return Runner(
+        runner_id=document["runner_id"],
+        region=document["region"],
+        data_centre=document["data_centre"],
+        address=Address.from_text(document["address"]),
+        kind=ServiceKind(document["kind"]),
+        service=document.get("service", ""),
+        accelerators=document.get("accelerators", 1),
+        slots=document.get("slots", 8),
+        state=HostState(document.get("state", "live")),
+    )
+
+
+def from_runner(runner: Runner) -> RunnerDocument:
+    """Return the document that describes a runner."""
+    return {
+        "runner_id": runner.runner_id,
+        "region": runner.region,
+        "data_centre": runner.data_centre,
+        "address": str(runner.address),
+        "kind": runner.kind.value,
+        "service": runner.service,
+        "accelerators": runner.accelerators,
+        "slots": runner.slots,
+        "state": runner.state.value,
+    }
--- /dev/null
+++ b/libs/routing/src/damaskjunction/routing/homes.py
@@ -0,0 +1,30 @@
+"""Which host admits requests to a runner."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from damaskjunction.core import (
+    EntryHost,
+    HostState,
+    Runner,
+    rendezvous_order,
+)
+
+
+def home_of(runner: Runner, hosts: Iterable[EntryHost]) -> EntryHost | None:
+    """Return the home of a runner, None when no host can be.
+
+    Live hosts of the runner's data centre come first, then those of its region, then
+    any. Among them rendezvous hashing picks, so that a host that goes or comes moves
+    only the runners it had or gets.
+    """
+    live_by_id = {host.host_id: host for host in hosts if host.state is HostState.LIVE}
+    near = [
+        host for host in live_by_id.values() if host.data_centre == runner.data_centre
+    ] or [host for host in live_by_id.values() if host.region == runner.region]
+    candidates = near or list(live_by_id.values())
+    order = rendezvous_order(
+        runner.runner_id, [(host.host_id, 1.0) for host in candidates]
+    )
+    return live_by_id[order[0]] if order else None
--- /dev/null
+++ b/libs/settings/src/damaskjunction/settings/host.py
@@ -0,0 +1,79 @@
+"""Settings of one host, read from a YAML text."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from damaskjunction.core import Address, EntryHost
+from damaskjunction.settings.schema import (
+    Check,
+    Field,
+    Item,
+    parse,
+    read_address,
+    read_fields,
+    read_name,
+    read_text,
+)
+
+
+class HostSettings(NamedTuple):
+    """What a host learns from its settings."""
+
+    host_id: str
+    region: str
+    data_centre: str
+    caller: Address
+    peer: Address
+    probe: Address
+    platform: Address
+    data_folder: str = ""
+    admin_token_file: str = ""
+    log_level: str = "info"
+    seed: str = ""
+
+    def to_entry_host(self) -> EntryHost:
+        """Return the host as its peers know it."""
+        return EntryHost(
+            self.host_id,
+            self.region,
+            self.data_centre,
+            self.caller,
+            self.peer,
+            self.probe,
+        )
+
+
+HOST_FIELDS: tuple[Field, ...] = (
+    Field("host_id", read_name, "name of this host, unique in the fleet"),
+    Field("region", read_name, "region that the host is in"),
+    Field("data_centre", read_name, "data centre that the host is in"),
+    Field("caller", read_address, "ip:port where callers and operators connect"),
+    Field("peer", read_address, "ip:port where other hosts connect (TCP)"),
+    Field("probe", read_address, "ip:port of membership datagrams (UDP)"),
+    Field("platform", read_address, "ip:port of the platform's service"),
+    Field("data_folder", read_text, "folder for bulk data; empty: keep none", ""),
+    Field(
+        "admin_token_file",
+        read_text,
+        "file with the token for administration; empty: loopback callers only",
+        "",
+    ),
+    Field("log_level", read_name, "debug, info, warning or error", "info"),
+    Field("seed", read_name, "seed of random choices; empty: the host_id", ""),
+)
+
+
+def read_host_settings(text: str, source: str) -> HostSettings:
+    """Return the settings in a YAML text.
+
+    Raises
+    ------
+    FindingsError
+        With every finding and its line.
+    """
+    check = Check(source)
+    root = parse(text, check)
+    values = {} if root is None else read_fields(Item(root, ""), HOST_FIELDS, check)
+    check.finish()
+    return HostSettings(**values)
--- a/libs/standins/src/damaskjunction/standins/__init__.py
+++ b/libs/standins/src/damaskjunction/standins/__init__.py
@@ -1,1 +1,46 @@
-"""Stand-ins of the platform, runners and network faults, for tests."""
+"""Stand-ins of the platform, runners and network faults, and fleets of them."""
+
+from damaskjunction.standins.deployment import (
+    CALLER_KEY,
+    DeployedFleet,
+    Deployment,
+    RunnerGroup,
+    deployments,
+)
+from damaskjunction.standins.engine import (
+    CRASH_MARK,
+    EngineSpeed,
+    EngineStandin,
+    token_text,
+)
+from damaskjunction.standins.fleet import (
+    Answer,
+    Fleet,
+    ProcessSpec,
+    free_addresses,
+    parse_events,
+)
+from damaskjunction.standins.plain import PlainStandin
+from damaskjunction.standins.platform import PlatformStandin
+from damaskjunction.standins.proxy import Mode, ProxyStandin
+
+__all__ = [
+    "CALLER_KEY",
+    "CRASH_MARK",
+    "Answer",
+    "DeployedFleet",
+    "Deployment",
+    "EngineSpeed",
+    "EngineStandin",
+    "Fleet",
+    "Mode",
+    "PlainStandin",
+    "PlatformStandin",
+    "ProcessSpec",
+    "ProxyStandin",
+    "RunnerGroup",
+    "deployments",
+    "free_addresses",
+    "parse_events",
+    "token_text",
+]
--- /dev/null
+++ b/libs/standins/src/damaskjunction/standins/deployment.py
@@ -0,0 +1,289 @@
+"""Deployments by name: their hosts and runners, and the operators' text."""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Mapping
+from typing import Any, NamedTuple
+
+import yaml
+
+from damaskjunction.core import (
+    Address,
+    EntryHost,
+    HostState,
+    Registry,
+    Runner,
+    ServiceKind,
+)
+from damaskjunction.platform import from_entry_host, from_runner
+from damaskjunction.standins.fleet import (
+    Answer,
+    Fleet,
+    ProcessSpec,
+    free_addresses,
+)
+
+CALLER_KEY = "demo-key"
+ADDRESSES_PER_HOST = 3
+
+
+class RunnerGroup(NamedTuple):
+    """Runners of one sort; an empty ``service`` means model engines."""
+
+    prefix: str
+    n_runners: int
+    service: str = ""
+
+
+class Deployment(NamedTuple):
+    """Sizes of a deployment and the text that its operators apply."""
+
+    region: str
+    data_centres: tuple[str, ...]
+    n_hosts: int
+    runners: tuple[RunnerGroup, ...]
+    text: Mapping[str, Any]
+
+
+deployments: Registry[Deployment] = Registry("deployment")
+
+
+def _workspaces(*names: str) -> dict[str, Any]:
+    digest = hashlib.sha256(CALLER_KEY.encode()).hexdigest()
+    first, *others = names
+    documents: dict[str, Any] = {first: {"share": 2, "key_digests": [digest]}}
+    for name in others:
+        key = hashlib.sha256(f"{name}-key".encode()).hexdigest()
+        documents[name] = {"key_digests": [key]}
+    return documents
+
+
+LIMA = Deployment(
+    region="lima",
+    data_centres=("lima-1", "lima-2", "lima-3"),
+    n_hosts=9,
+    runners=(
+        RunnerGroup("caddie", 5),
+        RunnerGroup("fleet-api", 3, "fleet-api"),
+    ),
+    text={
+        "models": {"caddie": {"version": "v1", "weights_gb": 1}},
+        "services": {
+            "fleet-api": {
+                "kind": "plain",
+                "min_runners": 3,
+                "calls": [
+                    {"path": "/battery", "idempotent": True},
+                    {"path": "/pace-alert", "idempotent": False},
+                    {"path": "/pickup", "idempotent": False},
+                ],
+            },
+            "caddie-llm": {
+                "kind": "engine",
+                "model": "caddie",
+                "min_runners": 3,
+                "max_runners": 5,
+                "depends_on": ["fleet-api"],
+                "deadline_s": 10,
+            },
+        },
+        "workspaces": _workspaces("carritos", "clubs"),
+    },
+)
+
+MU_NORTH = Deployment(
+    region="mu-north",
+    data_centres=("mu-1", "mu-2", "mu-3", "mu-4"),
+    n_hosts=9,
+    runners=(
+        RunnerGroup("fitter", 6),
+        RunnerGroup("catalogue", 4, "catalogue-app"),
+    ),
+    text={
+        "models": {"fitter": {"version": "v1", "weights_gb": 1}},
+        "services": {
+            "catalogue-app": {
+                "kind": "plain",
+                "min_runners": 4,
+                "calls": [{"path": "/order", "idempotent": False}],
+            },
+            "fitter-llm": {
+                "kind": "engine",
+                "model": "fitter",
+                "min_runners": 4,
+                "max_runners": 6,
+                "depends_on": ["catalogue-app"],
+                "deadline_s": 10,
+            },
+        },
+        "workspaces": _workspaces("belt-seeker", "distributors"),
+    },
+)
+
+SMALL = LIMA._replace(
+    n_hosts=3,
+    runners=(RunnerGroup("caddie", 2), RunnerGroup("fleet-api", 1, "fleet-api")),
+    text={
+        **LIMA.text,
+        "services": {
+            "fleet-api": {**LIMA.text["services"]["fleet-api"], "min_runners": 1},
+            "caddie-llm": {
+                **LIMA.text["services"]["caddie-llm"],
+                "min_runners": 1,
+                "max_runners": 2,
+            },
+        },
+    },
+)
+
+deployments.register("lima")(LIMA)
+deployments.register("mu-north")(MU_NORTH)
+deployments.register("small")(SMALL)
+
+
+class DeployedFleet:
+    """A deployment as running processes.
+
+    Parameters
+    ----------
+    deployment : Deployment
+        What to run.
+    engine_arguments : tuple of str, optional
+        Further arguments of each engine.
+    """
+
+    def __init__(
+        self, deployment: Deployment, engine_arguments: tuple[str, ...] = ()
+    ) -> None:
+        self.deployment = deployment
+        self.fleet = Fleet()
+        self.hosts_by_id: dict[str, EntryHost] = {}
+        self.runners_by_id: dict[str, Runner] = {}
+        self._engine_arguments = engine_arguments
+
+    async def start(self) -> None:
+        """Start every process and return when all answer."""
+        fleet = self.fleet
+        (platform,) = free_addresses(1)
+        fleet.addresses_by_name["platform"] = platform
+        await fleet.start(_standin("platform", "platform", platform))
+        self._make_runners()
+        self._make_hosts()
+        await fleet.wait_until_answering(["platform"])
+        await self.publish_hosts()
+        for runner in self.runners_by_id.values():
+            await fleet.start(self._runner_spec(runner))
+        for host in self.hosts_by_id.values():
+            await fleet.start(self._host_spec(host))
+        await fleet.wait_until_answering([*self.runners_by_id, *self.hosts_by_id])
+
+    async def close(self) -> None:
+        """End every process."""
+        await self.fleet.close()
+
+    async def publish_hosts(self) -> None:
+        """Put the hosts and runners into the platform's host list."""
+        document = {
+            "hosts": [from_entry_host(host) for host in self.hosts_by_id.values()],
+            "runners": [from_runner(runner) for runner in self.runners_by_id.values()],
+        }
+        await self.fleet.call("platform", "PUT", "/test/hosts", document=document)
+
+    async def mark_leaving(self, name: str) -> None:
+        """Let the host list say that a host or runner is leaving."""
+        if name in self.hosts_by_id:
+            host = self.hosts_by_id[name]
+            self.hosts_by_id[name] = host._replace(state=HostState.LEAVING)
+        else:
+            runner = self.runners_by_id[name]
+            self.runners_by_id[name] = runner._replace(state=HostState.LEAVING)
+        await self.publish_hosts()
+
+    async def apply_text(self, *, expected_revision: int = 0, text: str = "") -> Answer:
+        """Apply an operators' text through the first host."""
+        body = text or yaml.safe_dump(dict(self.deployment.text), sort_keys=False)
+        headers = {"If-Match": str(expected_revision)}
+        first = next(iter(self.hosts_by_id))
+        return await self.fleet.call(
+            first, "PUT", "/v1/configuration", body=body.encode(), headers=headers
+        )
+
+    async def wait_until_serving(self, revision: int) -> None:
+        """Return when a revision is in force everywhere and every engine is ready."""
+        for host_id in self.hosts_by_id:
+
+            async def in_force(host_id: str = host_id) -> bool:
+                answer = await self.fleet.call(host_id, "GET", "/v1/status")
+                own = {host["host_id"]: host for host in answer.to_json()["hosts"]}
+                return bool(
+                    own.get(host_id, {}).get("configuration_revision", 0) >= revision
+                    and own[host_id]["plan_revision"] > 0
+                )
+
+            await self.fleet.wait_for(in_force, f"{host_id} has revision {revision}")
+        for runner in self.runners_by_id.values():
+            if runner.kind is not ServiceKind.ENGINE:
+                continue
+
+            async def ready(name: str = runner.runner_id) -> bool:
+                answer = await self.fleet.call(name, "GET", "/v1/order")
+                return bool(answer.to_json()["state"] == "ready")
+
+            await self.fleet.wait_for(ready, f"{runner.runner_id} is ready")
+
+    def _make_runners(self) -> None:
+        for group in self.deployment.runners:
+            addresses = free_addresses(group.n_runners)
+            for number, address in enumerate(addresses):
+                runner_id = f"{group.prefix}-{number}"
+                centres = self.deployment.data_centres
+                self.runners_by_id[runner_id] = Runner(
+                    runner_id,
+                    self.deployment.region,
+                    centres[number % len(centres)],
+                    address,
+                    ServiceKind.PLAIN if group.service else ServiceKind.ENGINE,
+                    group.service,
+                )
+                self.fleet.addresses_by_name[runner_id] = address
+
+    def _make_hosts(self) -> None:
+        addresses = free_addresses(ADDRESSES_PER_HOST * self.deployment.n_hosts)
+        for number in range(self.deployment.n_hosts):
+            first = ADDRESSES_PER_HOST * number
+            caller, peer, probe = addresses[first : first + ADDRESSES_PER_HOST]
+            centres = self.deployment.data_centres
+            centre = centres[number % len(centres)]
+            host_id = f"{centre}-{number}"
+            self.hosts_by_id[host_id] = EntryHost(
+                host_id, self.deployment.region, centre, caller, peer, probe
+            )
+            self.fleet.addresses_by_name[host_id] = caller
+
+    def _runner_spec(self, runner: Runner) -> ProcessSpec:
+        if runner.service:
+            extra: tuple[str, ...] = ("--service", runner.service)
+            return _standin(runner.runner_id, "plain", runner.address, *extra)
+        extra = ("--slots", str(runner.slots), *self._engine_arguments)
+        return _standin(runner.runner_id, "engine", runner.address, *extra)
+
+    def _host_spec(self, host: EntryHost) -> ProcessSpec:
+        document = {
+            "host_id": host.host_id,
+            "region": host.region,
+            "data_centre": host.data_centre,
+            "caller": str(host.caller),
+            "peer": str(host.peer),
+            "probe": str(host.probe),
+            "platform": str(self.fleet.addresses_by_name["platform"]),
+        }
+        path = self.fleet.folder / f"{host.host_id}.yaml"
+        path.write_text(yaml.safe_dump(document, sort_keys=False))
+        arguments = ("damaskjunction.cli", "host", "--settings", str(path))
+        return ProcessSpec(host.host_id, arguments)
+
+
+def _standin(name: str, kind: str, address: Address, *extra: str) -> ProcessSpec:
+    arguments = ("damaskjunction.standins", kind, "--address", str(address), *extra)
+    return ProcessSpec(name, arguments)
--- /dev/null
+++ b/libs/standins/src/damaskjunction/standins/engine.py
@@ -0,0 +1,261 @@
+"""Stand-in of a model engine: continuous batching without priorities."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections import OrderedDict
+from collections.abc import AsyncIterator
+from typing import Any, NamedTuple
+
+from damaskjunction.core import Address, Subscription, Timers, stable_hash
+from damaskjunction.http import (
+    EVENT_STREAM_TYPE,
+    Event,
+    HttpError,
+    HttpServer,
+    Request,
+    Response,
+    Routes,
+    encode_event,
+    read_json,
+    to_json_response,
+)
+from damaskjunction.standins.faults import Faults
+
+CRASH_MARK = "CRASH-THE-ENGINE"
+BLOCK_CHARACTERS = 32
+EVENTS_KEPT = 1000
+
+
+class EngineSpeed(NamedTuple):
+    """How fast the stand-in is and how much it holds.
+
+    A step produces one token for each running stream and takes ``step_s`` and
+    ``step_per_stream_s`` for each of them; past ``slots`` streams each further one
+    costs ``crowding`` times as much. Prompts are read ``prefill_characters`` a step.
+    """
+
+    step_s: float = 0.010
+    step_per_stream_s: float = 0.001
+    slots: int = 8
+    crowding: float = 8.0
+    prefill_characters: int = 2000
+    kv_characters: int = 200_000
+    load_s_per_gb: float = 0.1
+    report_lag_s: float = 0.5
+
+
+class _Stream:
+    """One running request."""
+
+    def __init__(self, document: dict[str, Any]) -> None:
+        self.stream_id = str(document["stream_id"])
+        self.prompt = str(document["prompt"])
+        self.next_index = int(document.get("from_token", 0))
+        self.max_tokens = int(document["max_tokens"])
+        self.prefill_left = 0
+        self.queue: asyncio.Queue[Event | None] = asyncio.Queue()
+
+
+def token_text(prompt: str, index: int) -> str:
+    """Return the token that any engine produces at ``index`` for ``prompt``."""
+    return f"w{stable_hash(prompt, str(index)) % 10_000} "
+
+
+class EngineStandin:
+    """A model engine over HTTP.
+
+    Faults: ``frozen`` (1: no steps), ``cut_streams`` (the next n streams are cut
+    after a few tokens), ``slow_factor`` (steps take that much longer),
+    ``ignore_cancel``. A prompt holding ``CRASH_MARK`` ends the process with exit code
+    17 when its first token is due.
+    """
+
+    def __init__(
+        self,
+        address: Address,
+        timers: Timers,
+        *,
+        speed: EngineSpeed | None = None,
+        checks_fence: bool = True,
+    ) -> None:
+        self._timers = timers
+        self._speed = speed or EngineSpeed()
+        self._checks_fence = checks_fence
+        self._streams_by_id: dict[str, _Stream] = {}
+        self._prefixes: OrderedDict[int, int] = OrderedDict()
+        self._events: list[dict[str, Any]] = []
+        self._n_events = 0
+        self._fence = 0
+        self._order: dict[str, Any] = {}
+        self._is_ready = False
+        self._step: Subscription | None = None
+        self._load_report: dict[str, Any] = {"running": 0, "kv_used": 0}
+        self._runs_by_id: dict[str, int] = {}
+        self._n_tokens = 0
+        self.crashed = asyncio.Event()
+        self.faults = Faults("frozen", "cut_streams", "slow_factor", "ignore_cancel")
+        self._routes = self._make_routes()
+        self._server = HttpServer(address, self._routes.handle)
+
+    async def start(self) -> None:
+        """Listen and serve."""
+        await self._server.start()
+        self._timers.every(self._speed.report_lag_s, self._publish_load)
+        self._schedule_step()
+
+    async def close(self) -> None:
+        """Stop serving."""
+        await self._server.close()
+
+    def _make_routes(self) -> Routes:
+        routes = Routes()
+        self.faults.register(routes)
+        routes.register("POST", "/v1/generate")(self._generate)
+        routes.register("DELETE", "/v1/streams/{stream_id}")(self._cancel)
+        routes.register("GET", "/v1/info")(self._get_info)
+        routes.register("GET", "/v1/load")(self._get_load)
+        routes.register("GET", "/v1/cache-events")(self._get_cache_events)
+        routes.register("PUT", "/v1/order")(self._put_order)
+        routes.register("GET", "/v1/order")(self._get_order)
+        routes.register("GET", "/test/runs")(self._get_runs)
+        return routes
+
+    async def _generate(self, request: Request) -> Response:
+        document = await read_json(request)
+        if not self._is_ready:
+            raise HttpError(409, "no_model_loaded")
+        stream = _Stream(document)
+        self._runs_by_id[stream.stream_id] = (
+            self._runs_by_id.get(stream.stream_id, 0) + 1
+        )
+        stream.prefill_left = self._uncached_characters(stream.prompt)
+        self._streams_by_id[stream.stream_id] = stream
+        return Response(200, self._relay(stream), EVENT_STREAM_TYPE)
+
+    async def _relay(self, stream: _Stream) -> AsyncIterator[bytes]:
+        cut_after = 3 if self.faults.take("cut_streams") else None
+        n_sent = 0
+        try:
+            while (event := await stream.queue.get()) is not None:
+                yield encode_event(event)
+                n_sent += 1
+                if n_sent == cut_after:
+                    raise ConnectionResetError("the stream is cut")
+        finally:
+            if not self.faults["ignore_cancel"]:
+                self._streams_by_id.pop(stream.stream_id, None)
+
+    async def _cancel(self, request: Request, stream_id: str) -> Response:
+        stream = self._streams_by_id.pop(stream_id, None)
+        if stream is not None:
+            stream.queue.put_nowait(None)
+        return to_json_response({"cancelled": stream is not None})
+
+    def _schedule_step(self) -> None:
+        n_streams = max(1, len(self._streams_by_id))
+        n_crowding = max(0, n_streams - self._speed.slots)
+        weight = n_streams + n_crowding * self._speed.crowding
+        duration_s = self._speed.step_s + weight * self._speed.step_per_stream_s
+        duration_s *= self.faults["slow_factor"] or 1
+        self._step = self._timers.once(duration_s, self._run_step)
+
+    def _run_step(self) -> None:
+        if not self.faults["frozen"]:
+            for stream in list(self._streams_by_id.values()):
+                self._advance(stream)
+        self._schedule_step()
+
+    def _advance(self, stream: _Stream) -> None:
+        if stream.prefill_left > 0:
+            stream.prefill_left -= self._speed.prefill_characters
+            return
+        if CRASH_MARK in stream.prompt:
+            self.crashed.set()
+            return
+        if stream.next_index >= stream.max_tokens:
+            stream.queue.put_nowait(Event("end", json.dumps({"n": stream.max_tokens})))
+            stream.queue.put_nowait(None)
+            self._streams_by_id.pop(stream.stream_id, None)
+            return
+        text = token_text(stream.prompt, stream.next_index)
+        data = json.dumps({"index": stream.next_index, "text": text})
+        stream.queue.put_nowait(Event("token", data))
+        stream.next_index += 1
+        self._n_tokens += 1
+
+    def _uncached_characters(self, prompt: str) -> int:
+        """Touch the prefix cache and return how much of a prompt it lacks."""
+        n_missing = 0
+        for end in range(BLOCK_CHARACTERS, len(prompt) + 1, BLOCK_CHARACTERS):
+            block = stable_hash(prompt[:end])
+            if block not in self._prefixes:
+                n_missing += BLOCK_CHARACTERS
+                self._note_event("stored", block)
+            self._prefixes[block] = BLOCK_CHARACTERS
+            self._prefixes.move_to_end(block)
+        while len(self._prefixes) * BLOCK_CHARACTERS > self._speed.kv_characters:
+            block, _ = self._prefixes.popitem(last=False)
+            self._note_event("evicted", block)
+        return n_missing
+
+    def _note_event(self, kind: str, block: int) -> None:
+        self._n_events += 1
+        event = {"sequence": self._n_events, "kind": kind, "block": block}
+        self._events.append({**event, "at_s": self._timers.now()})
+        del self._events[:-EVENTS_KEPT]
+
+    async def _get_cache_events(self, request: Request) -> Response:
+        after = int(request.query.get("after", "0"))
+        until_s = self._timers.now() - self._speed.report_lag_s
+        events = [
+            event
+            for event in self._events
+            if event["sequence"] > after and event["at_s"] <= until_s
+        ]
+        return to_json_response({"events": events[:200]})
+
+    def _publish_load(self) -> None:
+        self._load_report = {
+            "running": len(self._streams_by_id),
+            "kv_used": len(self._prefixes) * BLOCK_CHARACTERS,
+        }
+
+    async def _get_load(self, request: Request) -> Response:
+        return to_json_response(self._load_report)
+
+    async def _get_info(self, request: Request) -> Response:
+        document = {
+            "checks_fence": self._checks_fence,
+            "slots": self._speed.slots,
+            "kv_characters": self._speed.kv_characters,
+        }
+        return to_json_response(document)
+
+    async def _put_order(self, request: Request) -> Response:
+        document = await read_json(request)
+        fence = int(document["fence"])
+        if self._checks_fence and fence < self._fence:
+            raise HttpError(409, "stale_fence", fence=self._fence)
+        self._fence = max(fence, self._fence)
+        order = document["order"]
+        if order != self._order:
+            self._order = order
+            self._is_ready = False
+            delay_s = self._speed.load_s_per_gb * float(order.get("weights_gb", 1))
+            self._timers.once(delay_s, lambda: self._finish_load(order))
+        return await self._get_order(request)
+
+    def _finish_load(self, order: dict[str, Any]) -> None:
+        if order == self._order and order.get("model"):
+            self._is_ready = True
+
+    async def _get_order(self, request: Request) -> Response:
+        state = "ready" if self._is_ready else "loading" if self._order else "empty"
+        document = {"order": self._order, "state": state, "fence": self._fence}
+        return to_json_response(document)
+
+    async def _get_runs(self, request: Request) -> Response:
+        document = {"runs_by_id": self._runs_by_id, "n_tokens": self._n_tokens}
+        return to_json_response(document)
--- /dev/null
+++ b/libs/standins/src/damaskjunction/standins/fleet.py
@@ -0,0 +1,198 @@
+"""A small fleet of real processes on loopback, for tests, experiments and the demo."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import socket
+import sys
+import tempfile
+from collections.abc import Awaitable, Callable, Mapping, Sequence
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from damaskjunction.core import Address, LoopTimers
+from damaskjunction.core.types import EMPTY
+from damaskjunction.http import (
+    BrokenResponseError,
+    ConnectFailedError,
+    Event,
+    EventParser,
+    HttpClient,
+)
+
+LOOPBACK = "127.0.0.1"
+POLL_S = 0.05
+START_TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 20.0
+
+
+class ProcessSpec(NamedTuple):
+    """How one process of the fleet is started; ``name`` is unique."""
+
+    name: str
+    arguments: tuple[str, ...]
+
+
+class Answer(NamedTuple):
+    """A whole HTTP answer as a caller saw it."""
+
+    status: int
+    headers: Mapping[str, str]
+    body: bytes
+
+    def to_json(self) -> Any:
+        """Return the body read as JSON."""
+        return json.loads(self.body)
+
+
+def free_addresses(count: int) -> list[Address]:
+    """Return loopback addresses whose ports are free for TCP and UDP now."""
+    sockets = []
+    addresses: list[Address] = []
+    while len(addresses) < count:
+        stream = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        stream.bind((LOOPBACK, 0))
+        sockets.append(stream)
+        addresses.append(Address(LOOPBACK, stream.getsockname()[1]))
+    for stream in sockets:
+        stream.close()
+    return addresses
+
+
+class Fleet:
+    """Processes by name, their addresses, and calls to them.
+
+    ``start`` and ``close`` own the processes: only those started here are ended.
+    """
+
+    def __init__(self) -> None:
+        self.timers = LoopTimers()
+        self.client = HttpClient(self.timers)
+        self._folder = tempfile.TemporaryDirectory(prefix="damaskjunction-")
+        self.folder = Path(self._folder.name)
+        self._specs_by_name: dict[str, ProcessSpec] = {}
+        self._processes_by_name: dict[str, asyncio.subprocess.Process] = {}
+        self.addresses_by_name: dict[str, Address] = {}
+
+    async def close(self) -> None:
+        """End every process of the fleet."""
+        self.client.close()
+        for process in self._processes_by_name.values():
+            if process.returncode is None:
+                process.kill()
+        for process in self._processes_by_name.values():
+            await process.wait()
+        self._folder.cleanup()
+
+    async def start(self, spec: ProcessSpec) -> None:
+        """Start a process; its output goes to a file in the fleet's folder."""
+        self._specs_by_name[spec.name] = spec
+        with (self.folder / f"{spec.name}.log").open("ab") as log:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                *spec.arguments,
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+            )
+        self._processes_by_name[spec.name] = process
+
+    async def restart(self, name: str) -> None:
+        """Start a process that ended again, with the same arguments."""
+        await self.start(self._specs_by_name[name])
+
+    def is_running(self, name: str) -> bool:
+        """Return whether a process has not ended."""
+        return self._processes_by_name[name].returncode is None
+
+    def log_of(self, name: str) -> str:
+        """Return what a process has written."""
+        return (self.folder / f"{name}.log").read_text(errors="replace")
+
+    async def kill(self, name: str) -> None:
+        """End a process at once."""
+        process = self._processes_by_name[name]
+        if process.returncode is None:
+            process.kill()
+        await process.wait()
+
+    async def stop(self, name: str) -> int:
+        """Ask a process to stop and return its exit code."""
+        process = self._processes_by_name[name]
+        process.terminate()
+        async with asyncio.timeout(STOP_TIMEOUT_S):
+            return await process.wait()
+
+    def freeze(self, name: str) -> None:
+        """Stop a process's execution until ``thaw``."""
+        self._processes_by_name[name].send_signal(signal.SIGSTOP)
+
+    def thaw(self, name: str) -> None:
+        """Let a frozen process go on."""
+        self._processes_by_name[name].send_signal(signal.SIGCONT)
+
+    async def call(
+        self,
+        name: str,
+        method: str,
+        target: str,
+        *,
+        document: object = None,
+        body: bytes = b"",
+        headers: Mapping[str, str] = EMPTY,
+        stall_s: float = 20.0,
+    ) -> Answer:
+        """Send a request to a process of the fleet and return its whole answer."""
+        if document is not None:
+            body = json.dumps(document).encode()
+        response = await self.client.send(
+            self.addresses_by_name[name],
+            method,
+            target,
+            headers=headers,
+            body=body,
+            stall_s=stall_s,
+        )
+        return Answer(response.status, response.headers, await response.read())
+
+    async def wait_for(
+        self,
+        condition: Callable[[], Awaitable[bool]],
+        what: str,
+        timeout_s: float = START_TIMEOUT_S,
+    ) -> None:
+        """Return when a condition holds.
+
+        Raises
+        ------
+        TimeoutError
+            Naming what was waited for.
+        """
+        end_s = self.timers.now() + timeout_s
+        while self.timers.now() < end_s:
+            try:
+                if await condition():
+                    return
+            except (ConnectFailedError, BrokenResponseError):
+                pass
+            await asyncio.sleep(POLL_S)
+        raise TimeoutError(f"not within {timeout_s:g} s: {what}")
+
+    async def wait_until_answering(self, names: Sequence[str]) -> None:
+        """Return when the processes answer HTTP."""
+        for name in names:
+
+            async def answers(name: str = name) -> bool:
+                if not self.is_running(name):
+                    raise RuntimeError(f"{name} ended: {self.log_of(name)[-2000:]}")
+                return (await self.call(name, "GET", "/")).status > 0
+
+            await self.wait_for(answers, f"{name} answers")
+
+
+def parse_events(body: bytes) -> list[Event]:
+    """Return the server-sent events in a whole body."""
+    return EventParser().feed(body)
--- /dev/null
+++ b/libs/standins/src/damaskjunction/standins/plain.py
@@ -0,0 +1,59 @@
+"""Stand-in of a plain service that counts the runs of each call."""
+
+from __future__ import annotations
+
+import asyncio
+
+from damaskjunction.core import Address
+from damaskjunction.http import (
+    HttpError,
+    HttpServer,
+    Request,
+    Response,
+    Routes,
+    to_json_response,
+)
+from damaskjunction.standins.faults import Faults
+
+SERVICE_S = 0.005
+
+
+class PlainStandin:
+    """A plain service over HTTP that answers any POST with what it was sent.
+
+    Faults: ``slow_s`` (delay of each call), ``lose_answers`` (the next n calls run
+    and are not answered), ``refuse`` (the next n calls get status 500).
+    """
+
+    def __init__(self, address: Address, service: str) -> None:
+        self._service = service
+        self._runs_by_id: dict[str, int] = {}
+        self.faults = Faults("slow_s", "lose_answers", "refuse")
+        routes = Routes()
+        self.faults.register(routes)
+        routes.register("GET", "/test/runs")(self._get_runs)
+        routes.register("POST", "/{path:path}")(self._call)
+        self._server = HttpServer(address, routes.handle)
+
+    async def start(self) -> None:
+        """Listen and serve."""
+        await self._server.start()
+
+    async def close(self) -> None:
+        """Stop serving."""
+        await self._server.close()
+
+    async def _call(self, request: Request, path: str) -> Response:
+        body = (await request.body.read()).decode()
+        request_id = request.headers.get("request-id", "")
+        self._runs_by_id[request_id] = self._runs_by_id.get(request_id, 0) + 1
+        await asyncio.sleep(self.faults["slow_s"] or SERVICE_S)
+        if self.faults.take("refuse"):
+            raise HttpError(500, "failed")
+        if self.faults.take("lose_answers"):
+            raise ConnectionResetError("the answer is lost")
+        document = {"service": self._service, "path": f"/{path}", "body": body}
+        return to_json_response(document)
+
+    async def _get_runs(self, request: Request) -> Response:
+        return to_json_response({"runs_by_id": self._runs_by_id})
--- /dev/null
+++ b/libs/standins/src/damaskjunction/standins/scenarios.py
@@ -0,0 +1,94 @@
+"""Support of behave's features: one event loop and one fleet for each scenario."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Coroutine
+from typing import Any, TypeVar
+
+from damaskjunction.standins.deployment import (
+    CALLER_KEY,
+    DeployedFleet,
+    deployments,
+)
+from damaskjunction.standins.engine import token_text
+from damaskjunction.standins.fleet import Answer, parse_events
+
+T = TypeVar("T")
+
+AUTHORIZATION = {"Authorization": f"Bearer {CALLER_KEY}"}
+STEP_TIMEOUT_S = 120.0
+
+
+def before_scenario(context: Any, scenario: Any) -> None:
+    """Give the scenario an event loop."""
+    context.runner_loop = asyncio.Runner()
+    context.deployed = None
+
+
+def after_scenario(context: Any, scenario: Any) -> None:
+    """End the scenario's fleet and its event loop; print logs of a failed one."""
+    if context.deployed is not None:
+        if scenario.status == "failed":
+            print_logs(context.deployed)
+        run(context, context.deployed.close())
+    context.runner_loop.close()
+
+
+def run(context: Any, coroutine: Coroutine[Any, Any, T]) -> T:
+    """Run a coroutine on the scenario's event loop and return its result."""
+
+    async def bounded() -> T:
+        async with asyncio.timeout(STEP_TIMEOUT_S):
+            return await coroutine
+
+    result: T = context.runner_loop.run(bounded())
+    return result
+
+
+def start_fleet(context: Any, name: str, *engine_arguments: str) -> DeployedFleet:
+    """Start a deployment with its text in force; the scenario's end closes it."""
+    deployed = DeployedFleet(deployments.get(name), engine_arguments)
+    context.deployed = deployed
+    run(context, _start(deployed))
+    return deployed
+
+
+async def _start(deployed: DeployedFleet) -> None:
+    await deployed.start()
+    answer = await deployed.apply_text()
+    assert answer.status == 200, answer
+    await deployed.wait_until_serving(answer.to_json()["revision"])
+
+
+def print_logs(deployed: DeployedFleet) -> None:
+    """Print the last lines of each process of a fleet."""
+    for path in sorted(deployed.fleet.folder.glob("*.log")):
+        lines = path.read_text(errors="replace").splitlines()[-10:]
+        print("\n".join((f"--- {path.name}", *lines)))
+
+
+async def generate(
+    deployed: DeployedFleet, host: str, prompt: str, n_tokens: int, **extra: Any
+) -> Answer:
+    """Ask caddie-llm through a host and return its whole answer."""
+    document = {"prompt": prompt, "max_tokens": n_tokens, **extra}
+    return await deployed.fleet.call(
+        host,
+        "POST",
+        "/v1/services/caddie-llm/generate",
+        document=document,
+        headers=AUTHORIZATION,
+    )
+
+
+def assert_whole(answer: Answer, prompt: str, n_tokens: int) -> None:
+    """Check that an answer has each token of its prompt once, in order, and its end."""
+    assert answer.status == 200, answer
+    events = parse_events(answer.body)
+    assert events, "the answer is empty"
+    assert events[-1].name == "end", events[-1]
+    texts = [json.loads(event.data)["text"] for event in events[:-1]]
+    expected = [token_text(prompt, position) for position in range(n_tokens)]
+    assert texts == expected, f"got {texts}, expected {expected}"
--- a/libs/telemetry/src/damaskjunction/telemetry/__init__.py
+++ b/libs/telemetry/src/damaskjunction/telemetry/__init__.py
@@ -1,1 +1,7 @@
 """JSON logs, metrics and the state dump."""
+
+from damaskjunction.telemetry.dump import StateDump
+from damaskjunction.telemetry.logs import configure_logs, set_log_level
+from damaskjunction.telemetry.metrics import Metrics
+
+__all__ = ["Metrics", "StateDump", "configure_logs", "set_log_level"]
--- /dev/null
+++ b/libs/telemetry/src/damaskjunction/telemetry/dump.py
@@ -0,0 +1,39 @@
+"""The state dump of a process: sections that its parts enter."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any, TypeAlias
+
+from damaskjunction.core import Registry
+
+Section: TypeAlias = Callable[[], Any]
+
+MAX_SECTION_ENTRIES = 200
+
+
+class StateDump:
+    """Sections by name; each returns a JSON document of its part's state."""
+
+    def __init__(self) -> None:
+        self.sections: Registry[Section] = Registry("dump section")
+
+    def to_document(self) -> dict[str, Any]:
+        """Return all sections, their collections cut to a bounded size."""
+        return {name: _bounded(self.sections.get(name)()) for name in self.sections}
+
+
+def _bounded(value: Any) -> Any:
+    if isinstance(value, dict):
+        kept = list(value.items())[:MAX_SECTION_ENTRIES]
+        document = {str(key): _bounded(entry) for key, entry in kept}
+        return _note_cut(document, len(value))
+    if isinstance(value, list | tuple):
+        return [_bounded(entry) for entry in value[:MAX_SECTION_ENTRIES]]
+    return value
+
+
+def _note_cut(document: dict[str, Any], size: int) -> dict[str, Any]:
+    if size > MAX_SECTION_ENTRIES:
+        document["..."] = f"{size - MAX_SECTION_ENTRIES} more"
+    return document
--- /dev/null
+++ b/libs/telemetry/src/damaskjunction/telemetry/metrics.py
@@ -0,0 +1,89 @@
+"""Counters, gauges and latency histograms, and their text page."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from typing import NamedTuple
+
+from hdrh.histogram import HdrHistogram
+
+LOWEST_US = 1
+HIGHEST_US = 3600 * 1_000_000
+SIGNIFICANT_DIGITS = 2
+QUANTILES = (50.0, 95.0, 99.0)
+MICROSECONDS_PER_S = 1_000_000
+
+
+class SeriesKey(NamedTuple):
+    """Name of a metric and the values of its labels."""
+
+    name: str
+    labels: tuple[tuple[str, str], ...]
+
+
+class Metrics:
+    """The metrics of one process; names end in their unit."""
+
+    def __init__(self) -> None:
+        self._counts_by_key: dict[SeriesKey, float] = {}
+        self._gauges_by_name: dict[str, Callable[[], float]] = {}
+        self._histograms_by_key: dict[SeriesKey, HdrHistogram] = {}
+
+    def count(self, name: str, amount: float = 1.0, **labels: str) -> None:
+        """Add to a counter."""
+        key = _key(name, labels)
+        self._counts_by_key[key] = self._counts_by_key.get(key, 0.0) + amount
+
+    def gauge(self, name: str, read: Callable[[], float]) -> None:
+        """Enter a gauge that is read when the page is made."""
+        self._gauges_by_name[name] = read
+
+    def time(self, name: str, duration_s: float, **labels: str) -> None:
+        """Record a duration in seconds."""
+        key = _key(name, labels)
+        histogram = self._histograms_by_key.get(key)
+        if histogram is None:
+            histogram = HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
+            self._histograms_by_key[key] = histogram
+        histogram.record_value(max(LOWEST_US, int(duration_s * MICROSECONDS_PER_S)))
+
+    def quantile(self, name: str, percent: float, **labels: str) -> float:
+        """Return a quantile of a histogram in seconds, 0 when it is empty."""
+        histogram = self._histograms_by_key.get(_key(name, labels))
+        if histogram is None:
+            return 0.0
+        value: int = histogram.get_value_at_percentile(percent)
+        return value / MICROSECONDS_PER_S
+
+    def to_page(self) -> str:
+        """Return all metrics as text, one a line."""
+        lines = [
+            f"{_series(key)} {value:g}" for key, value in self._counts_by_key.items()
+        ]
+        for name, read in self._gauges_by_name.items():
+            lines.append(f"{name} {read():g}")
+        for key, histogram in self._histograms_by_key.items():
+            lines += _histogram_lines(key, histogram)
+        return "\n".join(sorted(lines)) + "\n"
+
+
+def _key(name: str, labels: Mapping[str, str]) -> SeriesKey:
+    return SeriesKey(name, tuple(sorted(labels.items())))
+
+
+def _series(key: SeriesKey) -> str:
+    if not key.labels:
+        return key.name
+    labels = ",".join(f'{name}="{value}"' for name, value in key.labels)
+    return f"{key.name}{{{labels}}}"
+
+
+def _histogram_lines(key: SeriesKey, histogram: HdrHistogram) -> list[str]:
+    lines = []
+    for percent in QUANTILES:
+        value = histogram.get_value_at_percentile(percent) / MICROSECONDS_PER_S
+        labels = (*key.labels, ("quantile", f"{percent / 100:g}"))
+        lines.append(f"{_series(SeriesKey(key.name, labels))} {value:g}")
+    count_key = SeriesKey(f"{key.name}_count", key.labels)
+    lines.append(f"{_series(count_key)} {histogram.get_total_count()}")
+    return lines
--- /dev/null
+++ b/libs/wire/src/damaskjunction/wire/codec.py
@@ -0,0 +1,143 @@
+"""Encoding of messages by thrift's binary protocol.
+
+A message is a ``NamedTuple`` whose fields have the names and order of the thrift
+struct of the same name in ``peer.thrift``. The structs are read when the module is
+imported, so no generated code is needed.
+"""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from pathlib import Path
+from typing import Any, NamedTuple, TypeAlias, get_type_hints
+
+import thriftpy2
+from thriftpy2.protocol import TCyBinaryProtocolFactory
+from thriftpy2.transport import TCyMemoryBuffer
+
+from damaskjunction.core import DamaskjunctionError, Registry
+
+Message: TypeAlias = Any
+
+_structs = thriftpy2.load(
+    str(Path(__file__).with_name("peer.thrift")), module_name="peer_thrift"
+)
+_factory: Any = TCyBinaryProtocolFactory()  # type: ignore[no-untyped-call]
+
+message_types: Registry[type[Any]] = Registry("message")
+
+
+class DecodeError(DamaskjunctionError):
+    """Bytes from a peer are no message of the protocol."""
+
+
+class _Conversion(NamedTuple):
+    """How a field gets from its thrift value to its typed value."""
+
+    enum: type[StrEnum] | None
+    default: Any
+
+
+_conversions_by_kind: dict[str, tuple[_Conversion, ...]] = {}
+
+
+def register_message(kind: type[Any]) -> type[Any]:
+    """Enter a message type whose thrift struct has the same name and fields.
+
+    Raises
+    ------
+    ValueError
+        When the struct's fields differ.
+    """
+    struct = getattr(_structs, kind.__name__)
+    names = tuple(spec[1] for _, spec in sorted(struct.thrift_spec.items()))
+    if names != kind._fields:
+        raise ValueError(f"{kind.__name__}: thrift has {names}, not {kind._fields}")
+    hints = get_type_hints(kind)
+    _conversions_by_kind[kind.__name__] = tuple(
+        _Conversion(_enum_of(hints[name]), None) for name in names
+    )
+    message_types.register(kind.__name__)(kind)
+    return kind
+
+
+def _enum_of(hint: Any) -> type[StrEnum] | None:
+    is_enum = isinstance(hint, type) and issubclass(hint, StrEnum)
+    return hint if is_enum else None
+
+
+class Frame(NamedTuple):
+    """One frame of a link."""
+
+    call_id: int
+    operation: int
+    kind: str = ""
+    body: bytes = b""
+
+
+def encode_message(message: Message) -> bytes:
+    """Return the bytes of a registered message."""
+    struct = getattr(_structs, type(message).__name__)
+    return _encode(struct(*message))
+
+
+def decode_message(kind: str, body: bytes) -> Message:
+    """Return the message of a kind in ``body``.
+
+    Raises
+    ------
+    DecodeError
+        When the kind is unknown or the bytes are not of that kind.
+    """
+    if kind not in message_types:
+        raise DecodeError(f"no message is called {kind!r}")
+    message_type = message_types.get(kind)
+    struct = _decode(getattr(_structs, kind), body)
+    values = (getattr(struct, name) for name in message_type._fields)
+    conversions = _conversions_by_kind[kind]
+    try:
+        return message_type(*map(_convert, values, conversions))
+    except ValueError as error:
+        raise DecodeError(f"{kind}: {error}") from None
+
+
+def _convert(value: Any, conversion: _Conversion) -> Any:
+    if value is None:
+        raise ValueError("a field is missing")
+    return conversion.enum(value) if conversion.enum is not None else value
+
+
+def _encode(value: Any) -> bytes:
+    transport = TCyMemoryBuffer()
+    _factory.get_protocol(transport).write_struct(value)
+    return bytes(transport.getvalue())
+
+
+def _decode(struct: Any, body: bytes) -> Any:
+    value = struct()
+    try:
+        _factory.get_protocol(TCyMemoryBuffer(body)).read_struct(value)
+        return value
+    except Exception as error:
+        raise DecodeError(f"{struct.__name__}: {error!r}") from None
+
+
+def encode_frame(frame: Frame) -> bytes:
+    """Return the bytes of a frame, without a length before them."""
+    return _encode(_structs.Frame(*frame))
+
+
+def decode_frame(data: bytes) -> Frame:
+    """Return the frame in ``data``.
+
+    Raises
+    ------
+    DecodeError
+        When the bytes are no frame.
+    """
+    struct = _decode(_structs.Frame, data)
+    if struct.call_id is None or struct.operation is None:
+        raise DecodeError("Frame: a field is missing")
+    return Frame(
+        struct.call_id, struct.operation, struct.kind or "", struct.body or b""
+    )
--- /dev/null
+++ b/libs/wire/src/damaskjunction/wire/messages.py
@@ -0,0 +1,52 @@
+"""Messages between hosts that no decision library owns, and the registration of all.
+
+Routing's messages are defined by that library; here they are entered for encoding.
+"""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from damaskjunction.core import HostId, Outcome, RequestError, Revision
+from damaskjunction.routing import Forward, PlainAnswer, StreamEnd, Token
+from damaskjunction.wire.codec import register_message
+
+
+@register_message
+class Failure(NamedTuple):
+    """A request ended without a whole answer; see ``RequestError``."""
+
+    outcome: Outcome
+    reason: str
+    detail: str
+    retry_after_s: float
+
+    @classmethod
+    def from_error(cls, error: RequestError) -> Failure:
+        """Return the message that tells of an error."""
+        return cls(error.outcome, error.reason, error.detail, error.retry_after_s)
+
+    def to_error(self) -> RequestError:
+        """Return the error that the message tells of."""
+        return RequestError(
+            self.outcome, self.reason, self.detail, retry_after_s=self.retry_after_s
+        )
+
+
+@register_message
+class StatusQuery(NamedTuple):
+    """Asks a host for its state."""
+
+
+@register_message
+class HostStatus(NamedTuple):
+    """What a host has in force."""
+
+    host_id: HostId
+    configuration_revision: Revision
+    plan_revision: Revision
+    state: str
+
+
+for _message_type in (Forward, Token, StreamEnd, PlainAnswer):
+    register_message(_message_type)
--- /dev/null
+++ b/libs/wire/src/damaskjunction/wire/peer.thrift
@@ -0,0 +1,66 @@
+// Messages between the hosts of the system. Field numbers are never reused.
+
+// One frame of a link: a message, or a sign of life when it has no kind.
+struct Frame {
+  1: i64 call_id
+  2: byte operation
+  3: string kind
+  4: binary body
+}
+
+// A request ended without a whole answer.
+struct Failure {
+  1: string outcome
+  2: string reason
+  3: string detail
+  4: double retry_after_s
+}
+
+// Asks the home of a runner to admit a request to it.
+struct Forward {
+  1: string request_id
+  2: i32 attempt
+  3: string runner_id
+  4: string service_name
+  5: string workspace
+  6: string work_class
+  7: double deadline_s
+  8: bool idempotent
+  9: string path
+  10: string content_type
+  11: binary body
+  12: i32 from_token
+}
+
+// A token of an engine's answer.
+struct Token {
+  1: i32 attempt
+  2: i32 position
+  3: string text
+}
+
+// The end mark of an engine's answer.
+struct StreamEnd {
+  1: i32 attempt
+  2: i32 n_tokens
+}
+
+// The whole answer of a plain service.
+struct PlainAnswer {
+  1: i32 attempt
+  2: i32 status
+  3: string content_type
+  4: binary body
+}
+
+// Asks a host for its state.
+struct StatusQuery {
+}
+
+// What a host has in force.
+struct HostStatus {
+  1: string host_id
+  2: i64 configuration_revision
+  3: i64 plan_revision
+  4: string state
+}
