--- a/libs/lab/src/damaskjunction/lab/__main__.py
+++ b/libs/lab/src/damaskjunction/lab/__main__.py
@@ -1,19 +1,44 @@
-"""Run ``python -m damaskjunction.lab demo``."""
+"""Run the demo or an experiment: ``python -m damaskjunction.lab run NAME``."""
 
 from __future__ import annotations
 
 import argparse
 import asyncio
+import sys
+from pathlib import Path
 
+import damaskjunction.lab.online  # noqa: F401 - registers its experiments
 from damaskjunction.lab.demo import run_demo
+from damaskjunction.lab.experiments import ExperimentOptions, experiments
+from damaskjunction.lab.report import to_table, write_report
 
 
 def main() -> None:
-    """Run what the command line names."""
+    """Run what the command line names; exit code 1 when a target is not met."""
     parser = argparse.ArgumentParser(prog="damaskjunction.lab")
-    parser.add_argument("command", choices=("demo",))
-    parser.parse_args()
-    asyncio.run(run_demo())
+    commands = parser.add_subparsers(dest="command", required=True)
+    commands.add_parser("demo", help="run the whole path once")
+    commands.add_parser("list", help="name the experiments")
+    run = commands.add_parser("run", help="run an experiment")
+    run.add_argument("experiment", choices=list(experiments))
+    run.add_argument("--seed", type=int, default=1)
+    run.add_argument("--scale", type=float, default=1.0, help="length of the run")
+    run.add_argument("--out", type=Path, default=Path("build/lab"))
+    arguments = parser.parse_args()
+    if arguments.command == "demo":
+        asyncio.run(run_demo())
+    elif arguments.command == "list":
+        print("\n".join(experiments))
+    else:
+        sys.exit(_run_experiment(arguments))
+
+
+def _run_experiment(arguments: argparse.Namespace) -> int:
+    options = ExperimentOptions(arguments.seed, arguments.scale)
+    result = asyncio.run(experiments.get(arguments.experiment)(options))
+    write_report(arguments.out, arguments.experiment, options, result)
+    print(to_table(result))
+    return int(any(figure.is_met is False for figure in result.figures))
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/libs/lab/src/damaskjunction/lab/online.py
@@ -0,0 +1,63 @@
+"""Experiments on online requests."""
+
+from __future__ import annotations
+
+from damaskjunction.lab.experiments import (
+    ExperimentOptions,
+    ExperimentResult,
+    Figure,
+    experiments,
+)
+from damaskjunction.lab.load import (
+    FIRST_TOKEN,
+    TOKEN_INTERVAL,
+    LoadGenerator,
+    LoadSpec,
+    steady,
+)
+from damaskjunction.standins import DeployedFleet, deployments
+
+RATE_PER_S = 20.0
+DURATION_S = 10.0
+
+
+async def start_deployment(name: str, *engine_arguments: str) -> DeployedFleet:
+    """Start a deployment and return when its text is in force.
+
+    The fleet is closed when it does not come up.
+    """
+    deployed = DeployedFleet(deployments.get(name), engine_arguments)
+    try:
+        await deployed.start()
+        answer = await deployed.apply_text()
+        await deployed.wait_until_serving(answer.to_json()["revision"])
+    except BaseException:
+        await deployed.close()
+        raise
+    return deployed
+
+
+@experiments.register("baseline")
+async def run_baseline(options: ExperimentOptions) -> ExperimentResult:
+    """Measure first token and token interval under a light steady load."""
+    deployed = await start_deployment("small")
+    addresses = [host.caller for host in deployed.hosts_by_id.values()]
+    load = LoadGenerator(deployed.fleet.timers, addresses)
+    spec = LoadSpec(
+        "caddie-llm",
+        steady(RATE_PER_S),
+        RATE_PER_S,
+        DURATION_S * options.scale,
+        seed=options.seed,
+    )
+    try:
+        result = await load.run(spec)
+    finally:
+        load.close()
+        await deployed.close()
+    figures = [Figure("calls", len(result.records)), Figure("whole", result.n_whole())]
+    for name in (FIRST_TOKEN, TOKEN_INTERVAL):
+        for percent in (50.0, 95.0, 99.0):
+            value = result.metrics.quantile(name, percent)
+            figures.append(Figure(f"{name} p{percent:g}", value, "s"))
+    return ExperimentResult(tuple(figures))
--- a/libs/node/src/damaskjunction/node/control.py
+++ b/libs/node/src/damaskjunction/node/placer.py
@@ -1,4 +1,4 @@
-"""Control: follows configuration, plan and hosts; plans under the region's lease."""
+"""Plans what runs where under the region's lease, and sends orders to engines."""
 
 from __future__ import annotations
 
@@ -6,48 +6,36 @@
 import json
 import logging
 import uuid
-from collections.abc import Awaitable, Callable
 
 from damaskjunction.core import (
     ConflictError,
-    FindingsError,
     Plan,
-    PlatformError,
     Revision,
     Runner,
     ServiceKind,
     Timers,
 )
 from damaskjunction.http import BrokenResponseError, ConnectFailedError, HttpClient
-from damaskjunction.membership import make_view
-from damaskjunction.node.documents import (
-    CONFIGURATION_KIND,
-    LEASE_KIND,
-    PLAN_KIND,
-    LeaseDocument,
-)
+from damaskjunction.node.documents import LEASE_KIND, PLAN_KIND, LeaseDocument
+from damaskjunction.node.loops import repeat
 from damaskjunction.node.state import HostView
-from damaskjunction.placement import from_plan, make_plan, to_plan
-from damaskjunction.platform import ObjectStore, StoredObject
-from damaskjunction.settings import read_configuration
+from damaskjunction.placement import from_plan, make_plan
+from damaskjunction.platform import ObjectStore
 
 logger = logging.getLogger(__name__)
 
-WATCH_S = 10.0
-RETRY_S = 0.5
-HOSTS_INTERVAL_S = 1.0
 LEASE_INTERVAL_S = 1.0
 LEASE_S = 5.0
 ORDER_TIMEOUT_S = 2.0
 
 
-class Control:
-    """The control loops of one host.
+class Placer:
+    """The planning loop of one host; only the holder of the region's lease acts.
 
     Parameters
     ----------
     view : HostView
-        Takes what is found out.
+        Configuration, runners and the plan in force.
     store : ObjectStore
         The platform's service.
     timers : Timers
@@ -59,75 +47,22 @@
         self._store = store
         self._timers = timers
         self._client = HttpClient(timers)
-        self._tasks: list[asyncio.Task[None]] = []
+        self._task: asyncio.Task[None] | None = None
         self._lease_version: Revision = 0
         self._lease_seen_at_s = 0.0
         self._is_holder = False
 
     async def start(self) -> None:
-        """Start the loops."""
-        loops = (
-            self._follow(CONFIGURATION_KIND, self._take_configuration),
-            self._follow(PLAN_KIND, self._take_plan),
-            self._repeat(self._refresh_hosts, HOSTS_INTERVAL_S),
-            self._repeat(self._lead, LEASE_INTERVAL_S),
-        )
-        self._tasks = [asyncio.ensure_future(loop) for loop in loops]
+        """Start planning."""
+        self._task = asyncio.ensure_future(repeat(self._lead, LEASE_INTERVAL_S))
 
     async def close(self) -> None:
-        """Stop the loops."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        """Stop planning."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
         self._client.close()
 
-    async def _follow(self, kind: str, take: Callable[[StoredObject], None]) -> None:
-        """Pass on every change of a kind, through outages of the platform."""
-        revision = 0
-        while True:
-            try:
-                result = await self._store.watch(
-                    kind, after_revision=revision, timeout_s=WATCH_S
-                )
-            except PlatformError as error:
-                logger.warning("watch failed", extra={"error": str(error)})
-                await asyncio.sleep(RETRY_S)
-                continue
-            revision = result.revision
-            for stored in result.objects:
-                take(stored)
-
-    async def _repeat(
-        self, step: Callable[[], Awaitable[None]], interval_s: float
-    ) -> None:
-        while True:
-            try:
-                await step()
-            except PlatformError as error:
-                logger.warning("control step failed", extra={"error": str(error)})
-            await asyncio.sleep(interval_s)
-
-    def _take_configuration(self, stored: StoredObject) -> None:
-        try:
-            configuration = read_configuration(
-                stored.value.decode(), stored.name, stored.version
-            )
-        except FindingsError as error:
-            logger.error("stored text has findings", extra={"error": str(error)})
-            return
-        if self._view.apply_configuration(configuration):
-            logger.info(
-                "configuration in force", extra={"revision": configuration.revision}
-            )
-
-    def _take_plan(self, stored: StoredObject) -> None:
-        if stored.name == self._view.own.region:
-            self._view.apply_plan(to_plan(json.loads(stored.value), stored.version))
-
-    async def _refresh_hosts(self) -> None:
-        hosts = await self._store.hosts()
-        self._view.apply_fleet(make_view(hosts.hosts, hosts.runners))
-
     async def _lead(self) -> None:
         """Take or renew the region's lease; plan and send orders while holding it."""
         await self._renew_lease()
--- a/libs/node/src/damaskjunction/node/root.py
+++ b/libs/node/src/damaskjunction/node/root.py
@@ -7,11 +7,12 @@
 from damaskjunction.core import LoopTimers
 from damaskjunction.http import HttpServer, Routes
 from damaskjunction.node.admin import Admin
-from damaskjunction.node.control import Control
 from damaskjunction.node.entry import Entry
+from damaskjunction.node.following import Follower
 from damaskjunction.node.front import Front
 from damaskjunction.node.home import Home
 from damaskjunction.node.jobs import JobFront, JobWorker
+from damaskjunction.node.placer import Placer
 from damaskjunction.node.state import HostView
 from damaskjunction.platform import PlatformClient
 from damaskjunction.routing import Forward
@@ -38,7 +39,8 @@
         self._links = PeerLinks(timers)
         self._home = Home(self._view, timers)
         entry = Entry(self._view, self._home, self._links, timers)
-        self._control = Control(self._view, self._store, timers)
+        self._follower = Follower(self._view, self._store)
+        self._placer = Placer(self._view, self._store, timers)
         self._worker = JobWorker(self._view, self._store, entry, timers)
         self._admin = Admin(
             self._view,
@@ -60,7 +62,8 @@
     async def start(self) -> None:
         """Start every part; callers are served from now on."""
         await self._peers.start()
-        await self._control.start()
+        await self._follower.start()
+        await self._placer.start()
         await self._worker.start()
         await self._callers.start()
 
@@ -73,7 +76,8 @@
         """Stop every part."""
         await self._callers.close()
         await self._worker.close()
-        await self._control.close()
+        await self._placer.close()
+        await self._follower.close()
         await self._peers.close()
         self._links.close()
         self._home.close()
