Admit by class queues, fair shares, deadlines and a learned limit

The gate of a runner keeps separate queues for online and batch. Online is served by deficit round robin between workspaces and takes any slot within the limit; batch is preempted, youngest first, and goes on from its position at the same runner. A request that would end past its deadline is refused as not run with a Retry-After. The limit follows the token interval and the first-token time (AIMD), starts at half the slots, and leaves free what the runner reports above the gate's own work. Homes tell their load with each answer; runners are chosen by prefix with a bound on load. Baselines least_reported_load and static_share are chosen by the setting admission.

Load and interference are not measured yet.

--- a/libs/node/src/damaskjunction/node/entry.py
+++ b/libs/node/src/damaskjunction/node/entry.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator, AsyncIterator
+from contextlib import aclosing
 from typing import NamedTuple
 
 from damaskjunction.core import (
@@ -11,7 +12,6 @@
     RequestError,
     RequestId,
     Runner,
-    RunnerId,
     ServiceName,
     Timers,
     WorkClass,
@@ -19,18 +19,12 @@
 )
 from damaskjunction.node.home import Home
 from damaskjunction.node.runners import AnswerMessage
+from damaskjunction.node.selection import Selection
 from damaskjunction.node.state import HostView
-from damaskjunction.routing import (
-    ChoiceInput,
-    Forward,
-    Token,
-    home_of,
-    runner_choices,
-)
+from damaskjunction.routing import Forward, RunnerLoad, Token
 from damaskjunction.wire import PeerLinks
 
 MAX_ATTEMPTS = 3
-RUNNER_CHOICE = "prefix_affinity"
 
 
 class CallerRequest(NamedTuple):
@@ -59,18 +53,25 @@
         The home role of this host, used without a link.
     links : PeerLinks
         Links to other hosts.
+    selection : Selection
+        Chooses runners and their homes.
     timers : Timers
         The process's timer service.
     """
 
     def __init__(
-        self, view: HostView, home: Home, links: PeerLinks, timers: Timers
+        self,
+        view: HostView,
+        home: Home,
+        links: PeerLinks,
+        selection: Selection,
+        timers: Timers,
     ) -> None:
         self._view = view
         self._home = home
         self._links = links
         self._timers = timers
-        self._in_flight_by_runner: dict[RunnerId, int] = {}
+        self._selection = selection
 
     async def run(self, request: CallerRequest) -> AsyncIterator[AnswerMessage]:
         """Yield the messages of a whole answer, each token once and in order.
@@ -87,41 +88,46 @@
             runner = self._choose(request, attempt)
             forward = _to_forward(request, runner, attempt, left_s, position)
             try:
-                async for message in self._forward(runner, forward):
-                    if isinstance(message, Token):
-                        if message.position != position:
-                            continue
-                        position += 1
-                    yield message
+                async with aclosing(self._forward(runner, forward)) as answer:
+                    async for message in answer:
+                        if isinstance(message, Token):
+                            if message.position != position:
+                                continue
+                            position += 1
+                        yield message
                 return
             except RequestError as error:
                 if not _may_retry(request, error, attempt, end_s - self._timers.now()):
                     raise
 
     def _choose(self, request: CallerRequest, attempt: int) -> Runner:
-        runners = self._view.runners_of(request.service)
-        if not runners:
+        order = self._selection.runners(
+            request.service, request.work_class, request.prompt
+        )
+        if not order:
             detail = f"no runner serves {request.service!r} now"
             raise RequestError(Outcome.NOT_RUN, "no_runner", detail, retry_after_s=2.0)
-        choose = runner_choices.get(RUNNER_CHOICE)
-        order = choose(ChoiceInput(request.prompt, runners, self._in_flight_by_runner))
         return order[(attempt - 1) % len(order)]
 
     async def _forward(
         self, runner: Runner, forward: Forward
-    ) -> AsyncIterator[AnswerMessage]:
-        home = home_of(runner, self._view.serving_hosts())
-        in_flight = self._in_flight_by_runner
-        in_flight[runner.runner_id] = in_flight.get(runner.runner_id, 0) + 1
+    ) -> AsyncGenerator[AnswerMessage, None]:
+        home = self._selection.admitting_host(runner)
+        loads = self._selection.loads
+        loads.begin(runner.runner_id)
         try:
-            async for message in self._send(home, forward):
-                yield message
+            async with aclosing(self._send(home, forward)) as answer:
+                async for message in answer:
+                    if isinstance(message, RunnerLoad):
+                        self._selection.note(message)
+                    else:
+                        yield message
         finally:
-            in_flight[runner.runner_id] -= 1
+            loads.end(runner.runner_id)
 
     def _send(
         self, home: EntryHost | None, forward: Forward
-    ) -> AsyncIterator[AnswerMessage]:
+    ) -> AsyncGenerator[AnswerMessage, None]:
         if home is None or home.host_id == self._view.own.host_id:
             return self._home.run(forward)
         return self._links.call(home.peer, forward.work_class.value, forward)
--- a/libs/node/src/damaskjunction/node/home.py
+++ b/libs/node/src/damaskjunction/node/home.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator, Iterable
+import itertools
+import logging
+from collections.abc import AsyncGenerator, Iterable
+from contextlib import aclosing
 from typing import Any
 
 from damaskjunction.core import (
@@ -12,61 +15,113 @@
     RequestId,
     Runner,
     RunnerId,
+    ServiceKind,
+    ServiceSpec,
     Timers,
     WorkClass,
+    WorkspaceSpec,
 )
 from damaskjunction.http import HttpClient
-from damaskjunction.node.runners import AnswerMessage, runner_protocols
+from damaskjunction.node.reports import LoadReader
+from damaskjunction.node.runners import (
+    AnswerMessage,
+    RunnerStream,
+    runner_protocols,
+    stream_cancels,
+)
+from damaskjunction.node.selection import Selection
 from damaskjunction.node.state import HostView
 from damaskjunction.routing import (
     Admit,
     Effect,
     Forward,
+    LimitInput,
     Preempt,
     Refuse,
     RunnerGate,
+    RunnerLoad,
+    Targets,
     Ticket,
+    Token,
 )
+from damaskjunction.telemetry import Metrics
+
+ADMITTED = "admission_admitted_total"
+REFUSED = "admission_refused_total"
+PREEMPTED = "admission_preempted_total"
+WAIT = "admission_wait_seconds"
+
+logger = logging.getLogger(__name__)
 
 
 class Home:
     """Runs forwarded requests on runners, each admitted by its runner's gate.
 
-    Online and batch use separate connections to runners.
+    Online and batch use separate connections to runners. A batch request that has to
+    give way goes on from its position when its runner has room again.
 
     Parameters
     ----------
     view : HostView
-        Tells which runners there are.
+        Tells which runners, services and workspaces there are.
+    selection : Selection
+        Tells whose home this host is.
     timers : Timers
         The process's timer service.
+    metrics : Metrics
+        Takes counts and waiting times.
     """
 
-    def __init__(self, view: HostView, timers: Timers) -> None:
+    def __init__(
+        self, view: HostView, selection: Selection, timers: Timers, metrics: Metrics
+    ) -> None:
         self._view = view
+        self._selection = selection
         self._timers = timers
+        self._metrics = metrics
         self._clients_by_class = {
             work_class: HttpClient(timers) for work_class in WorkClass
         }
+        self._control = HttpClient(timers)
+        self._reports = LoadReader(timers, self._reporting_runners, self._take_report)
         self._gates_by_runner: dict[RunnerId, RunnerGate] = {}
-        self._admitted_by_id: dict[RequestId, asyncio.Future[None]] = {}
-        self._preempted_by_id: dict[RequestId, asyncio.Future[None]] = {}
+        self._requests_by_id: dict[RequestId, _Request] = {}
+        self._cancels: set[asyncio.Task[None]] = set()
+        self._ended = asyncio.Event()
 
-    def close(self) -> None:
+    def start(self) -> None:
+        """Follow the view of the fleet and the runners' reports."""
+        self._view.subscribe(self._follow_view)
+        self._reports.start()
+
+    async def drain(self) -> None:
+        """Give up batch, and return when every online request has ended."""
+        self._follow_view()
+        while self._requests_by_id:
+            self._ended.clear()
+            await self._ended.wait()
+
+    async def close(self) -> None:
         """Close the connections to runners."""
-        for client in self._clients_by_class.values():
+        await self._reports.close()
+        for task in self._cancels:
+            task.cancel()
+        await asyncio.gather(*self._cancels, return_exceptions=True)
+        for client in (*self._clients_by_class.values(), self._control):
             client.close()
 
     def to_document(self) -> dict[str, Any]:
         """Return the gates for the state dump."""
         return {
-            runner_id: {"slots": gate.slots, "running": gate.n_running}
+            runner_id: gate.state._asdict()
             for runner_id, gate in self._gates_by_runner.items()
         }
 
-    async def run(self, forward: Forward) -> AsyncIterator[AnswerMessage]:
+    async def run(self, forward: Forward) -> AsyncGenerator[AnswerMessage, None]:
         """Admit a request to its runner and yield the messages of its answer.
 
+        The runner's load is told before the last message or the error.
+
         Raises
         ------
         RequestError
@@ -76,95 +131,245 @@
         if runner is None:
             detail = f"no runner {forward.runner_id!r} is known here"
             raise RequestError(Outcome.NOT_RUN, "unknown_runner", detail)
-        deadline_at_s = self._timers.now() + forward.deadline_s
-        ticket = Ticket(
+        gate = self._gate(runner, forward)
+        request = _Request(self._ticket(forward))
+        request_id = request.ticket.request_id
+        self._requests_by_id[request_id] = request
+        expiry = self._timers.once(forward.deadline_s, request.expire)
+        try:
+            async with aclosing(self._answer(gate, runner, forward, request)) as answer:
+                async for message in answer:
+                    yield message
+        except RequestError:
+            yield _to_load(runner, gate)
+            raise
+        finally:
+            expiry.cancel()
+            del self._requests_by_id[request_id]
+            self._ended.set()
+            self._apply(gate.finish(request_id, self._timers.now()))
+
+    async def _answer(
+        self, gate: RunnerGate, runner: Runner, forward: Forward, request: _Request
+    ) -> AsyncGenerator[AnswerMessage, None]:
+        """Yield an answer, in as many turns at the runner as it takes."""
+        request_id = request.ticket.request_id
+        work_class = request.ticket.work_class
+        self._apply(gate.submit(request.ticket, self._timers.now()))
+        for turn in itertools.count():
+            begin_s = self._timers.now()
+            await request.wait_for_admission()
+            self._metrics.time(
+                WAIT, self._timers.now() - begin_s, work_class=work_class.value
+            )
+            stream = RunnerStream(f"{request_id}.{turn}" if turn else request_id)
+            try:
+                async with aclosing(
+                    self._run_turn(gate, runner, forward, request, stream)
+                ) as answer:
+                    async for message in answer:
+                        if isinstance(message, Token):
+                            position = message.position + 1
+                            forward = forward._replace(from_token=position)
+                        yield message
+                return
+            except RequestError as error:
+                if request.is_expired or not request.is_preempted:
+                    raise request.correct(error) from None
+            request.wait_again()
+            self._apply(gate.requeue(request_id, self._timers.now()))
+
+    async def _run_turn(
+        self,
+        gate: RunnerGate,
+        runner: Runner,
+        forward: Forward,
+        request: _Request,
+        stream: RunnerStream,
+    ) -> AsyncGenerator[AnswerMessage, None]:
+        """Send a request to its runner once and yield what it answers."""
+        client = self._clients_by_class[forward.work_class]
+        request_id = request.ticket.request_id
+        protocol = runner_protocols.get(runner.kind.value)
+        is_ended = False
+        request.attach(stream)
+        try:
+            async with aclosing(protocol(client, runner, forward, stream)) as answer:
+                async for message in answer:
+                    if isinstance(message, Token):
+                        now_s = self._timers.now()
+                        self._apply(gate.observe_token(request_id, now_s))
+                    else:
+                        is_ended = True
+                        yield _to_load(runner, gate)
+                    yield message
+        finally:
+            if stream.is_sent and not is_ended:
+                self._cancel_at_runner(runner, stream)
+
+    def _cancel_at_runner(self, runner: Runner, stream: RunnerStream) -> None:
+        cancel = stream_cancels.get(runner.kind.value)
+        task = asyncio.ensure_future(cancel(self._control, runner, stream.stream_id))
+        self._cancels.add(task)
+        task.add_done_callback(self._cancels.discard)
+
+    def _ticket(self, forward: Forward) -> Ticket:
+        workspaces = self._view.configuration.workspaces_by_name
+        workspace = workspaces.get(forward.workspace, WorkspaceSpec(forward.workspace))
+        return Ticket(
             f"{forward.request_id}.{forward.attempt}",
             forward.workspace,
             forward.work_class,
-            deadline_at_s,
+            self._timers.now() + forward.deadline_s,
+            workspace.share,
         )
-        gate = self._gate(runner)
-        try:
-            await self._wait_for_admission(gate, ticket)
-            async for message in self._run_admitted(runner, forward, ticket):
-                yield message
-        finally:
-            self._admitted_by_id.pop(ticket.request_id, None)
-            self._apply(gate.finish(ticket.request_id))
 
-    def _gate(self, runner: Runner) -> RunnerGate:
+    def _gate(self, runner: Runner, forward: Forward) -> RunnerGate:
         gate = self._gates_by_runner.get(runner.runner_id)
         if gate is None:
-            gate = RunnerGate(runner.slots)
+            targets = self._targets(forward.service_name)
+            n_hosts = len(self._view.fleet.live_hosts())
+            given = LimitInput(runner.slots, targets, n_hosts)
+            gate = RunnerGate(self._selection.policy.make_limits(given))
+            gate.set_home(self._selection.is_own(runner), self._timers.now())
             self._gates_by_runner[runner.runner_id] = gate
         return gate
 
-    async def _wait_for_admission(self, gate: RunnerGate, ticket: Ticket) -> None:
-        admitted: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        self._admitted_by_id[ticket.request_id] = admitted
-        self._apply(gate.submit(ticket))
-        try:
-            async with asyncio.timeout(ticket.deadline_at_s - self._timers.now()):
-                await admitted
-        except TimeoutError:
-            detail = "no runner was free before the deadline"
-            raise RequestError(Outcome.NOT_RUN, "deadline", detail) from None
-
-    def _run_admitted(
-        self, runner: Runner, forward: Forward, ticket: Ticket
-    ) -> AsyncIterator[AnswerMessage]:
-        client = self._clients_by_class[forward.work_class]
-        answer = runner_protocols.get(runner.kind.value)(client, runner, forward)
-        if forward.work_class is WorkClass.ONLINE:
-            return answer
-        return self._run_preemptible(answer, ticket.request_id)
-
-    async def _run_preemptible(
-        self, answer: AsyncIterator[AnswerMessage], request_id: RequestId
-    ) -> AsyncIterator[AnswerMessage]:
-        """Yield the messages of an answer until the gate wants its slot back."""
-        preempted: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        self._preempted_by_id[request_id] = preempted
-        following: asyncio.Future[AnswerMessage] | None = None
-        try:
-            while True:
-                following = asyncio.ensure_future(anext(answer))
-                await asyncio.wait(
-                    (following, preempted), return_when=asyncio.FIRST_COMPLETED
-                )
-                if preempted.done():
-                    detail = "the slot went to online work"
-                    raise RequestError(Outcome.RAN, "preempted", detail)
-                try:
-                    yield following.result()
-                except StopAsyncIteration:
-                    return
-        finally:
-            del self._preempted_by_id[request_id]
-            if following is not None:
-                following.cancel()
-                await asyncio.gather(following, return_exceptions=True)
+    def _targets(self, service: str) -> Targets:
+        spec = self._view.configuration.services_by_name.get(
+            service, ServiceSpec(service, ServiceKind.ENGINE)
+        )
+        return Targets(spec.first_token_s, spec.token_interval_s)
+
+    def _follow_view(self) -> None:
+        """Tell the gates whether their runners are still at home here."""
+        now_s = self._timers.now()
+        assignments = self._view.plan.assignments_by_runner
+        for runner_id, gate in list(self._gates_by_runner.items()):
+            runner = self._view.fleet.runners_by_id.get(runner_id)
+            if runner is None and gate.is_idle:
+                del self._gates_by_runner[runner_id]
+            if runner is None:
+                continue
+            if runner_id in assignments:
+                gate.set_targets(self._targets(assignments[runner_id].service))
+            self._apply(gate.set_home(self._selection.is_own(runner), now_s))
+
+    def _reporting_runners(self) -> Iterable[Runner]:
+        runners_by_id = self._view.fleet.runners_by_id
+        if not self._selection.policy.tells_load:
+            return runners_by_id.values()
+        return [
+            runners_by_id[runner_id]
+            for runner_id in self._gates_by_runner
+            if runner_id in runners_by_id
+        ]
+
+    def _take_report(self, runner: Runner, n_running: int) -> None:
+        self._selection.note_report(runner, n_running)
+        gate = self._gates_by_runner.get(runner.runner_id)
+        if gate is not None and self._selection.policy.sees_all:
+            self._apply(gate.observe_report(n_running, self._timers.now()))
 
     def _apply(self, effects: Iterable[Effect]) -> None:
         for effect in effects:
+            request = self._requests_by_id.get(effect.request_id)
+            if request is None:
+                continue
+            work_class = request.ticket.work_class.value
             match effect:
-                case Admit(request_id):
-                    _resolve(self._admitted_by_id.get(request_id))
-                case Preempt(request_id):
-                    _resolve(self._preempted_by_id.get(request_id))
-                case Refuse(request_id, reason, retry_after_s):
-                    error = RequestError(
-                        Outcome.NOT_RUN, reason, retry_after_s=retry_after_s
-                    )
-                    _resolve(self._admitted_by_id.get(request_id), error)
-
-
-def _resolve(
-    future: asyncio.Future[None] | None, error: RequestError | None = None
-) -> None:
-    if future is None or future.done():
-        return
-    if error is not None:
-        future.set_exception(error)
-    else:
-        future.set_result(None)
+                case Admit():
+                    self._metrics.count(ADMITTED, work_class=work_class)
+                    request.admit()
+                case Preempt():
+                    self._metrics.count(PREEMPTED)
+                    request.preempt()
+                case Refuse(_, reason, retry_after_s):
+                    self._metrics.count(REFUSED, work_class=work_class, reason=reason)
+                    request.refuse(reason, retry_after_s)
+
+
+class _Request:
+    """A request at its home: waiting for admission, or at the runner."""
+
+    def __init__(self, ticket: Ticket) -> None:
+        self.ticket = ticket
+        self.is_preempted = False
+        self.is_expired = False
+        self._was_sent = False
+        self._stream: RunnerStream | None = None
+        self._admitted = _new_future()
+
+    async def wait_for_admission(self) -> None:
+        """Return when the request may be sent to the runner.
+
+        Raises
+        ------
+        RequestError
+            When it was refused, or its deadline has passed.
+        """
+        await self._admitted
+
+    def attach(self, stream: RunnerStream) -> None:
+        """Take what ``preempt`` and ``expire`` break off."""
+        self._stream = stream
+        if self.is_preempted or self.is_expired:
+            stream.break_off()
+
+    def wait_again(self) -> None:
+        """Wait for another admission after a preemption."""
+        self.is_preempted = False
+        self._was_sent = self._outcome() is Outcome.RAN
+        self._stream = None
+        self._admitted = _new_future()
+
+    def correct(self, error: RequestError) -> RequestError:
+        """Return the error of the last turn as one of the whole request."""
+        if self.is_expired:
+            detail = "the answer was not whole at its deadline"
+            return RequestError(self._outcome(), "deadline", detail)
+        if self._was_sent and error.outcome is Outcome.NOT_RUN:
+            return RequestError(Outcome.RAN, error.reason, error.detail)
+        return error
+
+    def admit(self) -> None:
+        """Let the request go to the runner."""
+        if not self._admitted.done():
+            self._admitted.set_result(None)
+
+    def refuse(self, reason: str, retry_after_s: float) -> None:
+        """Let ``wait_for_admission`` raise."""
+        if not self._admitted.done():
+            error = RequestError(self._outcome(), reason, retry_after_s=retry_after_s)
+            self._admitted.set_exception(error)
+
+    def preempt(self) -> None:
+        """Break off the answer; the request goes on later."""
+        self.is_preempted = True
+        if self._stream is not None:
+            self._stream.break_off()
+
+    def expire(self) -> None:
+        """Give up at the deadline."""
+        self.is_expired = True
+        self.refuse("deadline", 0.0)
+        if self._stream is not None:
+            self._stream.break_off()
+
+    def _outcome(self) -> Outcome:
+        is_sent = self._stream is not None and self._stream.is_sent
+        return Outcome.RAN if self._was_sent or is_sent else Outcome.NOT_RUN
+
+
+def _new_future() -> asyncio.Future[None]:
+    return asyncio.get_running_loop().create_future()
+
+
+def _to_load(runner: Runner, gate: RunnerGate) -> RunnerLoad:
+    state = gate.state
+    return RunnerLoad(
+        runner.runner_id,
+        state.capacity,
+        state.n_online + state.n_online_waiting,
+        state.n_batch + state.n_batch_waiting,
+    )
--- a/libs/node/src/damaskjunction/node/root.py
+++ b/libs/node/src/damaskjunction/node/root.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from contextlib import aclosing
 from pathlib import Path
 
 from damaskjunction.core import LoopTimers
@@ -13,9 +14,10 @@
 from damaskjunction.node.home import Home
 from damaskjunction.node.jobs import JobFront, JobWorker
 from damaskjunction.node.placer import Placer
+from damaskjunction.node.selection import Selection
 from damaskjunction.node.state import HostView
 from damaskjunction.platform import PlatformClient
-from damaskjunction.routing import Forward
+from damaskjunction.routing import Forward, admission_policies
 from damaskjunction.settings import HostSettings
 from damaskjunction.telemetry import Metrics, StateDump
 from damaskjunction.wire import Message, PeerLinks, PeerServer, Reply, StatusQuery
@@ -37,8 +39,10 @@
         self._view = HostView(settings.to_entry_host())
         self._store = PlatformClient(settings.platform, timers)
         self._links = PeerLinks(timers)
-        self._home = Home(self._view, timers)
-        entry = Entry(self._view, self._home, self._links, timers)
+        policy = admission_policies.get(settings.admission)
+        selection = Selection(self._view, timers, policy)
+        self._home = Home(self._view, selection, timers, metrics)
+        entry = Entry(self._view, self._home, self._links, selection, timers)
         self._follower = Follower(self._view, self._store)
         self._placer = Placer(self._view, self._store, timers)
         self._worker = JobWorker(self._view, self._store, entry, timers)
@@ -61,6 +65,7 @@
 
     async def start(self) -> None:
         """Start every part; callers are served from now on."""
+        self._home.start()
         await self._peers.start()
         await self._follower.start()
         await self._placer.start()
@@ -71,6 +76,7 @@
         """Take no new work and return when what is in progress has ended."""
         self._view.start_draining()
         await self._callers.drain()
+        await self._home.drain()
 
     async def close(self) -> None:
         """Stop every part."""
@@ -80,14 +86,15 @@
         await self._follower.close()
         await self._peers.close()
         self._links.close()
-        self._home.close()
+        await self._home.close()
         self._store.close()
 
     async def _handle_peer(self, message: Message, reply: Reply) -> None:
         match message:
             case Forward():
-                async for answer in self._home.run(message):
-                    await reply(answer)
+                async with aclosing(self._home.run(message)) as answers:
+                    async for answer in answers:
+                        await reply(answer)
             case StatusQuery():
                 await reply(self._admin.own_status())
 
--- a/libs/node/src/damaskjunction/node/runners.py
+++ b/libs/node/src/damaskjunction/node/runners.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import json
-from collections.abc import AsyncIterator, Callable
+import logging
+from collections.abc import AsyncGenerator, Awaitable, Callable
 from typing import TypeAlias
 
 from damaskjunction.core import Outcome, Registry, RequestError, Runner
@@ -15,20 +16,68 @@
     EventParser,
     HttpClient,
 )
-from damaskjunction.routing import Forward, PlainAnswer, StreamEnd, Token
+from damaskjunction.routing import Forward, PlainAnswer, RunnerLoad, StreamEnd, Token
+
+logger = logging.getLogger(__name__)
+
+AnswerMessage: TypeAlias = Token | StreamEnd | PlainAnswer | RunnerLoad
+
+STALL_S = 5.0
+CONTROL_STALL_S = 1.0
+
+
+class RunnerStream:
+    """One request at a runner, which its home may break off.
+
+    Parameters
+    ----------
+    stream_id : str
+        Names the request at the runner, unique to each time it is sent.
+    """
+
+    def __init__(self, stream_id: str) -> None:
+        self.stream_id = stream_id
+        self.is_broken_off = False
+        self.is_sent = False
+        self._response: ClientResponse | None = None
+
+    def attach(self, response: ClientResponse) -> None:
+        """Take the response that ``break_off`` cuts.
+
+        Raises
+        ------
+        RequestError
+            When the request has been broken off meanwhile.
+        """
+        self._response = response
+        if self.is_broken_off:
+            response.close()
+            raise RequestError(Outcome.RAN, "broken_off")
+
+    def break_off(self) -> None:
+        """Cut the connection; whoever reads the answer gets an error."""
+        self.is_broken_off = True
+        if self._response is not None:
+            self._response.close()
+
 
-AnswerMessage: TypeAlias = Token | StreamEnd | PlainAnswer
 RunnerProtocol: TypeAlias = Callable[
-    [HttpClient, Runner, Forward], AsyncIterator[AnswerMessage]
+    [HttpClient, Runner, Forward, RunnerStream], AsyncGenerator[AnswerMessage, None]
 ]
+StreamCancel: TypeAlias = Callable[[HttpClient, Runner, str], Awaitable[None]]
+LoadReport: TypeAlias = Callable[[HttpClient, Runner], Awaitable[int]]
 
 runner_protocols: Registry[RunnerProtocol] = Registry("runner protocol")
-
-STALL_S = 5.0
+stream_cancels: Registry[StreamCancel] = Registry("stream cancel")
+load_reports: Registry[LoadReport] = Registry("load report")
 
 
 async def _post(
-    client: HttpClient, runner: Runner, forward: Forward, body: bytes
+    client: HttpClient,
+    runner: Runner,
+    forward: Forward,
+    body: bytes,
+    stream: RunnerStream,
 ) -> ClientResponse:
     """Send a request to a runner.
 
@@ -38,8 +87,11 @@
         ``NOT_RUN`` when no byte was sent, ``UNKNOWN`` when the answer is missing.
     """
     headers = {"Content-Type": forward.content_type, "Request-Id": forward.request_id}
+    if stream.is_broken_off:
+        raise RequestError(Outcome.NOT_RUN, "broken_off")
+    stream.is_sent = True
     try:
-        return await client.send(
+        response = await client.send(
             runner.address,
             "POST",
             forward.path,
@@ -49,15 +101,18 @@
             fresh=not forward.idempotent,
         )
     except ConnectFailedError as error:
+        stream.is_sent = False
         raise RequestError(Outcome.NOT_RUN, "runner_unreachable", str(error)) from None
     except BrokenResponseError as error:
         raise RequestError(Outcome.UNKNOWN, "runner_lost", str(error)) from None
+    stream.attach(response)
+    return response
 
 
 @runner_protocols.register("engine")
 async def stream_from_engine(
-    client: HttpClient, runner: Runner, forward: Forward
-) -> AsyncIterator[AnswerMessage]:
+    client: HttpClient, runner: Runner, forward: Forward, stream: RunnerStream
+) -> AsyncGenerator[AnswerMessage, None]:
     """Yield the tokens of an engine's answer and its end mark.
 
     Raises
@@ -66,9 +121,10 @@
         When the answer is not whole.
     """
     document = json.loads(forward.body)
-    document["stream_id"] = f"{forward.request_id}.{forward.attempt}"
+    document["stream_id"] = stream.stream_id
     document["from_token"] = forward.from_token
-    response = await _post(client, runner, forward, json.dumps(document).encode())
+    body = json.dumps(document).encode()
+    response = await _post(client, runner, forward, body, stream)
     if response.status != 200:
         response.close()
         detail = f"the engine answered {response.status}"
@@ -96,8 +152,8 @@
 
 @runner_protocols.register("plain")
 async def call_plain_service(
-    client: HttpClient, runner: Runner, forward: Forward
-) -> AsyncIterator[AnswerMessage]:
+    client: HttpClient, runner: Runner, forward: Forward, stream: RunnerStream
+) -> AsyncGenerator[AnswerMessage, None]:
     """Yield the whole answer of a plain service.
 
     Raises
@@ -105,10 +161,49 @@
     RequestError
         When the answer is not whole.
     """
-    response = await _post(client, runner, forward, forward.body)
+    response = await _post(client, runner, forward, forward.body, stream)
     try:
         body = await response.read()
     except BrokenResponseError as error:
         raise RequestError(Outcome.UNKNOWN, "runner_lost", str(error)) from None
     content_type = response.headers.get("content-type", "application/octet-stream")
     yield PlainAnswer(forward.attempt, response.status, content_type, body)
+
+
+@stream_cancels.register("engine")
+async def cancel_at_engine(client: HttpClient, runner: Runner, stream_id: str) -> None:
+    """Tell an engine to stop a stream; one that can't be reached has none."""
+    try:
+        response = await client.send(
+            runner.address,
+            "DELETE",
+            f"/v1/streams/{stream_id}",
+            stall_s=CONTROL_STALL_S,
+        )
+        await response.read()
+    except (ConnectFailedError, BrokenResponseError) as error:
+        details = {"runner": runner.runner_id, "error": str(error)}
+        logger.info("stream not cancelled", extra=details)
+
+
+@stream_cancels.register("plain")
+async def leave_plain_call(client: HttpClient, runner: Runner, stream_id: str) -> None:
+    """Do nothing: a plain service has no way to stop a call."""
+
+
+@load_reports.register("engine")
+async def read_engine_load(client: HttpClient, runner: Runner) -> int:
+    """Return how many streams an engine said, a while ago, that it runs.
+
+    Raises
+    ------
+    RequestError
+        When the engine does not tell.
+    """
+    try:
+        response = await client.send(
+            runner.address, "GET", "/v1/load", stall_s=CONTROL_STALL_S
+        )
+        return int(json.loads(await response.read())["running"])
+    except (ConnectFailedError, BrokenResponseError, ValueError, KeyError) as error:
+        raise RequestError(Outcome.NOT_RUN, "no_report", str(error)) from None
--- /dev/null
+++ b/libs/node/src/damaskjunction/node/selection.py
@@ -0,0 +1,65 @@
+"""Runner and admitting host of a request, by the policy that the settings name."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from damaskjunction.core import EntryHost, Runner, ServiceName, Timers, WorkClass
+from damaskjunction.node.state import HostView
+from damaskjunction.routing import (
+    AdmissionPolicy,
+    ChoiceInput,
+    RunnerLoad,
+    RunnerLoads,
+    runner_choices,
+)
+
+
+class Selection:
+    """Chooses runners, and the hosts that admit to them.
+
+    Parameters
+    ----------
+    view : HostView
+        Tells runners and hosts.
+    timers : Timers
+        The process's timer service.
+    policy : AdmissionPolicy
+        Which host admits, and how runners are chosen.
+    """
+
+    def __init__(self, view: HostView, timers: Timers, policy: AdmissionPolicy) -> None:
+        self.policy = policy
+        self.loads = RunnerLoads()
+        self._view = view
+        self._timers = timers
+        self._choose = runner_choices.get(policy.runner_choice)
+
+    def runners(
+        self, service: ServiceName, work_class: WorkClass, prompt: str
+    ) -> Sequence[Runner]:
+        """Return the runners of a service, the best for a prompt first."""
+        runners = self._view.runners_of(service)
+        occupancies = self.loads.occupancies(runners, work_class, self._timers.now())
+        return self._choose(ChoiceInput(prompt, runners, occupancies))
+
+    def admitting_host(self, runner: Runner) -> EntryHost | None:
+        """Return the host that admits to a runner, None when there is none."""
+        hosts = self._view.serving_hosts()
+        return self.policy.admitting_host(runner, hosts, self._view.own)
+
+    def is_own(self, runner: Runner) -> bool:
+        """Return whether this host admits to a runner."""
+        host = self.admitting_host(runner)
+        return host is not None and host.host_id == self._view.own.host_id
+
+    def note(self, load: RunnerLoad) -> None:
+        """Take the load that a home told with an answer."""
+        if self.policy.tells_load:
+            self.loads.note(load, self._timers.now())
+
+    def note_report(self, runner: Runner, n_running: int) -> None:
+        """Take a runner's own report of its load."""
+        if not self.policy.tells_load:
+            load = RunnerLoad(runner.runner_id, runner.slots, n_running, 0)
+            self.loads.note(load, self._timers.now())
--- /dev/null
+++ b/libs/routing/features/limits.feature
@@ -0,0 +1,30 @@
+Feature: Limits learned from answers
+  How many requests a runner takes follows its token interval and first-token time.
+
+  Scenario: A new home starts low and grows while targets are met
+    Given learned limits for 8 slots
+    Then the limit is 4
+    When the limit is in use for 2 s with 18 ms between tokens
+    Then the limit is 8
+
+  Scenario: The limit falls when tokens come too slowly, and is not raised again at once
+    Given learned limits for 8 slots
+    When the limit is in use for 2 s with 18 ms between tokens
+    And the limit is in use for 1 s with 60 ms between tokens
+    Then the limit is at most 6
+    When the limit is in use for 5 s with 18 ms between tokens
+    Then the limit is at most 7
+    When the limit is in use for 10 s with 18 ms between tokens
+    Then the limit is 8
+
+  Scenario: Batch shrinks before the limit does
+    Given learned limits for 8 slots
+    When the limit is in use for 2 s with 18 ms between tokens
+    And online and 4 batch run for 0.6 s with 45 ms between tokens
+    Then the limit is 8
+    And the batch limit is at most 2
+
+  Scenario: Late first tokens lower the limit
+    Given learned limits for 8 slots
+    When first tokens take 2 s for 1 s
+    Then the limit is at most 3
--- a/libs/routing/src/damaskjunction/routing/admission.py
+++ b/libs/routing/src/damaskjunction/routing/admission.py
@@ -6,17 +6,19 @@
 from typing import NamedTuple, TypeAlias
 
 from damaskjunction.core import RequestId, WorkClass, WorkspaceName
+from damaskjunction.routing.limits import Limits, Targets
+from damaskjunction.routing.queues import FairQueue, Ticket
 
 MAX_ONLINE_QUEUE = 64
-
-
-class Ticket(NamedTuple):
-    """A request that wants admission; ``deadline_at_s`` is on the timers' clock."""
-
-    request_id: RequestId
-    workspace: WorkspaceName
-    work_class: WorkClass
-    deadline_at_s: float
+MAX_BATCH_QUEUE = 64
+RESERVE_SLOTS = 1
+RESERVE_HOLD_S = 10.0
+GUEST_SHARE = 0.5
+SERVICE_TIME_WEIGHT = 0.1
+WAIT_MARGIN = 1.1
+MIN_RETRY_AFTER_S = 0.1
+BATCH_RETRY_AFTER_S = 1.0
+REPORT_LAG_S = 2.0
 
 
 class Admit(NamedTuple):
@@ -26,7 +28,7 @@
 
 
 class Refuse(NamedTuple):
-    """The request is not run."""
+    """The request is not run; ``retry_after_s`` is in seconds."""
 
     request_id: RequestId
     reason: str
@@ -34,7 +36,7 @@
 
 
 class Preempt(NamedTuple):
-    """The batch request must be cancelled at the runner, to be resumed later."""
+    """The batch request must be cancelled at the runner; ``requeue`` it to go on."""
 
     request_id: RequestId
 
@@ -42,57 +44,269 @@
 Effect: TypeAlias = Admit | Refuse | Preempt
 
 
+class GateState(NamedTuple):
+    """Counts of one gate; ``capacity`` is what requests may use together now."""
+
+    capacity: int
+    batch_limit: int
+    n_online: int
+    n_batch: int
+    n_online_waiting: int
+    n_batch_waiting: int
+    n_unseen: int
+
+
 class RunnerGate:
     """Queues and slots of one runner.
 
+    Online goes first: it takes any slot within the capacity, and batch requests are
+    preempted, youngest first, as far as they stand in its way.
+
     Parameters
     ----------
-    slots : int
-        Most requests under way at once.
+    limits : Limits
+        How many requests the runner takes at once.
     """
 
-    def __init__(self, slots: int) -> None:
-        self.slots = slots
-        self._running_by_id: OrderedDict[RequestId, Ticket] = OrderedDict()
-        self._waiting_by_class: dict[WorkClass, OrderedDict[RequestId, Ticket]] = {
-            work_class: OrderedDict() for work_class in WorkClass
+    def __init__(self, limits: Limits) -> None:
+        self._limits = limits
+        self._running_by_id: dict[RequestId, _Running] = {}
+        self._online_ids: set[RequestId] = set()
+        self._batch_ids: OrderedDict[RequestId, None] = OrderedDict()
+        self._preempted_by_id: dict[RequestId, Ticket] = {}
+        self._queues_by_class = {
+            WorkClass.ONLINE: FairQueue(MAX_ONLINE_QUEUE),
+            WorkClass.BATCH: FairQueue(MAX_BATCH_QUEUE),
         }
+        self._service_s_by_workspace: dict[WorkspaceName, float] = {}
+        self._service_s = 0.0
+        self._online_seen_at_s = float("-inf")
+        self._uses: OrderedDict[float, int] = OrderedDict()
+        self._n_unseen = 0
+        self._is_home = True
+
+    @property
+    def state(self) -> GateState:
+        """Counts as they are now."""
+        return GateState(
+            self._capacity(),
+            self._limits.batch,
+            len(self._online_ids),
+            len(self._batch_ids),
+            len(self._queues_by_class[WorkClass.ONLINE]),
+            len(self._queues_by_class[WorkClass.BATCH]),
+            self._n_unseen,
+        )
 
     @property
-    def n_running(self) -> int:
-        """How many requests are under way."""
-        return len(self._running_by_id)
+    def is_idle(self) -> bool:
+        """Whether nothing runs or waits."""
+        is_waiting = any(self._queues_by_class.values())
+        return not (is_waiting or self._running_by_id or self._preempted_by_id)
 
-    def submit(self, ticket: Ticket) -> list[Effect]:
+    def submit(self, ticket: Ticket, now_s: float) -> list[Effect]:
         """Take a request; it is admitted, refused or waits."""
-        queue = self._waiting_by_class[ticket.work_class]
-        if ticket.work_class is WorkClass.ONLINE and len(queue) >= MAX_ONLINE_QUEUE:
-            return [Refuse(ticket.request_id, "overloaded", 1.0)]
-        queue[ticket.request_id] = ticket
-        effects = self._fill()
-        if ticket.work_class is WorkClass.ONLINE and ticket.request_id in queue:
-            effects += self._preempt_one()
-        return effects
+        if ticket.work_class is WorkClass.ONLINE:
+            return self._submit_online(ticket, now_s)
+        if not self._is_home:
+            return [Refuse(ticket.request_id, "not_home", BATCH_RETRY_AFTER_S)]
+        loser = self._queues_by_class[WorkClass.BATCH].push(ticket)
+        effects: list[Effect] = []
+        if loser is not None:
+            refusal = Refuse(loser.request_id, "overloaded", BATCH_RETRY_AFTER_S)
+            effects.append(refusal)
+        return effects + self._balance(now_s)
 
-    def finish(self, request_id: RequestId) -> list[Effect]:
+    def finish(self, request_id: RequestId, now_s: float) -> list[Effect]:
         """Take back a request that ended or was given up; others may be admitted."""
-        self._running_by_id.pop(request_id, None)
-        for queue in self._waiting_by_class.values():
-            queue.pop(request_id, None)
-        return self._fill()
+        running = self._running_by_id.get(request_id)
+        if running is not None:
+            self._note_service_time(running, now_s)
+        self._forget(request_id)
+        return self._balance(now_s)
+
+    def requeue(self, request_id: RequestId, now_s: float) -> list[Effect]:
+        """Let a preempted request wait again, ahead of its workspace's others."""
+        ticket = self._preempted_by_id.pop(request_id, None)
+        if ticket is not None and not self._is_home:
+            return [Refuse(request_id, "not_home", 0.0), *self._balance(now_s)]
+        if ticket is not None:
+            self._queues_by_class[WorkClass.BATCH].push_front(ticket)
+        return self._balance(now_s)
+
+    def observe_token(self, request_id: RequestId, now_s: float) -> list[Effect]:
+        """Note a token of a running request; the limits may move."""
+        running = self._running_by_id.get(request_id)
+        if running is None:
+            return []
+        work_class = running.ticket.work_class
+        if running.n_tokens == 0:
+            first_s = now_s - running.admitted_at_s
+            self._limits.observe_first_token(work_class, first_s)
+        else:
+            interval_s = now_s - running.last_token_at_s
+            self._limits.observe_interval(work_class, interval_s)
+        running.n_tokens += 1
+        running.last_token_at_s = now_s
+        return self._balance(now_s) if self._limits.step(now_s) else []
+
+    def observe_report(self, n_running: int, now_s: float) -> list[Effect]:
+        """Note the runner's own count of requests, which lags.
+
+        What it counts above the most that this gate had under way within the lag is
+        work that this gate can't see; its slots are left free.
+        """
+        self._note_use(now_s)
+        self._n_unseen = max(0, n_running - max(self._uses.values()))
+        return self._balance(now_s)
+
+    def set_targets(self, targets: Targets) -> None:
+        """Hold the runner against other targets from now on."""
+        self._limits.set_targets(targets)
 
-    def _fill(self) -> list[Effect]:
+    def set_home(self, is_home: bool, now_s: float) -> list[Effect]:
+        """Say whether this host is the runner's home.
+
+        A host that is not sends what waits to the new home. It goes on to admit online
+        requests within a part of the limit, for senders that still take it for the
+        home, and no batch.
+        """
+        if is_home == self._is_home:
+            return []
+        self._is_home = is_home
+        effects = [] if is_home else self._refuse_waiting()
+        return effects + self._balance(now_s)
+
+    def _submit_online(self, ticket: Ticket, now_s: float) -> list[Effect]:
+        self._online_seen_at_s = now_s
+        queue = self._queues_by_class[WorkClass.ONLINE]
+        late_s = self._predicted_lateness_s(ticket, now_s)
+        if late_s > 0 and (queue or not self._has_online_slot()):
+            retry_after_s = max(MIN_RETRY_AFTER_S, late_s)
+            return [Refuse(ticket.request_id, "overloaded", retry_after_s)]
         effects: list[Effect] = []
-        for work_class in (WorkClass.ONLINE, WorkClass.BATCH):
-            queue = self._waiting_by_class[work_class]
-            while queue and len(self._running_by_id) < self.slots:
-                request_id, ticket = queue.popitem(last=False)
-                self._running_by_id[request_id] = ticket
-                effects.append(Admit(request_id))
+        loser = queue.push(ticket)
+        if loser is not None:
+            retry_after_s = max(MIN_RETRY_AFTER_S, self._service_s)
+            effects.append(Refuse(loser.request_id, "overloaded", retry_after_s))
+        return effects + self._balance(now_s)
+
+    def _refuse_waiting(self) -> list[Effect]:
+        effects: list[Effect] = []
+        for queue in self._queues_by_class.values():
+            for ticket in queue.tickets():
+                queue.remove(ticket.request_id)
+                effects.append(Refuse(ticket.request_id, "not_home", 0.0))
         return effects
 
-    def _preempt_one(self) -> list[Effect]:
-        for request_id, ticket in reversed(self._running_by_id.items()):
-            if ticket.work_class is WorkClass.BATCH:
-                return [Preempt(request_id)]
-        return []
+    def _predicted_lateness_s(self, ticket: Ticket, now_s: float) -> float:
+        """Return how far past its deadline a request would end, if it waits."""
+        turns = self._queues_by_class[WorkClass.ONLINE].turns_until(ticket)
+        wait_s = turns * self._service_s / self._capacity()
+        end_s = now_s + (wait_s + self._service_of(ticket)) * WAIT_MARGIN
+        return end_s - ticket.deadline_at_s
+
+    def _balance(self, now_s: float) -> list[Effect]:
+        """Admit what there is room for, and preempt what stands in the way."""
+        effects = self._admit_online(now_s)
+        room = self._batch_room(now_s)
+        n_excess = len(self._batch_ids) - room
+        for _ in range(n_excess):
+            effects.append(self._preempt_youngest())
+        if n_excess < 0:
+            effects += self._admit_batch(-n_excess, now_s)
+        self._note_use(now_s)
+        return effects
+
+    def _admit_online(self, now_s: float) -> list[Effect]:
+        queue = self._queues_by_class[WorkClass.ONLINE]
+        effects: list[Effect] = []
+        while queue and self._has_online_slot():
+            ticket = queue.pop(self._service_s_by_workspace)
+            is_late = now_s + self._service_of(ticket) > ticket.deadline_at_s
+            if is_late and queue:
+                retry_after_s = max(MIN_RETRY_AFTER_S, self._service_s)
+                effects.append(Refuse(ticket.request_id, "overloaded", retry_after_s))
+                continue
+            self._online_ids.add(ticket.request_id)
+            effects.append(self._admit(ticket, now_s))
+        return effects
+
+    def _admit_batch(self, n_slots: int, now_s: float) -> list[Effect]:
+        queue = self._queues_by_class[WorkClass.BATCH]
+        effects: list[Effect] = []
+        for _ in range(min(n_slots, len(queue))):
+            ticket = queue.pop()
+            self._batch_ids[ticket.request_id] = None
+            effects.append(self._admit(ticket, now_s))
+        return effects
+
+    def _admit(self, ticket: Ticket, now_s: float) -> Admit:
+        self._running_by_id[ticket.request_id] = _Running(ticket, now_s)
+        return Admit(ticket.request_id)
+
+    def _preempt_youngest(self) -> Preempt:
+        request_id, _ = self._batch_ids.popitem()
+        running = self._running_by_id.pop(request_id)
+        self._preempted_by_id[request_id] = running.ticket
+        return Preempt(request_id)
+
+    def _forget(self, request_id: RequestId) -> None:
+        self._running_by_id.pop(request_id, None)
+        self._online_ids.discard(request_id)
+        self._batch_ids.pop(request_id, None)
+        self._preempted_by_id.pop(request_id, None)
+        for queue in self._queues_by_class.values():
+            queue.remove(request_id)
+
+    def _capacity(self) -> int:
+        limit = self._limits.total
+        if not self._is_home:
+            limit = int(limit * GUEST_SHARE)
+        return max(1, limit - self._n_unseen)
+
+    def _has_online_slot(self) -> bool:
+        return len(self._online_ids) < self._capacity()
+
+    def _batch_room(self, now_s: float) -> int:
+        if not self._is_home or self._limits.total <= self._n_unseen:
+            return 0
+        is_reserved = now_s - self._online_seen_at_s < RESERVE_HOLD_S
+        reserve = RESERVE_SLOTS if is_reserved else 0
+        free = self._capacity() - len(self._online_ids) - reserve
+        return max(0, min(self._limits.batch, free))
+
+    def _service_of(self, ticket: Ticket) -> float:
+        return self._service_s_by_workspace.get(ticket.workspace, self._service_s)
+
+    def _note_service_time(self, running: _Running, now_s: float) -> None:
+        if running.ticket.work_class is not WorkClass.ONLINE:
+            return
+        service_s = now_s - running.admitted_at_s
+        self._service_s = _smooth(self._service_s, service_s)
+        workspace = running.ticket.workspace
+        known_s = self._service_s_by_workspace.get(workspace, 0.0)
+        self._service_s_by_workspace[workspace] = _smooth(known_s, service_s)
+
+    def _note_use(self, now_s: float) -> None:
+        n_online, n_batch = len(self._online_ids), len(self._batch_ids)
+        self._limits.observe_use(n_online, n_batch)
+        self._uses[now_s] = n_online + n_batch + len(self._preempted_by_id)
+        while now_s - next(iter(self._uses)) > REPORT_LAG_S:
+            self._uses.popitem(last=False)
+
+
+class _Running:
+    """An admitted request and its tokens so far."""
+
+    def __init__(self, ticket: Ticket, admitted_at_s: float) -> None:
+        self.ticket = ticket
+        self.admitted_at_s = admitted_at_s
+        self.last_token_at_s = admitted_at_s
+        self.n_tokens = 0
+
+
+def _smooth(mean: float, sample: float) -> float:
+    if mean == 0.0:
+        return sample
+    return mean + SERVICE_TIME_WEIGHT * (sample - mean)
--- /dev/null
+++ b/libs/routing/src/damaskjunction/routing/loads.py
@@ -0,0 +1,71 @@
+"""What a host knows of the load of runners."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from typing import NamedTuple
+
+from damaskjunction.core import Runner, RunnerId, WorkClass
+from damaskjunction.routing.messages import RunnerLoad
+
+LOAD_VALID_S = 3.0
+
+
+class RunnerLoads:
+    """Loads that homes or runners told, moved on by what this host sent since."""
+
+    def __init__(self) -> None:
+        self._in_flight_by_runner: dict[RunnerId, int] = {}
+        self._told_by_runner: dict[RunnerId, _Told] = {}
+
+    def begin(self, runner_id: RunnerId) -> None:
+        """Count a request that is sent towards a runner."""
+        self._in_flight_by_runner[runner_id] = self.in_flight(runner_id) + 1
+
+    def end(self, runner_id: RunnerId) -> None:
+        """Count a request that has ended."""
+        n_in_flight = self.in_flight(runner_id) - 1
+        if n_in_flight > 0:
+            self._in_flight_by_runner[runner_id] = n_in_flight
+        else:
+            self._in_flight_by_runner.pop(runner_id, None)
+
+    def in_flight(self, runner_id: RunnerId) -> int:
+        """Return how many requests this host has under way."""
+        return self._in_flight_by_runner.get(runner_id, 0)
+
+    def note(self, load: RunnerLoad, now_s: float) -> None:
+        """Take what a home or a runner told."""
+        in_flight = self.in_flight(load.runner_id)
+        self._told_by_runner[load.runner_id] = _Told(load, in_flight, now_s)
+
+    def occupancies(
+        self, runners: Iterable[Runner], work_class: WorkClass, now_s: float
+    ) -> Mapping[RunnerId, float]:
+        """Return requests per slot by runner.
+
+        Batch counts only for batch, since it gives way to online.
+        """
+        return {
+            runner.runner_id: self._occupancy(runner, work_class, now_s)
+            for runner in runners
+        }
+
+    def _occupancy(self, runner: Runner, work_class: WorkClass, now_s: float) -> float:
+        in_flight = self.in_flight(runner.runner_id)
+        told = self._told_by_runner.get(runner.runner_id)
+        if told is None or now_s - told.at_s > LOAD_VALID_S:
+            return in_flight / runner.slots
+        n_told = told.load.n_online
+        if work_class is WorkClass.BATCH:
+            n_told += told.load.n_batch
+        n_now = max(in_flight, n_told + in_flight - told.in_flight)
+        return n_now / max(1, told.load.capacity)
+
+
+class _Told(NamedTuple):
+    """A load, and how many requests this host had under way at that time."""
+
+    load: RunnerLoad
+    in_flight: int
+    at_s: float
--- a/libs/routing/src/damaskjunction/routing/messages.py
+++ b/libs/routing/src/damaskjunction/routing/messages.py
@@ -56,3 +56,16 @@
     status: int
     content_type: str
     body: bytes
+
+
+class RunnerLoad(NamedTuple):
+    """What the home of a runner has there, told with each answer.
+
+    ``n_online`` and ``n_batch`` count requests under way and waiting; ``capacity`` is
+    how many may be under way together.
+    """
+
+    runner_id: RunnerId
+    capacity: int
+    n_online: int
+    n_batch: int
--- a/libs/settings/src/damaskjunction/settings/host.py
+++ b/libs/settings/src/damaskjunction/settings/host.py
@@ -31,6 +31,7 @@
     admin_token_file: str = ""
     log_level: str = "info"
     seed: str = ""
+    admission: str = "home"
 
     def to_entry_host(self) -> EntryHost:
         """Return the host as its peers know it."""
@@ -61,6 +62,13 @@
     ),
     Field("log_level", read_name, "debug, info, warning or error", "info"),
     Field("seed", read_name, "seed of random choices; empty: the host_id", ""),
+    Field(
+        "admission",
+        read_name,
+        "admission policy, the same on every host: home, static_share or "
+        "least_reported_load",
+        "home",
+    ),
 )
 
 
--- a/libs/wire/src/damaskjunction/wire/links.py
+++ b/libs/wire/src/damaskjunction/wire/links.py
@@ -11,7 +11,8 @@
 import asyncio
 import logging
 import struct
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncGenerator, Awaitable, Callable
+from contextlib import aclosing
 from enum import IntEnum
 from typing import NamedTuple, TypeAlias
 
@@ -147,7 +148,7 @@
         self.is_open = True
         self._task = asyncio.ensure_future(self._run())
 
-    async def call(self, message: Message) -> AsyncIterator[Message]:
+    async def call(self, message: Message) -> AsyncGenerator[Message, None]:
         """Send a call and yield its replies until the end mark."""
         if not self._queues_by_call:
             self._channel.expect_signs()
@@ -224,7 +225,7 @@
 
     async def call(
         self, address: Address, lane: str, message: Message
-    ) -> AsyncIterator[Message]:
+    ) -> AsyncGenerator[Message, None]:
         """Send a message to a host and yield its replies.
 
         Raises
@@ -234,8 +235,9 @@
             ``UNKNOWN`` when the link was lost.
         """
         link = await self._link(LinkKey(address, lane))
-        async for reply in link.call(message):
-            yield reply
+        async with aclosing(link.call(message)) as replies:
+            async for reply in replies:
+                yield reply
 
     async def ask(self, address: Address, lane: str, message: Message) -> Message:
         """Send a message to a host and return its only reply.
--- a/libs/wire/src/damaskjunction/wire/messages.py
+++ b/libs/wire/src/damaskjunction/wire/messages.py
@@ -8,7 +8,7 @@
 from typing import NamedTuple
 
 from damaskjunction.core import HostId, Outcome, RequestError, Revision
-from damaskjunction.routing import Forward, PlainAnswer, StreamEnd, Token
+from damaskjunction.routing import Forward, PlainAnswer, RunnerLoad, StreamEnd, Token
 from damaskjunction.wire.codec import register_message
 
 
@@ -48,5 +48,5 @@
     state: str
 
 
-for _message_type in (Forward, Token, StreamEnd, PlainAnswer):
+for _message_type in (Forward, Token, StreamEnd, PlainAnswer, RunnerLoad):
     register_message(_message_type)
--- a/libs/wire/src/damaskjunction/wire/peer.thrift
+++ b/libs/wire/src/damaskjunction/wire/peer.thrift
@@ -53,6 +53,14 @@
   4: binary body
 }
 
+// What the home of a runner has there, told with each answer.
+struct RunnerLoad {
+  1: string runner_id
+  2: i32 capacity
+  3: i32 n_online
+  4: i32 n_batch
+}
+
 // Asks a host for its state.
 struct StatusQuery {
 }
