--- /dev/null
+++ b/libs/cli/src/damaskjunction/cli/configuration.py
@@ -0,0 +1,211 @@
+"""Commands about the operators' text: ``check``, ``apply``, ``text``, ``status``."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import getpass
+import sys
+from pathlib import Path
+from typing import Any
+from urllib.parse import urlencode
+
+from damaskjunction.cli.client import (
+    HostClient,
+    add_host_arguments,
+    add_token_argument,
+    run,
+)
+from damaskjunction.cli.command import CommandError, ExitCode, register_command
+from damaskjunction.cli.output import (
+    end_progress,
+    print_json,
+    print_progress,
+    print_table,
+)
+from damaskjunction.settings import read_configuration
+
+STATUS_INTERVAL_S = 0.2
+DEFAULT_WAIT_S = 30.0
+
+
+def _add_check_arguments(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("text", type=Path, help="the operators' text")
+
+
+@register_command(
+    "check",
+    "Check an operators' text and print every finding with its line and key.",
+    _add_check_arguments,
+    "damaskjunction check fleet.yaml",
+)
+def run_check(arguments: argparse.Namespace) -> int:
+    """Check a text without a host."""
+    configuration = read_configuration(arguments.text.read_text(), arguments.text.name)
+    n_services = len(configuration.services_by_name)
+    n_workspaces = len(configuration.workspaces_by_name)
+    print(
+        f"{arguments.text.name}: no findings; "
+        f"{n_services} services, {n_workspaces} workspaces"
+    )
+    return ExitCode.OK
+
+
+def _add_apply_arguments(parser: argparse.ArgumentParser) -> None:
+    _add_check_arguments(parser)
+    add_host_arguments(parser)
+    add_token_argument(parser)
+    parser.add_argument(
+        "--expect",
+        type=int,
+        metavar="REVISION",
+        help="revision that the text replaces; 0 for the first (default: the newest)",
+    )
+    parser.add_argument(
+        "--wait", action="store_true", help="return when it is in force everywhere"
+    )
+    parser.add_argument(
+        "--timeout-s", type=float, default=DEFAULT_WAIT_S, help="longest wait"
+    )
+
+
+@register_command(
+    "apply",
+    "Check an operators' text and put it in force.",
+    _add_apply_arguments,
+    "damaskjunction apply fleet.yaml --expect 12 --wait",
+)
+def run_apply(arguments: argparse.Namespace) -> int:
+    """Apply a text through a host."""
+    read_configuration(arguments.text.read_text(), arguments.text.name)
+    return run(_apply(arguments))
+
+
+async def _apply(arguments: argparse.Namespace) -> int:
+    client = HostClient(arguments)
+    try:
+        expected = arguments.expect
+        if expected is None:
+            expected = await _newest_revision(client)
+        query = urlencode({"source": arguments.text.name, "editor": getpass.getuser()})
+        reply = await client.send(
+            "PUT",
+            f"/v1/configuration?{query}",
+            body=arguments.text.read_bytes(),
+            headers={"If-Match": str(expected)},
+        )
+        revision = reply.to_json()["revision"]
+        if arguments.wait:
+            await _wait_until_in_force(client, revision, arguments.timeout_s)
+    finally:
+        client.close()
+    if arguments.json:
+        print_json({"revision": revision, "in_force": bool(arguments.wait)})
+    else:
+        state = "in force everywhere" if arguments.wait else "accepted"
+        print(f"revision {revision} is {state}")
+    return ExitCode.OK
+
+
+async def _newest_revision(client: HostClient) -> int:
+    try:
+        reply = await client.send("GET", "/v1/configuration")
+    except CommandError as error:
+        if str(error).startswith("no_configuration"):
+            return 0
+        raise
+    return int(reply.headers["revision"])
+
+
+async def _wait_until_in_force(
+    client: HostClient, revision: int, timeout_s: float
+) -> None:
+    lacking: list[str] = []
+    try:
+        async with asyncio.timeout(timeout_s):
+            while True:
+                document = (await client.send("GET", "/v1/status")).to_json()
+                lacking = _lacking(document, revision)
+                if not lacking:
+                    return
+                print_progress(f"{len(lacking)} hosts lack revision {revision}")
+                await asyncio.sleep(STATUS_INTERVAL_S)
+    except TimeoutError:
+        message = (
+            f"revision {revision} is accepted and not yet in force at: "
+            f"{', '.join(lacking)}"
+        )
+        raise CommandError(ExitCode.TIMED_OUT, message) from None
+    finally:
+        end_progress()
+
+
+def _lacking(document: dict[str, Any], revision: int) -> list[str]:
+    return [
+        host["host_id"]
+        for host in document["hosts"]
+        if host["configuration_revision"] < revision
+    ]
+
+
+def _add_operator_arguments(parser: argparse.ArgumentParser) -> None:
+    add_host_arguments(parser)
+    add_token_argument(parser)
+
+
+@register_command(
+    "text",
+    "Print the operators' text in force; its revision goes to standard error.",
+    _add_operator_arguments,
+    "damaskjunction text > fleet.yaml",
+)
+def run_text(arguments: argparse.Namespace) -> int:
+    """Print the stored text."""
+    reply = run(_get(arguments, "/v1/configuration"))
+    text = reply.body.decode()
+    revision = int(reply.headers["revision"])
+    if arguments.json:
+        print_json({"revision": revision, "text": text})
+    else:
+        print(text, end="")
+        print(f"revision {revision}", file=sys.stderr)
+    return ExitCode.OK
+
+
+@register_command(
+    "status",
+    "Tell what is in force on which host, and what each service's runners do.",
+    _add_operator_arguments,
+    "damaskjunction status",
+)
+def run_status(arguments: argparse.Namespace) -> int:
+    """Show the state of the fleet."""
+    document = run(_get(arguments, "/v1/status")).to_json()
+    if arguments.json:
+        print_json(document)
+        return ExitCode.OK
+    revision = document["revision"]
+    lacking = _lacking(document, revision)
+    n_hosts = len(document["hosts"])
+    print(
+        f"revision {revision}: in force at {n_hosts - len(lacking)} of {n_hosts} hosts"
+    )
+    rows = [
+        (
+            host["host_id"],
+            host["state"],
+            host["configuration_revision"],
+            host["plan_revision"],
+        )
+        for host in document["hosts"]
+    ]
+    print_table(("host", "state", "configuration", "plan"), rows)
+    return ExitCode.OK
+
+
+async def _get(arguments: argparse.Namespace, target: str) -> Any:
+    client = HostClient(arguments)
+    try:
+        return await client.send("GET", target)
+    finally:
+        client.close()
--- /dev/null
+++ b/libs/cli/src/damaskjunction/cli/jobs.py
@@ -0,0 +1,179 @@
+"""Commands about batch jobs: ``submit``, ``jobs``, ``results`` and ``cancel``."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+from pathlib import Path
+from typing import Any
+from urllib.parse import quote, urlencode
+
+from damaskjunction.cli.client import (
+    HostClient,
+    add_host_arguments,
+    add_key_argument,
+    run,
+)
+from damaskjunction.cli.command import ExitCode, register_command
+from damaskjunction.cli.output import (
+    end_progress,
+    print_json,
+    print_progress,
+    print_table,
+)
+
+POLL_INTERVAL_S = 1.0
+RUNNING = "running"
+
+
+def _job_path(job: str) -> str:
+    return f"/v1/jobs/{quote(job, safe='')}"
+
+
+def _add_submit_arguments(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("service", help="the engine service that runs the items")
+    parser.add_argument("items", type=Path, help="JSON lines, one item a line")
+    parser.add_argument(
+        "--key", required=True, help="recognises a resend of the same job"
+    )
+    parser.add_argument(
+        "--deadline-s", type=float, help="seconds until it must be done"
+    )
+    parser.add_argument("--wait", action="store_true", help="return when it has ended")
+    add_host_arguments(parser)
+    add_key_argument(parser)
+
+
+@register_command(
+    "submit",
+    "Submit a batch job; sending it again under the same key finds the job.",
+    _add_submit_arguments,
+    "damaskjunction submit caddie-llm faults.jsonl --key night-1 --deadline-s 28800",
+)
+def run_submit(arguments: argparse.Namespace) -> int:
+    """Submit a job."""
+    return run(_submit(arguments))
+
+
+async def _submit(arguments: argparse.Namespace) -> int:
+    query = {"service": arguments.service, "key": arguments.key}
+    if arguments.deadline_s is not None:
+        query["deadline_s"] = str(arguments.deadline_s)
+    client = HostClient(arguments)
+    try:
+        body = arguments.items.read_bytes()
+        reply = await client.send("POST", f"/v1/jobs?{urlencode(query)}", body=body)
+        job = reply.to_json()
+        if arguments.wait:
+            job = await _wait_until_ended(client, job["job_id"])
+    finally:
+        client.close()
+    _print_job(job, as_json=arguments.json)
+    return ExitCode.OK
+
+
+async def _wait_until_ended(client: HostClient, job_id: str) -> dict[str, Any]:
+    while True:
+        reply = await client.send("GET", _job_path(job_id))
+        job: dict[str, Any] = reply.to_json()
+        if job["state"] != RUNNING:
+            end_progress()
+            return job
+        print_progress(f"{job['n_done']} of {job['n_items']} items done")
+        await asyncio.sleep(POLL_INTERVAL_S)
+
+
+def _print_job(job: dict[str, Any], *, as_json: bool) -> None:
+    if as_json:
+        print_json(job)
+        return
+    for key, value in job.items():
+        print(f"{key}: {value}")
+
+
+def _add_jobs_arguments(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("job", nargs="?", help="show this job alone")
+    add_host_arguments(parser)
+    add_key_argument(parser)
+
+
+@register_command(
+    "jobs",
+    "List the workspace's jobs, or show one with its progress and forecast.",
+    _add_jobs_arguments,
+    "damaskjunction jobs",
+    "damaskjunction jobs 8cd9f4a435752d53ec70764d",
+)
+def run_jobs(arguments: argparse.Namespace) -> int:
+    """Show jobs."""
+    if arguments.job:
+        job = _ask(arguments, "GET", _job_path(arguments.job))
+        _print_job(job, as_json=arguments.json)
+        return ExitCode.OK
+    document = _ask(arguments, "GET", "/v1/jobs")
+    if arguments.json:
+        print_json(document)
+        return ExitCode.OK
+    headings = ("job_id", "key", "service", "state", "n_done", "n_items")
+    rows = [[job.get(key, "") for key in headings] for job in document["jobs"]]
+    print_table(headings, rows)
+    return ExitCode.OK
+
+
+def _add_results_arguments(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("job")
+    add_host_arguments(parser)
+    add_key_argument(parser)
+
+
+@register_command(
+    "results",
+    "Print a job's results so far as JSON lines.",
+    _add_results_arguments,
+    "damaskjunction results 8cd9f4a435752d53ec70764d > results.jsonl",
+)
+def run_results(arguments: argparse.Namespace) -> int:
+    """Print results page by page."""
+    return run(_results(arguments))
+
+
+async def _results(arguments: argparse.Namespace) -> int:
+    client = HostClient(arguments)
+    after = ""
+    try:
+        while True:
+            query = urlencode({"after": after}) if after else ""
+            target = f"{_job_path(arguments.job)}/results?{query}"
+            document = (await client.send("GET", target)).to_json()
+            for result in document["results"]:
+                print(json.dumps(result))
+            after = str(document.get("after") or "")
+            if not after:
+                return ExitCode.OK
+    finally:
+        client.close()
+
+
+@register_command(
+    "cancel",
+    "Cancel a job; results so far stay readable.",
+    _add_results_arguments,
+    "damaskjunction cancel 8cd9f4a435752d53ec70764d",
+)
+def run_cancel(arguments: argparse.Namespace) -> int:
+    """Cancel a job."""
+    job = _ask(arguments, "DELETE", _job_path(arguments.job))
+    _print_job(job, as_json=arguments.json)
+    return ExitCode.OK
+
+
+def _ask(arguments: argparse.Namespace, method: str, target: str) -> Any:
+    async def ask() -> Any:
+        client = HostClient(arguments)
+        try:
+            return (await client.send(method, target)).to_json()
+        finally:
+            client.close()
+
+    return run(ask())
--- a/libs/cli/src/damaskjunction/cli/main.py
+++ b/libs/cli/src/damaskjunction/cli/main.py
@@ -1,56 +1,70 @@
-"""Entry point of the command: subcommands from a registry, exit codes, errors."""
+"""Entry point of the command: parser, dispatch and errors."""
 
 from __future__ import annotations
 
 import argparse
+import os
 import sys
-from collections.abc import Callable
-from typing import NamedTuple, TypeAlias
 
-from damaskjunction.core import FindingsError, Registry
+from damaskjunction.cli import (
+    calls,
+    configuration,
+    daemon,
+    jobs,
+    state,
+)
+from damaskjunction.cli.command import CommandError, ExitCode, commands
+from damaskjunction.core import FindingsError
 
-EXIT_OK = 0
-EXIT_FAILED = 1
-EXIT_USAGE = 2
-EXIT_FINDINGS = 3
+COMMAND_MODULES = (calls, configuration, daemon, jobs, state)
 
-
-class Command(NamedTuple):
-    """A subcommand: its arguments and what it does; ``run`` returns the exit code."""
-
-    help: str
-    add_arguments: Callable[[argparse.ArgumentParser], None]
-    run: Callable[[argparse.Namespace], int]
-
-
-Arguments: TypeAlias = argparse.Namespace
-
-commands: Registry[Command] = Registry("command")
+EXIT_CODES = "\n".join(
+    f"  {code.value}  {code.name.lower().replace('_', ' ')}" for code in ExitCode
+)
 
 
 def make_parser() -> argparse.ArgumentParser:
     """Return the parser with every registered subcommand."""
-    parser = argparse.ArgumentParser(prog="damaskjunction")
-    subparsers = parser.add_subparsers(dest="command", required=True)
+    parser = argparse.ArgumentParser(
+        prog="damaskjunction",
+        description="Serve online and batch inference on one fleet.",
+        epilog=f"exit codes:\n{EXIT_CODES}",
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    subparsers = parser.add_subparsers(dest="command", required=True, metavar="COMMAND")
     for name in commands:
         command = commands.get(name)
-        subparser = subparsers.add_parser(name, help=command.help)
+        examples = "\n".join(f"  {example}" for example in command.examples)
+        subparser = subparsers.add_parser(
+            name,
+            help=command.summary,
+            description=command.summary,
+            epilog=f"examples:\n{examples}" if examples else "",
+            formatter_class=argparse.RawDescriptionHelpFormatter,
+        )
         command.add_arguments(subparser)
     return parser
 
 
 def main(argv: list[str] | None = None) -> None:
     """Run the subcommand on the command line and exit with its code."""
-    import damaskjunction.cli.commands  # noqa: F401, PLC0415 - fills the registry
-
     arguments = make_parser().parse_args(argv)
     try:
         code = commands.get(arguments.command).run(arguments)
+        sys.stdout.flush()
+    except CommandError as error:
+        print(f"damaskjunction: {error}", file=sys.stderr)
+        code = error.code
     except FindingsError as error:
         for finding in error.findings:
             print(finding, file=sys.stderr)
-        code = EXIT_FINDINGS
-    except OSError as error:
+        code = ExitCode.FINDINGS
+    except BrokenPipeError:
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        code = ExitCode.OK
+    except (OSError, UnicodeDecodeError) as error:
         print(f"damaskjunction: {error}", file=sys.stderr)
-        code = EXIT_FAILED
-    sys.exit(code)
+        code = ExitCode.FAILED
+    except KeyboardInterrupt:
+        code = ExitCode.FAILED
+    sys.exit(int(code))
--- a/libs/standins/src/damaskjunction/standins/__init__.py
+++ b/libs/standins/src/damaskjunction/standins/__init__.py
@@ -15,10 +15,12 @@
 )
 from damaskjunction.standins.fleet import (
     Answer,
+    Finished,
     Fleet,
     ProcessSpec,
     free_addresses,
     parse_events,
+    run_command,
 )
 from damaskjunction.standins.plain import PlainStandin
 from damaskjunction.standins.platform import PlatformStandin
@@ -32,6 +34,7 @@
     "Deployment",
     "EngineSpeed",
     "EngineStandin",
+    "Finished",
     "Fleet",
     "Mode",
     "PlainStandin",
@@ -42,5 +45,6 @@
     "deployments",
     "free_addresses",
     "parse_events",
+    "run_command",
     "token_text",
 ]
--- a/libs/standins/src/damaskjunction/standins/fleet.py
+++ b/libs/standins/src/damaskjunction/standins/fleet.py
@@ -47,6 +47,29 @@
         return json.loads(self.body)
 
 
+class Finished(NamedTuple):
+    """Exit code and output of a command that ended."""
+
+    code: int
+    output: str
+    errors: str
+
+
+async def run_command(*arguments: str) -> Finished:
+    """Run the ``damaskjunction`` command to its end."""
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "damaskjunction.cli",
+        *arguments,
+        stdin=asyncio.subprocess.DEVNULL,
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.PIPE,
+    )
+    output, errors = await process.communicate()
+    return Finished(process.returncode or 0, output.decode(), errors.decode())
+
+
 def free_addresses(count: int) -> list[Address]:
     """Return loopback addresses whose ports are free for TCP and UDP now."""
     sockets = []
