--- a/libs/lab/src/damaskjunction/lab/__main__.py
+++ b/libs/lab/src/damaskjunction/lab/__main__.py
@@ -10,7 +10,9 @@
 import damaskjunction.lab.online  # noqa: F401 - registers its experiments
 from damaskjunction.lab.demo import run_demo
 from damaskjunction.lab.experiments import ExperimentOptions, experiments
+from damaskjunction.lab.playground import run_playground
 from damaskjunction.lab.report import to_table, write_report
+from damaskjunction.standins import deployments
 
 
 def main() -> None:
@@ -18,6 +20,8 @@
     parser = argparse.ArgumentParser(prog="damaskjunction.lab")
     commands = parser.add_subparsers(dest="command", required=True)
     commands.add_parser("demo", help="run the whole path once")
+    fleet = commands.add_parser("fleet", help="run a fleet until interrupted")
+    fleet.add_argument("deployment", choices=list(deployments))
     commands.add_parser("list", help="name the experiments")
     run = commands.add_parser("run", help="run an experiment")
     run.add_argument("experiment", choices=list(experiments))
@@ -27,6 +31,8 @@
     arguments = parser.parse_args()
     if arguments.command == "demo":
         asyncio.run(run_demo())
+    elif arguments.command == "fleet":
+        asyncio.run(run_playground(arguments.deployment))
     elif arguments.command == "list":
         print("\n".join(experiments))
     else:
--- /dev/null
+++ b/libs/lab/src/damaskjunction/lab/matrix/faults.py
@@ -0,0 +1,99 @@
+"""Faults of the matrix, each with its beginning and its end."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from damaskjunction.lab.matrix.situation import Fault, Situation, faults
+
+SLOW_S = 0.8
+LOST_ANSWERS = 2
+SLOW_STEPS = 5
+
+
+async def _set_faults(
+    situation: Situation, name: str, values: Mapping[str, float]
+) -> None:
+    await situation.fleet.call(name, "PUT", "/test/faults", document=dict(values))
+
+
+async def _do_nothing(situation: Situation) -> None:
+    """End of a fault that is over by itself."""
+
+
+async def _kill_host(situation: Situation) -> None:
+    await situation.fleet.kill(situation.victim)
+
+
+async def _restart_host(situation: Situation) -> None:
+    if not situation.fleet.is_running(situation.victim):
+        await situation.fleet.restart(situation.victim)
+
+
+async def _freeze_host(situation: Situation) -> None:
+    situation.fleet.freeze(situation.victim)
+
+
+async def _thaw_host(situation: Situation) -> None:
+    situation.fleet.thaw(situation.victim)
+
+
+async def _kill_runner(situation: Situation) -> None:
+    await situation.fleet.kill(situation.runner)
+
+
+async def _restart_runner(situation: Situation) -> None:
+    if not situation.fleet.is_running(situation.runner):
+        await situation.fleet.restart(situation.runner)
+
+
+async def _freeze_runner(situation: Situation) -> None:
+    situation.fleet.freeze(situation.runner)
+
+
+async def _thaw_runner(situation: Situation) -> None:
+    situation.fleet.thaw(situation.runner)
+
+
+async def _cut_streams(situation: Situation) -> None:
+    await _set_faults(situation, situation.runner, {"cut_streams": 3})
+
+
+async def _slow_runner(situation: Situation) -> None:
+    await _set_faults(situation, situation.runner, {"slow_factor": SLOW_STEPS})
+
+
+async def _speed_runner(situation: Situation) -> None:
+    await _set_faults(situation, situation.runner, {"slow_factor": 0})
+
+
+async def _platform_down(situation: Situation) -> None:
+    await _set_faults(situation, "platform", {"down": 1})
+
+
+async def _platform_up(situation: Situation) -> None:
+    await _set_faults(situation, "platform", {"down": 0})
+
+
+async def _platform_slow(situation: Situation) -> None:
+    await _set_faults(situation, "platform", {"slow_s": SLOW_S})
+
+
+async def _platform_fast(situation: Situation) -> None:
+    await _set_faults(situation, "platform", {"slow_s": 0})
+
+
+async def _lose_answers(situation: Situation) -> None:
+    await _set_faults(situation, "platform", {"lose_answers": LOST_ANSWERS})
+
+
+faults.register("none")(Fault(_do_nothing, _do_nothing))
+faults.register("host_kill")(Fault(_kill_host, _restart_host))
+faults.register("host_freeze")(Fault(_freeze_host, _thaw_host))
+faults.register("runner_kill")(Fault(_kill_runner, _restart_runner))
+faults.register("runner_freeze")(Fault(_freeze_runner, _thaw_runner))
+faults.register("runner_slow")(Fault(_slow_runner, _speed_runner))
+faults.register("stream_cut")(Fault(_cut_streams, _do_nothing))
+faults.register("platform_down")(Fault(_platform_down, _platform_up))
+faults.register("platform_slow")(Fault(_platform_slow, _platform_fast))
+faults.register("lost_answer")(Fault(_lose_answers, _do_nothing))
--- a/libs/standins/src/damaskjunction/standins/plain.py
+++ b/libs/standins/src/damaskjunction/standins/plain.py
@@ -28,6 +28,7 @@
     def __init__(self, address: Address, service: str) -> None:
         self._service = service
         self._runs_by_id: dict[str, int] = {}
+        self._runs_by_body: dict[str, int] = {}
         self.faults = Faults("slow_s", "lose_answers", "refuse")
         routes = Routes()
         self.faults.register(routes)
@@ -47,6 +48,7 @@
         body = (await request.body.read()).decode()
         request_id = request.headers.get("request-id", "")
         self._runs_by_id[request_id] = self._runs_by_id.get(request_id, 0) + 1
+        self._runs_by_body[body] = self._runs_by_body.get(body, 0) + 1
         await asyncio.sleep(self.faults["slow_s"] or SERVICE_S)
         if self.faults.take("refuse"):
             raise HttpError(500, "failed")
@@ -56,4 +58,8 @@
         return to_json_response(document)
 
     async def _get_runs(self, request: Request) -> Response:
-        return to_json_response({"runs_by_id": self._runs_by_id})
+        document = {
+            "runs_by_id": self._runs_by_id,
+            "runs_by_body": self._runs_by_body,
+        }
+        return to_json_response(document)
--- a/tools/check.py
+++ b/tools/check.py
@@ -96,7 +96,9 @@
     for step in steps:
         result = step.get("result", {})
         if result.get("status") != "passed":
-            message = "\n".join(result.get("error_message", ["not run"]))
+            message = result.get("error_message", "not run")
+            if isinstance(message, list):
+                message = "\n".join(message)
             return f"{step['keyword']} {step['name']}\n{message}"
     return str(element["status"])
 
@@ -176,7 +178,8 @@
         "--only", choices=("all", "lint", "features", "matrix"), default="all"
     )
     arguments = parser.parse_args()
-    os.environ.setdefault("PYTHONHASHSEED", "0")
+    sources = os.pathsep.join(str(path) for path in sorted(ROOT.glob("libs/*/src")))
+    os.environ.update(PYTHONHASHSEED="0", PYTHONPATH=sources, MYPYPATH=sources)
     results = asyncio.run(run_all(arguments.only))
     sys.exit(1 if report(results) else 0)
 
