--- a/libs/http/src/damaskjunction/http/client.py
+++ b/libs/http/src/damaskjunction/http/client.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import ssl
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import AsyncGenerator, Mapping
 from typing import NamedTuple
 
 import h11
@@ -154,7 +154,12 @@
         self._connection: _Connection | None = connection
         self._client = client
 
-    async def chunks(self) -> AsyncIterator[bytes]:
+    def set_stall(self, stall_s: float) -> None:
+        """Give the connection up after this many seconds without a byte."""
+        if self._connection is not None:
+            self._connection.stall_s = stall_s
+
+    async def chunks(self) -> AsyncGenerator[bytes]:
         """Yield the body piece by piece.
 
         Raises
@@ -205,7 +210,7 @@
         self._reader = reader
         self._writer = writer
         self._protocol = h11.Connection(h11.CLIENT)
-        self._stall_s = DEFAULT_STALL_S
+        self.stall_s = DEFAULT_STALL_S
 
     async def exchange(
         self,
@@ -216,7 +221,7 @@
         stall_s: float,
     ) -> ResponseHead:
         """Send a request and return the head of the response."""
-        self._stall_s = stall_s
+        self.stall_s = stall_s
         all_headers = {
             "Host": str(self.address),
             "Content-Length": str(len(body)),
@@ -274,7 +279,7 @@
     async def _next_event(self) -> h11.Event:
         try:
             while (event := self._protocol.next_event()) is h11.NEED_DATA:
-                async with asyncio.timeout(self._stall_s):
+                async with asyncio.timeout(self.stall_s):
                     data = await self._reader.read(READ_BYTES)
                 self._protocol.receive_data(data)
         except (OSError, TimeoutError, h11.RemoteProtocolError) as error:
--- a/libs/node/src/damaskjunction/node/documents.py
+++ b/libs/node/src/damaskjunction/node/documents.py
@@ -12,6 +12,14 @@
 ITEMS_KIND = "items"
 CLAIM_KIND = "claim"
 RESULTS_KIND = "results"
+QUARANTINE_KIND = "quarantine"
+CALL_KIND = "call"
+
+
+class QuarantineDocument(TypedDict):
+    """Convicted requests: seconds since the epoch, by fingerprint."""
+
+    convicted_since: dict[str, float]
 
 
 class LeaseDocument(TypedDict):
--- a/libs/node/src/damaskjunction/node/entry.py
+++ b/libs/node/src/damaskjunction/node/entry.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
-from typing import NamedTuple
+import asyncio
+import logging
+import random
+from collections.abc import AsyncGenerator, Sequence
+from contextlib import aclosing
+from typing import Any, NamedTuple
 
 from damaskjunction.core import (
     EntryHost,
@@ -16,21 +20,46 @@
     Timers,
     WorkClass,
     WorkspaceName,
+    rendezvous_order,
 )
+from damaskjunction.core.units import MILLISECOND_S
+from damaskjunction.node.crashes import CrashWatch
 from damaskjunction.node.home import Home
-from damaskjunction.node.runners import AnswerMessage
 from damaskjunction.node.state import HostView
 from damaskjunction.routing import (
+    AnswerAssembly,
+    AnswerMessage,
+    Attempts,
     ChoiceInput,
+    EjectionPolicy,
     Forward,
-    Token,
+    GiveUp,
+    OutlierEjection,
+    RetryBudget,
+    Verdict,
+    fingerprint_of,
     home_of,
     runner_choices,
 )
+from damaskjunction.telemetry import Metrics
 from damaskjunction.wire import PeerLinks
 
-MAX_ATTEMPTS = 3
 RUNNER_CHOICE = "prefix_affinity"
+DEADLINE_GRACE_S = 250 * MILLISECOND_S
+
+HOME_REASONS = frozenset(("link_lost", "peer_unreachable", "leaving"))
+RUNNER_REASONS = frozenset(
+    (
+        "runner_lost",
+        "runner_unreachable",
+        "runner_refused",
+        "runner_crashed",
+        "stream_cut",
+        "unknown_runner",
+    )
+)
+
+logger = logging.getLogger(__name__)
 
 
 class CallerRequest(NamedTuple):
@@ -48,6 +77,27 @@
     prompt: str = ""
 
 
+class _Route(NamedTuple):
+    """Where an attempt goes; no home means this host."""
+
+    runner: Runner
+    home: EntryHost | None
+
+
+class _Run:
+    """One request on its way: what is fixed, and what its attempts have shown."""
+
+    def __init__(
+        self, request: CallerRequest, attempts: Attempts, *, fingerprint: str
+    ) -> None:
+        self.request = request
+        self.attempts = attempts
+        self.fingerprint = fingerprint
+        self.assembly = AnswerAssembly()
+        self.tried: set[RunnerId] = set()
+        self.route: _Route | None = None
+
+
 class Entry:
     """Routes requests to homes of runners.
 
@@ -59,20 +109,54 @@
         The home role of this host, used without a link.
     links : PeerLinks
         Links to other hosts.
+    crashes : CrashWatch
+        Knows which requests crash runners.
     timers : Timers
         The process's timer service.
+    chance : random.Random
+        Source of the jitter of retries.
+    metrics : Metrics
+        The process's metrics.
     """
 
     def __init__(
-        self, view: HostView, home: Home, links: PeerLinks, timers: Timers
+        self,
+        view: HostView,
+        home: Home,
+        links: PeerLinks,
+        crashes: CrashWatch,
+        timers: Timers,
+        *,
+        chance: random.Random,
+        metrics: Metrics,
     ) -> None:
         self._view = view
         self._home = home
         self._links = links
+        self._crashes = crashes
         self._timers = timers
+        self._chance = chance
+        self._metrics = metrics
+        self._budget = RetryBudget()
+        self._runner_ejection = OutlierEjection(EjectionPolicy(n_failures=1))
+        self._home_ejection = OutlierEjection(EjectionPolicy(n_failures=1))
         self._in_flight_by_runner: dict[RunnerId, int] = {}
 
-    async def run(self, request: CallerRequest) -> AsyncIterator[AnswerMessage]:
+    def to_document(self) -> dict[str, Any]:
+        """Return retries and ejections for the state dump."""
+        now_s = self._timers.now()
+        return {
+            "retry_balance": self._budget.balance,
+            "ejected_runners": self._runner_ejection.ejected(now_s),
+            "avoided_homes": self._home_ejection.ejected(now_s),
+            "in_flight": {
+                runner_id: count
+                for runner_id, count in self._in_flight_by_runner.items()
+                if count
+            },
+        }
+
+    async def run(self, request: CallerRequest) -> AsyncGenerator[AnswerMessage]:
         """Yield the messages of a whole answer, each token once and in order.
 
         Raises
@@ -80,64 +164,173 @@
         RequestError
             When there is no whole answer; its outcome says whether the request ran.
         """
-        end_s = self._timers.now() + request.deadline_s
-        position = 0
-        for attempt in range(1, MAX_ATTEMPTS + 1):
-            left_s = end_s - self._timers.now()
-            runner = self._choose(request, attempt)
-            forward = _to_forward(request, runner, attempt, left_s, position)
+        attempts = Attempts(
+            idempotent=request.idempotent,
+            end_at_s=self._timers.now() + request.deadline_s,
+            budget=self._budget,
+            chance=self._chance,
+        )
+        fingerprint = fingerprint_of(request.service, request.path, request.body)
+        run = _Run(request, attempts, fingerprint=fingerprint)
+        while True:
             try:
-                async for message in self._forward(runner, forward):
-                    if isinstance(message, Token):
-                        if message.position != position:
-                            continue
-                        position += 1
-                    yield message
+                async with aclosing(self._attempt(run)) as messages:
+                    async for message in messages:
+                        yield message
                 return
             except RequestError as error:
-                if not _may_retry(request, error, attempt, end_s - self._timers.now()):
-                    raise
+                delay_s = self._fail(run, error)
+            await asyncio.sleep(delay_s)
+
+    def _fail(self, run: _Run, error: RequestError) -> float:
+        """Return the seconds until the next attempt.
+
+        Raises
+        ------
+        RequestError
+            When there is none.
+        """
+        self._note_failure(run, error)
+        effect = run.attempts.fail(error, self._timers.now())
+        if isinstance(effect, GiveUp):
+            outcome = effect.error.outcome.value
+            self._metrics.count("requests_failed_total", outcome=outcome)
+            raise effect.error
+        self._metrics.count("request_retries_total", reason=error.reason)
+        return effect.delay_s
+
+    def _note_failure(self, run: _Run, error: RequestError) -> None:
+        route, run.route = run.route, None
+        if route is None:
+            return
+        now_s = self._timers.now()
+        if error.reason in HOME_REASONS and route.home is not None:
+            self._home_ejection.fail(route.home.host_id, now_s)
+        if error.reason in RUNNER_REASONS:
+            self._runner_ejection.fail(route.runner.runner_id, now_s)
+            run.tried.add(route.runner.runner_id)
+        logger.info(
+            "attempt failed",
+            extra={
+                "request_id": run.request.request_id,
+                "attempt": run.attempts.number,
+                "runner": route.runner.runner_id,
+                "reason": error.reason,
+                "outcome": error.outcome.value,
+            },
+        )
+
+    async def _attempt(self, run: _Run) -> AsyncGenerator[AnswerMessage]:
+        left_s = run.attempts.begin(self._timers.now())
+        run.assembly.begin(run.attempts.number)
+        verdict = self._crashes.verdict_of(run.fingerprint)
+        if verdict is Verdict.CONVICTED:
+            detail = "equal requests have crashed the runners that ran them"
+            raise RequestError(Outcome.NOT_RUN, "quarantined", detail)
+        is_suspect = verdict is Verdict.SUSPECT
+        run.route = self._choose(run, alone=is_suspect)
+        forward = _to_forward(run, left_s, alone=is_suspect)
+        async with aclosing(self._forward(run.route, forward)) as messages:
+            while (message := await self._next(run, messages)) is not None:
+                delivered = run.assembly.take(message)
+                if delivered is not None:
+                    yield delivered
+        run.assembly.check_whole()
+        self._note_success(run.route)
+
+    async def _next(
+        self, run: _Run, messages: AsyncGenerator[AnswerMessage]
+    ) -> AnswerMessage | None:
+        """Return the next message of an attempt, None after the last.
+
+        The home keeps the deadline too; this end waits a little longer, so that the
+        home's word on whether the request ran comes first.
+        """
+        limit_s = run.attempts.left_s(self._timers.now()) + DEADLINE_GRACE_S
+        try:
+            async with asyncio.timeout(limit_s):
+                return await anext(messages, None)
+        except TimeoutError:
+            is_started = run.assembly.next_position > 0
+            outcome = Outcome.RAN if is_started else Outcome.UNKNOWN
+            raise RequestError(outcome, "deadline", "the time is over") from None
+
+    def _note_success(self, route: _Route) -> None:
+        self._runner_ejection.succeed(route.runner.runner_id)
+        if route.home is not None:
+            self._home_ejection.succeed(route.home.host_id)
 
-    def _choose(self, request: CallerRequest, attempt: int) -> Runner:
+    def _choose(self, run: _Run, *, alone: bool) -> _Route:
+        request = run.request
         runners = self._view.runners_of(request.service)
         if not runners:
             detail = f"no runner serves {request.service!r} now"
             raise RequestError(Outcome.NOT_RUN, "no_runner", detail, retry_after_s=2.0)
+        now_s = self._timers.now()
+        healthy = self._runner_ejection.healthy(runners, _runner_id, now_s)
+        untried = [r for r in healthy if r.runner_id not in run.tried]
+        if not untried:
+            run.tried.clear()
+        runner = self._prefer(run, untried or healthy, alone=alone)
+        return _Route(runner, self._home_for(runner))
+
+    def _prefer(self, run: _Run, runners: Sequence[Runner], *, alone: bool) -> Runner:
+        """Return the runner for an attempt.
+
+        Suspects of a service share one runner, so that the others stay open to all.
+        """
+        if alone:
+            by_id = {runner.runner_id: runner for runner in runners}
+            order = rendezvous_order(run.request.service, [(r, 1.0) for r in by_id])
+            return by_id[order[0]]
         choose = runner_choices.get(RUNNER_CHOICE)
-        order = choose(ChoiceInput(request.prompt, runners, self._in_flight_by_runner))
-        return order[(attempt - 1) % len(order)]
+        given = ChoiceInput(run.request.prompt, runners, self._in_flight_by_runner)
+        return choose(given)[0]
+
+    def _home_for(self, runner: Runner) -> EntryHost | None:
+        hosts = self._view.serving_hosts()
+        now_s = self._timers.now()
+        healthy = self._home_ejection.healthy(hosts, _host_id, now_s)
+        home = home_of(runner, healthy)
+        is_own = home is not None and home.host_id == self._view.own.host_id
+        return None if is_own else home
 
     async def _forward(
-        self, runner: Runner, forward: Forward
-    ) -> AsyncIterator[AnswerMessage]:
-        home = home_of(runner, self._view.serving_hosts())
+        self, route: _Route, forward: Forward
+    ) -> AsyncGenerator[AnswerMessage]:
+        runner_id = route.runner.runner_id
         in_flight = self._in_flight_by_runner
-        in_flight[runner.runner_id] = in_flight.get(runner.runner_id, 0) + 1
+        in_flight[runner_id] = in_flight.get(runner_id, 0) + 1
         try:
-            async for message in self._send(home, forward):
-                yield message
+            async with aclosing(self._send(route.home, forward)) as messages:
+                async for message in messages:
+                    yield message
         finally:
-            in_flight[runner.runner_id] -= 1
+            in_flight[runner_id] -= 1
+            if not in_flight[runner_id]:
+                del in_flight[runner_id]
 
-    def _send(
-        self, home: EntryHost | None, forward: Forward
-    ) -> AsyncIterator[AnswerMessage]:
-        if home is None or home.host_id == self._view.own.host_id:
+    def _send(self, home: EntryHost | None, forward: Forward) -> Any:
+        if home is None:
             return self._home.run(forward)
         return self._links.call(home.peer, forward.work_class.value, forward)
 
 
-def _to_forward(
-    request: CallerRequest,
-    runner: Runner,
-    attempt: int,
-    left_s: float,
-    position: int,
-) -> Forward:
+def _runner_id(runner: Runner) -> str:
+    return runner.runner_id
+
+
+def _host_id(host: EntryHost) -> str:
+    return host.host_id
+
+
+def _to_forward(run: _Run, left_s: float, *, alone: bool) -> Forward:
+    request = run.request
+    assert run.route is not None
     return Forward(
         request_id=request.request_id,
-        attempt=attempt,
-        runner_id=runner.runner_id,
+        attempt=run.attempts.number,
+        runner_id=run.route.runner.runner_id,
         service_name=request.service,
         workspace=request.workspace,
         work_class=request.work_class,
@@ -146,13 +339,7 @@
         path=request.path,
         content_type=request.content_type,
         body=request.body,
-        from_token=position,
+        from_token=run.assembly.next_position,
+        fingerprint=run.fingerprint,
+        alone=alone,
     )
-
-
-def _may_retry(
-    request: CallerRequest, error: RequestError, attempt: int, left_s: float
-) -> bool:
-    if attempt == MAX_ATTEMPTS or left_s <= 0 or error.reason == "overloaded":
-        return False
-    return request.idempotent or error.outcome is Outcome.NOT_RUN
--- a/libs/node/src/damaskjunction/node/front.py
+++ b/libs/node/src/damaskjunction/node/front.py
@@ -4,7 +4,7 @@
 
 import json
 import uuid
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
 from typing import Any
 
 from damaskjunction.core import (
@@ -28,9 +28,8 @@
     to_json_response,
 )
 from damaskjunction.node.entry import CallerRequest, Entry
-from damaskjunction.node.runners import AnswerMessage
 from damaskjunction.node.state import HostView
-from damaskjunction.routing import PlainAnswer, StreamEnd, Token
+from damaskjunction.routing import AnswerMessage, PlainAnswer, StreamEnd, Token
 
 ADDRESSES_TTL_S = 10
 MAX_ADDRESSES = 3
@@ -173,8 +172,8 @@
 
 
 async def _to_events(
-    first: AnswerMessage, rest: AsyncIterator[AnswerMessage]
-) -> AsyncIterator[bytes]:
+    first: AnswerMessage, rest: AsyncGenerator[AnswerMessage]
+) -> AsyncGenerator[bytes]:
     """Yield an answer as events; what breaks it is its last event."""
     yield _to_event(first)
     try:
--- a/libs/node/src/damaskjunction/node/home.py
+++ b/libs/node/src/damaskjunction/node/home.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator, Iterable
+from collections.abc import AsyncGenerator, Iterable
+from contextlib import aclosing
 from typing import Any
 
 from damaskjunction.core import (
@@ -16,10 +17,12 @@
     WorkClass,
 )
 from damaskjunction.http import HttpClient
-from damaskjunction.node.runners import AnswerMessage, runner_protocols
+from damaskjunction.node.crashes import CrashWatch
+from damaskjunction.node.runners import runner_protocols
 from damaskjunction.node.state import HostView
 from damaskjunction.routing import (
     Admit,
+    AnswerMessage,
     Effect,
     Forward,
     Preempt,
@@ -28,6 +31,8 @@
     Ticket,
 )
 
+RUNNER_IDLE_S = 1.0
+
 
 class Home:
     """Runs forwarded requests on runners, each admitted by its runner's gate.
@@ -38,15 +43,19 @@
     ----------
     view : HostView
         Tells which runners there are.
+    crashes : CrashWatch
+        Watches over the requests at each runner.
     timers : Timers
         The process's timer service.
     """
 
-    def __init__(self, view: HostView, timers: Timers) -> None:
+    def __init__(self, view: HostView, crashes: CrashWatch, timers: Timers) -> None:
         self._view = view
+        self._crashes = crashes
         self._timers = timers
         self._clients_by_class = {
-            work_class: HttpClient(timers) for work_class in WorkClass
+            work_class: HttpClient(timers, idle_limit_s=RUNNER_IDLE_S)
+            for work_class in WorkClass
         }
         self._gates_by_runner: dict[RunnerId, RunnerGate] = {}
         self._admitted_by_id: dict[RequestId, asyncio.Future[None]] = {}
@@ -64,7 +73,7 @@
             for runner_id, gate in self._gates_by_runner.items()
         }
 
-    async def run(self, forward: Forward) -> AsyncIterator[AnswerMessage]:
+    async def run(self, forward: Forward) -> AsyncGenerator[AnswerMessage]:
         """Admit a request to its runner and yield the messages of its answer.
 
         Raises
@@ -85,9 +94,13 @@
         )
         gate = self._gate(runner)
         try:
-            await self._wait_for_admission(gate, ticket)
-            async for message in self._run_admitted(runner, forward, ticket):
-                yield message
+            async with self._crashes.guard(runner, forward, deadline_at_s) as guard:
+                await self._wait_for_admission(gate, ticket)
+                guard.begin()
+                answer = self._run_admitted(runner, forward, ticket)
+                async with aclosing(answer) as messages:
+                    async for message in messages:
+                        yield message
         finally:
             self._admitted_by_id.pop(ticket.request_id, None)
             self._apply(gate.finish(ticket.request_id))
@@ -112,7 +125,7 @@
 
     def _run_admitted(
         self, runner: Runner, forward: Forward, ticket: Ticket
-    ) -> AsyncIterator[AnswerMessage]:
+    ) -> AsyncGenerator[AnswerMessage]:
         client = self._clients_by_class[forward.work_class]
         answer = runner_protocols.get(runner.kind.value)(client, runner, forward)
         if forward.work_class is WorkClass.ONLINE:
@@ -120,8 +133,8 @@
         return self._run_preemptible(answer, ticket.request_id)
 
     async def _run_preemptible(
-        self, answer: AsyncIterator[AnswerMessage], request_id: RequestId
-    ) -> AsyncIterator[AnswerMessage]:
+        self, answer: AsyncGenerator[AnswerMessage], request_id: RequestId
+    ) -> AsyncGenerator[AnswerMessage]:
         """Yield the messages of an answer until the gate wants its slot back."""
         preempted: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self._preempted_by_id[request_id] = preempted
@@ -144,6 +157,7 @@
             if following is not None:
                 following.cancel()
                 await asyncio.gather(following, return_exceptions=True)
+            await answer.aclose()
 
     def _apply(self, effects: Iterable[Effect]) -> None:
         for effect in effects:
--- a/libs/node/src/damaskjunction/node/root.py
+++ b/libs/node/src/damaskjunction/node/root.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import random
+from contextlib import aclosing
 from pathlib import Path
 
-from damaskjunction.core import LoopTimers
+from damaskjunction.core import LoopTimers, stable_hash
 from damaskjunction.http import HttpServer, Routes
 from damaskjunction.node.admin import Admin
+from damaskjunction.node.crashes import CrashWatch
 from damaskjunction.node.entry import Entry
 from damaskjunction.node.following import Follower
 from damaskjunction.node.front import Front
@@ -15,7 +18,7 @@
 from damaskjunction.node.placer import Placer
 from damaskjunction.node.state import HostView
 from damaskjunction.platform import PlatformClient
-from damaskjunction.routing import Forward
+from damaskjunction.routing import Forward, VerdictNews
 from damaskjunction.settings import HostSettings
 from damaskjunction.telemetry import Metrics, StateDump
 from damaskjunction.wire import Message, PeerLinks, PeerServer, Reply, StatusQuery
@@ -37,8 +40,25 @@
         self._view = HostView(settings.to_entry_host())
         self._store = PlatformClient(settings.platform, timers)
         self._links = PeerLinks(timers)
-        self._home = Home(self._view, timers)
-        entry = Entry(self._view, self._home, self._links, timers)
+        chance = random.Random(stable_hash(settings.seed or settings.host_id))
+        self._crashes = CrashWatch(
+            self._view,
+            self._links,
+            self._store,
+            timers,
+            chance=chance,
+            metrics=metrics,
+        )
+        self._home = Home(self._view, self._crashes, timers)
+        entry = Entry(
+            self._view,
+            self._home,
+            self._links,
+            self._crashes,
+            timers,
+            chance=chance,
+            metrics=metrics,
+        )
         self._follower = Follower(self._view, self._store)
         self._placer = Placer(self._view, self._store, timers)
         self._worker = JobWorker(self._view, self._store, entry, timers)
@@ -58,11 +78,15 @@
         self._peers = PeerServer(settings.peer, timers, self._handle_peer)
         dump.sections.register("host")(lambda: self._admin.own_status()._asdict())
         dump.sections.register("runners")(self._home.to_document)
+        dump.sections.register("delivery")(entry.to_document)
+        dump.sections.register("quarantine")(self._crashes.to_document)
+        metrics.gauge("links_replaced_total", lambda: self._links.n_replaced)
 
     async def start(self) -> None:
         """Start every part; callers are served from now on."""
         await self._peers.start()
         await self._follower.start()
+        await self._crashes.start()
         await self._placer.start()
         await self._worker.start()
         await self._callers.start()
@@ -77,6 +101,7 @@
         await self._callers.close()
         await self._worker.close()
         await self._placer.close()
+        await self._crashes.close()
         await self._follower.close()
         await self._peers.close()
         self._links.close()
@@ -86,8 +111,11 @@
     async def _handle_peer(self, message: Message, reply: Reply) -> None:
         match message:
             case Forward():
-                async for answer in self._home.run(message):
-                    await reply(answer)
+                async with aclosing(self._home.run(message)) as answers:
+                    async for answer in answers:
+                        await reply(answer)
+            case VerdictNews():
+                self._crashes.take(message)
             case StatusQuery():
                 await reply(self._admin.own_status())
 
--- a/libs/node/src/damaskjunction/node/runners.py
+++ b/libs/node/src/damaskjunction/node/runners.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import json
-from collections.abc import AsyncIterator, Callable
-from typing import TypeAlias
+from collections.abc import AsyncGenerator, Callable
+from contextlib import aclosing
+from typing import Any, TypeAlias
 
 from damaskjunction.core import Outcome, Registry, RequestError, Runner
 from damaskjunction.http import (
@@ -15,23 +16,38 @@
     EventParser,
     HttpClient,
 )
-from damaskjunction.routing import Forward, PlainAnswer, StreamEnd, Token
+from damaskjunction.routing import (
+    AnswerMessage,
+    Forward,
+    PlainAnswer,
+    StreamEnd,
+    Token,
+)
 
-AnswerMessage: TypeAlias = Token | StreamEnd | PlainAnswer
 RunnerProtocol: TypeAlias = Callable[
-    [HttpClient, Runner, Forward], AsyncIterator[AnswerMessage]
+    [HttpClient, Runner, Forward], AsyncGenerator[AnswerMessage]
 ]
 
 runner_protocols: Registry[RunnerProtocol] = Registry("runner protocol")
 
-STALL_S = 5.0
+FIRST_TOKEN_STALL_S = 5.0
+TOKEN_STALL_S = 2.0
+NOT_STARTED_STATUSES = frozenset((404, 405, 409, 429, 503))
 
 
 async def _post(
-    client: HttpClient, runner: Runner, forward: Forward, body: bytes
+    client: HttpClient,
+    runner: Runner,
+    forward: Forward,
+    body: bytes,
+    stall_s: float,
 ) -> ClientResponse:
     """Send a request to a runner.
 
+    A request that may not be repeated, or that may crash the runner, goes on a new
+    connection: an idle one may be dead already, and nobody could tell then whether
+    the request reached the runner.
+
     Raises
     ------
     RequestError
@@ -45,8 +61,8 @@
             forward.path,
             headers=headers,
             body=body,
-            stall_s=min(STALL_S, forward.deadline_s),
-            fresh=not forward.idempotent,
+            stall_s=stall_s,
+            fresh=forward.alone or not forward.idempotent,
         )
     except ConnectFailedError as error:
         raise RequestError(Outcome.NOT_RUN, "runner_unreachable", str(error)) from None
@@ -57,7 +73,7 @@
 @runner_protocols.register("engine")
 async def stream_from_engine(
     client: HttpClient, runner: Runner, forward: Forward
-) -> AsyncIterator[AnswerMessage]:
+) -> AsyncGenerator[AnswerMessage]:
     """Yield the tokens of an engine's answer and its end mark.
 
     Raises
@@ -68,36 +84,59 @@
     document = json.loads(forward.body)
     document["stream_id"] = f"{forward.request_id}.{forward.attempt}"
     document["from_token"] = forward.from_token
-    response = await _post(client, runner, forward, json.dumps(document).encode())
+    body = json.dumps(document).encode()
+    stall_s = min(FIRST_TOKEN_STALL_S, forward.deadline_s)
+    response = await _post(client, runner, forward, body, stall_s)
     if response.status != 200:
         response.close()
-        detail = f"the engine answered {response.status}"
-        raise RequestError(Outcome.NOT_RUN, "runner_refused", detail)
+        raise _refusal(response.status)
+    async with aclosing(_read_events(response, stall_s)) as events:
+        async for event in events:
+            yield _to_message(event, forward.attempt)
+            if event.name == "end":
+                return
+    raise RequestError(Outcome.UNKNOWN, "stream_cut", "the stream has no end mark")
+
+
+async def _read_events(
+    response: ClientResponse, first_stall_s: float
+) -> AsyncGenerator[Event]:
+    """Yield the events of a stream, the first one within a longer time."""
     parser = EventParser()
+    response.set_stall(first_stall_s)
     try:
-        async for data in response.chunks():
-            for event in parser.feed(data):
-                yield _to_message(event, forward.attempt)
-                if event.name == "end":
-                    return
+        async with aclosing(response.chunks()) as chunks:
+            async for data in chunks:
+                response.set_stall(TOKEN_STALL_S)
+                for event in parser.feed(data):
+                    yield event
     except BrokenResponseError as error:
         raise RequestError(Outcome.UNKNOWN, "runner_lost", str(error)) from None
     finally:
         response.close()
-    raise RequestError(Outcome.UNKNOWN, "stream_cut", "the stream has no end mark")
+
+
+def _refusal(status: int) -> RequestError:
+    is_started = status not in NOT_STARTED_STATUSES
+    outcome = Outcome.RAN if is_started else Outcome.NOT_RUN
+    return RequestError(outcome, "runner_refused", f"the engine answered {status}")
 
 
 def _to_message(event: Event, attempt: int) -> AnswerMessage:
-    document = json.loads(event.data)
-    if event.name == "end":
-        return StreamEnd(attempt, document["n"])
-    return Token(attempt, document["index"], document["text"])
+    try:
+        document: Any = json.loads(event.data)
+        if event.name == "end":
+            return StreamEnd(attempt, int(document["n"]))
+        return Token(attempt, int(document["index"]), str(document["text"]))
+    except (ValueError, KeyError, TypeError) as error:
+        detail = f"the engine sent {event!r}: {error!r}"
+        raise RequestError(Outcome.RAN, "bad_answer", detail) from None
 
 
 @runner_protocols.register("plain")
 async def call_plain_service(
     client: HttpClient, runner: Runner, forward: Forward
-) -> AsyncIterator[AnswerMessage]:
+) -> AsyncGenerator[AnswerMessage]:
     """Yield the whole answer of a plain service.
 
     Raises
@@ -105,7 +144,7 @@
     RequestError
         When the answer is not whole.
     """
-    response = await _post(client, runner, forward, forward.body)
+    response = await _post(client, runner, forward, forward.body, forward.deadline_s)
     try:
         body = await response.read()
     except BrokenResponseError as error:
--- a/libs/routing/src/damaskjunction/routing/messages.py
+++ b/libs/routing/src/damaskjunction/routing/messages.py
@@ -18,6 +18,8 @@
 
     ``deadline_s`` is what is left of the request's time in seconds; ``from_token`` is
     the index of the first token wanted, above 0 when a broken answer is resumed.
+    ``fingerprint`` is what equal requests have in common; one that is ``alone`` must
+    not share its runner while it runs.
     """
 
     request_id: RequestId
@@ -32,6 +34,8 @@
     content_type: str
     body: bytes
     from_token: int = 0
+    fingerprint: str = ""
+    alone: bool = False
 
 
 class Token(NamedTuple):
--- /dev/null
+++ b/libs/routing/src/damaskjunction/routing/retries.py
@@ -0,0 +1,160 @@
+"""Retries at the entry host: budget, backoff, deadlines and the outcome told.
+
+Only the host that a caller chose retries. A request that may not be repeated is sent
+again only when every earlier attempt is proved not to have run.
+"""
+
+from __future__ import annotations
+
+import random
+from typing import NamedTuple, TypeAlias
+
+from damaskjunction.core import Outcome, RequestError
+from damaskjunction.core.units import MILLISECOND_S
+
+MAX_ATTEMPTS = 8
+BUDGET_SHARE = 0.2
+BUDGET_RESERVE = 100.0
+BACKOFF_BASE_S = 10 * MILLISECOND_S
+BACKOFF_LIMIT_S = 0.5
+HOP_S = 2 * MILLISECOND_S
+
+FINAL_REASONS = frozenset(
+    ("overloaded", "deadline", "quarantined", "crashes_runner", "bad_message")
+)
+
+FREE_REASONS = frozenset(("preempted", "leaving"))
+
+_SEVERITY_BY_OUTCOME = {Outcome.NOT_RUN: 0, Outcome.RAN: 1, Outcome.UNKNOWN: 2}
+
+
+class RetryBudget:
+    """Retries as a share of requests.
+
+    Each request adds ``share`` of a retry to the balance and each retry takes one, so
+    a fault of every runner multiplies the load by no more than ``1 + share``.
+
+    Parameters
+    ----------
+    share : float
+        Retries for each request in the long run.
+    reserve : float
+        Largest balance, and the balance at the start, in retries.
+    """
+
+    def __init__(
+        self, *, share: float = BUDGET_SHARE, reserve: float = BUDGET_RESERVE
+    ) -> None:
+        self.share = share
+        self.reserve = reserve
+        self.balance = reserve
+
+    def add_request(self) -> None:
+        """Count a request."""
+        self.balance = min(self.reserve, self.balance + self.share)
+
+    def take_retry(self) -> bool:
+        """Take a retry out of the balance; return whether there was one."""
+        if self.balance < 1:
+            return False
+        self.balance -= 1
+        return True
+
+
+class Retry(NamedTuple):
+    """Try again after ``delay_s`` seconds."""
+
+    delay_s: float
+
+
+class GiveUp(NamedTuple):
+    """Tell the caller of ``error``."""
+
+    error: RequestError
+
+
+RetryEffect: TypeAlias = Retry | GiveUp
+
+
+class Attempts:
+    """The attempts of one request.
+
+    Parameters
+    ----------
+    idempotent : bool
+        Whether the request may run more than once.
+    end_at_s : float
+        When its time is over, on the timers' clock.
+    budget : RetryBudget
+        The host's budget, shared by all requests.
+    chance : random.Random
+        Source of the jitter.
+    """
+
+    def __init__(
+        self,
+        *,
+        idempotent: bool,
+        end_at_s: float,
+        budget: RetryBudget,
+        chance: random.Random,
+    ) -> None:
+        self.number = 0
+        self.number_free = 0
+        self.outcome = Outcome.NOT_RUN
+        self._idempotent = idempotent
+        self._end_at_s = end_at_s
+        self._budget = budget
+        self._chance = chance
+        budget.add_request()
+
+    def begin(self, now_s: float) -> float:
+        """Count an attempt; return the seconds that its next hop may use."""
+        self.number += 1
+        return max(0.0, self.left_s(now_s) - HOP_S)
+
+    def left_s(self, now_s: float) -> float:
+        """Return the seconds until the request's time is over."""
+        return max(0.0, self._end_at_s - now_s)
+
+    def fail(self, error: RequestError, now_s: float) -> RetryEffect:
+        """Take the error of the attempt under way."""
+        self.outcome = worst_outcome(self.outcome, error.outcome)
+        delay_s = self._backoff_s()
+        if not self._may_retry(error, now_s + delay_s):
+            return GiveUp(self.to_final(error))
+        if error.reason in FREE_REASONS:
+            self.number_free += 1
+        elif not self._budget.take_retry():
+            return GiveUp(self.to_final(error))
+        return Retry(delay_s)
+
+    def to_final(self, error: RequestError) -> RequestError:
+        """Return the error for the caller: its outcome covers all attempts."""
+        outcome = worst_outcome(self.outcome, error.outcome)
+        return RequestError(
+            outcome, error.reason, error.detail, retry_after_s=error.retry_after_s
+        )
+
+    def _may_retry(self, error: RequestError, next_at_s: float) -> bool:
+        if error.reason in FINAL_REASONS:
+            return False
+        if (
+            self.number - self.number_free >= MAX_ATTEMPTS
+            or next_at_s >= self._end_at_s
+        ):
+            return False
+        return self._idempotent or self.outcome is Outcome.NOT_RUN
+
+    def _backoff_s(self) -> float:
+        """Return a delay with full jitter; the first retry has next to none."""
+        limit_s = BACKOFF_BASE_S * 2.0 ** min(self.number - 1, 16)
+        return self._chance.uniform(0.0, min(limit_s, BACKOFF_LIMIT_S))
+
+
+def worst_outcome(first: Outcome, second: Outcome) -> Outcome:
+    """Return the outcome of a request whose attempts had these two.
+
+    ``NOT_RUN`` holds only when it holds for both; ``UNKNOWN`` goes before ``RAN``.
+    """
+    return max(first, second, key=_SEVERITY_BY_OUTCOME.__getitem__)
--- a/libs/wire/src/damaskjunction/wire/__init__.py
+++ b/libs/wire/src/damaskjunction/wire/__init__.py
@@ -11,13 +11,9 @@
     message_types,
     register_message,
 )
-from damaskjunction.wire.links import (
-    CallHandler,
-    PeerLinks,
-    PeerServer,
-    Reply,
-)
-from damaskjunction.wire.messages import Failure, HostStatus, StatusQuery
+from damaskjunction.wire.links import PeerLinks
+from damaskjunction.wire.messages import Failure, HostStatus, LeavingNotice, StatusQuery
+from damaskjunction.wire.sessions import CallHandler, PeerServer, Reply
 
 __all__ = [
     "CallHandler",
@@ -25,6 +21,7 @@
     "Failure",
     "Frame",
     "HostStatus",
+    "LeavingNotice",
     "Message",
     "PeerLinks",
     "PeerServer",
--- /dev/null
+++ b/libs/wire/src/damaskjunction/wire/channel.py
@@ -0,0 +1,181 @@
+"""Frames over one connection between two hosts, with proof that both ways work."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import struct
+from collections.abc import Callable
+from enum import IntEnum
+
+from damaskjunction.core import Subscription, Timers
+from damaskjunction.core.units import MIB
+from damaskjunction.wire.codec import (
+    DecodeError,
+    Frame,
+    decode_frame,
+    encode_frame,
+)
+
+logger = logging.getLogger(__name__)
+
+MAX_FRAME_BYTES = 4 * MIB
+PING_INTERVAL_S = 0.25
+SILENCE_LIMIT_S = 1.0
+WINDOW_REPLIES = 64
+CREDIT_REPLIES = 32
+
+_LENGTH = struct.Struct("!I")
+
+
+class Operation(IntEnum):
+    """What a frame does.
+
+    ``CREDIT`` lets the answering end send ``CREDIT_REPLIES`` further replies of a
+    call, beyond the ``WINDOW_REPLIES`` that it may send at first.
+    """
+
+    CALL = 0
+    REPLY = 1
+    END = 2
+    CANCEL = 3
+    PING = 4
+    PONG = 5
+    CREDIT = 6
+
+
+class FrameTooLargeError(ValueError):
+    """A message has more bytes than one frame may have."""
+
+
+class Channel:
+    """One end of a connection.
+
+    While it is watched it sends pings. It cuts the connection when no pong has come
+    for ``SILENCE_LIMIT_S``; an unwatched channel sends nothing and has no timer.
+
+    Parameters
+    ----------
+    reader, writer : asyncio.StreamReader, asyncio.StreamWriter
+        The connection.
+    timers : Timers
+        The process's timer service.
+    take : callable
+        Takes each frame that is neither ping nor pong.
+    """
+
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        timers: Timers,
+        take: Callable[[Frame], None],
+    ) -> None:
+        self._reader = reader
+        self._writer = writer
+        self._timers = timers
+        self._take = take
+        self._proved_at_s = -SILENCE_LIMIT_S
+        self._watched_since_s = 0.0
+        self._pings: Subscription | None = None
+        self._proof: asyncio.Future[None] | None = None
+
+    def proof_age_s(self) -> float:
+        """Return the seconds since a pong proved both directions."""
+        return self._timers.now() - self._proved_at_s
+
+    async def prove(self, timeout_s: float) -> bool:
+        """Return whether both directions work, by a ping answered in time."""
+        if self._proof is None:
+            self._proof = asyncio.get_running_loop().create_future()
+            self.send(Frame(0, Operation.PING))
+        proof = self._proof
+        try:
+            async with asyncio.timeout(timeout_s):
+                await asyncio.shield(proof)
+        except (TimeoutError, ConnectionError):
+            return False
+        return True
+
+    def watch(self) -> None:
+        """Send pings from now on and cut the connection when it goes silent."""
+        if self._pings is None:
+            self._watched_since_s = self._timers.now()
+            self._pings = self._timers.every(PING_INTERVAL_S, self._check)
+
+    def unwatch(self) -> None:
+        """Send no more pings."""
+        if self._pings is not None:
+            self._pings.cancel()
+            self._pings = None
+
+    def send(self, frame: Frame) -> None:
+        """Write a frame to the connection's buffer.
+
+        Raises
+        ------
+        FrameTooLargeError
+            When the peer would not take it; nothing was written.
+        """
+        data = encode_frame(frame)
+        if len(data) > MAX_FRAME_BYTES:
+            raise FrameTooLargeError(
+                f"{len(data)} bytes, at most {MAX_FRAME_BYTES} are taken"
+            )
+        self._writer.write(_LENGTH.pack(len(data)) + data)
+
+    async def drain(self) -> None:
+        """Wait while the connection's buffer is full."""
+        await self._writer.drain()
+
+    def abort(self) -> None:
+        """Cut the connection."""
+        self.unwatch()
+        self._writer.transport.abort()
+
+    async def run(self) -> None:
+        """Take frames until the connection ends."""
+        try:
+            while True:
+                head = await self._reader.readexactly(_LENGTH.size)
+                (length,) = _LENGTH.unpack(head)
+                if length > MAX_FRAME_BYTES:
+                    raise DecodeError(f"a frame of {length} bytes")
+                data = await self._reader.readexactly(length)
+                self._take_frame(decode_frame(data))
+        except (OSError, asyncio.IncompleteReadError):
+            pass  # the peer closed, or this end did
+        except DecodeError as error:
+            logger.warning("peer sent what is no frame", extra={"error": str(error)})
+        finally:
+            self.abort()
+            self._fail_proof()
+
+    def _take_frame(self, frame: Frame) -> None:
+        if frame.operation == Operation.PING:
+            self.send(Frame(0, Operation.PONG))
+        elif frame.operation == Operation.PONG:
+            self._note_proof()
+        else:
+            self._take(frame)
+
+    def _note_proof(self) -> None:
+        self._proved_at_s = self._timers.now()
+        if self._proof is not None:
+            self._proof.set_result(None)
+            self._proof = None
+
+    def _fail_proof(self) -> None:
+        if self._proof is not None:
+            self._proof.set_exception(ConnectionResetError("the connection ended"))
+            self._proof.exception()
+            self._proof = None
+
+    def _check(self) -> None:
+        since_s = max(self._proved_at_s, self._watched_since_s)
+        silent_s = self._timers.now() - since_s
+        if silent_s > SILENCE_LIMIT_S:
+            logger.warning("link went silent", extra={"silent_s": round(silent_s, 3)})
+            self.abort()
+        else:
+            self.send(Frame(0, Operation.PING))
--- a/libs/wire/src/damaskjunction/wire/links.py
+++ b/libs/wire/src/damaskjunction/wire/links.py
@@ -2,18 +2,18 @@
 
 A call is one message out and any number of messages back, closed by an end mark. Each
 lane has a connection of its own, so batch never waits in a buffer before online. A
-link with calls in progress is pinged in both directions; one that stays silent is
-given up and its calls fail.
+call's replies are bounded by credit, so a slow reader holds up no other call. A call
+goes only on a connection that a ping has just proved; a connection which fails the
+proof takes no further call and is replaced by a new one at once.
 """
 
 from __future__ import annotations
 
 import asyncio
 import logging
-import struct
-from collections.abc import AsyncIterator, Awaitable, Callable
-from enum import IntEnum
-from typing import NamedTuple, TypeAlias
+from collections.abc import AsyncGenerator
+from contextlib import aclosing
+from typing import NamedTuple
 
 from damaskjunction.core import (
     Address,
@@ -22,39 +22,29 @@
     Subscription,
     Timers,
 )
-from damaskjunction.core.units import MIB
+from damaskjunction.wire.channel import (
+    CREDIT_REPLIES,
+    WINDOW_REPLIES,
+    Channel,
+    FrameTooLargeError,
+    Operation,
+)
 from damaskjunction.wire.codec import (
     DecodeError,
     Frame,
     Message,
-    decode_frame,
     decode_message,
-    encode_frame,
     encode_message,
 )
 from damaskjunction.wire.messages import Failure
 
 logger = logging.getLogger(__name__)
 
-MAX_FRAME_BYTES = 4 * MIB
-PING_INTERVAL_S = 0.3
-SILENCE_LIMIT_S = 1.0
 CONNECT_TIMEOUT_S = 1.0
+PROOF_AGE_S = 0.5
+PROOF_TIMEOUT_S = 0.25
 IDLE_CLOSE_S = 30.0
 
-_LENGTH = struct.Struct("!I")
-
-
-class Operation(IntEnum):
-    """What a frame does."""
-
-    CALL = 0
-    REPLY = 1
-    END = 2
-    CANCEL = 3
-    PING = 4
-    PONG = 5
-
 
 class LinkKey(NamedTuple):
     """One link of a host: to whom, and for which lane of work."""
@@ -63,72 +53,6 @@
     lane: str
 
 
-Reply: TypeAlias = Callable[[Message], Awaitable[None]]
-CallHandler: TypeAlias = Callable[[Message, Reply], Awaitable[None]]
-
-
-class _Channel:
-    """Frames over one connection, with signs of life."""
-
-    def __init__(
-        self,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-        timers: Timers,
-        take: Callable[[Frame], None],
-    ) -> None:
-        self._reader = reader
-        self._writer = writer
-        self._timers = timers
-        self._take = take
-        self._heard_at_s = timers.now()
-
-    def is_silent(self) -> bool:
-        """Return whether nothing has come in for too long."""
-        return self._timers.now() - self._heard_at_s > SILENCE_LIMIT_S
-
-    def expect_signs(self) -> None:
-        """Count silence from now on."""
-        self._heard_at_s = self._timers.now()
-
-    def send(self, frame: Frame) -> None:
-        """Write a frame to the connection's buffer."""
-        data = encode_frame(frame)
-        self._writer.write(_LENGTH.pack(len(data)) + data)
-
-    async def drain(self) -> None:
-        """Wait while the connection's buffer is full."""
-        await self._writer.drain()
-
-    def abort(self) -> None:
-        """Cut the connection."""
-        self._writer.transport.abort()
-
-    async def run(self) -> None:
-        """Take frames until the connection ends."""
-        try:
-            while True:
-                head = await self._reader.readexactly(_LENGTH.size)
-                (length,) = _LENGTH.unpack(head)
-                if length > MAX_FRAME_BYTES:
-                    raise DecodeError(f"a frame of {length} bytes")
-                data = await self._reader.readexactly(length)
-                self._heard_at_s = self._timers.now()
-                self._take_frame(decode_frame(data))
-        except (OSError, asyncio.IncompleteReadError):
-            pass  # the peer closed, or this end did
-        except DecodeError as error:
-            logger.warning("peer sent what is no frame", extra={"error": str(error)})
-        finally:
-            self.abort()
-
-    def _take_frame(self, frame: Frame) -> None:
-        if frame.operation == Operation.PING:
-            self.send(Frame(0, Operation.PONG))
-        elif frame.operation != Operation.PONG:
-            self._take(frame)
-
-
 class _Link:
     """The calling end of one connection."""
 
@@ -139,70 +63,99 @@
         timers: Timers,
     ) -> None:
         self._timers = timers
-        self._channel = _Channel(reader, writer, timers, self._take)
+        self._channel = Channel(reader, writer, timers, self._take)
         self._queues_by_call: dict[int, asyncio.Queue[Frame | None]] = {}
         self._last_call = 0
-        self._idle_since_s = timers.now()
-        self._pings = timers.every(PING_INTERVAL_S, self._check)
+        self._idle_close: Subscription | None = timers.once(IDLE_CLOSE_S, self.close)
         self.is_open = True
         self._task = asyncio.ensure_future(self._run())
 
-    async def call(self, message: Message) -> AsyncIterator[Message]:
+    async def prove(self, timeout_s: float) -> bool:
+        """Return whether both directions have been proved lately, or are now."""
+        if self._channel.proof_age_s() <= PROOF_AGE_S:
+            return True
+        return await self._channel.prove(timeout_s)
+
+    async def call(self, message: Message) -> AsyncGenerator[Message]:
         """Send a call and yield its replies until the end mark."""
-        if not self._queues_by_call:
-            self._channel.expect_signs()
         self._last_call += 1
         call_id = self._last_call
-        queue: asyncio.Queue[Frame | None] = asyncio.Queue()
-        self._queues_by_call[call_id] = queue
+        queue: asyncio.Queue[Frame | None] = asyncio.Queue(WINDOW_REPLIES + 2)
         kind = type(message).__name__
+        self._send_call(Frame(call_id, Operation.CALL, kind, encode_message(message)))
+        self._begin(call_id, queue)
         is_ended = False
+        n_taken = 0
         try:
-            self._channel.send(
-                Frame(call_id, Operation.CALL, kind, encode_message(message))
-            )
             while (frame := await queue.get()) is not None:
                 if frame.operation == Operation.END:
                     is_ended = True
                     return
                 yield _read_reply(frame)
+                n_taken += 1
+                if n_taken % CREDIT_REPLIES == 0 and self.is_open:
+                    self._channel.send(Frame(call_id, Operation.CREDIT))
             is_ended = True
             raise RequestError(Outcome.UNKNOWN, "link_lost", "the peer went away")
         finally:
-            del self._queues_by_call[call_id]
-            self._idle_since_s = self._timers.now()
+            self._end(call_id)
             if not is_ended and self.is_open:
                 self._channel.send(Frame(call_id, Operation.CANCEL))
 
     def close(self) -> None:
         """Cut the connection; calls in progress fail."""
-        self._pings.cancel()
         self._channel.abort()
 
+    def _send_call(self, frame: Frame) -> None:
+        try:
+            self._channel.send(frame)
+        except FrameTooLargeError as error:
+            raise RequestError(Outcome.NOT_RUN, "too_large", str(error)) from None
+
+    def _begin(self, call_id: int, queue: asyncio.Queue[Frame | None]) -> None:
+        self._queues_by_call[call_id] = queue
+        self._channel.watch()
+        if self._idle_close is not None:
+            self._idle_close.cancel()
+            self._idle_close = None
+
+    def _end(self, call_id: int) -> None:
+        del self._queues_by_call[call_id]
+        if not self._queues_by_call and self.is_open:
+            self._channel.unwatch()
+            self._idle_close = self._timers.once(IDLE_CLOSE_S, self.close)
+
     async def _run(self) -> None:
         await self._channel.run()
         self.is_open = False
-        self._pings.cancel()
+        if self._idle_close is not None:
+            self._idle_close.cancel()
         for queue in self._queues_by_call.values():
-            queue.put_nowait(None)
+            _put_end(queue)
 
     def _take(self, frame: Frame) -> None:
         queue = self._queues_by_call.get(frame.call_id)
-        if queue is not None:
+        if queue is None:
+            return
+        try:
             queue.put_nowait(frame)
-
-    def _check(self) -> None:
-        if self._queues_by_call:
-            if self._channel.is_silent():
-                self.close()
-            else:
-                self._channel.send(Frame(0, Operation.PING))
-        elif self._timers.now() - self._idle_since_s > IDLE_CLOSE_S:
+        except asyncio.QueueFull:
+            logger.error("peer sent beyond its credit")
             self.close()
 
 
+def _put_end(queue: asyncio.Queue[Frame | None]) -> None:
+    """Tell a call that its link is lost, in place of a reply when there is no room."""
+    if queue.full():
+        queue.get_nowait()
+    queue.put_nowait(None)
+
+
 def _read_reply(frame: Frame) -> Message:
-    message = decode_message(frame.kind, frame.body)
+    try:
+        message = decode_message(frame.kind, frame.body)
+    except DecodeError as error:
+        raise RequestError(Outcome.UNKNOWN, "bad_reply", str(error)) from None
     if isinstance(message, Failure):
         raise message.to_error()
     return message
@@ -220,11 +173,13 @@
     def __init__(self, timers: Timers) -> None:
         self._timers = timers
         self._links_by_key: dict[LinkKey, _Link] = {}
+        self._retired: set[_Link] = set()
         self._connecting_by_key: dict[LinkKey, asyncio.Future[_Link]] = {}
+        self.n_replaced = 0
 
     async def call(
         self, address: Address, lane: str, message: Message
-    ) -> AsyncIterator[Message]:
+    ) -> AsyncGenerator[Message]:
         """Send a message to a host and yield its replies.
 
         Raises
@@ -234,8 +189,9 @@
             ``UNKNOWN`` when the link was lost.
         """
         link = await self._link(LinkKey(address, lane))
-        async for reply in link.call(message):
-            yield reply
+        async with aclosing(link.call(message)) as replies:
+            async for reply in replies:
+                yield reply
 
     async def ask(self, address: Address, lane: str, message: Message) -> Message:
         """Send a message to a host and return its only reply.
@@ -252,11 +208,31 @@
 
     def close(self) -> None:
         """Cut every link."""
-        for link in self._links_by_key.values():
+        for link in (*self._links_by_key.values(), *self._retired):
             link.close()
         self._links_by_key.clear()
+        self._retired.clear()
 
     async def _link(self, key: LinkKey) -> _Link:
+        """Return a proved link, a new one if the present one fails the proof."""
+        link = self._links_by_key.get(key)
+        if link is not None and link.is_open:
+            if await link.prove(PROOF_TIMEOUT_S) and link.is_open:
+                return link
+            self._retire(key, link)
+        return await self._connected(key)
+
+    def _retire(self, key: LinkKey, link: _Link) -> None:
+        """Give a link no further calls; those in progress go on while it lives."""
+        if self._links_by_key.get(key) is not link:
+            return
+        del self._links_by_key[key]
+        self.n_replaced += 1
+        self._retired = {old for old in self._retired if old.is_open}
+        self._retired.add(link)
+        logger.warning("link replaced", extra={"peer": str(key.address)})
+
+    async def _connected(self, key: LinkKey) -> _Link:
         link = self._links_by_key.get(key)
         if link is not None and link.is_open:
             return link
@@ -264,11 +240,14 @@
         if connecting is None:
             connecting = asyncio.ensure_future(self._connect(key))
             self._connecting_by_key[key] = connecting
-            connecting.add_done_callback(
-                lambda _: self._connecting_by_key.pop(key, None)
-            )
+            connecting.add_done_callback(lambda done: self._end_connecting(key, done))
         return await asyncio.shield(connecting)
 
+    def _end_connecting(self, key: LinkKey, done: asyncio.Future[_Link]) -> None:
+        self._connecting_by_key.pop(key, None)
+        if not done.cancelled():
+            done.exception()
+
     async def _connect(self, key: LinkKey) -> _Link:
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
@@ -277,115 +256,9 @@
             detail = f"no connection to {key.address}: {error}"
             raise RequestError(Outcome.NOT_RUN, "peer_unreachable", detail) from None
         link = _Link(reader, writer, self._timers)
+        if not await link.prove(CONNECT_TIMEOUT_S):
+            link.close()
+            detail = f"{key.address} answers no ping"
+            raise RequestError(Outcome.NOT_RUN, "peer_unreachable", detail)
         self._links_by_key[key] = link
         return link
-
-
-class PeerServer:
-    """The answering end of the links from other hosts.
-
-    Parameters
-    ----------
-    address : Address
-        Where to listen.
-    timers : Timers
-        The process's timer service.
-    handle : callable
-        Answers a message by any number of replies; a ``RequestError`` it raises is
-        passed to the caller.
-    """
-
-    def __init__(self, address: Address, timers: Timers, handle: CallHandler) -> None:
-        self._address = address
-        self._timers = timers
-        self._handle = handle
-        self._server: asyncio.Server | None = None
-        self._sessions: set[_Session] = set()
-
-    async def start(self) -> None:
-        """Listen and serve."""
-        self._server = await asyncio.start_server(
-            self._serve, self._address.ip, self._address.port, backlog=1024
-        )
-
-    async def close(self) -> None:
-        """Stop listening and cut every link."""
-        if self._server is not None:
-            self._server.close()
-        for session in list(self._sessions):
-            session.close()
-
-    async def _serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        session = _Session(reader, writer, self._timers, self._handle)
-        self._sessions.add(session)
-        try:
-            await session.run()
-        finally:
-            self._sessions.discard(session)
-
-
-class _Session:
-    """The answering end of one connection."""
-
-    def __init__(
-        self,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-        timers: Timers,
-        handle: CallHandler,
-    ) -> None:
-        self._channel = _Channel(reader, writer, timers, self._take)
-        self._handle = handle
-        self._tasks_by_call: dict[int, asyncio.Task[None]] = {}
-        self._check: Subscription = timers.every(PING_INTERVAL_S, self._check_silence)
-
-    async def run(self) -> None:
-        """Serve calls until the connection ends."""
-        try:
-            await self._channel.run()
-        finally:
-            self._check.cancel()
-            for task in list(self._tasks_by_call.values()):
-                task.cancel()
-
-    def close(self) -> None:
-        """Cut the connection."""
-        self._channel.abort()
-
-    def _check_silence(self) -> None:
-        if self._tasks_by_call and self._channel.is_silent():
-            self.close()
-
-    def _take(self, frame: Frame) -> None:
-        if frame.operation == Operation.CALL:
-            task = asyncio.ensure_future(self._answer(frame))
-            self._tasks_by_call[frame.call_id] = task
-            task.add_done_callback(
-                lambda _: self._tasks_by_call.pop(frame.call_id, None)
-            )
-        elif frame.operation == Operation.CANCEL:
-            running = self._tasks_by_call.get(frame.call_id)
-            if running is not None:
-                running.cancel()
-
-    async def _answer(self, frame: Frame) -> None:
-        async def reply(message: Message) -> None:
-            kind = type(message).__name__
-            body = encode_message(message)
-            self._channel.send(Frame(frame.call_id, Operation.REPLY, kind, body))
-            await self._channel.drain()
-
-        try:
-            await self._handle(decode_message(frame.kind, frame.body), reply)
-        except RequestError as error:
-            await reply(Failure.from_error(error))
-        except DecodeError as error:
-            await reply(Failure(Outcome.NOT_RUN, "bad_message", str(error), 0.0))
-        except OSError:
-            return
-        except Exception:
-            logger.exception("peer call failed", extra={"kind": frame.kind})
-            await reply(Failure(Outcome.UNKNOWN, "internal_error", "", 0.0))
-        self._channel.send(Frame(frame.call_id, Operation.END))
--- a/libs/wire/src/damaskjunction/wire/messages.py
+++ b/libs/wire/src/damaskjunction/wire/messages.py
@@ -8,7 +8,7 @@
 from typing import NamedTuple
 
 from damaskjunction.core import HostId, Outcome, RequestError, Revision
-from damaskjunction.routing import Forward, PlainAnswer, StreamEnd, Token
+from damaskjunction.routing import Forward, PlainAnswer, StreamEnd, Token, VerdictNews
 from damaskjunction.wire.codec import register_message
 
 
@@ -48,5 +48,12 @@
     state: str
 
 
-for _message_type in (Forward, Token, StreamEnd, PlainAnswer):
+@register_message
+class LeavingNotice(NamedTuple):
+    """Tells that a host takes no new work from now on."""
+
+    host_id: HostId
+
+
+for _message_type in (Forward, Token, StreamEnd, PlainAnswer, VerdictNews):
     register_message(_message_type)
--- a/libs/wire/src/damaskjunction/wire/peer.thrift
+++ b/libs/wire/src/damaskjunction/wire/peer.thrift
@@ -30,6 +30,8 @@
   10: string content_type
   11: binary body
   12: i32 from_token
+  13: string fingerprint
+  14: bool alone
 }
 
 // A token of an engine's answer.
@@ -57,6 +59,18 @@
 struct StatusQuery {
 }
 
+// The verdict on requests that may crash runners.
+struct VerdictNews {
+  1: string verdict
+  2: list<string> fingerprints
+  3: double age_s
+}
+
+// A host takes no new work from now on.
+struct LeavingNotice {
+  1: string host_id
+}
+
 // What a host has in force.
 struct HostStatus {
   1: string host_id
--- /dev/null
+++ b/libs/wire/src/damaskjunction/wire/sessions.py
@@ -0,0 +1,195 @@
+"""The answering end of the links from other hosts."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+from typing import TypeAlias
+
+from damaskjunction.core import Address, Outcome, RequestError, Timers
+from damaskjunction.wire.channel import (
+    CREDIT_REPLIES,
+    WINDOW_REPLIES,
+    Channel,
+    FrameTooLargeError,
+    Operation,
+)
+from damaskjunction.wire.codec import (
+    DecodeError,
+    Frame,
+    Message,
+    decode_message,
+    encode_message,
+)
+from damaskjunction.wire.messages import Failure
+
+logger = logging.getLogger(__name__)
+
+MAX_CALLS = 1024
+
+Reply: TypeAlias = Callable[[Message], Awaitable[None]]
+CallHandler: TypeAlias = Callable[[Message, Reply], Awaitable[None]]
+
+
+class PeerServer:
+    """Answers the calls of other hosts.
+
+    Parameters
+    ----------
+    address : Address
+        Where to listen.
+    timers : Timers
+        The process's timer service.
+    handle : callable
+        Answers a message by any number of replies; a ``RequestError`` it raises is
+        passed to the caller.
+    """
+
+    def __init__(self, address: Address, timers: Timers, handle: CallHandler) -> None:
+        self._address = address
+        self._timers = timers
+        self._handle = handle
+        self._server: asyncio.Server | None = None
+        self._sessions: set[_Session] = set()
+
+    async def start(self) -> None:
+        """Listen and serve."""
+        self._server = await asyncio.start_server(
+            self._serve, self._address.ip, self._address.port, backlog=1024
+        )
+
+    async def drain(self) -> None:
+        """Return when no call is in progress."""
+        while tasks := [task for session in self._sessions for task in session.tasks]:
+            await asyncio.wait(tasks)
+
+    async def close(self) -> None:
+        """Stop listening and cut every link."""
+        if self._server is not None:
+            self._server.close()
+        for session in list(self._sessions):
+            session.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        session = _Session(reader, writer, self._timers, self._handle)
+        self._sessions.add(session)
+        try:
+            await session.run()
+        except asyncio.CancelledError:
+            pass  # the loop closes
+        finally:
+            self._sessions.discard(session)
+
+
+class _Call:
+    """One call in progress at the answering end."""
+
+    def __init__(self) -> None:
+        self.credit = WINDOW_REPLIES
+        self.has_credit = asyncio.Event()
+        self.task: asyncio.Task[None] | None = None
+
+    async def take_credit(self) -> None:
+        """Wait until the caller has room for a reply."""
+        while self.credit <= 0:
+            self.has_credit.clear()
+            await self.has_credit.wait()
+        self.credit -= 1
+
+    def add_credit(self) -> None:
+        """Note that the caller has room for more."""
+        self.credit += CREDIT_REPLIES
+        self.has_credit.set()
+
+
+class _Session:
+    """The answering end of one connection."""
+
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        timers: Timers,
+        handle: CallHandler,
+    ) -> None:
+        self._channel = Channel(reader, writer, timers, self._take)
+        self._handle = handle
+        self._calls_by_id: dict[int, _Call] = {}
+
+    @property
+    def tasks(self) -> list[asyncio.Task[None]]:
+        """The tasks of the calls in progress."""
+        calls = self._calls_by_id.values()
+        return [call.task for call in calls if call.task is not None]
+
+    async def run(self) -> None:
+        """Serve calls until the connection ends."""
+        try:
+            await self._channel.run()
+        finally:
+            for task in self.tasks:
+                task.cancel()
+
+    def close(self) -> None:
+        """Cut the connection."""
+        self._channel.abort()
+
+    def _take(self, frame: Frame) -> None:
+        call = self._calls_by_id.get(frame.call_id)
+        if frame.operation == Operation.CALL:
+            self._begin(frame)
+        elif call is None:
+            return
+        elif frame.operation == Operation.CREDIT:
+            call.add_credit()
+        elif frame.operation == Operation.CANCEL and call.task is not None:
+            call.task.cancel()
+
+    def _begin(self, frame: Frame) -> None:
+        if len(self._calls_by_id) >= MAX_CALLS:
+            failure = Failure(Outcome.NOT_RUN, "overloaded", "too many calls", 1.0)
+            self._send(frame.call_id, failure)
+            self._channel.send(Frame(frame.call_id, Operation.END))
+            return
+        call = _Call()
+        self._calls_by_id[frame.call_id] = call
+        self._channel.watch()
+        call.task = asyncio.ensure_future(self._answer(frame, call))
+        call.task.add_done_callback(lambda _: self._end(frame.call_id))
+
+    def _end(self, call_id: int) -> None:
+        del self._calls_by_id[call_id]
+        if not self._calls_by_id:
+            self._channel.unwatch()
+
+    async def _answer(self, frame: Frame, call: _Call) -> None:
+        async def reply(message: Message) -> None:
+            await call.take_credit()
+            self._send(frame.call_id, message)
+            await self._channel.drain()
+
+        try:
+            await self._handle(decode_message(frame.kind, frame.body), reply)
+        except RequestError as error:
+            self._send(frame.call_id, Failure.from_error(error))
+        except DecodeError as error:
+            failure = Failure(Outcome.NOT_RUN, "bad_message", str(error), 0.0)
+            self._send(frame.call_id, failure)
+        except FrameTooLargeError as error:
+            failure = Failure(Outcome.RAN, "answer_too_large", str(error), 0.0)
+            self._send(frame.call_id, failure)
+        except OSError:
+            return
+        except Exception:
+            logger.exception("peer call failed", extra={"kind": frame.kind})
+            failure = Failure(Outcome.UNKNOWN, "internal_error", "", 0.0)
+            self._send(frame.call_id, failure)
+        self._channel.send(Frame(frame.call_id, Operation.END))
+
+    def _send(self, call_id: int, message: Message) -> None:
+        kind = type(message).__name__
+        body = encode_message(message)
+        self._channel.send(Frame(call_id, Operation.REPLY, kind, body))
