--- /dev/null
+++ b/libs/routing/features/steps/delivery_steps.py
@@ -0,0 +1,265 @@
+"""Steps on retries, answers, ejection and quarantine."""
+
+from __future__ import annotations
+
+import random
+
+from behave import given, then, when
+
+from damaskjunction.core import Outcome, RequestError
+from damaskjunction.routing import (
+    AnswerAssembly,
+    Attempts,
+    EjectionPolicy,
+    GiveUp,
+    OutlierEjection,
+    Quarantine,
+    Retry,
+    RetryBudget,
+    SoloGate,
+    StreamEnd,
+    Token,
+)
+
+
+@given("a request that is {kind}, with {left_s:f} s left")
+def make_attempts(context, kind, left_s):
+    context.attempts = Attempts(
+        idempotent=kind == "idempotent",
+        end_at_s=left_s,
+        budget=RetryBudget(),
+        chance=random.Random(1),
+    )
+
+
+@given("a request that is {kind}, with {left_s:d} s left")
+def make_attempts_whole_seconds(context, kind, left_s):
+    make_attempts(context, kind, float(left_s))
+
+
+@when('an attempt fails as "{outcome}" for "{reason}"')
+def fail_attempt(context, outcome, reason):
+    context.attempts.begin(0.0)
+    error = RequestError(Outcome(outcome), reason)
+    context.effect = context.attempts.fail(error, 0.0)
+
+
+@then('the next step is "{step}"')
+def check_step(context, step):
+    expected = {"retry": Retry, "give up": GiveUp}[step]
+    assert isinstance(context.effect, expected), context.effect
+
+
+@then('the caller is told "{outcome}"')
+def check_told(context, outcome):
+    assert isinstance(context.effect, GiveUp), context.effect
+    assert context.effect.error.outcome is Outcome(outcome), context.effect
+
+
+@when("{count:d} requests fail until they are given up, with seed {seed:d}")
+def fail_all(context, count, seed):
+    budget = RetryBudget()
+    chance = random.Random(seed)
+    context.n_retries = 0
+    for _ in range(count):
+        attempts = Attempts(
+            idempotent=True, end_at_s=60.0, budget=budget, chance=chance
+        )
+        error = RequestError(Outcome.UNKNOWN, "runner_lost")
+        attempts.begin(0.0)
+        while isinstance(attempts.fail(error, 0.0), Retry):
+            context.n_retries += 1
+            attempts.begin(0.0)
+
+
+@then("at most {bound:d} retries were made")
+def check_retries(context, bound):
+    assert 0 < context.n_retries <= bound, context.n_retries
+
+
+@given("an answer in attempt {attempt:d}")
+def make_answer(context, attempt):
+    context.assembly = AnswerAssembly()
+    context.assembly.begin(attempt)
+    context.delivered = []
+
+
+@when("attempt {attempt:d} begins")
+def begin_attempt(context, attempt):
+    context.assembly.begin(attempt)
+
+
+@when("tokens {first:d} to {last:d} of attempt {attempt:d} come")
+def take_tokens(context, first, last, attempt):
+    for position in range(first, last + 1):
+        token = context.assembly.take(Token(attempt, position, f"w{position}"))
+        if token is not None:
+            context.delivered.append(token.position)
+
+
+@when("the end mark of {n_tokens:d} tokens of attempt {attempt:d} comes")
+def take_end(context, n_tokens, attempt):
+    context.assembly.take(StreamEnd(attempt, n_tokens))
+
+
+@then("tokens {first:d} to {last:d} were delivered and the answer is whole")
+def check_delivered(context, first, last):
+    assert context.delivered == list(range(first, last + 1)), context.delivered
+    context.assembly.check_whole()
+
+
+def assert_fails(action, outcome):
+    try:
+        action()
+    except RequestError as error:
+        assert error.outcome is outcome, error.outcome
+    else:
+        raise AssertionError("expected a RequestError")
+
+
+@then("token {position:d} of attempt {attempt:d} breaks it")
+def check_gap(context, position, attempt):
+    token = Token(attempt, position, "w")
+    assert_fails(lambda: context.assembly.take(token), Outcome.RAN)
+
+
+@then("the end mark of {n_tokens:d} tokens breaks it")
+def check_end_breaks(context, n_tokens):
+    end = StreamEnd(context.assembly.attempt, n_tokens)
+    assert_fails(lambda: context.assembly.take(end), Outcome.RAN)
+
+
+@then("the answer is cut")
+def check_cut(context):
+    assert_fails(context.assembly.check_whole, Outcome.UNKNOWN)
+
+
+@given('candidates "{names}" and ejection after {n_failures:d} failures')
+def make_ejection(context, names, n_failures):
+    context.candidates = names.split(",")
+    context.ejection = OutlierEjection(EjectionPolicy(n_failures=n_failures))
+    context.now_s = 0.0
+
+
+@when('"{name}" fails {count:d} times')
+def fail_name(context, name, count):
+    for _ in range(count):
+        context.ejection.fail(name, context.now_s)
+
+
+@when('"{name}" succeeds')
+def succeed_name(context, name):
+    context.ejection.succeed(name)
+
+
+@when("{duration_s:d} s go by")
+def go_by(context, duration_s):
+    context.now_s += duration_s
+
+
+@then('the healthy ones are "{names}"')
+def check_healthy(context, names):
+    healthy = context.ejection.healthy(context.candidates, str, context.now_s)
+    assert list(healthy) == names.split(","), healthy
+
+
+@given('a runner that ran "{names}" and crashed')
+def make_crash(context, names):
+    context.quarantine = Quarantine()
+    context.now_s = 0.0
+    crash(context, names)
+
+
+@given('requests "{names}" that completed')
+def make_completed(context, names):
+    context.quarantine = Quarantine()
+    context.now_s = 0.0
+    complete(context, names)
+
+
+@when('a runner that ran "{names}" crashes')
+def crash(context, names):
+    context.news = context.quarantine.crash(
+        names.split(","), context.now_s, was_alone=False
+    )
+
+
+@when('"{names}" run alone and complete')
+def complete(context, names):
+    for name in names.split(","):
+        context.quarantine.complete(name, context.now_s)
+
+
+@when('"{name}" runs alone and its runner crashes')
+def crash_alone(context, name):
+    context.news = context.quarantine.crash([name], context.now_s, was_alone=True)
+
+
+@when('another host takes the news, and then that "{name}" is clear')
+def take_news(context, name):
+    context.other = Quarantine()
+    context.other.take(context.news, 0.0)
+    clear = context.news._replace(verdict=context.other.verdict_of("none", 0.0))
+    context.other.take(clear, 0.0)
+
+
+@when("{count:d} further requests become suspects")
+def suspect_many(context, count):
+    names = [f"request-{number}" for number in range(count)]
+    context.quarantine.crash(names, context.now_s, was_alone=False)
+
+
+@then("at most {bound:d} suspects are kept")
+def check_suspects(context, bound):
+    assert 0 < context.quarantine.n_suspects(context.now_s) <= bound
+
+
+def verdicts(quarantine, text, now_s):
+    names = [pair.partition(":")[0] for pair in text.split()]
+    return " ".join(f"{n}:{quarantine.verdict_of(n, now_s).value}" for n in names)
+
+
+@then('the verdicts are "{text}"')
+def check_verdicts(context, text):
+    seen = verdicts(context.quarantine, text, context.now_s)
+    assert seen == text, seen
+
+
+@then('the verdicts there are "{text}"')
+def check_other_verdicts(context, text):
+    seen = verdicts(context.other, text, 0.0)
+    assert seen == text, seen
+
+
+def note_entered(context, effects):
+    context.inside += [effect.request_id for effect in effects]
+
+
+@given('requests "{names}" at a runner')
+def make_gate(context, names):
+    context.gate = SoloGate()
+    context.inside = []
+    for name in names.split(","):
+        note_entered(context, context.gate.submit(name, alone=False))
+
+
+@when('"{name}" wants the runner alone')
+def want_alone(context, name):
+    note_entered(context, context.gate.submit(name, alone=True))
+
+
+@when('"{name}" wants the runner')
+def want(context, name):
+    note_entered(context, context.gate.submit(name, alone=False))
+
+
+@when('"{names}" leave')
+def leave(context, names):
+    for name in names.split(","):
+        context.inside.remove(name)
+        note_entered(context, context.gate.leave(name))
+
+
+@then('"{names}" are at the runner')
+def check_inside(context, names):
+    assert context.inside == names.split(","), context.inside
--- a/libs/standins/src/damaskjunction/standins/deployment.py
+++ b/libs/standins/src/damaskjunction/standins/deployment.py
@@ -23,6 +23,7 @@
     ProcessSpec,
     free_addresses,
 )
+from damaskjunction.standins.proxy import Mode
 
 CALLER_KEY = "demo-key"
 ADDRESSES_PER_HOST = 3
@@ -151,16 +152,24 @@
         What to run.
     engine_arguments : tuple of str, optional
         Further arguments of each engine.
+    proxied : tuple of str, optional
+        Hosts and runners that the others reach through a fault-injecting proxy: a
+        host at its peer address, a runner at its only one.
     """
 
     def __init__(
-        self, deployment: Deployment, engine_arguments: tuple[str, ...] = ()
+        self,
+        deployment: Deployment,
+        engine_arguments: tuple[str, ...] = (),
+        proxied: tuple[str, ...] = (),
     ) -> None:
         self.deployment = deployment
         self.fleet = Fleet()
         self.hosts_by_id: dict[str, EntryHost] = {}
         self.runners_by_id: dict[str, Runner] = {}
         self._engine_arguments = engine_arguments
+        self._proxied = proxied
+        self._listed_by_name: dict[str, Address] = {}
 
     async def start(self) -> None:
         """Start every process and return when all answer."""
@@ -171,6 +180,7 @@
         self._make_runners()
         self._make_hosts()
         await fleet.wait_until_answering(["platform"])
+        await self._start_proxies()
         await self.publish_hosts()
         for runner in self.runners_by_id.values():
             await fleet.start(self._runner_spec(runner))
@@ -185,11 +195,28 @@
     async def publish_hosts(self) -> None:
         """Put the hosts and runners into the platform's host list."""
         document = {
-            "hosts": [from_entry_host(host) for host in self.hosts_by_id.values()],
-            "runners": [from_runner(runner) for runner in self.runners_by_id.values()],
+            "hosts": [
+                from_entry_host(
+                    host._replace(peer=self._listed_by_name.get(host_id, host.peer))
+                )
+                for host_id, host in self.hosts_by_id.items()
+            ],
+            "runners": [
+                from_runner(
+                    runner._replace(
+                        address=self._listed_by_name.get(runner_id, runner.address)
+                    )
+                )
+                for runner_id, runner in self.runners_by_id.items()
+            ],
         }
         await self.fleet.call("platform", "PUT", "/test/hosts", document=document)
 
+    async def set_mode(self, name: str, mode: Mode) -> None:
+        """Set what the proxy before a host or runner does with bytes."""
+        document = {"mode": mode.value}
+        await self.fleet.call(_proxy_name(name), "PUT", "/test/mode", document=document)
+
     async def mark_leaving(self, name: str) -> None:
         """Let the host list say that a host or runner is leaving."""
         if name in self.hosts_by_id:
@@ -232,6 +259,21 @@
 
             await self.fleet.wait_for(ready, f"{runner.runner_id} is ready")
 
+    async def _start_proxies(self) -> None:
+        for name in self._proxied:
+            listen, control = free_addresses(2)
+            target = (
+                self.hosts_by_id[name].peer
+                if name in self.hosts_by_id
+                else self.runners_by_id[name].address
+            )
+            extra = ("--target", str(target), "--control", str(control))
+            proxy = _proxy_name(name)
+            self._listed_by_name[name] = listen
+            self.fleet.addresses_by_name[proxy] = control
+            await self.fleet.start(_standin(proxy, "proxy", listen, *extra))
+            await self.fleet.wait_until_answering([proxy])
+
     def _make_runners(self) -> None:
         for group in self.deployment.runners:
             addresses = free_addresses(group.n_runners)
@@ -284,6 +326,10 @@
         return ProcessSpec(host.host_id, arguments)
 
 
+def _proxy_name(name: str) -> str:
+    return f"proxy-{name}"
+
+
 def _standin(name: str, kind: str, address: Address, *extra: str) -> ProcessSpec:
     arguments = ("damaskjunction.standins", kind, "--address", str(address), *extra)
     return ProcessSpec(name, arguments)
--- a/libs/standins/src/damaskjunction/standins/scenarios.py
+++ b/libs/standins/src/damaskjunction/standins/scenarios.py
@@ -47,9 +47,11 @@
     return result
 
 
-def start_fleet(context: Any, name: str, *engine_arguments: str) -> DeployedFleet:
+def start_fleet(
+    context: Any, name: str, *engine_arguments: str, proxied: tuple[str, ...] = ()
+) -> DeployedFleet:
     """Start a deployment with its text in force; the scenario's end closes it."""
-    deployed = DeployedFleet(deployments.get(name), engine_arguments)
+    deployed = DeployedFleet(deployments.get(name), engine_arguments, proxied)
     context.deployed = deployed
     run(context, _start(deployed))
     return deployed
