--- a/libs/http/src/damaskjunction/http/server.py
+++ b/libs/http/src/damaskjunction/http/server.py
@@ -60,6 +60,7 @@
         self._server: asyncio.Server | None = None
         self._busy_by_task: dict[asyncio.Task[None], _Connection] = {}
         self._is_draining = False
+        self._is_retiring = False
 
     async def start(self) -> None:
         """Listen and serve."""
@@ -71,6 +72,12 @@
             backlog=1024,
         )
 
+    def retire(self) -> None:
+        """Go on serving, and let each connection end with its next answer."""
+        self._is_retiring = True
+        for connection in self._busy_by_task.values():
+            connection.is_retiring = True
+
     async def drain(self) -> None:
         """Stop listening and return when every request in progress has its answer."""
         self._is_draining = True
@@ -100,6 +107,7 @@
         task = asyncio.current_task()
         assert task is not None
         connection = _Connection(reader, writer, self._handle, self._limits)
+        connection.is_retiring = self._is_retiring
         self._busy_by_task[task] = connection
         try:
             while not self._is_draining:
@@ -132,6 +140,7 @@
             h11.SERVER, max_incomplete_event_size=limits.header_bytes
         )
         self.is_idle = True
+        self.is_retiring = False
         self._body_read = asyncio.Event()
 
     async def serve_one(self) -> bool:
@@ -150,7 +159,10 @@
         response = await self._answer(head)
         if response is None:
             return False
-        await self._send(head, response)
+        try:
+            await self._send(head, response)
+        finally:
+            await _close_body(response)
         return self._restart()
 
     async def _read_head(self) -> h11.Request | None:
@@ -163,6 +175,7 @@
                 return None
             async with asyncio.timeout(waited_s):
                 data = await self._reader.read(READ_BYTES)
+            self.is_idle = False
             self._protocol.receive_data(data)
             waited_s = self._limits.header_timeout_s
 
@@ -249,7 +262,7 @@
         headers = [("Content-Type", response.content_type), *response.headers.items()]
         if isinstance(response.body, bytes):
             headers.append(("Content-Length", str(len(response.body))))
-        if self._protocol.their_state is not h11.DONE:
+        if self.is_retiring or self._protocol.their_state is not h11.DONE:
             headers.append(("Connection", "close"))
         await self._write(
             h11.Response(status_code=response.status, headers=headers, reason=b"")
@@ -280,13 +293,8 @@
             await asyncio.gather(sender, watcher, return_exceptions=True)
 
     async def _send_chunks(self, chunks: AsyncIterator[bytes]) -> None:
-        try:
-            async for chunk in chunks:
-                await self._write(h11.Data(data=chunk))
-        finally:
-            close = getattr(chunks, "aclose", None)
-            if close is not None:
-                await close()
+        async for chunk in chunks:
+            await self._write(h11.Data(data=chunk))
 
     async def _refuse(self, error: HttpError) -> None:
         if self._protocol.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
@@ -319,3 +327,10 @@
             return False
         self._protocol.start_next_cycle()
         return True
+
+
+async def _close_body(response: Response) -> None:
+    """End an iterator that was not read to its end, such as an answer's stream."""
+    close = getattr(response.body, "aclose", None)
+    if close is not None:
+        await close()
--- a/libs/node/src/damaskjunction/node/daemon.py
+++ b/libs/node/src/damaskjunction/node/daemon.py
@@ -14,15 +14,14 @@
 
 
 async def run_host(settings: HostSettings) -> None:
-    """Run a host until SIGTERM or SIGINT; then drain and stop."""
-    stop = asyncio.Event()
+    """Run a host until a signal or the host list tells it to leave; then drain."""
+    process = HostProcess(settings)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
-    process = HostProcess(settings)
+        loop.add_signal_handler(number, process.is_to_leave.set)
     await process.start()
     logger.info("host started", extra={"caller": str(settings.caller)})
-    await stop.wait()
+    await process.is_to_leave.wait()
     logger.info("host drains")
     await process.drain()
     await process.close()
--- a/libs/node/src/damaskjunction/node/documents.py
+++ b/libs/node/src/damaskjunction/node/documents.py
@@ -22,6 +22,20 @@
     convicted_since: dict[str, float]
 
 
+class CallDocument(TypedDict):
+    """A call claimed under an idempotency key; ``body`` is in base64."""
+
+    state: str
+    digest: str
+    holder: str
+    request_id: str
+    claimed_at: float
+    outcome: str
+    status: int
+    content_type: str
+    body: str
+
+
 class LeaseDocument(TypedDict):
     """Who holds a lease; the object's version is the fencing number."""
 
--- a/libs/node/src/damaskjunction/node/entry.py
+++ b/libs/node/src/damaskjunction/node/entry.py
@@ -35,6 +35,7 @@
     Forward,
     GiveUp,
     OutlierEjection,
+    PlainAnswer,
     RetryBudget,
     Verdict,
     fingerprint_of,
@@ -182,6 +183,20 @@
                 delay_s = self._fail(run, error)
             await asyncio.sleep(delay_s)
 
+    async def answer(self, request: CallerRequest) -> PlainAnswer:
+        """Return the whole answer of a plain service.
+
+        Raises
+        ------
+        RequestError
+            As ``run`` does.
+        """
+        async with aclosing(self.run(request)) as messages:
+            async for message in messages:
+                if isinstance(message, PlainAnswer):
+                    return message
+        raise RequestError(Outcome.RAN, "bad_answer", "no answer of a plain service")
+
     def _fail(self, run: _Run, error: RequestError) -> float:
         """Return the seconds until the next attempt.
 
--- a/libs/node/src/damaskjunction/node/front.py
+++ b/libs/node/src/damaskjunction/node/front.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import json
+import logging
 import uuid
 from collections.abc import AsyncGenerator
+from contextlib import aclosing
 from typing import Any
 
 from damaskjunction.core import (
+    Outcome,
     RequestError,
     ServiceKind,
     ServiceSpec,
@@ -27,15 +30,20 @@
     request_error_document,
     to_json_response,
 )
+from damaskjunction.node.claims import CallClaims
 from damaskjunction.node.entry import CallerRequest, Entry
 from damaskjunction.node.state import HostView
 from damaskjunction.routing import AnswerMessage, PlainAnswer, StreamEnd, Token
 
-ADDRESSES_TTL_S = 10
+logger = logging.getLogger(__name__)
+
+ADDRESSES_TTL_S = 5
 MAX_ADDRESSES = 3
 DEFAULT_MAX_TOKENS = 64
 ENGINE_PATH = "/v1/generate"
 JSON_TYPE = "application/json"
+KEY_HEADER = "idempotency-key"
+MAX_KEY_CHARACTERS = 256
 
 
 def authenticate(view: HostView, request: Request) -> WorkspaceName:
@@ -64,11 +72,14 @@
         Tells services, workspaces and hosts.
     entry : Entry
         Runs requests.
+    claims : CallClaims
+        Runs calls under an idempotency key.
     """
 
-    def __init__(self, view: HostView, entry: Entry) -> None:
+    def __init__(self, view: HostView, entry: Entry, claims: CallClaims) -> None:
         self._view = view
         self._entry = entry
+        self._claims = claims
 
     def register(self, routes: Routes) -> None:
         """Enter the callers' routes."""
@@ -99,7 +110,7 @@
             service=service,
             workspace=workspace,
             work_class=WorkClass.ONLINE,
-            deadline_s=float(document.get("deadline_s", spec.deadline_s)),
+            deadline_s=float(document.pop("deadline_s", spec.deadline_s)),
             idempotent=True,
             path=ENGINE_PATH,
             content_type=JSON_TYPE,
@@ -127,11 +138,19 @@
             content_type=request.headers.get("content-type", JSON_TYPE),
             body=await request.body.read(),
         )
-        answer = [message async for message in self._entry.run(call)][-1]
-        assert isinstance(answer, PlainAnswer)
+        answer = await self._answer(call, request.headers.get(KEY_HEADER, ""))
         headers = {"Request-Id": call.request_id}
         return Response(answer.status, answer.body, answer.content_type, headers)
 
+    async def _answer(self, call: CallerRequest, key: str) -> PlainAnswer:
+        """Return a call's answer; only one that may not be repeated is claimed."""
+        if call.idempotent or not key:
+            return await self._entry.answer(call)
+        if len(key) > MAX_KEY_CHARACTERS:
+            detail = f"at most {MAX_KEY_CHARACTERS} characters are taken"
+            raise HttpError(400, "bad_request", detail, key="Idempotency-Key")
+        return await self._claims.run(call, key)
+
     def _service(self, name: str, kind: ServiceKind) -> ServiceSpec:
         spec = self._view.configuration.services_by_name.get(name)
         if spec is None:
@@ -175,13 +194,21 @@
     first: AnswerMessage, rest: AsyncGenerator[AnswerMessage]
 ) -> AsyncGenerator[bytes]:
     """Yield an answer as events; what breaks it is its last event."""
-    yield _to_event(first)
     try:
-        async for message in rest:
-            yield _to_event(message)
+        async with aclosing(rest):
+            yield _to_event(first)
+            async for message in rest:
+                yield _to_event(message)
     except RequestError as error:
-        data = json.dumps(request_error_document(error))
-        yield encode_event(Event("error", data))
+        yield _to_error_event(error)
+    except Exception:
+        logger.exception("stream failed")
+        yield _to_error_event(RequestError(Outcome.UNKNOWN, "internal_error"))
+
+
+def _to_error_event(error: RequestError) -> bytes:
+    data = json.dumps(request_error_document(error))
+    return encode_event(Event("error", data))
 
 
 def _to_event(message: AnswerMessage) -> bytes:
--- a/libs/node/src/damaskjunction/node/root.py
+++ b/libs/node/src/damaskjunction/node/root.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 from contextlib import aclosing
 from pathlib import Path
 
-from damaskjunction.core import LoopTimers, stable_hash
+from damaskjunction.core import LoopTimers, Outcome, RequestError, stable_hash
 from damaskjunction.http import HttpServer, Routes
 from damaskjunction.node.admin import Admin
+from damaskjunction.node.claims import CallClaims
 from damaskjunction.node.crashes import CrashWatch
+from damaskjunction.node.departure import Departure
 from damaskjunction.node.entry import Entry
 from damaskjunction.node.following import Follower
 from damaskjunction.node.front import Front
@@ -21,7 +24,16 @@
 from damaskjunction.routing import Forward, VerdictNews
 from damaskjunction.settings import HostSettings
 from damaskjunction.telemetry import Metrics, StateDump
-from damaskjunction.wire import Message, PeerLinks, PeerServer, Reply, StatusQuery
+from damaskjunction.wire import (
+    LeavingNotice,
+    Message,
+    PeerLinks,
+    PeerServer,
+    Reply,
+    StatusQuery,
+)
+
+LEAVING_NOTICE_S = 30.0
 
 
 class HostProcess:
@@ -71,11 +83,20 @@
             token=_read_token(settings),
         )
         routes = Routes()
-        Front(self._view, entry).register(routes)
+        self._claims = CallClaims(
+            self._store, entry, settings.host_id, timers, chance=chance
+        )
+        Front(self._view, entry, self._claims).register(routes)
         JobFront(self._view, self._store, timers).register(routes)
         self._admin.register(routes)
         self._callers = HttpServer(settings.caller, routes.handle)
         self._peers = PeerServer(settings.peer, timers, self._handle_peer)
+        self._departure = Departure(
+            self._view, self._links, self._callers, self._claims, self._peers
+        )
+        self._timers = timers
+        self.is_to_leave = asyncio.Event()
+        self._view.subscribe(self._check_state)
         dump.sections.register("host")(lambda: self._admin.own_status()._asdict())
         dump.sections.register("runners")(self._home.to_document)
         dump.sections.register("delivery")(entry.to_document)
@@ -87,18 +108,19 @@
         await self._peers.start()
         await self._follower.start()
         await self._crashes.start()
+        await self._claims.start()
         await self._placer.start()
         await self._worker.start()
         await self._callers.start()
 
     async def drain(self) -> None:
         """Take no new work and return when what is in progress has ended."""
-        self._view.start_draining()
-        await self._callers.drain()
+        await self._departure.run()
 
     async def close(self) -> None:
         """Stop every part."""
         await self._callers.close()
+        await self._claims.close()
         await self._worker.close()
         await self._placer.close()
         await self._crashes.close()
@@ -111,14 +133,30 @@
     async def _handle_peer(self, message: Message, reply: Reply) -> None:
         match message:
             case Forward():
+                self._refuse_when_leaving()
                 async with aclosing(self._home.run(message)) as answers:
                     async for answer in answers:
                         await reply(answer)
+            case LeavingNotice(host_id):
+                self._view.note_leaving(host_id)
+                self._timers.once(
+                    LEAVING_NOTICE_S, lambda: self._view.forget_leaving(host_id)
+                )
             case VerdictNews():
                 self._crashes.take(message)
             case StatusQuery():
                 await reply(self._admin.own_status())
 
+    def _check_state(self) -> None:
+        if self._view.is_told_to_leave():
+            self.is_to_leave.set()
+
+    def _refuse_when_leaving(self) -> None:
+        """Refuse a peer's request, unless there is no other host to be its home."""
+        if self._view.is_draining and self._view.serving_hosts():
+            detail = f"{self._view.own.host_id} is leaving"
+            raise RequestError(Outcome.NOT_RUN, "leaving", detail)
+
 
 def _read_token(settings: HostSettings) -> str:
     if not settings.admin_token_file:
--- a/libs/node/src/damaskjunction/node/state.py
+++ b/libs/node/src/damaskjunction/node/state.py
@@ -8,6 +8,7 @@
 from damaskjunction.core import (
     Configuration,
     EntryHost,
+    HostId,
     HostState,
     Plan,
     Runner,
@@ -35,6 +36,7 @@
         self.plan = Plan()
         self.fleet = FleetView({own.host_id: own})
         self.is_draining = False
+        self._leaving: set[HostId] = set()
         self._workspaces_by_digest: dict[str, WorkspaceName] = {}
         self._observers: list[Callable[[], None]] = []
 
@@ -97,11 +99,25 @@
 
     def serving_hosts(self) -> list[EntryHost]:
         """Return the hosts that take new work."""
+        away = {self.own.host_id} if self.is_draining else set()
+        away |= self._leaving
         hosts = self.fleet.live_hosts()
-        if self.is_draining:
-            own_id = self.own.host_id
-            hosts = [host for host in hosts if host.host_id != own_id]
-        return hosts
+        return [host for host in hosts if host.host_id not in away]
+
+    def is_told_to_leave(self) -> bool:
+        """Return whether the host list names this host as leaving."""
+        own = self.fleet.hosts_by_id.get(self.own.host_id, self.own)
+        return own.state is HostState.LEAVING
+
+    def note_leaving(self, host_id: HostId) -> None:
+        """Give a host no new work, whatever the host list says as yet."""
+        self._leaving.add(host_id)
+        self._tell()
+
+    def forget_leaving(self, host_id: HostId) -> None:
+        """Go by the host list again."""
+        self._leaving.discard(host_id)
+        self._tell()
 
     def start_draining(self) -> None:
         """Take no new work from now on."""
--- a/libs/routing/features/steps/delivery_steps.py
+++ b/libs/routing/features/steps/delivery_steps.py
@@ -10,15 +10,20 @@
 from damaskjunction.routing import (
     AnswerAssembly,
     Attempts,
+    Claim,
+    ClaimState,
     EjectionPolicy,
     GiveUp,
     OutlierEjection,
+    PlainAnswer,
     Quarantine,
     Retry,
     RetryBudget,
     SoloGate,
     StreamEnd,
+    Tell,
     Token,
+    judge_claim,
 )
 
 
@@ -263,3 +268,31 @@
 @then('"{names}" are at the runner')
 def check_inside(context, names):
     assert context.inside == names.split(","), context.inside
+
+
+@given('a claim that is "{state}" with outcome "{outcome}"')
+def make_claim(context, state, outcome):
+    answer = PlainAnswer(0, 200, "text/plain", b"done")
+    context.claim = Claim(
+        ClaimState(state),
+        "digest",
+        "host",
+        "request",
+        0.0,
+        Outcome(outcome),
+        answer if state == "answered" else None,
+    )
+
+
+@when("a resend of {digest} call comes that {waits}")
+def resend_claimed(context, digest, waits):
+    digest = "digest" if digest == "the same" else "other"
+    may_wait = waits == "may wait"
+    context.effect = judge_claim(context.claim, digest, may_wait=may_wait)
+
+
+@then('it is told "{told}"')
+def check_claim_effect(context, told):
+    effect = context.effect
+    seen = effect.error.reason if isinstance(effect, Tell) else type(effect).__name__
+    assert seen == told, effect
