--- a/libs/lab/src/damaskjunction/lab/online.py
+++ b/libs/lab/src/damaskjunction/lab/online.py
@@ -31,7 +31,9 @@
 
     The fleet is closed when it does not come up.
     """
-    deployed = DeployedFleet(deployments.get(name), engine_arguments, host_settings)
+    deployed = DeployedFleet(
+        deployments.get(name), engine_arguments, host_settings=host_settings
+    )
     try:
         await deployed.start()
         answer = await deployed.apply_text()
--- a/libs/node/src/damaskjunction/node/documents.py
+++ b/libs/node/src/damaskjunction/node/documents.py
@@ -12,6 +12,28 @@
 ITEMS_KIND = "items"
 CLAIM_KIND = "claim"
 RESULTS_KIND = "results"
+QUARANTINE_KIND = "quarantine"
+CALL_KIND = "call"
+
+
+class QuarantineDocument(TypedDict):
+    """Convicted requests: seconds since the epoch, by fingerprint."""
+
+    convicted_since: dict[str, float]
+
+
+class CallDocument(TypedDict):
+    """A call claimed under an idempotency key; ``body`` is in base64."""
+
+    state: str
+    digest: str
+    holder: str
+    request_id: str
+    claimed_at: float
+    outcome: str
+    status: int
+    content_type: str
+    body: str
 
 
 class LeaseDocument(TypedDict):
--- a/libs/node/src/damaskjunction/node/home.py
+++ b/libs/node/src/damaskjunction/node/home.py
@@ -4,10 +4,9 @@
 
 import asyncio
 import itertools
-import logging
 from collections.abc import AsyncGenerator, Iterable
 from contextlib import aclosing
-from typing import Any
+from typing import Any, TypeAlias
 
 from damaskjunction.core import (
     Outcome,
@@ -22,9 +21,9 @@
     WorkspaceSpec,
 )
 from damaskjunction.http import HttpClient
+from damaskjunction.node.crashes import CrashWatch, RunnerGuard
 from damaskjunction.node.reports import LoadReader
 from damaskjunction.node.runners import (
-    AnswerMessage,
     RunnerStream,
     runner_protocols,
     stream_cancels,
@@ -33,6 +32,7 @@
 from damaskjunction.node.state import HostView
 from damaskjunction.routing import (
     Admit,
+    AnswerMessage,
     Effect,
     Forward,
     LimitInput,
@@ -51,7 +51,9 @@
 PREEMPTED = "admission_preempted_total"
 WAIT = "admission_wait_seconds"
 
-logger = logging.getLogger(__name__)
+RUNNER_IDLE_S = 1.0
+
+HomeMessage: TypeAlias = AnswerMessage | RunnerLoad
 
 
 class Home:
@@ -66,6 +68,8 @@
         Tells which runners, services and workspaces there are.
     selection : Selection
         Tells whose home this host is.
+    crashes : CrashWatch
+        Watches over the requests at each runner.
     timers : Timers
         The process's timer service.
     metrics : Metrics
@@ -73,34 +77,34 @@
     """
 
     def __init__(
-        self, view: HostView, selection: Selection, timers: Timers, metrics: Metrics
+        self,
+        view: HostView,
+        selection: Selection,
+        crashes: CrashWatch,
+        timers: Timers,
+        *,
+        metrics: Metrics,
     ) -> None:
         self._view = view
         self._selection = selection
+        self._crashes = crashes
         self._timers = timers
         self._metrics = metrics
         self._clients_by_class = {
-            work_class: HttpClient(timers) for work_class in WorkClass
+            work_class: HttpClient(timers, idle_limit_s=RUNNER_IDLE_S)
+            for work_class in WorkClass
         }
         self._control = HttpClient(timers)
         self._reports = LoadReader(timers, self._reporting_runners, self._take_report)
         self._gates_by_runner: dict[RunnerId, RunnerGate] = {}
         self._requests_by_id: dict[RequestId, _Request] = {}
         self._cancels: set[asyncio.Task[None]] = set()
-        self._ended = asyncio.Event()
 
     def start(self) -> None:
         """Follow the view of the fleet and the runners' reports."""
         self._view.subscribe(self._follow_view)
         self._reports.start()
 
-    async def drain(self) -> None:
-        """Give up batch, and return when every online request has ended."""
-        self._follow_view()
-        while self._requests_by_id:
-            self._ended.clear()
-            await self._ended.wait()
-
     async def close(self) -> None:
         """Close the connections to runners."""
         await self._reports.close()
@@ -117,7 +121,7 @@
             for runner_id, gate in self._gates_by_runner.items()
         }
 
-    async def run(self, forward: Forward) -> AsyncGenerator[AnswerMessage, None]:
+    async def run(self, forward: Forward) -> AsyncGenerator[HomeMessage]:
         """Admit a request to its runner and yield the messages of its answer.
 
         The runner's load is told before the last message or the error.
@@ -137,21 +141,29 @@
         self._requests_by_id[request_id] = request
         expiry = self._timers.once(forward.deadline_s, request.expire)
         try:
-            async with aclosing(self._answer(gate, runner, forward, request)) as answer:
-                async for message in answer:
-                    yield message
+            async with self._crashes.guard(
+                runner, forward, request.ticket.deadline_at_s
+            ) as guard:
+                answer = self._answer(gate, runner, forward, request, guard)
+                async with aclosing(answer) as messages:
+                    async for message in messages:
+                        yield message
         except RequestError:
             yield _to_load(runner, gate)
             raise
         finally:
             expiry.cancel()
             del self._requests_by_id[request_id]
-            self._ended.set()
             self._apply(gate.finish(request_id, self._timers.now()))
 
     async def _answer(
-        self, gate: RunnerGate, runner: Runner, forward: Forward, request: _Request
-    ) -> AsyncGenerator[AnswerMessage, None]:
+        self,
+        gate: RunnerGate,
+        runner: Runner,
+        forward: Forward,
+        request: _Request,
+        guard: RunnerGuard,
+    ) -> AsyncGenerator[HomeMessage]:
         """Yield an answer, in as many turns at the runner as it takes."""
         request_id = request.ticket.request_id
         work_class = request.ticket.work_class
@@ -162,6 +174,7 @@
             self._metrics.time(
                 WAIT, self._timers.now() - begin_s, work_class=work_class.value
             )
+            guard.begin()
             stream = RunnerStream(f"{request_id}.{turn}" if turn else request_id)
             try:
                 async with aclosing(
@@ -176,6 +189,7 @@
             except RequestError as error:
                 if request.is_expired or not request.is_preempted:
                     raise request.correct(error) from None
+            guard.pause()
             request.wait_again()
             self._apply(gate.requeue(request_id, self._timers.now()))
 
@@ -186,7 +200,7 @@
         forward: Forward,
         request: _Request,
         stream: RunnerStream,
-    ) -> AsyncGenerator[AnswerMessage, None]:
+    ) -> AsyncGenerator[HomeMessage]:
         """Send a request to its runner once and yield what it answers."""
         client = self._clients_by_class[forward.work_class]
         request_id = request.ticket.request_id
@@ -231,10 +245,15 @@
             n_hosts = len(self._view.fleet.live_hosts())
             given = LimitInput(runner.slots, targets, n_hosts)
             gate = RunnerGate(self._selection.policy.make_limits(given))
-            gate.set_home(self._selection.is_own(runner), self._timers.now())
+            gate.set_home(self._is_home_of(runner), self._timers.now())
             self._gates_by_runner[runner.runner_id] = gate
         return gate
 
+    def _is_home_of(self, runner: Runner) -> bool:
+        hosts = self._view.serving_hosts()
+        host = self._selection.admitting_host(runner, hosts)
+        return host is not None and host.host_id == self._view.own.host_id
+
     def _targets(self, service: str) -> Targets:
         spec = self._view.configuration.services_by_name.get(
             service, ServiceSpec(service, ServiceKind.ENGINE)
@@ -253,7 +272,7 @@
                 continue
             if runner_id in assignments:
                 gate.set_targets(self._targets(assignments[runner_id].service))
-            self._apply(gate.set_home(self._selection.is_own(runner), now_s))
+            self._apply(gate.set_home(self._is_home_of(runner), now_s))
 
     def _reporting_runners(self) -> Iterable[Runner]:
         runners_by_id = self._view.fleet.runners_by_id
--- a/libs/node/src/damaskjunction/node/selection.py
+++ b/libs/node/src/damaskjunction/node/selection.py
@@ -4,8 +4,7 @@
 
 from collections.abc import Sequence
 
-from damaskjunction.core import EntryHost, Runner, ServiceName, Timers, WorkClass
-from damaskjunction.node.state import HostView
+from damaskjunction.core import EntryHost, Runner, Timers, WorkClass
 from damaskjunction.routing import (
     AdmissionPolicy,
     ChoiceInput,
@@ -20,38 +19,33 @@
 
     Parameters
     ----------
-    view : HostView
-        Tells runners and hosts.
+    own : EntryHost
+        This host.
     timers : Timers
         The process's timer service.
     policy : AdmissionPolicy
         Which host admits, and how runners are chosen.
     """
 
-    def __init__(self, view: HostView, timers: Timers, policy: AdmissionPolicy) -> None:
+    def __init__(self, own: EntryHost, timers: Timers, policy: AdmissionPolicy) -> None:
         self.policy = policy
         self.loads = RunnerLoads()
-        self._view = view
+        self._own = own
         self._timers = timers
         self._choose = runner_choices.get(policy.runner_choice)
 
-    def runners(
-        self, service: ServiceName, work_class: WorkClass, prompt: str
+    def order(
+        self, runners: Sequence[Runner], work_class: WorkClass, prompt: str
     ) -> Sequence[Runner]:
-        """Return the runners of a service, the best for a prompt first."""
-        runners = self._view.runners_of(service)
+        """Return runners, the best for a prompt first."""
         occupancies = self.loads.occupancies(runners, work_class, self._timers.now())
         return self._choose(ChoiceInput(prompt, runners, occupancies))
 
-    def admitting_host(self, runner: Runner) -> EntryHost | None:
-        """Return the host that admits to a runner, None when there is none."""
-        hosts = self._view.serving_hosts()
-        return self.policy.admitting_host(runner, hosts, self._view.own)
-
-    def is_own(self, runner: Runner) -> bool:
-        """Return whether this host admits to a runner."""
-        host = self.admitting_host(runner)
-        return host is not None and host.host_id == self._view.own.host_id
+    def admitting_host(
+        self, runner: Runner, hosts: Sequence[EntryHost]
+    ) -> EntryHost | None:
+        """Return which of some hosts admits to a runner, None when there is none."""
+        return self.policy.admitting_host(runner, hosts, self._own)
 
     def note(self, load: RunnerLoad) -> None:
         """Take the load that a home told with an answer."""
