--- /dev/null
+++ b/libs/node/features/steps/admission_steps.py
@@ -0,0 +1,173 @@
+"""Steps of the feature on admission by homes."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+from behave import then, when
+
+from damaskjunction.core import ServiceKind
+from damaskjunction.lab.batch_load import BatchLoad, BatchSpec
+from damaskjunction.routing import home_of
+from damaskjunction.standins.scenarios import (
+    AUTHORIZATION,
+    assert_whole,
+    generate,
+    run,
+)
+
+BATCH_WAIT_S = 60.0
+
+
+def engines(context):
+    runners = context.deployed.runners_by_id.values()
+    return [runner for runner in runners if runner.kind is ServiceKind.ENGINE]
+
+
+@when("batch requests fill every runner")
+def fill(context):
+    hosts = list(context.deployed.hosts_by_id.values())
+    spec = BatchSpec("caddie-llm", "carritos")
+    timers = context.deployed.fleet.timers
+    batch = BatchLoad(timers, spec, lambda runner: home_of(runner, hosts))
+    context.batch = batch
+
+    async def start():
+        batch.start(engines(context))
+        await wait_for_items(context, 10)
+
+    run(context, start())
+
+
+async def wait_for_items(context, count):
+    async def has_come():
+        return context.batch.counts.n_items >= count
+
+    fleet = context.deployed.fleet
+    await fleet.wait_for(has_come, f"{count} batch answers", BATCH_WAIT_S)
+
+
+@when("{count:d} online requests of {n_tokens:d} tokens come at once")
+def ask_at_once(context, count, n_tokens):
+    ask(context, count, n_tokens)
+
+
+@when(
+    "{count:d} online requests of {n_tokens:d} tokens come at once, due in {due_s:g} s"
+)
+def ask_at_once_due(context, count, n_tokens, due_s):
+    ask(context, count, n_tokens, deadline_s=due_s)
+
+
+def ask(context, count, n_tokens, **extra):
+    hosts = list(context.deployed.hosts_by_id)
+    context.n_tokens = n_tokens
+    context.prompts = [f"prompt {number}" for number in range(count)]
+
+    async def ask_all():
+        return await asyncio.gather(
+            *(
+                generate(
+                    context.deployed,
+                    hosts[number % len(hosts)],
+                    prompt,
+                    n_tokens,
+                    **extra,
+                )
+                for number, prompt in enumerate(context.prompts)
+            )
+        )
+
+    context.answers = run(context, ask_all())
+
+
+@then("every online answer is whole")
+def check_online(context):
+    for prompt, answer in zip(context.prompts, context.answers, strict=True):
+        assert_whole(answer, prompt, context.n_tokens)
+
+
+@then("batch was preempted")
+def check_preempted(context):
+    async def pages():
+        fleet = context.deployed.fleet
+        names = context.deployed.hosts_by_id
+        return [(await fleet.call(n, "GET", "/metrics")).body.decode() for n in names]
+
+    assert any("admission_preempted_total" in page for page in run(context, pages()))
+
+
+@when("{count:d} more batch answers have come")
+def wait_for_more(context, count):
+    target = context.batch.counts.n_items + count
+    run(context, wait_for_items(context, target))
+    run(context, context.batch.close())
+
+
+@then("no batch token was lost, doubled or wrong, and no batch request failed")
+def check_batch(context):
+    counts = context.batch.counts
+    assert counts.n_wrong == 0, counts
+    assert counts.n_errors == 0, counts
+
+
+@then("some are refused as not run, with a time to try again")
+def check_refusals(context):
+    refused = [answer for answer in context.answers if answer.status != 200]
+    context.n_refused = len(refused)
+    assert refused
+    for answer in refused:
+        assert answer.to_json()["error"]["outcome"] == "not_run", answer
+        assert float(answer.headers["retry-after"]) > 0, answer
+
+
+@then("the engines ran just the requests that were not refused")
+def check_runs(context):
+    request_ids = set()
+    for runner in engines(context):
+        call = context.deployed.fleet.call(runner.runner_id, "GET", "/test/runs")
+        for stream_id in run(context, call).to_json()["runs_by_id"]:
+            request_ids.add(stream_id.partition(".")[0])
+    n_not_refused = len(context.answers) - context.n_refused
+    assert len(request_ids) == n_not_refused, (len(request_ids), n_not_refused)
+
+
+@when("{count:d} callers ask for {n_tokens:d} tokens and hang up after the first")
+def hang_up(context, count, n_tokens):
+    fleet = context.deployed.fleet
+
+    async def ask_once(host, number):
+        document = {"prompt": f"prompt {number}", "max_tokens": n_tokens}
+        response = await fleet.client.send(
+            fleet.addresses_by_name[host],
+            "POST",
+            "/v1/services/caddie-llm/generate",
+            headers=AUTHORIZATION,
+            body=json.dumps(document).encode(),
+        )
+        assert response.status == 200, response.status
+        async for _ in response.chunks():
+            break
+        response.close()
+
+    async def ask_all():
+        hosts = list(context.deployed.hosts_by_id)
+        calls = (ask_once(hosts[n % len(hosts)], n) for n in range(count))
+        await asyncio.gather(*calls)
+
+    run(context, ask_all())
+
+
+@then("the engines run nothing")
+def check_idle(context):
+    fleet = context.deployed.fleet
+
+    async def is_idle():
+        answers = [
+            await fleet.call(runner.runner_id, "GET", "/v1/load")
+            for runner in engines(context)
+        ]
+        return all(answer.to_json()["running"] == 0 for answer in answers)
+
+    run(context, fleet.wait_for(is_idle, "the engines run nothing"))
