--- /dev/null
+++ b/libs/node/features/steps/delivery_steps.py
@@ -0,0 +1,421 @@
+"""Steps on runners, hosts and connections that fail while calls are in progress."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+from behave import given, then, when
+
+from damaskjunction.core import ServiceKind
+from damaskjunction.http import EventParser
+from damaskjunction.routing import home_of
+from damaskjunction.standins import CRASH_MARK, Answer, Mode, parse_events
+from damaskjunction.standins.scenarios import (
+    AUTHORIZATION,
+    assert_whole,
+    generate,
+    run,
+    start_fleet,
+)
+
+PROMPT = "What may I drop behind?"
+GENERATE = "/v1/services/caddie-llm/generate"
+
+
+class Stream:
+    """One streamed answer, read as it comes."""
+
+    def __init__(self, deployed, host_id, prompt, n_tokens):
+        self.deployed = deployed
+        self.host_id = host_id
+        self.document = {"prompt": prompt, "max_tokens": n_tokens}
+        self.body = b""
+        self.request_id = ""
+        self.response = None
+        self.latency_s = 0.0
+        self.task = asyncio.ensure_future(self._read())
+
+    async def _read(self):
+        fleet = self.deployed.fleet
+        begin_s = fleet.timers.now()
+        self.response = await fleet.client.send(
+            fleet.addresses_by_name[self.host_id],
+            "POST",
+            GENERATE,
+            headers=AUTHORIZATION,
+            body=json.dumps(self.document).encode(),
+        )
+        self.request_id = self.response.headers.get("request-id", "")
+        async for data in self.response.chunks():
+            self.body += data
+        self.latency_s = fleet.timers.now() - begin_s
+        return Answer(self.response.status, self.response.headers, self.body)
+
+    def n_events(self):
+        return len(EventParser().feed(self.body))
+
+    async def wait_for_events(self, count):
+        async def has_events():
+            if self.task.done() and self.n_events() < count:
+                raise AssertionError(f"ended early: {self.body[-500:]!r}")
+            return self.n_events() >= count
+
+        await self.deployed.fleet.wait_for(has_events, f"{count} events")
+
+    async def runner_id(self):
+        for runner in engines(self.deployed):
+            if not self.deployed.fleet.is_running(runner.runner_id):
+                continue
+            counts = await runs_of(self.deployed, runner.runner_id)
+            if any(name.startswith(self.request_id) for name in counts):
+                return runner.runner_id
+        raise AssertionError(f"no runner runs {self.request_id}")
+
+
+def engines(deployed):
+    runners = deployed.runners_by_id.values()
+    return [runner for runner in runners if runner.kind is ServiceKind.ENGINE]
+
+
+async def runs_of(deployed, runner_id):
+    answer = await deployed.fleet.call(runner_id, "GET", "/test/runs")
+    return answer.to_json()["runs_by_id"]
+
+
+def host_number(context, number):
+    return list(context.deployed.hosts_by_id)[number - 1]
+
+
+@given('a running "{name}" fleet behind proxies before "{names}"')
+def start_proxied(context, name, names):
+    start_fleet(context, name, proxied=tuple(names.split(",")))
+
+
+@given('the next answer of "{name}" is lost')
+def lose_answer(context, name):
+    set_faults(context, name, {"lose_answers": 1})
+
+
+@given('each call to "{name}" takes {duration_s:f} s')
+def slow_down(context, name, duration_s):
+    set_faults(context, name, {"slow_s": duration_s})
+
+
+@given("the platform is away")
+def stop_platform(context):
+    set_faults(context, "platform", {"down": 1})
+
+
+@when("the platform is back")
+def resume_platform(context):
+    set_faults(context, "platform", {"down": 0})
+
+
+def set_faults(context, name, document):
+    fleet = context.deployed.fleet
+    run(context, fleet.call(name, "PUT", "/test/faults", document=document))
+
+
+@when("{n_tokens:d} tokens are asked for, and its runner is killed after {count:d}")
+def kill_runner(context, n_tokens, count):
+    async def act():
+        deployed = context.deployed
+        stream = Stream(deployed, host_number(context, 1), PROMPT, n_tokens)
+        await stream.wait_for_events(count)
+        await deployed.fleet.kill(await stream.runner_id())
+        return await stream.task
+
+    context.prompt, context.n_tokens = PROMPT, n_tokens
+    context.answers = [run(context, act())]
+
+
+async def start_away_from_home(context, n_tokens, count):
+    """Start a stream through a host that is not the home of its runner."""
+    deployed = context.deployed
+    for host_id in deployed.hosts_by_id:
+        stream = Stream(deployed, host_id, PROMPT, n_tokens)
+        await stream.wait_for_events(count)
+        runner = deployed.runners_by_id[await stream.runner_id()]
+        home = home_of(runner, deployed.hosts_by_id.values())
+        if home.host_id != host_id:
+            return stream, home.host_id
+        stream.task.cancel()
+        await asyncio.gather(stream.task, return_exceptions=True)
+    raise AssertionError("every host is the home of the runner")
+
+
+@when(
+    "{n_tokens:d} tokens are asked for through another host, and the home is killed "
+    "after {count:d}"
+)
+def kill_home(context, n_tokens, count):
+    async def act():
+        stream, home_id = await start_away_from_home(context, n_tokens, count)
+        await context.deployed.fleet.kill(home_id)
+        return await stream.task
+
+    context.prompt, context.n_tokens = PROMPT, n_tokens
+    context.answers = [run(context, act())]
+
+
+@when(
+    "{n_tokens:d} tokens are asked for through another host, and the caller leaves "
+    "after {count:d}"
+)
+def leave_stream(context, n_tokens, count):
+    async def act():
+        stream, _ = await start_away_from_home(context, n_tokens, count)
+        stream.task.cancel()
+        await asyncio.gather(stream.task, return_exceptions=True)
+
+    run(context, act())
+
+
+@then("no runner has a request within {bound_s:d} s")
+def check_idle(context, bound_s):
+    fleet = context.deployed.fleet
+
+    async def is_idle():
+        loads = [
+            await fleet.call(runner.runner_id, "GET", "/v1/load")
+            for runner in engines(context.deployed)
+        ]
+        return all(load.to_json()["running"] == 0 for load in loads)
+
+    run(context, fleet.wait_for(is_idle, "the runners are idle", bound_s))
+
+
+def call_service(context, path, body, host_id, key=""):
+    headers = {**AUTHORIZATION, **({"Idempotency-Key": key} if key else {})}
+    target = f"/v1/services/fleet-api/call{path}"
+    return context.deployed.fleet.call(
+        host_id, "POST", target, body=body.encode(), headers=headers
+    )
+
+
+@when('"{path}" of "fleet-api" is called with "{body}" through host {number:d}')
+def call_through(context, path, body, number):
+    call = call_service(context, path, body, host_number(context, number))
+    context.answers = [run(context, call)]
+
+
+@when(
+    '"{path}" of "fleet-api" is called with key "{key}" and "{body}" '
+    "through host {number:d}"
+)
+def call_with_key(context, path, key, body, number):
+    call = call_service(context, path, body, host_number(context, number), key)
+    context.answers = [run(context, call)]
+
+
+@when('"{path}" with key "{key}" is called through all hosts at the same time')
+def call_together(context, path, key):
+    async def act():
+        calls = (
+            call_service(context, path, "together", host_id, key)
+            for host_id in context.deployed.hosts_by_id
+        )
+        return await asyncio.gather(*calls)
+
+    context.answers = run(context, act())
+
+
+@then('the call is answered with "{body}"')
+def check_call(context, body):
+    answer = context.answers[-1]
+    assert answer.status == 200, answer
+    assert answer.to_json()["body"] == body, answer
+
+
+@then("the call has status {status:d}")
+def check_status(context, status):
+    assert context.answers[-1].status == status, context.answers[-1]
+
+
+@then('the caller is told "{outcome}" with status {status:d}')
+def check_outcome(context, outcome, status):
+    answer = context.answers[-1]
+    assert answer.status == status, answer
+    assert answer.to_json()["error"]["outcome"] == outcome, answer
+
+
+@then('"{name}" has run {count:d} call')
+@then('"{name}" has run {count:d} calls')
+def check_runs(context, name, count):
+    counts = run(context, runs_of(context.deployed, name))
+    assert sum(counts.values()) == count, counts
+
+
+@when(
+    "{n_tokens:d} tokens are asked for, and connections to runners go silent "
+    "after {count:d}"
+)
+def silence_runners(context, n_tokens, count):
+    async def act():
+        deployed = context.deployed
+        stream = Stream(deployed, host_number(context, 1), PROMPT, n_tokens)
+        await stream.wait_for_events(count)
+        for runner in engines(deployed):
+            await deployed.set_mode(runner.runner_id, Mode.SILENT_OLD)
+        return await stream.task
+
+    context.prompt, context.n_tokens = PROMPT, n_tokens
+    context.answers = [run(context, act())]
+
+
+@then("every answer is whole within {bound_s:f} s")
+def check_quick(context, bound_s):
+    for answer in context.answers:
+        assert_whole(answer, context.prompt, context.n_tokens)
+    slowest_s = max(context.latencies_s)
+    assert slowest_s <= bound_s, f"{slowest_s:.2f} s"
+
+
+@then("the answer is whole")
+def check_whole(context):
+    assert_whole(context.answers[-1], context.prompt, context.n_tokens)
+
+
+@when('the proxy before the home of each runner is set to "{mode}"')
+def set_home_modes(context, mode):
+    deployed = context.deployed
+    hosts = deployed.hosts_by_id.values()
+    homes = {home_of(runner, hosts).host_id for runner in engines(deployed)}
+    for host_id in sorted(homes)[:1]:
+        run(context, deployed.set_mode(host_id, Mode(mode)))
+
+
+@when(
+    "{count:d} streams of {n_tokens:d} tokens run while a crashing request is sent "
+    "{n_sends:d} times to each host"
+)
+def send_crashing(context, count, n_tokens, n_sends):
+    async def act():
+        deployed = context.deployed
+        hosts = list(deployed.hosts_by_id)
+        streams = [
+            Stream(deployed, hosts[number % len(hosts)], PROMPT, n_tokens)
+            for number in range(count)
+        ]
+        for stream in streams:
+            await stream.wait_for_events(5)
+        for host_id in hosts * n_sends:
+            answer = await generate(deployed, host_id, CRASH_MARK, 20)
+            assert answer.status != 200, answer
+        return [await stream.task for stream in streams]
+
+    context.prompt, context.n_tokens = PROMPT, n_tokens
+    context.answers = run(context, act())
+
+
+@then("at most {bound:d} runners are lost")
+def check_lost(context, bound):
+    names = [runner.runner_id for runner in engines(context.deployed)]
+    lost = [name for name in names if not context.deployed.fleet.is_running(name)]
+    assert len(lost) <= bound, lost
+
+
+@when("a host is restarted and the crashing request is sent to it")
+def restart_and_send(context):
+    async def act():
+        fleet = context.deployed.fleet
+        host_id = host_number(context, 2)
+        await fleet.kill(host_id)
+        await fleet.restart(host_id)
+        await fleet.wait_until_answering([host_id])
+
+        async def is_ready():
+            dump = (await fleet.call(host_id, "GET", "/v1/dump")).to_json()
+            has_runners = (await generate(context.deployed, host_id, "up?", 1)).status
+            return bool(has_runners == 200 and dump["quarantine"]["convicted_age_s"])
+
+        await fleet.wait_for(is_ready, f"{host_id} serves and knows the verdict")
+        return await generate(context.deployed, host_id, CRASH_MARK, 20)
+
+    context.answers = [run(context, act())]
+
+
+@when(
+    "{n_tokens:d} tokens are asked for {n_times:d} times, each cut off by the "
+    "network after {count:d}"
+)
+def cut_by_network(context, n_tokens, n_times, count):
+    async def act():
+        deployed = context.deployed
+        for _ in range(n_times):
+            stream = Stream(deployed, host_number(context, 1), PROMPT, n_tokens)
+            await stream.wait_for_events(count)
+            for mode in (Mode.CLOSED, Mode.PASS):
+                for runner in engines(deployed):
+                    await deployed.set_mode(runner.runner_id, mode)
+            assert_whole(await stream.task, PROMPT, n_tokens)
+
+    run(context, act())
+
+
+@then("no request is suspect or convicted")
+def check_no_suspects(context):
+    for host_id in context.deployed.hosts_by_id:
+        call = context.deployed.fleet.call(host_id, "GET", "/v1/dump")
+        section = run(context, call).to_json()["quarantine"]
+        assert section == {"convicted_age_s": {}, "n_suspects": 0}, section
+
+
+@when(
+    "{n_tokens:d} tokens are asked for through host {number:d} and, after {count:d}, "
+    'it leaves by "{way}"'
+)
+def leave_fleet(context, n_tokens, number, count, way):
+    async def act():
+        deployed = context.deployed
+        host_id = host_number(context, number)
+        context.stream = Stream(deployed, host_id, PROMPT, n_tokens)
+        await context.stream.wait_for_events(count)
+        context.leaving = host_id
+        context.leaving_since_s = deployed.fleet.timers.now()
+        if way == "SIGTERM":
+            deployed.fleet.terminate(host_id)
+        else:
+            await deployed.mark_leaving(host_id)
+
+    run(context, act())
+
+
+@then("the other hosts name it in no address answer within {bound_s:d} s")
+def check_addresses(context, bound_s):
+    deployed = context.deployed
+    leaving = deployed.hosts_by_id[context.leaving]
+
+    async def is_out():
+        for host_id in deployed.hosts_by_id:
+            answer = await deployed.fleet.call(host_id, "GET", "/v1/addresses")
+            if str(leaving.caller) in answer.to_json()["addresses"]:
+                return False
+        return True
+
+    run(context, deployed.fleet.wait_for(is_out, "it is out of answers", bound_s))
+
+
+@when('"{prompt}" is asked for {n_tokens:d} tokens through host {number:d}')
+def ask_through(context, prompt, n_tokens, number):
+    call = generate(context.deployed, host_number(context, number), prompt, n_tokens)
+    context.prompt, context.n_tokens = prompt, n_tokens
+    context.answers = [run(context, call)]
+
+
+@then("the stream of {n_tokens:d} tokens is whole")
+def check_stream(context, n_tokens):
+    async def act():
+        return await context.stream.task
+
+    answer = run(context, act())
+    assert_whole(answer, PROMPT, n_tokens)
+    assert parse_events(answer.body)[-1].name == "end"
+
+
+@then("host {number:d} has ended with code {code:d}")
+def check_exit(context, number, code):
+    fleet = context.deployed.fleet
+    ended = run(context, fleet.wait(host_number(context, number)))
+    assert ended == code, ended
--- a/libs/node/features/steps/path_steps.py
+++ b/libs/node/features/steps/path_steps.py
@@ -23,10 +23,13 @@
 @when('"{prompt}" is asked for {n_tokens:d} tokens through each host')
 def ask(context, prompt, n_tokens):
     context.prompt, context.n_tokens = prompt, n_tokens
-    context.answers = [
-        run(context, generate(context.deployed, host, prompt, n_tokens))
-        for host in context.deployed.hosts_by_id
-    ]
+    context.answers, context.latencies_s = [], []
+    timers = context.deployed.fleet.timers
+    for host in context.deployed.hosts_by_id:
+        begin_s = timers.now()
+        answer = run(context, generate(context.deployed, host, prompt, n_tokens))
+        context.latencies_s.append(timers.now() - begin_s)
+        context.answers.append(answer)
 
 
 @then("every answer is whole")
--- a/libs/node/src/damaskjunction/node/entry.py
+++ b/libs/node/src/damaskjunction/node/entry.py
@@ -46,6 +46,8 @@
 from damaskjunction.wire import PeerLinks
 
 RUNNER_CHOICE = "prefix_affinity"
+RUNNER_EJECTION = EjectionPolicy(n_failures=1)
+HOME_EJECTION = EjectionPolicy(n_failures=1, base_s=2.0)
 DEADLINE_GRACE_S = 250 * MILLISECOND_S
 
 HOME_REASONS = frozenset(("link_lost", "peer_unreachable", "leaving"))
@@ -139,8 +141,8 @@
         self._chance = chance
         self._metrics = metrics
         self._budget = RetryBudget()
-        self._runner_ejection = OutlierEjection(EjectionPolicy(n_failures=1))
-        self._home_ejection = OutlierEjection(EjectionPolicy(n_failures=1))
+        self._runner_ejection = OutlierEjection(RUNNER_EJECTION)
+        self._home_ejection = OutlierEjection(HOME_EJECTION)
         self._in_flight_by_runner: dict[RunnerId, int] = {}
 
     def to_document(self) -> dict[str, Any]:
--- a/libs/standins/src/damaskjunction/standins/deployment.py
+++ b/libs/standins/src/damaskjunction/standins/deployment.py
@@ -141,6 +141,7 @@
 deployments.register("lima")(LIMA)
 deployments.register("mu-north")(MU_NORTH)
 deployments.register("small")(SMALL)
+deployments.register("lima-three-hosts")(LIMA._replace(n_hosts=3))
 
 
 class DeployedFleet:
--- a/libs/standins/src/damaskjunction/standins/fleet.py
+++ b/libs/standins/src/damaskjunction/standins/fleet.py
@@ -121,10 +121,17 @@
 
     async def stop(self, name: str) -> int:
         """Ask a process to stop and return its exit code."""
-        process = self._processes_by_name[name]
-        process.terminate()
+        self.terminate(name)
+        return await self.wait(name)
+
+    def terminate(self, name: str) -> None:
+        """Ask a process to stop."""
+        self._processes_by_name[name].terminate()
+
+    async def wait(self, name: str) -> int:
+        """Return the exit code of a process that was asked to stop."""
         async with asyncio.timeout(STOP_TIMEOUT_S):
-            return await process.wait()
+            return await self._processes_by_name[name].wait()
 
     def freeze(self, name: str) -> None:
         """Stop a process's execution until ``thaw``."""
--- /dev/null
+++ b/libs/wire/features/environment.py
@@ -0,0 +1,11 @@
+"""Hooks of behave."""
+
+from damaskjunction.standins import scenarios
+from damaskjunction.standins.scenarios import before_scenario
+
+__all__ = ["after_scenario", "before_scenario"]
+
+
+def after_scenario(context, scenario):
+    scenarios.run(context, context.stop())
+    scenarios.after_scenario(context, scenario)
--- a/libs/wire/src/damaskjunction/wire/links.py
+++ b/libs/wire/src/damaskjunction/wire/links.py
@@ -40,7 +40,7 @@
 
 logger = logging.getLogger(__name__)
 
-CONNECT_TIMEOUT_S = 1.0
+CONNECT_TIMEOUT_S = 0.5
 PROOF_AGE_S = 0.5
 PROOF_TIMEOUT_S = 0.25
 IDLE_CLOSE_S = 30.0
