--- a/libs/http/src/damaskjunction/http/client.py
+++ b/libs/http/src/damaskjunction/http/client.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import ssl
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import AsyncIterator, Callable, Mapping
 from typing import NamedTuple
 
 import h11
@@ -61,6 +61,7 @@
         body: bytes = b"",
         stall_s: float = DEFAULT_STALL_S,
         fresh: bool = False,
+        guard: Callable[[], None] | None = None,
     ) -> ClientResponse:
         """Send a request and return when the head of its response is there.
 
@@ -78,6 +79,9 @@
             Seconds without a byte after which the connection is given up.
         fresh : bool, optional
             Use a new connection, since an idle one may be silently dead.
+        guard : callable, optional
+            Called when the connection is there, right before the first byte is written;
+            what it raises ends the call with no byte sent.
 
         Raises
         ------
@@ -90,6 +94,8 @@
         if connection is None:
             connection = await self._connect(address)
         try:
+            if guard is not None:
+                guard()
             head = await connection.exchange(method, target, headers, body, stall_s)
         except BaseException:
             connection.abort()
--- a/libs/node/src/damaskjunction/node/admin.py
+++ b/libs/node/src/damaskjunction/node/admin.py
@@ -91,7 +91,7 @@
 
     async def show_configuration(self, request: Request) -> Response:
         """Return the operators' text and its revision."""
-        self._authorize(request)
+        self.authorize(request)
         try:
             stored = await self._store.get(CONFIGURATION_KIND, CONFIGURATION_NAME)
         except PlatformUnavailableError as error:
@@ -103,7 +103,7 @@
 
     async def apply_configuration(self, request: Request) -> Response:
         """Check a text and store it when the revision is the expected one."""
-        self._authorize(request)
+        self.authorize(request)
         text = (await request.body.read()).decode(errors="replace")
         source = request.query.get("source", "text")
         editor = request.query.get("editor", "unknown")
@@ -138,7 +138,7 @@
 
     async def show_status(self, request: Request) -> Response:
         """Tell what is in force on every host of the view."""
-        self._authorize(request)
+        self.authorize(request)
         hosts = sorted(self._view.fleet.hosts_by_id.values())
         statuses = await asyncio.gather(*(self._status_of(host) for host in hosts))
         document = {
@@ -166,7 +166,7 @@
 
     async def show_dump(self, request: Request) -> Response:
         """Return the state of this process."""
-        self._authorize(request)
+        self.authorize(request)
         return to_json_response(self._dump.to_document())
 
     async def show_metrics(self, request: Request) -> Response:
@@ -175,7 +175,7 @@
 
     async def change_log_level(self, request: Request) -> Response:
         """Change the level of logs."""
-        self._authorize(request)
+        self.authorize(request)
         document = await read_json(request)
         try:
             set_log_level(str(document["level"]))
@@ -183,7 +183,14 @@
             raise HttpError(400, "bad_request", str(error), key="level") from None
         return to_json_response(document)
 
-    def _authorize(self, request: Request) -> None:
+    def authorize(self, request: Request) -> None:
+        """Return for a request with the administration token.
+
+        Raises
+        ------
+        HttpError
+            With status 401 for any other.
+        """
         if not self._token:
             return
         _, _, given = request.headers.get("authorization", "").partition(" ")
--- a/libs/node/src/damaskjunction/node/entry.py
+++ b/libs/node/src/damaskjunction/node/entry.py
@@ -17,6 +17,7 @@
     WorkClass,
     WorkspaceName,
 )
+from damaskjunction.node.demand import DemandMeter
 from damaskjunction.node.home import Home
 from damaskjunction.node.runners import AnswerMessage
 from damaskjunction.node.state import HostView
@@ -61,11 +62,19 @@
         Links to other hosts.
     timers : Timers
         The process's timer service.
+    demand : DemandMeter
+        Counts online requests under way.
     """
 
     def __init__(
-        self, view: HostView, home: Home, links: PeerLinks, timers: Timers
+        self,
+        view: HostView,
+        home: Home,
+        links: PeerLinks,
+        timers: Timers,
+        demand: DemandMeter,
     ) -> None:
+        self._demand = demand
         self._view = view
         self._home = home
         self._links = links
@@ -80,6 +89,11 @@
         RequestError
             When there is no whole answer; its outcome says whether the request ran.
         """
+        with self._demand.track(request.service, request.work_class):
+            async for message in self._run(request):
+                yield message
+
+    async def _run(self, request: CallerRequest) -> AsyncIterator[AnswerMessage]:
         end_s = self._timers.now() + request.deadline_s
         position = 0
         for attempt in range(1, MAX_ATTEMPTS + 1):
--- /dev/null
+++ b/libs/node/src/damaskjunction/node/leasing.py
@@ -0,0 +1,176 @@
+"""Takes, renews and gives up the lease of a region at the platform."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import uuid
+
+from damaskjunction.core import (
+    ConflictError,
+    DamaskjunctionError,
+    PlatformUnavailableError,
+    PlatformUnknownError,
+    Revision,
+    Timers,
+    rendezvous_order,
+)
+from damaskjunction.node.documents import LEASE_KIND, LeaseDocument
+from damaskjunction.node.state import HostView
+from damaskjunction.placement import ReadLease, RegionLease, WriteLease
+from damaskjunction.platform import ObjectStore
+from damaskjunction.telemetry import Metrics
+
+logger = logging.getLogger(__name__)
+
+STEP_S = 0.2
+LEASE_CALLS = "lease_calls_total"
+
+
+class LeaseLostError(DamaskjunctionError):
+    """An action was due that only the lease's holder may take."""
+
+
+class LeaseKeeper:
+    """One host's part in the lease of its region.
+
+    Parameters
+    ----------
+    view : HostView
+        Tells the region's hosts; a draining host gives the lease up.
+    store : ObjectStore
+        The platform's service.
+    timers : Timers
+        The process's timer service.
+    metrics : Metrics
+        Takes the number of calls.
+    """
+
+    def __init__(
+        self, view: HostView, store: ObjectStore, timers: Timers, metrics: Metrics
+    ) -> None:
+        self._view = view
+        self._store = store
+        self._timers = timers
+        self._metrics = metrics
+        holder = f"{view.own.host_id}/{uuid.uuid4().hex[:8]}"
+        self.lease = RegionLease(holder)
+        self._task: asyncio.Task[None] | None = None
+        metrics.gauge("lease_held", lambda: float(self.may_act()))
+
+    async def start(self) -> None:
+        """Start looking for the lease."""
+        self._task = asyncio.ensure_future(self._run())
+
+    async def close(self) -> None:
+        """Give the lease up and stop."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+        await self._release()
+
+    def may_act(self) -> bool:
+        """Return whether this host holds the lease at this moment."""
+        return self.lease.may_act(self._timers.now())
+
+    def check(self) -> None:
+        """Return when this host holds the lease at this moment.
+
+        Raises
+        ------
+        LeaseLostError
+            When it does not.
+        """
+        if not self.may_act():
+            raise LeaseLostError("the lease is not held")
+
+    async def _run(self) -> None:
+        while True:
+            if self._view.is_draining:
+                await self._release()
+            else:
+                await self._step()
+            await asyncio.sleep(STEP_S)
+
+    async def _step(self) -> None:
+        held_before = self.may_act()
+        action = self.lease.next_action(self._timers.now(), rank=self._rank())
+        match action:
+            case ReadLease():
+                await self._read()
+            case WriteLease():
+                await self._write(action)
+        if self.may_act() != held_before:
+            extra = {"held": not held_before, "fence": self.lease.fence}
+            logger.info("lease changed hands", extra=extra)
+
+    async def _release(self) -> None:
+        action = self.lease.release()
+        if action is not None:
+            await self._write(action)
+
+    async def _read(self) -> None:
+        try:
+            stored = await self._store.get(LEASE_KIND, self._view.own.region)
+        except PlatformUnavailableError:
+            self._count("read", "unavailable")
+            self.lease.take_unavailable(self._timers.now())
+            return
+        self._count("read", "done")
+        version = stored.version if stored is not None else 0
+        value = stored.value if stored is not None else b""
+        self.lease.take_read(self._timers.now(), version, _holder_of(value))
+
+    async def _write(self, action: WriteLease) -> None:
+        document: LeaseDocument = {"holder": action.holder}
+        started_s = self._timers.now()
+        try:
+            version = await self._store.put(
+                LEASE_KIND,
+                self._view.own.region,
+                json.dumps(document).encode(),
+                expected_version=action.expected_version,
+                operation_id=uuid.uuid4().hex,
+            )
+        except ConflictError as error:
+            self._count("write", "conflict")
+            now_s = self._timers.now()
+            self.lease.take_conflict(now_s, error.version, _holder_of(error.value))
+        except PlatformUnavailableError:
+            self._count("write", "unavailable")
+            self.lease.take_unavailable(self._timers.now())
+        except PlatformUnknownError:
+            self._count("write", "unknown")
+            self.lease.doubt()
+        else:
+            self._count("write", "done")
+            self._take_written(action, started_s, version)
+
+    def _take_written(
+        self, action: WriteLease, started_s: float, version: Revision
+    ) -> None:
+        if action.holder:
+            self.lease.take_written(started_s, version)
+
+    def _rank(self) -> int:
+        """Return this host's place among the region's candidates."""
+        region = self._view.own.region
+        names = [
+            (host.host_id, 1.0)
+            for host in self._view.serving_hosts()
+            if host.region == region
+        ]
+        order = rendezvous_order(region, names)
+        own_id = self._view.own.host_id
+        return order.index(own_id) if own_id in order else len(order)
+
+    def _count(self, call: str, result: str) -> None:
+        self._metrics.count(LEASE_CALLS, call=call, result=result)
+
+
+def _holder_of(value: bytes) -> str:
+    try:
+        return str(json.loads(value)["holder"])
+    except (ValueError, KeyError, TypeError):
+        return ""
--- a/libs/node/src/damaskjunction/node/placer.py
+++ b/libs/node/src/damaskjunction/node/placer.py
@@ -3,34 +3,72 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import logging
+import math
 import uuid
+from collections import Counter
+from typing import Any
 
 from damaskjunction.core import (
     ConflictError,
+    EntryHost,
     Plan,
-    Revision,
+    PlatformError,
+    RequestError,
     Runner,
-    ServiceKind,
+    ServiceName,
     Timers,
 )
-from damaskjunction.http import BrokenResponseError, ConnectFailedError, HttpClient
-from damaskjunction.node.documents import LEASE_KIND, PLAN_KIND, LeaseDocument
-from damaskjunction.node.loops import repeat
+from damaskjunction.http import HttpClient
+from damaskjunction.node.demand import DemandMeter
+from damaskjunction.node.documents import PLAN_KIND
+from damaskjunction.node.engine_orders import (
+    OrderFailedError,
+    StaleFenceError,
+    read_order,
+    send_order,
+    to_order,
+)
+from damaskjunction.node.leasing import LeaseKeeper, LeaseLostError
+from damaskjunction.node.probing import RunnerProbes
 from damaskjunction.node.state import HostView
-from damaskjunction.placement import from_plan, make_plan
+from damaskjunction.placement import (
+    DemandBook,
+    OrderBook,
+    PlanInput,
+    ReadBack,
+    RunnerBook,
+    RunnerStatus,
+    SendOrder,
+    ServiceLoad,
+    from_plan,
+    make_plan,
+)
 from damaskjunction.platform import ObjectStore
+from damaskjunction.telemetry import Metrics
+from damaskjunction.wire import PeerLinks, PlacementQuery
 
 logger = logging.getLogger(__name__)
 
-LEASE_INTERVAL_S = 1.0
-LEASE_S = 5.0
-ORDER_TIMEOUT_S = 2.0
+ROUND_S = 1.0
+MIN_PAUSE_S = 0.25
+HOSTS_PER_ROUND = 40
+QUERY_TIMEOUT_S = 1.0
+CONTROL_LANE = "control"
+
+PLANS = "placement_plans_total"
+MOVES = "placement_moves_total"
+ORDERS = "placement_orders_total"
+QUERIES = "placement_queries_total"
 
 
 class Placer:
-    """The planning loop of one host; only the holder of the region's lease acts.
+    """The planning rounds of one host; only the holder of the region's lease acts.
+
+    A round asks hosts for the states of their runners and the load of services, makes
+    the next plan, stores it when it differs, and sends the orders that are due.
 
     Parameters
     ----------
@@ -38,23 +76,53 @@
         Configuration, runners and the plan in force.
     store : ObjectStore
         The platform's service.
+    links : PeerLinks
+        Links to the other hosts.
+    keeper : LeaseKeeper
+        The region's lease.
+    probes : RunnerProbes
+        States of the runners whose home this host is.
+    demand : DemandMeter
+        Load of services at this host.
     timers : Timers
         The process's timer service.
+    metrics : Metrics
+        Takes counts of plans, moves and orders.
     """
 
-    def __init__(self, view: HostView, store: ObjectStore, timers: Timers) -> None:
+    def __init__(
+        self,
+        view: HostView,
+        store: ObjectStore,
+        links: PeerLinks,
+        *,
+        keeper: LeaseKeeper,
+        probes: RunnerProbes,
+        demand: DemandMeter,
+        timers: Timers,
+        metrics: Metrics,
+    ) -> None:
         self._view = view
         self._store = store
+        self._links = links
+        self._keeper = keeper
+        self._probes = probes
+        self._demand = demand
         self._timers = timers
+        self._metrics = metrics
         self._client = HttpClient(timers)
+        self._book = RunnerBook()
+        self._orders = OrderBook()
+        self._wanted = DemandBook()
+        self._loads_by_host: dict[str, Counter[ServiceName]] = {}
+        self._n_rounds = 0
+        self._wake = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
-        self._lease_version: Revision = 0
-        self._lease_seen_at_s = 0.0
-        self._is_holder = False
 
     async def start(self) -> None:
         """Start planning."""
-        self._task = asyncio.ensure_future(repeat(self._lead, LEASE_INTERVAL_S))
+        self._view.subscribe(self._wake.set)
+        self._task = asyncio.ensure_future(self._run())
 
     async def close(self) -> None:
         """Stop planning."""
@@ -63,91 +131,190 @@
             await asyncio.gather(self._task, return_exceptions=True)
         self._client.close()
 
-    async def _lead(self) -> None:
-        """Take or renew the region's lease; plan and send orders while holding it."""
-        await self._renew_lease()
-        if not self._is_holder or not self._view.is_ready:
+    def to_document(self) -> dict[str, Any]:
+        """Return the state for the dump."""
+        lease = self._keeper.lease
+        return {
+            "may_act": self._keeper.may_act(),
+            "fence": lease.fence,
+            "holder": lease.seen_holder,
+            "runners": self._book.statuses(self._timers.now()),
+            "wanted": self._wanted.wanted(self._view.configuration),
+        }
+
+    async def _run(self) -> None:
+        """Make a round each second, and sooner when the view has changed."""
+        while True:
+            self._wake.clear()
+            try:
+                await self._run_round()
+            except PlatformError as error:
+                logger.warning("round failed", extra={"error": str(error)})
+            await asyncio.sleep(MIN_PAUSE_S)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(ROUND_S - MIN_PAUSE_S):
+                    await self._wake.wait()
+
+    async def _run_round(self) -> None:
+        if not self._keeper.may_act() or not self._view.is_ready:
+            self._forget()
             return
-        runners = [
-            runner
-            for runner in self._view.fleet.live_runners()
-            if runner.region == self._view.own.region
-        ]
-        plan = make_plan(self._view.configuration, runners, self._view.plan)
-        if _differs(plan, self._view.plan):
-            await self._store_plan(plan)
-        await self._send_orders(runners)
+        n_parts = await self._gather_reports()
+        self._n_rounds += 1
+        if self._n_rounds < n_parts:
+            return
+        runners = self._region_runners()
+        self._book.forget_others({runner.runner_id for runner in runners})
+        await self._plan(runners)
+        await self._act({runner.runner_id: runner for runner in runners})
 
-    async def _renew_lease(self) -> None:
+    def _forget(self) -> None:
+        """Start from nothing when the lease is taken the next time."""
+        self._book.clear()
+        self._orders.clear()
+        self._loads_by_host.clear()
+        self._n_rounds = 0
+
+    def _region_runners(self) -> list[Runner]:
         region = self._view.own.region
-        stored = await self._store.get(LEASE_KIND, region)
-        version = stored.version if stored is not None else 0
-        now_s = self._timers.now()
-        if version != self._lease_version:
-            self._lease_version = version
-            self._lease_seen_at_s = now_s
-            self._is_holder = False
-        is_lapsed = version == 0 or now_s - self._lease_seen_at_s > LEASE_S
-        if not (self._is_holder or is_lapsed):
-            return
-        document: LeaseDocument = {"holder": self._view.own.host_id}
+        runners = sorted(self._view.fleet.runners_by_id.values())
+        return [runner for runner in runners if runner.region == region]
+
+    # Reports
+
+    async def _gather_reports(self) -> int:
+        """Ask this round's part of the hosts; return how many parts there are."""
+        region = self._view.own.region
+        hosts = [
+            host for host in self._view.fleet.live_hosts() if host.region == region
+        ]
+        n_parts = max(1, math.ceil(len(hosts) / HOSTS_PER_ROUND))
+        part = hosts[self._n_rounds % n_parts :: n_parts]
+        await asyncio.gather(*(self._ask(host) for host in part))
+        known = {host.host_id for host in hosts}
+        for host_id in self._loads_by_host.keys() - known:
+            del self._loads_by_host[host_id]
+        total: Counter[ServiceName] = Counter()
+        for loads in self._loads_by_host.values():
+            total.update(loads)
+        self._wanted.note(self._timers.now(), self._view.configuration, total)
+        return n_parts
+
+    async def _ask(self, host: EntryHost) -> None:
+        loads: Counter[ServiceName] = Counter()
+        if host.host_id == self._view.own.host_id:
+            messages = [*self._probes.statuses(), *self._demand.loads()]
+        else:
+            messages = await self._query(host)
+        for message in messages:
+            if isinstance(message, RunnerStatus):
+                self._book.take(self._timers.now(), message)
+            elif isinstance(message, ServiceLoad):
+                loads[message.service_name] += message.in_flight
+        self._loads_by_host[host.host_id] = loads
+
+    async def _query(self, host: EntryHost) -> list[Any]:
+        messages: list[Any] = []
         try:
-            self._lease_version = await self._store.put(
-                LEASE_KIND,
-                region,
-                json.dumps(document).encode(),
-                expected_version=version,
-                operation_id=uuid.uuid4().hex,
-            )
-        except ConflictError:
-            self._is_holder = False
-            return
-        self._lease_seen_at_s = now_s
-        self._is_holder = True
+            async with asyncio.timeout(QUERY_TIMEOUT_S):
+                call = self._links.call(host.peer, CONTROL_LANE, PlacementQuery())
+                messages = [message async for message in call]
+        except (RequestError, TimeoutError):
+            self._metrics.count(QUERIES, result="failed")
+            return []
+        self._metrics.count(QUERIES, result="answered")
+        return messages
+
+    # Plans
+
+    async def _plan(self, runners: list[Runner]) -> None:
+        view = self._view
+        if view.configuration.revision < view.plan.configuration_revision:
+            return  # this host lags behind the text that the plan was made from
+        given = PlanInput(
+            view.configuration,
+            runners,
+            view.plan,
+            self._book.statuses(self._timers.now()),
+            self._wanted.wanted(view.configuration),
+        )
+        plan = make_plan(given)
+        if plan._replace(revision=view.plan.revision) != view.plan:
+            await self._store_plan(plan)
 
     async def _store_plan(self, plan: Plan) -> None:
-        value = json.dumps(from_plan(plan)).encode()
+        before = self._view.plan
+        if not self._keeper.may_act():
+            return
         try:
             revision = await self._store.put(
                 PLAN_KIND,
                 self._view.own.region,
-                value,
-                expected_version=self._view.plan.revision,
+                json.dumps(from_plan(plan)).encode(),
+                expected_version=before.revision,
                 operation_id=uuid.uuid4().hex,
             )
         except ConflictError:
+            self._metrics.count(PLANS, result="conflict")
             return  # the watch brings the newer plan
+        n_moves = sum(
+            before.assignments_by_runner.get(runner_id) != assignment
+            for runner_id, assignment in plan.assignments_by_runner.items()
+        )
+        self._metrics.count(PLANS, result="stored")
+        self._metrics.count(MOVES, n_moves)
+        if n_moves:
+            logger.info("plan stored", extra={"revision": revision, "moves": n_moves})
         self._view.apply_plan(plan._replace(revision=revision))
 
-    async def _send_orders(self, runners: list[Runner]) -> None:
-        engines = [r for r in runners if r.kind is ServiceKind.ENGINE]
-        await asyncio.gather(*(self._send_order(runner) for runner in engines))
+    # Orders
 
-    async def _send_order(self, runner: Runner) -> None:
-        assignment = self._view.plan.assignments_by_runner.get(runner.runner_id)
-        if assignment is None:
-            return
-        model = self._view.configuration.models_by_name.get(assignment.model)
-        order = {
-            "model": assignment.model,
-            "version": assignment.version,
-            "adapters": list(assignment.adapters),
-            "role": assignment.role,
-            "weights_gb": model.weights_gb if model is not None else 1.0,
-        }
-        body = json.dumps({"fence": self._lease_version, "order": order}).encode()
+    async def _act(self, runners_by_id: dict[str, Runner]) -> None:
+        now_s = self._timers.now()
+        actions = self._orders.next_actions(
+            now_s,
+            self._view.plan,
+            self._book.statuses(now_s),
+            held_since_s=self._keeper.lease.held_since_s,
+        )
+        steps = []
+        for action in actions:
+            match action:
+                case SendOrder(assignment):
+                    runner = runners_by_id.get(assignment.runner_id)
+                    if runner is not None:
+                        steps.append(self._send(runner, action))
+                case ReadBack(runner_id):
+                    runner = runners_by_id.get(runner_id)
+                    if runner is not None:
+                        steps.append(self._read_back(runner))
+        await asyncio.gather(*steps)
+
+    async def _send(self, runner: Runner, action: SendOrder) -> None:
+        model = self._view.configuration.models_by_name.get(action.assignment.model)
+        order = to_order(action.assignment, model.weights_gb if model else 1.0)
         try:
-            response = await self._client.send(
-                runner.address, "PUT", "/v1/order", body=body, stall_s=ORDER_TIMEOUT_S
+            status = await send_order(
+                self._client,
+                runner,
+                order,
+                fence=self._keeper.lease.fence,
+                guard=self._keeper.check,
             )
-            await response.read()
-        except (ConnectFailedError, BrokenResponseError) as error:
-            extra = {"runner": runner.runner_id, "error": str(error)}
-            logger.warning("order failed", extra=extra)
-
+        except StaleFenceError as error:
+            self._metrics.count(ORDERS, result="stale")
+            logger.warning("order refused", extra={"error": str(error)})
+            self._keeper.lease.doubt()
+        except LeaseLostError:
+            self._metrics.count(ORDERS, result="withheld")
+        except OrderFailedError as error:
+            self._metrics.count(ORDERS, result="failed")
+            logger.warning("order failed", extra={"error": str(error)})
+        else:
+            self._metrics.count(ORDERS, result="taken")
+            self._book.take(self._timers.now(), status)
 
-def _differs(plan: Plan, other: Plan) -> bool:
-    return (
-        plan.configuration_revision != other.configuration_revision
-        or plan.assignments_by_runner != other.assignments_by_runner
-    )
+    async def _read_back(self, runner: Runner) -> None:
+        status = await read_order(self._client, runner)
+        self._metrics.count(ORDERS, result="read_back")
+        self._book.take(self._timers.now(), status._replace(checks_fence=False))
--- /dev/null
+++ b/libs/node/src/damaskjunction/node/probing.py
@@ -0,0 +1,129 @@
+"""The home's look at its engines: what they hold and whether they are ready."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+
+from damaskjunction.core import Runner, RunnerId, ServiceKind, Subscription, Timers
+from damaskjunction.http import HttpClient
+from damaskjunction.node.engine_orders import (
+    read_checks_fence,
+    read_in_flight,
+    read_order,
+)
+from damaskjunction.node.state import HostView
+from damaskjunction.placement import RunnerState, RunnerStatus, key_of
+from damaskjunction.routing import home_of
+from damaskjunction.telemetry import Metrics
+
+logger = logging.getLogger(__name__)
+
+PROBE_INTERVAL_S = 1.0
+CHANGES = "runner_state_changes_total"
+
+
+class RunnerProbes:
+    """Asks the engines whose home this host is for their state, each second.
+
+    The lease holder asks the homes in turn, so that no host talks to every runner. What
+    is seen here also goes into the host's own view at once.
+
+    Parameters
+    ----------
+    view : HostView
+        Tells runners, hosts and the plan; takes what is seen.
+    timers : Timers
+        The process's timer service.
+    metrics : Metrics
+        Takes the number of changes.
+    """
+
+    def __init__(self, view: HostView, timers: Timers, metrics: Metrics) -> None:
+        self._view = view
+        self._timers = timers
+        self._metrics = metrics
+        self._client = HttpClient(timers)
+        self._subscription: Subscription | None = None
+        self._tasks_by_runner: dict[RunnerId, asyncio.Task[None]] = {}
+        self._checks_by_runner: dict[RunnerId, bool] = {}
+
+    async def start(self) -> None:
+        """Start asking."""
+        self._subscription = self._timers.every(PROBE_INTERVAL_S, self._probe_all)
+
+    async def close(self) -> None:
+        """Stop asking."""
+        if self._subscription is not None:
+            self._subscription.cancel()
+        tasks = list(self._tasks_by_runner.values())
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self._client.close()
+
+    def statuses(self) -> list[RunnerStatus]:
+        """Return the states of the engines whose home this host is."""
+        return list(self._view.statuses_by_runner.values())
+
+    def _probe_all(self) -> None:
+        own = self._own_runners()
+        self._view.keep_statuses({runner.runner_id for runner in own})
+        for runner in own:
+            if runner.runner_id not in self._tasks_by_runner:
+                task = asyncio.ensure_future(self._probe(runner))
+                self._tasks_by_runner[runner.runner_id] = task
+
+    def _own_runners(self) -> list[Runner]:
+        hosts = self._view.serving_hosts()
+        own_id = self._view.own.host_id
+        own = []
+        for runner in self._view.fleet.live_runners():
+            if runner.kind is not ServiceKind.ENGINE:
+                continue
+            home = home_of(runner, hosts)
+            if home is not None and home.host_id == own_id:
+                own.append(runner)
+        return own
+
+    async def _probe(self, runner: Runner) -> None:
+        try:
+            self._note(await self._read(runner))
+        finally:
+            del self._tasks_by_runner[runner.runner_id]
+
+    async def _read(self, runner: Runner) -> RunnerStatus:
+        status = await read_order(self._client, runner)
+        if status.state is RunnerState.UNREACHABLE:
+            self._checks_by_runner.pop(runner.runner_id, None)
+            return status
+        checks_fence = await self._checks_fence(runner)
+        status = status._replace(checks_fence=checks_fence)
+        if self._is_draining(status):
+            in_flight = await read_in_flight(self._client, runner)
+            status = status._replace(in_flight=1 if in_flight is None else in_flight)
+        return status
+
+    async def _checks_fence(self, runner: Runner) -> bool:
+        """Find out once, when the engine is met, whether it checks fencing numbers."""
+        known = self._checks_by_runner.get(runner.runner_id)
+        if known is None:
+            known = await read_checks_fence(self._client, runner)
+            if known is None:
+                return False
+            self._checks_by_runner[runner.runner_id] = known
+        return known
+
+    def _is_draining(self, status: RunnerStatus) -> bool:
+        """Return whether an engine still serves what it is to leave."""
+        wanted = self._view.plan.assignments_by_runner.get(status.runner_id)
+        is_other = wanted is not None and key_of(wanted) != status.loaded
+        return is_other and status.state is RunnerState.READY
+
+    def _note(self, status: RunnerStatus) -> None:
+        before = self._view.statuses_by_runner.get(status.runner_id)
+        if before is None or before.state is not status.state:
+            self._metrics.count(CHANGES, state=status.state.value)
+            extra = {"runner": status.runner_id, "state": status.state.value}
+            logger.info("runner state", extra=extra)
+        self._view.note_status(status)
--- a/libs/node/src/damaskjunction/node/root.py
+++ b/libs/node/src/damaskjunction/node/root.py
@@ -7,18 +7,29 @@
 from damaskjunction.core import LoopTimers
 from damaskjunction.http import HttpServer, Routes
 from damaskjunction.node.admin import Admin
+from damaskjunction.node.demand import DemandMeter
 from damaskjunction.node.entry import Entry
 from damaskjunction.node.following import Follower
 from damaskjunction.node.front import Front
 from damaskjunction.node.home import Home
 from damaskjunction.node.jobs import JobFront, JobWorker
+from damaskjunction.node.leasing import LeaseKeeper
 from damaskjunction.node.placer import Placer
+from damaskjunction.node.probing import RunnerProbes
+from damaskjunction.node.services import ServicesFront
 from damaskjunction.node.state import HostView
 from damaskjunction.platform import PlatformClient
 from damaskjunction.routing import Forward
 from damaskjunction.settings import HostSettings
 from damaskjunction.telemetry import Metrics, StateDump
-from damaskjunction.wire import Message, PeerLinks, PeerServer, Reply, StatusQuery
+from damaskjunction.wire import (
+    Message,
+    PeerLinks,
+    PeerServer,
+    PlacementQuery,
+    Reply,
+    StatusQuery,
+)
 
 
 class HostProcess:
@@ -38,9 +49,21 @@
         self._store = PlatformClient(settings.platform, timers)
         self._links = PeerLinks(timers)
         self._home = Home(self._view, timers)
-        entry = Entry(self._view, self._home, self._links, timers)
+        self._demand = DemandMeter()
+        entry = Entry(self._view, self._home, self._links, timers, self._demand)
         self._follower = Follower(self._view, self._store)
-        self._placer = Placer(self._view, self._store, timers)
+        self._probes = RunnerProbes(self._view, timers, metrics)
+        self._keeper = LeaseKeeper(self._view, self._store, timers, metrics)
+        self._placer = Placer(
+            self._view,
+            self._store,
+            self._links,
+            keeper=self._keeper,
+            probes=self._probes,
+            demand=self._demand,
+            timers=timers,
+            metrics=metrics,
+        )
         self._worker = JobWorker(self._view, self._store, entry, timers)
         self._admin = Admin(
             self._view,
@@ -54,15 +77,19 @@
         Front(self._view, entry).register(routes)
         JobFront(self._view, self._store, timers).register(routes)
         self._admin.register(routes)
+        ServicesFront(self._view, self._admin.authorize).register(routes)
         self._callers = HttpServer(settings.caller, routes.handle)
         self._peers = PeerServer(settings.peer, timers, self._handle_peer)
         dump.sections.register("host")(lambda: self._admin.own_status()._asdict())
         dump.sections.register("runners")(self._home.to_document)
+        dump.sections.register("placement")(self._placer.to_document)
 
     async def start(self) -> None:
         """Start every part; callers are served from now on."""
         await self._peers.start()
         await self._follower.start()
+        await self._probes.start()
+        await self._keeper.start()
         await self._placer.start()
         await self._worker.start()
         await self._callers.start()
@@ -77,6 +104,8 @@
         await self._callers.close()
         await self._worker.close()
         await self._placer.close()
+        await self._keeper.close()
+        await self._probes.close()
         await self._follower.close()
         await self._peers.close()
         self._links.close()
@@ -90,6 +119,9 @@
                     await reply(answer)
             case StatusQuery():
                 await reply(self._admin.own_status())
+            case PlacementQuery():
+                for report in (*self._probes.statuses(), *self._demand.loads()):
+                    await reply(report)
 
 
 def _read_token(settings: HostSettings) -> str:
--- /dev/null
+++ b/libs/node/src/damaskjunction/node/services.py
@@ -0,0 +1,55 @@
+"""The operators' route that tells of each service how far it is."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from damaskjunction.http import Request, Response, Routes, to_json_response
+from damaskjunction.node.state import HostView
+from damaskjunction.placement import summarize_services
+
+
+class ServicesFront:
+    """``GET /v1/services``: per service its runners by state, and reasons.
+
+    It is answered from the plan in force here, so it needs neither the platform nor
+    the lease holder.
+
+    Parameters
+    ----------
+    view : HostView
+        Configuration, plan and runners.
+    authorize : callable
+        Raises ``HttpError`` for a request that may not see this.
+    """
+
+    def __init__(self, view: HostView, authorize: Callable[[Request], None]) -> None:
+        self._view = view
+        self._authorize = authorize
+
+    def register(self, routes: Routes) -> None:
+        """Enter the route."""
+        routes.register("GET", "/v1/services")(self.show_services)
+
+    async def show_services(self, request: Request) -> Response:
+        """Return a summary of each service."""
+        self._authorize(request)
+        return to_json_response(self.to_document())
+
+    def to_document(self) -> dict[str, Any]:
+        """Return the summaries as a JSON document."""
+        view = self._view
+        region = view.own.region
+        runners = [
+            runner
+            for runner in view.fleet.runners_by_id.values()
+            if runner.region == region
+        ]
+        summaries = summarize_services(view.configuration, view.plan, runners)
+        return {
+            "region": region,
+            "configuration_revision": view.configuration.revision,
+            "planned_revision": view.plan.configuration_revision,
+            "services": [summary._asdict() for summary in summaries],
+        }
--- a/libs/node/src/damaskjunction/node/state.py
+++ b/libs/node/src/damaskjunction/node/state.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import hashlib
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from damaskjunction.core import (
     Configuration,
@@ -11,11 +11,13 @@
     HostState,
     Plan,
     Runner,
+    RunnerId,
     ServiceKind,
     ServiceName,
     WorkspaceName,
 )
 from damaskjunction.membership import FleetView
+from damaskjunction.placement import RunnerState, RunnerStatus, state_for
 
 
 class HostView:
@@ -35,6 +37,7 @@
         self.plan = Plan()
         self.fleet = FleetView({own.host_id: own})
         self.is_draining = False
+        self.statuses_by_runner: dict[RunnerId, RunnerStatus] = {}
         self._workspaces_by_digest: dict[str, WorkspaceName] = {}
         self._observers: list[Callable[[], None]] = []
 
@@ -80,7 +83,11 @@
         return self._workspaces_by_digest.get(digest)
 
     def runners_of(self, service: ServiceName) -> list[Runner]:
-        """Return the runners that serve a service, by id."""
+        """Return the runners that serve a service, by id.
+
+        When none of those assigned to it is known to be ready, all of them are
+        returned: one may have got ready since, and one that hasn't says so.
+        """
         spec = self.configuration.services_by_name.get(service)
         if spec is None:
             return []
@@ -88,12 +95,34 @@
         if spec.kind is ServiceKind.PLAIN:
             return [runner for runner in runners if runner.service == service]
         assignments = self.plan.assignments_by_runner
-        return [
+        assigned = [
             runner
             for runner in runners
             if runner.runner_id in assignments
             and assignments[runner.runner_id].service == service
         ]
+        ready = [runner for runner in assigned if self._is_runner_ready(runner)]
+        return ready or assigned
+
+    def _is_runner_ready(self, runner: Runner) -> bool:
+        """Return whether an engine serves what it is assigned to.
+
+        What this host sees itself goes before what the plan says.
+        """
+        status = self.statuses_by_runner.get(runner.runner_id)
+        if status is None:
+            return runner.runner_id in self.plan.ready_runners
+        assignment = self.plan.assignments_by_runner[runner.runner_id]
+        return state_for(assignment, status) is RunnerState.READY
+
+    def note_status(self, status: RunnerStatus) -> None:
+        """Take the state of an engine whose home this host is."""
+        self.statuses_by_runner[status.runner_id] = status
+
+    def keep_statuses(self, runner_ids: Collection[RunnerId]) -> None:
+        """Forget the states of other engines."""
+        for runner_id in self.statuses_by_runner.keys() - runner_ids:
+            del self.statuses_by_runner[runner_id]
 
     def serving_hosts(self) -> list[EntryHost]:
         """Return the hosts that take new work."""
--- /dev/null
+++ b/libs/placement/features/steps/planner_steps.py
@@ -0,0 +1,411 @@
+"""Steps of the planner's feature: a region whose engines follow its plan."""
+
+from __future__ import annotations
+
+import json
+from collections import Counter
+
+from behave import given, then, when
+from hypothesis import given as drawn
+from hypothesis import settings as draws
+from hypothesis import strategies
+
+from damaskjunction.core import (
+    Address,
+    Configuration,
+    HostState,
+    ModelSpec,
+    PlacementSpec,
+    Plan,
+    Runner,
+    ServiceKind,
+    ServiceSpec,
+)
+from damaskjunction.placement import (
+    PlanInput,
+    RunnerState,
+    RunnerStatus,
+    from_plan,
+    key_of,
+    make_plan,
+    needed_runners,
+    to_plan,
+)
+
+STEPS_TO_SETTLE = 60
+
+
+class Region:
+    """Engines that do what the plan says, one stage a step."""
+
+    def __init__(self):
+        self.services_by_name = {}
+        self.models_by_name = {}
+        self.placement = PlacementSpec(weight_store_gb_per_s=1000.0)
+        self.runners_by_id = {}
+        self.statuses_by_runner = {}
+        self.wanted_by_service = {}
+        self.broken = set()
+        self.plan = Plan()
+        self.before = Plan()
+        self.n_ready_seen = []
+        self.n_changing_seen = []
+
+    def add_service(self, name, low, high, **extra):
+        self.models_by_name[name] = ModelSpec(name, "v1")
+        self.services_by_name[name] = ServiceSpec(
+            name, ServiceKind.ENGINE, name, low, high, **extra
+        )
+
+    def change_service(self, name, **changes):
+        service = self.services_by_name[name]
+        self.services_by_name[name] = service._replace(**changes)
+
+    def add_engines(self, count, centres):
+        for _ in range(count):
+            number = len(self.runners_by_id)
+            runner = Runner(
+                f"engine-{number:04d}",
+                "lima",
+                centres[number % len(centres)],
+                Address("127.0.0.1", 1 + number),
+                ServiceKind.ENGINE,
+            )
+            self.runners_by_id[runner.runner_id] = runner
+            status = RunnerStatus(runner.runner_id, RunnerState.EMPTY)
+            self.statuses_by_runner[runner.runner_id] = status
+
+    def to_input(self):
+        configuration = Configuration(
+            1,
+            self.services_by_name,
+            self.models_by_name,
+            placement=self.placement,
+        )
+        return PlanInput(
+            configuration,
+            list(self.runners_by_id.values()),
+            self.plan,
+            self.statuses_by_runner,
+            self.wanted_by_service,
+        )
+
+    def make_plan(self):
+        self.before = self.plan
+        self.plan = make_plan(self.to_input())
+        self._look()
+
+    def step(self):
+        self.make_plan()
+        for assignment in self.plan.assignments_by_runner.values():
+            self._follow(assignment)
+
+    def settle(self):
+        for _ in range(STEPS_TO_SETTLE):
+            self.step()
+
+    def _follow(self, assignment):
+        status = self.statuses_by_runner[assignment.runner_id]
+        key = key_of(assignment)
+        if status.state in (RunnerState.UNREACHABLE, RunnerState.LOST):
+            return
+        if status.loaded != key:
+            status = status._replace(loaded=key, state=RunnerState.LOADING)
+        elif assignment.version in self.broken:
+            status = status._replace(state=RunnerState.FAILED, reason="no such file")
+        elif status.state is not RunnerState.FAILED:
+            status = status._replace(state=RunnerState.READY)
+        self.statuses_by_runner[assignment.runner_id] = status
+
+    def _look(self):
+        self.n_ready_seen.append(
+            Counter(
+                self.plan.assignments_by_runner[runner_id].service
+                for runner_id in self.plan.ready_runners
+            )
+        )
+        changing = self.plan.assignments_by_runner.keys() - self.plan.ready_runners
+        self.n_changing_seen.append(
+            Counter(
+                self.plan.assignments_by_runner[runner_id].service
+                for runner_id in changing
+            )
+        )
+
+    def n_ready(self, name):
+        ready = self.plan.ready_runners
+        held = self.plan.assignments_by_runner
+        return sum(held[runner_id].service == name for runner_id in ready)
+
+    def runners_of(self, name):
+        held = self.plan.assignments_by_runner.values()
+        return sorted(a.runner_id for a in held if a.service == name)
+
+    def moved(self):
+        before = self.before.assignments_by_runner
+        after = self.plan.assignments_by_runner
+        return [name for name in after if after[name] != before.get(name)]
+
+
+@given(
+    'engine services "{first}" with {low:d} to {high:d} runners'
+    ' and "{second}" with {other_low:d} to {other_high:d} runners'
+)
+def make_services(context, **sizes):
+    context.region = Region()
+    context.region.add_service(sizes["first"], sizes["low"], sizes["high"])
+    context.region.add_service(sizes["second"], sizes["other_low"], sizes["other_high"])
+
+
+@given('{count:d} engines in data centres "{centres}"')
+def add_engines(context, count, centres):
+    context.region.add_engines(count, centres.split(","))
+
+
+@given('"{name}" wants {count:d} data centres')
+def want_centres(context, name, count):
+    context.region.change_service(name, min_data_centres=count)
+
+
+@given('"{name}" depends on "{other}"')
+def add_dependency(context, name, other):
+    context.region.change_service(name, depends_on=(other,))
+
+
+@given('"{name}" needs {count:d} runners')
+def need_runners(context, name, count):
+    context.region.change_service(name, min_runners=count)
+
+
+@given("the weight store carries {count:d} loads")
+def bound_loads(context, count):
+    context.region.placement = PlacementSpec(1.0, float(count))
+
+
+@given("the region has settled")
+@when("the region settles")
+def settle(context):
+    context.region.settle()
+    context.settled = context.region.plan
+
+
+@when("a plan is made")
+def make(context):
+    context.region.make_plan()
+
+
+@when('load asks for {count:d} runners of "{name}"')
+def ask_for_runners(context, count, name):
+    context.region.wanted_by_service[name] = count
+
+
+@when('a runner of "{name}" is lost')
+def lose(context, name):
+    runner_id = context.region.runners_of(name)[0]
+    status = RunnerStatus(runner_id, RunnerState.LOST)
+    context.region.statuses_by_runner[runner_id] = status
+
+
+@when('a runner of "{name}" leaves')
+def leave(context, name):
+    runner_id = context.region.runners_of(name)[0]
+    runner = context.region.runners_by_id[runner_id]
+    context.region.runners_by_id[runner_id] = runner._replace(state=HostState.LEAVING)
+
+
+@when('a runner of "{name}" fails')
+def fail(context, name):
+    runner_id = context.region.runners_of(name)[0]
+    status = context.region.statuses_by_runner[runner_id]
+    context.region.statuses_by_runner[runner_id] = status._replace(
+        state=RunnerState.FAILED, reason="out of memory"
+    )
+
+
+@when('version "{version}" of "{name}" is rolled out')
+def roll_out(context, version, name):
+    region = context.region
+    region.n_ready_seen.clear()
+    region.n_changing_seen.clear()
+    region.models_by_name[name] = ModelSpec(name, version)
+    region.settle()
+
+
+@when('version "{version}" of "{name}" fails to load everywhere and is rolled out')
+def roll_out_broken(context, version, name):
+    context.region.broken.add(version)
+    roll_out(context, version, name)
+
+
+@when("the plan is lost")
+def lose_plan(context):
+    context.region.plan = Plan()
+
+
+@then('"{name}" has {count:d} ready runners and "{other}" has {other_count:d}')
+def check_ready(context, **wanted):
+    region = context.region
+    found = region.n_ready(wanted["name"]), region.n_ready(wanted["other"])
+    assert found == (wanted["count"], wanted["other_count"]), (found, region.plan)
+
+
+@then("no runner was moved")
+def check_unmoved(context):
+    assert not context.region.moved(), context.region.moved()
+
+
+@then("{count:d} runner was moved")
+def check_moved(context, count):
+    assert len(context.region.moved()) == count, context.region.moved()
+
+
+@then('the note on "{name}" is "{note}"')
+def check_note(context, name, note):
+    notes = context.region.plan.notes_by_service
+    assert notes.get(name) == note, notes
+
+
+@then('"{name}" is in {count:d} data centres')
+def check_centres(context, name, count):
+    region = context.region
+    centres = {region.runners_by_id[r].data_centre for r in region.runners_of(name)}
+    assert len(centres) == count, centres
+
+
+@then('"{name}" has nothing assigned')
+def check_unassigned(context, name):
+    assert not context.region.runners_of(name)
+
+
+@then("{count:d} runners are in transition")
+def check_transition(context, count):
+    n_changing = context.region.n_changing_seen[-1].total()
+    assert n_changing == count, n_changing
+
+
+@then('"{name}" never had fewer than {count:d} ready runners')
+def check_never_below(context, name, count):
+    seen = [ready[name] for ready in context.region.n_ready_seen]
+    assert min(seen) >= count, seen
+
+
+@then('every runner of "{name}" serves "{version}"')
+def check_version(context, name, version):
+    region = context.region
+    held = region.plan.assignments_by_runner
+    runners = region.runners_of(name)
+    versions = {held[runner_id].version for runner_id in runners}
+    assert versions == {version}, region.plan
+    assert region.plan.ready_runners.issuperset(runners)
+
+
+@then('at most {count:d} runner of "{name}" was in transition at once')
+def check_most_changing(context, count, name):
+    seen = [changing[name] for changing in context.region.n_changing_seen]
+    assert max(seen) <= count, seen
+
+
+@then("{count:d} runner is told as failed")
+def check_failed(context, count):
+    failures = context.region.plan.failures_by_runner
+    assert list(failures.values()) == ["no such file"] * count, failures
+
+
+@then("the plan is as it was")
+def check_same_plan(context):
+    plan, settled = context.region.plan, context.settled
+    assert plan.assignments_by_runner == settled.assignments_by_runner, plan
+
+
+@then("the plan's document is read back as the same plan")
+def check_document(context):
+    plan = context.region.plan
+    document = json.loads(json.dumps(from_plan(plan)))
+    assert to_plan(document, plan.revision) == plan
+
+
+HISTORY = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from(
+            ["step", "step", "lose", "return", "leave", "load", "roll", "add"]
+        ),
+        strategies.integers(0, 40),
+    ),
+    min_size=5,
+    max_size=40,
+)
+
+
+@then("in {count:d} drawn histories no rule of a plan is broken")
+def check_histories(context, count):
+    @draws(max_examples=count, deadline=None, database=None, derandomize=True)
+    @drawn(strategies.integers(0, 12), HISTORY)
+    def check(n_engines, history):
+        region = make_region(n_engines)
+        for event, number in history:
+            change(region, event, number)
+            ready_before = Counter(
+                region.plan.assignments_by_runner[runner_id].service
+                for runner_id in region.plan.ready_runners
+                if region.statuses_by_runner[runner_id].state is RunnerState.READY
+                and region.runners_by_id[runner_id].state is HostState.LIVE
+            )
+            region.step()
+            check_rules(region, ready_before)
+        region.settle()
+        settled = region.plan
+        region.make_plan()
+        assert region.plan == settled
+
+    check()
+
+
+def make_region(n_engines):
+    region = Region()
+    region.add_service("base", 1, 3)
+    region.add_service("chat", 2, 4, depends_on=("base",), min_data_centres=2)
+    region.add_service("parts", 0, 5)
+    region.placement = PlacementSpec(1.0, 3.0)
+    region.add_engines(n_engines, ["a", "b", "c"])
+    return region
+
+
+def change(region, event, number):
+    names = sorted(region.runners_by_id)
+    if event == "add":
+        region.add_engines(1, ["a", "b", "c"])
+    elif event == "roll":
+        name = sorted(region.models_by_name)[number % 3]
+        region.models_by_name[name] = ModelSpec(name, f"v{number}")
+    elif event == "load":
+        name = sorted(region.services_by_name)[number % 3]
+        region.wanted_by_service[name] = number % 7
+    elif names and event != "step":
+        runner_id = names[number % len(names)]
+        status = region.statuses_by_runner[runner_id]
+        if event == "lose":
+            status = RunnerStatus(runner_id, RunnerState.LOST)
+        elif event == "return" and status.state is RunnerState.LOST:
+            status = RunnerStatus(runner_id, RunnerState.EMPTY)
+        elif event == "leave":
+            leaving = region.runners_by_id[runner_id]._replace(state=HostState.LEAVING)
+            region.runners_by_id[runner_id] = leaving
+        region.statuses_by_runner[runner_id] = status
+
+
+def check_rules(region, ready_before):
+    plan, before = region.plan, region.before
+    given_input = region.to_input()
+    held = Counter(a.service for a in plan.assignments_by_runner.values())
+    moved = region.moved()
+    for name, service in region.services_by_name.items():
+        assert held[name] <= service.max_runners + 1, (name, held)
+        floor = min(needed_runners(given_input, service), ready_before[name])
+        assert region.n_ready(name) >= floor, (name, plan, before)
+        if any(plan.assignments_by_runner[r].service == name for r in moved):
+            for other in service.depends_on:
+                assert region.n_ready(other) >= 1, (name, plan)
+    for runner_id in plan.assignments_by_runner:
+        assert region.runners_by_id[runner_id].state is HostState.LIVE
+    n_changing = region.n_changing_seen[-1].total()
+    assert n_changing <= 3 or not moved, (n_changing, plan)
--- a/libs/placement/src/damaskjunction/placement/__init__.py
+++ b/libs/placement/src/damaskjunction/placement/__init__.py
@@ -1,18 +1,76 @@
 """Decisions on what runs where and on orders to runners."""
 
+from damaskjunction.placement.demand import DemandBook
 from damaskjunction.placement.documents import (
-    AssignmentDocument,
+    GroupDocument,
     PlanDocument,
     from_plan,
     to_plan,
 )
-from damaskjunction.placement.planner import in_dependency_order, make_plan
+from damaskjunction.placement.lease import (
+    LeaseAction,
+    LeaseTimes,
+    ReadLease,
+    RegionLease,
+    WriteLease,
+)
+from damaskjunction.placement.orders import (
+    OrderAction,
+    OrderBook,
+    OrderTimes,
+    ReadBack,
+    SendOrder,
+)
+from damaskjunction.placement.planner import make_plan, needed_runners
+from damaskjunction.placement.shares import (
+    PlanInput,
+    find_shares,
+    in_dependency_order,
+)
+from damaskjunction.placement.states import RunnerBook
+from damaskjunction.placement.summary import (
+    ServiceState,
+    ServiceSummary,
+    summarize_services,
+)
+from damaskjunction.placement.types import (
+    RunnerState,
+    RunnerStatus,
+    ServiceLoad,
+    key_of,
+    order_key,
+    state_for,
+)
 
 __all__ = [
-    "AssignmentDocument",
+    "DemandBook",
+    "GroupDocument",
+    "LeaseAction",
+    "LeaseTimes",
+    "OrderAction",
+    "OrderBook",
+    "OrderTimes",
     "PlanDocument",
+    "PlanInput",
+    "ReadBack",
+    "ReadLease",
+    "RegionLease",
+    "RunnerBook",
+    "RunnerState",
+    "RunnerStatus",
+    "SendOrder",
+    "ServiceLoad",
+    "ServiceState",
+    "ServiceSummary",
+    "WriteLease",
+    "find_shares",
     "from_plan",
     "in_dependency_order",
+    "key_of",
     "make_plan",
+    "needed_runners",
+    "order_key",
+    "state_for",
+    "summarize_services",
     "to_plan",
 ]
--- /dev/null
+++ b/libs/placement/src/damaskjunction/placement/demand.py
@@ -0,0 +1,84 @@
+"""How many runners the online load of each service asks for."""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from damaskjunction.core import Configuration, ServiceName
+
+SMOOTHING_S = 10.0
+WINDOW_PARTS = 30
+
+
+class _Peak(NamedTuple):
+    at_s: float
+    in_flight: float
+
+
+class _Load:
+    """Smoothed load of one service, and its peaks within a window."""
+
+    def __init__(self) -> None:
+        self._noted_at_s: float | None = None
+        self._mean = 0.0
+        self._peaks: deque[_Peak] = deque()
+
+    def note(self, now_s: float, in_flight: float, window_s: float) -> None:
+        self._smooth(now_s, in_flight)
+        while self._peaks and self._peaks[-1].in_flight <= self._mean:
+            self._peaks.pop()
+        is_apart = not self._peaks or (
+            now_s - self._peaks[-1].at_s >= window_s / WINDOW_PARTS
+        )
+        if is_apart:
+            self._peaks.append(_Peak(now_s, self._mean))
+        while len(self._peaks) > 1 and self._peaks[0].at_s < now_s - window_s:
+            self._peaks.popleft()
+
+    def _smooth(self, now_s: float, in_flight: float) -> None:
+        if self._noted_at_s is None:
+            self._mean = in_flight
+        else:
+            weight = 1 - math.exp((self._noted_at_s - now_s) / SMOOTHING_S)
+            self._mean += weight * (in_flight - self._mean)
+        self._noted_at_s = now_s
+
+    def peak(self) -> float:
+        return self._peaks[0].in_flight if self._peaks else 0.0
+
+
+class DemandBook:
+    """Wanted runners by service, with hysteresis.
+
+    More load asks for more runners at once; less does so only when it has been less
+    for the service's ``scale_down_after_s``.
+    """
+
+    def __init__(self) -> None:
+        self._loads_by_service: dict[ServiceName, _Load] = {}
+
+    def note(
+        self,
+        now_s: float,
+        configuration: Configuration,
+        in_flight_by_service: Mapping[ServiceName, float],
+    ) -> None:
+        """Note the online requests that run or wait now, by service."""
+        services = configuration.services_by_name
+        for name in self._loads_by_service.keys() - services.keys():
+            del self._loads_by_service[name]
+        for name, service in services.items():
+            load = self._loads_by_service.setdefault(name, _Load())
+            in_flight = in_flight_by_service.get(name, 0.0)
+            load.note(now_s, in_flight, service.scale_down_after_s)
+
+    def wanted(self, configuration: Configuration) -> dict[ServiceName, int]:
+        """Return the runners that the load asks for; the text's bounds come later."""
+        return {
+            name: math.ceil(load.peak() / service.in_flight_per_runner)
+            for name, load in self._loads_by_service.items()
+            if (service := configuration.services_by_name.get(name)) is not None
+        }
--- a/libs/placement/src/damaskjunction/placement/documents.py
+++ b/libs/placement/src/damaskjunction/placement/documents.py
@@ -1,63 +1,87 @@
-"""JSON documents of plans."""
+"""JSON documents of plans.
+
+Runners of equal assignments stand in one group, so that a plan of 1,900 runners is a
+few ten kilobytes.
+"""
 
 from __future__ import annotations
 
-from typing import TypedDict
+from typing import NotRequired, TypedDict
 
-from damaskjunction.core import Assignment, Plan, Revision
+from damaskjunction.core import Assignment, Plan, Revision, RunnerId
+from damaskjunction.core.types import EMPTY
 
 
-class AssignmentDocument(TypedDict):
-    """What one engine is wanted to serve."""
+class GroupDocument(TypedDict):
+    """What several engines are wanted to serve."""
 
-    runner_id: str
     service: str
     model: str
     version: str
     adapters: list[str]
     role: str
+    runners: list[str]
 
 
 class PlanDocument(TypedDict):
-    """What runs where in one region."""
+    """What runs where in one region, and which runners do not do so yet."""
 
     configuration_revision: int
-    assignments: list[AssignmentDocument]
+    groups: list[GroupDocument]
+    unready: NotRequired[list[str]]
+    failures: NotRequired[dict[str, str]]
+    notes: NotRequired[dict[str, str]]
 
 
 def from_plan(plan: Plan) -> PlanDocument:
     """Return the document that describes a plan."""
+    runners_by_assignment: dict[Assignment, list[RunnerId]] = {}
+    for runner_id, assignment in plan.assignments_by_runner.items():
+        group = assignment._replace(runner_id="")
+        runners_by_assignment.setdefault(group, []).append(runner_id)
+    unready = plan.assignments_by_runner.keys() - plan.ready_runners
     return {
         "configuration_revision": plan.configuration_revision,
-        "assignments": [
-            {
-                "runner_id": assignment.runner_id,
-                "service": assignment.service,
-                "model": assignment.model,
-                "version": assignment.version,
-                "adapters": list(assignment.adapters),
-                "role": assignment.role,
-            }
-            for assignment in plan.assignments_by_runner.values()
+        "groups": [
+            _to_group(assignment, runners)
+            for assignment, runners in runners_by_assignment.items()
         ],
+        "unready": sorted(unready),
+        "failures": dict(plan.failures_by_runner),
+        "notes": dict(plan.notes_by_service),
+    }
+
+
+def _to_group(assignment: Assignment, runners: list[RunnerId]) -> GroupDocument:
+    return {
+        "service": assignment.service,
+        "model": assignment.model,
+        "version": assignment.version,
+        "adapters": list(assignment.adapters),
+        "role": assignment.role,
+        "runners": sorted(runners),
     }
 
 
 def to_plan(document: PlanDocument, revision: Revision) -> Plan:
     """Return the plan that a document describes."""
-    assignments = (
-        Assignment(
-            entry["runner_id"],
-            entry["service"],
-            entry["model"],
-            entry["version"],
-            tuple(entry["adapters"]),
-            entry["role"],
+    assignments = {
+        runner_id: Assignment(
+            runner_id,
+            group["service"],
+            group["model"],
+            group["version"],
+            tuple(group["adapters"]),
+            group["role"],
         )
-        for entry in document["assignments"]
-    )
+        for group in document["groups"]
+        for runner_id in group["runners"]
+    }
     return Plan(
         revision,
         document["configuration_revision"],
-        {assignment.runner_id: assignment for assignment in assignments},
+        dict(sorted(assignments.items())),
+        ready_runners=frozenset(assignments.keys() - set(document.get("unready", ()))),
+        failures_by_runner=document.get("failures", EMPTY),
+        notes_by_service=document.get("notes", EMPTY),
     )
--- /dev/null
+++ b/libs/placement/src/damaskjunction/placement/orders.py
@@ -0,0 +1,193 @@
+"""Which orders to send: the wanted state, stated where the actual one differs."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import NamedTuple, TypeAlias
+
+from damaskjunction.core import Assignment, Plan, RunnerId
+from damaskjunction.placement.types import (
+    RunnerState,
+    RunnerStatus,
+    key_of,
+    state_for,
+)
+
+
+class OrderTimes(NamedTuple):
+    """Bounds on orders, in seconds and in orders a second.
+
+    A runner that must not be cut off gets its order when nothing is in flight there
+    any more, ``settle_s`` after the plan took it out, and at the latest after
+    ``drain_s``. An order is repeated after ``retry_s``, then ever later up to
+    ``max_retry_s``. A runner that ignores fencing numbers gets no order before its
+    sender has held the lease for ``wait_out_s``: the longest pause between a check of
+    the lease and the send that follows it.
+    """
+
+    orders_per_s: float = 20.0
+    read_backs_per_s: float = 20.0
+    settle_s: float = 2.0
+    drain_s: float = 20.0
+    retry_s: float = 2.0
+    max_retry_s: float = 60.0
+    wait_out_s: float = 10.0
+
+
+class SendOrder(NamedTuple):
+    """Order an engine to serve what it is assigned to."""
+
+    assignment: Assignment
+
+
+class ReadBack(NamedTuple):
+    """Ask an engine for its state, since nobody has told it lately."""
+
+    runner_id: RunnerId
+
+
+OrderAction: TypeAlias = SendOrder | ReadBack
+
+
+class _Budget:
+    """A rate limit: as many as a second brings."""
+
+    def __init__(self, per_s: float) -> None:
+        self._per_s = per_s
+        self._left = per_s
+        self._filled_at_s = 0.0
+
+    def fill(self, now_s: float) -> None:
+        gained = (now_s - self._filled_at_s) * self._per_s
+        self._left = min(self._per_s, self._left + gained)
+        self._filled_at_s = now_s
+
+    def take(self) -> bool:
+        if self._left < 1:
+            return False
+        self._left -= 1
+        return True
+
+
+class _Wait(NamedTuple):
+    """An engine that doesn't do what it should: since when, and what was sent."""
+
+    key: str
+    since_s: float
+    n_sent: int = 0
+    next_at_s: float = 0.0
+
+
+class OrderBook:
+    """Orders of one lease holder, bounded in number and repeated until they hold.
+
+    Parameters
+    ----------
+    times : OrderTimes, optional
+        Bounds on orders.
+    """
+
+    def __init__(self, times: OrderTimes | None = None) -> None:
+        self._times = times or OrderTimes()
+        self._orders = _Budget(self._times.orders_per_s)
+        self._read_backs = _Budget(self._times.read_backs_per_s)
+        self._waits_by_runner: dict[RunnerId, _Wait] = {}
+        self._read_at_by_runner: dict[RunnerId, float] = {}
+
+    def clear(self) -> None:
+        """Forget what was sent, as at the start of a lease."""
+        self._waits_by_runner.clear()
+        self._read_at_by_runner.clear()
+
+    def next_actions(
+        self,
+        now_s: float,
+        plan: Plan,
+        statuses_by_runner: Mapping[RunnerId, RunnerStatus],
+        *,
+        held_since_s: float,
+    ) -> list[OrderAction]:
+        """Return the orders and read-backs that are due now.
+
+        Parameters
+        ----------
+        now_s : float
+            Seconds on the monotonic clock.
+        plan : Plan
+            The plan in force.
+        statuses_by_runner : mapping
+            The latest state of each engine.
+        held_since_s : float
+            When the lease was taken.
+        """
+        self._orders.fill(now_s)
+        self._read_backs.fill(now_s)
+        actions: list[OrderAction] = []
+        for runner_id, assignment in plan.assignments_by_runner.items():
+            status = statuses_by_runner.get(runner_id)
+            if status is None or status.state is RunnerState.UNKNOWN:
+                actions += self._read_back(now_s, runner_id)
+            elif self._is_as_wanted(assignment, status):
+                self._waits_by_runner.pop(runner_id, None)
+            elif self._is_due(now_s, assignment, status, held_since_s):
+                self._note_sent(now_s, runner_id)
+                actions.append(SendOrder(assignment))
+        self._forget_others(plan)
+        return actions
+
+    def _is_as_wanted(self, assignment: Assignment, status: RunnerStatus) -> bool:
+        state = state_for(assignment, status)
+        return state in (
+            RunnerState.READY,
+            RunnerState.LOADING,
+            RunnerState.UNREACHABLE,
+            RunnerState.LOST,
+        )
+
+    def _read_back(self, now_s: float, runner_id: RunnerId) -> list[OrderAction]:
+        last_s = self._read_at_by_runner.get(runner_id)
+        if last_s is not None and now_s < last_s + self._times.retry_s:
+            return []
+        if not self._read_backs.take():
+            return []
+        self._read_at_by_runner[runner_id] = now_s
+        return [ReadBack(runner_id)]
+
+    def _is_due(
+        self,
+        now_s: float,
+        assignment: Assignment,
+        status: RunnerStatus,
+        held_since_s: float,
+    ) -> bool:
+        key = key_of(assignment)
+        wait = self._waits_by_runner.get(assignment.runner_id)
+        if wait is None or wait.key != key:
+            wait = _Wait(key, now_s)
+            self._waits_by_runner[assignment.runner_id] = wait
+        if now_s < wait.next_at_s:
+            return False
+        is_serving = status.state is RunnerState.READY and wait.n_sent == 0
+        if is_serving and not self._is_drained(now_s, wait, status):
+            return False
+        if not status.checks_fence and now_s < held_since_s + self._times.wait_out_s:
+            return False
+        return self._orders.take()
+
+    def _is_drained(self, now_s: float, wait: _Wait, status: RunnerStatus) -> bool:
+        waited_s = now_s - wait.since_s
+        if waited_s >= self._times.drain_s:
+            return True
+        return status.in_flight == 0 and waited_s >= self._times.settle_s
+
+    def _note_sent(self, now_s: float, runner_id: RunnerId) -> None:
+        wait = self._waits_by_runner[runner_id]
+        pause_s = min(self._times.max_retry_s, self._times.retry_s * 2**wait.n_sent)
+        self._waits_by_runner[runner_id] = wait._replace(
+            n_sent=min(wait.n_sent + 1, 16), next_at_s=now_s + pause_s
+        )
+
+    def _forget_others(self, plan: Plan) -> None:
+        for by_runner in (self._waits_by_runner, self._read_at_by_runner):
+            for runner_id in by_runner.keys() - plan.assignments_by_runner.keys():
+                del by_runner[runner_id]
--- a/libs/placement/src/damaskjunction/placement/planner.py
+++ b/libs/placement/src/damaskjunction/placement/planner.py
@@ -1,94 +1,285 @@
-"""What runs where: a pure function of the text, the inventory and the last plan."""
+"""The next plan of a region: as far towards the wanted shares as is safe now.
+
+A plan changes an engine's assignment only when
+
+- every service that the new one depends on is ready,
+- the weight store carries one more load,
+- the service that the engine leaves still has the runners that its load needs, and
+- a roll-out has fewer runners in transition than its service allows.
+
+What is held back is tried again with the next plan.
+"""
 
 from __future__ import annotations
 
+import math
+from collections import Counter, defaultdict
 from collections.abc import Iterable, Mapping, Sequence
 
 from damaskjunction.core import (
     Assignment,
-    Configuration,
     HostState,
     Plan,
-    Runner,
     RunnerId,
     ServiceKind,
+    ServiceName,
     ServiceSpec,
 )
+from damaskjunction.placement.shares import (
+    PlanInput,
+    assign,
+    find_shares,
+    in_dependency_order,
+)
+from damaskjunction.placement.types import (
+    RunnerState,
+    ready_runners,
+    state_for,
+)
 
+TRANSITION_SHARE = 10
+PENDING_STATES = (RunnerState.EMPTY, RunnerState.LOADING, RunnerState.UNKNOWN)
+FAULTY_STATES = (RunnerState.FAILED, RunnerState.UNREACHABLE, RunnerState.LOST)
 
-def make_plan(
-    configuration: Configuration, runners: Sequence[Runner], previous: Plan
-) -> Plan:
-    """Return the plan for a region.
 
-    An engine keeps its service where it can; free engines go to the services that lack
-    most, dependencies first.
+def make_plan(given: PlanInput) -> Plan:
+    """Return the next plan for a region, its revision 0.
+
+    Equal input gives an equal plan, and a region in which nothing changes keeps its
+    plan.
     """
-    engines = {
-        runner.runner_id: runner
-        for runner in runners
-        if runner.kind is ServiceKind.ENGINE and runner.state is HostState.LIVE
-    }
-    services = [
-        service
-        for service in in_dependency_order(configuration.services_by_name)
-        if service.kind is ServiceKind.ENGINE
-    ]
-    assignments = _kept(services, engines, previous, configuration)
-    free = sorted(engines.keys() - assignments.keys())
-    for service in services:
-        n_held = sum(a.service == service.name for a in assignments.values())
-        while free and n_held < service.max_runners:
-            runner_id = free.pop(0)
-            assignments[runner_id] = _assign(runner_id, service, configuration)
-            n_held += 1
-    return Plan(
-        configuration_revision=configuration.revision,
-        assignments_by_runner=assignments,
-    )
-
-
-def in_dependency_order(
-    services_by_name: Mapping[str, ServiceSpec],
-) -> Iterable[ServiceSpec]:
-    """Return services so that each comes after those it depends on."""
-    ordered: dict[str, ServiceSpec] = {}
-
-    def visit(name: str) -> None:
-        if name in ordered:
-            return
-        service = services_by_name[name]
-        for other in service.depends_on:
-            visit(other)
-        ordered[name] = service
-
-    for name in sorted(services_by_name):
-        visit(name)
-    return ordered.values()
-
-
-def _kept(
-    services: Sequence[ServiceSpec],
-    engines: Mapping[RunnerId, Runner],
-    previous: Plan,
-    configuration: Configuration,
-) -> dict[RunnerId, Assignment]:
-    kept: dict[RunnerId, Assignment] = {}
-    for service in services:
-        held = [
-            assignment.runner_id
-            for assignment in previous.assignments_by_runner.values()
-            if assignment.service == service.name and assignment.runner_id in engines
+    return _Step(given, find_shares(given)).run()
+
+
+def needed_runners(given: PlanInput, service: ServiceSpec) -> int:
+    """Return the ready runners that a change may not go below."""
+    wanted = given.wanted_by_service.get(service.name, 0)
+    return min(max(service.min_runners, wanted), service.max_runners)
+
+
+class _Step:
+    """One step from the previous plan towards shares."""
+
+    def __init__(
+        self, given: PlanInput, service_by_runner: Mapping[RunnerId, ServiceName]
+    ) -> None:
+        self._given = given
+        self._configuration = given.configuration
+        self._services = [
+            service
+            for service in in_dependency_order(given.configuration.services_by_name)
+            if service.kind is ServiceKind.ENGINE
         ]
-        for runner_id in sorted(held)[: service.max_runners]:
-            kept[runner_id] = _assign(runner_id, service, configuration)
-    return kept
-
-
-def _assign(
-    runner_id: RunnerId, service: ServiceSpec, configuration: Configuration
-) -> Assignment:
-    model = configuration.models_by_name[service.model]
-    return Assignment(
-        runner_id, service.name, model.name, model.version, model.adapters
-    )
+        self._target = {
+            runner_id: assign(
+                runner_id,
+                self._configuration.services_by_name[name],
+                given.configuration,
+            )
+            for runner_id, name in service_by_runner.items()
+        }
+        self._n_target = Counter(a.service for a in self._target.values())
+        self._engines = {
+            runner.runner_id
+            for runner in given.runners
+            if runner.kind is ServiceKind.ENGINE and runner.state is HostState.LIVE
+        }
+        self._assignments = self._still_valid()
+        self._ready = set(
+            ready_runners(given.previous, self._assignments, given.statuses_by_runner)
+        )
+        self._n_ready = self._count(self._ready)
+        self._n_changing: Counter[ServiceName] = Counter()
+        self._budget_gb = self._load_budget_gb()
+        self._is_loading = False
+        self._notes_by_service: dict[ServiceName, str] = {}
+
+    def run(self) -> Plan:
+        """Return the plan after the step."""
+        self._count_loads()
+        self._give_up()
+        pending_by_service = self._pending_by_service()
+        for service in self._services:
+            self._advance(service, pending_by_service[service.name])
+        self._note_shortages()
+        assignments = dict(sorted(self._assignments.items()))
+        statuses = self._given.statuses_by_runner
+        return Plan(
+            configuration_revision=self._configuration.revision,
+            assignments_by_runner=assignments,
+            ready_runners=ready_runners(self._given.previous, assignments, statuses),
+            failures_by_runner=self._failures(assignments),
+            notes_by_service=dict(sorted(self._notes_by_service.items())),
+        )
+
+    def _still_valid(self) -> dict[RunnerId, Assignment]:
+        """Return previous assignments whose engine and service are still there."""
+        kept = {}
+        for runner_id, assignment in self._given.previous.assignments_by_runner.items():
+            service = self._configuration.services_by_name.get(assignment.service)
+            status = self._given.statuses_by_runner.get(runner_id)
+            is_lost = status is not None and status.state is RunnerState.LOST
+            is_served = service is not None and service.kind is ServiceKind.ENGINE
+            if runner_id in self._engines and is_served and not is_lost:
+                kept[runner_id] = assignment
+        return kept
+
+    def _count(self, runner_ids: Iterable[RunnerId]) -> Counter[ServiceName]:
+        return Counter(self._assignments[runner_id].service for runner_id in runner_ids)
+
+    def _load_budget_gb(self) -> float:
+        spec = self._configuration.placement
+        return spec.weight_store_gb_per_s * spec.load_window_s
+
+    def _weights_gb(self, assignment: Assignment) -> float:
+        model = self._configuration.models_by_name.get(assignment.model)
+        return model.weights_gb if model is not None else 0.0
+
+    def _count_loads(self) -> None:
+        """Count what is under way against the weight store and the roll-outs."""
+        for runner_id, assignment in self._assignments.items():
+            if runner_id in self._ready:
+                continue
+            state = state_for(assignment, self._given.statuses_by_runner.get(runner_id))
+            if assignment == self._target.get(runner_id):
+                self._n_changing[assignment.service] += 1
+            if state in PENDING_STATES:
+                self._budget_gb -= self._weights_gb(assignment)
+                self._is_loading = True
+
+    def _give_up(self) -> None:
+        """Vacate engines that no service wants."""
+        unwanted = sorted(self._assignments.keys() - self._target.keys())
+        for runner_id in unwanted:
+            if self._may_leave(runner_id):
+                self._leave(runner_id)
+
+    def _pending_by_service(self) -> dict[ServiceName, list[Assignment]]:
+        """Return what is wanted and not yet assigned, by service."""
+        pending: dict[ServiceName, list[Assignment]] = defaultdict(list)
+        for runner_id, assignment in sorted(self._target.items()):
+            if self._assignments.get(runner_id) != assignment:
+                pending[assignment.service].append(assignment)
+        return pending
+
+    def _advance(self, service: ServiceSpec, pending: Sequence[Assignment]) -> None:
+        """Take as many engines to what they should serve as is safe."""
+        if not pending:
+            return
+        waits_for = self._unready_dependency(service)
+        if waits_for:
+            self._notes_by_service[service.name] = f"waits for {waits_for} to be ready"
+            return
+        reason = ""
+        n_done = 0
+        for assignment in pending:
+            reason = self._why_not(assignment, service)
+            if not reason:
+                self._change(assignment)
+                n_done += 1
+        if reason and not n_done:
+            reason = self._surge(pending[0], service) or reason
+        if reason:
+            self._notes_by_service[service.name] = reason
+
+    def _why_not(self, assignment: Assignment, service: ServiceSpec) -> str:
+        """Return why an engine may not change now, empty when it may."""
+        weights_gb = self._weights_gb(assignment)
+        if self._is_loading and weights_gb > self._budget_gb:
+            return "waits for the weight store"
+        current = self._assignments.get(assignment.runner_id)
+        if current is None:
+            return ""
+        is_roll_out = current.service == assignment.service
+        if is_roll_out and self._n_changing[service.name] >= self._limit(service):
+            return "roll-out waits for the runners in transition"
+        if not self._may_leave(assignment.runner_id):
+            return f"waits for runners that {current.service} can spare"
+        return ""
+
+    def _limit(self, service: ServiceSpec) -> int:
+        if service.max_in_transition:
+            return service.max_in_transition
+        return max(1, math.ceil(self._n_target[service.name] / TRANSITION_SHARE))
+
+    def _may_leave(self, runner_id: RunnerId) -> bool:
+        if runner_id not in self._ready:
+            return True
+        name = self._assignments[runner_id].service
+        service = self._configuration.services_by_name[name]
+        return self._n_ready[name] > needed_runners(self._given, service)
+
+    def _leave(self, runner_id: RunnerId) -> None:
+        service = self._assignments.pop(runner_id).service
+        if runner_id in self._ready:
+            self._ready.discard(runner_id)
+            self._n_ready[service] -= 1
+
+    def _change(self, assignment: Assignment) -> None:
+        if assignment.runner_id in self._assignments:
+            self._leave(assignment.runner_id)
+        self._assignments[assignment.runner_id] = assignment
+        self._n_changing[assignment.service] += 1
+        self._budget_gb -= self._weights_gb(assignment)
+        self._is_loading = True
+
+    def _surge(self, pending: Assignment, service: ServiceSpec) -> str:
+        """Let an idle engine join a roll-out that has no runner to spare."""
+        if self._n_changing[service.name] or not self._is_roll_out(pending):
+            return ""
+        statuses = self._given.statuses_by_runner
+        idle = sorted(
+            runner_id
+            for runner_id in self._engines - self._assignments.keys()
+            if runner_id not in self._target
+            and runner_id in statuses
+            and statuses[runner_id].state not in FAULTY_STATES
+        )
+        if not idle:
+            return "roll-out waits: no runner above what is needed, and none idle"
+        self._change(assign(idle[0], service, self._configuration))
+        return "roll-out goes by way of an idle runner"
+
+    def _is_roll_out(self, assignment: Assignment) -> bool:
+        current = self._assignments.get(assignment.runner_id)
+        return current is not None and current.service == assignment.service
+
+    def _unready_dependency(self, service: ServiceSpec) -> ServiceName:
+        """Return a service that has to be ready first, empty when all are."""
+        for name in service.depends_on:
+            if not self._is_service_ready(self._configuration.services_by_name[name]):
+                return name
+        return ""
+
+    def _is_service_ready(self, service: ServiceSpec) -> bool:
+        if service.min_runners == 0:
+            return True
+        if service.kind is ServiceKind.PLAIN:
+            return any(
+                runner.service == service.name and runner.state is HostState.LIVE
+                for runner in self._given.runners
+            )
+        n_wanted = min(service.min_runners, self._n_target[service.name])
+        return self._n_ready[service.name] >= max(1, n_wanted)
+
+    def _note_shortages(self) -> None:
+        for service in self._services:
+            n_held = self._n_target[service.name]
+            wanted = self._given.wanted_by_service.get(service.name, 0)
+            if n_held < service.min_runners:
+                note = f"too few runners: {n_held} of {service.min_runners}"
+                self._notes_by_service[service.name] = note
+            elif wanted > n_held:
+                note = f"load asks for more than {n_held} runners"
+                self._notes_by_service.setdefault(service.name, note)
+
+    def _failures(
+        self, assignments: Mapping[RunnerId, Assignment]
+    ) -> dict[RunnerId, str]:
+        failures = {}
+        for runner_id, assignment in assignments.items():
+            status = self._given.statuses_by_runner.get(runner_id)
+            state = state_for(assignment, status)
+            if status is not None and state in FAULTY_STATES:
+                failures[runner_id] = status.reason or state.value
+        return failures
--- /dev/null
+++ b/libs/placement/src/damaskjunction/placement/shares.py
@@ -0,0 +1,339 @@
+"""Which service each engine of a region should serve, whatever it takes to get there.
+
+When there are too few engines, every service first gets its ``min_runners``, then what
+its online load asks for, then its ``max_runners``. Within a step the service with the
+smallest filled part goes first, and among equals those that others depend on.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections import Counter, defaultdict
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from typing import NamedTuple, TypeAlias
+
+from damaskjunction.core import (
+    Assignment,
+    Configuration,
+    DataCentre,
+    HostState,
+    Plan,
+    Runner,
+    RunnerId,
+    ServiceKind,
+    ServiceName,
+    ServiceSpec,
+)
+from damaskjunction.core.types import EMPTY
+from damaskjunction.placement.types import (
+    RunnerState,
+    RunnerStatus,
+    key_of,
+    state_for,
+)
+
+Need: TypeAlias = Callable[[ServiceSpec], int]
+
+
+class PlanInput(NamedTuple):
+    """What a region's plan is made from.
+
+    ``wanted_by_service`` are the runners that online load asks for.
+    """
+
+    configuration: Configuration
+    runners: Sequence[Runner]
+    previous: Plan
+    statuses_by_runner: Mapping[RunnerId, RunnerStatus] = EMPTY
+    wanted_by_service: Mapping[ServiceName, int] = EMPTY
+
+
+def assign(
+    runner_id: RunnerId, service: ServiceSpec, configuration: Configuration
+) -> Assignment:
+    """Return what an engine serves for a service."""
+    model = configuration.models_by_name[service.model]
+    return Assignment(
+        runner_id, service.name, model.name, model.version, model.adapters
+    )
+
+
+def in_dependency_order(
+    services_by_name: Mapping[str, ServiceSpec],
+) -> Iterable[ServiceSpec]:
+    """Return services so that each comes after those it depends on."""
+    ordered: dict[str, ServiceSpec] = {}
+    stack = sorted(services_by_name, reverse=True)
+    while stack:
+        name = stack[-1]
+        service = services_by_name[name]
+        lacking = [other for other in service.depends_on if other not in ordered]
+        if name in ordered or not lacking:
+            ordered.setdefault(name, service)
+            stack.pop()
+        else:
+            stack += reversed(lacking)
+    return ordered.values()
+
+
+def find_shares(given: PlanInput) -> dict[RunnerId, ServiceName]:
+    """Return the service wanted on each engine by id, moving as few as possible."""
+    board = _Board(given)
+    board.keep()
+    board.fill(lambda service: service.min_runners)
+    board.fill(board.need)
+    board.fill(lambda service: service.max_runners, takes_others=False)
+    board.keep_failed()
+    board.spread()
+    return board.service_by_runner
+
+
+class _Lack(NamedTuple):
+    """A service with fewer engines than it needs: the filled part, and its place."""
+
+    filled: float
+    position: int
+
+
+class _Board:
+    """Engines by the service they are shared to, while shares are found."""
+
+    def __init__(self, given: PlanInput) -> None:
+        self._given = given
+        self.service_by_runner: dict[RunnerId, ServiceName] = {}
+        self._services = [
+            service
+            for service in in_dependency_order(given.configuration.services_by_name)
+            if service.kind is ServiceKind.ENGINE
+        ]
+        self._service_by_key = {
+            key_of(assign("", service, given.configuration)): service
+            for service in reversed(self._services)
+        }
+        self._position_by_service = {
+            service.name: position for position, service in enumerate(self._services)
+        }
+        self._runners_by_id = {
+            runner.runner_id: runner
+            for runner in given.runners
+            if _is_usable(runner, given.statuses_by_runner)
+        }
+        self._held_by_service: dict[ServiceName, set[RunnerId]] = {
+            service.name: set() for service in self._services
+        }
+        self._centres_by_service: dict[ServiceName, Counter[DataCentre]] = {
+            service.name: Counter() for service in self._services
+        }
+        self._failed_by_service: dict[ServiceName, list[RunnerId]] = defaultdict(list)
+        self._free_by_centre: dict[DataCentre, list[RunnerId]] = defaultdict(list)
+
+    def need(self, service: ServiceSpec) -> int:
+        """Return the runners that a service needs for its load, within its bounds."""
+        wanted = self._given.wanted_by_service.get(service.name, 0)
+        return min(max(service.min_runners, wanted), service.max_runners)
+
+    def keep(self) -> None:
+        """Leave engines where they are, up to each service's ``max_runners``."""
+        held: dict[ServiceName, list[Assignment]] = defaultdict(list)
+        for assignment in self._given.previous.assignments_by_runner.values():
+            if assignment.runner_id in self._runners_by_id:
+                held[assignment.service].append(assignment)
+        for service in self._services:
+            self._keep_service(service, held[service.name])
+        known_failed = {
+            runner_id
+            for runner_id, status in self._given.statuses_by_runner.items()
+            if status.state is RunnerState.FAILED
+        }
+        taken = self.service_by_runner.keys() | known_failed
+        for runner_id in sorted(self._runners_by_id.keys() - taken, reverse=True):
+            self._adopt(runner_id)
+
+    def _adopt(self, runner_id: RunnerId) -> None:
+        """Share a free engine to a service whose order it holds already, if any."""
+        status = self._given.statuses_by_runner.get(runner_id)
+        service = self._service_by_key.get(status.loaded) if status else None
+        if service is None or len(self._held_by_service[service.name]) >= (
+            service.max_runners
+        ):
+            self._set_free(runner_id)
+        else:
+            self._give(runner_id, service.name)
+
+    def _keep_service(self, service: ServiceSpec, held: list[Assignment]) -> None:
+        """Keep the best of a service's engines; put aside those that fail alone.
+
+        An engine that fails what another one serves is at fault itself; one that fails
+        what none serves stays, since another would fail too.
+        """
+        wanted_key = key_of(assign("", service, self._given.configuration))
+        states = {
+            assignment.runner_id: state_for(
+                assignment, self._given.statuses_by_runner.get(assignment.runner_id)
+            )
+            for assignment in held
+        }
+        proven = {
+            key_of(assignment)
+            for assignment in held
+            if states[assignment.runner_id] is RunnerState.READY
+        }
+
+        def rank(assignment: Assignment) -> tuple[bool, bool, RunnerId]:
+            state = states[assignment.runner_id]
+            is_other = key_of(assignment) != wanted_key
+            return is_other, state is not RunnerState.READY, assignment.runner_id
+
+        n_kept = 0
+        for assignment in sorted(held, key=rank):
+            is_failed = states[assignment.runner_id] is RunnerState.FAILED
+            if is_failed and key_of(assignment) in proven:
+                self._failed_by_service[service.name].append(assignment.runner_id)
+            elif n_kept < service.max_runners:
+                self._give(assignment.runner_id, service.name)
+                n_kept += 1
+
+    def keep_failed(self) -> None:
+        """Try failed engines again where no other one could be had instead."""
+        for service in self._services:
+            for runner_id in self._failed_by_service[service.name]:
+                if len(self._held_by_service[service.name]) < service.max_runners:
+                    self._give(runner_id, service.name)
+
+    def fill(self, need: Need, *, takes_others: bool = True) -> None:
+        """Give engines to the services that have fewer than they need."""
+        lacking = [
+            self._lack(service, need)
+            for service in self._services
+            if len(self._held_by_service[service.name]) < need(service)
+        ]
+        heapq.heapify(lacking)
+        while lacking:
+            service = self._services[heapq.heappop(lacking).position]
+            runner_id = self._pop_free(service.name)
+            if runner_id is None and takes_others:
+                runner_id = self._take_from_others(service, need)
+            if runner_id is None:
+                continue
+            self._give(runner_id, service.name)
+            if len(self._held_by_service[service.name]) < need(service):
+                heapq.heappush(lacking, self._lack(service, need))
+
+    def _lack(self, service: ServiceSpec, need: Need) -> _Lack:
+        held = len(self._held_by_service[service.name])
+        return _Lack(held / need(service), self._position_by_service[service.name])
+
+    def spread(self) -> None:
+        """Exchange engines until services are in enough data centres."""
+        for service in self._services:
+            centres = self._centres_by_service[service.name]
+            while len(+centres) < service.min_data_centres:
+                if max(centres.values(), default=0) < 2:
+                    break
+                given_up = self._choose_victim(service.name)
+                fresh = self._free_elsewhere(service) or self._other_elsewhere(service)
+                if not fresh:
+                    break
+                self._exchange(given_up, fresh)
+
+    def _free_elsewhere(self, service: ServiceSpec) -> RunnerId:
+        """Return a free engine where the service has none, empty when there is none."""
+        centres = self._centres_by_service[service.name]
+        for centre, free in sorted(self._free_by_centre.items()):
+            if free and not centres[centre]:
+                return free[-1]
+        return ""
+
+    def _other_elsewhere(self, service: ServiceSpec) -> RunnerId:
+        """Return another service's engine that it needn't have in its data centre."""
+        centres = self._centres_by_service[service.name]
+        for runner_id, name in sorted(self.service_by_runner.items()):
+            centre = self._runners_by_id[runner_id].data_centre
+            if name == service.name or centres[centre]:
+                continue
+            others = self._centres_by_service[name]
+            wanted = self._given.configuration.services_by_name[name].min_data_centres
+            if others[centre] > 1 or len(+others) > wanted:
+                return runner_id
+        return ""
+
+    def _exchange(self, given_up: RunnerId, fresh: RunnerId) -> None:
+        """Let two engines change places; ``fresh`` may be a free one."""
+        service = self.service_by_runner[given_up]
+        other = self.service_by_runner.get(fresh)
+        self._take(given_up)
+        if other is None:
+            centre = self._runners_by_id[fresh].data_centre
+            self._free_by_centre[centre].remove(fresh)
+            self._set_free(given_up)
+        else:
+            self._take(fresh)
+            self._give(given_up, other)
+        self._give(fresh, service)
+
+    def _give(self, runner_id: RunnerId, service: ServiceName) -> None:
+        self.service_by_runner[runner_id] = service
+        self._held_by_service[service].add(runner_id)
+        centre = self._runners_by_id[runner_id].data_centre
+        self._centres_by_service[service][centre] += 1
+
+    def _take(self, runner_id: RunnerId) -> None:
+        service = self.service_by_runner.pop(runner_id)
+        self._held_by_service[service].discard(runner_id)
+        centre = self._runners_by_id[runner_id].data_centre
+        self._centres_by_service[service][centre] -= 1
+
+    def _set_free(self, runner_id: RunnerId) -> None:
+        centre = self._runners_by_id[runner_id].data_centre
+        self._free_by_centre[centre].append(runner_id)
+
+    def _pop_free(self, service: ServiceName) -> RunnerId | None:
+        """Return a free engine of the data centre where the service has fewest."""
+        centres = [centre for centre, free in self._free_by_centre.items() if free]
+        if not centres:
+            return None
+        held = self._centres_by_service[service]
+        centre = min(
+            centres,
+            key=lambda name: (held[name], -len(self._free_by_centre[name]), name),
+        )
+        return self._free_by_centre[centre].pop()
+
+    def _take_from_others(self, service: ServiceSpec, need: Need) -> RunnerId | None:
+        """Take an engine from the service that has most above its need."""
+
+        def surplus(other: ServiceSpec) -> tuple[int, int]:
+            n_held = len(self._held_by_service[other.name])
+            return n_held - self.need(other), n_held - need(other)
+
+        others = [
+            other
+            for other in self._services
+            if other is not service
+            and len(self._held_by_service[other.name]) > need(other)
+        ]
+        if not others:
+            return None
+        runner_id = self._choose_victim(max(others, key=surplus).name)
+        self._take(runner_id)
+        return runner_id
+
+    def _choose_victim(self, service: ServiceName) -> RunnerId:
+        """Return the engine to give up: in the fullest data centre, best not ready."""
+        centres = self._centres_by_service[service]
+        ready = self._given.previous.ready_runners
+
+        def rank(runner_id: RunnerId) -> tuple[int, bool, RunnerId]:
+            centre = self._runners_by_id[runner_id].data_centre
+            return -centres[centre], runner_id in ready, runner_id
+
+        return min(self._held_by_service[service], key=rank)
+
+
+def _is_usable(
+    runner: Runner, statuses_by_runner: Mapping[RunnerId, RunnerStatus]
+) -> bool:
+    if runner.kind is not ServiceKind.ENGINE or runner.state is not HostState.LIVE:
+        return False
+    status = statuses_by_runner.get(runner.runner_id)
+    return status is None or status.state is not RunnerState.LOST
--- /dev/null
+++ b/libs/placement/src/damaskjunction/placement/summary.py
@@ -0,0 +1,132 @@
+"""What operators are told of each service."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Mapping, Sequence
+from enum import StrEnum
+from typing import NamedTuple
+
+from damaskjunction.core import (
+    Assignment,
+    Configuration,
+    HostState,
+    Plan,
+    Runner,
+    RunnerId,
+    ServiceKind,
+    ServiceName,
+    ServiceSpec,
+)
+from damaskjunction.core.types import EMPTY
+
+
+class ServiceState(StrEnum):
+    """How far a service is from what the text asks for.
+
+    ``PENDING`` has nothing assigned yet, ``LOADING`` waits for runners to get ready,
+    ``DEGRADED`` has fewer ready than ``min_runners`` because some failed or there are
+    too few.
+    """
+
+    PENDING = "pending"
+    LOADING = "loading"
+    READY = "ready"
+    FAILED = "failed"
+    DEGRADED = "degraded"
+
+
+class ServiceSummary(NamedTuple):
+    """Runners of one service in one region, by state, and why some are lacking.
+
+    ``n_outdated`` of the ready ones serve another version than the text's.
+    """
+
+    name: ServiceName
+    kind: ServiceKind
+    state: ServiceState
+    min_runners: int
+    max_runners: int
+    n_assigned: int = 0
+    n_ready: int = 0
+    n_loading: int = 0
+    n_failed: int = 0
+    n_outdated: int = 0
+    note: str = ""
+    failures_by_runner: Mapping[RunnerId, str] = EMPTY
+
+
+def summarize_services(
+    configuration: Configuration, plan: Plan, runners: Sequence[Runner]
+) -> list[ServiceSummary]:
+    """Return a summary of each service by name."""
+    assignments_by_service: dict[ServiceName, list[Assignment]] = defaultdict(list)
+    for assignment in plan.assignments_by_runner.values():
+        assignments_by_service[assignment.service].append(assignment)
+    summaries = []
+    for name, service in sorted(configuration.services_by_name.items()):
+        if service.kind is ServiceKind.PLAIN:
+            summaries.append(_summarize_plain(service, runners))
+        else:
+            held = assignments_by_service[name]
+            summaries.append(_summarize_engines(service, held, configuration, plan))
+    return summaries
+
+
+def _summarize_plain(service: ServiceSpec, runners: Sequence[Runner]) -> ServiceSummary:
+    n_ready = sum(
+        runner.service == service.name and runner.state is HostState.LIVE
+        for runner in runners
+    )
+    is_short = n_ready < service.min_runners
+    note = f"too few runners: {n_ready} of {service.min_runners}" if is_short else ""
+    return ServiceSummary(
+        service.name,
+        service.kind,
+        ServiceState.DEGRADED if is_short else ServiceState.READY,
+        service.min_runners,
+        service.max_runners,
+        n_assigned=n_ready,
+        n_ready=n_ready,
+        note=note,
+    )
+
+
+def _summarize_engines(
+    service: ServiceSpec,
+    held: Sequence[Assignment],
+    configuration: Configuration,
+    plan: Plan,
+) -> ServiceSummary:
+    failures = {
+        assignment.runner_id: plan.failures_by_runner[assignment.runner_id]
+        for assignment in held
+        if assignment.runner_id in plan.failures_by_runner
+    }
+    n_ready = sum(a.runner_id in plan.ready_runners for a in held)
+    version = configuration.models_by_name[service.model].version
+    summary = ServiceSummary(
+        service.name,
+        service.kind,
+        ServiceState.PENDING,
+        service.min_runners,
+        service.max_runners,
+        n_assigned=len(held),
+        n_ready=n_ready,
+        n_loading=len(held) - n_ready - len(failures),
+        n_failed=len(failures),
+        n_outdated=sum(assignment.version != version for assignment in held),
+        note=plan.notes_by_service.get(service.name, ""),
+        failures_by_runner=failures,
+    )
+    return summary._replace(state=_state_of(summary))
+
+
+def _state_of(summary: ServiceSummary) -> ServiceState:
+    if summary.n_ready >= summary.min_runners and summary.n_outdated == 0:
+        return ServiceState.READY
+    if summary.n_loading or summary.n_outdated:
+        return ServiceState.LOADING
+    if summary.n_failed:
+        return ServiceState.DEGRADED if summary.n_ready else ServiceState.FAILED
+    return ServiceState.DEGRADED if summary.n_assigned else ServiceState.PENDING
--- /dev/null
+++ b/libs/placement/src/damaskjunction/placement/types.py
@@ -0,0 +1,108 @@
+"""States of runners, as their homes and the planner tell them."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from enum import StrEnum
+from typing import NamedTuple
+
+from damaskjunction.core import Assignment, Plan, RunnerId, ServiceName
+
+
+class RunnerState(StrEnum):
+    """What an engine does with its order.
+
+    ``UNREACHABLE`` runners answered no probe; ``LOST`` ones have not done so for long
+    enough to be replaced. ``UNKNOWN`` means that nobody has told lately.
+    """
+
+    UNKNOWN = "unknown"
+    EMPTY = "empty"
+    LOADING = "loading"
+    READY = "ready"
+    FAILED = "failed"
+    UNREACHABLE = "unreachable"
+    LOST = "lost"
+
+
+class RunnerStatus(NamedTuple):
+    """One engine's state as it was read back.
+
+    ``loaded`` is the ``order_key`` of the order that the engine holds, ``fence`` the
+    highest fencing number it has taken, and ``in_flight`` the requests that it runs.
+    """
+
+    runner_id: RunnerId
+    state: RunnerState
+    loaded: str = ""
+    fence: int = 0
+    checks_fence: bool = True
+    in_flight: int = 0
+    reason: str = ""
+
+
+class ServiceLoad(NamedTuple):
+    """Online requests of one service that callers have under way at one host."""
+
+    service_name: ServiceName
+    in_flight: int
+
+
+def order_key(
+    model: str, version: str, adapters: tuple[str, ...] = (), role: str = "serve"
+) -> str:
+    """Return a text that is equal for equal orders."""
+    return f"{model}@{version}[{','.join(sorted(adapters))}]/{role}" if model else ""
+
+
+def key_of(assignment: Assignment) -> str:
+    """Return the ``order_key`` of what an engine is wanted to serve."""
+    return order_key(
+        assignment.model, assignment.version, assignment.adapters, assignment.role
+    )
+
+
+def state_for(assignment: Assignment, status: RunnerStatus | None) -> RunnerState:
+    """Return the state of an engine in view of what it is wanted to serve.
+
+    An engine that holds another order is ``EMPTY`` for this one.
+    """
+    if status is None:
+        return RunnerState.UNKNOWN
+    if status.state in (
+        RunnerState.UNKNOWN,
+        RunnerState.UNREACHABLE,
+        RunnerState.LOST,
+    ):
+        return status.state
+    if status.loaded != key_of(assignment):
+        return RunnerState.EMPTY
+    return status.state
+
+
+def ready_runners(
+    previous: Plan,
+    assignments_by_runner: Mapping[RunnerId, Assignment],
+    statuses_by_runner: Mapping[RunnerId, RunnerStatus],
+) -> frozenset[RunnerId]:
+    """Return the runners that serve what they are assigned to.
+
+    One whose state nobody has told lately is taken as it was in the previous plan, so
+    that a new lease holder starts from what was known.
+    """
+    return frozenset(
+        runner_id
+        for runner_id, assignment in assignments_by_runner.items()
+        if _is_ready(previous, assignment, statuses_by_runner.get(runner_id))
+    )
+
+
+def _is_ready(
+    previous: Plan, assignment: Assignment, status: RunnerStatus | None
+) -> bool:
+    state = state_for(assignment, status)
+    if state is not RunnerState.UNKNOWN:
+        return state is RunnerState.READY
+    runner_id = assignment.runner_id
+    was_ready = runner_id in previous.ready_runners
+    return was_ready and previous.assignments_by_runner.get(runner_id) == assignment
--- a/libs/wire/src/damaskjunction/wire/__init__.py
+++ b/libs/wire/src/damaskjunction/wire/__init__.py
@@ -17,7 +17,12 @@
     PeerServer,
     Reply,
 )
-from damaskjunction.wire.messages import Failure, HostStatus, StatusQuery
+from damaskjunction.wire.messages import (
+    Failure,
+    HostStatus,
+    PlacementQuery,
+    StatusQuery,
+)
 
 __all__ = [
     "CallHandler",
@@ -28,6 +33,7 @@
     "Message",
     "PeerLinks",
     "PeerServer",
+    "PlacementQuery",
     "Reply",
     "StatusQuery",
     "decode_frame",
--- a/libs/wire/src/damaskjunction/wire/messages.py
+++ b/libs/wire/src/damaskjunction/wire/messages.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple
 
 from damaskjunction.core import HostId, Outcome, RequestError, Revision
+from damaskjunction.placement import RunnerStatus, ServiceLoad
 from damaskjunction.routing import Forward, PlainAnswer, StreamEnd, Token
 from damaskjunction.wire.codec import register_message
 
@@ -48,5 +49,17 @@
     state: str
 
 
-for _message_type in (Forward, Token, StreamEnd, PlainAnswer):
+@register_message
+class PlacementQuery(NamedTuple):
+    """Asks a host for the states of its runners and the load of services."""
+
+
+for _message_type in (
+    RunnerStatus,
+    ServiceLoad,
+    Forward,
+    Token,
+    StreamEnd,
+    PlainAnswer,
+):
     register_message(_message_type)
--- a/libs/wire/src/damaskjunction/wire/peer.thrift
+++ b/libs/wire/src/damaskjunction/wire/peer.thrift
@@ -64,3 +64,24 @@
   3: i64 plan_revision
   4: string state
 }
+
+// Asks a host for the states of its runners and the load of services.
+struct PlacementQuery {
+}
+
+// What an engine does with its order, as its home read it back.
+struct RunnerStatus {
+  1: string runner_id
+  2: string state
+  3: string loaded
+  4: i64 fence
+  5: bool checks_fence
+  6: i32 in_flight
+  7: string reason
+}
+
+// Online requests of a service that callers have under way at the host.
+struct ServiceLoad {
+  1: string service_name
+  2: i32 in_flight
+}
