Cover lease, orders, states and demand; loads from a rate-limited store

Found by the features: a host that looks seldom took an old look for a lapsed lease, so that 370 hosts made 95 calls a second; it now wants two looks at one version, at least the lease's time apart (at most 25 a second at 370 hosts). Orders that had no effect starved later engines of the rate; the least often sent now go first.

--- /dev/null
+++ b/libs/placement/features/steps/lease_steps.py
@@ -0,0 +1,285 @@
+"""Steps of the lease: hosts with clocks of their own around one stored object."""
+
+from __future__ import annotations
+
+from behave import given, then, when
+from hypothesis import given as drawn
+from hypothesis import settings as draws
+from hypothesis import strategies
+
+from damaskjunction.placement import ReadLease, RegionLease, WriteLease
+
+STEP_S = 0.2
+
+
+class Platform:
+    """The stored lease; faults are switched on by the test."""
+
+    def __init__(self):
+        self.version = 0
+        self.holder = ""
+        self.is_down = False
+        self.n_calls = 0
+
+
+class Host:
+    """One host's lease; a delayed write reaches the platform some steps later."""
+
+    def __init__(self, name):
+        self.name = name
+        self.lease = RegionLease(name)
+        self.is_dead = False
+        self.is_paused = False
+        self.loses_answer = False
+        self.delayed = None
+        self.log = []
+        self.rank = 0
+
+    def step(self, now_s, platform):
+        if self.is_dead or self.is_paused:
+            return
+        action = self.lease.next_action(now_s, rank=self.rank)
+        if action is None:
+            return
+        platform.n_calls += 1
+        if platform.is_down:
+            self.lease.take_unavailable(now_s)
+        elif isinstance(action, ReadLease):
+            self.log.append("read")
+            self.lease.take_read(now_s, platform.version, platform.holder)
+        else:
+            self._write(now_s, platform, action)
+
+    def _write(self, now_s, platform, action):
+        if self.delayed is not None:
+            delay, _ = self.delayed
+            self.delayed = (delay, action)
+            self.lease.doubt()
+            return
+        is_current = platform.version == action.expected_version
+        if is_current:
+            self.apply(platform, action)
+        if self.loses_answer:
+            self.loses_answer = False
+            self.log.append("lost")
+            self.lease.doubt()
+        elif is_current:
+            self.log.append("write")
+            if action.holder:
+                self.lease.take_written(now_s, platform.version)
+        else:
+            self.lease.take_conflict(now_s, platform.version, platform.holder)
+
+    def apply(self, platform, action):
+        if platform.version == action.expected_version:
+            platform.version += 1
+            platform.holder = action.holder
+
+    def arrive(self, platform):
+        """Let a delayed write reach the platform when its time has come."""
+        if self.delayed is None:
+            return
+        delay, action = self.delayed
+        if delay > 0:
+            self.delayed = (delay - 1, action)
+            return
+        self.delayed = None
+        if isinstance(action, WriteLease):
+            self.apply(platform, action)
+
+
+class Hosts:
+    """Hosts that step on together."""
+
+    def __init__(self, names):
+        self.platform = Platform()
+        self.hosts = {name: Host(name) for name in names}
+        for rank, host in enumerate(self.hosts.values()):
+            host.rank = rank
+        self.now_s = 100.0
+        self.fences = []
+        self.idle_s = 0.0
+        self.longest_idle_s = 0.0
+
+    def run(self, duration_s):
+        for _ in range(round(duration_s / STEP_S)):
+            self.now_s += STEP_S
+            for host in self.hosts.values():
+                host.step(self.now_s, self.platform)
+                host.arrive(self.platform)
+            self.look()
+
+    def actors(self):
+        return [
+            host.name
+            for host in self.hosts.values()
+            if not host.is_dead and host.lease.may_act(self.now_s)
+        ]
+
+    def look(self):
+        actors = self.actors()
+        assert len(actors) <= 1, actors
+        if actors:
+            self.fences.append(self.hosts[actors[0]].lease.fence)
+        self.idle_s = 0.0 if actors else self.idle_s + STEP_S
+        self.longest_idle_s = max(self.longest_idle_s, self.idle_s)
+
+
+@given('hosts "{names}" and no lease')
+def make_hosts(context, names):
+    context.hosts = Hosts(names.split(","))
+
+
+@given('hosts "{names}" and a lease held by "{holder}"')
+def make_held(context, names, holder):
+    make_hosts(context, names)
+    hosts = context.hosts
+    hosts.hosts[holder].step(hosts.now_s, hosts.platform)
+    hosts.hosts[holder].step(hosts.now_s, hosts.platform)
+    hosts.run(2.0)
+    assert hosts.actors() == [holder]
+    hosts.longest_idle_s = 0.0
+
+
+@given("{count:d} hosts and a lease held by one of them")
+def make_many(context, count):
+    make_held(context, ",".join(f"host-{number}" for number in range(count)), "host-0")
+    context.hosts.platform.n_calls = 0
+
+
+@then("{duration_s:g} s pass")
+@when("{duration_s:g} s pass")
+def pass_time(context, duration_s):
+    context.duration_s = duration_s
+    context.hosts.run(duration_s)
+
+
+@when('"{name}" is killed')
+def kill(context, name):
+    context.hosts.hosts[name].is_dead = True
+
+
+@when('"{name}" is paused')
+def pause(context, name):
+    context.hosts.hosts[name].is_paused = True
+
+
+@when('"{name}" wakes')
+def wake(context, name):
+    context.hosts.hosts[name].is_paused = False
+
+
+@when('"{name}" drains')
+def drain(context, name):
+    host = context.hosts.hosts[name]
+    host.apply(context.hosts.platform, host.lease.release())
+    host.is_dead = True
+
+
+@when("the platform is {state}")
+def set_platform(context, state):
+    context.hosts.platform.is_down = state == "down"
+
+
+@when('the next write of "{name}" takes effect without an answer')
+def lose_answer(context, name):
+    host = context.hosts.hosts[name]
+    host.loses_answer = True
+    host.log.clear()
+
+
+@then("one host may act")
+def check_one(context):
+    assert len(context.hosts.actors()) == 1, context.hosts.actors()
+
+
+@then("no host may act")
+def check_none(context):
+    assert not context.hosts.actors()
+
+
+@then('one host may act, and it is not "{name}"')
+def check_other(context, name):
+    actors = context.hosts.actors()
+    assert len(actors) == 1 and actors != [name], actors
+
+
+@then("nobody could act for at least {duration_s:g} s in between")
+def check_gap(context, duration_s):
+    assert context.hosts.longest_idle_s >= duration_s, context.hosts.longest_idle_s
+
+
+@then('"{name}" may not act before it has read the lease')
+def check_woken(context, name):
+    hosts = context.hosts
+    assert not hosts.hosts[name].lease.may_act(hosts.now_s)
+    action = hosts.hosts[name].lease.next_action(hosts.now_s)
+    assert isinstance(action, ReadLease), action
+
+
+@then(
+    'the last thing that "{name}" did before it could act again was a read and a write'
+)
+def check_read_back(context, name):
+    log = context.hosts.hosts[name].log
+    lost = log.index("lost")
+    assert log[lost + 1 : lost + 3] == ["read", "write"], log
+    assert context.hosts.actors() == [name]
+
+
+@then("fencing numbers only grew")
+def check_fences(context):
+    assert context.hosts.fences == sorted(context.hosts.fences)
+
+
+@then("the platform had at most {count:d} calls a second")
+def check_calls(context, count):
+    rate = context.hosts.platform.n_calls / context.duration_s
+    assert rate <= count, rate
+
+
+FAULTS = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from(
+            ["run", "kill", "pause", "wake", "lose", "delay", "down", "up", "fence"]
+        ),
+        strategies.integers(0, 2),
+        strategies.integers(0, 40),
+    ),
+    min_size=3,
+    max_size=30,
+)
+
+
+@then("in {count:d} drawn histories at most one host may act at any moment")
+def check_histories(context, count):
+    @draws(max_examples=count, deadline=None, database=None, derandomize=True)
+    @drawn(FAULTS)
+    def check(history):
+        hosts = Hosts(["a", "b", "c"])
+        for fault, number, n_steps in history:
+            set_fault(hosts, list(hosts.hosts.values())[number], fault, n_steps)
+            hosts.run(STEP_S * n_steps)
+        assert hosts.fences == sorted(hosts.fences)
+        hosts.platform.is_down = False
+        for host in hosts.hosts.values():
+            host.is_dead = host.is_paused = False
+        hosts.run(20.0)
+        assert len(hosts.actors()) == 1
+
+    check()
+
+
+def set_fault(hosts, host, fault, n_steps):
+    if fault == "kill":
+        host.is_dead = True
+    elif fault in ("pause", "wake"):
+        host.is_paused = fault == "pause"
+    elif fault == "lose":
+        host.loses_answer = True
+    elif fault == "delay" and host.delayed is None:
+        host.delayed = (n_steps, None)
+    elif fault in ("down", "up"):
+        hosts.platform.is_down = fault == "down"
+    elif fault == "fence":
+        host.lease.doubt()
--- a/libs/placement/src/damaskjunction/placement/lease.py
+++ b/libs/placement/src/damaskjunction/placement/lease.py
@@ -105,7 +105,7 @@
             if now_s < self._renewed_at_s + self.times.renew_s:
                 return None
             return WriteLease(self._version, self._holder)
-        if self._is_known and self._is_free(now_s):
+        if self._is_known and self._is_free():
             return WriteLease(self._version, self._holder)
         pause_s = self.times.poll_s * (1 + rank // POLL_RANKS)
         if self._looked_at_s is None or now_s >= self._looked_at_s + pause_s:
@@ -161,7 +161,10 @@
         self._version = version
         self._seen_holder = holder
 
-    def _is_free(self, now_s: float) -> bool:
+    def _is_free(self) -> bool:
+        """Return whether the last look showed a lease that may be taken."""
         if self._version == 0 or self._seen_holder in ("", self._holder):
             return True
-        return now_s - self._seen_at_s >= self.times.lease_s
+        if self._looked_at_s is None:
+            return False
+        return self._looked_at_s - self._seen_at_s >= self.times.lease_s
--- a/libs/placement/src/damaskjunction/placement/orders.py
+++ b/libs/placement/src/damaskjunction/placement/orders.py
@@ -73,9 +73,9 @@
     """An engine that doesn't do what it should: since when, and what was sent."""
 
     key: str
-    since_s: float
     n_sent: int = 0
     next_at_s: float = 0.0
+    since_s: float = 0.0
 
 
 class OrderBook:
@@ -123,6 +123,7 @@
         self._orders.fill(now_s)
         self._read_backs.fill(now_s)
         actions: list[OrderAction] = []
+        due: list[Assignment] = []
         for runner_id, assignment in plan.assignments_by_runner.items():
             status = statuses_by_runner.get(runner_id)
             if status is None or status.state is RunnerState.UNKNOWN:
@@ -130,11 +131,23 @@
             elif self._is_as_wanted(assignment, status):
                 self._waits_by_runner.pop(runner_id, None)
             elif self._is_due(now_s, assignment, status, held_since_s):
-                self._note_sent(now_s, runner_id)
-                actions.append(SendOrder(assignment))
+                due.append(assignment)
+        actions += self._send(now_s, due)
         self._forget_others(plan)
         return actions
 
+    def _send(self, now_s: float, due: list[Assignment]) -> list[OrderAction]:
+        """Return as many orders as the rate allows, the least often sent first."""
+        waits = self._waits_by_runner
+        due.sort(key=lambda assignment: waits[assignment.runner_id].n_sent)
+        actions: list[OrderAction] = []
+        for assignment in due:
+            if not self._orders.take():
+                break
+            self._note_sent(now_s, assignment.runner_id)
+            actions.append(SendOrder(assignment))
+        return actions
+
     def _is_as_wanted(self, assignment: Assignment, status: RunnerStatus) -> bool:
         state = state_for(assignment, status)
         return state in (
@@ -163,16 +176,14 @@
         key = key_of(assignment)
         wait = self._waits_by_runner.get(assignment.runner_id)
         if wait is None or wait.key != key:
-            wait = _Wait(key, now_s)
+            wait = _Wait(key, since_s=now_s)
             self._waits_by_runner[assignment.runner_id] = wait
         if now_s < wait.next_at_s:
             return False
         is_serving = status.state is RunnerState.READY and wait.n_sent == 0
         if is_serving and not self._is_drained(now_s, wait, status):
             return False
-        if not status.checks_fence and now_s < held_since_s + self._times.wait_out_s:
-            return False
-        return self._orders.take()
+        return status.checks_fence or now_s >= held_since_s + self._times.wait_out_s
 
     def _is_drained(self, now_s: float, wait: _Wait, status: RunnerStatus) -> bool:
         waited_s = now_s - wait.since_s
--- a/libs/standins/src/damaskjunction/standins/__init__.py
+++ b/libs/standins/src/damaskjunction/standins/__init__.py
@@ -8,6 +8,7 @@
     deployments,
 )
 from damaskjunction.standins.engine import (
+    BROKEN_VERSION,
     CRASH_MARK,
     EngineSpeed,
     EngineStandin,
@@ -27,6 +28,7 @@
 from damaskjunction.standins.proxy import Mode, ProxyStandin
 
 __all__ = [
+    "BROKEN_VERSION",
     "CALLER_KEY",
     "CRASH_MARK",
     "Answer",
--- a/libs/standins/src/damaskjunction/standins/__main__.py
+++ b/libs/standins/src/damaskjunction/standins/__main__.py
@@ -43,6 +43,7 @@
         LoopTimers(),
         speed=speed,
         checks_fence=not arguments.ignore_fence,
+        weight_store=arguments.weight_store,
     )
     await engine.start()
     await engine.crashed.wait()
@@ -81,6 +82,7 @@
         "--load-s-per-gb", type=float, default=EngineSpeed().load_s_per_gb
     )
     parser.add_argument("--ignore-fence", action="store_true")
+    parser.add_argument("--weight-store", type=Address.from_text)
     arguments = parser.parse_args()
     try:
         asyncio.run(standin_kinds.get(arguments.kind)(arguments))
--- a/libs/standins/src/damaskjunction/standins/deployment.py
+++ b/libs/standins/src/damaskjunction/standins/deployment.py
@@ -265,7 +265,9 @@
         if runner.service:
             extra: tuple[str, ...] = ("--service", runner.service)
             return _standin(runner.runner_id, "plain", runner.address, *extra)
-        extra = ("--slots", str(runner.slots), *self._engine_arguments)
+        store = str(self.fleet.addresses_by_name["platform"])
+        extra = ("--slots", str(runner.slots), "--weight-store", store)
+        extra += self._engine_arguments
         return _standin(runner.runner_id, "engine", runner.address, *extra)
 
     def _host_spec(self, host: EntryHost) -> ProcessSpec:
--- a/libs/standins/src/damaskjunction/standins/engine.py
+++ b/libs/standins/src/damaskjunction/standins/engine.py
@@ -12,6 +12,7 @@
 from damaskjunction.http import (
     EVENT_STREAM_TYPE,
     Event,
+    HttpClient,
     HttpError,
     HttpServer,
     Request,
@@ -24,6 +25,9 @@
 from damaskjunction.standins.faults import Faults
 
 CRASH_MARK = "CRASH-THE-ENGINE"
+BROKEN_VERSION = "broken"
+WEIGHTS_STALL_S = 600.0
+ORDERS_KEPT = 1000
 BLOCK_CHARACTERS = 32
 EVENTS_KEPT = 1000
 
@@ -68,7 +72,8 @@
 
     Faults: ``frozen`` (1: no steps), ``cut_streams`` (the next n streams are cut
     after a few tokens), ``slow_factor`` (steps take that much longer),
-    ``ignore_cancel``. A prompt holding ``CRASH_MARK`` ends the process with exit code
+    ``ignore_cancel``, ``fail_loads`` (the next n loads fail; those of
+    ``BROKEN_VERSION`` always do). A prompt holding ``CRASH_MARK`` ends the process with exit code
     17 when its first token is due.
     """
 
@@ -79,6 +84,7 @@
         *,
         speed: EngineSpeed | None = None,
         checks_fence: bool = True,
+        weight_store: Address | None = None,
     ) -> None:
         self._timers = timers
         self._speed = speed or EngineSpeed()
@@ -89,13 +95,20 @@
         self._n_events = 0
         self._fence = 0
         self._order: dict[str, Any] = {}
-        self._is_ready = False
+        self._state = "empty"
+        self._reason = ""
+        self._orders: list[dict[str, Any]] = []
+        self._weight_store = weight_store
+        self._client = HttpClient(timers)
+        self._load: asyncio.Task[None] | None = None
         self._step: Subscription | None = None
         self._load_report: dict[str, Any] = {"running": 0, "kv_used": 0}
         self._runs_by_id: dict[str, int] = {}
         self._n_tokens = 0
         self.crashed = asyncio.Event()
-        self.faults = Faults("frozen", "cut_streams", "slow_factor", "ignore_cancel")
+        self.faults = Faults(
+            "frozen", "cut_streams", "slow_factor", "ignore_cancel", "fail_loads"
+        )
         self._routes = self._make_routes()
         self._server = HttpServer(address, self._routes.handle)
 
@@ -107,6 +120,9 @@
 
     async def close(self) -> None:
         """Stop serving."""
+        if self._load is not None:
+            self._load.cancel()
+        self._client.close()
         await self._server.close()
 
     def _make_routes(self) -> Routes:
@@ -120,11 +136,12 @@
         routes.register("PUT", "/v1/order")(self._put_order)
         routes.register("GET", "/v1/order")(self._get_order)
         routes.register("GET", "/test/runs")(self._get_runs)
+        routes.register("GET", "/test/orders")(self._get_orders)
         return routes
 
     async def _generate(self, request: Request) -> Response:
         document = await read_json(request)
-        if not self._is_ready:
+        if self._state != "ready":
             raise HttpError(409, "no_model_loaded")
         stream = _Stream(document)
         self._runs_by_id[stream.stream_id] = (
@@ -235,27 +252,62 @@
 
     async def _put_order(self, request: Request) -> Response:
         document = await read_json(request)
-        fence = int(document["fence"])
-        if self._checks_fence and fence < self._fence:
+        fence, order = int(document["fence"]), document["order"]
+        is_stale = fence < self._fence
+        is_taken = not (self._checks_fence and is_stale)
+        self._orders.append(
+            {
+                "wall_s": self._timers.wall(),
+                "fence": fence,
+                "is_stale": is_stale,
+                "is_taken": is_taken,
+                "is_change": order != self._order,
+                "version": order["version"],
+            }
+        )
+        del self._orders[:-ORDERS_KEPT]
+        if not is_taken:
             raise HttpError(409, "stale_fence", fence=self._fence)
         self._fence = max(fence, self._fence)
-        order = document["order"]
-        if order != self._order:
-            self._order = order
-            self._is_ready = False
-            delay_s = self._speed.load_s_per_gb * float(order.get("weights_gb", 1))
-            self._timers.once(delay_s, lambda: self._finish_load(order))
+        if order != self._order or self._state == "failed":
+            self._begin_load(order)
         return await self._get_order(request)
 
-    def _finish_load(self, order: dict[str, Any]) -> None:
-        if order == self._order and order.get("model"):
-            self._is_ready = True
+    def _begin_load(self, order: dict[str, Any]) -> None:
+        if self._load is not None:
+            self._load.cancel()
+        self._order = order
+        self._state = "loading"
+        self._reason = ""
+        self._load = asyncio.ensure_future(self._load_weights(order))
+
+    async def _load_weights(self, order: dict[str, Any]) -> None:
+        weights_gb = float(order.get("weights_gb", 1))
+        if self._weight_store is not None:
+            target = f"/weights/{order['model']}/{order['version']}?gb={weights_gb:g}"
+            response = await self._client.send(
+                self._weight_store, "GET", target, stall_s=WEIGHTS_STALL_S
+            )
+            await response.read()
+        await asyncio.sleep(self._speed.load_s_per_gb * weights_gb)
+        if self.faults.take("fail_loads") or order["version"] == BROKEN_VERSION:
+            self._state = "failed"
+            self._reason = f"version {order['version']} does not load"
+        else:
+            self._state = "ready"
 
     async def _get_order(self, request: Request) -> Response:
-        state = "ready" if self._is_ready else "loading" if self._order else "empty"
-        document = {"order": self._order, "state": state, "fence": self._fence}
+        document = {
+            "order": self._order,
+            "state": self._state,
+            "reason": self._reason,
+            "fence": self._fence,
+        }
         return to_json_response(document)
 
+    async def _get_orders(self, request: Request) -> Response:
+        return to_json_response({"orders": self._orders})
+
     async def _get_runs(self, request: Request) -> Response:
         document = {"runs_by_id": self._runs_by_id, "n_tokens": self._n_tokens}
         return to_json_response(document)
--- a/libs/standins/src/damaskjunction/standins/platform.py
+++ b/libs/standins/src/damaskjunction/standins/platform.py
@@ -38,7 +38,9 @@
 
     Faults: ``down`` (1: connections are cut), ``slow_s`` (delay of each call),
     ``lose_answers`` (the next n writes take effect without an answer),
-    ``hosts_lag_s`` (age of the host list), ``calls_per_s`` (limit; 0 is none).
+    ``hosts_lag_s`` (age of the host list), ``calls_per_s`` (limit; 0 is none),
+    ``weights_gb_per_s`` (rate of the weight store, which serves one load after the
+    other; 0 is no limit).
     """
 
     def __init__(self, address: Address, timers: Timers) -> None:
@@ -52,8 +54,14 @@
         self._budget = 0.0
         self._budget_at_s = timers.now()
         self.faults = Faults(
-            "down", "slow_s", "lose_answers", "hosts_lag_s", "calls_per_s"
+            "down",
+            "slow_s",
+            "lose_answers",
+            "hosts_lag_s",
+            "calls_per_s",
+            "weights_gb_per_s",
         )
+        self._weights_free_at_s = timers.now()
         self._server = HttpServer(address, self._handle)
         self._routes = self._make_routes()
 
@@ -76,10 +84,11 @@
         routes.register("GET", "/v1/hosts")(self._get_hosts)
         routes.register("PUT", "/test/hosts")(self._put_hosts)
         routes.register("GET", "/test/counts")(self._get_counts)
+        routes.register("GET", "/weights/{model}/{version}")(self._get_weights)
         return routes
 
     async def _handle(self, request: Request) -> Response:
-        if request.path.startswith("/test/"):
+        if request.path.startswith(("/test/", "/weights/")):
             return await self._routes.handle(request)
         if self.faults["down"]:
             raise ConnectionResetError("outage")
@@ -212,6 +221,17 @@
         self._hosts.append(_HostsAt(self._timers.now(), document))
         return to_json_response({"revision": document["revision"]})
 
+    async def _get_weights(
+        self, request: Request, model: str, version: str
+    ) -> Response:
+        rate = self.faults["weights_gb_per_s"]
+        if rate:
+            duration_s = float(request.query.get("gb", "1")) / rate
+            begin_s = max(self._timers.now(), self._weights_free_at_s)
+            self._weights_free_at_s = begin_s + duration_s
+            await asyncio.sleep(self._weights_free_at_s - self._timers.now())
+        return to_json_response({"model": model, "version": version})
+
     async def _get_counts(self, request: Request) -> Response:
         return to_json_response(self._counts_by_call)
 
