--- a/libs/node/src/damaskjunction/node/services.py
+++ b/libs/node/src/damaskjunction/node/services.py
@@ -7,7 +7,7 @@
 
 from damaskjunction.http import Request, Response, Routes, to_json_response
 from damaskjunction.node.state import HostView
-from damaskjunction.placement import summarize_services
+from damaskjunction.placement import ServiceSummary, summarize_services
 
 
 class ServicesFront:
@@ -51,5 +51,10 @@
             "region": region,
             "configuration_revision": view.configuration.revision,
             "planned_revision": view.plan.configuration_revision,
-            "services": [summary._asdict() for summary in summaries],
+            "services": [_to_document(summary) for summary in summaries],
         }
+
+
+def _to_document(summary: ServiceSummary) -> dict[str, Any]:
+    failures = dict(summary.failures_by_runner)
+    return summary._replace(failures_by_runner=failures)._asdict()
--- a/libs/standins/src/damaskjunction/standins/engine.py
+++ b/libs/standins/src/damaskjunction/standins/engine.py
@@ -73,8 +73,8 @@
     Faults: ``frozen`` (1: no steps), ``cut_streams`` (the next n streams are cut
     after a few tokens), ``slow_factor`` (steps take that much longer),
     ``ignore_cancel``, ``fail_loads`` (the next n loads fail; those of
-    ``BROKEN_VERSION`` always do). A prompt holding ``CRASH_MARK`` ends the process with exit code
-    17 when its first token is due.
+    ``BROKEN_VERSION`` always do). A prompt holding ``CRASH_MARK`` ends the process
+    with exit code 17 when its first token is due.
     """
 
     def __init__(
