Split batch jobs into decisions and small adapters; claim by lease, commit once

A chunk's claim and outcome are one object, so claim, renewal and commit are conditional updates of one version. Jobs are uploaded as streams or in parts, cancelled by a durable mark, scheduled by deadline with fair shares, metered, and held below the ceiling of the minute by slices of a shared pool.

--- /dev/null
+++ b/libs/batch/src/damaskjunction/batch/forecast.py
@@ -0,0 +1,79 @@
+"""Forecast of a job: on time, at risk or late, and why."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import NamedTuple
+
+AT_RISK_FRACTION = 0.8
+
+
+class Prospect(StrEnum):
+    """Whether a job will meet its deadline."""
+
+    ON_TIME = "on_time"
+    AT_RISK = "at_risk"
+    LATE = "late"
+
+
+class JobProgress(NamedTuple):
+    """How far an open job is.
+
+    ``elapsed_s`` and ``left_s`` are seconds since acceptance and until the deadline;
+    ``is_budget_spent`` tells that the minute's ceiling holds work back.
+    """
+
+    n_items: int
+    n_done: int
+    elapsed_s: float
+    left_s: float
+    has_runners: bool = True
+    is_budget_spent: bool = False
+
+
+class Forecast(NamedTuple):
+    """A job's prospect, the reason for it, and seconds until its expected end."""
+
+    prospect: Prospect
+    reason: str
+    remaining_s: float | None = None
+
+
+def forecast_job(progress: JobProgress) -> Forecast:
+    """Return the prospect of an open job from its pace so far."""
+    n_left = progress.n_items - progress.n_done
+    if n_left <= 0:
+        return Forecast(Prospect.ON_TIME, "every item is done", 0.0)
+    if progress.left_s <= 0:
+        reason = f"{n_left} items are left after the deadline{_cause(progress)}"
+        return Forecast(Prospect.LATE, reason)
+    if progress.n_done == 0:
+        return _forecast_unstarted(progress)
+    remaining_s = n_left * progress.elapsed_s / progress.n_done
+    reason = (
+        f"{n_left} items need {remaining_s:.0f} s at the pace so far, "
+        f"{progress.left_s:.0f} s are left{_cause(progress)}"
+    )
+    if remaining_s > progress.left_s:
+        return Forecast(Prospect.LATE, reason, remaining_s)
+    if remaining_s > AT_RISK_FRACTION * progress.left_s:
+        return Forecast(Prospect.AT_RISK, reason, remaining_s)
+    return Forecast(Prospect.ON_TIME, reason, remaining_s)
+
+
+def _forecast_unstarted(progress: JobProgress) -> Forecast:
+    whole_s = progress.elapsed_s + progress.left_s
+    is_risky = progress.elapsed_s > (1 - AT_RISK_FRACTION) * whole_s
+    prospect = Prospect.AT_RISK if is_risky else Prospect.ON_TIME
+    if not progress.has_runners:
+        prospect = Prospect.AT_RISK
+    reason = f"no item is done after {progress.elapsed_s:.0f} s{_cause(progress)}"
+    return Forecast(prospect, reason)
+
+
+def _cause(progress: JobProgress) -> str:
+    if not progress.has_runners:
+        return "; no runner serves it"
+    if progress.is_budget_spent:
+        return "; the ceiling of the minute holds it back"
+    return ""
--- a/libs/batch/src/damaskjunction/batch/jobs.py
+++ b/libs/batch/src/damaskjunction/batch/jobs.py
@@ -1,66 +1,129 @@
-"""Batch jobs: identity, chunks and the documents that are stored."""
+"""Identity and acceptance of jobs, and the names of what is stored for them."""
 
 from __future__ import annotations
 
 import hashlib
-from collections.abc import Iterator, Sequence
-from typing import NamedTuple, NotRequired, TypedDict
+import itertools
+from enum import StrEnum
+from typing import NamedTuple
 
-from damaskjunction.core import JobId, ServiceName, WorkspaceName
+from damaskjunction.batch.documents import JobDocument, SegmentDocument
+from damaskjunction.core import DamaskjunctionError, JobId, ServiceName, WorkspaceName
 
 MAX_JOB_ITEMS = 79_000
-CHUNK_ITEMS = 200
+ID_CHARACTERS = 24
 
 
-class ItemDocument(TypedDict):
-    """One line of an uploaded job."""
+class JobState(StrEnum):
+    """State of a job record."""
 
-    prompt: str
-    max_tokens: NotRequired[int]
+    OPEN = "open"
+    CANCELLED = "cancelled"
+    COMPLETE = "complete"
 
 
-class ResultDocument(TypedDict):
-    """The result of one item: its answer, or why there is none."""
+class KeyInUseError(DamaskjunctionError):
+    """A job with another body was accepted under the same key."""
 
-    index: int
-    text: NotRequired[str]
-    error: NotRequired[str]
 
+class ChunkPlace(NamedTuple):
+    """Where the items of a chunk are, and the job-wide index of the segment."""
 
-class JobDocument(TypedDict):
-    """The record whose writing accepts a job."""
-
-    job_id: str
-    workspace: str
-    service: str
-    key: str
-    n_items: int
-    n_chunks: int
-    digest: str
-    deadline_at: float
-    cancelled: bool
-
-
-class Chunk(NamedTuple):
-    """Consecutive items of a job."""
-
-    number: int
-    first_item: int
-    items: tuple[ItemDocument, ...]
+    items_name: str
+    segment_first: int
 
 
 def job_id_of(workspace: WorkspaceName, service: ServiceName, key: str) -> JobId:
     """Return the id of the job that a workspace submits under ``key``."""
     text = "\n".join((workspace, service, key))
-    return hashlib.sha256(text.encode()).hexdigest()[:24]
-
-
-def split_items(items: Sequence[ItemDocument]) -> Iterator[Chunk]:
-    """Yield the chunks of a job."""
-    for number, first in enumerate(range(0, len(items), CHUNK_ITEMS)):
-        yield Chunk(number, first, tuple(items[first : first + CHUNK_ITEMS]))
+    return hashlib.sha256(text.encode()).hexdigest()[:ID_CHARACTERS]
+
+
+def digest_of(segments: list[SegmentDocument]) -> str:
+    """Return the digest of a job's body, uploaded in one or more segments."""
+    if len(segments) == 1:
+        return segments[0]["digest"]
+    text = "\n".join(segment["digest"] for segment in segments)
+    return hashlib.sha256(text.encode()).hexdigest()
+
+
+def make_job(
+    workspace: WorkspaceName,
+    service: ServiceName,
+    key: str,
+    segments: list[SegmentDocument],
+    *,
+    accepted_at: float,
+    deadline_s: float,
+) -> JobDocument:
+    """Return the record of a new job; times are in seconds since the epoch."""
+    return {
+        "job_id": job_id_of(workspace, service, key),
+        "workspace": workspace,
+        "service": service,
+        "key": key,
+        "n_items": sum(segment["n_items"] for segment in segments),
+        "n_chunks": sum(len(segment["chunk_items"]) for segment in segments),
+        "digest": digest_of(segments),
+        "segments": segments,
+        "accepted_at": accepted_at,
+        "deadline_at": accepted_at + deadline_s,
+        "state": JobState.OPEN.value,
+    }
+
+
+def match_resend(stored: JobDocument, digest: str) -> JobDocument:
+    """Return the stored job when a resend has the same body.
+
+    Raises
+    ------
+    KeyInUseError
+        When the body is another.
+    """
+    if stored["digest"] != digest:
+        raise KeyInUseError(f"job {stored['job_id']!r} has another body")
+    return stored
+
+
+def find_chunk(job: JobDocument, number: int) -> ChunkPlace:
+    """Return where the items of a job's chunk are stored.
+
+    Raises
+    ------
+    IndexError
+        When the job has no such chunk.
+    """
+    first = 0
+    for segment in job["segments"]:
+        n_chunks = len(segment["chunk_items"])
+        if number < n_chunks:
+            return ChunkPlace(items_name(segment["upload"], number), first)
+        number -= n_chunks
+        first += segment["n_items"]
+    raise IndexError(f"job {job['job_id']!r} has no chunk {number}")
+
+
+def chunk_ends(job: JobDocument) -> list[int]:
+    """Return for each chunk of a job the index after its last item."""
+    counts = (count for part in job["segments"] for count in part["chunk_items"])
+    return list(itertools.accumulate(counts))
+
+
+def items_name(upload: str, number: int) -> str:
+    """Return the name of the items object of an upload's chunk."""
+    return f"{upload}.{number:05d}"
 
 
 def chunk_name(job_id: JobId, number: int) -> str:
-    """Return the name under which a chunk of a job is stored."""
+    """Return the name under which the claim of a job's chunk is stored."""
     return f"{job_id}.{number:05d}"
+
+
+def chunk_number(name: str) -> int:
+    """Return the number of the chunk that an object's name tells."""
+    return int(name.rpartition(".")[2])
+
+
+def part_name(name: str, epoch: int) -> str:
+    """Return the name of the results that a claim of a chunk stores."""
+    return f"{name}.{epoch:05d}"
--- /dev/null
+++ b/libs/batch/src/damaskjunction/batch/schedule.py
@@ -0,0 +1,69 @@
+"""Which job is worked on next: earliest deadline, with fair shares."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping, Sequence
+from typing import NamedTuple, TypeAlias
+
+from damaskjunction.batch.documents import JobDocument
+from damaskjunction.core import Registry, WorkspaceName
+
+FAIRNESS_SLACK_ITEMS = 400.0
+DECAY_PER_PICK = 0.999
+
+
+class OrderInput(NamedTuple):
+    """What the order of jobs is made from.
+
+    ``served_by_workspace`` is recent work of each workspace divided by its share.
+    """
+
+    jobs: Sequence[JobDocument]
+    served_by_workspace: Mapping[WorkspaceName, float]
+
+
+JobOrder: TypeAlias = Callable[[OrderInput], Sequence[JobDocument]]
+
+job_orders: Registry[JobOrder] = Registry("job order")
+
+
+def _deadline_key(job: JobDocument) -> tuple[float, str]:
+    return job["deadline_at"], job["job_id"]
+
+
+@job_orders.register("earliest_deadline")
+def order_by_deadline(given: OrderInput) -> Sequence[JobDocument]:
+    """Return jobs by their deadline alone."""
+    return sorted(given.jobs, key=_deadline_key)
+
+
+@job_orders.register("fair_deadline")
+def order_by_fair_deadline(given: OrderInput) -> Sequence[JobDocument]:
+    """Return jobs by deadline, those of workspaces far ahead of others last.
+
+    A workspace is far ahead when it was served ``FAIRNESS_SLACK_ITEMS`` more than the
+    least served one that has work; until then the deadline alone decides.
+    """
+    served = given.served_by_workspace
+    waiting = {job["workspace"] for job in given.jobs}
+    least = min((served.get(name, 0.0) for name in waiting), default=0.0)
+
+    def key(job: JobDocument) -> tuple[bool, float, str]:
+        ahead = served.get(job["workspace"], 0.0) - least
+        return ahead > FAIRNESS_SLACK_ITEMS, *_deadline_key(job)
+
+    return sorted(given.jobs, key=key)
+
+
+class ServiceLedger:
+    """Recent work by workspace, divided by shares; old work fades."""
+
+    def __init__(self) -> None:
+        self.served_by_workspace: dict[WorkspaceName, float] = {}
+
+    def add(self, workspace: WorkspaceName, n_items: float, share: float) -> None:
+        """Count items that were taken up for a workspace."""
+        served = self.served_by_workspace
+        for name in list(served):
+            served[name] *= DECAY_PER_PICK
+        served[workspace] = served.get(workspace, 0.0) + n_items / share
--- /dev/null
+++ b/libs/batch/src/damaskjunction/batch/tries.py
@@ -0,0 +1,70 @@
+"""What follows when a run of an item ends without a whole answer."""
+
+from __future__ import annotations
+
+from typing import NamedTuple, TypeAlias
+
+from damaskjunction.core import Outcome, RequestError
+
+PREEMPTED = "preempted"
+FINAL_REASONS = frozenset({"quarantined", "bad_request"})
+REFUSED_BY_RUNNER = "runner_refused"
+MAX_REFUSALS = 50
+FIRST_DELAY_S = 0.1
+MAX_DELAY_S = 5.0
+
+
+class Resume(NamedTuple):
+    """Run the item again from its last token after ``delay_s`` seconds."""
+
+    delay_s: float
+
+
+class GiveUp(NamedTuple):
+    """End the item with an error."""
+
+    reason: str
+    detail: str
+    tries: int
+
+
+NextStep: TypeAlias = Resume | GiveUp
+
+
+class ItemTries:
+    """Counts the runs of one item.
+
+    A run that was refused or preempted is no try; one that failed is.
+
+    Parameters
+    ----------
+    max_tries : int
+        Failed runs after which the item is given up.
+    """
+
+    def __init__(self, max_tries: int) -> None:
+        self._max_tries = max_tries
+        self.n_tries = 0
+        self._n_refusals = 0
+        self._delay_s = FIRST_DELAY_S
+
+    def after(self, error: RequestError) -> NextStep:
+        """Return what follows an error."""
+        if error.reason in FINAL_REASONS:
+            return GiveUp(error.reason, error.detail, self.n_tries)
+        if error.reason == PREEMPTED:
+            self._delay_s = FIRST_DELAY_S
+            return Resume(FIRST_DELAY_S)
+        self._count(error)
+        is_spent = self.n_tries >= self._max_tries
+        if is_spent or self._n_refusals >= MAX_REFUSALS:
+            return GiveUp(error.reason, error.detail, self.n_tries)
+        delay_s = max(self._delay_s, min(error.retry_after_s, MAX_DELAY_S))
+        self._delay_s = min(2 * self._delay_s, MAX_DELAY_S)
+        return Resume(delay_s)
+
+    def _count(self, error: RequestError) -> None:
+        if error.outcome is not Outcome.NOT_RUN:
+            self.n_tries += 1
+        elif error.reason == REFUSED_BY_RUNNER:
+            self._n_refusals += 1
--- a/libs/core/src/damaskjunction/core/types.py
+++ b/libs/core/src/damaskjunction/core/types.py
@@ -159,13 +159,18 @@
     """Limits on batch work.
 
     ``ceiling_per_minute`` is the usage, in units of ``meter``, that a billing minute
-    may not pass; 0 lets batch fill up to the online peak seen so far.
+    may not pass; 0 lets batch fill up to the online peak seen so far. ``lease_s`` is
+    how long a host holds work without renewal, and bounds how long a cancelled job may
+    go on when a host can't be reached. ``minute_s`` is the length of a billing minute.
     """
 
     meter: str = "tokens"
     ceiling_per_minute: float = 0.0
     retention_s: float = 7 * 24 * 3600.0
     max_tries: int = 3
+    lease_s: float = 60.0
+    minute_s: float = 60.0
+    peak_policy: str = "below_peak"
 
 
 class Configuration(NamedTuple):
--- a/libs/node/src/damaskjunction/node/documents.py
+++ b/libs/node/src/damaskjunction/node/documents.py
@@ -9,9 +9,15 @@
 PLAN_KIND = "plan"
 LEASE_KIND = "lease"
 JOB_KIND = "job"
+QUEUE_KIND = "queue"
+UPLOAD_KIND = "upload"
+SEGMENT_KIND = "segment"
 ITEMS_KIND = "items"
-CLAIM_KIND = "claim"
+CHUNK_KIND = "chunk"
 RESULTS_KIND = "results"
+USAGE_KIND = "usage"
+PEAK_KIND = "peak"
+POOL_KIND = "pool"
 
 
 class LeaseDocument(TypedDict):
--- a/libs/node/src/damaskjunction/node/entry.py
+++ b/libs/node/src/damaskjunction/node/entry.py
@@ -46,6 +46,7 @@
     content_type: str
     body: bytes
     prompt: str = ""
+    from_token: int = 0
 
 
 class Entry:
@@ -81,7 +82,7 @@
             When there is no whole answer; its outcome says whether the request ran.
         """
         end_s = self._timers.now() + request.deadline_s
-        position = 0
+        position = request.from_token
         for attempt in range(1, MAX_ATTEMPTS + 1):
             left_s = end_s - self._timers.now()
             runner = self._choose(request, attempt)
--- a/libs/node/src/damaskjunction/node/front.py
+++ b/libs/node/src/damaskjunction/node/front.py
@@ -27,7 +27,8 @@
     request_error_document,
     to_json_response,
 )
-from damaskjunction.node.entry import CallerRequest, Entry
+from damaskjunction.node.entry import CallerRequest
+from damaskjunction.node.metering import RequestRunner
 from damaskjunction.node.runners import AnswerMessage
 from damaskjunction.node.state import HostView
 from damaskjunction.routing import PlainAnswer, StreamEnd, Token
@@ -63,11 +64,11 @@
     ----------
     view : HostView
         Tells services, workspaces and hosts.
-    entry : Entry
+    entry : RequestRunner
         Runs requests.
     """
 
-    def __init__(self, view: HostView, entry: Entry) -> None:
+    def __init__(self, view: HostView, entry: RequestRunner) -> None:
         self._view = view
         self._entry = entry
 
--- /dev/null
+++ b/libs/node/src/damaskjunction/node/job_cancel.py
@@ -0,0 +1,137 @@
+"""Cancels jobs: a durable mark, then an end to the work on every host."""
+
+from __future__ import annotations
+
+import asyncio
+
+from damaskjunction.batch import ChunkState, JobDocument, JobState, decode
+from damaskjunction.core import (
+    ConflictError,
+    EntryHost,
+    HostId,
+    JobId,
+    PlatformUnavailableError,
+    RequestError,
+    Timers,
+)
+from damaskjunction.node.documents import JOB_KIND
+from damaskjunction.node.job_store import JobStore
+from damaskjunction.node.job_worker import JobWorker
+from damaskjunction.node.state import HostView
+from damaskjunction.wire import PeerLinks, StopJob
+
+CONTROL_LANE = "control"
+STOP_TIMEOUT_S = 1.0
+STOP_INTERVAL_S = 0.5
+MAX_WAIT_S = 8.0
+SETTLE_S = 0.1
+
+
+class JobCanceller:
+    """Cancels jobs for callers of this host.
+
+    Parameters
+    ----------
+    view : HostView
+        Hosts and the length of a lease.
+    store : JobStore
+        Stored jobs.
+    worker : JobWorker
+        The batch work of this host.
+    links : PeerLinks
+        Links to other hosts.
+    timers : Timers
+        The process's timer service.
+    """
+
+    def __init__(
+        self,
+        view: HostView,
+        store: JobStore,
+        worker: JobWorker,
+        links: PeerLinks,
+        timers: Timers,
+    ) -> None:
+        self._view = view
+        self._store = store
+        self._worker = worker
+        self._links = links
+        self._timers = timers
+        self._marked_at_s_by_job: dict[JobId, float] = {}
+
+    async def cancel(self, job_id: JobId) -> tuple[JobDocument, bool]:
+        """Mark a job as cancelled and end its work; tell whether it has ended.
+
+        Work has ended when each host that held a chunk of the job said so, or when its
+        lease has run out since the mark was stored.
+
+        Raises
+        ------
+        PlatformError
+            When the mark was not stored.
+        """
+        job = await self._mark(job_id)
+        if job["state"] != JobState.CANCELLED:
+            return job, True
+        now_s = self._timers.now()
+        marked_at_s = self._marked_at_s_by_job.setdefault(job_id, now_s)
+        lapsed_at_s = marked_at_s + self._view.configuration.batch.lease_s
+        has_ended = await self._stop_holders(job, lapsed_at_s)
+        if has_ended:
+            await self._store.leave_queue(job_id)
+            self._marked_at_s_by_job.pop(job_id, None)
+        return job, has_ended
+
+    async def _mark(self, job_id: JobId) -> JobDocument:
+        stored = await self._store.get(JOB_KIND, job_id)
+        if stored is None:
+            raise PlatformUnavailableError(f"job {job_id!r} is not there")
+        job: JobDocument = decode(stored.value)
+        if job["state"] != JobState.OPEN:
+            return job
+        finished_at = self._timers.wall()
+        marked: JobDocument = {
+            **job,
+            "state": JobState.CANCELLED.value,
+            "finished_at": finished_at,
+        }
+        try:
+            await self._store.put(
+                JOB_KIND, job_id, marked, expected_version=stored.version
+            )
+        except ConflictError as error:
+            latest: JobDocument = decode(error.value)
+            return latest
+        return marked
+
+    async def _stop_holders(self, job: JobDocument, lapsed_at_s: float) -> bool:
+        await self._worker.stop_job(job["job_id"])
+        chunks = await self._store.list_chunks(job)
+        holders = {
+            chunk.holder
+            for chunk in chunks.values()
+            if chunk.state is ChunkState.CLAIMED
+        } - {self._view.own.host_id}
+        end_s = self._timers.now() + MAX_WAIT_S
+        while holders:
+            stopped = await asyncio.gather(*(self._stop(h, job) for h in holders))
+            holders = {h for h, done in zip(holders, stopped, strict=True) if not done}
+            now_s = self._timers.now()
+            if not holders or now_s >= lapsed_at_s:
+                break
+            if now_s >= end_s:
+                return False
+            await asyncio.sleep(min(STOP_INTERVAL_S, lapsed_at_s - now_s))
+        await asyncio.sleep(SETTLE_S)
+        return True
+
+    async def _stop(self, holder: HostId, job: JobDocument) -> bool:
+        host: EntryHost | None = self._view.fleet.hosts_by_id.get(holder)
+        if host is None:
+            return False
+        try:
+            async with asyncio.timeout(STOP_TIMEOUT_S):
+                await self._links.ask(host.peer, CONTROL_LANE, StopJob(job["job_id"]))
+        except (RequestError, TimeoutError):
+            return False
+        return True
--- /dev/null
+++ b/libs/node/src/damaskjunction/node/job_items.py
@@ -0,0 +1,140 @@
+"""Runs single items of batch jobs."""
+
+from __future__ import annotations
+
+import asyncio
+import uuid
+from collections.abc import Awaitable, Callable
+
+from damaskjunction.batch import (
+    PREEMPTED,
+    GiveUp,
+    InFlightWindow,
+    ItemDocument,
+    ItemErrorDocument,
+    ItemTries,
+    JobDocument,
+    ResultDocument,
+    encode,
+)
+from damaskjunction.core import Outcome, RequestError, Timers, WorkClass
+from damaskjunction.node.entry import CallerRequest
+from damaskjunction.node.front import ENGINE_PATH, JSON_TYPE
+from damaskjunction.node.job_slots import ItemSlots
+from damaskjunction.node.metering import Meter, RequestRunner
+from damaskjunction.routing import Token
+from damaskjunction.telemetry import Metrics
+
+ITEM_TIMEOUT_S = 60.0
+TIMEOUT_PER_TOKEN_S = 0.5
+TURNED_AWAY = "batch_items_turned_away_total"
+
+
+class ItemRunner:
+    """Runs items one at a time, each until it has an answer or is given up.
+
+    Parameters
+    ----------
+    runner : RequestRunner
+        Runs requests.
+    slots : ItemSlots
+        Room for items on this host.
+    window : InFlightWindow
+        Learns from each run.
+    meter : Meter
+        Tells what an item may cost.
+    timers : Timers
+        The process's timer service.
+    metrics : Metrics
+        Counts items and runs.
+    """
+
+    def __init__(
+        self,
+        runner: RequestRunner,
+        slots: ItemSlots,
+        window: InFlightWindow,
+        *,
+        meter: Meter,
+        timers: Timers,
+        metrics: Metrics,
+    ) -> None:
+        self._runner = runner
+        self._slots = slots
+        self._window = window
+        self._meter = meter
+        self._timers = timers
+        self._metrics = metrics
+
+    async def run(
+        self,
+        job: JobDocument,
+        index: int,
+        item: ItemDocument,
+        *,
+        max_tries: int,
+        may_start: Callable[[], Awaitable[bool]],
+    ) -> ResultDocument | None:
+        """Return the item's result, None when its chunk is held no longer.
+
+        ``may_start`` tells whether the chunk is still held.
+        """
+        texts: list[str] = []
+        tries = ItemTries(max_tries)
+        while True:
+            n_left = item["max_tokens"] - len(texts)
+            request = _to_request(job, item, len(texts))
+            await self._slots.acquire(request.request_id, self._meter.cost_of(n_left))
+            try:
+                if not await may_start():
+                    return None
+                await self._run_once(request, texts)
+                return {"index": index, "text": "".join(texts)}
+            except RequestError as error:
+                step = tries.after(error)
+                self._note(error)
+            finally:
+                self._slots.release(request.request_id)
+            if isinstance(step, GiveUp):
+                self._metrics.count("batch_items_given_up_total", reason=step.reason)
+                return {"index": index, "error": _to_document(step)}
+            await asyncio.sleep(step.delay_s)
+
+    async def _run_once(self, request: CallerRequest, texts: list[str]) -> None:
+        started_s = self._timers.now()
+        is_admitted = False
+        self._metrics.count("batch_runs_total")
+        async for message in self._runner.run(request):
+            if not isinstance(message, Token):
+                continue
+            texts.append(message.text)
+            if not is_admitted:
+                is_admitted = True
+                wait_s = self._timers.now() - started_s
+                self._window.admitted(wait_s, self._slots.n_in_flight)
+                self._metrics.time("batch_first_token_seconds", wait_s)
+
+    def _note(self, error: RequestError) -> None:
+        self._metrics.count(TURNED_AWAY, reason=error.reason)
+        if error.outcome is Outcome.NOT_RUN or error.reason == PREEMPTED:
+            self._window.refused()
+
+
+def _to_document(step: GiveUp) -> ItemErrorDocument:
+    return {"reason": step.reason, "detail": step.detail, "tries": step.tries}
+
+
+def _to_request(job: JobDocument, item: ItemDocument, n_tokens: int) -> CallerRequest:
+    return CallerRequest(
+        request_id=uuid.uuid4().hex,
+        service=job["service"],
+        workspace=job["workspace"],
+        work_class=WorkClass.BATCH,
+        deadline_s=ITEM_TIMEOUT_S + TIMEOUT_PER_TOKEN_S * item["max_tokens"],
+        idempotent=True,
+        path=ENGINE_PATH,
+        content_type=JSON_TYPE,
+        body=encode(item),
+        prompt=item["prompt"],
+        from_token=n_tokens,
+    )
--- /dev/null
+++ b/libs/node/src/damaskjunction/node/job_store.py
@@ -0,0 +1,223 @@
+"""Stored jobs: typed reads and writes of the platform's objects, counted."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import uuid
+from collections.abc import AsyncIterator
+
+from damaskjunction.batch import (
+    Chunk,
+    ChunkWrite,
+    ItemsDocument,
+    JobDocument,
+    ResultDocument,
+    chunk_name,
+    decode,
+    encode,
+    from_chunk,
+    to_chunk,
+)
+from damaskjunction.core import (
+    ConflictError,
+    JobId,
+    PlatformError,
+    PlatformUnavailableError,
+    PlatformUnknownError,
+    Revision,
+)
+from damaskjunction.node.documents import (
+    CHUNK_KIND,
+    ITEMS_KIND,
+    JOB_KIND,
+    QUEUE_KIND,
+    RESULTS_KIND,
+)
+from damaskjunction.platform import ObjectStore, StoredObject
+from damaskjunction.telemetry import Metrics
+
+PAGE_OBJECTS = 500
+SEND_ATTEMPTS = 4
+FIRST_PAUSE_S = 0.2
+MAX_PAUSE_S = 4.0
+CALLS = "batch_platform_calls_total"
+
+
+class JobStore:
+    """The objects of batch jobs at the platform.
+
+    Parameters
+    ----------
+    store : ObjectStore
+        The platform's service.
+    metrics : Metrics
+        Counts the calls.
+    chance : random.Random
+        Spreads repeated calls over time.
+    """
+
+    def __init__(
+        self, store: ObjectStore, metrics: Metrics, chance: random.Random
+    ) -> None:
+        self._store = store
+        self._metrics = metrics
+        self._chance = chance
+
+    async def get(self, kind: str, name: str) -> StoredObject | None:
+        """Return an object, None when there is none."""
+        self._metrics.count(CALLS, call="get", kind=kind)
+        return await self._store.get(kind, name)
+
+    async def get_job(self, job_id: JobId) -> JobDocument | None:
+        """Return a job's record, None when there is none."""
+        stored = await self.get(JOB_KIND, job_id)
+        return None if stored is None else decode(stored.value)
+
+    async def put(
+        self,
+        kind: str,
+        name: str,
+        document: object,
+        *,
+        expected_version: Revision = 0,
+        attempts: int = SEND_ATTEMPTS,
+    ) -> Revision:
+        """Write an object, again under the same operation id while unanswered.
+
+        Raises
+        ------
+        ConflictError
+            When the object is at another version.
+        PlatformUnavailableError
+            When the write had no effect.
+        PlatformUnknownError
+            When it may have had.
+        """
+        operation_id = uuid.uuid4().hex
+        value = encode(document)
+        pause_s = FIRST_PAUSE_S
+        is_maybe_stored = False
+        for attempt in range(1, attempts + 1):
+            self._metrics.count(CALLS, call="put", kind=kind)
+            try:
+                return await self._store.put(
+                    kind,
+                    name,
+                    value,
+                    expected_version=expected_version,
+                    operation_id=operation_id,
+                )
+            except ConflictError:
+                raise
+            except PlatformError as error:
+                is_maybe_stored |= isinstance(error, PlatformUnknownError)
+                if attempt == attempts:
+                    raise _final(error, is_maybe_stored) from None
+            pause_s = await self.pause(pause_s)
+        raise AssertionError("unreachable")
+
+    async def write_chunk(self, write: ChunkWrite) -> Revision:
+        """Make a write of a chunk once.
+
+        Raises
+        ------
+        ConflictError
+            When the chunk is at another version.
+        PlatformError
+            When the write is unresolved; it is to be sent again as it is.
+        """
+        self._metrics.count(CALLS, call="put", kind=CHUNK_KIND)
+        return await self._store.put(
+            CHUNK_KIND,
+            write.chunk.name,
+            encode(from_chunk(write.chunk)),
+            expected_version=write.expected_version,
+            operation_id=write.operation_id,
+        )
+
+    async def delete(self, kind: str, name: str, version: Revision) -> None:
+        """Delete an object; one that is gone or was changed is left."""
+        self._metrics.count(CALLS, call="delete", kind=kind)
+        try:
+            await self._store.delete(
+                kind, name, expected_version=version, operation_id=uuid.uuid4().hex
+            )
+        except ConflictError:
+            return
+
+    async def pause(self, pause_s: float) -> float:
+        """Wait before a repeated call and return the next, longer pause."""
+        await asyncio.sleep(pause_s * (0.5 + self._chance.random()))
+        return min(2 * pause_s, MAX_PAUSE_S)
+
+    async def list_kind(
+        self, kind: str, *, prefix: str = "", after: str = ""
+    ) -> AsyncIterator[StoredObject]:
+        """Yield the objects of a kind by name."""
+        while True:
+            self._metrics.count(CALLS, call="list", kind=kind)
+            page = await self._store.list_objects(
+                kind, prefix=prefix, after=after, limit=PAGE_OBJECTS
+            )
+            for stored in page.objects:
+                yield stored
+            after = page.after
+            if not after:
+                return
+
+    async def list_queue(self) -> dict[JobId, Revision]:
+        """Return the ids of unfinished jobs, with the versions of their entries."""
+        entries = self.list_kind(QUEUE_KIND)
+        return {stored.name: stored.version async for stored in entries}
+
+    async def list_chunks(self, job: JobDocument) -> dict[str, Chunk]:
+        """Return every chunk of a job by name; one not stored yet is free."""
+        names = (chunk_name(job["job_id"], number) for number in range(job["n_chunks"]))
+        chunks = {name: Chunk(name) for name in names}
+        async for stored in self.list_kind(CHUNK_KIND, prefix=f"{job['job_id']}."):
+            document = decode(stored.value)
+            chunks[stored.name] = to_chunk(stored.name, stored.version, document)
+        return chunks
+
+    async def get_items(self, name: str) -> ItemsDocument:
+        """Return the items of a chunk.
+
+        Raises
+        ------
+        PlatformUnavailableError
+            When they can't be read.
+        """
+        stored = await self.get(ITEMS_KIND, name)
+        if stored is None:
+            raise PlatformUnavailableError(f"items {name!r} are not there")
+        items: ItemsDocument = decode(stored.value)
+        return items
+
+    async def get_results(self, chunk: Chunk) -> list[ResultDocument]:
+        """Return the results of a chunk by index.
+
+        Raises
+        ------
+        PlatformUnavailableError
+            When they can't be read.
+        """
+        results: list[ResultDocument] = []
+        for name in chunk.parts:
+            stored = await self.get(RESULTS_KIND, name)
+            if stored is None:
+                raise PlatformUnavailableError(f"results {name!r} are not there")
+            results += decode(stored.value)
+        return sorted(results, key=lambda result: result["index"])
+
+    async def leave_queue(self, job_id: JobId) -> None:
+        """Take a finished job out of the queue."""
+        stored = await self.get(QUEUE_KIND, job_id)
+        if stored is not None:
+            await self.delete(QUEUE_KIND, job_id, stored.version)
+
+
+def _final(error: PlatformError, is_maybe_stored: bool) -> PlatformError:
+    if is_maybe_stored and not isinstance(error, PlatformUnknownError):
+        return PlatformUnknownError(str(error))
+    return error
--- /dev/null
+++ b/libs/node/src/damaskjunction/node/job_table.py
@@ -0,0 +1,144 @@
+"""Unfinished jobs as one host knows them, and which of their chunks it may claim."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Container, Iterable, Mapping
+from typing import NamedTuple
+
+from damaskjunction.batch import (
+    Chunk,
+    ChunkState,
+    JobDocument,
+    JobState,
+    LeaseWatch,
+    OrderInput,
+    ServiceLedger,
+    job_orders,
+    may_claim,
+)
+from damaskjunction.core import HostId, JobId, rendezvous_order
+
+JOB_ORDER = "fair_deadline"
+N_WATCHERS = 2
+WATCH_FRACTION = 0.25
+OTHERS_FACTOR = 6.0
+
+
+class KnownJob:
+    """An unfinished job and what this host last read of its chunks."""
+
+    def __init__(self, job: JobDocument) -> None:
+        self.job = job
+        self.free: list[Chunk] = []
+        self.watch = LeaseWatch()
+        self.read_at_s = float("-inf")
+        self.is_all_done = False
+        self.is_read = False
+
+    def take(
+        self,
+        chunks_by_name: Mapping[str, Chunk],
+        *,
+        held: Container[str],
+        now_s: float,
+        lease_s: float,
+        chance: random.Random,
+    ) -> None:
+        """Take note of the job's chunks as read just now, the free ones shuffled.
+
+        Those that this host holds already are left out of the free ones.
+        """
+        self.read_at_s = now_s
+        self.is_read = True
+        chunks = chunks_by_name.values()
+        for chunk in chunks:
+            self.watch.observe(chunk, now_s)
+        self.free = [
+            chunk
+            for chunk in chunks
+            if chunk.name not in held and may_claim(chunk, self.watch, lease_s, now_s)
+        ]
+        chance.shuffle(self.free)
+        self.is_all_done = all(chunk.state is ChunkState.DONE for chunk in chunks)
+
+
+class QueueChange(NamedTuple):
+    """What a reading of the queue brought: ids to look up and ids that have gone."""
+
+    unknown: tuple[JobId, ...]
+    gone: tuple[JobId, ...]
+
+
+class JobTable:
+    """Unfinished jobs by id.
+
+    Parameters
+    ----------
+    own_id : str
+        This host.
+    chance : random.Random
+        Spreads the hosts over a job's chunks.
+    """
+
+    def __init__(self, own_id: HostId, chance: random.Random) -> None:
+        self.jobs_by_id: dict[JobId, KnownJob] = {}
+        self._own_id = own_id
+        self._chance = chance
+        self._ledger = ServiceLedger()
+
+    def compare(self, queue: Iterable[JobId]) -> QueueChange:
+        """Return how the queue differs from what is known."""
+        ids = set(queue)
+        return QueueChange(
+            tuple(sorted(ids - self.jobs_by_id.keys())),
+            tuple(sorted(self.jobs_by_id.keys() - ids)),
+        )
+
+    def add(self, job: JobDocument) -> None:
+        """Take up a job that is open."""
+        if job["state"] == JobState.OPEN:
+            self.jobs_by_id[job["job_id"]] = KnownJob(job)
+
+    def drop(self, job_id: JobId) -> None:
+        """Forget a job."""
+        self.jobs_by_id.pop(job_id, None)
+
+    def restart_leases(self) -> None:
+        """Count every lease anew after the platform was away."""
+        for known in self.jobs_by_id.values():
+            known.watch.restart()
+
+    def in_order(self) -> list[KnownJob]:
+        """Return the jobs, the one to work on next first."""
+        jobs = [known.job for known in self.jobs_by_id.values()]
+        given = OrderInput(jobs, self._ledger.served_by_workspace)
+        ordered = job_orders.get(JOB_ORDER)(given)
+        return [self.jobs_by_id[job["job_id"]] for job in ordered]
+
+    def count(self, job: JobDocument, share: float) -> None:
+        """Take note that a chunk of a job was taken up here."""
+        n_items = job["n_items"] / job["n_chunks"]
+        self._ledger.add(job["workspace"], n_items, share)
+
+    def note_end(self, job_id: JobId) -> None:
+        """Take note that a chunk ended here, so that its job is read again."""
+        known = self.jobs_by_id.get(job_id)
+        if known is not None:
+            known.read_at_s = float("-inf")
+
+    def is_due(
+        self, known: KnownJob, live: Iterable[HostId], lease_s: float, now_s: float
+    ) -> bool:
+        """Return whether the chunks of a job should be read again.
+
+        A few hosts watch each job's claims closely, the others now and then.
+        """
+        if known.read_at_s == float("-inf"):
+            return True
+        order = rendezvous_order(known.job["job_id"], [(name, 1.0) for name in live])
+        is_watcher = self._own_id in order[:N_WATCHERS]
+        interval_s = lease_s * WATCH_FRACTION
+        if not is_watcher:
+            interval_s *= OTHERS_FACTOR
+        return now_s - known.read_at_s > interval_s
--- /dev/null
+++ b/libs/node/src/damaskjunction/node/job_upload.py
@@ -0,0 +1,141 @@
+"""Uploads of items: stored chunk by chunk while they come in."""
+
+from __future__ import annotations
+
+import uuid
+
+from damaskjunction.batch import (
+    ItemReader,
+    ItemsDocument,
+    JobDocument,
+    SegmentDocument,
+    UploadDocument,
+    items_name,
+)
+from damaskjunction.core import ConflictError, JobId, PlatformError, WorkspaceName
+from damaskjunction.http import BodyReader
+from damaskjunction.node.documents import ITEMS_KIND, UPLOAD_KIND
+from damaskjunction.node.job_store import JobStore
+
+
+class Upload:
+    """Items of one body on their way into the store.
+
+    An upload of several chunks has a marker until its job is accepted, by which it is
+    found and deleted when nobody ends it.
+
+    Parameters
+    ----------
+    store : JobStore
+        Takes the chunks.
+    job_id : str
+        The job that the items are for.
+    workspace : str
+        Whose job it is.
+    """
+
+    def __init__(
+        self, store: JobStore, job_id: JobId, workspace: WorkspaceName
+    ) -> None:
+        self._store = store
+        self._workspace = workspace
+        self.job_id = job_id
+        self.name = f"{job_id}.{uuid.uuid4().hex[:16]}"
+        self._versions_by_name: dict[str, int] = {}
+
+    async def store(self, body: BodyReader) -> SegmentDocument:
+        """Check and store a body and return the record of its items.
+
+        Raises
+        ------
+        FindingsError
+            When lines are wrong.
+        PlatformError
+            When a chunk could not be stored.
+        """
+        reader = ItemReader("items")
+        async for data in body.chunks():
+            for chunk in reader.feed(data):
+                await self._put(chunk)
+        for chunk in reader.finish():
+            await self._put(chunk)
+        return reader.to_segment(self.name)
+
+    async def discard(self) -> None:
+        """Delete what was stored; what can't be deleted now is found by its marker."""
+        try:
+            for name, version in self._versions_by_name.items():
+                await self._store.delete(ITEMS_KIND, name, version)
+            await forget_upload(self._store, self.name)
+        except PlatformError:
+            return
+
+    async def _put(self, chunk: ItemsDocument) -> None:
+        number = len(self._versions_by_name)
+        if number == 1:
+            marker: UploadDocument = {
+                "workspace": self._workspace,
+                "upload": self.name,
+            }
+            await self._store.put(UPLOAD_KIND, self.name, marker)
+        name = items_name(self.name, number)
+        version = await self._store.put(ITEMS_KIND, name, chunk)
+        self._versions_by_name[name] = version
+
+
+async def digest_body(body: BodyReader) -> SegmentDocument:
+    """Read a body whose job exists already, and return the record of its items.
+
+    Raises
+    ------
+    FindingsError
+        When lines are wrong.
+    """
+    reader = ItemReader("items")
+    async for data in body.chunks():
+        for _ in reader.feed(data):
+            pass
+    for _ in reader.finish():
+        pass
+    return reader.to_segment("")
+
+
+async def renew_uploads(store: JobStore, segments: list[SegmentDocument]) -> None:
+    """Make sure that no upload of a job is deleted as given up just now.
+
+    Raises
+    ------
+    ConflictError
+        When one is gone already.
+    """
+    for segment in segments:
+        if not _has_marker(segment):
+            continue
+        stored = await store.get(UPLOAD_KIND, segment["upload"])
+        if stored is None:
+            raise ConflictError(0, b"", "")
+        marker = {"workspace": "", "upload": segment["upload"]}
+        await store.put(
+            UPLOAD_KIND, segment["upload"], marker, expected_version=stored.version
+        )
+
+
+async def forget_upload(store: JobStore, name: str) -> None:
+    """Delete an upload's marker."""
+    stored = await store.get(UPLOAD_KIND, name)
+    if stored is not None:
+        await store.delete(UPLOAD_KIND, name, stored.version)
+
+
+async def forget_uploads(store: JobStore, job: JobDocument) -> None:
+    """Delete the markers of a job that was accepted."""
+    try:
+        for segment in job["segments"]:
+            if _has_marker(segment):
+                await forget_upload(store, segment["upload"])
+    except PlatformError:
+        return  # the cleaner deletes it
+
+
+def _has_marker(segment: SegmentDocument) -> bool:
+    return len(segment["chunk_items"]) > 1
--- /dev/null
+++ b/libs/node/src/damaskjunction/node/metering.py
@@ -0,0 +1,129 @@
+"""Meters what this host's requests use of the runners."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator, Callable
+from typing import Protocol
+
+from damaskjunction.batch import (
+    HostBudget,
+    PeakPolicy,
+    Usage,
+    UsageLog,
+    UsageMeter,
+    minute_of,
+    peak_policies,
+    usage_meters,
+)
+from damaskjunction.core import Timers, WorkClass
+from damaskjunction.node.entry import CallerRequest, Entry
+from damaskjunction.node.runners import AnswerMessage
+from damaskjunction.node.state import HostView
+from damaskjunction.routing import Token
+from damaskjunction.telemetry import Metrics
+
+FIRST_TOKEN_BUSY_S = 0.05
+BUSY_SMOOTHING = 0.05
+
+
+class RequestRunner(Protocol):
+    """Runs requests, as ``Entry`` does."""
+
+    def run(self, request: CallerRequest) -> AsyncIterator[AnswerMessage]:
+        """Yield the messages of a whole answer."""
+
+
+class Meter:
+    """Usage of this host by billing minute, in the meter that operators chose.
+
+    Parameters
+    ----------
+    view : HostView
+        Tells the meter and the length of a billing minute.
+    timers : Timers
+        The process's timer service.
+    metrics : Metrics
+        Counts the usage.
+    """
+
+    def __init__(self, view: HostView, timers: Timers, metrics: Metrics) -> None:
+        self._view = view
+        self._timers = timers
+        self._metrics = metrics
+        self._token_s = FIRST_TOKEN_BUSY_S
+        self._observers: list[Callable[[float], None]] = []
+        self.log = UsageLog()
+        self.budget = HostBudget()
+
+    def subscribe(self, observer: Callable[[float], None]) -> None:
+        """Call back with each amount that online used."""
+        self._observers.append(observer)
+
+    def minute(self) -> int:
+        """Return the number of the current billing minute."""
+        return minute_of(self._timers.wall(), self._view.configuration.batch.minute_s)
+
+    def measure(self, usage: Usage) -> float:
+        """Return a usage in units of the meter."""
+        meter: UsageMeter = usage_meters.get(self._view.configuration.batch.meter)
+        return meter(usage)
+
+    def policy(self) -> PeakPolicy:
+        """Return the policy that makes the budgets of minutes."""
+        return peak_policies.get(self._view.configuration.batch.peak_policy)
+
+    def cost_of(self, n_tokens: int) -> float:
+        """Return the most that a run of so many tokens is expected to use."""
+        busy_s = FIRST_TOKEN_BUSY_S + 2 * self._token_s * n_tokens
+        return self.measure(Usage(1, n_tokens, busy_s))
+
+    def add(self, request: CallerRequest, usage: Usage) -> None:
+        """Count what a request used just now."""
+        used = self.measure(usage)
+        if usage.n_tokens:
+            self._token_s += BUSY_SMOOTHING * (usage.busy_s - self._token_s)
+        self._metrics.count("usage_total", used, work_class=request.work_class.value)
+        if request.work_class is WorkClass.BATCH:
+            self.log.add_batch(self.minute(), used)
+            self.budget.spend(request.request_id, used)
+            return
+        self.log.add_online(self.minute(), used)
+        for observer in self._observers:
+            observer(used)
+
+
+class MeteredEntry:
+    """Runs requests and meters them as their answers come in.
+
+    Parameters
+    ----------
+    entry : Entry
+        Runs the requests.
+    meter : Meter
+        Takes the usage.
+    timers : Timers
+        The process's timer service.
+    """
+
+    def __init__(self, entry: Entry, meter: Meter, timers: Timers) -> None:
+        self._entry = entry
+        self._meter = meter
+        self._timers = timers
+
+    async def run(self, request: CallerRequest) -> AsyncIterator[AnswerMessage]:
+        """Yield the messages of a whole answer.
+
+        Raises
+        ------
+        RequestError
+            As ``Entry.run`` does.
+        """
+        last_s = 0.0
+        async for message in self._entry.run(request):
+            now_s = self._timers.now()
+            is_first = not last_s
+            busy_s = 0.0 if is_first else now_s - last_s
+            n_tokens = int(isinstance(message, Token))
+            self._meter.add(request, Usage(int(is_first), n_tokens, busy_s))
+            last_s = now_s
+            yield message
--- a/libs/node/src/damaskjunction/node/root.py
+++ b/libs/node/src/damaskjunction/node/root.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import random
 from pathlib import Path
 
 from damaskjunction.core import LoopTimers
@@ -11,14 +13,28 @@
 from damaskjunction.node.following import Follower
 from damaskjunction.node.front import Front
 from damaskjunction.node.home import Home
-from damaskjunction.node.jobs import JobFront, JobWorker
+from damaskjunction.node.job_cancel import JobCanceller
+from damaskjunction.node.job_cleaner import JobCleaner
+from damaskjunction.node.job_front import JobFront
+from damaskjunction.node.job_store import JobStore
+from damaskjunction.node.job_worker import JobWorker
+from damaskjunction.node.metering import Meter, MeteredEntry
+from damaskjunction.node.peak_budget import PeakBudget
 from damaskjunction.node.placer import Placer
 from damaskjunction.node.state import HostView
 from damaskjunction.platform import PlatformClient
 from damaskjunction.routing import Forward
 from damaskjunction.settings import HostSettings
 from damaskjunction.telemetry import Metrics, StateDump
-from damaskjunction.wire import Message, PeerLinks, PeerServer, Reply, StatusQuery
+from damaskjunction.wire import (
+    JobStopped,
+    Message,
+    PeerLinks,
+    PeerServer,
+    Reply,
+    StatusQuery,
+    StopJob,
+)
 
 
 class HostProcess:
@@ -38,10 +54,34 @@
         self._store = PlatformClient(settings.platform, timers)
         self._links = PeerLinks(timers)
         self._home = Home(self._view, timers)
-        entry = Entry(self._view, self._home, self._links, timers)
+        self._meter = Meter(self._view, timers, metrics)
+        entry = MeteredEntry(
+            Entry(self._view, self._home, self._links, timers), self._meter, timers
+        )
         self._follower = Follower(self._view, self._store)
         self._placer = Placer(self._view, self._store, timers)
-        self._worker = JobWorker(self._view, self._store, entry, timers)
+        chance = random.Random(settings.seed or settings.host_id)
+        jobs = JobStore(self._store, metrics, chance)
+        self._peak = PeakBudget(
+            self._view,
+            jobs,
+            self._meter,
+            timers=timers,
+            metrics=metrics,
+            chance=chance,
+        )
+        self._worker = JobWorker(
+            self._view,
+            jobs,
+            entry,
+            meter=self._meter,
+            peak=self._peak,
+            timers=timers,
+            metrics=metrics,
+            chance=chance,
+        )
+        self._cleaner = JobCleaner(self._view, jobs, timers)
+        canceller = JobCanceller(self._view, jobs, self._worker, self._links, timers)
         self._admin = Admin(
             self._view,
             self._store,
@@ -52,11 +92,13 @@
         )
         routes = Routes()
         Front(self._view, entry).register(routes)
-        JobFront(self._view, self._store, timers).register(routes)
+        JobFront(self._view, jobs, canceller, self._peak, timers).register(routes)
         self._admin.register(routes)
         self._callers = HttpServer(settings.caller, routes.handle)
         self._peers = PeerServer(settings.peer, timers, self._handle_peer)
         dump.sections.register("host")(lambda: self._admin.own_status()._asdict())
+        dump.sections.register("batch")(self._worker.to_document)
+        dump.sections.register("peak")(self._peak.to_document)
         dump.sections.register("runners")(self._home.to_document)
 
     async def start(self) -> None:
@@ -64,18 +106,22 @@
         await self._peers.start()
         await self._follower.start()
         await self._placer.start()
+        await self._peak.start()
         await self._worker.start()
+        await self._cleaner.start()
         await self._callers.start()
 
     async def drain(self) -> None:
         """Take no new work and return when what is in progress has ended."""
         self._view.start_draining()
-        await self._callers.drain()
+        await asyncio.gather(self._worker.drain(), self._callers.drain())
 
     async def close(self) -> None:
         """Stop every part."""
         await self._callers.close()
         await self._worker.close()
+        await self._cleaner.close()
+        await self._peak.close()
         await self._placer.close()
         await self._follower.close()
         await self._peers.close()
@@ -88,6 +134,9 @@
             case Forward():
                 async for answer in self._home.run(message):
                     await reply(answer)
+            case StopJob(job_id):
+                await self._worker.stop_job(job_id)
+                await reply(JobStopped(job_id))
             case StatusQuery():
                 await reply(self._admin.own_status())
 
--- a/libs/settings/src/damaskjunction/settings/operators.py
+++ b/libs/settings/src/damaskjunction/settings/operators.py
@@ -75,6 +75,9 @@
     ),
     Field("retention_s", number(60.0, 365 * DAY_S), "how long results stay", 7 * DAY_S),
     Field("max_tries", integer(1, 100), "runs of an item that fails", 3),
+    Field("lease_s", number(1.0, 3600.0), "how long a host holds work", 60.0),
+    Field("minute_s", number(1.0, 3600.0), "length of a billing minute", 60.0),
+    Field("peak_policy", read_name, "how batch keeps below the peak", "below_peak"),
 )
 
 
--- a/libs/standins/src/damaskjunction/standins/deployment.py
+++ b/libs/standins/src/damaskjunction/standins/deployment.py
@@ -26,6 +26,7 @@
 
 CALLER_KEY = "demo-key"
 ADDRESSES_PER_HOST = 3
+TOKENS_PER_MINUTE = 10_000_000
 
 
 class RunnerGroup(NamedTuple):
@@ -89,6 +90,7 @@
             },
         },
         "workspaces": _workspaces("carritos", "clubs"),
+        "batch": {"ceiling_per_minute": TOKENS_PER_MINUTE},
     },
 )
 
@@ -118,6 +120,7 @@
             },
         },
         "workspaces": _workspaces("belt-seeker", "distributors"),
+        "batch": {"ceiling_per_minute": TOKENS_PER_MINUTE},
     },
 )
 
--- a/libs/wire/src/damaskjunction/wire/__init__.py
+++ b/libs/wire/src/damaskjunction/wire/__init__.py
@@ -17,7 +17,13 @@
     PeerServer,
     Reply,
 )
-from damaskjunction.wire.messages import Failure, HostStatus, StatusQuery
+from damaskjunction.wire.messages import (
+    Failure,
+    HostStatus,
+    JobStopped,
+    StatusQuery,
+    StopJob,
+)
 
 __all__ = [
     "CallHandler",
@@ -25,11 +31,13 @@
     "Failure",
     "Frame",
     "HostStatus",
+    "JobStopped",
     "Message",
     "PeerLinks",
     "PeerServer",
     "Reply",
     "StatusQuery",
+    "StopJob",
     "decode_frame",
     "decode_message",
     "encode_frame",
--- a/libs/wire/src/damaskjunction/wire/messages.py
+++ b/libs/wire/src/damaskjunction/wire/messages.py
@@ -7,7 +7,7 @@
 
 from typing import NamedTuple
 
-from damaskjunction.core import HostId, Outcome, RequestError, Revision
+from damaskjunction.core import HostId, JobId, Outcome, RequestError, Revision
 from damaskjunction.routing import Forward, PlainAnswer, StreamEnd, Token
 from damaskjunction.wire.codec import register_message
 
@@ -48,5 +48,19 @@
     state: str
 
 
+@register_message
+class StopJob(NamedTuple):
+    """Tells a host to end its work on a job that is cancelled."""
+
+    job_id: JobId
+
+
+@register_message
+class JobStopped(NamedTuple):
+    """The host has ended its work on the job and starts no more."""
+
+    job_id: JobId
+
+
 for _message_type in (Forward, Token, StreamEnd, PlainAnswer):
     register_message(_message_type)
--- a/libs/wire/src/damaskjunction/wire/peer.thrift
+++ b/libs/wire/src/damaskjunction/wire/peer.thrift
@@ -64,3 +64,13 @@
   3: i64 plan_revision
   4: string state
 }
+
+// Tells a host to end its work on a job that is cancelled.
+struct StopJob {
+  1: string job_id
+}
+
+// The host has ended its work on the job and starts no more.
+struct JobStopped {
+  1: string job_id
+}
