Check claim, commit and cancel by a state machine that finds planted faults

Found while writing it: a record read before a renewal was stored counted for the renewal's whole lease; it now counts from when it was asked for.

--- /dev/null
+++ b/libs/batch/features/environment.py
@@ -0,0 +1,1 @@
+"""Hooks of behave."""
--- /dev/null
+++ b/libs/batch/features/steps/claim_machine.py
@@ -0,0 +1,241 @@
+"""A state machine of hosts that claim, commit and cancel one chunk.
+
+Writes to the platform arrive late, twice or not at all, answers are lost, hosts pause
+for as long as they like, and their clocks run on.
+"""
+
+from __future__ import annotations
+
+import itertools
+from typing import NamedTuple
+
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from damaskjunction.batch import (
+    Chunk,
+    ChunkClaim,
+    ChunkState,
+    ChunkWrite,
+    LeaseWatch,
+    may_claim,
+)
+
+LEASE_S = 10.0
+N_STEPS = 30
+HOSTS = ("a", "b")
+hosts = st.sampled_from(HOSTS)
+fates = st.sampled_from(["answered", "answered", "answer lost", "late", "twice"])
+
+
+class Stored(NamedTuple):
+    chunk: Chunk
+    operation_id: str
+
+
+class Host:
+    """One host: what it believes, and its reads and writes under way."""
+
+    def __init__(self):
+        self.watch = LeaseWatch()
+        self.claim = None
+        self.read = None
+        self.is_read = False
+        self.is_told_to_stop = False
+
+
+class ClaimMachine(RuleBasedStateMachine):
+    """The platform as it is, and hosts that see it through a bad network."""
+
+    planted = ""
+
+    def __init__(self):
+        super().__init__()
+        self.now_s = 0.0
+        self.operation_ids = (f"op-{n}" for n in itertools.count())
+        self.stored = Stored(Chunk("job.00000"), "")
+        self.versions = itertools.count(1)
+        self.hosts = {name: Host() for name in HOSTS}
+        self.late = []
+        self.results_by_part = {}
+        self.committed = None
+        self.is_cancelled = False
+        self.marked_at_s = None
+        self.holders = None
+        self.is_acknowledged = False
+
+    def apply(self, write: ChunkWrite):
+        """Update the chunk if its version is the expected one; return the outcome."""
+        if self.stored.operation_id == write.operation_id:
+            return self.stored.chunk.version
+        if self.stored.chunk.version != write.expected_version:
+            return None
+        was_done = self.stored.chunk.state is ChunkState.DONE
+        chunk = write.chunk._replace(version=next(self.versions))
+        self.stored = Stored(chunk, write.operation_id)
+        if was_done:
+            raise AssertionError("a chunk that was done has changed")
+        return chunk.version
+
+    def results(self):
+        return [self.results_by_part[name] for name in self.stored.chunk.parts]
+
+    def answer(self, host: Host, version):
+        write = host.claim.pending
+        is_commit = write.chunk.state is ChunkState.DONE
+        if version is not None:
+            host.claim.written(write, version)
+        elif self.planted == "commit anyway" and is_commit:
+            self.apply(write._replace(expected_version=self.stored.chunk.version))
+            host.claim.refused()
+        else:
+            host.claim.refused()
+        if host.claim.is_lost or host.claim.chunk.state is not ChunkState.CLAIMED:
+            host.claim = None
+
+    def settled_claim(self, name):
+        claim = self.hosts[name].claim
+        return claim if claim is not None and claim.pending is None else None
+
+    @rule(duration_s=st.sampled_from([1.0, 11.0]))
+    def pass_time(self, duration_s):
+        """Move every clock on; hosts without a claim read the chunk before that."""
+        for host in self.hosts.values():
+            if host.claim is None:
+                host.watch.observe(self.stored.chunk, self.now_s)
+        self.now_s += duration_s
+
+    @rule(name=hosts, fate=fates)
+    def go_on(self, name, fate):
+        """Let a host take its next step; one that is not chosen is paused."""
+        host = self.hosts[name]
+        if host.claim is None:
+            self.look_and_claim(name, host, fate)
+        elif host.claim.pending is not None:
+            self.send(host, fate)
+        elif host.read is None:
+            host.read = (not self.is_cancelled, self.now_s)
+        elif not host.is_read:
+            self.take_record(host)
+        elif host.claim.may_start(self.now_s):
+            assert not self.is_acknowledged, "an item started after the cancellation"
+
+    def look_and_claim(self, name, host, fate):
+        host.watch.observe(self.stored.chunk, self.now_s)
+        if may_claim(self.stored.chunk, host.watch, LEASE_S, self.now_s):
+            host.claim = ChunkClaim(
+                self.stored.chunk, name, LEASE_S, lambda: next(self.operation_ids)
+            )
+            host.claim.claim(self.now_s)
+            host.read = None
+            host.is_read = False
+            host.is_told_to_stop = False
+            self.send(host, fate)
+
+    def send(self, host, fate):
+        if fate == "late":
+            self.late.append(host.claim.pending)
+            return
+        version = self.apply(host.claim.pending)
+        if fate == "twice":
+            self.late.append(host.claim.pending)
+        if fate != "answer lost":
+            self.answer(host, version)
+
+    def take_record(self, host):
+        is_open, read_at_s = host.read
+        if self.planted == "record not read":
+            is_open = True
+        host.claim.confirm(is_open and not host.is_told_to_stop, read_at_s)
+        host.is_read = True
+
+    @precondition(lambda self: self.late)
+    @rule(position=st.integers(0, 9))
+    def arrive_late(self, position):
+        self.apply(self.late.pop(position % len(self.late)))
+
+    @rule(name=hosts, fate=fates)
+    def renew(self, name, fate):
+        claim = self.settled_claim(name)
+        if claim is not None:
+            claim.renew(self.now_s)
+            self.hosts[name].read = None
+            self.hosts[name].is_read = False
+            self.send(self.hosts[name], fate)
+
+    @rule(name=hosts, is_whole=st.booleans(), fate=fates)
+    def end(self, name, is_whole, fate):
+        claim = self.settled_claim(name)
+        if claim is None:
+            return
+        content = (name, claim.chunk.epoch)
+        assert self.results_by_part.setdefault(claim.part, content) == content
+        finish = claim.commit if is_whole else claim.release
+        finish(1, 0, self.now_s)
+        self.send(self.hosts[name], fate)
+
+    @rule(name=hosts)
+    def cancel(self, name):
+        """Mark the job, list the holders, stop one of them, acknowledge."""
+        if not self.is_cancelled:
+            self.is_cancelled = True
+            self.marked_at_s = self.now_s
+        elif self.holders is None:
+            chunk = self.stored.chunk
+            is_held = chunk.state is ChunkState.CLAIMED
+            self.holders = {chunk.holder} if is_held else set()
+        elif name in self.holders:
+            host = self.hosts[name]
+            host.is_told_to_stop = True
+            if host.claim is not None:
+                host.claim.stop()
+            self.holders.discard(name)
+        elif not self.holders or self.now_s - self.marked_at_s >= LEASE_S:
+            self.is_acknowledged = True
+
+    @invariant()
+    def results_never_change(self):
+        chunk = self.stored.chunk
+        assert len(set(chunk.parts)) == len(chunk.parts), "a part counts twice"
+        if chunk.state is ChunkState.DONE:
+            if self.committed is None:
+                self.committed = self.results()
+            assert self.results() == self.committed
+
+
+class CommitsAnyway(ClaimMachine):
+    planted = "commit anyway"
+
+
+class ReadsNoRecord(ClaimMachine):
+    planted = "record not read"
+
+
+MACHINES = {
+    "none": ClaimMachine,
+    "commit at any version": CommitsAnyway,
+    "no reading of the record": ReadsNoRecord,
+}
+
+
+def run_machine(planted: str, n_examples: int) -> None:
+    run_state_machine_as_test(
+        MACHINES[planted],
+        settings=settings(
+            max_examples=n_examples,
+            stateful_step_count=N_STEPS,
+            derandomize=True,
+            database=None,
+            deadline=None,
+            print_blob=False,
+            phases=(Phase.generate,),
+            suppress_health_check=list(HealthCheck),
+        ),
+    )
--- a/libs/batch/src/damaskjunction/batch/chunks.py
+++ b/libs/batch/src/damaskjunction/batch/chunks.py
@@ -83,9 +83,9 @@
 class ChunkClaim:
     """One host's claim of one chunk.
 
-    The claim allows items to start only after the job's record was read to be open,
-    after the claim or its latest renewal was stored, and for ``lease_s`` seconds since
-    that write was first sent.
+    The claim allows items to start only once it is stored and the job's record was
+    read to be open after that, and for ``lease_s`` seconds since the claim, or its
+    latest renewal, was first sent and the record was asked for.
 
     Parameters
     ----------
@@ -153,12 +153,16 @@
         self.pending = None
         self.is_lost = True
 
-    def confirm(self, is_open: bool) -> None:
-        """Take note of the job's record, read after the latest write was stored."""
-        if is_open:
-            self._held_until_s = self._stored_at_s + self._lease_s
-        else:
+    def confirm(self, is_open: bool, read_at_s: float) -> None:
+        """Take note of the job's record, asked for at ``read_at_s``.
+
+        The record counts for as long as a lease from then on: whoever marks the job
+        as cancelled and waits so long knows that nothing of it starts any more.
+        """
+        if not is_open:
             self.is_stopped = True
+        since_s = min(self._stored_at_s, read_at_s)
+        self._held_until_s = since_s + self._lease_s
 
     def stop(self) -> None:
         """Start no further item."""
--- a/libs/node/src/damaskjunction/node/job_chunks.py
+++ b/libs/node/src/damaskjunction/node/job_chunks.py
@@ -153,13 +153,14 @@
 
     async def _confirm(self) -> None:
         """Read the job's record, which tells whether items may start."""
+        read_at_s = self._timers.now()
         try:
             job = await self._store.get_job(self.job["job_id"])
         except PlatformError as error:
             logger.warning("job not confirmed", extra={"error": str(error)})
             return
         is_open = job is not None and job["state"] == JobState.OPEN
-        self.claim.confirm(is_open and not self._is_told_to_stop())
+        self.claim.confirm(is_open and not self._is_told_to_stop(), read_at_s)
         self._changed.set()
         if self.claim.is_stopped:
             await self._cancel_items()
