--- /dev/null
+++ b/libs/lab/src/damaskjunction/lab/batch_rig.py
@@ -0,0 +1,195 @@
+"""A fleet with batch jobs for experiments: submission, faults and checks."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+from collections.abc import Mapping, Sequence
+from typing import Any, NamedTuple
+
+from damaskjunction.http import BrokenResponseError, ConnectFailedError
+from damaskjunction.standins import (
+    CALLER_KEY,
+    Answer,
+    DeployedFleet,
+    deployments,
+    token_text,
+)
+
+AUTHORIZATION = {"Authorization": f"Bearer {CALLER_KEY}"}
+SERVICE = "caddie-llm"
+PAGE_RESULTS = 2000
+POLL_S = 0.3
+RETRY_S = 0.3
+RETRIES = 200
+ACCEPTED = (200, 201)
+
+
+class SubmittedJob(NamedTuple):
+    """A job as its caller knows it."""
+
+    job_id: str
+    key: str
+    prompts: tuple[str, ...]
+    n_tokens: int
+    body: bytes
+
+
+class BatchRig:
+    """A deployment as running processes, and callers that submit jobs to it.
+
+    Parameters
+    ----------
+    name : str
+        The deployment.
+    batch : mapping
+        Entries of the text's ``batch`` section that differ.
+    engine_arguments : tuple of str, optional
+        Further arguments of each engine.
+    seed : int, optional
+        Seed of the hosts that calls go to.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        batch: Mapping[str, Any],
+        engine_arguments: tuple[str, ...] = (),
+        *,
+        seed: int = 1,
+    ) -> None:
+        deployment = deployments.get(name)
+        section = {**deployment.text.get("batch", {}), **batch}
+        text = {**deployment.text, "batch": section}
+        self.deployed = DeployedFleet(deployment._replace(text=text), engine_arguments)
+        self.fleet = self.deployed.fleet
+        self.chance = random.Random(seed)
+        self.seen_by_job: dict[str, dict[int, Any]] = {}
+        self.n_changed = 0
+
+    async def start(self) -> None:
+        """Start the fleet and return when its text is in force."""
+        try:
+            await self.deployed.start()
+            answer = await self.deployed.apply_text()
+            await self.deployed.wait_until_serving(answer.to_json()["revision"])
+        except BaseException:
+            await self.close()
+            raise
+
+    async def close(self) -> None:
+        """End the fleet."""
+        await self.deployed.close()
+
+    @property
+    def hosts(self) -> list[str]:
+        """Ids of the entry hosts."""
+        return list(self.deployed.hosts_by_id)
+
+    @property
+    def engines(self) -> list[str]:
+        """Ids of the model engines."""
+        runners = self.deployed.runners_by_id.values()
+        return [runner.runner_id for runner in runners if not runner.service]
+
+    async def call(
+        self, method: str, target: str, *, host: str = "", body: bytes = b""
+    ) -> Answer:
+        """Call a host, others in turn when it is away or refuses."""
+        for _ in range(RETRIES):
+            name = host or self.chance.choice(self.hosts)
+            host = ""
+            try:
+                answer = await self.fleet.call(
+                    name, method, target, body=body, headers=AUTHORIZATION, stall_s=12.0
+                )
+            except (ConnectFailedError, BrokenResponseError):
+                await asyncio.sleep(RETRY_S)
+                continue
+            if answer.status < 500:
+                return answer
+            await asyncio.sleep(RETRY_S)
+        raise TimeoutError(f"{method} {target} was not answered")
+
+    async def submit(
+        self,
+        key: str,
+        n_items: int,
+        *,
+        n_tokens: int = 4,
+        deadline_s: float = 3600.0,
+        host: str = "",
+    ) -> SubmittedJob:
+        """Submit a job, again until it is accepted."""
+        prompts = tuple(f"{key} faults of cart {number}" for number in range(n_items))
+        lines = (json.dumps({"prompt": p, "max_tokens": n_tokens}) for p in prompts)
+        body = "\n".join(lines).encode()
+        target = f"/v1/jobs?service={SERVICE}&key={key}&deadline_s={deadline_s}"
+        answer = await self.call("POST", target, host=host, body=body)
+        if answer.status not in ACCEPTED:
+            raise RuntimeError(f"job {key} was refused: {answer}")
+        return SubmittedJob(answer.to_json()["job_id"], key, prompts, n_tokens, body)
+
+    async def state_of(self, job: SubmittedJob) -> dict[str, Any]:
+        """Return what a host tells of a job."""
+        answer = await self.call("GET", f"/v1/jobs/{job.job_id}")
+        document: dict[str, Any] = answer.to_json()
+        return document
+
+    async def read_results(self, job: SubmittedJob) -> dict[int, Any]:
+        """Read all results so far, and count those that changed since last read."""
+        found: dict[int, Any] = {}
+        after = -1
+        while True:
+            target = f"/v1/jobs/{job.job_id}/results?after={after}&limit={PAGE_RESULTS}"
+            page = (await self.call("GET", target)).to_json()
+            for result in page["results"]:
+                self.n_changed += result["index"] in found
+                found[result["index"]] = result
+            if page["is_end"] or not page["results"]:
+                break
+            after = page["after"]
+        seen = self.seen_by_job.setdefault(job.job_id, {})
+        self.n_changed += sum(found.get(i, seen[i]) != seen[i] for i in seen)
+        seen.update(found)
+        return found
+
+    async def wait_until_done(
+        self, jobs: Sequence[SubmittedJob], timeout_s: float
+    ) -> bool:
+        """Return whether all jobs are complete in time."""
+        end_s = self.fleet.timers.now() + timeout_s
+        waiting = list(jobs)
+        while waiting and self.fleet.timers.now() < end_s:
+            if (await self.state_of(waiting[0]))["state"] == "complete":
+                waiting.pop(0)
+                continue
+            await asyncio.sleep(POLL_S)
+        return not waiting
+
+    async def counts(self) -> dict[str, int]:
+        """Return the platform's counts of calls."""
+        answer = await self.fleet.call("platform", "GET", "/test/counts")
+        counts: dict[str, int] = answer.to_json()
+        return counts
+
+    async def set_faults(self, name: str, **faults: float) -> None:
+        """Set faults of a stand-in."""
+        await self.fleet.call(name, "PUT", "/test/faults", document=faults)
+
+    async def engine_runs(self, engine: str) -> tuple[int, int]:
+        """Return how many streams an engine began and how many tokens it made."""
+        document = (await self.fleet.call(engine, "GET", "/test/runs")).to_json()
+        return sum(document["runs_by_id"].values()), document["n_tokens"]
+
+
+def count_wrong(job: SubmittedJob, results: Mapping[int, Any]) -> tuple[int, int]:
+    """Return how many results of a whole job are missing and how many are wrong."""
+    n_lost = sum(index not in results for index in range(len(job.prompts)))
+    n_wrong = 0
+    for index, result in results.items():
+        prompt = job.prompts[index]
+        text = "".join(token_text(prompt, n) for n in range(job.n_tokens))
+        n_wrong += result.get("text") != text
+    return n_lost, n_wrong
--- a/libs/node/src/damaskjunction/node/job_items.py
+++ b/libs/node/src/damaskjunction/node/job_items.py
@@ -5,6 +5,7 @@
 import asyncio
 import uuid
 from collections.abc import Awaitable, Callable
+from contextlib import aclosing
 
 from damaskjunction.batch import (
     PREEMPTED,
@@ -104,15 +105,16 @@
         started_s = self._timers.now()
         is_admitted = False
         self._metrics.count("batch_runs_total")
-        async for message in self._runner.run(request):
-            if not isinstance(message, Token):
-                continue
-            texts.append(message.text)
-            if not is_admitted:
-                is_admitted = True
-                wait_s = self._timers.now() - started_s
-                self._window.admitted(wait_s, self._slots.n_in_flight)
-                self._metrics.time("batch_first_token_seconds", wait_s)
+        async with aclosing(self._runner.run(request)) as messages:
+            async for message in messages:
+                if not isinstance(message, Token):
+                    continue
+                texts.append(message.text)
+                if not is_admitted:
+                    is_admitted = True
+                    wait_s = self._timers.now() - started_s
+                    self._window.admitted(wait_s, self._slots.n_in_flight)
+                    self._metrics.time("batch_first_token_seconds", wait_s)
 
     def _note(self, error: RequestError) -> None:
         self._metrics.count(TURNED_AWAY, reason=error.reason)
--- a/libs/node/src/damaskjunction/node/metering.py
+++ b/libs/node/src/damaskjunction/node/metering.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncGenerator, Callable
+from contextlib import aclosing
 from typing import Protocol
 
 from damaskjunction.batch import (
@@ -29,7 +30,7 @@
 class RequestRunner(Protocol):
     """Runs requests, as ``Entry`` does."""
 
-    def run(self, request: CallerRequest) -> AsyncIterator[AnswerMessage]:
+    def run(self, request: CallerRequest) -> AsyncGenerator[AnswerMessage, None]:
         """Yield the messages of a whole answer."""
 
 
@@ -110,7 +111,7 @@
         self._meter = meter
         self._timers = timers
 
-    async def run(self, request: CallerRequest) -> AsyncIterator[AnswerMessage]:
+    async def run(self, request: CallerRequest) -> AsyncGenerator[AnswerMessage, None]:
         """Yield the messages of a whole answer.
 
         Raises
@@ -119,11 +120,12 @@
             As ``Entry.run`` does.
         """
         last_s = 0.0
-        async for message in self._entry.run(request):
-            now_s = self._timers.now()
-            is_first = not last_s
-            busy_s = 0.0 if is_first else now_s - last_s
-            n_tokens = int(isinstance(message, Token))
-            self._meter.add(request, Usage(int(is_first), n_tokens, busy_s))
-            last_s = now_s
-            yield message
+        async with aclosing(self._entry.run(request)) as messages:
+            async for message in messages:
+                now_s = self._timers.now()
+                is_first = not last_s
+                busy_s = 0.0 if is_first else now_s - last_s
+                n_tokens = int(isinstance(message, Token))
+                self._meter.add(request, Usage(int(is_first), n_tokens, busy_s))
+                last_s = now_s
+                yield message
