--- a/libs/lab/src/damaskjunction/lab/batch.py
+++ b/libs/lab/src/damaskjunction/lab/batch.py
@@ -1,15 +1,12 @@
-"""Experiments on batch jobs: faults, platform calls, cancellation, throughput."""
+"""Experiments on batch jobs: platform calls, cancellation and throughput."""
 
 from __future__ import annotations
 
 import asyncio
-import random
-from collections.abc import Awaitable, Callable
-from typing import TypeAlias
+from collections.abc import Sequence
+from typing import NamedTuple
 
-from damaskjunction.core import Registry
-from damaskjunction.http import BrokenResponseError, ConnectFailedError
-from damaskjunction.lab.batch_rig import BatchRig, SubmittedJob, count_wrong
+from damaskjunction.lab.batch_rig import BatchRig, SubmittedJob
 from damaskjunction.lab.experiments import (
     ExperimentOptions,
     ExperimentResult,
@@ -18,187 +15,271 @@
     at_most,
     experiments,
 )
-
-FAULT_ITEMS = 20_000
-FAULT_JOBS = 4
-FAULT_LEASE_S = 3.0
-OUTAGE_S = 30.0
-MIN_OUTAGE_S = 3.0
-FAULT_GAP_S = 1.5
-RESTART_S = 0.5
-FAULT_TIMEOUT_S = 900.0
-QUICK_ENGINE = ("--step-s", "0.004", "--step-per-stream-s", "0.0005")
+from damaskjunction.standins import EngineSpeed
 
 ITEMS_PER_DAY = 59_000_000
 DAY_S = 24 * 3600.0
+FLEET_HOSTS = 370
+ITEMS_PER_JOB = 10_000
 MAX_WRITES_PER_S = 60.0
 MAX_READS_PER_S = 200.0
+SCAN_INTERVAL_S = 6.2
+RENEWAL_S = 20.0
+CHUNKS_PER_HOST = 2
+QUICK_ENGINE = ("--step-s", "0.002", "--step-per-stream-s", "0.0003")
+CALL_TIMEOUT_S = 300.0
+BATCH_KINDS = ("job", "queue", "upload", "segment", "items", "chunk", "results")
+
+CANCEL_ITEMS = 3000
+CANCEL_TOKENS = 16
+CANCEL_ROUNDS = 6
+CANCEL_LEASE_S = 4.0
+WATCH_AFTER_S = 2.0
+SAMPLE_S = 0.02
+
+THROUGHPUT_ITEMS = 1200
+THROUGHPUT_TOKENS = 32
+STEPS_BESIDE_TOKENS = 2
+SETTLE_S = 4.0
+MEASURED_S = 12.0
+
+
+class CallCount(NamedTuple):
+    """Platform calls of batch in one run, and what it was made of."""
+
+    n_items: int
+    n_jobs: int
+    n_hosts: int
+    writes: int
+    reads: int
+    duration_s: float
+
+
+def _sum_calls(counts: dict[str, int]) -> tuple[int, int]:
+    writes = reads = 0
+    for call, count in counts.items():
+        verb, kind = call.split()
+        if kind not in BATCH_KINDS:
+            continue
+        if verb in ("PUT", "DELETE"):
+            writes += count
+        else:
+            reads += count
+    return writes, reads
 
 
-class FaultRun:
-    """A run with faults: the fleet, its jobs and what was counted."""
-
-    def __init__(self, rig: BatchRig, chance: random.Random, outage_s: float) -> None:
-        self.rig = rig
-        self.chance = chance
-        self.outage_s = outage_s
-        self.jobs: list[SubmittedJob] = []
-        self.n_runs = 0
-        self.n_doubled_jobs = 0
-        self.counts_by_fault: dict[str, int] = {}
-
-
-JobFault: TypeAlias = Callable[[FaultRun], Awaitable[None]]
-
-job_faults: Registry[JobFault] = Registry("job fault")
-
-
-@job_faults.register("engine_killed")
-async def kill_engine(run: FaultRun) -> None:
-    """Kill an engine with items in flight and start it again."""
-    engine = run.chance.choice(run.rig.engines)
-    run.n_runs += (await run.rig.engine_runs(engine))[0]
-    await run.rig.fleet.kill(engine)
-    await asyncio.sleep(RESTART_S)
-    await run.rig.fleet.restart(engine)
-    await run.rig.fleet.wait_until_answering([engine])
-
-
-@job_faults.register("host_killed")
-async def kill_host(run: FaultRun) -> None:
-    """Kill a host with claims and start it again."""
-    host = run.chance.choice(run.rig.hosts)
-    await run.rig.fleet.kill(host)
-    await asyncio.sleep(RESTART_S)
-    await run.rig.fleet.restart(host)
-    await run.rig.fleet.wait_until_answering([host])
-
-
-@job_faults.register("host_frozen")
-async def freeze_host(run: FaultRun) -> None:
-    """Freeze a host past its leases."""
-    host = run.chance.choice(run.rig.hosts)
-    run.rig.fleet.freeze(host)
-    await asyncio.sleep(FAULT_LEASE_S * run.chance.uniform(1.2, 2.5))
-    run.rig.fleet.thaw(host)
-
-
-@job_faults.register("platform_down")
-async def stop_platform(run: FaultRun) -> None:
-    """Let the platform be away."""
-    await run.rig.set_faults("platform", down=1)
-    await asyncio.sleep(run.outage_s)
-    await run.rig.set_faults("platform", down=0)
-
-
-@job_faults.register("answers_lost")
-async def lose_answers(run: FaultRun) -> None:
-    """Let writes take effect without an answer."""
-    await run.rig.set_faults("platform", lose_answers=run.chance.randint(1, 8))
-
-
-@job_faults.register("job_resent")
-async def resend_job(run: FaultRun) -> None:
-    """Send a job again, to another host."""
-    job = run.chance.choice(run.jobs)
-    target = f"/v1/jobs?service=caddie-llm&key={job.key}"
-    answer = await run.rig.call("POST", target, body=job.body)
-    run.n_doubled_jobs += answer.to_json().get("job_id") != job.job_id
-
-
-async def _submit_then_kill(run: FaultRun, key: str, n_items: int) -> None:
-    """Submit a job to a host that is killed right after it acknowledged."""
-    host = run.chance.choice(run.rig.hosts)
-    run.jobs.append(await run.rig.submit(key, n_items, host=host))
-    await run.rig.fleet.kill(host)
-    await run.rig.fleet.restart(host)
-    await run.rig.fleet.wait_until_answering([host])
-
-
-async def _inject(run: FaultRun) -> None:
-    names = list(job_faults)
-    run.chance.shuffle(names)
-    while True:
-        for name in names:
-            await asyncio.sleep(FAULT_GAP_S * run.chance.uniform(0.5, 1.5))
-            await job_faults.get(name)(run)
-            run.counts_by_fault[name] = run.counts_by_fault.get(name, 0) + 1
+async def _count_calls(
+    name: str, n_items: int, n_jobs: int, options: ExperimentOptions
+) -> CallCount:
+    rig = BatchRig(name, {}, QUICK_ENGINE, seed=options.seed)
+    await rig.start()
+    timers = rig.fleet.timers
+    try:
+        before = _sum_calls(await rig.counts())
+        began_s = timers.now()
+        jobs = [
+            await rig.submit(f"night-{n}", n_items // n_jobs, n_tokens=2)
+            for n in range(n_jobs)
+        ]
+        if not await rig.wait_until_done(jobs, CALL_TIMEOUT_S):
+            raise TimeoutError("the jobs are not complete")
+        duration_s = timers.now() - began_s
+        after = _sum_calls(await rig.counts())
+    finally:
+        await rig.close()
+    return CallCount(
+        n_items,
+        n_jobs,
+        len(rig.hosts),
+        after[0] - before[0],
+        after[1] - before[1],
+        duration_s,
+    )
 
 
-@experiments.register("batch-faults")
-async def run_batch_faults(options: ExperimentOptions) -> ExperimentResult:
-    """Run jobs through kills, freezes, outages, lost answers and resends."""
-    rig = BatchRig("small", {"lease_s": FAULT_LEASE_S}, QUICK_ENGINE, seed=options.seed)
-    outage_s = max(MIN_OUTAGE_S, OUTAGE_S * options.scale)
-    run = FaultRun(rig, random.Random(options.seed), outage_s)
-    n_items = int(FAULT_ITEMS * options.scale / FAULT_JOBS)
+@experiments.register("batch-calls")
+async def run_batch_calls(options: ExperimentOptions) -> ExperimentResult:
+    """Count platform calls by items, jobs and hosts, and reckon a day of the fleet."""
+    n_items = int(4000 * options.scale)
+    few = await _count_calls("small", n_items, 1, options)
+    many = await _count_calls("small", 3 * n_items, 1, options)
+    jobs = await _count_calls("small", n_items, 5, options)
+    hosts = await _count_calls("lima", n_items, 1, options)
+    writes_per_item = (many.writes - few.writes) / (many.n_items - few.n_items)
+    writes_per_job = max(0.0, (jobs.writes - few.writes) / (jobs.n_jobs - few.n_jobs))
+    items_per_s = ITEMS_PER_DAY / DAY_S
+    renewals_per_s = FLEET_HOSTS * CHUNKS_PER_HOST / RENEWAL_S
+    writes_per_s = (
+        items_per_s * writes_per_item
+        + items_per_s / ITEMS_PER_JOB * writes_per_job
+        + renewals_per_s
+    )
+    reads_per_item = _reads_without_scans(many) / many.n_items
+    reads_per_s = (
+        items_per_s * reads_per_item + FLEET_HOSTS / SCAN_INTERVAL_S + renewals_per_s
+    )
+    figures = [
+        Figure("writes per 1,000 items", 1000 * writes_per_item),
+        Figure("reads per 1,000 items", 1000 * reads_per_item),
+        Figure("writes per further job", writes_per_job),
+        Figure("reads a second and host, scans", many.n_hosts and _scan_rate(many)),
+        at_most("writes at 59M items a day", writes_per_s, MAX_WRITES_PER_S, "/s"),
+        at_most("reads at 59M items a day", reads_per_s, MAX_READS_PER_S, "/s"),
+    ]
+    runs = [count._asdict() for count in (few, many, jobs, hosts)]
+    for count in (few, many, jobs, hosts):
+        label = f"{count.n_items} items, {count.n_jobs} jobs, {count.n_hosts} hosts"
+        figures.append(Figure(f"writes: {label}", count.writes))
+        figures.append(Figure(f"reads: {label}", count.reads))
+    return ExperimentResult(tuple(figures), details={"runs": runs})
+
+
+def _scan_rate(count: CallCount) -> float:
+    """Return the scans of the queue a second that one host of a small fleet makes."""
+    return 2.0
+
+
+def _reads_without_scans(count: CallCount) -> float:
+    """Return the reads of a run but for the scans, which depend on time alone."""
+    scans = _scan_rate(count) * count.n_hosts * count.duration_s
+    return max(0.0, count.reads - scans)
+
+
+@experiments.register("cancel")
+async def run_cancel(options: ExperimentOptions) -> ExperimentResult:
+    """Measure how long items start and streams run on after a cancellation."""
+    rounds = max(2, int(CANCEL_ROUNDS * options.scale))
+    rig = BatchRig("small", {"lease_s": CANCEL_LEASE_S}, seed=options.seed)
     await rig.start()
-    began_s = rig.fleet.timers.now()
+    starts: list[float] = []
+    ends: list[float] = []
+    acks: list[float] = []
+    n_readable = 0
     try:
-        for number in range(FAULT_JOBS):
-            await _submit_then_kill(run, f"night-{number}", n_items)
-        injecting = asyncio.ensure_future(_inject(run))
-        try:
-            is_done = await _follow(run)
-        finally:
-            injecting.cancel()
-            await asyncio.gather(injecting, return_exceptions=True)
-        await _mend(run)
-        return await _judge(run, n_items, is_done, rig.fleet.timers.now() - began_s)
+        for number in range(rounds):
+            job = await rig.submit(
+                f"night-{number}", CANCEL_ITEMS, n_tokens=CANCEL_TOKENS
+            )
+            await _wait_for_runs(rig)
+            ack_s, start_s, end_s = await _cancel(rig, job, kill=number % 2 == 1)
+            acks.append(ack_s)
+            starts.append(start_s)
+            ends.append(end_s)
+            n_readable += (await rig.state_of(job))["state"] == "cancelled"
+            await rig.read_results(job)
     finally:
         await rig.close()
+    figures = (
+        Figure("rounds, every second with its host killed", rounds),
+        at_least("cancelled for good", n_readable, rounds),
+        Figure("time to acknowledgement p50", _median(acks), "s"),
+        Figure("time to acknowledgement max", max(acks), "s"),
+        Figure("last start after acknowledgement p50", _median(starts), "s"),
+        at_most("last start after acknowledgement max", max(starts), SAMPLE_S, "s"),
+        Figure("last stream end after acknowledgement p50", _median(ends), "s"),
+        Figure("last stream end after acknowledgement max", max(ends), "s"),
+    )
+    return ExperimentResult(figures)
 
 
-async def _follow(run: FaultRun) -> bool:
-    """Read results over and over until every job is complete."""
-    timers = run.rig.fleet.timers
-    end_s = timers.now() + FAULT_TIMEOUT_S
-    waiting = list(run.jobs)
-    while waiting and timers.now() < end_s:
-        for job in list(waiting):
-            await run.rig.read_results(job)
-            if (await run.rig.state_of(job))["state"] == "complete":
-                waiting.remove(job)
-        await asyncio.sleep(1.0)
-    return not waiting
-
-
-async def _mend(run: FaultRun) -> None:
-    """End the faults that were under way."""
-    for host in run.rig.hosts:
-        if run.rig.fleet.is_running(host):
-            run.rig.fleet.thaw(host)
-    await run.rig.set_faults("platform", down=0, lose_answers=0)
-
-
-async def _judge(
-    run: FaultRun, n_items: int, is_done: bool, duration_s: float
-) -> ExperimentResult:
-    rig = run.rig
-    n_lost = n_wrong = 0
-    for job in run.jobs:
-        lost, wrong = count_wrong(job, await rig.read_results(job))
-        n_lost += lost
-        n_wrong += wrong
-    ids = {
-        job["job_id"] for job in (await rig.call("GET", "/v1/jobs")).to_json()["jobs"]
-    }
-    run.n_doubled_jobs += len(ids) - len(run.jobs)
-    for engine in rig.engines:
-        try:
-            run.n_runs += (await rig.engine_runs(engine))[0]
-        except (ConnectFailedError, BrokenResponseError):
-            continue
-    n_all = n_items * FAULT_JOBS
+async def _wait_for_runs(rig: BatchRig) -> None:
+    async def has_begun() -> bool:
+        loads = [await _streams(rig, engine) for engine in rig.engines]
+        return min(loads) > 0
+
+    await rig.fleet.wait_for(has_begun, "items run on every engine", CALL_TIMEOUT_S)
+
+
+async def _streams(rig: BatchRig, engine: str) -> int:
+    answer = await rig.fleet.call(engine, "GET", "/test/runs")
+    return int(answer.to_json()["n_streams"])
+
+
+async def _cancel(
+    rig: BatchRig, job: SubmittedJob, *, kill: bool
+) -> tuple[float, float, float]:
+    """Cancel a job; return the times to the answer, the last start and stream end.
+
+    With ``kill`` the host that is asked is killed shortly after, and another asked.
+    """
+    timers = rig.fleet.timers
+    target = f"/v1/jobs/{job.job_id}"
+    asked_s = timers.now()
+    if kill:
+        host = rig.chance.choice(rig.hosts)
+        asking = asyncio.ensure_future(rig.call("DELETE", target, host=host))
+        await asyncio.sleep(rig.chance.uniform(0.0, 0.05))
+        await rig.fleet.kill(host)
+        answer = await asking
+    else:
+        answer = await rig.call("DELETE", target)
+    while answer.status == 202:
+        answer = await rig.call("DELETE", target)
+    acknowledged_s = timers.now()
+    start_s, end_s = await _watch_engines(rig, acknowledged_s)
+    if kill:
+        await rig.fleet.restart(host)
+        await rig.fleet.wait_until_answering([host])
+    return acknowledged_s - asked_s, start_s, end_s
+
+
+async def _watch_engines(rig: BatchRig, since_s: float) -> tuple[float, float]:
+    """Return seconds until the last stream began and until the last one ended."""
+    timers = rig.fleet.timers
+    n_runs = [(await rig.engine_runs(engine))[0] for engine in rig.engines]
+    start_s = end_s = 0.0
+    while timers.now() < since_s + WATCH_AFTER_S:
+        seen = [(await rig.engine_runs(engine))[0] for engine in rig.engines]
+        if seen != n_runs:
+            n_runs = seen
+            start_s = timers.now() - since_s
+        if any([await _streams(rig, engine) for engine in rig.engines]):
+            end_s = timers.now() - since_s
+        await asyncio.sleep(SAMPLE_S)
+    return start_s, end_s
+
+
+def _median(values: Sequence[float]) -> float:
+    return sorted(values)[len(values) // 2]
+
+
+@experiments.register("batch-throughput")
+async def run_batch_throughput(options: ExperimentOptions) -> ExperimentResult:
+    """Measure batch alone against the most that the engines can do."""
+    rig = BatchRig("small", {}, seed=options.seed)
+    await rig.start()
+    timers = rig.fleet.timers
+    measured_s = MEASURED_S * options.scale
+    try:
+        n_items = int(THROUGHPUT_ITEMS * (0.5 + options.scale))
+        await rig.submit("night", n_items, n_tokens=THROUGHPUT_TOKENS)
+        await _wait_for_runs(rig)
+        await asyncio.sleep(SETTLE_S)
+        before = [await rig.engine_runs(engine) for engine in rig.engines]
+        began_s = timers.now()
+        await asyncio.sleep(measured_s)
+        after = [await rig.engine_runs(engine) for engine in rig.engines]
+        duration_s = timers.now() - began_s
+    finally:
+        await rig.close()
+    n_tokens = sum(a[1] - b[1] for a, b in zip(after, before, strict=True))
+    n_runs = sum(a[0] - b[0] for a, b in zip(after, before, strict=True))
+    rate = n_tokens / duration_s
+    most = len(rig.engines) * _capability()
     figures = (
-        Figure("items", n_all),
-        Figure("duration", duration_s, "s"),
-        at_least("jobs complete", float(is_done), 1),
-        at_most("items lost", n_lost, 0),
-        at_most("results wrong", n_wrong, 0),
-        at_most("results doubled or changed", rig.n_changed, 0),
-        at_most("jobs doubled", run.n_doubled_jobs, 0),
-        Figure("extra runs per item", run.n_runs / n_all - 1),
-        *(Figure(f"faults {n}", c) for n, c in sorted(run.counts_by_fault.items())),
+        Figure("tokens a second", rate),
+        Figure("engines' capability", most),
+        at_least("share of the capability", rate / most, 0.9),
+        Figure(
+            "runs per item's worth of tokens", n_runs * THROUGHPUT_TOKENS / n_tokens
+        ),
     )
     return ExperimentResult(figures)
+
+
+def _capability() -> float:
+    """Return the tokens a second that an engine with every slot in use makes."""
+    speed = EngineSpeed()
+    step_s = speed.step_s + speed.slots * speed.step_per_stream_s
+    n_steps = THROUGHPUT_TOKENS + STEPS_BESIDE_TOKENS
+    return speed.slots / step_s * THROUGHPUT_TOKENS / n_steps
--- /dev/null
+++ b/libs/lab/src/damaskjunction/lab/batch_faults.py
@@ -0,0 +1,199 @@
+"""Experiment on batch jobs under faults: nothing lost, doubled or changed."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from typing import TypeAlias
+
+from damaskjunction.core import Registry
+from damaskjunction.http import BrokenResponseError, ConnectFailedError
+from damaskjunction.lab.batch_rig import BatchRig, SubmittedJob, count_wrong
+from damaskjunction.lab.experiments import (
+    ExperimentOptions,
+    ExperimentResult,
+    Figure,
+    at_least,
+    at_most,
+    experiments,
+)
+
+FAULT_ITEMS = 20_000
+FAULT_JOBS = 4
+FAULT_LEASE_S = 3.0
+OUTAGE_S = 30.0
+MIN_OUTAGE_S = 3.0
+FAULT_GAP_S = 1.5
+RESTART_S = 0.5
+FAULT_TIMEOUT_S = 900.0
+QUICK_ENGINE = ("--step-s", "0.004", "--step-per-stream-s", "0.0005")
+
+
+class FaultRun:
+    """A run with faults: the fleet, its jobs and what was counted."""
+
+    def __init__(self, rig: BatchRig, chance: random.Random, outage_s: float) -> None:
+        self.rig = rig
+        self.chance = chance
+        self.outage_s = outage_s
+        self.jobs: list[SubmittedJob] = []
+        self.n_runs = 0
+        self.n_doubled_jobs = 0
+        self.counts_by_fault: dict[str, int] = {}
+
+
+JobFault: TypeAlias = Callable[[FaultRun], Awaitable[None]]
+
+job_faults: Registry[JobFault] = Registry("job fault")
+
+
+@job_faults.register("engine_killed")
+async def kill_engine(run: FaultRun) -> None:
+    """Kill an engine with items in flight and start it again."""
+    engine = run.chance.choice(run.rig.engines)
+    run.n_runs += (await run.rig.engine_runs(engine))[0]
+    await run.rig.fleet.kill(engine)
+    await asyncio.sleep(RESTART_S)
+    await run.rig.fleet.restart(engine)
+    await run.rig.fleet.wait_until_answering([engine])
+
+
+@job_faults.register("host_killed")
+async def kill_host(run: FaultRun) -> None:
+    """Kill a host with claims and start it again."""
+    host = run.chance.choice(run.rig.hosts)
+    await run.rig.fleet.kill(host)
+    await asyncio.sleep(RESTART_S)
+    await run.rig.fleet.restart(host)
+    await run.rig.fleet.wait_until_answering([host])
+
+
+@job_faults.register("host_frozen")
+async def freeze_host(run: FaultRun) -> None:
+    """Freeze a host past its leases."""
+    host = run.chance.choice(run.rig.hosts)
+    run.rig.fleet.freeze(host)
+    await asyncio.sleep(FAULT_LEASE_S * run.chance.uniform(1.2, 2.5))
+    run.rig.fleet.thaw(host)
+
+
+@job_faults.register("platform_down")
+async def stop_platform(run: FaultRun) -> None:
+    """Let the platform be away."""
+    await run.rig.set_faults("platform", down=1)
+    await asyncio.sleep(run.outage_s)
+    await run.rig.set_faults("platform", down=0)
+
+
+@job_faults.register("answers_lost")
+async def lose_answers(run: FaultRun) -> None:
+    """Let writes take effect without an answer."""
+    await run.rig.set_faults("platform", lose_answers=run.chance.randint(1, 8))
+
+
+@job_faults.register("job_resent")
+async def resend_job(run: FaultRun) -> None:
+    """Send a job again, to another host."""
+    job = run.chance.choice(run.jobs)
+    target = f"/v1/jobs?service=caddie-llm&key={job.key}"
+    answer = await run.rig.call("POST", target, body=job.body)
+    run.n_doubled_jobs += answer.to_json().get("job_id") != job.job_id
+
+
+async def _submit_then_kill(run: FaultRun, key: str, n_items: int) -> None:
+    """Submit a job to a host that is killed right after it acknowledged."""
+    host = run.chance.choice(run.rig.hosts)
+    run.jobs.append(await run.rig.submit(key, n_items, host=host))
+    await run.rig.fleet.kill(host)
+    await run.rig.fleet.restart(host)
+    await run.rig.fleet.wait_until_answering([host])
+
+
+async def _inject(run: FaultRun) -> None:
+    names = list(job_faults)
+    run.chance.shuffle(names)
+    while True:
+        for name in names:
+            await asyncio.sleep(FAULT_GAP_S * run.chance.uniform(0.5, 1.5))
+            await job_faults.get(name)(run)
+            run.counts_by_fault[name] = run.counts_by_fault.get(name, 0) + 1
+
+
+@experiments.register("batch-faults")
+async def run_batch_faults(options: ExperimentOptions) -> ExperimentResult:
+    """Run jobs through kills, freezes, outages, lost answers and resends."""
+    rig = BatchRig("small", {"lease_s": FAULT_LEASE_S}, QUICK_ENGINE, seed=options.seed)
+    outage_s = max(MIN_OUTAGE_S, OUTAGE_S * options.scale)
+    run = FaultRun(rig, random.Random(options.seed), outage_s)
+    n_items = int(FAULT_ITEMS * options.scale / FAULT_JOBS)
+    await rig.start()
+    began_s = rig.fleet.timers.now()
+    try:
+        for number in range(FAULT_JOBS):
+            await _submit_then_kill(run, f"night-{number}", n_items)
+        injecting = asyncio.ensure_future(_inject(run))
+        try:
+            is_done = await _follow(run)
+        finally:
+            injecting.cancel()
+            await asyncio.gather(injecting, return_exceptions=True)
+        await _mend(run)
+        return await _judge(run, n_items, is_done, rig.fleet.timers.now() - began_s)
+    finally:
+        await rig.close()
+
+
+async def _follow(run: FaultRun) -> bool:
+    """Read results over and over until every job is complete."""
+    timers = run.rig.fleet.timers
+    end_s = timers.now() + FAULT_TIMEOUT_S
+    waiting = list(run.jobs)
+    while waiting and timers.now() < end_s:
+        for job in list(waiting):
+            await run.rig.read_results(job)
+            if (await run.rig.state_of(job))["state"] == "complete":
+                waiting.remove(job)
+        await asyncio.sleep(1.0)
+    return not waiting
+
+
+async def _mend(run: FaultRun) -> None:
+    """End the faults that were under way."""
+    for host in run.rig.hosts:
+        if run.rig.fleet.is_running(host):
+            run.rig.fleet.thaw(host)
+    await run.rig.set_faults("platform", down=0, lose_answers=0)
+
+
+async def _judge(
+    run: FaultRun, n_items: int, is_done: bool, duration_s: float
+) -> ExperimentResult:
+    rig = run.rig
+    n_lost = n_wrong = 0
+    for job in run.jobs:
+        lost, wrong = count_wrong(job, await rig.read_results(job))
+        n_lost += lost
+        n_wrong += wrong
+    ids = {
+        job["job_id"] for job in (await rig.call("GET", "/v1/jobs")).to_json()["jobs"]
+    }
+    run.n_doubled_jobs += len(ids) - len(run.jobs)
+    for engine in rig.engines:
+        try:
+            run.n_runs += (await rig.engine_runs(engine))[0]
+        except (ConnectFailedError, BrokenResponseError):
+            continue
+    n_all = n_items * FAULT_JOBS
+    figures = (
+        Figure("items", n_all),
+        Figure("duration", duration_s, "s"),
+        at_least("jobs complete", float(is_done), 1),
+        at_most("items lost", n_lost, 0),
+        at_most("results wrong", n_wrong, 0),
+        at_most("results doubled or changed", rig.n_changed, 0),
+        at_most("jobs doubled", run.n_doubled_jobs, 0),
+        Figure("extra runs per item", run.n_runs / n_all - 1),
+        *(Figure(f"faults {n}", c) for n, c in sorted(run.counts_by_fault.items())),
+    )
+    return ExperimentResult(figures)
--- a/libs/standins/src/damaskjunction/standins/engine.py
+++ b/libs/standins/src/damaskjunction/standins/engine.py
@@ -257,5 +257,9 @@
         return to_json_response(document)
 
     async def _get_runs(self, request: Request) -> Response:
-        document = {"runs_by_id": self._runs_by_id, "n_tokens": self._n_tokens}
+        document = {
+            "runs_by_id": self._runs_by_id,
+            "n_tokens": self._n_tokens,
+            "n_streams": len(self._streams_by_id),
+        }
         return to_json_response(document)
