--- a/libs/wire/src/damaskjunction/wire/peer.thrift
+++ b/libs/wire/src/damaskjunction/wire/peer.thrift
@@ -93,3 +93,13 @@
   1: string service_name
   2: i32 in_flight
 }
+
+// Tells a host to end its work on a job that is cancelled.
+struct StopJob {
+  1: string job_id
+}
+
+// The host has ended its work on the job and starts no more.
+struct JobStopped {
+  1: string job_id
+}
