--- a/libs/membership/src/damaskjunction/membership/__init__.py
+++ b/libs/membership/src/damaskjunction/membership/__init__.py
@@ -1,5 +1,63 @@
 """Decisions on which hosts are alive and which revision is in force."""
 
+from damaskjunction.membership.deltas import Delta, apply_delta, make_delta
+from damaskjunction.membership.detector import MAX_DATAGRAM_BYTES, Detector
+from damaskjunction.membership.documents import (
+    DocumentKey,
+    DocumentPart,
+    DocumentShelf,
+    Fetch,
+    HeldDocument,
+)
+from damaskjunction.membership.roster import (
+    WATCHERS_PER_DATA_CENTRE,
+    Roster,
+    choose_watchers,
+)
+from damaskjunction.membership.types import (
+    Datagram,
+    DatagramKind,
+    DocumentRevision,
+    DocumentsHeard,
+    Effect,
+    Health,
+    Member,
+    MembersChanged,
+    MemberState,
+    Rumour,
+    Send,
+    Timing,
+    first_incarnation,
+)
 from damaskjunction.membership.view import FleetView, make_view
 
-__all__ = ["FleetView", "make_view"]
+__all__ = [
+    "MAX_DATAGRAM_BYTES",
+    "WATCHERS_PER_DATA_CENTRE",
+    "Datagram",
+    "DatagramKind",
+    "Delta",
+    "Detector",
+    "DocumentKey",
+    "DocumentPart",
+    "DocumentRevision",
+    "DocumentShelf",
+    "DocumentsHeard",
+    "Effect",
+    "Fetch",
+    "FleetView",
+    "Health",
+    "HeldDocument",
+    "Member",
+    "MemberState",
+    "MembersChanged",
+    "Roster",
+    "Rumour",
+    "Send",
+    "Timing",
+    "apply_delta",
+    "choose_watchers",
+    "first_incarnation",
+    "make_delta",
+    "make_view",
+]
--- /dev/null
+++ b/libs/membership/src/damaskjunction/membership/deltas.py
@@ -0,0 +1,49 @@
+"""Changes between two revisions of a text: what stands between the common ends."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+class Delta(NamedTuple):
+    """A text, given one that has its first and last bytes in common."""
+
+    n_prefix: int
+    n_suffix: int
+    middle: bytes
+
+
+def make_delta(base: bytes, text: bytes) -> Delta:
+    """Return what is needed to make ``text`` from ``base``."""
+    n_prefix = _count_common(base, text)
+    limit = min(len(base), len(text)) - n_prefix
+    n_suffix = _count_common(
+        base[len(base) - limit :][::-1], text[len(text) - limit :][::-1]
+    )
+    return Delta(n_prefix, n_suffix, text[n_prefix : len(text) - n_suffix])
+
+
+def _count_common(one: bytes, other: bytes) -> int:
+    """Return how many first bytes are equal, by bisection."""
+    low, high = 0, min(len(one), len(other))
+    while low < high:
+        middle = (low + high + 1) // 2
+        if one[low:middle] == other[low:middle]:
+            low = middle
+        else:
+            high = middle - 1
+    return low
+
+
+def apply_delta(base: bytes, delta: Delta) -> bytes:
+    """Return the text that a delta makes from ``base``.
+
+    Raises
+    ------
+    ValueError
+        When ``base`` is shorter than the ends that the delta keeps.
+    """
+    if delta.n_prefix + delta.n_suffix > len(base):
+        raise ValueError(f"a base of {len(base)} bytes is too short for the delta")
+    suffix = base[len(base) - delta.n_suffix :]
+    return base[: delta.n_prefix] + delta.middle + suffix
--- /dev/null
+++ b/libs/membership/src/damaskjunction/membership/detector.py
@@ -0,0 +1,452 @@
+"""The failure detector: probes, suspicion, refutation and gossip.
+
+Fed datagrams and the time, it returns effects. Each probe period one host is probed,
+in an order shuffled anew each round. A probe that fails directly is tried through
+other hosts; when that fails too the host is suspect, and dead unless it refutes with
+a higher incarnation. What changed is told to a few random hosts each tick, a bounded
+number of times and within a budget of bytes.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from damaskjunction.core import Address, EntryHost, HostId, HostState, Revision
+from damaskjunction.membership.roster import (
+    WATCHERS_PER_DATA_CENTRE,
+    Roster,
+    choose_watchers,
+)
+from damaskjunction.membership.rumours import RumourQueue
+from damaskjunction.membership.types import (
+    Datagram,
+    DatagramKind,
+    DocumentRevision,
+    DocumentsHeard,
+    Effect,
+    Health,
+    Member,
+    MembersChanged,
+    MemberState,
+    Rumour,
+    Send,
+    Timing,
+    rumour_of,
+    without_addresses,
+)
+
+MAX_DATAGRAM_BYTES = 1400
+RUMOUR_BYTES_PER_DATAGRAM = 800
+HEADER_BYTES = 300
+MAX_AWARENESS = 4
+MIN_PEERS_TO_JUDGE = 3
+DOCUMENT_ROUNDS = 4
+REPORT_DELAYS_S = (0.0, 0.4)
+DEAD_PROBE_EVERY = 5
+RELAY_TIMEOUT_S = 2.0
+
+
+class _Probe(NamedTuple):
+    """A probe whose answer is awaited."""
+
+    target: HostId
+    indirect_at_s: float
+    fails_at_s: float
+    is_indirect: bool = False
+
+
+class _Relay(NamedTuple):
+    """A probe made for another host."""
+
+    address: Address
+    sequence: int
+    ends_at_s: float
+
+
+class Detector:
+    """What one host finds out about the others.
+
+    Parameters
+    ----------
+    own : EntryHost
+        This host.
+    incarnation : int
+        Its incarnation, see ``first_incarnation``.
+    chance : random.Random
+        Source of random choices.
+    timing : Timing, optional
+        Periods and limits.
+    """
+
+    def __init__(
+        self,
+        own: EntryHost,
+        incarnation: int,
+        chance: random.Random,
+        *,
+        timing: Timing = Timing(),  # noqa: B008 - a NamedTuple is immutable
+    ) -> None:
+        self.own = Member(own, incarnation, MemberState.STARTING)
+        self.roster = Roster(own.host_id, timing)
+        self.documents: tuple[DocumentRevision, ...] = ()
+        self.awareness = 0
+        self._timing = timing
+        self._chance = chance
+        self._rumours = RumourQueue()
+        self._probes_by_sequence: dict[int, _Probe] = {}
+        self._relays_by_sequence: dict[int, _Relay] = {}
+        self._suspected_until_by_id: dict[HostId, float] = {}
+        self._reports_at_s: list[float] = []
+        self._order: list[HostId] = []
+        self._sequence = 0
+        self._n_probes = 0
+        self._document_rounds = 0
+        self._budget_bytes = timing.gossip_burst_bytes
+        self._ticked_at_s: float | None = None
+        self._probe_at_s = 0.0
+        self._heard_at_s: float | None = None
+        self._is_changed = False
+
+    def tick(self, now_s: float) -> list[Effect]:
+        """Go on with probes, suspicions and gossip; called each ``timing.tick_s``."""
+        effects: list[Effect] = []
+        self._notice_pause(now_s)
+        self._check_probes(now_s, effects)
+        self._expire_suspicions(now_s)
+        if now_s >= self._probe_at_s:
+            self._probe_at_s = now_s + self._timing.probe_period_s
+            self._probe_next(now_s, effects)
+        self._gossip(effects)
+        self._report(now_s, effects)
+        return self._finish(effects)
+
+    def receive(
+        self, datagram: Datagram, address: Address, now_s: float
+    ) -> list[Effect]:
+        """Take a datagram that came from an address."""
+        if not datagram.rumours:
+            return []
+        effects: list[Effect] = []
+        sender = datagram.rumours[0]
+        self._heard_at_s = now_s
+        for rumour in datagram.rumours:
+            self._take_rumour(rumour, now_s)
+        match datagram.kind:
+            case DatagramKind.PING:
+                self._answer(datagram, sender, address, effects)
+            case DatagramKind.ACK:
+                self._take_ack(datagram, now_s, effects)
+            case DatagramKind.PROBE_REQUEST:
+                self._probe_for(datagram, address, now_s, effects)
+        if datagram.documents:
+            effects.append(DocumentsHeard(sender.host_id, datagram.documents))
+        return self._finish(effects)
+
+    def receive_members(self, rumours: Iterable[Rumour], now_s: float) -> list[Effect]:
+        """Take a whole list of members from another host."""
+        for rumour in rumours:
+            self._take_rumour(rumour, now_s)
+        return self._finish([])
+
+    def apply_list(self, hosts: Iterable[EntryHost], now_s: float) -> list[Effect]:
+        """Take the platform's host list."""
+        self._is_changed |= self.roster.apply_list(hosts, now_s)
+        return self._finish([])
+
+    def set_documents(self, documents: tuple[DocumentRevision, ...]) -> None:
+        """Tell from now on which documents this host holds."""
+        if documents != self.documents:
+            self.documents = documents
+            self._document_rounds = DOCUMENT_ROUNDS
+
+    def set_in_force(
+        self, configuration: Revision, plan: Revision, now_s: float
+    ) -> None:
+        """Tell from now on which revisions are in force on this host."""
+        is_starting = self.own.state is MemberState.STARTING
+        state = MemberState.ALIVE if configuration and is_starting else self.own.state
+        own = self.own._replace(
+            configuration_revision=configuration, plan_revision=plan, state=state
+        )
+        if own != self.own:
+            self.own = own
+            self._reports_at_s = [now_s + delay_s for delay_s in REPORT_DELAYS_S]
+        if is_starting and state is MemberState.ALIVE:
+            self._rumours.add(rumour_of(own))
+
+    def leave(self) -> list[Effect]:
+        """Tell that this host is leaving."""
+        self.own = self.own._replace(state=MemberState.LEAVING)
+        self._rumours.add(rumour_of(self.own))
+        self._budget_bytes = self._timing.gossip_burst_bytes
+        effects: list[Effect] = []
+        self._gossip(effects)
+        return effects
+
+    def members(self) -> list[Rumour]:
+        """Return what is known of every host, this one first."""
+        others = self.roster.members_by_id.values()
+        return [rumour_of(member) for member in (self.own, *others)]
+
+    def is_isolated(self, now_s: float) -> bool:
+        """Return whether this host hears nobody, and so cannot judge others."""
+        if len(self.roster.present()) < MIN_PEERS_TO_JUDGE:
+            return False
+        if self._heard_at_s is None:
+            return True
+        return now_s - self._heard_at_s > self._timing.isolation_s
+
+    def _finish(self, effects: list[Effect]) -> list[Effect]:
+        if self._is_changed:
+            self._is_changed = False
+            effects.append(MembersChanged())
+        return effects
+
+    # Time
+
+    def _notice_pause(self, now_s: float) -> None:
+        """After a pause, judge nobody by what was missed meanwhile."""
+        last_s = self._ticked_at_s if self._ticked_at_s is not None else now_s
+        self._ticked_at_s = now_s
+        pause_s = now_s - last_s
+        refill = min(pause_s, 1.0) * self._timing.gossip_bytes_per_s
+        limit = self._timing.gossip_burst_bytes
+        self._budget_bytes = min(limit, self._budget_bytes + refill)
+        if pause_s <= self._timing.pause_s:
+            return
+        self.awareness = MAX_AWARENESS
+        self._probes_by_sequence.clear()
+        self._heard_at_s = None
+        for host_id in self._suspected_until_by_id:
+            self._suspected_until_by_id[host_id] = now_s + self._suspicion_s()
+
+    def _suspicion_s(self) -> float:
+        return self._timing.suspicion_s * (1 + self.awareness)
+
+    def _expire_suspicions(self, now_s: float) -> None:
+        if not self._suspected_until_by_id or self.is_isolated(now_s):
+            return
+        due = [
+            host_id
+            for host_id, until_s in self._suspected_until_by_id.items()
+            if until_s <= now_s
+        ]
+        for host_id in due:
+            self._judge(host_id, Health.DEAD, now_s)
+
+    # Probes
+
+    def _probe_next(self, now_s: float, effects: list[Effect]) -> None:
+        target = self._next_target()
+        if target is None:
+            return
+        patience = 1 + self.awareness
+        indirect_at_s = now_s + self._timing.ack_timeout_s * patience
+        fails_at_s = now_s + self._timing.probe_period_s * patience
+        self._sequence += 1
+        probe = _Probe(target.host.host_id, indirect_at_s, fails_at_s)
+        self._probes_by_sequence[self._sequence] = probe
+        effects.append(self._ping(target, self._sequence))
+
+    def _next_target(self) -> Member | None:
+        self._n_probes += 1
+        if self._n_probes % DEAD_PROBE_EVERY == 0:
+            dead = [m for m in self.roster.members_by_id.values() if m.is_dead]
+            if dead:
+                return self._chance.choice(dead)
+        for _ in range(2):
+            while self._order:
+                member = self.roster.members_by_id.get(self._order.pop())
+                if member is not None and not member.is_dead:
+                    return member
+            self._order = [m.host.host_id for m in self.roster.present()]
+            self._chance.shuffle(self._order)
+        return None
+
+    def _ping(self, target: Member, sequence: int) -> Send:
+        """Return a ping; it tells a host in doubt what is said of it."""
+        first: tuple[Rumour, ...] = ()
+        if target.health is not Health.OK:
+            first = (without_addresses(rumour_of(target)),)
+        datagram = self._make(DatagramKind.PING, sequence, target.host.host_id, first)
+        return Send(target.host.probe, datagram)
+
+    def _check_probes(self, now_s: float, effects: list[Effect]) -> None:
+        for sequence, probe in list(self._probes_by_sequence.items()):
+            if now_s >= probe.fails_at_s:
+                del self._probes_by_sequence[sequence]
+                self._fail(probe, now_s)
+            elif now_s >= probe.indirect_at_s and not probe.is_indirect:
+                self._probes_by_sequence[sequence] = probe._replace(is_indirect=True)
+                self._ask_others(probe.target, sequence, effects)
+        for sequence, relay in list(self._relays_by_sequence.items()):
+            if now_s >= relay.ends_at_s:
+                del self._relays_by_sequence[sequence]
+
+    def _ask_others(self, target: HostId, sequence: int, effects: list[Effect]) -> None:
+        helpers = self._pick(self._timing.n_indirect, without=target)
+        for helper in helpers:
+            datagram = self._make(DatagramKind.PROBE_REQUEST, sequence, target)
+            effects.append(Send(helper.host.probe, datagram))
+
+    def _fail(self, probe: _Probe, now_s: float) -> None:
+        member = self.roster.members_by_id.get(probe.target)
+        if member is None or member.is_dead:
+            return
+        self.awareness = min(MAX_AWARENESS, self.awareness + 1)
+        self._judge(probe.target, Health.SUSPECT, now_s)
+
+    def _judge(self, host_id: HostId, health: Health, now_s: float) -> None:
+        member = self.roster.members_by_id.get(host_id)
+        if member is None:
+            self._suspected_until_by_id.pop(host_id, None)
+        else:
+            rumour = without_addresses(rumour_of(member))._replace(health=health)
+            self._take_rumour(rumour, now_s)
+
+    def _answer(
+        self,
+        datagram: Datagram,
+        sender: Rumour,
+        address: Address,
+        effects: list[Effect],
+    ) -> None:
+        about = self.roster.members_by_id.get(sender.host_id)
+        first: tuple[Rumour, ...] = ()
+        if about is not None and about.incarnation > sender.incarnation:
+            first = (without_addresses(rumour_of(about)),)
+        own_id = self.own.host.host_id
+        ack = self._make(DatagramKind.ACK, datagram.sequence, own_id, first)
+        effects.append(Send(address, ack))
+
+    def _take_ack(
+        self, datagram: Datagram, now_s: float, effects: list[Effect]
+    ) -> None:
+        relay = self._relays_by_sequence.pop(datagram.sequence, None)
+        if relay is not None:
+            ack = self._make(DatagramKind.ACK, relay.sequence, datagram.target)
+            effects.append(Send(relay.address, ack))
+            return
+        probe = self._probes_by_sequence.pop(datagram.sequence, None)
+        if probe is None:
+            return
+        self.awareness = max(0, self.awareness - 1)
+        if datagram.target != probe.target:
+            self._judge(probe.target, Health.DEAD, now_s)  # its address has a new host
+
+    def _probe_for(
+        self,
+        datagram: Datagram,
+        address: Address,
+        now_s: float,
+        effects: list[Effect],
+    ) -> None:
+        target = self.roster.members_by_id.get(datagram.target)
+        if target is None:
+            return
+        self._sequence += 1
+        ends_at_s = now_s + RELAY_TIMEOUT_S
+        relay = _Relay(address, datagram.sequence, ends_at_s)
+        self._relays_by_sequence[self._sequence] = relay
+        effects.append(self._ping(target, self._sequence))
+
+    # Rumours
+
+    def _take_rumour(self, rumour: Rumour, now_s: float) -> None:
+        if rumour.host_id == self.own.host.host_id:
+            self._take_rumour_of_self(rumour)
+            return
+        before = self.roster.members_by_id.get(rumour.host_id)
+        is_changed = self.roster.merge(rumour, now_s)
+        if is_changed is None:
+            return
+        member = self.roster.members_by_id[rumour.host_id]
+        self._is_changed |= is_changed
+        if before is None or _news(before) != _news(member):
+            self._rumours.add(_to_tell(member))
+        if member.health is not Health.SUSPECT:
+            self._suspected_until_by_id.pop(rumour.host_id, None)
+        elif rumour.host_id not in self._suspected_until_by_id:
+            until_s = now_s + self._suspicion_s()
+            self._suspected_until_by_id[rumour.host_id] = until_s
+
+    def _take_rumour_of_self(self, rumour: Rumour) -> None:
+        """Refute what is wrong, and outlive what is left of an earlier start."""
+        own = self.own
+        is_of_other = rumour.incarnation > own.incarnation
+        is_in_doubt = (
+            rumour.incarnation == own.incarnation and rumour.health is not Health.OK
+        )
+        if is_of_other or is_in_doubt:
+            self.own = own._replace(incarnation=rumour.incarnation + 1)
+            self._rumours.add(rumour_of(self.own))
+
+    def _pick(self, count: int, *, without: HostId = "") -> list[Member]:
+        others = [
+            member
+            for member in self.roster.members_by_id.values()
+            if not member.is_dead and member.host.host_id != without
+        ]
+        return self._chance.sample(others, min(count, len(others)))
+
+    def _make(
+        self,
+        kind: DatagramKind,
+        sequence: int,
+        target: HostId,
+        first: tuple[Rumour, ...] = (),
+    ) -> Datagram:
+        n_members = len(self.roster.members_by_id)
+        others = self._rumours.take(n_members, RUMOUR_BYTES_PER_DATAGRAM)
+        rumours = (rumour_of(self.own), *first, *others)
+        return Datagram(kind, sequence, target, self.documents, rumours)
+
+    def _gossip(self, effects: list[Effect]) -> None:
+        """Tell what is new to a few hosts, within the budget of bytes."""
+        if not (len(self._rumours) or self._document_rounds):
+            return
+        self._document_rounds = max(0, self._document_rounds - 1)
+        for member in self._pick(self._timing.fan_out):
+            if self._budget_bytes < 0:
+                return
+            datagram = self._make(DatagramKind.GOSSIP, 0, member.host.host_id)
+            self._budget_bytes -= HEADER_BYTES * len(datagram.rumours)
+            effects.append(Send(member.host.probe, datagram))
+
+    def _report(self, now_s: float, effects: list[Effect]) -> None:
+        """Tell the watchers of the data centre what is in force here."""
+        if not self._reports_at_s or now_s < self._reports_at_s[0]:
+            return
+        del self._reports_at_s[0]
+        if not self._reports_at_s:
+            self._reports_at_s = [now_s + self._timing.report_period_s]
+        for member in self.watchers(self.own.host.data_centre):
+            if member.host.host_id != self.own.host.host_id:
+                datagram = self._make(DatagramKind.GOSSIP, 0, member.host.host_id)
+                effects.append(Send(member.host.probe, datagram))
+
+    def watchers(self, data_centre: str) -> list[Member]:
+        """Return the hosts that watch the platform for a data centre."""
+        members_by_id = {**self.roster.members_by_id, self.own.host.host_id: self.own}
+        names = choose_watchers(members_by_id.values(), data_centre)
+        return [members_by_id[name] for name in names[:WATCHERS_PER_DATA_CENTRE]]
+
+    def fleet_hosts(self) -> list[EntryHost]:
+        """Return the hosts that serve or still finish work, this one among them."""
+        is_leaving = self.own.is_leaving
+        state = HostState.LEAVING if is_leaving else HostState.LIVE
+        own = self.own.host._replace(state=state)
+        return sorted((own, *self.roster.known_hosts()))
+
+
+def _news(member: Member) -> tuple[object, ...]:
+    """Return what of a member others should hear of."""
+    return member.incarnation, member.state, member.health
+
+
+def _to_tell(member: Member) -> Rumour:
+    """Return the rumour of a member, short when others must know it already."""
+    rumour = rumour_of(member)
+    return rumour if member.health is Health.OK else without_addresses(rumour)
--- /dev/null
+++ b/libs/membership/src/damaskjunction/membership/merging.py
@@ -0,0 +1,54 @@
+"""How two accounts of a host are joined, whatever their order."""
+
+from __future__ import annotations
+
+from damaskjunction.membership.types import (
+    Health,
+    Member,
+    MemberState,
+    Rumour,
+    host_of,
+    start_of,
+)
+
+_STATES = tuple(MemberState)
+_HEALTHS = tuple(Health)
+
+
+def merge_rumour(member: Member | None, rumour: Rumour) -> Member | None:
+    """Return a member after a rumour; None when nothing can be made of it.
+
+    The higher incarnation is believed. Within one, state and health only move
+    forward, and revisions only upward, so rumours may come twice or out of order.
+    """
+    host = host_of(rumour)
+    if member is None:
+        return None if host is None else _fresh(Member(host), rumour)
+    if rumour.incarnation < member.incarnation:
+        return member
+    if rumour.incarnation > member.incarnation:
+        known = member if host is None else member._replace(host=host)
+        return _fresh(known, rumour)
+    return member._replace(
+        state=max(member.state, rumour.state, key=_STATES.index),
+        health=max(member.health, rumour.health, key=_HEALTHS.index),
+        configuration_revision=max(
+            member.configuration_revision, rumour.configuration_revision
+        ),
+        plan_revision=max(member.plan_revision, rumour.plan_revision),
+    )
+
+
+def _fresh(member: Member, rumour: Rumour) -> Member:
+    """Return a member of a higher incarnation; a restart forgets its revisions."""
+    is_same_start = start_of(member.incarnation) == start_of(rumour.incarnation)
+    old = member if is_same_start else Member(member.host)
+    return member._replace(
+        incarnation=rumour.incarnation,
+        state=rumour.state,
+        health=rumour.health,
+        configuration_revision=max(
+            old.configuration_revision, rumour.configuration_revision
+        ),
+        plan_revision=max(old.plan_revision, rumour.plan_revision),
+    )
--- /dev/null
+++ b/libs/membership/src/damaskjunction/membership/roster.py
@@ -0,0 +1,131 @@
+"""The members by id: rumours and the host list brought together."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from damaskjunction.core import (
+    DataCentre,
+    EntryHost,
+    HostId,
+    HostState,
+    rendezvous_order,
+)
+from damaskjunction.membership.merging import merge_rumour
+from damaskjunction.membership.types import Health, Member, MemberState, Rumour, Timing
+
+WATCHERS_PER_DATA_CENTRE = 2
+
+
+class Roster:
+    """All hosts that this one knows, without itself.
+
+    A host that the list names is a member before anything was heard of it. One that
+    the list no longer names stays while peers find it alive, for a bounded time.
+
+    Parameters
+    ----------
+    own_id : str
+        This host.
+    timing : Timing
+        How long absent and dead hosts are kept.
+    """
+
+    def __init__(self, own_id: HostId, timing: Timing) -> None:
+        self._own_id = own_id
+        self._timing = timing
+        self.members_by_id: dict[HostId, Member] = {}
+        self._absent_since_by_id: dict[HostId, float] = {}
+        self._dead_since_by_id: dict[HostId, float] = {}
+
+    def put(self, member: Member, now_s: float) -> bool:
+        """Store a member; return whether that changed who is there."""
+        host_id = member.host.host_id
+        old = self.members_by_id.get(host_id)
+        self.members_by_id[host_id] = member
+        if member.listed is None:
+            self._absent_since_by_id.setdefault(host_id, now_s)
+        if member.is_dead:
+            self._dead_since_by_id.setdefault(host_id, now_s)
+        else:
+            self._dead_since_by_id.pop(host_id, None)
+        return old is None or _shape(old) != _shape(member)
+
+    def merge(self, rumour: Rumour, now_s: float) -> bool | None:
+        """Take a rumour; None when it told nothing, else as ``put``."""
+        old = self.members_by_id.get(rumour.host_id)
+        if old is None and rumour.health is Health.DEAD:
+            return None
+        member = merge_rumour(old, rumour)
+        if member is None or member == old:
+            return None
+        return self.put(member, now_s)
+
+    def apply_list(self, hosts: Iterable[EntryHost], now_s: float) -> bool:
+        """Take the platform's host list; return whether that changed who is there."""
+        is_changed = False
+        listed_by_id = {host.host_id: host for host in hosts}
+        listed_by_id.pop(self._own_id, None)
+        for host_id, host in listed_by_id.items():
+            old = self.members_by_id.get(host_id)
+            record = host._replace(state=HostState.LIVE)
+            if old is None or (old.incarnation == 0 and old.host != record):
+                member = Member(record, listed=host.state)
+            else:
+                member = old._replace(listed=host.state)
+            self._absent_since_by_id.pop(host_id, None)
+            is_changed |= self.put(member, now_s)
+        for host_id in self.members_by_id.keys() - listed_by_id.keys():
+            member = self.members_by_id[host_id]._replace(listed=None)
+            is_changed |= self.put(member, now_s)
+        return self._forget(now_s) or is_changed
+
+    def _forget(self, now_s: float) -> bool:
+        """Drop dead and long absent hosts that the list does not name."""
+        gone = [
+            host_id
+            for host_id, since_s in self._absent_since_by_id.items()
+            if now_s - since_s > self._timing.absence_s
+            or now_s - self._dead_since_by_id.get(host_id, now_s)
+            > self._timing.tombstone_s
+        ]
+        for host_id in gone:
+            del self.members_by_id[host_id]
+            del self._absent_since_by_id[host_id]
+            self._dead_since_by_id.pop(host_id, None)
+        return bool(gone)
+
+    def present(self) -> list[Member]:
+        """Return the members that are not dead, by id."""
+        members = sorted(self.members_by_id.items())
+        return [member for _, member in members if not member.is_dead]
+
+    def known_hosts(self) -> list[EntryHost]:
+        """Return the hosts that serve or still finish work, with their state."""
+        return [
+            member.host._replace(
+                state=HostState.LEAVING if member.is_leaving else HostState.LIVE
+            )
+            for member in self.present()
+            if member.state is not MemberState.STARTING
+        ]
+
+
+def _shape(member: Member) -> tuple[object, ...]:
+    """Return what of a member decides on where work goes."""
+    is_dead = member.is_dead
+    return member.host, member.state, is_dead, member.listed, member.incarnation == 0
+
+
+def choose_watchers(members: Iterable[Member], data_centre: DataCentre) -> list[HostId]:
+    """Return the hosts of a data centre that watch the platform, best first.
+
+    The first ``WATCHERS_PER_DATA_CENTRE`` are the watchers, the rest stand by.
+    """
+    names = [
+        (member.host.host_id, 1.0)
+        for member in members
+        if member.host.data_centre == data_centre
+        and not (member.is_dead or member.is_leaving)
+    ]
+    return rendezvous_order(f"watch/{data_centre}", names)
--- /dev/null
+++ b/libs/membership/src/damaskjunction/membership/types.py
@@ -0,0 +1,201 @@
+"""Values of the membership protocol: members, rumours, datagrams and effects."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from enum import StrEnum
+from typing import NamedTuple, TypeAlias
+
+from damaskjunction.core import Address, EntryHost, HostId, HostState, Revision
+
+REFUTATIONS_PER_START = 1 << 16
+
+
+class MemberState(StrEnum):
+    """What a host says of itself; it only moves forward within one incarnation."""
+
+    STARTING = "starting"
+    ALIVE = "alive"
+    LEAVING = "leaving"
+
+
+class Health(StrEnum):
+    """What others say of a host; it only gets worse within one incarnation."""
+
+    OK = "ok"
+    SUSPECT = "suspect"
+    DEAD = "dead"
+
+
+class DatagramKind(StrEnum):
+    """What a datagram asks for."""
+
+    PING = "ping"
+    ACK = "ack"
+    PROBE_REQUEST = "probe"
+    GOSSIP = "gossip"
+
+
+class DocumentRevision(NamedTuple):
+    """A document of the control plane and the revision of it that a host holds."""
+
+    kind: str
+    name: str
+    revision: Revision
+
+
+class Rumour(NamedTuple):
+    """What is said of one host.
+
+    ``incarnation`` grows with each start of the host and each refutation, and the
+    higher one is believed. The revisions are those in force on the host. Addresses
+    are written ``ip:port``, and empty where the receiver is expected to know them.
+    """
+
+    host_id: HostId
+    incarnation: int
+    state: MemberState
+    health: Health
+    configuration_revision: Revision = 0
+    plan_revision: Revision = 0
+    region: str = ""
+    data_centre: str = ""
+    caller: str = ""
+    peer: str = ""
+    probe: str = ""
+
+
+class Datagram(NamedTuple):
+    """One message of the protocol; ``rumours`` starts with the sender's own.
+
+    ``target`` is the host that is to answer, or in an ``ACK`` the one that did.
+    """
+
+    kind: DatagramKind
+    sequence: int
+    target: HostId
+    documents: tuple[DocumentRevision, ...]
+    rumours: tuple[Rumour, ...]
+
+
+class Member(NamedTuple):
+    """A host as this one knows it.
+
+    ``listed`` is its state in the platform's host list, None when it is absent.
+    ``incarnation`` 0 means that it is known from the list alone.
+    """
+
+    host: EntryHost
+    incarnation: int = 0
+    state: MemberState = MemberState.ALIVE
+    health: Health = Health.OK
+    listed: HostState | None = None
+    configuration_revision: Revision = 0
+    plan_revision: Revision = 0
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the host itself or the host list says that it leaves."""
+        is_listed_so = self.listed is HostState.LEAVING
+        return is_listed_so or self.state is MemberState.LEAVING
+
+    @property
+    def is_dead(self) -> bool:
+        """Whether probing has found the host dead."""
+        return self.health is Health.DEAD
+
+
+class Send(NamedTuple):
+    """Effect: send a datagram."""
+
+    address: Address
+    datagram: Datagram
+
+
+class MembersChanged(NamedTuple):
+    """Effect: who is there, or in which state, has changed."""
+
+
+class DocumentsHeard(NamedTuple):
+    """Effect: a host told which documents it holds."""
+
+    host_id: HostId
+    documents: tuple[DocumentRevision, ...]
+
+
+Effect: TypeAlias = Send | MembersChanged | DocumentsHeard
+
+
+class Timing(NamedTuple):
+    """Periods and limits of the protocol, in seconds unless named otherwise."""
+
+    tick_s: float = 0.2
+    probe_period_s: float = 1.0
+    ack_timeout_s: float = 0.3
+    suspicion_s: float = 3.0
+    pause_s: float = 0.8
+    isolation_s: float = 4.0
+    report_period_s: float = 10.0
+    absence_s: float = 300.0
+    tombstone_s: float = 600.0
+    fan_out: int = 3
+    n_indirect: int = 3
+    gossip_bytes_per_s: float = 1500.0
+    gossip_burst_bytes: float = 12_000.0
+
+
+def start_of(incarnation: int) -> int:
+    """Return the start that an incarnation belongs to; it differs after a restart."""
+    return incarnation // REFUTATIONS_PER_START
+
+
+def first_incarnation(wall_s: float) -> int:
+    """Return the incarnation of a host that starts at a wall-clock time."""
+    return int(wall_s * 1000) * REFUTATIONS_PER_START
+
+
+def rumour_of(member: Member) -> Rumour:
+    """Return what is to be told of a member."""
+    host = member.host
+    return Rumour(
+        host.host_id,
+        member.incarnation,
+        member.state,
+        member.health,
+        member.configuration_revision,
+        member.plan_revision,
+        host.region,
+        host.data_centre,
+        str(host.caller),
+        str(host.peer),
+        str(host.probe),
+    )
+
+
+def host_of(rumour: Rumour) -> EntryHost | None:
+    """Return the host that a rumour describes, None when it has no addresses."""
+    try:
+        addresses = (rumour.caller, rumour.peer, rumour.probe)
+        caller, peer, probe = map(Address.from_text, addresses)
+    except ValueError:
+        return None
+    return EntryHost(
+        rumour.host_id, rumour.region, rumour.data_centre, caller, peer, probe
+    )
+
+
+def without_addresses(rumour: Rumour) -> Rumour:
+    """Return a rumour in its short form."""
+    return rumour._replace(region="", data_centre="", caller="", peer="", probe="")
+
+
+def estimate_bytes(rumours: Iterable[Rumour]) -> int:
+    """Return an upper bound of the encoded size of rumours."""
+    return sum(_RUMOUR_BYTES + sum(map(_text_bytes, rumour)) for rumour in rumours)
+
+
+_RUMOUR_BYTES = 16 * len(Rumour._fields)
+
+
+def _text_bytes(value: object) -> int:
+    return len(value.encode()) if isinstance(value, str) else 0
--- a/libs/wire/src/damaskjunction/wire/__init__.py
+++ b/libs/wire/src/damaskjunction/wire/__init__.py
@@ -17,14 +17,30 @@
     PeerServer,
     Reply,
 )
-from damaskjunction.wire.messages import Failure, HostStatus, StatusQuery
+from damaskjunction.wire.messages import (
+    DataCentreQuery,
+    DataCentreStatus,
+    DocumentQuery,
+    DocumentText,
+    Failure,
+    HostStatus,
+    MemberList,
+    MembersQuery,
+    StatusQuery,
+)
 
 __all__ = [
     "CallHandler",
+    "DataCentreQuery",
+    "DataCentreStatus",
     "DecodeError",
+    "DocumentQuery",
+    "DocumentText",
     "Failure",
     "Frame",
     "HostStatus",
+    "MemberList",
+    "MembersQuery",
     "Message",
     "PeerLinks",
     "PeerServer",
--- a/libs/wire/src/damaskjunction/wire/codec.py
+++ b/libs/wire/src/damaskjunction/wire/codec.py
@@ -1,7 +1,8 @@
 """Encoding of messages by thrift's binary protocol.
 
 A message is a ``NamedTuple`` whose fields have the names and order of the thrift
-struct of the same name in ``peer.thrift``. The structs are read when the module is
+struct of the same name in ``peer.thrift``. A field may hold a tuple of further
+messages, which is a list of their structs. The structs are read when the module is
 imported, so no generated code is needed.
 """
 
@@ -9,7 +10,7 @@
 
 from enum import StrEnum
 from pathlib import Path
-from typing import Any, NamedTuple, TypeAlias, get_type_hints
+from typing import Any, NamedTuple, TypeAlias, get_args, get_origin, get_type_hints
 
 import thriftpy2
 from thriftpy2.protocol import TCyBinaryProtocolFactory
@@ -34,8 +35,8 @@
 class _Conversion(NamedTuple):
     """How a field gets from its thrift value to its typed value."""
 
-    enum: type[StrEnum] | None
-    default: Any
+    enum: type[StrEnum] | None = None
+    element: str = ""
 
 
 _conversions_by_kind: dict[str, tuple[_Conversion, ...]] = {}
@@ -55,7 +56,7 @@
         raise ValueError(f"{kind.__name__}: thrift has {names}, not {kind._fields}")
     hints = get_type_hints(kind)
     _conversions_by_kind[kind.__name__] = tuple(
-        _Conversion(_enum_of(hints[name]), None) for name in names
+        _Conversion(_enum_of(hints[name]), _element_of(hints[name])) for name in names
     )
     message_types.register(kind.__name__)(kind)
     return kind
@@ -66,6 +67,14 @@
     return hint if is_enum else None
 
 
+def _element_of(hint: Any) -> str:
+    """Return the message type in a tuple of them, empty for any other type."""
+    if get_origin(hint) is not tuple:
+        return ""
+    name: str = get_args(hint)[0].__name__
+    return name if name in message_types else ""
+
+
 class Frame(NamedTuple):
     """One frame of a link."""
 
@@ -77,8 +86,16 @@
 
 def encode_message(message: Message) -> bytes:
     """Return the bytes of a registered message."""
-    struct = getattr(_structs, type(message).__name__)
-    return _encode(struct(*message))
+    return _encode(_to_struct(message))
+
+
+def _to_struct(message: Message) -> Any:
+    kind = type(message).__name__
+    values = (
+        [_to_struct(element) for element in value] if conversion.element else value
+        for value, conversion in zip(message, _conversions_by_kind[kind], strict=True)
+    )
+    return getattr(_structs, kind)(*values)
 
 
 def decode_message(kind: str, body: bytes) -> Message:
@@ -91,19 +108,24 @@
     """
     if kind not in message_types:
         raise DecodeError(f"no message is called {kind!r}")
-    message_type = message_types.get(kind)
     struct = _decode(getattr(_structs, kind), body)
-    values = (getattr(struct, name) for name in message_type._fields)
-    conversions = _conversions_by_kind[kind]
     try:
-        return message_type(*map(_convert, values, conversions))
+        return _to_message(kind, struct)
     except ValueError as error:
         raise DecodeError(f"{kind}: {error}") from None
 
 
+def _to_message(kind: str, struct: Any) -> Message:
+    message_type = message_types.get(kind)
+    values = (getattr(struct, name) for name in message_type._fields)
+    return message_type(*map(_convert, values, _conversions_by_kind[kind]))
+
+
 def _convert(value: Any, conversion: _Conversion) -> Any:
     if value is None:
         raise ValueError("a field is missing")
+    if conversion.element:
+        return tuple(_to_message(conversion.element, struct) for struct in value)
     return conversion.enum(value) if conversion.enum is not None else value
 
 
--- a/libs/wire/src/damaskjunction/wire/peer.thrift
+++ b/libs/wire/src/damaskjunction/wire/peer.thrift
@@ -64,3 +64,71 @@
   3: i64 plan_revision
   4: string state
 }
+
+// A document of the control plane and the revision of it that a host holds.
+struct DocumentRevision {
+  1: string kind
+  2: string name
+  3: i64 revision
+}
+
+// What is said of one host; addresses are empty where they are known.
+struct Rumour {
+  1: string host_id
+  2: i64 incarnation
+  3: string state
+  4: string health
+  5: i64 configuration_revision
+  6: i64 plan_revision
+  7: string region
+  8: string data_centre
+  9: string caller
+  10: string peer
+  11: string probe
+}
+
+// One datagram of the membership protocol.
+struct Datagram {
+  1: string kind
+  2: i64 sequence
+  3: string target
+  4: list<DocumentRevision> documents
+  5: list<Rumour> rumours
+}
+
+// Asks a host for its whole list of members.
+struct MembersQuery {
+}
+
+// A host's whole list of members, its own entry first.
+struct MemberList {
+  1: list<Rumour> rumours
+}
+
+// Asks a host for a document newer than a revision that the asker holds.
+struct DocumentQuery {
+  1: string kind
+  2: string name
+  3: i64 base_revision
+}
+
+// A document as a change of a revision; revision 0 when nothing newer is held.
+struct DocumentText {
+  1: string kind
+  2: string name
+  3: i64 revision
+  4: i64 base_revision
+  5: i32 n_prefix
+  6: i32 n_suffix
+  7: binary middle
+}
+
+// Asks a host what is in force in its data centre.
+struct DataCentreQuery {
+}
+
+// What is in force on the hosts of a data centre.
+struct DataCentreStatus {
+  1: string data_centre
+  2: list<HostStatus> hosts
+}
