Follow configuration, plan and host list through watchers and peers

Two watchers in each data centre ask the platform; the others hear of a higher revision in datagrams and fetch it, as a change of the one they hold, from a peer. The hosts come from probing and the host list together. Status asks one host in each data centre.

--- a/libs/membership/src/damaskjunction/membership/detector.py
+++ b/libs/membership/src/damaskjunction/membership/detector.py
@@ -161,6 +161,19 @@
             self.documents = documents
             self._document_rounds = DOCUMENT_ROUNDS
 
+    def announce(self, documents: tuple[DocumentRevision, ...]) -> list[Effect]:
+        """Tell at once, and for some ticks, which documents this host holds."""
+        self.set_documents(documents)
+        effects: list[Effect] = []
+        self._gossip(effects)
+        return effects
+
+    def greet(self, addresses: Iterable[Address]) -> list[Effect]:
+        """Ping addresses of which only their answer will tell whose they are."""
+        return [
+            Send(address, self._make(DatagramKind.PING, 0, "")) for address in addresses
+        ]
+
     def set_in_force(
         self, configuration: Revision, plan: Revision, now_s: float
     ) -> None:
--- a/libs/membership/src/damaskjunction/membership/documents.py
+++ b/libs/membership/src/damaskjunction/membership/documents.py
@@ -86,9 +86,17 @@
         return True
 
     def hear(
-        self, host_id: HostId, documents: tuple[DocumentRevision, ...]
+        self,
+        host_id: HostId,
+        documents: tuple[DocumentRevision, ...],
+        *,
+        is_settled: bool = True,
     ) -> list[Fetch]:
-        """Note what a host holds; return what to fetch from it."""
+        """Note what a host holds; return what to fetch.
+
+        A host that has just started is not settled: it first hears several others,
+        lest it takes an old revision from the first one.
+        """
         fetches = []
         for kind, name, revision in documents:
             key = DocumentKey(kind, name)
@@ -101,9 +109,19 @@
                 holders = (*known.host_ids, host_id)[-MAX_HOLDERS:]
                 known = known._replace(host_ids=holders)
             self._holders_by_key[key] = known
-            fetches += self._fetch(key)
+            if is_settled:
+                fetches += self._fetch(key)
         return fetches
 
+    def settle(self) -> list[Fetch]:
+        """Return what to fetch of all that was heard so far."""
+        return [
+            fetch
+            for key, known in self._holders_by_key.items()
+            if known.revision > self.held(key).revision
+            for fetch in self._fetch(key)
+        ]
+
     def end_fetch(self, key: DocumentKey, holder: HostId) -> list[Fetch]:
         """Note that a fetch has ended, well or not; return the next to make."""
         self._fetching.discard(key)
--- a/libs/node/src/damaskjunction/node/admin.py
+++ b/libs/node/src/damaskjunction/node/admin.py
@@ -5,10 +5,12 @@
 import asyncio
 import hmac
 import uuid
+from collections.abc import Sequence
+from typing import TypedDict
 
 from damaskjunction.core import (
     ConflictError,
-    EntryHost,
+    DataCentre,
     FindingsError,
     PlatformUnavailableError,
     PlatformUnknownError,
@@ -23,17 +25,43 @@
     to_json_response,
 )
 from damaskjunction.node.documents import CONFIGURATION_KIND, CONFIGURATION_NAME
+from damaskjunction.node.membership import CONTROL_LANE, Membership
 from damaskjunction.node.state import HostView
 from damaskjunction.platform import ObjectStore
 from damaskjunction.settings import read_configuration
 from damaskjunction.telemetry import Metrics, StateDump, set_log_level
-from damaskjunction.wire import HostStatus, PeerLinks, StatusQuery
+from damaskjunction.wire import (
+    DataCentreQuery,
+    DataCentreStatus,
+    HostStatus,
+    PeerLinks,
+)
 
-CONTROL_LANE = "control"
 STATUS_TIMEOUT_S = 2.0
 TEXT_TYPE = "text/plain; charset=utf-8"
 
 
+class HostStatusDocument(TypedDict):
+    """What one host has in force."""
+
+    host_id: str
+    configuration_revision: int
+    plan_revision: int
+    state: str
+
+
+class StatusDocument(TypedDict):
+    """What is in force in the fleet: on how many hosts, and which lack it."""
+
+    revision: int
+    is_pending: bool
+    n_in_force: int
+    n_hosts: int
+    lacking: list[str]
+    hosts: list[HostStatusDocument]
+    assignments: dict[str, str]
+
+
 class Admin:
     """The operators' routes of one host.
 
@@ -45,6 +73,8 @@
         Where the operators' text is kept.
     links : PeerLinks
         Links to other hosts, to ask what is in force there.
+    membership : Membership
+        Tells which hosts there are, and what is in force in this data centre.
     metrics : Metrics
         The process's metrics.
     dump : StateDump
@@ -58,6 +88,7 @@
         view: HostView,
         store: ObjectStore,
         links: PeerLinks,
+        membership: Membership,
         *,
         metrics: Metrics,
         dump: StateDump,
@@ -66,6 +97,7 @@
         self._view = view
         self._store = store
         self._links = links
+        self._membership = membership
         self._metrics = metrics
         self._dump = dump
         self._token = token
@@ -136,33 +168,50 @@
         except PlatformUnknownError as error:
             raise HttpError(504, "acceptance_unknown", str(error)) from None
 
+    def data_centre_status(self) -> DataCentreStatus:
+        """Return what is in force on the hosts of this data centre."""
+        own = self._view.own
+        others = self._membership.statuses(own.data_centre)
+        hosts = [status for status in others if status.host_id != own.host_id]
+        return DataCentreStatus(own.data_centre, (self.own_status(), *hosts))
+
     async def show_status(self, request: Request) -> Response:
-        """Tell what is in force on every host of the view."""
+        """Tell what is in force on every host, asking one in each data centre."""
         self._authorize(request)
-        hosts = sorted(self._view.fleet.hosts_by_id.values())
-        statuses = await asyncio.gather(*(self._status_of(host) for host in hosts))
-        document = {
-            "revision": self._view.configuration.revision,
-            "hosts": [status._asdict() for status in statuses],
-            "assignments": {
-                runner_id: assignment.service
-                for runner_id, assignment in sorted(
-                    self._view.plan.assignments_by_runner.items()
-                )
-            },
-        }
+        names = self._membership.data_centres()
+        answers = await asyncio.gather(*(self._status_of(name) for name in names))
+        hosts = sorted(status for answer in answers for status in answer.hosts)
+        document = make_status_document(self._view, hosts)
         return to_json_response(document)
 
-    async def _status_of(self, host: EntryHost) -> HostStatus:
-        if host.host_id == self._view.own.host_id:
-            return self.own_status()
-        try:
-            async with asyncio.timeout(STATUS_TIMEOUT_S):
-                status = await self._links.ask(host.peer, CONTROL_LANE, StatusQuery())
-        except (RequestError, TimeoutError):
-            return HostStatus(host.host_id, 0, 0, "unreachable")
-        assert isinstance(status, HostStatus)
-        return status
+    async def _status_of(self, data_centre: DataCentre) -> DataCentreStatus:
+        """Ask a watcher of a data centre; what is known here when none answers."""
+        own = self._view.own
+        watchers = self._membership.detector.watchers(data_centre)
+        hosts = [member.host for member in watchers]
+        if any(host.host_id == own.host_id for host in hosts):
+            return self.data_centre_status()
+        for host in hosts:
+            try:
+                async with asyncio.timeout(STATUS_TIMEOUT_S):
+                    answer = await self._links.ask(
+                        host.peer, CONTROL_LANE, DataCentreQuery()
+                    )
+            except (RequestError, TimeoutError):
+                continue
+            assert isinstance(answer, DataCentreStatus)
+            return answer if data_centre != own.data_centre else self._amend(answer)
+        known = self._membership.statuses(data_centre)
+        hidden = tuple(status._replace(state="unreachable") for status in known)
+        return self._amend(DataCentreStatus(data_centre, hidden))
+
+    def _amend(self, answer: DataCentreStatus) -> DataCentreStatus:
+        """Return an answer with this host's own entry as it is now."""
+        own = self.own_status()
+        if answer.data_centre != self._view.own.data_centre:
+            return answer
+        others = [status for status in answer.hosts if status.host_id != own.host_id]
+        return answer._replace(hosts=(own, *others))
 
     async def show_dump(self, request: Request) -> Response:
         """Return the state of this process."""
@@ -190,3 +239,39 @@
         if not hmac.compare_digest(given.encode(), self._token.encode()):
             detail = "send 'Authorization: Bearer <administration token>'"
             raise HttpError(401, "not_authorized", detail)
+
+
+def make_status_document(view: HostView, hosts: Sequence[HostStatus]) -> StatusDocument:
+    """Return what operators are told of the hosts' states.
+
+    The revision is the highest that any host has in force; a host that leaves is not
+    waited for.
+    """
+    counted = [status for status in hosts if status.state != "leaving"]
+    revision = max((status.configuration_revision for status in hosts), default=0)
+    lacking = [
+        status.host_id
+        for status in counted
+        if status.configuration_revision < revision or status.state == "unreachable"
+    ]
+    assignments = sorted(view.plan.assignments_by_runner.items())
+    return {
+        "revision": revision,
+        "is_pending": bool(lacking),
+        "n_in_force": len(counted) - len(lacking),
+        "n_hosts": len(counted),
+        "lacking": lacking,
+        "hosts": [_to_host_document(status) for status in hosts],
+        "assignments": {
+            runner_id: assignment.service for runner_id, assignment in assignments
+        },
+    }
+
+
+def _to_host_document(status: HostStatus) -> HostStatusDocument:
+    return {
+        "host_id": status.host_id,
+        "configuration_revision": status.configuration_revision,
+        "plan_revision": status.plan_revision,
+        "state": status.state,
+    }
--- a/libs/node/src/damaskjunction/node/documents.py
+++ b/libs/node/src/damaskjunction/node/documents.py
@@ -7,6 +7,8 @@
 CONFIGURATION_KIND = "configuration"
 CONFIGURATION_NAME = "current"
 PLAN_KIND = "plan"
+HOSTS_KIND = "hosts"
+HOSTS_NAME = "list"
 LEASE_KIND = "lease"
 JOB_KIND = "job"
 ITEMS_KIND = "items"
--- a/libs/node/src/damaskjunction/node/root.py
+++ b/libs/node/src/damaskjunction/node/root.py
@@ -2,23 +2,36 @@
 
 from __future__ import annotations
 
+import asyncio
+import random
 from pathlib import Path
 
-from damaskjunction.core import LoopTimers
+from damaskjunction.core import LoopTimers, stable_hash
 from damaskjunction.http import HttpServer, Routes
+from damaskjunction.membership import Detector, first_incarnation
 from damaskjunction.node.admin import Admin
 from damaskjunction.node.entry import Entry
 from damaskjunction.node.following import Follower
 from damaskjunction.node.front import Front
 from damaskjunction.node.home import Home
 from damaskjunction.node.jobs import JobFront, JobWorker
+from damaskjunction.node.membership import Membership
 from damaskjunction.node.placer import Placer
 from damaskjunction.node.state import HostView
 from damaskjunction.platform import PlatformClient
 from damaskjunction.routing import Forward
 from damaskjunction.settings import HostSettings
 from damaskjunction.telemetry import Metrics, StateDump
-from damaskjunction.wire import Message, PeerLinks, PeerServer, Reply, StatusQuery
+from damaskjunction.wire import (
+    DataCentreQuery,
+    DocumentQuery,
+    MembersQuery,
+    Message,
+    PeerLinks,
+    PeerServer,
+    Reply,
+    StatusQuery,
+)
 
 
 class HostProcess:
@@ -39,13 +52,32 @@
         self._links = PeerLinks(timers)
         self._home = Home(self._view, timers)
         entry = Entry(self._view, self._home, self._links, timers)
-        self._follower = Follower(self._view, self._store)
+        chance = random.Random(stable_hash(settings.seed or settings.host_id))
+        self._membership = Membership(
+            self._view,
+            self._links,
+            timers,
+            detector=Detector(self._view.own, first_incarnation(timers.wall()), chance),
+            metrics=metrics,
+            chance=chance,
+            seeds=settings.seeds,
+        )
+        self._follower = Follower(
+            self._view,
+            self._store,
+            self._links,
+            self._membership,
+            timers=timers,
+            metrics=metrics,
+            chance=chance,
+        )
         self._placer = Placer(self._view, self._store, timers)
         self._worker = JobWorker(self._view, self._store, entry, timers)
         self._admin = Admin(
             self._view,
             self._store,
             self._links,
+            self._membership,
             metrics=metrics,
             dump=dump,
             token=_read_token(settings),
@@ -57,11 +89,14 @@
         self._callers = HttpServer(settings.caller, routes.handle)
         self._peers = PeerServer(settings.peer, timers, self._handle_peer)
         dump.sections.register("host")(lambda: self._admin.own_status()._asdict())
+        dump.sections.register("membership")(self._membership.to_document)
+        dump.sections.register("documents")(self._follower.to_document)
         dump.sections.register("runners")(self._home.to_document)
 
     async def start(self) -> None:
         """Start every part; callers are served from now on."""
         await self._peers.start()
+        await self._membership.start()
         await self._follower.start()
         await self._placer.start()
         await self._worker.start()
@@ -70,7 +105,7 @@
     async def drain(self) -> None:
         """Take no new work and return when what is in progress has ended."""
         self._view.start_draining()
-        await self._callers.drain()
+        await asyncio.gather(self._membership.leave(), self._callers.drain())
 
     async def close(self) -> None:
         """Stop every part."""
@@ -78,6 +113,7 @@
         await self._worker.close()
         await self._placer.close()
         await self._follower.close()
+        await self._membership.close()
         await self._peers.close()
         self._links.close()
         self._home.close()
@@ -90,6 +126,12 @@
                     await reply(answer)
             case StatusQuery():
                 await reply(self._admin.own_status())
+            case DataCentreQuery():
+                await reply(self._admin.data_centre_status())
+            case DocumentQuery():
+                await reply(self._follower.answer(message))
+            case MembersQuery():
+                await reply(self._membership.member_list())
 
 
 def _read_token(settings: HostSettings) -> str:
--- a/libs/node/src/damaskjunction/node/state.py
+++ b/libs/node/src/damaskjunction/node/state.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import hashlib
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from damaskjunction.core import (
     Configuration,
@@ -68,8 +68,17 @@
         self._tell()
         return True
 
-    def apply_fleet(self, fleet: FleetView) -> None:
-        """Take a newer view of hosts and runners."""
+    def apply_hosts(self, hosts: Iterable[EntryHost]) -> None:
+        """Take a newer view of the hosts."""
+        hosts_by_id = {host.host_id: host for host in hosts}
+        self._apply_fleet(self.fleet._replace(hosts_by_id=hosts_by_id))
+
+    def apply_runners(self, runners: Iterable[Runner]) -> None:
+        """Take a newer view of the runners."""
+        runners_by_id = {runner.runner_id: runner for runner in runners}
+        self._apply_fleet(self.fleet._replace(runners_by_id=runners_by_id))
+
+    def _apply_fleet(self, fleet: FleetView) -> None:
         if fleet != self.fleet:
             self.fleet = fleet
             self._tell()
--- a/libs/platform/src/damaskjunction/platform/client.py
+++ b/libs/platform/src/damaskjunction/platform/client.py
@@ -15,6 +15,7 @@
     Revision,
     Timers,
 )
+from damaskjunction.core.types import EMPTY
 from damaskjunction.http import (
     BrokenResponseError,
     ClientResponse,
@@ -22,10 +23,8 @@
     HttpClient,
 )
 from damaskjunction.platform.documents import (
-    HostListDocument,
     ObjectDocument,
-    to_entry_host,
-    to_runner,
+    decode_host_list,
 )
 from damaskjunction.platform.types import (
     HostList,
@@ -201,20 +200,21 @@
         objects = tuple(_to_object(kind, entry) for entry in document["objects"])
         return WatchResult(document["revision"], objects, tuple(document["deleted"]))
 
-    async def hosts(self) -> HostList:
-        """Return the list of hosts.
+    async def hosts(self, *, after_revision: Revision = 0) -> HostList | None:
+        """Return the list of hosts, None when it is still at a known revision.
 
         Raises
         ------
         PlatformUnavailableError
             When no answer came.
         """
-        document: HostListDocument = await self._read_json("/v1/hosts")
-        return HostList(
-            document["revision"],
-            tuple(to_entry_host(entry) for entry in document["hosts"]),
-            tuple(to_runner(entry) for entry in document["runners"]),
-        )
+        headers = {"If-None-Match": str(after_revision)} if after_revision else {}
+        response = await self._read("GET", "/v1/hosts", headers=headers)
+        body = await self._read_body(response)
+        if response.status == 304:
+            return None
+        self._check(response)
+        return decode_host_list(body)
 
     async def _resolve(
         self, kind: str, name: str, expected_version: Revision, operation_id: str
@@ -249,11 +249,16 @@
         *,
         client: HttpClient | None = None,
         stall_s: float | None = None,
+        headers: Mapping[str, str] = EMPTY,
     ) -> ClientResponse:
         self.n_calls += 1
         try:
             return await (client or self._calls).send(
-                self._address, method, target, stall_s=stall_s or self._timeout_s
+                self._address,
+                method,
+                target,
+                headers=headers,
+                stall_s=stall_s or self._timeout_s,
             )
         except (ConnectFailedError, BrokenResponseError) as error:
             raise PlatformUnavailableError(str(error)) from None
--- a/libs/platform/src/damaskjunction/platform/documents.py
+++ b/libs/platform/src/damaskjunction/platform/documents.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import json
 from typing import NotRequired, TypedDict
 
 from damaskjunction.core import Address, EntryHost, HostState, Runner, ServiceKind
+from damaskjunction.platform.types import HostList
 
 
 class EntryHostDocument(TypedDict):
@@ -104,3 +106,23 @@
         "slots": runner.slots,
         "state": runner.state.value,
     }
+
+
+def encode_host_list(hosts: HostList) -> bytes:
+    """Return a host list as JSON, with the same bytes for the same list."""
+    document: HostListDocument = {
+        "revision": hosts.revision,
+        "hosts": [from_entry_host(host) for host in hosts.hosts],
+        "runners": [from_runner(runner) for runner in hosts.runners],
+    }
+    return json.dumps(document).encode()
+
+
+def decode_host_list(body: bytes) -> HostList:
+    """Return the host list in a JSON text."""
+    document: HostListDocument = json.loads(body)
+    return HostList(
+        document["revision"],
+        tuple(to_entry_host(entry) for entry in document["hosts"]),
+        tuple(to_runner(entry) for entry in document["runners"]),
+    )
--- a/libs/platform/src/damaskjunction/platform/types.py
+++ b/libs/platform/src/damaskjunction/platform/types.py
@@ -87,5 +87,5 @@
     ) -> WatchResult:
         """Return what changed after a revision, waiting at most ``timeout_s``."""
 
-    async def hosts(self) -> HostList:
-        """Return the list of hosts."""
+    async def hosts(self, *, after_revision: Revision = 0) -> HostList | None:
+        """Return the list of hosts, None when it is still at a known revision."""
--- a/libs/settings/src/damaskjunction/settings/host.py
+++ b/libs/settings/src/damaskjunction/settings/host.py
@@ -9,6 +9,7 @@
     Check,
     Field,
     Item,
+    list_of,
     parse,
     read_address,
     read_fields,
@@ -31,6 +32,7 @@
     admin_token_file: str = ""
     log_level: str = "info"
     seed: str = ""
+    seeds: tuple[Address, ...] = ()
 
     def to_entry_host(self) -> EntryHost:
         """Return the host as its peers know it."""
@@ -60,6 +62,12 @@
         "",
     ),
     Field("log_level", read_name, "debug, info, warning or error", "info"),
+    Field(
+        "seeds",
+        list_of(read_address),
+        "probe addresses of other hosts, asked when the platform is away at start",
+        (),
+    ),
     Field("seed", read_name, "seed of random choices; empty: the host_id", ""),
 )
 
--- a/libs/standins/src/damaskjunction/standins/platform.py
+++ b/libs/standins/src/damaskjunction/standins/platform.py
@@ -204,7 +204,10 @@
         until_s = self._timers.now() - self.faults["hosts_lag_s"]
         known = [entry for entry in self._hosts if entry.since_s <= until_s]
         empty = {"revision": 0, "hosts": [], "runners": []}
-        return to_json_response(known[-1].document if known else empty)
+        document = known[-1].document if known else empty
+        if request.headers.get("if-none-match") == str(document["revision"]):
+            return Response(304)
+        return to_json_response(document)
 
     async def _put_hosts(self, request: Request) -> Response:
         document = await read_json(request)
