--- /dev/null
+++ b/libs/membership/features/simulated_network.py
@@ -0,0 +1,126 @@
+"""Detectors of many hosts joined by a simulated network on a hand-moved clock."""
+
+from __future__ import annotations
+
+import random
+
+from damaskjunction.core import Address, EntryHost, ManualTimers
+from damaskjunction.membership import Detector, Send, Timing, first_incarnation
+from damaskjunction.wire import encode_message
+
+DELAY_S = 0.001
+N_DATA_CENTRES = 4
+INBOX_DATAGRAMS = 500
+HEADER_BYTES = 28
+
+
+def make_host(number, host_id=""):
+    ip = f"10.0.{number // 250}.{number % 250}"
+    return EntryHost(
+        host_id or f"host-{number:03d}",
+        "region",
+        f"centre-{number % N_DATA_CENTRES}",
+        Address(ip, 7000),
+        Address(ip, 7001),
+        Address(ip, 7002),
+    )
+
+
+class SimulatedNetwork:
+    """Hosts by id; loss, cuts, freezing and replacement of hosts."""
+
+    def __init__(self, n_hosts, seed):
+        self.timers = ManualTimers()
+        self.chance = random.Random(seed)
+        self.loss = 0.0
+        self.cuts = set()
+        self.frozen = {}
+        self.largest_bytes = 0
+        self.n_bytes = 0
+        self.detectors_by_id = {}
+        self.ids_by_address = {}
+        self.hosts = [make_host(number) for number in range(n_hosts)]
+        for host in self.hosts:
+            self.start(host)
+
+    def start(self, host, *, is_ready=True):
+        wall_s = self.timers.wall()
+        chance = random.Random(self.chance.random())
+        detector = Detector(host, first_incarnation(wall_s), chance)
+        self.detectors_by_id[host.host_id] = detector
+        self.ids_by_address[host.probe] = host.host_id
+        detector.apply_list(self.hosts, self.timers.now())
+        if is_ready:
+            detector.set_in_force(1, 1, self.timers.now())
+        offset_s = self.chance.random() * Timing().tick_s
+        self.timers.once(offset_s, lambda: self._tick(host.host_id, detector))
+
+    def kill(self, host_id):
+        detector = self.detectors_by_id.pop(host_id)
+        del self.ids_by_address[detector.own.host.probe]
+
+    def freeze(self, host_id):
+        self.frozen[host_id] = []
+
+    def thaw(self, host_id):
+        for arguments in self.frozen.pop(host_id):
+            self._deliver(*arguments)
+
+    def leave(self, host_id):
+        self._run(host_id, self.detectors_by_id[host_id].leave())
+
+    def publish(self, hosts):
+        for detector in self.detectors_by_id.values():
+            detector.apply_list(hosts, self.timers.now())
+
+    def cut(self, sources, targets):
+        self.cuts |= {(source, target) for source in sources for target in targets}
+
+    def seconds_until(self, condition, limit_s):
+        begin_s = self.timers.now()
+        while not condition():
+            if self.timers.now() - begin_s >= limit_s:
+                raise AssertionError(f"not within {limit_s} s")
+            self.timers.advance(0.1)
+        return self.timers.now() - begin_s
+
+    def live_ids(self, viewer):
+        hosts = self.detectors_by_id[viewer].fleet_hosts()
+        return {host.host_id for host in hosts if host.state.value == "live"}
+
+    def viewers(self):
+        return [name for name in self.detectors_by_id if name not in self.frozen]
+
+    def _tick(self, host_id, detector):
+        if self.detectors_by_id.get(host_id) is not detector:
+            return
+        if host_id not in self.frozen:
+            self._run(host_id, detector.tick(self.timers.now()))
+        self.timers.once(Timing().tick_s, lambda: self._tick(host_id, detector))
+
+    def _run(self, host_id, effects):
+        for effect in effects:
+            if isinstance(effect, Send):
+                self._send(host_id, effect)
+
+    def _send(self, source, effect):
+        n_bytes = len(encode_message(effect.datagram))
+        self.largest_bytes = max(self.largest_bytes, n_bytes)
+        self.n_bytes += n_bytes + HEADER_BYTES
+        target = self.ids_by_address.get(effect.address)
+        if target is None or (source, target) in self.cuts:
+            return
+        if self.chance.random() < self.loss:
+            return
+        address = self.detectors_by_id[source].own.host.probe
+        arguments = (target, effect.datagram, address)
+        self.timers.once(DELAY_S, lambda: self._deliver(*arguments))
+
+    def _deliver(self, target, datagram, address):
+        if target in self.frozen:
+            if len(self.frozen[target]) < INBOX_DATAGRAMS:
+                self.frozen[target].append((target, datagram, address))
+        elif target in self.detectors_by_id:
+            detector = self.detectors_by_id[target]
+            now_s = self.timers.now()
+            self._run(target, detector.receive(datagram, address, now_s))
--- /dev/null
+++ b/libs/membership/features/steps/document_steps.py
@@ -0,0 +1,121 @@
+"""Steps of the documents feature."""
+
+from __future__ import annotations
+
+import random
+
+from behave import given, then, when
+
+from damaskjunction.membership import (
+    DocumentKey,
+    DocumentRevision,
+    DocumentShelf,
+    HeldDocument,
+    apply_delta,
+    make_delta,
+)
+
+KEY = DocumentKey("configuration", "current")
+
+
+@given('a host that holds revision {revision:d} with text "{text}"')
+def make_shelf(context, revision, text):
+    context.shelf = DocumentShelf((KEY,))
+    context.shelf.put(KEY, HeldDocument(revision, text.encode()))
+
+
+@given("a host that holds nothing")
+def make_empty_shelf(context):
+    context.shelf = DocumentShelf((KEY,))
+    context.fetches = []
+
+
+@given("a host that holds revision {revision:d} with a text of {n_lines:d} lines")
+def make_large_shelf(context, revision, n_lines):
+    context.lines = [f"workspace-{number}: share 1" for number in range(n_lines)]
+    context.document = HeldDocument(revision, "\n".join(context.lines).encode())
+    context.shelf = DocumentShelf((KEY,))
+    context.shelf.put(KEY, context.document)
+
+
+@given("another host that holds the same")
+def make_other_shelf(context):
+    context.other = DocumentShelf((KEY,))
+    context.other.put(KEY, context.document)
+
+
+@given("{n_pairs:d} pairs of random texts with seed {seed:d}")
+def make_pairs(context, n_pairs, seed):
+    chance = random.Random(seed)
+
+    def make_text():
+        return bytes(chance.choices(b"ab", k=chance.randrange(12)))
+
+    context.pairs = [(make_text(), make_text()) for _ in range(n_pairs)]
+
+
+@when('revision {revision:d} with text "{text}" is put')
+def put(context, revision, text):
+    context.shelf.put(KEY, HeldDocument(revision, text.encode()))
+
+
+@when("revision {revision:d} with line {number:d} changed is put")
+def put_changed(context, revision, number):
+    context.lines[number] = "workspace-new: share 2"
+    context.shelf.put(KEY, HeldDocument(revision, "\n".join(context.lines).encode()))
+
+
+@when('"{host_id}" tells that it holds revision {revision:d}')
+def hear(context, host_id, revision):
+    documents = (DocumentRevision(*KEY, revision),)
+    context.fetches = context.shelf.hear(host_id, documents)
+
+
+@when('"{host_id}" tells that it holds revision {revision:d} before it has settled')
+def hear_early(context, host_id, revision):
+    documents = (DocumentRevision(*KEY, revision),)
+    context.fetches += context.shelf.hear(host_id, documents, is_settled=False)
+
+
+@when("it has settled")
+def settle(context):
+    context.fetches = context.shelf.settle()
+
+
+@when('the fetch from "{host_id}" ends')
+def end_fetch(context, host_id):
+    context.fetches = context.shelf.end_fetch(KEY, host_id)
+
+
+@then('revision {revision:d} with text "{text}" is held')
+def check_held(context, revision, text):
+    assert context.shelf.held(KEY) == HeldDocument(revision, text.encode())
+
+
+@then('"{host_id}" is asked for what is newer than {revision:d}')
+def check_asked(context, host_id, revision):
+    asked = [(fetch.holder, fetch.base_revision) for fetch in context.fetches]
+    assert asked == [(host_id, revision)], asked
+
+
+@then("nobody is asked")
+def check_not_asked(context):
+    assert not context.fetches, context.fetches
+
+
+@then("the change since revision {revision:d} is at most {limit:d} bytes")
+def check_change(context, revision, limit):
+    context.part = context.shelf.part_since(KEY, revision)
+    assert len(context.part.delta.middle) <= limit, context.part
+
+
+@then("the other host has the same text after taking it")
+def check_same(context):
+    assert context.other.put_part(KEY, context.part)
+    assert context.other.held(KEY) == context.shelf.held(KEY)
+
+
+@then("each change makes its text")
+def check_pairs(context):
+    for base, text in context.pairs:
+        assert apply_delta(base, make_delta(base, text)) == text, (base, text)
--- /dev/null
+++ b/libs/membership/features/steps/membership_steps.py
@@ -0,0 +1,268 @@
+"""Steps of the membership feature."""
+
+from __future__ import annotations
+
+from behave import given, then, when
+from simulated_network import SimulatedNetwork, make_host
+
+from damaskjunction.core import HostState
+from damaskjunction.membership import MemberState
+
+SETTLE_S = 10.0
+
+
+def watch_removals(context):
+    """Note at each step whom a running host has found dead."""
+    network = context.network
+    for viewer in network.viewers():
+        members = network.detectors_by_id[viewer].roster.members_by_id
+        for host_id, member in members.items():
+            if member.is_dead:
+                context.removals.add((viewer, host_id))
+
+
+def pass_time(context, duration_s):
+    for _ in range(int(duration_s * 10)):
+        context.network.timers.advance(0.1)
+        watch_removals(context)
+
+
+def is_out(context, host_id):
+    network = context.network
+    return all(
+        host_id not in network.live_ids(viewer)
+        for viewer in network.viewers()
+        if viewer != host_id
+    )
+
+
+def is_in(context, host_id):
+    network = context.network
+    return all(host_id in network.live_ids(viewer) for viewer in network.viewers())
+
+
+@given("{n_hosts:d} hosts with seed {seed:d}")
+def make_network(context, n_hosts, seed):
+    context.network = SimulatedNetwork(n_hosts, seed)
+    context.removals = set()
+    pass_time(context, SETTLE_S)
+    context.network.n_bytes = 0
+    context.begin_s = context.network.timers.now()
+
+
+@when('host "{host_id}" is killed')
+def kill(context, host_id):
+    context.host_id = host_id
+    context.network.kill(host_id)
+
+
+@when("{n_hosts:d} hosts are killed at once")
+def kill_many(context, n_hosts):
+    for host in context.network.hosts[:n_hosts]:
+        context.network.kill(host.host_id)
+
+
+@when("{percent:d} percent of datagrams are lost")
+def lose(context, percent):
+    context.network.loss = percent / 100
+
+
+@when("{duration_s:d} s pass")
+def wait(context, duration_s):
+    pass_time(context, duration_s)
+
+
+@when('host "{host_id}" is frozen for {duration_s:d} s')
+def freeze(context, host_id, duration_s):
+    context.host_id = host_id
+    context.network.freeze(host_id)
+    pass_time(context, duration_s)
+
+
+@when("it is thawed")
+def thaw(context):
+    context.network.thaw(context.host_id)
+
+
+@when('datagrams from "{source}" to "{target}" are cut')
+def cut(context, source, target):
+    context.network.cut([source], [target])
+
+
+@when('host "{host_id}" is cut off from all others')
+def cut_off(context, host_id):
+    context.host_id = host_id
+    others = [host.host_id for host in context.network.hosts if host.host_id != host_id]
+    context.network.cut([host_id], others)
+    context.network.cut(others, [host_id])
+
+
+@when('host "{host_id}" says that it leaves')
+def leave(context, host_id):
+    context.host_id = host_id
+    context.network.leave(host_id)
+
+
+@when("it is started again after {delay_s:d} s")
+def start_again(context, delay_s):
+    pass_time(context, delay_s)
+    number = [host.host_id for host in context.network.hosts].index(context.host_id)
+    context.network.start(context.network.hosts[number])
+
+
+@when('host "{old}" is replaced by "{new}" at its address')
+def replace(context, old, new):
+    number = [host.host_id for host in context.network.hosts].index(old)
+    context.network.kill(old)
+    context.network.start(make_host(number, new))
+
+
+@when("the two halves lose each other for {duration_s:d} s")
+def part(context, duration_s):
+    names = [host.host_id for host in context.network.hosts]
+    half = len(names) // 2
+    context.halves = (names[:half], names[half:])
+    context.network.cut(*context.halves)
+    context.network.cut(*reversed(context.halves))
+    pass_time(context, duration_s)
+
+
+@when("the halves reach each other again")
+def heal(context):
+    context.network.cuts.clear()
+
+
+@when('the host list says that "{host_id}" leaves')
+def list_leaving(context, host_id):
+    context.host_id = host_id
+    hosts = [
+        host._replace(state=HostState.LEAVING) if host.host_id == host_id else host
+        for host in context.network.hosts
+    ]
+    context.network.publish(hosts)
+
+
+@when('the host list omits "{host_id}"')
+def omit(context, host_id):
+    hosts = [host for host in context.network.hosts if host.host_id != host_id]
+    context.network.publish(hosts)
+
+
+@when('the host list names "{host_id}", which does not run')
+def name_dead(context, host_id):
+    context.host_id = host_id
+    context.network.publish([*context.network.hosts, make_host(999, host_id)])
+
+
+@when('host "{host_id}" starts without a configuration')
+def start_without(context, host_id):
+    context.host_id = host_id
+    context.network.start(make_host(500, host_id), is_ready=False)
+
+
+@when("it gets a configuration")
+def give_configuration(context):
+    detector = context.network.detectors_by_id[context.host_id]
+    detector.set_in_force(1, 1, context.network.timers.now())
+
+
+@then("it is out of every view within {limit_s:d} s")
+def check_out(context, limit_s):
+    context.network.seconds_until(lambda: is_out(context, context.host_id), limit_s)
+
+
+@then("it is out of every choice within {limit_s:d} s")
+def check_not_chosen(context, limit_s):
+    context.network.seconds_until(lambda: is_out(context, context.host_id), limit_s)
+
+
+@then('"{host_id}" is out of every view within {limit_s:d} s')
+def check_named_out(context, host_id, limit_s):
+    context.network.seconds_until(lambda: is_out(context, host_id), limit_s)
+
+
+@then("it is out of the others' views")
+def check_out_now(context):
+    assert is_out(context, context.host_id)
+
+
+@then("it is back in every view within {limit_s:d} s")
+def check_back(context, limit_s):
+    context.network.seconds_until(lambda: is_in(context, context.host_id), limit_s)
+
+
+@then('"{host_id}" is in every view')
+def check_in(context, host_id):
+    assert is_in(context, host_id)
+
+
+@then("no host was ever removed from a view")
+def check_no_removal(context):
+    assert not context.removals, sorted(context.removals)
+
+
+@then("no other host is out of any view")
+def check_no_other_removal(context):
+    wrong = {pair for pair in context.removals if pair[1] != context.host_id}
+    assert not wrong, sorted(wrong)
+
+
+@then("it never removed a host from its view")
+def check_no_removal_by(context):
+    wrong = {pair for pair in context.removals if pair[0] == context.host_id}
+    assert not wrong, sorted(wrong)
+
+
+@then("it still has {n_hosts:d} hosts in its view")
+def check_size(context, n_hosts):
+    assert len(context.network.live_ids(context.host_id)) == n_hosts
+
+
+@then("every view has {n_hosts:d} hosts within {limit_s:d} s")
+def check_sizes(context, n_hosts, limit_s):
+    network = context.network
+    network.seconds_until(
+        lambda: all(len(network.live_ids(v)) == n_hosts for v in network.viewers()),
+        limit_s,
+    )
+
+
+@then("every view has its new incarnation within {limit_s:d} s")
+def check_incarnation(context, limit_s):
+    network = context.network
+    own = network.detectors_by_id[context.host_id].own
+
+    def is_known():
+        others = [name for name in network.viewers() if name != context.host_id]
+        members = [
+            network.detectors_by_id[name].roster.members_by_id[context.host_id]
+            for name in others
+        ]
+        return all(
+            member.incarnation >= own.incarnation
+            and member.state is MemberState.ALIVE
+            and not member.is_dead
+            for member in members
+        )
+
+    network.seconds_until(is_known, limit_s)
+
+
+@then("each half sees exactly its own hosts")
+def check_halves(context):
+    for half in context.halves:
+        for viewer in half:
+            assert context.network.live_ids(viewer) == set(half), viewer
+
+
+@then("no datagram was larger than {limit:d} bytes")
+def check_datagrams(context, limit):
+    assert context.network.largest_bytes <= limit, context.network.largest_bytes
+
+
+@then("no host sent more than {limit:d} bytes a second")
+def check_rate(context, limit):
+    network = context.network
+    duration_s = network.timers.now() - context.begin_s
+    rate = network.n_bytes / duration_s / len(network.detectors_by_id)
+    assert rate <= limit, rate
--- a/libs/membership/src/damaskjunction/membership/detector.py
+++ b/libs/membership/src/damaskjunction/membership/detector.py
@@ -19,7 +19,7 @@
     Roster,
     choose_watchers,
 )
-from damaskjunction.membership.rumours import RumourQueue
+from damaskjunction.membership.rumours import RumourQueue, Urgency
 from damaskjunction.membership.types import (
     Datagram,
     DatagramKind,
@@ -33,13 +33,14 @@
     Rumour,
     Send,
     Timing,
+    estimate_bytes,
     rumour_of,
     without_addresses,
 )
 
 MAX_DATAGRAM_BYTES = 1400
 RUMOUR_BYTES_PER_DATAGRAM = 800
-HEADER_BYTES = 300
+HEADER_BYTES = 150
 MAX_AWARENESS = 4
 MIN_PEERS_TO_JUDGE = 3
 DOCUMENT_ROUNDS = 4
@@ -57,6 +58,14 @@
     is_indirect: bool = False
 
 
+class _Suspicion(NamedTuple):
+    """When a suspect is asked once more, and when it is taken for dead."""
+
+    check_at_s: float
+    ends_at_s: float
+    is_checked: bool = False
+
+
 class _Relay(NamedTuple):
     """A probe made for another host."""
 
@@ -97,7 +106,7 @@
         self._rumours = RumourQueue()
         self._probes_by_sequence: dict[int, _Probe] = {}
         self._relays_by_sequence: dict[int, _Relay] = {}
-        self._suspected_until_by_id: dict[HostId, float] = {}
+        self._suspicions_by_id: dict[HostId, _Suspicion] = {}
         self._reports_at_s: list[float] = []
         self._order: list[HostId] = []
         self._sequence = 0
@@ -114,7 +123,7 @@
         effects: list[Effect] = []
         self._notice_pause(now_s)
         self._check_probes(now_s, effects)
-        self._expire_suspicions(now_s)
+        self._check_suspicions(now_s, effects)
         if now_s >= self._probe_at_s:
             self._probe_at_s = now_s + self._timing.probe_period_s
             self._probe_next(now_s, effects)
@@ -232,22 +241,26 @@
         self.awareness = MAX_AWARENESS
         self._probes_by_sequence.clear()
         self._heard_at_s = None
-        for host_id in self._suspected_until_by_id:
-            self._suspected_until_by_id[host_id] = now_s + self._suspicion_s()
+        for host_id in self._suspicions_by_id:
+            self._suspicions_by_id[host_id] = self._make_suspicion(now_s)
 
-    def _suspicion_s(self) -> float:
-        return self._timing.suspicion_s * (1 + self.awareness)
+    def _make_suspicion(self, now_s: float) -> _Suspicion:
+        duration_s = self._timing.suspicion_s * (1 + self.awareness)
+        return _Suspicion(now_s + duration_s / 2, now_s + duration_s)
 
-    def _expire_suspicions(self, now_s: float) -> None:
-        if not self._suspected_until_by_id or self.is_isolated(now_s):
+    def _check_suspicions(self, now_s: float, effects: list[Effect]) -> None:
+        """Ask each suspect once more itself; take for dead who stays silent."""
+        if not self._suspicions_by_id or self.is_isolated(now_s):
             return
-        due = [
-            host_id
-            for host_id, until_s in self._suspected_until_by_id.items()
-            if until_s <= now_s
-        ]
-        for host_id in due:
-            self._judge(host_id, Health.DEAD, now_s)
+        for host_id, suspicion in list(self._suspicions_by_id.items()):
+            member = self.roster.members_by_id.get(host_id)
+            if now_s >= suspicion.ends_at_s:
+                self._judge(host_id, Health.DEAD, now_s)
+            elif now_s >= suspicion.check_at_s and not suspicion.is_checked:
+                checked = suspicion._replace(is_checked=True)
+                self._suspicions_by_id[host_id] = checked
+                if member is not None:
+                    effects.append(self._ping(member, 0))
 
     # Probes
 
@@ -293,12 +306,16 @@
                 self._fail(probe, now_s)
             elif now_s >= probe.indirect_at_s and not probe.is_indirect:
                 self._probes_by_sequence[sequence] = probe._replace(is_indirect=True)
-                self._ask_others(probe.target, sequence, effects)
+                self._try_again(probe.target, sequence, effects)
         for sequence, relay in list(self._relays_by_sequence.items()):
             if now_s >= relay.ends_at_s:
                 del self._relays_by_sequence[sequence]
 
-    def _ask_others(self, target: HostId, sequence: int, effects: list[Effect]) -> None:
+    def _try_again(self, target: HostId, sequence: int, effects: list[Effect]) -> None:
+        """Probe a silent host once more, directly and through others."""
+        member = self.roster.members_by_id.get(target)
+        if member is not None:
+            effects.append(self._ping(member, sequence))
         helpers = self._pick(self._timing.n_indirect, without=target)
         for helper in helpers:
             datagram = self._make(DatagramKind.PROBE_REQUEST, sequence, target)
@@ -314,7 +331,7 @@
     def _judge(self, host_id: HostId, health: Health, now_s: float) -> None:
         member = self.roster.members_by_id.get(host_id)
         if member is None:
-            self._suspected_until_by_id.pop(host_id, None)
+            self._suspicions_by_id.pop(host_id, None)
         else:
             rumour = without_addresses(rumour_of(member))._replace(health=health)
             self._take_rumour(rumour, now_s)
@@ -380,10 +397,9 @@
         if before is None or _news(before) != _news(member):
             self._rumours.add(_to_tell(member))
         if member.health is not Health.SUSPECT:
-            self._suspected_until_by_id.pop(rumour.host_id, None)
-        elif rumour.host_id not in self._suspected_until_by_id:
-            until_s = now_s + self._suspicion_s()
-            self._suspected_until_by_id[rumour.host_id] = until_s
+            self._suspicions_by_id.pop(rumour.host_id, None)
+        elif rumour.host_id not in self._suspicions_by_id:
+            self._suspicions_by_id[rumour.host_id] = self._make_suspicion(now_s)
 
     def _take_rumour_of_self(self, rumour: Rumour) -> None:
         """Refute what is wrong, and outlive what is left of an earlier start."""
@@ -410,24 +426,35 @@
         sequence: int,
         target: HostId,
         first: tuple[Rumour, ...] = (),
+        *,
+        up_to: Urgency = Urgency.START,
     ) -> Datagram:
         n_members = len(self.roster.members_by_id)
-        others = self._rumours.take(n_members, RUMOUR_BYTES_PER_DATAGRAM)
+        others = self._rumours.take(n_members, RUMOUR_BYTES_PER_DATAGRAM, up_to=up_to)
         rumours = (rumour_of(self.own), *first, *others)
         return Datagram(kind, sequence, target, self.documents, rumours)
 
     def _gossip(self, effects: list[Effect]) -> None:
         """Tell what is new to a few hosts, within the budget of bytes."""
-        if not (len(self._rumours) or self._document_rounds):
+        up_to = self._affordable()
+        if not (self._rumours.has_up_to(up_to) or self._document_rounds):
             return
         self._document_rounds = max(0, self._document_rounds - 1)
         for member in self._pick(self._timing.fan_out):
-            if self._budget_bytes < 0:
-                return
-            datagram = self._make(DatagramKind.GOSSIP, 0, member.host.host_id)
-            self._budget_bytes -= HEADER_BYTES * len(datagram.rumours)
+            datagram = self._make(
+                DatagramKind.GOSSIP, 0, member.host.host_id, up_to=up_to
+            )
+            self._budget_bytes -= HEADER_BYTES + estimate_bytes(datagram.rumours)
             effects.append(Send(member.host.probe, datagram))
 
+    def _affordable(self) -> Urgency:
+        """Return the least urgent rumours that the budget of bytes allows now."""
+        if self._budget_bytes < 0:
+            return Urgency.LEAVING
+        if self._budget_bytes < self._timing.gossip_burst_bytes / 2:
+            return Urgency.JUDGEMENT
+        return Urgency.START
+
     def _report(self, now_s: float, effects: list[Effect]) -> None:
         """Tell the watchers of the data centre what is in force here."""
         if not self._reports_at_s or now_s < self._reports_at_s[0]:
--- a/libs/membership/src/damaskjunction/membership/types.py
+++ b/libs/membership/src/damaskjunction/membership/types.py
@@ -140,7 +140,7 @@
     tombstone_s: float = 600.0
     fan_out: int = 3
     n_indirect: int = 3
-    gossip_bytes_per_s: float = 1500.0
+    gossip_bytes_per_s: float = 1000.0
     gossip_burst_bytes: float = 12_000.0
 
 
@@ -149,6 +149,11 @@
     return incarnation // REFUTATIONS_PER_START
 
 
+def is_refutation(incarnation: int) -> bool:
+    """Return whether a host took an incarnation to refute what was said of it."""
+    return incarnation % REFUTATIONS_PER_START > 0
+
+
 def first_incarnation(wall_s: float) -> int:
     """Return the incarnation of a host that starts at a wall-clock time."""
     return int(wall_s * 1000) * REFUTATIONS_PER_START
--- a/libs/node/src/damaskjunction/node/__init__.py
+++ b/libs/node/src/damaskjunction/node/__init__.py
@@ -1,6 +1,20 @@
 """Composition root and daemon of one host."""
 
 from damaskjunction.node.daemon import main, run_host
+from damaskjunction.node.datagrams import (
+    Datagrams,
+    OpenDatagrams,
+    TakeDatagram,
+    open_datagrams,
+)
 from damaskjunction.node.root import HostProcess
 
-__all__ = ["HostProcess", "main", "run_host"]
+__all__ = [
+    "Datagrams",
+    "HostProcess",
+    "OpenDatagrams",
+    "TakeDatagram",
+    "main",
+    "open_datagrams",
+    "run_host",
+]
--- a/libs/node/src/damaskjunction/node/daemon.py
+++ b/libs/node/src/damaskjunction/node/daemon.py
@@ -6,6 +6,7 @@
 import logging
 import signal
 
+from damaskjunction.node.datagrams import OpenDatagrams, open_datagrams
 from damaskjunction.node.root import HostProcess
 from damaskjunction.settings import HostSettings
 from damaskjunction.telemetry import configure_logs
@@ -13,13 +14,15 @@
 logger = logging.getLogger(__name__)
 
 
-async def run_host(settings: HostSettings) -> None:
+async def run_host(
+    settings: HostSettings, open_endpoint: OpenDatagrams = open_datagrams
+) -> None:
     """Run a host until SIGTERM or SIGINT; then drain and stop."""
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    process = HostProcess(settings)
+    process = HostProcess(settings, open_endpoint)
     await process.start()
     logger.info("host started", extra={"caller": str(settings.caller)})
     await stop.wait()
--- a/libs/node/src/damaskjunction/node/membership.py
+++ b/libs/node/src/damaskjunction/node/membership.py
@@ -6,7 +6,7 @@
 import logging
 import random
 from collections.abc import Callable, Iterable
-from typing import Any
+from typing import Any, TypeAlias
 
 from damaskjunction.core import (
     Address,
@@ -30,6 +30,7 @@
     Send,
     Timing,
 )
+from damaskjunction.node.datagrams import Datagrams, OpenDatagrams, open_datagrams
 from damaskjunction.node.state import HostView
 from damaskjunction.telemetry import Metrics
 from damaskjunction.wire import (
@@ -49,25 +50,11 @@
 LEAVE_LINGER_S = 1.5
 QUERY_TIMEOUT_S = 2.0
 MEMBERS_PERIOD_S = 300.0
-MEMBERS_RETRY_S = 2.0
-RECEIVE_BUFFER_BYTES = 1 << 20
+MEMBERS_FIRST_S = 0.6
+MEMBERS_SECOND_S = 20.0
 N_SEEDS_TOLD = 3
 
-DocumentsHandler = Callable[[HostId, tuple[DocumentRevision, ...]], None]
-
-
-class _Endpoint(asyncio.DatagramProtocol):
-    """Passes datagrams on."""
-
-    def __init__(self, take: Callable[[bytes, Address], None]) -> None:
-        self._take = take
-
-    def datagram_received(self, data: bytes, addr: tuple[Any, ...]) -> None:
-        """Take one datagram."""
-        self._take(data, Address(addr[0], addr[1]))
-
-    def error_received(self, exc: Exception) -> None:
-        """Leave it to probing that a port is closed."""
+DocumentsHandler: TypeAlias = Callable[[HostId, tuple[DocumentRevision, ...]], None]
 
 
 class Membership:
@@ -89,6 +76,8 @@
         Source of random choices.
     seeds : iterable of Address, optional
         Probe addresses to start from while the platform cannot be reached.
+    open_endpoint : callable, optional
+        Opens the endpoint of datagrams.
     """
 
     def __init__(
@@ -101,6 +90,7 @@
         metrics: Metrics,
         chance: random.Random,
         seeds: Iterable[Address] = (),
+        open_endpoint: OpenDatagrams = open_datagrams,
     ) -> None:
         self._view = view
         self._links = links
@@ -108,7 +98,8 @@
         self._metrics = metrics
         self._chance = chance
         self._seeds = tuple(seeds)
-        self._transport: asyncio.DatagramTransport | None = None
+        self._open = open_endpoint
+        self._datagrams: Datagrams | None = None
         self._tick: Subscription | None = None
         self._joining: asyncio.Task[None] | None = None
         self._documents_handler: DocumentsHandler | None = None
@@ -120,11 +111,7 @@
 
     async def start(self) -> None:
         """Bind the socket and begin to probe."""
-        loop = asyncio.get_running_loop()
-        own = self._view.own.probe
-        self._transport, _ = await loop.create_datagram_endpoint(
-            lambda: _Endpoint(self._take), local_addr=(own.ip, own.port)
-        )
+        self._datagrams = await self._open(self._view.own.probe, self._take)
         self._tick = self._timers.every(Timing().tick_s, self._on_tick)
         self._joining = asyncio.ensure_future(self._keep_whole())
 
@@ -135,8 +122,8 @@
         if self._joining is not None:
             self._joining.cancel()
             await asyncio.gather(self._joining, return_exceptions=True)
-        if self._transport is not None:
-            self._transport.close()
+        if self._datagrams is not None:
+            self._datagrams.close()
 
     async def leave(self) -> None:
         """Tell that this host is leaving; return when peers had time to hear it."""
@@ -207,13 +194,14 @@
     async def _keep_whole(self) -> None:
         """Take whole lists of members: soon after the start, then now and then."""
         self._greet_seeds()
-        period_s = MEMBERS_RETRY_S / 4
+        delays_s = [MEMBERS_PERIOD_S, MEMBERS_SECOND_S, MEMBERS_FIRST_S]
         while True:
-            await asyncio.sleep(period_s * self._chance.uniform(0.5, 1.5))
-            is_taken = await self._take_members()
-            period_s = MEMBERS_PERIOD_S if is_taken else MEMBERS_RETRY_S
-            if not is_taken:
+            delay_s = delays_s[-1]
+            await asyncio.sleep(delay_s * self._chance.uniform(0.5, 1.5))
+            if not await self._take_members():
                 self._greet_seeds()
+            elif len(delays_s) > 1:
+                delays_s.pop()
 
     def _greet_seeds(self) -> None:
         """Ping some of the hosts that the settings name."""
@@ -261,7 +249,7 @@
                         self._documents_handler(host_id, documents)
 
     def _send(self, effect: Send) -> None:
-        if self._transport is None:
+        if self._datagrams is None:
             return
         data = encode_message(effect.datagram)
         if len(data) > MAX_DATAGRAM_BYTES:
@@ -270,7 +258,7 @@
             return
         self._metrics.count("membership_datagrams", direction="out")
         self._metrics.count("membership_bytes", len(data), direction="out")
-        self._transport.sendto(data, effect.address)
+        self._datagrams.send(data, effect.address)
 
     def _tell_in_force(self) -> None:
         self.detector.set_in_force(
--- a/libs/node/src/damaskjunction/node/root.py
+++ b/libs/node/src/damaskjunction/node/root.py
@@ -10,6 +10,7 @@
 from damaskjunction.http import HttpServer, Routes
 from damaskjunction.membership import Detector, first_incarnation
 from damaskjunction.node.admin import Admin
+from damaskjunction.node.datagrams import OpenDatagrams, open_datagrams
 from damaskjunction.node.entry import Entry
 from damaskjunction.node.following import Follower
 from damaskjunction.node.front import Front
@@ -41,9 +42,13 @@
     ----------
     settings : HostSettings
         The host's settings.
+    open_endpoint : callable, optional
+        Opens the endpoint of datagrams.
     """
 
-    def __init__(self, settings: HostSettings) -> None:
+    def __init__(
+        self, settings: HostSettings, open_endpoint: OpenDatagrams = open_datagrams
+    ) -> None:
         timers = LoopTimers()
         metrics = Metrics()
         dump = StateDump()
@@ -61,6 +66,7 @@
             metrics=metrics,
             chance=chance,
             seeds=settings.seeds,
+            open_endpoint=open_endpoint,
         )
         self._follower = Follower(
             self._view,
--- a/libs/standins/src/damaskjunction/standins/__main__.py
+++ b/libs/standins/src/damaskjunction/standins/__main__.py
@@ -7,13 +7,18 @@
 import os
 import sys
 from collections.abc import Callable, Coroutine
+from pathlib import Path
 from typing import Any, TypeAlias
 
 from damaskjunction.core import Address, LoopTimers, Registry
+from damaskjunction.node import run_host
+from damaskjunction.settings import read_host_settings
+from damaskjunction.standins.datagrams import FaultyDatagrams
 from damaskjunction.standins.engine import EngineSpeed, EngineStandin
 from damaskjunction.standins.plain import PlainStandin
 from damaskjunction.standins.platform import PlatformStandin
 from damaskjunction.standins.proxy import ProxyStandin
+from damaskjunction.telemetry import configure_logs
 
 CRASH_EXIT_CODE = 17
 
@@ -64,6 +69,15 @@
     await asyncio.Event().wait()
 
 
+@standin_kinds.register("host")
+async def run_faulty_host(arguments: argparse.Namespace) -> None:
+    """Run a host of the system whose datagrams have faults."""
+    settings = read_host_settings(arguments.settings.read_text(), "settings")
+    configure_logs(settings.log_level, process=settings.host_id)
+    datagrams = FaultyDatagrams(arguments.address, arguments.seed)
+    await run_host(settings, datagrams.open)
+
+
 def main() -> None:
     """Run the stand-in named on the command line."""
     parser = argparse.ArgumentParser(prog="damaskjunction.standins")
@@ -71,6 +85,8 @@
     parser.add_argument("--address", type=Address.from_text, required=True)
     parser.add_argument("--target", type=Address.from_text)
     parser.add_argument("--control", type=Address.from_text)
+    parser.add_argument("--settings", type=Path)
+    parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--service", default="")
     parser.add_argument("--slots", type=int, default=EngineSpeed().slots)
     parser.add_argument("--step-s", type=float, default=EngineSpeed().step_s)
