--- a/libs/node/src/damaskjunction/node/root.py
+++ b/libs/node/src/damaskjunction/node/root.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from contextlib import aclosing
 from pathlib import Path
 
 from damaskjunction.core import LoopTimers, stable_hash
@@ -18,9 +19,10 @@
 from damaskjunction.node.jobs import JobFront, JobWorker
 from damaskjunction.node.membership import Membership
 from damaskjunction.node.placer import Placer
+from damaskjunction.node.selection import Selection
 from damaskjunction.node.state import HostView
 from damaskjunction.platform import PlatformClient
-from damaskjunction.routing import Forward
+from damaskjunction.routing import Forward, admission_policies
 from damaskjunction.settings import HostSettings
 from damaskjunction.telemetry import Metrics, StateDump
 from damaskjunction.wire import (
@@ -55,8 +57,10 @@
         self._view = HostView(settings.to_entry_host())
         self._store = PlatformClient(settings.platform, timers)
         self._links = PeerLinks(timers)
-        self._home = Home(self._view, timers)
-        entry = Entry(self._view, self._home, self._links, timers)
+        policy = admission_policies.get(settings.admission)
+        selection = Selection(self._view, timers, policy)
+        self._home = Home(self._view, selection, timers, metrics)
+        entry = Entry(self._view, self._home, self._links, selection, timers)
         chance = random.Random(stable_hash(settings.seed or settings.host_id))
         self._membership = Membership(
             self._view,
@@ -101,6 +105,7 @@
 
     async def start(self) -> None:
         """Start every part; callers are served from now on."""
+        self._home.start()
         await self._peers.start()
         await self._membership.start()
         await self._follower.start()
@@ -112,6 +117,7 @@
         """Take no new work and return when what is in progress has ended."""
         self._view.start_draining()
         await asyncio.gather(self._membership.leave(), self._callers.drain())
+        await self._home.drain()
 
     async def close(self) -> None:
         """Stop every part."""
@@ -122,14 +128,15 @@
         await self._membership.close()
         await self._peers.close()
         self._links.close()
-        self._home.close()
+        await self._home.close()
         self._store.close()
 
     async def _handle_peer(self, message: Message, reply: Reply) -> None:
         match message:
             case Forward():
-                async for answer in self._home.run(message):
-                    await reply(answer)
+                async with aclosing(self._home.run(message)) as answers:
+                    async for answer in answers:
+                        await reply(answer)
             case StatusQuery():
                 await reply(self._admin.own_status())
             case DataCentreQuery():
--- a/libs/settings/src/damaskjunction/settings/host.py
+++ b/libs/settings/src/damaskjunction/settings/host.py
@@ -33,6 +33,7 @@
     log_level: str = "info"
     seed: str = ""
     seeds: tuple[Address, ...] = ()
+    admission: str = "home"
 
     def to_entry_host(self) -> EntryHost:
         """Return the host as its peers know it."""
@@ -69,6 +70,13 @@
         (),
     ),
     Field("seed", read_name, "seed of random choices; empty: the host_id", ""),
+    Field(
+        "admission",
+        read_name,
+        "admission policy, the same on every host: home, static_share or "
+        "least_reported_load",
+        "home",
+    ),
 )
 
 
--- a/libs/wire/src/damaskjunction/wire/__init__.py
+++ b/libs/wire/src/damaskjunction/wire/__init__.py
@@ -11,23 +11,21 @@
     message_types,
     register_message,
 )
-from damaskjunction.wire.links import (
-    CallHandler,
-    PeerLinks,
-    PeerServer,
-    Reply,
-)
-from damaskjunction.wire.messages import (
+from damaskjunction.wire.control import (
     DataCentreQuery,
     DataCentreStatus,
     DocumentQuery,
     DocumentText,
-    Failure,
-    HostStatus,
     MemberList,
     MembersQuery,
-    StatusQuery,
 )
+from damaskjunction.wire.links import (
+    CallHandler,
+    PeerLinks,
+    PeerServer,
+    Reply,
+)
+from damaskjunction.wire.messages import Failure, HostStatus, StatusQuery
 
 __all__ = [
     "CallHandler",
