--- a/libs/wire/src/damaskjunction/wire/__init__.py
+++ b/libs/wire/src/damaskjunction/wire/__init__.py
@@ -11,6 +11,14 @@
     message_types,
     register_message,
 )
+from damaskjunction.wire.control import (
+    DataCentreQuery,
+    DataCentreStatus,
+    DocumentQuery,
+    DocumentText,
+    MemberList,
+    MembersQuery,
+)
 from damaskjunction.wire.links import (
     CallHandler,
     PeerLinks,
@@ -28,11 +36,17 @@
 
 __all__ = [
     "CallHandler",
+    "DataCentreQuery",
+    "DataCentreStatus",
     "DecodeError",
+    "DocumentQuery",
+    "DocumentText",
     "Failure",
     "Frame",
     "HostStatus",
     "JobStopped",
+    "MemberList",
+    "MembersQuery",
     "Message",
     "PeerLinks",
     "PeerServer",
