--- a/libs/node/src/damaskjunction/node/claims.py
+++ b/libs/node/src/damaskjunction/node/claims.py
@@ -23,7 +23,8 @@
 from damaskjunction.core.units import HOUR_S, KIB, MINUTE_S
 from damaskjunction.http import HttpError
 from damaskjunction.node.documents import CALL_KIND, CallDocument
-from damaskjunction.node.entry import CallerRequest, Entry
+from damaskjunction.node.entry import CallerRequest, whole_answer
+from damaskjunction.node.metering import RequestRunner
 from damaskjunction.platform import ObjectStore, StoredObject
 from damaskjunction.routing import (
     Claim,
@@ -60,7 +61,7 @@
     ----------
     store : ObjectStore
         Keeps the claims.
-    entry : Entry
+    entry : RequestRunner
         Runs the calls.
     host_id : HostId
         This host, the holder of its claims.
@@ -73,7 +74,7 @@
     def __init__(
         self,
         store: ObjectStore,
-        entry: Entry,
+        entry: RequestRunner,
         host_id: HostId,
         timers: Timers,
         *,
@@ -167,7 +168,7 @@
         outcome = Outcome.UNKNOWN
         answer: PlainAnswer | None = None
         try:
-            answer = await self._entry.answer(request)
+            answer = await whole_answer(self._entry.run(request))
             return answer
         except RequestError as error:
             outcome = error.outcome
--- a/libs/node/src/damaskjunction/node/entry.py
+++ b/libs/node/src/damaskjunction/node/entry.py
@@ -24,28 +24,28 @@
 )
 from damaskjunction.core.units import MILLISECOND_S
 from damaskjunction.node.crashes import CrashWatch
+from damaskjunction.node.demand import DemandMeter
 from damaskjunction.node.home import Home
+from damaskjunction.node.runners import AnswerMessage
+from damaskjunction.node.selection import Selection
 from damaskjunction.node.state import HostView
 from damaskjunction.routing import (
     AnswerAssembly,
-    AnswerMessage,
+    AnswerPart,
     Attempts,
-    ChoiceInput,
     EjectionPolicy,
     Forward,
     GiveUp,
     OutlierEjection,
     PlainAnswer,
     RetryBudget,
+    RunnerLoad,
     Verdict,
     fingerprint_of,
-    home_of,
-    runner_choices,
 )
 from damaskjunction.telemetry import Metrics
 from damaskjunction.wire import PeerLinks
 
-RUNNER_CHOICE = "prefix_affinity"
 RUNNER_EJECTION = EjectionPolicy(n_failures=1)
 HOME_EJECTION = EjectionPolicy(n_failures=1, base_s=2.0)
 DEADLINE_GRACE_S = 250 * MILLISECOND_S
@@ -78,6 +78,7 @@
     content_type: str
     body: bytes
     prompt: str = ""
+    from_token: int = 0
 
 
 class _Route(NamedTuple):
@@ -96,7 +97,7 @@
         self.request = request
         self.attempts = attempts
         self.fingerprint = fingerprint
-        self.assembly = AnswerAssembly()
+        self.assembly = AnswerAssembly(request.from_token)
         self.tried: set[RunnerId] = set()
         self.route: _Route | None = None
 
@@ -112,6 +113,8 @@
         The home role of this host, used without a link.
     links : PeerLinks
         Links to other hosts.
+    selection : Selection
+        Chooses runners and their homes.
     crashes : CrashWatch
         Knows which requests crash runners.
     timers : Timers
@@ -120,6 +123,8 @@
         Source of the jitter of retries.
     metrics : Metrics
         The process's metrics.
+    demand : DemandMeter
+        Counts online requests under way.
     """
 
     def __init__(
@@ -127,12 +132,16 @@
         view: HostView,
         home: Home,
         links: PeerLinks,
+        selection: Selection,
+        *,
         crashes: CrashWatch,
         timers: Timers,
-        *,
         chance: random.Random,
         metrics: Metrics,
+        demand: DemandMeter,
     ) -> None:
+        self._demand = demand
+        self._selection = selection
         self._view = view
         self._home = home
         self._links = links
@@ -143,7 +152,6 @@
         self._budget = RetryBudget()
         self._runner_ejection = OutlierEjection(RUNNER_EJECTION)
         self._home_ejection = OutlierEjection(HOME_EJECTION)
-        self._in_flight_by_runner: dict[RunnerId, int] = {}
 
     def to_document(self) -> dict[str, Any]:
         """Return retries and ejections for the state dump."""
@@ -152,14 +160,9 @@
             "retry_balance": self._budget.balance,
             "ejected_runners": self._runner_ejection.ejected(now_s),
             "avoided_homes": self._home_ejection.ejected(now_s),
-            "in_flight": {
-                runner_id: count
-                for runner_id, count in self._in_flight_by_runner.items()
-                if count
-            },
         }
 
-    async def run(self, request: CallerRequest) -> AsyncGenerator[AnswerMessage]:
+    async def run(self, request: CallerRequest) -> AsyncGenerator[AnswerPart, None]:
         """Yield the messages of a whole answer, each token once and in order.
 
         Raises
@@ -167,6 +170,12 @@
         RequestError
             When there is no whole answer; its outcome says whether the request ran.
         """
+        with self._demand.track(request.service, request.work_class):
+            async with aclosing(self._run(request)) as messages:
+                async for message in messages:
+                    yield message
+
+    async def _run(self, request: CallerRequest) -> AsyncGenerator[AnswerPart, None]:
         attempts = Attempts(
             idempotent=request.idempotent,
             end_at_s=self._timers.now() + request.deadline_s,
@@ -185,20 +194,6 @@
                 delay_s = self._fail(run, error)
             await asyncio.sleep(delay_s)
 
-    async def answer(self, request: CallerRequest) -> PlainAnswer:
-        """Return the whole answer of a plain service.
-
-        Raises
-        ------
-        RequestError
-            As ``run`` does.
-        """
-        async with aclosing(self.run(request)) as messages:
-            async for message in messages:
-                if isinstance(message, PlainAnswer):
-                    return message
-        raise RequestError(Outcome.RAN, "bad_answer", "no answer of a plain service")
-
     def _fail(self, run: _Run, error: RequestError) -> float:
         """Return the seconds until the next attempt.
 
@@ -237,7 +232,7 @@
             },
         )
 
-    async def _attempt(self, run: _Run) -> AsyncGenerator[AnswerMessage]:
+    async def _attempt(self, run: _Run) -> AsyncGenerator[AnswerPart, None]:
         left_s = run.attempts.begin(self._timers.now())
         run.assembly.begin(run.attempts.number)
         verdict = self._crashes.verdict_of(run.fingerprint)
@@ -256,8 +251,8 @@
         self._note_success(run.route)
 
     async def _next(
-        self, run: _Run, messages: AsyncGenerator[AnswerMessage]
-    ) -> AnswerMessage | None:
+        self, run: _Run, messages: AsyncGenerator[AnswerPart, None]
+    ) -> AnswerPart | None:
         """Return the next message of an attempt, None after the last.
 
         The home keeps the deadline too; this end waits a little longer, so that the
@@ -268,7 +263,7 @@
             async with asyncio.timeout(limit_s):
                 return await anext(messages, None)
         except TimeoutError:
-            is_started = run.assembly.next_position > 0
+            is_started = run.assembly.next_position > run.request.from_token
             outcome = Outcome.RAN if is_started else Outcome.UNKNOWN
             raise RequestError(outcome, "deadline", "the time is over") from None
 
@@ -279,60 +274,63 @@
 
     def _choose(self, run: _Run, *, alone: bool) -> _Route:
         request = run.request
-        runners = self._view.runners_of(request.service)
-        if not runners:
+        order = self._selection.runners(
+            request.service, request.work_class, request.prompt
+        )
+        if not order:
             detail = f"no runner serves {request.service!r} now"
             raise RequestError(Outcome.NOT_RUN, "no_runner", detail, retry_after_s=2.0)
         now_s = self._timers.now()
-        healthy = self._runner_ejection.healthy(runners, _runner_id, now_s)
+        healthy = self._runner_ejection.healthy(order, _runner_id, now_s)
         untried = [r for r in healthy if r.runner_id not in run.tried]
         if not untried:
             run.tried.clear()
-        runner = self._prefer(run, untried or healthy, alone=alone)
+        runner = _prefer(request.service, untried or healthy, alone=alone)
         return _Route(runner, self._home_for(runner))
 
-    def _prefer(self, run: _Run, runners: Sequence[Runner], *, alone: bool) -> Runner:
-        """Return the runner for an attempt.
-
-        Suspects of a service share one runner, so that the others stay open to all.
-        """
-        if alone:
-            by_id = {runner.runner_id: runner for runner in runners}
-            order = rendezvous_order(run.request.service, [(r, 1.0) for r in by_id])
-            return by_id[order[0]]
-        choose = runner_choices.get(RUNNER_CHOICE)
-        given = ChoiceInput(run.request.prompt, runners, self._in_flight_by_runner)
-        return choose(given)[0]
-
     def _home_for(self, runner: Runner) -> EntryHost | None:
         hosts = self._view.serving_hosts()
         now_s = self._timers.now()
         healthy = self._home_ejection.healthy(hosts, _host_id, now_s)
-        home = home_of(runner, healthy)
+        home = self._selection.admitting_host(runner, healthy)
         is_own = home is not None and home.host_id == self._view.own.host_id
         return None if is_own else home
 
     async def _forward(
         self, route: _Route, forward: Forward
-    ) -> AsyncGenerator[AnswerMessage]:
-        runner_id = route.runner.runner_id
-        in_flight = self._in_flight_by_runner
-        in_flight[runner_id] = in_flight.get(runner_id, 0) + 1
+    ) -> AsyncGenerator[AnswerPart, None]:
+        loads = self._selection.loads
+        loads.begin(route.runner.runner_id)
         try:
             async with aclosing(self._send(route.home, forward)) as messages:
                 async for message in messages:
-                    yield message
+                    if isinstance(message, RunnerLoad):
+                        self._selection.note(message)
+                    else:
+                        yield message
         finally:
-            in_flight[runner_id] -= 1
-            if not in_flight[runner_id]:
-                del in_flight[runner_id]
+            loads.end(route.runner.runner_id)
 
-    def _send(self, home: EntryHost | None, forward: Forward) -> Any:
+    def _send(
+        self, home: EntryHost | None, forward: Forward
+    ) -> AsyncGenerator[AnswerMessage, None]:
         if home is None:
             return self._home.run(forward)
         return self._links.call(home.peer, forward.work_class.value, forward)
 
 
+def _prefer(service: ServiceName, runners: Sequence[Runner], *, alone: bool) -> Runner:
+    """Return the runner for an attempt, given those for it by preference.
+
+    Suspects of a service share one runner, so that the others stay open to all.
+    """
+    if not alone:
+        return runners[0]
+    by_id = {runner.runner_id: runner for runner in runners}
+    order = rendezvous_order(service, [(runner_id, 1.0) for runner_id in by_id])
+    return by_id[order[0]]
+
+
 def _runner_id(runner: Runner) -> str:
     return runner.runner_id
 
@@ -360,3 +358,20 @@
         fingerprint=run.fingerprint,
         alone=alone,
     )
+
+
+async def whole_answer(
+    messages: AsyncGenerator[AnswerPart, None],
+) -> PlainAnswer:
+    """Return the whole answer of a plain service from its messages.
+
+    Raises
+    ------
+    RequestError
+        When there is none.
+    """
+    async with aclosing(messages):
+        async for message in messages:
+            if isinstance(message, PlainAnswer):
+                return message
+    raise RequestError(Outcome.RAN, "bad_answer", "no answer of a plain service")
--- a/libs/routing/src/damaskjunction/routing/__init__.py
+++ b/libs/routing/src/damaskjunction/routing/__init__.py
@@ -1,17 +1,28 @@
-"""Decisions on admission, runner choice, limits and retries."""
+"""Decisions on admission, runner choice, limits, retries and whole answers."""
 
 from damaskjunction.routing.admission import (
     Admit,
     Effect,
+    GateState,
     Preempt,
     Refuse,
     RunnerGate,
-    Ticket,
 )
-from damaskjunction.routing.answers import AnswerAssembly, AnswerMessage
-from damaskjunction.routing.choice import ChoiceInput, runner_choices
-from damaskjunction.routing.ejection import EjectionPolicy, OutlierEjection
-from damaskjunction.routing.homes import home_of
+from damaskjunction.routing.answers import (
+    AnswerAssembly,
+    AnswerPart,
+)
+from damaskjunction.routing.choice import (
+    ChoiceInput,
+    runner_choices,
+)
+from damaskjunction.routing.ejection import (
+    EjectionPolicy,
+    OutlierEjection,
+)
+from damaskjunction.routing.homes import (
+    home_of,
+)
 from damaskjunction.routing.idempotency import (
     Claim,
     ClaimEffect,
@@ -23,7 +34,27 @@
     Tell,
     judge_claim,
 )
-from damaskjunction.routing.messages import Forward, PlainAnswer, StreamEnd, Token
+from damaskjunction.routing.limits import (
+    FixedLimits,
+    LearnedLimits,
+    Limits,
+    Targets,
+)
+from damaskjunction.routing.loads import (
+    RunnerLoads,
+)
+from damaskjunction.routing.messages import (
+    Forward,
+    PlainAnswer,
+    RunnerLoad,
+    StreamEnd,
+    Token,
+)
+from damaskjunction.routing.policies import (
+    AdmissionPolicy,
+    LimitInput,
+    admission_policies,
+)
 from damaskjunction.routing.quarantine import (
     Enter,
     Quarantine,
@@ -32,6 +63,10 @@
     VerdictNews,
     fingerprint_of,
 )
+from damaskjunction.routing.queues import (
+    FairQueue,
+    Ticket,
+)
 from damaskjunction.routing.retries import (
     Attempts,
     GiveUp,
@@ -42,9 +77,10 @@
 )
 
 __all__ = [
+    "AdmissionPolicy",
     "Admit",
     "AnswerAssembly",
-    "AnswerMessage",
+    "AnswerPart",
     "Attempts",
     "ChoiceInput",
     "Claim",
@@ -53,8 +89,14 @@
     "Effect",
     "EjectionPolicy",
     "Enter",
+    "FairQueue",
+    "FixedLimits",
     "Forward",
+    "GateState",
     "GiveUp",
+    "LearnedLimits",
+    "LimitInput",
+    "Limits",
     "LookAgain",
     "OutlierEjection",
     "PlainAnswer",
@@ -67,14 +109,18 @@
     "RetryBudget",
     "RetryEffect",
     "RunnerGate",
+    "RunnerLoad",
+    "RunnerLoads",
     "SoloGate",
     "StreamEnd",
     "TakeOver",
+    "Targets",
     "Tell",
     "Ticket",
     "Token",
     "Verdict",
     "VerdictNews",
+    "admission_policies",
     "fingerprint_of",
     "home_of",
     "judge_claim",
--- a/libs/routing/src/damaskjunction/routing/retries.py
+++ b/libs/routing/src/damaskjunction/routing/retries.py
@@ -23,7 +23,7 @@
     ("overloaded", "deadline", "quarantined", "crashes_runner", "bad_message")
 )
 
-FREE_REASONS = frozenset(("preempted", "leaving"))
+FREE_REASONS = frozenset(("preempted", "leaving", "not_home"))
 
 _SEVERITY_BY_OUTCOME = {Outcome.NOT_RUN: 0, Outcome.RAN: 1, Outcome.UNKNOWN: 2}
 
--- a/libs/standins/src/damaskjunction/standins/__init__.py
+++ b/libs/standins/src/damaskjunction/standins/__init__.py
@@ -8,6 +8,7 @@
     deployments,
 )
 from damaskjunction.standins.engine import (
+    BROKEN_VERSION,
     CRASH_MARK,
     EngineSpeed,
     EngineStandin,
@@ -15,16 +16,19 @@
 )
 from damaskjunction.standins.fleet import (
     Answer,
+    Finished,
     Fleet,
     ProcessSpec,
     free_addresses,
     parse_events,
+    run_command,
 )
 from damaskjunction.standins.plain import PlainStandin
 from damaskjunction.standins.platform import PlatformStandin
 from damaskjunction.standins.proxy import Mode, ProxyStandin
 
 __all__ = [
+    "BROKEN_VERSION",
     "CALLER_KEY",
     "CRASH_MARK",
     "Answer",
@@ -32,6 +36,7 @@
     "Deployment",
     "EngineSpeed",
     "EngineStandin",
+    "Finished",
     "Fleet",
     "Mode",
     "PlainStandin",
@@ -42,5 +47,6 @@
     "deployments",
     "free_addresses",
     "parse_events",
+    "run_command",
     "token_text",
 ]
--- a/libs/wire/src/damaskjunction/wire/__init__.py
+++ b/libs/wire/src/damaskjunction/wire/__init__.py
@@ -11,22 +11,45 @@
     message_types,
     register_message,
 )
+from damaskjunction.wire.control import (
+    DataCentreQuery,
+    DataCentreStatus,
+    DocumentQuery,
+    DocumentText,
+    MemberList,
+    MembersQuery,
+)
 from damaskjunction.wire.links import PeerLinks
-from damaskjunction.wire.messages import Failure, HostStatus, LeavingNotice, StatusQuery
+from damaskjunction.wire.messages import (
+    Failure,
+    HostStatus,
+    JobStopped,
+    PlacementQuery,
+    StatusQuery,
+    StopJob,
+)
 from damaskjunction.wire.sessions import CallHandler, PeerServer, Reply
 
 __all__ = [
     "CallHandler",
+    "DataCentreQuery",
+    "DataCentreStatus",
     "DecodeError",
+    "DocumentQuery",
+    "DocumentText",
     "Failure",
     "Frame",
     "HostStatus",
-    "LeavingNotice",
+    "JobStopped",
+    "MemberList",
+    "MembersQuery",
     "Message",
     "PeerLinks",
     "PeerServer",
+    "PlacementQuery",
     "Reply",
     "StatusQuery",
+    "StopJob",
     "decode_frame",
     "decode_message",
     "encode_frame",
--- a/libs/wire/src/damaskjunction/wire/messages.py
+++ b/libs/wire/src/damaskjunction/wire/messages.py
@@ -7,8 +7,16 @@
 
 from typing import NamedTuple
 
-from damaskjunction.core import HostId, Outcome, RequestError, Revision
-from damaskjunction.routing import Forward, PlainAnswer, StreamEnd, Token, VerdictNews
+from damaskjunction.core import HostId, JobId, Outcome, RequestError, Revision
+from damaskjunction.placement import RunnerStatus, ServiceLoad
+from damaskjunction.routing import (
+    Forward,
+    PlainAnswer,
+    RunnerLoad,
+    StreamEnd,
+    Token,
+    VerdictNews,
+)
 from damaskjunction.wire.codec import register_message
 
 
@@ -49,11 +57,32 @@
 
 
 @register_message
-class LeavingNotice(NamedTuple):
-    """Tells that a host takes no new work from now on."""
+class PlacementQuery(NamedTuple):
+    """Asks a host for the states of its runners and the load of services."""
 
-    host_id: HostId
 
+@register_message
+class StopJob(NamedTuple):
+    """Tells a host to end its work on a job that is cancelled."""
+
+    job_id: JobId
 
-for _message_type in (Forward, Token, StreamEnd, PlainAnswer, VerdictNews):
+
+@register_message
+class JobStopped(NamedTuple):
+    """The host has ended its work on the job and starts no more."""
+
+    job_id: JobId
+
+
+for _message_type in (
+    RunnerStatus,
+    ServiceLoad,
+    Forward,
+    Token,
+    StreamEnd,
+    PlainAnswer,
+    RunnerLoad,
+    VerdictNews,
+):
     register_message(_message_type)
