--- a/libs/node/src/damaskjunction/node/crashes.py
+++ b/libs/node/src/damaskjunction/node/crashes.py
@@ -280,8 +280,8 @@
         """Note that the request goes to the runner now."""
         self._watch.fingerprints_by_id[self._request_id] = self._fingerprint
 
-    def pause(self) -> None:
-        """Note that the request is not at the runner for now."""
+    def end(self) -> None:
+        """Note that the request is at the runner no more, and may return."""
         self._watch.fingerprints_by_id.pop(self._request_id, None)
 
 
--- a/libs/node/src/damaskjunction/node/front.py
+++ b/libs/node/src/damaskjunction/node/front.py
@@ -31,9 +31,10 @@
     to_json_response,
 )
 from damaskjunction.node.claims import CallClaims
-from damaskjunction.node.entry import CallerRequest, Entry
+from damaskjunction.node.entry import CallerRequest, whole_answer
+from damaskjunction.node.metering import RequestRunner
 from damaskjunction.node.state import HostView
-from damaskjunction.routing import AnswerMessage, PlainAnswer, StreamEnd, Token
+from damaskjunction.routing import AnswerPart, PlainAnswer, StreamEnd, Token
 
 logger = logging.getLogger(__name__)
 
@@ -70,13 +71,15 @@
     ----------
     view : HostView
         Tells services, workspaces and hosts.
-    entry : Entry
+    entry : RequestRunner
         Runs requests.
     claims : CallClaims
         Runs calls under an idempotency key.
     """
 
-    def __init__(self, view: HostView, entry: Entry, claims: CallClaims) -> None:
+    def __init__(
+        self, view: HostView, entry: RequestRunner, claims: CallClaims
+    ) -> None:
         self._view = view
         self._entry = entry
         self._claims = claims
@@ -145,7 +148,7 @@
     async def _answer(self, call: CallerRequest, key: str) -> PlainAnswer:
         """Return a call's answer; only one that may not be repeated is claimed."""
         if call.idempotent or not key:
-            return await self._entry.answer(call)
+            return await whole_answer(self._entry.run(call))
         if len(key) > MAX_KEY_CHARACTERS:
             detail = f"at most {MAX_KEY_CHARACTERS} characters are taken"
             raise HttpError(400, "bad_request", detail, key="Idempotency-Key")
@@ -191,8 +194,8 @@
 
 
 async def _to_events(
-    first: AnswerMessage, rest: AsyncGenerator[AnswerMessage]
-) -> AsyncGenerator[bytes]:
+    first: AnswerPart, rest: AsyncGenerator[AnswerPart, None]
+) -> AsyncGenerator[bytes, None]:
     """Yield an answer as events; what breaks it is its last event."""
     try:
         async with aclosing(rest):
@@ -211,7 +214,7 @@
     return encode_event(Event("error", data))
 
 
-def _to_event(message: AnswerMessage) -> bytes:
+def _to_event(message: AnswerPart) -> bytes:
     match message:
         case Token(_, position, text):
             data = {"position": position, "text": text}
--- a/libs/node/src/damaskjunction/node/home.py
+++ b/libs/node/src/damaskjunction/node/home.py
@@ -4,9 +4,10 @@
 
 import asyncio
 import itertools
+import logging
 from collections.abc import AsyncGenerator, Iterable
 from contextlib import aclosing
-from typing import Any, TypeAlias
+from typing import Any
 
 from damaskjunction.core import (
     Outcome,
@@ -24,6 +25,7 @@
 from damaskjunction.node.crashes import CrashWatch, RunnerGuard
 from damaskjunction.node.reports import LoadReader
 from damaskjunction.node.runners import (
+    AnswerMessage,
     RunnerStream,
     runner_protocols,
     stream_cancels,
@@ -32,7 +34,6 @@
 from damaskjunction.node.state import HostView
 from damaskjunction.routing import (
     Admit,
-    AnswerMessage,
     Effect,
     Forward,
     LimitInput,
@@ -53,7 +54,7 @@
 
 RUNNER_IDLE_S = 1.0
 
-HomeMessage: TypeAlias = AnswerMessage | RunnerLoad
+logger = logging.getLogger(__name__)
 
 
 class Home:
@@ -82,7 +83,6 @@
         selection: Selection,
         crashes: CrashWatch,
         timers: Timers,
-        *,
         metrics: Metrics,
     ) -> None:
         self._view = view
@@ -99,12 +99,20 @@
         self._gates_by_runner: dict[RunnerId, RunnerGate] = {}
         self._requests_by_id: dict[RequestId, _Request] = {}
         self._cancels: set[asyncio.Task[None]] = set()
+        self._ended = asyncio.Event()
 
-    def start(self) -> None:
+    async def start(self) -> None:
         """Follow the view of the fleet and the runners' reports."""
         self._view.subscribe(self._follow_view)
         self._reports.start()
 
+    async def drain(self) -> None:
+        """Give up batch, and return when every online request has ended."""
+        self._follow_view()
+        while self._requests_by_id:
+            self._ended.clear()
+            await self._ended.wait()
+
     async def close(self) -> None:
         """Close the connections to runners."""
         await self._reports.close()
@@ -121,7 +129,7 @@
             for runner_id, gate in self._gates_by_runner.items()
         }
 
-    async def run(self, forward: Forward) -> AsyncGenerator[HomeMessage]:
+    async def run(self, forward: Forward) -> AsyncGenerator[AnswerMessage, None]:
         """Admit a request to its runner and yield the messages of its answer.
 
         The runner's load is told before the last message or the error.
@@ -136,34 +144,38 @@
             detail = f"no runner {forward.runner_id!r} is known here"
             raise RequestError(Outcome.NOT_RUN, "unknown_runner", detail)
         gate = self._gate(runner, forward)
-        request = _Request(self._ticket(forward))
-        request_id = request.ticket.request_id
-        self._requests_by_id[request_id] = request
-        expiry = self._timers.once(forward.deadline_s, request.expire)
+        end_s = self._timers.now() + forward.deadline_s
         try:
-            async with self._crashes.guard(
-                runner, forward, request.ticket.deadline_at_s
-            ) as guard:
-                answer = self._answer(gate, runner, forward, request, guard)
-                async with aclosing(answer) as messages:
-                    async for message in messages:
-                        yield message
+            async with (
+                self._crashes.guard(runner, forward, end_s) as guard,
+                aclosing(self._admit(gate, runner, forward, guard)) as answer,
+            ):
+                async for message in answer:
+                    yield message
         except RequestError:
             yield _to_load(runner, gate)
             raise
+
+    async def _admit(
+        self, gate: RunnerGate, runner: Runner, forward: Forward, guard: RunnerGuard
+    ) -> AsyncGenerator[AnswerMessage, None]:
+        request = _Request(self._ticket(forward), guard)
+        request_id = request.ticket.request_id
+        self._requests_by_id[request_id] = request
+        expiry = self._timers.once(forward.deadline_s, request.expire)
+        try:
+            async with aclosing(self._answer(gate, runner, forward, request)) as answer:
+                async for message in answer:
+                    yield message
         finally:
             expiry.cancel()
             del self._requests_by_id[request_id]
+            self._ended.set()
             self._apply(gate.finish(request_id, self._timers.now()))
 
     async def _answer(
-        self,
-        gate: RunnerGate,
-        runner: Runner,
-        forward: Forward,
-        request: _Request,
-        guard: RunnerGuard,
-    ) -> AsyncGenerator[HomeMessage]:
+        self, gate: RunnerGate, runner: Runner, forward: Forward, request: _Request
+    ) -> AsyncGenerator[AnswerMessage, None]:
         """Yield an answer, in as many turns at the runner as it takes."""
         request_id = request.ticket.request_id
         work_class = request.ticket.work_class
@@ -174,7 +186,6 @@
             self._metrics.time(
                 WAIT, self._timers.now() - begin_s, work_class=work_class.value
             )
-            guard.begin()
             stream = RunnerStream(f"{request_id}.{turn}" if turn else request_id)
             try:
                 async with aclosing(
@@ -189,7 +200,6 @@
             except RequestError as error:
                 if request.is_expired or not request.is_preempted:
                     raise request.correct(error) from None
-            guard.pause()
             request.wait_again()
             self._apply(gate.requeue(request_id, self._timers.now()))
 
@@ -200,7 +210,7 @@
         forward: Forward,
         request: _Request,
         stream: RunnerStream,
-    ) -> AsyncGenerator[HomeMessage]:
+    ) -> AsyncGenerator[AnswerMessage, None]:
         """Send a request to its runner once and yield what it answers."""
         client = self._clients_by_class[forward.work_class]
         request_id = request.ticket.request_id
@@ -217,6 +227,9 @@
                         is_ended = True
                         yield _to_load(runner, gate)
                     yield message
+        except RequestError:
+            if not is_ended:
+                raise
         finally:
             if stream.is_sent and not is_ended:
                 self._cancel_at_runner(runner, stream)
@@ -245,15 +258,10 @@
             n_hosts = len(self._view.fleet.live_hosts())
             given = LimitInput(runner.slots, targets, n_hosts)
             gate = RunnerGate(self._selection.policy.make_limits(given))
-            gate.set_home(self._is_home_of(runner), self._timers.now())
+            gate.set_home(self._selection.is_own(runner), self._timers.now())
             self._gates_by_runner[runner.runner_id] = gate
         return gate
 
-    def _is_home_of(self, runner: Runner) -> bool:
-        hosts = self._view.serving_hosts()
-        host = self._selection.admitting_host(runner, hosts)
-        return host is not None and host.host_id == self._view.own.host_id
-
     def _targets(self, service: str) -> Targets:
         spec = self._view.configuration.services_by_name.get(
             service, ServiceSpec(service, ServiceKind.ENGINE)
@@ -272,7 +280,7 @@
                 continue
             if runner_id in assignments:
                 gate.set_targets(self._targets(assignments[runner_id].service))
-            self._apply(gate.set_home(self._is_home_of(runner), now_s))
+            self._apply(gate.set_home(self._selection.is_own(runner), now_s))
 
     def _reporting_runners(self) -> Iterable[Runner]:
         runners_by_id = self._view.fleet.runners_by_id
@@ -311,8 +319,9 @@
 class _Request:
     """A request at its home: waiting for admission, or at the runner."""
 
-    def __init__(self, ticket: Ticket) -> None:
+    def __init__(self, ticket: Ticket, guard: RunnerGuard) -> None:
         self.ticket = ticket
+        self._guard = guard
         self.is_preempted = False
         self.is_expired = False
         self._was_sent = False
@@ -332,11 +341,13 @@
     def attach(self, stream: RunnerStream) -> None:
         """Take what ``preempt`` and ``expire`` break off."""
         self._stream = stream
+        self._guard.begin()
         if self.is_preempted or self.is_expired:
             stream.break_off()
 
     def wait_again(self) -> None:
         """Wait for another admission after a preemption."""
+        self._guard.end()
         self.is_preempted = False
         self._was_sent = self._outcome() is Outcome.RAN
         self._stream = None
--- a/libs/node/src/damaskjunction/node/runners.py
+++ b/libs/node/src/damaskjunction/node/runners.py
@@ -18,15 +18,18 @@
     HttpClient,
 )
 from damaskjunction.routing import (
-    AnswerMessage,
+    AnswerPart,
     Forward,
     PlainAnswer,
+    RunnerLoad,
     StreamEnd,
     Token,
 )
 
 logger = logging.getLogger(__name__)
 
+AnswerMessage: TypeAlias = AnswerPart | RunnerLoad
+
 FIRST_TOKEN_STALL_S = 5.0
 TOKEN_STALL_S = 2.0
 NOT_STARTED_STATUSES = frozenset((404, 405, 409, 429, 503))
@@ -69,7 +72,7 @@
 
 
 RunnerProtocol: TypeAlias = Callable[
-    [HttpClient, Runner, Forward, RunnerStream], AsyncGenerator[AnswerMessage]
+    [HttpClient, Runner, Forward, RunnerStream], AsyncGenerator[AnswerMessage, None]
 ]
 StreamCancel: TypeAlias = Callable[[HttpClient, Runner, str], Awaitable[None]]
 LoadReport: TypeAlias = Callable[[HttpClient, Runner], Awaitable[int]]
@@ -84,8 +87,8 @@
     runner: Runner,
     forward: Forward,
     body: bytes,
-    *,
     stream: RunnerStream,
+    *,
     stall_s: float,
 ) -> ClientResponse:
     """Send a request to a runner.
@@ -125,7 +128,7 @@
 @runner_protocols.register("engine")
 async def stream_from_engine(
     client: HttpClient, runner: Runner, forward: Forward, stream: RunnerStream
-) -> AsyncGenerator[AnswerMessage]:
+) -> AsyncGenerator[AnswerMessage, None]:
     """Yield the tokens of an engine's answer and its end mark.
 
     Raises
@@ -138,23 +141,23 @@
     document["from_token"] = forward.from_token
     body = json.dumps(document).encode()
     stall_s = min(FIRST_TOKEN_STALL_S, forward.deadline_s)
-    response = await _post(
-        client, runner, forward, body, stream=stream, stall_s=stall_s
-    )
+    response = await _post(client, runner, forward, body, stream, stall_s=stall_s)
     if response.status != 200:
         response.close()
         raise _refusal(response.status)
+    is_ended = False
     async with aclosing(_read_events(response, stall_s)) as events:
         async for event in events:
+            is_ended = is_ended or event.name == "end"
             yield _to_message(event, forward.attempt)
-            if event.name == "end":
-                return
-    raise RequestError(Outcome.UNKNOWN, "stream_cut", "the stream has no end mark")
+    if not is_ended:
+        detail = "the stream has no end mark"
+        raise RequestError(Outcome.UNKNOWN, "stream_cut", detail)
 
 
 async def _read_events(
     response: ClientResponse, first_stall_s: float
-) -> AsyncGenerator[Event]:
+) -> AsyncGenerator[Event, None]:
     """Yield the events of a stream, the first one within a longer time."""
     parser = EventParser()
     response.set_stall(first_stall_s)
@@ -190,7 +193,7 @@
 @runner_protocols.register("plain")
 async def call_plain_service(
     client: HttpClient, runner: Runner, forward: Forward, stream: RunnerStream
-) -> AsyncGenerator[AnswerMessage]:
+) -> AsyncGenerator[AnswerMessage, None]:
     """Yield the whole answer of a plain service.
 
     Raises
@@ -198,9 +201,8 @@
     RequestError
         When the answer is not whole.
     """
-    stall_s = forward.deadline_s
     response = await _post(
-        client, runner, forward, forward.body, stream=stream, stall_s=stall_s
+        client, runner, forward, forward.body, stream, stall_s=forward.deadline_s
     )
     try:
         body = await response.read()
--- a/libs/routing/src/damaskjunction/routing/__init__.py
+++ b/libs/routing/src/damaskjunction/routing/__init__.py
@@ -1,4 +1,4 @@
-"""Decisions on admission, runner choice, limits and retries."""
+"""Decisions on admission, runner choice, limits, retries and whole answers."""
 
 from damaskjunction.routing.admission import (
     Admit,
@@ -10,7 +10,7 @@
 )
 from damaskjunction.routing.answers import (
     AnswerAssembly,
-    AnswerMessage,
+    AnswerPart,
 )
 from damaskjunction.routing.choice import (
     ChoiceInput,
@@ -80,7 +80,7 @@
     "AdmissionPolicy",
     "Admit",
     "AnswerAssembly",
-    "AnswerMessage",
+    "AnswerPart",
     "Attempts",
     "ChoiceInput",
     "Claim",
--- a/libs/routing/src/damaskjunction/routing/answers.py
+++ b/libs/routing/src/damaskjunction/routing/answers.py
@@ -7,7 +7,7 @@
 from damaskjunction.core import Outcome, RequestError
 from damaskjunction.routing.messages import PlainAnswer, StreamEnd, Token
 
-AnswerMessage: TypeAlias = Token | StreamEnd | PlainAnswer
+AnswerPart: TypeAlias = Token | StreamEnd | PlainAnswer
 
 
 class AnswerAssembly:
@@ -16,11 +16,16 @@
     Messages of another attempt than the current one, and tokens that were delivered
     already, are dropped. A gap or an end mark that does not match the number of
     tokens breaks the attempt, which is resumed at ``next_position``.
+
+    Parameters
+    ----------
+    first_position : int, optional
+        Index of the first token that the caller wants.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, first_position: int = 0) -> None:
         self.attempt = 0
-        self.next_position = 0
+        self.next_position = first_position
         self.is_whole = False
         self.n_dropped = 0
 
@@ -28,7 +33,7 @@
         """Take messages of this attempt from now on, and of no earlier one."""
         self.attempt = attempt
 
-    def take(self, message: AnswerMessage) -> AnswerMessage | None:
+    def take(self, message: AnswerPart) -> AnswerPart | None:
         """Return the message if it is to be delivered, None if it is dropped.
 
         Raises
--- a/libs/wire/src/damaskjunction/wire/links.py
+++ b/libs/wire/src/damaskjunction/wire/links.py
@@ -40,7 +40,7 @@
 
 logger = logging.getLogger(__name__)
 
-CONNECT_TIMEOUT_S = 1.0
+CONNECT_TIMEOUT_S = 0.5
 PROOF_AGE_S = 0.5
 PROOF_TIMEOUT_S = 0.25
 IDLE_CLOSE_S = 30.0
@@ -76,7 +76,7 @@
             return True
         return await self._channel.prove(timeout_s)
 
-    async def call(self, message: Message) -> AsyncGenerator[Message]:
+    async def call(self, message: Message) -> AsyncGenerator[Message, None]:
         """Send a call and yield its replies until the end mark."""
         self._last_call += 1
         call_id = self._last_call
@@ -179,7 +179,7 @@
 
     async def call(
         self, address: Address, lane: str, message: Message
-    ) -> AsyncGenerator[Message]:
+    ) -> AsyncGenerator[Message, None]:
         """Send a message to a host and yield its replies.
 
         Raises
--- a/libs/wire/src/damaskjunction/wire/messages.py
+++ b/libs/wire/src/damaskjunction/wire/messages.py
@@ -7,7 +7,8 @@
 
 from typing import NamedTuple
 
-from damaskjunction.core import HostId, Outcome, RequestError, Revision
+from damaskjunction.core import HostId, JobId, Outcome, RequestError, Revision
+from damaskjunction.placement import RunnerStatus, ServiceLoad
 from damaskjunction.routing import (
     Forward,
     PlainAnswer,
@@ -56,13 +57,27 @@
 
 
 @register_message
-class LeavingNotice(NamedTuple):
-    """Tells that a host takes no new work from now on."""
+class PlacementQuery(NamedTuple):
+    """Asks a host for the states of its runners and the load of services."""
 
-    host_id: HostId
+
+@register_message
+class StopJob(NamedTuple):
+    """Tells a host to end its work on a job that is cancelled."""
+
+    job_id: JobId
+
+
+@register_message
+class JobStopped(NamedTuple):
+    """The host has ended its work on the job and starts no more."""
+
+    job_id: JobId
 
 
 for _message_type in (
+    RunnerStatus,
+    ServiceLoad,
     Forward,
     Token,
     StreamEnd,
