--- a/libs/cli/src/damaskjunction/cli/jobs.py
+++ b/libs/cli/src/damaskjunction/cli/jobs.py
@@ -140,17 +140,16 @@
 
 async def _results(arguments: argparse.Namespace) -> int:
     client = HostClient(arguments)
-    after = ""
+    after = -1
     try:
         while True:
-            query = urlencode({"after": after}) if after else ""
-            target = f"{_job_path(arguments.job)}/results?{query}"
+            target = f"{_job_path(arguments.job)}/results?after={after}"
             document = (await client.send("GET", target)).to_json()
             for result in document["results"]:
                 print(json.dumps(result))
-            after = str(document.get("after") or "")
-            if not after:
+            if document["is_end"] or not document["results"]:
                 return ExitCode.OK
+            after = document["after"]
     finally:
         client.close()
 
--- a/libs/lab/src/damaskjunction/lab/matrix/flows.py
+++ b/libs/lab/src/damaskjunction/lab/matrix/flows.py
@@ -190,7 +190,7 @@
     situation: Situation, target: str, items: list[dict[str, Any]]
 ) -> None:
     results: list[dict[str, Any]] = []
-    after = ""
+    after = -1
     while True:
         page = await situation.fleet.call(
             situation.entry,
@@ -200,9 +200,9 @@
         )
         document = page.to_json()
         results += document["results"]
-        after = str(document.get("after") or "")
-        if not after:
+        if document["is_end"] or not document["results"]:
             break
+        after = document["after"]
     indexes = [result["index"] for result in results]
     assert indexes == list(range(N_ITEMS)), f"items in the results: {indexes}"
     for result, item in zip(results, items, strict=True):
@@ -230,7 +230,7 @@
 async def _run_configuration(situation: Situation) -> None:
     """Change the text; once accepted it is in force everywhere and stays."""
     document = dict(situation.deployed.deployment.text)
-    document["batch"] = {"max_tries": 5}
+    document["batch"] = {**document.get("batch", {}), "max_tries": 5}
     await situation.reach("before")
     revision = await _change_text(situation, document)
     await situation.reach("accepted")
--- a/libs/standins/src/damaskjunction/standins/deployment.py
+++ b/libs/standins/src/damaskjunction/standins/deployment.py
@@ -26,6 +26,7 @@
 
 CALLER_KEY = "demo-key"
 ADDRESSES_PER_HOST = 3
+SMALL_LEASE_S = 4
 TOKENS_PER_MINUTE = 10_000_000
 
 
@@ -129,6 +130,7 @@
     runners=(RunnerGroup("caddie", 2), RunnerGroup("fleet-api", 1, "fleet-api")),
     text={
         **LIMA.text,
+        "batch": {"lease_s": SMALL_LEASE_S},
         "services": {
             "fleet-api": {**LIMA.text["services"]["fleet-api"], "min_runners": 1},
             "caddie-llm": {
--- a/tools/check.py
+++ b/tools/check.py
@@ -20,6 +20,7 @@
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 SUITE_TIMEOUT_S = 600.0
 PARALLEL_SUITES = 4
+MAX_EXCERPT_CHARACTERS = 4000
 KNOWN_RED_PREFIX = "test:"
 SLOW_TAG = "matrix"
 
@@ -75,32 +76,25 @@
     ]
 
 
-def read_scenarios(suite: str, report: Path) -> list[Result]:
-    """Return a result per scenario of behave's JSON report."""
+def read_scenarios(suite: str, report: Path, log: str) -> list[Result]:
+    """Return a result per scenario of behave's JSON report and plain log."""
     results = []
     for feature in json.loads(report.read_text()):
         for element in feature.get("elements", []):
             if element["type"] == "background" or element["status"] == "skipped":
                 continue
             name = f"{suite}: {feature['name']}: {element['name']}"
-            results.append(Result(name, scenario_failure(element)))
+            results.append(Result(name, scenario_failure(element, log)))
     return results
 
 
-def scenario_failure(element: dict[str, object]) -> str | None:
+def scenario_failure(element: dict[str, object], log: str) -> str | None:
     """Return why a scenario did not pass, or None when it did."""
     if element["status"] == "passed":
         return None
-    steps = element["steps"]
-    assert isinstance(steps, list)
-    for step in steps:
-        result = step.get("result", {})
-        if result.get("status") != "passed":
-            message = result.get("error_message", "not run")
-            if isinstance(message, list):
-                message = "\n".join(message)
-            return f"{step['keyword']} {step['name']}\n{message}"
-    return str(element["status"])
+    start = log.find(f": {element['name']}\n")
+    excerpt = log[start:].partition("\n  Scenario")[0]
+    return excerpt[-MAX_EXCERPT_CHARACTERS:]
 
 
 async def run_suite(suite: Path, tags: str, limit: asyncio.Semaphore) -> list[Result]:
@@ -108,12 +102,16 @@
     name = suite.parent.name
     with tempfile.TemporaryDirectory() as folder:
         report = Path(folder) / "report.json"
+        plain = Path(folder) / "plain.txt"
         command = (sys.executable, "-m", "behave", "--no-summary", "--tags", tags)
-        output = ("--format", "json", "--outfile", str(report), str(suite))
+        output = (
+            *("--format", "json", "--outfile", str(report)),
+            *("--format", "plain", "--outfile", str(plain), str(suite)),
+        )
         async with limit:
             done = await run_command(*command, *output)
         try:
-            results = read_scenarios(name, report)
+            results = read_scenarios(name, report, plain.read_text())
         except (OSError, ValueError):
             return [Result(f"{name}: behave", done.output)]
     if done.code != 0 and all(result.failure is None for result in results):
