--- a/libs/node/src/damaskjunction/node/following.py
+++ b/libs/node/src/damaskjunction/node/following.py
@@ -352,6 +352,7 @@
         runners: tuple[Runner, ...] = hosts.runners
         self._view.apply_runners(runners)
         self._membership.apply_list(hosts.hosts)
+        self._view.note_listed(hosts.hosts)
 
     def _unconfirmed_s(self) -> float:
         """Seconds since the platform or a peer last confirmed the configuration."""
--- a/libs/node/src/damaskjunction/node/root.py
+++ b/libs/node/src/damaskjunction/node/root.py
@@ -142,7 +142,7 @@
         self._store.close()
 
     def _check_state(self) -> None:
-        if self._view.is_told_to_leave():
+        if self._view.is_listed_leaving:
             self.is_to_leave.set()
 
 
--- a/libs/node/src/damaskjunction/node/state.py
+++ b/libs/node/src/damaskjunction/node/state.py
@@ -37,6 +37,7 @@
         self.plan = Plan()
         self.fleet = FleetView({own.host_id: own})
         self.is_draining = False
+        self.is_listed_leaving = False
         self.statuses_by_runner: dict[RunnerId, RunnerStatus] = {}
         self._workspaces_by_digest: dict[str, WorkspaceName] = {}
         self._observers: list[Callable[[], None]] = []
@@ -141,10 +142,14 @@
             hosts = [host for host in hosts if host.host_id != own_id]
         return hosts
 
-    def is_told_to_leave(self) -> bool:
-        """Return whether the host list names this host as leaving."""
-        own = self.fleet.hosts_by_id.get(self.own.host_id, self.own)
-        return own.state is HostState.LEAVING
+    def note_listed(self, hosts: Iterable[EntryHost]) -> None:
+        """Take from the platform's host list whether this host is to leave."""
+        own_id = self.own.host_id
+        states = [host.state for host in hosts if host.host_id == own_id]
+        is_leaving = states == [HostState.LEAVING]
+        if is_leaving != self.is_listed_leaving:
+            self.is_listed_leaving = is_leaving
+            self._tell()
 
     def start_draining(self) -> None:
         """Take no new work from now on."""
