--- a/libs/lab/src/damaskjunction/lab/__main__.py
+++ b/libs/lab/src/damaskjunction/lab/__main__.py
@@ -9,6 +9,7 @@
 
 import damaskjunction.lab.batch
 import damaskjunction.lab.batch_faults
+import damaskjunction.lab.faults
 import damaskjunction.lab.online  # noqa: F401 - registers its experiments
 from damaskjunction.lab.demo import run_demo
 from damaskjunction.lab.experiments import ExperimentOptions, experiments
--- /dev/null
+++ b/libs/lab/src/damaskjunction/lab/callers.py
@@ -0,0 +1,171 @@
+"""Callers that resend to another address, as those of a fleet under faults do."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import json
+import random
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from damaskjunction.core import Address, Timers
+from damaskjunction.http import (
+    BrokenResponseError,
+    ClientResponse,
+    ConnectFailedError,
+    EventParser,
+    HttpClient,
+)
+from damaskjunction.lab.load import BROKEN, NO_CONNECTION, WHOLE, WRONG
+from damaskjunction.standins import CALLER_KEY, token_text
+
+MAX_TRIES = 4
+RESEND_S = 0.2
+DEADLINE_S = 10.0
+N_TOKENS = 24
+LOST = frozenset((NO_CONNECTION, BROKEN))
+
+
+class CallResult(NamedTuple):
+    """One call with its resends; ``tries`` holds what each try came to.
+
+    ``label`` is unique to the call and stands in its prompt or body.
+    """
+
+    label: str
+    is_engine: bool
+    tries: tuple[str, ...]
+    started_s: float
+    duration_s: float
+
+    @property
+    def is_whole(self) -> bool:
+        """Whether the caller got its whole answer in the end."""
+        return self.tries[-1] == WHOLE
+
+
+class Callers:
+    """Callers of caddie-llm, and of a call of fleet-api that may not be repeated.
+
+    A try that loses its connection is resent to another address, the call of
+    fleet-api under its idempotency key.
+
+    Parameters
+    ----------
+    timers : Timers
+        The process's timer service.
+    addresses : sequence of Address
+        Entry hosts.
+    chance : random.Random
+        Source of arrivals and choices.
+    """
+
+    def __init__(
+        self, timers: Timers, addresses: Sequence[Address], chance: random.Random
+    ) -> None:
+        self._timers = timers
+        self._addresses = list(addresses)
+        self._chance = chance
+        self._client = HttpClient(timers)
+        self._number = itertools.count()
+        self._begin_s = timers.now()
+
+    def close(self) -> None:
+        """Close the callers' connections."""
+        self._client.close()
+
+    def elapsed_s(self) -> float:
+        """Return the seconds since the callers were made."""
+        return self._timers.now() - self._begin_s
+
+    async def run(
+        self, duration_s: float, *, engine_per_s: float, plain_per_s: float
+    ) -> list[CallResult]:
+        """Offer an open-loop load and return when every call has ended."""
+        calls = []
+        end_s = self.elapsed_s() + duration_s
+        total_per_s = engine_per_s + plain_per_s
+        while self.elapsed_s() < end_s:
+            await asyncio.sleep(self._chance.expovariate(total_per_s))
+            is_engine = self._chance.random() * total_per_s < engine_per_s
+            calls.append(asyncio.ensure_future(self.call(is_engine=is_engine)))
+        return list(await asyncio.gather(*calls))
+
+    async def call(self, *, is_engine: bool) -> CallResult:
+        """Make one call, with its resends."""
+        label = f"call-{next(self._number)}-"
+        started_s = self.elapsed_s()
+        addresses = self._chance.sample(self._addresses, len(self._addresses))
+        tries: list[str] = []
+        for address in itertools.islice(itertools.cycle(addresses), MAX_TRIES):
+            tries.append(await self._try(address, label, is_engine=is_engine))
+            if tries[-1] not in LOST:
+                break
+            await asyncio.sleep(RESEND_S)
+        duration_s = self.elapsed_s() - started_s
+        return CallResult(label, is_engine, tuple(tries), started_s, duration_s)
+
+    async def _try(self, address: Address, label: str, *, is_engine: bool) -> str:
+        send = self._ask if is_engine else self._alert
+        try:
+            async with asyncio.timeout(DEADLINE_S + 1.0):
+                return await send(address, label)
+        except ConnectFailedError:
+            return NO_CONNECTION
+        except (BrokenResponseError, TimeoutError):
+            return BROKEN
+
+    async def _ask(self, address: Address, label: str) -> str:
+        words = (f"q{self._chance.randrange(100_000)}" for _ in range(20))
+        prompt = f"{label} {' '.join(words)}"
+        document = {
+            "prompt": prompt,
+            "max_tokens": N_TOKENS,
+            "deadline_s": DEADLINE_S,
+        }
+        response = await self._client.send(
+            address,
+            "POST",
+            "/v1/services/caddie-llm/generate",
+            headers={"Authorization": f"Bearer {CALLER_KEY}"},
+            body=json.dumps(document).encode(),
+        )
+        if response.status != 200:
+            return await _told(response)
+        return await _read_stream(response, prompt)
+
+    async def _alert(self, address: Address, label: str) -> str:
+        headers = {"Authorization": f"Bearer {CALLER_KEY}", "Idempotency-Key": label}
+        response = await self._client.send(
+            address,
+            "POST",
+            "/v1/services/fleet-api/call/pace-alert/7",
+            headers=headers,
+            body=label.encode(),
+        )
+        if response.status != 200:
+            return await _told(response)
+        document = json.loads(await response.read())
+        return WHOLE if document["body"] == label else WRONG
+
+
+async def _read_stream(response: ClientResponse, prompt: str) -> str:
+    parser = EventParser()
+    position = 0
+    async for data in response.chunks():
+        for event in parser.feed(data):
+            document = json.loads(event.data)
+            if event.name == "error":
+                return f"{document['outcome']}/{document['reason']}"
+            if event.name == "end":
+                return WHOLE if position == N_TOKENS else WRONG
+            if document["text"] != token_text(prompt, position):
+                return WRONG
+            position += 1
+    return WRONG
+
+
+async def _told(response: ClientResponse) -> str:
+    error = json.loads(await response.read())["error"]
+    return f"{error.get('outcome', response.status)}/{error['reason']}"
--- /dev/null
+++ b/libs/lab/src/damaskjunction/lab/faults.py
@@ -0,0 +1,282 @@
+"""Experiments on runners, hosts and connections that fail under load."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import re
+from collections import Counter
+from collections.abc import Sequence
+
+from damaskjunction.core import ServiceKind
+from damaskjunction.lab.callers import Callers, CallResult
+from damaskjunction.lab.experiments import (
+    ExperimentOptions,
+    ExperimentResult,
+    Figure,
+    at_least,
+    at_most,
+    experiments,
+)
+from damaskjunction.lab.online import start_deployment
+from damaskjunction.standins import (
+    CALLER_KEY,
+    CRASH_MARK,
+    DeployedFleet,
+    Mode,
+)
+
+N_KILLS = 20
+KILL_INTERVAL_S = 4.0
+RESTART_S = 1.0
+ENGINE_PER_S = 20.0
+PLAIN_PER_S = 10.0
+CRASH_LOAD_PER_S = 10.0
+N_CRASH_REQUESTS = 3
+SILENT_LOAD_PER_S = 30.0
+SILENT_S = 8.0
+HARMED_S = 1.0
+NOT_RUN_PREFIX = "not_run"
+QUARANTINE_REASONS = ("quarantined", "crashes_runner")
+
+RUN_LINE = re.compile(r"^run (call-\d+-)", re.MULTILINE)
+
+
+@experiments.register("runner-loss")
+async def run_runner_loss(options: ExperimentOptions) -> ExperimentResult:
+    """Kill runners of both kinds under load, one after the other."""
+    deployed = await start_deployment("lima-three-hosts")
+    return await _run_losses(deployed, list(deployed.runners_by_id), options)
+
+
+@experiments.register("host-loss")
+async def run_host_loss(options: ExperimentOptions) -> ExperimentResult:
+    """Kill hosts under load, one after the other."""
+    deployed = await start_deployment("lima-five-hosts")
+    return await _run_losses(deployed, list(deployed.hosts_by_id), options)
+
+
+async def _run_losses(
+    deployed: DeployedFleet, names: Sequence[str], options: ExperimentOptions
+) -> ExperimentResult:
+    chance = random.Random(options.seed)
+    callers = _make_callers(deployed, chance)
+    n_kills = max(1, round(N_KILLS * options.scale))
+    try:
+        killing = asyncio.ensure_future(_kill(deployed, names, n_kills, chance))
+        results = await callers.run(
+            (n_kills + 1) * KILL_INTERVAL_S,
+            engine_per_s=ENGINE_PER_S,
+            plain_per_s=PLAIN_PER_S,
+        )
+        await killing
+        runs = _count_runs(deployed)
+    finally:
+        callers.close()
+        await deployed.close()
+    figures = [Figure("kills", n_kills), *_loss_figures(results, runs)]
+    return ExperimentResult(tuple(figures), details=_details(results))
+
+
+async def _kill(
+    deployed: DeployedFleet, names: Sequence[str], n_kills: int, chance: random.Random
+) -> None:
+    for _ in range(n_kills):
+        await asyncio.sleep(KILL_INTERVAL_S * chance.uniform(0.8, 1.2) - RESTART_S)
+        name = chance.choice(names)
+        await deployed.fleet.kill(name)
+        await asyncio.sleep(RESTART_S)
+        await deployed.fleet.restart(name)
+
+
+def _make_callers(deployed: DeployedFleet, chance: random.Random) -> Callers:
+    addresses = [host.caller for host in deployed.hosts_by_id.values()]
+    return Callers(deployed.fleet.timers, addresses, chance)
+
+
+def _count_runs(deployed: DeployedFleet) -> Counter[str]:
+    """Return how often each call was run, by its label, from the runners' logs."""
+    runs: Counter[str] = Counter()
+    for runner_id in deployed.runners_by_id:
+        runs.update(RUN_LINE.findall(deployed.fleet.log_of(runner_id)))
+    return runs
+
+
+def _loss_figures(
+    results: Sequence[CallResult], runs: Counter[str]
+) -> tuple[Figure, ...]:
+    n_first = sum(result.is_whole and len(result.tries) == 1 for result in results)
+    n_whole = sum(result.is_whole for result in results)
+    engine = [result for result in results if result.is_engine]
+    plain = [result for result in results if not result.is_engine]
+    not_run = [
+        result
+        for result in results
+        if all(told.startswith(NOT_RUN_PREFIX) for told in result.tries)
+    ]
+    n_false = sum(runs[result.label] > 0 for result in not_run)
+    n_twice = sum(runs[result.label] > 1 for result in plain)
+    n_incomplete = sum(not result.is_whole for result in engine)
+    return (
+        at_least("calls", len(results), 2000),
+        Figure("whole at the first try", n_first),
+        Figure("whole after resends by the caller", n_whole - n_first),
+        Figure("engine calls", len(engine)),
+        Figure("engine calls not completed", n_incomplete),
+        Figure("engine calls not completed, share", n_incomplete / len(engine)),
+        Figure("non-idempotent calls", len(plain)),
+        Figure("non-idempotent calls without answer", _n_incomplete(plain)),
+        Figure("told not run", len(not_run)),
+        at_most("told not run, but ran", n_false, 0),
+        at_most("non-idempotent calls run twice", n_twice, 0),
+        Figure("slowest call", max(result.duration_s for result in results), "s"),
+    )
+
+
+def _n_incomplete(results: Sequence[CallResult]) -> int:
+    return sum(not result.is_whole for result in results)
+
+
+def _details(results: Sequence[CallResult]) -> dict[str, object]:
+    """Return how often each course of a call was seen, by kind."""
+    kinds = {True: "engine", False: "plain"}
+    courses = Counter(
+        f"{kinds[result.is_engine]}: {' '.join(result.tries)}" for result in results
+    )
+    return {"courses": dict(courses.most_common())}
+
+
+@experiments.register("crash-request")
+async def run_crash_request(options: ExperimentOptions) -> ExperimentResult:
+    """Send requests that crash runners to every host, again and again, under load."""
+    deployed = await start_deployment("lima-three-hosts")
+    chance = random.Random(options.seed)
+    callers = _make_callers(deployed, chance)
+    watching = asyncio.ensure_future(_restart_engines(deployed))
+    losses = []
+    try:
+        load = asyncio.ensure_future(
+            callers.run(
+                30.0 * options.scale, engine_per_s=CRASH_LOAD_PER_S, plain_per_s=0.0
+            )
+        )
+        await asyncio.sleep(2.0)
+        for number in range(N_CRASH_REQUESTS):
+            before = _n_crashes(deployed)
+            await _send_crashing(deployed, f"{CRASH_MARK} {number}")
+            losses.append(_n_crashes(deployed) - before)
+        results = await load
+        await asyncio.sleep(0.5)
+        total = _n_crashes(deployed)
+    finally:
+        watching.cancel()
+        await asyncio.gather(watching, return_exceptions=True)
+        callers.close()
+        await deployed.close()
+    n_refused = sum(
+        any(told.endswith(QUARANTINE_REASONS) for told in result.tries)
+        for result in results
+    )
+    figures = (
+        Figure("crash requests", N_CRASH_REQUESTS),
+        Figure("runners lost in all", total),
+        at_most("runners lost for one request, most", max(losses), 2),
+        Figure("innocent calls", len(results)),
+        at_most("innocents refused", n_refused, 0),
+        Figure("innocents without whole answer", _n_incomplete(results)),
+        Figure("slowest innocent", max(r.duration_s for r in results), "s"),
+    )
+    return ExperimentResult(figures, details={**_details(results), "losses": losses})
+
+
+async def _restart_engines(deployed: DeployedFleet) -> None:
+    """Start each engine that ended again, as a supervisor does."""
+    engines = [
+        runner.runner_id
+        for runner in deployed.runners_by_id.values()
+        if runner.kind is ServiceKind.ENGINE
+    ]
+    while True:
+        for name in engines:
+            if not deployed.fleet.is_running(name):
+                await deployed.fleet.restart(name)
+        await asyncio.sleep(RESTART_S)
+
+
+def _n_crashes(deployed: DeployedFleet) -> int:
+    logs = (deployed.fleet.log_of(name) for name in deployed.runners_by_id)
+    return sum(log.count("crash\n") for log in logs)
+
+
+async def _send_crashing(deployed: DeployedFleet, prompt: str) -> None:
+    document = {"prompt": prompt, "max_tokens": 8}
+    for host_id in [*deployed.hosts_by_id] * 2:
+        await deployed.fleet.call(
+            host_id,
+            "POST",
+            "/v1/services/caddie-llm/generate",
+            document=document,
+            headers={"Authorization": f"Bearer {CALLER_KEY}"},
+        )
+
+
+@experiments.register("silent")
+async def run_silent(options: ExperimentOptions) -> ExperimentResult:
+    """Let links between hosts and connections to runners go silent under load."""
+    proxied = ("lima-1-0", "lima-2-1", "lima-3-2", "caddie-0", "caddie-1")
+    deployed = await start_deployment("lima-three-hosts", proxied=proxied)
+    chance = random.Random(options.seed)
+    callers = _make_callers(deployed, chance)
+    cases = (
+        *(("lima-2-1", mode) for mode in (Mode.SILENT_OLD, Mode.SILENT)),
+        *(("lima-2-1", mode) for mode in (Mode.CUT_FORWARD, Mode.CUT_BACK)),
+        *(("caddie-0", mode) for mode in (Mode.SILENT_OLD, Mode.SILENT)),
+    )
+    figures: list[Figure] = []
+    try:
+        for name, mode in cases:
+            results, cut_s = await _measure_silence(deployed, callers, name, mode)
+            figures += _silence_figures(f"{name} {mode.value}", results, cut_s)
+    finally:
+        callers.close()
+        await deployed.close()
+    return ExperimentResult(tuple(figures))
+
+
+async def _measure_silence(
+    deployed: DeployedFleet, callers: Callers, name: str, mode: Mode
+) -> tuple[list[CallResult], float]:
+    load = asyncio.ensure_future(
+        callers.run(SILENT_S, engine_per_s=SILENT_LOAD_PER_S, plain_per_s=0.0)
+    )
+    await asyncio.sleep(2.0)
+    cut_s = callers.elapsed_s()
+    await deployed.set_mode(name, mode)
+    results = await load
+    await deployed.set_mode(name, Mode.PASS)
+    await asyncio.sleep(3.0)
+    return results, cut_s
+
+
+def _silence_figures(
+    case: str, results: Sequence[CallResult], cut_s: float
+) -> list[Figure]:
+    """Return how many calls took long or had no answer, and until when."""
+    harmed = [
+        result
+        for result in results
+        if not result.is_whole or result.duration_s > HARMED_S + _usual_s(results)
+    ]
+    since_cut = [result.started_s - cut_s for result in harmed]
+    last_s = max([0.0, *since_cut])
+    return [
+        Figure(f"{case}: calls", len(results)),
+        Figure(f"{case}: not completed", _n_incomplete(results)),
+        Figure(f"{case}: harmed by over {HARMED_S:g} s", len(harmed)),
+        at_most(f"{case}: last harmed call began after", last_s, 3.0, "s"),
+    ]
+
+
+def _usual_s(results: Sequence[CallResult]) -> float:
+    durations = sorted(result.duration_s for result in results)
+    return durations[len(durations) // 2]
--- a/libs/lab/src/damaskjunction/lab/online.py
+++ b/libs/lab/src/damaskjunction/lab/online.py
@@ -21,12 +21,14 @@
 DURATION_S = 10.0
 
 
-async def start_deployment(name: str, *engine_arguments: str) -> DeployedFleet:
+async def start_deployment(
+    name: str, *engine_arguments: str, proxied: tuple[str, ...] = ()
+) -> DeployedFleet:
     """Start a deployment and return when its text is in force.
 
     The fleet is closed when it does not come up.
     """
-    deployed = DeployedFleet(deployments.get(name), engine_arguments)
+    deployed = DeployedFleet(deployments.get(name), engine_arguments, proxied)
     try:
         await deployed.start()
         answer = await deployed.apply_text()
--- a/libs/standins/src/damaskjunction/standins/deployment.py
+++ b/libs/standins/src/damaskjunction/standins/deployment.py
@@ -161,6 +161,7 @@
 deployments.register("mu-north")(MU_NORTH)
 deployments.register("small")(SMALL)
 deployments.register("lima-three-hosts")(LIMA._replace(n_hosts=3))
+deployments.register("lima-five-hosts")(LIMA._replace(n_hosts=5))
 
 
 class DeployedFleet:
--- a/libs/standins/src/damaskjunction/standins/engine.py
+++ b/libs/standins/src/damaskjunction/standins/engine.py
@@ -29,6 +29,7 @@
 WEIGHTS_STALL_S = 600.0
 ORDERS_KEPT = 1000
 BLOCK_CHARACTERS = 32
+LOGGED_CHARACTERS = 40
 EVENTS_KEPT = 1000
 
 
@@ -144,6 +145,7 @@
         if self._state != "ready":
             raise HttpError(409, "no_model_loaded")
         stream = _Stream(document)
+        print("run", stream.prompt[:LOGGED_CHARACTERS], flush=True)
         self._runs_by_id[stream.stream_id] = (
             self._runs_by_id.get(stream.stream_id, 0) + 1
         )
@@ -189,6 +191,7 @@
             stream.prefill_left -= self._speed.prefill_characters
             return
         if CRASH_MARK in stream.prompt:
+            print("crash", flush=True)
             self.crashed.set()
             return
         if stream.next_index >= stream.max_tokens:
--- a/libs/standins/src/damaskjunction/standins/plain.py
+++ b/libs/standins/src/damaskjunction/standins/plain.py
@@ -21,6 +21,8 @@
 class PlainStandin:
     """A plain service over HTTP that answers any POST with what it was sent.
 
+    Each run is a line on standard output, which outlives the process.
+
     Faults: ``slow_s`` (delay of each call), ``lose_answers`` (the next n calls run
     and are not answered), ``refuse`` (the next n calls get status 500).
     """
@@ -49,6 +51,7 @@
         request_id = request.headers.get("request-id", "")
         self._runs_by_id[request_id] = self._runs_by_id.get(request_id, 0) + 1
         self._runs_by_body[body] = self._runs_by_body.get(body, 0) + 1
+        print("run", body, flush=True)
         await asyncio.sleep(self.faults["slow_s"] or SERVICE_S)
         if self.faults.take("refuse"):
             raise HttpError(500, "failed")
