--- a/libs/node/src/damaskjunction/node/metering.py
+++ b/libs/node/src/damaskjunction/node/metering.py
@@ -18,9 +18,8 @@
 )
 from damaskjunction.core import Timers, WorkClass
 from damaskjunction.node.entry import CallerRequest, Entry
-from damaskjunction.node.runners import AnswerMessage
 from damaskjunction.node.state import HostView
-from damaskjunction.routing import Token
+from damaskjunction.routing import AnswerPart, Token
 from damaskjunction.telemetry import Metrics
 
 FIRST_TOKEN_BUSY_S = 0.05
@@ -30,7 +29,7 @@
 class RequestRunner(Protocol):
     """Runs requests, as ``Entry`` does."""
 
-    def run(self, request: CallerRequest) -> AsyncGenerator[AnswerMessage, None]:
+    def run(self, request: CallerRequest) -> AsyncGenerator[AnswerPart, None]:
         """Yield the messages of a whole answer."""
 
 
@@ -111,7 +110,7 @@
         self._meter = meter
         self._timers = timers
 
-    async def run(self, request: CallerRequest) -> AsyncGenerator[AnswerMessage, None]:
+    async def run(self, request: CallerRequest) -> AsyncGenerator[AnswerPart, None]:
         """Yield the messages of a whole answer.
 
         Raises
--- a/libs/node/src/damaskjunction/node/root.py
+++ b/libs/node/src/damaskjunction/node/root.py
@@ -12,8 +12,11 @@
 from damaskjunction.http import HttpServer, Routes
 from damaskjunction.membership import Detector, first_incarnation
 from damaskjunction.node.admin import Admin
+from damaskjunction.node.claims import CallClaims
+from damaskjunction.node.crashes import CrashWatch
 from damaskjunction.node.datagrams import OpenDatagrams, open_datagrams
 from damaskjunction.node.demand import DemandMeter
+from damaskjunction.node.departure import Departure, refuse_when_leaving
 from damaskjunction.node.entry import Entry
 from damaskjunction.node.following import Follower
 from damaskjunction.node.front import Front
@@ -34,7 +37,7 @@
 from damaskjunction.node.services import ServicesFront
 from damaskjunction.node.state import HostView
 from damaskjunction.platform import PlatformClient
-from damaskjunction.routing import Forward, admission_policies
+from damaskjunction.routing import Forward, VerdictNews, admission_policies
 from damaskjunction.settings import HostSettings
 from damaskjunction.telemetry import Metrics, StateDump
 from damaskjunction.wire import (
@@ -58,6 +61,8 @@
     entry: MeteredEntry
     meter: Meter
     demand: DemandMeter
+    crashes: CrashWatch
+    claims: CallClaims
 
 
 class _Batch(NamedTuple):
@@ -99,18 +104,26 @@
         online = _wire_online(shared)
         control = _wire_control(shared, online, open_endpoint)
         batch = _wire_batch(shared, online)
-        self._membership = control.membership
-        self._home = online.home
-        self._worker = batch.worker
-        self._callers = HttpServer(settings.caller, shared.routes.handle)
+        callers = HttpServer(settings.caller, shared.routes.handle)
         peers = PeerServer(settings.peer, shared.timers, shared.peer_handlers.handle)
+        self._departure = Departure(
+            shared.view,
+            control.membership,
+            callers,
+            first_drains=(batch.worker.drain,),
+            last_drains=(online.claims.drain, online.home.drain, peers.drain),
+        )
         self._parts: tuple[Part, ...] = (
             online.home,
             peers,
             *control,
+            online.crashes,
+            online.claims,
             *batch,
-            self._callers,
+            callers,
         )
+        self.is_to_leave = asyncio.Event()
+        shared.view.subscribe(self._check_state)
 
     async def start(self) -> None:
         """Start every part; callers are served from now on."""
@@ -119,11 +132,7 @@
 
     async def drain(self) -> None:
         """Take no new work and return when what is in progress has ended."""
-        self._view.start_draining()
-        await asyncio.gather(
-            self._membership.leave(), self._worker.drain(), self._callers.drain()
-        )
-        await self._home.drain()
+        await self._departure.run()
 
     async def close(self) -> None:
         """Stop every part, the last started first."""
@@ -132,6 +141,10 @@
         self._links.close()
         self._store.close()
 
+    def _check_state(self) -> None:
+        if self._view.is_listed_leaving:
+            self.is_to_leave.set()
+
 
 def _make_shared(settings: HostSettings) -> Shared:
     timers = LoopTimers()
@@ -153,21 +166,51 @@
     view, timers, metrics = shared.view, shared.timers, shared.metrics
     policy = admission_policies.get(shared.settings.admission)
     selection = Selection(view, timers, policy)
-    home = Home(view, selection, timers, metrics)
+    crashes = CrashWatch(
+        view,
+        shared.links,
+        shared.store,
+        timers,
+        chance=shared.chance,
+        metrics=metrics,
+    )
+    home = Home(view, selection, crashes, timers, metrics)
     demand = DemandMeter()
     meter = Meter(view, timers, metrics)
-    plain_entry = Entry(view, home, shared.links, selection, timers, demand=demand)
+    plain_entry = Entry(
+        view,
+        home,
+        shared.links,
+        selection,
+        crashes=crashes,
+        timers=timers,
+        chance=shared.chance,
+        metrics=metrics,
+        demand=demand,
+    )
     entry = MeteredEntry(plain_entry, meter, timers)
-    Front(view, entry).register(shared.routes)
+    claims = CallClaims(
+        shared.store, entry, view.own.host_id, timers, chance=shared.chance
+    )
+    Front(view, entry, claims).register(shared.routes)
     shared.dump.sections.register("runners")(home.to_document)
+    shared.dump.sections.register("delivery")(plain_entry.to_document)
+    shared.dump.sections.register("quarantine")(crashes.to_document)
+    links = shared.links
+    metrics.gauge("links_replaced_total", lambda: links.n_replaced)
+
+    @shared.peer_handlers.register(VerdictNews)
+    async def take_verdict(news: VerdictNews, reply: Reply) -> None:
+        crashes.take(news)
 
     @shared.peer_handlers.register(Forward)
     async def run(forward: Forward, reply: Reply) -> None:
+        refuse_when_leaving(view)
         async with aclosing(home.run(forward)) as answers:
             async for answer in answers:
                 await reply(answer)
 
-    return _Online(home, entry, meter, demand)
+    return _Online(home, entry, meter, demand, crashes, claims)
 
 
 def _wire_control(
--- a/libs/wire/src/damaskjunction/wire/messages.py
+++ b/libs/wire/src/damaskjunction/wire/messages.py
@@ -9,7 +9,14 @@
 
 from damaskjunction.core import HostId, JobId, Outcome, RequestError, Revision
 from damaskjunction.placement import RunnerStatus, ServiceLoad
-from damaskjunction.routing import Forward, PlainAnswer, RunnerLoad, StreamEnd, Token
+from damaskjunction.routing import (
+    Forward,
+    PlainAnswer,
+    RunnerLoad,
+    StreamEnd,
+    Token,
+    VerdictNews,
+)
 from damaskjunction.wire.codec import register_message
 
 
@@ -76,5 +83,6 @@
     StreamEnd,
     PlainAnswer,
     RunnerLoad,
+    VerdictNews,
 ):
     register_message(_message_type)
