--- a/libs/lab/src/damaskjunction/lab/__main__.py
+++ b/libs/lab/src/damaskjunction/lab/__main__.py
@@ -7,6 +7,7 @@
 import sys
 from pathlib import Path
 
+import damaskjunction.lab.admission
 import damaskjunction.lab.batch
 import damaskjunction.lab.batch_faults
 import damaskjunction.lab.faults
--- a/libs/node/src/damaskjunction/node/runners.py
+++ b/libs/node/src/damaskjunction/node/runners.py
@@ -145,12 +145,14 @@
     if response.status != 200:
         response.close()
         raise _refusal(response.status)
+    is_ended = False
     async with aclosing(_read_events(response, stall_s)) as events:
         async for event in events:
+            is_ended = is_ended or event.name == "end"
             yield _to_message(event, forward.attempt)
-            if event.name == "end":
-                return
-    raise RequestError(Outcome.UNKNOWN, "stream_cut", "the stream has no end mark")
+    if not is_ended:
+        detail = "the stream has no end mark"
+        raise RequestError(Outcome.UNKNOWN, "stream_cut", detail)
 
 
 async def _read_events(
--- a/libs/routing/src/damaskjunction/routing/loads.py
+++ b/libs/routing/src/damaskjunction/routing/loads.py
@@ -15,24 +15,24 @@
     """Loads that homes or runners told, moved on by what this host sent since."""
 
     def __init__(self) -> None:
-        self._in_flight_by_runner: dict[RunnerId, int] = {}
+        self.in_flight_by_runner: dict[RunnerId, int] = {}
         self._told_by_runner: dict[RunnerId, _Told] = {}
 
     def begin(self, runner_id: RunnerId) -> None:
         """Count a request that is sent towards a runner."""
-        self._in_flight_by_runner[runner_id] = self.in_flight(runner_id) + 1
+        self.in_flight_by_runner[runner_id] = self.in_flight(runner_id) + 1
 
     def end(self, runner_id: RunnerId) -> None:
         """Count a request that has ended."""
         n_in_flight = self.in_flight(runner_id) - 1
         if n_in_flight > 0:
-            self._in_flight_by_runner[runner_id] = n_in_flight
+            self.in_flight_by_runner[runner_id] = n_in_flight
         else:
-            self._in_flight_by_runner.pop(runner_id, None)
+            self.in_flight_by_runner.pop(runner_id, None)
 
     def in_flight(self, runner_id: RunnerId) -> int:
         """Return how many requests this host has under way."""
-        return self._in_flight_by_runner.get(runner_id, 0)
+        return self.in_flight_by_runner.get(runner_id, 0)
 
     def note(self, load: RunnerLoad, now_s: float) -> None:
         """Take what a home or a runner told."""
--- a/libs/standins/src/damaskjunction/standins/deployment.py
+++ b/libs/standins/src/damaskjunction/standins/deployment.py
@@ -16,6 +16,7 @@
     Runner,
     ServiceKind,
 )
+from damaskjunction.core.types import EMPTY
 from damaskjunction.platform import from_entry_host, from_runner
 from damaskjunction.standins.fleet import (
     Answer,
@@ -175,6 +176,8 @@
         What to run.
     engine_arguments : tuple of str, optional
         Further arguments of each engine.
+    host_settings : mapping, optional
+        Further settings of each host.
     proxied : tuple of str, optional
         Hosts and runners that the others reach through a fault-injecting proxy: a
         host at its peer address, a runner at its only one.
@@ -185,12 +188,14 @@
         deployment: Deployment,
         engine_arguments: tuple[str, ...] = (),
         proxied: tuple[str, ...] = (),
+        host_settings: Mapping[str, str] = EMPTY,
     ) -> None:
         self.deployment = deployment
         self.fleet = Fleet()
         self.hosts_by_id: dict[str, EntryHost] = {}
         self.runners_by_id: dict[str, Runner] = {}
         self._engine_arguments = engine_arguments
+        self._host_settings = host_settings
         self._proxied = proxied
         self._listed_by_name: dict[str, Address] = {}
 
@@ -355,6 +360,7 @@
             "peer": str(host.peer),
             "probe": str(host.probe),
             "platform": str(self.fleet.addresses_by_name["platform"]),
+            **self._host_settings,
         }
         path = self.fleet.folder / f"{host.host_id}.yaml"
         path.write_text(yaml.safe_dump(document, sort_keys=False))
