--- a/libs/lab/src/damaskjunction/lab/batch_rig.py
+++ b/libs/lab/src/damaskjunction/lab/batch_rig.py
@@ -122,14 +122,18 @@
         host: str = "",
     ) -> SubmittedJob:
         """Submit a job, again until it is accepted."""
-        prompts = tuple(f"{key} faults of cart {number}" for number in range(n_items))
-        lines = (json.dumps({"prompt": p, "max_tokens": n_tokens}) for p in prompts)
-        body = "\n".join(lines).encode()
+        job = self.make_job(key, n_items, n_tokens)
         target = f"/v1/jobs?service={SERVICE}&key={key}&deadline_s={deadline_s}"
-        answer = await self.call("POST", target, host=host, body=body)
+        answer = await self.call("POST", target, host=host, body=job.body)
         if answer.status not in ACCEPTED:
             raise RuntimeError(f"job {key} was refused: {answer}")
-        return SubmittedJob(answer.to_json()["job_id"], key, prompts, n_tokens, body)
+        return job._replace(job_id=answer.to_json()["job_id"])
+
+    def make_job(self, key: str, n_items: int, n_tokens: int = 4) -> SubmittedJob:
+        """Return a job that is not submitted yet."""
+        prompts = tuple(f"{key} faults of cart {number}" for number in range(n_items))
+        lines = (json.dumps({"prompt": p, "max_tokens": n_tokens}) for p in prompts)
+        return SubmittedJob("", key, prompts, n_tokens, "\n".join(lines).encode())
 
     async def state_of(self, job: SubmittedJob) -> dict[str, Any]:
         """Return what a host tells of a job."""
--- /dev/null
+++ b/libs/node/features/batch.feature
@@ -0,0 +1,72 @@
+Feature: Batch jobs under faults
+  A job that was accepted completes once, whatever fails meanwhile.
+
+  Scenario: An engine is killed with items in flight
+    Given a fleet with leases of 60 s
+    And an accepted job of 300 items
+    When items are in flight
+    And the first engine is killed and started again
+    Then the job completes with the right result for each item
+
+  Scenario: The host is killed right after it acknowledged the job
+    Given a fleet with leases of 2 s
+    And a job of 300 items whose host is killed after the acknowledgement
+    When the job is sent again to another host
+    Then it is found and not doubled
+    And another body under its key is refused with "key_in_use"
+    And the job completes with the right result for each item
+
+  Scenario: A host is frozen past its lease
+    Given a fleet with leases of 2 s
+    And an accepted job of 400 items
+    When items are in flight
+    And a host that holds a chunk is frozen until another took it over
+    Then the job completes with the right result for each item
+
+  Scenario: The platform is away for 5 s
+    Given a fleet with leases of 3 s
+    And an accepted job of 400 items
+    When items are in flight
+    And the platform goes away
+    Then a new job is refused with "not_accepted"
+    When the platform comes back after 5 s
+    Then the job completes with the right result for each item
+
+  Scenario: Answers of the platform are lost
+    Given a fleet with leases of 3 s
+    And the platform loses the answers of the next 6 writes
+    And an accepted job of 300 items
+    And the platform loses the answers of the next 6 writes
+    Then the job completes with the right result for each item
+
+  Scenario: A host that stops gives its claims back
+    Given a fleet with leases of 60 s
+    And an accepted job of 400 items
+    When items are in flight
+    And a host that holds a chunk is stopped
+    Then the job completes with the right result for each item
+
+  Scenario: A job is cancelled and the host that was asked is killed
+    Given a fleet with leases of 2 s
+    And an accepted job of 2000 items
+    When items are in flight
+    And it is cancelled through a host that is killed, and then through another
+    Then no item starts any more
+    And the results so far can be read
+
+  Scenario: Some items can never be done
+    Given a fleet with leases of 60 s
+    And engines that cut every stream after 3 tokens
+    And an accepted job of 20 items and 2 that are too long for them
+    Then the job completes with a typed error for the 2 after 3 tries
+
+  Scenario: A job is uploaded in parts
+    Given a fleet with leases of 60 s
+    When parts of 250, 10 and 40 items are uploaded through different hosts
+    And the job is submitted with its 3 parts
+    Then the job completes with the right result for each item
+
+  Scenario: Lines of a job are wrong
+    Given a fleet with leases of 60 s
+    When a job with wrong lines 2 and 4 is submitted
+    Then it is refused with findings at lines 2 and 4
