Hold batch below the peak: report usage, release pools as the minute goes by

Cause: the first report waited for the default minute of 60 s, since the settings were not read yet, so the online forecast stayed at 0; and a pool was spent early in its minute, so online above its forecast found nothing to take back.

--- a/libs/batch/src/damaskjunction/batch/documents.py
+++ b/libs/batch/src/damaskjunction/batch/documents.py
@@ -102,10 +102,11 @@
 
 
 class PoolDocument(TypedDict):
-    """What batch may still take of one billing minute."""
+    """What batch may take of one billing minute, and what is left of it."""
 
     ceiling: float
     online_forecast: float
+    total: float
     left: float
 
 
--- a/libs/batch/src/damaskjunction/batch/peak.py
+++ b/libs/batch/src/damaskjunction/batch/peak.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable
 from datetime import UTC, datetime
 from typing import NamedTuple, TypeAlias
 
@@ -16,10 +16,11 @@
 
 UNLIMITED = 1e15
 FORECAST_MARGIN = 1.1
-FORECAST_MINUTES = 3
+FORECAST_MINUTES = 2
 RESERVE_FRACTION = 0.05
 STATIC_FRACTION = 0.25
-SLICES_PER_HOST = 4
+SLICES_PER_HOST = 8
+LEAD_FRACTION = 0.2
 MINUTES_KEPT = 5
 
 
@@ -86,38 +87,62 @@
 def forecast_online(reports: Iterable[UsageDocument], minute: int) -> float:
     """Return the expected online usage of a minute.
 
-    It is the sum over hosts of each one's busiest recent minute, and a margin.
+    It is the sum of what the single hosts expect.
     """
-    return FORECAST_MARGIN * sum(
-        expected_of(report["online_by_minute"], minute) for report in reports
-    )
+    return sum(expect_online(report, minute) for report in reports)
 
 
-def expected_of(online_by_minute: Mapping[str, float], minute: int) -> float:
-    """Return the online usage that one host expects in a minute."""
-    recent = [
-        used
-        for name, used in online_by_minute.items()
+def expect_online(report: UsageDocument, minute: int) -> float:
+    """Return the online usage that one host expects in a minute.
+
+    It is the busiest recent minute, what usage grew by lately for each minute since
+    the last one known, and a margin.
+    """
+    used_by_minute = {
+        int(name): used
+        for name, used in report["online_by_minute"].items()
         if minute - FORECAST_MINUTES <= int(name) < minute
-    ]
-    return max(recent, default=0.0)
+    }
+    if not used_by_minute:
+        return 0.0
+    last = max(used_by_minute)
+    growth = used_by_minute[last] - used_by_minute.get(last - 1, 0.0)
+    busiest = max(used_by_minute.values())
+    return FORECAST_MARGIN * (busiest + max(0.0, growth) * (minute - last))
 
 
 def make_pool(policy: PeakPolicy, given: PeakInput) -> PoolDocument:
     """Return the pool of a minute of which nothing is taken."""
+    total = policy(given)
     return {
         "ceiling": given.ceiling or given.online_peak,
         "online_forecast": given.online_forecast,
-        "left": policy(given),
+        "total": total,
+        "left": total,
     }
 
 
-def slice_of(pool: PoolDocument, need: float, n_hosts: int) -> float:
-    """Return how much of a pool a host should take, 0 when the need exceeds it."""
+class Slice(NamedTuple):
+    """What a host should take of a pool now; ``is_spent``: nothing until its end."""
+
+    amount: float
+    is_spent: bool = False
+
+
+def slice_of(pool: PoolDocument, need: float, *, n_hosts: int, elapsed: float) -> Slice:
+    """Return what a host should take of a pool.
+
+    The pool is released as the minute goes by, ``LEAD_FRACTION`` of it at once, so
+    that online above its forecast finds something to take back. ``elapsed`` is the
+    fraction of the minute that has passed.
+    """
     if pool["left"] < need:
-        return 0.0
-    share = pool["left"] / (SLICES_PER_HOST * max(1, n_hosts))
-    return min(pool["left"], max(need, share))
+        return Slice(0.0, is_spent=True)
+    taken = pool["total"] - pool["left"]
+    released = pool["total"] * min(1.0, elapsed + LEAD_FRACTION) - taken
+    least = pool["total"] / (SLICES_PER_HOST * max(1, n_hosts))
+    amount = max(need, min(least, pool["left"]))
+    return Slice(amount if amount <= released else 0.0)
 
 
 class UsageLog:
--- a/libs/lab/src/damaskjunction/lab/__main__.py
+++ b/libs/lab/src/damaskjunction/lab/__main__.py
@@ -9,7 +9,8 @@
 
 import damaskjunction.lab.batch
 import damaskjunction.lab.batch_faults
-import damaskjunction.lab.online  # noqa: F401 - registers its experiments
+import damaskjunction.lab.online
+import damaskjunction.lab.peak  # noqa: F401 - registers its experiments
 from damaskjunction.lab.demo import run_demo
 from damaskjunction.lab.experiments import ExperimentOptions, experiments
 from damaskjunction.lab.report import to_table, write_report
--- /dev/null
+++ b/libs/lab/src/damaskjunction/lab/peak.py
@@ -0,0 +1,144 @@
+"""Experiment on the peak minute: batch beside online over a shortened day."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import math
+from collections.abc import Mapping
+from typing import Any, NamedTuple
+
+from damaskjunction.lab.batch_rig import BatchRig
+from damaskjunction.lab.experiments import (
+    ExperimentOptions,
+    ExperimentResult,
+    Figure,
+    Plot,
+    Series,
+    at_least,
+    at_most,
+    experiments,
+)
+from damaskjunction.lab.load import LoadGenerator, LoadSpec
+
+MINUTE_S = 3.0
+DAY_MINUTES = 20
+NIGHT_PER_S = 3.0
+NOON_PER_S = 24.0
+N_TOKENS = 16
+N_ITEM_TOKENS = 4
+DUE_ITEMS = 1000
+FILLER_ITEMS = 12_000
+POLICIES = ("below_peak", "static_share", "no_ceiling")
+
+
+class DayResult(NamedTuple):
+    """Tokens of each minute of a day, and how batch fared."""
+
+    tokens_by_minute: tuple[int, ...]
+    n_due_done: int
+    is_due_met: bool
+    n_whole: int
+    n_calls: int
+
+
+async def _run_day(
+    options: ExperimentOptions, batch: Mapping[str, Any], *, has_batch: bool
+) -> DayResult:
+    rig = BatchRig("small", {"minute_s": MINUTE_S, **batch}, seed=options.seed)
+    n_minutes = max(6, int(DAY_MINUTES * options.scale))
+    day_s = n_minutes * MINUTE_S
+    await rig.start()
+    timers = rig.fleet.timers
+    addresses = [host.caller for host in rig.deployed.hosts_by_id.values()]
+    load = LoadGenerator(timers, addresses)
+    spec = LoadSpec(
+        "caddie-llm",
+        lambda at_s: _rate(at_s / day_s),
+        NOON_PER_S,
+        day_s,
+        n_tokens=N_TOKENS,
+        seed=options.seed,
+    )
+    try:
+        await asyncio.sleep(MINUTE_S - timers.wall() % MINUTE_S)
+        online = asyncio.ensure_future(load.run(spec))
+        due = None
+        if has_batch:
+            due = await rig.submit(
+                "due",
+                int(DUE_ITEMS * options.scale),
+                n_tokens=N_ITEM_TOKENS,
+                deadline_s=day_s,
+            )
+            await rig.submit("filler", FILLER_ITEMS, n_tokens=N_ITEM_TOKENS)
+        tokens = await _sample_minutes(rig, n_minutes)
+        result = await online
+        n_done = n_due = 0
+        if due is not None:
+            n_done = (await rig.state_of(due))["n_done"]
+            n_due = len(due.prompts)
+    finally:
+        load.close()
+        await rig.close()
+    is_met = n_done == n_due
+    return DayResult(tokens, n_done, is_met, result.n_whole(), len(result.records))
+
+
+def _rate(day_fraction: float) -> float:
+    """Return online arrivals a second: few at night, most at noon."""
+    height = (1 - math.cos(2 * math.pi * day_fraction)) / 2
+    return NIGHT_PER_S + (NOON_PER_S - NIGHT_PER_S) * height
+
+
+async def _sample_minutes(rig: BatchRig, n_minutes: int) -> tuple[int, ...]:
+    timers = rig.fleet.timers
+    first = int(timers.wall() // MINUTE_S)
+    totals = [await _total_tokens(rig)]
+    for number in range(1, n_minutes + 1):
+        await asyncio.sleep((first + number) * MINUTE_S - timers.wall())
+        totals.append(await _total_tokens(rig))
+    return tuple(b - a for a, b in itertools.pairwise(totals))
+
+
+async def _total_tokens(rig: BatchRig) -> int:
+    runs = await asyncio.gather(*(rig.engine_runs(name) for name in rig.engines))
+    return sum(n_tokens for _, n_tokens in runs)
+
+
+@experiments.register("peak")
+async def run_peak(options: ExperimentOptions) -> ExperimentResult:
+    """Compare the busiest minute of a day with batch to that without."""
+    alone = await _run_day(options, {}, has_batch=False)
+    peak = max(alone.tokens_by_minute)
+    idle = sum(peak - used for used in alone.tokens_by_minute)
+    figures = [Figure("busiest minute without batch", peak, "tokens")]
+    series = [_series("online alone", alone)]
+    for policy in POLICIES:
+        batch = {"peak_policy": policy, "ceiling_per_minute": peak}
+        day = await _run_day(options, batch, has_batch=True)
+        ratio = max(day.tokens_by_minute) / peak
+        added = sum(day.tokens_by_minute) - sum(alone.tokens_by_minute)
+        is_ours = policy == POLICIES[0]
+        figures.append(
+            at_most(f"peak ratio, {policy}", ratio, 1.0)
+            if is_ours
+            else Figure(f"peak ratio, {policy}", ratio)
+        )
+        figures.append(
+            at_least(f"deadline met, {policy}", float(day.is_due_met), 1.0)
+            if is_ours
+            else Figure(f"deadline met, {policy}", float(day.is_due_met))
+        )
+        figures.append(Figure(f"idle capacity used, {policy}", added / idle))
+        whole = day.n_whole / max(1, day.n_calls)
+        figures.append(Figure(f"online whole, {policy}", whole))
+        series.append(_series(policy, day))
+    plot = Plot("Tokens by minute", "minute", "tokens", tuple(series))
+    days = {line.name: [point[1] for point in line.points] for line in series}
+    return ExperimentResult(tuple(figures), (plot,), days)
+
+
+def _series(name: str, day: DayResult) -> Series:
+    points = tuple((float(n), float(t)) for n, t in enumerate(day.tokens_by_minute))
+    return Series(name, points)
--- a/libs/node/src/damaskjunction/node/peak_budget.py
+++ b/libs/node/src/damaskjunction/node/peak_budget.py
@@ -12,8 +12,10 @@
     PeakDocument,
     PeakInput,
     PoolDocument,
+    Slice,
+    UsageDocument,
     decode,
-    expected_of,
+    expect_online,
     forecast_online,
     is_unlimited,
     make_pool,
@@ -40,6 +42,7 @@
 TICKS_PER_MINUTE = 60
 TAKE_ATTEMPTS = 12
 RETRY_FRACTION = 0.05
+REPORT_FRACTION = 0.1
 POOLS_KEPT = 3
 TRACKER_KEY = "peak"
 
@@ -87,6 +90,11 @@
         self._pool: PoolDocument | None = None
         self._version: Revision = 0
         self._report_version: Revision | None = None
+        self._reported: UsageDocument = {"online_by_minute": {}}
+        self._expected = 0.0
+        self._yielded = 0.0
+        self._minute_ended = asyncio.Event()
+        self._is_paced = False
         self.spent_minute = -1
         meter.subscribe(self._yield_to_online)
         metrics.gauge("batch_budget_left", lambda: meter.budget.left)
@@ -137,7 +145,9 @@
 
     def _on_tick(self) -> None:
         self._arm()
-        if self._enter_minute():
+        has_changed = self._enter_minute()
+        if has_changed or self._is_paced:
+            self._is_paced = False
             self._notify()
 
     def _enter_minute(self) -> bool:
@@ -146,6 +156,9 @@
             return False
         self._meter.budget.enter_minute(minute)
         self._pool = None
+        self._expected = expect_online(self._reported, minute)
+        self._yielded = 0.0
+        self._minute_ended.set()
         return True
 
     def _notify(self) -> None:
@@ -154,13 +167,19 @@
 
     def _yield_to_online(self, used: float) -> None:
         """Make room for online that is above its forecast."""
-        minute = self._meter.minute()
-        log = self._meter.log
-        expected = expected_of(log.to_report(minute)["online_by_minute"], minute)
-        if self._pool is not None and log.online_by_minute[minute] > expected:
-            self._meter.budget.yield_to_online(used)
-            if self._meter.budget.left < 0:
-                self.ask(0.0)
+        self._enter_minute()
+        if self._pool is None:
+            return
+        self._yield_excess()
+        if self._meter.budget.left < 0:
+            self.ask(0.0)
+
+    def _yield_excess(self) -> None:
+        used_by_minute = self._meter.log.online_by_minute
+        used = used_by_minute.get(self._meter.budget.minute, 0.0)
+        excess = max(0.0, used - self._expected)
+        self._meter.budget.yield_to_online(excess - self._yielded)
+        self._yielded = excess
 
     async def _take_slices(self) -> None:
         while True:
@@ -186,23 +205,42 @@
         if self._pool is None:
             await self._read_pool(minute)
         for _ in range(TAKE_ATTEMPTS):
+            if self._pool is None:
+                self._pool = await self._make_pool(minute)
             pool = self._pool
-            if pool is None:
-                pool = await self._make_pool(minute)
             need = self._cost - budget.left
             if need <= 0:
                 self._notify()
                 return
-            amount = slice_of(pool, need, len(self._view.serving_hosts()))
-            if amount <= 0:
-                self.spent_minute = minute
-                self._metrics.count("batch_budget_exhausted_total")
+            taken = slice_of(
+                pool,
+                need,
+                n_hosts=len(self._view.serving_hosts()),
+                elapsed=self._elapsed(),
+            )
+            if taken.amount <= 0:
+                self._hold(minute, taken)
                 return
-            if await self._put_pool(minute, {**pool, "left": pool["left"] - amount}):
-                self._grant(minute, amount)
+            left = pool["left"] - taken.amount
+            if await self._put_pool(minute, {**pool, "left": left}):
+                self._yield_excess()
+                self._grant(minute, taken.amount)
                 return
         self._asked.set()
 
+    def _elapsed(self) -> float:
+        """Return the fraction of the current minute that has passed."""
+        minute_s = self._view.configuration.batch.minute_s
+        return (self._timers.wall() % minute_s) / minute_s
+
+    def _hold(self, minute: int, taken: Slice) -> None:
+        """Wait for the pool to release more, or for the next minute."""
+        if taken.is_spent:
+            self.spent_minute = minute
+            self._metrics.count("batch_budget_exhausted_total")
+        else:
+            self._is_paced = True
+
     def _grant(self, minute: int, amount: float) -> None:
         self._metrics.count("batch_budget_taken_total", amount)
         self._meter.budget.add(minute, amount)
@@ -241,10 +279,11 @@
     async def _report_usage(self) -> None:
         """Report online usage after each minute, and keep the period's peak."""
         while True:
-            minute = self._meter.minute()
+            await self._minute_ended.wait()
+            self._minute_ended.clear()
+            minute = self._meter.budget.minute - 1
             minute_s = self._view.configuration.batch.minute_s
-            left_s = (minute + 1) * minute_s - self._timers.wall()
-            await asyncio.sleep(left_s + 0.1 * minute_s * self._chance.random())
+            await asyncio.sleep(REPORT_FRACTION * minute_s * self._chance.random())
             try:
                 await self._report(minute)
                 if self._is_tracker():
@@ -264,6 +303,7 @@
             self._report_version = await self._store.put(
                 USAGE_KIND, name, report, expected_version=self._report_version
             )
+            self._reported = report
         except ConflictError as error:
             self._report_version = error.version
 
