Forecast online over the fleet, release pools to the minute's end, yield early

What a host's online uses is now held against the part of the minute that has passed. Tokens between a minute's end and the next tick were spent from the old minute; no longer.

--- a/libs/batch/src/damaskjunction/batch/peak.py
+++ b/libs/batch/src/damaskjunction/batch/peak.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from datetime import UTC, datetime
 from typing import NamedTuple, TypeAlias
 
@@ -15,8 +15,8 @@
 from damaskjunction.core import Registry
 
 UNLIMITED = 1e15
-FORECAST_MARGIN = 1.1
-FORECAST_MINUTES = 2
+FORECAST_MARGIN = 1.25
+FORECAST_MINUTES = 3
 RESERVE_FRACTION = 0.05
 STATIC_FRACTION = 0.25
 SLICES_PER_HOST = 8
@@ -85,30 +85,31 @@
 
 
 def forecast_online(reports: Iterable[UsageDocument], minute: int) -> float:
-    """Return the expected online usage of a minute.
+    """Return the expected online usage of the fleet in a minute.
 
-    It is the sum of what the single hosts expect.
+    It is the busiest of the last minutes known, what usage grew by lately for each
+    minute since, and a margin.
     """
-    return sum(expect_online(report, minute) for report in reports)
+    recent = _recent(sum_by_minute(reports), minute)
+    if not recent:
+        return 0.0
+    last = max(recent)
+    growth = max(0.0, recent[last] - recent.get(last - 1, recent[last]))
+    return FORECAST_MARGIN * (max(recent.values()) + growth * (minute - last))
 
 
 def expect_online(report: UsageDocument, minute: int) -> float:
-    """Return the online usage that one host expects in a minute.
+    """Return the online usage of one host in a minute that a pool allows for."""
+    recent = _recent(sum_by_minute([report]), minute)
+    return max(recent.values(), default=0.0)
 
-    It is the busiest recent minute, what usage grew by lately for each minute since
-    the last one known, and a margin.
-    """
-    used_by_minute = {
-        int(name): used
-        for name, used in report["online_by_minute"].items()
-        if minute - FORECAST_MINUTES <= int(name) < minute
+
+def _recent(used_by_minute: Mapping[int, float], minute: int) -> dict[int, float]:
+    return {
+        number: used
+        for number, used in used_by_minute.items()
+        if minute - FORECAST_MINUTES <= number < minute
     }
-    if not used_by_minute:
-        return 0.0
-    last = max(used_by_minute)
-    growth = used_by_minute[last] - used_by_minute.get(last - 1, 0.0)
-    busiest = max(used_by_minute.values())
-    return FORECAST_MARGIN * (busiest + max(0.0, growth) * (minute - last))
 
 
 def make_pool(policy: PeakPolicy, given: PeakInput) -> PoolDocument:
@@ -139,7 +140,8 @@
     if pool["left"] < need:
         return Slice(0.0, is_spent=True)
     taken = pool["total"] - pool["left"]
-    released = pool["total"] * min(1.0, elapsed + LEAD_FRACTION) - taken
+    share = LEAD_FRACTION + (1 - LEAD_FRACTION) * elapsed
+    released = pool["total"] * share - taken
     least = pool["total"] / (SLICES_PER_HOST * max(1, n_hosts))
     amount = max(need, min(least, pool["left"]))
     return Slice(amount if amount <= released else 0.0)
--- a/libs/node/src/damaskjunction/node/metering.py
+++ b/libs/node/src/damaskjunction/node/metering.py
@@ -86,6 +86,7 @@
         self._metrics.count("usage_total", used, work_class=request.work_class.value)
         if request.work_class is WorkClass.BATCH:
             self.log.add_batch(self.minute(), used)
+            self.budget.enter_minute(self.minute())
             self.budget.spend(request.request_id, used)
             return
         self.log.add_online(self.minute(), used)
--- a/libs/node/src/damaskjunction/node/peak_budget.py
+++ b/libs/node/src/damaskjunction/node/peak_budget.py
@@ -95,6 +95,7 @@
         self._yielded = 0.0
         self._minute_ended = asyncio.Event()
         self._is_paced = False
+        self._minute = -1
         self.spent_minute = -1
         meter.subscribe(self._yield_to_online)
         metrics.gauge("batch_budget_left", lambda: meter.budget.left)
@@ -152,8 +153,9 @@
 
     def _enter_minute(self) -> bool:
         minute = self._meter.minute()
-        if minute == self._meter.budget.minute:
+        if minute == self._minute:
             return False
+        self._minute = minute
         self._meter.budget.enter_minute(minute)
         self._pool = None
         self._expected = expect_online(self._reported, minute)
@@ -176,8 +178,8 @@
 
     def _yield_excess(self) -> None:
         used_by_minute = self._meter.log.online_by_minute
-        used = used_by_minute.get(self._meter.budget.minute, 0.0)
-        excess = max(0.0, used - self._expected)
+        used = used_by_minute.get(self._minute, 0.0)
+        excess = max(0.0, used - self._expected * self._elapsed())
         self._meter.budget.yield_to_online(excess - self._yielded)
         self._yielded = excess
 
@@ -189,7 +191,7 @@
             if self.is_spent:
                 continue
             try:
-                await self._take_slice(self._meter.budget.minute)
+                await self._take_slice(self._minute)
             except PlatformError as error:
                 logger.warning("no budget taken", extra={"error": str(error)})
                 minute_s = self._view.configuration.batch.minute_s
@@ -281,7 +283,7 @@
         while True:
             await self._minute_ended.wait()
             self._minute_ended.clear()
-            minute = self._meter.budget.minute - 1
+            minute = self._minute - 1
             minute_s = self._view.configuration.batch.minute_s
             await asyncio.sleep(REPORT_FRACTION * minute_s * self._chance.random())
             try:
