--- /dev/null
+++ b/libs/node/features/steps/membership_steps.py
@@ -0,0 +1,371 @@
+"""Steps of the feature of membership and the configuration in force."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+import yaml
+from behave import given, then, when
+
+from damaskjunction.core import EntryHost
+from damaskjunction.platform import from_entry_host
+from damaskjunction.standins import DeployedFleet, deployments, free_addresses
+from damaskjunction.standins.scenarios import run
+
+START_S = 20.0
+NEW_HOST = "lima-1-new"
+
+
+@given('a running "{name}" fleet whose datagrams can have faults')
+def start_faulty(context, name):
+    deployed = DeployedFleet(deployments.get(name), has_datagram_faults=True)
+    context.deployed = deployed
+
+    async def start():
+        await deployed.start()
+        answer = await deployed.apply_text()
+        context.revision = answer.to_json()["revision"]
+        await deployed.wait_until_serving(context.revision)
+        n_hosts = len(deployed.hosts_by_id)
+        await wait_for_hosts(context, n_hosts, START_S)
+
+    run(context, start())
+    context.names = list(deployed.hosts_by_id)
+    context.name = context.names[4]
+    context.n_lines_by_name = {
+        name: len(deployed.fleet.log_of(name).splitlines()) for name in context.names
+    }
+
+
+def others(context):
+    return [name for name in context.names if name != context.name]
+
+
+async def metric(context, name, series):
+    answer = await context.deployed.fleet.call(name, "GET", "/metrics", stall_s=2.0)
+    lines = answer.body.decode().splitlines()
+    values = [line.split()[-1] for line in lines if line.split()[0] == series]
+    return float(values[0]) if values else 0.0
+
+
+async def wait_for_hosts(context, n_hosts, limit_s):
+    fleet = context.deployed.fleet
+    for name in context.deployed.hosts_by_id:
+
+        async def has_all(name=name):
+            return await metric(context, name, "membership_hosts") == n_hosts
+
+        await fleet.wait_for(has_all, f"{name} sees {n_hosts} hosts", limit_s)
+
+
+async def named_by(context, name):
+    """Return whether a host's addresses, asked for by many callers, name the host."""
+    fleet = context.deployed.fleet
+    wanted = str(fleet.addresses_by_name[context.name])
+    for caller in range(12):
+        centre = context.deployed.deployment.data_centres[caller % 3]
+        target = f"/v1/addresses?caller={caller}&data_centre={centre}"
+        answer = await fleet.call(name, "GET", target)
+        if answer.status == 200 and wanted in answer.to_json()["addresses"]:
+            return True
+    return False
+
+
+async def own_status(context, name):
+    answer = await context.deployed.fleet.call(name, "GET", "/v1/status", stall_s=5.0)
+    document = answer.to_json()
+    hosts = {host["host_id"]: host for host in document["hosts"]}
+    return document, hosts[name]
+
+
+async def apply(context, name, share, expected, editor="unknown"):
+    deployed = context.deployed
+    document = json.loads(json.dumps(deployed.deployment.text))
+    document["workspaces"]["clubs"]["share"] = share
+    return await deployed.fleet.call(
+        name,
+        "PUT",
+        f"/v1/configuration?editor={editor}",
+        body=yaml.safe_dump(document).encode(),
+        headers={"If-Match": str(expected)},
+    )
+
+
+async def set_platform(context, **faults):
+    await context.deployed.fleet.call(
+        "platform", "PUT", "/test/faults", document=faults
+    )
+
+
+async def wait_in_force(context, revision, limit_s):
+    fleet = context.deployed.fleet
+    for name in context.names:
+
+        async def in_force(name=name):
+            _, status = await own_status(context, name)
+            return status["configuration_revision"] >= revision
+
+        await fleet.wait_for(in_force, f"{name} has revision {revision}", limit_s)
+
+
+@given("the host list lags by {lag_s:d} s")
+def lag(context, lag_s):
+    run(context, set_platform(context, hosts_lag_s=lag_s))
+
+
+@when("a host is killed")
+def kill(context):
+    run(context, context.deployed.fleet.kill(context.name))
+
+
+@when("a host is frozen until the others find it dead")
+def freeze(context):
+    context.deployed.fleet.freeze(context.name)
+
+    async def found_dead():
+        n_hosts = [
+            await metric(context, name, "membership_hosts") for name in others(context)
+        ]
+        return all(n == len(context.names) - 1 for n in n_hosts)
+
+    run(context, context.deployed.fleet.wait_for(found_dead, "it is found dead", 30))
+
+
+@when("it is thawed")
+def thaw(context):
+    context.deployed.fleet.thaw(context.name)
+
+
+@when("a host gets SIGTERM")
+def terminate(context):
+    context.stopping = context.runner_loop.get_loop().create_task(
+        context.deployed.fleet.stop(context.name)
+    )
+    run(context, asyncio.sleep(0))
+
+
+@when("datagrams from the second host to the third are cut for {duration_s:d} s")
+def cut(context, duration_s):
+    source = str(context.deployed.hosts_by_id[context.names[1]].probe)
+    target = context.names[2]
+    run(context, context.deployed.set_datagram_faults(target, cut_from=[source]))
+    run(context, asyncio.sleep(duration_s))
+
+
+@when("{percent:d} percent of datagrams are lost")
+def lose(context, percent):
+    for name in context.names:
+        run(context, context.deployed.set_datagram_faults(name, loss=percent / 100))
+
+
+@when("a text is applied and the platform goes away just after")
+def apply_then_outage(context):
+    async def apply_and_cut():
+        answer = await apply(context, context.names[0], 3, context.revision)
+        await set_platform(context, down=1)
+        return answer.to_json()["revision"]
+
+    context.revision = run(context, apply_and_cut())
+
+
+@when("the platform goes away")
+def outage(context):
+    run(context, set_platform(context, down=1))
+
+
+@when("a host is killed and started again")
+def restart(context):
+    fleet = context.deployed.fleet
+    run(context, fleet.kill(context.name))
+    run(context, fleet.restart(context.name))
+
+
+@when("a host that nobody knows starts without seeds")
+def start_unknown(context):
+    deployed = context.deployed
+    caller, peer, probe, control = free_addresses(4)
+    host = EntryHost(NEW_HOST, "lima", "lima-1", caller, peer, probe)
+    deployed.fleet.addresses_by_name[NEW_HOST] = caller
+    deployed.fleet.addresses_by_name[f"{NEW_HOST}-control"] = control
+    document = {
+        **from_entry_host(host),
+        "platform": str(deployed.fleet.addresses_by_name["platform"]),
+    }
+    del document["state"]
+    context.name = NEW_HOST
+    context.new_host = host
+    run(context, deployed.start_host(host, document))
+    run(context, deployed.fleet.wait_until_answering([NEW_HOST]))
+
+
+@when("the platform comes back with it in the host list")
+def end_outage(context):
+    deployed = context.deployed
+    deployed.hosts_by_id[NEW_HOST] = context.new_host
+    run(context, set_platform(context, down=0))
+    run(context, deployed.publish_hosts())
+
+
+@when("a text is applied while a host is frozen")
+def apply_while_frozen(context):
+    context.deployed.fleet.freeze(context.name)
+
+    async def apply_one():
+        answer = await apply(context, context.names[0], 4, context.revision)
+        assert answer.status == 200, answer
+        return answer.to_json()["revision"]
+
+    context.revision = run(context, apply_one())
+
+
+@when("the host is thawed and all hosts are restarted one after another")
+def restart_all(context):
+    fleet = context.deployed.fleet
+    fleet.thaw(context.name)
+    run(context, wait_in_force(context, context.revision, 10.0))
+    context.went_back = []
+
+    async def restart_one(name):
+        await fleet.kill(name)
+        await fleet.restart(name)
+        await fleet.wait_until_answering([name])
+        async with asyncio.timeout(START_S):
+            while True:
+                _, status = await own_status(context, name)
+                revision = status["configuration_revision"]
+                if revision:
+                    break
+                await asyncio.sleep(0.02)
+        if revision < context.revision:
+            context.went_back.append((name, revision))
+
+    for name in context.names:
+        run(context, restart_one(name))
+
+
+@when(
+    "all hosts are killed and started at once with the platform slow by {delay_s:g} s"
+)
+def restart_whole(context, delay_s):
+    fleet = context.deployed.fleet
+
+    async def restart_hosts():
+        for name in context.names:
+            await fleet.kill(name)
+        await set_platform(context, slow_s=delay_s)
+        for name in context.names:
+            await fleet.restart(name)
+
+    run(context, restart_hosts())
+
+
+@when('"{one}" and "{other}" apply different texts at once through different hosts')
+def race(context, one, other):
+    async def apply_both():
+        return await asyncio.gather(
+            apply(context, context.names[0], 5, context.revision, one),
+            apply(context, context.names[1], 6, context.revision, other),
+        )
+
+    answers = run(context, apply_both())
+    context.answers_by_editor = dict(zip((one, other), answers, strict=True))
+
+
+@then("one is accepted and the other is told the winner's name and revision")
+def check_race(context):
+    statuses = {name: a.status for name, a in context.answers_by_editor.items()}
+    winner = min(statuses, key=statuses.get)
+    loser = max(statuses, key=statuses.get)
+    assert (statuses[winner], statuses[loser]) == (200, 409), statuses
+    context.revision = context.answers_by_editor[winner].to_json()["revision"]
+    error = context.answers_by_editor[loser].to_json()["error"]
+    assert error["editor"] == winner, error
+    assert error["revision"] == context.revision, error
+
+
+@then("within {limit_s:d} s the text is in force on every host")
+def check_in_force(context, limit_s):
+    run(context, wait_in_force(context, context.revision, limit_s))
+
+
+@then("within {limit_s:d} s the winner's text is in force on every host")
+def check_winner_in_force(context, limit_s):
+    run(context, wait_in_force(context, context.revision, limit_s))
+
+
+@then("within {limit_s:d} s no other host names it in its addresses")
+def check_not_named(context, limit_s):
+    async def is_out():
+        names = [name for name in context.names if name != context.name]
+        return not any([await named_by(context, name) for name in names])
+
+    run(context, context.deployed.fleet.wait_for(is_out, "it is not named", limit_s))
+
+
+@then("within {limit_s:d} s every host has {n_hosts:d} hosts in its view")
+def check_views(context, limit_s, n_hosts):
+    run(context, wait_for_hosts(context, n_hosts, limit_s))
+
+
+@then("no other host was ever found dead")
+def check_others_alive(context):
+    check_gone(context, context.name)
+
+
+@then("no host was ever found dead")
+def check_all_alive(context):
+    check_gone(context, "")
+
+
+def check_gone(context, except_id):
+    for name in context.names:
+        lines = context.deployed.fleet.log_of(name).splitlines()
+        for line in lines[context.n_lines_by_name[name] :]:
+            if '"host gone"' in line:
+                assert json.loads(line)["host"] == except_id, (name, line)
+
+
+@then("it ends with exit code {code:d}")
+def check_exit(context, code):
+    async def ended():
+        return await context.stopping
+
+    assert run(context, ended()) == code
+
+
+@then('it answers "{target}" with status {status:d}')
+def check_status_code(context, target, status):
+    answer = run(context, context.deployed.fleet.call(context.name, "GET", target))
+    assert answer.status == status, answer
+
+
+@then("no host's revision ever went back")
+def check_never_back(context):
+    assert not context.went_back, context.went_back
+
+
+async def wait_for_count(context, text, limit_s):
+    n_in_force, n_hosts = map(int, text.split(" of "))
+    found = {}
+
+    async def tells():
+        document, _ = await own_status(context, context.names[0])
+        found.update(document)
+        counts = (document["n_in_force"], document["n_hosts"])
+        return counts == (n_in_force, n_hosts)
+
+    await context.deployed.fleet.wait_for(tells, f"status tells {text}", limit_s)
+    return found
+
+
+@then('within {limit_s:d} s status tells "{text}" and names the frozen host')
+def check_lacking(context, limit_s, text):
+    document = run(context, wait_for_count(context, text, limit_s))
+    assert document["lacking"] == [context.name], document
+
+
+@then('within {limit_s:d} s status tells "{text}"')
+def check_count(context, limit_s, text):
+    document = run(context, wait_for_count(context, text, limit_s))
+    assert not document["is_pending"], document
--- a/libs/node/src/damaskjunction/node/datagrams.py
+++ b/libs/node/src/damaskjunction/node/datagrams.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from typing import Any, Protocol, TypeAlias
+from typing import Any, Protocol, TypeAlias, cast
 
 from damaskjunction.core import Address
 
@@ -39,8 +39,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport to send by."""
-        assert isinstance(transport, asyncio.DatagramTransport)
-        self._transport = transport
+        self._transport = cast(asyncio.DatagramTransport, transport)
 
     def datagram_received(self, data: bytes, addr: tuple[Any, ...]) -> None:
         """Pass one datagram on."""
--- a/libs/node/src/damaskjunction/node/membership.py
+++ b/libs/node/src/damaskjunction/node/membership.py
@@ -243,11 +243,22 @@
                 case Send():
                     self._send(effect)
                 case MembersChanged():
-                    self._view.apply_hosts(self.detector.fleet_hosts())
+                    self._apply_hosts()
                 case DocumentsHeard(host_id, documents):
                     if self._documents_handler is not None:
                         self._documents_handler(host_id, documents)
 
+    def _apply_hosts(self) -> None:
+        """Put the hosts into the view; log who came and who went."""
+        before = self._view.fleet.hosts_by_id
+        hosts = self.detector.fleet_hosts()
+        self._view.apply_hosts(hosts)
+        after = self._view.fleet.hosts_by_id
+        for host_id in sorted(after.keys() ^ before.keys()):
+            change = "joined" if host_id in after else "gone"
+            self._metrics.count("membership_changes", change=change)
+            logger.info(f"host {change}", extra={"host": host_id})
+
     def _send(self, effect: Send) -> None:
         if self._datagrams is None:
             return
--- a/libs/standins/src/damaskjunction/standins/datagrams.py
+++ b/libs/standins/src/damaskjunction/standins/datagrams.py
@@ -25,7 +25,7 @@
     """
 
     def __init__(self, control: Address, seed: int) -> None:
-        self._chance = random.Random(seed)
+        self._chance = random.Random(f"{seed}/{control}")
         self._take: TakeDatagram | None = None
         self.faults = Faults("loss", "cut_from")
         routes = Routes()
--- a/libs/standins/src/damaskjunction/standins/deployment.py
+++ b/libs/standins/src/damaskjunction/standins/deployment.py
@@ -26,6 +26,7 @@
 
 CALLER_KEY = "demo-key"
 ADDRESSES_PER_HOST = 3
+N_SEEDS = 3
 
 
 class RunnerGroup(NamedTuple):
@@ -137,6 +138,9 @@
     },
 )
 
+CONTROL = LIMA._replace(n_hosts=6, runners=())
+
+deployments.register("control")(CONTROL)
 deployments.register("lima")(LIMA)
 deployments.register("mu-north")(MU_NORTH)
 deployments.register("small")(SMALL)
@@ -151,16 +155,27 @@
         What to run.
     engine_arguments : tuple of str, optional
         Further arguments of each engine.
+    has_datagram_faults : bool, optional
+        Whether the hosts' datagrams can be given faults.
+    seed : int, optional
+        Seed of those faults.
     """
 
     def __init__(
-        self, deployment: Deployment, engine_arguments: tuple[str, ...] = ()
+        self,
+        deployment: Deployment,
+        engine_arguments: tuple[str, ...] = (),
+        *,
+        has_datagram_faults: bool = False,
+        seed: int = 1,
     ) -> None:
         self.deployment = deployment
         self.fleet = Fleet()
         self.hosts_by_id: dict[str, EntryHost] = {}
         self.runners_by_id: dict[str, Runner] = {}
         self._engine_arguments = engine_arguments
+        self._has_datagram_faults = has_datagram_faults
+        self._seed = seed
 
     async def start(self) -> None:
         """Start every process and return when all answer."""
@@ -232,6 +247,12 @@
 
             await self.fleet.wait_for(ready, f"{runner.runner_id} is ready")
 
+    async def set_datagram_faults(self, host_id: str, **faults: object) -> None:
+        """Give faults to what a host receives, see ``FaultyDatagrams``."""
+        await self.fleet.call(
+            _control_of(host_id), "PUT", "/test/faults", document=faults
+        )
+
     def _make_runners(self) -> None:
         for group in self.deployment.runners:
             addresses = free_addresses(group.n_runners)
@@ -260,6 +281,10 @@
                 host_id, self.deployment.region, centre, caller, peer, probe
             )
             self.fleet.addresses_by_name[host_id] = caller
+        if self._has_datagram_faults:
+            controls = free_addresses(self.deployment.n_hosts)
+            for host_id, address in zip(self.hosts_by_id, controls, strict=True):
+                self.fleet.addresses_by_name[_control_of(host_id)] = address
 
     def _runner_spec(self, runner: Runner) -> ProcessSpec:
         if runner.service:
@@ -268,6 +293,10 @@
         extra = ("--slots", str(runner.slots), *self._engine_arguments)
         return _standin(runner.runner_id, "engine", runner.address, *extra)
 
+    async def start_host(self, host: EntryHost, settings: Mapping[str, Any]) -> None:
+        """Start a further host with the settings given."""
+        await self.fleet.start(self._spec_with(host, settings))
+
     def _host_spec(self, host: EntryHost) -> ProcessSpec:
         document = {
             "host_id": host.host_id,
@@ -277,12 +306,28 @@
             "peer": str(host.peer),
             "probe": str(host.probe),
             "platform": str(self.fleet.addresses_by_name["platform"]),
+            "seeds": self._seeds_of(host),
         }
+        return self._spec_with(host, document)
+
+    def _spec_with(self, host: EntryHost, settings: Mapping[str, Any]) -> ProcessSpec:
         path = self.fleet.folder / f"{host.host_id}.yaml"
-        path.write_text(yaml.safe_dump(document, sort_keys=False))
+        path.write_text(yaml.safe_dump(dict(settings), sort_keys=False))
+        if self._has_datagram_faults:
+            control = self.fleet.addresses_by_name[_control_of(host.host_id)]
+            extra = ("--settings", str(path), "--seed", str(self._seed))
+            return _standin(host.host_id, "host", control, *extra)
         arguments = ("damaskjunction.cli", "host", "--settings", str(path))
         return ProcessSpec(host.host_id, arguments)
 
+    def _seeds_of(self, host: EntryHost) -> list[str]:
+        others = [other for other in self.hosts_by_id.values() if other != host]
+        return [str(other.probe) for other in others[:N_SEEDS]]
+
+
+def _control_of(host_id: str) -> str:
+    return f"{host_id}-control"
+
 
 def _standin(name: str, kind: str, address: Address, *extra: str) -> ProcessSpec:
     arguments = ("damaskjunction.standins", kind, "--address", str(address), *extra)
