--- a/libs/node/src/damaskjunction/node/entry.py
+++ b/libs/node/src/damaskjunction/node/entry.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncGenerator, AsyncIterator
+from collections.abc import AsyncGenerator
 from contextlib import aclosing
 from typing import NamedTuple
 
@@ -17,6 +17,7 @@
     WorkClass,
     WorkspaceName,
 )
+from damaskjunction.node.demand import DemandMeter
 from damaskjunction.node.home import Home
 from damaskjunction.node.runners import AnswerMessage
 from damaskjunction.node.selection import Selection
@@ -40,6 +41,7 @@
     content_type: str
     body: bytes
     prompt: str = ""
+    from_token: int = 0
 
 
 class Entry:
@@ -57,6 +59,8 @@
         Chooses runners and their homes.
     timers : Timers
         The process's timer service.
+    demand : DemandMeter
+        Counts online requests under way.
     """
 
     def __init__(
@@ -66,14 +70,17 @@
         links: PeerLinks,
         selection: Selection,
         timers: Timers,
+        *,
+        demand: DemandMeter,
     ) -> None:
+        self._demand = demand
         self._view = view
         self._home = home
         self._links = links
         self._timers = timers
         self._selection = selection
 
-    async def run(self, request: CallerRequest) -> AsyncIterator[AnswerMessage]:
+    async def run(self, request: CallerRequest) -> AsyncGenerator[AnswerMessage, None]:
         """Yield the messages of a whole answer, each token once and in order.
 
         Raises
@@ -81,8 +88,14 @@
         RequestError
             When there is no whole answer; its outcome says whether the request ran.
         """
+        with self._demand.track(request.service, request.work_class):
+            async with aclosing(self._run(request)) as answer:
+                async for message in answer:
+                    yield message
+
+    async def _run(self, request: CallerRequest) -> AsyncGenerator[AnswerMessage, None]:
         end_s = self._timers.now() + request.deadline_s
-        position = 0
+        position = request.from_token
         for attempt in range(1, MAX_ATTEMPTS + 1):
             left_s = end_s - self._timers.now()
             runner = self._choose(request, attempt)
--- a/libs/node/src/damaskjunction/node/home.py
+++ b/libs/node/src/damaskjunction/node/home.py
@@ -89,7 +89,7 @@
         self._cancels: set[asyncio.Task[None]] = set()
         self._ended = asyncio.Event()
 
-    def start(self) -> None:
+    async def start(self) -> None:
         """Follow the view of the fleet and the runners' reports."""
         self._view.subscribe(self._follow_view)
         self._reports.start()
--- a/libs/standins/src/damaskjunction/standins/deployment.py
+++ b/libs/standins/src/damaskjunction/standins/deployment.py
@@ -27,6 +27,7 @@
 CALLER_KEY = "demo-key"
 ADDRESSES_PER_HOST = 3
 N_SEEDS = 3
+TOKENS_PER_MINUTE = 10_000_000
 
 
 class RunnerGroup(NamedTuple):
@@ -90,6 +91,7 @@
             },
         },
         "workspaces": _workspaces("carritos", "clubs"),
+        "batch": {"ceiling_per_minute": TOKENS_PER_MINUTE},
     },
 )
 
@@ -119,6 +121,7 @@
             },
         },
         "workspaces": _workspaces("belt-seeker", "distributors"),
+        "batch": {"ceiling_per_minute": TOKENS_PER_MINUTE},
     },
 )
 
@@ -141,6 +144,23 @@
 CONTROL = LIMA._replace(n_hosts=6, runners=())
 
 deployments.register("control")(CONTROL)
+
+IDLE_ENGINES = LIMA._replace(
+    n_hosts=3,
+    text={
+        **LIMA.text,
+        "services": {
+            **LIMA.text["services"],
+            "caddie-llm": {
+                **LIMA.text["services"]["caddie-llm"],
+                "min_runners": 2,
+                "max_runners": 3,
+            },
+        },
+    },
+)
+
+deployments.register("idle-engines")(IDLE_ENGINES)
 deployments.register("lima")(LIMA)
 deployments.register("mu-north")(MU_NORTH)
 deployments.register("small")(SMALL)
@@ -237,15 +257,26 @@
                 )
 
             await self.fleet.wait_for(in_force, f"{host_id} has revision {revision}")
-        for runner in self.runners_by_id.values():
-            if runner.kind is not ServiceKind.ENGINE:
-                continue
-
-            async def ready(name: str = runner.runner_id) -> bool:
-                answer = await self.fleet.call(name, "GET", "/v1/order")
-                return bool(answer.to_json()["state"] == "ready")
 
-            await self.fleet.wait_for(ready, f"{runner.runner_id} is ready")
+            async def has_engines(host_id: str = host_id) -> bool:
+                return await self._has_ready_engines(host_id)
+
+            await self.fleet.wait_for(has_engines, f"{host_id} has ready engines")
+
+    async def _has_ready_engines(self, host_id: str) -> bool:
+        """Return whether a host knows as many ready engines as the text can have."""
+        answer = await self.fleet.call(host_id, "GET", "/v1/services")
+        engines = [
+            service
+            for service in answer.to_json()["services"]
+            if service["kind"] == ServiceKind.ENGINE
+        ]
+        n_wanted = sum(service["max_runners"] for service in engines)
+        n_engines = sum(
+            runner.kind is ServiceKind.ENGINE for runner in self.runners_by_id.values()
+        )
+        n_ready = sum(service["n_ready"] for service in engines)
+        return bool(n_ready >= min(n_wanted, n_engines))
 
     async def set_datagram_faults(self, host_id: str, **faults: object) -> None:
         """Give faults to what a host receives, see ``FaultyDatagrams``."""
@@ -290,7 +321,9 @@
         if runner.service:
             extra: tuple[str, ...] = ("--service", runner.service)
             return _standin(runner.runner_id, "plain", runner.address, *extra)
-        extra = ("--slots", str(runner.slots), *self._engine_arguments)
+        store = str(self.fleet.addresses_by_name["platform"])
+        extra = ("--slots", str(runner.slots), "--weight-store", store)
+        extra += self._engine_arguments
         return _standin(runner.runner_id, "engine", runner.address, *extra)
 
     async def start_host(self, host: EntryHost, settings: Mapping[str, Any]) -> None:
--- a/libs/wire/src/damaskjunction/wire/__init__.py
+++ b/libs/wire/src/damaskjunction/wire/__init__.py
@@ -25,7 +25,14 @@
     PeerServer,
     Reply,
 )
-from damaskjunction.wire.messages import Failure, HostStatus, StatusQuery
+from damaskjunction.wire.messages import (
+    Failure,
+    HostStatus,
+    JobStopped,
+    PlacementQuery,
+    StatusQuery,
+    StopJob,
+)
 
 __all__ = [
     "CallHandler",
@@ -37,13 +44,16 @@
     "Failure",
     "Frame",
     "HostStatus",
+    "JobStopped",
     "MemberList",
     "MembersQuery",
     "Message",
     "PeerLinks",
     "PeerServer",
+    "PlacementQuery",
     "Reply",
     "StatusQuery",
+    "StopJob",
     "decode_frame",
     "decode_message",
     "encode_frame",
