--- a/libs/lab/src/damaskjunction/lab/__main__.py
+++ b/libs/lab/src/damaskjunction/lab/__main__.py
@@ -9,6 +9,8 @@
 
 import damaskjunction.lab.batch
 import damaskjunction.lab.batch_faults
+import damaskjunction.lab.control
+import damaskjunction.lab.editors
 import damaskjunction.lab.online  # noqa: F401 - registers its experiments
 from damaskjunction.lab.demo import run_demo
 from damaskjunction.lab.experiments import ExperimentOptions, experiments
--- /dev/null
+++ b/libs/lab/src/damaskjunction/lab/control_rig.py
@@ -0,0 +1,207 @@
+"""Fleets of hosts without runners, and what their processes cost."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import math
+import os
+from collections.abc import Sequence
+from datetime import datetime
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import yaml
+
+from damaskjunction.core.units import MIB
+from damaskjunction.standins import Answer, DeployedFleet, deployments
+
+N_HOSTS = (3, 9, 27, 81)
+HOSTS_PER_DATA_CENTRE = 9
+MIN_DATA_CENTRES = 3
+USERS_N_HOSTS = 370
+START_TIMEOUT_S = 90.0
+POLL_S = 0.2
+UDP_HEADER_BYTES = 28
+TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+LOG_TIME = "%Y-%m-%d %H:%M:%S,%f"
+
+
+class LogLine(NamedTuple):
+    """A line of a host's log; ``at_s`` is in seconds since the epoch."""
+
+    host_id: str
+    at_s: float
+    message: str
+    fields: dict[str, Any]
+
+
+class Cost(NamedTuple):
+    """What one host has used since its start, and what it holds now."""
+
+    processor_s: float
+    resident_mb: float
+    n_datagrams: float
+    n_bytes: float
+
+
+class ControlFleet:
+    """Hosts of one region without runners, with faults of their datagrams.
+
+    Parameters
+    ----------
+    n_hosts : int
+        How many hosts to run.
+    seed : int
+        Seed of the faults.
+    """
+
+    def __init__(self, n_hosts: int, seed: int) -> None:
+        n_centres = max(MIN_DATA_CENTRES, math.ceil(n_hosts / HOSTS_PER_DATA_CENTRE))
+        centres = tuple(f"lima-{number + 1}" for number in range(n_centres))
+        deployment = deployments.get("control")._replace(
+            n_hosts=n_hosts, data_centres=centres
+        )
+        self.deployed = DeployedFleet(deployment, has_datagram_faults=True, seed=seed)
+        self.fleet = self.deployed.fleet
+        self.names: list[str] = []
+        self.revision = 0
+
+    async def start(self) -> None:
+        """Start the hosts and return when each has the text and sees all others."""
+        try:
+            await self.deployed.start()
+            self.names = list(self.deployed.hosts_by_id)
+            answer = await self.apply(self.names[0], 1.0)
+            self.revision = answer.to_json()["revision"]
+            await self.wait_until_whole()
+        except BaseException:
+            await self.close()
+            raise
+
+    async def close(self) -> None:
+        """End every process."""
+        await self.deployed.close()
+
+    async def apply(
+        self, name: str, share: float, *, expected: int = 0, editor: str = "lab"
+    ) -> Answer:
+        """Apply the text with one share changed through a host."""
+        document = json.loads(json.dumps(self.deployed.deployment.text))
+        document["workspaces"]["clubs"]["share"] = share
+        return await self.fleet.call(
+            name,
+            "PUT",
+            f"/v1/configuration?editor={editor}",
+            body=yaml.safe_dump(document).encode(),
+            headers={"If-Match": str(expected)},
+        )
+
+    async def set_platform(self, **faults: object) -> None:
+        """Give faults to the platform."""
+        await self.fleet.call("platform", "PUT", "/test/faults", document=faults)
+
+    async def lose(self, share: float) -> None:
+        """Let every host lose a share of the datagrams sent to it."""
+        for name in self.names:
+            await self.deployed.set_datagram_faults(name, loss=share)
+
+    async def wait_until_whole(self) -> None:
+        """Return when every host has a configuration and sees every other."""
+        for name in self.names:
+
+            async def is_whole(name: str = name) -> bool:
+                metrics = await self.metrics_of(name)
+                return metrics.get("membership_hosts", 0.0) >= len(self.names)
+
+            what = f"{name} sees all hosts"
+            await self.fleet.wait_for(is_whole, what, START_TIMEOUT_S)
+
+    async def metrics_of(self, name: str) -> dict[str, float]:
+        """Return the metrics of a host by series."""
+        answer = await self.fleet.call(name, "GET", "/metrics")
+        pairs = (line.rsplit(" ", 1) for line in answer.body.decode().splitlines())
+        return {series: float(value) for series, value in pairs}
+
+    async def cost_of(self, name: str) -> Cost:
+        """Return what a host has used."""
+        metrics = await self.metrics_of(name)
+        n_datagrams = _sum_of(metrics, "membership_datagrams")
+        n_bytes = _sum_of(metrics, "membership_bytes") + UDP_HEADER_BYTES * n_datagrams
+        n_bytes += _sum_of(metrics, "document_bytes")
+        pid = self.fleet.pid_of(name)
+        return Cost(processor_s_of(pid), resident_mb_of(pid), n_datagrams, n_bytes)
+
+    async def platform_calls(self) -> dict[str, int]:
+        """Return how often each call was made to the platform."""
+        answer = await self.fleet.call("platform", "GET", "/test/counts")
+        counts: dict[str, int] = answer.to_json()
+        return counts
+
+    def lines(self, message: str, since_s: float = 0.0) -> list[LogLine]:
+        """Return the lines of all hosts' logs with a message, since a time."""
+        found = []
+        for name in self.names:
+            for text in self.fleet.log_of(name).splitlines():
+                if f'"message": "{message}"' in text:
+                    fields = json.loads(text)
+                    at_s = datetime.strptime(fields["asctime"], LOG_TIME).timestamp()
+                    if at_s >= since_s:
+                        found.append(LogLine(name, at_s, message, fields))
+        return found
+
+    async def in_force_delays(
+        self, revision: int, since_s: float, timeout_s: float
+    ) -> list[float]:
+        """Return, for each host that has it in time, when a revision was in force."""
+        end_s = self.fleet.timers.now() + timeout_s
+        while True:
+            lines = self.lines("configuration in force", since_s - 0.001)
+            delays = {
+                line.host_id: max(0.0, line.at_s - since_s)
+                for line in lines
+                if line.fields["revision"] >= revision
+            }
+            is_late = self.fleet.timers.now() > end_s
+            if len(delays) == len(self.names) or is_late:
+                return sorted(delays.values())
+            await asyncio.sleep(POLL_S)
+
+
+def _sum_of(metrics: dict[str, float], name: str) -> float:
+    return sum(
+        value
+        for series, value in metrics.items()
+        if series == name or series.startswith(f"{name}{{")
+    )
+
+
+def processor_s_of(pid: int) -> float:
+    """Return the processor time that a process has used, in seconds."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS_PER_S
+
+
+def resident_mb_of(pid: int) -> float:
+    """Return the resident memory of a process, in units of 2**20 bytes."""
+    n_pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
+    return n_pages * os.sysconf("SC_PAGE_SIZE") / MIB
+
+
+def quantile(values: Sequence[float], percent: float) -> float:
+    """Return a quantile by the nearest rank, 0 of no values."""
+    if not values:
+        return 0.0
+    rank = math.ceil(percent / 100 * len(values))
+    return sorted(values)[max(0, rank - 1)]
+
+
+def extrapolate(points: Sequence[tuple[float, float]], x: float) -> float:
+    """Return the value at ``x`` of the least-squares line through points."""
+    mean_x = sum(point[0] for point in points) / len(points)
+    mean_y = sum(point[1] for point in points) / len(points)
+    spread = sum((point[0] - mean_x) ** 2 for point in points)
+    if not spread:
+        return mean_y
+    slope = sum((px - mean_x) * (py - mean_y) for px, py in points) / spread
+    return mean_y + slope * (x - mean_x)
--- a/libs/node/src/damaskjunction/node/membership.py
+++ b/libs/node/src/damaskjunction/node/membership.py
@@ -254,6 +254,9 @@
         hosts = self.detector.fleet_hosts()
         self._view.apply_hosts(hosts)
         after = self._view.fleet.hosts_by_id
+        for host_id, host in after.items():
+            if host_id in before and host.state is not before[host_id].state:
+                logger.info(f"host {host.state.value}", extra={"host": host_id})
         for host_id in sorted(after.keys() ^ before.keys()):
             change = "joined" if host_id in after else "gone"
             self._metrics.count("membership_changes", change=change)
--- a/libs/standins/src/damaskjunction/standins/fleet.py
+++ b/libs/standins/src/damaskjunction/standins/fleet.py
@@ -131,6 +131,10 @@
         """Return whether a process has not ended."""
         return self._processes_by_name[name].returncode is None
 
+    def pid_of(self, name: str) -> int:
+        """Return the process id of a process."""
+        return self._processes_by_name[name].pid
+
     def log_of(self, name: str) -> str:
         """Return what a process has written."""
         return (self.folder / f"{name}.log").read_text(errors="replace")
