--- a/libs/lab/src/damaskjunction/lab/__main__.py
+++ b/libs/lab/src/damaskjunction/lab/__main__.py
@@ -10,6 +10,8 @@
 import damaskjunction.lab.admission
 import damaskjunction.lab.batch
 import damaskjunction.lab.batch_faults
+import damaskjunction.lab.control
+import damaskjunction.lab.editors
 import damaskjunction.lab.faults
 import damaskjunction.lab.online
 import damaskjunction.lab.peak  # noqa: F401 - registers its experiments
--- a/libs/settings/src/damaskjunction/settings/schema.py
+++ b/libs/settings/src/damaskjunction/settings/schema.py
@@ -19,6 +19,7 @@
 
 MAX_DOCUMENT_CHARACTERS = 1_000_000
 MAX_DEPTH = 20
+_LOADER: Any = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
 MAX_FINDINGS = 100
 MAX_SHOWN_CHARACTERS = 80
 MAX_NAME_CHARACTERS = 64
