--- a/libs/node/src/damaskjunction/node/root.py
+++ b/libs/node/src/damaskjunction/node/root.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from contextlib import aclosing
 from pathlib import Path
 
 from damaskjunction.core import LoopTimers
@@ -16,10 +17,11 @@
 from damaskjunction.node.leasing import LeaseKeeper
 from damaskjunction.node.placer import Placer
 from damaskjunction.node.probing import RunnerProbes
+from damaskjunction.node.selection import Selection
 from damaskjunction.node.services import ServicesFront
 from damaskjunction.node.state import HostView
 from damaskjunction.platform import PlatformClient
-from damaskjunction.routing import Forward
+from damaskjunction.routing import Forward, admission_policies
 from damaskjunction.settings import HostSettings
 from damaskjunction.telemetry import Metrics, StateDump
 from damaskjunction.wire import (
@@ -48,9 +50,18 @@
         self._view = HostView(settings.to_entry_host())
         self._store = PlatformClient(settings.platform, timers)
         self._links = PeerLinks(timers)
-        self._home = Home(self._view, timers)
+        policy = admission_policies.get(settings.admission)
+        selection = Selection(self._view, timers, policy)
+        self._home = Home(self._view, selection, timers, metrics)
         self._demand = DemandMeter()
-        entry = Entry(self._view, self._home, self._links, timers, self._demand)
+        entry = Entry(
+            self._view,
+            self._home,
+            self._links,
+            selection,
+            timers,
+            demand=self._demand,
+        )
         self._follower = Follower(self._view, self._store)
         self._probes = RunnerProbes(self._view, timers, metrics)
         self._keeper = LeaseKeeper(self._view, self._store, timers, metrics)
@@ -86,6 +97,7 @@
 
     async def start(self) -> None:
         """Start every part; callers are served from now on."""
+        self._home.start()
         await self._peers.start()
         await self._follower.start()
         await self._probes.start()
@@ -98,6 +110,7 @@
         """Take no new work and return when what is in progress has ended."""
         self._view.start_draining()
         await self._callers.drain()
+        await self._home.drain()
 
     async def close(self) -> None:
         """Stop every part."""
@@ -109,14 +122,15 @@
         await self._follower.close()
         await self._peers.close()
         self._links.close()
-        self._home.close()
+        await self._home.close()
         self._store.close()
 
     async def _handle_peer(self, message: Message, reply: Reply) -> None:
         match message:
             case Forward():
-                async for answer in self._home.run(message):
-                    await reply(answer)
+                async with aclosing(self._home.run(message)) as answers:
+                    async for answer in answers:
+                        await reply(answer)
             case StatusQuery():
                 await reply(self._admin.own_status())
             case PlacementQuery():
--- a/libs/wire/src/damaskjunction/wire/messages.py
+++ b/libs/wire/src/damaskjunction/wire/messages.py
@@ -9,7 +9,7 @@
 
 from damaskjunction.core import HostId, Outcome, RequestError, Revision
 from damaskjunction.placement import RunnerStatus, ServiceLoad
-from damaskjunction.routing import Forward, PlainAnswer, StreamEnd, Token
+from damaskjunction.routing import Forward, PlainAnswer, RunnerLoad, StreamEnd, Token
 from damaskjunction.wire.codec import register_message
 
 
@@ -61,5 +61,6 @@
     Token,
     StreamEnd,
     PlainAnswer,
+    RunnerLoad,
 ):
     register_message(_message_type)
