--- a/libs/node/src/damaskjunction/node/entry.py
+++ b/libs/node/src/damaskjunction/node/entry.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncGenerator, AsyncIterator
+from collections.abc import AsyncGenerator
 from contextlib import aclosing
 from typing import NamedTuple
 
@@ -41,6 +41,7 @@
     content_type: str
     body: bytes
     prompt: str = ""
+    from_token: int = 0
 
 
 class Entry:
@@ -79,7 +80,7 @@
         self._timers = timers
         self._selection = selection
 
-    async def run(self, request: CallerRequest) -> AsyncIterator[AnswerMessage]:
+    async def run(self, request: CallerRequest) -> AsyncGenerator[AnswerMessage, None]:
         """Yield the messages of a whole answer, each token once and in order.
 
         Raises
@@ -94,7 +95,7 @@
 
     async def _run(self, request: CallerRequest) -> AsyncGenerator[AnswerMessage, None]:
         end_s = self._timers.now() + request.deadline_s
-        position = 0
+        position = request.from_token
         for attempt in range(1, MAX_ATTEMPTS + 1):
             left_s = end_s - self._timers.now()
             runner = self._choose(request, attempt)
--- a/libs/node/src/damaskjunction/node/root.py
+++ b/libs/node/src/damaskjunction/node/root.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import random
 from contextlib import aclosing
 from pathlib import Path
 
@@ -13,8 +15,14 @@
 from damaskjunction.node.following import Follower
 from damaskjunction.node.front import Front
 from damaskjunction.node.home import Home
-from damaskjunction.node.jobs import JobFront, JobWorker
+from damaskjunction.node.job_cancel import JobCanceller
+from damaskjunction.node.job_cleaner import JobCleaner
+from damaskjunction.node.job_front import JobFront
+from damaskjunction.node.job_store import JobStore
+from damaskjunction.node.job_worker import JobWorker
 from damaskjunction.node.leasing import LeaseKeeper
+from damaskjunction.node.metering import Meter, MeteredEntry
+from damaskjunction.node.peak_budget import PeakBudget
 from damaskjunction.node.placer import Placer
 from damaskjunction.node.probing import RunnerProbes
 from damaskjunction.node.selection import Selection
@@ -25,12 +33,14 @@
 from damaskjunction.settings import HostSettings
 from damaskjunction.telemetry import Metrics, StateDump
 from damaskjunction.wire import (
+    JobStopped,
     Message,
     PeerLinks,
     PeerServer,
     PlacementQuery,
     Reply,
     StatusQuery,
+    StopJob,
 )
 
 
@@ -54,13 +64,18 @@
         selection = Selection(self._view, timers, policy)
         self._home = Home(self._view, selection, timers, metrics)
         self._demand = DemandMeter()
-        entry = Entry(
-            self._view,
-            self._home,
-            self._links,
-            selection,
+        self._meter = Meter(self._view, timers, metrics)
+        entry = MeteredEntry(
+            Entry(
+                self._view,
+                self._home,
+                self._links,
+                selection,
+                timers,
+                demand=self._demand,
+            ),
+            self._meter,
             timers,
-            demand=self._demand,
         )
         self._follower = Follower(self._view, self._store)
         self._probes = RunnerProbes(self._view, timers, metrics)
@@ -75,7 +90,28 @@
             timers=timers,
             metrics=metrics,
         )
-        self._worker = JobWorker(self._view, self._store, entry, timers)
+        chance = random.Random(settings.seed or settings.host_id)
+        jobs = JobStore(self._store, metrics, chance)
+        self._peak = PeakBudget(
+            self._view,
+            jobs,
+            self._meter,
+            timers=timers,
+            metrics=metrics,
+            chance=chance,
+        )
+        self._worker = JobWorker(
+            self._view,
+            jobs,
+            entry,
+            meter=self._meter,
+            peak=self._peak,
+            timers=timers,
+            metrics=metrics,
+            chance=chance,
+        )
+        self._cleaner = JobCleaner(self._view, jobs, timers)
+        canceller = JobCanceller(self._view, jobs, self._worker, self._links, timers)
         self._admin = Admin(
             self._view,
             self._store,
@@ -86,12 +122,14 @@
         )
         routes = Routes()
         Front(self._view, entry).register(routes)
-        JobFront(self._view, self._store, timers).register(routes)
+        JobFront(self._view, jobs, canceller, self._peak, timers).register(routes)
         self._admin.register(routes)
         ServicesFront(self._view, self._admin.authorize).register(routes)
         self._callers = HttpServer(settings.caller, routes.handle)
         self._peers = PeerServer(settings.peer, timers, self._handle_peer)
         dump.sections.register("host")(lambda: self._admin.own_status()._asdict())
+        dump.sections.register("batch")(self._worker.to_document)
+        dump.sections.register("peak")(self._peak.to_document)
         dump.sections.register("runners")(self._home.to_document)
         dump.sections.register("placement")(self._placer.to_document)
 
@@ -103,19 +141,23 @@
         await self._probes.start()
         await self._keeper.start()
         await self._placer.start()
+        await self._peak.start()
         await self._worker.start()
+        await self._cleaner.start()
         await self._callers.start()
 
     async def drain(self) -> None:
         """Take no new work and return when what is in progress has ended."""
         self._view.start_draining()
-        await self._callers.drain()
+        await asyncio.gather(self._worker.drain(), self._callers.drain())
         await self._home.drain()
 
     async def close(self) -> None:
         """Stop every part."""
         await self._callers.close()
         await self._worker.close()
+        await self._cleaner.close()
+        await self._peak.close()
         await self._placer.close()
         await self._keeper.close()
         await self._probes.close()
@@ -131,6 +173,9 @@
                 async with aclosing(self._home.run(message)) as answers:
                     async for answer in answers:
                         await reply(answer)
+            case StopJob(job_id):
+                await self._worker.stop_job(job_id)
+                await reply(JobStopped(job_id))
             case StatusQuery():
                 await reply(self._admin.own_status())
             case PlacementQuery():
--- a/libs/wire/src/damaskjunction/wire/__init__.py
+++ b/libs/wire/src/damaskjunction/wire/__init__.py
@@ -20,8 +20,10 @@
 from damaskjunction.wire.messages import (
     Failure,
     HostStatus,
+    JobStopped,
     PlacementQuery,
     StatusQuery,
+    StopJob,
 )
 
 __all__ = [
@@ -30,12 +32,14 @@
     "Failure",
     "Frame",
     "HostStatus",
+    "JobStopped",
     "Message",
     "PeerLinks",
     "PeerServer",
     "PlacementQuery",
     "Reply",
     "StatusQuery",
+    "StopJob",
     "decode_frame",
     "decode_message",
     "encode_frame",
