--- a/libs/node/src/damaskjunction/node/admin.py
+++ b/libs/node/src/damaskjunction/node/admin.py
@@ -26,9 +26,10 @@
 )
 from damaskjunction.node.documents import CONFIGURATION_KIND, CONFIGURATION_NAME
 from damaskjunction.node.membership import CONTROL_LANE, Membership
+from damaskjunction.node.slices import run_in_slices
 from damaskjunction.node.state import HostView
 from damaskjunction.platform import ObjectStore
-from damaskjunction.settings import read_configuration
+from damaskjunction.settings import read_configuration_in_slices
 from damaskjunction.telemetry import Metrics, StateDump, set_log_level
 from damaskjunction.wire import (
     DataCentreQuery,
@@ -140,7 +141,7 @@
         source = request.query.get("source", "text")
         editor = request.query.get("editor", "unknown")
         try:
-            read_configuration(text, source)
+            await run_in_slices(read_configuration_in_slices(text, source))
         except FindingsError as error:
             findings = [str(finding) for finding in error.findings]
             raise HttpError(422, "findings", findings=findings) from None
--- a/libs/node/src/damaskjunction/node/following.py
+++ b/libs/node/src/damaskjunction/node/following.py
@@ -44,6 +44,7 @@
     PLAN_KIND,
 )
 from damaskjunction.node.membership import CONTROL_LANE, Membership
+from damaskjunction.node.slices import run_in_slices
 from damaskjunction.node.state import HostView
 from damaskjunction.placement import to_plan
 from damaskjunction.platform import (
@@ -52,7 +53,7 @@
     decode_host_list,
     encode_host_list,
 )
-from damaskjunction.settings import read_configuration
+from damaskjunction.settings import read_configuration_in_slices
 from damaskjunction.telemetry import Metrics
 from damaskjunction.wire import DocumentQuery, DocumentText, PeerLinks
 
@@ -330,12 +331,16 @@
     # Into force
 
     def _take_configuration(self, document: HeldDocument) -> None:
-        if document.revision <= self._view.configuration.revision:
-            return
+        if document.revision > self._view.configuration.revision:
+            self._spawn(self._read_configuration(document))
+
+    async def _read_configuration(self, document: HeldDocument) -> None:
+        """Put a text into force, leaving the loop free between slices of reading."""
         try:
-            configuration = read_configuration(
+            slices = read_configuration_in_slices(
                 document.body.decode(), CONFIGURATION_NAME, document.revision
             )
+            configuration = await run_in_slices(slices)
         except (FindingsError, UnicodeDecodeError) as error:
             logger.error("stored text has findings", extra={"error": str(error)})
             return
--- a/libs/settings/features/operators_text.feature
+++ b/libs/settings/features/operators_text.feature
@@ -48,3 +48,7 @@
   Scenario: The page lists every key
     Then "docs/text.md" has a row for every key of the schema
     And the example of "docs/text.md" is read without findings
+
+  Scenario: A long text is read in short slices
+    Given a sound text of 4100 workspaces
+    Then it is read in at least 50 slices, to the same configuration
--- a/libs/settings/features/steps/text_steps.py
+++ b/libs/settings/features/steps/text_steps.py
@@ -15,6 +15,7 @@
     FIELDS_BY_SECTION,
     find_cycles,
     read_configuration,
+    read_configuration_in_slices,
     read_host_settings,
 )
 
@@ -178,3 +179,27 @@
     example, _, _ = rest.partition("```")
     assert findings_of(example) == ()
     assert read_configuration(example, page).services_by_name
+
+
+@given("a sound text of {count:d} workspaces")
+def make_long_sound_text(context, count):
+    rows = [
+        f"  w{number}: {{key_digests: ['{number:064x}']}}" for number in range(count)
+    ]
+    services = "services:\n  carts: {kind: plain}\nworkspaces:\n"
+    context.document = services + "\n".join(rows)
+
+
+@then("it is read in at least {count:d} slices, to the same configuration")
+def check_slices(context, count):
+    slices = read_configuration_in_slices(context.document, "text")
+    n_slices = 0
+    while True:
+        try:
+            next(slices)
+        except StopIteration as stop:
+            configuration = stop.value
+            break
+        n_slices += 1
+    assert n_slices >= count, n_slices
+    assert configuration == read_configuration(context.document, "text")
--- a/libs/settings/src/damaskjunction/settings/__init__.py
+++ b/libs/settings/src/damaskjunction/settings/__init__.py
@@ -5,6 +5,7 @@
     FIELDS_BY_SECTION,
     TEXT_FIELDS,
     read_configuration,
+    read_configuration_in_slices,
 )
 from damaskjunction.settings.references import find_cycle, find_cycles
 from damaskjunction.settings.schema import Field
@@ -18,5 +19,6 @@
     "find_cycle",
     "find_cycles",
     "read_configuration",
+    "read_configuration_in_slices",
     "read_host_settings",
 ]
--- a/libs/settings/src/damaskjunction/settings/operators.py
+++ b/libs/settings/src/damaskjunction/settings/operators.py
@@ -29,17 +29,19 @@
     Check,
     Field,
     Item,
+    MappingReader,
+    Slices,
     choice,
     cut_text,
     integer,
     list_of,
-    mapping_of,
     number,
-    parse,
+    parse_in_slices,
     read_boolean,
-    read_fields,
+    read_fields_in_slices,
     read_name,
     read_text,
+    run_whole,
     section,
     set_of,
 )
@@ -199,9 +201,9 @@
 
 
 TEXT_FIELDS = (
-    Field("models", mapping_of(_read_model), "models by name", EMPTY),
-    Field("services", mapping_of(_read_service), "services by name"),
-    Field("workspaces", mapping_of(_read_workspace), "workspaces by name"),
+    Field("models", MappingReader(_read_model), "models by name", EMPTY),
+    Field("services", MappingReader(_read_service), "services by name"),
+    Field("workspaces", MappingReader(_read_workspace), "workspaces by name"),
     Field("batch", section(BATCH_FIELDS, BatchSpec), "limits of batch", BatchSpec()),
     Field(
         "placement",
@@ -232,12 +234,27 @@
         services or models that are named and not there, circular dependencies, keys of
         callers that two workspaces share.
     """
+    return run_whole(read_configuration_in_slices(text, source, revision))
+
+
+def read_configuration_in_slices(
+    text: str, source: str, revision: Revision = 0
+) -> Slices[Configuration]:
+    """Return the configuration as ``read_configuration`` does, a slice at a time.
+
+    Each step takes a few milliseconds, so that a loop may do other work in between.
+
+    Raises
+    ------
+    FindingsError
+        With every finding, its line and key.
+    """
     check = Check(source)
-    root = parse(text, check)
+    root = yield from parse_in_slices(text, check)
     if root is None:
         check.finish()
     assert root is not None
-    values = read_fields(Item(root, ""), TEXT_FIELDS, check)
+    values = yield from read_fields_in_slices(Item(root, ""), TEXT_FIELDS, check)
     _check_values(root, values, check)
     check.finish()
     return Configuration(
--- a/libs/settings/src/damaskjunction/settings/schema.py
+++ b/libs/settings/src/damaskjunction/settings/schema.py
@@ -9,13 +9,14 @@
 import difflib
 import ipaddress
 import re
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Generator, Iterable, Mapping
 from enum import StrEnum
-from typing import Any, NamedTuple, TypeAlias
+from typing import Any, NamedTuple, TypeAlias, TypeVar
 
 import yaml
 
 from damaskjunction.core import Address, Finding, Place, raise_findings
+from damaskjunction.settings.composing import Composer
 
 MAX_DOCUMENT_CHARACTERS = 1_000_000
 MAX_DEPTH = 20
@@ -27,6 +28,11 @@
 # The parser in C reads a text of 4,100 workspaces ten times as fast.
 YAML_LOADER: Any = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
 
+EVENTS_PER_SLICE = 500
+ENTRIES_PER_SLICE = 100
+
+T = TypeVar("T")
+
 _NUMBER = re.compile(r"[-+]?(\d+(\.\d*)?|\.\d+)([eE][-+]?\d+)?")
 
 
@@ -94,6 +100,7 @@
 
 
 Reader: TypeAlias = Callable[[Item, Check], Any]
+Slices: TypeAlias = Generator[None, None, T]
 
 _REQUIRED: Any = object()
 
@@ -117,14 +124,22 @@
 
 def parse(text: str, check: Check) -> yaml.Node | None:
     """Return the root node of a YAML text, None after a finding."""
+    return run_whole(parse_in_slices(text, check))
+
+
+def parse_in_slices(text: str, check: Check) -> Slices[yaml.Node | None]:
+    """Return the root node of a YAML text as ``parse`` does, a slice at a time."""
     if len(text) > MAX_DOCUMENT_CHARACTERS:
         message = f"the text has more than {MAX_DOCUMENT_CHARACTERS} characters"
         check.add(None, "", message)
         return None
+    composer = Composer(MAX_DEPTH, check.add_at)
     try:
-        if not _is_flat(text, check):
-            return None
-        root = yaml.compose(text, Loader=YAML_LOADER)
+        for number, event in enumerate(yaml.parse(text, Loader=YAML_LOADER)):
+            if not composer.take(event):
+                return None
+            if number % EVENTS_PER_SLICE == EVENTS_PER_SLICE - 1:
+                yield
     except yaml.MarkedYAMLError as error:
         line = error.problem_mark.line + 1 if error.problem_mark else 0
         check.add_at(line, "", f"not YAML: {error.problem}")
@@ -132,25 +147,19 @@
     except (yaml.YAMLError, UnicodeError) as error:
         check.add(None, "", f"not YAML: {cut_text(str(error))}")
         return None
-    if root is None:
+    if composer.root is None:
         check.add(None, "", "the text is empty")
-    return root
+    return composer.root
 
 
-def _is_flat(text: str, check: Check) -> bool:
-    """Note aliases and deep nesting before the composer recurses into them."""
-    depth = 0
-    for event in yaml.parse(text, Loader=YAML_LOADER):
-        depth += isinstance(event, yaml.CollectionStartEvent)
-        depth -= isinstance(event, yaml.CollectionEndEvent)
-        line = event.start_mark.line + 1 if event.start_mark is not None else 0
-        if isinstance(event, yaml.AliasEvent):
-            check.add_at(line, "", "aliases are not taken", "write the value again")
-            return False
-        if depth > MAX_DEPTH:
-            check.add_at(line, "", f"nested deeper than {MAX_DEPTH}")
-            return False
-    return True
+def run_whole(slices: Slices[T]) -> T:
+    """Return the result of work that may be done in slices."""
+    while True:
+        try:
+            next(slices)
+        except StopIteration as stop:
+            result: T = stop.value
+            return result
 
 
 def _child(parent: str, key: str) -> str:
@@ -179,19 +188,26 @@
 
     An unknown key is a finding that names the nearest known one.
     """
+    return run_whole(read_fields_in_slices(item, fields, check))
+
+
+def read_fields_in_slices(
+    item: Item, fields: Iterable[Field], check: Check
+) -> Slices[dict[str, Any]]:
+    """Return the values as ``read_fields`` does; mappings are read in slices."""
     entries = _entries(item, check)
     values: dict[str, Any] = {}
     known = []
     for field in fields:
         known.append(field.key)
-        if field.key in entries:
-            node = entries.pop(field.key)[1]
-            values[field.key] = field.read(
-                Item(node, _child(item.key, field.key)), check
-            )
-            continue
         values[field.key] = None if field.is_required else field.default
-        if field.is_required:
+        if field.key in entries:
+            inner = Item(entries.pop(field.key)[1], _child(item.key, field.key))
+            if isinstance(field.read, MappingReader):
+                values[field.key] = yield from field.read.read_in_slices(inner, check)
+            else:
+                values[field.key] = field.read(inner, check)
+        elif field.is_required:
             check.add(item.node, _child(item.key, field.key), "is missing", field.doc)
     for key, (key_node, _) in entries.items():
         hint = "" if check.is_full else near_hint(key, known)
@@ -356,21 +372,30 @@
     return read
 
 
-def mapping_of(read_entry: Callable[[str, Item, Check], Any]) -> Reader:
-    """Return a reader of a mapping from names to what ``read_entry`` reads."""
+class MappingReader:
+    """Reader of a mapping from names to what ``read_entry`` reads, also in slices."""
+
+    def __init__(self, read_entry: Callable[[str, Item, Check], Any]) -> None:
+        self._read_entry = read_entry
 
-    def read(item: Item, check: Check) -> Mapping[str, Any]:
+    def __call__(self, item: Item, check: Check) -> Mapping[str, Any]:
+        """Return the values by name."""
+        return run_whole(self.read_in_slices(item, check))
+
+    def read_in_slices(self, item: Item, check: Check) -> Slices[Mapping[str, Any]]:
+        """Return the values by name, a slice at a time."""
         values = {}
-        for name, (key_node, node) in _entries(item, check).items():
+        entries = _entries(item, check).items()
+        for number, (name, (key_node, node)) in enumerate(entries):
             key = _child(item.key, name)
             if not _is_name(name):
                 message = f"{cut_text(name)!r} is no name"
                 check.add(key_node, key, message, NAME_HINT)
-            values[name] = read_entry(name, Item(node, key), check)
+            values[name] = self._read_entry(name, Item(node, key), check)
+            if number % ENTRIES_PER_SLICE == ENTRIES_PER_SLICE - 1:
+                yield
         return values
 
-    return read
-
 
 def section(fields: tuple[Field, ...], build: Callable[..., Any]) -> Reader:
     """Return a reader of a mapping with known keys, passed to ``build`` by name.
