--- a/libs/lab/src/damaskjunction/lab/online.py
+++ b/libs/lab/src/damaskjunction/lab/online.py
@@ -25,14 +25,20 @@
 
 
 async def start_deployment(
-    name: str, *engine_arguments: str, host_settings: Mapping[str, str] = EMPTY
+    name: str,
+    *engine_arguments: str,
+    proxied: tuple[str, ...] = (),
+    host_settings: Mapping[str, str] = EMPTY,
 ) -> DeployedFleet:
     """Start a deployment and return when its text is in force.
 
     The fleet is closed when it does not come up.
     """
     deployed = DeployedFleet(
-        deployments.get(name), engine_arguments, host_settings=host_settings
+        deployments.get(name),
+        engine_arguments,
+        proxied,
+        host_settings=host_settings,
     )
     try:
         await deployed.start()
--- a/libs/standins/src/damaskjunction/standins/deployment.py
+++ b/libs/standins/src/damaskjunction/standins/deployment.py
@@ -28,6 +28,8 @@
 
 CALLER_KEY = "demo-key"
 ADDRESSES_PER_HOST = 3
+SMALL_LEASE_S = 4
+N_SEEDS = 3
 TOKENS_PER_MINUTE = 10_000_000
 
 
@@ -131,6 +133,7 @@
     runners=(RunnerGroup("caddie", 2), RunnerGroup("fleet-api", 1, "fleet-api")),
     text={
         **LIMA.text,
+        "batch": {"lease_s": SMALL_LEASE_S},
         "services": {
             "fleet-api": {**LIMA.text["services"]["fleet-api"], "min_runners": 1},
             "caddie-llm": {
@@ -142,6 +145,10 @@
     },
 )
 
+CONTROL = LIMA._replace(n_hosts=6, runners=())
+
+deployments.register("control")(CONTROL)
+
 IDLE_ENGINES = LIMA._replace(
     n_hosts=3,
     text={
@@ -162,6 +169,7 @@
 deployments.register("mu-north")(MU_NORTH)
 deployments.register("small")(SMALL)
 deployments.register("lima-three-hosts")(LIMA._replace(n_hosts=3))
+deployments.register("lima-five-hosts")(LIMA._replace(n_hosts=5))
 
 
 class DeployedFleet:
@@ -178,6 +186,10 @@
     proxied : tuple of str, optional
         Hosts and runners that the others reach through a fault-injecting proxy: a
         host at its peer address, a runner at its only one.
+    has_datagram_faults : bool, optional
+        Whether the hosts' datagrams can be given faults.
+    seed : int, optional
+        Seed of those faults.
     """
 
     def __init__(
@@ -186,6 +198,9 @@
         engine_arguments: tuple[str, ...] = (),
         proxied: tuple[str, ...] = (),
         host_settings: Mapping[str, str] = EMPTY,
+        *,
+        has_datagram_faults: bool = False,
+        seed: int = 1,
     ) -> None:
         self.deployment = deployment
         self.fleet = Fleet()
@@ -195,6 +210,8 @@
         self._host_settings = host_settings
         self._proxied = proxied
         self._listed_by_name: dict[str, Address] = {}
+        self._has_datagram_faults = has_datagram_faults
+        self._seed = seed
 
     async def start(self) -> None:
         """Start every process and return when all answer."""
@@ -310,6 +327,12 @@
             await self.fleet.start(_standin(proxy, "proxy", listen, *extra))
             await self.fleet.wait_until_answering([proxy])
 
+    async def set_datagram_faults(self, host_id: str, **faults: object) -> None:
+        """Give faults to what a host receives, see ``FaultyDatagrams``."""
+        await self.fleet.call(
+            _control_of(host_id), "PUT", "/test/faults", document=faults
+        )
+
     def _make_runners(self) -> None:
         for group in self.deployment.runners:
             addresses = free_addresses(group.n_runners)
@@ -338,6 +361,10 @@
                 host_id, self.deployment.region, centre, caller, peer, probe
             )
             self.fleet.addresses_by_name[host_id] = caller
+        if self._has_datagram_faults:
+            controls = free_addresses(self.deployment.n_hosts)
+            for host_id, address in zip(self.hosts_by_id, controls, strict=True):
+                self.fleet.addresses_by_name[_control_of(host_id)] = address
 
     def _runner_spec(self, runner: Runner) -> ProcessSpec:
         if runner.service:
@@ -348,6 +375,10 @@
         extra += self._engine_arguments
         return _standin(runner.runner_id, "engine", runner.address, *extra)
 
+    async def start_host(self, host: EntryHost, settings: Mapping[str, Any]) -> None:
+        """Start a further host with the settings given."""
+        await self.fleet.start(self._spec_with(host, settings))
+
     def _host_spec(self, host: EntryHost) -> ProcessSpec:
         document = {
             "host_id": host.host_id,
@@ -358,12 +389,28 @@
             "probe": str(host.probe),
             "platform": str(self.fleet.addresses_by_name["platform"]),
             **self._host_settings,
+            "seeds": self._seeds_of(host),
         }
+        return self._spec_with(host, document)
+
+    def _spec_with(self, host: EntryHost, settings: Mapping[str, Any]) -> ProcessSpec:
         path = self.fleet.folder / f"{host.host_id}.yaml"
-        path.write_text(yaml.safe_dump(document, sort_keys=False))
+        path.write_text(yaml.safe_dump(dict(settings), sort_keys=False))
+        if self._has_datagram_faults:
+            control = self.fleet.addresses_by_name[_control_of(host.host_id)]
+            extra = ("--settings", str(path), "--seed", str(self._seed))
+            return _standin(host.host_id, "host", control, *extra)
         arguments = ("damaskjunction.cli", "host", "--settings", str(path))
         return ProcessSpec(host.host_id, arguments)
 
+    def _seeds_of(self, host: EntryHost) -> list[str]:
+        others = [other for other in self.hosts_by_id.values() if other != host]
+        return [str(other.probe) for other in others[:N_SEEDS]]
+
+
+def _control_of(host_id: str) -> str:
+    return f"{host_id}-control"
+
 
 def _proxy_name(name: str) -> str:
     return f"proxy-{name}"
--- a/libs/standins/src/damaskjunction/standins/fleet.py
+++ b/libs/standins/src/damaskjunction/standins/fleet.py
@@ -132,7 +132,7 @@
         return self._processes_by_name[name].returncode is None
 
     def pid_of(self, name: str) -> int:
-        """Return the process number of a process."""
+        """Return the process id of a process."""
         return self._processes_by_name[name].pid
 
     def log_of(self, name: str) -> str:
