Shrink batch before the limit whatever shows that tokens are late

Cause: late tokens of batch streams shrank the whole limit, which online bursts then lacked, and which the doubled wait kept low. Ruled out: batch in online's way (none runs while online waits). While batch runs, only its own limit shrinks now.

--- a/libs/routing/src/damaskjunction/routing/limits.py
+++ b/libs/routing/src/damaskjunction/routing/limits.py
@@ -166,10 +166,11 @@
         worst_s = max(online_s, self._interval_s(WorkClass.BATCH))
         n_batch = self._window.n_batch
         n_used = self._window.n_used
-        if n_batch and online_s > BATCH_HEADROOM * target_s:
+        is_late = worst_s > target_s or self._is_first_token_late()
+        if n_batch and (is_late or online_s > BATCH_HEADROOM * target_s):
             self._batch.shrink(n_batch, BATCH_DECREASE, now_s)
             self._windows.clear()
-        elif worst_s > target_s or self._is_first_token_late():
+        elif is_late:
             self._total.shrink(n_used, DECREASE, now_s)
             self._windows.clear()
         elif worst_s <= GROW_BELOW * target_s:
