--- a/libs/node/src/damaskjunction/node/documents.py
+++ b/libs/node/src/damaskjunction/node/documents.py
@@ -10,6 +10,8 @@
 HOSTS_KIND = "hosts"
 HOSTS_NAME = "list"
 LEASE_KIND = "lease"
+QUARANTINE_KIND = "quarantine"
+CALL_KIND = "call"
 JOB_KIND = "job"
 QUEUE_KIND = "queue"
 UPLOAD_KIND = "upload"
@@ -22,6 +24,26 @@
 POOL_KIND = "pool"
 
 
+class QuarantineDocument(TypedDict):
+    """Convicted requests: seconds since the epoch, by fingerprint."""
+
+    convicted_since: dict[str, float]
+
+
+class CallDocument(TypedDict):
+    """A call claimed under an idempotency key; ``body`` is in base64."""
+
+    state: str
+    digest: str
+    holder: str
+    request_id: str
+    claimed_at: float
+    outcome: str
+    status: int
+    content_type: str
+    body: str
+
+
 class LeaseDocument(TypedDict):
     """Who holds a lease; the object's version is the fencing number."""
 
--- a/libs/wire/src/damaskjunction/wire/__init__.py
+++ b/libs/wire/src/damaskjunction/wire/__init__.py
@@ -19,12 +19,7 @@
     MemberList,
     MembersQuery,
 )
-from damaskjunction.wire.links import (
-    CallHandler,
-    PeerLinks,
-    PeerServer,
-    Reply,
-)
+from damaskjunction.wire.links import PeerLinks
 from damaskjunction.wire.messages import (
     Failure,
     HostStatus,
@@ -33,6 +28,7 @@
     StatusQuery,
     StopJob,
 )
+from damaskjunction.wire.sessions import CallHandler, PeerServer, Reply
 
 __all__ = [
     "CallHandler",
