Let a starting host's callers wait; bound retries by what may have run

Cause: its listener opens before the configuration is there. Such calls wait up to 3 s for it and are then told not run.

Attempts that did not run now have a bound and a cost in the budget of their own.

Two features defined one step; the membership feature's is renamed.

--- a/libs/lab/src/damaskjunction/lab/faults.py
+++ b/libs/lab/src/damaskjunction/lab/faults.py
@@ -233,14 +233,17 @@
         *(("caddie-0", mode) for mode in (Mode.SILENT_OLD, Mode.SILENT)),
     )
     figures: list[Figure] = []
+    details: dict[str, object] = {}
     try:
         for name, mode in cases:
             results, cut_s = await _measure_silence(deployed, callers, name, mode)
-            figures += _silence_figures(f"{name} {mode.value}", results, cut_s)
+            case = f"{name} {mode.value}"
+            figures += _silence_figures(case, results, cut_s)
+            details[case] = _details(results)
     finally:
         callers.close()
         await deployed.close()
-    return ExperimentResult(tuple(figures))
+    return ExperimentResult(tuple(figures), details=details)
 
 
 async def _measure_silence(
--- a/libs/node/features/delivery.feature
+++ b/libs/node/features/delivery.feature
@@ -104,6 +104,11 @@
     When 150 tokens are asked for 3 times, each cut off by the network after 20
     Then no request is suspect or convicted
 
+  Scenario: A host that has just started
+    Given a running "small" fleet
+    When host 2 is killed and restarted, and asked as soon as it answers
+    Then the answer is whole
+
   Scenario Outline: A host leaves
     Given a running "small" fleet
     When 300 tokens are asked for through host 2 and, after 20, it leaves by "<way>"
--- a/libs/node/features/membership.feature
+++ b/libs/node/features/membership.feature
@@ -24,22 +24,22 @@
     When datagrams from the second host to the third are cut for 15 s
     Then no host was ever found dead
 
-  Scenario: An accepted text is in force everywhere though the platform goes away
+  Scenario: An accepted text is in force everywhere though the platform is down
     Given a running "control" fleet whose datagrams can have faults
     When 5 percent of datagrams are lost
-    And a text is applied and the platform goes away just after
+    And a text is applied and the platform is down just after
     Then within 4 s the text is in force on every host
 
   Scenario: A host that starts while the platform is away takes the text from peers
     Given a running "control" fleet whose datagrams can have faults
-    When the platform goes away
+    When the platform is down
     And a host is killed and started again
     Then within 20 s the text is in force on every host
     And within 20 s every host has 6 hosts in its view
 
   Scenario: A host without a configuration serves nothing and is named nowhere
     Given a running "control" fleet whose datagrams can have faults
-    When the platform goes away
+    When the platform is down
     And a host that nobody knows starts without seeds
     Then it answers "/v1/addresses" with status 503
     And within 1 s no other host names it in its addresses
--- a/libs/node/features/steps/delivery_steps.py
+++ b/libs/node/features/steps/delivery_steps.py
@@ -362,6 +362,20 @@
         assert section == {"convicted_age_s": {}, "n_suspects": 0}, section
 
 
+@when("host {number:d} is killed and restarted, and asked as soon as it answers")
+def ask_restarted(context, number):
+    async def act():
+        fleet = context.deployed.fleet
+        host_id = host_number(context, number)
+        await fleet.kill(host_id)
+        await fleet.restart(host_id)
+        await fleet.wait_until_answering([host_id])
+        return await generate(context.deployed, host_id, PROMPT, 20)
+
+    context.prompt, context.n_tokens = PROMPT, 20
+    context.answers = [run(context, act())]
+
+
 @when(
     "{n_tokens:d} tokens are asked for through host {number:d} and, after {count:d}, "
     'it leaves by "{way}"'
--- a/libs/node/features/steps/membership_steps.py
+++ b/libs/node/features/steps/membership_steps.py
@@ -159,7 +159,7 @@
         run(context, context.deployed.set_datagram_faults(name, loss=percent / 100))
 
 
-@when("a text is applied and the platform goes away just after")
+@when("a text is applied and the platform is down just after")
 def apply_then_outage(context):
     async def apply_and_cut():
         answer = await apply(context, context.names[0], 3, context.revision)
@@ -169,7 +169,7 @@
     context.revision = run(context, apply_and_cut())
 
 
-@when("the platform goes away")
+@when("the platform is down")
 def outage(context):
     run(context, set_platform(context, down=1))
 
--- a/libs/node/src/damaskjunction/node/front.py
+++ b/libs/node/src/damaskjunction/node/front.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import logging
 import uuid
@@ -45,6 +46,7 @@
 JSON_TYPE = "application/json"
 KEY_HEADER = "idempotency-key"
 MAX_KEY_CHARACTERS = 256
+READY_WAIT_S = 3.0
 
 
 def authenticate(view: HostView, request: Request) -> WorkspaceName:
@@ -83,6 +85,8 @@
         self._view = view
         self._entry = entry
         self._claims = claims
+        self._ready = asyncio.Event()
+        view.subscribe(self._note_view)
 
     def register(self, routes: Routes) -> None:
         """Enter the callers' routes."""
@@ -105,6 +109,7 @@
 
     async def generate(self, request: Request, service: str) -> Response:
         """Stream an engine's answer as server-sent events."""
+        await self._wait_until_ready()
         workspace = authenticate(self._view, request)
         spec = self._service(service, ServiceKind.ENGINE)
         document = check_prompt(await read_json(request))
@@ -127,6 +132,7 @@
 
     async def call(self, request: Request, service: str, path: str) -> Response:
         """Pass a call to a plain service and its answer back."""
+        await self._wait_until_ready()
         workspace = authenticate(self._view, request)
         spec = self._service(service, ServiceKind.PLAIN)
         target = f"/{path}"
@@ -154,6 +160,29 @@
             raise HttpError(400, "bad_request", detail, key="Idempotency-Key")
         return await self._claims.run(call, key)
 
+    async def _wait_until_ready(self) -> None:
+        """Wait a little for the configuration of a host that has just started.
+
+        Raises
+        ------
+        RequestError
+            ``NOT_RUN`` when there is still none.
+        """
+        if self._view.is_ready:
+            return
+        try:
+            async with asyncio.timeout(READY_WAIT_S):
+                await self._ready.wait()
+        except TimeoutError:
+            detail = "this host has no configuration yet"
+            raise RequestError(
+                Outcome.NOT_RUN, "no_configuration", detail, retry_after_s=1.0
+            ) from None
+
+    def _note_view(self) -> None:
+        if self._view.is_ready:
+            self._ready.set()
+
     def _service(self, name: str, kind: ServiceKind) -> ServiceSpec:
         spec = self._view.configuration.services_by_name.get(name)
         if spec is None:
--- a/libs/node/src/damaskjunction/node/runners.py
+++ b/libs/node/src/damaskjunction/node/runners.py
@@ -30,7 +30,7 @@
 
 AnswerMessage: TypeAlias = AnswerPart | RunnerLoad
 
-FIRST_TOKEN_STALL_S = 5.0
+FIRST_TOKEN_STALL_S = 3.0
 TOKEN_STALL_S = 2.0
 NOT_STARTED_STATUSES = frozenset((404, 405, 409, 429, 503))
 CONTROL_STALL_S = 1.0
--- a/libs/routing/src/damaskjunction/routing/retries.py
+++ b/libs/routing/src/damaskjunction/routing/retries.py
@@ -13,6 +13,8 @@
 from damaskjunction.core.units import MILLISECOND_S
 
 MAX_ATTEMPTS = 8
+MAX_ATTEMPTS_NOT_RUN = 32
+NOT_RUN_COST = 0.2
 BUDGET_SHARE = 0.2
 BUDGET_RESERVE = 100.0
 BACKOFF_BASE_S = 10 * MILLISECOND_S
@@ -53,11 +55,14 @@
         """Count a request."""
         self.balance = min(self.reserve, self.balance + self.share)
 
-    def take_retry(self) -> bool:
-        """Take a retry out of the balance; return whether there was one."""
-        if self.balance < 1:
+    def take_retry(self, cost: float = 1.0) -> bool:
+        """Take a retry out of the balance; return whether there was one.
+
+        ``cost`` is below 1 after an attempt that no runner had any work of.
+        """
+        if self.balance < cost:
             return False
-        self.balance -= 1
+        self.balance -= cost
         return True
 
 
@@ -100,7 +105,7 @@
         chance: random.Random,
     ) -> None:
         self.number = 0
-        self.number_free = 0
+        self._n_not_run = 0
         self.outcome = Outcome.NOT_RUN
         self._idempotent = idempotent
         self._end_at_s = end_at_s
@@ -119,13 +124,15 @@
 
     def fail(self, error: RequestError, now_s: float) -> RetryEffect:
         """Take the error of the attempt under way."""
+        is_not_run = error.outcome is Outcome.NOT_RUN or error.reason in FREE_REASONS
+        self._n_not_run += is_not_run
         self.outcome = worst_outcome(self.outcome, error.outcome)
         delay_s = self._backoff_s()
         if not self._may_retry(error, now_s + delay_s):
             return GiveUp(self.to_final(error))
-        if error.reason in FREE_REASONS:
-            self.number_free += 1
-        elif not self._budget.take_retry():
+        is_free = error.reason in FREE_REASONS
+        cost = NOT_RUN_COST if is_not_run else 1.0
+        if not is_free and not self._budget.take_retry(cost):
             return GiveUp(self.to_final(error))
         return Retry(delay_s)
 
@@ -137,12 +144,12 @@
         )
 
     def _may_retry(self, error: RequestError, next_at_s: float) -> bool:
-        if error.reason in FINAL_REASONS:
+        if error.reason in FINAL_REASONS or next_at_s >= self._end_at_s:
+            return False
+        if self.number - self._n_not_run >= MAX_ATTEMPTS:
             return False
-        if (
-            self.number - self.number_free >= MAX_ATTEMPTS
-            or next_at_s >= self._end_at_s
-        ):
+        is_free = error.reason in FREE_REASONS
+        if self._n_not_run >= MAX_ATTEMPTS_NOT_RUN and not is_free:
             return False
         return self._idempotent or self.outcome is Outcome.NOT_RUN
 
