--- a/libs/http/src/damaskjunction/http/client.py
+++ b/libs/http/src/damaskjunction/http/client.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import ssl
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import AsyncGenerator, Callable, Mapping
 from typing import NamedTuple
 
 import h11
@@ -61,6 +61,7 @@
         body: bytes = b"",
         stall_s: float = DEFAULT_STALL_S,
         fresh: bool = False,
+        guard: Callable[[], None] | None = None,
     ) -> ClientResponse:
         """Send a request and return when the head of its response is there.
 
@@ -78,6 +79,9 @@
             Seconds without a byte after which the connection is given up.
         fresh : bool, optional
             Use a new connection, since an idle one may be silently dead.
+        guard : callable, optional
+            Called when the connection is there, right before the first byte is written;
+            what it raises ends the call with no byte sent.
 
         Raises
         ------
@@ -90,6 +94,8 @@
         if connection is None:
             connection = await self._connect(address)
         try:
+            if guard is not None:
+                guard()
             head = await connection.exchange(method, target, headers, body, stall_s)
         except BaseException:
             connection.abort()
@@ -154,7 +160,12 @@
         self._connection: _Connection | None = connection
         self._client = client
 
-    async def chunks(self) -> AsyncIterator[bytes]:
+    def set_stall(self, stall_s: float) -> None:
+        """Give the connection up after this many seconds without a byte."""
+        if self._connection is not None:
+            self._connection.stall_s = stall_s
+
+    async def chunks(self) -> AsyncGenerator[bytes, None]:
         """Yield the body piece by piece.
 
         Raises
@@ -205,7 +216,7 @@
         self._reader = reader
         self._writer = writer
         self._protocol = h11.Connection(h11.CLIENT)
-        self._stall_s = DEFAULT_STALL_S
+        self.stall_s = DEFAULT_STALL_S
 
     async def exchange(
         self,
@@ -216,7 +227,7 @@
         stall_s: float,
     ) -> ResponseHead:
         """Send a request and return the head of the response."""
-        self._stall_s = stall_s
+        self.stall_s = stall_s
         all_headers = {
             "Host": str(self.address),
             "Content-Length": str(len(body)),
@@ -274,7 +285,7 @@
     async def _next_event(self) -> h11.Event:
         try:
             while (event := self._protocol.next_event()) is h11.NEED_DATA:
-                async with asyncio.timeout(self._stall_s):
+                async with asyncio.timeout(self.stall_s):
                     data = await self._reader.read(READ_BYTES)
                 self._protocol.receive_data(data)
         except (OSError, TimeoutError, h11.RemoteProtocolError) as error:
--- a/libs/node/src/damaskjunction/node/daemon.py
+++ b/libs/node/src/damaskjunction/node/daemon.py
@@ -6,6 +6,7 @@
 import logging
 import signal
 
+from damaskjunction.node.datagrams import OpenDatagrams, open_datagrams
 from damaskjunction.node.root import HostProcess
 from damaskjunction.settings import HostSettings
 from damaskjunction.telemetry import configure_logs
@@ -13,16 +14,17 @@
 logger = logging.getLogger(__name__)
 
 
-async def run_host(settings: HostSettings) -> None:
-    """Run a host until SIGTERM or SIGINT; then drain and stop."""
-    stop = asyncio.Event()
+async def run_host(
+    settings: HostSettings, open_endpoint: OpenDatagrams = open_datagrams
+) -> None:
+    """Run a host until a signal or the host list tells it to leave; then drain."""
+    process = HostProcess(settings, open_endpoint)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
-    process = HostProcess(settings)
+        loop.add_signal_handler(number, process.is_to_leave.set)
     await process.start()
     logger.info("host started", extra={"caller": str(settings.caller)})
-    await stop.wait()
+    await process.is_to_leave.wait()
     logger.info("host drains")
     await process.drain()
     await process.close()
--- a/libs/node/src/damaskjunction/node/home.py
+++ b/libs/node/src/damaskjunction/node/home.py
@@ -22,6 +22,7 @@
     WorkspaceSpec,
 )
 from damaskjunction.http import HttpClient
+from damaskjunction.node.crashes import CrashWatch, RunnerGuard
 from damaskjunction.node.reports import LoadReader
 from damaskjunction.node.runners import (
     AnswerMessage,
@@ -51,6 +52,8 @@
 PREEMPTED = "admission_preempted_total"
 WAIT = "admission_wait_seconds"
 
+RUNNER_IDLE_S = 1.0
+
 logger = logging.getLogger(__name__)
 
 
@@ -66,6 +69,8 @@
         Tells which runners, services and workspaces there are.
     selection : Selection
         Tells whose home this host is.
+    crashes : CrashWatch
+        Watches over the requests at each runner.
     timers : Timers
         The process's timer service.
     metrics : Metrics
@@ -73,14 +78,21 @@
     """
 
     def __init__(
-        self, view: HostView, selection: Selection, timers: Timers, metrics: Metrics
+        self,
+        view: HostView,
+        selection: Selection,
+        crashes: CrashWatch,
+        timers: Timers,
+        metrics: Metrics,
     ) -> None:
         self._view = view
         self._selection = selection
+        self._crashes = crashes
         self._timers = timers
         self._metrics = metrics
         self._clients_by_class = {
-            work_class: HttpClient(timers) for work_class in WorkClass
+            work_class: HttpClient(timers, idle_limit_s=RUNNER_IDLE_S)
+            for work_class in WorkClass
         }
         self._control = HttpClient(timers)
         self._reports = LoadReader(timers, self._reporting_runners, self._take_report)
@@ -89,7 +101,7 @@
         self._cancels: set[asyncio.Task[None]] = set()
         self._ended = asyncio.Event()
 
-    def start(self) -> None:
+    async def start(self) -> None:
         """Follow the view of the fleet and the runners' reports."""
         self._view.subscribe(self._follow_view)
         self._reports.start()
@@ -132,7 +144,22 @@
             detail = f"no runner {forward.runner_id!r} is known here"
             raise RequestError(Outcome.NOT_RUN, "unknown_runner", detail)
         gate = self._gate(runner, forward)
-        request = _Request(self._ticket(forward))
+        end_s = self._timers.now() + forward.deadline_s
+        try:
+            async with (
+                self._crashes.guard(runner, forward, end_s) as guard,
+                aclosing(self._admit(gate, runner, forward, guard)) as answer,
+            ):
+                async for message in answer:
+                    yield message
+        except RequestError:
+            yield _to_load(runner, gate)
+            raise
+
+    async def _admit(
+        self, gate: RunnerGate, runner: Runner, forward: Forward, guard: RunnerGuard
+    ) -> AsyncGenerator[AnswerMessage, None]:
+        request = _Request(self._ticket(forward), guard)
         request_id = request.ticket.request_id
         self._requests_by_id[request_id] = request
         expiry = self._timers.once(forward.deadline_s, request.expire)
@@ -140,9 +167,6 @@
             async with aclosing(self._answer(gate, runner, forward, request)) as answer:
                 async for message in answer:
                     yield message
-        except RequestError:
-            yield _to_load(runner, gate)
-            raise
         finally:
             expiry.cancel()
             del self._requests_by_id[request_id]
@@ -292,8 +316,9 @@
 class _Request:
     """A request at its home: waiting for admission, or at the runner."""
 
-    def __init__(self, ticket: Ticket) -> None:
+    def __init__(self, ticket: Ticket, guard: RunnerGuard) -> None:
         self.ticket = ticket
+        self._guard = guard
         self.is_preempted = False
         self.is_expired = False
         self._was_sent = False
@@ -313,11 +338,13 @@
     def attach(self, stream: RunnerStream) -> None:
         """Take what ``preempt`` and ``expire`` break off."""
         self._stream = stream
+        self._guard.begin()
         if self.is_preempted or self.is_expired:
             stream.break_off()
 
     def wait_again(self) -> None:
         """Wait for another admission after a preemption."""
+        self._guard.end()
         self.is_preempted = False
         self._was_sent = self._outcome() is Outcome.RAN
         self._stream = None
--- a/libs/node/src/damaskjunction/node/root.py
+++ b/libs/node/src/damaskjunction/node/root.py
@@ -6,10 +6,17 @@
 import random
 from contextlib import aclosing
 from pathlib import Path
+from typing import NamedTuple
 
-from damaskjunction.core import LoopTimers
+from damaskjunction.core import LoopTimers, stable_hash
 from damaskjunction.http import HttpServer, Routes
+from damaskjunction.membership import Detector, first_incarnation
 from damaskjunction.node.admin import Admin
+from damaskjunction.node.claims import CallClaims
+from damaskjunction.node.crashes import CrashWatch
+from damaskjunction.node.datagrams import OpenDatagrams, open_datagrams
+from damaskjunction.node.demand import DemandMeter
+from damaskjunction.node.departure import Departure, refuse_when_leaving
 from damaskjunction.node.entry import Entry
 from damaskjunction.node.following import Follower
 from damaskjunction.node.front import Front
@@ -19,26 +26,63 @@
 from damaskjunction.node.job_front import JobFront
 from damaskjunction.node.job_store import JobStore
 from damaskjunction.node.job_worker import JobWorker
+from damaskjunction.node.leasing import LeaseKeeper
+from damaskjunction.node.membership import Membership
 from damaskjunction.node.metering import Meter, MeteredEntry
+from damaskjunction.node.parts import Part, PeerHandlers, Shared
 from damaskjunction.node.peak_budget import PeakBudget
 from damaskjunction.node.placer import Placer
+from damaskjunction.node.probing import RunnerProbes
 from damaskjunction.node.selection import Selection
+from damaskjunction.node.services import ServicesFront
 from damaskjunction.node.state import HostView
 from damaskjunction.platform import PlatformClient
-from damaskjunction.routing import Forward, admission_policies
+from damaskjunction.routing import Forward, VerdictNews, admission_policies
 from damaskjunction.settings import HostSettings
 from damaskjunction.telemetry import Metrics, StateDump
 from damaskjunction.wire import (
+    DataCentreQuery,
+    DocumentQuery,
     JobStopped,
-    Message,
+    MembersQuery,
     PeerLinks,
     PeerServer,
+    PlacementQuery,
     Reply,
     StatusQuery,
     StopJob,
 )
 
 
+class _Online(NamedTuple):
+    """The parts that serve requests."""
+
+    home: Home
+    entry: MeteredEntry
+    meter: Meter
+    demand: DemandMeter
+    crashes: CrashWatch
+    claims: CallClaims
+
+
+class _Batch(NamedTuple):
+    """The parts that run batch jobs."""
+
+    peak: PeakBudget
+    worker: JobWorker
+    cleaner: JobCleaner
+
+
+class _Control(NamedTuple):
+    """The parts that keep the host's view and the region's plan."""
+
+    membership: Membership
+    follower: Follower
+    probes: RunnerProbes
+    keeper: LeaseKeeper
+    placer: Placer
+
+
 class HostProcess:
     """All parts of one host.
 
@@ -46,108 +90,244 @@
     ----------
     settings : HostSettings
         The host's settings.
+    open_endpoint : callable, optional
+        Opens the endpoint of datagrams.
     """
 
-    def __init__(self, settings: HostSettings) -> None:
-        timers = LoopTimers()
-        metrics = Metrics()
-        dump = StateDump()
-        self._view = HostView(settings.to_entry_host())
-        self._store = PlatformClient(settings.platform, timers)
-        self._links = PeerLinks(timers)
-        policy = admission_policies.get(settings.admission)
-        selection = Selection(self._view, timers, policy)
-        self._home = Home(self._view, selection, timers, metrics)
-        self._meter = Meter(self._view, timers, metrics)
-        entry = MeteredEntry(
-            Entry(self._view, self._home, self._links, selection, timers),
-            self._meter,
-            timers,
-        )
-        self._follower = Follower(self._view, self._store)
-        self._placer = Placer(self._view, self._store, timers)
-        chance = random.Random(settings.seed or settings.host_id)
-        jobs = JobStore(self._store, metrics, chance)
-        self._peak = PeakBudget(
-            self._view,
-            jobs,
-            self._meter,
-            timers=timers,
-            metrics=metrics,
-            chance=chance,
+    def __init__(
+        self, settings: HostSettings, open_endpoint: OpenDatagrams = open_datagrams
+    ) -> None:
+        shared = _make_shared(settings)
+        self._view = shared.view
+        self._store = shared.store
+        self._links = shared.links
+        online = _wire_online(shared)
+        control = _wire_control(shared, online, open_endpoint)
+        batch = _wire_batch(shared, online)
+        callers = HttpServer(settings.caller, shared.routes.handle)
+        peers = PeerServer(settings.peer, shared.timers, shared.peer_handlers.handle)
+        self._departure = Departure(
+            shared.view,
+            control.membership,
+            callers,
+            first_drains=(batch.worker.drain,),
+            last_drains=(online.claims.drain, online.home.drain, peers.drain),
         )
-        self._worker = JobWorker(
-            self._view,
-            jobs,
-            entry,
-            meter=self._meter,
-            peak=self._peak,
-            timers=timers,
-            metrics=metrics,
-            chance=chance,
+        self._parts: tuple[Part, ...] = (
+            online.home,
+            peers,
+            *control,
+            online.crashes,
+            online.claims,
+            *batch,
+            callers,
         )
-        self._cleaner = JobCleaner(self._view, jobs, timers)
-        canceller = JobCanceller(self._view, jobs, self._worker, self._links, timers)
-        self._admin = Admin(
-            self._view,
-            self._store,
-            self._links,
-            metrics=metrics,
-            dump=dump,
-            token=_read_token(settings),
-        )
-        routes = Routes()
-        Front(self._view, entry).register(routes)
-        JobFront(self._view, jobs, canceller, self._peak, timers).register(routes)
-        self._admin.register(routes)
-        self._callers = HttpServer(settings.caller, routes.handle)
-        self._peers = PeerServer(settings.peer, timers, self._handle_peer)
-        dump.sections.register("host")(lambda: self._admin.own_status()._asdict())
-        dump.sections.register("batch")(self._worker.to_document)
-        dump.sections.register("peak")(self._peak.to_document)
-        dump.sections.register("runners")(self._home.to_document)
+        self.is_to_leave = asyncio.Event()
+        shared.view.subscribe(self._check_state)
 
     async def start(self) -> None:
         """Start every part; callers are served from now on."""
-        self._home.start()
-        await self._peers.start()
-        await self._follower.start()
-        await self._placer.start()
-        await self._peak.start()
-        await self._worker.start()
-        await self._cleaner.start()
-        await self._callers.start()
+        for part in self._parts:
+            await part.start()
 
     async def drain(self) -> None:
         """Take no new work and return when what is in progress has ended."""
-        self._view.start_draining()
-        await asyncio.gather(self._worker.drain(), self._callers.drain())
-        await self._home.drain()
+        await self._departure.run()
 
     async def close(self) -> None:
-        """Stop every part."""
-        await self._callers.close()
-        await self._worker.close()
-        await self._cleaner.close()
-        await self._peak.close()
-        await self._placer.close()
-        await self._follower.close()
-        await self._peers.close()
+        """Stop every part, the last started first."""
+        for part in reversed(self._parts):
+            await part.close()
         self._links.close()
-        await self._home.close()
         self._store.close()
 
-    async def _handle_peer(self, message: Message, reply: Reply) -> None:
-        match message:
-            case Forward():
-                async with aclosing(self._home.run(message)) as answers:
-                    async for answer in answers:
-                        await reply(answer)
-            case StopJob(job_id):
-                await self._worker.stop_job(job_id)
-                await reply(JobStopped(job_id))
-            case StatusQuery():
-                await reply(self._admin.own_status())
+    def _check_state(self) -> None:
+        if self._view.is_listed_leaving:
+            self.is_to_leave.set()
+
+
+def _make_shared(settings: HostSettings) -> Shared:
+    timers = LoopTimers()
+    return Shared(
+        settings=settings,
+        view=HostView(settings.to_entry_host()),
+        store=PlatformClient(settings.platform, timers),
+        links=PeerLinks(timers),
+        timers=timers,
+        chance=random.Random(stable_hash(settings.seed or settings.host_id)),
+        metrics=Metrics(),
+        dump=StateDump(),
+        routes=Routes(),
+        peer_handlers=PeerHandlers(),
+    )
+
+
+def _wire_online(shared: Shared) -> _Online:
+    view, timers, metrics = shared.view, shared.timers, shared.metrics
+    policy = admission_policies.get(shared.settings.admission)
+    selection = Selection(view, timers, policy)
+    crashes = CrashWatch(
+        view,
+        shared.links,
+        shared.store,
+        timers,
+        chance=shared.chance,
+        metrics=metrics,
+    )
+    home = Home(view, selection, crashes, timers, metrics)
+    demand = DemandMeter()
+    meter = Meter(view, timers, metrics)
+    plain_entry = Entry(
+        view,
+        home,
+        shared.links,
+        selection,
+        crashes=crashes,
+        timers=timers,
+        chance=shared.chance,
+        metrics=metrics,
+        demand=demand,
+    )
+    entry = MeteredEntry(plain_entry, meter, timers)
+    claims = CallClaims(
+        shared.store, entry, view.own.host_id, timers, chance=shared.chance
+    )
+    Front(view, entry, claims).register(shared.routes)
+    shared.dump.sections.register("runners")(home.to_document)
+    shared.dump.sections.register("delivery")(plain_entry.to_document)
+    shared.dump.sections.register("quarantine")(crashes.to_document)
+    links = shared.links
+    metrics.gauge("links_replaced_total", lambda: links.n_replaced)
+
+    @shared.peer_handlers.register(VerdictNews)
+    async def take_verdict(news: VerdictNews, reply: Reply) -> None:
+        crashes.take(news)
+
+    @shared.peer_handlers.register(Forward)
+    async def run(forward: Forward, reply: Reply) -> None:
+        refuse_when_leaving(view)
+        async with aclosing(home.run(forward)) as answers:
+            async for answer in answers:
+                await reply(answer)
+
+    return _Online(home, entry, meter, demand, crashes, claims)
+
+
+def _wire_control(
+    shared: Shared, online: _Online, open_endpoint: OpenDatagrams
+) -> _Control:
+    view, timers, metrics = shared.view, shared.timers, shared.metrics
+    incarnation = first_incarnation(timers.wall())
+    membership = Membership(
+        view,
+        shared.links,
+        timers,
+        detector=Detector(view.own, incarnation, shared.chance),
+        metrics=metrics,
+        chance=shared.chance,
+        seeds=shared.settings.seeds,
+        open_endpoint=open_endpoint,
+    )
+    follower = Follower(
+        view,
+        shared.store,
+        shared.links,
+        membership,
+        timers=timers,
+        metrics=metrics,
+        chance=shared.chance,
+    )
+    probes = RunnerProbes(view, timers, metrics)
+    keeper = LeaseKeeper(view, shared.store, timers, metrics)
+    placer = Placer(
+        view,
+        shared.store,
+        shared.links,
+        keeper=keeper,
+        probes=probes,
+        demand=online.demand,
+        timers=timers,
+        metrics=metrics,
+    )
+    control = _Control(membership, follower, probes, keeper, placer)
+    _register_control(shared, control, online.demand)
+    return control
+
+
+def _register_control(shared: Shared, control: _Control, demand: DemandMeter) -> None:
+    admin = Admin(
+        shared.view,
+        shared.store,
+        shared.links,
+        control.membership,
+        metrics=shared.metrics,
+        dump=shared.dump,
+        token=_read_token(shared.settings),
+    )
+    admin.register(shared.routes)
+    ServicesFront(shared.view, admin.authorize).register(shared.routes)
+    sections = shared.dump.sections
+    sections.register("host")(lambda: admin.own_status()._asdict())
+    sections.register("membership")(control.membership.to_document)
+    sections.register("documents")(control.follower.to_document)
+    sections.register("placement")(control.placer.to_document)
+    handlers = shared.peer_handlers
+
+    @handlers.register(StatusQuery)
+    async def tell_status(query: StatusQuery, reply: Reply) -> None:
+        await reply(admin.own_status())
+
+    @handlers.register(DataCentreQuery)
+    async def tell_data_centre(query: DataCentreQuery, reply: Reply) -> None:
+        await reply(admin.data_centre_status())
+
+    @handlers.register(DocumentQuery)
+    async def tell_document(query: DocumentQuery, reply: Reply) -> None:
+        await reply(control.follower.answer(query))
+
+    @handlers.register(MembersQuery)
+    async def tell_members(query: MembersQuery, reply: Reply) -> None:
+        await reply(control.membership.member_list())
+
+    @handlers.register(PlacementQuery)
+    async def tell_placement(query: PlacementQuery, reply: Reply) -> None:
+        for report in (*control.probes.statuses(), *demand.loads()):
+            await reply(report)
+
+
+def _wire_batch(shared: Shared, online: _Online) -> _Batch:
+    view, timers, metrics = shared.view, shared.timers, shared.metrics
+    jobs = JobStore(shared.store, metrics, shared.chance)
+    peak = PeakBudget(
+        view,
+        jobs,
+        online.meter,
+        timers=timers,
+        metrics=metrics,
+        chance=shared.chance,
+    )
+    worker = JobWorker(
+        view,
+        jobs,
+        online.entry,
+        meter=online.meter,
+        peak=peak,
+        timers=timers,
+        metrics=metrics,
+        chance=shared.chance,
+    )
+    cleaner = JobCleaner(view, jobs, timers)
+    canceller = JobCanceller(view, jobs, worker, shared.links, timers)
+    JobFront(view, jobs, canceller, peak, timers).register(shared.routes)
+    shared.dump.sections.register("batch")(worker.to_document)
+    shared.dump.sections.register("peak")(peak.to_document)
+
+    @shared.peer_handlers.register(StopJob)
+    async def stop_job(message: StopJob, reply: Reply) -> None:
+        await worker.stop_job(message.job_id)
+        await reply(JobStopped(message.job_id))
+
+    return _Batch(peak, worker, cleaner)
 
 
 def _read_token(settings: HostSettings) -> str:
--- a/libs/node/src/damaskjunction/node/selection.py
+++ b/libs/node/src/damaskjunction/node/selection.py
@@ -43,9 +43,15 @@
         occupancies = self.loads.occupancies(runners, work_class, self._timers.now())
         return self._choose(ChoiceInput(prompt, runners, occupancies))
 
-    def admitting_host(self, runner: Runner) -> EntryHost | None:
-        """Return the host that admits to a runner, None when there is none."""
-        hosts = self._view.serving_hosts()
+    def admitting_host(
+        self, runner: Runner, hosts: Sequence[EntryHost] | None = None
+    ) -> EntryHost | None:
+        """Return the host that admits to a runner, None when there is none.
+
+        ``hosts`` are those to pick from, all serving ones by default.
+        """
+        if hosts is None:
+            hosts = self._view.serving_hosts()
         return self.policy.admitting_host(runner, hosts, self._view.own)
 
     def is_own(self, runner: Runner) -> bool:
--- a/libs/routing/src/damaskjunction/routing/__init__.py
+++ b/libs/routing/src/damaskjunction/routing/__init__.py
@@ -1,4 +1,4 @@
-"""Decisions on admission, runner choice, limits and retries."""
+"""Decisions on admission, runner choice, limits, retries and whole answers."""
 
 from damaskjunction.routing.admission import (
     Admit,
@@ -8,15 +8,41 @@
     Refuse,
     RunnerGate,
 )
-from damaskjunction.routing.choice import ChoiceInput, runner_choices
-from damaskjunction.routing.homes import home_of
+from damaskjunction.routing.answers import (
+    AnswerAssembly,
+    AnswerPart,
+)
+from damaskjunction.routing.choice import (
+    ChoiceInput,
+    runner_choices,
+)
+from damaskjunction.routing.ejection import (
+    EjectionPolicy,
+    OutlierEjection,
+)
+from damaskjunction.routing.homes import (
+    home_of,
+)
+from damaskjunction.routing.idempotency import (
+    Claim,
+    ClaimEffect,
+    ClaimState,
+    LookAgain,
+    RefuseKey,
+    Replay,
+    TakeOver,
+    Tell,
+    judge_claim,
+)
 from damaskjunction.routing.limits import (
     FixedLimits,
     LearnedLimits,
     Limits,
     Targets,
 )
-from damaskjunction.routing.loads import RunnerLoads
+from damaskjunction.routing.loads import (
+    RunnerLoads,
+)
 from damaskjunction.routing.messages import (
     Forward,
     PlainAnswer,
@@ -29,31 +55,75 @@
     LimitInput,
     admission_policies,
 )
-from damaskjunction.routing.queues import FairQueue, Ticket
+from damaskjunction.routing.quarantine import (
+    Enter,
+    Quarantine,
+    SoloGate,
+    Verdict,
+    VerdictNews,
+    fingerprint_of,
+)
+from damaskjunction.routing.queues import (
+    FairQueue,
+    Ticket,
+)
+from damaskjunction.routing.retries import (
+    Attempts,
+    GiveUp,
+    Retry,
+    RetryBudget,
+    RetryEffect,
+    worst_outcome,
+)
 
 __all__ = [
     "AdmissionPolicy",
     "Admit",
+    "AnswerAssembly",
+    "AnswerPart",
+    "Attempts",
     "ChoiceInput",
+    "Claim",
+    "ClaimEffect",
+    "ClaimState",
     "Effect",
+    "EjectionPolicy",
+    "Enter",
     "FairQueue",
     "FixedLimits",
     "Forward",
     "GateState",
+    "GiveUp",
     "LearnedLimits",
     "LimitInput",
     "Limits",
+    "LookAgain",
+    "OutlierEjection",
     "PlainAnswer",
     "Preempt",
+    "Quarantine",
     "Refuse",
+    "RefuseKey",
+    "Replay",
+    "Retry",
+    "RetryBudget",
+    "RetryEffect",
     "RunnerGate",
     "RunnerLoad",
     "RunnerLoads",
+    "SoloGate",
     "StreamEnd",
+    "TakeOver",
     "Targets",
+    "Tell",
     "Ticket",
     "Token",
+    "Verdict",
+    "VerdictNews",
     "admission_policies",
+    "fingerprint_of",
     "home_of",
+    "judge_claim",
     "runner_choices",
+    "worst_outcome",
 ]
--- a/libs/standins/src/damaskjunction/standins/deployment.py
+++ b/libs/standins/src/damaskjunction/standins/deployment.py
@@ -23,9 +23,11 @@
     ProcessSpec,
     free_addresses,
 )
+from damaskjunction.standins.proxy import Mode
 
 CALLER_KEY = "demo-key"
 ADDRESSES_PER_HOST = 3
+SMALL_LEASE_S = 4
 TOKENS_PER_MINUTE = 10_000_000
 
 
@@ -129,6 +131,7 @@
     runners=(RunnerGroup("caddie", 2), RunnerGroup("fleet-api", 1, "fleet-api")),
     text={
         **LIMA.text,
+        "batch": {"lease_s": SMALL_LEASE_S},
         "services": {
             "fleet-api": {**LIMA.text["services"]["fleet-api"], "min_runners": 1},
             "caddie-llm": {
@@ -140,9 +143,27 @@
     },
 )
 
+IDLE_ENGINES = LIMA._replace(
+    n_hosts=3,
+    text={
+        **LIMA.text,
+        "services": {
+            **LIMA.text["services"],
+            "caddie-llm": {
+                **LIMA.text["services"]["caddie-llm"],
+                "min_runners": 2,
+                "max_runners": 3,
+            },
+        },
+    },
+)
+
+deployments.register("idle-engines")(IDLE_ENGINES)
 deployments.register("lima")(LIMA)
 deployments.register("mu-north")(MU_NORTH)
 deployments.register("small")(SMALL)
+deployments.register("lima-three-hosts")(LIMA._replace(n_hosts=3))
+deployments.register("lima-five-hosts")(LIMA._replace(n_hosts=5))
 
 
 class DeployedFleet:
@@ -154,16 +175,24 @@
         What to run.
     engine_arguments : tuple of str, optional
         Further arguments of each engine.
+    proxied : tuple of str, optional
+        Hosts and runners that the others reach through a fault-injecting proxy: a
+        host at its peer address, a runner at its only one.
     """
 
     def __init__(
-        self, deployment: Deployment, engine_arguments: tuple[str, ...] = ()
+        self,
+        deployment: Deployment,
+        engine_arguments: tuple[str, ...] = (),
+        proxied: tuple[str, ...] = (),
     ) -> None:
         self.deployment = deployment
         self.fleet = Fleet()
         self.hosts_by_id: dict[str, EntryHost] = {}
         self.runners_by_id: dict[str, Runner] = {}
         self._engine_arguments = engine_arguments
+        self._proxied = proxied
+        self._listed_by_name: dict[str, Address] = {}
 
     async def start(self) -> None:
         """Start every process and return when all answer."""
@@ -174,6 +203,7 @@
         self._make_runners()
         self._make_hosts()
         await fleet.wait_until_answering(["platform"])
+        await self._start_proxies()
         await self.publish_hosts()
         for runner in self.runners_by_id.values():
             await fleet.start(self._runner_spec(runner))
@@ -188,11 +218,28 @@
     async def publish_hosts(self) -> None:
         """Put the hosts and runners into the platform's host list."""
         document = {
-            "hosts": [from_entry_host(host) for host in self.hosts_by_id.values()],
-            "runners": [from_runner(runner) for runner in self.runners_by_id.values()],
+            "hosts": [
+                from_entry_host(
+                    host._replace(peer=self._listed_by_name.get(host_id, host.peer))
+                )
+                for host_id, host in self.hosts_by_id.items()
+            ],
+            "runners": [
+                from_runner(
+                    runner._replace(
+                        address=self._listed_by_name.get(runner_id, runner.address)
+                    )
+                )
+                for runner_id, runner in self.runners_by_id.items()
+            ],
         }
         await self.fleet.call("platform", "PUT", "/test/hosts", document=document)
 
+    async def set_mode(self, name: str, mode: Mode) -> None:
+        """Set what the proxy before a host or runner does with bytes."""
+        document = {"mode": mode.value}
+        await self.fleet.call(_proxy_name(name), "PUT", "/test/mode", document=document)
+
     async def mark_leaving(self, name: str) -> None:
         """Let the host list say that a host or runner is leaving."""
         if name in self.hosts_by_id:
@@ -225,15 +272,41 @@
                 )
 
             await self.fleet.wait_for(in_force, f"{host_id} has revision {revision}")
-        for runner in self.runners_by_id.values():
-            if runner.kind is not ServiceKind.ENGINE:
-                continue
 
-            async def ready(name: str = runner.runner_id) -> bool:
-                answer = await self.fleet.call(name, "GET", "/v1/order")
-                return bool(answer.to_json()["state"] == "ready")
-
-            await self.fleet.wait_for(ready, f"{runner.runner_id} is ready")
+            async def has_engines(host_id: str = host_id) -> bool:
+                return await self._has_ready_engines(host_id)
+
+            await self.fleet.wait_for(has_engines, f"{host_id} has ready engines")
+
+    async def _has_ready_engines(self, host_id: str) -> bool:
+        """Return whether a host knows as many ready engines as the text can have."""
+        answer = await self.fleet.call(host_id, "GET", "/v1/services")
+        engines = [
+            service
+            for service in answer.to_json()["services"]
+            if service["kind"] == ServiceKind.ENGINE
+        ]
+        n_wanted = sum(service["max_runners"] for service in engines)
+        n_engines = sum(
+            runner.kind is ServiceKind.ENGINE for runner in self.runners_by_id.values()
+        )
+        n_ready = sum(service["n_ready"] for service in engines)
+        return bool(n_ready >= min(n_wanted, n_engines))
+
+    async def _start_proxies(self) -> None:
+        for name in self._proxied:
+            listen, control = free_addresses(2)
+            target = (
+                self.hosts_by_id[name].peer
+                if name in self.hosts_by_id
+                else self.runners_by_id[name].address
+            )
+            extra = ("--target", str(target), "--control", str(control))
+            proxy = _proxy_name(name)
+            self._listed_by_name[name] = listen
+            self.fleet.addresses_by_name[proxy] = control
+            await self.fleet.start(_standin(proxy, "proxy", listen, *extra))
+            await self.fleet.wait_until_answering([proxy])
 
     def _make_runners(self) -> None:
         for group in self.deployment.runners:
@@ -268,7 +341,9 @@
         if runner.service:
             extra: tuple[str, ...] = ("--service", runner.service)
             return _standin(runner.runner_id, "plain", runner.address, *extra)
-        extra = ("--slots", str(runner.slots), *self._engine_arguments)
+        store = str(self.fleet.addresses_by_name["platform"])
+        extra = ("--slots", str(runner.slots), "--weight-store", store)
+        extra += self._engine_arguments
         return _standin(runner.runner_id, "engine", runner.address, *extra)
 
     def _host_spec(self, host: EntryHost) -> ProcessSpec:
@@ -287,6 +362,10 @@
         return ProcessSpec(host.host_id, arguments)
 
 
+def _proxy_name(name: str) -> str:
+    return f"proxy-{name}"
+
+
 def _standin(name: str, kind: str, address: Address, *extra: str) -> ProcessSpec:
     arguments = ("damaskjunction.standins", kind, "--address", str(address), *extra)
     return ProcessSpec(name, arguments)
--- a/libs/wire/src/damaskjunction/wire/__init__.py
+++ b/libs/wire/src/damaskjunction/wire/__init__.py
@@ -11,30 +11,42 @@
     message_types,
     register_message,
 )
-from damaskjunction.wire.links import (
-    CallHandler,
-    PeerLinks,
-    PeerServer,
-    Reply,
+from damaskjunction.wire.control import (
+    DataCentreQuery,
+    DataCentreStatus,
+    DocumentQuery,
+    DocumentText,
+    MemberList,
+    MembersQuery,
 )
+from damaskjunction.wire.links import PeerLinks
 from damaskjunction.wire.messages import (
     Failure,
     HostStatus,
     JobStopped,
+    PlacementQuery,
     StatusQuery,
     StopJob,
 )
+from damaskjunction.wire.sessions import CallHandler, PeerServer, Reply
 
 __all__ = [
     "CallHandler",
+    "DataCentreQuery",
+    "DataCentreStatus",
     "DecodeError",
+    "DocumentQuery",
+    "DocumentText",
     "Failure",
     "Frame",
     "HostStatus",
     "JobStopped",
+    "MemberList",
+    "MembersQuery",
     "Message",
     "PeerLinks",
     "PeerServer",
+    "PlacementQuery",
     "Reply",
     "StatusQuery",
     "StopJob",
--- a/libs/wire/src/damaskjunction/wire/messages.py
+++ b/libs/wire/src/damaskjunction/wire/messages.py
@@ -8,7 +8,15 @@
 from typing import NamedTuple
 
 from damaskjunction.core import HostId, JobId, Outcome, RequestError, Revision
-from damaskjunction.routing import Forward, PlainAnswer, RunnerLoad, StreamEnd, Token
+from damaskjunction.placement import RunnerStatus, ServiceLoad
+from damaskjunction.routing import (
+    Forward,
+    PlainAnswer,
+    RunnerLoad,
+    StreamEnd,
+    Token,
+    VerdictNews,
+)
 from damaskjunction.wire.codec import register_message
 
 
@@ -48,6 +56,11 @@
     state: str
 
 
+@register_message
+class PlacementQuery(NamedTuple):
+    """Asks a host for the states of its runners and the load of services."""
+
+
 @register_message
 class StopJob(NamedTuple):
     """Tells a host to end its work on a job that is cancelled."""
@@ -62,5 +75,14 @@
     job_id: JobId
 
 
-for _message_type in (Forward, Token, StreamEnd, PlainAnswer, RunnerLoad):
+for _message_type in (
+    RunnerStatus,
+    ServiceLoad,
+    Forward,
+    Token,
+    StreamEnd,
+    PlainAnswer,
+    RunnerLoad,
+    VerdictNews,
+):
     register_message(_message_type)
