Give the small deployment its ceiling back, without which no batch runs

Its own batch section replaced that with the ceiling, and a ceiling of 0 with no online peak seen leaves no budget: every batch scenario waited for items that never started.

--- a/libs/standins/src/damaskjunction/standins/deployment.py
+++ b/libs/standins/src/damaskjunction/standins/deployment.py
@@ -131,7 +131,7 @@
     runners=(RunnerGroup("caddie", 2), RunnerGroup("fleet-api", 1, "fleet-api")),
     text={
         **LIMA.text,
-        "batch": {"lease_s": SMALL_LEASE_S},
+        "batch": {"ceiling_per_minute": TOKENS_PER_MINUTE, "lease_s": SMALL_LEASE_S},
         "services": {
             "fleet-api": {**LIMA.text["services"]["fleet-api"], "min_runners": 1},
             "caddie-llm": {
