--- a/libs/lab/src/damaskjunction/lab/__main__.py
+++ b/libs/lab/src/damaskjunction/lab/__main__.py
@@ -7,11 +7,15 @@
 import sys
 from pathlib import Path
 
+import damaskjunction.lab.admission
 import damaskjunction.lab.batch
 import damaskjunction.lab.batch_faults
+import damaskjunction.lab.control
+import damaskjunction.lab.editors
 import damaskjunction.lab.faults
 import damaskjunction.lab.online
-import damaskjunction.lab.peak  # noqa: F401 - registers its experiments
+import damaskjunction.lab.peak
+import damaskjunction.lab.placement  # noqa: F401 - registers its experiments
 from damaskjunction.lab.demo import run_demo
 from damaskjunction.lab.experiments import ExperimentOptions, experiments
 from damaskjunction.lab.playground import run_playground
