--- a/libs/node/features/steps/placement_steps.py
+++ b/libs/node/features/steps/placement_steps.py
@@ -110,11 +110,6 @@
     run(context, fleet.wait_until_answering([name]))
 
 
-@when("the platform is down")
-def stop_platform(context):
-    set_fault(context, "platform", down=1)
-
-
 @when("the platform is up")
 def resume_platform(context):
     set_fault(context, "platform", down=0)
