--- a/libs/node/features/steps/placement_steps.py
+++ b/libs/node/features/steps/placement_steps.py
@@ -110,9 +110,9 @@
     run(context, fleet.wait_until_answering([name]))
 
 
-@when("the platform is {state}")
-def set_platform(context, state):
-    set_fault(context, "platform", down=int(state == "down"))
+@when("the platform is up")
+def resume_platform(context):
+    set_fault(context, "platform", down=0)
 
 
 @when("the platform loses the answers of the next {count:d} writes")
