Keep the limit from collapsing when few tokens are late

Cause: a few late tokens count as load, the limit shrinks without any effect on them, and shrinks again. Not ruled out: a change of homes while membership lost sight of hosts.

--- a/libs/routing/src/damaskjunction/routing/limits.py
+++ b/libs/routing/src/damaskjunction/routing/limits.py
@@ -21,7 +21,9 @@
 GROW_SLACK = 1
 MAX_SAMPLES = 1000
 PERCENTILE = 0.95
+TAIL_BOUND = 2.0
 START_SHARE = 0.5
+FLOOR_SHARE = 0.375
 DECREASE = 0.85
 BATCH_DECREASE = 0.5
 GROW_BELOW = 0.9
@@ -99,7 +101,8 @@
     """Limits that follow the runner's token interval and first-token time.
 
     They start at a part of the runner's slots, since a new home can't see what others
-    have under way there, and never pass the slots.
+    have under way there, and never pass the slots. The total never falls below a part
+    of them, since tokens may be late for reasons that fewer requests don't mend.
 
     Parameters
     ----------
@@ -111,8 +114,8 @@
 
     def __init__(self, slots: int, targets: Targets) -> None:
         self._targets = targets
-        self._total = _Limit(slots)
-        self._batch = _Limit(slots)
+        self._total = _Limit(slots, floor=int(slots * FLOOR_SHARE))
+        self._batch = _Limit(slots, floor=1)
         self._window = _Window()
         self._windows: deque[_Window] = deque([self._window], WINDOWS_KEPT)
         self._window_end_s = -math.inf
@@ -178,7 +181,11 @@
             self._batch.grow(n_batch, now_s)
 
     def _interval_s(self, work_class: WorkClass) -> float:
-        """Return the high percentile of the token interval, 0 for too few."""
+        """Return the high percentile of the token interval, 0 for too few.
+
+        It counts for ``TAIL_BOUND`` times the median at most: load delays every token,
+        and a long tail over a low median comes from elsewhere.
+        """
         samples = sorted(
             interval_s
             for window in self._windows
@@ -186,7 +193,9 @@
         )
         if len(samples) < MIN_SAMPLES:
             return 0.0
-        return samples[int(PERCENTILE * len(samples))]
+        median_s = samples[len(samples) // 2]
+        high_s = samples[int(PERCENTILE * len(samples))]
+        return min(high_s, TAIL_BOUND * median_s)
 
     def _is_first_token_late(self) -> bool:
         """Return whether more first tokens came late than the target allows."""
@@ -201,8 +210,9 @@
     Each time it fails there again, it waits twice as long until the next try.
     """
 
-    def __init__(self, slots: int) -> None:
+    def __init__(self, slots: int, *, floor: int) -> None:
         self._slots = slots
+        self._floor = max(1, floor)
         self._failed = slots + 1
         self._shrunk_at_s = -math.inf
         self._retry_s = RETRY_GROWTH_S
@@ -216,7 +226,7 @@
         self._retry_s = longer_s if is_again else RETRY_GROWTH_S
         self._failed = failed
         self._shrunk_at_s = now_s
-        self.value = max(1, int(self._failed * factor))
+        self.value = max(self._floor, int(self._failed * factor))
 
     def grow(self, n_used: int, now_s: float) -> None:
         """Rise by one when the limit was in use."""
