--- a/libs/lab/features/steps/matrix_steps.py
+++ b/libs/lab/features/steps/matrix_steps.py
@@ -6,31 +6,43 @@
 
 from behave import given, then, when
 
-from damaskjunction.lab.matrix import Cell, faults, flows, run_cell
+from damaskjunction.lab.matrix import Cell, faults, flows, needs_proxies, run_cell
+from damaskjunction.standins import deployed_names
 from damaskjunction.standins.scenarios import run, start_fleet
 
 
-@given('a running "{name}" fleet')
-def start(context, name):
-    start_fleet(context, name)
-
+@given('the cell of "{fault}" at step "{step}" of flow "{flow}"')
+def choose_cell(context, fault, step, flow):
+    context.cell = Cell(flow, step, (fault,))
 
-@when('"{fault}" strikes at step "{step}" of flow "{flow}"')
-def run_one(context, fault, step, flow):
-    run(context, run_cell(context.deployed, Cell(flow, step, tuple(fault.split("+")))))
 
-
-@when("two faults chosen with seed {seed:d} strike")
-def run_double(context, seed):
+@given("the cell of two faults chosen with seed {seed:d}")
+def choose_double(context, seed):
     chance = random.Random(seed)
     names = [name for name in faults if name != "none"]
     flow = chance.choice(list(flows))
     step = chance.choice(flows.get(flow).steps)
-    cell = Cell(flow, step, tuple(chance.sample(names, 2)), seed)
-    print(f"cell: {cell}")
-    run(context, run_cell(context.deployed, cell))
+    context.cell = Cell(flow, step, tuple(chance.sample(names, 2)), seed)
+    print(f"cell: {context.cell}")
+
+
+@given('a running "{name}" fleet for it')
+def start(context, name):
+    proxied = deployed_names(name) if needs_proxies(context.cell) else ()
+    start_fleet(context, name, proxied=proxied)
+
+
+@when("the faults strike")
+def strike(context):
+    try:
+        run(context, run_cell(context.deployed, context.cell))
+    except AssertionError as error:
+        context.broken_promise = error
+    else:
+        context.broken_promise = None
 
 
-@then("every promise held")
+@then("every promise holds")
 def check(context):
-    assert context.deployed is not None
+    if context.broken_promise is not None:
+        raise context.broken_promise
--- a/libs/lab/src/damaskjunction/lab/matrix/__init__.py
+++ b/libs/lab/src/damaskjunction/lab/matrix/__init__.py
@@ -2,6 +2,12 @@
 
 from damaskjunction.lab.matrix import faults as _faults  # noqa: F401 - fills a registry
 from damaskjunction.lab.matrix import flows as _flows  # noqa: F401 - fills a registry
-from damaskjunction.lab.matrix.situation import Cell, faults, flows, run_cell
+from damaskjunction.lab.matrix.situation import (
+    Cell,
+    faults,
+    flows,
+    needs_proxies,
+    run_cell,
+)
 
-__all__ = ["Cell", "faults", "flows", "run_cell"]
+__all__ = ["Cell", "faults", "flows", "needs_proxies", "run_cell"]
--- a/libs/lab/src/damaskjunction/lab/matrix/faults.py
+++ b/libs/lab/src/damaskjunction/lab/matrix/faults.py
@@ -4,7 +4,8 @@
 
 from collections.abc import Mapping
 
-from damaskjunction.lab.matrix.situation import Fault, Situation, faults
+from damaskjunction.lab.matrix.situation import Act, Fault, Situation, faults
+from damaskjunction.standins import Mode
 
 SLOW_S = 0.8
 LOST_ANSWERS = 2
@@ -87,6 +88,21 @@
     await _set_faults(situation, "platform", {"lose_answers": LOST_ANSWERS})
 
 
+def _set_path(of_runner: bool, mode: Mode) -> Act:
+    """Return what sets the path to the runner or to the victim's peer address."""
+
+    async def act(situation: Situation) -> None:
+        name = situation.runner if of_runner else situation.victim
+        await situation.deployed.set_mode(name, mode)
+
+    return act
+
+
+def _path_fault(of_runner: bool, mode: Mode) -> Fault:
+    inject = _set_path(of_runner, mode)
+    return Fault(inject, _set_path(of_runner, Mode.PASS), needs_proxies=True)
+
+
 faults.register("none")(Fault(_do_nothing, _do_nothing))
 faults.register("host_kill")(Fault(_kill_host, _restart_host))
 faults.register("host_freeze")(Fault(_freeze_host, _thaw_host))
@@ -97,3 +113,9 @@
 faults.register("platform_down")(Fault(_platform_down, _platform_up))
 faults.register("platform_slow")(Fault(_platform_slow, _platform_fast))
 faults.register("lost_answer")(Fault(_lose_answers, _do_nothing))
+faults.register("runner_path_silent")(_path_fault(True, Mode.SILENT))
+faults.register("runner_connections_silent")(_path_fault(True, Mode.SILENT_OLD))
+faults.register("peer_path_silent")(_path_fault(False, Mode.SILENT))
+faults.register("peer_connections_silent")(_path_fault(False, Mode.SILENT_OLD))
+faults.register("peer_cut_forward")(_path_fault(False, Mode.CUT_FORWARD))
+faults.register("peer_cut_back")(_path_fault(False, Mode.CUT_BACK))
--- a/libs/lab/src/damaskjunction/lab/matrix/situation.py
+++ b/libs/lab/src/damaskjunction/lab/matrix/situation.py
@@ -66,10 +66,14 @@
 
 
 class Fault(NamedTuple):
-    """A fault: how it begins and how it ends."""
+    """A fault: how it begins and how it ends.
+
+    ``needs_proxies`` tells that hosts and runners must be behind proxies.
+    """
 
     inject: Act
     heal: Act
+    needs_proxies: bool = False
 
 
 class Flow(NamedTuple):
@@ -83,6 +87,11 @@
 flows: Registry[Flow] = Registry("flow")
 
 
+def needs_proxies(cell: Cell) -> bool:
+    """Return whether a cell's fleet must have its hosts and runners behind proxies."""
+    return any(faults.get(name).needs_proxies for name in cell.faults)
+
+
 async def run_cell(deployed: DeployedFleet, cell: Cell) -> None:
     """Run one cell on a fleet with its text in force.
 
--- a/libs/standins/src/damaskjunction/standins/__init__.py
+++ b/libs/standins/src/damaskjunction/standins/__init__.py
@@ -5,6 +5,7 @@
     DeployedFleet,
     Deployment,
     RunnerGroup,
+    deployed_names,
     deployments,
 )
 from damaskjunction.standins.engine import (
@@ -44,6 +45,7 @@
     "ProcessSpec",
     "ProxyStandin",
     "RunnerGroup",
+    "deployed_names",
     "deployments",
     "free_addresses",
     "parse_events",
--- a/libs/standins/src/damaskjunction/standins/deployment.py
+++ b/libs/standins/src/damaskjunction/standins/deployment.py
@@ -172,6 +172,22 @@
 deployments.register("lima-five-hosts")(LIMA._replace(n_hosts=5))
 
 
+def deployed_names(name: str) -> tuple[str, ...]:
+    """Return the names of all hosts and runners of a deployment."""
+    deployment = deployments.get(name)
+    centres = deployment.data_centres
+    hosts = (
+        f"{centres[number % len(centres)]}-{number}"
+        for number in range(deployment.n_hosts)
+    )
+    runners = (
+        f"{group.prefix}-{number}"
+        for group in deployment.runners
+        for number in range(group.n_runners)
+    )
+    return (*hosts, *runners)
+
+
 class DeployedFleet:
     """A deployment as running processes.
 
