Split reports from the placer; go on after an unexpected failure of a round

A round or a lease step that fails for a reason nobody thought of is logged with its traceback, and the next one starts afresh, since a region without a planning loop is worse.

--- a/libs/node/src/damaskjunction/node/leasing.py
+++ b/libs/node/src/damaskjunction/node/leasing.py
@@ -92,10 +92,14 @@
 
     async def _run(self) -> None:
         while True:
-            if self._view.is_draining:
-                await self._release()
-            else:
-                await self._step()
+            try:
+                if self._view.is_draining:
+                    await self._release()
+                else:
+                    await self._step()
+            except Exception:
+                logger.exception("lease step failed")
+                self.lease.doubt()
             await asyncio.sleep(STEP_S)
 
     async def _step(self) -> None:
--- a/libs/node/src/damaskjunction/node/placer.py
+++ b/libs/node/src/damaskjunction/node/placer.py
@@ -6,25 +6,17 @@
 import contextlib
 import json
 import logging
-import math
 import uuid
-from collections import Counter
-from collections.abc import Iterable
-from typing import Any, NamedTuple
+from typing import Any
 
 from damaskjunction.core import (
     ConflictError,
-    EntryHost,
-    HostId,
     Plan,
     PlatformError,
-    RequestError,
     Runner,
-    ServiceName,
     Timers,
 )
 from damaskjunction.http import HttpClient
-from damaskjunction.node.demand import DemandMeter
 from damaskjunction.node.documents import PLAN_KIND
 from damaskjunction.node.engine_orders import (
     OrderFailedError,
@@ -36,46 +28,26 @@
 from damaskjunction.node.leasing import LeaseKeeper, LeaseLostError
 from damaskjunction.node.probing import RunnerProbes
 from damaskjunction.node.state import HostView
+from damaskjunction.node.state_reports import ROUND_S, StateReports
 from damaskjunction.placement import (
-    STALE_AFTER_S,
-    DemandBook,
     OrderBook,
     PlanInput,
     ReadBack,
-    ReportDigest,
-    RunnerBook,
     RunnerStatus,
     SendOrder,
-    ServiceLoad,
     from_plan,
     make_plan,
 )
 from damaskjunction.platform import ObjectStore
 from damaskjunction.telemetry import Metrics
-from damaskjunction.wire import PeerLinks, PlacementQuery
 
 logger = logging.getLogger(__name__)
 
-ROUND_S = 1.0
 MIN_PAUSE_S = 0.25
-MIN_GATHER_S = 0.75
-STALE_ROUNDS = 3
-HOSTS_PER_ROUND = 25
-QUERY_TIMEOUT_S = 1.0
-CONTROL_LANE = "control"
 
 PLANS = "placement_plans_total"
 MOVES = "placement_moves_total"
 ORDERS = "placement_orders_total"
-QUERIES = "placement_queries_total"
-NEWS = "placement_news_total"
-
-
-class _Report(NamedTuple):
-    """States of a host's runners as it told them last."""
-
-    digest: int = 0
-    statuses: tuple[RunnerStatus, ...] = ()
 
 
 class Placer:
@@ -90,14 +62,12 @@
         Configuration, runners and the plan in force.
     store : ObjectStore
         The platform's service.
-    links : PeerLinks
-        Links to the other hosts.
     keeper : LeaseKeeper
         The region's lease.
     probes : RunnerProbes
         States of the runners whose home this host is.
-    demand : DemandMeter
-        Load of services at this host.
+    reports : StateReports
+        States and load of the whole region.
     timers : Timers
         The process's timer service.
     metrics : Metrics
@@ -108,33 +78,24 @@
         self,
         view: HostView,
         store: ObjectStore,
-        links: PeerLinks,
         *,
         keeper: LeaseKeeper,
         probes: RunnerProbes,
-        demand: DemandMeter,
+        reports: StateReports,
         timers: Timers,
         metrics: Metrics,
     ) -> None:
         self._view = view
         self._store = store
-        self._links = links
         self._keeper = keeper
         self._probes = probes
-        self._demand = demand
+        self._reports = reports
         self._timers = timers
         self._metrics = metrics
         self._client = HttpClient(timers)
-        self._book = RunnerBook()
         self._orders = OrderBook()
-        self._wanted = DemandBook()
-        self._loads_by_host: dict[HostId, Counter[ServiceName]] = {}
-        self._reports_by_host: dict[HostId, _Report] = {}
-        self._gathered_at_s = -ROUND_S
-        self._n_rounds = 0
         self._planned_from: PlanInput | None = None
         self._wake = asyncio.Event()
-        self._news: set[asyncio.Task[None]] = set()
         self._task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
@@ -148,9 +109,7 @@
         if self._task is not None:
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
-        for news in self._news:
-            news.cancel()
-        await asyncio.gather(*self._news, return_exceptions=True)
+        await self._reports.close()
         self._client.close()
 
     def to_document(self) -> dict[str, Any]:
@@ -160,8 +119,8 @@
             "may_act": self._keeper.may_act(),
             "fence": lease.fence,
             "holder": lease.seen_holder,
-            "runners": self._book.statuses(self._timers.now()),
-            "wanted": self._wanted.wanted(self._view.configuration),
+            "runners": self._reports.book.statuses(self._timers.now()),
+            "wanted": self._reports.wanted.wanted(self._view.configuration),
         }
 
     async def _run(self) -> None:
@@ -172,6 +131,9 @@
                 await self._run_round()
             except PlatformError as error:
                 logger.warning("round failed", extra={"error": str(error)})
+            except Exception:
+                logger.exception("round failed")  # the next one starts afresh
+                self._forget()
             await asyncio.sleep(MIN_PAUSE_S)
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(ROUND_S - MIN_PAUSE_S):
@@ -181,20 +143,17 @@
         if not self._keeper.may_act() or not self._view.is_ready:
             self._forget()
             return
-        if not await self._gather_reports():
+        if not await self._reports.gather():
             return
         runners = self._region_runners()
-        self._book.forget_others({runner.runner_id for runner in runners})
+        self._reports.book.forget_others({runner.runner_id for runner in runners})
         await self._plan(runners)
         await self._act({runner.runner_id: runner for runner in runners})
 
     def _forget(self) -> None:
         """Start from nothing when the lease is taken the next time."""
-        self._book.clear()
+        self._reports.clear()
         self._orders.clear()
-        self._loads_by_host.clear()
-        self._reports_by_host.clear()
-        self._n_rounds = 0
         self._planned_from = None
 
     def _region_runners(self) -> list[Runner]:
@@ -202,86 +161,18 @@
         runners = sorted(self._view.fleet.runners_by_id.values())
         return [runner for runner in runners if runner.region == region]
 
-    # Reports
-
-    async def _gather_reports(self) -> bool:
-        """Ask this round's part of the hosts; return whether all were asked once."""
-        region = self._view.own.region
-        hosts = [
-            host for host in self._view.fleet.live_hosts() if host.region == region
-        ]
-        n_parts = max(1, math.ceil(len(hosts) / HOSTS_PER_ROUND))
-        self._book.stale_after_s = max(STALE_AFTER_S, STALE_ROUNDS * n_parts * ROUND_S)
-        now_s = self._timers.now()
-        if self._n_rounds >= n_parts and now_s < self._gathered_at_s + MIN_GATHER_S:
-            return True
-        self._gathered_at_s = now_s
-        part = hosts[self._n_rounds % n_parts :: n_parts]
-        self._n_rounds += 1
-        await asyncio.gather(*(self._ask(host) for host in part))
-        known = {host.host_id for host in hosts}
-        for host_id in self._loads_by_host.keys() - known:
-            del self._loads_by_host[host_id]
-            del self._reports_by_host[host_id]
-        total: Counter[ServiceName] = Counter()
-        for loads in self._loads_by_host.values():
-            total.update(loads)
-        self._wanted.note(self._timers.now(), self._view.configuration, total)
-        return self._n_rounds >= n_parts
-
-    async def _ask(self, host: EntryHost) -> None:
-        known = self._reports_by_host.get(host.host_id, _Report())
-        if host.host_id == self._view.own.host_id:
-            messages = [*self._probes.report(known.digest), *self._demand.loads()]
-        else:
-            messages = await self._query(host, known.digest)
-        report = _to_report(messages, known)
-        self._reports_by_host[host.host_id] = report
-        for status in report.statuses:
-            self._book.take(self._timers.now(), status)
-        loads: Counter[ServiceName] = Counter()
-        for message in messages:
-            if isinstance(message, ServiceLoad):
-                loads[message.service_name] += message.in_flight
-        self._loads_by_host[host.host_id] = loads
-
-    async def _query(self, host: EntryHost, known_digest: int) -> list[Any]:
-        messages: list[Any] = []
-        try:
-            async with asyncio.timeout(QUERY_TIMEOUT_S):
-                query = PlacementQuery(known_digest)
-                call = self._links.call(host.peer, CONTROL_LANE, query)
-                messages = [message async for message in call]
-        except (RequestError, TimeoutError):
-            self._metrics.count(QUERIES, result="failed")
-            return []
-        self._metrics.count(QUERIES, result="answered")
-        return messages
-
     def take_change(self, status: RunnerStatus) -> None:
         """Take a changed state, or pass it on to the lease holder if that is known.
 
         Rounds bring every state in the end; this is sooner in a region of many hosts.
         """
         if self._keeper.may_act():
-            self._book.take(self._timers.now(), status)
+            self._reports.book.take(self._timers.now(), status)
             self._wake.set()
             return
         holder = self._view.fleet.hosts_by_id.get(self._keeper.holder_id())
         if holder is not None and holder.host_id != self._view.own.host_id:
-            news = asyncio.ensure_future(self._tell(holder, status))
-            self._news.add(news)
-            news.add_done_callback(self._news.discard)
-
-    async def _tell(self, holder: EntryHost, status: RunnerStatus) -> None:
-        try:
-            async with asyncio.timeout(QUERY_TIMEOUT_S):
-                async for _ in self._links.call(holder.peer, CONTROL_LANE, status):
-                    pass
-        except (RequestError, TimeoutError):
-            self._metrics.count(NEWS, result="failed")
-        else:
-            self._metrics.count(NEWS, result="told")
+            self._reports.tell(holder, status)
 
     # Plans
 
@@ -293,8 +184,8 @@
             view.configuration,
             runners,
             view.plan,
-            self._book.statuses(self._timers.now()),
-            self._wanted.wanted(view.configuration),
+            self._reports.book.statuses(self._timers.now()),
+            self._reports.wanted.wanted(view.configuration),
         )
         if given == self._planned_from:
             return
@@ -340,7 +231,7 @@
         actions = self._orders.next_actions(
             now_s,
             self._view.plan,
-            self._book.statuses(now_s),
+            self._reports.book.statuses(now_s),
             held_since_s=self._keeper.lease.held_since_s,
         )
         steps = []
@@ -378,23 +269,9 @@
             logger.warning("order failed", extra={"error": str(error)})
         else:
             self._metrics.count(ORDERS, result="taken")
-            self._book.take(self._timers.now(), status)
+            self._reports.book.take(self._timers.now(), status)
 
     async def _read_back(self, runner: Runner) -> None:
         status = await read_order(self._client, runner)
         self._metrics.count(ORDERS, result="read_back")
-        self._book.take(self._timers.now(), status._replace(checks_fence=False))
-
-
-def _to_report(messages: Iterable[Any], known: _Report) -> _Report:
-    """Return the report in an answer, the known one when it says no more.
-
-    An answer that is not whole tells nothing, so that its runners' states get old.
-    """
-    digests = [m.digest for m in messages if isinstance(m, ReportDigest)]
-    if not digests:
-        return _Report()
-    if digests[0] == known.digest:
-        return known
-    statuses = tuple(m for m in messages if isinstance(m, RunnerStatus))
-    return _Report(digests[0], statuses)
+        self._reports.book.take(self._timers.now(), status._replace(checks_fence=False))
--- a/libs/node/src/damaskjunction/node/root.py
+++ b/libs/node/src/damaskjunction/node/root.py
@@ -36,6 +36,7 @@
 from damaskjunction.node.selection import Selection
 from damaskjunction.node.services import ServicesFront
 from damaskjunction.node.state import HostView
+from damaskjunction.node.state_reports import StateReports
 from damaskjunction.placement import RunnerStatus
 from damaskjunction.platform import PlatformClient
 from damaskjunction.routing import Forward, VerdictNews, admission_policies
@@ -240,13 +241,20 @@
     )
     probes = RunnerProbes(view, timers, metrics)
     keeper = LeaseKeeper(view, shared.store, timers, metrics)
+    reports = StateReports(
+        view,
+        shared.links,
+        probes=probes,
+        demand=online.demand,
+        timers=timers,
+        metrics=metrics,
+    )
     placer = Placer(
         view,
         shared.store,
-        shared.links,
         keeper=keeper,
         probes=probes,
-        demand=online.demand,
+        reports=reports,
         timers=timers,
         metrics=metrics,
     )
--- /dev/null
+++ b/libs/node/src/damaskjunction/node/state_reports.py
@@ -0,0 +1,191 @@
+"""What the lease holder learns of its region: states of runners and load."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from collections import Counter
+from collections.abc import Iterable
+from typing import Any, NamedTuple
+
+from damaskjunction.core import (
+    EntryHost,
+    HostId,
+    RequestError,
+    ServiceName,
+    Timers,
+)
+from damaskjunction.node.demand import DemandMeter
+from damaskjunction.node.probing import RunnerProbes
+from damaskjunction.node.state import HostView
+from damaskjunction.placement import (
+    STALE_AFTER_S,
+    DemandBook,
+    ReportDigest,
+    RunnerBook,
+    RunnerStatus,
+    ServiceLoad,
+)
+from damaskjunction.telemetry import Metrics
+from damaskjunction.wire import PeerLinks, PlacementQuery
+
+ROUND_S = 1.0
+MIN_GATHER_S = 0.75
+STALE_ROUNDS = 3
+HOSTS_PER_ROUND = 25
+QUERY_TIMEOUT_S = 1.0
+CONTROL_LANE = "control"
+
+QUERIES = "placement_queries_total"
+NEWS = "placement_news_total"
+
+
+class _Report(NamedTuple):
+    """States of a host's runners as it told them last."""
+
+    digest: int = 0
+    statuses: tuple[RunnerStatus, ...] = ()
+
+
+class StateReports:
+    """Asks the region's hosts in rounds, a bounded number a second.
+
+    Parameters
+    ----------
+    view : HostView
+        Tells the region's hosts.
+    links : PeerLinks
+        Links to the other hosts.
+    probes : RunnerProbes
+        States of the runners whose home this host is.
+    demand : DemandMeter
+        Load of services at this host.
+    timers : Timers
+        The process's timer service.
+    metrics : Metrics
+        Takes the number of queries.
+    """
+
+    def __init__(
+        self,
+        view: HostView,
+        links: PeerLinks,
+        *,
+        probes: RunnerProbes,
+        demand: DemandMeter,
+        timers: Timers,
+        metrics: Metrics,
+    ) -> None:
+        self.book = RunnerBook()
+        self.wanted = DemandBook()
+        self._view = view
+        self._links = links
+        self._probes = probes
+        self._demand = demand
+        self._timers = timers
+        self._metrics = metrics
+        self._loads_by_host: dict[HostId, Counter[ServiceName]] = {}
+        self._reports_by_host: dict[HostId, _Report] = {}
+        self._gathered_at_s = -ROUND_S
+        self._n_rounds = 0
+        self._news: set[asyncio.Task[None]] = set()
+
+    async def close(self) -> None:
+        """Give up what is being told to the lease holder."""
+        for news in self._news:
+            news.cancel()
+        await asyncio.gather(*self._news, return_exceptions=True)
+
+    def clear(self) -> None:
+        """Forget everything, as when the lease is not held."""
+        self.book.clear()
+        self._loads_by_host.clear()
+        self._reports_by_host.clear()
+        self._n_rounds = 0
+
+    async def gather(self) -> bool:
+        """Ask this round's part of the hosts; return whether all were asked once."""
+        region = self._view.own.region
+        hosts = [
+            host for host in self._view.fleet.live_hosts() if host.region == region
+        ]
+        n_parts = max(1, math.ceil(len(hosts) / HOSTS_PER_ROUND))
+        self.book.stale_after_s = max(STALE_AFTER_S, STALE_ROUNDS * n_parts * ROUND_S)
+        now_s = self._timers.now()
+        if self._n_rounds >= n_parts and now_s < self._gathered_at_s + MIN_GATHER_S:
+            return True
+        self._gathered_at_s = now_s
+        part = hosts[self._n_rounds % n_parts :: n_parts]
+        self._n_rounds += 1
+        await asyncio.gather(*(self._ask(host) for host in part))
+        self._note_loads({host.host_id for host in hosts})
+        return self._n_rounds >= n_parts
+
+    def _note_loads(self, known: set[HostId]) -> None:
+        """Note the sum of the loads that the known hosts told last."""
+        for host_id in self._loads_by_host.keys() - known:
+            del self._loads_by_host[host_id]
+            del self._reports_by_host[host_id]
+        total: Counter[ServiceName] = Counter()
+        for loads in self._loads_by_host.values():
+            total.update(loads)
+        self.wanted.note(self._timers.now(), self._view.configuration, total)
+
+    async def _ask(self, host: EntryHost) -> None:
+        known = self._reports_by_host.get(host.host_id, _Report())
+        if host.host_id == self._view.own.host_id:
+            messages = [*self._probes.report(known.digest), *self._demand.loads()]
+        else:
+            messages = await self._query(host, known.digest)
+        report = _to_report(messages, known)
+        self._reports_by_host[host.host_id] = report
+        for status in report.statuses:
+            self.book.take(self._timers.now(), status)
+        loads: Counter[ServiceName] = Counter()
+        for message in messages:
+            if isinstance(message, ServiceLoad):
+                loads[message.service_name] += message.in_flight
+        self._loads_by_host[host.host_id] = loads
+
+    async def _query(self, host: EntryHost, known_digest: int) -> list[Any]:
+        messages: list[Any] = []
+        try:
+            async with asyncio.timeout(QUERY_TIMEOUT_S):
+                query = PlacementQuery(known_digest)
+                call = self._links.call(host.peer, CONTROL_LANE, query)
+                messages = [message async for message in call]
+        except (RequestError, TimeoutError):
+            self._metrics.count(QUERIES, result="failed")
+            return []
+        self._metrics.count(QUERIES, result="answered")
+        return messages
+
+    def tell(self, holder: EntryHost, status: RunnerStatus) -> None:
+        """Tell a changed state to the lease holder, which a round would do later."""
+        news = asyncio.ensure_future(self._tell(holder, status))
+        self._news.add(news)
+        news.add_done_callback(self._news.discard)
+
+    async def _tell(self, holder: EntryHost, status: RunnerStatus) -> None:
+        try:
+            async with asyncio.timeout(QUERY_TIMEOUT_S):
+                async for _ in self._links.call(holder.peer, CONTROL_LANE, status):
+                    pass
+        except (RequestError, TimeoutError):
+            self._metrics.count(NEWS, result="failed")
+        else:
+            self._metrics.count(NEWS, result="told")
+
+
+def _to_report(messages: Iterable[Any], known: _Report) -> _Report:
+    """Return the report in an answer, the known one when it says no more.
+
+    An answer that is not whole tells nothing, so that its runners' states get old.
+    """
+    digests = [m.digest for m in messages if isinstance(m, ReportDigest)]
+    if not digests:
+        return _Report()
+    if digests[0] == known.digest:
+        return known
+    statuses = tuple(m for m in messages if isinstance(m, RunnerStatus))
+    return _Report(digests[0], statuses)
