--- a/libs/node/features/batch.feature
+++ b/libs/node/features/batch.feature
@@ -27,9 +27,9 @@
     Given a fleet with leases of 3 s
     And an accepted job of 400 items
     When items are in flight
-    And the platform goes away
+    And the platform is unavailable to batch
     Then a new job is refused with "not_accepted"
-    When the platform comes back after 5 s
+    When the platform is available again after 5 s
     Then the job completes with the right result for each item
 
   Scenario: Answers of the platform are lost
