--- a/libs/node/features/steps/batch_steps.py
+++ b/libs/node/features/steps/batch_steps.py
@@ -154,7 +154,7 @@
     assert run(context, context.rig.fleet.stop(host)) == 0
 
 
-@when("the platform goes away")
+@when("the platform is unavailable to batch")
 def stop_platform(context):
     run(context, context.rig.set_faults("platform", down=1))
 
@@ -176,7 +176,7 @@
     assert answer.to_json()["error"]["reason"] == reason, answer
 
 
-@when("the platform comes back after {duration_s:d} s")
+@when("the platform is available again after {duration_s:d} s")
 def start_platform(context, duration_s):
     run(context, asyncio.sleep(duration_s))
     run(context, context.rig.set_faults("platform", down=0))
