--- a/libs/node/src/damaskjunction/node/following.py
+++ b/libs/node/src/damaskjunction/node/following.py
@@ -324,7 +324,9 @@
         hosts = await self._store.hosts(after_revision=held)
         if hosts is None:
             return
-        document = HeldDocument(hosts.revision, encode_host_list(hosts))
+        # without its revision, or a change would begin with that and be long
+        body = encode_host_list(hosts._replace(revision=0))
+        document = HeldDocument(hosts.revision, body)
         if self._shelf.put(HOSTS_KEY, document):
             self._spread(HOSTS_KEY)
 
