--- a/libs/node/src/damaskjunction/node/home.py
+++ b/libs/node/src/damaskjunction/node/home.py
@@ -146,12 +146,14 @@
         gate = self._gate(runner, forward)
         end_s = self._timers.now() + forward.deadline_s
         try:
-            async with (
-                self._crashes.guard(runner, forward, end_s) as guard,
-                aclosing(self._admit(gate, runner, forward, guard)) as answer,
-            ):
-                async for message in answer:
-                    yield message
+            async with self._crashes.guard(runner, forward, end_s) as guard:
+                left_s = end_s - self._timers.now()
+                forward = forward._replace(deadline_s=left_s)
+                async with aclosing(
+                    self._admit(gate, runner, forward, guard)
+                ) as answer:
+                    async for message in answer:
+                        yield message
         except RequestError:
             yield _to_load(runner, gate)
             raise
--- a/libs/node/src/damaskjunction/node/runners.py
+++ b/libs/node/src/damaskjunction/node/runners.py
@@ -32,6 +32,7 @@
 
 FIRST_TOKEN_STALL_S = 3.0
 TOKEN_STALL_S = 2.0
+PLAIN_STALL_S = 5.0
 NOT_STARTED_STATUSES = frozenset((404, 405, 409, 429, 503))
 CONTROL_STALL_S = 1.0
 
@@ -201,8 +202,11 @@
     RequestError
         When the answer is not whole.
     """
+    stall_s = forward.deadline_s
+    if forward.idempotent:
+        stall_s = min(PLAIN_STALL_S, stall_s)
     response = await _post(
-        client, runner, forward, forward.body, stream, stall_s=forward.deadline_s
+        client, runner, forward, forward.body, stream, stall_s=stall_s
     )
     try:
         body = await response.read()
