--- a/libs/node/features/steps/membership_steps.py
+++ b/libs/node/features/steps/membership_steps.py
@@ -169,11 +169,6 @@
     context.revision = run(context, apply_and_cut())
 
 
-@when("the platform is down")
-def outage(context):
-    run(context, set_platform(context, down=1))
-
-
 @when("a host is killed and started again")
 def restart(context):
     fleet = context.deployed.fleet
