Take the ports of test processes from below those of outgoing connections

Seen red: delivery.feature, a host killed and restarted, "[Errno 98] error while attempting to bind on address ('127.0.0.1', 40231): address already in use". Cause: an outgoing connection had got the port while its process was down.

--- a/libs/standins/src/damaskjunction/standins/fleet.py
+++ b/libs/standins/src/damaskjunction/standins/fleet.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import random
 import signal
 import socket
 import sys
@@ -23,6 +24,7 @@
 )
 
 LOOPBACK = "127.0.0.1"
+LISTEN_PORTS = range(10_000, 32_000)
 POLL_S = 0.05
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 20.0
@@ -71,19 +73,29 @@
 
 
 def free_addresses(count: int) -> list[Address]:
-    """Return loopback addresses whose ports are free for TCP and UDP now."""
-    sockets = []
+    """Return loopback addresses whose ports are free now.
+
+    The ports lie below those that the kernel gives to outgoing connections, which
+    could take the port of a process while it restarts.
+    """
+    chance = random.SystemRandom()
     addresses: list[Address] = []
     while len(addresses) < count:
-        stream = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        stream.bind((LOOPBACK, 0))
-        sockets.append(stream)
-        addresses.append(Address(LOOPBACK, stream.getsockname()[1]))
-    for stream in sockets:
-        stream.close()
+        address = Address(LOOPBACK, chance.choice(LISTEN_PORTS))
+        if address not in addresses and _is_free(address):
+            addresses.append(address)
     return addresses
 
 
+def _is_free(address: Address) -> bool:
+    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as stream:
+        try:
+            stream.bind(address)
+        except OSError:
+            return False
+    return True
+
+
 class Fleet:
     """Processes by name, their addresses, and calls to them.
 
