--- /dev/null
+++ b/libs/batch/features/steps/decision_steps.py
@@ -0,0 +1,146 @@
+"""Steps of the feature of decisions on jobs."""
+
+from __future__ import annotations
+
+import json
+import random
+
+from behave import given, then, when
+
+from damaskjunction.batch import (
+    GiveUp,
+    ItemReader,
+    ItemTries,
+    JobProgress,
+    OrderInput,
+    Resume,
+    ServiceLedger,
+    forecast_job,
+    job_orders,
+    slice_of,
+)
+from damaskjunction.core import FindingsError, Outcome, RequestError
+
+
+@when("{n_items:d} items of {n_tokens:d} tokens come in pieces of {size:d} bytes")
+def feed_items(context, n_items, n_tokens, size):
+    line = json.dumps({"prompt": "x", "max_tokens": n_tokens})
+    body = "\n".join([line] * n_items).encode()
+    reader = ItemReader("items")
+    chunks = []
+    for first in range(0, len(body), size):
+        chunks += reader.feed(body[first : first + size])
+    chunks += reader.finish()
+    context.sizes = [len(chunk["items"]) for chunk in chunks]
+    assert [chunk["first"] for chunk in chunks] == [
+        sum(context.sizes[:number]) for number in range(len(chunks))
+    ]
+
+
+@then("the chunks have {first:d}, {second:d} and {third:d} items")
+def check_sizes(context, first, second, third):
+    assert context.sizes == [first, second, third], context.sizes
+
+
+@when('the lines "{first}", "{second}", "{third}" come in')
+def feed_lines(context, first, second, third):
+    reader = ItemReader("items")
+    list(reader.feed("\n".join((first, second, third)).encode()))
+    try:
+        list(reader.finish())
+    except FindingsError as error:
+        context.findings = error.findings
+
+
+@then('findings are at lines "{lines}"')
+def check_lines(context, lines):
+    found = [finding.place.line for finding in context.findings]
+    assert found == [int(line) for line in lines.split(",")], context.findings
+
+
+@given("an item of {max_tries:d} tries that failed {n_failed:d} times before")
+def make_tries(context, max_tries, n_failed):
+    context.tries = ItemTries(max_tries)
+    for _ in range(n_failed):
+        context.tries.after(RequestError(Outcome.UNKNOWN, "runner_lost"))
+
+
+@when('a run ends as "{outcome}" with "{reason}"')
+def end_run(context, outcome, reason):
+    context.step = context.tries.after(RequestError(Outcome(outcome), reason))
+
+
+@then("the item is resumed")
+def check_resumed(context):
+    assert isinstance(context.step, Resume), context.step
+
+
+@then("the item is given up after {n_tries:d}")
+def check_given_up(context, n_tries):
+    assert isinstance(context.step, GiveUp), context.step
+    assert context.step.tries == n_tries, context.step
+
+
+@given('jobs "{text}"')
+def make_jobs(context, text):
+    rows = [row.strip().split(":") for row in text.split(",")]
+    context.jobs = [
+        {"job_id": job_id, "workspace": workspace, "deadline_at": float(deadline)}
+        for job_id, workspace, deadline in rows
+    ]
+    context.ledger = ServiceLedger()
+
+
+@when('{n_items:d} items of workspace "{workspace}" were served')
+def serve(context, n_items, workspace):
+    context.ledger.add(workspace, n_items, 1.0)
+
+
+@then('the order is "{names}"')
+def check_order(context, names):
+    given_ = OrderInput(context.jobs, context.ledger.served_by_workspace)
+    order = [job["job_id"] for job in job_orders.get("fair_deadline")(given_)]
+    assert order == names.split(","), order
+
+
+@when("{n_done:d} of 100 items are done after {elapsed_s:d} s with {left_s:d} s left")
+def forecast(context, n_done, elapsed_s, left_s):
+    context.forecast = forecast_job(JobProgress(100, n_done, elapsed_s, left_s))
+
+
+@then('the forecast is "{prospect}"')
+def check_forecast(context, prospect):
+    assert context.forecast.prospect == prospect, context.forecast
+
+
+@given("a pool of {total:d} for {n_hosts:d} hosts")
+def make_pool(context, total, n_hosts):
+    context.pool = {"total": float(total), "left": float(total)}
+    context.n_hosts = n_hosts
+
+
+@when("they take slices {count:d} times with seed {seed:d}, one answer in 4 lost")
+def take_slices(context, count, seed):
+    chance = random.Random(seed)
+    version = 1
+    seen = [(version, dict(context.pool)) for _ in range(context.n_hosts)]
+    context.granted = 0.0
+    for number in range(count):
+        host = chance.randrange(context.n_hosts)
+        known_version, pool = seen[host]
+        need = chance.uniform(1, 30)
+        taken = slice_of(
+            pool, need, n_hosts=context.n_hosts, elapsed=min(1.0, number / count)
+        )
+        if taken.amount and known_version == version:
+            version += 1
+            context.pool["left"] = pool["left"] - taken.amount
+            if chance.randrange(4):
+                context.granted += taken.amount
+        if chance.randrange(2):
+            seen[host] = (version, dict(context.pool))
+
+
+@then("what they were granted is at most {total:d}")
+def check_granted(context, total):
+    assert 0 < context.granted <= total, context.granted
--- a/libs/node/src/damaskjunction/node/metering.py
+++ b/libs/node/src/damaskjunction/node/metering.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from collections.abc import AsyncGenerator, Callable
 from contextlib import aclosing
 from typing import Protocol
@@ -16,12 +17,14 @@
     peak_policies,
     usage_meters,
 )
-from damaskjunction.core import Timers, WorkClass
+from damaskjunction.core import BatchSpec, Timers, UnknownNameError, WorkClass
 from damaskjunction.node.entry import CallerRequest, Entry
 from damaskjunction.node.state import HostView
 from damaskjunction.routing import AnswerPart, Token
 from damaskjunction.telemetry import Metrics
 
+logger = logging.getLogger(__name__)
+
 FIRST_TOKEN_BUSY_S = 0.05
 BUSY_SMOOTHING = 0.05
 
@@ -52,6 +55,9 @@
         self._metrics = metrics
         self._token_s = FIRST_TOKEN_BUSY_S
         self._observers: list[Callable[[float], None]] = []
+        self._meter: UsageMeter = usage_meters.get(BatchSpec().meter)
+        self._policy: PeakPolicy = peak_policies.get(BatchSpec().peak_policy)
+        view.subscribe(self._follow_configuration)
         self.log = UsageLog()
         self.budget = HostBudget()
 
@@ -65,12 +71,20 @@
 
     def measure(self, usage: Usage) -> float:
         """Return a usage in units of the meter."""
-        meter: UsageMeter = usage_meters.get(self._view.configuration.batch.meter)
-        return meter(usage)
+        return self._meter(usage)
 
     def policy(self) -> PeakPolicy:
         """Return the policy that makes the budgets of minutes."""
-        return peak_policies.get(self._view.configuration.batch.peak_policy)
+        return self._policy
+
+    def _follow_configuration(self) -> None:
+        """Take up the names in force; one that is not known changes nothing."""
+        spec = self._view.configuration.batch
+        try:
+            self._meter = usage_meters.get(spec.meter)
+            self._policy = peak_policies.get(spec.peak_policy)
+        except UnknownNameError as error:
+            logger.error("batch section not in force", extra={"error": str(error)})
 
     def cost_of(self, n_tokens: int) -> float:
         """Return the most that a run of so many tokens is expected to use."""
