--- a/libs/batch/src/damaskjunction/batch/chunks.py
+++ b/libs/batch/src/damaskjunction/batch/chunks.py
@@ -14,7 +14,7 @@
 from damaskjunction.batch.jobs import part_name
 from damaskjunction.core import HostId, Revision
 
-RENEW_FRACTION = 1 / 3
+RENEW_FRACTION = 0.5
 
 
 class ChunkState(StrEnum):
--- a/libs/batch/src/damaskjunction/batch/peak.py
+++ b/libs/batch/src/damaskjunction/batch/peak.py
@@ -20,6 +20,7 @@
 RESERVE_FRACTION = 0.05
 STATIC_FRACTION = 0.25
 SLICES_PER_HOST = 8
+MAX_SLICES = 600
 LEAD_FRACTION = 0.2
 MINUTES_KEPT = 5
 
@@ -142,7 +143,8 @@
     taken = pool["total"] - pool["left"]
     share = LEAD_FRACTION + (1 - LEAD_FRACTION) * elapsed
     released = pool["total"] * share - taken
-    least = pool["total"] / (SLICES_PER_HOST * max(1, n_hosts))
+    n_slices = min(MAX_SLICES, SLICES_PER_HOST * max(1, n_hosts))
+    least = pool["total"] / n_slices
     amount = max(need, min(least, pool["left"]))
     return Slice(amount if amount <= released else 0.0)
 
--- a/libs/lab/src/damaskjunction/lab/batch.py
+++ b/libs/lab/src/damaskjunction/lab/batch.py
@@ -24,7 +24,9 @@
 MAX_WRITES_PER_S = 60.0
 MAX_READS_PER_S = 200.0
 SCAN_INTERVAL_S = 6.2
-RENEWAL_S = 20.0
+RENEWAL_S = 30.0
+MINUTE_S = 60.0
+SLICES_PER_MINUTE = 600
 CHUNKS_PER_HOST = 2
 QUICK_ENGINE = ("--step-s", "0.002", "--step-per-stream-s", "0.0003")
 CALL_TIMEOUT_S = 300.0
@@ -113,10 +115,14 @@
         items_per_s * writes_per_item
         + items_per_s / ITEMS_PER_JOB * writes_per_job
         + renewals_per_s
+        + (FLEET_HOSTS + SLICES_PER_MINUTE) / MINUTE_S
     )
     reads_per_item = _reads_without_scans(many) / many.n_items
     reads_per_s = (
-        items_per_s * reads_per_item + FLEET_HOSTS / SCAN_INTERVAL_S + renewals_per_s
+        items_per_s * reads_per_item
+        + FLEET_HOSTS / SCAN_INTERVAL_S
+        + renewals_per_s
+        + FLEET_HOSTS / MINUTE_S
     )
     figures = [
         Figure("writes per 1,000 items", 1000 * writes_per_item),
