--- a/libs/node/features/steps/path_steps.py
+++ b/libs/node/features/online/steps/path_steps.py
@@ -4,22 +4,16 @@
 
 import json
 
-from behave import given, then, when
+from behave import then, when
 
 from damaskjunction.standins.scenarios import (
     AUTHORIZATION,
     assert_whole,
     generate,
     run,
-    start_fleet,
 )
 
 
-@given('a running "{name}" fleet')
-def start(context, name):
-    start_fleet(context, name)
-
-
 @when('"{prompt}" is asked for {n_tokens:d} tokens through each host')
 def ask(context, prompt, n_tokens):
     context.prompt, context.n_tokens = prompt, n_tokens
--- /dev/null
+++ b/libs/node/features/placement/environment.py
@@ -0,0 +1,5 @@
+"""Hooks of behave."""
+
+from damaskjunction.standins.scenarios import after_scenario, before_scenario
+
+__all__ = ["after_scenario", "before_scenario"]
--- /dev/null
+++ b/libs/standins/src/damaskjunction/standins/steps.py
@@ -0,0 +1,23 @@
+"""Steps that features of several libraries share; imported by their step modules."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from behave import given, when
+
+from damaskjunction.standins.scenarios import run, start_fleet
+
+
+@given('a running "{name}" fleet')  # type: ignore[untyped-decorator]
+def start(context: Any, name: str) -> None:
+    """Start a deployment with its text in force."""
+    start_fleet(context, name)
+
+
+@when("the platform is down")  # type: ignore[untyped-decorator]
+def stop_platform(context: Any) -> None:
+    """Begin an outage of the platform."""
+    fleet = context.deployed.fleet
+    document = {"down": 1}
+    run(context, fleet.call("platform", "PUT", "/test/faults", document=document))
--- a/tools/check.py
+++ b/tools/check.py
@@ -100,7 +100,7 @@
 
 async def run_suite(suite: Path, tags: str, limit: asyncio.Semaphore) -> list[Result]:
     """Run the features of one library."""
-    name = suite.parent.name
+    name = suite.relative_to(ROOT / "libs").as_posix().replace("/features", "")
     with tempfile.TemporaryDirectory() as folder:
         report = Path(folder) / "report.json"
         plain = Path(folder) / "plain.txt"
@@ -123,9 +123,7 @@
 async def run_features(tags: str) -> list[Result]:
     """Run the features of all libraries, some libraries at a time."""
     limit = asyncio.Semaphore(PARALLEL_SUITES)
-    suites = sorted(
-        path for path in ROOT.glob("libs/*/features") if any(path.glob("**/*.feature"))
-    )
+    suites = sorted(path.parent for path in ROOT.glob("libs/*/features/**/steps"))
     per_suite = await asyncio.gather(*(run_suite(s, tags, limit) for s in suites))
     return [result for results in per_suite for result in results]
 
