--- a/libs/http/src/damaskjunction/http/server.py
+++ b/libs/http/src/damaskjunction/http/server.py
@@ -25,6 +25,7 @@
 RequestHandler: TypeAlias = Callable[[Request], Awaitable[Response]]
 
 READ_BYTES = 64 * 1024
+UNSENT_BYTES = 32 * 1024
 
 logger = logging.getLogger(__name__)
 
@@ -313,10 +314,13 @@
         await self._write(h11.EndOfMessage())
 
     async def _write(self, event: h11.Event) -> None:
+        """Send an event; wait for the peer only when much is still unsent."""
         data = self._protocol.send(event)
         if not data:
             return
         self._writer.write(data)
+        if self._writer.transport.get_write_buffer_size() <= UNSENT_BYTES:
+            return
         async with asyncio.timeout(self._limits.write_stall_s):
             await self._writer.drain()
 
--- a/libs/node/src/damaskjunction/node/home.py
+++ b/libs/node/src/damaskjunction/node/home.py
@@ -181,8 +181,10 @@
         """Yield an answer, in as many turns at the runner as it takes."""
         request_id = request.ticket.request_id
         work_class = request.ticket.work_class
+        position = forward.from_token
         self._apply(gate.submit(request.ticket, self._timers.now()))
         for turn in itertools.count():
+            forward = forward._replace(from_token=position)
             begin_s = self._timers.now()
             await request.wait_for_admission()
             self._metrics.time(
@@ -196,7 +198,6 @@
                     async for message in answer:
                         if isinstance(message, Token):
                             position = message.position + 1
-                            forward = forward._replace(from_token=position)
                         yield message
                 return
             except RequestError as error:
