Refuse a text that names an unknown meter or peak policy

Cause: such a name was logged and the last known one stayed in force, so an operator was told accepted. Now a finding with line and known names, at check and at apply.

--- a/libs/cli/features/command.feature
+++ b/libs/cli/features/command.feature
@@ -16,6 +16,18 @@
     And the errors hold "text.yaml:4: services.caddie-llm.modle: is no known key (did you mean 'model'?)"
     And the errors hold "text.yaml:5: services.caddie-llm.min_runners: expected a number"
 
+  Scenario: A name that chooses behaviour must be registered
+    Given a file "text.yaml" holding
+      """
+      services: {}
+      workspaces: {}
+      batch:
+        meter: token
+      """
+    When the command "check {text.yaml}" is run
+    Then the exit code is 3
+    And the errors hold "text.yaml:4: batch.meter: no usage meter is called 'token' (known: busy_seconds, requests, tokens)"
+
   Scenario: Settings are shown with their defaults and origin
     Given a file "host.yaml" holding
       """
--- a/libs/cli/src/damaskjunction/cli/configuration.py
+++ b/libs/cli/src/damaskjunction/cli/configuration.py
@@ -23,12 +23,21 @@
     print_progress,
     print_table,
 )
+from damaskjunction.core import Configuration
+from damaskjunction.node import check_registered_names
 from damaskjunction.settings import read_configuration
 
 STATUS_INTERVAL_S = 0.2
 DEFAULT_WAIT_S = 30.0
 
 
+def _read_text(path: Path) -> Configuration:
+    text = path.read_text()
+    configuration = read_configuration(text, path.name)
+    check_registered_names(configuration, text, path.name)
+    return configuration
+
+
 def _add_check_arguments(parser: argparse.ArgumentParser) -> None:
     parser.add_argument("text", type=Path, help="the operators' text")
 
@@ -41,7 +50,7 @@
 )
 def run_check(arguments: argparse.Namespace) -> int:
     """Check a text without a host."""
-    configuration = read_configuration(arguments.text.read_text(), arguments.text.name)
+    configuration = _read_text(arguments.text)
     n_services = len(configuration.services_by_name)
     n_workspaces = len(configuration.workspaces_by_name)
     print(
@@ -77,7 +86,7 @@
 )
 def run_apply(arguments: argparse.Namespace) -> int:
     """Apply a text through a host."""
-    read_configuration(arguments.text.read_text(), arguments.text.name)
+    _read_text(arguments.text)
     return run(_apply(arguments))
 
 
--- a/libs/node/src/damaskjunction/node/__init__.py
+++ b/libs/node/src/damaskjunction/node/__init__.py
@@ -7,6 +7,7 @@
     TakeDatagram,
     open_datagrams,
 )
+from damaskjunction.node.registered_names import check_registered_names
 from damaskjunction.node.root import HostProcess
 
 __all__ = [
@@ -14,6 +15,7 @@
     "HostProcess",
     "OpenDatagrams",
     "TakeDatagram",
+    "check_registered_names",
     "main",
     "open_datagrams",
     "run_host",
--- a/libs/node/src/damaskjunction/node/admin.py
+++ b/libs/node/src/damaskjunction/node/admin.py
@@ -27,6 +27,7 @@
 )
 from damaskjunction.node.documents import CONFIGURATION_KIND, CONFIGURATION_NAME
 from damaskjunction.node.membership import CONTROL_LANE, Membership
+from damaskjunction.node.registered_names import check_registered_names
 from damaskjunction.node.slices import run_in_slices
 from damaskjunction.node.state import HostView
 from damaskjunction.platform import ObjectStore
@@ -146,7 +147,8 @@
         source = request.query.get("source", "text")
         editor = request.query.get("editor", "unknown")
         try:
-            await run_in_slices(read_configuration_in_slices(text, source))
+            slices = read_configuration_in_slices(text, source)
+            check_registered_names(await run_in_slices(slices), text, source)
         except FindingsError as error:
             findings = [str(finding) for finding in error.findings]
             raise HttpError(422, "findings", findings=findings) from None
--- a/libs/node/src/damaskjunction/node/root.py
+++ b/libs/node/src/damaskjunction/node/root.py
@@ -195,11 +195,16 @@
         shared.store, entry, view.own.host_id, timers, chance=shared.chance
     )
     Front(view, entry, claims).register(shared.routes)
-    shared.dump.sections.register("runners")(home.to_document)
     shared.dump.sections.register("delivery")(plain_entry.to_document)
+    _register_online(shared, home, crashes)
+    return _Online(home, entry, meter, demand, crashes, claims)
+
+
+def _register_online(shared: Shared, home: Home, crashes: CrashWatch) -> None:
+    view, links = shared.view, shared.links
+    shared.dump.sections.register("runners")(home.to_document)
     shared.dump.sections.register("quarantine")(crashes.to_document)
-    links = shared.links
-    metrics.gauge("links_replaced_total", lambda: links.n_replaced)
+    shared.metrics.gauge("links_replaced_total", lambda: links.n_replaced)
 
     @shared.peer_handlers.register(VerdictNews)
     async def take_verdict(news: VerdictNews, reply: Reply) -> None:
@@ -212,8 +217,6 @@
             async for answer in answers:
                 await reply(answer)
 
-    return _Online(home, entry, meter, demand, crashes, claims)
-
 
 def _wire_control(
     shared: Shared, online: _Online, open_endpoint: OpenDatagrams
@@ -239,13 +242,23 @@
         metrics=metrics,
         chance=shared.chance,
     )
+    placing = _wire_placing(shared, online.demand)
+    control = _Control(membership, follower, *placing)
+    _register_control(shared, control, online.demand)
+    return control
+
+
+def _wire_placing(
+    shared: Shared, demand: DemandMeter
+) -> tuple[RunnerProbes, LeaseKeeper, Placer]:
+    view, timers, metrics = shared.view, shared.timers, shared.metrics
     probes = RunnerProbes(view, timers, metrics)
     keeper = LeaseKeeper(view, shared.store, timers, metrics)
     reports = StateReports(
         view,
         shared.links,
         probes=probes,
-        demand=online.demand,
+        demand=demand,
         timers=timers,
         metrics=metrics,
     )
@@ -258,9 +271,7 @@
         timers=timers,
         metrics=metrics,
     )
-    control = _Control(membership, follower, probes, keeper, placer)
-    _register_control(shared, control, online.demand)
-    return control
+    return probes, keeper, placer
 
 
 def _register_control(shared: Shared, control: _Control, demand: DemandMeter) -> None:
@@ -281,6 +292,11 @@
     sections.register("membership")(control.membership.to_document)
     sections.register("documents")(control.follower.to_document)
     sections.register("placement")(control.placer.to_document)
+    _register_queries(shared, admin, control)
+    _register_placing(shared, control, demand)
+
+
+def _register_queries(shared: Shared, admin: Admin, control: _Control) -> None:
     handlers = shared.peer_handlers
 
     @handlers.register(StatusQuery)
@@ -299,6 +315,10 @@
     async def tell_members(query: MembersQuery, reply: Reply) -> None:
         await reply(control.membership.member_list())
 
+
+def _register_placing(shared: Shared, control: _Control, demand: DemandMeter) -> None:
+    handlers = shared.peer_handlers
+
     @handlers.register(RunnerStatus)
     async def take_change(status: RunnerStatus, reply: Reply) -> None:
         if control.keeper.may_act():
--- a/libs/settings/src/damaskjunction/settings/__init__.py
+++ b/libs/settings/src/damaskjunction/settings/__init__.py
@@ -7,6 +7,7 @@
     read_configuration,
     read_configuration_in_slices,
 )
+from damaskjunction.settings.places import place_of
 from damaskjunction.settings.references import find_cycle, find_cycles
 from damaskjunction.settings.schema import Field
 
@@ -18,6 +19,7 @@
     "HostSettings",
     "find_cycle",
     "find_cycles",
+    "place_of",
     "read_configuration",
     "read_configuration_in_slices",
     "read_host_settings",
--- /dev/null
+++ b/libs/settings/src/damaskjunction/settings/places.py
@@ -0,0 +1,21 @@
+"""Places of keys in a YAML text, for findings made after it was read."""
+
+from __future__ import annotations
+
+import yaml
+
+from damaskjunction.core import Place
+from damaskjunction.settings.schema import Check, parse
+
+
+def place_of(text: str, source: str, key: str) -> Place:
+    """Return the place of the value at a dotted key; line 0 when it is not there."""
+    node = parse(text, Check(source))
+    for part in key.split("."):
+        if not isinstance(node, yaml.MappingNode):
+            return Place(source, 0, key)
+        values = {entry.value: value for entry, value in node.value}
+        node = values.get(part)
+    if node is None or node.start_mark is None:
+        return Place(source, 0, key)
+    return Place(source, node.start_mark.line + 1, key)
