--- a/libs/node/src/damaskjunction/node/claims.py
+++ b/libs/node/src/damaskjunction/node/claims.py
@@ -25,6 +25,7 @@
 from damaskjunction.node.documents import CALL_KIND, CallDocument
 from damaskjunction.node.entry import CallerRequest, whole_answer
 from damaskjunction.node.metering import RequestRunner
+from damaskjunction.node.tasks import end_tasks
 from damaskjunction.platform import ObjectStore, StoredObject
 from damaskjunction.routing import (
     Claim,
@@ -102,9 +103,7 @@
         tasks = list(self._running)
         if self._sweeping is not None:
             tasks.append(self._sweeping)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await end_tasks(tasks)
 
     async def run(self, request: CallerRequest, key: str) -> PlainAnswer:
         """Return the answer of the one run of a call under a key.
--- a/libs/node/src/damaskjunction/node/crashes.py
+++ b/libs/node/src/damaskjunction/node/crashes.py
@@ -26,6 +26,7 @@
 from damaskjunction.core.units import MILLISECOND_S, MINUTE_S
 from damaskjunction.node.documents import QUARANTINE_KIND, QuarantineDocument
 from damaskjunction.node.state import HostView
+from damaskjunction.node.tasks import end_tasks
 from damaskjunction.platform import ObjectStore
 from damaskjunction.routing import (
     Enter,
@@ -97,10 +98,7 @@
 
     async def close(self) -> None:
         """Stop spreading and storing."""
-        tasks = list(self._tasks)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await end_tasks(self._tasks)
 
     def to_document(self) -> dict[str, Any]:
         """Return the verdicts for the state dump."""
--- a/libs/node/src/damaskjunction/node/following.py
+++ b/libs/node/src/damaskjunction/node/following.py
@@ -46,6 +46,7 @@
 from damaskjunction.node.membership import CONTROL_LANE, Membership
 from damaskjunction.node.slices import run_in_slices
 from damaskjunction.node.state import HostView
+from damaskjunction.node.tasks import end_tasks
 from damaskjunction.placement import to_plan
 from damaskjunction.platform import (
     ObjectStore,
@@ -146,10 +147,7 @@
         """Stop following."""
         if self._check is not None:
             self._check.cancel()
-        tasks = [*self._roles, *self._tasks]
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await end_tasks([*self._roles, *self._tasks])
 
     def answer(self, query: DocumentQuery) -> DocumentText:
         """Return what a peer lacks of a document."""
--- a/libs/node/src/damaskjunction/node/home.py
+++ b/libs/node/src/damaskjunction/node/home.py
@@ -32,6 +32,7 @@
 )
 from damaskjunction.node.selection import Selection
 from damaskjunction.node.state import HostView
+from damaskjunction.node.tasks import end_tasks
 from damaskjunction.routing import (
     Admit,
     Effect,
@@ -104,7 +105,7 @@
     async def start(self) -> None:
         """Follow the view of the fleet and the runners' reports."""
         self._view.subscribe(self._follow_view)
-        self._reports.start()
+        await self._reports.start()
 
     async def drain(self) -> None:
         """Give up batch, and return when every online request has ended."""
@@ -116,9 +117,7 @@
     async def close(self) -> None:
         """Close the connections to runners."""
         await self._reports.close()
-        for task in self._cancels:
-            task.cancel()
-        await asyncio.gather(*self._cancels, return_exceptions=True)
+        await end_tasks(self._cancels)
         for client in (*self._clients_by_class.values(), self._control):
             client.close()
 
--- a/libs/node/src/damaskjunction/node/job_chunks.py
+++ b/libs/node/src/damaskjunction/node/job_chunks.py
@@ -19,6 +19,7 @@
 from damaskjunction.node.documents import RESULTS_KIND
 from damaskjunction.node.job_items import ItemRunner
 from damaskjunction.node.job_store import FIRST_PAUSE_S, JobStore
+from damaskjunction.node.tasks import end_tasks
 from damaskjunction.telemetry import Metrics
 
 logger = logging.getLogger(__name__)
@@ -83,8 +84,7 @@
             extra = {"chunk": self.claim.chunk.name, "error": str(error)}
             logger.warning("chunk not read", extra=extra)
         finally:
-            keeping.cancel()
-            await asyncio.gather(keeping, return_exceptions=True)
+            await end_tasks([keeping])
             await self._cancel_items()
         if not self.claim.is_lost:
             await self._end()
@@ -201,6 +201,4 @@
 
     async def _cancel_items(self) -> None:
         running = [task for task in self._item_tasks if not task.done()]
-        for task in running:
-            task.cancel()
-        await asyncio.gather(*running, return_exceptions=True)
+        await end_tasks(running)
--- a/libs/node/src/damaskjunction/node/job_cleaner.py
+++ b/libs/node/src/damaskjunction/node/job_cleaner.py
@@ -25,6 +25,7 @@
 from damaskjunction.node.job_front import part_key
 from damaskjunction.node.job_store import JobStore
 from damaskjunction.node.state import HostView
+from damaskjunction.node.tasks import end_tasks
 from damaskjunction.platform import StoredObject
 
 logger = logging.getLogger(__name__)
@@ -62,8 +63,7 @@
     async def close(self) -> None:
         """Stop cleaning."""
         if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+            await end_tasks([self._task])
 
     async def _clean(self) -> None:
         while True:
--- a/libs/node/src/damaskjunction/node/leasing.py
+++ b/libs/node/src/damaskjunction/node/leasing.py
@@ -19,6 +19,7 @@
 )
 from damaskjunction.node.documents import LEASE_KIND, LeaseDocument
 from damaskjunction.node.state import HostView
+from damaskjunction.node.tasks import end_tasks
 from damaskjunction.placement import ReadLease, RegionLease, WriteLease
 from damaskjunction.platform import ObjectStore
 from damaskjunction.telemetry import Metrics
@@ -67,8 +68,7 @@
     async def close(self) -> None:
         """Give the lease up and stop."""
         if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+            await end_tasks([self._task])
         await self._release()
 
     def may_act(self) -> bool:
--- a/libs/node/src/damaskjunction/node/peak_budget.py
+++ b/libs/node/src/damaskjunction/node/peak_budget.py
@@ -35,6 +35,7 @@
 from damaskjunction.node.job_store import JobStore
 from damaskjunction.node.metering import Meter
 from damaskjunction.node.state import HostView
+from damaskjunction.node.tasks import end_tasks
 from damaskjunction.telemetry import Metrics
 
 logger = logging.getLogger(__name__)
@@ -111,9 +112,7 @@
         """Stop following."""
         if self._tick is not None:
             self._tick.cancel()
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await end_tasks(self._tasks)
 
     def subscribe(self, observer: Callable[[], None]) -> None:
         """Call back when there may be more budget."""
--- a/libs/node/src/damaskjunction/node/placer.py
+++ b/libs/node/src/damaskjunction/node/placer.py
@@ -29,6 +29,7 @@
 from damaskjunction.node.probing import RunnerProbes
 from damaskjunction.node.state import HostView
 from damaskjunction.node.state_reports import ROUND_S, StateReports
+from damaskjunction.node.tasks import end_tasks
 from damaskjunction.placement import (
     OrderBook,
     PlanInput,
@@ -107,8 +108,7 @@
     async def close(self) -> None:
         """Stop planning."""
         if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+            await end_tasks([self._task])
         await self._reports.close()
         self._client.close()
 
--- a/libs/node/src/damaskjunction/node/probing.py
+++ b/libs/node/src/damaskjunction/node/probing.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import logging
 from collections.abc import Callable
 from typing import NamedTuple
@@ -12,7 +11,6 @@
     Runner,
     RunnerId,
     ServiceKind,
-    Subscription,
     Timers,
 )
 from damaskjunction.http import HttpClient
@@ -22,6 +20,7 @@
     read_in_flight,
     read_order,
 )
+from damaskjunction.node.polling import RunnerPolling
 from damaskjunction.node.state import HostView
 from damaskjunction.placement import (
     ReportDigest,
@@ -86,11 +85,11 @@
 
     def __init__(self, view: HostView, timers: Timers, metrics: Metrics) -> None:
         self._view = view
-        self._timers = timers
         self._metrics = metrics
         self._client = HttpClient(timers)
-        self._subscription: Subscription | None = None
-        self._tasks_by_runner: dict[RunnerId, asyncio.Task[None]] = {}
+        self._polling = RunnerPolling(
+            timers, PROBE_INTERVAL_S, self._probed_runners, self._probe
+        )
         self._checks_by_runner: dict[RunnerId, bool] = {}
         self._basis: _Basis | None = None
         self._own: list[Runner] = []
@@ -98,16 +97,11 @@
 
     async def start(self) -> None:
         """Start asking."""
-        self._subscription = self._timers.every(PROBE_INTERVAL_S, self._probe_all)
+        await self._polling.start()
 
     async def close(self) -> None:
         """Stop asking."""
-        if self._subscription is not None:
-            self._subscription.cancel()
-        tasks = list(self._tasks_by_runner.values())
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await self._polling.close()
         self._client.close()
 
     def subscribe(self, observer: Callable[[RunnerStatus], None]) -> None:
@@ -125,13 +119,10 @@
         told = [] if digest == known_digest else statuses
         return [*told, ReportDigest(digest)]
 
-    def _probe_all(self) -> None:
+    def _probed_runners(self) -> list[Runner]:
         own = self._own_runners()
         self._view.keep_statuses({runner.runner_id for runner in own})
-        for runner in own:
-            if runner.runner_id not in self._tasks_by_runner:
-                task = asyncio.ensure_future(self._probe(runner))
-                self._tasks_by_runner[runner.runner_id] = task
+        return own
 
     def _own_runners(self) -> list[Runner]:
         """Return the engines whose home this host is, found anew on a change."""
@@ -142,10 +133,7 @@
         return self._own
 
     async def _probe(self, runner: Runner) -> None:
-        try:
-            self._note(await self._read(runner))
-        finally:
-            del self._tasks_by_runner[runner.runner_id]
+        self._note(await self._read(runner))
 
     async def _read(self, runner: Runner) -> RunnerStatus:
         status = await read_order(self._client, runner)
--- a/libs/node/src/damaskjunction/node/state_reports.py
+++ b/libs/node/src/damaskjunction/node/state_reports.py
@@ -18,6 +18,7 @@
 from damaskjunction.node.demand import DemandMeter
 from damaskjunction.node.probing import RunnerProbes
 from damaskjunction.node.state import HostView
+from damaskjunction.node.tasks import end_tasks
 from damaskjunction.placement import (
     STALE_AFTER_S,
     DemandBook,
@@ -92,9 +93,7 @@
 
     async def close(self) -> None:
         """Give up what is being told to the lease holder."""
-        for news in self._news:
-            news.cancel()
-        await asyncio.gather(*self._news, return_exceptions=True)
+        await end_tasks(self._news)
 
     def clear(self) -> None:
         """Forget everything, as when the lease is not held."""
