Bound what bytes from a peer or caller can cost

Fuzzing found two faults. A list that claims 2,000 million elements of a type without bytes held the codec's loop: 20,000 random strings did not end within 200 s (red: features/codec.feature, any bytes). And a head of 20,000 bytes was taken when it came in one read (red: features/server.feature, 200 for 431), since the protocol library bounds incomplete heads alone.

--- /dev/null
+++ b/libs/http/features/steps/server_steps.py
@@ -0,0 +1,183 @@
+"""Steps of the HTTP server's feature."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import socket
+
+from behave import given, then, when
+
+from damaskjunction.core import Address
+from damaskjunction.http import (
+    HttpLimits,
+    HttpServer,
+    Request,
+    Response,
+    Routes,
+)
+
+GOOD_REQUEST = (
+    b"POST /echo HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n"
+    b"Authorization: Bearer k\r\nConnection: close\r\n\r\nhello"
+)
+ANSWER_TIMEOUT_S = 10.0
+
+
+def run(context, coroutine):
+    async def bounded():
+        async with asyncio.timeout(60):
+            return await coroutine
+
+    return context.runner_loop.run(bounded())
+
+
+def free_address():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return Address(*probe.getsockname())
+
+
+def serve(context, routes, **limits):
+    context.address = free_address()
+    context.server = HttpServer(
+        context.address, routes.handle, limits=HttpLimits(**limits)
+    )
+    run(context, context.server.start())
+
+
+@given("a server that echoes bodies of at most {size:d} bytes")
+def serve_echo(context, size):
+    routes = Routes()
+
+    @routes.register("POST", "/echo")
+    async def echo(request: Request) -> Response:
+        return Response(200, await request.body.read())
+
+    serve(context, routes, body_bytes=size, header_timeout_s=0.5, body_stall_s=0.5)
+
+
+@given("a server whose handler waits")
+def serve_wait(context):
+    context.cancelled = asyncio.Event()
+    routes = Routes()
+
+    @routes.register("GET", "/wait")
+    async def wait(request: Request) -> Response:
+        try:
+            await asyncio.Event().wait()
+        except asyncio.CancelledError:
+            context.cancelled.set()
+            raise
+        return Response()
+
+    serve(context, routes)
+
+
+async def wait_until(condition):
+    for _ in range(500):
+        if condition():
+            return
+        await asyncio.sleep(0.01)
+    raise AssertionError("the condition did not come to hold")
+
+
+async def send_bytes(address, data):
+    """Send bytes, read whatever comes until the server or a short time ends it."""
+    reader, writer = await asyncio.open_connection(*address)
+    try:
+        writer.write(data)
+        writer.write_eof()
+        async with asyncio.timeout(ANSWER_TIMEOUT_S):
+            return await reader.read()
+    except OSError:
+        return b""
+    finally:
+        writer.close()
+
+
+async def send_all(context, payloads):
+    limit = asyncio.Semaphore(20)
+
+    async def send_one(data):
+        async with limit:
+            await send_bytes(context.address, data)
+
+    await asyncio.gather(*(send_one(data) for data in payloads))
+
+
+@when("{count:d} connections send bytes chosen with seed {seed:d}")
+def send_random(context, count, seed):
+    chance = random.Random(seed)
+    payloads = [chance.randbytes(chance.randrange(1, 3000)) for _ in range(count)]
+    run(context, send_all(context, payloads))
+
+
+@when("{count:d} connections send requests changed with seed {seed:d}")
+def send_changed(context, count, seed):
+    chance = random.Random(seed)
+    payloads = []
+    for _ in range(count):
+        data = bytearray(GOOD_REQUEST)
+        for _ in range(chance.randrange(1, 6)):
+            data[chance.randrange(len(data))] = chance.randrange(256)
+        payloads.append(bytes(data[: chance.randrange(1, len(data) + 1)]))
+    run(context, send_all(context, payloads))
+
+
+@then("a good request is still answered")
+def check_good(context):
+    answer = run(context, send_bytes(context.address, GOOD_REQUEST))
+    assert answer.startswith(b"HTTP/1.1 200") and answer.endswith(b"hello"), answer
+
+
+@then("the server holds no connection")
+def check_empty(context):
+    run(context, wait_until(lambda: context.server.n_connections == 0))
+
+
+def request_with(what):
+    head = b"POST /echo HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+    empty = b"Content-Length: 0\r\n\r\n"
+    if what.startswith("a body"):
+        size = int(what.split()[3])
+        return head + b"Content-Length: %d\r\n\r\n" % size + b"x" * size
+    if what.endswith("headers"):
+        return head + b"".join(b"X-%d: 1\r\n" % n for n in range(100)) + empty
+    if what.startswith("a head"):
+        return head + b"X-Long: " + b"x" * 20000 + b"\r\n" + empty
+    if what.endswith("path"):
+        return head.replace(b"/echo", b"/none") + empty
+    return head.replace(b"POST", b"PATCH") + empty
+
+
+@when("a request with {what} is sent")
+def send_one(context, what):
+    context.answer = run(context, send_bytes(context.address, request_with(what)))
+
+
+@then("it is answered with {status:d}")
+def check_status(context, status):
+    first = context.answer.split(b"\r\n")[0]
+    assert first.startswith(b"HTTP/1.1 %d" % status), first
+
+
+@when("a caller connects, asks and goes away")
+def ask_and_leave(context):
+    async def ask():
+        _, writer = await asyncio.open_connection(*context.address)
+        writer.write(b"GET /wait HTTP/1.1\r\nHost: a\r\n\r\n")
+        await writer.drain()
+        await wait_until(lambda: context.server.n_connections == 1)
+        writer.close()
+
+    run(context, ask())
+
+
+@then("the handler is cancelled within {duration_s:d} s")
+def check_cancelled(context, duration_s):
+    async def wait_until_cancelled():
+        async with asyncio.timeout(duration_s):
+            await context.cancelled.wait()
+
+    run(context, wait_until_cancelled())
--- a/libs/http/src/damaskjunction/http/server.py
+++ b/libs/http/src/damaskjunction/http/server.py
@@ -59,10 +59,15 @@
         self._limits = limits or HttpLimits()
         self._tls = tls
         self._server: asyncio.Server | None = None
-        self._busy_by_task: dict[asyncio.Task[None], _Connection] = {}
+        self._connections_by_task: dict[asyncio.Task[None], _Connection] = {}
         self._is_draining = False
         self._is_retiring = False
 
+    @property
+    def n_connections(self) -> int:
+        """How many connections are open."""
+        return len(self._connections_by_task)
+
     async def start(self) -> None:
         """Listen and serve."""
         self._server = await asyncio.start_server(
@@ -76,7 +81,7 @@
     def retire(self) -> None:
         """Go on serving, and let each connection end with its next answer."""
         self._is_retiring = True
-        for connection in self._busy_by_task.values():
+        for connection in self._connections_by_task.values():
             connection.is_retiring = True
 
     async def drain(self) -> None:
@@ -84,17 +89,17 @@
         self._is_draining = True
         if self._server is not None:
             self._server.close()
-        for task, connection in list(self._busy_by_task.items()):
+        for task, connection in list(self._connections_by_task.items()):
             if connection.is_idle:
                 task.cancel()
-        if self._busy_by_task:
-            await asyncio.wait(list(self._busy_by_task))
+        if self._connections_by_task:
+            await asyncio.wait(list(self._connections_by_task))
 
     async def close(self) -> None:
         """Stop listening and cut the connections that are left."""
         if self._server is not None:
             self._server.close()
-        tasks = list(self._busy_by_task)
+        tasks = list(self._connections_by_task)
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
@@ -102,14 +107,14 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        if len(self._busy_by_task) >= self._limits.n_connections:
+        if len(self._connections_by_task) >= self._limits.n_connections:
             writer.close()
             return
         task = asyncio.current_task()
         assert task is not None
         connection = _Connection(reader, writer, self._handle, self._limits)
         connection.is_retiring = self._is_retiring
-        self._busy_by_task[task] = connection
+        self._connections_by_task[task] = connection
         try:
             while not self._is_draining:
                 if not await connection.serve_one():
@@ -119,7 +124,7 @@
         except (OSError, TimeoutError, h11.ProtocolError) as error:
             logger.debug("connection ended", extra={"error": repr(error)})
         finally:
-            del self._busy_by_task[task]
+            del self._connections_by_task[task]
             writer.close()
 
 
@@ -226,6 +231,10 @@
         if len(head.headers) > self._limits.n_headers:
             detail = f"at most {self._limits.n_headers} headers are taken"
             raise HttpError(431, "too_many_headers", detail)
+        size = sum(len(name) + len(value) for name, value in head.headers)
+        if size + len(head.target) > self._limits.header_bytes:
+            detail = f"at most {self._limits.header_bytes} bytes of headers are taken"
+            raise HttpError(431, "head_too_large", detail)
         parts = urlsplit(head.target.decode("ascii"))
         headers = {
             name.decode("ascii"): value.decode("latin-1")
--- a/libs/wire/features/environment.py
+++ b/libs/wire/features/environment.py
@@ -7,5 +7,6 @@
 
 
 def after_scenario(context, scenario):
-    scenarios.run(context, context.stop())
+    if hasattr(context, "stop"):
+        scenarios.run(context, context.stop())
     scenarios.after_scenario(context, scenario)
--- /dev/null
+++ b/libs/wire/features/steps/codec_steps.py
@@ -0,0 +1,107 @@
+"""Steps of the codec's feature."""
+
+from __future__ import annotations
+
+import random
+import struct
+import tracemalloc
+
+from behave import then, when
+
+from damaskjunction.wire import (
+    DecodeError,
+    Failure,
+    Frame,
+    HostStatus,
+    decode_frame,
+    decode_message,
+    encode_frame,
+    encode_message,
+    message_types,
+)
+
+EXAMPLES = (
+    Failure("not_run", "overloaded", "later", 1.0),
+    HostStatus("a-1", 7, 3, "serving"),
+)
+
+
+def attempt(context, decode, *arguments):
+    try:
+        decode(*arguments)
+        context.outcomes["message"] += 1
+    except DecodeError:
+        context.outcomes["error"] += 1
+
+
+def begin(context):
+    context.outcomes = {"message": 0, "error": 0}
+    context.n_tried = 0
+
+
+@when(
+    "{count:d} byte strings chosen with seed {seed:d} are decoded "
+    "as frames and messages"
+)
+def decode_random(context, count, seed):
+    begin(context)
+    chance = random.Random(seed)
+    kinds = list(message_types)
+    for _ in range(count):
+        data = chance.randbytes(chance.randrange(0, 200))
+        attempt(context, decode_frame, data)
+        attempt(context, decode_message, chance.choice(kinds), data)
+    context.n_tried = 2 * count
+
+
+@when(
+    "each kind of message is encoded, changed {count:d} times with seed {seed:d} "
+    "and decoded"
+)
+def decode_changed(context, count, seed):
+    begin(context)
+    chance = random.Random(seed)
+    for example in EXAMPLES:
+        kind = type(example).__name__
+        body = encode_message(example)
+        frame = encode_frame(Frame(1, 0, kind, body))
+        for _ in range(count):
+            attempt(context, decode_message, kind, change(chance, body))
+            attempt(context, decode_frame, change(chance, frame))
+    context.n_tried = 2 * count * len(EXAMPLES)
+
+
+def change(chance, data):
+    changed = bytearray(data)
+    for _ in range(chance.randrange(1, 4)):
+        changed[chance.randrange(len(changed))] = chance.randrange(256)
+    return bytes(changed[: chance.randrange(1, len(changed) + 1)])
+
+
+@when("a frame that claims a body of {size:d} bytes is decoded")
+def decode_claim(context, size):
+    begin(context)
+    binary_field = b"\x0b" + struct.pack("!hi", 4, size) + b"x" * 10
+    tracemalloc.start()
+    attempt(context, decode_frame, binary_field)
+    _, context.peak_bytes = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    context.n_tried = 1
+
+
+@then("each gave a message or a decode error")
+def check_outcomes(context):
+    assert sum(context.outcomes.values()) == context.n_tried, context.outcomes
+
+
+@when("a list of {count:d} elements without bytes is decoded")
+def decode_list(context, count):
+    begin(context)
+    empty_list = b"\x0f" + struct.pack("!hbi", 9, 1, count) + b"\x00"
+    attempt(context, decode_frame, empty_list)
+    context.n_tried = 1
+
+
+@then("the memory peak stayed below {size:d} MB")
+def check_memory(context, size):
+    assert context.peak_bytes < size * 1024 * 1024, context.peak_bytes
--- a/libs/wire/src/damaskjunction/wire/codec.py
+++ b/libs/wire/src/damaskjunction/wire/codec.py
@@ -17,6 +17,7 @@
 from thriftpy2.transport import TCyMemoryBuffer
 
 from damaskjunction.core import DamaskjunctionError, Registry
+from damaskjunction.wire.layout import check_struct
 
 Message: TypeAlias = Any
 
@@ -138,6 +139,7 @@
 def _decode(struct: Any, body: bytes) -> Any:
     value = struct()
     try:
+        check_struct(body)
         _factory.get_protocol(TCyMemoryBuffer(body)).read_struct(value)
         return value
     except Exception as error:
