Give parallel test runs ports apart; strike a process last with what stops it

Cause: 10 of 225 long cells of the matrix ended at start with an address in use, as behave processes with near process numbers walked through the same ports; one could not set a fault on an engine that the other fault had frozen. Now a run claims blocks of ports by holding the first, and faults that stop a process come last.

--- a/libs/lab/src/damaskjunction/lab/matrix/faults.py
+++ b/libs/lab/src/damaskjunction/lab/matrix/faults.py
@@ -104,10 +104,12 @@
 
 
 faults.register("none")(Fault(_do_nothing, _do_nothing))
-faults.register("host_kill")(Fault(_kill_host, _restart_host))
-faults.register("host_freeze")(Fault(_freeze_host, _thaw_host))
-faults.register("runner_kill")(Fault(_kill_runner, _restart_runner))
-faults.register("runner_freeze")(Fault(_freeze_runner, _thaw_runner))
+faults.register("host_kill")(Fault(_kill_host, _restart_host, stops_process=True))
+faults.register("host_freeze")(Fault(_freeze_host, _thaw_host, stops_process=True))
+faults.register("runner_kill")(Fault(_kill_runner, _restart_runner, stops_process=True))
+faults.register("runner_freeze")(
+    Fault(_freeze_runner, _thaw_runner, stops_process=True)
+)
 faults.register("runner_slow")(Fault(_slow_runner, _speed_runner))
 faults.register("stream_cut")(Fault(_cut_streams, _do_nothing))
 faults.register("platform_down")(Fault(_platform_down, _platform_up))
--- a/libs/lab/src/damaskjunction/lab/matrix/situation.py
+++ b/libs/lab/src/damaskjunction/lab/matrix/situation.py
@@ -53,14 +53,18 @@
         if step != self.cell.step or self.is_injected:
             return
         self.is_injected = True
-        for name in self.cell.faults:
+        for name in self._ordered():
             await faults.get(name).inject(self)
 
     async def heal(self) -> None:
         """End the faults."""
-        for name in reversed(self.cell.faults):
+        for name in reversed(self._ordered()):
             await faults.get(name).heal(self)
 
+    def _ordered(self) -> list[str]:
+        """Return the faults, those that stop a process last."""
+        return sorted(self.cell.faults, key=lambda name: faults.get(name).stops_process)
+
 
 Act: TypeAlias = Callable[[Situation], Awaitable[None]]
 
@@ -68,12 +72,14 @@
 class Fault(NamedTuple):
     """A fault: how it begins and how it ends.
 
-    ``needs_proxies`` tells that hosts and runners must be behind proxies.
+    ``needs_proxies`` tells that hosts and runners must be behind proxies, and
+    ``stops_process`` that a process can't be given other faults any more.
     """
 
     inject: Act
     heal: Act
     needs_proxies: bool = False
+    stops_process: bool = False
 
 
 class Flow(NamedTuple):
--- a/libs/standins/src/damaskjunction/standins/__init__.py
+++ b/libs/standins/src/damaskjunction/standins/__init__.py
@@ -20,12 +20,12 @@
     Finished,
     Fleet,
     ProcessSpec,
-    free_addresses,
     parse_events,
     run_command,
 )
 from damaskjunction.standins.plain import PlainStandin
 from damaskjunction.standins.platform import PlatformStandin
+from damaskjunction.standins.ports import free_addresses
 from damaskjunction.standins.proxy import Mode, ProxyStandin
 
 __all__ = [
--- a/libs/standins/src/damaskjunction/standins/deployment.py
+++ b/libs/standins/src/damaskjunction/standins/deployment.py
@@ -22,8 +22,8 @@
     Answer,
     Fleet,
     ProcessSpec,
-    free_addresses,
 )
+from damaskjunction.standins.ports import free_addresses
 from damaskjunction.standins.proxy import Mode
 
 CALLER_KEY = "demo-key"
--- a/libs/standins/src/damaskjunction/standins/fleet.py
+++ b/libs/standins/src/damaskjunction/standins/fleet.py
@@ -3,11 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-import itertools
 import json
-import os
 import signal
-import socket
 import sys
 import tempfile
 from collections.abc import Awaitable, Callable, Mapping, Sequence
@@ -24,17 +21,10 @@
     HttpClient,
 )
 
-LOOPBACK = "127.0.0.1"
 POLL_S = 0.05
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 20.0
 
-# Below the ports that the system gives to outgoing connections, which could take a
-# port between its choice and its use. Processes begin at different numbers.
-FIRST_PORT = 10_000
-N_PORTS = 22_000
-_port_numbers = itertools.count(os.getpid() * 997)
-
 
 class ProcessSpec(NamedTuple):
     """How one process of the fleet is started; ``name`` is unique."""
@@ -78,26 +68,6 @@
     return Finished(process.returncode or 0, output.decode(), errors.decode())
 
 
-def free_addresses(count: int) -> list[Address]:
-    """Return loopback addresses whose ports are free for TCP and UDP now."""
-    addresses: list[Address] = []
-    while len(addresses) < count:
-        address = Address(LOOPBACK, FIRST_PORT + next(_port_numbers) % N_PORTS)
-        if _is_free(address):
-            addresses.append(address)
-    return addresses
-
-
-def _is_free(address: Address) -> bool:
-    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
-        with socket.socket(socket.AF_INET, kind) as probe:
-            try:
-                probe.bind(address)
-            except OSError:
-                return False
-    return True
-
-
 class Fleet:
     """Processes by name, their addresses, and calls to them.
 
--- /dev/null
+++ b/libs/standins/src/damaskjunction/standins/ports.py
@@ -0,0 +1,80 @@
+"""Loopback ports for the processes of tests, chosen apart by parallel test runs.
+
+The ports lie below those that the kernel gives to outgoing connections, which could
+take the port of a process while it restarts. A run claims a block of ports by holding
+its first one, so that two runs never choose the same port.
+"""
+
+from __future__ import annotations
+
+import os
+import socket
+from collections import deque
+from collections.abc import Iterator
+
+from damaskjunction.core import Address
+
+LOOPBACK = "127.0.0.1"
+FIRST_PORT = 10_000
+PORTS_PER_BLOCK = 200
+N_BLOCKS = 110
+BLOCKS_HELD = 2
+
+
+class PortBlocks:
+    """Ports of blocks that this process claims one after the other.
+
+    The last ``BLOCKS_HELD`` blocks stay claimed, since processes that were given their
+    ports may still run.
+    """
+
+    def __init__(self) -> None:
+        self._claims: deque[socket.socket] = deque()
+        self._ports = self._iterate()
+
+    def free_addresses(self, count: int) -> list[Address]:
+        """Return loopback addresses whose ports are free for TCP and UDP now."""
+        addresses: list[Address] = []
+        while len(addresses) < count:
+            address = Address(LOOPBACK, next(self._ports))
+            if _is_free(address):
+                addresses.append(address)
+        return addresses
+
+    def _iterate(self) -> Iterator[int]:
+        block = os.getpid()
+        while True:
+            block = (block + 1) % N_BLOCKS
+            base = FIRST_PORT + block * PORTS_PER_BLOCK
+            if self._claim(Address(LOOPBACK, base)):
+                yield from range(base + 1, base + PORTS_PER_BLOCK)
+
+    def _claim(self, address: Address) -> bool:
+        claim = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            claim.bind(address)
+        except OSError:
+            claim.close()
+            return False
+        self._claims.append(claim)
+        if len(self._claims) > BLOCKS_HELD:
+            self._claims.popleft().close()
+        return True
+
+
+def _is_free(address: Address) -> bool:
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(socket.AF_INET, kind) as probe:
+            try:
+                probe.bind(address)
+            except OSError:
+                return False
+    return True
+
+
+_blocks = PortBlocks()
+
+
+def free_addresses(count: int) -> list[Address]:
+    """Return loopback addresses whose ports no other process of a test chooses."""
+    return _blocks.free_addresses(count)
