--- a/libs/cli/features/command.feature
+++ b/libs/cli/features/command.feature
@@ -28,6 +28,17 @@
     Then the exit code is 3
     And the errors hold "text.yaml:4: batch.meter: no usage meter is called 'token' (known: busy_seconds, requests, tokens)"
 
+  Scenario Outline: The examples have no findings
+    When the command "check examples/<name>/fleet.yaml" is run
+    Then the exit code is 0
+    When the command "settings --settings examples/<name>/host.yaml" is run
+    Then the exit code is 0
+
+    Examples:
+      | name     |
+      | lima     |
+      | mu-north |
+
   Scenario: Settings are shown with their defaults and origin
     Given a file "host.yaml" holding
       """
--- a/libs/node/features/online/steps/path_steps.py
+++ b/libs/node/features/online/steps/path_steps.py
@@ -89,3 +89,17 @@
     results = answer.to_json()["results"]
     assert [result["index"] for result in results] == list(range(len(context.prompts)))
     assert all(result.get("text") for result in results), results
+
+
+@then('"{service}" gives a whole answer through each host')
+def check_service(context, service):
+    prompt, n_tokens = "Which one fits?", 8
+    target = f"/v1/services/{service}/generate"
+    document = {"prompt": prompt, "max_tokens": n_tokens}
+    fleet = context.deployed.fleet
+    for host in context.deployed.hosts_by_id:
+        answer = run(
+            context,
+            fleet.call(host, "POST", target, document=document, headers=AUTHORIZATION),
+        )
+        assert_whole(answer, prompt, n_tokens)
