--- a/libs/node/features/batch/batch.feature
+++ b/libs/node/features/batch/batch.feature
@@ -8,6 +8,7 @@
     And the first engine is killed and started again
     Then the job completes with the right result for each item
 
+  @cell.host_loss_after_ack.job.accepted
   Scenario: The host is killed right after it acknowledged the job
     Given a fleet with leases of 2 s
     And a job of 300 items whose host is killed after the acknowledgement
@@ -16,6 +17,7 @@
     And another body under its key is refused with "key_in_use"
     And the job completes with the right result for each item
 
+  @cell.freeze_past_lease.job.running
   Scenario: A host is frozen past its lease
     Given a fleet with leases of 2 s
     And an accepted job of 400 items
@@ -32,6 +34,7 @@
     When the platform is available again after 5 s
     Then the job completes with the right result for each item
 
+  @cell.resend.job.accepted
   Scenario: Answers of the platform are lost
     Given a fleet with leases of 3 s
     And the platform loses the answers of the next 6 writes
@@ -54,6 +57,7 @@
     Then no item starts any more
     And the results so far can be read
 
+  @cell.crash_request.job.running
   Scenario: An item crashes each engine that runs it
     Given a fleet with leases of 60 s
     And an accepted job of 20 items and one that crashes engines
--- a/libs/node/features/control/membership.feature
+++ b/libs/node/features/control/membership.feature
@@ -59,6 +59,7 @@
     Then within 20 s the text is in force on every host
     And within 30 s every host has 6 hosts in its view
 
+  @cell.editors.configuration.before
   Scenario: Of two editors one wins and the other learns who and what
     Given a running "control" fleet whose datagrams can have faults
     When "ana" and "ben" apply different texts at once through different hosts
--- a/libs/node/features/online/delivery.feature
+++ b/libs/node/features/online/delivery.feature
@@ -24,6 +24,7 @@
     Then the caller is told "unknown" with status 504
     And "fleet-api-0" has run 1 call
 
+  @cell.resend.pickup.sent
   Scenario: A resend under the same key to another host
     Given a running "small" fleet
     When "/pickup/7" of "fleet-api" is called with key "k1" and "hole 9" through host 1
@@ -31,6 +32,7 @@
     Then the call is answered with "hole 9"
     And "fleet-api-0" has run 1 call
 
+  @cell.resend.pickup.before
   Scenario: A resend after a lost answer
     Given a running "small" fleet
     And the next answer of "fleet-api-0" is lost
@@ -88,6 +90,7 @@
       | cut_back    | 2.0     | 1.5    |
       | closed      | 1.0     | 1.0    |
 
+  @cell.crash_request.call.streaming
   Scenario: A request that crashes runners
     Given a running "lima-three-hosts" fleet
     When 6 streams of 150 tokens run while a crashing request is sent 2 times to each host
--- a/libs/node/features/placement/lease.feature
+++ b/libs/node/features/placement/lease.feature
@@ -15,6 +15,7 @@
     When the holder is stopped
     Then another host holds the lease within 4 s
 
+  @cell.freeze_past_lease.roll_out.accepted
   Scenario Outline: A holder frozen past its lease sends nothing stale when it wakes
     Given a running "small" fleet with engines that <habit> fencing numbers
     And a host that holds the lease
