--- a/libs/gateway/src/damaskjunction/gateway/__main__.py
+++ b/libs/gateway/src/damaskjunction/gateway/__main__.py
@@ -14,6 +14,7 @@
 
 def _run_storage() -> None:
     """Hold a machine that keeps nothing: all that lasts is in the platform's store."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # there is nothing to read again
     signal.sigwait({signal.SIGTERM, signal.SIGINT})
 
 
--- a/libs/gateway/src/damaskjunction/gateway/job_worker.py
+++ b/libs/gateway/src/damaskjunction/gateway/job_worker.py
@@ -48,10 +48,11 @@
 ORPHAN_S = 1.0
 MAX_ITEMS_AT_ONCE = 64
 ITEM_TIME_S = 60.0
-STALL_S = 1.5
+STALL_S = 3.0
 RETRY_BASE_S = 0.1
 RETRY_LIMIT_S = 1.0
 MAX_BREAKS = 3
+CRASH_REASONS = ("stream_cut", "no_answer")
 DEFAULT_RETENTION_S = 60.0
 NEVER_DONE_STATUS = 422
 
@@ -292,7 +293,7 @@
         except RequestError as error:
             return ItemEnd(False, False, error.reason)
         run.avoid.clear()
-        revoked = asyncio.ensure_future(slot.wait_revoked())
+        revoked = asyncio.ensure_future(slot.revoked.wait())
         work = asyncio.ensure_future(self._work(job, route, run, slot))
         try:
             await asyncio.wait((revoked, work), return_when=asyncio.FIRST_COMPLETED)
@@ -380,8 +381,7 @@
         self, route: Route, run: _ItemRun, slot: Slot, error: RunnerFailedError
     ) -> None:
         run.avoid.add(slot.runner_id)
-        if error.outcome is not Outcome.NOT_RUN and run.last_event_id is None:
-            run.n_breaks += error.is_fault
+        run.n_breaks += error.reason in CRASH_REASONS
         if error.is_fault:
             service = route.service_for(stable_hash(run.item.item_id))
             self._desk.note(service, slot.runner_id, is_well=False)
--- a/libs/gateway/src/damaskjunction/gateway/online.py
+++ b/libs/gateway/src/damaskjunction/gateway/online.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import logging
 import random
 from collections.abc import AsyncGenerator, AsyncIterator, Callable
@@ -131,9 +130,6 @@
         RequestError
             ``NOT_RUN`` when there is none in time.
         """
-        spec = self.state.table.services_by_name.get(call.service)
-        if spec is None or spec.engine is None:
-            return self._choose(call, avoid)
         left_s = call.end_at_s - self.timers.now()
         ask = SlotAsk(
             request_id=call.request.request_id,
@@ -146,17 +142,21 @@
         )
         return await self.desk.take(ask)
 
+    def has_slots(self, call: Call) -> bool:
+        """Return whether the runners of a call's service are engines."""
+        spec = self.state.table.services_by_name.get(call.service)
+        return spec is not None and spec.engine is not None
+
     def note(self, call: Call, runner_id: RunnerId, *, is_well: bool) -> None:
         """Take how a runner answered."""
-        spec = self.state.table.services_by_name.get(call.service)
-        if spec is not None and spec.engine is not None:
+        if self.has_slots(call):
             self.desk.note(call.service, runner_id, is_well=is_well)
         elif is_well:
             self._ejection.succeed(runner_id)
         else:
             self._ejection.fail(runner_id, self.timers.now())
 
-    def _choose(self, call: Call, avoid: set[RunnerId]) -> Slot:
+    def choose_runner(self, call: Call, avoid: set[RunnerId]) -> RunnerId:
         """Return the runner of a plain service with the least of this host's work."""
         now_s = self.timers.now()
         runners = [
@@ -173,24 +173,15 @@
         runner = min(
             runners, key=lambda r: counts.get(r.runner_id, 0) / max(1, r.slots)
         )
-        return _CountedRunner(runner.runner_id, counts)
-
-
-class _CountedRunner:
-    """A runner of a plain service and this host's count of requests there."""
+        counts[runner.runner_id] = counts.get(runner.runner_id, 0) + 1
+        return runner.runner_id
 
-    def __init__(self, runner_id: RunnerId, counts: dict[RunnerId, int]) -> None:
-        self.runner_id = runner_id
-        self._counts = counts
-        counts[runner_id] = counts.get(runner_id, 0) + 1
-
-    async def wait_revoked(self) -> None:
-        await asyncio.Event().wait()  # requests of this host alone, never revoked
-
-    async def close(self) -> None:
-        self._counts[self.runner_id] -= 1
-        if not self._counts[self.runner_id]:
-            del self._counts[self.runner_id]
+    def release_runner(self, runner_id: RunnerId) -> None:
+        """Count a request to a plain service no more."""
+        counts = self._n_under_way_by_runner
+        counts[runner_id] -= 1
+        if not counts[runner_id]:
+            del counts[runner_id]
 
 
 class _Run:
@@ -203,6 +194,7 @@
         self._n_worked = 0
         self._outcome = Outcome.NOT_RUN
         self._slot: Slot | None = None
+        self._runner_id: RunnerId = ""
         self._answer: RunnerAnswer | None = None
         self._last_event_id = call.request.last_event_id
         self._n_events = 0
@@ -237,15 +229,19 @@
         body = await self._online.calls.read_whole(answer)
         if answer.head.status >= 500 and self._may_repeat_failure():
             raise RunnerFailedError(Outcome.RAN, "failed", f"{answer.head.status}")
-        self._online.note(self._call, self._runner_id(), is_well=True)
+        self._online.note(self._call, self._runner_id, is_well=True)
         self._log("answered", status=answer.head.status)
         return to_caller_response(answer.head, body)
 
     async def _send(self, last_event_id: int | None) -> RunnerAnswer:
         call, online = self._call, self._online
-        self._slot = await online.take_slot(call, self._avoid)
+        if online.has_slots(call):
+            self._slot = await online.take_slot(call, self._avoid)
+            self._runner_id = self._slot.runner_id
+        else:
+            self._runner_id = online.choose_runner(call, self._avoid)
         runners = online.state.runners_of(call.service)
-        runner = runner_named(runners, self._slot.runner_id)
+        runner = runner_named(runners, self._runner_id)
         if runner is None:
             raise RunnerFailedError(Outcome.NOT_RUN, "runner_gone")
         left_s = self._left_s()
@@ -274,11 +270,8 @@
     def _left_s(self) -> float:
         return self._call.end_at_s - self._online.timers.now()
 
-    def _runner_id(self) -> RunnerId:
-        return self._slot.runner_id if self._slot is not None else ""
-
     async def _note_failure(self, error: RunnerFailedError) -> None:
-        runner_id = self._runner_id()
+        runner_id = self._runner_id
         if runner_id:
             self._avoid.add(runner_id)
         if error.outcome is not Outcome.NOT_RUN:
@@ -340,7 +333,7 @@
                 except RunnerFailedError as error:
                     await self._note_failure(error)
                     await self._go_on(error)
-            self._online.note(self._call, self._runner_id(), is_well=True)
+            self._online.note(self._call, self._runner_id, is_well=True)
             self._log("answered", status=200)
         finally:
             watch.cancel()
@@ -415,7 +408,7 @@
     def _note_silence(self) -> None:
         """Tell of a runner that has been silent for long; its answer may still come."""
         self._log("runner silent", n_events=self._n_events)
-        self._online.note(self._call, self._runner_id(), is_well=False)
+        self._online.note(self._call, self._runner_id, is_well=False)
 
     async def release(self) -> None:
         """Cut what is still under way and give the slot back."""
@@ -423,8 +416,11 @@
             self._answer.response.close()
             self._answer = None
         slot, self._slot = self._slot, None
+        runner_id, self._runner_id = self._runner_id, ""
         if slot is not None:
             await slot.close()
+        elif runner_id:
+            self._online.release_runner(runner_id)
 
     def _log(self, event: str, **fields: object) -> None:
         now_s = self._online.timers.now()
@@ -432,7 +428,7 @@
             "request": self._call.request.request_id,
             "route": self._call.route.name,
             "service": self._call.service,
-            "runner": self._runner_id(),
+            "runner": self._runner_id,
             "n_worked": self._n_worked,
             "age_ms": round((now_s - self._call.began_at_s) * 1000.0, 1),
             "version": self._online.state.table.version,
--- a/libs/gateway/src/damaskjunction/gateway/root.py
+++ b/libs/gateway/src/damaskjunction/gateway/root.py
@@ -7,7 +7,7 @@
 import random
 
 from damaskjunction.core import Address, EntryHost, LoopTimers, stable_hash
-from damaskjunction.gateway.following import KindFollower
+from damaskjunction.gateway.following import KindFollower, TakeAll, TakeChange
 from damaskjunction.gateway.front import Front
 from damaskjunction.gateway.job_book import JobBook
 from damaskjunction.gateway.job_front import JobFront
@@ -79,10 +79,10 @@
         self.state = ServingState(self.view, timers, settings.regions_by_data_centre)
         handlers = PeerHandlers()
         self._membership = self._make_membership(own, chance, handlers)
-        home = SlotHome(self.state, timers)
+        self._calls = RunnerCalls(timers)
+        home = SlotHome(self.state, self._calls, timers)
         home.register(handlers)
         desk = SlotDesk(self.state, home, self._links, timers, chance)
-        self._calls = RunnerCalls(timers)
         online = Online(self.state, desk, self._calls, timers, self.metrics, chance)
         book = JobBook(self._store)
         self._worker = JobWorker(
@@ -149,8 +149,13 @@
         self._store.close()
 
     def _follow(
-        self, kind: str, take_all, take_change, chance: random.Random, settle_s=0.0
-    ) -> KindFollower:  # type: ignore[no-untyped-def]
+        self,
+        kind: str,
+        take_all: TakeAll,
+        take_change: TakeChange,
+        chance: random.Random,
+        settle_s: float = 0.0,
+    ) -> KindFollower:
         return KindFollower(
             self._store,
             self._timers,
--- a/libs/gateway/src/damaskjunction/gateway/runner_calls.py
+++ b/libs/gateway/src/damaskjunction/gateway/runner_calls.py
@@ -17,16 +17,21 @@
     ClientResponse,
     ConnectFailedError,
     HttpClient,
+    StalledResponseError,
 )
 from damaskjunction.platform import (
+    REPORT_PATH,
     CallerRequest,
     RunnerHead,
+    RunnerReport,
+    decode_report,
     decode_runner_head,
     runner_headers,
 )
 
 CONNECT_TIMEOUT_S = 0.3
 IDLE_LIMIT_S = 4.0
+REPORT_STALL_S = 0.5
 MAX_WHOLE_BYTES = 16 * MIB
 
 
@@ -126,6 +131,10 @@
             raise RunnerFailedError(
                 Outcome.NOT_RUN, "no_connection", str(error), is_fault=True
             ) from None
+        except StalledResponseError as error:
+            raise RunnerFailedError(
+                Outcome.UNKNOWN, "silent", str(error), is_fault=True
+            ) from None
         except BrokenResponseError as error:
             raise RunnerFailedError(
                 Outcome.UNKNOWN, "no_answer", str(error), is_fault=True
@@ -134,6 +143,29 @@
         await self._check_head(head, response, request, runner.runner_id)
         return RunnerAnswer(head, response)
 
+    async def ask_report(self, runner: Runner) -> RunnerReport:
+        """Return what a runner says it has under way.
+
+        Raises
+        ------
+        RunnerFailedError
+            When it gives no such answer.
+        """
+        try:
+            response = await self._client.send(
+                runner.address, "GET", REPORT_PATH, stall_s=REPORT_STALL_S
+            )
+            body = await response.read()
+        except (ConnectFailedError, BrokenResponseError) as error:
+            raise RunnerFailedError(
+                Outcome.NOT_RUN, "no_report", str(error), is_fault=True
+            ) from None
+        report = decode_report(response.status, body)
+        if report is None:
+            detail = f"status {response.status}"
+            raise RunnerFailedError(Outcome.NOT_RUN, "no_report", detail)
+        return report
+
     async def read_whole(self, answer: RunnerAnswer) -> bytes:
         """Return the body of an answer.
 
--- a/libs/gateway/src/damaskjunction/gateway/slot_desk.py
+++ b/libs/gateway/src/damaskjunction/gateway/slot_desk.py
@@ -1,4 +1,9 @@
-"""Slots for requests of this host, asked for at the home of their service."""
+"""Slots for requests of this host, asked for at the home of their service.
+
+A slot is held by an open call to its home. When the home is lost, or another host
+becomes the home, the slot is entered there, so that it goes on being counted and can
+be revoked.
+"""
 
 from __future__ import annotations
 
@@ -6,7 +11,7 @@
 import logging
 import random
 from collections.abc import AsyncGenerator
-from typing import Any, Protocol
+from typing import Any
 
 from damaskjunction.core import (
     EntryHost,
@@ -17,10 +22,11 @@
     ServiceName,
     Timers,
     WorkClass,
-    rendezvous_order,
 )
 from damaskjunction.gateway.slot_home import HomeSlot, SlotHome
 from damaskjunction.gateway.state import ServingState
+from damaskjunction.node import end_tasks
+from damaskjunction.routing import slot_homes
 from damaskjunction.wire import (
     Message,
     PeerLinks,
@@ -37,67 +43,46 @@
 HOME_DOUBT_S = 1.5
 N_HOMES_TRIED = 2
 NOTE_TIMEOUT_S = 1.0
+NO_HOME_RETRY_S = 0.3
 
 
-class Slot(Protocol):
-    """A slot that was granted, until ``close``."""
-
-    runner_id: RunnerId
-
-    async def wait_revoked(self) -> None:
-        """Return when the slot has to be given back."""
-
-    async def close(self) -> None:
-        """Give the slot back; no ``wait_revoked`` may be under way."""
-
-
-class _LocalSlot:
-    """A slot of this host's own pool."""
-
-    def __init__(self, slot: HomeSlot, runner_id: RunnerId) -> None:
-        self._slot = slot
-        self.runner_id = runner_id
-
-    async def wait_revoked(self) -> None:
-        await self._slot.revoked.wait()
-
-    async def close(self) -> None:
-        self._slot.close()
+class Slot:
+    """A slot that was granted, until ``close``.
 
-
-class _RemoteSlot:
-    """A slot of another host's pool; the call to it stays open meanwhile."""
+    ``revoked`` is set when it has to be given back.
+    """
 
     def __init__(
-        self, replies: AsyncGenerator[Message, None], runner_id: RunnerId
+        self, desk: SlotDesk | None, ask: SlotAsk, runner_id: RunnerId
     ) -> None:
-        self._replies = replies
-        self.runner_id = runner_id
-
-    async def wait_revoked(self) -> None:
-        try:
-            async for message in self._replies:
-                if isinstance(message, SlotRevoked):
-                    return
-        except RequestError as error:
-            logger.info("home of a slot lost", extra={"reason": error.reason})
-        await asyncio.Event().wait()  # nobody is left to revoke it
-
-    async def close(self) -> None:
-        await self._replies.aclose()
-
-
-class _OwnSlot:
-    """A runner chosen without a home, since none could be reached."""
-
-    def __init__(self, runner_id: RunnerId) -> None:
+        self._desk = desk
+        self.ask = ask
         self.runner_id = runner_id
-
-    async def wait_revoked(self) -> None:
-        await asyncio.Event().wait()
+        self.revoked = asyncio.Event()
+        self.home_id: HostId = ""
+        self.held: HomeSlot | None = None
+        self.call: AsyncGenerator[Message, None] | None = None
+        self.reader: asyncio.Task[None] | None = None
+        self.is_closed = False
 
     async def close(self) -> None:
-        pass
+        """Give the slot back."""
+        self.is_closed = True
+        if self._desk is not None:
+            self._desk.forget(self)
+        await self.let_go()
+
+    async def let_go(self) -> None:
+        """End what holds the slot at its home."""
+        held, self.held = self.held, None
+        if held is not None:
+            held.close()
+        reader, self.reader = self.reader, None
+        call, self.call = self.call, None
+        if reader is not None and reader is not asyncio.current_task():
+            await end_tasks([reader])
+        if call is not None:
+            await call.aclose()
 
 
 class SlotDesk:
@@ -130,9 +115,11 @@
         self._links = links
         self._timers = timers
         self._chance = chance
+        self._slots: set[Slot] = set()
         self._doubted_until_by_host: dict[HostId, float] = {}
         self._troubled: set[RunnerId] = set()
-        self._notes: set[asyncio.Task[None]] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        state.view.subscribe(self._move_slots)
 
     async def take(self, ask: SlotAsk) -> Slot:
         """Return a slot once it is granted.
@@ -142,13 +129,22 @@
         RequestError
             ``NOT_RUN`` when it is refused.
         """
-        for host in self._homes(ask.service_name)[:N_HOMES_TRIED]:
-            if host.host_id == self._state.view.own.host_id:
-                return await self._take_here(ask)
-            slot = await self._take_there(host, ask)
-            if slot is not None:
-                return slot
-        return self._choose(ask)
+        slot = Slot(self, ask, "")
+        try:
+            for host in self._homes(ask.service_name)[:N_HOMES_TRIED]:
+                if await self._ask(host, ask, slot):
+                    self._slots.add(slot)
+                    return slot
+        except BaseException:
+            await slot.let_go()
+            raise
+        slot.runner_id = self._choose(ask)
+        self._slots.add(slot)
+        return slot
+
+    def forget(self, slot: Slot) -> None:
+        """Take note that a slot is given back."""
+        self._slots.discard(slot)
 
     def note(self, service: ServiceName, runner_id: RunnerId, *, is_well: bool) -> None:
         """Tell the home how a runner answered; good news only after bad."""
@@ -161,14 +157,12 @@
         self._home.note(service, runner_id, is_well=is_well)
         for host in self._homes(service)[:1]:
             if host.host_id != self._state.view.own.host_id:
-                word = RunnerSeen(service, runner_id, is_well)
-                task = asyncio.ensure_future(self._tell(host, word))
-                self._notes.add(task)
-                task.add_done_callback(self._notes.discard)
+                self._begin(self._tell(host, RunnerSeen(service, runner_id, is_well)))
 
     def to_document(self) -> dict[str, Any]:
         """Return the state for the dump."""
         return {
+            "n_slots": len(self._slots),
             "troubled_runners": sorted(self._troubled),
             "doubted_hosts": sorted(self._doubted_until_by_host),
         }
@@ -176,27 +170,31 @@
     def _homes(self, service: ServiceName) -> list[EntryHost]:
         """Return hosts that may keep a service's slots, the one that does first."""
         now_s = self._timers.now()
-        hosts_by_id = {host.host_id: host for host in self._state.view.serving_hosts()}
-        names = rendezvous_order(
-            f"slots/{service}", [(name, 1.0) for name in hosts_by_id]
-        )
-        trusted = [
-            name
-            for name in names
-            if self._doubted_until_by_host.get(name, 0.0) <= now_s
+        doubts = self._doubted_until_by_host
+        return [
+            host
+            for host in slot_homes(service, self._state.view.serving_hosts())
+            if doubts.get(host.host_id, 0.0) <= now_s
         ]
-        return [hosts_by_id[name] for name in trusted]
 
-    async def _take_here(self, ask: SlotAsk) -> Slot:
-        slot = self._home.take(ask)
-        try:
-            return _LocalSlot(slot, await slot.granted)
-        except BaseException:
-            slot.close()
-            raise
-
-    async def _take_there(self, host: EntryHost, ask: SlotAsk) -> Slot | None:
-        """Ask another host; None when it gives no word in time."""
+    async def _ask(self, host: EntryHost, ask: SlotAsk, slot: Slot) -> bool:
+        """Ask a host for a slot; False when it gives no word in time."""
+        if host.host_id == self._state.view.own.host_id:
+            held = self._home.take(ask, slot.revoked)
+            slot.held = held
+            slot.runner_id = await held.granted
+        else:
+            call = await self._call(host, ask)
+            if call is None:
+                return False
+            slot.call, slot.runner_id = call
+            slot.reader = asyncio.ensure_future(self._read(host, slot, slot.call))
+        slot.home_id = host.host_id
+        return True
+
+    async def _call(
+        self, host: EntryHost, ask: SlotAsk
+    ) -> tuple[AsyncGenerator[Message, None], RunnerId] | None:
         replies = self._links.call(host.peer, ask.work_class.value, ask)
         try:
             async with asyncio.timeout(FIRST_REPLY_S):
@@ -205,32 +203,82 @@
                 reply = await anext(replies)
             if not isinstance(reply, SlotGranted):
                 raise RequestError(Outcome.UNKNOWN, "bad_reply", repr(reply))
-            return _RemoteSlot(replies, reply.runner_id)
+            return replies, reply.runner_id
         except (RequestError, TimeoutError, StopAsyncIteration) as error:
             await replies.aclose()
-            if isinstance(error, RequestError) and error.outcome is Outcome.NOT_RUN:
-                if error.reason != "peer_unreachable":
-                    raise
+            if _is_refusal(error):
+                raise
             self._doubt(host, repr(error))
             return None
         except BaseException:
             await replies.aclose()
             raise
 
+    async def _read(
+        self, host: EntryHost, slot: Slot, call: AsyncGenerator[Message, None]
+    ) -> None:
+        """Wait for the home to revoke a slot, or to be lost."""
+        try:
+            async for message in call:
+                if isinstance(message, SlotRevoked):
+                    slot.revoked.set()
+        except RequestError as error:
+            self._doubt(host, repr(error))
+        if not slot.is_closed:
+            self._move_slots()
+
+    def _move_slots(self) -> None:
+        """Enter slots at the present home that are held elsewhere."""
+        homes_by_service: dict[ServiceName, EntryHost | None] = {}
+        for slot in list(self._slots):
+            service = slot.ask.service_name
+            if service not in homes_by_service:
+                homes = self._homes(service)
+                homes_by_service[service] = homes[0] if homes else None
+            home = homes_by_service[service]
+            if home is not None and home.host_id != slot.home_id:
+                slot.home_id = home.host_id
+                self._begin(self._move(slot, home))
+
+    async def _move(self, slot: Slot, home: EntryHost) -> None:
+        await slot.let_go()
+        ask = slot.ask._replace(held_runner=slot.runner_id)
+        try:
+            is_held = await self._ask(home, ask, slot)
+        except RequestError as error:
+            extra = {"request": ask.request_id, "reason": error.reason}
+            logger.info("slot not entered at its new home", extra=extra)
+            return
+        if slot.is_closed:
+            await slot.let_go()
+        elif not is_held:
+            slot.home_id = ""
+            self._move_slots()
+
     def _doubt(self, host: EntryHost, error: str) -> None:
         until_s = self._timers.now() + HOME_DOUBT_S
+        if self._doubted_until_by_host.get(host.host_id, 0.0) < self._timers.now():
+            extra = {"host": host.host_id, "error": error}
+            logger.warning("home doubted", extra=extra)
         self._doubted_until_by_host[host.host_id] = until_s
-        logger.warning("home doubted", extra={"host": host.host_id, "error": error})
 
-    def _choose(self, ask: SlotAsk) -> Slot:
+    def _choose(self, ask: SlotAsk) -> RunnerId:
+        """Return a runner for a request that no home can place."""
         runners = [
             runner.runner_id
             for runner in self._state.runners_of(ask.service_name)
             if runner.runner_id not in ask.avoid
         ]
         if not runners or ask.work_class is WorkClass.BATCH:
-            raise RequestError(Outcome.NOT_RUN, "no_home", retry_after_s=0.5)
-        return _OwnSlot(self._chance.choice(runners))
+            raise RequestError(
+                Outcome.NOT_RUN, "no_home", retry_after_s=NO_HOME_RETRY_S
+            )
+        return self._chance.choice(runners)
+
+    def _begin(self, work: Any) -> None:
+        task: asyncio.Task[None] = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
     async def _tell(self, host: EntryHost, word: RunnerSeen) -> None:
         try:
@@ -238,3 +286,12 @@
                 await self._links.ask(host.peer, WorkClass.ONLINE.value, word)
         except (RequestError, TimeoutError) as error:
             logger.info("word on a runner not taken", extra={"error": repr(error)})
+
+
+def _is_refusal(error: Exception) -> bool:
+    """Return whether a home refused, rather than not having been reached."""
+    return (
+        isinstance(error, RequestError)
+        and error.outcome is Outcome.NOT_RUN
+        and error.reason != "peer_unreachable"
+    )
--- a/libs/gateway/src/damaskjunction/gateway/slot_home.py
+++ b/libs/gateway/src/damaskjunction/gateway/slot_home.py
@@ -10,13 +10,15 @@
     Outcome,
     RequestError,
     RequestId,
+    Runner,
     RunnerId,
     ServiceName,
     Subscription,
     Timers,
 )
+from damaskjunction.gateway.runner_calls import RunnerCalls, RunnerFailedError
 from damaskjunction.gateway.state import ServingState
-from damaskjunction.node import PeerHandlers
+from damaskjunction.node import PeerHandlers, end_tasks
 from damaskjunction.routing import (
     GrantSlot,
     RefuseSlot,
@@ -24,6 +26,7 @@
     SlotEffect,
     SlotPool,
     SlotTicket,
+    slot_homes,
 )
 from damaskjunction.wire import (
     Noted,
@@ -38,6 +41,8 @@
 logger = logging.getLogger(__name__)
 
 EXPIRY_PERIOD_S = 0.1
+REPORT_PERIOD_S = 0.5
+REPORT_TIMEOUT_S = 0.4
 
 
 class HomeSlot:
@@ -46,14 +51,20 @@
     ``granted`` becomes the runner, or the ``RequestError`` of a refusal.
     """
 
-    def __init__(self, home: SlotHome, pool: SlotPool, request_id: RequestId) -> None:
+    def __init__(
+        self,
+        home: SlotHome,
+        pool: SlotPool,
+        request_id: RequestId,
+        revoked: asyncio.Event,
+    ) -> None:
         self._home = home
         self.pool = pool
         self.request_id = request_id
         self.granted: asyncio.Future[RunnerId] = (
             asyncio.get_running_loop().create_future()
         )
-        self.revoked = asyncio.Event()
+        self.revoked = revoked
 
     def close(self) -> None:
         """Give the slot, or the place in the queue, back."""
@@ -67,34 +78,43 @@
     ----------
     state : ServingState
         Runners and services.
+    calls : RunnerCalls
+        Asks runners what they have under way.
     timers : Timers
         The process's timer service.
     """
 
-    def __init__(self, state: ServingState, timers: Timers) -> None:
+    def __init__(self, state: ServingState, calls: RunnerCalls, timers: Timers) -> None:
         self._state = state
+        self._calls = calls
         self._timers = timers
         self._pools_by_service: dict[ServiceName, SlotPool] = {}
         self._slots_by_id: dict[RequestId, HomeSlot] = {}
-        self._expiry: Subscription | None = None
-        state.view.subscribe(self._take_runners)
+        self._kept_services: set[ServiceName] = set()
+        self._subscriptions: list[Subscription] = []
+        self._asking: set[asyncio.Task[None]] = set()
+        state.view.subscribe(self._take_view)
 
     async def start(self) -> None:
         """Begin to refuse what waits too long."""
-        self._expiry = self._timers.every(EXPIRY_PERIOD_S, self._expire)
+        self._subscriptions = [
+            self._timers.every(EXPIRY_PERIOD_S, self._expire),
+            self._timers.every(REPORT_PERIOD_S, self._ask_for_reports),
+        ]
 
     async def close(self) -> None:
         """Stop."""
-        if self._expiry is not None:
-            self._expiry.cancel()
+        for subscription in self._subscriptions:
+            subscription.cancel()
+        await end_tasks(self._asking)
 
     def register(self, handlers: PeerHandlers) -> None:
         """Take the calls of other hosts."""
         handlers.register(SlotAsk)(self._answer)
         handlers.register(RunnerSeen)(self._take_word)
 
-    def take(self, ask: SlotAsk) -> HomeSlot:
-        """Ask for a slot here."""
+    def take(self, ask: SlotAsk, revoked: asyncio.Event) -> HomeSlot:
+        """Ask for a slot here; ``revoked`` is set when it has to be given back."""
         now_s = self._timers.now()
         ticket = SlotTicket(
             ask.request_id,
@@ -108,7 +128,7 @@
         former = self._slots_by_id.get(ask.request_id)
         if former is not None:
             former.close()
-        slot = HomeSlot(self, pool, ask.request_id)
+        slot = HomeSlot(self, pool, ask.request_id, revoked)
         self._slots_by_id[ask.request_id] = slot
         if ask.held_runner:
             pool.hold(ticket, ask.held_runner, now_s)
@@ -143,6 +163,7 @@
         if pool is None:
             pool = self._pools_by_service[service] = SlotPool()
             self._set_runners(service, pool)
+            self._note_home(service, pool)
         return pool
 
     def _set_runners(self, service: ServiceName, pool: SlotPool) -> None:
@@ -156,15 +177,53 @@
         }
         self._run(pool.set_runners(slots_by_runner, self._timers.now()))
 
-    def _take_runners(self) -> None:
+    def _take_view(self) -> None:
         for service, pool in self._pools_by_service.items():
             self._set_runners(service, pool)
+            self._note_home(service, pool)
+
+    def _note_home(self, service: ServiceName, pool: SlotPool) -> None:
+        view = self._state.view
+        homes = slot_homes(service, view.serving_hosts())
+        is_home = bool(homes) and homes[0].host_id == view.own.host_id
+        if is_home and service not in self._kept_services:
+            logger.info("home of slots here", extra={"service": service})
+            self._kept_services.add(service)
+            pool.begin(self._timers.now())
+        elif not is_home and service in self._kept_services:
+            logger.info("home of slots elsewhere", extra={"service": service})
+            self._kept_services.discard(service)
 
     def _expire(self) -> None:
         now_s = self._timers.now()
         for pool in self._pools_by_service.values():
             self._run(pool.expire(now_s))
 
+    def _ask_for_reports(self) -> None:
+        """Ask the runners of the pools kept here what they have under way."""
+        for service in self._kept_services:
+            spec = self._state.table.services_by_name.get(service)
+            if spec is None or spec.engine is None:
+                continue
+            for runner in self._state.runners_of(service):
+                task = asyncio.ensure_future(self._ask_for_report(service, runner))
+                self._asking.add(task)
+                task.add_done_callback(self._asking.discard)
+
+    async def _ask_for_report(self, service: ServiceName, runner: Runner) -> None:
+        pool = self._pools_by_service[service]
+        try:
+            async with asyncio.timeout(REPORT_TIMEOUT_S):
+                report = await self._calls.ask_report(runner)
+        except (RunnerFailedError, TimeoutError) as error:
+            extra = {"runner": runner.runner_id, "error": repr(error)}
+            logger.info("runner gave no report", extra=extra)
+            pool.note_trouble(runner.runner_id, self._timers.now())
+            return
+        n_requests = report.n_running + report.n_waiting
+        now_s = self._timers.now()
+        self._run(pool.observe_report(runner.runner_id, n_requests, now_s))
+
     def _run(self, effects: list[SlotEffect]) -> None:
         for effect in effects:
             slot = self._slots_by_id.get(effect.request_id)
@@ -185,7 +244,7 @@
                         )
 
     async def _answer(self, ask: SlotAsk, reply: Reply) -> None:
-        slot = self.take(ask)
+        slot = self.take(ask, asyncio.Event())
         try:
             if not slot.granted.done():
                 await reply(SlotQueued())
--- a/libs/http/src/damaskjunction/http/client.py
+++ b/libs/http/src/damaskjunction/http/client.py
@@ -13,7 +13,11 @@
 
 from damaskjunction.core import Address, Timers
 from damaskjunction.core.types import EMPTY
-from damaskjunction.http.messages import BrokenResponseError, ConnectFailedError
+from damaskjunction.http.messages import (
+    BrokenResponseError,
+    ConnectFailedError,
+    StalledResponseError,
+)
 
 READ_BYTES = 64 * 1024
 DEFAULT_CONNECT_TIMEOUT_S = 2.0
@@ -322,7 +326,10 @@
                 async with asyncio.timeout(self.stall_s):
                     data = await self._reader.read(READ_BYTES)
                 self._protocol.receive_data(data)
-        except (OSError, TimeoutError, h11.RemoteProtocolError) as error:
+        except TimeoutError:
+            detail = f"{self.address}: no byte for {self.stall_s:.3f} s"
+            raise StalledResponseError(detail) from None
+        except (OSError, h11.RemoteProtocolError) as error:
             raise BrokenResponseError(f"{self.address}: {error!r}") from None
         if isinstance(event, h11.ConnectionClosed) or event is h11.PAUSED:
             raise BrokenResponseError(f"{self.address}: closed before its response")
--- a/libs/http/src/damaskjunction/http/messages.py
+++ b/libs/http/src/damaskjunction/http/messages.py
@@ -61,6 +61,10 @@
     """The request was sent, at least in part, and no whole response came."""
 
 
+class StalledResponseError(BrokenResponseError):
+    """The peer sent no byte for so long that the connection was given up."""
+
+
 class BodyReader:
     """The body of a request, read at the pace of its handler.
 
--- a/libs/platform/src/damaskjunction/platform/requests.py
+++ b/libs/platform/src/damaskjunction/platform/requests.py
@@ -11,6 +11,7 @@
 from damaskjunction.core.units import MILLISECOND_S
 from damaskjunction.http import Request, Response
 
+REPORT_PATH = "/damaskjunction/report"
 READINESS_PATH = "/damaskjunction/readiness"
 ADDRESSES_PATH = "/damaskjunction/resolve"
 MAX_ADDRESSES = 64
@@ -81,6 +82,13 @@
     headers: Mapping[str, str]
 
 
+class RunnerReport(NamedTuple):
+    """What a runner said that it had under way, a fraction of a second ago."""
+
+    n_running: int
+    n_waiting: int
+
+
 class Refusal(StrEnum):
     """Answers that the system gives in place of a runner."""
 
@@ -168,6 +176,15 @@
     )
 
 
+def decode_report(status: int, body: bytes) -> RunnerReport | None:
+    """Return a runner's report, None when the answer is none."""
+    try:
+        document = json.loads(body)
+        return RunnerReport(int(document["Running"]), int(document["Waiting"]))
+    except (ValueError, KeyError, TypeError):
+        return None
+
+
 def to_caller_response(head: RunnerHead, body: bytes) -> Response:
     """Return the answer of a runner, whole, as it goes to the caller."""
     return Response(head.status, body, None, head.headers)
--- a/libs/routing/src/damaskjunction/routing/__init__.py
+++ b/libs/routing/src/damaskjunction/routing/__init__.py
@@ -22,6 +22,7 @@
 )
 from damaskjunction.routing.homes import (
     home_of,
+    slot_homes,
 )
 from damaskjunction.routing.idempotency import (
     Claim,
@@ -159,5 +160,6 @@
     "judge_claim",
     "make_table",
     "runner_choices",
+    "slot_homes",
     "worst_outcome",
 ]
--- a/libs/routing/src/damaskjunction/routing/homes.py
+++ b/libs/routing/src/damaskjunction/routing/homes.py
@@ -8,6 +8,7 @@
     EntryHost,
     HostState,
     Runner,
+    ServiceName,
     rendezvous_order,
 )
 
@@ -28,3 +29,10 @@
         runner.runner_id, [(host.host_id, 1.0) for host in candidates]
     )
     return live_by_id[order[0]] if order else None
+
+
+def slot_homes(service: ServiceName, hosts: Iterable[EntryHost]) -> list[EntryHost]:
+    """Return the hosts in the order in which they keep a service's slots."""
+    hosts_by_id = {host.host_id: host for host in hosts}
+    names = [(host_id, 1.0) for host_id in hosts_by_id]
+    return [hosts_by_id[name] for name in rendezvous_order(f"slots/{service}", names)]
--- a/libs/routing/src/damaskjunction/routing/slots.py
+++ b/libs/routing/src/damaskjunction/routing/slots.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import math
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from collections.abc import Mapping
 from typing import NamedTuple, TypeAlias
 
@@ -23,6 +23,8 @@
 MAX_PARTS_PER_RUNNER = 2048
 PREFIX_WEIGHT = 0.6
 MAX_QUEUE = 4096
+BEGIN_S = 0.4
+REPORT_LAG_S = 0.3
 
 TROUBLE = EjectionPolicy(n_failures=1, base_s=0.7, limit_s=6.0)
 
@@ -98,6 +100,9 @@
         self._parts_by_runner: dict[RunnerId, OrderedDict[str, None]] = {}
         self._ejection = OutlierEjection(TROUBLE)
         self._hold_s = FIRST_HOLD_S
+        self._unseen_by_runner: dict[RunnerId, int] = {}
+        self._released: deque[tuple[float, RunnerId]] = deque()
+        self._batch_from_s = 0.0
 
     @property
     def counts(self) -> SlotCounts:
@@ -121,6 +126,8 @@
         self._slots_by_runner = dict(slots_by_runner)
         for runner_id in self._parts_by_runner.keys() - slots_by_runner.keys():
             del self._parts_by_runner[runner_id]
+        for runner_id in self._unseen_by_runner.keys() - slots_by_runner.keys():
+            del self._unseen_by_runner[runner_id]
         return self._dispatch(now_s)
 
     def submit(self, ticket: SlotTicket, now_s: float) -> list[SlotEffect]:
@@ -140,6 +147,25 @@
         self._online[ticket.request_id] = ticket
         return self._dispatch(now_s)
 
+    def begin(self, now_s: float) -> None:
+        """Become the home: wait for word of slots in use before batch gets any."""
+        self._batch_from_s = now_s + BEGIN_S
+
+    def observe_report(
+        self, runner_id: RunnerId, n_requests: int, now_s: float
+    ) -> list[SlotEffect]:
+        """Take how many requests a runner counts, a little while ago.
+
+        Those above what was held here lately are others', which keep slots taken.
+        """
+        while self._released and now_s - self._released[0][0] > REPORT_LAG_S:
+            self._released.popleft()
+        n_known = self._used_by_runner.get(runner_id, 0) + sum(
+            name == runner_id for _, name in self._released
+        )
+        self._unseen_by_runner[runner_id] = max(0, n_requests - n_known)
+        return self._dispatch(now_s)
+
     def hold(self, ticket: SlotTicket, runner_id: RunnerId, now_s: float) -> None:
         """Count a slot that another home granted before this one took over."""
         self._hold(ticket, runner_id, now_s)
@@ -151,6 +177,7 @@
         held = self._held_by_id.pop(request_id, None)
         if held is not None:
             self._used_by_runner[held.runner_id] -= 1
+            self._released.append((now_s, held.runner_id))
             if held.ticket.work_class is WorkClass.ONLINE:
                 sample_s = now_s - held.since_s
                 self._hold_s += HOLD_WEIGHT * (sample_s - self._hold_s)
@@ -187,6 +214,7 @@
             "hold_s": round(self._hold_s, 4),
             "used_by_runner": dict(self._used_by_runner),
             "slots_by_runner": dict(self._slots_by_runner),
+            "unseen_by_runner": dict(self._unseen_by_runner),
         }
 
     def _predicted_wait_s(self) -> float:
@@ -221,6 +249,7 @@
 
     def _free(self, runner_id: RunnerId) -> int:
         used = self._used_by_runner.get(runner_id, 0)
+        used += self._unseen_by_runner.get(runner_id, 0)
         return self._slots_by_runner.get(runner_id, 0) - used
 
     def _choose(self, ticket: SlotTicket, usable: list[RunnerId]) -> RunnerId | None:
@@ -260,7 +289,7 @@
             kept.popitem(last=False)
 
     def _revoke(self, n_wanted: int) -> list[SlotEffect]:
-        """Revoke the youngest batch slots, as many as are wanted beyond those under way."""
+        """Revoke the youngest batch slots, as many as are wanted and not under way."""
         batch = [
             held
             for held in self._held_by_id.values()
@@ -284,7 +313,7 @@
         n_free = sum(max(0, self._free(name)) for name in usable)
         n_room = n_free - math.ceil(RESERVE_SHARE * n_slots)
         effects: list[SlotEffect] = []
-        if n_room <= 0 or not self._batch:
+        if n_room <= 0 or not self._batch or now_s < self._batch_from_s:
             return effects
         for ticket in sorted(self._batch.values(), key=_order):
             if n_room <= 0:
