--- a/libs/gateway/src/damaskjunction/gateway/slot_home.py
+++ b/libs/gateway/src/damaskjunction/gateway/slot_home.py
@@ -42,6 +42,7 @@
 
 EXPIRY_PERIOD_S = 0.1
 REPORT_PERIOD_S = 0.5
+TELL_PERIOD_S = 1.0
 REPORT_TIMEOUT_S = 0.4
 
 
@@ -92,6 +93,7 @@
         self._slots_by_id: dict[RequestId, HomeSlot] = {}
         self._kept_services: set[ServiceName] = set()
         self._subscriptions: list[Subscription] = []
+        self._told_at_s = 0.0
         self._asking: set[asyncio.Task[None]] = set()
         state.view.subscribe(self._take_view)
 
@@ -196,8 +198,12 @@
 
     def _expire(self) -> None:
         now_s = self._timers.now()
-        for pool in self._pools_by_service.values():
+        for service, pool in self._pools_by_service.items():
             self._run(pool.expire(now_s))
+            if pool.counts.n_online_waiting and now_s - self._told_at_s > TELL_PERIOD_S:
+                self._told_at_s = now_s
+                extra = {"service": service, **pool.to_document()}
+                logger.warning("online requests wait for slots", extra=extra)
 
     def _ask_for_reports(self) -> None:
         """Ask the runners of the pools kept here what they have under way."""
