--- a/libs/gateway/src/damaskjunction/gateway/root.py
+++ b/libs/gateway/src/damaskjunction/gateway/root.py
@@ -109,6 +109,7 @@
         self._enter_dump(home, desk, path)
         self.view.subscribe(self._apply_limits)
         self._parts: tuple[Part, ...] = (
+            path,
             home,
             self._peers,
             self._membership,
--- a/libs/gateway/src/damaskjunction/gateway/store_path.py
+++ b/libs/gateway/src/damaskjunction/gateway/store_path.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 import random
 from typing import Any
@@ -18,16 +19,21 @@
     PlatformUnavailableError,
     PlatformUnknownError,
     RequestError,
+    Subscription,
     Timers,
 )
-from damaskjunction.node import HostView, PeerHandlers
+from damaskjunction.node import HostView, PeerHandlers, end_tasks
 from damaskjunction.platform import StorePath, StoreReply
 from damaskjunction.wire import PeerLinks, Reply, StoreAnswer, StoreCall
 
 logger = logging.getLogger(__name__)
 
 STORE_LANE = "store"
-DIRECT_PAUSE_S = 1.0
+PROBE_PERIOD_S = 0.7
+MIN_PATIENCE_S = 0.12
+PATIENCE_X = 5.0
+LATENCY_WEIGHT = 0.2
+LONGEST_CALL_S = 5.0
 HELPER_DOUBT_S = 2.0
 N_HELPERS_TRIED = 2
 REFUSING_STATUSES = (429, 503)
@@ -63,10 +69,23 @@
         self._links = links
         self._timers = timers
         self._chance = chance
-        self._direct_from_s = 0.0
         self._is_direct = True
+        self._latency_s = 0.0
+        self._probing: Subscription | None = None
+        self._probe: asyncio.Task[None] | None = None
         self._doubted_until_by_host: dict[HostId, float] = {}
 
+    async def start(self) -> None:
+        """Begin to look whether a lost way works again."""
+        self._probing = self._timers.every(PROBE_PERIOD_S, self._begin_probe)
+
+    async def close(self) -> None:
+        """Stop."""
+        if self._probing is not None:
+            self._probing.cancel()
+        if self._probe is not None:
+            await end_tasks([self._probe])
+
     def register(self, handlers: PeerHandlers) -> None:
         """Make calls for other hosts."""
         handlers.register(StoreCall)(self._serve)
@@ -74,29 +93,70 @@
     async def send(
         self, method: str, target: str, body: bytes, stall_s: float
     ) -> StoreReply:
-        """Make a call; see ``StorePath``."""
+        """Make a call; see ``StorePath``.
+
+        Every change that the system makes is conditional or has the same effect when
+        it is made twice, so a call without an answer is made by another host as well.
+        """
         call = StoreCall(method, target, body, stall_s)
-        refusal: StoreReply | None = None
-        error: PlatformError = PlatformUnavailableError("the store was lost just now")
-        if self._timers.now() >= self._direct_from_s:
-            try:
-                reply = await self._send_directly(call)
-                if reply.status not in REFUSING_STATUSES:
-                    return reply
-                refusal = reply
-            except PlatformUnknownError as unknown:
-                if method != "GET":
-                    raise
-                error = unknown
-            except PlatformUnavailableError as unavailable:
-                error = unavailable
-        for host in self._helpers():
-            helped = await self._send_through(host, call)
-            if helped is not None:
-                return helped
-        if refusal is not None:
-            return refusal
-        raise error
+        direct: asyncio.Task[StoreReply] | None = None
+        if self._is_direct:
+            direct = asyncio.ensure_future(self._send_directly(call))
+            patience_s = stall_s if stall_s > LONGEST_CALL_S else self._patience_s()
+            await asyncio.wait((direct,), timeout=patience_s)
+        try:
+            return await self._send_besides(direct, call)
+        finally:
+            if direct is not None:
+                await end_tasks([direct])
+
+    async def probe(self) -> StoreReply:
+        """Make a cheap call by this host's own way."""
+        return await self._direct.probe()
+
+    async def _send_besides(
+        self, direct: asyncio.Task[StoreReply] | None, call: StoreCall
+    ) -> StoreReply:
+        """Return the answer of a direct call, or of another host's when that is first.
+
+        Raises
+        ------
+        PlatformUnavailableError, PlatformUnknownError
+            When neither way gives an answer.
+        """
+        if direct is not None and direct.done() and _is_answered(direct):
+            return direct.result()
+        helped = asyncio.ensure_future(self._send_through_any(call))
+        try:
+            pending = {task for task in (direct, helped) if task is not None}
+            while pending:
+                done, pending = await asyncio.wait(
+                    pending, return_when=asyncio.FIRST_COMPLETED
+                )
+                for task in done:
+                    if _is_answered(task):
+                        if task is helped and direct in pending:
+                            self._note_direct(is_well=False, reason="a peer was faster")
+                        return task.result()
+        finally:
+            await end_tasks([helped])
+        return (direct or helped).result()
+
+    def _patience_s(self) -> float:
+        return max(MIN_PATIENCE_S, PATIENCE_X * self._latency_s)
+
+    def _begin_probe(self) -> None:
+        if not self._is_direct and (self._probe is None or self._probe.done()):
+            self._probe = asyncio.ensure_future(self._look())
+
+    async def _look(self) -> None:
+        try:
+            reply = await self._direct.probe()
+        except PlatformError as error:
+            logger.debug("own way to the store still lost", extra={"error": str(error)})
+            return
+        if reply.status not in REFUSING_STATUSES:
+            self._note_direct(is_well=True, reason="probe answered")
 
     def to_document(self) -> dict[str, Any]:
         """Return the state for the dump."""
@@ -106,11 +166,15 @@
         }
 
     async def _send_directly(self, call: StoreCall) -> StoreReply:
+        began_at_s = self._timers.now()
         try:
             reply = await self._direct.send(*call)
         except PlatformError as error:
             self._note_direct(is_well=False, reason=str(error))
             raise
+        if call.stall_s <= LONGEST_CALL_S:
+            sample_s = self._timers.now() - began_at_s
+            self._latency_s += LATENCY_WEIGHT * (sample_s - self._latency_s)
         is_well = reply.status not in REFUSING_STATUSES
         self._note_direct(is_well=is_well, reason=f"status {reply.status}")
         return reply
@@ -120,8 +184,13 @@
             event = "regained" if is_well else "lost"
             logger.warning(f"own way to the store {event}", extra={"reason": reason})
         self._is_direct = is_well
-        if not is_well:
-            self._direct_from_s = self._timers.now() + DIRECT_PAUSE_S
+
+    async def _send_through_any(self, call: StoreCall) -> StoreReply:
+        for host in self._helpers():
+            reply = await self._send_through(host, call)
+            if reply is not None:
+                return reply
+        raise PlatformUnavailableError("no host reaches the store")
 
     def _helpers(self) -> list[EntryHost]:
         """Return some other hosts that may reach the store."""
@@ -159,7 +228,7 @@
 
     async def _serve(self, call: StoreCall, reply: Reply) -> None:
         """Make a call for another host, by this host's own way alone."""
-        if self._timers.now() < self._direct_from_s:
+        if not self._is_direct:
             raise RequestError(Outcome.NOT_RUN, "store_lost")
         try:
             answer = await self._send_directly(call)
@@ -168,3 +237,10 @@
         except PlatformUnknownError as error:
             raise RequestError(Outcome.UNKNOWN, "store_lost", str(error)) from None
         await reply(StoreAnswer(*answer))
+
+
+def _is_answered(task: asyncio.Task[StoreReply]) -> bool:
+    """Return whether a call ended with an answer that is no refusal."""
+    if task.cancelled() or task.exception() is not None:
+        return False
+    return task.result().status not in REFUSING_STATUSES
--- a/libs/platform/src/damaskjunction/platform/store.py
+++ b/libs/platform/src/damaskjunction/platform/store.py
@@ -25,7 +25,9 @@
 
 OBJECTS_PATH = "/damaskjunction/objects"
 CALL_TIMEOUT_S = 2.5
-CONNECT_TIMEOUT_S = 0.6
+PROBE_TARGET = f"{OBJECTS_PATH}/config/main?StaleOk=1"
+PROBE_STALL_S = 1.0
+CONNECT_TIMEOUT_S = 0.4
 WATCH_SLACK_S = 2.0
 
 
@@ -99,6 +101,9 @@
         ``PlatformUnknownError`` when it may have.
         """
 
+    async def probe(self) -> StoreReply:
+        """Make a cheap call that only tells whether the way works; see ``send``."""
+
 
 class DirectPath:
     """Calls to the store over connections of this process.
@@ -147,6 +152,10 @@
         except BrokenResponseError as error:
             raise PlatformUnknownError(str(error)) from None
 
+    async def probe(self) -> StoreReply:
+        """Make a cheap call that only tells whether the way works; see ``send``."""
+        return await self.send("GET", PROBE_TARGET, b"", PROBE_STALL_S)
+
 
 class StoreClient:
     """Calls to the store's object API.
