--- a/libs/gateway/src/damaskjunction/gateway/__init__.py
+++ b/libs/gateway/src/damaskjunction/gateway/__init__.py
@@ -1,5 +1,7 @@
-"""The host process on the users' platform: callers in, runners out."""
+"""The host process on the users' platform: callers in, runners out.
 
-from damaskjunction.gateway.root import GatewayProcess
+``python -m damaskjunction.gateway`` runs it; nothing imports it as a library, and the
+package itself imports nothing, so that a role pays only for its own modules.
+"""
 
-__all__ = ["GatewayProcess"]
+__all__: list[str] = []
--- a/libs/gateway/src/damaskjunction/gateway/__main__.py
+++ b/libs/gateway/src/damaskjunction/gateway/__main__.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import argparse
+import importlib
 import signal
 
 
 def _run_host() -> None:
-    from damaskjunction.gateway.daemon import main
-
-    main()
+    """Run a host; its modules are read by this role alone."""
+    importlib.import_module("damaskjunction.gateway.daemon").main()
 
 
 def _run_storage() -> None:
--- a/libs/gateway/src/damaskjunction/gateway/daemon.py
+++ b/libs/gateway/src/damaskjunction/gateway/daemon.py
@@ -8,6 +8,7 @@
 import signal
 from pathlib import Path
 
+from damaskjunction.core import LoopTimers
 from damaskjunction.gateway.root import GatewayProcess
 from damaskjunction.platform import SETTINGS_VARIABLE, read_settings
 from damaskjunction.telemetry import configure_logs
@@ -19,7 +20,7 @@
 
 async def _run(path: Path) -> None:
     settings = read_settings(path)
-    configure_logs(LOG_LEVEL, process=settings.host_id)
+    configure_logs(LOG_LEVEL, process=settings.host_id, now=LoopTimers().now)
     process = GatewayProcess(settings)
     loop = asyncio.get_running_loop()
     is_to_leave = asyncio.Event()
--- a/libs/gateway/src/damaskjunction/gateway/job_front.py
+++ b/libs/gateway/src/damaskjunction/gateway/job_front.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 
-from damaskjunction.batch import JobRecord
+from damaskjunction.batch import BatchItem, JobRecord
 from damaskjunction.core import (
     JobId,
     PlatformError,
@@ -75,16 +75,25 @@
             return Response(202)
         n_tokens = sum(item.n_tokens for item in items)
         if self._is_over_bound(route, n_tokens):
-            known = await self._find_quietly(job_id)
-            if known is not None:
-                return Response(202)
-            self._log("refused", job_id, reason="too_many_tokens_wait", tokens=n_tokens)
-            return to_refusal(
-                Refusal.TOO_MUCH,
-                "too many tokens wait",
-                request_id=job_id,
-                retry_after_s=FULL_RETRY_AFTER_S,
-            )
+            return await self._refuse_size(job_id, n_tokens)
+        return await self._accept(request, route, items)
+
+    async def _refuse_size(self, job_id: JobId, n_tokens: int) -> Response:
+        """Refuse a job that does not fit, unless another host has accepted it."""
+        if await self._find_quietly(job_id) is not None:
+            return Response(202)
+        self._log("refused", job_id, reason="too_many_tokens_wait", tokens=n_tokens)
+        return to_refusal(
+            Refusal.TOO_MUCH,
+            "too many tokens wait",
+            request_id=job_id,
+            retry_after_s=FULL_RETRY_AFTER_S,
+        )
+
+    async def _accept(
+        self, request: CallerRequest, route: Route, items: tuple[BatchItem, ...]
+    ) -> Response:
+        job_id = request.request_id
         record = JobRecord(
             job_id,
             route.name,
@@ -102,7 +111,7 @@
         except PlatformError as error:
             self._log("unknown", job_id, error=str(error))
             return to_refusal(Refusal.UNKNOWN, "the store gave no answer")
-        self._log("accepted", job_id, n_items=len(items), tokens=n_tokens)
+        self._log("accepted", job_id, n_items=len(items), tokens=record.n_tokens)
         return Response(202)
 
     async def serve(self, request: Request) -> Response | None:
--- a/libs/gateway/src/damaskjunction/gateway/job_worker.py
+++ b/libs/gateway/src/damaskjunction/gateway/job_worker.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-import random
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple, TypeAlias, TypeVar
 
@@ -21,24 +20,21 @@
     PlatformError,
     RequestError,
     Subscription,
-    Timers,
     WorkClass,
     rendezvous_order,
     stable_hash,
 )
 from damaskjunction.gateway.job_book import JobBook, KnownJob
+from damaskjunction.gateway.parts import Sending
 from damaskjunction.gateway.runner_calls import (
-    RunnerCalls,
     RunnerFailedError,
     runner_named,
 )
-from damaskjunction.gateway.slot_desk import Slot, SlotDesk
-from damaskjunction.gateway.state import ServingState
+from damaskjunction.gateway.slot_desk import Slot
 from damaskjunction.http import BrokenResponseError, ClientResponse, EventBlocks
 from damaskjunction.node import end_tasks
 from damaskjunction.platform import encode_result_list, item_request
 from damaskjunction.routing import Route
-from damaskjunction.telemetry import Metrics
 from damaskjunction.wire import SlotAsk
 
 logger = logging.getLogger(__name__)
@@ -88,37 +84,18 @@
     ----------
     book : JobBook
         Jobs and results.
-    state : ServingState
-        Routes, runners and hosts.
-    desk : SlotDesk
-        Slots of engines.
-    calls : RunnerCalls
-        Sends to runners.
-    timers : Timers
-        The process's timer service.
-    metrics : Metrics
-        Takes counts.
-    chance : random.Random
-        Source of the jitter.
+    sending : Sending
+        What items are sent by.
     """
 
-    def __init__(
-        self,
-        book: JobBook,
-        state: ServingState,
-        desk: SlotDesk,
-        calls: RunnerCalls,
-        timers: Timers,
-        metrics: Metrics,
-        chance: random.Random,
-    ) -> None:
+    def __init__(self, book: JobBook, sending: Sending) -> None:
         self._book = book
-        self._state = state
-        self._desk = desk
-        self._calls = calls
-        self._timers = timers
-        self._metrics = metrics
-        self._chance = chance
+        self._state = sending.state
+        self._desk = sending.desk
+        self._calls = sending.calls
+        self._timers = sending.timers
+        self._metrics = sending.metrics
+        self._chance = sending.chance
         self._tasks_by_job: dict[JobId, asyncio.Task[None]] = {}
         self._orphaned_at_by_job: dict[JobId, float] = {}
         self._places = asyncio.Semaphore(MAX_ITEMS_AT_ONCE)
--- a/libs/gateway/src/damaskjunction/gateway/online.py
+++ b/libs/gateway/src/damaskjunction/gateway/online.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-import random
 from collections.abc import AsyncGenerator, AsyncIterator, Callable
 from typing import NamedTuple
 
@@ -18,14 +17,13 @@
     stable_hash,
 )
 from damaskjunction.core.units import MILLISECOND_S
+from damaskjunction.gateway.parts import Sending
 from damaskjunction.gateway.runner_calls import (
     RunnerAnswer,
-    RunnerCalls,
     RunnerFailedError,
     runner_named,
 )
-from damaskjunction.gateway.slot_desk import Slot, SlotDesk
-from damaskjunction.gateway.state import ServingState
+from damaskjunction.gateway.slot_desk import Slot
 from damaskjunction.http import BrokenResponseError, EventBlocks, Response
 from damaskjunction.platform import (
     CallerRequest,
@@ -39,7 +37,6 @@
     Route,
     RouteKind,
 )
-from damaskjunction.telemetry import Metrics
 from damaskjunction.wire import SlotAsk
 
 logger = logging.getLogger(__name__)
@@ -81,35 +78,17 @@
 
     Parameters
     ----------
-    state : ServingState
-        Routes and runners.
-    desk : SlotDesk
-        Slots of engines.
-    calls : RunnerCalls
-        Sends to runners.
-    timers : Timers
-        The process's timer service.
-    metrics : Metrics
-        Takes counts and times.
-    chance : random.Random
-        Source of random choices.
+    sending : Sending
+        What requests are sent by.
     """
 
-    def __init__(
-        self,
-        state: ServingState,
-        desk: SlotDesk,
-        calls: RunnerCalls,
-        timers: Timers,
-        metrics: Metrics,
-        chance: random.Random,
-    ) -> None:
-        self.state = state
-        self.desk = desk
-        self.calls = calls
-        self.timers = timers
-        self.metrics = metrics
-        self._chance = chance
+    def __init__(self, sending: Sending) -> None:
+        self.state = sending.state
+        self.desk = sending.desk
+        self.calls = sending.calls
+        self.timers = sending.timers
+        self.metrics = sending.metrics
+        self._chance = sending.chance
         self._n_under_way_by_runner: dict[RunnerId, int] = {}
         self._ejection = OutlierEjection(PLAIN_EJECTION)
         self._patience_s_by_route: dict[str, float] = {}
--- /dev/null
+++ b/libs/gateway/src/damaskjunction/gateway/parts.py
@@ -0,0 +1,23 @@
+"""What the parts that send to runners share."""
+
+from __future__ import annotations
+
+import random
+from typing import NamedTuple
+
+from damaskjunction.core import Timers
+from damaskjunction.gateway.runner_calls import RunnerCalls
+from damaskjunction.gateway.slot_desk import SlotDesk
+from damaskjunction.gateway.state import ServingState
+from damaskjunction.telemetry import Metrics
+
+
+class Sending(NamedTuple):
+    """Routes and runners, slots on them, calls to them; time, metrics and chance."""
+
+    state: ServingState
+    desk: SlotDesk
+    calls: RunnerCalls
+    timers: Timers
+    metrics: Metrics
+    chance: random.Random
--- a/libs/gateway/src/damaskjunction/gateway/root.py
+++ b/libs/gateway/src/damaskjunction/gateway/root.py
@@ -13,6 +13,7 @@
 from damaskjunction.gateway.job_front import JobFront
 from damaskjunction.gateway.job_worker import JobWorker
 from damaskjunction.gateway.online import Online
+from damaskjunction.gateway.parts import Sending
 from damaskjunction.gateway.roster import HostRoster
 from damaskjunction.gateway.runner_calls import RunnerCalls
 from damaskjunction.gateway.slot_desk import SlotDesk
@@ -88,11 +89,10 @@
         home = SlotHome(self.state, self._calls, timers)
         home.register(handlers)
         desk = SlotDesk(self.state, home, self._links, timers, chance)
-        online = Online(self.state, desk, self._calls, timers, self.metrics, chance)
+        sending = Sending(self.state, desk, self._calls, timers, self.metrics, chance)
+        online = Online(sending)
         book = JobBook(self._store)
-        self._worker = JobWorker(
-            book, self.state, desk, self._calls, timers, self.metrics, chance
-        )
+        self._worker = JobWorker(book, sending)
         jobs = JobFront(book, self._worker, self.state, timers)
         front = Front(self.state, online, jobs, self.metrics)
         self._callers = HttpServer(settings.caller, front.serve)
--- a/libs/node/src/damaskjunction/node/daemon.py
+++ b/libs/node/src/damaskjunction/node/daemon.py
@@ -6,6 +6,7 @@
 import logging
 import signal
 
+from damaskjunction.core import LoopTimers
 from damaskjunction.node.datagrams import OpenDatagrams, open_datagrams
 from damaskjunction.node.root import HostProcess
 from damaskjunction.settings import HostSettings
@@ -33,5 +34,5 @@
 
 def main(settings: HostSettings) -> None:
     """Run a host in this process."""
-    configure_logs(settings.log_level, process=settings.host_id)
+    configure_logs(settings.log_level, process=settings.host_id, now=LoopTimers().now)
     asyncio.run(run_host(settings))
--- a/libs/platform/src/damaskjunction/platform/jobs.py
+++ b/libs/platform/src/damaskjunction/platform/jobs.py
@@ -35,7 +35,7 @@
 
 
 class ResultsQuery(NamedTuple):
-    """A caller's read of a job's results from a position, waiting at most ``wait_s``."""
+    """A caller's read of results from a position; it waits at most ``wait_s``."""
 
     job_id: JobId
     after: int
--- a/libs/standins/src/damaskjunction/standins/__main__.py
+++ b/libs/standins/src/damaskjunction/standins/__main__.py
@@ -74,7 +74,7 @@
 async def run_faulty_host(arguments: argparse.Namespace) -> None:
     """Run a host of the system whose datagrams have faults."""
     settings = read_host_settings(arguments.settings.read_text(), "settings")
-    configure_logs(settings.log_level, process=settings.host_id)
+    configure_logs(settings.log_level, process=settings.host_id, now=LoopTimers().now)
     datagrams = FaultyDatagrams(arguments.address, arguments.seed)
     await run_host(settings, datagrams.open)
 
--- a/libs/telemetry/src/damaskjunction/telemetry/__init__.py
+++ b/libs/telemetry/src/damaskjunction/telemetry/__init__.py
@@ -1,7 +1,19 @@
 """JSON logs, metrics and the state dump."""
 
 from damaskjunction.telemetry.dump import StateDump
-from damaskjunction.telemetry.logs import configure_logs, set_log_level
+from damaskjunction.telemetry.logs import (
+    LineBudget,
+    UnblockedHandler,
+    configure_logs,
+    set_log_level,
+)
 from damaskjunction.telemetry.metrics import Metrics
 
-__all__ = ["Metrics", "StateDump", "configure_logs", "set_log_level"]
+__all__ = [
+    "LineBudget",
+    "Metrics",
+    "StateDump",
+    "UnblockedHandler",
+    "configure_logs",
+    "set_log_level",
+]
