--- /dev/null
+++ b/libs/standins/src/damaskjunction/standins/backends.py
@@ -0,0 +1,120 @@
+"""Stand-in of a runner on the platform: streams events, by the published protocol."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+
+from damaskjunction.core import Address, RequestId, RunnerId, ServiceName
+from damaskjunction.http import HttpServer, Request, Response, to_json_response
+from damaskjunction.standins.faults import Faults
+from damaskjunction.standins.store import StoreStandin
+
+RUNNERS_KIND = "servers"
+EVENT_INTERVAL_S = 0.02
+REPORT_PATH = "/damaskjunction/report"
+
+
+class BackendStandin:
+    """A runner that answers each request by numbered events, or by a whole body.
+
+    Faults: ``break_after`` (cut streams behind this event), ``full`` (1: refuse),
+    ``silent_after`` (send nothing behind this event), ``fail`` (status of each answer),
+    ``impossible`` (1: no item can be done).
+
+    Parameters
+    ----------
+    runner_id : str
+        Its id in the store.
+    address : Address
+        Where to listen.
+    service : str
+        What it serves.
+    store : StoreStandin
+        Where it enters itself.
+    n_events : int, optional
+        Events of a stream; 0 answers whole.
+    slots : int, optional
+        Requests it takes at once.
+    """
+
+    def __init__(
+        self,
+        runner_id: RunnerId,
+        address: Address,
+        service: ServiceName,
+        store: StoreStandin,
+        *,
+        n_events: int = 10,
+        slots: int = 2,
+    ) -> None:
+        self.runner_id = runner_id
+        self._address = address
+        self._service = service
+        self._store = store
+        self._n_events = n_events
+        self._slots = slots
+        self.n_running = 0
+        self.most_running = 0
+        self.requests_seen: list[tuple[RequestId, str]] = []
+        self.headers_by_request: dict[RequestId, dict[str, str]] = {}
+        self.faults = Faults(
+            "break_after", "full", "silent_after", "fail", "impossible"
+        )
+        self._server = HttpServer(address, self._serve)
+
+    async def start(self) -> None:
+        """Listen, and enter the store."""
+        await self._server.start()
+        self.enter("ready")
+
+    async def close(self) -> None:
+        """Stop serving."""
+        await self._server.close()
+
+    def enter(self, state: str) -> None:
+        """Write the entry in the store."""
+        entry = {
+            "Service": self._service,
+            "Addr": str(self._address),
+            "Zone": "z1",
+            "Slots": self._slots,
+            "State": state,
+        }
+        self._store.put(RUNNERS_KIND, self.runner_id, entry)
+
+    async def _serve(self, request: Request) -> Response:
+        if request.path == REPORT_PATH:
+            return to_json_response({"Running": self.n_running, "Waiting": 0})
+        headers = request.headers
+        request_id = headers.get("x-request-id", "")
+        if headers.get("x-expect-instance", self.runner_id) != self.runner_id:
+            return Response(421, headers={"X-Not-Run": "1"})
+        if self.faults["full"] or self.n_running >= self._slots:
+            return Response(503, headers={"X-Not-Run": "1"})
+        await request.body.read()
+        last = headers.get("last-event-id", "")
+        self.requests_seen.append((request_id, last))
+        self.headers_by_request[request_id] = dict(headers)
+        answer_headers = {"X-Request-Id": request_id, "X-Response-Stamp": request_id}
+        if self.faults["impossible"] or self.faults["fail"]:
+            status = 422 if self.faults["impossible"] else int(self.faults["fail"])
+            return Response(status, b"no", headers=answer_headers)
+        if not self._n_events:
+            return Response(200, request_id.encode(), "text/plain", answer_headers)
+        events = self._events(int(last) if last else 0)
+        return Response(200, events, "text/event-stream", answer_headers)
+
+    async def _events(self, last: int) -> AsyncIterator[bytes]:
+        self.n_running += 1
+        self.most_running = max(self.most_running, self.n_running)
+        try:
+            for number in range(last + 1, self._n_events + 1):
+                await asyncio.sleep(EVENT_INTERVAL_S)
+                if self.faults["silent_after"] and number > self.faults["silent_after"]:
+                    await asyncio.Event().wait()
+                yield f"id: {number}\ndata: token {number}\n\n".encode()
+                if self.faults["break_after"] and number >= self.faults["break_after"]:
+                    raise ConnectionResetError("the runner breaks off")
+        finally:
+            self.n_running -= 1
