--- /dev/null
+++ b/libs/gateway/features/steps/fleet_steps.py
@@ -0,0 +1,496 @@
+"""Steps of the features on the host process."""
+
+from __future__ import annotations
+
+import asyncio
+
+from behave import given, then, when
+from platform_fleet import (
+    ENGINE,
+    PLAIN,
+    ROUTES,
+    PlatformFleet,
+    event_numbers,
+    make_configuration,
+    make_route,
+)
+
+from damaskjunction.standins import Mode
+
+STEP_TIMEOUT_S = 40.0
+SETTLED_S = 0.5
+
+
+def run(context, work):
+    async def bounded():
+        async with asyncio.timeout(STEP_TIMEOUT_S):
+            return await work
+
+    return context.runner_loop.run(bounded())
+
+
+@given("a fleet of {n_hosts:d} hosts on the platform")
+def start_fleet(context, n_hosts):
+    async def start():
+        context.platform = PlatformFleet(n_hosts)
+        await context.platform.start(n_hosts)
+
+    run(context, start())
+
+
+@given('engines "{names}"')
+def add_engines(context, names):
+    for name in names.split(","):
+        run(context, context.platform.add_runner(name, ENGINE))
+
+
+@given('plain runners "{names}"')
+def add_plain(context, names):
+    for name in names.split(","):
+        run(context, context.platform.add_runner(name, PLAIN, slots=8))
+
+
+def set_faults(context, fault, value):
+    for runner in context.platform.runners.values():
+        runner.faults[fault] = value
+
+
+def mend(context):
+    for fault in ("break_after", "silent_after"):
+        set_faults(context, fault, 0)
+
+
+@given("every engine breaks streams behind event {number:d}")
+def break_streams(context, number):
+    set_faults(context, "break_after", number)
+
+
+@given("every engine falls silent behind event {number:d}")
+def silence_streams(context, number):
+    set_faults(context, "silent_after", number)
+
+
+@given('engine "{name}" is full')
+def fill_engine(context, name):
+    context.platform.runners[name].faults["full"] = 1
+
+
+@given('plain runner "{name}" fails with {status:d}')
+def fail_one(context, name, status):
+    context.platform.runners[name].faults["fail"] = status
+
+
+@given("every plain runner fails with {status:d}")
+def fail_all(context, status):
+    set_faults(context, "fail", status)
+
+
+@given("no item can be done")
+def forbid_items(context):
+    set_faults(context, "impossible", 1)
+
+
+@given('the address of "{name}" now belongs to another runner')
+def give_address_away(context, name):
+    context.platform.runners[name].runner_id = "another"
+
+
+def seen(context, request_id):
+    return [
+        entry
+        for runner in context.platform.runners.values()
+        for entry in runner.requests_seen
+        if entry[0] == request_id
+    ]
+
+
+@when('a caller asks "{path}" at "{host}" as "{request_id}"')
+def ask(context, path, host, request_id):
+    context.reply = run(
+        context, context.platform.call(host, "POST", path, request_id=request_id)
+    )
+
+
+@when(
+    'a caller asks "{path}" at "{host}" as "{request_id}" and all engines are sound '
+    "after a break"
+)
+def ask_with_break(context, path, host, request_id):
+    async def work():
+        call = asyncio.ensure_future(
+            context.platform.call(host, "POST", path, request_id=request_id)
+        )
+        await context.platform.wait_for(lambda: seen(context, request_id))
+        await context.platform.wait_for(
+            lambda: any(r.n_running for r in context.platform.runners.values())
+        )
+        for runner in context.platform.runners.values():
+            if not runner.requests_seen:
+                runner.faults["break_after"] = 0
+        return await call
+
+    context.reply = run(context, work())
+
+
+@when(
+    'a caller asks "{path}" at "{host}" as "{request_id}" and all engines are sound '
+    "after {delay_s:g} s"
+)
+def ask_then_mend(context, path, host, request_id, delay_s):
+    async def work():
+        call = asyncio.ensure_future(
+            context.platform.call(host, "POST", path, request_id=request_id)
+        )
+        await context.platform.wait_for(lambda: seen(context, request_id))
+        await asyncio.sleep(delay_s)
+        mend(context)
+        return await call
+
+    context.reply = run(context, work())
+
+
+@when('{count:d} callers ask "{path}" at both hosts at once')
+def ask_at_once(context, count, path):
+    async def work():
+        names = list(context.platform.hosts)
+        return await asyncio.gather(
+            *(
+                context.platform.call(
+                    names[number % len(names)], "POST", path, request_id=f"q{number}"
+                )
+                for number in range(count)
+            )
+        )
+
+    context.replies = run(context, work())
+
+
+@then("the caller gets events {first:d} to {last:d}, whole")
+def check_whole(context, first, last):
+    assert_events(context.reply, first, last, is_whole=True)
+
+
+@then("every caller gets events {first:d} to {last:d}, whole")
+def check_all_whole(context, first, last):
+    for reply in context.replies:
+        assert_events(reply, first, last, is_whole=True)
+
+
+@then(
+    "every caller gets events {first:d} to {last:d}, whole, or is refused and did not run"
+)
+def check_whole_or_refused(context, first, last):
+    served = [reply for reply in context.replies if reply.status != 503]
+    assert len(served) >= 2, context.replies
+    for reply in served:
+        assert_events(reply, first, last, is_whole=True)
+    for reply in context.replies:
+        if reply.status == 503:
+            assert not seen(context, reply.headers["x-request-id"]), reply
+
+
+@then("the caller gets events {first:d} to {last:d}, broken off")
+def check_broken(context, first, last):
+    assert_events(context.reply, first, last, is_whole=False)
+
+
+def assert_events(reply, first, last, *, is_whole):
+    assert reply.status == 200, reply
+    numbers = event_numbers(reply.body)
+    assert numbers == list(range(first, last + 1)), numbers
+    assert reply.is_whole is is_whole, reply
+
+
+@then('the answer bears the id "{request_id}"')
+def check_id(context, request_id):
+    assert context.reply.headers["x-request-id"] == request_id, context.reply
+    assert context.reply.headers["x-response-stamp"] == request_id, context.reply
+
+
+@then(
+    'runner "{name}" saw "{request_id}" once, expecting itself, with a deadline of at '
+    "most {limit_ms:d} ms"
+)
+def check_sent(context, name, request_id, limit_ms):
+    assert len(seen(context, request_id)) == 1
+    headers = context.platform.runners[name].headers_by_request[request_id]
+    assert headers["x-expect-instance"] == name, headers
+    assert 0 < int(headers["x-deadline-ms"]) <= limit_ms, headers
+
+
+@then('the runners saw "{request_id}" {count:d} times')
+def check_seen(context, request_id, count):
+    entries = seen(context, request_id)
+    assert len(entries) == count, entries
+
+
+@then(
+    'the runners saw "{request_id}" {count:d} times, the second time behind event '
+    "{number:d}"
+)
+def check_resumed(context, request_id, count, number):
+    entries = seen(context, request_id)
+    assert len(entries) == count, entries
+    assert sorted(last for _, last in entries) == ["", str(number)], entries
+
+
+@then("the caller gets status {status:d} with a time to return")
+def check_refusal(context, status):
+    assert context.reply.status == status, context.reply
+    assert float(context.reply.headers["retry-after"]) > 0, context.reply
+
+
+@then("the caller gets status {status:d}")
+def check_status(context, status):
+    assert context.reply.status == status, context.reply
+
+
+@then("every caller gets status {status:d}")
+def check_statuses(context, status):
+    assert [r.status for r in context.replies] == [status] * len(context.replies)
+
+
+@then('engine "{name}" never ran more than {limit:d} at once')
+def check_most(context, name, limit):
+    assert context.platform.runners[name].most_running <= limit
+
+
+@then('runner "{name}" saw nothing')
+def check_nothing(context, name):
+    assert not context.platform.runners[name].requests_seen
+
+
+@when('the operator adds the route "{prefix}" as version {version:d}')
+def add_route(context, prefix, version):
+    route = make_route("more", prefix, "idempotent", PLAIN)
+    document = make_configuration(version, [*ROUTES, route])
+    context.platform.store.put("config", "main", document)
+
+
+@when("the operator writes version {version:d} without that route again")
+def write_older(context, version):
+    document = make_configuration(version, ROUTES)
+    context.platform.store.put("config", "main", document)
+
+
+async def statuses(context, path):
+    return [
+        (await context.platform.call(host, "POST", path)).status
+        for host in context.platform.hosts
+    ]
+
+
+@then('a caller gets status {status:d} for "{path}" at each host within {limit_s:g} s')
+def check_in_force(context, status, path, limit_s):
+    async def work():
+        async with asyncio.timeout(limit_s):
+            while set(await statuses(context, path)) != {status}:  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+
+    run(context, work())
+
+
+@then('a caller still gets status {status:d} for "{path}" at each host')
+def check_still(context, status, path):
+    async def work():
+        await asyncio.sleep(SETTLED_S)
+        assert set(await statuses(context, path)) == {status}
+
+    run(context, work())
+
+
+def known_runners(context):
+    return [set(h.view.fleet.runners_by_id) for h in context.platform.hosts.values()]
+
+
+@when('the entry of runner "{name}" loses its address')
+def spoil_entry(context, name):
+    context.platform.store.put("servers", name, {"Service": 7, "State": "ready"})
+
+
+@then('only "{name}" is known as a runner')
+def check_known(context, name):
+    run(
+        context,
+        context.platform.wait_for(
+            lambda: all(known == {name} for known in known_runners(context))
+        ),
+    )
+
+
+@when('runner "{name}" says that it drains')
+def drain_runner(context, name):
+    context.platform.runners[name].enter("draining")
+
+    def is_known():
+        return all(
+            name not in {r.runner_id for r in host.view.fleet.live_runners()}
+            for host in context.platform.hosts.values()
+        )
+
+    run(context, context.platform.wait_for(is_known))
+
+
+# Batch
+
+
+@when('the job "{job_id}" of {count:d} items is submitted at "{host}"')
+def submit(context, job_id, count, host):
+    context.reply = run(context, context.platform.submit(host, job_id, count))
+
+
+@when(
+    'the job "{job_id}" of {count:d} items of {tokens:d} tokens is submitted at '
+    '"{host}"'
+)
+def submit_sized(context, job_id, count, tokens, host):
+    work = context.platform.submit(host, job_id, count, tokens=tokens)
+    context.reply = run(context, work)
+
+
+@then("it is accepted")
+def check_accepted(context):
+    assert context.reply.status == 202, context.reply
+
+
+@then("it is refused with {status:d}")
+def check_refused(context, status):
+    assert context.reply.status == status, context.reply
+
+
+@then('the results of "{job_id}" are {count:d} whole ones, the same at each host')
+def check_results(context, job_id, count):
+    text = "\n".join(f"token {number}" for number in range(1, 11))
+    answers = [
+        run(context, context.platform.wait_for_results(host, job_id, count))
+        for host in context.platform.hosts
+    ]
+    assert all(answer == answers[0] for answer in answers), answers
+    assert answers[0]["Total"] == count, answers[0]
+    for result in answers[0]["Results"]:
+        assert result["State"] == "completed", result
+        assert result["Text"] == text, result
+    names = {result["Id"] for result in answers[0]["Results"]}
+    assert names == {f"{job_id}-{number}" for number in range(count)}, names
+
+
+@then('the results of "{job_id}" are {count:d} failed ones')
+def check_failed(context, job_id, count):
+    answer = run(context, context.platform.wait_for_results("h0", job_id, count))
+    assert [r["State"] for r in answer["Results"]] == ["errored"] * count, answer
+
+
+@then('the job "{job_id}" is marked as done')
+def check_done(context, job_id):
+    store = context.platform.store
+    run(
+        context,
+        context.platform.wait_for(
+            lambda: (store.status("batch-jobs", job_id) or {}).get("is_done")
+        ),
+    )
+
+
+@then("no item ran twice")
+def check_no_repeat(context):
+    names = [
+        request_id
+        for runner in context.platform.runners.values()
+        for request_id, _ in runner.requests_seen
+    ]
+    assert len(names) == len(set(names)), names
+
+
+@given("the store loses the next answer")
+def lose_answer(context):
+    context.platform.store.faults["lose_answers"] = 1
+
+
+@given('the store can\'t be reached from "{host}"')
+def cut_store(context, host):
+    context.platform.proxies[host].set_mode(Mode.CLOSED)
+
+
+@given("the store turns every call away")
+def stop_store(context):
+    context.platform.store.faults["refuse"] = 1
+
+
+@when("the store is back")
+def mend_store(context):
+    context.platform.store.faults["refuse"] = 0
+
+
+@then('no host knows the job "{job_id}"')
+def check_unknown(context, job_id):
+    async def work():
+        async with asyncio.timeout(STEP_TIMEOUT_S):
+            while True:
+                answers = [
+                    await context.platform.results(host, job_id)
+                    for host in context.platform.hosts
+                ]
+                if set(answers) == {404}:
+                    return
+                assert set(answers) <= {404, 503}, answers
+                await asyncio.sleep(0.05)
+
+    run(context, work())
+
+
+@when('the host "{host}" is gone and all engines are sound')
+def lose_host(context, host):
+    run(context, context.platform.kill_host(host))
+    mend(context)
+
+
+@when("an engine has broken an item and all engines are sound")
+def mend_after_break(context):
+    def is_broken():
+        return any(r.requests_seen for r in context.platform.runners.values())
+
+    run(context, context.platform.wait_for(is_broken))
+    run(context, asyncio.sleep(0.15))
+    mend(context)
+
+
+@when('its sender ends the job "{job_id}" at "{host}"')
+def end_job(context, job_id, host):
+    path = f"/damaskjunction/lots/{job_id}"
+    reply = run(context, context.platform.call(host, "DELETE", path))
+    assert reply.status == 200, reply
+
+
+@then("no item of the job starts any more")
+def check_stopped(context):
+    runners = context.platform.runners.values()
+    run(
+        context,
+        context.platform.wait_for(lambda: not any(r.n_running for r in runners)),
+    )
+    n_seen = sum(len(runner.requests_seen) for runner in runners)
+    run(context, asyncio.sleep(SETTLED_S))
+    assert sum(len(runner.requests_seen) for runner in runners) == n_seen
+
+
+@when('every host knows the job "{job_id}"')
+def wait_known(context, job_id):
+    def is_known():
+        return all(job_id in h.book.jobs_by_id for h in context.platform.hosts.values())
+
+    run(context, context.platform.wait_for(is_known))
+
+
+@when("the items run")
+def wait_running(context):
+    runners = context.platform.runners.values()
+    run(context, context.platform.wait_for(lambda: any(r.n_running for r in runners)))
+
+
+@then('each host gives the body of item "{item_id}" of "{job_id}"')
+def check_body(context, item_id, job_id):
+    path = f"/damaskjunction/items/{job_id}?Id={item_id}"
+    for host in context.platform.hosts:
+        reply = run(context, context.platform.call(host, "GET", path))
+        assert reply.status == 200, reply
+        assert reply.body == b"item", reply
--- a/libs/gateway/src/damaskjunction/gateway/root.py
+++ b/libs/gateway/src/damaskjunction/gateway/root.py
@@ -91,7 +91,7 @@
         desk = SlotDesk(self.state, home, self._links, timers, chance)
         sending = Sending(self.state, desk, self._calls, timers, self.metrics, chance)
         online = Online(sending)
-        book = JobBook(self._store)
+        self.book = book = JobBook(self._store)
         self._worker = JobWorker(book, sending)
         jobs = JobFront(book, self._worker, self.state, timers)
         front = Front(self.state, online, jobs, self.metrics)
--- a/libs/gateway/src/damaskjunction/gateway/store_path.py
+++ b/libs/gateway/src/damaskjunction/gateway/store_path.py
@@ -100,11 +100,11 @@
         """
         call = StoreCall(method, target, body, stall_s)
         direct: asyncio.Task[StoreReply] | None = None
-        if self._is_direct:
-            direct = asyncio.ensure_future(self._send_directly(call))
-            patience_s = stall_s if stall_s > LONGEST_CALL_S else self._patience_s()
-            await asyncio.wait((direct,), timeout=patience_s)
         try:
+            if self._is_direct:
+                direct = asyncio.ensure_future(self._send_directly(call))
+                patience_s = stall_s if stall_s > LONGEST_CALL_S else self._patience_s()
+                await asyncio.wait((direct,), timeout=patience_s)
             return await self._send_besides(direct, call)
         finally:
             if direct is not None:
--- a/libs/standins/src/damaskjunction/standins/__init__.py
+++ b/libs/standins/src/damaskjunction/standins/__init__.py
@@ -1,5 +1,6 @@
 """Stand-ins of the platform, runners and network faults, and fleets of them."""
 
+from damaskjunction.standins.backends import BackendStandin
 from damaskjunction.standins.deployment import (
     CALLER_KEY,
     DeployedFleet,
@@ -27,12 +28,14 @@
 from damaskjunction.standins.platform import PlatformStandin
 from damaskjunction.standins.ports import free_addresses
 from damaskjunction.standins.proxy import Mode, ProxyStandin
+from damaskjunction.standins.store import StoreStandin
 
 __all__ = [
     "BROKEN_VERSION",
     "CALLER_KEY",
     "CRASH_MARK",
     "Answer",
+    "BackendStandin",
     "DeployedFleet",
     "Deployment",
     "EngineSpeed",
@@ -45,6 +48,7 @@
     "ProcessSpec",
     "ProxyStandin",
     "RunnerGroup",
+    "StoreStandin",
     "deployed_names",
     "deployments",
     "free_addresses",
--- a/libs/standins/src/damaskjunction/standins/proxy.py
+++ b/libs/standins/src/damaskjunction/standins/proxy.py
@@ -78,14 +78,18 @@
 
     async def _set_mode(self, request: Request) -> Response:
         document = await read_json(request)
-        self._mode = Mode(document.get("mode", self._mode))
         self._delay_s = float(document.get("delay_s", self._delay_s))
+        self.set_mode(Mode(document.get("mode", self._mode)))
+        return to_json_response({"mode": self._mode.value, "delay_s": self._delay_s})
+
+    def set_mode(self, mode: Mode) -> None:
+        """Do so with bytes from now on."""
+        self._mode = mode
         if self._mode is Mode.CLOSED:
             self._cut_all()
         if self._mode is Mode.SILENT_OLD:
             for pair in self._pairs:
                 pair.is_silenced = True
-        return to_json_response({"mode": self._mode.value, "delay_s": self._delay_s})
 
     def _cut_all(self) -> None:
         for pair in list(self._pairs):
--- a/libs/standins/src/damaskjunction/standins/store.py
+++ b/libs/standins/src/damaskjunction/standins/store.py
@@ -131,10 +131,7 @@
             return to_json_response(_document(name, known))
         document = await read_json(request)
         if request.method == "POST":
-            if known is not None:
-                return to_json_response(_document(name, known), status=409)
-            stored = self._store(kind, name, document["Spec"], None)
-            return to_json_response(_document(name, stored))
+            return self._create(kind, name, document["Spec"])
         if known is None:
             return Response(404)
         wanted = document["Metadata"].get("Revision")
@@ -146,6 +143,12 @@
             stored = self._store(kind, name, document["Spec"], known.status)
         return to_json_response(_document(name, stored))
 
+    def _create(self, kind: str, name: str, spec: Any) -> Response:
+        known = self._objects(kind).get(name)
+        if known is not None:
+            return to_json_response(_document(name, known), status=409)
+        return to_json_response(_document(name, self._store(kind, name, spec, None)))
+
     def _list(self, request: Request, kind: str) -> Response:
         after = request.query.get("After", "")
         objects = self._objects(kind)
