--- a/libs/gateway/src/damaskjunction/gateway/job_front.py
+++ b/libs/gateway/src/damaskjunction/gateway/job_front.py
@@ -21,8 +21,10 @@
     JOB_PATH_PREFIX,
     BadJobError,
     CallerRequest,
+    ItemQuery,
     Refusal,
     ResultsQuery,
+    decode_item_query,
     decode_job,
     decode_results_query,
     to_refusal,
@@ -124,8 +126,7 @@
                 if request.method == "DELETE":
                     return await self._end(path.removeprefix(JOB_PATH_PREFIX))
             if path.startswith(ITEM_PATH_PREFIX) and request.method == "GET":
-                job_id = path.removeprefix(ITEM_PATH_PREFIX)
-                return await self._read_item(job_id, request.query.get("Id", ""))
+                return await self._read_item(decode_item_query(request))
         except PlatformError as error:
             return self._refuse(path.rpartition("/")[2], error)
         return None
@@ -150,7 +151,8 @@
                 await asyncio.sleep(left_s)
                 await self._book.segments(query.job_id)
 
-    async def _read_item(self, job_id: JobId, item_id: str) -> Response:
+    async def _read_item(self, query: ItemQuery) -> Response:
+        job_id, item_id = query
         job = await self._book.find(job_id)
         if job is None:
             return _no_such_job(job_id)
--- /dev/null
+++ b/libs/gateway/src/damaskjunction/gateway/retirements.py
@@ -0,0 +1,110 @@
+"""Answers the operator's wish to empty a storage machine: it holds nothing."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from collections.abc import Coroutine
+from typing import Any
+
+from damaskjunction.core import PlatformError, Timers, rendezvous_order
+from damaskjunction.gateway.following import KindFollower
+from damaskjunction.node import HostView, end_tasks
+from damaskjunction.platform import (
+    RETIREMENTS_KIND,
+    ObjectChange,
+    ObjectConflictError,
+    PlatformObject,
+    StoreClient,
+    encode_retirement,
+)
+
+logger = logging.getLogger(__name__)
+
+RETRY_S = 0.5
+
+
+class Retirements:
+    """Marks wishes to empty a machine as fulfilled, on one host of the fleet.
+
+    Parameters
+    ----------
+    store : StoreClient
+        The platform's store.
+    view : HostView
+        The hosts, of which one follows the wishes.
+    timers : Timers
+        The process's timer service.
+    chance : random.Random
+        Source of the jitter.
+    """
+
+    def __init__(
+        self, store: StoreClient, view: HostView, timers: Timers, chance: random.Random
+    ) -> None:
+        self._store = store
+        self._view = view
+        self._timers = timers
+        self._chance = chance
+        self._follower: KindFollower | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+        view.subscribe(self._choose)
+
+    async def start(self) -> None:
+        """Begin to follow the wishes, if that falls to this host."""
+        self._choose()
+
+    async def close(self) -> None:
+        """Stop."""
+        if self._follower is not None:
+            await self._follower.close()
+        await end_tasks(self._tasks)
+
+    def _choose(self) -> None:
+        names = [(host.host_id, 1.0) for host in self._view.serving_hosts()]
+        order = rendezvous_order("retirements", names)
+        is_chosen = self._view.is_ready and order[:1] == [self._view.own.host_id]
+        if is_chosen and self._follower is None:
+            self._follower = KindFollower(
+                self._store,
+                self._timers,
+                RETIREMENTS_KIND,
+                take_all=self._take_all,
+                take_change=self._take_change,
+                chance=self._chance,
+            )
+            self._begin(self._follower.start())
+        elif not is_chosen and self._follower is not None:
+            self._begin(self._follower.close())
+            self._follower = None
+
+    def _take_all(self, objects: tuple[PlatformObject, ...]) -> None:
+        for stored in objects:
+            self._begin(self._complete(stored))
+
+    def _take_change(self, change: ObjectChange) -> None:
+        if not change.is_removed:
+            self._begin(self._complete(change.object))
+
+    async def _complete(self, stored: PlatformObject) -> None:
+        status = encode_retirement()
+        while stored.status != status:
+            try:
+                stored = await self._store.set_status(
+                    stored.kind, stored.name, status, revision=stored.revision
+                )
+            except ObjectConflictError as error:
+                if error.current is None:
+                    return
+                stored = error.current
+            except PlatformError as error:
+                extra = {"machine": stored.name, "error": str(error)}
+                logger.warning("retirement not marked", extra=extra)
+                await asyncio.sleep(RETRY_S)
+        logger.info("machine may be taken away", extra={"machine": stored.name})
+
+    def _begin(self, work: Coroutine[Any, Any, None]) -> None:
+        task: asyncio.Task[None] = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- a/libs/gateway/src/damaskjunction/gateway/root.py
+++ b/libs/gateway/src/damaskjunction/gateway/root.py
@@ -10,10 +10,12 @@
 from damaskjunction.gateway.following import KindFollower, TakeAll, TakeChange
 from damaskjunction.gateway.front import Front
 from damaskjunction.gateway.job_book import JobBook
+from damaskjunction.gateway.job_cleaner import JobCleaner
 from damaskjunction.gateway.job_front import JobFront
 from damaskjunction.gateway.job_worker import JobWorker
 from damaskjunction.gateway.online import Online
 from damaskjunction.gateway.parts import Sending
+from damaskjunction.gateway.retirements import Retirements
 from damaskjunction.gateway.roster import HostRoster
 from damaskjunction.gateway.runner_calls import RunnerCalls
 from damaskjunction.gateway.slot_desk import SlotDesk
@@ -123,6 +125,8 @@
             self._runners,
             self._jobs,
             self._worker,
+            JobCleaner(book, self.view, timers, settings.keep_results_s),
+            Retirements(self._store, self.view, timers, chance),
             *servers,
             self._callers,
         )
--- a/libs/platform/src/damaskjunction/platform/configuration.py
+++ b/libs/platform/src/damaskjunction/platform/configuration.py
@@ -118,6 +118,11 @@
     return float(default_ms if value is None else value) * MILLISECOND_S
 
 
+def encode_retirement() -> dict[str, str]:
+    """Return the status that lets a machine be taken away."""
+    return {"State": "completed"}
+
+
 def decode_runner(
     stored: PlatformObject, regions_by_data_centre: Mapping[str, Region]
 ) -> Runner:
--- a/libs/platform/src/damaskjunction/platform/jobs.py
+++ b/libs/platform/src/damaskjunction/platform/jobs.py
@@ -91,6 +91,19 @@
     )
 
 
+class ItemQuery(NamedTuple):
+    """A caller's read of the body of an item."""
+
+    job_id: JobId
+    item_id: str
+
+
+def decode_item_query(request: Request) -> ItemQuery:
+    """Return what a read of an item's body asks for."""
+    job_id = request.path.removeprefix(ITEM_PATH_PREFIX)
+    return ItemQuery(job_id, request.query.get("Id", ""))
+
+
 def decode_results_query(request: Request) -> ResultsQuery:
     """Return what a read of results asks for; unreadable numbers count as 0."""
     after = request.query.get("After", "0")
--- /dev/null
+++ b/libs/routing/features/steps/slot_steps.py
@@ -0,0 +1,217 @@
+"""Steps of the features on slots and routes."""
+
+from __future__ import annotations
+
+from behave import given, then, when
+
+from damaskjunction.core import WorkClass
+from damaskjunction.routing import (
+    BackendSpec,
+    CallerLimits,
+    GrantSlot,
+    RefuseSlot,
+    RevokeSlot,
+    Route,
+    RouteKind,
+    SlotPool,
+    SlotTicket,
+    WeightedService,
+    make_table,
+)
+
+GOAL_S = 0.8
+PATIENCE_S = 2.0
+
+
+def parse_runners(text):
+    pairs = (part.split(":") for part in text.split(","))
+    return {name: int(slots) for name, slots in pairs}
+
+
+@given('a pool with runners "{runners}"')
+def make_pool(context, runners):
+    context.now_s = 100.0
+    context.pool = SlotPool()
+    context.slot_effects = []
+    note(context, context.pool.set_runners(parse_runners(runners), context.now_s))
+
+
+@given('a pool with runners "{runners}" that has just begun')
+def make_new_pool(context, runners):
+    make_pool(context, runners)
+    context.pool.begin(context.now_s)
+
+
+def note(context, effects):
+    context.slot_effects += effects
+
+
+def taken(context, kind):
+    found = [effect for effect in context.slot_effects if isinstance(effect, kind)]
+    context.slot_effects = [
+        effect for effect in context.slot_effects if not isinstance(effect, kind)
+    ]
+    return found
+
+
+def ticket(context, request_id, work_class, *, goal_s=GOAL_S, parts=(), **more):
+    return SlotTicket(
+        request_id,
+        work_class,
+        parts,
+        (),
+        context.now_s + PATIENCE_S,
+        context.now_s + PATIENCE_S,
+        context.now_s + goal_s,
+        **more,
+    )
+
+
+def ask(context, ids, work_class=WorkClass.ONLINE, **more):
+    for request_id in ids.split(","):
+        asked = ticket(context, request_id, work_class, **more)
+        note(context, context.pool.submit(asked, context.now_s))
+
+
+@when('online requests "{ids}" ask for slots')
+def ask_online(context, ids):
+    ask(context, ids)
+
+
+@when('online requests "{ids}" ask for slots that must start at once')
+def ask_urgent(context, ids):
+    ask(context, ids, goal_s=0.0)
+
+
+@when('online requests "{ids}" ask for slots once more')
+def ask_again(context, ids):
+    ask(context, ids, is_repeated=True)
+
+
+@when('online requests "{ids}" with parts "{parts}" ask for slots')
+def ask_with_parts(context, ids, parts):
+    ask(context, ids, parts=tuple(parts.split(",")))
+
+
+@when('batch requests "{ids}" ask for slots')
+def ask_batch(context, ids):
+    ask(context, ids, WorkClass.BATCH)
+
+
+@when('batch request "{request_id}" holds a slot of "{runner}"')
+def hold_slot(context, request_id, runner):
+    held = ticket(context, request_id, WorkClass.BATCH)
+    context.pool.hold(held, runner, context.now_s)
+
+
+@when('"{request_id}" is given back')
+def give_back(context, request_id):
+    note(context, context.pool.release(request_id, context.now_s))
+
+
+@when("what was revoked is given back")
+def give_revoked_back(context):
+    for request_id in context.revoked:
+        give_back(context, request_id)
+
+
+@when("{duration_s:g} s passes")
+def pass_time(context, duration_s):
+    context.now_s += duration_s
+    note(context, context.pool.expire(context.now_s))
+
+
+@when('runner "{runner}" reports {count:d} requests')
+def report(context, runner, count):
+    note(context, context.pool.observe_report(runner, count, context.now_s))
+
+
+@when('runner "{runner}" fails a request')
+def fail(context, runner):
+    context.pool.note_trouble(runner, context.now_s)
+
+
+@then('"{ids}" are granted')
+def check_granted(context, ids):
+    granted = [effect.request_id for effect in taken(context, GrantSlot)]
+    assert granted == ids.split(","), granted
+
+
+@then("{count:d} are granted")
+def check_count(context, count):
+    granted = taken(context, GrantSlot)
+    assert len(granted) == count, granted
+
+
+@then("nothing is granted")
+def check_none_granted(context):
+    granted = taken(context, GrantSlot)
+    assert not granted, granted
+
+
+@then("nothing is refused")
+def check_none_refused(context):
+    refused = taken(context, RefuseSlot)
+    assert not refused, refused
+
+
+@then("{count:d} is revoked")
+def check_revoked(context, count):
+    context.revoked = [effect.request_id for effect in taken(context, RevokeSlot)]
+    assert len(context.revoked) == count, context.revoked
+
+
+@then('"{ids}" are refused with a time to return')
+def check_slots_refused(context, ids):
+    refused = taken(context, RefuseSlot)
+    assert [effect.request_id for effect in refused] == ids.split(","), refused
+    assert all(effect.retry_after_s > 0 for effect in refused), refused
+
+
+@then('none of them is sent to "{runner}"')
+def check_avoided(context, runner):
+    granted = taken(context, GrantSlot)
+    assert granted
+    assert all(effect.runner_id != runner for effect in granted), granted
+
+
+@then('"{ids}" are granted on the same runner')
+def check_same_runner(context, ids):
+    granted = taken(context, GrantSlot)
+    assert [effect.request_id for effect in granted] == ids.split(","), granted
+    assert len({effect.runner_id for effect in granted}) == 1, granted
+
+
+# Routes
+
+
+def make_route(name, host, prefix, services="s:1"):
+    parts = tuple(
+        WeightedService(service, weight)
+        for service, weight in parse_runners(services).items()
+    )
+    return Route(name, host, prefix, RouteKind.IDEMPOTENT, parts, 1.0, 0.1)
+
+
+@given("routes")
+def make_routes(context):
+    routes = [
+        make_route(row["name"], row["host"], row["prefix"], row["services"])
+        for row in context.table
+    ]
+    services = [BackendSpec("s", "/health", 0)]
+    context.routes = make_table(3, routes, services, CallerLimits())
+
+
+@then('"{path}" at "{host}" takes route "{name}"')
+def check_route(context, path, host, name):
+    route = context.routes.find(host, path)
+    assert (route.name if route else "none") == name, route
+
+
+@then('of {count:d} requests of route "{name}" about {share:g} go to "{service}"')
+def check_split(context, count, name, share, service):
+    route = context.routes.named(name)
+    step = (1 << 32) // count
+    hits = sum(route.service_for(n * step) == service for n in range(count))
+    assert abs(hits / count - share) < 0.02, hits
--- a/tools/check.py
+++ b/tools/check.py
@@ -68,6 +68,7 @@
         "ruff check": (python, "-m", "ruff", "check", "libs", "tools"),
         "mypy": (python, "-m", "mypy", *sources, "tools"),
         "matrix page": (python, "tools/matrix_page.py", "--check"),
+        "platform names": (python, "tools/platform_names.py"),
         "import contracts": (str(scripts / "lint-imports"), "--no-cache"),
     }
     finished = await asyncio.gather(*(run_command(*c) for c in commands.values()))
