--- a/libs/gateway/features/steps/fleet_steps.py
+++ b/libs/gateway/features/steps/fleet_steps.py
@@ -177,7 +177,8 @@
 
 
 @then(
-    "every caller gets events {first:d} to {last:d}, whole, or is refused and did not run"
+    "every caller gets events {first:d} to {last:d}, whole, or is refused "
+    "and did not run"
 )
 def check_whole_or_refused(context, first, last):
     served = [reply for reply in context.replies if reply.status != 503]
