--- a/libs/gateway/features/online.feature
+++ b/libs/gateway/features/online.feature
@@ -84,3 +84,44 @@
     When a caller asks "/order/1" at "h0" as "q1"
     Then the caller gets status 503 with a time to return
     And the runners saw "q1" 0 times
+
+  Scenario: A request ends at its route's time-out
+    Given engines "e1"
+    And every engine falls silent behind event 3
+    And the operator gives the routes 0.5 s as version 2
+    When a caller asks "/ask/1" at "h0" as "q1"
+    Then the caller gets events 1 to 3, broken off
+    And the answer took between 0.3 s and 1 s
+
+  Scenario: A plain request ends at its route's time-out with 504
+    Given silent plain runners "p1"
+    And the operator gives the routes 0.5 s as version 2
+    When a caller asks "/order/1" at "h0" as "q1"
+    Then the caller gets status 504
+    And the answer took between 0.3 s and 1 s
+
+  Scenario: A caller that goes away ends the work
+    Given engines "e1"
+    And every engine falls silent behind event 3
+    When a caller asks "/ask/1" at "h0" as "q1" and goes away
+    Then nothing runs at engine "e1" within 0.5 s
+
+  Scenario: A leaving host ends what it has and takes callers no more
+    Given slow engines "e1"
+    When a caller asks "/ask/1" at "h0" as "q1" and the host is told to leave
+    Then the caller gets events 1 to 40, whole
+    And host "h0" says that it is not ready
+    And only "h1" is in the addresses that "h1" gives
+
+  Scenario: A change made while history was lost is known all the same
+    Given plain runners "p1"
+    And the store loses its history
+    When plain runner "p2" joins
+    Then a caller gets status 200 for "/look/1" at each host within 2 s
+
+  Scenario: Runners' entries that lapse during an outage are kept for a while
+    Given plain runners "p1"
+    And the store turns every call away
+    When the entry of runner "p1" lapses and the store is back
+    Then a caller still gets status 200 for "/look/1" at each host
+    And runner "p1" is not known any more after 3 s
--- a/libs/gateway/features/platform_fleet.py
+++ b/libs/gateway/features/platform_fleet.py
@@ -27,6 +27,7 @@
 ENGINE = "llm"
 PLAIN = "api"
 WAIT_S = 20.0
+GRACE_S = 3.0
 POLL_S = 0.02
 
 
@@ -200,6 +201,24 @@
             return Reply(response.status, dict(response.headers), read, False)
         return Reply(response.status, dict(response.headers), read, True)
 
+    async def ask_readiness(self, host: str) -> int:
+        """Return the status of a host's answer to the platform's question."""
+        address = self.settings[host].readiness
+        assert address is not None
+        target = "/damaskjunction/readiness"
+        response = await self._client.send(address, "GET", target, fresh=True)
+        await response.read()
+        return response.status
+
+    async def ask_addresses(self, host: str) -> list[str]:
+        """Return the addresses that a host gives to callers."""
+        address = self.settings[host].directory
+        assert address is not None
+        target = "/damaskjunction/resolve?Name=x&Region=r1&Zone=z1"
+        response = await self._client.send(address, "GET", target, fresh=True)
+        addresses: list[str] = json.loads(await response.read())["Addresses"]
+        return addresses
+
     async def submit(
         self, host: str, job_id: str, n_items: int, *, tokens: int = 10
     ) -> Reply:
@@ -253,6 +272,7 @@
             store=StoreSettings(proxy),
             regions_by_data_centre={"z1": "r1"},
             metrics_port=0,
+            stop_grace_s=GRACE_S,
         )
 
 
--- a/libs/gateway/features/steps/fleet_steps.py
+++ b/libs/gateway/features/steps/fleet_steps.py
@@ -106,9 +106,11 @@
 
 @when('a caller asks "{path}" at "{host}" as "{request_id}"')
 def ask(context, path, host, request_id):
+    began_at_s = context.platform.timers.now()
     context.reply = run(
         context, context.platform.call(host, "POST", path, request_id=request_id)
     )
+    context.took_s = context.platform.timers.now() - began_at_s
 
 
 @when(
@@ -332,6 +334,134 @@
     run(context, context.platform.wait_for(is_known))
 
 
+@given("the operator gives the routes {timeout_s:g} s as version {version:d}")
+def shorten_routes(context, timeout_s, version):
+    routes = [{**route, "TimeoutMs": int(timeout_s * 1000)} for route in ROUTES]
+    document = make_configuration(version, routes)
+    context.platform.store.put("config", "main", document)
+
+    def is_in_force():
+        hosts = context.platform.hosts.values()
+        return all(host.state.table.version == version for host in hosts)
+
+    run(context, context.platform.wait_for(is_in_force))
+
+
+@then("the answer took between {least_s:g} s and {most_s:g} s")
+def check_time(context, least_s, most_s):
+    assert least_s <= context.took_s <= most_s, context.took_s
+
+
+@given('silent plain runners "{names}"')
+def add_silent(context, names):
+    for name in names.split(","):
+        work = context.platform.add_runner(name, PLAIN, n_events=5)
+        run(context, work)
+        context.platform.runners[name].faults["mute"] = 1
+
+
+@given('slow engines "{names}"')
+def add_slow(context, names):
+    for name in names.split(","):
+        run(context, context.platform.add_runner(name, ENGINE, n_events=40))
+
+
+@when('a caller asks "{path}" at "{host}" as "{request_id}" and goes away')
+def ask_and_leave(context, path, host, request_id):
+    async def work():
+        call = asyncio.ensure_future(
+            context.platform.call(host, "POST", path, request_id=request_id)
+        )
+        runners = context.platform.runners.values()
+        await context.platform.wait_for(lambda: any(r.n_running for r in runners))
+        call.cancel()
+        await asyncio.gather(call, return_exceptions=True)
+
+    run(context, work())
+
+
+@then('nothing runs at engine "{name}" within {limit_s:g} s')
+def check_idle(context, name, limit_s):
+    async def work():
+        async with asyncio.timeout(limit_s):
+            runner = context.platform.runners[name]
+            await context.platform.wait_for(lambda: not runner.n_running)
+
+    run(context, work())
+
+
+@when(
+    'a caller asks "{path}" at "{host}" as "{request_id}" and the host is told to leave'
+)
+def ask_then_leave(context, path, host, request_id):
+    async def work():
+        call = asyncio.ensure_future(
+            context.platform.call(host, "POST", path, request_id=request_id)
+        )
+        runners = context.platform.runners.values()
+        await context.platform.wait_for(lambda: any(r.n_running for r in runners))
+        context.leaving = asyncio.ensure_future(context.platform.hosts[host].drain())
+        return await call
+
+    context.reply = run(context, work())
+
+
+@then('host "{host}" says that it is not ready')
+def check_not_ready(context, host):
+    status = run(context, context.platform.ask_readiness(host))
+    assert status == 503, status
+
+
+@then('only "{name}" is in the addresses that "{host}" gives')
+def check_addresses(context, name, host):
+    expected = [str(context.platform.settings[name].caller)]
+
+    async def work():
+        async with asyncio.timeout(STEP_TIMEOUT_S):
+            while await context.platform.ask_addresses(host) != expected:  # noqa: ASYNC110
+                await asyncio.sleep(0.02)
+        await context.leaving
+
+    run(context, work())
+
+
+@given("the store loses its history")
+def lose_history(context):
+    context.platform.store.faults["no_history"] = len(context.platform.hosts) * 4
+
+
+@when('plain runner "{name}" joins')
+def join_runner(context, name):
+    context.platform.runners["p1"].faults["fail"] = 500
+    run(context, context.platform.add_runner(name, PLAIN, slots=8))
+
+
+@when('the entry of runner "{name}" lapses and the store is back')
+def lapse(context, name):
+    def is_lost():
+        return all(h.has_lost_store for h in context.platform.hosts.values())
+
+    run(context, context.platform.wait_for(is_lost))
+    context.platform.store.remove("servers", name)
+    context.platform.store.faults["refuse"] = 0
+
+    def is_back():
+        return not any(h.has_lost_store for h in context.platform.hosts.values())
+
+    run(context, context.platform.wait_for(is_back))
+
+
+@then('runner "{name}" is not known any more after {limit_s:g} s')
+def check_forgotten(context, name, limit_s):
+    async def work():
+        async with asyncio.timeout(limit_s):
+            await context.platform.wait_for(
+                lambda: all(name not in known for known in known_runners(context))
+            )
+
+    run(context, work())
+
+
 # Batch
 
 
@@ -414,7 +544,7 @@
 
 @given("the store turns every call away")
 def stop_store(context):
-    context.platform.store.faults["refuse"] = 1
+    context.platform.store.turn_away()
 
 
 @when("the store is back")
--- a/libs/gateway/src/damaskjunction/gateway/following.py
+++ b/libs/gateway/src/damaskjunction/gateway/following.py
@@ -70,7 +70,11 @@
         self._task: asyncio.Task[None] | None = None
         self._n_failures = 0
         self.failed_at_s: float | None = None
-        self.is_known = False
+
+    @property
+    def is_lost(self) -> bool:
+        """Whether the last call got no answer."""
+        return self._n_failures > 0
 
     async def start(self) -> None:
         """Begin to follow."""
@@ -99,7 +103,6 @@
         page = await self._store.list_all(self._kind)
         self._note_success()
         self._take_all(page.objects)
-        self.is_known = True
         return page.store_revision
 
     async def _watch(self, since: Revision) -> Revision:
--- a/libs/gateway/src/damaskjunction/gateway/root.py
+++ b/libs/gateway/src/damaskjunction/gateway/root.py
@@ -48,7 +48,7 @@
 TIMING = Timing(probe_period_s=0.5, ack_timeout_s=0.2, suspicion_s=1.0)
 JOBS_SETTLE_S = 0.05
 STOP_MARGIN_S = 1.0
-LINGER_S = 4.5
+LINGER_SHARE = 0.56
 
 
 class GatewayProcess:
@@ -131,6 +131,11 @@
             self._callers,
         )
 
+    @property
+    def has_lost_store(self) -> bool:
+        """Whether the store's last answer on runners was none."""
+        return self._runners.is_lost
+
     async def start(self) -> None:
         """Start every part."""
         for part in self._parts:
@@ -138,12 +143,14 @@
 
     async def drain(self) -> None:
         """Leave: take no new work, let callers go, end what is in progress."""
-        end_s = self._timers.now() + self._settings.stop_grace_s - STOP_MARGIN_S
+        grace_s = self._settings.stop_grace_s
+        end_s = self._timers.now() + grace_s - STOP_MARGIN_S
+        linger_s = LINGER_SHARE * grace_s
         self.view.start_draining()
         self._callers.retire()
         leaving = asyncio.ensure_future(self._membership.leave())
-        items = asyncio.ensure_future(self._worker.drain(LINGER_S))
-        await asyncio.sleep(LINGER_S)
+        items = asyncio.ensure_future(self._worker.drain(linger_s))
+        await asyncio.sleep(linger_s)
         await asyncio.gather(leaving, items, self._roster.leave())
         try:
             async with asyncio.timeout(end_s - self._timers.now()):
--- a/libs/standins/src/damaskjunction/standins/backends.py
+++ b/libs/standins/src/damaskjunction/standins/backends.py
@@ -20,7 +20,7 @@
 
     Faults: ``break_after`` (cut streams behind this event), ``full`` (1: refuse),
     ``silent_after`` (send nothing behind this event), ``fail`` (status of each answer),
-    ``impossible`` (1: no item can be done).
+    ``impossible`` (1: no item can be done), ``mute`` (1: never answer).
 
     Parameters
     ----------
@@ -59,7 +59,7 @@
         self.requests_seen: list[tuple[RequestId, str]] = []
         self.headers_by_request: dict[RequestId, dict[str, str]] = {}
         self.faults = Faults(
-            "break_after", "full", "silent_after", "fail", "impossible"
+            "break_after", "full", "silent_after", "fail", "impossible", "mute"
         )
         self._server = HttpServer(address, self._serve)
 
@@ -96,6 +96,8 @@
         last = headers.get("last-event-id", "")
         self.requests_seen.append((request_id, last))
         self.headers_by_request[request_id] = dict(headers)
+        if self.faults["mute"]:
+            await asyncio.Event().wait()
         answer_headers = {"X-Request-Id": request_id, "X-Response-Stamp": request_id}
         if self.faults["impossible"] or self.faults["fail"]:
             status = 422 if self.faults["impossible"] else int(self.faults["fail"])
--- a/libs/standins/src/damaskjunction/standins/store.py
+++ b/libs/standins/src/damaskjunction/standins/store.py
@@ -174,6 +174,8 @@
                     await changed.wait()
             except TimeoutError:
                 break
+            if self.faults["refuse"]:
+                return Response(503)
         document = {
             "events": [
                 {
@@ -203,8 +205,16 @@
         self._note(_Event(self._revision, kind, name, stored, False))
         return stored
 
+    def turn_away(self) -> None:
+        """Refuse every call from now on, those that wait too."""
+        self.faults["refuse"] = 1
+        self._wake()
+
     def _note(self, event: _Event) -> None:
         self._events.append(event)
+        self._wake()
+
+    def _wake(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
 
