--- /dev/null
+++ b/libs/platform/features/steps/decoding_steps.py
@@ -0,0 +1,294 @@
+"""Steps of the feature on decoding."""
+
+from __future__ import annotations
+
+import base64
+import json
+
+from behave import given, then, when
+
+from damaskjunction.batch import ItemResult, JobRecord
+from damaskjunction.core import Address, FindingError, FindingsError, HostState
+from damaskjunction.http import BodyReader, Request
+from damaskjunction.platform import (
+    BadJobError,
+    PlatformObject,
+    decode_configuration,
+    decode_items,
+    decode_job,
+    decode_record,
+    decode_request,
+    decode_result_list,
+    decode_runner,
+    decode_settings,
+    encode_items,
+    encode_record,
+    encode_result_list,
+    runner_headers,
+    to_results,
+)
+from damaskjunction.routing import RouteKind
+
+SETTINGS = {
+    "NodeName": "edge-a-1",
+    "Ip": "10.1.0.5",
+    "Zone": "zone-a",
+    "Region": "land",
+    "Zones.zone-a": "land",
+    "Listen.Front": "10.1.0.5:8144",
+    "Listen.Ready": "10.1.0.5:8140",
+    "PortRange": "7660,7675",
+    "Bounds.GraceS": "8",
+    "Platform.Addr": "10.9.0.1:8142",
+    "Something.New": "1",
+}
+ROUTES = [
+    {
+        "Name": "alert",
+        "Host": "X.example",
+        "PathPrefix": "/a/",
+        "Kind": "streaming",
+        "Service": "s1",
+        "MaxAttempts": 2,
+        "Resumable": True,
+    },
+    {
+        "Name": "split",
+        "Host": "X.example",
+        "PathPrefix": "/b/",
+        "Kind": "idempotent",
+        "Split": [{"Service": "s1", "Weight": 90}, {"Service": "s2", "Weight": 10}],
+    },
+]
+SERVICES = [{"Name": "s1", "Engine": {"Slots": 8, "KvCapacity": 1000}}, {"Name": "s2"}]
+
+
+def read_settings_text(context):
+    text = "\n".join(f"{key}={value}" for key, value in context.values.items())
+    return decode_settings(text, "local.conf")
+
+
+@given("the settings of an entry machine")
+def make_settings(context):
+    context.values = dict(SETTINGS)
+
+
+@when('the key "{key}" is missing')
+def drop_key(context, key):
+    del context.values[key]
+
+
+@when('the key "{key}" is "{value}"')
+def set_key(context, key, value):
+    context.values[key] = value
+
+
+@then('the host is "{host}" in "{zone}" of "{region}"')
+def check_host(context, host, zone, region):
+    settings = read_settings_text(context)
+    found = settings.host_id, settings.data_centre, settings.region
+    assert found == (host, zone, region), found
+    assert settings.regions_by_data_centre == {zone: region}
+
+
+@then('callers are served at "{address}"')
+def check_caller(context, address):
+    assert read_settings_text(context).caller == Address.from_text(address)
+
+
+@then("callers are not served")
+def check_no_caller(context):
+    assert read_settings_text(context).caller is None
+
+
+@then("hosts talk on port {port:d}")
+def check_port(context, port):
+    assert read_settings_text(context).peer_port == port
+
+
+@then("the grace time is {grace_s:g} s")
+def check_grace(context, grace_s):
+    assert read_settings_text(context).stop_grace_s == grace_s
+
+
+@then('the findings name "{keys}"')
+def check_findings(context, keys):
+    try:
+        read_settings_text(context)
+    except FindingsError as error:
+        found = [finding.place.key for finding in error.findings]
+        assert found == keys.split(","), found
+    else:
+        raise AssertionError("the settings were taken")
+
+
+def make_table(document):
+    return decode_configuration(PlatformObject("config", "main", 3, document))
+
+
+def fails(work, error_type):
+    try:
+        work()
+    except error_type:
+        return True
+    return False
+
+
+@given("a configuration of version {version:d}")
+def make_configuration(context, version):
+    document = {"Version": version, "Routes": ROUTES, "Services": SERVICES}
+    context.route_table = make_table(document)
+    assert context.route_table.version == version
+
+
+@given("a configuration without its version")
+def make_broken(context):
+    document = {"Routes": ROUTES, "Services": SERVICES}
+    context.is_unreadable = fails(lambda: make_table(document), FindingError)
+
+
+@then(
+    'route "{name}" of "{host}" is a stream that may be resumed in {count:d} attempts'
+)
+def check_stream(context, name, host, count):
+    route = context.route_table.named(name)
+    assert route.host == host, route
+    assert route.kind is RouteKind.STREAM, route
+    assert route.is_resumable, route
+    assert route.max_attempts == count, route
+
+
+@then('route "{name}" sends {share:g} to "{service}"')
+def check_share(context, name, share, service):
+    parts = context.route_table.named(name).services
+    weights = {part.service: part.weight for part in parts}
+    assert weights[service] / sum(weights.values()) == share, weights
+
+
+@then('service "{name}" has engines of {slots:d} slots')
+def check_engine(context, name, slots):
+    assert context.route_table.services_by_name[name].engine.slots == slots
+
+
+@given('a runner\'s entry with "{key}" as {value}')
+def make_entry(context, key, value):
+    entry = {
+        "Service": "s1",
+        "Addr": "10.0.0.1:80",
+        "Zone": "z",
+        "Slots": 8,
+        "State": "ready",
+        key: json.loads(value),
+    }
+    stored = PlatformObject("servers", "r1", 3, entry)
+    context.runner = None
+    try:
+        context.runner = decode_runner(stored, {"z": "land"})
+    except FindingError:
+        context.is_unreadable = True
+    else:
+        context.is_unreadable = False
+
+
+@then("it is not readable")
+def check_unreadable(context):
+    assert context.is_unreadable
+
+
+@then('it is a live runner of "{service}" with {slots:d} slots')
+def check_runner(context, service, slots):
+    runner = context.runner
+    assert runner.service == service, runner
+    assert runner.slots == slots, runner
+    assert runner.state is HostState.LIVE, runner
+    assert runner.region == "land", runner
+
+
+@given("a caller's request with headers")
+def make_request(context):
+    async def no_body():
+        return
+        yield b""
+
+    headers = {row["name"].lower(): row["value"] for row in context.table}
+    request = Request(
+        "POST", "/a/1", {}, headers, BodyReader(no_body(), 10), "/a/1?x=y"
+    )
+    context.request = decode_request(request, b"body")
+
+
+@then('its shared parts are "{parts}"')
+def check_parts(context, parts):
+    assert context.request.shared_parts == tuple(parts.split(","))
+
+
+@then("its caller waits {patience_s:g} s")
+def check_patience(context, patience_s):
+    assert context.request.deadline_s == patience_s
+
+
+@when('it goes to runner "{runner}" with {left_s:g} s left behind event {event:d}')
+def pass_on(context, runner, left_s, event):
+    context.headers = runner_headers(
+        context.request, runner, left_s=left_s, last_event_id=event
+    )
+
+
+@then("the headers to the runner are")
+def check_headers(context):
+    expected = {row["name"]: row["value"] for row in context.table}
+    assert context.headers == expected, context.headers
+
+
+@given('a job as "{text}"')
+def read_bad_job(context, text):
+    context.is_unreadable = fails(lambda: decode_job(text.encode()), BadJobError)
+
+
+@given("a job of {count:d} items")
+def make_job(context, count):
+    entries = [
+        {
+            "Id": f"i{number}",
+            "Path": "/n/1",
+            "Headers": {"X-Model": "m"},
+            "Body": base64.b64encode(bytes([number, 255])).decode(),
+            "Tokens": 7,
+        }
+        for number in range(count)
+    ]
+    context.items = decode_job(json.dumps({"Items": entries}).encode())
+
+
+@then("its record and items read back the same")
+def check_record(context):
+    names = tuple(item.item_id for item in context.items)
+    record = JobRecord("j1", "night", "x", 5.0, names, (7,) * len(names), 0, "h1")
+    content = json.loads(json.dumps(encode_record(record, context.items)))
+    assert decode_record("j1", content) == record
+    assert decode_items(content["items"]) == context.items
+    assert decode_items(encode_items(context.items)) == context.items
+
+
+@then("results read back the same")
+def check_result_list(context):
+    results = (ItemResult("i0", True, "a\nb"), ItemResult("i1", False, ""))
+    content = json.loads(json.dumps(encode_result_list(results)))
+    assert decode_result_list(content) == results
+
+
+@given("results of {first:d}, {second:d} and {third:d} characters")
+def make_results(context, first, second, third):
+    sizes = (first, second, third)
+    context.results = tuple(
+        ItemResult(f"i{number}", True, "x" * size) for number, size in enumerate(sizes)
+    )
+
+
+@then("a read from {after:d} returns {count:d} result and goes on at {next_at:d}")
+@then("a read from {after:d} returns {count:d} results and goes on at {next_at:d}")
+def check_page(context, after, count, next_at):
+    response = to_results(3, after, context.results[after:])
+    document = json.loads(response.body)
+    assert len(document["Results"]) == count, len(document["Results"])
+    assert document["Next"] == next_at, document["Next"]
