--- a/libs/cli/features/command.feature
+++ b/libs/cli/features/command.feature
@@ -90,3 +90,23 @@
     When the command "generate caddie-llm hello --host {host}" is run
     Then the exit code is 1
     And the errors hold "unknown_key"
+
+  Scenario: The story of a request from the logs of several hosts
+    Given a file "a.log" holding
+      """
+      {"asctime": "2026-04-10 10:00:01,000", "message": "runner silent", "process": "a", "runner": "r1"}
+      {"asctime": "2026-04-10 10:00:01,500", "message": "request attempt failed", "process": "a", "request": "q1", "runner": "r1", "reason": "silent"}
+      {"asctime": "2026-04-10 10:00:01,600", "message": "request answered", "process": "a", "request": "q2", "runner": "r1"}
+      """
+    And a file "b.log" holding
+      """
+      12.5 b {"asctime": "2026-04-10 10:00:01,900", "message": "request answered", "process": "b", "request": "q1", "status": 200}
+      not a line
+      """
+    When the command "explain q1 {b.log} {a.log}" is run
+    Then the exit code is 0
+    And the output holds "a  runner silent  runner=r1"
+    And the output holds "a  request attempt failed  request=q1 runner=r1 reason=silent"
+    And the output holds "b  request answered  request=q1 status=200"
+    When the command "explain q9 {a.log}" is run
+    Then the exit code is 1
--- a/libs/cli/src/damaskjunction/cli/main.py
+++ b/libs/cli/src/damaskjunction/cli/main.py
@@ -10,13 +10,14 @@
     calls,
     configuration,
     daemon,
+    explain,
     jobs,
     state,
 )
 from damaskjunction.cli.command import CommandError, ExitCode, commands
 from damaskjunction.core import FindingsError
 
-COMMAND_MODULES = (calls, configuration, daemon, jobs, state)
+COMMAND_MODULES = (calls, configuration, daemon, explain, jobs, state)
 
 EXIT_CODES = "\n".join(
     f"  {code.value}  {code.name.lower().replace('_', ' ')}" for code in ExitCode
--- a/libs/gateway/src/damaskjunction/gateway/daemon.py
+++ b/libs/gateway/src/damaskjunction/gateway/daemon.py
@@ -33,7 +33,7 @@
     logger.info("host drains")
     await process.drain()
     await process.close()
-    logger.info("host stopped")
+    logger.info("host stopped", extra={"store_calls": process.store_calls})
 
 
 def _reload(path: Path) -> None:
--- a/libs/gateway/src/damaskjunction/gateway/online.py
+++ b/libs/gateway/src/damaskjunction/gateway/online.py
@@ -247,6 +247,8 @@
         left_s = self._left_s()
         if left_s < MIN_LEFT_S:
             raise RunnerFailedError(Outcome.NOT_RUN, "no_time_left")
+        home_id = self._slot.home_id if self._slot is not None else ""
+        self._log("sent", home=home_id, left_ms=round(left_s * 1000.0))
         return await online.calls.send(
             runner,
             call.request,
--- a/libs/gateway/src/damaskjunction/gateway/root.py
+++ b/libs/gateway/src/damaskjunction/gateway/root.py
@@ -131,6 +131,11 @@
             self._callers,
         )
 
+    @property
+    def store_calls(self) -> dict[str, int]:
+        """Calls to the store so far, by what was called and what came of it."""
+        return dict(self._store.n_calls_by_result)
+
     @property
     def has_lost_store(self) -> bool:
         """Whether the store's last answer on runners was none."""
--- a/libs/platform/src/damaskjunction/platform/store.py
+++ b/libs/platform/src/damaskjunction/platform/store.py
@@ -318,17 +318,18 @@
         is_write: bool = False,
         stall_s: float = CALL_TIMEOUT_S,
     ) -> StoreReply:
+        call = _call_name(method, target)
         try:
             reply = await self._path.send(method, target, body, stall_s)
         except PlatformUnavailableError:
-            self._count("unavailable")
+            self._count(f"{call} unavailable")
             raise
         except PlatformUnknownError as error:
-            self._count("unknown")
+            self._count(f"{call} unknown")
             if is_write:
                 raise
             raise PlatformUnavailableError(str(error)) from None
-        self._count(str(reply.status))
+        self._count(f"{call} {reply.status}")
         return reply
 
     def _count(self, result: str) -> None:
@@ -340,6 +341,12 @@
             raise PlatformUnavailableError(f"the store answered {reply.status}")
 
 
+def _call_name(method: str, target: str) -> str:
+    """Return what a call is counted as: its method, or that it is a watch, and kind."""
+    kind = target.removeprefix(OBJECTS_PATH + "/").partition("?")[0].partition("/")[0]
+    return f"{'WATCH' if 'Watch=' in target else method} {kind}"
+
+
 def _path(kind: str, name: str, query: Mapping[str, str] = EMPTY) -> str:
     path = f"{OBJECTS_PATH}/{quote(kind, safe='')}"
     if name:
