--- a/libs/gateway/src/damaskjunction/gateway/online.py
+++ b/libs/gateway/src/damaskjunction/gateway/online.py
@@ -47,8 +47,11 @@
 FIRST_EVENT_GOALS = 2.0
 GAP_PATIENCE_S = 0.4
 GAP_GOALS = 2.0
-MAX_WAIT_S = 1.6
-WAIT_SHARE = 0.35
+SHORTEST_PATIENCE_S = 2.0
+PATIENCE_GOALS = 4.0
+PATIENCE_GAP_GOALS = 8.0
+PATIENCE_MARGIN_S = 0.15
+WAIT_SHARE = 0.6
 ANSWER_SHARE = 0.4
 MIN_ANSWER_S = 0.25
 MIN_LEFT_S = 0.02
@@ -133,7 +136,7 @@
             work_class=WorkClass.ONLINE,
             parts=call.request.shared_parts,
             avoid=tuple(sorted(avoid)),
-            start_within_s=min(MAX_WAIT_S, WAIT_SHARE * left_s),
+            start_within_s=min(_patience_s(call.route), WAIT_SHARE * left_s),
             due_in_s=call.route.priority + left_s,
             goal_in_s=call.began_at_s
             + START_SHARE * call.route.latency_goal_s
@@ -184,6 +187,16 @@
             del counts[runner_id]
 
 
+def _patience_s(route: Route) -> float:
+    """Return how long the callers of a route wait for a first event."""
+    patience_s = max(
+        SHORTEST_PATIENCE_S,
+        PATIENCE_GOALS * route.latency_goal_s,
+        PATIENCE_GAP_GOALS * route.gap_goal_s,
+    )
+    return patience_s - PATIENCE_MARGIN_S
+
+
 class _Run:
     """One request on its way through one or more runners."""
 
--- a/libs/routing/features/slots.feature
+++ b/libs/routing/features/slots.feature
@@ -94,3 +94,11 @@
     And "r1" is given back
     And online requests "r2" with parts "p,q" ask for slots
     Then "r1,r2" are granted on the same runner
+
+  Scenario: Slots that unknown work takes lengthen the wait that is foreseen
+    Given a pool with runners "a:2,b:2"
+    When runner "a" reports 2 requests
+    And online requests "r1,r2" ask for slots
+    And online requests "r3" ask for slots that must start at once
+    Then "r1,r2" are granted
+    And "r3" are refused with a time to return
--- a/libs/routing/src/damaskjunction/routing/slots.py
+++ b/libs/routing/src/damaskjunction/routing/slots.py
@@ -223,7 +223,10 @@
 
     def _predicted_wait_s(self) -> float:
         """Return how long one more online request would wait."""
-        n_slots = sum(self._slots_by_runner.values())
+        n_slots = sum(
+            max(0, slots - self._unseen_by_runner.get(runner_id, 0))
+            for runner_id, slots in self._slots_by_runner.items()
+        )
         n_online = sum(
             held.ticket.work_class is WorkClass.ONLINE
             for held in self._held_by_id.values()
