Keep slot counts without walking all slots; join store news that come together; tell owners of ends

Ends of jobs are told to the owner before they are acknowledged, so the wait of a second for further news does not delay them.

--- a/libs/gateway/src/damaskjunction/gateway/job_book.py
+++ b/libs/gateway/src/damaskjunction/gateway/job_book.py
@@ -149,6 +149,18 @@
             raise PlatformUnavailableError(f"job {job_id} is not readable")
         return job
 
+    async def reread(self, job_id: JobId) -> None:
+        """Read what the store has of a job now.
+
+        Raises
+        ------
+        PlatformUnavailableError
+            When the store gave no answer.
+        """
+        stored = await self._store.get(JOBS_KIND, job_id)
+        if stored is not None:
+            self.take(stored)
+
     async def accept(self, record: JobRecord, items: tuple[BatchItem, ...]) -> KnownJob:
         """Write a job; it is accepted when this returns, or was before.
 
--- a/libs/gateway/src/damaskjunction/gateway/job_front.py
+++ b/libs/gateway/src/damaskjunction/gateway/job_front.py
@@ -13,6 +13,7 @@
     Timers,
 )
 from damaskjunction.gateway.job_book import JobBook, KnownJob
+from damaskjunction.gateway.job_news import JobNews
 from damaskjunction.gateway.job_worker import JobWorker
 from damaskjunction.gateway.state import ServingState
 from damaskjunction.http import Request, Response
@@ -49,6 +50,8 @@
         Jobs and results.
     worker : JobWorker
         Runs the jobs that this host owns.
+    news : JobNews
+        Tells owners of ends.
     state : ServingState
         Routes and hosts.
     timers : Timers
@@ -56,9 +59,16 @@
     """
 
     def __init__(
-        self, book: JobBook, worker: JobWorker, state: ServingState, timers: Timers
+        self,
+        book: JobBook,
+        worker: JobWorker,
+        news: JobNews,
+        *,
+        state: ServingState,
+        timers: Timers,
     ) -> None:
         self._book = book
+        self._news = news
         self._worker = worker
         self._state = state
         self._timers = timers
@@ -165,6 +175,7 @@
         job = await self._book.mark(job_id, is_ended=True)
         if job is None:
             return _no_such_job(job_id)
+        await self._news.tell(job)
         self._log("ended", job_id)
         return Response(200)
 
--- a/libs/gateway/src/damaskjunction/gateway/root.py
+++ b/libs/gateway/src/damaskjunction/gateway/root.py
@@ -12,6 +12,7 @@
 from damaskjunction.gateway.job_book import JobBook
 from damaskjunction.gateway.job_cleaner import JobCleaner
 from damaskjunction.gateway.job_front import JobFront
+from damaskjunction.gateway.job_news import JobNews
 from damaskjunction.gateway.job_worker import JobWorker
 from damaskjunction.gateway.online import Online
 from damaskjunction.gateway.parts import Sending
@@ -46,7 +47,9 @@
 logger = logging.getLogger(__name__)
 
 TIMING = Timing(probe_period_s=0.5, ack_timeout_s=0.2, suspicion_s=1.0)
-JOBS_SETTLE_S = 0.05
+JOBS_SETTLE_S = 1.0
+RUNNERS_SETTLE_S = 0.1
+CONFIGURATION_SETTLE_S = 0.2
 STOP_MARGIN_S = 1.0
 LINGER_SHARE = 0.56
 
@@ -95,13 +98,19 @@
         online = Online(sending)
         self.book = book = JobBook(self._store)
         self._worker = JobWorker(book, sending)
-        jobs = JobFront(book, self._worker, self.state, timers)
+        news = JobNews(book, self.view, self._links)
+        news.register(handlers)
+        jobs = JobFront(book, self._worker, news, state=self.state, timers=timers)
         front = Front(self.state, online, jobs, self.metrics)
         self._callers = HttpServer(settings.caller, front.serve)
         self._peers = PeerServer(peer, timers, handlers.handle)
         self._roster = HostRoster(self._store, own, self._membership, timers, chance)
         self._runners = self._follow(
-            RUNNERS_KIND, self.state.take_runners, self.state.take_runner_change, chance
+            RUNNERS_KIND,
+            self.state.take_runners,
+            self.state.take_runner_change,
+            chance,
+            RUNNERS_SETTLE_S,
         )
         self.state.set_outage_source(lambda: self._runners.failed_at_s)
         self._jobs = self._follow(
@@ -121,6 +130,7 @@
                 self.state.take_configurations,
                 self.state.take_configuration_change,
                 chance,
+                CONFIGURATION_SETTLE_S,
             ),
             self._runners,
             self._jobs,
--- a/libs/routing/src/damaskjunction/routing/slots.py
+++ b/libs/routing/src/damaskjunction/routing/slots.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import heapq
 import math
 from collections import OrderedDict, deque
 from collections.abc import Mapping
@@ -88,7 +89,6 @@
     ticket: SlotTicket
     runner_id: RunnerId
     since_s: float
-    is_revoked: bool = False
 
 
 class SlotPool:
@@ -96,10 +96,13 @@
 
     def __init__(self) -> None:
         self._slots_by_runner: dict[RunnerId, int] = {}
-        self._held_by_id: OrderedDict[RequestId, _Held] = OrderedDict()
+        self._online_held_by_id: dict[RequestId, _Held] = {}
+        self._batch_held_by_id: dict[RequestId, _Held] = {}
+        self._revoked_ids: set[RequestId] = set()
         self._used_by_runner: dict[RunnerId, int] = {}
-        self._online: OrderedDict[RequestId, SlotTicket] = OrderedDict()
+        self._online: dict[RequestId, SlotTicket] = {}
         self._batch: dict[RequestId, SlotTicket] = {}
+        self._batch_order: list[tuple[float, RequestId]] = []
         self._parts_by_runner: dict[RunnerId, OrderedDict[str, None]] = {}
         self._ejection = OutlierEjection(TROUBLE)
         self._hold_s = FIRST_HOLD_S
@@ -110,14 +113,10 @@
     @property
     def counts(self) -> SlotCounts:
         """Counts as they are now."""
-        n_online = sum(
-            held.ticket.work_class is WorkClass.ONLINE
-            for held in self._held_by_id.values()
-        )
         return SlotCounts(
             sum(self._slots_by_runner.values()),
-            n_online,
-            len(self._held_by_id) - n_online,
+            len(self._online_held_by_id),
+            len(self._batch_held_by_id),
             len(self._online),
             len(self._batch),
         )
@@ -126,7 +125,9 @@
         self, slots_by_runner: Mapping[RunnerId, int], now_s: float
     ) -> list[SlotEffect]:
         """Take the runners that may be used from now on, and their slots."""
-        self._slots_by_runner = dict(slots_by_runner)
+        self._slots_by_runner = {
+            name: slots_by_runner[name] for name in sorted(slots_by_runner)
+        }
         for runner_id in self._parts_by_runner.keys() - slots_by_runner.keys():
             del self._parts_by_runner[runner_id]
         for runner_id in self._unseen_by_runner.keys() - slots_by_runner.keys():
@@ -139,6 +140,7 @@
             if len(self._batch) >= MAX_QUEUE:
                 return [RefuseSlot(ticket.request_id, "overloaded", 1.0)]
             self._batch[ticket.request_id] = ticket
+            heapq.heappush(self._batch_order, (ticket.due_at_s, ticket.request_id))
             return self._dispatch(now_s)
         if not any(name not in ticket.avoid for name in self._slots_by_runner):
             reason = "no_runner" if not self._slots_by_runner else "runners_failed"
@@ -178,13 +180,16 @@
         """Take back the slot, or the place in the queue, of a request."""
         self._online.pop(request_id, None)
         self._batch.pop(request_id, None)
-        held = self._held_by_id.pop(request_id, None)
+        self._revoked_ids.discard(request_id)
+        held = self._online_held_by_id.pop(request_id, None)
+        if held is not None:
+            sample_s = now_s - held.since_s
+            self._hold_s += HOLD_WEIGHT * (sample_s - self._hold_s)
+        else:
+            held = self._batch_held_by_id.pop(request_id, None)
         if held is not None:
             self._used_by_runner[held.runner_id] -= 1
             self._released.append((now_s, held.runner_id))
-            if held.ticket.work_class is WorkClass.ONLINE:
-                sample_s = now_s - held.since_s
-                self._hold_s += HOLD_WEIGHT * (sample_s - self._hold_s)
         return self._dispatch(now_s)
 
     def note_trouble(self, runner_id: RunnerId, now_s: float) -> None:
@@ -227,17 +232,15 @@
             max(0, slots - self._unseen_by_runner.get(runner_id, 0))
             for runner_id, slots in self._slots_by_runner.items()
         )
-        n_online = sum(
-            held.ticket.work_class is WorkClass.ONLINE
-            for held in self._held_by_id.values()
-        )
-        n_ahead = n_online + len(self._online) + 1 - n_slots
+        n_ahead = len(self._online_held_by_id) + len(self._online) + 1 - n_slots
         if n_ahead <= 0:
             return 0.0
         return WAIT_MARGIN * n_ahead * self._hold_s / max(1, n_slots)
 
     def _dispatch(self, now_s: float) -> list[SlotEffect]:
         effects: list[SlotEffect] = []
+        if not (self._online or self._batch):
+            return effects
         usable = self._usable(now_s)
         for ticket in self._in_order(now_s):
             runner_id = self._choose(ticket, usable)
@@ -261,8 +264,7 @@
         return sorted(self._online.values(), key=order)
 
     def _usable(self, now_s: float) -> list[RunnerId]:
-        names = sorted(self._slots_by_runner)
-        return list(self._ejection.healthy(names, str, now_s))
+        return list(self._ejection.healthy(list(self._slots_by_runner), str, now_s))
 
     def _free(self, runner_id: RunnerId) -> int:
         used = self._used_by_runner.get(runner_id, 0)
@@ -295,7 +297,11 @@
         return n_kept / len(ticket.parts)
 
     def _hold(self, ticket: SlotTicket, runner_id: RunnerId, now_s: float) -> None:
-        self._held_by_id[ticket.request_id] = _Held(ticket, runner_id, now_s)
+        held = _Held(ticket, runner_id, now_s)
+        if ticket.work_class is WorkClass.ONLINE:
+            self._online_held_by_id[ticket.request_id] = held
+        else:
+            self._batch_held_by_id[ticket.request_id] = held
         used = self._used_by_runner.get(runner_id, 0)
         self._used_by_runner[runner_id] = used + 1
         kept = self._parts_by_runner.setdefault(runner_id, OrderedDict())
@@ -307,43 +313,39 @@
 
     def _revoke(self, n_wanted: int) -> list[SlotEffect]:
         """Revoke the youngest batch slots, as many as are wanted and not under way."""
-        batch = [
-            held
-            for held in self._held_by_id.values()
-            if held.ticket.work_class is WorkClass.BATCH
-        ]
-        n_wanted -= sum(held.is_revoked for held in batch)
+        n_wanted -= len(self._revoked_ids)
         effects: list[SlotEffect] = []
-        for held in reversed(batch):
-            if n_wanted <= 0:
+        if n_wanted <= 0:
+            return effects
+        for request_id in reversed(self._batch_held_by_id):
+            if len(effects) >= n_wanted:
                 break
-            if held.is_revoked:
-                continue
-            request_id = held.ticket.request_id
-            self._held_by_id[request_id] = held._replace(is_revoked=True)
-            effects.append(RevokeSlot(request_id))
-            n_wanted -= 1
+            if request_id not in self._revoked_ids:
+                self._revoked_ids.add(request_id)
+                effects.append(RevokeSlot(request_id))
         return effects
 
     def _grant_batch(self, usable: list[RunnerId], now_s: float) -> list[SlotEffect]:
+        effects: list[SlotEffect] = []
+        if not self._batch or now_s < self._batch_from_s:
+            return effects
         n_slots = sum(self._slots_by_runner[name] for name in usable)
         n_free = sum(max(0, self._free(name)) for name in usable)
         n_room = n_free - math.ceil(RESERVE_SHARE * n_slots)
-        effects: list[SlotEffect] = []
-        if n_room <= 0 or not self._batch or now_s < self._batch_from_s:
-            return effects
-        for ticket in sorted(self._batch.values(), key=_order):
-            if n_room <= 0:
-                break
+        passed_over: list[tuple[float, RequestId]] = []
+        while n_room > 0 and self._batch_order:
+            place = heapq.heappop(self._batch_order)
+            ticket = self._batch.get(place[1])
+            if ticket is None:
+                continue  # given back while it waited
             runner_id = self._choose(ticket, usable)
             if runner_id is None:
+                passed_over.append(place)
                 continue
             del self._batch[ticket.request_id]
             self._hold(ticket, runner_id, now_s)
             effects.append(GrantSlot(ticket.request_id, runner_id))
             n_room -= 1
+        for place in passed_over:
+            heapq.heappush(self._batch_order, place)
         return effects
-
-
-def _order(ticket: SlotTicket) -> tuple[float, str]:
-    return ticket.due_at_s, ticket.request_id
