Read everything anew after a watch is cut; hold back streams that crash engines

Now a watch that breaks is reported to its follower, which lists anew. Before: the feature 'After a watch is cut everything is read anew' failed; after: it passes, as do the others.

Streams that engines broke off before their first event are counted by fingerprint at the home; after three they get no slot for two minutes.

--- a/libs/gateway/features/online.feature
+++ b/libs/gateway/features/online.feature
@@ -125,3 +125,14 @@
     When the entry of runner "p1" lapses and the store is back
     Then a caller still gets status 200 for "/look/1" at each host
     And runner "p1" is not known any more after 3 s
+
+  Scenario: A request that crashes engines runs at three of them at most
+    Given engines "e1,e2,e3"
+    And every engine breaks off at once
+    When a caller asks "/alert/same" 6 times at different hosts
+    Then the engines saw "/alert/same" 3 or 4 times
+
+  Scenario: After a watch is cut everything is read anew
+    Given plain runners "p1"
+    When the operator adds the route "/new/" as version 2 and every watch is cut unheard
+    Then a caller gets status 200 for "/new/1" at each host within 3 s
--- a/libs/gateway/features/steps/fleet_steps.py
+++ b/libs/gateway/features/steps/fleet_steps.py
@@ -270,6 +270,16 @@
     context.platform.store.put("config", "main", document)
 
 
+@when(
+    'the operator adds the route "{prefix}" as version {version:d} and every watch is '
+    "cut unheard"
+)
+def add_route_unheard(context, prefix, version):
+    route = make_route("more", prefix, "idempotent", PLAIN)
+    document = make_configuration(version, [*ROUTES, route])
+    context.platform.store.put_unheard("config", "main", document)
+
+
 @when("the operator writes version {version:d} without that route again")
 def write_older(context, version):
     document = make_configuration(version, ROUTES)
@@ -334,6 +344,27 @@
     run(context, context.platform.wait_for(is_known))
 
 
+@given("every engine breaks off at once")
+def crash_engines(context):
+    set_faults(context, "crash", 1)
+
+
+@when('a caller asks "{path}" {count:d} times at different hosts')
+def ask_many_times(context, path, count):
+    names = list(context.platform.hosts)
+    for number in range(count):
+        host = names[number % len(names)]
+        work = context.platform.call(host, "POST", path, request_id=f"q{number}")
+        run(context, work)
+        run(context, asyncio.sleep(0.05))
+
+
+@then('the engines saw "{path}" {least:d} or {most:d} times')
+def check_crashes(context, path, least, most):
+    n_seen = sum(len(r.requests_seen) for r in context.platform.runners.values())
+    assert least <= n_seen <= most, n_seen
+
+
 @given("the operator gives the routes {timeout_s:g} s as version {version:d}")
 def shorten_routes(context, timeout_s, version):
     routes = [{**route, "TimeoutMs": int(timeout_s * 1000)} for route in ROUTES]
--- a/libs/gateway/src/damaskjunction/gateway/following.py
+++ b/libs/gateway/src/damaskjunction/gateway/following.py
@@ -97,6 +97,8 @@
                 logger.info("history gone", extra={"error": str(error)})
                 since = None
             except PlatformError as error:
+                # What a watch missed while it was cut may be in no history.
+                since = None
                 await self._back_off(error)
 
     async def _list(self) -> Revision:
--- a/libs/gateway/src/damaskjunction/gateway/job_worker.py
+++ b/libs/gateway/src/damaskjunction/gateway/job_worker.py
@@ -27,6 +27,7 @@
 from damaskjunction.gateway.job_book import JobBook, KnownJob
 from damaskjunction.gateway.parts import Sending
 from damaskjunction.gateway.runner_calls import (
+    CRASH_REASONS,
     RunnerFailedError,
     runner_named,
 )
@@ -35,7 +36,7 @@
 from damaskjunction.node import end_tasks
 from damaskjunction.platform import encode_result_list, item_request
 from damaskjunction.routing import Route
-from damaskjunction.wire import SlotAsk
+from damaskjunction.wire import RunnerSeen, SlotAsk
 
 logger = logging.getLogger(__name__)
 
@@ -48,7 +49,7 @@
 RETRY_BASE_S = 0.1
 RETRY_LIMIT_S = 1.0
 MAX_BREAKS = 3
-CRASH_REASONS = ("stream_cut", "no_answer")
+CLOCK_MARGIN_S = 5.0
 DEFAULT_RETENTION_S = 60.0
 NEVER_DONE_STATUS = 422
 
@@ -249,7 +250,8 @@
         while True:
             route = self._state.table.named(job.record.route_name)
             retention_s = DEFAULT_RETENTION_S if route is None else route.retention_s
-            left_s = job.record.sent_at_s + retention_s - self._timers.wall()
+            end_at_s = job.record.sent_at_s + retention_s + CLOCK_MARGIN_S
+            left_s = end_at_s - self._timers.wall()
             if retention_s and left_s <= 0:
                 return ItemEnd(False, True, "retention over")
             if route is None or run.n_breaks >= MAX_BREAKS:
@@ -331,7 +333,7 @@
             await self._collect(run, answer.response)
         finally:
             answer.response.close()
-        self._desk.note(service, slot.runner_id, is_well=True)
+        self._desk.note(RunnerSeen(service, slot.runner_id, True))
         return ItemEnd(True, True, "whole")
 
     async def _collect(self, run: _ItemRun, response: ClientResponse) -> None:
@@ -361,7 +363,7 @@
         run.n_breaks += error.reason in CRASH_REASONS
         if error.is_fault:
             service = route.service_for(stable_hash(run.item.item_id))
-            self._desk.note(service, slot.runner_id, is_well=False)
+            self._desk.note(RunnerSeen(service, slot.runner_id, False))
         extra = {
             "item": run.item.item_id,
             "runner": slot.runner_id,
--- a/libs/gateway/src/damaskjunction/gateway/online.py
+++ b/libs/gateway/src/damaskjunction/gateway/online.py
@@ -19,6 +19,7 @@
 from damaskjunction.core.units import MILLISECOND_S
 from damaskjunction.gateway.parts import Sending
 from damaskjunction.gateway.runner_calls import (
+    CRASH_REASONS,
     RunnerAnswer,
     RunnerFailedError,
     runner_named,
@@ -36,8 +37,9 @@
     OutlierEjection,
     Route,
     RouteKind,
+    fingerprint_of,
 )
-from damaskjunction.wire import SlotAsk
+from damaskjunction.wire import RunnerSeen, SlotAsk
 
 logger = logging.getLogger(__name__)
 
@@ -142,6 +144,7 @@
             + START_SHARE * call.route.latency_goal_s
             - self.timers.now(),
             is_repeated=call.is_repeated or bool(avoid),
+            fingerprint=_fingerprint(call),
         )
         return await self.desk.take(ask)
 
@@ -150,10 +153,18 @@
         spec = self.state.table.services_by_name.get(call.service)
         return spec is not None and spec.engine is not None
 
-    def note(self, call: Call, runner_id: RunnerId, *, is_well: bool) -> None:
-        """Take how a runner answered."""
+    def note(
+        self,
+        call: Call,
+        runner_id: RunnerId,
+        *,
+        is_well: bool,
+        has_crashed: bool = False,
+    ) -> None:
+        """Take how a runner answered; it may have broken off before its first event."""
         if self.has_slots(call):
-            self.desk.note(call.service, runner_id, is_well=is_well)
+            fingerprint = _fingerprint(call) if has_crashed else ""
+            self.desk.note(RunnerSeen(call.service, runner_id, is_well, fingerprint))
         elif is_well:
             self._ejection.succeed(runner_id)
         else:
@@ -187,6 +198,10 @@
             del counts[runner_id]
 
 
+def _fingerprint(call: Call) -> str:
+    return fingerprint_of(call.service, call.request.target, call.request.body)
+
+
 def _patience_s(route: Route) -> float:
     """Return how long the callers of a route wait for a first event."""
     patience_s = max(
@@ -293,7 +308,10 @@
             self._n_worked += 1
             self._outcome = error.outcome
         if error.is_fault:
-            self._online.note(self._call, runner_id, is_well=False)
+            has_crashed = error.reason in CRASH_REASONS and not self._n_events
+            self._online.note(
+                self._call, runner_id, is_well=False, has_crashed=has_crashed
+            )
         self._log("attempt failed", reason=error.reason, detail=error.detail)
         await self.release()
 
--- a/libs/gateway/src/damaskjunction/gateway/runner_calls.py
+++ b/libs/gateway/src/damaskjunction/gateway/runner_calls.py
@@ -32,6 +32,7 @@
 CONNECT_TIMEOUT_S = 0.3
 IDLE_LIMIT_S = 4.0
 REPORT_STALL_S = 0.5
+CRASH_REASONS = ("stream_cut", "no_answer")
 MAX_WHOLE_BYTES = 16 * MIB
 
 
--- a/libs/gateway/src/damaskjunction/gateway/slot_desk.py
+++ b/libs/gateway/src/damaskjunction/gateway/slot_desk.py
@@ -146,18 +146,18 @@
         """Take note that a slot is given back."""
         self._slots.discard(slot)
 
-    def note(self, service: ServiceName, runner_id: RunnerId, *, is_well: bool) -> None:
+    def note(self, seen: RunnerSeen) -> None:
         """Tell the home how a runner answered; good news only after bad."""
-        if is_well and runner_id not in self._troubled:
+        if seen.is_well and seen.runner_id not in self._troubled:
             return
-        if is_well:
-            self._troubled.discard(runner_id)
+        if seen.is_well:
+            self._troubled.discard(seen.runner_id)
         else:
-            self._troubled.add(runner_id)
-        self._home.note(service, runner_id, is_well=is_well)
-        for host in self._homes(service)[:1]:
+            self._troubled.add(seen.runner_id)
+        self._home.note(seen)
+        for host in self._homes(seen.service_name)[:1]:
             if host.host_id != self._state.view.own.host_id:
-                self._begin(self._tell(host, RunnerSeen(service, runner_id, is_well)))
+                self._begin(self._tell(host, seen))
 
     def to_document(self) -> dict[str, Any]:
         """Return the state for the dump."""
--- a/libs/gateway/src/damaskjunction/gateway/slot_home.py
+++ b/libs/gateway/src/damaskjunction/gateway/slot_home.py
@@ -127,6 +127,7 @@
             now_s + ask.due_in_s,
             now_s + ask.goal_in_s,
             ask.is_repeated,
+            ask.fingerprint,
         )
         pool = self._pool(ask.service_name)
         former = self._slots_by_id.get(ask.request_id)
@@ -149,13 +150,16 @@
         slot.granted.cancel()
         self._run(slot.pool.release(slot.request_id, self._timers.now()))
 
-    def note(self, service: ServiceName, runner_id: RunnerId, *, is_well: bool) -> None:
+    def note(self, seen: RunnerSeen) -> None:
         """Take how a runner answered."""
-        pool = self._pool(service)
-        if is_well:
-            pool.note_success(runner_id)
+        pool = self._pool(seen.service_name)
+        now_s = self._timers.now()
+        if seen.is_well:
+            pool.note_success(seen.runner_id)
         else:
-            pool.note_trouble(runner_id, self._timers.now())
+            pool.note_trouble(seen.runner_id, now_s)
+        if seen.fingerprint:
+            pool.note_crash(seen.fingerprint, now_s)
 
     def to_document(self) -> dict[str, Any]:
         """Return the state for the dump."""
@@ -264,5 +268,5 @@
             slot.close()
 
     async def _take_word(self, seen: RunnerSeen, reply: Reply) -> None:
-        self.note(seen.service_name, seen.runner_id, is_well=seen.is_well)
+        self.note(seen)
         await reply(Noted())
--- a/libs/gateway/src/damaskjunction/gateway/store_path.py
+++ b/libs/gateway/src/damaskjunction/gateway/store_path.py
@@ -97,6 +97,7 @@
 
         Every change that the system makes is conditional or has the same effect when
         it is made twice, so a call without an answer is made by another host as well.
+        A watch that breaks is not: who follows has to read everything anew.
         """
         call = StoreCall(method, target, body, stall_s)
         direct: asyncio.Task[StoreReply] | None = None
@@ -105,6 +106,8 @@
                 direct = asyncio.ensure_future(self._send_directly(call))
                 patience_s = stall_s if stall_s > LONGEST_CALL_S else self._patience_s()
                 await asyncio.wait((direct,), timeout=patience_s)
+                if stall_s > LONGEST_CALL_S and direct.done():
+                    return direct.result()
             return await self._send_besides(direct, call)
         finally:
             if direct is not None:
--- a/libs/routing/features/slots.feature
+++ b/libs/routing/features/slots.feature
@@ -102,3 +102,14 @@
     And online requests "r3" ask for slots that must start at once
     Then "r1,r2" are granted
     And "r3" are refused with a time to return
+
+  Scenario: A request that crashed three runners gets no slot any more
+    Given a pool with runners "a:4"
+    When request "x" crashes 2 runners
+    And online requests "r1" like "x" ask for slots
+    Then "r1" are granted
+    When request "x" crashes 1 runners
+    And online requests "r2" like "x" ask for slots
+    And online requests "r3" like "y" ask for slots
+    Then "r2" are refused with a time to return
+    And "r3" are granted
--- a/libs/routing/features/steps/slot_steps.py
+++ b/libs/routing/features/steps/slot_steps.py
@@ -93,6 +93,17 @@
     ask(context, ids, parts=tuple(parts.split(",")))
 
 
+@when('online requests "{ids}" like "{fingerprint}" ask for slots')
+def ask_like(context, ids, fingerprint):
+    ask(context, ids, fingerprint=fingerprint)
+
+
+@when('request "{fingerprint}" crashes {count:d} runners')
+def crash(context, fingerprint, count):
+    for _ in range(count):
+        context.pool.note_crash(fingerprint, context.now_s)
+
+
 @when('batch requests "{ids}" ask for slots')
 def ask_batch(context, ids):
     ask(context, ids, WorkClass.BATCH)
--- /dev/null
+++ b/libs/routing/src/damaskjunction/routing/crash_counts.py
@@ -0,0 +1,39 @@
+"""How often runners broke off equal requests, so that these run no more."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from typing import NamedTuple
+
+MAX_CRASHES = 3
+REMEMBERED_S = 120.0
+MAX_FINGERPRINTS = 4096
+
+
+class _Crashes(NamedTuple):
+    n_crashes: int
+    last_at_s: float
+
+
+class CrashCounts:
+    """Crashes by fingerprint; the home of a service hears of all of them."""
+
+    def __init__(self) -> None:
+        self._crashes_by_fingerprint: OrderedDict[str, _Crashes] = OrderedDict()
+
+    def note(self, fingerprint: str, now_s: float) -> None:
+        """Count a request that a runner broke off before it had made anything."""
+        known = self._crashes_by_fingerprint.pop(fingerprint, None)
+        count = 1
+        if known is not None and now_s - known.last_at_s <= REMEMBERED_S:
+            count += known.n_crashes
+        self._crashes_by_fingerprint[fingerprint] = _Crashes(count, now_s)
+        if len(self._crashes_by_fingerprint) > MAX_FINGERPRINTS:
+            self._crashes_by_fingerprint.popitem(last=False)
+
+    def is_held_back(self, fingerprint: str, now_s: float) -> bool:
+        """Return whether such a request has crashed enough runners."""
+        known = self._crashes_by_fingerprint.get(fingerprint)
+        if known is None or now_s - known.last_at_s > REMEMBERED_S:
+            return False
+        return known.n_crashes >= MAX_CRASHES
--- a/libs/routing/src/damaskjunction/routing/slots.py
+++ b/libs/routing/src/damaskjunction/routing/slots.py
@@ -14,6 +14,7 @@
 from typing import NamedTuple, TypeAlias
 
 from damaskjunction.core import RequestId, RunnerId, WorkClass
+from damaskjunction.routing.crash_counts import CrashCounts
 from damaskjunction.routing.ejection import EjectionPolicy, OutlierEjection
 
 RESERVE_SHARE = 0.06
@@ -26,6 +27,7 @@
 MAX_QUEUE = 4096
 BEGIN_S = 0.4
 REPORT_LAG_S = 0.3
+CRASH_RETRY_AFTER_S = 30.0
 
 TROUBLE = EjectionPolicy(n_failures=1, base_s=0.7, limit_s=6.0)
 
@@ -37,6 +39,7 @@
     are runners that must not take it. Times are on the timers' clock: it has to start
     by ``start_by_s``, and by ``goal_at_s`` to meet its latency goal; among equals the
     earlier ``due_at_s`` goes first. One that ``is_repeated`` was refused before.
+    ``fingerprint`` is what equal requests have in common.
     """
 
     request_id: RequestId
@@ -47,6 +50,7 @@
     due_at_s: float
     goal_at_s: float = 0.0
     is_repeated: bool = False
+    fingerprint: str = ""
 
 
 class GrantSlot(NamedTuple):
@@ -105,6 +109,7 @@
         self._batch_order: list[tuple[float, RequestId]] = []
         self._parts_by_runner: dict[RunnerId, OrderedDict[str, None]] = {}
         self._ejection = OutlierEjection(TROUBLE)
+        self._crashes = CrashCounts()
         self._hold_s = FIRST_HOLD_S
         self._unseen_by_runner: dict[RunnerId, int] = {}
         self._released: deque[tuple[float, RunnerId]] = deque()
@@ -136,6 +141,9 @@
 
     def submit(self, ticket: SlotTicket, now_s: float) -> list[SlotEffect]:
         """Take a request; it gets a slot, waits or is refused."""
+        if self._crashes.is_held_back(ticket.fingerprint, now_s):
+            reason = "crashes_runners"
+            return [RefuseSlot(ticket.request_id, reason, CRASH_RETRY_AFTER_S)]
         if ticket.work_class is WorkClass.BATCH:
             if len(self._batch) >= MAX_QUEUE:
                 return [RefuseSlot(ticket.request_id, "overloaded", 1.0)]
@@ -197,6 +205,10 @@
         self._ejection.fail(runner_id, now_s)
         self._parts_by_runner.pop(runner_id, None)
 
+    def note_crash(self, fingerprint: str, now_s: float) -> None:
+        """Count a request that a runner broke off before it had made anything."""
+        self._crashes.note(fingerprint, now_s)
+
     def note_success(self, runner_id: RunnerId) -> None:
         """Trust a runner again, which has answered."""
         self._ejection.succeed(runner_id)
--- a/libs/standins/src/damaskjunction/standins/backends.py
+++ b/libs/standins/src/damaskjunction/standins/backends.py
@@ -20,7 +20,8 @@
 
     Faults: ``break_after`` (cut streams behind this event), ``full`` (1: refuse),
     ``silent_after`` (send nothing behind this event), ``fail`` (status of each answer),
-    ``impossible`` (1: no item can be done), ``mute`` (1: never answer).
+    ``impossible`` (1: no item can be done), ``mute`` (1: never answer),
+    ``crash`` (1: cut the connection of a request that begins to run).
 
     Parameters
     ----------
@@ -59,7 +60,7 @@
         self.requests_seen: list[tuple[RequestId, str]] = []
         self.headers_by_request: dict[RequestId, dict[str, str]] = {}
         self.faults = Faults(
-            "break_after", "full", "silent_after", "fail", "impossible", "mute"
+            "break_after", "full", "silent_after", "fail", "impossible", "mute", "crash"
         )
         self._server = HttpServer(address, self._serve)
 
@@ -96,6 +97,8 @@
         last = headers.get("last-event-id", "")
         self.requests_seen.append((request_id, last))
         self.headers_by_request[request_id] = dict(headers)
+        if self.faults["crash"]:
+            raise ConnectionResetError("the runner crashes")
         if self.faults["mute"]:
             await asyncio.Event().wait()
         answer_headers = {"X-Request-Id": request_id, "X-Response-Stamp": request_id}
--- a/libs/standins/src/damaskjunction/standins/store.py
+++ b/libs/standins/src/damaskjunction/standins/store.py
@@ -58,6 +58,7 @@
         self._events: list[_Event] = []
         self._changed = asyncio.Event()
         self.n_calls = 0
+        self._n_cuts = 0
         self.faults = Faults("down", "refuse", "slow_s", "lose_answers", "no_history")
         self._server = HttpServer(address, self._serve)
 
@@ -167,6 +168,7 @@
         since = int(request.query["Watch"])
         wait_s = min(MAX_WAIT_S, int(request.query.get("WaitMs", "0")) / 1000.0)
         end_s = self._timers.now() + wait_s
+        n_cuts = self._n_cuts
         while not (events := self._events_since(kind, since)):
             changed = self._changed
             try:
@@ -174,6 +176,8 @@
                     await changed.wait()
             except TimeoutError:
                 break
+            if self._n_cuts != n_cuts:
+                raise ConnectionResetError("the watch is cut")
             if self.faults["refuse"]:
                 return Response(503)
         document = {
@@ -205,6 +209,12 @@
         self._note(_Event(self._revision, kind, name, stored, False))
         return stored
 
+    def put_unheard(self, kind: str, name: str, spec: Any) -> None:
+        """Write an object without a change that a watch could see; cut the watches."""
+        self.put(kind, name, spec)
+        self._events.clear()
+        self._n_cuts += 1
+
     def turn_away(self) -> None:
         """Refuse every call from now on, those that wait too."""
         self.faults["refuse"] = 1
--- a/libs/wire/src/damaskjunction/wire/peer.thrift
+++ b/libs/wire/src/damaskjunction/wire/peer.thrift
@@ -201,6 +201,7 @@
   8: string held_runner
   9: double goal_in_s
   10: bool is_repeated
+  11: string fingerprint
 }
 
 // The request may be sent to the runner.
@@ -221,6 +222,7 @@
   1: string service_name
   2: string runner_id
   3: bool is_well
+  4: string fingerprint
 }
 
 // The word was taken.
--- a/libs/wire/src/damaskjunction/wire/slots.py
+++ b/libs/wire/src/damaskjunction/wire/slots.py
@@ -16,7 +16,8 @@
     take the request. ``held_runner`` names the runner of a slot that a former home
     granted and is empty otherwise. Times are in seconds from now: a start within
     ``goal_in_s`` is early enough for the service's latency goal. ``is_repeated`` says
-    that an earlier try of the caller was refused or failed.
+    that an earlier try of the caller was refused or failed. ``fingerprint`` is what
+    equal requests have in common.
     """
 
     request_id: RequestId
@@ -29,6 +30,7 @@
     held_runner: RunnerId = ""
     goal_in_s: float = 0.0
     is_repeated: bool = False
+    fingerprint: str = ""
 
 
 @register_message
@@ -50,11 +52,16 @@
 
 @register_message
 class RunnerSeen(NamedTuple):
-    """Tells the home of a service how a runner answered."""
+    """Tells the home of a service how a runner answered.
+
+    ``fingerprint`` names the request that the runner broke off before its first event,
+    and is empty otherwise.
+    """
 
     service_name: ServiceName
     runner_id: RunnerId
     is_well: bool
+    fingerprint: str = ""
 
 
 @register_message
