--- a/libs/gateway/src/damaskjunction/gateway/online.py
+++ b/libs/gateway/src/damaskjunction/gateway/online.py
@@ -231,7 +231,8 @@
         """Return the answer for the caller; a stream goes on behind it."""
         try:
             response = await self._first_answer()
-        except BaseException:
+        except BaseException as error:
+            self._log("ended without answer", reason=repr(error))
             await self.release()
             raise
         if self._answer is None:
@@ -357,6 +358,7 @@
     async def events(self) -> AsyncGenerator[bytes, None]:
         """Yield whole events; go on at another runner where that is allowed."""
         watch = _PatienceWatch(self._online.timers, self._note_silence)
+        is_ended = False
         try:
             while True:
                 try:
@@ -366,9 +368,15 @@
                 except RunnerFailedError as error:
                     await self._note_failure(error)
                     await self._go_on(error)
+            is_ended = True
             self._online.note(self._call, self._runner_id, is_well=True)
-            self._log("answered", status=200)
+            self._log("answered", status=200, n_events=self._n_events)
+        except ConnectionAbortedError:
+            is_ended = True
+            raise
         finally:
+            if not is_ended:
+                self._log("left by its caller", n_events=self._n_events)
             watch.cancel()
             await self.release()
 
