--- /dev/null
+++ b/libs/gateway/src/damaskjunction/gateway/request_run.py
@@ -0,0 +1,366 @@
+"""One request of a caller: its attempts, its stream, and what the caller is told."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import AsyncGenerator, AsyncIterator, Callable
+
+from damaskjunction.core import (
+    Outcome,
+    RequestError,
+    RunnerId,
+    Subscription,
+    Timers,
+)
+from damaskjunction.core.units import MILLISECOND_S
+from damaskjunction.gateway.parts import Sending
+from damaskjunction.gateway.runner_calls import (
+    CRASH_REASONS,
+    RunnerAnswer,
+    RunnerFailedError,
+    runner_named,
+)
+from damaskjunction.gateway.runner_choice import RETRY_AFTER_S, Call, RunnerChoice
+from damaskjunction.gateway.slot_desk import Slot
+from damaskjunction.http import BrokenResponseError, EventBlocks, Response
+from damaskjunction.platform import Refusal, to_caller_response, to_refusal
+from damaskjunction.routing import RouteKind
+
+logger = logging.getLogger(__name__)
+
+HOP_S = 2 * MILLISECOND_S
+FIRST_EVENT_PATIENCE_S = 0.6
+FIRST_EVENT_GOALS = 2.0
+GAP_PATIENCE_S = 0.4
+GAP_GOALS = 2.0
+ANSWER_SHARE = 0.4
+MIN_ANSWER_S = 0.25
+MIN_LEFT_S = 0.02
+MAX_TRIES = 12
+
+
+class RequestRun:
+    """One request on its way through one or more runners.
+
+    Parameters
+    ----------
+    sending : Sending
+        What it is sent by.
+    choice : RunnerChoice
+        Chooses runners.
+    call : Call
+        The request.
+    """
+
+    def __init__(self, sending: Sending, choice: RunnerChoice, call: Call) -> None:
+        self._sending = sending
+        self._timers = sending.timers
+        self._choice = choice
+        self._call = call
+        self._avoid: set[RunnerId] = set()
+        self._n_worked = 0
+        self._outcome = Outcome.NOT_RUN
+        self._slot: Slot | None = None
+        self._runner_id: RunnerId = ""
+        self._answer: RunnerAnswer | None = None
+        self._last_event_id = call.request.last_event_id
+        self._n_events = 0
+
+    async def answer(self) -> Response:
+        """Return the answer for the caller; a stream goes on behind it."""
+        try:
+            response = await self._first_answer()
+        except BaseException as error:
+            self._log("ended without answer", reason=repr(error))
+            await self.release()
+            raise
+        if self._answer is None:
+            await self.release()
+        return response
+
+    async def _first_answer(self) -> Response:
+        while True:
+            try:
+                return await self._try_once()
+            except RequestError as error:
+                return self._refuse(error.reason, error.retry_after_s)
+            except RunnerFailedError as error:
+                await self._note_failure(error)
+                if not self._may_try_again():
+                    return self._give_up(error)
+
+    async def _try_once(self) -> Response:
+        answer = await self._send(self._call.request.last_event_id)
+        if self._call.route.kind is RouteKind.STREAM and answer.head.status == 200:
+            self._answer = answer
+            return Response(200, StreamBody(self), None, answer.head.headers)
+        body = await self._sending.calls.read_whole(answer)
+        if answer.head.status >= 500 and self._may_repeat_failure():
+            raise RunnerFailedError(Outcome.RAN, "failed", f"{answer.head.status}")
+        self._choice.note(self._call, self._runner_id, is_well=True)
+        self._log("answered", status=answer.head.status)
+        return to_caller_response(answer.head, body)
+
+    async def _send(self, last_event_id: int | None) -> RunnerAnswer:
+        call, choice = self._call, self._choice
+        if choice.has_slots(call):
+            self._slot = await choice.take_slot(call, self._avoid)
+            self._runner_id = self._slot.runner_id
+        else:
+            self._runner_id = choice.choose_runner(call, self._avoid)
+        runners = self._sending.state.runners_of(call.service)
+        runner = runner_named(runners, self._runner_id)
+        if runner is None:
+            raise RunnerFailedError(Outcome.NOT_RUN, "runner_gone")
+        left_s = self._left_s()
+        if left_s < MIN_LEFT_S:
+            raise RunnerFailedError(Outcome.NOT_RUN, "no_time_left")
+        home_id = self._slot.home_id if self._slot is not None else ""
+        self._log("sent", home=home_id, left_ms=round(left_s * 1000.0))
+        return await self._sending.calls.send(
+            runner,
+            call.request,
+            left_s=left_s - HOP_S,
+            stall_s=self._head_stall_s(left_s),
+            last_event_id=last_event_id,
+            fresh=not call.route.may_repeat,
+        )
+
+    def _head_stall_s(self, left_s: float) -> float:
+        """Return how long to wait for the first byte of an answer."""
+        route = self._call.route
+        is_last = self._n_worked + 1 >= route.max_attempts
+        if not route.may_repeat or is_last:
+            return left_s
+        if route.kind is RouteKind.STREAM:
+            goal_s = FIRST_EVENT_GOALS * route.latency_goal_s
+            return min(left_s, max(FIRST_EVENT_PATIENCE_S, goal_s))
+        return min(left_s, max(MIN_ANSWER_S, ANSWER_SHARE * left_s))
+
+    def _left_s(self) -> float:
+        return self._call.end_at_s - self._timers.now()
+
+    async def _note_failure(self, error: RunnerFailedError) -> None:
+        runner_id = self._runner_id
+        if runner_id:
+            self._avoid.add(runner_id)
+        if error.outcome is not Outcome.NOT_RUN:
+            self._n_worked += 1
+            self._outcome = error.outcome
+        if error.is_fault:
+            has_crashed = error.reason in CRASH_REASONS and not self._n_events
+            self._choice.note(
+                self._call, runner_id, is_well=False, has_crashed=has_crashed
+            )
+        self._log("attempt failed", reason=error.reason, detail=error.detail)
+        await self.release()
+
+    def _may_try_again(self) -> bool:
+        if self._left_s() < MIN_LEFT_S or len(self._avoid) >= MAX_TRIES:
+            return False
+        if self._outcome is Outcome.NOT_RUN:
+            return True
+        route = self._call.route
+        return route.may_repeat and self._n_worked < route.max_attempts
+
+    def _may_repeat_failure(self) -> bool:
+        route = self._call.route
+        return (
+            route.kind is RouteKind.IDEMPOTENT
+            and self._n_worked + 1 < route.max_attempts
+            and self._left_s() > MIN_LEFT_S
+        )
+
+    def _give_up(self, error: RunnerFailedError) -> Response:
+        if self._outcome is Outcome.NOT_RUN:
+            return self._refuse(error.reason, RETRY_AFTER_S)
+        is_late = self._left_s() < MIN_LEFT_S
+        kind = Refusal.TIMED_OUT if is_late else Refusal.UNKNOWN
+        self._log("given up", reason=error.reason, outcome=self._outcome.value)
+        return to_refusal(kind, error.reason, request_id=self._call.request.request_id)
+
+    def _refuse(self, reason: str, retry_after_s: float) -> Response:
+        """Refuse a request; it has not run, or it may run again."""
+        request_id = self._call.request.request_id
+        self._log("refused", reason=reason, outcome=self._outcome.value)
+        if self._outcome is not Outcome.NOT_RUN:
+            return to_refusal(Refusal.UNKNOWN, reason, request_id=request_id)
+        return to_refusal(
+            Refusal.NOT_RUN,
+            reason,
+            request_id=request_id,
+            retry_after_s=max(retry_after_s, RETRY_AFTER_S),
+        )
+
+    # Streams
+
+    async def events(self) -> AsyncGenerator[bytes, None]:
+        """Yield whole events; go on at another runner where that is allowed."""
+        watch = PatienceWatch(self._timers, self._note_silence)
+        is_ended = False
+        try:
+            while True:
+                try:
+                    async for data in self._read_events(watch):
+                        yield data
+                    break
+                except RunnerFailedError as error:
+                    await self._note_failure(error)
+                    await self._go_on(error)
+            is_ended = True
+            self._choice.note(self._call, self._runner_id, is_well=True)
+            self._log("answered", status=200, n_events=self._n_events)
+        except ConnectionAbortedError:
+            is_ended = True
+            raise
+        finally:
+            if not is_ended:
+                self._log("left by its caller", n_events=self._n_events)
+            watch.cancel()
+            await self.release()
+
+    async def _read_events(self, watch: PatienceWatch) -> AsyncGenerator[bytes, None]:
+        answer = self._answer
+        assert answer is not None
+        blocks = EventBlocks()
+        answer.response.set_stall(self._head_stall_s(self._left_s()))
+        try:
+            async for chunk in answer.response.chunks():
+                watch.touch()
+                fresh = []
+                for block in blocks.feed(chunk):
+                    event_id = block.event_id
+                    known = self._last_event_id
+                    if event_id is not None:
+                        if known is not None and event_id <= known:
+                            continue
+                        self._last_event_id = event_id
+                    fresh.append(block.raw)
+                if fresh:
+                    self._n_events += len(fresh)
+                    yield b"".join(fresh)
+                left_s = self._left_s()
+                if left_s <= 0:
+                    raise RunnerFailedError(Outcome.RAN, "no_time_left")
+                answer.response.set_stall(self._gap_stall_s(left_s))
+        except BrokenResponseError as error:
+            raise RunnerFailedError(
+                Outcome.RAN, "stream_cut", str(error), is_fault=True
+            ) from None
+        if not blocks.is_between_events:
+            raise RunnerFailedError(Outcome.RAN, "stream_cut", "within an event")
+
+    def _gap_stall_s(self, left_s: float) -> float:
+        route = self._call.route
+        if not route.may_repeat or self._n_worked + 1 >= route.max_attempts:
+            return left_s
+        return min(left_s, max(GAP_PATIENCE_S, GAP_GOALS * route.gap_goal_s))
+
+    async def _go_on(self, error: RunnerFailedError) -> None:
+        """Let another runner go on with a broken stream.
+
+        Raises
+        ------
+        ConnectionAbortedError
+            When that is not allowed or no runner takes it; the caller's connection
+            is then cut, so that the answer does not look complete.
+        """
+        while self._call.route.is_resumable and self._may_try_again():
+            try:
+                answer = await self._send(self._last_event_id)
+            except RequestError as refusal:
+                self._log("not resumed", reason=refusal.reason)
+                break
+            except RunnerFailedError as failure:
+                await self._note_failure(failure)
+                continue
+            if answer.head.status == 200:
+                self._answer = answer
+                self._log("resumed", last_event_id=self._last_event_id)
+                return
+            answer.response.close()
+            await self._note_failure(
+                RunnerFailedError(Outcome.RAN, "failed", f"{answer.head.status}")
+            )
+        self._log("stream given up", reason=error.reason, n_events=self._n_events)
+        raise ConnectionAbortedError(error.reason)
+
+    def _note_silence(self) -> None:
+        """Tell of a runner that has been silent for long; its answer may still come."""
+        self._log("runner silent", n_events=self._n_events)
+        self._choice.note(self._call, self._runner_id, is_well=False)
+
+    async def release(self) -> None:
+        """Cut what is still under way and give the slot back."""
+        if self._answer is not None:
+            self._answer.response.close()
+            self._answer = None
+        slot, self._slot = self._slot, None
+        runner_id, self._runner_id = self._runner_id, ""
+        if slot is not None:
+            await slot.close()
+        elif runner_id:
+            self._choice.release_runner(runner_id)
+
+    def _log(self, event: str, **fields: object) -> None:
+        now_s = self._timers.now()
+        extra = {
+            "request": self._call.request.request_id,
+            "route": self._call.route.name,
+            "service": self._call.service,
+            "runner": self._runner_id,
+            "n_worked": self._n_worked,
+            "age_ms": round((now_s - self._call.began_at_s) * 1000.0, 1),
+            "version": self._sending.state.table.version,
+        }
+        logger.info(f"request {event}", extra={**extra, **fields})
+
+
+class StreamBody:
+    """The body of a stream; ``aclose`` also ends one that was never begun."""
+
+    def __init__(self, run: RequestRun) -> None:
+        self._run = run
+        self._events = run.events()
+
+    def __aiter__(self) -> AsyncIterator[bytes]:
+        return self
+
+    async def __anext__(self) -> bytes:
+        return await anext(self._events)
+
+    async def aclose(self) -> None:
+        """Cut what is still under way."""
+        await self._events.aclose()
+        await self._run.release()
+
+
+class PatienceWatch:
+    """Calls back once when nothing was touched for a while."""
+
+    def __init__(self, timers: Timers, callback: Callable[[], None]) -> None:
+        self._timers = timers
+        self._callback = callback
+        self._touched_at_s = timers.now()
+        self._subscription: Subscription | None = timers.once(
+            FIRST_EVENT_PATIENCE_S, self._check
+        )
+
+    def touch(self) -> None:
+        """Note that something came."""
+        self._touched_at_s = self._timers.now()
+
+    def cancel(self) -> None:
+        """Call back no more."""
+        if self._subscription is not None:
+            self._subscription.cancel()
+
+    def _check(self) -> None:
+        silent_s = self._timers.now() - self._touched_at_s
+        if silent_s < FIRST_EVENT_PATIENCE_S:
+            self._subscription = self._timers.once(
+                FIRST_EVENT_PATIENCE_S - silent_s, self._check
+            )
+            return
+        self._subscription = None
+        self._callback()
--- /dev/null
+++ b/libs/gateway/src/damaskjunction/gateway/result_writer.py
@@ -0,0 +1,112 @@
+"""Results of batch jobs on their way into the platform's store."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+from typing import TypeAlias
+
+from damaskjunction.batch import (
+    SEGMENT_BYTES,
+    ItemResult,
+    merge_results,
+    segment_bytes,
+)
+from damaskjunction.core import JobId, PlatformError
+from damaskjunction.gateway.job_book import JobBook
+from damaskjunction.platform import encode_result_list
+
+logger = logging.getLogger(__name__)
+
+Pause: TypeAlias = Callable[[int], Awaitable[None]]
+
+
+class ResultWriter:
+    """Writes results of one job, those that end together in one write.
+
+    Parameters
+    ----------
+    book : JobBook
+        Jobs and results.
+    job_id : str
+        Which job.
+    pause : Pause
+        Waits between tries.
+    """
+
+    def __init__(self, book: JobBook, job_id: JobId, pause: Pause) -> None:
+        self._book = book
+        self._pause = pause
+        self._job_id = job_id
+        self._finished: list[ItemResult] = []
+        self._is_writing = False
+        self._idle = asyncio.Event()
+        self._idle.set()
+
+    async def add(self, result: ItemResult) -> None:
+        """Take a result; return when the store has it."""
+        self._finished.append(result)
+        if self._is_writing:
+            await self._idle.wait()
+        while result in self._finished:
+            await self._write()
+
+    async def finish(self) -> None:
+        """Write what is left."""
+        while self._finished:
+            await self._write()
+
+    async def _write(self) -> None:
+        if self._is_writing:
+            await self._idle.wait()
+            return
+        self._is_writing = True
+        self._idle.clear()
+        try:
+            await self._write_segment()
+        finally:
+            self._is_writing = False
+            self._idle.set()
+
+    async def _write_segment(self) -> None:
+        n_failures = 0
+        while self._finished:
+            batch = tuple(self._finished)
+            try:
+                if await self._try_write(batch):
+                    self._finished = [r for r in self._finished if r not in batch]
+                    return
+            except PlatformError as error:
+                extra = {"job": self._job_id, "error": str(error)}
+                logger.warning("results wait for the store", extra=extra)
+                await self._pause(n_failures)
+                n_failures += 1
+                await self._reread()
+
+    async def _reread(self) -> None:
+        """Read what the store has, since a write without an answer may have come."""
+        try:
+            await self._book.segments(self._job_id)
+        except PlatformError as error:
+            extra = {"job": self._job_id, "error": str(error)}
+            logger.info("results not read back", extra=extra)
+
+    async def _try_write(self, batch: tuple[ItemResult, ...]) -> bool:
+        known = self._book.known_results(self._job_id)
+        fresh = merge_results(known, batch)[len(known) :]
+        if not fresh:
+            return True
+        segments = self._book.known_segments(self._job_id)
+        index = max(0, len(segments) - 1)
+        results = segments[index].results if segments else ()
+        if segment_bytes(results) > SEGMENT_BYTES:
+            index, results = index + 1, ()
+        merged = (*results, *fresh)
+        return await self._book.add_results(
+            self._job_id,
+            index,
+            merged,
+            encode_result_list(merged),
+            is_full=segment_bytes(merged) > SEGMENT_BYTES,
+        )
--- /dev/null
+++ b/libs/gateway/src/damaskjunction/gateway/runner_choice.py
@@ -0,0 +1,152 @@
+"""Which runner takes a request of a caller, and what is known of runners."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from damaskjunction.core import (
+    Outcome,
+    RequestError,
+    RunnerId,
+    ServiceName,
+    WorkClass,
+)
+from damaskjunction.gateway.parts import Sending
+from damaskjunction.gateway.slot_desk import Slot
+from damaskjunction.platform import CallerRequest
+from damaskjunction.routing import (
+    EjectionPolicy,
+    OutlierEjection,
+    Route,
+    fingerprint_of,
+)
+from damaskjunction.wire import RunnerSeen, SlotAsk
+
+SHORTEST_PATIENCE_S = 2.0
+PATIENCE_GOALS = 4.0
+PATIENCE_GAP_GOALS = 8.0
+PATIENCE_MARGIN_S = 0.15
+WAIT_SHARE = 0.6
+START_SHARE = 0.8
+RETRY_AFTER_S = 0.15
+PLAIN_EJECTION = EjectionPolicy(n_failures=1, base_s=0.7, limit_s=6.0)
+
+
+class Call(NamedTuple):
+    """A caller's request on a route; times are on the timers' clock.
+
+    One that ``is_repeated`` is a later try of its caller.
+    """
+
+    request: CallerRequest
+    route: Route
+    service: ServiceName
+    began_at_s: float
+    end_at_s: float
+    is_repeated: bool
+
+
+class RunnerChoice:
+    """Slots of engines, and runners of plain services by this host's own work.
+
+    Parameters
+    ----------
+    sending : Sending
+        What requests are sent by.
+    """
+
+    def __init__(self, sending: Sending) -> None:
+        self._state = sending.state
+        self._desk = sending.desk
+        self._timers = sending.timers
+        self._chance = sending.chance
+        self._n_under_way_by_runner: dict[RunnerId, int] = {}
+        self._ejection = OutlierEjection(PLAIN_EJECTION)
+
+    async def take_slot(self, call: Call, avoid: set[RunnerId]) -> Slot:
+        """Return a slot of a runner for an attempt.
+
+        Raises
+        ------
+        RequestError
+            ``NOT_RUN`` when there is none in time.
+        """
+        left_s = call.end_at_s - self._timers.now()
+        ask = SlotAsk(
+            request_id=call.request.request_id,
+            service_name=call.service,
+            work_class=WorkClass.ONLINE,
+            parts=call.request.shared_parts,
+            avoid=tuple(sorted(avoid)),
+            start_within_s=min(_patience_s(call.route), WAIT_SHARE * left_s),
+            due_in_s=call.route.priority + left_s,
+            goal_in_s=call.began_at_s
+            + START_SHARE * call.route.latency_goal_s
+            - self._timers.now(),
+            is_repeated=call.is_repeated or bool(avoid),
+            fingerprint=_fingerprint(call),
+        )
+        return await self._desk.take(ask)
+
+    def has_slots(self, call: Call) -> bool:
+        """Return whether the runners of a call's service are engines."""
+        spec = self._state.table.services_by_name.get(call.service)
+        return spec is not None and spec.engine is not None
+
+    def note(
+        self,
+        call: Call,
+        runner_id: RunnerId,
+        *,
+        is_well: bool,
+        has_crashed: bool = False,
+    ) -> None:
+        """Take how a runner answered; it may have broken off before its first event."""
+        if self.has_slots(call):
+            fingerprint = _fingerprint(call) if has_crashed else ""
+            self._desk.note(RunnerSeen(call.service, runner_id, is_well, fingerprint))
+        elif is_well:
+            self._ejection.succeed(runner_id)
+        else:
+            self._ejection.fail(runner_id, self._timers.now())
+
+    def choose_runner(self, call: Call, avoid: set[RunnerId]) -> RunnerId:
+        """Return the runner of a plain service with the least of this host's work."""
+        now_s = self._timers.now()
+        runners = [
+            runner
+            for runner in self._state.runners_of(call.service)
+            if runner.runner_id not in avoid
+        ]
+        runners = list(self._ejection.healthy(runners, lambda r: r.runner_id, now_s))
+        if not runners:
+            reason = "runners_failed" if avoid else "no_runner"
+            raise RequestError(Outcome.NOT_RUN, reason, retry_after_s=RETRY_AFTER_S)
+        self._chance.shuffle(runners)
+        counts = self._n_under_way_by_runner
+        runner = min(
+            runners, key=lambda r: counts.get(r.runner_id, 0) / max(1, r.slots)
+        )
+        counts[runner.runner_id] = counts.get(runner.runner_id, 0) + 1
+        return runner.runner_id
+
+    def release_runner(self, runner_id: RunnerId) -> None:
+        """Count a request to a plain service no more."""
+        counts = self._n_under_way_by_runner
+        counts[runner_id] -= 1
+        if not counts[runner_id]:
+            del counts[runner_id]
+
+
+def _fingerprint(call: Call) -> str:
+    return fingerprint_of(call.service, call.request.target, call.request.body)
+
+
+def _patience_s(route: Route) -> float:
+    """Return how long the callers of a route wait for a first event."""
+    patience_s = max(
+        SHORTEST_PATIENCE_S,
+        PATIENCE_GOALS * route.latency_goal_s,
+        PATIENCE_GAP_GOALS * route.gap_goal_s,
+    )
+    return patience_s - PATIENCE_MARGIN_S
