Bound callers' connections by the machine's descriptors; count the request line apart from headers

Cause: the server held headers and request line together against the operators' bound on headers, so that a request within the bound could get 431. The feature with 16,290 bytes of headers failed before and passes now.

--- a/libs/gateway/features/online.feature
+++ b/libs/gateway/features/online.feature
@@ -136,3 +136,10 @@
     Given plain runners "p1"
     When the operator adds the route "/new/" as version 2 and every watch is cut unheard
     Then a caller gets status 200 for "/new/1" at each host within 3 s
+
+  Scenario: Headers up to the operators' bound are taken, larger ones are not
+    Given plain runners "p1"
+    When a caller asks "/look/1" at "h0" with 16290 bytes of headers
+    Then the caller gets status 200
+    When a caller asks "/look/1" at "h0" with 40000 bytes of headers
+    Then the caller gets status 431
--- a/libs/gateway/features/steps/fleet_steps.py
+++ b/libs/gateway/features/steps/fleet_steps.py
@@ -344,6 +344,13 @@
     run(context, context.platform.wait_for(is_known))
 
 
+@when('a caller asks "{path}" at "{host}" with {size:d} bytes of headers')
+def ask_with_headers(context, path, host, size):
+    headers = {"X-Long": "x" * size}
+    work = context.platform.call(host, "POST", path, headers=headers)
+    context.reply = run(context, work)
+
+
 @given("every engine breaks off at once")
 def crash_engines(context):
     set_faults(context, "crash", 1)
--- a/libs/gateway/src/damaskjunction/gateway/root.py
+++ b/libs/gateway/src/damaskjunction/gateway/root.py
@@ -7,6 +7,7 @@
 import random
 
 from damaskjunction.core import Address, EntryHost, LoopTimers, stable_hash
+from damaskjunction.core.units import KIB
 from damaskjunction.gateway.following import KindFollower, TakeAll, TakeChange
 from damaskjunction.gateway.front import Front
 from damaskjunction.gateway.job_book import JobBook
@@ -51,6 +52,9 @@
 RUNNERS_SETTLE_S = 0.1
 CONFIGURATION_SETTLE_S = 0.2
 STOP_MARGIN_S = 1.0
+# The bound is on headers; the server counts the request line as well.
+HEAD_SLACK_BYTES = 8 * KIB
+CALLER_DESCRIPTOR_SHARE = 0.6
 LINGER_SHARE = 0.56
 
 
@@ -262,7 +266,10 @@
         limits = self.state.table.limits
         self._callers.set_limits(
             HttpLimits(
-                header_bytes=limits.header_bytes,
+                header_bytes=limits.header_bytes + HEAD_SLACK_BYTES,
+                n_connections=int(
+                    CALLER_DESCRIPTOR_SHARE * self._settings.max_descriptors
+                ),
                 body_bytes=limits.body_bytes,
                 header_timeout_s=limits.header_timeout_s,
                 keep_alive_s=limits.idle_timeout_s,
--- a/libs/platform/src/damaskjunction/platform/settings_file.py
+++ b/libs/platform/src/damaskjunction/platform/settings_file.py
@@ -19,6 +19,7 @@
 
 SETTINGS_VARIABLE = "DAMASKJUNCTION_SETTINGS"
 METRICS_PORT = 9464
+DEFAULT_DESCRIPTORS = 4096
 DEFAULT_GRACE_S = 8.0
 DEFAULT_STATUS_S = 120.0
 DEFAULT_MAX_TTL_S = 5.0
@@ -52,6 +53,7 @@
     seeds: tuple[Address, ...]
     store: StoreSettings
     regions_by_data_centre: Mapping[DataCentre, Region]
+    max_descriptors: int = DEFAULT_DESCRIPTORS
     metrics_port: int = METRICS_PORT
     stop_grace_s: float = DEFAULT_GRACE_S
     keep_results_s: float = DEFAULT_STATUS_S
@@ -148,6 +150,7 @@
             store, int(reader.number("Platform.ValueBytes", DEFAULT_VALUE_BYTES))
         ),
         regions_by_data_centre=reader.table("Zones."),
+        max_descriptors=int(reader.number("Limits.MaxFds", DEFAULT_DESCRIPTORS)),
         stop_grace_s=reader.number("Bounds.GraceS", DEFAULT_GRACE_S),
         keep_results_s=reader.number("Bounds.StatusS", DEFAULT_STATUS_S),
         max_answer_ttl_s=reader.number("Bounds.ttl_max_s", DEFAULT_MAX_TTL_S),
