Let the test of the bound on headers fail without the slack

With the stand-in's bound raised and 16,310 bytes (the request line then makes the difference) it fails without the slack and passes with it.

--- a/libs/gateway/features/online.feature
+++ b/libs/gateway/features/online.feature
@@ -139,7 +139,7 @@
 
   Scenario: Headers up to the operators' bound are taken, larger ones are not
     Given plain runners "p1"
-    When a caller asks "/look/1" at "h0" with 16290 bytes of headers
+    When a caller asks "/look/1" at "h0" with 16310 bytes of headers
     Then the caller gets status 200
     When a caller asks "/look/1" at "h0" with 40000 bytes of headers
     Then the caller gets status 431
--- a/libs/standins/src/damaskjunction/standins/backends.py
+++ b/libs/standins/src/damaskjunction/standins/backends.py
@@ -6,12 +6,20 @@
 from collections.abc import AsyncIterator
 
 from damaskjunction.core import Address, RequestId, RunnerId, ServiceName
-from damaskjunction.http import HttpServer, Request, Response, to_json_response
+from damaskjunction.core.units import KIB
+from damaskjunction.http import (
+    HttpLimits,
+    HttpServer,
+    Request,
+    Response,
+    to_json_response,
+)
 from damaskjunction.standins.faults import Faults
 from damaskjunction.standins.store import StoreStandin
 
 RUNNERS_KIND = "servers"
 EVENT_INTERVAL_S = 0.02
+HEADER_BYTES = 128 * KIB
 REPORT_PATH = "/damaskjunction/report"
 
 
@@ -62,7 +70,8 @@
         self.faults = Faults(
             "break_after", "full", "silent_after", "fail", "impossible", "mute", "crash"
         )
-        self._server = HttpServer(address, self._serve)
+        limits = HttpLimits(header_bytes=HEADER_BYTES)
+        self._server = HttpServer(address, self._serve, limits=limits)
 
     async def start(self) -> None:
         """Listen, and enter the store."""
