Make the steps on slots unambiguous, so that the suite of routing runs

Cause: two step texts matched one another, behave loaded no step of the library, and the check by hand looked for failed steps alone.

--- a/libs/routing/features/slots.feature
+++ b/libs/routing/features/slots.feature
@@ -90,9 +90,9 @@
 
   Scenario: Prompts go where their shared parts were read
     Given a pool with runners "a:8,b:8"
-    When online requests "r1" with parts "p,q" ask for slots
+    When prompts "r1" of parts "p,q" want slots
     And "r1" is given back
-    And online requests "r2" with parts "p,q" ask for slots
+    And prompts "r2" of parts "p,q" want slots
     Then "r1,r2" are granted on the same runner
 
   Scenario: Slots that unknown work takes lengthen the wait that is foreseen
@@ -106,10 +106,10 @@
   Scenario: A request that crashed three runners gets no slot any more
     Given a pool with runners "a:4"
     When request "x" crashes 2 runners
-    And online requests "r1" like "x" ask for slots
+    And copies "r1" of "x" want slots
     Then "r1" are granted
     When request "x" crashes 1 runners
-    And online requests "r2" like "x" ask for slots
-    And online requests "r3" like "y" ask for slots
+    And copies "r2" of "x" want slots
+    And copies "r3" of "y" want slots
     Then "r2" are refused with a time to return
     And "r3" are granted
--- a/libs/routing/features/steps/slot_steps.py
+++ b/libs/routing/features/steps/slot_steps.py
@@ -88,12 +88,12 @@
     ask(context, ids, is_repeated=True)
 
 
-@when('online requests "{ids}" with parts "{parts}" ask for slots')
+@when('prompts "{ids}" of parts "{parts}" want slots')
 def ask_with_parts(context, ids, parts):
     ask(context, ids, parts=tuple(parts.split(",")))
 
 
-@when('online requests "{ids}" like "{fingerprint}" ask for slots')
+@when('copies "{ids}" of "{fingerprint}" want slots')
 def ask_like(context, ids, fingerprint):
     ask(context, ids, fingerprint=fingerprint)
 
