--- a/libs/standins/src/damaskjunction/standins/fleet.py
+++ b/libs/standins/src/damaskjunction/standins/fleet.py
@@ -146,11 +146,18 @@
 
     def freeze(self, name: str) -> None:
         """Stop a process's execution until ``thaw``."""
-        self._processes_by_name[name].send_signal(signal.SIGSTOP)
+        self._signal(name, signal.SIGSTOP)
 
     def thaw(self, name: str) -> None:
         """Let a frozen process go on."""
-        self._processes_by_name[name].send_signal(signal.SIGCONT)
+        self._signal(name, signal.SIGCONT)
+
+    def _signal(self, name: str, number: signal.Signals) -> None:
+        process = self._processes_by_name[name]
+        if process.returncode is not None:
+            ended = f"{name} had ended with {process.returncode}"
+            raise RuntimeError(f"{ended}: {self.log_of(name)[-2000:]}")
+        process.send_signal(number)
 
     async def call(
         self,
