--- a/libs/gateway/features/platform_fleet.py
+++ b/libs/gateway/features/platform_fleet.py
@@ -14,7 +14,7 @@
     ConnectFailedError,
     HttpClient,
 )
-from damaskjunction.platform import ProcessSettings, StoreSettings
+from damaskjunction.platform import ProcessSettings
 from damaskjunction.standins import (
     BackendStandin,
     Mode,
@@ -269,7 +269,7 @@
             directory=directory,
             peer_port=peer.port,
             seeds=(),
-            store=StoreSettings(proxy),
+            store=proxy,
             regions_by_data_centre={"z1": "r1"},
             metrics_port=0,
             stop_grace_s=GRACE_S,
--- a/libs/gateway/src/damaskjunction/gateway/front.py
+++ b/libs/gateway/src/damaskjunction/gateway/front.py
@@ -8,7 +8,7 @@
 from damaskjunction.gateway.job_front import JobFront
 from damaskjunction.gateway.online import Online
 from damaskjunction.gateway.state import ServingState
-from damaskjunction.http import HttpError, Request, Response
+from damaskjunction.http import Request, Response
 from damaskjunction.platform import (
     ADDRESSES_PATH,
     READINESS_PATH,
@@ -61,11 +61,7 @@
         answer = await self._jobs.serve(request)
         if answer is not None:
             return answer
-        try:
-            body = await request.body.read()
-        except HttpError:
-            raise
-        call = decode_request(request, body)
+        call = decode_request(request, await request.body.read())
         route = table.find(call.host, call.path)
         if route is None:
             extra = {
--- a/libs/gateway/src/damaskjunction/gateway/root.py
+++ b/libs/gateway/src/damaskjunction/gateway/root.py
@@ -87,7 +87,7 @@
         self.metrics = Metrics()
         self.dump = StateDump()
         self._links = PeerLinks(timers)
-        self._direct = DirectPath(settings.store.address, timers)
+        self._direct = DirectPath(settings.store, timers)
         path = RelayedPath(self._direct, self.view, self._links, timers, chance)
         self._store = StoreClient(path)
         self.state = ServingState(self.view, timers, settings.regions_by_data_centre)
--- a/libs/lab/src/damaskjunction/lab/batch_faults.py
+++ b/libs/lab/src/damaskjunction/lab/batch_faults.py
@@ -183,7 +183,7 @@
         try:
             run.n_runs += (await rig.engine_runs(engine))[0]
         except (ConnectFailedError, BrokenResponseError):
-            continue
+            continue  # an engine that is down has no counts to add
     n_all = n_items * FAULT_JOBS
     figures = (
         Figure("items", n_all),
--- a/libs/lab/src/damaskjunction/lab/placement.py
+++ b/libs/lab/src/damaskjunction/lab/placement.py
@@ -250,7 +250,7 @@
                 if await condition():
                     return timers.now() - began_s
             except (ConnectFailedError, BrokenResponseError):
-                pass
+                pass  # the host is away for the moment, which is what the run waits out
             await asyncio.sleep(POLL_S)
         raise TimeoutError(f"not within {timeout_s:g} s")
 
--- a/libs/node/src/damaskjunction/node/admin.py
+++ b/libs/node/src/damaskjunction/node/admin.py
@@ -207,7 +207,7 @@
                         host.peer, CONTROL_LANE, DataCentreQuery()
                     )
             except (RequestError, TimeoutError):
-                continue
+                continue  # another host of the data centre is asked
             assert isinstance(answer, DataCentreStatus)
             return answer if data_centre != own.data_centre else self._amend(answer)
         known = self._membership.statuses(data_centre)
--- a/libs/node/src/damaskjunction/node/claims.py
+++ b/libs/node/src/damaskjunction/node/claims.py
@@ -246,7 +246,7 @@
                     operation_id=uuid.uuid4().hex,
                 )
             except ConflictError:
-                continue
+                continue  # the claim is read again as another host left it
 
 
 def _answer_of(effect: ClaimEffect) -> PlainAnswer | None:
--- a/libs/platform/src/damaskjunction/platform/__init__.py
+++ b/libs/platform/src/damaskjunction/platform/__init__.py
@@ -66,7 +66,6 @@
 from damaskjunction.platform.settings_file import (
     SETTINGS_VARIABLE,
     ProcessSettings,
-    StoreSettings,
     decode_settings,
     read_settings,
 )
@@ -130,7 +129,6 @@
     "StoreClient",
     "StorePath",
     "StoreReply",
-    "StoreSettings",
     "StoredObject",
     "WatchResult",
     "decode_configuration",
--- a/libs/platform/src/damaskjunction/platform/settings_file.py
+++ b/libs/platform/src/damaskjunction/platform/settings_file.py
@@ -15,22 +15,12 @@
     Region,
     raise_findings,
 )
-from damaskjunction.core.units import MILLISECOND_S
 
 SETTINGS_VARIABLE = "DAMASKJUNCTION_SETTINGS"
 METRICS_PORT = 9464
 DEFAULT_DESCRIPTORS = 4096
 DEFAULT_GRACE_S = 8.0
 DEFAULT_STATUS_S = 120.0
-DEFAULT_MAX_TTL_S = 5.0
-DEFAULT_VALUE_BYTES = 1 << 20
-
-
-class StoreSettings(NamedTuple):
-    """Where the platform's store listens, and how large one value may be, in bytes."""
-
-    address: Address
-    max_value_bytes: int = DEFAULT_VALUE_BYTES
 
 
 class ProcessSettings(NamedTuple):
@@ -51,15 +41,12 @@
     directory: Address | None
     peer_port: int
     seeds: tuple[Address, ...]
-    store: StoreSettings
+    store: Address
     regions_by_data_centre: Mapping[DataCentre, Region]
     max_descriptors: int = DEFAULT_DESCRIPTORS
     metrics_port: int = METRICS_PORT
     stop_grace_s: float = DEFAULT_GRACE_S
     keep_results_s: float = DEFAULT_STATUS_S
-    max_answer_ttl_s: float = DEFAULT_MAX_TTL_S
-    cancel_bound_s: float = 3.0
-    quota_slack: float = 0.1
 
 
 class _Reader:
@@ -146,16 +133,11 @@
         directory=reader.address("Listen.Directory"),
         peer_port=int(first_port) if first_port.isdigit() else 0,
         seeds=reader.addresses("Seeds"),
-        store=StoreSettings(
-            store, int(reader.number("Platform.ValueBytes", DEFAULT_VALUE_BYTES))
-        ),
+        store=store,
         regions_by_data_centre=reader.table("Zones."),
         max_descriptors=int(reader.number("Limits.MaxFds", DEFAULT_DESCRIPTORS)),
         stop_grace_s=reader.number("Bounds.GraceS", DEFAULT_GRACE_S),
         keep_results_s=reader.number("Bounds.StatusS", DEFAULT_STATUS_S),
-        max_answer_ttl_s=reader.number("Bounds.ttl_max_s", DEFAULT_MAX_TTL_S),
-        cancel_bound_s=reader.number("Bounds.CancelMs", 3000.0) * MILLISECOND_S,
-        quota_slack=reader.number("Bounds.QuotaOver", 0.1),
     )
     raise_findings(f"{source}: settings not usable", reader.findings)
     return settings
--- a/libs/standins/src/damaskjunction/standins/fleet.py
+++ b/libs/standins/src/damaskjunction/standins/fleet.py
@@ -202,7 +202,7 @@
                 if await condition():
                     return
             except (ConnectFailedError, BrokenResponseError):
-                pass
+                pass  # the process is still starting, or was ended on purpose
             await asyncio.sleep(POLL_S)
         raise TimeoutError(f"not within {timeout_s:g} s: {what}")
 
