Log the parts and the progress of a request that lost its runner

The logs could not tell whether crashes were not counted or counted against the wrong requests. A failed attempt is now logged with the shared parts of its prompt, its number of events and the time since the first, and the home logs each crash that it counts. No logic changes.

--- a/libs/gateway/src/damaskjunction/gateway/request_execution.py
+++ b/libs/gateway/src/damaskjunction/gateway/request_execution.py
@@ -71,6 +71,7 @@
         self._runner_response: RunnerResponse | None = None
         self._last_event_id = routed.request.last_event_id
         self._n_events = 0
+        self._first_event_at_s: float | None = None
 
     async def run(self) -> Response:
         """Return the response for the caller; the body of a stream is read later."""
@@ -166,9 +167,22 @@
             self._selector.record_health(
                 self._routed, runner_id, is_well=False, has_crashed=has_crashed
             )
-        self._log("attempt failed", reason=error.reason, detail=error.detail)
+        self._log(
+            "attempt failed",
+            reason=error.reason,
+            detail=error.detail,
+            parts=",".join(self._routed.request.shared_parts),
+            n_events=self._n_events,
+            answering_ms=self._answering_ms(),
+        )
         await self.release()
 
+    def _answering_ms(self) -> float | None:
+        """Return the milliseconds since the first event, None before it."""
+        if self._first_event_at_s is None:
+            return None
+        return round((self._timers.now() - self._first_event_at_s) * 1000.0, 1)
+
     def _may_retry(self) -> bool:
         if (
             self._remaining_s() < MIN_REMAINING_S
@@ -260,6 +274,8 @@
                         self._last_event_id = event_id
                     new_events.append(raw_event.raw)
                 if new_events:
+                    if self._first_event_at_s is None:
+                        self._first_event_at_s = self._timers.now()
                     self._n_events += len(new_events)
                     yield b"".join(new_events)
                 remaining_s = self._remaining_s()
--- a/libs/gateway/src/damaskjunction/gateway/slot_home.py
+++ b/libs/gateway/src/damaskjunction/gateway/slot_home.py
@@ -167,7 +167,13 @@
         else:
             pool.record_failure(seen.runner_id, now_s)
         if seen.fingerprint:
-            pool.record_crash(seen.fingerprint, now_s)
+            n_crashes = pool.record_crash(seen.fingerprint, now_s)
+            extra = {
+                "runner": seen.runner_id,
+                "fingerprint": seen.fingerprint,
+                "n_crashes": n_crashes,
+            }
+            logger.info("crash counted", extra=extra)
 
     def to_document(self) -> dict[str, Any]:
         """Return the state for the dump."""
--- a/libs/routing/src/damaskjunction/routing/crash_counts.py
+++ b/libs/routing/src/damaskjunction/routing/crash_counts.py
@@ -21,8 +21,8 @@
     def __init__(self) -> None:
         self._crashes_by_fingerprint: OrderedDict[str, _CrashRecord] = OrderedDict()
 
-    def record(self, fingerprint: str, now_s: float) -> None:
-        """Count a request that a runner aborted before producing any output."""
+    def record(self, fingerprint: str, now_s: float) -> int:
+        """Count a request that a runner aborted before any output; return the count."""
         crash_record = self._crashes_by_fingerprint.pop(fingerprint, None)
         count = 1
         if (
@@ -33,6 +33,7 @@
         self._crashes_by_fingerprint[fingerprint] = _CrashRecord(count, now_s)
         if len(self._crashes_by_fingerprint) > MAX_FINGERPRINTS:
             self._crashes_by_fingerprint.popitem(last=False)
+        return count
 
     def is_blocked(self, fingerprint: str, now_s: float) -> bool:
         """Return whether requests with this fingerprint crashed too many runners."""
--- a/libs/routing/src/damaskjunction/routing/slots.py
+++ b/libs/routing/src/damaskjunction/routing/slots.py
@@ -178,9 +178,9 @@
         self._ejection.record_failure(runner_id, now_s)
         self._prefix_cache.forget(runner_id)
 
-    def record_crash(self, fingerprint: str, now_s: float) -> None:
-        """Count a request that a runner aborted before producing any output."""
-        self._crash_counts.record(fingerprint, now_s)
+    def record_crash(self, fingerprint: str, now_s: float) -> int:
+        """Count a request that a runner aborted before any output; return the count."""
+        return self._crash_counts.record(fingerprint, now_s)
 
     def record_success(self, runner_id: RunnerId) -> None:
         """End the ejection of a runner that has answered."""
