--- a/libs/gateway/features/online.feature
+++ b/libs/gateway/features/online.feature
@@ -144,3 +144,10 @@
     Then the caller gets status 200
     When a caller requests "/look/1" at "h0" with 40000 bytes of headers
     Then the caller gets status 431
+
+  Scenario: Prompts with a part that crashes runners do not crash one runner after another
+    Given engines "e1,e2,e3,e4"
+    And engines end when they answer a prompt with the part "deadly"
+    When both hosts get 16 prompts "system,subject,deadly", each before one "system,subject"
+    Then at most 3 prompts with the part "deadly" ran after the fifth crash
+    And the last 4 prompts without it are answered completely
--- a/libs/gateway/features/steps/fleet_steps.py
+++ b/libs/gateway/features/steps/fleet_steps.py
@@ -85,6 +85,11 @@
     set_faults(context, "fail", status)
 
 
+@given('engines end when they answer a prompt with the part "{part}"')
+def set_deadly_part(context, part):
+    set_faults(context, "deadly_part", part)
+
+
 @given("no item can succeed")
 def fail_items(context):
     set_faults(context, "impossible", 1)
@@ -679,3 +684,38 @@
         reply = run(context, context.platform.call(host, "GET", path))
         assert reply.status == 200, reply
         assert reply.body == b"item", reply
+
+
+def make_prompt(parts, number):
+    entries = [f"{part}:50" for part in (*parts.split(","), f"own{number}")]
+    return {"X-Prompt-Prefix": ",".join(entries)}
+
+
+@when('both hosts get {count:d} prompts "{deadly}", each before one "{sound}"')
+def send_deadly_and_sound(context, count, deadly, sound):
+    async def send(parts, number):
+        name = f"h{number % 2}"
+        headers = make_prompt(parts, number)
+        return await context.platform.call(
+            name, "POST", f"/ask/{number}", headers=headers, request_id=f"q{number}"
+        )
+
+    async def work():
+        context.replies = []
+        for number in range(count):
+            await send(deadly, 2 * number)
+            context.replies.append(await send(sound, 2 * number + 1))
+
+    run(context, work())
+
+
+@then('at most {count:d} prompts with the part "{part}" ran after the fifth crash')
+def check_deadly_runs(context, count, part):
+    n_ends = sum(runner.n_ends for runner in context.platform.runners.values())
+    assert n_ends <= 5 + count, n_ends
+
+
+@then("the last {count:d} prompts without it are answered completely")
+def check_last_replies(context, count):
+    replies = context.replies[-count:]
+    assert all(reply.status == 200 and reply.is_complete for reply in replies), replies
--- a/libs/standins/src/damaskjunction/standins/runner.py
+++ b/libs/standins/src/damaskjunction/standins/runner.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Mapping
 
 from damaskjunction.core import Address, RequestId, RunnerId, ServiceName
 from damaskjunction.core.units import KIB
@@ -23,7 +23,9 @@
 RUNNERS_KIND = "servers"
 EVENT_INTERVAL_S = 0.02
 MAX_HEADER_BYTES = 128 * KIB
+RESTART_S = 0.3
 REPORT_PATH = "/damaskjunction/report"
+PROMPT_PARTS_HEADER = "x-prompt-prefix"
 
 
 class RunnerStandin:
@@ -33,7 +35,9 @@
     requests as not run), ``silent_after`` (stall streams after this event), ``fail``
     (status of every response), ``impossible`` (1: status 422, which means that the item
     can never succeed), ``mute`` (1: never respond), ``crash`` (1: abort the connection
-    of each request once it is recorded as run).
+    of each request once it is recorded as run), ``deadly_part`` (id of a prompt part:
+    the runner's process ends when the first event of a request with it is due, and is
+    back after ``RESTART_S``).
 
     Parameters
     ----------
@@ -75,10 +79,19 @@
         self.recorded_runs: list[tuple[RequestId, str]] = []
         self.headers_by_request: dict[RequestId, dict[str, str]] = {}
         self.faults = Faults(
-            "break_after", "full", "silent_after", "fail", "impossible", "mute", "crash"
+            "break_after",
+            "full",
+            "silent_after",
+            "fail",
+            "impossible",
+            "mute",
+            "crash",
+            "deadly_part",
         )
-        limits = HttpLimits(header_bytes=MAX_HEADER_BYTES)
-        self._server = HttpServer(address, self._serve, limits=limits)
+        self.n_ends = 0
+        self._address = address
+        self._restart: asyncio.Task[None] | None = None
+        self._server = self._make_server()
 
     async def start(self) -> None:
         """Start to listen and register as ready."""
@@ -87,7 +100,26 @@
 
     async def close(self) -> None:
         """Stop serving."""
+        if self._restart is not None:
+            self._restart.cancel()
+            await asyncio.gather(self._restart, return_exceptions=True)
+        await self._server.close()
+
+    def _make_server(self) -> HttpServer:
+        limits = HttpLimits(header_bytes=MAX_HEADER_BYTES)
+        return HttpServer(self._address, self._serve, limits=limits)
+
+    def _end(self) -> None:
+        """End like a process that crashes, and start again after ``RESTART_S``."""
+        if self._restart is None or self._restart.done():
+            self.n_ends += 1
+            self._restart = asyncio.ensure_future(self._close_and_restart())
+
+    async def _close_and_restart(self) -> None:
         await self._server.close()
+        await asyncio.sleep(RESTART_S)
+        self._server = self._make_server()
+        await self._server.start()
 
     def register_in_store(self, state: str) -> None:
         """Register in the store with a state, or update the state."""
@@ -130,15 +162,25 @@
             return Response(status, b"no", headers=response_headers)
         if not self._n_events:
             return Response(200, request_id.encode(), "text/plain", response_headers)
-        events = self._stream_events(int(last_event_id) if last_event_id else 0)
+        events = self._stream_events(
+            int(last_event_id) if last_event_id else 0, self._is_deadly(headers)
+        )
         return Response(200, events, "text/event-stream", response_headers)
 
-    async def _stream_events(self, after: int) -> AsyncIterator[bytes]:
+    def _is_deadly(self, headers: Mapping[str, str]) -> bool:
+        parts = headers.get(PROMPT_PARTS_HEADER, "").split(",")
+        ids = [part.partition(":")[0] for part in parts]
+        return self.faults["deadly_part"] in ids
+
+    async def _stream_events(self, after: int, is_deadly: bool) -> AsyncIterator[bytes]:
         self.n_running += 1
         self.peak_running = max(self.peak_running, self.n_running)
         try:
             for number in range(after + 1, self._n_events + 1):
                 await asyncio.sleep(EVENT_INTERVAL_S)
+                if is_deadly:
+                    self._end()
+                    await asyncio.Event().wait()
                 if self.faults["silent_after"] and number > self.faults["silent_after"]:
                     await asyncio.Event().wait()
                 yield f"id: {number}\ndata: token {number}\n\n".encode()
