Know requests that crash runners by what they have in common

Cause: crashes were counted by the whole request (service, path, body). Requests that share the part are no two alike, so each count stayed at 1; and a crash counted against all requests there without an event. A stream that a way broke off counted as a crash too, plain services counted nothing, and the count lived in one host's memory: a restart or a move of the home began anew.

Now: a lost connection is a crash when the runner refuses new ones. The requests that it had not begun to answer are accused by their traits: the shared parts of the prompt and the hash of the request. An answer clears the traits of a request of all crashes before. Traits that three crashes have in common make a suspect; only a request with all of them is blocked, so those that share a caller, a first part or a runner are not. Suspects are objects of the store that every host follows: they outlive restarts and moves of the home, and a host that reaches no home knows them. Reports to the home are repeated until it has them. Plain services report too, and ask the home for suspect requests. Batch items are never accused and never refused.

The runner stand-in's "crash" now ends its process, as "abort" does not: a broken connection before a living runner must not count.

--- a/libs/gateway/features/online.feature
+++ b/libs/gateway/features/online.feature
@@ -133,6 +133,14 @@
     # A fourth run may start before the home has received the third crash report.
     Then the engines received "/alert/same" 3 or 4 times
 
+  Scenario: Requests whose connections break while the runners live are not refused
+    Given engines "e1,e2,e3"
+    And every engine aborts each request
+    When a caller requests "/alert/same" 3 times at different hosts
+    And every engine recovers
+    And a caller requests "/alert/same" at "h0" as "q9"
+    Then the caller gets events 1 to 10, complete
+
   Scenario: All objects are listed again after a watch is aborted
     Given plain runners "p1"
     When the operator adds the route "/new/" as version 2 and every watch misses it
@@ -151,3 +159,14 @@
     When both hosts get 16 prompts "system,subject,deadly", each before one "system,subject"
     Then at most 3 prompts with the part "deadly" ran after the fifth crash
     And the last 4 prompts without it are answered completely
+
+  Scenario: Hosts that restart still refuse prompts with a part that crashed runners
+    Given engines "e1,e2,e3,e4"
+    And engines end when they answer a prompt with the part "deadly"
+    When both hosts get 6 prompts "system,subject,deadly", each before one "system,subject"
+    And all hosts are killed and started again
+    And both hosts get 6 prompts "system,subject,deadly", each before one "system,subject"
+    And all hosts are killed and started again
+    And both hosts get 6 prompts "system,subject,deadly", each before one "system,subject"
+    Then at most 3 prompts with the part "deadly" ran after the fifth crash
+    And the last 4 prompts without it are answered completely
--- a/libs/gateway/features/steps/fleet_steps.py
+++ b/libs/gateway/features/steps/fleet_steps.py
@@ -362,6 +362,16 @@
     set_faults(context, "crash", 1)
 
 
+@given("every engine aborts each request")
+def abort_requests(context):
+    set_faults(context, "abort", 1)
+
+
+@when("every engine recovers")
+def recover_engines(context):
+    set_faults(context, "abort", 0)
+
+
 @when('a caller requests "{path}" {count:d} times at different hosts')
 def send_repeatedly(context, path, count):
     names = list(context.platform.hosts)
@@ -709,6 +719,28 @@
     run(context, work())
 
 
+@when("all hosts are killed and started again")
+def restart_all_hosts(context):
+    fleet = context.platform
+    names = list(fleet.hosts)
+
+    async def work():
+        for name in names:
+            await fleet.kill_host(name)
+        for name in names:
+            await fleet.start_host(name)
+        await fleet.wait_for(
+            lambda: all(
+                len(host.view.serving_hosts()) == len(names)
+                and host.view.is_ready
+                and len(host.view.fleet.runners_by_id) == len(fleet.runners)
+                for host in fleet.hosts.values()
+            )
+        )
+
+    run(context, work())
+
+
 @then('at most {count:d} prompts with the part "{part}" ran after the fifth crash')
 def check_deadly_runs(context, count, part):
     n_ends = sum(runner.n_ends for runner in context.platform.runners.values())
--- a/libs/gateway/src/damaskjunction/gateway/dispatch_context.py
+++ b/libs/gateway/src/damaskjunction/gateway/dispatch_context.py
@@ -6,9 +6,11 @@
 from typing import NamedTuple
 
 from damaskjunction.core import Timers
+from damaskjunction.gateway.crash_reporter import CrashReporter
 from damaskjunction.gateway.runner_client import RunnerClient
 from damaskjunction.gateway.slot_client import SlotClient
 from damaskjunction.gateway.state import ServingState
+from damaskjunction.gateway.suspect_registry import SuspectRegistry
 from damaskjunction.telemetry import Metrics
 
 
@@ -18,6 +20,8 @@
     state: ServingState
     slot_client: SlotClient
     runner_client: RunnerClient
+    suspects: SuspectRegistry
+    crash_reporter: CrashReporter
     timers: Timers
     metrics: Metrics
     rng: random.Random
--- a/libs/gateway/src/damaskjunction/gateway/item_runner.py
+++ b/libs/gateway/src/damaskjunction/gateway/item_runner.py
@@ -17,7 +17,7 @@
 from damaskjunction.gateway.job_repository import StoredJob
 from damaskjunction.gateway.result_writer import BackOff
 from damaskjunction.gateway.runner_client import (
-    CRASH_REASONS,
+    CONNECTION_LOST_REASONS,
     RunnerFailedError,
     find_runner,
 )
@@ -245,7 +245,7 @@
         error: RunnerFailedError,
     ) -> None:
         progress.excluded_runners.add(slot.runner_id)
-        progress.n_crashes += error.reason in CRASH_REASONS
+        progress.n_crashes += error.reason in CONNECTION_LOST_REASONS
         if error.is_fault:
             service = route.service_for(stable_hash(progress.item.item_id))
             self._slot_client.report_health(RunnerSeen(service, slot.runner_id, False))
--- a/libs/gateway/src/damaskjunction/gateway/online.py
+++ b/libs/gateway/src/damaskjunction/gateway/online.py
@@ -8,7 +8,7 @@
 from damaskjunction.gateway.runner_selector import RoutedRequest, RunnerSelector
 from damaskjunction.http import Response
 from damaskjunction.platform import CallerRequest
-from damaskjunction.routing import Route
+from damaskjunction.routing import Route, fingerprint_of
 
 DEFAULT_DEADLINE_S = 30.0
 RETRY_TIMEOUT_FRACTION = 0.98  # of the longest time stated on the route
@@ -36,8 +36,9 @@
         service = route.service_for(stable_hash(request.request_id))
         deadline_at_s = now_s + min(caller_timeout_s, route.timeout_s)
         is_repeated = self._is_repeated(route, caller_timeout_s)
+        fingerprint = fingerprint_of(service, request.target, request.body)
         routed = RoutedRequest(
-            request, route, service, now_s, deadline_at_s, is_repeated
+            request, route, service, now_s, deadline_at_s, is_repeated, fingerprint
         )
         response = await RequestExecution(self._context, self._selector, routed).run()
         metrics = self._context.metrics
--- a/libs/gateway/src/damaskjunction/gateway/request_execution.py
+++ b/libs/gateway/src/damaskjunction/gateway/request_execution.py
@@ -2,20 +2,23 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 from collections.abc import AsyncGenerator, AsyncIterator, Callable
 
 from damaskjunction.core import (
     Outcome,
     RequestError,
+    Runner,
     RunnerId,
     Subscription,
     Timers,
 )
 from damaskjunction.core.units import MILLISECOND_S
+from damaskjunction.gateway.crash_reporter import LostRequest
 from damaskjunction.gateway.dispatch_context import DispatchContext
 from damaskjunction.gateway.runner_client import (
-    CRASH_REASONS,
+    CONNECTION_LOST_REASONS,
     RunnerFailedError,
     RunnerResponse,
     find_runner,
@@ -41,6 +44,9 @@
 MIN_RESPONSE_TIMEOUT_S = 0.25
 MIN_REMAINING_S = 0.02  # with less time left, no attempt is started
 MAX_RUNNERS_TRIED = 12
+# A runner that has been answering a request for so long is not crashed by it.
+ANSWERING_S = 0.2
+DIAGNOSIS_WAIT_S = 0.1
 
 
 class RequestExecution:
@@ -68,10 +74,11 @@
         self._outcome = Outcome.NOT_RUN
         self._slot: Slot | None = None
         self._runner_id: RunnerId = ""
+        self._runner: Runner | None = None
         self._runner_response: RunnerResponse | None = None
         self._last_event_id = routed.request.last_event_id
         self._n_events = 0
-        self._first_event_at_s: float | None = None
+        self._answering_since_s: float | None = None
 
     async def run(self) -> Response:
         """Return the response for the caller; the body of a stream is read later."""
@@ -109,7 +116,7 @@
             raise RunnerFailedError(
                 Outcome.RAN, "failed", f"{runner_response.head.status}"
             )
-        self._selector.record_health(self._routed, self._runner_id, is_well=True)
+        self._record_success()
         self._log("answered", status=runner_response.head.status)
         return caller_response(runner_response.head, body)
 
@@ -127,6 +134,7 @@
         remaining_s = self._remaining_s()
         if remaining_s < MIN_REMAINING_S:
             raise RunnerFailedError(Outcome.NOT_RUN, "no_time_left")
+        self._runner, self._answering_since_s = runner, None
         home_id = self._slot.home_id if self._slot is not None else ""
         self._log("sent", home=home_id, left_ms=round(remaining_s * 1000.0))
         return await self._context.runner_client.send(
@@ -163,25 +171,45 @@
             self._n_attempts_run += 1
             self._outcome = error.outcome
         if error.is_fault:
-            has_crashed = error.reason in CRASH_REASONS and not self._n_events
-            self._selector.record_health(
-                self._routed, runner_id, is_well=False, has_crashed=has_crashed
-            )
+            self._selector.record_health(self._routed, runner_id, is_well=False)
         self._log(
             "attempt failed",
             reason=error.reason,
             detail=error.detail,
             parts=",".join(self._routed.request.shared_parts),
             n_events=self._n_events,
-            answering_ms=self._answering_ms(),
+            answering_s=self._answering_s(),
         )
+        if error.reason in CONNECTION_LOST_REASONS:
+            await self._report_lost()
         await self.release()
 
-    def _answering_ms(self) -> float | None:
-        """Return the milliseconds since the first event, None before it."""
-        if self._first_event_at_s is None:
+    def _answering_s(self) -> float | None:
+        """Return the seconds since the runner's first event, None before it."""
+        if self._answering_since_s is None:
             return None
-        return round((self._timers.now() - self._first_event_at_s) * 1000.0, 1)
+        return round(self._timers.now() - self._answering_since_s, 4)
+
+    async def _report_lost(self) -> None:
+        """Report a lost connection; before a retry, wait until it is diagnosed."""
+        if self._runner is None:
+            return
+        is_answered = (self._answering_s() or 0.0) >= ANSWERING_S
+        lost = LostRequest(self._routed.traits, is_answered)
+        diagnosis = self._context.crash_reporter.report_lost(self._runner, lost)
+        if not is_answered and self._may_retry():
+            await asyncio.wait([diagnosis], timeout=DIAGNOSIS_WAIT_S)
+
+    def _record_success(self) -> None:
+        self._selector.record_health(self._routed, self._runner_id, is_well=True)
+        self._report_answered()
+
+    def _report_answered(self) -> None:
+        """Report once that the runner answers the request, where a crash accuses it."""
+        if self._slot is not None and self._slot.watched:
+            reporter = self._context.crash_reporter
+            reporter.report_answered(self._routed.service, self._slot.watched)
+            self._slot.watched = ()
 
     def _may_retry(self) -> bool:
         if (
@@ -241,7 +269,7 @@
                     await self._record_failure(error)
                     await self._resume(error)
             is_ended = True
-            self._selector.record_health(self._routed, self._runner_id, is_well=True)
+            self._record_success()
             self._log("answered", status=200, n_events=self._n_events)
         except ConnectionAbortedError:
             is_ended = True
@@ -274,9 +302,7 @@
                         self._last_event_id = event_id
                     new_events.append(raw_event.raw)
                 if new_events:
-                    if self._first_event_at_s is None:
-                        self._first_event_at_s = self._timers.now()
-                    self._n_events += len(new_events)
+                    self._record_events(len(new_events))
                     yield b"".join(new_events)
                 remaining_s = self._remaining_s()
                 if remaining_s <= 0:
@@ -291,6 +317,13 @@
         if not parser.is_between_events:
             raise RunnerFailedError(Outcome.RAN, "stream_cut", "within an event")
 
+    def _record_events(self, n_events: int) -> None:
+        self._n_events += n_events
+        if self._answering_since_s is None:
+            self._answering_since_s = self._timers.now()
+        elif self._timers.now() - self._answering_since_s >= ANSWERING_S:
+            self._report_answered()
+
     def _gap_stall_timeout_s(self, remaining_s: float) -> float:
         """Return the stall timeout between events of a stream, in seconds."""
         route = self._routed.route
--- a/libs/gateway/src/damaskjunction/gateway/root.py
+++ b/libs/gateway/src/damaskjunction/gateway/root.py
@@ -10,6 +10,7 @@
 from damaskjunction.core.units import KIB
 from damaskjunction.gateway.cancellation_notifier import CancellationNotifier
 from damaskjunction.gateway.change_feed import ChangeFeed
+from damaskjunction.gateway.crash_reporter import CrashReporter
 from damaskjunction.gateway.dispatch_context import DispatchContext
 from damaskjunction.gateway.front_end import FrontEnd
 from damaskjunction.gateway.host_registry import HostRegistry
@@ -27,6 +28,7 @@
 from damaskjunction.gateway.slot_client import SlotClient
 from damaskjunction.gateway.slot_home import SlotHome
 from damaskjunction.gateway.state import ServingState
+from damaskjunction.gateway.suspect_registry import SuspectRegistry
 from damaskjunction.http import (
     HttpLimits,
     HttpServer,
@@ -56,6 +58,7 @@
 HOSTS_COALESCE_S = 0.4
 RUNNERS_COALESCE_S = 0.1
 CONFIGURATION_COALESCE_S = 0.2
+SUSPECTS_COALESCE_S = 0.2
 STOP_MARGIN_S = 1.0  # left of the stop grace period for closing
 # The configured limit is on headers; the server also counts the request line.
 REQUEST_LINE_ALLOWANCE_BYTES = 8 * KIB
@@ -102,11 +105,28 @@
         transport.register(handlers)
         self._membership = self._make_membership(own, rng, handlers)
         self._runner_client = RunnerClient(timers)
-        home = SlotHome(self.state, self._runner_client, timers)
+        origin = f"{settings.host_id}.{start_ms}"
+        self._suspects = suspects = SuspectRegistry(
+            self._store, timers, self.metrics, origin
+        )
+        home = SlotHome(self.state, suspects, self._runner_client, timers)
         home.register(handlers)
-        slot_client = SlotClient(self.state, home, self._links, timers, rng)
+        slot_client = SlotClient(
+            self.state, home, suspects, self._links, timers, rng=rng
+        )
+        crash_reporter = CrashReporter(
+            self.state, suspects, slot_client, self._links, timers
+        )
+        crash_reporter.register(handlers)
         context = DispatchContext(
-            self.state, slot_client, self._runner_client, timers, self.metrics, rng
+            self.state,
+            slot_client,
+            self._runner_client,
+            suspects,
+            crash_reporter,
+            timers,
+            self.metrics,
+            rng,
         )
         online_handler = OnlineHandler(context)
         self.job_repository = job_repository = JobRepository(self._store)
@@ -133,6 +153,8 @@
         self.view.subscribe(self._apply_http_limits)
         self._components: tuple[Component, ...] = (
             transport,
+            suspects,
+            crash_reporter,
             home,
             self._peer_server,
             self._membership,
@@ -215,6 +237,7 @@
             (CONFIGURATION_COALESCE_S, configuration),
             (RUNNERS_COALESCE_S, runners),
             (HOSTS_COALESCE_S, self._host_registry.state),
+            (SUSPECTS_COALESCE_S, self._suspects.state),
             (JOBS_COALESCE_S, jobs),
         )
         followers = [
@@ -278,6 +301,7 @@
         self, home: SlotHome, slot_client: SlotClient, transport: RelayedTransport
     ) -> None:
         self.dump.sections.register("slots")(home.to_document)
+        self.dump.sections.register("suspects")(self._suspects.to_document)
         self.dump.sections.register("slot_desk")(slot_client.to_document)
         self.dump.sections.register("store_path")(transport.to_document)
         self.dump.sections.register("store_news")(self._change_feed.to_document)
--- a/libs/gateway/src/damaskjunction/gateway/runner_client.py
+++ b/libs/gateway/src/damaskjunction/gateway/runner_client.py
@@ -32,8 +32,8 @@
 CONNECT_TIMEOUT_S = 0.3
 IDLE_TIMEOUT_S = 4.0
 REPORT_STALL_TIMEOUT_S = 0.5
-# The response broke off, or a stream stalled after its head.
-CRASH_REASONS = ("stream_cut", "no_answer")
+# The connection broke after the request was sent, as when the runner crashes.
+CONNECTION_LOST_REASONS = ("stream_cut", "no_answer", "answer_cut")
 MAX_RESPONSE_BYTES = 16 * MIB
 
 
--- a/libs/gateway/src/damaskjunction/gateway/runner_selector.py
+++ b/libs/gateway/src/damaskjunction/gateway/runner_selector.py
@@ -18,7 +18,6 @@
     EjectionPolicy,
     OutlierEjection,
     Route,
-    fingerprint_of,
 )
 from damaskjunction.wire import RunnerSeen, SlotAsk
 
@@ -36,6 +35,7 @@
     """A caller's request on a route; times are on the monotonic clock.
 
     ``is_repeated`` is set when the request seems to be a retry by its caller.
+    ``fingerprint`` is the hash that equal requests share.
     """
 
     request: CallerRequest
@@ -44,6 +44,12 @@
     started_at_s: float
     deadline_at_s: float
     is_repeated: bool
+    fingerprint: str
+
+    @property
+    def traits(self) -> tuple[str, ...]:
+        """The traits by which requests that crash runners are known."""
+        return (*self.request.shared_parts, self.fingerprint)
 
 
 class RunnerSelector:
@@ -58,6 +64,7 @@
     def __init__(self, context: DispatchContext) -> None:
         self._state = context.state
         self._slot_client = context.slot_client
+        self._suspects = context.suspects
         self._timers = context.timers
         self._rng = context.rng
         self._n_in_flight_by_runner: dict[RunnerId, int] = {}
@@ -88,32 +95,30 @@
             + START_GOAL_FRACTION * routed.route.latency_goal_s
             - self._timers.now(),
             is_repeated=routed.is_repeated or bool(excluded),
-            fingerprint=_fingerprint(routed),
+            fingerprint=routed.fingerprint,
         )
         return await self._slot_client.acquire(ask)
 
     def uses_slots(self, routed: RoutedRequest) -> bool:
-        """Return whether the runners of a request's service are engines."""
+        """Return whether a request needs a slot from the home of its service.
+
+        Requests for engines do, and those that may crash runners.
+        """
+        return self._has_engines(routed) or self._suspects.is_suspect(
+            routed.service, routed.traits
+        )
+
+    def _has_engines(self, routed: RoutedRequest) -> bool:
         spec = self._state.table.services_by_name.get(routed.service)
         return spec is not None and spec.engine is not None
 
     def record_health(
-        self,
-        routed: RoutedRequest,
-        runner_id: RunnerId,
-        *,
-        is_well: bool,
-        has_crashed: bool = False,
+        self, routed: RoutedRequest, runner_id: RunnerId, *, is_well: bool
     ) -> None:
-        """Record whether a runner is healthy, as shown by its response to a request.
-
-        ``has_crashed`` is set when the runner failed before the first event, which
-        counts against the request's fingerprint as well.
-        """
-        if self.uses_slots(routed):
-            fingerprint = _fingerprint(routed) if has_crashed else ""
+        """Record whether a runner is healthy, as shown by its response to a request."""
+        if self._has_engines(routed):
             self._slot_client.report_health(
-                RunnerSeen(routed.service, runner_id, is_well, fingerprint)
+                RunnerSeen(routed.service, runner_id, is_well)
             )
         elif is_well:
             self._ejection.record_success(runner_id)
@@ -154,10 +159,6 @@
             del counts[runner_id]
 
 
-def _fingerprint(routed: RoutedRequest) -> str:
-    return fingerprint_of(routed.service, routed.request.target, routed.request.body)
-
-
 def _caller_timeout_s(route: Route) -> float:
     """Return how long callers wait for a first event, in seconds, less a margin."""
     timeout_s = max(
--- a/libs/gateway/src/damaskjunction/gateway/slot_client.py
+++ b/libs/gateway/src/damaskjunction/gateway/slot_client.py
@@ -25,6 +25,7 @@
 )
 from damaskjunction.gateway.slot_home import SlotHome, SlotReservation
 from damaskjunction.gateway.state import ServingState
+from damaskjunction.gateway.suspect_registry import SuspectRegistry
 from damaskjunction.node import TaskSet, cancel_tasks
 from damaskjunction.routing import slot_homes
 from damaskjunction.wire import (
@@ -49,7 +50,8 @@
 class Slot:
     """A slot that was granted, held until ``close``.
 
-    ``revoked`` is set when the holder has to release it.
+    ``revoked`` is set when the holder has to release it. ``watched`` are the request's
+    traits whose answer is to be reported, since a crash accuses them.
     """
 
     def __init__(
@@ -59,6 +61,7 @@
         self.ask = ask
         self.runner_id = runner_id
         self.revoked = asyncio.Event()
+        self.watched: tuple[str, ...] = ()
         self.home_id: HostId = ""
         self.reservation: SlotReservation | None = None
         self.call: AsyncGenerator[Message, None] | None = None
@@ -94,6 +97,8 @@
         Runners, services and hosts.
     home : SlotHome
         The slot pools of this host.
+    suspects : SuspectRegistry
+        Tells which requests may crash runners.
     links : PeerLinks
         Links to other hosts.
     timers : Timers
@@ -106,12 +111,15 @@
         self,
         state: ServingState,
         home: SlotHome,
+        suspects: SuspectRegistry,
         links: PeerLinks,
         timers: Timers,
+        *,
         rng: random.Random,
     ) -> None:
         self._state = state
         self._home = home
+        self._suspects = suspects
         self._links = links
         self._timers = timers
         self._rng = rng
@@ -162,6 +170,11 @@
             if host.host_id != self._state.view.own.host_id:
                 self._tasks.begin(self._send_health_report(host, seen))
 
+    def home_of(self, service: ServiceName) -> EntryHost | None:
+        """Return the home of a service, None when none can be reached."""
+        homes = self._candidate_homes(service)
+        return homes[0] if homes else None
+
     def to_document(self) -> dict[str, Any]:
         """Return the state for the dump."""
         return {
@@ -200,18 +213,20 @@
             reservation = self._home.request(ask, slot.revoked)
             slot.reservation = reservation
             slot.runner_id = await reservation.granted
+            slot.watched = reservation.watched
         else:
             call = await self._open_call(host, ask)
             if call is None:
                 return False
-            slot.call, slot.runner_id = call
+            slot.call, granted = call
+            slot.runner_id, slot.watched = granted
             slot.reader = asyncio.ensure_future(self._watch_call(host, slot, slot.call))
         slot.home_id = host.host_id
         return True
 
     async def _open_call(
         self, host: EntryHost, ask: SlotAsk
-    ) -> tuple[AsyncGenerator[Message, None], RunnerId] | None:
+    ) -> tuple[AsyncGenerator[Message, None], SlotGranted] | None:
         replies = self._links.call(host.peer, ask.work_class.value, ask)
         try:
             async with asyncio.timeout(FIRST_REPLY_TIMEOUT_S):
@@ -220,7 +235,7 @@
                 reply = await anext(replies)
             if not isinstance(reply, SlotGranted):
                 raise RequestError(Outcome.UNKNOWN, "bad_reply", repr(reply))
-            return replies, reply.runner_id
+            return replies, reply
         except (RequestError, TimeoutError, StopAsyncIteration) as error:
             await replies.aclose()
             if _is_refusal(error):
@@ -254,8 +269,7 @@
         for slot in list(self._slots):
             service = slot.ask.service_name
             if service not in homes_by_service:
-                homes = self._candidate_homes(service)
-                homes_by_service[service] = homes[0] if homes else None
+                homes_by_service[service] = self.home_of(service)
             home = homes_by_service[service]
             if home is not None and home.host_id != slot.home_id:
                 slot.home_id = home.host_id
@@ -289,13 +303,17 @@
         Raises
         ------
         RequestError
-            ``NOT_RUN`` for batch work, or when no runner is left.
+            ``NOT_RUN`` for batch work and suspect requests, or when no runner is left.
         """
         runners = [
             runner.runner_id
             for runner in self._state.runners_of(ask.service_name)
             if runner.runner_id not in ask.avoid
         ]
+        if self._suspects.is_suspect(ask.service_name, ask.traits):
+            raise RequestError(
+                Outcome.NOT_RUN, "crashes_runners", retry_after_s=NO_HOME_RETRY_AFTER_S
+            )
         if not runners or ask.work_class is WorkClass.BATCH:
             raise RequestError(
                 Outcome.NOT_RUN, "no_home", retry_after_s=NO_HOME_RETRY_AFTER_S
--- a/libs/gateway/src/damaskjunction/gateway/slot_home.py
+++ b/libs/gateway/src/damaskjunction/gateway/slot_home.py
@@ -15,9 +15,11 @@
     ServiceName,
     Subscription,
     Timers,
+    WorkClass,
 )
 from damaskjunction.gateway.runner_client import RunnerClient, RunnerFailedError
 from damaskjunction.gateway.state import ServingState
+from damaskjunction.gateway.suspect_registry import SuspectRegistry
 from damaskjunction.node import PeerHandlers, TaskSet
 from damaskjunction.routing import (
     GrantSlot,
@@ -50,6 +52,7 @@
     """A slot requested from this home, queued or granted until ``close``.
 
     ``granted`` resolves to the runner, or to the ``RequestError`` of a refusal.
+    ``watched`` are the request's traits whose answer is to be reported.
     """
 
     def __init__(
@@ -66,6 +69,7 @@
             asyncio.get_running_loop().create_future()
         )
         self.revoked = revoked
+        self.watched: tuple[str, ...] = ()
 
     def close(self) -> None:
         """Release the slot, or leave the queue."""
@@ -79,6 +83,8 @@
     ----------
     state : ServingState
         Runners and services.
+    suspects : SuspectRegistry
+        Tells which requests may crash runners.
     runner_client : RunnerClient
         Polls the reports of runners.
     timers : Timers
@@ -86,9 +92,14 @@
     """
 
     def __init__(
-        self, state: ServingState, runner_client: RunnerClient, timers: Timers
+        self,
+        state: ServingState,
+        suspects: SuspectRegistry,
+        runner_client: RunnerClient,
+        timers: Timers,
     ) -> None:
         self._state = state
+        self._suspects = suspects
         self._runner_client = runner_client
         self._timers = timers
         self._pools_by_service: dict[ServiceName, SlotPool] = {}
@@ -133,7 +144,6 @@
             now_s + ask.due_in_s,
             now_s + ask.goal_in_s,
             ask.is_repeated,
-            ask.fingerprint,
         )
         pool = self._pool(ask.service_name)
         former = self._reservations_by_id.get(ask.request_id)
@@ -144,10 +154,25 @@
         if ask.held_runner:
             pool.adopt(ticket, ask.held_runner, now_s)
             reservation.granted.set_result(ask.held_runner)
+        elif (refusal := self._refusal_of_suspect(ask)) is not None:
+            self._apply_effects([refusal])
         else:
+            reservation.watched = self._suspects.watched(ask.service_name, ask.traits)
             self._apply_effects(pool.submit(ticket, now_s))
         return reservation
 
+    def _refusal_of_suspect(self, ask: SlotAsk) -> RefuseSlot | None:
+        """Return the refusal of a request that may crash runners.
+
+        Batch items are never refused: their callers expect each to be run in the end.
+        """
+        if ask.work_class is WorkClass.BATCH:
+            return None
+        blocked_s = self._suspects.blocked_for_s(ask.service_name, ask.traits)
+        if not blocked_s:
+            return None
+        return RefuseSlot(ask.request_id, "crashes_runners", blocked_s)
+
     def release(self, reservation: SlotReservation) -> None:
         """Release a slot, or remove a request from the queue."""
         if self._reservations_by_id.get(reservation.request_id) is not reservation:
@@ -159,21 +184,13 @@
         )
 
     def record_health(self, seen: RunnerSeen) -> None:
-        """Record a runner's health and, after a crash, the request's fingerprint."""
+        """Record a runner's health."""
         pool = self._pool(seen.service_name)
         now_s = self._timers.now()
         if seen.is_well:
             pool.record_success(seen.runner_id)
         else:
             pool.record_failure(seen.runner_id, now_s)
-        if seen.fingerprint:
-            n_crashes = pool.record_crash(seen.fingerprint, now_s)
-            extra = {
-                "runner": seen.runner_id,
-                "fingerprint": seen.fingerprint,
-                "n_crashes": n_crashes,
-            }
-            logger.info("crash counted", extra=extra)
 
     def to_document(self) -> dict[str, Any]:
         """Return the state for the dump."""
@@ -275,7 +292,8 @@
         try:
             if not reservation.granted.done():
                 await reply(SlotQueued())
-            await reply(SlotGranted(await reservation.granted))
+            runner_id = await reservation.granted
+            await reply(SlotGranted(runner_id, reservation.watched))
             await reservation.revoked.wait()
             await reply(SlotRevoked())
             await asyncio.Event().wait()  # the holder ends the call
--- a/libs/node/src/damaskjunction/node/__init__.py
+++ b/libs/node/src/damaskjunction/node/__init__.py
@@ -1,5 +1,6 @@
 """Components of one host, their composition root and the host's daemon."""
 
+from damaskjunction.node.connection_probe import refuses_connections
 from damaskjunction.node.daemon import main, run_host
 from damaskjunction.node.datagrams import (
     DatagramEndpoint,
@@ -28,5 +29,6 @@
     "check_registered_names",
     "main",
     "open_udp_endpoint",
+    "refuses_connections",
     "run_host",
 ]
--- a/libs/node/src/damaskjunction/node/crashes.py
+++ b/libs/node/src/damaskjunction/node/crashes.py
@@ -23,7 +23,8 @@
     RunnerId,
     Timers,
 )
-from damaskjunction.core.units import MILLISECOND_S, MINUTE_S
+from damaskjunction.core.units import MINUTE_S
+from damaskjunction.node.connection_probe import refuses_connections
 from damaskjunction.node.documents import QUARANTINE_KIND, QuarantineDocument
 from damaskjunction.node.state import HostView
 from damaskjunction.node.tasks import cancel_tasks
@@ -41,9 +42,6 @@
 
 CONTROL_LANE = "control"
 CONNECTION_LOST_REASONS = frozenset(("runner_lost", "stream_cut"))
-N_PROBES = 2
-PROBE_PAUSE_S = 30 * MILLISECOND_S
-PROBE_TIMEOUT_S = 0.5
 N_SEND_ATTEMPTS = 3
 SEND_RETRY_S = 0.5
 SYNC_INTERVAL_S = MINUTE_S
@@ -345,27 +343,6 @@
                 granted.set_result(None)
 
 
-async def refuses_connections(address: Address) -> bool:
-    """Return whether a process has ended, that is, connections to it are refused.
-
-    A connection that is aborted, stalls or times out does not count, since a network
-    fault can cause that too. After a connection that succeeds, the process is probed
-    once more, since it may still accept connections for a moment while it crashes.
-    """
-    for number in range(N_PROBES):
-        if number:
-            await asyncio.sleep(PROBE_PAUSE_S)
-        try:
-            async with asyncio.timeout(PROBE_TIMEOUT_S):
-                _, writer = await asyncio.open_connection(*address)
-        except ConnectionRefusedError:
-            return True
-        except (OSError, TimeoutError):
-            return False
-        writer.transport.abort()
-    return False
-
-
 def _parse_convicted_since(value: bytes) -> dict[str, float]:
     if not value:
         return {}
--- a/libs/routing/features/slots.feature
+++ b/libs/routing/features/slots.feature
@@ -120,17 +120,6 @@
     Then "r1,r2" are granted
     And "r3" are refused with a retry delay
 
-  Scenario: A request that crashed three runners is refused
-    Given a pool with runners "a:4"
-    When request "x" crashes 2 runners
-    And copies "r1" of "x" ask for slots
-    Then "r1" are granted
-    When request "x" crashes 1 runners
-    And copies "r2" of "x" ask for slots
-    And copies "r3" of "y" ask for slots
-    Then "r2" are refused with a retry delay
-    And "r3" are granted
-
   Scenario: The hosts with the most processor power come first as homes
     Given hosts "h1,h2,h3,h4,h5,h6" with 0.5 cores and "h7,h8" with 2.1 cores
     Then "h7,h8" come first as homes of any service
--- a/libs/routing/features/steps/slot_steps.py
+++ b/libs/routing/features/steps/slot_steps.py
@@ -97,17 +97,6 @@
     submit_requests(context, ids, parts=tuple(parts.split(",")))
 
 
-@when('copies "{ids}" of "{fingerprint}" ask for slots')
-def submit_copies(context, ids, fingerprint):
-    submit_requests(context, ids, fingerprint=fingerprint)
-
-
-@when('request "{fingerprint}" crashes {count:d} runners')
-def crash(context, fingerprint, count):
-    for _ in range(count):
-        context.pool.record_crash(fingerprint, context.now_s)
-
-
 @when('batch requests "{ids}" ask for slots')
 def submit_batch(context, ids):
     submit_requests(context, ids, WorkClass.BATCH)
--- a/libs/routing/src/damaskjunction/routing/__init__.py
+++ b/libs/routing/src/damaskjunction/routing/__init__.py
@@ -16,6 +16,12 @@
     ChoiceInput,
     runner_choices,
 )
+from damaskjunction.routing.crash_evidence import (
+    CrashEvidence,
+    CrashReport,
+    RequestTraits,
+    Suspect,
+)
 from damaskjunction.routing.ejection import (
     EjectionPolicy,
     OutlierEjection,
@@ -114,6 +120,8 @@
     "ClaimEffect",
     "ClaimState",
     "ConcurrencyLimits",
+    "CrashEvidence",
+    "CrashReport",
     "EjectionPolicy",
     "EngineSpec",
     "FailCall",
@@ -134,6 +142,7 @@
     "RefuseSlot",
     "RejectKeyReuse",
     "ReplayAnswer",
+    "RequestTraits",
     "Retry",
     "RetryBudget",
     "RetryEffect",
@@ -149,6 +158,7 @@
     "SlotPool",
     "SlotTicket",
     "StreamEnd",
+    "Suspect",
     "TakeOverClaim",
     "Token",
     "Verdict",
--- a/libs/routing/src/damaskjunction/routing/slot_types.py
+++ b/libs/routing/src/damaskjunction/routing/slot_types.py
@@ -15,7 +15,7 @@
     Times are on the ``Timers`` clock: the request must start by ``start_by_s``, and by
     ``goal_at_s`` to meet its latency goal; batch requests are served by earliest
     ``due_at_s``. ``is_repeated`` says that an earlier submission or attempt of it was
-    refused or failed. ``fingerprint`` is the hash that equal requests share.
+    refused or failed.
     """
 
     request_id: RequestId
@@ -26,7 +26,6 @@
     due_at_s: float
     goal_at_s: float = 0.0
     is_repeated: bool = False
-    fingerprint: str = ""
 
 
 class GrantSlot(NamedTuple):
--- a/libs/routing/src/damaskjunction/routing/slots.py
+++ b/libs/routing/src/damaskjunction/routing/slots.py
@@ -14,7 +14,6 @@
 from typing import NamedTuple
 
 from damaskjunction.core import RequestId, RunnerId, WorkClass
-from damaskjunction.routing.crash_counts import CrashCounts
 from damaskjunction.routing.ejection import EjectionPolicy, OutlierEjection
 from damaskjunction.routing.prefix_cache import PrefixCacheEstimate
 from damaskjunction.routing.slot_types import (
@@ -35,7 +34,6 @@
 MAX_BATCH_QUEUE = 4096
 TAKEOVER_GRACE_S = 0.4
 REPORT_LAG_S = 0.3
-CRASH_RETRY_AFTER_S = 30.0
 REPEATED_RANK = 1
 LATE_RANK = 2
 
@@ -69,7 +67,6 @@
         self._batch_heap: list[tuple[float, RequestId]] = []
         self._prefix_cache = PrefixCacheEstimate()
         self._ejection = OutlierEjection(FAILURE_EJECTION)
-        self._crash_counts = CrashCounts()
         self._mean_hold_s = INITIAL_HOLD_TIME_S
         self._unseen_by_runner: dict[RunnerId, int] = {}
         self._recent_releases: deque[tuple[float, RunnerId]] = deque()
@@ -104,9 +101,6 @@
         A new online request is refused when it is predicted to miss its latency goal;
         a repeated one may wait until the latest time at which it can start.
         """
-        if self._crash_counts.is_blocked(ticket.fingerprint, now_s):
-            reason = "crashes_runners"
-            return [RefuseSlot(ticket.request_id, reason, CRASH_RETRY_AFTER_S)]
         if ticket.work_class is WorkClass.BATCH:
             if len(self._waiting_batch) >= MAX_BATCH_QUEUE:
                 return [RefuseSlot(ticket.request_id, "overloaded", 1.0)]
@@ -178,10 +172,6 @@
         self._ejection.record_failure(runner_id, now_s)
         self._prefix_cache.forget(runner_id)
 
-    def record_crash(self, fingerprint: str, now_s: float) -> int:
-        """Count a request that a runner aborted before any output; return the count."""
-        return self._crash_counts.record(fingerprint, now_s)
-
     def record_success(self, runner_id: RunnerId) -> None:
         """End the ejection of a runner that has answered."""
         self._ejection.record_success(runner_id)
--- a/libs/standins/src/damaskjunction/standins/runner.py
+++ b/libs/standins/src/damaskjunction/standins/runner.py
@@ -34,10 +34,10 @@
     Faults: ``break_after`` (abort streams after this event), ``full`` (1: reject
     requests as not run), ``silent_after`` (stall streams after this event), ``fail``
     (status of every response), ``impossible`` (1: status 422, which means that the item
-    can never succeed), ``mute`` (1: never respond), ``crash`` (1: abort the connection
-    of each request once it is recorded as run), ``deadly_part`` (id of a prompt part:
-    the runner's process ends when the first event of a request with it is due, and is
-    back after ``RESTART_S``).
+    can never succeed), ``mute`` (1: never respond), ``abort`` (1: abort the connection
+    of each request once it is recorded as run), ``crash`` (1: each request ends the
+    runner's process, which is back after ``RESTART_S``), ``deadly_part`` (id of a
+    prompt part: the process ends when the first event of a request with it is due).
 
     Parameters
     ----------
@@ -85,6 +85,7 @@
             "fail",
             "impossible",
             "mute",
+            "abort",
             "crash",
             "deadly_part",
         )
@@ -152,8 +153,11 @@
         last_event_id = headers.get("last-event-id", "")
         self.record_run(request_id, last_event_id)
         self.headers_by_request[request_id] = dict(headers)
+        if self.faults["abort"]:
+            raise ConnectionResetError("injected fault: connection aborted")
         if self.faults["crash"]:
-            raise ConnectionResetError("injected fault: runner crashed")
+            self._end()
+            await asyncio.Event().wait()
         if self.faults["mute"]:
             await asyncio.Event().wait()
         response_headers = {"X-Request-Id": request_id, "X-Response-Stamp": request_id}
--- a/libs/wire/src/damaskjunction/wire/__init__.py
+++ b/libs/wire/src/damaskjunction/wire/__init__.py
@@ -46,6 +46,7 @@
     SlotGranted,
     SlotQueued,
     SlotRevoked,
+    TraitsAnswered,
 )
 
 __all__ = [
@@ -82,6 +83,7 @@
     "StopJob",
     "StoreAnswer",
     "StoreCall",
+    "TraitsAnswered",
     "decode_frame",
     "decode_message",
     "encode_frame",
--- a/libs/wire/src/damaskjunction/wire/peer.thrift
+++ b/libs/wire/src/damaskjunction/wire/peer.thrift
@@ -207,6 +207,7 @@
 // The slot is granted: the request may be sent to the runner.
 struct SlotGranted {
   1: string runner_id
+  2: list<string> watched
 }
 
 // The request is queued for a slot.
@@ -222,7 +223,27 @@
   1: string service_name
   2: string runner_id
   3: bool is_well
-  4: string fingerprint
+}
+
+// The traits of one request.
+struct RequestTraits {
+  1: list<string> traits
+}
+
+// A runner crashed; the accused requests had no answer yet.
+struct CrashReport {
+  1: string service_name
+  2: string runner_id
+  3: list<RequestTraits> accused
+  4: list<string> answered
+  5: double age_s
+}
+
+// A runner answered a request with these traits.
+struct TraitsAnswered {
+  1: string service_name
+  2: list<string> traits
+  3: double age_s
 }
 
 // Acknowledges a report.
--- a/libs/wire/src/damaskjunction/wire/slots.py
+++ b/libs/wire/src/damaskjunction/wire/slots.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from damaskjunction.core import RequestId, RunnerId, ServiceName, WorkClass
+from damaskjunction.routing import CrashReport, RequestTraits
 from damaskjunction.wire.codec import register_message
 
 
@@ -33,12 +34,22 @@
     is_repeated: bool = False
     fingerprint: str = ""
 
+    @property
+    def traits(self) -> tuple[str, ...]:
+        """The traits by which requests that crash runners are known."""
+        return (*self.parts, self.fingerprint) if self.fingerprint else self.parts
+
 
 @register_message
 class SlotGranted(NamedTuple):
-    """The slot is granted: the request may be sent to the runner."""
+    """The slot is granted: the request may be sent to the runner.
+
+    ``watched`` are the request's traits whose answer is to be reported, since a crash
+    accuses them.
+    """
 
     runner_id: RunnerId
+    watched: tuple[str, ...] = ()
 
 
 @register_message
@@ -53,16 +64,27 @@
 
 @register_message
 class RunnerSeen(NamedTuple):
-    """Reports to the home of a service how a runner responded.
-
-    ``fingerprint`` identifies the request that the runner aborted before its first
-    event and is empty otherwise.
-    """
+    """Reports to the home of a service how a runner responded."""
 
     service_name: ServiceName
     runner_id: RunnerId
     is_well: bool
-    fingerprint: str = ""
+
+
+register_message(RequestTraits)
+register_message(CrashReport)
+
+
+@register_message
+class TraitsAnswered(NamedTuple):
+    """Reports that a runner answered a request with traits that a crash accuses.
+
+    It did so ``age_s`` seconds ago.
+    """
+
+    service_name: ServiceName
+    traits: tuple[str, ...]
+    age_s: float
 
 
 @register_message
