Stop retrying a request under which two runners have crashed

Two crashes in a row without an answer speak against the request. Lost connections before living runners don't count. The new test fails with 3 before.

--- a/libs/gateway/features/online.feature
+++ b/libs/gateway/features/online.feature
@@ -133,6 +133,12 @@
     # A fourth run may start before the home has received the third crash report.
     Then the engines received "/alert/same" 3 or 4 times
 
+  Scenario: A stream under which two runners crashed is not tried at a third
+    Given engines "e1,e2,e3"
+    And every engine crashes on each request
+    When a caller requests "/urgent/same" 1 times at different hosts
+    Then the engines received "/urgent/same" 2 or 2 times
+
   Scenario: Requests whose connections break while the runners live are not refused
     Given engines "e1,e2,e3"
     And every engine aborts each request
--- a/libs/gateway/features/platform_fleet.py
+++ b/libs/gateway/features/platform_fleet.py
@@ -50,9 +50,11 @@
     return standins.make_configuration(version, routes, engine=ENGINE, plain=PLAIN)
 
 
+URGENT = {"Resumable": True, "GapAimMs": 100, "MaxAttempts": 4}
 ROUTES = [
     make_route("ask", "/ask/", "streaming", ENGINE, MaxAttempts=1),
     make_route("alert", "/alert/", "streaming", ENGINE, Resumable=True, GapAimMs=100),
+    make_route("urgent", "/urgent/", "streaming", ENGINE, **URGENT),
     make_route("look", "/look/", "idempotent", PLAIN),
     make_route("order", "/order/", "non_idempotent", PLAIN),
     make_route(
--- a/libs/gateway/src/damaskjunction/gateway/crash_reporter.py
+++ b/libs/gateway/src/damaskjunction/gateway/crash_reporter.py
@@ -64,7 +64,7 @@
         self._links = links
         self._timers = timers
         self._lost_by_runner: dict[RunnerId, list[LostRequest]] = {}
-        self._diagnoses_by_runner: dict[RunnerId, asyncio.Task[None]] = {}
+        self._diagnoses_by_runner: dict[RunnerId, asyncio.Task[bool]] = {}
         self._sending = TaskSet()
 
     async def start(self) -> None:
@@ -79,7 +79,7 @@
         handlers.register(CrashReport)(self._handle_report)
         handlers.register(TraitsAnswered)(self._handle_report)
 
-    def report_lost(self, runner: Runner, lost: LostRequest) -> asyncio.Task[None]:
+    def report_lost(self, runner: Runner, lost: LostRequest) -> asyncio.Task[bool]:
         """Report a request that lost its runner, if that proves to be a crash.
 
         Returns the task that finds out; it is shared and must not be cancelled.
@@ -96,7 +96,8 @@
         report = TraitsAnswered(service, traits, 0.0)
         self._sending.begin(self._send(report, self._timers.now()))
 
-    async def _diagnose(self, runner: Runner) -> None:
+    async def _diagnose(self, runner: Runner) -> bool:
+        """Return whether a runner has crashed, and report it if so."""
         lost_at_s = self._timers.now()
         try:
             has_crashed = await refuses_connections(runner.address)
@@ -106,7 +107,7 @@
         if not has_crashed:
             extra = {"runner": runner.runner_id, "n_requests": len(lost)}
             logger.info("connections lost, but the runner lives", extra=extra)
-            return
+            return False
         accused = {request.traits for request in lost if not request.is_answered}
         answered = {
             trait for request in lost if request.is_answered for trait in request.traits
@@ -119,6 +120,7 @@
             0.0,
         )
         self._sending.begin(self._send(report, lost_at_s))
+        return True
 
     async def _send(self, report: CrashReport | TraitsAnswered, at_s: float) -> None:
         """Send a report until the home has it or it is too old."""
--- a/libs/gateway/src/damaskjunction/gateway/request_execution.py
+++ b/libs/gateway/src/damaskjunction/gateway/request_execution.py
@@ -47,6 +47,7 @@
 # A runner that has been answering a request for so long is not crashed by it.
 ANSWERING_S = 0.2
 DIAGNOSIS_WAIT_S = 0.1
+MAX_CRASHES = 2  # runners that may crash under one request before its answer
 
 
 class RequestExecution:
@@ -70,6 +71,7 @@
         self._selector = selector
         self._routed = routed
         self._excluded: set[RunnerId] = set()
+        self._n_crashes = 0
         self._n_attempts_run = 0  # attempts that a runner ran or may have run
         self._outcome = Outcome.NOT_RUN
         self._slot: Slot | None = None
@@ -199,6 +201,7 @@
         diagnosis = self._context.crash_reporter.report_lost(self._runner, lost)
         if not is_answered and self._may_retry():
             await asyncio.wait([diagnosis], timeout=DIAGNOSIS_WAIT_S)
+            self._n_crashes += diagnosis.done() and diagnosis.result()
 
     def _record_success(self) -> None:
         self._selector.record_health(self._routed, self._runner_id, is_well=True)
@@ -215,6 +218,7 @@
         if (
             self._remaining_s() < MIN_REMAINING_S
             or len(self._excluded) >= MAX_RUNNERS_TRIED
+            or self._n_crashes >= MAX_CRASHES
         ):
             return False
         if self._outcome is Outcome.NOT_RUN:
