Keep frozen processes of tests out of the process group of the shell

The finding of the frozen host that had ended when it was to be thawed is traced. It came again (node/batch: A host is frozen until its lease has expired), with exit code -1: SIGHUP. When the shell that started the tests ends, its process group is orphaned, and the kernel hangs up on the members that are stopped. A script of 10 lines shows it: a child that is stopped while the starting shell ends has exit code -1, and None in a group of its own. So the stand-ins' and the soak's processes get groups of their own. Nothing of what ships was at fault.

--- a/libs/lab/src/damaskjunction/lab/soak/rig.py
+++ b/libs/lab/src/damaskjunction/lab/soak/rig.py
@@ -172,6 +172,8 @@
                 stdin=asyncio.subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
+                # The end of a shell hangs up on frozen processes of its group.
+                process_group=0,
                 env={**os.environ, "DAMASKJUNCTION_SETTINGS": str(path)},
             )
 
--- a/libs/standins/src/damaskjunction/standins/fleet.py
+++ b/libs/standins/src/damaskjunction/standins/fleet.py
@@ -104,6 +104,8 @@
                 stdin=asyncio.subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
+                # The end of a shell hangs up on frozen processes of its group.
+                process_group=0,
             )
         self._processes_by_name[spec.name] = process
 
