Don't take a stream without a length for whole when its runner crashed

Now the end of a body with neither a length nor chunks counts only if the runner still accepts connections; online and batch, streams and plain answers. The new test failed before with is_complete=True; a stand-in that writes raw answers plays it.

--- a/libs/gateway/features/online.feature
+++ b/libs/gateway/features/online.feature
@@ -133,6 +133,16 @@
     # A fourth run may start before the home has received the third crash report.
     Then the engines received "/alert/same" 3 or 4 times
 
+  Scenario: A stream that ends with its connection is forwarded completely
+    Given an engine "e1" whose answers are "unframed"
+    When a caller requests "/ask/1" at "h0" as "q1"
+    Then the caller gets events 1 to 10, complete
+
+  Scenario: A stream without a length does not look complete when its runner crashed
+    Given an engine "e1" whose answers are "unframed, crashes"
+    When a caller requests "/ask/1" at "h0" as "q1"
+    Then the caller gets events 1 to 5, incomplete
+
   Scenario: A stream under which two runners crashed is not tried at a third
     Given engines "e1,e2,e3"
     And every engine crashes on each request
--- a/libs/gateway/features/platform_fleet.py
+++ b/libs/gateway/features/platform_fleet.py
@@ -18,6 +18,7 @@
 from damaskjunction.standins import (
     Mode,
     ProxyStandin,
+    RawRunnerStandin,
     RunnerStandin,
     StoreStandin,
     allocate_addresses,
@@ -86,6 +87,7 @@
         self._store_address = store_address
         self._addresses = addresses
         self.runners: dict[str, RunnerStandin] = {}
+        self.raw_runners: dict[str, RawRunnerStandin] = {}
         self.hosts: dict[str, GatewayProcess] = {}
         self._excluded_hosts: list[GatewayProcess] = []
         self.settings: dict[str, ProcessSettings] = {}
@@ -111,7 +113,7 @@
         """Stop everything."""
         for host in (*self.hosts.values(), *self._excluded_hosts):
             await host.close()
-        for runner in self.runners.values():
+        for runner in (*self.runners.values(), *self.raw_runners.values()):
             await runner.close()
         for proxy in self.proxies.values():
             proxy.set_mode(Mode.CLOSED)
@@ -142,6 +144,17 @@
             options.setdefault("n_events", 0)
         runner = RunnerStandin(name, address, service, self.store, **options)
         self.runners[name] = runner
+        await self._start_runner(runner)
+
+    async def add_raw_runner(self, name: str, service: str, script: str) -> None:
+        """Start a runner that answers by a script, as ``add_runner`` does."""
+        address = self._addresses.pop()
+        runner = RawRunnerStandin(name, address, service, self.store, script=script)
+        self.raw_runners[name] = runner
+        await self._start_runner(runner)
+
+    async def _start_runner(self, runner: RunnerStandin | RawRunnerStandin) -> None:
+        name = runner.runner_id
         await runner.start()
         await self.wait_for(
             lambda: all(
--- a/libs/gateway/features/steps/fleet_steps.py
+++ b/libs/gateway/features/steps/fleet_steps.py
@@ -50,6 +50,11 @@
         run(context, context.platform.add_runner(name, PLAIN, slots=8))
 
 
+@given('an engine "{name}" whose answers are "{script}"')
+def add_raw_engine(context, name, script):
+    run(context, context.platform.add_raw_runner(name, ENGINE, script))
+
+
 def set_faults(context, fault, value):
     for runner in context.platform.runners.values():
         runner.faults[fault] = value
--- a/libs/gateway/src/damaskjunction/gateway/item_runner.py
+++ b/libs/gateway/src/damaskjunction/gateway/item_runner.py
@@ -210,6 +210,7 @@
                     Outcome.RAN, "failed", str(runner_response.head.status)
                 )
             await self._collect(progress, runner_response.body)
+            await self._runner_client.check_end(runner_response)
         finally:
             runner_response.body.close()
         self._slot_client.report_health(RunnerSeen(service, slot.runner_id, True))
--- a/libs/gateway/src/damaskjunction/gateway/request_execution.py
+++ b/libs/gateway/src/damaskjunction/gateway/request_execution.py
@@ -320,6 +320,7 @@
             ) from None
         if not parser.is_between_events:
             raise RunnerFailedError(Outcome.RAN, "stream_cut", "within an event")
+        await self._context.runner_client.check_end(runner_response)
 
     def _record_events(self, n_events: int) -> None:
         self._n_events += n_events
--- a/libs/gateway/src/damaskjunction/gateway/runner_client.py
+++ b/libs/gateway/src/damaskjunction/gateway/runner_client.py
@@ -19,6 +19,7 @@
     HttpClient,
     StalledResponseError,
 )
+from damaskjunction.node import refuses_connections
 from damaskjunction.platform import (
     REPORT_PATH,
     CallerRequest,
@@ -57,6 +58,7 @@
 class RunnerResponse(NamedTuple):
     """The head of a runner's response, and its body, which is not read yet."""
 
+    runner: Runner
     head: RunnerResponseHead
     body: ClientResponse
 
@@ -147,7 +149,7 @@
             ) from None
         head = decode_response_head(response.status, response.headers)
         await self._check_head(head, response, request, runner.runner_id)
-        return RunnerResponse(head, response)
+        return RunnerResponse(runner, head, response)
 
     async def fetch_report(self, runner: Runner) -> RunnerReport:
         """Return a runner's report of its running and queued requests.
@@ -181,11 +183,30 @@
             When the response is incomplete.
         """
         try:
-            return await runner_response.body.read()
+            body = await runner_response.body.read()
         except BrokenResponseError as error:
             raise RunnerFailedError(
                 Outcome.RAN, "answer_cut", str(error), is_fault=True
             ) from None
+        await self.check_end(runner_response)
+        return body
+
+    async def check_end(self, runner_response: RunnerResponse) -> None:
+        """Check that a body that was read to its end is complete.
+
+        One that ends with its connection is incomplete if its runner has crashed.
+
+        Raises
+        ------
+        RunnerFailedError
+            When the response is incomplete.
+        """
+        if not runner_response.body.ends_with_connection:
+            return
+        if await refuses_connections(runner_response.runner.address):
+            raise RunnerFailedError(
+                Outcome.RAN, "answer_cut", "the runner has ended", is_fault=True
+            )
 
     async def _check_head(
         self,
--- a/libs/http/src/damaskjunction/http/client.py
+++ b/libs/http/src/damaskjunction/http/client.py
@@ -192,6 +192,12 @@
         self._connection: _Connection | None = connection
         self._client = client
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Whether the body has neither a length nor chunks; its end is unsure then."""
+        framing = ("content-length", "transfer-encoding")
+        return not any(name in self.headers for name in framing)
+
     def set_stall_timeout(self, stall_s: float) -> None:
         """Set the stall timeout of the body: seconds without received data."""
         if self._connection is not None:
--- a/libs/standins/src/damaskjunction/standins/__init__.py
+++ b/libs/standins/src/damaskjunction/standins/__init__.py
@@ -49,6 +49,7 @@
 )
 from damaskjunction.standins.ports import allocate_addresses
 from damaskjunction.standins.proxy import Mode, ProxyStandin
+from damaskjunction.standins.raw_runner import RawRunnerStandin
 from damaskjunction.standins.runner import RunnerStandin
 from damaskjunction.standins.store import StoreStandin
 
@@ -73,6 +74,7 @@
     "PlatformStandin",
     "ProcessSpec",
     "ProxyStandin",
+    "RawRunnerStandin",
     "RunnerGroup",
     "RunnerStandin",
     "StoreStandin",
--- /dev/null
+++ b/libs/standins/src/damaskjunction/standins/raw_runner.py
@@ -0,0 +1,169 @@
+"""Stand-in for a runner that writes the bytes of its answers itself.
+
+A script, registered by name, writes one answer to the socket, so that it may be no
+valid HTTP.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Awaitable, Callable
+from typing import TypeAlias
+
+import h11
+
+from damaskjunction.core import Address, Registry, RequestId, RunnerId, ServiceName
+from damaskjunction.standins.runner import REPORT_PATH, RUNNERS_KIND
+from damaskjunction.standins.store import StoreStandin
+
+READ_BYTES = 64 * 1024
+N_EVENTS = 10
+EVENT_INTERVAL_S = 0.02
+
+AnswerScript: TypeAlias = Callable[
+    ["RawRunnerStandin", asyncio.StreamWriter, RequestId], Awaitable[None]
+]
+answer_scripts: Registry[AnswerScript] = Registry("answer script")
+
+
+class RawRunnerStandin:
+    """A runner that answers each request by a script.
+
+    Parameters
+    ----------
+    runner_id : str
+        Name of its object in the store.
+    address : Address
+        Address to listen on.
+    service : str
+        Service it belongs to.
+    store : StoreStandin
+        Store in which it registers.
+    script : str
+        Name of the answer script.
+    """
+
+    def __init__(
+        self,
+        runner_id: RunnerId,
+        address: Address,
+        service: ServiceName,
+        store: StoreStandin,
+        *,
+        script: str,
+    ) -> None:
+        self.runner_id = runner_id
+        self._address = address
+        self._service = service
+        self._store = store
+        self._script = answer_scripts.get(script)
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+        self.n_requests = 0
+        self.n_bytes_written = 0
+
+    async def start(self) -> None:
+        """Start to listen and register as ready."""
+        self._server = await asyncio.start_server(
+            self._serve, self._address.ip, self._address.port
+        )
+        entry = {
+            "Service": self._service,
+            "Addr": str(self._address),
+            "Zone": "z1",
+            "Slots": 8,
+            "State": "ready",
+        }
+        self._store.put(RUNNERS_KIND, self.runner_id, entry)
+
+    async def close(self) -> None:
+        """End like a process: stop listening and close all connections."""
+        if self._server is not None:
+            self._server.close()
+        for writer in self._writers:
+            writer.close()
+
+    async def write(self, writer: asyncio.StreamWriter, data: bytes) -> None:
+        """Write bytes of an answer."""
+        writer.write(data)
+        self.n_bytes_written += len(data)
+        await writer.drain()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._writers.add(writer)
+        try:
+            request = await _read_request(reader)
+            if request is None:
+                return
+            headers = {name.decode(): value.decode() for name, value in request.headers}
+            if request.target.decode() == REPORT_PATH:
+                await self.write(writer, _report_answer())
+                return
+            self.n_requests += 1
+            await self._script(self, writer, headers.get("x-request-id", ""))
+        except (OSError, asyncio.IncompleteReadError):
+            return  # the caller has closed the connection
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+
+async def _read_request(reader: asyncio.StreamReader) -> h11.Request | None:
+    """Return the head of a request once its body is read, None without a request."""
+    protocol = h11.Connection(h11.SERVER)
+    request = None
+    while True:
+        event = protocol.next_event()
+        if event is h11.NEED_DATA:
+            protocol.receive_data(await reader.read(READ_BYTES))
+        elif isinstance(event, h11.Request):
+            request = event
+        elif isinstance(event, h11.EndOfMessage):
+            return request
+        elif isinstance(event, h11.ConnectionClosed):
+            return None
+
+
+def _report_answer() -> bytes:
+    body = json.dumps({"Running": 0, "Waiting": 0}).encode()
+    head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
+    return head.encode() + body
+
+
+def _unframed_head(request_id: RequestId) -> bytes:
+    """Return the head of a stream that has neither a length nor chunks."""
+    return (
+        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+        f"X-Request-Id: {request_id}\r\nX-Response-Stamp: {request_id}\r\n\r\n"
+    ).encode()
+
+
+async def _write_events(
+    runner: RawRunnerStandin, writer: asyncio.StreamWriter, n_events: int
+) -> None:
+    for number in range(1, n_events + 1):
+        event = f"id: {number}\ndata: token {number}\n\n"
+        await runner.write(writer, event.encode())
+        await asyncio.sleep(EVENT_INTERVAL_S)
+
+
+@answer_scripts.register("unframed")
+async def answer_unframed(
+    runner: RawRunnerStandin, writer: asyncio.StreamWriter, request_id: RequestId
+) -> None:
+    """Write a whole stream that ends with its connection."""
+    await runner.write(writer, _unframed_head(request_id))
+    await _write_events(runner, writer, N_EVENTS)
+
+
+@answer_scripts.register("unframed, crashes")
+async def crash_unframed(
+    runner: RawRunnerStandin, writer: asyncio.StreamWriter, request_id: RequestId
+) -> None:
+    """Write a half of such a stream and end the process."""
+    await runner.write(writer, _unframed_head(request_id))
+    await _write_events(runner, writer, N_EVENTS // 2)
+    await runner.close()
