Draw a deadly part of prompts in the soak

From the fault on, a tenth of the streams hold a part that ends the process of each runner that answers it; its proxy refuses connections meanwhile.

--- a/libs/gateway/features/steps/fleet_steps.py
+++ b/libs/gateway/features/steps/fleet_steps.py
@@ -15,7 +15,7 @@
     make_route,
 )
 
-from damaskjunction.standins import Mode
+from damaskjunction.standins import Mode, make_prompt_header
 
 STEP_TIMEOUT_S = 40.0
 QUIET_PERIOD_S = 0.5
@@ -702,8 +702,7 @@
 
 
 def make_prompt(parts, number):
-    entries = [f"{part}:50" for part in (*parts.split(","), f"own{number}")]
-    return {"X-Prompt-Prefix": ",".join(entries)}
+    return make_prompt_header([*parts.split(","), f"own{number}"])
 
 
 @when('both hosts get {count:d} prompts "{deadly}", each before one "{sound}"')
--- a/libs/lab/features/soak.feature
+++ b/libs/lab/features/soak.feature
@@ -22,6 +22,7 @@
       | an accepted job lacks a result                         | accepted is done     |
       | an item begins to run long after its job was cancelled | ends are obeyed      |
       | requests fail in the fault-free period                 | service returns      |
+      | deadly requests still run in the fault-free period     | crashes are contained |
 
   Scenario: The fault schedule depends only on the seed
     Then seed 7 always gives the same schedule, and seed 8 a different one
--- a/libs/lab/features/steps/soak_steps.py
+++ b/libs/lab/features/steps/soak_steps.py
@@ -143,6 +143,13 @@
         add_call(context.history, f"look-5{number}", status=502, at_s=21.0)
 
 
+@when("deadly requests still run in the fault-free period")
+def add_deadly_runs(context):
+    for number in range(10):
+        add_call(context.history, f"deadly-ask-{number}", status=502, body=b"")
+        add_run(context.history, f"deadly-ask-{number}", at_s=14.0 + number)
+
+
 @then('only the check "{check}" reports a violation')
 def check_only_violation(context, check):
     assert check in checks, list(checks)
--- a/libs/lab/src/damaskjunction/lab/soak/callers.py
+++ b/libs/lab/src/damaskjunction/lab/soak/callers.py
@@ -8,17 +8,26 @@
 
 from damaskjunction.core import HostId, JobId
 from damaskjunction.http import BrokenResponseError, ConnectFailedError
-from damaskjunction.lab.soak.history import Call, Cancellation, ResultsRead, Submission
-from damaskjunction.lab.soak.rig import HOST_NAME, PORTS, SoakRig
+from damaskjunction.lab.soak.checks import STREAM_ROUTES
+from damaskjunction.lab.soak.history import (
+    DEADLY_PREFIX,
+    Call,
+    Cancellation,
+    ResultsRead,
+    Submission,
+)
+from damaskjunction.lab.soak.rig import DEADLY_PART, HOST_NAME, PORTS, SoakRig
 from damaskjunction.node import cancel_tasks
 from damaskjunction.standins import (
     caller_headers,
     job_path,
     make_job,
+    make_prompt_header,
     make_results_request,
     read_results,
 )
 
+DEADLY_FRACTION = 0.1
 # Routes of online requests; the rig's configuration gives the kind of each.
 ROUTES = ("ask", "alert", "look", "order")
 DEADLINE_S = 5.0
@@ -76,18 +85,31 @@
         while not self._is_stopping:
             route = self._rng.choice(ROUTES)
             host = self._rng.choice(self._rig.host_names)
-            await self._call(host, route, f"{route}-{next(self._numbers)}")
+            await self._call(host, route, self._next_request_id(route))
             await asyncio.sleep(self._rng.uniform(*CALL_INTERVAL_S))
 
+    def _next_request_id(self, route: str) -> str:
+        """Return the id of a new request; it tells whether the prompt is deadly."""
+        is_deadly = (
+            self._rig.has_deadly_part
+            and route in STREAM_ROUTES
+            and self._rng.random() < DEADLY_FRACTION
+        )
+        prefix = DEADLY_PREFIX if is_deadly else ""
+        return f"{prefix}{route}-{next(self._numbers)}"
+
     async def _call(self, host: HostId, route: str, request_id: str) -> None:
         now = self._rig.timers.now
         sent_at_s = now()
+        parts = ["system", "subject"]
+        if request_id.startswith(DEADLY_PREFIX):
+            parts.append(DEADLY_PART)
+        headers = {
+            **caller_headers(request_id, DEADLINE_S),
+            **make_prompt_header([*parts, request_id]),
+        }
         status, body, is_complete = await self._send_request(
-            host,
-            "POST",
-            f"/{route}/x",
-            caller_headers(request_id, DEADLINE_S),
-            request_id.encode(),
+            host, "POST", f"/{route}/x", headers, request_id.encode()
         )
         self._rig.history.calls.append(
             Call(request_id, route, host, sent_at_s, now(), status, is_complete, body)
--- a/libs/lab/src/damaskjunction/lab/soak/faults.py
+++ b/libs/lab/src/damaskjunction/lab/soak/faults.py
@@ -12,7 +12,7 @@
 from typing import TypeAlias, TypeVar
 
 from damaskjunction.core import Registry
-from damaskjunction.lab.soak.rig import SoakRig
+from damaskjunction.lab.soak.rig import DEADLY_PART, SoakRig
 from damaskjunction.lab.soak.schedule import ScheduledFault
 from damaskjunction.standins import Mode
 
@@ -165,6 +165,14 @@
     runner.faults[name] = 0
 
 
+@faults.register("deadly part")
+async def make_part_deadly(rig: SoakRig, fault: ScheduledFault) -> None:
+    """Let a part of prompts crash each runner that answers one, until the soak ends."""
+    rig.has_deadly_part = True
+    for runner in rig.runners.values():
+        runner.faults["deadly_part"] = DEADLY_PART
+
+
 @faults.register("configuration changed")
 async def change_configuration(rig: SoakRig, fault: ScheduledFault) -> None:
     """Write one to three versions of the configuration in quick succession."""
--- a/libs/lab/src/damaskjunction/lab/soak/history.py
+++ b/libs/lab/src/damaskjunction/lab/soak/history.py
@@ -9,6 +9,8 @@
 
 from damaskjunction.core import HostId, JobId, RequestId, RunnerId
 
+DEADLY_PREFIX = "deadly-"  # of the ids of requests that crash runners
+
 
 class Call(NamedTuple):
     """A request of a caller and its response; status 0 means no response.
--- a/libs/lab/src/damaskjunction/lab/soak/rig.py
+++ b/libs/lab/src/damaskjunction/lab/soak/rig.py
@@ -32,6 +32,7 @@
 HOST_NAME = "soak.example"
 ENGINE, PLAIN = "llm", "api"  # names of the two services
 N_EVENTS = 10
+DEADLY_PART = "deadly"
 ENGINE_SLOTS, PLAIN_SLOTS = 4, 16
 PORTS = {"caller": 18144, "readiness": 18140, "directory": 18143, "peer": 17660}
 STOP_GRACE_S = 6
@@ -50,12 +51,29 @@
 
 
 class SoakRunner(RunnerStandin):
-    """A runner that records each request it begins to process in the history."""
+    """A runner that records each request it begins to process in the history.
 
-    def __init__(self, history: History, timers: LoopTimers, *args: Any, **kwargs: Any):
+    While its process is down, its proxy refuses connections as well.
+    """
+
+    def __init__(
+        self,
+        history: History,
+        timers: LoopTimers,
+        proxy: ProxyStandin,
+        *args: Any,
+        **kwargs: Any,
+    ):
         super().__init__(*args, **kwargs)
         self._history = history
         self._timers = timers
+        self._proxy = proxy
+
+    async def close_and_restart(self) -> None:
+        """End like a process that crashes, and start again."""
+        self._proxy.refuse()
+        await super().close_and_restart()
+        await self._proxy.listen()
 
     def record_run(self, request_id: str, last_event_id: str) -> None:
         """Record that the processing of a request begins."""
@@ -112,6 +130,7 @@
         self._target_addresses: dict[str, Address] = {}
         self._proxy_addresses: dict[str, Address] = {}
         self._n_runners_started = 0
+        self.has_deadly_part = False
         self.configuration_version = 0
         self.processes: dict[str, asyncio.subprocess.Process] = {}
 
@@ -230,6 +249,7 @@
         runner = SoakRunner(
             self.history,
             self.timers,
+            self.proxies[endpoint],
             f"{endpoint}-{self._n_runners_started}",
             self._target_addresses[endpoint],
             ENGINE if is_engine else PLAIN,
@@ -238,6 +258,8 @@
             slots=ENGINE_SLOTS if is_engine else PLAIN_SLOTS,
             advertised=self._proxy_addresses[endpoint],
         )
+        if self.has_deadly_part:
+            runner.faults["deadly_part"] = DEADLY_PART
         await runner.start()
         self.runners[endpoint] = runner
 
--- a/libs/standins/src/damaskjunction/standins/platform_documents.py
+++ b/libs/standins/src/damaskjunction/standins/platform_documents.py
@@ -7,7 +7,7 @@
 
 import base64
 import json
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from typing import Any
 
 from damaskjunction.core import Address
@@ -35,6 +35,11 @@
     return {"X-Request-Id": request_id, "X-Deadline-Ms": str(int(deadline_s * 1000))}
 
 
+def make_prompt_header(parts: Sequence[str]) -> dict[str, str]:
+    """Return the header that lists the parts of a prompt, its own one last."""
+    return {"X-Prompt-Prefix": ",".join(f"{part}:50" for part in parts)}
+
+
 def make_results_request(
     job_id: str, after: int, wait_s: float
 ) -> tuple[str, dict[str, str]]:
--- a/libs/standins/src/damaskjunction/standins/proxy.py
+++ b/libs/standins/src/damaskjunction/standins/proxy.py
@@ -71,9 +71,18 @@
 
     async def start(self) -> None:
         """Start to listen and forward."""
-        self._server = await asyncio.start_server(self._serve, *self._listen)
+        await self.listen()
         await self._control_server.start()
 
+    async def listen(self) -> None:
+        """Accept connections, again after ``refuse``."""
+        self._server = await asyncio.start_server(self._serve, *self._listen)
+
+    def refuse(self) -> None:
+        """Refuse new connections, like a host whose process has ended."""
+        if self._server is not None:
+            self._server.close()
+
     async def close(self) -> None:
         """Stop listening and abort every connection."""
         if self._server is not None:
--- a/libs/standins/src/damaskjunction/standins/runner.py
+++ b/libs/standins/src/damaskjunction/standins/runner.py
@@ -111,12 +111,12 @@
         return HttpServer(self._address, self._serve, limits=limits)
 
     def _end(self) -> None:
-        """End like a process that crashes, and start again after ``RESTART_S``."""
         if self._restart is None or self._restart.done():
             self.n_ends += 1
-            self._restart = asyncio.ensure_future(self._close_and_restart())
+            self._restart = asyncio.ensure_future(self.close_and_restart())
 
-    async def _close_and_restart(self) -> None:
+    async def close_and_restart(self) -> None:
+        """End like a process that crashes, and start again after ``RESTART_S``."""
         await self._server.close()
         await asyncio.sleep(RESTART_S)
         self._server = self._make_server()
