Log limits that runners name, and the items sent to them

The logs could not tell which requests exceeded a runner's limit: items of batch jobs were logged at their end only, and no line told that a limit was named. No logic changes.

--- a/libs/gateway/src/damaskjunction/gateway/item_runner.py
+++ b/libs/gateway/src/damaskjunction/gateway/item_runner.py
@@ -193,6 +193,8 @@
         runner = find_runner(self._state.runners_of(service), slot.runner_id)
         if runner is None:
             raise RunnerFailedError(Outcome.NOT_RUN, "runner_gone")
+        extra = {"item": progress.item.item_id, "runner": runner.runner_id}
+        logger.info("item sent", extra=extra)
         runner_response = await self._runner_client.send(
             runner,
             item_request(progress.item, job.record.host),
--- a/libs/gateway/src/damaskjunction/gateway/runner_client.py
+++ b/libs/gateway/src/damaskjunction/gateway/runner_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from typing import NamedTuple
 
 from damaskjunction.core import (
@@ -30,6 +31,8 @@
     runner_headers,
 )
 
+logger = logging.getLogger(__name__)
+
 CONNECT_TIMEOUT_S = 0.3
 IDLE_TIMEOUT_S = 4.0
 REPORT_STALL_TIMEOUT_S = 0.5
@@ -76,6 +79,7 @@
         self._client = HttpClient(
             timers, connect_timeout_s=CONNECT_TIMEOUT_S, idle_timeout_s=IDLE_TIMEOUT_S
         )
+        self._limits_per_s_by_runner: dict[RunnerId, float] = {}
 
     @property
     def n_connections_opened(self) -> int:
@@ -148,9 +152,20 @@
                 Outcome.UNKNOWN, "no_answer", str(error), is_fault=True
             ) from None
         head = decode_response_head(response.status, response.headers)
+        self._record_limit(runner.runner_id, head.rate_limit_per_s)
         await self._check_head(head, response, request, runner.runner_id)
         return RunnerResponse(runner, head, response)
 
+    def _record_limit(self, runner_id: RunnerId, limit_per_s: float | None) -> None:
+        if self._limits_per_s_by_runner.get(runner_id) == limit_per_s:
+            return
+        if limit_per_s is None:
+            del self._limits_per_s_by_runner[runner_id]
+        else:
+            self._limits_per_s_by_runner[runner_id] = limit_per_s
+        extra = {"runner": runner_id, "limit_per_s": limit_per_s}
+        logger.info("runner's limit changed", extra=extra)
+
     async def fetch_report(self, runner: Runner) -> RunnerReport:
         """Return a runner's report of its running and queued requests.
 
--- a/libs/platform/src/damaskjunction/platform/requests.py
+++ b/libs/platform/src/damaskjunction/platform/requests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 from collections.abc import Mapping
 from enum import StrEnum
 from typing import NamedTuple
@@ -26,6 +27,7 @@
 NOT_RUN_HEADER = "x-not-run"
 RESPONSE_STAMP_HEADER = "x-response-stamp"
 RETRY_AFTER_HEADER = "retry-after"
+RATE_LIMIT_HEADER = "server-limit"
 
 _HOP_BY_HOP_HEADERS = frozenset(
     (
@@ -76,7 +78,9 @@
     expected one (status 421), ``is_not_run`` if no work was done on the request: the
     runner reported so, or the request was misdirected. ``is_encoded`` means that the
     body has a content encoding. ``keep_alive_s`` is the idle timeout that the runner
-    announced. ``headers`` are those to forward to the caller.
+    announced. ``rate_limit_per_s`` is the number of requests a second that it takes
+    from all hosts together, None without a limit. ``headers`` are those to forward to
+    the caller.
     """
 
     status: int
@@ -85,6 +89,7 @@
     is_encoded: bool
     request_id: RequestId
     keep_alive_s: float | None
+    rate_limit_per_s: float | None
     headers: Mapping[str, str]
 
 
@@ -179,6 +184,7 @@
         is_encoded="content-encoding" in headers,
         request_id=headers.get(REQUEST_ID_HEADER, ""),
         keep_alive_s=_parse_keep_alive(headers.get("keep-alive", "")),
+        rate_limit_per_s=_parse_rate_limit(headers.get(RATE_LIMIT_HEADER)),
         headers={
             name: value
             for name, value in headers.items()
@@ -243,6 +249,15 @@
         return None
 
 
+def _parse_rate_limit(text: str | None) -> float | None:
+    """Return a limit in requests a second; None if absent or no finite number."""
+    try:
+        limit_per_s = float(text) if text else math.nan
+    except ValueError:
+        return None
+    return limit_per_s if math.isfinite(limit_per_s) and limit_per_s >= 0 else None
+
+
 def _parse_integer(text: str | None) -> int | None:
     return int(text) if text and text.isdigit() else None
 
