--- a/libs/gateway/features/online.feature
+++ b/libs/gateway/features/online.feature
@@ -133,6 +133,18 @@
     # A fourth run may start before the home has received the third crash report.
     Then the engines received "/alert/same" 3 or 4 times
 
+  Scenario Outline: A runner gets no more requests than the limit that it has named
+    Given <runners> with 8 slots
+    And runner "r1" names a limit of 2 requests a second
+    When callers send 16 requests a second to "<path>" at both hosts for 8 s
+    Then in any 4 s from second 3 on runner "r1" gets at most 17 requests and at least 6
+    And the callers' requests are served or refused within 1 s, 9 of 10 are served
+
+    Examples:
+      | runners                 | path   |
+      | engines "r1,r2,r3"      | /ask/  |
+      | plain runners "r1,r2"   | /look/ |
+
   Scenario: A stream that ends with its connection is forwarded completely
     Given an engine "e1" whose answers are "unframed"
     When a caller requests "/ask/1" at "h0" as "q1"
--- a/libs/gateway/features/steps/fleet_steps.py
+++ b/libs/gateway/features/steps/fleet_steps.py
@@ -55,6 +55,76 @@
     run(context, context.platform.add_raw_runner(name, ENGINE, script))
 
 
+@given('engines "{names}" with {slots:d} slots')
+def add_engines_with_slots(context, names, slots):
+    for name in names.split(","):
+        run(context, context.platform.add_runner(name, ENGINE, slots=slots))
+
+
+@given('plain runners "{names}" with {slots:d} slots')
+def add_plain_with_slots(context, names, slots):
+    for name in names.split(","):
+        run(context, context.platform.add_runner(name, PLAIN, slots=slots))
+
+
+@given('runner "{name}" names a limit of {limit:g} requests a second')
+def set_limit(context, name, limit):
+    context.platform.runners[name].faults["limit_per_s"] = limit
+
+
+@when(
+    'callers send {rate:d} requests a second to "{path}" at both hosts for '
+    "{seconds:d} s"
+)
+def send_at_rate(context, rate, path, seconds):
+    now = context.platform.timers.now
+
+    async def call(number):
+        began_at_s = now()
+        reply = await context.platform.call(
+            f"h{number % 2}", "POST", f"{path}{number}", request_id=f"q{number}"
+        )
+        return reply, now() - began_at_s
+
+    async def work():
+        calls = []
+        for number in range(rate * seconds):
+            calls.append(asyncio.ensure_future(call(number)))
+            await asyncio.sleep(1.0 / rate)
+        context.timed_replies = await asyncio.gather(*calls)
+
+    run(context, work())
+
+
+@then(
+    'in any 4 s from second {start:d} on runner "{name}" gets at most {most:d} '
+    "requests and at least {least:d}"
+)
+def check_rate(context, start, name, most, least):
+    window = 4.0
+    times_s = context.platform.runners[name].run_times_s
+    starts_s = [at_s for at_s in times_s if at_s >= times_s[0] + start]
+    last_s = starts_s[-1] if starts_s else 0.0
+    counts = [
+        sum(begin_s <= at_s < begin_s + window for at_s in times_s)
+        for begin_s in starts_s
+        if begin_s + window <= last_s + 1.0
+    ]
+    assert counts and max(counts) <= most and min(counts) >= least, counts
+
+
+@then(
+    "the callers' requests are served or refused within {limit_s:g} s, {share:d} of 10 "
+    "are served"
+)
+def check_prompt_replies(context, limit_s, share):
+    replies = context.timed_replies
+    n_served = sum(reply.status == 200 and reply.is_complete for reply, _ in replies)
+    assert max(took_s for _, took_s in replies) <= limit_s
+    assert all(reply.status in (200, 503) for reply, _ in replies)
+    assert n_served >= share * len(replies) / 10, n_served
+
+
 def set_faults(context, fault, value):
     for runner in context.platform.runners.values():
         runner.faults[fault] = value
--- a/libs/standins/src/damaskjunction/standins/runner.py
+++ b/libs/standins/src/damaskjunction/standins/runner.py
@@ -37,7 +37,8 @@
     can never succeed), ``mute`` (1: never respond), ``abort`` (1: abort the connection
     of each request once it is recorded as run), ``crash`` (1: each request ends the
     runner's process, which is back after ``RESTART_S``), ``deadly_part`` (id of a
-    prompt part: the process ends when the first event of a request with it is due).
+    prompt part: the process ends when the first event of a request with it is due),
+    ``limit_per_s`` (rate limit to name in each answer).
 
     Parameters
     ----------
@@ -77,6 +78,7 @@
         self.n_running = 0
         self.peak_running = 0
         self.recorded_runs: list[tuple[RequestId, str]] = []
+        self.run_times_s: list[float] = []
         self.headers_by_request: dict[RequestId, dict[str, str]] = {}
         self.faults = Faults(
             "break_after",
@@ -88,6 +90,7 @@
             "abort",
             "crash",
             "deadly_part",
+            "limit_per_s",
         )
         self.n_ends = 0
         self._address = address
@@ -139,6 +142,7 @@
         ``last_event_id`` is the event after which it resumes; empty for a new run.
         """
         self.recorded_runs.append((request_id, last_event_id))
+        self.run_times_s.append(asyncio.get_running_loop().time())
 
     async def _serve(self, request: Request) -> Response:
         if request.path == REPORT_PATH:
@@ -161,6 +165,8 @@
         if self.faults["mute"]:
             await asyncio.Event().wait()
         response_headers = {"X-Request-Id": request_id, "X-Response-Stamp": request_id}
+        if self.faults["limit_per_s"]:
+            response_headers["Server-Limit"] = str(self.faults["limit_per_s"])
         if self.faults["impossible"] or self.faults["fail"]:
             status = 422 if self.faults["impossible"] else int(self.faults["fail"])
             return Response(status, b"no", headers=response_headers)
