Share out the rate limits that runners name at the home of the service

What runners saw: a runner that named 2 requests a second got 39 in 4 s from hosts that had seen the limit; 17 are allowed.

Cause: no host read the limit, and no host alone can keep it: a share of a limit changes with each host that joins, leaves or freezes.

Now: the home of the service, which grants the slots anyway, keeps a token bucket for each runner that names a limit. Each ask for a slot carries what the asking host has seen of limits and how long ago; the newest word of a runner holds. So a home that is new, restarted or on the other side of a split knows of a limit with the first ask of any host that has been told, and no message of its own can be lost. Plain services ask the home as well while one of their runners is limited. A bucket begins empty. Batch goes to limited runners first, since a limit counts starts and a batch item works longest for one, and leaves one start to online. The predicted wait counts starts a second, so what no runner takes is refused at once. A limit of next to nothing is tried every 4 s, to see its end. A host that reaches no home uses no limited runner.

--- a/libs/gateway/src/damaskjunction/gateway/request_execution.py
+++ b/libs/gateway/src/damaskjunction/gateway/request_execution.py
@@ -173,7 +173,7 @@
             self._n_attempts_run += 1
             self._outcome = error.outcome
         if error.is_fault:
-            self._selector.record_health(self._routed, runner_id, is_well=False)
+            self._record_health(is_well=False)
         self._log(
             "attempt failed",
             reason=error.reason,
@@ -204,9 +204,17 @@
             self._n_crashes += diagnosis.done() and diagnosis.result()
 
     def _record_success(self) -> None:
-        self._selector.record_health(self._routed, self._runner_id, is_well=True)
+        self._record_health(is_well=True)
         self._report_answered()
 
+    def _record_health(self, *, is_well: bool) -> None:
+        self._selector.record_health(
+            self._routed,
+            self._runner_id,
+            is_well=is_well,
+            has_slot=self._slot is not None,
+        )
+
     def _report_answered(self) -> None:
         """Report once that the runner answers the request, where a crash accuses it."""
         if self._slot is not None and self._slot.watched:
@@ -375,7 +383,7 @@
     def _report_stall(self) -> None:
         """Report a runner that stalls as unhealthy; its response may still arrive."""
         self._log("runner silent", n_events=self._n_events)
-        self._selector.record_health(self._routed, self._runner_id, is_well=False)
+        self._record_health(is_well=False)
 
     async def release(self) -> None:
         """Abort the response in flight and release the slot or the runner."""
--- a/libs/gateway/src/damaskjunction/gateway/root.py
+++ b/libs/gateway/src/damaskjunction/gateway/root.py
@@ -112,7 +112,13 @@
         home = SlotHome(self.state, suspects, self._runner_client, timers)
         home.register(handlers)
         slot_client = SlotClient(
-            self.state, home, suspects, self._links, timers, rng=rng
+            self.state,
+            home,
+            suspects,
+            self._links,
+            timers,
+            observed_limits=self._runner_client.observed_limits,
+            rng=rng,
         )
         crash_reporter = CrashReporter(
             self.state, suspects, slot_client, self._links, timers
--- a/libs/gateway/src/damaskjunction/gateway/runner_client.py
+++ b/libs/gateway/src/damaskjunction/gateway/runner_client.py
@@ -26,10 +26,12 @@
     CallerRequest,
     RunnerReport,
     RunnerResponseHead,
+    decode_rate_limit,
     decode_response_head,
     decode_runner_report,
     runner_headers,
 )
+from damaskjunction.routing import NO_LIMIT_PER_S, LimitObservations
 
 logger = logging.getLogger(__name__)
 
@@ -79,7 +81,8 @@
         self._client = HttpClient(
             timers, connect_timeout_s=CONNECT_TIMEOUT_S, idle_timeout_s=IDLE_TIMEOUT_S
         )
-        self._limits_per_s_by_runner: dict[RunnerId, float] = {}
+        self._timers = timers
+        self.observed_limits = LimitObservations()
 
     @property
     def n_connections_opened(self) -> int:
@@ -152,19 +155,18 @@
                 Outcome.UNKNOWN, "no_answer", str(error), is_fault=True
             ) from None
         head = decode_response_head(response.status, response.headers)
-        self._record_limit(runner.runner_id, head.rate_limit_per_s)
+        if head.rate_limit_per_s is not None and not head.is_misdirected:
+            self._record_limit(runner.runner_id, head.rate_limit_per_s)
         await self._check_head(head, response, request, runner.runner_id)
+        if head.rate_limit_per_s is None:
+            self._record_limit(runner.runner_id, NO_LIMIT_PER_S)
         return RunnerResponse(runner, head, response)
 
-    def _record_limit(self, runner_id: RunnerId, limit_per_s: float | None) -> None:
-        if self._limits_per_s_by_runner.get(runner_id) == limit_per_s:
-            return
-        if limit_per_s is None:
-            del self._limits_per_s_by_runner[runner_id]
-        else:
-            self._limits_per_s_by_runner[runner_id] = limit_per_s
-        extra = {"runner": runner_id, "limit_per_s": limit_per_s}
-        logger.info("runner's limit changed", extra=extra)
+    def _record_limit(self, runner_id: RunnerId, limit_per_s: float) -> None:
+        now_s = self._timers.now()
+        if self.observed_limits.record(runner_id, limit_per_s, now_s):
+            extra = {"runner": runner_id, "limit_per_s": str(limit_per_s)}
+            logger.info("runner's limit changed", extra=extra)
 
     async def fetch_report(self, runner: Runner) -> RunnerReport:
         """Return a runner's report of its running and queued requests.
@@ -183,6 +185,9 @@
             raise RunnerFailedError(
                 Outcome.NOT_RUN, "no_report", str(error), is_fault=True
             ) from None
+        limit_per_s = decode_rate_limit(response.headers)
+        if limit_per_s is not None:
+            self._record_limit(runner.runner_id, limit_per_s)
         report = decode_runner_report(response.status, body)
         if report is None:
             detail = f"status {response.status}"
--- a/libs/gateway/src/damaskjunction/gateway/runner_selector.py
+++ b/libs/gateway/src/damaskjunction/gateway/runner_selector.py
@@ -65,6 +65,7 @@
         self._state = context.state
         self._slot_client = context.slot_client
         self._suspects = context.suspects
+        self._observed_limits = context.runner_client.observed_limits
         self._timers = context.timers
         self._rng = context.rng
         self._n_in_flight_by_runner: dict[RunnerId, int] = {}
@@ -102,10 +103,19 @@
     def uses_slots(self, routed: RoutedRequest) -> bool:
         """Return whether a request needs a slot from the home of its service.
 
-        Requests for engines do, and those that may crash runners.
+        Requests for engines do, those that may crash runners, and those to a service
+        with a runner that has named a rate limit, which only the home can share out.
         """
-        return self._has_engines(routed) or self._suspects.is_suspect(
-            routed.service, routed.traits
+        return (
+            self._has_engines(routed)
+            or self._suspects.is_suspect(routed.service, routed.traits)
+            or self._has_limited_runner(routed.service)
+        )
+
+    def _has_limited_runner(self, service: ServiceName) -> bool:
+        return any(
+            self._observed_limits.is_limited(runner.runner_id)
+            for runner in self._state.runners_of(service)
         )
 
     def _has_engines(self, routed: RoutedRequest) -> bool:
@@ -113,14 +123,24 @@
         return spec is not None and spec.engine is not None
 
     def record_health(
-        self, routed: RoutedRequest, runner_id: RunnerId, *, is_well: bool
+        self,
+        routed: RoutedRequest,
+        runner_id: RunnerId,
+        *,
+        is_well: bool,
+        has_slot: bool,
     ) -> None:
-        """Record whether a runner is healthy, as shown by its response to a request."""
-        if self._has_engines(routed):
+        """Record whether a runner is healthy, as shown by its response to a request.
+
+        ``has_slot`` says that the home of the service has chosen the runner.
+        """
+        if has_slot:
             self._slot_client.report_health(
                 RunnerSeen(routed.service, runner_id, is_well)
             )
-        elif is_well:
+        if self._has_engines(routed):
+            return
+        if is_well:
             self._ejection.record_success(runner_id)
         else:
             self._ejection.record_failure(runner_id, self._timers.now())
--- a/libs/gateway/src/damaskjunction/gateway/slot_client.py
+++ b/libs/gateway/src/damaskjunction/gateway/slot_client.py
@@ -27,7 +27,7 @@
 from damaskjunction.gateway.state import ServingState
 from damaskjunction.gateway.suspect_registry import SuspectRegistry
 from damaskjunction.node import TaskSet, cancel_tasks
-from damaskjunction.routing import slot_homes
+from damaskjunction.routing import LimitObservations, RunnerLimit, slot_homes
 from damaskjunction.wire import (
     Message,
     PeerLinks,
@@ -103,6 +103,8 @@
         Links to other hosts.
     timers : Timers
         The process's timer service.
+    observed_limits : LimitObservations
+        The rate limits that runners have named to this host.
     rng : random.Random
         Chooses a runner when no home can be reached.
     """
@@ -115,6 +117,7 @@
         links: PeerLinks,
         timers: Timers,
         *,
+        observed_limits: LimitObservations,
         rng: random.Random,
     ) -> None:
         self._state = state
@@ -122,6 +125,7 @@
         self._suspects = suspects
         self._links = links
         self._timers = timers
+        self._observed_limits = observed_limits
         self._rng = rng
         self._slots: set[Slot] = set()
         self._ranked_homes_by_service: dict[ServiceName, list[EntryHost]] = {}
@@ -140,6 +144,7 @@
         RequestError
             ``NOT_RUN`` when the slot is refused.
         """
+        ask = ask._replace(limits=self._limits_of(ask.service_name))
         slot = Slot(self, ask, "")
         try:
             for host in self._candidate_homes(ask.service_name)[:MAX_HOMES_TRIED]:
@@ -277,7 +282,8 @@
 
     async def _rehome(self, slot: Slot, home: EntryHost) -> None:
         await slot.release()
-        ask = slot.ask._replace(held_runner=slot.runner_id)
+        limits = self._limits_of(slot.ask.service_name)
+        ask = slot.ask._replace(held_runner=slot.runner_id, limits=limits)
         try:
             is_held = await self._request_from(home, ask, slot)
         except RequestError as error:
@@ -297,9 +303,16 @@
             logger.warning("home doubted", extra=extra)
         self._suspect_until_by_host[host.host_id] = until_s
 
+    def _limits_of(self, service: ServiceName) -> tuple[RunnerLimit, ...]:
+        """Return the limits that runners of a service have named to this host."""
+        runner_ids = {r.runner_id for r in self._state.runners_of(service)}
+        return self._observed_limits.of_runners(runner_ids, self._timers.now())
+
     def _choose_without_home(self, ask: SlotAsk) -> RunnerId:
         """Return a random runner for a request whose homes can't be reached.
 
+        Runners with a rate limit are left out: only the home knows what is left of it.
+
         Raises
         ------
         RequestError
@@ -309,6 +322,7 @@
             runner.runner_id
             for runner in self._state.runners_of(ask.service_name)
             if runner.runner_id not in ask.avoid
+            and not self._observed_limits.is_limited(runner.runner_id)
         ]
         if self._suspects.is_suspect(ask.service_name, ask.traits):
             raise RequestError(
--- a/libs/gateway/src/damaskjunction/gateway/slot_home.py
+++ b/libs/gateway/src/damaskjunction/gateway/slot_home.py
@@ -146,6 +146,7 @@
             ask.is_repeated,
         )
         pool = self._pool(ask.service_name)
+        pool.observe_limits(ask.limits, now_s)
         former = self._reservations_by_id.get(ask.request_id)
         if former is not None:
             former.close()
@@ -266,6 +267,8 @@
             return
         n_requests = report.n_running + report.n_queued
         now_s = self._timers.now()
+        observed = self._runner_client.observed_limits
+        pool.observe_limits(observed.of_runners([runner.runner_id], now_s), now_s)
         self._apply_effects(pool.observe_report(runner.runner_id, n_requests, now_s))
 
     def _apply_effects(self, effects: list[SlotEffect]) -> None:
--- a/libs/platform/src/damaskjunction/platform/requests.py
+++ b/libs/platform/src/damaskjunction/platform/requests.py
@@ -184,7 +184,7 @@
         is_encoded="content-encoding" in headers,
         request_id=headers.get(REQUEST_ID_HEADER, ""),
         keep_alive_s=_parse_keep_alive(headers.get("keep-alive", "")),
-        rate_limit_per_s=_parse_rate_limit(headers.get(RATE_LIMIT_HEADER)),
+        rate_limit_per_s=decode_rate_limit(headers),
         headers={
             name: value
             for name, value in headers.items()
@@ -193,6 +193,18 @@
     )
 
 
+def decode_rate_limit(headers: Mapping[str, str]) -> float | None:
+    """Return the limit that a runner names, in requests a second.
+
+    None if it names none, or no finite number.
+    """
+    try:
+        limit_per_s = float(headers.get(RATE_LIMIT_HEADER, "nan"))
+    except ValueError:
+        return None
+    return limit_per_s if math.isfinite(limit_per_s) and limit_per_s >= 0 else None
+
+
 def decode_runner_report(status: int, body: bytes) -> RunnerReport | None:
     """Decode a runner's load report; returns None if the body is not one."""
     try:
@@ -249,15 +261,6 @@
         return None
 
 
-def _parse_rate_limit(text: str | None) -> float | None:
-    """Return a limit in requests a second; None if absent or no finite number."""
-    try:
-        limit_per_s = float(text) if text else math.nan
-    except ValueError:
-        return None
-    return limit_per_s if math.isfinite(limit_per_s) and limit_per_s >= 0 else None
-
-
 def _parse_integer(text: str | None) -> int | None:
     return int(text) if text and text.isdigit() else None
 
--- a/libs/routing/src/damaskjunction/routing/__init__.py
+++ b/libs/routing/src/damaskjunction/routing/__init__.py
@@ -74,6 +74,12 @@
     AdmissionTicket,
     FairQueue,
 )
+from damaskjunction.routing.rate_limits import (
+    NO_LIMIT_PER_S,
+    LimitObservations,
+    RateLimiter,
+    RunnerLimit,
+)
 from damaskjunction.routing.retries import (
     Attempts,
     GiveUp,
@@ -103,6 +109,7 @@
 from damaskjunction.routing.slots import SlotPool
 
 __all__ = [
+    "NO_LIMIT_PER_S",
     "AdaptiveLimits",
     "AdmissionController",
     "AdmissionEffect",
@@ -133,10 +140,12 @@
     "GrantSlot",
     "LatencyTargets",
     "LimitInput",
+    "LimitObservations",
     "OutlierEjection",
     "PlainAnswer",
     "Preempt",
     "Quarantine",
+    "RateLimiter",
     "RecheckClaim",
     "Refuse",
     "RefuseSlot",
@@ -150,6 +159,7 @@
     "Route",
     "RouteKind",
     "RouteTable",
+    "RunnerLimit",
     "RunnerLoad",
     "RunnerLoads",
     "SharedExclusiveLock",
--- a/libs/routing/src/damaskjunction/routing/slots.py
+++ b/libs/routing/src/damaskjunction/routing/slots.py
@@ -10,12 +10,13 @@
 import heapq
 import math
 from collections import deque
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
 from damaskjunction.core import RequestId, RunnerId, WorkClass
 from damaskjunction.routing.ejection import EjectionPolicy, OutlierEjection
 from damaskjunction.routing.prefix_cache import PrefixCacheEstimate
+from damaskjunction.routing.rate_limits import BATCH_TOKENS, RateLimiter, RunnerLimit
 from damaskjunction.routing.slot_types import (
     GrantSlot,
     RefuseSlot,
@@ -62,11 +63,13 @@
         self._batch_held_by_id: dict[RequestId, _HeldSlot] = {}
         self._revoked_ids: set[RequestId] = set()
         self._used_by_runner: dict[RunnerId, int] = {}
+        self._online_by_runner: dict[RunnerId, int] = {}
         self._waiting_online: dict[RequestId, SlotTicket] = {}
         self._waiting_batch: dict[RequestId, SlotTicket] = {}
         self._batch_heap: list[tuple[float, RequestId]] = []
         self._prefix_cache = PrefixCacheEstimate()
         self._ejection = OutlierEjection(FAILURE_EJECTION)
+        self._rate_limiter = RateLimiter()
         self._mean_hold_s = INITIAL_HOLD_TIME_S
         self._unseen_by_runner: dict[RunnerId, int] = {}
         self._recent_releases: deque[tuple[float, RunnerId]] = deque()
@@ -91,6 +94,7 @@
             name: slots_by_runner[name] for name in sorted(slots_by_runner)
         }
         self._prefix_cache.retain_runners(slots_by_runner)
+        self._rate_limiter.retain_runners(slots_by_runner)
         for runner_id in self._unseen_by_runner.keys() - slots_by_runner.keys():
             del self._unseen_by_runner[runner_id]
         return self._dispatch(now_s)
@@ -115,8 +119,8 @@
         n_waiting_before = sum(
             _priority_rank(t, now_s) <= rank for t in self._waiting_online.values()
         )
-        if now_s + self._predicted_wait_s(n_waiting_before) > start_limit_s:
-            wait_s = self._predicted_wait_s(len(self._waiting_online))
+        if now_s + self._predicted_wait_s(n_waiting_before, now_s) > start_limit_s:
+            wait_s = self._predicted_wait_s(len(self._waiting_online), now_s)
             retry_after_s = max(MIN_RETRY_AFTER_S, wait_s)
             return [RefuseSlot(ticket.request_id, "overloaded", retry_after_s)]
         self._waiting_online[ticket.request_id] = ticket
@@ -147,6 +151,11 @@
         self._unseen_by_runner[runner_id] = max(0, n_requests - n_known)
         return self._dispatch(now_s)
 
+    def observe_limits(self, limits: Iterable[RunnerLimit], now_s: float) -> None:
+        """Apply the rate limits that runners have named; they take effect at once."""
+        known = (limit for limit in limits if limit.runner_id in self._slots_by_runner)
+        self._rate_limiter.observe(known, now_s)
+
     def adopt(self, ticket: SlotTicket, runner_id: RunnerId, now_s: float) -> None:
         """Record a slot that the previous home granted before the takeover."""
         self._record_held(ticket, runner_id, now_s)
@@ -158,6 +167,7 @@
         self._revoked_ids.discard(request_id)
         held = self._online_held_by_id.pop(request_id, None)
         if held is not None:
+            self._online_by_runner[held.runner_id] -= 1
             sample_s = now_s - held.since_s
             self._mean_hold_s += HOLD_TIME_SMOOTHING * (sample_s - self._mean_hold_s)
         else:
@@ -186,7 +196,8 @@
                 ticket.request_id,
                 "overloaded",
                 max(
-                    MIN_RETRY_AFTER_S, self._predicted_wait_s(len(self._waiting_online))
+                    MIN_RETRY_AFTER_S,
+                    self._predicted_wait_s(len(self._waiting_online), now_s),
                 ),
             )
             for ticket in late
@@ -201,18 +212,26 @@
             "used_by_runner": dict(self._used_by_runner),
             "slots_by_runner": dict(self._slots_by_runner),
             "unseen_by_runner": dict(self._unseen_by_runner),
+            "limit_per_s_by_runner": self._rate_limiter.to_document(),
         }
 
-    def _predicted_wait_s(self, n_waiting: int) -> float:
-        """Return the expected wait in seconds behind ``n_waiting`` queued requests."""
-        n_slots = sum(
-            max(0, slots - self._unseen_by_runner.get(runner_id, 0))
-            for runner_id, slots in self._slots_by_runner.items()
-        )
-        n_ahead = len(self._online_held_by_id) + n_waiting + 1 - n_slots
+    def _predicted_wait_s(self, n_waiting: int, now_s: float) -> float:
+        """Return the expected wait in seconds behind ``n_waiting`` queued requests.
+
+        Batch requests give way, so only online ones count as held.
+        """
+        n_free = rate_per_s = 0.0
+        for runner_id, slots in self._slots_by_runner.items():
+            n_slots = max(0, slots - self._unseen_by_runner.get(runner_id, 0))
+            n_online = self._online_by_runner.get(runner_id, 0)
+            tokens = self._rate_limiter.tokens(runner_id, now_s)
+            n_free += math.floor(min(n_slots - n_online, tokens))
+            limit_per_s = self._rate_limiter.limit_per_s(runner_id)
+            rate_per_s += min(n_slots / self._mean_hold_s, limit_per_s)
+        n_ahead = n_waiting + 1 - n_free
         if n_ahead <= 0:
             return 0.0
-        return WAIT_MARGIN * n_ahead * self._mean_hold_s / max(1, n_slots)
+        return WAIT_MARGIN * n_ahead / (rate_per_s or 1.0 / self._mean_hold_s)
 
     def _dispatch(self, now_s: float) -> list[SlotEffect]:
         """Grant free slots; revoke batch slots if online requests still wait."""
@@ -223,7 +242,7 @@
         if self._waiting_online and free_by_runner:
             effects += self._grant_online(free_by_runner, now_s)
         if self._waiting_online:
-            return effects + self._revoke(len(self._waiting_online))
+            return effects + self._revoke(len(self._waiting_online), now_s)
         return effects + self._grant_batch(free_by_runner, now_s)
 
     def _grant_online(
@@ -237,9 +256,7 @@
             if runner_id is None:
                 continue
             del self._waiting_online[ticket.request_id]
-            self._record_held(ticket, runner_id, now_s)
-            _take_free_slot(free_by_runner, runner_id)
-            effects.append(GrantSlot(ticket.request_id, runner_id))
+            effects.append(self._grant(ticket, runner_id, free_by_runner, now_s))
         return effects
 
     def _in_service_order(self, now_s: float) -> list[SlotTicket]:
@@ -253,25 +270,30 @@
         return sorted(self._waiting_online.values(), key=order)
 
     def _free_by_runner(self, now_s: float) -> dict[RunnerId, int]:
-        """Return the number of free slots of each healthy runner that has any."""
+        """Return how many requests each healthy runner takes now, if any."""
         names = list(self._slots_by_runner)
         free_by_runner: dict[RunnerId, int] = {}
         for runner_id in self._ejection.healthy(names, str, now_s):
-            used = self._used_by_runner.get(runner_id, 0)
-            used += self._unseen_by_runner.get(runner_id, 0)
-            if used < self._slots_by_runner[runner_id]:
-                free_by_runner[runner_id] = self._slots_by_runner[runner_id] - used
+            tokens = self._rate_limiter.tokens(runner_id, now_s)
+            n_free = int(min(self._n_free_slots(runner_id), tokens))
+            if n_free > 0:
+                free_by_runner[runner_id] = n_free
         return free_by_runner
 
+    def _n_free_slots(self, runner_id: RunnerId) -> int:
+        n_used = self._used_by_runner.get(runner_id, 0)
+        n_unseen = self._unseen_by_runner.get(runner_id, 0)
+        return self._slots_by_runner[runner_id] - n_used - n_unseen
+
     def _choose_runner(
         self, ticket: SlotTicket, free_by_runner: Mapping[RunnerId, int]
     ) -> RunnerId | None:
         """Return the runner with the best score of cached prefix and free slots."""
         best: tuple[float, str] | None = None
         excluded = self._excluded_runners(ticket)
-        for runner_id, n_free in free_by_runner.items():
-            if runner_id in excluded:
-                continue
+        candidates = [name for name in free_by_runner if name not in excluded]
+        for runner_id in self._preferred_by_limit(ticket, candidates):
+            n_free = self._n_free_slots(runner_id)
             score = n_free / self._slots_by_runner[runner_id]
             score += PREFIX_WEIGHT * self._prefix_cache.cached_share(
                 runner_id, ticket.parts
@@ -280,6 +302,21 @@
                 best = (score, runner_id)
         return best[1] if best is not None else None
 
+    def _preferred_by_limit(
+        self, ticket: SlotTicket, candidates: list[RunnerId]
+    ) -> list[RunnerId]:
+        """Return the limited candidates for batch, the others for online requests.
+
+        A limit counts starts, and a start serves a batch request for longer. Online
+        requests take any candidate when no batch request waits.
+        """
+        is_batch = ticket.work_class is WorkClass.BATCH
+        if not is_batch and not self._waiting_batch:
+            return candidates
+        limiter = self._rate_limiter
+        preferred = [c for c in candidates if limiter.is_limited(c) == is_batch]
+        return preferred or candidates
+
     def _excluded_runners(self, ticket: SlotTicket) -> tuple[RunnerId, ...]:
         """Return the runners that must not be given a request.
 
@@ -291,31 +328,47 @@
             return ()
         return ticket.avoid
 
+    def _grant(
+        self,
+        ticket: SlotTicket,
+        runner_id: RunnerId,
+        free_by_runner: dict[RunnerId, int],
+        now_s: float,
+    ) -> GrantSlot:
+        self._record_held(ticket, runner_id, now_s)
+        self._rate_limiter.take(runner_id, now_s)
+        _take_free_slot(free_by_runner, runner_id)
+        return GrantSlot(ticket.request_id, runner_id)
+
     def _record_held(
         self, ticket: SlotTicket, runner_id: RunnerId, now_s: float
     ) -> None:
         held = _HeldSlot(ticket, runner_id, now_s)
         if ticket.work_class is WorkClass.ONLINE:
             self._online_held_by_id[ticket.request_id] = held
+            n_online = self._online_by_runner.get(runner_id, 0)
+            self._online_by_runner[runner_id] = n_online + 1
         else:
             self._batch_held_by_id[ticket.request_id] = held
         used = self._used_by_runner.get(runner_id, 0)
         self._used_by_runner[runner_id] = used + 1
         self._prefix_cache.record(runner_id, ticket.parts)
 
-    def _revoke(self, n_wanted: int) -> list[SlotEffect]:
+    def _revoke(self, n_wanted: int, now_s: float) -> list[SlotEffect]:
         """Revoke the latest granted batch slots, up to ``n_wanted``.
 
-        Slots that are revoked but not released yet count towards ``n_wanted``.
+        Slots that are revoked but not released yet count towards ``n_wanted``. Those of
+        runners that take no request now are left, as they would help nobody.
         """
         n_wanted -= len(self._revoked_ids)
         effects: list[SlotEffect] = []
         if n_wanted <= 0:
             return effects
-        for request_id in reversed(self._batch_held_by_id):
+        for request_id, held in reversed(self._batch_held_by_id.items()):
             if len(effects) >= n_wanted:
                 break
-            if request_id not in self._revoked_ids:
+            has_tokens = self._rate_limiter.tokens(held.runner_id, now_s) >= 1.0
+            if has_tokens and request_id not in self._revoked_ids:
                 self._revoked_ids.add(request_id)
                 effects.append(RevokeSlot(request_id))
         return effects
@@ -326,6 +379,9 @@
         effects: list[SlotEffect] = []
         if not self._waiting_batch or now_s < self._batch_starts_at_s:
             return effects
+        for name in list(free_by_runner):
+            if self._rate_limiter.tokens(name, now_s) < BATCH_TOKENS:
+                del free_by_runner[name]
         n_slots = sum(self._slots_by_runner.values())
         n_available = sum(free_by_runner.values()) - math.ceil(RESERVE_SHARE * n_slots)
         skipped: list[tuple[float, RequestId]] = []
@@ -339,9 +395,7 @@
                 skipped.append(entry)
                 continue
             del self._waiting_batch[ticket.request_id]
-            self._record_held(ticket, runner_id, now_s)
-            _take_free_slot(free_by_runner, runner_id)
-            effects.append(GrantSlot(ticket.request_id, runner_id))
+            effects.append(self._grant(ticket, runner_id, free_by_runner, now_s))
             n_available -= 1
         for entry in skipped:
             heapq.heappush(self._batch_heap, entry)
--- a/libs/wire/src/damaskjunction/wire/peer.thrift
+++ b/libs/wire/src/damaskjunction/wire/peer.thrift
@@ -188,6 +188,13 @@
   2: list<HostStatus> hosts
 }
 
+// A rate limit that a runner named some time ago.
+struct RunnerLimit {
+  1: string runner_id
+  2: double limit_per_s
+  3: double age_s
+}
+
 // Asks the home of a service for a slot on one of its runners; times are in seconds
 // from now. The slot is held until the call ends.
 struct SlotAsk {
@@ -202,6 +209,7 @@
   9: double goal_in_s
   10: bool is_repeated
   11: string fingerprint
+  12: list<RunnerLimit> limits
 }
 
 // The slot is granted: the request may be sent to the runner.
--- a/libs/wire/src/damaskjunction/wire/slots.py
+++ b/libs/wire/src/damaskjunction/wire/slots.py
@@ -5,9 +5,11 @@
 from typing import NamedTuple
 
 from damaskjunction.core import RequestId, RunnerId, ServiceName, WorkClass
-from damaskjunction.routing import CrashReport, RequestTraits
+from damaskjunction.routing import CrashReport, RequestTraits, RunnerLimit
 from damaskjunction.wire.codec import register_message
 
+register_message(RunnerLimit)
+
 
 @register_message
 class SlotAsk(NamedTuple):
@@ -19,7 +21,8 @@
     request must start within ``start_within_s``, and within ``goal_in_s`` to meet the
     service's latency goal; batch requests are served by earliest ``due_in_s``.
     ``is_repeated`` means that an earlier attempt of the caller was refused or failed.
-    ``fingerprint`` is equal for equal requests.
+    ``fingerprint`` is equal for equal requests. ``limits`` are the rate limits that
+    runners of the service have named to the asking host.
     """
 
     request_id: RequestId
@@ -33,6 +36,7 @@
     goal_in_s: float = 0.0
     is_repeated: bool = False
     fingerprint: str = ""
+    limits: tuple[RunnerLimit, ...] = ()
 
     @property
     def traits(self) -> tuple[str, ...]:
