Refuse at once what would wait in vain behind new requests

Requests that came back after a refusal, or had missed their goal, wait behind new ones. While new ones alone fill the runners, as they do when all runners name limits, they waited up to 2 s and were refused then. Now, when one has waited in vain and no such request was granted for a second, those that wait are refused and new ones are not let wait for a second.

The new test fails without the change: nothing is refused for 2 s.

--- a/libs/routing/features/slots.feature
+++ b/libs/routing/features/slots.feature
@@ -135,3 +135,12 @@
 
   Scenario: Random requests and releases find no fault of the pool
     Then 200 runs of the state machine with "none" find no fault
+
+  Scenario: What waited in vain is not let wait again
+    Given a pool with runners "a:1"
+    When online requests "r0" ask for slots
+    And repeated online requests "late1" ask for slots
+    And new requests keep the slot of "a" busy for 2.5 s
+    Then "late1" are refused with a retry delay
+    When repeated online requests "late2" ask for slots
+    Then "late2" are refused with a retry delay
--- a/libs/routing/features/steps/limit_steps.py
+++ b/libs/routing/features/steps/limit_steps.py
@@ -56,6 +56,20 @@
     context.slot_effects += context.pool.expire(context.now_s)
 
 
+@when('new requests keep the slot of "{runner}" busy for {seconds:g} s')
+def keep_busy(context, runner, seconds):
+    held_id = "r0"
+    for number in range(1, round(seconds / 0.1)):
+        context.now_s += 0.1
+        next_id = f"r{number}"
+        ticket = make_online_ticket(next_id, context.now_s)
+        context.slot_effects += context.pool.submit(ticket, context.now_s)
+        context.slot_effects += context.pool.release(held_id, context.now_s)
+        context.slot_effects += context.pool.expire(context.now_s)
+        assert GrantSlot(next_id, runner) in context.slot_effects
+        held_id = next_id
+
+
 @then('online request "{request_id}" got runner "{runner}"')
 @then('batch request "{request_id}" got runner "{runner}"')
 def check_granted_runner(context, request_id, runner):
--- a/libs/routing/src/damaskjunction/routing/slots.py
+++ b/libs/routing/src/damaskjunction/routing/slots.py
@@ -35,6 +35,7 @@
 MAX_BATCH_QUEUE = 4096
 TAKEOVER_GRACE_S = 0.4
 REPORT_LAG_S = 0.3
+STARVATION_S = 1.0  # for so long, what waited in vain predicts the next
 REPEATED_RANK = 1
 LATE_RANK = 2
 
@@ -74,6 +75,8 @@
         self._unseen_by_runner: dict[RunnerId, int] = {}
         self._recent_releases: deque[tuple[float, RunnerId]] = deque()
         self._batch_starts_at_s = 0.0
+        self._low_rank_granted_at_s = -math.inf
+        self._starved_at_s = -math.inf
 
     @property
     def counts(self) -> SlotCounts:
@@ -116,6 +119,8 @@
             return [RefuseSlot(ticket.request_id, reason, self._mean_hold_s)]
         start_limit_s = ticket.start_by_s if ticket.is_repeated else ticket.goal_at_s
         rank = _priority_rank(ticket, now_s)
+        if rank and self._is_starving(now_s):
+            start_limit_s = now_s
         n_waiting_before = sum(
             _priority_rank(t, now_s) <= rank for t in self._waiting_online.values()
         )
@@ -189,6 +194,12 @@
     def expire(self, now_s: float) -> list[SlotEffect]:
         """Refuse the online requests that can no longer start in time."""
         late = [t for t in self._waiting_online.values() if now_s > t.start_by_s]
+        if late and now_s - self._low_rank_granted_at_s > STARVATION_S:
+            self._starved_at_s = now_s
+        if self._is_starving(now_s):
+            late = [
+                t for t in self._waiting_online.values() if _priority_rank(t, now_s)
+            ]
         for ticket in late:
             del self._waiting_online[ticket.request_id]
         refusals = [
@@ -204,6 +215,10 @@
         ]
         return [*refusals, *self._dispatch(now_s)]
 
+    def _is_starving(self, now_s: float) -> bool:
+        """Return whether requests that gave way have lately waited in vain."""
+        return now_s - self._starved_at_s <= STARVATION_S
+
     def to_document(self) -> dict[str, object]:
         """Return the state for the diagnostic dump."""
         return {
@@ -256,6 +271,8 @@
             if runner_id is None:
                 continue
             del self._waiting_online[ticket.request_id]
+            if _priority_rank(ticket, now_s):
+                self._low_rank_granted_at_s = now_s
             effects.append(self._grant(ticket, runner_id, free_by_runner, now_s))
         return effects
 
