Place an item again however many runners crashed under it

A report from a system like ours: an item under which several servers had died was never placed again. Here too: after three crashes without an event came three more tries, 4, 8 and 16 s later, and then none. Items handed in for later are never to blame for crashes, so the count now only delays: 0.5 s after the third, doubling, at most 2 s, without an end.

--- a/libs/gateway/features/batch.feature
+++ b/libs/gateway/features/batch.feature
@@ -83,6 +83,13 @@
     And the engines have crashed on 3 attempts and crash no more
     Then each host returns the same 1 complete results of "j1"
 
+  Scenario: An item under which eight runners crashed is still placed again
+    Given engines "e1,e2,e3"
+    And every engine crashes on each request
+    When the job "j1" of 1 items is submitted at "h0"
+    And the engines have crashed on 8 attempts and crash no more
+    Then each host returns the same 1 complete results of "j1"
+
   Scenario: A cancelled job starts no more items
     Given engines "e1"
     And every engine stalls after event 3
--- a/libs/gateway/src/damaskjunction/gateway/item_runner.py
+++ b/libs/gateway/src/damaskjunction/gateway/item_runner.py
@@ -33,9 +33,9 @@
 MAX_ITEMS_AT_ONCE = 64
 ATTEMPT_TIMEOUT_S = 60.0  # to get a slot, and again for the runner's work
 STALL_TIMEOUT_S = 3.0
-MAX_CRASHES = 3
-MAX_DELAYED_RETRIES = 3
-DELAYED_RETRY_S = 4.0  # doubles with each delayed retry
+N_PROMPT_RETRIES = 3
+RETRY_DELAY_S = 0.5  # doubles with each further crash
+MAX_RETRY_DELAY_S = 2.0
 DEFAULT_RETENTION_S = 60.0  # while the active routes lack the job's route
 UNPROCESSABLE_STATUS = 422
 
@@ -110,9 +110,8 @@
     ) -> AttemptOutcome:
         """Attempt an item until the outcome is final, and return that outcome.
 
-        After ``MAX_CRASHES`` crashes without progress, retries are delayed; after
-        ``MAX_DELAYED_RETRIES`` of these there are no more, and the item only waits for
-        its retention to end.
+        After ``N_PROMPT_RETRIES`` crashes without progress, retries are delayed. There
+        is no last one: an item under which runners crashed is not to blame for that.
         """
         n_retries = 0
         while True:
@@ -123,13 +122,13 @@
             remaining_s = progress.started_at_s + retention_s - self._timers.now()
             if retention_s and remaining_s <= 0:
                 return AttemptOutcome(False, True, "retention over")
-            if route is None or progress.n_crashes >= MAX_CRASHES + MAX_DELAYED_RETRIES:
+            if route is None:
                 await asyncio.sleep(min(max(remaining_s, 0.0) + 0.01, 1.0))
                 continue
-            if progress.n_crashes >= MAX_CRASHES:
-                await asyncio.sleep(
-                    DELAYED_RETRY_S * 2.0 ** (progress.n_crashes - MAX_CRASHES)
-                )
+            if progress.n_crashes >= N_PROMPT_RETRIES:
+                doublings = min(progress.n_crashes - N_PROMPT_RETRIES, 8)
+                delay_s = RETRY_DELAY_S * 2.0**doublings
+                await asyncio.sleep(min(delay_s, MAX_RETRY_DELAY_S))
             outcome = await self._attempt(job, route, progress)
             if outcome.is_final:
                 return outcome
