Bound answers of runners that never end

Read time-outs were renewed by each byte, so endless interim heads held a request for 30 s, an endless stream was kept in memory (30 MB in 5 s), endless reports were read at 434 MB within a second, and items were not done elsewhere. Now the shared HTTP client bounds a head in time and interim heads, a body read whole and an event in size; the gateway ends plain answers with the caller's time and items by size and time. The tests failed before, but for endless header lines, which were bounded.

--- a/libs/gateway/features/batch.feature
+++ b/libs/gateway/features/batch.feature
@@ -90,6 +90,18 @@
     And the engines have crashed on 8 attempts and crash no more
     Then each host returns the same 1 complete results of "j1"
 
+  Scenario Outline: Items get past a runner whose answers have no end
+    Given an engine "r1" whose answers are "<script>"
+    When the job "j1" of 2 items is submitted at "h0"
+    And runner "r1" has had a request and an engine "e1" joins
+    Then each host returns the same 2 complete results of "j1"
+
+    Examples:
+      | script       |
+      | endless head |
+      | endless body |
+      | endless drip |
+
   Scenario: A cancelled job starts no more items
     Given engines "e1"
     And every engine stalls after event 3
--- a/libs/gateway/features/online.feature
+++ b/libs/gateway/features/online.feature
@@ -155,6 +155,28 @@
     When a caller requests "/ask/1" at "h0" as "q1"
     Then the caller gets events 1 to 5, incomplete
 
+  Scenario Outline: An answer without end takes neither the caller's time nor much memory
+    Given <runner> "r1" whose answers are "<script>"
+    When a caller requests "<path>" at "h0" as "q1"
+    Then the caller gets no complete answer within 5.5 s
+    And runner "r1" has closed connections and sent at most <sent> MB in all
+
+    Examples:
+      | runner          | path    | script                | sent |
+      | an engine       | /ask/1  | endless head          | 8    |
+      | an engine       | /ask/1  | endless interim heads | 8    |
+      | an engine       | /ask/1  | endless body          | 16   |
+      | an engine       | /ask/1  | endless drip          | 1    |
+      | a plain runner  | /look/1 | endless head          | 8    |
+      | a plain runner  | /look/1 | endless body          | 32   |
+      | a plain runner  | /look/1 | endless drip          | 1    |
+
+  Scenario: A report without end does not keep a runner's home busy
+    Given an engine "r1" whose answers are "unframed" and whose reports have no end
+    When a caller requests "/ask/1" at "h0" as "q1"
+    Then the caller gets events 1 to 10, complete
+    And runner "r1" has closed connections and sent at most 64 MB in all
+
   Scenario: A stream under which two runners crashed is not tried at a third
     Given engines "e1,e2,e3"
     And every engine crashes on each request
--- a/libs/gateway/features/platform_fleet.py
+++ b/libs/gateway/features/platform_fleet.py
@@ -146,10 +146,14 @@
         self.runners[name] = runner
         await self._start_runner(runner)
 
-    async def add_raw_runner(self, name: str, service: str, script: str) -> None:
+    async def add_raw_runner(
+        self, name: str, service: str, script: str, **options: Any
+    ) -> None:
         """Start a runner that answers by a script, as ``add_runner`` does."""
         address = self._addresses.pop()
-        runner = RawRunnerStandin(name, address, service, self.store, script=script)
+        runner = RawRunnerStandin(
+            name, address, service, self.store, script=script, **options
+        )
         self.raw_runners[name] = runner
         await self._start_runner(runner)
 
--- a/libs/gateway/features/steps/fleet_steps.py
+++ b/libs/gateway/features/steps/fleet_steps.py
@@ -55,6 +55,40 @@
     run(context, context.platform.add_raw_runner(name, ENGINE, script))
 
 
+@given('a plain runner "{name}" whose answers are "{script}"')
+def add_raw_plain(context, name, script):
+    run(context, context.platform.add_raw_runner(name, PLAIN, script))
+
+
+@given('an engine "{name}" whose answers are "{script}" and whose reports have no end')
+def add_engine_with_endless_reports(context, name, script):
+    work = context.platform.add_raw_runner(
+        name, ENGINE, script, has_endless_reports=True
+    )
+    run(context, work)
+
+
+@when('runner "{name}" has had a request and an engine "{other}" joins')
+def add_engine_after_request(context, name, other):
+    raw_runner = context.platform.raw_runners[name]
+    run(context, context.platform.wait_for(lambda: raw_runner.n_requests))
+    add_engines(context, other)
+
+
+@then("the caller gets no complete answer within {limit_s:g} s")
+def check_no_whole_answer(context, limit_s):
+    assert context.took_s <= limit_s, context.took_s
+    assert context.reply.status != 200 or not context.reply.is_complete, context.reply
+
+
+@then('runner "{name}" has closed connections and sent at most {megabytes:d} MB in all')
+def check_bytes_written(context, name, megabytes):
+    runner = context.platform.raw_runners[name]
+    run(context, asyncio.sleep(QUIET_PERIOD_S))
+    assert runner.n_bytes_written <= megabytes * 1e6, runner.n_bytes_written
+    assert not runner.n_answering, runner.n_answering
+
+
 @given('engines "{names}" with {slots:d} slots')
 def add_engines_with_slots(context, names, slots):
     for name in names.split(","):
--- a/libs/gateway/src/damaskjunction/gateway/item_runner.py
+++ b/libs/gateway/src/damaskjunction/gateway/item_runner.py
@@ -13,6 +13,7 @@
     WorkClass,
     stable_hash,
 )
+from damaskjunction.core.units import MIB
 from damaskjunction.gateway.dispatch_context import DispatchContext
 from damaskjunction.gateway.job_repository import StoredJob
 from damaskjunction.gateway.result_writer import BackOff
@@ -22,7 +23,12 @@
     find_runner,
 )
 from damaskjunction.gateway.slot_client import Slot
-from damaskjunction.http import BrokenResponseError, ClientResponse, RawEventParser
+from damaskjunction.http import (
+    BrokenResponseError,
+    ClientResponse,
+    RawEvent,
+    RawEventParser,
+)
 from damaskjunction.node import cancel_tasks
 from damaskjunction.platform import item_request
 from damaskjunction.routing import Route
@@ -33,6 +39,7 @@
 MAX_ITEMS_AT_ONCE = 64
 ATTEMPT_TIMEOUT_S = 60.0  # to get a slot, and again for the runner's work
 STALL_TIMEOUT_S = 3.0
+MAX_OUTPUT_CHARACTERS = 8 * MIB
 N_PROMPT_RETRIES = 3
 RETRY_DELAY_S = 0.5  # doubles with each further crash
 MAX_RETRY_DELAY_S = 2.0
@@ -68,6 +75,14 @@
         self.n_failures = 0
         self.n_crashes = 0
         self.excluded_runners: set[str] = set()
+        self.n_characters = 0
+
+    def add_event(self, event: RawEvent) -> None:
+        """Add the next event of the output."""
+        self.last_event_id = event.event_id
+        self.texts.append(event.data)
+        self.n_characters += len(event.data)
+        self.n_crashes = 0
 
 
 class ItemRunner:
@@ -203,14 +218,18 @@
         )
         try:
             if runner_response.head.status != 200:
-                await self._runner_client.read_body(runner_response)
+                await self._runner_client.read_body(runner_response, ATTEMPT_TIMEOUT_S)
                 if runner_response.head.status == UNPROCESSABLE_STATUS:
                     return AttemptOutcome(False, True, "can never be done")
                 progress.n_failures += runner_response.head.status == 500
                 raise RunnerFailedError(
                     Outcome.RAN, "failed", str(runner_response.head.status)
                 )
-            await self._collect(progress, runner_response.body)
+            try:
+                async with asyncio.timeout(ATTEMPT_TIMEOUT_S):
+                    await self._collect(progress, runner_response.body)
+            except TimeoutError:
+                raise RunnerFailedError(Outcome.RAN, "no_end", is_fault=True) from None
             await self._runner_client.check_end(runner_response)
         finally:
             runner_response.body.close()
@@ -219,17 +238,22 @@
 
     async def _collect(self, progress: _ItemProgress, response: ClientResponse) -> None:
         parser = RawEventParser()
+        event_at_s = self._timers.now()
         try:
             async for chunk in response.chunks():
-                for event in parser.feed(chunk):
+                events = parser.feed(chunk)
+                event_at_s = self._timers.now() if events else event_at_s
+                if self._timers.now() - event_at_s > STALL_TIMEOUT_S:
+                    raise BrokenResponseError("no event, though bytes arrive")
+                for event in events:
                     if event.event_id is None:
                         continue
                     known = progress.last_event_id
                     if known is not None and event.event_id <= known:
                         continue
-                    progress.last_event_id = event.event_id
-                    progress.texts.append(event.data)
-                    progress.n_crashes = 0
+                    progress.add_event(event)
+                if progress.n_characters > MAX_OUTPUT_CHARACTERS:
+                    raise BrokenResponseError("the output is too large")
         except BrokenResponseError as error:
             raise RunnerFailedError(
                 Outcome.RAN, "stream_cut", str(error), is_fault=True
--- a/libs/gateway/src/damaskjunction/gateway/request_execution.py
+++ b/libs/gateway/src/damaskjunction/gateway/request_execution.py
@@ -113,7 +113,9 @@
         ):
             self._runner_response = runner_response
             return Response(200, StreamBody(self), None, runner_response.head.headers)
-        body = await self._context.runner_client.read_body(runner_response)
+        body = await self._context.runner_client.read_body(
+            runner_response, max(0.0, self._remaining_s())
+        )
         if runner_response.head.status >= 500 and self._may_retry_failed_response():
             raise RunnerFailedError(
                 Outcome.RAN, "failed", f"{runner_response.head.status}"
--- a/libs/gateway/src/damaskjunction/gateway/runner_client.py
+++ b/libs/gateway/src/damaskjunction/gateway/runner_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 from typing import NamedTuple
 
@@ -12,7 +13,7 @@
     RunnerId,
     Timers,
 )
-from damaskjunction.core.units import MIB
+from damaskjunction.core.units import KIB, MIB
 from damaskjunction.http import (
     BrokenResponseError,
     ClientResponse,
@@ -38,9 +39,11 @@
 CONNECT_TIMEOUT_S = 0.3
 IDLE_TIMEOUT_S = 4.0
 REPORT_STALL_TIMEOUT_S = 0.5
+DISCARD_TIMEOUT_S = 0.2
 # The connection broke after the request was sent, as when the runner crashes.
 CONNECTION_LOST_REASONS = ("stream_cut", "no_answer", "answer_cut")
-MAX_RESPONSE_BYTES = 16 * MIB
+MAX_RESPONSE_BYTES = 8 * MIB
+MAX_REPORT_BYTES = 256 * KIB
 
 
 class RunnerFailedError(DamaskjunctionError):
@@ -79,7 +82,9 @@
 
     def __init__(self, timers: Timers) -> None:
         self._client = HttpClient(
-            timers, connect_timeout_s=CONNECT_TIMEOUT_S, idle_timeout_s=IDLE_TIMEOUT_S
+            timers,
+            connect_timeout_s=CONNECT_TIMEOUT_S,
+            idle_timeout_s=IDLE_TIMEOUT_S,
         )
         self._timers = timers
         self.observed_limits = LimitObservations()
@@ -180,7 +185,7 @@
             response = await self._client.send(
                 runner.address, "GET", REPORT_PATH, stall_s=REPORT_STALL_TIMEOUT_S
             )
-            body = await response.read()
+            body = await response.read(MAX_REPORT_BYTES)
         except (ConnectFailedError, BrokenResponseError) as error:
             raise RunnerFailedError(
                 Outcome.NOT_RUN, "no_report", str(error), is_fault=True
@@ -194,19 +199,22 @@
             raise RunnerFailedError(Outcome.NOT_RUN, "no_report", detail)
         return report
 
-    async def read_body(self, runner_response: RunnerResponse) -> bytes:
+    async def read_body(
+        self, runner_response: RunnerResponse, timeout_s: float
+    ) -> bytes:
         """Return the complete body of a response.
 
         Raises
         ------
         RunnerFailedError
-            When the response is incomplete.
+            When the response is incomplete after ``timeout_s``, or is too large.
         """
         try:
-            body = await runner_response.body.read()
-        except BrokenResponseError as error:
+            async with asyncio.timeout(timeout_s):
+                body = await runner_response.body.read(MAX_RESPONSE_BYTES)
+        except (BrokenResponseError, TimeoutError) as error:
             raise RunnerFailedError(
-                Outcome.RAN, "answer_cut", str(error), is_fault=True
+                Outcome.RAN, "answer_cut", repr(error), is_fault=True
             ) from None
         await self.check_end(runner_response)
         return body
@@ -249,8 +257,9 @@
     async def _discard_body(self, response: ClientResponse) -> None:
         """Read a short body to its end, so that the connection can be reused."""
         try:
-            await response.read()
-        except BrokenResponseError:
+            async with asyncio.timeout(DISCARD_TIMEOUT_S):
+                await response.read(MAX_REPORT_BYTES)
+        except (BrokenResponseError, TimeoutError):
             response.close()  # the status suffices; the body is not needed
 
 
--- a/libs/http/src/damaskjunction/http/client.py
+++ b/libs/http/src/damaskjunction/http/client.py
@@ -13,6 +13,7 @@
 
 from damaskjunction.core import Address, Timers
 from damaskjunction.core.types import EMPTY
+from damaskjunction.core.units import MIB
 from damaskjunction.http.messages import (
     BrokenResponseError,
     ConnectFailedError,
@@ -23,6 +24,8 @@
 DEFAULT_CONNECT_TIMEOUT_S = 2.0
 DEFAULT_IDLE_TIMEOUT_S = 20.0
 DEFAULT_STALL_TIMEOUT_S = 30.0
+DEFAULT_MAX_BODY_BYTES = 64 * MIB
+MAX_INTERIM_HEADS = 8
 KEEP_ALIVE_TIMEOUT_FRACTION = 0.5
 TCP_KEEPALIVE_IDLE_S = 1
 TCP_KEEPALIVE_INTERVAL_S = 1
@@ -90,7 +93,7 @@
             The complete request body.
         stall_s : float, optional
             Seconds without received data, or waiting for the send buffer to drain,
-            after which the request fails.
+            after which the request fails; also for the whole head of the response.
         new_connection : bool, optional
             Open a new connection instead of reusing an idle one, whose peer may be
             dead without having closed it.
@@ -223,15 +226,24 @@
         self._connection = None
         self._client.release(connection)
 
-    async def read(self) -> bytes:
+    async def read(self, max_bytes: int = DEFAULT_MAX_BODY_BYTES) -> bytes:
         """Return the complete body.
 
         Raises
         ------
         BrokenResponseError
-            When the connection closes or stalls before the end of the body.
+            When the connection closes or stalls before the end of the body, or the body
+            has more than ``max_bytes``.
         """
-        return b"".join([chunk async for chunk in self.chunks()])
+        chunks = []
+        n_left = max_bytes
+        async for chunk in self.chunks():
+            n_left -= len(chunk)
+            if n_left < 0:
+                self.close()
+                raise BrokenResponseError("the body is too large")
+            chunks.append(chunk)
+        return b"".join(chunks)
 
     def close(self) -> None:
         """Abort the connection unless the body has been read to its end."""
@@ -283,7 +295,12 @@
                 await self._writer.drain()
         except (OSError, TimeoutError) as error:
             raise BrokenResponseError(f"{self.address}: {error!r}") from None
-        return await self._read_head()
+        try:
+            async with asyncio.timeout(stall_s):
+                return await self._read_head()
+        except TimeoutError:
+            detail = f"{self.address}: no complete head in {stall_s:.3f} s"
+            raise StalledResponseError(detail) from None
 
     async def read_body(self) -> bytes | None:
         """Return the next chunk of the body, or None at its end."""
@@ -319,7 +336,7 @@
         self._writer.transport.abort()
 
     async def _read_head(self) -> ResponseHead:
-        while True:
+        for _ in range(1 + MAX_INTERIM_HEADS):
             event = await self._next_event()
             if isinstance(event, h11.Response):
                 headers = {
@@ -328,6 +345,7 @@
                 }
                 self._apply_keep_alive_timeout(headers.get("keep-alive", ""))
                 return ResponseHead(event.status_code, headers)
+        raise BrokenResponseError(f"{self.address}: too many interim heads")
 
     def _apply_keep_alive_timeout(self, text: str) -> None:
         """Limit reuse to a fraction of the peer's announced keep-alive timeout.
--- a/libs/http/src/damaskjunction/http/events.py
+++ b/libs/http/src/damaskjunction/http/events.py
@@ -4,6 +4,11 @@
 
 from typing import NamedTuple
 
+from damaskjunction.core.units import MIB
+from damaskjunction.http.messages import BrokenResponseError
+
+MAX_EVENT_BYTES = 1 * MIB
+
 
 class Event(NamedTuple):
     """A server-sent event; ``data`` is a single line of JSON."""
@@ -24,8 +29,15 @@
         self._buffer = b""
 
     def feed(self, data: bytes) -> list[Event]:
-        """Add a chunk of the stream and return the events that it completes."""
+        """Add a chunk of the stream and return the events that it completes.
+
+        Raises
+        ------
+        BrokenResponseError
+            When an event is larger than ``MAX_EVENT_BYTES``.
+        """
         *blocks, self._buffer = (self._buffer + data).split(b"\n\n")
+        _check_size(self._buffer)
         return [_parse_event(block.decode()) for block in blocks if block.strip()]
 
 
@@ -41,6 +53,11 @@
     return Event(name, "\n".join(data))
 
 
+def _check_size(incomplete_event: bytes) -> None:
+    if len(incomplete_event) > MAX_EVENT_BYTES:
+        raise BrokenResponseError("an event is too large")
+
+
 class RawEvent(NamedTuple):
     """A complete event with its bytes as received.
 
@@ -64,8 +81,15 @@
         return not self._buffer
 
     def feed(self, data: bytes) -> list[RawEvent]:
-        """Add a chunk of the stream and return the events that it completes."""
+        """Add a chunk of the stream and return the events that it completes.
+
+        Raises
+        ------
+        BrokenResponseError
+            When an event is larger than ``MAX_EVENT_BYTES``.
+        """
         *blocks, self._buffer = (self._buffer + data).split(b"\n\n")
+        _check_size(self._buffer)
         return [_parse_raw_event(block) for block in blocks]
 
 
--- a/libs/node/src/damaskjunction/node/runners.py
+++ b/libs/node/src/damaskjunction/node/runners.py
@@ -9,6 +9,7 @@
 from typing import Any, TypeAlias
 
 from damaskjunction.core import Outcome, Registry, RequestError, Runner
+from damaskjunction.core.units import KIB, MIB
 from damaskjunction.http import (
     BrokenResponseError,
     ClientResponse,
@@ -32,6 +33,8 @@
 
 FIRST_TOKEN_STALL_S = 3.0
 TOKEN_STALL_S = 2.0
+MAX_ANSWER_BYTES = 8 * MIB
+MAX_REPORT_BYTES = 256 * KIB
 PLAIN_STALL_S = 5.0
 NOT_STARTED_STATUSES = frozenset((404, 405, 409, 429, 503))
 CONTROL_STALL_S = 1.0
@@ -216,7 +219,7 @@
         client, runner, forward, forward.body, stream, stall_s=stall_s
     )
     try:
-        body = await response.read()
+        body = await response.read(MAX_ANSWER_BYTES)
     except BrokenResponseError as error:
         raise RequestError(Outcome.UNKNOWN, "runner_lost", str(error)) from None
     content_type = response.headers.get("content-type", "application/octet-stream")
@@ -236,7 +239,7 @@
             f"/v1/streams/{stream_id}",
             stall_s=CONTROL_STALL_S,
         )
-        await response.read()
+        await response.read(MAX_REPORT_BYTES)
     except (ConnectFailedError, BrokenResponseError) as error:
         details = {"runner": runner.runner_id, "error": str(error)}
         logger.info("stream cancellation failed", extra=details)
@@ -264,6 +267,6 @@
         response = await client.send(
             runner.address, "GET", "/v1/load", stall_s=CONTROL_STALL_S
         )
-        return int(json.loads(await response.read())["running"])
+        return int(json.loads(await response.read(MAX_REPORT_BYTES))["running"])
     except (ConnectFailedError, BrokenResponseError, ValueError, KeyError) as error:
         raise RequestError(Outcome.NOT_RUN, "no_report", str(error)) from None
--- a/libs/standins/src/damaskjunction/standins/raw_runner.py
+++ b/libs/standins/src/damaskjunction/standins/raw_runner.py
@@ -42,6 +42,8 @@
         Store in which it registers.
     script : str
         Name of the answer script.
+    has_endless_reports : bool, optional
+        Whether its reports have no end, either.
     """
 
     def __init__(
@@ -52,15 +54,17 @@
         store: StoreStandin,
         *,
         script: str,
+        has_endless_reports: bool = False,
     ) -> None:
         self.runner_id = runner_id
         self._address = address
         self._service = service
         self._store = store
         self._script = answer_scripts.get(script)
+        self._has_endless_reports = has_endless_reports
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
-        self.n_requests = 0
+        self.n_requests = self.n_answering = 0
         self.n_bytes_written = 0
 
     async def start(self) -> None:
@@ -100,10 +104,16 @@
                 return
             headers = {name.decode(): value.decode() for name, value in request.headers}
             if request.target.decode() == REPORT_PATH:
+                if self._has_endless_reports:
+                    await answer_endless_body(self, writer, "")
                 await self.write(writer, _report_answer())
                 return
             self.n_requests += 1
-            await self._script(self, writer, headers.get("x-request-id", ""))
+            self.n_answering += 1
+            try:
+                await self._script(self, writer, headers.get("x-request-id", ""))
+            finally:
+                self.n_answering -= 1
         except (OSError, asyncio.IncompleteReadError):
             return  # the caller has closed the connection
         finally:
@@ -167,3 +177,48 @@
     await runner.write(writer, _unframed_head(request_id))
     await _write_events(runner, writer, N_EVENTS // 2)
     await runner.close()
+
+
+async def _write_without_end(
+    runner: RawRunnerStandin, writer: asyncio.StreamWriter, data: bytes
+) -> None:
+    """Write until the caller closes the connection."""
+    while True:
+        await runner.write(writer, data)
+
+
+@answer_scripts.register("endless head")
+async def answer_endless_head(
+    runner: RawRunnerStandin, writer: asyncio.StreamWriter, request_id: RequestId
+) -> None:
+    """Write a head that never ends."""
+    await runner.write(writer, b"HTTP/1.1 200 OK\r\n")
+    await _write_without_end(runner, writer, b"X-Filler: " + b"x" * 1000 + b"\r\n")
+
+
+@answer_scripts.register("endless interim heads")
+async def answer_endless_interim_heads(
+    runner: RawRunnerStandin, writer: asyncio.StreamWriter, request_id: RequestId
+) -> None:
+    """Write informational heads, but never that of the answer."""
+    await _write_without_end(runner, writer, b"HTTP/1.1 100 Continue\r\n\r\n" * 40)
+
+
+@answer_scripts.register("endless body")
+async def answer_endless_body(
+    runner: RawRunnerStandin, writer: asyncio.StreamWriter, request_id: RequestId
+) -> None:
+    """Write a body that never ends and holds no event."""
+    await runner.write(writer, _unframed_head(request_id))
+    await _write_without_end(runner, writer, b"x" * 16_000)
+
+
+@answer_scripts.register("endless drip")
+async def answer_endless_drip(
+    runner: RawRunnerStandin, writer: asyncio.StreamWriter, request_id: RequestId
+) -> None:
+    """Write such a body a byte at a time, often enough not to seem stalled."""
+    await runner.write(writer, _unframed_head(request_id))
+    while True:
+        await runner.write(writer, b"x")
+        await asyncio.sleep(EVENT_INTERVAL_S)
