Draw named limits and answers without end in the soak

One runner names a rate limit from the fault on; a new check finds more in any 4 s of the calm than it allows. Runners may answer without end; a new check finds hosts over 128 MB. Both find their planted violation.

--- a/libs/lab/features/soak.feature
+++ b/libs/lab/features/soak.feature
@@ -23,6 +23,8 @@
       | an item begins to run long after its job was cancelled | ends are obeyed      |
       | requests fail in the fault-free period                 | service returns      |
       | deadly requests still run in the fault-free period     | crashes are contained |
+      | a limited runner gets twice its limit                  | limits are kept       |
+      | a host uses 200 MiB                                    | memory is bounded     |
 
   Scenario: The fault schedule depends only on the seed
     Then seed 7 always gives the same schedule, and seed 8 a different one
--- a/libs/lab/features/steps/soak_steps.py
+++ b/libs/lab/features/steps/soak_steps.py
@@ -13,6 +13,8 @@
     Cancellation,
     FaultFreePeriod,
     History,
+    MemoryPeak,
+    NamedLimit,
     ResultsRead,
     Run,
     SoakOptions,
@@ -150,6 +152,20 @@
         add_run(context.history, f"deadly-ask-{number}", at_s=14.0 + number)
 
 
+@when("a limited runner gets twice its limit")
+def add_runs_over_limit(context):
+    context.history.limits.append(NamedLimit("e2", 2.0))
+    for number in range(18):
+        add_call(context.history, f"look-6{number}", at_s=18.0)
+        run = Run(f"look-6{number}", "e2", 19.0 + 0.1 * number, -1)
+        context.history.runs.append(run)
+
+
+@when("a host uses 200 MiB")
+def add_memory_peak(context):
+    context.history.peaks.append(MemoryPeak("h0", 200 * 1024 * 1024))
+
+
 @then('only the check "{check}" reports a violation')
 def check_only_violation(context, check):
     assert check in checks, list(checks)
--- a/libs/lab/src/damaskjunction/lab/soak/checks.py
+++ b/libs/lab/src/damaskjunction/lab/soak/checks.py
@@ -7,6 +7,7 @@
 from typing import TypeAlias
 
 from damaskjunction.core import Registry
+from damaskjunction.core.units import MIB
 from damaskjunction.lab.soak.history import DEADLY_PREFIX, History
 
 Check: TypeAlias = Callable[[History], Iterator[str]]
@@ -24,6 +25,11 @@
 # After so many crashes by one part of prompts, no more than so many requests may run.
 MAX_CRASHES = 5
 MAX_DEADLY_RUNS = 3
+# A runner with a rate limit gets no more than this in any window.
+LIMIT_WINDOW_S = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_SLACK = 5
+MAX_HOST_BYTES = 128 * MIB
 
 
 @checks.register("whole")
@@ -167,6 +173,32 @@
         yield f"{n_after} deadly requests ran after {n_before} before"
 
 
+@checks.register("limits are kept")
+def check_limits(history: History) -> Iterator[str]:
+    """Find runners that got more requests than they had named, after the faults."""
+    since_s, until_s = history.fault_free_period
+    for limit in history.limits:
+        times_s = [
+            run.at_s
+            for run in history.runs
+            if run.runner == limit.runner and since_s <= run.at_s <= until_s
+        ]
+        allowed = LIMIT_FACTOR * limit.limit_per_s * LIMIT_WINDOW_S + LIMIT_SLACK
+        for begin_s in times_s:
+            n_runs = sum(begin_s <= at_s < begin_s + LIMIT_WINDOW_S for at_s in times_s)
+            if n_runs > allowed:
+                yield f"{limit.runner}: {n_runs} runs, {allowed:.0f} allowed"
+                break
+
+
+@checks.register("memory is bounded")
+def check_memory(history: History) -> Iterator[str]:
+    """Find hosts that used more memory than a host is to use."""
+    for peak in history.peaks:
+        if peak.n_bytes > MAX_HOST_BYTES:
+            yield f"{peak.host}: {peak.n_bytes / MIB:.0f} MiB"
+
+
 @checks.register("service returns")
 def check_recovery(history: History) -> Iterator[str]:
     """Check that requests succeed again after the faults have ended.
--- a/libs/lab/src/damaskjunction/lab/soak/faults.py
+++ b/libs/lab/src/damaskjunction/lab/soak/faults.py
@@ -173,6 +173,30 @@
         runner.faults["deadly_part"] = DEADLY_PART
 
 
+@faults.register("runner limited")
+async def limit_runner(rig: SoakRig, fault: ScheduledFault) -> None:
+    """Let one runner name a rate limit until the soak ends."""
+    if rig.limit_per_s_by_endpoint:
+        return
+    endpoint = _choose(rig.endpoints, fault.draw)
+    limit_per_s = 1.0 + _variant(fault, 4)
+    rig.limit_per_s_by_endpoint[endpoint] = limit_per_s
+    runner = rig.runners.get(endpoint)
+    if runner is not None:
+        runner.faults["limit_per_s"] = limit_per_s
+
+
+@faults.register("answers without end")
+async def answer_without_end(rig: SoakRig, fault: ScheduledFault) -> None:
+    """Let the answers of a runner have no end."""
+    runner = rig.runners.get(_choose(rig.endpoints, fault.draw))
+    if runner is None:  # another fault has stopped it
+        return
+    runner.faults["endless"] = 1
+    await asyncio.sleep(fault.for_s)
+    runner.faults["endless"] = 0
+
+
 @faults.register("configuration changed")
 async def change_configuration(rig: SoakRig, fault: ScheduledFault) -> None:
     """Write one to three versions of the configuration in quick succession."""
--- a/libs/lab/src/damaskjunction/lab/soak/history.py
+++ b/libs/lab/src/damaskjunction/lab/soak/history.py
@@ -72,6 +72,20 @@
     until_s: float
 
 
+class NamedLimit(NamedTuple):
+    """A rate limit that a runner named in the fault-free period."""
+
+    runner: RunnerId
+    limit_per_s: float
+
+
+class MemoryPeak(NamedTuple):
+    """The peak memory of a host's process, in bytes."""
+
+    host: HostId
+    n_bytes: int
+
+
 class History:
     """Everything observed in a soak, in order of time.
 
@@ -88,4 +102,6 @@
         self.submissions: list[Submission] = []
         self.reads: list[ResultsRead] = []
         self.cancellations: list[Cancellation] = []
+        self.limits: list[NamedLimit] = []
+        self.peaks: list[MemoryPeak] = []
         self.fault_free_period = FaultFreePeriod(0.0, 0.0)
--- a/libs/lab/src/damaskjunction/lab/soak/rig.py
+++ b/libs/lab/src/damaskjunction/lab/soak/rig.py
@@ -11,8 +11,9 @@
 from typing import Any
 
 from damaskjunction.core import Address, LoopTimers
+from damaskjunction.core.units import KIB
 from damaskjunction.http import BrokenResponseError, ConnectFailedError, HttpClient
-from damaskjunction.lab.soak.history import History, Run
+from damaskjunction.lab.soak.history import History, MemoryPeak, Run
 from damaskjunction.standins import (
     BATCH_ROUTE,
     ONCE_ROUTE,
@@ -131,6 +132,7 @@
         self._proxy_addresses: dict[str, Address] = {}
         self._n_runners_started = 0
         self.has_deadly_part = False
+        self.limit_per_s_by_endpoint: dict[str, float] = {}
         self.configuration_version = 0
         self.processes: dict[str, asyncio.subprocess.Process] = {}
 
@@ -151,7 +153,8 @@
 
     async def close(self) -> None:
         """Kill the host processes and close the stand-ins."""
-        for process in self.processes.values():
+        for name, process in self.processes.items():
+            self._record_memory(name)
             if process.returncode is None:
                 process.send_signal(signal.SIGCONT)
                 process.kill()
@@ -196,11 +199,23 @@
                 env={**os.environ, "DAMASKJUNCTION_SETTINGS": str(path)},
             )
 
+    def _record_memory(self, name: str) -> None:
+        """Record the peak memory of a host's process, unless it has just ended."""
+        process = self.processes[name]
+        if process.returncode is not None:
+            return
+        status = Path(f"/proc/{process.pid}/status").read_text()
+        _, field, value = status.partition("VmHWM:")
+        if field:
+            peak_bytes = int(value.split()[0]) * KIB
+            self.history.peaks.append(MemoryPeak(name, peak_bytes))
+
     async def stop_host(self, name: str, signal_number: signal.Signals) -> None:
         """Signal a host and wait for its exit; kill it after ``STOP_TIMEOUT_S``.
 
         A frozen host is resumed first, as it would not handle the signal.
         """
+        self._record_memory(name)
         process = self.processes[name]
         if process.returncode is None:
             process.send_signal(signal.SIGCONT)
@@ -260,6 +275,7 @@
         )
         if self.has_deadly_part:
             runner.faults["deadly_part"] = DEADLY_PART
+        runner.faults["limit_per_s"] = self.limit_per_s_by_endpoint.get(endpoint, 0)
         await runner.start()
         self.runners[endpoint] = runner
 
--- a/libs/lab/src/damaskjunction/lab/soak/soak.py
+++ b/libs/lab/src/damaskjunction/lab/soak/soak.py
@@ -11,7 +11,7 @@
 from damaskjunction.lab.soak.callers import Callers
 from damaskjunction.lab.soak.checks import find_violations
 from damaskjunction.lab.soak.faults import faults
-from damaskjunction.lab.soak.history import FaultFreePeriod
+from damaskjunction.lab.soak.history import FaultFreePeriod, NamedLimit
 from damaskjunction.lab.soak.rig import SoakRig
 from damaskjunction.lab.soak.schedule import ScheduledFault, make_schedule
 
@@ -69,6 +69,10 @@
         since_s = rig.timers.now()
         await asyncio.sleep(FAULT_FREE_S)
         rig.history.fault_free_period = FaultFreePeriod(since_s, rig.timers.now())
+        rig.history.limits += [
+            NamedLimit(rig.runners[endpoint].runner_id, limit_per_s)
+            for endpoint, limit_per_s in rig.limit_per_s_by_endpoint.items()
+        ]
         await callers.stop(FINISH_TIMEOUT_S)
     finally:
         await rig.close()
--- a/libs/standins/src/damaskjunction/standins/runner.py
+++ b/libs/standins/src/damaskjunction/standins/runner.py
@@ -24,6 +24,8 @@
 EVENT_INTERVAL_S = 0.02
 MAX_HEADER_BYTES = 128 * KIB
 RESTART_S = 0.3
+ENDLESS_CHUNK_BYTES = 16 * KIB
+ENDLESS_INTERVAL_S = 0.002
 REPORT_PATH = "/damaskjunction/report"
 PROMPT_PARTS_HEADER = "x-prompt-prefix"
 
@@ -38,7 +40,8 @@
     of each request once it is recorded as run), ``crash`` (1: each request ends the
     runner's process, which is back after ``RESTART_S``), ``deadly_part`` (id of a
     prompt part: the process ends when the first event of a request with it is due),
-    ``limit_per_s`` (rate limit to name in each answer).
+    ``limit_per_s`` (rate limit to name in each answer), ``endless`` (1: answers have no
+    end and hold no event).
 
     Parameters
     ----------
@@ -91,6 +94,7 @@
             "crash",
             "deadly_part",
             "limit_per_s",
+            "endless",
         )
         self.n_ends = 0
         self._address = address
@@ -157,26 +161,34 @@
         last_event_id = headers.get("last-event-id", "")
         self.record_run(request_id, last_event_id)
         self.headers_by_request[request_id] = dict(headers)
-        if self.faults["abort"]:
-            raise ConnectionResetError("injected fault: connection aborted")
-        if self.faults["crash"]:
-            self._end()
-            await asyncio.Event().wait()
-        if self.faults["mute"]:
-            await asyncio.Event().wait()
+        await self._fail_without_answer()
         response_headers = {"X-Request-Id": request_id, "X-Response-Stamp": request_id}
         if self.faults["limit_per_s"]:
             response_headers["Server-Limit"] = str(self.faults["limit_per_s"])
         if self.faults["impossible"] or self.faults["fail"]:
             status = 422 if self.faults["impossible"] else int(self.faults["fail"])
             return Response(status, b"no", headers=response_headers)
-        if not self._n_events:
+        if not self._n_events and not self.faults["endless"]:
             return Response(200, request_id.encode(), "text/plain", response_headers)
-        events = self._stream_events(
-            int(last_event_id) if last_event_id else 0, self._is_deadly(headers)
-        )
+        after = int(last_event_id) if last_event_id else 0
+        events = self._stream_events(after, self._is_deadly(headers))
+        if self.faults["endless"]:
+            events = self._write_without_end()
         return Response(200, events, "text/event-stream", response_headers)
 
+    async def _write_without_end(self) -> AsyncIterator[bytes]:
+        while True:
+            yield b"x" * ENDLESS_CHUNK_BYTES
+            await asyncio.sleep(ENDLESS_INTERVAL_S)
+
+    async def _fail_without_answer(self) -> None:
+        if self.faults["abort"]:
+            raise ConnectionResetError("injected fault: connection aborted")
+        if self.faults["crash"]:
+            self._end()
+        if self.faults["crash"] or self.faults["mute"]:
+            await asyncio.Event().wait()
+
     def _is_deadly(self, headers: Mapping[str, str]) -> bool:
         parts = headers.get(PROMPT_PARTS_HEADER, "").split(",")
         ids = [part.partition(":")[0] for part in parts]
