Say update instead of rumour in membership

The field's word for what hosts gossip is an update. Names only: types, functions, the module of the queue, the struct of the wire (its name is not sent), docs.

--- a/libs/membership/src/damaskjunction/membership/detector.py
+++ b/libs/membership/src/damaskjunction/membership/detector.py
@@ -20,7 +20,6 @@
     MemberTable,
     choose_watchers,
 )
-from damaskjunction.membership.rumours import RumourQueue, Urgency
 from damaskjunction.membership.types import (
     Datagram,
     DatagramKind,
@@ -31,17 +30,18 @@
     Member,
     MembersChanged,
     MemberState,
-    Rumour,
+    MemberUpdate,
     Send,
     Timing,
     estimate_bytes,
-    rumour_of,
+    update_of,
     without_addresses,
 )
+from damaskjunction.membership.update_queue import UpdateQueue, Urgency
 
 MAX_DATAGRAM_BYTES = 1400
 RUMOUR_BYTES_PER_DATAGRAM = 800
-DATAGRAM_OVERHEAD_BYTES = 150  # estimated size of a datagram without its rumours
+DATAGRAM_OVERHEAD_BYTES = 150  # estimated size of a datagram without its updates
 MAX_AWARENESS = 4
 MIN_PEERS_FOR_ISOLATION = 3
 DOCUMENT_GOSSIP_ROUNDS = 4  # ticks with gossip after a change
@@ -109,7 +109,7 @@
         self.awareness = 0
         self._timing = timing
         self._rng = rng
-        self._rumours = RumourQueue()
+        self._updates = UpdateQueue()
         self._probes_by_sequence: dict[int, _Probe] = {}
         self._relays_by_sequence: dict[int, _RelayedProbe] = {}
         self._suspicions_by_id: dict[HostId, _Suspicion] = {}
@@ -141,13 +141,13 @@
         self, datagram: Datagram, address: Address, now_s: float
     ) -> list[Effect]:
         """Handle a datagram received from an address."""
-        if not datagram.rumours:
+        if not datagram.updates:
             return []
         effects: list[Effect] = []
-        sender = datagram.rumours[0]
+        sender = datagram.updates[0]
         self._received_at_s = now_s
-        for rumour in datagram.rumours:
-            self._apply_rumour(rumour, now_s)
+        for update in datagram.updates:
+            self._apply_update(update, now_s)
         match datagram.kind:
             case DatagramKind.PING:
                 self._send_ack(datagram, sender, address, effects)
@@ -160,11 +160,11 @@
         return self._finish(effects)
 
     def merge_member_list(
-        self, rumours: Iterable[Rumour], now_s: float
+        self, updates: Iterable[MemberUpdate], now_s: float
     ) -> list[Effect]:
         """Merge the full member list of another host."""
-        for rumour in rumours:
-            self._apply_rumour(rumour, now_s)
+        for update in updates:
+            self._apply_update(update, now_s)
         return self._finish([])
 
     def apply_host_list(self, hosts: Iterable[EntryHost], now_s: float) -> list[Effect]:
@@ -208,21 +208,21 @@
             self.own = own
             self._reports_at_s = [now_s + delay_s for delay_s in REPORT_DELAYS_S]
         if is_starting and state is MemberState.ALIVE:
-            self._rumours.add(rumour_of(own))
+            self._updates.add(update_of(own))
 
     def leave(self) -> list[Effect]:
         """Gossip that this host is leaving, with a refilled byte budget."""
         self.own = self.own._replace(state=MemberState.LEAVING)
-        self._rumours.add(rumour_of(self.own))
+        self._updates.add(update_of(self.own))
         self._budget_bytes = self._timing.gossip_burst_bytes
         effects: list[Effect] = []
         self._gossip(effects)
         return effects
 
-    def member_rumours(self) -> list[Rumour]:
-        """Return a rumour about every known host, this one first."""
+    def member_updates(self) -> list[MemberUpdate]:
+        """Return an update about every known host, this one first."""
         others = self.member_table.members_by_id.values()
-        return [rumour_of(member) for member in (self.own, *others)]
+        return [update_of(member) for member in (self.own, *others)]
 
     def is_isolated(self, now_s: float) -> bool:
         """Return whether no datagrams arrive, so that suspicions must not expire.
@@ -314,12 +314,12 @@
         return None
 
     def _ping(self, target: Member, sequence: int) -> Send:
-        """Return a ping; a suspect or dead target gets its own rumour, to refute it."""
-        priority_rumours: tuple[Rumour, ...] = ()
+        """Return a ping; a suspect or dead target gets its own update, to refute it."""
+        priority_updates: tuple[MemberUpdate, ...] = ()
         if target.health is not Health.OK:
-            priority_rumours = (without_addresses(rumour_of(target)),)
+            priority_updates = (without_addresses(update_of(target)),)
         datagram = self._make_datagram(
-            DatagramKind.PING, sequence, target.host.host_id, priority_rumours
+            DatagramKind.PING, sequence, target.host.host_id, priority_updates
         )
         return Send(target.host.probe, datagram)
 
@@ -359,28 +359,28 @@
         if member is None:
             self._suspicions_by_id.pop(host_id, None)
         else:
-            rumour = without_addresses(rumour_of(member))._replace(health=health)
-            self._apply_rumour(rumour, now_s)
+            update = without_addresses(update_of(member))._replace(health=health)
+            self._apply_update(update, now_s)
 
     def _send_ack(
         self,
         datagram: Datagram,
-        sender: Rumour,
+        sender: MemberUpdate,
         address: Address,
         effects: list[Effect],
     ) -> None:
         """Acknowledge a ping.
 
         A sender whose incarnation is below the known one, as after a restart with an
-        earlier clock, gets the known rumour and refutes it with a higher incarnation.
+        earlier clock, gets the known update and refutes it with a higher incarnation.
         """
         known = self.member_table.members_by_id.get(sender.host_id)
-        priority_rumours: tuple[Rumour, ...] = ()
+        priority_updates: tuple[MemberUpdate, ...] = ()
         if known is not None and known.incarnation > sender.incarnation:
-            priority_rumours = (without_addresses(rumour_of(known)),)
+            priority_updates = (without_addresses(update_of(known)),)
         own_id = self.own.host.host_id
         ack = self._make_datagram(
-            DatagramKind.ACK, datagram.sequence, own_id, priority_rumours
+            DatagramKind.ACK, datagram.sequence, own_id, priority_updates
         )
         effects.append(Send(address, ack))
 
@@ -418,39 +418,39 @@
         self._relays_by_sequence[self._sequence] = relayed
         effects.append(self._ping(target, self._sequence))
 
-    # Rumours
+    # Updates
 
-    def _apply_rumour(self, rumour: Rumour, now_s: float) -> None:
-        if rumour.host_id == self.own.host.host_id:
-            self._refute_rumour(rumour)
+    def _apply_update(self, update: MemberUpdate, now_s: float) -> None:
+        if update.host_id == self.own.host.host_id:
+            self._refute_update(update)
             return
-        before = self.member_table.members_by_id.get(rumour.host_id)
-        is_changed = self.member_table.merge(rumour, now_s)
+        before = self.member_table.members_by_id.get(update.host_id)
+        is_changed = self.member_table.merge(update, now_s)
         if is_changed is None:
             return
-        member = self.member_table.members_by_id[rumour.host_id]
+        member = self.member_table.members_by_id[update.host_id]
         self._is_changed |= is_changed
         if before is None or _gossiped_state(before) != _gossiped_state(member):
-            self._rumours.add(_make_gossip_rumour(member))
+            self._updates.add(_make_gossip_update(member))
         if member.health is not Health.SUSPECT:
-            self._suspicions_by_id.pop(rumour.host_id, None)
-        elif rumour.host_id not in self._suspicions_by_id:
-            self._suspicions_by_id[rumour.host_id] = self._make_suspicion(now_s)
+            self._suspicions_by_id.pop(update.host_id, None)
+        elif update.host_id not in self._suspicions_by_id:
+            self._suspicions_by_id[update.host_id] = self._make_suspicion(now_s)
 
-    def _refute_rumour(self, rumour: Rumour) -> None:
-        """Refute a rumour of suspicion or death, or one of an earlier start.
+    def _refute_update(self, update: MemberUpdate) -> None:
+        """Refute an update of suspicion or death, or one of an earlier start.
 
         An earlier start has a higher incarnation if the clock was set back since. The
-        new incarnation is above that of the rumour.
+        new incarnation is above that of the update.
         """
         own = self.own
-        is_from_other_start = rumour.incarnation > own.incarnation
+        is_from_other_start = update.incarnation > own.incarnation
         is_reported_unhealthy = (
-            rumour.incarnation == own.incarnation and rumour.health is not Health.OK
+            update.incarnation == own.incarnation and update.health is not Health.OK
         )
         if is_from_other_start or is_reported_unhealthy:
-            self.own = own._replace(incarnation=rumour.incarnation + 1)
-            self._rumours.add(rumour_of(self.own))
+            self.own = own._replace(incarnation=update.incarnation + 1)
+            self._updates.add(update_of(self.own))
 
     def _sample_members(self, count: int, *, without: HostId = "") -> list[Member]:
         others = [
@@ -465,24 +465,24 @@
         kind: DatagramKind,
         sequence: int,
         target: HostId,
-        priority_rumours: tuple[Rumour, ...] = (),
+        priority_updates: tuple[MemberUpdate, ...] = (),
         *,
         least_urgent: Urgency = Urgency.START,
     ) -> Datagram:
         n_members = len(self.member_table.members_by_id)
-        others = self._rumours.take(
+        others = self._updates.take(
             n_members, RUMOUR_BYTES_PER_DATAGRAM, least_urgent=least_urgent
         )
-        rumours = (rumour_of(self.own), *priority_rumours, *others)
-        return Datagram(kind, sequence, target, self.documents, rumours)
+        updates = (update_of(self.own), *priority_updates, *others)
+        return Datagram(kind, sequence, target, self.documents, updates)
 
     def _gossip(self, effects: list[Effect]) -> None:
-        """Send queued rumours and document revisions to random hosts.
+        """Send queued updates and document revisions to random hosts.
 
-        The less of the byte budget is left, the more urgent a rumour has to be.
+        The less of the byte budget is left, the more urgent an update has to be.
         """
         least_urgent = self._least_urgent_allowed()
-        if not (self._rumours.has_pending(least_urgent) or self._document_rounds_left):
+        if not (self._updates.has_pending(least_urgent) or self._document_rounds_left):
             return
         self._document_rounds_left = max(0, self._document_rounds_left - 1)
         for member in self._sample_members(self._timing.fan_out):
@@ -490,7 +490,7 @@
                 DatagramKind.GOSSIP, 0, member.host.host_id, least_urgent=least_urgent
             )
             self._budget_bytes -= DATAGRAM_OVERHEAD_BYTES + estimate_bytes(
-                datagram.rumours
+                datagram.updates
             )
             effects.append(Send(member.host.probe, datagram))
 
@@ -538,7 +538,7 @@
     return member.incarnation, member.state, member.health
 
 
-def _make_gossip_rumour(member: Member) -> Rumour:
-    """Return the rumour to gossip, in short form if peers should know the host."""
-    rumour = rumour_of(member)
-    return rumour if member.health is Health.OK else without_addresses(rumour)
+def _make_gossip_update(member: Member) -> MemberUpdate:
+    """Return the update to gossip, in short form if peers should know the host."""
+    update = update_of(member)
+    return update if member.health is Health.OK else without_addresses(update)
--- a/libs/membership/src/damaskjunction/membership/member_table.py
+++ b/libs/membership/src/damaskjunction/membership/member_table.py
@@ -1,4 +1,4 @@
-"""The member table, built from rumours and the platform's host list."""
+"""The member table, built from updates and the platform's host list."""
 
 from __future__ import annotations
 
@@ -11,8 +11,14 @@
     HostState,
     rendezvous_order,
 )
-from damaskjunction.membership.merging import merge_rumour
-from damaskjunction.membership.types import Health, Member, MemberState, Rumour, Timing
+from damaskjunction.membership.merging import merge_update
+from damaskjunction.membership.types import (
+    Health,
+    Member,
+    MemberState,
+    MemberUpdate,
+    Timing,
+)
 
 WATCHERS_PER_DATA_CENTRE = 2
 
@@ -20,8 +26,8 @@
 class MemberTable:
     """All hosts known to this host, except itself.
 
-    A listed host is a member even before any rumour about it arrives. A host that is
-    no longer listed stays for a bounded time; while it is alive, the next rumour that
+    A listed host is a member even before any update about it arrives. A host that is
+    no longer listed stays for a bounded time; while it is alive, the next update that
     holds its addresses adds it again.
 
     Parameters
@@ -52,15 +58,15 @@
             self._dead_since_by_id.pop(host_id, None)
         return old is None or _routing_state(old) != _routing_state(member)
 
-    def merge(self, rumour: Rumour, now_s: float) -> bool | None:
-        """Merge a rumour; return None if nothing changed, else as ``put``.
+    def merge(self, update: MemberUpdate, now_s: float) -> bool | None:
+        """Merge an update; return None if nothing changed, else as ``put``.
 
-        A rumour of the death of an unknown host is ignored.
+        An update of the death of an unknown host is ignored.
         """
-        old = self.members_by_id.get(rumour.host_id)
-        if old is None and rumour.health is Health.DEAD:
+        old = self.members_by_id.get(update.host_id)
+        if old is None and update.health is Health.DEAD:
             return None
-        member = merge_rumour(old, rumour)
+        member = merge_update(old, update)
         if member is None or member == old:
             return None
         return self.put(member, now_s)
--- a/libs/membership/src/damaskjunction/membership/merging.py
+++ b/libs/membership/src/damaskjunction/membership/merging.py
@@ -1,4 +1,4 @@
-"""Merges rumours into member records, independently of their order."""
+"""Merges updates into member records, independently of their order."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
     Health,
     Member,
     MemberState,
-    Rumour,
+    MemberUpdate,
     host_of,
     start_epoch,
 )
@@ -15,41 +15,41 @@
 _HEALTH_ORDER = tuple(Health)
 
 
-def merge_rumour(member: Member | None, rumour: Rumour) -> Member | None:
-    """Return the member updated by a rumour.
+def merge_update(member: Member | None, update: MemberUpdate) -> Member | None:
+    """Return the member after an update.
 
-    Returns None for an unknown host whose rumour has no valid addresses. The higher
+    Returns None for an unknown host whose update has no valid addresses. The higher
     incarnation wins. Within one incarnation, state, health and revisions only
-    increase, so duplicated and reordered rumours give the same result.
+    increase, so duplicated and reordered updates give the same result.
     """
-    host = host_of(rumour)
+    host = host_of(update)
     if member is None:
-        return None if host is None else _with_new_incarnation(Member(host), rumour)
-    if rumour.incarnation < member.incarnation:
+        return None if host is None else _with_new_incarnation(Member(host), update)
+    if update.incarnation < member.incarnation:
         return member
-    if rumour.incarnation > member.incarnation:
+    if update.incarnation > member.incarnation:
         known = member if host is None else member._replace(host=host)
-        return _with_new_incarnation(known, rumour)
+        return _with_new_incarnation(known, update)
     return member._replace(
-        state=max(member.state, rumour.state, key=_STATE_ORDER.index),
-        health=max(member.health, rumour.health, key=_HEALTH_ORDER.index),
+        state=max(member.state, update.state, key=_STATE_ORDER.index),
+        health=max(member.health, update.health, key=_HEALTH_ORDER.index),
         configuration_revision=max(
-            member.configuration_revision, rumour.configuration_revision
+            member.configuration_revision, update.configuration_revision
         ),
-        plan_revision=max(member.plan_revision, rumour.plan_revision),
+        plan_revision=max(member.plan_revision, update.plan_revision),
     )
 
 
-def _with_new_incarnation(member: Member, rumour: Rumour) -> Member:
+def _with_new_incarnation(member: Member, update: MemberUpdate) -> Member:
     """Return the member with a higher incarnation; a restart resets its revisions."""
-    is_same_start = start_epoch(member.incarnation) == start_epoch(rumour.incarnation)
+    is_same_start = start_epoch(member.incarnation) == start_epoch(update.incarnation)
     old = member if is_same_start else Member(member.host)
     return member._replace(
-        incarnation=rumour.incarnation,
-        state=rumour.state,
-        health=rumour.health,
+        incarnation=update.incarnation,
+        state=update.state,
+        health=update.health,
         configuration_revision=max(
-            old.configuration_revision, rumour.configuration_revision
+            old.configuration_revision, update.configuration_revision
         ),
-        plan_revision=max(old.plan_revision, rumour.plan_revision),
+        plan_revision=max(old.plan_revision, update.plan_revision),
     )
--- a/libs/membership/src/damaskjunction/membership/types.py
+++ b/libs/membership/src/damaskjunction/membership/types.py
@@ -1,4 +1,4 @@
-"""Types of the membership protocol: members, rumours, datagrams and effects."""
+"""Types of the membership protocol: members, updates, datagrams and effects."""
 
 from __future__ import annotations
 
@@ -45,7 +45,7 @@
     revision: Revision
 
 
-class Rumour(NamedTuple):
+class MemberUpdate(NamedTuple):
     """State of one host as gossiped among its peers.
 
     ``incarnation`` grows with each start of the host and each refutation; the higher
@@ -69,7 +69,7 @@
 
 
 class Datagram(NamedTuple):
-    """A message of the protocol; ``rumours`` starts with the one about its sender.
+    """A message of the protocol; ``updates`` starts with the one about its sender.
 
     ``target`` is the host that should answer, or in an ``ACK`` the host that did.
     ``sequence`` matches an ``ACK`` to its probe; 0 if no probe waits for one.
@@ -79,7 +79,7 @@
     sequence: int
     target: HostId
     documents: tuple[DocumentRevision, ...]
-    rumours: tuple[Rumour, ...]
+    updates: tuple[MemberUpdate, ...]
 
 
 class Member(NamedTuple):
@@ -176,10 +176,10 @@
     return int(wall_s * 1000) * REFUTATIONS_PER_START
 
 
-def rumour_of(member: Member) -> Rumour:
-    """Return the full rumour about a member."""
+def update_of(member: Member) -> MemberUpdate:
+    """Return the full update about a member."""
     host = member.host
-    return Rumour(
+    return MemberUpdate(
         host.host_id,
         member.incarnation,
         member.state,
@@ -194,31 +194,31 @@
     )
 
 
-def host_of(rumour: Rumour) -> EntryHost | None:
-    """Return the host that a rumour describes, None if an address is not valid."""
+def host_of(update: MemberUpdate) -> EntryHost | None:
+    """Return the host that an update describes, None if an address is not valid."""
     try:
-        addresses = (rumour.caller, rumour.peer, rumour.probe)
+        addresses = (update.caller, update.peer, update.probe)
         caller, peer, probe = map(Address.from_text, addresses)
     except ValueError:
         return None
     return EntryHost(
-        rumour.host_id, rumour.region, rumour.data_centre, caller, peer, probe
+        update.host_id, update.region, update.data_centre, caller, peer, probe
     )
 
 
-def without_addresses(rumour: Rumour) -> Rumour:
-    """Return a rumour in short form, without location and addresses."""
-    return rumour._replace(region="", data_centre="", caller="", peer="", probe="")
+def without_addresses(update: MemberUpdate) -> MemberUpdate:
+    """Return an update in short form, without location and addresses."""
+    return update._replace(region="", data_centre="", caller="", peer="", probe="")
 
 
-def estimate_bytes(rumours: Iterable[Rumour]) -> int:
-    """Return an upper bound on the encoded size of rumours, in bytes."""
+def estimate_bytes(updates: Iterable[MemberUpdate]) -> int:
+    """Return an upper bound on the encoded size of updates, in bytes."""
     return sum(
-        _RUMOUR_OVERHEAD_BYTES + sum(map(_text_bytes, rumour)) for rumour in rumours
+        _UPDATE_OVERHEAD_BYTES + sum(map(_text_bytes, update)) for update in updates
     )
 
 
-_RUMOUR_OVERHEAD_BYTES = 16 * len(Rumour._fields)
+_UPDATE_OVERHEAD_BYTES = 16 * len(MemberUpdate._fields)
 
 
 def _text_bytes(value: object) -> int:
--- a/libs/membership/src/damaskjunction/membership/rumours.py
+++ b/libs/membership/src/damaskjunction/membership/update_queue.py
@@ -1,4 +1,4 @@
-"""Queue of rumours to gossip, each transmitted a bounded number of times."""
+"""Queue of updates to gossip, each transmitted a bounded number of times."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 from damaskjunction.membership.types import (
     Health,
     MemberState,
-    Rumour,
+    MemberUpdate,
     estimate_bytes,
     is_refutation,
 )
@@ -20,7 +20,7 @@
 
 
 class Urgency(IntEnum):
-    """Priority of rumours under a byte budget; lower values are sent first.
+    """Priority of updates under a byte budget; lower values are sent first.
 
     ``JUDGEMENT`` covers suspicions, deaths and refutations, and ``START`` the rest,
     such as the start of a host.
@@ -31,10 +31,10 @@
     START = 2
 
 
-class _QueuedRumour(NamedTuple):
-    """A queued rumour and the number of its transmissions."""
+class _QueuedUpdate(NamedTuple):
+    """A queued update and the number of its transmissions."""
 
-    rumour: Rumour
+    update: MemberUpdate
     urgency: Urgency
     n_transmits: int
 
@@ -44,53 +44,53 @@
         return self.urgency, self.n_transmits
 
 
-class RumourQueue:
-    """Holds the newest rumour about each host; urgent, less transmitted ones go first.
+class UpdateQueue:
+    """Holds the newest update about each host; urgent, less transmitted ones go first.
 
     The number of transmissions grows with the logarithm of the number of members, by
-    ``TRANSMIT_FACTOR``; for ``START`` rumours it is ``MAX_START_TRANSMITS``.
+    ``TRANSMIT_FACTOR``; for ``START`` updates it is ``MAX_START_TRANSMITS``.
     """
 
     def __init__(self) -> None:
-        self._queued_by_host: dict[HostId, _QueuedRumour] = {}
+        self._queued_by_host: dict[HostId, _QueuedUpdate] = {}
 
     def __len__(self) -> int:
         return len(self._queued_by_host)
 
-    def add(self, rumour: Rumour) -> None:
-        """Enqueue a rumour, replacing an older one about the same host."""
-        queued = _QueuedRumour(rumour, urgency_of(rumour), 0)
-        self._queued_by_host[rumour.host_id] = queued
+    def add(self, update: MemberUpdate) -> None:
+        """Enqueue an update, replacing an older one about the same host."""
+        queued = _QueuedUpdate(update, urgency_of(update), 0)
+        self._queued_by_host[update.host_id] = queued
 
     def has_pending(self, urgency: Urgency) -> bool:
-        """Return whether a rumour of at least this urgency is queued."""
+        """Return whether an update of at least this urgency is queued."""
         queued = self._queued_by_host.values()
         return any(entry.urgency <= urgency for entry in queued)
 
     def take(
         self, n_members: int, max_bytes: int, *, least_urgent: Urgency = Urgency.START
-    ) -> tuple[Rumour, ...]:
-        """Return the rumours for one datagram and count their transmission.
+    ) -> tuple[MemberUpdate, ...]:
+        """Return the updates for one datagram and count their transmission.
 
-        At most ``max_bytes`` bytes of rumours are returned, none less urgent than
-        ``least_urgent``. A rumour leaves the queue after its last transmission.
+        At most ``max_bytes`` bytes of updates are returned, none less urgent than
+        ``least_urgent``. An update leaves the queue after its last transmission.
         """
         max_transmits = TRANSMIT_FACTOR * math.ceil(math.log10(n_members + 1))
-        chosen: list[Rumour] = []
+        chosen: list[MemberUpdate] = []
         n_bytes = 0
         for entry in sorted(self._queued_by_host.values(), key=lambda e: e.rank):
-            n_bytes += estimate_bytes((entry.rumour,))
+            n_bytes += estimate_bytes((entry.update,))
             if n_bytes > max_bytes or entry.urgency > least_urgent:
                 break
-            chosen.append(entry.rumour)
+            chosen.append(entry.update)
             is_start = entry.urgency is Urgency.START
             self._count_transmit(
                 entry, MAX_START_TRANSMITS if is_start else max_transmits
             )
         return tuple(chosen)
 
-    def _count_transmit(self, entry: _QueuedRumour, max_transmits: int) -> None:
-        host_id = entry.rumour.host_id
+    def _count_transmit(self, entry: _QueuedUpdate, max_transmits: int) -> None:
+        host_id = entry.update.host_id
         if entry.n_transmits + 1 >= max_transmits:
             del self._queued_by_host[host_id]
         else:
@@ -98,10 +98,10 @@
             self._queued_by_host[host_id] = transmitted
 
 
-def urgency_of(rumour: Rumour) -> Urgency:
-    """Return the urgency of a rumour."""
-    if rumour.state is MemberState.LEAVING:
+def urgency_of(update: MemberUpdate) -> Urgency:
+    """Return the urgency of an update."""
+    if update.state is MemberState.LEAVING:
         return Urgency.LEAVING
-    if rumour.health is not Health.OK or is_refutation(rumour.incarnation):
+    if update.health is not Health.OK or is_refutation(update.incarnation):
         return Urgency.JUDGEMENT
     return Urgency.START
--- a/libs/node/src/damaskjunction/node/membership.py
+++ b/libs/node/src/damaskjunction/node/membership.py
@@ -179,8 +179,8 @@
         )
 
     def member_list(self) -> MemberList:
-        """Return rumours of all known hosts."""
-        return MemberList(tuple(self.detector.member_rumours()))
+        """Return updates of all known hosts."""
+        return MemberList(tuple(self.detector.member_updates()))
 
     def to_document(self) -> dict[str, Any]:
         """Return the state as a JSON document for the dump."""
@@ -230,7 +230,7 @@
             return False
         assert isinstance(response, MemberList)
         self._execute(
-            self.detector.merge_member_list(response.rumours, self._timers.now())
+            self.detector.merge_member_list(response.updates, self._timers.now())
         )
         return True
 
--- a/libs/wire/src/damaskjunction/wire/control.py
+++ b/libs/wire/src/damaskjunction/wire/control.py
@@ -8,11 +8,11 @@
 from typing import NamedTuple
 
 from damaskjunction.core import DataCentre, Revision
-from damaskjunction.membership import Datagram, DocumentRevision, Rumour
+from damaskjunction.membership import Datagram, DocumentRevision, MemberUpdate
 from damaskjunction.wire.codec import register_message
 from damaskjunction.wire.messages import HostStatus
 
-for _message_type in (DocumentRevision, Rumour, Datagram):
+for _message_type in (DocumentRevision, MemberUpdate, Datagram):
     register_message(_message_type)
 
 
@@ -25,7 +25,7 @@
 class MemberList(NamedTuple):
     """The complete member list of a host, its own entry first."""
 
-    rumours: tuple[Rumour, ...]
+    updates: tuple[MemberUpdate, ...]
 
 
 @register_message
--- a/libs/wire/src/damaskjunction/wire/peer.thrift
+++ b/libs/wire/src/damaskjunction/wire/peer.thrift
@@ -128,7 +128,7 @@
 }
 
 // Gossip about one host; addresses are empty if the receiver knows them.
-struct Rumour {
+struct MemberUpdate {
   1: string host_id
   2: i64 incarnation
   3: string state
@@ -148,7 +148,7 @@
   2: i64 sequence
   3: string target
   4: list<DocumentRevision> documents
-  5: list<Rumour> rumours
+  5: list<MemberUpdate> updates
 }
 
 // Asks a host for its complete member list.
@@ -157,7 +157,7 @@
 
 // The complete member list of a host, its own entry first.
 struct MemberList {
-  1: list<Rumour> rumours
+  1: list<MemberUpdate> updates
 }
 
 // Asks a host for a revision of a document newer than base_revision.
