--- a/libs/wire/features/codec.feature
+++ b/libs/wire/features/codec.feature
@@ -17,3 +17,7 @@
   Scenario: An oversized list count is rejected without iterating
     When a list that declares 2000000000 zero-byte elements is decoded
     Then each input gave a message or a decode error
+
+  Scenario: A message of an older version lacks a field that was added with a default
+    When a granted slot without its newest field is decoded
+    Then the slot's runner is "r1" and nothing of its request is watched
--- a/libs/wire/features/steps/codec_steps.py
+++ b/libs/wire/features/steps/codec_steps.py
@@ -13,6 +13,7 @@
     Failure,
     Frame,
     HostStatus,
+    SlotGranted,
     decode_frame,
     decode_message,
     encode_frame,
@@ -104,3 +105,14 @@
 @then("the memory peak stayed below {size:d} MB")
 def check_memory(context, size):
     assert context.peak_bytes < size * 1024 * 1024, context.peak_bytes
+
+
+@when("a granted slot without its newest field is decoded")
+def decode_older_message(context):
+    body = encode_message(SlotGranted("r1", None))
+    context.message = decode_message("SlotGranted", body)
+
+
+@then('the slot\'s runner is "{runner}" and nothing of its request is watched')
+def check_older_message(context, runner):
+    assert context.message == SlotGranted(runner, ()), context.message
--- a/libs/wire/src/damaskjunction/wire/codec.py
+++ b/libs/wire/src/damaskjunction/wire/codec.py
@@ -2,8 +2,9 @@
 
 A message is a ``NamedTuple`` whose fields have the names and order of the thrift
 struct of the same name in ``peer.thrift``. A field may hold a tuple of messages, which
-is encoded as a list of their structs. The structs are loaded when the module is
-imported, so no generated code is needed.
+is encoded as a list of their structs. A field that was added later needs a default,
+which stands for it in messages of hosts that run an older version. The structs are
+loaded when the module is imported, so no generated code is needed.
 """
 
 from __future__ import annotations
@@ -128,14 +129,21 @@
 
 
 def _to_message(kind: str, struct: Any) -> Message:
+    """Return the message of a struct; a field that is missing has its default."""
     message_type = message_types.get(kind)
-    values = (getattr(struct, name) for name in message_type._fields)
-    return message_type(*map(_convert, values, _conversions_by_kind[kind]))
+    defaults = message_type._field_defaults
+    values = []
+    for name, conversion in zip(
+        message_type._fields, _conversions_by_kind[kind], strict=True
+    ):
+        value = getattr(struct, name)
+        if value is None and name not in defaults:
+            raise ValueError(f"missing field {name}")
+        values.append(defaults[name] if value is None else _convert(value, conversion))
+    return message_type(*values)
 
 
 def _convert(value: Any, conversion: _Conversion) -> Any:
-    if value is None:
-        raise ValueError("missing field")
     if conversion.element:
         return tuple(_to_message(conversion.element, struct) for struct in value)
     return conversion.enum(value) if conversion.enum is not None else value
