Move the progress and the body of a runner's answer into a module

The seconds since a runner's first event, the pause timer and the stream's body stand in answer_stream now; asking whether runners are limited costs nothing while none is.

--- a/libs/gateway/src/damaskjunction/gateway/request_execution.py
+++ b/libs/gateway/src/damaskjunction/gateway/request_execution.py
@@ -4,17 +4,21 @@
 
 import asyncio
 import logging
-from collections.abc import AsyncGenerator, AsyncIterator, Callable
+from collections.abc import AsyncGenerator
 
 from damaskjunction.core import (
     Outcome,
     RequestError,
     Runner,
     RunnerId,
-    Subscription,
-    Timers,
 )
 from damaskjunction.core.units import MILLISECOND_S
+from damaskjunction.gateway.answer_stream import (
+    FIRST_EVENT_TIMEOUT_S,
+    AnswerProgress,
+    InactivityTimer,
+    StreamBody,
+)
 from damaskjunction.gateway.crash_reporter import LostRequest
 from damaskjunction.gateway.dispatch_context import DispatchContext
 from damaskjunction.gateway.runner_client import (
@@ -36,7 +40,6 @@
 logger = logging.getLogger(__name__)
 
 HOP_ALLOWANCE_S = 2 * MILLISECOND_S  # subtracted from the runner's remaining time
-FIRST_EVENT_TIMEOUT_S = 0.6
 FIRST_EVENT_GOAL_FACTOR = 2.0
 EVENT_GAP_TIMEOUT_S = 0.4
 EVENT_GAP_GOAL_FACTOR = 2.0
@@ -44,8 +47,6 @@
 MIN_RESPONSE_TIMEOUT_S = 0.25
 MIN_REMAINING_S = 0.02  # with less time left, no attempt is started
 MAX_RUNNERS_TRIED = 12
-# A runner that has been answering a request for so long is not crashed by it.
-ANSWERING_S = 0.2
 DIAGNOSIS_WAIT_S = 0.1
 MAX_CRASHES = 2  # runners that may crash under one request before its answer
 
@@ -80,7 +81,7 @@
         self._runner_response: RunnerResponse | None = None
         self._last_event_id = routed.request.last_event_id
         self._n_events = 0
-        self._answering_since_s: float | None = None
+        self._progress = AnswerProgress(context.timers)
 
     async def run(self) -> Response:
         """Return the response for the caller; the body of a stream is read later."""
@@ -112,7 +113,12 @@
             and runner_response.head.status == 200
         ):
             self._runner_response = runner_response
-            return Response(200, StreamBody(self), None, runner_response.head.headers)
+            return Response(
+                200,
+                StreamBody(self.events(), self.release),
+                None,
+                runner_response.head.headers,
+            )
         body = await self._context.runner_client.read_body(
             runner_response, max(0.0, self._remaining_s())
         )
@@ -138,7 +144,7 @@
         remaining_s = self._remaining_s()
         if remaining_s < MIN_REMAINING_S:
             raise RunnerFailedError(Outcome.NOT_RUN, "no_time_left")
-        self._runner, self._answering_since_s = runner, None
+        self._runner, self._progress = runner, AnswerProgress(self._timers)
         home_id = self._slot.home_id if self._slot is not None else ""
         self._log("sent", home=home_id, left_ms=round(remaining_s * 1000.0))
         return await self._context.runner_client.send(
@@ -182,23 +188,17 @@
             detail=error.detail,
             parts=",".join(self._routed.request.shared_parts),
             n_events=self._n_events,
-            answering_s=self._answering_s(),
+            answering_s=self._progress.answering_s,
         )
         if error.reason in CONNECTION_LOST_REASONS:
             await self._report_lost()
         await self.release()
 
-    def _answering_s(self) -> float | None:
-        """Return the seconds since the runner's first event, None before it."""
-        if self._answering_since_s is None:
-            return None
-        return round(self._timers.now() - self._answering_since_s, 4)
-
     async def _report_lost(self) -> None:
         """Report a lost connection; before a retry, wait until it is diagnosed."""
         if self._runner is None:
             return
-        is_answered = (self._answering_s() or 0.0) >= ANSWERING_S
+        is_answered = self._progress.is_answered
         lost = LostRequest(self._routed.traits, is_answered)
         diagnosis = self._context.crash_reporter.report_lost(self._runner, lost)
         if not is_answered and self._may_retry():
@@ -334,9 +334,8 @@
 
     def _record_events(self, n_events: int) -> None:
         self._n_events += n_events
-        if self._answering_since_s is None:
-            self._answering_since_s = self._timers.now()
-        elif self._timers.now() - self._answering_since_s >= ANSWERING_S:
+        self._progress.record_event()
+        if self._progress.is_answered:
             self._report_answered()
 
     def _gap_stall_timeout_s(self, remaining_s: float) -> float:
@@ -411,53 +410,3 @@
             "version": self._context.state.table.version,
         }
         logger.info(f"request {event}", extra={**extra, **fields})
-
-
-class StreamBody:
-    """The body of a stream; ``aclose`` also releases one that was never iterated."""
-
-    def __init__(self, execution: RequestExecution) -> None:
-        self._execution = execution
-        self._events = execution.events()
-
-    def __aiter__(self) -> AsyncIterator[bytes]:
-        return self
-
-    async def __anext__(self) -> bytes:
-        return await anext(self._events)
-
-    async def aclose(self) -> None:
-        """Abort the stream and release what the request holds."""
-        await self._events.aclose()
-        await self._execution.release()
-
-
-class InactivityTimer:
-    """Calls back once when ``touch`` was not called for FIRST_EVENT_TIMEOUT_S."""
-
-    def __init__(self, timers: Timers, callback: Callable[[], None]) -> None:
-        self._timers = timers
-        self._callback = callback
-        self._last_activity_at_s = timers.now()
-        self._subscription: Subscription | None = timers.once(
-            FIRST_EVENT_TIMEOUT_S, self._check
-        )
-
-    def touch(self) -> None:
-        """Restart the timeout."""
-        self._last_activity_at_s = self._timers.now()
-
-    def cancel(self) -> None:
-        """Cancel the callback."""
-        if self._subscription is not None:
-            self._subscription.cancel()
-
-    def _check(self) -> None:
-        idle_s = self._timers.now() - self._last_activity_at_s
-        if idle_s < FIRST_EVENT_TIMEOUT_S:
-            self._subscription = self._timers.once(
-                FIRST_EVENT_TIMEOUT_S - idle_s, self._check
-            )
-            return
-        self._subscription = None
-        self._callback()
--- a/libs/gateway/src/damaskjunction/gateway/runner_selector.py
+++ b/libs/gateway/src/damaskjunction/gateway/runner_selector.py
@@ -113,7 +113,7 @@
         )
 
     def _has_limited_runner(self, service: ServiceName) -> bool:
-        return any(
+        return not self._observed_limits.is_empty and any(
             self._observed_limits.is_limited(runner.runner_id)
             for runner in self._state.runners_of(service)
         )
--- a/libs/gateway/src/damaskjunction/gateway/slot_client.py
+++ b/libs/gateway/src/damaskjunction/gateway/slot_client.py
@@ -305,6 +305,8 @@
 
     def _limits_of(self, service: ServiceName) -> tuple[RunnerLimit, ...]:
         """Return the limits that runners of a service have named to this host."""
+        if self._observed_limits.is_empty:
+            return ()
         runner_ids = {r.runner_id for r in self._state.runners_of(service)}
         return self._observed_limits.of_runners(runner_ids, self._timers.now())
 
--- a/libs/routing/src/damaskjunction/routing/rate_limits.py
+++ b/libs/routing/src/damaskjunction/routing/rate_limits.py
@@ -43,6 +43,11 @@
     def __init__(self) -> None:
         self._observations_by_runner: dict[RunnerId, _Observation] = {}
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether no runner has named a limit lately."""
+        return not self._observations_by_runner
+
     def record(self, runner_id: RunnerId, limit_per_s: float, now_s: float) -> bool:
         """Record what an answer named; return whether that is a change.
 
@@ -63,8 +68,6 @@
         self, runner_ids: Collection[RunnerId], now_s: float
     ) -> tuple[RunnerLimit, ...]:
         """Return the newest observations of these runners, ``MAX_REPORTED`` at most."""
-        if not self._observations_by_runner:
-            return ()
         for runner_id, known in list(self._observations_by_runner.items()):
             if now_s - known.at_s > OBSERVATION_TTL_S:
                 del self._observations_by_runner[runner_id]
