Refuse what is past its time also while others wait in vain

While requests that gave way wait in vain, one of the first rank that was past its latest start stayed in the queue. Found on reading the diff; no run showed it.

--- a/libs/routing/src/damaskjunction/routing/slots.py
+++ b/libs/routing/src/damaskjunction/routing/slots.py
@@ -193,13 +193,12 @@
 
     def expire(self, now_s: float) -> list[SlotEffect]:
         """Refuse the online requests that can no longer start in time."""
-        late = [t for t in self._waiting_online.values() if now_s > t.start_by_s]
+        waiting = self._waiting_online.values()
+        late = [t for t in waiting if now_s > t.start_by_s]
         if late and now_s - self._low_rank_granted_at_s > STARVATION_S:
             self._starved_at_s = now_s
         if self._is_starving(now_s):
-            late = [
-                t for t in self._waiting_online.values() if _priority_rank(t, now_s)
-            ]
+            late = [t for t in waiting if t in late or _priority_rank(t, now_s)]
         for ticket in late:
             del self._waiting_online[ticket.request_id]
         refusals = [
