--- a/libs/gateway/features/steps/fleet_steps.py
+++ b/libs/gateway/features/steps/fleet_steps.py
@@ -5,6 +5,7 @@
 import asyncio
 
 from behave import given, then, when
+from fleet_helpers import clear_stream_faults, received, run, set_faults
 from platform_fleet import (
     ENGINE,
     PLAIN,
@@ -15,20 +16,10 @@
     make_route,
 )
 
-from damaskjunction.standins import Mode, make_prompt_header
-
 STEP_TIMEOUT_S = 40.0
 QUIET_PERIOD_S = 0.5
 
 
-def run(context, work):
-    async def bounded():
-        async with asyncio.timeout(STEP_TIMEOUT_S):
-            return await work
-
-    return context.asyncio_runner.run(bounded())
-
-
 @given("a fleet of {n_hosts:d} hosts on the platform")
 def start_fleet(context, n_hosts):
     async def start():
@@ -50,125 +41,6 @@
         run(context, context.platform.add_runner(name, PLAIN, slots=8))
 
 
-@given('an engine "{name}" whose answers are "{script}"')
-def add_raw_engine(context, name, script):
-    run(context, context.platform.add_raw_runner(name, ENGINE, script))
-
-
-@given('a plain runner "{name}" whose answers are "{script}"')
-def add_raw_plain(context, name, script):
-    run(context, context.platform.add_raw_runner(name, PLAIN, script))
-
-
-@given('an engine "{name}" whose answers are "{script}" and whose reports have no end')
-def add_engine_with_endless_reports(context, name, script):
-    work = context.platform.add_raw_runner(
-        name, ENGINE, script, has_endless_reports=True
-    )
-    run(context, work)
-
-
-@when('runner "{name}" has had a request and an engine "{other}" joins')
-def add_engine_after_request(context, name, other):
-    raw_runner = context.platform.raw_runners[name]
-    run(context, context.platform.wait_for(lambda: raw_runner.n_requests))
-    add_engines(context, other)
-
-
-@then("the caller gets no complete answer within {limit_s:g} s")
-def check_no_whole_answer(context, limit_s):
-    assert context.took_s <= limit_s, context.took_s
-    assert context.reply.status != 200 or not context.reply.is_complete, context.reply
-
-
-@then('runner "{name}" has closed connections and sent at most {megabytes:d} MB in all')
-def check_bytes_written(context, name, megabytes):
-    runner = context.platform.raw_runners[name]
-    run(context, asyncio.sleep(QUIET_PERIOD_S))
-    assert runner.n_bytes_written <= megabytes * 1e6, runner.n_bytes_written
-    assert not runner.n_answering, runner.n_answering
-
-
-@given('engines "{names}" with {slots:d} slots')
-def add_engines_with_slots(context, names, slots):
-    for name in names.split(","):
-        run(context, context.platform.add_runner(name, ENGINE, slots=slots))
-
-
-@given('plain runners "{names}" with {slots:d} slots')
-def add_plain_with_slots(context, names, slots):
-    for name in names.split(","):
-        run(context, context.platform.add_runner(name, PLAIN, slots=slots))
-
-
-@given('runner "{name}" names a limit of {limit:g} requests a second')
-def set_limit(context, name, limit):
-    context.platform.runners[name].faults["limit_per_s"] = limit
-
-
-@when(
-    'callers send {rate:d} requests a second to "{path}" at both hosts for '
-    "{seconds:d} s"
-)
-def send_at_rate(context, rate, path, seconds):
-    now = context.platform.timers.now
-
-    async def call(number):
-        began_at_s = now()
-        reply = await context.platform.call(
-            f"h{number % 2}", "POST", f"{path}{number}", request_id=f"q{number}"
-        )
-        return reply, now() - began_at_s
-
-    async def work():
-        calls = []
-        for number in range(rate * seconds):
-            calls.append(asyncio.ensure_future(call(number)))
-            await asyncio.sleep(1.0 / rate)
-        context.timed_replies = await asyncio.gather(*calls)
-
-    run(context, work())
-
-
-@then(
-    'in any 4 s from second {start:d} on runner "{name}" gets at most {most:d} '
-    "requests and at least {least:d}"
-)
-def check_rate(context, start, name, most, least):
-    window = 4.0
-    times_s = context.platform.runners[name].run_times_s
-    starts_s = [at_s for at_s in times_s if at_s >= times_s[0] + start]
-    last_s = starts_s[-1] if starts_s else 0.0
-    counts = [
-        sum(begin_s <= at_s < begin_s + window for at_s in times_s)
-        for begin_s in starts_s
-        if begin_s + window <= last_s + 1.0
-    ]
-    assert counts and max(counts) <= most and min(counts) >= least, counts
-
-
-@then(
-    "the callers' requests are served or refused within {limit_s:g} s, {share:d} of 10 "
-    "are served"
-)
-def check_prompt_replies(context, limit_s, share):
-    replies = context.timed_replies
-    n_served = sum(reply.status == 200 and reply.is_complete for reply, _ in replies)
-    assert max(took_s for _, took_s in replies) <= limit_s
-    assert all(reply.status in (200, 503) for reply, _ in replies)
-    assert n_served >= share * len(replies) / 10, n_served
-
-
-def set_faults(context, fault, value):
-    for runner in context.platform.runners.values():
-        runner.faults[fault] = value
-
-
-def clear_stream_faults(context):
-    for fault in ("break_after", "silent_after"):
-        set_faults(context, fault, 0)
-
-
 @given("every engine breaks streams after event {number:d}")
 def break_streams(context, number):
     set_faults(context, "break_after", number)
@@ -194,30 +66,11 @@
     set_faults(context, "fail", status)
 
 
-@given('engines end when they answer a prompt with the part "{part}"')
-def set_deadly_part(context, part):
-    set_faults(context, "deadly_part", part)
-
-
-@given("no item can succeed")
-def fail_items(context):
-    set_faults(context, "impossible", 1)
-
-
 @given('the address of "{name}" now belongs to another runner')
 def reassign_address(context, name):
     context.platform.runners[name].runner_id = "another"
 
 
-def received(context, request_id):
-    return [
-        entry
-        for runner in context.platform.runners.values()
-        for entry in runner.recorded_runs
-        if entry[0] == request_id
-    ]
-
-
 @when('a caller requests "{path}" at "{host}" as "{request_id}"')
 def send_request(context, path, host, request_id):
     began_at_s = context.platform.timers.now()
@@ -466,37 +319,6 @@
     context.reply = run(context, work)
 
 
-@given("every engine crashes on each request")
-def crash_engines(context):
-    set_faults(context, "crash", 1)
-
-
-@given("every engine aborts each request")
-def abort_requests(context):
-    set_faults(context, "abort", 1)
-
-
-@when("every engine recovers")
-def recover_engines(context):
-    set_faults(context, "abort", 0)
-
-
-@when('a caller requests "{path}" {count:d} times at different hosts')
-def send_repeatedly(context, path, count):
-    names = list(context.platform.hosts)
-    for number in range(count):
-        host = names[number % len(names)]
-        work = context.platform.call(host, "POST", path, request_id=f"q{number}")
-        run(context, work)
-        run(context, asyncio.sleep(0.05))
-
-
-@then('the engines received "{path}" {minimum:d} or {maximum:d} times')
-def check_crashes(context, path, minimum, maximum):
-    n_received = sum(len(r.recorded_runs) for r in context.platform.runners.values())
-    assert minimum <= n_received <= maximum, n_received
-
-
 @given(
     "the operator sets the timeout of all routes to {timeout_s:g} s as version "
     "{version:d}"
@@ -628,234 +450,3 @@
             )
 
     run(context, work())
-
-
-# Batch
-
-
-@when('the job "{job_id}" of {count:d} items is submitted at "{host}"')
-def submit(context, job_id, count, host):
-    context.reply = run(context, context.platform.submit(host, job_id, count))
-
-
-@when(
-    'the job "{job_id}" of {count:d} items of {tokens:d} tokens is submitted at '
-    '"{host}"'
-)
-def submit_sized(context, job_id, count, tokens, host):
-    work = context.platform.submit(host, job_id, count, tokens=tokens)
-    context.reply = run(context, work)
-
-
-@then("it is accepted")
-def check_accepted(context):
-    assert context.reply.status == 202, context.reply
-
-
-@then("it is refused with {status:d}")
-def check_refused(context, status):
-    assert context.reply.status == status, context.reply
-
-
-@then('each host returns the same {count:d} complete results of "{job_id}"')
-def check_results(context, job_id, count):
-    text = "\n".join(f"token {number}" for number in range(1, 11))
-    results_documents = [
-        run(context, context.platform.wait_for_results(host, job_id, count))
-        for host in context.platform.hosts
-    ]
-    assert all(
-        results_document == results_documents[0]
-        for results_document in results_documents
-    ), results_documents
-    assert results_documents[0]["Total"] == count, results_documents[0]
-    for result in results_documents[0]["Results"]:
-        assert result["State"] == "completed", result
-        assert result["Text"] == text, result
-    names = {result["Id"] for result in results_documents[0]["Results"]}
-    assert names == {f"{job_id}-{number}" for number in range(count)}, names
-
-
-@then('the job "{job_id}" has {count:d} failed results')
-def check_failed(context, job_id, count):
-    results_document = run(
-        context, context.platform.wait_for_results("h0", job_id, count)
-    )
-    assert [r["State"] for r in results_document["Results"]] == ["errored"] * count, (
-        results_document
-    )
-
-
-@then('the job "{job_id}" is marked as done')
-def check_done(context, job_id):
-    store = context.platform.store
-    run(
-        context,
-        context.platform.wait_for(
-            lambda: (store.status("batch-jobs", job_id) or {}).get("is_done")
-        ),
-    )
-
-
-@then("no item ran twice")
-def check_no_repeat(context):
-    names = [
-        request_id
-        for runner in context.platform.runners.values()
-        for request_id, _ in runner.recorded_runs
-    ]
-    assert len(names) == len(set(names)), names
-
-
-@given("the store loses the next response")
-def lose_response(context):
-    context.platform.store.faults["lose_answers"] = 1
-
-
-@given('the store can\'t be reached from "{host}"')
-def disconnect_store(context, host):
-    context.platform.proxies[host].set_mode(Mode.CLOSED)
-
-
-@given("the store refuses every call")
-def refuse_store_calls(context):
-    context.platform.store.refuse_calls()
-
-
-@when("the store is back")
-def restore_store(context):
-    context.platform.store.faults["refuse"] = 0
-
-
-@then('no host knows the job "{job_id}"')
-def check_unknown(context, job_id):
-    async def work():
-        async with asyncio.timeout(STEP_TIMEOUT_S):
-            while True:
-                results_documents = [
-                    await context.platform.results(host, job_id)
-                    for host in context.platform.hosts
-                ]
-                if set(results_documents) == {404}:
-                    return
-                assert set(results_documents) <= {404, 503}, results_documents
-                await asyncio.sleep(0.05)
-
-    run(context, work())
-
-
-@when('the host "{host}" fails and all engines recover')
-def fail_host(context, host):
-    run(context, context.platform.kill_host(host))
-    clear_stream_faults(context)
-
-
-@when("an engine has broken the stream of an item and all engines recover")
-def recover_after_break(context):
-    def has_received():
-        return any(r.recorded_runs for r in context.platform.runners.values())
-
-    run(context, context.platform.wait_for(has_received))
-    run(context, asyncio.sleep(0.15))  # the events before the break, 0.02 s each
-    clear_stream_faults(context)
-
-
-@when('the job "{job_id}" is cancelled at "{host}"')
-def cancel_job(context, job_id, host):
-    path = f"/damaskjunction/lots/{job_id}"
-    reply = run(context, context.platform.call(host, "DELETE", path))
-    assert reply.status == 200, reply
-
-
-@then("no more items of the job start")
-def check_stopped(context):
-    runners = context.platform.runners.values()
-    run(
-        context,
-        context.platform.wait_for(lambda: not any(r.n_running for r in runners)),
-    )
-    n_received = sum(len(runner.recorded_runs) for runner in runners)
-    run(context, asyncio.sleep(QUIET_PERIOD_S))
-    assert sum(len(runner.recorded_runs) for runner in runners) == n_received
-
-
-@when('every host knows the job "{job_id}"')
-def wait_known(context, job_id):
-    def is_known():
-        return all(
-            job_id in h.job_repository.jobs_by_id
-            for h in context.platform.hosts.values()
-        )
-
-    run(context, context.platform.wait_for(is_known))
-
-
-@when("items of the job are running")
-def wait_running(context):
-    runners = context.platform.runners.values()
-    run(context, context.platform.wait_for(lambda: any(r.n_running for r in runners)))
-
-
-@then('each host returns the body of item "{item_id}" of "{job_id}"')
-def check_body(context, item_id, job_id):
-    path = f"/damaskjunction/items/{job_id}?Id={item_id}"
-    for host in context.platform.hosts:
-        reply = run(context, context.platform.call(host, "GET", path))
-        assert reply.status == 200, reply
-        assert reply.body == b"item", reply
-
-
-def make_prompt(parts, number):
-    return make_prompt_header([*parts.split(","), f"own{number}"])
-
-
-@when('both hosts get {count:d} prompts "{deadly}", each before one "{sound}"')
-def send_deadly_and_sound(context, count, deadly, sound):
-    async def send(parts, number):
-        name = f"h{number % 2}"
-        headers = make_prompt(parts, number)
-        return await context.platform.call(
-            name, "POST", f"/ask/{number}", headers=headers, request_id=f"q{number}"
-        )
-
-    async def work():
-        context.replies = []
-        for number in range(count):
-            await send(deadly, 2 * number)
-            context.replies.append(await send(sound, 2 * number + 1))
-
-    run(context, work())
-
-
-@when("all hosts are killed and started again")
-def restart_all_hosts(context):
-    fleet = context.platform
-    names = list(fleet.hosts)
-
-    async def work():
-        for name in names:
-            await fleet.kill_host(name)
-        for name in names:
-            await fleet.start_host(name)
-        await fleet.wait_for(
-            lambda: all(
-                len(host.view.serving_hosts()) == len(names)
-                and host.view.is_ready
-                and len(host.view.fleet.runners_by_id) == len(fleet.runners)
-                for host in fleet.hosts.values()
-            )
-        )
-
-    run(context, work())
-
-
-@then('at most {count:d} prompts with the part "{part}" ran after the fifth crash')
-def check_deadly_runs(context, count, part):
-    n_ends = sum(runner.n_ends for runner in context.platform.runners.values())
-    assert n_ends <= 5 + count, n_ends
-
-
-@then("the last {count:d} prompts without it are answered completely")
-def check_last_replies(context, count):
-    replies = context.replies[-count:]
-    assert all(reply.status == 200 and reply.is_complete for reply in replies), replies
