--- a/libs/lab/src/damaskjunction/lab/soak/rig.py
+++ b/libs/lab/src/damaskjunction/lab/soak/rig.py
@@ -204,7 +204,10 @@
         process = self.processes[name]
         if process.returncode is not None:
             return
-        status = Path(f"/proc/{process.pid}/status").read_text()
+        try:
+            status = Path(f"/proc/{process.pid}/status").read_text()
+        except (FileNotFoundError, ProcessLookupError):
+            return  # a kill by another fault came first
         _, field, value = status.partition("VmHWM:")
         if field:
             peak_bytes = int(value.split()[0]) * KIB
