Do not take an item whose wait for a slot was cancelled for done

After a cut two hosts ran the same job. The second ask for a slot of an item replaced the first at the home and cancelled its future; where the home was the first host itself, the cancellation ended the item's task, a task group takes a cancelled child for finished, and the job was marked as done without the item: never placed again, as in the report from a system like ours.

Now a replaced request is refused, which its holder may retry, and a job is done only when each item has a result.

--- a/libs/gateway/features/batch.feature
+++ b/libs/gateway/features/batch.feature
@@ -90,6 +90,12 @@
     And the engines have crashed on 8 attempts and crash no more
     Then each host returns the same 1 complete results of "j1"
 
+  Scenario: Items whose slots another host asks for as well are still placed
+    When the job "j1" of 2 items is submitted at the home of its service
+    And another host asks for slots for the same 2 items of "j1"
+    And an engine "e1" joins
+    Then each host returns the same 2 complete results of "j1"
+
   Scenario Outline: Items get past a runner whose answers have no end
     Given an engine "r1" whose answers are "<script>"
     When the job "j1" of 2 items is submitted at "h0"
--- a/libs/gateway/features/steps/batch_steps.py
+++ b/libs/gateway/features/steps/batch_steps.py
@@ -6,8 +6,12 @@
 
 from behave import given, then, when
 from fleet_helpers import clear_stream_faults, run, set_faults
+from platform_fleet import ENGINE
 
+from damaskjunction.core import WorkClass
+from damaskjunction.routing import slot_homes
 from damaskjunction.standins import Mode
+from damaskjunction.wire import PeerLinks, SlotAsk
 
 STEP_TIMEOUT_S = 40.0
 QUIET_PERIOD_S = 0.5
@@ -188,3 +192,45 @@
         reply = run(context, context.platform.call(host, "GET", path))
         assert reply.status == 200, reply
         assert reply.body == b"item", reply
+
+
+def home_of_engines(context):
+    host = next(iter(context.platform.hosts.values()))
+    view = host.view
+    return slot_homes(ENGINE, view.serving_hosts(), view.power_by_host)[0]
+
+
+@when('the job "{job_id}" of {count:d} items is submitted at the home of its service')
+def submit_at_home(context, job_id, count):
+    home = home_of_engines(context)
+    submit(context, job_id, count, home.host_id)
+
+    def is_waiting():
+        slots = context.platform.hosts[home.host_id].dump.to_document()["slots"]
+        return slots.get(ENGINE, {}).get("n_batch_waiting") == count
+
+    run(context, context.platform.wait_for(is_waiting))
+
+
+@when('another host asks for slots for the same {count:d} items of "{job_id}"')
+def ask_for_same_items(context, count, job_id):
+    links = PeerLinks(context.platform.timers)
+    peer = home_of_engines(context).peer
+
+    async def ask(item_id):
+        slot_ask = SlotAsk(item_id, ENGINE, WorkClass.BATCH, (), (), 5.0, 5.0)
+        call = links.call(peer, "batch", slot_ask)
+        await anext(call)
+        await call.aclose()
+
+    async def work():
+        for number in range(count):
+            await ask(f"{job_id}-{number}")
+        links.close()
+
+    run(context, work())
+
+
+@when('an engine "{name}" joins')
+def join_engine(context, name):
+    run(context, context.platform.add_runner(name, ENGINE))
--- a/libs/gateway/src/damaskjunction/gateway/job_worker.py
+++ b/libs/gateway/src/damaskjunction/gateway/job_worker.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import logging
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from typing import TypeAlias, TypeVar
 
 from damaskjunction.batch import BatchItem
@@ -163,19 +163,26 @@
         if not self._jobs.pop_created(job_id):
             await self._retry(self._jobs.results.read, job_id)
         self._ids_with_cached_results.add(job_id)
+        # A task that was cancelled ends its group like one that has finished.
+        while remaining := self._without_result(job_id, items):
+            await self._run_items(job, remaining)
+        await self._retry(self._mark_done, job_id)
+        logger.info("job complete", extra={"job": job_id})
+
+    def _without_result(
+        self, job_id: JobId, items: Sequence[BatchItem]
+    ) -> list[BatchItem]:
         finished_ids = {result.item_id for result in self._jobs.results.cached(job_id)}
-        remaining = [item for item in items if item.item_id not in finished_ids]
-        writer = ResultWriter(self._jobs.results, job_id, self.back_off, len(remaining))
-        logger.info(
-            "job runs",
-            extra={"job": job_id, "n_items": len(items), "n_listed": len(finished_ids)},
-        )
+        return [item for item in items if item.item_id not in finished_ids]
+
+    async def _run_items(self, job: StoredJob, items: Sequence[BatchItem]) -> None:
+        job_id = job.record.job_id
+        writer = ResultWriter(self._jobs.results, job_id, self.back_off, len(items))
+        logger.info("job runs", extra={"job": job_id, "n_remaining": len(items)})
         async with asyncio.TaskGroup() as group:
-            for item in remaining:
+            for item in items:
                 group.create_task(self._run_item(job, item, writer))
         await writer.flush()
-        await self._retry(self._mark_done, job_id)
-        logger.info("job complete", extra={"job": job_id})
 
     async def _mark_done(self, job_id: JobId) -> None:
         await self._jobs.update_status(job_id, is_done=True)
--- a/libs/gateway/src/damaskjunction/gateway/slot_home.py
+++ b/libs/gateway/src/damaskjunction/gateway/slot_home.py
@@ -46,6 +46,7 @@
 REPORT_POLL_PERIOD_S = 0.5
 QUEUE_WARNING_PERIOD_S = 1.0
 REPORT_TIMEOUT_S = 0.4
+REPLACED_RETRY_AFTER_S = 0.3
 
 
 class SlotReservation:
@@ -149,6 +150,7 @@
         pool.observe_limits(ask.limits, now_s)
         former = self._reservations_by_id.get(ask.request_id)
         if former is not None:
+            self._refuse_replaced(former)
             former.close()
         reservation = SlotReservation(self, pool, ask.request_id, revoked)
         self._reservations_by_id[ask.request_id] = reservation
@@ -174,6 +176,18 @@
             return None
         return RefuseSlot(ask.request_id, "crashes_runners", blocked_s)
 
+    def _refuse_replaced(self, former: SlotReservation) -> None:
+        """Refuse a request that waits, since another host asks for the same one.
+
+        A cancelled future would end the task that waits for it, and an item with it.
+        """
+        if not former.granted.done():
+            error = RequestError(
+                Outcome.NOT_RUN, "replaced", retry_after_s=REPLACED_RETRY_AFTER_S
+            )
+            former.granted.set_exception(error)
+            former.granted.exception()  # the holder may be gone already
+
     def release(self, reservation: SlotReservation) -> None:
         """Release a slot, or remove a request from the queue."""
         if self._reservations_by_id.get(reservation.request_id) is not reservation:
