Tell what each owed batch item waits for

The log of the incident could not tell an item that waits for a slot from one at a runner or one whose attempt ends: nothing was written for 28 s. Each host now knows the state, the place, the reason and the age of each item that it owes: in the dump (owed_items, by id), as the gauges items_owed and oldest_owed_item_s, and as a line of the log each 5 s that an item stays in one state. The home logs the counts of its pool also when only batch items wait. No change of what is decided.

--- a/libs/gateway/src/damaskjunction/gateway/item_runner.py
+++ b/libs/gateway/src/damaskjunction/gateway/item_runner.py
@@ -16,6 +16,7 @@
 from damaskjunction.core.units import MIB
 from damaskjunction.gateway.dispatch_context import DispatchContext
 from damaskjunction.gateway.job_repository import StoredJob
+from damaskjunction.gateway.owed_items import ItemState, OwedItem
 from damaskjunction.gateway.result_writer import BackOff
 from damaskjunction.gateway.runner_client import (
     CONNECTION_LOST_REASONS,
@@ -67,8 +68,9 @@
     crashed attempts since the last event, ``n_failures`` the responses with status 500.
     """
 
-    def __init__(self, item: BatchItem, started_at_s: float) -> None:
+    def __init__(self, item: BatchItem, owed: OwedItem, started_at_s: float) -> None:
         self.item = item
+        self.owed = owed
         self.started_at_s = started_at_s
         self.texts: list[str] = []
         self.last_event_id: int | None = None
@@ -105,9 +107,9 @@
         self._back_off = back_off
         self._semaphore = asyncio.Semaphore(MAX_ITEMS_AT_ONCE)
 
-    async def run(self, job: StoredJob, item: BatchItem) -> ItemResult:
+    async def run(self, job: StoredJob, item: BatchItem, owed: OwedItem) -> ItemResult:
         """Run an item, retrying at other runners, until it has a result."""
-        progress = _ItemProgress(item, self._timers.now())
+        progress = _ItemProgress(item, owed, self._timers.now())
         async with self._semaphore:
             outcome = await self._run_with_retries(job, progress)
         text = "\n".join(progress.texts) if outcome.is_whole else ""
@@ -138,18 +140,22 @@
             if retention_s and remaining_s <= 0:
                 return AttemptOutcome(False, True, "retention over")
             if route is None:
+                progress.owed.enter(ItemState.NO_ROUTE)
                 await asyncio.sleep(min(max(remaining_s, 0.0) + 0.01, 1.0))
                 continue
             if progress.n_crashes >= N_PROMPT_RETRIES:
                 doublings = min(progress.n_crashes - N_PROMPT_RETRIES, 8)
                 delay_s = RETRY_DELAY_S * 2.0**doublings
+                progress.owed.enter(ItemState.DELAYED)
                 await asyncio.sleep(min(delay_s, MAX_RETRY_DELAY_S))
             outcome = await self._attempt(job, route, progress)
+            progress.owed.reason = outcome.reason
             if outcome.is_final:
                 return outcome
             if progress.n_failures >= route.max_attempts:
                 return AttemptOutcome(False, True, "failed at each attempt")
             if outcome.reason != "revoked":
+                progress.owed.enter(ItemState.DELAYED)
                 await self._back_off(min(n_retries, 3))
                 n_retries += 1
 
@@ -161,6 +167,7 @@
         except RequestError as error:
             return AttemptOutcome(False, False, error.reason)
         progress.excluded_runners.clear()
+        progress.owed.enter(ItemState.RUNNING, place=slot.runner_id)
         revoked = asyncio.ensure_future(slot.revoked.wait())
         work = asyncio.ensure_future(self._send_and_collect(job, route, progress, slot))
         try:
@@ -172,6 +179,7 @@
             self._record_failure(route, progress, slot, error)
             return AttemptOutcome(False, False, error.reason)
         finally:
+            progress.owed.enter(ItemState.CLOSING, place=slot.runner_id)
             await cancel_tasks([work, revoked])
             await slot.close()
 
@@ -181,16 +189,18 @@
         record = job.record
         request = item_request(progress.item, record.host)
         due_at_s = record.sent_at_s + route.completion_target_s
+        ask = SlotAsk(
+            request_id=progress.item.item_id,
+            service_name=route.service_for(stable_hash(progress.item.item_id)),
+            work_class=WorkClass.BATCH,
+            parts=request.shared_parts,
+            avoid=tuple(progress.excluded_runners),
+            start_within_s=ATTEMPT_TIMEOUT_S,
+            due_in_s=due_at_s - self._timers.wall(),
+        )
         return await self._slot_client.acquire(
-            SlotAsk(
-                request_id=progress.item.item_id,
-                service_name=route.service_for(stable_hash(progress.item.item_id)),
-                work_class=WorkClass.BATCH,
-                parts=request.shared_parts,
-                avoid=tuple(progress.excluded_runners),
-                start_within_s=ATTEMPT_TIMEOUT_S,
-                due_in_s=due_at_s - self._timers.wall(),
-            )
+            ask,
+            lambda home: progress.owed.enter(ItemState.WAITING_FOR_SLOT, place=home),
         )
 
     async def _send_and_collect(
--- a/libs/gateway/src/damaskjunction/gateway/job_worker.py
+++ b/libs/gateway/src/damaskjunction/gateway/job_worker.py
@@ -17,6 +17,7 @@
 from damaskjunction.gateway.dispatch_context import DispatchContext
 from damaskjunction.gateway.item_runner import ItemRunner
 from damaskjunction.gateway.job_repository import JobRepository, StoredJob
+from damaskjunction.gateway.owed_items import ItemState, OwedItems
 from damaskjunction.gateway.result_writer import ResultWriter
 from damaskjunction.node import TaskSet, cancel_tasks
 
@@ -53,6 +54,7 @@
         self._ids_with_cached_results: set[JobId] = set()
         self._orphaned_at_by_job: dict[JobId, float] = {}
         self._runner = ItemRunner(context, self.back_off)
+        self.owed_items = OwedItems(context.timers, context.metrics)
         self._check: Subscription | None = None
         self._takeovers = TaskSet()
         self.is_draining = False
@@ -60,6 +62,7 @@
 
     async def start(self) -> None:
         """Start the periodic check for orphaned jobs, after ``FIRST_CHECK_DELAY_S``."""
+        await self.owed_items.start()
         self._check = self._timers.once(FIRST_CHECK_DELAY_S, self._start_checks)
 
     async def close(self) -> None:
@@ -68,6 +71,7 @@
             self._check.cancel()
         await cancel_tasks(self._tasks_by_job.values())
         await self._takeovers.close()
+        await self.owed_items.close()
 
     async def drain(self, timeout_s: float) -> None:
         """Start no more jobs; stop running the others after ``timeout_s``."""
@@ -207,4 +211,7 @@
     async def _run_item(
         self, job: StoredJob, item: BatchItem, writer: ResultWriter
     ) -> None:
-        await writer.add(await self._runner.run(job, item))
+        with self.owed_items.track(job.record.job_id, item.item_id) as owed:
+            result = await self._runner.run(job, item, owed)
+            owed.enter(ItemState.STORING)
+            await writer.add(result)
--- /dev/null
+++ b/libs/gateway/src/damaskjunction/gateway/owed_items.py
@@ -0,0 +1,143 @@
+"""The items that this host owes: what each waits for, since when, and why."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Iterator
+from contextlib import contextmanager
+from enum import StrEnum
+from typing import TypedDict
+
+from damaskjunction.core import JobId, Subscription, Timers
+from damaskjunction.telemetry import Metrics
+
+logger = logging.getLogger(__name__)
+
+CHECK_PERIOD_S = 1.0
+LONG_WAIT_S = 5.0
+MAX_LINES_PER_CHECK = 20
+
+
+class ItemState(StrEnum):
+    """What an owed item is doing or waiting for."""
+
+    QUEUED = "queued on this host"
+    NO_ROUTE = "its route is not in force"
+    DELAYED = "delayed before a retry"
+    WAITING_FOR_SLOT = "waiting for a slot"
+    RUNNING = "at a runner"
+    CLOSING = "ending an attempt"
+    STORING = "waiting for the store"
+
+
+class OwedItemDocument(TypedDict):
+    """An owed item in the dump; times are in seconds."""
+
+    job: JobId
+    state: str
+    reason: str
+    place: str
+    since_s: float
+    owed_s: float
+
+
+class OwedItem:
+    """The progress of one owed item.
+
+    ``place`` is the host or the runner that the item is at, ``reason`` the outcome of
+    its last attempt.
+    """
+
+    def __init__(self, item_id: str, job_id: JobId, timers: Timers) -> None:
+        self.item_id = item_id
+        self.job_id = job_id
+        self.state = ItemState.QUEUED
+        self.reason = ""
+        self.place = ""
+        self._timers = timers
+        self._owed_at_s = timers.now()
+        self.changed_at_s = self._owed_at_s
+        self.logged_at_s = self._owed_at_s
+
+    def enter(self, state: ItemState, *, place: str = "") -> None:
+        """Record a change of state."""
+        self.state = state
+        self.place = place
+        self.changed_at_s = self.logged_at_s = self._timers.now()
+
+    @property
+    def owed_s(self) -> float:
+        """Seconds since this host began to owe the item."""
+        return self._timers.now() - self._owed_at_s
+
+    def to_document(self) -> OwedItemDocument:
+        """Return the item for the dump and the log."""
+        return {
+            "job": self.job_id,
+            "state": self.state.value,
+            "reason": self.reason,
+            "place": self.place,
+            "since_s": round(self._timers.now() - self.changed_at_s, 3),
+            "owed_s": round(self.owed_s, 3),
+        }
+
+
+class OwedItems:
+    """The items owed by this host; logs those that stay in one state for long.
+
+    Parameters
+    ----------
+    timers : Timers
+        The process's timer service.
+    metrics : Metrics
+        Receives the number of owed items and the age of the oldest.
+    """
+
+    def __init__(self, timers: Timers, metrics: Metrics) -> None:
+        self._timers = timers
+        self._items: dict[OwedItem, None] = {}  # ordered by age
+        self._check: Subscription | None = None
+        metrics.gauge("items_owed", lambda: float(len(self._items)))
+        metrics.gauge("oldest_owed_item_s", lambda: self.oldest_s)
+
+    async def start(self) -> None:
+        """Start logging long waits."""
+        self._check = self._timers.every(CHECK_PERIOD_S, self._log_long_waits)
+
+    async def close(self) -> None:
+        """Stop logging."""
+        if self._check is not None:
+            self._check.cancel()
+
+    @property
+    def oldest_s(self) -> float:
+        """Seconds for which the oldest item has been owed, 0 without items."""
+        oldest = next(iter(self._items), None)
+        return 0.0 if oldest is None else oldest.owed_s
+
+    @contextmanager
+    def track(self, job_id: JobId, item_id: str) -> Iterator[OwedItem]:
+        """Track an item until the end of the block."""
+        item = OwedItem(item_id, job_id, self._timers)
+        self._items[item] = None
+        try:
+            yield item
+        finally:
+            del self._items[item]
+
+    def to_document(self) -> dict[str, OwedItemDocument]:
+        """Return all owed items for the dump, the oldest first."""
+        return {item.item_id: item.to_document() for item in self._items}
+
+    def _log_long_waits(self) -> None:
+        now_s = self._timers.now()
+        n_lines = 0
+        for item in self._items:
+            if now_s - item.logged_at_s < LONG_WAIT_S:
+                continue
+            item.logged_at_s = now_s
+            extra = {"item": item.item_id, **item.to_document()}
+            logger.warning("item waits long", extra=extra)
+            n_lines += 1
+            if n_lines >= MAX_LINES_PER_CHECK:
+                return
--- a/libs/gateway/src/damaskjunction/gateway/root.py
+++ b/libs/gateway/src/damaskjunction/gateway/root.py
@@ -309,6 +309,7 @@
         self.dump.sections.register("slots")(home.to_document)
         self.dump.sections.register("suspects")(self._suspects.to_document)
         self.dump.sections.register("slot_desk")(slot_client.to_document)
+        self.dump.sections.register("owed_items")(self._worker.owed_items.to_document)
         self.dump.sections.register("store_path")(transport.to_document)
         self.dump.sections.register("store_news")(self._change_feed.to_document)
         self.dump.sections.register("membership")(self._membership.to_document)
--- a/libs/gateway/src/damaskjunction/gateway/slot_client.py
+++ b/libs/gateway/src/damaskjunction/gateway/slot_client.py
@@ -10,7 +10,7 @@
 import asyncio
 import logging
 import random
-from collections.abc import AsyncGenerator
+from collections.abc import AsyncGenerator, Callable
 from typing import Any
 
 from damaskjunction.core import (
@@ -134,10 +134,13 @@
         self._tasks = TaskSet()
         state.view.subscribe(self._apply_view)
 
-    async def acquire(self, ask: SlotAsk) -> Slot:
+    async def acquire(
+        self, ask: SlotAsk, on_ask: Callable[[HostId], None] = lambda home: None
+    ) -> Slot:
         """Return a slot once it is granted.
 
         When no home can be reached, an online request gets a slot that no home counts.
+        ``on_ask`` is called with each host that is asked.
 
         Raises
         ------
@@ -148,6 +151,7 @@
         slot = Slot(self, ask, "")
         try:
             for host in self._candidate_homes(ask.service_name)[:MAX_HOMES_TRIED]:
+                on_ask(host.host_id)
                 if await self._request_from(host, ask, slot):
                     self._slots.add(slot)
                     return slot
--- a/libs/gateway/src/damaskjunction/gateway/slot_home.py
+++ b/libs/gateway/src/damaskjunction/gateway/slot_home.py
@@ -45,6 +45,7 @@
 EXPIRY_PERIOD_S = 0.1
 REPORT_POLL_PERIOD_S = 0.5
 QUEUE_WARNING_PERIOD_S = 1.0
+BATCH_QUEUE_LOG_PERIOD_S = 5.0
 REPORT_TIMEOUT_S = 0.4
 REPLACED_RETRY_AFTER_S = 0.3
 
@@ -252,13 +253,23 @@
         now_s = self._timers.now()
         for service, pool in self._pools_by_service.items():
             self._apply_effects(pool.expire(now_s))
-            if (
-                pool.counts.n_online_waiting
-                and now_s - self._warned_at_s > QUEUE_WARNING_PERIOD_S
-            ):
-                self._warned_at_s = now_s
-                extra = {"service": service, **pool.to_document()}
-                logger.warning("online requests wait for slots", extra=extra)
+            counts = pool.counts
+            if counts.n_online_waiting or counts.n_batch_waiting:
+                self._log_queue(service, pool, now_s)
+
+    def _log_queue(self, service: ServiceName, pool: SlotPool, now_s: float) -> None:
+        """Log a queue, once in a while: one of online requests more often."""
+        has_online = pool.counts.n_online_waiting > 0
+        period_s = QUEUE_WARNING_PERIOD_S if has_online else BATCH_QUEUE_LOG_PERIOD_S
+        if now_s - self._warned_at_s <= period_s:
+            return
+        self._warned_at_s = now_s
+        is_home = service in self._home_services
+        extra = {"service": service, "is_home": is_home, **pool.to_document()}
+        if has_online:
+            logger.warning("online requests wait for slots", extra=extra)
+        else:
+            logger.info("batch items wait for slots", extra=extra)
 
     def _poll_reports(self) -> None:
         """Poll the runners of the services whose home is this host."""
