Ask again for a slot where the home has moved

Cause: an ask for a slot that is queued stays with the host that it was sent to. Slots that are held move when the home of their service moves, asks that wait did not, and they had no limit. The former home no longer reads its runners' reports, so what these counted last keeps its slots taken for good, and nobody asks again. Class: a wait that is bound to a place whose role has moved on. Change: a wait in a queue ends when another host is the home, and after 4 s; the ask is then made anew, at the home of that time, and after 4 s without the runners that it excluded.

--- a/libs/gateway/src/damaskjunction/gateway/slot_client.py
+++ b/libs/gateway/src/damaskjunction/gateway/slot_client.py
@@ -10,7 +10,8 @@
 import asyncio
 import logging
 import random
-from collections.abc import AsyncGenerator, Callable
+from collections.abc import AsyncGenerator, AsyncIterator, Callable
+from contextlib import asynccontextmanager
 from typing import Any
 
 from damaskjunction.core import (
@@ -41,12 +42,17 @@
 logger = logging.getLogger(__name__)
 
 FIRST_REPLY_TIMEOUT_S = 0.2
+ASK_AGAIN_S = 4.0  # for a slot, which also lets excluded runners be used again
 HOME_SUSPECT_TIME_S = 1.5
 MAX_HOMES_TRIED = 2
 HEALTH_REPORT_TIMEOUT_S = 1.0
 NO_HOME_RETRY_AFTER_S = 0.3
 
 
+class _AskAgainError(Exception):
+    """The wait for a slot has ended without one, and the ask is to be repeated."""
+
+
 class Slot:
     """A slot that was granted, held until ``close``.
 
@@ -128,6 +134,7 @@
         self._observed_limits = observed_limits
         self._rng = rng
         self._slots: set[Slot] = set()
+        self._home_by_wait: dict[asyncio.Timeout, tuple[ServiceName, HostId]] = {}
         self._ranked_homes_by_service: dict[ServiceName, list[EntryHost]] = {}
         self._suspect_until_by_host: dict[HostId, float] = {}
         self._unhealthy: set[RunnerId] = set()
@@ -140,13 +147,25 @@
         """Return a slot once it is granted.
 
         When no home can be reached, an online request gets a slot that no home counts.
-        ``on_ask`` is called with each host that is asked.
+        ``on_ask`` is called with each host that is asked. A queued ask is repeated at
+        the new home when the home changes, and after ``ASK_AGAIN_S``.
 
         Raises
         ------
         RequestError
             ``NOT_RUN`` when the slot is refused.
         """
+        asked_at_s = self._timers.now()
+        next_ask = ask
+        while True:
+            try:
+                return await self._acquire_once(next_ask, on_ask)
+            except _AskAgainError:
+                next_ask = _age(ask, self._timers.now() - asked_at_s)
+
+    async def _acquire_once(
+        self, ask: SlotAsk, on_ask: Callable[[HostId], None]
+    ) -> Slot:
         ask = ask._replace(limits=self._limits_of(ask.service_name))
         slot = Slot(self, ask, "")
         try:
@@ -221,6 +240,9 @@
         if host.host_id == self._state.view.own.host_id:
             reservation = self._home.request(ask, slot.revoked)
             slot.reservation = reservation
+            if not reservation.granted.done():
+                async with self._queued(host, ask):
+                    await asyncio.wait((reservation.granted,))
             slot.runner_id = await reservation.granted
             slot.watched = reservation.watched
         else:
@@ -240,8 +262,9 @@
         try:
             async with asyncio.timeout(FIRST_REPLY_TIMEOUT_S):
                 reply = await anext(replies)
-            while isinstance(reply, SlotQueued):
-                reply = await anext(replies)
+            if isinstance(reply, SlotQueued):
+                async with self._queued(host, ask):
+                    reply = await anext(replies)
             if not isinstance(reply, SlotGranted):
                 raise RequestError(Outcome.UNKNOWN, "bad_reply", repr(reply))
             return replies, reply
@@ -255,6 +278,35 @@
             await replies.aclose()
             raise
 
+    @asynccontextmanager
+    async def _queued(self, host: EntryHost, ask: SlotAsk) -> AsyncIterator[None]:
+        """Bound a wait in the queue of a home, which ends when the home changes.
+
+        Raises
+        ------
+        _AskAgainError
+            When the wait ended so.
+        """
+        try:
+            async with asyncio.timeout(ASK_AGAIN_S) as wait:
+                self._home_by_wait[wait] = (ask.service_name, host.host_id)
+                try:
+                    yield
+                finally:
+                    del self._home_by_wait[wait]
+        except TimeoutError:
+            extra = {"request": ask.request_id, "home": host.host_id}
+            logger.info("slot asked for again", extra=extra)
+            raise _AskAgainError from None
+
+    def _end_misplaced_waits(self) -> None:
+        """End the waits at hosts that are not the home any more."""
+        for wait, (service, host_id) in self._home_by_wait.items():
+            home = self.home_of(service)
+            is_misplaced = home is not None and home.host_id != host_id
+            if is_misplaced and not wait.expired():
+                wait.reschedule(asyncio.get_running_loop().time())
+
     async def _watch_call(
         self, host: EntryHost, slot: Slot, call: AsyncGenerator[Message, None]
     ) -> None:
@@ -270,6 +322,7 @@
 
     def _apply_view(self) -> None:
         self._ranked_homes_by_service.clear()
+        self._end_misplaced_waits()
         self._rehome_slots()
 
     def _rehome_slots(self) -> None:
@@ -348,6 +401,17 @@
             logger.info("runner health not reported", extra={"error": repr(error)})
 
 
+def _age(ask: SlotAsk, age_s: float) -> SlotAsk:
+    """Return an ask that is repeated ``age_s`` seconds after it was first made."""
+    is_excluding = age_s < ASK_AGAIN_S
+    return ask._replace(
+        avoid=ask.avoid if is_excluding else (),
+        start_within_s=ask.start_within_s - age_s,
+        due_in_s=ask.due_in_s - age_s,
+        goal_in_s=ask.goal_in_s - age_s,
+    )
+
+
 def _is_refusal(error: Exception) -> bool:
     """Return whether a home refused, as opposed to being unreachable."""
     return (
--- a/libs/standins/src/damaskjunction/standins/runner.py
+++ b/libs/standins/src/damaskjunction/standins/runner.py
@@ -41,7 +41,8 @@
     runner's process, which is back after ``RESTART_S``), ``deadly_part`` (id of a
     prompt part: the process ends when the first event of a request with it is due),
     ``limit_per_s`` (rate limit to name in each answer), ``endless`` (1: answers have no
-    end and hold no event).
+    end and hold no event), ``foreign`` (number of requests of unknown hosts that its
+    reports count).
 
     Parameters
     ----------
@@ -95,6 +96,7 @@
             "deadly_part",
             "limit_per_s",
             "endless",
+            "foreign",
         )
         self.n_ends = 0
         self._address = address
@@ -150,7 +152,8 @@
 
     async def _serve(self, request: Request) -> Response:
         if request.path == REPORT_PATH:
-            return to_json_response({"Running": self.n_running, "Waiting": 0})
+            n_running = self.n_running + self.faults["foreign"]
+            return to_json_response({"Running": n_running, "Waiting": 0})
         headers = request.headers
         request_id = headers.get("x-request-id", "")
         if headers.get("x-expect-instance", self.runner_id) != self.runner_id:
