Forget what runners reported to a host that is no longer asked

Cause: the requests that a report counts beyond the pool's own keep slots taken until the next report. Only the home polls, so at a host that stops being the home the last counts stay for ever, though it is still asked by hosts that go by another view, or while the home is suspected. Class: knowledge that outlives the role that kept it fresh. Change: a report that no other follows is forgotten after 2 s, and a host polls the runners of each service for which requests wait or hold slots there, not just of those it is home of. Test: slots, a runner's last report does not occupy slots for ever; before, nothing was granted after 2.5 s.

--- a/libs/gateway/src/damaskjunction/gateway/slot_home.py
+++ b/libs/gateway/src/damaskjunction/gateway/slot_home.py
@@ -272,8 +272,13 @@
             logger.info("batch items wait for slots", extra=extra)
 
     def _poll_reports(self) -> None:
-        """Poll the runners of the services whose home is this host."""
-        for service in self._home_services:
+        """Poll the runners of the services that are asked for here.
+
+        They include those whose home is elsewhere, as long as hosts go by another view.
+        """
+        for service, pool in self._pools_by_service.items():
+            if service not in self._home_services and not pool.counts.n_requests:
+                continue
             spec = self._state.table.services_by_name.get(service)
             if spec is None or spec.engine is None:
                 continue
--- a/libs/routing/features/slots.feature
+++ b/libs/routing/features/slots.feature
@@ -91,6 +91,14 @@
     When runner "a" reports 1 requests
     Then "r1" are granted
 
+  Scenario: A runner's last report does not occupy slots for ever
+    Given a pool with runners "a:8"
+    When runner "a" reports 8 requests
+    And batch requests "b1" ask for slots
+    Then nothing is granted
+    When 2.5 s passes
+    Then "b1" are granted
+
   Scenario: Recently released slots are not counted twice
     Given a pool with runners "a:2"
     When online requests "r1,r2" ask for slots
--- a/libs/routing/src/damaskjunction/routing/slot_types.py
+++ b/libs/routing/src/damaskjunction/routing/slot_types.py
@@ -60,3 +60,9 @@
     n_batch: int
     n_online_waiting: int
     n_batch_waiting: int
+
+    @property
+    def n_requests(self) -> int:
+        """Number of requests that hold a slot or wait for one."""
+        n_held = self.n_online + self.n_batch
+        return n_held + self.n_online_waiting + self.n_batch_waiting
--- a/libs/routing/src/damaskjunction/routing/slots.py
+++ b/libs/routing/src/damaskjunction/routing/slots.py
@@ -35,6 +35,7 @@
 MAX_BATCH_QUEUE = 4096
 TAKEOVER_GRACE_S = 0.4
 REPORT_LAG_S = 0.3
+MAX_REPORT_AGE_S = 2.0
 STARVATION_S = 1.0  # for so long, what waited in vain predicts the next
 REPEATED_RANK = 1
 LATE_RANK = 2
@@ -73,6 +74,7 @@
         self._rate_limiter = RateLimiter()
         self._mean_hold_s = INITIAL_HOLD_TIME_S
         self._unseen_by_runner: dict[RunnerId, int] = {}
+        self._reported_at_by_runner: dict[RunnerId, float] = {}
         self._recent_releases: deque[tuple[float, RunnerId]] = deque()
         self._batch_starts_at_s = 0.0
         self._low_rank_granted_at_s = -math.inf
@@ -99,7 +101,7 @@
         self._prefix_cache.retain_runners(slots_by_runner)
         self._rate_limiter.retain_runners(slots_by_runner)
         for runner_id in self._unseen_by_runner.keys() - slots_by_runner.keys():
-            del self._unseen_by_runner[runner_id]
+            self._forget_report(runner_id)
         return self._dispatch(now_s)
 
     def submit(self, ticket: SlotTicket, now_s: float) -> list[SlotEffect]:
@@ -144,7 +146,8 @@
         """Process a runner's own count of requests, which lags slightly.
 
         Requests beyond those that held a slot here within ``REPORT_LAG_S`` are unseen:
-        this pool did not grant their slots, and must not grant them again.
+        this pool did not grant their slots, and must not grant them again. A report
+        that is not followed by another is forgotten after ``MAX_REPORT_AGE_S``.
         """
         while (
             self._recent_releases and now_s - self._recent_releases[0][0] > REPORT_LAG_S
@@ -154,8 +157,13 @@
             name == runner_id for _, name in self._recent_releases
         )
         self._unseen_by_runner[runner_id] = max(0, n_requests - n_known)
+        self._reported_at_by_runner[runner_id] = now_s
         return self._dispatch(now_s)
 
+    def _forget_report(self, runner_id: RunnerId) -> None:
+        del self._unseen_by_runner[runner_id]
+        del self._reported_at_by_runner[runner_id]
+
     def observe_limits(self, limits: Iterable[RunnerLimit], now_s: float) -> None:
         """Apply the rate limits that runners have named; they take effect at once."""
         known = (limit for limit in limits if limit.runner_id in self._slots_by_runner)
@@ -192,7 +200,10 @@
         self._ejection.record_success(runner_id)
 
     def expire(self, now_s: float) -> list[SlotEffect]:
-        """Refuse the online requests that can no longer start in time."""
+        """Refuse online requests that can't start in time, and forget old reports."""
+        for runner_id, reported_at_s in list(self._reported_at_by_runner.items()):
+            if now_s - reported_at_s > MAX_REPORT_AGE_S:
+                self._forget_report(runner_id)
         waiting = self._waiting_online.values()
         late = [t for t in waiting if now_s > t.start_by_s]
         if late and now_s - self._low_rank_granted_at_s > STARVATION_S:
