Hold a slot at one home alone, whichever moves meanwhile

What callers saw: nothing by itself; found while the cause of items left lying was traced. Cause: a slot's move to a new home did not know of a move that was still under way. The later one overwrote the earlier one's call, which stayed open: its home counted the slot as taken until the connection ended. The same class: a slot whose call was lost while no other home was known, and one that was granted while the home moved, stayed where they were until the next change of the fleet. Change: one move of a slot at a time, repeated until it is at the home of that time; a lost call, a grant and the end of a home's suspicion are reasons to look. The waits in queues are a module of their own. Test: slot moves; before, the overtaken move left a call open, and random runs ended with slots that no home counted. Features of gateway: all pass.

--- /dev/null
+++ b/libs/gateway/src/damaskjunction/gateway/queue_waits.py
@@ -0,0 +1,73 @@
+"""The waits of this host's asks for slots in the queues of homes."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from typing import NamedTuple
+
+from damaskjunction.core import EntryHost, HostId, ServiceName
+from damaskjunction.wire import SlotAsk
+
+logger = logging.getLogger(__name__)
+
+MAX_WAIT_S = 4.0  # in one queue; the next ask may use the excluded runners again
+
+
+class AskAgainError(Exception):
+    """A wait has ended without a slot, and the ask has to be repeated."""
+
+
+class _Place(NamedTuple):
+    """The queue that an ask waits in."""
+
+    service: ServiceName
+    home_id: HostId
+
+
+class QueueWaits:
+    """Ends the waits in the queues of hosts that are not the home any more."""
+
+    def __init__(self) -> None:
+        self._places_by_wait: dict[asyncio.Timeout, _Place] = {}
+
+    @asynccontextmanager
+    async def wait(self, ask: SlotAsk, home_id: HostId) -> AsyncIterator[None]:
+        """Bound the wait of the block in the queue of a home.
+
+        Raises
+        ------
+        AskAgainError
+            When the home has changed, or after ``MAX_WAIT_S``.
+        """
+        try:
+            async with asyncio.timeout(MAX_WAIT_S) as wait:
+                self._places_by_wait[wait] = _Place(ask.service_name, home_id)
+                try:
+                    yield
+                finally:
+                    del self._places_by_wait[wait]
+        except TimeoutError:
+            extra = {"request": ask.request_id, "home": home_id}
+            logger.info("slot asked for again", extra=extra)
+            raise AskAgainError from None
+
+    def end_misplaced(self, home_of: Callable[[ServiceName], EntryHost | None]) -> None:
+        """End the waits at other hosts than the home that ``home_of`` returns."""
+        for wait, place in self._places_by_wait.items():
+            home = home_of(place.service)
+            is_misplaced = home is not None and home.host_id != place.home_id
+            if is_misplaced and not wait.expired():
+                wait.reschedule(asyncio.get_running_loop().time())
+
+
+def age_ask(ask: SlotAsk, age_s: float) -> SlotAsk:
+    """Return an ask that is repeated ``age_s`` seconds after it was first made."""
+    return ask._replace(
+        avoid=ask.avoid if age_s < MAX_WAIT_S else (),
+        start_within_s=ask.start_within_s - age_s,
+        due_in_s=ask.due_in_s - age_s,
+        goal_in_s=ask.goal_in_s - age_s,
+    )
--- a/libs/gateway/src/damaskjunction/gateway/slot_client.py
+++ b/libs/gateway/src/damaskjunction/gateway/slot_client.py
@@ -10,8 +10,8 @@
 import asyncio
 import logging
 import random
-from collections.abc import AsyncGenerator, AsyncIterator, Callable
-from contextlib import asynccontextmanager
+from collections.abc import AsyncGenerator, Callable, Iterator
+from itertools import islice
 from typing import Any
 
 from damaskjunction.core import (
@@ -24,6 +24,7 @@
     Timers,
     WorkClass,
 )
+from damaskjunction.gateway.queue_waits import AskAgainError, QueueWaits, age_ask
 from damaskjunction.gateway.slot_home import SlotHome, SlotReservation
 from damaskjunction.gateway.state import ServingState
 from damaskjunction.gateway.suspect_registry import SuspectRegistry
@@ -42,17 +43,12 @@
 logger = logging.getLogger(__name__)
 
 FIRST_REPLY_TIMEOUT_S = 0.2
-ASK_AGAIN_S = 4.0  # for a slot, which also lets excluded runners be used again
 HOME_SUSPECT_TIME_S = 1.5
 MAX_HOMES_TRIED = 2
 HEALTH_REPORT_TIMEOUT_S = 1.0
 NO_HOME_RETRY_AFTER_S = 0.3
 
 
-class _AskAgainError(Exception):
-    """The wait for a slot has ended without one, and the ask is to be repeated."""
-
-
 class Slot:
     """A slot that was granted, held until ``close``.
 
@@ -72,6 +68,7 @@
         self.reservation: SlotReservation | None = None
         self.call: AsyncGenerator[Message, None] | None = None
         self.reader: asyncio.Task[None] | None = None
+        self.is_moving = False
         self.is_closed = False
 
     async def close(self) -> None:
@@ -134,7 +131,7 @@
         self._observed_limits = observed_limits
         self._rng = rng
         self._slots: set[Slot] = set()
-        self._home_by_wait: dict[asyncio.Timeout, tuple[ServiceName, HostId]] = {}
+        self._waits = QueueWaits()
         self._ranked_homes_by_service: dict[ServiceName, list[EntryHost]] = {}
         self._suspect_until_by_host: dict[HostId, float] = {}
         self._unhealthy: set[RunnerId] = set()
@@ -148,7 +145,7 @@
 
         When no home can be reached, an online request gets a slot that no home counts.
         ``on_ask`` is called with each host that is asked. A queued ask is repeated at
-        the new home when the home changes, and after ``ASK_AGAIN_S``.
+        the new home when the home changes, and after ``MAX_WAIT_S``.
 
         Raises
         ------
@@ -160,8 +157,8 @@
         while True:
             try:
                 return await self._acquire_once(next_ask, on_ask)
-            except _AskAgainError:
-                next_ask = _age(ask, self._timers.now() - asked_at_s)
+            except AskAgainError:
+                next_ask = age_ask(ask, self._timers.now() - asked_at_s)
 
     async def _acquire_once(
         self, ask: SlotAsk, on_ask: Callable[[HostId], None]
@@ -169,10 +166,12 @@
         ask = ask._replace(limits=self._limits_of(ask.service_name))
         slot = Slot(self, ask, "")
         try:
-            for host in self._candidate_homes(ask.service_name)[:MAX_HOMES_TRIED]:
+            homes = islice(self._candidate_homes(ask.service_name), MAX_HOMES_TRIED)
+            for host in homes:
                 on_ask(host.host_id)
                 if await self._request_from(host, ask, slot):
                     self._slots.add(slot)
+                    self._follow_home(slot)  # it may have moved meanwhile
                     return slot
         except BaseException:
             await slot.release()
@@ -194,14 +193,13 @@
         else:
             self._unhealthy.add(seen.runner_id)
         self._home.record_health(seen)
-        for host in self._candidate_homes(seen.service_name)[:1]:
-            if host.host_id != self._state.view.own.host_id:
-                self._tasks.begin(self._send_health_report(host, seen))
+        home = self.home_of(seen.service_name)
+        if home is not None and home.host_id != self._state.view.own.host_id:
+            self._tasks.begin(self._send_health_report(home, seen))
 
     def home_of(self, service: ServiceName) -> EntryHost | None:
         """Return the home of a service, None when none can be reached."""
-        homes = self._candidate_homes(service)
-        return homes[0] if homes else None
+        return next(self._candidate_homes(service), None)
 
     def to_document(self) -> dict[str, Any]:
         """Return the state for the dump."""
@@ -211,18 +209,18 @@
             "doubted_hosts": sorted(self._suspect_until_by_host),
         }
 
-    def _candidate_homes(self, service: ServiceName) -> list[EntryHost]:
-        """Return the candidate homes of a service, the current one first.
+    def _candidate_homes(self, service: ServiceName) -> Iterator[EntryHost]:
+        """Yield the candidate homes of a service, the current one first.
 
         Hosts that are suspect are left out.
         """
         now_s = self._timers.now()
         suspect_until_by_host = self._suspect_until_by_host
-        return [
+        return (
             host
             for host in self._ranked_homes(service)
             if suspect_until_by_host.get(host.host_id, 0.0) <= now_s
-        ]
+        )
 
     def _ranked_homes(self, service: ServiceName) -> list[EntryHost]:
         ranked = self._ranked_homes_by_service.get(service)
@@ -241,7 +239,7 @@
             reservation = self._home.request(ask, slot.revoked)
             slot.reservation = reservation
             if not reservation.granted.done():
-                async with self._queued(host, ask):
+                async with self._waits.wait(ask, host.host_id):
                     await asyncio.wait((reservation.granted,))
             slot.runner_id = await reservation.granted
             slot.watched = reservation.watched
@@ -263,7 +261,7 @@
             async with asyncio.timeout(FIRST_REPLY_TIMEOUT_S):
                 reply = await anext(replies)
             if isinstance(reply, SlotQueued):
-                async with self._queued(host, ask):
+                async with self._waits.wait(ask, host.host_id):
                     reply = await anext(replies)
             if not isinstance(reply, SlotGranted):
                 raise RequestError(Outcome.UNKNOWN, "bad_reply", repr(reply))
@@ -278,35 +276,6 @@
             await replies.aclose()
             raise
 
-    @asynccontextmanager
-    async def _queued(self, host: EntryHost, ask: SlotAsk) -> AsyncIterator[None]:
-        """Bound a wait in the queue of a home, which ends when the home changes.
-
-        Raises
-        ------
-        _AskAgainError
-            When the wait ended so.
-        """
-        try:
-            async with asyncio.timeout(ASK_AGAIN_S) as wait:
-                self._home_by_wait[wait] = (ask.service_name, host.host_id)
-                try:
-                    yield
-                finally:
-                    del self._home_by_wait[wait]
-        except TimeoutError:
-            extra = {"request": ask.request_id, "home": host.host_id}
-            logger.info("slot asked for again", extra=extra)
-            raise _AskAgainError from None
-
-    def _end_misplaced_waits(self) -> None:
-        """End the waits at hosts that are not the home any more."""
-        for wait, (service, host_id) in self._home_by_wait.items():
-            home = self.home_of(service)
-            is_misplaced = home is not None and home.host_id != host_id
-            if is_misplaced and not wait.expired():
-                wait.reschedule(asyncio.get_running_loop().time())
-
     async def _watch_call(
         self, host: EntryHost, slot: Slot, call: AsyncGenerator[Message, None]
     ) -> None:
@@ -317,41 +286,56 @@
                     slot.revoked.set()
         except RequestError as error:
             self._mark_suspect(host, repr(error))
+        if slot.call is call:
+            slot.home_id = ""
         if not slot.is_closed:
             self._rehome_slots()
 
     def _apply_view(self) -> None:
         self._ranked_homes_by_service.clear()
-        self._end_misplaced_waits()
+        self._follow_homes()
+
+    def _follow_homes(self) -> None:
+        """Move slots and asks to the homes of this time."""
+        self._waits.end_misplaced(self.home_of)
         self._rehome_slots()
 
     def _rehome_slots(self) -> None:
-        """Register slots that are held elsewhere at the current home."""
-        homes_by_service: dict[ServiceName, EntryHost | None] = {}
-        for slot in list(self._slots):
-            service = slot.ask.service_name
-            if service not in homes_by_service:
-                homes_by_service[service] = self.home_of(service)
-            home = homes_by_service[service]
-            if home is not None and home.host_id != slot.home_id:
-                slot.home_id = home.host_id
-                self._tasks.begin(self._rehome(slot, home))
-
-    async def _rehome(self, slot: Slot, home: EntryHost) -> None:
+        """Move slots that are held elsewhere to the current home."""
+        for slot in self._slots:
+            self._follow_home(slot)
+
+    def _follow_home(self, slot: Slot) -> None:
+        home = self.home_of(slot.ask.service_name)
+        is_misplaced = home is not None and home.host_id != slot.home_id
+        if is_misplaced and not slot.is_moving:
+            slot.is_moving = True
+            self._tasks.begin(self._rehome(slot))
+
+    async def _rehome(self, slot: Slot) -> None:
+        """Move a slot until it is at the home of that time; one move at a time."""
+        try:
+            while not slot.is_closed:
+                home = self.home_of(slot.ask.service_name)
+                if home is None or home.host_id == slot.home_id:
+                    return
+                await self._register_at(home, slot)
+        finally:
+            slot.is_moving = False
+            if slot.is_closed:
+                await slot.release()
+
+    async def _register_at(self, home: EntryHost, slot: Slot) -> None:
         await slot.release()
         limits = self._limits_of(slot.ask.service_name)
         ask = slot.ask._replace(held_runner=slot.runner_id, limits=limits)
         try:
-            is_held = await self._request_from(home, ask, slot)
+            if not await self._request_from(home, ask, slot):
+                slot.home_id = ""
         except RequestError as error:
+            slot.home_id = home.host_id
             extra = {"request": ask.request_id, "reason": error.reason}
             logger.info("slot not registered at its new home", extra=extra)
-            return
-        if slot.is_closed:
-            await slot.release()
-        elif not is_held:
-            slot.home_id = ""
-            self._rehome_slots()
 
     def _mark_suspect(self, host: EntryHost, error: str) -> None:
         until_s = self._timers.now() + HOME_SUSPECT_TIME_S
@@ -359,6 +343,7 @@
             extra = {"host": host.host_id, "error": error}
             logger.warning("home doubted", extra=extra)
         self._suspect_until_by_host[host.host_id] = until_s
+        self._timers.once(HOME_SUSPECT_TIME_S, self._follow_homes)
 
     def _limits_of(self, service: ServiceName) -> tuple[RunnerLimit, ...]:
         """Return the limits that runners of a service have named to this host."""
@@ -401,17 +386,6 @@
             logger.info("runner health not reported", extra={"error": repr(error)})
 
 
-def _age(ask: SlotAsk, age_s: float) -> SlotAsk:
-    """Return an ask that is repeated ``age_s`` seconds after it was first made."""
-    is_excluding = age_s < ASK_AGAIN_S
-    return ask._replace(
-        avoid=ask.avoid if is_excluding else (),
-        start_within_s=ask.start_within_s - age_s,
-        due_in_s=ask.due_in_s - age_s,
-        goal_in_s=ask.goal_in_s - age_s,
-    )
-
-
 def _is_refusal(error: Exception) -> bool:
     """Return whether a home refused, as opposed to being unreachable."""
     return (
