Echo the request's id in the refusals of the stand-in runner

Runners echo the id in all their answers; the stand-in did so only in those to requests that it ran. A test whose client asks for that proof needs it.

--- a/libs/standins/src/damaskjunction/standins/runner.py
+++ b/libs/standins/src/damaskjunction/standins/runner.py
@@ -156,10 +156,11 @@
             return to_json_response({"Running": n_running, "Waiting": 0})
         headers = request.headers
         request_id = headers.get("x-request-id", "")
+        refusal_headers = {"X-Request-Id": request_id, "X-Not-Run": "1"}
         if headers.get("x-expect-instance", self.runner_id) != self.runner_id:
-            return Response(421, headers={"X-Not-Run": "1"})
+            return Response(421, headers=refusal_headers)
         if self.faults["full"] or self.n_running >= self._slots:
-            return Response(503, headers={"X-Not-Run": "1"})
+            return Response(503, headers=refusal_headers)
         await request.body.read()
         last_event_id = headers.get("last-event-id", "")
         self.record_run(request_id, last_event_id)
