Believe an answer of a runner only if it is provably that to the request

Operators of systems like this one saw it: a faulty runner wrote an earlier refusal once more on a kept connection, and callers were told 'not run' for requests that had run, or the request ran at a second runner.

Cause: the client took 'not run' before it compared the request's id, believed the rate limit named there, and returned the connection to the pool with the true answer still to come. The same for errors and refusals without an id, for reports, and for batch items, whose own earlier refusal has the right id when they are sent to the same runner again.

Now an answer counts, with all its headers, only if it echoes the id, or if it has none, is no success and its request is the first on its connection. All else has an unknown outcome and ends the connection. Requests without an id, and those that were sent to the runner before, use a new connection.

--- a/libs/gateway/features/batch.feature
+++ b/libs/gateway/features/batch.feature
@@ -108,6 +108,12 @@
       | endless body |
       | endless drip |
 
+  Scenario: An item's earlier refusal is not believed when it is written once more
+    Given an engine "r1" whose answers are "each refused once, once more on its connection"
+    When the job "j1" of 1 items is submitted at "h0"
+    Then each host returns the same 1 complete results of "j1"
+    And runner "r1" has run 1 requests
+
   Scenario: A cancelled job starts no more items
     Given engines "e1"
     And every engine stalls after event 3
--- /dev/null
+++ b/libs/gateway/features/runner_client.feature
@@ -0,0 +1,40 @@
+Feature: The client of runners
+  An answer is believed only if it is proved to be that to the request.
+
+  Scenario Outline: An answer that is not to the request is not believed on a kept connection
+    Given a client of the runner "r1" whose answers are "<answer>"
+    When the request "q1" is sent to it
+    Then the request failed with outcome "not_run"
+    When the request "q2" is sent to it
+    Then the request failed with outcome "unknown"
+    And no limit of the runner was learned from the last answer
+    And the next request to the runner uses a new connection
+
+    Examples:
+      | answer                          |
+      | the first refusal once more     |
+      | a refusal without an id         |
+      | a misdirection without an id    |
+      | a bad request without an id     |
+      | an error without an id          |
+
+  Scenario: A refusal that echoes the request's id is believed on a kept connection
+    Given a client of the runner "r1" whose answers are "a refusal of its own"
+    When the request "q1" is sent to it
+    And the request "q2" is sent to it
+    Then the request failed with outcome "not_run"
+
+  Scenario: A request without an id is sent on a new connection, where its refusal is proved
+    Given a client of the runner "r1" whose answers are "a refusal without an id"
+    When the request "q1" is sent to it
+    And the request "" is sent to it
+    Then the request failed with outcome "not_run"
+    And the runner has had 2 connections
+
+  Scenario: A repeated refusal is not taken for a report, and its limit is not believed
+    Given a client of the runner "r1" whose answers are "the first refusal once more"
+    When the request "q1" is sent to it
+    And the runner's report is fetched
+    Then the report failed
+    And no limit of the runner was learned from the last answer
+    And the next request to the runner uses a new connection
--- a/libs/gateway/features/steps/trouble_steps.py
+++ b/libs/gateway/features/steps/trouble_steps.py
@@ -52,6 +52,12 @@
     assert not runner.n_answering, runner.n_answering
 
 
+@then('runner "{name}" has run {count:d} requests')
+def check_raw_runs(context, name, count):
+    n_runs = context.platform.raw_runners[name].n_runs
+    assert n_runs == count, n_runs
+
+
 @given('engines "{names}" with {slots:d} slots')
 def add_engines_with_slots(context, names, slots):
     for name in names.split(","):
--- a/libs/gateway/src/damaskjunction/gateway/item_runner.py
+++ b/libs/gateway/src/damaskjunction/gateway/item_runner.py
@@ -10,6 +10,7 @@
 from damaskjunction.core import (
     Outcome,
     RequestError,
+    RunnerId,
     WorkClass,
     stable_hash,
 )
@@ -76,7 +77,8 @@
         self.last_event_id: int | None = None
         self.n_failures = 0
         self.n_crashes = 0
-        self.excluded_runners: set[str] = set()
+        self.excluded_runners: set[RunnerId] = set()
+        self.runners_tried: set[RunnerId] = set()
         self.n_characters = 0
 
     def add_event(self, event: RawEvent) -> None:
@@ -219,12 +221,15 @@
             raise RunnerFailedError(Outcome.NOT_RUN, "runner_gone")
         extra = {"item": progress.item.item_id, "runner": runner.runner_id}
         logger.info("item sent", extra=extra)
+        is_repeated = runner.runner_id in progress.runners_tried
+        progress.runners_tried.add(runner.runner_id)
         runner_response = await self._runner_client.send(
             runner,
             item_request(progress.item, job.record.host),
             remaining_s=ATTEMPT_TIMEOUT_S,
             stall_s=STALL_TIMEOUT_S,
             last_event_id=progress.last_event_id,
+            new_connection=is_repeated,
         )
         try:
             if runner_response.head.status != 200:
--- a/libs/gateway/src/damaskjunction/gateway/request_execution.py
+++ b/libs/gateway/src/damaskjunction/gateway/request_execution.py
@@ -153,7 +153,8 @@
             remaining_s=remaining_s - HOP_ALLOWANCE_S,
             stall_s=self._head_stall_timeout_s(remaining_s),
             last_event_id=last_event_id,
-            new_connection=not routed.route.may_repeat,
+            new_connection=not routed.route.may_repeat
+            or self._runner_id in self._excluded,
         )
 
     def _head_stall_timeout_s(self, remaining_s: float) -> float:
--- a/libs/gateway/src/damaskjunction/gateway/runner_client.py
+++ b/libs/gateway/src/damaskjunction/gateway/runner_client.py
@@ -9,6 +9,7 @@
 from damaskjunction.core import (
     DamaskjunctionError,
     Outcome,
+    RequestId,
     Runner,
     RunnerId,
     Timers,
@@ -27,7 +28,6 @@
     CallerRequest,
     RunnerReport,
     RunnerResponseHead,
-    decode_rate_limit,
     decode_response_head,
     decode_runner_report,
     runner_headers,
@@ -123,13 +123,14 @@
         last_event_id : int, optional
             Resume the stream after this event.
         new_connection : bool, optional
-            Use a new connection; an idle one may be dead without being closed.
+            Use a new connection; an idle one may be dead without being closed, or may
+            have carried a request with the same id. One without an id always does.
 
         Raises
         ------
         RunnerFailedError
             When there is no response, the runner reports that it did no work, or the
-            response is encoded or not marked with the id of this request.
+            response is encoded or not provably that to this request.
         """
         headers = runner_headers(
             request,
@@ -145,7 +146,7 @@
                 headers=headers,
                 body=request.body,
                 stall_s=stall_s,
-                new_connection=new_connection,
+                new_connection=new_connection or not request.request_id,
             )
         except ConnectFailedError as error:
             raise RunnerFailedError(
@@ -160,9 +161,10 @@
                 Outcome.UNKNOWN, "no_answer", str(error), is_fault=True
             ) from None
         head = decode_response_head(response.status, response.headers)
+        _check_origin(head, response, request.request_id)
         if head.rate_limit_per_s is not None and not head.is_misdirected:
             self._record_limit(runner.runner_id, head.rate_limit_per_s)
-        await self._check_head(head, response, request, runner.runner_id)
+        await self._check_head(head, response)
         if head.rate_limit_per_s is None:
             self._record_limit(runner.runner_id, NO_LIMIT_PER_S)
         return RunnerResponse(runner, head, response)
@@ -185,18 +187,21 @@
             response = await self._client.send(
                 runner.address, "GET", REPORT_PATH, stall_s=REPORT_STALL_TIMEOUT_S
             )
+            head = decode_response_head(response.status, response.headers)
+            if head.status != 200 or head.request_id:
+                response.close()  # perhaps the answer to another request
+                detail = f"status {head.status} for request {head.request_id!r}"
+                raise RunnerFailedError(Outcome.NOT_RUN, "no_report", detail)
             body = await response.read(MAX_REPORT_BYTES)
         except (ConnectFailedError, BrokenResponseError) as error:
             raise RunnerFailedError(
                 Outcome.NOT_RUN, "no_report", str(error), is_fault=True
             ) from None
-        limit_per_s = decode_rate_limit(response.headers)
-        if limit_per_s is not None:
-            self._record_limit(runner.runner_id, limit_per_s)
-        report = decode_runner_report(response.status, body)
+        report = decode_runner_report(head.status, body)
         if report is None:
-            detail = f"status {response.status}"
-            raise RunnerFailedError(Outcome.NOT_RUN, "no_report", detail)
+            raise RunnerFailedError(Outcome.NOT_RUN, "no_report", "malformed")
+        if head.rate_limit_per_s is not None:
+            self._record_limit(runner.runner_id, head.rate_limit_per_s)
         return report
 
     async def read_body(
@@ -237,22 +242,15 @@
             )
 
     async def _check_head(
-        self,
-        head: RunnerResponseHead,
-        response: ClientResponse,
-        request: CallerRequest,
-        runner_id: RunnerId,
+        self, head: RunnerResponseHead, response: ClientResponse
     ) -> None:
         if head.is_not_run:
             await self._discard_body(response)
             reason = "other_runner" if head.is_misdirected else "runner_full"
             raise RunnerFailedError(Outcome.NOT_RUN, reason, f"{head.status}")
-        is_mismatched = head.request_id not in ("", request.request_id)
-        is_unstamped = head.status < 300 and not head.request_id
-        if is_mismatched or is_unstamped or head.is_encoded:
+        if head.is_encoded:
             response.close()
-            detail = f"status {head.status} for request {head.request_id!r}"
-            raise RunnerFailedError(Outcome.UNKNOWN, "foreign_answer", detail)
+            raise RunnerFailedError(Outcome.UNKNOWN, "encoded_answer")
 
     async def _discard_body(self, response: ClientResponse) -> None:
         """Read a short body to its end, so that the connection can be reused."""
@@ -263,6 +261,30 @@
             response.close()  # the status suffices; the body is not needed
 
 
+def _check_origin(
+    head: RunnerResponseHead, response: ClientResponse, request_id: RequestId
+) -> None:
+    """Check that a response is provably the one to a request.
+
+    It proves this by the request's id. Without an id, it can only be trusted as the
+    first on its connection, and not if it is a success.
+
+    Raises
+    ------
+    RunnerFailedError
+        When it may belong to another request; nothing that it says holds then, and the
+        connection is closed.
+    """
+    if head.request_id:
+        is_proved = head.request_id == request_id
+    else:
+        is_proved = response.is_first and head.status >= 300
+    if not is_proved:
+        response.close()
+        detail = f"status {head.status} for request {head.request_id!r}"
+        raise RunnerFailedError(Outcome.UNKNOWN, "foreign_answer", detail)
+
+
 def find_runner(runners: list[Runner], runner_id: RunnerId) -> Runner | None:
     """Return the runner with an id, or None when it is not in the list."""
     for runner in runners:
--- a/libs/http/src/damaskjunction/http/client.py
+++ b/libs/http/src/damaskjunction/http/client.py
@@ -184,7 +184,8 @@
     """A response whose body is streamed.
 
     The caller must either read the body to its end, which returns the connection to
-    the pool, or call ``close``.
+    the pool, or call ``close``. ``is_first`` says that its request was the first on its
+    connection, so that it can be the response to no earlier one.
     """
 
     def __init__(
@@ -192,6 +193,7 @@
     ) -> None:
         self.status = head.status
         self.headers = head.headers
+        self.is_first = connection.n_requests == 1
         self._connection: _Connection | None = connection
         self._client = client
 
@@ -262,6 +264,7 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         self.address = address
+        self.n_requests = 0
         self.idle_since_s = 0.0
         self.keep_alive_timeout_s = math.inf
         self._reader = reader
@@ -279,6 +282,7 @@
     ) -> ResponseHead:
         """Send a request and return the status and headers of the response."""
         self.stall_s = stall_s
+        self.n_requests += 1
         request_headers = {
             "Host": str(self.address),
             "Content-Length": str(len(body)),
--- a/libs/standins/src/damaskjunction/standins/__init__.py
+++ b/libs/standins/src/damaskjunction/standins/__init__.py
@@ -30,6 +30,7 @@
     parse_events,
     run_command,
 )
+from damaskjunction.standins.kept_connections import encode_refusal
 from damaskjunction.standins.plain import PlainStandin
 from damaskjunction.standins.platform import PlatformStandin
 from damaskjunction.standins.platform_documents import (
@@ -83,6 +84,7 @@
     "caller_headers",
     "deployed_names",
     "deployments",
+    "encode_refusal",
     "job_path",
     "make_configuration",
     "make_job",
--- a/libs/standins/src/damaskjunction/standins/raw_runner.py
+++ b/libs/standins/src/damaskjunction/standins/raw_runner.py
@@ -64,7 +64,12 @@
         self._has_endless_reports = has_endless_reports
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        self._kept_writers: set[asyncio.StreamWriter] = set()
+        self._ids_by_writer: dict[asyncio.StreamWriter, list[RequestId]] = {}
         self.n_requests = self.n_answering = 0
+        self.n_connections = 0
+        self.refused_ids: set[RequestId] = set()
+        self.n_runs = 0
         self.n_bytes_written = 0
 
     async def start(self) -> None:
@@ -94,32 +99,55 @@
         self.n_bytes_written += len(data)
         await writer.drain()
 
+    def write_to_kept(self, data: bytes) -> None:
+        """Write bytes that belong to no request to all connections that are kept."""
+        for writer in self._kept_writers:
+            writer.write(data)
+
+    def keep(self, writer: asyncio.StreamWriter) -> list[RequestId]:
+        """Keep a connection after the answer, and return the ids of its requests.
+
+        A kept connection's calls for reports are answered by the script, too.
+        """
+        self._kept_writers.add(writer)
+        return self._ids_by_writer[writer]
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self._writers.add(writer)
+        self._ids_by_writer[writer] = []
+        self.n_connections += 1
         try:
-            request = await _read_request(reader)
-            if request is None:
-                return
-            headers = {name.decode(): value.decode() for name, value in request.headers}
-            if request.target.decode() == REPORT_PATH:
-                if self._has_endless_reports:
-                    await answer_endless_body(self, writer, "")
-                await self.write(writer, _report_answer())
-                return
-            self.n_requests += 1
-            self.n_answering += 1
-            try:
-                await self._script(self, writer, headers.get("x-request-id", ""))
-            finally:
-                self.n_answering -= 1
+            is_kept = True
+            while is_kept and (request := await _read_request(reader)) is not None:
+                await self._answer(request, writer)
+                is_kept = writer in self._kept_writers
         except (OSError, asyncio.IncompleteReadError):
             return  # the caller has closed the connection
         finally:
             self._writers.discard(writer)
+            self._kept_writers.discard(writer)
+            del self._ids_by_writer[writer]
             writer.close()
 
+    async def _answer(self, request: h11.Request, writer: asyncio.StreamWriter) -> None:
+        is_report = request.target.decode() == REPORT_PATH
+        if is_report and writer not in self._kept_writers:
+            if self._has_endless_reports:
+                await answer_endless_body(self, writer, "")
+            await self.write(writer, _report_answer())
+            return
+        headers = {name.decode(): value.decode() for name, value in request.headers}
+        request_id = headers.get("x-request-id", "")
+        self._ids_by_writer[writer].append(request_id)
+        self.n_requests += 1
+        self.n_answering += 1
+        try:
+            await self._script(self, writer, request_id)
+        finally:
+            self.n_answering -= 1
+
 
 async def _read_request(reader: asyncio.StreamReader) -> h11.Request | None:
     """Return the head of a request once its body is read, None without a request."""
