End an idle connection on which bytes wait in the kernel

A second answer of a faulty peer that had arrived but that the event loop had not read yet was taken for the answer to the next request on the connection: only bytes that asyncio had buffered were looked for. A repeatable request had then spent an attempt on it. This holds for all clients that use the pool: of runners, reports, peers and the platform's store.

--- a/libs/gateway/features/runner_client.feature
+++ b/libs/gateway/features/runner_client.feature
@@ -31,6 +31,13 @@
     Then the request failed with outcome "not_run"
     And the runner has had 2 connections
 
+  Scenario: A refusal that waits on an idle connection ends it before a request is sent
+    Given a client of the runner "r1" whose answers are "the first refusal once more"
+    When the request "q1" is sent to it
+    And the runner writes the refusal of "q1" again right before "q2" is sent
+    Then the request failed with outcome "not_run"
+    And the runner has had 2 connections
+
   Scenario: A repeated refusal is not taken for a report, and its limit is not believed
     Given a client of the runner "r1" whose answers are "the first refusal once more"
     When the request "q1" is sent to it
--- a/libs/http/src/damaskjunction/http/client.py
+++ b/libs/http/src/damaskjunction/http/client.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import math
-import socket
 import ssl
 from collections.abc import AsyncGenerator, Callable, Mapping
 from typing import NamedTuple
@@ -19,6 +18,7 @@
     ConnectFailedError,
     StalledResponseError,
 )
+from damaskjunction.http.sockets import enable_tcp_keepalive, has_waiting_bytes
 
 READ_BYTES = 64 * 1024
 DEFAULT_CONNECT_TIMEOUT_S = 2.0
@@ -27,9 +27,6 @@
 DEFAULT_MAX_BODY_BYTES = 64 * MIB
 MAX_INTERIM_HEADS = 8
 KEEP_ALIVE_TIMEOUT_FRACTION = 0.5
-TCP_KEEPALIVE_IDLE_S = 1
-TCP_KEEPALIVE_INTERVAL_S = 1
-N_TCP_KEEPALIVE_PROBES = 3
 
 
 class HttpClient:
@@ -156,23 +153,10 @@
         except (OSError, TimeoutError) as error:
             raise ConnectFailedError(f"cannot connect to {address}: {error}") from None
         self.n_connections_opened += 1
-        _enable_tcp_keepalive(writer)
+        enable_tcp_keepalive(writer)
         return _Connection(address, reader, writer)
 
 
-def _enable_tcp_keepalive(writer: asyncio.StreamWriter) -> None:
-    """Enable TCP keep-alive, so that the kernel closes connections to dead peers."""
-    tcp_socket: socket.socket = writer.get_extra_info("socket")
-    tcp_socket.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    tcp_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, TCP_KEEPALIVE_IDLE_S)
-    tcp_socket.setsockopt(
-        socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, TCP_KEEPALIVE_INTERVAL_S
-    )
-    tcp_socket.setsockopt(
-        socket.IPPROTO_TCP, socket.TCP_KEEPCNT, N_TCP_KEEPALIVE_PROBES
-    )
-
-
 class ResponseHead(NamedTuple):
     """Status and headers of a response; header names are lower-case."""
 
@@ -325,11 +309,15 @@
         return True
 
     def is_reusable(self) -> bool:
-        """Return whether the connection is open and holds no unread bytes."""
+        """Return whether the connection is open and no unread bytes wait on it."""
         if self._reader.at_eof() or self._writer.is_closing():
             return False
         # Bytes after a complete response belong to no request.
-        return not (self._protocol.trailing_data[0] or self._has_unread_data())
+        return not (
+            self._protocol.trailing_data[0]
+            or self._has_unread_data()
+            or has_waiting_bytes(self._writer)
+        )
 
     def _has_unread_data(self) -> bool:
         # StreamReader has no public way to look at its buffer.
--- /dev/null
+++ b/libs/http/src/damaskjunction/http/sockets.py
@@ -0,0 +1,35 @@
+"""What the streams of asyncio do not offer of the sockets under them."""
+
+from __future__ import annotations
+
+import asyncio
+import select
+import socket
+
+TCP_KEEPALIVE_IDLE_S = 1
+TCP_KEEPALIVE_INTERVAL_S = 1
+N_TCP_KEEPALIVE_PROBES = 3
+
+
+def enable_tcp_keepalive(writer: asyncio.StreamWriter) -> None:
+    """Enable TCP keep-alive, so that the kernel closes connections to dead peers."""
+    tcp_socket: socket.socket = writer.get_extra_info("socket")
+    tcp_socket.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    tcp_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, TCP_KEEPALIVE_IDLE_S)
+    tcp_socket.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, TCP_KEEPALIVE_INTERVAL_S
+    )
+    tcp_socket.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_KEEPCNT, N_TCP_KEEPALIVE_PROBES
+    )
+
+
+def has_waiting_bytes(writer: asyncio.StreamWriter) -> bool:
+    """Return whether the kernel holds bytes, an end or an error of a connection.
+
+    The event loop reads these only when it runs next.
+    """
+    tcp_socket: socket.socket = writer.get_extra_info("socket")
+    poller = select.poll()
+    poller.register(tcp_socket, select.POLLIN)
+    return bool(poller.poll(0))
