Refuse a runner's success without its receipt

A success counts for callers only with the runner's receipt. One without it came from a runner that spoils its answers, or from no runner, and was forwarded. It is an attempt with an unknown outcome now. The scenario failed before: the answer was taken as valid. Gateway and platform suites pass.

--- a/libs/gateway/features/runner_client.feature
+++ b/libs/gateway/features/runner_client.feature
@@ -31,6 +31,12 @@
     Then the request failed with outcome "not_run"
     And the runner has had 2 connections
 
+  Scenario: A success without the runner's stamp is not believed
+    Given a client of the runner "r1" whose answers are "a success without a stamp"
+    When the request "q1" is sent to it
+    And the request "q2" is sent to it
+    Then the request failed with outcome "unknown"
+
   Scenario: A refusal that waits on an idle connection ends it before a request is sent
     Given a client of the runner "r1" whose answers are "the first refusal once more"
     When the request "q1" is sent to it
--- a/libs/gateway/src/damaskjunction/gateway/runner_client.py
+++ b/libs/gateway/src/damaskjunction/gateway/runner_client.py
@@ -251,6 +251,9 @@
         if head.is_encoded:
             response.close()
             raise RunnerFailedError(Outcome.UNKNOWN, "encoded_answer")
+        if head.status < 300 and not head.has_receipt:
+            response.close()
+            raise RunnerFailedError(Outcome.UNKNOWN, "no_receipt", f"{head.status}")
 
     async def _discard_body(self, response: ClientResponse) -> None:
         """Read a short body to its end, so that the connection can be reused."""
--- a/libs/platform/src/damaskjunction/platform/requests.py
+++ b/libs/platform/src/damaskjunction/platform/requests.py
@@ -77,16 +77,18 @@
     ``is_misdirected`` is true if the address now belongs to another runner than the
     expected one (status 421), ``is_not_run`` if no work was done on the request: the
     runner reported so, or the request was misdirected. ``is_encoded`` means that the
-    body has a content encoding. ``keep_alive_s`` is the idle timeout that the runner
-    announced. ``rate_limit_per_s`` is the number of requests a second that it takes
-    from all hosts together, None without a limit. ``headers`` are those to forward to
-    the caller.
+    body has a content encoding, ``has_receipt`` that the response bears the receipt
+    without which no success counts. ``keep_alive_s`` is the idle timeout that the
+    runner announced. ``rate_limit_per_s`` is the number of requests a second that it
+    takes from all hosts together, None without a limit. ``headers`` are those to
+    forward to the caller.
     """
 
     status: int
     is_not_run: bool
     is_misdirected: bool
     is_encoded: bool
+    has_receipt: bool
     request_id: RequestId
     keep_alive_s: float | None
     rate_limit_per_s: float | None
@@ -182,6 +184,7 @@
         is_not_run=NOT_RUN_HEADER in headers or status == 421,
         is_misdirected=status == 421,
         is_encoded="content-encoding" in headers,
+        has_receipt=RESPONSE_STAMP_HEADER in headers,
         request_id=headers.get(REQUEST_ID_HEADER, ""),
         keep_alive_s=_parse_keep_alive(headers.get("keep-alive", "")),
         rate_limit_per_s=decode_rate_limit(headers),
--- a/libs/standins/src/damaskjunction/standins/kept_connections.py
+++ b/libs/standins/src/damaskjunction/standins/kept_connections.py
@@ -103,6 +103,12 @@
     return encode_refusal(request_id)
 
 
+@_register("a success without a stamp")
+def succeed_without_stamp(first_id: RequestId, request_id: RequestId) -> bytes:
+    """Return status 200 with the second request's id, but without a receipt."""
+    return _encode_answer(200, request_id=request_id, body=b"ran")
+
+
 @answer_scripts.register("each refused once, once more on its connection")
 async def refuse_once(
     runner: RawRunnerStandin, writer: asyncio.StreamWriter, request_id: RequestId
