Forward only what continues a stream

Operators of systems like this one saw it: a stream broke off, the next runner answered with an error, and callers found its text or its whole head in the middle of their stream, or the stream ended as if it were complete.

Cause: each 200 was taken for a stream and each block of bytes for an event; only ids that were known already were left out. Now a 200 counts only as an event stream, an event only if its id is one more than the last and it holds no carriage return, and a new stream only with an event. Anything else ends the attempt, and the stream goes on at another runner or is broken off.

--- a/libs/gateway/features/online.feature
+++ b/libs/gateway/features/online.feature
@@ -229,3 +229,40 @@
     And both hosts get 6 prompts "system,subject,deadly", each before one "system,subject"
     Then at most 3 prompts with the part "deadly" ran after the fifth crash
     And the last 4 prompts without it are answered completely
+
+  Scenario Outline: A broken stream is not continued by what is no continuation of it
+    Given an engine "r1" whose answers are "<take_up>"
+    And an engine "r2" whose answers are "<take_up>"
+    When a caller requests "/urgent/1" at "h0" as "q1"
+    Then the caller gets events 1 to <last>, incomplete, and no other bytes
+    When a caller takes up "/urgent/1" after event 4 at "h1" as "q2"
+    Then the caller gets no bytes but events 5 to <last>, and no complete answer
+
+    Examples:
+      | take_up                           | last |
+      | an error                          | 4    |
+      | an error's text with status 200   | 4    |
+      | an empty document with status 200 | 4    |
+      | the stream from its start         | 4    |
+      | the stream after a gap            | 4    |
+      | the stream less one event         | 6    |
+      | an event without an id            | 4    |
+      | an error's head within an event   | 4    |
+      | half an event                     | 4    |
+
+  Scenario: A stream whose end alone was lost is complete when nothing follows its last event
+    Given an engine "r1" whose answers are "nothing"
+    And an engine "r2" whose answers are "nothing"
+    When a caller requests "/urgent/1" at "h0" as "q1"
+    Then the caller gets events 1 to 4, complete
+
+  Scenario: A new stream without any event does not look complete
+    Given an engine "r1" whose answers are "a new stream without events"
+    When a caller requests "/ask/1" at "h0" as "q1"
+    Then the caller gets no complete answer within 5.5 s
+
+  Scenario: A stream that was taken up wrongly goes on at a third runner
+    Given an engine "r1" whose answers are "the stream less one event"
+    And an engine "r2" whose answers are "the stream less one event"
+    When a caller requests "/urgent/1" at "h0" as "q1" and an engine "e1" joins
+    Then the caller gets events 1 to 10, complete
--- a/libs/gateway/features/steps/trouble_steps.py
+++ b/libs/gateway/features/steps/trouble_steps.py
@@ -33,8 +33,13 @@
 
 @when('runner "{name}" has had a request and an engine "{other}" joins')
 def add_engine_after_request(context, name, other):
+    add_engine_after_requests(context, name, 1, other)
+
+
+@when('runner "{name}" has had {count:d} requests and an engine "{other}" joins')
+def add_engine_after_requests(context, name, count, other):
     raw_runner = context.platform.raw_runners[name]
-    run(context, context.platform.wait_for(lambda: raw_runner.n_requests))
+    run(context, context.platform.wait_for(lambda: raw_runner.n_requests >= count))
     run(context, context.platform.add_runner(other, ENGINE))
 
 
@@ -52,6 +57,53 @@
     assert not runner.n_answering, runner.n_answering
 
 
+@when('a caller takes up "{path}" after event {number:d} at "{host}" as "{request_id}"')
+def take_up(context, path, number, host, request_id):
+    work = context.platform.call(
+        host,
+        "POST",
+        path,
+        headers={"Last-Event-Id": str(number)},
+        request_id=request_id,
+    )
+    context.reply = run(context, work)
+
+
+@when(
+    'a caller requests "{path}" at "{host}" as "{request_id}" and an engine '
+    '"{name}" joins'
+)
+def send_then_join(context, path, host, request_id, name):
+    async def work():
+        call = context.platform.call(host, "POST", path, request_id=request_id)
+        task = asyncio.ensure_future(call)
+        await context.platform.add_runner(name, ENGINE)
+        return await task
+
+    context.reply = run(context, work())
+
+
+def make_events(first, last):
+    events = (f"id: {n}\ndata: token {n}\n\n" for n in range(first, last + 1))
+    return "".join(events).encode()
+
+
+@then("the caller gets events {first:d} to {last:d}, incomplete, and no other bytes")
+def check_only_events(context, first, last):
+    reply = context.reply
+    assert reply.status == 200 and not reply.is_complete, reply
+    assert reply.body == make_events(first, last), reply
+
+
+@then(
+    "the caller gets no bytes but events {first:d} to {last:d}, and no complete answer"
+)
+def check_take_up(context, first, last):
+    reply = context.reply
+    assert reply.status != 200 or not reply.is_complete, reply
+    assert reply.status != 200 or reply.body == make_events(first, last), reply
+
+
 @then('runner "{name}" has run {count:d} requests')
 def check_raw_runs(context, name, count):
     n_runs = context.platform.raw_runners[name].n_runs
--- a/libs/gateway/src/damaskjunction/gateway/request_execution.py
+++ b/libs/gateway/src/damaskjunction/gateway/request_execution.py
@@ -33,7 +33,8 @@
     RunnerSelector,
 )
 from damaskjunction.gateway.slot_client import Slot
-from damaskjunction.http import BrokenResponseError, RawEventParser, Response
+from damaskjunction.gateway.stream_check import StreamCheck
+from damaskjunction.http import BrokenResponseError, Response
 from damaskjunction.platform import Refusal, caller_response, refusal_response
 from damaskjunction.routing import RouteKind
 
@@ -155,6 +156,7 @@
             last_event_id=last_event_id,
             new_connection=not routed.route.may_repeat
             or self._runner_id in self._excluded,
+            is_stream=routed.route.kind is RouteKind.STREAM,
         )
 
     def _head_stall_timeout_s(self, remaining_s: float) -> float:
@@ -300,25 +302,22 @@
     ) -> AsyncGenerator[bytes, None]:
         runner_response = self._runner_response
         assert runner_response is not None
-        parser = RawEventParser()
+        check = StreamCheck(self._last_event_id)
         runner_response.body.set_stall_timeout(
             self._head_stall_timeout_s(self._remaining_s())
         )
         try:
             async for chunk in runner_response.body.chunks():
                 inactivity_timer.touch()
-                new_events = []
-                for raw_event in parser.feed(chunk):
-                    event_id = raw_event.event_id
-                    last_known_id = self._last_event_id
-                    if event_id is not None:
-                        if last_known_id is not None and event_id <= last_known_id:
-                            continue
-                        self._last_event_id = event_id
-                    new_events.append(raw_event.raw)
-                if new_events:
-                    self._record_events(len(new_events))
-                    yield b"".join(new_events)
+                part = check.feed(chunk)
+                self._last_event_id = check.last_event_id
+                if part.events:
+                    self._record_events(len(part.events))
+                    yield b"".join(event.raw for event in part.events)
+                if part.fault:
+                    raise RunnerFailedError(
+                        Outcome.RAN, "foreign_event", part.fault, is_fault=True
+                    )
                 remaining_s = self._remaining_s()
                 if remaining_s <= 0:
                     raise RunnerFailedError(Outcome.RAN, "no_time_left")
@@ -329,8 +328,7 @@
             raise RunnerFailedError(
                 Outcome.RAN, "stream_cut", str(error), is_fault=True
             ) from None
-        if not parser.is_between_events:
-            raise RunnerFailedError(Outcome.RAN, "stream_cut", "within an event")
+        check.check_end()
         await self._context.runner_client.check_end(runner_response)
 
     def _record_events(self, n_events: int) -> None:
--- a/libs/gateway/src/damaskjunction/gateway/runner_client.py
+++ b/libs/gateway/src/damaskjunction/gateway/runner_client.py
@@ -16,6 +16,7 @@
 )
 from damaskjunction.core.units import KIB, MIB
 from damaskjunction.http import (
+    EVENT_STREAM_TYPE,
     BrokenResponseError,
     ClientResponse,
     ConnectFailedError,
@@ -107,6 +108,7 @@
         stall_s: float,
         last_event_id: int | None = None,
         new_connection: bool = False,
+        is_stream: bool = False,
     ) -> RunnerResponse:
         """Send a request and return once the head of the response has arrived.
 
@@ -125,12 +127,14 @@
         new_connection : bool, optional
             Use a new connection; an idle one may be dead without being closed, or may
             have carried a request with the same id. One without an id always does.
+        is_stream : bool, optional
+            Whether only a stream of events counts as a success.
 
         Raises
         ------
         RunnerFailedError
             When there is no response, the runner reports that it did no work, or the
-            response is encoded or not provably that to this request.
+            response is encoded, no stream, or not provably that to this request.
         """
         headers = runner_headers(
             request,
@@ -165,6 +169,8 @@
         if head.rate_limit_per_s is not None and not head.is_misdirected:
             self._record_limit(runner.runner_id, head.rate_limit_per_s)
         await self._check_head(head, response)
+        if is_stream and head.status == 200:
+            _check_stream_type(response)
         if head.rate_limit_per_s is None:
             self._record_limit(runner.runner_id, NO_LIMIT_PER_S)
         return RunnerResponse(runner, head, response)
@@ -288,6 +294,13 @@
         raise RunnerFailedError(Outcome.UNKNOWN, "foreign_answer", detail)
 
 
+def _check_stream_type(response: ClientResponse) -> None:
+    content_type = response.headers.get("content-type", "")
+    if content_type.partition(";")[0].strip().lower() != EVENT_STREAM_TYPE:
+        response.close()
+        raise RunnerFailedError(Outcome.RAN, "no_stream", content_type, is_fault=True)
+
+
 def find_runner(runners: list[Runner], runner_id: RunnerId) -> Runner | None:
     """Return the runner with an id, or None when it is not in the list."""
     for runner in runners:
--- a/libs/standins/src/damaskjunction/standins/__init__.py
+++ b/libs/standins/src/damaskjunction/standins/__init__.py
@@ -7,6 +7,7 @@
 ``damaskjunction.gateway``.
 """
 
+from damaskjunction.standins.broken_streams import BROKEN_AFTER
 from damaskjunction.standins.deployment import (
     CALLER_KEY,
     DeployedFleet,
@@ -57,6 +58,7 @@
 
 __all__ = [
     "BATCH_ROUTE",
+    "BROKEN_AFTER",
     "BROKEN_VERSION",
     "CALLER_KEY",
     "CRASH_MARK",
--- a/libs/standins/src/damaskjunction/standins/raw_runner.py
+++ b/libs/standins/src/damaskjunction/standins/raw_runner.py
@@ -69,6 +69,7 @@
         self.n_requests = self.n_answering = 0
         self.n_connections = 0
         self.refused_ids: set[RequestId] = set()
+        self.last_event_id = ""  # of the request that came last
         self.n_runs = 0
         self.n_bytes_written = 0
 
@@ -140,6 +141,7 @@
             return
         headers = {name.decode(): value.decode() for name, value in request.headers}
         request_id = headers.get("x-request-id", "")
+        self.last_event_id = headers.get("last-event-id", "")
         self._ids_by_writer[writer].append(request_id)
         self.n_requests += 1
         self.n_answering += 1
@@ -171,7 +173,7 @@
     return head.encode() + body
 
 
-def _unframed_head(request_id: RequestId) -> bytes:
+def unframed_head(request_id: RequestId) -> bytes:
     """Return the head of a stream that has neither a length nor chunks."""
     return (
         "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
@@ -179,10 +181,14 @@
     ).encode()
 
 
-async def _write_events(
-    runner: RawRunnerStandin, writer: asyncio.StreamWriter, n_events: int
+async def write_events(
+    runner: RawRunnerStandin,
+    writer: asyncio.StreamWriter,
+    first: int = 1,
+    last: int = N_EVENTS,
 ) -> None:
-    for number in range(1, n_events + 1):
+    """Write events with consecutive ids."""
+    for number in range(first, last + 1):
         event = f"id: {number}\ndata: token {number}\n\n"
         await runner.write(writer, event.encode())
         await asyncio.sleep(EVENT_INTERVAL_S)
@@ -193,8 +199,8 @@
     runner: RawRunnerStandin, writer: asyncio.StreamWriter, request_id: RequestId
 ) -> None:
     """Write a whole stream that ends with its connection."""
-    await runner.write(writer, _unframed_head(request_id))
-    await _write_events(runner, writer, N_EVENTS)
+    await runner.write(writer, unframed_head(request_id))
+    await write_events(runner, writer)
 
 
 @answer_scripts.register("unframed, crashes")
@@ -202,8 +208,8 @@
     runner: RawRunnerStandin, writer: asyncio.StreamWriter, request_id: RequestId
 ) -> None:
     """Write a half of such a stream and end the process."""
-    await runner.write(writer, _unframed_head(request_id))
-    await _write_events(runner, writer, N_EVENTS // 2)
+    await runner.write(writer, unframed_head(request_id))
+    await write_events(runner, writer, last=N_EVENTS // 2)
     await runner.close()
 
 
@@ -237,7 +243,7 @@
     runner: RawRunnerStandin, writer: asyncio.StreamWriter, request_id: RequestId
 ) -> None:
     """Write a body that never ends and holds no event."""
-    await runner.write(writer, _unframed_head(request_id))
+    await runner.write(writer, unframed_head(request_id))
     await _write_without_end(runner, writer, b"x" * 16_000)
 
 
@@ -246,7 +252,7 @@
     runner: RawRunnerStandin, writer: asyncio.StreamWriter, request_id: RequestId
 ) -> None:
     """Write such a body a byte at a time, often enough not to seem stalled."""
-    await runner.write(writer, _unframed_head(request_id))
+    await runner.write(writer, unframed_head(request_id))
     while True:
         await runner.write(writer, b"x")
         await asyncio.sleep(EVENT_INTERVAL_S)
