Take up batch items only by what continues their stream

Results were listed as completed with an event missing, with 4 of 10 events, or with an error's head in the text: the worker skipped events without an id and took gaps. It uses the check of streams now, and a 200 that is no event stream is a failed attempt.

--- a/libs/gateway/features/batch.feature
+++ b/libs/gateway/features/batch.feature
@@ -108,6 +108,29 @@
       | endless body |
       | endless drip |
 
+  Scenario Outline: The text of an item holds nothing that does not continue its stream
+    Given an engine "r1" whose answers are "<take_up>"
+    When the job "j1" of 1 items is submitted at "h0"
+    And runner "r1" has had 2 requests and an engine "e1" joins
+    Then each host returns the same 1 complete results of "j1"
+
+    Examples:
+      | take_up                           |
+      | an error's text with status 200   |
+      | an empty document with status 200 |
+      | the stream from its start         |
+      | the stream after a gap            |
+      | the stream less one event         |
+      | an event without an id            |
+      | an error's head within an event   |
+      | half an event                     |
+
+  Scenario: An item whose new stream holds no event is run again
+    Given an engine "r1" whose answers are "a new stream without events"
+    When the job "j1" of 1 items is submitted at "h0"
+    And runner "r1" has had 2 requests and an engine "e1" joins
+    Then each host returns the same 1 complete results of "j1"
+
   Scenario: An item's earlier refusal is not believed when it is written once more
     Given an engine "r1" whose answers are "each refused once, once more on its connection"
     When the job "j1" of 1 items is submitted at "h0"
--- a/libs/gateway/src/damaskjunction/gateway/item_runner.py
+++ b/libs/gateway/src/damaskjunction/gateway/item_runner.py
@@ -25,11 +25,11 @@
     find_runner,
 )
 from damaskjunction.gateway.slot_client import Slot
+from damaskjunction.gateway.stream_check import StreamCheck
 from damaskjunction.http import (
     BrokenResponseError,
     ClientResponse,
     RawEvent,
-    RawEventParser,
 )
 from damaskjunction.node import cancel_tasks
 from damaskjunction.platform import item_request
@@ -230,6 +230,7 @@
             stall_s=STALL_TIMEOUT_S,
             last_event_id=progress.last_event_id,
             new_connection=is_repeated,
+            is_stream=True,
         )
         try:
             if runner_response.head.status != 200:
@@ -252,31 +253,27 @@
         return AttemptOutcome(True, True, "whole")
 
     async def _collect(self, progress: _ItemProgress, response: ClientResponse) -> None:
-        parser = RawEventParser()
+        check = StreamCheck(progress.last_event_id)
         event_at_s = self._timers.now()
         try:
             async for chunk in response.chunks():
-                events = parser.feed(chunk)
-                event_at_s = self._timers.now() if events else event_at_s
+                part = check.feed(chunk)
+                event_at_s = self._timers.now() if part.events else event_at_s
                 if self._timers.now() - event_at_s > STALL_TIMEOUT_S:
                     raise BrokenResponseError("no event, though bytes arrive")
-                for event in events:
-                    if event.event_id is None:
-                        continue
-                    known = progress.last_event_id
-                    if known is not None and event.event_id <= known:
-                        continue
+                for event in part.events:
                     progress.add_event(event)
+                if part.fault:
+                    raise RunnerFailedError(
+                        Outcome.RAN, "foreign_event", part.fault, is_fault=True
+                    )
                 if progress.n_characters > MAX_OUTPUT_CHARACTERS:
                     raise BrokenResponseError("the output is too large")
         except BrokenResponseError as error:
             raise RunnerFailedError(
                 Outcome.RAN, "stream_cut", str(error), is_fault=True
             ) from None
-        if not parser.is_between_events:
-            raise RunnerFailedError(
-                Outcome.RAN, "stream_cut", "incomplete event at the end"
-            )
+        check.check_end()
 
     def _record_failure(
         self,
