Split the failure detector by job: probes, suspicions and gossip

Pending probes and their order are now in probing.py, suspicions in suspicions.py, datagrams and the byte budget in gossip.py; refutation stands with merging, the watchers of a data centre with the member table. No change of behaviour: the same calls of the random number generator in the same order. Suites of membership and node/control pass.

--- a/libs/membership/src/damaskjunction/membership/detector.py
+++ b/libs/membership/src/damaskjunction/membership/detector.py
@@ -12,14 +12,13 @@
 
 import random
 from collections.abc import Iterable
-from typing import NamedTuple
 
 from damaskjunction.core import Address, EntryHost, HostId, HostState, Revision
-from damaskjunction.membership.member_table import (
-    WATCHERS_PER_DATA_CENTRE,
-    MemberTable,
-    choose_watchers,
-)
+from damaskjunction.membership.gossip import Gossiper
+from damaskjunction.membership.member_table import MemberTable
+from damaskjunction.membership.merging import refute_update
+from damaskjunction.membership.probing import PendingProbe, ProbeSchedule
+from damaskjunction.membership.suspicions import SuspicionTable
 from damaskjunction.membership.types import (
     Datagram,
     DatagramKind,
@@ -33,46 +32,14 @@
     MemberUpdate,
     Send,
     Timing,
-    estimate_bytes,
     update_of,
     without_addresses,
 )
-from damaskjunction.membership.update_queue import UpdateQueue, Urgency
 
 MAX_DATAGRAM_BYTES = 1400
-RUMOUR_BYTES_PER_DATAGRAM = 800
-DATAGRAM_OVERHEAD_BYTES = 150  # estimated size of a datagram without its updates
 MAX_AWARENESS = 4
 MIN_PEERS_FOR_ISOLATION = 3
-DOCUMENT_GOSSIP_ROUNDS = 4  # ticks with gossip after a change
 REPORT_DELAYS_S = (0.0, 0.4)  # after a change; then every report_period_s
-DEAD_PROBE_INTERVAL = 5  # every fifth probe lets a dead host refute its death
-RELAY_TIMEOUT_S = 2.0
-
-
-class _Probe(NamedTuple):
-    """A pending probe; ``is_indirect`` once it was repeated through other hosts."""
-
-    target: HostId
-    indirect_at_s: float
-    fails_at_s: float
-    is_indirect: bool = False
-
-
-class _Suspicion(NamedTuple):
-    """When a suspect is probed once more, and when it is declared dead."""
-
-    reprobe_at_s: float
-    ends_at_s: float
-    is_reprobed: bool = False
-
-
-class _RelayedProbe(NamedTuple):
-    """A probe performed on behalf of another host, which gets the acknowledgement."""
-
-    address: Address
-    sequence: int
-    ends_at_s: float
 
 
 class FailureDetector:
@@ -105,20 +72,12 @@
     ) -> None:
         self.own = Member(own, incarnation, MemberState.STARTING)
         self.member_table = MemberTable(own.host_id, timing)
-        self.documents: tuple[DocumentRevision, ...] = ()
         self.awareness = 0
         self._timing = timing
-        self._rng = rng
-        self._updates = UpdateQueue()
-        self._probes_by_sequence: dict[int, _Probe] = {}
-        self._relays_by_sequence: dict[int, _RelayedProbe] = {}
-        self._suspicions_by_id: dict[HostId, _Suspicion] = {}
+        self._probes = ProbeSchedule(self.member_table, rng)
+        self._gossiper = Gossiper(self.member_table, rng, timing)
+        self._suspicions = SuspicionTable(timing.suspicion_timeout_s)
         self._reports_at_s: list[float] = []
-        self._probe_order: list[HostId] = []
-        self._sequence = 0
-        self._n_probes = 0
-        self._document_rounds_left = 0
-        self._budget_bytes = timing.gossip_burst_bytes
         self._ticked_at_s: float | None = None
         self._probe_at_s = 0.0
         self._received_at_s: float | None = None
@@ -133,7 +92,7 @@
         if now_s >= self._probe_at_s:
             self._probe_at_s = now_s + self._timing.probe_period_s
             self._probe_next(now_s, effects)
-        self._gossip(effects)
+        effects += self._gossiper.gossip(self.own)
         self._report_revisions(now_s, effects)
         return self._finish(effects)
 
@@ -174,16 +133,12 @@
 
     def set_documents(self, documents: tuple[DocumentRevision, ...]) -> None:
         """Set the document revisions that this host gossips from now on."""
-        if documents != self.documents:
-            self.documents = documents
-            self._document_rounds_left = DOCUMENT_GOSSIP_ROUNDS
+        self._gossiper.set_documents(documents)
 
     def announce(self, documents: tuple[DocumentRevision, ...]) -> list[Effect]:
         """Gossip the document revisions of this host now and on the next ticks."""
-        self.set_documents(documents)
-        effects: list[Effect] = []
-        self._gossip(effects)
-        return effects
+        self._gossiper.set_documents(documents)
+        return self._gossiper.gossip(self.own)
 
     def ping_addresses(self, addresses: Iterable[Address]) -> list[Effect]:
         """Ping addresses whose host ids are not known until they answer."""
@@ -208,16 +163,14 @@
             self.own = own
             self._reports_at_s = [now_s + delay_s for delay_s in REPORT_DELAYS_S]
         if is_starting and state is MemberState.ALIVE:
-            self._updates.add(update_of(own))
+            self._gossiper.add(update_of(own))
 
     def leave(self) -> list[Effect]:
         """Gossip that this host is leaving, with a refilled byte budget."""
         self.own = self.own._replace(state=MemberState.LEAVING)
-        self._updates.add(update_of(self.own))
-        self._budget_bytes = self._timing.gossip_burst_bytes
-        effects: list[Effect] = []
-        self._gossip(effects)
-        return effects
+        self._gossiper.add(update_of(self.own))
+        self._gossiper.refill_fully()
+        return self._gossiper.gossip(self.own)
 
     def member_updates(self) -> list[MemberUpdate]:
         """Return an update about every known host, this one first."""
@@ -247,71 +200,41 @@
         """Refill the byte budget, and reset probes and suspicions after a pause.
 
         A host that was suspended missed acknowledgements itself, so the silence of
-        others during the pause is no sign of failure. The refill is limited to that of
-        one second.
+        others during the pause is no sign of failure.
         """
         last_s = self._ticked_at_s if self._ticked_at_s is not None else now_s
         self._ticked_at_s = now_s
         elapsed_s = now_s - last_s
-        refill = min(elapsed_s, 1.0) * self._timing.gossip_bytes_per_s
-        limit = self._timing.gossip_burst_bytes
-        self._budget_bytes = min(limit, self._budget_bytes + refill)
+        self._gossiper.refill(elapsed_s)
         if elapsed_s <= self._timing.pause_threshold_s:
             return
         self.awareness = MAX_AWARENESS
-        self._probes_by_sequence.clear()
+        self._probes.clear()
         self._received_at_s = None
-        for host_id in self._suspicions_by_id:
-            self._suspicions_by_id[host_id] = self._make_suspicion(now_s)
-
-    def _make_suspicion(self, now_s: float) -> _Suspicion:
-        duration_s = self._timing.suspicion_timeout_s * (1 + self.awareness)
-        return _Suspicion(now_s + duration_s / 2, now_s + duration_s)
+        self._suspicions.restart(now_s, self.awareness)
 
     def _check_suspicions(self, now_s: float, effects: list[Effect]) -> None:
         """Probe suspects once more; declare dead those whose suspicion expired."""
-        if not self._suspicions_by_id or self.is_isolated(now_s):
+        if not self._suspicions or self.is_isolated(now_s):
             return
-        for host_id, suspicion in list(self._suspicions_by_id.items()):
-            member = self.member_table.members_by_id.get(host_id)
-            if now_s >= suspicion.ends_at_s:
-                self._set_health(host_id, Health.DEAD, now_s)
-            elif now_s >= suspicion.reprobe_at_s and not suspicion.is_reprobed:
-                reprobed = suspicion._replace(is_reprobed=True)
-                self._suspicions_by_id[host_id] = reprobed
-                if member is not None:
-                    effects.append(self._ping(member, 0))
+        for due in self._suspicions.take_due(now_s):
+            member = self.member_table.members_by_id.get(due.host_id)
+            if due.has_expired:
+                self._set_health(due.host_id, Health.DEAD, now_s)
+            elif member is not None:
+                effects.append(self._ping(member, 0))
 
     # Probes
 
     def _probe_next(self, now_s: float, effects: list[Effect]) -> None:
-        target = self._next_target()
+        target = self._probes.next_target()
         if target is None:
             return
         timeout_factor = 1 + self.awareness
         indirect_at_s = now_s + self._timing.ack_timeout_s * timeout_factor
         fails_at_s = now_s + self._timing.probe_period_s * timeout_factor
-        self._sequence += 1
-        probe = _Probe(target.host.host_id, indirect_at_s, fails_at_s)
-        self._probes_by_sequence[self._sequence] = probe
-        effects.append(self._ping(target, self._sequence))
-
-    def _next_target(self) -> Member | None:
-        self._n_probes += 1
-        if self._n_probes % DEAD_PROBE_INTERVAL == 0:
-            dead = [m for m in self.member_table.members_by_id.values() if m.is_dead]
-            if dead:
-                return self._rng.choice(dead)
-        for _ in range(2):
-            while self._probe_order:
-                member = self.member_table.members_by_id.get(self._probe_order.pop())
-                if member is not None and not member.is_dead:
-                    return member
-            self._probe_order = [
-                m.host.host_id for m in self.member_table.non_dead_members()
-            ]
-            self._rng.shuffle(self._probe_order)
-        return None
+        probe = PendingProbe(target.host.host_id, indirect_at_s, fails_at_s)
+        effects.append(self._ping(target, self._probes.begin(probe)))
 
     def _ping(self, target: Member, sequence: int) -> Send:
         """Return a ping; a suspect or dead target gets its own update, to refute it."""
@@ -324,16 +247,11 @@
         return Send(target.host.probe, datagram)
 
     def _check_probes(self, now_s: float, effects: list[Effect]) -> None:
-        for sequence, probe in list(self._probes_by_sequence.items()):
-            if now_s >= probe.fails_at_s:
-                del self._probes_by_sequence[sequence]
-                self._fail_probe(probe, now_s)
-            elif now_s >= probe.indirect_at_s and not probe.is_indirect:
-                self._probes_by_sequence[sequence] = probe._replace(is_indirect=True)
-                self._probe_indirectly(probe.target, sequence, effects)
-        for sequence, relayed in list(self._relays_by_sequence.items()):
-            if now_s >= relayed.ends_at_s:
-                del self._relays_by_sequence[sequence]
+        for due in self._probes.take_due(now_s):
+            if due.has_failed:
+                self._fail_probe(due.target, now_s)
+            else:
+                self._probe_indirectly(due.target, due.sequence, effects)
 
     def _probe_indirectly(
         self, target: HostId, sequence: int, effects: list[Effect]
@@ -342,22 +260,22 @@
         member = self.member_table.members_by_id.get(target)
         if member is not None:
             effects.append(self._ping(member, sequence))
-        relays = self._sample_members(self._timing.n_indirect_probes, without=target)
-        for relay in relays:
+        n_relays = self._timing.n_indirect_probes
+        for relay in self._gossiper.sample_members(n_relays, without=target):
             datagram = self._make_datagram(DatagramKind.PROBE_REQUEST, sequence, target)
             effects.append(Send(relay.host.probe, datagram))
 
-    def _fail_probe(self, probe: _Probe, now_s: float) -> None:
-        member = self.member_table.members_by_id.get(probe.target)
+    def _fail_probe(self, target: HostId, now_s: float) -> None:
+        member = self.member_table.members_by_id.get(target)
         if member is None or member.is_dead:
             return
         self.awareness = min(MAX_AWARENESS, self.awareness + 1)
-        self._set_health(probe.target, Health.SUSPECT, now_s)
+        self._set_health(target, Health.SUSPECT, now_s)
 
     def _set_health(self, host_id: HostId, health: Health, now_s: float) -> None:
         member = self.member_table.members_by_id.get(host_id)
         if member is None:
-            self._suspicions_by_id.pop(host_id, None)
+            self._suspicions.end(host_id)
         else:
             update = without_addresses(update_of(member))._replace(health=health)
             self._apply_update(update, now_s)
@@ -387,14 +305,14 @@
     def _handle_ack(
         self, datagram: Datagram, now_s: float, effects: list[Effect]
     ) -> None:
-        relayed = self._relays_by_sequence.pop(datagram.sequence, None)
+        relayed = self._probes.end_relay(datagram.sequence)
         if relayed is not None:
             ack = self._make_datagram(
                 DatagramKind.ACK, relayed.sequence, datagram.target
             )
             effects.append(Send(relayed.address, ack))
             return
-        probe = self._probes_by_sequence.pop(datagram.sequence, None)
+        probe = self._probes.end(datagram.sequence)
         if probe is None:
             return
         self.awareness = max(0, self.awareness - 1)
@@ -412,17 +330,17 @@
         target = self.member_table.members_by_id.get(datagram.target)
         if target is None:
             return
-        self._sequence += 1
-        ends_at_s = now_s + RELAY_TIMEOUT_S
-        relayed = _RelayedProbe(address, datagram.sequence, ends_at_s)
-        self._relays_by_sequence[self._sequence] = relayed
-        effects.append(self._ping(target, self._sequence))
+        sequence = self._probes.begin_relay(address, datagram.sequence, now_s)
+        effects.append(self._ping(target, sequence))
 
     # Updates
 
     def _apply_update(self, update: MemberUpdate, now_s: float) -> None:
         if update.host_id == self.own.host.host_id:
-            self._refute_update(update)
+            refuted = refute_update(self.own, update)
+            if refuted is not None:
+                self.own = refuted
+                self._gossiper.add(update_of(refuted))
             return
         before = self.member_table.members_by_id.get(update.host_id)
         is_changed = self.member_table.merge(update, now_s)
@@ -430,35 +348,11 @@
             return
         member = self.member_table.members_by_id[update.host_id]
         self._is_changed |= is_changed
-        if before is None or _gossiped_state(before) != _gossiped_state(member):
-            self._updates.add(_make_gossip_update(member))
+        self._gossiper.add_change(before, member)
         if member.health is not Health.SUSPECT:
-            self._suspicions_by_id.pop(update.host_id, None)
-        elif update.host_id not in self._suspicions_by_id:
-            self._suspicions_by_id[update.host_id] = self._make_suspicion(now_s)
-
-    def _refute_update(self, update: MemberUpdate) -> None:
-        """Refute an update of suspicion or death, or one of an earlier start.
-
-        An earlier start has a higher incarnation if the clock was set back since. The
-        new incarnation is above that of the update.
-        """
-        own = self.own
-        is_from_other_start = update.incarnation > own.incarnation
-        is_reported_unhealthy = (
-            update.incarnation == own.incarnation and update.health is not Health.OK
-        )
-        if is_from_other_start or is_reported_unhealthy:
-            self.own = own._replace(incarnation=update.incarnation + 1)
-            self._updates.add(update_of(self.own))
-
-    def _sample_members(self, count: int, *, without: HostId = "") -> list[Member]:
-        others = [
-            member
-            for member in self.member_table.members_by_id.values()
-            if not member.is_dead and member.host.host_id != without
-        ]
-        return self._rng.sample(others, min(count, len(others)))
+            self._suspicions.end(update.host_id)
+        else:
+            self._suspicions.begin(update.host_id, now_s, self.awareness)
 
     def _make_datagram(
         self,
@@ -466,41 +360,10 @@
         sequence: int,
         target: HostId,
         priority_updates: tuple[MemberUpdate, ...] = (),
-        *,
-        least_urgent: Urgency = Urgency.START,
     ) -> Datagram:
-        n_members = len(self.member_table.members_by_id)
-        others = self._updates.take(
-            n_members, RUMOUR_BYTES_PER_DATAGRAM, least_urgent=least_urgent
+        return self._gossiper.make_datagram(
+            self.own, kind, sequence, target, priority_updates
         )
-        updates = (update_of(self.own), *priority_updates, *others)
-        return Datagram(kind, sequence, target, self.documents, updates)
-
-    def _gossip(self, effects: list[Effect]) -> None:
-        """Send queued updates and document revisions to random hosts.
-
-        The less of the byte budget is left, the more urgent an update has to be.
-        """
-        least_urgent = self._least_urgent_allowed()
-        if not (self._updates.has_pending(least_urgent) or self._document_rounds_left):
-            return
-        self._document_rounds_left = max(0, self._document_rounds_left - 1)
-        for member in self._sample_members(self._timing.fan_out):
-            datagram = self._make_datagram(
-                DatagramKind.GOSSIP, 0, member.host.host_id, least_urgent=least_urgent
-            )
-            self._budget_bytes -= DATAGRAM_OVERHEAD_BYTES + estimate_bytes(
-                datagram.updates
-            )
-            effects.append(Send(member.host.probe, datagram))
-
-    def _least_urgent_allowed(self) -> Urgency:
-        """Return the lowest urgency that the remaining byte budget allows."""
-        if self._budget_bytes < 0:
-            return Urgency.LEAVING
-        if self._budget_bytes < self._timing.gossip_burst_bytes / 2:
-            return Urgency.JUDGEMENT
-        return Urgency.START
 
     def _report_revisions(self, now_s: float, effects: list[Effect]) -> None:
         """Report the active revisions to the watchers of the data centre."""
@@ -518,12 +381,7 @@
 
     def watchers(self, data_centre: str) -> list[Member]:
         """Return the members that watch the platform for a data centre."""
-        members_by_id = {
-            **self.member_table.members_by_id,
-            self.own.host.host_id: self.own,
-        }
-        watcher_ids = choose_watchers(members_by_id.values(), data_centre)
-        return [members_by_id[name] for name in watcher_ids[:WATCHERS_PER_DATA_CENTRE]]
+        return self.member_table.watchers(self.own, data_centre)
 
     def fleet_hosts(self) -> list[EntryHost]:
         """Return the hosts that serve or drain, including this one, sorted by id."""
@@ -531,14 +389,3 @@
         state = HostState.LEAVING if is_leaving else HostState.LIVE
         own = self.own.host._replace(state=state)
         return sorted((own, *self.member_table.started_hosts()))
-
-
-def _gossiped_state(member: Member) -> tuple[object, ...]:
-    """Return the properties of a member whose changes are gossiped."""
-    return member.incarnation, member.state, member.health
-
-
-def _make_gossip_update(member: Member) -> MemberUpdate:
-    """Return the update to gossip, in short form if peers should know the host."""
-    update = update_of(member)
-    return update if member.health is Health.OK else without_addresses(update)
--- a/libs/membership/src/damaskjunction/membership/member_table.py
+++ b/libs/membership/src/damaskjunction/membership/member_table.py
@@ -123,6 +123,15 @@
             if member.state is not MemberState.STARTING
         ]
 
+    def watchers(self, own: Member, data_centre: DataCentre) -> list[Member]:
+        """Return the members that watch the platform for a data centre.
+
+        ``own`` is this host, which the table does not hold.
+        """
+        members_by_id = {**self.members_by_id, self._own_id: own}
+        watcher_ids = choose_watchers(members_by_id.values(), data_centre)
+        return [members_by_id[name] for name in watcher_ids[:WATCHERS_PER_DATA_CENTRE]]
+
 
 def _routing_state(member: Member) -> tuple[object, ...]:
     """Return the properties of a member that affect routing."""
--- a/libs/membership/src/damaskjunction/membership/merging.py
+++ b/libs/membership/src/damaskjunction/membership/merging.py
@@ -40,6 +40,22 @@
     )
 
 
+def refute_update(own: Member, update: MemberUpdate) -> Member | None:
+    """Return this host's member if an update of it must be refuted, else None.
+
+    Refuted are suspicion, death, and updates of an earlier start, which have a higher
+    incarnation if the clock was set back since. The new incarnation is above that of
+    the update.
+    """
+    is_from_other_start = update.incarnation > own.incarnation
+    is_reported_unhealthy = (
+        update.incarnation == own.incarnation and update.health is not Health.OK
+    )
+    if is_from_other_start or is_reported_unhealthy:
+        return own._replace(incarnation=update.incarnation + 1)
+    return None
+
+
 def _with_new_incarnation(member: Member, update: MemberUpdate) -> Member:
     """Return the member with a higher incarnation; a restart resets its revisions."""
     is_same_start = start_epoch(member.incarnation) == start_epoch(update.incarnation)
