Split the lab's admission experiments by job

The load that the experiments share is in admission_rig.py, the experiment on CPU per call in call_cost.py.

--- a/libs/lab/src/damaskjunction/lab/__main__.py
+++ b/libs/lab/src/damaskjunction/lab/__main__.py
@@ -14,6 +14,7 @@
 import damaskjunction.lab.admission
 import damaskjunction.lab.batch
 import damaskjunction.lab.batch_faults
+import damaskjunction.lab.call_cost
 import damaskjunction.lab.control
 import damaskjunction.lab.editors
 import damaskjunction.lab.faults
--- a/libs/lab/src/damaskjunction/lab/admission.py
+++ b/libs/lab/src/damaskjunction/lab/admission.py
@@ -1,17 +1,20 @@
-"""Experiments on admission: batch interference, overload, policies, CPU per call."""
+"""Experiments on admission: batch interference, overload and policies."""
 
 from __future__ import annotations
 
-import asyncio
-import itertools
-import os
-import random
-from collections.abc import Callable
-from pathlib import Path
-from typing import NamedTuple
-
-from damaskjunction.core import EntryHost, Runner, ServiceKind
-from damaskjunction.lab.batch_load import BatchCounts, BatchLoad, BatchSpec
+from damaskjunction.lab.admission_rig import (
+    BASE_PER_S,
+    N_TOKENS,
+    PHASE_S,
+    SERVICE,
+    LoadHarness,
+    complete_fraction,
+    count_outcomes,
+    engine_runners,
+    home_chooser,
+    round_robin_chooser,
+    timing_figures,
+)
 from damaskjunction.lab.experiments import (
     ExperimentOptions,
     ExperimentResult,
@@ -27,31 +30,17 @@
     FIRST_TOKEN,
     TOKEN_INTERVAL,
     CallRecord,
-    LoadGenerator,
     LoadSpec,
     constant_rate,
 )
 from damaskjunction.lab.online import start_deployment
-from damaskjunction.routing import home_of
-from damaskjunction.standins import DeployedFleet
 from damaskjunction.telemetry import Metrics
 
-SERVICE = "caddie-llm"
-WORKSPACE = "carritos"
-N_TOKENS = 16
 ENGINE_STEP_S = 0.018  # with the default EngineSpeed and all slots in use
 # one step for prefill, one for each token and one for the end event
 SERVICE_TIME_S = (N_TOKENS + 2) * ENGINE_STEP_S
 SLOTS = 8
-PERCENTILES = (50.0, 95.0, 99.0)
-
-PHASE_S = 12.0
-BASE_PER_S = 10.0
-BURST_FACTOR = 4.0
-BURST_PERIOD_S = 6.0
-BURST_LENGTHS_S = (1.0, 5.0)
 N_PHASE_PAIRS = 2
-WARM_UP_S = 2.0
 
 LOAD_FACTORS = (0.5, 1.0, 2.0, 5.0)
 OVERLOAD_DEADLINE_S = 2.0
@@ -60,147 +49,6 @@
 POLICIES = ("home", "least_reported_load", "static_share")
 
 
-def engine_runners(deployed: DeployedFleet) -> list[Runner]:
-    """Return the runners of a deployment that are model engines."""
-    return [
-        runner
-        for runner in deployed.runners_by_id.values()
-        if runner.kind is ServiceKind.ENGINE
-    ]
-
-
-def home_chooser(deployed: DeployedFleet) -> Callable[[Runner], EntryHost]:
-    """Return a function that maps a runner to its home host."""
-    hosts = list(deployed.hosts_by_id.values())
-
-    def choose(runner: Runner) -> EntryHost:
-        home = home_of(runner, hosts)
-        assert home is not None
-        return home
-
-    return choose
-
-
-def round_robin_chooser(deployed: DeployedFleet) -> Callable[[Runner], EntryHost]:
-    """Return a function that picks the hosts round robin, whatever the runner."""
-    hosts = itertools.cycle(deployed.hosts_by_id.values())
-    return lambda runner: next(hosts)
-
-
-def random_bursts(seed: int, duration_s: float) -> Callable[[float], float]:
-    """Return an arrival rate with bursts of 1 to 5 s at four times the base rate."""
-    rng = random.Random(seed)
-    ends = {
-        begin_s: begin_s + rng.uniform(*BURST_LENGTHS_S)
-        for begin_s in range(1, int(duration_s), int(BURST_PERIOD_S))
-    }
-
-    def rate(at_s: float) -> float:
-        is_burst = any(begin_s <= at_s < end_s for begin_s, end_s in ends.items())
-        return BASE_PER_S * (BURST_FACTOR if is_burst else 1.0)
-
-    return rate
-
-
-class PhaseResult(NamedTuple):
-    """Results of one phase of load."""
-
-    records: list[CallRecord]
-    batch: BatchCounts
-    duration_s: float
-
-    def n_online_tokens(self) -> int:
-        """Return the number of tokens in complete online responses."""
-        return N_TOKENS * sum(record.outcome == COMPLETE for record in self.records)
-
-
-class LoadHarness:
-    """Generates online and batch load on a running deployment.
-
-    Parameters
-    ----------
-    deployed : DeployedFleet
-        The running fleet.
-    options : ExperimentOptions
-        Seed and length of the load.
-    """
-
-    def __init__(self, deployed: DeployedFleet, options: ExperimentOptions) -> None:
-        self._deployed = deployed
-        self._options = options
-        self._timers = deployed.fleet.timers
-        addresses = [host.caller for host in deployed.hosts_by_id.values()]
-        self._load = LoadGenerator(self._timers, addresses)
-
-    async def close(self) -> None:
-        """Close the load generator and stop the fleet."""
-        self._load.close()
-        await self._deployed.close()
-
-    async def run_online(self, spec: LoadSpec, metrics: Metrics) -> PhaseResult:
-        """Generate online load without batch and return the results."""
-        result = await self._load.run(spec, metrics)
-        return PhaseResult(list(result.records), BatchCounts(), spec.duration_s)
-
-    async def run_with_batch(
-        self,
-        spec: LoadSpec | None,
-        metrics: Metrics,
-        chooser: Callable[[Runner], EntryHost],
-    ) -> PhaseResult:
-        """Generate online load, if any, together with a saturating batch load."""
-        duration_s = spec.duration_s if spec else PHASE_S * self._options.scale / 2
-        seed = self._options.seed
-        batch = BatchLoad(
-            self._timers, BatchSpec(SERVICE, WORKSPACE, seed=seed), chooser
-        )
-        batch.start(engine_runners(self._deployed))
-        try:
-            await asyncio.sleep(WARM_UP_S)
-            before, begin_s = batch.counts, self._timers.now()
-            records = []
-            if spec is not None:
-                records = list((await self._load.run(spec, metrics)).records)
-            else:
-                await asyncio.sleep(duration_s)
-            after, end_s = batch.counts, self._timers.now()
-        finally:
-            await batch.close()
-        counts = BatchCounts(*(b - a for a, b in zip(before, after, strict=True)))
-        return PhaseResult(records, counts, end_s - begin_s)
-
-    def bursty_spec(self, number: int) -> LoadSpec:
-        """Return the bursty online load that both phases of a pair use."""
-        seed = self._options.seed * 100 + number
-        duration_s = PHASE_S * self._options.scale
-        rate = random_bursts(seed, duration_s)
-        return LoadSpec(
-            SERVICE,
-            rate,
-            BASE_PER_S * BURST_FACTOR,
-            duration_s,
-            n_tokens=N_TOKENS,
-            seed=seed,
-        )
-
-
-def timing_figures(name: str, metrics: Metrics) -> list[Figure]:
-    """Return percentiles of the time to first token and of the token interval."""
-    return [
-        Figure(
-            f"{name} {metric} p{percent:g}", metrics.percentile_s(metric, percent), "s"
-        )
-        for metric in (FIRST_TOKEN, TOKEN_INTERVAL)
-        for percent in PERCENTILES
-    ]
-
-
-def complete_fraction(phases: list[PhaseResult]) -> float:
-    """Return the fraction of calls that got a complete response."""
-    records = [record for phase in phases for record in phase.records]
-    return sum(record.outcome == COMPLETE for record in records) / max(1, len(records))
-
-
 @experiments.register("interference")
 async def run_interference(options: ExperimentOptions) -> ExperimentResult:
     """Compare bursty online load with and without batch, in pairs of phases."""
@@ -302,15 +150,6 @@
     return record.outcome == COMPLETE and duration_s <= OVERLOAD_DEADLINE_S
 
 
-def count_outcomes(records: list[CallRecord]) -> dict[str, int]:
-    """Return the number of calls by outcome and reason."""
-    counts: dict[str, int] = {}
-    for record in records:
-        key = f"{record.outcome} {record.reason}".strip()
-        counts[key] = counts.get(key, 0) + 1
-    return counts
-
-
 @experiments.register("home-vs-direct")
 async def run_admission_policies(options: ExperimentOptions) -> ExperimentResult:
     """Compare admission policies under the same online bursts and saturating batch."""
@@ -379,96 +218,3 @@
         batch_per_s = phase.batch.n_tokens / phase.duration_s
         figures.append(Figure(f"{policy} batch", batch_per_s, "tokens/s"))
     return ExperimentResult(tuple(figures))
-
-
-COST_RATE_PER_S = 20.0
-COST_PHASE_S = 8.0
-COST_TOKENS = (1, 33)
-CLOCK_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
-
-
-class CallPathHosts(NamedTuple):
-    """The entry host that the callers use, and the home hosts of the runners."""
-
-    entry: str
-    homes: tuple[str, ...]
-
-
-class CallCost(NamedTuple):
-    """CPU seconds of one call, at the entry host and at the home hosts."""
-
-    n_tokens: int
-    entry_s: float
-    home_s: float
-
-
-@experiments.register("call-cost")
-async def run_call_cost(options: ExperimentOptions) -> ExperimentResult:
-    """Measure CPU time per call and per token, at the entry and home hosts."""
-    deployed = await start_deployment("small")
-    choose_home = home_chooser(deployed)
-    homes = {choose_home(runner).host_id for runner in engine_runners(deployed)}
-    entry_id = next(name for name in deployed.hosts_by_id if name not in homes)
-    address = deployed.hosts_by_id[entry_id].caller
-    load = LoadGenerator(deployed.fleet.timers, [address])
-    try:
-        hosts = CallPathHosts(entry_id, tuple(homes))
-        await _measure_cost(deployed, load, COST_TOKENS[0], hosts, options)
-        few, many = [
-            await _measure_cost(deployed, load, n_tokens, hosts, options)
-            for n_tokens in COST_TOKENS
-        ]
-    finally:
-        load.close()
-        await deployed.close()
-    n_tokens = many.n_tokens - few.n_tokens
-    entry_s = (many.entry_s - few.entry_s) / n_tokens
-    home_s = (many.home_s - few.home_s) / n_tokens
-    return ExperimentResult(
-        (
-            Figure("entry host, each call", 1e6 * (few.entry_s - entry_s), "us"),
-            Figure("entry host, each token", 1e6 * entry_s, "us"),
-            Figure("home, each call", 1e6 * (few.home_s - home_s), "us"),
-            Figure("home, each token", 1e6 * home_s, "us"),
-        )
-    )
-
-
-async def _measure_cost(
-    deployed: DeployedFleet,
-    load: LoadGenerator,
-    n_tokens: int,
-    hosts: CallPathHosts,
-    options: ExperimentOptions,
-) -> CallCost:
-    """Return the CPU time of a call, less what the hosts use when idle."""
-    duration_s = COST_PHASE_S * options.scale
-    names = [hosts.entry, *hosts.homes]
-    idle_begin_by_host = {name: cpu_seconds_of(deployed, name) for name in names}
-    await asyncio.sleep(duration_s)
-    load_begin_by_host = {name: cpu_seconds_of(deployed, name) for name in names}
-    spec = LoadSpec(
-        SERVICE,
-        constant_rate(COST_RATE_PER_S),
-        COST_RATE_PER_S,
-        duration_s,
-        n_tokens=n_tokens,
-        seed=options.seed,
-    )
-    result = await load.run(spec)
-    used_by_host = {
-        name: cpu_seconds_of(deployed, name)
-        - 2 * load_begin_by_host[name]
-        + idle_begin_by_host[name]
-        for name in names
-    }
-    n_calls = len(result.records)
-    home_s = sum(used_by_host[name] for name in hosts.homes)
-    return CallCost(n_tokens, used_by_host[hosts.entry] / n_calls, home_s / n_calls)
-
-
-def cpu_seconds_of(deployed: DeployedFleet, name: str) -> float:
-    """Return the user and system CPU time of a process, in seconds."""
-    stat = Path(f"/proc/{deployed.fleet.pid_of(name)}/stat").read_text()
-    fields = stat.rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS_PER_S
