--- a/libs/standins/src/damaskjunction/standins/__init__.py
+++ b/libs/standins/src/damaskjunction/standins/__init__.py
@@ -8,9 +8,9 @@
 """
 
 from damaskjunction.standins.broken_streams import BROKEN_AFTER
+from damaskjunction.standins.deployed_fleet import DeployedFleet
 from damaskjunction.standins.deployment import (
     CALLER_KEY,
-    DeployedFleet,
     Deployment,
     RunnerGroup,
     deployed_names,
--- a/libs/standins/src/damaskjunction/standins/scenarios.py
+++ b/libs/standins/src/damaskjunction/standins/scenarios.py
@@ -7,11 +7,8 @@
 from collections.abc import Coroutine
 from typing import Any, TypeVar
 
-from damaskjunction.standins.deployment import (
-    CALLER_KEY,
-    DeployedFleet,
-    deployments,
-)
+from damaskjunction.standins.deployed_fleet import DeployedFleet
+from damaskjunction.standins.deployment import CALLER_KEY, deployments
 from damaskjunction.standins.engine import token_text
 from damaskjunction.standins.fleet import BufferedResponse, parse_events
 
