Split the settings' schema by job

Findings are in findings.py, parsing in parsing.py, readers of scalars in readers.py; the schema of mappings and lists stays. Suites of settings and node/placement pass.

--- a/libs/settings/src/damaskjunction/settings/configuration.py
+++ b/libs/settings/src/damaskjunction/settings/configuration.py
@@ -19,6 +19,17 @@
     WorkspaceSpec,
 )
 from damaskjunction.core.types import EMPTY
+from damaskjunction.settings.findings import FindingCollector, truncate_text
+from damaskjunction.settings.parsing import Slices, parse_in_slices, run_to_completion
+from damaskjunction.settings.readers import (
+    KeyedNode,
+    choice,
+    integer,
+    number,
+    read_boolean,
+    read_name,
+    read_text,
+)
 from damaskjunction.settings.references import (
     DefinedNames,
     check_caller_keys,
@@ -27,23 +38,11 @@
 )
 from damaskjunction.settings.schema import (
     Field,
-    FindingCollector,
-    KeyedNode,
     MappingReader,
-    Slices,
-    choice,
-    integer,
     list_of,
-    number,
-    parse_in_slices,
-    read_boolean,
     read_fields_in_slices,
-    read_name,
-    read_text,
-    run_to_completion,
     section,
     set_of,
-    truncate_text,
 )
 
 DAY_S = 24 * 3600.0
--- a/libs/settings/src/damaskjunction/settings/host.py
+++ b/libs/settings/src/damaskjunction/settings/host.py
@@ -5,17 +5,15 @@
 from typing import NamedTuple
 
 from damaskjunction.core import Address, EntryHost
-from damaskjunction.settings.schema import (
-    Field,
-    FindingCollector,
+from damaskjunction.settings.findings import FindingCollector
+from damaskjunction.settings.parsing import parse
+from damaskjunction.settings.readers import (
     KeyedNode,
-    list_of,
-    parse,
     read_address,
-    read_fields,
     read_name,
     read_text,
 )
+from damaskjunction.settings.schema import Field, list_of, read_fields
 
 
 class HostSettings(NamedTuple):
--- a/libs/settings/src/damaskjunction/settings/locations.py
+++ b/libs/settings/src/damaskjunction/settings/locations.py
@@ -5,7 +5,8 @@
 import yaml
 
 from damaskjunction.core import SourceLocation
-from damaskjunction.settings.schema import FindingCollector, parse
+from damaskjunction.settings.findings import FindingCollector
+from damaskjunction.settings.parsing import parse
 
 
 def locate_key(text: str, source: str, key: str) -> SourceLocation:
--- a/libs/settings/src/damaskjunction/settings/references.py
+++ b/libs/settings/src/damaskjunction/settings/references.py
@@ -8,7 +8,7 @@
 import yaml
 
 from damaskjunction.core import ServiceName, ServiceSpec, WorkspaceName, WorkspaceSpec
-from damaskjunction.settings.schema import FindingCollector, suggestion_hint
+from damaskjunction.settings.findings import FindingCollector, suggestion_hint
 
 
 class DefinedNames(NamedTuple):
