Split the replication of documents by job, and name node's files for what they hold

Renamed beside it: parts.py to components.py, front.py to caller_routes.py and job_front.py to job_routes.py, after the classes in them. Log events, metrics and the dump are the same.

--- a/libs/node/src/damaskjunction/node/__init__.py
+++ b/libs/node/src/damaskjunction/node/__init__.py
@@ -1,5 +1,6 @@
 """Components of one host, their composition root and the host's daemon."""
 
+from damaskjunction.node.components import Component, PeerHandlers
 from damaskjunction.node.connection_probe import refuses_connections
 from damaskjunction.node.daemon import main, run_host
 from damaskjunction.node.datagrams import (
@@ -9,7 +10,6 @@
     open_udp_endpoint,
 )
 from damaskjunction.node.membership import Membership
-from damaskjunction.node.parts import Component, PeerHandlers
 from damaskjunction.node.registered_names import check_registered_names
 from damaskjunction.node.root import HostProcess
 from damaskjunction.node.state import HostView
--- a/libs/node/src/damaskjunction/node/job_cleaner.py
+++ b/libs/node/src/damaskjunction/node/job_cleaner.py
@@ -22,7 +22,7 @@
     SEGMENT_KIND,
     UPLOAD_KIND,
 )
-from damaskjunction.node.job_front import segment_name
+from damaskjunction.node.job_routes import segment_name
 from damaskjunction.node.job_store import JobStore
 from damaskjunction.node.state import HostView
 from damaskjunction.node.tasks import cancel_tasks
--- a/libs/node/src/damaskjunction/node/job_items.py
+++ b/libs/node/src/damaskjunction/node/job_items.py
@@ -19,8 +19,8 @@
     encode,
 )
 from damaskjunction.core import Outcome, RequestError, Timers, WorkClass
+from damaskjunction.node.caller_routes import ENGINE_PATH, JSON_TYPE
 from damaskjunction.node.entry import CallerRequest
-from damaskjunction.node.front import ENGINE_PATH, JSON_TYPE
 from damaskjunction.node.job_slots import ItemSlots
 from damaskjunction.node.metering import Meter, RequestRunner
 from damaskjunction.routing import Token
--- a/libs/node/src/damaskjunction/node/job_front.py
+++ b/libs/node/src/damaskjunction/node/job_routes.py
@@ -40,8 +40,8 @@
     Routes,
     to_json_response,
 )
+from damaskjunction.node.caller_routes import authenticate
 from damaskjunction.node.documents import JOB_KIND, QUEUE_KIND, SEGMENT_KIND
-from damaskjunction.node.front import authenticate
 from damaskjunction.node.job_cancel import JobCanceller
 from damaskjunction.node.job_store import JobStore
 from damaskjunction.node.job_upload import (
--- a/libs/node/src/damaskjunction/node/root.py
+++ b/libs/node/src/damaskjunction/node/root.py
@@ -12,23 +12,23 @@
 from damaskjunction.http import HttpServer, Routes
 from damaskjunction.membership import FailureDetector, first_incarnation
 from damaskjunction.node.admin import Admin
+from damaskjunction.node.caller_routes import CallerRoutes
 from damaskjunction.node.claims import CallClaims
+from damaskjunction.node.components import Component, PeerHandlers, SharedDependencies
 from damaskjunction.node.crashes import CrashTracker
 from damaskjunction.node.datagrams import DatagramEndpointFactory, open_udp_endpoint
 from damaskjunction.node.demand import DemandMeter
+from damaskjunction.node.document_replicator import DocumentReplicator
 from damaskjunction.node.entry import RequestRouter
-from damaskjunction.node.following import DocumentReplicator
-from damaskjunction.node.front import CallerRoutes
 from damaskjunction.node.home import Home
 from damaskjunction.node.job_cancel import JobCanceller
 from damaskjunction.node.job_cleaner import JobCleaner
-from damaskjunction.node.job_front import JobRoutes
+from damaskjunction.node.job_routes import JobRoutes
 from damaskjunction.node.job_store import JobStore
 from damaskjunction.node.job_worker import JobWorker
 from damaskjunction.node.leasing import LeaseManager
 from damaskjunction.node.membership import Membership
 from damaskjunction.node.metering import Meter, MeteredRequestRunner
-from damaskjunction.node.parts import Component, PeerHandlers, SharedDependencies
 from damaskjunction.node.peak_budget import PeakBudget
 from damaskjunction.node.placer import Placer
 from damaskjunction.node.probing import RunnerProbes
--- a/libs/node/src/damaskjunction/node/shutdown.py
+++ b/libs/node/src/damaskjunction/node/shutdown.py
@@ -9,7 +9,7 @@
 
 from damaskjunction.core import Outcome, RequestError
 from damaskjunction.http import HttpServer
-from damaskjunction.node.front import ADDRESSES_TTL_S
+from damaskjunction.node.caller_routes import ADDRESSES_TTL_S
 from damaskjunction.node.membership import Membership
 from damaskjunction.node.state import HostView
 
