Let batch items that wait for a route hold up no others

What callers saw: not reported; read in the code while ways to LOST were looked for. Cause: a host ran at most 64 items at once, of all services, and an item kept its place while its job's route was not in force, up to the end of its retention. Others waited behind it though their runners were free. Class: a place that is for work, held while waiting. Change: the places are those of a service, and an item takes one only when its route is in force; when the route changes it gives the place back. Test: owed items, items that wait for their route hold up no items of other routes; before, the second job had no result within 5 s while 70 items of the first waited.

--- a/libs/gateway/features/owed_items.feature
+++ b/libs/gateway/features/owed_items.feature
@@ -12,3 +12,11 @@
     And its 2 items wait at the home
     And the stopped host is back and the engines are free
     Then each host returns the same 2 complete results of "j1"
+
+  Scenario: Items that wait for their route hold up no items of other routes
+    Given the engines have no free slots
+    When the job "j1" of 70 items is submitted at "h0"
+    And the route of "j1" is removed while the route "noon" stays
+    And the engines have free slots
+    And the job "j2" of 2 items is submitted under "/noon/" at "h0"
+    Then the job "j2" has 2 results within 5 s
--- a/libs/gateway/features/steps/owed_items_steps.py
+++ b/libs/gateway/features/steps/owed_items_steps.py
@@ -2,10 +2,18 @@
 
 from __future__ import annotations
 
+import asyncio
+
 from batch_steps import home_of_engines, submit
-from behave import given, when
+from behave import given, then, when
 from fleet_helpers import run, set_faults
-from platform_fleet import ENGINE
+from platform_fleet import ENGINE, ROUTES, make_configuration, make_route
+
+from damaskjunction import standins
+
+NOON = make_route(
+    "noon", "/noon/", "batch", ENGINE, CompletionTargetMs=10_000, RetentionS=30
+)
 
 
 def pool_document(context):
@@ -59,3 +67,47 @@
 def restart_home(context):
     set_faults(context, "foreign", 0)
     run(context, context.platform.start_host(context.stopped))
+
+
+@given("the engines have no free slots")
+def fill_engines(context):
+    set_faults(context, "full", 1)
+
+
+@when("the engines have free slots")
+def free_engines(context):
+    set_faults(context, "full", 0)
+
+
+@when('the route of "{job_id}" is removed while the route "noon" stays')
+def remove_route(context, job_id):
+    def is_known():
+        return job_id in context.platform.hosts["h0"].job_repository.jobs_by_id
+
+    run(context, context.platform.wait_for(is_known))
+    routes = [route for route in ROUTES if route["Name"] != "night"]
+    configuration = make_configuration(2, [*routes, NOON])
+    context.platform.store.put("config", "main", configuration)
+
+    def is_in_force():
+        return all(h.state.table.version == 2 for h in context.platform.hosts.values())
+
+    run(context, context.platform.wait_for(is_in_force))
+    run(context, asyncio.sleep(1.0))  # all items of the job find their route missing
+
+
+@when('the job "{job_id}" of {count:d} items is submitted under "{prefix}" at "{host}"')
+def submit_under(context, job_id, count, prefix, host):
+    body = standins.make_job(job_id, count, path=f"{prefix}x", tokens=10)
+    work = context.platform.call(host, "POST", prefix, body=body, request_id=job_id)
+    context.reply = run(context, work)
+    assert context.reply.status == 202, context.reply
+
+
+@then('the job "{job_id}" has {count:d} results within {limit_s:g} s')
+def check_results_in_time(context, job_id, count, limit_s):
+    async def work():
+        async with asyncio.timeout(limit_s):
+            await context.platform.wait_for_results("h0", job_id, count)
+
+    run(context, work())
--- a/libs/gateway/src/damaskjunction/gateway/item_runner.py
+++ b/libs/gateway/src/damaskjunction/gateway/item_runner.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 from typing import NamedTuple
 
 from damaskjunction.batch import BatchItem, ItemResult
@@ -11,6 +12,7 @@
     Outcome,
     RequestError,
     RunnerId,
+    ServiceName,
     WorkClass,
     stable_hash,
 )
@@ -38,7 +40,8 @@
 
 logger = logging.getLogger(__name__)
 
-MAX_ITEMS_AT_ONCE = 64
+MAX_ITEMS_AT_ONCE = 64  # of one service, on one host
+ROUTE_POLL_S = 1.0
 ATTEMPT_TIMEOUT_S = 60.0  # to get a slot, and again for the runner's work
 STALL_TIMEOUT_S = 3.0
 MAX_OUTPUT_CHARACTERS = 8 * MIB
@@ -90,7 +93,7 @@
 
 
 class ItemRunner:
-    """Runs items, at most ``MAX_ITEMS_AT_ONCE`` at a time.
+    """Runs items, at most ``MAX_ITEMS_AT_ONCE`` of a service at a time.
 
     Parameters
     ----------
@@ -107,13 +110,18 @@
         self._timers = context.timers
         self._metrics = context.metrics
         self._back_off = back_off
-        self._semaphore = asyncio.Semaphore(MAX_ITEMS_AT_ONCE)
+        self._places_by_service: dict[ServiceName, asyncio.Semaphore] = {}
 
     async def run(self, job: StoredJob, item: BatchItem, owed: OwedItem) -> ItemResult:
         """Run an item, retrying at other runners, until it has a result."""
         progress = _ItemProgress(item, owed, self._timers.now())
-        async with self._semaphore:
-            outcome = await self._run_with_retries(job, progress)
+        outcome = AttemptOutcome(False, False, "")
+        while not outcome.is_final:
+            route = await self._wait_for_route(job, progress)
+            if route is None:
+                outcome = AttemptOutcome(False, True, "retention over")
+            else:
+                outcome = await self._run_with_retries(job, route, progress)
         text = "\n".join(progress.texts) if outcome.is_whole else ""
         extra = {
             "job": job.record.job_id,
@@ -124,42 +132,78 @@
         self._metrics.count("items", is_whole=str(outcome.is_whole))
         return ItemResult(item.item_id, outcome.is_whole, text)
 
-    async def _run_with_retries(
+    async def _wait_for_route(
         self, job: StoredJob, progress: _ItemProgress
+    ) -> Route | None:
+        """Return the job's route once it is in force, None if it is too late then."""
+        while self._remaining_s(job, progress) > 0:
+            route = self._find_route(job)
+            if route is not None:
+                return route
+            progress.owed.enter(ItemState.NO_ROUTE)
+            remaining_s = self._remaining_s(job, progress)
+            await asyncio.sleep(min(max(remaining_s, 0.0) + 0.01, ROUTE_POLL_S))
+        return None
+
+    def _find_route(self, job: StoredJob) -> Route | None:
+        return self._state.table.find_by_name(job.record.route_name)
+
+    def _remaining_s(self, job: StoredJob, progress: _ItemProgress) -> float:
+        """Return the seconds until the item may be given up, infinite if never.
+
+        Counted from the start on this host, since wall clocks differ and jump: no item
+        expires before its retention is over.
+        """
+        route = self._find_route(job)
+        retention_s = DEFAULT_RETENTION_S if route is None else route.retention_s
+        if not retention_s:
+            return math.inf
+        return progress.started_at_s + retention_s - self._timers.now()
+
+    async def _run_with_retries(
+        self, job: StoredJob, route: Route, progress: _ItemProgress
     ) -> AttemptOutcome:
-        """Attempt an item until the outcome is final, and return that outcome.
+        """Attempt an item until the outcome is final or its route has changed.
 
-        After ``N_PROMPT_RETRIES`` crashes without progress, retries are delayed. There
-        is no last one: an item under which runners crashed is not to blame for that.
+        There is no last attempt: an item under which runners crashed is not to blame
+        for that. It has one of the ``MAX_ITEMS_AT_ONCE`` places of its service.
         """
+        service = route.service_for(stable_hash(progress.item.item_id))
         n_retries = 0
-        while True:
-            route = self._state.table.find_by_name(job.record.route_name)
-            retention_s = DEFAULT_RETENTION_S if route is None else route.retention_s
-            # Counted from the start on this host, since wall clocks differ and jump:
-            # no item expires before its retention is over.
-            remaining_s = progress.started_at_s + retention_s - self._timers.now()
-            if retention_s and remaining_s <= 0:
-                return AttemptOutcome(False, True, "retention over")
-            if route is None:
-                progress.owed.enter(ItemState.NO_ROUTE)
-                await asyncio.sleep(min(max(remaining_s, 0.0) + 0.01, 1.0))
-                continue
-            if progress.n_crashes >= N_PROMPT_RETRIES:
-                doublings = min(progress.n_crashes - N_PROMPT_RETRIES, 8)
-                delay_s = RETRY_DELAY_S * 2.0**doublings
-                progress.owed.enter(ItemState.DELAYED)
-                await asyncio.sleep(min(delay_s, MAX_RETRY_DELAY_S))
-            outcome = await self._attempt(job, route, progress)
-            progress.owed.reason = outcome.reason
-            if outcome.is_final:
-                return outcome
-            if progress.n_failures >= route.max_attempts:
-                return AttemptOutcome(False, True, "failed at each attempt")
-            if outcome.reason != "revoked":
-                progress.owed.enter(ItemState.DELAYED)
-                await self._back_off(min(n_retries, 3))
-                n_retries += 1
+        progress.owed.enter(ItemState.QUEUED)
+        async with self._places_of(service):
+            while True:
+                if self._remaining_s(job, progress) <= 0:
+                    return AttemptOutcome(False, True, "retention over")
+                if self._find_route(job) != route:
+                    return AttemptOutcome(False, False, "route changed")
+                await self._delay_after_crashes(progress)
+                outcome = await self._attempt(job, route, progress)
+                progress.owed.reason = outcome.reason
+                if outcome.is_final:
+                    return outcome
+                if progress.n_failures >= route.max_attempts:
+                    return AttemptOutcome(False, True, "failed at each attempt")
+                if outcome.reason != "revoked":
+                    progress.owed.enter(ItemState.DELAYED)
+                    await self._back_off(min(n_retries, 3))
+                    n_retries += 1
+
+    def _places_of(self, service: ServiceName) -> asyncio.Semaphore:
+        """Return the places of a service: the items of one hold up no others."""
+        places = self._places_by_service.get(service)
+        if places is None:
+            places = asyncio.Semaphore(MAX_ITEMS_AT_ONCE)
+            self._places_by_service[service] = places
+        return places
+
+    async def _delay_after_crashes(self, progress: _ItemProgress) -> None:
+        """Wait before a retry that follows ``N_PROMPT_RETRIES`` crashes or more."""
+        if progress.n_crashes < N_PROMPT_RETRIES:
+            return
+        doublings = min(progress.n_crashes - N_PROMPT_RETRIES, 8)
+        progress.owed.enter(ItemState.DELAYED)
+        await asyncio.sleep(min(RETRY_DELAY_S * 2.0**doublings, MAX_RETRY_DELAY_S))
 
     async def _attempt(
         self, job: StoredJob, route: Route, progress: _ItemProgress
