Let the next candidates take over a job that the first one leaves

What callers saw: not reported; read in the code while ways to LOST were looked for. Cause: a job of a missing host was taken over by the first host in rendezvous order alone. If that one still sees the owner alive, or can't write to the store, nobody does. Class: a duty that only one host may do, with nobody who looks whether it is done.

--- a/libs/batch/src/damaskjunction/batch/__init__.py
+++ b/libs/batch/src/damaskjunction/batch/__init__.py
@@ -83,6 +83,7 @@
     RetryDecision,
 )
 from damaskjunction.batch.schedule import FairShareLedger, JobOrderInput, job_orders
+from damaskjunction.batch.takeovers import TakeoverWatch
 from damaskjunction.batch.window import InFlightWindow
 
 __all__ = [
@@ -125,6 +126,7 @@
     "Resume",
     "RetryDecision",
     "SegmentDocument",
+    "TakeoverWatch",
     "UploadDocument",
     "Usage",
     "UsageDocument",
--- a/libs/gateway/src/damaskjunction/gateway/job_worker.py
+++ b/libs/gateway/src/damaskjunction/gateway/job_worker.py
@@ -7,7 +7,7 @@
 from collections.abc import Awaitable, Callable, Sequence
 from typing import TypeAlias, TypeVar
 
-from damaskjunction.batch import BatchItem
+from damaskjunction.batch import BatchItem, TakeoverWatch
 from damaskjunction.core import (
     JobId,
     PlatformError,
@@ -25,7 +25,6 @@
 
 CHECK_PERIOD_S = 0.5
 FIRST_CHECK_DELAY_S = 4.0
-ORPHAN_TIMEOUT_S = 1.0
 BACKOFF_BASE_S = 0.1
 BACKOFF_LIMIT_S = 1.0
 
@@ -52,7 +51,7 @@
         self._rng = context.rng
         self._tasks_by_job: dict[JobId, asyncio.Task[None]] = {}
         self._ids_with_cached_results: set[JobId] = set()
-        self._orphaned_at_by_job: dict[JobId, float] = {}
+        self._takeover_watch = TakeoverWatch(context.state.view.own.host_id)
         self._runner = ItemRunner(context, self.back_off)
         self.owed_items = OwedItems(context.timers, context.metrics)
         self._check: Subscription | None = None
@@ -122,32 +121,25 @@
     # Orphans
 
     def _check_orphans(self) -> None:
-        """Take over the jobs of lost hosts that are assigned to this host.
+        """Take over jobs whose owners are missing, and restart own ones that stopped.
 
-        A job is orphaned once its owner has been missing for ``ORPHAN_TIMEOUT_S``;
-        rendezvous hashing picks the host that takes it over.
+        Rendezvous hashing orders the hosts that may take a job over.
         """
         if self.is_draining:
             return
         view = self._state.view
-        now_s = self._timers.now()
+        open_jobs = list(self._jobs.open_jobs())
+        self._takeover_watch.retain_jobs([job.record.job_id for job in open_jobs])
         weighted_hosts = [(host.host_id, 1.0) for host in view.serving_hosts()]
-        for job in self._jobs.open_jobs():
+        for job in open_jobs:
             job_id = job.record.job_id
-            if job.owner == view.own.host_id:
-                if job_id not in self._tasks_by_job:
+            if job.owner in view.fleet.hosts_by_id or job.owner == view.own.host_id:
+                self._takeover_watch.observe_present(job_id)
+                if job.owner == view.own.host_id and job_id not in self._tasks_by_job:
                     self._start_job(job)
                 continue
-            if job.owner in view.fleet.hosts_by_id:
-                self._orphaned_at_by_job.pop(job_id, None)
-                continue
-            orphaned_at_s = self._orphaned_at_by_job.setdefault(job_id, now_s)
             candidates = rendezvous_order(f"job/{job_id}", weighted_hosts)
-            if (
-                now_s - orphaned_at_s >= ORPHAN_TIMEOUT_S
-                and candidates[0] == view.own.host_id
-            ):
-                self._orphaned_at_by_job[job_id] = now_s
+            if self._takeover_watch.is_due(job_id, candidates, self._timers.now()):
                 self._takeovers.begin(self._take_over(job))
 
     async def _take_over(self, job: StoredJob) -> None:
