Read the software version and the start of runners, and the stream a caller takes up

The entries of runners state the version of their software and the time of their start, their reports state the start, and callers that take up a stream name the request that brought its first event. Nothing uses them yet. The stand-ins of runners state a version, which is also the type of their events.

--- a/libs/core/src/damaskjunction/core/types.py
+++ b/libs/core/src/damaskjunction/core/types.py
@@ -98,7 +98,9 @@
 
     ``service`` names the one service that a plain runner provides; it is empty for an
     engine, which serves the model assigned to it. ``slots`` is the maximum number of
-    concurrent requests.
+    concurrent requests. ``version`` is the version of its software, empty if it states
+    none, and ``born_ms`` the Unix millisecond at which its process started by its own
+    clock, 0 if unknown.
     """
 
     runner_id: RunnerId
@@ -110,6 +112,8 @@
     accelerators: int = 1
     slots: int = 8
     state: HostState = HostState.LIVE
+    version: str = ""
+    born_ms: int = 0
 
 
 class CallSpec(NamedTuple):
--- a/libs/platform/features/decoding.feature
+++ b/libs/platform/features/decoding.feature
@@ -48,6 +48,28 @@
     Given a runner's entry with "Slots" as 6
     Then it is a live runner of "s1" with 6 slots
 
+  Scenario Outline: The software version and the start of a runner are read from its entry
+    Given a runner's entry with "<key>" as <value>
+    Then its software version is "<version>" and its start is at <born_ms> ms
+
+    Examples:
+      | key     | value         | version | born_ms       |
+      | Version | "v1.1"        | v1.1    | 0             |
+      | Version | 7             | 7       | 0             |
+      | Version | null          |         | 0             |
+      | Version | ["v1"]        |         | 0             |
+      | born    | 1796400000123 |         | 1796400000123 |
+      | born    | "soon"        |         | 0             |
+      | born    | true          |         | 0             |
+
+  Scenario: A caller that takes up a stream names the request that brought its first event
+    Given a caller's request with headers
+      | name          | value |
+      | X-Request-Id  | q2    |
+      | Last-Event-Id | 4     |
+      | Resumes       | q1    |
+    Then it takes up stream "q1" after event 4
+
   Scenario: A request is forwarded to a runner with the headers for that runner
     Given a caller's request with headers
       | name              | value             |
--- a/libs/platform/features/steps/decoding_steps.py
+++ b/libs/platform/features/steps/decoding_steps.py
@@ -204,6 +204,21 @@
     assert runner.region == "land", runner
 
 
+@then(
+    'its software version is "{version}" and its start is at {born_ms:d} ms',
+)
+@then('its software version is "" and its start is at {born_ms:d} ms')
+def check_software(context, born_ms, version=""):
+    assert not context.is_invalid
+    assert (context.runner.version, context.runner.born_ms) == (version, born_ms)
+
+
+@then('it takes up stream "{resumed_id}" after event {event_id:d}')
+def check_resumed(context, resumed_id, event_id):
+    assert context.request.resumed_id == resumed_id
+    assert context.request.last_event_id == event_id
+
+
 @given("a caller's request with headers")
 def make_request(context):
     async def no_body():
--- a/libs/platform/src/damaskjunction/platform/configuration.py
+++ b/libs/platform/src/damaskjunction/platform/configuration.py
@@ -16,6 +16,7 @@
     SourceLocation,
 )
 from damaskjunction.core.units import MILLISECOND_S
+from damaskjunction.platform.requests import read_start_time
 from damaskjunction.platform.store import PlatformObject
 from damaskjunction.routing import (
     BackendSpec,
@@ -134,7 +135,8 @@
     """Decode a runner's entry.
 
     An entry does not state the kind of the service, so ``kind`` is always ``PLAIN``;
-    the kind follows from the configuration.
+    the kind follows from the configuration. An entry without a version of the software
+    or a time of the start is valid.
 
     Raises
     ------
@@ -165,4 +167,14 @@
         service=service,
         slots=slots,
         state=state,
+        version=_read_version(entry),
+        born_ms=read_start_time(entry),
     )
+
+
+def _read_version(entry: Mapping[str, Any]) -> str:
+    """Return the version of a runner's software, empty if it states none."""
+    version = entry.get("Version")
+    if isinstance(version, bool) or not isinstance(version, str | int):
+        return ""
+    return str(version)
--- a/libs/platform/src/damaskjunction/platform/requests.py
+++ b/libs/platform/src/damaskjunction/platform/requests.py
@@ -6,7 +6,7 @@
 import math
 from collections.abc import Mapping
 from enum import StrEnum
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from damaskjunction.core import Address, RequestId, RunnerId
 from damaskjunction.core.units import MILLISECOND_S
@@ -22,6 +22,7 @@
 PROMPT_PARTS_HEADER = "x-prompt-prefix"
 TOKENS_HEADER = "x-token-usage"
 LAST_EVENT_ID_HEADER = "last-event-id"
+RESUMES_HEADER = "resumes"
 EXPECTED_RUNNER_HEADER = "x-expect-instance"
 RUNNER_ID_HEADER = "x-instance-id"
 NOT_RUN_HEADER = "x-not-run"
@@ -55,7 +56,9 @@
     ``target`` is the path with the query, as sent. ``shared_parts`` are the ids of the
     prompt prefixes that other requests may share; the last part of the prompt is not
     among them. ``n_tokens`` is the sum of the token counts that the caller stated.
-    ``headers`` are those to forward.
+    ``last_event_id`` is set when the caller takes up a stream after that event, and
+    ``resumed_id`` is the id of the request that brought the stream's first event, empty
+    if the caller names none. ``headers`` are those to forward.
     """
 
     request_id: RequestId
@@ -69,6 +72,7 @@
     last_event_id: int | None
     headers: Mapping[str, str]
     body: bytes
+    resumed_id: RequestId = ""
 
 
 class RunnerResponseHead(NamedTuple):
@@ -96,10 +100,14 @@
 
 
 class RunnerReport(NamedTuple):
-    """Load that a runner reported; it is a fraction of a second old."""
+    """Load that a runner reported; it is a fraction of a second old.
+
+    ``born_ms`` is the Unix millisecond of its start, 0 if it states none.
+    """
 
     n_running: int
     n_queued: int
+    born_ms: int = 0
 
 
 class Refusal(StrEnum):
@@ -146,6 +154,7 @@
             if name not in _HOP_BY_HOP_HEADERS and name not in _OVERRIDDEN_HEADERS
         },
         body=body,
+        resumed_id=headers.get(RESUMES_HEADER, ""),
     )
 
 
@@ -212,11 +221,20 @@
     """Decode a runner's load report; returns None if the body is not one."""
     try:
         document = json.loads(body)
-        return RunnerReport(int(document["Running"]), int(document["Waiting"]))
+        n_running, n_queued = int(document["Running"]), int(document["Waiting"])
+        return RunnerReport(n_running, n_queued, read_start_time(document))
     except (ValueError, KeyError, TypeError):
         return None
 
 
+def read_start_time(document: Mapping[str, Any]) -> int:
+    """Return the Unix millisecond of a runner's start, 0 if it states none."""
+    born_ms = document.get("born")
+    if isinstance(born_ms, bool) or not isinstance(born_ms, int) or born_ms < 0:
+        return 0
+    return born_ms
+
+
 def caller_response(head: RunnerResponseHead, body: bytes) -> Response:
     """Return a runner's complete response as the response to the caller."""
     return Response(head.status, body, None, head.headers)
--- a/libs/standins/src/damaskjunction/standins/raw_runner.py
+++ b/libs/standins/src/damaskjunction/standins/raw_runner.py
@@ -84,6 +84,7 @@
             "Zone": "z1",
             "Slots": 8,
             "State": "ready",
+            "Version": "v1",
         }
         self._store.put(RUNNERS_KIND, self.runner_id, entry)
 
--- a/libs/standins/src/damaskjunction/standins/runner.py
+++ b/libs/standins/src/damaskjunction/standins/runner.py
@@ -60,6 +60,8 @@
         Maximum number of concurrent streams.
     advertised : Address, optional
         Address to register, if it differs from ``address``.
+    version : str, optional
+        Version of its software, which is the type of its events; empty to state none.
     """
 
     def __init__(
@@ -72,8 +74,10 @@
         n_events: int = 10,
         slots: int = 2,
         advertised: Address | None = None,
+        version: str = "v1",
     ) -> None:
         self.runner_id = runner_id
+        self.version = version
         self._advertised = advertised or address
         self._service = service
         self._store = store
@@ -140,6 +144,8 @@
             "Slots": self._slots,
             "State": state,
         }
+        if self.version:
+            entry["Version"] = self.version
         self._store.put(RUNNERS_KIND, self.runner_id, entry)
 
     def record_run(self, request_id: RequestId, last_event_id: str) -> None:
@@ -209,7 +215,8 @@
                     await asyncio.Event().wait()
                 if self.faults["silent_after"] and number > self.faults["silent_after"]:
                     await asyncio.Event().wait()
-                yield f"id: {number}\ndata: token {number}\n\n".encode()
+                mark = f"event: {self.version}\n" if self.version else ""
+                yield f"{mark}id: {number}\ndata: token {number}\n\n".encode()
                 if self.faults["break_after"] and number >= self.faults["break_after"]:
                     raise ConnectionResetError("injected fault: stream aborted")
         finally:
