Keep a stream in one answer at the software version that began it

Callers got the first part of a stream from one software version and the rest from another: the entry asked the home for any runner when it resumed a broken stream, and the home knows no version. Now an attempt after the first event is constrained to the version of the runner that wrote it, at the home (the ask names it), without a home, and for plain services; the entry checks the version of the granted runner again. A request that waits for a version without a runner is refused at once. A stream of a runner that states no version, or whose runner is listed at another version since, goes on nowhere.

The stall timeouts move to a module of their own.

--- a/libs/gateway/src/damaskjunction/gateway/request_execution.py
+++ b/libs/gateway/src/damaskjunction/gateway/request_execution.py
@@ -14,7 +14,6 @@
 )
 from damaskjunction.core.units import MILLISECOND_S
 from damaskjunction.gateway.answer_stream import (
-    FIRST_EVENT_TIMEOUT_S,
     AnswerProgress,
     InactivityTimer,
     StreamBody,
@@ -33,7 +32,12 @@
     RunnerSelector,
 )
 from damaskjunction.gateway.slot_client import Slot
+from damaskjunction.gateway.stall_timeouts import (
+    gap_stall_timeout_s,
+    head_stall_timeout_s,
+)
 from damaskjunction.gateway.stream_check import StreamCheck
+from damaskjunction.gateway.stream_version import StreamVersion
 from damaskjunction.http import BrokenResponseError, Response
 from damaskjunction.platform import Refusal, caller_response, refusal_response
 from damaskjunction.routing import RouteKind
@@ -41,11 +45,6 @@
 logger = logging.getLogger(__name__)
 
 HOP_ALLOWANCE_S = 2 * MILLISECOND_S  # subtracted from the runner's remaining time
-FIRST_EVENT_GOAL_FACTOR = 2.0
-EVENT_GAP_TIMEOUT_S = 0.4
-EVENT_GAP_GOAL_FACTOR = 2.0
-RESPONSE_TIMEOUT_FRACTION = 0.4  # of the remaining time, for one plain attempt
-MIN_RESPONSE_TIMEOUT_S = 0.25
 MIN_REMAINING_S = 0.02  # with less time left, no attempt is started
 MAX_RUNNERS_TRIED = 12
 DIAGNOSIS_WAIT_S = 0.1
@@ -83,6 +82,9 @@
         self._last_event_id = routed.request.last_event_id
         self._n_events = 0
         self._progress = AnswerProgress(context.timers)
+        self._version = StreamVersion(
+            routed.request.request_id, context.state, context.timers
+        )
 
     async def run(self) -> Response:
         """Return the response for the caller; the body of a stream is read later."""
@@ -133,15 +135,17 @@
 
     async def _send(self, last_event_id: int | None) -> RunnerResponse:
         routed, selector = self._routed, self._selector
+        version = self._version.required
         if selector.uses_slots(routed):
-            self._slot = await selector.acquire_slot(routed, self._excluded)
+            self._slot = await selector.acquire_slot(routed, self._excluded, version)
             self._runner_id = self._slot.runner_id
         else:
-            self._runner_id = selector.choose_runner(routed, self._excluded)
+            self._runner_id = selector.choose_runner(routed, self._excluded, version)
         runners = self._context.state.runners_of(routed.service)
         runner = find_runner(runners, self._runner_id)
         if runner is None:
             raise RunnerFailedError(Outcome.NOT_RUN, "runner_gone")
+        self._version.check(runner)
         remaining_s = self._remaining_s()
         if remaining_s < MIN_REMAINING_S:
             raise RunnerFailedError(Outcome.NOT_RUN, "no_time_left")
@@ -152,27 +156,15 @@
             runner,
             routed.request,
             remaining_s=remaining_s - HOP_ALLOWANCE_S,
-            stall_s=self._head_stall_timeout_s(remaining_s),
+            stall_s=head_stall_timeout_s(
+                routed.route, self._n_attempts_run, remaining_s
+            ),
             last_event_id=last_event_id,
             new_connection=not routed.route.may_repeat
             or self._runner_id in self._excluded,
             is_stream=routed.route.kind is RouteKind.STREAM,
         )
 
-    def _head_stall_timeout_s(self, remaining_s: float) -> float:
-        """Return the stall timeout of a response's head and first event, in seconds."""
-        route = self._routed.route
-        is_last = self._n_attempts_run + 1 >= route.max_attempts
-        if not route.may_repeat or is_last:
-            return remaining_s
-        if route.kind is RouteKind.STREAM:
-            goal_s = FIRST_EVENT_GOAL_FACTOR * route.latency_goal_s
-            return min(remaining_s, max(FIRST_EVENT_TIMEOUT_S, goal_s))
-        return min(
-            remaining_s,
-            max(MIN_RESPONSE_TIMEOUT_S, RESPONSE_TIMEOUT_FRACTION * remaining_s),
-        )
-
     def _remaining_s(self) -> float:
         return self._routed.deadline_at_s - self._timers.now()
 
@@ -304,7 +296,9 @@
         assert runner_response is not None
         check = StreamCheck(self._last_event_id)
         runner_response.body.set_stall_timeout(
-            self._head_stall_timeout_s(self._remaining_s())
+            head_stall_timeout_s(
+                self._routed.route, self._n_attempts_run, self._remaining_s()
+            )
         )
         try:
             async for chunk in runner_response.body.chunks():
@@ -322,7 +316,9 @@
                 if remaining_s <= 0:
                     raise RunnerFailedError(Outcome.RAN, "no_time_left")
                 runner_response.body.set_stall_timeout(
-                    self._gap_stall_timeout_s(remaining_s)
+                    gap_stall_timeout_s(
+                        self._routed.route, self._n_attempts_run, remaining_s
+                    )
                 )
         except BrokenResponseError as error:
             raise RunnerFailedError(
@@ -333,22 +329,12 @@
 
     def _record_events(self, n_events: int) -> None:
         self._n_events += n_events
+        if self._runner is not None:
+            self._version.record_event(self._runner)
         self._progress.record_event()
         if self._progress.is_answered:
             self._report_answered()
 
-    def _gap_stall_timeout_s(self, remaining_s: float) -> float:
-        """Return the stall timeout between events of a stream, in seconds."""
-        route = self._routed.route
-        if not route.may_repeat or self._n_attempts_run + 1 >= route.max_attempts:
-            return remaining_s
-        return min(
-            remaining_s,
-            max(
-                EVENT_GAP_TIMEOUT_S, EVENT_GAP_GOAL_FACTOR * route.token_interval_goal_s
-            ),
-        )
-
     async def _resume(self, error: RunnerFailedError) -> None:
         """Resume a broken stream at another runner.
 
--- a/libs/gateway/src/damaskjunction/gateway/runner_selector.py
+++ b/libs/gateway/src/damaskjunction/gateway/runner_selector.py
@@ -18,6 +18,7 @@
     EjectionPolicy,
     OutlierEjection,
     Route,
+    runners_at,
 )
 from damaskjunction.wire import RunnerSeen, SlotAsk
 
@@ -72,10 +73,12 @@
         self._ejection = OutlierEjection(PLAIN_EJECTION)
 
     async def acquire_slot(
-        self, routed: RoutedRequest, excluded: set[RunnerId]
+        self, routed: RoutedRequest, excluded: set[RunnerId], version: str
     ) -> Slot:
         """Acquire a slot of a runner for an attempt.
 
+        Only runners of the software ``version`` may be chosen, unless it is empty.
+
         Raises
         ------
         RequestError
@@ -97,6 +100,7 @@
             - self._timers.now(),
             is_repeated=routed.is_repeated or bool(excluded),
             fingerprint=routed.fingerprint,
+            software_version=version,
         )
         return await self._slot_client.acquire(ask)
 
@@ -145,9 +149,13 @@
         else:
             self._ejection.record_failure(runner_id, self._timers.now())
 
-    def choose_runner(self, routed: RoutedRequest, excluded: set[RunnerId]) -> RunnerId:
+    def choose_runner(
+        self, routed: RoutedRequest, excluded: set[RunnerId], version: str
+    ) -> RunnerId:
         """Return the plain runner with the fewest requests of this host per slot.
 
+        Only runners of the software ``version`` may be chosen, unless it is empty.
+
         Raises
         ------
         RequestError
@@ -156,7 +164,7 @@
         now_s = self._timers.now()
         runners = [
             runner
-            for runner in self._state.runners_of(routed.service)
+            for runner in runners_at(self._state.runners_of(routed.service), version)
             if runner.runner_id not in excluded
         ]
         runners = list(self._ejection.healthy(runners, lambda r: r.runner_id, now_s))
--- a/libs/gateway/src/damaskjunction/gateway/slot_client.py
+++ b/libs/gateway/src/damaskjunction/gateway/slot_client.py
@@ -29,7 +29,12 @@
 from damaskjunction.gateway.state import ServingState
 from damaskjunction.gateway.suspect_registry import SuspectRegistry
 from damaskjunction.node import TaskSet, cancel_tasks
-from damaskjunction.routing import LimitObservations, RunnerLimit, slot_homes
+from damaskjunction.routing import (
+    LimitObservations,
+    RunnerLimit,
+    runners_at,
+    slot_homes,
+)
 from damaskjunction.wire import (
     Message,
     PeerLinks,
@@ -364,7 +369,9 @@
         """
         runners = [
             runner.runner_id
-            for runner in self._state.runners_of(ask.service_name)
+            for runner in runners_at(
+                self._state.runners_of(ask.service_name), ask.software_version
+            )
             if runner.runner_id not in ask.avoid
             and not self._observed_limits.is_limited(runner.runner_id)
         ]
--- a/libs/gateway/src/damaskjunction/gateway/slot_home.py
+++ b/libs/gateway/src/damaskjunction/gateway/slot_home.py
@@ -25,6 +25,7 @@
     GrantSlot,
     RefuseSlot,
     RevokeSlot,
+    RunnerVersions,
     SlotEffect,
     SlotPool,
     SlotTicket,
@@ -146,6 +147,7 @@
             now_s + ask.due_in_s,
             now_s + ask.goal_in_s,
             ask.is_repeated,
+            ask.software_version,
         )
         pool = self._pool(ask.service_name)
         pool.observe_limits(ask.limits, now_s)
@@ -224,13 +226,16 @@
     def _set_runners(self, service: ServiceName, pool: SlotPool) -> None:
         spec = self._state.table.services_by_name.get(service)
         engine = spec.engine if spec is not None else None
+        runners = self._state.runners_of(service)
         slots_by_runner = {
             runner.runner_id: min(runner.slots, engine.slots)
             if engine is not None
             else runner.slots
-            for runner in self._state.runners_of(service)
+            for runner in runners
         }
-        self._apply_effects(pool.set_runners(slots_by_runner, self._timers.now()))
+        versions = RunnerVersions({r.runner_id: r.version for r in runners})
+        now_s = self._timers.now()
+        self._apply_effects(pool.set_runners(slots_by_runner, now_s, versions))
 
     def _apply_view(self) -> None:
         for service, pool in self._pools_by_service.items():
--- a/libs/routing/src/damaskjunction/routing/slot_types.py
+++ b/libs/routing/src/damaskjunction/routing/slot_types.py
@@ -15,7 +15,8 @@
     Times are on the ``Timers`` clock: the request must start by ``start_by_s``, and by
     ``goal_at_s`` to meet its latency goal; batch requests are served by earliest
     ``due_at_s``. ``is_repeated`` says that an earlier submission or attempt of it was
-    refused or failed.
+    refused or failed. Only runners of ``software_version`` may be given it, unless that
+    is empty.
     """
 
     request_id: RequestId
@@ -26,6 +27,7 @@
     due_at_s: float
     goal_at_s: float = 0.0
     is_repeated: bool = False
+    software_version: str = ""
 
 
 class GrantSlot(NamedTuple):
--- a/libs/routing/src/damaskjunction/routing/slots.py
+++ b/libs/routing/src/damaskjunction/routing/slots.py
@@ -25,6 +25,7 @@
     SlotEffect,
     SlotTicket,
 )
+from damaskjunction.routing.stream_versions import RunnerVersions
 
 RESERVE_SHARE = 0.06  # fraction of the slots that batch leaves free
 HOLD_TIME_SMOOTHING = 0.05
@@ -38,6 +39,7 @@
 MAX_REPORT_AGE_S = 2.0
 STARVATION_S = 1.0  # for so long, what waited in vain predicts the next
 REPEATED_RANK = 1
+VERSION_GONE = "version_gone"  # the reason of a refusal
 LATE_RANK = 2
 
 FAILURE_EJECTION = EjectionPolicy(n_failures=1, base_s=0.7, limit_s=6.0)
@@ -61,6 +63,7 @@
 
     def __init__(self) -> None:
         self._slots_by_runner: dict[RunnerId, int] = {}
+        self._versions = RunnerVersions()
         self._online_held_by_id: dict[RequestId, _HeldSlot] = {}
         self._batch_held_by_id: dict[RequestId, _HeldSlot] = {}
         self._revoked_ids: set[RequestId] = set()
@@ -92,9 +95,16 @@
         )
 
     def set_runners(
-        self, slots_by_runner: Mapping[RunnerId, int], now_s: float
+        self,
+        slots_by_runner: Mapping[RunnerId, int],
+        now_s: float,
+        versions: RunnerVersions = RunnerVersions(),  # noqa: B008 - never changed
     ) -> list[SlotEffect]:
-        """Replace the set of usable runners and their slot counts."""
+        """Replace the usable runners, their slot counts and their software versions.
+
+        Requests that wait for a version which no runner has any more are refused.
+        """
+        self._versions = versions
         self._slots_by_runner = {
             name: slots_by_runner[name] for name in sorted(slots_by_runner)
         }
@@ -102,7 +112,19 @@
         self._rate_limiter.retain_runners(slots_by_runner)
         for runner_id in self._unseen_by_runner.keys() - slots_by_runner.keys():
             self._forget_report(runner_id)
-        return self._dispatch(now_s)
+        return [*self._refuse_gone_versions(), *self._dispatch(now_s)]
+
+    def _refuse_gone_versions(self) -> list[SlotEffect]:
+        refusals: list[SlotEffect] = []
+        for waiting in (self._waiting_online, self._waiting_batch):
+            for ticket in list(waiting.values()):
+                if not self._versions.serves(ticket.software_version):
+                    del waiting[ticket.request_id]
+                    refusals.append(self._refuse_version(ticket))
+        return refusals
+
+    def _refuse_version(self, ticket: SlotTicket) -> RefuseSlot:
+        return RefuseSlot(ticket.request_id, VERSION_GONE, MIN_RETRY_AFTER_S)
 
     def submit(self, ticket: SlotTicket, now_s: float) -> list[SlotEffect]:
         """Grant a request a slot, queue it or refuse it.
@@ -110,13 +132,16 @@
         A new online request is refused when it is predicted to miss its latency goal;
         a repeated one may wait until the latest time at which it can start.
         """
+        if not self._versions.serves(ticket.software_version):
+            return [self._refuse_version(ticket)]
         if ticket.work_class is WorkClass.BATCH:
             if len(self._waiting_batch) >= MAX_BATCH_QUEUE:
                 return [RefuseSlot(ticket.request_id, "overloaded", 1.0)]
             self._waiting_batch[ticket.request_id] = ticket
             heapq.heappush(self._batch_heap, (ticket.due_at_s, ticket.request_id))
             return self._dispatch(now_s)
-        if not any(name not in ticket.avoid for name in self._slots_by_runner):
+        excluded = self._excluded_runners(ticket)
+        if not any(name not in excluded for name in self._slots_by_runner):
             reason = "no_runner" if not self._slots_by_runner else "runners_failed"
             return [RefuseSlot(ticket.request_id, reason, self._mean_hold_s)]
         start_limit_s = ticket.start_by_s if ticket.is_repeated else ticket.goal_at_s
@@ -347,13 +372,15 @@
     def _excluded_runners(self, ticket: SlotTicket) -> tuple[RunnerId, ...]:
         """Return the runners that must not be given a request.
 
-        A batch request that excludes every runner would wait forever, so its exclusions
-        are ignored.
+        A batch request that excludes every runner of its version would wait forever, so
+        its exclusions are ignored.
         """
+        others = self._versions.others(ticket.software_version)
+        excluded = (*ticket.avoid, *others)
         is_batch = ticket.work_class is WorkClass.BATCH
-        if is_batch and all(name in ticket.avoid for name in self._slots_by_runner):
-            return ()
-        return ticket.avoid
+        if is_batch and all(name in excluded for name in self._slots_by_runner):
+            return others
+        return excluded
 
     def _grant(
         self,
--- a/libs/wire/src/damaskjunction/wire/peer.thrift
+++ b/libs/wire/src/damaskjunction/wire/peer.thrift
@@ -210,6 +210,7 @@
   10: bool is_repeated
   11: string fingerprint
   12: list<RunnerLimit> limits
+  13: string software_version
 }
 
 // The slot is granted: the request may be sent to the runner.
--- a/libs/wire/src/damaskjunction/wire/slots.py
+++ b/libs/wire/src/damaskjunction/wire/slots.py
@@ -22,7 +22,8 @@
     service's latency goal; batch requests are served by earliest ``due_in_s``.
     ``is_repeated`` means that an earlier attempt of the caller was refused or failed.
     ``fingerprint`` is equal for equal requests. ``limits`` are the rate limits that
-    runners of the service have named to the asking host.
+    runners of the service have named to the asking host. Only runners of
+    ``software_version`` may be given the request, unless that is empty.
     """
 
     request_id: RequestId
@@ -37,6 +38,7 @@
     is_repeated: bool = False
     fingerprint: str = ""
     limits: tuple[RunnerLimit, ...] = ()
+    software_version: str = ""
 
     @property
     def traits(self) -> tuple[str, ...]:
