Announce the software versions of a service in the store before use

A host that was started or that never saw a stream can't tell which version began it, and the runners that are listed now prove nothing: those of the old version may have left. The home of a service now writes the listed versions to a record in the store, closes a version that is unlisted for 2 s and drops it once no stream of it can live. No stream or item begins at a version that the record does not name; a sole version needs no record, but then the first record names an unknown version for a while. One write a version that comes, two for one that goes, and one more kind to follow; nothing a stream.

--- a/libs/gateway/features/steps/stream_version_steps.py
+++ b/libs/gateway/features/steps/stream_version_steps.py
@@ -6,9 +6,18 @@
 
 from behave import given, then, when
 from fleet_helpers import run
-from platform_fleet import ENGINE, event_ids
+from platform_fleet import (
+    ENGINE,
+    POLL_S,
+    ROUTES,
+    event_ids,
+    make_configuration,
+)
+
+from damaskjunction.gateway.version_registry import VERSIONS_KIND
 
 SETTLE_S = 0.3
+MAX_WAIT_S = 5.0
 
 
 @given('engines "{names}" of version "{version}" with {n_events:d} events')
@@ -41,6 +50,114 @@
     run(context, asyncio.sleep(SETTLE_S))
 
 
+@given('the store names "{version}" first')
+def await_record(context, version):
+    run(
+        context,
+        context.platform.wait_for(lambda: version in named_versions(context)),
+    )
+
+
+@given("the store accepts no writes for {duration_s:g} s while streams are requested")
+def refuse_writes(context, duration_s):
+    faults = context.platform.store.faults
+    faults["read_only"] = 1
+
+    async def end_fault():
+        await asyncio.sleep(duration_s)
+        faults["read_only"] = 0
+
+    async def begin():
+        context.fault = asyncio.ensure_future(end_fault())
+
+    run(context, begin())
+
+
+@when('engines "{names}" of version "{version}" join at once')
+def join_engines_at_once(context, names, version):
+    for runner in context.platform.runners.values():
+        note_record_at_first_run(context, runner)
+    context.record_by_version = {}
+    for name in names.split(","):
+        platform = context.platform
+        options = {"version": version, "n_events": context.n_events, "slots": 8}
+        run(context, platform.add_runner(name, ENGINE, **options))
+        note_record_at_first_run(context, platform.runners[name])
+
+
+def named_versions(context):
+    store = context.platform.store
+    if ENGINE not in store.names(VERSIONS_KIND):
+        return []
+    record = store.spec(VERSIONS_KIND, ENGINE)
+    closed = [entry["version"] for entry in record["closed_versions"]]
+    return record["open_versions"] + closed
+
+
+def note_record_at_first_run(context, runner):
+    record_run = runner.record_run
+
+    def note(request_id, last_event_id):
+        context.record_by_version.setdefault(runner.version, named_versions(context))
+        record_run(request_id, last_event_id)
+
+    runner.record_run = note
+
+
+@when("streams are requested until both versions have had one")
+def request_streams(context):
+    async def request():
+        number = 0
+        async with asyncio.timeout(MAX_WAIT_S):
+            while len(context.record_by_version) < 2:
+                calls = [
+                    context.platform.call(
+                        host, "POST", "/alert/1", request_id=f"q{number}-{host}-{call}"
+                    )
+                    for host in context.platform.hosts
+                    for call in range(4)
+                ]
+                await asyncio.gather(*calls)
+                number += 1
+
+    run(context, request())
+
+
+@then('the store named version "{version}" before its first stream')
+def check_announced(context, version):
+    assert version in context.record_by_version[version], context.record_by_version
+
+
+@given("a timeout of {timeout_s:g} s on all routes")
+def set_timeout(context, timeout_s):
+    changed = {"TimeoutMs": int(timeout_s * 1000)}
+    routes = [{**route, **changed} for route in ROUTES]
+    document = make_configuration(2, routes)
+    context.platform.store.put("config", "main", document)
+    hosts = context.platform.hosts.values()
+    run(
+        context,
+        context.platform.wait_for(
+            lambda: all(host.state.table.version == 2 for host in hosts)
+        ),
+    )
+
+
+@when('runner "{name}" leaves')
+def remove_runner(context, name):
+    context.platform.store.remove("servers", name)
+
+
+@then('the store names "{versions}" alone within {within_s:g} s')
+def check_record(context, versions, within_s):
+    async def wait():
+        async with asyncio.timeout(within_s):
+            while named_versions(context) != versions.split(","):  # noqa: ASYNC110
+                await asyncio.sleep(POLL_S)
+
+    run(context, wait())
+
+
 @when("the stream's runner breaks it")
 def break_stream(context):
     runner = running(context)[0]
--- a/libs/gateway/src/damaskjunction/gateway/dispatch_context.py
+++ b/libs/gateway/src/damaskjunction/gateway/dispatch_context.py
@@ -11,6 +11,7 @@
 from damaskjunction.gateway.slot_client import SlotClient
 from damaskjunction.gateway.state import ServingState
 from damaskjunction.gateway.suspect_registry import SuspectRegistry
+from damaskjunction.gateway.version_registry import VersionRegistry
 from damaskjunction.telemetry import Metrics
 
 
@@ -22,6 +23,7 @@
     runner_client: RunnerClient
     suspects: SuspectRegistry
     crash_reporter: CrashReporter
+    version_registry: VersionRegistry
     timers: Timers
     metrics: Metrics
     rng: random.Random
--- a/libs/gateway/src/damaskjunction/gateway/root.py
+++ b/libs/gateway/src/damaskjunction/gateway/root.py
@@ -29,6 +29,7 @@
 from damaskjunction.gateway.slot_home import SlotHome
 from damaskjunction.gateway.state import ServingState
 from damaskjunction.gateway.suspect_registry import SuspectRegistry
+from damaskjunction.gateway.version_registry import VersionRegistry
 from damaskjunction.http import (
     HttpLimits,
     HttpServer,
@@ -59,6 +60,7 @@
 RUNNERS_COALESCE_S = 0.1
 CONFIGURATION_COALESCE_S = 0.2
 SUSPECTS_COALESCE_S = 0.2
+VERSIONS_COALESCE_S = 0.05
 STOP_MARGIN_S = 1.0  # left of the stop grace period for closing
 # The configured limit is on headers; the server also counts the request line.
 REQUEST_LINE_ALLOWANCE_BYTES = 8 * KIB
@@ -109,7 +111,12 @@
         self._suspects = suspects = SuspectRegistry(
             self._store, timers, self.metrics, origin
         )
-        home = SlotHome(self.state, suspects, self._runner_client, timers)
+        self._version_registry = version_registry = VersionRegistry(
+            self._store, self.state, timers, self.metrics
+        )
+        home = SlotHome(
+            self.state, suspects, self._runner_client, version_registry, timers
+        )
         home.register(handlers)
         slot_client = SlotClient(
             self.state,
@@ -117,6 +124,7 @@
             suspects,
             self._links,
             timers,
+            version_registry=version_registry,
             observed_limits=self._runner_client.observed_limits,
             rng=rng,
         )
@@ -130,6 +138,7 @@
             self._runner_client,
             suspects,
             crash_reporter,
+            version_registry,
             timers,
             self.metrics,
             rng,
@@ -160,6 +169,7 @@
         self._components: tuple[Component, ...] = (
             transport,
             suspects,
+            version_registry,
             crash_reporter,
             home,
             self._peer_server,
@@ -244,6 +254,7 @@
             (RUNNERS_COALESCE_S, runners),
             (HOSTS_COALESCE_S, self._host_registry.state),
             (SUSPECTS_COALESCE_S, self._suspects.state),
+            (VERSIONS_COALESCE_S, self._version_registry.kind_state),
             (JOBS_COALESCE_S, jobs),
         )
         followers = [
@@ -308,6 +319,8 @@
     ) -> None:
         self.dump.sections.register("slots")(home.to_document)
         self.dump.sections.register("suspects")(self._suspects.to_document)
+        versions = self._version_registry
+        self.dump.sections.register("software_versions")(versions.to_document)
         self.dump.sections.register("slot_desk")(slot_client.to_document)
         self.dump.sections.register("owed_items")(self._worker.owed_items.to_document)
         self.dump.sections.register("store_path")(transport.to_document)
--- a/libs/gateway/src/damaskjunction/gateway/runner_selector.py
+++ b/libs/gateway/src/damaskjunction/gateway/runner_selector.py
@@ -18,6 +18,7 @@
     EjectionPolicy,
     OutlierEjection,
     Route,
+    RouteKind,
     runners_at,
 )
 from damaskjunction.wire import RunnerSeen, SlotAsk
@@ -66,6 +67,7 @@
         self._state = context.state
         self._slot_client = context.slot_client
         self._suspects = context.suspects
+        self._version_registry = context.version_registry
         self._observed_limits = context.runner_client.observed_limits
         self._timers = context.timers
         self._rng = context.rng
@@ -162,10 +164,13 @@
             ``NOT_RUN`` when no healthy runner is left.
         """
         now_s = self._timers.now()
+        is_stream = routed.route.kind is RouteKind.STREAM
+        may_begin = self._version_registry.may_begin
         runners = [
             runner
             for runner in runners_at(self._state.runners_of(routed.service), version)
             if runner.runner_id not in excluded
+            and (not is_stream or may_begin(routed.service, runner.version))
         ]
         runners = list(self._ejection.healthy(runners, lambda r: r.runner_id, now_s))
         if not runners:
--- a/libs/gateway/src/damaskjunction/gateway/slot_client.py
+++ b/libs/gateway/src/damaskjunction/gateway/slot_client.py
@@ -28,6 +28,7 @@
 from damaskjunction.gateway.slot_home import SlotHome, SlotReservation
 from damaskjunction.gateway.state import ServingState
 from damaskjunction.gateway.suspect_registry import SuspectRegistry
+from damaskjunction.gateway.version_registry import VersionRegistry
 from damaskjunction.node import TaskSet, cancel_tasks
 from damaskjunction.routing import (
     LimitObservations,
@@ -111,6 +112,8 @@
         Links to other hosts.
     timers : Timers
         The process's timer service.
+    version_registry : VersionRegistry
+        Tells which runners may begin streams.
     observed_limits : LimitObservations
         The rate limits that runners have named to this host.
     rng : random.Random
@@ -125,12 +128,14 @@
         links: PeerLinks,
         timers: Timers,
         *,
+        version_registry: VersionRegistry,
         observed_limits: LimitObservations,
         rng: random.Random,
     ) -> None:
         self._state = state
         self._home = home
         self._suspects = suspects
+        self._version_registry = version_registry
         self._links = links
         self._timers = timers
         self._observed_limits = observed_limits
@@ -373,6 +378,7 @@
                 self._state.runners_of(ask.service_name), ask.software_version
             )
             if runner.runner_id not in ask.avoid
+            and self._version_registry.may_begin(runner.service, runner.version)
             and not self._observed_limits.is_limited(runner.runner_id)
         ]
         if self._suspects.is_suspect(ask.service_name, ask.traits):
--- a/libs/gateway/src/damaskjunction/gateway/slot_home.py
+++ b/libs/gateway/src/damaskjunction/gateway/slot_home.py
@@ -20,6 +20,7 @@
 from damaskjunction.gateway.runner_client import RunnerClient, RunnerFailedError
 from damaskjunction.gateway.state import ServingState
 from damaskjunction.gateway.suspect_registry import SuspectRegistry
+from damaskjunction.gateway.version_registry import VersionRegistry
 from damaskjunction.node import PeerHandlers, TaskSet
 from damaskjunction.routing import (
     GrantSlot,
@@ -90,6 +91,8 @@
         Tells which requests may crash runners.
     runner_client : RunnerClient
         Polls the reports of runners.
+    version_registry : VersionRegistry
+        Tells which runners may begin streams.
     timers : Timers
         The process's timer service.
     """
@@ -99,10 +102,12 @@
         state: ServingState,
         suspects: SuspectRegistry,
         runner_client: RunnerClient,
+        version_registry: VersionRegistry,
         timers: Timers,
     ) -> None:
         self._state = state
         self._suspects = suspects
+        self._version_registry = version_registry
         self._runner_client = runner_client
         self._timers = timers
         self._pools_by_service: dict[ServiceName, SlotPool] = {}
@@ -112,6 +117,7 @@
         self._warned_at_s = 0.0
         self._polls = TaskSet()
         state.view.subscribe(self._apply_view)
+        version_registry.subscribe(self._apply_view)
 
     async def start(self) -> None:
         """Start expiring queued requests and polling the reports of runners."""
@@ -226,7 +232,11 @@
     def _set_runners(self, service: ServiceName, pool: SlotPool) -> None:
         spec = self._state.table.services_by_name.get(service)
         engine = spec.engine if spec is not None else None
-        runners = self._state.runners_of(service)
+        runners = [
+            runner
+            for runner in self._state.runners_of(service)
+            if self._version_registry.may_begin(service, runner.version)
+        ]
         slots_by_runner = {
             runner.runner_id: min(runner.slots, engine.slots)
             if engine is not None
--- a/libs/routing/src/damaskjunction/routing/__init__.py
+++ b/libs/routing/src/damaskjunction/routing/__init__.py
@@ -120,6 +120,7 @@
     ClosedVersion,
     VersionLedger,
     VersionRecord,
+    stream_lives,
 )
 
 __all__ = [
@@ -205,5 +206,6 @@
     "runner_choices",
     "runners_at",
     "slot_homes",
+    "stream_lives",
     "worst_outcome",
 ]
--- a/libs/routing/src/damaskjunction/routing/version_ledger.py
+++ b/libs/routing/src/damaskjunction/routing/version_ledger.py
@@ -4,7 +4,11 @@
 
 from typing import NamedTuple
 
+from damaskjunction.core import ServiceName
+from damaskjunction.routing.routes import RouteKind, RouteTable
+
 CLOSE_DELAY_S = 2.0  # unlisted for so long, a version is closed
+LAG_ALLOWANCE_S = 5.0  # of hosts that follow the listed versions and the records
 MAX_REVIEW_GAP_S = 3.0  # after a longer one, this host was frozen: it counts anew
 
 
@@ -147,3 +151,22 @@
             for closed, at_s in closed_since.items()
             if closed.version not in self.listed and now_s - at_s < retention_s
         ]
+
+
+def stream_lives(table: RouteTable) -> dict[ServiceName, float]:
+    """Return for how long a closed version counts, in seconds, by service.
+
+    Only services that have streams or items are named. A caller may take a stream up
+    until its time is over, which is at most a whole attempt after the last one began.
+    """
+    lives_by_service: dict[ServiceName, float] = {}
+    for routes in table.routes_by_host.values():
+        for route in routes:
+            if route.kind not in (RouteKind.STREAM, RouteKind.BATCH):
+                continue
+            timeout_s = route.timeout_s if route.kind is RouteKind.STREAM else 0.0
+            life_s = 2.0 * timeout_s + LAG_ALLOWANCE_S
+            for part in route.services:
+                known_s = lives_by_service.get(part.service, 0.0)
+                lives_by_service[part.service] = max(known_s, life_s)
+    return lives_by_service
--- a/libs/standins/src/damaskjunction/standins/store.py
+++ b/libs/standins/src/damaskjunction/standins/store.py
@@ -43,9 +43,10 @@
     """In-memory objects by kind and name, with conditional writes and watches.
 
     Faults: ``down`` (1: connections are aborted), ``refuse`` (1: every call gets status
-    503), ``slow_s`` (delay of each response), ``lose_answers`` (the next n writes take
-    effect but get no response), ``no_history`` (the next n watches get status 410, as
-    if their revision were no longer in the history).
+    503), ``read_only`` (1: every write gets status 503), ``slow_s`` (delay of each
+    response), ``lose_answers`` (the next n writes take effect but get no response),
+    ``no_history`` (the next n watches get status 410, as if their revision were no
+    longer in the history).
 
     Parameters
     ----------
@@ -63,7 +64,9 @@
         self._changed = asyncio.Event()
         self.n_calls = 0
         self._n_watch_aborts = 0
-        self.faults = Faults("down", "refuse", "slow_s", "lose_answers", "no_history")
+        self.faults = Faults(
+            "down", "refuse", "read_only", "slow_s", "lose_answers", "no_history"
+        )
         self._server = HttpServer(address, self._serve)
 
     async def start(self) -> None:
@@ -90,6 +93,10 @@
         """Return the names of the objects of a kind."""
         return sorted(self._objects(kind))
 
+    def spec(self, kind: str, name: str) -> Any:
+        """Return the spec of an object."""
+        return self._objects(kind)[name].spec
+
     def status(self, kind: str, name: str) -> Any:
         """Return the status of an object."""
         return self._objects(kind)[name].status
@@ -98,7 +105,8 @@
         if self.faults["down"]:
             raise ConnectionResetError("outage")
         self.n_calls += 1
-        if self.faults["refuse"]:
+        is_write = request.method != "GET"
+        if self.faults["refuse"] or (is_write and self.faults["read_only"]):
             return Response(503)
         if self.faults["slow_s"]:
             await asyncio.sleep(self.faults["slow_s"])
