Take a stream up only at the version that began it

Clients that took a stream up at a host that knew nothing of it got the rest from whatever runner the home chose, so the text was joined from two software versions, with nothing in the answer to show it; after a kill of all hosts that was the rule. What nobody knows is refused at once as not run, and so is a version without a runner. A take-up of a split route goes to the service that began the stream, not to that of its own id.

--- a/libs/gateway/features/steps/stream_version_steps.py
+++ b/libs/gateway/features/steps/stream_version_steps.py
@@ -5,15 +5,17 @@
 import asyncio
 
 from behave import given, then, when
-from fleet_helpers import run
+from fleet_helpers import received, run
 from platform_fleet import (
     ENGINE,
+    PLAIN,
     POLL_S,
     ROUTES,
     event_ids,
     make_configuration,
 )
 
+from damaskjunction.core import stable_hash
 from damaskjunction.gateway.version_registry import VERSIONS_KIND
 
 SETTLE_S = 0.3
@@ -131,7 +133,10 @@
 @given("a timeout of {timeout_s:g} s on all routes")
 def set_timeout(context, timeout_s):
     changed = {"TimeoutMs": int(timeout_s * 1000)}
-    routes = [{**route, **changed} for route in ROUTES]
+    write_configuration(context, [{**route, **changed} for route in ROUTES])
+
+
+def write_configuration(context, routes):
     document = make_configuration(2, routes)
     context.platform.store.put("config", "main", document)
     hosts = context.platform.hosts.values()
@@ -148,6 +153,7 @@
     context.platform.store.remove("servers", name)
 
 
+@given('the store names "{versions}" alone within {within_s:g} s')
 @then('the store names "{versions}" alone within {within_s:g} s')
 def check_record(context, versions, within_s):
     async def wait():
@@ -170,6 +176,132 @@
     runner.faults["break_after"] = 0
 
 
+@when('host "{name}" is killed')
+def kill_host(context, name):
+    async def kill():
+        await context.platform.kill_host(name)
+        context.answers = [await context.stream]
+
+    run(context, kill())
+
+
+@when("all hosts are killed and come back")
+def restart_hosts(context):
+    async def restart():
+        names = list(context.platform.hosts)
+        for name in names:
+            await context.platform.kill_host(name)
+        context.answers = [await context.stream]
+        for name in names:
+            await context.platform.start_host(name)
+        await await_hosts(context)
+
+    run(context, restart())
+
+
+async def await_hosts(context):
+    hosts = context.platform.hosts.values()
+    runner_ids = set(context.platform.store.names("servers"))
+    await context.platform.wait_for(
+        lambda: all(
+            host.view.is_ready
+            and len(host.view.serving_hosts()) == len(hosts)
+            and set(host.view.fleet.runners_by_id) == runner_ids
+            for host in hosts
+        )
+    )
+
+
+def take_up(context, host, request_id):
+    known = event_ids(b"".join(answer.body for answer in context.answers))
+    headers = {"Last-Event-Id": str(known[-1]), "Resumes": "q1"}
+    return context.platform.call(
+        host, "POST", "/alert/1", headers=headers, request_id=request_id
+    )
+
+
+@when('the caller takes the stream up at "{host}" as "{request_id}"')
+def take_up_stream(context, host, request_id):
+    context.take_up_id = request_id
+    context.answers.append(run(context, take_up(context, host, request_id)))
+
+
+@when(
+    'the caller takes the stream up at "{host}" as "{request_id}" until host '
+    '"{name}" is killed'
+)
+def take_up_until_kill(context, host, request_id, name):
+    async def begin():
+        answer = asyncio.ensure_future(take_up(context, host, request_id))
+        await asyncio.sleep(SETTLE_S)
+        await context.platform.kill_host(name)
+        context.answers.append(await answer)
+
+    run(context, begin())
+
+
+@then('both answers hold events of version "{version}" alone, complete')
+@then("all answers hold events of one version, complete")
+def check_answers(context, version=""):
+    body = b"".join(answer.body for answer in context.answers)
+    versions = versions_of(body)
+    assert len(versions) == 1 and (not version or version in versions), versions
+    assert event_ids(body) == list(range(1, context.n_events + 1)), context.answers
+    assert context.answers[-1].is_complete
+    assert all(event_ids(answer.body) for answer in context.answers), context.answers
+
+
+@then("the take-up is refused as not run and reached no runner")
+def check_refused(context):
+    reply = context.answers[-1]
+    assert reply.status == 503, reply
+    assert float(reply.headers["retry-after"]) > 0, reply
+    assert not received(context, context.take_up_id)
+
+
+@given('the operator splits "{prefix}" over the engines and plain runners')
+def split_route(context, prefix):
+    parts = [{"Service": ENGINE, "Weight": 1}, {"Service": PLAIN, "Weight": 1}]
+    routes = [
+        {**route, "Split": parts} if route["PathPrefix"] == prefix else route
+        for route in ROUTES
+    ]
+    write_configuration(context, routes)
+
+
+@given('plain runners "{names}" of version "{version}" with {n_events:d} events')
+def add_plain_streams(context, names, version, n_events):
+    for name in names.split(","):
+        options = {"version": version, "n_events": n_events, "slots": 8}
+        run(context, context.platform.add_runner(name, PLAIN, **options))
+    run(context, asyncio.sleep(SETTLE_S))
+
+
+@when('the caller takes the stream up at "{host}" with an id of the other service')
+def take_up_with_other_id(context, host):
+    route = context.platform.hosts[host].state.table.find_by_name("alert")
+    services = {
+        f"t{number}": route.service_for(stable_hash(f"t{number}"))
+        for number in range(50)
+    }
+    first_service = route.service_for(stable_hash("q1"))
+    request_id = next(name for name, s in services.items() if s != first_service)
+    break_stream(context)
+    context.answers = [context.reply]
+    context.take_up_id = request_id
+    context.answers.append(run(context, take_up(context, host, request_id)))
+
+
+@then("the service that began the stream received the take-up")
+def check_service(context):
+    runners = context.platform.runners.values()
+    requests = {"q1", context.take_up_id}
+    names = [
+        {entry[0] for entry in runner.recorded_runs} & requests for runner in runners
+    ]
+    assert sorted(map(len, names)) == [0, 2], names
+
+
 def versions_of(body):
     lines = body.decode().split("\n")
     return {line.removeprefix("event: ") for line in lines if line.startswith("event")}
--- a/libs/gateway/features/stream_versions.feature
+++ b/libs/gateway/features/stream_versions.feature
@@ -2,7 +2,7 @@
   A stream and an item hold events of one software version only.
 
   Background:
-    Given a fleet of 2 hosts on the platform
+    Given a fleet of 3 hosts on the platform
 
   Scenario: A broken stream does not go on at another software version
     Given engines "e1" of version "v1" with 60 events
@@ -38,3 +38,54 @@
     And engines "e2" of version "v2" with 5 events
     When runner "e1" leaves
     Then the store names "v2" alone within 15 s
+
+  Scenario: A stream taken up at another host goes on at its version beside a newer one
+    Given engines "e1,e2" of version "v1" with 60 events
+    When a caller begins a stream of "/alert/1" at "h0" as "q1"
+    And engines "a1" of version "v2" join
+    And host "h0" is killed
+    And the caller takes the stream up at "h1" as "q2"
+    Then both answers hold events of version "v1" alone, complete
+
+  Scenario: A stream is taken up twice, each time at a host that did not serve it
+    Given engines "e1,e2" of version "v1" with 60 events
+    And engines "a1" of version "v2" with 60 events
+    When a caller begins a stream of "/alert/1" at "h0" as "q1"
+    And host "h0" is killed
+    And the caller takes the stream up at "h1" as "q2" until host "h1" is killed
+    And the caller takes the stream up at "h2" as "q3"
+    Then all answers hold events of one version, complete
+
+  Scenario: No stream of a mixed fleet goes on once every host has forgotten its version
+    Given engines "e1,e2" of version "v1" with 60 events
+    When a caller begins a stream of "/alert/1" at "h0" as "q1"
+    And engines "a1" of version "v2" join
+    And all hosts are killed and come back
+    And the caller takes the stream up at "h1" as "q2"
+    Then the take-up is refused as not run and reached no runner
+
+  Scenario: A stream of the only version goes on though every host has forgotten it
+    Given a timeout of 2 s on all routes
+    And engines "e1,e2" of version "v1" with 60 events
+    And the store names "v1" alone within 15 s
+    When a caller begins a stream of "/alert/1" at "h0" as "q1"
+    And all hosts are killed and come back
+    And the caller takes the stream up at "h1" as "q2"
+    Then both answers hold events of version "v1" alone, complete
+
+  Scenario: A stream begun at the version that left does not go on at the only one listed
+    Given engines "e1" of version "v1" with 60 events
+    When a caller begins a stream of "/alert/1" at "h0" as "q1"
+    And engines "a1" of version "v2" join
+    And runner "e1" leaves
+    And all hosts are killed and come back
+    And the caller takes the stream up at "h1" as "q2"
+    Then the take-up is refused as not run and reached no runner
+
+  Scenario: A stream of a split route is taken up at the service that began it
+    Given engines "e1" of version "v1" with 60 events
+    And the operator splits "/alert/" over the engines and plain runners
+    And plain runners "p1" of version "v1" with 60 events
+    When a caller begins a stream of "/alert/1" at "h0" as "q1"
+    And the caller takes the stream up at "h1" with an id of the other service
+    Then the service that began the stream received the take-up
--- a/libs/gateway/src/damaskjunction/gateway/dispatch_context.py
+++ b/libs/gateway/src/damaskjunction/gateway/dispatch_context.py
@@ -10,7 +10,9 @@
 from damaskjunction.gateway.runner_client import RunnerClient
 from damaskjunction.gateway.slot_client import SlotClient
 from damaskjunction.gateway.state import ServingState
+from damaskjunction.gateway.stream_origins import StreamOriginKeeper
 from damaskjunction.gateway.suspect_registry import SuspectRegistry
+from damaskjunction.gateway.take_ups import TakeUpResolver
 from damaskjunction.gateway.version_registry import VersionRegistry
 from damaskjunction.telemetry import Metrics
 
@@ -24,6 +26,8 @@
     suspects: SuspectRegistry
     crash_reporter: CrashReporter
     version_registry: VersionRegistry
+    origin_keeper: StreamOriginKeeper
+    take_ups: TakeUpResolver
     timers: Timers
     metrics: Metrics
     rng: random.Random
--- a/libs/gateway/src/damaskjunction/gateway/online.py
+++ b/libs/gateway/src/damaskjunction/gateway/online.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-from damaskjunction.core import stable_hash
+from damaskjunction.core import RequestError, stable_hash
 from damaskjunction.gateway.dispatch_context import DispatchContext
 from damaskjunction.gateway.request_execution import RequestExecution
 from damaskjunction.gateway.runner_selector import RoutedRequest, RunnerSelector
 from damaskjunction.http import Response
-from damaskjunction.platform import CallerRequest
-from damaskjunction.routing import Route, fingerprint_of
+from damaskjunction.platform import CallerRequest, Refusal, refusal_response
+from damaskjunction.routing import Route, RouteKind, fingerprint_of
 
 DEFAULT_DEADLINE_S = 30.0
 RETRY_TIMEOUT_FRACTION = 0.98  # of the longest time stated on the route
@@ -33,12 +33,29 @@
         now_s = self._context.timers.now()
         deadline_s = request.deadline_s
         caller_timeout_s = DEFAULT_DEADLINE_S if deadline_s is None else deadline_s
-        service = route.service_for(stable_hash(request.request_id))
+        origin = None
+        if request.last_event_id is not None and route.kind is RouteKind.STREAM:
+            try:
+                origin = await self._context.take_ups.resolve(request, route)
+            except RequestError as error:
+                return self._refuse(request, error)
+        service = (
+            route.service_for(stable_hash(request.request_id))
+            if origin is None
+            else origin.service_name
+        )
         deadline_at_s = now_s + min(caller_timeout_s, route.timeout_s)
         is_repeated = self._is_repeated(route, caller_timeout_s)
         fingerprint = fingerprint_of(service, request.target, request.body)
         routed = RoutedRequest(
-            request, route, service, now_s, deadline_at_s, is_repeated, fingerprint
+            request,
+            route,
+            service,
+            now_s,
+            deadline_at_s,
+            is_repeated,
+            fingerprint,
+            origin,
         )
         response = await RequestExecution(self._context, self._selector, routed).run()
         metrics = self._context.metrics
@@ -48,6 +65,16 @@
         metrics.observe_duration("answer_head_s", took_s, kind=kind)
         return response
 
+    def _refuse(self, request: CallerRequest, error: RequestError) -> Response:
+        kind = RouteKind.STREAM.value
+        self._context.metrics.count("requests", kind=kind, status="503")
+        return refusal_response(
+            Refusal.NOT_RUN,
+            error.reason,
+            request_id=request.request_id,
+            retry_after_s=error.retry_after_s,
+        )
+
     def _is_repeated(self, route: Route, caller_timeout_s: float) -> bool:
         """Return whether a request seems to be a caller's retry.
 
--- a/libs/gateway/src/damaskjunction/gateway/request_execution.py
+++ b/libs/gateway/src/damaskjunction/gateway/request_execution.py
@@ -83,7 +83,11 @@
         self._n_events = 0
         self._progress = AnswerProgress(context.timers)
         self._version = StreamVersion(
-            routed.request.request_id, context.state, context.timers
+            routed.request.request_id,
+            context.state,
+            context.timers,
+            routed.origin,
+            context.origin_keeper.record if routed.route.is_resumable else None,
         )
 
     async def run(self) -> Response:
--- a/libs/gateway/src/damaskjunction/gateway/root.py
+++ b/libs/gateway/src/damaskjunction/gateway/root.py
@@ -28,7 +28,9 @@
 from damaskjunction.gateway.slot_client import SlotClient
 from damaskjunction.gateway.slot_home import SlotHome
 from damaskjunction.gateway.state import ServingState
+from damaskjunction.gateway.stream_origins import StreamOriginKeeper
 from damaskjunction.gateway.suspect_registry import SuspectRegistry
+from damaskjunction.gateway.take_ups import TakeUpResolver
 from damaskjunction.gateway.version_registry import VersionRegistry
 from damaskjunction.http import (
     HttpLimits,
@@ -132,6 +134,13 @@
             self.state, suspects, slot_client, self._links, timers
         )
         crash_reporter.register(handlers)
+        self._origin_keeper = origin_keeper = StreamOriginKeeper(
+            self.state, version_registry, self._links, timers
+        )
+        origin_keeper.register(handlers)
+        take_ups = TakeUpResolver(
+            self.state, version_registry, origin_keeper, timers, self.metrics
+        )
         context = DispatchContext(
             self.state,
             slot_client,
@@ -139,6 +148,8 @@
             suspects,
             crash_reporter,
             version_registry,
+            origin_keeper,
+            take_ups,
             timers,
             self.metrics,
             rng,
@@ -170,6 +181,7 @@
             transport,
             suspects,
             version_registry,
+            origin_keeper,
             crash_reporter,
             home,
             self._peer_server,
@@ -321,6 +333,8 @@
         self.dump.sections.register("suspects")(self._suspects.to_document)
         versions = self._version_registry
         self.dump.sections.register("software_versions")(versions.to_document)
+        origins = self._origin_keeper
+        self.dump.sections.register("stream_origins")(origins.to_document)
         self.dump.sections.register("slot_desk")(slot_client.to_document)
         self.dump.sections.register("owed_items")(self._worker.owed_items.to_document)
         self.dump.sections.register("store_path")(transport.to_document)
--- a/libs/gateway/src/damaskjunction/gateway/runner_selector.py
+++ b/libs/gateway/src/damaskjunction/gateway/runner_selector.py
@@ -19,6 +19,7 @@
     OutlierEjection,
     Route,
     RouteKind,
+    StreamOrigin,
     runners_at,
 )
 from damaskjunction.wire import RunnerSeen, SlotAsk
@@ -37,7 +38,8 @@
     """A caller's request on a route; times are on the monotonic clock.
 
     ``is_repeated`` is set when the request seems to be a retry by its caller.
-    ``fingerprint`` is the hash that equal requests share.
+    ``fingerprint`` is the hash that equal requests share. ``origin`` is that of the
+    stream which the caller takes up, None for a new request.
     """
 
     request: CallerRequest
@@ -47,6 +49,7 @@
     deadline_at_s: float
     is_repeated: bool
     fingerprint: str
+    origin: StreamOrigin | None = None
 
     @property
     def traits(self) -> tuple[str, ...]:
--- a/libs/gateway/src/damaskjunction/gateway/stream_version.py
+++ b/libs/gateway/src/damaskjunction/gateway/stream_version.py
@@ -35,7 +35,7 @@
         state: ServingState,
         timers: Timers,
         origin: StreamOrigin | None = None,
-        on_begin: Callable[[StreamOrigin], None] = lambda origin: None,
+        on_begin: Callable[[StreamOrigin], None] | None = None,
     ) -> None:
         self._request_id = request_id
         self._state = state
@@ -84,7 +84,8 @@
         if self._origin is None:
             self._origin = origin_of(self._request_id, runner)
             self._began_at_s = self._timers.now()
-            self._on_begin(self._origin)
+            if self._on_begin is not None:
+                self._on_begin(self._origin)
 
     def forget(self) -> None:
         """Begin the stream afresh."""
--- /dev/null
+++ b/libs/gateway/src/damaskjunction/gateway/take_ups.py
@@ -0,0 +1,133 @@
+"""Callers that take a stream up again: at which version it may go on, if at any."""
+
+from __future__ import annotations
+
+import logging
+from typing import NamedTuple
+
+from damaskjunction.core import Outcome, RequestError, ServiceName, Timers, stable_hash
+from damaskjunction.gateway.state import ServingState
+from damaskjunction.gateway.stream_origins import StreamOriginKeeper
+from damaskjunction.gateway.version_registry import VersionRegistry
+from damaskjunction.platform import CallerRequest
+from damaskjunction.routing import Route, StreamOrigin, runners_at
+from damaskjunction.telemetry import Metrics
+
+logger = logging.getLogger(__name__)
+
+RETRY_AFTER_S = 0.15
+# A runner of the version may be back soon, or another host may know of one.
+GONE_RETRY_AFTER_S = 0.3
+
+
+class _Decision(NamedTuple):
+    """The origin of a stream, None if it is unknown, and where it was found."""
+
+    origin: StreamOrigin | None
+    source: str
+
+
+class TakeUpResolver:
+    """Finds the origins of streams that callers take up.
+
+    Parameters
+    ----------
+    state : ServingState
+        Known runners.
+    version_registry : VersionRegistry
+        Proves that there is just one version.
+    keeper : StreamOriginKeeper
+        Knows the origins of streams, or asks peers for them.
+    timers : Timers
+        The process's timer service.
+    metrics : Metrics
+        Metrics of the process.
+    """
+
+    def __init__(
+        self,
+        state: ServingState,
+        version_registry: VersionRegistry,
+        keeper: StreamOriginKeeper,
+        timers: Timers,
+        metrics: Metrics,
+    ) -> None:
+        self._state = state
+        self._version_registry = version_registry
+        self._keeper = keeper
+        self._timers = timers
+        self._metrics = metrics
+
+    async def resolve(self, request: CallerRequest, route: Route) -> StreamOrigin:
+        """Return the origin of the stream that a request takes up.
+
+        Raises
+        ------
+        RequestError
+            ``NOT_RUN`` when its version is unknown, or no runner serves it.
+        """
+        began_at_s = self._timers.now()
+        origin, source = await self._find(request, route)
+        services = {part.service for part in route.services}
+        reason, retry_after_s = "", RETRY_AFTER_S
+        if origin is None or origin.service_name not in services:
+            reason = "version_unknown"
+        elif not self._is_served(origin):
+            reason, retry_after_s = "version_gone", GONE_RETRY_AFTER_S
+        self._metrics.count("take_ups", source=source, result=reason or "goes on")
+        extra = {
+            "request": request.request_id,
+            "resumes": request.resumed_id,
+            "last_event_id": request.last_event_id,
+            "source": source,
+            "software_version": "" if origin is None else origin.software_version,
+            "age_s": None if origin is None else round(origin.age_s, 3),
+            "took_ms": round((self._timers.now() - began_at_s) * 1000.0, 1),
+        }
+        if origin is None or reason:
+            logger.info("stream refused", extra={**extra, "reason": reason})
+            raise RequestError(Outcome.NOT_RUN, reason, retry_after_s=retry_after_s)
+        logger.info("stream version decided", extra=extra)
+        if request.resumed_id:
+            self._keeper.record(origin)
+        return origin
+
+    async def _find(self, request: CallerRequest, route: Route) -> _Decision:
+        stream_id = request.resumed_id
+        services = [part.service for part in route.services]
+        if stream_id:
+            origin = self._keeper.find(stream_id)
+            if origin is not None:
+                return _Decision(origin, "own")
+        is_mixed = any(map(self._version_registry.is_mixed, services))
+        if not is_mixed:
+            origin = await self._find_by_record(request, route)
+            if origin is not None:
+                return _Decision(origin, "record")
+        if stream_id:
+            origin = await self._keeper.ask_peers(services, stream_id)
+            if origin is not None:
+                return _Decision(origin, "peer")
+        return _Decision(None, "none")
+
+    async def _find_by_record(
+        self, request: CallerRequest, route: Route
+    ) -> StreamOrigin | None:
+        """Return an origin at the only version that may have begun the stream."""
+        service = self._service_of(request, route)
+        if service is None:
+            return None
+        version = await self._version_registry.read_sole_version(service)
+        if version is None:
+            return None
+        return StreamOrigin(request.resumed_id, service, version, "", 0, 0.0)
+
+    def _service_of(self, request: CallerRequest, route: Route) -> ServiceName | None:
+        if request.resumed_id:
+            return route.service_for(stable_hash(request.resumed_id))
+        services = {part.service for part in route.services}
+        return services.pop() if len(services) == 1 else None
+
+    def _is_served(self, origin: StreamOrigin) -> bool:
+        runners = self._state.runners_of(origin.service_name)
+        return bool(runners_at(runners, origin.software_version))
--- a/libs/routing/src/damaskjunction/routing/stream_versions.py
+++ b/libs/routing/src/damaskjunction/routing/stream_versions.py
@@ -40,10 +40,11 @@
 class _KnownOrigin(NamedTuple):
     origin: StreamOrigin
     began_at_s: float
+    recorded_at_s: float
 
 
 class OriginMemory:
-    """The origins of streams, each for ``STREAM_MEMORY_S``, the oldest dropped first.
+    """The origins of streams, for ``STREAM_MEMORY_S`` after each was last recorded.
 
     Parameters
     ----------
@@ -62,7 +63,7 @@
         """Record an origin; one that is known is kept for longer."""
         origins = self._origins_by_id
         origins.pop(origin.request_id, None)
-        origins[origin.request_id] = _KnownOrigin(origin, now_s - origin.age_s)
+        origins[origin.request_id] = _KnownOrigin(origin, now_s - origin.age_s, now_s)
         while len(origins) > self._capacity:
             origins.popitem(last=False)
 
@@ -82,7 +83,7 @@
         origins = self._origins_by_id
         while origins:
             request_id = next(iter(origins))
-            if now_s - origins[request_id].began_at_s <= STREAM_MEMORY_S:
+            if now_s - origins[request_id].recorded_at_s <= STREAM_MEMORY_S:
                 return
             del origins[request_id]
 
--- a/libs/wire/src/damaskjunction/wire/__init__.py
+++ b/libs/wire/src/damaskjunction/wire/__init__.py
@@ -38,6 +38,11 @@
     ResultsAsk,
     ResultsHeard,
 )
+from damaskjunction.wire.origins import (
+    OriginAsk,
+    OriginFound,
+    StreamOrigins,
+)
 from damaskjunction.wire.sessions import CallHandler, PeerServer, Reply
 from damaskjunction.wire.slots import (
     Noted,
@@ -68,6 +73,8 @@
     "NewsAsk",
     "NoNews",
     "Noted",
+    "OriginAsk",
+    "OriginFound",
     "PeerLinks",
     "PeerServer",
     "PlacementQuery",
@@ -83,6 +90,7 @@
     "StopJob",
     "StoreAnswer",
     "StoreCall",
+    "StreamOrigins",
     "TraitsAnswered",
     "decode_frame",
     "decode_message",
--- a/libs/wire/src/damaskjunction/wire/peer.thrift
+++ b/libs/wire/src/damaskjunction/wire/peer.thrift
@@ -255,6 +255,31 @@
   3: double age_s
 }
 
+// The runner process that wrote the first event of a stream some time ago.
+struct StreamOrigin {
+  1: string request_id
+  2: string service_name
+  3: string software_version
+  4: string runner_id
+  5: i64 born_ms
+  6: double age_s
+}
+
+// Streams that have begun lately; the receiver remembers them.
+struct StreamOrigins {
+  1: list<StreamOrigin> origins
+}
+
+// Asks a host whether it knows the origin of a stream.
+struct OriginAsk {
+  1: string request_id
+}
+
+// The origin of the stream that was asked for; empty if it is not known.
+struct OriginFound {
+  1: list<StreamOrigin> origins
+}
+
 // Acknowledges a report.
 struct Noted {
 }
