--- a/libs/gateway/features/fake_homes.py
+++ b/libs/gateway/features/fake_homes.py
@@ -115,6 +115,11 @@
         return False
 
 
+class AllVersions:
+    def may_begin(self, service, version):
+        return True
+
+
 class SlotRig:
     """A client of slots with its fake homes."""
 
@@ -128,6 +133,7 @@
             NoSuspects(),
             self.homes,
             self.timers,
+            version_registry=AllVersions(),
             observed_limits=LimitObservations(),
             rng=random.Random(1),
         )
