Predict waits for slots from when tokens come, and keep accepted requests

What callers saw: behind runners that name rate limits, some requests were let wait and refused only after 2.02 s, when their time was over.

Cause: the predicted wait took the limits as an even rate, while tokens come whole and one at a time, so that it accepted more than the next tokens serve. What was late by that error then gave way to each new request.

Change: the wait is forecast from the tokens of each runner and the slots that come free, without the runners that the request avoids. A new request keeps its place when its latency goal passes; the next ones are accepted only if they are served in time behind it. What is no longer expected to start in time, as after a new limit, is refused at once instead of at its latest start. Starvation counts from when a repeated request begins to wait.

Two new scenarios failed before: "A new request that waits longer than predicted keeps its place" (the next request went first) and "What a new limit leaves without a start in time is refused at once" (nobody was refused). The suites of routing and gateway pass.

--- a/libs/routing/features/rate_limits.feature
+++ b/libs/routing/features/rate_limits.feature
@@ -17,6 +17,17 @@
     And runner "b" got between 9 and 13 requests in 10 s and at most 11 in any 4 s
     And all requests were granted or refused within 0.8 s
 
+  Scenario: What a new limit leaves without a start in time is refused at once
+    Given a pool with runners "a:4"
+    When online requests "r1,r2,r3,r4" ask for slots
+    And repeated online requests "p1,p2,p3,p4" ask for slots
+    And runner "a" named a limit of 0.8 a second 0 s ago
+    And 0.1 s passes
+    Then "p2,p3,p4" are refused with a retry delay
+
+  Scenario: A wait is forecast by the times at which tokens come
+    Then the forecast of waits for tokens is exact to 2 ms for random limits
+
   Scenario: The newest word of a runner holds, in whatever order hosts tell it
     Given a pool with runners "a:8"
     When runner "a" named a limit of 2 a second 1 s ago
--- a/libs/routing/features/slots.feature
+++ b/libs/routing/features/slots.feature
@@ -45,6 +45,15 @@
     And "r1" is released
     Then "r1,fresh" are granted
 
+  Scenario: A new request that waits longer than predicted keeps its place
+    Given a pool with runners "a:1"
+    When online requests "r1,r2" ask for slots
+    And 1 s passes
+    And online requests "r3" ask for slots
+    Then "r3" are refused with a retry delay
+    When "r1" is released
+    Then "r1,r2" are granted
+
   Scenario: Repeated requests neither precede nor block new ones
     Given a pool with runners "a:1"
     When online requests "r1" ask for slots
--- a/libs/routing/features/steps/limit_steps.py
+++ b/libs/routing/features/steps/limit_steps.py
@@ -7,6 +7,9 @@
 import random
 
 from behave import then, when
+from hypothesis import given as for_all
+from hypothesis import settings
+from hypothesis import strategies as st
 
 from damaskjunction.core import WorkClass
 from damaskjunction.routing import (
@@ -15,8 +18,10 @@
     LimitObservations,
     RefuseSlot,
     RunnerLimit,
+    RunnerSupply,
     SlotPool,
     SlotTicket,
+    WaitForecast,
 )
 
 STEP_S = 0.02
@@ -134,6 +139,27 @@
     assert not n_late, sorted(context.waits_s)[-30:]
 
 
+@then(
+    "the forecast of waits for tokens is exact to {precision_ms:g} ms for random limits"
+)
+def check_forecast(context, precision_ms):
+    tokens_and_limits = st.tuples(st.floats(0.0, 3.0), st.floats(0.25, 20.0))
+
+    @settings(derandomize=True, database=None, deadline=None)
+    @for_all(st.lists(tokens_and_limits, min_size=1, max_size=4), st.integers(0, 9))
+    def check(runners, place):
+        supplies = [RunnerSupply(999, 999, *runner) for runner in runners]
+        token_times_s = sorted(
+            max(0.0, (number - tokens) / limit_per_s)
+            for tokens, limit_per_s in runners
+            for number in range(1, place + 2)
+        )
+        wait_s = WaitForecast(supplies, 0.1).wait_s(place)
+        assert abs(wait_s - token_times_s[place]) <= precision_ms / 1000.0
+
+    check()
+
+
 class LimitSimulation:
     """Hosts that ask a home, which moves, for slots of runners that name limits."""
 
--- a/libs/routing/src/damaskjunction/routing/__init__.py
+++ b/libs/routing/src/damaskjunction/routing/__init__.py
@@ -122,6 +122,7 @@
     VersionRecord,
     stream_lives,
 )
+from damaskjunction.routing.wait_forecast import RunnerSupply, WaitForecast
 
 __all__ = [
     "NO_LIMIT_PER_S",
@@ -179,6 +180,7 @@
     "RunnerLimit",
     "RunnerLoad",
     "RunnerLoads",
+    "RunnerSupply",
     "RunnerVersions",
     "SharedExclusiveLock",
     "SlotCounts",
@@ -194,6 +196,7 @@
     "VerdictNews",
     "VersionLedger",
     "VersionRecord",
+    "WaitForecast",
     "WeightedService",
     "admission_policies",
     "fingerprint_of",
--- a/libs/routing/src/damaskjunction/routing/slots.py
+++ b/libs/routing/src/damaskjunction/routing/slots.py
@@ -10,7 +10,7 @@
 import heapq
 import math
 from collections import deque
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from typing import NamedTuple
 
 from damaskjunction.core import RequestId, RunnerId, WorkClass
@@ -26,12 +26,12 @@
     SlotTicket,
 )
 from damaskjunction.routing.stream_versions import RunnerVersions
+from damaskjunction.routing.wait_forecast import RunnerSupply, WaitForecast
 
 RESERVE_SHARE = 0.06  # fraction of the slots that batch leaves free
 HOLD_TIME_SMOOTHING = 0.05
 INITIAL_HOLD_TIME_S = 0.5
 MIN_RETRY_AFTER_S = 0.1
-WAIT_MARGIN = 1.2  # factor on the predicted wait
 PREFIX_WEIGHT = 0.6  # of the cached fraction; the free fraction has weight 1
 MAX_BATCH_QUEUE = 4096
 TAKEOVER_GRACE_S = 0.4
@@ -80,7 +80,7 @@
         self._reported_at_by_runner: dict[RunnerId, float] = {}
         self._recent_releases: deque[tuple[float, RunnerId]] = deque()
         self._batch_starts_at_s = 0.0
-        self._low_rank_granted_at_s = -math.inf
+        self._low_rank_waits_since_s = -math.inf
         self._starved_at_s = -math.inf
 
     @property
@@ -148,13 +148,15 @@
         rank = _priority_rank(ticket, now_s)
         if rank and self._is_starving(now_s):
             start_limit_s = now_s
-        n_waiting_before = sum(
+        # Behind all of its rank, so that none of them is late when it goes before them.
+        place = sum(
             _priority_rank(t, now_s) <= rank for t in self._waiting_online.values()
         )
-        if now_s + self._predicted_wait_s(n_waiting_before, now_s) > start_limit_s:
-            wait_s = self._predicted_wait_s(len(self._waiting_online), now_s)
-            retry_after_s = max(MIN_RETRY_AFTER_S, wait_s)
-            return [RefuseSlot(ticket.request_id, "overloaded", retry_after_s)]
+        forecast = self._forecast(now_s, excluded)
+        if now_s + forecast.wait_s(place) > start_limit_s:
+            return [self._refuse(ticket, self._forecast(now_s))]
+        if rank and not self._is_low_rank_waiting(now_s):
+            self._low_rank_waits_since_s = now_s
         self._waiting_online[ticket.request_id] = ticket
         return self._dispatch(now_s)
 
@@ -229,26 +231,42 @@
         for runner_id, reported_at_s in list(self._reported_at_by_runner.items()):
             if now_s - reported_at_s > MAX_REPORT_AGE_S:
                 self._forget_report(runner_id)
-        waiting = self._waiting_online.values()
-        late = [t for t in waiting if now_s > t.start_by_s]
-        if late and now_s - self._low_rank_granted_at_s > STARVATION_S:
+        effects = self._dispatch(now_s)
+        late = self._expected_late(now_s)
+        if now_s - self._low_rank_waits_since_s > STARVATION_S and any(
+            _priority_rank(t, now_s) for t in late
+        ):
             self._starved_at_s = now_s
         if self._is_starving(now_s):
+            waiting = self._waiting_online.values()
             late = [t for t in waiting if t in late or _priority_rank(t, now_s)]
         for ticket in late:
             del self._waiting_online[ticket.request_id]
-        refusals = [
-            RefuseSlot(
-                ticket.request_id,
-                "overloaded",
-                max(
-                    MIN_RETRY_AFTER_S,
-                    self._predicted_wait_s(len(self._waiting_online), now_s),
-                ),
-            )
-            for ticket in late
-        ]
-        return [*refusals, *self._dispatch(now_s)]
+        forecast = self._forecast(now_s)
+        return [*effects, *(self._refuse(ticket, forecast) for ticket in late)]
+
+    def _expected_late(self, now_s: float) -> list[SlotTicket]:
+        """Return the waiting requests that are not expected to start in time."""
+        if not self._waiting_online:
+            return []
+        forecast = self._forecast(now_s)
+        late: list[SlotTicket] = []
+        n_ahead = 0
+        for ticket in self._in_service_order(now_s):
+            if now_s + forecast.wait_s(n_ahead) > ticket.start_by_s:
+                late.append(ticket)
+            else:
+                n_ahead += 1
+        return late
+
+    def _refuse(self, ticket: SlotTicket, forecast: WaitForecast) -> RefuseSlot:
+        retry_after_s = forecast.wait_s(len(self._waiting_online))
+        return RefuseSlot(
+            ticket.request_id, "overloaded", max(MIN_RETRY_AFTER_S, retry_after_s)
+        )
+
+    def _is_low_rank_waiting(self, now_s: float) -> bool:
+        return any(_priority_rank(t, now_s) for t in self._waiting_online.values())
 
     def _is_starving(self, now_s: float) -> bool:
         """Return whether requests that gave way have lately waited in vain."""
@@ -265,23 +283,26 @@
             "limit_per_s_by_runner": self._rate_limiter.to_document(),
         }
 
-    def _predicted_wait_s(self, n_waiting: int, now_s: float) -> float:
-        """Return the expected wait in seconds behind ``n_waiting`` queued requests.
+    def _forecast(self, now_s: float, avoid: Collection[RunnerId] = ()) -> WaitForecast:
+        """Return the forecast of waits for the runners that are not to be avoided.
 
         Batch requests give way, so only online ones count as held.
         """
-        n_free = rate_per_s = 0.0
+        supplies = []
         for runner_id, slots in self._slots_by_runner.items():
+            if runner_id in avoid:
+                continue
             n_slots = max(0, slots - self._unseen_by_runner.get(runner_id, 0))
             n_online = self._online_by_runner.get(runner_id, 0)
-            tokens = self._rate_limiter.tokens(runner_id, now_s)
-            n_free += math.floor(min(n_slots - n_online, tokens))
-            limit_per_s = self._rate_limiter.limit_per_s(runner_id)
-            rate_per_s += min(n_slots / self._mean_hold_s, limit_per_s)
-        n_ahead = n_waiting + 1 - n_free
-        if n_ahead <= 0:
-            return 0.0
-        return WAIT_MARGIN * n_ahead / (rate_per_s or 1.0 / self._mean_hold_s)
+            supplies.append(
+                RunnerSupply(
+                    n_slots,
+                    n_slots - n_online,
+                    self._rate_limiter.tokens(runner_id, now_s),
+                    self._rate_limiter.limit_per_s(runner_id),
+                )
+            )
+        return WaitForecast(supplies, self._mean_hold_s)
 
     def _dispatch(self, now_s: float) -> list[SlotEffect]:
         """Grant free slots; revoke batch slots if online requests still wait."""
@@ -307,7 +328,7 @@
                 continue
             del self._waiting_online[ticket.request_id]
             if _priority_rank(ticket, now_s):
-                self._low_rank_granted_at_s = now_s
+                self._low_rank_waits_since_s = now_s
             effects.append(self._grant(ticket, runner_id, free_by_runner, now_s))
         return effects
 
@@ -457,14 +478,15 @@
 
 
 def _priority_rank(ticket: SlotTicket, now_s: float) -> int:
-    """Return 0 for a request that can meet its goal, 1 for a repeated one, 2 if late.
+    """Return 0 for a new request, 1 for a repeated one and 2 for one that is late too.
 
     The caller counts the latency goal from the first submission, so a repeated request
-    has already missed it.
+    has already missed it. A new one keeps its place when its goal passes: it was let
+    wait since it would be served in time.
     """
-    if ticket.goal_at_s < now_s:
-        return LATE_RANK
-    return REPEATED_RANK if ticket.is_repeated else 0
+    if not ticket.is_repeated:
+        return 0
+    return LATE_RANK if ticket.goal_at_s < now_s else REPEATED_RANK
 
 
 def _take_free_slot(free_by_runner: dict[RunnerId, int], runner_id: RunnerId) -> None:
