Split the online queue and the unseen requests from the slot pool

The pool keeps the slots and grants them. The order in which online requests are served, and what waits in vain, is in online_queue.py; requests that runners report beyond the slots granted here are in unseen_requests.py. No change of behaviour; the suites of routing and gateway pass.

--- a/libs/routing/src/damaskjunction/routing/slots.py
+++ b/libs/routing/src/damaskjunction/routing/slots.py
@@ -9,12 +9,12 @@
 
 import heapq
 import math
-from collections import deque
 from collections.abc import Collection, Iterable, Mapping
 from typing import NamedTuple
 
 from damaskjunction.core import RequestId, RunnerId, WorkClass
 from damaskjunction.routing.ejection import EjectionPolicy, OutlierEjection
+from damaskjunction.routing.online_queue import OnlineQueue
 from damaskjunction.routing.prefix_cache import PrefixCacheEstimate
 from damaskjunction.routing.rate_limits import BATCH_TOKENS, RateLimiter, RunnerLimit
 from damaskjunction.routing.slot_types import (
@@ -26,6 +26,7 @@
     SlotTicket,
 )
 from damaskjunction.routing.stream_versions import RunnerVersions
+from damaskjunction.routing.unseen_requests import UnseenRequests
 from damaskjunction.routing.wait_forecast import RunnerSupply, WaitForecast
 
 RESERVE_SHARE = 0.06  # fraction of the slots that batch leaves free
@@ -35,12 +36,7 @@
 PREFIX_WEIGHT = 0.6  # of the cached fraction; the free fraction has weight 1
 MAX_BATCH_QUEUE = 4096
 TAKEOVER_GRACE_S = 0.4
-REPORT_LAG_S = 0.3
-MAX_REPORT_AGE_S = 2.0
-STARVATION_S = 1.0  # for so long, what waited in vain predicts the next
-REPEATED_RANK = 1
 VERSION_GONE = "version_gone"  # the reason of a refusal
-LATE_RANK = 2
 
 FAILURE_EJECTION = EjectionPolicy(n_failures=1, base_s=0.7, limit_s=6.0)
 
@@ -56,9 +52,8 @@
 class SlotPool:
     """Allocates the slots of one service's runners to requests.
 
-    Online requests are served by priority rank and then by ``goal_at_s``, late ones by
-    ``start_by_s``. Batch requests are served by earliest due time. Runners that failed
-    recently are ejected for a while.
+    Online requests are served in the order of ``OnlineQueue``, batch requests by
+    earliest due time. Runners that failed recently are ejected for a while.
     """
 
     def __init__(self) -> None:
@@ -69,19 +64,15 @@
         self._revoked_ids: set[RequestId] = set()
         self._used_by_runner: dict[RunnerId, int] = {}
         self._online_by_runner: dict[RunnerId, int] = {}
-        self._waiting_online: dict[RequestId, SlotTicket] = {}
+        self._waiting_online = OnlineQueue()
         self._waiting_batch: dict[RequestId, SlotTicket] = {}
         self._batch_heap: list[tuple[float, RequestId]] = []
         self._prefix_cache = PrefixCacheEstimate()
         self._ejection = OutlierEjection(FAILURE_EJECTION)
         self._rate_limiter = RateLimiter()
         self._mean_hold_s = INITIAL_HOLD_TIME_S
-        self._unseen_by_runner: dict[RunnerId, int] = {}
-        self._reported_at_by_runner: dict[RunnerId, float] = {}
-        self._recent_releases: deque[tuple[float, RunnerId]] = deque()
+        self._unseen = UnseenRequests()
         self._batch_starts_at_s = 0.0
-        self._low_rank_waits_since_s = -math.inf
-        self._starved_at_s = -math.inf
 
     @property
     def counts(self) -> SlotCounts:
@@ -110,18 +101,16 @@
         }
         self._prefix_cache.retain_runners(slots_by_runner)
         self._rate_limiter.retain_runners(slots_by_runner)
-        for runner_id in self._unseen_by_runner.keys() - slots_by_runner.keys():
-            self._forget_report(runner_id)
+        self._unseen.retain_runners(slots_by_runner)
         return [*self._refuse_gone_versions(), *self._dispatch(now_s)]
 
     def _refuse_gone_versions(self) -> list[SlotEffect]:
-        refusals: list[SlotEffect] = []
-        for waiting in (self._waiting_online, self._waiting_batch):
-            for ticket in list(waiting.values()):
-                if not self._versions.serves(ticket.software_version):
-                    del waiting[ticket.request_id]
-                    refusals.append(self._refuse_version(ticket))
-        return refusals
+        waiting = (*self._waiting_online.tickets(), *self._waiting_batch.values())
+        gone = [t for t in waiting if not self._versions.serves(t.software_version)]
+        for ticket in gone:
+            self._waiting_online.discard(ticket.request_id)
+            self._waiting_batch.pop(ticket.request_id, None)
+        return [self._refuse_version(ticket) for ticket in gone]
 
     def _refuse_version(self, ticket: SlotTicket) -> RefuseSlot:
         return RefuseSlot(ticket.request_id, VERSION_GONE, MIN_RETRY_AFTER_S)
@@ -144,20 +133,11 @@
         if not any(name not in excluded for name in self._slots_by_runner):
             reason = "no_runner" if not self._slots_by_runner else "runners_failed"
             return [RefuseSlot(ticket.request_id, reason, self._mean_hold_s)]
-        start_limit_s = ticket.start_by_s if ticket.is_repeated else ticket.goal_at_s
-        rank = _priority_rank(ticket, now_s)
-        if rank and self._is_starving(now_s):
-            start_limit_s = now_s
-        # Behind all of its rank, so that none of them is late when it goes before them.
-        place = sum(
-            _priority_rank(t, now_s) <= rank for t in self._waiting_online.values()
-        )
         forecast = self._forecast(now_s, excluded)
-        if now_s + forecast.wait_s(place) > start_limit_s:
-            return [self._refuse(ticket, self._forecast(now_s))]
-        if rank and not self._is_low_rank_waiting(now_s):
-            self._low_rank_waits_since_s = now_s
-        self._waiting_online[ticket.request_id] = ticket
+        wait_s = forecast.wait_s(self._waiting_online.place_of(ticket, now_s))
+        if now_s + wait_s > self._waiting_online.latest_start_s(ticket, now_s):
+            return self._refuse([ticket], now_s)
+        self._waiting_online.add(ticket, now_s)
         return self._dispatch(now_s)
 
     def start_takeover(self, now_s: float) -> None:
@@ -170,27 +150,11 @@
     def observe_report(
         self, runner_id: RunnerId, n_requests: int, now_s: float
     ) -> list[SlotEffect]:
-        """Process a runner's own count of requests, which lags slightly.
-
-        Requests beyond those that held a slot here within ``REPORT_LAG_S`` are unseen:
-        this pool did not grant their slots, and must not grant them again. A report
-        that is not followed by another is forgotten after ``MAX_REPORT_AGE_S``.
-        """
-        while (
-            self._recent_releases and now_s - self._recent_releases[0][0] > REPORT_LAG_S
-        ):
-            self._recent_releases.popleft()
-        n_known = self._used_by_runner.get(runner_id, 0) + sum(
-            name == runner_id for _, name in self._recent_releases
-        )
-        self._unseen_by_runner[runner_id] = max(0, n_requests - n_known)
-        self._reported_at_by_runner[runner_id] = now_s
+        """Process a runner's own count of requests."""
+        n_held = self._used_by_runner.get(runner_id, 0)
+        self._unseen.observe_report(runner_id, n_requests, n_held, now_s)
         return self._dispatch(now_s)
 
-    def _forget_report(self, runner_id: RunnerId) -> None:
-        del self._unseen_by_runner[runner_id]
-        del self._reported_at_by_runner[runner_id]
-
     def observe_limits(self, limits: Iterable[RunnerLimit], now_s: float) -> None:
         """Apply the rate limits that runners have named; they take effect at once."""
         known = (limit for limit in limits if limit.runner_id in self._slots_by_runner)
@@ -202,7 +166,7 @@
 
     def release(self, request_id: RequestId, now_s: float) -> list[SlotEffect]:
         """Free the slot of a request, or remove the request from the queue."""
-        self._waiting_online.pop(request_id, None)
+        self._waiting_online.discard(request_id)
         self._waiting_batch.pop(request_id, None)
         self._revoked_ids.discard(request_id)
         held = self._online_held_by_id.pop(request_id, None)
@@ -214,7 +178,7 @@
             held = self._batch_held_by_id.pop(request_id, None)
         if held is not None:
             self._used_by_runner[held.runner_id] -= 1
-            self._recent_releases.append((now_s, held.runner_id))
+            self._unseen.record_release(held.runner_id, now_s)
         return self._dispatch(now_s)
 
     def record_failure(self, runner_id: RunnerId, now_s: float) -> None:
@@ -228,49 +192,17 @@
 
     def expire(self, now_s: float) -> list[SlotEffect]:
         """Refuse online requests that can't start in time, and forget old reports."""
-        for runner_id, reported_at_s in list(self._reported_at_by_runner.items()):
-            if now_s - reported_at_s > MAX_REPORT_AGE_S:
-                self._forget_report(runner_id)
+        self._unseen.forget_old(now_s)
         effects = self._dispatch(now_s)
-        late = self._expected_late(now_s)
-        if now_s - self._low_rank_waits_since_s > STARVATION_S and any(
-            _priority_rank(t, now_s) for t in late
-        ):
-            self._starved_at_s = now_s
-        if self._is_starving(now_s):
-            waiting = self._waiting_online.values()
-            late = [t for t in waiting if t in late or _priority_rank(t, now_s)]
-        for ticket in late:
-            del self._waiting_online[ticket.request_id]
-        forecast = self._forecast(now_s)
-        return [*effects, *(self._refuse(ticket, forecast) for ticket in late)]
-
-    def _expected_late(self, now_s: float) -> list[SlotTicket]:
-        """Return the waiting requests that are not expected to start in time."""
         if not self._waiting_online:
-            return []
-        forecast = self._forecast(now_s)
-        late: list[SlotTicket] = []
-        n_ahead = 0
-        for ticket in self._in_service_order(now_s):
-            if now_s + forecast.wait_s(n_ahead) > ticket.start_by_s:
-                late.append(ticket)
-            else:
-                n_ahead += 1
-        return late
-
-    def _refuse(self, ticket: SlotTicket, forecast: WaitForecast) -> RefuseSlot:
-        retry_after_s = forecast.wait_s(len(self._waiting_online))
-        return RefuseSlot(
-            ticket.request_id, "overloaded", max(MIN_RETRY_AFTER_S, retry_after_s)
-        )
-
-    def _is_low_rank_waiting(self, now_s: float) -> bool:
-        return any(_priority_rank(t, now_s) for t in self._waiting_online.values())
+            return effects
+        late = self._waiting_online.remove_late(self._forecast(now_s), now_s)
+        return [*effects, *self._refuse(late, now_s)]
 
-    def _is_starving(self, now_s: float) -> bool:
-        """Return whether requests that gave way have lately waited in vain."""
-        return now_s - self._starved_at_s <= STARVATION_S
+    def _refuse(self, tickets: list[SlotTicket], now_s: float) -> list[SlotEffect]:
+        wait_s = self._forecast(now_s).wait_s(len(self._waiting_online))
+        retry_after_s = max(MIN_RETRY_AFTER_S, wait_s)
+        return [RefuseSlot(t.request_id, "overloaded", retry_after_s) for t in tickets]
 
     def to_document(self) -> dict[str, object]:
         """Return the state for the diagnostic dump."""
@@ -279,7 +211,7 @@
             "hold_s": round(self._mean_hold_s, 4),
             "used_by_runner": dict(self._used_by_runner),
             "slots_by_runner": dict(self._slots_by_runner),
-            "unseen_by_runner": dict(self._unseen_by_runner),
+            "unseen_by_runner": dict(self._unseen.n_by_runner),
             "limit_per_s_by_runner": self._rate_limiter.to_document(),
         }
 
@@ -292,7 +224,7 @@
         for runner_id, slots in self._slots_by_runner.items():
             if runner_id in avoid:
                 continue
-            n_slots = max(0, slots - self._unseen_by_runner.get(runner_id, 0))
+            n_slots = max(0, slots - self._unseen.n_at(runner_id))
             n_online = self._online_by_runner.get(runner_id, 0)
             supplies.append(
                 RunnerSupply(
@@ -320,28 +252,16 @@
         self, free_by_runner: dict[RunnerId, int], now_s: float
     ) -> list[SlotEffect]:
         effects: list[SlotEffect] = []
-        for ticket in self._in_service_order(now_s):
+        for ticket in self._waiting_online.in_service_order(now_s):
             if not free_by_runner:
                 break
             runner_id = self._choose_runner(ticket, free_by_runner)
             if runner_id is None:
                 continue
-            del self._waiting_online[ticket.request_id]
-            if _priority_rank(ticket, now_s):
-                self._low_rank_waits_since_s = now_s
+            self._waiting_online.take(ticket, now_s)
             effects.append(self._grant(ticket, runner_id, free_by_runner, now_s))
         return effects
 
-    def _in_service_order(self, now_s: float) -> list[SlotTicket]:
-        """Return the waiting online requests in the order in which they are served."""
-
-        def order(ticket: SlotTicket) -> tuple[int, float, str]:
-            rank = _priority_rank(ticket, now_s)
-            due_s = ticket.start_by_s if rank == LATE_RANK else ticket.goal_at_s
-            return rank, due_s, ticket.request_id
-
-        return sorted(self._waiting_online.values(), key=order)
-
     def _free_by_runner(self, now_s: float) -> dict[RunnerId, int]:
         """Return how many requests each healthy runner takes now, if any."""
         names = list(self._slots_by_runner)
@@ -355,7 +275,7 @@
 
     def _n_free_slots(self, runner_id: RunnerId) -> int:
         n_used = self._used_by_runner.get(runner_id, 0)
-        n_unseen = self._unseen_by_runner.get(runner_id, 0)
+        n_unseen = self._unseen.n_at(runner_id)
         return self._slots_by_runner[runner_id] - n_used - n_unseen
 
     def _choose_runner(
@@ -477,18 +397,6 @@
         return effects
 
 
-def _priority_rank(ticket: SlotTicket, now_s: float) -> int:
-    """Return 0 for a new request, 1 for a repeated one and 2 for one that is late too.
-
-    The caller counts the latency goal from the first submission, so a repeated request
-    has already missed it. A new one keeps its place when its goal passes: it was let
-    wait since it would be served in time.
-    """
-    if not ticket.is_repeated:
-        return 0
-    return LATE_RANK if ticket.goal_at_s < now_s else REPEATED_RANK
-
-
 def _take_free_slot(free_by_runner: dict[RunnerId, int], runner_id: RunnerId) -> None:
     free_by_runner[runner_id] -= 1
     if not free_by_runner[runner_id]:
