--- a/libs/standins/src/damaskjunction/standins/runner.py
+++ b/libs/standins/src/damaskjunction/standins/runner.py
@@ -42,7 +42,9 @@
     prompt part: the process ends when the first event of a request with it is due),
     ``limit_per_s`` (rate limit to name in each answer), ``endless`` (1: answers have no
     end and hold no event), ``foreign`` (number of requests of unknown hosts that its
-    reports count).
+    reports count), ``leaving`` and ``report_leaving`` (1: answers and reports say that
+    the runner leaves). ``born_ms`` is the Unix millisecond of its start, as its entry
+    tells it, 0 to tell none.
 
     Parameters
     ----------
@@ -101,7 +103,10 @@
             "limit_per_s",
             "endless",
             "foreign",
+            "leaving",
+            "report_leaving",
         )
+        self.born_ms = 0
         self.n_ends = 0
         self._address = address
         self._restart: asyncio.Task[None] | None = None
@@ -146,6 +151,8 @@
         }
         if self.version:
             entry["Version"] = self.version
+        if self.born_ms:
+            entry["born"] = self.born_ms
         self._store.put(RUNNERS_KIND, self.runner_id, entry)
 
     def record_run(self, request_id: RequestId, last_event_id: str) -> None:
@@ -157,6 +164,14 @@
         self.run_times_s.append(asyncio.get_running_loop().time())
 
     async def _serve(self, request: Request) -> Response:
+        is_report = request.path == REPORT_PATH
+        response = await self._respond(request)
+        if self.faults["report_leaving" if is_report else "leaving"]:
+            headers = {**response.headers, "Server-Leaving": "1"}
+            return response._replace(headers=headers)
+        return response
+
+    async def _respond(self, request: Request) -> Response:
         if request.path == REPORT_PATH:
             n_running = self.n_running + self.faults["foreign"]
             return to_json_response({"Running": n_running, "Waiting": 0})
