Send no requests to runners that say in an answer that they leave

What callers saw: a runner that leaves says so in all its answers; hosts passed that on and went on sending requests to it until its entry in the store said so, so that requests broke off when it ended.

Change: the header is believed from answers that are proved to be the runner's, refusals and errors among them, and from reports that name the runner or its start. It holds for the process, by the start that the entry states, and for a later process if that had started before the request was sent, with the largest difference of clocks (Bounds.SkewMaxMs) as margin; the id is used again when an entry with a later start arrives. ServingState.runners_of leaves such runners out, which slots, plain services and items all go by. Asks for slots tell the home what the asking host was told. If all runners of a service leave, each is used for Bounds.DrainMs from its first word; then requests are refused at once. Streams under way go on.

The suites of routing, platform, wire and gateway pass.

--- a/libs/gateway/src/damaskjunction/gateway/root.py
+++ b/libs/gateway/src/damaskjunction/gateway/root.py
@@ -51,6 +51,7 @@
     StoreClient,
     without_items,
 )
+from damaskjunction.routing import LeavingRunners
 from damaskjunction.telemetry import Metrics, StateDump
 from damaskjunction.wire import MemberList, MembersQuery, PeerLinks, PeerServer, Reply
 
@@ -104,11 +105,14 @@
             self._direct_transport, self.view, self._links, timers, rng
         )
         self._store = StoreClient(transport)
-        self.state = ServingState(self.view, timers, settings.regions_by_data_centre)
+        leaving = LeavingRunners(settings.drain_s, settings.max_skew_s)
+        self.state = ServingState(
+            self.view, timers, settings.regions_by_data_centre, leaving
+        )
         handlers = PeerHandlers()
         transport.register(handlers)
         self._membership = self._make_membership(own, rng, handlers)
-        self._runner_client = RunnerClient(timers)
+        self._runner_client = RunnerClient(timers, leaving)
         origin = f"{settings.host_id}.{start_ms}"
         self._suspects = suspects = SuspectRegistry(
             self._store, timers, self.metrics, origin
@@ -157,15 +161,7 @@
         online_handler = OnlineHandler(context)
         self.job_repository = job_repository = JobRepository(self._store)
         self._worker = JobWorker(job_repository, context)
-        notifier = CancellationNotifier(job_repository, self.view, self._links)
-        notifier.register(handlers)
-        reader = ResultReader(
-            job_repository, self._worker, self.view, self._links, timers
-        )
-        reader.register(handlers)
-        jobs = JobFront(
-            job_repository, reader, notifier, state=self.state, timers=timers
-        )
+        jobs = self._make_job_front(handlers)
         front_end = FrontEnd(self.state, online_handler, jobs, self.metrics)
         self._caller_server = HttpServer(settings.caller, front_end.serve)
         self._peer_server = PeerServer(peer, timers, handlers.handle)
@@ -242,6 +238,14 @@
         self._runner_client.close()
         self._direct_transport.close()
 
+    def _make_job_front(self, handlers: PeerHandlers) -> JobFront:
+        jobs, timers = self.job_repository, self._timers
+        notifier = CancellationNotifier(jobs, self.view, self._links)
+        notifier.register(handlers)
+        reader = ResultReader(jobs, self._worker, self.view, self._links, timers)
+        reader.register(handlers)
+        return JobFront(jobs, reader, notifier, state=self.state, timers=timers)
+
     def _make_change_feed(
         self, transport: RelayedTransport, rng: random.Random
     ) -> ChangeFeed:
@@ -330,6 +334,7 @@
         self, home: SlotHome, slot_client: SlotClient, transport: RelayedTransport
     ) -> None:
         self.dump.sections.register("slots")(home.to_document)
+        self.dump.sections.register("leaving")(self.state.leaving.to_document)
         self.dump.sections.register("suspects")(self._suspects.to_document)
         versions = self._version_registry
         self.dump.sections.register("software_versions")(versions.to_document)
--- a/libs/gateway/src/damaskjunction/gateway/runner_client.py
+++ b/libs/gateway/src/damaskjunction/gateway/runner_client.py
@@ -14,7 +14,7 @@
     RunnerId,
     Timers,
 )
-from damaskjunction.core.units import KIB, MIB
+from damaskjunction.core.units import KIB, MIB, MILLISECOND_S
 from damaskjunction.http import (
     EVENT_STREAM_TYPE,
     BrokenResponseError,
@@ -33,7 +33,7 @@
     decode_runner_report,
     runner_headers,
 )
-from damaskjunction.routing import NO_LIMIT_PER_S, LimitObservations
+from damaskjunction.routing import NO_LIMIT_PER_S, LeavingRunners, LimitObservations
 
 logger = logging.getLogger(__name__)
 
@@ -79,9 +79,11 @@
     ----------
     timers : Timers
         The process's timer service.
+    leaving : LeavingRunners, optional
+        Records the runners that say that they leave.
     """
 
-    def __init__(self, timers: Timers) -> None:
+    def __init__(self, timers: Timers, leaving: LeavingRunners | None = None) -> None:
         self._client = HttpClient(
             timers,
             connect_timeout_s=CONNECT_TIMEOUT_S,
@@ -89,6 +91,7 @@
         )
         self._timers = timers
         self.observed_limits = LimitObservations()
+        self._leaving = leaving or LeavingRunners()
 
     @property
     def n_connections_opened(self) -> int:
@@ -136,6 +139,7 @@
             When there is no response, the runner reports that it did no work, or the
             response is encoded, no stream, or not provably that to this request.
         """
+        asked_at_ms = self._wall_ms()
         headers = runner_headers(
             request,
             runner.runner_id,
@@ -166,6 +170,8 @@
             ) from None
         head = decode_response_head(response.status, response.headers)
         _check_origin(head, response, request.request_id)
+        if head.is_leaving and not head.is_misdirected:
+            self._record_leaving(runner, asked_at_ms)
         if head.rate_limit_per_s is not None and not head.is_misdirected:
             self._record_limit(runner.runner_id, head.rate_limit_per_s)
         await self._check_head(head, response)
@@ -181,6 +187,18 @@
             extra = {"runner": runner_id, "limit_per_s": str(limit_per_s)}
             logger.info("runner's limit changed", extra=extra)
 
+    def _record_leaving(self, runner: Runner, asked_at_ms: int) -> None:
+        if self._leaving.record_answer(runner, asked_at_ms, self._timers.now()):
+            extra = {
+                "runner": runner.runner_id,
+                "service": runner.service,
+                "born_ms": runner.born_ms,
+            }
+            logger.info("runner says it leaves", extra=extra)
+
+    def _wall_ms(self) -> int:
+        return int(self._timers.wall() / MILLISECOND_S)
+
     async def fetch_report(self, runner: Runner) -> RunnerReport:
         """Return a runner's report of its running and queued requests.
 
@@ -189,6 +207,7 @@
         RunnerFailedError
             When the runner returns no valid report.
         """
+        asked_at_ms = self._wall_ms()
         try:
             response = await self._client.send(
                 runner.address, "GET", REPORT_PATH, stall_s=REPORT_STALL_TIMEOUT_S
@@ -208,6 +227,8 @@
             raise RunnerFailedError(Outcome.NOT_RUN, "no_report", "malformed")
         if head.rate_limit_per_s is not None:
             self._record_limit(runner.runner_id, head.rate_limit_per_s)
+        if head.is_leaving and _is_report_of(runner, head, report):
+            self._record_leaving(runner, asked_at_ms)
         return report
 
     async def read_body(
@@ -301,6 +322,15 @@
         raise RunnerFailedError(Outcome.RAN, "no_stream", content_type, is_fault=True)
 
 
+def _is_report_of(
+    runner: Runner, head: RunnerResponseHead, report: RunnerReport
+) -> bool:
+    """Return whether a report is provably that of a runner, not of its address only."""
+    if head.runner_id:
+        return head.runner_id == runner.runner_id
+    return report.born_ms in (0, runner.born_ms)
+
+
 def find_runner(runners: list[Runner], runner_id: RunnerId) -> Runner | None:
     """Return the runner with an id, or None when it is not in the list."""
     for runner in runners:
--- a/libs/gateway/src/damaskjunction/gateway/slot_client.py
+++ b/libs/gateway/src/damaskjunction/gateway/slot_client.py
@@ -173,7 +173,7 @@
     async def _acquire_once(
         self, ask: SlotAsk, on_ask: Callable[[HostId], None]
     ) -> Slot:
-        ask = ask._replace(limits=self._limits_of(ask.service_name))
+        ask = self._with_news(ask)
         slot = Slot(self, ask, "")
         try:
             homes = islice(self._candidate_homes(ask.service_name), MAX_HOMES_TRIED)
@@ -337,8 +337,7 @@
 
     async def _register_at(self, home: EntryHost, slot: Slot) -> None:
         await slot.release()
-        limits = self._limits_of(slot.ask.service_name)
-        ask = slot.ask._replace(held_runner=slot.runner_id, limits=limits)
+        ask = self._with_news(slot.ask)._replace(held_runner=slot.runner_id)
         try:
             if not await self._request_from(home, ask, slot):
                 slot.home_id = ""
@@ -355,6 +354,13 @@
         self._suspect_until_by_host[host.host_id] = until_s
         self._timers.once(HOME_SUSPECT_TIME_S, self._follow_homes)
 
+    def _with_news(self, ask: SlotAsk) -> SlotAsk:
+        """Return an ask that tells what runners of its service said to this host."""
+        return ask._replace(
+            limits=self._limits_of(ask.service_name),
+            leaving=self._state.leaving_notices(ask.service_name),
+        )
+
     def _limits_of(self, service: ServiceName) -> tuple[RunnerLimit, ...]:
         """Return the limits that runners of a service have named to this host."""
         if self._observed_limits.is_empty:
--- a/libs/gateway/src/damaskjunction/gateway/slot_home.py
+++ b/libs/gateway/src/damaskjunction/gateway/slot_home.py
@@ -112,6 +112,7 @@
         self._timers = timers
         self._pools_by_service: dict[ServiceName, SlotPool] = {}
         self._reservations_by_id: dict[RequestId, SlotReservation] = {}
+        self._runners_by_service: dict[ServiceName, list[Runner]] = {}
         self._home_services: set[ServiceName] = set()
         self._subscriptions: list[Subscription] = []
         self._warned_at_s = 0.0
@@ -155,7 +156,9 @@
             ask.is_repeated,
             ask.software_version,
         )
+        self._state.record_leaving(ask.leaving)
         pool = self._pool(ask.service_name)
+        self._update_runners(ask.service_name, pool)
         pool.observe_limits(ask.limits, now_s)
         former = self._reservations_by_id.get(ask.request_id)
         if former is not None:
@@ -232,11 +235,9 @@
     def _set_runners(self, service: ServiceName, pool: SlotPool) -> None:
         spec = self._state.table.services_by_name.get(service)
         engine = spec.engine if spec is not None else None
-        runners = [
-            runner
-            for runner in self._state.runners_of(service)
-            if self._version_registry.may_begin(service, runner.version)
-        ]
+        known = self._state.runners_of(service)
+        may_begin = self._version_registry.may_begin
+        runners = [r for r in known if may_begin(service, r.version)]
         slots_by_runner = {
             runner.runner_id: min(runner.slots, engine.slots)
             if engine is not None
@@ -244,9 +245,15 @@
             for runner in runners
         }
         versions = RunnerVersions({r.runner_id: r.version for r in runners})
+        self._runners_by_service[service] = known
         now_s = self._timers.now()
         self._apply_effects(pool.set_runners(slots_by_runner, now_s, versions))
 
+    def _update_runners(self, service: ServiceName, pool: SlotPool) -> None:
+        """Apply which runners leave, as told by them or by other hosts."""
+        if self._state.runners_of(service) != self._runners_by_service[service]:
+            self._set_runners(service, pool)
+
     def _apply_view(self) -> None:
         for service, pool in self._pools_by_service.items():
             self._set_runners(service, pool)
@@ -267,6 +274,7 @@
     def _expire(self) -> None:
         now_s = self._timers.now()
         for service, pool in self._pools_by_service.items():
+            self._update_runners(service, pool)
             self._apply_effects(pool.expire(now_s))
             counts = pool.counts
             if counts.n_online_waiting or counts.n_batch_waiting:
--- a/libs/gateway/src/damaskjunction/gateway/state.py
+++ b/libs/gateway/src/damaskjunction/gateway/state.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 from damaskjunction.core import (
     Configuration,
@@ -25,7 +25,7 @@
     decode_configuration,
     decode_runner,
 )
-from damaskjunction.routing import RouteTable
+from damaskjunction.routing import LeavingNotice, LeavingRunners, RouteTable
 
 logger = logging.getLogger(__name__)
 
@@ -44,6 +44,8 @@
         The process's timer service.
     regions_by_data_centre : mapping
         Region of each data centre.
+    leaving : LeavingRunners
+        The runners that have said that they leave.
     """
 
     def __init__(
@@ -51,8 +53,10 @@
         view: HostView,
         timers: Timers,
         regions_by_data_centre: Mapping[str, Region],
+        leaving: LeavingRunners,
     ) -> None:
         self.view = view
+        self.leaving = leaving
         self.table = RouteTable()
         self._timers = timers
         self._regions_by_data_centre = regions_by_data_centre
@@ -68,6 +72,20 @@
 
     def runners_of(self, service: ServiceName) -> list[Runner]:
         """Return the runners of a service that accept new work, ordered by id."""
+        runners = self._live_runners_of(service)
+        return self.leaving.usable(runners, self._timers.now())
+
+    def leaving_notices(self, service: ServiceName) -> tuple[LeavingNotice, ...]:
+        """Return what this host knows of a service's runners that leave."""
+        runners = self._live_runners_of(service)
+        return self.leaving.notices(runners, self._timers.now())
+
+    def record_leaving(self, notices: Iterable[LeavingNotice]) -> None:
+        """Record what another host knows of runners that leave."""
+        runners_by_id = self.view.fleet.runners_by_id
+        self.leaving.record_notices(notices, runners_by_id, self._timers.now())
+
+    def _live_runners_of(self, service: ServiceName) -> list[Runner]:
         if self._indexed_fleet is not self.view.fleet:
             self._indexed_fleet = self.view.fleet
             self._live_runners_by_service = {}
--- a/libs/platform/features/decoding.feature
+++ b/libs/platform/features/decoding.feature
@@ -8,6 +8,26 @@
     And the peer port is 7660
     And the stop grace period is 8 s
 
+  Scenario: The bounds on leaving runners and on clocks are decoded
+    Given the settings of an entry host
+    When the key "Bounds.DrainMs" is "2500"
+    And the key "Bounds.SkewMaxMs" is "4000"
+    Then leaving runners serve for 2.5 s and clocks differ by at most 4 s
+    When the key "Bounds.DrainMs" is missing
+    And the key "Bounds.SkewMaxMs" is missing
+    Then leaving runners serve for 2 s and clocks differ by at most 5 s
+
+  Scenario Outline: A runner says in its answers that it leaves
+    Given a runner's answer with the header "<name>" as "<value>"
+    Then the runner leaves: <is_leaving>
+
+    Examples:
+      | name           | value | is_leaving |
+      | Server-Leaving | 1     | True       |
+      | Server-Leaving | 0     | False      |
+      | Server-Leaving |       | False      |
+      | Server-Limit   | 1     | False      |
+
   Scenario: All findings of invalid settings are reported at once
     Given the settings of an entry host
     When the key "NodeName" is missing
--- a/libs/platform/features/steps/decoding_steps.py
+++ b/libs/platform/features/steps/decoding_steps.py
@@ -18,6 +18,7 @@
     decode_job,
     decode_record,
     decode_request,
+    decode_response_head,
     decode_result_list,
     decode_runner,
     decode_settings,
@@ -83,6 +84,26 @@
     context.values[key] = value
 
 
+@then(
+    "leaving runners serve for {drain_s:g} s and clocks differ by at most "
+    "{max_skew_s:g} s"
+)
+def check_drain(context, drain_s, max_skew_s):
+    settings = decode_context_settings(context)
+    assert (settings.drain_s, settings.max_skew_s) == (drain_s, max_skew_s), settings
+
+
+@given('a runner\'s answer with the header "{name}" as "{value}"')
+@given('a runner\'s answer with the header "{name}" as ""')
+def make_answer(context, name, value=""):
+    context.head = decode_response_head(200, {name.lower(): value})
+
+
+@then("the runner leaves: {is_leaving}")
+def check_leaving(context, is_leaving):
+    assert str(context.head.is_leaving) == is_leaving, context.head
+
+
 @then('the host is "{host}" in "{zone}" of "{region}"')
 def check_host(context, host, zone, region):
     settings = decode_context_settings(context)
--- a/libs/platform/src/damaskjunction/platform/requests.py
+++ b/libs/platform/src/damaskjunction/platform/requests.py
@@ -29,6 +29,7 @@
 RESPONSE_STAMP_HEADER = "x-response-stamp"
 RETRY_AFTER_HEADER = "retry-after"
 RATE_LIMIT_HEADER = "server-limit"
+LEAVING_HEADER = "server-leaving"
 
 _HOP_BY_HOP_HEADERS = frozenset(
     (
@@ -84,8 +85,9 @@
     body has a content encoding, ``has_receipt`` that the response bears the receipt
     without which no success counts. ``keep_alive_s`` is the idle timeout that the
     runner announced. ``rate_limit_per_s`` is the number of requests a second that it
-    takes from all hosts together, None without a limit. ``headers`` are those to
-    forward to the caller.
+    takes from all hosts together, None without a limit. ``is_leaving`` means that the
+    runner will stop soon. ``runner_id`` is empty if the runner does not name itself.
+    ``headers`` are those to forward to the caller.
     """
 
     status: int
@@ -96,6 +98,8 @@
     request_id: RequestId
     keep_alive_s: float | None
     rate_limit_per_s: float | None
+    is_leaving: bool
+    runner_id: RunnerId
     headers: Mapping[str, str]
 
 
@@ -197,6 +201,8 @@
         request_id=headers.get(REQUEST_ID_HEADER, ""),
         keep_alive_s=_parse_keep_alive(headers.get("keep-alive", "")),
         rate_limit_per_s=decode_rate_limit(headers),
+        is_leaving=headers.get(LEAVING_HEADER, "").strip() == "1",
+        runner_id=headers.get(RUNNER_ID_HEADER, ""),
         headers={
             name: value
             for name, value in headers.items()
--- a/libs/platform/src/damaskjunction/platform/settings_file.py
+++ b/libs/platform/src/damaskjunction/platform/settings_file.py
@@ -15,6 +15,8 @@
     SourceLocation,
     raise_findings,
 )
+from damaskjunction.core.units import MILLISECOND_S
+from damaskjunction.routing import DEFAULT_DRAIN_S, DEFAULT_MAX_SKEW_S
 
 SETTINGS_VARIABLE = "DAMASKJUNCTION_SETTINGS"
 DEFAULT_METRICS_PORT = 9464
@@ -32,9 +34,11 @@
     hosts, the same on every host. ``seeds`` are the hosts to contact in order to join.
     ``store`` is the address of the platform's store. ``stop_grace_s`` is the time
     between the stop request and the kill, and ``result_retention_s`` the time for which
-    results must stay readable. ``n_cores`` is the number of processor cores that the
-    process may use, scaled to cores of the usual speed. ``max_descriptors`` limits the
-    open file descriptors. The settings file has no key for ``metrics_port``.
+    results must stay readable. ``drain_s`` is the time for which a leaving runner still
+    serves, and ``max_skew_s`` the largest difference of clocks. ``n_cores`` is the
+    number of processor cores that the process may use, scaled to cores of the usual
+    speed. ``max_descriptors`` limits the open file descriptors. The settings file has
+    no key for ``metrics_port``.
     """
 
     host_id: HostId
@@ -53,6 +57,8 @@
     stop_grace_s: float = DEFAULT_STOP_GRACE_S
     result_retention_s: float = DEFAULT_RESULT_RETENTION_S
     n_cores: float = 1.0
+    drain_s: float = DEFAULT_DRAIN_S
+    max_skew_s: float = DEFAULT_MAX_SKEW_S
 
 
 class _SettingsReader:
@@ -82,6 +88,10 @@
             self.findings.append(Finding(location, f"expected a number, got {value!r}"))
             return default
 
+    def seconds(self, key: str, default_s: float) -> float:
+        """Return in seconds the value of a key in milliseconds."""
+        return self.number(key, default_s / MILLISECOND_S) * MILLISECOND_S
+
     def address(self, key: str) -> Address | None:
         value = self._values.get(key, "")
         if not value:
@@ -153,6 +163,8 @@
         result_retention_s=reader.number("Bounds.StatusS", DEFAULT_RESULT_RETENTION_S),
         n_cores=reader.number("Limits.CpuShare", 1.0)
         * reader.number("Limits.Cores", 1.0),
+        drain_s=reader.seconds("Bounds.DrainMs", DEFAULT_DRAIN_S),
+        max_skew_s=reader.seconds("Bounds.SkewMaxMs", DEFAULT_MAX_SKEW_S),
     )
     raise_findings(f"{source}: invalid settings", reader.findings)
     return settings
--- a/libs/routing/src/damaskjunction/routing/__init__.py
+++ b/libs/routing/src/damaskjunction/routing/__init__.py
@@ -41,6 +41,12 @@
     TakeOverClaim,
     resolve_claim,
 )
+from damaskjunction.routing.leaving_runners import (
+    DEFAULT_DRAIN_S,
+    DEFAULT_MAX_SKEW_S,
+    LeavingNotice,
+    LeavingRunners,
+)
 from damaskjunction.routing.limits import (
     AdaptiveLimits,
     ConcurrencyLimits,
@@ -125,6 +131,8 @@
 from damaskjunction.routing.wait_forecast import RunnerSupply, WaitForecast
 
 __all__ = [
+    "DEFAULT_DRAIN_S",
+    "DEFAULT_MAX_SKEW_S",
     "NO_LIMIT_PER_S",
     "AdaptiveLimits",
     "AdmissionController",
@@ -156,6 +164,8 @@
     "GrantAccess",
     "GrantSlot",
     "LatencyTargets",
+    "LeavingNotice",
+    "LeavingRunners",
     "LimitInput",
     "LimitObservations",
     "OriginMemory",
--- a/libs/wire/src/damaskjunction/wire/peer.thrift
+++ b/libs/wire/src/damaskjunction/wire/peer.thrift
@@ -195,6 +195,13 @@
   3: double age_s
 }
 
+// A runner said some time ago that its process leaves.
+struct LeavingNotice {
+  1: string runner_id
+  2: i64 last_born_ms
+  3: double age_s
+}
+
 // Asks the home of a service for a slot on one of its runners; times are in seconds
 // from now. The slot is held until the call ends.
 struct SlotAsk {
@@ -211,6 +218,7 @@
   11: string fingerprint
   12: list<RunnerLimit> limits
   13: string software_version
+  14: list<LeavingNotice> leaving
 }
 
 // The slot is granted: the request may be sent to the runner.
--- a/libs/wire/src/damaskjunction/wire/slots.py
+++ b/libs/wire/src/damaskjunction/wire/slots.py
@@ -5,10 +5,16 @@
 from typing import NamedTuple
 
 from damaskjunction.core import RequestId, RunnerId, ServiceName, WorkClass
-from damaskjunction.routing import CrashReport, RequestTraits, RunnerLimit
+from damaskjunction.routing import (
+    CrashReport,
+    LeavingNotice,
+    RequestTraits,
+    RunnerLimit,
+)
 from damaskjunction.wire.codec import register_message
 
 register_message(RunnerLimit)
+register_message(LeavingNotice)
 
 
 @register_message
@@ -22,8 +28,9 @@
     service's latency goal; batch requests are served by earliest ``due_in_s``.
     ``is_repeated`` means that an earlier attempt of the caller was refused or failed.
     ``fingerprint`` is equal for equal requests. ``limits`` are the rate limits that
-    runners of the service have named to the asking host. Only runners of
-    ``software_version`` may be given the request, unless that is empty.
+    runners of the service have named to the asking host, and ``leaving`` tells which
+    of them it knows to leave. Only runners of ``software_version`` may be given the
+    request, unless that is empty.
     """
 
     request_id: RequestId
@@ -39,6 +46,7 @@
     fingerprint: str = ""
     limits: tuple[RunnerLimit, ...] = ()
     software_version: str = ""
+    leaving: tuple[LeavingNotice, ...] = ()
 
     @property
     def traits(self) -> tuple[str, ...]:
