--- a/libs/gateway/features/fake_homes.py
+++ b/libs/gateway/features/fake_homes.py
@@ -109,6 +109,9 @@
     def runners_of(self, service):
         return []
 
+    def leaving_notices(self, service):
+        return ()
+
 
 class NoSuspects:
     def is_suspect(self, service, traits):
