--- a/libs/node/src/damaskjunction/node/home.py
+++ b/libs/node/src/damaskjunction/node/home.py
@@ -23,6 +23,7 @@
 )
 from damaskjunction.http import HttpClient
 from damaskjunction.node.crashes import CrashTracker, RunnerGuard
+from damaskjunction.node.home_request import HomeRequest
 from damaskjunction.node.reports import LoadReader
 from damaskjunction.node.runners import (
     AnswerMessage,
@@ -100,7 +101,7 @@
             timers, self._reporting_runners, self._record_report
         )
         self._controllers_by_runner: dict[RunnerId, AdmissionController] = {}
-        self._requests_by_id: dict[RequestId, _Request] = {}
+        self._requests_by_id: dict[RequestId, HomeRequest] = {}
         self._cancel_tasks: set[asyncio.Task[None]] = set()
         self._request_ended = asyncio.Event()
 
@@ -170,7 +171,7 @@
         forward: Forward,
         guard: RunnerGuard,
     ) -> AsyncGenerator[AnswerMessage, None]:
-        request = _Request(self._make_ticket(forward), guard)
+        request = HomeRequest(self._make_ticket(forward), guard)
         request_id = request.ticket.request_id
         self._requests_by_id[request_id] = request
         expiry = self._timers.once(forward.deadline_s, request.expire)
@@ -191,7 +192,7 @@
         controller: AdmissionController,
         runner: Runner,
         forward: Forward,
-        request: _Request,
+        request: HomeRequest,
     ) -> AsyncGenerator[AnswerMessage, None]:
         """Yield an answer, sending the request again after each preemption."""
         request_id = request.ticket.request_id
@@ -230,7 +231,7 @@
         controller: AdmissionController,
         runner: Runner,
         forward: Forward,
-        request: _Request,
+        request: HomeRequest,
         stream: RunnerStream,
     ) -> AsyncGenerator[AnswerMessage, None]:
         """Send a request to its runner once and yield the messages of the answer."""
@@ -349,85 +350,6 @@
                     request.refuse(reason, retry_after_s)
 
 
-class _Request:
-    """Request that waits for admission or is in flight at its runner."""
-
-    def __init__(self, ticket: AdmissionTicket, guard: RunnerGuard) -> None:
-        self.ticket = ticket
-        self._guard = guard
-        self.is_preempted = False
-        self.is_expired = False
-        self._was_sent = False
-        self._stream: RunnerStream | None = None
-        self._admitted = _new_future()
-
-    async def wait_for_admission(self) -> None:
-        """Return when the request may be sent to the runner.
-
-        Raises
-        ------
-        RequestError
-            When the request was refused or its deadline has passed.
-        """
-        await self._admitted
-
-    def attach(self, stream: RunnerStream) -> None:
-        """Set the stream that ``preempt`` and ``expire`` abort."""
-        self._stream = stream
-        self._guard.begin()
-        if self.is_preempted or self.is_expired:
-            stream.abort()
-
-    def reset_admission(self) -> None:
-        """Prepare to wait for another admission after a preemption."""
-        self._guard.end()
-        self.is_preempted = False
-        self._was_sent = self._outcome() is Outcome.RAN
-        self._stream = None
-        self._admitted = _new_future()
-
-    def to_request_error(self, error: RequestError) -> RequestError:
-        """Return the error of the request, given that of the last time it was sent."""
-        if self.is_expired:
-            detail = "the answer was incomplete at the deadline"
-            return RequestError(self._outcome(), "deadline", detail)
-        if self._was_sent and error.outcome is Outcome.NOT_RUN:
-            return RequestError(Outcome.RAN, error.reason, error.detail)
-        return error
-
-    def admit(self) -> None:
-        """Let ``wait_for_admission`` return."""
-        if not self._admitted.done():
-            self._admitted.set_result(None)
-
-    def refuse(self, reason: str, retry_after_s: float) -> None:
-        """Let ``wait_for_admission`` raise."""
-        if not self._admitted.done():
-            error = RequestError(self._outcome(), reason, retry_after_s=retry_after_s)
-            self._admitted.set_exception(error)
-
-    def preempt(self) -> None:
-        """Abort the answer; the request resumes after its next admission."""
-        self.is_preempted = True
-        if self._stream is not None:
-            self._stream.abort()
-
-    def expire(self) -> None:
-        """Fail the request because its deadline has passed."""
-        self.is_expired = True
-        self.refuse("deadline", 0.0)
-        if self._stream is not None:
-            self._stream.abort()
-
-    def _outcome(self) -> Outcome:
-        is_sent = self._stream is not None and self._stream.is_sent
-        return Outcome.RAN if self._was_sent or is_sent else Outcome.NOT_RUN
-
-
-def _new_future() -> asyncio.Future[None]:
-    return asyncio.get_running_loop().create_future()
-
-
 def _runner_load(runner: Runner, controller: AdmissionController) -> RunnerLoad:
     state = controller.state
     return RunnerLoad(
