--- a/libs/lab/src/damaskjunction/lab/admission_rig.py
+++ b/libs/lab/src/damaskjunction/lab/admission_rig.py
@@ -10,10 +10,7 @@
 
 from damaskjunction.core import EntryHost, Runner, ServiceKind
 from damaskjunction.lab.batch_load import BatchCounts, BatchLoad, BatchSpec
-from damaskjunction.lab.experiments import (
-    ExperimentOptions,
-    Figure,
-)
+from damaskjunction.lab.experiments import ExperimentOptions, Figure
 from damaskjunction.lab.load import (
     COMPLETE,
     FIRST_TOKEN,
--- a/libs/lab/src/damaskjunction/lab/call_cost.py
+++ b/libs/lab/src/damaskjunction/lab/call_cost.py
@@ -14,11 +14,7 @@
     Figure,
     experiments,
 )
-from damaskjunction.lab.load import (
-    LoadGenerator,
-    LoadSpec,
-    constant_rate,
-)
+from damaskjunction.lab.load import LoadGenerator, LoadSpec, constant_rate
 from damaskjunction.lab.online import start_deployment
 from damaskjunction.standins import DeployedFleet
 
--- a/libs/lab/src/damaskjunction/lab/placement.py
+++ b/libs/lab/src/damaskjunction/lab/placement.py
@@ -11,9 +11,7 @@
 
 import yaml
 
-from damaskjunction.core import (
-    ServiceKind,
-)
+from damaskjunction.core import ServiceKind
 from damaskjunction.lab.experiments import (
     ExperimentOptions,
     ExperimentResult,
--- a/libs/node/src/damaskjunction/node/job_routes.py
+++ b/libs/node/src/damaskjunction/node/job_routes.py
@@ -33,13 +33,7 @@
     Timers,
     WorkspaceName,
 )
-from damaskjunction.http import (
-    HttpError,
-    Request,
-    Response,
-    Routes,
-    to_json_response,
-)
+from damaskjunction.http import HttpError, Request, Response, Routes, to_json_response
 from damaskjunction.node.caller_routes import authenticate
 from damaskjunction.node.documents import JOB_KIND, QUEUE_KIND, SEGMENT_KIND
 from damaskjunction.node.job_cancel import JobCanceller
--- a/libs/settings/src/damaskjunction/settings/schema.py
+++ b/libs/settings/src/damaskjunction/settings/schema.py
@@ -17,12 +17,7 @@
     truncate_text,
 )
 from damaskjunction.settings.parsing import Slices, run_to_completion
-from damaskjunction.settings.readers import (
-    NAME_HINT,
-    KeyedNode,
-    Reader,
-    is_name,
-)
+from damaskjunction.settings.readers import NAME_HINT, KeyedNode, Reader, is_name
 
 ENTRIES_PER_SLICE = 100
 
--- a/libs/standins/src/damaskjunction/standins/deployed_fleet.py
+++ b/libs/standins/src/damaskjunction/standins/deployed_fleet.py
@@ -7,21 +7,11 @@
 
 import yaml
 
-from damaskjunction.core import (
-    Address,
-    EntryHost,
-    HostState,
-    Runner,
-    ServiceKind,
-)
+from damaskjunction.core import Address, EntryHost, HostState, Runner, ServiceKind
 from damaskjunction.core.types import EMPTY
 from damaskjunction.platform import entry_host_to_document, runner_to_document
 from damaskjunction.standins.deployment import Deployment
-from damaskjunction.standins.fleet import (
-    BufferedResponse,
-    Fleet,
-    ProcessSpec,
-)
+from damaskjunction.standins.fleet import BufferedResponse, Fleet, ProcessSpec
 from damaskjunction.standins.ports import allocate_addresses
 from damaskjunction.standins.proxy import Mode
 
--- a/libs/standins/src/damaskjunction/standins/deployment.py
+++ b/libs/standins/src/damaskjunction/standins/deployment.py
@@ -6,9 +6,7 @@
 from collections.abc import Mapping
 from typing import Any, NamedTuple
 
-from damaskjunction.core import (
-    Registry,
-)
+from damaskjunction.core import Registry
 
 CALLER_KEY = "demo-key"
 # With the default of 60 s, a failed host's batch work is taken over only after 60 s.
