--- a/libs/node/features/online/steps/delivery_steps.py
+++ b/libs/node/features/online/steps/delivery_steps.py
@@ -3,14 +3,19 @@
 from __future__ import annotations
 
 import asyncio
-import json
 
 from behave import given, then, when
+from streams import (
+    PROMPT,
+    Stream,
+    engines,
+    nth_host_id,
+    run_counts,
+    start_stream_off_home,
+)
 
-from damaskjunction.core import ServiceKind
-from damaskjunction.http import EventParser
 from damaskjunction.routing import home_of
-from damaskjunction.standins import CRASH_MARK, BufferedResponse, Mode, parse_events
+from damaskjunction.standins import Mode, parse_events
 from damaskjunction.standins.scenarios import (
     AUTHORIZATION,
     assert_complete,
@@ -19,73 +24,6 @@
     start_fleet,
 )
 
-PROMPT = "What may I drop behind?"
-GENERATE = "/v1/services/caddie-llm/generate"
-
-
-class Stream:
-    """Streamed answer, read in a background task."""
-
-    def __init__(self, deployed, host_id, prompt, n_tokens):
-        self.deployed = deployed
-        self.host_id = host_id
-        self.document = {"prompt": prompt, "max_tokens": n_tokens}
-        self.body = b""
-        self.request_id = ""
-        self.response = None
-        self.latency_s = 0.0
-        self.task = asyncio.ensure_future(self._read())
-
-    async def _read(self):
-        fleet = self.deployed.fleet
-        begin_s = fleet.timers.now()
-        self.response = await fleet.client.send(
-            fleet.addresses_by_name[self.host_id],
-            "POST",
-            GENERATE,
-            headers=AUTHORIZATION,
-            body=json.dumps(self.document).encode(),
-        )
-        self.request_id = self.response.headers.get("request-id", "")
-        async for data in self.response.chunks():
-            self.body += data
-        self.latency_s = fleet.timers.now() - begin_s
-        return BufferedResponse(self.response.status, self.response.headers, self.body)
-
-    def n_events(self):
-        return len(EventParser().feed(self.body))
-
-    async def wait_for_events(self, count):
-        async def has_events():
-            if self.task.done() and self.n_events() < count:
-                raise AssertionError(f"ended early: {self.body[-500:]!r}")
-            return self.n_events() >= count
-
-        await self.deployed.fleet.wait_for(has_events, f"{count} events")
-
-    async def runner_id(self):
-        for runner in engines(self.deployed):
-            if not self.deployed.fleet.is_running(runner.runner_id):
-                continue
-            counts = await run_counts(self.deployed, runner.runner_id)
-            if any(name.startswith(self.request_id) for name in counts):
-                return runner.runner_id
-        raise AssertionError(f"no runner runs {self.request_id}")
-
-
-def engines(deployed):
-    runners = deployed.runners_by_id.values()
-    return [runner for runner in runners if runner.kind is ServiceKind.ENGINE]
-
-
-async def run_counts(deployed, runner_id):
-    response = await deployed.fleet.call(runner_id, "GET", "/test/runs")
-    return response.to_json()["runs_by_id"]
-
-
-def nth_host_id(context, number):
-    return list(context.deployed.hosts_by_id)[number - 1]
-
 
 @given('a running "{name}" fleet behind proxies before "{names}"')
 def start_proxied(context, name, names):
@@ -130,21 +68,6 @@
     context.answers = [run(context, act())]
 
 
-async def start_stream_off_home(context, n_tokens, count):
-    """Start a stream through a host that is not the home of its runner."""
-    deployed = context.deployed
-    for host_id in deployed.hosts_by_id:
-        stream = Stream(deployed, host_id, PROMPT, n_tokens)
-        await stream.wait_for_events(count)
-        runner = deployed.runners_by_id[await stream.runner_id()]
-        home = home_of(runner, deployed.hosts_by_id.values())
-        if home.host_id != host_id:
-            return stream, home.host_id
-        stream.task.cancel()
-        await asyncio.gather(stream.task, return_exceptions=True)
-    raise AssertionError("every host is the home of the runner")
-
-
 @when(
     "{n_tokens:d} tokens are requested through another host, and the home is killed "
     "after {count:d}"
@@ -286,82 +209,6 @@
         run(context, deployed.set_mode(host_id, Mode(mode)))
 
 
-@when(
-    "{count:d} streams of {n_tokens:d} tokens run while a poison request is sent "
-    "{n_sends:d} times to each host"
-)
-def send_poison_requests(context, count, n_tokens, n_sends):
-    async def act():
-        deployed = context.deployed
-        hosts = list(deployed.hosts_by_id)
-        streams = [
-            Stream(deployed, hosts[number % len(hosts)], PROMPT, n_tokens)
-            for number in range(count)
-        ]
-        for stream in streams:
-            await stream.wait_for_events(5)
-        for host_id in hosts * n_sends:
-            answer = await generate(deployed, host_id, CRASH_MARK, 20)
-            assert answer.status != 200, answer
-        return [await stream.task for stream in streams]
-
-    context.prompt, context.n_tokens = PROMPT, n_tokens
-    context.answers = run(context, act())
-
-
-@then("at most {bound:d} runners are lost")
-def check_lost_runners(context, bound):
-    names = [runner.runner_id for runner in engines(context.deployed)]
-    lost = [name for name in names if not context.deployed.fleet.is_running(name)]
-    assert len(lost) <= bound, lost
-
-
-@when("a host is restarted and the poison request is sent to it")
-def restart_and_send(context):
-    async def act():
-        fleet = context.deployed.fleet
-        host_id = nth_host_id(context, 2)
-        await fleet.kill(host_id)
-        await fleet.restart(host_id)
-        await fleet.wait_until_responding([host_id])
-
-        async def is_ready():
-            dump = (await fleet.call(host_id, "GET", "/v1/dump")).to_json()
-            status = (await generate(context.deployed, host_id, "up?", 1)).status
-            return bool(status == 200 and dump["quarantine"]["convicted_age_s"])
-
-        await fleet.wait_for(is_ready, f"{host_id} serves and has the verdict")
-        return await generate(context.deployed, host_id, CRASH_MARK, 20)
-
-    context.answers = [run(context, act())]
-
-
-@when(
-    "{n_tokens:d} tokens are requested {n_times:d} times, each aborted by the "
-    "network after {count:d}"
-)
-def abort_connections(context, n_tokens, n_times, count):
-    async def act():
-        deployed = context.deployed
-        for _ in range(n_times):
-            stream = Stream(deployed, nth_host_id(context, 1), PROMPT, n_tokens)
-            await stream.wait_for_events(count)
-            for mode in (Mode.CLOSED, Mode.PASS):
-                for runner in engines(deployed):
-                    await deployed.set_mode(runner.runner_id, mode)
-            assert_complete(await stream.task, PROMPT, n_tokens)
-
-    run(context, act())
-
-
-@then("no request is suspect or convicted")
-def check_no_suspects(context):
-    for host_id in context.deployed.hosts_by_id:
-        call = context.deployed.fleet.call(host_id, "GET", "/v1/dump")
-        section = run(context, call).to_json()["quarantine"]
-        assert section == {"convicted_age_s": {}, "n_suspects": 0}, section
-
-
 @when(
     "host {number:d} is killed and restarted, and gets a request as soon as it responds"
 )
