Answer a malformed request target with 400

A caller that sent the target //[ got no response: urlsplit raised ValueError outside of the handler, the connection was closed and the error logged as never retrieved. The new row of "Request limits and routes are enforced" failed so on the unfixed server; the suite of http passes now.

--- a/libs/http/features/server.feature
+++ b/libs/http/features/server.feature
@@ -25,6 +25,7 @@
       | 100 headers              | 431    |
       | a head of 20000 bytes    | 431    |
       | an unknown path          | 404    |
+      | a malformed target       | 400    |
       | an unknown method        | 405    |
 
   Scenario: A handler is cancelled when its client disconnects
--- a/libs/http/features/steps/server_steps.py
+++ b/libs/http/features/steps/server_steps.py
@@ -155,6 +155,8 @@
         return head + b"X-Long: " + b"x" * 20000 + b"\r\n" + empty
     if what.endswith("path"):
         return head.replace(b"/echo", b"/none") + empty
+    if what.endswith("target"):
+        return head.replace(b"/echo", b"//[") + empty
     return head.replace(b"POST", b"PATCH") + empty
 
 
--- a/libs/http/src/damaskjunction/http/server.py
+++ b/libs/http/src/damaskjunction/http/server.py
@@ -242,14 +242,17 @@
         if size + len(head.target) > self._limits.header_bytes:
             detail = f"at most {self._limits.header_bytes} header bytes are allowed"
             raise HttpError(431, "head_too_large", detail)
-        parts = urlsplit(head.target.decode("ascii"))
+        target = head.target.decode("ascii")
+        try:
+            parts = urlsplit(target)
+        except ValueError as error:
+            raise HttpError(400, "bad_request", f"malformed target: {error}") from None
         headers = {
             name.decode("ascii"): value.decode("latin-1")
             for name, value in head.headers
         }
         body = BodyReader(self._body_chunks(), self._limits.body_bytes)
         query = dict(parse_qsl(parts.query, keep_blank_values=True))
-        target = head.target.decode("ascii")
         method = head.method.decode("ascii")
         return Request(method, parts.path, query, headers, body, target)
 
