Refuse an expected revision that is no number with 400

If-Match: twelve on PUT /v1/configuration gave 500 internal_error and an exception in the log. The new scenario failed so on the unfixed host (status 500 instead of 400) and passes now.

--- a/libs/node/features/control/membership.feature
+++ b/libs/node/features/control/membership.feature
@@ -72,3 +72,8 @@
     Then within 8 s status reports "5 of 6" and names the frozen host
     When it is resumed
     Then within 15 s status reports "6 of 6"
+
+  Scenario: An expected revision that is no number does not count as a fault of the host
+    Given a running "control" fleet with datagram fault injection
+    When a configuration is applied with the expected revision "twelve"
+    Then it is refused with status 400
--- a/libs/node/features/control/steps/membership_steps.py
+++ b/libs/node/features/control/steps/membership_steps.py
@@ -386,3 +386,14 @@
 def check_count(context, limit_s, text):
     document = run(context, wait_for_count(context, text, limit_s))
     assert not document["is_pending"], document
+
+
+@when('a configuration is applied with the expected revision "{text}"')
+def apply_with_expected(context, text):
+    call = apply_configuration(context, context.names[0], 2, text)
+    context.response = run(context, call)
+
+
+@then("it is refused with status {status:d}")
+def check_refused(context, status):
+    assert context.response.status == status, context.response
--- a/libs/node/src/damaskjunction/node/admin.py
+++ b/libs/node/src/damaskjunction/node/admin.py
@@ -161,7 +161,7 @@
         except FindingsError as error:
             findings = [str(finding) for finding in error.findings]
             raise HttpError(422, "findings", findings=findings) from None
-        expected = int(request.headers.get("if-match", "0"))
+        expected = _read_expected_revision(request)
         revision = await self._store_configuration(text, expected, editor)
         self._on_stored(text.encode(), revision)
         return to_json_response({"revision": revision})
@@ -277,6 +277,22 @@
             raise HttpError(401, "not_authorized", detail)
 
 
+def _read_expected_revision(request: Request) -> Revision:
+    """Return the revision in ``If-Match``, or 0 without the header.
+
+    Raises
+    ------
+    HttpError
+        400 when it is not a number.
+    """
+    text = request.headers.get("if-match", "0")
+    try:
+        return int(text)
+    except ValueError:
+        detail = f"expected a revision number, got {text!r}"
+        raise HttpError(400, "bad_request", detail, key="If-Match") from None
+
+
 def make_status_document(view: HostView, hosts: Sequence[HostStatus]) -> StatusDocument:
     """Return the status of the fleet.
 
