--- a/libs/cli/features/command.feature
+++ b/libs/cli/features/command.feature
@@ -91,6 +91,16 @@
     Then the exit code is 1
     And standard error contains "unknown_key"
 
+  Scenario: The wait for a configuration counts no host that is leaving
+    Given a fleet that reports a host at revision 7 and a leaving one at revision 6
+    And a file "next.yaml" containing
+      """
+      services: {}
+      workspaces: {}
+      """
+    When the command "apply {next.yaml} --host {host} --expect 6 --wait --timeout-s 2" is run
+    Then the exit code is 0
+
   Scenario: The timeline of a request is merged from the logs of several hosts
     Given a file "a.log" containing
       """
--- a/libs/cli/features/steps/command_steps.py
+++ b/libs/cli/features/steps/command_steps.py
@@ -10,9 +10,11 @@
 import yaml
 from behave import given, then, when
 
+from damaskjunction.http import HttpServer, Routes, to_json_response
 from damaskjunction.standins import (
     CALLER_KEY,
     DeployedFleet,
+    allocate_addresses,
     deployments,
     run_command,
     token_text,
@@ -54,6 +56,33 @@
     }
 
 
+@given(
+    "a fleet that reports a host at revision {revision:d} "
+    "and a leaving one at revision {old_revision:d}"
+)
+def start_reporting_fleet(context, revision, old_revision):
+    routes = Routes()
+    hosts = [
+        {"host_id": "a", "configuration_revision": revision, "state": "serving"},
+        {"host_id": "b", "configuration_revision": old_revision, "state": "leaving"},
+    ]
+
+    @routes.register("PUT", "/v1/configuration")
+    async def apply(request):
+        await request.body.read()
+        return to_json_response({"revision": revision})
+
+    @routes.register("GET", "/v1/status")
+    async def status(request):
+        return to_json_response({"hosts": hosts})
+
+    (address,) = allocate_addresses(1)
+    context.server = HttpServer(address, routes.handle)
+    run(context, context.server.start())
+    scenario_folder(context)
+    context.placeholders["host"] = str(address)
+
+
 @then("the engines are ready")
 def wait_for_engines(context):
     run(context, context.deployed.wait_until_serving(1))
--- a/libs/cli/src/damaskjunction/cli/configuration.py
+++ b/libs/cli/src/damaskjunction/cli/configuration.py
@@ -157,10 +157,11 @@
 
 
 def _outdated_hosts(document: dict[str, Any], revision: int) -> list[str]:
+    """Return the hosts without a revision, except those that are leaving."""
     return [
         host["host_id"]
         for host in document["hosts"]
-        if host["configuration_revision"] < revision
+        if host["configuration_revision"] < revision and host["state"] != "leaving"
     ]
 
 
