Take a server error of the platform other than 503 for a write of unknown effect

Both clients told callers that a write answered with 500, 502 or 504 had no effect, as one with 503; so did a write to the store whose response could not be read. Only 503 and client errors prove that nothing was done. Such writes now raise PlatformUnknownError, and the object API's client reads back as after a lost response.

--- a/libs/platform/src/damaskjunction/platform/client.py
+++ b/libs/platform/src/damaskjunction/platform/client.py
@@ -29,6 +29,7 @@
     ObjectDocument,
     decode_host_list,
 )
+from damaskjunction.platform.statuses import check_read, check_write
 from damaskjunction.platform.types import (
     HostList,
     ObjectList,
@@ -101,7 +102,7 @@
         body = await self._read_body(response)
         if response.status == 404:
             return None
-        self._check(response)
+        check_read(response.status)
         version = int(response.headers[OBJECT_VERSION_HEADER])
         operation_id = response.headers.get(OPERATION_ID_HEADER, "")
         return StoredObject(kind, name, version, body, operation_id)
@@ -135,6 +136,8 @@
                 "PUT", _object_path(kind, name), value, expected_version, operation_id
             )
             body = await self._read_write_body(response)
+            if response.status != 409:
+                check_write(response.status)
         except PlatformUnknownError:
             return await self._resolve(kind, name, expected_version, operation_id)
         if response.status == 409:
@@ -143,7 +146,6 @@
             if writer == operation_id:
                 return version
             raise ConflictError(version, body, writer)
-        self._check(response)
         return int(response.headers[OBJECT_VERSION_HEADER])
 
     async def delete(
@@ -169,7 +171,7 @@
             raise ConflictError(
                 version, body, response.headers.get(OPERATION_ID_HEADER, "")
             )
-        self._check(response)
+        check_write(response.status)
 
     async def list_objects(
         self, kind: str, *, prefix: str = "", after: str = "", limit: int = 100
@@ -218,7 +220,7 @@
         body = await self._read_body(response)
         if response.status == 304:
             return None
-        self._check(response)
+        check_read(response.status)
         return decode_host_list(body)
 
     async def _resolve(
@@ -244,7 +246,7 @@
     ) -> Any:
         response = await self._read("GET", target, client=client, stall_s=stall_s)
         body = await self._read_body(response)
-        self._check(response)
+        check_read(response.status)
         return json.loads(body)
 
     async def _read(
@@ -306,9 +308,3 @@
             return await response.read()
         except BrokenResponseError as error:
             raise PlatformUnknownError(str(error)) from None
-
-    def _check(self, response: ClientResponse) -> None:
-        if response.status >= 400:
-            raise PlatformUnavailableError(
-                f"platform returned status {response.status}"
-            )
--- a/libs/platform/src/damaskjunction/platform/store.py
+++ b/libs/platform/src/damaskjunction/platform/store.py
@@ -12,6 +12,7 @@
 
 from damaskjunction.core import PlatformUnavailableError, PlatformUnknownError, Revision
 from damaskjunction.core.types import EMPTY
+from damaskjunction.platform.statuses import check_read, check_write
 from damaskjunction.platform.store_objects import (
     HistoryGoneError,
     ObjectChange,
@@ -54,7 +55,7 @@
         reply = await self._call("GET", _object_path(kind, name))
         if reply.status == 404:
             return None
-        self._check(reply)
+        check_read(reply.status)
         return _decode_object(kind, _parse_json(reply.body))
 
     async def list_page(
@@ -76,7 +77,7 @@
         if may_be_stale:
             query["StaleOk"] = "1"
         reply = await self._call("GET", _object_path(kind, "", query))
-        self._check(reply)
+        check_read(reply.status)
         document = _parse_json(reply.body)
         objects = _decode_objects(kind, document.get("Items") or [])
         is_last = not document.get("HasMore") or not objects
@@ -125,7 +126,7 @@
             raise HistoryGoneError(
                 f"{kind}: changes since revision {since} are no longer stored"
             )
-        self._check(reply)
+        check_read(reply.status)
         document = _parse_json(reply.body)
         changes = tuple(
             ObjectChange(_decode_object(kind, entry["Object"]), bool(entry["Removed"]))
@@ -188,7 +189,7 @@
         """
         reply = await self._call("DELETE", _object_path(kind, name), is_write=True)
         if reply.status != 404:
-            self._check(reply)
+            check_write(reply.status)
 
     async def _write_object(
         self, method: str, kind: str, name: str, path: str, document: Any
@@ -202,8 +203,11 @@
             raise ObjectConflictError(
                 f"{kind}/{name} has another revision or already exists", current
             )
-        self._check(reply)
-        return _decode_object(kind, _parse_json(reply.body))
+        check_write(reply.status)
+        try:
+            return _decode_object(kind, _parse_json(reply.body))
+        except PlatformUnavailableError as error:
+            raise PlatformUnknownError(str(error)) from None
 
     async def _call(
         self,
@@ -232,10 +236,6 @@
         counts = self.n_calls_by_result
         counts[result] = counts.get(result, 0) + 1
 
-    def _check(self, reply: StoreReply) -> None:
-        if reply.status >= 400:
-            raise PlatformUnavailableError(f"store returned status {reply.status}")
-
 
 def _call_label(method: str, target: str) -> str:
     """Return the label under which a call is counted: method (or WATCH) and kind."""
