Estimate the stored size of results by their JSON, not by characters

Segments and pages of results are bounded by an estimate that counted characters; as JSON, another character than ASCII takes 6 or 12 bytes, so that a segment of such texts could exceed the store's limit several times. The new scenario found such results at once on the unfixed code and passes now, as does the suite of batch.

--- a/libs/batch/features/decisions.feature
+++ b/libs/batch/features/decisions.feature
@@ -51,3 +51,6 @@
     Given a pool of 1000 for 5 hosts
     When they acquire slices 500 times with seed 3 and on average 1 of 4 responses lost
     Then the granted total is positive and at most 1000
+
+  Scenario: Results whose text is not ASCII do not exceed the estimate of their size
+    Then no results take more bytes as JSON than estimated, nor 44 fewer for each
--- a/libs/batch/features/steps/decision_steps.py
+++ b/libs/batch/features/steps/decision_steps.py
@@ -6,16 +6,21 @@
 import random
 
 from behave import given, then, when
+from hypothesis import given as hypothesis_given
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies
 
 from damaskjunction.batch import (
     FairShareLedger,
     GiveUp,
     ItemReader,
+    ItemResult,
     ItemRetryState,
     JobOrderInput,
     JobProgress,
     Resume,
     compute_slice,
+    estimate_stored_bytes,
     forecast_job,
     job_orders,
 )
@@ -154,3 +159,22 @@
 @then("the granted total is positive and at most {total:d}")
 def check_granted(context, total):
     assert 0 < context.granted <= total, context.granted
+
+
+@then("no results take more bytes as JSON than estimated, nor {bound:d} fewer for each")
+def check_estimates(context, bound):
+    @hypothesis_settings(deadline=None, database=None, derandomize=True)
+    @hypothesis_given(
+        strategies.lists(
+            strategies.builds(
+                ItemResult, strategies.text(), strategies.booleans(), strategies.text()
+            ),
+            min_size=1,
+        )
+    )
+    def check(results):
+        stored_bytes = len(json.dumps([list(result) for result in results]))
+        excess_bytes = estimate_stored_bytes(results) - stored_bytes
+        assert 0 <= excess_bytes <= bound * len(results), (excess_bytes, results)
+
+    check()
--- a/libs/batch/src/damaskjunction/batch/records.py
+++ b/libs/batch/src/damaskjunction/batch/records.py
@@ -10,12 +10,14 @@
 
 from __future__ import annotations
 
+import json
 from collections.abc import Iterable, Mapping, Sequence
 from typing import NamedTuple
 
 from damaskjunction.core import HostId, JobId
 
 SEGMENT_BYTES = 600_000  # estimated size above which a new results segment is started
+RESULT_OVERHEAD_BYTES = 40  # of each result's JSON, beside its id and text
 
 
 class BatchItem(NamedTuple):
@@ -101,5 +103,10 @@
 
 
 def estimate_stored_bytes(results: Iterable[ItemResult]) -> int:
-    """Estimate the stored size of results, with 40 bytes for the encoding of each."""
-    return sum(len(result.text) + len(result.item_id) + 40 for result in results)
+    """Estimate the size of results as JSON, in which other than ASCII is escaped."""
+    return sum(
+        len(json.dumps(result.text))
+        + len(json.dumps(result.item_id))
+        + RESULT_OVERHEAD_BYTES
+        for result in results
+    )
