--- a/libs/standins/src/damaskjunction/standins/platform_documents.py
+++ b/libs/standins/src/damaskjunction/standins/platform_documents.py
@@ -35,6 +35,14 @@
     return {"X-Request-Id": request_id, "X-Deadline-Ms": str(int(deadline_s * 1000))}
 
 
+def make_resume_headers(request_id: str, last_event_id: int) -> dict[str, str]:
+    """Return the headers that take a stream up after an event.
+
+    ``request_id`` is that of the attempt which brought the first event.
+    """
+    return {"Resumes": request_id, "Last-Event-Id": str(last_event_id)}
+
+
 def make_prompt_header(parts: Sequence[str]) -> dict[str, str]:
     """Return the header that lists the parts of a prompt, its own one last."""
     return {"X-Prompt-Prefix": ",".join(f"{part}:50" for part in parts)}
--- a/libs/standins/src/damaskjunction/standins/runner.py
+++ b/libs/standins/src/damaskjunction/standins/runner.py
@@ -43,8 +43,9 @@
     ``limit_per_s`` (rate limit to name in each answer), ``endless`` (1: answers have no
     end and hold no event), ``foreign`` (number of requests of unknown hosts that its
     reports count), ``leaving`` and ``report_leaving`` (1: answers and reports say that
-    the runner leaves). ``born_ms`` is the Unix millisecond of its start, as its entry
-    tells it, 0 to tell none.
+    the runner leaves), ``fail_resumed`` (status of responses to requests that resume).
+    ``born_ms`` is the Unix millisecond of its start, as its entry and reports tell it, 0
+    to tell none.
 
     Parameters
     ----------
@@ -105,6 +106,7 @@
             "foreign",
             "leaving",
             "report_leaving",
+            "fail_resumed",
         )
         self.born_ms = 0
         self.n_ends = 0
@@ -142,7 +144,7 @@
 
     def register_in_store(self, state: str) -> None:
         """Register in the store with a state, or update the state."""
-        entry = {
+        entry: dict[str, str | int] = {
             "Service": self._service,
             "Addr": str(self._advertised),
             "Zone": "z1",
@@ -163,6 +165,10 @@
         self.recorded_runs.append((request_id, last_event_id))
         self.run_times_s.append(asyncio.get_running_loop().time())
 
+    def event_text(self, number: int) -> str:
+        """Return the data of an event."""
+        return f"token {number}"
+
     async def _serve(self, request: Request) -> Response:
         is_report = request.path == REPORT_PATH
         response = await self._respond(request)
@@ -174,7 +180,10 @@
     async def _respond(self, request: Request) -> Response:
         if request.path == REPORT_PATH:
             n_running = self.n_running + self.faults["foreign"]
-            return to_json_response({"Running": n_running, "Waiting": 0})
+            report = {"Running": n_running, "Waiting": 0}
+            if self.born_ms:
+                report["born"] = self.born_ms
+            return to_json_response(report)
         headers = request.headers
         request_id = headers.get("x-request-id", "")
         refusal_headers = {"X-Request-Id": request_id, "X-Not-Run": "1"}
@@ -190,8 +199,11 @@
         response_headers = {"X-Request-Id": request_id, "X-Response-Stamp": request_id}
         if self.faults["limit_per_s"]:
             response_headers["Server-Limit"] = str(self.faults["limit_per_s"])
-        if self.faults["impossible"] or self.faults["fail"]:
-            status = 422 if self.faults["impossible"] else int(self.faults["fail"])
+        failure = self.faults["fail"]
+        if last_event_id and self.faults["fail_resumed"]:
+            failure = self.faults["fail_resumed"]
+        if self.faults["impossible"] or failure:
+            status = 422 if self.faults["impossible"] else int(failure)
             return Response(status, b"no", headers=response_headers)
         if not self._n_events and not self.faults["endless"]:
             return Response(200, request_id.encode(), "text/plain", response_headers)
@@ -231,7 +243,8 @@
                 if self.faults["silent_after"] and number > self.faults["silent_after"]:
                     await asyncio.Event().wait()
                 mark = f"event: {self.version}\n" if self.version else ""
-                yield f"{mark}id: {number}\ndata: token {number}\n\n".encode()
+                text = self.event_text(number)
+                yield f"{mark}id: {number}\ndata: {text}\n\n".encode()
                 if self.faults["break_after"] and number >= self.faults["break_after"]:
                     raise ConnectionResetError("injected fault: stream aborted")
         finally:
