--- a/libs/lab/src/damaskjunction/lab/soak/history.py
+++ b/libs/lab/src/damaskjunction/lab/soak/history.py
@@ -11,11 +11,17 @@
 
 DEADLY_PREFIX = "deadly-"  # of the ids of requests that crash runners
 
+# Statuses of responses which guarantee that the request did not run.
+NOT_RUN_STATUSES = (408, 421, 429, 503)
+
 
 class Call(NamedTuple):
     """A request of a caller and its response; status 0 means no response.
 
-    ``is_complete`` is False when the connection failed before the response ended.
+    ``is_complete`` is False when the connection failed before the response ended, or
+    when the caller left it, as ``is_left`` says. A stream that is taken up begins after
+    the event ``last_event_id``; ``resumed_id`` is the request that brought its first
+    event. The runner ``life_id`` wrote the response's head, read at ``answered_at_s``.
     """
 
     request_id: RequestId
@@ -26,18 +32,76 @@
     status: int
     is_complete: bool
     body: bytes
+    is_left: bool = False
+    last_event_id: int = 0
+    resumed_id: RequestId = ""
+    life_id: str = ""
+    answered_at_s: float = 0.0
+
+
+class Event(NamedTuple):
+    """A complete event of a stream, and the software version that its text names."""
+
+    number: int
+    version: str
 
 
 class Run(NamedTuple):
     """A request that a runner began to process.
 
     ``last_event_id`` is the event after which a stream resumes, -1 for a new one.
+    ``life_id`` tells runners with the same id apart.
     """
 
     request_id: RequestId
     runner: RunnerId
     at_s: float
     last_event_id: int
+    life_id: str = ""
+
+
+class RunEnd(NamedTuple):
+    """The end of a runner's work on a request; status 0 without a response."""
+
+    request_id: RequestId
+    life_id: str
+    at_s: float
+    status: int
+
+
+class RunnerLife(NamedTuple):
+    """A runner from its start to its end, and the version of its software.
+
+    From ``leaves_at_s`` all its responses say that it is leaving.
+    """
+
+    life_id: str
+    version: str
+    since_s: float
+    until_s: float
+    leaves_at_s: float | None
+
+
+class Room(NamedTuple):
+    """The fraction of the sound engines' slots that was free at a moment."""
+
+    at_s: float
+    free_fraction: float
+
+
+class FaultSpan(NamedTuple):
+    """The time from the begin of a fault until it was reverted."""
+
+    kind: str
+    since_s: float
+    until_s: float
+
+
+class HostDisturbance(NamedTuple):
+    """A signal to a host's process, or its start."""
+
+    host: HostId
+    at_s: float
 
 
 class Submission(NamedTuple):
@@ -86,6 +150,24 @@
     n_bytes: int
 
 
+def read_events(body: bytes) -> list[Event]:
+    """Return the complete events of a stream."""
+    *blocks, _ = body.decode(errors="replace").split("\n\n")
+    events = []
+    for block in blocks:
+        fields = dict(line.partition(": ")[::2] for line in block.split("\n"))
+        if fields.get("id", "").isdigit():
+            events.append(
+                Event(int(fields["id"]), read_version(fields.get("data", "")))
+            )
+    return events
+
+
+def read_version(text: str) -> str:
+    """Return the software version that an event's text names, empty without one."""
+    return text.partition(" of ")[2]
+
+
 class History:
     """Everything observed in a soak, in order of time.
 
@@ -93,6 +175,13 @@
     ----------
     n_events : int
         Number of events in a complete stream; their ids begin at 1.
+
+    Attributes
+    ----------
+    jobs_to_cancel : set of str
+        Jobs whose cancellation was asked for, acknowledged or not.
+    host_views_by_item : dict of str to str
+        What hosts said of an item that was left lying, for the report of it.
     """
 
     def __init__(self, n_events: int) -> None:
@@ -102,6 +191,13 @@
         self.submissions: list[Submission] = []
         self.reads: list[ResultsRead] = []
         self.cancellations: list[Cancellation] = []
+        self.jobs_to_cancel: set[JobId] = set()
+        self.run_ends: list[RunEnd] = []
+        self.lives: list[RunnerLife] = []
+        self.rooms: list[Room] = []
+        self.fault_spans: list[FaultSpan] = []
+        self.disturbances: list[HostDisturbance] = []
+        self.host_views_by_item: dict[str, str] = {}
         self.limits: list[NamedLimit] = []
         self.peaks: list[MemoryPeak] = []
         self.fault_free_period = FaultFreePeriod(0.0, 0.0)
--- /dev/null
+++ b/libs/lab/src/damaskjunction/lab/soak/runners.py
@@ -0,0 +1,122 @@
+"""Runners of a soak, which record what they run in its history."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncGenerator, AsyncIterator
+from contextlib import aclosing
+from typing import Any, cast
+
+from damaskjunction.core import LoopTimers, RequestId
+from damaskjunction.http import Request, Response
+from damaskjunction.lab.soak.history import (
+    NOT_RUN_STATUSES,
+    History,
+    Run,
+    RunEnd,
+    RunnerLife,
+)
+from damaskjunction.standins import LEAVING_HEADER, ProxyStandin, RunnerStandin
+
+LIFE_HEADER = "X-Soak-Runner"  # in each answer: the life of the runner that wrote it
+
+
+class SoakRunner(RunnerStandin):
+    """A runner that records each request it begins to process in the history.
+
+    While its process is down, its proxy refuses connections as well. Each event names
+    the version of its software.
+
+    Parameters
+    ----------
+    history : History
+        Receives its runs.
+    timers : Timers
+        The soak's timer service.
+    proxy : ProxyStandin
+        The proxy before its address.
+    life_id : str
+        Identifies it among all runners of the soak, also those with the same id.
+    """
+
+    def __init__(
+        self,
+        history: History,
+        timers: LoopTimers,
+        proxy: ProxyStandin,
+        life_id: str,
+        *args: Any,
+        **kwargs: Any,
+    ):
+        super().__init__(*args, **kwargs)
+        self.life_id = life_id
+        self._leaves_at_s: float | None = None
+        self._history = history
+        self._timers = timers
+        self._proxy = proxy
+        self._started_at_s = timers.now()
+
+    async def close(self) -> None:
+        """Stop serving."""
+        await super().close()
+        life = RunnerLife(
+            self.life_id,
+            self.version,
+            self._started_at_s,
+            self._timers.now(),
+            self._leaves_at_s,
+        )
+        self._history.lives.append(life)
+
+    def announce_end(self) -> None:
+        """Say in all responses from now on that it is leaving."""
+        self._leaves_at_s = self._timers.now()
+
+    async def close_and_restart(self) -> None:
+        """End like a process that crashes, and start again."""
+        self._proxy.refuse()
+        await super().close_and_restart()
+        await self._proxy.listen()
+
+    def record_run(self, request_id: RequestId, last_event_id: str) -> None:
+        """Record that the processing of a request begins."""
+        super().record_run(request_id, last_event_id)
+        last = int(last_event_id) if last_event_id else -1
+        run = Run(request_id, self.runner_id, self._timers.now(), last, self.life_id)
+        self._history.runs.append(run)
+
+    def event_text(self, number: int) -> str:
+        """Return the data of an event."""
+        return f"token {number} of {self.version}"
+
+    async def _serve(self, request: Request) -> Response:
+        request_id = request.headers.get("x-request-id", "")
+        try:
+            response = await super()._serve(request)
+        except BaseException:
+            self._record_end(request_id, 0)
+            raise
+        headers = {**response.headers, LIFE_HEADER: self.life_id}
+        if self._leaves_at_s is not None:
+            headers[LEAVING_HEADER] = "1"
+        response = response._replace(headers=headers)
+        if not isinstance(response.body, bytes):
+            return response._replace(body=self._until_end(request_id, response.body))
+        if response.status not in NOT_RUN_STATUSES:
+            self._record_end(request_id, response.status)
+        return response
+
+    async def _until_end(
+        self, request_id: RequestId, events: AsyncIterator[bytes]
+    ) -> AsyncIterator[bytes]:
+        generator = cast(AsyncGenerator[bytes], events)
+        try:
+            async with aclosing(generator):
+                async for event in generator:
+                    yield event
+        finally:
+            self._record_end(request_id, 200)
+
+    def _record_end(self, request_id: RequestId, status: int) -> None:
+        if request_id:  # a report has none
+            end = RunEnd(request_id, self.life_id, self._timers.now(), status)
+            self._history.run_ends.append(end)
