Soak: find streams of two software versions, and runners used after they leave

Engines of two versions serve side by side from the last fault on; releases replace half or the rest of them in turn, under the same id with another start or under a new id; runners announce their end in all answers for 4 s; resumed requests fail at a runner. Checks: 'one version' (streams over all attempts, and texts of results), 'streams go on' (of 12 or more take-ups in calm, where two runners of the version serve, at least half the share of new streams that begin), 'only events' (no error's text in a stream), 'leaving runners are left' (2 s after a host passed on that a runner leaves, no new request from that host). Features plant a violation of each and pass.

--- a/libs/lab/features/soak.feature
+++ b/libs/lab/features/soak.feature
@@ -27,6 +27,11 @@
       | a host uses 200 MiB                                    | memory is bounded     |
       | an item waits 6 s in calm with room                    | owed                  |
       | an item is listed 30 s after the last fault            | jobs end              |
+      | a stream is taken up at another software version       | one version           |
+      | the text of a result is from two software versions     | one version           |
+      | a stream holds the text of an error                    | only events           |
+      | most take-ups in calm fail                             | streams go on         |
+      | a host sends to a runner that it knows to leave        | leaving runners are left |
 
   Scenario: The fault schedule depends only on the seed
     Then seed 7 always gives the same schedule, and seed 8 a different one
@@ -37,6 +42,11 @@
     And another waits 6 s without room
     Then no check reports a violation
 
+  Scenario: A host that was restarted may not know that a runner leaves
+    Given a history without violations
+    When a host sends to a runner that it knew to leave before its restart
+    Then no check reports a violation
+
   Scenario Outline: All guarantees hold under random faults
     When a soak with seed <seed> runs 4 hosts with <kinds> faults for <seconds> s
     Then no guarantee was violated
--- a/libs/lab/features/steps/soak_steps.py
+++ b/libs/lab/features/steps/soak_steps.py
@@ -14,11 +14,13 @@
     FaultFreePeriod,
     FaultSpan,
     History,
+    HostDisturbance,
     MemoryPeak,
     NamedLimit,
     ResultsRead,
     Room,
     Run,
+    RunnerLife,
     SoakOptions,
     Submission,
     checks,
@@ -198,6 +200,16 @@
     history.rooms += [Room(0.25 * n, free_fraction) for n in range(4 * until_s)]
 
 
+def add_take_up(history, number, version="v1", *, status=200):
+    add_call(history, f"alert-7{number}", body=make_body(1), is_complete=False)
+    call = Call(
+        f"alert-8{number}", "alert", "h0", 8.0, 8.5, status, True, b"", False, 1
+    )
+    body = make_body(2, 3, version=version) if status == 200 else b""
+    call = call._replace(body=body, resumed_id=f"alert-7{number}")
+    history.calls.append(call)
+
+
 @when("an item waits 6 s in calm with room")
 def add_lying_item(context):
     add_rooms(context.history, 20)
@@ -224,6 +236,58 @@
     add_item(context.history, "job5", 3.0, 34.0)
 
 
+@when("a stream is taken up at another software version")
+def add_other_version(context):
+    add_take_up(context.history, 0, "v2")
+
+
+@when("the text of a result is from two software versions")
+def add_joined_result(context):
+    context.history.submissions.append(Submission("job4", 1, 3.0, 202))
+    text = "token 1 of v1\ntoken 2 of v1\ntoken 3 of v2"
+    add_read(context.history, "job4", "job4-0", text=text)
+
+
+@when("a stream holds the text of an error")
+def add_error_text(context):
+    body = make_body(1) + b"HTTP/1.1 500 -\n\n" + make_body(2, 3)
+    add_call(context.history, "alert-1", body=body)
+
+
+@when("most take-ups in calm fail")
+def add_failed_take_ups(context):
+    add_rooms(context.history, 20)
+    context.history.lives += [
+        RunnerLife(f"llm{n}-0#1", "v1", 0.0, 30.0, None) for n in range(2)
+    ]
+    for number in range(15):
+        add_take_up(context.history, number, status=200 if number < 4 else 503)
+
+
+def add_leaving_runner(history):
+    history.lives.append(RunnerLife("e1#1", "v1", 0.0, 30.0, 2.0))
+    call = Call("look-94", "look", "h0", 2.5, 3.0, 200, True, b"look-94")
+    history.calls += [
+        call._replace(life_id="e1#1", answered_at_s=3.0),
+        call._replace(request_id="look-95", sent_at_s=5.5, body=b"look-95"),
+    ]
+    history.runs += [
+        Run("look-94", "e1", 2.6, -1, "e1#1"),
+        Run("look-95", "e1", 5.6, -1, "e1#1"),
+    ]
+
+
+@when("a host sends to a runner that it knows to leave")
+def add_run_at_leaving_runner(context):
+    add_leaving_runner(context.history)
+
+
+@when("a host sends to a runner that it knew to leave before its restart")
+def add_run_after_restart(context):
+    add_leaving_runner(context.history)
+    context.history.disturbances.append(HostDisturbance("h0", 4.0))
+
+
 @then("no check reports a violation")
 def check_no_report(context):
     assert find_violations(context.history) == []
--- a/libs/lab/src/damaskjunction/lab/soak/__init__.py
+++ b/libs/lab/src/damaskjunction/lab/soak/__init__.py
@@ -1,7 +1,9 @@
 """Randomized soak test: real host processes, injected faults, checked guarantees."""
 
 import damaskjunction.lab.soak.link_faults
-import damaskjunction.lab.soak.owed  # noqa: F401 - register faults and checks
+import damaskjunction.lab.soak.owed
+import damaskjunction.lab.soak.release_faults
+import damaskjunction.lab.soak.releases  # noqa: F401 - register faults and checks
 from damaskjunction.lab.soak.checks import checks, find_violations
 from damaskjunction.lab.soak.faults import faults
 from damaskjunction.lab.soak.history import (
