Soak: let batch items hold their slots long enough for others to wait

Items took 0.2 s, so slots were free and no item waited for one while homes moved. They now take some 1.2 s, jobs have up to 12 items, and submitters pause for up to 6 s.

--- a/libs/lab/src/damaskjunction/lab/soak/callers.py
+++ b/libs/lab/src/damaskjunction/lab/soak/callers.py
@@ -25,7 +25,7 @@
     PORTS,
     SoakRig,
 )
-from damaskjunction.lab.soak.runners import LIFE_HEADER
+from damaskjunction.lab.soak.runners import ITEM_PREFIX, LIFE_HEADER
 from damaskjunction.node import cancel_tasks
 from damaskjunction.standins import (
     caller_headers,
@@ -43,13 +43,13 @@
 DEADLINE_S = 5.0
 CALL_INTERVAL_S = (0.02, 0.3)  # minimum and maximum
 STALL_TIMEOUT_S = 6.0
-JOB_INTERVAL_S = 0.5
+JOB_INTERVAL_S = (0.5, 6.0)  # minimum and maximum
 READ_INTERVAL_S = 0.4
 LONG_POLL_S = 0.5
 RETRY_INTERVAL_S = 0.3
 MAX_SUBMISSIONS = 60
 CANCELLED_FRACTION = 0.15
-MAX_ITEMS = 5
+MAX_ITEMS = 12
 LEFT_FRACTION = 0.5  # of the streams that can be taken up
 LEFT_AFTER_EVENTS = (1, N_EVENTS - 1)  # minimum and maximum
 MAX_TAKE_UPS = 3
@@ -233,10 +233,10 @@
 
     async def _submit_until_stopped(self) -> None:
         while not self._is_stopping:
-            job_id = f"job{next(self._numbers)}"
+            job_id = f"{ITEM_PREFIX}{next(self._numbers)}"
             if await self._submit_job(job_id, self._rng.randint(1, MAX_ITEMS)):
                 await self._read_results(job_id)
-            await asyncio.sleep(JOB_INTERVAL_S)
+            await asyncio.sleep(self._rng.uniform(*JOB_INTERVAL_S))
 
     async def _submit_job(self, job_id: JobId, n_items: int) -> bool:
         """Submit a job to random hosts until one accepts it; return whether one did."""
--- a/libs/lab/src/damaskjunction/lab/soak/runners.py
+++ b/libs/lab/src/damaskjunction/lab/soak/runners.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import AsyncGenerator, AsyncIterator
 from contextlib import aclosing
 from typing import Any, cast
@@ -17,6 +18,8 @@
 )
 from damaskjunction.standins import LEAVING_HEADER, ProxyStandin, RunnerStandin
 
+ITEM_PREFIX = "job"  # of the ids of batch items
+ITEM_EVENT_INTERVAL_S = 0.1  # besides that of all streams
 LIFE_HEADER = "X-Soak-Runner"  # in each answer: the life of the runner that wrote it
 
 
@@ -24,7 +27,7 @@
     """A runner that records each request it begins to process in the history.
 
     While its process is down, its proxy refuses connections as well. Each event names
-    the version of its software.
+    the version of its software. Events of batch items are slow, so that others wait.
 
     Parameters
     ----------
@@ -113,6 +116,8 @@
             async with aclosing(generator):
                 async for event in generator:
                     yield event
+                    if request_id.startswith(ITEM_PREFIX):
+                        await asyncio.sleep(ITEM_EVENT_INTERVAL_S)
         finally:
             self._record_end(request_id, 200)
 
--- a/libs/lab/src/damaskjunction/lab/soak/soak.py
+++ b/libs/lab/src/damaskjunction/lab/soak/soak.py
@@ -35,7 +35,7 @@
     n_engines: int = 4
     n_plain: int = 2
     n_callers: int = 12
-    n_submitters: int = 3
+    n_submitters: int = 5
     lull_s: float = 12.0
     kinds: tuple[str, ...] = ()
 
