Soak: let a faulty runner write refusals twice, and keep the history of failures

A plain runner refuses each other request of a connection and writes that refusal once more before it answers the next. A soak with violations keeps what callers and runners observed in history.txt.

--- a/libs/lab/src/damaskjunction/lab/soak/release_faults.py
+++ b/libs/lab/src/damaskjunction/lab/soak/release_faults.py
@@ -5,11 +5,14 @@
 import asyncio
 
 from damaskjunction.lab.soak.faults import SHORT_DELAY_S, choose, faults, variant
-from damaskjunction.lab.soak.rig import ENGINE, SoakRig
+from damaskjunction.lab.soak.rig import ENGINE, FAULTY_RUNNER, PLAIN, SoakRig
+from damaskjunction.lab.soak.runners import FaultyRunner
 from damaskjunction.lab.soak.schedule import ScheduledFault
+from damaskjunction.standins import RUNNERS_KIND
 
 LEAVING_PERIOD_S = 4.0
 FAILURE_STATUS = 500
+REPEATING_SCRIPT = "each second request, after the refusal before once more"
 
 
 @faults.register("engines released")
@@ -61,3 +64,22 @@
     runner.faults["fail_resumed"] = FAILURE_STATUS
     await asyncio.sleep(fault.for_s)
     runner.faults["fail_resumed"] = 0
+
+
+@faults.register("refusals repeated")
+async def repeat_refusals(rig: SoakRig, fault: ScheduledFault) -> None:
+    """Add a plain runner that writes an earlier refusal once more, on a connection."""
+    async with rig.locks[FAULTY_RUNNER]:
+        runner = FaultyRunner(
+            rig.history,
+            rig.timers,
+            FAULTY_RUNNER,
+            rig.faulty_address,
+            PLAIN,
+            rig.store,
+            script=REPEATING_SCRIPT,
+        )
+        await runner.start()
+        await asyncio.sleep(LEAVING_PERIOD_S)
+        await runner.close()
+        rig.store.remove(RUNNERS_KIND, FAULTY_RUNNER)
--- a/libs/lab/src/damaskjunction/lab/soak/rig.py
+++ b/libs/lab/src/damaskjunction/lab/soak/rig.py
@@ -27,6 +27,7 @@
     READINESS_PATH,
     RESUMABLE_ROUTE,
     RETRYABLE_ROUTE,
+    RUNNERS_KIND,
     Mode,
     ProxyStandin,
     StoreStandin,
@@ -38,6 +39,7 @@
 
 HOST_NAME = "soak.example"
 ENGINE, PLAIN = "llm", "api"  # names of the two services
+FAULTY_RUNNER = "faulty"  # id of a runner that a fault adds
 N_EVENTS = 10
 DEADLY_PART = "deadly"
 ENGINE_SLOTS, PLAIN_SLOTS = 4, 16
@@ -93,10 +95,12 @@
             f"127.{os.getpid() % 200 + 20}.{os.getpid() // 200 % 250}"
         )
         n_runners = n_engines + n_plain
-        # The store has one address, a host's proxies three (two control endpoints and a
-        # listening one), and a runner three: its own and those of its proxy.
-        self._addresses = allocate_addresses(1 + 3 * n_hosts + 3 * n_runners)
+        # The store and the faulty runner have one address, a host's proxies three (two
+        # control endpoints and a listening one), and a runner three: its own and those
+        # of its proxy.
+        self._addresses = allocate_addresses(2 + 3 * n_hosts + 3 * n_runners)
         self.store_address = self._addresses.pop()
+        self.faulty_address = self._addresses.pop()
         self.store = StoreStandin(self.store_address, self.timers)
         self.host_names = [f"h{number}" for number in range(n_hosts)]
         self.endpoints = [
@@ -106,7 +110,8 @@
         ]
         # Held while a fault freezes, stops or replaces a host or runner.
         self.locks = {
-            name: asyncio.Lock() for name in (*self.host_names, *self.endpoints)
+            name: asyncio.Lock()
+            for name in (*self.host_names, *self.endpoints, FAULTY_RUNNER)
         }
         self.proxies: dict[str, ProxyStandin] = {}
         self.link_proxies: dict[HostId, ProxyStandin] = {}
@@ -286,8 +291,8 @@
             slots=ENGINE_SLOTS if is_engine else PLAIN_SLOTS,
             advertised=self._proxy_addresses[endpoint],
             version=software.version,
-            born_ms=int(self.timers.wall() * 1000),
         )
+        runner.born_ms = int(self.timers.wall() * 1000)
         if self.has_deadly_part:
             runner.faults["deadly_part"] = DEADLY_PART
         runner.faults["limit_per_s"] = self.limit_per_s_by_endpoint.get(endpoint, 0)
@@ -321,7 +326,7 @@
         """Stop a runner at once and remove its entry from the store."""
         runner = self.runners.pop(endpoint)
         await runner.close()
-        self.store.remove("servers", runner.runner_id)
+        self.store.remove(RUNNERS_KIND, runner.runner_id)
 
     def write_configuration(self) -> None:
         """Write the next version of the configuration to the store."""
--- a/libs/lab/src/damaskjunction/lab/soak/runners.py
+++ b/libs/lab/src/damaskjunction/lab/soak/runners.py
@@ -16,7 +16,11 @@
     RunEnd,
     RunnerLife,
 )
-from damaskjunction.standins import LEAVING_HEADER, ProxyStandin, RunnerStandin
+from damaskjunction.standins import (
+    ProxyStandin,
+    RawRunnerStandin,
+    RunnerStandin,
+)
 
 ITEM_PREFIX = "job"  # of the ids of batch items
 ITEM_EVENT_INTERVAL_S = 0.1  # besides that of all streams
@@ -71,7 +75,8 @@
         self._history.lives.append(life)
 
     def announce_end(self) -> None:
-        """Say in all responses from now on that it is leaving."""
+        """Say in all responses and reports from now on that it is leaving."""
+        self.faults["leaving"] = self.faults["report_leaving"] = 1
         self._leaves_at_s = self._timers.now()
 
     async def close_and_restart(self) -> None:
@@ -99,8 +104,6 @@
             self._record_end(request_id, 0)
             raise
         headers = {**response.headers, LIFE_HEADER: self.life_id}
-        if self._leaves_at_s is not None:
-            headers[LEAVING_HEADER] = "1"
         response = response._replace(headers=headers)
         if not isinstance(response.body, bytes):
             return response._replace(body=self._until_end(request_id, response.body))
@@ -125,3 +128,28 @@
         if request_id:  # a report has none
             end = RunEnd(request_id, self.life_id, self._timers.now(), status)
             self._history.run_ends.append(end)
+
+
+class FaultyRunner(RawRunnerStandin):
+    """A runner that answers by a script and records each request it runs.
+
+    Parameters
+    ----------
+    history : History
+        Receives its runs.
+    timers : Timers
+        The soak's timer service.
+    """
+
+    def __init__(
+        self, history: History, timers: LoopTimers, *args: Any, **kwargs: Any
+    ) -> None:
+        super().__init__(*args, **kwargs)
+        self._history = history
+        self._timers = timers
+
+    def record_run(self, request_id: RequestId) -> None:
+        """Record that a request begins to run."""
+        super().record_run(request_id)
+        run = Run(request_id, self.runner_id, self._timers.now(), -1)
+        self._history.runs.append(run)
--- a/libs/lab/src/damaskjunction/lab/soak/soak.py
+++ b/libs/lab/src/damaskjunction/lab/soak/soak.py
@@ -11,7 +11,12 @@
 from damaskjunction.lab.soak.callers import Callers
 from damaskjunction.lab.soak.checks import find_violations
 from damaskjunction.lab.soak.faults import faults
-from damaskjunction.lab.soak.history import FaultFreePeriod, FaultSpan, NamedLimit
+from damaskjunction.lab.soak.history import (
+    FaultFreePeriod,
+    FaultSpan,
+    History,
+    NamedLimit,
+)
 from damaskjunction.lab.soak.observer import Observer
 from damaskjunction.lab.soak.rig import ENGINE, SoakRig
 from damaskjunction.lab.soak.schedule import ScheduledFault, make_schedule
@@ -100,7 +105,21 @@
         "jobs": len({submission.job_id for submission in history.submissions}),
         **statuses,
     }
-    return SoakReport(tuple(find_violations(history)), schedule, figures)
+    violations = tuple(find_violations(history))
+    if violations:
+        (folder / "history.txt").write_text(_format(history))
+    return SoakReport(violations, schedule, figures)
+
+
+def _format(history: History) -> str:
+    """Return what callers and runners observed, a line for each event, by time."""
+    lines = [(call.sent_at_s, str(call)) for call in history.calls]
+    lines += [(span.since_s, str(span)) for span in history.fault_spans]
+    for observed in (history.runs, history.run_ends, history.disturbances):
+        lines += [(entry.at_s, str(entry)) for entry in observed]
+    lines += [(read.at_s, str(read)) for read in history.reads if read.results]
+    lines += [(life.since_s, str(life)) for life in history.lives]
+    return "".join(f"{at_s:.3f} {text}\n" for at_s, text in sorted(lines))
 
 
 async def _inject_faults(rig: SoakRig, schedule: tuple[ScheduledFault, ...]) -> None:
--- a/libs/standins/src/damaskjunction/standins/__init__.py
+++ b/libs/standins/src/damaskjunction/standins/__init__.py
@@ -54,7 +54,7 @@
 from damaskjunction.standins.ports import allocate_addresses
 from damaskjunction.standins.proxy import Mode, ProxyStandin
 from damaskjunction.standins.raw_runner import RawRunnerStandin
-from damaskjunction.standins.runner import RunnerStandin
+from damaskjunction.standins.runner import RUNNERS_KIND, RunnerStandin
 from damaskjunction.standins.store import StoreStandin
 
 __all__ = [
@@ -67,6 +67,7 @@
     "READINESS_PATH",
     "RESUMABLE_ROUTE",
     "RETRYABLE_ROUTE",
+    "RUNNERS_KIND",
     "BufferedResponse",
     "CommandResult",
     "DeployedFleet",
--- a/libs/standins/src/damaskjunction/standins/kept_connections.py
+++ b/libs/standins/src/damaskjunction/standins/kept_connections.py
@@ -62,9 +62,9 @@
     return _encode_answer(status, "X-Not-Run: 1", *limit, request_id=request_id)
 
 
-def _true_answer(request_id: RequestId) -> bytes:
+def _true_answer(request_id: RequestId, body: bytes = b"ran") -> bytes:
     stamp = f"X-Response-Stamp: {request_id}"
-    return _encode_answer(200, stamp, request_id=request_id, body=b"ran")
+    return _encode_answer(200, stamp, request_id=request_id, body=body)
 
 
 @_register("the first refusal once more")
@@ -128,3 +128,22 @@
         await asyncio.sleep(TRUE_ANSWER_DELAY_S)
     await answer_scripts.get("unframed")(runner, writer, request_id)
     writer.close()
+
+
+@answer_scripts.register("each second request, after the refusal before once more")
+async def repeat_each_refusal(
+    runner: RawRunnerStandin, writer: asyncio.StreamWriter, request_id: RequestId
+) -> None:
+    """Refuse each other request of a connection, and write that refusal twice.
+
+    The second time it comes before the answer to the next request, which is run and
+    whose body is the request's id.
+    """
+    ids = runner.keep(writer)
+    if len(ids) % 2:
+        await runner.write(writer, encode_refusal(request_id, limit_per_s=None))
+        return
+    runner.record_run(request_id)
+    await runner.write(writer, encode_refusal(ids[-2], limit_per_s=None))
+    await asyncio.sleep(TRUE_ANSWER_DELAY_S)
+    await runner.write(writer, _true_answer(request_id, request_id.encode()))
--- a/libs/standins/src/damaskjunction/standins/raw_runner.py
+++ b/libs/standins/src/damaskjunction/standins/raw_runner.py
@@ -95,6 +95,10 @@
         for writer in self._writers:
             writer.close()
 
+    def record_run(self, request_id: RequestId) -> None:
+        """Record that a request begins to run."""
+        self.n_runs += 1
+
     async def write(self, writer: asyncio.StreamWriter, data: bytes) -> None:
         """Write bytes of an answer."""
         writer.write(data)
