--- a/libs/standins/src/damaskjunction/standins/runner.py
+++ b/libs/standins/src/damaskjunction/standins/runner.py
@@ -44,8 +44,8 @@
     end and hold no event), ``foreign`` (number of requests of unknown hosts that its
     reports count), ``leaving`` and ``report_leaving`` (1: answers and reports say that
     the runner leaves), ``fail_resumed`` (status of responses to requests that resume).
-    ``born_ms`` is the Unix millisecond of its start, as its entry and reports tell it, 0
-    to tell none.
+    ``born_ms`` is the Unix millisecond of its start, as its entry and reports tell it,
+    0 to tell none.
 
     Parameters
     ----------
