Soak: keep connections open, and find answers that hosts lose

Half of the callers' online requests now use an open connection while the host's process lives, as clients do. The check 'answers arrive' finds requests that a sound runner got and whose connection ended without a whole answer, in calm or beside planned stops of hosts and changes of the configuration.

Two planted violations are found (a lost answer in calm and one beside a graceful restart); a kill of the host or a crash of the runner excuses it.

--- a/libs/lab/features/soak.feature
+++ b/libs/lab/features/soak.feature
@@ -32,6 +32,8 @@
       | a stream holds the text of an error                    | only events           |
       | most take-ups in calm fail                             | streams go on         |
       | a host sends to a runner that it knows to leave        | leaving runners are left |
+      | a request that ran in calm gets no answer              | answers arrive        |
+      | a host that restarts cuts a request that runs          | answers arrive        |
 
   Scenario: The fault schedule depends only on the seed
     Then seed 7 always gives the same schedule, and seed 8 a different one
@@ -42,6 +44,14 @@
     And another waits 6 s without room
     Then no check reports a violation
 
+  Scenario: Requests may end without an answer when a host or runner crashes
+    Given a history without violations
+    When a host that is killed cuts a request that runs
+    Then no check reports a violation
+    Given a history without violations
+    When a request that crashes its runner cuts a request that runs
+    Then no check reports a violation
+
   Scenario: A host that was restarted may not know that a runner leaves
     Given a history without violations
     When a host sends to a runner that it knew to leave before its restart
--- a/libs/lab/features/steps/soak_steps.py
+++ b/libs/lab/features/steps/soak_steps.py
@@ -264,6 +264,36 @@
         add_take_up(context.history, number, status=200 if number < 4 else 503)
 
 
+def add_lost_answer(history, at_s):
+    add_rooms(history, 20)
+    add_call(history, "order-1", status=0, body=b"", is_complete=False, at_s=at_s)
+    add_run(history, "order-1", at_s=at_s)
+
+
+@when("a request that ran in calm gets no answer")
+def add_lost_answer_in_calm(context):
+    add_lost_answer(context.history, 8.0)
+
+
+@when("a host that restarts cuts a request that runs")
+def add_lost_answer_in_restart(context):
+    add_lost_answer(context.history, 8.0)
+    context.history.fault_spans.append(FaultSpan("host restarted", 7.5, 9.5))
+
+
+@when("a host that is killed cuts a request that runs")
+def add_lost_answer_in_kill(context):
+    add_lost_answer(context.history, 8.0)
+    context.history.fault_spans.append(FaultSpan("host killed", 7.5, 9.5))
+
+
+@when("a request that crashes its runner cuts a request that runs")
+def add_lost_answer_in_crash(context):
+    add_lost_answer(context.history, 8.0)
+    add_call(context.history, "deadly-ask-1", status=0, body=b"", is_complete=False)
+    add_run(context.history, "deadly-ask-1", at_s=8.5)
+
+
 def add_leaving_runner(history):
     history.lives.append(RunnerLife("e1#1", "v1", 0.0, 30.0, 2.0))
     call = Call("look-94", "look", "h0", 2.5, 3.0, 200, True, b"look-94")
--- a/libs/lab/src/damaskjunction/lab/soak/__init__.py
+++ b/libs/lab/src/damaskjunction/lab/soak/__init__.py
@@ -1,5 +1,6 @@
 """Randomized soak test: real host processes, injected faults, checked guarantees."""
 
+import damaskjunction.lab.soak.answers
 import damaskjunction.lab.soak.link_faults
 import damaskjunction.lab.soak.owed
 import damaskjunction.lab.soak.release_faults
--- a/libs/lab/src/damaskjunction/lab/soak/callers.py
+++ b/libs/lab/src/damaskjunction/lab/soak/callers.py
@@ -50,6 +50,7 @@
 MAX_SUBMISSIONS = 60
 CANCELLED_FRACTION = 0.15
 MAX_ITEMS = 12
+KEPT_FRACTION = 0.5  # of the requests that may use an open connection
 LEFT_FRACTION = 0.5  # of the streams that can be taken up
 LEFT_AFTER_EVENTS = (1, N_EVENTS - 1)  # minimum and maximum
 MAX_TAKE_UPS = 3
@@ -174,7 +175,13 @@
         host = self._rng.choice(self._rig.host_names)
         target = f"/{attempt.route}/x"
         answer = await self._send_request(
-            host, "POST", target, headers, first_id.encode(), n_events=attempt.n_events
+            host,
+            "POST",
+            target,
+            headers,
+            first_id.encode(),
+            n_events=attempt.n_events,
+            new_connection=self._rng.random() >= KEPT_FRACTION,
         )
         call = Call(
             attempt.request_id,
@@ -203,6 +210,7 @@
         body: bytes = b"",
         *,
         n_events: int | None = None,
+        new_connection: bool = True,
     ) -> _Answer:
         """Return the response; leave it after ``n_events`` events if that is given."""
         address = self._rig.host_address(host, PORTS["caller"])
@@ -216,7 +224,7 @@
                 headers={"Host": HOST_NAME, **headers},
                 body=body,
                 stall_s=STALL_TIMEOUT_S,
-                new_connection=True,
+                new_connection=new_connection,
             )
             life_id = response.headers.get(LIFE_HEADER.lower(), "")
             answer = _Answer(response.status, life_id, self._rig.timers.now())
--- a/libs/lab/src/damaskjunction/lab/soak/owed.py
+++ b/libs/lab/src/damaskjunction/lab/soak/owed.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 from typing import NamedTuple
 
 from damaskjunction.core import JobId
@@ -42,12 +42,16 @@
     listed_at_s: float | None
 
 
-def calm_spans(history: History) -> list[Span]:
-    """Return the periods that begin ``CATCH_UP_S`` after a fault, up to the next."""
+def calm_spans(history: History, ignored_kinds: Collection[str] = ()) -> list[Span]:
+    """Return the periods that begin ``CATCH_UP_S`` after a fault, up to the next.
+
+    Faults of ``ignored_kinds`` do not end them.
+    """
     end_s = history.rooms[-1].at_s if history.rooms else 0.0
     calm = []
     quiet_since_s = 0.0
-    for fault in sorted(history.fault_spans, key=lambda fault: fault.since_s):
+    faults = [span for span in history.fault_spans if span.kind not in ignored_kinds]
+    for fault in sorted(faults, key=lambda fault: fault.since_s):
         calm.append(Span(quiet_since_s, fault.since_s))
         quiet_since_s = max(quiet_since_s, fault.until_s + CATCH_UP_S)
     calm.append(Span(quiet_since_s, end_s))
