Soak: let engines, too, write earlier refusals twice

The faulty runner was a plain one, so that streams and batch items never met a refusal written once more on a kept connection. In one case of two it is an engine now, whose answers are streams that go on behind Last-Event-Id; it also records the end of its work.

--- a/libs/lab/src/damaskjunction/lab/soak/release_faults.py
+++ b/libs/lab/src/damaskjunction/lab/soak/release_faults.py
@@ -5,7 +5,7 @@
 import asyncio
 
 from damaskjunction.lab.soak.faults import SHORT_DELAY_S, choose, faults, variant
-from damaskjunction.lab.soak.rig import ENGINE, FAULTY_RUNNER, PLAIN, SoakRig
+from damaskjunction.lab.soak.rig import ENGINE, FAULTY_RUNNER, N_EVENTS, PLAIN, SoakRig
 from damaskjunction.lab.soak.runners import FaultyRunner
 from damaskjunction.lab.soak.schedule import ScheduledFault
 from damaskjunction.standins import RUNNERS_KIND
@@ -68,14 +68,19 @@
 
 @faults.register("refusals repeated")
 async def repeat_refusals(rig: SoakRig, fault: ScheduledFault) -> None:
-    """Add a plain runner that writes an earlier refusal once more, on a connection."""
+    """Add a runner that writes an earlier refusal once more, on a connection.
+
+    In one case of two it is an engine.
+    """
+    is_engine = variant(fault, 2)
     async with rig.locks[FAULTY_RUNNER]:
         runner = FaultyRunner(
             rig.history,
             rig.timers,
+            N_EVENTS if is_engine else 0,
             FAULTY_RUNNER,
             rig.faulty_address,
-            PLAIN,
+            ENGINE if is_engine else PLAIN,
             rig.store,
             script=REPEATING_SCRIPT,
         )
--- a/libs/lab/src/damaskjunction/lab/soak/runners.py
+++ b/libs/lab/src/damaskjunction/lab/soak/runners.py
@@ -8,7 +8,7 @@
 from typing import Any, cast
 
 from damaskjunction.core import LoopTimers, RequestId
-from damaskjunction.http import Request, Response
+from damaskjunction.http import EVENT_STREAM_TYPE, Request, Response
 from damaskjunction.lab.soak.history import (
     NOT_RUN_STATUSES,
     History,
@@ -139,17 +139,43 @@
         Receives its runs.
     timers : Timers
         The soak's timer service.
+    n_events : int
+        Number of events of its answers, which are no streams if it is 0.
     """
 
     def __init__(
-        self, history: History, timers: LoopTimers, *args: Any, **kwargs: Any
+        self,
+        history: History,
+        timers: LoopTimers,
+        n_events: int,
+        *args: Any,
+        **kwargs: Any,
     ) -> None:
-        super().__init__(*args, **kwargs)
+        content_type = EVENT_STREAM_TYPE if n_events else "text/plain"
+        super().__init__(*args, content_type=content_type, **kwargs)
         self._history = history
         self._timers = timers
+        self._n_events = n_events
 
     def record_run(self, request_id: RequestId) -> None:
         """Record that a request begins to run."""
         super().record_run(request_id)
-        run = Run(request_id, self.runner_id, self._timers.now(), -1)
+        last = int(self.last_event_id) if self.last_event_id else -1
+        run = Run(request_id, self.runner_id, self._timers.now(), last)
         self._history.runs.append(run)
+
+    def record_end(self, request_id: RequestId) -> None:
+        """Record that the answer to a request has been written."""
+        self._history.run_ends.append(
+            RunEnd(request_id, self.runner_id, self._timers.now(), 200)
+        )
+
+    def answer_body(self, request_id: RequestId) -> bytes:
+        """Return the rest of a stream, or the plain body."""
+        if not self._n_events:
+            return super().answer_body(request_id)
+        first = int(self.last_event_id or 0) + 1
+        return b"".join(
+            f"id: {number}\ndata: token {number} of v1\n\n".encode()
+            for number in range(first, self._n_events + 1)
+        )
--- a/libs/standins/src/damaskjunction/standins/kept_connections.py
+++ b/libs/standins/src/damaskjunction/standins/kept_connections.py
@@ -62,9 +62,11 @@
     return _encode_answer(status, "X-Not-Run: 1", *limit, request_id=request_id)
 
 
-def _true_answer(request_id: RequestId, body: bytes = b"ran") -> bytes:
-    stamp = f"X-Response-Stamp: {request_id}"
-    return _encode_answer(200, stamp, request_id=request_id, body=body)
+def _true_answer(
+    request_id: RequestId, body: bytes = b"ran", content_type: str = "text/plain"
+) -> bytes:
+    headers = (f"X-Response-Stamp: {request_id}", f"Content-Type: {content_type}")
+    return _encode_answer(200, *headers, request_id=request_id, body=body)
 
 
 @_register("the first refusal once more")
@@ -136,9 +138,9 @@
 ) -> None:
     """Refuse each other request of a connection, and write that refusal twice.
 
-    The second time it comes before the answer to the next request, which is run and
-    whose body is the request's id.
+    The second time it comes before the answer to the next request, which is run.
     """
+    body = runner.answer_body(request_id)
     ids = runner.keep(writer)
     if len(ids) % 2:
         await runner.write(writer, encode_refusal(request_id, limit_per_s=None))
@@ -146,4 +148,5 @@
     runner.record_run(request_id)
     await runner.write(writer, encode_refusal(ids[-2], limit_per_s=None))
     await asyncio.sleep(TRUE_ANSWER_DELAY_S)
-    await runner.write(writer, _true_answer(request_id, request_id.encode()))
+    await runner.write(writer, _true_answer(request_id, body, runner.content_type))
+    runner.record_end(request_id)
--- a/libs/standins/src/damaskjunction/standins/raw_runner.py
+++ b/libs/standins/src/damaskjunction/standins/raw_runner.py
@@ -44,6 +44,8 @@
         Name of the answer script.
     has_endless_reports : bool, optional
         Whether its reports have no end, either.
+    content_type : str, optional
+        Content type of its answers.
     """
 
     def __init__(
@@ -55,6 +57,7 @@
         *,
         script: str,
         has_endless_reports: bool = False,
+        content_type: str = "text/plain",
     ) -> None:
         self.runner_id = runner_id
         self._address = address
@@ -62,6 +65,7 @@
         self._store = store
         self._script = answer_scripts.get(script)
         self._has_endless_reports = has_endless_reports
+        self.content_type = content_type
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self._kept_writers: set[asyncio.StreamWriter] = set()
@@ -99,6 +103,13 @@
         """Record that a request begins to run."""
         self.n_runs += 1
 
+    def record_end(self, request_id: RequestId) -> None:
+        """Record that the answer to a request has been written."""
+
+    def answer_body(self, request_id: RequestId) -> bytes:
+        """Return the body of the answer to the request that came last."""
+        return request_id.encode()
+
     async def write(self, writer: asyncio.StreamWriter, data: bytes) -> None:
         """Write bytes of an answer."""
         writer.write(data)
