Soak: find runs at drained runners, and items at leaving ones

No check found requests that reach a runner long after its entry says 'draining', nor items that reach one whose answers say that it leaves: the check of leaving runners knows the host of online requests alone. 'drained runners are left' finds both, where no other fault keeps the hosts from telling each other.

Planted violations of both kinds are found; another fault in between excuses them.

--- a/libs/lab/features/soak.feature
+++ b/libs/lab/features/soak.feature
@@ -8,32 +8,34 @@
     Then only the check "<check>" reports a violation
 
     Examples:
-      | violation                                              | check                |
-      | a stream that ended normally lacks its last event      | whole                |
-      | a caller gets the response to another request          | whole                |
-      | an aborted stream repeats an event                     | order                |
-      | a request that must not be repeated ran twice          | once                 |
-      | a refused request runs afterwards                      | refusals are true    |
-      | an item of a refused job runs                          | refusals are true    |
-      | a runner gets a request that no caller sent            | asked for            |
-      | the result at a position of a job changes              | positions stay       |
-      | the text of a completed result lacks an event          | results are whole    |
-      | an item of a job that was not cancelled fails          | results are whole    |
-      | an accepted job lacks a result                         | accepted is done     |
-      | an item begins to run long after its job was cancelled | ends are obeyed      |
-      | requests fail in the fault-free period                 | service returns      |
-      | deadly requests still run in the fault-free period     | crashes are contained |
-      | a limited runner gets twice its limit                  | limits are kept       |
-      | a host uses 200 MiB                                    | memory is bounded     |
-      | an item waits 6 s in calm with room                    | owed                  |
-      | an item is listed 30 s after the last fault            | jobs end              |
-      | a stream is taken up at another software version       | one version           |
-      | the text of a result is from two software versions     | one version           |
-      | a stream holds the text of an error                    | only events           |
-      | most take-ups in calm fail                             | streams go on         |
-      | a host sends to a runner that it knows to leave        | leaving runners are left |
-      | a request that ran in calm gets no answer              | answers arrive        |
-      | a host that restarts cuts a request that runs          | answers arrive        |
+      | violation                                                | check                    |
+      | a stream that ended normally lacks its last event        | whole                    |
+      | a caller gets the response to another request            | whole                    |
+      | an aborted stream repeats an event                       | order                    |
+      | a request that must not be repeated ran twice            | once                     |
+      | a refused request runs afterwards                        | refusals are true        |
+      | an item of a refused job runs                            | refusals are true        |
+      | a runner gets a request that no caller sent              | asked for                |
+      | the result at a position of a job changes                | positions stay           |
+      | the text of a completed result lacks an event            | results are whole        |
+      | an item of a job that was not cancelled fails            | results are whole        |
+      | an accepted job lacks a result                           | accepted is done         |
+      | an item begins to run long after its job was cancelled   | ends are obeyed          |
+      | requests fail in the fault-free period                   | service returns          |
+      | deadly requests still run in the fault-free period       | crashes are contained    |
+      | a limited runner gets twice its limit                    | limits are kept          |
+      | a host uses 200 MiB                                      | memory is bounded        |
+      | an item waits 6 s in calm with room                      | owed                     |
+      | an item is listed 30 s after the last fault              | jobs end                 |
+      | a stream is taken up at another software version         | one version              |
+      | the text of a result is from two software versions       | one version              |
+      | a stream holds the text of an error                      | only events              |
+      | most take-ups in calm fail                               | streams go on            |
+      | a host sends to a runner that it knows to leave          | leaving runners are left |
+      | an item runs at a runner that a host knows to leave      | drained runners are left |
+      | a host sends to a runner whose entry says that it leaves | drained runners are left |
+      | a request that ran in calm gets no answer                | answers arrive           |
+      | a host that restarts cuts a request that runs            | answers arrive           |
 
   Scenario: The fault schedule depends only on the seed
     Then seed 7 always gives the same schedule, and seed 8 a different one
@@ -52,10 +54,13 @@
     When a request that crashes its runner cuts a request that runs
     Then no check reports a violation
 
-  Scenario: A host that was restarted may not know that a runner leaves
+  Scenario: A host that was restarted or separated may not know that a runner leaves
     Given a history without violations
     When a host sends to a runner that it knew to leave before its restart
     Then no check reports a violation
+    Given a history without violations
+    When an item runs at such a runner while another fault separates the hosts
+    Then no check reports a violation
 
   Scenario Outline: All guarantees hold under random faults
     When a soak with seed <seed> runs 4 hosts with <kinds> faults for <seconds> s
--- a/libs/lab/features/steps/soak_steps.py
+++ b/libs/lab/features/steps/soak_steps.py
@@ -312,6 +312,34 @@
     add_leaving_runner(context.history)
 
 
+def add_item_at_leaving_runner(history):
+    add_rooms(history, 20)
+    add_leaving_runner(history)
+    history.runs[-1] = Run("job1-0", "e1", 5.6, -1, "e1#1")
+    history.calls.pop()
+    history.fault_spans.append(FaultSpan("runner leaves", 2.0, 6.0))
+
+
+@when("an item runs at a runner that a host knows to leave")
+def add_late_item_at_leaving_runner(context):
+    add_item_at_leaving_runner(context.history)
+
+
+@when("a host sends to a runner whose entry says that it leaves")
+def add_run_at_draining_runner(context):
+    add_rooms(context.history, 20)
+    context.history.lives.append(RunnerLife("e1#1", "v1", 0.0, 30.0, None, 3.0))
+    add_call(context.history, "look-95", at_s=5.5)
+    context.history.runs.append(Run("look-95", "e1", 5.6, -1, "e1#1"))
+    context.history.fault_spans.append(FaultSpan("runner drained", 3.0, 7.0))
+
+
+@when("an item runs at such a runner while another fault separates the hosts")
+def add_item_in_other_fault(context):
+    add_item_at_leaving_runner(context.history)
+    context.history.fault_spans.append(FaultSpan("links reset", 3.5, 3.6))
+
+
 @when("a host sends to a runner that it knew to leave before its restart")
 def add_run_after_restart(context):
     add_leaving_runner(context.history)
--- a/libs/lab/src/damaskjunction/lab/soak/faults.py
+++ b/libs/lab/src/damaskjunction/lab/soak/faults.py
@@ -30,7 +30,7 @@
 )
 SHORT_DELAY_S = 0.2  # before a killed host restarts, and between configurations
 STORE_DELAY_S = 0.3
-DRAIN_PERIOD_S = 2.5
+DRAIN_PERIOD_S = 4.0
 
 
 def choose(items: Sequence[T], draw: float) -> T:
--- a/libs/lab/src/damaskjunction/lab/soak/history.py
+++ b/libs/lab/src/damaskjunction/lab/soak/history.py
@@ -72,7 +72,8 @@
 class RunnerLife(NamedTuple):
     """A runner from its start to its end, and the version of its software.
 
-    From ``leaves_at_s`` all its responses say that it is leaving.
+    From ``leaves_at_s`` all its responses say that it is leaving, and from
+    ``drains_at_s`` its entry in the store.
     """
 
     life_id: str
@@ -80,6 +81,7 @@
     since_s: float
     until_s: float
     leaves_at_s: float | None
+    drains_at_s: float | None = None
 
 
 class Room(NamedTuple):
--- a/libs/lab/src/damaskjunction/lab/soak/release_faults.py
+++ b/libs/lab/src/damaskjunction/lab/soak/release_faults.py
@@ -41,11 +41,11 @@
 async def let_runner_leave(rig: SoakRig, fault: ScheduledFault) -> None:
     """Let all responses of a runner say that it leaves, then start another one.
 
-    In one case of two its entry in the store says so as well.
+    In one case of two its reports say so as well, and in one of two its entry.
     """
     endpoint = choose(rig.endpoints, fault.draw)
     async with rig.locks[endpoint]:
-        rig.runners[endpoint].announce_end()
+        rig.runners[endpoint].announce_end(in_reports=variant(fault, 8) < 4)
         if variant(fault, 2):
             rig.runners[endpoint].register_in_store("draining")
         await asyncio.sleep(LEAVING_PERIOD_S)
--- a/libs/lab/src/damaskjunction/lab/soak/releases.py
+++ b/libs/lab/src/damaskjunction/lab/soak/releases.py
@@ -22,6 +22,7 @@
 MIN_TAKE_UPS = 12
 MIN_SUCCESS_RATIO = 0.5  # of take-ups to new streams
 DRAIN_S = 2.0
+DRAIN_KINDS = ("runner leaves", "runner drained")  # of faults
 
 _EVENT = re.compile(rb"(event: [^\n]*\n)?id: \d+\ndata: [^\n]*")
 
@@ -110,6 +111,37 @@
     return len(serving) >= MIN_SERVING
 
 
+@checks.register("drained runners are left")
+def check_drained(history: History) -> Iterator[str]:
+    """Find requests that reached a runner long after all hosts could know it leaves.
+
+    The hosts know it from its entry. For items it is also enough that one host heard
+    it, which tells the others. Checked only where no other fault kept it from them.
+    """
+    spans = calm_spans(history, DRAIN_KINDS)
+    drains_at_by_life = {
+        life.life_id: life.drains_at_s
+        for life in history.lives
+        if life.drains_at_s is not None
+    }
+    heard_at_by_life = dict(drains_at_by_life)
+    for (_, life_id), at_s in _heard_at_by_host(history).items():
+        heard_at_by_life[life_id] = min(heard_at_by_life.get(life_id, at_s), at_s)
+    sent_at_by_id = {call.request_id: call.sent_at_s for call in history.calls}
+    for run in history.runs:
+        is_item = run.request_id not in sent_at_by_id
+        sent_at_s = sent_at_by_id.get(run.request_id, run.at_s)
+        told_at_by_life = heard_at_by_life if is_item else drains_at_by_life
+        told_at_s = told_at_by_life.get(run.life_id)
+        if told_at_s is None or sent_at_s <= told_at_s + DRAIN_S:
+            continue
+        if any(s.since_s <= told_at_s and run.at_s <= s.until_s for s in spans):
+            yield (
+                f"{run.request_id}: sent to {run.life_id} {sent_at_s - told_at_s:.1f} "
+                "s after the hosts were told that it leaves"
+            )
+
+
 @checks.register("leaving runners are left")
 def check_leaving(history: History) -> Iterator[str]:
     """Find requests that a host sent to a runner long after it heard that it leaves.
--- a/libs/lab/src/damaskjunction/lab/soak/runners.py
+++ b/libs/lab/src/damaskjunction/lab/soak/runners.py
@@ -57,6 +57,7 @@
         super().__init__(*args, **kwargs)
         self.life_id = life_id
         self._leaves_at_s: float | None = None
+        self._drains_at_s: float | None = None
         self._history = history
         self._timers = timers
         self._proxy = proxy
@@ -71,14 +72,22 @@
             self._started_at_s,
             self._timers.now(),
             self._leaves_at_s,
+            self._drains_at_s,
         )
         self._history.lives.append(life)
 
-    def announce_end(self) -> None:
-        """Say in all responses and reports from now on that it is leaving."""
-        self.faults["leaving"] = self.faults["report_leaving"] = 1
+    def announce_end(self, *, in_reports: bool) -> None:
+        """Say in all responses from now on that it is leaving, and in reports too."""
+        self.faults["leaving"] = 1
+        self.faults["report_leaving"] = int(in_reports)
         self._leaves_at_s = self._timers.now()
 
+    def register_in_store(self, state: str) -> None:
+        """Register in the store with a state, or update the state."""
+        super().register_in_store(state)
+        if state == "draining":
+            self._drains_at_s = self._timers.now()
+
     async def close_and_restart(self) -> None:
         """End like a process that crashes, and start again."""
         self._proxy.refuse()
