Let an item go on only at the software version that began it

Callers saw results whose text was joined from two software versions. An item that broke off, or whose slot was revoked, asked for a slot at any version and went on after its last event there: the rule on streams was kept for online requests alone.

The progress of an item (now a module of its own) keeps a StreamVersion, the same decision as online, and its version goes with the ask for a slot. The item begins afresh, with texts, last event and origin cleared, when the version is not proved (no version stated, or the runner's entry now shows another), when no runner of it is left, and when its route has moved to another service. StreamVersion now keeps the writer of each answer, so that a joined text is checked once more when it is whole: the entry of a runner that came back at another version may have come meanwhile.

Runners of the version that are merely busy are waited for, since that keeps the work made, but for one queue wait (4 s) at most from the end of the attempt that made the last event, and then any version will do: the wait is about what an item takes to be made again, and an item must not be left lying while others have room. Where no other version serves there is nothing to gain by dropping the work, so it is kept. Refusals by full runners count into the same time.

--- a/libs/gateway/features/steps/stream_version_steps.py
+++ b/libs/gateway/features/steps/stream_version_steps.py
@@ -28,9 +28,14 @@
     for name in names.split(","):
         options = {"version": version, "n_events": n_events}
         run(context, context.platform.add_runner(name, ENGINE, **options))
+        name_versions(context.platform.runners[name])
     context.n_events = n_events
 
 
+def name_versions(runner):
+    runner.event_text = lambda number: f"token {number} of {runner.version}"
+
+
 @when('a caller begins a stream of "{path}" at "{host}" as "{request_id}"')
 def begin_stream(context, path, host, request_id):
     async def begin():
@@ -170,7 +175,10 @@
     runner.faults["break_after"] = 1
 
     async def finish():
-        context.reply = await context.stream
+        if context.stream is not None:
+            context.reply = await context.stream
+        else:
+            await context.platform.wait_for(lambda: not runner.n_running)
 
     run(context, finish())
     runner.faults["break_after"] = 0
--- a/libs/gateway/features/stream_versions.feature
+++ b/libs/gateway/features/stream_versions.feature
@@ -89,3 +89,52 @@
     When a caller begins a stream of "/alert/1" at "h0" as "q1"
     And the caller takes the stream up at "h1" with an id of the other service
     Then the service that began the stream received the take-up
+
+  Scenario: An item whose runner broke it off does not go on at another version
+    Given engines "e1" of version "v1" with 60 events
+    When the job "j1" of 1 items is submitted at "h0"
+    And an item has events
+    And engines "a1" of version "v2" join
+    And the stream's runner breaks it
+    Then the job "j1" has 1 results, each of one version and complete
+
+  Scenario: An item whose version has runners without room begins afresh in the end
+    Given engines "e1" of version "v1" with 60 events
+    When the job "j1" of 1 items is submitted at "h0"
+    And an item has events
+    And engines "a1" of version "v2" join
+    And the stream's runner breaks it and has no room from then on
+    Then the job "j1" has 1 results, each of version "v2" and complete
+
+  Scenario: Items whose slots are revoked do not go on at another version
+    Given engines "e1" of version "v1" with 60 events
+    When the job "j1" of 2 items is submitted at "h0"
+    And an item has events
+    And engines "a1" of version "v2" join
+    And 4 callers request "/alert/2" at all hosts while items run
+    Then the job "j1" has 2 results, each of one version and complete
+    And an item has run twice
+
+  Scenario: An item whose runner comes back at another version begins afresh
+    Given engines "e1" of version "v1" with 60 events
+    When the job "j1" of 1 items is submitted at "h0"
+    And an item has events
+    And runner "e1" ends, is back at version "v2" and is listed so 0.5 s later
+    Then the job "j1" has 1 results, each of version "v2" and complete
+
+  Scenario: An item whose version has no runner left begins afresh
+    Given engines "e1" of version "v1" with 60 events
+    When the job "j1" of 1 items is submitted at "h0"
+    And an item has events
+    And engines "a1" of version "v2" join
+    And runner "e1" leaves
+    And the stream's runner breaks it
+    Then the job "j1" has 1 results, each of version "v2" and complete
+
+  Scenario: An item of a runner that states no version begins afresh
+    Given engines "e1,e2" of version "" with 60 events
+    When the job "j1" of 1 items is submitted at "h0"
+    And an item has events
+    And the stream's runner breaks it
+    Then the job "j1" has 1 results, each of one version and complete
+    And no item was asked to go on
--- /dev/null
+++ b/libs/gateway/src/damaskjunction/gateway/item_progress.py
@@ -0,0 +1,146 @@
+"""The progress of a batch item over all its attempts, and what is kept of them."""
+
+from __future__ import annotations
+
+import logging
+import math
+from collections.abc import Sequence
+
+from damaskjunction.batch import BatchItem
+from damaskjunction.core import (
+    RequestError,
+    Runner,
+    RunnerId,
+    ServiceName,
+    Timers,
+)
+from damaskjunction.gateway.owed_items import OwedItem
+from damaskjunction.gateway.queue_waits import MAX_WAIT_S
+from damaskjunction.gateway.state import ServingState
+from damaskjunction.gateway.stream_version import StreamVersion
+from damaskjunction.http import RawEvent
+from damaskjunction.routing import runners_at
+
+logger = logging.getLogger(__name__)
+
+# An item waits no longer for runners of its version while those of others serve.
+VERSION_WAIT_S = MAX_WAIT_S
+
+
+class ItemProgress:
+    """Progress of an item over all its attempts.
+
+    ``last_event_id`` is where the next attempt resumes. ``n_crashes`` counts the
+    crashed attempts since the last event, ``n_failures`` the responses with status 500.
+    ``version`` is the software version that the text has to keep.
+
+    Parameters
+    ----------
+    item : BatchItem
+        The item.
+    owed : OwedItem
+        Its entry among the items that this host owes.
+    state : ServingState
+        The known runners.
+    timers : Timers
+        The process's timer service.
+    """
+
+    def __init__(
+        self, item: BatchItem, owed: OwedItem, state: ServingState, timers: Timers
+    ) -> None:
+        self.item = item
+        self.owed = owed
+        self.version = StreamVersion(item.item_id, state, timers)
+        self.texts: list[str] = []
+        self.last_event_id: int | None = None
+        self.n_characters = 0
+        self.n_failures = 0
+        self.n_crashes = 0
+        self.excluded_runners: set[RunnerId] = set()
+        self.runners_tried: set[RunnerId] = set()
+        self._timers = timers
+        self.started_at_s = timers.now()
+        self._is_advanced = False  # in the present attempt
+        self._paused_at_s = self.started_at_s
+
+    def add_event(self, event: RawEvent, runner: Runner) -> None:
+        """Add the next event of the output, which a runner wrote."""
+        if not self._is_advanced:
+            self._is_advanced = True
+            self.version.record_answer(runner)
+        self.last_event_id = event.event_id
+        self.texts.append(event.data)
+        self.n_characters += len(event.data)
+        self.n_crashes = 0
+
+    def end_attempt(self) -> None:
+        """Record that an attempt has ended without the whole text."""
+        if self._is_advanced:
+            self._is_advanced = False
+            self._paused_at_s = self._timers.now()
+
+    def version_to_keep(self, service: ServiceName, runners: Sequence[Runner]) -> str:
+        """Return the version of the runner for the next attempt, empty for any.
+
+        The item begins afresh when that version is not proved or not served, when it
+        is one of another service, and when its runners have not gone on with the item
+        for ``VERSION_WAIT_S`` while those of other versions serve.
+
+        Parameters
+        ----------
+        service : str
+            The service that is to go on with the item.
+        runners : sequence of Runner
+            The runners of that service that accept new work.
+        """
+        try:
+            version = self.version.required
+            self.version.check_joined()
+        except RequestError as error:
+            self._begin_afresh(error.reason)
+            return ""
+        if not version:
+            return ""
+        runners_of_version = runners_at(runners, version)
+        is_only_version = len(runners_of_version) == len(runners)
+        if self.version.service_name != service:
+            self._begin_afresh("service_changed")
+        elif not runners_of_version:
+            self._begin_afresh("version_gone")
+        elif not is_only_version and self._version_wait_left_s <= 0:
+            self._begin_afresh("version_busy")
+        else:
+            return version
+        return ""
+
+    @property
+    def _version_wait_left_s(self) -> float:
+        return self._paused_at_s + VERSION_WAIT_S - self._timers.now()
+
+    def slot_wait_limit_s(self, version: str) -> float:
+        """Return how long the next attempt may wait for a slot at a version.
+
+        In seconds; infinite for any version. After that the version to keep is to be
+        decided anew, since others may serve by then.
+        """
+        if not version:
+            return math.inf
+        left_s = self._version_wait_left_s
+        return left_s if left_s > 0 else VERSION_WAIT_S
+
+    def end_slot_wait(self) -> None:
+        """Record that no slot was granted in time; all runners may be tried again."""
+        self.excluded_runners.clear()
+
+    def _begin_afresh(self, reason: str) -> None:
+        extra = {
+            "item": self.item.item_id,
+            "reason": reason,
+            "last_event_id": self.last_event_id,
+        }
+        logger.info("item begins afresh", extra=extra)
+        self.version.forget()
+        self.texts.clear()
+        self.last_event_id = None
+        self.n_characters = 0
--- a/libs/gateway/src/damaskjunction/gateway/item_runner.py
+++ b/libs/gateway/src/damaskjunction/gateway/item_runner.py
@@ -11,13 +11,14 @@
 from damaskjunction.core import (
     Outcome,
     RequestError,
-    RunnerId,
+    Runner,
     ServiceName,
     WorkClass,
     stable_hash,
 )
 from damaskjunction.core.units import MIB
 from damaskjunction.gateway.dispatch_context import DispatchContext
+from damaskjunction.gateway.item_progress import ItemProgress
 from damaskjunction.gateway.job_repository import StoredJob
 from damaskjunction.gateway.owed_items import ItemState, OwedItem
 from damaskjunction.gateway.result_writer import BackOff
@@ -31,7 +32,6 @@
 from damaskjunction.http import (
     BrokenResponseError,
     ClientResponse,
-    RawEvent,
 )
 from damaskjunction.node import cancel_tasks
 from damaskjunction.platform import item_request
@@ -65,33 +65,6 @@
     reason: str
 
 
-class _ItemProgress:
-    """Progress of an item over all its attempts.
-
-    ``last_event_id`` is where the next attempt resumes. ``n_crashes`` counts the
-    crashed attempts since the last event, ``n_failures`` the responses with status 500.
-    """
-
-    def __init__(self, item: BatchItem, owed: OwedItem, started_at_s: float) -> None:
-        self.item = item
-        self.owed = owed
-        self.started_at_s = started_at_s
-        self.texts: list[str] = []
-        self.last_event_id: int | None = None
-        self.n_failures = 0
-        self.n_crashes = 0
-        self.excluded_runners: set[RunnerId] = set()
-        self.runners_tried: set[RunnerId] = set()
-        self.n_characters = 0
-
-    def add_event(self, event: RawEvent) -> None:
-        """Add the next event of the output."""
-        self.last_event_id = event.event_id
-        self.texts.append(event.data)
-        self.n_characters += len(event.data)
-        self.n_crashes = 0
-
-
 class ItemRunner:
     """Runs items, at most ``MAX_ITEMS_AT_ONCE`` of a service at a time.
 
@@ -114,7 +87,7 @@
 
     async def run(self, job: StoredJob, item: BatchItem, owed: OwedItem) -> ItemResult:
         """Run an item, retrying at other runners, until it has a result."""
-        progress = _ItemProgress(item, owed, self._timers.now())
+        progress = ItemProgress(item, owed, self._state, self._timers)
         outcome = AttemptOutcome(False, False, "")
         while not outcome.is_final:
             route = await self._wait_for_route(job, progress)
@@ -133,7 +106,7 @@
         return ItemResult(item.item_id, outcome.is_whole, text)
 
     async def _wait_for_route(
-        self, job: StoredJob, progress: _ItemProgress
+        self, job: StoredJob, progress: ItemProgress
     ) -> Route | None:
         """Return the job's route once it is in force, None if it is too late then."""
         while self._remaining_s(job, progress) > 0:
@@ -148,7 +121,7 @@
     def _find_route(self, job: StoredJob) -> Route | None:
         return self._state.table.find_by_name(job.record.route_name)
 
-    def _remaining_s(self, job: StoredJob, progress: _ItemProgress) -> float:
+    def _remaining_s(self, job: StoredJob, progress: ItemProgress) -> float:
         """Return the seconds until the item may be given up, infinite if never.
 
         Counted from the start on this host, since wall clocks differ and jump: no item
@@ -161,7 +134,7 @@
         return progress.started_at_s + retention_s - self._timers.now()
 
     async def _run_with_retries(
-        self, job: StoredJob, route: Route, progress: _ItemProgress
+        self, job: StoredJob, route: Route, progress: ItemProgress
     ) -> AttemptOutcome:
         """Attempt an item until the outcome is final or its route has changed.
 
@@ -197,7 +170,7 @@
             self._places_by_service[service] = places
         return places
 
-    async def _delay_after_crashes(self, progress: _ItemProgress) -> None:
+    async def _delay_after_crashes(self, progress: ItemProgress) -> None:
         """Wait before a retry that follows ``N_PROMPT_RETRIES`` crashes or more."""
         if progress.n_crashes < N_PROMPT_RETRIES:
             return
@@ -206,12 +179,15 @@
         await asyncio.sleep(min(RETRY_DELAY_S * 2.0**doublings, MAX_RETRY_DELAY_S))
 
     async def _attempt(
-        self, job: StoredJob, route: Route, progress: _ItemProgress
+        self, job: StoredJob, route: Route, progress: ItemProgress
     ) -> AttemptOutcome:
         try:
             slot = await self._acquire_slot(job, route, progress)
         except RequestError as error:
             return AttemptOutcome(False, False, error.reason)
+        except TimeoutError:
+            progress.end_slot_wait()
+            return AttemptOutcome(False, False, "version_busy")
         progress.excluded_runners.clear()
         progress.owed.enter(ItemState.RUNNING, place=slot.runner_id)
         revoked = asyncio.ensure_future(slot.revoked.wait())
@@ -224,33 +200,52 @@
         except RunnerFailedError as error:
             self._record_failure(route, progress, slot, error)
             return AttemptOutcome(False, False, error.reason)
+        except RequestError as error:
+            return AttemptOutcome(False, False, error.reason)
         finally:
+            progress.end_attempt()
             progress.owed.enter(ItemState.CLOSING, place=slot.runner_id)
             await cancel_tasks([work, revoked])
             await slot.close()
 
     async def _acquire_slot(
-        self, job: StoredJob, route: Route, progress: _ItemProgress
+        self, job: StoredJob, route: Route, progress: ItemProgress
     ) -> Slot:
+        """Acquire a slot at a runner that may go on with the item.
+
+        Raises
+        ------
+        RequestError
+            ``NOT_RUN`` when the slot is refused.
+        TimeoutError
+            When no slot at the item's version was granted in time.
+        """
         record = job.record
+        service = route.service_for(stable_hash(progress.item.item_id))
+        runners = self._state.runners_of(service)
+        version = progress.version_to_keep(service, runners)
         request = item_request(progress.item, record.host)
         due_at_s = record.sent_at_s + route.completion_target_s
         ask = SlotAsk(
             request_id=progress.item.item_id,
-            service_name=route.service_for(stable_hash(progress.item.item_id)),
+            service_name=service,
             work_class=WorkClass.BATCH,
             parts=request.shared_parts,
             avoid=tuple(progress.excluded_runners),
             start_within_s=ATTEMPT_TIMEOUT_S,
             due_in_s=due_at_s - self._timers.wall(),
+            software_version=version,
         )
-        return await self._slot_client.acquire(
-            ask,
-            lambda home: progress.owed.enter(ItemState.WAITING_FOR_SLOT, place=home),
-        )
+        async with asyncio.timeout(progress.slot_wait_limit_s(version)):
+            return await self._slot_client.acquire(
+                ask,
+                lambda home: progress.owed.enter(
+                    ItemState.WAITING_FOR_SLOT, place=home
+                ),
+            )
 
     async def _send_and_collect(
-        self, job: StoredJob, route: Route, progress: _ItemProgress, slot: Slot
+        self, job: StoredJob, route: Route, progress: ItemProgress, slot: Slot
     ) -> AttemptOutcome:
         """Send an item to a runner and collect its output.
 
@@ -258,11 +253,14 @@
         ------
         RunnerFailedError
             When the output is incomplete.
+        RequestError
+            When the runner must not go on with it, or it may be of several versions.
         """
         service = route.service_for(stable_hash(progress.item.item_id))
         runner = find_runner(self._state.runners_of(service), slot.runner_id)
         if runner is None:
             raise RunnerFailedError(Outcome.NOT_RUN, "runner_gone")
+        progress.version.check(runner)
         extra = {"item": progress.item.item_id, "runner": runner.runner_id}
         logger.info("item sent", extra=extra)
         is_repeated = runner.runner_id in progress.runners_tried
@@ -287,16 +285,19 @@
                 )
             try:
                 async with asyncio.timeout(ATTEMPT_TIMEOUT_S):
-                    await self._collect(progress, runner_response.body)
+                    await self._collect(progress, runner, runner_response.body)
             except TimeoutError:
                 raise RunnerFailedError(Outcome.RAN, "no_end", is_fault=True) from None
             await self._runner_client.check_end(runner_response)
+            progress.version.check_joined()
         finally:
             runner_response.body.close()
         self._slot_client.report_health(RunnerSeen(service, slot.runner_id, True))
         return AttemptOutcome(True, True, "whole")
 
-    async def _collect(self, progress: _ItemProgress, response: ClientResponse) -> None:
+    async def _collect(
+        self, progress: ItemProgress, runner: Runner, response: ClientResponse
+    ) -> None:
         check = StreamCheck(progress.last_event_id)
         event_at_s = self._timers.now()
         try:
@@ -306,7 +307,7 @@
                 if self._timers.now() - event_at_s > STALL_TIMEOUT_S:
                     raise BrokenResponseError("no event, though bytes arrive")
                 for event in part.events:
-                    progress.add_event(event)
+                    progress.add_event(event, runner)
                 if part.fault:
                     raise RunnerFailedError(
                         Outcome.RAN, "foreign_event", part.fault, is_fault=True
@@ -322,7 +323,7 @@
     def _record_failure(
         self,
         route: Route,
-        progress: _ItemProgress,
+        progress: ItemProgress,
         slot: Slot,
         error: RunnerFailedError,
     ) -> None:
--- a/libs/gateway/src/damaskjunction/gateway/request_execution.py
+++ b/libs/gateway/src/damaskjunction/gateway/request_execution.py
@@ -333,8 +333,8 @@
 
     def _record_events(self, n_events: int) -> None:
         self._n_events += n_events
-        if self._runner is not None:
-            self._version.record_event(self._runner)
+        if self._runner is not None and self._progress.answering_s is None:
+            self._version.record_answer(self._runner)
         self._progress.record_event()
         if self._progress.is_answered:
             self._report_answered()
--- a/libs/gateway/src/damaskjunction/gateway/stream_version.py
+++ b/libs/gateway/src/damaskjunction/gateway/stream_version.py
@@ -3,8 +3,16 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import NamedTuple
 
-from damaskjunction.core import Outcome, RequestError, RequestId, Runner, Timers
+from damaskjunction.core import (
+    Outcome,
+    RequestError,
+    RequestId,
+    Runner,
+    ServiceName,
+    Timers,
+)
 from damaskjunction.gateway.runner_client import RunnerFailedError
 from damaskjunction.gateway.state import ServingState
 from damaskjunction.routing import StreamOrigin, origin_of, proven_version
@@ -12,6 +20,16 @@
 VERSION_RETRY_AFTER_S = 0.15
 
 
+class _Writer(NamedTuple):
+    """The process that wrote one answer's events, the first of them at ``began_at_s``.
+
+    The age in ``origin`` is that of the time at which it was recorded.
+    """
+
+    origin: StreamOrigin
+    began_at_s: float
+
+
 class StreamVersion:
     """The version of a stream, from its first event on.
 
@@ -40,10 +58,16 @@
         self._request_id = request_id
         self._state = state
         self._timers = timers
-        self._origin = origin
-        self._began_at_s = timers.now() - (origin.age_s if origin is not None else 0.0)
+        self._writers: list[_Writer] = []
+        if origin is not None:
+            self._writers.append(_Writer(origin, timers.now() - origin.age_s))
         self._on_begin = on_begin
 
+    @property
+    def service_name(self) -> ServiceName:
+        """The service whose runner began the stream; empty before the first event."""
+        return self._writers[0].origin.service_name if self._writers else ""
+
     @property
     def required(self) -> str:
         """The version of the runner that may go on; empty before the first event.
@@ -53,9 +77,11 @@
         RequestError
             ``NOT_RUN`` when the version of the stream is not proved.
         """
-        if self._origin is None:
-            return ""
-        origin = self._origin._replace(age_s=self._timers.now() - self._began_at_s)
+        return self._prove(self._writers[0]) if self._writers else ""
+
+    def _prove(self, writer: _Writer) -> str:
+        age_s = self._timers.now() - writer.began_at_s
+        origin = writer.origin._replace(age_s=age_s)
         listed = self._state.view.fleet.runners_by_id.get(origin.runner_id)
         version = proven_version(origin, listed, self._timers.wall())
         if version is None:
@@ -66,6 +92,20 @@
             )
         return version
 
+    def check_joined(self) -> None:
+        """Check that the events of several answers are of one version.
+
+        The entry of a runner that has started again may have come since.
+
+        Raises
+        ------
+        RequestError
+            ``NOT_RUN`` when that is not proved.
+        """
+        if len(self._writers) > 1:
+            for writer in self._writers:
+                self._prove(writer)
+
     def check(self, runner: Runner) -> None:
         """Check that a runner may go on with the stream.
 
@@ -79,14 +119,13 @@
             detail = f"{runner.version!r} instead of {required!r}"
             raise RunnerFailedError(Outcome.NOT_RUN, "other_version", detail)
 
-    def record_event(self, runner: Runner) -> None:
-        """Record that an event of a runner has arrived; the first is the origin."""
-        if self._origin is None:
-            self._origin = origin_of(self._request_id, runner)
-            self._began_at_s = self._timers.now()
-            if self._on_begin is not None:
-                self._on_begin(self._origin)
+    def record_answer(self, runner: Runner) -> None:
+        """Record that the first event of an answer has arrived from a runner."""
+        origin = origin_of(self._request_id, runner)
+        self._writers.append(_Writer(origin, self._timers.now()))
+        if len(self._writers) == 1 and self._on_begin is not None:
+            self._on_begin(origin)
 
     def forget(self) -> None:
         """Begin the stream afresh."""
-        self._origin = None
+        self._writers.clear()
