Log an owed item that asks again for each slot as long as it waits

What on-call engineers saw: nothing. An item that waited for a slot was never logged as waiting: each ask, now made anew after 4 s, and each delay between refusals began its 5 s afresh. Of more than 100 items that wait, those owed longest were logged again and again, the others never. Cause: one time stood for the entry into a state, for its repetition and for the last line. Change: a state begins when it differs from the former one; a line is due 5 s after the item reached or left a runner or was logged; those that do more than queue go first, then those logged longest ago. The dump has the time at no runner.

--- a/libs/gateway/src/damaskjunction/gateway/owed_items.py
+++ b/libs/gateway/src/damaskjunction/gateway/owed_items.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import heapq
 import logging
 from collections.abc import Iterator
 from contextlib import contextmanager
@@ -38,6 +39,7 @@
     reason: str
     place: str
     since_s: float
+    at_no_runner_s: float
     owed_s: float
 
 
@@ -56,20 +58,32 @@
         self.place = ""
         self._timers = timers
         self._owed_at_s = timers.now()
-        self.changed_at_s = self._owed_at_s
+        self._changed_at_s = self._owed_at_s
+        self._at_runner_until_s = self._owed_at_s
         self.logged_at_s = self._owed_at_s
 
     def enter(self, state: ItemState, *, place: str = "") -> None:
-        """Record a change of state."""
+        """Record a state, or that the item is in the same one at another place."""
+        now_s = self._timers.now()
+        if state is not self.state:
+            self._changed_at_s = now_s
+        if ItemState.RUNNING in (state, self.state):
+            self._at_runner_until_s = self.logged_at_s = now_s
         self.state = state
         self.place = place
-        self.changed_at_s = self.logged_at_s = self._timers.now()
 
     @property
     def owed_s(self) -> float:
         """Seconds since this host began to owe the item."""
         return self._timers.now() - self._owed_at_s
 
+    @property
+    def at_no_runner_s(self) -> float:
+        """Seconds since the item was last at a runner, or began to be owed."""
+        if self.state is ItemState.RUNNING:
+            return 0.0
+        return self._timers.now() - self._at_runner_until_s
+
     def to_document(self) -> OwedItemDocument:
         """Return the item for the dump and the log."""
         return {
@@ -77,13 +91,18 @@
             "state": self.state.value,
             "reason": self.reason,
             "place": self.place,
-            "since_s": round(self._timers.now() - self.changed_at_s, 3),
+            "since_s": round(self._timers.now() - self._changed_at_s, 3),
+            "at_no_runner_s": round(self.at_no_runner_s, 3),
             "owed_s": round(self.owed_s, 3),
         }
 
 
 class OwedItems:
-    """The items owed by this host; logs those that stay in one state for long.
+    """The items owed by this host; logs those that wait or run for long.
+
+    An item is logged after each ``LONG_WAIT_S`` in which it did not reach or leave a
+    runner. If these are many, those go first that hold a place, then those that were
+    logged longest ago.
 
     Parameters
     ----------
@@ -131,13 +150,12 @@
 
     def _log_long_waits(self) -> None:
         now_s = self._timers.now()
-        n_lines = 0
-        for item in self._items:
-            if now_s - item.logged_at_s < LONG_WAIT_S:
-                continue
+        due = [i for i in self._items if now_s - i.logged_at_s >= LONG_WAIT_S]
+        for item in heapq.nsmallest(MAX_LINES_PER_CHECK, due, key=_log_order):
             item.logged_at_s = now_s
             extra = {"item": item.item_id, **item.to_document()}
             logger.warning("item waits long", extra=extra)
-            n_lines += 1
-            if n_lines >= MAX_LINES_PER_CHECK:
-                return
+
+
+def _log_order(item: OwedItem) -> tuple[bool, float]:
+    return item.state is ItemState.QUEUED, item.logged_at_s
