Take up again an item whose run ends without a result

What callers saw: not reported; found by reading for ways to LOST. Cause: a run that raised what nobody expected ended the runs of all other items of its job, again each time that the job was started anew: one such item kept a whole job from its results. A run that was cancelled from inside ended silently, and its item waited until all others had ended. Class: a failure whose holder does not look at it. Change: the worker looks at how each run ends; without a result it logs state and error and runs the item again, with backoff. Test: job worker; before, the job with a failing run and that with a cancelled one had no result of the item in time.

--- a/libs/gateway/src/damaskjunction/gateway/job_worker.py
+++ b/libs/gateway/src/damaskjunction/gateway/job_worker.py
@@ -7,7 +7,7 @@
 from collections.abc import Awaitable, Callable, Sequence
 from typing import TypeAlias, TypeVar
 
-from damaskjunction.batch import BatchItem, TakeoverWatch
+from damaskjunction.batch import BatchItem, ItemResult, TakeoverWatch
 from damaskjunction.core import (
     JobId,
     PlatformError,
@@ -17,7 +17,7 @@
 from damaskjunction.gateway.dispatch_context import DispatchContext
 from damaskjunction.gateway.item_runner import ItemRunner
 from damaskjunction.gateway.job_repository import JobRepository, StoredJob
-from damaskjunction.gateway.owed_items import ItemState, OwedItems
+from damaskjunction.gateway.owed_items import ItemState, OwedItem, OwedItems
 from damaskjunction.gateway.result_writer import ResultWriter
 from damaskjunction.node import TaskSet, cancel_tasks
 
@@ -204,6 +204,27 @@
         self, job: StoredJob, item: BatchItem, writer: ResultWriter
     ) -> None:
         with self.owed_items.track(job.record.job_id, item.item_id) as owed:
-            result = await self._runner.run(job, item, owed)
+            result = await self._run_until_result(job, item, owed)
             owed.enter(ItemState.STORING)
             await writer.add(result)
+
+    async def _run_until_result(
+        self, job: StoredJob, item: BatchItem, owed: OwedItem
+    ) -> ItemResult:
+        """Run an item; take it up again when its run ends without a result."""
+        n_failures = 0
+        while True:
+            run = asyncio.ensure_future(self._runner.run(job, item, owed))
+            try:
+                await asyncio.wait((run,))
+            finally:
+                await cancel_tasks((run,))
+            error = None if run.cancelled() else run.exception()
+            if not run.cancelled() and error is None:
+                return run.result()
+            extra = {"item": item.item_id, **owed.to_document()}
+            logger.error("item taken up again", exc_info=error, extra=extra)
+            owed.reason = repr(error)
+            owed.enter(ItemState.DELAYED)
+            await self.back_off(n_failures)
+            n_failures += 1
