Take up again an item that stays in a state beyond its bound

An item that waits for a slot, is at a runner, ends an attempt or is delayed does so for a bounded time. Change: each second a host checks its owed items and cancels the run of one that has reported no step for longer than its state lasts (10 s; 130 s at a runner), with a line of state, place and age; the worker runs it again. Checks are counted, not seconds, so that a process that was stopped blames no item for that. Items that wait for their route, their turn or the store are left: these waits have no bound of their own. Test: job worker, a run that hangs in each of the four states; before, none of the four was run a second time.

--- a/libs/gateway/features/job_worker.feature
+++ b/libs/gateway/features/job_worker.feature
@@ -18,6 +18,27 @@
     When the job runs
     Then "i2" runs 2 times
 
+  Scenario Outline: An item that stays in a state beyond its bound is taken up again
+    Given the run of "i2" hangs 1 times in the state "<state>"
+    When the job runs for <bound_s> s
+    Then "i2" ran 1 times
+    When 3 more seconds pass
+    Then the job ends with results of "i1,i2,i3"
+
+    Examples:
+      | state              | bound_s |
+      | waiting for a slot | 9       |
+      | at a runner        | 129     |
+      | ending an attempt  | 9       |
+      | delayed before a retry | 9   |
+
+  Scenario: An item is left to wait for its route, its turn and the store
+    Given the run of "i1" hangs 1 times in the state "its route is not in force"
+    And the run of "i2" hangs 1 times in the state "queued on this host"
+    When the job runs for 300 s
+    Then "i1" ran 1 times
+    And "i2" ran 1 times
+
   Scenario: A job that is over stops all its runs
     Given the run of "i2" does not end
     When the job runs
--- a/libs/gateway/src/damaskjunction/gateway/job_worker.py
+++ b/libs/gateway/src/damaskjunction/gateway/job_worker.py
@@ -214,7 +214,7 @@
         """Run an item; take it up again when its run ends without a result."""
         n_failures = 0
         while True:
-            run = asyncio.ensure_future(self._runner.run(job, item, owed))
+            owed.run = run = asyncio.ensure_future(self._runner.run(job, item, owed))
             try:
                 await asyncio.wait((run,))
             finally:
--- a/libs/gateway/src/damaskjunction/gateway/owed_items.py
+++ b/libs/gateway/src/damaskjunction/gateway/owed_items.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
+import asyncio
 import heapq
 import logging
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from contextlib import contextmanager
 from enum import StrEnum
 from typing import TypedDict
 
+from damaskjunction.batch import ItemResult
 from damaskjunction.core import JobId, Subscription, Timers
 from damaskjunction.telemetry import Metrics
 
@@ -31,6 +33,15 @@
     STORING = "waiting for the store"
 
 
+# Longest time that each state lasts; the others end when others act.
+MAX_TIME_S_BY_STATE: Mapping[ItemState, float] = {
+    ItemState.DELAYED: 10.0,
+    ItemState.WAITING_FOR_SLOT: 10.0,
+    ItemState.RUNNING: 130.0,
+    ItemState.CLOSING: 10.0,
+}
+
+
 class OwedItemDocument(TypedDict):
     """An owed item in the dump; times are in seconds."""
 
@@ -47,12 +58,14 @@
     """The progress of one owed item.
 
     ``place`` is the host or the runner that the item is at, ``reason`` the outcome of
-    its last attempt.
+    its last attempt. ``run`` is what runs it; it is cancelled when the item stays in a
+    state for longer than that lasts.
     """
 
     def __init__(self, item_id: str, job_id: JobId, timers: Timers) -> None:
         self.item_id = item_id
         self.job_id = job_id
+        self.run: asyncio.Future[ItemResult] | None = None
         self.state = ItemState.QUEUED
         self.reason = ""
         self.place = ""
@@ -61,6 +74,7 @@
         self._changed_at_s = self._owed_at_s
         self._at_runner_until_s = self._owed_at_s
         self.logged_at_s = self._owed_at_s
+        self._n_checks = 0
 
     def enter(self, state: ItemState, *, place: str = "") -> None:
         """Record a state, or that the item is in the same one at another place."""
@@ -71,6 +85,23 @@
             self._at_runner_until_s = self.logged_at_s = now_s
         self.state = state
         self.place = place
+        self._n_checks = 0
+
+    def check_progress(self) -> None:
+        """Cancel the run if the item has stayed in a state for too long.
+
+        Called each ``CHECK_PERIOD_S``: a process that was stopped gets no calls, and
+        its items are not blamed for that time.
+        """
+        self._n_checks += 1
+        max_time_s = MAX_TIME_S_BY_STATE.get(self.state)
+        if max_time_s is None or self.run is None:
+            return
+        if self._n_checks * CHECK_PERIOD_S > max_time_s:
+            self._n_checks = 0
+            extra = {"item": self.item_id, **self.to_document()}
+            logger.error("item is stuck", extra=extra)
+            self.run.cancel()
 
     @property
     def owed_s(self) -> float:
@@ -104,6 +135,8 @@
     runner. If these are many, those go first that hold a place, then those that were
     logged longest ago.
 
+    The run of an item that is stuck in a state is cancelled.
+
     Parameters
     ----------
     timers : Timers
@@ -120,11 +153,11 @@
         metrics.gauge("oldest_owed_item_s", lambda: self.oldest_s)
 
     async def start(self) -> None:
-        """Start logging long waits."""
-        self._check = self._timers.every(CHECK_PERIOD_S, self._log_long_waits)
+        """Start checking the items."""
+        self._check = self._timers.every(CHECK_PERIOD_S, self._check_items)
 
     async def close(self) -> None:
-        """Stop logging."""
+        """Stop checking."""
         if self._check is not None:
             self._check.cancel()
 
@@ -148,6 +181,11 @@
         """Return all owed items for the dump, the oldest first."""
         return {item.item_id: item.to_document() for item in self._items}
 
+    def _check_items(self) -> None:
+        for item in self._items:
+            item.check_progress()
+        self._log_long_waits()
+
     def _log_long_waits(self) -> None:
         now_s = self._timers.now()
         due = [i for i in self._items if now_s - i.logged_at_s >= LONG_WAIT_S]
