--- a/libs/routing/src/damaskjunction/routing/slots.py
+++ b/libs/routing/src/damaskjunction/routing/slots.py
@@ -7,12 +7,12 @@
 
 from __future__ import annotations
 
-import heapq
 import math
 from collections.abc import Collection, Iterable, Mapping
 from typing import NamedTuple
 
 from damaskjunction.core import RequestId, RunnerId, WorkClass
+from damaskjunction.routing.batch_queue import BatchQueue
 from damaskjunction.routing.ejection import EjectionPolicy, OutlierEjection
 from damaskjunction.routing.online_queue import OnlineQueue
 from damaskjunction.routing.prefix_cache import PrefixCacheEstimate
@@ -65,8 +65,7 @@
         self._used_by_runner: dict[RunnerId, int] = {}
         self._online_by_runner: dict[RunnerId, int] = {}
         self._waiting_online = OnlineQueue()
-        self._waiting_batch: dict[RequestId, SlotTicket] = {}
-        self._batch_heap: list[tuple[float, RequestId]] = []
+        self._waiting_batch = BatchQueue()
         self._prefix_cache = PrefixCacheEstimate()
         self._ejection = OutlierEjection(FAILURE_EJECTION)
         self._rate_limiter = RateLimiter()
@@ -105,11 +104,11 @@
         return [*self._refuse_gone_versions(), *self._dispatch(now_s)]
 
     def _refuse_gone_versions(self) -> list[SlotEffect]:
-        waiting = (*self._waiting_online.tickets(), *self._waiting_batch.values())
+        waiting = (*self._waiting_online.tickets(), *self._waiting_batch.tickets())
         gone = [t for t in waiting if not self._versions.serves(t.software_version)]
         for ticket in gone:
             self._waiting_online.discard(ticket.request_id)
-            self._waiting_batch.pop(ticket.request_id, None)
+            self._waiting_batch.discard(ticket.request_id)
         return [self._refuse_version(ticket) for ticket in gone]
 
     def _refuse_version(self, ticket: SlotTicket) -> RefuseSlot:
@@ -126,8 +125,7 @@
         if ticket.work_class is WorkClass.BATCH:
             if len(self._waiting_batch) >= MAX_BATCH_QUEUE:
                 return [RefuseSlot(ticket.request_id, "overloaded", 1.0)]
-            self._waiting_batch[ticket.request_id] = ticket
-            heapq.heappush(self._batch_heap, (ticket.due_at_s, ticket.request_id))
+            self._waiting_batch.add(ticket)
             return self._dispatch(now_s)
         excluded = self._excluded_runners(ticket)
         if not any(name not in excluded for name in self._slots_by_runner):
@@ -167,7 +165,7 @@
     def release(self, request_id: RequestId, now_s: float) -> list[SlotEffect]:
         """Free the slot of a request, or remove the request from the queue."""
         self._waiting_online.discard(request_id)
-        self._waiting_batch.pop(request_id, None)
+        self._waiting_batch.discard(request_id)
         self._revoked_ids.discard(request_id)
         held = self._online_held_by_id.pop(request_id, None)
         if held is not None:
@@ -379,21 +377,16 @@
                 del free_by_runner[name]
         n_slots = sum(self._slots_by_runner.values())
         n_available = sum(free_by_runner.values()) - math.ceil(RESERVE_SHARE * n_slots)
-        skipped: list[tuple[float, RequestId]] = []
-        while n_available > 0 and self._batch_heap:
-            entry = heapq.heappop(self._batch_heap)
-            ticket = self._waiting_batch.get(entry[1])
-            if ticket is None:
-                continue  # released while it waited
+        skipped: list[SlotTicket] = []
+        while n_available > 0 and (ticket := self._waiting_batch.pop()) is not None:
             runner_id = self._choose_runner(ticket, free_by_runner)
             if runner_id is None:
-                skipped.append(entry)
+                skipped.append(ticket)
                 continue
-            del self._waiting_batch[ticket.request_id]
             effects.append(self._grant(ticket, runner_id, free_by_runner, now_s))
             n_available -= 1
-        for entry in skipped:
-            heapq.heappush(self._batch_heap, entry)
+        for ticket in skipped:
+            self._waiting_batch.add(ticket)
         return effects
 
 
