Prove a stream's version by every entry since its first event

A runner that starts again is listed late, so the version recorded for a stream may be that of the process before. The proof looked at the present entry alone: once the entry that contradicts the record had been replaced by a third one, or was gone, the recorded version counted as proved, and a stream or item of the version in between went on at the recorded one.

It is the same proof for resumed streams, take-ups and items.

Found by a new state machine (item_versions.feature): items ask a slot pool, write events, break off, are revoked and taken over, while runners restart at other versions, are listed late, fill up and leave; no text may hold two versions and every item has to end while one runner has room. The model assumes that an entry comes before its process ends and before the items that it worked on do.

--- a/libs/gateway/features/steps/item_version_steps.py
+++ b/libs/gateway/features/steps/item_version_steps.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+import item_version_machine
 from behave import then, when
 from fleet_helpers import run
 from stream_version_steps import SETTLE_S, running
@@ -93,3 +94,17 @@
 def check_no_resumption(context):
     runs = item_runs(context)
     assert len(runs) > 1 and not any(last for _, last in runs), runs
+
+
+@then('{count:d} runs of items beside restarts with "{fault}" find a fault')
+def check_machine_finds(context, count, fault):
+    try:
+        item_version_machine.run_machine(fault, count)
+    except AssertionError:
+        return
+    raise AssertionError(f"injected fault was not found: {fault}")
+
+
+@then('{count:d} runs of items beside restarts with "{fault}" find no fault')
+def check_machine_clean(context, count, fault):
+    item_version_machine.run_machine(fault, count)
--- a/libs/gateway/src/damaskjunction/gateway/state.py
+++ b/libs/gateway/src/damaskjunction/gateway/state.py
@@ -25,7 +25,12 @@
     decode_configuration,
     decode_runner,
 )
-from damaskjunction.routing import LeavingNotice, LeavingRunners, RouteTable
+from damaskjunction.routing import (
+    FormerEntries,
+    LeavingNotice,
+    LeavingRunners,
+    RouteTable,
+)
 
 logger = logging.getLogger(__name__)
 
@@ -63,6 +68,7 @@
         self._runners_by_id: dict[RunnerId, Runner] = {}
         self._live_runners_by_service: dict[ServiceName, list[Runner]] = {}
         self._indexed_fleet: FleetView | None = None
+        self._former_entries = FormerEntries()
         self._removals_by_id: dict[RunnerId, Subscription] = {}
         self._store_failed_at: Callable[[], float | None] = lambda: None
 
@@ -75,6 +81,20 @@
         runners = self._live_runners_of(service)
         return self.leaving.usable(runners, self._timers.now())
 
+    def entries_since(self, runner_id: RunnerId, at_s: float) -> list[Runner]:
+        """Return the entries that a runner has had since a time, the present one last.
+
+        Parameters
+        ----------
+        runner_id : str
+            The runner.
+        at_s : float
+            The time on the ``Timers`` clock.
+        """
+        entries = self._former_entries.since(runner_id, at_s, self._timers.now())
+        listed = self.view.fleet.runners_by_id.get(runner_id)
+        return entries if listed is None else [*entries, listed]
+
     def leaving_notices(self, service: ServiceName) -> tuple[LeavingNotice, ...]:
         """Return what this host knows of a service's runners that leave."""
         runners = self._live_runners_of(service)
@@ -148,11 +168,13 @@
             runner = decode_runner(stored, self._regions_by_data_centre)
         except FindingError as error:
             logger.warning("runner's entry invalid", extra={"error": str(error)})
+            self._record_former(stored.name, None)
             self._runners_by_id.pop(stored.name, None)
             return
         known = self._runners_by_id.get(runner.runner_id)
         if known == runner:
             return
+        self._record_former(runner.runner_id, runner)
         self._runners_by_id[runner.runner_id] = runner
         extra = {
             "runner": runner.runner_id,
@@ -162,6 +184,11 @@
         }
         logger.info("runner known" if known is None else "runner changed", extra=extra)
 
+    def _record_former(self, runner_id: RunnerId, current: Runner | None) -> None:
+        former = self._runners_by_id.get(runner_id)
+        if former is not None:
+            self._former_entries.record(former, current, self._timers.now())
+
     def _remove_or_defer(self, runner_id: RunnerId) -> None:
         """Remove a runner; after a recent outage of the store, defer the removal.
 
@@ -196,6 +223,7 @@
             removal.cancel()
 
     def _remove_runner(self, runner_id: RunnerId) -> None:
+        self._record_former(runner_id, None)
         if self._runners_by_id.pop(runner_id, None) is not None:
             logger.info("runner gone", extra={"runner": runner_id})
 
--- a/libs/gateway/src/damaskjunction/gateway/stream_version.py
+++ b/libs/gateway/src/damaskjunction/gateway/stream_version.py
@@ -82,8 +82,8 @@
     def _prove(self, writer: _Writer) -> str:
         age_s = self._timers.now() - writer.began_at_s
         origin = writer.origin._replace(age_s=age_s)
-        listed = self._state.view.fleet.runners_by_id.get(origin.runner_id)
-        version = proven_version(origin, listed, self._timers.wall())
+        entries = self._state.entries_since(origin.runner_id, writer.began_at_s)
+        version = proven_version(origin, entries, self._timers.wall())
         if version is None:
             raise RequestError(
                 Outcome.NOT_RUN,
--- a/libs/routing/features/steps/stream_version_machine.py
+++ b/libs/routing/features/steps/stream_version_machine.py
@@ -197,7 +197,7 @@
         for host in (self.hosts[name], *self.hosts.values()):
             origin = host.memory.find(request_id, self.now_s)
             if origin is not None:
-                return proven_version(origin, None, self.now_s)
+                return proven_version(origin, (), self.now_s)
         return self.version_of_record(name)
 
     def version_of_record(self, name):
--- a/libs/routing/src/damaskjunction/routing/__init__.py
+++ b/libs/routing/src/damaskjunction/routing/__init__.py
@@ -104,6 +104,7 @@
     WeightedService,
     make_route_table,
 )
+from damaskjunction.routing.runner_entries import FormerEntries
 from damaskjunction.routing.slot_types import (
     GrantSlot,
     RefuseSlot,
@@ -159,6 +160,7 @@
     "FailCall",
     "FairQueue",
     "FixedLimits",
+    "FormerEntries",
     "Forward",
     "GiveUp",
     "GrantAccess",
--- a/libs/routing/src/damaskjunction/routing/stream_versions.py
+++ b/libs/routing/src/damaskjunction/routing/stream_versions.py
@@ -100,33 +100,45 @@
 
 
 def proven_version(
-    origin: StreamOrigin, listed: Runner | None, wall_s: float
+    origin: StreamOrigin, entries: Iterable[Runner], wall_s: float
 ) -> str | None:
     """Return the version that began a stream, None if it is not proved.
 
     The entry of a runner that started again comes late: another process, which may be
-    older than the first event, has written it if ``listed`` now shows another version.
+    older than the first event, has written it if one of ``entries`` shows another
+    version.
 
     Parameters
     ----------
     origin : StreamOrigin
         The origin as it was recorded.
-    listed : Runner or None
-        The present entry of the same runner, None if there is none.
+    entries : iterable of Runner
+        The entries that the same runner has had since the first event, as far as they
+        are known; none once it has left.
     wall_s : float
         The present Unix time of this host, in seconds.
     """
     if not origin.software_version:
         return None
-    if listed is None or listed.version == origin.software_version:
-        return origin.software_version
     began_at_s = wall_s - origin.age_s
-    is_known = listed.born_ms > 0 and listed.born_ms != origin.born_ms
-    if is_known and listed.born_ms * MILLISECOND_S > began_at_s + CLOCK_DIFFERENCE_S:
+    if all(_is_no_contradiction(origin, entry, began_at_s) for entry in entries):
         return origin.software_version
     return None
 
 
+def _is_no_contradiction(
+    origin: StreamOrigin, entry: Runner, began_at_s: float
+) -> bool:
+    """Return whether an entry leaves the origin proved.
+
+    It does if it has the same version or is of a process younger than the stream.
+    """
+    if entry.version == origin.software_version:
+        return True
+    is_known = entry.born_ms > 0 and entry.born_ms != origin.born_ms
+    return is_known and entry.born_ms * MILLISECOND_S > began_at_s + CLOCK_DIFFERENCE_S
+
+
 class RunnerVersions:
     """The software versions of the runners of one service.
 
