--- a/libs/lab/src/damaskjunction/lab/soak/runners.py
+++ b/libs/lab/src/damaskjunction/lab/soak/runners.py
@@ -169,6 +169,8 @@
     def record_run(self, request_id: RequestId) -> None:
         """Record that a request begins to run."""
         super().record_run(request_id)
+        if not request_id:
+            return  # a report has none
         last = int(self.last_event_id) if self.last_event_id else -1
         run = Run(request_id, self.runner_id, self._timers.now(), last)
         self._history.runs.append(run)
