--- a/libs/lab/features/soak.feature
+++ b/libs/lab/features/soak.feature
@@ -37,6 +37,11 @@
       | a request that ran in calm gets no answer                | answers arrive           |
       | a host that restarts cuts a request that runs            | answers arrive           |
 
+  Scenario: The end of an answer is recorded, also of one that nobody reads
+    Then the end of an answer is recorded once when 0 of its 2 events are read
+    And the end of an answer is recorded once when 1 of its 2 events are read
+    And the end of an answer is recorded once when 2 of its 2 events are read
+
   Scenario: The fault schedule depends only on the seed
     Then seed 7 always gives the same schedule, and seed 8 a different one
 
--- a/libs/lab/features/steps/soak_steps.py
+++ b/libs/lab/features/steps/soak_steps.py
@@ -17,6 +17,7 @@
     HostDisturbance,
     MemoryPeak,
     NamedLimit,
+    RecordedEvents,
     ResultsRead,
     Room,
     Run,
@@ -360,6 +361,27 @@
     )
 
 
+async def read_recorded(n_read, n_events):
+    async def write_events():
+        for number in range(n_events):
+            yield b"%d" % number
+
+    ends = []
+    events = RecordedEvents(write_events(), 0.0, lambda: ends.append(1))
+    for _ in range(n_read):
+        await anext(events)
+    await events.aclose()
+    return len(ends)
+
+
+@then(
+    "the end of an answer is recorded once when {n_read:d} of its {n_events:d} events "
+    "are read"
+)
+def check_recorded_end(context, n_read, n_events):
+    assert asyncio.run(read_recorded(n_read, n_events)) == 1
+
+
 @then("seed {one:d} always gives the same schedule, and seed {other:d} a different one")
 def check_schedule(context, one, other):
     kinds = ("a", "b", "c")
--- a/libs/lab/src/damaskjunction/lab/soak/__init__.py
+++ b/libs/lab/src/damaskjunction/lab/soak/__init__.py
@@ -23,6 +23,7 @@
     RunnerLife,
     Submission,
 )
+from damaskjunction.lab.soak.runners import RecordedEvents
 from damaskjunction.lab.soak.schedule import ScheduledFault, make_schedule
 from damaskjunction.lab.soak.soak import SoakOptions, SoakReport, run_soak
 
@@ -35,6 +36,7 @@
     "HostDisturbance",
     "MemoryPeak",
     "NamedLimit",
+    "RecordedEvents",
     "ResultsRead",
     "Room",
     "Run",
--- a/libs/lab/src/damaskjunction/lab/soak/runners.py
+++ b/libs/lab/src/damaskjunction/lab/soak/runners.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncGenerator, AsyncIterator
-from contextlib import aclosing
-from typing import Any, cast
+from collections.abc import AsyncGenerator, AsyncIterator, Callable
+from functools import partial
+from typing import Any, Self, cast
 
 from damaskjunction.core import LoopTimers, RequestId
 from damaskjunction.http import EVENT_STREAM_TYPE, Request, Response
@@ -27,6 +27,54 @@
 LIFE_HEADER = "X-Soak-Runner"  # in each answer: the life of the runner that wrote it
 
 
+class RecordedEvents:
+    """Events of an answer, whose end is recorded also if no event was ever read.
+
+    Parameters
+    ----------
+    events : AsyncIterator of bytes
+        The events; an asynchronous generator.
+    interval_s : float
+        Seconds to wait after each event.
+    record_end : callable
+        Called once they have ended or are closed.
+    """
+
+    def __init__(
+        self,
+        events: AsyncIterator[bytes],
+        interval_s: float,
+        record_end: Callable[[], None],
+    ) -> None:
+        self._events = cast(AsyncGenerator[bytes], events)
+        self._interval_s = interval_s
+        self._record_end = record_end
+        self._has_begun = self._has_ended = False
+
+    def __aiter__(self) -> Self:
+        return self
+
+    async def __anext__(self) -> bytes:
+        if self._has_begun:
+            await asyncio.sleep(self._interval_s)
+        self._has_begun = True
+        try:
+            return await anext(self._events)
+        except BaseException:
+            self._end()
+            raise
+
+    async def aclose(self) -> None:
+        """Close the events."""
+        await self._events.aclose()
+        self._end()
+
+    def _end(self) -> None:
+        if not self._has_ended:
+            self._has_ended = True
+            self._record_end()
+
+
 class SoakRunner(RunnerStandin):
     """A runner that records each request it begins to process in the history.
 
@@ -115,24 +163,16 @@
         headers = {**response.headers, LIFE_HEADER: self.life_id}
         response = response._replace(headers=headers)
         if not isinstance(response.body, bytes):
-            return response._replace(body=self._until_end(request_id, response.body))
+            interval_s = 0.0
+            if request_id.startswith(ITEM_PREFIX):
+                interval_s = ITEM_EVENT_INTERVAL_S
+            end = partial(self._record_end, request_id, 200)
+            events = RecordedEvents(response.body, interval_s, end)
+            return response._replace(body=events)
         if response.status not in NOT_RUN_STATUSES:
             self._record_end(request_id, response.status)
         return response
 
-    async def _until_end(
-        self, request_id: RequestId, events: AsyncIterator[bytes]
-    ) -> AsyncIterator[bytes]:
-        generator = cast(AsyncGenerator[bytes], events)
-        try:
-            async with aclosing(generator):
-                async for event in generator:
-                    yield event
-                    if request_id.startswith(ITEM_PREFIX):
-                        await asyncio.sleep(ITEM_EVENT_INTERVAL_S)
-        finally:
-            self._record_end(request_id, 200)
-
     def _record_end(self, request_id: RequestId, status: int) -> None:
         if request_id:  # a report has none
             end = RunEnd(request_id, self.life_id, self._timers.now(), status)
