Drop what batch requests that ask again leave behind in their queue

What callers saw: not reported; read in the code. An ask for a slot is made anew each 4 s, and each left an entry in the heap of its home that went only when a slot was granted. Without a free slot (runners gone for minutes) a full queue of 4096 asks would leave a million entries in 17 minutes; a host may use 128 MB. Change: the heap is rebuilt when over half of it (and 64 entries) is left behind.

--- a/libs/routing/features/slots.feature
+++ b/libs/routing/features/slots.feature
@@ -161,3 +161,13 @@
     Then "late1" are refused with a retry delay
     When repeated online requests "late2" ask for slots
     Then "late2" are refused with a retry delay
+
+  Scenario: Batch requests that ask again and again in vain take no further memory
+    Given a pool with runners "a:2"
+    When online requests "r1,r2" ask for slots
+    And batch requests "b1,b2,b3" ask for slots and leave the queue 500 times
+    Then the pool keeps at most 100 entries of batch requests
+    When batch requests "b1,b2,b3" ask for slots
+    And "r1" is released
+    And "r2" is released
+    Then "r1,r2,b1" are granted
--- a/libs/routing/features/steps/slot_steps.py
+++ b/libs/routing/features/steps/slot_steps.py
@@ -284,3 +284,18 @@
 @then('{count:d} runs of the state machine with "{fault}" find no fault')
 def check_machine_clean(context, count, fault):
     slot_pool_machine.run_machine(fault, count)
+
+
+@when('batch requests "{names}" ask for slots and leave the queue {count:d} times')
+def ask_batch_repeatedly(context, names, count):
+    for _ in range(count):
+        for name in names.split(","):
+            ticket = SlotTicket(name, WorkClass.BATCH, (), (), 0.0, context.now_s)
+            record_effects(context, context.pool.submit(ticket, context.now_s))
+            record_effects(context, context.pool.release(name, context.now_s))
+
+
+@then("the pool keeps at most {count:d} entries of batch requests")
+def check_batch_entries(context, count):
+    n_entries = context.pool._waiting_batch.n_entries
+    assert n_entries <= count, n_entries
--- a/libs/routing/src/damaskjunction/routing/batch_queue.py
+++ b/libs/routing/src/damaskjunction/routing/batch_queue.py
@@ -7,6 +7,8 @@
 from damaskjunction.core import RequestId
 from damaskjunction.routing.slot_types import SlotTicket
 
+MAX_LEFT_BEHIND = 64  # entries, beside one for each waiting request
+
 
 class BatchQueue:
     """Batch requests by earliest due time."""
@@ -19,6 +21,11 @@
     def __len__(self) -> int:
         return len(self._tickets_by_id)
 
+    @property
+    def n_entries(self) -> int:
+        """Number of entries in memory, including those that are left behind."""
+        return len(self._heap)
+
     def tickets(self) -> list[SlotTicket]:
         """Return the waiting requests in the order of their arrival."""
         return list(self._tickets_by_id.values())
@@ -31,6 +38,8 @@
     def discard(self, request_id: RequestId) -> None:
         """Remove a request, if it waits."""
         self._tickets_by_id.pop(request_id, None)
+        if len(self._heap) > 2 * len(self._tickets_by_id) + MAX_LEFT_BEHIND:
+            self._rebuild()
 
     def pop(self) -> SlotTicket | None:
         """Remove and return the request that is due first, None if there is none."""
@@ -40,3 +49,9 @@
             if ticket is not None:
                 return ticket
         return None
+
+    def _rebuild(self) -> None:
+        """Drop the entries that are left behind."""
+        tickets = self._tickets_by_id.values()
+        self._heap = [(ticket.due_at_s, ticket.request_id) for ticket in tickets]
+        heapq.heapify(self._heap)
