Let batch requests use runners whose slots are all in the reserve

What callers saw: not reported; read in the code while ways to LOST were looked for: a batch item was given no runner though its service was idle. Cause: batch leaves free 6 in 100 of all slots, rounded up. It was counted over all listed runners, whether they take requests or not: with one slot in all, with large runners ejected beside a small one, or with rate limits that leave two starts at once to runners of 34 slots or more, the reserve was all that there ever was. Class: a place that is kept for others without looking whether any is left. Change: the reserve counts the usable runners and what each takes at once by its limit, and is less than that. Test: slots, three scenarios; before, nothing was granted in each.

--- a/libs/routing/features/slots.feature
+++ b/libs/routing/features/slots.feature
@@ -171,3 +171,22 @@
     And "r1" is released
     And "r2" is released
     Then "r1,r2,b1" are granted
+
+  Scenario: A batch request gets the only slot of an idle service
+    Given a pool with runners "a:1"
+    When batch requests "b1" ask for slots
+    Then "b1" are granted
+
+  Scenario: A small runner is given batch requests while a large one fails
+    Given a pool with runners "a:2,b:40"
+    And runner "b" fails a request
+    When batch requests "b1,b2,b3,b4" ask for slots
+    Then 1 are granted
+
+  Scenario: Runners whose rate limits leave few starts are given batch requests
+    Given a pool with runners "a:40,b:40"
+    When runner "a" named a limit of 4 a second 0 s ago
+    And runner "b" named a limit of 4 a second 0 s ago
+    And batch requests "b1,b2,b3,b4" ask for slots
+    And 1 s passes
+    Then 3 are granted
--- a/libs/routing/features/steps/slot_steps.py
+++ b/libs/routing/features/steps/slot_steps.py
@@ -130,6 +130,7 @@
     record_effects(context, context.pool.observe_report(runner, count, context.now_s))
 
 
+@given('runner "{runner}" fails a request')
 @when('runner "{runner}" fails a request')
 def fail(context, runner):
     context.pool.record_failure(runner, context.now_s)
--- a/libs/routing/src/damaskjunction/routing/rate_limits.py
+++ b/libs/routing/src/damaskjunction/routing/rate_limits.py
@@ -120,6 +120,12 @@
             return math.inf
         return _refill(self._buckets_by_runner[runner_id], now_s).tokens
 
+    def burst(self, runner_id: RunnerId) -> float:
+        """Return how many requests an idle runner takes at once, infinity for any."""
+        if not self.is_limited(runner_id):
+            return math.inf
+        return _capacity(self._buckets_by_runner[runner_id])
+
     def is_limited(self, runner_id: RunnerId) -> bool:
         """Return whether a runner has named a limit that still holds."""
         bucket = self._buckets_by_runner.get(runner_id)
@@ -146,10 +152,18 @@
         }
 
 
+def _rate_per_s(bucket: _Bucket) -> float:
+    return max(bucket.limit_per_s, MIN_RATE_PER_S)
+
+
+def _capacity(bucket: _Bucket) -> float:
+    return max(MIN_BURST, BURST_S * _rate_per_s(bucket))
+
+
 def _refill(bucket: _Bucket, now_s: float) -> _Bucket:
-    rate_per_s = max(bucket.limit_per_s, MIN_RATE_PER_S)
+    rate_per_s = _rate_per_s(bucket)
     if rate_per_s == NO_LIMIT_PER_S:
         return bucket
     filled = bucket.tokens + rate_per_s * max(0.0, now_s - bucket.filled_at_s)
-    capacity = max(MIN_BURST, BURST_S * rate_per_s)
-    return bucket._replace(tokens=min(filled, capacity), filled_at_s=now_s)
+    tokens = min(filled, _capacity(bucket))
+    return bucket._replace(tokens=tokens, filled_at_s=now_s)
--- a/libs/routing/src/damaskjunction/routing/slots.py
+++ b/libs/routing/src/damaskjunction/routing/slots.py
@@ -7,12 +7,12 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Collection, Iterable, Mapping
 from typing import NamedTuple
 
 from damaskjunction.core import RequestId, RunnerId, WorkClass
 from damaskjunction.routing.batch_queue import BatchQueue
+from damaskjunction.routing.batch_reserve import n_reserved_slots
 from damaskjunction.routing.ejection import EjectionPolicy, OutlierEjection
 from damaskjunction.routing.online_queue import OnlineQueue
 from damaskjunction.routing.prefix_cache import PrefixCacheEstimate
@@ -29,7 +29,6 @@
 from damaskjunction.routing.unseen_requests import UnseenRequests
 from damaskjunction.routing.wait_forecast import RunnerSupply, WaitForecast
 
-RESERVE_SHARE = 0.06  # fraction of the slots that batch leaves free
 HOLD_TIME_SMOOTHING = 0.05
 INITIAL_HOLD_TIME_S = 0.5
 MIN_RETRY_AFTER_S = 0.1
@@ -375,8 +374,12 @@
         for name in list(free_by_runner):
             if self._rate_limiter.tokens(name, now_s) < BATCH_TOKENS:
                 del free_by_runner[name]
-        n_slots = sum(self._slots_by_runner.values())
-        n_available = sum(free_by_runner.values()) - math.ceil(RESERVE_SHARE * n_slots)
+        usable = self._ejection.healthy(list(self._slots_by_runner), str, now_s)
+        n_reserved = n_reserved_slots(
+            min(self._slots_by_runner[name], self._rate_limiter.burst(name))
+            for name in usable
+        )
+        n_available = sum(free_by_runner.values()) - n_reserved
         skipped: list[SlotTicket] = []
         while n_available > 0 and (ticket := self._waiting_batch.pop()) is not None:
             runner_id = self._choose_runner(ticket, free_by_runner)
