Read the results of a job whose run began before its creator was answered

What callers saw: not reported; read in the code. A host takes a job that it has created for one without stored results, once. If its watch of the store told it of the job before the answer to the creation came, the run began without that note, and the note stayed: when the host took the same job over later from another, it did not read what that had stored. It ran finished items again, and answered reads with fewer results than had been read (LOST). Class: knowledge that is used after the moment for which it held. Change: the note is made only for a job that is not known yet. Test: job store; before, the note was left.

--- a/libs/gateway/features/fake_store.py
+++ b/libs/gateway/features/fake_store.py
@@ -10,7 +10,8 @@
     """Objects by kind and name; ``is_away`` makes each call fail.
 
     ``on_write`` is called with each object before its writer gets the answer, as a
-    watch of the store may be faster than that.
+    watch of the store may be faster than that. ``before_call`` is awaited in the next
+    call.
     """
 
     def __init__(self):
@@ -18,29 +19,40 @@
         self._revision = 0
         self.is_away = False
         self.on_write = lambda stored: None
+        self.before_call = None
 
     async def get(self, kind, name):
-        self._check()
+        await self._check()
         return self._objects_by_key.get((kind, name))
 
     async def create(self, kind, name, content):
-        self._check_revision(kind, name, None)
+        await self._check_revision(kind, name, None)
         return self._put(kind, name, content, None)
 
     async def replace(self, kind, name, content, *, revision):
-        known = self._check_revision(kind, name, revision)
+        known = await self._check_revision(kind, name, revision)
         return self._put(kind, name, content, known.status)
 
     async def set_status(self, kind, name, status, *, revision):
-        known = self._check_revision(kind, name, revision)
+        known = await self._check_revision(kind, name, revision)
         return self._put(kind, name, known.content, status)
 
-    def _check(self):
+    def hide(self, kind, name):
+        """Remove an object and return it."""
+        return self._objects_by_key.pop((kind, name))
+
+    def show(self, stored):
+        """Put a hidden object back."""
+        self._objects_by_key[stored.kind, stored.name] = stored
+
+    async def _check(self):
+        if self.before_call is not None:
+            await self.before_call()
         if self.is_away:
             raise PlatformUnavailableError("away")
 
-    def _check_revision(self, kind, name, revision):
-        self._check()
+    async def _check_revision(self, kind, name, revision):
+        await self._check()
         known = self._objects_by_key.get((kind, name))
         if (known.revision if known is not None else None) != revision:
             raise ObjectConflictError(f"{kind}/{name}", known)
--- a/libs/gateway/src/damaskjunction/gateway/job_repository.py
+++ b/libs/gateway/src/damaskjunction/gateway/job_repository.py
@@ -188,7 +188,8 @@
             content = encode_record(record, ())
         try:
             stored = await self._store.create(JOBS_KIND, record.job_id, content)
-            self._created_ids.add(record.job_id)
+            if record.job_id not in self.jobs_by_id:  # else its run may have started
+                self._created_ids.add(record.job_id)
             self._cache_items(record.job_id, items)
         except ObjectConflictError as error:
             if error.current is None:
