Read and write results whole while other jobs displace them in the cache

What callers saw: not reported; read in the code. If a job's were displaced while a call of a read or a write was under way, the answer did not fit the empty cache: IndexError. The read of a caller failed; a write ended the run of its job, and finished results that were not written yet were lost and run again. Class: a place in a list that is kept over a wait, while others change the list. Change: reads and writes go by their own list and bring it into the cache as a whole. Test: job store, two scenarios; before, IndexError in both.

--- a/libs/gateway/features/job_store.feature
+++ b/libs/gateway/features/job_store.feature
@@ -5,3 +5,15 @@
     Given a host whose watch of the store is faster than its writes
     When the job "j1" is accepted
     Then the job "j1" may have results that are not cached
+
+  Scenario: Results are read whole while those of other jobs displace them
+    Given the job "j1" has 3 full segments of results in the store
+    And a host has cached the first 2 of them
+    When the host reads the results while it reads those of 70 other jobs
+    Then it returns all 3 results in their order
+
+  Scenario: A result is written while those of other jobs displace the cached ones
+    Given the job "j1" has 3 full segments of results in the store
+    And a host has cached all of them
+    When the host writes a result of "j1" while it reads those of 70 other jobs
+    Then the store has all 4 results in their order
--- a/libs/gateway/features/steps/job_store_steps.py
+++ b/libs/gateway/features/steps/job_store_steps.py
@@ -7,7 +7,10 @@
 from fleet_helpers import run
 from job_worker_steps import make_items, make_record
 
+from damaskjunction.batch import ItemResult
 from damaskjunction.gateway.job_repository import JobRepository
+from damaskjunction.gateway.result_repository import ResultRepository
+from damaskjunction.platform import RESULTS_KIND, encode_result_list
 
 
 @given("a host whose watch of the store is faster than its writes")
@@ -26,3 +29,83 @@
 @then('the job "{job_id}" may have results that are not cached')
 def check_not_created(context, job_id):
     assert not context.jobs.pop_created(job_id)
+
+
+def make_result(number):
+    return ItemResult(f"i{number}", True, "text")
+
+
+def segment_name(job_id, index):
+    return f"{job_id}.{index}" if index else job_id
+
+
+@given('the job "{job_id}" has {count:d} full segments of results in the store')
+def store_segments(context, job_id, count):
+    context.store = FakeStore()
+    context.job_id = job_id
+    for index in range(count):
+        content = {"results": encode_result_list([make_result(index)]), "is_full": True}
+        name = segment_name(job_id, index)
+        run(context, context.store.create(RESULTS_KIND, name, content))
+
+
+@given("a host has cached the first {count:d} of them")
+def cache_segments(context, count):
+    context.results = ResultRepository(context.store)
+    missing = context.store.hide(RESULTS_KIND, segment_name(context.job_id, count))
+    run(context, context.results.read(context.job_id))
+    context.store.show(missing)
+
+
+@given("a host has cached all of them")
+def cache_all_segments(context):
+    context.results = ResultRepository(context.store)
+    run(context, context.results.read(context.job_id))
+
+
+def displace(context, count):
+    """Let the next call to the store last until ``count`` other jobs were read."""
+    content = {"results": encode_result_list([make_result(0)]), "is_full": False}
+
+    async def read_others():
+        context.store.before_call = None
+        for number in range(count):
+            await context.store.create(RESULTS_KIND, f"other{number}", content)
+            await context.results.read(f"other{number}")
+
+    context.store.before_call = read_others
+
+
+@when("the host reads the results while it reads those of {count:d} other jobs")
+def read_displaced(context, count):
+    displace(context, count)
+    segments = run(context, context.results.read(context.job_id))
+    context.found = [result for segment in segments for result in segment.results]
+
+
+@when(
+    'the host writes a result of "{job_id}" while it reads those of {count:d} other '
+    "jobs"
+)
+def write_displaced(context, job_id, count):
+    n_segments = len(context.results.cached_segments(job_id))
+    displace(context, count)
+    added = (make_result(n_segments),)
+    work = context.results.write(
+        job_id, n_segments, added, encode_result_list(added), is_full=False
+    )
+    assert run(context, work)
+
+
+@then("it returns all {count:d} results in their order")
+def check_results(context, count):
+    expected = [make_result(number) for number in range(count)]
+    assert context.found == expected, context.found
+
+
+@then("the store has all {count:d} results in their order")
+def check_stored(context, count):
+    other = ResultRepository(context.store)
+    segments = run(context, other.read(context.job_id))
+    context.found = [result for segment in segments for result in segment.results]
+    check_results(context, count)
--- a/libs/gateway/src/damaskjunction/gateway/result_repository.py
+++ b/libs/gateway/src/damaskjunction/gateway/result_repository.py
@@ -66,17 +66,25 @@
         PlatformUnavailableError
             When the store did not respond.
         """
-        segments = self._segments_by_id.get(job_id, [])
-        index = max(0, len(segments) - 1)
-        while True:
-            stored = await self._store.get(RESULTS_KIND, _segment_name(job_id, index))
+        # Reads of other jobs may evict these segments meanwhile.
+        segments = list(self.cached_segments(job_id))[:-1]
+        try:
+            await self._read_further(job_id, segments)
+        finally:
+            if segments:
+                self._cache(job_id, segments)
+        return self.cached_segments(job_id)
+
+    async def _read_further(self, job_id: JobId, segments: list[ResultSegment]) -> None:
+        """Append the segments that follow those in the list."""
+        is_full = True
+        while is_full:
+            name = _segment_name(job_id, len(segments))
+            stored = await self._store.get(RESULTS_KIND, name)
             if stored is None:
-                break
-            self._cache_object(job_id, index, stored)
-            if not stored.content["is_full"]:
-                break
-            index += 1
-        return self._segments_by_id.get(job_id, [])
+                return
+            segments.append(_decode_segment(stored))
+            is_full = stored.content["is_full"]
 
     async def write(
         self,
@@ -96,7 +104,7 @@
         PlatformUnavailableError, PlatformUnknownError
             When the segment was not, or may not have been, written.
         """
-        segments = self._segments_by_id.get(job_id, [])
+        segments = list(self.cached_segments(job_id))
         name = _segment_name(job_id, index)
         content = {"results": encoded, "is_full": is_full}
         try:
@@ -108,26 +116,30 @@
                 stored = await self._store.create(RESULTS_KIND, name, content)
         except ObjectConflictError as error:
             if error.current is not None:
-                self._cache_object(job_id, index, error.current)
+                current = _decode_segment(error.current)
+                self._cache(job_id, [*segments[:index], current])
             return False
         written = ResultSegment(results, stored.revision)
-        self._cache_segment(job_id, index, written)
+        self._cache(job_id, [*segments[:index], written])
         return True
 
-    def _cache_object(self, job_id: JobId, index: int, stored: PlatformObject) -> None:
-        results = decode_result_list(stored.content["results"])
-        self._cache_segment(job_id, index, ResultSegment(results, stored.revision))
-
-    def _cache_segment(self, job_id: JobId, index: int, segment: ResultSegment) -> None:
-        segments = self._segments_by_id.setdefault(job_id, [])
-        if index == len(segments):
-            segments.append(segment)
-        elif segments[index].revision < segment.revision:
-            segments[index] = segment
+    def _cache(self, job_id: JobId, segments: list[ResultSegment]) -> None:
+        """Cache the first segments of a job, but for those known at later revisions."""
+        known = self._segments_by_id.setdefault(job_id, [])
+        for index, segment in enumerate(segments):
+            if index == len(known):
+                known.append(segment)
+            elif known[index].revision < segment.revision:
+                known[index] = segment
         self._segments_by_id.move_to_end(job_id)
         while len(self._segments_by_id) > MAX_CACHED_JOBS:
             self._segments_by_id.popitem(last=False)
 
 
+def _decode_segment(stored: PlatformObject) -> ResultSegment:
+    results = decode_result_list(stored.content["results"])
+    return ResultSegment(results, stored.revision)
+
+
 def _segment_name(job_id: JobId, index: int) -> str:
     return f"{job_id}.{index}" if index else job_id
