Keep the results of running jobs in their host's cache

What callers saw: not reported; read in the code. A host that runs a job answers reads from its cache and says that it has all. The cache keeps 64 jobs; reads of others displaced it, and then the host returned no results of the job, though these had been read (LOST), and ran finished items again. Class: a duty that rests on a cache which others may clear. Change: the results of a job are pinned while it runs here. Test: job worker; before, the host returned no results.

--- a/libs/gateway/features/job_worker.feature
+++ b/libs/gateway/features/job_worker.feature
@@ -44,3 +44,10 @@
     When the job runs
     And the job is cancelled by its caller
     Then no item of the job is owed
+
+  Scenario: The results of a job that runs here stay in the cache
+    Given the run of "i3" does not end
+    When the job runs
+    And the results of "i1,i2" are stored
+    And the host reads the results of 70 other jobs
+    Then the host returns the results of "i1,i2" of its job
--- a/libs/gateway/features/steps/job_worker_steps.py
+++ b/libs/gateway/features/steps/job_worker_steps.py
@@ -17,6 +17,8 @@
 from damaskjunction.gateway.job_repository import JobRepository
 from damaskjunction.gateway.job_worker import JobWorker
 from damaskjunction.gateway.owed_items import ItemState
+from damaskjunction.gateway.result_reader import ResultReader
+from damaskjunction.platform import RESULTS_KIND, encode_result_list
 from damaskjunction.telemetry import Metrics
 
 CLOCK_STEP_S = 1.0
@@ -172,3 +174,30 @@
 def check_nothing_owed(context):
     rig = context.rig
     run(context, rig.wait_for(lambda: not rig.worker.owed_items.to_document()))
+
+
+@when('the results of "{item_ids}" are stored')
+def wait_until_stored(context, item_ids):
+    rig, count = context.rig, len(item_ids.split(","))
+    run(context, rig.wait_for(lambda: len(rig.jobs.results.cached(JOB)) == count))
+
+
+@when("the host reads the results of {count:d} other jobs")
+def read_others(context, count):
+    rig = context.rig
+    results = encode_result_list([ItemResult("i0", True, "text")])
+    content = {"results": results, "is_full": False}
+    for number in range(count):
+        name = f"other{number}"
+        run(context, rig.store.create(RESULTS_KIND, name, content))
+        run(context, rig.jobs.results.read(name))
+
+
+@then('the host returns the results of "{item_ids}" of its job')
+def check_read(context, item_ids):
+    rig = context.rig
+    job = rig.jobs.jobs_by_id[JOB]
+    view = rig.worker._state.view
+    reader = ResultReader(rig.jobs, rig.worker, view, None, rig.timers)
+    found = run(context, reader.read(job, 0, 0.0))
+    assert sorted(r.item_id for r in found) == item_ids.split(","), found
--- a/libs/gateway/src/damaskjunction/gateway/job_worker.py
+++ b/libs/gateway/src/damaskjunction/gateway/job_worker.py
@@ -115,6 +115,7 @@
         if self._tasks_by_job.get(job_id) is done:
             del self._tasks_by_job[job_id]
             self._ids_with_cached_results.discard(job_id)
+            self._jobs.results.unpin(job_id)
         if not done.cancelled() and done.exception() is not None:
             logger.error("job failed", exc_info=done.exception(), extra={"job": job_id})
 
@@ -156,6 +157,7 @@
     async def _run_job(self, job: StoredJob) -> None:
         job_id = job.record.job_id
         items = await self._retry(self._jobs.items, job_id)
+        self._jobs.results.pin(job_id)
         if not self._jobs.pop_created(job_id):
             await self._retry(self._jobs.results.read, job_id)
         self._ids_with_cached_results.add(job_id)
--- a/libs/gateway/src/damaskjunction/gateway/result_repository.py
+++ b/libs/gateway/src/damaskjunction/gateway/result_repository.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from itertools import islice
 from typing import NamedTuple
 
 from damaskjunction.batch import ItemResult
@@ -15,7 +16,7 @@
     decode_result_list,
 )
 
-MAX_CACHED_JOBS = 64
+MAX_CACHED_JOBS = 64  # beside those that are pinned
 
 
 class ResultSegment(NamedTuple):
@@ -37,6 +38,15 @@
     def __init__(self, store: StoreClient) -> None:
         self._store = store
         self._segments_by_id: OrderedDict[JobId, list[ResultSegment]] = OrderedDict()
+        self._pinned_ids: set[JobId] = set()
+
+    def pin(self, job_id: JobId) -> None:
+        """Keep a job's results in the cache whatever else is read."""
+        self._pinned_ids.add(job_id)
+
+    def unpin(self, job_id: JobId) -> None:
+        """Let the results of other jobs displace those of a job again."""
+        self._pinned_ids.discard(job_id)
 
     def evict(self, job_id: JobId) -> None:
         """Remove a job's results from the cache."""
@@ -132,8 +142,15 @@
             elif known[index].revision < segment.revision:
                 known[index] = segment
         self._segments_by_id.move_to_end(job_id)
-        while len(self._segments_by_id) > MAX_CACHED_JOBS:
-            self._segments_by_id.popitem(last=False)
+        n_excess = len(self._segments_by_id) - MAX_CACHED_JOBS - len(self._pinned_ids)
+        if n_excess > 0:
+            self._displace(n_excess)
+
+    def _displace(self, n_excess: int) -> None:
+        """Evict the jobs that were used longest ago."""
+        unpinned = (i for i in self._segments_by_id if i not in self._pinned_ids)
+        for job_id in list(islice(unpinned, n_excess)):
+            self.evict(job_id)
 
 
 def _decode_segment(stored: PlatformObject) -> ResultSegment:
