Convict no item whose lone run got further than the run cut before

Callers saw: an item of a job under which two engines died for other reasons ended with a typed error at once, since the second death came in its lone run.

Cause: a lone run convicted however far the item's answer had got. What crashes runners does so at one place of its answer; an accident comes anywhere.

Change: homes note how many tokens items had when their runner crashed, news tells it to the other hosts (a further field of VerdictNews), and an item whose lone run got at least 8 tokens further than any earlier run stays suspect. Requests of callers are convicted as before, so that they still cost two runners at most.

Seen failing before: node/batch 'Two engines die for other reasons under a sound item' (verdict convicted, reason crashes_runner). It passes now, with 'An item crashes each engine that runs it' and the delivery features on crashes.

--- a/libs/node/features/batch/batch.feature
+++ b/libs/node/features/batch/batch.feature
@@ -63,6 +63,12 @@
     And an accepted job of 20 items and one that crashes engines
     Then the job completes with a typed error for that item while engines restart
 
+  Scenario: Two engines die for other reasons under a sound item
+    Given a fleet with leases of 60 s
+    And an accepted job of 1 item of 400 tokens
+    When the engine of the item is killed and restarted 2 times, each after 40 tokens
+    Then the job completes with the right result for each item
+
   Scenario: A job is uploaded in parts
     Given a fleet with leases of 60 s
     When parts of 250, 10 and 40 items are uploaded through different hosts
--- a/libs/node/features/batch/steps/batch_steps.py
+++ b/libs/node/features/batch/steps/batch_steps.py
@@ -31,6 +31,12 @@
     context.job = run(context, context.rig.submit("night", n_items))
 
 
+@given("an accepted job of 1 item of {n_tokens:d} tokens")
+def submit_long_item(context, n_tokens):
+    submitted = context.rig.submit("night", 1, n_tokens=n_tokens)
+    context.job = run(context, submitted)
+
+
 @given("a job of {n_items:d} items whose host is killed after the acknowledgement")
 def submit_and_kill(context, n_items):
     host = context.rig.hosts[0]
@@ -86,6 +92,40 @@
     run(context, context.rig.fleet.restart(engine))
 
 
+@when(
+    "the engine of the item is killed and restarted {count:d} times, each after "
+    "{n_tokens:d} tokens"
+)
+def restart_engines_of_item(context, count, n_tokens):
+    fleet = context.rig.fleet
+
+    async def act():
+        for _ in range(count):
+            engine = await wait_for_stream(context.rig, n_tokens)
+            await fleet.kill(engine)
+            await fleet.restart(engine)
+
+    run(context, act())
+
+
+async def wait_for_stream(rig, n_tokens):
+    """Return the engine that has made so many tokens of the stream it runs."""
+    n_before_by_engine = {}
+    found = []
+
+    async def is_streaming():
+        for engine in rig.engines:
+            runs = (await rig.fleet.call(engine, "GET", "/test/runs")).to_json()
+            if not runs["n_streams"]:
+                n_before_by_engine[engine] = runs["n_tokens"]
+            elif runs["n_tokens"] >= n_before_by_engine.get(engine, 0) + n_tokens:
+                found.append(engine)
+        return bool(found)
+
+    await rig.fleet.wait_for(is_streaming, "a stream is under way")
+    return found[0]
+
+
 @when("the job is submitted again to another host")
 def resubmit(context):
     job = context.job
--- a/libs/node/src/damaskjunction/node/crashes.py
+++ b/libs/node/src/damaskjunction/node/crashes.py
@@ -22,6 +22,7 @@
     Runner,
     RunnerId,
     Timers,
+    WorkClass,
 )
 from damaskjunction.core.units import MINUTE_S
 from damaskjunction.node.connection_probe import refuses_connections
@@ -138,7 +139,7 @@
             runner.runner_id, _RunnerTracker()
         )
         request_id = f"{forward.request_id}.{forward.attempt}"
-        guard = RunnerGuard(tracker, request_id, forward.fingerprint)
+        guard = RunnerGuard(tracker, request_id, forward)
         try:
             exclusive = forward.alone or verdict is Verdict.SUSPECT
             await tracker.acquire(
@@ -190,8 +191,8 @@
 
         A runner that is leaving the fleet does not count as crashed.
         """
-        fingerprints = list(tracker.fingerprints_by_id.values())
-        was_alone = len(fingerprints) == 1 and tracker.lock.exclusive_holder is not None
+        in_flight = list(tracker.in_flight_by_id.values())
+        was_alone = len(in_flight) == 1 and tracker.lock.exclusive_holder is not None
         if not await refuses_connections(runner.address):
             return False
         current = self._view.fleet.runners_by_id.get(runner.runner_id, runner)
@@ -199,13 +200,16 @@
             return False
         self._metrics.count("runner_crashes_total")
         news = self._quarantine.record_crash(
-            fingerprints, self._timers.now(), was_alone=was_alone
+            [request.fingerprint for request in in_flight],
+            self._timers.now(),
+            was_alone=was_alone,
+            position_by_fingerprint=tracker.furthest_items(),
         )
         logger.warning(
             "runner crashed",
             extra={
                 "runner": runner.runner_id,
-                "n_requests": len(fingerprints),
+                "n_requests": len(in_flight),
                 "verdict": news.verdict.value if news else "",
             },
         )
@@ -281,19 +285,36 @@
     """Marks one request as in flight at its runner."""
 
     def __init__(
-        self, tracker: _RunnerTracker, request_id: RequestId, fingerprint: str
+        self, tracker: _RunnerTracker, request_id: RequestId, forward: Forward
     ) -> None:
-        self._tracker = tracker
+        self._in_flight_by_id = tracker.in_flight_by_id
         self._request_id = request_id
-        self._fingerprint = fingerprint
+        self._request = _InFlight(
+            forward.fingerprint,
+            forward.from_token,
+            is_item=forward.work_class is WorkClass.BATCH,
+        )
 
     def begin(self) -> None:
         """Record that the request is being sent to the runner."""
-        self._tracker.fingerprints_by_id[self._request_id] = self._fingerprint
+        self._in_flight_by_id[self._request_id] = self._request
 
     def end(self) -> None:
         """Record that the request is no longer in flight; it may begin again."""
-        self._tracker.fingerprints_by_id.pop(self._request_id, None)
+        self._in_flight_by_id.pop(self._request_id, None)
+
+    def record_position(self, position: int) -> None:
+        """Record how many tokens of its answer the request has."""
+        self._request.position = position
+
+
+class _InFlight:
+    """A request in flight at a runner, with the number of tokens of its answer."""
+
+    def __init__(self, fingerprint: str, position: int, *, is_item: bool) -> None:
+        self.fingerprint = fingerprint
+        self.position = position
+        self.is_item = is_item
 
 
 class _RunnerTracker:
@@ -301,7 +322,7 @@
 
     def __init__(self) -> None:
         self.lock = SharedExclusiveLock()
-        self.fingerprints_by_id: dict[RequestId, str] = {}
+        self.in_flight_by_id: dict[RequestId, _InFlight] = {}
         self.diagnosis: asyncio.Future[bool] | None = None
         self._granted_by_id: dict[RequestId, asyncio.Future[None]] = {}
 
@@ -310,6 +331,15 @@
         """Whether nothing uses the runner and no diagnosis is in progress."""
         return self.lock.is_idle and self.diagnosis is None
 
+    def furthest_items(self) -> dict[str, int]:
+        """Return by fingerprint how many tokens items in flight have at most."""
+        furthest: dict[str, int] = {}
+        for item in self.in_flight_by_id.values():
+            if item.is_item:
+                known = furthest.get(item.fingerprint, item.position)
+                furthest[item.fingerprint] = max(known, item.position)
+        return furthest
+
     async def acquire(
         self, request_id: RequestId, *, exclusive: bool, timeout_s: float
     ) -> None:
@@ -333,7 +363,7 @@
     def release(self, request_id: RequestId) -> None:
         """Remove a request and grant access to the requests that it blocked."""
         self._granted_by_id.pop(request_id, None)
-        self.fingerprints_by_id.pop(request_id, None)
+        self.in_flight_by_id.pop(request_id, None)
         self._apply(self.lock.release(request_id))
 
     def _apply(self, effects: list[GrantAccess]) -> None:
--- a/libs/node/src/damaskjunction/node/home.py
+++ b/libs/node/src/damaskjunction/node/home.py
@@ -218,6 +218,7 @@
                     async for message in answer:
                         if isinstance(message, Token):
                             position = message.position + 1
+                            request.record_position(position)
                         yield message
                 return
             except RequestError as error:
--- a/libs/node/src/damaskjunction/node/home_request.py
+++ b/libs/node/src/damaskjunction/node/home_request.py
@@ -39,6 +39,10 @@
         if self.is_preempted or self.is_expired:
             stream.abort()
 
+    def record_position(self, position: int) -> None:
+        """Record how many tokens of the answer were received."""
+        self._guard.record_position(position)
+
     def reset_admission(self) -> None:
         """Prepare to wait for another admission after a preemption."""
         self._guard.end()
--- a/libs/routing/features/quarantine.feature
+++ b/libs/routing/features/quarantine.feature
@@ -18,6 +18,24 @@
     When a runner that ran "a,b" crashes
     Then the verdicts are "a:clear b:suspect"
 
+  Scenario: A lone run that got further than the run cut before does not convict
+    Given a runner that crashed when "a" had 30 tokens
+    When "a" runs alone and its runner crashes after 45 tokens
+    Then the verdicts are "a:suspect"
+    When "a" runs alone and its runner crashes after 47 tokens
+    Then the verdicts are "a:convicted"
+
+  Scenario: Another host knows how far the run cut before had got
+    Given a runner that crashed when "a" had 30 tokens
+    And another host that merged the news
+    When "a" runs alone there and its runner crashes after 45 tokens
+    Then the verdicts there are "a:suspect"
+
+  Scenario: A lone run convicts where it is not known how far an earlier one had got
+    Given a runner that ran "a" and crashed
+    When "a" runs alone and its runner crashes after 45 tokens
+    Then the verdicts are "a:convicted"
+
   Scenario: A conviction reaches other hosts and is not cleared by later news
     Given a runner that ran "a" and crashed
     When "a" runs alone and its runner crashes
--- a/libs/routing/features/steps/delivery_steps.py
+++ b/libs/routing/features/steps/delivery_steps.py
@@ -173,6 +173,21 @@
     crash(context, names)
 
 
+@given('a runner that crashed when "{name}" had {n_tokens:d} tokens')
+def make_crash_at(context, name, n_tokens):
+    context.quarantine = Quarantine()
+    context.now_s = 0.0
+    context.news = context.quarantine.record_crash(
+        [name], context.now_s, was_alone=False, position_by_fingerprint={name: n_tokens}
+    )
+
+
+@given("another host that merged the news")
+def make_other_host(context):
+    context.other_host = Quarantine()
+    context.other_host.merge(context.news, 0.0)
+
+
 @given('requests "{names}" that completed')
 def make_completed(context, names):
     context.quarantine = Quarantine()
@@ -200,6 +215,22 @@
     )
 
 
+@when('"{name}" runs alone and its runner crashes after {n_tokens:d} tokens')
+def crash_alone_at(context, name, n_tokens):
+    crash_at(context.quarantine, name, n_tokens, context.now_s)
+
+
+@when('"{name}" runs alone there and its runner crashes after {n_tokens:d} tokens')
+def crash_alone_there(context, name, n_tokens):
+    crash_at(context.other_host, name, n_tokens, context.now_s)
+
+
+def crash_at(quarantine, name, n_tokens, now_s):
+    quarantine.record_crash(
+        [name], now_s, was_alone=True, position_by_fingerprint={name: n_tokens}
+    )
+
+
 @when('another host merges the news, and then news that "{name}" is clear')
 def merge_news(context, name):
     context.other_host = Quarantine()
--- a/libs/routing/src/damaskjunction/routing/quarantine.py
+++ b/libs/routing/src/damaskjunction/routing/quarantine.py
@@ -11,8 +11,9 @@
 
 import hashlib
 from collections import OrderedDict
-from collections.abc import Collection, Sequence
+from collections.abc import Collection, Mapping, Sequence
 from enum import StrEnum
+from types import MappingProxyType
 from typing import NamedTuple
 
 from damaskjunction.core import RequestId, ServiceName
@@ -23,6 +24,10 @@
 CONVICTED_TTL_S = 24 * HOUR_S
 MAX_ENTRIES = 4096
 MAX_COMPLETED_FINGERPRINTS = 4096
+# A stream that ends with its runner may lose some of its last tokens.
+MIN_PROGRESS_TOKENS = 8
+UNKNOWN_POSITION = -1
+NO_POSITIONS: Mapping[str, int] = MappingProxyType({})
 
 
 class Verdict(StrEnum):
@@ -34,16 +39,22 @@
 
 
 class VerdictNews(NamedTuple):
-    """A verdict on fingerprints for other hosts; ``age_s`` is its age in seconds."""
+    """A verdict on fingerprints for other hosts; ``age_s`` is its age in seconds.
+
+    ``positions`` tells for each fingerprint how many tokens its answer had when its
+    runner crashed, ``UNKNOWN_POSITION`` if that is not known; it is empty if none is.
+    """
 
     verdict: Verdict
     fingerprints: Sequence[str]
     age_s: float = 0.0
+    positions: Sequence[int] = ()
 
 
 class _Entry(NamedTuple):
     verdict: Verdict
     since_s: float
+    position: int = UNKNOWN_POSITION
 
 
 def fingerprint_of(service: ServiceName, path: str, body: bytes) -> str:
@@ -96,7 +107,12 @@
         return VerdictNews(Verdict.CLEAR, (fingerprint,))
 
     def record_crash(
-        self, fingerprints: Collection[str], now_s: float, *, was_alone: bool
+        self,
+        fingerprints: Collection[str],
+        now_s: float,
+        *,
+        was_alone: bool,
+        position_by_fingerprint: Mapping[str, int] = NO_POSITIONS,
     ) -> VerdictNews | None:
         """Record the crash of a runner; return news of the resulting verdict.
 
@@ -109,6 +125,9 @@
         was_alone : bool
             Whether the only request had exclusive use of the runner. Only such a
             request can be convicted, and only if it was a suspect before.
+        position_by_fingerprint : mapping of str to int, optional
+            How many tokens of their answers requests had. One that ran alone and got
+            further than at its earlier crash stays suspect and is not convicted.
         """
         candidates = tuple(
             fingerprint
@@ -119,26 +138,41 @@
         if not candidates:
             return None
         verdict = Verdict.SUSPECT
+        positions = [
+            position_by_fingerprint.get(fingerprint, UNKNOWN_POSITION)
+            for fingerprint in candidates
+        ]
         if was_alone and len(candidates) == 1:
             earlier = self.verdict_of(candidates[0], now_s)
-            if earlier is Verdict.SUSPECT:
+            has_advanced = self._has_advanced(candidates[0], positions[0])
+            if earlier is Verdict.SUSPECT and not has_advanced:
                 verdict = Verdict.CONVICTED
-        news = VerdictNews(verdict, candidates)
+        is_known = max(positions) > UNKNOWN_POSITION
+        news = VerdictNews(verdict, candidates, positions=positions if is_known else ())
         self.merge(news, now_s)
         return news
 
+    def _has_advanced(self, fingerprint: str, position: int) -> bool:
+        """Return whether a request got further than when a runner crashed under it."""
+        entry = self._entries_by_fingerprint.get(fingerprint)
+        if entry is None or entry.position == UNKNOWN_POSITION:
+            return False
+        return position >= entry.position + MIN_PROGRESS_TOKENS
+
     def merge(self, news: VerdictNews, now_s: float) -> None:
         """Merge news from another host; a conviction ends only by expiry."""
-        for fingerprint in news.fingerprints:
+        positions = news.positions or [UNKNOWN_POSITION] * len(news.fingerprints)
+        for fingerprint, position in zip(news.fingerprints, positions, strict=True):
             known = self.verdict_of(fingerprint, now_s)
             if known is Verdict.CONVICTED:
                 continue
-            self._entries_by_fingerprint.pop(fingerprint, None)
+            previous = self._entries_by_fingerprint.pop(fingerprint, None)
             if news.verdict is Verdict.CLEAR:
                 continue
             if news.verdict is Verdict.SUSPECT and fingerprint in self._completed:
                 continue
-            entry = _Entry(news.verdict, now_s - news.age_s)
+            furthest = max(position, previous.position if previous else position)
+            entry = _Entry(news.verdict, now_s - news.age_s, furthest)
             self._entries_by_fingerprint[fingerprint] = entry
         self._evict_oldest()
 
--- a/libs/wire/src/damaskjunction/wire/peer.thrift
+++ b/libs/wire/src/damaskjunction/wire/peer.thrift
@@ -72,6 +72,7 @@
   1: string verdict
   2: list<string> fingerprints
   3: double age_s
+  4: list<i64> positions
 }
 
 // State of a host and the revisions that are active on it.
