Read the store while an own write of results may have been applied

A host that runs a job answers reads, also those of other hosts, from what the store has acknowledged. A write without an answer may be in the store, where others read it, while the host goes on to say that there is no such result. The same host also returned what it had cached when it lost the job during the wait of a read. Class: a cache that counts as complete while the effect of an own write is unknown. Change: from the start of a write until it, or one after it, is acknowledged or refused, the cache of the job is not taken as complete: such a read goes to the store. Test: job worker, two scenarios; both failed before (an empty page in each).

--- a/libs/gateway/features/job_worker.feature
+++ b/libs/gateway/features/job_worker.feature
@@ -51,3 +51,19 @@
     And the results of "i1,i2" are stored
     And the host reads the results of 70 other jobs
     Then the host returns the results of "i1,i2" of its job
+
+  Scenario: A host reads the store while its own write may have been applied
+    Given the run of "i3" hangs 1 times in the state "at a runner"
+    When the job runs
+    And the results of "i1,i2" are stored
+    And the result of "i3" is written, but the store is away from then on
+    Then a read of the job from position 2 fails
+    When the writer reaches the store again
+    Then the host returns the results of "i1,i2,i3" of its job
+
+  Scenario: A write that lasts long may have been applied
+    Given the run of "i3" hangs 1 times in the state "at a runner"
+    When the job runs
+    And the results of "i1,i2" are stored
+    And the result of "i3" is written, but the answer does not come
+    Then another host that asks for the results from position 2 is told to read the store
--- a/libs/gateway/features/steps/job_worker_steps.py
+++ b/libs/gateway/features/steps/job_worker_steps.py
@@ -13,13 +13,21 @@
 from fleet_helpers import run
 
 from damaskjunction.batch import BatchItem, ItemResult, JobRecord
-from damaskjunction.core import ManualTimers
+from damaskjunction.core import (
+    ManualTimers,
+    Outcome,
+    PlatformUnavailableError,
+    PlatformUnknownError,
+    RequestError,
+)
 from damaskjunction.gateway.job_repository import JobRepository
 from damaskjunction.gateway.job_worker import JobWorker
 from damaskjunction.gateway.owed_items import ItemState
 from damaskjunction.gateway.result_reader import ResultReader
+from damaskjunction.gateway.result_writer import ResultWriter
 from damaskjunction.platform import RESULTS_KIND, encode_result_list
 from damaskjunction.telemetry import Metrics
+from damaskjunction.wire import ResultsAsk
 
 CLOCK_STEP_S = 1.0
 END_TIMEOUT_S = 4.0
@@ -193,11 +201,97 @@
         run(context, rig.jobs.results.read(name))
 
 
-@then('the host returns the results of "{item_ids}" of its job')
-def check_read(context, item_ids):
+def add_result(context, item_id):
+    """Write a result of the job as the runs of its items do."""
+    rig = context.rig
+    writer = ResultWriter(rig.jobs.results, JOB, rig.worker.back_off, 1)
+    context.writing = asyncio.ensure_future(
+        writer.add(ItemResult(item_id, True, "text"))
+    )
+
+
+@when('the result of "{item_id}" is written, but the store is away from then on')
+def write_without_answer(context, item_id):
+    store = context.rig.store
+
+    def lose_answer(stored):
+        store.is_away = True
+        raise PlatformUnknownError("no answer")
+
+    async def write():
+        store.on_write = lose_answer
+        add_result(context, item_id)
+        await context.rig.wait_for(lambda: store.is_away)
+
+    run(context, write())
+
+
+@when('the result of "{item_id}" is written, but the answer does not come')
+def write_without_end(context, item_id):
+    store = context.rig.store
+    context.is_asked = asyncio.Event()
+
+    async def hang():
+        context.is_asked.set()
+        await asyncio.Event().wait()
+
+    async def write():
+        store.before_call = hang
+        add_result(context, item_id)
+        await context.is_asked.wait()
+        store.before_call = None
+
+    run(context, write())
+
+
+@when("the writer reaches the store again")
+def restore_store(context):
+    context.rig.store.on_write = lambda stored: None
+    context.rig.store.is_away = False
+    run(context, asyncio.wait_for(context.writing, END_TIMEOUT_S))
+
+
+def make_reader(context):
     rig = context.rig
-    job = rig.jobs.jobs_by_id[JOB]
     view = rig.worker._state.view
-    reader = ResultReader(rig.jobs, rig.worker, view, None, rig.timers)
-    found = run(context, reader.read(job, 0, 0.0))
+    return ResultReader(rig.jobs, rig.worker, view, None, rig.timers)
+
+
+@then("a read of the job from position {position:d} fails")
+def check_unavailable(context, position):
+    job = context.rig.jobs.jobs_by_id[JOB]
+    try:
+        found = run(context, make_reader(context).read(job, position, 0.0))
+    except PlatformUnavailableError:
+        return
+    raise AssertionError(found)
+
+
+@then(
+    "another host that asks for the results from position {position:d} is told to "
+    "read the store"
+)
+def check_not_served(context, position):
+    replies = []
+
+    async def reply(message):
+        replies.append(message)
+
+    handlers = {}
+    register = SimpleNamespace(
+        register=lambda kind: lambda handler: handlers.setdefault(kind, handler)
+    )
+    make_reader(context).register(register)
+    try:
+        run(context, handlers[ResultsAsk](ResultsAsk(JOB, position, 0.0), reply))
+    except RequestError as error:
+        assert error.outcome is Outcome.NOT_RUN, error
+        return
+    raise AssertionError(replies)
+
+
+@then('the host returns the results of "{item_ids}" of its job')
+def check_read(context, item_ids):
+    job = context.rig.jobs.jobs_by_id[JOB]
+    found = run(context, make_reader(context).read(job, 0, 0.0))
     assert sorted(r.item_id for r in found) == item_ids.split(","), found
--- a/libs/gateway/src/damaskjunction/gateway/job_worker.py
+++ b/libs/gateway/src/damaskjunction/gateway/job_worker.py
@@ -84,9 +84,13 @@
         """Return whether this host is running a job."""
         return job_id in self._tasks_by_job
 
+    def collects_results(self, job_id: JobId) -> bool:
+        """Return whether this host runs a job and has read what was stored before."""
+        return job_id in self._ids_with_cached_results and self.is_running(job_id)
+
     def has_current_results(self, job_id: JobId) -> bool:
         """Return whether this host runs a job and has cached all its stored results."""
-        return job_id in self._ids_with_cached_results and self.is_running(job_id)
+        return self.collects_results(job_id) and self._jobs.results.is_settled(job_id)
 
     def _start_checks(self) -> None:
         self._check = self._timers.every(CHECK_PERIOD_S, self._check_orphans)
--- a/libs/gateway/src/damaskjunction/gateway/result_reader.py
+++ b/libs/gateway/src/damaskjunction/gateway/result_reader.py
@@ -72,8 +72,11 @@
         """
         job_id = job.record.job_id
         deadline_at_s = self._timers.now() + wait_s
-        if self._has_current_results(job):
-            return await self._wait_for_results(job, after, wait_s)
+        if self._collects_results(job):
+            results = await self._wait_for_results(job, after, wait_s)
+            if results or self._has_current_results(job):
+                return results
+            wait_s = max(0.0, deadline_at_s - self._timers.now())
         results = self._jobs.results.cached(job_id)[after:]
         if results or after >= len(job.record.item_ids):
             return results
@@ -90,13 +93,16 @@
     async def _wait_for_results(
         self, job: StoredJob, after: int, wait_s: float
     ) -> tuple[ItemResult, ...]:
-        """Wait for results of a job whose stored results are all cached here."""
+        """Wait for results of a job whose results are collected here.
+
+        Without any, the cache may lack some of the stored ones by then.
+        """
         job_id = job.record.job_id
         deadline_at_s = self._timers.now() + wait_s
         while True:
             results = self._jobs.results.cached(job_id)[after:]
             remaining_s = deadline_at_s - self._timers.now()
-            is_over = remaining_s <= 0 or not self._has_current_results(job)
+            is_over = remaining_s <= 0 or not self._collects_results(job)
             if results or is_over or after >= len(job.record.item_ids):
                 return results
             await asyncio.sleep(min(POLL_INTERVAL_S, remaining_s))
@@ -120,19 +126,25 @@
             logger.info("no results from owner", extra=extra)
             return None
 
+    def _collects_results(self, job: StoredJob) -> bool:
+        """Return whether all results of a job are, or will be, cached here."""
+        return self._worker.collects_results(job.record.job_id) or self._is_full(job)
+
     def _has_current_results(self, job: StoredJob) -> bool:
         """Return whether all stored results of a job are cached here."""
-        job_id = job.record.job_id
-        n_cached = len(self._jobs.results.cached(job_id))
-        return self._worker.has_current_results(job_id) or n_cached == len(
-            job.record.item_ids
-        )
+        return self._worker.has_current_results(job.record.job_id) or self._is_full(job)
+
+    def _is_full(self, job: StoredJob) -> bool:
+        n_cached = len(self._jobs.results.cached(job.record.job_id))
+        return n_cached == len(job.record.item_ids)
 
     async def _serve(self, query: ResultsAsk, reply: Reply) -> None:
         job = self._jobs.jobs_by_id.get(query.job_id)
         n_cached = len(self._jobs.results.cached(query.job_id))
-        if job is None or not self._has_current_results(job) or query.after > n_cached:
+        if job is None or not self._collects_results(job) or query.after > n_cached:
             raise RequestError(Outcome.NOT_RUN, "not_known_here")
         results = await self._wait_for_results(job, query.after, query.wait_s)
+        if not results and not self._has_current_results(job):
+            raise RequestError(Outcome.NOT_RUN, "not_known_here")
         page = take_page(results, MAX_PAGE_BYTES)
         await reply(ResultsHeard(json.dumps(encode_result_list(page)).encode()))
--- a/libs/gateway/src/damaskjunction/gateway/result_repository.py
+++ b/libs/gateway/src/damaskjunction/gateway/result_repository.py
@@ -39,6 +39,7 @@
         self._store = store
         self._segments_by_id: OrderedDict[JobId, list[ResultSegment]] = OrderedDict()
         self._pinned_ids: set[JobId] = set()
+        self._unsettled_ids: set[JobId] = set()
 
     def pin(self, job_id: JobId) -> None:
         """Keep a job's results in the cache whatever else is read."""
@@ -48,9 +49,17 @@
         """Let the results of other jobs displace those of a job again."""
         self._pinned_ids.discard(job_id)
 
+    def is_settled(self, job_id: JobId) -> bool:
+        """Return whether the effect of each write of a job's results is known.
+
+        Others may have read what a write without an answer has added.
+        """
+        return job_id not in self._unsettled_ids
+
     def evict(self, job_id: JobId) -> None:
         """Remove a job's results from the cache."""
         self._segments_by_id.pop(job_id, None)
+        self._unsettled_ids.discard(job_id)
 
     async def delete(self, job_id: JobId) -> None:
         """Delete the results of a job from the store."""
@@ -117,6 +126,7 @@
         segments = list(self.cached_segments(job_id))
         name = _segment_name(job_id, index)
         content = {"results": encoded, "is_full": is_full}
+        self._unsettled_ids.add(job_id)
         try:
             if index < len(segments):
                 stored = await self._store.replace(
@@ -125,10 +135,12 @@
             else:
                 stored = await self._store.create(RESULTS_KIND, name, content)
         except ObjectConflictError as error:
+            self._unsettled_ids.discard(job_id)
             if error.current is not None:
                 current = _decode_segment(error.current)
                 self._cache(job_id, [*segments[:index], current])
             return False
+        self._unsettled_ids.discard(job_id)
         written = ResultSegment(results, stored.revision)
         self._cache(job_id, [*segments[:index], written])
         return True
