Split the history of its attempts from the execution of a request

What the attempts so far have come to, and whether another may follow, is a job of its own: attempt_history.py.

--- /dev/null
+++ b/libs/gateway/src/damaskjunction/gateway/attempt_history.py
@@ -0,0 +1,59 @@
+"""What the attempts at one request have come to, and whether another may follow."""
+
+from __future__ import annotations
+
+from damaskjunction.core import Outcome, RunnerId
+from damaskjunction.gateway.runner_client import RunnerFailedError
+from damaskjunction.routing import Route, RouteKind
+
+MIN_REMAINING_S = 0.02  # with less time left, no attempt is started
+MAX_RUNNERS_TRIED = 12
+MAX_CRASHES = 2  # runners that may crash under one request before its answer
+
+
+class AttemptHistory:
+    """The failed attempts at one request.
+
+    ``excluded`` are the runners that failed it, ``n_run`` counts the attempts that a
+    runner ran or may have run, and ``outcome`` is what is known of the whole request.
+
+    Parameters
+    ----------
+    route : Route
+        The route of the request.
+    """
+
+    def __init__(self, route: Route) -> None:
+        self._route = route
+        self.excluded: set[RunnerId] = set()
+        self.n_run = 0
+        self.n_crashes = 0
+        self.outcome = Outcome.NOT_RUN
+
+    def record_failure(self, runner_id: RunnerId, error: RunnerFailedError) -> None:
+        """Record a failed attempt; ``runner_id`` is empty if it reached no runner."""
+        if runner_id:
+            self.excluded.add(runner_id)
+        if error.outcome is not Outcome.NOT_RUN:
+            self.n_run += 1
+            self.outcome = error.outcome
+
+    def may_retry(self, remaining_s: float) -> bool:
+        """Return whether another attempt may follow with so much time left."""
+        if (
+            remaining_s < MIN_REMAINING_S
+            or len(self.excluded) >= MAX_RUNNERS_TRIED
+            or self.n_crashes >= MAX_CRASHES
+        ):
+            return False
+        if self.outcome is Outcome.NOT_RUN:
+            return True
+        return self._route.may_repeat and self.n_run < self._route.max_attempts
+
+    def may_retry_failed_response(self, remaining_s: float) -> bool:
+        """Return whether another attempt may follow a runner's response of failure."""
+        return (
+            self._route.kind is RouteKind.IDEMPOTENT
+            and self.n_run + 1 < self._route.max_attempts
+            and remaining_s > MIN_REMAINING_S
+        )
--- a/libs/gateway/src/damaskjunction/gateway/request_execution.py
+++ b/libs/gateway/src/damaskjunction/gateway/request_execution.py
@@ -18,6 +18,7 @@
     InactivityTimer,
     StreamBody,
 )
+from damaskjunction.gateway.attempt_history import MIN_REMAINING_S, AttemptHistory
 from damaskjunction.gateway.crash_reporter import LostRequest
 from damaskjunction.gateway.dispatch_context import DispatchContext
 from damaskjunction.gateway.runner_client import (
@@ -45,10 +46,7 @@
 logger = logging.getLogger(__name__)
 
 HOP_ALLOWANCE_S = 2 * MILLISECOND_S  # subtracted from the runner's remaining time
-MIN_REMAINING_S = 0.02  # with less time left, no attempt is started
-MAX_RUNNERS_TRIED = 12
 DIAGNOSIS_WAIT_S = 0.1
-MAX_CRASHES = 2  # runners that may crash under one request before its answer
 
 
 class RequestExecution:
@@ -71,10 +69,7 @@
         self._timers = context.timers
         self._selector = selector
         self._routed = routed
-        self._excluded: set[RunnerId] = set()
-        self._n_crashes = 0
-        self._n_attempts_run = 0  # attempts that a runner ran or may have run
-        self._outcome = Outcome.NOT_RUN
+        self._attempts = AttemptHistory(routed.route)
         self._slot: Slot | None = None
         self._runner_id: RunnerId = ""
         self._runner: Runner | None = None
@@ -129,7 +124,8 @@
         body = await self._context.runner_client.read_body(
             runner_response, max(0.0, self._remaining_s())
         )
-        if runner_response.head.status >= 500 and self._may_retry_failed_response():
+        is_failure = runner_response.head.status >= 500
+        if is_failure and self._attempts.may_retry_failed_response(self._remaining_s()):
             raise RunnerFailedError(
                 Outcome.RAN, "failed", f"{runner_response.head.status}"
             )
@@ -141,10 +137,14 @@
         routed, selector = self._routed, self._selector
         version = self._version.required
         if selector.uses_slots(routed):
-            self._slot = await selector.acquire_slot(routed, self._excluded, version)
+            self._slot = await selector.acquire_slot(
+                routed, self._attempts.excluded, version
+            )
             self._runner_id = self._slot.runner_id
         else:
-            self._runner_id = selector.choose_runner(routed, self._excluded, version)
+            self._runner_id = selector.choose_runner(
+                routed, self._attempts.excluded, version
+            )
         runners = self._context.state.runners_of(routed.service)
         runner = find_runner(runners, self._runner_id)
         if runner is None:
@@ -161,11 +161,11 @@
             routed.request,
             remaining_s=remaining_s - HOP_ALLOWANCE_S,
             stall_s=head_stall_timeout_s(
-                routed.route, self._n_attempts_run, remaining_s
+                routed.route, self._attempts.n_run, remaining_s
             ),
             last_event_id=last_event_id,
             new_connection=not routed.route.may_repeat
-            or self._runner_id in self._excluded,
+            or self._runner_id in self._attempts.excluded,
             is_stream=routed.route.kind is RouteKind.STREAM,
         )
 
@@ -173,12 +173,7 @@
         return self._routed.deadline_at_s - self._timers.now()
 
     async def _record_failure(self, error: RunnerFailedError) -> None:
-        runner_id = self._runner_id
-        if runner_id:
-            self._excluded.add(runner_id)
-        if error.outcome is not Outcome.NOT_RUN:
-            self._n_attempts_run += 1
-            self._outcome = error.outcome
+        self._attempts.record_failure(self._runner_id, error)
         if error.is_fault:
             self._record_health(is_well=False)
         self._log(
@@ -202,7 +197,7 @@
         diagnosis = self._context.crash_reporter.report_lost(self._runner, lost)
         if not is_answered and self._may_retry():
             await asyncio.wait([diagnosis], timeout=DIAGNOSIS_WAIT_S)
-            self._n_crashes += diagnosis.done() and diagnosis.result()
+            self._attempts.n_crashes += diagnosis.done() and diagnosis.result()
 
     def _record_success(self) -> None:
         self._record_health(is_well=True)
@@ -224,31 +219,16 @@
             self._slot.watched = ()
 
     def _may_retry(self) -> bool:
-        if (
-            self._remaining_s() < MIN_REMAINING_S
-            or len(self._excluded) >= MAX_RUNNERS_TRIED
-            or self._n_crashes >= MAX_CRASHES
-        ):
-            return False
-        if self._outcome is Outcome.NOT_RUN:
-            return True
-        route = self._routed.route
-        return route.may_repeat and self._n_attempts_run < route.max_attempts
-
-    def _may_retry_failed_response(self) -> bool:
-        route = self._routed.route
-        return (
-            route.kind is RouteKind.IDEMPOTENT
-            and self._n_attempts_run + 1 < route.max_attempts
-            and self._remaining_s() > MIN_REMAINING_S
-        )
+        return self._attempts.may_retry(self._remaining_s())
 
     def _fail(self, error: RunnerFailedError) -> Response:
-        if self._outcome is Outcome.NOT_RUN:
+        if self._attempts.outcome is Outcome.NOT_RUN:
             return self._refuse(error.reason, RETRY_AFTER_S)
         is_late = self._remaining_s() < MIN_REMAINING_S
         kind = Refusal.TIMED_OUT if is_late else Refusal.UNKNOWN
-        self._log("not completed", reason=error.reason, outcome=self._outcome.value)
+        self._log(
+            "not completed", reason=error.reason, outcome=self._attempts.outcome.value
+        )
         return refusal_response(
             kind, error.reason, request_id=self._routed.request.request_id
         )
@@ -256,8 +236,8 @@
     def _refuse(self, reason: str, retry_after_s: float) -> Response:
         """Return a refusal: not run when no attempt ran, else outcome unknown."""
         request_id = self._routed.request.request_id
-        self._log("refused", reason=reason, outcome=self._outcome.value)
-        if self._outcome is not Outcome.NOT_RUN:
+        self._log("refused", reason=reason, outcome=self._attempts.outcome.value)
+        if self._attempts.outcome is not Outcome.NOT_RUN:
             return refusal_response(Refusal.UNKNOWN, reason, request_id=request_id)
         return refusal_response(
             Refusal.NOT_RUN,
@@ -301,7 +281,7 @@
         check = StreamCheck(self._last_event_id)
         runner_response.body.set_stall_timeout(
             head_stall_timeout_s(
-                self._routed.route, self._n_attempts_run, self._remaining_s()
+                self._routed.route, self._attempts.n_run, self._remaining_s()
             )
         )
         try:
@@ -321,7 +301,7 @@
                     raise RunnerFailedError(Outcome.RAN, "no_time_left")
                 runner_response.body.set_stall_timeout(
                     gap_stall_timeout_s(
-                        self._routed.route, self._n_attempts_run, remaining_s
+                        self._routed.route, self._attempts.n_run, remaining_s
                     )
                 )
         except BrokenResponseError as error:
@@ -394,7 +374,7 @@
             "route": self._routed.route.name,
             "service": self._routed.service,
             "runner": self._runner_id,
-            "n_worked": self._n_attempts_run,
+            "n_worked": self._attempts.n_run,
             "age_ms": round((now_s - self._routed.started_at_s) * 1000.0, 1),
             "version": self._context.state.table.version,
         }
