Revoke batch slots only where the waiting requests can use them

Read in the code, not reported: a stream that goes on waits for a slot at its version. The pool revoked the latest granted batch slots for it at whatever runner: those of other versions one after another, in vain, until it came to one of the right version, so items lost their work and the stream its time. While it waited, batch got no slot at all, though runners of other versions were free.

The demand of waiting online requests is now counted by version (slot_demand.py): slots are revoked at runners that can serve it, slots under revocation count towards the version that they serve, and batch gets the free slots that no waiting request wants. Without versions nothing changes.

Three scenarios of slots.feature failed before (b4 revoked for b2, b3 for b1, nothing granted to batch); all features of routing pass. A fourth shows that an ask of a version that no runner has is refused at once for batch too, as it was.

--- a/libs/routing/features/slots.feature
+++ b/libs/routing/features/slots.feature
@@ -25,6 +25,47 @@
     When the revoked slots are released
     Then "r2" are granted
 
+  Scenario: A request that keeps its version has no slots of other versions revoked
+    Given a pool with runners "a:2,b:2"
+    And the runners have versions "a:v1,b:v2"
+    When batch request "b1" holds a slot of "a"
+    And batch request "b2" holds a slot of "a"
+    And batch request "b3" holds a slot of "b"
+    And batch request "b4" holds a slot of "b"
+    And online requests "r1" ask for slots at version "v1"
+    Then "b2" are revoked
+    When the revoked slots are released
+    Then "r1" are granted
+
+  Scenario: Requests of one version and of any have slots revoked for each
+    Given a pool with runners "a:1,b:2"
+    And the runners have versions "a:v1,b:v2"
+    When batch request "b1" holds a slot of "a"
+    And batch request "b2" holds a slot of "b"
+    And batch request "b3" holds a slot of "b"
+    And online requests "r1" ask for slots at version "v1"
+    Then "b1" are revoked
+    When online requests "r2" ask for slots
+    Then "b3" are revoked
+    When the revoked slots are released
+    Then "r2" are granted
+
+  Scenario: Batch gets slots of other versions while a request waits for its own
+    Given a pool with runners "a:1,b:4"
+    And the runners have versions "a:v1,b:v2"
+    When online requests "r1,r2" ask for slots at version "v1"
+    And batch requests "b1" ask for slots at version "v1"
+    And batch requests "b2" ask for slots
+    Then "r1,b2" are granted
+    When "r1" is released
+    Then "r2" are granted
+
+  Scenario: A batch request is refused at once when no runner has its version
+    Given a pool with runners "a:1"
+    And the runners have versions "a:v1"
+    When batch requests "b1" ask for slots at version "v2"
+    Then "b1" are refused with a retry delay
+
   Scenario: A repeated request may wait where a new one is refused
     Given a pool with runners "a:1"
     When online requests "r1" ask for slots
--- a/libs/routing/features/steps/slot_steps.py
+++ b/libs/routing/features/steps/slot_steps.py
@@ -14,6 +14,7 @@
     RevokeSlot,
     Route,
     RouteKind,
+    RunnerVersions,
     SlotPool,
     SlotTicket,
     WeightedService,
@@ -40,6 +41,16 @@
     )
 
 
+@given('the runners have versions "{versions}"')
+def set_versions(context, versions):
+    pairs = dict(part.split(":") for part in versions.split(","))
+    slots_by_runner = context.pool.to_document()["slots_by_runner"]
+    effects = context.pool.set_runners(
+        slots_by_runner, context.now_s, RunnerVersions(pairs)
+    )
+    record_effects(context, effects)
+
+
 @given('a pool with runners "{runners}" of a new home')
 def make_new_pool(context, runners):
     make_pool(context, runners)
@@ -97,6 +108,16 @@
     submit_requests(context, ids, parts=tuple(parts.split(",")))
 
 
+@when('online requests "{ids}" ask for slots at version "{version}"')
+def submit_online_at_version(context, ids, version):
+    submit_requests(context, ids, software_version=version)
+
+
+@when('batch requests "{ids}" ask for slots at version "{version}"')
+def submit_batch_at_version(context, ids, version):
+    submit_requests(context, ids, WorkClass.BATCH, software_version=version)
+
+
 @when('batch requests "{ids}" ask for slots')
 def submit_batch(context, ids):
     submit_requests(context, ids, WorkClass.BATCH)
@@ -168,6 +189,14 @@
     assert len(context.revoked) == count, context.revoked
 
 
+@then('"{ids}" are revoked')
+def check_revoked_ids(context, ids):
+    context.revoked = [
+        effect.request_id for effect in take_effects(context, RevokeSlot)
+    ]
+    assert context.revoked == ids.split(","), context.revoked
+
+
 @then('"{ids}" are refused with a retry delay')
 def check_slots_refused(context, ids):
     refused = take_effects(context, RefuseSlot)
--- a/libs/routing/src/damaskjunction/routing/slot_types.py
+++ b/libs/routing/src/damaskjunction/routing/slot_types.py
@@ -30,6 +30,14 @@
     software_version: str = ""
 
 
+class HeldSlot(NamedTuple):
+    """A slot held by a request since ``since_s``."""
+
+    ticket: SlotTicket
+    runner_id: RunnerId
+    since_s: float
+
+
 class GrantSlot(NamedTuple):
     """Effect: the request may be sent to the runner."""
 
--- a/libs/routing/src/damaskjunction/routing/slots.py
+++ b/libs/routing/src/damaskjunction/routing/slots.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 from collections.abc import Collection, Iterable, Mapping
-from typing import NamedTuple
 
 from damaskjunction.core import RequestId, RunnerId, WorkClass
 from damaskjunction.routing.batch_queue import BatchQueue
@@ -17,8 +16,10 @@
 from damaskjunction.routing.online_queue import OnlineQueue
 from damaskjunction.routing.prefix_cache import PrefixCacheEstimate
 from damaskjunction.routing.rate_limits import BATCH_TOKENS, RateLimiter, RunnerLimit
+from damaskjunction.routing.slot_demand import SlotDemand
 from damaskjunction.routing.slot_types import (
     GrantSlot,
+    HeldSlot,
     RefuseSlot,
     RevokeSlot,
     SlotCounts,
@@ -40,14 +41,6 @@
 FAILURE_EJECTION = EjectionPolicy(n_failures=1, base_s=0.7, limit_s=6.0)
 
 
-class _HeldSlot(NamedTuple):
-    """A slot held by a request since ``since_s``."""
-
-    ticket: SlotTicket
-    runner_id: RunnerId
-    since_s: float
-
-
 class SlotPool:
     """Allocates the slots of one service's runners to requests.
 
@@ -58,8 +51,8 @@
     def __init__(self) -> None:
         self._slots_by_runner: dict[RunnerId, int] = {}
         self._versions = RunnerVersions()
-        self._online_held_by_id: dict[RequestId, _HeldSlot] = {}
-        self._batch_held_by_id: dict[RequestId, _HeldSlot] = {}
+        self._online_held_by_id: dict[RequestId, HeldSlot] = {}
+        self._batch_held_by_id: dict[RequestId, HeldSlot] = {}
         self._revoked_ids: set[RequestId] = set()
         self._used_by_runner: dict[RunnerId, int] = {}
         self._online_by_runner: dict[RunnerId, int] = {}
@@ -234,7 +227,10 @@
         return WaitForecast(supplies, self._mean_hold_s)
 
     def _dispatch(self, now_s: float) -> list[SlotEffect]:
-        """Grant free slots; revoke batch slots if online requests still wait."""
+        """Grant free slots; revoke batch slots if online requests still wait.
+
+        Batch gets none that a waiting online request could have.
+        """
         effects: list[SlotEffect] = []
         if not (self._waiting_online or self._waiting_batch):
             return effects
@@ -242,7 +238,10 @@
         if self._waiting_online and free_by_runner:
             effects += self._grant_online(free_by_runner, now_s)
         if self._waiting_online:
-            return effects + self._revoke(len(self._waiting_online), now_s)
+            demand = SlotDemand(self._waiting_online.tickets(), self._versions)
+            for name in filter(demand.wants, list(free_by_runner)):
+                del free_by_runner[name]
+            effects += self._revoke(demand, now_s)
         return effects + self._grant_batch(free_by_runner, now_s)
 
     def _grant_online(
@@ -335,7 +334,7 @@
     def _record_held(
         self, ticket: SlotTicket, runner_id: RunnerId, now_s: float
     ) -> None:
-        held = _HeldSlot(ticket, runner_id, now_s)
+        held = HeldSlot(ticket, runner_id, now_s)
         if ticket.work_class is WorkClass.ONLINE:
             self._online_held_by_id[ticket.request_id] = held
             n_online = self._online_by_runner.get(runner_id, 0)
@@ -346,23 +345,24 @@
         self._used_by_runner[runner_id] = used + 1
         self._prefix_cache.record(runner_id, ticket.parts)
 
-    def _revoke(self, n_wanted: int, now_s: float) -> list[SlotEffect]:
-        """Revoke the latest granted batch slots, up to ``n_wanted``.
+    def _revoke(self, demand: SlotDemand, now_s: float) -> list[SlotEffect]:
+        """Revoke the latest granted batch slots, as many as online requests want.
 
-        Slots that are revoked but not released yet count towards ``n_wanted``. Those of
+        Slots that are revoked but not released yet count towards the demand. Those of
         runners that take no request now are left, as they would help nobody.
         """
-        n_wanted -= len(self._revoked_ids)
+        for request_id in self._revoked_ids:
+            demand.take(self._batch_held_by_id[request_id].runner_id)
         effects: list[SlotEffect] = []
-        if n_wanted <= 0:
-            return effects
         for request_id, held in reversed(self._batch_held_by_id.items()):
-            if len(effects) >= n_wanted:
+            if demand.is_met:
                 break
+            if request_id in self._revoked_ids:
+                continue
             has_tokens = self._rate_limiter.tokens(held.runner_id, now_s) >= 1.0
-            if has_tokens and request_id not in self._revoked_ids:
-                self._revoked_ids.add(request_id)
+            if has_tokens and demand.take(held.runner_id):
                 effects.append(RevokeSlot(request_id))
+        self._revoked_ids.update(effect.request_id for effect in effects)
         return effects
 
     def _grant_batch(
--- a/libs/routing/src/damaskjunction/routing/stream_versions.py
+++ b/libs/routing/src/damaskjunction/routing/stream_versions.py
@@ -151,6 +151,10 @@
     def __init__(self, version_by_runner: Mapping[RunnerId, str] = EMPTY) -> None:
         self._version_by_runner = dict(version_by_runner)
 
+    def version_of(self, runner_id: RunnerId) -> str:
+        """Return the version of a runner, empty if it is not known."""
+        return self._version_by_runner.get(runner_id, "")
+
     def serves(self, version: str) -> bool:
         """Return whether a runner may serve a version; any serves the empty one."""
         return not version or version in self._version_by_runner.values()
