Soak: let the faulty engine's reports be true

The stand-in answers them truly now where it is told so, and the exception for requests without an id goes: such a request is again one that no caller sent.

--- a/libs/lab/src/damaskjunction/lab/soak/runners.py
+++ b/libs/lab/src/damaskjunction/lab/soak/runners.py
@@ -201,7 +201,9 @@
         **kwargs: Any,
     ) -> None:
         content_type = EVENT_STREAM_TYPE if n_events else "text/plain"
-        super().__init__(*args, content_type=content_type, **kwargs)
+        super().__init__(
+            *args, content_type=content_type, has_true_reports=True, **kwargs
+        )
         self._history = history
         self._timers = timers
         self._n_events = n_events
@@ -209,8 +211,6 @@
     def record_run(self, request_id: RequestId) -> None:
         """Record that a request begins to run."""
         super().record_run(request_id)
-        if not request_id:
-            return  # a report has none
         last = int(self.last_event_id) if self.last_event_id else -1
         run = Run(request_id, self.runner_id, self._timers.now(), last)
         self._history.runs.append(run)
--- a/libs/standins/src/damaskjunction/standins/raw_runner.py
+++ b/libs/standins/src/damaskjunction/standins/raw_runner.py
@@ -44,6 +44,9 @@
         Name of the answer script.
     has_endless_reports : bool, optional
         Whether its reports have no end, either.
+    has_true_reports : bool, optional
+        Whether reports are true also on connections that are kept, where the script
+        answers them otherwise.
     content_type : str, optional
         Content type of its answers.
     """
@@ -57,6 +60,7 @@
         *,
         script: str,
         has_endless_reports: bool = False,
+        has_true_reports: bool = False,
         content_type: str = "text/plain",
     ) -> None:
         self.runner_id = runner_id
@@ -65,6 +69,7 @@
         self._store = store
         self._script = answer_scripts.get(script)
         self._has_endless_reports = has_endless_reports
+        self._has_true_reports = has_true_reports
         self.content_type = content_type
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
@@ -124,7 +129,7 @@
     def keep(self, writer: asyncio.StreamWriter) -> list[RequestId]:
         """Keep a connection after the answer, and return the ids of its requests.
 
-        A kept connection's calls for reports are answered by the script, too.
+        Calls for reports on it are answered by the script, too, by default.
         """
         self._kept_writers.add(writer)
         return self._ids_by_writer[writer]
@@ -150,7 +155,8 @@
 
     async def _answer(self, request: h11.Request, writer: asyncio.StreamWriter) -> None:
         is_report = request.target.decode() == REPORT_PATH
-        if is_report and writer not in self._kept_writers:
+        is_scripted = writer in self._kept_writers and not self._has_true_reports
+        if is_report and not is_scripted:
             if self._has_endless_reports:
                 await answer_endless_body(self, writer, "")
             await self.write(writer, _report_answer())
