Go on following the store after an unexpected error

What callers saw: not reported; read in the code. What follows a kind of objects in the store is a task that nobody looks at. An answer that lacked a field, or an error while a change was applied, ended it; the follower still counted as up to date, so the host served by its last knowledge for ever: jobs whose owner it became did not run (LOST), new routes did not come (CONFIG). Class: a watch that dies silently. Change: the error is logged, and all objects are listed again after a backoff. Test: change feed components, in list, watch and change; before, the follower knew no news in any of the three.

--- a/libs/gateway/features/change_feed_components.feature
+++ b/libs/gateway/features/change_feed_components.feature
@@ -36,3 +36,14 @@
     Then the host does not report the store as lost
     When 0.2 s pass without a response from the store
     Then the host reports the store as lost
+
+  Scenario Outline: A follower of the store goes on after an unexpected error
+    Given a follower of the kind whose <what> fails unexpectedly once
+    When "b" is added to the store
+    Then the follower knows "b"
+
+    Examples:
+      | what   |
+      | list   |
+      | watch  |
+      | change |
--- a/libs/gateway/features/steps/change_feed_component_steps.py
+++ b/libs/gateway/features/steps/change_feed_component_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 
 from behave import given, then, when
 
@@ -15,9 +16,16 @@
 )
 from damaskjunction.gateway.change_feed import ChangeFeed
 from damaskjunction.gateway.change_feed_server import ChangeFeedServer, decode_changes
+from damaskjunction.gateway.kind_follower import KindFollower
 from damaskjunction.gateway.kind_state import KindState
 from damaskjunction.node import HostView, PeerHandlers
-from damaskjunction.platform import ObjectChange, PlatformObject, StoreReply
+from damaskjunction.platform import (
+    ObjectChange,
+    ObjectChanges,
+    ObjectPage,
+    PlatformObject,
+    StoreReply,
+)
 from damaskjunction.wire import KindSeen, NewsAsk, NoNews, PeerLinks
 
 
@@ -175,3 +183,70 @@
 def check_store_lost(context):
     assert context.change_feed.has_lost_store
     context.asyncio_runner.run(context.change_feed.close())
+
+
+# A follower of the store
+
+
+class OnceFailing:
+    """The calls and changes that a follower meets, one of which fails once."""
+
+    def __init__(self, failing):
+        self.failing = failing
+        self.known = set()
+        self.added = asyncio.Event()
+
+    def _fail_once(self, what):
+        if self.failing == what:
+            self.failing = ""
+            raise KeyError(what)
+
+    async def list_all(self, kind):
+        self._fail_once("list")
+        objects = (make_object("b", 8),) if self.added.is_set() else ()
+        return ObjectPage(objects, "", 8 if objects else 5)
+
+    async def watch(self, kind, *, since, wait_s):
+        self._fail_once("watch")
+        await self.added.wait()
+        if since >= 8:
+            await asyncio.Event().wait()
+        return ObjectChanges((ObjectChange(make_object("b", 8), False),), 8)
+
+    def apply_all(self, objects):
+        self.known = {stored.name for stored in objects}
+
+    def apply_change(self, change):
+        self._fail_once("change")
+        self.known.add(change.object.name)
+
+
+@given("a follower of the kind whose {what} fails unexpectedly once")
+def make_follower(context, what):
+    async def work():
+        store = context.store = OnceFailing(what)
+        state = KindState("kind", store.apply_all, store.apply_change)
+        rng = random.Random(1)
+        context.follower = KindFollower(store, LoopTimers(), state, rng=rng)
+        await context.follower.start()
+        await asyncio.sleep(0.01)
+
+    context.asyncio_runner.run(work())
+
+
+@when('"{name}" is added to the store')
+def add_to_store(context, name):
+    context.store.added.set()
+
+
+@then('the follower knows "{name}"')
+def check_followed(context, name):
+    async def work():
+        for _ in range(200):
+            if name in context.store.known:
+                return
+            await asyncio.sleep(0.01)
+        raise AssertionError(context.store.known)
+
+    context.asyncio_runner.run(work())
+    assert context.follower.is_current
--- a/libs/gateway/src/damaskjunction/gateway/kind_follower.py
+++ b/libs/gateway/src/damaskjunction/gateway/kind_follower.py
@@ -93,6 +93,11 @@
                 # The store's history may lack changes missed meanwhile: list again.
                 since = None
                 await self._back_off(error)
+            except Exception as error:
+                # Without this the host would go by what it knew last, unnoticed.
+                logger.exception("store not followed", extra={"kind": self.state.kind})
+                since = None
+                await self._back_off(error)
 
     async def _list(self) -> Revision:
         page = await self._store.list_all(self.state.kind)
@@ -117,7 +122,7 @@
         self._n_failures = 0
         self._is_current = True
 
-    async def _back_off(self, error: PlatformError) -> None:
+    async def _back_off(self, error: Exception) -> None:
         if not self._n_failures:
             extra = {"kind": self.state.kind, "error": str(error)}
             logger.warning("store lost", extra=extra)
