--- a/libs/gateway/src/damaskjunction/gateway/slot_client.py
+++ b/libs/gateway/src/damaskjunction/gateway/slot_client.py
@@ -10,7 +10,7 @@
 import asyncio
 import logging
 import random
-from collections.abc import AsyncGenerator, Callable, Iterator
+from collections.abc import AsyncGenerator, Callable
 from itertools import islice
 from typing import Any
 
@@ -24,6 +24,7 @@
     Timers,
     WorkClass,
 )
+from damaskjunction.gateway.home_choice import HOME_SUSPECT_TIME_S, HomeChoice
 from damaskjunction.gateway.queue_waits import AskAgainError, QueueWaits, age_ask
 from damaskjunction.gateway.slot_home import SlotHome, SlotReservation
 from damaskjunction.gateway.state import ServingState
@@ -34,7 +35,6 @@
     LimitObservations,
     RunnerLimit,
     runners_at,
-    slot_homes,
 )
 from damaskjunction.wire import (
     Message,
@@ -49,7 +49,6 @@
 logger = logging.getLogger(__name__)
 
 FIRST_REPLY_TIMEOUT_S = 0.2
-HOME_SUSPECT_TIME_S = 1.5
 MAX_HOMES_TRIED = 2
 HEALTH_REPORT_TIMEOUT_S = 1.0
 NO_HOME_RETRY_AFTER_S = 0.3
@@ -142,8 +141,7 @@
         self._rng = rng
         self._slots: set[Slot] = set()
         self._waits = QueueWaits()
-        self._ranked_homes_by_service: dict[ServiceName, list[EntryHost]] = {}
-        self._suspect_until_by_host: dict[HostId, float] = {}
+        self._home_choice = HomeChoice(state.view, timers)
         self._unhealthy: set[RunnerId] = set()
         self._tasks = TaskSet()
         state.view.subscribe(self._apply_view)
@@ -176,8 +174,8 @@
         ask = self._with_news(ask)
         slot = Slot(self, ask, "")
         try:
-            homes = islice(self._candidate_homes(ask.service_name), MAX_HOMES_TRIED)
-            for host in homes:
+            candidates = self._home_choice.candidates(ask.service_name)
+            for host in islice(candidates, MAX_HOMES_TRIED):
                 on_ask(host.host_id)
                 if await self._request_from(host, ask, slot):
                     self._slots.add(slot)
@@ -209,40 +207,16 @@
 
     def home_of(self, service: ServiceName) -> EntryHost | None:
         """Return the home of a service, None when none can be reached."""
-        return next(self._candidate_homes(service), None)
+        return self._home_choice.home_of(service)
 
     def to_document(self) -> dict[str, Any]:
         """Return the state for the dump."""
         return {
             "n_slots": len(self._slots),
             "troubled_runners": sorted(self._unhealthy),
-            "doubted_hosts": sorted(self._suspect_until_by_host),
+            "doubted_hosts": self._home_choice.suspects,
         }
 
-    def _candidate_homes(self, service: ServiceName) -> Iterator[EntryHost]:
-        """Yield the candidate homes of a service, the current one first.
-
-        Hosts that are suspect are left out.
-        """
-        now_s = self._timers.now()
-        suspect_until_by_host = self._suspect_until_by_host
-        return (
-            host
-            for host in self._ranked_homes(service)
-            if suspect_until_by_host.get(host.host_id, 0.0) <= now_s
-        )
-
-    def _ranked_homes(self, service: ServiceName) -> list[EntryHost]:
-        ranked = self._ranked_homes_by_service.get(service)
-        if ranked is None:
-            ranked = slot_homes(
-                service,
-                self._state.view.serving_hosts(),
-                self._state.view.power_by_host,
-            )
-            self._ranked_homes_by_service[service] = ranked
-        return ranked
-
     async def _request_from(self, host: EntryHost, ask: SlotAsk, slot: Slot) -> bool:
         """Request a slot from a host; return False when the host can't be reached."""
         if host.host_id == self._state.view.own.host_id:
@@ -302,7 +276,7 @@
             self._rehome_slots()
 
     def _apply_view(self) -> None:
-        self._ranked_homes_by_service.clear()
+        self._home_choice.apply_view()
         self._follow_homes()
 
     def _follow_homes(self) -> None:
@@ -347,11 +321,7 @@
             logger.info("slot not registered at its new home", extra=extra)
 
     def _mark_suspect(self, host: EntryHost, error: str) -> None:
-        until_s = self._timers.now() + HOME_SUSPECT_TIME_S
-        if self._suspect_until_by_host.get(host.host_id, 0.0) < self._timers.now():
-            extra = {"host": host.host_id, "error": error}
-            logger.warning("home doubted", extra=extra)
-        self._suspect_until_by_host[host.host_id] = until_s
+        self._home_choice.mark_suspect(host, error)
         self._timers.once(HOME_SUSPECT_TIME_S, self._follow_homes)
 
     def _with_news(self, ask: SlotAsk) -> SlotAsk:
