Let items whose runners crash leave their places while they are delayed

What callers saw: not reported; read in the code while ways to LOST were looked for. After three crashes an item is delayed before each further attempt, for up to 2 s and for ever if need be; it kept one of the 64 places of its service meanwhile. 64 such items on a host kept all others of that service from runners. Class: a place that is for work, held while waiting. Change: from the third crash on, an item gives its place back before it is delayed.

--- a/libs/gateway/src/damaskjunction/gateway/item_runner.py
+++ b/libs/gateway/src/damaskjunction/gateway/item_runner.py
@@ -90,6 +90,7 @@
         progress = ItemProgress(item, owed, self._state, self._timers)
         outcome = AttemptOutcome(False, False, "")
         while not outcome.is_final:
+            await self._delay_after_crashes(progress)
             route = await self._wait_for_route(job, progress)
             if route is None:
                 outcome = AttemptOutcome(False, True, "retention over")
@@ -136,7 +137,9 @@
     async def _run_with_retries(
         self, job: StoredJob, route: Route, progress: ItemProgress
     ) -> AttemptOutcome:
-        """Attempt an item until the outcome is final or its route has changed.
+        """Attempt an item until the outcome is final, or it has to wait elsewhere.
+
+        It gives its place back when its route has changed or a delay is due.
 
         There is no last attempt: an item under which runners crashed is not to blame
         for that. It has one of the ``MAX_ITEMS_AT_ONCE`` places of its service.
@@ -150,13 +153,14 @@
                     return AttemptOutcome(False, True, "retention over")
                 if self._find_route(job) != route:
                     return AttemptOutcome(False, False, "route changed")
-                await self._delay_after_crashes(progress)
                 outcome = await self._attempt(job, route, progress)
                 progress.owed.reason = outcome.reason
                 if outcome.is_final:
                     return outcome
                 if progress.n_failures >= route.max_attempts:
                     return AttemptOutcome(False, True, "failed at each attempt")
+                if progress.n_crashes >= N_PROMPT_RETRIES:
+                    return outcome
                 if outcome.reason != "revoked":
                     progress.owed.enter(ItemState.DELAYED)
                     await self._back_off(min(n_retries, 3))
