Load a host on the platform without the product's own root and YAML

Importing any component of damaskjunction.node loaded its composition root, its daemon and the reader of YAML texts, none of which a host on the platform uses. The package no longer imports them; the users of the daemon name its module.

--- a/libs/cli/src/damaskjunction/cli/daemon.py
+++ b/libs/cli/src/damaskjunction/cli/daemon.py
@@ -7,7 +7,7 @@
 
 from damaskjunction.cli.command import ExitCode, register_command
 from damaskjunction.cli.output import print_json, print_table
-from damaskjunction.node import main as run_host
+from damaskjunction.node.daemon import main as run_host
 from damaskjunction.settings import HOST_FIELDS, HostSettings, read_host_settings
 
 
--- a/libs/node/src/damaskjunction/node/__init__.py
+++ b/libs/node/src/damaskjunction/node/__init__.py
@@ -1,8 +1,12 @@
-"""Components of one host, their composition root and the host's daemon."""
+"""Components of one host, their composition root and the host's daemon.
+
+The package does not import the root, the daemon and the check of registered names, so
+that a process that uses a few components loads no others: see ``node.root``,
+``node.daemon`` and ``node.registered_names``.
+"""
 
 from damaskjunction.node.components import Component, PeerHandlers
 from damaskjunction.node.connection_probe import refuses_connections
-from damaskjunction.node.daemon import main, run_host
 from damaskjunction.node.datagrams import (
     DatagramEndpoint,
     DatagramEndpointFactory,
@@ -10,8 +14,6 @@
     open_udp_endpoint,
 )
 from damaskjunction.node.membership import Membership
-from damaskjunction.node.registered_names import check_registered_names
-from damaskjunction.node.root import HostProcess
 from damaskjunction.node.state import HostView
 from damaskjunction.node.tasks import TaskSet, cancel_tasks
 
@@ -20,15 +22,11 @@
     "DatagramEndpoint",
     "DatagramEndpointFactory",
     "DatagramHandler",
-    "HostProcess",
     "HostView",
     "Membership",
     "PeerHandlers",
     "TaskSet",
     "cancel_tasks",
-    "check_registered_names",
-    "main",
     "open_udp_endpoint",
     "refuses_connections",
-    "run_host",
 ]
--- a/libs/node/src/damaskjunction/node/components.py
+++ b/libs/node/src/damaskjunction/node/components.py
@@ -4,16 +4,18 @@
 
 import random
 from collections.abc import Awaitable, Callable
-from typing import Any, NamedTuple, Protocol, TypeAlias
+from typing import TYPE_CHECKING, Any, NamedTuple, Protocol, TypeAlias
 
 from damaskjunction.core import Outcome, Registry, RequestError, Timers
 from damaskjunction.http import Routes
 from damaskjunction.node.state import HostView
 from damaskjunction.platform import PlatformClient
-from damaskjunction.settings import HostSettings
 from damaskjunction.telemetry import Metrics, StateDump
 from damaskjunction.wire import Message, PeerLinks, Reply
 
+if TYPE_CHECKING:  # a host on the platform has no such settings; YAML is slow to load
+    from damaskjunction.settings import HostSettings
+
 PeerHandler: TypeAlias = Callable[[Any, Reply], Awaitable[None]]
 
 
--- a/libs/standins/src/damaskjunction/standins/__main__.py
+++ b/libs/standins/src/damaskjunction/standins/__main__.py
@@ -11,7 +11,7 @@
 from typing import Any, TypeAlias
 
 from damaskjunction.core import Address, LoopTimers, Registry
-from damaskjunction.node import run_host
+from damaskjunction.node.daemon import run_host
 from damaskjunction.settings import read_host_settings
 from damaskjunction.standins.datagrams import FaultyDatagrams
 from damaskjunction.standins.engine import EngineSpeed, EngineStandin
