Decide on requests that crash runners in one place for both data paths

Two decisions stood beside each other: the quarantine of the product's own path, by fingerprints, and the evidence of the users' platform, by traits.

Change: CrashEvidence keeps crashes, accused traits, answers, trials and suspects for both. A policy says what is suspect: common traits of three crashes where suspects run beside others, the second crash in a lone run where they run alone. The registry suspect_rules holds the two rules. Quarantine keeps the verdicts and news by fingerprint; a conviction told by another host now ends by its age alone, also when an answer came at the same moment or since.

New: state machines over orders of crashes, answers, late and repeated news, under both policies and over three hosts; they find seven injected faults. The machine found that a conviction was lost when news of an answer came at the same moment.

--- a/libs/node/src/damaskjunction/node/entry.py
+++ b/libs/node/src/damaskjunction/node/entry.py
@@ -236,11 +236,7 @@
     async def _attempt(self, state: _RequestState) -> AsyncGenerator[AnswerPart, None]:
         remaining_s = state.attempts.begin_attempt(self._timers.now())
         state.assembly.begin_attempt(state.attempts.number)
-        verdict = self._crashes.verdict_of(state.fingerprint)
-        if verdict is Verdict.CONVICTED:
-            detail = "equal requests have crashed the runners that ran them"
-            raise RequestError(Outcome.NOT_RUN, "quarantined", detail)
-        is_suspect = verdict is Verdict.SUSPECT
+        is_suspect = self._crashes.check(state.fingerprint) is Verdict.SUSPECT
         state.route = self._choose_route(state, exclusive=is_suspect)
         forward = _make_forward(state, remaining_s, exclusive=is_suspect)
         async with aclosing(self._forward(state.route, forward)) as messages:
--- a/libs/node/src/damaskjunction/node/home.py
+++ b/libs/node/src/damaskjunction/node/home.py
@@ -22,9 +22,10 @@
     WorkspaceSpec,
 )
 from damaskjunction.http import HttpClient
-from damaskjunction.node.crashes import CrashTracker, RunnerGuard
+from damaskjunction.node.crashes import CrashTracker
 from damaskjunction.node.home_request import HomeRequest
 from damaskjunction.node.reports import LoadReader
+from damaskjunction.node.runner_access import RunnerGuard
 from damaskjunction.node.runners import (
     AnswerMessage,
     RunnerStream,
--- a/libs/node/src/damaskjunction/node/home_request.py
+++ b/libs/node/src/damaskjunction/node/home_request.py
@@ -5,7 +5,7 @@
 import asyncio
 
 from damaskjunction.core import Outcome, RequestError
-from damaskjunction.node.crashes import RunnerGuard
+from damaskjunction.node.runner_access import RunnerGuard
 from damaskjunction.node.runners import RunnerStream
 from damaskjunction.routing import AdmissionTicket
 
--- a/libs/routing/features/crash_evidence.feature
+++ b/libs/routing/features/crash_evidence.feature
@@ -97,3 +97,25 @@
       | n_deadly |
       | 1        |
       | 2        |
+
+  Scenario Outline: Crashes, answers and news in any order keep what <machine> promise
+    Then 150 random runs of "<machine>" find no fault
+
+    Examples:
+      | machine        |
+      | shared runs    |
+      | exclusive runs |
+      | verdicts       |
+
+  Scenario Outline: An injected fault in the decision on crashes is found
+    Then 150 random runs of "<fault>" find a fault
+
+    Examples:
+      | fault                                 |
+      | answers clear nothing                 |
+      | a shared run counts as a lone one     |
+      | a conviction takes a third crash      |
+      | a run beside others convicts          |
+      | late news lifts a conviction          |
+      | progress is seen where there is none  |
+      | progress is not seen                  |
--- a/libs/routing/features/steps/crash_steps.py
+++ b/libs/routing/features/steps/crash_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import crash_machine
 from behave import given, then, when
 from crash_simulation import run_simulation
 
@@ -108,3 +109,17 @@
     for outcome in context.outcomes:
         assert not outcome.unserved_parts, outcome
         assert outcome.n_sound_blocked <= outcome.n_sound // 50, outcome
+
+
+@then('{count:d} random runs of "{machine}" find no fault')
+def check_machine_clean(context, count, machine):
+    crash_machine.run_machine(machine, count)
+
+
+@then('{count:d} random runs of "{fault}" find a fault')
+def check_machine_finds(context, count, fault):
+    try:
+        crash_machine.run_machine(fault, count)
+    except AssertionError:
+        return
+    raise AssertionError(f"injected fault was not found: {fault}")
--- a/libs/routing/src/damaskjunction/routing/__init__.py
+++ b/libs/routing/src/damaskjunction/routing/__init__.py
@@ -20,12 +20,20 @@
     CrashEvidence,
     CrashReport,
     RequestTraits,
+)
+from damaskjunction.routing.crash_policies import (
+    EXCLUSIVE_RUNS,
+    SHARED_RUNS,
+    CrashPolicy,
     Suspect,
+    suspect_rules,
 )
 from damaskjunction.routing.ejection import (
     EjectionPolicy,
     OutlierEjection,
 )
+from damaskjunction.routing.exclusive_access import GrantAccess, SharedExclusiveLock
+from damaskjunction.routing.fingerprints import fingerprint_of
 from damaskjunction.routing.homes import (
     home_of,
     slot_homes,
@@ -69,12 +77,9 @@
     admission_policies,
 )
 from damaskjunction.routing.quarantine import (
-    GrantAccess,
     Quarantine,
-    SharedExclusiveLock,
     Verdict,
     VerdictNews,
-    fingerprint_of,
 )
 from damaskjunction.routing.queues import (
     AdmissionTicket,
@@ -134,7 +139,9 @@
 __all__ = [
     "DEFAULT_DRAIN_S",
     "DEFAULT_MAX_SKEW_S",
+    "EXCLUSIVE_RUNS",
     "NO_LIMIT_PER_S",
+    "SHARED_RUNS",
     "AdaptiveLimits",
     "AdmissionController",
     "AdmissionEffect",
@@ -154,6 +161,7 @@
     "ClosedVersion",
     "ConcurrencyLimits",
     "CrashEvidence",
+    "CrashPolicy",
     "CrashReport",
     "EjectionPolicy",
     "EngineSpec",
@@ -222,5 +230,6 @@
     "runners_at",
     "slot_homes",
     "stream_lives",
+    "suspect_rules",
     "worst_outcome",
 ]
--- a/libs/routing/src/damaskjunction/routing/quarantine.py
+++ b/libs/routing/src/damaskjunction/routing/quarantine.py
@@ -1,34 +1,39 @@
 """Quarantine of poison requests: requests that crash the runners they run on.
 
-When a runner crashes, each request it was running becomes a suspect, unless an equal
-one completed before. A suspect gets exclusive use of its runner: it is cleared if it
-completes, and convicted and refused from then on if the runner crashes again.
-Suspicions and convictions are propagated between hosts; entries expire, and their
-number is bounded.
+The only trait of a request is its fingerprint. When a runner crashes, each request it
+was running becomes a suspect, unless an equal one completed before. A suspect gets
+exclusive use of its runner: it is cleared if it completes, and convicted and refused
+from then on if the runner crashes again. What follows from crashes is decided by
+``CrashEvidence``; here are the verdicts that hosts tell one another.
 """
 
 from __future__ import annotations
 
-import hashlib
 from collections import OrderedDict
-from collections.abc import Collection, Mapping, Sequence
+from collections.abc import Collection, Iterable, Mapping, Sequence
 from enum import StrEnum
 from types import MappingProxyType
-from typing import NamedTuple
-
-from damaskjunction.core import RequestId, ServiceName
-from damaskjunction.core.units import HOUR_S
-
-FINGERPRINT_BYTES = 16
-SUSPECT_TTL_S = 60.0
-CONVICTED_TTL_S = 24 * HOUR_S
-MAX_ENTRIES = 4096
-MAX_COMPLETED_FINGERPRINTS = 4096
+from typing import NamedTuple, TypeVar
+
+from damaskjunction.routing.crash_evidence import (
+    CrashEvidence,
+    CrashReport,
+    RequestTraits,
+)
+from damaskjunction.routing.crash_policies import (
+    EXCLUSIVE_RUNS,
+    CrashPolicy,
+    Suspect,
+)
+
+MAX_FINGERPRINTS = 4096
 # A stream that ends with its runner may lose some of its last tokens.
 MIN_PROGRESS_TOKENS = 8
 UNKNOWN_POSITION = -1
 NO_POSITIONS: Mapping[str, int] = MappingProxyType({})
 
+ValueT = TypeVar("ValueT")
+
 
 class Verdict(StrEnum):
     """Verdict on the requests that share a fingerprint."""
@@ -51,60 +56,37 @@
     positions: Sequence[int] = ()
 
 
-class _Entry(NamedTuple):
-    verdict: Verdict
-    since_s: float
-    position: int = UNKNOWN_POSITION
-
-
-def fingerprint_of(service: ServiceName, path: str, body: bytes) -> str:
-    """Return the hexadecimal hash that equal requests to a service share."""
-    digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
-    digest.update(f"{service}\0{path}\0".encode())
-    digest.update(body)
-    return digest.hexdigest()
-
-
 class Quarantine:
     """Verdicts by fingerprint, as known to one host.
 
     Parameters
     ----------
-    suspect_s, convicted_s : float, optional
-        Seconds after which a verdict expires.
+    policy : CrashPolicy, optional
+        Says which crashes convict.
     """
 
-    def __init__(
-        self, *, suspect_s: float = SUSPECT_TTL_S, convicted_s: float = CONVICTED_TTL_S
-    ) -> None:
-        self._ttl_by_verdict = {
-            Verdict.SUSPECT: suspect_s,
-            Verdict.CONVICTED: convicted_s,
-        }
-        self._entries_by_fingerprint: OrderedDict[str, _Entry] = OrderedDict()
+    def __init__(self, policy: CrashPolicy = EXCLUSIVE_RUNS) -> None:
+        self._policy = policy
+        self._evidence = CrashEvidence("crash", policy)
+        self._n_crashes = 0
         self._completed: OrderedDict[str, None] = OrderedDict()
+        self._position_by_suspect: OrderedDict[str, int] = OrderedDict()
 
     def verdict_of(self, fingerprint: str, now_s: float) -> Verdict:
         """Return the unexpired verdict on a fingerprint, ``CLEAR`` by default."""
-        entry = self._entries_by_fingerprint.get(fingerprint)
-        if entry is None:
-            return Verdict.CLEAR
-        if now_s - entry.since_s > self._ttl_by_verdict[entry.verdict]:
-            del self._entries_by_fingerprint[fingerprint]
-            return Verdict.CLEAR
-        return entry.verdict
+        if self._evidence.blocked_for_s((fingerprint,), now_s) > 0.0:
+            return Verdict.CONVICTED
+        is_accused = fingerprint in self._evidence.accused
+        return Verdict.SUSPECT if is_accused else Verdict.CLEAR
 
     def record_completion(self, fingerprint: str, now_s: float) -> VerdictNews | None:
         """Record that a request completed; return news if that clears a suspect."""
-        self._completed[fingerprint] = None
-        self._completed.move_to_end(fingerprint)
-        if len(self._completed) > MAX_COMPLETED_FINGERPRINTS:
-            self._completed.popitem(last=False)
-        entry = self._entries_by_fingerprint.get(fingerprint)
-        if entry is None or entry.verdict is not Verdict.SUSPECT:
+        _remember(self._completed, fingerprint, None)
+        if self.verdict_of(fingerprint, now_s) is not Verdict.SUSPECT:
             return None
-        del self._entries_by_fingerprint[fingerprint]
-        return VerdictNews(Verdict.CLEAR, (fingerprint,))
+        news = VerdictNews(Verdict.CLEAR, (fingerprint,))
+        self.merge(news, now_s)
+        return news
 
     def record_crash(
         self,
@@ -129,123 +111,118 @@
             How many tokens of their answers requests had. One that ran alone and got
             further than at its earlier crash stays suspect and is not convicted.
         """
-        candidates = tuple(
-            fingerprint
-            for fingerprint in dict.fromkeys(fingerprints)
-            if fingerprint not in self._completed
-            and self.verdict_of(fingerprint, now_s) is not Verdict.CONVICTED
-        )
+        candidates = self._accusable(fingerprints, now_s)
         if not candidates:
             return None
-        verdict = Verdict.SUSPECT
         positions = [
             position_by_fingerprint.get(fingerprint, UNKNOWN_POSITION)
             for fingerprint in candidates
         ]
-        if was_alone and len(candidates) == 1:
-            earlier = self.verdict_of(candidates[0], now_s)
-            has_advanced = self._has_advanced(candidates[0], positions[0])
-            if earlier is Verdict.SUSPECT and not has_advanced:
-                verdict = Verdict.CONVICTED
+        is_lone = was_alone and len(candidates) == 1
+        if is_lone and self._has_advanced(candidates[0], positions[0], now_s):
+            is_lone = False
+        self._accuse(candidates, positions, now_s, was_alone=is_lone)
+        verdict = Verdict.SUSPECT
+        if is_lone and self.verdict_of(candidates[0], now_s) is Verdict.CONVICTED:
+            verdict = Verdict.CONVICTED
+            self._convict(candidates, now_s, now_s)
         is_known = max(positions) > UNKNOWN_POSITION
-        news = VerdictNews(verdict, candidates, positions=positions if is_known else ())
-        self.merge(news, now_s)
-        return news
-
-    def _has_advanced(self, fingerprint: str, position: int) -> bool:
-        """Return whether a request got further than when a runner crashed under it."""
-        entry = self._entries_by_fingerprint.get(fingerprint)
-        if entry is None or entry.position == UNKNOWN_POSITION:
-            return False
-        return position >= entry.position + MIN_PROGRESS_TOKENS
+        return VerdictNews(verdict, candidates, positions=positions if is_known else ())
 
     def merge(self, news: VerdictNews, now_s: float) -> None:
         """Merge news from another host; a conviction ends only by expiry."""
-        positions = news.positions or [UNKNOWN_POSITION] * len(news.fingerprints)
-        for fingerprint, position in zip(news.fingerprints, positions, strict=True):
-            known = self.verdict_of(fingerprint, now_s)
-            if known is Verdict.CONVICTED:
-                continue
-            previous = self._entries_by_fingerprint.pop(fingerprint, None)
-            if news.verdict is Verdict.CLEAR:
-                continue
-            if news.verdict is Verdict.SUSPECT and fingerprint in self._completed:
-                continue
-            furthest = max(position, previous.position if previous else position)
-            entry = _Entry(news.verdict, now_s - news.age_s, furthest)
-            self._entries_by_fingerprint[fingerprint] = entry
-        self._evict_oldest()
+        at_s = now_s - news.age_s
+        match news.verdict:
+            case Verdict.CLEAR:
+                self._evidence.record_answer(news.fingerprints, at_s, now_s)
+            case Verdict.SUSPECT:
+                accused = self._accusable(news.fingerprints, now_s)
+                position_by_fingerprint = dict(
+                    zip(news.fingerprints, news.positions, strict=False)
+                )
+                positions = [
+                    position_by_fingerprint.get(fingerprint, UNKNOWN_POSITION)
+                    for fingerprint in accused
+                ]
+                self._accuse(accused, positions, now_s, age_s=news.age_s)
+            case Verdict.CONVICTED:
+                unconvicted = self._unconvicted(news.fingerprints, now_s)
+                self._convict(unconvicted, at_s, now_s)
 
     def conviction_ages(self, now_s: float) -> dict[str, float]:
         """Return the age in seconds of each conviction by fingerprint."""
+        self._evidence.expire(now_s)
         return {
-            fingerprint: now_s - entry.since_s
-            for fingerprint, entry in list(self._entries_by_fingerprint.items())
-            if self.verdict_of(fingerprint, now_s) is Verdict.CONVICTED
+            suspect.traits[0]: now_s - suspect.last_crash_at_s
+            for suspect in self._evidence.suspects
         }
 
     def n_suspects(self, now_s: float) -> int:
         """Return the number of suspect fingerprints."""
-        entries = list(self._entries_by_fingerprint)
-        verdicts = (self.verdict_of(fingerprint, now_s) for fingerprint in entries)
-        return sum(verdict is Verdict.SUSPECT for verdict in verdicts)
-
-    def _evict_oldest(self) -> None:
-        while len(self._entries_by_fingerprint) > MAX_ENTRIES:
-            self._entries_by_fingerprint.popitem(last=False)
-
-
-class GrantAccess(NamedTuple):
-    """Effect: the request has access to the runner and may go on to admission."""
-
-    request_id: RequestId
+        convicted = self.conviction_ages(now_s).keys()
+        return len(self._evidence.accused - convicted)
 
+    def _unconvicted(
+        self, fingerprints: Iterable[str], now_s: float
+    ) -> tuple[str, ...]:
+        return tuple(
+            fingerprint
+            for fingerprint in dict.fromkeys(fingerprints)
+            if self.verdict_of(fingerprint, now_s) is not Verdict.CONVICTED
+        )
 
-class SharedExclusiveLock:
-    """Shared or exclusive access to a runner, in order of arrival.
+    def _accusable(self, fingerprints: Iterable[str], now_s: float) -> tuple[str, ...]:
+        """Return those that are not convicted and that no equal request cleared."""
+        return tuple(
+            fingerprint
+            for fingerprint in self._unconvicted(fingerprints, now_s)
+            if fingerprint not in self._completed
+        )
 
-    Requests share the runner until one asks for exclusive access, as a suspect does.
-    That one gets access when all others have left; later requests wait until it has
-    left.
-    """
+    def _has_advanced(self, fingerprint: str, position: int, now_s: float) -> bool:
+        """Return whether a suspect got further than when a runner crashed under it."""
+        if self.verdict_of(fingerprint, now_s) is not Verdict.SUSPECT:
+            return False
+        known = self._position_by_suspect.get(fingerprint, UNKNOWN_POSITION)
+        return known > UNKNOWN_POSITION and position >= known + MIN_PROGRESS_TOKENS
 
-    def __init__(self) -> None:
-        self._holders: set[RequestId] = set()
-        self._exclusive_holder: RequestId | None = None
-        self._waiting: OrderedDict[RequestId, bool] = OrderedDict()
-
-    @property
-    def exclusive_holder(self) -> RequestId | None:
-        """The request that has exclusive access to the runner, if any."""
-        return self._exclusive_holder
-
-    @property
-    def is_idle(self) -> bool:
-        """Whether no request has access or waits for it."""
-        return not self._holders and not self._waiting
-
-    def acquire(self, request_id: RequestId, *, exclusive: bool) -> list[GrantAccess]:
-        """Queue a request; return the requests that get access now."""
-        self._waiting[request_id] = exclusive
-        return self._grant_waiting()
-
-    def release(self, request_id: RequestId) -> list[GrantAccess]:
-        """Remove an ended or cancelled request; return those that get access."""
-        self._waiting.pop(request_id, None)
-        self._holders.discard(request_id)
-        if self._exclusive_holder == request_id:
-            self._exclusive_holder = None
-        return self._grant_waiting()
-
-    def _grant_waiting(self) -> list[GrantAccess]:
-        granted: list[GrantAccess] = []
-        while self._waiting and self._exclusive_holder is None:
-            request_id, exclusive = next(iter(self._waiting.items()))
-            if exclusive and self._holders:
-                break
-            del self._waiting[request_id]
-            self._holders.add(request_id)
-            if exclusive:
-                self._exclusive_holder = request_id
-            granted.append(GrantAccess(request_id))
-        return granted
+    def _accuse(
+        self,
+        fingerprints: Sequence[str],
+        positions: Sequence[int],
+        now_s: float,
+        *,
+        age_s: float = 0.0,
+        was_alone: bool = False,
+    ) -> None:
+        """Record a crash and how far its requests had got."""
+        if not fingerprints:
+            return
+        for fingerprint, position in zip(fingerprints, positions, strict=True):
+            known = self._position_by_suspect.get(fingerprint, UNKNOWN_POSITION)
+            if self.verdict_of(fingerprint, now_s) is Verdict.CLEAR:
+                known = UNKNOWN_POSITION
+            _remember(self._position_by_suspect, fingerprint, max(known, position))
+        self._n_crashes += 1
+        accused = tuple(RequestTraits((fingerprint,)) for fingerprint in fingerprints)
+        report = CrashReport("", f"crash {self._n_crashes}", accused, (), age_s)
+        self._evidence.record_crash(report, now_s, was_alone=was_alone)
+
+    def _convict(self, fingerprints: Iterable[str], at_s: float, now_s: float) -> None:
+        """Keep convictions until they expire, whatever becomes of the crashes."""
+        for fingerprint in fingerprints:
+            crash_ids = tuple(
+                f"{fingerprint} {number}" for number in range(self._policy.min_crashes)
+            )
+            suspect = Suspect((fingerprint,), crash_ids, at_s)
+            self._evidence.import_suspect(fingerprint, suspect, now_s)
+
+
+def _remember(
+    values_by_fingerprint: OrderedDict[str, ValueT], fingerprint: str, value: ValueT
+) -> None:
+    """Set a value as the newest, and drop the oldest of too many."""
+    values_by_fingerprint[fingerprint] = value
+    values_by_fingerprint.move_to_end(fingerprint)
+    if len(values_by_fingerprint) > MAX_FINGERPRINTS:
+        values_by_fingerprint.popitem(last=False)
