Ask a runner for its process before a stream goes on at it

Their runner llm2-0 was back under its id at v3 within 9 ms, while the hosts had lost the store: "runner changed" came 0.5 s later, so it was still listed at v1 when they went on there. The item ended 3 ms before the news, so the check of whole texts did not find it either.

An entry tells when its process started, and so does a runner's report. A runner of an engine service that is to go on with a stream or an item is now asked for its report first (0.2 s at most), and is left out if the process is another one than listed or does not tell. Runners of plain services have no reports. What remains: the origin of a stream that a process listed late has begun.

--- a/libs/gateway/features/steps/item_version_steps.py
+++ b/libs/gateway/features/steps/item_version_steps.py
@@ -7,7 +7,7 @@
 import item_version_machine
 from behave import then, when
 from fleet_helpers import run
-from stream_version_steps import SETTLE_S, running
+from stream_version_steps import SETTLE_S, break_stream, running
 
 
 def item_runs(context):
@@ -28,10 +28,8 @@
 
 @when("the stream's runner breaks it and has no room from then on")
 def break_and_fill(context):
-    runner = running(context)[0]
-    runner.faults["full"] = 1
-    runner.faults["break_after"] = 1
-    run(context, context.platform.wait_for(lambda: not runner.n_running))
+    running(context)[0].faults["full"] = 1
+    break_stream(context)
 
 
 @when('{count:d} callers request "{path}" at all hosts while items run')
@@ -68,6 +66,36 @@
     run(context, restart())
 
 
+@when('the other engine is back at version "{version}" while its entry is late')
+def restart_other_unlisted(context, version):
+    restart_unlisted(context, version, is_running=False)
+
+
+@when('the stream\'s runner is back at version "{version}" while its entry is late')
+def restart_unlisted(context, version, is_running=True):
+    runners = context.platform.runners.values()
+    runner = next(r for r in runners if bool(r.n_running) == is_running)
+    runner.version = version
+    runner.born_ms = int(context.platform.timers.wall() * 1000)
+    context.late_runner = runner
+
+    async def restart():
+        await runner.close_and_restart()
+        if is_running:
+            context.answers = [await context.stream]
+
+    run(context, restart())
+
+
+@when("{duration_s:g} s passes and the late entries come")
+def deliver_entries(context, duration_s):
+    async def deliver():
+        await asyncio.sleep(duration_s)
+        context.late_runner.register_in_store("ready")
+
+    run(context, deliver())
+
+
 @then('the job "{job_id}" has {count:d} results, each of one version and complete')
 @then(
     'the job "{job_id}" has {count:d} results, each of version "{version}" and complete'
--- a/libs/gateway/features/stream_versions.feature
+++ b/libs/gateway/features/stream_versions.feature
@@ -138,3 +138,26 @@
     And the stream's runner breaks it
     Then the job "j1" has 1 results, each of one version and complete
     And no item was asked to go on
+
+  Scenario: A stream does not go on at a runner that is back at another version unlisted
+    Given engines "e1,e2" of version "v1" with 60 events
+    When a caller begins a stream of "/alert/1" at "h0" as "q1"
+    And the other engine is back at version "v2" while its entry is late
+    And the stream's runner breaks it and has no room from then on
+    Then the caller gets events of version "v1" alone, incomplete
+
+  Scenario: A take-up does not reach a runner that is back at another version unlisted
+    Given engines "e1" of version "v1" with 60 events
+    When a caller begins a stream of "/alert/1" at "h0" as "q1"
+    And the stream's runner is back at version "v2" while its entry is late
+    And the caller takes the stream up at "h0" as "q2"
+    Then the take-up is refused as not run and reached no runner
+
+  Scenario: An item does not go on at a runner that is back at another version unlisted
+    Given engines "e1,e2" of version "v1" with 60 events
+    When the job "j1" of 1 items is submitted at "h0"
+    And an item has events
+    And the other engine is back at version "v2" while its entry is late
+    And the stream's runner breaks it and has no room from then on
+    And 1 s passes and the late entries come
+    Then the job "j1" has 1 results, each of version "v2" and complete
--- a/libs/gateway/src/damaskjunction/gateway/item_runner.py
+++ b/libs/gateway/src/damaskjunction/gateway/item_runner.py
@@ -264,7 +264,7 @@
         runner = find_runner(self._state.runners_of(service), slot.runner_id)
         if runner is None:
             raise RunnerFailedError(Outcome.NOT_RUN, "runner_gone")
-        progress.version.check(runner)
+        await progress.version.admit(runner, self._runner_client)
         extra = {"item": progress.item.item_id, "runner": runner.runner_id}
         logger.info("item sent", extra=extra)
         is_repeated = runner.runner_id in progress.runners_tried
--- a/libs/gateway/src/damaskjunction/gateway/request_execution.py
+++ b/libs/gateway/src/damaskjunction/gateway/request_execution.py
@@ -149,7 +149,7 @@
         runner = find_runner(runners, self._runner_id)
         if runner is None:
             raise RunnerFailedError(Outcome.NOT_RUN, "runner_gone")
-        self._version.check(runner)
+        await self._version.admit(runner, self._context.runner_client)
         remaining_s = self._remaining_s()
         if remaining_s < MIN_REMAINING_S:
             raise RunnerFailedError(Outcome.NOT_RUN, "no_time_left")
--- a/libs/gateway/src/damaskjunction/gateway/runner_client.py
+++ b/libs/gateway/src/damaskjunction/gateway/runner_client.py
@@ -40,6 +40,7 @@
 CONNECT_TIMEOUT_S = 0.3
 IDLE_TIMEOUT_S = 4.0
 REPORT_STALL_TIMEOUT_S = 0.5
+CONFIRMATION_TIMEOUT_S = 0.2
 DISCARD_TIMEOUT_S = 0.2
 # The connection broke after the request was sent, as when the runner crashes.
 CONNECTION_LOST_REASONS = ("stream_cut", "no_answer", "answer_cut")
@@ -231,6 +232,25 @@
             self._record_leaving(runner, asked_at_ms)
         return report
 
+    async def confirm_process(self, runner: Runner) -> None:
+        """Check that the process of a runner is the one that its entry lists.
+
+        The entry of a runner that has started again comes late.
+
+        Raises
+        ------
+        RunnerFailedError
+            ``NOT_RUN`` when it is another one, or does not tell in time.
+        """
+        try:
+            async with asyncio.timeout(CONFIRMATION_TIMEOUT_S):
+                report = await self.fetch_report(runner)
+        except TimeoutError:
+            raise RunnerFailedError(Outcome.NOT_RUN, "process_unknown") from None
+        if report.born_ms not in (0, runner.born_ms):
+            detail = f"born at {report.born_ms} instead of {runner.born_ms}"
+            raise RunnerFailedError(Outcome.NOT_RUN, "other_process", detail)
+
     async def read_body(
         self, runner_response: RunnerResponse, timeout_s: float
     ) -> bytes:
--- a/libs/gateway/src/damaskjunction/gateway/stream_version.py
+++ b/libs/gateway/src/damaskjunction/gateway/stream_version.py
@@ -13,7 +13,7 @@
     ServiceName,
     Timers,
 )
-from damaskjunction.gateway.runner_client import RunnerFailedError
+from damaskjunction.gateway.runner_client import RunnerClient, RunnerFailedError
 from damaskjunction.gateway.state import ServingState
 from damaskjunction.routing import StreamOrigin, origin_of, proven_version
 
@@ -119,6 +119,24 @@
             detail = f"{runner.version!r} instead of {required!r}"
             raise RunnerFailedError(Outcome.NOT_RUN, "other_version", detail)
 
+    async def admit(self, runner: Runner, client: RunnerClient) -> None:
+        """Check that a runner may go on, and that its entry is that of its process.
+
+        Runners of plain services tell nothing of their processes.
+
+        Raises
+        ------
+        RequestError
+            ``NOT_RUN`` when the version of the stream is not proved.
+        RunnerFailedError
+            ``NOT_RUN`` when the runner or its process has, or may have, another one.
+        """
+        self.check(runner)
+        spec = self._state.table.services_by_name.get(runner.service)
+        if self._writers and spec is not None and spec.engine is not None:
+            await client.confirm_process(runner)
+            self.check(runner)
+
     def record_answer(self, runner: Runner) -> None:
         """Record that the first event of an answer has arrived from a runner."""
         origin = origin_of(self._request_id, runner)
