Prove versions by no clock that has been set back

Found by the state machine of items, once it set the host's clock: with the clock back by 1,000 s every process seems younger than a stream that has just begun, so an entry at another version that came late counted as that of a later process, and items (streams and take-ups by the same proof) went on at the version recorded.

The proof now takes the latest time that the host has reason to believe: its own clock at its furthest, or the start that a runner's entry states, plus the monotonic time since. That can only leave a stream unproved. Also, an item whose whole text is not proved begins afresh at that moment; before, it was judged again at its next attempt, perhaps otherwise.

--- a/libs/gateway/features/steps/item_version_machine.py
+++ b/libs/gateway/features/steps/item_version_machine.py
@@ -1,8 +1,9 @@
 """Stateful property test: items go on at runners of changing software versions.
 
 The model knows which version each process has and when its entry comes, which may be
-late. It assumes that an entry comes before an item that its process worked on ends, and
-before its process ends or is unlisted.
+late. It assumes that an entry comes within ``MAX_LATENESS_S``, before an item that its
+process worked on ends, and before its process ends or is unlisted. The host's clock may
+be wrong.
 """
 
 from __future__ import annotations
@@ -53,6 +54,8 @@
 STEP_S = 0.5
 FINAL_ROUNDS = 60
 FAR_S = 1e9
+MAX_LATENESS_S = 4.0
+CLOCK_STEP_S = 1000.0
 
 names = st.sampled_from(RUNNERS)
 versions = st.sampled_from(VERSIONS)
@@ -119,6 +122,7 @@
     def __init__(self):
         super().__init__()
         self.timers = ManualTimers(start_s=100.0)
+        self.true_offset_s = self.timers.wall() - self.timers.now()
         address = Address("127.0.0.1", 1)
         host = EntryHost("h0", "", "z1", address, address, address)
         view = HostView(host)
@@ -135,7 +139,7 @@
             self.write_entry(name)
 
     def wall_ms(self, offset_s=0.0):
-        return int((self.timers.wall() + offset_s) * 1000)
+        return int((self.timers.now() + self.true_offset_s + offset_s) * 1000)
 
     def new_progress(self, name):
         item = BatchItem(name, "/night/x", {}, b"", 1)
@@ -243,7 +247,7 @@
             return
         try:
             if self.is_checked_when_whole:
-                item.progress.version.check_joined()
+                item.progress.check_whole()
         except RequestError:
             self.end_attempt(name)
             return
@@ -324,9 +328,21 @@
     def advance_time(self, n_steps):
         for _ in range(n_steps):
             self.timers.advance(STEP_S)
+            self.deliver_overdue()
             self.end_long_waits()
             self.apply_effects(self.pool.expire(self.timers.now()))
 
+    def deliver_overdue(self):
+        for name, runner in list(self.listed.items()):
+            born_ms = self.processes[name].born_ms
+            is_due = self.wall_ms(-MAX_LATENESS_S) >= born_ms
+            if is_due and runner.born_ms != born_ms:
+                self.write_entry(name)
+
+    @rule(direction=st.sampled_from((-1, 1)))
+    def step_clock(self, direction):
+        self.timers._wall_offset_s += direction * CLOCK_STEP_S
+
     def end_long_waits(self):
         for name, item in self.items.items():
             if item.asked_at_s is None:
--- a/libs/gateway/src/damaskjunction/gateway/item_progress.py
+++ b/libs/gateway/src/damaskjunction/gateway/item_progress.py
@@ -74,6 +74,20 @@
         self.n_characters += len(event.data)
         self.n_crashes = 0
 
+    def check_whole(self) -> None:
+        """Check that a text that has come to its end is of one version.
+
+        Raises
+        ------
+        RequestError
+            ``NOT_RUN`` when that is not proved; the item begins afresh then.
+        """
+        try:
+            self.version.check_joined()
+        except RequestError as error:
+            self._begin_afresh(error.reason)
+            raise
+
     def end_attempt(self) -> None:
         """Record that an attempt has ended without the whole text."""
         if self._is_advanced:
--- a/libs/gateway/src/damaskjunction/gateway/item_runner.py
+++ b/libs/gateway/src/damaskjunction/gateway/item_runner.py
@@ -293,7 +293,7 @@
             except TimeoutError:
                 raise RunnerFailedError(Outcome.RAN, "no_end", is_fault=True) from None
             await self._runner_client.check_end(runner_response)
-            progress.version.check_joined()
+            progress.check_whole()
         finally:
             runner_response.body.close()
         self._slot_client.report_health(RunnerSeen(service, slot.runner_id, True))
--- a/libs/gateway/src/damaskjunction/gateway/state.py
+++ b/libs/gateway/src/damaskjunction/gateway/state.py
@@ -16,6 +16,7 @@
     Subscription,
     Timers,
 )
+from damaskjunction.core.units import MILLISECOND_S
 from damaskjunction.membership import FleetView
 from damaskjunction.node import HostView
 from damaskjunction.platform import (
@@ -69,6 +70,7 @@
         self._live_runners_by_service: dict[ServiceName, list[Runner]] = {}
         self._indexed_fleet: FleetView | None = None
         self._former_entries = FormerEntries()
+        self._max_wall_offset_s = float("-inf")
         self._removals_by_id: dict[RunnerId, Subscription] = {}
         self._store_failed_at: Callable[[], float | None] = lambda: None
 
@@ -95,6 +97,19 @@
         listed = self.view.fleet.runners_by_id.get(runner_id)
         return entries if listed is None else [*entries, listed]
 
+    def latest_wall_s(self) -> float:
+        """Return the Unix time by this host's clock or a later one by its runners'.
+
+        The clock of a host may be set back; a process was not started in the future.
+        """
+        now_s = self._timers.now()
+        self._observe_wall(self._timers.wall())
+        return now_s + self._max_wall_offset_s
+
+    def _observe_wall(self, wall_s: float) -> None:
+        offset_s = wall_s - self._timers.now()
+        self._max_wall_offset_s = max(self._max_wall_offset_s, offset_s)
+
     def leaving_notices(self, service: ServiceName) -> tuple[LeavingNotice, ...]:
         """Return what this host knows of a service's runners that leave."""
         runners = self._live_runners_of(service)
@@ -175,6 +190,7 @@
         if known == runner:
             return
         self._record_former(runner.runner_id, runner)
+        self._observe_wall(runner.born_ms * MILLISECOND_S)
         self._runners_by_id[runner.runner_id] = runner
         extra = {
             "runner": runner.runner_id,
--- a/libs/gateway/src/damaskjunction/gateway/stream_version.py
+++ b/libs/gateway/src/damaskjunction/gateway/stream_version.py
@@ -83,7 +83,7 @@
         age_s = self._timers.now() - writer.began_at_s
         origin = writer.origin._replace(age_s=age_s)
         entries = self._state.entries_since(origin.runner_id, writer.began_at_s)
-        version = proven_version(origin, entries, self._timers.wall())
+        version = proven_version(origin, entries, self._state.latest_wall_s())
         if version is None:
             raise RequestError(
                 Outcome.NOT_RUN,
--- a/libs/routing/src/damaskjunction/routing/stream_versions.py
+++ b/libs/routing/src/damaskjunction/routing/stream_versions.py
@@ -116,7 +116,7 @@
         The entries that the same runner has had since the first event, as far as they
         are known; none once it has left.
     wall_s : float
-        The present Unix time of this host, in seconds.
+        The present Unix time, in seconds; not an earlier one.
     """
     if not origin.software_version:
         return None
