--- a/libs/gateway/features/fake_store.py
+++ b/libs/gateway/features/fake_store.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-from damaskjunction.core import PlatformUnavailableError
+from damaskjunction.core import PlatformUnavailableError, PlatformUnknownError
 from damaskjunction.platform import ObjectConflictError, PlatformObject
 
 
 class FakeStore:
-    """Objects by kind and name; ``is_away`` makes each call fail.
+    """Objects by kind and name.
 
+    ``is_away`` makes each call fail, ``loses_answers`` the answer to each write.
     ``on_write`` is called with each object before its writer gets the answer, as a
     watch of the store may be faster than that. ``before_call`` is awaited in the next
     call.
@@ -18,6 +19,7 @@
         self._objects_by_key = {}
         self._revision = 0
         self.is_away = False
+        self.loses_answers = False
         self.on_write = lambda stored: None
         self.before_call = None
 
@@ -37,6 +39,14 @@
         known = await self._check_revision(kind, name, revision)
         return self._put(kind, name, known.content, status)
 
+    def find(self, kind, name):
+        """Return an object, None if there is none, even while the store is away."""
+        return self._objects_by_key.get((kind, name))
+
+    def objects_of(self, kind):
+        """Return all objects of a kind."""
+        return tuple(o for key, o in self._objects_by_key.items() if key[0] == kind)
+
     def hide(self, kind, name):
         """Remove an object and return it."""
         return self._objects_by_key.pop((kind, name))
@@ -63,4 +73,6 @@
         stored = PlatformObject(kind, name, self._revision, content, status)
         self._objects_by_key[kind, name] = stored
         self.on_write(stored)
+        if self.loses_answers:
+            raise PlatformUnknownError("answer lost")
         return stored
