Tell callers when to retry every request that was not run

Callers saw: 503 'not run' without a Retry-After time for a request whose deadline passed while it waited at its home, also where retries after 'not home' ended.

Cause: such refusals carry a time of 0 s, and the entry passed it on. Where an engine's first requests are slow, no service time is known yet, nothing is refused ahead, and the timers of waiting requests fire in the same turn of the loop as those of running ones.

Change: the entry names 0.1 s (1 s in the header, which is whole seconds) where the refusing host names none, but for requests that a retry can't help (quarantined, bad message).

Seen failing before: the new scenario 'Requests whose deadline passes while they wait are refused as not run' (KeyError: 'retry-after'); it passes now.

--- a/libs/node/features/online/admission.feature
+++ b/libs/node/features/online/admission.feature
@@ -17,6 +17,12 @@
     Then some are refused as not run, with a retry-after time
     And the engines ran exactly the requests that were not refused
 
+  Scenario: Requests whose deadline passes while they wait are refused as not run
+    Given a running "small" fleet
+    And the engines make no tokens for 40 online requests with a deadline of 6 s
+    When 20 online requests of 16 tokens are sent at once with a deadline of 1 s
+    Then all are refused as not run, with a retry-after time
+
   Scenario: The disconnect of a caller releases the slot at the runner
     Given a running "small" fleet
     When 8 callers request 5000 tokens and disconnect after the first
--- a/libs/node/features/online/steps/admission_steps.py
+++ b/libs/node/features/online/steps/admission_steps.py
@@ -5,10 +5,11 @@
 import asyncio
 import json
 
-from behave import then, when
+from behave import given, then, when
 
 from damaskjunction.core import ServiceKind
 from damaskjunction.lab.batch_load import BatchLoad, BatchSpec
+from damaskjunction.node import cancel_tasks
 from damaskjunction.routing import home_of
 from damaskjunction.standins.scenarios import (
     AUTHORIZATION,
@@ -25,6 +26,45 @@
     return [runner for runner in runners if runner.kind is ServiceKind.ENGINE]
 
 
+@given(
+    "the engines make no tokens for {count:d} online requests with a deadline of "
+    "{deadline_s:g} s"
+)
+def occupy_engines(context, count, deadline_s):
+    deployed = context.deployed
+    hosts = list(deployed.hosts_by_id)
+
+    async def are_occupied():
+        runners = {runner.runner_id for runner in engines(context)}
+        for host in hosts:
+            dump = (await deployed.fleet.call(host, "GET", "/v1/dump")).to_json()
+            for name, admission in dump["runners"].items():
+                if admission["n_online_waiting"]:
+                    runners.discard(name)
+        return not runners
+
+    async def act():
+        for runner in engines(context):
+            await deployed.fleet.call(
+                runner.runner_id, "PUT", "/test/faults", document={"frozen": 1}
+            )
+        context.occupying = [
+            asyncio.ensure_future(
+                generate(
+                    deployed,
+                    hosts[number % len(hosts)],
+                    f"occupying {number}",
+                    16,
+                    deadline_s=deadline_s,
+                )
+            )
+            for number in range(count)
+        ]
+        await deployed.fleet.wait_for(are_occupied, "the engines are occupied")
+
+    run(context, act())
+
+
 @when("batch requests fill every runner")
 def fill_runners(context):
     hosts = list(context.deployed.hosts_by_id.values())
@@ -127,6 +167,13 @@
             assert float(answer.headers["retry-after"]) > 0, answer
 
 
+@then("all are refused as not run, with a retry-after time")
+def check_all_refused(context):
+    run(context, cancel_tasks(context.occupying))
+    check_refusals(context)
+    assert context.n_refused == len(context.answers), context.answers
+
+
 @then("the engines ran exactly the requests that were not refused")
 def check_runs(context):
     request_ids = set()
--- a/libs/node/src/damaskjunction/node/entry.py
+++ b/libs/node/src/damaskjunction/node/entry.py
@@ -50,6 +50,9 @@
 HOME_EJECTION = EjectionPolicy(n_failures=1, base_s=2.0)
 DEADLINE_GRACE_S = 250 * MILLISECOND_S
 
+MIN_RETRY_AFTER_S = 0.1
+
+PERMANENT_REASONS = frozenset(("quarantined", "bad_message"))
 HOME_FAILURE_REASONS = frozenset(("link_lost", "peer_unreachable", "leaving"))
 RUNNER_FAILURE_REASONS = frozenset(
     (
@@ -208,7 +211,7 @@
         if isinstance(effect, GiveUp):
             outcome = effect.error.outcome.value
             self._metrics.count("requests_failed_total", outcome=outcome)
-            raise effect.error
+            raise _with_retry_after(effect.error)
         self._metrics.count("request_retries_total", reason=error.reason)
         return effect.delay_s
 
@@ -333,6 +336,19 @@
     return by_id[order[0]]
 
 
+def _with_retry_after(error: RequestError) -> RequestError:
+    """Return the error for the caller, who is told when to retry what did not run."""
+    if (
+        error.outcome is not Outcome.NOT_RUN
+        or error.retry_after_s > 0.0
+        or error.reason in PERMANENT_REASONS
+    ):
+        return error
+    return RequestError(
+        error.outcome, error.reason, error.detail, retry_after_s=MIN_RETRY_AFTER_S
+    )
+
+
 def _runner_id(runner: Runner) -> str:
     return runner.runner_id
 
