Let periodic callbacks of a process fall due together

An idle host of a fleet of 20 woke 39 times a second (median; a watcher 92), 30 times of them for its own periodic callbacks: each had a phase of its own and drifted by its lateness. Callbacks whose interval is a multiple of 50 ms are now called at steps of 50 ms of the process's clock, the first up to 50 ms early, none later than before.

The scenario on steps was seen failing on the code before.

--- a/libs/core/features/steps/core_steps.py
+++ b/libs/core/features/steps/core_steps.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
+
 from behave import given, then, when
 
 from damaskjunction.core import (
     Finding,
     FindingsError,
+    LoopTimers,
     ManualTimers,
     Registry,
     SourceLocation,
@@ -129,3 +132,64 @@
         assert str(error.findings[-1].location) == location
         return
     raise AssertionError("no error was raised")
+
+
+STEP_MARGIN_S = 1e-6
+LATE_S = 0.03  # between the scheduling of a call and the check of its due time
+
+
+@given("an event loop")
+def make_loop(context):
+    context.runner = asyncio.Runner()
+    context.add_cleanup(context.runner.close)
+
+
+@when("calls every {intervals} s are scheduled {gap_s:f} s apart")
+def schedule_in_loop(context, intervals, gap_s):
+    context.call_counts = {}
+    context.scheduled = []
+
+    async def schedule():
+        timers = LoopTimers()
+        for interval_s in map(float, intervals.split(",")):
+            await asyncio.sleep(gap_s)
+            context.call_counts[interval_s] = 0
+            now_s = asyncio.get_running_loop().time()
+            subscription = timers.every(
+                interval_s,
+                lambda interval_s=interval_s: count_call(context, interval_s),
+            )
+            context.scheduled.append((interval_s, now_s, subscription))
+
+    context.runner.run(schedule())
+
+
+def count_call(context, interval_s):
+    context.call_counts[interval_s] += 1
+
+
+@then("their due times are whole steps of {step_s:f} s apart")
+def check_steps(context, step_s):
+    due_times_s = [s.handle.when() for _, _, s in context.scheduled]
+    for due_s in due_times_s:
+        n_steps = (due_s - due_times_s[0]) / step_s
+        assert abs(n_steps - round(n_steps)) < STEP_MARGIN_S / step_s, due_times_s
+
+
+@then("each is due within its interval, and no more than {early_s:f} s before its end")
+def check_due(context, early_s):
+    for interval_s, now_s, subscription in context.scheduled:
+        delay_s = subscription.handle.when() - now_s
+        lowest_s = interval_s - early_s - STEP_MARGIN_S
+        # The loop's clock is read again when the call is scheduled.
+        assert lowest_s <= delay_s <= interval_s + LATE_S, (interval_s, delay_s)
+
+
+@when("the loop runs for {duration_s:f} s")
+def run_loop(context, duration_s):
+    context.runner.run(asyncio.sleep(duration_s))
+
+
+@then("the calls every {interval_s:f} s were {least:d} to {most:d}")
+def check_call_count(context, interval_s, least, most):
+    assert least <= context.call_counts[interval_s] <= most, context.call_counts
--- a/libs/core/features/timers.feature
+++ b/libs/core/features/timers.feature
@@ -14,3 +14,17 @@
     And it is cancelled
     And 3 s pass
     Then the calls are "tick,tick,tick"
+
+  Scenario: Periodic callbacks fall due together
+    Given an event loop
+    When calls every 0.2, 0.5, 0.1, 0.25, 3.0 s are scheduled 0.007 s apart
+    Then their due times are whole steps of 0.05 s apart
+    And each is due within its interval, and no more than 0.05 s before its end
+    When the loop runs for 0.7 s
+    Then their due times are whole steps of 0.05 s apart
+    And the calls every 0.1 s were 6 to 7
+
+  Scenario: A periodic callback with an interval off the grid keeps it
+    Given an event loop
+    When calls every 0.033, 0.05 s are scheduled 0.007 s apart
+    Then each is due within its interval, and no more than 0.0001 s before its end
--- a/libs/core/src/damaskjunction/core/timers.py
+++ b/libs/core/src/damaskjunction/core/timers.py
@@ -9,12 +9,16 @@
 import asyncio
 import heapq
 import itertools
+import math
 import time
 from collections.abc import Callable
 from typing import Protocol, TypeAlias
 
 Callback: TypeAlias = Callable[[], None]
 
+WAKE_GRID_S = 0.05
+_ROUNDING_MARGIN = 1e-6  # of a step of the grid
+
 
 class Subscription:
     """A scheduled callback, one-shot or periodic, that can be cancelled."""
@@ -49,7 +53,15 @@
 
 
 class LoopTimers:
-    """Timer service on the running event loop of the calling thread."""
+    """Timer service on the running event loop of the calling thread.
+
+    Periodic callbacks whose interval is a multiple of ``WAKE_GRID_S`` are called at
+    multiples of it, so that those that fall due together wake the process once. The
+    first call comes up to ``WAKE_GRID_S`` early for that.
+    """
+
+    def __init__(self) -> None:
+        self._grid_origin_s = time.monotonic()
 
     def now(self) -> float:
         """Return seconds on the monotonic clock."""
@@ -62,24 +74,52 @@
     def once(self, delay_s: float, callback: Callback) -> Subscription:
         """Call back once, ``delay_s`` seconds from now."""
         subscription = Subscription(callback, None)
-        self._schedule(subscription, delay_s)
+        loop = asyncio.get_running_loop()
+        subscription.handle = loop.call_later(delay_s, _call_once, subscription)
         return subscription
 
     def every(self, interval_s: float, callback: Callback) -> Subscription:
         """Call back each ``interval_s`` seconds until cancelled."""
         subscription = Subscription(callback, interval_s)
-        self._schedule(subscription, interval_s)
-        return subscription
-
-    def _schedule(self, subscription: Subscription, delay_s: float) -> None:
         loop = asyncio.get_running_loop()
-        subscription.handle = loop.call_later(delay_s, self._run_callback, subscription)
+        self._schedule_next(subscription, interval_s, loop)
+        return subscription
 
-    def _run_callback(self, subscription: Subscription) -> None:
+    def _schedule_next(
+        self,
+        subscription: Subscription,
+        interval_s: float,
+        loop: asyncio.AbstractEventLoop,
+    ) -> None:
+        due_s = self._align(loop.time() + interval_s, interval_s)
+        subscription.handle = loop.call_at(
+            due_s, self._call_periodically, subscription, interval_s, loop
+        )
+
+    def _align(self, due_s: float, interval_s: float) -> float:
+        """Return a due time moved back to the grid if the interval fits it."""
+        n_steps = interval_s / WAKE_GRID_S
+        if abs(n_steps - round(n_steps)) > _ROUNDING_MARGIN or round(n_steps) < 2:
+            return due_s
+        step = math.floor(
+            (due_s - self._grid_origin_s) / WAKE_GRID_S + _ROUNDING_MARGIN
+        )
+        return self._grid_origin_s + step * WAKE_GRID_S
+
+    def _call_periodically(
+        self,
+        subscription: Subscription,
+        interval_s: float,
+        loop: asyncio.AbstractEventLoop,
+    ) -> None:
         if subscription.is_cancelled:
             return
-        if subscription.interval_s is not None:
-            self._schedule(subscription, subscription.interval_s)
+        self._schedule_next(subscription, interval_s, loop)
+        subscription.callback()
+
+
+def _call_once(subscription: Subscription) -> None:
+    if not subscription.is_cancelled:
         subscription.callback()
 
 
