Wake an idle host neither to expire slots nor for each reader of its feed

Each host looked through its slots ten times a second, whether it kept any or not; it now does so while it is a home or a request holds or asks for a slot there, and once before the first request after a pause. The watcher of a data centre had a timer for each reader of its feed; one timer now sends the heartbeats of all, still at most 0.3 s after the message before.

--- a/libs/gateway/src/damaskjunction/gateway/change_feed_server.py
+++ b/libs/gateway/src/damaskjunction/gateway/change_feed_server.py
@@ -6,7 +6,7 @@
 import json
 from collections.abc import Callable, Mapping
 
-from damaskjunction.core import Outcome, RequestError, Timers
+from damaskjunction.core import Outcome, RequestError, Subscription, Timers
 from damaskjunction.gateway.kind_state import KindState, KindUpdate
 from damaskjunction.node import PeerHandlers
 from damaskjunction.platform import ObjectChange, PlatformObject
@@ -50,7 +50,8 @@
         self._request_watch = request_watch
         self._catch_up = catch_up
         self._progress = asyncio.Event()
-        self._queues: set[asyncio.Queue[KindNews]] = set()
+        self._queues: set[asyncio.Queue[KindNews | NoNews]] = set()
+        self._heartbeat: Subscription | None = None
         for state in states_by_kind.values():
             state.subscribe(self._publish)
 
@@ -64,8 +65,10 @@
         handlers.register(NewsAsk)(self._serve)
 
     async def _serve(self, request: NewsAsk, reply: Reply) -> None:
-        queue: asyncio.Queue[KindNews] = asyncio.Queue()
+        queue: asyncio.Queue[KindNews | NoNews] = asyncio.Queue()
         self._queues.add(queue)
+        if self._heartbeat is None:
+            self._heartbeat = self._timers.every(HEARTBEAT_S, self._send_heartbeat)
         try:
             await self._wait_until_ready(request)
             while not queue.empty():
@@ -77,6 +80,9 @@
             await self._forward(queue, reply)
         finally:
             self._queues.discard(queue)
+            if self._heartbeat is not None and not self._queues:
+                self._heartbeat.cancel()
+                self._heartbeat = None
 
     async def _wait_until_ready(self, request: NewsAsk) -> None:
         """Return once this host knows at least the revisions that the reader knows.
@@ -116,16 +122,22 @@
         self._progress.set()
         self._progress = asyncio.Event()
 
-    async def _forward(self, queue: asyncio.Queue[KindNews], reply: Reply) -> None:
+    def _send_heartbeat(self) -> None:
+        """Tell the readers that have nothing else to hear that nothing has changed.
+
+        One timer for all of them wakes this process less often than one for each.
+        """
+        for queue in self._queues:
+            if queue.empty():
+                queue.put_nowait(NoNews())
+
+    async def _forward(
+        self, queue: asyncio.Queue[KindNews | NoNews], reply: Reply
+    ) -> None:
         while queue.qsize() <= MAX_QUEUED_UPDATES:
             if not self._is_store_live():
                 raise RequestError(Outcome.NOT_RUN, "store_lost")
-            try:
-                async with asyncio.timeout(HEARTBEAT_S):
-                    update: KindNews | NoNews = await queue.get()
-            except TimeoutError:
-                update = NoNews()
-            await reply(update)
+            await reply(await queue.get())
         raise RequestError(Outcome.NOT_RUN, "too_slow")
 
     def _publish(self, update: KindUpdate) -> None:
--- a/libs/gateway/src/damaskjunction/gateway/slot_home.py
+++ b/libs/gateway/src/damaskjunction/gateway/slot_home.py
@@ -114,23 +114,24 @@
         self._reservations_by_id: dict[RequestId, SlotReservation] = {}
         self._runners_by_service: dict[ServiceName, list[Runner]] = {}
         self._home_services: set[ServiceName] = set()
-        self._subscriptions: list[Subscription] = []
+        self._report_polls: Subscription | None = None
+        self._expiry: Subscription | None = None
         self._warned_at_s = 0.0
         self._polls = TaskSet()
         state.view.subscribe(self._apply_view)
         version_registry.subscribe(self._apply_view)
 
     async def start(self) -> None:
-        """Start expiring queued requests and polling the reports of runners."""
-        self._subscriptions = [
-            self._timers.every(EXPIRY_PERIOD_S, self._expire),
-            self._timers.every(REPORT_POLL_PERIOD_S, self._poll_reports),
-        ]
+        """Start polling the reports of runners."""
+        self._report_polls = self._timers.every(
+            REPORT_POLL_PERIOD_S, self._poll_reports
+        )
 
     async def close(self) -> None:
         """Stop the timers and the polls in flight."""
-        for subscription in self._subscriptions:
-            subscription.cancel()
+        for subscription in (self._report_polls, self._expiry):
+            if subscription is not None:
+                subscription.cancel()
         await self._polls.close()
 
     def register(self, handlers: PeerHandlers) -> None:
@@ -157,6 +158,7 @@
             ask.software_version,
         )
         self._state.record_leaving(ask.leaving)
+        self._start_expiry()
         pool = self._pool(ask.service_name)
         self._update_runners(ask.service_name, pool)
         pool.observe_limits(ask.limits, now_s)
@@ -271,7 +273,20 @@
             logger.info("home of slots elsewhere", extra={"service": service})
             self._home_services.discard(service)
 
-    def _expire(self) -> None:
+    def _start_expiry(self) -> None:
+        """Expire requests from now on, as long as there are any or this is a home."""
+        if self._expiry is None:
+            self._expire_requests()
+            self._expiry = self._timers.every(EXPIRY_PERIOD_S, self._continue_expiry)
+
+    def _continue_expiry(self) -> None:
+        if self._expiry and not self._reservations_by_id and not self._home_services:
+            self._expiry.cancel()
+            self._expiry = None
+        else:
+            self._expire_requests()
+
+    def _expire_requests(self) -> None:
         now_s = self._timers.now()
         for service, pool in self._pools_by_service.items():
             self._update_runners(service, pool)
