Read sockets into buffers of the heap, and load a host without collections

asyncio takes 256 KiB for each read of a socket. The C library maps such a buffer, shrinks it and unmaps it: three system calls more each time, 45 a second of the 245 that an idle host made (strace, fleet of 20). Reads now take 64 KiB.

Garbage was collected while modules were loaded, which are never garbage: 307 and 315 ms of processor time before, 289 and 285 after (imports of the daemon, in turns).

--- a/libs/gateway/src/damaskjunction/gateway/__main__.py
+++ b/libs/gateway/src/damaskjunction/gateway/__main__.py
@@ -3,13 +3,22 @@
 from __future__ import annotations
 
 import argparse
+import gc
 import importlib
 import signal
 
 
 def _run_host() -> None:
-    """Run a host; only this role imports the modules of a host."""
-    importlib.import_module("damaskjunction.gateway.daemon").main()
+    """Run a host; only this role imports the modules of a host.
+
+    What they define lives as long as the process, so the garbage collector neither
+    runs while they load nor visits it later.
+    """
+    gc.disable()
+    daemon = importlib.import_module("damaskjunction.gateway.daemon")
+    gc.freeze()
+    gc.enable()
+    daemon.main()
 
 
 def _run_storage() -> None:
--- a/libs/gateway/src/damaskjunction/gateway/daemon.py
+++ b/libs/gateway/src/damaskjunction/gateway/daemon.py
@@ -6,9 +6,12 @@
 import logging
 import os
 import signal
+from asyncio import selector_events
 from pathlib import Path
+from typing import Any
 
 from damaskjunction.core import LoopTimers
+from damaskjunction.core.units import KIB
 from damaskjunction.gateway.root import GatewayProcess
 from damaskjunction.platform import SETTINGS_VARIABLE, read_settings
 from damaskjunction.telemetry import configure_logs
@@ -16,6 +19,7 @@
 logger = logging.getLogger(__name__)
 
 LOG_LEVEL = "info"
+RECEIVE_BYTES = 64 * KIB
 
 
 async def _run(path: Path) -> None:
@@ -46,6 +50,17 @@
         logger.info("settings read again")
 
 
+def limit_receive_buffers() -> None:
+    """Let each read of a socket take a buffer that the C library keeps in its heap.
+
+    asyncio takes 256 KiB for each, and returns what was not filled. The C library maps
+    buffers over 128 KiB and unmaps them each time: three system calls more a read.
+    """
+    transport: Any = vars(selector_events)["_SelectorTransport"]
+    transport.max_size = RECEIVE_BYTES
+
+
 def main() -> None:
     """Run a host in this process, with the settings file that the platform names."""
+    limit_receive_buffers()
     asyncio.run(_run(Path(os.environ[SETTINGS_VARIABLE])))
