--- a/libs/gateway/features/start.feature
+++ b/libs/gateway/features/start.feature
@@ -6,7 +6,6 @@
     Then "damaskjunction.gateway.root" is among them
     And none of these is among them:
       | module                     |
-      | thriftpy2                  |
       | yaml                       |
       | damaskjunction.settings    |
       | damaskjunction.node.daemon |
