Wait for a runner's process as long as for a first event

The process with all runners recorded nothing for 1.3 s, while the hosts went on; each runner that was to go on with them was given 0.2 s to tell its process, so three of them were ruled out in 0.6 s. Before, a silent runner was given 0.6 s to begin.

--- a/libs/gateway/src/damaskjunction/gateway/runner_client.py
+++ b/libs/gateway/src/damaskjunction/gateway/runner_client.py
@@ -40,7 +40,7 @@
 CONNECT_TIMEOUT_S = 0.3
 IDLE_TIMEOUT_S = 4.0
 REPORT_STALL_TIMEOUT_S = 0.5
-CONFIRMATION_TIMEOUT_S = 0.2
+CONFIRMATION_TIMEOUT_S = 0.6
 DISCARD_TIMEOUT_S = 0.2
 # The connection broke after the request was sent, as when the runner crashes.
 CONNECTION_LOST_REASONS = ("stream_cut", "no_answer", "answer_cut")
