Refuse take-ups within their goal while the store is silent

Found by reading: a take-up whose version only the record in the store can tell waited 1 s for a silent store, then for the peers, and was refused then: longer than its latency goal of 0.4 s, in which another host might have known.

Failed before: refused after 1.006 s in stream_versions.feature ("silent store"); passes now.

--- a/libs/gateway/features/steps/stream_version_steps.py
+++ b/libs/gateway/features/steps/stream_version_steps.py
@@ -17,6 +17,7 @@
 
 from damaskjunction.core import stable_hash
 from damaskjunction.gateway.version_registry import VERSIONS_KIND
+from damaskjunction.standins import Mode
 
 SETTLE_S = 0.3
 MAX_WAIT_S = 5.0
@@ -231,7 +232,23 @@
 @when('the caller takes the stream up at "{host}" as "{request_id}"')
 def take_up_stream(context, host, request_id):
     context.take_up_id = request_id
+    began_at_s = context.platform.timers.now()
     context.answers.append(run(context, take_up(context, host, request_id)))
+    context.took_s = context.platform.timers.now() - began_at_s
+
+
+@when("the store is silent")
+def silence_store(context):
+    for proxy in context.platform.proxies.values():
+        proxy.set_mode(Mode.SILENT)
+
+
+@then("it was refused within a latency goal")
+def check_prompt_refusal(context):
+    goal_s = (
+        context.platform.hosts["h1"].state.table.find_by_name("alert").latency_goal_s
+    )
+    assert context.took_s <= goal_s, context.took_s
 
 
 @when(
--- a/libs/gateway/features/stream_versions.feature
+++ b/libs/gateway/features/stream_versions.feature
@@ -161,3 +161,14 @@
     And the stream's runner breaks it and has no room from then on
     And 1 s passes and the late entries come
     Then the job "j1" has 1 results, each of version "v2" and complete
+
+  Scenario: A take-up that the silent store would have to decide is refused at once
+    Given a timeout of 2 s on all routes
+    And engines "e1,e2" of version "v1" with 60 events
+    And the store names "v1" alone within 15 s
+    When a caller begins a stream of "/alert/1" at "h0" as "q1"
+    And host "h0" is killed
+    And the store is silent
+    And the caller takes the stream up at "h1" as "q2"
+    Then the take-up is refused as not run and reached no runner
+    And it was refused within a latency goal
--- a/libs/gateway/src/damaskjunction/gateway/take_ups.py
+++ b/libs/gateway/src/damaskjunction/gateway/take_ups.py
@@ -16,6 +16,7 @@
 logger = logging.getLogger(__name__)
 
 RETRY_AFTER_S = 0.15
+READ_GOAL_FRACTION = 0.5  # of the latency goal; the rest is for another host
 # A runner of the version may be back soon, or another host may know of one.
 GONE_RETRY_AFTER_S = 0.3
 
@@ -117,7 +118,8 @@
         service = self._service_of(request, route)
         if service is None:
             return None
-        version = await self._version_registry.read_sole_version(service)
+        timeout_s = READ_GOAL_FRACTION * route.latency_goal_s
+        version = await self._version_registry.read_sole_version(service, timeout_s)
         if version is None:
             return None
         return StreamOrigin(request.resumed_id, service, version, "", 0, 0.0)
