--- a/libs/gateway/features/steps/item_version_machine.py
+++ b/libs/gateway/features/steps/item_version_machine.py
@@ -65,9 +65,9 @@
 class UnclearedProgress(ItemProgress):
     """Injected fault: an item that begins afresh keeps its texts."""
 
-    def _begin_afresh(self, reason):
+    def begin_afresh(self, reason):
         texts = list(self.texts)
-        super()._begin_afresh(reason)
+        super().begin_afresh(reason)
         self.texts += texts
 
 
@@ -94,9 +94,9 @@
 class KeptOriginProgress(ItemProgress):
     """Injected fault: an item that begins afresh keeps the version it had."""
 
-    def _begin_afresh(self, reason):
+    def begin_afresh(self, reason):
         writers = list(self.version._writers)
-        super()._begin_afresh(reason)
+        super().begin_afresh(reason)
         self.version._writers += writers
 
 
@@ -215,7 +215,11 @@
         runner = self.listed[runner_id]
         try:
             item.progress.version.check(runner)
-        except (RunnerFailedError, RequestError):
+        except RunnerFailedError:
+            self.release(name)
+            return
+        except RequestError as error:
+            item.progress.begin_afresh(error.reason)
             self.release(name)
             return
         item.runner, item.process = runner, self.processes[runner_id]
@@ -247,8 +251,9 @@
             return
         try:
             if self.is_checked_when_whole:
-                item.progress.check_whole()
-        except RequestError:
+                item.progress.version.check_joined()
+        except RequestError as error:
+            item.progress.begin_afresh(error.reason)
             self.end_attempt(name)
             return
         item.text = list(item.progress.texts)
--- a/libs/gateway/features/steps/item_version_steps.py
+++ b/libs/gateway/features/steps/item_version_steps.py
@@ -5,7 +5,7 @@
 import asyncio
 
 import item_version_machine
-from behave import then, when
+from behave import given, then, when
 from fleet_helpers import run
 from stream_version_steps import SETTLE_S, break_stream, running
 
@@ -26,6 +26,11 @@
     context.stream = None
 
 
+@given('runner "{name}" has no room')
+def fill_runner(context, name):
+    context.platform.runners[name].faults["full"] = 1
+
+
 @when("the stream's runner breaks it and has no room from then on")
 def break_and_fill(context):
     running(context)[0].faults["full"] = 1
@@ -75,6 +80,16 @@
 def restart_unlisted(context, version, is_running=True):
     runners = context.platform.runners.values()
     runner = next(r for r in runners if bool(r.n_running) == is_running)
+    restart_runner_unlisted(context, version, runner, is_running)
+
+
+@given('runner "{name}" is back at version "{version}" while its entry is late')
+def restart_named_unlisted(context, name, version):
+    runner = context.platform.runners[name]
+    restart_runner_unlisted(context, version, runner, is_running=False)
+
+
+def restart_runner_unlisted(context, version, runner, is_running):
     runner.version = version
     runner.born_ms = int(context.platform.timers.wall() * 1000)
     context.late_runner = runner
--- a/libs/gateway/src/damaskjunction/gateway/item_progress.py
+++ b/libs/gateway/src/damaskjunction/gateway/item_progress.py
@@ -74,20 +74,6 @@
         self.n_characters += len(event.data)
         self.n_crashes = 0
 
-    def check_whole(self) -> None:
-        """Check that a text that has come to its end is of one version.
-
-        Raises
-        ------
-        RequestError
-            ``NOT_RUN`` when that is not proved; the item begins afresh then.
-        """
-        try:
-            self.version.check_joined()
-        except RequestError as error:
-            self._begin_afresh(error.reason)
-            raise
-
     def end_attempt(self) -> None:
         """Record that an attempt has ended without the whole text."""
         if self._is_advanced:
@@ -112,18 +98,18 @@
             version = self.version.required
             self.version.check_joined()
         except RequestError as error:
-            self._begin_afresh(error.reason)
+            self.begin_afresh(error.reason)
             return ""
         if not version:
             return ""
         runners_of_version = runners_at(runners, version)
         is_only_version = len(runners_of_version) == len(runners)
         if self.version.service_name != service:
-            self._begin_afresh("service_changed")
+            self.begin_afresh("service_changed")
         elif not runners_of_version:
-            self._begin_afresh("version_gone")
+            self.begin_afresh("version_gone")
         elif not is_only_version and self._version_wait_left_s <= 0:
-            self._begin_afresh("version_busy")
+            self.begin_afresh("version_busy")
         else:
             return version
         return ""
@@ -147,7 +133,8 @@
         """Record that no slot was granted in time; all runners may be tried again."""
         self.excluded_runners.clear()
 
-    def _begin_afresh(self, reason: str) -> None:
+    def begin_afresh(self, reason: str) -> None:
+        """Drop what has been made of the text, and the version with it."""
         extra = {
             "item": self.item.item_id,
             "reason": reason,
--- a/libs/gateway/src/damaskjunction/gateway/item_runner.py
+++ b/libs/gateway/src/damaskjunction/gateway/item_runner.py
@@ -205,6 +205,7 @@
             self._record_failure(route, progress, slot, error)
             return AttemptOutcome(False, False, error.reason)
         except RequestError as error:
+            progress.begin_afresh(error.reason)
             return AttemptOutcome(False, False, error.reason)
         finally:
             progress.end_attempt()
@@ -293,7 +294,7 @@
             except TimeoutError:
                 raise RunnerFailedError(Outcome.RAN, "no_end", is_fault=True) from None
             await self._runner_client.check_end(runner_response)
-            progress.check_whole()
+            progress.version.check_joined()
         finally:
             runner_response.body.close()
         self._slot_client.report_health(RunnerSeen(service, slot.runner_id, True))
