Let a host that stays own the jobs that a draining host accepts

What callers saw: not reported; read in the code. A draining host takes jobs for half of its grace period and starts none. It made itself the owner, and others took such a job over only after it had gone: its items lay for up to the grace period with room for them (LOST). Class: a duty given to one that does not take it on. Change: a draining host names the first host by rendezvous hashing that stays as the owner. Test: owed items; before, the host had drained before an item of the job ran.

--- a/libs/gateway/features/owed_items.feature
+++ b/libs/gateway/features/owed_items.feature
@@ -20,3 +20,7 @@
     And the engines have free slots
     And the job "j2" of 2 items is submitted under "/noon/" at "h0"
     Then the job "j2" has 2 results within 5 s
+
+  Scenario: A job that a draining host accepts is run by a host that stays
+    When the host "h0" begins to drain and the job "j1" of 2 items is submitted there
+    Then the items of "j1" are at a runner before "h0" has drained
--- a/libs/gateway/features/steps/owed_items_steps.py
+++ b/libs/gateway/features/steps/owed_items_steps.py
@@ -111,3 +111,34 @@
             await context.platform.wait_for_results("h0", job_id, count)
 
     run(context, work())
+
+
+@when(
+    'the host "{host}" begins to drain and the job "{job_id}" of {count:d} items is '
+    "submitted there"
+)
+def submit_at_draining(context, host, job_id, count):
+    async def work():
+        context.leaving = asyncio.ensure_future(context.platform.hosts[host].drain())
+        await asyncio.sleep(0)
+        return await context.platform.submit(host, job_id, count)
+
+    context.reply = run(context, work())
+    assert context.reply.status == 202, context.reply
+
+
+@then('the items of "{job_id}" are at a runner before "{host}" has drained')
+def check_at_runner(context, job_id, host):
+    def has_run():
+        return any(r.recorded_runs for r in context.platform.runners.values())
+
+    async def work():
+        running = asyncio.ensure_future(context.platform.wait_for(has_run))
+        await asyncio.wait(
+            (running, context.leaving), return_when=asyncio.FIRST_COMPLETED
+        )
+        assert not context.leaving.done(), "drained before an item ran"
+        await running
+        await context.leaving
+
+    run(context, work())
--- a/libs/gateway/src/damaskjunction/gateway/job_front.py
+++ b/libs/gateway/src/damaskjunction/gateway/job_front.py
@@ -6,10 +6,12 @@
 
 from damaskjunction.batch import BatchItem, JobRecord
 from damaskjunction.core import (
+    HostId,
     JobId,
     PlatformError,
     PlatformUnavailableError,
     Timers,
+    rendezvous_order,
 )
 from damaskjunction.gateway.cancellation_notifier import CancellationNotifier
 from damaskjunction.gateway.job_repository import JobRepository, StoredJob
@@ -112,7 +114,7 @@
             tuple(item.item_id for item in items),
             tuple(item.n_tokens for item in items),
             0,
-            self._state.view.own.host_id,
+            self._choose_owner(job_id),
         )
         try:
             await self._jobs.accept(record, items)
@@ -124,6 +126,14 @@
         self._log("accepted", job_id, n_items=len(items), tokens=record.n_tokens)
         return Response(202)
 
+    def _choose_owner(self, job_id: JobId) -> HostId:
+        """Return the host that is to run a job: one that stays if this one drains."""
+        view = self._state.view
+        weighted_hosts = [(host.host_id, 1.0) for host in view.serving_hosts()]
+        if not view.is_draining or not weighted_hosts:
+            return view.own.host_id
+        return rendezvous_order(f"job/{job_id}", weighted_hosts)[0]
+
     async def serve(self, request: Request) -> Response | None:
         """Handle a request on a stored job; return None for any other request."""
         path = request.path
