Tell in the dump of each open job who owns it and whether it runs

An item whose job has no worker on any host was in no dump and no gauge: only hosts that run items know them. Test: job worker.

--- a/libs/gateway/features/job_worker.feature
+++ b/libs/gateway/features/job_worker.feature
@@ -67,3 +67,13 @@
     And the results of "i1,i2" are stored
     And the result of "i3" is written, but the answer does not come
     Then another host that asks for the results from position 2 is told to read the store
+
+  Scenario: The dump tells of each open job who owns it and whether it runs
+    Given the run of "i3" does not end
+    And the job "j2" of the lost host "gone" is known
+    When the job runs
+    And the results of "i1,i2" are stored
+    Then the dump tells that "j1" of "own" is run here with 2 of 3 items listed
+    And the dump tells that "j2" of "gone" is run nowhere
+    And 1 jobs count as without a live owner
+    And the gauge of owed items is the 1 that the host runs
--- a/libs/gateway/features/steps/job_worker_steps.py
+++ b/libs/gateway/features/steps/job_worker_steps.py
@@ -73,6 +73,7 @@
     def __init__(self):
         self.timers = ManualTimers()
         self.store = FakeStore()
+        self.metrics = Metrics()
         view = FakeView(FakeHomes(()))
         view.fleet = SimpleNamespace(hosts_by_id={OWN: view.own})
         context = SimpleNamespace(
@@ -80,7 +81,7 @@
             slot_client=None,
             runner_client=None,
             timers=self.timers,
-            metrics=Metrics(),
+            metrics=self.metrics,
             rng=random.Random(1),
         )
         self.jobs = JobRepository(self.store)
@@ -295,3 +296,48 @@
     job = context.rig.jobs.jobs_by_id[JOB]
     found = run(context, make_reader(context).read(job, 0, 0.0))
     assert sorted(r.item_id for r in found) == item_ids.split(","), found
+
+
+@given('the job "{job_id}" of the lost host "{owner}" is known')
+def know_job(context, job_id, owner):
+    record = make_record(job_id, ["k1"], owner)
+    run(context, context.rig.jobs.accept(record, make_items(["k1"])))
+
+
+def job_document(context, job_id):
+    return context.rig.worker.to_document()[job_id]
+
+
+@then(
+    'the dump tells that "{job_id}" of "{owner}" is run here with {listed:d} of '
+    "{count:d} items listed"
+)
+def check_run_here(context, job_id, owner, listed, count):
+    expected = {
+        "owner": owner,
+        "is_owner_known": True,
+        "runs_here": True,
+        "n_items": count,
+        "n_results_known": listed,
+    }
+    assert job_document(context, job_id) == expected, job_document(context, job_id)
+
+
+@then('the dump tells that "{job_id}" of "{owner}" is run nowhere')
+def check_run_nowhere(context, job_id, owner):
+    document = job_document(context, job_id)
+    assert document["owner"] == owner, document
+    assert not document["is_owner_known"], document
+    assert not document["runs_here"], document
+
+
+@then("{count:d} jobs count as without a live owner")
+def check_ownerless(context, count):
+    text = context.rig.metrics.to_text()
+    assert f"jobs_without_owner {count}" in text, text
+
+
+@then("the gauge of owed items is the {count:d} that the host runs")
+def check_owed_gauge(context, count):
+    text = context.rig.metrics.to_text()
+    assert f"items_owed {count}" in text, text
--- a/libs/gateway/src/damaskjunction/gateway/job_worker.py
+++ b/libs/gateway/src/damaskjunction/gateway/job_worker.py
@@ -5,10 +5,11 @@
 import asyncio
 import logging
 from collections.abc import Awaitable, Callable, Sequence
-from typing import TypeAlias, TypeVar
+from typing import TypeAlias, TypedDict, TypeVar
 
 from damaskjunction.batch import BatchItem, ItemResult, TakeoverWatch
 from damaskjunction.core import (
+    HostId,
     JobId,
     PlatformError,
     Subscription,
@@ -30,6 +31,18 @@
 
 
 T = TypeVar("T")
+
+
+class JobDocument(TypedDict):
+    """An open job in the dump, as far as this host knows."""
+
+    owner: HostId
+    is_owner_known: bool
+    runs_here: bool
+    n_items: int
+    n_results_known: int
+
+
 StoreOperation: TypeAlias = Callable[[JobId], Awaitable[T]]
 
 
@@ -58,6 +71,7 @@
         self._takeovers = TaskSet()
         self.is_draining = False
         job_repository.subscribe(self._on_job_change)
+        context.metrics.gauge("jobs_without_owner", self._n_without_owner)
 
     async def start(self) -> None:
         """Start the periodic check for orphaned jobs, after ``FIRST_CHECK_DELAY_S``."""
@@ -92,6 +106,27 @@
         """Return whether this host runs a job and has cached all its stored results."""
         return self.collects_results(job_id) and self._jobs.results.is_settled(job_id)
 
+    def to_document(self) -> dict[JobId, JobDocument]:
+        """Return the open jobs for the dump."""
+        return {
+            job.record.job_id: {
+                "owner": job.owner,
+                "is_owner_known": self._is_owner_known(job),
+                "runs_here": self.is_running(job.record.job_id),
+                "n_items": len(job.record.item_ids),
+                "n_results_known": len(self._jobs.results.cached(job.record.job_id)),
+            }
+            for job in self._jobs.open_jobs()
+        }
+
+    def _n_without_owner(self) -> float:
+        return float(sum(not self._is_owner_known(j) for j in self._jobs.open_jobs()))
+
+    def _is_owner_known(self, job: StoredJob) -> bool:
+        """Return whether the owner of a job is this host or one that it sees live."""
+        view = self._state.view
+        return job.owner == view.own.host_id or job.owner in view.fleet.hosts_by_id
+
     def _start_checks(self) -> None:
         self._check = self._timers.every(CHECK_PERIOD_S, self._check_orphans)
 
@@ -138,7 +173,7 @@
         weighted_hosts = [(host.host_id, 1.0) for host in view.serving_hosts()]
         for job in open_jobs:
             job_id = job.record.job_id
-            if job.owner in view.fleet.hosts_by_id or job.owner == view.own.host_id:
+            if self._is_owner_known(job):
                 self._takeover_watch.observe_present(job_id)
                 if job.owner == view.own.host_id and job_id not in self._tasks_by_job:
                     self._start_job(job)
--- a/libs/gateway/src/damaskjunction/gateway/root.py
+++ b/libs/gateway/src/damaskjunction/gateway/root.py
@@ -341,6 +341,7 @@
         origins = self._origin_keeper
         self.dump.sections.register("stream_origins")(origins.to_document)
         self.dump.sections.register("slot_desk")(slot_client.to_document)
+        self.dump.sections.register("open_jobs")(self._worker.to_document)
         self.dump.sections.register("owed_items")(self._worker.owed_items.to_document)
         self.dump.sections.register("store_path")(transport.to_document)
         self.dump.sections.register("store_news")(self._change_feed.to_document)
