Register a host again when its entry in the store is missing or wrong

A host wrote its entry once. If it replaced that of a former process while the store went away, it gave up; if the former process's removal took effect late, nobody wrote the entry again. Hosts that start do not find such a host, and the others forget it in time: its jobs are taken over, its addresses are not given out, and it goes on running its items beside the new owners. Class: a duty that is done once, with nobody who looks whether it still is. Change: a replacement is repeated; a host that learns that its entry is missing or differs registers again, unless it leaves. Test: host registry; before, the entry stayed wrong or away in two of the three scenarios.

--- a/libs/gateway/src/damaskjunction/gateway/host_registry.py
+++ b/libs/gateway/src/damaskjunction/gateway/host_registry.py
@@ -73,9 +73,10 @@
         self._power_by_host: dict[HostId, float] = {}
         self.state = KindState(HOSTS_KIND, self._apply_all, self._apply_change)
         self._registration: asyncio.Task[None] | None = None
+        self._is_leaving = False
 
     async def start(self) -> None:
-        """Start registering this host."""
+        """Start registering this host, and again whenever its entry is not right."""
         self._registration = asyncio.ensure_future(self._register())
 
     async def close(self) -> None:
@@ -85,6 +86,8 @@
 
     async def deregister(self) -> None:
         """Remove this host's entry from the store, if that succeeds in time."""
+        self._is_leaving = True
+        await self.close()
         try:
             async with asyncio.timeout(REMOVE_TIMEOUT_S):
                 await self._store.delete(HOSTS_KIND, self._own.host_id)
@@ -102,20 +105,40 @@
                 stored = error.current
                 if stored is not None and stored.content == content:
                     return
-                if stored is not None:
-                    await self._replace(stored, content)
+                if stored is not None and await self._replace(stored, content):
                     return
             except PlatformError as error:
                 logger.info("own entry not written", extra={"error": str(error)})
             await asyncio.sleep(REGISTER_RETRY_S)
 
-    async def _replace(self, stored: PlatformObject, content: HostEntry) -> None:
+    async def _replace(self, stored: PlatformObject, content: HostEntry) -> bool:
+        """Replace the entry of a former process; return whether that succeeded."""
         try:
             await self._store.replace(
                 HOSTS_KIND, stored.name, content, revision=stored.revision
             )
         except PlatformError as error:
             logger.warning("own entry not replaced", extra={"error": str(error)})
+            return False
+        return True
+
+    def _register_again(self) -> None:
+        """Register again if the known entry of this host is missing or another one.
+
+        The entry may have been removed by the former process of this host, late.
+        """
+        if self._registration is None or not self._registration.done():
+            return
+        host_id = self._own.host_id
+        known = self._hosts_by_id.get(host_id)
+        is_right = known is not None and _host_to_document(
+            known, self._power_by_host.get(host_id, 0.0)
+        ) == _host_to_document(self._own, self._n_cores)
+        if not is_right and not self._is_leaving:
+            logger.warning(
+                "own entry not right", extra={"is_listed": known is not None}
+            )
+            self._registration = asyncio.ensure_future(self._register())
 
     def _apply_all(self, objects: tuple[PlatformObject, ...]) -> None:
         self._hosts_by_id.clear()
@@ -142,6 +165,7 @@
     def _publish(self) -> None:
         self._view.apply_powers(dict(self._power_by_host))
         self._membership.apply_host_list(self._hosts_by_id.values())
+        self._register_again()
 
 
 def _host_to_document(host: EntryHost, n_cores: float) -> HostEntry:
