Let the last word of a home count when the entry's loop was late

Callers saw: beside other work, requests that their home had refused or broken off at the deadline ended as 'unknown' (504).

Cause: the entry's limit, deadline and grace of 250 ms, was one timer. A loop late by more than that fired it in the same turn as the home's own timers, before the error of the home, or frames that had come in meanwhile, reached the waiting task.

Change: the grace begins when the loop gets to the deadline (node/late_answers.py).

--- a/libs/node/src/damaskjunction/node/entry.py
+++ b/libs/node/src/damaskjunction/node/entry.py
@@ -26,6 +26,7 @@
 from damaskjunction.node.crashes import CrashTracker
 from damaskjunction.node.demand import DemandMeter
 from damaskjunction.node.home import Home
+from damaskjunction.node.late_answers import next_message
 from damaskjunction.node.runners import AnswerMessage
 from damaskjunction.node.selection import RunnerSelector
 from damaskjunction.node.state import HostView
@@ -258,10 +259,9 @@
         The home enforces the deadline too. The entry waits ``DEADLINE_GRACE_S`` longer,
         so that the home's error, which says whether the request ran, arrives first.
         """
-        timeout_s = state.attempts.remaining_s(self._timers.now()) + DEADLINE_GRACE_S
+        timeout_s = state.attempts.remaining_s(self._timers.now())
         try:
-            async with asyncio.timeout(timeout_s):
-                return await anext(messages, None)
+            return await next_message(messages, timeout_s, DEADLINE_GRACE_S)
         except TimeoutError:
             is_started = state.assembly.next_position > state.request.from_token
             outcome = Outcome.RAN if is_started else Outcome.UNKNOWN
