Let heartbeats of the feed stand for pings of its readers

A reader of the feed hears from its source each 0.3 s and leaves it after 0.9 s of silence, yet it pinged the link four times a second and had as many pongs, with a wake of either host for each. It no longer pings on that call; the source still does, and so finds lost readers after 1 s as before. A link is checked before each new call as before.

The new scenario was seen failing with pings on.

--- a/libs/gateway/src/damaskjunction/gateway/change_feed.py
+++ b/libs/gateway/src/damaskjunction/gateway/change_feed.py
@@ -253,7 +253,10 @@
             KindSeen(kind, state.revision)
             for kind, state in self._states_by_kind.items()
         )
-        replies = self._links.call(source.peer, LANE, NewsAsk(known_revisions))
+        # The heartbeats of the feed show sooner than pings whether the link works.
+        replies = self._links.call(
+            source.peer, LANE, NewsAsk(known_revisions), keepalive=False
+        )
         timeout_s = FIRST_MESSAGE_TIMEOUT_S
         started_at_s = self._timers.now()
         try:
--- a/libs/wire/features/links.feature
+++ b/libs/wire/features/links.feature
@@ -27,3 +27,10 @@
     Given a peer that answers each call with 1 replies
     When a call is read to the end
     Then only the idle close timer is pending
+
+  Scenario: A call whose replies show that the link works has one end that pings
+    Given a peer that answers each call with 5000 replies
+    When a call is begun that is kept alive by its replies
+    Then the calling end sends no pings
+    When the call is abandoned
+    Then the peer has no call in progress
--- a/libs/wire/features/steps/links_steps.py
+++ b/libs/wire/features/steps/links_steps.py
@@ -19,6 +19,7 @@
     """Timers that count the pending subscriptions."""
 
     def __init__(self):
+        super().__init__()
         self.subscriptions = []
 
     def once(self, delay_s, callback):
@@ -86,6 +87,20 @@
     assert positions == list(range(5000))
 
 
+@when("a call is begun that is kept alive by its replies")
+def begin_call_without_pings(context):
+    token = Token(1, 0, "slow")
+    context.slow = context.links.call(context.address, LANE, token, keepalive=False)
+    context.positions = [run(context, anext(context.slow)).position]
+
+
+@then("the calling end sends no pings")
+def check_no_pings(context):
+    own = [s for s in context.timers.subscriptions if s.interval_s is not None]
+    pending = [s for s in own if not s.is_cancelled]
+    assert len(pending) == 1, pending  # that of the peer, in the same process
+
+
 @when("a call is read to the end")
 def read_to_end(context):
     run(context, read_all(call(context, "quick")))
--- a/libs/wire/src/damaskjunction/wire/links.py
+++ b/libs/wire/src/damaskjunction/wire/links.py
@@ -76,7 +76,9 @@
             return True
         return await self._channel.check_alive(timeout_s)
 
-    async def call(self, message: Message) -> AsyncGenerator[Message, None]:
+    async def call(
+        self, message: Message, keepalive: bool
+    ) -> AsyncGenerator[Message, None]:
         """Send a call and yield its replies until the end frame."""
         self._last_call_id += 1
         call_id = self._last_call_id
@@ -84,7 +86,7 @@
         queue: asyncio.Queue[Frame | None] = asyncio.Queue(WINDOW_REPLIES + 2)
         kind = type(message).__name__
         self._send_call(Frame(call_id, Operation.CALL, kind, encode_message(message)))
-        self._register_call(call_id, queue)
+        self._register_call(call_id, queue, keepalive)
         has_ended = False
         n_received = 0
         try:
@@ -113,9 +115,12 @@
         except FrameTooLargeError as error:
             raise RequestError(Outcome.NOT_RUN, "too_large", str(error)) from None
 
-    def _register_call(self, call_id: int, queue: asyncio.Queue[Frame | None]) -> None:
+    def _register_call(
+        self, call_id: int, queue: asyncio.Queue[Frame | None], keepalive: bool
+    ) -> None:
         self._queues_by_call_id[call_id] = queue
-        self._channel.start_keepalive()
+        if keepalive:
+            self._channel.start_keepalive()
         if self._idle_close is not None:
             self._idle_close.cancel()
             self._idle_close = None
@@ -179,10 +184,13 @@
         self.n_replaced = 0
 
     async def call(
-        self, address: Address, lane: str, message: Message
+        self, address: Address, lane: str, message: Message, *, keepalive: bool = True
     ) -> AsyncGenerator[Message, None]:
         """Send a message to a host and yield its replies.
 
+        Pings show whether the link works, unless ``keepalive`` is False: for a caller
+        that has to hear replies all the time and ends the call when it does not.
+
         Raises
         ------
         RequestError
@@ -190,7 +198,7 @@
             made; ``UNKNOWN`` if the link was lost.
         """
         link = await self._get_live_link(LinkKey(address, lane))
-        async with aclosing(link.call(message)) as replies:
+        async with aclosing(link.call(message, keepalive)) as replies:
             async for reply in replies:
                 yield reply
 
