Let no item wait on for a runner that may not go on with it

One that was back under its id while its entry did not come (the store away) was ruled out at each attempt, though it could have run the item afresh.

An item that a listed runner was not allowed to go on with, since its last event, begins afresh after the 4 s for which it waits where others serve.

--- a/libs/gateway/features/steps/item_version_steps.py
+++ b/libs/gateway/features/steps/item_version_steps.py
@@ -96,7 +96,7 @@
 
     async def restart():
         await runner.close_and_restart()
-        if is_running:
+        if is_running and context.stream is not None:
             context.answers = [await context.stream]
 
     run(context, restart())
--- a/libs/gateway/features/stream_versions.feature
+++ b/libs/gateway/features/stream_versions.feature
@@ -191,3 +191,10 @@
     And runner "e2" has room again
     And the stream's runner breaks it and has no room from then on
     Then the job "j1" has 1 results, each of version "v1" and complete
+
+  Scenario: An item whose only runner stays listed as its former process begins afresh
+    Given engines "e1" of version "v1" with 60 events
+    When the job "j1" of 1 items is submitted at "h0"
+    And an item has events
+    And the stream's runner is back at version "v1" while its entry is late
+    Then the job "j1" has 1 results, each of version "v1" and complete
--- a/libs/gateway/src/damaskjunction/gateway/item_progress.py
+++ b/libs/gateway/src/damaskjunction/gateway/item_progress.py
@@ -23,7 +23,7 @@
 
 logger = logging.getLogger(__name__)
 
-# An item waits no longer for runners of its version while those of others serve.
+# An item waits no longer for runners of its version while others serve.
 VERSION_WAIT_S = MAX_WAIT_S
 
 
@@ -62,6 +62,7 @@
         self._timers = timers
         self.started_at_s = timers.now()
         self._is_advanced = False  # in the present attempt
+        self._is_denied = False  # by a runner of the version, since the last event
         self._paused_at_s = self.started_at_s
 
     def add_event(self, event: RawEvent, runner: Runner) -> None:
@@ -73,6 +74,11 @@
         self.texts.append(event.data)
         self.n_characters += len(event.data)
         self.n_crashes = 0
+        self._is_denied = False
+
+    def record_denial(self) -> None:
+        """Record that a runner listed at the version is not known to have it."""
+        self._is_denied = True
 
     def end_attempt(self) -> None:
         """Record that an attempt has ended without the whole text."""
@@ -85,7 +91,7 @@
 
         The item begins afresh when that version is not proved or not served, when it
         is one of another service, and when its runners have not gone on with the item
-        for ``VERSION_WAIT_S`` while those of other versions serve.
+        for ``VERSION_WAIT_S`` while others serve, or may not go on with it.
 
         Parameters
         ----------
@@ -108,7 +114,9 @@
             self.begin_afresh("service_changed")
         elif not runners_of_version:
             self.begin_afresh("version_gone")
-        elif not is_only_version and self._version_wait_left_s <= 0:
+        elif self._version_wait_left_s <= 0 and (
+            self._is_denied or not is_only_version
+        ):
             self.begin_afresh("version_busy")
         else:
             return version
@@ -142,6 +150,7 @@
         }
         logger.info("item begins afresh", extra=extra)
         self.version.forget()
+        self._is_denied = False
         self.texts.clear()
         self.last_event_id = None
         self.n_characters = 0
--- a/libs/gateway/src/damaskjunction/gateway/item_runner.py
+++ b/libs/gateway/src/damaskjunction/gateway/item_runner.py
@@ -29,6 +29,7 @@
 )
 from damaskjunction.gateway.slot_client import Slot
 from damaskjunction.gateway.stream_check import StreamCheck
+from damaskjunction.gateway.stream_version import ADMISSION_REASONS
 from damaskjunction.http import (
     BrokenResponseError,
     ClientResponse,
@@ -333,6 +334,8 @@
         error: RunnerFailedError,
     ) -> None:
         progress.excluded_runners.add(slot.runner_id)
+        if error.reason in ADMISSION_REASONS:
+            progress.record_denial()
         progress.n_crashes += error.reason in CONNECTION_LOST_REASONS
         if error.is_fault:
             service = route.service_for(stable_hash(progress.item.item_id))
--- a/libs/gateway/src/damaskjunction/gateway/stream_version.py
+++ b/libs/gateway/src/damaskjunction/gateway/stream_version.py
@@ -23,6 +23,8 @@
 
 VERSION_RETRY_AFTER_S = 0.15
 WRITER_TIMEOUT_S = 0.2
+# Why a runner may not go on with a stream.
+ADMISSION_REASONS = ("other_version", "other_process", "process_unknown", "no_report")
 
 
 class _Writer(NamedTuple):
