Write no more results at once than an object of the store holds

What callers saw: not reported; read in the code while ways to LOST were looked for. Results that are made while the store is away, or faster than it answers, are written together, however many they are. The store takes 1 MiB an object; a larger write is refused, and was repeated for ever: no result of that job was listed any more. Class: a result that is made and not written. Change: a write adds 300 kB of results at most, to a segment of 600 kB at most. Test: job store, 40 results of 40 kB at once; before, none was stored.

--- a/libs/gateway/features/fake_store.py
+++ b/libs/gateway/features/fake_store.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import json
+import math
+
 from damaskjunction.core import PlatformUnavailableError, PlatformUnknownError
 from damaskjunction.platform import ObjectConflictError, PlatformObject
 
@@ -20,6 +23,7 @@
         self._revision = 0
         self.is_away = False
         self.loses_answers = False
+        self.max_bytes = math.inf
         self.on_write = lambda stored: None
         self.before_call = None
 
@@ -69,6 +73,8 @@
         return known
 
     def _put(self, kind, name, content, status):
+        if len(json.dumps(content)) > self.max_bytes:
+            raise PlatformUnavailableError("too large")
         self._revision += 1
         stored = PlatformObject(kind, name, self._revision, content, status)
         self._objects_by_key[kind, name] = stored
--- a/libs/gateway/features/job_store.feature
+++ b/libs/gateway/features/job_store.feature
@@ -17,3 +17,8 @@
     And a host has cached all of them
     When the host writes a result of "j1" while it reads those of 70 other jobs
     Then the store has all 4 results in their order
+
+  Scenario: Results that do not fit into one object of the store are all stored
+    Given a store whose objects hold 1048576 bytes
+    When 40 results of 40000 bytes are written at once
+    Then the store has the 40 results within 2 s
--- a/libs/gateway/features/steps/job_store_steps.py
+++ b/libs/gateway/features/steps/job_store_steps.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 from behave import given, then, when
 from fake_store import FakeStore
 from fleet_helpers import run
@@ -10,6 +12,7 @@
 from damaskjunction.batch import ItemResult
 from damaskjunction.gateway.job_repository import JobRepository
 from damaskjunction.gateway.result_repository import ResultRepository
+from damaskjunction.gateway.result_writer import ResultWriter
 from damaskjunction.platform import RESULTS_KIND, encode_result_list
 
 
@@ -109,3 +112,36 @@
     segments = run(context, other.read(context.job_id))
     context.found = [result for segment in segments for result in segment.results]
     check_results(context, count)
+
+
+@given("a store whose objects hold {count:d} bytes")
+def make_bounded_store(context, count):
+    context.store = FakeStore()
+    context.store.max_bytes = count
+    context.results = ResultRepository(context.store)
+
+
+async def back_off(n_failures):
+    await asyncio.sleep(0.1)
+
+
+@when("{count:d} results of {size:d} bytes are written at once")
+def write_large(context, count, size):
+    async def work():
+        writer = ResultWriter(context.results, "j1", back_off, count)
+        results = [ItemResult(f"i{n:02d}", True, "x" * size) for n in range(count)]
+        context.adding = [asyncio.ensure_future(writer.add(r)) for r in results]
+
+    run(context, work())
+
+
+@then("the store has the {count:d} results within {limit_s:g} s")
+def check_large(context, count, limit_s):
+    async def work():
+        await asyncio.wait(context.adding, timeout=limit_s)
+        assert all(task.done() for task in context.adding)
+        segments = await ResultRepository(context.store).read("j1")
+        found = [result.item_id for segment in segments for result in segment.results]
+        assert sorted(found) == [f"i{n:02d}" for n in range(count)], found
+
+    run(context, work())
--- a/libs/gateway/src/damaskjunction/gateway/result_writer.py
+++ b/libs/gateway/src/damaskjunction/gateway/result_writer.py
@@ -12,6 +12,7 @@
     ItemResult,
     estimate_stored_bytes,
     merge_results,
+    take_page,
 )
 from damaskjunction.core import JobId, PlatformError
 from damaskjunction.gateway.result_repository import ResultRepository
@@ -20,6 +21,8 @@
 logger = logging.getLogger(__name__)
 
 GROUPING_DELAY_S = 0.5
+# Of one write; an object of the store holds this and a segment that is not full.
+MAX_ADDED_BYTES = 300_000
 
 BackOff: TypeAlias = Callable[[int], Awaitable[None]]
 
@@ -117,6 +120,7 @@
             logger.info("results not refreshed", extra=extra)
 
     async def _write_once(self, group: tuple[ItemResult, ...]) -> bool:
+        """Write what fits of a group; return whether all of it is stored."""
         known = self._repository.cached(self._job_id)
         new_results = merge_results(known, group)[len(known) :]
         if not new_results:
@@ -126,11 +130,13 @@
         results = segments[index].results if segments else ()
         if estimate_stored_bytes(results) > SEGMENT_BYTES:
             index, results = index + 1, ()
-        merged = (*results, *new_results)
-        return await self._repository.write(
+        added = take_page(new_results, MAX_ADDED_BYTES)
+        merged = (*results, *added)
+        is_written = await self._repository.write(
             self._job_id,
             index,
             merged,
             encode_result_list(merged),
             is_full=estimate_stored_bytes(merged) > SEGMENT_BYTES,
         )
+        return is_written and len(added) == len(new_results)
