Soak: count no answers lost while the process of the runners stalls

All runners are one process there, so no host could do better. A heartbeat of that process records its stalls; the check leaves out requests in which one fell, and figures name their number. A feature shows that such a request is no violation; without a stall it is one, as before.

--- a/libs/lab/features/soak.feature
+++ b/libs/lab/features/soak.feature
@@ -58,6 +58,9 @@
     Given a history without violations
     When a request that crashes its runner cuts a request that runs
     Then no check reports a violation
+    Given a history without violations
+    When a request is cut while the process of the runners stalls
+    Then no check reports a violation
 
   Scenario: A host that was restarted or separated may not know that a runner leaves
     Given a history without violations
--- a/libs/lab/features/steps/soak_steps.py
+++ b/libs/lab/features/steps/soak_steps.py
@@ -23,6 +23,7 @@
     Run,
     RunnerLife,
     SoakOptions,
+    Stall,
     Submission,
     checks,
     find_violations,
@@ -301,6 +302,12 @@
     add_run(context.history, "deadly-ask-1", at_s=8.5)
 
 
+@when("a request is cut while the process of the runners stalls")
+def add_lost_answer_in_stall(context):
+    add_lost_answer(context.history, 8.0)
+    context.history.stalls.append(Stall(8.0, 8.6))
+
+
 def add_leaving_runner(history):
     history.lives.append(RunnerLife("e1#1", "v1", 0.0, 30.0, 2.0))
     call = Call("look-94", "look", "h0", 2.5, 3.0, 200, True, b"look-94")
--- a/libs/lab/src/damaskjunction/lab/soak/__init__.py
+++ b/libs/lab/src/damaskjunction/lab/soak/__init__.py
@@ -21,6 +21,7 @@
     Run,
     RunEnd,
     RunnerLife,
+    Stall,
     Submission,
 )
 from damaskjunction.lab.soak.runners import RecordedEvents
@@ -45,6 +46,7 @@
     "ScheduledFault",
     "SoakOptions",
     "SoakReport",
+    "Stall",
     "Submission",
     "checks",
     "faults",
--- a/libs/lab/src/damaskjunction/lab/soak/answers.py
+++ b/libs/lab/src/damaskjunction/lab/soak/answers.py
@@ -18,7 +18,8 @@
 def check_answers(history: History) -> Iterator[str]:
     """Find requests that a sound runner got and whose answer did not arrive whole.
 
-    Only requests in calm or beside planned stops of hosts count.
+    Only requests in calm or beside planned stops of hosts count, and none during which
+    the process of the runners stalled: to the hosts all runners are silent then.
     """
     spans = calm_spans(history, PLANNED_KINDS)
     runs_by_id: dict[str, list[Run]] = defaultdict(list)
@@ -33,7 +34,15 @@
             span.since_s <= call.sent_at_s and call.ended_at_s <= span.until_s
             for span in spans
         )
-        if is_checked and not _is_broken_off(call, runs, deadly_runs):
+        is_stalled = any(
+            stall.since_s <= call.ended_at_s and call.sent_at_s <= stall.until_s
+            for stall in history.stalls
+        )
+        if (
+            is_checked
+            and not is_stalled
+            and not _is_broken_off(call, runs, deadly_runs)
+        ):
             wait_s = call.ended_at_s - call.sent_at_s
             yield (
                 f"{call.request_id}: ran at {runs[-1].runner}, but {call.host} ended "
--- a/libs/lab/src/damaskjunction/lab/soak/history.py
+++ b/libs/lab/src/damaskjunction/lab/soak/history.py
@@ -99,6 +99,13 @@
     until_s: float
 
 
+class Stall(NamedTuple):
+    """A time in which the process of all runners and callers did nothing."""
+
+    since_s: float
+    until_s: float
+
+
 class HostDisturbance(NamedTuple):
     """A signal to a host's process, or its start."""
 
@@ -198,6 +205,7 @@
         self.lives: list[RunnerLife] = []
         self.rooms: list[Room] = []
         self.fault_spans: list[FaultSpan] = []
+        self.stalls: list[Stall] = []
         self.disturbances: list[HostDisturbance] = []
         self.host_views_by_item: dict[str, str] = {}
         self.limits: list[NamedLimit] = []
--- a/libs/lab/src/damaskjunction/lab/soak/observer.py
+++ b/libs/lab/src/damaskjunction/lab/soak/observer.py
@@ -1,4 +1,4 @@
-"""Observer of a running soak: room at the engines, and items that are left lying."""
+"""Observer of a running soak: room at engines, items left lying, own stalls."""
 
 from __future__ import annotations
 
@@ -6,12 +6,15 @@
 import json
 from pathlib import Path
 
+from damaskjunction.lab.soak.history import Stall
 from damaskjunction.lab.soak.owed import find_lying
 from damaskjunction.lab.soak.rig import SoakRig
 from damaskjunction.node import cancel_tasks
 
 SAMPLE_PERIOD_S = 0.25
 SAMPLES_PER_SEARCH = 4
+HEARTBEAT_S = 0.05
+MIN_STALL_S = 0.2  # half of the silence after which a host leaves a runner
 
 
 class Observer:
@@ -28,18 +31,29 @@
     def __init__(self, rig: SoakRig, folder: Path) -> None:
         self._rig = rig
         self._folder = folder
-        self._task: asyncio.Task[None] | None = None
+        self._tasks: list[asyncio.Task[None]] = []
 
     def start(self) -> None:
         """Start to observe."""
-        self._task = asyncio.ensure_future(self._observe())
+        self._tasks = [
+            asyncio.ensure_future(self._observe()),
+            asyncio.ensure_future(self._record_stalls()),
+        ]
 
     async def close(self) -> None:
         """Stop observing."""
-        if self._task is not None:
-            await cancel_tasks([self._task])
-            if not self._task.cancelled():
-                self._task.result()
+        await cancel_tasks(self._tasks)
+        for task in self._tasks:
+            if not task.cancelled():
+                task.result()
+
+    async def _record_stalls(self) -> None:
+        timers, stalls = self._rig.timers, self._rig.history.stalls
+        while True:
+            asleep_at_s = timers.now()
+            await asyncio.sleep(HEARTBEAT_S)
+            if timers.now() - asleep_at_s > HEARTBEAT_S + MIN_STALL_S:
+                stalls.append(Stall(asleep_at_s, timers.now()))
 
     async def _observe(self) -> None:
         n_samples = 0
--- a/libs/lab/src/damaskjunction/lab/soak/soak.py
+++ b/libs/lab/src/damaskjunction/lab/soak/soak.py
@@ -103,6 +103,7 @@
         "requests": len(history.calls),
         "runs": len(history.runs),
         "jobs": len({submission.job_id for submission in history.submissions}),
+        "stalls": len(history.stalls),
         **statuses,
     }
     violations = tuple(find_violations(history))
@@ -115,6 +116,7 @@
     """Return what callers and runners observed, a line for each event, by time."""
     lines = [(call.sent_at_s, str(call)) for call in history.calls]
     lines += [(span.since_s, str(span)) for span in history.fault_spans]
+    lines += [(stall.since_s, str(stall)) for stall in history.stalls]
     for observed in (history.runs, history.run_ends, history.disturbances):
         lines += [(entry.at_s, str(entry)) for entry in observed]
     lines += [(read.at_s, str(read)) for read in history.reads if read.results]
