Wait for the answer to a job's creation before its results are read

Since its run counted a job as possibly older when the watch told of it before the answer to its creation, the host read the results of such a job without need. Change: the run waits for the answer, and then knows whether the job is new. Test: job store.

--- a/libs/gateway/features/job_store.feature
+++ b/libs/gateway/features/job_store.feature
@@ -1,10 +1,11 @@
 Feature: What a host caches of jobs and results agrees with the store
   A cache may lack what the store has; it never stands for more than it knows.
 
-  Scenario: A job that the watch tells of before its creator is answered is read again
+  Scenario: A job that the watch tells of before its creator is answered counts as new once
     Given a host whose watch of the store is faster than its writes
     When the job "j1" is accepted
-    Then the job "j1" may have results that are not cached
+    Then the run that the watch began knows that "j1" is new
+    And a later run of "j1" reads its results
 
   Scenario: Results are read whole while those of other jobs displace them
     Given the job "j1" has 3 full segments of results in the store
--- a/libs/gateway/features/steps/job_store_steps.py
+++ b/libs/gateway/features/steps/job_store_steps.py
@@ -22,6 +22,14 @@
     context.jobs = JobRepository(context.store)
     context.store.on_write = context.jobs.apply_object
 
+    def begin_run(job_id):
+        context.run = asyncio.ensure_future(context.jobs.pop_created(job_id))
+
+    async def work():
+        context.jobs.subscribe(begin_run)
+
+    run(context, work())
+
 
 @when('the job "{job_id}" is accepted')
 def accept_job(context, job_id):
@@ -29,9 +37,17 @@
     run(context, context.jobs.accept(record, make_items(["i1"])))
 
 
-@then('the job "{job_id}" may have results that are not cached')
-def check_not_created(context, job_id):
-    assert not context.jobs.pop_created(job_id)
+@then('the run that the watch began knows that "{job_id}" is new')
+def check_new(context, job_id):
+    async def work():
+        assert await context.run
+
+    run(context, work())
+
+
+@then('a later run of "{job_id}" reads its results')
+def check_not_new(context, job_id):
+    assert not run(context, context.jobs.pop_created(job_id))
 
 
 def make_result(number):
--- a/libs/gateway/src/damaskjunction/gateway/job_repository.py
+++ b/libs/gateway/src/damaskjunction/gateway/job_repository.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 from collections import OrderedDict
 from collections.abc import Callable, Iterator
@@ -75,6 +76,7 @@
         self.results = ResultRepository(store)
         self._items_by_id: OrderedDict[JobId, tuple[BatchItem, ...]] = OrderedDict()
         self._created_ids: set[JobId] = set()
+        self._creations_by_id: dict[JobId, asyncio.Event] = {}
         self._observers: list[Callable[[JobId], None]] = []
 
     def subscribe(self, observer: Callable[[JobId], None]) -> None:
@@ -186,15 +188,18 @@
             for index, part in enumerate(parts):
                 await self._write_part(f"{record.job_id}.{index}", part)
             content = encode_record(record, ())
+        self._creations_by_id[record.job_id] = has_ended = asyncio.Event()
         try:
             stored = await self._store.create(JOBS_KIND, record.job_id, content)
-            if record.job_id not in self.jobs_by_id:  # else its run may have started
-                self._created_ids.add(record.job_id)
+            self._created_ids.add(record.job_id)
             self._cache_items(record.job_id, items)
         except ObjectConflictError as error:
             if error.current is None:
                 raise PlatformUnavailableError(str(error)) from None
             stored = error.current
+        finally:
+            has_ended.set()
+            self._creations_by_id.pop(record.job_id, None)
         job = self.apply_object(stored)
         if job is None:
             raise PlatformUnknownError(f"job {record.job_id} is malformed")
@@ -262,11 +267,15 @@
             job = self.apply_object(stored)
         return None
 
-    def pop_created(self, job_id: JobId) -> bool:
+    async def pop_created(self, job_id: JobId) -> bool:
         """Return whether this host created the job and it can have no results yet.
 
-        True at most once for each job.
+        True at most once for each job. The store may tell of a job before it answers
+        to its creation, which is waited for.
         """
+        creation = self._creations_by_id.get(job_id)
+        if creation is not None:
+            await creation.wait()
         is_created = job_id in self._created_ids
         self._created_ids.discard(job_id)
         return is_created
--- a/libs/gateway/src/damaskjunction/gateway/job_worker.py
+++ b/libs/gateway/src/damaskjunction/gateway/job_worker.py
@@ -197,7 +197,7 @@
         job_id = job.record.job_id
         items = await self._retry(self._jobs.items, job_id)
         self._jobs.results.pin(job_id)
-        if not self._jobs.pop_created(job_id):
+        if not await self._jobs.pop_created(job_id):
             await self._retry(self._jobs.results.read, job_id)
         self._ids_with_cached_results.add(job_id)
         # A task that was cancelled ends its group like one that has finished.
