Keep the results of running jobs when an older list of the store lacks the job

What callers saw: not reported; read in the code. A list of the store that was under way while a host accepted a job does not have it. The host then dropped the job's results from its cache, ran the job on and went on to answer reads from that cache: results that had been read were missing until the next one was stored (LOST). Class: a cache that counts as complete while others clear it. Change: pinned results are not dropped. Test: job worker; before, the host returned no results.

--- a/libs/gateway/features/job_worker.feature
+++ b/libs/gateway/features/job_worker.feature
@@ -45,6 +45,13 @@
     And the job is cancelled by its caller
     Then no item of the job is owed
 
+  Scenario: An older list of the store takes no results from a job that runs here
+    Given the run of "i3" does not end
+    When the job runs
+    And the results of "i1,i2" are stored
+    And the host applies a list of the store from before the job
+    Then the host returns the results of "i1,i2" of its job
+
   Scenario: The results of a job that runs here stay in the cache
     Given the run of "i3" does not end
     When the job runs
--- a/libs/gateway/features/steps/job_worker_steps.py
+++ b/libs/gateway/features/steps/job_worker_steps.py
@@ -291,9 +291,14 @@
     raise AssertionError(replies)
 
 
+@when("the host applies a list of the store from before the job")
+def apply_older_list(context):
+    context.rig.jobs.replace_all(())
+
+
 @then('the host returns the results of "{item_ids}" of its job')
 def check_read(context, item_ids):
-    job = context.rig.jobs.jobs_by_id[JOB]
+    job = run(context, context.rig.jobs.find(JOB))
     found = run(context, make_reader(context).read(job, 0, 0.0))
     assert sorted(r.item_id for r in found) == item_ids.split(","), found
 
--- a/libs/gateway/src/damaskjunction/gateway/result_repository.py
+++ b/libs/gateway/src/damaskjunction/gateway/result_repository.py
@@ -57,7 +57,9 @@
         return job_id not in self._unsettled_ids
 
     def evict(self, job_id: JobId) -> None:
-        """Remove a job's results from the cache."""
+        """Remove a job's results from the cache, unless they are pinned."""
+        if job_id in self._pinned_ids:
+            return
         self._segments_by_id.pop(job_id, None)
         self._unsettled_ids.discard(job_id)
 
