Read all pages of a job's results in the tests that wait for them

A host that has read the store between the two writes answers After=0 from its cache with the one result it knows, which is allowed; callers go on at the next position. The check now reads on until it has all, at each host as before.

--- a/libs/gateway/features/platform_fleet.py
+++ b/libs/gateway/features/platform_fleet.py
@@ -248,15 +248,23 @@
         return json.loads(reply.body) if reply.status == 200 else reply.status
 
     async def wait_for_results(self, host: str, job_id: str, count: int) -> Any:
-        """Return a job's results once there are at least ``count``."""
+        """Return a job's results once there are at least ``count``.
+
+        Each time they are read from the start, page by page, as callers do: a page has
+        any number of results.
+        """
         async with asyncio.timeout(WAIT_TIMEOUT_S):
             while True:
-                results_document = await self.results(host, job_id)
-                if (
-                    isinstance(results_document, dict)
-                    and len(results_document["Results"]) >= count
-                ):
-                    return results_document
+                document = await self.results(host, job_id)
+                while isinstance(document, dict) and len(document["Results"]) < count:
+                    after = len(document["Results"])
+                    page = await self.results(host, job_id, after)
+                    if not isinstance(page, dict) or not page["Results"]:
+                        document = None
+                        break
+                    document["Results"] += page["Results"]
+                if isinstance(document, dict):
+                    return document
                 await asyncio.sleep(POLL_S)
 
     async def _make_settings(self, name: str) -> ProcessSettings:
