Read the description of messages without a parser of the whole language

Each start of a host had the thrift library parse peer.thrift, for which it makes the tables of its grammar first: 42 ms of processor time a start. A reader of the few forms in that file makes the library's structs now; encoding and decoding are the library's as before.

The scenario was seen failing with i32 taken for i64.

--- a/libs/wire/features/codec.feature
+++ b/libs/wire/features/codec.feature
@@ -21,3 +21,11 @@
   Scenario: A message of an older version lacks a field that was added with a default
     When a granted slot without its newest field is decoded
     Then the slot's runner is "r1" and nothing of its request is watched
+
+  Scenario: The structs are those that the thrift library's parser makes
+    When the description of the messages is parsed by the thrift library
+    Then each struct has the same fields, types and defaults
+
+  Scenario: A line of the message description that is not understood is an error
+    When the description "struct A {|1: map<string, i32> counts|}" is read
+    Then line 2 of the description is rejected
--- a/libs/wire/features/steps/codec_steps.py
+++ b/libs/wire/features/steps/codec_steps.py
@@ -5,7 +5,10 @@
 import random
 import struct
 import tracemalloc
+from importlib.resources import files
+from pathlib import Path
 
+import thriftpy2
 from behave import then, when
 
 from damaskjunction.wire import (
@@ -20,6 +23,8 @@
     encode_message,
     message_types,
 )
+from damaskjunction.wire.schema import read_structs
+from damaskjunction.wire.structs import load_structs
 
 EXAMPLES = (
     Failure("not_run", "overloaded", "later", 1.0),
@@ -116,3 +121,50 @@
 @then('the slot\'s runner is "{runner}" and nothing of its request is watched')
 def check_older_message(context, runner):
     assert context.message == SlotGranted(runner, ()), context.message
+
+
+@when("the description of the messages is parsed by the thrift library")
+def parse_description(context):
+    path = Path(str(files("damaskjunction.wire").joinpath("peer.thrift")))
+    parsed = thriftpy2.load(str(path), module_name="peer_thrift")
+    context.parsed = {
+        name: struct
+        for name, struct in vars(parsed).items()
+        if isinstance(struct, type)
+    }
+    context.structs = vars(load_structs(path))
+
+
+@then("each struct has the same fields, types and defaults")
+def check_structs(context):
+    assert context.structs.keys() == context.parsed.keys()
+    assert context.structs.keys() > set(message_types)
+    for name, made in context.structs.items():
+        expected = describe(context.parsed[name])
+        assert describe(made) == expected, (describe(made), expected)
+
+
+def describe(struct_type):
+    """Return a struct's fields, with the names of structs in place of them."""
+    specs = {
+        number: tuple(name_of(part) for part in spec)
+        for number, spec in struct_type.thrift_spec.items()
+    }
+    return specs, vars(struct_type()), struct_type._ttype
+
+
+def name_of(part):
+    return (part[0], part[1].__name__) if isinstance(part, tuple) else part
+
+
+@when('the description "{text}" is read')
+def read_description(context, text):
+    try:
+        context.error = f"read as {read_structs(text.replace('|', chr(10)))}"
+    except ValueError as error:
+        context.error = str(error)
+
+
+@then("line {number:d} of the description is rejected")
+def check_description(context, number):
+    assert context.error.startswith(f"line {number} "), context.error
--- a/libs/wire/src/damaskjunction/wire/codec.py
+++ b/libs/wire/src/damaskjunction/wire/codec.py
@@ -13,18 +13,16 @@
 from pathlib import Path
 from typing import Any, NamedTuple, TypeAlias, get_args, get_origin, get_type_hints
 
-import thriftpy2
 from thriftpy2.protocol import TCyBinaryProtocolFactory
 from thriftpy2.transport import TCyMemoryBuffer
 
 from damaskjunction.core import DamaskjunctionError, Registry
 from damaskjunction.wire.layout import check_struct
+from damaskjunction.wire.structs import load_structs
 
 Message: TypeAlias = Any
 
-_structs = thriftpy2.load(
-    str(Path(__file__).with_name("peer.thrift")), module_name="peer_thrift"
-)
+_structs = load_structs(Path(__file__).with_name("peer.thrift"))
 _protocol_factory: Any = TCyBinaryProtocolFactory()  # type: ignore[no-untyped-call]
 
 message_types: Registry[type[Any]] = Registry("message")
