Wait for a write of results under way before the store is read instead

It waits for the write now, 0.2 s at most. Test: job worker, a read during a write; before, the store was called.

--- a/libs/gateway/features/job_worker.feature
+++ b/libs/gateway/features/job_worker.feature
@@ -84,3 +84,10 @@
     And the dump tells that "j2" of "gone" is run nowhere
     And 1 jobs count as without a live owner
     And the gauge of owed items is the 1 that the host runs
+
+  Scenario: A read during a write waits for it and does not read the store
+    Given the run of "i3" hangs 1 times in the state "at a runner"
+    When the job runs
+    And the results of "i1,i2" are stored
+    And the result of "i3" is being written for 0.05 s
+    Then a read of the job from position 2 returns "i3" without a call to the store
--- a/libs/gateway/features/steps/job_worker_steps.py
+++ b/libs/gateway/features/steps/job_worker_steps.py
@@ -14,6 +14,7 @@
 
 from damaskjunction.batch import BatchItem, ItemResult, JobRecord
 from damaskjunction.core import (
+    LoopTimers,
     ManualTimers,
     Outcome,
     PlatformUnavailableError,
@@ -255,7 +256,7 @@
 def make_reader(context):
     rig = context.rig
     view = rig.worker._state.view
-    return ResultReader(rig.jobs, rig.worker, view, None, rig.timers)
+    return ResultReader(rig.jobs, rig.worker, view, None, LoopTimers())
 
 
 @then("a read of the job from position {position:d} fails")
@@ -346,3 +347,36 @@
 def check_owed_gauge(context, count):
     text = context.rig.metrics.to_text()
     assert f"items_owed {count}" in text, text
+
+
+@when('the result of "{item_id}" is being written for {duration_s:g} s')
+def write_slowly(context, item_id, duration_s):
+    store = context.rig.store
+    context.is_asked = asyncio.Event()
+
+    async def delay():
+        store.before_call = None
+        context.is_asked.set()
+        await asyncio.sleep(duration_s)
+
+    async def write():
+        store.before_call = delay
+        add_result(context, item_id)
+        await context.is_asked.wait()
+
+    run(context, write())
+
+
+@then(
+    'a read of the job from position {position:d} returns "{item_id}" without a call '
+    "to the store"
+)
+def check_read_without_call(context, position, item_id):
+    async def fail():
+        raise AssertionError("the store was called")
+
+    context.rig.store.before_call = fail
+    job = context.rig.jobs.jobs_by_id[JOB]
+    found = run(context, make_reader(context).read(job, position, 0.0))
+    context.rig.store.before_call = None
+    assert [result.item_id for result in found] == [item_id], found
--- a/libs/gateway/src/damaskjunction/gateway/result_reader.py
+++ b/libs/gateway/src/damaskjunction/gateway/result_reader.py
@@ -22,6 +22,7 @@
 
 LANE = "batch"
 POLL_INTERVAL_S = 0.1
+WRITE_WAIT_S = 0.2  # for a write under way, before the store is read instead
 RESPONSE_MARGIN_S = 0.4
 
 
@@ -95,13 +96,16 @@
     ) -> tuple[ItemResult, ...]:
         """Wait for results of a job whose results are collected here.
 
-        Without any, the cache may lack some of the stored ones by then.
+        A write under way is waited for a little longer. Without any results then, the
+        cache may lack some of the stored ones.
         """
         job_id = job.record.job_id
         deadline_at_s = self._timers.now() + wait_s
         while True:
             results = self._jobs.results.cached(job_id)[after:]
             remaining_s = deadline_at_s - self._timers.now()
+            if not self._jobs.results.is_settled(job_id):
+                remaining_s += WRITE_WAIT_S
             is_over = remaining_s <= 0 or not self._collects_results(job)
             if results or is_over or after >= len(job.record.item_ids):
                 return results
