--- a/libs/gateway/features/platform_fleet.py
+++ b/libs/gateway/features/platform_fleet.py
@@ -263,6 +263,7 @@
                         document = None
                         break
                     document["Results"] += page["Results"]
+                    document["Next"] = page["Next"]
                 if isinstance(document, dict):
                     return document
                 await asyncio.sleep(POLL_S)
