Give a slot back when the end of its attempt is interrupted

Cause: an attempt at an item first stops its work and then closes its slot. When its run was cancelled between the two (the job is cancelled or taken over, or the item is stuck in 'ending an attempt' for 10 s), the close was skipped. The slot stayed among those that the client holds and moves to each new home, so its home counted the runner's place as taken for as long as the host ran. Class: a place that is held by nobody who could give it back. Change: the slot is closed also when stopping the work is interrupted. Test: item places, 'An attempt that is cancelled while it ends gives its slot back'; it failed on the code before (the slot was not closed).

--- a/libs/gateway/features/item_places.feature
+++ b/libs/gateway/features/item_places.feature
@@ -5,3 +5,9 @@
     Given 64 items under which each runner crashes
     When an item that runs well is added
     Then it has a result within 1 s
+
+  Scenario: An attempt that is cancelled while it ends gives its slot back
+    Given an item at a runner that lets go of it slowly
+    When the slot of the item is revoked
+    And the run of the item is cancelled while its attempt ends
+    Then the slot of the item has been given back
--- a/libs/gateway/features/steps/item_place_steps.py
+++ b/libs/gateway/features/steps/item_place_steps.py
@@ -21,6 +21,7 @@
 
 ROUTE = Route("night", "h", "/", RouteKind.BATCH, (WeightedService("llm", 1),), 5, 1)
 BACK_OFF_S = 0.01
+LETTING_GO_S = 0.1
 
 
 class CrashingRunner(ItemRunner):
@@ -34,6 +35,31 @@
         return AttemptOutcome(True, True, "whole")
 
 
+class SlowlyEndingRunner(ItemRunner):
+    """Works on an item without end, and takes ``LETTING_GO_S`` to stop."""
+
+    async def _send_and_collect(self, job, route, progress, slot):
+        try:
+            await asyncio.Event().wait()
+        finally:
+            await asyncio.sleep(LETTING_GO_S)
+
+
+class SingleSlot:
+    """A client of slots with one slot, and that slot."""
+
+    def __init__(self):
+        self.runner_id = "r1"
+        self.revoked = asyncio.Event()
+        self.is_closed = False
+
+    async def acquire(self, ask, on_ask):
+        return self
+
+    async def close(self):
+        self.is_closed = True
+
+
 async def back_off(n_failures):
     await asyncio.sleep(BACK_OFF_S)
 
@@ -47,22 +73,26 @@
     return task
 
 
-@given("{count:d} items under which each runner crashes")
-def start_crashing(context, count):
+def make_runner(context, runner_type, slot_client=None):
     context.timers = LoopTimers()
     table = SimpleNamespace(find_by_name=lambda name: ROUTE)
     state = SimpleNamespace(table=table, runners_of=lambda service: [])
     dispatch = SimpleNamespace(
         state=state,
-        slot_client=None,
+        slot_client=slot_client,
         runner_client=None,
         timers=context.timers,
         metrics=Metrics(),
         rng=random.Random(1),
     )
-    context.runner = CrashingRunner(dispatch, back_off)
+    context.runner = runner_type(dispatch, back_off)
     context.runs = []
 
+
+@given("{count:d} items under which each runner crashes")
+def start_crashing(context, count):
+    make_runner(context, CrashingRunner)
+
     async def work():
         for number in range(count):
             start_item(context, f"crash{number}")
@@ -88,3 +118,34 @@
         await cancel_tasks(context.runs)
 
     run(context, work())
+
+
+@given("an item at a runner that lets go of it slowly")
+def start_slowly_ending(context):
+    async def work():
+        context.slot = SingleSlot()
+        make_runner(context, SlowlyEndingRunner, context.slot)
+        context.item_run = start_item(context, "i1")
+        await asyncio.sleep(BACK_OFF_S)
+
+    run(context, work())
+
+
+@when("the slot of the item is revoked")
+def revoke_slot(context):
+    async def work():
+        context.slot.revoked.set()
+        await asyncio.sleep(BACK_OFF_S)
+
+    run(context, work())
+
+
+@when("the run of the item is cancelled while its attempt ends")
+def cancel_ending_run(context):
+    assert not context.slot.is_closed
+    run(context, cancel_tasks([context.item_run]))
+
+
+@then("the slot of the item has been given back")
+def check_slot_closed(context):
+    assert context.slot.is_closed
--- a/libs/gateway/src/damaskjunction/gateway/item_runner.py
+++ b/libs/gateway/src/damaskjunction/gateway/item_runner.py
@@ -211,8 +211,10 @@
         finally:
             progress.end_attempt()
             progress.owed.enter(ItemState.CLOSING, place=slot.runner_id)
-            await cancel_tasks([work, revoked])
-            await slot.close()
+            try:
+                await cancel_tasks([work, revoked])
+            finally:
+                await slot.close()
 
     async def _acquire_slot(
         self, job: StoredJob, route: Route, progress: ItemProgress
