Give a busy home longer to answer the asks of batch items

Cause: an ask went on to the next host when a home had not answered within 0.2 s, for batch items as for online requests, and the home was suspected for 1.5 s. An online request then starts at a runner without a slot; a batch item gets none ('no_home'). While hosts answered slower than that, each ask of an item ended so, at one home after another, however much room the runners had. Class: a bound that is shorter than what it waits for, and a retry that meets the same bound again. Change: an item's ask has 1 s for the first reply, as long as a link without an answer lasts. Test: slot moves, 'An ask of a batch item at a home that is slow to answer gets its slot' (0.4 s an answer); on the code before, no slot was granted within 4 s.

--- a/libs/gateway/features/fake_homes.py
+++ b/libs/gateway/features/fake_homes.py
@@ -43,6 +43,7 @@
         self.hosts_by_id = {n: make_host(i, n) for i, n in enumerate(names)}
         self._ids_by_address = {h.peer: n for n, h in self.hosts_by_id.items()}
         self.open_calls = []
+        self.answer_delay_s = 0.0
         self.answers = {name: asyncio.Event() for name in names}
         self.grants = {name: asyncio.Event() for name in names}
         for name in names:
@@ -53,6 +54,8 @@
         call = FakeCall(self._ids_by_address[address], ask)
         self.open_calls.append(call)
         try:
+            if self.answer_delay_s:
+                await asyncio.sleep(self.answer_delay_s)
             await self._wait(call, self.answers[call.host_id])
             if not self.grants[call.host_id].is_set() and not ask.held_runner:
                 yield SlotQueued()
--- a/libs/gateway/features/slot_moves.feature
+++ b/libs/gateway/features/slot_moves.feature
@@ -18,5 +18,10 @@
     And "b" is the home
     Then the slot is held at "b" alone
 
+  Scenario: An ask of a batch item at a home that is slow to answer gets its slot
+    When "a" answers each ask after 0.4 s and is the home
+    And a slot is asked for
+    Then the slot is held at "a" alone
+
   Scenario: Random moves, losses and freezes of homes leave no slot or ask behind
     Then 150 random runs end with each open slot held at the home alone
--- a/libs/gateway/features/steps/slot_move_steps.py
+++ b/libs/gateway/features/steps/slot_move_steps.py
@@ -47,6 +47,12 @@
     set_home(context, name)
 
 
+@when('"{name}" answers each ask after {delay_s:g} s and is the home')
+def set_slow_home(context, name, delay_s):
+    context.rig.homes.answer_delay_s = delay_s
+    set_home(context, name)
+
+
 @when('"{name}" queues asks and is the home')
 def set_queueing_home(context, name):
     context.rig.homes.grants[name].clear()
--- a/libs/gateway/src/damaskjunction/gateway/slot_client.py
+++ b/libs/gateway/src/damaskjunction/gateway/slot_client.py
@@ -48,7 +48,8 @@
 
 logger = logging.getLogger(__name__)
 
-FIRST_REPLY_TIMEOUT_S = 0.2
+# A batch item that no home answers in time gets no slot, so a busy home has longer.
+FIRST_REPLY_TIMEOUT_S_BY_CLASS = {WorkClass.ONLINE: 0.2, WorkClass.BATCH: 1.0}
 MAX_HOMES_TRIED = 2
 HEALTH_REPORT_TIMEOUT_S = 1.0
 NO_HOME_RETRY_AFTER_S = 0.3
@@ -242,7 +243,7 @@
     ) -> tuple[AsyncGenerator[Message, None], SlotGranted] | None:
         replies = self._links.call(host.peer, ask.work_class.value, ask)
         try:
-            async with asyncio.timeout(FIRST_REPLY_TIMEOUT_S):
+            async with asyncio.timeout(FIRST_REPLY_TIMEOUT_S_BY_CLASS[ask.work_class]):
                 reply = await anext(replies)
             if isinstance(reply, SlotQueued):
                 async with self._waits.wait(ask, host.host_id):
