--- a/libs/lab/features/soak.feature
+++ b/libs/lab/features/soak.feature
@@ -45,6 +45,21 @@
   Scenario: The fault schedule depends only on the seed
     Then seed 7 always gives the same schedule, and seed 8 a different one
 
+  Scenario Outline: Many schedules bring each fault
+    Then at least <count> of the 50 schedules of 20 s for seeds 1 to 50 bring <what>
+
+    Examples:
+      | count | what                                |
+      | 15    | each kind of fault                  |
+      | 10    | a kill of all hosts at once         |
+      | 15    | a time in which the store is away   |
+      | 20    | engines of two versions of software |
+
+  Scenario: A release that follows a whole one brings a new version
+    Then engines of versions "v1 v1 v1 v1" become "v2 v2 v1 v1" by the next release
+    And engines of versions "v2 v2 v1 v1" become "v2 v2 v2 v2" by the next release
+    And engines of versions "v2 v2 v2 v2" become "v3 v3 v2 v2" by the next release
+
   Scenario: Items that wait in a fault or without room are not reported as left lying
     Given a history without violations
     When an item waits 6 s in a fault
--- a/libs/lab/src/damaskjunction/lab/soak/__init__.py
+++ b/libs/lab/src/damaskjunction/lab/soak/__init__.py
@@ -3,10 +3,14 @@
 import damaskjunction.lab.soak.answers
 import damaskjunction.lab.soak.link_faults
 import damaskjunction.lab.soak.owed
-import damaskjunction.lab.soak.release_faults
 import damaskjunction.lab.soak.releases  # noqa: F401 - register faults and checks
 from damaskjunction.lab.soak.checks import checks, find_violations
-from damaskjunction.lab.soak.faults import faults
+from damaskjunction.lab.soak.faults import (
+    STORE_FAULTS,
+    faults,
+    kills_all_hosts,
+    variant,
+)
 from damaskjunction.lab.soak.history import (
     Call,
     Cancellation,
@@ -24,11 +28,13 @@
     Stall,
     Submission,
 )
+from damaskjunction.lab.soak.release_faults import plan_release
 from damaskjunction.lab.soak.runners import RecordedEvents
 from damaskjunction.lab.soak.schedule import ScheduledFault, make_schedule
 from damaskjunction.lab.soak.soak import SoakOptions, SoakReport, run_soak
 
 __all__ = [
+    "STORE_FAULTS",
     "Call",
     "Cancellation",
     "FaultFreePeriod",
@@ -51,6 +57,9 @@
     "checks",
     "faults",
     "find_violations",
+    "kills_all_hosts",
     "make_schedule",
+    "plan_release",
     "run_soak",
+    "variant",
 ]
