Soak: find errors and foreign events anywhere in a stream

Cause: the check of streams left out what follows the last whole event, took an error that is written as an event for one, and could not tell one stream's events from another's; an answer cut within the line of an id ended the soak with a ValueError. Change: each event names its version and its stream, by the body that the caller sent; blocks have to be such events, and what follows them nothing, or the begin of one where the stream broke off. Items are checked alike. A raw runner knows the request of each connection in place of the one that came last.

--- a/libs/gateway/features/steps/stream_version_steps.py
+++ b/libs/gateway/features/steps/stream_version_steps.py
@@ -34,7 +34,7 @@
 
 
 def name_versions(runner):
-    runner.event_text = lambda number: f"token {number} of {runner.version}"
+    runner.event_text = lambda number, body: f"token {number} of {runner.version}"
 
 
 @when('a caller begins a stream of "{path}" at "{host}" as "{request_id}"')
--- a/libs/lab/features/soak.feature
+++ b/libs/lab/features/soak.feature
@@ -29,7 +29,12 @@
       | an item is listed 30 s after the last fault              | jobs end                 |
       | a stream is taken up at another software version         | one version              |
       | the text of a result is from two software versions       | one version              |
-      | a stream holds the text of an error                      | only events              |
+      | a stream holds the text of an error                      | only own events          |
+      | a whole stream ends with the text of an error            | only own events          |
+      | a broken stream ends with the head of an error           | only own events          |
+      | a stream holds an error as one of its events             | only own events          |
+      | a stream goes on with another one's events               | only own events          |
+      | the text of a completed result has another item's event  | results are whole        |
       | most take-ups in calm fail                               | streams go on            |
       | a host sends to a runner that it knows to leave          | leaving runners are left |
       | an item runs at a runner that a host knows to leave      | drained runners are left |
@@ -77,6 +82,11 @@
     When a request is cut while the process of the runners stalls
     Then no check reports a violation
 
+  Scenario: A stream that breaks off may end within an event
+    Given a history without violations
+    When a broken stream ends within an event
+    Then no check reports a violation
+
   Scenario: A host that was restarted or separated may not know that a runner leaves
     Given a history without violations
     When a host sends to a runner that it knew to leave before its restart
--- a/libs/lab/features/steps/soak_histories.py
+++ b/libs/lab/features/steps/soak_histories.py
@@ -5,6 +5,7 @@
 from damaskjunction.lab.soak import (
     Call,
     Cancellation,
+    Event,
     FaultFreePeriod,
     History,
     ResultsRead,
@@ -15,20 +16,21 @@
 )
 
 N_EVENTS = 3
-TEXT = "token 1 of v1\ntoken 2 of v1\ntoken 3 of v1"
 
 
-def make_body(*numbers, version="v1"):
-    return b"".join(
-        f"id: {n}\ndata: token {n} of {version}\n\n".encode() for n in numbers
-    )
+def make_body(stream, *numbers, version="v1"):
+    return b"".join(Event(n, version, stream).encode() for n in numbers)
+
+
+def make_text(item, *numbers, version="v1"):
+    return "\n".join(Event(n, version, item).text for n in numbers or (1, 2, 3))
 
 
 def add_call(history, request_id, *, status=200, body=None, is_complete=True, at_s=1.0):
     route = request_id.partition("-")[0]
     if body is None:
         is_stream = route in ("ask", "alert")
-        body = make_body(1, 2, 3) if is_stream else request_id.encode()
+        body = make_body(request_id, 1, 2, 3) if is_stream else request_id.encode()
     call = Call(request_id, route, "h0", at_s, at_s + 1, status, is_complete, body)
     history.calls.append(call)
 
@@ -37,7 +39,8 @@
     history.runs.append(Run(request_id, "e1", at_s, -1))
 
 
-def add_read(history, job_id, item, state="completed", text=TEXT):
+def add_read(history, job_id, item, state="completed", text=None):
+    text = make_text(item) if text is None else text
     history.reads.append(ResultsRead(job_id, 0, 5.0, ((item, state, text),)))
 
 
--- a/libs/lab/features/steps/soak_job_steps.py
+++ b/libs/lab/features/steps/soak_job_steps.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from behave import when
-from soak_histories import TEXT, add_job, add_read, add_rooms, add_run
+from soak_histories import add_job, add_read, add_rooms, add_run, make_text
 
 from damaskjunction.lab.soak import FaultSpan, ResultsRead, Room, Submission
 
@@ -21,7 +21,14 @@
 
 @when("the text of a completed result lacks an event")
 def add_incomplete_result(context):
-    add_job(context.history, "job4", "job4-0", text="token 1 of v1\ntoken 3 of v1")
+    text = make_text("job4-0", 1, 3)
+    add_job(context.history, "job4", "job4-0", text=text)
+
+
+@when("the text of a completed result has another item's event")
+def add_foreign_result(context):
+    text = "\n".join((make_text("job4-0", 1, 2), make_text("job4-1", 3)))
+    add_job(context.history, "job4", "job4-0", text=text)
 
 
 @when("an item of a job that was not cancelled fails")
@@ -41,7 +48,8 @@
 
 def add_item(history, job_id, accepted_at_s, listed_at_s):
     history.submissions.append(Submission(job_id, 1, accepted_at_s, 202))
-    result = (f"{job_id}-0", "completed", TEXT)
+    item = f"{job_id}-0"
+    result = (item, "completed", make_text(item))
     history.reads.append(ResultsRead(job_id, 0, listed_at_s, (result,)))
 
 
--- a/libs/lab/features/steps/soak_release_steps.py
+++ b/libs/lab/features/steps/soak_release_steps.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from behave import when
-from soak_histories import add_call, add_job, add_rooms, make_body
+from soak_histories import add_call, add_job, add_rooms, make_body, make_text
 
 from damaskjunction.lab.soak import (
     Call,
@@ -15,12 +15,13 @@
 
 
 def add_take_up(history, number, version="v1", *, status=200):
-    add_call(history, f"alert-7{number}", body=make_body(1), is_complete=False)
+    first_id = f"alert-7{number}"
+    add_call(history, first_id, body=make_body(first_id, 1), is_complete=False)
     call = Call(
         f"alert-8{number}", "alert", "h0", 8.0, 8.5, status, True, b"", False, 1
     )
-    body = make_body(2, 3, version=version) if status == 200 else b""
-    call = call._replace(body=body, resumed_id=f"alert-7{number}")
+    body = make_body(first_id, 2, 3, version=version) if status == 200 else b""
+    call = call._replace(body=body, resumed_id=first_id)
     history.calls.append(call)
 
 
@@ -31,7 +32,8 @@
 
 @when("the text of a result is from two software versions")
 def add_joined_result(context):
-    text = "token 1 of v1\ntoken 2 of v1\ntoken 3 of v2"
+    newer = make_text("job4-0", 3, version="v2")
+    text = "\n".join((make_text("job4-0", 1, 2), newer))
     add_job(context.history, "job4", "job4-0", text=text)
 
 
--- a/libs/lab/features/steps/soak_request_steps.py
+++ b/libs/lab/features/steps/soak_request_steps.py
@@ -16,7 +16,7 @@
 
 @when("a stream that ended normally lacks its last event")
 def add_short_stream(context):
-    add_call(context.history, "ask-1", body=make_body(1, 2))
+    add_call(context.history, "ask-1", body=make_body("ask-1", 1, 2))
 
 
 @when("a caller gets the response to another request")
@@ -26,15 +26,48 @@
 
 @when("an aborted stream repeats an event")
 def add_repeated_event(context):
-    add_call(context.history, "alert-1", body=make_body(1, 2, 2), is_complete=False)
+    body = make_body("alert-1", 1, 2, 2)
+    add_call(context.history, "alert-1", body=body, is_complete=False)
 
 
 @when("a stream holds the text of an error")
 def add_error_text(context):
-    body = make_body(1) + b"HTTP/1.1 500 -\n\n" + make_body(2, 3)
+    body = make_body("alert-1", 1) + b"HTTP/1.1 500 -\n\n"
+    body += make_body("alert-1", 2, 3)
     add_call(context.history, "alert-1", body=body)
 
 
+@when("a whole stream ends with the text of an error")
+def add_error_at_end(context):
+    body = make_body("alert-1", 1, 2, 3) + b"failed"
+    add_call(context.history, "alert-1", body=body)
+
+
+@when("a broken stream ends with the head of an error")
+def add_head_at_end(context):
+    body = make_body("alert-1", 1) + b"HTTP/1.1 500 -\r\n"
+    add_call(context.history, "alert-1", body=body, is_complete=False)
+
+
+@when("a stream holds an error as one of its events")
+def add_error_event(context):
+    body = make_body("alert-1", 1) + b"id: 2\ndata: failed\n\n"
+    add_call(context.history, "alert-1", body=body + make_body("alert-1", 3))
+
+
+@when("a stream goes on with another one's events")
+def add_foreign_events(context):
+    body = make_body("alert-1", 1) + make_body("alert-2", 2, 3)
+    add_call(context.history, "alert-1", body=body)
+
+
+@when("a broken stream ends within an event")
+def add_half_event(context):
+    for n_bytes in range(1, len(make_body("alert-1", 1))):
+        body = make_body("alert-1", 1)[:n_bytes]
+        add_call(context.history, "alert-1", body=body, is_complete=False)
+
+
 @when("a request that must not be repeated ran twice")
 def add_second_run(context):
     add_run(context.history, "order-92")
--- a/libs/lab/src/damaskjunction/lab/soak/__init__.py
+++ b/libs/lab/src/damaskjunction/lab/soak/__init__.py
@@ -14,6 +14,7 @@
 from damaskjunction.lab.soak.history import (
     Call,
     Cancellation,
+    Event,
     FaultFreePeriod,
     FaultSpan,
     History,
@@ -37,6 +38,7 @@
     "STORE_FAULTS",
     "Call",
     "Cancellation",
+    "Event",
     "FaultFreePeriod",
     "FaultSpan",
     "History",
--- a/libs/lab/src/damaskjunction/lab/soak/callers.py
+++ b/libs/lab/src/damaskjunction/lab/soak/callers.py
@@ -248,7 +248,7 @@
 
     async def _submit_job(self, job_id: JobId, n_items: int) -> bool:
         """Submit a job to random hosts until one accepts it; return whether one did."""
-        body = make_job(job_id, n_items, path="/night/x")
+        body = make_job(job_id, n_items, path="/night/x", has_own_bodies=True)
         for _ in range(MAX_SUBMISSIONS):
             host = self._rng.choice(self._rig.host_names)
             headers = caller_headers(job_id, DEADLINE_S)
--- a/libs/lab/src/damaskjunction/lab/soak/checks.py
+++ b/libs/lab/src/damaskjunction/lab/soak/checks.py
@@ -8,7 +8,12 @@
 
 from damaskjunction.core import Registry
 from damaskjunction.core.units import MIB
-from damaskjunction.lab.soak.history import DEADLY_PREFIX, NOT_RUN_STATUSES, History
+from damaskjunction.lab.soak.history import (
+    DEADLY_PREFIX,
+    NOT_RUN_STATUSES,
+    History,
+    read_text,
+)
 
 Check: TypeAlias = Callable[[History], Iterator[str]]
 
@@ -118,20 +123,22 @@
 
 @checks.register("results are whole")
 def check_results(history: History) -> Iterator[str]:
-    """Find completed results without their full text, and results in other states.
+    """Find completed results without their full own text, and those in other states.
 
     Other states are allowed only if the job was cancelled, or if runners answered the
     item ``MAX_FAILURES`` times with a failure.
     """
-    texts = [f"token {n}" for n in range(1, history.n_events + 1)]
+    numbers = list(range(1, history.n_events + 1))
     cancelled = {cancellation.job_id for cancellation in history.cancellations}
     n_failures = Counter(
         end.request_id for end in history.run_ends if end.status >= FIRST_FAILURE
     )
     for read in history.reads:
         for item, state, found in read.results:
-            tokens = [line.partition(" of ")[0] for line in found.split("\n")]
-            if state == "completed" and tokens != texts:
+            events = [read_text(line) for line in found.split("\n")]
+            own = [e.number for e in events if e is not None and e.stream == item]
+            is_whole = own == numbers and len(events) == len(numbers)
+            if state == "completed" and not is_whole:
                 yield f"{item}: completed with {found!r}"
             is_failed = n_failures[item] >= MAX_FAILURES
             if state != "completed" and read.job_id not in cancelled and not is_failed:
@@ -247,8 +254,7 @@
 
 
 def _event_ids(body: bytes) -> list[int]:
-    return [
-        int(line.removeprefix(b"id: "))
-        for line in body.split(b"\n")
-        if line.startswith(b"id: ")
-    ]
+    """Return the ids in a stream, without that of an event that is not whole."""
+    whole, _, _ = body.rpartition(b"\n\n")
+    fields = [line.partition(b": ")[::2] for line in whole.split(b"\n")]
+    return [int(value) for name, value in fields if name == b"id" and value.isdigit()]
--- a/libs/lab/src/damaskjunction/lab/soak/history.py
+++ b/libs/lab/src/damaskjunction/lab/soak/history.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import re
 from typing import NamedTuple
 
 from damaskjunction.core import HostId, JobId, RequestId, RunnerId
@@ -14,6 +15,9 @@
 # Statuses of responses which guarantee that the request did not run.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 
+_EVENT_BLOCK = re.compile(rb"(event: [^\n]*\n)?id: (?P<id>\d+)\ndata: (?P<data>[^\n]*)")
+_EVENT_TEXT = re.compile(r"token (\d+) of (\S+) for (\S+)")
+
 
 class Call(NamedTuple):
     """A request of a caller and its response; status 0 means no response.
@@ -40,10 +44,21 @@
 
 
 class Event(NamedTuple):
-    """A complete event of a stream, and the software version that its text names."""
+    """An event of a stream, and the software version and stream that its text names."""
 
     number: int
     version: str
+    stream: str
+
+    @property
+    def text(self) -> str:
+        """The data of the event."""
+        return f"token {self.number} of {self.version} for {self.stream}"
+
+    def encode(self, kind: str = "") -> bytes:
+        """Return the event as a block of a stream, with its type if it has one."""
+        type_line = f"event: {kind}\n" if kind else ""
+        return f"{type_line}id: {self.number}\ndata: {self.text}\n\n".encode()
 
 
 class Run(NamedTuple):
@@ -161,20 +176,23 @@
 
 def read_events(body: bytes) -> list[Event]:
     """Return the complete events of a stream."""
-    *blocks, _ = body.decode(errors="replace").split("\n\n")
-    events = []
-    for block in blocks:
-        fields = dict(line.partition(": ")[::2] for line in block.split("\n"))
-        if fields.get("id", "").isdigit():
-            events.append(
-                Event(int(fields["id"]), read_version(fields.get("data", "")))
-            )
-    return events
-
-
-def read_version(text: str) -> str:
-    """Return the software version that an event's text names, empty without one."""
-    return text.partition(" of ")[2]
+    *blocks, _ = body.split(b"\n\n")
+    return [event for event in map(read_event, blocks) if event is not None]
+
+
+def read_event(block: bytes) -> Event | None:
+    """Return the event in a block of a stream, None if it holds anything else."""
+    found = _EVENT_BLOCK.fullmatch(block)
+    event = read_text(found["data"].decode(errors="replace")) if found else None
+    if found is None or event is None or event.number != int(found["id"]):
+        return None
+    return event
+
+
+def read_text(text: str) -> Event | None:
+    """Return the event with a text, None if no runner writes such a text."""
+    found = _EVENT_TEXT.fullmatch(text)
+    return Event(int(found[1]), found[2], found[3]) if found else None
 
 
 class History:
--- a/libs/lab/src/damaskjunction/lab/soak/releases.py
+++ b/libs/lab/src/damaskjunction/lab/soak/releases.py
@@ -2,17 +2,18 @@
 
 from __future__ import annotations
 
-import re
 from collections import defaultdict
 from collections.abc import Iterator
 
+from damaskjunction.core import RequestId
 from damaskjunction.lab.soak.checks import RESUMABLE_ROUTES, STREAM_ROUTES, checks
 from damaskjunction.lab.soak.history import (
     DEADLY_PREFIX,
     Call,
     History,
+    read_event,
     read_events,
-    read_version,
+    read_text,
 )
 from damaskjunction.lab.soak.owed import Span, calm_spans
 from damaskjunction.lab.soak.rig import ENGINE
@@ -23,8 +24,7 @@
 MIN_SUCCESS_RATIO = 0.5  # of take-ups to new streams
 DRAIN_S = 2.0
 DRAIN_KINDS = ("runner leaves", "runner drained")  # of faults
-
-_EVENT = re.compile(rb"(event: [^\n]*\n)?id: \d+\ndata: [^\n]*")
+FIELD_NAMES = (b"event: ", b"id: ", b"data: ")
 
 
 @checks.register("one version")
@@ -37,26 +37,44 @@
             versions_by_stream[call.resumed_id or call.request_id] |= versions
     for read in history.reads:
         for item, _, text in read.results:
-            versions_by_stream[item] |= {
-                read_version(line) for line in text.split("\n")
-            }
+            events = map(read_text, text.split("\n"))
+            versions_by_stream[item] |= {e.version for e in events if e is not None}
     for stream, versions in versions_by_stream.items():
         if len(versions) > 1:
             yield f"{stream}: from versions {sorted(versions)}"
 
 
-@checks.register("only events")
-def check_only_events(history: History) -> Iterator[str]:
-    """Find streams that hold anything but events, such as the text of an error."""
+@checks.register("only own events")
+def check_own_events(history: History) -> Iterator[str]:
+    """Find streams that hold anything but their events, such as the text of an error.
+
+    A stream that broke off may end within an event.
+    """
     for call in history.calls:
         if call.route not in STREAM_ROUTES or call.status != 200:
             continue
-        *blocks, _ = call.body.split(b"\n\n")
-        strange = [block for block in blocks if not _EVENT.fullmatch(block)]
+        stream = call.resumed_id or call.request_id
+        *blocks, rest = call.body.split(b"\n\n")
+        strange = [block for block in blocks if not _is_own_event(block, stream)]
+        if (call.is_complete and rest) or not _may_begin_event(rest):
+            strange.append(rest)
         if strange:
             yield f"{call.request_id}: holds {strange[0][:200]!r}"
 
 
+def _is_own_event(block: bytes, stream: RequestId) -> bool:
+    event = read_event(block)
+    return event is not None and event.stream == stream
+
+
+def _may_begin_event(rest: bytes) -> bool:
+    """Return whether each line is a field of an event, or the begin of one."""
+    return all(
+        any(line.startswith(name) or name.startswith(line) for name in FIELD_NAMES)
+        for line in rest.split(b"\n")
+    )
+
+
 @checks.register("streams go on")
 def check_take_ups(history: History) -> Iterator[str]:
     """Check that streams can be taken up in calm where two runners could go on."""
--- a/libs/lab/src/damaskjunction/lab/soak/runners.py
+++ b/libs/lab/src/damaskjunction/lab/soak/runners.py
@@ -11,6 +11,7 @@
 from damaskjunction.http import EVENT_STREAM_TYPE, Request, Response
 from damaskjunction.lab.soak.history import (
     NOT_RUN_STATUSES,
+    Event,
     History,
     Run,
     RunEnd,
@@ -18,6 +19,7 @@
 )
 from damaskjunction.standins import (
     ProxyStandin,
+    RawRequest,
     RawRunnerStandin,
     RunnerStandin,
 )
@@ -149,9 +151,9 @@
         run = Run(request_id, self.runner_id, self._timers.now(), last, self.life_id)
         self._history.runs.append(run)
 
-    def event_text(self, number: int) -> str:
-        """Return the data of an event."""
-        return f"token {number} of {self.version}"
+    def event_text(self, number: int, body: bytes) -> str:
+        """Return the data of an event, which names its stream by the request's body."""
+        return Event(number, self.version, body.decode()).text
 
     async def _serve(self, request: Request) -> Response:
         request_id = request.headers.get("x-request-id", "")
@@ -208,25 +210,30 @@
         self._timers = timers
         self._n_events = n_events
 
-    def record_run(self, request_id: RequestId) -> None:
+    def record_run(self, request: RawRequest) -> None:
         """Record that a request begins to run."""
-        super().record_run(request_id)
-        last = int(self.last_event_id) if self.last_event_id else -1
-        run = Run(request_id, self.runner_id, self._timers.now(), last)
+        super().record_run(request)
+        last = int(request.last_event_id) if request.last_event_id else -1
+        run = Run(request.request_id, self.runner_id, self._timers.now(), last)
         self._history.runs.append(run)
 
-    def record_end(self, request_id: RequestId) -> None:
-        """Record that the answer to a request has been written."""
+    def record_end(self, request: RawRequest, status: int) -> None:
+        """Record that the work on a request has ended."""
         self._history.run_ends.append(
-            RunEnd(request_id, self.runner_id, self._timers.now(), 200)
+            RunEnd(request.request_id, self.runner_id, self._timers.now(), status)
         )
 
-    def answer_body(self, request_id: RequestId) -> bytes:
+    def encode_event(self, number: int, request: RawRequest) -> bytes:
+        """Return an event of the answer to a request."""
+        event = Event(number, self.version, request.body.decode())
+        return event.encode(self.version)
+
+    def answer_body(self, request: RawRequest) -> bytes:
         """Return the rest of a stream, or the plain body."""
         if not self._n_events:
-            return super().answer_body(request_id)
-        first = int(self.last_event_id or 0) + 1
+            return super().answer_body(request)
+        first = int(request.last_event_id or 0) + 1
         return b"".join(
-            f"id: {number}\ndata: token {number} of v1\n\n".encode()
+            self.encode_event(number, request)
             for number in range(first, self._n_events + 1)
         )
--- a/libs/standins/src/damaskjunction/standins/__init__.py
+++ b/libs/standins/src/damaskjunction/standins/__init__.py
@@ -53,7 +53,7 @@
 )
 from damaskjunction.standins.ports import allocate_addresses
 from damaskjunction.standins.proxy import Mode, ProxyStandin
-from damaskjunction.standins.raw_runner import RawRunnerStandin
+from damaskjunction.standins.raw_runner import RawRequest, RawRunnerStandin
 from damaskjunction.standins.runner import RUNNERS_KIND, RunnerStandin
 from damaskjunction.standins.store import StoreStandin
 
@@ -80,6 +80,7 @@
     "PlatformStandin",
     "ProcessSpec",
     "ProxyStandin",
+    "RawRequest",
     "RawRunnerStandin",
     "RunnerGroup",
     "RunnerStandin",
--- a/libs/standins/src/damaskjunction/standins/broken_streams.py
+++ b/libs/standins/src/damaskjunction/standins/broken_streams.py
@@ -20,13 +20,20 @@
 )
 
 BROKEN_AFTER = 4
+FAILURE_STATUS = 500
 
 
-def _register(name: str) -> Callable[[AnswerScript], AnswerScript]:
-    """Return a decorator that registers a script with its answer to a take-up."""
+def _register(
+    name: str, *, status: int = 200
+) -> Callable[[AnswerScript], AnswerScript]:
+    """Return a decorator that registers a script with its answer to a take-up.
+
+    ``status`` is that of the answer.
+    """
 
     def decorate(take_up: AnswerScript) -> AnswerScript:
-        answer_scripts.register(name)(functools.partial(_answer, take_up))
+        script = functools.partial(_answer, take_up, status)
+        answer_scripts.register(name)(script)
         return take_up
 
     return decorate
@@ -34,13 +41,27 @@
 
 async def _answer(
     take_up: AnswerScript,
+    take_up_status: int,
     runner: RawRunnerStandin,
     writer: asyncio.StreamWriter,
     request_id: RequestId,
 ) -> None:
-    if runner.last_event_id:
-        await take_up(runner, writer, request_id)
-        return
+    request = runner.request_of(writer)
+    runner.record_run(request)
+    status = 0
+    try:
+        if request.last_event_id:
+            await take_up(runner, writer, request_id)
+            status = take_up_status
+        else:
+            await _write_broken_stream(runner, writer, request_id)
+    finally:
+        runner.record_end(request, status)
+
+
+async def _write_broken_stream(
+    runner: RawRunnerStandin, writer: asyncio.StreamWriter, request_id: RequestId
+) -> None:
     n_bytes = 1000  # more than is written, so that the end comes too early
     head = _encode_head(200, "text/event-stream", request_id, n_bytes)
     await runner.write(writer, head)
@@ -64,14 +85,15 @@
     return head + body.encode()
 
 
-@_register("an error")
+@_register("an error", status=FAILURE_STATUS)
 async def answer_error(
     runner: RawRunnerStandin, writer: asyncio.StreamWriter, request_id: RequestId
 ) -> None:
     """Write status 500 with a text that looks like an event."""
     body = "id: 5\ndata: failed\n\n"
     await runner.write(
-        writer, _answer_in_full(500, "text/event-stream", request_id, body)
+        writer,
+        _answer_in_full(FAILURE_STATUS, "text/event-stream", request_id, body),
     )
 
 
--- a/libs/standins/src/damaskjunction/standins/kept_connections.py
+++ b/libs/standins/src/damaskjunction/standins/kept_connections.py
@@ -124,11 +124,15 @@
         runner.refused_ids.add(request_id)
         await runner.write(writer, encode_refusal(request_id, limit_per_s=None))
         return
-    runner.n_runs += 1
-    if runner.keep(writer).count(request_id) > 1:
-        await runner.write(writer, encode_refusal(request_id, limit_per_s=None))
-        await asyncio.sleep(TRUE_ANSWER_DELAY_S)
-    await answer_scripts.get("unframed")(runner, writer, request_id)
+    request = runner.request_of(writer)
+    runner.record_run(request)
+    try:
+        if runner.keep(writer).count(request_id) > 1:
+            await runner.write(writer, encode_refusal(request_id, limit_per_s=None))
+            await asyncio.sleep(TRUE_ANSWER_DELAY_S)
+        await answer_scripts.get("unframed")(runner, writer, request_id)
+    finally:
+        runner.record_end(request, 200)
     writer.close()
 
 
@@ -140,13 +144,14 @@
 
     The second time it comes before the answer to the next request, which is run.
     """
-    body = runner.answer_body(request_id)
+    request = runner.request_of(writer)
     ids = runner.keep(writer)
     if len(ids) % 2:
         await runner.write(writer, encode_refusal(request_id, limit_per_s=None))
         return
-    runner.record_run(request_id)
+    runner.record_run(request)
     await runner.write(writer, encode_refusal(ids[-2], limit_per_s=None))
     await asyncio.sleep(TRUE_ANSWER_DELAY_S)
+    body = runner.answer_body(request)
     await runner.write(writer, _true_answer(request_id, body, runner.content_type))
-    runner.record_end(request_id)
+    runner.record_end(request, 200)
--- a/libs/standins/src/damaskjunction/standins/platform_documents.py
+++ b/libs/standins/src/damaskjunction/standins/platform_documents.py
@@ -130,25 +130,38 @@
     return "".join(f"{key}={value}\n" for key, value in lines.items())
 
 
-def make_job(job_id: str, n_items: int, *, path: str, tokens: int = 10) -> bytes:
+def make_job(
+    job_id: str,
+    n_items: int,
+    *,
+    path: str,
+    tokens: int = 10,
+    has_own_bodies: bool = False,
+) -> bytes:
     """Return the request body that submits a job of ``n_items`` items.
 
     The items have the ids ``JOB_ID-0``, ``JOB_ID-1`` and so on. Each states a count of
-    ``tokens`` and a prompt of 2 parts, of which all items share the first.
+    ``tokens`` and a prompt of 2 parts, of which all items share the first. All have the
+    same body, or their ids as bodies if ``has_own_bodies``.
     """
+    item_ids = [f"{job_id}-{number}" for number in range(n_items)]
     items = [
         {
-            "Id": f"{job_id}-{number}",
+            "Id": item_id,
             "Path": path,
             "Headers": {"X-Prompt-Prefix": f"a:5,{number}:5"},
-            "Body": base64.b64encode(b"item").decode(),
+            "Body": _encode_body(item_id if has_own_bodies else "item"),
             "Tokens": tokens,
         }
-        for number in range(n_items)
+        for number, item_id in enumerate(item_ids)
     ]
     return json.dumps({"Items": items}).encode()
 
 
+def _encode_body(text: str) -> str:
+    return base64.b64encode(text.encode()).decode()
+
+
 def read_results(body: bytes) -> tuple[int, tuple[tuple[str, str, str], ...]]:
     """Return a job's number of items, and id, state and text of each result."""
     document = json.loads(body)
--- a/libs/standins/src/damaskjunction/standins/raw_runner.py
+++ b/libs/standins/src/damaskjunction/standins/raw_runner.py
@@ -9,7 +9,7 @@
 import asyncio
 import json
 from collections.abc import Awaitable, Callable
-from typing import TypeAlias
+from typing import NamedTuple, TypeAlias
 
 import h11
 
@@ -27,6 +27,19 @@
 answer_scripts: Registry[AnswerScript] = Registry("answer script")
 
 
+class _Received(NamedTuple):
+    head: h11.Request
+    body: bytes
+
+
+class RawRequest(NamedTuple):
+    """A request to a raw runner; ``last_event_id`` is empty for a new stream."""
+
+    request_id: RequestId
+    last_event_id: str
+    body: bytes
+
+
 class RawRunnerStandin:
     """A runner that answers each request by a script.
 
@@ -49,6 +62,8 @@
         answers them otherwise.
     content_type : str, optional
         Content type of its answers.
+    version : str, optional
+        Version of its software.
     """
 
     def __init__(
@@ -62,6 +77,7 @@
         has_endless_reports: bool = False,
         has_true_reports: bool = False,
         content_type: str = "text/plain",
+        version: str = "v1",
     ) -> None:
         self.runner_id = runner_id
         self._address = address
@@ -71,14 +87,14 @@
         self._has_endless_reports = has_endless_reports
         self._has_true_reports = has_true_reports
         self.content_type = content_type
+        self.version = version
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self._kept_writers: set[asyncio.StreamWriter] = set()
-        self._ids_by_writer: dict[asyncio.StreamWriter, list[RequestId]] = {}
+        self._requests_by_writer: dict[asyncio.StreamWriter, list[RawRequest]] = {}
         self.n_requests = self.n_answering = 0
         self.n_connections = 0
         self.refused_ids: set[RequestId] = set()
-        self.last_event_id = ""  # of the request that came last
         self.n_runs = 0
         self.n_bytes_written = 0
 
@@ -93,7 +109,7 @@
             "Zone": "z1",
             "Slots": 8,
             "State": "ready",
-            "Version": "v1",
+            "Version": self.version,
         }
         self._store.put(RUNNERS_KIND, self.runner_id, entry)
 
@@ -104,16 +120,24 @@
         for writer in self._writers:
             writer.close()
 
-    def record_run(self, request_id: RequestId) -> None:
+    def record_run(self, request: RawRequest) -> None:
         """Record that a request begins to run."""
         self.n_runs += 1
 
-    def record_end(self, request_id: RequestId) -> None:
-        """Record that the answer to a request has been written."""
+    def record_end(self, request: RawRequest, status: int) -> None:
+        """Record that the work on a request has ended; status 0 without an answer."""
 
-    def answer_body(self, request_id: RequestId) -> bytes:
-        """Return the body of the answer to the request that came last."""
-        return request_id.encode()
+    def answer_body(self, request: RawRequest) -> bytes:
+        """Return the body of a whole answer that is no stream."""
+        return request.request_id.encode()
+
+    def encode_event(self, number: int, request: RawRequest) -> bytes:
+        """Return an event of the answer to a request."""
+        return f"id: {number}\ndata: token {number}\n\n".encode()
+
+    def request_of(self, writer: asyncio.StreamWriter) -> RawRequest:
+        """Return the latest request of a connection."""
+        return self._requests_by_writer[writer][-1]
 
     async def write(self, writer: asyncio.StreamWriter, data: bytes) -> None:
         """Write bytes of an answer."""
@@ -132,13 +156,13 @@
         Calls for reports on it are answered by the script, too, by default.
         """
         self._kept_writers.add(writer)
-        return self._ids_by_writer[writer]
+        return [request.request_id for request in self._requests_by_writer[writer]]
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self._writers.add(writer)
-        self._ids_by_writer[writer] = []
+        self._requests_by_writer[writer] = []
         self.n_connections += 1
         try:
             is_kept = True
@@ -150,41 +174,49 @@
         finally:
             self._writers.discard(writer)
             self._kept_writers.discard(writer)
-            del self._ids_by_writer[writer]
+            del self._requests_by_writer[writer]
             writer.close()
 
-    async def _answer(self, request: h11.Request, writer: asyncio.StreamWriter) -> None:
-        is_report = request.target.decode() == REPORT_PATH
+    async def _answer(self, received: _Received, writer: asyncio.StreamWriter) -> None:
+        is_report = received.head.target.decode() == REPORT_PATH
         is_scripted = writer in self._kept_writers and not self._has_true_reports
         if is_report and not is_scripted:
             if self._has_endless_reports:
                 await answer_endless_body(self, writer, "")
             await self.write(writer, _report_answer())
             return
-        headers = {name.decode(): value.decode() for name, value in request.headers}
-        request_id = headers.get("x-request-id", "")
-        self.last_event_id = headers.get("last-event-id", "")
-        self._ids_by_writer[writer].append(request_id)
+        headers = {
+            name.decode(): value.decode() for name, value in received.head.headers
+        }
+        request = RawRequest(
+            headers.get("x-request-id", ""),
+            headers.get("last-event-id", ""),
+            received.body,
+        )
+        self._requests_by_writer[writer].append(request)
         self.n_requests += 1
         self.n_answering += 1
         try:
-            await self._script(self, writer, request_id)
+            await self._script(self, writer, request.request_id)
         finally:
             self.n_answering -= 1
 
 
-async def _read_request(reader: asyncio.StreamReader) -> h11.Request | None:
-    """Return the head of a request once its body is read, None without a request."""
+async def _read_request(reader: asyncio.StreamReader) -> _Received | None:
+    """Return a request once its body is read, None without a request."""
     protocol = h11.Connection(h11.SERVER)
-    request = None
+    head = None
+    body = b""
     while True:
         event = protocol.next_event()
         if event is h11.NEED_DATA:
             protocol.receive_data(await reader.read(READ_BYTES))
         elif isinstance(event, h11.Request):
-            request = event
+            head = event
+        elif isinstance(event, h11.Data):
+            body += event.data
         elif isinstance(event, h11.EndOfMessage):
-            return request
+            return None if head is None else _Received(head, body)
         elif isinstance(event, h11.ConnectionClosed):
             return None
 
@@ -211,8 +243,8 @@
 ) -> None:
     """Write events with consecutive ids."""
     for number in range(first, last + 1):
-        event = f"id: {number}\ndata: token {number}\n\n"
-        await runner.write(writer, event.encode())
+        event = runner.encode_event(number, runner.request_of(writer))
+        await runner.write(writer, event)
         await asyncio.sleep(EVENT_INTERVAL_S)
 
 
--- a/libs/standins/src/damaskjunction/standins/runner.py
+++ b/libs/standins/src/damaskjunction/standins/runner.py
@@ -165,8 +165,8 @@
         self.recorded_runs.append((request_id, last_event_id))
         self.run_times_s.append(asyncio.get_running_loop().time())
 
-    def event_text(self, number: int) -> str:
-        """Return the data of an event."""
+    def event_text(self, number: int, body: bytes) -> str:
+        """Return the data of an event of the answer to a request with a body."""
         return f"token {number}"
 
     async def _serve(self, request: Request) -> Response:
@@ -191,7 +191,7 @@
             return Response(421, headers=refusal_headers)
         if self.faults["full"] or self.n_running >= self._slots:
             return Response(503, headers=refusal_headers)
-        await request.body.read()
+        body = await request.body.read()
         last_event_id = headers.get("last-event-id", "")
         self.record_run(request_id, last_event_id)
         self.headers_by_request[request_id] = dict(headers)
@@ -208,7 +208,7 @@
         if not self._n_events and not self.faults["endless"]:
             return Response(200, request_id.encode(), "text/plain", response_headers)
         after = int(last_event_id) if last_event_id else 0
-        events = self._stream_events(after, self._is_deadly(headers))
+        events = self._stream_events(after, body, self._is_deadly(headers))
         if self.faults["endless"]:
             events = self._write_without_end()
         return Response(200, events, "text/event-stream", response_headers)
@@ -231,7 +231,9 @@
         ids = [part.partition(":")[0] for part in parts]
         return self.faults["deadly_part"] in ids
 
-    async def _stream_events(self, after: int, is_deadly: bool) -> AsyncIterator[bytes]:
+    async def _stream_events(
+        self, after: int, body: bytes, is_deadly: bool
+    ) -> AsyncIterator[bytes]:
         self.n_running += 1
         self.peak_running = max(self.peak_running, self.n_running)
         try:
@@ -243,7 +245,7 @@
                 if self.faults["silent_after"] and number > self.faults["silent_after"]:
                     await asyncio.Event().wait()
                 mark = f"event: {self.version}\n" if self.version else ""
-                text = self.event_text(number)
+                text = self.event_text(number, body)
                 yield f"{mark}id: {number}\ndata: {text}\n\n".encode()
                 if self.faults["break_after"] and number >= self.faults["break_after"]:
                     raise ConnectionResetError("injected fault: stream aborted")
