Soak: add engines that break streams off and take them up wrongly

Cause: the soak's only errors after the start of a stream were whole ones with status 500, and its only refusals written once more those of another request.

--- a/libs/lab/src/damaskjunction/lab/soak/release_faults.py
+++ b/libs/lab/src/damaskjunction/lab/soak/release_faults.py
@@ -6,15 +6,19 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
+from damaskjunction.core import ServiceName
 from damaskjunction.lab.soak.faults import SHORT_DELAY_S, choose, faults, variant
 from damaskjunction.lab.soak.rig import ENGINE, FAULTY_RUNNER, N_EVENTS, PLAIN, SoakRig
 from damaskjunction.lab.soak.runners import FaultyRunner
 from damaskjunction.lab.soak.schedule import ScheduledFault
-from damaskjunction.standins import RUNNERS_KIND
+from damaskjunction.standins import RUNNERS_KIND, take_up_answers
 
 LEAVING_PERIOD_S = 4.0
 FAILURE_STATUS = 500
+FAULTY_PERIOD_S = 4.0
+FIRST_ENGINE = f"{ENGINE}0"
 REPEATING_SCRIPT = "each second request, after the refusal before once more"
+REFUSING_ONCE_SCRIPT = "each refused once, once more on its connection"
 
 
 class Release(NamedTuple):
@@ -97,7 +101,14 @@
 
 @faults.register("resumed requests fail")
 async def fail_resumed(rig: SoakRig, fault: ScheduledFault) -> None:
-    """Let a runner answer requests that resume a stream with an error."""
+    """Let a runner answer requests that resume a stream with an error.
+
+    In one case of two add an engine that breaks all streams off, and answers those
+    requests with anything but the rest of the stream.
+    """
+    scripts = tuple(take_up_answers)
+    if variant(fault, 2):
+        return await run_faulty(rig, ENGINE, choose(scripts, fault.draw))
     runner = rig.runners.get(choose(rig.endpoints, fault.draw))
     if runner is None:  # another fault has stopped it
         return
@@ -108,23 +119,31 @@
 
 @faults.register("refusals repeated")
 async def repeat_refusals(rig: SoakRig, fault: ScheduledFault) -> None:
-    """Add a runner that writes an earlier refusal once more, on a connection.
-
-    In one case of two it is an engine.
-    """
-    is_engine = variant(fault, 2)
+    """Add a runner that writes an earlier refusal once more, on a connection."""
+    service, script = (
+        (PLAIN, REPEATING_SCRIPT),
+        (ENGINE, REPEATING_SCRIPT),
+        (PLAIN, REPEATING_SCRIPT),
+        (ENGINE, REFUSING_ONCE_SCRIPT),
+    )[variant(fault, 4)]
+    await run_faulty(rig, service, script)
+
+
+async def run_faulty(rig: SoakRig, service: ServiceName, script: str) -> None:
+    """Add a runner of a service that answers by a script, for ``FAULTY_PERIOD_S``."""
     async with rig.locks[FAULTY_RUNNER]:
         runner = FaultyRunner(
             rig.history,
             rig.timers,
-            N_EVENTS if is_engine else 0,
+            N_EVENTS if service == ENGINE else 0,
             FAULTY_RUNNER,
             rig.faulty_address,
-            ENGINE if is_engine else PLAIN,
+            service,
             rig.store,
-            script=REPEATING_SCRIPT,
+            script=script,
+            version=rig.software_by_endpoint[FIRST_ENGINE].version,
         )
         await runner.start()
-        await asyncio.sleep(LEAVING_PERIOD_S)
+        await asyncio.sleep(FAULTY_PERIOD_S)
         await runner.close()
         rig.store.remove(RUNNERS_KIND, FAULTY_RUNNER)
--- a/libs/standins/src/damaskjunction/standins/broken_streams.py
+++ b/libs/standins/src/damaskjunction/standins/broken_streams.py
@@ -10,7 +10,7 @@
 import functools
 from collections.abc import Callable
 
-from damaskjunction.core import RequestId
+from damaskjunction.core import Registry, RequestId
 from damaskjunction.standins.raw_runner import (
     AnswerScript,
     RawRunnerStandin,
@@ -19,6 +19,8 @@
     write_events,
 )
 
+take_up_answers: Registry[AnswerScript] = Registry("answer to a take-up")
+
 BROKEN_AFTER = 4
 FAILURE_STATUS = 500
 
@@ -32,6 +34,7 @@
     """
 
     def decorate(take_up: AnswerScript) -> AnswerScript:
+        take_up_answers.register(name)(take_up)
         script = functools.partial(_answer, take_up, status)
         answer_scripts.register(name)(script)
         return take_up
--- a/libs/standins/src/damaskjunction/standins/raw_runner.py
+++ b/libs/standins/src/damaskjunction/standins/raw_runner.py
@@ -252,9 +252,10 @@
 async def answer_unframed(
     runner: RawRunnerStandin, writer: asyncio.StreamWriter, request_id: RequestId
 ) -> None:
-    """Write a whole stream that ends with its connection."""
+    """Write the rest of a stream, which ends with its connection."""
+    last_event_id = runner.request_of(writer).last_event_id
     await runner.write(writer, unframed_head(request_id))
-    await write_events(runner, writer)
+    await write_events(runner, writer, int(last_event_id or 0) + 1)
 
 
 @answer_scripts.register("unframed, crashes")
