Soak: tell how late and how busy its own process was

Cause: store, runners, proxies and callers share one process; when it is late, all of them are silent to the hosts, and a report held but a count of its stalls. Change: the report gives their number, sum and longest, and the share of time in which the process computed, in the mean and in its busiest second; no check is looser for it.

--- a/libs/lab/features/soak.feature
+++ b/libs/lab/features/soak.feature
@@ -47,6 +47,11 @@
     And the end of an answer is recorded once when 1 of its 2 events are read
     And the end of an answer is recorded once when 2 of its 2 events are read
 
+  Scenario: A soak tells how late and how busy its own process was
+    Given a history without violations
+    When its process stalls for 0.5 and 1.5 s, and computes 0.3 and 0.9 s of 2 seconds
+    Then its report tells "2 stalls, 2.0 s in all, the longest 1.5 s; it computed 60%"
+
   Scenario: The fault schedule depends only on the seed
     Then seed 7 always gives the same schedule, and seed 8 a different one
 
--- a/libs/lab/features/steps/soak_steps.py
+++ b/libs/lab/features/steps/soak_steps.py
@@ -10,9 +10,12 @@
 from soak_histories import make_sound_history
 
 from damaskjunction.lab.soak import (
+    OwnLoad,
     RecordedEvents,
     SoakOptions,
+    Stall,
     checks,
+    describe_own_process,
     find_violations,
     run_soak,
 )
@@ -62,6 +65,21 @@
     )
 
 
+@when(
+    "its process stalls for {one:g} and {other:g} s, and computes {quiet_s:g} and "
+    "{busy_s:g} s of 2 seconds"
+)
+def add_own_process(context, one, other, quiet_s, busy_s):
+    context.history.stalls += [Stall(5.0, 5.0 + one), Stall(9.0, 9.0 + other)]
+    context.history.own_loads += [OwnLoad(5.0, 1.0, quiet_s), OwnLoad(6.0, 1.0, busy_s)]
+
+
+@then('its report tells "{text}"')
+def check_own_process(context, text):
+    found = describe_own_process(context.history)
+    assert found.startswith(text), found
+
+
 async def read_recorded(n_read, n_events):
     async def write_events():
         for number in range(n_events):
--- a/libs/lab/src/damaskjunction/lab/__main__.py
+++ b/libs/lab/src/damaskjunction/lab/__main__.py
@@ -100,6 +100,7 @@
         report = asyncio.run(run_soak(options, folder))
         for violation in report.violations:
             print(f"seed {seed} violation: {violation}")
+        print(f"seed {seed}: the soak's own process: {report.own_process}")
         print(f"seed {seed}: {report.figures}", flush=True)
         if report.violations:
             n_violated += 1
--- a/libs/lab/src/damaskjunction/lab/soak/__init__.py
+++ b/libs/lab/src/damaskjunction/lab/soak/__init__.py
@@ -21,6 +21,7 @@
     HostDisturbance,
     MemoryPeak,
     NamedLimit,
+    OwnLoad,
     ResultsRead,
     Room,
     Run,
@@ -32,7 +33,12 @@
 from damaskjunction.lab.soak.release_faults import plan_release
 from damaskjunction.lab.soak.runners import RecordedEvents
 from damaskjunction.lab.soak.schedule import ScheduledFault, make_schedule
-from damaskjunction.lab.soak.soak import SoakOptions, SoakReport, run_soak
+from damaskjunction.lab.soak.soak import (
+    SoakOptions,
+    SoakReport,
+    describe_own_process,
+    run_soak,
+)
 
 __all__ = [
     "STORE_FAULTS",
@@ -45,6 +51,7 @@
     "HostDisturbance",
     "MemoryPeak",
     "NamedLimit",
+    "OwnLoad",
     "RecordedEvents",
     "ResultsRead",
     "Room",
@@ -57,6 +64,7 @@
     "Stall",
     "Submission",
     "checks",
+    "describe_own_process",
     "faults",
     "find_violations",
     "kills_all_hosts",
--- a/libs/lab/src/damaskjunction/lab/soak/soak.py
+++ b/libs/lab/src/damaskjunction/lab/soak/soak.py
@@ -49,12 +49,14 @@
     """Result of a soak: violated guarantees, the injected faults and counts.
 
     ``figures`` counts callers' requests, requests that runners began to process (runs),
-    jobs, and requests by the status of their response.
+    jobs, and requests by the status of their response. ``own_process`` tells how the
+    process of all runners, proxies and callers kept up.
     """
 
     violations: tuple[str, ...]
     schedule: tuple[ScheduledFault, ...]
     figures: dict[str, int]
+    own_process: str
 
 
 async def run_soak(options: SoakOptions, folder: Path) -> SoakReport:
@@ -103,13 +105,29 @@
         "requests": len(history.calls),
         "runs": len(history.runs),
         "jobs": len({submission.job_id for submission in history.submissions}),
-        "stalls": len(history.stalls),
         **statuses,
     }
     violations = tuple(find_violations(history))
     if violations:
         (folder / "history.txt").write_text(_format(history))
-    return SoakReport(violations, schedule, figures)
+    return SoakReport(violations, schedule, figures, describe_own_process(history))
+
+
+def describe_own_process(history: History) -> str:
+    """Return how late the soak's own process was, and how busy in its worst second.
+
+    To the hosts, its runners, proxies and store are silent while it is late.
+    """
+    lengths_s = [stall.until_s - stall.since_s for stall in history.stalls]
+    busiest = max((load.fraction for load in history.own_loads), default=0.0)
+    cpu_s = sum(load.cpu_s for load in history.own_loads)
+    elapsed_s = sum(load.elapsed_s for load in history.own_loads)
+    return (
+        f"{len(lengths_s)} stalls, {sum(lengths_s):.1f} s in all, the longest "
+        f"{max(lengths_s, default=0.0):.1f} s; it computed "
+        f"{cpu_s / max(elapsed_s, 1.0):.0%} of the time, {busiest:.0%} of its busiest "
+        "second"
+    )
 
 
 def _format(history: History) -> str:
@@ -117,7 +135,12 @@
     lines = [(call.sent_at_s, str(call)) for call in history.calls]
     lines += [(span.since_s, str(span)) for span in history.fault_spans]
     lines += [(stall.since_s, str(stall)) for stall in history.stalls]
-    for observed in (history.runs, history.run_ends, history.disturbances):
+    for observed in (
+        history.runs,
+        history.run_ends,
+        history.disturbances,
+        history.own_loads,
+    ):
         lines += [(entry.at_s, str(entry)) for entry in observed]
     lines += [(read.at_s, str(read)) for read in history.reads if read.results]
     lines += [(life.since_s, str(life)) for life in history.lives]
