Keep the folder of a soak that fails as a scenario, and apply a configuration in one place

Change: its folder is copied to build/soak, and the message tells how the soak's own process kept up. The matrix's two flows that apply a configuration beside a fault share that code.

--- a/libs/lab/features/steps/soak_steps.py
+++ b/libs/lab/features/steps/soak_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import shutil
 import tempfile
 from pathlib import Path
 
@@ -21,6 +22,7 @@
 )
 
 SOAK_LIMIT_S = 200.0
+KEPT_FOLDER = Path("build/soak")
 FIRST_KINDS = (
     "all hosts killed",
     "answers without end",
@@ -116,11 +118,15 @@
 
     with tempfile.TemporaryDirectory() as folder:
         context.report = asyncio.run(run_in(folder))
+        if context.report.violations:
+            kept = KEPT_FOLDER / f"{kinds}-{seed}"
+            shutil.copytree(folder, kept, dirs_exist_ok=True)
 
 
 @then("no guarantee was violated")
 def check_no_violation(context):
     assert not context.report.violations, (
         context.report.violations,
+        context.report.own_process,
         context.report.schedule,
     )
--- a/libs/lab/src/damaskjunction/lab/matrix/flows.py
+++ b/libs/lab/src/damaskjunction/lab/matrix/flows.py
@@ -251,14 +251,23 @@
     """Change the configuration; once accepted it stays and is active at all hosts."""
     document = dict(context.deployed.deployment.configuration)
     document["batch"] = {**document.get("batch", {}), "max_tries": 5}
+    revision = await _apply_in_fault(context, document)
+    await _wait_until_active(context, revision)
+
+
+async def _apply_in_fault(context: CellContext, document: dict[str, Any]) -> int:
+    """Apply a configuration beside the cell's fault, or after it; return its revision.
+
+    Its stages are "before" and "accepted".
+    """
     await context.reach("before")
     revision = await _apply_configuration(context, document)
     await context.reach("accepted")
     await asyncio.sleep(FAULT_DURATION_S)
     await context.revert()
     if revision is None:
-        revision = await _retry_apply(context, document)
-    await _wait_until_active(context, revision)
+        return await _retry_apply(context, document)
+    return revision
 
 
 async def _retry_apply(context: CellContext, document: dict[str, Any]) -> int:
@@ -288,13 +297,7 @@
     """Roll out a version; each engine loads it, then responses are complete."""
     document = dict(context.deployed.deployment.configuration)
     document["models"] = {"caddie": {"version": "v2", "weights_gb": 1}}
-    await context.reach("before")
-    revision = await _apply_configuration(context, document)
-    await context.reach("accepted")
-    await asyncio.sleep(FAULT_DURATION_S)
-    await context.revert()
-    if revision is None:
-        await _retry_apply(context, document)
+    await _apply_in_fault(context, document)
     for runner_id, runner in context.deployed.runners_by_id.items():
         if runner.service:
             continue
