Read the events of all batch items together, each 50 ms

A host that runs a job woke for each event of each item, though nobody reads an item along. Their connections are left to the kernel now between reads, and one timer lets all be read: a ReadPacer, which a response of the HTTP client may be given. An item's end is seen up to 50 ms later, and its slot given back so much later; nothing else changes.

The scenarios on paced reads were seen failing: the first with reads as the data arrive, the second with a pacer that stays with the connection.

--- a/libs/gateway/src/damaskjunction/gateway/item_runner.py
+++ b/libs/gateway/src/damaskjunction/gateway/item_runner.py
@@ -16,7 +16,7 @@
     WorkClass,
     stable_hash,
 )
-from damaskjunction.core.units import MIB
+from damaskjunction.core.units import MIB, MILLISECOND_S
 from damaskjunction.gateway.dispatch_context import DispatchContext
 from damaskjunction.gateway.item_progress import ItemProgress
 from damaskjunction.gateway.job_repository import StoredJob
@@ -33,6 +33,7 @@
 from damaskjunction.http import (
     BrokenResponseError,
     ClientResponse,
+    ReadPacer,
 )
 from damaskjunction.node import cancel_tasks
 from damaskjunction.platform import item_request
@@ -45,6 +46,7 @@
 ROUTE_POLL_S = 1.0
 ATTEMPT_TIMEOUT_S = 60.0  # to get a slot, and again for the runner's work
 STALL_TIMEOUT_S = 3.0
+READ_INTERVAL_S = 50 * MILLISECOND_S  # of the events of all items
 MAX_OUTPUT_CHARACTERS = 8 * MIB
 N_PROMPT_RETRIES = 3
 RETRY_DELAY_S = 0.5  # doubles with each further crash
@@ -84,6 +86,7 @@
         self._timers = context.timers
         self._metrics = context.metrics
         self._back_off = back_off
+        self._read_pacer = ReadPacer(context.timers, READ_INTERVAL_S)
         self._places_by_service: dict[ServiceName, asyncio.Semaphore] = {}
 
     async def run(self, job: StoredJob, item: BatchItem, owed: OwedItem) -> ItemResult:
@@ -308,6 +311,7 @@
     ) -> None:
         check = StreamCheck(progress.last_event_id)
         event_at_s = self._timers.now()
+        response.set_pacer(self._read_pacer)
         try:
             async for chunk in response.chunks():
                 part = check.feed(chunk)
--- /dev/null
+++ b/libs/http/features/client.feature
@@ -0,0 +1,24 @@
+Feature: HTTP client
+  Responses that nobody reads along are read together, at intervals.
+
+  Scenario: Paced responses are read together
+    Given a server that streams 30 chunks 0.01 s apart
+    When 6 responses are read with a pacer of 0.1 s
+    Then each response is complete
+    And chunks were read at no more than 8 times
+
+  Scenario: A connection is read as data arrive once a paced response is complete
+    Given a server that streams 10 chunks 0.02 s apart
+    When a response is read with a pacer of 0.1 s, and another on its connection without
+    Then each response is complete
+    And chunks of the last response were read at no less than 5 times
+
+  Scenario Outline: A paced response that does not go on is not taken for complete
+    Given a server that streams 5 chunks 0.01 s apart and then <end>
+    When a response is read with a pacer of 0.05 s and a stall timeout of 0.4 s
+    Then the response failed with "<error>"
+
+    Examples:
+      | end                   | error                |
+      | breaks the connection | BrokenResponseError  |
+      | stalls                | StalledResponseError |
--- /dev/null
+++ b/libs/http/features/steps/client_steps.py
@@ -0,0 +1,162 @@
+"""Steps for the HTTP client feature."""
+
+from __future__ import annotations
+
+import asyncio
+
+from behave import given, then, when
+from server_steps import run, start_server
+
+from damaskjunction.core import LoopTimers
+from damaskjunction.http import (
+    BrokenResponseError,
+    HttpClient,
+    ReadPacer,
+    Request,
+    Response,
+    Routes,
+)
+
+CHUNK = b"chunk;"
+MAX_SPREAD_S = 0.005  # of chunks that were read at the same time
+
+
+class ReadResponse:
+    """What was read of a response, and when."""
+
+    def __init__(self):
+        self.body = b""
+        self.read_at_s = []
+        self.error = ""
+
+    async def read(self, response, pacer=None):
+        """Read a response to its end."""
+        if pacer is not None:
+            response.set_pacer(pacer)
+        try:
+            async for chunk in response.chunks():
+                self.body += chunk
+                self.read_at_s.append(asyncio.get_running_loop().time())
+        except BrokenResponseError as error:
+            self.error = type(error).__name__
+
+
+def n_read_times(responses):
+    """Return at how many times chunks were read."""
+    n_times, began_at_s = 0, float("-inf")
+    for at_s in sorted(at_s for response in responses for at_s in response.read_at_s):
+        if at_s - began_at_s > MAX_SPREAD_S:
+            n_times += 1
+            began_at_s = at_s
+    return n_times
+
+
+@given("a server that streams {count:d} chunks {interval:g} s apart")
+def start_streaming_server(context, count, interval):
+    start_server_of_chunks(context, count, interval, "")
+
+
+@given("a server that streams {count:d} chunks {interval:g} s apart and then {end}")
+def start_failing_server(context, count, interval, end):
+    start_server_of_chunks(context, count, interval, end)
+
+
+def start_server_of_chunks(context, count, interval_s, end):
+    routes = Routes()
+
+    async def stream():
+        for _ in range(count):
+            yield CHUNK
+            await asyncio.sleep(interval_s)
+        if end == "stalls":
+            await asyncio.Event().wait()
+        if end:
+            raise ConnectionResetError(end)
+
+    @routes.register("GET", "/stream")
+    async def serve(request: Request) -> Response:
+        await request.body.read()
+        return Response(200, stream())
+
+    context.n_chunks = count
+    start_server(context, routes)
+
+
+def make_client(context):
+    context.timers = LoopTimers()
+    return HttpClient(context.timers)
+
+
+async def send(context, client, **options):
+    return await client.send(context.address, "GET", "/stream", **options)
+
+
+@when("{count:d} responses are read with a pacer of {interval:g} s")
+def read_together(context, count, interval):
+    async def work():
+        client = make_client(context)
+        pacer = ReadPacer(context.timers, interval)
+        context.responses = [ReadResponse() for _ in range(count)]
+        sent = [await send(context, client) for _ in range(count)]
+        reads = zip(context.responses, sent, strict=True)
+        await asyncio.gather(*(read.read(response, pacer) for read, response in reads))
+        client.close()
+
+    run(context, work())
+
+
+@when(
+    "a response is read with a pacer of {interval:g} s, and another on its "
+    "connection without"
+)
+def read_twice(context, interval):
+    async def work():
+        client = make_client(context)
+        context.responses = [ReadResponse(), ReadResponse()]
+        pacer = ReadPacer(context.timers, interval)
+        await context.responses[0].read(await send(context, client), pacer)
+        await context.responses[1].read(await send(context, client))
+        assert client.n_connections_opened == 1
+        client.close()
+
+    run(context, work())
+
+
+@when(
+    "a response is read with a pacer of {interval:g} s and a stall timeout of "
+    "{stall:g} s"
+)
+def read_with_stall_timeout(context, interval, stall):
+    async def work():
+        client = make_client(context)
+        context.responses = [ReadResponse()]
+        pacer = ReadPacer(context.timers, interval)
+        response = await send(context, client, stall_s=stall)
+        await context.responses[0].read(response, pacer)
+        client.close()
+
+    run(context, work())
+
+
+@then("each response is complete")
+def check_complete(context):
+    for response in context.responses:
+        assert not response.error, response.error
+        assert response.body == CHUNK * context.n_chunks, response.body
+
+
+@then("chunks were read at no more than {count:d} times")
+def check_few_reads(context, count):
+    n_times = n_read_times(context.responses)
+    assert n_times <= count, n_times
+
+
+@then("chunks of the last response were read at no less than {count:d} times")
+def check_many_reads(context, count):
+    n_times = n_read_times(context.responses[-1:])
+    assert n_times >= count, n_times
+
+
+@then('the response failed with "{error}"')
+def check_failed(context, error):
+    assert context.responses[0].error == error, context.responses[0].error
--- a/libs/http/src/damaskjunction/http/__init__.py
+++ b/libs/http/src/damaskjunction/http/__init__.py
@@ -23,6 +23,7 @@
     request_error_document,
     to_json_response,
 )
+from damaskjunction.http.pacing import ReadPacer
 from damaskjunction.http.routes import Handler, Routes
 from damaskjunction.http.server import HttpServer
 
@@ -42,6 +43,7 @@
     "HttpServer",
     "RawEvent",
     "RawEventParser",
+    "ReadPacer",
     "Request",
     "Response",
     "Routes",
--- a/libs/http/src/damaskjunction/http/client.py
+++ b/libs/http/src/damaskjunction/http/client.py
@@ -6,7 +6,7 @@
 import math
 import ssl
 from collections.abc import AsyncGenerator, Callable, Mapping
-from typing import NamedTuple
+from typing import NamedTuple, cast
 
 import h11
 
@@ -18,6 +18,7 @@
     ConnectFailedError,
     StalledResponseError,
 )
+from damaskjunction.http.pacing import ReadPacer
 from damaskjunction.http.sockets import enable_tcp_keepalive, has_waiting_bytes
 
 READ_BYTES = 64 * 1024
@@ -192,6 +193,15 @@
         if self._connection is not None:
             self._connection.stall_s = stall_s
 
+    def set_pacer(self, pacer: ReadPacer) -> None:
+        """Read the rest of the body together with others, at intervals.
+
+        For bodies that nobody reads along: the end of this one is seen up to an
+        interval late.
+        """
+        if self._connection is not None:
+            self._connection.pacer = pacer
+
     async def chunks(self) -> AsyncGenerator[bytes, None]:
         """Yield the body in chunks as they arrive.
 
@@ -255,6 +265,7 @@
         self._writer = writer
         self._protocol = h11.Connection(h11.CLIENT)
         self.stall_s = DEFAULT_STALL_TIMEOUT_S
+        self.pacer: ReadPacer | None = None
 
     async def exchange(
         self,
@@ -266,6 +277,7 @@
     ) -> ResponseHead:
         """Send a request and return the status and headers of the response."""
         self.stall_s = stall_s
+        self.pacer = None
         self.n_requests += 1
         request_headers = {
             "Host": str(self.address),
@@ -349,9 +361,20 @@
             if name == "timeout" and value.isdigit():
                 self.keep_alive_timeout_s = KEEP_ALIVE_TIMEOUT_FRACTION * int(value)
 
+    async def _pause_reading(self, pacer: ReadPacer) -> None:
+        """Leave what arrives to the kernel until the next reads of the pacer."""
+        transport = cast(asyncio.Transport, self._writer.transport)
+        transport.pause_reading()
+        try:
+            await pacer.wait()
+        finally:
+            transport.resume_reading()
+
     async def _next_event(self) -> h11.Event:
         try:
             while (event := self._protocol.next_event()) is h11.NEED_DATA:
+                if self.pacer is not None:
+                    await self._pause_reading(self.pacer)
                 async with asyncio.timeout(self.stall_s):
                     data = await self._reader.read(READ_BYTES)
                 self._protocol.receive_data(data)
