Store each result that an object holds, and let none hold up the others

Cause: a result was added to a segment of up to 600 kB however large it was, so a text of 450 kB or more could make an object larger than the store takes. The write was refused and repeated for ever, and with it those of all results of the job that were made later: the writer had one loop that tried the same group until it was stored. Class: one item's fate holds up others. Change: a result that does not fit into the last segment closes it and begins the next; large results are written after the others; each write is one turn, after which a result that is stored is done and others may go before the one that is refused. A segment knows whether it is full, in place of an estimate of its size. What no object of the store holds (over 1 MiB as JSON) is still not stored: its item stays owed and its job open. Test: job store, two new scenarios; on the code before, '299000,299000,100,700000,10' stored the first three alone, and '2000000,100,400000,100' none. Batch, job worker, owed items and job store pass (56 scenarios).

--- a/libs/gateway/features/job_store.feature
+++ b/libs/gateway/features/job_store.feature
@@ -23,3 +23,19 @@
     Given a store whose objects hold 1048576 bytes
     When 40 results of 40000 bytes are written at once
     Then the store has the 40 results within 2 s
+
+  Scenario Outline: Each result that fits into an object of the store is stored
+    Given a store whose objects hold 1048576 bytes
+    When results of "<sizes>" bytes are written one after another
+    Then the store has the results in their order within 4 s
+
+    Examples:
+      | sizes                       |
+      | 500000,500000,100           |
+      | 1000000,100                 |
+      | 299000,299000,100,700000,10 |
+
+  Scenario: A result that no object of the store holds keeps back no other result
+    Given a store whose objects hold 1048576 bytes
+    When results of "2000000,100,400000,100" bytes are written at once
+    Then the store has the results but the first within 4 s
--- a/libs/gateway/features/steps/job_store_steps.py
+++ b/libs/gateway/features/steps/job_store_steps.py
@@ -11,8 +11,9 @@
 
 from damaskjunction.batch import ItemResult
 from damaskjunction.gateway.job_repository import JobRepository
-from damaskjunction.gateway.result_repository import ResultRepository
+from damaskjunction.gateway.result_repository import ResultRepository, ResultSegment
 from damaskjunction.gateway.result_writer import ResultWriter
+from damaskjunction.node import cancel_tasks
 from damaskjunction.platform import RESULTS_KIND, encode_result_list
 
 
@@ -109,10 +110,8 @@
 def write_displaced(context, job_id, count):
     n_segments = len(context.results.cached_segments(job_id))
     displace(context, count)
-    added = (make_result(n_segments),)
-    work = context.results.write(
-        job_id, n_segments, added, encode_result_list(added), is_full=False
-    )
+    added = ResultSegment((make_result(n_segments),), False)
+    work = context.results.write(job_id, n_segments, added)
     assert run(context, work)
 
 
@@ -143,21 +142,79 @@
 
 @when("{count:d} results of {size:d} bytes are written at once")
 def write_large(context, count, size):
+    write_at_once(context, [size] * count)
+
+
+def write_at_once(context, sizes):
     async def work():
-        writer = ResultWriter(context.results, "j1", back_off, count)
-        results = [ItemResult(f"i{n:02d}", True, "x" * size) for n in range(count)]
+        writer = ResultWriter(context.results, "j1", back_off, len(sizes))
+        results = make_results(sizes)
         context.adding = [asyncio.ensure_future(writer.add(r)) for r in results]
 
     run(context, work())
 
 
+def make_results(sizes):
+    return [ItemResult(f"i{n:02d}", True, "x" * size) for n, size in enumerate(sizes)]
+
+
+@when('results of "{sizes}" bytes are written at once')
+def write_sizes(context, sizes):
+    write_at_once(context, [int(size) for size in sizes.split(",")])
+
+
+@when('results of "{sizes}" bytes are written one after another')
+def write_in_turn(context, sizes):
+    results = make_results([int(size) for size in sizes.split(",")])
+
+    async def add_all():
+        for result in results:
+            await ResultWriter(context.results, "j1", back_off, 1).add(result)
+
+    async def work():
+        context.expected = [result.item_id for result in results]
+        context.adding = [asyncio.ensure_future(add_all())]
+
+    run(context, work())
+
+
+async def stored_ids(context):
+    """Return the ids of the results in the store, as a host that has cached none."""
+    segments = await ResultRepository(context.store).read("j1")
+    return [result.item_id for segment in segments for result in segment.results]
+
+
 @then("the store has the {count:d} results within {limit_s:g} s")
 def check_large(context, count, limit_s):
     async def work():
         await asyncio.wait(context.adding, timeout=limit_s)
         assert all(task.done() for task in context.adding)
-        segments = await ResultRepository(context.store).read("j1")
-        found = [result.item_id for segment in segments for result in segment.results]
+        found = await stored_ids(context)
         assert sorted(found) == [f"i{n:02d}" for n in range(count)], found
 
     run(context, work())
+
+
+@then("the store has the results in their order within {limit_s:g} s")
+def check_in_order(context, limit_s):
+    async def work():
+        await asyncio.wait(context.adding, timeout=limit_s)
+        found = await stored_ids(context)
+        await cancel_tasks(context.adding)
+        assert found == context.expected, found
+
+    run(context, work())
+
+
+@then("the store has the results but the first within {limit_s:g} s")
+def check_all_but_first(context, limit_s):
+    async def work():
+        first, *others = context.adding
+        await asyncio.wait(others, timeout=limit_s)
+        are_done = [task.done() for task in others]
+        found = await stored_ids(context)
+        await cancel_tasks([first, *others])
+        assert all(are_done), are_done
+        assert sorted(found) == [f"i{n + 1:02d}" for n in range(len(others))], found
+
+    run(context, work())
--- a/libs/gateway/src/damaskjunction/gateway/result_repository.py
+++ b/libs/gateway/src/damaskjunction/gateway/result_repository.py
@@ -14,16 +14,22 @@
     PlatformObject,
     StoreClient,
     decode_result_list,
+    encode_result_list,
 )
 
 MAX_CACHED_JOBS = 64  # beside those that are pinned
 
 
 class ResultSegment(NamedTuple):
-    """Consecutive results of a job that share an object, and the object's revision."""
+    """Consecutive results of a job that share an object of the store.
+
+    No results are added to one that ``is_full``, and another may follow it.
+    ``revision`` is that of the object, 0 for one that is not stored yet.
+    """
 
     results: tuple[ItemResult, ...]
-    revision: Revision
+    is_full: bool
+    revision: Revision = 0
 
 
 class ResultRepository:
@@ -105,17 +111,9 @@
             if stored is None:
                 return
             segments.append(_decode_segment(stored))
-            is_full = stored.content["is_full"]
-
-    async def write(
-        self,
-        job_id: JobId,
-        index: int,
-        results: tuple[ItemResult, ...],
-        encoded: object,
-        *,
-        is_full: bool,
-    ) -> bool:
+            is_full = segments[-1].is_full
+
+    async def write(self, job_id: JobId, index: int, segment: ResultSegment) -> bool:
         """Write a segment; return False on a conflict with another write.
 
         After a conflict the segment that is stored, if any, is cached.
@@ -127,7 +125,8 @@
         """
         segments = list(self.cached_segments(job_id))
         name = _segment_name(job_id, index)
-        content = {"results": encoded, "is_full": is_full}
+        results = encode_result_list(segment.results)
+        content = {"results": results, "is_full": segment.is_full}
         self._unsettled_ids.add(job_id)
         try:
             if index < len(segments):
@@ -143,7 +142,7 @@
                 self._cache(job_id, [*segments[:index], current])
             return False
         self._unsettled_ids.discard(job_id)
-        written = ResultSegment(results, stored.revision)
+        written = segment._replace(revision=stored.revision)
         self._cache(job_id, [*segments[:index], written])
         return True
 
@@ -169,7 +168,7 @@
 
 def _decode_segment(stored: PlatformObject) -> ResultSegment:
     results = decode_result_list(stored.content["results"])
-    return ResultSegment(results, stored.revision)
+    return ResultSegment(results, stored.content["is_full"], stored.revision)
 
 
 def _segment_name(job_id: JobId, index: int) -> str:
--- a/libs/gateway/src/damaskjunction/gateway/result_writer.py
+++ b/libs/gateway/src/damaskjunction/gateway/result_writer.py
@@ -15,14 +15,14 @@
     take_page,
 )
 from damaskjunction.core import JobId, PlatformError
-from damaskjunction.gateway.result_repository import ResultRepository
-from damaskjunction.platform import encode_result_list
+from damaskjunction.gateway.result_repository import ResultRepository, ResultSegment
 
 logger = logging.getLogger(__name__)
 
 GROUPING_DELAY_S = 0.5
-# Of one write; an object of the store holds this and a segment that is not full.
-MAX_ADDED_BYTES = 300_000
+MAX_ADDED_BYTES = 300_000  # of one write, unless a single result is larger
+# Of results that share an object of the store; a larger one has an object of its own.
+MAX_SHARED_BYTES = SEGMENT_BYTES + MAX_ADDED_BYTES
 
 BackOff: TypeAlias = Callable[[int], Awaitable[None]]
 
@@ -56,6 +56,7 @@
         self._are_all_added = asyncio.Event()
         self._buffered: list[ItemResult] = []
         self._is_writing = False
+        self._n_failures = 0
         self._idle = asyncio.Event()
         self._idle.set()
 
@@ -66,8 +67,6 @@
         if self._n_expected <= 0:
             self._are_all_added.set()
         await self._wait_for_more()
-        if self._is_writing:
-            await self._idle.wait()
         while result in self._buffered:
             await self._write()
 
@@ -85,31 +84,33 @@
             await self._write()
 
     async def _write(self) -> None:
+        """Write some of the buffered results, or wait for the write under way.
+
+        Each write is one turn, so that a result which the store refuses again and again
+        holds up none of those that are added meanwhile.
+        """
         if self._is_writing:
             await self._idle.wait()
             return
         self._is_writing = True
         self._idle.clear()
         try:
-            await self._write_with_retries()
+            await self._write_or_back_off()
         finally:
             self._is_writing = False
             self._idle.set()
 
-    async def _write_with_retries(self) -> None:
-        n_failures = 0
-        while self._buffered:
-            group = tuple(self._buffered)
-            try:
-                if await self._write_once(group):
-                    self._buffered = [r for r in self._buffered if r not in group]
-                    return
-            except PlatformError as error:
-                extra = {"job": self._job_id, "error": str(error)}
-                logger.warning("results wait for the store", extra=extra)
-                await self._back_off(n_failures)
-                n_failures += 1
-                await self._refresh()
+    async def _write_or_back_off(self) -> None:
+        try:
+            await self._write_once()
+            self._n_failures = 0
+        except PlatformError as error:
+            extra = {"job": self._job_id, "error": str(error)}
+            logger.warning("results wait for the store", extra=extra)
+            await self._back_off(self._n_failures)
+            self._n_failures += 1
+            await self._refresh()
+        self._buffered = list(self._not_listed())
 
     async def _refresh(self) -> None:
         """Refresh the results: a write without a response may have been applied."""
@@ -119,24 +120,38 @@
             extra = {"job": self._job_id, "error": str(error)}
             logger.info("results not refreshed", extra=extra)
 
-    async def _write_once(self, group: tuple[ItemResult, ...]) -> bool:
-        """Write what fits of a group; return whether all of it is stored."""
+    def _not_listed(self) -> tuple[ItemResult, ...]:
+        """Return the buffered results that are not known to be stored."""
         known = self._repository.cached(self._job_id)
-        new_results = merge_results(known, group)[len(known) :]
-        if not new_results:
-            return True
+        return merge_results(known, self._buffered)[len(known) :]
+
+    async def _write_once(self) -> None:
+        """Write the next results, the large ones last."""
+        results = self._not_listed()
+        if not results:
+            return
+        added = take_page(sorted(results, key=_write_order), MAX_ADDED_BYTES)
         segments = self._repository.cached_segments(self._job_id)
-        index = max(0, len(segments) - 1)
-        results = segments[index].results if segments else ()
-        if estimate_stored_bytes(results) > SEGMENT_BYTES:
-            index, results = index + 1, ()
-        added = take_page(new_results, MAX_ADDED_BYTES)
-        merged = (*results, *added)
-        is_written = await self._repository.write(
-            self._job_id,
-            index,
-            merged,
-            encode_result_list(merged),
-            is_full=estimate_stored_bytes(merged) > SEGMENT_BYTES,
-        )
-        return is_written and len(added) == len(new_results)
+        if not segments or segments[-1].is_full:
+            await self._write_segment(len(segments), tuple(added))
+            return
+        last = segments[-1].results
+        merged = (*last, *added)
+        if estimate_stored_bytes(merged) <= MAX_SHARED_BYTES:
+            await self._write_segment(len(segments) - 1, merged)
+        else:
+            await self._write_segment(len(segments) - 1, last, is_full=True)
+
+    async def _write_segment(
+        self, index: int, results: tuple[ItemResult, ...], *, is_full: bool = False
+    ) -> None:
+        """Write a segment, unless another host has written it since."""
+        is_full = is_full or estimate_stored_bytes(results) > SEGMENT_BYTES
+        segment = ResultSegment(results, is_full)
+        await self._repository.write(self._job_id, index, segment)
+
+
+def _write_order(result: ItemResult) -> int:
+    """Return 0 for results that share a write, and the size of each larger one."""
+    size = estimate_stored_bytes((result,))
+    return size if size > MAX_ADDED_BYTES else 0
