Lead from an item's id to its job also while nobody runs it

Cause: an item is among the owed ones only while a worker runs its job. The dump named the jobs without a worker by the job's id alone, and an item of a job whose owner waits for the store was in no section at all. Change: section open_jobs has for each job its age and the ids of the items without a result that nobody is known to run: at any host while the owner is not seen, else at the owner. Tests: job worker (lost owner; owner that can't read its job) and owed items (over sockets; they fail without the new fields).

--- a/libs/gateway/features/job_worker.feature
+++ b/libs/gateway/features/job_worker.feature
@@ -82,6 +82,7 @@
     And the results of "i1,i2" are stored
     Then the dump tells that "j1" of "own" is run here with 2 of 3 items listed
     And the dump tells that "j2" of "gone" is run nowhere
+    And the dump tells that the items "k1" of "j2" have no worker, for 0 s
     And 1 jobs count as without a live owner
     And the gauge of owed items is the 1 that the host runs
 
@@ -91,3 +92,9 @@
     And the results of "i1,i2" are stored
     And the result of "i3" is being written for 0.05 s
     Then a read of the job from position 2 returns "i3" without a call to the store
+
+  Scenario: The dump tells of the items of a job whose owner can't read it
+    Given the host knows its job, and the store is away
+    When 7 more seconds pass
+    Then no item of the job is owed
+    And the dump tells that the items "i1,i2,i3" of "j1" have no worker, for 7 s
--- a/libs/gateway/features/owed_items.feature
+++ b/libs/gateway/features/owed_items.feature
@@ -24,3 +24,16 @@
   Scenario: A job that a draining host accepts is run by a host that stays
     When the host "h0" begins to drain and the job "j1" of 2 items is submitted there
     Then the items of "j1" are at a runner before "h0" has drained
+
+  Scenario: An item's id leads to its state, place and age while its owner runs it
+    Given the engines have no free slots
+    When the job "j1" of 2 items is submitted away from the home
+    And its 2 items wait at the home
+    Then the dump of its host tells that "j1-1" waits for a slot at the home
+
+  Scenario: An item's id leads to its job while nobody runs it
+    Given the engines have no free slots
+    When the job "j1" of 2 items is submitted at "h0"
+    And every host knows the job "j1"
+    And the host "h0" is gone
+    Then the dumps of the other hosts tell that "j1-1" has no worker
--- a/libs/gateway/features/steps/job_worker_steps.py
+++ b/libs/gateway/features/steps/job_worker_steps.py
@@ -41,9 +41,17 @@
     return tuple(BatchItem(i, "/night/x", {}, b"{}", 10) for i in item_ids)
 
 
-def make_record(job_id, item_ids, owner=OWN):
+def make_record(job_id, item_ids, owner=OWN, sent_at_s=0.0):
     tokens = tuple(10 for _ in item_ids)
-    return JobRecord(job_id, "night", "host", 0.0, tuple(item_ids), tokens, 0, owner)
+    return JobRecord(
+        job_id, "night", "host", sent_at_s, tuple(item_ids), tokens, 0, owner
+    )
+
+
+def make_own_record(context):
+    """Return the record of the job that the host owns, accepted now."""
+    sent_at_s = context.rig.timers.wall()
+    return make_record(JOB, context.item_ids, sent_at_s=sent_at_s)
 
 
 class FakeItemRunner:
@@ -139,7 +147,7 @@
 
 @when("the job runs")
 def start_job(context):
-    record = make_record(JOB, context.item_ids)
+    record = make_own_record(context)
     run(context, context.rig.jobs.accept(record, make_items(context.item_ids)))
     run(context, asyncio.sleep(POLL_S))
 
@@ -304,51 +312,6 @@
     assert sorted(r.item_id for r in found) == item_ids.split(","), found
 
 
-@given('the job "{job_id}" of the lost host "{owner}" is known')
-def know_job(context, job_id, owner):
-    record = make_record(job_id, ["k1"], owner)
-    run(context, context.rig.jobs.accept(record, make_items(["k1"])))
-
-
-def job_document(context, job_id):
-    return context.rig.worker.to_document()[job_id]
-
-
-@then(
-    'the dump tells that "{job_id}" of "{owner}" is run here with {listed:d} of '
-    "{count:d} items listed"
-)
-def check_run_here(context, job_id, owner, listed, count):
-    expected = {
-        "owner": owner,
-        "is_owner_known": True,
-        "runs_here": True,
-        "n_items": count,
-        "n_results_known": listed,
-    }
-    assert job_document(context, job_id) == expected, job_document(context, job_id)
-
-
-@then('the dump tells that "{job_id}" of "{owner}" is run nowhere')
-def check_run_nowhere(context, job_id, owner):
-    document = job_document(context, job_id)
-    assert document["owner"] == owner, document
-    assert not document["is_owner_known"], document
-    assert not document["runs_here"], document
-
-
-@then("{count:d} jobs count as without a live owner")
-def check_ownerless(context, count):
-    text = context.rig.metrics.to_text()
-    assert f"jobs_without_owner {count}" in text, text
-
-
-@then("the gauge of owed items is the {count:d} that the host runs")
-def check_owed_gauge(context, count):
-    text = context.rig.metrics.to_text()
-    assert f"items_owed {count}" in text, text
-
-
 @when('the result of "{item_id}" is being written for {duration_s:g} s')
 def write_slowly(context, item_id, duration_s):
     store = context.rig.store
--- a/libs/gateway/features/steps/owed_items_steps.py
+++ b/libs/gateway/features/steps/owed_items_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 
 from batch_steps import home_of_engines, submit
 from behave import given, then, when
@@ -15,6 +16,8 @@
     "noon", "/noon/", "batch", ENGINE, CompletionTargetMs=10_000, RetentionS=30
 )
 
+TELL_TIMEOUT_S = 4.0
+
 
 def pool_document(context):
     """Return the state of the engines' slots at their home."""
@@ -142,3 +145,37 @@
         await context.leaving
 
     run(context, work())
+
+
+@when('the host "{host}" is gone')
+def lose_host(context, host):
+    run(context, context.platform.kill_host(host))
+
+
+def dump_of(context, host_id):
+    """Return the dump of a host as it is served."""
+    return json.loads(json.dumps(context.platform.hosts[host_id].dump.to_document()))
+
+
+@then('the dump of its host tells that "{item_id}" waits for a slot at the home')
+def check_owed_item(context, item_id):
+    document = dump_of(context, context.submitted_at)
+    item = document["owed_items"][item_id]
+    assert item["state"] == "waiting for a slot", item
+    assert item["place"] == home_of_engines(context).host_id, item
+    assert 0.0 < item["at_no_runner_s"] <= item["owed_s"], item
+    assert item["owed_s"] < document["open_jobs"][item["job"]]["age_s"], document
+
+
+@then('the dumps of the other hosts tell that "{item_id}" has no worker')
+def check_without_worker(context, item_id):
+    def is_told(host_id):
+        jobs = dump_of(context, host_id)["open_jobs"].values()
+        return any(item_id in job["items_without_worker"] for job in jobs)
+
+    async def work():
+        async with asyncio.timeout(TELL_TIMEOUT_S):
+            for host_id in context.platform.hosts:
+                await context.platform.wait_for(lambda name=host_id: is_told(name))
+
+    run(context, work())
--- a/libs/gateway/src/damaskjunction/gateway/job_worker.py
+++ b/libs/gateway/src/damaskjunction/gateway/job_worker.py
@@ -34,13 +34,20 @@
 
 
 class JobDocument(TypedDict):
-    """An open job in the dump, as far as this host knows."""
+    """An open job in the dump, as far as this host knows.
+
+    ``items_without_worker`` are the ids of the items without a known result that nobody
+    is known to run: those of a host that is not seen, or of this one before or after
+    they are owed. ``age_s`` are the seconds since the job was accepted.
+    """
 
     owner: HostId
     is_owner_known: bool
     runs_here: bool
     n_items: int
     n_results_known: int
+    age_s: float
+    items_without_worker: list[str]
 
 
 StoreOperation: TypeAlias = Callable[[JobId], Awaitable[T]]
@@ -115,10 +122,21 @@
                 "runs_here": self.is_running(job.record.job_id),
                 "n_items": len(job.record.item_ids),
                 "n_results_known": len(self._jobs.results.cached(job.record.job_id)),
+                "age_s": round(self._timers.wall() - job.record.sent_at_s, 3),
+                "items_without_worker": self._items_without_worker(job),
             }
             for job in self._jobs.open_jobs()
         }
 
+    def _items_without_worker(self, job: StoredJob) -> list[str]:
+        is_owner = job.owner == self._state.view.own.host_id
+        if self._is_owner_known(job) and not is_owner:
+            return []
+        results = self._jobs.results.cached(job.record.job_id)
+        found_ids = {result.item_id for result in results}
+        found_ids |= self.owed_items.ids_of(job.record.job_id)
+        return [item_id for item_id in job.record.item_ids if item_id not in found_ids]
+
     def _n_without_owner(self) -> float:
         return float(sum(not self._is_owner_known(j) for j in self._jobs.open_jobs()))
 
--- a/libs/gateway/src/damaskjunction/gateway/owed_items.py
+++ b/libs/gateway/src/damaskjunction/gateway/owed_items.py
@@ -177,6 +177,10 @@
         finally:
             del self._items[item]
 
+    def ids_of(self, job_id: JobId) -> set[str]:
+        """Return the ids of the owed items of a job."""
+        return {item.item_id for item in self._items if item.job_id == job_id}
+
     def to_document(self) -> dict[str, OwedItemDocument]:
         """Return all owed items for the dump, the oldest first."""
         return {item.item_id: item.to_document() for item in self._items}
