Refuse waiting requests at once when no runner is left for them

A new request for a service without runners was refused at once; one that waited in the queue already stayed there until its latest start, up to 60 % of its time, when the last runner had left, or when it excluded the only one left.

Change: the check at submission and the one at a change of runners are now one (_refusal_of). Batch requests go on waiting, unless their version is gone.

libs/routing/features/slots.feature: the two new scenarios failed before (no refusal came), and pass now with all 137 scenarios of the library.

--- a/libs/routing/features/slots.feature
+++ b/libs/routing/features/slots.feature
@@ -112,6 +112,23 @@
     When batch request "b1" that excludes "a" asks for a slot
     Then "b1" are granted
 
+  Scenario: A waiting request that excludes the only runner left is refused at once
+    Given a pool with runners "a:1,b:1"
+    When online requests "r1,r2" ask for slots
+    And online request "r3" that excludes "b" asks for a slot
+    And the runners become "b:1"
+    Then "r3" are refused with a retry delay
+
+  Scenario: Requests that wait are refused at once when all runners have left
+    Given a pool with runners "a:1"
+    When online requests "r1,r2" ask for slots
+    And batch requests "b1" ask for slots
+    And all runners leave
+    Then "r2" are refused with a retry delay
+    And "r1" are granted
+    When the runners become "c:4"
+    Then "b1" are granted
+
   Scenario: A request that waits too long is refused
     Given a pool with runners "a:1"
     When online requests "r1,r2" ask for slots
--- a/libs/routing/features/steps/slot_steps.py
+++ b/libs/routing/features/steps/slot_steps.py
@@ -293,6 +293,26 @@
     assert len({order[0] for order in orders}) > 2, orders
 
 
+@when('online request "{request_id}" that excludes "{runner}" asks for a slot')
+def submit_online_excluding(context, request_id, runner):
+    ticket = make_ticket(context, request_id, WorkClass.ONLINE)
+    record_effects(
+        context, context.pool.submit(ticket._replace(avoid=(runner,)), context.now_s)
+    )
+
+
+@when('the runners become "{runners}"')
+def replace_runners(context, runners):
+    record_effects(
+        context, context.pool.set_runners(parse_runners(runners), context.now_s)
+    )
+
+
+@when("all runners leave")
+def remove_runners(context):
+    record_effects(context, context.pool.set_runners({}, context.now_s))
+
+
 @when('batch request "{request_id}" that excludes "{runner}" asks for a slot')
 def submit_excluding(context, request_id, runner):
     ticket = make_ticket(context, request_id, WorkClass.BATCH)._replace(avoid=(runner,))
--- a/libs/routing/src/damaskjunction/routing/slots.py
+++ b/libs/routing/src/damaskjunction/routing/slots.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Collection, Iterable, Mapping
 
 from damaskjunction.core import RequestId, RunnerId, WorkClass
@@ -54,8 +55,8 @@
         self._online_held_by_id: dict[RequestId, HeldSlot] = {}
         self._batch_held_by_id: dict[RequestId, HeldSlot] = {}
         self._revoked_ids: set[RequestId] = set()
-        self._used_by_runner: dict[RunnerId, int] = {}
-        self._online_by_runner: dict[RunnerId, int] = {}
+        self._used_by_runner: Counter[RunnerId] = Counter()
+        self._online_by_runner: Counter[RunnerId] = Counter()
         self._waiting_online = OnlineQueue()
         self._waiting_batch = BatchQueue()
         self._prefix_cache = PrefixCacheEstimate()
@@ -84,27 +85,38 @@
     ) -> list[SlotEffect]:
         """Replace the usable runners, their slot counts and their software versions.
 
-        Requests that wait for a version which no runner has any more are refused.
+        Requests that wait for runners of which none is left are refused.
         """
         self._versions = versions
-        self._slots_by_runner = {
-            name: slots_by_runner[name] for name in sorted(slots_by_runner)
-        }
+        self._slots_by_runner = dict(sorted(slots_by_runner.items()))
         self._prefix_cache.retain_runners(slots_by_runner)
         self._rate_limiter.retain_runners(slots_by_runner)
         self._unseen.retain_runners(slots_by_runner)
-        return [*self._refuse_gone_versions(), *self._dispatch(now_s)]
+        return [*self._refuse_unservable(), *self._dispatch(now_s)]
 
-    def _refuse_gone_versions(self) -> list[SlotEffect]:
+    def _refuse_unservable(self) -> list[SlotEffect]:
         waiting = (*self._waiting_online.tickets(), *self._waiting_batch.tickets())
-        gone = [t for t in waiting if not self._versions.serves(t.software_version)]
-        for ticket in gone:
-            self._waiting_online.discard(ticket.request_id)
-            self._waiting_batch.discard(ticket.request_id)
-        return [self._refuse_version(ticket) for ticket in gone]
+        refusals = [r for ticket in waiting if (r := self._refusal_of(ticket))]
+        for refusal in refusals:
+            self._waiting_online.discard(refusal.request_id)
+            self._waiting_batch.discard(refusal.request_id)
+        return list(refusals)
+
+    def _refusal_of(self, ticket: SlotTicket) -> RefuseSlot | None:
+        """Return the refusal of a request that no runner may serve.
 
-    def _refuse_version(self, ticket: SlotTicket) -> RefuseSlot:
-        return RefuseSlot(ticket.request_id, VERSION_GONE, MIN_RETRY_AFTER_S)
+        Batch requests wait for any runner, unless they have to keep a version.
+        """
+        request_id = ticket.request_id
+        if not self._versions.serves(ticket.software_version):
+            return RefuseSlot(request_id, VERSION_GONE, MIN_RETRY_AFTER_S)
+        if ticket.work_class is WorkClass.BATCH:
+            return None
+        excluded = self._excluded_runners(ticket)
+        if any(name not in excluded for name in self._slots_by_runner):
+            return None
+        reason = "runners_failed" if self._slots_by_runner else "no_runner"
+        return RefuseSlot(request_id, reason, self._mean_hold_s)
 
     def submit(self, ticket: SlotTicket, now_s: float) -> list[SlotEffect]:
         """Grant a request a slot, queue it or refuse it.
@@ -112,18 +124,14 @@
         A new online request is refused when it is predicted to miss its latency goal;
         a repeated one may wait until the latest time at which it can start.
         """
-        if not self._versions.serves(ticket.software_version):
-            return [self._refuse_version(ticket)]
+        if (refusal := self._refusal_of(ticket)) is not None:
+            return [refusal]
         if ticket.work_class is WorkClass.BATCH:
             if len(self._waiting_batch) >= MAX_BATCH_QUEUE:
                 return [RefuseSlot(ticket.request_id, "overloaded", 1.0)]
             self._waiting_batch.add(ticket)
             return self._dispatch(now_s)
-        excluded = self._excluded_runners(ticket)
-        if not any(name not in excluded for name in self._slots_by_runner):
-            reason = "no_runner" if not self._slots_by_runner else "runners_failed"
-            return [RefuseSlot(ticket.request_id, reason, self._mean_hold_s)]
-        forecast = self._forecast(now_s, excluded)
+        forecast = self._forecast(now_s, self._excluded_runners(ticket))
         wait_s = forecast.wait_s(self._waiting_online.place_of(ticket, now_s))
         if now_s + wait_s > self._waiting_online.latest_start_s(ticket, now_s):
             return self._refuse([ticket], now_s)
@@ -141,7 +149,7 @@
         self, runner_id: RunnerId, n_requests: int, now_s: float
     ) -> list[SlotEffect]:
         """Process a runner's own count of requests."""
-        n_held = self._used_by_runner.get(runner_id, 0)
+        n_held = self._used_by_runner[runner_id]
         self._unseen.observe_report(runner_id, n_requests, n_held, now_s)
         return self._dispatch(now_s)
 
@@ -215,11 +223,10 @@
             if runner_id in avoid:
                 continue
             n_slots = max(0, slots - self._unseen.n_at(runner_id))
-            n_online = self._online_by_runner.get(runner_id, 0)
             supplies.append(
                 RunnerSupply(
                     n_slots,
-                    n_slots - n_online,
+                    n_slots - self._online_by_runner[runner_id],
                     self._rate_limiter.tokens(runner_id, now_s),
                     self._rate_limiter.limit_per_s(runner_id),
                 )
@@ -270,9 +277,8 @@
         return free_by_runner
 
     def _n_free_slots(self, runner_id: RunnerId) -> int:
-        n_used = self._used_by_runner.get(runner_id, 0)
-        n_unseen = self._unseen.n_at(runner_id)
-        return self._slots_by_runner[runner_id] - n_used - n_unseen
+        n_taken = self._used_by_runner[runner_id] + self._unseen.n_at(runner_id)
+        return self._slots_by_runner[runner_id] - n_taken
 
     def _choose_runner(
         self, ticket: SlotTicket, free_by_runner: Mapping[RunnerId, int]
@@ -328,7 +334,9 @@
     ) -> GrantSlot:
         self._record_held(ticket, runner_id, now_s)
         self._rate_limiter.take(runner_id, now_s)
-        _take_free_slot(free_by_runner, runner_id)
+        free_by_runner[runner_id] -= 1
+        if not free_by_runner[runner_id]:
+            del free_by_runner[runner_id]
         return GrantSlot(ticket.request_id, runner_id)
 
     def _record_held(
@@ -337,12 +345,10 @@
         held = HeldSlot(ticket, runner_id, now_s)
         if ticket.work_class is WorkClass.ONLINE:
             self._online_held_by_id[ticket.request_id] = held
-            n_online = self._online_by_runner.get(runner_id, 0)
-            self._online_by_runner[runner_id] = n_online + 1
+            self._online_by_runner[runner_id] += 1
         else:
             self._batch_held_by_id[ticket.request_id] = held
-        used = self._used_by_runner.get(runner_id, 0)
-        self._used_by_runner[runner_id] = used + 1
+        self._used_by_runner[runner_id] += 1
         self._prefix_cache.record(runner_id, ticket.parts)
 
     def _revoke(self, demand: SlotDemand, now_s: float) -> list[SlotEffect]:
@@ -391,9 +397,3 @@
         for ticket in skipped:
             self._waiting_batch.add(ticket)
         return effects
-
-
-def _take_free_slot(free_by_runner: dict[RunnerId, int], runner_id: RunnerId) -> None:
-    free_by_runner[runner_id] -= 1
-    if not free_by_runner[runner_id]:
-        del free_by_runner[runner_id]
