Retry at a plain runner that leaves when no other one is left

A host chose among the runners that stay, or among those that leave if all do, and took out the runners that had failed the request afterwards. With one runner that stays and fails, the retry was given up though the one that leaves would serve for the rest of DrainMs.

Change: ServingState.runners_of is told which runners may serve the request, and returns those that leave while none of these stays. The choice of the runner of an attempt is a function of its own.

libs/gateway/features/leaving.feature: "A retry goes to a runner that leaves when no other one is left" failed before (status 502), and passes now. Eight further kinds of answers that say that their runner leaves (errors, items that can never be done, streams that break off or stall) passed before and after: the word was taken from each. All scenarios of leaving, online, slot moves, item and stream versions pass (106).

--- a/libs/gateway/features/leaving.feature
+++ b/libs/gateway/features/leaving.feature
@@ -18,6 +18,32 @@
       | plain runners | /look/  | 0      |
       | plain runners | /order/ | 500    |
 
+  Scenario Outline: An answer that fails or breaks off says so too
+    Given <runners> "r1,r2"
+    And runner "r1" has the fault "<fault>" of <value>
+    And runner "r1" says that it leaves in its answers alone
+    When callers request "<path>" at "h0" until runner "r1" gets one
+    Then runner "r1" gets none of 10 further requests for "<path>" at "h0"
+
+    Examples:
+      | runners       | path     | fault        | value |
+      | engines       | /ask/    | fail         | 500   |
+      | engines       | /alert/  | fail         | 404   |
+      | engines       | /urgent/ | break_after  | 2     |
+      | engines       | /ask/    | break_after  | 2     |
+      | engines       | /ask/    | impossible   | 1     |
+      | engines       | /urgent/ | silent_after | 1     |
+      | plain runners | /look/   | fail         | 404   |
+      | plain runners | /look/   | fail         | 500   |
+
+  Scenario: A retry goes to a runner that leaves when no other one is left
+    Given plain runners "r1,r2"
+    And runner "r2" fails with 500
+    And runner "r1" says that it leaves in its answers alone
+    When callers request "/order/" at "h0" until runner "r1" gets one
+    And a caller requests "/look/1" at "h0" as "q1"
+    Then the caller gets status 200
+
   Scenario Outline: A refusal that says so is believed
     Given <runners> "r1,r2"
     And engine "r1" is full
--- a/libs/gateway/features/steps/leaving_steps.py
+++ b/libs/gateway/features/steps/leaving_steps.py
@@ -18,6 +18,11 @@
     context.platform.runners[name].faults["fail"] = status
 
 
+@given('runner "{name}" has the fault "{fault}" of {value:d}')
+def add_fault(context, name, fault, value):
+    context.platform.runners[name].faults[fault] = value
+
+
 @given('runner "{name}" says that it leaves in its answers alone')
 def say_in_answers(context, name):
     context.platform.runners[name].faults["leaving"] = 1
--- a/libs/gateway/src/damaskjunction/gateway/request_execution.py
+++ b/libs/gateway/src/damaskjunction/gateway/request_execution.py
@@ -134,21 +134,8 @@
         return caller_response(runner_response.head, body)
 
     async def _send(self, last_event_id: int | None) -> RunnerResponse:
-        routed, selector = self._routed, self._selector
-        version = self._version.required
-        if selector.uses_slots(routed):
-            self._slot = await selector.acquire_slot(
-                routed, self._attempts.excluded, version
-            )
-            self._runner_id = self._slot.runner_id
-        else:
-            self._runner_id = selector.choose_runner(
-                routed, self._attempts.excluded, version
-            )
-        runners = self._context.state.runners_of(routed.service)
-        runner = find_runner(runners, self._runner_id)
-        if runner is None:
-            raise RunnerFailedError(Outcome.NOT_RUN, "runner_gone")
+        routed = self._routed
+        runner = await self._choose_runner()
         await self._version.admit(runner, self._context.runner_client)
         remaining_s = self._remaining_s()
         if remaining_s < MIN_REMAINING_S:
@@ -169,6 +156,26 @@
             is_stream=routed.route.kind is RouteKind.STREAM,
         )
 
+    async def _choose_runner(self) -> Runner:
+        """Return the runner for an attempt, and hold it or a slot of it."""
+        routed, selector, excluded = (
+            self._routed,
+            self._selector,
+            self._attempts.excluded,
+        )
+        version = self._version.required
+        if not selector.uses_slots(routed):
+            chosen = selector.choose_runner(routed, excluded, version)
+            self._runner_id = chosen.runner_id
+            return chosen
+        self._slot = await selector.acquire_slot(routed, excluded, version)
+        self._runner_id = self._slot.runner_id
+        runners = self._context.state.runners_of(routed.service)
+        runner = find_runner(runners, self._runner_id)
+        if runner is None:
+            raise RunnerFailedError(Outcome.NOT_RUN, "runner_gone")
+        return runner
+
     def _remaining_s(self) -> float:
         return self._routed.deadline_at_s - self._timers.now()
 
--- a/libs/gateway/src/damaskjunction/gateway/runner_selector.py
+++ b/libs/gateway/src/damaskjunction/gateway/runner_selector.py
@@ -7,6 +7,7 @@
 from damaskjunction.core import (
     Outcome,
     RequestError,
+    Runner,
     RunnerId,
     ServiceName,
     WorkClass,
@@ -20,7 +21,6 @@
     Route,
     RouteKind,
     StreamOrigin,
-    runners_at,
 )
 from damaskjunction.wire import RunnerSeen, SlotAsk
 
@@ -156,7 +156,7 @@
 
     def choose_runner(
         self, routed: RoutedRequest, excluded: set[RunnerId], version: str
-    ) -> RunnerId:
+    ) -> Runner:
         """Return the plain runner with the fewest requests of this host per slot.
 
         Only runners of the software ``version`` may be chosen, unless it is empty.
@@ -169,12 +169,15 @@
         now_s = self._timers.now()
         is_stream = routed.route.kind is RouteKind.STREAM
         may_begin = self._version_registry.may_begin
-        runners = [
-            runner
-            for runner in runners_at(self._state.runners_of(routed.service), version)
-            if runner.runner_id not in excluded
-            and (not is_stream or may_begin(routed.service, runner.version))
-        ]
+
+        def may_serve(runner: Runner) -> bool:
+            return (
+                runner.runner_id not in excluded
+                and version in ("", runner.version)
+                and (not is_stream or may_begin(routed.service, runner.version))
+            )
+
+        runners = self._state.runners_of(routed.service, may_serve)
         runners = list(self._ejection.healthy(runners, lambda r: r.runner_id, now_s))
         if not runners:
             reason = "runners_failed" if excluded else "no_runner"
@@ -185,7 +188,7 @@
             runners, key=lambda r: counts.get(r.runner_id, 0) / max(1, r.slots)
         )
         counts[runner.runner_id] = counts.get(runner.runner_id, 0) + 1
-        return runner.runner_id
+        return runner
 
     def release_runner(self, runner_id: RunnerId) -> None:
         """Stop counting a request against a plain runner."""
--- a/libs/gateway/src/damaskjunction/gateway/state.py
+++ b/libs/gateway/src/damaskjunction/gateway/state.py
@@ -78,9 +78,17 @@
         """Set the function that returns when a read of the runners last failed."""
         self._store_failed_at = store_failed_at
 
-    def runners_of(self, service: ServiceName) -> list[Runner]:
-        """Return the runners of a service that accept new work, ordered by id."""
+    def runners_of(
+        self, service: ServiceName, may_serve: Callable[[Runner], bool] | None = None
+    ) -> list[Runner]:
+        """Return the runners of a service that accept new work, ordered by id.
+
+        ``may_serve`` tells which may serve a request, all of them by default. Runners
+        that leave are returned only while none of these stays.
+        """
         runners = self._live_runners_of(service)
+        if may_serve is not None:
+            runners = list(filter(may_serve, runners))
         return self.leaving.usable(runners, self._timers.now())
 
     def entries_since(self, runner_id: RunnerId, at_s: float) -> list[Runner]:
