Try a suspect sooner when other requests crashed runners just then

In bursts of accidents, three runners can crash under the same sound part of a prompt before any of its answers; all requests with the part were then refused for 2 s at least, though crashes that accuse others at the same time show another cause.

Change: if crashes that do not accuse a suspect came within a second of its own, its first trial comes after 0.5 s (CrashPolicy.burst_pause_s) in place of 2 s.

--- a/libs/routing/features/crash_evidence.feature
+++ b/libs/routing/features/crash_evidence.feature
@@ -62,6 +62,36 @@
     And 299 s go by
     Then a request "bad" is blocked
 
+  Scenario: The first trial comes soon if other requests crashed runners just then
+    Given no crashes
+    When runner "r1" crashes under requests "subj,f1"
+    And runner "r2" crashes under requests "other,f2"
+    And 2 runners crash under requests "subj"
+    Then a request "subj,f5" is blocked
+    When 0.6 s go by
+    Then a request "subj,f5" may run
+    And a request "subj,f6" is blocked
+    When 1.2 s go by
+    Then a request "subj,f6" is blocked
+    When 0.9 s go by
+    Then a request "subj,f6" may run
+    When 1 runners crash under requests "subj"
+    And 19 s go by
+    Then a request "subj,f7" is blocked
+
+  Scenario: The first trial waits if nothing else crashed runners just then
+    Given no crashes
+    When runner "r1" crashes under requests "other,f1"
+    And 1.1 s go by
+    And 3 runners crash under requests "subj"
+    And 1.9 s go by
+    Then a request "subj,f2" is blocked
+    When 0.2 s go by
+    Then a request "subj,f2" may run
+
+  Scenario: A burst of accidents blocks few sound requests
+    Then in 100 random runs with bursts of accidents at most 3 of 1000 sound requests are blocked
+
   Scenario: An answered trial ends the block
     Given no crashes
     When 3 runners crash under requests "unlucky"
--- a/libs/routing/features/steps/crash_simulation.py
+++ b/libs/routing/features/steps/crash_simulation.py
@@ -22,6 +22,9 @@
 DEADLY_PER_S = 2.0
 HOME_MOVE_S = 11.0
 ACCIDENT_S = 7.0  # a runner crashes by itself at this interval
+BURST_TIMES_S = (5.0, 11.0, 17.0)
+BURST_STEPS_S = (0.0, 0.4, 0.8, 1.2, 1.6)  # two runners crash at each
+BURST_RESTART_S = 0.4
 
 
 class SimulationOutcome(NamedTuple):
@@ -45,9 +48,15 @@
 class Simulation:
     """Runners, requests and the evidence at the home."""
 
-    def __init__(self, seed: int, n_deadly: int) -> None:
+    def __init__(self, seed: int, n_deadly: int, *, has_bursts: bool = False) -> None:
         self.rng = random.Random(seed)
         self.now_s = 1000.0
+        self.restart_s = BURST_RESTART_S if has_bursts else RESTART_S
+        self.burst_steps = {
+            round((at_s + later_s) / STEP_S)
+            for at_s in BURST_TIMES_S * has_bursts
+            for later_s in BURST_STEPS_S
+        }
         self.evidence = CrashEvidence("h0")
         self.n_homes = 1
         self.runs_by_runner = {f"r{n}": [] for n in range(N_RUNNERS)}
@@ -89,7 +98,7 @@
     def crash(self, runner: str) -> None:
         """End a runner and report the requests that it had not begun to answer."""
         runs, self.runs_by_runner[runner] = self.runs_by_runner[runner], []
-        self.back_at_by_runner[runner] = self.now_s + RESTART_S
+        self.back_at_by_runner[runner] = self.now_s + self.restart_s
         accused, answered = set(), set()
         for run in runs:
             if self.now_s - run.began_at_s >= ANSWERED_S and not run.deadly_part:
@@ -148,6 +157,9 @@
                 self.move_home()
             if step and step % round(ACCIDENT_S / STEP_S) == 0:
                 self.crash(self.rng.choice(sorted(self.runs_by_runner)))
+            if step in self.burst_steps:
+                for runner in self.rng.sample(sorted(self.runs_by_runner), 2):
+                    self.crash(runner)
         return SimulationOutcome(
             dict(self.n_runs),
             self.n_sound,
@@ -159,3 +171,8 @@
 def run_simulation(seed: int, n_deadly: int) -> SimulationOutcome:
     """Play a run of ``N_SECONDS`` with the given number of deadly parts."""
     return Simulation(seed, n_deadly).run()
+
+
+def run_bursts(seed: int) -> SimulationOutcome:
+    """Play a run of sound requests with bursts of accidents."""
+    return Simulation(seed, 0, has_bursts=True).run()
--- a/libs/routing/features/steps/crash_steps.py
+++ b/libs/routing/features/steps/crash_steps.py
@@ -4,7 +4,7 @@
 
 import crash_machine
 from behave import given, then, when
-from crash_simulation import run_simulation
+from crash_simulation import run_bursts, run_simulation
 
 from damaskjunction.routing import CrashEvidence, CrashReport, RequestTraits
 
@@ -104,6 +104,17 @@
         assert max(outcome.n_runs_by_deadly_part.values()) <= limit, outcome
 
 
+@then(
+    "in {count:d} random runs with bursts of accidents at most {share:d} of "
+    "{whole:d} sound requests are blocked"
+)
+def check_bursts(context, count, share, whole):
+    outcomes = [run_bursts(seed) for seed in range(count)]
+    n_blocked = sum(outcome.n_sound_blocked for outcome in outcomes)
+    n_sound = sum(outcome.n_sound for outcome in outcomes)
+    assert n_blocked * whole <= n_sound * share, f"{n_blocked} of {n_sound}"
+
+
 @then("each sound part is served")
 def check_sound_served(context):
     for outcome in context.outcomes:
--- a/libs/routing/src/damaskjunction/routing/crash_evidence.py
+++ b/libs/routing/src/damaskjunction/routing/crash_evidence.py
@@ -7,7 +7,8 @@
 Which traits are suspect then is a policy's choice. A request with all traits of a
 suspect is blocked, except for trials at growing intervals, where the policy has any: a
 trial that is answered clears the traits, one that crashes its runner lengthens the
-interval.
+interval. Crashes in a burst, some of which accuse others, may have another cause: the
+first trial comes sooner then.
 """
 
 from __future__ import annotations
@@ -30,6 +31,7 @@
 
 SUSPECT_TTL_S = 24 * HOUR_S
 SAME_CRASH_S = 1.0  # reports on one runner within this time are of one crash
+BURST_S = 1.0  # crashes of several runners within this time may have one cause
 MAX_CRASHES = 256
 MAX_IMPORTED = 4096
 MAX_CLEARED_TRAITS = 4096
@@ -71,6 +73,7 @@
         self._policy = policy
         self._n_crashes = 0
         self._crashes_by_id: OrderedDict[str, Crash] = OrderedDict()
+        self._crashed_at_by_id: OrderedDict[str, float] = OrderedDict()
         self._last_id_by_runner: dict[RunnerId, str] = {}
         self._cleared_at_by_trait: OrderedDict[str, float] = OrderedDict()
         self._tried_at_by_trait: dict[str, float] = {}
@@ -114,6 +117,7 @@
             self._n_crashes += 1
             crash_id = f"{self._origin}/{self._n_crashes}"
             crash = Crash(at_s, frozenset(), was_alone)
+            self._crashed_at_by_id[crash_id] = at_s
         accused = {frozenset(request.traits) for request in report.accused}
         merged = sorted(crash.accused | accused, key=sorted)
         del merged[self._policy.max_accused_per_crash :]
@@ -191,6 +195,8 @@
         return cleared_at_s is not None and cleared_at_s >= crash_at_s
 
     def _evict_oldest(self) -> None:
+        while len(self._crashed_at_by_id) > MAX_CRASHES:
+            self._crashed_at_by_id.popitem(last=False)
         n_accused = sum(len(crash.accused) for crash in self._crashes_by_id.values())
         while (
             len(self._crashes_by_id) > MAX_CRASHES
@@ -294,4 +300,18 @@
         since_s = max(suspect.last_crash_at_s, *tried_at_s)
         n_trials = len(suspect.crash_ids) - self._policy.min_crashes
         pause_s = pauses_s[min(n_trials, len(pauses_s) - 1)]
+        is_tried = n_trials > 0 or since_s > suspect.last_crash_at_s
+        if not is_tried and self._is_in_burst(suspect):
+            pause_s = self._policy.burst_pause_s
         return max(0.0, since_s + pause_s - now_s)
+
+    def _is_in_burst(self, suspect: Suspect) -> bool:
+        """Return whether crashes that a suspect does not explain came with its own."""
+        crashed_at = self._crashed_at_by_id
+        own_at_s = [crashed_at[i] for i in suspect.crash_ids if i in crashed_at]
+        return any(
+            abs(own_s - other_s) <= BURST_S
+            for crash_id, other_s in crashed_at.items()
+            if crash_id not in suspect.crash_ids
+            for own_s in own_at_s
+        )
--- a/libs/routing/src/damaskjunction/routing/crash_policies.py
+++ b/libs/routing/src/damaskjunction/routing/crash_policies.py
@@ -56,6 +56,9 @@
         Pause before the next trial of a suspect after ``min_crashes`` crashes and each
         further one, in seconds; the last one repeats. Without any there are no trials,
         and no answer clears an imported suspect.
+    burst_pause_s : float
+        Pause before the first trial in seconds, if crashes that accuse others came at
+        about the same time.
     max_accused_per_crash, max_accused : int
         Accused requests that are kept of one crash and of all.
     """
@@ -64,14 +67,29 @@
     min_crashes: int
     evidence_ttl_s: float
     trial_pauses_s: tuple[float, ...]
+    burst_pause_s: float
     max_accused_per_crash: int
     max_accused: int
 
 
 SHARED_RUNS = CrashPolicy(
-    "common_traits", 3, HOUR_S, (2.0, 20.0, 300.0, HOUR_S, 24 * HOUR_S), 64, 16_384
+    rule="common_traits",
+    min_crashes=3,
+    evidence_ttl_s=HOUR_S,
+    trial_pauses_s=(2.0, 20.0, 300.0, HOUR_S, 24 * HOUR_S),
+    burst_pause_s=0.5,
+    max_accused_per_crash=64,
+    max_accused=16_384,
+)
+EXCLUSIVE_RUNS = CrashPolicy(
+    rule="lone_run",
+    min_crashes=2,
+    evidence_ttl_s=MINUTE_S,
+    trial_pauses_s=(),
+    burst_pause_s=0.0,
+    max_accused_per_crash=4096,
+    max_accused=4096,
 )
-EXCLUSIVE_RUNS = CrashPolicy("lone_run", 2, MINUTE_S, (), 4096, 4096)
 
 # Crashes by id in the order of their records, and the ids of those that accuse a trait
 # and that no answer has cleared it of.
