Begin and continue streams only at the process that is listed

Callers could get events of two software versions: a runner came back under its id at another version, its entry came late, and a host began a stream there as at the version still listed.

Cause: the process was asked for only before a stream went on, not before it began, and on another connection than the request's. Change: a request of a resumable stream, or an item's, is sent to an engine over a connection whose other end has told in its report, asked for once on that connection, that it is the listed process. A connection has one process, so this is proof, also for what the runner writes later; it costs nothing per stream on kept connections, and a take-up on one no longer asks for reports at all. A runner that closes connections after reports is asked on a second connection, opened after the one that is used. What is refused has not run. A process found to be later than the listed one is not asked again. An item may begin at such a process, as nothing else may be there, and goes on nowhere. The writers of a stream need not be asked any more.

The stand-in of a runner closed the connection after each report, since it did not read the request to its end; it keeps it now. The connection of the HTTP client has a module of its own.

--- a/libs/gateway/features/runner_client.feature
+++ b/libs/gateway/features/runner_client.feature
@@ -51,3 +51,42 @@
     Then the report failed
     And no limit of the runner was learned from the last answer
     And the next request to the runner uses a new connection
+
+  Scenario: A runner is asked for its process once on each connection
+    Given a client of an engine that was born at 1000
+    When 5 requests to its listed process are sent one after another
+    Then all were answered, and the engine was asked for 1 report
+    When 3 requests to its listed process are sent at once
+    Then all were answered, and the engine was asked for 3 reports
+
+  Scenario: A request does not reach a process that is not the one listed
+    Given a client of an engine that was born at 1000
+    When 1 requests to its listed process are sent one after another
+    And the engine starts again at 2000
+    And 2 requests to its listed process are sent one after another
+    Then all failed as not run with "other_process"
+
+  Scenario Outline: A request does not reach a process that does not tell its start
+    Given a client of an engine that was born at 1000
+    When its reports are "<reports>"
+    And 1 requests to its listed process are sent one after another
+    Then all failed as not run with "process_unknown"
+
+    Examples:
+      | reports   |
+      | malformed |
+      | refused   |
+      | silent    |
+
+  Scenario: A runner that closes its connections after reports gets the request nevertheless
+    Given a client of an engine that was born at 1000
+    When the engine closes the connections of its next 2 reports
+    And 1 requests to its listed process are sent one after another
+    Then all were answered, and the engine was asked for 2 reports
+
+  Scenario: A runner that closes its connections and starts again is not sent the request
+    Given a client of an engine that was born at 1000
+    When the engine closes the connections of its next 1 reports
+    And the engine starts again at 2000 after its next report
+    And 1 requests to its listed process are sent one after another
+    Then all failed as not run with "other_process"
--- a/libs/gateway/features/stream_versions.feature
+++ b/libs/gateway/features/stream_versions.feature
@@ -173,25 +173,6 @@
     Then the take-up is refused as not run and reached no runner
     And it was refused within a latency goal
 
-  Scenario: A stream begun by a process that is not listed yet goes on nowhere
-    Given engines "e1,e2" of version "v1" with 60 events
-    And runner "e2" has no room
-    And runner "e1" is back at version "v2" while its entry is late
-    When a caller begins a stream of "/alert/1" at "h0" as "q1"
-    And runner "e2" has room again
-    And the stream's runner breaks it
-    Then the caller gets events of version "v2" alone, incomplete
-
-  Scenario: An item begun by a process that is not listed yet begins afresh at once
-    Given engines "e1,e2" of version "v1" with 60 events
-    And runner "e2" has no room
-    And runner "e1" is back at version "v2" while its entry is late
-    When the job "j1" of 1 items is submitted at "h0"
-    And an item has events
-    And runner "e2" has room again
-    And the stream's runner breaks it and has no room from then on
-    Then the job "j1" has 1 results, each of version "v1" and complete
-
   Scenario: An item whose only runner stays listed as its former process begins afresh
     Given engines "e1" of version "v1" with 60 events
     When the job "j1" of 1 items is submitted at "h0"
--- a/libs/gateway/src/damaskjunction/gateway/item_progress.py
+++ b/libs/gateway/src/damaskjunction/gateway/item_progress.py
@@ -62,23 +62,33 @@
         self._timers = timers
         self.started_at_s = timers.now()
         self._is_advanced = False  # in the present attempt
-        self._is_denied = False  # by a runner of the version, since the last event
+        self._denied_by: set[RunnerId] = set()  # since the last event
         self._paused_at_s = self.started_at_s
 
     def add_event(self, event: RawEvent, runner: Runner) -> None:
         """Add the next event of the output, which a runner wrote."""
         if not self._is_advanced:
             self._is_advanced = True
+            if runner.runner_id in self._denied_by:
+                runner = runner._replace(version="")  # that of another process
             self.version.record_answer(runner)
         self.last_event_id = event.event_id
         self.texts.append(event.data)
         self.n_characters += len(event.data)
         self.n_crashes = 0
-        self._is_denied = False
+        self._denied_by.clear()
 
-    def record_denial(self) -> None:
-        """Record that a runner listed at the version is not known to have it."""
-        self._is_denied = True
+    def record_denial(self, runner_id: RunnerId) -> None:
+        """Record that a runner is not known to have the version listed for it."""
+        self._denied_by.add(runner_id)
+
+    def is_process_checked(self, runner: Runner) -> bool:
+        """Return whether the process of the next attempt has to be the one listed.
+
+        Any may begin the item if the listed one is not there; it goes on nowhere then.
+        """
+        has_begun = self.last_event_id is not None
+        return has_begun or runner.runner_id not in self._denied_by
 
     def end_attempt(self) -> None:
         """Record that an attempt has ended without the whole text."""
@@ -115,7 +125,7 @@
         elif not runners_of_version:
             self.begin_afresh("version_gone")
         elif self._version_wait_left_s <= 0 and (
-            self._is_denied or not is_only_version
+            self._denied_by or not is_only_version
         ):
             self.begin_afresh("version_busy")
         else:
@@ -150,7 +160,7 @@
         }
         logger.info("item begins afresh", extra=extra)
         self.version.forget()
-        self._is_denied = False
+        self._denied_by.clear()
         self.texts.clear()
         self.last_event_id = None
         self.n_characters = 0
--- a/libs/gateway/src/damaskjunction/gateway/item_runner.py
+++ b/libs/gateway/src/damaskjunction/gateway/item_runner.py
@@ -271,7 +271,7 @@
         runner = find_runner(self._state.runners_of(service), slot.runner_id)
         if runner is None:
             raise RunnerFailedError(Outcome.NOT_RUN, "runner_gone")
-        await progress.version.admit(runner, self._runner_client)
+        progress.version.check(runner)
         extra = {"item": progress.item.item_id, "runner": runner.runner_id}
         logger.info("item sent", extra=extra)
         is_repeated = runner.runner_id in progress.runners_tried
@@ -284,6 +284,8 @@
             last_event_id=progress.last_event_id,
             new_connection=is_repeated,
             is_stream=True,
+            is_process_checked=self._state.has_engines(service)
+            and progress.is_process_checked(runner),
         )
         try:
             if runner_response.head.status != 200:
@@ -341,7 +343,7 @@
     ) -> None:
         progress.excluded_runners.add(slot.runner_id)
         if error.reason in ADMISSION_REASONS:
-            progress.record_denial()
+            progress.record_denial(slot.runner_id)
         progress.n_crashes += error.reason in CONNECTION_LOST_REASONS
         if error.is_fault:
             service = route.service_for(stable_hash(progress.item.item_id))
--- a/libs/gateway/src/damaskjunction/gateway/request_execution.py
+++ b/libs/gateway/src/damaskjunction/gateway/request_execution.py
@@ -136,7 +136,7 @@
     async def _send(self, last_event_id: int | None) -> RunnerResponse:
         routed = self._routed
         runner = await self._choose_runner()
-        await self._version.admit(runner, self._context.runner_client)
+        self._version.check(runner)
         remaining_s = self._remaining_s()
         if remaining_s < MIN_REMAINING_S:
             raise RunnerFailedError(Outcome.NOT_RUN, "no_time_left")
@@ -154,6 +154,8 @@
             new_connection=not routed.route.may_repeat
             or self._runner_id in self._attempts.excluded,
             is_stream=routed.route.kind is RouteKind.STREAM,
+            is_process_checked=routed.route.is_resumable
+            and self._context.state.has_engines(routed.service),
         )
 
     async def _choose_runner(self) -> Runner:
--- a/libs/gateway/src/damaskjunction/gateway/runner_client.py
+++ b/libs/gateway/src/damaskjunction/gateway/runner_client.py
@@ -21,6 +21,10 @@
     ClientResponse,
     ConnectFailedError,
     HttpClient,
+    OtherPeerError,
+    PeerQuery,
+    PeerUnknownError,
+    ResponseHead,
     StalledResponseError,
 )
 from damaskjunction.node import refuses_connections
@@ -33,14 +37,19 @@
     decode_runner_report,
     runner_headers,
 )
-from damaskjunction.routing import NO_LIMIT_PER_S, LeavingRunners, LimitObservations
+from damaskjunction.routing import (
+    NO_LIMIT_PER_S,
+    LeavingRunners,
+    LimitObservations,
+    SupersededProcesses,
+)
 
 logger = logging.getLogger(__name__)
 
 CONNECT_TIMEOUT_S = 0.3
 IDLE_TIMEOUT_S = 4.0
 REPORT_STALL_TIMEOUT_S = 0.5
-CONFIRMATION_TIMEOUT_S = 0.6
+PROCESS_QUERY_TIMEOUT_S = 0.6
 DISCARD_TIMEOUT_S = 0.2
 # The connection broke after the request was sent, as when the runner crashes.
 CONNECTION_LOST_REASONS = ("stream_cut", "no_answer", "answer_cut")
@@ -93,6 +102,7 @@
         self._timers = timers
         self.observed_limits = LimitObservations()
         self._leaving = leaving or LeavingRunners()
+        self._superseded = SupersededProcesses()
 
     @property
     def n_connections_opened(self) -> int:
@@ -113,6 +123,7 @@
         last_event_id: int | None = None,
         new_connection: bool = False,
         is_stream: bool = False,
+        is_process_checked: bool = False,
     ) -> RunnerResponse:
         """Send a request and return once the head of the response has arrived.
 
@@ -133,13 +144,18 @@
             have carried a request with the same id. One without an id always does.
         is_stream : bool, optional
             Whether only a stream of events counts as a success.
+        is_process_checked : bool, optional
+            Send the request only to the process that the runner's entry lists. Its
+            report tells, which is asked for once on each connection.
 
         Raises
         ------
         RunnerFailedError
-            When there is no response, the runner reports that it did no work, or the
-            response is encoded, no stream, or not provably that to this request.
+            When there is no response, the process is another one, the runner reports
+            that it did no work, or the response is encoded, no stream, or not provably
+            that to this request.
         """
+        query = self._process_query(runner) if is_process_checked else None
         asked_at_ms = self._wall_ms()
         headers = runner_headers(
             request,
@@ -156,11 +172,10 @@
                 body=request.body,
                 stall_s=stall_s,
                 new_connection=new_connection or not request.request_id,
+                peer_query=query,
             )
         except ConnectFailedError as error:
-            raise RunnerFailedError(
-                Outcome.NOT_RUN, "no_connection", str(error), is_fault=True
-            ) from None
+            raise _not_connected(error) from None
         except StalledResponseError as error:
             raise RunnerFailedError(
                 Outcome.UNKNOWN, "silent", str(error), is_fault=True
@@ -223,33 +238,51 @@
             raise RunnerFailedError(
                 Outcome.NOT_RUN, "no_report", str(error), is_fault=True
             ) from None
-        report = decode_runner_report(head.status, body)
+        report = self._read_report(runner, head, body, asked_at_ms)
         if report is None:
             raise RunnerFailedError(Outcome.NOT_RUN, "no_report", "malformed")
+        return report
+
+    def _read_report(
+        self, runner: Runner, head: RunnerResponseHead, body: bytes, asked_at_ms: int
+    ) -> RunnerReport | None:
+        """Process an answer to a request for a report; None if it is not one."""
+        if head.status != 200 or head.request_id:
+            return None
+        report = decode_runner_report(head.status, body)
+        if report is None:
+            return None
+        self._superseded.record_answer(runner, report.born_ms)
         if head.rate_limit_per_s is not None:
             self._record_limit(runner.runner_id, head.rate_limit_per_s)
         if head.is_leaving and _is_report_of(runner, head, report):
             self._record_leaving(runner, asked_at_ms)
         return report
 
-    async def confirm_process(self, runner: Runner) -> None:
-        """Check that the process of a runner is the one that its entry lists.
-
-        The entry of a runner that has started again comes late.
+    def _process_query(self, runner: Runner) -> PeerQuery:
+        """Return the query for the start of the process at a runner's address.
 
         Raises
         ------
         RunnerFailedError
-            ``NOT_RUN`` when it is another one, or does not tell in time.
+            ``NOT_RUN`` when a later process than the listed one has answered there.
         """
-        try:
-            async with asyncio.timeout(CONFIRMATION_TIMEOUT_S):
-                report = await self.fetch_report(runner)
-        except TimeoutError:
-            raise RunnerFailedError(Outcome.NOT_RUN, "process_unknown") from None
-        if report.born_ms not in (0, runner.born_ms):
-            detail = f"born at {report.born_ms} instead of {runner.born_ms}"
-            raise RunnerFailedError(Outcome.NOT_RUN, "other_process", detail)
+        if self._superseded.has(runner):
+            raise RunnerFailedError(Outcome.NOT_RUN, "other_process", "known before")
+        asked_at_ms = self._wall_ms()
+
+        def decode(head: ResponseHead, body: bytes) -> int | None:
+            runner_head = decode_response_head(head.status, head.headers)
+            report = self._read_report(runner, runner_head, body, asked_at_ms)
+            return None if report is None else report.born_ms
+
+        return PeerQuery(
+            REPORT_PATH,
+            PROCESS_QUERY_TIMEOUT_S,
+            MAX_REPORT_BYTES,
+            decode,
+            expected=runner.born_ms,
+        )
 
     async def read_body(
         self, runner_response: RunnerResponse, timeout_s: float
@@ -311,6 +344,19 @@
             response.close()  # the status suffices; the body is not needed
 
 
+def _not_connected(error: ConnectFailedError) -> RunnerFailedError:
+    """Return the failure of a request that was not sent for want of a connection."""
+    match error:
+        case OtherPeerError():
+            reason = "other_process"
+        case PeerUnknownError():
+            reason = "process_unknown"
+        case _:
+            reason = "no_connection"
+    is_fault = reason != "other_process"
+    return RunnerFailedError(Outcome.NOT_RUN, reason, str(error), is_fault=is_fault)
+
+
 def _check_origin(
     head: RunnerResponseHead, response: ClientResponse, request_id: RequestId
 ) -> None:
--- a/libs/gateway/src/damaskjunction/gateway/runner_selector.py
+++ b/libs/gateway/src/damaskjunction/gateway/runner_selector.py
@@ -116,7 +116,7 @@
         with a runner that has named a rate limit, which only the home can share out.
         """
         return (
-            self._has_engines(routed)
+            self._state.has_engines(routed.service)
             or self._suspects.is_suspect(routed.service, routed.traits)
             or self._has_limited_runner(routed.service)
         )
@@ -127,10 +127,6 @@
             for runner in self._state.runners_of(service)
         )
 
-    def _has_engines(self, routed: RoutedRequest) -> bool:
-        spec = self._state.table.services_by_name.get(routed.service)
-        return spec is not None and spec.engine is not None
-
     def record_health(
         self,
         routed: RoutedRequest,
@@ -147,7 +143,7 @@
             self._slot_client.report_health(
                 RunnerSeen(routed.service, runner_id, is_well)
             )
-        if self._has_engines(routed):
+        if self._state.has_engines(routed.service):
             return
         if is_well:
             self._ejection.record_success(runner_id)
--- a/libs/gateway/src/damaskjunction/gateway/slot_home.py
+++ b/libs/gateway/src/damaskjunction/gateway/slot_home.py
@@ -317,8 +317,7 @@
         for service, pool in self._pools_by_service.items():
             if service not in self._home_services and not pool.counts.n_requests:
                 continue
-            spec = self._state.table.services_by_name.get(service)
-            if spec is None or spec.engine is None:
+            if not self._state.has_engines(service):
                 continue
             for runner in self._state.runners_of(service):
                 self._polls.begin(self._poll_report(service, runner))
--- a/libs/gateway/src/damaskjunction/gateway/state.py
+++ b/libs/gateway/src/damaskjunction/gateway/state.py
@@ -91,6 +91,11 @@
             runners = list(filter(may_serve, runners))
         return self.leaving.usable(runners, self._timers.now())
 
+    def has_engines(self, service: ServiceName) -> bool:
+        """Return whether the runners of a service are engines, which have reports."""
+        spec = self.table.services_by_name.get(service)
+        return spec is not None and spec.engine is not None
+
     def entries_since(self, runner_id: RunnerId, at_s: float) -> list[Runner]:
         """Return the entries that a runner has had since a time, the present one last.
 
--- a/libs/http/src/damaskjunction/http/__init__.py
+++ b/libs/http/src/damaskjunction/http/__init__.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 server and client on h11, server-sent events and request routing."""
 
 from damaskjunction.http.client import ClientResponse, HttpClient
+from damaskjunction.http.connection import ResponseHead
 from damaskjunction.http.events import (
     Event,
     EventParser,
@@ -16,6 +17,8 @@
     ConnectFailedError,
     HttpError,
     HttpLimits,
+    OtherPeerError,
+    PeerUnknownError,
     Request,
     Response,
     StalledResponseError,
@@ -24,6 +27,7 @@
     to_json_response,
 )
 from damaskjunction.http.pacing import ReadPacer
+from damaskjunction.http.peer_query import PeerQuery
 from damaskjunction.http.routes import Handler, Routes
 from damaskjunction.http.server import HttpServer
 
@@ -41,11 +45,15 @@
     "HttpError",
     "HttpLimits",
     "HttpServer",
+    "OtherPeerError",
+    "PeerQuery",
+    "PeerUnknownError",
     "RawEvent",
     "RawEventParser",
     "ReadPacer",
     "Request",
     "Response",
+    "ResponseHead",
     "Routes",
     "StalledResponseError",
     "encode_event",
--- /dev/null
+++ b/libs/http/src/damaskjunction/http/connection.py
@@ -0,0 +1,172 @@
+"""One HTTP/1.1 connection of a client, on h11."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from collections.abc import Hashable, Mapping
+from typing import NamedTuple, cast
+
+import h11
+
+from damaskjunction.core import Address
+from damaskjunction.http.messages import BrokenResponseError, StalledResponseError
+from damaskjunction.http.pacing import ReadPacer
+from damaskjunction.http.sockets import has_waiting_bytes
+
+READ_BYTES = 64 * 1024
+DEFAULT_STALL_TIMEOUT_S = 30.0
+MAX_INTERIM_HEADS = 8
+KEEP_ALIVE_TIMEOUT_FRACTION = 0.5
+
+
+class ResponseHead(NamedTuple):
+    """Status and headers of a response; header names are lower-case."""
+
+    status: int
+    headers: Mapping[str, str]
+
+
+class Connection:
+    """A client connection, used for one request at a time.
+
+    ``peer`` is the process at its other end, None while that is not known.
+    """
+
+    def __init__(
+        self,
+        address: Address,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        self.address = address
+        self.n_requests = 0
+        self.idle_since_s = 0.0
+        self.peer: Hashable | None = None
+        self.keep_alive_timeout_s = math.inf
+        self._reader = reader
+        self._writer = writer
+        self._protocol = h11.Connection(h11.CLIENT)
+        self.stall_s = DEFAULT_STALL_TIMEOUT_S
+        self.pacer: ReadPacer | None = None
+
+    async def exchange(
+        self,
+        method: str,
+        target: str,
+        headers: Mapping[str, str],
+        body: bytes,
+        stall_s: float,
+    ) -> ResponseHead:
+        """Send a request and return the status and headers of the response."""
+        self.stall_s = stall_s
+        self.pacer = None
+        self.n_requests += 1
+        request_headers = {
+            "Host": str(self.address),
+            "Content-Length": str(len(body)),
+            **headers,
+        }
+        request = h11.Request(
+            method=method, target=target, headers=list(request_headers.items())
+        )
+        send = self._protocol.send
+        parts = (request, h11.Data(data=body), h11.EndOfMessage())
+        self._writer.write(b"".join(send(part) or b"" for part in parts))
+        try:
+            async with asyncio.timeout(stall_s):
+                await self._writer.drain()
+        except (OSError, TimeoutError) as error:
+            raise BrokenResponseError(f"{self.address}: {error!r}") from None
+        try:
+            async with asyncio.timeout(stall_s):
+                return await self._read_head()
+        except TimeoutError:
+            detail = f"{self.address}: no complete head in {stall_s:.3f} s"
+            raise StalledResponseError(detail) from None
+
+    async def read_body(self) -> bytes | None:
+        """Return the next chunk of the body, or None at its end."""
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.Data):
+                return bytes(event.data)
+            if isinstance(event, h11.EndOfMessage):
+                return None
+
+    def prepare_for_reuse(self) -> bool:
+        """Prepare for the next request; return whether the connection is reusable."""
+        if self._protocol.our_state is not h11.DONE:
+            return False
+        if self._protocol.their_state is not h11.DONE:
+            return False
+        self._protocol.start_next_cycle()
+        return True
+
+    def is_reusable(self) -> bool:
+        """Return whether the connection is open and no unread bytes wait on it."""
+        if self._reader.at_eof() or self._writer.is_closing():
+            return False
+        # Bytes after a complete response belong to no request.
+        return not (
+            self._protocol.trailing_data[0]
+            or self._has_unread_data()
+            or has_waiting_bytes(self._writer)
+        )
+
+    def _has_unread_data(self) -> bool:
+        # StreamReader has no public way to look at its buffer.
+        return bool(getattr(self._reader, "_buffer", b""))
+
+    def abort(self) -> None:
+        """Close the connection at once, without flushing unsent data."""
+        self._writer.transport.abort()
+
+    async def _read_head(self) -> ResponseHead:
+        for _ in range(1 + MAX_INTERIM_HEADS):
+            event = await self._next_event()
+            if isinstance(event, h11.Response):
+                headers = {
+                    name.decode("ascii"): value.decode("latin-1")
+                    for name, value in event.headers
+                }
+                self._apply_keep_alive_timeout(headers.get("keep-alive", ""))
+                return ResponseHead(event.status_code, headers)
+        raise BrokenResponseError(f"{self.address}: too many interim heads")
+
+    def _apply_keep_alive_timeout(self, text: str) -> None:
+        """Limit reuse to a fraction of the peer's announced keep-alive timeout.
+
+        Otherwise the peer might close the connection while a request is being sent.
+        """
+        for part in text.split(","):
+            name, _, value = part.strip().partition("=")
+            if name == "timeout" and value.isdigit():
+                self.keep_alive_timeout_s = KEEP_ALIVE_TIMEOUT_FRACTION * int(value)
+
+    async def _pause_reading(self, pacer: ReadPacer) -> None:
+        """Leave what arrives to the kernel until the next reads of the pacer."""
+        transport = cast(asyncio.Transport, self._writer.transport)
+        transport.pause_reading()
+        try:
+            await pacer.wait()
+        finally:
+            transport.resume_reading()
+
+    async def _next_event(self) -> h11.Event:
+        try:
+            while (event := self._protocol.next_event()) is h11.NEED_DATA:
+                if self.pacer is not None:
+                    await self._pause_reading(self.pacer)
+                async with asyncio.timeout(self.stall_s):
+                    data = await self._reader.read(READ_BYTES)
+                self._protocol.receive_data(data)
+        except TimeoutError:
+            detail = f"{self.address}: no data received for {self.stall_s:.3f} s"
+            raise StalledResponseError(detail) from None
+        except (OSError, h11.RemoteProtocolError) as error:
+            raise BrokenResponseError(f"{self.address}: {error!r}") from None
+        if isinstance(event, h11.ConnectionClosed) or event is h11.PAUSED:
+            raise BrokenResponseError(f"{self.address}: closed before end of response")
+        assert isinstance(event, h11.Event)
+        return event
--- a/libs/http/src/damaskjunction/http/messages.py
+++ b/libs/http/src/damaskjunction/http/messages.py
@@ -60,6 +60,14 @@
     """The connection could not be opened; no byte of the request was sent."""
 
 
+class PeerUnknownError(ConnectFailedError):
+    """The peer of a connection did not identify itself; no request was sent."""
+
+
+class OtherPeerError(ConnectFailedError):
+    """The peer of a connection is not the expected one; no request was sent."""
+
+
 class BrokenResponseError(DamaskjunctionError):
     """The request was sent, at least in part, but no complete response arrived."""
 
--- a/libs/routing/src/damaskjunction/routing/__init__.py
+++ b/libs/routing/src/damaskjunction/routing/__init__.py
@@ -109,7 +109,7 @@
     WeightedService,
     make_route_table,
 )
-from damaskjunction.routing.runner_entries import FormerEntries
+from damaskjunction.routing.runner_entries import FormerEntries, SupersededProcesses
 from damaskjunction.routing.slot_types import (
     GrantSlot,
     RefuseSlot,
@@ -209,6 +209,7 @@
     "SlotTicket",
     "StreamEnd",
     "StreamOrigin",
+    "SupersededProcesses",
     "Suspect",
     "TakeOverClaim",
     "Token",
--- a/libs/routing/src/damaskjunction/routing/runner_entries.py
+++ b/libs/routing/src/damaskjunction/routing/runner_entries.py
@@ -5,7 +5,7 @@
 from collections import OrderedDict
 from typing import NamedTuple
 
-from damaskjunction.core import Runner, RunnerId
+from damaskjunction.core import Address, Runner, RunnerId
 from damaskjunction.core.units import MINUTE_S
 
 MEMORY_S = 10 * MINUTE_S
@@ -64,3 +64,21 @@
 
 def _process_of(runner: Runner) -> tuple[str, int]:
     return runner.version, runner.born_ms
+
+
+class SupersededProcesses:
+    """Processes that are listed though a later one has answered at their address."""
+
+    def __init__(self) -> None:
+        self._processes_by_id: dict[RunnerId, tuple[Address, int]] = {}
+
+    def record_answer(self, runner: Runner, born_ms: int) -> None:
+        """Record when the process that answered for a listed one had started."""
+        if born_ms > runner.born_ms:
+            process = (runner.address, runner.born_ms)
+            self._processes_by_id[runner.runner_id] = process
+
+    def has(self, runner: Runner) -> bool:
+        """Return whether the process of an entry is known to have ended."""
+        process = self._processes_by_id.get(runner.runner_id)
+        return process == (runner.address, runner.born_ms)
--- a/libs/standins/src/damaskjunction/standins/runner.py
+++ b/libs/standins/src/damaskjunction/standins/runner.py
@@ -179,6 +179,7 @@
 
     async def _respond(self, request: Request) -> Response:
         if request.path == REPORT_PATH:
+            await request.body.read()  # the connection can be used again
             n_running = self.n_running + self.faults["foreign"]
             report = {"Running": n_running, "Waiting": 0}
             if self.born_ms:
