Let the host that begins a stream check that its version is announced

The home of slots chooses runners of versions that the store names, by the entries that it knows. The host that begins the stream sends it to the runner's entry as it knows it itself, which may be a later one, of a version that no record names. A take-up at a host that reads the record would then have joined the stream with the version named there. The host now checks its own record before a resumable stream begins; one that may not is refused as not run, or begins at another runner.

Feature unannounced_versions holds the home's entries back while a runner returns at another version: without this change the stream begins there (status 200, events of v2, while the store names v1 alone); with it the request is refused and reaches no runner.

--- a/libs/gateway/features/steps/unlisted_process_steps.py
+++ b/libs/gateway/features/steps/unlisted_process_steps.py
@@ -8,7 +8,7 @@
 from fleet_helpers import received, run
 from item_version_steps import restart_runner_unlisted
 from platform_fleet import ENGINE, event_ids
-from stream_version_steps import take_up, versions_of
+from stream_version_steps import named_versions, take_up, versions_of
 
 from damaskjunction.gateway.slot_home import REPORT_POLL_PERIOD_S
 from damaskjunction.platform import REPORT_PATH
@@ -38,6 +38,11 @@
     return slot_homes(ENGINE, view.serving_hosts(), view.power_by_host)[0].host_id
 
 
+@then('the store names "{version}" alone still')
+def check_named(context, version):
+    assert named_versions(context) == [version], named_versions(context)
+
+
 @then("the stream is refused as not run and reached no runner")
 def check_refused(context):
     assert context.reply.status == 503, context.reply
@@ -143,8 +148,7 @@
 @given("the home of the engines learns of no further entry")
 def hold_entries(context):
     state = context.platform.hosts[home_of(context)].state
-    state.apply_runner_change = lambda change: None
-    state.replace_runners = lambda objects: None
+    state._publish_runners = lambda: None
 
 
 @given('runner "{name}" is back at version "{version}" and listed')
--- a/libs/gateway/src/damaskjunction/gateway/request_execution.py
+++ b/libs/gateway/src/damaskjunction/gateway/request_execution.py
@@ -136,7 +136,7 @@
     async def _send(self, last_event_id: int | None) -> RunnerResponse:
         routed = self._routed
         runner = await self._choose_runner()
-        self._version.check(runner)
+        self._check_version(runner)
         remaining_s = self._remaining_s()
         if remaining_s < MIN_REMAINING_S:
             raise RunnerFailedError(Outcome.NOT_RUN, "no_time_left")
@@ -178,6 +178,21 @@
             raise RunnerFailedError(Outcome.NOT_RUN, "runner_gone")
         return runner
 
+    def _check_version(self, runner: Runner) -> None:
+        """Check that a runner may begin the stream, or go on with it.
+
+        Raises
+        ------
+        RequestError, RunnerFailedError
+            ``NOT_RUN`` when it may not.
+        """
+        self._version.check(runner)
+        may_begin = self._context.version_registry.may_begin
+        is_new_stream = self._routed.route.is_resumable and not self._version.has_begun
+        if is_new_stream and not may_begin(runner.service, runner.version):
+            detail = repr(runner.version)
+            raise RunnerFailedError(Outcome.NOT_RUN, "version_unannounced", detail)
+
     def _remaining_s(self) -> float:
         return self._routed.deadline_at_s - self._timers.now()
 
--- a/libs/gateway/src/damaskjunction/gateway/stream_version.py
+++ b/libs/gateway/src/damaskjunction/gateway/stream_version.py
@@ -65,6 +65,11 @@
             self._writers.append(_Writer(origin, timers.now() - origin.age_s))
         self._on_begin = on_begin
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether a first event has come."""
+        return bool(self._writers)
+
     @property
     def service_name(self) -> ServiceName:
         """The service whose runner began the stream; empty before the first event."""
