Decide in one pure module, by proof, which runner may go on with a stream

Origins now say whether they are proved in this way (also to peers, a new field of the message), and entries count only against those that are not: runners of plain services.

The decision was spread over gateway StreamVersion (asyncio, errors and decisions), TakeUpResolver, ItemProgress and the check of the record. It is routing stream_continuation now, NamedTuples in, a Denial out; the gateway gathers the facts and raises the errors. Behaviour is kept else.

--- a/libs/gateway/features/steps/item_version_steps.py
+++ b/libs/gateway/features/steps/item_version_steps.py
@@ -26,6 +26,14 @@
     context.stream = None
 
 
+@given("the engines state their starts")
+def state_starts(context):
+    for runner in context.platform.runners.values():
+        runner.born_ms = int(context.platform.timers.wall() * 1000)
+        runner.register_in_store("ready")
+    run(context, asyncio.sleep(SETTLE_S))
+
+
 @given('runner "{name}" has no room')
 def fill_runner(context, name):
     context.platform.runners[name].faults["full"] = 1
--- a/libs/gateway/features/stream_versions.feature
+++ b/libs/gateway/features/stream_versions.feature
@@ -179,3 +179,14 @@
     And an item has events
     And the stream's runner is back at version "v1" while its entry is late
     Then the job "j1" has 1 results, each of version "v1" and complete
+
+  Scenario: A stream goes on at its version though its runner is back at another one
+    Given engines "e1,e2" of version "v1" with 60 events
+    And the engines state their starts
+    And runner "e2" has no room
+    When a caller begins a stream of "/alert/1" at "h0" as "q1"
+    And the stream's runner is back at version "v2" while its entry is late
+    And 0.5 s passes and the late entries come
+    And runner "e2" has room again
+    And the caller takes the stream up at "h0" as "q2"
+    Then both answers hold events of version "v1" alone, complete
--- a/libs/gateway/src/damaskjunction/gateway/item_progress.py
+++ b/libs/gateway/src/damaskjunction/gateway/item_progress.py
@@ -8,7 +8,6 @@
 
 from damaskjunction.batch import BatchItem
 from damaskjunction.core import (
-    RequestError,
     Runner,
     RunnerId,
     ServiceName,
@@ -19,7 +18,7 @@
 from damaskjunction.gateway.state import ServingState
 from damaskjunction.gateway.stream_version import StreamVersion
 from damaskjunction.http import RawEvent
-from damaskjunction.routing import runners_at
+from damaskjunction.routing import ItemWait
 
 logger = logging.getLogger(__name__)
 
@@ -65,13 +64,18 @@
         self._denied_by: set[RunnerId] = set()  # since the last event
         self._paused_at_s = self.started_at_s
 
-    def add_event(self, event: RawEvent, runner: Runner) -> None:
-        """Add the next event of the output, which a runner wrote."""
+    def add_event(
+        self, event: RawEvent, runner: Runner, *, is_proved: bool = False
+    ) -> None:
+        """Add the next event of the output, which a runner wrote.
+
+        ``is_proved`` says that its process has told that it is the one listed.
+        """
         if not self._is_advanced:
             self._is_advanced = True
             if runner.runner_id in self._denied_by:
                 runner = runner._replace(version="")  # that of another process
-            self.version.record_answer(runner)
+            self.version.record_answer(runner, is_proved=is_proved)
         self.last_event_id = event.event_id
         self.texts.append(event.data)
         self.n_characters += len(event.data)
@@ -99,9 +103,7 @@
     def version_to_keep(self, service: ServiceName, runners: Sequence[Runner]) -> str:
         """Return the version of the runner for the next attempt, empty for any.
 
-        The item begins afresh when that version is not proved or not served, when it
-        is one of another service, and when its runners have not gone on with the item
-        for ``VERSION_WAIT_S`` while others serve, or may not go on with it.
+        The item begins afresh where it may not go on, as ``item_denial`` tells.
 
         Parameters
         ----------
@@ -110,27 +112,11 @@
         runners : sequence of Runner
             The runners of that service that accept new work.
         """
-        try:
-            version = self.version.required
-            self.version.check_joined()
-        except RequestError as error:
-            self.begin_afresh(error.reason)
-            return ""
-        if not version:
-            return ""
-        runners_of_version = runners_at(runners, version)
-        is_only_version = len(runners_of_version) == len(runners)
-        if self.version.service_name != service:
-            self.begin_afresh("service_changed")
-        elif not runners_of_version:
-            self.begin_afresh("version_gone")
-        elif self._version_wait_left_s <= 0 and (
-            self._denied_by or not is_only_version
-        ):
-            self.begin_afresh("version_busy")
-        else:
-            return version
-        return ""
+        wait = ItemWait(self._version_wait_left_s <= 0, bool(self._denied_by))
+        denial = self.version.item_denial(service, runners, wait)
+        if denial is not None:
+            self.begin_afresh(denial.value)
+        return self.version.required
 
     @property
     def _version_wait_left_s(self) -> float:
--- a/libs/gateway/src/damaskjunction/gateway/item_runner.py
+++ b/libs/gateway/src/damaskjunction/gateway/item_runner.py
@@ -11,7 +11,6 @@
 from damaskjunction.core import (
     Outcome,
     RequestError,
-    Runner,
     ServiceName,
     WorkClass,
     stable_hash,
@@ -25,14 +24,13 @@
 from damaskjunction.gateway.runner_client import (
     CONNECTION_LOST_REASONS,
     RunnerFailedError,
-    find_runner,
+    RunnerResponse,
 )
 from damaskjunction.gateway.slot_client import Slot
 from damaskjunction.gateway.stream_check import StreamCheck
 from damaskjunction.gateway.stream_version import ADMISSION_REASONS
 from damaskjunction.http import (
     BrokenResponseError,
-    ClientResponse,
     ReadPacer,
 )
 from damaskjunction.node import cancel_tasks
@@ -268,7 +266,7 @@
             When the runner must not go on with it, or it may be of several versions.
         """
         service = route.service_for(stable_hash(progress.item.item_id))
-        runner = find_runner(self._state.runners_of(service), slot.runner_id)
+        runner = self._state.find_runner(service, slot.runner_id)
         if runner is None:
             raise RunnerFailedError(Outcome.NOT_RUN, "runner_gone")
         progress.version.check(runner)
@@ -298,7 +296,7 @@
                 )
             try:
                 async with asyncio.timeout(ATTEMPT_TIMEOUT_S):
-                    await self._collect(progress, runner, runner_response.body)
+                    await self._collect(progress, runner_response)
             except TimeoutError:
                 raise RunnerFailedError(Outcome.RAN, "no_end", is_fault=True) from None
             await self._runner_client.check_end(runner_response)
@@ -308,20 +306,20 @@
         self._slot_client.report_health(RunnerSeen(service, slot.runner_id, True))
         return AttemptOutcome(True, True, "whole")
 
-    async def _collect(
-        self, progress: ItemProgress, runner: Runner, response: ClientResponse
-    ) -> None:
+    async def _collect(self, progress: ItemProgress, response: RunnerResponse) -> None:
         check = StreamCheck(progress.last_event_id)
         event_at_s = self._timers.now()
-        response.set_pacer(self._read_pacer)
+        response.body.set_pacer(self._read_pacer)
         try:
-            async for chunk in response.chunks():
+            async for chunk in response.body.chunks():
                 part = check.feed(chunk)
                 event_at_s = self._timers.now() if part.events else event_at_s
                 if self._timers.now() - event_at_s > STALL_TIMEOUT_S:
                     raise BrokenResponseError("no event, though bytes arrive")
                 for event in part.events:
-                    progress.add_event(event, runner)
+                    progress.add_event(
+                        event, response.runner, is_proved=response.is_process_proved
+                    )
                 if part.fault:
                     raise RunnerFailedError(
                         Outcome.RAN, "foreign_event", part.fault, is_fault=True
--- a/libs/gateway/src/damaskjunction/gateway/request_execution.py
+++ b/libs/gateway/src/damaskjunction/gateway/request_execution.py
@@ -25,7 +25,6 @@
     CONNECTION_LOST_REASONS,
     RunnerFailedError,
     RunnerResponse,
-    find_runner,
 )
 from damaskjunction.gateway.runner_selector import (
     RETRY_AFTER_S,
@@ -172,8 +171,7 @@
             return chosen
         self._slot = await selector.acquire_slot(routed, excluded, version)
         self._runner_id = self._slot.runner_id
-        runners = self._context.state.runners_of(routed.service)
-        runner = find_runner(runners, self._runner_id)
+        runner = self._context.state.find_runner(routed.service, self._runner_id)
         if runner is None:
             raise RunnerFailedError(Outcome.NOT_RUN, "runner_gone")
         return runner
@@ -186,12 +184,10 @@
         RequestError, RunnerFailedError
             ``NOT_RUN`` when it may not.
         """
-        self._version.check(runner)
         may_begin = self._context.version_registry.may_begin
-        is_new_stream = self._routed.route.is_resumable and not self._version.has_begun
-        if is_new_stream and not may_begin(runner.service, runner.version):
-            detail = repr(runner.version)
-            raise RunnerFailedError(Outcome.NOT_RUN, "version_unannounced", detail)
+        is_announced = may_begin(runner.service, runner.version)
+        needs_record = self._routed.route.is_resumable
+        self._version.check(runner, is_announced=is_announced or not needs_record)
 
     def _remaining_s(self) -> float:
         return self._routed.deadline_at_s - self._timers.now()
@@ -337,8 +333,11 @@
 
     def _record_events(self, n_events: int) -> None:
         self._n_events += n_events
-        if self._runner is not None and self._progress.answering_s is None:
-            self._version.record_answer(self._runner)
+        response = self._runner_response
+        if response is not None and self._progress.answering_s is None:
+            self._version.record_answer(
+                response.runner, is_proved=response.is_process_proved
+            )
         self._progress.record_event()
         if self._progress.is_answered:
             self._report_answered()
--- a/libs/gateway/src/damaskjunction/gateway/runner_client.py
+++ b/libs/gateway/src/damaskjunction/gateway/runner_client.py
@@ -75,11 +75,15 @@
 
 
 class RunnerResponse(NamedTuple):
-    """The head of a runner's response, and its body, which is not read yet."""
+    """The head of a runner's response, and its body, which is not read yet.
+
+    ``is_process_proved`` says that it is of the process that the runner's entry lists.
+    """
 
     runner: Runner
     head: RunnerResponseHead
     body: ClientResponse
+    is_process_proved: bool = False
 
 
 class RunnerClient:
@@ -195,7 +199,7 @@
             _check_stream_type(response)
         if head.rate_limit_per_s is None:
             self._record_limit(runner.runner_id, NO_LIMIT_PER_S)
-        return RunnerResponse(runner, head, response)
+        return RunnerResponse(runner, head, response, is_process_checked)
 
     def _record_limit(self, runner_id: RunnerId, limit_per_s: float) -> None:
         now_s = self._timers.now()
@@ -231,8 +235,7 @@
             head = decode_response_head(response.status, response.headers)
             if head.status != 200 or head.request_id:
                 response.close()  # perhaps the answer to another request
-                detail = f"status {head.status} for request {head.request_id!r}"
-                raise RunnerFailedError(Outcome.NOT_RUN, "no_report", detail)
+                raise RunnerFailedError(Outcome.NOT_RUN, "no_report", f"{head.status}")
             body = await response.read(MAX_REPORT_BYTES)
         except (ConnectFailedError, BrokenResponseError) as error:
             raise RunnerFailedError(
@@ -249,8 +252,7 @@
         """Process an answer to a request for a report; None if it is not one."""
         if head.status != 200 or head.request_id:
             return None
-        report = decode_runner_report(head.status, body)
-        if report is None:
+        if (report := decode_runner_report(head.status, body)) is None:
             return None
         self._superseded.record_answer(runner, report.born_ms)
         if head.rate_limit_per_s is not None:
@@ -395,11 +397,3 @@
     if head.runner_id:
         return head.runner_id == runner.runner_id
     return report.born_ms in (0, runner.born_ms)
-
-
-def find_runner(runners: list[Runner], runner_id: RunnerId) -> Runner | None:
-    """Return the runner with an id, or None when it is not in the list."""
-    for runner in runners:
-        if runner.runner_id == runner_id:
-            return runner
-    return None
--- a/libs/gateway/src/damaskjunction/gateway/state.py
+++ b/libs/gateway/src/damaskjunction/gateway/state.py
@@ -91,6 +91,11 @@
             runners = list(filter(may_serve, runners))
         return self.leaving.usable(runners, self._timers.now())
 
+    def find_runner(self, service: ServiceName, runner_id: RunnerId) -> Runner | None:
+        """Return a runner if it accepts new work."""
+        runners = self.runners_of(service)
+        return next((r for r in runners if r.runner_id == runner_id), None)
+
     def has_engines(self, service: ServiceName) -> bool:
         """Return whether the runners of a service are engines, which have reports."""
         spec = self.table.services_by_name.get(service)
--- a/libs/gateway/src/damaskjunction/gateway/stream_version.py
+++ b/libs/gateway/src/damaskjunction/gateway/stream_version.py
@@ -1,8 +1,8 @@
-"""The software version that one stream has to keep over all its attempts."""
+"""The writers of one stream over all its attempts, whose version it has to keep."""
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
 from damaskjunction.core import (
@@ -15,11 +15,22 @@
 )
 from damaskjunction.gateway.runner_client import RunnerFailedError
 from damaskjunction.gateway.state import ServingState
-from damaskjunction.routing import StreamOrigin, origin_of, proven_version
+from damaskjunction.routing import (
+    Denial,
+    ItemWait,
+    StreamFacts,
+    StreamOrigin,
+    StreamWriter,
+    are_writers_proved,
+    item_denial,
+    origin_of,
+    required_version,
+    runner_denial,
+)
 
 VERSION_RETRY_AFTER_S = 0.15
 # Why a runner may not go on with a stream.
-ADMISSION_REASONS = ("other_version", "other_process", "process_unknown")
+ADMISSION_REASONS = (Denial.OTHER_VERSION.value, "other_process", "process_unknown")
 
 
 class _Writer(NamedTuple):
@@ -65,16 +76,6 @@
             self._writers.append(_Writer(origin, timers.now() - origin.age_s))
         self._on_begin = on_begin
 
-    @property
-    def has_begun(self) -> bool:
-        """Whether a first event has come."""
-        return bool(self._writers)
-
-    @property
-    def service_name(self) -> ServiceName:
-        """The service whose runner began the stream; empty before the first event."""
-        return self._writers[0].origin.service_name if self._writers else ""
-
     @property
     def required(self) -> str:
         """The version of the runner that may go on; empty before the first event.
@@ -84,21 +85,9 @@
         RequestError
             ``NOT_RUN`` when the version of the stream is not proved.
         """
-        return self._prove(self._writers[0]) if self._writers else ""
-
-    def _prove(self, writer: _Writer) -> str:
-        """Return a writer's version, unless its entries deny it."""
-        age_s = self._timers.now() - writer.began_at_s
-        origin = writer.origin._replace(age_s=age_s)
-        entries = self._state.entries_since(origin.runner_id, writer.began_at_s)
-        wall_s = self._state.latest_wall_s()
-        version = proven_version(origin, entries, wall_s)
+        version = required_version(self._facts())
         if version is None:
-            raise RequestError(
-                Outcome.NOT_RUN,
-                "version_unknown",
-                retry_after_s=VERSION_RETRY_AFTER_S,
-            )
+            raise _unknown_version()
         return version
 
     def check_joined(self) -> None:
@@ -111,26 +100,58 @@
         RequestError
             ``NOT_RUN`` when that is not proved.
         """
-        if len(self._writers) > 1:
-            for writer in self._writers:
-                self._prove(writer)
+        if not are_writers_proved(self._facts()):
+            raise _unknown_version()
+
+    def check(self, runner: Runner, *, is_announced: bool = True) -> None:
+        """Check that a runner may begin the stream, or go on with it.
 
-    def check(self, runner: Runner) -> None:
-        """Check that a runner may go on with the stream.
+        Parameters
+        ----------
+        runner : Runner
+            The entry of the runner.
+        is_announced : bool, optional
+            Whether the record names its version, or the stream needs no record.
 
         Raises
         ------
+        RequestError
+            ``NOT_RUN`` when the version of the stream is not proved.
         RunnerFailedError
-            ``NOT_RUN`` when its version is another one.
+            ``NOT_RUN`` when the runner's version is not the one that may.
         """
-        required = self.required
-        if required and runner.version != required:
-            detail = f"{runner.version!r} instead of {required!r}"
-            raise RunnerFailedError(Outcome.NOT_RUN, "other_version", detail)
-
-    def record_answer(self, runner: Runner) -> None:
-        """Record that the first event of an answer has arrived from a runner."""
-        origin = origin_of(self._request_id, runner)
+        denial = runner_denial(self._facts(), runner, is_announced=is_announced)
+        if denial is Denial.VERSION_UNKNOWN:
+            raise _unknown_version()
+        if denial is not None:
+            raise RunnerFailedError(
+                Outcome.NOT_RUN, denial.value, f"listed at {runner.version!r}"
+            )
+
+    def item_denial(
+        self, service: ServiceName, runners: Sequence[Runner], wait: ItemWait
+    ) -> Denial | None:
+        """Return why a batch item has to begin afresh, None if it goes on."""
+        return item_denial(self._facts(), service, runners, wait)
+
+    def _facts(self) -> StreamFacts:
+        return StreamFacts(
+            [self._known(writer) for writer in self._writers],
+            self._state.latest_wall_s(),
+        )
+
+    def _known(self, writer: _Writer) -> StreamWriter:
+        origin, began_at_s = writer
+        age_s = self._timers.now() - began_at_s
+        entries = self._state.entries_since(origin.runner_id, began_at_s)
+        return StreamWriter(origin._replace(age_s=age_s), entries)
+
+    def record_answer(self, runner: Runner, *, is_proved: bool = False) -> None:
+        """Record that the first event of an answer has arrived from a runner.
+
+        ``is_proved`` says that its process has told that it is the one listed.
+        """
+        origin = origin_of(self._request_id, runner, is_proved=is_proved)
         self._writers.append(_Writer(origin, self._timers.now()))
         if len(self._writers) == 1 and self._on_begin is not None:
             self._on_begin(origin)
@@ -138,3 +159,11 @@
     def forget(self) -> None:
         """Begin the stream afresh."""
         self._writers.clear()
+
+
+def _unknown_version() -> RequestError:
+    return RequestError(
+        Outcome.NOT_RUN,
+        Denial.VERSION_UNKNOWN.value,
+        retry_after_s=VERSION_RETRY_AFTER_S,
+    )
--- a/libs/gateway/src/damaskjunction/gateway/take_ups.py
+++ b/libs/gateway/src/damaskjunction/gateway/take_ups.py
@@ -10,7 +10,7 @@
 from damaskjunction.gateway.stream_origins import StreamOriginKeeper
 from damaskjunction.gateway.version_registry import VersionRegistry
 from damaskjunction.platform import CallerRequest
-from damaskjunction.routing import Route, StreamOrigin, runners_at
+from damaskjunction.routing import Denial, Route, StreamOrigin, take_up_denial
 from damaskjunction.telemetry import Metrics
 
 logger = logging.getLogger(__name__)
@@ -70,11 +70,9 @@
         began_at_s = self._timers.now()
         origin, source = await self._find(request, route)
         services = {part.service for part in route.services}
-        reason, retry_after_s = "", RETRY_AFTER_S
-        if origin is None or origin.service_name not in services:
-            reason = "version_unknown"
-        elif not self._is_served(origin):
-            reason, retry_after_s = "version_gone", GONE_RETRY_AFTER_S
+        runners = [] if origin is None else self._state.runners_of(origin.service_name)
+        denial = take_up_denial(origin, services, runners)
+        reason = "" if denial is None else denial.value
         self._metrics.count("take_ups", source=source, result=reason or "goes on")
         extra = {
             "request": request.request_id,
@@ -87,6 +85,8 @@
         }
         if origin is None or reason:
             logger.info("stream refused", extra={**extra, "reason": reason})
+            is_gone = denial is Denial.VERSION_GONE
+            retry_after_s = GONE_RETRY_AFTER_S if is_gone else RETRY_AFTER_S
             raise RequestError(Outcome.NOT_RUN, reason, retry_after_s=retry_after_s)
         logger.info("stream version decided", extra=extra)
         if request.resumed_id:
@@ -129,7 +129,3 @@
             return route.service_for(stable_hash(request.resumed_id))
         services = {part.service for part in route.services}
         return services.pop() if len(services) == 1 else None
-
-    def _is_served(self, origin: StreamOrigin) -> bool:
-        runners = self._state.runners_of(origin.service_name)
-        return bool(runners_at(runners, origin.software_version))
--- a/libs/routing/features/steps/stream_version_steps.py
+++ b/libs/routing/features/steps/stream_version_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import stream_process_machine
 import stream_version_machine
 from behave import given, then, when
 
@@ -110,3 +111,17 @@
         origin.request_id for origin in context.memory.of_service("llm", context.now_s)
     ]
     assert known == [name for name in names.split(",") if name], known
+
+
+@then('{count:d} runs of restarts and take-ups with "{fault}" find a fault')
+def check_process_machine_finds(context, count, fault):
+    try:
+        stream_process_machine.run_machine(fault, count)
+    except AssertionError:
+        return
+    raise AssertionError(f"injected fault was not found: {fault}")
+
+
+@then('{count:d} runs of restarts and take-ups with "{fault}" find no fault')
+def check_process_machine_clean(context, count, fault):
+    stream_process_machine.run_machine(fault, count)
--- a/libs/routing/src/damaskjunction/routing/stream_versions.py
+++ b/libs/routing/src/damaskjunction/routing/stream_versions.py
@@ -1,10 +1,9 @@
-"""The software version at which a stream may go on, and what is known of it.
+"""What is known of the software versions of streams and of runners.
 
-What runners of two versions write does not fit together, so a stream goes on only at
-the version of the process that wrote its first event. That version is known to the host
-which forwarded that event and to the peers it has told. It also follows from the
-service's version record, if the record names one version alone: no version begins a
-stream before the record names it, and none is dropped while its streams may live.
+The version that began a stream is known to the host which forwarded the first event and
+to the peers it has told. It also follows from the service's version record, if the
+record names one version alone: no version begins a stream before the record names it,
+and none is dropped while its streams may live.
 """
 
 from __future__ import annotations
@@ -15,11 +14,9 @@
 
 from damaskjunction.core import RequestId, Runner, RunnerId, ServiceName
 from damaskjunction.core.types import EMPTY
-from damaskjunction.core.units import MILLISECOND_S
 
 STREAM_MEMORY_S = 30.0
 MAX_STREAMS_KNOWN = 20_000
-CLOCK_DIFFERENCE_S = 5.0  # between the clocks of a host and a runner
 
 
 class StreamOrigin(NamedTuple):
@@ -27,6 +24,7 @@
 
     ``request_id`` is the request that brought that event to its caller.
     ``software_version`` and ``born_ms`` are those listed for the runner at that time.
+    ``is_proved`` says that the process itself has told its start.
     """
 
     request_id: RequestId
@@ -35,6 +33,7 @@
     runner_id: RunnerId
     born_ms: int
     age_s: float
+    is_proved: bool = False
 
 
 class _KnownOrigin(NamedTuple):
@@ -92,53 +91,6 @@
     return known.origin._replace(age_s=now_s - known.began_at_s)
 
 
-def origin_of(request_id: RequestId, runner: Runner) -> StreamOrigin:
-    """Return the origin of a stream whose first event a runner has just written."""
-    return StreamOrigin(
-        request_id, runner.service, runner.version, runner.runner_id, runner.born_ms, 0
-    )
-
-
-def proven_version(
-    origin: StreamOrigin, entries: Iterable[Runner], wall_s: float
-) -> str | None:
-    """Return the version that began a stream, None if it is not proved.
-
-    The entry of a runner that started again comes late: another process, which may be
-    older than the first event, has written it if one of ``entries`` shows another
-    version.
-
-    Parameters
-    ----------
-    origin : StreamOrigin
-        The origin as it was recorded.
-    entries : iterable of Runner
-        The entries that the same runner has had since the first event, as far as they
-        are known; none once it has left.
-    wall_s : float
-        The present Unix time, in seconds; not an earlier one.
-    """
-    if not origin.software_version:
-        return None
-    began_at_s = wall_s - origin.age_s
-    if all(_is_no_contradiction(origin, entry, began_at_s) for entry in entries):
-        return origin.software_version
-    return None
-
-
-def _is_no_contradiction(
-    origin: StreamOrigin, entry: Runner, began_at_s: float
-) -> bool:
-    """Return whether an entry leaves the origin proved.
-
-    It does if it has the same version or is of a process younger than the stream.
-    """
-    if entry.version == origin.software_version:
-        return True
-    is_known = entry.born_ms > 0 and entry.born_ms != origin.born_ms
-    return is_known and entry.born_ms * MILLISECOND_S > began_at_s + CLOCK_DIFFERENCE_S
-
-
 class RunnerVersions:
     """The software versions of the runners of one service.
 
--- a/libs/wire/src/damaskjunction/wire/peer.thrift
+++ b/libs/wire/src/damaskjunction/wire/peer.thrift
@@ -272,6 +272,7 @@
   4: string runner_id
   5: i64 born_ms
   6: double age_s
+  7: bool is_proved
 }
 
 // Streams that have begun lately; the receiver remembers them.
