Do not repeat asks for slots at the same times

Cause: items that asked for slots together asked again together, each 4 s. The first to ask again lets the home grant what is free, and it may go to one whose wait has just ended: its slot is given back, but the start that a rate-limited runner had for it is spent. A runner that is given one request each 4 s (a limit under 0.25 a second that has ended meanwhile) had its next start ready just when the asks were repeated again, and so on without end. Class: a grant to a wait that has moved on. Change: each wait in a queue lasts 3 to 4 s, drawn by chance. Test: slot moves, 'Items that asked together do not go on asking at the same times'; failed before.

--- a/libs/gateway/features/fake_homes.py
+++ b/libs/gateway/features/fake_homes.py
@@ -43,6 +43,7 @@
         self.hosts_by_id = {n: make_host(i, n) for i, n in enumerate(names)}
         self._ids_by_address = {h.peer: n for n, h in self.hosts_by_id.items()}
         self.open_calls = []
+        self.asked_at_s = []
         self.answer_delay_s = 0.0
         self.answers = {name: asyncio.Event() for name in names}
         self.grants = {name: asyncio.Event() for name in names}
@@ -53,6 +54,7 @@
     async def call(self, address, lane, ask):
         call = FakeCall(self._ids_by_address[address], ask)
         self.open_calls.append(call)
+        self.asked_at_s.append(asyncio.get_running_loop().time())
         try:
             if self.answer_delay_s:
                 await asyncio.sleep(self.answer_delay_s)
--- a/libs/gateway/features/slot_moves.feature
+++ b/libs/gateway/features/slot_moves.feature
@@ -23,5 +23,8 @@
     And a slot is asked for
     Then the slot is held at "a" alone
 
+  Scenario: Items that asked together do not go on asking at the same times
+    Then of 3 asks made together at a home without a free slot, none is repeated within 0.01 s of another in 40 s
+
   Scenario: Random moves, losses and freezes of homes leave no slot or ask behind
     Then 150 random runs end with each open slot held at the home alone
--- a/libs/gateway/features/steps/slot_move_steps.py
+++ b/libs/gateway/features/steps/slot_move_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from itertools import pairwise
 
 from behave import given, then, when
 from fake_homes import SlotRig
@@ -10,6 +11,7 @@
 from hypothesis import HealthCheck, Phase, settings
 from hypothesis import given as draw
 from hypothesis import strategies as st
+from simulated_time import SimulatedLoop
 
 NAMES = ("a", "b", "c")
 END_TIMEOUT_S = 4.0
@@ -175,3 +177,27 @@
         run(context, work())
 
     check()
+
+
+@then(
+    "of {count:d} asks made together at a home without a free slot, none is repeated "
+    "within {apart_s:g} s of another in {duration_s:g} s"
+)
+def check_asks_apart(context, count, apart_s, duration_s):
+    async def work():
+        rig = SlotRig(NAMES)
+        home = NAMES[0]
+        rig.view.set_home(home)
+        rig.homes.grants[home].clear()
+        for _ in range(count):
+            rig.ask()
+        await asyncio.sleep(duration_s)
+        for ask in rig.asks:
+            ask.cancel()
+        return rig.homes.asked_at_s
+
+    with asyncio.Runner(loop_factory=SimulatedLoop) as runner:
+        times = sorted(runner.run(work())[count:])
+    assert len(times) >= count, times
+    intervals = [later - earlier for earlier, later in pairwise(times)]
+    assert min(intervals) > apart_s, times
--- a/libs/gateway/src/damaskjunction/gateway/queue_waits.py
+++ b/libs/gateway/src/damaskjunction/gateway/queue_waits.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import random
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from typing import NamedTuple
@@ -13,7 +14,10 @@
 
 logger = logging.getLogger(__name__)
 
-MAX_WAIT_S = 4.0  # in one queue; the next ask may use the excluded runners again
+# In one queue, until the next ask. Asks that wait for the same time are repeated at the
+# same time, and what is granted to one whose wait has just ended is lost.
+MIN_WAIT_S = 3.0  # after it the excluded runners may be used again
+MAX_WAIT_S = 4.0
 
 
 class AskAgainError(Exception):
@@ -28,9 +32,16 @@
 
 
 class QueueWaits:
-    """Ends the waits in the queues of hosts that are not the home any more."""
+    """Ends the waits in the queues of hosts that are not the home any more.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    rng : random.Random
+        Chooses how long each wait may last.
+    """
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
         self._places_by_wait: dict[asyncio.Timeout, _Place] = {}
 
     @asynccontextmanager
@@ -40,10 +51,11 @@
         Raises
         ------
         AskAgainError
-            When the home has changed, or after ``MAX_WAIT_S``.
+            When the home has changed, or after ``MAX_WAIT_S`` at most.
         """
+        max_wait_s = self._rng.uniform(MIN_WAIT_S, MAX_WAIT_S)
         try:
-            async with asyncio.timeout(MAX_WAIT_S) as wait:
+            async with asyncio.timeout(max_wait_s) as wait:
                 self._places_by_wait[wait] = _Place(ask.service_name, home_id)
                 try:
                     yield
@@ -66,7 +78,7 @@
 def age_ask(ask: SlotAsk, age_s: float) -> SlotAsk:
     """Return an ask that is repeated ``age_s`` seconds after it was first made."""
     return ask._replace(
-        avoid=ask.avoid if age_s < MAX_WAIT_S else (),
+        avoid=ask.avoid if age_s < MIN_WAIT_S else (),
         start_within_s=ask.start_within_s - age_s,
         due_in_s=ask.due_in_s - age_s,
         goal_in_s=ask.goal_in_s - age_s,
--- a/libs/gateway/src/damaskjunction/gateway/slot_client.py
+++ b/libs/gateway/src/damaskjunction/gateway/slot_client.py
@@ -141,7 +141,7 @@
         self._observed_limits = observed_limits
         self._rng = rng
         self._slots: set[Slot] = set()
-        self._waits = QueueWaits()
+        self._waits = QueueWaits(rng)
         self._home_choice = HomeChoice(state.view, timers)
         self._unhealthy: set[RunnerId] = set()
         self._tasks = TaskSet()
@@ -154,7 +154,7 @@
 
         When no home can be reached, an online request gets a slot that no home counts.
         ``on_ask`` is called with each host that is asked. A queued ask is repeated at
-        the new home when the home changes, and after ``MAX_WAIT_S``.
+        the new home when the home changes, and after ``MAX_WAIT_S`` at most.
 
         Raises
         ------
