Let the random runs of a fleet have runners with rate limits

Change: runners of owed fleet name limits of 0.1 and 2 requests a second, which end with the other faults; the bound has the time until a first start at such a runner. The runners take the pacer of reads that items have now.

--- a/libs/gateway/features/owed_fleet.feature
+++ b/libs/gateway/features/owed_fleet.feature
@@ -1,7 +1,7 @@
 Feature: Items are placed whatever hosts, homes, links, the store and runners do
   While runners have room and a host lives and reaches the store, each accepted item
   that is not listed comes to a runner in bounded time.
-  Hosts drain, and runners start again at other versions or say that they leave.
+  Hosts drain; runners start again at other versions, name limits or say that they leave.
 
   Scenario: Random takeovers, moves of homes, drains, versions and exclusions leave no item lying
     Then after 120 random runs each accepted item is listed in time
@@ -12,7 +12,7 @@
 
   Scenario Outline: Random runs find an injected fault
     Given the fault that <fault>
-    Then 200 random runs find an item left lying
+    Then 400 random runs find an item left lying
 
     Examples:
       | fault                                               |
@@ -22,3 +22,4 @@
       | items wait for their version without end            |
       | new software versions are never announced           |
       | runners that said they leave are left out for ever  |
+      | items wait for more than limited runners ever take  |
--- a/libs/gateway/features/simulated_runners.py
+++ b/libs/gateway/features/simulated_runners.py
@@ -10,7 +10,7 @@
 from damaskjunction.gateway.runner_client import RunnerFailedError, RunnerResponse
 from damaskjunction.http import BrokenResponseError
 from damaskjunction.platform import RunnerReport, RunnerResponseHead
-from damaskjunction.routing import LimitObservations
+from damaskjunction.routing import NO_LIMIT_PER_S, LimitObservations
 
 SERVICE = "llm"
 SLOTS = 3
@@ -24,7 +24,7 @@
 
 
 class SimulatedRunner:
-    """A runner that may crash, leave or be loaded by others.
+    """A runner that may crash, leave, name a rate limit or be loaded by others.
 
     ``running`` are its items.
     """
@@ -35,6 +35,7 @@
         self.born_ms = 0
         self.is_broken = False
         self.is_leaving = False
+        self.limit_per_s = NO_LIMIT_PER_S
         self.n_foreign = 0
         self.running = []
 
@@ -69,6 +70,9 @@
         self._n_known = last_event_id or 0
         runner.running.append(item_id)
 
+    def set_pacer(self, pacer):
+        return
+
     async def chunks(self):
         for number in range(self._n_known + 1, N_EVENTS + 1):
             await asyncio.sleep(RUN_S / N_EVENTS)
@@ -98,6 +102,8 @@
             raise RunnerFailedError(Outcome.NOT_RUN, "no_connection", is_fault=True)
         if found.is_leaving:
             self._leaving.record_answer(runner, asked_at_ms, SimulatedTimers().now())
+        now_s = SimulatedTimers().now()
+        self.observed_limits.record(runner.runner_id, found.limit_per_s, now_s)
         head = RunnerResponseHead(
             200,
             False,
--- a/libs/gateway/features/steps/owed_fleet_steps.py
+++ b/libs/gateway/features/steps/owed_fleet_steps.py
@@ -25,16 +25,19 @@
     version_registry,
 )
 from damaskjunction.gateway.slot_home import REPORT_POLL_PERIOD_S, SlotHome
-from damaskjunction.routing import LeavingRunners
+from damaskjunction.routing import NO_LIMIT_PER_S, LeavingRunners, slots
+from damaskjunction.routing.rate_limits import BATCH_TOKENS, MIN_BURST, MIN_RATE_PER_S
 from damaskjunction.routing.slots import FAILURE_EJECTION
 from damaskjunction.routing.version_ledger import VersionLedger
 
 HOSTS = ("a", "b", "c")
 RUNNERS = ("r1", "r2")
 VERSIONS = ("v1", "v2")
+LIMITS_PER_S = (0.1, 2.0, NO_LIMIT_PER_S)
 STEP_S = 0.3
 # A drain; a takeover by the last candidate, after its start; a wait in a queue; one for
-# a version, after its record; an ejection.
+# a version, after its record; an ejection; the tokens for a start at a runner that had
+# a rate limit.
 PLACING_S = (
     DRAIN_S
     + job_worker.FIRST_CHECK_DELAY_S
@@ -45,6 +48,7 @@
     + item_progress.VERSION_WAIT_S
     + version_registry.REVIEW_PERIOD_S
     + FAILURE_EJECTION.limit_s
+    + BATCH_TOKENS / MIN_RATE_PER_S
 )
 MIN_OPERATIONS = 10
 MAX_OPERATIONS = 30
@@ -65,6 +69,7 @@
     st.tuples(st.sampled_from(["drain", "cut off", "reach store"]), names),
     st.tuples(st.just("restart"), runners, st.sampled_from(VERSIONS)),
     st.tuples(st.sampled_from(["break", "mend", "leave"]), runners),
+    st.tuples(st.just("limit"), runners, st.sampled_from(LIMITS_PER_S)),
     st.tuples(st.sampled_from(["load", "load", "unload"])),
     st.tuples(st.sampled_from(["store away", "store back"])),
     st.tuples(st.sampled_from(["answers lost", "answers come"])),
@@ -124,6 +129,8 @@
         set_store_way(fleet.hosts_by_id.get(name), operation == "cut off")
     elif operation in ("break", "mend"):
         fleet.runners_by_id[name].is_broken = operation == "break"
+    elif operation == "limit":
+        fleet.runners_by_id[name].limit_per_s = args[1]
     elif operation == "leave":
         fleet.runners_by_id[name].is_leaving = True
     elif operation in ("store away", "store back"):
@@ -208,6 +215,7 @@
     """Let a runner work again; one that leaves has to start again for that."""
     runner = fleet.runners_by_id[name]
     runner.is_broken = False
+    runner.limit_per_s = NO_LIMIT_PER_S
     if runner.is_leaving:
         fleet.restart_runner(name, runner.version)
 
@@ -299,6 +307,9 @@
     "new software versions are never announced": (
         (VersionLedger, "review", lambda *args: None),
     ),
+    "items wait for more than limited runners ever take": (
+        (slots, "BATCH_TOKENS", MIN_BURST + 1.0),
+    ),
     "runners that said they leave are left out for ever": (
         (LeavingRunners, "usable", leave_out_for_ever),
     ),
