Reject at once a job that no object of the store holds

Cause: items are written in parts by an estimate of 400 bytes for all but body and path. Items with large headers made parts larger than the store takes, and a single item over 1 MiB or ids over 1 MiB can't be stored at all. The store refused the write, and the caller was told to try again (503 with Retry-After), for ever. (A job has 200 items at most, so its count is no cause.) Change: headers and ids count in the estimate; what can't be stored is answered with 400 and the reason, before any call to the store. Test: job store, four new cases; on the code before, each was answered with 503.

--- a/libs/gateway/features/job_store.feature
+++ b/libs/gateway/features/job_store.feature
@@ -39,3 +39,20 @@
     Given a store whose objects hold 1048576 bytes
     When results of "2000000,100,400000,100" bytes are written at once
     Then the store has the results but the first within 4 s
+
+  Scenario: A job whose items have large headers is stored in parts
+    Given a store whose objects hold 1048576 bytes
+    When a job of 200 items with headers of 8000 bytes is submitted
+    Then it is answered with 202
+
+  Scenario Outline: A job that no object of the store holds is rejected for good
+    Given a store whose objects hold 1048576 bytes
+    When a job of <count> items with <what> is submitted
+    Then it is answered with 400
+    And the store has been called 0 times
+
+    Examples:
+      | count | what                     |
+      | 1     | bodies of 900000 bytes   |
+      | 1     | headers of 1100000 bytes |
+      | 200   | ids of 6000 bytes        |
--- a/libs/gateway/features/steps/job_store_steps.py
+++ b/libs/gateway/features/steps/job_store_steps.py
@@ -3,18 +3,25 @@
 from __future__ import annotations
 
 import asyncio
+import base64
+import json
+from types import SimpleNamespace
 
 from behave import given, then, when
+from fake_homes import make_host
 from fake_store import FakeStore
 from fleet_helpers import run
 from job_worker_steps import make_items, make_record
 
 from damaskjunction.batch import ItemResult
+from damaskjunction.core import ManualTimers
+from damaskjunction.gateway.job_front import JobFront
 from damaskjunction.gateway.job_repository import JobRepository
 from damaskjunction.gateway.result_repository import ResultRepository, ResultSegment
 from damaskjunction.gateway.result_writer import ResultWriter
-from damaskjunction.node import cancel_tasks
-from damaskjunction.platform import RESULTS_KIND, encode_result_list
+from damaskjunction.node import HostView, cancel_tasks
+from damaskjunction.platform import RESULTS_KIND, CallerRequest, encode_result_list
+from damaskjunction.routing import Route, RouteKind
 
 
 @given("a host whose watch of the store is faster than its writes")
@@ -218,3 +225,43 @@
         assert sorted(found) == [f"i{n + 1:02d}" for n in range(len(others))], found
 
     run(context, work())
+
+
+@when("a job of {count:d} items with {field} of {size:d} bytes is submitted")
+def submit_large_job(context, count, field, size):
+    filler = "x" * size
+    items = [
+        {
+            "Id": f"i{number}" + (filler if field == "ids" else ""),
+            "Path": "/night/x",
+            "Headers": {"x-note": filler} if field == "headers" else {},
+            "Body": base64.b64encode(filler.encode() if field == "bodies" else b"x"),
+            "Tokens": 10,
+        }
+        for number in range(count)
+    ]
+    body = json.dumps({"Items": items}, default=bytes.decode).encode()
+    request = CallerRequest(
+        "j1", "POST", "/night/", "/night/", "h", None, (), 0, None, {}, body
+    )
+    route = Route("night", "h", "/", RouteKind.BATCH, (), 5, 1)
+    state = SimpleNamespace(view=HostView(make_host(1, "own")))
+    jobs = JobRepository(context.store)
+    front = JobFront(jobs, None, None, state=state, timers=ManualTimers())
+    context.n_calls = 0
+
+    async def count_call():
+        context.n_calls += 1
+
+    context.store.before_call = count_call
+    context.response = run(context, front.submit(request, route))
+
+
+@then("it is answered with {status:d}")
+def check_status(context, status):
+    assert context.response.status == status, context.response
+
+
+@then("the store has been called {count:d} times")
+def check_calls(context, count):
+    assert context.n_calls == count, context.n_calls
--- a/libs/gateway/src/damaskjunction/gateway/job_front.py
+++ b/libs/gateway/src/damaskjunction/gateway/job_front.py
@@ -14,6 +14,7 @@
     rendezvous_order,
 )
 from damaskjunction.gateway.cancellation_notifier import CancellationNotifier
+from damaskjunction.gateway.job_parts import JobTooLargeError
 from damaskjunction.gateway.job_repository import JobRepository, StoredJob
 from damaskjunction.gateway.result_reader import ResultReader
 from damaskjunction.gateway.state import ServingState
@@ -118,6 +119,9 @@
         )
         try:
             await self._jobs.accept(record, items)
+        except JobTooLargeError as error:
+            self._log("refused", job_id, reason="too_large", detail=str(error))
+            return refusal_response(Refusal.BAD_REQUEST, str(error), request_id=job_id)
         except PlatformUnavailableError as error:
             return self._refuse(job_id, error)
         except PlatformError as error:
--- a/libs/gateway/src/damaskjunction/gateway/job_repository.py
+++ b/libs/gateway/src/damaskjunction/gateway/job_repository.py
@@ -19,6 +19,7 @@
     PlatformUnknownError,
     Revision,
 )
+from damaskjunction.gateway.job_parts import check_sizes, split_items
 from damaskjunction.gateway.result_repository import ResultRepository
 from damaskjunction.platform import (
     BODIES_KIND,
@@ -37,7 +38,6 @@
 
 logger = logging.getLogger(__name__)
 
-MAX_PART_BYTES = 200_000
 MAX_JOBS_WITH_CACHED_ITEMS = 24
 
 
@@ -175,12 +175,15 @@
 
         Raises
         ------
+        JobTooLargeError
+            When no objects of the store can hold the job.
         PlatformUnavailableError
             When the job was not written.
         PlatformUnknownError
             When it may have been written.
         """
-        parts = _split_items(items)
+        check_sizes(record, items)
+        parts = split_items(items)
         if len(parts) == 1:
             content = encode_record(record, items)
         else:
@@ -291,18 +294,3 @@
         await self.results.delete(job_id)
         await self._store.delete(JOBS_KIND, job_id)
         self._evict(job_id)
-
-
-def _split_items(items: tuple[BatchItem, ...]) -> list[tuple[BatchItem, ...]]:
-    """Split items into parts that fit into one object of the store each."""
-    parts: list[list[BatchItem]] = [[]]
-    size = 0
-    for item in items:
-        # As stored: the body in base64, the path, and 400 bytes for the other fields
-        item_bytes = len(item.body) * 4 // 3 + len(item.path) + 400
-        if parts[-1] and size + item_bytes > MAX_PART_BYTES:
-            parts.append([])
-            size = 0
-        parts[-1].append(item)
-        size += item_bytes
-    return [tuple(part) for part in parts]
