Soak: find hosts that end by themselves, or do not stop well

Change: each exit is recorded with its code, age and the signals sent to the process, and the check 'hosts run' finds those that no signal explains, also a stopped host that ends with an error or has to be aborted after 10 s.

--- a/libs/lab/features/soak.feature
+++ b/libs/lab/features/soak.feature
@@ -24,6 +24,10 @@
       | requests fail in the fault-free period                   | service returns          |
       | deadly requests still run in the fault-free period       | crashes are contained    |
       | a limited runner gets twice its limit                    | limits are kept          |
+      | a host ends by itself                                    | hosts run                |
+      | a host that was frozen ends by itself                    | hosts run                |
+      | a host that is stopped ends with an error                | hosts run                |
+      | a host is aborted since it did not stop in time          | hosts run                |
       | a host uses 200 MiB                                      | memory is bounded        |
       | an item waits 6 s in calm with room                      | owed                     |
       | an item is listed 30 s after the last fault              | jobs end                 |
@@ -94,6 +98,11 @@
     When a request is cut while the process of the runners stalls
     Then no check reports a violation
 
+  Scenario: Hosts may end when they are stopped or killed
+    Given a history without violations
+    When a host that is stopped ends well, and one that is killed
+    Then no check reports a violation
+
   Scenario: A stream that breaks off may end within an event
     Given a history without violations
     When a broken stream ends within an event
--- a/libs/lab/features/steps/soak_request_steps.py
+++ b/libs/lab/features/steps/soak_request_steps.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import signal
+
 from behave import when
 from soak_histories import add_call, add_rooms, add_run, make_body
 
 from damaskjunction.lab.soak import (
     FaultSpan,
+    HostExit,
     MemoryPeak,
     NamedLimit,
     Run,
@@ -105,6 +108,38 @@
         context.history.runs.append(run)
 
 
+def add_exit(history, code, *signals, age_s=4.0):
+    history.exits.append(HostExit("h0", 5.0, age_s, code, frozenset(signals)))
+
+
+@when("a host ends by itself")
+def add_end_by_itself(context):
+    add_exit(context.history, 1)
+
+
+@when("a host that was frozen ends by itself")
+def add_end_after_freeze(context):
+    add_exit(context.history, 0, signal.SIGSTOP, signal.SIGCONT)
+
+
+@when("a host that is stopped ends with an error")
+def add_end_with_error(context):
+    add_exit(context.history, 1, signal.SIGCONT, signal.SIGTERM)
+
+
+@when("a host is aborted since it did not stop in time")
+def add_late_end(context):
+    add_exit(context.history, -signal.SIGABRT, signal.SIGTERM, signal.SIGABRT)
+
+
+@when("a host that is stopped ends well, and one that is killed")
+def add_ordered_ends(context):
+    add_exit(context.history, 0, signal.SIGCONT, signal.SIGTERM)
+    add_exit(context.history, -signal.SIGKILL, signal.SIGKILL)
+    add_exit(context.history, -signal.SIGKILL, signal.SIGTERM, signal.SIGKILL)
+    add_exit(context.history, -signal.SIGTERM, signal.SIGTERM, age_s=0.2)
+
+
 @when("a host uses 200 MiB")
 def add_memory_peak(context):
     context.history.peaks.append(MemoryPeak("h0", 200 * 1024 * 1024))
--- a/libs/lab/src/damaskjunction/lab/soak/checks.py
+++ b/libs/lab/src/damaskjunction/lab/soak/checks.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import signal
 from collections import Counter, defaultdict
 from collections.abc import Callable, Iterator
 from typing import TypeAlias
@@ -34,6 +35,7 @@
 LIMIT_WINDOW_S = 4.0
 LIMIT_FACTOR = 1.5
 LIMIT_SLACK = 5
+START_S = 3.0  # of a host
 MAX_HOST_BYTES = 128 * MIB
 
 
@@ -205,6 +207,27 @@
                 break
 
 
+@checks.register("hosts run")
+def check_exits(history: History) -> Iterator[str]:
+    """Find hosts that ended by themselves, or did not stop well and in time.
+
+    Hosts that do not stop in time are aborted. A host that is just starting does not
+    handle signals yet.
+    """
+    for host_exit in history.exits:
+        codes = {0} if signal.SIGTERM in host_exit.signals else set()
+        if host_exit.age_s < START_S:
+            codes |= {-number for number in host_exit.signals}
+        if signal.SIGKILL in host_exit.signals:
+            codes.add(-signal.SIGKILL)
+        if host_exit.code not in codes:
+            names = sorted(number.name for number in host_exit.signals)
+            yield (
+                f"{host_exit.host}: ended at {host_exit.at_s:.1f} s with code "
+                f"{host_exit.code} after the signals {names}"
+            )
+
+
 @checks.register("memory is bounded")
 def check_memory(history: History) -> Iterator[str]:
     """Find hosts that used more memory than a host is to use."""
--- a/libs/lab/src/damaskjunction/lab/soak/history.py
+++ b/libs/lab/src/damaskjunction/lab/soak/history.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import re
+import signal
 from typing import NamedTuple
 
 from damaskjunction.core import HostId, JobId, RequestId, RunnerId
@@ -138,6 +139,16 @@
     at_s: float
 
 
+class HostExit(NamedTuple):
+    """The end of a host's process after ``age_s``, and the signals that it had got."""
+
+    host: HostId
+    at_s: float
+    age_s: float
+    code: int
+    signals: frozenset[signal.Signals]
+
+
 class Submission(NamedTuple):
     """One attempt to submit a job; status 0 means no response."""
 
@@ -236,6 +247,7 @@
         self.stalls: list[Stall] = []
         self.processor_uses: list[ProcessorUse] = []
         self.disturbances: list[HostDisturbance] = []
+        self.exits: list[HostExit] = []
         self.host_views_by_item: dict[str, str] = {}
         self.limits: list[NamedLimit] = []
         self.peaks: list[MemoryPeak] = []
--- a/libs/lab/src/damaskjunction/lab/soak/rig.py
+++ b/libs/lab/src/damaskjunction/lab/soak/rig.py
@@ -6,6 +6,7 @@
 import os
 import signal
 import sys
+from collections import defaultdict
 from collections.abc import Mapping
 from pathlib import Path
 from typing import Any, NamedTuple
@@ -16,11 +17,13 @@
 from damaskjunction.lab.soak.history import (
     History,
     HostDisturbance,
+    HostExit,
     MemoryPeak,
     Room,
 )
 from damaskjunction.lab.soak.proxied_host import LINK_PORT_OFFSET
 from damaskjunction.lab.soak.runners import SoakRunner
+from damaskjunction.node import TaskSet
 from damaskjunction.standins import (
     BATCH_ROUTE,
     ONCE_ROUTE,
@@ -128,6 +131,8 @@
         self.limit_per_s_by_endpoint: dict[str, float] = {}
         self.configuration_version = 0
         self.processes: dict[str, asyncio.subprocess.Process] = {}
+        self._signals_by_pid: dict[int, set[signal.Signals]] = defaultdict(set)
+        self._exits = TaskSet()
 
     async def start(self) -> None:
         """Start the store, runners and hosts; return when each host is ready."""
@@ -149,10 +154,9 @@
         """Kill the host processes and close the stand-ins."""
         for name, process in self.processes.items():
             self._record_memory(name)
-            if process.returncode is None:
-                process.send_signal(signal.SIGCONT)
-                process.kill()
+            self._send_signals(process, signal.SIGCONT, signal.SIGKILL)
             await process.wait()
+        await self._exits.close()
         for runner in self.runners.values():
             await runner.close()
         for proxy in (*self.proxies.values(), *self.link_proxies.values()):
@@ -198,6 +202,27 @@
                 env={**os.environ, "DAMASKJUNCTION_SETTINGS": str(path)},
             )
         self._record_disturbance(name)
+        self._exits.begin(self._record_exit(name, self.processes[name]))
+
+    async def _record_exit(
+        self, name: str, process: asyncio.subprocess.Process
+    ) -> None:
+        started_at_s = self.timers.now()
+        code = await process.wait()
+        signals = frozenset(self._signals_by_pid.pop(process.pid, ()))
+        now_s = self.timers.now()
+        self.history.exits.append(
+            HostExit(name, now_s, now_s - started_at_s, code, signals)
+        )
+
+    def _send_signals(
+        self, process: asyncio.subprocess.Process, *signals: signal.Signals
+    ) -> None:
+        """Send signals to a process unless it has ended."""
+        for number in signals:
+            if process.returncode is None:
+                process.send_signal(number)
+                self._signals_by_pid[process.pid].add(number)
 
     def _record_disturbance(self, name: str) -> None:
         disturbance = HostDisturbance(name, self.timers.now())
@@ -218,28 +243,25 @@
             self.history.peaks.append(MemoryPeak(name, peak_bytes))
 
     async def stop_host(self, name: str, signal_number: signal.Signals) -> None:
-        """Signal a host and wait for its exit; kill it after ``STOP_TIMEOUT_S``.
+        """Signal a host and wait for its exit; abort it after ``STOP_TIMEOUT_S``.
 
         A frozen host is resumed first, as it would not handle the signal.
         """
         self._record_memory(name)
         process = self.processes[name]
-        if process.returncode is None:
-            process.send_signal(signal.SIGCONT)
-            process.send_signal(signal_number)
+        self._send_signals(process, signal.SIGCONT, signal_number)
         try:
             async with asyncio.timeout(STOP_TIMEOUT_S):
                 await process.wait()
         except TimeoutError:
-            process.kill()
+            self._send_signals(process, signal.SIGABRT)
             await process.wait()
 
     def signal_host(self, name: str, signal_number: signal.Signals) -> None:
         """Signal a host if its process is running."""
         process = self.processes[name]
         self._record_disturbance(name)
-        if process.returncode is None:
-            process.send_signal(signal_number)
+        self._send_signals(process, signal_number)
 
     async def is_ready(self, name: str) -> bool:
         """Return whether a host's readiness probe succeeds."""
--- a/libs/lab/src/damaskjunction/lab/soak/soak.py
+++ b/libs/lab/src/damaskjunction/lab/soak/soak.py
@@ -133,7 +133,12 @@
     lines += [(span.since_s, str(span)) for span in history.fault_spans]
     lines += [(stall.since_s, str(stall)) for stall in history.stalls]
     lines += [(use.since_s, str(use)) for use in history.processor_uses]
-    for observed in (history.runs, history.run_ends, history.disturbances):
+    for observed in (
+        history.runs,
+        history.run_ends,
+        history.disturbances,
+        history.exits,
+    ):
         lines += [(entry.at_s, str(entry)) for entry in observed]
     lines += [(read.at_s, str(read)) for read in history.reads if read.results]
     lines += [(life.since_s, str(life)) for life in history.lives]
