--- a/libs/lab/features/soak.feature
+++ b/libs/lab/features/soak.feature
@@ -81,7 +81,7 @@
     And engines of versions "v2 v2 v1 v1" become "v2 v2 v2 v2" by the next release
     And engines of versions "v2 v2 v2 v2" become "v3 v3 v2 v2" by the next release
 
-  Scenario: Items that wait in a fault or without room are not reported as left lying
+  Scenario: Items that wait in a fault or without room are not reported as stuck
     Given a history without violations
     When an item waits 6 s in a fault
     And another waits 6 s without room
--- a/libs/lab/features/steps/soak_job_steps.py
+++ b/libs/lab/features/steps/soak_job_steps.py
@@ -54,7 +54,7 @@
 
 
 @when("an item waits 6 s in calm with room")
-def add_lying_item(context):
+def add_stuck_item(context):
     add_rooms(context.history, 20)
     add_item(context.history, "job5", 3.0, 9.0)
 
--- a/libs/lab/src/damaskjunction/lab/__main__.py
+++ b/libs/lab/src/damaskjunction/lab/__main__.py
@@ -81,7 +81,7 @@
     """Run a soak for each seed; return how many violated a guarantee.
 
     The settings and logs of its hosts are in a folder, which is deleted if no guarantee
-    was violated; otherwise ``strikes.txt`` in it lists the injected faults.
+    was violated; otherwise ``schedule.txt`` in it lists the injected faults.
     """
     n_violated = 0
     for seed in range(arguments.seed, arguments.seed + arguments.runs):
@@ -104,7 +104,7 @@
         print(f"seed {seed}: {report.figures}", flush=True)
         if report.violations:
             n_violated += 1
-            (folder / "strikes.txt").write_text(
+            (folder / "schedule.txt").write_text(
                 "".join(f"{fault}\n" for fault in report.schedule)
             )
         else:
--- a/libs/lab/src/damaskjunction/lab/soak/history.py
+++ b/libs/lab/src/damaskjunction/lab/soak/history.py
@@ -229,7 +229,7 @@
     jobs_to_cancel : set of str
         Jobs whose cancellation was asked for, acknowledged or not.
     host_views_by_item : dict of str to str
-        What hosts said of an item that was left lying, for the report of it.
+        What hosts said of an item that is stuck, for the report of it.
     """
 
     def __init__(self, n_events: int) -> None:
--- a/libs/lab/src/damaskjunction/lab/soak/observer.py
+++ b/libs/lab/src/damaskjunction/lab/soak/observer.py
@@ -1,4 +1,4 @@
-"""Observer of a running soak: room at engines, items left lying, its own process."""
+"""Observer of a running soak: room at engines, stuck items, its own process."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 from pathlib import Path
 
 from damaskjunction.lab.soak.history import Stall
-from damaskjunction.lab.soak.owed import find_lying
+from damaskjunction.lab.soak.owed import find_stuck
 from damaskjunction.lab.soak.processor_use import OWN_PROCESS, ProcessorMeter
 from damaskjunction.lab.soak.rig import SoakRig
 from damaskjunction.node import cancel_tasks
@@ -21,14 +21,14 @@
 
 
 class Observer:
-    """Records the room at the engines; asks the hosts about each item left lying.
+    """Records the room at the engines; asks the hosts about each stuck item.
 
     Parameters
     ----------
     rig : SoakRig
         The fleet.
     folder : Path
-        Where the hosts' dumps are written when an item is left lying.
+        Where the hosts' dumps are written when an item is stuck.
     """
 
     def __init__(self, rig: SoakRig, folder: Path) -> None:
@@ -82,7 +82,7 @@
 
     async def _search(self) -> None:
         views_by_item = self._rig.history.host_views_by_item
-        items = {lying.item for lying in find_lying(self._rig.history)}
+        items = {stuck.item for stuck in find_stuck(self._rig.history)}
         new_items = items - views_by_item.keys()
         if not new_items:
             return
--- a/libs/lab/src/damaskjunction/lab/soak/owed.py
+++ b/libs/lab/src/damaskjunction/lab/soak/owed.py
@@ -1,4 +1,4 @@
-"""Checks that no accepted item of a batch job is left lying."""
+"""Checks that no accepted item of a batch job is stuck."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 
 # From the end of a fault until all hosts count as caught up, in seconds.
 CATCH_UP_S = 4.7
-MAX_LYING_S = 5.0  # in calm, with room
+MAX_STUCK_S = 5.0  # in calm, with room
 MIN_FREE_FRACTION = 0.5
 FINISH_S = 18.0  # for all jobs, after the last fault
 READ_SLACK_S = 2.0  # until a caller has read what is listed
@@ -29,7 +29,7 @@
         return Span(max(self.since_s, other.since_s), min(self.until_s, other.until_s))
 
 
-class LyingItem(NamedTuple):
+class StuckItem(NamedTuple):
     """An item that was neither listed nor at a runner in a calm period with room."""
 
     item: str
@@ -58,8 +58,8 @@
     return [span for span in calm if span.since_s < span.until_s]
 
 
-def find_lying(history: History) -> list[LyingItem]:
-    """Return the items that were left lying for longer than ``MAX_LYING_S``."""
+def find_stuck(history: History) -> list[StuckItem]:
+    """Return the items that were stuck for longer than ``MAX_STUCK_S``."""
     found = []
     spans = _spans_with_room(history)
     if not spans:
@@ -73,8 +73,8 @@
                 wait = wait._replace(until_s=until_s)
             waits = [span.overlap(idle).overlap(wait) for span in spans]
             longest = max(waits, key=lambda span: span.until_s - span.since_s)
-            if longest.until_s - longest.since_s > MAX_LYING_S:
-                found.append(LyingItem(accepted.item, longest))
+            if longest.until_s - longest.since_s > MAX_STUCK_S:
+                found.append(StuckItem(accepted.item, longest))
     return found
 
 
@@ -94,7 +94,7 @@
                 since_s = None
         if since_s is not None:
             spans.append(Span(since_s, calm.until_s))
-    return [span for span in spans if span.until_s - span.since_s > MAX_LYING_S]
+    return [span for span in spans if span.until_s - span.since_s > MAX_STUCK_S]
 
 
 def _idle_spans_by_item(history: History) -> dict[str, list[Span]]:
@@ -141,8 +141,8 @@
 
 @checks.register("owed")
 def check_owed(history: History) -> Iterator[str]:
-    """Find items that were left lying, and what the hosts said of each."""
-    for item, span in find_lying(history):
+    """Find items that are stuck, and what the hosts said of each."""
+    for item, span in find_stuck(history):
         view = history.host_views_by_item.get(item, "no host was asked")
         yield (
             f"{item}: neither listed nor at a runner from {span.since_s:.1f} s to "
