Soak: let no runner take a stream up with an end that may be true

A sound runner that is asked to go on behind its last event answers alike, so that a host can't tell them apart; the gateway's feature wants such a stream complete.

--- a/libs/lab/features/soak.feature
+++ b/libs/lab/features/soak.feature
@@ -134,6 +134,8 @@
     # 914: texts of batch results were joined from two software versions.
     # 2002, 2004: streams went on at engines that had started again at another version
     # under their ids, before their entries said so.
+    # 3018: the soak's engine that takes streams up wrongly wrote an end without events,
+    # which a host can't tell from that of a stream whose end alone was lost.
     @matrix
     Examples: seeds of past failures, with the faults of that time
       | seed | kinds   | seconds |
@@ -143,3 +145,4 @@
       | 914  | refused | 16      |
       | 2002 | all     | 16      |
       | 2004 | all     | 16      |
+      | 3018 | all     | 20      |
--- a/libs/lab/src/damaskjunction/lab/soak/release_faults.py
+++ b/libs/lab/src/damaskjunction/lab/soak/release_faults.py
@@ -11,7 +11,7 @@
 from damaskjunction.lab.soak.rig import ENGINE, FAULTY_RUNNER, N_EVENTS, PLAIN, SoakRig
 from damaskjunction.lab.soak.runners import FaultyRunner
 from damaskjunction.lab.soak.schedule import ScheduledFault
-from damaskjunction.standins import RUNNERS_KIND, take_up_answers
+from damaskjunction.standins import RUNNERS_KIND, wrong_take_ups
 
 LEAVING_PERIOD_S = 4.0
 FAILURE_STATUS = 500
@@ -106,7 +106,7 @@
     In one case of two add an engine that breaks all streams off, and answers those
     requests with anything but the rest of the stream.
     """
-    scripts = tuple(take_up_answers)
+    scripts = tuple(wrong_take_ups)
     if variant(fault, 2):
         return await run_faulty(rig, ENGINE, choose(scripts, fault.draw))
     runner = rig.runners.get(choose(rig.endpoints, fault.draw))
--- a/libs/standins/src/damaskjunction/standins/__init__.py
+++ b/libs/standins/src/damaskjunction/standins/__init__.py
@@ -7,7 +7,7 @@
 ``damaskjunction.gateway``.
 """
 
-from damaskjunction.standins.broken_streams import BROKEN_AFTER, take_up_answers
+from damaskjunction.standins.broken_streams import BROKEN_AFTER, wrong_take_ups
 from damaskjunction.standins.deployed_fleet import DeployedFleet
 from damaskjunction.standins.deployment import (
     CALLER_KEY,
@@ -101,6 +101,6 @@
     "parse_events",
     "read_results",
     "run_command",
-    "take_up_answers",
     "token_text",
+    "wrong_take_ups",
 ]
--- a/libs/standins/src/damaskjunction/standins/broken_streams.py
+++ b/libs/standins/src/damaskjunction/standins/broken_streams.py
@@ -19,22 +19,24 @@
     write_events,
 )
 
-take_up_answers: Registry[AnswerScript] = Registry("answer to a take-up")
+wrong_take_ups: Registry[AnswerScript] = Registry("wrong answer to a take-up")
 
 BROKEN_AFTER = 4
 FAILURE_STATUS = 500
 
 
 def _register(
-    name: str, *, status: int = 200
+    name: str, *, status: int = 200, is_wrong: bool = True
 ) -> Callable[[AnswerScript], AnswerScript]:
     """Return a decorator that registers a script with its answer to a take-up.
 
-    ``status`` is that of the answer.
+    ``status`` is that of the answer. What is not wrong by itself, though it is here, is
+    not among ``wrong_take_ups``.
     """
 
     def decorate(take_up: AnswerScript) -> AnswerScript:
-        take_up_answers.register(name)(take_up)
+        if is_wrong:
+            wrong_take_ups.register(name)(take_up)
         script = functools.partial(_answer, take_up, status)
         answer_scripts.register(name)(script)
         return take_up
@@ -176,11 +178,11 @@
     await runner.write(writer, f"id: {BROKEN_AFTER + 1}\ndata: tok".encode())
 
 
-@_register("nothing")
+@_register("nothing", is_wrong=False)
 async def answer_nothing(
     runner: RawRunnerStandin, writer: asyncio.StreamWriter, request_id: RequestId
 ) -> None:
-    """Write a stream without events."""
+    """Write a stream without events, as if only the end had been lost."""
     await runner.write(writer, unframed_head(request_id))
 
 
