Soak: take some streams up late

Cause: callers took broken streams up at once, so that the runners and the knowledge of versions had hardly changed since. Change: three of ten take-ups come 0.2 to 3 s later.

--- a/libs/lab/src/damaskjunction/lab/soak/callers.py
+++ b/libs/lab/src/damaskjunction/lab/soak/callers.py
@@ -54,6 +54,8 @@
 LEFT_FRACTION = 0.5  # of the streams that can be taken up
 LEFT_AFTER_EVENTS = (1, N_EVENTS - 1)  # minimum and maximum
 MAX_TAKE_UPS = 3
+LATE_FRACTION = 0.3  # of the take-ups, that come after a pause
+TAKE_UP_PAUSE_S = (0.2, 3.0)  # minimum and maximum
 
 
 class _Attempt(NamedTuple):
@@ -141,7 +143,10 @@
         return f"{prefix}{route}-{next(self._numbers)}"
 
     async def _read_stream(self, route: str) -> None:
-        """Read a stream, leave some midway, and take up those that break off."""
+        """Read a stream, leave some midway, and take up those that break off.
+
+        Some are taken up late, when other runners may have other versions.
+        """
         first_id = self._next_request_id(route)
         attempt = _Attempt(first_id, route)
         if self._rng.random() < LEFT_FRACTION:
@@ -154,6 +159,8 @@
                 last_event_id = events[-1].number
             if (call.is_complete and call.status == 200) or not last_event_id:
                 return
+            if self._rng.random() < LATE_FRACTION:
+                await asyncio.sleep(self._rng.uniform(*TAKE_UP_PAUSE_S))
             next_id = f"{route}-{next(self._numbers)}"
             if first_id.startswith(DEADLY_PREFIX):
                 next_id = f"{DEADLY_PREFIX}{next_id}"
