Decide on take-ups within half their goal, by store and peers at once

A take-up that neither the store nor a peer could decide was refused late: the record was read for half the latency goal and peers were asked for 0.2 s after that, 0.35 s where the goal is 0.3 s. Callers that are refused need the time for another host. Now both are asked at the same time, the first that knows decides, and all ends after 0.4 of the goal; a store that is silent no longer takes the time in which a peer would have told.

gateway stream_versions: the check of the take-up beside a silent store now has half the goal as its bound in place of the whole, and failed before (0.206 s at a goal of 0.4 s), as did the new one beside silent hosts (0.204 s). New, and passing before too: a take-up that names no stream goes on while the record names one version and is refused at once beside two; one beside a silent store goes on by a peer; eight streams taken up at once after a kill, beside eight new ones and two versions: 6 and 6 complete in each of 3 runs. Passed on this: stream_versions, unlisted_processes, unannounced_versions, runner_client, online.

Two long statements of the execution of a request are shorter, for its file.

--- a/libs/gateway/features/steps/stream_version_steps.py
+++ b/libs/gateway/features/steps/stream_version_steps.py
@@ -178,6 +178,7 @@
     async def finish():
         if context.stream is not None:
             context.reply = await context.stream
+            context.answers = [context.reply]
         else:
             await context.platform.wait_for(lambda: not runner.n_running)
 
@@ -243,12 +244,12 @@
         proxy.set_mode(Mode.SILENT)
 
 
-@then("it was refused within a latency goal")
+@then("it was refused within half a latency goal")
 def check_prompt_refusal(context):
     goal_s = (
         context.platform.hosts["h1"].state.table.find_by_name("alert").latency_goal_s
     )
-    assert context.took_s <= goal_s, context.took_s
+    assert context.took_s <= goal_s / 2, context.took_s
 
 
 @when(
--- a/libs/gateway/features/stream_versions.feature
+++ b/libs/gateway/features/stream_versions.feature
@@ -171,7 +171,52 @@
     And the store is silent
     And the caller takes the stream up at "h1" as "q2"
     Then the take-up is refused as not run and reached no runner
-    And it was refused within a latency goal
+    And it was refused within half a latency goal
+
+  Scenario: A take-up that silent hosts would have to decide is refused at once
+    Given engines "e1,e2" of version "v1" with 60 events
+    And engines "a1" of version "v2" with 60 events
+    When a caller begins a stream of "/alert/1" at "h0" as "q1"
+    And host "h0" is killed
+    And host "h1" knows nothing of the stream, and no host answers its asks
+    And the caller takes the stream up at "h1" as "q2"
+    Then the take-up is refused as not run and reached no runner
+    And it was refused within half a latency goal
+
+  Scenario: A take-up that the store can't decide in time goes on by what a peer knows
+    Given a timeout of 2 s on all routes
+    And engines "e1" of version "v1" with 60 events
+    And the store names "v1" alone within 15 s
+    When a caller begins a stream of "/alert/1" at "h0" as "q1"
+    And the stream's runner breaks it
+    And the store is silent
+    And the caller takes the stream up at "h1" as "q2"
+    Then both answers hold events of version "v1" alone, complete
+
+  Scenario: A take-up that does not name its stream goes on while one version serves
+    Given a timeout of 2 s on all routes
+    And engines "e1,e2" of version "v1" with 60 events
+    And the store names "v1" alone within 15 s
+    When a caller begins a stream of "/alert/1" at "h0" as "q1"
+    And host "h0" is killed
+    And the caller takes the stream up at "h1" as "q2" without naming it
+    Then both answers hold events of version "v1" alone, complete
+
+  Scenario: A take-up that does not name its stream is refused while several versions serve
+    Given engines "e1,e2" of version "v1" with 60 events
+    And engines "a1" of version "v2" with 60 events
+    When a caller begins a stream of "/alert/1" at "h0" as "q1"
+    And host "h0" is killed
+    And the caller takes the stream up at "h1" as "q2" without naming it
+    Then the take-up is refused as not run and reached no runner
+    And it was refused within half a latency goal
+
+  Scenario: Many streams are taken up at once and go on, as often as new ones begin
+    Given engines "e1,e2" of version "v1" with 60 events
+    And engines "a1,a2" of version "v2" with 60 events
+    When 8 callers begin streams at "h0", which is killed
+    And the callers take their streams up at once elsewhere beside 8 new ones
+    Then at least half as many taken up streams as new ones are complete, of one version
 
   Scenario: An item whose only runner stays listed as its former process begins afresh
     Given engines "e1" of version "v1" with 60 events
--- a/libs/gateway/src/damaskjunction/gateway/request_execution.py
+++ b/libs/gateway/src/damaskjunction/gateway/request_execution.py
@@ -6,12 +6,7 @@
 import logging
 from collections.abc import AsyncGenerator
 
-from damaskjunction.core import (
-    Outcome,
-    RequestError,
-    Runner,
-    RunnerId,
-)
+from damaskjunction.core import Outcome, RequestError, Runner, RunnerId
 from damaskjunction.core.units import MILLISECOND_S
 from damaskjunction.gateway.answer_stream import (
     AnswerProgress,
@@ -159,22 +154,18 @@
 
     async def _choose_runner(self) -> Runner:
         """Return the runner for an attempt, and hold it or a slot of it."""
-        routed, selector, excluded = (
-            self._routed,
-            self._selector,
-            self._attempts.excluded,
-        )
-        version = self._version.required
+        routed, selector = self._routed, self._selector
+        excluded, version = self._attempts.excluded, self._version.required
         if not selector.uses_slots(routed):
-            chosen = selector.choose_runner(routed, excluded, version)
-            self._runner_id = chosen.runner_id
-            return chosen
+            runner = selector.choose_runner(routed, excluded, version)
+            self._runner_id = runner.runner_id
+            return runner
         self._slot = await selector.acquire_slot(routed, excluded, version)
         self._runner_id = self._slot.runner_id
-        runner = self._context.state.find_runner(routed.service, self._runner_id)
-        if runner is None:
+        found = self._context.state.find_runner(routed.service, self._runner_id)
+        if found is None:
             raise RunnerFailedError(Outcome.NOT_RUN, "runner_gone")
-        return runner
+        return found
 
     def _check_version(self, runner: Runner) -> None:
         """Check that a runner may begin the stream, or go on with it.
--- a/libs/gateway/src/damaskjunction/gateway/take_ups.py
+++ b/libs/gateway/src/damaskjunction/gateway/take_ups.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 from typing import NamedTuple
 
@@ -9,6 +10,7 @@
 from damaskjunction.gateway.state import ServingState
 from damaskjunction.gateway.stream_origins import StreamOriginKeeper
 from damaskjunction.gateway.version_registry import VersionRegistry
+from damaskjunction.node import cancel_tasks
 from damaskjunction.platform import CallerRequest
 from damaskjunction.routing import Denial, Route, StreamOrigin, take_up_denial
 from damaskjunction.telemetry import Metrics
@@ -16,7 +18,7 @@
 logger = logging.getLogger(__name__)
 
 RETRY_AFTER_S = 0.15
-READ_GOAL_FRACTION = 0.5  # of the latency goal; the rest is for another host
+DECISION_GOAL_FRACTION = 0.4  # of the latency goal; the rest is for another host
 # A runner of the version may be back soon, or another host may know of one.
 GONE_RETRY_AFTER_S = 0.3
 
@@ -94,35 +96,46 @@
         return origin
 
     async def _find(self, request: CallerRequest, route: Route) -> _Decision:
-        stream_id = request.resumed_id
-        services = [part.service for part in route.services]
-        if stream_id:
-            origin = self._keeper.find(stream_id)
+        """Return what this host knows, or else the first that store or peers tell."""
+        if request.resumed_id:
+            origin = self._keeper.find(request.resumed_id)
             if origin is not None:
                 return _Decision(origin, "own")
-        is_mixed = any(map(self._version_registry.is_mixed, services))
-        if not is_mixed:
-            origin = await self._find_by_record(request, route)
-            if origin is not None:
-                return _Decision(origin, "record")
-        if stream_id:
-            origin = await self._keeper.ask_peers(services, stream_id)
-            if origin is not None:
-                return _Decision(origin, "peer")
+        asks = [
+            asyncio.ensure_future(self._find_by_record(request, route)),
+            asyncio.ensure_future(self._find_by_peers(request, route)),
+        ]
+        try:
+            async with asyncio.timeout(DECISION_GOAL_FRACTION * route.latency_goal_s):
+                for answer in asyncio.as_completed(asks):
+                    decision = await answer
+                    if decision.origin is not None:
+                        return decision
+        except TimeoutError:
+            extra = {"request": request.request_id, "resumes": request.resumed_id}
+            logger.info("stream's version not told in time", extra=extra)
+        finally:
+            await cancel_tasks(asks)
         return _Decision(None, "none")
 
-    async def _find_by_record(
-        self, request: CallerRequest, route: Route
-    ) -> StreamOrigin | None:
+    async def _find_by_peers(self, request: CallerRequest, route: Route) -> _Decision:
+        if not request.resumed_id:
+            return _Decision(None, "peer")
+        services = [part.service for part in route.services]
+        origin = await self._keeper.ask_peers(services, request.resumed_id)
+        return _Decision(origin, "peer")
+
+    async def _find_by_record(self, request: CallerRequest, route: Route) -> _Decision:
         """Return an origin at the only version that may have begun the stream."""
         service = self._service_of(request, route)
-        if service is None:
-            return None
-        timeout_s = READ_GOAL_FRACTION * route.latency_goal_s
-        version = await self._version_registry.read_sole_version(service, timeout_s)
+        is_mixed = self._version_registry.is_mixed
+        if service is None or any(is_mixed(part.service) for part in route.services):
+            return _Decision(None, "record")
+        version = await self._version_registry.read_sole_version(service)
         if version is None:
-            return None
-        return StreamOrigin(request.resumed_id, service, version, "", 0, 0.0)
+            return _Decision(None, "record")
+        origin = StreamOrigin(request.resumed_id, service, version, "", 0, 0.0)
+        return _Decision(origin, "record")
 
     def _service_of(self, request: CallerRequest, route: Route) -> ServiceName | None:
         if request.resumed_id:
--- a/libs/gateway/src/damaskjunction/gateway/version_registry.py
+++ b/libs/gateway/src/damaskjunction/gateway/version_registry.py
@@ -126,20 +126,18 @@
         """Return whether streams of several versions of a service may live."""
         return self._ledger(service).is_mixed
 
-    async def read_sole_version(
-        self, service: ServiceName, timeout_s: float
-    ) -> str | None:
+    async def read_sole_version(self, service: ServiceName) -> str | None:
         """Return the version of every live stream of a service, None if unknown.
 
         The store is read after the call: callers that wait share the next read. It is
-        unknown after ``timeout_s`` seconds, or ``READ_TIMEOUT_S`` if that is less.
+        unknown after ``READ_TIMEOUT_S``.
         """
         read = self._next_reads_by_service.get(service)
         if read is None:
             read = asyncio.ensure_future(self._read(service))
             self._next_reads_by_service[service] = read
         try:
-            async with asyncio.timeout(min(timeout_s, READ_TIMEOUT_S)):
+            async with asyncio.timeout(READ_TIMEOUT_S):
                 await asyncio.shield(read)
         except (PlatformError, TimeoutError) as error:
             extra = {"service": service, "error": repr(error)}
