--- a/libs/routing/features/steps/crash_machine.py
+++ b/libs/routing/features/steps/crash_machine.py
@@ -10,14 +10,13 @@
 
 from typing import NamedTuple
 
-from hypothesis import HealthCheck, Phase, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
     invariant,
     rule,
-    run_state_machine_as_test,
 )
+from machine_runs import run_deterministic
 
 from damaskjunction.routing import (
     EXCLUSIVE_RUNS,
@@ -342,16 +341,4 @@
 
 
 def run_machine(name, n_examples):
-    run_state_machine_as_test(
-        MACHINE_TYPES[name],
-        settings=settings(
-            max_examples=n_examples,
-            stateful_step_count=N_STEPS,
-            derandomize=True,
-            database=None,
-            deadline=None,
-            print_blob=False,
-            phases=(Phase.generate,),
-            suppress_health_check=list(HealthCheck),
-        ),
-    )
+    run_deterministic(MACHINE_TYPES[name], n_examples, N_STEPS)
--- a/libs/routing/features/steps/stream_version_machine.py
+++ b/libs/routing/features/steps/stream_version_machine.py
@@ -6,13 +6,12 @@
 
 from __future__ import annotations
 
-from hypothesis import HealthCheck, Phase, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
     rule,
-    run_state_machine_as_test,
 )
+from machine_runs import run_deterministic
 
 from damaskjunction.core import Address, Runner, ServiceKind
 from damaskjunction.routing import (
@@ -229,16 +228,4 @@
 
 
 def run_machine(fault, n_examples):
-    run_state_machine_as_test(
-        MACHINE_TYPES[fault],
-        settings=settings(
-            max_examples=n_examples,
-            stateful_step_count=N_STEPS,
-            derandomize=True,
-            database=None,
-            deadline=None,
-            print_blob=False,
-            phases=(Phase.generate,),
-            suppress_health_check=list(HealthCheck),
-        ),
-    )
+    run_deterministic(MACHINE_TYPES[fault], n_examples, N_STEPS)
