Make a runner's entry of the store in one place of the stand-ins

Cause: both kinds of runner stand-ins wrote the same object. Change: make_entry, which the raw one uses with a named number of slots.

--- a/libs/standins/src/damaskjunction/standins/raw_runner.py
+++ b/libs/standins/src/damaskjunction/standins/raw_runner.py
@@ -14,11 +14,12 @@
 import h11
 
 from damaskjunction.core import Address, Registry, RequestId, RunnerId, ServiceName
-from damaskjunction.standins.runner import REPORT_PATH, RUNNERS_KIND
+from damaskjunction.standins.runner import REPORT_PATH, RUNNERS_KIND, make_entry
 from damaskjunction.standins.store import StoreStandin
 
 READ_BYTES = 64 * 1024
 N_EVENTS = 10
+SLOTS = 8
 EVENT_INTERVAL_S = 0.02
 
 AnswerScript: TypeAlias = Callable[
@@ -103,14 +104,7 @@
         self._server = await asyncio.start_server(
             self._serve, self._address.ip, self._address.port
         )
-        entry = {
-            "Service": self._service,
-            "Addr": str(self._address),
-            "Zone": "z1",
-            "Slots": 8,
-            "State": "ready",
-            "Version": self.version,
-        }
+        entry = make_entry(self._service, self._address, SLOTS, version=self.version)
         self._store.put(RUNNERS_KIND, self.runner_id, entry)
 
     async def close(self) -> None:
--- a/libs/standins/src/damaskjunction/standins/runner.py
+++ b/libs/standins/src/damaskjunction/standins/runner.py
@@ -30,6 +30,26 @@
 PROMPT_PARTS_HEADER = "x-prompt-prefix"
 
 
+def make_entry(
+    service: ServiceName,
+    address: Address,
+    slots: int,
+    state: str = "ready",
+    version: str = "",
+) -> dict[str, str | int]:
+    """Return a runner's object in the store; it names no version if that is empty."""
+    entry: dict[str, str | int] = {
+        "Service": service,
+        "Addr": str(address),
+        "Zone": "z1",
+        "Slots": slots,
+        "State": state,
+    }
+    if version:
+        entry["Version"] = version
+    return entry
+
+
 class RunnerStandin:
     """A runner that responds to each request with numbered events or a plain body.
 
@@ -144,15 +164,9 @@
 
     def register_in_store(self, state: str) -> None:
         """Register in the store with a state, or update the state."""
-        entry: dict[str, str | int] = {
-            "Service": self._service,
-            "Addr": str(self._advertised),
-            "Zone": "z1",
-            "Slots": self._slots,
-            "State": state,
-        }
-        if self.version:
-            entry["Version"] = self.version
+        entry = make_entry(
+            self._service, self._advertised, self._slots, state, self.version
+        )
         if self.born_ms:
             entry["born"] = self.born_ms
         self._store.put(RUNNERS_KIND, self.runner_id, entry)
