--- a/libs/lab/src/damaskjunction/lab/soak/rig.py
+++ b/libs/lab/src/damaskjunction/lab/soak/rig.py
@@ -254,7 +254,7 @@
             async with asyncio.timeout(STOP_TIMEOUT_S):
                 await process.wait()
         except TimeoutError:
-            self._send_signals(process, signal.SIGABRT)
+            self._send_signals(process, signal.SIGABRT, signal.SIGCONT)
             await process.wait()
 
     def signal_host(self, name: str, signal_number: signal.Signals) -> None:
--- a/libs/standins/src/damaskjunction/standins/broken_streams.py
+++ b/libs/standins/src/damaskjunction/standins/broken_streams.py
@@ -30,8 +30,8 @@
 ) -> Callable[[AnswerScript], AnswerScript]:
     """Return a decorator that registers a script with its answer to a take-up.
 
-    ``status`` is that of the answer. What is not wrong by itself, though it is here, is
-    not among ``wrong_take_ups``.
+    ``status`` is that of the answer. One that a sound runner may give as well, after
+    the last event, is not among ``wrong_take_ups``.
     """
 
     def decorate(take_up: AnswerScript) -> AnswerScript:
