Look a runner's rate limit up once, and count no reserve without free slots

The home of the engines looked each runner's limit up two to four times for each decision, and counted the reserve that batch leaves to online requests also when no slot was free.

--- a/libs/routing/src/damaskjunction/routing/rate_limits.py
+++ b/libs/routing/src/damaskjunction/routing/rate_limits.py
@@ -116,25 +116,30 @@
 
     def tokens(self, runner_id: RunnerId, now_s: float) -> float:
         """Return how many requests a runner takes now, infinity without a limit."""
-        if not self.is_limited(runner_id):
-            return math.inf
-        return _refill(self._buckets_by_runner[runner_id], now_s).tokens
+        bucket = self._limited_bucket(runner_id)
+        return math.inf if bucket is None else _refill(bucket, now_s).tokens
 
     def burst(self, runner_id: RunnerId) -> float:
         """Return how many requests an idle runner takes at once, infinity for any."""
-        if not self.is_limited(runner_id):
-            return math.inf
-        return _capacity(self._buckets_by_runner[runner_id])
+        bucket = self._limited_bucket(runner_id)
+        return math.inf if bucket is None else _capacity(bucket)
 
     def is_limited(self, runner_id: RunnerId) -> bool:
         """Return whether a runner has named a limit that still holds."""
+        return self._limited_bucket(runner_id) is not None
+
+    def _limited_bucket(self, runner_id: RunnerId) -> _Bucket | None:
+        """Return the bucket of a runner with a limit, None for any other."""
         bucket = self._buckets_by_runner.get(runner_id)
-        return bucket is not None and bucket.limit_per_s != NO_LIMIT_PER_S
+        if bucket is None or bucket.limit_per_s == NO_LIMIT_PER_S:
+            return None
+        return bucket
 
     def take(self, runner_id: RunnerId, now_s: float) -> None:
         """Record that a request goes to a runner."""
-        if self.is_limited(runner_id):
-            bucket = _refill(self._buckets_by_runner[runner_id], now_s)
+        bucket = self._limited_bucket(runner_id)
+        if bucket is not None:
+            bucket = _refill(bucket, now_s)
             left = max(0.0, bucket.tokens - 1.0)
             self._buckets_by_runner[runner_id] = bucket._replace(tokens=left)
 
--- a/libs/routing/src/damaskjunction/routing/slots.py
+++ b/libs/routing/src/damaskjunction/routing/slots.py
@@ -375,7 +375,9 @@
         self, free_by_runner: dict[RunnerId, int], now_s: float
     ) -> list[SlotEffect]:
         effects: list[SlotEffect] = []
-        if not self._waiting_batch or now_s < self._batch_starts_at_s:
+        if not (free_by_runner and self._waiting_batch):
+            return effects
+        if now_s < self._batch_starts_at_s:
             return effects
         for name in list(free_by_runner):
             if self._rate_limiter.tokens(name, now_s) < BATCH_TOKENS:
