Time the reads of a response with one timer, not with one for each read

Each read of a body entered asyncio.timeout, which schedules a timer of the event loop and cancels it: for each event of a stream. A StallTimer leaves its timer where it is while data arrive, and moves it only when the timeout becomes shorter.

The three new scenarios were seen failing: the one on a shortened timeout without the move, the other two with a timer that does not look whether data have arrived.

--- a/libs/http/features/client.feature
+++ b/libs/http/features/client.feature
@@ -1,5 +1,6 @@
 Feature: HTTP client
-  Responses that nobody reads along are read together, at intervals.
+  Responses that nobody reads along are read together, at intervals. A response fails
+  when no data arrive for its stall timeout.
 
   Scenario: Paced responses are read together
     Given a server that streams 30 chunks 0.01 s apart
@@ -22,3 +23,19 @@
       | end                   | error                |
       | breaks the connection | BrokenResponseError  |
       | stalls                | StalledResponseError |
+
+  Scenario: A response that takes longer than its stall timeout is read to its end
+    Given a server that streams 20 chunks 0.05 s apart
+    When a response is read with a stall timeout of 0.3 s
+    Then each response is complete
+
+  Scenario: A stall timeout that is shortened while a response is read takes effect
+    Given a server that streams 5 chunks 0.01 s apart and then stalls
+    When a response is read with a stall timeout of 20 s, then of 0.3 s
+    Then the response failed with "StalledResponseError"
+    And it failed within 2 s
+
+  Scenario: A connection that was idle for longer than the stall timeout is used again
+    Given a server that streams 3 chunks 0.01 s apart
+    When 2 responses are read on a connection, 0.5 s apart, with a stall timeout of 0.2 s
+    Then each response is complete
--- a/libs/http/features/steps/client_steps.py
+++ b/libs/http/features/steps/client_steps.py
@@ -29,12 +29,14 @@
         self.read_at_s = []
         self.error = ""
 
-    async def read(self, response, pacer=None):
-        """Read a response to its end."""
+    async def read(self, response, pacer=None, next_stall_s=None):
+        """Read a response to its end, with another stall timeout from a chunk on."""
         if pacer is not None:
             response.set_pacer(pacer)
         try:
             async for chunk in response.chunks():
+                if next_stall_s is not None:
+                    response.set_stall_timeout(next_stall_s)
                 self.body += chunk
                 self.read_at_s.append(asyncio.get_running_loop().time())
         except BrokenResponseError as error:
@@ -138,6 +140,51 @@
     run(context, work())
 
 
+@when("a response is read with a stall timeout of {stall:g} s")
+def read_one(context, stall):
+    read_with_stall_timeouts(context, stall, None)
+
+
+@when("a response is read with a stall timeout of {stall:g} s, then of {later:g} s")
+def read_with_shorter_timeout(context, stall, later):
+    read_with_stall_timeouts(context, stall, later)
+
+
+def read_with_stall_timeouts(context, stall_s, next_stall_s):
+    async def work():
+        client = make_client(context)
+        context.responses = [ReadResponse()]
+        response = await send(context, client, stall_s=stall_s)
+        began_at_s = context.timers.now()
+        await context.responses[0].read(response, next_stall_s=next_stall_s)
+        context.read_for_s = context.timers.now() - began_at_s
+        client.close()
+
+    run(context, work())
+
+
+@when(
+    "2 responses are read on a connection, {pause:g} s apart, with a stall timeout "
+    "of {stall:g} s"
+)
+def read_after_pause(context, pause, stall):
+    async def work():
+        client = make_client(context)
+        context.responses = [ReadResponse(), ReadResponse()]
+        for read in context.responses:
+            await read.read(await send(context, client, stall_s=stall))
+            await asyncio.sleep(pause)
+        assert client.n_connections_opened == 1
+        client.close()
+
+    run(context, work())
+
+
+@then("it failed within {limit:g} s")
+def check_failed_in_time(context, limit):
+    assert context.read_for_s < limit, context.read_for_s
+
+
 @then("each response is complete")
 def check_complete(context):
     for response in context.responses:
--- a/libs/http/src/damaskjunction/http/connection.py
+++ b/libs/http/src/damaskjunction/http/connection.py
@@ -13,6 +13,7 @@
 from damaskjunction.http.messages import BrokenResponseError, StalledResponseError
 from damaskjunction.http.pacing import ReadPacer
 from damaskjunction.http.sockets import has_waiting_bytes
+from damaskjunction.http.stalls import StallTimer
 
 READ_BYTES = 64 * 1024
 DEFAULT_STALL_TIMEOUT_S = 30.0
@@ -49,6 +50,7 @@
         self._protocol = h11.Connection(h11.CLIENT)
         self.stall_s = DEFAULT_STALL_TIMEOUT_S
         self.pacer: ReadPacer | None = None
+        self._stall_timer = StallTimer(reader)
 
     async def exchange(
         self,
@@ -120,6 +122,7 @@
 
     def abort(self) -> None:
         """Close the connection at once, without flushing unsent data."""
+        self._stall_timer.close()
         self._writer.transport.abort()
 
     async def _read_head(self) -> ResponseHead:
@@ -158,8 +161,7 @@
             while (event := self._protocol.next_event()) is h11.NEED_DATA:
                 if self.pacer is not None:
                     await self._pause_reading(self.pacer)
-                async with asyncio.timeout(self.stall_s):
-                    data = await self._reader.read(READ_BYTES)
+                data = await self._stall_timer.read(READ_BYTES, self.stall_s)
                 self._protocol.receive_data(data)
         except TimeoutError:
             detail = f"{self.address}: no data received for {self.stall_s:.3f} s"
