Refuse at once again when the entries of all runners of a service say that they leave

Cause: DrainMs counts from the store's acknowledgement of the entry, and a host may read the entry late while it is in touch: a reader of the change feed whose source freezes goes on elsewhere after 0.9 s and asks the store itself 0.4 s later. Half of DrainMs (1 s of 2 s) after that is past the bound, and one such request breaks the rule. Change: requests for such a service get 503 with a Retry-After time at once, as before.

--- a/libs/gateway/features/leaving.feature
+++ b/libs/gateway/features/leaving.feature
@@ -124,19 +124,3 @@
       | runners       | path   |
       | engines       | /ask/  |
       | plain runners | /look/ |
-
-  Scenario Outline: When the entries of all say that they leave they are used for a while
-    Given <runners> "r1,r2"
-    When the entry of runner "r1" says that it leaves
-    And 1.1 s pass
-    And the entry of runner "r2" says that it leaves
-    Then runner "r1" gets none of 2 further requests for "<path>" at "h0"
-    When 1.1 s pass
-    And a caller requests "<path>3" at "h0" as "q3"
-    Then the caller gets status 503 with a Retry-After header
-    And the response took between 0 s and 0.6 s
-
-    Examples:
-      | runners       | path   |
-      | engines       | /ask/  |
-      | plain runners | /look/ |
--- a/libs/gateway/features/steps/leaving_steps.py
+++ b/libs/gateway/features/steps/leaving_steps.py
@@ -8,7 +8,6 @@
 from fleet_helpers import run
 from platform_fleet import ENGINE
 
-from damaskjunction.core import HostState
 from damaskjunction.routing import slot_homes
 
 MAX_TRIES = 40
@@ -104,18 +103,6 @@
     assert least <= n_got <= most, n_got
 
 
-@when('the entry of runner "{name}" says that it leaves')
-def drain(context, name):
-    context.platform.runners[name].register_in_store("draining")
-
-    def is_known():
-        views = [host.view for host in context.platform.hosts.values()]
-        entries = [view.fleet.runners_by_id[name] for view in views]
-        return all(entry.state is HostState.LEAVING for entry in entries)
-
-    run(context, context.platform.wait_for(is_known))
-
-
 @when('runner "{name}" starts again under its id')
 def start_again(context, name):
     runner = context.platform.runners[name]
--- a/libs/gateway/src/damaskjunction/gateway/item_runner.py
+++ b/libs/gateway/src/damaskjunction/gateway/item_runner.py
@@ -9,10 +9,8 @@
 
 from damaskjunction.batch import BatchItem, ItemResult
 from damaskjunction.core import (
-    HostState,
     Outcome,
     RequestError,
-    Runner,
     ServiceName,
     WorkClass,
     stable_hash,
@@ -233,7 +231,7 @@
         """
         record = job.record
         service = route.service_for(stable_hash(progress.item.item_id))
-        runners = self._state.runners_of(service, _takes_items)
+        runners = self._state.runners_of(service)
         version = progress.version_to_keep(service, runners)
         request = item_request(progress.item, record.host)
         due_at_s = record.sent_at_s + route.completion_target_s
@@ -268,7 +266,7 @@
             When the runner must not go on with it, or it may be of several versions.
         """
         service = route.service_for(stable_hash(progress.item.item_id))
-        runner = self._state.find_runner(service, slot.runner_id, _takes_items)
+        runner = self._state.find_runner(service, slot.runner_id)
         if runner is None:
             raise RunnerFailedError(Outcome.NOT_RUN, "runner_gone")
         progress.version.check(runner)
@@ -356,8 +354,3 @@
             "last_event_id": progress.last_event_id,
         }
         logger.info("item attempt failed", extra=extra)
-
-
-def _takes_items(runner: Runner) -> bool:
-    """Return whether a runner may be given items: these can wait for one that stays."""
-    return runner.state is HostState.LIVE
--- a/libs/gateway/src/damaskjunction/gateway/state.py
+++ b/libs/gateway/src/damaskjunction/gateway/state.py
@@ -86,22 +86,14 @@
         ``may_serve`` tells which may serve a request, all of them by default. Runners
         that leave are returned only while none of these stays.
         """
-        now_s = self._timers.now()
-        live = _eligible(self._live_runners_of(service), may_serve)
-        usable = self.leaving.usable(live, now_s)
-        if usable:
-            return usable
-        listed = _eligible(self._leaving_runners_of(service), may_serve)
-        return self.leaving.usable_though_listed(listed, now_s)
-
-    def find_runner(
-        self,
-        service: ServiceName,
-        runner_id: RunnerId,
-        may_serve: Callable[[Runner], bool] | None = None,
-    ) -> Runner | None:
-        """Return a runner if it is one of ``runners_of`` the service."""
-        runners = self.runners_of(service, may_serve)
+        runners = self._live_runners_of(service)
+        if may_serve is not None:
+            runners = list(filter(may_serve, runners))
+        return self.leaving.usable(runners, self._timers.now())
+
+    def find_runner(self, service: ServiceName, runner_id: RunnerId) -> Runner | None:
+        """Return a runner if it accepts new work."""
+        runners = self.runners_of(service)
         return next((r for r in runners if r.runner_id == runner_id), None)
 
     def has_engines(self, service: ServiceName) -> bool:
@@ -156,13 +148,6 @@
                 )
         return self._live_runners_by_service.get(service, [])
 
-    def _leaving_runners_of(self, service: ServiceName) -> list[Runner]:
-        return [
-            runner
-            for runner in sorted(self.view.fleet.runners_by_id.values())
-            if runner.service == service and runner.state is HostState.LEAVING
-        ]
-
     # Routes
 
     def apply_configurations(self, objects: tuple[PlatformObject, ...]) -> None:
@@ -223,7 +208,6 @@
         if known == runner:
             return
         self._record_former(runner.runner_id, runner)
-        self.leaving.record_entry(runner, known, self._timers.now())
         self._observe_wall(runner.born_ms * MILLISECOND_S)
         self._runners_by_id[runner.runner_id] = runner
         extra = {
@@ -274,15 +258,8 @@
 
     def _remove_runner(self, runner_id: RunnerId) -> None:
         self._record_former(runner_id, None)
-        self.leaving.forget_entry(runner_id)
         if self._runners_by_id.pop(runner_id, None) is not None:
             logger.info("runner gone", extra={"runner": runner_id})
 
     def _publish_runners(self) -> None:
         self.view.apply_runners(self._runners_by_id.values())
-
-
-def _eligible(
-    runners: list[Runner], may_serve: Callable[[Runner], bool] | None
-) -> list[Runner]:
-    return runners if may_serve is None else list(filter(may_serve, runners))
--- a/libs/routing/features/leaving_runners.feature
+++ b/libs/routing/features/leaving_runners.feature
@@ -19,26 +19,6 @@
     And at 202.5 s "b" may be used
     And at 203 s none may be used
 
-  Scenario: When the entries of all say so, they are used for half of their time
-    Given runners "a,b" that started at 100 s
-    When the entry of runner "a" says at 200 s that it leaves
-    And the entry of runner "b" says at 200.6 s that it leaves
-    And runner "b" says at 200.7 s that it leaves
-    Then at 200.9 s "a" may be used, though their entries say that all leave
-    And at 201.1 s "b" may be used, though their entries say that all leave
-    And at 201.7 s none may be used, though their entries say that all leave
-
-  Scenario: A runner whose entry said so before it was known is not used
-    Given runners "a" that started at 100 s
-    When the entry of runner "a", which is new, says at 200 s that it leaves
-    Then at 200 s none may be used, though their entries say that all leave
-
-  Scenario: A runner whose entry says so again is used no longer
-    Given runners "a" that started at 100 s
-    When the entry of runner "a" says at 200 s that it leaves
-    And the entry of runner "a", which said so, says at 200.8 s that it leaves
-    Then at 201.1 s none may be used, though their entries say that all leave
-
   Scenario: Another process of the same runner is used
     Given runners "a,b" that started at 100 s
     When runner "a" says at 200 s that it leaves
--- a/libs/routing/src/damaskjunction/routing/leaving_runners.py
+++ b/libs/routing/src/damaskjunction/routing/leaving_runners.py
@@ -1,12 +1,9 @@
-"""Runners that have said in an answer, or in their entry, that they leave.
+"""Runners that have said in an answer that they leave.
 
 What a runner says holds for its process, not for another process of the same runner. An
 entry states when its process started, while an answer does not, and the entry may come
 later than the answer. So an answer speaks for the process of the known entry, and for a
 later one if that had started before the request was sent.
-
-Leaving runners get no requests while others of their service stay. If all leave, they
-serve on for a limited time.
 """
 
 from __future__ import annotations
@@ -14,15 +11,13 @@
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
-from damaskjunction.core import HostState, Runner, RunnerId
+from damaskjunction.core import Runner, RunnerId
 from damaskjunction.core.units import MILLISECOND_S, MINUTE_S
 
 DEFAULT_DRAIN_S = 2.0
 DEFAULT_MAX_SKEW_S = 5.0
 NOTICE_TTL_S = 10 * MINUTE_S
 MAX_REPORTED = 16
-# Of the time of a leaving runner, since its entry is read later than it was written.
-LISTED_FRACTION = 0.5
 
 
 class LeavingNotice(NamedTuple):
@@ -61,7 +56,6 @@
         self._drain_s = drain_s
         self._max_skew_ms = int(max_skew_s / MILLISECOND_S)
         self._notices_by_id: dict[RunnerId, _Notice] = {}
-        self._listed_at_by_id: dict[RunnerId, float] = {}
 
     def record_answer(self, runner: Runner, asked_at_ms: int, now_s: float) -> bool:
         """Record that a runner said so; return whether it was not known to leave.
@@ -111,31 +105,6 @@
             < self._drain_s
         ]
 
-    def record_entry(self, entry: Runner, former: Runner | None, now_s: float) -> None:
-        """Record a runner's entry that replaces a former one, if there was any."""
-        if entry.state is HostState.LIVE:
-            self._listed_at_by_id.pop(entry.runner_id, None)
-        elif former is not None and former.state is HostState.LIVE:
-            self._listed_at_by_id[entry.runner_id] = now_s
-
-    def forget_entry(self, runner_id: RunnerId) -> None:
-        """Forget what the entry of a runner said that is gone."""
-        self._listed_at_by_id.pop(runner_id, None)
-
-    def usable_though_listed(self, runners: list[Runner], now_s: float) -> list[Runner]:
-        """Return those of a service's runners that may be used if all are to leave.
-
-        Their entries have said so lately, while this host knew them.
-        """
-        limit_s = LISTED_FRACTION * self._drain_s
-        recent = [
-            runner
-            for runner in runners
-            if runner.runner_id in self._listed_at_by_id
-            and now_s - self._listed_at_by_id[runner.runner_id] < limit_s
-        ]
-        return self.usable(recent, now_s)
-
     def notices(
         self, runners: Iterable[Runner], now_s: float
     ) -> tuple[LeavingNotice, ...]:
