Give the stand-in state of the item places' test the latest time

Cause: an attempt asks for the latest time that was seen since the decision on streams moved to routing; the stand-in state lacked it, so the item of 'An attempt that is cancelled while it ends gives its slot back' ended before its attempt. Change: the stand-in has it.

--- a/libs/gateway/features/steps/item_place_steps.py
+++ b/libs/gateway/features/steps/item_place_steps.py
@@ -76,7 +76,9 @@
 def make_runner(context, runner_type, slot_client=None):
     context.timers = LoopTimers()
     table = SimpleNamespace(find_by_name=lambda name: ROUTE)
-    state = SimpleNamespace(table=table, runners_of=lambda service: [])
+    state = SimpleNamespace(
+        table=table, runners_of=lambda service: [], latest_wall_s=lambda: 0.0
+    )
     dispatch = SimpleNamespace(
         state=state,
         slot_client=slot_client,
