--- a/tools/check.py
+++ b/tools/check.py
@@ -18,8 +18,8 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
-SUITE_TIMEOUT_S = 600.0
-MAX_PARALLEL_SUITES = 4
+COMMAND_TIMEOUT_S = 600.0
+MAX_PARALLEL_FEATURES = 4
 MAX_EXCERPT_CHARACTERS = 4000
 KNOWN_RED_PREFIX = "test:"
 SLOW_TAG = "matrix"
@@ -42,7 +42,7 @@
 async def run_command(*command: str) -> CompletedCommand:
     """Run a command in the workspace's root and return its exit code and output.
 
-    A command that exceeds ``SUITE_TIMEOUT_S`` is killed and fails with exit code 1.
+    A command that exceeds ``COMMAND_TIMEOUT_S`` is killed and fails with exit code 1.
     """
     process = await asyncio.create_subprocess_exec(
         *command,
@@ -52,12 +52,12 @@
         stderr=asyncio.subprocess.STDOUT,
     )
     try:
-        async with asyncio.timeout(SUITE_TIMEOUT_S):
+        async with asyncio.timeout(COMMAND_TIMEOUT_S):
             output, _ = await process.communicate()
     except TimeoutError:
         process.kill()
         await process.wait()
-        return CompletedCommand(1, f"timed out after {SUITE_TIMEOUT_S:.0f} s")
+        return CompletedCommand(1, f"timed out after {COMMAND_TIMEOUT_S:.0f} s")
     return CompletedCommand(process.returncode or 0, output.decode(errors="replace"))
 
 
@@ -107,42 +107,43 @@
     return excerpt[-MAX_EXCERPT_CHARACTERS:]
 
 
-async def run_suite(
-    suite: Path, tags: str, semaphore: asyncio.Semaphore
+async def run_feature(
+    feature: Path, tags: str, semaphore: asyncio.Semaphore
 ) -> list[Result]:
-    """Run the features of one library and return a result per scenario.
+    """Run the feature in one file and return a result per scenario.
 
     A missing report counts as a failure, and so does an error exit of behave when no
     scenario failed.
     """
-    name = suite.relative_to(ROOT / "libs").as_posix().replace("/features", "")
+    suite = feature.parent.relative_to(ROOT / "libs").as_posix()
+    name = suite.replace("/features", "")
     with tempfile.TemporaryDirectory() as folder:
         report = Path(folder) / "report.json"
         plain_log = Path(folder) / "plain.txt"
         command = (sys.executable, "-m", "behave", "--no-summary", "--tags", tags)
         format_arguments = (
             *("--format", "json", "--outfile", str(report)),
-            *("--format", "plain", "--outfile", str(plain_log), str(suite)),
+            *("--format", "plain", "--outfile", str(plain_log), str(feature)),
         )
         async with semaphore:
             completed = await run_command(*command, *format_arguments)
         try:
             results = read_scenarios(name, report, plain_log.read_text())
         except (OSError, ValueError):
-            return [Result(f"{name}: behave", completed.output)]
+            return [Result(f"{name}: {feature.stem}: behave", completed.output)]
     if completed.code != 0 and all(result.failure is None for result in results):
-        results.append(Result(f"{name}: behave", completed.output))
+        results.append(Result(f"{name}: {feature.stem}: behave", completed.output))
     return results
 
 
 async def run_features(tags: str) -> list[Result]:
-    """Run the features of all libraries, at most ``MAX_PARALLEL_SUITES`` at a time."""
-    semaphore = asyncio.Semaphore(MAX_PARALLEL_SUITES)
-    suites = sorted(path.parent for path in ROOT.glob("libs/*/features/**/steps"))
-    results_per_suite = await asyncio.gather(
-        *(run_suite(s, tags, semaphore) for s in suites)
+    """Run the features of all libraries, ``MAX_PARALLEL_FEATURES`` at a time."""
+    semaphore = asyncio.Semaphore(MAX_PARALLEL_FEATURES)
+    features = sorted(ROOT.glob("libs/*/features/**/*.feature"))
+    results_per_feature = await asyncio.gather(
+        *(run_feature(f, tags, semaphore) for f in features)
     )
-    return [result for results in results_per_suite for result in results]
+    return [result for results in results_per_feature for result in results]
 
 
 def read_known_red_names() -> set[str]:
