Bound all that comes before a request to a proved process by 0.4 s

A request states the time that its caller has left, taken before its connection is there. The connection (0.3 s), the query for the process (0.6 s) and, for runners that close their connections, two more of each could come in between, so a runner was handed more time than was left: by more than the 0.5 s that are allowed (BUDGET). The time of the query now bounds all of it, and is 0.4 s, as for the reports that the home polls; then the request has not run, and another runner is tried.

--- a/libs/gateway/features/runner_client.feature
+++ b/libs/gateway/features/runner_client.feature
@@ -71,6 +71,7 @@
     When its reports are "<reports>"
     And 1 requests to its listed process are sent one after another
     Then all failed as not run with "process_unknown"
+    And none took longer than 0.5 s
 
     Examples:
       | reports   |
--- a/libs/gateway/features/steps/process_query_steps.py
+++ b/libs/gateway/features/steps/process_query_steps.py
@@ -31,6 +31,7 @@
         self.reports = "true"
         self.n_reports = self.n_requests = self.n_closing = 0
         self.failures = []
+        self.longest_s = 0.0
         self.server = HttpServer(self.address, self.serve)
 
     async def start(self):
@@ -80,6 +81,8 @@
 
     async def send(self, number):
         """Send a request and keep its failure, if any."""
+        loop = asyncio.get_running_loop()
+        began_at_s = loop.time()
         try:
             response = await self.client.send(
                 self.runner,
@@ -91,6 +94,7 @@
             await self.client.read_body(response, TIMEOUT_S)
         except RunnerFailedError as error:
             self.failures.append((error.outcome.value, error.reason))
+        self.longest_s = max(self.longest_s, loop.time() - began_at_s)
 
 
 @given("a client of an engine that was born at {born_ms:d}")
@@ -156,3 +160,8 @@
     rig = context.platform
     assert rig.failures == [("not_run", reason)] * context.n_sent, rig.failures
     assert rig.n_requests == context.n_before, rig.n_requests
+
+
+@then("none took longer than {limit_s:g} s")
+def check_duration(context, limit_s):
+    assert context.platform.longest_s <= limit_s, context.platform.longest_s
--- a/libs/gateway/src/damaskjunction/gateway/runner_client.py
+++ b/libs/gateway/src/damaskjunction/gateway/runner_client.py
@@ -49,7 +49,7 @@
 CONNECT_TIMEOUT_S = 0.3
 IDLE_TIMEOUT_S = 4.0
 REPORT_STALL_TIMEOUT_S = 0.5
-PROCESS_QUERY_TIMEOUT_S = 0.6
+PROCESS_QUERY_TIMEOUT_S = 0.4  # the runner is told the time left before it
 DISCARD_TIMEOUT_S = 0.2
 # The connection broke after the request was sent, as when the runner crashes.
 CONNECTION_LOST_REASONS = ("stream_cut", "no_answer", "answer_cut")
--- a/libs/http/src/damaskjunction/http/client.py
+++ b/libs/http/src/damaskjunction/http/client.py
@@ -17,6 +17,7 @@
 from damaskjunction.http.messages import (
     BrokenResponseError,
     ConnectFailedError,
+    PeerUnknownError,
 )
 from damaskjunction.http.pacing import ReadPacer
 from damaskjunction.http.peer_query import PeerQuery, is_usable_after
@@ -107,7 +108,10 @@
         BrokenResponseError
             At least part of the request was sent, but no response arrived.
         """
-        connection = await self._acquire(address, new_connection, peer_query)
+        if peer_query is None:
+            connection = await self._acquire(address, new_connection)
+        else:
+            connection = await self._acquire_to(peer_query, address, new_connection)
         try:
             if before_send is not None:
                 before_send()
@@ -132,17 +136,24 @@
         connection.idle_since_s = self._timers.now()
         self._idle_by_address.setdefault(connection.address, []).append(connection)
 
-    async def _acquire(
-        self, address: Address, new_connection: bool, query: PeerQuery | None
-    ) -> Connection:
-        """Return a connection, to the expected peer if there is a query."""
+    async def _acquire(self, address: Address, new_connection: bool) -> Connection:
         connection = None if new_connection else self._take_idle(address)
-        if connection is None:
-            connection = await self._connect(address)
-        if query is None or await is_usable_after(query, connection):
-            return connection
-        connection.abort()
-        return await self._connect_before(query, address)
+        return connection or await self._connect(address)
+
+    async def _acquire_to(
+        self, query: PeerQuery, address: Address, new_connection: bool
+    ) -> Connection:
+        """Return a connection to the expected peer, in the time of the query."""
+        try:
+            async with asyncio.timeout(query.timeout_s):
+                connection = await self._acquire(address, new_connection)
+                if await is_usable_after(query, connection):
+                    return connection
+                connection.abort()
+                return await self._connect_before(query, address)
+        except TimeoutError:
+            detail = f"{address}: not told in {query.timeout_s:.3f} s"
+            raise PeerUnknownError(detail) from None
 
     async def _connect_before(self, query: PeerQuery, address: Address) -> Connection:
         """Return a connection that was opened before a query on another one.
--- a/libs/http/src/damaskjunction/http/peer_query.py
+++ b/libs/http/src/damaskjunction/http/peer_query.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Callable, Hashable
 from typing import NamedTuple
 
@@ -18,8 +17,9 @@
 class PeerQuery(NamedTuple):
     """A GET request that tells which process is the peer of a connection.
 
-    It is sent once on each connection, ahead of its first other request. ``decode``
-    returns the peer, None if the answer does not tell it.
+    It is sent once on each connection, ahead of its first other request. ``timeout_s``
+    bounds all that comes before that request. ``decode`` returns the peer, None if the
+    answer does not tell it.
     """
 
     target: str
@@ -41,11 +41,10 @@
     is_usable = True
     try:
         if connection.peer is None:
-            async with asyncio.timeout(query.timeout_s):
-                connection.peer = await _ask_peer(query, connection)
+            connection.peer = await _ask_peer(query, connection)
             is_usable = connection.prepare_for_reuse() and connection.is_reusable()
         _check_peer(query, connection)
-    except (BrokenResponseError, TimeoutError) as error:
+    except BrokenResponseError as error:
         connection.abort()
         raise PeerUnknownError(f"{connection.address}: {error!r}") from None
     except BaseException:
