Let a home learn that a limit has ended from any host that uses the runner

Cause: a host recorded that a runner names no limit (any more) only if it had itself seen a limit of it. The home keeps a limit until it hears otherwise. When the hosts that had seen it were gone, or had forgotten it after a minute, nobody told the home, and it gave the runner its last limit's starts, down to one each 4 s, for as long as it was the home: for items and online requests. Class: knowledge that a wait depends on, bound to hosts that have gone. Change: a granted slot says whether the home knows a limit of the runner; the holder then records the next answer also if it names none, and tells the home with its next ask. Test: rate limits, 'A limit that no living host but the home was told ends with the next answer'; fails without the record (one line taken out).

--- a/libs/gateway/src/damaskjunction/gateway/slot_client.py
+++ b/libs/gateway/src/damaskjunction/gateway/slot_client.py
@@ -226,16 +226,19 @@
             if not reservation.granted.done():
                 async with self._waits.wait(ask, host.host_id):
                     await asyncio.wait((reservation.granted,))
-            slot.runner_id = await reservation.granted
-            slot.watched = reservation.watched
+            runner_id = await reservation.granted
+            is_limited = reservation.pool.is_limited(runner_id)
+            granted = SlotGranted(runner_id, reservation.watched, is_limited)
         else:
             call = await self._open_call(host, ask)
             if call is None:
                 return False
             slot.call, granted = call
-            slot.runner_id, slot.watched = granted
             slot.reader = asyncio.ensure_future(self._watch_call(host, slot, slot.call))
         slot.home_id = host.host_id
+        slot.runner_id, slot.watched, is_limited = granted
+        if is_limited:
+            self._observed_limits.await_answer(slot.runner_id)
         return True
 
     async def _open_call(
--- a/libs/gateway/src/damaskjunction/gateway/slot_home.py
+++ b/libs/gateway/src/damaskjunction/gateway/slot_home.py
@@ -363,7 +363,8 @@
             if not reservation.granted.done():
                 await reply(SlotQueued())
             runner_id = await reservation.granted
-            await reply(SlotGranted(runner_id, reservation.watched))
+            is_limited = reservation.pool.is_limited(runner_id)
+            await reply(SlotGranted(runner_id, reservation.watched, is_limited))
             await reservation.revoked.wait()
             await reply(SlotRevoked())
             await asyncio.Event().wait()  # the holder ends the call
--- a/libs/routing/features/rate_limits.feature
+++ b/libs/routing/features/rate_limits.feature
@@ -36,6 +36,13 @@
     And online requests "r1,r2,r3,r4,r5" ask for slots
     Then "r1,r2,r3,r4,r5" are granted
 
+  Scenario: A limit that no living host but the home was told ends with the next answer
+    Given a pool with runners "a:8"
+    When runner "a" named a limit of 1 a second 100 s ago
+    And the host that told it is gone, and another one is granted slots
+    And an answer of "a" to it names no limit, and it asks for "r1,r2,r3,r4,r5"
+    Then "r1,r2,r3,r4,r5" are granted
+
   Scenario: A runner that takes next to nothing is tried now and then
     Given a pool with runners "a:8"
     When runner "a" named a limit of 0 a second 0 s ago
--- a/libs/routing/features/steps/limit_steps.py
+++ b/libs/routing/features/steps/limit_steps.py
@@ -243,3 +243,20 @@
         simulation = LimitSimulation(seed, n_hosts)
         simulation.run()
         simulation.check()
+
+
+@when("the host that told it is gone, and another one is granted slots")
+def change_host(context):
+    context.observed = LimitObservations()
+
+
+@when('an answer of "{runner}" to it names no limit, and it asks for "{ids}"')
+def answer_without_limit(context, runner, ids):
+    if context.pool.is_limited(runner):
+        context.observed.await_answer(runner)
+    context.observed.record(runner, NO_LIMIT_PER_S, context.now_s)
+    limits = context.observed.of_runners([runner], context.now_s)
+    context.pool.observe_limits(limits, context.now_s)
+    for request_id in ids.split(","):
+        ticket = make_online_ticket(request_id, context.now_s)
+        context.slot_effects += context.pool.submit(ticket, context.now_s)
--- a/libs/routing/src/damaskjunction/routing/rate_limits.py
+++ b/libs/routing/src/damaskjunction/routing/rate_limits.py
@@ -42,6 +42,7 @@
 
     def __init__(self) -> None:
         self._observations_by_runner: dict[RunnerId, _Observation] = {}
+        self._awaited_ids: set[RunnerId] = set()
 
     @property
     def is_empty(self) -> bool:
@@ -51,14 +52,24 @@
     def record(self, runner_id: RunnerId, limit_per_s: float, now_s: float) -> bool:
         """Record what an answer named; return whether that is a change.
 
-        A runner without a limit is recorded only if it had one.
+        A runner without a limit is recorded only if it had one, or if its answer was
+        awaited.
         """
         known = self._observations_by_runner.pop(runner_id, None)
-        if known is None and limit_per_s == NO_LIMIT_PER_S:
+        is_awaited = runner_id in self._awaited_ids
+        self._awaited_ids.discard(runner_id)
+        if known is None and limit_per_s == NO_LIMIT_PER_S and not is_awaited:
             return False
         self._observations_by_runner[runner_id] = _Observation(limit_per_s, now_s)
         return known is None or known.limit_per_s != limit_per_s
 
+    def await_answer(self, runner_id: RunnerId) -> None:
+        """Await the next answer of a runner that is limited by what others have told.
+
+        They may be gone, and nobody else may know that its limit has ended.
+        """
+        self._awaited_ids.add(runner_id)
+
     def is_limited(self, runner_id: RunnerId) -> bool:
         """Return whether a runner named a limit in its last answer."""
         known = self._observations_by_runner.get(runner_id)
--- a/libs/routing/src/damaskjunction/routing/slots.py
+++ b/libs/routing/src/damaskjunction/routing/slots.py
@@ -158,6 +158,10 @@
         known = (limit for limit in limits if limit.runner_id in self._slots_by_runner)
         self._rate_limiter.observe(known, now_s)
 
+    def is_limited(self, runner_id: RunnerId) -> bool:
+        """Return whether a runner is known to have a rate limit."""
+        return self._rate_limiter.is_limited(runner_id)
+
     def adopt(self, ticket: SlotTicket, runner_id: RunnerId, now_s: float) -> None:
         """Record a slot that the previous home granted before the takeover."""
         self._record_held(ticket, runner_id, now_s)
--- a/libs/wire/src/damaskjunction/wire/peer.thrift
+++ b/libs/wire/src/damaskjunction/wire/peer.thrift
@@ -226,6 +226,7 @@
 struct SlotGranted {
   1: string runner_id
   2: list<string> watched
+  3: bool is_limited
 }
 
 // The request is queued for a slot.
--- a/libs/wire/src/damaskjunction/wire/slots.py
+++ b/libs/wire/src/damaskjunction/wire/slots.py
@@ -59,11 +59,12 @@
     """The slot is granted: the request may be sent to the runner.
 
     ``watched`` are the request's traits whose answer is to be reported, since a crash
-    accuses them.
+    accuses them. ``is_limited`` says that the home knows a rate limit of the runner.
     """
 
     runner_id: RunnerId
     watched: tuple[str, ...] = ()
+    is_limited: bool = False
 
 
 @register_message
