Test the places of items with the real state of a host

The stand-in state lacked what an attempt reads since the decision on runners is in one module, so the scenario of an attempt that is cancelled while it ends failed before it began. Item places passes with it, and fails without the fix that it is for.

--- a/libs/gateway/features/steps/item_place_steps.py
+++ b/libs/gateway/features/steps/item_place_steps.py
@@ -7,6 +7,7 @@
 from types import SimpleNamespace
 
 from behave import given, then, when
+from fake_homes import make_host
 from fleet_helpers import run
 from job_worker_steps import make_items, make_record
 
@@ -15,8 +16,9 @@
 from damaskjunction.gateway.item_runner import AttemptOutcome, ItemRunner
 from damaskjunction.gateway.job_repository import StoredJob
 from damaskjunction.gateway.owed_items import OwedItem
-from damaskjunction.node import cancel_tasks
-from damaskjunction.routing import Route, RouteKind, WeightedService
+from damaskjunction.gateway.state import ServingState
+from damaskjunction.node import HostView, cancel_tasks
+from damaskjunction.routing import LeavingRunners, Route, RouteKind, WeightedService
 from damaskjunction.telemetry import Metrics
 
 ROUTE = Route("night", "h", "/", RouteKind.BATCH, (WeightedService("llm", 1),), 5, 1)
@@ -75,10 +77,9 @@
 
 def make_runner(context, runner_type, slot_client=None):
     context.timers = LoopTimers()
-    table = SimpleNamespace(find_by_name=lambda name: ROUTE)
-    state = SimpleNamespace(
-        table=table, runners_of=lambda service: [], latest_wall_s=lambda: 0.0
-    )
+    view = HostView(make_host(1, "own"))
+    state = ServingState(view, context.timers, {}, LeavingRunners())
+    state.table = SimpleNamespace(find_by_name=lambda name: ROUTE, services_by_name={})
     dispatch = SimpleNamespace(
         state=state,
         slot_client=slot_client,
