--- a/libs/gateway/features/steps/item_version_machine.py
+++ b/libs/gateway/features/steps/item_version_machine.py
@@ -10,12 +10,10 @@
 
 from typing import NamedTuple
 
-from hypothesis import HealthCheck, Phase, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
     rule,
-    run_state_machine_as_test,
 )
 
 from damaskjunction.batch import BatchItem
@@ -62,44 +60,6 @@
 items = st.sampled_from(ITEMS)
 
 
-class UnclearedProgress(ItemProgress):
-    """Injected fault: an item that begins afresh keeps its texts."""
-
-    def begin_afresh(self, reason):
-        texts = list(self.texts)
-        super().begin_afresh(reason)
-        self.texts += texts
-
-
-class AnyVersionProgress(ItemProgress):
-    """Injected fault: an item goes on at any version."""
-
-    def __init__(self, *arguments):
-        super().__init__(*arguments)
-        self.version.check = lambda runner: None
-
-    def version_to_keep(self, service, runners):
-        super().version_to_keep(service, runners)
-        return ""
-
-
-class PatientProgress(ItemProgress):
-    """Injected fault: an item waits for its version without end."""
-
-    @property
-    def _version_wait_left_s(self):
-        return FAR_S
-
-
-class KeptOriginProgress(ItemProgress):
-    """Injected fault: an item that begins afresh keeps the version it had."""
-
-    def begin_afresh(self, reason):
-        writers = list(self.version._writers)
-        super().begin_afresh(reason)
-        self.version._writers += writers
-
-
 class ModelProcess(NamedTuple):
     version: str
     born_ms: int
@@ -369,51 +329,3 @@
                 self.write(name, 1)
         unfinished = [name for name, item in self.items.items() if item.text is None]
         assert not unfinished, f"{unfinished} did not end"
-
-
-class UnclearedMachine(ItemVersionMachine):
-    progress_type = UnclearedProgress
-
-
-class AnyVersionMachine(ItemVersionMachine):
-    progress_type = AnyVersionProgress
-
-
-class PatientMachine(ItemVersionMachine):
-    progress_type = PatientProgress
-
-
-class KeptOriginMachine(ItemVersionMachine):
-    progress_type = KeptOriginProgress
-
-
-class UncheckedMachine(ItemVersionMachine):
-    """Injected fault: entries that come late are not looked at when a text is whole."""
-
-    is_checked_when_whole = False
-
-
-MACHINE_TYPES = {
-    "none": ItemVersionMachine,
-    "an item that begins afresh keeps its texts": UnclearedMachine,
-    "an item that begins afresh keeps its version": KeptOriginMachine,
-    "an item goes on at any version": AnyVersionMachine,
-    "an item waits for its version without end": PatientMachine,
-    "late entries are ignored": UncheckedMachine,
-}
-
-
-def run_machine(fault, n_examples):
-    run_state_machine_as_test(
-        MACHINE_TYPES[fault],
-        settings=settings(
-            max_examples=n_examples,
-            stateful_step_count=N_STEPS,
-            derandomize=True,
-            database=None,
-            deadline=None,
-            print_blob=False,
-            phases=(Phase.generate,),
-            suppress_health_check=list(HealthCheck),
-        ),
-    )
--- a/libs/gateway/features/steps/item_version_steps.py
+++ b/libs/gateway/features/steps/item_version_steps.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-import item_version_machine
+import item_version_faults
 from behave import given, then, when
 from fleet_helpers import run
 from stream_version_steps import SETTLE_S, break_stream, running
@@ -150,7 +150,7 @@
 @then('{count:d} runs of items beside restarts with "{fault}" find a fault')
 def check_machine_finds(context, count, fault):
     try:
-        item_version_machine.run_machine(fault, count)
+        item_version_faults.run_machine(fault, count)
     except AssertionError:
         return
     raise AssertionError(f"injected fault was not found: {fault}")
@@ -158,4 +158,4 @@
 
 @then('{count:d} runs of items beside restarts with "{fault}" find no fault')
 def check_machine_clean(context, count, fault):
-    item_version_machine.run_machine(fault, count)
+    item_version_faults.run_machine(fault, count)
--- a/libs/gateway/features/steps/owed_fleet_steps.py
+++ b/libs/gateway/features/steps/owed_fleet_steps.py
@@ -8,9 +8,9 @@
 from unittest import mock
 
 from behave import given, then
-from hypothesis import HealthCheck, Phase, settings
 from hypothesis import given as draw
 from hypothesis import strategies as st
+from random_runs import repeatable
 from simulated_fleet import SimulatedFleet
 from simulated_host import DRAIN_S, ITEMS_PER_JOB
 from simulated_runners import RUN_S, SLOTS
@@ -264,14 +264,7 @@
     """
     found = []
 
-    @settings(
-        max_examples=count,
-        deadline=None,
-        derandomize=True,
-        database=None,
-        phases=[Phase.generate],
-        suppress_health_check=list(HealthCheck),
-    )
+    @repeatable(count)
     @draw(runs_of_operations(), outlooks)
     def run_once(drawn, outlook):
         if found:
--- a/libs/gateway/features/steps/slot_move_steps.py
+++ b/libs/gateway/features/steps/slot_move_steps.py
@@ -8,9 +8,9 @@
 from behave import given, then, when
 from fake_homes import SlotRig
 from fleet_helpers import run
-from hypothesis import HealthCheck, Phase, settings
 from hypothesis import given as draw
 from hypothesis import strategies as st
+from random_runs import repeatable
 from simulated_time import SimulatedLoop
 
 NAMES = ("a", "b", "c")
@@ -159,14 +159,7 @@
     kinds = ("home", "ask", "late", "queue", "work", "lose", "close", "settle")
     operation = st.tuples(st.sampled_from(kinds), st.sampled_from(NAMES))
 
-    @settings(
-        max_examples=count,
-        deadline=None,
-        derandomize=True,
-        database=None,
-        phases=[Phase.generate],
-        suppress_health_check=list(HealthCheck),
-    )
+    @repeatable(count)
     @draw(st.lists(operation, min_size=4, max_size=24))
     def check(operations):
         async def work():
