Use a runner again that tells no start once its entry is gone and back

What a runner said, that it leaves, holds for the process that its entry tells by its start. For an entry without a start it held for all later processes of the id as well, until 10 minutes after and another runner's word.

Change: when the entry of a runner without a start is gone, what it said is forgotten. Runners that tell their start are still told apart by it, also when their entries expire and come back while the store is away.

libs/routing/features/leaving_runners.feature: "A runner that tells no start is used again when its entry is gone and back" failed before and passes now; its counterpart with a start passed before and after. All 12 scenarios there and the 25 of libs/gateway/features/leaving.feature pass.

--- a/libs/gateway/src/damaskjunction/gateway/state.py
+++ b/libs/gateway/src/damaskjunction/gateway/state.py
@@ -258,7 +258,9 @@
 
     def _remove_runner(self, runner_id: RunnerId) -> None:
         self._record_former(runner_id, None)
-        if self._runners_by_id.pop(runner_id, None) is not None:
+        runner = self._runners_by_id.pop(runner_id, None)
+        if runner is not None:
+            self.leaving.forget_entry(runner)
             logger.info("runner gone", extra={"runner": runner_id})
 
     def _publish_runners(self) -> None:
--- a/libs/routing/features/leaving_runners.feature
+++ b/libs/routing/features/leaving_runners.feature
@@ -27,6 +27,19 @@
     When runner "a" says at 300 s that it leaves
     Then at 300 s "b" may be used
 
+  Scenario: A runner that tells no start is used again when its entry is gone and back
+    Given runners "a,b" that started at 0 s
+    When runner "a" says at 200 s that it leaves
+    Then at 201 s "b" may be used
+    When the entry of runner "a" is gone
+    Then at 210 s "a,b" may be used
+
+  Scenario: A runner that tells its start is not used for an entry that is gone and back
+    Given runners "a,b" that started at 100 s
+    When runner "a" says at 200 s that it leaves
+    And the entry of runner "a" is gone
+    Then at 210 s "b" may be used
+
   Scenario: What a process said before its entry came holds for it
     Given runners "a,b" that started at 100 s
     When runner "a" says at 220 s that it leaves
--- a/libs/routing/features/steps/leaving_steps.py
+++ b/libs/routing/features/steps/leaving_steps.py
@@ -42,6 +42,11 @@
     context.leaving.record_answer(runner, round(at_s * 1000), at_s)
 
 
+@when('the entry of runner "{name}" is gone')
+def remove_entry(context, name):
+    context.leaving.forget_entry(context.runners[name])
+
+
 @when('the entry tells that runner "{name}" started at {born_s:g} s')
 def set_entry(context, name, born_s):
     context.runners[name] = make_runner(name, born_s)
--- a/libs/routing/src/damaskjunction/routing/leaving_runners.py
+++ b/libs/routing/src/damaskjunction/routing/leaving_runners.py
@@ -105,6 +105,14 @@
             < self._drain_s
         ]
 
+    def forget_entry(self, entry: Runner) -> None:
+        """Forget a runner whose entry, which is gone, told no start.
+
+        A later process of it could not be told apart from the one that leaves.
+        """
+        if not entry.born_ms:
+            self._notices_by_id.pop(entry.runner_id, None)
+
     def notices(
         self, runners: Iterable[Runner], now_s: float
     ) -> tuple[LeavingNotice, ...]:
