Rank the hosts as homes of slots once for each view

Four parts of a host ranked all hosts of the fleet by hashes for themselves: the keeper of slots and the registry of versions to see whether the home is here, the one that asks for slots, and the keeper of streams' origins for each batch of them it tells. A HomeRanking, shared by all, keeps the ranks of a service until the view replaces its hosts, their power or the draining of this host; the choice of a home has no cache of its own any more.

The fake view of the steps has the attributes of the real one that the ranking goes by.

--- a/libs/gateway/features/fake_homes.py
+++ b/libs/gateway/features/fake_homes.py
@@ -13,7 +13,9 @@
     RequestError,
     WorkClass,
 )
+from damaskjunction.gateway.home_ranking import HomeRanking
 from damaskjunction.gateway.slot_client import SlotClient
+from damaskjunction.membership import FleetView
 from damaskjunction.routing import LimitObservations
 from damaskjunction.wire import SlotAsk, SlotGranted, SlotQueued
 
@@ -91,18 +93,19 @@
     def __init__(self, homes):
         self.own = make_host(99, "own")
         self.power_by_host = {}
+        self.is_draining = False
+        self.fleet = FleetView({})
         self._homes = homes
-        self._serving = []
         self._observers = []
 
     def subscribe(self, observer):
         self._observers.append(observer)
 
     def serving_hosts(self):
-        return self._serving
+        return list(self.fleet.hosts_by_id.values())
 
     def set_home(self, name):
-        self._serving = [self._homes.hosts_by_id[name]]
+        self.fleet = FleetView({name: self._homes.hosts_by_id[name]})
         for observer in self._observers:
             observer()
 
@@ -110,6 +113,7 @@
 class FakeState:
     def __init__(self, view):
         self.view = view
+        self.homes = HomeRanking(view)
 
     def runners_of(self, service):
         return []
--- a/libs/gateway/src/damaskjunction/gateway/home_choice.py
+++ b/libs/gateway/src/damaskjunction/gateway/home_choice.py
@@ -6,8 +6,7 @@
 from collections.abc import Iterator
 
 from damaskjunction.core import EntryHost, HostId, ServiceName, Timers
-from damaskjunction.node import HostView
-from damaskjunction.routing import slot_homes
+from damaskjunction.gateway.home_ranking import HomeRanking
 
 logger = logging.getLogger(__name__)
 
@@ -19,16 +18,15 @@
 
     Parameters
     ----------
-    view : HostView
-        The known hosts.
+    homes : HomeRanking
+        The hosts that may be the home of a service.
     timers : Timers
         The process's timer service.
     """
 
-    def __init__(self, view: HostView, timers: Timers) -> None:
-        self._view = view
+    def __init__(self, homes: HomeRanking, timers: Timers) -> None:
+        self._homes = homes
         self._timers = timers
-        self._ranked_by_service: dict[ServiceName, list[EntryHost]] = {}
         self._suspect_until_by_host: dict[HostId, float] = {}
 
     @property
@@ -48,14 +46,10 @@
         now_s = self._timers.now()
         return (
             host
-            for host in self._ranked(service)
+            for host in self._homes.homes_of(service)
             if self._suspect_until_by_host.get(host.host_id, 0.0) <= now_s
         )
 
-    def apply_view(self) -> None:
-        """Go by the hosts that are known now."""
-        self._ranked_by_service.clear()
-
     def mark_suspect(self, host: EntryHost, error: str) -> None:
         """Leave a host out for ``HOME_SUSPECT_TIME_S``."""
         now_s = self._timers.now()
@@ -63,11 +57,3 @@
             extra = {"host": host.host_id, "error": error}
             logger.warning("home doubted", extra=extra)
         self._suspect_until_by_host[host.host_id] = now_s + HOME_SUSPECT_TIME_S
-
-    def _ranked(self, service: ServiceName) -> list[EntryHost]:
-        ranked = self._ranked_by_service.get(service)
-        if ranked is None:
-            view = self._view
-            ranked = slot_homes(service, view.serving_hosts(), view.power_by_host)
-            self._ranked_by_service[service] = ranked
-        return ranked
--- a/libs/gateway/src/damaskjunction/gateway/slot_client.py
+++ b/libs/gateway/src/damaskjunction/gateway/slot_client.py
@@ -142,10 +142,10 @@
         self._rng = rng
         self._slots: set[Slot] = set()
         self._waits = QueueWaits(rng)
-        self._home_choice = HomeChoice(state.view, timers)
+        self._home_choice = HomeChoice(state.homes, timers)
         self._unhealthy: set[RunnerId] = set()
         self._tasks = TaskSet()
-        state.view.subscribe(self._apply_view)
+        state.view.subscribe(self._follow_homes)
 
     async def acquire(
         self, ask: SlotAsk, on_ask: Callable[[HostId], None] = lambda home: None
@@ -279,10 +279,6 @@
         if not slot.is_closed:
             self._rehome_slots()
 
-    def _apply_view(self) -> None:
-        self._home_choice.apply_view()
-        self._follow_homes()
-
     def _follow_homes(self) -> None:
         """Move slots and asks to the homes of this time."""
         self._waits.end_misplaced(self.home_of)
--- a/libs/gateway/src/damaskjunction/gateway/slot_home.py
+++ b/libs/gateway/src/damaskjunction/gateway/slot_home.py
@@ -30,7 +30,6 @@
     SlotEffect,
     SlotPool,
     SlotTicket,
-    slot_homes,
 )
 from damaskjunction.wire import (
     Noted,
@@ -262,9 +261,7 @@
             self._update_home(service, pool)
 
     def _update_home(self, service: ServiceName, pool: SlotPool) -> None:
-        view = self._state.view
-        homes = slot_homes(service, view.serving_hosts(), view.power_by_host)
-        is_home = bool(homes) and homes[0].host_id == view.own.host_id
+        is_home = self._state.homes.is_own(service)
         if is_home and service not in self._home_services:
             logger.info("home of slots here", extra={"service": service})
             self._home_services.add(service)
--- a/libs/gateway/src/damaskjunction/gateway/state.py
+++ b/libs/gateway/src/damaskjunction/gateway/state.py
@@ -17,6 +17,7 @@
     Timers,
 )
 from damaskjunction.core.units import MILLISECOND_S
+from damaskjunction.gateway.home_ranking import HomeRanking
 from damaskjunction.membership import FleetView
 from damaskjunction.node import HostView
 from damaskjunction.platform import (
@@ -52,6 +53,8 @@
         Region of each data centre.
     leaving : LeavingRunners
         The runners that have said that they leave.
+
+    ``homes`` ranks the known hosts as homes of slots.
     """
 
     def __init__(
@@ -62,6 +65,7 @@
         leaving: LeavingRunners,
     ) -> None:
         self.view = view
+        self.homes = HomeRanking(view)
         self.leaving = leaving
         self.table = RouteTable()
         self._timers = timers
--- a/libs/gateway/src/damaskjunction/gateway/stream_origins.py
+++ b/libs/gateway/src/damaskjunction/gateway/stream_origins.py
@@ -22,7 +22,7 @@
 from damaskjunction.gateway.state import ServingState
 from damaskjunction.gateway.version_registry import VersionRegistry
 from damaskjunction.node import PeerHandlers, TaskSet, cancel_tasks
-from damaskjunction.routing import OriginMemory, StreamOrigin, slot_homes
+from damaskjunction.routing import OriginMemory, StreamOrigin
 from damaskjunction.wire import (
     Noted,
     OriginAsk,
@@ -145,9 +145,9 @@
         }
 
     def _ranked_peers(self, service: ServiceName) -> list[EntryHost]:
-        view = self._state.view
-        ranked = slot_homes(service, view.serving_hosts(), view.power_by_host)
-        return [host for host in ranked if host.host_id != view.own.host_id]
+        own_id = self._state.view.own.host_id
+        homes = self._state.homes.homes_of(service)
+        return [host for host in homes if host.host_id != own_id]
 
     def _tell_new_keepers(self) -> None:
         """Tell hosts that become keepers of all streams that this host has served."""
--- a/libs/gateway/src/damaskjunction/gateway/version_registry.py
+++ b/libs/gateway/src/damaskjunction/gateway/version_registry.py
@@ -27,7 +27,6 @@
     VersionLedger,
     VersionRecord,
     listed_versions,
-    slot_homes,
     stream_lives,
 )
 from damaskjunction.telemetry import Metrics
@@ -232,17 +231,12 @@
             self._review_due.clear()
             now_s = self._timers.now()
             for service, stream_life_s in self._stream_lives_by_service.items():
-                if not self._is_home_of(service):
+                if not self._state.homes.is_own(service):
                     continue
                 record = self._ledger(service).review(now_s, stream_life_s)
                 if record is not None:
                     await self._write(service, record)
 
-    def _is_home_of(self, service: ServiceName) -> bool:
-        view = self._state.view
-        homes = slot_homes(service, view.serving_hosts(), view.power_by_host)
-        return bool(homes) and homes[0].host_id == view.own.host_id
-
     async def _write(self, service: ServiceName, record: VersionRecord) -> None:
         """Write a record, unless another host has written one since."""
         ledger = self._ledger(service)
