--- a/libs/http/src/damaskjunction/http/connection.py
+++ b/libs/http/src/damaskjunction/http/connection.py
@@ -12,6 +12,7 @@
 from damaskjunction.core import Address
 from damaskjunction.http.messages import BrokenResponseError, StalledResponseError
 from damaskjunction.http.pacing import ReadPacer
+from damaskjunction.http.protocol import decode_headers, prepare_for_reuse
 from damaskjunction.http.sockets import has_waiting_bytes
 from damaskjunction.http.stalls import StallTimer
 
@@ -98,12 +99,7 @@
 
     def prepare_for_reuse(self) -> bool:
         """Prepare for the next request; return whether the connection is reusable."""
-        if self._protocol.our_state is not h11.DONE:
-            return False
-        if self._protocol.their_state is not h11.DONE:
-            return False
-        self._protocol.start_next_cycle()
-        return True
+        return prepare_for_reuse(self._protocol)
 
     def is_reusable(self) -> bool:
         """Return whether the connection is open and no unread bytes wait on it."""
@@ -129,10 +125,7 @@
         for _ in range(1 + MAX_INTERIM_HEADS):
             event = await self._next_event()
             if isinstance(event, h11.Response):
-                headers = {
-                    name.decode("ascii"): value.decode("latin-1")
-                    for name, value in event.headers
-                }
+                headers = decode_headers(event.headers)
                 self._apply_keep_alive_timeout(headers.get("keep-alive", ""))
                 return ResponseHead(event.status_code, headers)
         raise BrokenResponseError(f"{self.address}: too many interim heads")
--- a/libs/http/src/damaskjunction/http/server.py
+++ b/libs/http/src/damaskjunction/http/server.py
@@ -22,6 +22,7 @@
     error_response,
     request_error_response,
 )
+from damaskjunction.http.protocol import decode_headers, prepare_for_reuse
 
 RequestHandler: TypeAlias = Callable[[Request], Awaitable[Response]]
 
@@ -174,7 +175,7 @@
             await self._send(head, response)
         finally:
             await _close_body(response)
-        return self._prepare_for_reuse()
+        return prepare_for_reuse(self._protocol)
 
     async def _read_head(self) -> h11.Request | None:
         timeout_s = self._limits.keep_alive_timeout_s
@@ -247,10 +248,7 @@
             parts = urlsplit(target)
         except ValueError as error:
             raise HttpError(400, "bad_request", f"malformed target: {error}") from None
-        headers = {
-            name.decode("ascii"): value.decode("latin-1")
-            for name, value in head.headers
-        }
+        headers = decode_headers(head.headers)
         body = BodyReader(self._body_chunks(), self._limits.body_bytes)
         query = dict(parse_qsl(parts.query, keep_blank_values=True))
         method = head.method.decode("ascii")
@@ -350,14 +348,6 @@
         async with asyncio.timeout(self._limits.write_stall_timeout_s):
             await self._writer.drain()
 
-    def _prepare_for_reuse(self) -> bool:
-        if self._protocol.our_state is not h11.DONE:
-            return False
-        if self._protocol.their_state is not h11.DONE:
-            return False
-        self._protocol.start_next_cycle()
-        return True
-
 
 async def _cancel_handler(handler: asyncio.Future[Response]) -> None:
     """Cancel a handler; close the response of one that has already finished."""
