--- a/libs/lab/features/soak.feature
+++ b/libs/lab/features/soak.feature
@@ -136,6 +136,8 @@
     # under their ids, before their entries said so.
     # 3018: the soak's engine that takes streams up wrongly wrote an end without events,
     # which a host can't tell from that of a stream whose end alone was lost.
+    # 3039: the soak took a killed host for one that ended by itself: a further signal
+    # had reaped it, so that its exit code was lost.
     @matrix
     Examples: seeds of past failures, with the faults of that time
       | seed | kinds   | seconds |
@@ -146,3 +148,4 @@
       | 2002 | all     | 16      |
       | 2004 | all     | 16      |
       | 3018 | all     | 20      |
+      | 3039 | all     | 20      |
--- a/libs/lab/src/damaskjunction/lab/soak/rig.py
+++ b/libs/lab/src/damaskjunction/lab/soak/rig.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import os
 import signal
 import sys
@@ -218,10 +219,15 @@
     def _send_signals(
         self, process: asyncio.subprocess.Process, *signals: signal.Signals
     ) -> None:
-        """Send signals to a process unless it has ended."""
+        """Send signals to a process unless it has ended.
+
+        ``Process.send_signal`` would reap one that just ended, and lose its exit code.
+        """
         for number in signals:
-            if process.returncode is None:
-                process.send_signal(number)
+            if process.returncode is not None:
+                return
+            with contextlib.suppress(ProcessLookupError):  # it has just been reaped
+                os.kill(process.pid, number)
                 self._signals_by_pid[process.pid].add(number)
 
     def _record_disturbance(self, name: str) -> None:
