Show that an item waits though the only runner that it may use has room

Cause: found in the trace of a scenario that failed once, under load; an attempt that fails excludes its runner from the next ask, also if that leaves the item no runner. Measured: the test fails at: the second ask avoids 'r1', the only runner.

--- a/libs/gateway/features/item_places.feature
+++ b/libs/gateway/features/item_places.feature
@@ -11,3 +11,8 @@
     When the slot of the item is revoked
     And the run of the item is cancelled while its attempt ends
     Then the slot of the item has been given back
+
+  Scenario: An item that the only runner of its service failed asks for that one again
+    Given an item whose only runner fails its first attempt
+    Then it has a result within 1 s
+    And no ask for a slot avoids the only runner
--- a/libs/gateway/features/steps/item_place_steps.py
+++ b/libs/gateway/features/steps/item_place_steps.py
@@ -12,16 +12,24 @@
 from job_worker_steps import make_items, make_record
 
 from damaskjunction.batch import JobStatus
-from damaskjunction.core import LoopTimers
+from damaskjunction.core import (
+    Address,
+    LoopTimers,
+    Outcome,
+    Runner,
+    ServiceKind,
+)
 from damaskjunction.gateway.item_runner import AttemptOutcome, ItemRunner
 from damaskjunction.gateway.job_repository import StoredJob
 from damaskjunction.gateway.owed_items import OwedItem
+from damaskjunction.gateway.runner_client import RunnerFailedError
 from damaskjunction.gateway.state import ServingState
 from damaskjunction.node import HostView, cancel_tasks
 from damaskjunction.routing import LeavingRunners, Route, RouteKind, WeightedService
 from damaskjunction.telemetry import Metrics
 
 ROUTE = Route("night", "h", "/", RouteKind.BATCH, (WeightedService("llm", 1),), 5, 1)
+ONLY_RUNNER = Runner("r1", "", "", Address("127.0.0.1", 1), ServiceKind.ENGINE, "llm")
 BACK_OFF_S = 0.01
 LETTING_GO_S = 0.1
 
@@ -47,15 +55,29 @@
             await asyncio.sleep(LETTING_GO_S)
 
 
+class FirstFailingRunner(ItemRunner):
+    """Fails the first attempt at an item without running it."""
+
+    n_attempts = 0
+
+    async def _send_and_collect(self, job, route, progress, slot):
+        self.n_attempts += 1
+        if self.n_attempts == 1:
+            raise RunnerFailedError(Outcome.NOT_RUN, "process_unknown")
+        return AttemptOutcome(True, True, "whole")
+
+
 class SingleSlot:
     """A client of slots with one slot, and that slot."""
 
     def __init__(self):
         self.runner_id = "r1"
+        self.asks = []
         self.revoked = asyncio.Event()
         self.is_closed = False
 
     async def acquire(self, ask, on_ask):
+        self.asks.append(ask)
         return self
 
     async def close(self):
@@ -88,6 +110,7 @@
         metrics=Metrics(),
         rng=random.Random(1),
     )
+    context.state = state
     context.runner = runner_type(dispatch, back_off)
     context.runs = []
 
@@ -152,3 +175,19 @@
 @then("the slot of the item has been given back")
 def check_slot_closed(context):
     assert context.slot.is_closed
+
+
+@given("an item whose only runner fails its first attempt")
+def start_failing_once(context):
+    async def work():
+        context.slot = SingleSlot()
+        make_runner(context, FirstFailingRunner, context.slot)
+        context.state.view.apply_runners([ONLY_RUNNER])
+        context.added = start_item(context, "i1")
+
+    run(context, work())
+
+
+@then("no ask for a slot avoids the only runner")
+def check_not_avoided(context):
+    assert [ask.avoid for ask in context.slot.asks] == [(), ()], context.slot.asks
