Read the store where a former owner of a job may still write its results

Cause: the host that takes a job over reads its results once and then counts its cache as whole. The former owner writes on until it learns that it has lost the job: a write under way when it froze or was cut off is applied after that read. Callers that had read the result were told that there is none until the new owner wrote itself. Class: a cache that counts as complete while others may write. Change: only the host that created a job and has run it since counts its cache as whole; a host that took it over reads the store before it tells that there is nothing at a position.

--- a/libs/gateway/features/job_worker.feature
+++ b/libs/gateway/features/job_worker.feature
@@ -75,6 +75,15 @@
     And the result of "i3" is written, but the answer does not come
     Then another host that asks for the results from position 2 is told to read the store
 
+  Scenario: A result that the former owner of a job writes after the takeover is read
+    Given the run of "i1" does not end
+    And the run of "i2" does not end
+    And the run of "i3" does not end
+    When the host takes over the job of "former"
+    And "former" writes the result of "i1" after that
+    Then the host returns the results of "i1" of its job
+    And another host that asks for the results from position 1 is told to read the store
+
   Scenario: The dump tells of each open job who owns it and whether it runs
     Given the run of "i3" does not end
     And the job "j2" of the lost host "gone" is known
--- a/libs/gateway/features/steps/job_worker_steps.py
+++ b/libs/gateway/features/steps/job_worker_steps.py
@@ -25,8 +25,14 @@
 from damaskjunction.gateway.job_worker import JobWorker
 from damaskjunction.gateway.owed_items import ItemState
 from damaskjunction.gateway.result_reader import ResultReader
+from damaskjunction.gateway.result_repository import ResultRepository, ResultSegment
 from damaskjunction.gateway.result_writer import ResultWriter
-from damaskjunction.platform import RESULTS_KIND, encode_result_list
+from damaskjunction.platform import (
+    JOBS_KIND,
+    RESULTS_KIND,
+    encode_record,
+    encode_result_list,
+)
 from damaskjunction.telemetry import Metrics
 from damaskjunction.wire import ResultsAsk
 
@@ -152,6 +158,27 @@
     run(context, asyncio.sleep(POLL_S))
 
 
+@when('the host takes over the job of "{former}"')
+def take_over_job(context, former):
+    rig = context.rig
+    record = make_record(JOB, context.item_ids, owner=former)
+
+    async def work():
+        content = encode_record(record, make_items(context.item_ids))
+        rig.jobs.apply_object(await rig.store.create(JOBS_KIND, JOB, content))
+        await rig.jobs.update_status(JOB, owner=OWN)
+        await rig.wait_for(lambda: rig.worker.collects_results(JOB))
+
+    run(context, work())
+
+
+@when('"{former}" writes the result of "{item_id}" after that')
+def write_as_former_owner(context, former, item_id):
+    former_results = ResultRepository(context.rig.store)
+    segment = ResultSegment((ItemResult(item_id, True, "text"),), False)
+    assert run(context, former_results.write(JOB, 0, segment)), former
+
+
 @when("the job runs for {duration_s:g} s")
 def run_job(context, duration_s):
     start_job(context)
--- a/libs/gateway/src/damaskjunction/gateway/job_worker.py
+++ b/libs/gateway/src/damaskjunction/gateway/job_worker.py
@@ -71,6 +71,7 @@
         self._rng = context.rng
         self._tasks_by_job: dict[JobId, asyncio.Task[None]] = {}
         self._ids_with_cached_results: set[JobId] = set()
+        self._ids_without_former_owner: set[JobId] = set()
         self._takeover_watch = TakeoverWatch(context.state.view.own.host_id)
         self._runner = ItemRunner(context, self.back_off)
         self.owed_items = OwedItems(context.timers, context.metrics)
@@ -110,8 +111,16 @@
         return job_id in self._ids_with_cached_results and self.is_running(job_id)
 
     def has_current_results(self, job_id: JobId) -> bool:
-        """Return whether this host runs a job and has cached all its stored results."""
-        return self.collects_results(job_id) and self._jobs.results.is_settled(job_id)
+        """Return whether this host runs a job and has cached all its stored results.
+
+        A former owner may write results until it learns that it has lost the job.
+        """
+        is_sole_writer = job_id in self._ids_without_former_owner
+        return (
+            is_sole_writer
+            and self.collects_results(job_id)
+            and self._jobs.results.is_settled(job_id)
+        )
 
     def to_document(self) -> dict[JobId, JobDocument]:
         """Return the open jobs for the dump."""
@@ -172,6 +181,7 @@
         if self._tasks_by_job.get(job_id) is done:
             del self._tasks_by_job[job_id]
             self._ids_with_cached_results.discard(job_id)
+            self._ids_without_former_owner.discard(job_id)
             self._jobs.results.unpin(job_id)
         if not done.cancelled() and done.exception() is not None:
             logger.error("job failed", exc_info=done.exception(), extra={"job": job_id})
@@ -215,7 +225,9 @@
         job_id = job.record.job_id
         items = await self._retry(self._jobs.items, job_id)
         self._jobs.results.pin(job_id)
-        if not await self._jobs.pop_created(job_id):
+        if await self._jobs.pop_created(job_id):
+            self._ids_without_former_owner.add(job_id)
+        else:
             await self._retry(self._jobs.results.read, job_id)
         self._ids_with_cached_results.add(job_id)
         # A task that was cancelled ends its group like one that has finished.
