Let an item ask again for the only runner that it may use

Cause: an attempt that failed excluded its runner from the item's next ask, also where no other runner of the service, or of the version to keep, was there; the ask then waited for 3 to 4 s though the runner had room. Change: no runner is avoided if that leaves none.

--- a/libs/gateway/src/damaskjunction/gateway/item_progress.py
+++ b/libs/gateway/src/damaskjunction/gateway/item_progress.py
@@ -18,7 +18,7 @@
 from damaskjunction.gateway.state import ServingState
 from damaskjunction.gateway.stream_version import StreamVersion
 from damaskjunction.http import RawEvent
-from damaskjunction.routing import ItemWait
+from damaskjunction.routing import ItemWait, runners_at
 
 logger = logging.getLogger(__name__)
 
@@ -118,6 +118,19 @@
             self.begin_afresh(denial.value)
         return self.version.required
 
+    def runners_to_avoid(
+        self, runners: Sequence[Runner], version: str
+    ) -> tuple[RunnerId, ...]:
+        """Return the runners that the next ask for a slot avoids.
+
+        They have failed the item since it last had a slot. If no other one of
+        ``runners`` has the version to keep, none is avoided.
+        """
+        usable_ids = {runner.runner_id for runner in runners_at(runners, version)}
+        if self.excluded_runners.issuperset(usable_ids):
+            return ()
+        return tuple(self.excluded_runners)
+
     @property
     def _version_wait_left_s(self) -> float:
         return self._paused_at_s + VERSION_WAIT_S - self._timers.now()
--- a/libs/gateway/src/damaskjunction/gateway/item_runner.py
+++ b/libs/gateway/src/damaskjunction/gateway/item_runner.py
@@ -240,7 +240,7 @@
             service_name=service,
             work_class=WorkClass.BATCH,
             parts=request.shared_parts,
-            avoid=tuple(progress.excluded_runners),
+            avoid=progress.runners_to_avoid(runners, version),
             start_within_s=ATTEMPT_TIMEOUT_S,
             due_in_s=due_at_s - self._timers.wall(),
             software_version=version,
