Log from where a host had an empty page of results

Cause: after a LOST of a result that had been read, no log line told which host gave the empty page, and from its cache, its run, the owner or the store.

--- a/libs/gateway/src/damaskjunction/gateway/result_reader.py
+++ b/libs/gateway/src/damaskjunction/gateway/result_reader.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import logging
+from typing import NamedTuple
 
 from damaskjunction.batch import ItemResult, take_page
 from damaskjunction.core import Outcome, RequestError, Timers
@@ -26,6 +27,13 @@
 RESPONSE_MARGIN_S = 0.4
 
 
+class _Page(NamedTuple):
+    """Results from a position on, and where this host had them from."""
+
+    results: tuple[ItemResult, ...]
+    source: str
+
+
 class ResultReader:
     """Reads results; returns only results that are already stored.
 
@@ -71,25 +79,37 @@
         PlatformUnavailableError
             When neither the job's owner nor the store responded.
         """
+        page = await self._read_page(job, after, wait_s)
+        if not page.results and after < len(job.record.item_ids):
+            extra = {
+                "job": job.record.job_id,
+                "after": after,
+                "source": page.source,
+                "owner": job.owner,
+            }
+            logger.info("no results yet", extra=extra)
+        return page.results
+
+    async def _read_page(self, job: StoredJob, after: int, wait_s: float) -> _Page:
         job_id = job.record.job_id
         deadline_at_s = self._timers.now() + wait_s
         if self._collects_results(job):
             results = await self._wait_for_results(job, after, wait_s)
             if results or self._has_current_results(job):
-                return results
+                return _Page(results, "own")
             wait_s = max(0.0, deadline_at_s - self._timers.now())
         results = self._jobs.results.cached(job_id)[after:]
         if results or after >= len(job.record.item_ids):
-            return results
+            return _Page(results, "cache")
         received = await self._query_owner(job, after, wait_s)
         if received is not None:
-            return received
+            return _Page(received, "owner")
         await self._jobs.results.read(job_id)
         remaining_s = deadline_at_s - self._timers.now()
         if not self._jobs.results.cached(job_id)[after:] and remaining_s > 0:
             await asyncio.sleep(remaining_s)
             await self._jobs.results.read(job_id)
-        return self._jobs.results.cached(job_id)[after:]
+        return _Page(self._jobs.results.cached(job_id)[after:], "store")
 
     async def _wait_for_results(
         self, job: StoredJob, after: int, wait_s: float
