Split the gateway's modules into folders by what they serve

Cause: 45 modules lay side by side in one folder, so that a newcomer found no parts. No logic changed. Result: formatter, linter, types, names and import contracts pass.

--- a/libs/gateway/features/fake_homes.py
+++ b/libs/gateway/features/fake_homes.py
@@ -13,8 +13,8 @@
     RequestError,
     WorkClass,
 )
-from damaskjunction.gateway.home_ranking import HomeRanking
-from damaskjunction.gateway.slot_client import SlotClient
+from damaskjunction.gateway.slots.home_ranking import HomeRanking
+from damaskjunction.gateway.slots.slot_client import SlotClient
 from damaskjunction.membership import FleetView
 from damaskjunction.routing import LimitObservations
 from damaskjunction.wire import SlotAsk, SlotGranted, SlotQueued
--- a/libs/gateway/features/simulated_host.py
+++ b/libs/gateway/features/simulated_host.py
@@ -16,13 +16,16 @@
     PlatformUnavailableError,
     RequestError,
 )
-from damaskjunction.gateway.job_front import JobFront
-from damaskjunction.gateway.job_repository import JobRepository
-from damaskjunction.gateway.job_worker import JobWorker
-from damaskjunction.gateway.slot_client import SlotClient
-from damaskjunction.gateway.slot_home import SlotHome
+from damaskjunction.gateway.jobs.job_front import JobFront
+from damaskjunction.gateway.jobs.job_repository import JobRepository
+from damaskjunction.gateway.jobs.job_worker import JobWorker
+from damaskjunction.gateway.slots.slot_client import SlotClient
+from damaskjunction.gateway.slots.slot_home import SlotHome
 from damaskjunction.gateway.state import ServingState
-from damaskjunction.gateway.version_registry import VERSIONS_KIND, VersionRegistry
+from damaskjunction.gateway.versions.version_registry import (
+    VERSIONS_KIND,
+    VersionRegistry,
+)
 from damaskjunction.node import HostView, PeerHandlers, cancel_tasks
 from damaskjunction.platform import JOBS_KIND, RUNNERS_KIND, CallerRequest, ObjectChange
 from damaskjunction.routing import (
--- a/libs/gateway/features/simulated_runners.py
+++ b/libs/gateway/features/simulated_runners.py
@@ -7,7 +7,10 @@
 from simulated_time import SimulatedTimers
 
 from damaskjunction.core import Outcome
-from damaskjunction.gateway.runner_client import RunnerFailedError, RunnerResponse
+from damaskjunction.gateway.runners.runner_client import (
+    RunnerFailedError,
+    RunnerResponse,
+)
 from damaskjunction.http import BrokenResponseError
 from damaskjunction.platform import RunnerReport, RunnerResponseHead
 from damaskjunction.routing import NO_LIMIT_PER_S, LimitObservations
--- a/libs/gateway/features/steps/change_feed_component_steps.py
+++ b/libs/gateway/features/steps/change_feed_component_steps.py
@@ -14,10 +14,13 @@
     ManualTimers,
     RequestError,
 )
-from damaskjunction.gateway.change_feed import ChangeFeed
-from damaskjunction.gateway.change_feed_server import ChangeFeedServer, decode_changes
-from damaskjunction.gateway.kind_follower import KindFollower
-from damaskjunction.gateway.kind_state import KindState
+from damaskjunction.gateway.store.change_feed import ChangeFeed
+from damaskjunction.gateway.store.change_feed_server import (
+    ChangeFeedServer,
+    decode_changes,
+)
+from damaskjunction.gateway.store.kind_follower import KindFollower
+from damaskjunction.gateway.store.kind_state import KindState
 from damaskjunction.node import HostView, PeerHandlers
 from damaskjunction.platform import (
     ObjectChange,
--- a/libs/gateway/features/steps/home_ranking_steps.py
+++ b/libs/gateway/features/steps/home_ranking_steps.py
@@ -6,7 +6,7 @@
 from fake_homes import make_host
 
 from damaskjunction.core import Address, HostState, Runner, ServiceKind
-from damaskjunction.gateway.home_ranking import HomeRanking
+from damaskjunction.gateway.slots.home_ranking import HomeRanking
 from damaskjunction.node import HostView
 from damaskjunction.routing import slot_homes
 
--- a/libs/gateway/features/steps/host_registry_steps.py
+++ b/libs/gateway/features/steps/host_registry_steps.py
@@ -11,8 +11,8 @@
 from fake_store import FakeStore
 from fleet_helpers import run
 
-from damaskjunction.gateway import host_registry
-from damaskjunction.gateway.host_registry import HOSTS_KIND, HostRegistry
+from damaskjunction.gateway.store import host_registry
+from damaskjunction.gateway.store.host_registry import HOSTS_KIND, HostRegistry
 from damaskjunction.platform import ObjectChange
 
 OWN = "own"
--- a/libs/gateway/features/steps/item_place_steps.py
+++ b/libs/gateway/features/steps/item_place_steps.py
@@ -19,10 +19,10 @@
     Runner,
     ServiceKind,
 )
-from damaskjunction.gateway.item_runner import AttemptOutcome, ItemRunner
-from damaskjunction.gateway.job_repository import StoredJob
-from damaskjunction.gateway.owed_items import OwedItem
-from damaskjunction.gateway.runner_client import RunnerFailedError
+from damaskjunction.gateway.jobs.item_runner import AttemptOutcome, ItemRunner
+from damaskjunction.gateway.jobs.job_repository import StoredJob
+from damaskjunction.gateway.jobs.owed_items import OwedItem
+from damaskjunction.gateway.runners.runner_client import RunnerFailedError
 from damaskjunction.gateway.state import ServingState
 from damaskjunction.node import HostView, cancel_tasks
 from damaskjunction.routing import LeavingRunners, Route, RouteKind, WeightedService
--- a/libs/gateway/features/steps/item_version_faults.py
+++ b/libs/gateway/features/steps/item_version_faults.py
@@ -6,7 +6,7 @@
 from item_version_machine import FAR_S, N_STEPS, ItemVersionMachine
 from random_runs import repeatable
 
-from damaskjunction.gateway.item_progress import ItemProgress
+from damaskjunction.gateway.jobs.item_progress import ItemProgress
 
 
 class UnclearedProgress(ItemProgress):
--- a/libs/gateway/features/steps/item_version_machine.py
+++ b/libs/gateway/features/steps/item_version_machine.py
@@ -25,10 +25,10 @@
     Runner,
     WorkClass,
 )
-from damaskjunction.gateway.item_progress import ItemProgress
-from damaskjunction.gateway.owed_items import OwedItem
-from damaskjunction.gateway.queue_waits import MAX_WAIT_S
-from damaskjunction.gateway.runner_client import RunnerFailedError
+from damaskjunction.gateway.jobs.item_progress import ItemProgress
+from damaskjunction.gateway.jobs.owed_items import OwedItem
+from damaskjunction.gateway.runners.runner_client import RunnerFailedError
+from damaskjunction.gateway.slots.queue_waits import MAX_WAIT_S
 from damaskjunction.gateway.state import ServingState
 from damaskjunction.http import RawEvent
 from damaskjunction.node import HostView
--- a/libs/gateway/features/steps/job_dump_steps.py
+++ b/libs/gateway/features/steps/job_dump_steps.py
@@ -6,7 +6,7 @@
 from fleet_helpers import run
 from job_worker_steps import make_items, make_own_record, make_record
 
-from damaskjunction.gateway.job_repository import JobRepository
+from damaskjunction.gateway.jobs.job_repository import JobRepository
 from damaskjunction.platform import JOBS_KIND
 
 
--- a/libs/gateway/features/steps/job_store_steps.py
+++ b/libs/gateway/features/steps/job_store_steps.py
@@ -15,10 +15,13 @@
 
 from damaskjunction.batch import ItemResult
 from damaskjunction.core import ManualTimers
-from damaskjunction.gateway.job_front import JobFront
-from damaskjunction.gateway.job_repository import JobRepository
-from damaskjunction.gateway.result_repository import ResultRepository, ResultSegment
-from damaskjunction.gateway.result_writer import ResultWriter
+from damaskjunction.gateway.jobs.job_front import JobFront
+from damaskjunction.gateway.jobs.job_repository import JobRepository
+from damaskjunction.gateway.jobs.result_repository import (
+    ResultRepository,
+    ResultSegment,
+)
+from damaskjunction.gateway.jobs.result_writer import ResultWriter
 from damaskjunction.node import HostView, cancel_tasks
 from damaskjunction.platform import RESULTS_KIND, CallerRequest, encode_result_list
 from damaskjunction.routing import Route, RouteKind
--- a/libs/gateway/features/steps/job_worker_steps.py
+++ b/libs/gateway/features/steps/job_worker_steps.py
@@ -21,12 +21,15 @@
     PlatformUnknownError,
     RequestError,
 )
-from damaskjunction.gateway.job_repository import JobRepository
-from damaskjunction.gateway.job_worker import JobWorker
-from damaskjunction.gateway.owed_items import ItemState
-from damaskjunction.gateway.result_reader import ResultReader
-from damaskjunction.gateway.result_repository import ResultRepository, ResultSegment
-from damaskjunction.gateway.result_writer import ResultWriter
+from damaskjunction.gateway.jobs.job_repository import JobRepository
+from damaskjunction.gateway.jobs.job_worker import JobWorker
+from damaskjunction.gateway.jobs.owed_items import ItemState
+from damaskjunction.gateway.jobs.result_reader import ResultReader
+from damaskjunction.gateway.jobs.result_repository import (
+    ResultRepository,
+    ResultSegment,
+)
+from damaskjunction.gateway.jobs.result_writer import ResultWriter
 from damaskjunction.platform import (
     JOBS_KIND,
     RESULTS_KIND,
--- a/libs/gateway/features/steps/owed_fleet_steps.py
+++ b/libs/gateway/features/steps/owed_fleet_steps.py
@@ -17,14 +17,10 @@
 from simulated_time import SimulatedLoop
 
 from damaskjunction.batch import TakeoverWatch, takeovers
-from damaskjunction.gateway import (
-    item_progress,
-    job_worker,
-    owed_items,
-    queue_waits,
-    version_registry,
-)
-from damaskjunction.gateway.slot_home import REPORT_POLL_PERIOD_S, SlotHome
+from damaskjunction.gateway.jobs import item_progress, job_worker, owed_items
+from damaskjunction.gateway.slots import queue_waits
+from damaskjunction.gateway.slots.slot_home import REPORT_POLL_PERIOD_S, SlotHome
+from damaskjunction.gateway.versions import version_registry
 from damaskjunction.routing import NO_LIMIT_PER_S, LeavingRunners, slots
 from damaskjunction.routing.rate_limits import BATCH_TOKENS, MIN_BURST, MIN_RATE_PER_S
 from damaskjunction.routing.slots import FAILURE_EJECTION
--- a/libs/gateway/features/steps/owed_item_log_steps.py
+++ b/libs/gateway/features/steps/owed_item_log_steps.py
@@ -10,8 +10,8 @@
 from fleet_helpers import run
 
 from damaskjunction.core import ManualTimers
-from damaskjunction.gateway import owed_items
-from damaskjunction.gateway.owed_items import ItemState, OwedItems
+from damaskjunction.gateway.jobs import owed_items
+from damaskjunction.gateway.jobs.owed_items import ItemState, OwedItems
 from damaskjunction.telemetry import Metrics
 
 STEP_S = 0.5
--- a/libs/gateway/features/steps/stream_version_steps.py
+++ b/libs/gateway/features/steps/stream_version_steps.py
@@ -16,7 +16,7 @@
 )
 
 from damaskjunction.core import stable_hash
-from damaskjunction.gateway.version_registry import VERSIONS_KIND
+from damaskjunction.gateway.versions.version_registry import VERSIONS_KIND
 from damaskjunction.standins import Mode
 
 SETTLE_S = 0.3
--- a/libs/gateway/features/steps/unlisted_process_steps.py
+++ b/libs/gateway/features/steps/unlisted_process_steps.py
@@ -10,7 +10,7 @@
 from platform_fleet import ENGINE, event_ids
 from stream_version_steps import named_versions, take_up, versions_of
 
-from damaskjunction.gateway.slot_home import REPORT_POLL_PERIOD_S
+from damaskjunction.gateway.slots.slot_home import REPORT_POLL_PERIOD_S
 from damaskjunction.platform import REPORT_PATH
 from damaskjunction.routing import slot_homes
 
--- a/libs/gateway/src/damaskjunction/gateway/dispatch_context.py
+++ b/libs/gateway/src/damaskjunction/gateway/dispatch_context.py
@@ -6,14 +6,14 @@
 from typing import NamedTuple
 
 from damaskjunction.core import Timers
-from damaskjunction.gateway.crash_reporter import CrashReporter
-from damaskjunction.gateway.runner_client import RunnerClient
-from damaskjunction.gateway.slot_client import SlotClient
+from damaskjunction.gateway.runners.crash_reporter import CrashReporter
+from damaskjunction.gateway.runners.runner_client import RunnerClient
+from damaskjunction.gateway.runners.suspect_registry import SuspectRegistry
+from damaskjunction.gateway.slots.slot_client import SlotClient
 from damaskjunction.gateway.state import ServingState
-from damaskjunction.gateway.stream_origins import StreamOriginKeeper
-from damaskjunction.gateway.suspect_registry import SuspectRegistry
-from damaskjunction.gateway.take_ups import TakeUpResolver
-from damaskjunction.gateway.version_registry import VersionRegistry
+from damaskjunction.gateway.versions.stream_origins import StreamOriginKeeper
+from damaskjunction.gateway.versions.take_ups import TakeUpResolver
+from damaskjunction.gateway.versions.version_registry import VersionRegistry
 from damaskjunction.telemetry import Metrics
 
 
--- a/libs/gateway/src/damaskjunction/gateway/front_end.py
+++ b/libs/gateway/src/damaskjunction/gateway/front_end.py
@@ -5,8 +5,8 @@
 import logging
 
 from damaskjunction.core import HostState
-from damaskjunction.gateway.job_front import JobFront
-from damaskjunction.gateway.online import OnlineHandler
+from damaskjunction.gateway.jobs.job_front import JobFront
+from damaskjunction.gateway.requests.online import OnlineHandler
 from damaskjunction.gateway.state import ServingState
 from damaskjunction.http import Request, Response
 from damaskjunction.platform import (
--- a/libs/gateway/src/damaskjunction/gateway/cancellation_notifier.py
+++ b/libs/gateway/src/damaskjunction/gateway/jobs/cancellation_notifier.py
@@ -9,7 +9,7 @@
 import logging
 
 from damaskjunction.core import JobId, Outcome, PlatformError, RequestError
-from damaskjunction.gateway.job_repository import JobRepository, StoredJob
+from damaskjunction.gateway.jobs.job_repository import JobRepository, StoredJob
 from damaskjunction.node import HostView, PeerHandlers
 from damaskjunction.wire import JobStopped, PeerLinks, Reply, StopJob
 
--- a/libs/gateway/src/damaskjunction/gateway/item_progress.py
+++ b/libs/gateway/src/damaskjunction/gateway/jobs/item_progress.py
@@ -13,10 +13,10 @@
     ServiceName,
     Timers,
 )
-from damaskjunction.gateway.owed_items import OwedItem
-from damaskjunction.gateway.queue_waits import MAX_WAIT_S
+from damaskjunction.gateway.jobs.owed_items import OwedItem
+from damaskjunction.gateway.slots.queue_waits import MAX_WAIT_S
 from damaskjunction.gateway.state import ServingState
-from damaskjunction.gateway.stream_version import StreamVersion
+from damaskjunction.gateway.versions.stream_version import StreamVersion
 from damaskjunction.http import RawEvent
 from damaskjunction.routing import ItemWait, runners_at
 
--- a/libs/gateway/src/damaskjunction/gateway/item_runner.py
+++ b/libs/gateway/src/damaskjunction/gateway/jobs/item_runner.py
@@ -17,18 +17,18 @@
 )
 from damaskjunction.core.units import MIB, MILLISECOND_S
 from damaskjunction.gateway.dispatch_context import DispatchContext
-from damaskjunction.gateway.item_progress import ItemProgress
-from damaskjunction.gateway.job_repository import StoredJob
-from damaskjunction.gateway.owed_items import ItemState, OwedItem
-from damaskjunction.gateway.result_writer import BackOff
-from damaskjunction.gateway.runner_client import (
+from damaskjunction.gateway.jobs.item_progress import ItemProgress
+from damaskjunction.gateway.jobs.job_repository import StoredJob
+from damaskjunction.gateway.jobs.owed_items import ItemState, OwedItem
+from damaskjunction.gateway.jobs.result_writer import BackOff
+from damaskjunction.gateway.requests.stream_check import StreamCheck
+from damaskjunction.gateway.runners.runner_client import (
     CONNECTION_LOST_REASONS,
     RunnerFailedError,
     RunnerResponse,
 )
-from damaskjunction.gateway.slot_client import Slot
-from damaskjunction.gateway.stream_check import StreamCheck
-from damaskjunction.gateway.stream_version import ADMISSION_REASONS
+from damaskjunction.gateway.slots.slot_client import Slot
+from damaskjunction.gateway.versions.stream_version import ADMISSION_REASONS
 from damaskjunction.http import (
     BrokenResponseError,
     ReadPacer,
--- a/libs/gateway/src/damaskjunction/gateway/job_cleaner.py
+++ b/libs/gateway/src/damaskjunction/gateway/jobs/job_cleaner.py
@@ -12,7 +12,7 @@
     Timers,
     rendezvous_order,
 )
-from damaskjunction.gateway.job_repository import JobRepository
+from damaskjunction.gateway.jobs.job_repository import JobRepository
 from damaskjunction.node import HostView, cancel_tasks
 
 logger = logging.getLogger(__name__)
--- a/libs/gateway/src/damaskjunction/gateway/job_front.py
+++ b/libs/gateway/src/damaskjunction/gateway/jobs/job_front.py
@@ -13,10 +13,10 @@
     Timers,
     rendezvous_order,
 )
-from damaskjunction.gateway.cancellation_notifier import CancellationNotifier
-from damaskjunction.gateway.job_parts import JobTooLargeError
-from damaskjunction.gateway.job_repository import JobRepository, StoredJob
-from damaskjunction.gateway.result_reader import ResultReader
+from damaskjunction.gateway.jobs.cancellation_notifier import CancellationNotifier
+from damaskjunction.gateway.jobs.job_parts import JobTooLargeError
+from damaskjunction.gateway.jobs.job_repository import JobRepository, StoredJob
+from damaskjunction.gateway.jobs.result_reader import ResultReader
 from damaskjunction.gateway.state import ServingState
 from damaskjunction.http import Request, Response
 from damaskjunction.platform import (
--- a/libs/gateway/src/damaskjunction/gateway/job_repository.py
+++ b/libs/gateway/src/damaskjunction/gateway/jobs/job_repository.py
@@ -19,8 +19,8 @@
     PlatformUnknownError,
     Revision,
 )
-from damaskjunction.gateway.job_parts import check_sizes, split_items
-from damaskjunction.gateway.result_repository import ResultRepository
+from damaskjunction.gateway.jobs.job_parts import check_sizes, split_items
+from damaskjunction.gateway.jobs.result_repository import ResultRepository
 from damaskjunction.platform import (
     BODIES_KIND,
     JOBS_KIND,
--- a/libs/gateway/src/damaskjunction/gateway/job_worker.py
+++ b/libs/gateway/src/damaskjunction/gateway/jobs/job_worker.py
@@ -16,10 +16,10 @@
     rendezvous_order,
 )
 from damaskjunction.gateway.dispatch_context import DispatchContext
-from damaskjunction.gateway.item_runner import ItemRunner
-from damaskjunction.gateway.job_repository import JobRepository, StoredJob
-from damaskjunction.gateway.owed_items import ItemState, OwedItem, OwedItems
-from damaskjunction.gateway.result_writer import ResultWriter
+from damaskjunction.gateway.jobs.item_runner import ItemRunner
+from damaskjunction.gateway.jobs.job_repository import JobRepository, StoredJob
+from damaskjunction.gateway.jobs.owed_items import ItemState, OwedItem, OwedItems
+from damaskjunction.gateway.jobs.result_writer import ResultWriter
 from damaskjunction.node import TaskSet, cancel_tasks
 
 logger = logging.getLogger(__name__)
--- a/libs/gateway/src/damaskjunction/gateway/result_reader.py
+++ b/libs/gateway/src/damaskjunction/gateway/jobs/result_reader.py
@@ -9,8 +9,8 @@
 
 from damaskjunction.batch import ItemResult, take_page
 from damaskjunction.core import Outcome, RequestError, Timers
-from damaskjunction.gateway.job_repository import JobRepository, StoredJob
-from damaskjunction.gateway.job_worker import JobWorker
+from damaskjunction.gateway.jobs.job_repository import JobRepository, StoredJob
+from damaskjunction.gateway.jobs.job_worker import JobWorker
 from damaskjunction.node import HostView, PeerHandlers
 from damaskjunction.platform import (
     MAX_PAGE_BYTES,
--- a/libs/gateway/src/damaskjunction/gateway/result_writer.py
+++ b/libs/gateway/src/damaskjunction/gateway/jobs/result_writer.py
@@ -15,7 +15,10 @@
     take_page,
 )
 from damaskjunction.core import JobId, PlatformError
-from damaskjunction.gateway.result_repository import ResultRepository, ResultSegment
+from damaskjunction.gateway.jobs.result_repository import (
+    ResultRepository,
+    ResultSegment,
+)
 
 logger = logging.getLogger(__name__)
 
--- /dev/null
+++ b/libs/gateway/src/damaskjunction/gateway/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Callers' requests: their attempts at runners and their responses."""
--- a/libs/gateway/src/damaskjunction/gateway/online.py
+++ b/libs/gateway/src/damaskjunction/gateway/requests/online.py
@@ -4,8 +4,11 @@
 
 from damaskjunction.core import RequestError, stable_hash
 from damaskjunction.gateway.dispatch_context import DispatchContext
-from damaskjunction.gateway.request_execution import RequestExecution
-from damaskjunction.gateway.runner_selector import RoutedRequest, RunnerSelector
+from damaskjunction.gateway.requests.request_execution import RequestExecution
+from damaskjunction.gateway.requests.runner_selector import (
+    RoutedRequest,
+    RunnerSelector,
+)
 from damaskjunction.http import Response
 from damaskjunction.platform import CallerRequest, Refusal, refusal_response
 from damaskjunction.routing import Route, RouteKind, fingerprint_of
--- a/libs/gateway/src/damaskjunction/gateway/request_execution.py
+++ b/libs/gateway/src/damaskjunction/gateway/requests/request_execution.py
@@ -8,31 +8,34 @@
 
 from damaskjunction.core import Outcome, RequestError, Runner, RunnerId
 from damaskjunction.core.units import MILLISECOND_S
-from damaskjunction.gateway.answer_stream import (
+from damaskjunction.gateway.dispatch_context import DispatchContext
+from damaskjunction.gateway.requests.answer_stream import (
     AnswerProgress,
     InactivityTimer,
     StreamBody,
 )
-from damaskjunction.gateway.attempt_history import MIN_REMAINING_S, AttemptHistory
-from damaskjunction.gateway.crash_reporter import LostRequest
-from damaskjunction.gateway.dispatch_context import DispatchContext
-from damaskjunction.gateway.runner_client import (
-    CONNECTION_LOST_REASONS,
-    RunnerFailedError,
-    RunnerResponse,
+from damaskjunction.gateway.requests.attempt_history import (
+    MIN_REMAINING_S,
+    AttemptHistory,
 )
-from damaskjunction.gateway.runner_selector import (
+from damaskjunction.gateway.requests.runner_selector import (
     RETRY_AFTER_S,
     RoutedRequest,
     RunnerSelector,
 )
-from damaskjunction.gateway.slot_client import Slot
-from damaskjunction.gateway.stall_timeouts import (
+from damaskjunction.gateway.requests.stall_timeouts import (
     gap_stall_timeout_s,
     head_stall_timeout_s,
 )
-from damaskjunction.gateway.stream_check import StreamCheck
-from damaskjunction.gateway.stream_version import StreamVersion
+from damaskjunction.gateway.requests.stream_check import StreamCheck
+from damaskjunction.gateway.runners.crash_reporter import LostRequest
+from damaskjunction.gateway.runners.runner_client import (
+    CONNECTION_LOST_REASONS,
+    RunnerFailedError,
+    RunnerResponse,
+)
+from damaskjunction.gateway.slots.slot_client import Slot
+from damaskjunction.gateway.versions.stream_version import StreamVersion
 from damaskjunction.http import BrokenResponseError, Response
 from damaskjunction.platform import Refusal, caller_response, refusal_response
 from damaskjunction.routing import RouteKind
--- a/libs/gateway/src/damaskjunction/gateway/stall_timeouts.py
+++ b/libs/gateway/src/damaskjunction/gateway/requests/stall_timeouts.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from damaskjunction.gateway.answer_stream import FIRST_EVENT_TIMEOUT_S
+from damaskjunction.gateway.requests.answer_stream import FIRST_EVENT_TIMEOUT_S
 from damaskjunction.routing import Route, RouteKind
 
 FIRST_EVENT_GOAL_FACTOR = 2.0
--- a/libs/gateway/src/damaskjunction/gateway/root.py
+++ b/libs/gateway/src/damaskjunction/gateway/root.py
@@ -8,30 +8,30 @@
 
 from damaskjunction.core import Address, EntryHost, LoopTimers, stable_hash
 from damaskjunction.core.units import KIB
-from damaskjunction.gateway.cancellation_notifier import CancellationNotifier
-from damaskjunction.gateway.change_feed import ChangeFeed
-from damaskjunction.gateway.crash_reporter import CrashReporter
 from damaskjunction.gateway.dispatch_context import DispatchContext
 from damaskjunction.gateway.front_end import FrontEnd
-from damaskjunction.gateway.host_registry import HostRegistry
-from damaskjunction.gateway.job_cleaner import JobCleaner
-from damaskjunction.gateway.job_front import JobFront
-from damaskjunction.gateway.job_repository import JobRepository
-from damaskjunction.gateway.job_worker import JobWorker
-from damaskjunction.gateway.kind_follower import KindFollower
-from damaskjunction.gateway.kind_state import KindState
-from damaskjunction.gateway.online import OnlineHandler
-from damaskjunction.gateway.relayed_transport import RelayedTransport
-from damaskjunction.gateway.result_reader import ResultReader
-from damaskjunction.gateway.retirements import RetirementHandler
-from damaskjunction.gateway.runner_client import RunnerClient
-from damaskjunction.gateway.slot_client import SlotClient
-from damaskjunction.gateway.slot_home import SlotHome
+from damaskjunction.gateway.jobs.cancellation_notifier import CancellationNotifier
+from damaskjunction.gateway.jobs.job_cleaner import JobCleaner
+from damaskjunction.gateway.jobs.job_front import JobFront
+from damaskjunction.gateway.jobs.job_repository import JobRepository
+from damaskjunction.gateway.jobs.job_worker import JobWorker
+from damaskjunction.gateway.jobs.result_reader import ResultReader
+from damaskjunction.gateway.requests.online import OnlineHandler
+from damaskjunction.gateway.runners.crash_reporter import CrashReporter
+from damaskjunction.gateway.runners.runner_client import RunnerClient
+from damaskjunction.gateway.runners.suspect_registry import SuspectRegistry
+from damaskjunction.gateway.slots.slot_client import SlotClient
+from damaskjunction.gateway.slots.slot_home import SlotHome
 from damaskjunction.gateway.state import ServingState
-from damaskjunction.gateway.stream_origins import StreamOriginKeeper
-from damaskjunction.gateway.suspect_registry import SuspectRegistry
-from damaskjunction.gateway.take_ups import TakeUpResolver
-from damaskjunction.gateway.version_registry import VersionRegistry
+from damaskjunction.gateway.store.change_feed import ChangeFeed
+from damaskjunction.gateway.store.host_registry import HostRegistry
+from damaskjunction.gateway.store.kind_follower import KindFollower
+from damaskjunction.gateway.store.kind_state import KindState
+from damaskjunction.gateway.store.relayed_transport import RelayedTransport
+from damaskjunction.gateway.store.retirements import RetirementHandler
+from damaskjunction.gateway.versions.stream_origins import StreamOriginKeeper
+from damaskjunction.gateway.versions.take_ups import TakeUpResolver
+from damaskjunction.gateway.versions.version_registry import VersionRegistry
 from damaskjunction.http import (
     HttpLimits,
     HttpServer,
--- /dev/null
+++ b/libs/gateway/src/damaskjunction/gateway/runners/__init__.py
@@ -0,0 +1,1 @@
+"""Calls to runners, and what their failures and crashes tell."""
--- a/libs/gateway/src/damaskjunction/gateway/crash_reporter.py
+++ b/libs/gateway/src/damaskjunction/gateway/runners/crash_reporter.py
@@ -11,9 +11,9 @@
 from typing import NamedTuple
 
 from damaskjunction.core import RequestError, Runner, RunnerId, ServiceName, Timers
-from damaskjunction.gateway.slot_client import SlotClient
+from damaskjunction.gateway.runners.suspect_registry import SuspectRegistry
+from damaskjunction.gateway.slots.slot_client import SlotClient
 from damaskjunction.gateway.state import ServingState
-from damaskjunction.gateway.suspect_registry import SuspectRegistry
 from damaskjunction.node import PeerHandlers, TaskSet, refuses_connections
 from damaskjunction.routing import CrashReport, RequestTraits
 from damaskjunction.wire import Noted, PeerLinks, Reply, TraitsAnswered
--- a/libs/gateway/src/damaskjunction/gateway/suspect_registry.py
+++ b/libs/gateway/src/damaskjunction/gateway/runners/suspect_registry.py
@@ -12,7 +12,7 @@
 from typing import Any, TypedDict
 
 from damaskjunction.core import PlatformError, ServiceName, Timers, stable_hash
-from damaskjunction.gateway.kind_state import KindState
+from damaskjunction.gateway.store.kind_state import KindState
 from damaskjunction.node import cancel_tasks
 from damaskjunction.platform import (
     ObjectChange,
--- /dev/null
+++ b/libs/gateway/src/damaskjunction/gateway/slots/__init__.py
@@ -0,0 +1,1 @@
+"""The slots of runners: their homes and those who ask for them."""
--- a/libs/gateway/src/damaskjunction/gateway/home_choice.py
+++ b/libs/gateway/src/damaskjunction/gateway/slots/home_choice.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterator
 
 from damaskjunction.core import EntryHost, HostId, ServiceName, Timers
-from damaskjunction.gateway.home_ranking import HomeRanking
+from damaskjunction.gateway.slots.home_ranking import HomeRanking
 
 logger = logging.getLogger(__name__)
 
--- a/libs/gateway/src/damaskjunction/gateway/slot_client.py
+++ b/libs/gateway/src/damaskjunction/gateway/slots/slot_client.py
@@ -24,12 +24,12 @@
     Timers,
     WorkClass,
 )
-from damaskjunction.gateway.home_choice import HOME_SUSPECT_TIME_S, HomeChoice
-from damaskjunction.gateway.queue_waits import AskAgainError, QueueWaits, age_ask
-from damaskjunction.gateway.slot_home import SlotHome, SlotReservation
+from damaskjunction.gateway.runners.suspect_registry import SuspectRegistry
+from damaskjunction.gateway.slots.home_choice import HOME_SUSPECT_TIME_S, HomeChoice
+from damaskjunction.gateway.slots.queue_waits import AskAgainError, QueueWaits, age_ask
+from damaskjunction.gateway.slots.slot_home import SlotHome, SlotReservation
 from damaskjunction.gateway.state import ServingState
-from damaskjunction.gateway.suspect_registry import SuspectRegistry
-from damaskjunction.gateway.version_registry import VersionRegistry
+from damaskjunction.gateway.versions.version_registry import VersionRegistry
 from damaskjunction.node import TaskSet, cancel_tasks
 from damaskjunction.routing import (
     LimitObservations,
--- a/libs/gateway/src/damaskjunction/gateway/slot_home.py
+++ b/libs/gateway/src/damaskjunction/gateway/slots/slot_home.py
@@ -17,10 +17,10 @@
     Timers,
     WorkClass,
 )
-from damaskjunction.gateway.runner_client import RunnerClient, RunnerFailedError
+from damaskjunction.gateway.runners.runner_client import RunnerClient, RunnerFailedError
+from damaskjunction.gateway.runners.suspect_registry import SuspectRegistry
 from damaskjunction.gateway.state import ServingState
-from damaskjunction.gateway.suspect_registry import SuspectRegistry
-from damaskjunction.gateway.version_registry import VersionRegistry
+from damaskjunction.gateway.versions.version_registry import VersionRegistry
 from damaskjunction.node import PeerHandlers, TaskSet
 from damaskjunction.routing import (
     GrantSlot,
--- a/libs/gateway/src/damaskjunction/gateway/state.py
+++ b/libs/gateway/src/damaskjunction/gateway/state.py
@@ -17,7 +17,7 @@
     Timers,
 )
 from damaskjunction.core.units import MILLISECOND_S
-from damaskjunction.gateway.home_ranking import HomeRanking
+from damaskjunction.gateway.slots.home_ranking import HomeRanking
 from damaskjunction.membership import FleetView
 from damaskjunction.node import HostView
 from damaskjunction.platform import (
--- a/libs/gateway/src/damaskjunction/gateway/change_feed.py
+++ b/libs/gateway/src/damaskjunction/gateway/store/change_feed.py
@@ -21,9 +21,12 @@
     Subscription,
     Timers,
 )
-from damaskjunction.gateway.change_feed_server import ChangeFeedServer, decode_changes
-from damaskjunction.gateway.kind_follower import KindFollower
-from damaskjunction.gateway.kind_state import KindState
+from damaskjunction.gateway.store.change_feed_server import (
+    ChangeFeedServer,
+    decode_changes,
+)
+from damaskjunction.gateway.store.kind_follower import KindFollower
+from damaskjunction.gateway.store.kind_state import KindState
 from damaskjunction.membership import choose_feed_sources
 from damaskjunction.node import HostView, PeerHandlers, TaskSet, cancel_tasks
 from damaskjunction.platform import StoreTransport
--- a/libs/gateway/src/damaskjunction/gateway/change_feed_server.py
+++ b/libs/gateway/src/damaskjunction/gateway/store/change_feed_server.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable, Mapping
 
 from damaskjunction.core import Outcome, RequestError, Subscription, Timers
-from damaskjunction.gateway.kind_state import KindState, KindUpdate
+from damaskjunction.gateway.store.kind_state import KindState, KindUpdate
 from damaskjunction.node import PeerHandlers
 from damaskjunction.platform import ObjectChange, PlatformObject
 from damaskjunction.wire import KindNews, NewsAsk, NoNews, Reply
--- a/libs/gateway/src/damaskjunction/gateway/host_registry.py
+++ b/libs/gateway/src/damaskjunction/gateway/store/host_registry.py
@@ -12,7 +12,7 @@
     HostId,
     PlatformError,
 )
-from damaskjunction.gateway.kind_state import KindState
+from damaskjunction.gateway.store.kind_state import KindState
 from damaskjunction.node import HostView, Membership, cancel_tasks
 from damaskjunction.platform import (
     ObjectChange,
--- a/libs/gateway/src/damaskjunction/gateway/kind_follower.py
+++ b/libs/gateway/src/damaskjunction/gateway/store/kind_follower.py
@@ -7,7 +7,7 @@
 import random
 
 from damaskjunction.core import PlatformError, Revision, Timers
-from damaskjunction.gateway.kind_state import KindState
+from damaskjunction.gateway.store.kind_state import KindState
 from damaskjunction.node import cancel_tasks
 from damaskjunction.platform import HistoryGoneError, StoreClient
 
--- a/libs/gateway/src/damaskjunction/gateway/retirements.py
+++ b/libs/gateway/src/damaskjunction/gateway/store/retirements.py
@@ -10,8 +10,8 @@
 import random
 
 from damaskjunction.core import PlatformError, Timers, rendezvous_order
-from damaskjunction.gateway.kind_follower import KindFollower
-from damaskjunction.gateway.kind_state import KindState
+from damaskjunction.gateway.store.kind_follower import KindFollower
+from damaskjunction.gateway.store.kind_state import KindState
 from damaskjunction.node import HostView, TaskSet
 from damaskjunction.platform import (
     RETIREMENTS_KIND,
--- /dev/null
+++ b/libs/gateway/src/damaskjunction/gateway/versions/__init__.py
@@ -0,0 +1,1 @@
+"""The software versions of streams: their record and their origins."""
--- a/libs/gateway/src/damaskjunction/gateway/stream_origins.py
+++ b/libs/gateway/src/damaskjunction/gateway/versions/stream_origins.py
@@ -20,7 +20,7 @@
     Timers,
 )
 from damaskjunction.gateway.state import ServingState
-from damaskjunction.gateway.version_registry import VersionRegistry
+from damaskjunction.gateway.versions.version_registry import VersionRegistry
 from damaskjunction.node import PeerHandlers, TaskSet, cancel_tasks
 from damaskjunction.routing import OriginMemory, StreamOrigin
 from damaskjunction.wire import (
--- a/libs/gateway/src/damaskjunction/gateway/stream_version.py
+++ b/libs/gateway/src/damaskjunction/gateway/versions/stream_version.py
@@ -13,7 +13,7 @@
     ServiceName,
     Timers,
 )
-from damaskjunction.gateway.runner_client import RunnerFailedError
+from damaskjunction.gateway.runners.runner_client import RunnerFailedError
 from damaskjunction.gateway.state import ServingState
 from damaskjunction.routing import (
     Denial,
--- a/libs/gateway/src/damaskjunction/gateway/take_ups.py
+++ b/libs/gateway/src/damaskjunction/gateway/versions/take_ups.py
@@ -8,8 +8,8 @@
 
 from damaskjunction.core import Outcome, RequestError, ServiceName, Timers, stable_hash
 from damaskjunction.gateway.state import ServingState
-from damaskjunction.gateway.stream_origins import StreamOriginKeeper
-from damaskjunction.gateway.version_registry import VersionRegistry
+from damaskjunction.gateway.versions.stream_origins import StreamOriginKeeper
+from damaskjunction.gateway.versions.version_registry import VersionRegistry
 from damaskjunction.node import cancel_tasks
 from damaskjunction.platform import CallerRequest
 from damaskjunction.routing import Denial, Route, StreamOrigin, take_up_denial
--- a/libs/gateway/src/damaskjunction/gateway/version_registry.py
+++ b/libs/gateway/src/damaskjunction/gateway/versions/version_registry.py
@@ -13,8 +13,8 @@
 from typing import Any, TypedDict
 
 from damaskjunction.core import PlatformError, ServiceName, Subscription, Timers
-from damaskjunction.gateway.kind_state import KindState
 from damaskjunction.gateway.state import ServingState
+from damaskjunction.gateway.store.kind_state import KindState
 from damaskjunction.node import cancel_tasks
 from damaskjunction.platform import (
     ObjectChange,
