Split the modules of node into folders by what they serve

Cause: 49 modules lay side by side in one folder, so that a newcomer found no parts. Change: serving, runners, jobs, membership, replication, placement and admin are folders; modules only moved, runners.py to runners/protocols.py, and imports and pages name their new places. No logic changed; the public names of damaskjunction.node are the same. Result: formatter, linter, types, names and import contracts pass, and the features of libs/node/features/batch, control and online.

--- a/libs/cli/src/damaskjunction/cli/configuration.py
+++ b/libs/cli/src/damaskjunction/cli/configuration.py
@@ -24,7 +24,7 @@
     print_table,
 )
 from damaskjunction.core import Configuration
-from damaskjunction.node.registered_names import check_registered_names
+from damaskjunction.node.admin.registered_names import check_registered_names
 from damaskjunction.settings import read_configuration
 
 STATUS_POLL_INTERVAL_S = 0.2
--- a/libs/node/features/online/steps/late_answer_steps.py
+++ b/libs/node/features/online/steps/late_answer_steps.py
@@ -8,7 +8,7 @@
 from behave import then, when
 
 from damaskjunction.core import Outcome, RequestError
-from damaskjunction.node.late_answers import next_message
+from damaskjunction.node.serving.late_answers import next_message
 
 TIMEOUT_S = 0.02
 GRACE_S = 0.1
--- a/libs/node/src/damaskjunction/node/__init__.py
+++ b/libs/node/src/damaskjunction/node/__init__.py
@@ -2,18 +2,18 @@
 
 The package does not import the root, the daemon and the check of registered names, so
 that a process that uses a few components loads no others: see ``node.root``,
-``node.daemon`` and ``node.registered_names``.
+``node.daemon`` and ``node.admin.registered_names``.
 """
 
 from damaskjunction.node.components import Component, PeerHandlers
-from damaskjunction.node.connection_probe import refuses_connections
-from damaskjunction.node.datagrams import (
+from damaskjunction.node.membership.datagrams import (
     DatagramEndpoint,
     DatagramEndpointFactory,
     DatagramHandler,
     open_udp_endpoint,
 )
-from damaskjunction.node.membership import Membership
+from damaskjunction.node.membership.membership import Membership
+from damaskjunction.node.runners.connection_probe import refuses_connections
 from damaskjunction.node.state import HostView
 from damaskjunction.node.tasks import TaskSet, cancel_tasks
 
--- /dev/null
+++ b/libs/node/src/damaskjunction/node/admin/__init__.py
@@ -0,0 +1,1 @@
+"""Administration routes of operators, and the checks behind them."""
--- a/libs/node/src/damaskjunction/node/admin.py
+++ b/libs/node/src/damaskjunction/node/admin/admin.py
@@ -25,9 +25,9 @@
     read_json,
     to_json_response,
 )
+from damaskjunction.node.admin.registered_names import check_registered_names
 from damaskjunction.node.documents import CONFIGURATION_KIND, CONFIGURATION_NAME
-from damaskjunction.node.membership import CONTROL_LANE, Membership
-from damaskjunction.node.registered_names import check_registered_names
+from damaskjunction.node.membership.membership import CONTROL_LANE, Membership
 from damaskjunction.node.slices import run_in_slices
 from damaskjunction.node.state import HostView
 from damaskjunction.platform import ObjectStore
--- a/libs/node/src/damaskjunction/node/daemon.py
+++ b/libs/node/src/damaskjunction/node/daemon.py
@@ -7,7 +7,10 @@
 import signal
 
 from damaskjunction.core import LoopTimers
-from damaskjunction.node.datagrams import DatagramEndpointFactory, open_udp_endpoint
+from damaskjunction.node.membership.datagrams import (
+    DatagramEndpointFactory,
+    open_udp_endpoint,
+)
 from damaskjunction.node.root import HostProcess
 from damaskjunction.settings import HostSettings
 from damaskjunction.telemetry import configure_logs
--- /dev/null
+++ b/libs/node/src/damaskjunction/node/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Batch jobs: their routes, storage, chunks, items and budget."""
--- a/libs/node/src/damaskjunction/node/job_cancel.py
+++ b/libs/node/src/damaskjunction/node/jobs/job_cancel.py
@@ -15,8 +15,8 @@
     Timers,
 )
 from damaskjunction.node.documents import JOB_KIND
-from damaskjunction.node.job_store import JobStore
-from damaskjunction.node.job_worker import JobWorker
+from damaskjunction.node.jobs.job_store import JobStore
+from damaskjunction.node.jobs.job_worker import JobWorker
 from damaskjunction.node.state import HostView
 from damaskjunction.wire import PeerLinks, StopJob
 
--- a/libs/node/src/damaskjunction/node/job_chunks.py
+++ b/libs/node/src/damaskjunction/node/jobs/job_chunks.py
@@ -17,8 +17,8 @@
 )
 from damaskjunction.core import ConflictError, PlatformError, Timers
 from damaskjunction.node.documents import RESULTS_KIND
-from damaskjunction.node.job_items import ItemRunner
-from damaskjunction.node.job_store import INITIAL_DELAY_S, JobStore
+from damaskjunction.node.jobs.job_items import ItemRunner
+from damaskjunction.node.jobs.job_store import INITIAL_DELAY_S, JobStore
 from damaskjunction.node.tasks import cancel_tasks
 from damaskjunction.telemetry import Metrics
 
--- a/libs/node/src/damaskjunction/node/job_items.py
+++ b/libs/node/src/damaskjunction/node/jobs/job_items.py
@@ -19,10 +19,10 @@
     encode,
 )
 from damaskjunction.core import Outcome, RequestError, Timers, WorkClass
-from damaskjunction.node.caller_routes import ENGINE_PATH, JSON_TYPE
-from damaskjunction.node.entry import CallerRequest
-from damaskjunction.node.job_slots import ItemSlots
-from damaskjunction.node.metering import Meter, RequestRunner
+from damaskjunction.node.jobs.job_slots import ItemSlots
+from damaskjunction.node.serving.caller_routes import ENGINE_PATH, JSON_TYPE
+from damaskjunction.node.serving.entry import CallerRequest
+from damaskjunction.node.serving.metering import Meter, RequestRunner
 from damaskjunction.routing import Token
 from damaskjunction.telemetry import Metrics
 
--- a/libs/node/src/damaskjunction/node/job_routes.py
+++ b/libs/node/src/damaskjunction/node/jobs/job_routes.py
@@ -34,17 +34,17 @@
     WorkspaceName,
 )
 from damaskjunction.http import HttpError, Request, Response, Routes, to_json_response
-from damaskjunction.node.caller_routes import authenticate
 from damaskjunction.node.documents import JOB_KIND, QUEUE_KIND, SEGMENT_KIND
-from damaskjunction.node.job_cancel import JobCanceller
-from damaskjunction.node.job_store import JobStore
-from damaskjunction.node.job_upload import (
+from damaskjunction.node.jobs.job_cancel import JobCanceller
+from damaskjunction.node.jobs.job_store import JobStore
+from damaskjunction.node.jobs.job_upload import (
     Upload,
     delete_markers,
     digest_body,
     renew_markers,
 )
-from damaskjunction.node.peak_budget import PeakBudget
+from damaskjunction.node.jobs.peak_budget import PeakBudget
+from damaskjunction.node.serving.caller_routes import authenticate
 from damaskjunction.node.state import HostView
 
 DEFAULT_DEADLINE_S = 8 * 3600.0
--- a/libs/node/src/damaskjunction/node/job_upload.py
+++ b/libs/node/src/damaskjunction/node/jobs/job_upload.py
@@ -15,7 +15,7 @@
 from damaskjunction.core import ConflictError, JobId, PlatformError, WorkspaceName
 from damaskjunction.http import BodyReader
 from damaskjunction.node.documents import ITEMS_KIND, UPLOAD_KIND
-from damaskjunction.node.job_store import JobStore
+from damaskjunction.node.jobs.job_store import JobStore
 
 
 class Upload:
--- a/libs/node/src/damaskjunction/node/job_worker.py
+++ b/libs/node/src/damaskjunction/node/jobs/job_worker.py
@@ -20,13 +20,13 @@
 )
 from damaskjunction.core import ConflictError, JobId, PlatformError, Timers
 from damaskjunction.node.documents import JOB_KIND
-from damaskjunction.node.job_chunks import ChunkRunner
-from damaskjunction.node.job_items import ItemRunner
-from damaskjunction.node.job_slots import ItemSlots
-from damaskjunction.node.job_store import JobStore
-from damaskjunction.node.job_table import JobTable, KnownJob
-from damaskjunction.node.metering import Meter, RequestRunner
-from damaskjunction.node.peak_budget import PeakBudget
+from damaskjunction.node.jobs.job_chunks import ChunkRunner
+from damaskjunction.node.jobs.job_items import ItemRunner
+from damaskjunction.node.jobs.job_slots import ItemSlots
+from damaskjunction.node.jobs.job_store import JobStore
+from damaskjunction.node.jobs.job_table import JobTable, KnownJob
+from damaskjunction.node.jobs.peak_budget import PeakBudget
+from damaskjunction.node.serving.metering import Meter, RequestRunner
 from damaskjunction.node.state import HostView
 from damaskjunction.node.tasks import cancel_tasks
 from damaskjunction.telemetry import Metrics
--- a/libs/node/src/damaskjunction/node/peak_budget.py
+++ b/libs/node/src/damaskjunction/node/jobs/peak_budget.py
@@ -32,8 +32,8 @@
     rendezvous_order,
 )
 from damaskjunction.node.documents import PEAK_KIND, POOL_KIND, USAGE_KIND
-from damaskjunction.node.job_store import JobStore
-from damaskjunction.node.metering import Meter
+from damaskjunction.node.jobs.job_store import JobStore
+from damaskjunction.node.serving.metering import Meter
 from damaskjunction.node.state import HostView
 from damaskjunction.node.tasks import cancel_tasks
 from damaskjunction.telemetry import Metrics
--- /dev/null
+++ b/libs/node/src/damaskjunction/node/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Membership protocol over UDP."""
--- a/libs/node/src/damaskjunction/node/membership.py
+++ b/libs/node/src/damaskjunction/node/membership/membership.py
@@ -30,7 +30,7 @@
     Send,
     Timing,
 )
-from damaskjunction.node.datagrams import (
+from damaskjunction.node.membership.datagrams import (
     DatagramEndpoint,
     DatagramEndpointFactory,
     open_udp_endpoint,
--- a/libs/node/src/damaskjunction/node/placer.py
+++ b/libs/node/src/damaskjunction/node/placement/placer.py
@@ -18,17 +18,20 @@
 )
 from damaskjunction.http import HttpClient
 from damaskjunction.node.documents import PLAN_KIND
-from damaskjunction.node.engine_orders import (
+from damaskjunction.node.placement.leasing import LeaseManager, LeaseNotHeldError
+from damaskjunction.node.placement.state_reports import (
+    ROUND_INTERVAL_S,
+    StateReportCollector,
+)
+from damaskjunction.node.runners.engine_orders import (
     OrderFailedError,
     StaleFencingTokenError,
     order_to_document,
     read_status,
     send_order,
 )
-from damaskjunction.node.leasing import LeaseManager, LeaseNotHeldError
-from damaskjunction.node.probing import RunnerProbes
+from damaskjunction.node.runners.probing import RunnerProbes
 from damaskjunction.node.state import HostView
-from damaskjunction.node.state_reports import ROUND_INTERVAL_S, StateReportCollector
 from damaskjunction.node.tasks import cancel_tasks
 from damaskjunction.placement import (
     OrderScheduler,
--- a/libs/node/src/damaskjunction/node/state_reports.py
+++ b/libs/node/src/damaskjunction/node/placement/state_reports.py
@@ -15,8 +15,8 @@
     ServiceName,
     Timers,
 )
-from damaskjunction.node.demand import DemandMeter
-from damaskjunction.node.probing import RunnerProbes
+from damaskjunction.node.runners.probing import RunnerProbes
+from damaskjunction.node.serving.demand import DemandMeter
 from damaskjunction.node.state import HostView
 from damaskjunction.node.tasks import cancel_tasks
 from damaskjunction.placement import (
--- /dev/null
+++ b/libs/node/src/damaskjunction/node/replication/__init__.py
@@ -0,0 +1,1 @@
+"""Replication of configuration, plan and host list."""
--- a/libs/node/src/damaskjunction/node/document_replicator.py
+++ b/libs/node/src/damaskjunction/node/replication/document_replicator.py
@@ -22,9 +22,9 @@
     Fetch,
     HeldDocument,
 )
-from damaskjunction.node.membership import CONTROL_LANE, Membership
-from damaskjunction.node.platform_watch import PlatformWatch
-from damaskjunction.node.replicated_documents import (
+from damaskjunction.node.membership.membership import CONTROL_LANE, Membership
+from damaskjunction.node.replication.platform_watch import PlatformWatch
+from damaskjunction.node.replication.replicated_documents import (
     CONFIGURATION_KEY,
     ReplicatedDocuments,
 )
--- a/libs/node/src/damaskjunction/node/platform_watch.py
+++ b/libs/node/src/damaskjunction/node/replication/platform_watch.py
@@ -13,8 +13,11 @@
 from damaskjunction.core import PlatformError, Revision, stable_hash
 from damaskjunction.membership import DocumentKey, HeldDocument
 from damaskjunction.node.documents import CONFIGURATION_KIND, PLAN_KIND
-from damaskjunction.node.membership import Membership
-from damaskjunction.node.replicated_documents import HOSTS_KEY, ReplicatedDocuments
+from damaskjunction.node.membership.membership import Membership
+from damaskjunction.node.replication.replicated_documents import (
+    HOSTS_KEY,
+    ReplicatedDocuments,
+)
 from damaskjunction.node.state import HostView
 from damaskjunction.node.tasks import TaskSet, cancel_tasks
 from damaskjunction.platform import ObjectStore, encode_host_list
--- a/libs/node/src/damaskjunction/node/replicated_documents.py
+++ b/libs/node/src/damaskjunction/node/replication/replicated_documents.py
@@ -16,7 +16,7 @@
     HOSTS_NAME,
     PLAN_KIND,
 )
-from damaskjunction.node.membership import Membership
+from damaskjunction.node.membership.membership import Membership
 from damaskjunction.node.slices import run_in_slices
 from damaskjunction.node.state import HostView
 from damaskjunction.node.tasks import TaskSet
--- a/libs/node/src/damaskjunction/node/root.py
+++ b/libs/node/src/damaskjunction/node/root.py
@@ -11,32 +11,35 @@
 from damaskjunction.core import LoopTimers, stable_hash
 from damaskjunction.http import HttpServer, Routes
 from damaskjunction.membership import FailureDetector, first_incarnation
-from damaskjunction.node.admin import Admin
-from damaskjunction.node.caller_routes import CallerRoutes
-from damaskjunction.node.claims import CallClaims
+from damaskjunction.node.admin.admin import Admin
+from damaskjunction.node.admin.services import ServiceRoutes
 from damaskjunction.node.components import Component, PeerHandlers, SharedDependencies
-from damaskjunction.node.crashes import CrashTracker
-from damaskjunction.node.datagrams import DatagramEndpointFactory, open_udp_endpoint
-from damaskjunction.node.demand import DemandMeter
-from damaskjunction.node.document_replicator import DocumentReplicator
-from damaskjunction.node.entry import RequestRouter
-from damaskjunction.node.home import Home
-from damaskjunction.node.job_cancel import JobCanceller
-from damaskjunction.node.job_cleaner import JobCleaner
-from damaskjunction.node.job_routes import JobRoutes
-from damaskjunction.node.job_store import JobStore
-from damaskjunction.node.job_worker import JobWorker
-from damaskjunction.node.leasing import LeaseManager
-from damaskjunction.node.membership import Membership
-from damaskjunction.node.metering import Meter, MeteredRequestRunner
-from damaskjunction.node.peak_budget import PeakBudget
-from damaskjunction.node.placer import Placer
-from damaskjunction.node.probing import RunnerProbes
-from damaskjunction.node.selection import RunnerSelector
-from damaskjunction.node.services import ServiceRoutes
+from damaskjunction.node.jobs.job_cancel import JobCanceller
+from damaskjunction.node.jobs.job_cleaner import JobCleaner
+from damaskjunction.node.jobs.job_routes import JobRoutes
+from damaskjunction.node.jobs.job_store import JobStore
+from damaskjunction.node.jobs.job_worker import JobWorker
+from damaskjunction.node.jobs.peak_budget import PeakBudget
+from damaskjunction.node.membership.datagrams import (
+    DatagramEndpointFactory,
+    open_udp_endpoint,
+)
+from damaskjunction.node.membership.membership import Membership
+from damaskjunction.node.placement.leasing import LeaseManager
+from damaskjunction.node.placement.placer import Placer
+from damaskjunction.node.placement.state_reports import StateReportCollector
+from damaskjunction.node.replication.document_replicator import DocumentReplicator
+from damaskjunction.node.runners.crashes import CrashTracker
+from damaskjunction.node.runners.probing import RunnerProbes
+from damaskjunction.node.serving.caller_routes import CallerRoutes
+from damaskjunction.node.serving.claims import CallClaims
+from damaskjunction.node.serving.demand import DemandMeter
+from damaskjunction.node.serving.entry import RequestRouter
+from damaskjunction.node.serving.home import Home
+from damaskjunction.node.serving.metering import Meter, MeteredRequestRunner
+from damaskjunction.node.serving.selection import RunnerSelector
 from damaskjunction.node.shutdown import GracefulShutdown, refuse_when_leaving
 from damaskjunction.node.state import HostView
-from damaskjunction.node.state_reports import StateReportCollector
 from damaskjunction.placement import RunnerStatus
 from damaskjunction.platform import PlatformClient
 from damaskjunction.routing import Forward, VerdictNews, admission_policies
--- /dev/null
+++ b/libs/node/src/damaskjunction/node/runners/__init__.py
@@ -0,0 +1,1 @@
+"""Runners: protocols, access, probes, load reports and crashes."""
--- a/libs/node/src/damaskjunction/node/crashes.py
+++ b/libs/node/src/damaskjunction/node/runners/crashes.py
@@ -17,10 +17,10 @@
     RunnerId,
     Timers,
 )
-from damaskjunction.node.connection_probe import refuses_connections
-from damaskjunction.node.runner_access import RunnerAccess, RunnerGuard
+from damaskjunction.node.runners.connection_probe import refuses_connections
+from damaskjunction.node.runners.runner_access import RunnerAccess, RunnerGuard
+from damaskjunction.node.runners.verdict_spread import VerdictSpread
 from damaskjunction.node.state import HostView
-from damaskjunction.node.verdict_spread import VerdictSpread
 from damaskjunction.platform import ObjectStore
 from damaskjunction.routing import Forward, Quarantine, Verdict, VerdictNews
 from damaskjunction.telemetry import Metrics
--- a/libs/node/src/damaskjunction/node/probing.py
+++ b/libs/node/src/damaskjunction/node/runners/probing.py
@@ -15,12 +15,12 @@
 )
 from damaskjunction.http import HttpClient
 from damaskjunction.membership import FleetView
-from damaskjunction.node.engine_orders import (
+from damaskjunction.node.runners.engine_orders import (
     read_checks_fence,
     read_in_flight,
     read_status,
 )
-from damaskjunction.node.polling import RunnerPoller
+from damaskjunction.node.runners.polling import RunnerPoller
 from damaskjunction.node.state import HostView
 from damaskjunction.placement import (
     ReportDigest,
--- a/libs/node/src/damaskjunction/node/reports.py
+++ b/libs/node/src/damaskjunction/node/runners/reports.py
@@ -6,8 +6,8 @@
 
 from damaskjunction.core import RequestError, Runner, Timers
 from damaskjunction.http import HttpClient
-from damaskjunction.node.polling import RunnerPoller
-from damaskjunction.node.runners import load_reports
+from damaskjunction.node.runners.polling import RunnerPoller
+from damaskjunction.node.runners.protocols import load_reports
 
 REPORT_INTERVAL_S = 0.5
 
--- /dev/null
+++ b/libs/node/src/damaskjunction/node/serving/__init__.py
@@ -0,0 +1,1 @@
+"""Requests of callers: their routes, entry, home and metering."""
--- a/libs/node/src/damaskjunction/node/entry.py
+++ b/libs/node/src/damaskjunction/node/serving/entry.py
@@ -23,12 +23,12 @@
     rendezvous_order,
 )
 from damaskjunction.core.units import MILLISECOND_S
-from damaskjunction.node.crashes import CrashTracker
-from damaskjunction.node.demand import DemandMeter
-from damaskjunction.node.home import Home
-from damaskjunction.node.late_answers import next_message
-from damaskjunction.node.runners import AnswerMessage
-from damaskjunction.node.selection import RunnerSelector
+from damaskjunction.node.runners.crashes import CrashTracker
+from damaskjunction.node.runners.protocols import AnswerMessage
+from damaskjunction.node.serving.demand import DemandMeter
+from damaskjunction.node.serving.home import Home
+from damaskjunction.node.serving.late_answers import next_message
+from damaskjunction.node.serving.selection import RunnerSelector
 from damaskjunction.node.state import HostView
 from damaskjunction.routing import (
     AnswerAssembly,
--- a/libs/node/src/damaskjunction/node/home.py
+++ b/libs/node/src/damaskjunction/node/serving/home.py
@@ -22,17 +22,17 @@
     WorkspaceSpec,
 )
 from damaskjunction.http import HttpClient
-from damaskjunction.node.crashes import CrashTracker
-from damaskjunction.node.home_request import HomeRequest
-from damaskjunction.node.reports import LoadReader
-from damaskjunction.node.runner_access import RunnerGuard
-from damaskjunction.node.runners import (
+from damaskjunction.node.runners.crashes import CrashTracker
+from damaskjunction.node.runners.protocols import (
     AnswerMessage,
     RunnerStream,
     runner_protocols,
     stream_cancels,
 )
-from damaskjunction.node.selection import RunnerSelector
+from damaskjunction.node.runners.reports import LoadReader
+from damaskjunction.node.runners.runner_access import RunnerGuard
+from damaskjunction.node.serving.home_request import HomeRequest
+from damaskjunction.node.serving.selection import RunnerSelector
 from damaskjunction.node.state import HostView
 from damaskjunction.node.tasks import cancel_tasks
 from damaskjunction.routing import (
--- a/libs/node/src/damaskjunction/node/home_request.py
+++ b/libs/node/src/damaskjunction/node/serving/home_request.py
@@ -5,8 +5,8 @@
 import asyncio
 
 from damaskjunction.core import Outcome, RequestError
-from damaskjunction.node.runner_access import RunnerGuard
-from damaskjunction.node.runners import RunnerStream
+from damaskjunction.node.runners.protocols import RunnerStream
+from damaskjunction.node.runners.runner_access import RunnerGuard
 from damaskjunction.routing import AdmissionTicket
 
 
--- a/libs/node/src/damaskjunction/node/shutdown.py
+++ b/libs/node/src/damaskjunction/node/shutdown.py
@@ -9,8 +9,8 @@
 
 from damaskjunction.core import Outcome, RequestError
 from damaskjunction.http import HttpServer
-from damaskjunction.node.caller_routes import ADDRESSES_TTL_S
-from damaskjunction.node.membership import Membership
+from damaskjunction.node.membership.membership import Membership
+from damaskjunction.node.serving.caller_routes import ADDRESSES_TTL_S
 from damaskjunction.node.state import HostView
 
 CALLER_DRAIN_DELAY_S = ADDRESSES_TTL_S + 1.0
