Let the HTTP client take what opens its connections

Cause: a connection to a runner can be opened in one way only, so that a host whose direct path fails has no second one. Change: the client takes a connector; the default opens TCP connections as before. A connector also tells whether an idle connection may be used once more. Result: no behaviour changed; the HTTP features pass.

--- a/libs/http/src/damaskjunction/http/__init__.py
+++ b/libs/http/src/damaskjunction/http/__init__.py
@@ -2,6 +2,7 @@
 
 from damaskjunction.http.client import ClientResponse, HttpClient
 from damaskjunction.http.connection import ResponseHead
+from damaskjunction.http.connector import Connector, DirectConnector, OpenConnection
 from damaskjunction.http.events import (
     Event,
     EventParser,
@@ -30,6 +31,7 @@
 from damaskjunction.http.peer_query import PeerQuery
 from damaskjunction.http.routes import Handler, Routes
 from damaskjunction.http.server import HttpServer
+from damaskjunction.http.sockets import enable_tcp_keepalive
 
 __all__ = [
     "EVENT_STREAM_TYPE",
@@ -38,6 +40,8 @@
     "BrokenResponseError",
     "ClientResponse",
     "ConnectFailedError",
+    "Connector",
+    "DirectConnector",
     "Event",
     "EventParser",
     "Handler",
@@ -45,6 +49,7 @@
     "HttpError",
     "HttpLimits",
     "HttpServer",
+    "OpenConnection",
     "OtherPeerError",
     "PeerQuery",
     "PeerUnknownError",
@@ -56,6 +61,7 @@
     "ResponseHead",
     "Routes",
     "StalledResponseError",
+    "enable_tcp_keepalive",
     "encode_event",
     "read_json",
     "request_error_document",
--- a/libs/http/src/damaskjunction/http/client.py
+++ b/libs/http/src/damaskjunction/http/client.py
@@ -14,14 +14,13 @@
     Connection,
     ResponseHead,
 )
+from damaskjunction.http.connector import Connector, DirectConnector
 from damaskjunction.http.messages import (
     BrokenResponseError,
-    ConnectFailedError,
     PeerUnknownError,
 )
 from damaskjunction.http.pacing import ReadPacer
 from damaskjunction.http.peer_query import PeerQuery, is_usable_after
-from damaskjunction.http.sockets import enable_tcp_keepalive
 
 DEFAULT_CONNECT_TIMEOUT_S = 2.0
 DEFAULT_IDLE_TIMEOUT_S = 20.0
@@ -45,6 +44,8 @@
         announced by the peer can shorten it.
     tls : ssl.SSLContext, optional
         TLS context; without one, connections are plain TCP.
+    connector : Connector, optional
+        Opens the connections, in place of TCP connections with the above timeout.
     """
 
     def __init__(
@@ -54,11 +55,11 @@
         connect_timeout_s: float = DEFAULT_CONNECT_TIMEOUT_S,
         idle_timeout_s: float = DEFAULT_IDLE_TIMEOUT_S,
         tls: ssl.SSLContext | None = None,
+        connector: Connector | None = None,
     ) -> None:
         self._timers = timers
-        self._connect_timeout_s = connect_timeout_s
         self._idle_timeout_s = idle_timeout_s
-        self._tls = tls
+        self._connector = connector or DirectConnector(connect_timeout_s, tls)
         self._idle_by_address: dict[Address, list[Connection]] = {}
         self.n_connections_opened = 0
 
@@ -185,16 +186,9 @@
         return None
 
     async def _connect(self, address: Address) -> Connection:
-        try:
-            async with asyncio.timeout(self._connect_timeout_s):
-                reader, writer = await asyncio.open_connection(
-                    address.ip, address.port, ssl=self._tls
-                )
-        except (OSError, TimeoutError) as error:
-            raise ConnectFailedError(f"cannot connect to {address}: {error}") from None
+        opened = await self._connector.connect(address)
         self.n_connections_opened += 1
-        enable_tcp_keepalive(writer)
-        return Connection(address, reader, writer)
+        return Connection(address, *opened)
 
 
 class ClientResponse:
--- a/libs/http/src/damaskjunction/http/connection.py
+++ b/libs/http/src/damaskjunction/http/connection.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import math
-from collections.abc import Hashable, Mapping
+from collections.abc import Callable, Hashable, Mapping
 from typing import NamedTuple, cast
 
 import h11
@@ -40,6 +40,7 @@
         address: Address,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
+        may_reuse: Callable[[], bool],
     ) -> None:
         self.address = address
         self.n_requests = 0
@@ -48,6 +49,7 @@
         self.keep_alive_timeout_s = math.inf
         self._reader = reader
         self._writer = writer
+        self._may_reuse = may_reuse
         self._protocol = h11.Connection(h11.CLIENT)
         self.stall_s = DEFAULT_STALL_TIMEOUT_S
         self.pacer: ReadPacer | None = None
@@ -105,6 +107,8 @@
         """Return whether the connection is open and no unread bytes wait on it."""
         if self._reader.at_eof() or self._writer.is_closing():
             return False
+        if not self._may_reuse():
+            return False
         # Bytes after a complete response belong to no request.
         return not (
             self._protocol.trailing_data[0]
