Decide from two vantage points whether a runner or the path to it has failed

Cause: a host took a connection that it did not get for the state of the runner. Change: a pure module judges a runner by this host's attempt and by those of others. A witness that reaches no other runner says so, and is believed only if nobody reaches any runner. It also plans which ways to a runner are tried, and ranks the relays.

--- a/libs/routing/src/damaskjunction/routing/__init__.py
+++ b/libs/routing/src/damaskjunction/routing/__init__.py
@@ -110,6 +110,17 @@
     make_route_table,
 )
 from damaskjunction.routing.runner_entries import FormerEntries, SupersededProcesses
+from damaskjunction.routing.runner_paths import (
+    DIRECT_HEAD_START_S,
+    DIRECT_RETRY_S,
+    MAX_WITNESSES,
+    PathPlan,
+    Reach,
+    RunnerPaths,
+    RunnerVerdict,
+    judge_runner,
+    trusted_reach,
+)
 from damaskjunction.routing.slot_types import (
     GrantSlot,
     RefuseSlot,
@@ -150,7 +161,10 @@
 __all__ = [
     "DEFAULT_DRAIN_S",
     "DEFAULT_MAX_SKEW_S",
+    "DIRECT_HEAD_START_S",
+    "DIRECT_RETRY_S",
     "EXCLUSIVE_RUNS",
+    "MAX_WITNESSES",
     "NO_LIMIT_PER_S",
     "SHARED_RUNS",
     "AdaptiveLimits",
@@ -193,10 +207,12 @@
     "LimitObservations",
     "OriginMemory",
     "OutlierEjection",
+    "PathPlan",
     "PlainAnswer",
     "Preempt",
     "Quarantine",
     "RateLimiter",
+    "Reach",
     "RecheckClaim",
     "Refuse",
     "RefuseSlot",
@@ -213,7 +229,9 @@
     "RunnerLimit",
     "RunnerLoad",
     "RunnerLoads",
+    "RunnerPaths",
     "RunnerSupply",
+    "RunnerVerdict",
     "RunnerVersions",
     "SharedExclusiveLock",
     "SlotCounts",
@@ -239,6 +257,7 @@
     "fingerprint_of",
     "home_of",
     "item_denial",
+    "judge_runner",
     "listed_versions",
     "make_route_table",
     "origin_of",
@@ -252,5 +271,6 @@
     "stream_lives",
     "suspect_rules",
     "take_up_denial",
+    "trusted_reach",
     "worst_outcome",
 ]
