Add tunnels to runners through other hosts

Cause: only the store could be reached through other hosts, runners could not. Change: libs/relay opens a connection to a runner directly, with a head start, or through a host that reaches it, and diagnoses runners that fail with other hosts as witnesses. A tunnel is a connection to a host's peer port whose first frame asks for it; the runner's bytes come in chunks, so that the end of a relay is not taken for that of an answer. Result: the features of the library pass on loopback: whole answers in 0.4 s with one and with two of three hosts cut off, answers that break off with their relay or runner, requests given up, bounds, and the diagnosis. Nothing uses it yet.

--- /dev/null
+++ b/libs/relay/features/relay.feature
@@ -0,0 +1,84 @@
+Feature: Connections to runners through other hosts
+  A host that is cut off from runners reaches them through hosts that are not.
+
+  Background:
+    Given hosts "h0,h1,h2" and the runners "r0,r1"
+
+  Scenario Outline: A host that is cut off gets answers through another one
+    Given "h0" is cut off from the runners, whose connections are <shape>
+    When "h0" sends 10 requests to "r0"
+    Then "h0" has 10 whole answers, none later than 0.4 s
+    And the path from "h0" to "r0" is cut
+
+    Examples:
+      | shape   |
+      | refused |
+      | silent  |
+
+  Scenario: Hosts that are cut off themselves relay nothing, another one does
+    Given "h0" is cut off from the runners, whose connections are silent
+    And "h1" is cut off from the runners, whose connections are silent
+    When "h0" sends 10 requests to "r0"
+    Then "h0" has 10 whole answers, none later than 0.4 s
+
+  Scenario: The direct path is taken again once it is whole
+    Given "h0" is cut off from the runners, whose connections are refused
+    When "h0" sends 1 requests to "r0"
+    And "h0" reaches the runners again
+    Then after some requests of "h0" to "r0" its path is whole
+
+  Scenario: A host that is not cut off uses no relay
+    When "h0" sends 10 requests to "r0"
+    Then "h0" has 10 whole answers, none later than 0.4 s
+    And no host has relayed a connection
+
+  Scenario: The end of a relay is not taken for the end of an answer without length
+    Given "h0" is cut off from the runners, whose connections are refused
+    And "r0" sends half of an answer without length, and goes on to live
+    When "h0" sends 1 requests to "r0" and its relay ends before the answer
+    Then the answer of "h0" broke off
+
+  Scenario: An answer without length that ends with its connection is whole
+    Given "h0" is cut off from the runners, whose connections are refused
+    And "r0" ends its answers with the connection
+    When "h0" sends 1 requests to "r0"
+    Then "h0" has 1 whole answers, none later than 0.4 s
+
+  Scenario: An answer whose runner resets the connection is not whole
+    Given "h0" is cut off from the runners, whose connections are refused
+    And "r0" resets its connection in the middle of an answer without length
+    When "h0" sends 1 requests to "r0"
+    Then the answer of "h0" broke off
+
+  Scenario: A request that is given up is dropped at the runner
+    Given "h0" is cut off from the runners, whose connections are refused
+    And "r0" sends half of an answer without length, and goes on to live
+    When "h0" gives up a request to "r0" in the middle of its answer
+    Then "r0" sees the end of its connection within 0.3 s
+
+  Scenario: A runner that is not listed is not connected to
+    Given "h0" is cut off from the runners, whose connections are refused
+    And no host lists "r0" any more
+    When "h0" sends 1 requests to "r0"
+    Then "h0" has no answer, and the runner's state is unknown
+
+  Scenario: Tunnels are bounded
+    Given "h0" is cut off from the runners, whose connections are refused
+    And "r0" sends half of an answer without length, and goes on to live
+    When "h0" keeps 6 requests to "r0" open, while each host relays 2 at once
+    Then 4 of its requests have an answer that has begun
+
+  Scenario Outline: A runner is diagnosed from two vantage points
+    Given that <cut>, while <runner>
+    Then "h0" diagnoses "r0" as <verdict>
+
+    Examples:
+      | cut                          | runner             | verdict  |
+      | nobody is cut off            | "r0" lives         | lives    |
+      | nobody is cut off            | "r0" has ended     | ended    |
+      | "h0" is cut off              | "r0" lives         | path_cut |
+      | "h0" and "h1" are cut off    | "r0" lives         | path_cut |
+      | "h0" and "h1" are cut off    | "r0" has ended     | ended    |
+      | "h2" does not answer         | "r0" has ended     | ended    |
+      | the others do not answer     | "r0" has ended     | unknown  |
+      | nobody is cut off            | all have ended     | ended    |
--- /dev/null
+++ b/libs/relay/src/damaskjunction/relay/diagnosis.py
@@ -0,0 +1,117 @@
+"""The diagnosis of a runner that failed, from two vantage points."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+
+from damaskjunction.core import Address, Timers
+from damaskjunction.core.units import MILLISECOND_S
+from damaskjunction.relay.direct import DirectPath
+from damaskjunction.relay.relays import Relays
+from damaskjunction.routing import (
+    DIRECT_HEAD_START_S,
+    MAX_WITNESSES,
+    Reach,
+    RunnerPaths,
+    RunnerVerdict,
+    judge_runner,
+)
+
+logger = logging.getLogger(__name__)
+
+N_PROBES = 2
+PROBE_PAUSE_S = 30 * MILLISECOND_S
+PROBE_TIMEOUT_S = 0.3
+N_WITNESSES = 2  # asked at first
+
+
+class PathDiagnosis:
+    """Finds out whether a runner has failed, or this host's path to it.
+
+    A runner has failed only if other hosts don't reach it either.
+
+    Parameters
+    ----------
+    paths : RunnerPaths
+        Records what is found out about the direct path.
+    direct_path : DirectPath
+        The path from this host.
+    relays : Relays
+        The other hosts.
+    timers : Timers
+        The process's timer service.
+    """
+
+    def __init__(
+        self,
+        paths: RunnerPaths,
+        direct_path: DirectPath,
+        relays: Relays,
+        timers: Timers,
+    ) -> None:
+        self._paths = paths
+        self._direct_path = direct_path
+        self._relays = relays
+        self._timers = timers
+        self._diagnoses_by_address: dict[Address, asyncio.Task[RunnerVerdict]] = {}
+
+    async def close(self) -> None:
+        """Cancel the diagnoses under way."""
+        tasks = list(self._diagnoses_by_address.values())
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def has_ended(self, address: Address) -> bool:
+        """Return whether the process of a runner has ended."""
+        return await self.diagnose(address) is RunnerVerdict.ENDED
+
+    async def diagnose(self, address: Address) -> RunnerVerdict:
+        """Return the state of the runner at an address; callers share one diagnosis."""
+        task = self._diagnoses_by_address.get(address)
+        if task is None:
+            task = asyncio.ensure_future(self._diagnose(address))
+            self._diagnoses_by_address[address] = task
+            task.add_done_callback(lambda _: self._diagnoses_by_address.pop(address))
+        return await asyncio.shield(task)
+
+    async def _diagnose(self, address: Address) -> RunnerVerdict:
+        direct = asyncio.ensure_future(self._probe(address))
+        try:
+            await asyncio.wait((direct,), timeout=DIRECT_HEAD_START_S)
+            others: list[Reach] = []
+            if not direct.done() or direct.result() is not Reach.CONNECTED:
+                others = await self._relays.witness(address, N_WITNESSES)
+            reach = await direct
+        finally:
+            direct.cancel()
+        if reach is not Reach.CONNECTED and Reach.ISOLATED in others:
+            others = await self._relays.witness(address, MAX_WITNESSES)
+        verdict = judge_runner(reach, others, self._relays.n_others)
+        if verdict is RunnerVerdict.LIVES:
+            self._paths.record_direct(address)
+        elif verdict is RunnerVerdict.PATH_CUT:
+            self._paths.record_cut(address, self._timers.now())
+        extra = {
+            "runner": str(address),
+            "verdict": verdict.value,
+            "direct": reach.value,
+            "others": [other.value for other in others],
+        }
+        logger.info("runner diagnosed", extra=extra)
+        return verdict
+
+    async def _probe(self, address: Address) -> Reach:
+        """Return what comes of connecting to a runner.
+
+        After a connection that succeeds, it is probed once more, since its process may
+        still accept connections for a moment while it crashes.
+        """
+        reach = await self._direct_path.probe(address, PROBE_TIMEOUT_S)
+        for _ in range(1, N_PROBES):
+            if reach is not Reach.CONNECTED:
+                break
+            await asyncio.sleep(PROBE_PAUSE_S)
+            reach = await self._direct_path.probe(address, PROBE_TIMEOUT_S)
+        return reach
--- /dev/null
+++ b/libs/relay/src/damaskjunction/relay/direct.py
@@ -0,0 +1,73 @@
+"""Direct connections from this host to runners."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import NamedTuple
+
+from damaskjunction.core import Address, HostId
+from damaskjunction.http import enable_tcp_keepalive
+from damaskjunction.routing import Reach
+
+
+class Streams(NamedTuple):
+    """The streams of an open connection."""
+
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+
+
+class Attempt(NamedTuple):
+    """What came of an attempt to connect to a runner.
+
+    ``streams`` are None unless it is connected. ``relay`` is the host through which it
+    was made, empty for a direct one.
+    """
+
+    reach: Reach
+    streams: Streams | None = None
+    relay: HostId = ""
+
+
+async def open_connection(address: Address) -> Streams:
+    """Open a connection to a runner; raises OSError when it fails."""
+    streams = Streams(*await asyncio.open_connection(*address))
+    enable_tcp_keepalive(streams.writer)
+    return streams
+
+
+class DirectPath:
+    """The path from this host to runners."""
+
+    async def connect(self, address: Address, timeout_s: float) -> Attempt:
+        """Attempt to connect to a runner within ``timeout_s`` seconds."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                return Attempt(Reach.CONNECTED, await open_connection(address))
+        except ConnectionRefusedError:
+            return Attempt(Reach.REFUSED)
+        except (OSError, TimeoutError):
+            return Attempt(Reach.SILENT)
+
+    async def probe(self, address: Address, timeout_s: float) -> Reach:
+        """Return what comes of an attempt; a connection is closed at once."""
+        attempt = await self.connect(address, timeout_s)
+        abort(attempt)
+        return attempt.reach
+
+
+def abort(attempt: Attempt) -> None:
+    """Close the connection of an attempt, if it has one."""
+    if attempt.streams is not None:
+        attempt.streams.writer.transport.abort()
+
+
+def discard(task: asyncio.Task[Attempt]) -> None:
+    """Cancel an attempt; close its connection if it comes all the same."""
+    task.cancel()
+    task.add_done_callback(_abort_if_connected)
+
+
+def _abort_if_connected(task: asyncio.Task[Attempt]) -> None:
+    if not task.cancelled() and task.exception() is None:
+        abort(task.result())
--- a/libs/wire/src/damaskjunction/wire/__init__.py
+++ b/libs/wire/src/damaskjunction/wire/__init__.py
@@ -53,6 +53,14 @@
     SlotRevoked,
     TraitsAnswered,
 )
+from damaskjunction.wire.tunnels import (
+    OpenTunnel,
+    TunnelDecoder,
+    TunnelReply,
+    encode_chunk,
+    encode_tunnel_ask,
+    encode_tunnel_reply,
+)
 
 __all__ = [
     "CallHandler",
@@ -73,6 +81,7 @@
     "NewsAsk",
     "NoNews",
     "Noted",
+    "OpenTunnel",
     "OriginAsk",
     "OriginFound",
     "PeerLinks",
@@ -92,10 +101,15 @@
     "StoreCall",
     "StreamOrigins",
     "TraitsAnswered",
+    "TunnelDecoder",
+    "TunnelReply",
     "decode_frame",
     "decode_message",
+    "encode_chunk",
     "encode_frame",
     "encode_message",
+    "encode_tunnel_ask",
+    "encode_tunnel_reply",
     "message_types",
     "register_message",
 ]
--- a/libs/wire/src/damaskjunction/wire/channel.py
+++ b/libs/wire/src/damaskjunction/wire/channel.py
@@ -32,7 +32,8 @@
     """Operation of a frame.
 
     ``CREDIT`` lets the server send ``CREDIT_REPLIES`` further replies of a call,
-    beyond the ``WINDOW_REPLIES`` that it may send initially.
+    beyond the ``WINDOW_REPLIES`` that it may send initially. ``TUNNEL``, as the first
+    frame of a connection, turns that into a tunnel to a runner.
     """
 
     CALL = 0
@@ -42,12 +43,45 @@
     PING = 4
     PONG = 5
     CREDIT = 6
+    TUNNEL = 7
 
 
 class FrameTooLargeError(ValueError):
     """A message exceeds the maximum size of a frame."""
 
 
+def frame_bytes(frame: Frame) -> bytes:
+    """Return a frame as it is sent, with its length.
+
+    Raises
+    ------
+    FrameTooLargeError
+        If the peer would reject the frame.
+    """
+    data = encode_frame(frame)
+    if len(data) > MAX_FRAME_BYTES:
+        raise FrameTooLargeError(
+            f"frame of {len(data)} bytes exceeds the limit of {MAX_FRAME_BYTES}"
+        )
+    return _LENGTH.pack(len(data)) + data
+
+
+async def read_frame(reader: asyncio.StreamReader) -> Frame:
+    """Return the next frame of a connection.
+
+    Raises
+    ------
+    DecodeError
+        If the bytes are no valid frame.
+    OSError, asyncio.IncompleteReadError
+        If the connection ends before.
+    """
+    (length,) = _LENGTH.unpack(await reader.readexactly(_LENGTH.size))
+    if length > MAX_FRAME_BYTES:
+        raise DecodeError(f"frame of {length} bytes is too large")
+    return decode_frame(await reader.readexactly(length))
+
+
 class Channel:
     """One end of a connection.
 
@@ -118,12 +152,7 @@
         FrameTooLargeError
             If the peer would reject the frame; nothing was written.
         """
-        data = encode_frame(frame)
-        if len(data) > MAX_FRAME_BYTES:
-            raise FrameTooLargeError(
-                f"frame of {len(data)} bytes exceeds the limit of {MAX_FRAME_BYTES}"
-            )
-        self._writer.write(_LENGTH.pack(len(data)) + data)
+        self._writer.write(frame_bytes(frame))
 
     async def drain(self) -> None:
         """Wait while the connection's buffer is full."""
@@ -134,16 +163,13 @@
         self.stop_keepalive()
         self._writer.transport.abort()
 
-    async def run(self) -> None:
-        """Receive frames until the connection ends."""
+    async def run(self, first: Frame | None = None) -> None:
+        """Receive frames until the connection ends; ``first`` was received before."""
         try:
+            if first is not None:
+                self._dispatch(first)
             while True:
-                prefix = await self._reader.readexactly(_LENGTH.size)
-                (length,) = _LENGTH.unpack(prefix)
-                if length > MAX_FRAME_BYTES:
-                    raise DecodeError(f"frame of {length} bytes is too large")
-                data = await self._reader.readexactly(length)
-                self._dispatch(decode_frame(data))
+                self._dispatch(await read_frame(self._reader))
         except (OSError, asyncio.IncompleteReadError):
             pass  # the connection was closed by either end
         except DecodeError as error:
--- a/libs/wire/src/damaskjunction/wire/peer.thrift
+++ b/libs/wire/src/damaskjunction/wire/peer.thrift
@@ -344,3 +344,14 @@
 struct ResultsHeard {
   1: binary entries
 }
+
+// Asks a host to connect to a runner and to turn the connection into a tunnel to it.
+struct OpenTunnel {
+  1: string ip
+  2: i32 port
+}
+
+// What came of the attempt to connect to the runner.
+struct TunnelReply {
+  1: string reach
+}
--- a/libs/wire/src/damaskjunction/wire/sessions.py
+++ b/libs/wire/src/damaskjunction/wire/sessions.py
@@ -23,6 +23,7 @@
     encode_message,
 )
 from damaskjunction.wire.messages import Failure
+from damaskjunction.wire.tunnels import OpenTunnel, read_tunnel_ask
 
 logger = logging.getLogger(__name__)
 
@@ -30,6 +31,9 @@
 
 Reply: TypeAlias = Callable[[Message], Awaitable[None]]
 CallHandler: TypeAlias = Callable[[Message, Reply], Awaitable[None]]
+TunnelHandler: TypeAlias = Callable[
+    [OpenTunnel, asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]
+]
 
 
 class PeerServer:
@@ -44,12 +48,22 @@
     handle : callable
         Handles a message and sends any number of replies; a ``RequestError`` that it
         raises is sent to the calling host.
+    serve_tunnel : callable, optional
+        Serves a tunnel to a runner on a connection until it ends. Without it, none is
+        opened.
     """
 
-    def __init__(self, address: Address, timers: Timers, handle: CallHandler) -> None:
+    def __init__(
+        self,
+        address: Address,
+        timers: Timers,
+        handle: CallHandler,
+        serve_tunnel: TunnelHandler | None = None,
+    ) -> None:
         self._address = address
         self._timers = timers
         self._handle = handle
+        self._serve_tunnel = serve_tunnel
         self._server: asyncio.Server | None = None
         self._sessions: set[_Session] = set()
 
@@ -74,12 +88,28 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        session = _Session(reader, writer, self._timers, self._handle)
-        self._sessions.add(session)
         try:
-            await session.run()
+            first, ask = await read_tunnel_ask(reader)
+            if ask is None:
+                await self._serve_calls(first, reader, writer)
+            elif self._serve_tunnel is not None:
+                await self._serve_tunnel(ask, reader, writer)
+        except (OSError, asyncio.IncompleteReadError):
+            pass  # the connection was closed by either end
+        except DecodeError as error:
+            logger.warning("peer sent an invalid frame", extra={"error": str(error)})
         except asyncio.CancelledError:
             pass  # the event loop is shutting down
+        finally:
+            writer.transport.abort()
+
+    async def _serve_calls(
+        self, first: Frame, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        session = _Session(reader, writer, self._timers, self._handle)
+        self._sessions.add(session)
+        try:
+            await session.run(first)
         finally:
             self._sessions.discard(session)
 
@@ -125,10 +155,10 @@
         calls = self._calls_by_id.values()
         return [call.task for call in calls if call.task is not None]
 
-    async def run(self) -> None:
-        """Serve calls until the connection ends."""
+    async def run(self, first: Frame) -> None:
+        """Serve calls until the connection ends; ``first`` is its first frame."""
         try:
-            await self._channel.run()
+            await self._channel.run(first)
         finally:
             for task in self.tasks:
                 task.cancel()
