Serve requests of a host that is cut off from runners through other hosts

Cause: there was one path to a runner only. A request waited on it until its caller's deadline, or was refused. Change: connections to runners are opened by the connector of libs/relay, and each host relays those of others to the runners that it lists and that don't leave. A tunnel is reused for half of the time in which a leaving runner still serves, as the relay may learn of that before.

--- a/libs/gateway/src/damaskjunction/gateway/root.py
+++ b/libs/gateway/src/damaskjunction/gateway/root.py
@@ -51,6 +51,7 @@
     StoreClient,
     without_items,
 )
+from damaskjunction.relay import RunnerAccess
 from damaskjunction.routing import LeavingRunners
 from damaskjunction.telemetry import Metrics, StateDump
 from damaskjunction.wire import MemberList, MembersQuery, PeerLinks, PeerServer, Reply
@@ -68,6 +69,10 @@
 # The configured limit is on headers; the server also counts the request line.
 REQUEST_LINE_ALLOWANCE_BYTES = 8 * KIB
 CALLER_DESCRIPTOR_FRACTION = 0.6  # of the file descriptors of the process
+TUNNEL_DESCRIPTOR_FRACTION = 0.1  # of the file descriptors of the process
+DESCRIPTORS_PER_TUNNEL = 2
+# A runner that leaves gets no requests over a tunnel that was opened before.
+TUNNEL_REUSE_FRACTION = 0.5  # of the time in which a runner that leaves still serves
 DRAIN_DELAY_FRACTION = 0.56  # of the stop grace period
 
 
@@ -112,7 +117,8 @@
         handlers = PeerHandlers()
         transport.register(handlers)
         self._membership = self._make_membership(own, rng, handlers)
-        self._runner_client = RunnerClient(timers, leaving)
+        self._access = access = self._make_runner_access(rng)
+        self._runner_client = RunnerClient(timers, leaving, connector=access.connector)
         origin = f"{settings.host_id}.{start_ms}"
         self._suspects = suspects = SuspectRegistry(
             self._store, timers, self.metrics, origin
@@ -164,7 +170,9 @@
         jobs = self._make_job_front(handlers)
         front_end = FrontEnd(self.state, online_handler, jobs, self.metrics)
         self._caller_server = HttpServer(settings.caller, front_end.serve)
-        self._peer_server = PeerServer(peer, timers, handlers.handle)
+        self._peer_server = PeerServer(
+            peer, timers, handlers.handle, access.tunnel_server.serve
+        )
         self._host_registry = HostRegistry(
             self._store, own, self._membership, self.view, settings.n_cores
         )
@@ -238,6 +246,27 @@
         self._runner_client.close()
         self._direct_transport.close()
 
+    def _make_runner_access(self, rng: random.Random) -> RunnerAccess:
+        settings = self._settings
+        n_descriptors = TUNNEL_DESCRIPTOR_FRACTION * settings.max_descriptors
+        access = RunnerAccess(
+            self._other_hosts,
+            self.state.may_use,
+            self.state.runner_addresses,
+            timers=self._timers,
+            metrics=self.metrics,
+            rng=rng,
+            max_reuse_s=TUNNEL_REUSE_FRACTION * settings.drain_s,
+            max_tunnels=int(n_descriptors / DESCRIPTORS_PER_TUNNEL),
+        )
+        self.view.subscribe(access.retain_listed)
+        self.dump.sections.register("runner_paths")(access.to_document)
+        return access
+
+    def _other_hosts(self) -> list[EntryHost]:
+        own_id = self.view.own.host_id
+        return [h for h in self.view.serving_hosts() if h.host_id != own_id]
+
     def _make_job_front(self, handlers: PeerHandlers) -> JobFront:
         jobs, timers = self.job_repository, self._timers
         notifier = CancellationNotifier(jobs, self.view, self._links)
--- a/libs/gateway/src/damaskjunction/gateway/runners/runner_client.py
+++ b/libs/gateway/src/damaskjunction/gateway/runners/runner_client.py
@@ -20,6 +20,7 @@
     BrokenResponseError,
     ClientResponse,
     ConnectFailedError,
+    Connector,
     HttpClient,
     OtherPeerError,
     PeerQuery,
@@ -95,13 +96,22 @@
         The process's timer service.
     leaving : LeavingRunners, optional
         Records the runners that say that they leave.
+    connector : Connector, optional
+        Opens the connections, direct ones by default.
     """
 
-    def __init__(self, timers: Timers, leaving: LeavingRunners | None = None) -> None:
+    def __init__(
+        self,
+        timers: Timers,
+        leaving: LeavingRunners | None = None,
+        *,
+        connector: Connector | None = None,
+    ) -> None:
         self._client = HttpClient(
             timers,
             connect_timeout_s=CONNECT_TIMEOUT_S,
             idle_timeout_s=IDLE_TIMEOUT_S,
+            connector=connector,
         )
         self._timers = timers
         self.observed_limits = LimitObservations()
--- a/libs/gateway/src/damaskjunction/gateway/state.py
+++ b/libs/gateway/src/damaskjunction/gateway/state.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Iterable, Mapping
 
 from damaskjunction.core import (
+    Address,
     Configuration,
     FindingError,
     HostState,
@@ -73,6 +74,8 @@
         self._runners_by_id: dict[RunnerId, Runner] = {}
         self._live_runners_by_service: dict[ServiceName, list[Runner]] = {}
         self._indexed_fleet: FleetView | None = None
+        self._runners_by_address: dict[Address, Runner] = {}
+        self._addressed_fleet: FleetView | None = None
         self._former_entries = FormerEntries()
         self._max_wall_offset_s = float("-inf")
         self._removals_by_id: dict[RunnerId, Subscription] = {}
@@ -100,6 +103,22 @@
         runners = self.runners_of(service)
         return next((r for r in runners if r.runner_id == runner_id), None)
 
+    def may_use(self, address: Address) -> bool:
+        """Return whether a runner that accepts new work is listed at an address."""
+        if self._addressed_fleet is not self.view.fleet:
+            self._addressed_fleet = self.view.fleet
+            self._runners_by_address = {
+                runner.address: runner for runner in self.view.fleet.live_runners()
+            }
+        runner = self._runners_by_address.get(address)
+        if runner is None:
+            return False
+        return self.find_runner(runner.service, runner.runner_id) is not None
+
+    def runner_addresses(self) -> list[Address]:
+        """Return the addresses of the runners that accept new work."""
+        return [runner.address for runner in self.view.fleet.live_runners()]
+
     def has_engines(self, service: ServiceName) -> bool:
         """Return whether the runners of a service are engines, which have reports."""
         spec = self.table.services_by_name.get(service)
