Accuse runners only of what another host sees, too

What callers saw: a host that was cut off from runners reported each of them as unhealthy to their home, which ejected them for all; as a home it ejected them itself; a refused connection passed for a crash, so that sound requests became suspects and whole answers counted as cut. Cause: the evidence of one vantage point was taken for the state of the other end. Change: a failure that may be the path's is diagnosed with other hosts as witnesses before the runner is accused, at callers' requests, items and polls of reports; a crash needs a second host that is refused as well; a failed connection carries its verdict.

--- a/libs/gateway/features/simulated_host.py
+++ b/libs/gateway/features/simulated_host.py
@@ -116,6 +116,13 @@
         return ()
 
 
+class RunnersToBlame:
+    """Takes each failure for the runner's: paths to runners never fail here."""
+
+    def record(self, runner, reason, accuse):
+        accuse()
+
+
 class HostStore:
     """One host's way to the store."""
 
@@ -150,7 +157,15 @@
         suspects = NoSuspects()
         self.versions = VersionRegistry(self.store, self.state, timers, metrics)
         self.handlers = PeerHandlers()
-        self.home = SlotHome(self.state, suspects, runner_client, self.versions, timers)
+        faults = RunnersToBlame()
+        self.home = SlotHome(
+            self.state,
+            suspects,
+            runner_client,
+            self.versions,
+            timers,
+            runner_faults=faults,
+        )
         self.home.register(self.handlers)
         rng = random.Random(name)
         client = SlotClient(
@@ -167,6 +182,7 @@
             state=self.state,
             slot_client=client,
             runner_client=runner_client,
+            runner_faults=faults,
             timers=timers,
             metrics=metrics,
             rng=rng,
--- a/libs/gateway/features/steps/item_place_steps.py
+++ b/libs/gateway/features/steps/item_place_steps.py
@@ -106,6 +106,7 @@
         state=state,
         slot_client=slot_client,
         runner_client=None,
+        runner_faults=None,
         timers=context.timers,
         metrics=Metrics(),
         rng=random.Random(1),
--- a/libs/gateway/features/steps/job_worker_steps.py
+++ b/libs/gateway/features/steps/job_worker_steps.py
@@ -98,6 +98,7 @@
             state=SimpleNamespace(view=view),
             slot_client=None,
             runner_client=None,
+            runner_faults=None,
             timers=self.timers,
             metrics=self.metrics,
             rng=random.Random(1),
--- a/libs/gateway/src/damaskjunction/gateway/dispatch_context.py
+++ b/libs/gateway/src/damaskjunction/gateway/dispatch_context.py
@@ -8,6 +8,7 @@
 from damaskjunction.core import Timers
 from damaskjunction.gateway.runners.crash_reporter import CrashReporter
 from damaskjunction.gateway.runners.runner_client import RunnerClient
+from damaskjunction.gateway.runners.runner_faults import RunnerFaults
 from damaskjunction.gateway.runners.suspect_registry import SuspectRegistry
 from damaskjunction.gateway.slots.slot_client import SlotClient
 from damaskjunction.gateway.state import ServingState
@@ -25,6 +26,7 @@
     runner_client: RunnerClient
     suspects: SuspectRegistry
     crash_reporter: CrashReporter
+    runner_faults: RunnerFaults
     version_registry: VersionRegistry
     origin_keeper: StreamOriginKeeper
     take_ups: TakeUpResolver
--- a/libs/gateway/src/damaskjunction/gateway/jobs/item_runner.py
+++ b/libs/gateway/src/damaskjunction/gateway/jobs/item_runner.py
@@ -11,6 +11,7 @@
 from damaskjunction.core import (
     Outcome,
     RequestError,
+    RunnerId,
     ServiceName,
     WorkClass,
     stable_hash,
@@ -81,6 +82,7 @@
         self._state = context.state
         self._slot_client = context.slot_client
         self._runner_client = context.runner_client
+        self._runner_faults = context.runner_faults
         self._timers = context.timers
         self._metrics = context.metrics
         self._back_off = back_off
@@ -332,6 +334,18 @@
             ) from None
         check.check_end()
 
+    def _record_fault(
+        self, route: Route, progress: ItemProgress, runner_id: RunnerId, reason: str
+    ) -> None:
+        service = route.service_for(stable_hash(progress.item.item_id))
+        runner = self._state.find_runner(service, runner_id)
+        if runner is None:
+            return
+        seen = RunnerSeen(service, runner_id, False)
+        self._runner_faults.record(
+            runner, reason, lambda: self._slot_client.report_health(seen)
+        )
+
     def _record_failure(
         self,
         route: Route,
@@ -344,8 +358,7 @@
             progress.record_denial(slot.runner_id)
         progress.n_crashes += error.reason in CONNECTION_LOST_REASONS
         if error.is_fault:
-            service = route.service_for(stable_hash(progress.item.item_id))
-            self._slot_client.report_health(RunnerSeen(service, slot.runner_id, False))
+            self._record_fault(route, progress, slot.runner_id, error.reason)
         extra = {
             "item": progress.item.item_id,
             "runner": slot.runner_id,
--- a/libs/gateway/src/damaskjunction/gateway/requests/request_execution.py
+++ b/libs/gateway/src/damaskjunction/gateway/requests/request_execution.py
@@ -4,7 +4,8 @@
 
 import asyncio
 import logging
-from collections.abc import AsyncGenerator
+from collections.abc import AsyncGenerator, Callable
+from functools import partial
 
 from damaskjunction.core import Outcome, RequestError, Runner, RunnerId
 from damaskjunction.core.units import MILLISECOND_S
@@ -185,7 +186,7 @@
     async def _record_failure(self, error: RunnerFailedError) -> None:
         self._attempts.record_failure(self._runner_id, error)
         if error.is_fault:
-            self._record_health(is_well=False)
+            self._record_fault(error.reason)
         self._log(
             "attempt failed",
             reason=error.reason,
@@ -214,7 +215,18 @@
         self._report_answered()
 
     def _record_health(self, *, is_well: bool) -> None:
-        self._selector.record_health(
+        self._health_recorder(is_well)()
+
+    def _record_fault(self, reason: str) -> None:
+        """Report a runner as unhealthy if the failure proves to be its own."""
+        if self._runner is not None:
+            accuse = self._health_recorder(is_well=False)
+            self._context.runner_faults.record(self._runner, reason, accuse)
+
+    def _health_recorder(self, is_well: bool) -> Callable[[], None]:
+        """Return what records the health of the present attempt's runner."""
+        return partial(
+            self._selector.record_health,
             self._routed,
             self._runner_id,
             is_well=is_well,
@@ -366,7 +378,7 @@
     def _report_stall(self) -> None:
         """Report a runner that stalls as unhealthy; its response may still arrive."""
         self._log("runner silent", n_events=self._n_events)
-        self._record_health(is_well=False)
+        self._record_fault("silent")
 
     async def release(self) -> None:
         """Abort the response in flight and release the slot or the runner."""
--- a/libs/gateway/src/damaskjunction/gateway/root.py
+++ b/libs/gateway/src/damaskjunction/gateway/root.py
@@ -19,6 +19,7 @@
 from damaskjunction.gateway.requests.online import OnlineHandler
 from damaskjunction.gateway.runners.crash_reporter import CrashReporter
 from damaskjunction.gateway.runners.runner_client import RunnerClient
+from damaskjunction.gateway.runners.runner_faults import RunnerFaults
 from damaskjunction.gateway.runners.suspect_registry import SuspectRegistry
 from damaskjunction.gateway.slots.slot_client import SlotClient
 from damaskjunction.gateway.slots.slot_home import SlotHome
@@ -118,7 +119,13 @@
         transport.register(handlers)
         self._membership = self._make_membership(own, rng, handlers)
         self._access = access = self._make_runner_access(rng)
-        self._runner_client = RunnerClient(timers, leaving, connector=access.connector)
+        runner_faults = RunnerFaults(access.diagnosis)
+        self._runner_client = RunnerClient(
+            timers,
+            leaving,
+            connector=access.connector,
+            has_ended=access.diagnosis.has_ended,
+        )
         origin = f"{settings.host_id}.{start_ms}"
         self._suspects = suspects = SuspectRegistry(
             self._store, timers, self.metrics, origin
@@ -127,7 +134,12 @@
             self._store, self.state, timers, self.metrics
         )
         home = SlotHome(
-            self.state, suspects, self._runner_client, version_registry, timers
+            self.state,
+            suspects,
+            self._runner_client,
+            version_registry,
+            timers,
+            runner_faults=runner_faults,
         )
         home.register(handlers)
         slot_client = SlotClient(
@@ -141,7 +153,12 @@
             rng=rng,
         )
         crash_reporter = CrashReporter(
-            self.state, suspects, slot_client, self._links, timers
+            self.state,
+            suspects,
+            slot_client,
+            self._links,
+            timers,
+            diagnosis=access.diagnosis,
         )
         crash_reporter.register(handlers)
         self._origin_keeper = origin_keeper = StreamOriginKeeper(
@@ -157,6 +174,7 @@
             self._runner_client,
             suspects,
             crash_reporter,
+            runner_faults,
             version_registry,
             origin_keeper,
             take_ups,
@@ -187,6 +205,7 @@
             version_registry,
             origin_keeper,
             crash_reporter,
+            runner_faults,
             home,
             self._peer_server,
             self._membership,
--- a/libs/gateway/src/damaskjunction/gateway/runners/crash_reporter.py
+++ b/libs/gateway/src/damaskjunction/gateway/runners/crash_reporter.py
@@ -1,7 +1,8 @@
 """Reports of runner crashes, and of the answers that clear requests, to the home.
 
-A lost connection is a crash only when the runner refuses new connections. The requests
-that a runner's crash ended are reported together, until the home has the report.
+A lost connection is a crash only when the runner refuses new connections of this host
+and of others. The requests that a runner's crash ended are reported together, until the
+home has the report.
 """
 
 from __future__ import annotations
@@ -14,7 +15,8 @@
 from damaskjunction.gateway.runners.suspect_registry import SuspectRegistry
 from damaskjunction.gateway.slots.slot_client import SlotClient
 from damaskjunction.gateway.state import ServingState
-from damaskjunction.node import PeerHandlers, TaskSet, refuses_connections
+from damaskjunction.node import PeerHandlers, TaskSet
+from damaskjunction.relay import PathDiagnosis
 from damaskjunction.routing import CrashReport, RequestTraits
 from damaskjunction.wire import Noted, PeerLinks, Reply, TraitsAnswered
 
@@ -48,6 +50,8 @@
         Links to other hosts.
     timers : Timers
         The process's timer service.
+    diagnosis : PathDiagnosis
+        Tells whether a runner has ended.
     """
 
     def __init__(
@@ -57,12 +61,15 @@
         slot_client: SlotClient,
         links: PeerLinks,
         timers: Timers,
+        *,
+        diagnosis: PathDiagnosis,
     ) -> None:
         self._state = state
         self._suspects = suspects
         self._slot_client = slot_client
         self._links = links
         self._timers = timers
+        self._diagnosis = diagnosis
         self._lost_by_runner: dict[RunnerId, list[LostRequest]] = {}
         self._diagnoses_by_runner: dict[RunnerId, asyncio.Task[bool]] = {}
         self._sending = TaskSet()
@@ -100,13 +107,13 @@
         """Return whether a runner has crashed, and report it if so."""
         lost_at_s = self._timers.now()
         try:
-            has_crashed = await refuses_connections(runner.address)
+            has_crashed = await self._diagnosis.has_ended(runner.address)
         finally:
             del self._diagnoses_by_runner[runner.runner_id]
             lost = self._lost_by_runner.pop(runner.runner_id)
         if not has_crashed:
             extra = {"runner": runner.runner_id, "n_requests": len(lost)}
-            logger.info("connections lost, but the runner lives", extra=extra)
+            logger.info("connections lost, but no crash is proved", extra=extra)
             return False
         accused = {request.traits for request in lost if not request.is_answered}
         answered = {
--- a/libs/gateway/src/damaskjunction/gateway/runners/runner_client.py
+++ b/libs/gateway/src/damaskjunction/gateway/runners/runner_client.py
@@ -4,9 +4,11 @@
 
 import asyncio
 import logging
+from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
 from damaskjunction.core import (
+    Address,
     DamaskjunctionError,
     Outcome,
     RequestId,
@@ -38,6 +40,7 @@
     decode_runner_report,
     runner_headers,
 )
+from damaskjunction.relay import RunnerUnreachableError
 from damaskjunction.routing import (
     NO_LIMIT_PER_S,
     LeavingRunners,
@@ -98,6 +101,8 @@
         Records the runners that say that they leave.
     connector : Connector, optional
         Opens the connections, direct ones by default.
+    has_ended : callable, optional
+        Returns whether the process at an address has ended.
     """
 
     def __init__(
@@ -106,6 +111,7 @@
         leaving: LeavingRunners | None = None,
         *,
         connector: Connector | None = None,
+        has_ended: Callable[[Address], Awaitable[bool]] = refuses_connections,
     ) -> None:
         self._client = HttpClient(
             timers,
@@ -113,6 +119,7 @@
             idle_timeout_s=IDLE_TIMEOUT_S,
             connector=connector,
         )
+        self._has_ended = has_ended
         self._timers = timers
         self.observed_limits = LimitObservations()
         self._leaving = leaving or LeavingRunners()
@@ -328,7 +335,7 @@
         """
         if not runner_response.body.ends_with_connection:
             return
-        if await refuses_connections(runner_response.runner.address):
+        if await self._has_ended(runner_response.runner.address):
             raise RunnerFailedError(
                 Outcome.RAN, "answer_cut", "the runner has ended", is_fault=True
             )
@@ -366,6 +373,8 @@
         case _:
             reason = "no_connection"
     is_fault = reason != "other_process"
+    if isinstance(error, RunnerUnreachableError):
+        is_fault = error.verdict.may_accuse
     return RunnerFailedError(Outcome.NOT_RUN, reason, str(error), is_fault=is_fault)
 
 
--- /dev/null
+++ b/libs/gateway/src/damaskjunction/gateway/runners/runner_faults.py
@@ -0,0 +1,69 @@
+"""Which failed requests count against a runner's health."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+
+from damaskjunction.core import Runner
+from damaskjunction.node import TaskSet
+from damaskjunction.relay import PathDiagnosis
+
+logger = logging.getLogger(__name__)
+
+# What a runner is accused of for lack of bytes from it; its path may have failed.
+PATH_REASONS = (
+    "silent",
+    "no_answer",
+    "stream_cut",
+    "answer_cut",
+    "no_end",
+    "process_unknown",
+    "no_report",
+)
+
+
+class RunnerFaults:
+    """Accuses runners of failures, unless the path from this host has failed.
+
+    Parameters
+    ----------
+    diagnosis : PathDiagnosis
+        Tells a runner that failed from a path that did.
+    """
+
+    def __init__(self, diagnosis: PathDiagnosis) -> None:
+        self._diagnosis = diagnosis
+        self._tasks = TaskSet()
+
+    async def start(self) -> None:
+        """Do nothing; failures are judged as they come."""
+
+    async def close(self) -> None:
+        """Cancel the judgements under way."""
+        await self._tasks.close()
+        await self._diagnosis.close()
+
+    def record(self, runner: Runner, reason: str, accuse: Callable[[], None]) -> None:
+        """Call ``accuse`` if a failure for a reason is the runner's.
+
+        One that may be the path's is diagnosed first.
+        """
+        if reason in PATH_REASONS:
+            self._tasks.begin(self._judge(runner, reason, accuse))
+        else:
+            accuse()
+
+    async def _judge(
+        self, runner: Runner, reason: str, accuse: Callable[[], None]
+    ) -> None:
+        verdict = await self._diagnosis.diagnose(runner.address)
+        if verdict.may_accuse:
+            accuse()
+            return
+        extra = {
+            "runner": runner.runner_id,
+            "reason": reason,
+            "verdict": verdict.value,
+        }
+        logger.info("runner not accused", extra=extra)
--- a/libs/gateway/src/damaskjunction/gateway/slots/slot_home.py
+++ b/libs/gateway/src/damaskjunction/gateway/slots/slot_home.py
@@ -18,6 +18,7 @@
     WorkClass,
 )
 from damaskjunction.gateway.runners.runner_client import RunnerClient, RunnerFailedError
+from damaskjunction.gateway.runners.runner_faults import RunnerFaults
 from damaskjunction.gateway.runners.suspect_registry import SuspectRegistry
 from damaskjunction.gateway.state import ServingState
 from damaskjunction.gateway.versions.version_registry import VersionRegistry
@@ -94,6 +95,8 @@
         Tells which runners may begin streams.
     timers : Timers
         The process's timer service.
+    runner_faults : RunnerFaults
+        Judges reports that fail.
     """
 
     def __init__(
@@ -103,12 +106,15 @@
         runner_client: RunnerClient,
         version_registry: VersionRegistry,
         timers: Timers,
+        *,
+        runner_faults: RunnerFaults,
     ) -> None:
         self._state = state
         self._suspects = suspects
         self._version_registry = version_registry
         self._runner_client = runner_client
         self._timers = timers
+        self._runner_faults = runner_faults
         self._pools_by_service: dict[ServiceName, SlotPool] = {}
         self._reservations_by_id: dict[RequestId, SlotReservation] = {}
         self._runners_by_service: dict[ServiceName, list[Runner]] = {}
@@ -327,7 +333,11 @@
         except (RunnerFailedError, TimeoutError) as error:
             extra = {"runner": runner.runner_id, "error": repr(error)}
             logger.info("runner report failed", extra=extra)
-            pool.record_failure(runner.runner_id, self._timers.now())
+            self._runner_faults.record(
+                runner,
+                "no_report",
+                lambda: pool.record_failure(runner.runner_id, self._timers.now()),
+            )
             return
         n_requests = report.n_running + report.n_queued
         now_s = self._timers.now()
