Close idle connections that may not be used again

Cause: a connection on which a request was answered stays in the pool until the next request takes it. Requests that may run once only take none, so that their connections pile up until the peer closes them; tunnels through other hosts use up what a host relays at once. Change: a connection that returns to the pool closes those before it that have been idle for too long, or whose connector says that they may not be used again.

--- a/libs/http/features/client.feature
+++ b/libs/http/features/client.feature
@@ -39,3 +39,8 @@
     Given a server that streams 3 chunks 0.01 s apart
     When 2 responses are read on a connection, 0.5 s apart, with a stall timeout of 0.2 s
     Then each response is complete
+
+  Scenario: Idle connections that may not be used again are closed, also if all are new
+    Given a server that counts its open connections
+    When a client with an idle timeout of 0.05 s sends 5 requests on new connections 0.1 s apart
+    Then at most 2 connections to the server are open
--- a/libs/http/features/steps/client_steps.py
+++ b/libs/http/features/steps/client_steps.py
@@ -7,7 +7,7 @@
 from behave import given, then, when
 from server_steps import run, start_server
 
-from damaskjunction.core import LoopTimers
+from damaskjunction.core import Address, LoopTimers
 from damaskjunction.http import (
     BrokenResponseError,
     HttpClient,
@@ -207,3 +207,56 @@
 @then('the response failed with "{error}"')
 def check_failed(context, error):
     assert context.responses[0].error == error, context.responses[0].error
+
+
+class CountingServer:
+    """Answers each request, and counts the connections that are open."""
+
+    def __init__(self):
+        self.n_open = 0
+        self._server = None
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        return Address(*self._server.sockets[0].getsockname())
+
+    async def close(self):
+        self._server.close()
+
+    async def _serve(self, reader, writer):
+        self.n_open += 1
+        try:
+            while await reader.readuntil(b"\r\n\r\n"):
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        except (OSError, asyncio.IncompleteReadError):
+            self.n_open -= 1
+            writer.transport.abort()
+
+
+@given("a server that counts its open connections")
+def start_counting_server(context):
+    context.server = CountingServer()
+    context.address = run(context, context.server.start())
+
+
+@when(
+    "a client with an idle timeout of {idle_s:g} s sends {count:d} requests on new"
+    " connections {interval_s:g} s apart"
+)
+def send_on_new_connections(context, idle_s, count, interval_s):
+    async def send():
+        context.client = HttpClient(LoopTimers(), idle_timeout_s=idle_s)
+        for _ in range(count):
+            response = await context.client.send(
+                context.address, "GET", "/", new_connection=True
+            )
+            await response.read()
+            await asyncio.sleep(interval_s)
+
+    run(context, send())
+
+
+@then("at most {count:d} connections to the server are open")
+def check_open_connections(context, count):
+    assert 1 <= context.server.n_open <= count, context.server.n_open
+    context.client.close()
--- a/libs/http/src/damaskjunction/http/client.py
+++ b/libs/http/src/damaskjunction/http/client.py
@@ -135,7 +135,10 @@
             connection.abort()
             return
         connection.idle_since_s = self._timers.now()
-        self._idle_by_address.setdefault(connection.address, []).append(connection)
+        connections = self._idle_by_address.setdefault(connection.address, [])
+        while connections and not self._is_usable(connections[0]):
+            connections.pop(0).abort()
+        connections.append(connection)
 
     async def _acquire(self, address: Address, new_connection: bool) -> Connection:
         connection = None if new_connection else self._take_idle(address)
@@ -177,14 +180,17 @@
         connections = self._idle_by_address.get(address, [])
         while connections:
             connection = connections.pop()
-            idle_s = self._timers.now() - connection.idle_since_s
-            timeout_s = min(self._idle_timeout_s, connection.keep_alive_timeout_s)
-            if idle_s < timeout_s and connection.is_reusable():
+            if self._is_usable(connection):
                 return connection
             connection.abort()
         self._idle_by_address.pop(address, None)
         return None
 
+    def _is_usable(self, connection: Connection) -> bool:
+        idle_s = self._timers.now() - connection.idle_since_s
+        timeout_s = min(self._idle_timeout_s, connection.keep_alive_timeout_s)
+        return idle_s < timeout_s and connection.is_reusable()
+
     async def _connect(self, address: Address) -> Connection:
         opened = await self._connector.connect(address)
         self.n_connections_opened += 1
