Hedge slow connections to runners within a budget

Cause: a host that is late itself, or whose machine is, opens no connection within 0.1 s either; each would ask relays as well, which adds to the work that makes it late. Change: while no path is known to be cut, at most one connection in ten is hedged, with a burst of ten. Attempts that have failed, and those while a path is cut, are not counted. Result: 10 of 100 slow connections are hedged, all of them once a path is cut (the new scenario; without the budget all 100 are).

--- a/libs/relay/src/damaskjunction/relay/connector.py
+++ b/libs/relay/src/damaskjunction/relay/connector.py
@@ -42,8 +42,15 @@
     ``others`` is what came of those through other hosts so far.
     """
 
-    def __init__(self, address: Address, direct_path: DirectPath, relays: Relays):
+    def __init__(
+        self,
+        address: Address,
+        paths: RunnerPaths,
+        direct_path: DirectPath,
+        relays: Relays,
+    ) -> None:
         self.address = address
+        self._paths = paths
         self._direct_path = direct_path
         self.others: list[Reach] = []
         self.direct: asyncio.Task[Attempt] | None = None
@@ -58,6 +65,8 @@
             await asyncio.wait((self.direct,), timeout=plan.relay_after_s)
             if _is_connected(self.direct):
                 return self.direct.result()
+            if not self.direct.done() and not self._paths.take_hedge():
+                return await self.direct
         self.relayed = asyncio.ensure_future(self._connect_through_hosts())
         return await self._first_connected()
 
@@ -141,7 +150,7 @@
         RunnerUnreachableError
             When no way leads there within ``CONNECT_TIMEOUT_S``.
         """
-        ways = _Ways(address, self._direct_path, self._relays)
+        ways = _Ways(address, self._paths, self._direct_path, self._relays)
         attempt = Attempt(Reach.UNKNOWN)
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
--- a/libs/routing/features/runner_paths.feature
+++ b/libs/routing/features/runner_paths.feature
@@ -52,6 +52,13 @@
     When a direct connection to "r1" is opened
     Then the plan for "r1" is direct, with a relay after 0.1 s
 
+  Scenario: Connections that are only slow are hedged within a budget
+    Then 10 of 100 slow connections may be hedged
+    When 100 direct connections are opened
+    Then 10 of 100 slow connections may be hedged
+    When the path to "r2" is found cut
+    Then 100 of 100 slow connections may be hedged
+
   Scenario: Hosts that relayed before are asked first, and those that could not last
     Given the hosts "h1,h2,h3,h4"
     When "h3" relays a connection and "h1" can't
--- a/libs/routing/features/steps/runner_path_steps.py
+++ b/libs/routing/features/steps/runner_path_steps.py
@@ -199,3 +199,15 @@
     orders = relay_orders(context)
     assert {order[0] for order in orders} == {first}
     assert len({order[-1] for order in orders}) > 1
+
+
+@then("{expected:d} of {count:d} slow connections may be hedged")
+def check_hedges(context, expected, count):
+    n_hedged = sum(paths_of(context).take_hedge() for _ in range(count))
+    assert n_hedged == expected, n_hedged
+
+
+@when("{count:d} direct connections are opened")
+def open_many(context, count):
+    for _ in range(count):
+        paths_of(context).record_direct(address_of("r1"))
--- a/libs/routing/src/damaskjunction/routing/runner_paths.py
+++ b/libs/routing/src/damaskjunction/routing/runner_paths.py
@@ -16,6 +16,9 @@
 DIRECT_HEAD_START_S = 0.1  # before a relay is tried as well
 DIRECT_RETRY_S = 1.0  # between direct tries over a path that is cut
 RELAY_EXCLUSION_S = 2.0
+# A host that is late itself must not add relays to its work.
+CONNECTIONS_PER_HEDGE = 10
+HEDGE_BURST = 10
 MAX_WITNESSES = 8
 MAX_TRACKED = 4096
 
@@ -119,12 +122,14 @@
     A path is cut when the runner can be reached through another host only. It is then
     tried directly once in ``DIRECT_RETRY_S``, and is whole again once that succeeds.
     While a path is cut, the others are doubted: relays are tried at the same time.
+    While none is, connections that are only slow are hedged within a budget.
     """
 
     def __init__(self) -> None:
         self._retry_at_by_address: dict[Address, float] = {}
         self._excluded_until_by_relay: dict[HostId, float] = {}
         self._proved_relays: set[HostId] = set()
+        self._hedge_credit = HEDGE_BURST * CONNECTIONS_PER_HEDGE
 
     def is_cut(self, address: Address) -> bool:
         """Return whether the direct path to a runner is known to be cut."""
@@ -146,8 +151,19 @@
         self._retry_at_by_address[address] = now_s + DIRECT_RETRY_S
         return PathPlan(True, 0.0)
 
+    def take_hedge(self) -> bool:
+        """Return whether relays may be asked while a direct attempt is slow."""
+        if self._retry_at_by_address:
+            return True
+        if self._hedge_credit < CONNECTIONS_PER_HEDGE:
+            return False
+        self._hedge_credit -= CONNECTIONS_PER_HEDGE
+        return True
+
     def record_direct(self, address: Address) -> bool:
         """Record a direct connection; return whether the path was cut before."""
+        max_credit = HEDGE_BURST * CONNECTIONS_PER_HEDGE
+        self._hedge_credit = min(max_credit, self._hedge_credit + 1)
         return self._retry_at_by_address.pop(address, None) is not None
 
     def record_cut(self, address: Address, now_s: float) -> bool:
