Give back the slot of a stream that is silent since its path was cut

What callers saw: a second after hosts were cut off, the home refused requests at all hosts as overloaded, since streams whose answers no longer came kept their slots until their callers left. Cause: a slot is held until its request ends, and a stream that may not be resumed ends with its caller's patience. Change: when a silent stream's path proves to be cut, its slot is given back; the runner's report tells the home whether it still works on the request.

--- a/libs/gateway/features/simulated_host.py
+++ b/libs/gateway/features/simulated_host.py
@@ -119,7 +119,7 @@
 class RunnersToBlame:
     """Takes each failure for the runner's: paths to runners never fail here."""
 
-    def record(self, runner, reason, accuse):
+    def record(self, runner, reason, accuse, on_path_cut=None):
         accuse()
 
 
--- a/libs/gateway/src/damaskjunction/gateway/requests/request_execution.py
+++ b/libs/gateway/src/damaskjunction/gateway/requests/request_execution.py
@@ -218,10 +218,17 @@
         self._health_recorder(is_well)()
 
     def _record_fault(self, reason: str) -> None:
-        """Report a runner as unhealthy if the failure proves to be its own."""
+        """Report a runner as unhealthy if the failure proves to be its own.
+
+        If the path to it is cut, the slot is given back: the runner's report tells
+        whether it still works on the request.
+        """
         if self._runner is not None:
             accuse = self._health_recorder(is_well=False)
-            self._context.runner_faults.record(self._runner, reason, accuse)
+            on_path_cut = self._slot.close if self._slot is not None else None
+            self._context.runner_faults.record(
+                self._runner, reason, accuse, on_path_cut
+            )
 
     def _health_recorder(self, is_well: bool) -> Callable[[], None]:
         """Return what records the health of the present attempt's runner."""
--- a/libs/gateway/src/damaskjunction/gateway/runners/runner_faults.py
+++ b/libs/gateway/src/damaskjunction/gateway/runners/runner_faults.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from damaskjunction.core import Runner
 from damaskjunction.node import TaskSet
 from damaskjunction.relay import PathDiagnosis
+from damaskjunction.routing import RunnerVerdict
 
 logger = logging.getLogger(__name__)
 
@@ -44,23 +45,36 @@
         await self._tasks.close()
         await self._diagnosis.close()
 
-    def record(self, runner: Runner, reason: str, accuse: Callable[[], None]) -> None:
+    def record(
+        self,
+        runner: Runner,
+        reason: str,
+        accuse: Callable[[], None],
+        on_path_cut: Callable[[], Awaitable[None]] | None = None,
+    ) -> None:
         """Call ``accuse`` if a failure for a reason is the runner's.
 
-        One that may be the path's is diagnosed first.
+        One that may be the path's is diagnosed first; ``on_path_cut`` is called if it
+        proves to be.
         """
         if reason in PATH_REASONS:
-            self._tasks.begin(self._judge(runner, reason, accuse))
+            self._tasks.begin(self._judge(runner, reason, accuse, on_path_cut))
         else:
             accuse()
 
     async def _judge(
-        self, runner: Runner, reason: str, accuse: Callable[[], None]
+        self,
+        runner: Runner,
+        reason: str,
+        accuse: Callable[[], None],
+        on_path_cut: Callable[[], Awaitable[None]] | None,
     ) -> None:
         verdict = await self._diagnosis.diagnose(runner.address)
         if verdict.may_accuse:
             accuse()
             return
+        if on_path_cut is not None and verdict is RunnerVerdict.PATH_CUT:
+            await on_path_cut()
         extra = {
             "runner": runner.runner_id,
             "reason": reason,
