Measure what a relayed connection costs

Change: the experiment relay-cost compares responses over a direct connection and over a tunnel, with 1 and 37 events.

--- a/libs/lab/src/damaskjunction/lab/__main__.py
+++ b/libs/lab/src/damaskjunction/lab/__main__.py
@@ -21,7 +21,8 @@
 import damaskjunction.lab.online
 import damaskjunction.lab.peak
 import damaskjunction.lab.placement
-import damaskjunction.lab.planning  # noqa: F401 - registers its experiments
+import damaskjunction.lab.planning
+import damaskjunction.lab.relay_cost  # noqa: F401 - registers its experiments
 from damaskjunction.lab.demo import run_demo
 from damaskjunction.lab.experiments import ExperimentOptions, experiments
 from damaskjunction.lab.playground import run_playground
