Use no connection over a doubtful path before it has proved to last

Cause: a connection that opens was taken for a path that is whole, in requests, probes and the retries of a cut path.

--- a/libs/relay/features/relay.feature
+++ b/libs/relay/features/relay.feature
@@ -15,6 +15,14 @@
       | refused |
       | silent  |
 
+  Scenario: Connections that open and are reset at once are of a path that is cut
+    Given "h0" is cut off from the runners, whose connections are reset at once
+    Then "h0" diagnoses "r0" as path_cut
+    When "h0" sends 10 requests to "r0"
+    Then "h0" has 10 whole answers, none later than 0.4 s
+    When "h0" sends 10 requests to "r1"
+    Then "h0" has 10 whole answers, none later than 0.4 s
+
   Scenario: Hosts that are cut off themselves relay nothing, another one does
     Given "h0" is cut off from the runners, whose connections are silent
     And "h1" is cut off from the runners, whose connections are silent
--- a/libs/relay/features/steps/relay_fleet.py
+++ b/libs/relay/features/steps/relay_fleet.py
@@ -20,8 +20,14 @@
 HEAD = b"HTTP/1.1 200 OK\r\n"
 
 
+RESET_AT_ONCE = "reset at once"
+
+
 class CuttablePath(DirectPath):
-    """A direct path that can be cut; ``shape`` is then what attempts come to."""
+    """A direct path that can be cut; ``shape`` is then what attempts come to.
+
+    With ``RESET_AT_ONCE`` connections open and are reset at once.
+    """
 
     def __init__(self):
         self.shape = None
@@ -29,6 +35,11 @@
     async def connect(self, address, timeout_s):
         if self.shape is None:
             return await super().connect(address, timeout_s)
+        if self.shape == RESET_AT_ONCE:
+            attempt = await super().connect(address, timeout_s)
+            attempt.streams.reader.set_exception(ConnectionResetError())
+            attempt.streams.writer.transport.abort()
+            return attempt
         if self.shape is Reach.SILENT:
             await asyncio.sleep(timeout_s)
         return Attempt(self.shape)
--- a/libs/relay/features/steps/relay_steps.py
+++ b/libs/relay/features/steps/relay_steps.py
@@ -62,7 +62,8 @@
 
 @given('"{name}" is cut off from the runners, whose connections are {shape}')
 def cut_host(context, name, shape):
-    context.fleet.hosts[name].path.shape = Reach(shape)
+    is_reach = shape in set(Reach)
+    context.fleet.hosts[name].path.shape = Reach(shape) if is_reach else shape
 
 
 @when('"{name}" reaches the runners again')
--- a/libs/relay/src/damaskjunction/relay/connector.py
+++ b/libs/relay/src/damaskjunction/relay/connector.py
@@ -54,14 +54,18 @@
         self._direct_path = direct_path
         self.others: list[Reach] = []
         self.direct: asyncio.Task[Attempt] | None = None
+        self.is_probed = False
         self.relayed: asyncio.Task[Attempt] | None = None
         self._relays = relays
 
     async def connect(self, plan: PathPlan) -> Attempt:
         """Return the first attempt that connects, or a failed one."""
         if plan.is_direct:
-            attempt = self._direct_path.connect(self.address, CONNECT_TIMEOUT_S)
+            path = self._direct_path
+            connect = path.connect_lastingly if plan.is_probed else path.connect
+            attempt = connect(self.address, CONNECT_TIMEOUT_S)
             self.direct = asyncio.ensure_future(attempt)
+            self.is_probed = plan.is_probed
             await asyncio.wait((self.direct,), timeout=plan.relay_after_s)
             if _is_connected(self.direct):
                 return self.direct.result()
@@ -194,25 +198,28 @@
         if winner.streams is None and not direct.done():
             discard(direct)
         elif winner.relay:
-            direct.add_done_callback(lambda done: self._judge_path(ways.address, done))
+            direct.add_done_callback(lambda done: self._judge_path(ways, done))
         elif winner.streams is not None:
-            self._record_direct(ways.address)
+            self._record_direct(ways)
 
-    def _judge_path(self, address: Address, direct: asyncio.Task[Attempt]) -> None:
+    def _judge_path(self, ways: _Ways, direct: asyncio.Task[Attempt]) -> None:
         """Judge a direct path after a relay has reached the runner."""
         if direct.cancelled() or direct.exception() is not None:
             return
         attempt = direct.result()
         if attempt.streams is not None:
             attempt.streams.writer.transport.abort()
-            self._record_direct(address)
-        elif self._paths.record_cut(address, self._timers.now()):
-            extra = {"runner": str(address), "reach": attempt.reach.value}
+            self._record_direct(ways)
+        elif self._paths.record_cut(ways.address, self._timers.now()):
+            extra = {"runner": str(ways.address), "reach": attempt.reach.value}
             logger.warning("path to runner cut", extra=extra)
 
-    def _record_direct(self, address: Address) -> None:
-        if self._paths.record_direct(address):
-            logger.info("path to runner regained", extra={"runner": str(address)})
+    def _record_direct(self, ways: _Ways) -> None:
+        now_s = self._timers.now()
+        record = self._paths.record_direct
+        if record(ways.address, now_s, is_proved=ways.is_probed):
+            extra = {"runner": str(ways.address)}
+            logger.info("path to runner regained", extra=extra)
 
 
 def _is_connected(task: asyncio.Task[Attempt]) -> bool:
--- a/libs/relay/src/damaskjunction/relay/diagnosis.py
+++ b/libs/relay/src/damaskjunction/relay/diagnosis.py
@@ -90,7 +90,8 @@
             others = await self._relays.witness(address, MAX_WITNESSES)
         verdict = judge_runner(reach, others, self._relays.n_others)
         if verdict is RunnerVerdict.LIVES:
-            self._paths.record_direct(address)
+            now_s = self._timers.now()
+            self._paths.record_direct(address, now_s, is_proved=True)
         elif verdict is RunnerVerdict.PATH_CUT:
             self._paths.record_cut(address, self._timers.now())
         extra = {
--- a/libs/relay/src/damaskjunction/relay/relays.py
+++ b/libs/relay/src/damaskjunction/relay/relays.py
@@ -7,7 +7,7 @@
 from collections.abc import AsyncGenerator, Callable, Sequence
 
 from damaskjunction.core import Address, EntryHost, Timers
-from damaskjunction.relay.direct import Attempt, abort, discard
+from damaskjunction.relay.direct import Attempt, abort, discard, proved
 from damaskjunction.relay.tunnel import open_tunnel
 from damaskjunction.routing import Reach, RunnerPaths
 
@@ -75,7 +75,7 @@
     async def witness(self, runner: Address, n_witnesses: int) -> list[Reach]:
         """Return what up to ``n_witnesses`` other hosts see of a runner."""
         asks = [self._ask(host, runner) for host in self._ordered()[:n_witnesses]]
-        attempts = await asyncio.gather(*asks)
+        attempts = [await proved(attempt) for attempt in await asyncio.gather(*asks)]
         for attempt in attempts:
             abort(attempt)
         return [attempt.reach for attempt in attempts]
--- a/libs/routing/features/runner_paths.feature
+++ b/libs/routing/features/runner_paths.feature
@@ -52,6 +52,16 @@
     When a direct connection to "r1" is opened
     Then the plan for "r1" is direct, with a relay after 0.1 s
 
+  Scenario: While a path is cut, connections over the others have to prove that they last
+    Then a direct connection to "r1" is used at once
+    When the path to "r2" is found cut
+    Then a direct connection to "r1" is used once it has proved to last
+    When a direct connection to "r1" has proved to last
+    Then a direct connection to "r1" is used at once
+    When the paths are 1.1 s older
+    Then a direct connection to "r1" is used once it has proved to last
+    And a direct connection to "r2" is used once it has proved to last
+
   Scenario: Connections that are only slow are hedged within a budget
     Then 10 of 100 slow connections may be hedged
     When 100 direct connections are opened
--- a/libs/routing/src/damaskjunction/routing/runner_paths.py
+++ b/libs/routing/src/damaskjunction/routing/runner_paths.py
@@ -109,11 +109,13 @@
     """How to connect to a runner.
 
     A relay is tried ``relay_after_s`` seconds after the direct path, or alone unless
-    ``is_direct``.
+    ``is_direct``. If ``is_probed``, a direct connection is not used before it has
+    proved to last.
     """
 
     is_direct: bool
     relay_after_s: float
+    is_probed: bool = False
 
 
 class RunnerPaths:
@@ -121,12 +123,14 @@
 
     A path is cut when the runner can be reached through another host only. It is then
     tried directly once in ``DIRECT_RETRY_S``, and is whole again once that succeeds.
-    While a path is cut, the others are doubted: relays are tried at the same time.
+    While a path is cut, the others are doubted unless they have proved to be whole in
+    the last ``DIRECT_RETRY_S``: relays are tried at the same time.
     While none is, connections that are only slow are hedged within a budget.
     """
 
     def __init__(self) -> None:
         self._retry_at_by_address: dict[Address, float] = {}
+        self._proved_until_by_address: dict[Address, float] = {}
         self._excluded_until_by_relay: dict[HostId, float] = {}
         self._proved_relays: set[HostId] = set()
         self._hedge_credit = HEDGE_BURST * CONNECTIONS_PER_HEDGE
@@ -144,12 +148,17 @@
         """Return how to connect to a runner now; claims a direct retry that is due."""
         retry_at_s = self._retry_at_by_address.get(address)
         if retry_at_s is None:
-            is_doubtful = bool(self._retry_at_by_address)
-            return PathPlan(True, 0.0 if is_doubtful else DIRECT_HEAD_START_S)
+            is_doubtful = (
+                bool(self._retry_at_by_address)
+                and self._proved_until_by_address.get(address, 0.0) <= now_s
+            )
+            return PathPlan(
+                True, 0.0 if is_doubtful else DIRECT_HEAD_START_S, is_doubtful
+            )
         if now_s < retry_at_s:
             return PathPlan(False, 0.0)
         self._retry_at_by_address[address] = now_s + DIRECT_RETRY_S
-        return PathPlan(True, 0.0)
+        return PathPlan(True, 0.0, True)
 
     def take_hedge(self) -> bool:
         """Return whether relays may be asked while a direct attempt is slow."""
@@ -160,8 +169,15 @@
         self._hedge_credit -= CONNECTIONS_PER_HEDGE
         return True
 
-    def record_direct(self, address: Address) -> bool:
-        """Record a direct connection; return whether the path was cut before."""
+    def record_direct(
+        self, address: Address, now_s: float, *, is_proved: bool = False
+    ) -> bool:
+        """Record a direct connection; return whether the path was cut before.
+
+        ``is_proved`` says that the connection has proved to last.
+        """
+        if is_proved and self._retry_at_by_address:
+            self._proved_until_by_address[address] = now_s + DIRECT_RETRY_S
         max_credit = HEDGE_BURST * CONNECTIONS_PER_HEDGE
         self._hedge_credit = min(max_credit, self._hedge_credit + 1)
         return self._retry_at_by_address.pop(address, None) is not None
@@ -169,6 +185,7 @@
     def record_cut(self, address: Address, now_s: float) -> bool:
         """Record that only a relay reaches a runner; return whether that is new."""
         is_new = address not in self._retry_at_by_address
+        self._proved_until_by_address.pop(address, None)
         self._retry_at_by_address[address] = now_s + DIRECT_RETRY_S
         while len(self._retry_at_by_address) > MAX_TRACKED:
             del self._retry_at_by_address[next(iter(self._retry_at_by_address))]
@@ -176,8 +193,10 @@
 
     def retain(self, addresses: Iterable[Address]) -> None:
         """Forget the paths to all other addresses."""
-        for address in self._retry_at_by_address.keys() - set(addresses):
-            del self._retry_at_by_address[address]
+        known = set(addresses)
+        for times in (self._retry_at_by_address, self._proved_until_by_address):
+            for address in times.keys() - known:
+                del times[address]
 
     def record_relay(self, host_id: HostId, reach: Reach, now_s: float) -> None:
         """Record what came of an attempt through another host."""
