Let items that wait for a slot follow their route

What callers saw: an item whose route had been given another service, or been removed, while it waited for a slot stayed in the queue of the former service. It was lost in sight: it lay there for as long as that service had no runner with room, though the new one had. Items of a removed route also took the runners ahead of items of routes in force, since they were due earlier.

Cause: the route was looked up once for each attempt, and one attempt may ask for a slot again and again without end. The bound on the time in the state did not see it: each repeated ask enters the state anew. Class: a decision that outlives the configuration it was made under.

Traced in "Items that wait for their route hold up no items of other routes" beside 20 busy processes: the pool's beliefs were right (2 slots, one in reserve, nothing unseen or ejected); in the second in which the test lets all items find their route missing, only 38 of 64 had been tried, and the 27 others ran one after another, 0.3 s each, before those of the other job.

Change: a wait in the queue ends as soon as the item's route is not the one in force, and the ask is withdrawn; the item then decides anew at once.

Measured: both scenarios of item_routes.feature fail on and pass with this. The traced test failed in 3 of 3 runs beside 20 busy processes before; with this 3 of 7 passed at a load average of 27 to 49 on 8 cores.

--- a/libs/gateway/features/simulated_host.py
+++ b/libs/gateway/features/simulated_host.py
@@ -11,6 +11,7 @@
 from simulated_time import SimulatedTimers
 
 from damaskjunction.core import (
+    Configuration,
     HostState,
     Outcome,
     PlatformUnavailableError,
@@ -53,7 +54,14 @@
     completion_target_s=60.0,
 )
 SPEC = BackendSpec(SERVICE, "", 100, EngineSpec(SLOTS, 10_000))
-TABLE = make_route_table(1, [ROUTE], [SPEC], CallerLimits())
+
+
+def make_table(version, routes):
+    """Return the routes of a configuration version."""
+    return make_route_table(version, routes, [SPEC], CallerLimits())
+
+
+TABLE = make_table(1, [ROUTE])
 
 
 class Call:
@@ -249,6 +257,15 @@
         )
         await self._front.submit(request, ROUTE)
 
+    def configure(self, table):
+        """Put routes in force."""
+        self.state.table = table
+        self.view.apply_configuration(Configuration(revision=table.version))
+
+    def home_id(self):
+        """Return the host that keeps the slots of the service, as this host sees it."""
+        return self.state.homes.homes_of(SERVICE)[0].host_id
+
     def start_draining(self):
         """Accept no new work; return the task that ends the work under way."""
         self.view.start_draining()
--- a/libs/gateway/features/steps/item_place_steps.py
+++ b/libs/gateway/features/steps/item_place_steps.py
@@ -76,7 +76,7 @@
         self.revoked = asyncio.Event()
         self.is_closed = False
 
-    async def acquire(self, ask, on_ask):
+    async def acquire(self, ask, on_ask, is_wanted):
         self.asks.append(ask)
         return self
 
--- a/libs/gateway/src/damaskjunction/gateway/jobs/item_runner.py
+++ b/libs/gateway/src/damaskjunction/gateway/jobs/item_runner.py
@@ -28,7 +28,7 @@
     RunnerFailedError,
     RunnerResponse,
 )
-from damaskjunction.gateway.slots.slot_client import Slot
+from damaskjunction.gateway.slots.slot_client import WITHDRAWN, Slot
 from damaskjunction.gateway.versions.stream_version import ADMISSION_REASONS
 from damaskjunction.http import (
     BrokenResponseError,
@@ -52,14 +52,16 @@
 MAX_RETRY_DELAY_S = 2.0
 DEFAULT_RETENTION_S = 60.0  # while the active routes lack the job's route
 UNPROCESSABLE_STATUS = 422
+# The next attempt follows these at once.
+UNDELAYED_REASONS = ("revoked", WITHDRAWN)
 
 
 class AttemptOutcome(NamedTuple):
     """The outcome of one attempt at an item.
 
     ``is_whole`` means that the output is complete. No further attempt follows one that
-    ``is_final``. ``reason`` is for logs, except that an attempt whose slot was
-    "revoked" is repeated without a delay.
+    ``is_final``. ``reason`` is for logs, except that an attempt is repeated without a
+    delay for the ``UNDELAYED_REASONS``.
     """
 
     is_whole: bool
@@ -165,7 +167,7 @@
                     return AttemptOutcome(False, True, "failed at each attempt")
                 if progress.n_crashes >= N_PROMPT_RETRIES:
                     return outcome
-                if outcome.reason != "revoked":
+                if outcome.reason not in UNDELAYED_REASONS:
                     progress.owed.enter(ItemState.DELAYED)
                     await self._back_off(min(n_retries, 3))
                     n_retries += 1
@@ -253,6 +255,7 @@
                 lambda home: progress.owed.enter(
                     ItemState.WAITING_FOR_SLOT, place=home
                 ),
+                lambda: self._find_route(job) == route,
             )
 
     async def _send_and_collect(
--- a/libs/gateway/src/damaskjunction/gateway/slots/queue_waits.py
+++ b/libs/gateway/src/damaskjunction/gateway/slots/queue_waits.py
@@ -25,14 +25,15 @@
 
 
 class _Place(NamedTuple):
-    """The queue that an ask waits in."""
+    """The queue that an ask waits in; ``is_wanted`` tells whether the ask stands."""
 
     service: ServiceName
     home_id: HostId
+    is_wanted: Callable[[], bool]
 
 
 class QueueWaits:
-    """Ends the waits in the queues of hosts that are not the home any more.
+    """Ends the waits at hosts that are not the home any more, and unwanted ones.
 
     Parameters
     ----------
@@ -45,18 +46,22 @@
         self._places_by_wait: dict[asyncio.Timeout, _Place] = {}
 
     @asynccontextmanager
-    async def wait(self, ask: SlotAsk, home_id: HostId) -> AsyncIterator[None]:
+    async def wait(
+        self, ask: SlotAsk, home_id: HostId, is_wanted: Callable[[], bool]
+    ) -> AsyncIterator[None]:
         """Bound the wait of the block in the queue of a home.
 
         Raises
         ------
         AskAgainError
-            When the home has changed, or after ``MAX_WAIT_S`` at most.
+            When the home has changed, when the ask is not wanted any more, or after
+            ``MAX_WAIT_S`` at most.
         """
         max_wait_s = self._rng.uniform(MIN_WAIT_S, MAX_WAIT_S)
         try:
             async with asyncio.timeout(max_wait_s) as wait:
-                self._places_by_wait[wait] = _Place(ask.service_name, home_id)
+                place = _Place(ask.service_name, home_id, is_wanted)
+                self._places_by_wait[wait] = place
                 try:
                     yield
                 finally:
@@ -67,11 +72,12 @@
             raise AskAgainError from None
 
     def end_misplaced(self, home_of: Callable[[ServiceName], EntryHost | None]) -> None:
-        """End the waits at other hosts than the home that ``home_of`` returns."""
+        """End the unwanted waits, and those elsewhere than at ``home_of``."""
         for wait, place in self._places_by_wait.items():
             home = home_of(place.service)
             is_misplaced = home is not None and home.host_id != place.home_id
-            if is_misplaced and not wait.expired():
+            is_over = is_misplaced or not place.is_wanted()
+            if is_over and not wait.expired():
                 wait.reschedule(asyncio.get_running_loop().time())
 
 
--- a/libs/gateway/src/damaskjunction/gateway/slots/slot_client.py
+++ b/libs/gateway/src/damaskjunction/gateway/slots/slot_client.py
@@ -53,20 +53,27 @@
 MAX_HOMES_TRIED = 2
 HEALTH_REPORT_TIMEOUT_S = 1.0
 NO_HOME_RETRY_AFTER_S = 0.3
+WITHDRAWN = "withdrawn"  # why an ask that is not wanted any more got no slot
 
 
 class Slot:
     """A slot that was granted, held until ``close``.
 
     ``revoked`` is set when the holder has to release it. ``watched`` are the request's
-    traits whose answer is to be reported, since a crash accuses them.
+    traits whose answer is to be reported, since a crash accuses them. ``is_wanted``
+    tells whether the ask still stands while it waits.
     """
 
     def __init__(
-        self, client: SlotClient | None, ask: SlotAsk, runner_id: RunnerId
+        self,
+        client: SlotClient | None,
+        ask: SlotAsk,
+        runner_id: RunnerId,
+        is_wanted: Callable[[], bool] = lambda: True,
     ) -> None:
         self._client = client
         self.ask = ask
+        self.is_wanted = is_wanted
         self.runner_id = runner_id
         self.revoked = asyncio.Event()
         self.watched: tuple[str, ...] = ()
@@ -148,32 +155,40 @@
         state.view.subscribe(self._follow_homes)
 
     async def acquire(
-        self, ask: SlotAsk, on_ask: Callable[[HostId], None] = lambda home: None
+        self,
+        ask: SlotAsk,
+        on_ask: Callable[[HostId], None] = lambda home: None,
+        is_wanted: Callable[[], bool] = lambda: True,
     ) -> Slot:
         """Return a slot once it is granted.
 
         When no home can be reached, an online request gets a slot that no home counts.
         ``on_ask`` is called with each host that is asked. A queued ask is repeated at
-        the new home when the home changes, and after ``MAX_WAIT_S`` at most.
+        the new home when the home changes, and after ``MAX_WAIT_S`` at most. It is
+        withdrawn once ``is_wanted`` returns False.
 
         Raises
         ------
         RequestError
-            ``NOT_RUN`` when the slot is refused.
+            ``NOT_RUN`` when the slot is refused or the ask withdrawn.
         """
         asked_at_s = self._timers.now()
         next_ask = ask
-        while True:
+        while is_wanted():
             try:
-                return await self._acquire_once(next_ask, on_ask)
+                return await self._acquire_once(next_ask, on_ask, is_wanted)
             except AskAgainError:
                 next_ask = age_ask(ask, self._timers.now() - asked_at_s)
+        raise RequestError(Outcome.NOT_RUN, WITHDRAWN)
 
     async def _acquire_once(
-        self, ask: SlotAsk, on_ask: Callable[[HostId], None]
+        self,
+        ask: SlotAsk,
+        on_ask: Callable[[HostId], None],
+        is_wanted: Callable[[], bool],
     ) -> Slot:
         ask = self._with_news(ask)
-        slot = Slot(self, ask, "")
+        slot = Slot(self, ask, "", is_wanted)
         try:
             candidates = self._home_choice.candidates(ask.service_name)
             for host in islice(candidates, MAX_HOMES_TRIED):
@@ -224,13 +239,13 @@
             reservation = self._home.request(ask, slot.revoked)
             slot.reservation = reservation
             if not reservation.granted.done():
-                async with self._waits.wait(ask, host.host_id):
+                async with self._waits.wait(ask, host.host_id, slot.is_wanted):
                     await asyncio.wait((reservation.granted,))
             runner_id = await reservation.granted
             is_limited = reservation.pool.is_limited(runner_id)
             granted = SlotGranted(runner_id, reservation.watched, is_limited)
         else:
-            call = await self._open_call(host, ask)
+            call = await self._open_call(host, ask, slot.is_wanted)
             if call is None:
                 return False
             slot.call, granted = call
@@ -242,14 +257,14 @@
         return True
 
     async def _open_call(
-        self, host: EntryHost, ask: SlotAsk
+        self, host: EntryHost, ask: SlotAsk, is_wanted: Callable[[], bool]
     ) -> tuple[AsyncGenerator[Message, None], SlotGranted] | None:
         replies = self._links.call(host.peer, ask.work_class.value, ask)
         try:
             async with asyncio.timeout(FIRST_REPLY_TIMEOUT_S_BY_CLASS[ask.work_class]):
                 reply = await anext(replies)
             if isinstance(reply, SlotQueued):
-                async with self._waits.wait(ask, host.host_id):
+                async with self._waits.wait(ask, host.host_id, is_wanted):
                     reply = await anext(replies)
             if not isinstance(reply, SlotGranted):
                 raise RequestError(Outcome.UNKNOWN, "bad_reply", repr(reply))
