Run a job again whose stopped run does not end

What callers would see: all items of a job lie for as long as its former run takes to end.

Change: 3 s after a run was stopped the host starts another and logs that the former one does not end.

--- a/libs/gateway/src/damaskjunction/gateway/jobs/job_worker.py
+++ b/libs/gateway/src/damaskjunction/gateway/jobs/job_worker.py
@@ -28,6 +28,7 @@
 FIRST_CHECK_DELAY_S = 4.0
 BACKOFF_BASE_S = 0.1
 BACKOFF_LIMIT_S = 1.0
+STOP_TIMEOUT_S = 3.0  # of a run that is cancelled, before the job may run again
 
 
 T = TypeVar("T")
@@ -70,6 +71,7 @@
         self._timers = context.timers
         self._rng = context.rng
         self._tasks_by_job: dict[JobId, asyncio.Task[None]] = {}
+        self._stopped_at_by_job: dict[JobId, float] = {}
         self._ids_with_cached_results: set[JobId] = set()
         self._ids_without_former_owner: set[JobId] = set()
         self._takeover_watch = TakeoverWatch(context.state.view.own.host_id)
@@ -167,6 +169,7 @@
                     "job run stopped", extra={"job": job_id, **job.status._asdict()}
                 )
                 task.cancel()
+                self._stopped_at_by_job.setdefault(job_id, self._timers.now())
             return
         if task is None and not self.is_draining:
             self._start_job(job)
@@ -175,11 +178,13 @@
         job_id = job.record.job_id
         task = asyncio.ensure_future(self._run_job(job))
         self._tasks_by_job[job_id] = task
+        self._stopped_at_by_job.pop(job_id, None)
         task.add_done_callback(lambda done: self._on_job_end(job_id, done))
 
     def _on_job_end(self, job_id: JobId, done: asyncio.Task[None]) -> None:
         if self._tasks_by_job.get(job_id) is done:
             del self._tasks_by_job[job_id]
+            self._stopped_at_by_job.pop(job_id, None)
             self._ids_with_cached_results.discard(job_id)
             self._ids_without_former_owner.discard(job_id)
             self._jobs.results.unpin(job_id)
@@ -203,13 +208,23 @@
             job_id = job.record.job_id
             if self._is_owner_known(job):
                 self._takeover_watch.observe_present(job_id)
-                if job.owner == view.own.host_id and job_id not in self._tasks_by_job:
+                if job.owner == view.own.host_id and not self._may_still_run(job_id):
                     self._start_job(job)
                 continue
             candidates = rendezvous_order(f"job/{job_id}", weighted_hosts)
             if self._takeover_watch.is_due(job_id, candidates, self._timers.now()):
                 self._takeovers.begin(self._take_over(job))
 
+    def _may_still_run(self, job_id: JobId) -> bool:
+        """Return whether a job has a run, but for one that was stopped long ago."""
+        if job_id not in self._tasks_by_job:
+            return False
+        stopped_at_s = self._stopped_at_by_job.get(job_id)
+        if stopped_at_s is None or self._timers.now() - stopped_at_s < STOP_TIMEOUT_S:
+            return True
+        logger.error("job run does not end", extra={"job": job_id})
+        return False
+
     async def _take_over(self, job: StoredJob) -> None:
         own_id = self._state.view.own.host_id
         extra = {"job": job.record.job_id, "former_owner": job.owner}
