Let owners take up items that lie at no runner with room

Not reproduced; its cause is not known. What made such a thing possible: only the time in a single state was bounded, each repeated ask begins that time anew, states in turn never reach their bounds, and nobody but the home judged whether runners have room.

Change: the owner bounds the item as a whole. One that has been at no runner for 3 s, while a runner that may take it reports that less than half of its slots are in use, is started over: its run is cancelled with all that it avoids, and for a while the slot is asked for at another host than the home, whose beliefs may be what is wrong. A line "item left lying" tells owner, home, own pool, reports, exclusions, version and the latest states with their times; 20 of them a second at most. Runs shorter than a second that this side ended do not count; runs that the runner failed do, so that an item that crashes runners keeps its delays. Two runners drawn by chance are asked, once a second, only while an item is overdue.

The decision (batch/overdue_items.py) has no input or output and is tested alone. left_lying.feature: the home counts slots as used that nobody holds; the home refuses each ask. Both left the items lying before this, and they are listed within 8 s with it. The fault of owed_fleet.feature that takes the watchdogs away takes this one away, too; its 9 scenarios pass.

--- a/libs/batch/src/damaskjunction/batch/__init__.py
+++ b/libs/batch/src/damaskjunction/batch/__init__.py
@@ -48,6 +48,12 @@
     part_name,
 )
 from damaskjunction.batch.meters import Usage, UsageMeter, usage_meters
+from damaskjunction.batch.overdue_items import (
+    PlacementClock,
+    RunnerReading,
+    is_overdue,
+    runners_with_room,
+)
 from damaskjunction.batch.peak import (
     BudgetSlice,
     HostBudget,
@@ -120,11 +126,13 @@
     "PeakDocument",
     "PeakInput",
     "PeakPolicy",
+    "PlacementClock",
     "PoolDocument",
     "Prospect",
     "ResultDocument",
     "Resume",
     "RetryDecision",
+    "RunnerReading",
     "SegmentDocument",
     "TakeoverWatch",
     "UploadDocument",
@@ -151,6 +159,7 @@
     "forecast_job",
     "is_abandoned",
     "is_expired",
+    "is_overdue",
     "is_unlimited",
     "items_name",
     "job_orders",
@@ -160,6 +169,7 @@
     "merge_results",
     "part_name",
     "peak_policies",
+    "runners_with_room",
     "sum_by_minute",
     "take_page",
     "usage_meters",
--- a/libs/gateway/features/simulated_host.py
+++ b/libs/gateway/features/simulated_host.py
@@ -194,6 +194,7 @@
             timers=timers,
             metrics=metrics,
             rng=rng,
+            version_registry=self.versions,
         )
         self.jobs = JobRepository(self.store)
         self.worker = JobWorker(self.jobs, context)
--- a/libs/gateway/features/steps/job_worker_steps.py
+++ b/libs/gateway/features/steps/job_worker_steps.py
@@ -95,13 +95,14 @@
         view = FakeView(FakeHomes(()))
         view.fleet = SimpleNamespace(hosts_by_id={OWN: view.own})
         context = SimpleNamespace(
-            state=SimpleNamespace(view=view),
+            state=SimpleNamespace(view=view, has_engines=lambda service: False),
             slot_client=None,
             runner_client=None,
             runner_faults=None,
             timers=self.timers,
             metrics=self.metrics,
             rng=random.Random(1),
+            version_registry=None,
         )
         self.jobs = JobRepository(self.store)
         self.worker = JobWorker(self.jobs, context)
--- a/libs/gateway/features/steps/owed_fleet_steps.py
+++ b/libs/gateway/features/steps/owed_fleet_steps.py
@@ -18,6 +18,7 @@
 
 from damaskjunction.batch import TakeoverWatch, takeovers
 from damaskjunction.gateway.jobs import item_progress, job_worker, owed_items
+from damaskjunction.gateway.jobs.placement_check import PlacementCheck
 from damaskjunction.gateway.slots import queue_waits
 from damaskjunction.gateway.slots.slot_home import REPORT_POLL_PERIOD_S, SlotHome
 from damaskjunction.gateway.versions import version_registry
@@ -284,7 +285,10 @@
     (queue_waits, "MAX_WAIT_S", math.inf),
     (queue_waits.QueueWaits, "end_misplaced", lambda *args: None),
 )
-NO_WATCHDOG = ((owed_items, "MAX_TIME_S_BY_STATE", {}),)
+NO_WATCHDOG = (
+    (owed_items, "MAX_TIME_S_BY_STATE", {}),
+    (PlacementCheck, "_begin", lambda *args: None),
+)
 FAULTS = {
     "asks stay in the queue of a lost home": ENDLESS_WAITS,
     "asks stay there and no stuck item is taken up again": ENDLESS_WAITS + NO_WATCHDOG,
--- a/libs/gateway/src/damaskjunction/gateway/jobs/item_runner.py
+++ b/libs/gateway/src/damaskjunction/gateway/jobs/item_runner.py
@@ -20,7 +20,7 @@
 from damaskjunction.gateway.dispatch_context import DispatchContext
 from damaskjunction.gateway.jobs.item_progress import ItemProgress
 from damaskjunction.gateway.jobs.job_repository import StoredJob
-from damaskjunction.gateway.jobs.owed_items import ItemState, OwedItem
+from damaskjunction.gateway.jobs.owed_items import ItemNeed, ItemState, OwedItem
 from damaskjunction.gateway.jobs.result_writer import BackOff
 from damaskjunction.gateway.requests.stream_check import StreamCheck
 from damaskjunction.gateway.runners.runner_client import (
@@ -208,6 +208,8 @@
                 return AttemptOutcome(False, False, "revoked")
             return work.result()
         except RunnerFailedError as error:
+            if error.outcome is not Outcome.NOT_RUN:
+                progress.owed.record_work()
             self._record_failure(route, progress, slot, error)
             return AttemptOutcome(False, False, error.reason)
         except RequestError as error:
@@ -249,6 +251,7 @@
             due_in_s=due_at_s - self._timers.wall(),
             software_version=version,
         )
+        progress.owed.need = ItemNeed(service, version, ask.avoid)
         async with asyncio.timeout(progress.slot_wait_limit_s(version)):
             return await self._slot_client.acquire(
                 ask,
--- a/libs/gateway/src/damaskjunction/gateway/jobs/job_worker.py
+++ b/libs/gateway/src/damaskjunction/gateway/jobs/job_worker.py
@@ -19,6 +19,7 @@
 from damaskjunction.gateway.jobs.item_runner import ItemRunner
 from damaskjunction.gateway.jobs.job_repository import JobRepository, StoredJob
 from damaskjunction.gateway.jobs.owed_items import ItemState, OwedItem, OwedItems
+from damaskjunction.gateway.jobs.placement_check import PlacementCheck
 from damaskjunction.gateway.jobs.result_writer import ResultWriter
 from damaskjunction.node import TaskSet, cancel_tasks
 
@@ -77,6 +78,7 @@
         self._takeover_watch = TakeoverWatch(context.state.view.own.host_id)
         self._runner = ItemRunner(context, self.back_off)
         self.owed_items = OwedItems(context.timers, context.metrics)
+        self._placement_check = PlacementCheck(context, self.owed_items)
         self._check: Subscription | None = None
         self._takeovers = TaskSet()
         self.is_draining = False
@@ -86,12 +88,14 @@
     async def start(self) -> None:
         """Start the periodic check for orphaned jobs, after ``FIRST_CHECK_DELAY_S``."""
         await self.owed_items.start()
+        await self._placement_check.start()
         self._check = self._timers.once(FIRST_CHECK_DELAY_S, self._start_checks)
 
     async def close(self) -> None:
         """Stop running all jobs; the store holds what remains to be done."""
         if self._check is not None:
             self._check.cancel()
+        await self._placement_check.close()
         await cancel_tasks(self._tasks_by_job.values())
         await self._takeovers.close()
         await self.owed_items.close()
--- a/libs/gateway/src/damaskjunction/gateway/jobs/owed_items.py
+++ b/libs/gateway/src/damaskjunction/gateway/jobs/owed_items.py
@@ -5,13 +5,21 @@
 import asyncio
 import heapq
 import logging
+from collections import deque
 from collections.abc import Iterator, Mapping
 from contextlib import contextmanager
 from enum import StrEnum
-from typing import TypedDict
-
-from damaskjunction.batch import ItemResult
-from damaskjunction.core import JobId, Subscription, Timers
+from typing import NamedTuple, TypedDict
+
+from damaskjunction.batch import ItemResult, PlacementClock, is_overdue
+from damaskjunction.core import (
+    HostId,
+    JobId,
+    RunnerId,
+    ServiceName,
+    Subscription,
+    Timers,
+)
 from damaskjunction.telemetry import Metrics
 
 logger = logging.getLogger(__name__)
@@ -19,6 +27,7 @@
 CHECK_PERIOD_S = 1.0
 LONG_WAIT_S = 5.0
 MAX_LINES_PER_CHECK = 20
+MAX_STATES_KEPT = 8
 
 
 class ItemState(StrEnum):
@@ -42,6 +51,28 @@
 }
 
 
+# States in which an item could be at a runner. One that is queued is behind others.
+PLACEABLE_STATES = (
+    ItemState.DELAYED,
+    ItemState.WAITING_FOR_SLOT,
+    ItemState.CLOSING,
+)
+
+
+class ItemNeed(NamedTuple):
+    """What an item last asked for; an empty version stands for any."""
+
+    service: ServiceName = ""
+    version: str = ""
+    avoid: tuple[RunnerId, ...] = ()
+
+
+class _PastState(NamedTuple):
+    state: ItemState
+    place: str
+    entered_at_s: float
+
+
 class OwedItemDocument(TypedDict):
     """An owed item in the dump; times are in seconds."""
 
@@ -59,7 +90,8 @@
 
     ``place`` is the host or the runner that the item is at, ``reason`` the outcome of
     its last attempt. ``run`` is what runs it; it is cancelled when the item stays in a
-    state for longer than that lasts.
+    state for longer than that lasts. ``need`` is what its last ask for a slot was for,
+    ``asked_home`` the host that it was sent to.
     """
 
     def __init__(self, item_id: str, job_id: JobId, timers: Timers) -> None:
@@ -69,12 +101,16 @@
         self.state = ItemState.QUEUED
         self.reason = ""
         self.place = ""
+        self.need = ItemNeed()
+        self.asked_home: HostId = ""
         self._timers = timers
         self._owed_at_s = timers.now()
         self._changed_at_s = self._owed_at_s
         self._at_runner_until_s = self._owed_at_s
         self.logged_at_s = self._owed_at_s
         self._n_checks = 0
+        self._clock = PlacementClock(self._owed_at_s)
+        self._past_states: deque[_PastState] = deque(maxlen=MAX_STATES_KEPT)
 
     def enter(self, state: ItemState, *, place: str = "") -> None:
         """Record a state, or that the item is in the same one at another place."""
@@ -83,6 +119,13 @@
             self._changed_at_s = now_s
         if ItemState.RUNNING in (state, self.state):
             self._at_runner_until_s = self.logged_at_s = now_s
+        if state is ItemState.RUNNING:
+            self._clock.begin_run(now_s)
+        else:
+            self._clock.end_run(now_s)
+        if state is ItemState.WAITING_FOR_SLOT:
+            self.asked_home = place
+        self._past_states.append(_PastState(state, place, now_s))
         self.state = state
         self.place = place
         self._n_checks = 0
@@ -103,6 +146,30 @@
             logger.error("item is stuck", extra=extra)
             self.run.cancel()
 
+    def record_work(self) -> None:
+        """Record that a runner has worked on the item."""
+        self._clock.restart(self._timers.now())
+
+    @property
+    def is_overdue(self) -> bool:
+        """Whether the item should be at a runner, if one that may take it has room."""
+        unplaced_s = self._clock.unplaced_s(self._timers.now())
+        return self.state in PLACEABLE_STATES and is_overdue(unplaced_s)
+
+    def start_over(self) -> None:
+        """Cancel the run; the next one knows nothing of the present one."""
+        self._clock.restart(self._timers.now())
+        if self.run is not None:
+            self.run.cancel()
+
+    def past_states(self) -> list[str]:
+        """Return the latest states with their places and ages, the oldest first."""
+        now_s = self._timers.now()
+        return [
+            f"{past.state.value} {past.place} {now_s - past.entered_at_s:.2f} s ago"
+            for past in self._past_states
+        ]
+
     @property
     def owed_s(self) -> float:
         """Seconds since this host began to owe the item."""
@@ -181,6 +248,10 @@
         """Return the ids of the owed items of a job."""
         return {item.item_id for item in self._items if item.job_id == job_id}
 
+    def overdue(self) -> list[OwedItem]:
+        """Return the overdue items, those that have been owed for longest first."""
+        return [item for item in self._items if item.is_overdue]
+
     def to_document(self) -> dict[str, OwedItemDocument]:
         """Return all owed items for the dump, the oldest first."""
         return {item.item_id: item.to_document() for item in self._items}
--- a/libs/gateway/src/damaskjunction/gateway/slots/slot_client.py
+++ b/libs/gateway/src/damaskjunction/gateway/slots/slot_client.py
@@ -221,6 +221,19 @@
         if home is not None and home.host_id != self._state.view.own.host_id:
             self._tasks.begin(self._send_health_report(home, seen))
 
+    def doubt_home(self, service: ServiceName, host_id: HostId, reason: str) -> None:
+        """Ask another host than the home of a service for a while, if there is one."""
+        candidates = list(self._home_choice.candidates(service))
+        doubted = next((h for h in candidates if h.host_id == host_id), None)
+        if doubted is not None and len(candidates) > 1:
+            self._mark_suspect(doubted, reason)
+            self._follow_homes()
+
+    def pool_document(self, service: ServiceName) -> dict[str, Any]:
+        """Return what this host's own pool believes of a service, if it has one."""
+        document: dict[str, Any] = self._home.to_document().get(service, {})
+        return document
+
     def home_of(self, service: ServiceName) -> EntryHost | None:
         """Return the home of a service, None when none can be reached."""
         return self._home_choice.home_of(service)
