--- a/libs/gateway/src/damaskjunction/gateway/jobs/item_runner.py
+++ b/libs/gateway/src/damaskjunction/gateway/jobs/item_runner.py
@@ -28,7 +28,8 @@
     RunnerFailedError,
     RunnerResponse,
 )
-from damaskjunction.gateway.slots.slot_client import WITHDRAWN, Slot
+from damaskjunction.gateway.slots.slot import Slot
+from damaskjunction.gateway.slots.slot_client import WITHDRAWN
 from damaskjunction.gateway.versions.stream_version import ADMISSION_REASONS
 from damaskjunction.http import (
     BrokenResponseError,
--- a/libs/gateway/src/damaskjunction/gateway/requests/request_execution.py
+++ b/libs/gateway/src/damaskjunction/gateway/requests/request_execution.py
@@ -35,7 +35,7 @@
     RunnerFailedError,
     RunnerResponse,
 )
-from damaskjunction.gateway.slots.slot_client import Slot
+from damaskjunction.gateway.slots.slot import Slot
 from damaskjunction.gateway.versions.stream_version import StreamVersion
 from damaskjunction.http import BrokenResponseError, Response
 from damaskjunction.platform import Refusal, caller_response, refusal_response
--- a/libs/gateway/src/damaskjunction/gateway/requests/runner_selector.py
+++ b/libs/gateway/src/damaskjunction/gateway/requests/runner_selector.py
@@ -13,7 +13,7 @@
     WorkClass,
 )
 from damaskjunction.gateway.dispatch_context import DispatchContext
-from damaskjunction.gateway.slots.slot_client import Slot
+from damaskjunction.gateway.slots.slot import Slot
 from damaskjunction.platform import CallerRequest
 from damaskjunction.routing import (
     EjectionPolicy,
--- a/libs/gateway/src/damaskjunction/gateway/slots/slot_client.py
+++ b/libs/gateway/src/damaskjunction/gateway/slots/slot_client.py
@@ -27,10 +27,11 @@
 from damaskjunction.gateway.runners.suspect_registry import SuspectRegistry
 from damaskjunction.gateway.slots.home_choice import HOME_SUSPECT_TIME_S, HomeChoice
 from damaskjunction.gateway.slots.queue_waits import AskAgainError, QueueWaits, age_ask
-from damaskjunction.gateway.slots.slot_home import SlotHome, SlotReservation
+from damaskjunction.gateway.slots.slot import Slot
+from damaskjunction.gateway.slots.slot_home import SlotHome
 from damaskjunction.gateway.state import ServingState
 from damaskjunction.gateway.versions.version_registry import VersionRegistry
-from damaskjunction.node import TaskSet, cancel_tasks
+from damaskjunction.node import TaskSet
 from damaskjunction.routing import (
     LimitObservations,
     RunnerLimit,
@@ -56,54 +57,6 @@
 WITHDRAWN = "withdrawn"  # why an ask that is not wanted any more got no slot
 
 
-class Slot:
-    """A slot that was granted, held until ``close``.
-
-    ``revoked`` is set when the holder has to release it. ``watched`` are the request's
-    traits whose answer is to be reported, since a crash accuses them. ``is_wanted``
-    tells whether the ask still stands while it waits.
-    """
-
-    def __init__(
-        self,
-        client: SlotClient | None,
-        ask: SlotAsk,
-        runner_id: RunnerId,
-        is_wanted: Callable[[], bool] = lambda: True,
-    ) -> None:
-        self._client = client
-        self.ask = ask
-        self.is_wanted = is_wanted
-        self.runner_id = runner_id
-        self.revoked = asyncio.Event()
-        self.watched: tuple[str, ...] = ()
-        self.home_id: HostId = ""
-        self.reservation: SlotReservation | None = None
-        self.call: AsyncGenerator[Message, None] | None = None
-        self.reader: asyncio.Task[None] | None = None
-        self.is_moving = False
-        self.is_closed = False
-
-    async def close(self) -> None:
-        """Release the slot."""
-        self.is_closed = True
-        if self._client is not None:
-            self._client.untrack(self)
-        await self.release()
-
-    async def release(self) -> None:
-        """Release the slot at its home, by closing the reservation or the call."""
-        reservation, self.reservation = self.reservation, None
-        if reservation is not None:
-            reservation.close()
-        reader, self.reader = self.reader, None
-        call, self.call = self.call, None
-        if reader is not None and reader is not asyncio.current_task():
-            await cancel_tasks([reader])
-        if call is not None:
-            await call.aclose()
-
-
 class SlotClient:
     """Acquires slots and holds them until they are released.
 
@@ -188,7 +141,7 @@
         is_wanted: Callable[[], bool],
     ) -> Slot:
         ask = self._with_news(ask)
-        slot = Slot(self, ask, "", is_wanted)
+        slot = Slot(ask, is_wanted, self._slots.discard)
         try:
             candidates = self._home_choice.candidates(ask.service_name)
             for host in islice(candidates, MAX_HOMES_TRIED):
@@ -204,10 +157,6 @@
         self._slots.add(slot)
         return slot
 
-    def untrack(self, slot: Slot) -> None:
-        """Stop tracking a slot that is released."""
-        self._slots.discard(slot)
-
     def report_health(self, seen: RunnerSeen) -> None:
         """Report a runner's health to the home; success only after a failure."""
         if seen.is_well and seen.runner_id not in self._unhealthy:
