Draw changes of the batch route in the random fleets

The random runs changed hosts, links, store, runners and versions, but no route, so they could not find the asks that outlived theirs. They now lead the route to a service without runners, remove it, and put it back; with the former asks injected as a fault the runs find an item left lying.

--- a/libs/gateway/features/owed_fleet.feature
+++ b/libs/gateway/features/owed_fleet.feature
@@ -1,7 +1,8 @@
 Feature: Items are placed whatever hosts, homes, links, the store and runners do
   While runners have room and a host lives and reaches the store, each accepted item
   that is not listed comes to a runner in bounded time.
-  Hosts drain; runners start again at other versions, name limits or say that they leave.
+  Hosts drain; runners start again at other versions, name limits or say that they leave;
+  the route of the items leads elsewhere or is removed for a while.
 
   Scenario: Random takeovers, moves of homes, drains, versions and exclusions leave no item lying
     Then after 120 random runs each accepted item is listed in time
@@ -17,6 +18,7 @@
     Examples:
       | fault                                               |
       | asks stay there and no stuck item is taken up again |
+      | asks outlive their route                            |
       | slots are never given back                          |
       | jobs are never taken over                           |
       | items wait for their version without end            |
--- a/libs/gateway/features/simulated_fleet.py
+++ b/libs/gateway/features/simulated_fleet.py
@@ -10,7 +10,7 @@
 
 from fake_homes import make_host
 from fake_store import FakeStore
-from simulated_host import DRAIN_S, Host
+from simulated_host import DRAIN_S, TABLE, Host, make_table
 from simulated_runners import N_EVENTS, SimulatedRunner
 
 from damaskjunction.core import HostState, Outcome, RequestError
@@ -36,6 +36,7 @@
         self.ids_by_address = {h.peer: n for n, h in self.entries_by_id.items()}
         self.runners_by_id = {}
         self.hosts_by_id = {}
+        self.table = TABLE
         self.calls = []
         self.heard_by_id = {name: asyncio.Event() for name in host_names}
         self._drains_by_id = {}
@@ -123,6 +124,12 @@
         for host in self.hosts_by_id.values():
             host.learn()
 
+    def configure(self, routes):
+        """Put routes in force at all hosts."""
+        self.table = make_table(self.table.version + 1, routes)
+        for host in self.hosts_by_id.values():
+            host.configure(self.table)
+
     # Runners
 
     def restart_runner(self, name, version):
--- a/libs/gateway/features/simulated_host.py
+++ b/libs/gateway/features/simulated_host.py
@@ -159,7 +159,7 @@
         timers = SimulatedTimers()
         leaving = LeavingRunners()
         self.state = ServingState(self.view, timers, {}, leaving)
-        self.state.table = TABLE
+        self.state.table = fleet.table
         runner_client = RunnerCalls(fleet.runners_by_id, leaving)
         metrics = Metrics()
         suspects = NoSuspects()
--- a/libs/gateway/features/steps/item_route_steps.py
+++ b/libs/gateway/features/steps/item_route_steps.py
@@ -6,7 +6,7 @@
 
 from behave import given, then, when
 from simulated_fleet import SimulatedFleet
-from simulated_host import ITEMS_PER_JOB, ROUTE, make_table
+from simulated_host import ITEMS_PER_JOB, ROUTE
 from simulated_runners import SLOTS
 from simulated_time import SimulatedLoop
 
@@ -19,10 +19,7 @@
 
 async def configure(context, routes):
     """Put routes in force at all hosts."""
-    context.table_version += 1
-    table = make_table(context.table_version, routes)
-    for host in context.fleet.hosts_by_id.values():
-        host.configure(table)
+    context.fleet.configure(routes)
 
 
 def pools(context):
@@ -41,7 +38,6 @@
 @given("a simulated fleet of {count:d} hosts and 1 runner")
 def make_fleet(context, count):
     context.runner = asyncio.Runner(loop_factory=SimulatedLoop)
-    context.table_version = 1
     names = [f"h{number}" for number in range(count)]
 
     async def start():
--- a/libs/gateway/features/steps/owed_fleet_steps.py
+++ b/libs/gateway/features/steps/owed_fleet_steps.py
@@ -12,7 +12,7 @@
 from hypothesis import strategies as st
 from random_runs import repeatable
 from simulated_fleet import SimulatedFleet
-from simulated_host import DRAIN_S, ITEMS_PER_JOB
+from simulated_host import DRAIN_S, ITEMS_PER_JOB, ROUTE
 from simulated_runners import RUN_S, SLOTS
 from simulated_time import SimulatedLoop
 
@@ -20,9 +20,15 @@
 from damaskjunction.gateway.jobs import item_progress, job_worker, owed_items
 from damaskjunction.gateway.jobs.placement_check import PlacementCheck
 from damaskjunction.gateway.slots import queue_waits
+from damaskjunction.gateway.slots.slot_client import SlotClient
 from damaskjunction.gateway.slots.slot_home import REPORT_POLL_PERIOD_S, SlotHome
 from damaskjunction.gateway.versions import version_registry
-from damaskjunction.routing import NO_LIMIT_PER_S, LeavingRunners, slots
+from damaskjunction.routing import (
+    NO_LIMIT_PER_S,
+    LeavingRunners,
+    WeightedService,
+    slots,
+)
 from damaskjunction.routing.rate_limits import BATCH_TOKENS, MIN_BURST, MIN_RATE_PER_S
 from damaskjunction.routing.slots import FAILURE_EJECTION
 from damaskjunction.routing.version_ledger import VersionLedger
@@ -55,6 +61,12 @@
 WORK_S = N_JOBS * ITEMS_PER_JOB * RUN_S / (SLOTS - 1)
 POLL_S = 0.1
 
+ROUTES_BY_NAME = {
+    "as at first": [ROUTE],
+    "elsewhere": [ROUTE._replace(services=(WeightedService("former", 1),))],
+    "gone": [],
+}
+
 names = st.sampled_from(HOSTS)
 runners = st.sampled_from(RUNNERS)
 manners_of_loss = st.sampled_from(["killed", "isolated", "draining"])
@@ -70,6 +82,7 @@
     st.tuples(st.sampled_from(["load", "load", "unload"])),
     st.tuples(st.sampled_from(["store away", "store back"])),
     st.tuples(st.sampled_from(["answers lost", "answers come"])),
+    st.tuples(st.just("route"), st.sampled_from(sorted(ROUTES_BY_NAME))),
     st.tuples(st.just("wait"), st.integers(1, 12)),
 )
 last_operations = st.one_of(
@@ -134,6 +147,8 @@
         fleet.set_store(operation == "store away")
     elif operation in ("answers lost", "answers come"):
         fleet.store.loses_answers = operation == "answers lost"
+    elif operation == "route":
+        fleet.configure(ROUTES_BY_NAME[name])
     elif operation == "mute":
         fleet.heard_by_id[name].clear()
     else:
@@ -204,6 +219,7 @@
     draining = {name for name in HOSTS if fleet.drains(name)}
     for name in living:
         fleet.show(name, living | draining)
+    fleet.configure([ROUTE])
     load(fleet, 0)
     mend(fleet, outlook.sound_runner)
 
@@ -289,7 +305,16 @@
     (owed_items, "MAX_TIME_S_BY_STATE", {}),
     (PlacementCheck, "_begin", lambda *args: None),
 )
+acquire = SlotClient.acquire
+
+
+def acquire_for_ever(client, ask, on_ask, is_wanted):
+    """Ask for what was wanted at first: an injected fault."""
+    return acquire(client, ask, on_ask)
+
+
 FAULTS = {
+    "asks outlive their route": ((SlotClient, "acquire", acquire_for_ever),),
     "asks stay in the queue of a lost home": ENDLESS_WAITS,
     "asks stay there and no stuck item is taken up again": ENDLESS_WAITS + NO_WATCHDOG,
     "slots are never given back": ((SlotHome, "release", lambda *args: None),),
