Withdraw asks for slots that are queued after their route has changed

A change of the route ended the waits that were under way, but not the ask whose answer, "queued", was still on its way: that wait began after the change and lasted its 3 to 4 s. Found by the line "item left lying" in the scenario of owed_items.feature beside 20 busy processes (load 33 on 8 cores): items of the removed route waited and ran 4 s after the change.

The new scenario of item_routes.feature fails without this.

--- a/libs/gateway/features/item_routes.feature
+++ b/libs/gateway/features/item_routes.feature
@@ -16,3 +16,11 @@
     And the batch route is removed
     Then no item waits for a slot after 0.1 s
     And the items of the job wait for their route
+
+  Scenario: An ask that is queued only after its route was removed does not wait
+    Given the runner is full
+    When a job is submitted and the home's answers to its asks are late
+    And the batch route is removed
+    And the home's answers arrive
+    Then no item waits for a slot after 0.1 s
+    And the items of the job wait for their route
--- a/libs/gateway/features/steps/item_route_steps.py
+++ b/libs/gateway/features/steps/item_route_steps.py
@@ -14,6 +14,7 @@
 from damaskjunction.routing import WeightedService
 
 RUNNER = "r1"
+DELAY_S = 0.1  # of answers
 SETTLING_S = 1.5  # until a new home grants, and has read the runner's report
 
 
@@ -77,17 +78,47 @@
     context.runner.run(work())
 
 
+async def submit_away_from_home(context):
+    """Submit a job to a host that is not the home of the slots; return the home."""
+    home_id = next(iter(context.fleet.hosts_by_id.values())).home_id()
+    owner_id = next(name for name in context.fleet.hosts_by_id if name != home_id)
+    await context.fleet.submit(owner_id)
+    return home_id
+
+
+async def check_waiting(context):
+    found = await states(context)
+    assert found == [ItemState.WAITING_FOR_SLOT] * ITEMS_PER_JOB, found
+
+
 @when("a job is submitted and its items wait for slots")
 def submit(context):
     async def work():
-        home_id = next(iter(context.fleet.hosts_by_id.values())).home_id()
-        owner_id = next(name for name in context.fleet.hosts_by_id if name != home_id)
-        await context.fleet.submit(owner_id)
+        await submit_away_from_home(context)
         await asyncio.sleep(SETTLING_S)
-        return await states(context)
+        await check_waiting(context)
 
-    found = context.runner.run(work())
-    assert found == [ItemState.WAITING_FOR_SLOT] * ITEMS_PER_JOB, found
+    context.runner.run(work())
+
+
+@when("a job is submitted and the home's answers to its asks are late")
+def submit_before_late_answers(context):
+    async def work():
+        home_id = await submit_away_from_home(context)
+        context.late_answers = context.fleet.heard_by_id[home_id]
+        context.late_answers.clear()
+        await asyncio.sleep(DELAY_S)
+        await check_waiting(context)
+
+    context.runner.run(work())
+
+
+@when("the home's answers arrive")
+def let_answers_arrive(context):
+    async def work():
+        context.late_answers.set()
+
+    context.runner.run(work())
 
 
 @when("the batch route leads to the service of the runner")
--- a/libs/gateway/src/damaskjunction/gateway/slots/queue_waits.py
+++ b/libs/gateway/src/damaskjunction/gateway/slots/queue_waits.py
@@ -57,6 +57,8 @@
             When the home has changed, when the ask is not wanted any more, or after
             ``MAX_WAIT_S`` at most.
         """
+        if not is_wanted():  # any more, since the ask was sent
+            raise AskAgainError
         max_wait_s = self._rng.uniform(MIN_WAIT_S, MAX_WAIT_S)
         try:
             async with asyncio.timeout(max_wait_s) as wait:
