Start items over only when runners have had room for a while

Room that has just come is no sign that nobody is given it.

Now runners must have had room at two looks a second apart. To keep the whole bound at about 3 s, runners are asked from 2 s at no runner on.

--- a/libs/batch/features/steps/overdue_item_steps.py
+++ b/libs/batch/features/steps/overdue_item_steps.py
@@ -8,6 +8,7 @@
 
 from damaskjunction.batch import (
     PlacementClock,
+    RoomWatch,
     RunnerReading,
     is_overdue,
     runners_with_room,
@@ -50,3 +51,15 @@
 @then('the runners "" have room')
 def check_room(context, names=""):
     assert runners_with_room(context.readings) == names.split(), names
+
+
+@when("runners are looked at {looks}")
+def look(context, looks):
+    watch = RoomWatch()
+    for found, now_s in re.findall(r"(room|none) at ([\d.]+)", looks):
+        context.has_lasted = watch.observe(found == "room", float(now_s))
+
+
+@then("room has lasted at the last look: {verdict}")
+def check_lasted(context, verdict):
+    assert context.has_lasted == (verdict == "yes"), context.has_lasted
--- a/libs/batch/src/damaskjunction/batch/__init__.py
+++ b/libs/batch/src/damaskjunction/batch/__init__.py
@@ -50,6 +50,7 @@
 from damaskjunction.batch.meters import Usage, UsageMeter, usage_meters
 from damaskjunction.batch.overdue_items import (
     PlacementClock,
+    RoomWatch,
     RunnerReading,
     is_overdue,
     runners_with_room,
@@ -132,6 +133,7 @@
     "ResultDocument",
     "Resume",
     "RetryDecision",
+    "RoomWatch",
     "RunnerReading",
     "SegmentDocument",
     "TakeoverWatch",
--- a/libs/batch/src/damaskjunction/batch/overdue_items.py
+++ b/libs/batch/src/damaskjunction/batch/overdue_items.py
@@ -11,7 +11,9 @@
 
 from damaskjunction.core import RunnerId
 
-OVERDUE_S = 3.0
+OVERDUE_S = 2.0
+ROOM_LASTS_S = 0.9  # room that is taken sooner is no sign that nobody is given it
+MAX_LOOK_GAP_S = 2.5  # between two looks at room that is taken to have lasted
 MIN_RUN_S = 1.0  # a shorter run that this side has ended is none
 ROOM_SHARE = 0.5  # fraction of the slots in use below which a runner has room
 
@@ -64,6 +66,27 @@
     return unplaced_s >= OVERDUE_S
 
 
+class RoomWatch:
+    """Tells whether runners that may take an item have had room for a while.
+
+    Runners that have just joined have room, and so have all of them after a burst.
+    """
+
+    def __init__(self) -> None:
+        self._since_s = 0.0
+        self._seen_at_s = float("-inf")
+
+    def observe(self, has_room: bool, now_s: float) -> bool:
+        """Process a look at runners; return whether there has been room for a while."""
+        if not has_room:
+            self._seen_at_s = float("-inf")
+            return False
+        if now_s - self._seen_at_s > MAX_LOOK_GAP_S:
+            self._since_s = now_s
+        self._seen_at_s = now_s
+        return now_s - self._since_s >= ROOM_LASTS_S
+
+
 def runners_with_room(readings: Iterable[RunnerReading]) -> list[RunnerId]:
     """Return the runners whose own reports tell that they have room."""
     return [r.runner_id for r in readings if r.n_requests < ROOM_SHARE * r.n_slots]
--- a/libs/gateway/features/left_lying.feature
+++ b/libs/gateway/features/left_lying.feature
@@ -20,3 +20,11 @@
     When a job is submitted and its items wait for slots
     And 10 s are waited
     Then "item left lying" is not logged
+
+  Scenario: Items that have waited for long are not started over when room comes
+    Given the runner is full
+    When a job is submitted and its items wait for slots
+    And 10 s are waited
+    And the runner has room again
+    Then the items of the job are listed within 3 s
+    And "item left lying" is not logged
--- a/libs/gateway/features/steps/left_lying_steps.py
+++ b/libs/gateway/features/steps/left_lying_steps.py
@@ -78,6 +78,11 @@
     context.runner.run(asyncio.sleep(duration_s))
 
 
+@when("the runner has room again")
+def free_runner(context):
+    context.fleet.runners_by_id["r1"].n_foreign = 0
+
+
 @then('"{text}" is logged with the pool, the reports and the past states')
 def check_line(context, text):
     lines = [r for r in context.lines.records if r.getMessage() == text]
--- a/libs/gateway/src/damaskjunction/gateway/jobs/placement_check.py
+++ b/libs/gateway/src/damaskjunction/gateway/jobs/placement_check.py
@@ -5,7 +5,7 @@
 import logging
 from itertools import groupby
 
-from damaskjunction.batch import RunnerReading, runners_with_room
+from damaskjunction.batch import RoomWatch, RunnerReading, runners_with_room
 from damaskjunction.core import Runner, Subscription
 from damaskjunction.gateway.dispatch_context import DispatchContext
 from damaskjunction.gateway.jobs.owed_items import ItemNeed, OwedItem, OwedItems
@@ -47,6 +47,7 @@
         self._subscription: Subscription | None = None
         self._checks = TaskSet()
         self._is_checking = False
+        self._room_watches_by_need: dict[tuple[str, str], RoomWatch] = {}
 
     async def start(self) -> None:
         """Start checking, once in each ``CHECK_PERIOD_S``."""
@@ -66,9 +67,14 @@
     async def _check(self) -> None:
         try:
             overdue = sorted(self._owed_items.overdue(), key=_service_and_version)
-            for (service, version), group in groupby(overdue, _service_and_version):
-                readings = await self._read_some(ItemNeed(service, version))
-                if runners_with_room(readings):
+            former_watches = self._room_watches_by_need
+            self._room_watches_by_need = {}
+            for need, group in groupby(overdue, _service_and_version):
+                watch = former_watches.get(need, RoomWatch())
+                self._room_watches_by_need[need] = watch
+                readings = await self._read_some(ItemNeed(*need))
+                has_room = bool(runners_with_room(readings))
+                if watch.observe(has_room, self._timers.now()):
                     self._start_over(list(group), readings)
         finally:
             self._is_checking = False
