--- a/libs/gateway/src/damaskjunction/gateway/jobs/item_runner.py
+++ b/libs/gateway/src/damaskjunction/gateway/jobs/item_runner.py
@@ -20,7 +20,7 @@
 from damaskjunction.gateway.dispatch_context import DispatchContext
 from damaskjunction.gateway.jobs.item_progress import ItemProgress
 from damaskjunction.gateway.jobs.job_repository import StoredJob
-from damaskjunction.gateway.jobs.owed_items import ItemState, OwedItem
+from damaskjunction.gateway.jobs.owed_items import ItemNeed, ItemState, OwedItem
 from damaskjunction.gateway.jobs.result_writer import BackOff
 from damaskjunction.gateway.requests.stream_check import StreamCheck
 from damaskjunction.gateway.runners.runner_client import (
@@ -28,7 +28,8 @@
     RunnerFailedError,
     RunnerResponse,
 )
-from damaskjunction.gateway.slots.slot_client import Slot
+from damaskjunction.gateway.slots.slot import Slot
+from damaskjunction.gateway.slots.slot_client import WITHDRAWN
 from damaskjunction.gateway.versions.stream_version import ADMISSION_REASONS
 from damaskjunction.http import (
     BrokenResponseError,
@@ -52,14 +53,16 @@
 MAX_RETRY_DELAY_S = 2.0
 DEFAULT_RETENTION_S = 60.0  # while the active routes lack the job's route
 UNPROCESSABLE_STATUS = 422
+# The next attempt follows these at once.
+UNDELAYED_REASONS = ("revoked", WITHDRAWN)
 
 
 class AttemptOutcome(NamedTuple):
     """The outcome of one attempt at an item.
 
     ``is_whole`` means that the output is complete. No further attempt follows one that
-    ``is_final``. ``reason`` is for logs, except that an attempt whose slot was
-    "revoked" is repeated without a delay.
+    ``is_final``. ``reason`` is for logs, except that an attempt is repeated without a
+    delay for the ``UNDELAYED_REASONS``.
     """
 
     is_whole: bool
@@ -165,7 +168,7 @@
                     return AttemptOutcome(False, True, "failed at each attempt")
                 if progress.n_crashes >= N_PROMPT_RETRIES:
                     return outcome
-                if outcome.reason != "revoked":
+                if outcome.reason not in UNDELAYED_REASONS:
                     progress.owed.enter(ItemState.DELAYED)
                     await self._back_off(min(n_retries, 3))
                     n_retries += 1
@@ -206,6 +209,8 @@
                 return AttemptOutcome(False, False, "revoked")
             return work.result()
         except RunnerFailedError as error:
+            if error.outcome is not Outcome.NOT_RUN:
+                progress.owed.record_work()
             self._record_failure(route, progress, slot, error)
             return AttemptOutcome(False, False, error.reason)
         except RequestError as error:
@@ -247,12 +252,14 @@
             due_in_s=due_at_s - self._timers.wall(),
             software_version=version,
         )
+        progress.owed.need = ItemNeed(service, version, ask.avoid)
         async with asyncio.timeout(progress.slot_wait_limit_s(version)):
             return await self._slot_client.acquire(
                 ask,
                 lambda home: progress.owed.enter(
                     ItemState.WAITING_FOR_SLOT, place=home
                 ),
+                lambda: self._find_route(job) == route,
             )
 
     async def _send_and_collect(
--- a/libs/gateway/src/damaskjunction/gateway/slots/slot_client.py
+++ b/libs/gateway/src/damaskjunction/gateway/slots/slot_client.py
@@ -27,10 +27,11 @@
 from damaskjunction.gateway.runners.suspect_registry import SuspectRegistry
 from damaskjunction.gateway.slots.home_choice import HOME_SUSPECT_TIME_S, HomeChoice
 from damaskjunction.gateway.slots.queue_waits import AskAgainError, QueueWaits, age_ask
-from damaskjunction.gateway.slots.slot_home import SlotHome, SlotReservation
+from damaskjunction.gateway.slots.slot import Slot
+from damaskjunction.gateway.slots.slot_home import SlotHome
 from damaskjunction.gateway.state import ServingState
 from damaskjunction.gateway.versions.version_registry import VersionRegistry
-from damaskjunction.node import TaskSet, cancel_tasks
+from damaskjunction.node import TaskSet
 from damaskjunction.routing import (
     LimitObservations,
     RunnerLimit,
@@ -53,48 +54,7 @@
 MAX_HOMES_TRIED = 2
 HEALTH_REPORT_TIMEOUT_S = 1.0
 NO_HOME_RETRY_AFTER_S = 0.3
-
-
-class Slot:
-    """A slot that was granted, held until ``close``.
-
-    ``revoked`` is set when the holder has to release it. ``watched`` are the request's
-    traits whose answer is to be reported, since a crash accuses them.
-    """
-
-    def __init__(
-        self, client: SlotClient | None, ask: SlotAsk, runner_id: RunnerId
-    ) -> None:
-        self._client = client
-        self.ask = ask
-        self.runner_id = runner_id
-        self.revoked = asyncio.Event()
-        self.watched: tuple[str, ...] = ()
-        self.home_id: HostId = ""
-        self.reservation: SlotReservation | None = None
-        self.call: AsyncGenerator[Message, None] | None = None
-        self.reader: asyncio.Task[None] | None = None
-        self.is_moving = False
-        self.is_closed = False
-
-    async def close(self) -> None:
-        """Release the slot."""
-        self.is_closed = True
-        if self._client is not None:
-            self._client.untrack(self)
-        await self.release()
-
-    async def release(self) -> None:
-        """Release the slot at its home, by closing the reservation or the call."""
-        reservation, self.reservation = self.reservation, None
-        if reservation is not None:
-            reservation.close()
-        reader, self.reader = self.reader, None
-        call, self.call = self.call, None
-        if reader is not None and reader is not asyncio.current_task():
-            await cancel_tasks([reader])
-        if call is not None:
-            await call.aclose()
+WITHDRAWN = "withdrawn"  # why an ask that is not wanted any more got no slot
 
 
 class SlotClient:
@@ -148,32 +108,40 @@
         state.view.subscribe(self._follow_homes)
 
     async def acquire(
-        self, ask: SlotAsk, on_ask: Callable[[HostId], None] = lambda home: None
+        self,
+        ask: SlotAsk,
+        on_ask: Callable[[HostId], None] = lambda home: None,
+        is_wanted: Callable[[], bool] = lambda: True,
     ) -> Slot:
         """Return a slot once it is granted.
 
         When no home can be reached, an online request gets a slot that no home counts.
         ``on_ask`` is called with each host that is asked. A queued ask is repeated at
-        the new home when the home changes, and after ``MAX_WAIT_S`` at most.
+        the new home when the home changes, and after ``MAX_WAIT_S`` at most. It is
+        withdrawn once ``is_wanted`` returns False.
 
         Raises
         ------
         RequestError
-            ``NOT_RUN`` when the slot is refused.
+            ``NOT_RUN`` when the slot is refused or the ask withdrawn.
         """
         asked_at_s = self._timers.now()
         next_ask = ask
-        while True:
+        while is_wanted():
             try:
-                return await self._acquire_once(next_ask, on_ask)
+                return await self._acquire_once(next_ask, on_ask, is_wanted)
             except AskAgainError:
                 next_ask = age_ask(ask, self._timers.now() - asked_at_s)
+        raise RequestError(Outcome.NOT_RUN, WITHDRAWN)
 
     async def _acquire_once(
-        self, ask: SlotAsk, on_ask: Callable[[HostId], None]
+        self,
+        ask: SlotAsk,
+        on_ask: Callable[[HostId], None],
+        is_wanted: Callable[[], bool],
     ) -> Slot:
         ask = self._with_news(ask)
-        slot = Slot(self, ask, "")
+        slot = Slot(ask, is_wanted, self._slots.discard)
         try:
             candidates = self._home_choice.candidates(ask.service_name)
             for host in islice(candidates, MAX_HOMES_TRIED):
@@ -189,10 +157,6 @@
         self._slots.add(slot)
         return slot
 
-    def untrack(self, slot: Slot) -> None:
-        """Stop tracking a slot that is released."""
-        self._slots.discard(slot)
-
     def report_health(self, seen: RunnerSeen) -> None:
         """Report a runner's health to the home; success only after a failure."""
         if seen.is_well and seen.runner_id not in self._unhealthy:
@@ -206,6 +170,19 @@
         if home is not None and home.host_id != self._state.view.own.host_id:
             self._tasks.begin(self._send_health_report(home, seen))
 
+    def doubt_home(self, service: ServiceName, host_id: HostId, reason: str) -> None:
+        """Ask another host than the home of a service for a while, if there is one."""
+        candidates = list(self._home_choice.candidates(service))
+        doubted = next((h for h in candidates if h.host_id == host_id), None)
+        if doubted is not None and len(candidates) > 1:
+            self._mark_suspect(doubted, reason)
+            self._follow_homes()
+
+    def pool_document(self, service: ServiceName) -> dict[str, Any]:
+        """Return what this host's own pool believes of a service, if it has one."""
+        document: dict[str, Any] = self._home.to_document().get(service, {})
+        return document
+
     def home_of(self, service: ServiceName) -> EntryHost | None:
         """Return the home of a service, None when none can be reached."""
         return self._home_choice.home_of(service)
@@ -224,13 +201,13 @@
             reservation = self._home.request(ask, slot.revoked)
             slot.reservation = reservation
             if not reservation.granted.done():
-                async with self._waits.wait(ask, host.host_id):
+                async with self._waits.wait(ask, host.host_id, slot.is_wanted):
                     await asyncio.wait((reservation.granted,))
             runner_id = await reservation.granted
             is_limited = reservation.pool.is_limited(runner_id)
             granted = SlotGranted(runner_id, reservation.watched, is_limited)
         else:
-            call = await self._open_call(host, ask)
+            call = await self._open_call(host, ask, slot.is_wanted)
             if call is None:
                 return False
             slot.call, granted = call
@@ -242,14 +219,14 @@
         return True
 
     async def _open_call(
-        self, host: EntryHost, ask: SlotAsk
+        self, host: EntryHost, ask: SlotAsk, is_wanted: Callable[[], bool]
     ) -> tuple[AsyncGenerator[Message, None], SlotGranted] | None:
         replies = self._links.call(host.peer, ask.work_class.value, ask)
         try:
             async with asyncio.timeout(FIRST_REPLY_TIMEOUT_S_BY_CLASS[ask.work_class]):
                 reply = await anext(replies)
             if isinstance(reply, SlotQueued):
-                async with self._waits.wait(ask, host.host_id):
+                async with self._waits.wait(ask, host.host_id, is_wanted):
                     reply = await anext(replies)
             if not isinstance(reply, SlotGranted):
                 raise RequestError(Outcome.UNKNOWN, "bad_reply", repr(reply))
