Take a record of versions that can't be decoded for no proof

Cause: a record that could not be decoded was dropped with a warning, and the read that was to prove the version of a stream then answered with the record known before it.

Change: such a record says that any version may have begun streams (unknown_record, the same as before the first record). It is no proof, and the home writes a sound one over it, which keeps the unknown version for as long as a stream may live. A read answers by what it has read.

--- a/libs/gateway/src/damaskjunction/gateway/versions/version_registry.py
+++ b/libs/gateway/src/damaskjunction/gateway/versions/version_registry.py
@@ -10,7 +10,7 @@
 import asyncio
 import logging
 from collections.abc import Callable
-from typing import Any, TypedDict
+from typing import Any, TypeAlias, TypedDict
 
 from damaskjunction.core import PlatformError, ServiceName, Subscription, Timers
 from damaskjunction.gateway.state import ServingState
@@ -28,6 +28,7 @@
     VersionRecord,
     listed_versions,
     stream_lives,
+    unknown_record,
 )
 from damaskjunction.telemetry import Metrics
 
@@ -38,6 +39,8 @@
 WRITE_RETRY_S = 0.3
 READ_TIMEOUT_S = 1.0
 
+_Read: TypeAlias = asyncio.Task[VersionRecord | None]
+
 
 class ClosedVersionDocument(TypedDict):
     """A closed version in a record."""
@@ -84,8 +87,8 @@
         self._review_due = asyncio.Event()
         self._reviewing: asyncio.Task[None] | None = None
         self._subscription: Subscription | None = None
-        self._reads_by_service: dict[ServiceName, asyncio.Task[None]] = {}
-        self._next_reads_by_service: dict[ServiceName, asyncio.Task[None]] = {}
+        self._reads_by_service: dict[ServiceName, _Read] = {}
+        self._next_reads_by_service: dict[ServiceName, _Read] = {}
         self.kind_state = KindState(VERSIONS_KIND, self._apply_all, self._apply_change)
         state.view.subscribe(self._apply_view)
 
@@ -137,12 +140,11 @@
             self._next_reads_by_service[service] = read
         try:
             async with asyncio.timeout(READ_TIMEOUT_S):
-                await asyncio.shield(read)
+                record = await asyncio.shield(read)
         except (PlatformError, TimeoutError) as error:
             extra = {"service": service, "error": repr(error)}
             logger.info("software versions not read", extra=extra)
             return None
-        record = self._ledger(service).record
         return record.sole_version if record is not None else None
 
     def to_document(self) -> dict[str, Any]:
@@ -201,17 +203,23 @@
             self._notify()
 
     def _import(self, service: ServiceName, stored: PlatformObject) -> bool:
-        """Process a record that was read; return whether it is news."""
+        """Process a record that was read; return whether it is news.
+
+        One of another writer that can't be decoded says nothing of the versions.
+        """
         try:
             record = _decode(stored.content)
-        except (KeyError, TypeError, ValueError) as error:
+        except (KeyError, OverflowError, TypeError, ValueError) as error:
             extra = {"service": service, "error": repr(error)}
             logger.warning("stored software versions invalid", extra=extra)
-            return False
+            record = unknown_record(stored.revision)
         return self._ledger(service).observe_record(record, stored.revision)
 
-    async def _read(self, service: ServiceName) -> None:
-        """Read a record once the read under way, which is older, has ended."""
+    async def _read(self, service: ServiceName) -> VersionRecord | None:
+        """Return the record that the store has, or a later one; None if it has none.
+
+        It is read once the read under way, which is older, has ended.
+        """
         current = self._reads_by_service.get(service)
         if current is not None:
             await asyncio.wait([current])
@@ -222,8 +230,11 @@
         finally:
             if self._reads_by_service.get(service) is read:
                 del self._reads_by_service[service]
-        if stored is not None and self._import(service, stored):
+        if stored is None:
+            return None
+        if self._import(service, stored):
             self._notify()
+        return self._ledger(service).record
 
     async def _review_records(self) -> None:
         while True:
--- a/libs/routing/src/damaskjunction/routing/__init__.py
+++ b/libs/routing/src/damaskjunction/routing/__init__.py
@@ -155,6 +155,7 @@
     VersionLedger,
     VersionRecord,
     stream_lives,
+    unknown_record,
 )
 from damaskjunction.routing.wait_forecast import RunnerSupply, WaitForecast
 
@@ -272,5 +273,6 @@
     "suspect_rules",
     "take_up_denial",
     "trusted_reach",
+    "unknown_record",
     "worst_outcome",
 ]
--- a/libs/routing/src/damaskjunction/routing/version_ledger.py
+++ b/libs/routing/src/damaskjunction/routing/version_ledger.py
@@ -42,8 +42,17 @@
         return versions[0] if len(versions) == 1 and versions[0] else None
 
 
+def unknown_record(revision: int) -> VersionRecord:
+    """Return the record of versions that are not known, as of a revision.
+
+    Any version may have begun streams, so it is mixed until these have ended. No former
+    closing has the number of the revision, since each was a change of the store.
+    """
+    return VersionRecord((), (ClosedVersion("", revision),), revision)
+
+
 # Before the first record, a version that left since may have begun streams.
-FIRST_RECORD = VersionRecord(closed_versions=(ClosedVersion("", 0),))
+FIRST_RECORD = unknown_record(0)
 
 
 class VersionLedger:
