Store the origins of streams while several versions serve

Cause: while several versions serve, the version that began a stream was known to hosts alone, so the loss of all hosts lost it; what is not proved is refused.

Change: while versions are mixed, the home of the service stores the origins that hosts tell it in any case (as one of the three keepers), at most every 0.2 s, into one of eight objects in turn. A host that neither knows a stream nor has it told by peers within 20 ms reads these objects, at most every 0.2 s, and remembers all. Only origins that a process has proved are stored, so a stored origin is a fact whoever wrote it, however late, and by whichever clock; a lost or overwritten one leaves the stream unknown, and its take-up refused. Writes are conditional, and a new home goes on at the object that was written least lately.

--- a/libs/gateway/features/steps/take_up_steps.py
+++ b/libs/gateway/features/steps/take_up_steps.py
@@ -7,7 +7,7 @@
 from behave import then, when
 from fleet_helpers import run
 from platform_fleet import event_ids
-from stream_version_steps import versions_of
+from stream_version_steps import await_hosts, versions_of
 
 from damaskjunction.routing import OriginMemory
 
@@ -54,6 +54,28 @@
     assert all(event_ids(answer.body) for answer in context.firsts), context.firsts
 
 
+@when('{count:d} callers begin streams at "{host}", and all hosts die and come back')
+def begin_many_and_kill_all(context, count, host):
+    async def work():
+        platform = context.platform
+        calls = [
+            platform.call(host, "POST", "/alert/1", request_id=f"q{number}")
+            for number in range(count)
+        ]
+        answers = asyncio.gather(*calls)
+        await asyncio.sleep(BEGIN_S)
+        names = list(platform.hosts)
+        for name in names:
+            await platform.kill_host(name)
+        context.firsts = await answers
+        for name in names:
+            await platform.start_host(name)
+        await await_hosts(context)
+
+    run(context, work())
+    assert all(event_ids(answer.body) for answer in context.firsts), context.firsts
+
+
 @when("the callers take their streams up at once elsewhere beside {count:d} new ones")
 def take_up_many(context, count):
     platform = context.platform
--- a/libs/gateway/features/stream_versions.feature
+++ b/libs/gateway/features/stream_versions.feature
@@ -64,6 +64,14 @@
     And the caller takes the stream up at "h1" as "q2"
     Then the take-up is refused as not run and reached no runner
 
+  Scenario: Streams of two versions go on though all hosts were killed at once
+    Given engines "e1,e2" of version "v1" with 60 events
+    And engines "a1,a2" of version "v2" with 60 events
+    And the engines state their starts
+    When 4 callers begin streams at "h0", and all hosts die and come back
+    And the callers take their streams up at once elsewhere beside 4 new ones
+    Then at least half as many taken up streams as new ones are complete, of one version
+
   Scenario: A stream of the only version goes on though every host has forgotten it
     Given a timeout of 2 s on all routes
     And engines "e1,e2" of version "v1" with 60 events
--- a/libs/gateway/src/damaskjunction/gateway/root.py
+++ b/libs/gateway/src/damaskjunction/gateway/root.py
@@ -30,6 +30,7 @@
 from damaskjunction.gateway.store.kind_state import KindState
 from damaskjunction.gateway.store.relayed_transport import RelayedTransport
 from damaskjunction.gateway.store.retirements import RetirementHandler
+from damaskjunction.gateway.versions.stored_origins import StoredOrigins
 from damaskjunction.gateway.versions.stream_origins import StreamOriginKeeper
 from damaskjunction.gateway.versions.take_ups import TakeUpResolver
 from damaskjunction.gateway.versions.version_registry import VersionRegistry
@@ -165,8 +166,21 @@
             self.state, version_registry, self._links, timers
         )
         origin_keeper.register(handlers)
+        stored_origins = StoredOrigins(
+            self._store,
+            self.state,
+            version_registry,
+            origin_keeper,
+            timers=timers,
+            metrics=self.metrics,
+        )
         take_ups = TakeUpResolver(
-            self.state, version_registry, origin_keeper, timers, self.metrics
+            self.state,
+            version_registry,
+            origin_keeper,
+            stored_origins,
+            timers=timers,
+            metrics=self.metrics,
         )
         context = DispatchContext(
             self.state,
@@ -204,6 +218,7 @@
             suspects,
             version_registry,
             origin_keeper,
+            stored_origins,
             crash_reporter,
             runner_faults,
             home,
--- a/libs/gateway/src/damaskjunction/gateway/versions/stream_origins.py
+++ b/libs/gateway/src/damaskjunction/gateway/versions/stream_origins.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import logging
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from damaskjunction.core import (
@@ -73,6 +73,7 @@
         self._outbox: list[StreamOrigin] = []
         self._keepers_by_service: dict[ServiceName, frozenset[HostId]] = {}
         self._sending = TaskSet()
+        self._observers: list[Callable[[StreamOrigin], None]] = []
         state.view.subscribe(self._tell_new_keepers)
         version_registry.subscribe(self._tell_new_keepers)
 
@@ -88,9 +89,14 @@
         handlers.register(StreamOrigins)(self._handle_origins)
         handlers.register(OriginAsk)(self._handle_ask)
 
+    def subscribe(self, observer: Callable[[StreamOrigin], None]) -> None:
+        """Call the observer with each origin that this host records or is told."""
+        self._observers.append(observer)
+
     def record(self, origin: StreamOrigin) -> None:
         """Record the origin of a stream that this host serves."""
         self._own.record(origin, self._timers.now())
+        self._notify(origin)
         if not self._version_registry.is_mixed(origin.service_name):
             return
         if not self._outbox:
@@ -103,6 +109,18 @@
         own = self._own.find(request_id, now_s)
         return own if own is not None else self._told.find(request_id, now_s)
 
+    def learn(self, origins: Iterable[StreamOrigin]) -> None:
+        """Remember origins that were found elsewhere."""
+        now_s = self._timers.now()
+        for origin in origins:
+            self._told.record(origin, now_s)
+
+    def of_service(self, service: ServiceName) -> list[StreamOrigin]:
+        """Return the origins of a service's streams that this host knows."""
+        now_s = self._timers.now()
+        told = self._told.of_service(service, now_s)
+        return [*told, *self._own.of_service(service, now_s)]
+
     async def ask_peers(
         self, services: Iterable[ServiceName], request_id: RequestId
     ) -> StreamOrigin | None:
@@ -197,11 +215,15 @@
         return found.origins[0] if found.origins else None
 
     async def _handle_origins(self, message: StreamOrigins, reply: Reply) -> None:
-        now_s = self._timers.now()
+        self.learn(message.origins)
         for origin in message.origins:
-            self._told.record(origin, now_s)
+            self._notify(origin)
         await reply(Noted())
 
+    def _notify(self, origin: StreamOrigin) -> None:
+        for observer in self._observers:
+            observer(origin)
+
     async def _handle_ask(self, ask: OriginAsk, reply: Reply) -> None:
         origin = self.find(ask.request_id)
         await reply(OriginFound(() if origin is None else (origin,)))
--- a/libs/gateway/src/damaskjunction/gateway/versions/take_ups.py
+++ b/libs/gateway/src/damaskjunction/gateway/versions/take_ups.py
@@ -8,6 +8,7 @@
 
 from damaskjunction.core import Outcome, RequestError, ServiceName, Timers, stable_hash
 from damaskjunction.gateway.state import ServingState
+from damaskjunction.gateway.versions.stored_origins import StoredOrigins
 from damaskjunction.gateway.versions.stream_origins import StreamOriginKeeper
 from damaskjunction.gateway.versions.version_registry import VersionRegistry
 from damaskjunction.node import cancel_tasks
@@ -21,6 +22,7 @@
 DECISION_GOAL_FRACTION = 0.3  # of the latency goal; the rest is for another host
 # A runner of the version may be back soon, or another host may know of one.
 GONE_RETRY_AFTER_S = 0.3
+STORE_DELAY_S = 0.02  # peers that live answer in less, and cost nothing
 
 
 class _Decision(NamedTuple):
@@ -41,6 +43,8 @@
         Proves that there is just one version.
     keeper : StreamOriginKeeper
         Knows the origins of streams, or asks peers for them.
+    stored : StoredOrigins
+        Reads the origins that are in the store.
     timers : Timers
         The process's timer service.
     metrics : Metrics
@@ -52,12 +56,15 @@
         state: ServingState,
         version_registry: VersionRegistry,
         keeper: StreamOriginKeeper,
+        stored: StoredOrigins,
+        *,
         timers: Timers,
         metrics: Metrics,
     ) -> None:
         self._state = state
         self._version_registry = version_registry
         self._keeper = keeper
+        self._stored = stored
         self._timers = timers
         self._metrics = metrics
 
@@ -101,9 +108,11 @@
             origin = self._keeper.find(request.resumed_id)
             if origin is not None:
                 return _Decision(origin, "own")
+        by_peers = asyncio.ensure_future(self._find_by_peers(request, route))
         asks = [
             asyncio.ensure_future(self._find_by_record(request, route)),
-            asyncio.ensure_future(self._find_by_peers(request, route)),
+            by_peers,
+            asyncio.ensure_future(self._find_in_store(request, route, by_peers)),
         ]
         try:
             async with asyncio.timeout(DECISION_GOAL_FRACTION * route.latency_goal_s):
@@ -125,6 +134,18 @@
         origin = await self._keeper.ask_peers(services, request.resumed_id)
         return _Decision(origin, "peer")
 
+    async def _find_in_store(
+        self, request: CallerRequest, route: Route, by_peers: asyncio.Task[_Decision]
+    ) -> _Decision:
+        """Return the stored origin, unless peers know it at once."""
+        await asyncio.wait([by_peers], timeout=STORE_DELAY_S)
+        is_found = by_peers.done() and by_peers.result().origin is not None
+        if is_found or not request.resumed_id:
+            return _Decision(None, "store")
+        services = [part.service for part in route.services]
+        origin = await self._stored.find(services, request.resumed_id)
+        return _Decision(origin, "store")
+
     async def _find_by_record(self, request: CallerRequest, route: Route) -> _Decision:
         """Return an origin at the only version that may have begun the stream."""
         service = self._service_of(request, route)
--- a/libs/gateway/src/damaskjunction/gateway/versions/version_registry.py
+++ b/libs/gateway/src/damaskjunction/gateway/versions/version_registry.py
@@ -128,6 +128,10 @@
         """Return whether streams of several versions of a service may live."""
         return self._ledger(service).is_mixed
 
+    def stream_life_s(self, service: ServiceName) -> float:
+        """Return for how many seconds a stream of a service may live."""
+        return self._stream_lives_by_service[service]
+
     async def read_sole_version(self, service: ServiceName) -> str | None:
         """Return the version of every live stream of a service, None if unknown.
 
--- a/libs/routing/src/damaskjunction/routing/__init__.py
+++ b/libs/routing/src/damaskjunction/routing/__init__.py
@@ -143,6 +143,12 @@
     runner_denial,
     take_up_denial,
 )
+from damaskjunction.routing.stream_groups import (
+    GroupWrite,
+    StoredGroup,
+    StreamGroups,
+    stored_origins,
+)
 from damaskjunction.routing.stream_versions import (
     OriginMemory,
     RunnerVersions,
@@ -200,6 +206,7 @@
     "GiveUp",
     "GrantAccess",
     "GrantSlot",
+    "GroupWrite",
     "ItemWait",
     "LatencyTargets",
     "LeavingNotice",
@@ -239,8 +246,10 @@
     "SlotEffect",
     "SlotPool",
     "SlotTicket",
+    "StoredGroup",
     "StreamEnd",
     "StreamFacts",
+    "StreamGroups",
     "StreamOrigin",
     "StreamWriter",
     "SupersededProcesses",
@@ -269,6 +278,7 @@
     "runner_denial",
     "runners_at",
     "slot_homes",
+    "stored_origins",
     "stream_lives",
     "suspect_rules",
     "take_up_denial",
