--- a/libs/routing/src/damaskjunction/routing/__init__.py
+++ b/libs/routing/src/damaskjunction/routing/__init__.py
@@ -143,6 +143,12 @@
     runner_denial,
     take_up_denial,
 )
+from damaskjunction.routing.stream_groups import (
+    GroupWrite,
+    StoredGroup,
+    StreamGroups,
+    stored_origins,
+)
 from damaskjunction.routing.stream_versions import (
     OriginMemory,
     RunnerVersions,
@@ -155,6 +161,7 @@
     VersionLedger,
     VersionRecord,
     stream_lives,
+    unknown_record,
 )
 from damaskjunction.routing.wait_forecast import RunnerSupply, WaitForecast
 
@@ -199,6 +206,7 @@
     "GiveUp",
     "GrantAccess",
     "GrantSlot",
+    "GroupWrite",
     "ItemWait",
     "LatencyTargets",
     "LeavingNotice",
@@ -238,8 +246,10 @@
     "SlotEffect",
     "SlotPool",
     "SlotTicket",
+    "StoredGroup",
     "StreamEnd",
     "StreamFacts",
+    "StreamGroups",
     "StreamOrigin",
     "StreamWriter",
     "SupersededProcesses",
@@ -268,9 +278,11 @@
     "runner_denial",
     "runners_at",
     "slot_homes",
+    "stored_origins",
     "stream_lives",
     "suspect_rules",
     "take_up_denial",
     "trusted_reach",
+    "unknown_record",
     "worst_outcome",
 ]
