Let hosts of node reach runners through other hosts

What callers saw: with the homes of all engines cut off from runners (connections reset, refused or hanging), no request was served through any host: each ended with a 503 or its deadline after up to 33 attempts. Cause: a home had one path to its runners, and readers of engines' state told the fleet that the engines were unreachable. Change: homes, their load reader and the probes of engines open connections with the connector of libs/relay, and peer servers relay those of others. Orders to engines are not relayed, as a relay that stands still could deliver one after the lease. What builds the shared dependencies has a module of its own. The stand-in of a host can cut its paths.

--- a/libs/lab/src/damaskjunction/lab/control_rig.py
+++ b/libs/lab/src/damaskjunction/lab/control_rig.py
@@ -64,7 +64,7 @@
         deployment = deployments.get("control")._replace(
             n_hosts=n_hosts, data_centres=data_centres
         )
-        self.deployed = DeployedFleet(deployment, has_datagram_faults=True, seed=seed)
+        self.deployed = DeployedFleet(deployment, has_host_faults=True, seed=seed)
         self.fleet = self.deployed.fleet
         self.names: list[str] = []
         self.revision = 0
--- a/libs/node/features/control/steps/membership_steps.py
+++ b/libs/node/features/control/steps/membership_steps.py
@@ -25,7 +25,7 @@
 
 @given('a running "{name}" fleet with datagram fault injection')
 def start_with_datagram_faults(context, name):
-    deployed = DeployedFleet(deployments.get(name), has_datagram_faults=True)
+    deployed = DeployedFleet(deployments.get(name), has_host_faults=True)
     context.deployed = deployed
 
     async def start():
--- a/libs/node/src/damaskjunction/node/components.py
+++ b/libs/node/src/damaskjunction/node/components.py
@@ -1,20 +1,12 @@
-"""Interface and shared dependencies of a host's components, and peer handlers."""
+"""Interface of a host's components, and handlers of calls from other hosts."""
 
 from __future__ import annotations
 
-import random
 from collections.abc import Awaitable, Callable
-from typing import TYPE_CHECKING, Any, NamedTuple, Protocol, TypeAlias
+from typing import Any, Protocol, TypeAlias
 
-from damaskjunction.core import Outcome, Registry, RequestError, Timers
-from damaskjunction.http import Routes
-from damaskjunction.node.state import HostView
-from damaskjunction.platform import PlatformClient
-from damaskjunction.telemetry import Metrics, StateDump
-from damaskjunction.wire import Message, PeerLinks, Reply
-
-if TYPE_CHECKING:  # a host on the platform has no such settings; YAML is slow to load
-    from damaskjunction.settings import HostSettings
+from damaskjunction.core import Outcome, Registry, RequestError
+from damaskjunction.wire import Message, Reply
 
 PeerHandler: TypeAlias = Callable[[Any, Reply], Awaitable[None]]
 
@@ -54,18 +46,3 @@
             detail = f"no handler is registered for {type_name!r}"
             raise RequestError(Outcome.NOT_RUN, "unhandled_message", detail)
         await self._handlers_by_type.get(type_name)(message, reply)
-
-
-class SharedDependencies(NamedTuple):
-    """Dependencies that the components of a host share."""
-
-    settings: HostSettings
-    view: HostView
-    store: PlatformClient
-    links: PeerLinks
-    timers: Timers
-    rng: random.Random
-    metrics: Metrics
-    dump: StateDump
-    routes: Routes
-    peer_handlers: PeerHandlers
--- a/libs/node/src/damaskjunction/node/root.py
+++ b/libs/node/src/damaskjunction/node/root.py
@@ -3,17 +3,15 @@
 from __future__ import annotations
 
 import asyncio
-import random
 from contextlib import aclosing
 from pathlib import Path
 from typing import NamedTuple
 
-from damaskjunction.core import LoopTimers, stable_hash
-from damaskjunction.http import HttpServer, Routes
+from damaskjunction.http import HttpServer
 from damaskjunction.membership import FailureDetector, first_incarnation
 from damaskjunction.node.admin.admin import Admin
 from damaskjunction.node.admin.services import ServiceRoutes
-from damaskjunction.node.components import Component, PeerHandlers, SharedDependencies
+from damaskjunction.node.components import Component
 from damaskjunction.node.jobs.job_cancel import JobCanceller
 from damaskjunction.node.jobs.job_cleaner import JobCleaner
 from damaskjunction.node.jobs.job_routes import JobRoutes
@@ -38,19 +36,16 @@
 from damaskjunction.node.serving.home import Home
 from damaskjunction.node.serving.metering import Meter, MeteredRequestRunner
 from damaskjunction.node.serving.selection import RunnerSelector
+from damaskjunction.node.shared_dependencies import SharedDependencies, make_shared
 from damaskjunction.node.shutdown import GracefulShutdown, refuse_when_leaving
-from damaskjunction.node.state import HostView
 from damaskjunction.placement import RunnerStatus
-from damaskjunction.platform import PlatformClient
 from damaskjunction.routing import Forward, VerdictNews, admission_policies
 from damaskjunction.settings import HostSettings
-from damaskjunction.telemetry import Metrics, StateDump
 from damaskjunction.wire import (
     DataCentreQuery,
     DocumentQuery,
     JobStopped,
     MembersQuery,
-    PeerLinks,
     PeerServer,
     PlacementQuery,
     Reply,
@@ -104,7 +99,7 @@
         settings: HostSettings,
         open_endpoint: DatagramEndpointFactory = open_udp_endpoint,
     ) -> None:
-        shared = _make_shared(settings)
+        shared = make_shared(settings)
         self._view = shared.view
         self._store = shared.store
         self._links = shared.links
@@ -112,7 +107,13 @@
         control = _wire_control(shared, online, open_endpoint)
         batch = _wire_batch(shared, online)
         callers = HttpServer(settings.caller, shared.routes.handle)
-        peers = PeerServer(settings.peer, shared.timers, shared.peer_handlers.handle)
+        self._runner_access = access = shared.runner_access
+        peers = PeerServer(
+            settings.peer,
+            shared.timers,
+            shared.peer_handlers.handle,
+            access.tunnel_server.serve,
+        )
         self._shutdown = GracefulShutdown(
             shared.view,
             control.membership,
@@ -145,6 +146,7 @@
         """Stop every component in reverse order, then close links and store client."""
         for component in reversed(self._components):
             await component.close()
+        await self._runner_access.diagnosis.close()
         self._links.close()
         self._store.close()
 
@@ -153,22 +155,6 @@
             self.leave_requested.set()
 
 
-def _make_shared(settings: HostSettings) -> SharedDependencies:
-    timers = LoopTimers()
-    return SharedDependencies(
-        settings=settings,
-        view=HostView(settings.to_entry_host()),
-        store=PlatformClient(settings.platform, timers),
-        links=PeerLinks(timers),
-        timers=timers,
-        rng=random.Random(stable_hash(settings.seed or settings.host_id)),
-        metrics=Metrics(),
-        dump=StateDump(),
-        routes=Routes(),
-        peer_handlers=PeerHandlers(),
-    )
-
-
 def _wire_online(shared: SharedDependencies) -> _Online:
     view, timers, metrics = shared.view, shared.timers, shared.metrics
     policy = admission_policies.get(shared.settings.admission)
@@ -181,7 +167,8 @@
         rng=shared.rng,
         metrics=metrics,
     )
-    home = Home(view, selection, crashes, timers, metrics)
+    connector = shared.runner_access.connector
+    home = Home(view, selection, crashes, timers, metrics, connector=connector)
     demand = DemandMeter()
     meter = Meter(view, timers, metrics)
     router = RequestRouter(
@@ -257,7 +244,8 @@
     shared: SharedDependencies, demand: DemandMeter
 ) -> tuple[RunnerProbes, LeaseManager, Placer]:
     view, timers, metrics = shared.view, shared.timers, shared.metrics
-    probes = RunnerProbes(view, timers, metrics)
+    connector = shared.runner_access.connector
+    probes = RunnerProbes(view, timers, metrics, connector)
     lease_manager = LeaseManager(view, shared.store, timers, metrics)
     collector = StateReportCollector(
         view,
--- a/libs/node/src/damaskjunction/node/runners/probing.py
+++ b/libs/node/src/damaskjunction/node/runners/probing.py
@@ -13,7 +13,7 @@
     ServiceKind,
     Timers,
 )
-from damaskjunction.http import HttpClient
+from damaskjunction.http import Connector, HttpClient
 from damaskjunction.membership import FleetView
 from damaskjunction.node.runners.engine_orders import (
     read_checks_fence,
@@ -82,12 +82,16 @@
         Timer service of the process.
     metrics : Metrics
         Counts state changes.
+    connector : Connector
+        Opens connections to engines.
     """
 
-    def __init__(self, view: HostView, timers: Timers, metrics: Metrics) -> None:
+    def __init__(
+        self, view: HostView, timers: Timers, metrics: Metrics, connector: Connector
+    ) -> None:
         self._view = view
         self._metrics = metrics
-        self._client = HttpClient(timers)
+        self._client = HttpClient(timers, connector=connector)
         self._poller = RunnerPoller(
             timers, PROBE_INTERVAL_S, self._probed_runners, self._probe
         )
--- a/libs/node/src/damaskjunction/node/runners/reports.py
+++ b/libs/node/src/damaskjunction/node/runners/reports.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Iterable
 
 from damaskjunction.core import RequestError, Runner, Timers
-from damaskjunction.http import HttpClient
+from damaskjunction.http import Connector, HttpClient
 from damaskjunction.node.runners.polling import RunnerPoller
 from damaskjunction.node.runners.protocols import load_reports
 
@@ -23,6 +23,8 @@
         Returns the runners to poll.
     on_load : callable
         Called with a runner and the number of requests it reports as running.
+    connector : Connector
+        Opens connections to runners.
     """
 
     def __init__(
@@ -30,10 +32,11 @@
         timers: Timers,
         runners: Callable[[], Iterable[Runner]],
         on_load: Callable[[Runner, int], None],
+        connector: Connector,
     ) -> None:
         self._runners = runners
         self._on_load = on_load
-        self._client = HttpClient(timers)
+        self._client = HttpClient(timers, connector=connector)
         self._poller = RunnerPoller(
             timers, REPORT_INTERVAL_S, self._reporting_runners, self._read_load
         )
--- a/libs/node/src/damaskjunction/node/serving/home.py
+++ b/libs/node/src/damaskjunction/node/serving/home.py
@@ -21,7 +21,7 @@
     WorkClass,
     WorkspaceSpec,
 )
-from damaskjunction.http import HttpClient
+from damaskjunction.http import Connector, HttpClient
 from damaskjunction.node.runners.crashes import CrashTracker
 from damaskjunction.node.runners.protocols import (
     AnswerMessage,
@@ -78,6 +78,8 @@
         Timer service of the process.
     metrics : Metrics
         Records admissions and queueing times.
+    connector : Connector
+        Opens connections to runners.
     """
 
     def __init__(
@@ -87,6 +89,8 @@
         crashes: CrashTracker,
         timers: Timers,
         metrics: Metrics,
+        *,
+        connector: Connector,
     ) -> None:
         self._view = view
         self._selection = selection
@@ -94,12 +98,14 @@
         self._timers = timers
         self._metrics = metrics
         self._clients_by_class = {
-            work_class: HttpClient(timers, idle_timeout_s=CONNECTION_IDLE_TIMEOUT_S)
+            work_class: HttpClient(
+                timers, idle_timeout_s=CONNECTION_IDLE_TIMEOUT_S, connector=connector
+            )
             for work_class in WorkClass
         }
-        self._control_client = HttpClient(timers)
+        self._control_client = HttpClient(timers, connector=connector)
         self._load_reader = LoadReader(
-            timers, self._reporting_runners, self._record_report
+            timers, self._reporting_runners, self._record_report, connector
         )
         self._controllers_by_runner: dict[RunnerId, AdmissionController] = {}
         self._requests_by_id: dict[RequestId, HomeRequest] = {}
--- /dev/null
+++ b/libs/node/src/damaskjunction/node/shared_dependencies.py
@@ -0,0 +1,78 @@
+"""Dependencies that the components of a host share, and their construction."""
+
+from __future__ import annotations
+
+import random
+from typing import NamedTuple
+
+from damaskjunction.core import EntryHost, LoopTimers, Timers, stable_hash
+from damaskjunction.http import Routes
+from damaskjunction.node.components import PeerHandlers
+from damaskjunction.node.state import HostView
+from damaskjunction.platform import PlatformClient
+from damaskjunction.relay import RunnerAccess
+from damaskjunction.settings import HostSettings
+from damaskjunction.telemetry import Metrics, StateDump
+from damaskjunction.wire import PeerLinks
+
+MAX_TUNNELS = 256  # that are open at once for other hosts
+TUNNEL_REUSE_S = 1.0
+
+
+class SharedDependencies(NamedTuple):
+    """Dependencies that the components of a host share."""
+
+    settings: HostSettings
+    view: HostView
+    store: PlatformClient
+    links: PeerLinks
+    timers: Timers
+    rng: random.Random
+    metrics: Metrics
+    dump: StateDump
+    routes: Routes
+    peer_handlers: PeerHandlers
+    runner_access: RunnerAccess
+
+
+def make_shared(settings: HostSettings) -> SharedDependencies:
+    """Return the shared dependencies of the host that the settings describe."""
+    timers, metrics, dump = LoopTimers(), Metrics(), StateDump()
+    view = HostView(settings.to_entry_host())
+    rng = random.Random(stable_hash(settings.seed or settings.host_id))
+    access = _make_runner_access(view, timers, metrics, rng)
+    dump.sections.register("runner_paths")(access.to_document)
+    return SharedDependencies(
+        settings=settings,
+        view=view,
+        store=PlatformClient(settings.platform, timers),
+        links=PeerLinks(timers),
+        timers=timers,
+        rng=rng,
+        metrics=metrics,
+        dump=dump,
+        routes=Routes(),
+        peer_handlers=PeerHandlers(),
+        runner_access=access,
+    )
+
+
+def _make_runner_access(
+    view: HostView, timers: LoopTimers, metrics: Metrics, rng: random.Random
+) -> RunnerAccess:
+    def other_hosts() -> list[EntryHost]:
+        own_id = view.own.host_id
+        return [host for host in view.serving_hosts() if host.host_id != own_id]
+
+    access = RunnerAccess(
+        other_hosts,
+        lambda address: address in view.runner_addresses(),
+        lambda: sorted(view.runner_addresses()),
+        timers=timers,
+        metrics=metrics,
+        rng=rng,
+        max_reuse_s=TUNNEL_REUSE_S,
+        max_tunnels=MAX_TUNNELS,
+    )
+    view.subscribe(access.retain_listed)
+    return access
--- a/libs/node/src/damaskjunction/node/state.py
+++ b/libs/node/src/damaskjunction/node/state.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Collection, Iterable, Mapping
 
 from damaskjunction.core import (
+    Address,
     Configuration,
     EntryHost,
     HostId,
@@ -42,6 +43,8 @@
         self.is_listed_leaving = False
         self.statuses_by_runner: dict[RunnerId, RunnerStatus] = {}
         self._workspaces_by_digest: dict[str, WorkspaceName] = {}
+        self._addresses_fleet: FleetView | None = None
+        self._runner_addresses: frozenset[Address] = frozenset()
         self._observers: list[Callable[[], None]] = []
 
     @property
@@ -100,6 +103,15 @@
         digest = hashlib.sha256(key.encode()).hexdigest()
         return self._workspaces_by_digest.get(digest)
 
+    def runner_addresses(self) -> frozenset[Address]:
+        """Return the addresses of the runners that are not leaving."""
+        if self._addresses_fleet is not self.fleet:
+            self._addresses_fleet = self.fleet
+            self._runner_addresses = frozenset(
+                runner.address for runner in self.fleet.live_runners()
+            )
+        return self._runner_addresses
+
     def runners_of(self, service: ServiceName) -> list[Runner]:
         """Return the runners that serve a service, by id.
 
--- a/libs/standins/src/damaskjunction/standins/__init__.py
+++ b/libs/standins/src/damaskjunction/standins/__init__.py
@@ -8,6 +8,7 @@
 """
 
 from damaskjunction.standins.broken_streams import BROKEN_AFTER, wrong_take_ups
+from damaskjunction.standins.cut_paths import Cut
 from damaskjunction.standins.deployed_fleet import DeployedFleet
 from damaskjunction.standins.deployment import (
     CALLER_KEY,
@@ -70,6 +71,7 @@
     "RUNNERS_KIND",
     "BufferedResponse",
     "CommandResult",
+    "Cut",
     "DeployedFleet",
     "Deployment",
     "EngineSpeed",
--- a/libs/standins/src/damaskjunction/standins/__main__.py
+++ b/libs/standins/src/damaskjunction/standins/__main__.py
@@ -13,6 +13,7 @@
 from damaskjunction.core import Address, LoopTimers, Registry
 from damaskjunction.node.daemon import run_host
 from damaskjunction.settings import read_host_settings
+from damaskjunction.standins.cut_paths import CutPaths
 from damaskjunction.standins.datagrams import FaultyDatagrams
 from damaskjunction.standins.engine import EngineSpeed, EngineStandin
 from damaskjunction.standins.plain import PlainStandin
@@ -72,10 +73,12 @@
 
 @standin_kinds.register("host")
 async def run_faulty_host(arguments: argparse.Namespace) -> None:
-    """Run a host of ``damaskjunction.node`` with faults in its incoming datagrams."""
+    """Run a host of ``damaskjunction.node`` with faults in datagrams and paths."""
     settings = read_host_settings(arguments.settings.read_text(), "settings")
     configure_logs(settings.log_level, process=settings.host_id, now=LoopTimers().now)
-    datagrams = FaultyDatagrams(arguments.address, arguments.seed)
+    paths = CutPaths()
+    paths.install()
+    datagrams = FaultyDatagrams(arguments.address, arguments.seed, paths)
     await run_host(settings, datagrams.open)
 
 
--- a/libs/standins/src/damaskjunction/standins/datagrams.py
+++ b/libs/standins/src/damaskjunction/standins/datagrams.py
@@ -7,6 +7,7 @@
 from damaskjunction.core import Address
 from damaskjunction.http import HttpServer, Routes
 from damaskjunction.node import DatagramEndpoint, DatagramHandler, open_udp_endpoint
+from damaskjunction.standins.cut_paths import CutPaths
 from damaskjunction.standins.faults import Faults
 
 
@@ -22,14 +23,17 @@
         Address on which ``PUT /test/faults`` is served.
     seed : int
         Seed of the random loss, combined with ``control`` so that hosts differ.
+    paths : CutPaths
+        Faults of this process's connections, set on the same address.
     """
 
-    def __init__(self, control: Address, seed: int) -> None:
+    def __init__(self, control: Address, seed: int, paths: CutPaths) -> None:
         self._rng = random.Random(f"{seed}/{control}")
         self._on_datagram: DatagramHandler | None = None
         self.faults = Faults("loss", "cut_from")
         routes = Routes()
         self.faults.register(routes)
+        paths.register(routes)
         self._control_server = HttpServer(control, routes.handle)
 
     async def open(
--- a/libs/standins/src/damaskjunction/standins/deployed_fleet.py
+++ b/libs/standins/src/damaskjunction/standins/deployed_fleet.py
@@ -10,6 +10,7 @@
 from damaskjunction.core import Address, EntryHost, HostState, Runner, ServiceKind
 from damaskjunction.core.types import EMPTY
 from damaskjunction.platform import entry_host_to_document, runner_to_document
+from damaskjunction.standins.cut_paths import Cut
 from damaskjunction.standins.deployment import Deployment
 from damaskjunction.standins.fleet import BufferedResponse, Fleet, ProcessSpec
 from damaskjunction.standins.ports import allocate_addresses
@@ -33,8 +34,9 @@
     proxied : tuple of str, optional
         Hosts and runners that the others reach through a fault-injecting proxy: a
         host at its peer address, a runner at its only address.
-    has_datagram_faults : bool, optional
-        Whether faults can be injected into the datagrams that hosts receive.
+    has_host_faults : bool, optional
+        Whether faults can be injected into the datagrams that hosts receive, and into
+        their paths to runners.
     seed : int, optional
         Seed of the datagram faults.
     """
@@ -46,7 +48,7 @@
         proxied: tuple[str, ...] = (),
         host_settings: Mapping[str, str] = EMPTY,
         *,
-        has_datagram_faults: bool = False,
+        has_host_faults: bool = False,
         seed: int = 1,
     ) -> None:
         self.deployment = deployment
@@ -57,7 +59,7 @@
         self._host_settings = host_settings
         self._proxied = proxied
         self._listed_addresses_by_name: dict[str, Address] = {}
-        self._has_datagram_faults = has_datagram_faults
+        self._has_host_faults = has_host_faults
         self._seed = seed
 
     async def start(self) -> None:
@@ -202,6 +204,16 @@
             _control_name(host_id), "PUT", "/test/faults", document=faults
         )
 
+    async def cut_paths(self, host_id: str, how: Cut | None) -> None:
+        """Cut the paths from a host to all runners, or make them whole with None."""
+        runners = self.runners_by_id.values() if how else ()
+        document = {
+            "addresses": [str(runner.address) for runner in runners],
+            "how": how or Cut.RESET,
+        }
+        control = _control_name(host_id)
+        await self.fleet.call(control, "PUT", "/test/cut", document=document)
+
     def _make_runners(self) -> None:
         for group in self.deployment.runners:
             addresses = allocate_addresses(group.n_runners)
@@ -232,7 +244,7 @@
                 host_id, self.deployment.region, centre, caller, peer, probe
             )
             self.fleet.addresses_by_name[host_id] = caller
-        if self._has_datagram_faults:
+        if self._has_host_faults:
             for host_id, address in zip(self.hosts_by_id, controls, strict=True):
                 self.fleet.addresses_by_name[_control_name(host_id)] = address
 
@@ -268,7 +280,7 @@
     ) -> ProcessSpec:
         path = self.fleet.folder / f"{host.host_id}.yaml"
         path.write_text(yaml.safe_dump(dict(settings), sort_keys=False))
-        if self._has_datagram_faults:
+        if self._has_host_faults:
             control = self.fleet.addresses_by_name[_control_name(host.host_id)]
             extra = ("--settings", str(path), "--seed", str(self._seed))
             return _standin_spec(host.host_id, "host", control, *extra)
--- a/libs/standins/src/damaskjunction/standins/scenarios.py
+++ b/libs/standins/src/damaskjunction/standins/scenarios.py
@@ -59,11 +59,12 @@
     """
     deployed = DeployedFleet(deployments.get(name), engine_arguments, proxied)
     context.deployed = deployed
-    run(context, _start_and_configure(deployed))
+    run(context, start_and_configure(deployed))
     return deployed
 
 
-async def _start_and_configure(deployed: DeployedFleet) -> None:
+async def start_and_configure(deployed: DeployedFleet) -> None:
+    """Start a fleet, apply its configuration and wait until it serves."""
     await deployed.start()
     response = await deployed.apply_configuration()
     assert response.status == 200, response
