Take refused connections for a crash of a runner of node only if another host is refused

What callers saw: when a home lost its paths to runners, it recorded crashes of runners that lived, told every host that sound requests were suspects, which then ran alone, and a second cut under the same request would have convicted it for 24 h. Cause: the evidence of one vantage point was taken for the state of the other end; the home alone asked the runner for a new connection. Change: the crash tracker asks PathDiagnosis of libs/relay. Result: the new scenario failed with the relayed connections alone (runner_crashes_total 1 at a home that was cut off) and passes; the other scenarios of cut_hosts pass.

--- a/libs/node/features/online/cut_hosts.feature
+++ b/libs/node/features/online/cut_hosts.feature
@@ -14,3 +14,10 @@
       | reset  |
       | refuse |
       | hang   |
+
+  Scenario: A host that is cut off from runners accuses no request of a crash
+    Given a running "small" fleet whose hosts can be cut off from runners
+    When 150 tokens are requested through each host and, after 20, the homes of the engines are cut off by "reset"
+    Then every answer is complete
+    And no host has recorded a crash of a runner
+    And no request is suspect or convicted
--- a/libs/node/src/damaskjunction/node/root.py
+++ b/libs/node/src/damaskjunction/node/root.py
@@ -166,6 +166,7 @@
         timers,
         rng=shared.rng,
         metrics=metrics,
+        diagnosis=shared.runner_access.diagnosis,
     )
     connector = shared.runner_access.connector
     home = Home(view, selection, crashes, timers, metrics, connector=connector)
--- a/libs/node/src/damaskjunction/node/runners/crashes.py
+++ b/libs/node/src/damaskjunction/node/runners/crashes.py
@@ -17,11 +17,11 @@
     RunnerId,
     Timers,
 )
-from damaskjunction.node.runners.connection_probe import refuses_connections
 from damaskjunction.node.runners.runner_access import RunnerAccess, RunnerGuard
 from damaskjunction.node.runners.verdict_spread import VerdictSpread
 from damaskjunction.node.state import HostView
 from damaskjunction.platform import ObjectStore
+from damaskjunction.relay import PathDiagnosis
 from damaskjunction.routing import Forward, Quarantine, Verdict, VerdictNews
 from damaskjunction.telemetry import Metrics
 from damaskjunction.wire import PeerLinks
@@ -48,6 +48,8 @@
         Random number generator for the jitter of calls to the store.
     metrics : Metrics
         Metrics of the process.
+    diagnosis : PathDiagnosis
+        Tells a runner that has ended from a path that is cut.
     """
 
     def __init__(
@@ -59,10 +61,12 @@
         *,
         rng: random.Random,
         metrics: Metrics,
+        diagnosis: PathDiagnosis,
     ) -> None:
         self._view = view
         self._timers = timers
         self._metrics = metrics
+        self._diagnosis = diagnosis
         self._quarantine = Quarantine()
         self._spread = VerdictSpread(
             self._quarantine, view, links, store, timers=timers, rng=rng
@@ -198,7 +202,7 @@
 
     async def _has_crashed(self, runner: Runner) -> bool:
         """Return whether a runner has ended, other than by leaving the fleet."""
-        if not await refuses_connections(runner.address):
+        if not await self._diagnosis.has_ended(runner.address):
             return False
         current = self._view.fleet.runners_by_id.get(runner.runner_id, runner)
         return current.state is not HostState.LEAVING
