Split the entry of node: caller requests, and the choice of routes

Change: serving/request_routes.py chooses routes and ejects, serving/caller_request.py has the request and the reading of plain answers. No behaviour changed.

--- a/libs/node/src/damaskjunction/node/jobs/job_items.py
+++ b/libs/node/src/damaskjunction/node/jobs/job_items.py
@@ -20,8 +20,8 @@
 )
 from damaskjunction.core import Outcome, RequestError, Timers, WorkClass
 from damaskjunction.node.jobs.job_slots import ItemSlots
+from damaskjunction.node.serving.caller_request import CallerRequest
 from damaskjunction.node.serving.caller_routes import ENGINE_PATH, JSON_TYPE
-from damaskjunction.node.serving.entry import CallerRequest
 from damaskjunction.node.serving.metering import Meter, RequestRunner
 from damaskjunction.routing import Token
 from damaskjunction.telemetry import Metrics
--- a/libs/node/src/damaskjunction/node/root.py
+++ b/libs/node/src/damaskjunction/node/root.py
@@ -35,6 +35,7 @@
 from damaskjunction.node.serving.entry import RequestRouter
 from damaskjunction.node.serving.home import Home
 from damaskjunction.node.serving.metering import Meter, MeteredRequestRunner
+from damaskjunction.node.serving.request_routes import RequestRoutes
 from damaskjunction.node.serving.selection import RunnerSelector
 from damaskjunction.node.shared_dependencies import SharedDependencies, make_shared
 from damaskjunction.node.shutdown import GracefulShutdown, refuse_when_leaving
@@ -173,9 +174,9 @@
     demand = DemandMeter()
     meter = Meter(view, timers, metrics)
     router = RequestRouter(
-        view,
         home,
         shared.links,
+        RequestRoutes(view, selection, timers),
         selection,
         crashes=crashes,
         timers=timers,
--- a/libs/node/src/damaskjunction/node/serving/caller_routes.py
+++ b/libs/node/src/damaskjunction/node/serving/caller_routes.py
@@ -31,8 +31,8 @@
     request_error_document,
     to_json_response,
 )
+from damaskjunction.node.serving.caller_request import CallerRequest, read_plain_answer
 from damaskjunction.node.serving.claims import CallClaims
-from damaskjunction.node.serving.entry import CallerRequest, read_plain_answer
 from damaskjunction.node.serving.metering import RequestRunner
 from damaskjunction.node.state import HostView
 from damaskjunction.routing import AnswerPart, PlainAnswer, StreamEnd, Token
--- a/libs/node/src/damaskjunction/node/serving/claims.py
+++ b/libs/node/src/damaskjunction/node/serving/claims.py
@@ -23,7 +23,7 @@
 from damaskjunction.core.units import HOUR_S, KIB, MINUTE_S
 from damaskjunction.http import HttpError
 from damaskjunction.node.documents import CALL_KIND, CallDocument
-from damaskjunction.node.serving.entry import CallerRequest, read_plain_answer
+from damaskjunction.node.serving.caller_request import CallerRequest, read_plain_answer
 from damaskjunction.node.serving.metering import RequestRunner
 from damaskjunction.node.tasks import cancel_tasks
 from damaskjunction.platform import ObjectStore, StoredObject
--- a/libs/node/src/damaskjunction/node/serving/entry.py
+++ b/libs/node/src/damaskjunction/node/serving/entry.py
@@ -5,40 +5,32 @@
 import asyncio
 import logging
 import random
-from collections.abc import AsyncGenerator, Sequence
+from collections.abc import AsyncGenerator
 from contextlib import aclosing
-from typing import Any, NamedTuple
+from typing import Any
 
 from damaskjunction.core import (
     EntryHost,
     Outcome,
     RequestError,
-    RequestId,
-    Runner,
     RunnerId,
-    ServiceName,
     Timers,
-    WorkClass,
-    WorkspaceName,
-    rendezvous_order,
 )
 from damaskjunction.core.units import MILLISECOND_S
 from damaskjunction.node.runners.crashes import CrashTracker
 from damaskjunction.node.runners.protocols import AnswerMessage
+from damaskjunction.node.serving.caller_request import CallerRequest
 from damaskjunction.node.serving.demand import DemandMeter
 from damaskjunction.node.serving.home import Home
 from damaskjunction.node.serving.late_answers import next_message
+from damaskjunction.node.serving.request_routes import RequestRoute, RequestRoutes
 from damaskjunction.node.serving.selection import RunnerSelector
-from damaskjunction.node.state import HostView
 from damaskjunction.routing import (
     AnswerAssembly,
     AnswerPart,
     Attempts,
-    EjectionPolicy,
     Forward,
     GiveUp,
-    OutlierEjection,
-    PlainAnswer,
     RetryBudget,
     RunnerLoad,
     Verdict,
@@ -47,51 +39,15 @@
 from damaskjunction.telemetry import Metrics
 from damaskjunction.wire import PeerLinks
 
-RUNNER_EJECTION = EjectionPolicy(n_failures=1)
-HOME_EJECTION = EjectionPolicy(n_failures=1, base_s=2.0)
 DEADLINE_GRACE_S = 250 * MILLISECOND_S
 
 MIN_RETRY_AFTER_S = 0.1
 
 PERMANENT_REASONS = frozenset(("quarantined", "bad_message"))
-HOME_FAILURE_REASONS = frozenset(("link_lost", "peer_unreachable", "leaving"))
-RUNNER_FAILURE_REASONS = frozenset(
-    (
-        "runner_lost",
-        "runner_unreachable",
-        "runner_refused",
-        "runner_crashed",
-        "stream_cut",
-        "unknown_runner",
-    )
-)
 
 logger = logging.getLogger(__name__)
 
 
-class CallerRequest(NamedTuple):
-    """Request of a caller or a batch worker, as the entry host receives it."""
-
-    request_id: RequestId
-    service: ServiceName
-    workspace: WorkspaceName
-    work_class: WorkClass
-    deadline_s: float
-    idempotent: bool
-    path: str
-    content_type: str
-    body: bytes
-    prompt: str = ""
-    from_token: int = 0
-
-
-class _Route(NamedTuple):
-    """Runner and home of an attempt; ``home`` is None when it is this host."""
-
-    runner: Runner
-    home: EntryHost | None
-
-
 class _RequestState:
     """State of one request across its attempts."""
 
@@ -103,7 +59,7 @@
         self.fingerprint = fingerprint
         self.assembly = AnswerAssembly(request.from_token)
         self.tried_runners: set[RunnerId] = set()
-        self.route: _Route | None = None
+        self.route: RequestRoute | None = None
 
 
 class RequestRouter:
@@ -111,14 +67,14 @@
 
     Parameters
     ----------
-    view : HostView
-        Known runners and hosts.
     home : Home
         Home role of this host, called directly instead of over a link.
     links : PeerLinks
         Links to other hosts.
+    routes : RequestRoutes
+        Chooses the runner and the home of each attempt.
     selection : RunnerSelector
-        Chooses runners and their homes.
+        Records the load of runners.
     crashes : CrashTracker
         Verdicts on requests that crash runners.
     timers : Timers
@@ -133,9 +89,9 @@
 
     def __init__(
         self,
-        view: HostView,
         home: Home,
         links: PeerLinks,
+        routes: RequestRoutes,
         selection: RunnerSelector,
         *,
         crashes: CrashTracker,
@@ -146,7 +102,7 @@
     ) -> None:
         self._demand = demand
         self._selection = selection
-        self._view = view
+        self._routes = routes
         self._home = home
         self._links = links
         self._crashes = crashes
@@ -154,16 +110,12 @@
         self._rng = rng
         self._metrics = metrics
         self._retry_budget = RetryBudget()
-        self._runner_ejection = OutlierEjection(RUNNER_EJECTION)
-        self._home_ejection = OutlierEjection(HOME_EJECTION)
 
     def to_document(self) -> dict[str, Any]:
         """Return the retry budget and ejections for the state dump."""
-        now_s = self._timers.now()
         return {
             "retry_balance": self._retry_budget.balance,
-            "ejected_runners": self._runner_ejection.ejected(now_s),
-            "avoided_homes": self._home_ejection.ejected(now_s),
+            **self._routes.to_document(),
         }
 
     async def run(self, request: CallerRequest) -> AsyncGenerator[AnswerPart, None]:
@@ -220,12 +172,7 @@
         route, state.route = state.route, None
         if route is None:
             return
-        now_s = self._timers.now()
-        if error.reason in HOME_FAILURE_REASONS and route.home is not None:
-            self._home_ejection.record_failure(route.home.host_id, now_s)
-        if error.reason in RUNNER_FAILURE_REASONS:
-            self._runner_ejection.record_failure(route.runner.runner_id, now_s)
-            state.tried_runners.add(route.runner.runner_id)
+        self._routes.record_failure(route, error.reason, state.tried_runners)
         logger.info(
             "attempt failed",
             extra={
@@ -241,7 +188,9 @@
         remaining_s = state.attempts.begin_attempt(self._timers.now())
         state.assembly.begin_attempt(state.attempts.number)
         is_suspect = self._crashes.check(state.fingerprint) is Verdict.SUSPECT
-        state.route = self._choose_route(state, exclusive=is_suspect)
+        state.route = self._routes.choose(
+            state.request, state.tried_runners, exclusive=is_suspect
+        )
         forward = _make_forward(state, remaining_s, exclusive=is_suspect)
         async with aclosing(self._forward(state.route, forward)) as messages:
             while (message := await self._next_message(state, messages)) is not None:
@@ -249,7 +198,7 @@
                 if delivered is not None:
                     yield delivered
         state.assembly.check_complete()
-        self._record_success(state.route)
+        self._routes.record_success(state.route)
 
     async def _next_message(
         self, state: _RequestState, messages: AsyncGenerator[AnswerPart, None]
@@ -267,39 +216,8 @@
             outcome = Outcome.RAN if is_started else Outcome.UNKNOWN
             raise RequestError(outcome, "deadline", "the deadline has passed") from None
 
-    def _record_success(self, route: _Route) -> None:
-        self._runner_ejection.record_success(route.runner.runner_id)
-        if route.home is not None:
-            self._home_ejection.record_success(route.home.host_id)
-
-    def _choose_route(self, state: _RequestState, *, exclusive: bool) -> _Route:
-        request = state.request
-        ranked = self._selection.rank_runners(
-            request.service, request.work_class, request.prompt
-        )
-        if not ranked:
-            detail = f"no runner currently serves {request.service!r}"
-            raise RequestError(Outcome.NOT_RUN, "no_runner", detail, retry_after_s=2.0)
-        now_s = self._timers.now()
-        healthy = self._runner_ejection.healthy(ranked, _runner_id, now_s)
-        untried = [r for r in healthy if r.runner_id not in state.tried_runners]
-        if not untried:
-            state.tried_runners.clear()
-        runner = _preferred_runner(
-            request.service, untried or healthy, exclusive=exclusive
-        )
-        return _Route(runner, self._home_for(runner))
-
-    def _home_for(self, runner: Runner) -> EntryHost | None:
-        hosts = self._view.serving_hosts()
-        now_s = self._timers.now()
-        healthy = self._home_ejection.healthy(hosts, _host_id, now_s)
-        home = self._selection.admitting_host(runner, healthy)
-        is_own = home is not None and home.host_id == self._view.own.host_id
-        return None if is_own else home
-
     async def _forward(
-        self, route: _Route, forward: Forward
+        self, route: RequestRoute, forward: Forward
     ) -> AsyncGenerator[AnswerPart, None]:
         loads = self._selection.loads
         loads.begin_request(route.runner.runner_id)
@@ -321,21 +239,6 @@
         return self._links.call(home.peer, forward.work_class.value, forward)
 
 
-def _preferred_runner(
-    service: ServiceName, runners: Sequence[Runner], *, exclusive: bool
-) -> Runner:
-    """Return the runner for an attempt from candidates in order of preference.
-
-    Suspect requests of a service all go to one runner, picked by rendezvous hashing,
-    so that exclusive access does not block the other runners.
-    """
-    if not exclusive:
-        return runners[0]
-    by_id = {runner.runner_id: runner for runner in runners}
-    order = rendezvous_order(service, [(runner_id, 1.0) for runner_id in by_id])
-    return by_id[order[0]]
-
-
 def _with_retry_after(error: RequestError) -> RequestError:
     """Return the error for the caller, who is told when to retry what did not run."""
     if (
@@ -349,14 +252,6 @@
     )
 
 
-def _runner_id(runner: Runner) -> str:
-    return runner.runner_id
-
-
-def _host_id(host: EntryHost) -> str:
-    return host.host_id
-
-
 def _make_forward(
     state: _RequestState, remaining_s: float, *, exclusive: bool
 ) -> Forward:
@@ -378,22 +273,3 @@
         fingerprint=state.fingerprint,
         alone=exclusive,
     )
-
-
-async def read_plain_answer(
-    messages: AsyncGenerator[AnswerPart, None],
-) -> PlainAnswer:
-    """Return the answer of a plain service from a stream of messages.
-
-    Raises
-    ------
-    RequestError
-        When the stream contains no answer of a plain service.
-    """
-    async with aclosing(messages):
-        async for message in messages:
-            if isinstance(message, PlainAnswer):
-                return message
-    raise RequestError(
-        Outcome.RAN, "bad_answer", "the messages contain no answer of a plain service"
-    )
--- a/libs/node/src/damaskjunction/node/serving/metering.py
+++ b/libs/node/src/damaskjunction/node/serving/metering.py
@@ -18,7 +18,8 @@
     usage_meters,
 )
 from damaskjunction.core import BatchSpec, Timers, UnknownNameError, WorkClass
-from damaskjunction.node.serving.entry import CallerRequest, RequestRouter
+from damaskjunction.node.serving.caller_request import CallerRequest
+from damaskjunction.node.serving.entry import RequestRouter
 from damaskjunction.node.state import HostView
 from damaskjunction.routing import AnswerPart, Token
 from damaskjunction.telemetry import Metrics
