Split the targets of placement: the allocation, and the passes that fill it

Change: allocation.py has the engines by service and the free ones; targets.py the passes. No behaviour changed.

--- a/libs/placement/src/damaskjunction/placement/targets.py
+++ b/libs/placement/src/damaskjunction/placement/targets.py
@@ -8,14 +8,13 @@
 from __future__ import annotations
 
 import heapq
-from collections import Counter, defaultdict
+from collections import defaultdict
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import NamedTuple, TypeAlias
 
 from damaskjunction.core import (
     Assignment,
     Configuration,
-    DataCentre,
     HostState,
     Plan,
     Runner,
@@ -25,6 +24,7 @@
     ServiceSpec,
 )
 from damaskjunction.core.types import EMPTY
+from damaskjunction.placement.allocation import EngineAllocation
 from damaskjunction.placement.types import (
     RunnerState,
     RunnerStatus,
@@ -78,14 +78,14 @@
 
 def find_target_services(plan_input: PlanInput) -> dict[RunnerId, ServiceName]:
     """Return the target service of each engine by id, moving as few as possible."""
-    allocation = _Allocation(plan_input)
-    allocation.keep_current()
-    allocation.fill(lambda service: service.min_runners)
-    allocation.fill(allocation.required_for_load)
-    allocation.fill(lambda service: service.max_runners, may_reclaim=False)
-    allocation.retry_failed()
-    allocation.spread()
-    return allocation.service_by_runner
+    search = _TargetSearch(plan_input)
+    search.keep_current()
+    search.fill(lambda service: service.min_runners)
+    search.fill(search.required_for_load)
+    search.fill(lambda service: service.max_runners, may_reclaim=False)
+    search.retry_failed()
+    search.spread()
+    return search.allocation.service_by_runner
 
 
 class _Shortfall(NamedTuple):
@@ -95,12 +95,11 @@
     position: int
 
 
-class _Allocation:
-    """Allocation of engines to services, built up pass by pass."""
+class _TargetSearch:
+    """Allocates engines to services, pass by pass."""
 
     def __init__(self, plan_input: PlanInput) -> None:
         self._input = plan_input
-        self.service_by_runner: dict[RunnerId, ServiceName] = {}
         self._services = [
             service
             for service in in_dependency_order(
@@ -122,14 +121,12 @@
             for runner in plan_input.runners
             if _is_usable(runner, plan_input.statuses_by_runner)
         }
-        self._allocated_by_service: dict[ServiceName, set[RunnerId]] = {
-            service.name: set() for service in self._services
-        }
-        self._centres_by_service: dict[ServiceName, Counter[DataCentre]] = {
-            service.name: Counter() for service in self._services
-        }
+        self.allocation = EngineAllocation(
+            [service.name for service in self._services],
+            self._runners_by_id,
+            plan_input.previous.ready_runners,
+        )
         self._faulty_by_service: dict[ServiceName, list[RunnerId]] = defaultdict(list)
-        self._free_by_centre: dict[DataCentre, list[RunnerId]] = defaultdict(list)
 
     def required_for_load(self, service: ServiceSpec) -> int:
         """Return the runners that a service's load requires, within its bounds."""
@@ -152,7 +149,7 @@
             for runner_id, status in self._input.statuses_by_runner.items()
             if status.state is RunnerState.FAILED
         }
-        excluded = self.service_by_runner.keys() | failed
+        excluded = self.allocation.service_by_runner.keys() | failed
         for runner_id in sorted(self._runners_by_id.keys() - excluded, reverse=True):
             self._adopt(runner_id)
 
@@ -163,12 +160,12 @@
         """
         status = self._input.statuses_by_runner.get(runner_id)
         service = self._service_by_order_key.get(status.loaded) if status else None
-        if service is None or len(self._allocated_by_service[service.name]) >= (
+        if service is None or self.allocation.count(service.name) >= (
             service.max_runners
         ):
-            self._add_free(runner_id)
+            self.allocation.add_free(runner_id)
         else:
-            self._allocate(runner_id, service.name)
+            self.allocation.allocate(runner_id, service.name)
 
     def _keep_service(self, service: ServiceSpec, held: list[Assignment]) -> None:
         """Keep the best of a service's engines and set aside those at fault.
@@ -203,15 +200,15 @@
             if is_failed and assignment_order_key(assignment) in served_keys:
                 self._faulty_by_service[service.name].append(assignment.runner_id)
             elif n_kept < service.max_runners:
-                self._allocate(assignment.runner_id, service.name)
+                self.allocation.allocate(assignment.runner_id, service.name)
                 n_kept += 1
 
     def retry_failed(self) -> None:
         """Allocate failed engines again to services that got no replacement."""
         for service in self._services:
             for runner_id in self._faulty_by_service[service.name]:
-                if len(self._allocated_by_service[service.name]) < service.max_runners:
-                    self._allocate(runner_id, service.name)
+                if self.allocation.count(service.name) < service.max_runners:
+                    self.allocation.allocate(runner_id, service.name)
 
     def fill(self, needed: RunnerCount, *, may_reclaim: bool = True) -> None:
         """Allocate engines to services that have fewer than ``needed`` returns.
@@ -222,22 +219,22 @@
         shortfalls = [
             self._shortfall(service, needed)
             for service in self._services
-            if len(self._allocated_by_service[service.name]) < needed(service)
+            if self.allocation.count(service.name) < needed(service)
         ]
         heapq.heapify(shortfalls)
         while shortfalls:
             service = self._services[heapq.heappop(shortfalls).position]
-            runner_id = self._pop_free(service.name)
+            runner_id = self.allocation.pop_free(service.name)
             if runner_id is None and may_reclaim:
                 runner_id = self._reclaim_surplus(service, needed)
             if runner_id is None:
                 continue
-            self._allocate(runner_id, service.name)
-            if len(self._allocated_by_service[service.name]) < needed(service):
+            self.allocation.allocate(runner_id, service.name)
+            if self.allocation.count(service.name) < needed(service):
                 heapq.heappush(shortfalls, self._shortfall(service, needed))
 
     def _shortfall(self, service: ServiceSpec, needed: RunnerCount) -> _Shortfall:
-        held = len(self._allocated_by_service[service.name])
+        held = self.allocation.count(service.name)
         return _Shortfall(
             held / needed(service), self._position_by_service[service.name]
         )
@@ -245,26 +242,18 @@
     def spread(self) -> None:
         """Swap engines until services span ``min_data_centres``, where possible."""
         for service in self._services:
-            centres = self._centres_by_service[service.name]
-            # Unary plus omits data centres in which the service has no engine.
-            while len(+centres) < service.min_data_centres:
+            centres = self.allocation.centres(service.name)
+            while len(centres) < service.min_data_centres:
                 if max(centres.values(), default=0) < 2:
                     break
-                released = self._choose_engine_to_release(service.name)
-                replacement = self._find_free_elsewhere(
-                    service
+                released = self.allocation.choose_to_release(service.name)
+                replacement = self.allocation.find_free_elsewhere(
+                    service.name
                 ) or self._find_swap_elsewhere(service)
                 if not replacement:
                     break
-                self._swap(released, replacement)
-
-    def _find_free_elsewhere(self, service: ServiceSpec) -> RunnerId:
-        """Return a free engine in a data centre new to the service, empty if none."""
-        centres = self._centres_by_service[service.name]
-        for centre, free in sorted(self._free_by_centre.items()):
-            if free and not centres[centre]:
-                return free[-1]
-        return ""
+                self.allocation.swap(released, replacement)
+                centres = self.allocation.centres(service.name)
 
     def _find_swap_elsewhere(self, service: ServiceSpec) -> RunnerId:
         """Return an engine of another service in a data centre new to this one.
@@ -272,100 +261,40 @@
         The other service must keep its own spread without that engine. The result is
         empty if there is none.
         """
-        centres = self._centres_by_service[service.name]
-        for runner_id, name in sorted(self.service_by_runner.items()):
-            centre = self._runners_by_id[runner_id].data_centre
+        centres = self.allocation.centres(service.name)
+        for runner_id, name in sorted(self.allocation.service_by_runner.items()):
+            centre = self.allocation.centre_of(runner_id)
             if name == service.name or centres[centre]:
                 continue
-            others = self._centres_by_service[name]
+            others = self.allocation.centres(name)
             min_centres = self._input.configuration.services_by_name[
                 name
             ].min_data_centres
-            if others[centre] > 1 or len(+others) > min_centres:
+            if others[centre] > 1 or len(others) > min_centres:
                 return runner_id
         return ""
 
-    def _swap(self, released: RunnerId, replacement: RunnerId) -> None:
-        """Swap the services of two engines; ``replacement`` may be a free one."""
-        service = self.service_by_runner[released]
-        other = self.service_by_runner.get(replacement)
-        self._release(released)
-        if other is None:
-            centre = self._runners_by_id[replacement].data_centre
-            self._free_by_centre[centre].remove(replacement)
-            self._add_free(released)
-        else:
-            self._release(replacement)
-            self._allocate(released, other)
-        self._allocate(replacement, service)
-
-    def _allocate(self, runner_id: RunnerId, service: ServiceName) -> None:
-        self.service_by_runner[runner_id] = service
-        self._allocated_by_service[service].add(runner_id)
-        centre = self._runners_by_id[runner_id].data_centre
-        self._centres_by_service[service][centre] += 1
-
-    def _release(self, runner_id: RunnerId) -> None:
-        service = self.service_by_runner.pop(runner_id)
-        self._allocated_by_service[service].discard(runner_id)
-        centre = self._runners_by_id[runner_id].data_centre
-        self._centres_by_service[service][centre] -= 1
-
-    def _add_free(self, runner_id: RunnerId) -> None:
-        centre = self._runners_by_id[runner_id].data_centre
-        self._free_by_centre[centre].append(runner_id)
-
-    def _pop_free(self, service: ServiceName) -> RunnerId | None:
-        """Remove and return a free engine, None if there is none.
-
-        It is in the data centre where the service has the fewest engines.
-        """
-        centres = [centre for centre, free in self._free_by_centre.items() if free]
-        if not centres:
-            return None
-        held = self._centres_by_service[service]
-        centre = min(
-            centres,
-            key=lambda name: (held[name], -len(self._free_by_centre[name]), name),
-        )
-        return self._free_by_centre[centre].pop()
-
     def _reclaim_surplus(
         self, service: ServiceSpec, needed: RunnerCount
     ) -> RunnerId | None:
         """Release and return an engine of the service with the largest surplus."""
 
         def surplus(other: ServiceSpec) -> tuple[int, int]:
-            n_held = len(self._allocated_by_service[other.name])
+            n_held = self.allocation.count(other.name)
             return n_held - self.required_for_load(other), n_held - needed(other)
 
         others = [
             other
             for other in self._services
             if other is not service
-            and len(self._allocated_by_service[other.name]) > needed(other)
+            and self.allocation.count(other.name) > needed(other)
         ]
         if not others:
             return None
-        runner_id = self._choose_engine_to_release(max(others, key=surplus).name)
-        self._release(runner_id)
+        runner_id = self.allocation.choose_to_release(max(others, key=surplus).name)
+        self.allocation.release(runner_id)
         return runner_id
 
-    def _choose_engine_to_release(self, service: ServiceName) -> RunnerId:
-        """Return the engine that a service releases.
-
-        It is in the data centre with most of the service's engines, and preferably not
-        ready.
-        """
-        centres = self._centres_by_service[service]
-        ready = self._input.previous.ready_runners
-
-        def sort_key(runner_id: RunnerId) -> tuple[int, bool, RunnerId]:
-            centre = self._runners_by_id[runner_id].data_centre
-            return -centres[centre], runner_id in ready, runner_id
-
-        return min(self._allocated_by_service[service], key=sort_key)
-
 
 def _is_usable(
     runner: Runner, statuses_by_runner: Mapping[RunnerId, RunnerStatus]
