--- a/libs/membership/src/damaskjunction/membership/detector.py
+++ b/libs/membership/src/damaskjunction/membership/detector.py
@@ -15,9 +15,11 @@
 
 from damaskjunction.core import Address, EntryHost, HostId, HostState, Revision
 from damaskjunction.membership.gossip import Gossiper
+from damaskjunction.membership.local_health import LocalHealth
 from damaskjunction.membership.member_table import MemberTable
 from damaskjunction.membership.merging import refute_update
 from damaskjunction.membership.probing import PendingProbe, ProbeSchedule
+from damaskjunction.membership.report_schedule import ReportSchedule
 from damaskjunction.membership.suspicions import SuspicionTable
 from damaskjunction.membership.types import (
     Datagram,
@@ -37,19 +39,11 @@
 )
 
 MAX_DATAGRAM_BYTES = 1400
-MAX_AWARENESS = 4
-MIN_PEERS_FOR_ISOLATION = 3
-REPORT_DELAYS_S = (0.0, 0.4)  # after a change; then every report_period_s
 
 
 class FailureDetector:
     """Detects failures of other hosts and gossips about changes.
 
-    ``awareness`` is the local health score: it rises with each failed probe, falls with
-    each acknowledged one and is at its maximum after a pause, in which this process did
-    not run. Timeouts grow by the factor ``1 + awareness``, because a host that misses
-    acknowledgements may be slow itself.
-
     Parameters
     ----------
     own : EntryHost
@@ -72,17 +66,20 @@
     ) -> None:
         self.own = Member(own, incarnation, MemberState.STARTING)
         self.member_table = MemberTable(own.host_id, timing)
-        self.awareness = 0
         self._timing = timing
+        self._health = LocalHealth(timing)
         self._probes = ProbeSchedule(self.member_table, rng)
         self._gossiper = Gossiper(self.member_table, rng, timing)
         self._suspicions = SuspicionTable(timing.suspicion_timeout_s)
-        self._reports_at_s: list[float] = []
-        self._ticked_at_s: float | None = None
+        self._reports = ReportSchedule(timing.report_period_s)
         self._probe_at_s = 0.0
-        self._received_at_s: float | None = None
         self._is_changed = False
 
+    @property
+    def awareness(self) -> int:
+        """The local health score, see ``LocalHealth``."""
+        return self._health.awareness
+
     def tick(self, now_s: float) -> list[Effect]:
         """Advance probes, suspicions and gossip; call it every ``timing.tick_s``."""
         effects: list[Effect] = []
@@ -104,7 +101,7 @@
             return []
         effects: list[Effect] = []
         sender = datagram.updates[0]
-        self._received_at_s = now_s
+        self._health.record_datagram(now_s)
         for update in datagram.updates:
             self._apply_update(update, now_s)
         match datagram.kind:
@@ -161,7 +158,7 @@
         )
         if own != self.own:
             self.own = own
-            self._reports_at_s = [now_s + delay_s for delay_s in REPORT_DELAYS_S]
+            self._reports.restart(now_s)
         if is_starting and state is MemberState.ALIVE:
             self._gossiper.add(update_of(own))
 
@@ -178,15 +175,9 @@
         return [update_of(member) for member in (self.own, *others)]
 
     def is_isolated(self, now_s: float) -> bool:
-        """Return whether no datagrams arrive, so that suspicions must not expire.
-
-        False with fewer than ``MIN_PEERS_FOR_ISOLATION`` peers.
-        """
-        if len(self.member_table.non_dead_members()) < MIN_PEERS_FOR_ISOLATION:
-            return False
-        if self._received_at_s is None:
-            return True
-        return now_s - self._received_at_s > self._timing.isolation_timeout_s
+        """Return whether no datagrams arrive, so that suspicions must not expire."""
+        n_peers = len(self.member_table.non_dead_members())
+        return self._health.is_isolated(n_peers, now_s)
 
     def _finish(self, effects: list[Effect]) -> list[Effect]:
         if self._is_changed:
@@ -202,15 +193,12 @@
         A host that was suspended missed acknowledgements itself, so the silence of
         others during the pause is no sign of failure.
         """
-        last_s = self._ticked_at_s if self._ticked_at_s is not None else now_s
-        self._ticked_at_s = now_s
-        elapsed_s = now_s - last_s
+        elapsed_s = self._health.begin_tick(now_s)
         self._gossiper.refill(elapsed_s)
-        if elapsed_s <= self._timing.pause_threshold_s:
+        if not self._health.is_pause(elapsed_s):
             return
-        self.awareness = MAX_AWARENESS
+        self._health.record_pause()
         self._probes.clear()
-        self._received_at_s = None
         self._suspicions.restart(now_s, self.awareness)
 
     def _check_suspicions(self, now_s: float, effects: list[Effect]) -> None:
@@ -230,7 +218,7 @@
         target = self._probes.next_target()
         if target is None:
             return
-        timeout_factor = 1 + self.awareness
+        timeout_factor = self._health.timeout_factor
         indirect_at_s = now_s + self._timing.ack_timeout_s * timeout_factor
         fails_at_s = now_s + self._timing.probe_period_s * timeout_factor
         probe = PendingProbe(target.host.host_id, indirect_at_s, fails_at_s)
@@ -269,7 +257,7 @@
         member = self.member_table.members_by_id.get(target)
         if member is None or member.is_dead:
             return
-        self.awareness = min(MAX_AWARENESS, self.awareness + 1)
+        self._health.record_failed_probe()
         self._set_health(target, Health.SUSPECT, now_s)
 
     def _set_health(self, host_id: HostId, health: Health, now_s: float) -> None:
@@ -315,7 +303,7 @@
         probe = self._probes.end(datagram.sequence)
         if probe is None:
             return
-        self.awareness = max(0, self.awareness - 1)
+        self._health.record_acknowledged_probe()
         if datagram.target != probe.target:
             # A new host answers at the address of the probed one.
             self._set_health(probe.target, Health.DEAD, now_s)
@@ -367,11 +355,8 @@
 
     def _report_revisions(self, now_s: float, effects: list[Effect]) -> None:
         """Report the active revisions to the watchers of the data centre."""
-        if not self._reports_at_s or now_s < self._reports_at_s[0]:
+        if not self._reports.take_due(now_s):
             return
-        del self._reports_at_s[0]
-        if not self._reports_at_s:
-            self._reports_at_s = [now_s + self._timing.report_period_s]
         for member in self.watchers(self.own.host.data_centre):
             if member.host.host_id != self.own.host.host_id:
                 datagram = self._make_datagram(
