--- a/libs/node/src/damaskjunction/node/serving/home.py
+++ b/libs/node/src/damaskjunction/node/serving/home.py
@@ -14,9 +14,6 @@
     RequestError,
     RequestId,
     Runner,
-    RunnerId,
-    ServiceKind,
-    ServiceSpec,
     Timers,
     WorkClass,
     WorkspaceSpec,
@@ -31,6 +28,7 @@
 )
 from damaskjunction.node.runners.reports import LoadReader
 from damaskjunction.node.runners.runner_access import RunnerGuard
+from damaskjunction.node.serving.admission_controllers import AdmissionControllers
 from damaskjunction.node.serving.home_request import HomeRequest
 from damaskjunction.node.serving.selection import RunnerSelector
 from damaskjunction.node.state import HostView
@@ -41,8 +39,6 @@
     AdmissionTicket,
     Admit,
     Forward,
-    LatencyTargets,
-    LimitInput,
     Preempt,
     Refuse,
     RunnerLoad,
@@ -93,7 +89,6 @@
         connector: Connector,
     ) -> None:
         self._view = view
-        self._selection = selection
         self._crashes = crashes
         self._timers = timers
         self._metrics = metrics
@@ -104,17 +99,20 @@
             for work_class in WorkClass
         }
         self._control_client = HttpClient(timers, connector=connector)
+        self._controllers = AdmissionControllers(view, selection, timers, self._apply)
         self._load_reader = LoadReader(
-            timers, self._reporting_runners, self._record_report, connector
+            timers,
+            self._controllers.reporting_runners,
+            self._controllers.record_report,
+            connector,
         )
-        self._controllers_by_runner: dict[RunnerId, AdmissionController] = {}
         self._requests_by_id: dict[RequestId, HomeRequest] = {}
         self._cancel_tasks: set[asyncio.Task[None]] = set()
         self._request_ended = asyncio.Event()
 
     async def start(self) -> None:
         """Subscribe to changes of the view and start reading load reports."""
-        self._view.subscribe(self._update_controllers)
+        self._view.subscribe(self._controllers.update)
         await self._load_reader.start()
 
     async def drain(self) -> None:
@@ -123,7 +121,7 @@
         With a policy that admits at homes, a draining host is no runner's home any
         more, so the update refuses all queued requests and preempts running batch ones.
         """
-        self._update_controllers()
+        self._controllers.update()
         while self._requests_by_id:
             self._request_ended.clear()
             await self._request_ended.wait()
@@ -137,10 +135,7 @@
 
     def to_document(self) -> dict[str, Any]:
         """Return the state of each admission controller for the state dump."""
-        return {
-            runner_id: controller.state._asdict()
-            for runner_id, controller in self._controllers_by_runner.items()
-        }
+        return self._controllers.to_document()
 
     async def run(self, forward: Forward) -> AsyncGenerator[AnswerMessage, None]:
         """Admit a request to its runner and yield the messages of its answer.
@@ -156,7 +151,7 @@
         if runner is None:
             detail = f"this host knows no runner {forward.runner_id!r}"
             raise RequestError(Outcome.NOT_RUN, "unknown_runner", detail)
-        controller = self._controller_for(runner, forward)
+        controller = self._controllers.controller_for(runner, forward.service_name)
         deadline_at_s = self._timers.now() + forward.deadline_s
         try:
             async with self._crashes.guard(runner, forward, deadline_at_s) as guard:
@@ -284,60 +279,6 @@
             workspace.share,
         )
 
-    def _controller_for(self, runner: Runner, forward: Forward) -> AdmissionController:
-        controller = self._controllers_by_runner.get(runner.runner_id)
-        if controller is None:
-            targets = self._latency_targets(forward.service_name)
-            n_hosts = len(self._view.fleet.live_hosts())
-            limit_input = LimitInput(runner.slots, targets, n_hosts)
-            controller = AdmissionController(
-                self._selection.policy.make_limits(limit_input)
-            )
-            controller.set_home(self._selection.is_home_of(runner), self._timers.now())
-            self._controllers_by_runner[runner.runner_id] = controller
-        return controller
-
-    def _latency_targets(self, service: str) -> LatencyTargets:
-        spec = self._view.configuration.services_by_name.get(
-            service, ServiceSpec(service, ServiceKind.ENGINE)
-        )
-        return LatencyTargets(spec.first_token_s, spec.token_interval_s)
-
-    def _update_controllers(self) -> None:
-        """Update targets and home state of the admission controllers.
-
-        The idle controller of a runner that has left the fleet is removed.
-        """
-        now_s = self._timers.now()
-        assignments = self._view.plan.assignments_by_runner
-        for runner_id, controller in list(self._controllers_by_runner.items()):
-            runner = self._view.fleet.runners_by_id.get(runner_id)
-            if runner is None and controller.is_idle:
-                del self._controllers_by_runner[runner_id]
-            if runner is None:
-                continue
-            if runner_id in assignments:
-                controller.set_targets(
-                    self._latency_targets(assignments[runner_id].service)
-                )
-            self._apply(controller.set_home(self._selection.is_home_of(runner), now_s))
-
-    def _reporting_runners(self) -> Iterable[Runner]:
-        runners_by_id = self._view.fleet.runners_by_id
-        if not self._selection.policy.uses_home_load:
-            return runners_by_id.values()
-        return [
-            runners_by_id[runner_id]
-            for runner_id in self._controllers_by_runner
-            if runner_id in runners_by_id
-        ]
-
-    def _record_report(self, runner: Runner, n_running: int) -> None:
-        self._selection.record_report(runner, n_running)
-        controller = self._controllers_by_runner.get(runner.runner_id)
-        if controller is not None and self._selection.policy.uses_runner_reports:
-            self._apply(controller.observe_report(n_running, self._timers.now()))
-
     def _apply(self, effects: Iterable[AdmissionEffect]) -> None:
         for effect in effects:
             request = self._requests_by_id.get(effect.request_id)
