Name what is in flight at a runner its occupancy

Cause: node and libs/relay both had a class RunnerAccess, for different things. Change: node's is RunnerOccupancy, in runners/runner_occupancy.py. No behaviour changed.

--- a/libs/node/src/damaskjunction/node/runners/crashes.py
+++ b/libs/node/src/damaskjunction/node/runners/crashes.py
@@ -17,7 +17,7 @@
     RunnerId,
     Timers,
 )
-from damaskjunction.node.runners.runner_access import RunnerAccess, RunnerGuard
+from damaskjunction.node.runners.runner_occupancy import RunnerGuard, RunnerOccupancy
 from damaskjunction.node.runners.verdict_spread import VerdictSpread
 from damaskjunction.node.state import HostView
 from damaskjunction.platform import ObjectStore
@@ -71,7 +71,7 @@
         self._spread = VerdictSpread(
             self._quarantine, view, links, store, timers=timers, rng=rng
         )
-        self._access_by_runner: dict[RunnerId, RunnerAccess] = {}
+        self._occupancy_by_runner: dict[RunnerId, RunnerOccupancy] = {}
 
     async def start(self) -> None:
         """Start syncing convictions with the platform's store."""
@@ -128,11 +128,13 @@
             when that convicted the request.
         """
         is_suspect = self.check(forward.fingerprint) is Verdict.SUSPECT
-        access = self._access_by_runner.setdefault(runner.runner_id, RunnerAccess())
+        occupancy = self._occupancy_by_runner.setdefault(
+            runner.runner_id, RunnerOccupancy()
+        )
         request_id = f"{forward.request_id}.{forward.attempt}"
-        guard = RunnerGuard(access, request_id, forward)
+        guard = RunnerGuard(occupancy, request_id, forward)
         try:
-            await access.acquire(
+            await occupancy.acquire(
                 request_id,
                 exclusive=forward.alone or is_suspect,
                 timeout_s=deadline_at_s - self._timers.now(),
@@ -142,11 +144,11 @@
         except RequestError as error:
             if error.reason not in CONNECTION_LOST_REASONS:
                 raise
-            raise await self._diagnose(runner, access, forward, error) from None
+            raise await self._diagnose(runner, occupancy, forward, error) from None
         finally:
-            access.release(request_id)
-            if access.is_idle:
-                self._access_by_runner.pop(runner.runner_id, None)
+            occupancy.release(request_id)
+            if occupancy.is_idle:
+                self._occupancy_by_runner.pop(runner.runner_id, None)
 
     def _record_completion(self, fingerprint: str) -> None:
         news = self._quarantine.record_completion(fingerprint, self._timers.now())
@@ -156,17 +158,19 @@
     async def _diagnose(
         self,
         runner: Runner,
-        access: RunnerAccess,
+        occupancy: RunnerOccupancy,
         forward: Forward,
         error: RequestError,
     ) -> RequestError:
         """Return the error to report for a request whose connection was lost."""
-        if access.diagnosis is None:
-            access.diagnosis = asyncio.ensure_future(self._detect_crash(runner, access))
-        diagnosis = access.diagnosis
+        if occupancy.diagnosis is None:
+            occupancy.diagnosis = asyncio.ensure_future(
+                self._detect_crash(runner, occupancy)
+            )
+        diagnosis = occupancy.diagnosis
         has_crashed = await asyncio.shield(diagnosis)
-        if access.diagnosis is diagnosis:
-            access.diagnosis = None
+        if occupancy.diagnosis is diagnosis:
+            occupancy.diagnosis = None
         if self.verdict_of(forward.fingerprint) is Verdict.CONVICTED:
             detail = "a runner crashed again while it ran only this request"
             return RequestError(Outcome.RAN, "crashes_runner", detail)
@@ -174,11 +178,11 @@
             return RequestError(error.outcome, "runner_crashed", error.detail)
         return error
 
-    async def _detect_crash(self, runner: Runner, access: RunnerAccess) -> bool:
+    async def _detect_crash(self, runner: Runner, occupancy: RunnerOccupancy) -> bool:
         """Return whether a runner crashed; if so, record a verdict on its requests."""
-        in_flight = list(access.in_flight_by_id.values())
-        position_by_fingerprint = access.furthest_items()
-        was_alone = access.is_exclusive
+        in_flight = list(occupancy.in_flight_by_id.values())
+        position_by_fingerprint = occupancy.furthest_items()
+        was_alone = occupancy.is_exclusive
         if not await self._has_crashed(runner):
             return False
         self._metrics.count("runner_crashes_total")
--- a/libs/node/src/damaskjunction/node/runners/runner_access.py
+++ b/libs/node/src/damaskjunction/node/runners/runner_occupancy.py
@@ -1,4 +1,4 @@
-"""Access of requests to one runner, and which of them are in flight there."""
+"""Which requests are in flight at one runner, and access of further ones to it."""
 
 from __future__ import annotations
 
@@ -17,7 +17,7 @@
         self.is_item = is_item
 
 
-class RunnerAccess:
+class RunnerOccupancy:
     """Requests in flight at one runner, and shared or exclusive access to it."""
 
     def __init__(self) -> None:
@@ -84,9 +84,9 @@
     """Marks one request as in flight at its runner."""
 
     def __init__(
-        self, access: RunnerAccess, request_id: RequestId, forward: Forward
+        self, occupancy: RunnerOccupancy, request_id: RequestId, forward: Forward
     ) -> None:
-        self._in_flight_by_id = access.in_flight_by_id
+        self._in_flight_by_id = occupancy.in_flight_by_id
         self._request_id = request_id
         self._request = InFlightRequest(
             forward.fingerprint,
--- a/libs/node/src/damaskjunction/node/serving/home.py
+++ b/libs/node/src/damaskjunction/node/serving/home.py
@@ -27,7 +27,7 @@
     stream_cancels,
 )
 from damaskjunction.node.runners.reports import LoadReader
-from damaskjunction.node.runners.runner_access import RunnerGuard
+from damaskjunction.node.runners.runner_occupancy import RunnerGuard
 from damaskjunction.node.serving.admission_controllers import AdmissionControllers
 from damaskjunction.node.serving.home_request import HomeRequest
 from damaskjunction.node.serving.selection import RunnerSelector
--- a/libs/node/src/damaskjunction/node/serving/home_request.py
+++ b/libs/node/src/damaskjunction/node/serving/home_request.py
@@ -6,7 +6,7 @@
 
 from damaskjunction.core import Outcome, RequestError
 from damaskjunction.node.runners.protocols import RunnerStream
-from damaskjunction.node.runners.runner_access import RunnerGuard
+from damaskjunction.node.runners.runner_occupancy import RunnerGuard
 from damaskjunction.routing import AdmissionTicket
 
 
