--- a/libs/node/src/damaskjunction/node/jobs/job_cleaner.py
+++ b/libs/node/src/damaskjunction/node/jobs/job_cleaner.py
@@ -22,8 +22,8 @@
     SEGMENT_KIND,
     UPLOAD_KIND,
 )
-from damaskjunction.node.jobs.job_routes import segment_name
 from damaskjunction.node.jobs.job_store import JobStore
+from damaskjunction.node.jobs.job_submission import segment_name
 from damaskjunction.node.state import HostView
 from damaskjunction.node.tasks import cancel_tasks
 from damaskjunction.platform import StoredObject
--- a/libs/node/src/damaskjunction/node/root.py
+++ b/libs/node/src/damaskjunction/node/root.py
@@ -16,6 +16,7 @@
 from damaskjunction.node.jobs.job_cleaner import JobCleaner
 from damaskjunction.node.jobs.job_routes import JobRoutes
 from damaskjunction.node.jobs.job_store import JobStore
+from damaskjunction.node.jobs.job_submission import SubmissionRoutes
 from damaskjunction.node.jobs.job_worker import JobWorker
 from damaskjunction.node.jobs.peak_budget import PeakBudget
 from damaskjunction.node.membership.datagrams import (
@@ -355,6 +356,7 @@
     )
     cleaner = JobCleaner(view, jobs, timers)
     canceller = JobCanceller(view, jobs, worker, shared.links, timers)
+    SubmissionRoutes(view, jobs, timers).register(shared.routes)
     JobRoutes(view, jobs, canceller, peak, timers).register(shared.routes)
     shared.dump.sections.register("batch")(worker.to_document)
     shared.dump.sections.register("peak")(peak.to_document)
