Stand-ins: let a proxy's connections hang, be refused alone, or stand still

The proxy could drop data or reset connections, but not leave new ones hanging as a lost SYN does, refuse new ones while those of before live, or hold data and deliver it later, as a network or process that stood still does.

It listens by itself now: a full accept queue drops SYNs, and the same socket goes on to accept afterwards. Resets are real RSTs (SO_LINGER of 0), where a FIN was sent before. The control endpoint is optional.

--- a/libs/standins/src/damaskjunction/standins/proxy.py
+++ b/libs/standins/src/damaskjunction/standins/proxy.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 from enum import StrEnum
 
 from damaskjunction.core import Address
@@ -14,8 +16,10 @@
     read_json,
     to_json_response,
 )
+from damaskjunction.standins.listener import Listener
 
 MAX_READ_BYTES = 64 * 1024
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER for no seconds
 
 
 class Mode(StrEnum):
@@ -25,6 +29,10 @@
     ``SILENT_OLD`` does so permanently for the connections that exist when it is set;
     new ones pass. ``CUT_FORWARD`` drops data from client to target and
     ``CUT_BACK`` from target to client. ``CLOSED`` resets existing and new connections.
+    ``HANGING`` holds all data, and the ends of connections, until the next mode, and
+    new connections hang as if their SYN was lost. ``REFUSING`` refuses new connections
+    while those that exist pass; ``DOWN`` resets these, too. ``PAUSED`` holds data as
+    ``HANGING`` does and accepts new connections, as a process does that stands still.
     """
 
     PASS = "pass"
@@ -33,6 +41,10 @@
     CUT_FORWARD = "cut_forward"
     CUT_BACK = "cut_back"
     CLOSED = "closed"
+    HANGING = "hanging"
+    REFUSING = "refusing"
+    DOWN = "down"
+    PAUSED = "paused"
 
 
 class _Connection:
@@ -54,41 +66,69 @@
 
     Parameters
     ----------
-    listen, target, control : Address
-        Addresses to listen on, to connect to, and of the control endpoint.
+    listen, target : Address
+        Addresses to listen on and to connect to.
+    control : Address, optional
+        Address of the control endpoint; without one there is none.
+
+    Attributes
+    ----------
+    n_accepted : int
+        Number of connections accepted so far.
+    n_forwarded : int
+        Number of bytes passed on so far, in both directions.
     """
 
-    def __init__(self, listen: Address, target: Address, control: Address) -> None:
-        self._listen = listen
+    def __init__(
+        self, listen: Address, target: Address, control: Address | None = None
+    ) -> None:
         self._target = target
         self._mode = Mode.PASS
         self._delay_s = 0.0
         self._connections: set[_Connection] = set()
-        self._server: asyncio.Server | None = None
-        routes = Routes()
-        routes.register("PUT", "/test/mode")(self._set_mode)
-        self._control_server = HttpServer(control, routes.handle)
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._listen_address = listen
+        self._listener: Listener | None = None
+        self._is_refusing = True
+        self._passing = asyncio.Event()
+        self._passing.set()
+        self.n_accepted = self.n_forwarded = 0
+        self._control_server: HttpServer | None = None
+        if control is not None:
+            routes = Routes()
+            routes.register("PUT", "/test/mode")(self._set_mode)
+            self._control_server = HttpServer(control, routes.handle)
 
     async def start(self) -> None:
         """Start to listen and forward."""
-        await self.listen()
-        await self._control_server.start()
-
-    async def listen(self) -> None:
+        self._listener = Listener(
+            self._listen_address,
+            self._begin_connection,
+            asyncio.get_running_loop(),
+        )
+        self.listen()
+        if self._control_server is not None:
+            await self._control_server.start()
+
+    def listen(self) -> None:
         """Accept connections, again after ``refuse``."""
-        self._server = await asyncio.start_server(self._serve, *self._listen)
+        self._is_refusing = False
+        self._update_listener()
 
     def refuse(self) -> None:
         """Refuse new connections, like a host whose process has ended."""
-        if self._server is not None:
-            self._server.close()
+        self._is_refusing = True
+        self._update_listener()
 
     async def close(self) -> None:
         """Stop listening and abort every connection."""
-        if self._server is not None:
-            self._server.close()
+        self.refuse()
         self._abort_all()
-        await self._control_server.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        if self._control_server is not None:
+            await self._control_server.close()
 
     async def _set_mode(self, request: Request) -> Response:
         document = await read_json(request)
@@ -99,22 +139,43 @@
     def set_mode(self, mode: Mode) -> None:
         """Change the mode, for existing and new connections."""
         self._mode = mode
-        if self._mode is Mode.CLOSED:
+        self._update_listener()
+        if mode in (Mode.HANGING, Mode.PAUSED):
+            self._passing.clear()
+        else:
+            self._passing.set()
+        if mode in (Mode.CLOSED, Mode.DOWN):
             self._abort_all()
         if self._mode is Mode.SILENT_OLD:
             for connection in self._connections:
                 connection.is_silenced = True
 
+    def _update_listener(self) -> None:
+        if self._listener is None:
+            return
+        if self._is_refusing or self._mode in (Mode.REFUSING, Mode.DOWN):
+            self._listener.refuse()
+        elif self._mode is Mode.HANGING:
+            self._listener.hang()
+        else:
+            self._listener.accept()
+
     def _abort_all(self) -> None:
         for connection in list(self._connections):
             for writer in connection.writers:
-                writer.transport.abort()
+                _reset(writer)
 
-    async def _serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
+    def _begin_connection(self, accepted: socket.socket) -> None:
+        self.n_accepted += 1
+        task = asyncio.ensure_future(self._serve(accepted))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _serve(self, accepted: socket.socket) -> None:
+        accepted.setblocking(False)
+        reader, writer = await asyncio.open_connection(sock=accepted)
         if self._mode is Mode.CLOSED:
-            writer.transport.abort()
+            _reset(writer)
             return
         try:
             target_reader, target_writer = await asyncio.open_connection(*self._target)
@@ -149,11 +210,22 @@
             while data := await reader.read(MAX_READ_BYTES):
                 if self._delay_s:
                     await asyncio.sleep(self._delay_s)
+                await self._passing.wait()
                 if connection.is_silenced or self._mode in (Mode.SILENT, drop_mode):
                     continue
                 writer.write(data)
+                self.n_forwarded += len(data)
                 await writer.drain()
+            await self._passing.wait()
             writer.write_eof()
         except OSError:
+            await self._passing.wait()
             for end in connection.writers:
                 end.transport.abort()
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    """Close a connection with a RST."""
+    end: socket.socket = writer.get_extra_info("socket")
+    end.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    writer.transport.abort()
