Soak: cut hosts off from runners, and check that they serve and harm nobody

No soak run cut a host from runners alone: all hosts shared one proxy before a runner. Runners are listed at one address now that nothing listens on; a host's process connects to the same port at an address of its own, where it has a proxy for each runner (one patched function, asyncio.open_connection).

New kinds of faults cut one host, those of a data centre, or several in turn off from all runners, or one host from each second runner. Connections hang, are reset, go on while new ones are refused, or are reset and refused. New checks: callers of cut hosts are served at two thirds of the others' rate from 3 s after the cut (RECOVER), the others at 9 in 10, no sound request is refused as crashing runners, and hosts record crashes of ended runners alone.

Seeds recorded earlier keep the faults of their time ("earlier").

--- a/libs/lab/features/soak.feature
+++ b/libs/lab/features/soak.feature
@@ -45,6 +45,10 @@
       | a host sends to a runner whose entry says that it leaves | drained runners are left |
       | a request that ran in calm gets no answer                | answers arrive           |
       | a host that restarts cuts a request that runs            | answers arrive           |
+      | most requests at a host that is cut off fail             | cut hosts serve          |
+      | most requests at other hosts fail during a cut           | cuts harm no others      |
+      | a sound request is refused as crashing runners           | sound requests are served |
+      | a host records a crash of a runner that runs on          | crashes are true         |
 
   Scenario: The end of an answer is recorded, also of one that nobody reads
     Then the end of an answer is recorded once when 0 of its 2 events are read
@@ -98,6 +102,14 @@
     When a request is cut while the process of the runners stalls
     Then no check reports a violation
 
+  Scenario: Requests may fail at a host that has just been cut off, or by other faults
+    Given a history without violations
+    When most requests fail before a host can know that it is cut off
+    Then no check reports a violation
+    Given a history without violations
+    When most requests at a host that is cut off fail while the store is away
+    Then no check reports a violation
+
   Scenario: Hosts may end when they are stopped or killed
     Given a history without violations
     When a host that is stopped ends well, and one that is killed
@@ -122,7 +134,8 @@
 
     Examples: short
       | seed | kinds | seconds |
-      | 1    | all   | 16      |
+      | 1    | earlier | 16    |
+      | 4101 | cuts    | 8       |
 
     # 403: an item whose attempts were aborted three times by broken network paths was
     # never attempted again.
@@ -145,7 +158,7 @@
       | 502  | first   | 60      |
       | 905  | leaving | 16      |
       | 914  | refused | 16      |
-      | 2002 | all     | 16      |
-      | 2004 | all     | 16      |
-      | 3018 | all     | 20      |
-      | 3039 | all     | 20      |
+      | 2002 | earlier | 16      |
+      | 2004 | earlier | 16      |
+      | 3018 | earlier | 20      |
+      | 3039 | earlier | 20      |
--- a/libs/lab/features/steps/soak_steps.py
+++ b/libs/lab/features/steps/soak_steps.py
@@ -17,6 +17,7 @@
     Stall,
     checks,
     describe_own_process,
+    faults,
     find_violations,
     run_soak,
 )
@@ -39,9 +40,12 @@
     "store path broken",
     "store troubled",
 )
+CUT_KINDS = ("hosts cut off", "host cut off in part")
 # The kinds that the schedules of seeds chose from, by name.
 KINDS_BY_NAME = {
     "all": (),
+    "earlier": tuple(kind for kind in sorted(faults) if kind not in CUT_KINDS),
+    "cuts": CUT_KINDS,
     "first": FIRST_KINDS,
     "leaving": ("runner leaves", "engines released"),
     "refused": ("refusals repeated", "runner lost"),
--- a/libs/lab/src/damaskjunction/lab/soak/__init__.py
+++ b/libs/lab/src/damaskjunction/lab/soak/__init__.py
@@ -1,10 +1,14 @@
 """Randomized soak test: real host processes, injected faults, checked guarantees."""
 
 import damaskjunction.lab.soak.answers
+import damaskjunction.lab.soak.cut_checks
+import damaskjunction.lab.soak.cut_faults
 import damaskjunction.lab.soak.link_faults
 import damaskjunction.lab.soak.owed
 import damaskjunction.lab.soak.releases  # noqa: F401 - register faults and checks
+from damaskjunction.lab.soak.callers import Callers
 from damaskjunction.lab.soak.checks import checks, find_violations
+from damaskjunction.lab.soak.cut_checks import Tries, first_tries_in
 from damaskjunction.lab.soak.faults import (
     STORE_FAULTS,
     faults,
@@ -14,10 +18,12 @@
 from damaskjunction.lab.soak.history import (
     Call,
     Cancellation,
+    CrashReport,
     Event,
     FaultFreePeriod,
     FaultSpan,
     History,
+    HostCut,
     HostDisturbance,
     HostExit,
     MemoryPeak,
@@ -27,11 +33,16 @@
     Room,
     Run,
     RunEnd,
+    RunnerEnd,
     RunnerLife,
     Stall,
     Submission,
 )
+from damaskjunction.lab.soak.observer import Observer
+from damaskjunction.lab.soak.owed import Span
 from damaskjunction.lab.soak.release_faults import plan_release
+from damaskjunction.lab.soak.rig import SoakRig
+from damaskjunction.lab.soak.runner_paths import Cut
 from damaskjunction.lab.soak.runners import RecordedEvents
 from damaskjunction.lab.soak.schedule import ScheduledFault, make_schedule
 from damaskjunction.lab.soak.soak import (
@@ -44,31 +55,41 @@
 __all__ = [
     "STORE_FAULTS",
     "Call",
+    "Callers",
     "Cancellation",
+    "CrashReport",
+    "Cut",
     "Event",
     "FaultFreePeriod",
     "FaultSpan",
     "History",
+    "HostCut",
     "HostDisturbance",
     "HostExit",
     "MemoryPeak",
     "NamedLimit",
+    "Observer",
     "ProcessorUse",
     "RecordedEvents",
     "ResultsRead",
     "Room",
     "Run",
     "RunEnd",
+    "RunnerEnd",
     "RunnerLife",
     "ScheduledFault",
     "SoakOptions",
     "SoakReport",
+    "SoakRig",
+    "Span",
     "Stall",
     "Submission",
+    "Tries",
     "checks",
     "describe_own_process",
     "faults",
     "find_violations",
+    "first_tries_in",
     "kills_all_hosts",
     "make_schedule",
     "plan_release",
--- a/libs/lab/src/damaskjunction/lab/soak/callers.py
+++ b/libs/lab/src/damaskjunction/lab/soak/callers.py
@@ -5,11 +5,13 @@
 import asyncio
 import itertools
 import random
+from collections.abc import Sequence
 from typing import NamedTuple
 
 from damaskjunction.core import HostId, JobId
 from damaskjunction.http import BrokenResponseError, ConnectFailedError
 from damaskjunction.lab.soak.checks import RESUMABLE_ROUTES, STREAM_ROUTES
+from damaskjunction.lab.soak.configuration import HOST_NAME
 from damaskjunction.lab.soak.history import (
     DEADLY_PREFIX,
     Call,
@@ -20,7 +22,6 @@
 )
 from damaskjunction.lab.soak.rig import (
     DEADLY_PART,
-    HOST_NAME,
     N_EVENTS,
     PORTS,
     SoakRig,
@@ -253,11 +254,21 @@
                 await self._read_results(job_id)
             await asyncio.sleep(self._rng.uniform(*JOB_INTERVAL_S))
 
-    async def _submit_job(self, job_id: JobId, n_items: int) -> bool:
+    async def run_job(self, hosts: Sequence[HostId], n_items: int) -> float:
+        """Submit a job to some hosts, read all results, and return when, in seconds."""
+        job_id = f"{ITEM_PREFIX}{next(self._numbers)}"
+        while not await self._submit_job(job_id, n_items, hosts):
+            pass
+        await self._read_results(job_id, cancelled_fraction=0.0)
+        return self._rig.timers.now()
+
+    async def _submit_job(
+        self, job_id: JobId, n_items: int, hosts: Sequence[HostId] = ()
+    ) -> bool:
         """Submit a job to random hosts until one accepts it; return whether one did."""
         body = make_job(job_id, n_items, path="/night/x", has_own_bodies=True)
         for _ in range(MAX_SUBMISSIONS):
-            host = self._rng.choice(self._rig.host_names)
+            host = self._rng.choice(hosts or self._rig.host_names)
             headers = caller_headers(job_id, DEADLINE_S)
             answer = await self._send_request(host, "POST", "/night/", headers, body)
             now_s = self._rig.timers.now()
@@ -269,14 +280,16 @@
             await asyncio.sleep(RETRY_INTERVAL_S)
         return False
 
-    async def _read_results(self, job_id: JobId) -> None:
+    async def _read_results(
+        self, job_id: JobId, cancelled_fraction: float = CANCELLED_FRACTION
+    ) -> None:
         """Read all results of a job from random hosts, or cancel the job.
 
         Each read starts at a random position up to the last one read, so that pages
         overlap. A job to be cancelled is read until a host confirms the cancellation.
         """
         n_read = 0
-        is_to_cancel = self._rng.random() < CANCELLED_FRACTION
+        is_to_cancel = self._rng.random() < cancelled_fraction
         if is_to_cancel:
             self._rig.history.jobs_to_cancel.add(job_id)
         while True:
--- a/libs/lab/src/damaskjunction/lab/soak/faults.py
+++ b/libs/lab/src/damaskjunction/lab/soak/faults.py
@@ -9,12 +9,13 @@
 import asyncio
 import signal
 from collections.abc import Awaitable, Callable, Sequence
+from functools import partial
 from typing import TypeAlias, TypeVar
 
 from damaskjunction.core import Registry
 from damaskjunction.lab.soak.rig import DEADLY_PART, SoakRig
 from damaskjunction.lab.soak.schedule import ScheduledFault
-from damaskjunction.standins import Mode, ProxyStandin
+from damaskjunction.standins import Mode
 
 FaultFunction: TypeAlias = Callable[[SoakRig, ScheduledFault], Awaitable[None]]
 T = TypeVar("T")
@@ -102,23 +103,25 @@
             await rig.start_host(name)
 
 
-async def break_path(proxy: ProxyStandin, fault: ScheduledFault) -> None:
-    """Break the path through a proxy in one of the ways of ``PATH_MODES``."""
-    proxy.set_mode(PATH_MODES[variant(fault, len(PATH_MODES))])
+async def break_path(set_mode: Callable[[Mode], None], fault: ScheduledFault) -> None:
+    """Break a path in one of the ways of ``PATH_MODES``."""
+    set_mode(PATH_MODES[variant(fault, len(PATH_MODES))])
     await asyncio.sleep(fault.for_s)
-    proxy.set_mode(Mode.PASS)
+    set_mode(Mode.PASS)
 
 
 @faults.register("store path broken")
 async def break_store_path(rig: SoakRig, fault: ScheduledFault) -> None:
     """Break the network path from a host to the store."""
-    await break_path(rig.proxies[choose(rig.host_names, fault.draw)], fault)
+    name = choose(rig.host_names, fault.draw)
+    await break_path(rig.store_proxies[name].set_mode, fault)
 
 
 @faults.register("runner path broken")
 async def break_runner_path(rig: SoakRig, fault: ScheduledFault) -> None:
     """Break the network path from all hosts to a runner."""
-    await break_path(rig.proxies[choose(rig.endpoints, fault.draw)], fault)
+    endpoint = choose(rig.endpoints, fault.draw)
+    await break_path(partial(rig.paths.set_mode, endpoint), fault)
 
 
 @faults.register("store troubled")
--- a/libs/lab/src/damaskjunction/lab/soak/history.py
+++ b/libs/lab/src/damaskjunction/lab/soak/history.py
@@ -115,6 +115,30 @@
     until_s: float
 
 
+class HostCut(NamedTuple):
+    """The time in which hosts did not reach some runners, or any if ``is_from_all``."""
+
+    hosts: frozenset[HostId]
+    is_from_all: bool
+    since_s: float
+    until_s: float
+
+
+class RunnerEnd(NamedTuple):
+    """The moment at which the process of a runner ended, also by a crash."""
+
+    runner: RunnerId
+    at_s: float
+
+
+class CrashReport(NamedTuple):
+    """A crash of a runner that a host recorded."""
+
+    runner: RunnerId
+    host: HostId
+    at_s: float
+
+
 class Stall(NamedTuple):
     """A time in which the process of all runners and callers did nothing."""
 
@@ -244,6 +268,9 @@
         self.lives: list[RunnerLife] = []
         self.rooms: list[Room] = []
         self.fault_spans: list[FaultSpan] = []
+        self.cuts: list[HostCut] = []
+        self.runner_ends: list[RunnerEnd] = []
+        self.crash_reports: list[CrashReport] = []
         self.stalls: list[Stall] = []
         self.processor_uses: list[ProcessorUse] = []
         self.disturbances: list[HostDisturbance] = []
--- a/libs/lab/src/damaskjunction/lab/soak/link_faults.py
+++ b/libs/lab/src/damaskjunction/lab/soak/link_faults.py
@@ -23,7 +23,7 @@
 async def break_links(rig: SoakRig, fault: ScheduledFault) -> None:
     """Break the links from all other hosts to a host."""
     name = choose(rig.host_names, fault.draw)
-    await break_path(rig.link_proxies[name], fault)
+    await break_path(rig.link_proxies[name].set_mode, fault)
 
 
 @faults.register("links reset")
--- a/libs/lab/src/damaskjunction/lab/soak/release_faults.py
+++ b/libs/lab/src/damaskjunction/lab/soak/release_faults.py
@@ -7,8 +7,9 @@
 from typing import NamedTuple
 
 from damaskjunction.core import ServiceName
+from damaskjunction.lab.soak.configuration import ENGINE, PLAIN
 from damaskjunction.lab.soak.faults import SHORT_DELAY_S, choose, faults, variant
-from damaskjunction.lab.soak.rig import ENGINE, FAULTY_RUNNER, N_EVENTS, PLAIN, SoakRig
+from damaskjunction.lab.soak.rig import FAULTY_RUNNER, N_EVENTS, SoakRig
 from damaskjunction.lab.soak.runners import FaultyRunner
 from damaskjunction.lab.soak.schedule import ScheduledFault
 from damaskjunction.standins import RUNNERS_KIND, wrong_take_ups
--- a/libs/lab/src/damaskjunction/lab/soak/releases.py
+++ b/libs/lab/src/damaskjunction/lab/soak/releases.py
@@ -7,6 +7,7 @@
 
 from damaskjunction.core import RequestId
 from damaskjunction.lab.soak.checks import RESUMABLE_ROUTES, STREAM_ROUTES, checks
+from damaskjunction.lab.soak.configuration import ENGINE
 from damaskjunction.lab.soak.history import (
     DEADLY_PREFIX,
     Call,
@@ -16,7 +17,6 @@
     read_text,
 )
 from damaskjunction.lab.soak.owed import Span, calm_spans
-from damaskjunction.lab.soak.rig import ENGINE
 
 CONTACT_S = 3.0  # before a call, in which the runners of its version served
 MIN_SERVING = 2
--- a/libs/lab/src/damaskjunction/lab/soak/rig.py
+++ b/libs/lab/src/damaskjunction/lab/soak/rig.py
@@ -8,61 +8,58 @@
 import signal
 import sys
 from collections import defaultdict
-from collections.abc import Mapping
+from collections.abc import Iterator
 from pathlib import Path
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
 from damaskjunction.core import Address, HostId, LoopTimers
 from damaskjunction.core.units import KIB
 from damaskjunction.http import BrokenResponseError, ConnectFailedError, HttpClient
+from damaskjunction.lab.soak.configuration import (
+    ENGINE,
+    ENGINE_SLOTS,
+    PLAIN,
+    PLAIN_SLOTS,
+    make_soak_configuration,
+)
+from damaskjunction.lab.soak.crash_reports import read_crash_reports
 from damaskjunction.lab.soak.history import (
     History,
+    HostCut,
     HostDisturbance,
     HostExit,
     MemoryPeak,
     Room,
 )
-from damaskjunction.lab.soak.proxied_host import LINK_PORT_OFFSET
+from damaskjunction.lab.soak.proxied_host import (
+    LINK_PORT_OFFSET,
+    RUNNER_PATH_VARIABLE,
+)
+from damaskjunction.lab.soak.runner_paths import Cut, RunnerPaths
 from damaskjunction.lab.soak.runners import SoakRunner
 from damaskjunction.node import TaskSet
 from damaskjunction.standins import (
-    BATCH_ROUTE,
-    ONCE_ROUTE,
     READINESS_PATH,
-    RESUMABLE_ROUTE,
-    RETRYABLE_ROUTE,
     RUNNERS_KIND,
     Mode,
     ProxyStandin,
     StoreStandin,
     allocate_addresses,
-    make_configuration,
-    make_route,
     make_settings_text,
 )
 
-HOST_NAME = "soak.example"
-ENGINE, PLAIN = "llm", "api"  # names of the two services
 FAULTY_RUNNER = "faulty"  # id of a runner that a fault adds
 N_EVENTS = 10
 DEADLY_PART = "deadly"
-ENGINE_SLOTS, PLAIN_SLOTS = 4, 16
 PORTS = {"caller": 18144, "readiness": 18140, "directory": 18143, "peer": 17660}
 METRICS_PORT = 9464
+# Last numbers of addresses: that of all runners, and of the first host and its paths.
+RUNNERS_NUMBER, FIRST_HOST_NUMBER, FIRST_PATH_NUMBER = 1, 2, 128
 STOP_GRACE_S = 6
 START_TIMEOUT_S = 20.0
 POLL_INTERVAL_S = 0.05
 STOP_TIMEOUT_S = 10.0
 
-# Name, kind, service and options of each route.
-_ROUTES: tuple[tuple[str, str, str, Mapping[str, Any]], ...] = (
-    ("ask", "streaming", ENGINE, ONCE_ROUTE),
-    ("alert", "streaming", ENGINE, RESUMABLE_ROUTE),
-    ("look", "idempotent", PLAIN, RETRYABLE_ROUTE),
-    ("order", "non_idempotent", PLAIN, ONCE_ROUTE),
-    ("night", "batch", ENGINE, BATCH_ROUTE),
-)
-
 
 class RunnerSoftware(NamedTuple):
     """Id and software version of an endpoint's next runner."""
@@ -75,8 +72,8 @@
     """Hosts by name, runners by endpoint, and the store.
 
     An endpoint is a fixed proxied address at which one runner runs after another. Each
-    host reaches the store through a proxy of its own, and is reached by the other hosts
-    through another one.
+    host reaches the store and each runner through proxies of its own, and is reached by
+    the other hosts through another one.
 
     Parameters
     ----------
@@ -98,11 +95,11 @@
         self._address_prefix = (
             f"127.{os.getpid() % 200 + 20}.{os.getpid() // 200 % 250}"
         )
+        self._runners_ip = f"{self._address_prefix}.{RUNNERS_NUMBER}"
         n_runners = n_engines + n_plain
-        # The store and the faulty runner have one address, a host's proxies three (two
-        # control endpoints and a listening one), and a runner three: its own and those
-        # of its proxy.
-        self._addresses = allocate_addresses(2 + 3 * n_hosts + 3 * n_runners)
+        # The store, the faulty runner and the proxy before the store of each host have
+        # one address, and a runner two: its own and one for the port of its paths.
+        self._addresses = allocate_addresses(2 + n_hosts + 2 * n_runners)
         self.store_address = self._addresses.pop()
         self.faulty_address = self._addresses.pop()
         self.store = StoreStandin(self.store_address, self.timers)
@@ -117,11 +114,18 @@
             name: asyncio.Lock()
             for name in (*self.host_names, *self.endpoints, FAULTY_RUNNER)
         }
-        self.proxies: dict[str, ProxyStandin] = {}
+        self.store_proxies: dict[HostId, ProxyStandin] = {}
         self.link_proxies: dict[HostId, ProxyStandin] = {}
+        self.paths = RunnerPaths(
+            {
+                name: f"{self._address_prefix}.{FIRST_PATH_NUMBER + number}"
+                for number, name in enumerate(self.host_names)
+            }
+        )
         self.runners: dict[str, SoakRunner] = {}
         self._target_addresses: dict[str, Address] = {}
-        self._proxy_addresses: dict[str, Address] = {}
+        self._listed_addresses: dict[str, Address] = {}
+        self._store_proxy_addresses: dict[HostId, Address] = {}
         self._n_runners_started = 0
         self.software_by_endpoint = {
             endpoint: RunnerSoftware(f"{endpoint}-0", "v1")
@@ -140,11 +144,10 @@
         await self.store.start()
         self.write_configuration()
         for endpoint in self.endpoints:
-            await self._add_proxy(endpoint, self._addresses.pop())
+            await self._add_paths(endpoint)
             await self.start_runner(endpoint)
         for name in self.host_names:
-            await self._add_proxy(name, self.store_address)
-            await self._add_link_proxy(name)
+            await self._add_proxies(name)
             await self.start_host(name)
         async with asyncio.timeout(START_TIMEOUT_S):
             for name in self.host_names:
@@ -157,34 +160,59 @@
             self._record_memory(name)
             self._send_signals(process, signal.SIGCONT, signal.SIGKILL)
             await process.wait()
+        self.history.crash_reports += read_crash_reports(self._folder, self.timers)
         await self._exits.close()
         for runner in self.runners.values():
             await runner.close()
-        for proxy in (*self.proxies.values(), *self.link_proxies.values()):
+        for proxy in (*self.store_proxies.values(), *self.link_proxies.values()):
             proxy.set_mode(Mode.CLOSED)
             await proxy.close()
+        await self.paths.close()
         self.client.close()
         await self.store.close()
 
-    async def _add_proxy(self, name: str, target: Address) -> None:
-        listen, control = self._addresses.pop(), self._addresses.pop()
-        self._proxy_addresses[name], self._target_addresses[name] = listen, target
-        self.proxies[name] = ProxyStandin(listen, target, control)
-        await self.proxies[name].start()
-
-    async def _add_link_proxy(self, name: HostId) -> None:
+    async def _add_paths(self, endpoint: str) -> None:
+        """Add the paths to an endpoint; its runners listen at the end of them."""
+        target, port = self._addresses.pop(), self._addresses.pop().port
+        self._target_addresses[endpoint] = target
+        self._listed_addresses[endpoint] = Address(self._runners_ip, port)
+        await self.paths.add(endpoint, port, target)
+
+    async def _add_proxies(self, name: HostId) -> None:
+        """Add the proxies between a host and the store, and before its links."""
+        store = self._store_proxy_addresses[name] = self._addresses.pop()
+        self.store_proxies[name] = ProxyStandin(store, self.store_address)
+        await self.store_proxies[name].start()
         listen = self.host_address(name, PORTS["peer"])
         target = Address(listen.ip, listen.port + LINK_PORT_OFFSET)
-        self.link_proxies[name] = ProxyStandin(listen, target, self._addresses.pop())
+        self.link_proxies[name] = ProxyStandin(listen, target)
         await self.link_proxies[name].start()
 
+    @contextlib.contextmanager
+    def cut(self, cut: Cut) -> Iterator[None]:
+        """Cut hosts off from runners for as long as the context lasts."""
+        is_from_all = len(cut.endpoints) == len(self.endpoints)
+        began = HostCut(cut.hosts, is_from_all, self.timers.now(), float("inf"))
+        position = len(self.history.cuts)
+        self.history.cuts.append(began)
+        self.paths.begin(cut)
+        try:
+            yield
+        finally:
+            self.paths.end(cut)
+            ended = began._replace(until_s=self.timers.now())
+            self.history.cuts[position] = ended
+
     # Hosts
 
     def host_address(self, name: str, port: int) -> Address:
         """Return the address of a port of a host."""
-        return Address(
-            f"{self._address_prefix}.{self.host_names.index(name) + 2}", port
-        )
+        number = FIRST_HOST_NUMBER + self.host_names.index(name)
+        return Address(f"{self._address_prefix}.{number}", port)
+
+    def data_centre(self, name: str) -> str:
+        """Return the data centre of a host."""
+        return "z1" if self.host_names.index(name) % 2 else "z2"
 
     async def start_host(self, name: str) -> None:
         """Start a host's process."""
@@ -200,7 +228,13 @@
                 stderr=log,
                 # The end of a shell hangs up on frozen processes of its group.
                 process_group=0,
-                env={**os.environ, "DAMASKJUNCTION_SETTINGS": str(path)},
+                env={
+                    **os.environ,
+                    "DAMASKJUNCTION_SETTINGS": str(path),
+                    RUNNER_PATH_VARIABLE: " ".join(
+                        (self._runners_ip, self.paths.ip_of(name))
+                    ),
+                },
             )
         self._record_disturbance(name)
         self._exits.begin(self._record_exit(name, self.processes[name]))
@@ -293,9 +327,9 @@
         return make_settings_text(
             name,
             self.host_address(name, 0).ip,
-            "z1" if self.host_names.index(name) % 2 else "z2",
+            self.data_centre(name),
             ports=PORTS,
-            store=self._proxy_addresses[name],
+            store=self._store_proxy_addresses[name],
             stop_grace_s=STOP_GRACE_S,
         )
 
@@ -309,7 +343,7 @@
         runner = SoakRunner(
             self.history,
             self.timers,
-            self.proxies[endpoint],
+            self.paths.paths_by_endpoint[endpoint],
             f"{software.runner_id}#{self._n_runners_started}",
             software.runner_id,
             self._target_addresses[endpoint],
@@ -317,7 +351,7 @@
             self.store,
             n_events=N_EVENTS if is_engine else 0,
             slots=ENGINE_SLOTS if is_engine else PLAIN_SLOTS,
-            advertised=self._proxy_addresses[endpoint],
+            advertised=self._listed_addresses[endpoint],
             version=software.version,
         )
         runner.born_ms = int(self.timers.wall() * 1000)
@@ -360,19 +394,5 @@
         """Write the next version of the configuration to the store."""
         self.configuration_version += 1
         self.store.put(
-            "config", "main", _make_configuration(self.configuration_version)
-        )
-
-
-def _make_configuration(version: int) -> dict[str, Any]:
-    """Return a configuration with a route of each kind and a route ``v{version}``."""
-    routes = [
-        make_route(name, HOST_NAME, f"/{name}/", kind, service, **options)
-        for name, kind, service, options in (
-            *_ROUTES,
-            (f"v{version}", "idempotent", PLAIN, RETRYABLE_ROUTE),
+            "config", "main", make_soak_configuration(self.configuration_version)
         )
-    ]
-    return make_configuration(
-        version, routes, engine=ENGINE, plain=PLAIN, slots=ENGINE_SLOTS
-    )
--- a/libs/lab/src/damaskjunction/lab/soak/runners.py
+++ b/libs/lab/src/damaskjunction/lab/soak/runners.py
@@ -15,10 +15,11 @@
     History,
     Run,
     RunEnd,
+    RunnerEnd,
     RunnerLife,
 )
+from damaskjunction.lab.soak.runner_paths import EndpointPaths
 from damaskjunction.standins import (
-    ProxyStandin,
     RawRequest,
     RawRunnerStandin,
     RunnerStandin,
@@ -80,8 +81,9 @@
 class SoakRunner(RunnerStandin):
     """A runner that records each request it begins to process in the history.
 
-    While its process is down, its proxy refuses connections as well. Each event names
-    the version of its software. Events of batch items are slow, so that others wait.
+    While its process is down, the paths to it refuse connections as well. Each event
+    names the version of its software. Events of batch items are slow, so that others
+    wait.
 
     Parameters
     ----------
@@ -89,8 +91,8 @@
         Receives its runs.
     timers : Timers
         The soak's timer service.
-    proxy : ProxyStandin
-        The proxy before its address.
+    paths : EndpointPaths
+        The paths to its endpoint.
     life_id : str
         Identifies it among all runners of the soak, also those with the same id.
     """
@@ -99,7 +101,7 @@
         self,
         history: History,
         timers: LoopTimers,
-        proxy: ProxyStandin,
+        paths: EndpointPaths,
         life_id: str,
         *args: Any,
         **kwargs: Any,
@@ -110,12 +112,13 @@
         self._drains_at_s: float | None = None
         self._history = history
         self._timers = timers
-        self._proxy = proxy
+        self._paths = paths
         self._started_at_s = timers.now()
 
     async def close(self) -> None:
         """Stop serving."""
         await super().close()
+        self._record_end_of_process()
         life = RunnerLife(
             self.life_id,
             self.version,
@@ -126,6 +129,10 @@
         )
         self._history.lives.append(life)
 
+    def _record_end_of_process(self) -> None:
+        end = RunnerEnd(self.runner_id, self._timers.now())
+        self._history.runner_ends.append(end)
+
     def announce_end(self, *, in_reports: bool) -> None:
         """Say in all responses from now on that it is leaving, and in reports too."""
         self.faults["leaving"] = 1
@@ -140,9 +147,10 @@
 
     async def close_and_restart(self) -> None:
         """End like a process that crashes, and start again."""
-        self._proxy.refuse()
+        self._paths.refuse()
+        self._record_end_of_process()
         await super().close_and_restart()
-        await self._proxy.listen()
+        self._paths.listen()
 
     def record_run(self, request_id: RequestId, last_event_id: str) -> None:
         """Record that the processing of a request begins."""
@@ -210,6 +218,12 @@
         self._timers = timers
         self._n_events = n_events
 
+    async def close(self) -> None:
+        """End like a process."""
+        await super().close()
+        end = RunnerEnd(self.runner_id, self._timers.now())
+        self._history.runner_ends.append(end)
+
     def record_run(self, request: RawRequest) -> None:
         """Record that a request begins to run."""
         super().record_run(request)
--- a/libs/lab/src/damaskjunction/lab/soak/soak.py
+++ b/libs/lab/src/damaskjunction/lab/soak/soak.py
@@ -10,6 +10,7 @@
 
 from damaskjunction.lab.soak.callers import Callers
 from damaskjunction.lab.soak.checks import find_violations
+from damaskjunction.lab.soak.configuration import ENGINE
 from damaskjunction.lab.soak.faults import faults
 from damaskjunction.lab.soak.history import (
     FaultFreePeriod,
@@ -19,7 +20,7 @@
 )
 from damaskjunction.lab.soak.observer import Observer
 from damaskjunction.lab.soak.processor_use import describe_processor_use
-from damaskjunction.lab.soak.rig import ENGINE, SoakRig
+from damaskjunction.lab.soak.rig import SoakRig
 from damaskjunction.lab.soak.schedule import ScheduledFault, make_schedule
 
 RECOVERY_S = 12.0  # from the end of the last fault to the fault-free period
@@ -131,6 +132,7 @@
     """Return what callers and runners observed, a line for each event, by time."""
     lines = [(call.sent_at_s, str(call)) for call in history.calls]
     lines += [(span.since_s, str(span)) for span in history.fault_spans]
+    lines += [(cut.since_s, str(cut)) for cut in history.cuts]
     lines += [(stall.since_s, str(stall)) for stall in history.stalls]
     lines += [(use.since_s, str(use)) for use in history.processor_uses]
     for observed in (
@@ -138,6 +140,8 @@
         history.run_ends,
         history.disturbances,
         history.exits,
+        history.crash_reports,
+        history.runner_ends,
     ):
         lines += [(entry.at_s, str(entry)) for entry in observed]
     lines += [(read.at_s, str(read)) for read in history.reads if read.results]
