Search for the injected faults of claims on several seeds

What was seen: with a new module in core, "The state machine detects an injected fault" (unconditional commit) failed each time, 3 of 3 runs, though nothing of batch had changed. Cause: Hypothesis mixes the constants of all loaded sources into its draws, so the one derandomized series depended on constants anywhere in the project. Change: a fault is searched for on three fixed seeds, 2,000 examples each as before; the sound machine has as many examples as before.

--- a/libs/batch/features/steps/claim_machine.py
+++ b/libs/batch/features/steps/claim_machine.py
@@ -9,7 +9,7 @@
 import itertools
 from typing import NamedTuple
 
-from hypothesis import HealthCheck, Phase, settings
+from hypothesis import HealthCheck, Phase, seed, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
@@ -30,6 +30,7 @@
 
 LEASE_S = 10.0
 N_STEPS = 30
+SEEDS = (1, 2, 3)  # the draws of one depend on constants all over the sources
 HOST_NAMES = ("a", "b")
 hosts = st.sampled_from(HOST_NAMES)
 # "answered" is listed twice to make it the most frequent outcome.
@@ -237,16 +238,19 @@
 
 
 def run_machine(injected_fault: str, n_examples: int) -> None:
-    run_state_machine_as_test(
-        MACHINES[injected_fault],
-        settings=settings(
-            max_examples=n_examples,
-            stateful_step_count=N_STEPS,
-            derandomize=True,
-            database=None,
-            deadline=None,
-            print_blob=False,
-            phases=(Phase.generate,),
-            suppress_health_check=list(HealthCheck),
-        ),
-    )
+    """Run the machine on examples, with an injected fault on those of several seeds."""
+    machine = MACHINES[injected_fault]
+    for number in SEEDS if injected_fault != "none" else SEEDS[:1]:
+        seeded = seed(number)(type(machine.__name__, (machine,), {}))
+        run_state_machine_as_test(
+            seeded,
+            settings=settings(
+                max_examples=n_examples,
+                stateful_step_count=N_STEPS,
+                database=None,
+                deadline=None,
+                print_blob=False,
+                phases=(Phase.generate,),
+                suppress_health_check=list(HealthCheck),
+            ),
+        )
