Decode what the store lists entry by entry

What callers saw: one entry of another writer that was nested deeply ended the list and the watch of its kind with RecursionError, one with an integer of 5,000 digits or bytes that are not UTF-8 made them "not valid JSON". The host followed no runner any more as long as the entry stayed, and a restarted one never became ready. Cause: a page of the store is one JSON document and was parsed as one. Change: core.decoding parses what others wrote: nesting, integers, numbers and texts are bounded. If a response can't be parsed, it is split into its entries without recursion and each is parsed alone. An entry whose content can't be read has none, so that it names no runner and replaces a sound one of its name; one without a name or revision is left out. One log line a response or entry. Changes that a peer relays are decoded likewise.

--- a/libs/core/src/damaskjunction/core/__init__.py
+++ b/libs/core/src/damaskjunction/core/__init__.py
@@ -1,5 +1,21 @@
 """Core types, errors, registries, hashing and the timer service."""
 
+from damaskjunction.core.decoding import (
+    SHAPE_ERRORS,
+    MalformedError,
+    parse_digits,
+    parse_json,
+    parse_json_or_none,
+    read_address,
+    read_bool,
+    read_integer,
+    read_list,
+    read_number,
+    read_object,
+    read_text,
+    split_array,
+    split_object,
+)
 from damaskjunction.core.errors import (
     ConflictError,
     DamaskjunctionError,
@@ -50,6 +66,7 @@
 )
 
 __all__ = [
+    "SHAPE_ERRORS",
     "Address",
     "Assignment",
     "BatchSpec",
@@ -66,6 +83,7 @@
     "HostState",
     "JobId",
     "LoopTimers",
+    "MalformedError",
     "ManualTimers",
     "ModelSpec",
     "Outcome",
@@ -91,7 +109,19 @@
     "WorkClass",
     "WorkspaceName",
     "WorkspaceSpec",
+    "parse_digits",
+    "parse_json",
+    "parse_json_or_none",
     "raise_findings",
+    "read_address",
+    "read_bool",
+    "read_integer",
+    "read_list",
+    "read_number",
+    "read_object",
+    "read_text",
     "rendezvous_order",
+    "split_array",
+    "split_object",
     "stable_hash",
 ]
--- /dev/null
+++ b/libs/gateway/features/odd_entries.feature
@@ -0,0 +1,53 @@
+Feature: Odd entries among those that a host follows
+  An odd entry of another writer costs that entry alone. The host follows the others,
+  also after a restart, and serves.
+
+  Scenario: A runner whose entry becomes odd is used no more, and again once it is sound
+    Given a fleet of 1 hosts on the platform
+    And plain runners "p1,p2"
+    When the entry of the runner "p2" is written as a list nested 100000 deep
+    Then each host knows the runners "p1" alone
+    When the entry of the runner "p2" is sound again
+    Then each host knows the runners "p1,p2" alone
+
+  Scenario Outline: Changes that a peer relays are told apart whatever they hold
+    Given a relayed change of "r2", <text>, between sound ones of "r1" and "r3"
+    Then the changes of "r1" and "r3" are decoded, and "r2" has no content
+
+    Examples:
+      | text                                 |
+      | a list nested 100000 deep            |
+      | an entry with 5000 digits            |
+      | bytes that are no UTF-8              |
+      | text that is no JSON                 |
+
+  Scenario Outline: Relayed changes of an odd shape are left out
+    Given a relayed change <text> between sound ones of "r1" and "r3"
+    Then only the changes of "r1" and "r3" are decoded
+
+    Examples:
+      | text                           |
+      | []                             |
+      | null                           |
+      | {}                             |
+      | [7,4,{},null,false]            |
+      | ["",4,{},null,false]           |
+      | ["\ud800",4,{},null,false]     |
+      | ["r2",true,{},null,false]      |
+      | ["r2",-1,{},null,false]        |
+      | ["r2",1e999,{},null,false]     |
+      | ["r2",4,{},null,7]             |
+      | ["r2",4,{},null]               |
+      | ["r2",4,{},null,false,7]       |
+
+  Scenario Outline: Relayed changes that can't be told apart are refused as malformed
+    When relayed changes are <text>
+    Then they are refused as malformed
+
+    Examples:
+      | text   |
+      | null   |
+      | {}     |
+      | [      |
+      | [[]    |
+      | ]      |
--- a/libs/gateway/src/damaskjunction/gateway/store/change_feed_server.py
+++ b/libs/gateway/src/damaskjunction/gateway/store/change_feed_server.py
@@ -4,17 +4,36 @@
 
 import asyncio
 import json
+import logging
 from collections.abc import Callable, Mapping
-
-from damaskjunction.core import Outcome, RequestError, Subscription, Timers
+from typing import Any
+
+from damaskjunction.core import (
+    SHAPE_ERRORS,
+    MalformedError,
+    Outcome,
+    RequestError,
+    Subscription,
+    Timers,
+    parse_json,
+    parse_json_or_none,
+    read_bool,
+    read_integer,
+    read_list,
+    read_text,
+    split_array,
+)
 from damaskjunction.gateway.store.kind_state import KindState, KindUpdate
 from damaskjunction.node import PeerHandlers
 from damaskjunction.platform import ObjectChange, PlatformObject
 from damaskjunction.wire import KindNews, NewsAsk, NoNews, Reply
 
+logger = logging.getLogger(__name__)
+
 HEARTBEAT_S = 0.3
 READY_TIMEOUT_S = 0.3
 MAX_QUEUED_UPDATES = 256  # the feed of a reader further behind is ended
+MAX_LOGGED_ENTRIES = 5
 NEVER_FAILED_S = -1.0
 
 
@@ -160,15 +179,58 @@
 
 
 def decode_changes(update: KindNews) -> KindUpdate:
-    """Decode changes from the feed of another host.
+    """Decode changes from the feed of another host, but for those that are malformed.
 
     Raises
     ------
-    ValueError
-        When the entries are malformed.
+    MalformedError
+        When the changes can't be told apart.
     """
-    changes = tuple(
-        ObjectChange(PlatformObject(update.kind, *entry[:-1]), entry[-1])
-        for entry in json.loads(update.entries)
+    changes = []
+    failures = []
+    for entry in _split_entries(update.entries):
+        try:
+            changes.append(_decode_change(update.kind, entry))
+        except SHAPE_ERRORS as error:
+            failures.append(f"{error!r}"[:200])
+    if failures:
+        extra = {
+            "kind": update.kind,
+            "n_entries": len(failures),
+            "errors": failures[:MAX_LOGGED_ENTRIES],
+        }
+        logger.warning("relayed entries left out", extra=extra)
+    return KindUpdate(update.kind, update.revision, update.is_whole, tuple(changes))
+
+
+def _split_entries(entries: bytes) -> list[Any]:
+    """Return the changes as values, or as texts if one of them can't be read."""
+    try:
+        return read_list(parse_json(entries))
+    except MalformedError:
+        return split_array(entries)
+
+
+def _read_parts(entry: bytes) -> list[Any]:
+    """Return the parts of a change; a content that can't be read is None."""
+    name, revision, *contents, is_removed = split_array(entry)
+    return [
+        parse_json(name),
+        parse_json(revision),
+        *map(parse_json_or_none, contents),
+        parse_json(is_removed),
+    ]
+
+
+def _decode_change(kind: str, entry: Any) -> ObjectChange:
+    if isinstance(entry, bytes):
+        entry = _read_parts(entry)
+    name, revision, content, status, is_removed = entry
+    stored = PlatformObject(
+        kind,
+        read_text(name, may_be_empty=False),
+        read_integer(revision, least=0),
+        content,
+        status,
     )
-    return KindUpdate(update.kind, update.revision, update.is_whole, changes)
+    return ObjectChange(stored, read_bool(is_removed))
--- /dev/null
+++ b/libs/platform/features/odd_entries.feature
@@ -0,0 +1,38 @@
+Feature: Odd entries in the platform's store
+  An odd entry of another writer costs that entry alone; the others hold.
+
+  Scenario Outline: An entry that can't be read does not end the list or the watch of its kind
+    Given sound entries of the runners "r1" and "r3", and one of "r2" that is <odd>
+    Then a <read> gives the runners "r1" and "r3", and "r2" names none
+
+    Examples:
+      | odd                                 | read  |
+      | nested 100000 deep                  | list  |
+      | nested 100000 deep                  | watch |
+      | nested 500 deep                     | list  |
+      | nested 500 deep                     | watch |
+      | an integer of 5000 digits           | list  |
+      | an integer of 5000 digits           | watch |
+      | 1e999                               | list  |
+      | NaN                                 | watch |
+      | a lone surrogate                    | list  |
+      | a lone surrogate                    | watch |
+      | not UTF-8                           | list  |
+      | not UTF-8                           | watch |
+      | not JSON                            | list  |
+      | not JSON                            | watch |
+      | empty                               | list  |
+      | a list                              | watch |
+
+  Scenario: Entries without a readable name or revision are left out of the list and the watch
+    Given sound entries of the runners "r1" and "r3", and others without name or revision
+    Then a list gives the runners "r1" and "r3"
+    And a watch gives the runners "r1" and "r3"
+
+  Scenario: Odd entries at the end of a page do not hide the next page
+    Given a page of runners that ends with entries without a name, and another page
+    Then all runners of both pages are listed
+
+  Scenario: A single entry that can't be read is an object without content
+    Given sound entries of the runners "r1" and "r3", and one of "r2" that is nested 100000 deep
+    Then a read of "r2" names no runner
--- a/libs/platform/src/damaskjunction/platform/store.py
+++ b/libs/platform/src/damaskjunction/platform/store.py
@@ -13,9 +13,13 @@
 from damaskjunction.core import PlatformUnavailableError, PlatformUnknownError, Revision
 from damaskjunction.core.types import EMPTY
 from damaskjunction.platform.statuses import check_read, check_write
+from damaskjunction.platform.store_documents import (
+    decode_object,
+    decode_page,
+    decode_watch,
+)
 from damaskjunction.platform.store_objects import (
     HistoryGoneError,
-    ObjectChange,
     ObjectChanges,
     ObjectConflictError,
     ObjectPage,
@@ -56,7 +60,7 @@
         if reply.status == 404:
             return None
         check_read(reply.status)
-        return _decode_object(kind, _parse_json(reply.body))
+        return decode_object(kind, reply.body)
 
     async def list_page(
         self, kind: str, *, after: str = "", may_be_stale: bool = False
@@ -78,12 +82,7 @@
             query["StaleOk"] = "1"
         reply = await self._call("GET", _object_path(kind, "", query))
         check_read(reply.status)
-        document = _parse_json(reply.body)
-        objects = _decode_objects(kind, document.get("Items") or [])
-        is_last = not document.get("HasMore") or not objects
-        return ObjectPage(
-            objects, "" if is_last else objects[-1].name, document["CurrentRev"]
-        )
+        return decode_page(kind, reply.body)
 
     async def list_all(self, kind: str) -> ObjectPage:
         """Return all objects of a kind.
@@ -127,12 +126,7 @@
                 f"{kind}: changes since revision {since} are no longer stored"
             )
         check_read(reply.status)
-        document = _parse_json(reply.body)
-        changes = tuple(
-            ObjectChange(_decode_object(kind, entry["Object"]), bool(entry["Removed"]))
-            for entry in document.get("events") or []
-        )
-        return ObjectChanges(changes, document["CurrentRev"])
+        return decode_watch(kind, reply.body)
 
     async def create(self, kind: str, name: str, content: Any) -> PlatformObject:
         """Create an object.
@@ -199,13 +193,13 @@
         if reply.status == 404:
             raise ObjectConflictError(f"{kind}/{name} does not exist", None)
         if reply.status == 409:
-            current = _decode_object(kind, _parse_json(reply.body))
+            current = decode_object(kind, reply.body)
             raise ObjectConflictError(
                 f"{kind}/{name} has another revision or already exists", current
             )
         check_write(reply.status)
         try:
-            return _decode_object(kind, _parse_json(reply.body))
+            return decode_object(kind, reply.body)
         except PlatformUnavailableError as error:
             raise PlatformUnknownError(str(error)) from None
 
@@ -248,31 +242,3 @@
     if name:
         path += "/" + quote(name, safe="")
     return f"{path}?{urlencode(query)}" if query else path
-
-
-def _parse_json(body: bytes) -> Any:
-    try:
-        return json.loads(body)
-    except ValueError as error:
-        raise PlatformUnavailableError(
-            f"store response is not valid JSON: {error}"
-        ) from None
-
-
-def _decode_object(kind: str, document: Any) -> PlatformObject:
-    try:
-        metadata = document["Metadata"]
-        return PlatformObject(
-            kind,
-            metadata["Name"],
-            metadata["Revision"],
-            document.get("Spec"),
-            document.get("Status"),
-        )
-    except (KeyError, TypeError, AttributeError) as error:
-        detail = f"{kind}: malformed object in store response: {error!r}"
-        raise PlatformUnavailableError(detail) from None
-
-
-def _decode_objects(kind: str, entries: list[Any]) -> tuple[PlatformObject, ...]:
-    return tuple(_decode_object(kind, entry) for entry in entries)
--- a/libs/standins/src/damaskjunction/standins/store.py
+++ b/libs/standins/src/damaskjunction/standins/store.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 from typing import Any, NamedTuple
 from urllib.parse import unquote
 
@@ -60,6 +61,7 @@
         self._timers = timers
         self._revision = 1
         self._objects_by_kind: dict[str, dict[str, _StoredObject]] = {}
+        self._texts_by_marker: dict[str, bytes] = {}
         self._events: list[_ChangeEvent] = []
         self._changed = asyncio.Event()
         self.n_calls = 0
@@ -83,6 +85,21 @@
         status = existing.status if existing is not None else None
         return self._put_object(kind, name, spec, status).revision
 
+    def put_text(self, kind: str, name: str, text: bytes) -> None:
+        """Write an object whose spec is given as it is sent, valid JSON or not."""
+        marker = f"text {len(self._texts_by_marker)}"
+        self._texts_by_marker[marker] = text
+        self.put(kind, name, marker)
+
+    def _respond(self, document: Any, *, status: int = 200) -> Response:
+        """Return a response in which markers stand for their texts no more."""
+        response = to_json_response(document, status=status)
+        assert isinstance(response.body, bytes)
+        body = response.body
+        for marker, text in self._texts_by_marker.items():
+            body = body.replace(json.dumps(marker).encode(), text)
+        return Response(status, body, response.content_type)
+
     def remove(self, kind: str, name: str) -> None:
         """Remove an object."""
         stored = self._objects(kind).pop(name)
@@ -128,7 +145,7 @@
             stored = self._objects(kind).get(name)
             if stored is None:
                 return Response(404)
-            return to_json_response(_to_document(name, stored))
+            return self._respond(_to_document(name, stored))
         if "Watch" in request.query:
             return await self._watch(request, kind)
         return self._list(request, kind)
@@ -141,7 +158,7 @@
             if existing is None:
                 return Response(404)
             self.remove(kind, name)
-            return to_json_response(_to_document(name, existing))
+            return self._respond(_to_document(name, existing))
         document = await read_json(request)
         if request.method == "POST":
             return self._create(kind, name, document["Spec"])
@@ -149,18 +166,18 @@
             return Response(404)
         expected_revision = document["Metadata"].get("Revision")
         if expected_revision is not None and expected_revision != existing.revision:
-            return to_json_response(_to_document(name, existing), status=409)
+            return self._respond(_to_document(name, existing), status=409)
         if subresource == "status":
             stored = self._put_object(kind, name, existing.spec, document["Status"])
         else:
             stored = self._put_object(kind, name, document["Spec"], existing.status)
-        return to_json_response(_to_document(name, stored))
+        return self._respond(_to_document(name, stored))
 
     def _create(self, kind: str, name: str, spec: Any) -> Response:
         existing = self._objects(kind).get(name)
         if existing is not None:
-            return to_json_response(_to_document(name, existing), status=409)
-        return to_json_response(
+            return self._respond(_to_document(name, existing), status=409)
+        return self._respond(
             _to_document(name, self._put_object(kind, name, spec, None))
         )
 
@@ -174,7 +191,7 @@
             "HasMore": len(names) > len(page),
             "CurrentRev": self._revision,
         }
-        return to_json_response(document)
+        return self._respond(document)
 
     async def _watch(self, request: Request, kind: str) -> Response:
         if self.faults.consume("no_history"):
@@ -204,7 +221,7 @@
             ],
             "CurrentRev": self._revision,
         }
-        return to_json_response(document)
+        return self._respond(document)
 
     def _events_since(self, kind: str, since: int) -> list[_ChangeEvent]:
         return [e for e in self._events if e.kind == kind and e.revision > since]
