Read numbers of heads, events and reports strictly

What callers saw: a runner's "Keep-Alive: timeout=" or event id with a digit such as a superscript two ended the request with ValueError and status 500, also a caller's Last-Event-Id or token counts of that kind or of 5,000 digits; a deadline of "nan" was taken over; a report nested deeply ended its poll with RecursionError, and one with 1e999 requests with OverflowError. Cause: str.isdigit() accepts more than int() reads, and neither is bounded. Change: parse_digits reads at most 18 ASCII digits; a report and a deadline are decoded as all that others wrote. What can't be read counts as not stated.

--- /dev/null
+++ b/libs/http/features/heads.feature
@@ -0,0 +1,37 @@
+Feature: Answers that break off, and odd heads
+  An answer that breaks off is none, wherever that is; an odd value in a head harms only
+  what it stands for.
+
+  Scenario Outline: A head that is none is no answer
+    Given a server whose answer begins with <text>
+    When it is asked
+    Then that is no answer
+
+    Examples:
+      | text                                                             |
+      | "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\n" |
+      | "HTTP/1.1 200 OK\r\nContent-Length: -5\r\n\r\n"                   |
+      | "HTTP/1.1 200 OK\r\nContent-Length: 1e1\r\n\r\n"                  |
+      | "HTTP/1.1 200 OK\r\nContent-Length: +5\r\n\r\n"                   |
+      | "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n"              |
+      | "HTTP/1.1 200 OK\r\nX-A: b\x00c\r\n\r\n"                          |
+      | "HTTP/1.1 200 OK\r\n: b\r\n\r\n"                                  |
+      | "HTTP/1.1 200 OK\r\nX A: b\r\n\r\n"                               |
+      | "HTTP/1.1 20 OK\r\n\r\n"                                          |
+      | "\xff\xfe\r\n\r\n"                                                |
+
+  Scenario: An odd announcement of the time that a connection is kept is not believed
+    Given a server whose answer begins with "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=\xb2\r\nContent-Length: 5\r\n\r\n"
+    When it is asked
+    Then its answer is read
+
+  Scenario Outline: An event whose id is no number of digits has none
+    When the event with the id "<text>" is read
+    Then the event has no id
+
+    Examples:
+      | text  |
+      | ²     |
+      | ３    |
+      | -1    |
+      | 99999999999999999999 |
--- a/libs/http/src/damaskjunction/http/connection.py
+++ b/libs/http/src/damaskjunction/http/connection.py
@@ -9,7 +9,7 @@
 
 import h11
 
-from damaskjunction.core import Address
+from damaskjunction.core import Address, parse_digits
 from damaskjunction.http.messages import BrokenResponseError, StalledResponseError
 from damaskjunction.http.pacing import ReadPacer
 from damaskjunction.http.protocol import decode_headers, prepare_for_reuse
@@ -141,8 +141,9 @@
         """
         for part in text.split(","):
             name, _, value = part.strip().partition("=")
-            if name == "timeout" and value.isdigit():
-                self.keep_alive_timeout_s = KEEP_ALIVE_TIMEOUT_FRACTION * int(value)
+            timeout_s = parse_digits(value) if name == "timeout" else None
+            if timeout_s is not None:
+                self.keep_alive_timeout_s = KEEP_ALIVE_TIMEOUT_FRACTION * timeout_s
 
     async def _pause_reading(self, pacer: ReadPacer) -> None:
         """Leave what arrives to the kernel until the next reads of the pacer."""
--- a/libs/http/src/damaskjunction/http/events.py
+++ b/libs/http/src/damaskjunction/http/events.py
@@ -4,6 +4,7 @@
 
 from typing import NamedTuple
 
+from damaskjunction.core import parse_digits
 from damaskjunction.core.units import MIB
 from damaskjunction.http.messages import BrokenResponseError
 
@@ -99,8 +100,9 @@
     for line in block.decode(errors="replace").split("\n"):
         field, _, value = line.partition(":")
         value = value.removeprefix(" ")
-        if field == "id" and value.strip().isdigit():
-            event_id = int(value)
+        if field == "id":
+            number = parse_digits(value.strip())
+            event_id = event_id if number is None else number
         elif field == "data":
             data.append(value)
     return RawEvent(block + b"\n\n", event_id, "\n".join(data))
--- a/libs/platform/src/damaskjunction/platform/requests.py
+++ b/libs/platform/src/damaskjunction/platform/requests.py
@@ -8,7 +8,17 @@
 from enum import StrEnum
 from typing import Any, NamedTuple
 
-from damaskjunction.core import Address, RequestId, RunnerId
+from damaskjunction.core import (
+    SHAPE_ERRORS,
+    Address,
+    MalformedError,
+    RequestId,
+    RunnerId,
+    parse_digits,
+    parse_json,
+    read_integer,
+    read_number,
+)
 from damaskjunction.core.units import MILLISECOND_S
 from damaskjunction.http import Request, Response
 
@@ -16,6 +26,7 @@
 READINESS_PATH = "/damaskjunction/readiness"
 ADDRESSES_PATH = "/damaskjunction/resolve"
 MAX_ADDRESSES = 64
+MAX_REPORTED = 1_000_000
 
 REQUEST_ID_HEADER = "x-request-id"
 DEADLINE_HEADER = "x-deadline-ms"
@@ -152,16 +163,21 @@
         shared_parts=parts[:-1],
         n_tokens=_count_tokens(headers.get(TOKENS_HEADER, "")),
         last_event_id=_parse_integer(headers.get(LAST_EVENT_ID_HEADER)),
-        headers={
-            name: value
-            for name, value in headers.items()
-            if name not in _HOP_BY_HOP_HEADERS and name not in _OVERRIDDEN_HEADERS
-        },
+        headers=forwarded_headers(headers),
         body=body,
         resumed_id=headers.get(RESUMES_HEADER, ""),
     )
 
 
+def forwarded_headers(headers: Mapping[str, str]) -> dict[str, str]:
+    """Return the headers of a request that a runner is to get as they are."""
+    return {
+        name: value
+        for name, value in headers.items()
+        if name not in _HOP_BY_HOP_HEADERS and name not in _OVERRIDDEN_HEADERS
+    }
+
+
 def host_name(headers: Mapping[str, str]) -> str:
     """Return the Host header without the port, in lower case."""
     return headers.get("host", "").partition(":")[0].lower()
@@ -226,19 +242,22 @@
 def decode_runner_report(status: int, body: bytes) -> RunnerReport | None:
     """Decode a runner's load report; returns None if the body is not one."""
     try:
-        document = json.loads(body)
-        n_running, n_queued = int(document["Running"]), int(document["Waiting"])
-        return RunnerReport(n_running, n_queued, read_start_time(document))
-    except (ValueError, KeyError, TypeError):
+        document = parse_json(body)
+        return RunnerReport(
+            read_integer(document["Running"], least=0, most=MAX_REPORTED),
+            read_integer(document["Waiting"], least=0, most=MAX_REPORTED),
+            read_start_time(document),
+        )
+    except SHAPE_ERRORS:
         return None
 
 
 def read_start_time(document: Mapping[str, Any]) -> int:
     """Return the Unix millisecond of a runner's start, 0 if it states none."""
-    born_ms = document.get("born")
-    if isinstance(born_ms, bool) or not isinstance(born_ms, int) or born_ms < 0:
+    try:
+        return read_integer(document.get("born", 0), least=0)
+    except MalformedError:
         return 0
-    return born_ms
 
 
 def caller_response(head: RunnerResponseHead, body: bytes) -> Response:
@@ -283,22 +302,23 @@
 def _parse_milliseconds(text: str | None) -> float | None:
     """Convert milliseconds to seconds; return None if absent or malformed."""
     try:
-        return float(text) * MILLISECOND_S if text else None
+        return read_number(float(text)) * MILLISECOND_S if text else None
     except ValueError:
         return None
 
 
 def _parse_integer(text: str | None) -> int | None:
-    return int(text) if text and text.isdigit() else None
+    return parse_digits(text) if text else None
 
 
 def _count_tokens(text: str) -> int:
-    return sum(int(part) for part in text.split(",") if part.strip().isdigit())
+    return sum(parse_digits(part.strip()) or 0 for part in text.split(","))
 
 
 def _parse_keep_alive(text: str) -> float | None:
     for part in text.split(","):
         name, _, value = part.strip().partition("=")
-        if name == "timeout" and value.isdigit():
-            return float(value)
+        timeout_s = parse_digits(value) if name == "timeout" else None
+        if timeout_s is not None:
+            return float(timeout_s)
     return None
