Send headers on in the bytes in which they came

What callers saw: a request with a header beyond ASCII got status 500, and an answer of a runner with one ended without a byte for the caller. Cause: headers are decoded as Latin-1, and h11 encodes text as ASCII: UnicodeEncodeError. Change: encode_headers is the inverse of decode_headers; client and server use it. Measured: the new scenario fails on the code before with UnicodeEncodeError.

--- a/libs/http/features/heads.feature
+++ b/libs/http/features/heads.feature
@@ -25,6 +25,11 @@
     When it is asked
     Then its answer is read
 
+  Scenario: Bytes of headers beyond ASCII are sent and returned as they came
+    Given a server that returns the header "X-Note" of its requests
+    When it is asked with the bytes "caf\xe9" in that header
+    Then the answer has them in its header
+
   Scenario Outline: An event whose id is no number of digits has none
     When the event with the id "<text>" is read
     Then the event has no id
--- a/libs/http/src/damaskjunction/http/connection.py
+++ b/libs/http/src/damaskjunction/http/connection.py
@@ -12,7 +12,11 @@
 from damaskjunction.core import Address, parse_digits
 from damaskjunction.http.messages import BrokenResponseError, StalledResponseError
 from damaskjunction.http.pacing import ReadPacer
-from damaskjunction.http.protocol import decode_headers, prepare_for_reuse
+from damaskjunction.http.protocol import (
+    decode_headers,
+    encode_headers,
+    prepare_for_reuse,
+)
 from damaskjunction.http.sockets import has_waiting_bytes
 from damaskjunction.http.stalls import StallTimer
 
@@ -73,7 +77,7 @@
             **headers,
         }
         request = h11.Request(
-            method=method, target=target, headers=list(request_headers.items())
+            method=method, target=target, headers=encode_headers(request_headers)
         )
         send = self._protocol.send
         parts = (request, h11.Data(data=body), h11.EndOfMessage())
--- a/libs/http/src/damaskjunction/http/server.py
+++ b/libs/http/src/damaskjunction/http/server.py
@@ -22,7 +22,11 @@
     error_response,
     request_error_response,
 )
-from damaskjunction.http.protocol import decode_headers, prepare_for_reuse
+from damaskjunction.http.protocol import (
+    decode_headers,
+    encode_headers,
+    prepare_for_reuse,
+)
 
 RequestHandler: TypeAlias = Callable[[Request], Awaitable[Response]]
 
@@ -282,13 +286,13 @@
 
     async def _send(self, head: h11.Request, response: Response) -> None:
         has_known_length = isinstance(response.body, bytes)
-        headers = list(response.headers.items())
+        headers = encode_headers(response.headers)
         if response.content_type is not None:
-            headers.insert(0, ("Content-Type", response.content_type))
+            headers.insert(0, (b"Content-Type", response.content_type.encode()))
         if isinstance(response.body, bytes):
-            headers.append(("Content-Length", str(len(response.body))))
+            headers.append((b"Content-Length", b"%d" % len(response.body)))
         if self.is_keep_alive_disabled or self._protocol.their_state is not h11.DONE:
-            headers.append(("Connection", "close"))
+            headers.append((b"Connection", b"close"))
         await self._write(
             h11.Response(status_code=response.status, headers=headers, reason=b"")
         )
