Take no runner or host in whose address or name can't be used

What callers saw: entries with the ports 70000, -1 or, or an address such as "a..b" or with a NUL, were runners like others; a request that came to one ended with OverflowError, UnicodeError or ValueError and status 500, not with another attempt. A name would have been looked up. Cause: an address was any text before a colon and whatever int() reads after it. Change: entries of runners and hosts are read field by field: only a dotted IPv4 address with a port of 1 to 65535 is one, slots are bounded, a runner's name can be sent in a header. An entry of a host that becomes odd no longer stands as it was before. The configuration's names and paths have to be texts.

--- a/libs/gateway/features/odd_entries.feature
+++ b/libs/gateway/features/odd_entries.feature
@@ -2,6 +2,27 @@
   An odd entry of another writer costs that entry alone. The host follows the others,
   also after a restart, and serves.
 
+  Scenario Outline: A host follows the other runners and becomes ready beside an odd entry
+    Given a fleet of 2 hosts on the platform
+    And plain runners "p1"
+    When the entry of the runner "odd" is written as <text>
+    And plain runner "p2" joins
+    Then each host knows the runners "p1,p2" alone
+    When the host "h0" starts again, and the host "h1" after it
+    Then each host knows the runners "p1,p2" alone
+    When a caller requests "/look/1" at "h0" as "q1"
+    Then the caller gets status 200
+    When a caller requests "/look/1" at "h1" as "q2"
+    Then the caller gets status 200
+
+    Examples:
+      | text                                 |
+      | a list nested 100000 deep            |
+      | an entry with 5000 digits            |
+      | an entry with the port 70000         |
+      | an entry with the address "a..b"     |
+      | bytes that are no UTF-8              |
+
   Scenario: A runner whose entry becomes odd is used no more, and again once it is sound
     Given a fleet of 1 hosts on the platform
     And plain runners "p1,p2"
--- a/libs/gateway/src/damaskjunction/gateway/store/host_registry.py
+++ b/libs/gateway/src/damaskjunction/gateway/store/host_registry.py
@@ -7,10 +7,13 @@
 from typing import TypedDict
 
 from damaskjunction.core import (
-    Address,
+    SHAPE_ERRORS,
     EntryHost,
     HostId,
     PlatformError,
+    read_address,
+    read_number,
+    read_text,
 )
 from damaskjunction.gateway.store.kind_state import KindState
 from damaskjunction.node import HostView, Membership, cancel_tasks
@@ -149,18 +152,26 @@
 
     def _apply_change(self, change: ObjectChange) -> None:
         if change.is_removed:
-            self._hosts_by_id.pop(change.object.name, None)
+            self._forget(change.object.name)
         else:
             self._record(change.object)
         self._publish()
 
     def _record(self, stored: PlatformObject) -> None:
         try:
-            self._hosts_by_id[stored.name] = _host_from_document(stored)
-            self._power_by_host[stored.name] = float(stored.content["n_cores"])
-        except (KeyError, TypeError, ValueError) as error:
+            host = _host_from_document(stored)
+            n_cores = read_number(stored.content["n_cores"])
+        except SHAPE_ERRORS as error:
             extra = {"host": stored.name, "error": repr(error)}
             logger.warning("host's entry invalid", extra=extra)
+            self._forget(stored.name)
+            return
+        self._hosts_by_id[stored.name] = host
+        self._power_by_host[stored.name] = n_cores
+
+    def _forget(self, host_id: HostId) -> None:
+        self._hosts_by_id.pop(host_id, None)
+        self._power_by_host.pop(host_id, None)
 
     def _publish(self) -> None:
         self._view.apply_powers(dict(self._power_by_host))
@@ -183,9 +194,9 @@
     content = stored.content
     return EntryHost(
         stored.name,
-        content["region"],
-        content["data_centre"],
-        Address.from_text(content["caller"]),
-        Address.from_text(content["peer"]),
-        Address.from_text(content["probe"]),
+        read_text(content["region"]),
+        read_text(content["data_centre"]),
+        read_address(content["caller"]),
+        read_address(content["peer"]),
+        read_address(content["probe"]),
     )
--- a/libs/platform/features/odd_entries.feature
+++ b/libs/platform/features/odd_entries.feature
@@ -36,3 +36,33 @@
   Scenario: A single entry that can't be read is an object without content
     Given sound entries of the runners "r1" and "r3", and one of "r2" that is nested 100000 deep
     Then a read of "r2" names no runner
+
+  Scenario Outline: A runner's entry with an odd part names no runner
+    Given the entry of a runner with <text> as its "<key>"
+    Then it names no runner
+
+    Examples:
+      | key     | text                          |
+      | Addr    | "10.0.0.1:70000"              |
+      | Addr    | "10.0.0.1:-1"                 |
+      | Addr    | "10.0.0.1:0"                  |
+      | Addr    | "10.0.0.1:99999999999999999999" |
+      | Addr    | "a..b:80"                     |
+      | Addr    | "localhost:80"                |
+      | Addr    | "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa:80" |
+      | Addr    | "10.0.0.1\u0000:80"           |
+      | Slots   | 4611686018427387904           |
+      | Slots   | 1.5                           |
+      | Service | ""                            |
+      | State   | ["ready"]                     |
+
+  Scenario Outline: A runner whose name can't be sent in a header is none
+    Given the entry of a runner with the name <name>
+    Then it names no runner
+
+    Examples:
+      | name        |
+      | "r\n1"      |
+      | "r\u0000"   |
+      | "r\u4e00"   |
+      | " r"        |
--- a/libs/platform/src/damaskjunction/platform/configuration.py
+++ b/libs/platform/src/damaskjunction/platform/configuration.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from damaskjunction.core import (
-    Address,
+    SHAPE_ERRORS,
     Finding,
     FindingError,
     HostState,
@@ -14,8 +14,13 @@
     Runner,
     ServiceKind,
     SourceLocation,
+    read_address,
+    read_integer,
+    read_number,
+    read_text,
 )
 from damaskjunction.core.units import MILLISECOND_S
+from damaskjunction.platform.header_values import read_header_value
 from damaskjunction.platform.requests import read_start_time
 from damaskjunction.platform.store_objects import PlatformObject
 from damaskjunction.routing import (
@@ -44,6 +49,7 @@
 DEFAULT_TIMEOUT_MS = 30_000.0
 DEFAULT_LATENCY_GOAL_MS = 1_000.0
 DEFAULT_SLOTS = 8
+MAX_SLOTS = 1_000_000
 
 
 def decode_configuration(stored: PlatformObject) -> RouteTable:
@@ -60,7 +66,7 @@
         services = [_decode_service(entry) for entry in document.get("Services") or []]
         limits = _decode_limits(document.get("Limits") or {})
         return make_route_table(int(document["Version"]), routes, services, limits)
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except SHAPE_ERRORS as error:
         location = SourceLocation(f"{stored.kind}/{stored.name}")
         raise FindingError(
             Finding(location, f"invalid configuration: {error!r}")
@@ -71,14 +77,15 @@
     split = entry.get("Split")
     if split:
         services = tuple(
-            WeightedService(part["Service"], float(part["Weight"])) for part in split
+            WeightedService(read_text(part["Service"]), read_number(part["Weight"]))
+            for part in split
         )
     else:
-        services = (WeightedService(entry["Service"], 1.0),)
+        services = (WeightedService(read_text(entry["Service"]), 1.0),)
     return Route(
-        name=entry["Name"],
-        host=entry["Host"].lower(),
-        path_prefix=entry["PathPrefix"],
+        name=read_text(entry["Name"]),
+        host=read_text(entry["Host"]).lower(),
+        path_prefix=read_text(entry["PathPrefix"]),
         kind=_KINDS_BY_VALUE.get(entry.get("Kind", ""), RouteKind.ONCE),
         services=services,
         timeout_s=_read_seconds(entry, "TimeoutMs", DEFAULT_TIMEOUT_MS),
@@ -97,7 +104,7 @@
 def _decode_service(entry: Mapping[str, Any]) -> BackendSpec:
     engine = entry.get("Engine")
     return BackendSpec(
-        name=entry["Name"],
+        name=read_text(entry["Name"]),
         health_path=entry.get("HealthPath") or "/health",
         max_connections=int(entry.get("MaxConns") or 0),
         engine=EngineSpec(int(engine["Slots"]), int(engine["KvCapacity"]))
@@ -146,20 +153,18 @@
     location = SourceLocation(f"{stored.kind}/{stored.name}")
     entry = stored.content
     try:
+        runner_id = read_header_value(stored.name)
         state = _STATES_BY_VALUE[entry["State"]]
-        address = Address.from_text(entry["Addr"])
-        service, zone = entry["Service"], entry["Zone"]
-        slots = entry.get("Slots", DEFAULT_SLOTS)
-        if not (isinstance(service, str) and isinstance(zone, str)):
-            raise TypeError("Service and Zone must be strings")
-        if isinstance(slots, bool) or not isinstance(slots, int) or slots < 1:
-            raise TypeError(f"Slots must be a positive integer, got {slots!r}")
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        address = read_address(entry["Addr"])
+        service = read_text(entry["Service"], may_be_empty=False)
+        zone = read_text(entry["Zone"])
+        slots = read_integer(entry.get("Slots", DEFAULT_SLOTS), least=1, most=MAX_SLOTS)
+    except SHAPE_ERRORS as error:
         raise FindingError(
             Finding(location, f"invalid runner entry: {error!r}")
         ) from None
     return Runner(
-        runner_id=stored.name,
+        runner_id=runner_id,
         region=regions_by_data_centre.get(zone, ""),
         data_centre=zone,
         address=address,
