Refuse a job with an item that can't be sent

What callers saw: a job was accepted with 202 although an item had a path, an id or a header that no request can carry (a line break, a space, a character beyond Latin-1), a "Content-Length" or "Host" of its own, or a number, text or boolean of another type. Each attempt of such an item failed in the client of runners, so that it was taken up again for ever and its job never ended. Two items of one id left the job without its last result. Cause: a job's fields were converted by str() and int(), and the head was first checked when an item was sent. Change: fields are read strictly; a job with one odd item gets 400. Headers that belong to the connection are dropped, as they are of other requests. Stored jobs, items, results and states are read as strictly, with one error.

--- a/libs/gateway/features/odd_entries.feature
+++ b/libs/gateway/features/odd_entries.feature
@@ -31,6 +31,14 @@
     When the entry of the runner "p2" is sound again
     Then each host knows the runners "p1,p2" alone
 
+  Scenario: A job with an odd item is refused and does not harm others
+    Given a fleet of 1 hosts on the platform
+    And engines "r1"
+    When the job "j1" of 3 items is submitted at "h0"
+    And a job with an odd item is submitted at "h0", one for each odd part
+    Then each of these is refused with status 400
+    And each host returns the same 3 complete results of "j1"
+
   Scenario Outline: Changes that a peer relays are told apart whatever they hold
     Given a relayed change of "r2", <text>, between sound ones of "r1" and "r3"
     Then the changes of "r1" and "r3" are decoded, and "r2" has no content
--- a/libs/platform/features/odd_entries.feature
+++ b/libs/platform/features/odd_entries.feature
@@ -37,6 +37,21 @@
     Given sound entries of the runners "r1" and "r3", and one of "r2" that is nested 100000 deep
     Then a read of "r2" names no runner
 
+  Scenario Outline: Any odd value in place of any part is refused with the decoder's own error
+    When each part of a sound <document> is replaced by each odd value
+    Then each is refused with the error of its decoder, or harms nobody
+
+    Examples:
+      | document           |
+      | runner             |
+      | configuration      |
+      | job of a caller    |
+      | stored job         |
+      | status of a job    |
+      | list of items      |
+      | list of results    |
+      | report of a runner |
+
   Scenario Outline: A runner's entry with an odd part names no runner
     Given the entry of a runner with <text> as its "<key>"
     Then it names no runner
@@ -66,3 +81,43 @@
       | "r\u0000"   |
       | "r\u4e00"   |
       | " r"        |
+
+  Scenario Outline: A job with an item that can't be sent to a runner is refused
+    Given a caller's job whose item has <text> as its "<key>"
+    Then the job is refused
+
+    Examples:
+      | key     | text                          |
+      | Id      | ""                            |
+      | Id      | 7                             |
+      | Id      | "a\r\nb"                      |
+      | Id      | "a\u0000"                     |
+      | Id      | "\u4e00"                      |
+      | Path    | ""                            |
+      | Path    | "n/1"                         |
+      | Path    | "/n 1"                        |
+      | Path    | "/n\r\nX: y"                  |
+      | Path    | "/\u4e00"                     |
+      | Headers | {"X-Model": "a\r\nb"}         |
+      | Headers | {"X Model": "a"}              |
+      | Headers | {"": "a"}                     |
+      | Headers | {"X-Model": "\u4e00"}         |
+      | Headers | {"X-Model": 7}                |
+      | Headers | {"X-Model": "a\u0000"}        |
+      | Headers | []                            |
+      | Headers | {"X-Model": {"deep": [[[[1]]]]}} |
+      | Body    | "***"                         |
+      | Body    | 7                             |
+      | Tokens  | -1                            |
+      | Tokens  | true                          |
+      | Tokens  | 1.5                           |
+      | Tokens  | "7"                           |
+      | Tokens  | 99999999999999999999          |
+
+  Scenario: A job with two items of one id is refused
+    Given a caller's job with two items of one id
+    Then the job is refused
+
+  Scenario: Headers of an item that belong to its connection are not sent on
+    Given a caller's job whose item has {"Host": "x", "Content-Length": "7", "Transfer-Encoding": "chunked", "X-Model": "m"} as its "Headers"
+    Then its item is sent with the headers "x-model,x-request-id"
--- a/libs/platform/src/damaskjunction/platform/jobs.py
+++ b/libs/platform/src/damaskjunction/platform/jobs.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import base64
-import binascii
 import json
 from collections.abc import Iterable, Mapping, Sequence
 from typing import Any, NamedTuple
@@ -15,10 +14,32 @@
     JobStatus,
     take_page,
 )
-from damaskjunction.core import DamaskjunctionError, JobId
+from damaskjunction.core import (
+    SHAPE_ERRORS,
+    DamaskjunctionError,
+    JobId,
+    MalformedError,
+    parse_digits,
+    parse_json,
+    read_bool,
+    read_integer,
+    read_list,
+    read_number,
+    read_object,
+    read_text,
+)
 from damaskjunction.core.units import MILLISECOND_S
 from damaskjunction.http import Request, Response
-from damaskjunction.platform.requests import REQUEST_ID_HEADER, CallerRequest
+from damaskjunction.platform.header_values import (
+    read_header_value,
+    read_headers,
+    read_target,
+)
+from damaskjunction.platform.requests import (
+    REQUEST_ID_HEADER,
+    CallerRequest,
+    forwarded_headers,
+)
 from damaskjunction.platform.store_objects import PlatformObject
 
 JOB_PATH_PREFIX = "/damaskjunction/lots/"
@@ -54,9 +75,11 @@
         If the body is malformed, or has no items or more than ``MAX_JOB_ITEMS``.
     """
     try:
-        entries = json.loads(body)["Items"]
+        entries = read_list(parse_json(body)["Items"])
         items = tuple(_decode_item(entry) for entry in entries)
-    except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as error:
+        if len({item.item_id for item in items}) < len(items):
+            raise MalformedError("two items have the same id")
+    except SHAPE_ERRORS as error:
         raise BadJobError(f"malformed job: {error!r}") from None
     if not items or len(items) > MAX_JOB_ITEMS:
         raise BadJobError(
@@ -66,15 +89,12 @@
 
 
 def _decode_item(entry: Mapping[str, Any]) -> BatchItem:
-    headers = {
-        str(name).lower(): str(value) for name, value in entry["Headers"].items()
-    }
-    try:
-        body = base64.b64decode(entry["Body"], validate=True)
-    except binascii.Error as error:
-        raise ValueError(str(error)) from None
     return BatchItem(
-        str(entry["Id"]), str(entry["Path"]), headers, body, int(entry["Tokens"])
+        read_header_value(entry["Id"]),
+        read_target(entry["Path"]),
+        read_headers(entry["Headers"]),
+        base64.b64decode(read_text(entry["Body"]), validate=True),
+        read_integer(entry["Tokens"], least=0),
     )
 
 
@@ -91,7 +111,7 @@
         shared_parts=tuple(part.partition(":")[0] for part in parts[:-1]),
         n_tokens=item.n_tokens,
         last_event_id=None,
-        headers={**item.headers, REQUEST_ID_HEADER: item.item_id},
+        headers={**forwarded_headers(item.headers), REQUEST_ID_HEADER: item.item_id},
         body=item.body,
     )
 
@@ -115,8 +135,8 @@
     wait = request.headers.get(WAIT_MS_HEADER, "0")
     return ResultsQuery(
         request.path.removeprefix(JOB_PATH_PREFIX),
-        int(after) if after.isdigit() else 0,
-        int(wait) * MILLISECOND_S if wait.isdigit() else 0.0,
+        parse_digits(after) or 0,
+        (parse_digits(wait) or 0) * MILLISECOND_S,
     )
 
 
@@ -153,17 +173,26 @@
 
 
 def decode_items(entries: Iterable[Mapping[str, Any]]) -> tuple[BatchItem, ...]:
-    """Decode stored items."""
-    return tuple(
-        BatchItem(
-            entry["id"],
-            entry["path"],
-            entry["headers"],
-            base64.b64decode(entry["body"]),
-            entry["tokens"],
+    """Decode stored items.
+
+    Raises
+    ------
+    MalformedError
+        If one is malformed.
+    """
+    try:
+        return tuple(
+            BatchItem(
+                read_header_value(entry["id"]),
+                read_target(entry["path"]),
+                read_headers(entry["headers"]),
+                base64.b64decode(read_text(entry["body"])),
+                read_integer(entry["tokens"]),
+            )
+            for entry in entries
         )
-        for entry in entries
-    )
+    except SHAPE_ERRORS as error:
+        raise MalformedError(f"malformed items: {error!r}") from None
 
 
 def encode_record(record: JobRecord, items: Sequence[BatchItem]) -> dict[str, Any]:
@@ -182,21 +211,36 @@
 
 def without_items(stored: PlatformObject) -> PlatformObject:
     """Return a stored job without its items; their ids stay."""
+    if not isinstance(stored.content, Mapping):
+        return stored
     return stored._replace(content={**stored.content, "items": []})
 
 
 def decode_record(job_id: JobId, content: Mapping[str, Any]) -> JobRecord:
-    """Decode a stored job, without the bodies of its items."""
-    return JobRecord(
-        job_id,
-        content["route"],
-        content["host"],
-        content["sent_at_s"],
-        tuple(content["item_ids"]),
-        tuple(content["tokens"]),
-        content["n_parts"],
-        content["owner"],
-    )
+    """Decode a stored job, without the bodies of its items.
+
+    Raises
+    ------
+    MalformedError
+        If the content is malformed.
+    """
+    try:
+        item_ids = tuple(map(read_header_value, read_list(content["item_ids"])))
+        tokens = tuple(map(read_integer, read_list(content["tokens"])))
+        if len(tokens) != len(item_ids):
+            raise MalformedError("not as many token counts as items")
+        return JobRecord(
+            job_id,
+            read_text(content["route"]),
+            read_text(content["host"]),
+            read_number(content["sent_at_s"]),
+            item_ids,
+            tokens,
+            read_integer(content["n_parts"], least=0, most=len(item_ids)),
+            read_text(content["owner"]),
+        )
+    except SHAPE_ERRORS as error:
+        raise MalformedError(f"malformed job: {error!r}") from None
 
 
 def encode_status(status: JobStatus) -> dict[str, Any]:
@@ -205,8 +249,19 @@
 
 
 def decode_status(status: Mapping[str, Any] | None) -> JobStatus:
-    """Decode the mutable part of a job; the defaults apply if none is stored."""
-    return JobStatus(**status) if status else JobStatus()
+    """Decode the mutable part of a job; the defaults apply if none is stored.
+
+    Raises
+    ------
+    MalformedError
+        If the status is malformed.
+    """
+    stored = read_object(status or {})
+    return JobStatus(
+        read_bool(stored.get("is_ended", False)),
+        read_bool(stored.get("is_done", False)),
+        read_text(stored.get("owner", "")),
+    )
 
 
 def encode_result_list(results: Iterable[ItemResult]) -> list[list[Any]]:
@@ -215,5 +270,19 @@
 
 
 def decode_result_list(content: Any) -> tuple[ItemResult, ...]:
-    """Decode stored results, in order of position."""
-    return tuple(ItemResult(*entry) for entry in content)
+    """Decode stored results, in order of position.
+
+    Raises
+    ------
+    MalformedError
+        If they are malformed.
+    """
+    return tuple(map(_decode_result, read_list(content)))
+
+
+def _decode_result(entry: Any) -> ItemResult:
+    parts = read_list(entry)
+    if len(parts) != len(ItemResult._fields):
+        raise MalformedError(f"a result of {len(parts)} parts")
+    item_id, is_whole, text = parts
+    return ItemResult(read_text(item_id), read_bool(is_whole), read_text(text))
