Hold odd objects among the system's own kinds to themselves

What callers saw: with a malformed object of results, or of a job's items, a read of the job got status 500, and its run failed and began again twice a second; an odd suspect, record of versions or job could end the list of its kind. Cause: each kind caught another choice of errors, and some none. Change: all read their fields by core.decoding and catch SHAPE_ERRORS; malformed results and items count as a failed read of the store, which is repeated with backoff. Measured: on the code before, the scenario with odd objects of all kinds and those that replace each part of hosts' and jobs' objects fail; those of runners, configuration, versions and suspects held.

--- a/libs/gateway/features/odd_entries.feature
+++ b/libs/gateway/features/odd_entries.feature
@@ -31,6 +31,15 @@
     When the entry of the runner "p2" is sound again
     Then each host knows the runners "p1,p2" alone
 
+  Scenario: Odd entries of the system's own kinds do not keep a host from its start
+    Given a fleet of 1 hosts on the platform
+    And plain runners "p1"
+    When odd entries are written among those of all kinds
+    And the host "h0" starts again
+    Then each host knows the runners "p1" alone
+    When a caller requests "/look/1" at "h0" as "q1"
+    Then the caller gets status 200
+
   Scenario: A job with an odd item is refused and does not harm others
     Given a fleet of 1 hosts on the platform
     And engines "r1"
@@ -80,3 +89,17 @@
       | [      |
       | [[]    |
       | ]      |
+
+  Scenario Outline: Any odd value in place of any part of a stored object costs it alone
+    Given the <owner> that follows a kind of objects
+    When each part of an object is replaced by each odd value, beside a sound one
+    Then each time the sound one is known, from a list and from a watch
+
+    Examples:
+      | owner                |
+      | runners              |
+      | configuration        |
+      | hosts                |
+      | software versions    |
+      | suspects             |
+      | jobs                 |
--- a/libs/gateway/src/damaskjunction/gateway/jobs/job_repository.py
+++ b/libs/gateway/src/damaskjunction/gateway/jobs/job_repository.py
@@ -15,6 +15,7 @@
 )
 from damaskjunction.core import (
     JobId,
+    MalformedError,
     PlatformUnavailableError,
     PlatformUnknownError,
     Revision,
@@ -116,7 +117,7 @@
         try:
             record = decode_record(stored.name, stored.content)
             job = StoredJob(record, decode_status(stored.status), stored.revision)
-        except (KeyError, TypeError, ValueError) as error:
+        except MalformedError as error:
             extra = {"job": stored.name, "error": repr(error)}
             logger.error("malformed job object", extra=extra)
             return None
@@ -228,14 +229,18 @@
         stored = await self._store.get(JOBS_KIND, job_id)
         if stored is None:
             raise PlatformUnavailableError(f"job {job_id} does not exist")
-        items = decode_items(stored.content["items"])
-        for index in range(stored.content["n_parts"]):
-            part = await self._store.get(BODIES_KIND, f"{job_id}.{index}")
-            if part is None:
-                raise PlatformUnavailableError(
-                    f"part {index} of job {job_id} does not exist"
-                )
-            items += decode_items(part.content)
+        try:
+            n_parts = decode_record(job_id, stored.content).n_parts
+            items = decode_items(stored.content["items"])
+            for index in range(n_parts):
+                part = await self._store.get(BODIES_KIND, f"{job_id}.{index}")
+                if part is None:
+                    raise PlatformUnavailableError(
+                        f"part {index} of job {job_id} does not exist"
+                    )
+                items += decode_items(part.content)
+        except MalformedError as error:
+            raise PlatformUnavailableError(f"job {job_id}: {error}") from None
         self._cache_items(job_id, items)
         return items
 
--- a/libs/gateway/src/damaskjunction/gateway/jobs/result_reader.py
+++ b/libs/gateway/src/damaskjunction/gateway/jobs/result_reader.py
@@ -8,7 +8,7 @@
 from typing import NamedTuple
 
 from damaskjunction.batch import ItemResult, take_page
-from damaskjunction.core import Outcome, RequestError, Timers
+from damaskjunction.core import Outcome, RequestError, Timers, parse_json
 from damaskjunction.gateway.jobs.job_repository import JobRepository, StoredJob
 from damaskjunction.gateway.jobs.job_worker import JobWorker
 from damaskjunction.node import HostView, PeerHandlers
@@ -144,7 +144,7 @@
                 response = await self._links.ask(host.peer, LANE, query)
             if not isinstance(response, ResultsHeard):
                 raise RequestError(Outcome.UNKNOWN, "bad_reply", repr(response))
-            return decode_result_list(json.loads(response.entries))
+            return decode_result_list(parse_json(response.entries))
         except (RequestError, TimeoutError, ValueError) as error:
             extra = {"job": job.record.job_id, "host": job.owner, "error": repr(error)}
             logger.info("no results from owner", extra=extra)
--- a/libs/gateway/src/damaskjunction/gateway/jobs/result_repository.py
+++ b/libs/gateway/src/damaskjunction/gateway/jobs/result_repository.py
@@ -7,7 +7,13 @@
 from typing import NamedTuple
 
 from damaskjunction.batch import ItemResult
-from damaskjunction.core import JobId, Revision
+from damaskjunction.core import (
+    SHAPE_ERRORS,
+    JobId,
+    PlatformUnavailableError,
+    Revision,
+    read_bool,
+)
 from damaskjunction.platform import (
     RESULTS_KIND,
     ObjectConflictError,
@@ -167,8 +173,20 @@
 
 
 def _decode_segment(stored: PlatformObject) -> ResultSegment:
-    results = decode_result_list(stored.content["results"])
-    return ResultSegment(results, stored.content["is_full"], stored.revision)
+    """Decode a segment.
+
+    Raises
+    ------
+    PlatformUnavailableError
+        If the object is malformed.
+    """
+    try:
+        results = decode_result_list(stored.content["results"])
+        is_full = read_bool(stored.content["is_full"])
+    except SHAPE_ERRORS as error:
+        detail = f"results {stored.name} are malformed: {error!r}"
+        raise PlatformUnavailableError(detail) from None
+    return ResultSegment(results, is_full, stored.revision)
 
 
 def _segment_name(job_id: JobId, index: int) -> str:
--- a/libs/gateway/src/damaskjunction/gateway/runners/suspect_registry.py
+++ b/libs/gateway/src/damaskjunction/gateway/runners/suspect_registry.py
@@ -11,7 +11,17 @@
 from collections.abc import Collection
 from typing import Any, TypedDict
 
-from damaskjunction.core import PlatformError, ServiceName, Timers, stable_hash
+from damaskjunction.core import (
+    SHAPE_ERRORS,
+    MalformedError,
+    PlatformError,
+    ServiceName,
+    Timers,
+    read_list,
+    read_number,
+    read_text,
+    stable_hash,
+)
 from damaskjunction.gateway.store.kind_state import KindState
 from damaskjunction.node import cancel_tasks
 from damaskjunction.platform import (
@@ -153,7 +163,7 @@
     def _import(self, stored: PlatformObject) -> None:
         try:
             service, suspect = self._decode(stored)
-        except (KeyError, TypeError, ValueError) as error:
+        except SHAPE_ERRORS as error:
             extra = {"object": stored.name, "error": repr(error)}
             logger.warning("stored suspect invalid", extra=extra)
             return
@@ -168,15 +178,16 @@
 
     def _decode(self, stored: PlatformObject) -> tuple[ServiceName, Suspect]:
         content: SuspectDocument = stored.content
-        age_s = max(0.0, self._timers.wall() - float(content["last_crash_wall_s"]))
+        last_crash_wall_s = read_number(content["last_crash_wall_s"])
+        age_s = max(0.0, self._timers.wall() - last_crash_wall_s)
         suspect = Suspect(
-            tuple(map(str, content["traits"])),
-            tuple(map(str, content["crash_ids"])),
+            tuple(map(read_text, read_list(content["traits"]))),
+            tuple(map(read_text, read_list(content["crash_ids"]))),
             self._timers.now() - age_s,
         )
         if not suspect.traits:
-            raise ValueError("a suspect without traits")
-        return str(content["service"]), suspect
+            raise MalformedError("a suspect without traits")
+        return read_text(content["service"]), suspect
 
     # Own suspects
 
@@ -218,7 +229,12 @@
                 stored = error.current
         if stored is None:
             return
-        _, known = self._decode(stored)
+        try:
+            _, known = self._decode(stored)
+        except SHAPE_ERRORS as error:
+            extra = {"object": stored.name, "error": repr(error)}
+            logger.warning("suspect not merged", extra=extra)
+            return
         crash_ids = tuple(sorted({*known.crash_ids, *suspect.crash_ids}))
         if crash_ids != known.crash_ids:
             merged = self._encode(service, suspect._replace(crash_ids=crash_ids))
--- a/libs/gateway/src/damaskjunction/gateway/versions/version_registry.py
+++ b/libs/gateway/src/damaskjunction/gateway/versions/version_registry.py
@@ -12,7 +12,16 @@
 from collections.abc import Callable
 from typing import Any, TypedDict
 
-from damaskjunction.core import PlatformError, ServiceName, Subscription, Timers
+from damaskjunction.core import (
+    SHAPE_ERRORS,
+    PlatformError,
+    ServiceName,
+    Subscription,
+    Timers,
+    read_integer,
+    read_list,
+    read_text,
+)
 from damaskjunction.gateway.state import ServingState
 from damaskjunction.gateway.store.kind_state import KindState
 from damaskjunction.node import cancel_tasks
@@ -204,7 +213,7 @@
         """Process a record that was read; return whether it is news."""
         try:
             record = _decode(stored.content)
-        except (KeyError, TypeError, ValueError) as error:
+        except SHAPE_ERRORS as error:
             extra = {"service": service, "error": repr(error)}
             logger.warning("stored software versions invalid", extra=extra)
             return False
@@ -280,10 +289,10 @@
 
 def _decode(content: VersionRecordDocument) -> VersionRecord:
     return VersionRecord(
-        tuple(map(str, content["open_versions"])),
+        tuple(map(read_text, read_list(content["open_versions"]))),
         tuple(
-            ClosedVersion(str(closed["version"]), int(closed["closing"]))
-            for closed in content["closed_versions"]
+            ClosedVersion(read_text(closed["version"]), read_integer(closed["closing"]))
+            for closed in read_list(content["closed_versions"])
         ),
-        int(content["n_closings"]),
+        read_integer(content["n_closings"]),
     )
