Refuse messages of peers with a text that is not UTF-8 or a number that is none

What was seen: the codec leaves the bytes of such a text as they are, so a message came to its handler with bytes in place of a text and failed there with TypeError; NaN made every comparison of an age or a wait false. Change: such a message gives a DecodeError like any other malformed one, on links and in datagrams.

--- a/libs/wire/features/codec.feature
+++ b/libs/wire/features/codec.feature
@@ -18,6 +18,15 @@
     When a list that declares 2000000000 zero-byte elements is decoded
     Then each input gave a message or a decode error
 
+  Scenario Outline: A message with a text that is not UTF-8 or a number that is none is refused
+    When each <part> of each kind of message is replaced by <odd>
+    Then each such message gave a decode error
+
+    Examples:
+      | part   | odd                  |
+      | text   | bytes that are no UTF-8 |
+      | number | NaN                  |
+
   Scenario: A message of an older version lacks a field that was added with a default
     When a granted slot without its newest field is decoded
     Then the slot's runner is "r1" and nothing of its request is watched
--- a/libs/wire/features/steps/codec_steps.py
+++ b/libs/wire/features/steps/codec_steps.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import math
 import random
 import struct
 import tracemalloc
+from enum import StrEnum
 from importlib.resources import files
 from pathlib import Path
+from typing import get_args, get_origin, get_type_hints
 
 import thriftpy2
 from behave import then, when
@@ -83,6 +86,46 @@
     return bytes(corrupted[: rng.randrange(1, len(corrupted) + 1)])
 
 
+MARK = "mark"
+
+
+def make_variants(kind, part):
+    """Yield messages of a kind, in each of which one field is marked or NaN."""
+    hints = get_type_hints(kind)
+    sound = {name: sound_value(hints[name]) for name in kind._fields}
+    for name in kind._fields:
+        if part == "number" and hints[name] is float:
+            yield kind(**{**sound, name: math.nan})
+        elif part == "text" and hints[name] is str:
+            yield kind(**{**sound, name: MARK})
+        elif part == "text" and get_args(hints[name])[:1] == (str,):
+            yield kind(**{**sound, name: ("a", MARK)})
+
+
+def sound_value(hint):
+    if get_origin(hint) is not None:
+        return ()
+    if issubclass(hint, StrEnum):
+        return next(iter(hint))
+    return hint()
+
+
+@when("each {part} of each kind of message is replaced by {odd}")
+def decode_odd_parts(context, part, odd):
+    reset_outcomes(context)
+    for name in message_types:
+        for message in make_variants(message_types.get(name), part):
+            body = encode_message(message).replace(MARK.encode(), b"\xff\xfe\xfd\xfc")
+            try_decode(context, decode_message, name, body)
+            context.n_decoded += 1
+
+
+@then("each such message gave a decode error")
+def check_all_refused(context):
+    assert context.n_decoded > 0
+    assert context.outcomes["error"] == context.n_decoded, context.outcomes
+
+
 @when("a frame that declares a body of {size:d} bytes is decoded")
 def decode_oversized_body(context, size):
     reset_outcomes(context)
--- a/libs/wire/src/damaskjunction/wire/codec.py
+++ b/libs/wire/src/damaskjunction/wire/codec.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import math
 from enum import StrEnum
 from pathlib import Path
 from typing import Any, NamedTuple, TypeAlias, get_args, get_origin, get_type_hints
@@ -36,11 +37,12 @@
     """Conversion of a field from its thrift value to its typed value.
 
     ``element`` names the message type of the elements of a tuple; it is empty for
-    other fields.
+    other fields. ``is_text`` tells fields that hold a text or a tuple of texts.
     """
 
     enum: type[StrEnum] | None = None
     element: str = ""
+    is_text: bool = False
 
 
 _conversions_by_kind: dict[str, tuple[_Conversion, ...]] = {}
@@ -62,7 +64,11 @@
         )
     hints = get_type_hints(kind)
     _conversions_by_kind[kind.__name__] = tuple(
-        _Conversion(_enum_type_of(hints[name]), _message_name_of(hints[name]))
+        _Conversion(
+            _enum_type_of(hints[name]),
+            _message_name_of(hints[name]),
+            hints[name] is str or get_args(hints[name])[:1] == (str,),
+        )
         for name in names
     )
     message_types.register(kind.__name__)(kind)
@@ -144,7 +150,20 @@
 def _convert(value: Any, conversion: _Conversion) -> Any:
     if conversion.element:
         return tuple(_to_message(conversion.element, struct) for struct in value)
-    return conversion.enum(value) if conversion.enum is not None else value
+    if conversion.enum is not None:
+        return conversion.enum(value)
+    if conversion.is_text:
+        _check_text(value)
+    elif isinstance(value, float) and math.isnan(value):
+        raise ValueError("not a number")
+    return value
+
+
+def _check_text(value: Any) -> None:
+    """Check a text, or a list of them; the codec leaves bytes that are no UTF-8."""
+    texts = value if isinstance(value, list) else [value]
+    if not all(isinstance(text, str) for text in texts):
+        raise ValueError("a text is not valid UTF-8")
 
 
 def _encode(value: Any) -> bytes:
