Show that no answer that breaks off in its head, chunks or trailers is whole

Open from the report of a 200 with a short body: cut chunk heads and trailers, and an answer without a length. Change: tests alone. Ten framings are cut at each byte, by a close or a reset. An answer without a length is read only as one that ends with its connection.

--- a/libs/http/features/heads.feature
+++ b/libs/http/features/heads.feature
@@ -2,6 +2,34 @@
   An answer that breaks off is none, wherever that is; an odd value in a head harms only
   what it stands for.
 
+  Scenario Outline: An answer that breaks off at any byte is not taken for whole
+    Given a server whose answers have <framing>
+    When its answer breaks off after each number of bytes, by a <end>
+    Then no answer that broke off was taken for whole, but the last was read
+
+    Examples:
+      | framing                       | end   |
+      | a length                      | close |
+      | a length                      | reset |
+      | chunks                        | close |
+      | chunks                        | reset |
+      | chunks with extensions        | close |
+      | chunks and trailers           | close |
+      | chunks and trailers           | reset |
+      | an interim head and a length  | close |
+      | a length of nothing           | close |
+      | chunks of nothing             | close |
+
+  Scenario Outline: An answer without a length is taken for whole only as one that ends with its connection
+    Given a server whose answers have no length
+    When its answer breaks off after each number of bytes, by a <end>
+    Then each one that was read ends with its connection, and none broke off in its head
+
+    Examples:
+      | end   |
+      | close |
+      | reset |
+
   Scenario Outline: A head that is none is no answer
     Given a server whose answer begins with <text>
     When it is asked
