--- a/libs/http/src/damaskjunction/http/connection.py
+++ b/libs/http/src/damaskjunction/http/connection.py
@@ -9,10 +9,14 @@
 
 import h11
 
-from damaskjunction.core import Address
+from damaskjunction.core import Address, parse_digits
 from damaskjunction.http.messages import BrokenResponseError, StalledResponseError
 from damaskjunction.http.pacing import ReadPacer
-from damaskjunction.http.protocol import decode_headers, prepare_for_reuse
+from damaskjunction.http.protocol import (
+    decode_headers,
+    encode_headers,
+    prepare_for_reuse,
+)
 from damaskjunction.http.sockets import has_waiting_bytes
 from damaskjunction.http.stalls import StallTimer
 
@@ -73,7 +77,7 @@
             **headers,
         }
         request = h11.Request(
-            method=method, target=target, headers=list(request_headers.items())
+            method=method, target=target, headers=encode_headers(request_headers)
         )
         send = self._protocol.send
         parts = (request, h11.Data(data=body), h11.EndOfMessage())
@@ -141,8 +145,9 @@
         """
         for part in text.split(","):
             name, _, value = part.strip().partition("=")
-            if name == "timeout" and value.isdigit():
-                self.keep_alive_timeout_s = KEEP_ALIVE_TIMEOUT_FRACTION * int(value)
+            timeout_s = parse_digits(value) if name == "timeout" else None
+            if timeout_s is not None:
+                self.keep_alive_timeout_s = KEEP_ALIVE_TIMEOUT_FRACTION * timeout_s
 
     async def _pause_reading(self, pacer: ReadPacer) -> None:
         """Leave what arrives to the kernel until the next reads of the pacer."""
