Draw losses of all hosts' power and false counts of one home

The random fleets killed hosts one by one, and a fault in the counts of slots was injected for all hosts alike.

--- a/libs/gateway/features/steps/owed_fleet_steps.py
+++ b/libs/gateway/features/steps/owed_fleet_steps.py
@@ -13,7 +13,7 @@
 from random_runs import repeatable
 from simulated_fleet import SimulatedFleet
 from simulated_host import DRAIN_S, ITEMS_PER_JOB, ROUTE
-from simulated_runners import RUN_S, SLOTS
+from simulated_runners import RUN_S, SERVICE, SLOTS
 from simulated_time import SimulatedLoop
 
 from damaskjunction.batch import TakeoverWatch, takeovers
@@ -83,6 +83,7 @@
     st.tuples(st.sampled_from(["store away", "store back"])),
     st.tuples(st.sampled_from(["answers lost", "answers come"])),
     st.tuples(st.just("route"), st.sampled_from(sorted(ROUTES_BY_NAME))),
+    st.tuples(st.just("lose power"), st.integers(1, 8)),
     st.tuples(st.just("wait"), st.integers(1, 12)),
 )
 last_operations = st.one_of(
@@ -115,6 +116,7 @@
         "kill": lambda: fleet.kill(name),
         "start": lambda: fleet.start(name),
         "wait": lambda: asyncio.sleep(name * STEP_S),
+        "lose power": lambda: lose_power(fleet, name * STEP_S),
         "load": lambda: load_and_wait(fleet, SLOTS),
         "unload": lambda: load_and_wait(fleet, 0),
     }
@@ -162,6 +164,17 @@
     await asyncio.sleep(REPORT_POLL_PERIOD_S + STEP_S)
 
 
+async def lose_power(fleet, duration_s):
+    """End all hosts at once, and start them again together."""
+    for name in HOSTS:
+        await fleet.kill(name)
+    await asyncio.sleep(duration_s)
+    for name in HOSTS:
+        await fleet.start(name)
+    for name in HOSTS:
+        fleet.show(name, HOSTS)
+
+
 def load(fleet, n_foreign):
     """Let all runners have requests of other hosts."""
     for runner in fleet.runners_by_id.values():
@@ -270,7 +283,7 @@
 )
 
 
-def find_left_lying(count):
+def find_left_lying(count, outlooks=outlooks):
     """Return the first of random runs after which items are owed too long, if any.
 
     What a run finds does not always recur: it goes by the order of sets, too.
@@ -306,6 +319,15 @@
     (PlacementCheck, "_begin", lambda *args: None),
 )
 acquire = SlotClient.acquire
+start_home = SlotHome.start
+
+
+async def start_home_with_false_counts(home):
+    """Start the home of one host with slots in use that nobody holds: a fault."""
+    await start_home(home)
+    if home._state.view.own.host_id == HOSTS[0]:
+        pool = home._pool(SERVICE)
+        pool._used_by_runner.update(dict.fromkeys(RUNNERS, SLOTS))
 
 
 def acquire_for_ever(client, ask, on_ask, is_wanted):
@@ -313,7 +335,12 @@
     return acquire(client, ask, on_ask)
 
 
+FALSE_COUNTS = ((SlotHome, "start", start_home_with_false_counts),)
 FAULTS = {
+    "a home counts slots that nobody holds": FALSE_COUNTS,
+    "a home counts slots that nobody holds and no item is started over": (
+        FALSE_COUNTS + NO_WATCHDOG
+    ),
     "asks outlive their route": ((SlotClient, "acquire", acquire_for_ever),),
     "asks stay in the queue of a lost home": ENDLESS_WAITS,
     "asks stay there and no stuck item is taken up again": ENDLESS_WAITS + NO_WATCHDOG,
@@ -347,6 +374,15 @@
     assert not found, found
 
 
+@then(
+    "after {count:d} random runs with another host each accepted item is listed in time"
+)
+def check_runs_with_others(context, count):
+    lonely = frozenset(HOSTS[:1])
+    found = find_left_lying(count, outlooks.filter(lambda o: o.living != lonely))
+    assert not found, found
+
+
 @then("{count:d} random runs find an item left lying")
 def check_fault_found(context, count):
     assert find_left_lying(count), "the injected fault was not found"
