Let asks that are queued after the home has moved follow it at once

What items saw: a slot up to 4 s late. A move of the home ended the waits under way at the former one, but an ask whose answer, "queued", was still on its way began its wait after the move and kept it for 3 to 4 s.

Each wait now has one condition, that its ask is wanted and that its host is the home; it is looked at when the wait begins and whenever the view of the fleet or the routes change. The new scenario of slot_moves.feature fails without this (no slot at the new home within 1 s).

--- a/libs/gateway/features/slot_moves.feature
+++ b/libs/gateway/features/slot_moves.feature
@@ -18,6 +18,13 @@
     And "b" is the home
     Then the slot is held at "b" alone
 
+  Scenario: An ask that is queued only after the home has moved follows it at once
+    When "a" queues asks late and is the home
+    And a slot is asked for
+    And "b" is the home
+    And "a" answers
+    Then the slot is held at "b" alone within 1 s
+
   Scenario: An ask of a batch item at a home that is slow to answer gets its slot
     When "a" answers each ask after 0.4 s and is the home
     And a slot is asked for
--- a/libs/gateway/features/steps/owed_fleet_steps.py
+++ b/libs/gateway/features/steps/owed_fleet_steps.py
@@ -312,7 +312,7 @@
 
 ENDLESS_WAITS = (
     (queue_waits, "MAX_WAIT_S", math.inf),
-    (queue_waits.QueueWaits, "end_misplaced", lambda *args: None),
+    (queue_waits.QueueWaits, "end_unwanted", lambda *args: None),
 )
 NO_WATCHDOG = (
     (owed_items, "MAX_TIME_S_BY_STATE", {}),
--- a/libs/gateway/features/steps/slot_move_steps.py
+++ b/libs/gateway/features/steps/slot_move_steps.py
@@ -61,6 +61,12 @@
     set_home(context, name)
 
 
+@when('"{name}" queues asks late and is the home')
+def set_late_queueing_home(context, name):
+    context.rig.homes.answers[name].clear()
+    set_queueing_home(context, name)
+
+
 @when('"{name}" is the home')
 def set_home(context, name):
     async def work():
@@ -98,6 +104,12 @@
     run(context, wait_until_held(context.rig, name))
 
 
+@then('the slot is held at "{name}" alone within {limit_s:g} s')
+def check_held_soon(context, name, limit_s):
+    work = wait_until_held(context.rig, name)
+    run(context, asyncio.wait_for(work, limit_s))
+
+
 def open_places(rig):
     return sorted((call.ask.request_id, call.host_id) for call in rig.homes.open_calls)
 
--- a/libs/gateway/src/damaskjunction/gateway/slots/queue_waits.py
+++ b/libs/gateway/src/damaskjunction/gateway/slots/queue_waits.py
@@ -7,9 +7,8 @@
 import random
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
-from typing import NamedTuple
 
-from damaskjunction.core import EntryHost, HostId, ServiceName
+from damaskjunction.core import HostId
 from damaskjunction.wire import SlotAsk
 
 logger = logging.getLogger(__name__)
@@ -24,16 +23,8 @@
     """A wait has ended without a slot, and the ask has to be repeated."""
 
 
-class _Place(NamedTuple):
-    """The queue that an ask waits in; ``is_wanted`` tells whether the ask stands."""
-
-    service: ServiceName
-    home_id: HostId
-    is_wanted: Callable[[], bool]
-
-
 class QueueWaits:
-    """Ends the waits at hosts that are not the home any more, and unwanted ones.
+    """Bounds the waits in the queues of homes, and ends those that are not wanted.
 
     Parameters
     ----------
@@ -43,7 +34,7 @@
 
     def __init__(self, rng: random.Random) -> None:
         self._rng = rng
-        self._places_by_wait: dict[asyncio.Timeout, _Place] = {}
+        self._is_wanted_by_wait: dict[asyncio.Timeout, Callable[[], bool]] = {}
 
     @asynccontextmanager
     async def wait(
@@ -54,32 +45,27 @@
         Raises
         ------
         AskAgainError
-            When the home has changed, when the ask is not wanted any more, or after
-            ``MAX_WAIT_S`` at most.
+            When the wait is not wanted any more, or after ``MAX_WAIT_S`` at most.
         """
         if not is_wanted():  # any more, since the ask was sent
             raise AskAgainError
         max_wait_s = self._rng.uniform(MIN_WAIT_S, MAX_WAIT_S)
         try:
             async with asyncio.timeout(max_wait_s) as wait:
-                place = _Place(ask.service_name, home_id, is_wanted)
-                self._places_by_wait[wait] = place
+                self._is_wanted_by_wait[wait] = is_wanted
                 try:
                     yield
                 finally:
-                    del self._places_by_wait[wait]
+                    del self._is_wanted_by_wait[wait]
         except TimeoutError:
             extra = {"request": ask.request_id, "home": home_id}
             logger.info("slot asked for again", extra=extra)
             raise AskAgainError from None
 
-    def end_misplaced(self, home_of: Callable[[ServiceName], EntryHost | None]) -> None:
-        """End the unwanted waits, and those elsewhere than at ``home_of``."""
-        for wait, place in self._places_by_wait.items():
-            home = home_of(place.service)
-            is_misplaced = home is not None and home.host_id != place.home_id
-            is_over = is_misplaced or not place.is_wanted()
-            if is_over and not wait.expired():
+    def end_unwanted(self) -> None:
+        """End the waits that are not wanted any more."""
+        for wait, is_wanted in self._is_wanted_by_wait.items():
+            if not is_wanted() and not wait.expired():
                 wait.reschedule(asyncio.get_running_loop().time())
 
 
--- a/libs/gateway/src/damaskjunction/gateway/slots/slot_client.py
+++ b/libs/gateway/src/damaskjunction/gateway/slots/slot_client.py
@@ -201,13 +201,15 @@
             reservation = self._home.request(ask, slot.revoked)
             slot.reservation = reservation
             if not reservation.granted.done():
-                async with self._waits.wait(ask, host.host_id, slot.is_wanted):
+                may_wait = self._wait_condition(host, slot)
+                async with self._waits.wait(ask, host.host_id, may_wait):
                     await asyncio.wait((reservation.granted,))
             runner_id = await reservation.granted
             is_limited = reservation.pool.is_limited(runner_id)
             granted = SlotGranted(runner_id, reservation.watched, is_limited)
         else:
-            call = await self._open_call(host, ask, slot.is_wanted)
+            may_wait = self._wait_condition(host, slot)
+            call = await self._open_call(host, ask, may_wait)
             if call is None:
                 return False
             slot.call, granted = call
@@ -218,15 +220,24 @@
             self._observed_limits.await_answer(slot.runner_id)
         return True
 
+    def _wait_condition(self, host: EntryHost, slot: Slot) -> Callable[[], bool]:
+        """Return the function that tells whether an ask may wait at a host."""
+
+        def may_wait() -> bool:
+            home = self.home_of(slot.ask.service_name)
+            return slot.is_wanted() and (home is None or home.host_id == host.host_id)
+
+        return may_wait
+
     async def _open_call(
-        self, host: EntryHost, ask: SlotAsk, is_wanted: Callable[[], bool]
+        self, host: EntryHost, ask: SlotAsk, may_wait: Callable[[], bool]
     ) -> tuple[AsyncGenerator[Message, None], SlotGranted] | None:
         replies = self._links.call(host.peer, ask.work_class.value, ask)
         try:
             async with asyncio.timeout(FIRST_REPLY_TIMEOUT_S_BY_CLASS[ask.work_class]):
                 reply = await anext(replies)
             if isinstance(reply, SlotQueued):
-                async with self._waits.wait(ask, host.host_id, is_wanted):
+                async with self._waits.wait(ask, host.host_id, may_wait):
                     reply = await anext(replies)
             if not isinstance(reply, SlotGranted):
                 raise RequestError(Outcome.UNKNOWN, "bad_reply", repr(reply))
@@ -258,7 +269,7 @@
 
     def _follow_homes(self) -> None:
         """Move slots and asks to the homes of this time."""
-        self._waits.end_misplaced(self.home_of)
+        self._waits.end_unwanted()
         self._rehome_slots()
 
     def _rehome_slots(self) -> None:
