Print the logs of scenarios that end in an error, too

What was seen: two scenarios ended with 'timed out after 20 s: caddie-0 responds' on a busy machine, and no log of any process was printed. Cause: the hook printed the logs of scenarios whose status is failed; one that raises has the status error. Change: any status that counts as failed prints them. Result: a scenario whose fleet times out at its start, forced by a timeout of 0.05 s, prints them.

--- a/libs/standins/src/damaskjunction/standins/scenarios.py
+++ b/libs/standins/src/damaskjunction/standins/scenarios.py
@@ -27,7 +27,7 @@
 def after_scenario(context: Any, scenario: Any) -> None:
     """Close the fleet and the event loop; print the logs if the scenario failed."""
     if context.deployed is not None:
-        if scenario.status == "failed":
+        if scenario.status.has_failed():
             print_logs(context.deployed)
         run(context, context.deployed.close())
     context.asyncio_runner.close()
