Believe no success without a length of which nothing came

What callers saw: a runner that closed right after a head without a length, and lived, gave them a 200 with an empty body, framed as whole by a Content-Length of 0. Cause: such a body ends with its connection, so that nothing tells a whole one from one that was cut; it was believed unless the runner refused connections afterwards. Change: with status 200 and no byte of its body it is a failed attempt (answer_cut).

--- a/libs/gateway/features/cut_answers.feature
+++ b/libs/gateway/features/cut_answers.feature
@@ -27,3 +27,9 @@
     And an engine "e1" whose answers have events without a length
     When "/ask/" is requested once for each place at which its answer breaks off
     Then the runner got each request, and whole streams ended after an event
+
+  Scenario: An answer without a length of which nothing came is none
+    Given a fleet of 1 hosts on the platform
+    And a plain runner "p1" whose answers have a body without a length
+    When "/order/" is requested once for each place at which its answer breaks off
+    Then the runner got each request, and no caller got a success without a body
--- a/libs/gateway/src/damaskjunction/gateway/runners/runner_client.py
+++ b/libs/gateway/src/damaskjunction/gateway/runners/runner_client.py
@@ -311,7 +311,8 @@
         Raises
         ------
         RunnerFailedError
-            When the response is incomplete after ``timeout_s``, or is too large.
+            When the response is incomplete after ``timeout_s``, is too large, or a
+            success that ends with its connection before any byte.
         """
         try:
             async with asyncio.timeout(timeout_s):
@@ -320,6 +321,11 @@
             raise RunnerFailedError(
                 Outcome.RAN, "answer_cut", repr(error), is_fault=True
             ) from None
+        has_no_end = runner_response.body.ends_with_connection
+        if has_no_end and not body and runner_response.head.status == 200:
+            raise RunnerFailedError(
+                Outcome.RAN, "answer_cut", "nothing after its head", is_fault=True
+            )
         await self.check_end(runner_response)
         return body
 
