Count failures of one moment of silence as one

Cause: two attempts that were silent or cut and a report without answer are three failures, each of which doubles the time for which the runner is ejected. Change: failures that follow within 1 s of the one that ejects a runner count as one with it; the home logs for how long a runner is ejected. A runner that goes on failing is ejected for longer each time, as before.

--- a/libs/gateway/src/damaskjunction/gateway/requests/runner_selector.py
+++ b/libs/gateway/src/damaskjunction/gateway/requests/runner_selector.py
@@ -31,7 +31,7 @@
 QUEUE_WAIT_FRACTION = 0.6  # of the remaining time
 START_GOAL_FRACTION = 0.8  # of the latency goal
 RETRY_AFTER_S = 0.15
-PLAIN_EJECTION = EjectionPolicy(n_failures=1, base_s=0.7, limit_s=6.0)
+PLAIN_EJECTION = EjectionPolicy(n_failures=1, base_s=0.7, limit_s=6.0, burst_s=1.0)
 
 
 class RoutedRequest(NamedTuple):
--- a/libs/gateway/src/damaskjunction/gateway/slots/slot_home.py
+++ b/libs/gateway/src/damaskjunction/gateway/slots/slot_home.py
@@ -220,11 +220,15 @@
     def record_health(self, seen: RunnerSeen) -> None:
         """Record a runner's health."""
         pool = self._pool(seen.service_name)
-        now_s = self._timers.now()
         if seen.is_well:
             pool.record_success(seen.runner_id)
         else:
-            pool.record_failure(seen.runner_id, now_s)
+            self._record_failure(pool, seen.runner_id)
+
+    def _record_failure(self, pool: SlotPool, runner_id: RunnerId) -> None:
+        for_s = pool.record_failure(runner_id, self._timers.now())
+        extra = {"runner": runner_id, "for_s": round(for_s, 3)}
+        logger.info("runner ejected", extra=extra)
 
     def to_document(self) -> dict[str, Any]:
         """Return the state for the dump."""
@@ -336,7 +340,7 @@
             self._runner_faults.record(
                 runner,
                 "no_report",
-                lambda: pool.record_failure(runner.runner_id, self._timers.now()),
+                lambda: self._record_failure(pool, runner.runner_id),
             )
             return
         n_requests = report.n_running + report.n_queued
--- a/libs/routing/features/ejection.feature
+++ b/libs/routing/features/ejection.feature
@@ -22,3 +22,14 @@
     Then the healthy candidates are "c,d"
     When "c" fails 2 times
     Then the healthy candidates are "a,b,c,d"
+
+  Scenario: Failures of one moment of silence count once
+    Given candidates "a,b,c,d" and ejection after 1 failure, of bursts of 1 s
+    When "a" fails 3 times
+    And 0.8 s elapse
+    And "a" fails 1 times
+    And 0.4 s elapse
+    Then the healthy candidates are "a,b,c,d"
+    When "a" fails 1 times
+    And 1.1 s elapse
+    Then the healthy candidates are "b,c,d"
--- a/libs/routing/features/steps/delivery_steps.py
+++ b/libs/routing/features/steps/delivery_steps.py
@@ -144,6 +144,16 @@
     context.now_s = 0.0
 
 
+@given(
+    'candidates "{names}" and ejection after {n_failures:d} failure, of bursts of'
+    " {burst_s:g} s"
+)
+def make_burst_ejection(context, names, n_failures, burst_s):
+    make_ejection(context, names, n_failures)
+    policy = EjectionPolicy(n_failures=n_failures, burst_s=burst_s)
+    context.ejection = OutlierEjection(policy)
+
+
 @when('"{name}" fails {count:d} times')
 def record_failures(context, name, count):
     for _ in range(count):
@@ -155,7 +165,7 @@
     context.ejection.record_success(name)
 
 
-@when("{duration_s:d} s elapse")
+@when("{duration_s:g} s elapse")
 def elapse(context, duration_s):
     context.now_s += duration_s
 
--- a/libs/routing/src/damaskjunction/routing/ejection.py
+++ b/libs/routing/src/damaskjunction/routing/ejection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Sequence
 from typing import NamedTuple, TypeVar
 
@@ -15,17 +16,20 @@
     """When a candidate is ejected and for how long.
 
     ``n_failures`` consecutive failures eject it for ``base_s`` seconds. Each further
-    failure doubles the duration, up to ``limit_s`` seconds.
+    failure doubles the duration, up to ``limit_s`` seconds. Failures that follow within
+    ``burst_s`` seconds have one cause with the first, and count as one.
     """
 
     n_failures: int = 2
     base_s: float = 1.0
     limit_s: float = 30.0
+    burst_s: float = 0.0
 
 
 class _FailureRecord(NamedTuple):
     n_failures: int
     ejected_until_s: float
+    failed_at_s: float  # the first failure of the last burst
 
 
 class OutlierEjection:
@@ -54,14 +58,17 @@
 
     def record_failure(self, name: str, now_s: float) -> None:
         """Record a failure, which may start or extend an ejection."""
-        record = self._records_by_name.pop(name, _FailureRecord(0, 0.0))
+        record = self._records_by_name.pop(name, _FailureRecord(0, 0.0, -math.inf))
+        if now_s - record.failed_at_s < self._policy.burst_s:
+            self._records_by_name[name] = record
+            return
         n_failures = record.n_failures + 1
         n_extra = n_failures - self._policy.n_failures
         until_s = record.ejected_until_s
         if n_extra >= 0:
             duration_s = self._policy.base_s * 2.0 ** min(n_extra, 16)
             until_s = now_s + min(duration_s, self._policy.limit_s)
-        self._records_by_name[name] = _FailureRecord(n_failures, until_s)
+        self._records_by_name[name] = _FailureRecord(n_failures, until_s, now_s)
         while len(self._records_by_name) > MAX_TRACKED:
             del self._records_by_name[next(iter(self._records_by_name))]
 
--- a/libs/routing/src/damaskjunction/routing/slots.py
+++ b/libs/routing/src/damaskjunction/routing/slots.py
@@ -39,7 +39,7 @@
 TAKEOVER_GRACE_S = 0.4
 VERSION_GONE = "version_gone"  # the reason of a refusal
 
-FAILURE_EJECTION = EjectionPolicy(n_failures=1, base_s=0.7, limit_s=6.0)
+FAILURE_EJECTION = EjectionPolicy(n_failures=1, base_s=0.7, limit_s=6.0, burst_s=1.0)
 
 
 class SlotPool:
@@ -183,10 +183,14 @@
             self._unseen.record_release(held.runner_id, now_s)
         return self._dispatch(now_s)
 
-    def record_failure(self, runner_id: RunnerId, now_s: float) -> None:
-        """Eject a runner that failed a request, and forget its cached prefixes."""
+    def record_failure(self, runner_id: RunnerId, now_s: float) -> float:
+        """Eject a runner that failed a request, and forget its cached prefixes.
+
+        Returns for how many seconds it is ejected.
+        """
         self._ejection.record_failure(runner_id, now_s)
         self._prefix_cache.forget(runner_id)
+        return self._ejection.ejected(now_s).get(runner_id, 0.0)
 
     def record_success(self, runner_id: RunnerId) -> None:
         """End the ejection of a runner that has answered."""
