Use no idle connection to a runner while its path is in doubt

Cause: idle connections to such a runner were used, and were silent. Change: while any path is known to be cut, idle direct connections are used only to runners whose path has proved to be whole in the last second.

--- a/libs/relay/src/damaskjunction/relay/connector.py
+++ b/libs/relay/src/damaskjunction/relay/connector.py
@@ -168,7 +168,12 @@
             raise RunnerUnreachableError(address, ways.verdict())
         if attempt.relay:
             return self._relayed(address, attempt.streams, attempt.relay)
-        return OpenConnection(*attempt.streams, lambda: not self._paths.is_cut(address))
+        return OpenConnection(*attempt.streams, lambda: self._may_reuse_direct(address))
+
+    def _may_reuse_direct(self, address: Address) -> bool:
+        """Return whether an idle direct connection may be used: it may be silent."""
+        is_doubtful = self._paths.is_doubtful(address, self._timers.now())
+        return not is_doubtful and not self._paths.is_cut(address)
 
     def _relayed(
         self, address: Address, streams: Streams, relay: HostId
--- a/libs/routing/src/damaskjunction/routing/runner_paths.py
+++ b/libs/routing/src/damaskjunction/routing/runner_paths.py
@@ -139,6 +139,13 @@
         """Return whether the direct path to a runner is known to be cut."""
         return address in self._retry_at_by_address
 
+    def is_doubtful(self, address: Address, now_s: float) -> bool:
+        """Return whether another path is cut, and this one not proved to be whole."""
+        return (
+            bool(self._retry_at_by_address)
+            and self._proved_until_by_address.get(address, 0.0) <= now_s
+        )
+
     @property
     def cut_addresses(self) -> list[Address]:
         """The addresses of the runners whose direct path is cut."""
@@ -148,10 +155,7 @@
         """Return how to connect to a runner now; claims a direct retry that is due."""
         retry_at_s = self._retry_at_by_address.get(address)
         if retry_at_s is None:
-            is_doubtful = (
-                bool(self._retry_at_by_address)
-                and self._proved_until_by_address.get(address, 0.0) <= now_s
-            )
+            is_doubtful = self.is_doubtful(address, now_s)
             return PathPlan(
                 True, 0.0 if is_doubtful else DIRECT_HEAD_START_S, is_doubtful
             )
