Count all requests of an engine when a cut may have ejected it for all

The check that an engine is not ejected looked at requests of the hosts that are not cut. An ejection shows as an engine that gets nothing of any host, which is what the check looks for now; for plain runners, which each host ejects for itself, it is as before.

--- a/libs/gateway/features/steps/cut_steps.py
+++ b/libs/gateway/features/steps/cut_steps.py
@@ -219,11 +219,13 @@
         times_s = [
             run_.at_s
             for run_ in history.runs
-            if run_.runner == runner and run_.request_id in ids
+            if run_.runner == runner
+            # The home grants the slots of engines for all hosts, and to items.
+            and (run_.request_id in ids or runner.startswith("llm"))
         ]
         idle_s = longest_idle_s(times_s, cut.span.since_s, cut.span.until_s)
         if idle_s > MAX_IDLE_S:
-            yield f"{runner} got no request of {sorted(others)} for {idle_s:.1f} s"
+            yield f"{runner} got none while {cut.hosts} were cut for {idle_s:.1f} s"
 
 
 def longest_idle_s(times_s, since_s, until_s):
