Refuse odd events and reports of engines on node

What callers saw: an event nested deeply, with 1e999 or bytes that are not UTF-8 ended the request with an untyped error; a position beyond 32 bits, a boolean or a lone surrogate was passed on to hosts whose messages can't hold it. Cause: json.loads, int() and str() on what an engine wrote. Change: events and reports are read by core.decoding, and fail as bad answers.

--- a/libs/http/src/damaskjunction/http/events.py
+++ b/libs/http/src/damaskjunction/http/events.py
@@ -39,7 +39,11 @@
         """
         *blocks, self._buffer = (self._buffer + data).split(b"\n\n")
         _check_size(self._buffer)
-        return [_parse_event(block.decode()) for block in blocks if block.strip()]
+        return [
+            _parse_event(block.decode(errors="replace"))
+            for block in blocks
+            if block.strip()
+        ]
 
 
 def _parse_event(block: str) -> Event:
--- a/libs/node/src/damaskjunction/node/runners/protocols.py
+++ b/libs/node/src/damaskjunction/node/runners/protocols.py
@@ -8,7 +8,16 @@
 from contextlib import aclosing
 from typing import Any, TypeAlias
 
-from damaskjunction.core import Outcome, Registry, RequestError, Runner
+from damaskjunction.core import (
+    SHAPE_ERRORS,
+    Outcome,
+    Registry,
+    RequestError,
+    Runner,
+    parse_json,
+    read_integer,
+    read_text,
+)
 from damaskjunction.core.units import KIB, MIB
 from damaskjunction.http import (
     BrokenResponseError,
@@ -36,6 +45,7 @@
 MAX_ANSWER_BYTES = 8 * MIB
 MAX_REPORT_BYTES = 256 * KIB
 PLAIN_STALL_S = 5.0
+MAX_TOKENS = 2**31 - 1  # as messages to other hosts can hold
 NOT_STARTED_STATUSES = frozenset((404, 405, 409, 429, 503))
 CONTROL_STALL_S = 1.0
 
@@ -189,12 +199,13 @@
 
 def _message_from_event(event: Event, attempt: int) -> AnswerMessage:
     try:
-        document: Any = json.loads(event.data)
+        document: Any = parse_json(event.data.encode())
         if event.name == "end":
-            return StreamEnd(attempt, int(document["n"]))
-        return Token(attempt, int(document["index"]), str(document["text"]))
-    except (ValueError, KeyError, TypeError) as error:
-        detail = f"malformed event {event!r} from the engine: {error!r}"
+            return StreamEnd(attempt, read_integer(document["n"], most=MAX_TOKENS))
+        position = read_integer(document["index"], most=MAX_TOKENS)
+        return Token(attempt, position, read_text(document["text"]))
+    except SHAPE_ERRORS as error:
+        detail = f"malformed event {event!r:.200} from the engine: {error!r:.200}"
         raise RequestError(Outcome.RAN, "bad_answer", detail) from None
 
 
@@ -267,6 +278,7 @@
         response = await client.send(
             runner.address, "GET", "/v1/load", stall_s=CONTROL_STALL_S
         )
-        return int(json.loads(await response.read(MAX_REPORT_BYTES))["running"])
-    except (ConnectFailedError, BrokenResponseError, ValueError, KeyError) as error:
+        document = parse_json(await response.read(MAX_REPORT_BYTES))
+        return read_integer(document["running"], least=0)
+    except (ConnectFailedError, BrokenResponseError, *SHAPE_ERRORS) as error:
         raise RequestError(Outcome.NOT_RUN, "no_report", str(error)) from None
