--- a/libs/gateway/features/simulated_runners.py
+++ b/libs/gateway/features/simulated_runners.py
@@ -7,7 +7,7 @@
 from simulated_time import SimulatedTimers
 
 from damaskjunction.core import Outcome
-from damaskjunction.gateway.runners.runner_client import (
+from damaskjunction.gateway.runners.runner_responses import (
     RunnerFailedError,
     RunnerResponse,
 )
--- a/libs/gateway/features/steps/item_place_steps.py
+++ b/libs/gateway/features/steps/item_place_steps.py
@@ -22,7 +22,9 @@
 from damaskjunction.gateway.jobs.item_runner import AttemptOutcome, ItemRunner
 from damaskjunction.gateway.jobs.job_repository import StoredJob
 from damaskjunction.gateway.jobs.owed_items import OwedItem
-from damaskjunction.gateway.runners.runner_client import RunnerFailedError
+from damaskjunction.gateway.runners.runner_responses import (
+    RunnerFailedError,
+)
 from damaskjunction.gateway.state import ServingState
 from damaskjunction.node import HostView, cancel_tasks
 from damaskjunction.routing import LeavingRunners, Route, RouteKind, WeightedService
--- a/libs/gateway/features/steps/item_version_machine.py
+++ b/libs/gateway/features/steps/item_version_machine.py
@@ -27,7 +27,9 @@
 )
 from damaskjunction.gateway.jobs.item_progress import ItemProgress
 from damaskjunction.gateway.jobs.owed_items import OwedItem
-from damaskjunction.gateway.runners.runner_client import RunnerFailedError
+from damaskjunction.gateway.runners.runner_responses import (
+    RunnerFailedError,
+)
 from damaskjunction.gateway.slots.queue_waits import MAX_WAIT_S
 from damaskjunction.gateway.state import ServingState
 from damaskjunction.http import RawEvent
--- a/libs/gateway/features/steps/process_query_steps.py
+++ b/libs/gateway/features/steps/process_query_steps.py
@@ -9,7 +9,10 @@
 from runner_client_steps import TIMEOUT_S, make_request
 
 from damaskjunction.core import LoopTimers, Runner, ServiceKind
-from damaskjunction.gateway.runners.runner_client import RunnerClient, RunnerFailedError
+from damaskjunction.gateway.runners.runner_client import RunnerClient
+from damaskjunction.gateway.runners.runner_responses import (
+    RunnerFailedError,
+)
 from damaskjunction.http import HttpServer, Response, to_json_response
 from damaskjunction.platform import REPORT_PATH
 from damaskjunction.standins import allocate_addresses
--- a/libs/gateway/features/steps/runner_client_steps.py
+++ b/libs/gateway/features/steps/runner_client_steps.py
@@ -6,7 +6,10 @@
 from fleet_helpers import run
 
 from damaskjunction.core import LoopTimers, Runner, ServiceKind
-from damaskjunction.gateway.runners.runner_client import RunnerClient, RunnerFailedError
+from damaskjunction.gateway.runners.runner_client import RunnerClient
+from damaskjunction.gateway.runners.runner_responses import (
+    RunnerFailedError,
+)
 from damaskjunction.http import Request
 from damaskjunction.http.messages import BodyReader
 from damaskjunction.platform import decode_request
--- a/libs/gateway/src/damaskjunction/gateway/jobs/item_runner.py
+++ b/libs/gateway/src/damaskjunction/gateway/jobs/item_runner.py
@@ -23,7 +23,7 @@
 from damaskjunction.gateway.jobs.owed_items import ItemNeed, ItemState, OwedItem
 from damaskjunction.gateway.jobs.result_writer import BackOff
 from damaskjunction.gateway.requests.stream_check import StreamCheck
-from damaskjunction.gateway.runners.runner_client import (
+from damaskjunction.gateway.runners.runner_responses import (
     CONNECTION_LOST_REASONS,
     RunnerFailedError,
     RunnerResponse,
--- a/libs/gateway/src/damaskjunction/gateway/jobs/placement_check.py
+++ b/libs/gateway/src/damaskjunction/gateway/jobs/placement_check.py
@@ -9,7 +9,9 @@
 from damaskjunction.core import Runner, Subscription
 from damaskjunction.gateway.dispatch_context import DispatchContext
 from damaskjunction.gateway.jobs.owed_items import ItemNeed, OwedItem, OwedItems
-from damaskjunction.gateway.runners.runner_client import RunnerFailedError
+from damaskjunction.gateway.runners.runner_responses import (
+    RunnerFailedError,
+)
 from damaskjunction.node import TaskSet
 from damaskjunction.routing import runners_at
 
--- a/libs/gateway/src/damaskjunction/gateway/requests/attempt_history.py
+++ b/libs/gateway/src/damaskjunction/gateway/requests/attempt_history.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 from damaskjunction.core import Outcome, RunnerId
-from damaskjunction.gateway.runners.runner_client import RunnerFailedError
+from damaskjunction.gateway.runners.runner_responses import (
+    RunnerFailedError,
+)
 from damaskjunction.routing import Route, RouteKind
 
 MIN_REMAINING_S = 0.02  # with less time left, no attempt is started
--- a/libs/gateway/src/damaskjunction/gateway/requests/stream_check.py
+++ b/libs/gateway/src/damaskjunction/gateway/requests/stream_check.py
@@ -5,7 +5,9 @@
 from typing import NamedTuple
 
 from damaskjunction.core import Outcome
-from damaskjunction.gateway.runners.runner_client import RunnerFailedError
+from damaskjunction.gateway.runners.runner_responses import (
+    RunnerFailedError,
+)
 from damaskjunction.http import RawEvent, RawEventParser
 
 FIRST_EVENT_ID = 1
--- a/libs/gateway/src/damaskjunction/gateway/root.py
+++ b/libs/gateway/src/damaskjunction/gateway/root.py
@@ -10,6 +10,10 @@
 from damaskjunction.core.units import KIB
 from damaskjunction.gateway.dispatch_context import DispatchContext
 from damaskjunction.gateway.front_end import FrontEnd
+from damaskjunction.gateway.inspection import (
+    make_inspection_routes,
+    register_sections,
+)
 from damaskjunction.gateway.jobs.cancellation_notifier import CancellationNotifier
 from damaskjunction.gateway.jobs.job_cleaner import JobCleaner
 from damaskjunction.gateway.jobs.job_front import JobFront
@@ -25,9 +29,9 @@
 from damaskjunction.gateway.slots.slot_home import SlotHome
 from damaskjunction.gateway.state import ServingState
 from damaskjunction.gateway.store.change_feed import ChangeFeed
+from damaskjunction.gateway.store.followed_kinds import followed_kinds
 from damaskjunction.gateway.store.host_registry import HostRegistry
 from damaskjunction.gateway.store.kind_follower import KindFollower
-from damaskjunction.gateway.store.kind_state import KindState
 from damaskjunction.gateway.store.relayed_transport import RelayedTransport
 from damaskjunction.gateway.store.retirements import RetirementHandler
 from damaskjunction.gateway.versions.stored_origins import StoredOrigins
@@ -37,21 +41,13 @@
 from damaskjunction.http import (
     HttpLimits,
     HttpServer,
-    Request,
-    Response,
-    Routes,
-    to_json_response,
 )
 from damaskjunction.membership import FailureDetector, Timing, first_incarnation
 from damaskjunction.node import Component, HostView, Membership, PeerHandlers
 from damaskjunction.platform import (
-    CONFIGURATION_KIND,
-    JOBS_KIND,
-    RUNNERS_KIND,
     DirectTransport,
     ProcessSettings,
     StoreClient,
-    without_items,
 )
 from damaskjunction.relay import RunnerAccess
 from damaskjunction.routing import LeavingRunners
@@ -61,12 +57,6 @@
 logger = logging.getLogger(__name__)
 
 TIMING = Timing(probe_period_s=0.5, ack_timeout_s=0.2, suspicion_timeout_s=1.0)
-JOBS_COALESCE_S = 1.0
-HOSTS_COALESCE_S = 0.4
-RUNNERS_COALESCE_S = 0.1
-CONFIGURATION_COALESCE_S = 0.2
-SUSPECTS_COALESCE_S = 0.2
-VERSIONS_COALESCE_S = 0.05
 STOP_MARGIN_S = 1.0  # left of the stop grace period for closing
 # The configured limit is on headers; the server also counts the request line.
 REQUEST_LINE_ALLOWANCE_BYTES = 8 * KIB
@@ -312,35 +302,22 @@
     def _make_change_feed(
         self, transport: RelayedTransport, rng: random.Random
     ) -> ChangeFeed:
-        state, job_repository = self.state, self.job_repository
-        runners = KindState(
-            RUNNERS_KIND, state.replace_runners, state.apply_runner_change
-        )
-        state.set_outage_source(lambda: runners.failed_at_s)
-        configuration = KindState(
-            CONFIGURATION_KIND,
-            state.apply_configurations,
-            state.apply_configuration_change,
-        )
-        jobs = KindState(
-            JOBS_KIND,
-            job_repository.replace_all,
-            job_repository.apply_change,
-            without_items,
-        )
-        coalesce_s_and_states = (
-            (CONFIGURATION_COALESCE_S, configuration),
-            (RUNNERS_COALESCE_S, runners),
-            (HOSTS_COALESCE_S, self._host_registry.state),
-            (SUSPECTS_COALESCE_S, self._suspects.state),
-            (VERSIONS_COALESCE_S, self._version_registry.kind_state),
-            (JOBS_COALESCE_S, jobs),
+        followed = followed_kinds(
+            self.state,
+            self.job_repository,
+            hosts=self._host_registry.state,
+            suspects=self._suspects.state,
+            versions=self._version_registry.kind_state,
         )
         followers = [
             KindFollower(
-                self._store, self._timers, kind_state, rng=rng, coalesce_s=coalesce_s
+                self._store,
+                self._timers,
+                kind.state,
+                rng=rng,
+                coalesce_s=kind.coalesce_s,
             )
-            for coalesce_s, kind_state in coalesce_s_and_states
+            for kind in followed
         ]
         return ChangeFeed(followers, self.view, self._links, transport, self._timers)
 
@@ -377,40 +354,29 @@
             servers.append(HttpServer(settings.directory, front_end.serve_addresses))
         if settings.metrics_port:
             address = Address(settings.ip, settings.metrics_port)
-            servers.append(HttpServer(address, self._make_inspection_routes().handle))
+            routes = make_inspection_routes(self.metrics, self.dump)
+            servers.append(HttpServer(address, routes.handle))
         return servers
 
-    def _make_inspection_routes(self) -> Routes:
-        routes = Routes()
-
-        @routes.register("GET", "/metrics")
-        async def show_metrics(request: Request) -> Response:
-            return Response(200, self.metrics.to_text().encode(), "text/plain")
-
-        @routes.register("GET", "/dump")
-        async def show_state(request: Request) -> Response:
-            return to_json_response(self.dump.to_document())
-
-        return routes
-
     def _register_dump_sections(
         self, home: SlotHome, slot_client: SlotClient, transport: RelayedTransport
     ) -> None:
-        self.dump.sections.register("slots")(home.to_document)
-        self.dump.sections.register("leaving")(self.state.leaving.to_document)
-        self.dump.sections.register("suspects")(self._suspects.to_document)
-        versions = self._version_registry
-        self.dump.sections.register("software_versions")(versions.to_document)
-        origins = self._origin_keeper
-        self.dump.sections.register("stream_origins")(origins.to_document)
-        self.dump.sections.register("slot_desk")(slot_client.to_document)
-        self.dump.sections.register("open_jobs")(self._worker.to_document)
-        self.dump.sections.register("owed_items")(self._worker.owed_items.to_document)
-        self.dump.sections.register("store_path")(transport.to_document)
-        self.dump.sections.register("store_news")(self._change_feed.to_document)
-        self.dump.sections.register("membership")(self._membership.to_document)
         counts = self._store.n_calls_by_result
-        self.dump.sections.register("store_calls")(lambda: counts)
+        documents_by_name = {
+            "slots": home.to_document,
+            "leaving": self.state.leaving.to_document,
+            "suspects": self._suspects.to_document,
+            "software_versions": self._version_registry.to_document,
+            "stream_origins": self._origin_keeper.to_document,
+            "slot_desk": slot_client.to_document,
+            "open_jobs": self._worker.to_document,
+            "owed_items": self._worker.owed_items.to_document,
+            "store_path": transport.to_document,
+            "store_news": self._change_feed.to_document,
+            "membership": self._membership.to_document,
+            "store_calls": lambda: counts,
+        }
+        register_sections(self.dump, documents_by_name)
         self.metrics.gauge(
             "runner_connects", lambda: float(self._runner_client.n_connections_opened)
         )
--- a/libs/gateway/src/damaskjunction/gateway/runners/runner_client.py
+++ b/libs/gateway/src/damaskjunction/gateway/runners/runner_client.py
@@ -5,28 +5,30 @@
 import asyncio
 import logging
 from collections.abc import Awaitable, Callable
-from typing import NamedTuple
 
 from damaskjunction.core import (
     Address,
-    DamaskjunctionError,
     Outcome,
-    RequestId,
     Runner,
     RunnerId,
     Timers,
 )
 from damaskjunction.core.units import KIB, MIB, MILLISECOND_S
+from damaskjunction.gateway.runners.runner_responses import (
+    RunnerFailedError,
+    RunnerResponse,
+    check_origin,
+    check_stream_type,
+    is_report_of,
+    not_connected,
+)
 from damaskjunction.http import (
-    EVENT_STREAM_TYPE,
     BrokenResponseError,
     ClientResponse,
     ConnectFailedError,
     Connector,
     HttpClient,
-    OtherPeerError,
     PeerQuery,
-    PeerUnknownError,
     ResponseHead,
     StalledResponseError,
 )
@@ -40,7 +42,6 @@
     decode_runner_report,
     runner_headers,
 )
-from damaskjunction.relay import RunnerUnreachableError
 from damaskjunction.routing import (
     NO_LIMIT_PER_S,
     LeavingRunners,
@@ -55,41 +56,10 @@
 REPORT_STALL_TIMEOUT_S = 0.5
 PROCESS_QUERY_TIMEOUT_S = 0.4  # the runner is told the time left before it
 DISCARD_TIMEOUT_S = 0.2
-# The connection broke after the request was sent, as when the runner crashes.
-CONNECTION_LOST_REASONS = ("stream_cut", "no_answer", "answer_cut")
 MAX_RESPONSE_BYTES = 8 * MIB
 MAX_REPORT_BYTES = 256 * KIB
 
 
-class RunnerFailedError(DamaskjunctionError):
-    """A call to a runner ended without a response that can be forwarded.
-
-    ``outcome`` tells whether the runner worked on the request. ``is_fault`` is set
-    when the failure counts against the runner's health.
-    """
-
-    def __init__(
-        self, outcome: Outcome, reason: str, detail: str = "", *, is_fault: bool = False
-    ) -> None:
-        super().__init__(f"{reason}: {detail}" if detail else reason)
-        self.outcome = outcome
-        self.reason = reason
-        self.detail = detail
-        self.is_fault = is_fault
-
-
-class RunnerResponse(NamedTuple):
-    """The head of a runner's response, and its body, which is not read yet.
-
-    ``is_process_proved`` says that it is of the process that the runner's entry lists.
-    """
-
-    runner: Runner
-    head: RunnerResponseHead
-    body: ClientResponse
-    is_process_proved: bool = False
-
-
 class RunnerClient:
     """Sends requests to runners.
 
@@ -196,7 +166,7 @@
                 peer_query=query,
             )
         except ConnectFailedError as error:
-            raise _not_connected(error) from None
+            raise not_connected(error) from None
         except StalledResponseError as error:
             raise RunnerFailedError(
                 Outcome.UNKNOWN, "silent", str(error), is_fault=True
@@ -206,14 +176,14 @@
                 Outcome.UNKNOWN, "no_answer", str(error), is_fault=True
             ) from None
         head = decode_response_head(response.status, response.headers)
-        _check_origin(head, response, request.request_id)
+        check_origin(head, response, request.request_id)
         if head.is_leaving and not head.is_misdirected:
             self._record_leaving(runner, asked_at_ms)
         if head.rate_limit_per_s is not None and not head.is_misdirected:
             self._record_limit(runner.runner_id, head.rate_limit_per_s)
         await self._check_head(head, response)
         if is_stream and head.status == 200:
-            _check_stream_type(response)
+            check_stream_type(response)
         if head.rate_limit_per_s is None:
             self._record_limit(runner.runner_id, NO_LIMIT_PER_S)
         return RunnerResponse(runner, head, response, is_process_checked)
@@ -274,7 +244,7 @@
         self._superseded.record_answer(runner, report.born_ms)
         if head.rate_limit_per_s is not None:
             self._record_limit(runner.runner_id, head.rate_limit_per_s)
-        if head.is_leaving and _is_report_of(runner, head, report):
+        if head.is_leaving and is_report_of(runner, head, report):
             self._record_leaving(runner, asked_at_ms)
         return report
 
@@ -367,58 +337,3 @@
                 await response.read(MAX_REPORT_BYTES)
         except (BrokenResponseError, TimeoutError):
             response.close()  # the status suffices; the body is not needed
-
-
-def _not_connected(error: ConnectFailedError) -> RunnerFailedError:
-    """Return the failure of a request that was not sent for want of a connection."""
-    match error:
-        case OtherPeerError():
-            reason = "other_process"
-        case PeerUnknownError():
-            reason = "process_unknown"
-        case _:
-            reason = "no_connection"
-    is_fault = reason != "other_process"
-    if isinstance(error, RunnerUnreachableError):
-        is_fault = error.verdict.may_accuse
-    return RunnerFailedError(Outcome.NOT_RUN, reason, str(error), is_fault=is_fault)
-
-
-def _check_origin(
-    head: RunnerResponseHead, response: ClientResponse, request_id: RequestId
-) -> None:
-    """Check that a response is provably the one to a request.
-
-    It proves this by the request's id. Without an id, it can only be trusted as the
-    first on its connection, and not if it is a success.
-
-    Raises
-    ------
-    RunnerFailedError
-        When it may belong to another request; nothing that it says holds then, and the
-        connection is closed.
-    """
-    if head.request_id:
-        is_proved = head.request_id == request_id
-    else:
-        is_proved = response.is_first and head.status >= 300
-    if not is_proved:
-        response.close()
-        detail = f"status {head.status} for request {head.request_id!r}"
-        raise RunnerFailedError(Outcome.UNKNOWN, "foreign_answer", detail)
-
-
-def _check_stream_type(response: ClientResponse) -> None:
-    content_type = response.headers.get("content-type", "")
-    if content_type.partition(";")[0].strip().lower() != EVENT_STREAM_TYPE:
-        response.close()
-        raise RunnerFailedError(Outcome.RAN, "no_stream", content_type, is_fault=True)
-
-
-def _is_report_of(
-    runner: Runner, head: RunnerResponseHead, report: RunnerReport
-) -> bool:
-    """Return whether a report is provably that of a runner, not of its address only."""
-    if head.runner_id:
-        return head.runner_id == runner.runner_id
-    return report.born_ms in (0, runner.born_ms)
--- a/libs/gateway/src/damaskjunction/gateway/slots/slot_home.py
+++ b/libs/gateway/src/damaskjunction/gateway/slots/slot_home.py
@@ -17,8 +17,11 @@
     Timers,
     WorkClass,
 )
-from damaskjunction.gateway.runners.runner_client import RunnerClient, RunnerFailedError
+from damaskjunction.gateway.runners.runner_client import RunnerClient
 from damaskjunction.gateway.runners.runner_faults import RunnerFaults
+from damaskjunction.gateway.runners.runner_responses import (
+    RunnerFailedError,
+)
 from damaskjunction.gateway.runners.suspect_registry import SuspectRegistry
 from damaskjunction.gateway.state import ServingState
 from damaskjunction.gateway.versions.version_registry import VersionRegistry
--- a/libs/gateway/src/damaskjunction/gateway/versions/stream_version.py
+++ b/libs/gateway/src/damaskjunction/gateway/versions/stream_version.py
@@ -13,7 +13,9 @@
     ServiceName,
     Timers,
 )
-from damaskjunction.gateway.runners.runner_client import RunnerFailedError
+from damaskjunction.gateway.runners.runner_responses import (
+    RunnerFailedError,
+)
 from damaskjunction.gateway.state import ServingState
 from damaskjunction.routing import (
     Denial,
