Fail a connection that is only slow as such, also when it is not hedged

What callers saw: after some ten connections to a runner that was silent, further ones ended with a cancellation that nobody had asked for: callers' connections were closed without an answer (found in review: 10 times 503, then 3 times 0 bytes). Cause: the timeout of the connector cancelled the direct attempt that it waited for, and the verdict read the result of that attempt. Change: the attempt is waited for, not awaited; one that was cancelled has no result. Result: the new scenario fails before and passes with it.

--- a/libs/relay/features/relay.feature
+++ b/libs/relay/features/relay.feature
@@ -90,3 +90,8 @@
       | "h2" does not answer         | "r0" has ended     | ended    |
       | the others do not answer     | "r0" has ended     | unknown  |
       | nobody is cut off            | all have ended     | ended    |
+
+  Scenario: Requests to a silent runner fail as such, also when no more may be hedged
+    Given no host reaches "r0", whose connections are silent
+    When "h0" sends 14 requests to "r0"
+    Then all 14 have failed for want of a way
--- a/libs/relay/features/steps/relay_fleet.py
+++ b/libs/relay/features/steps/relay_fleet.py
@@ -31,8 +31,12 @@
 
     def __init__(self):
         self.shape = None
+        self.silent_addresses = set()
 
     async def connect(self, address, timeout_s):
+        if address in self.silent_addresses:
+            await asyncio.sleep(timeout_s)
+            return Attempt(Reach.SILENT)
         if self.shape is None:
             return await super().connect(address, timeout_s)
         if self.shape == RESET_AT_ONCE:
--- a/libs/relay/features/steps/relay_steps.py
+++ b/libs/relay/features/steps/relay_steps.py
@@ -223,3 +223,17 @@
     diagnosis = context.fleet.hosts[name].access.diagnosis
     found = run(context, diagnosis.diagnose(context.fleet.address(runner)))
     assert found is RunnerVerdict(verdict), found
+
+
+@given('no host reaches "{name}", whose connections are silent')
+def silence_runner(context, name):
+    address = context.fleet.address(name)
+    for host in context.fleet.hosts.values():
+        host.path.silent_addresses.add(address)
+
+
+@then("all {count:d} have failed for want of a way")
+def check_all_unreachable(context, count):
+    answers = [answer for answer, _ in context.answers]
+    assert len(answers) == count, answers
+    assert all(isinstance(a, RunnerUnreachableError) for a in answers), answers
--- a/libs/relay/src/damaskjunction/relay/connector.py
+++ b/libs/relay/src/damaskjunction/relay/connector.py
@@ -70,7 +70,8 @@
             if _is_connected(self.direct):
                 return self.direct.result()
             if not self.direct.done() and not self._paths.take_hedge():
-                return await self.direct
+                await asyncio.wait((self.direct,))
+                return self.direct.result()
         self.relayed = asyncio.ensure_future(self._connect_through_hosts())
         return await self._first_connected()
 
@@ -102,8 +103,9 @@
     def verdict(self) -> RunnerVerdict:
         """Return whose fault it is that no attempt has connected."""
         direct = Reach.SILENT  # so it is on a path that is known to be cut
-        if self.direct is not None and self.direct.done():
-            direct = self.direct.result().reach
+        task = self.direct
+        if task is not None and task.done() and not task.cancelled():
+            direct = task.result().reach
         return judge_runner(direct, self.others, self._relays.n_others)
 
 
@@ -187,7 +189,7 @@
             age_s = self._timers.now() - opened_at_s
             return age_s < self._max_reuse_s and self._paths.is_cut(address)
 
-        return OpenConnection(*streams, may_reuse)
+        return OpenConnection(*streams, may_reuse, is_relayed=True)
 
     def _settle(self, ways: _Ways, winner: Attempt) -> None:
         """Record what came of the direct path, and close what is not used.
