Take no runner that fails for one with room for an item

What callers would see (found in review, simulated fleet): while one engine was full and another answered reports but failed each request, items were started over and their sound home was doubted, 4 times in 20 s. Cause: the check of items left lying asked runners that the items avoid, and those that had failed at this host. Change: both are left out. Result: left_lying.feature passes; the review's script was not run again.

--- a/libs/gateway/src/damaskjunction/gateway/jobs/placement_check.py
+++ b/libs/gateway/src/damaskjunction/gateway/jobs/placement_check.py
@@ -91,6 +91,8 @@
             for runner in runners_at(self._state.runners_of(need.service), need.version)
             if may_begin(need.service, runner.version)
             and not self._runner_client.observed_limits.is_limited(runner.runner_id)
+            and not self._slot_client.is_unhealthy(runner.runner_id)
+            and runner.runner_id not in need.avoid
         ]
         drawn = self._rng.sample(runners, min(MAX_RUNNERS_ASKED, len(runners)))
         readings = [await self._read(runner) for runner in drawn]
--- a/libs/gateway/src/damaskjunction/gateway/slots/slot_client.py
+++ b/libs/gateway/src/damaskjunction/gateway/slots/slot_client.py
@@ -170,6 +170,10 @@
         if home is not None and home.host_id != self._state.view.own.host_id:
             self._tasks.begin(self._send_health_report(home, seen))
 
+    def is_unhealthy(self, runner_id: RunnerId) -> bool:
+        """Return whether a runner has failed here and not answered since."""
+        return runner_id in self._unhealthy
+
     def doubt_home(self, service: ServiceName, host_id: HostId, reason: str) -> None:
         """Ask another host than the home of a service for a while, if there is one."""
         candidates = list(self._home_choice.candidates(service))
