Keep the slot of a stream that comes through another host

What callers would see (read in review): on a path that is cut, a pause of a sound stream that another host relays gave its slot back while the runner worked on it. Cause: the direct path decided, whichever the stream came over. Change: a response tells whether its connection is relayed; its slot is kept then.

--- a/libs/gateway/src/damaskjunction/gateway/requests/request_attempts.py
+++ b/libs/gateway/src/damaskjunction/gateway/requests/request_attempts.py
@@ -198,12 +198,14 @@
     def record_fault(self, reason: str) -> None:
         """Report a runner as unhealthy if the failure proves to be its own.
 
-        If the path to it is cut, the slot is given back: the runner's report tells
-        whether it still works on the request.
+        If the response comes over a path that is cut, the slot is given back: the
+        runner's report tells whether it still works on the request.
         """
         if self._runner is not None:
             accuse = self._health_recorder(is_well=False)
-            on_path_cut = self._slot.close if self._slot is not None else None
+            response, slot = self._response, self._slot
+            is_direct = response is not None and not response.body.is_relayed
+            on_path_cut = slot.close if slot is not None and is_direct else None
             self._context.runner_faults.record(
                 self._runner, reason, accuse, on_path_cut
             )
