Probe a runner again whose connection ended by itself

Cause: since probes wait whether a connection lasts, one that a crashing process still accepted counted as a runner that is silent, and its end was not proved. Change: unless a probe is refused or takes its time, the runner is probed once more.

--- a/libs/relay/src/damaskjunction/relay/diagnosis.py
+++ b/libs/relay/src/damaskjunction/relay/diagnosis.py
@@ -21,7 +21,6 @@
 
 logger = logging.getLogger(__name__)
 
-N_PROBES = 2
 PROBE_PAUSE_S = 30 * MILLISECOND_S
 PROBE_TIMEOUT_S = 0.3
 N_WITNESSES = 2  # asked at first
@@ -139,13 +138,13 @@
     async def _probe(self, address: Address) -> Reach:
         """Return what comes of connecting to a runner.
 
-        After a connection that succeeds, it is probed once more, since its process may
+        Unless that takes its time or is refused, it is probed once more: a process may
         still accept connections for a moment while it crashes.
         """
+        began_at_s = self._timers.now()
         reach = await self._direct_path.probe(address, PROBE_TIMEOUT_S)
-        for _ in range(1, N_PROBES):
-            if reach is not Reach.CONNECTED:
-                break
-            await asyncio.sleep(PROBE_PAUSE_S)
-            reach = await self._direct_path.probe(address, PROBE_TIMEOUT_S)
-        return reach
+        took_s = self._timers.now() - began_at_s
+        if reach is Reach.REFUSED or took_s >= PROBE_TIMEOUT_S:
+            return reach
+        await asyncio.sleep(PROBE_PAUSE_S)
+        return await self._direct_path.probe(address, PROBE_TIMEOUT_S)
