--- a/libs/http/features/server.feature
+++ b/libs/http/features/server.feature
@@ -32,3 +32,20 @@
     Given a server whose handler never returns
     When a client sends a request and disconnects
     Then the handler is cancelled within 2 s
+
+  Scenario Outline: A request that arrives as the server drains is answered
+    Given a server that echoes bodies of at most 1000 bytes
+    When the server drains just after a request was sent on <connection>
+    Then the request is answered with status 200
+    And the server ends its draining within 2 s
+
+    Examples:
+      | connection                                  |
+      | a kept connection                           |
+      | a connection that is not accepted yet       |
+      | a connection whose first request is not due |
+
+  Scenario: Idle connections do not hold up a server that drains
+    Given a server that echoes bodies of at most 1000 bytes
+    When the server drains beside an idle connection
+    Then the server ends its draining within 2 s
--- a/libs/http/features/steps/server_steps.py
+++ b/libs/http/features/steps/server_steps.py
@@ -17,6 +17,10 @@
     Routes,
 )
 
+KEPT_REQUEST = (
+    b"POST /echo HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n"
+    b"Authorization: Bearer k\r\n\r\nhello"
+)
 VALID_REQUEST = (
     b"POST /echo HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n"
     b"Authorization: Bearer k\r\nConnection: close\r\n\r\nhello"
@@ -190,3 +194,66 @@
             await context.cancelled.wait()
 
     run(context, wait_until_cancelled())
+
+
+async def open_kept_connection(context):
+    """Return a connection on which one request was answered."""
+    reader, writer = await asyncio.open_connection(*context.address)
+    writer.write(KEPT_REQUEST)
+    await reader.readuntil(b"hello")
+    return reader, writer
+
+
+def connect_at_once(context):
+    """Return a socket that the kernel has connected before the server runs again."""
+    client = socket.create_connection(context.address)
+    client.setblocking(False)
+    return client
+
+
+@when("the server drains just after a request was sent on {connection}")
+def drain_after_request(context, connection):
+    async def work():
+        if connection == "a kept connection":
+            reader, writer = await open_kept_connection(context)
+        elif connection == "a connection that is not accepted yet":
+            client = connect_at_once(context)
+            client.send(KEPT_REQUEST)
+            context.draining = asyncio.ensure_future(context.server.drain())
+            reader, writer = await asyncio.open_connection(sock=client)
+        else:
+            reader, writer = await asyncio.open_connection(*context.address)
+        if "not accepted" not in connection:
+            context.draining = asyncio.ensure_future(context.server.drain())
+            writer.write(KEPT_REQUEST)
+        async with asyncio.timeout(RESPONSE_TIMEOUT_S):
+            try:
+                context.response = await reader.read()
+            except ConnectionResetError:
+                context.response = b""
+        writer.close()
+
+    run(context, work())
+
+
+@then("the request is answered with status {status:d}")
+def check_answered(context, status):
+    assert context.response.startswith(b"HTTP/1.1 %d" % status), context.response
+
+
+@when("the server drains beside an idle connection")
+def drain_beside_idle(context):
+    async def work():
+        await open_kept_connection(context)
+        context.draining = asyncio.ensure_future(context.server.drain())
+
+    run(context, work())
+
+
+@then("the server ends its draining within {duration_s:g} s")
+def check_drained(context, duration_s):
+    async def work():
+        async with asyncio.timeout(duration_s):
+            await context.draining
+
+    run(context, work())
