--- a/libs/gateway/src/damaskjunction/gateway/front_end.py
+++ b/libs/gateway/src/damaskjunction/gateway/front_end.py
@@ -4,27 +4,29 @@
 
 import logging
 
-from damaskjunction.core import HostState
+from damaskjunction.core import HostState, Timers
 from damaskjunction.gateway.jobs.job_front import JobFront
-from damaskjunction.gateway.requests.online import OnlineHandler
+from damaskjunction.gateway.requests.online import OnlineHandler, deadline_at_s
 from damaskjunction.gateway.state import ServingState
 from damaskjunction.http import Request, Response
 from damaskjunction.platform import (
     ADDRESSES_PATH,
     READINESS_PATH,
+    CallerRequest,
     Refusal,
     addresses_response,
     decode_request,
     readiness_response,
     refusal_response,
 )
-from damaskjunction.routing import RouteKind
+from damaskjunction.routing import Route, RouteKind, StopSchedule
 from damaskjunction.telemetry import Metrics
 
 logger = logging.getLogger(__name__)
 
 ADDRESSES_TTL_S = 2.0
 RETRY_AFTER_S = 0.3
+LEAVING_RETRY_AFTER_S = 0.01  # other hosts serve the request at once
 
 
 class FrontEnd:
@@ -40,6 +42,8 @@
         Serves requests on batch jobs.
     metrics : Metrics
         Counts refusals.
+    timers : Timers
+        The current time.
     """
 
     def __init__(
@@ -48,11 +52,18 @@
         online_handler: OnlineHandler,
         jobs: JobFront,
         metrics: Metrics,
+        timers: Timers,
     ) -> None:
         self._state = state
         self._online_handler = online_handler
         self._jobs = jobs
         self._metrics = metrics
+        self._timers = timers
+        self._stop_schedule: StopSchedule | None = None
+
+    def begin_stop(self, schedule: StopSchedule) -> None:
+        """Refuse from now on the requests that a planned stop leaves no time for."""
+        self._stop_schedule = schedule
 
     async def serve(self, request: Request) -> Response:
         """Return the response to a caller's request."""
@@ -80,8 +91,34 @@
             )
         if route.kind is RouteKind.BATCH:
             return await self._jobs.submit(caller_request, route)
+        if not self._has_time_for(caller_request, route):
+            return self._refuse_while_leaving(caller_request, route)
         return await self._online_handler.serve(caller_request, route)
 
+    def _has_time_for(self, request: CallerRequest, route: Route) -> bool:
+        """Return whether an online request ends before this host is to stop."""
+        now_s, schedule = self._timers.now(), self._stop_schedule
+        return schedule is None or schedule.admits(
+            now_s, deadline_at_s(request, route, now_s)
+        )
+
+    def _refuse_while_leaving(self, request: CallerRequest, route: Route) -> Response:
+        request_id = request.request_id
+        extra = {
+            "request": request_id,
+            "route": route.name,
+            "reason": "host_leaving",
+            "deadline_s": request.deadline_s,
+        }
+        logger.info("refused", extra=extra)
+        self._metrics.count("refusals", reason="host_leaving")
+        return refusal_response(
+            Refusal.NOT_RUN,
+            "host_leaving",
+            request_id=request_id,
+            retry_after_s=LEAVING_RETRY_AFTER_S,
+        )
+
     async def serve_readiness(self, request: Request) -> Response:
         """Respond to a readiness probe: whether this host accepts requests."""
         is_readiness_path = request.path == READINESS_PATH
--- a/libs/gateway/src/damaskjunction/gateway/requests/online.py
+++ b/libs/gateway/src/damaskjunction/gateway/requests/online.py
@@ -17,6 +17,16 @@
 RETRY_TIMEOUT_FRACTION = 0.98  # of the longest time stated on the route
 
 
+def deadline_at_s(request: CallerRequest, route: Route, now_s: float) -> float:
+    """Return when a request that comes now has to be answered at the latest."""
+    return now_s + min(_caller_timeout_s(request), route.timeout_s)
+
+
+def _caller_timeout_s(request: CallerRequest) -> float:
+    deadline_s = request.deadline_s
+    return DEFAULT_DEADLINE_S if deadline_s is None else deadline_s
+
+
 class OnlineHandler:
     """Serves plain requests and streams.
 
@@ -34,8 +44,6 @@
     async def serve(self, request: CallerRequest, route: Route) -> Response:
         """Return the response to a request on a route."""
         now_s = self._context.timers.now()
-        deadline_s = request.deadline_s
-        caller_timeout_s = DEFAULT_DEADLINE_S if deadline_s is None else deadline_s
         origin = None
         if request.last_event_id is not None and route.kind is RouteKind.STREAM:
             try:
@@ -47,15 +55,14 @@
             if origin is None
             else origin.service_name
         )
-        deadline_at_s = now_s + min(caller_timeout_s, route.timeout_s)
-        is_repeated = self._is_repeated(route, caller_timeout_s)
+        is_repeated = self._is_repeated(route, _caller_timeout_s(request))
         fingerprint = fingerprint_of(service, request.target, request.body)
         routed = RoutedRequest(
             request,
             route,
             service,
             now_s,
-            deadline_at_s,
+            deadline_at_s(request, route, now_s),
             is_repeated,
             fingerprint,
             origin,
--- a/libs/gateway/src/damaskjunction/gateway/root.py
+++ b/libs/gateway/src/damaskjunction/gateway/root.py
@@ -50,14 +50,13 @@
     StoreClient,
 )
 from damaskjunction.relay import RunnerAccess
-from damaskjunction.routing import LeavingRunners
+from damaskjunction.routing import LeavingRunners, StopSchedule
 from damaskjunction.telemetry import Metrics, StateDump
 from damaskjunction.wire import MemberList, MembersQuery, PeerLinks, PeerServer, Reply
 
 logger = logging.getLogger(__name__)
 
 TIMING = Timing(probe_period_s=0.5, ack_timeout_s=0.2, suspicion_timeout_s=1.0)
-STOP_MARGIN_S = 1.0  # left of the stop grace period for closing
 # The configured limit is on headers; the server also counts the request line.
 REQUEST_LINE_ALLOWANCE_BYTES = 8 * KIB
 CALLER_DESCRIPTOR_FRACTION = 0.6  # of the file descriptors of the process
@@ -65,7 +64,6 @@
 DESCRIPTORS_PER_TUNNEL = 2
 # A runner that leaves gets no requests over a tunnel that was opened before.
 TUNNEL_REUSE_FRACTION = 0.5  # of the time in which a runner that leaves still serves
-DRAIN_DELAY_FRACTION = 0.56  # of the stop grace period
 
 
 class GatewayProcess:
@@ -190,7 +188,9 @@
         self.job_repository = job_repository = JobRepository(self._store)
         self._worker = JobWorker(job_repository, context)
         jobs = self._make_job_front(handlers)
-        front_end = FrontEnd(self.state, online_handler, jobs, self.metrics)
+        self._front_end = front_end = FrontEnd(
+            self.state, online_handler, jobs, self.metrics, timers
+        )
         self._caller_server = HttpServer(settings.caller, front_end.serve)
         self._peer_server = PeerServer(
             peer, timers, handlers.handle, access.tunnel_server.serve
@@ -241,28 +241,35 @@
     async def drain(self) -> None:
         """Drain the host within the stop grace period.
 
-        Announces that the host is leaving. During the drain delay it still serves
-        callers, so that they have time to move to other hosts, but starts no more
-        batch jobs. Jobs that still run here after the delay are stopped; another host
-        takes them over. Then the host stops listening and waits for the requests in
-        flight; those that remain just before the grace period is over are aborted.
+        Announces that the host is leaving. Callers who still come are served, or
+        refused at once if their requests may outlast the grace period. Jobs are
+        stopped before that, so that another host can take them over. At last the host
+        stops listening and waits for the requests in flight.
         """
-        grace_s = self._settings.stop_grace_s
-        deadline_at_s = self._timers.now() + grace_s - STOP_MARGIN_S
-        drain_delay_s = DRAIN_DELAY_FRACTION * grace_s
+        now_s = self._timers.now()
+        schedule = StopSchedule(now_s, self._settings.stop_grace_s)
         self.view.start_draining()
+        self._front_end.begin_stop(schedule)
         self._caller_server.disable_keep_alive()
-        leaving = asyncio.ensure_future(self._membership.leave())
-        items = asyncio.ensure_future(self._worker.drain(drain_delay_s))
-        await asyncio.sleep(drain_delay_s)
-        await asyncio.gather(leaving, items, self._host_registry.deregister())
+        leaving = asyncio.ensure_future(self._leave(schedule.items_until_s - now_s))
+        await asyncio.sleep(schedule.listens_until_s - now_s)
         try:
-            async with asyncio.timeout(deadline_at_s - self._timers.now()):
+            async with asyncio.timeout(schedule.ends_at_s - self._timers.now()):
+                await leaving
                 await self._caller_server.drain()
                 await self._access.tunnel_server.drain()
         except TimeoutError:
             logger.warning("requests aborted at the end of the stop grace period")
 
+    async def _leave(self, items_s: float) -> None:
+        """Tell the other hosts, stop batch items after a time, then deregister."""
+        await asyncio.gather(
+            self._membership.leave(),
+            self._worker.drain(items_s),
+            asyncio.sleep(items_s),
+        )
+        await self._host_registry.deregister()
+
     async def close(self) -> None:
         """Stop all components in the reverse order of their start."""
         for component in reversed(self._components):
--- a/libs/routing/src/damaskjunction/routing/__init__.py
+++ b/libs/routing/src/damaskjunction/routing/__init__.py
@@ -130,6 +130,7 @@
     SlotTicket,
 )
 from damaskjunction.routing.slots import SlotPool
+from damaskjunction.routing.stop_schedule import StopSchedule
 from damaskjunction.routing.stream_continuation import (
     Denial,
     ItemWait,
@@ -246,6 +247,7 @@
     "SlotEffect",
     "SlotPool",
     "SlotTicket",
+    "StopSchedule",
     "StoredGroup",
     "StreamEnd",
     "StreamFacts",
--- a/libs/standins/src/damaskjunction/standins/runner.py
+++ b/libs/standins/src/damaskjunction/standins/runner.py
@@ -85,6 +85,8 @@
         Address to register, if it differs from ``address``.
     version : str, optional
         Version of its software, which is the type of its events; empty to state none.
+    delay_s : float, optional
+        Seconds that a plain answer takes.
     """
 
     def __init__(
@@ -98,6 +100,7 @@
         slots: int = 2,
         advertised: Address | None = None,
         version: str = "v1",
+        delay_s: float = 0.0,
     ) -> None:
         self.runner_id = runner_id
         self.version = version
@@ -106,6 +109,7 @@
         self._store = store
         self._n_events = n_events
         self._slots = slots
+        self._delay_s = delay_s
         self.n_running = 0
         self.peak_running = 0
         self.recorded_runs: list[tuple[RequestId, str]] = []
@@ -221,6 +225,7 @@
             status = 422 if self.faults["impossible"] else int(failure)
             return Response(status, b"no", headers=response_headers)
         if not self._n_events and not self.faults["endless"]:
+            await asyncio.sleep(self._delay_s)
             return Response(200, request_id.encode(), "text/plain", response_headers)
         after = int(last_event_id) if last_event_id else 0
         events = self._stream_events(after, body, self._is_deadly(headers))
