--- a/libs/lab/features/soak.feature
+++ b/libs/lab/features/soak.feature
@@ -49,6 +49,7 @@
       | most requests at other hosts fail during a cut           | cuts harm no others      |
       | a sound request is refused as crashing runners           | sound requests are served |
       | a host records a crash of a runner that runs on          | crashes are true         |
+      | most requests fail in calm while two builds serve        | builds serve together    |
 
   Scenario: The end of an answer is recorded, also of one that nobody reads
     Then the end of an answer is recorded once when 0 of its 2 events are read
@@ -128,6 +129,15 @@
     When an item runs at such a runner while another fault separates the hosts
     Then no check reports a violation
 
+  Scenario: Requests may fail in a fault while two builds serve
+    Given a history without violations
+    When most requests fail in a fault while two builds serve
+    Then no check reports a violation
+
+  Scenario: All guarantees hold while hosts are rolled to this build and back
+    When a soak with seed 5101 rolls 2 hosts from the commit in production and back
+    Then no guarantee was violated
+
   Scenario Outline: All guarantees hold under random faults
     When a soak with seed <seed> runs 4 hosts with <kinds> faults for <seconds> s
     Then no guarantee was violated
--- a/libs/lab/src/damaskjunction/lab/__main__.py
+++ b/libs/lab/src/damaskjunction/lab/__main__.py
@@ -27,7 +27,7 @@
 from damaskjunction.lab.experiments import ExperimentOptions, experiments
 from damaskjunction.lab.playground import run_playground
 from damaskjunction.lab.report import format_table, write_report
-from damaskjunction.lab.soak import SoakOptions, run_soak
+from damaskjunction.lab.soak import SoakOptions, export_build, run_soak
 from damaskjunction.standins import deployments
 
 
@@ -56,6 +56,11 @@
         "--lull", type=float, default=12.0, help="seconds between series of faults"
     )
     soak.add_argument("--faults", nargs="*", default=(), help="kinds, by default all")
+    soak.add_argument(
+        "--upgrade-from",
+        metavar="COMMIT",
+        help="roll the hosts from this commit's build to the present one and back",
+    )
     soak.add_argument("--keep", type=Path, default=Path("build/soak"))
     commands.add_parser("list", help="list the experiments")
     run = commands.add_parser("run", help="run an experiment")
@@ -85,6 +90,9 @@
     was violated; otherwise ``schedule.txt`` in it lists the injected faults.
     """
     n_violated = 0
+    former_build = None
+    if arguments.upgrade_from:
+        former_build = asyncio.run(export_build(arguments.upgrade_from))
     for seed in range(arguments.seed, arguments.seed + arguments.runs):
         print(f"seed {seed}: {arguments.seconds:g} s of faults", flush=True)
         folder = arguments.keep / str(seed)
@@ -97,6 +105,7 @@
             arguments.engines,
             lull_s=arguments.lull,
             kinds=tuple(arguments.faults),
+            former_build=former_build,
         )
         report = asyncio.run(run_soak(options, folder))
         for violation in report.violations:
--- a/libs/lab/src/damaskjunction/lab/soak/__init__.py
+++ b/libs/lab/src/damaskjunction/lab/soak/__init__.py
@@ -5,7 +5,9 @@
 import damaskjunction.lab.soak.cut_faults
 import damaskjunction.lab.soak.link_faults
 import damaskjunction.lab.soak.owed
-import damaskjunction.lab.soak.releases  # noqa: F401 - register faults and checks
+import damaskjunction.lab.soak.releases
+import damaskjunction.lab.soak.upgrade  # noqa: F401 - register faults and checks
+from damaskjunction.lab.soak.builds import Build, BuildError, export_build
 from damaskjunction.lab.soak.callers import Callers
 from damaskjunction.lab.soak.checks import checks, find_violations
 from damaskjunction.lab.soak.cut_checks import Tries, first_tries_in
@@ -27,6 +29,7 @@
     HostDisturbance,
     HostExit,
     MemoryPeak,
+    MixedBuilds,
     NamedLimit,
     ProcessorUse,
     ResultsRead,
@@ -54,6 +57,8 @@
 
 __all__ = [
     "STORE_FAULTS",
+    "Build",
+    "BuildError",
     "Call",
     "Callers",
     "Cancellation",
@@ -67,6 +72,7 @@
     "HostDisturbance",
     "HostExit",
     "MemoryPeak",
+    "MixedBuilds",
     "NamedLimit",
     "Observer",
     "ProcessorUse",
@@ -87,6 +93,7 @@
     "Tries",
     "checks",
     "describe_own_process",
+    "export_build",
     "faults",
     "find_violations",
     "first_tries_in",
--- a/libs/lab/src/damaskjunction/lab/soak/history.py
+++ b/libs/lab/src/damaskjunction/lab/soak/history.py
@@ -205,6 +205,13 @@
     until_s: float
 
 
+class MixedBuilds(NamedTuple):
+    """Start and end of a period in which hosts of two builds ran side by side."""
+
+    since_s: float
+    until_s: float
+
+
 class NamedLimit(NamedTuple):
     """A rate limit that a runner named in the fault-free period."""
 
@@ -279,3 +286,4 @@
         self.limits: list[NamedLimit] = []
         self.peaks: list[MemoryPeak] = []
         self.fault_free_period = FaultFreePeriod(0.0, 0.0)
+        self.mixed_builds: list[MixedBuilds] = []
--- a/libs/lab/src/damaskjunction/lab/soak/rig.py
+++ b/libs/lab/src/damaskjunction/lab/soak/rig.py
@@ -15,6 +15,7 @@
 from damaskjunction.core import Address, HostId, LoopTimers
 from damaskjunction.core.units import KIB
 from damaskjunction.http import BrokenResponseError, ConnectFailedError, HttpClient
+from damaskjunction.lab.soak.builds import Build, python_path
 from damaskjunction.lab.soak.configuration import (
     ENGINE,
     ENGINE_SLOTS,
@@ -81,10 +82,18 @@
         Where settings and logs of the hosts are written.
     n_hosts, n_engines, n_plain : int
         Number of hosts, engine runners and plain runners.
+    former_build : Path, optional
+        Sources of the build that all hosts run at first, if not the present one.
     """
 
     def __init__(
-        self, folder: Path, *, n_hosts: int, n_engines: int, n_plain: int
+        self,
+        folder: Path,
+        *,
+        n_hosts: int,
+        n_engines: int,
+        n_plain: int,
+        former_build: Path | None = None,
     ) -> None:
         self.timers = LoopTimers()
         self.history = History(N_EVENTS)
@@ -104,6 +113,9 @@
         self.faulty_address = self._addresses.pop()
         self.store = StoreStandin(self.store_address, self.timers)
         self.host_names = [f"h{number}" for number in range(n_hosts)]
+        self._former_build = former_build
+        first_build = Build.PRESENT if former_build is None else Build.FORMER
+        self.build_by_host = dict.fromkeys(self.host_names, first_build)
         self.endpoints = [
             f"{service}{number}"
             for service, count in ((ENGINE, n_engines), (PLAIN, n_plain))
@@ -230,6 +242,7 @@
                 process_group=0,
                 env={
                     **os.environ,
+                    **self._build_environment(name),
                     "DAMASKJUNCTION_SETTINGS": str(path),
                     RUNNER_PATH_VARIABLE: " ".join(
                         (self._runners_ip, self.paths.ip_of(name))
@@ -239,6 +252,12 @@
         self._record_disturbance(name)
         self._exits.begin(self._record_exit(name, self.processes[name]))
 
+    def _build_environment(self, name: str) -> dict[str, str]:
+        """Return the variables that let a host's process run its build."""
+        if self._former_build is None or self.build_by_host[name] is Build.PRESENT:
+            return {}
+        return {"PYTHONPATH": python_path(self._former_build)}
+
     async def _record_exit(
         self, name: str, process: asyncio.subprocess.Process
     ) -> None:
--- a/libs/lab/src/damaskjunction/lab/soak/soak.py
+++ b/libs/lab/src/damaskjunction/lab/soak/soak.py
@@ -22,6 +22,7 @@
 from damaskjunction.lab.soak.processor_use import describe_processor_use
 from damaskjunction.lab.soak.rig import SoakRig
 from damaskjunction.lab.soak.schedule import ScheduledFault, make_schedule
+from damaskjunction.lab.soak.upgrade import roll_forth_and_back
 
 RECOVERY_S = 12.0  # from the end of the last fault to the fault-free period
 FAULT_FREE_S = 4.0
@@ -33,7 +34,9 @@
     """Size and seed of a soak; faults are injected for ``fault_period_s`` seconds.
 
     Lulls of ``lull_s`` seconds come between series of faults. ``kinds`` are the kinds
-    of faults to choose from, empty for all.
+    of faults to choose from, empty for all. With ``former_build``, the folder of an
+    earlier build's sources, the hosts run that first, are rolled to the present build
+    and back while faults are injected.
     """
 
     seed: int
@@ -45,6 +48,7 @@
     n_submitters: int = 5
     lull_s: float = 12.0
     kinds: tuple[str, ...] = ()
+    former_build: Path | None = None
 
 
 class SoakReport(NamedTuple):
@@ -74,6 +78,7 @@
         n_hosts=options.n_hosts,
         n_engines=options.n_engines,
         n_plain=options.n_plain,
+        former_build=options.former_build,
     )
     callers = Callers(
         rig,
@@ -87,7 +92,9 @@
         callers.start()
         observer.start()
         await asyncio.sleep(WARM_UP_S)
-        await _inject_faults(rig, schedule)
+        await _inject_faults(
+            rig, schedule, has_upgrade=options.former_build is not None
+        )
         await _settle_versions(rig)
         await asyncio.sleep(RECOVERY_S)
         since_s = rig.timers.now()
@@ -149,9 +156,13 @@
     return "".join(f"{at_s:.3f} {text}\n" for at_s, text in sorted(lines))
 
 
-async def _inject_faults(rig: SoakRig, schedule: tuple[ScheduledFault, ...]) -> None:
+async def _inject_faults(
+    rig: SoakRig, schedule: tuple[ScheduledFault, ...], *, has_upgrade: bool
+) -> None:
     began_at_s = rig.timers.now()
     async with asyncio.TaskGroup() as group:
+        if has_upgrade:
+            group.create_task(roll_forth_and_back(rig))
         for fault in schedule:
             delay_s = fault.at_s - (rig.timers.now() - began_at_s)
             await asyncio.sleep(max(0.0, delay_s))
--- a/libs/routing/src/damaskjunction/routing/stop_schedule.py
+++ b/libs/routing/src/damaskjunction/routing/stop_schedule.py
@@ -13,7 +13,7 @@
 # The following are fractions of the stop grace period.
 OPEN_FRACTION = 0.3  # callers may not know yet that the host leaves
 ITEMS_FRACTION = 0.56  # another host needs time to take the jobs over
-LISTEN_FRACTION = 0.8  # callers may still have the address
+LISTEN_FRACTION = 0.75  # callers may still have the address
 END_FRACTION = 0.96  # what remains is for closing
 
 
--- a/tools/check.py
+++ b/tools/check.py
@@ -72,6 +72,7 @@
         "mypy": (python, "-m", "mypy", *sources, "tools"),
         "matrix page": (python, "tools/matrix_page.py", "--check"),
         "platform names": (python, "tools/platform_names.py"),
+        "production commit": (python, "tools/production.py"),
         "import contracts": (str(scripts / "lint-imports"), "--no-cache"),
     }
     completed_commands = await asyncio.gather(
