--- a/libs/gateway/features/change_feed.feature
+++ b/libs/gateway/features/change_feed.feature
@@ -42,3 +42,10 @@
 
   Scenario: Hosts know the number of cores of the other hosts
     Then each host knows the cores of 3 hosts
+
+  Scenario: After an outage of the store a single host reads it anew
+    When the store is away for 3 s
+    And one host watches the store for all hosts
+    Then the other hosts have listed nothing since
+    When the operator adds the route "/new/" as version 2
+    Then a caller gets status 200 for "/new/1" at each host within 2 s
--- a/libs/gateway/features/change_feed_components.feature
+++ b/libs/gateway/features/change_feed_components.feature
@@ -47,3 +47,9 @@
       | list   |
       | watch  |
       | change |
+
+  Scenario: A host that starts reads the store once, and follows it only as a source
+    When a host starts whose source is another one
+    Then it has listed all objects 1 time and not followed the store
+    When no other host serves
+    Then it has listed all objects 1 time and follows the store
--- a/libs/gateway/features/steps/change_feed_component_steps.py
+++ b/libs/gateway/features/steps/change_feed_component_steps.py
@@ -14,7 +14,7 @@
     ManualTimers,
     RequestError,
 )
-from damaskjunction.gateway.store.change_feed import ChangeFeed
+from damaskjunction.gateway.store.change_feed import STARTUP_DELAY_S, ChangeFeed
 from damaskjunction.gateway.store.change_feed_server import (
     ChangeFeedServer,
     decode_changes,
@@ -157,13 +157,18 @@
     context.timers = ManualTimers()
     links = PeerLinks(context.timers)
     context.change_feed = ChangeFeed(
-        [], HostView(own), links, SilentTransport(), context.timers
+        [],
+        HostView(own),
+        links,
+        SilentTransport(),
+        context.timers,
+        drain_s=2.0,
+        rng=random.Random(1),
     )
 
     async def work():
         await context.change_feed.start()
-        await asyncio.sleep(0)
-        await asyncio.sleep(0)
+        await asyncio.sleep(STARTUP_DELAY_S + 0.1)  # then it watches the store
 
     context.asyncio_runner.run(work())
 
@@ -253,3 +258,76 @@
 
     context.asyncio_runner.run(work())
     assert context.follower.is_current
+
+
+# The start of a host
+
+
+class RecordingFollower:
+    """A follower that counts what it is asked to do."""
+
+    def __init__(self):
+        self.state = KindState("kind", lambda objects: None, lambda change: None)
+        self.is_current = True
+        self.n_snapshots = self.n_starts = 0
+
+    async def take_snapshot(self):
+        self.n_snapshots += 1
+
+    async def start(self):
+        self.n_starts += 1
+
+    async def close(self):
+        pass
+
+
+class AnsweringTransport:
+    """Responds to each probe."""
+
+    async def probe(self):
+        return StoreReply(200, b"")
+
+
+async def start_feed(context, hosts):
+    address = Address("127.0.0.1", 1)
+    own = EntryHost("h0", "r1", "d1", address, address, address)
+    view = HostView(own)
+    view.serving_hosts = lambda: [own._replace(host_id=name) for name in hosts]
+    timers = LoopTimers()
+    context.follower = RecordingFollower()
+    feed = ChangeFeed(
+        [context.follower],
+        view,
+        PeerLinks(timers),
+        AnsweringTransport(),
+        timers,
+        drain_s=2.0,
+        rng=random.Random(1),
+    )
+    await feed.start()
+    await asyncio.sleep(STARTUP_DELAY_S + 0.1)
+    await feed.close()
+
+
+@when("a host starts whose source is another one")
+def start_beside_source(context):
+    # Another host is the first source of h0 whenever there are some.
+    others = [f"h{number}" for number in range(1, 30)]
+    context.asyncio_runner.run(start_feed(context, others))
+
+
+@when("no other host serves")
+def start_alone(context):
+    context.asyncio_runner.run(start_feed(context, ["h0"]))
+
+
+@then("it has listed all objects {count:d} time and not followed the store")
+def check_snapshot_alone(context, count):
+    counts = (context.follower.n_snapshots, context.follower.n_starts)
+    assert counts == (count, 0), counts
+
+
+@then("it has listed all objects {count:d} time and follows the store")
+def check_following(context, count):
+    counts = (context.follower.n_snapshots, context.follower.n_starts)
+    assert counts == (count, 1), counts
--- a/libs/gateway/features/steps/change_feed_steps.py
+++ b/libs/gateway/features/steps/change_feed_steps.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from behave import given, then, when
+from behave import step, then, when
 
 from damaskjunction.standins import Mode
 
@@ -31,7 +31,7 @@
     return names.pop() if len(names) == 1 else None
 
 
-@given("one host watches the store for all hosts")
+@step("one host watches the store for all hosts")
 def wait_for_single_watcher(context):
     def is_single_watcher():
         n_watching = sum(
@@ -167,3 +167,36 @@
         )
 
     run(context, context.platform.wait_for(is_unknown), limit_s)
+
+
+def n_lists(host):
+    """Return how often a host has listed the objects of the kinds that it follows."""
+    return sum(
+        count
+        for call, count in host.store_calls.items()
+        if call.startswith("GET") and call.endswith("200")
+    )
+
+
+@when("the store is away for {duration_s:g} s")
+def lose_store(context, duration_s):
+    watcher = watcher_of(context)
+    platform = context.platform
+    context.lists_by_host = {
+        name: n_lists(host) for name, host in platform.hosts.items() if name != watcher
+    }
+    platform.store.refuse_calls()
+    run(context, asyncio.sleep(duration_s))
+    platform.store.faults["refuse"] = 0
+
+
+@then("the other hosts have listed nothing since")
+def check_no_lists(context):
+    hosts = context.platform.hosts
+    watcher = watcher_of(context)
+    n_lists_since = {
+        name: n_lists(hosts[name]) - before
+        for name, before in context.lists_by_host.items()
+        if name != watcher
+    }
+    assert not any(n_lists_since.values()), n_lists_since
--- a/libs/gateway/src/damaskjunction/gateway/root.py
+++ b/libs/gateway/src/damaskjunction/gateway/root.py
@@ -327,7 +327,15 @@
             )
             for kind in followed
         ]
-        return ChangeFeed(followers, self.view, self._links, transport, self._timers)
+        return ChangeFeed(
+            followers,
+            self.view,
+            self._links,
+            transport,
+            self._timers,
+            drain_s=self._settings.drain_s,
+            rng=rng,
+        )
 
     def _make_membership(
         self, own: EntryHost, rng: random.Random, handlers: PeerHandlers
--- a/libs/gateway/src/damaskjunction/gateway/store/change_feed.py
+++ b/libs/gateway/src/damaskjunction/gateway/store/change_feed.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import logging
+import random
 from collections.abc import Mapping, Sequence
 from typing import Any
 
@@ -38,9 +39,10 @@
 LANE = "news"
 PROBE_PERIOD_S = 0.4
 MAX_PROBE_AGE_S = 0.9
+MAX_PROBE_BACKOFF_S = 1.6  # of a host from which no other one reads
 FIRST_MESSAGE_TIMEOUT_S = 1.0
 SILENCE_TIMEOUT_S = 0.9
-FALLBACK_DELAY_S = 0.4
+FALLBACK_FRACTION = 0.2  # of the time in which changes have to reach this host
 MIN_STABLE_S = 5.0  # a failure after a longer read does not lengthen the ejection
 STARTUP_DELAY_S = 0.8
 REVIEW_PERIOD_S = 3.0
@@ -63,6 +65,11 @@
         Probes the store.
     timers : Timers
         The process's timer service.
+    drain_s : float
+        Seconds within which a change has to reach this host. When its source fails,
+        this host watches the store itself after ``FALLBACK_FRACTION`` of them.
+    rng : random.Random
+        Source of the jitter of the backoff.
     """
 
     def __init__(
@@ -72,6 +79,9 @@
         links: PeerLinks,
         transport: StoreTransport,
         timers: Timers,
+        *,
+        drain_s: float,
+        rng: random.Random,
     ) -> None:
         self._followers = followers
         self._states_by_kind: Mapping[str, KindState] = {
@@ -81,6 +91,7 @@
         self._links = links
         self._transport = transport
         self._timers = timers
+        self._fallback_delay_s = FALLBACK_FRACTION * drain_s
         self._server = ChangeFeedServer(
             self._states_by_kind,
             timers,
@@ -95,6 +106,10 @@
         self._is_watching = False
         self._is_following = False
         self._probed_at_s = float("-inf")
+        self._rng = rng
+        self._n_probe_failures = 0
+        self._next_probe_at_s = float("-inf")
+        self._may_follow_at_s = float("-inf")
         self._task: asyncio.Task[None] | None = None
         self._reading: asyncio.Task[None] | None = None
         self._probe: asyncio.Task[None] | None = None
@@ -112,9 +127,10 @@
         self._server.register(handlers)
 
     async def start(self) -> None:
-        """Watch the store; choose a source after ``STARTUP_DELAY_S``.
+        """Read all objects once; choose a source after ``STARTUP_DELAY_S``.
 
-        The other hosts are known by then.
+        The other hosts are known by then. Hosts that started at once and all watched
+        the store would wake each other with their own entries.
         """
         self._task = asyncio.ensure_future(self._run())
         self._subscriptions = [
@@ -144,8 +160,7 @@
         }
 
     async def _run(self) -> None:
-        self._watch()
-        await asyncio.sleep(STARTUP_DELAY_S)
+        await self._take_snapshot()
         while True:
             source = self._choose_source()
             if source is None or self._server.n_readers:
@@ -156,6 +171,17 @@
             await asyncio.wait([self._reading])
             self._reading = None
 
+    async def _take_snapshot(self) -> None:
+        """List all objects, for ``STARTUP_DELAY_S`` at most; return after that."""
+        snapshots = [
+            asyncio.ensure_future(follower.take_snapshot())
+            for follower in self._followers
+        ]
+        try:
+            await asyncio.sleep(STARTUP_DELAY_S)
+        finally:
+            await cancel_tasks(snapshots)
+
     async def _wait_for_review(self) -> None:
         """Wait for ``REVIEW_PERIOD_S``, or until the store fails."""
         self._review_due.clear()
@@ -165,11 +191,15 @@
         except TimeoutError:
             return
 
+    def _sources(self) -> list[EntryHost]:
+        view = self._view
+        return choose_feed_sources(view.own, view.serving_hosts(), view.power_by_host)
+
     def _choose_source(self) -> EntryHost | None:
         """Return the host to read the feed from, None when this host has to watch."""
         now_s = self._timers.now()
         own_id = self._view.own.host_id
-        for host in choose_feed_sources(self._view.own, self._view.serving_hosts()):
+        for host in self._sources():
             if not self._ejection.is_ejected(host.host_id, now_s):
                 return None if host.host_id == own_id else host
         return None
@@ -197,7 +227,9 @@
         )
 
     def _start_probe(self) -> None:
-        if self._is_watching and (self._probe is None or self._probe.done()):
+        if not self._is_watching or not (self._probe is None or self._probe.done()):
+            return
+        if self._timers.now() >= self._next_probe_at_s or self._server.n_readers:
             self._probe = asyncio.ensure_future(self._probe_store())
 
     async def _probe_store(self) -> None:
@@ -216,17 +248,35 @@
         self._probed_at_s = sent_at_s
         self._server.notify_progress()
         self._ejection.record_success(self._view.own.host_id)
-        if not self._is_following:
+        if self._n_probe_failures:
+            self._n_probe_failures = 0
+            self._prefer_sources()
+        if not self._is_following and self._timers.now() >= self._may_follow_at_s:
             self._is_following = True
             for follower in self._followers:
                 await follower.start()
 
+    def _prefer_sources(self) -> None:
+        """Ask other hosts again, since the store that was lost is back for them too.
+
+        If all hosts followed it at once, each would list all objects. This host does so
+        if no other one has delivered after the usual delay.
+        """
+        sources = self._sources()
+        if sources[0].host_id == self._view.own.host_id or self._server.n_readers:
+            return
+        for host in sources:
+            self._ejection.record_success(host.host_id)
+        self._may_follow_at_s = self._timers.now() + self._fallback_delay_s
+        self._review_due.set()
+
     async def _record_store_failure(self, failure: str) -> None:
         """Stop following, so that all objects are listed again after the failure.
 
         The store's history may lack the changes missed meanwhile.
         """
         own_id = self._view.own.host_id
+        self._back_off_probes()
         if self._is_following:
             logger.warning("store does not answer", extra={"reason": failure})
         self._is_following = False
@@ -237,6 +287,15 @@
         self._ejection.record_failure(own_id, self._timers.now())
         self._review_due.set()
 
+    def _back_off_probes(self) -> None:
+        self._n_probe_failures += 1
+        backoff_s = min(
+            PROBE_PERIOD_S * 2.0 ** min(self._n_probe_failures, 8), MAX_PROBE_BACKOFF_S
+        )
+        if self._sources()[0].host_id != self._view.own.host_id:
+            jitter = self._rng.uniform(0.5, 1.0)
+            self._next_probe_at_s = self._timers.now() + backoff_s * jitter
+
     def _request_watch(self) -> None:
         """Switch to watching the store, since another host asks for the feed."""
         self._watch()
@@ -281,9 +340,9 @@
             await replies.aclose()
 
     def _schedule_fallback(self) -> None:
-        """Watch the store after ``FALLBACK_DELAY_S`` unless another source delivers."""
+        """Watch the store after a delay unless another source delivers by then."""
         self._cancel_fallback()
-        self._fallback = self._timers.once(FALLBACK_DELAY_S, self._watch)
+        self._fallback = self._timers.once(self._fallback_delay_s, self._watch)
 
     def _cancel_fallback(self) -> None:
         if self._fallback is not None:
@@ -293,6 +352,8 @@
         extra = {"host": source.host_id, "former_host": self._former_source_id}
         logger.info("news of the store heard from host", extra=extra)
         self._source_id = source.host_id
+        self._n_probe_failures = 0
+        self._next_probe_at_s = self._may_follow_at_s = float("-inf")
         self._cancel_fallback()
         await self._stop_watching()
 
--- a/libs/gateway/src/damaskjunction/gateway/store/change_feed_server.py
+++ b/libs/gateway/src/damaskjunction/gateway/store/change_feed_server.py
@@ -31,7 +31,7 @@
 logger = logging.getLogger(__name__)
 
 HEARTBEAT_S = 0.3
-READY_TIMEOUT_S = 0.3
+READY_TIMEOUT_S = 0.8
 MAX_QUEUED_UPDATES = 256  # the feed of a reader further behind is ended
 MAX_LOGGED_ENTRIES = 5
 NEVER_FAILED_S = -1.0
--- a/libs/gateway/src/damaskjunction/gateway/store/kind_follower.py
+++ b/libs/gateway/src/damaskjunction/gateway/store/kind_follower.py
@@ -73,6 +73,16 @@
         if task is not None:
             await cancel_tasks([task])
 
+    async def take_snapshot(self) -> None:
+        """List all objects once, if the store answers, without following them."""
+        try:
+            await self._list()
+        except PlatformError as error:
+            extra = {"kind": self.state.kind, "error": str(error)}
+            logger.warning("no snapshot of the store", extra=extra)
+        finally:
+            self._is_current = False
+
     async def relist(self) -> None:
         """List all objects now, instead of waiting for the next change."""
         await self.close()
--- a/libs/membership/features/sources.feature
+++ b/libs/membership/features/sources.feature
@@ -14,3 +14,8 @@
   Scenario: Removing a host keeps the order of the others
     When the first source of "d1" is removed
     Then the hosts of "d1" have the former second source first
+
+  Scenario: Strong hosts are preferred as sources
+    When the hosts "d1-2,d1-5" have 2 cores and all others 0.5
+    Then the hosts of "d1" have two of "d1-2,d1-5" first
+    And all hosts of "d2" still have three sources of "d2" first
--- a/libs/membership/features/steps/source_steps.py
+++ b/libs/membership/features/steps/source_steps.py
@@ -10,7 +10,12 @@
 
 def rank_sources(context, data_centre):
     return [
-        [source.host_id for source in choose_feed_sources(host, context.hosts)]
+        [
+            source.host_id
+            for source in choose_feed_sources(
+                host, context.hosts, context.power_by_host
+            )
+        ]
         for host in context.hosts
         if host.data_centre == data_centre
     ]
@@ -18,6 +23,7 @@
 
 @given('{count:d} hosts in each of the data centres "{names}"')
 def make_hosts(context, count, names):
+    context.power_by_host = {}
     context.hosts = [
         make_host(number, f"{name}-{number}")._replace(data_centre=name)
         for name in names.split(",")
@@ -55,3 +61,22 @@
 def check_preferred(context, name):
     preferred = {sources[0] for sources in rank_sources(context, name)}
     assert preferred == {context.second}, preferred
+
+
+@when('the hosts "{names}" have {strong:g} cores and all others {weak:g}')
+def set_powers(context, names, strong, weak):
+    context.power_by_host = {
+        host.host_id: strong if host.host_id in names.split(",") else weak
+        for host in context.hosts
+    }
+
+
+@then('the hosts of "{name}" have two of "{strong}" first')
+def check_strong_first(context, name, strong):
+    for sources in rank_sources(context, name):
+        assert set(sources[:2]) == set(strong.split(",")), sources
+
+
+@then('all hosts of "{name}" still have three sources of "{same}" first')
+def check_local_first(context, name, same):
+    check_local(context, name, same)
