--- a/libs/gateway/features/steps/change_feed_component_steps.py
+++ b/libs/gateway/features/steps/change_feed_component_steps.py
@@ -288,6 +288,14 @@
         return StoreReply(200, b"")
 
 
+class SilentLinks:
+    """Links to hosts that do not respond."""
+
+    async def call(self, address, lane, message, *, keepalive):
+        await asyncio.Event().wait()
+        yield message
+
+
 async def start_feed(context, hosts):
     address = Address("127.0.0.1", 1)
     own = EntryHost("h0", "r1", "d1", address, address, address)
@@ -298,7 +306,7 @@
     feed = ChangeFeed(
         [context.follower],
         view,
-        PeerLinks(timers),
+        SilentLinks(),
         AnsweringTransport(),
         timers,
         drain_s=2.0,
