--- a/libs/gateway/features/steps/change_feed_component_steps.py
+++ b/libs/gateway/features/steps/change_feed_component_steps.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import time
 
 from behave import given, then, when
 
@@ -75,7 +76,7 @@
 # A source and its reader
 
 
-def request_feed(context, revision, *, is_store_down):
+def request_feed(context, revision, *, is_store_down, is_known=False):
     """Request the feed; collect the changes sent before the first heartbeat."""
     context.sent, context.caught_up, context.refusal = [], [], None
 
@@ -94,7 +95,8 @@
         feed = ChangeFeedServer(
             {"kind": context.state},
             LoopTimers(),
-            is_store_live=lambda: True,
+            is_store_live=lambda: not is_known,
+            is_store_lost=lambda: is_known,
             request_watch=lambda: None,
             catch_up=catch_up,
         )
@@ -121,6 +123,23 @@
     request_feed(context, revision, is_store_down=True)
 
 
+@when(
+    "a reader that knows revision {revision:d} requests the feed of a source without "
+    "the store"
+)
+def request_from_lost_store(context, revision):
+    context.state = KindState("kind", lambda objects: None, lambda change: None)
+    began_at_s = time.monotonic()
+    request_feed(context, revision, is_store_down=True, is_known=True)
+    context.took_s = time.monotonic() - began_at_s
+
+
+@then("the source reports that it lost the store within {limit_s:g} s")
+def check_refused_soon(context, limit_s):
+    check_refused(context)
+    assert context.took_s <= limit_s, context.took_s
+
+
 @then('the source reads the store, and sends only "{name}" as of revision {revision:d}')
 def check_sent(context, name, revision):
     assert context.caught_up == ["kind"]
--- a/libs/gateway/src/damaskjunction/gateway/store/change_feed.py
+++ b/libs/gateway/src/damaskjunction/gateway/store/change_feed.py
@@ -47,7 +47,9 @@
 STARTUP_DELAY_S = 0.8
 REVIEW_PERIOD_S = 3.0
 REFUSING_STATUSES = (429, 503)
-EJECTION_POLICY = EjectionPolicy(n_failures=1, base_s=2.0, limit_s=6.0)
+# A source that stays cut off from the store is rarely tried: its readers leave another.
+EJECTION_POLICY = EjectionPolicy(n_failures=1, base_s=2.0, limit_s=30.0)
+MIN_PROBE_FAILURES = 2  # after which a source has lost the store
 
 
 class ChangeFeed:
@@ -96,6 +98,7 @@
             self._states_by_kind,
             timers,
             is_store_live=self._is_store_live,
+            is_store_lost=lambda: self._n_probe_failures >= MIN_PROBE_FAILURES,
             request_watch=self._request_watch,
             catch_up=self._catch_up,
         )
--- a/libs/gateway/src/damaskjunction/gateway/store/change_feed_server.py
+++ b/libs/gateway/src/damaskjunction/gateway/store/change_feed_server.py
@@ -48,6 +48,8 @@
         The process's timer service.
     is_store_live : callable
         Returns whether the store has responded to this host recently.
+    is_store_lost : callable
+        Returns whether the store has failed to respond to this host several times.
     request_watch : callable
         Called on every request for the feed, so that this host watches the store.
     catch_up : callable
@@ -60,12 +62,14 @@
         timers: Timers,
         *,
         is_store_live: Callable[[], bool],
+        is_store_lost: Callable[[], bool],
         request_watch: Callable[[], None],
         catch_up: Callable[[str], None],
     ) -> None:
         self._states_by_kind = states_by_kind
         self._timers = timers
         self._is_store_live = is_store_live
+        self._is_store_lost = is_store_lost
         self._request_watch = request_watch
         self._catch_up = catch_up
         self._progress = asyncio.Event()
@@ -109,9 +113,11 @@
         Raises
         ------
         RequestError
-            After ``READY_TIMEOUT_S``; the store may be unreachable.
+            After ``READY_TIMEOUT_S``, or at once if the store is known to be lost.
         """
         self._request_watch()
+        if self._is_store_lost():
+            raise RequestError(Outcome.NOT_RUN, "store_lost")
         requested: set[str] = set()
         try:
             async with asyncio.timeout(READY_TIMEOUT_S):
