--- a/libs/routing/src/damaskjunction/routing/slots.py
+++ b/libs/routing/src/damaskjunction/routing/slots.py
@@ -14,6 +14,7 @@
 from damaskjunction.routing.batch_queue import BatchQueue
 from damaskjunction.routing.batch_reserve import n_reserved_slots
 from damaskjunction.routing.ejection import EjectionPolicy, OutlierEjection
+from damaskjunction.routing.hold_times import HoldTimes
 from damaskjunction.routing.online_queue import OnlineQueue
 from damaskjunction.routing.prefix_cache import PrefixCacheEstimate
 from damaskjunction.routing.rate_limits import BATCH_TOKENS, RateLimiter, RunnerLimit
@@ -31,8 +32,8 @@
 from damaskjunction.routing.unseen_requests import UnseenRequests
 from damaskjunction.routing.wait_forecast import RunnerSupply, WaitForecast
 
-HOLD_TIME_SMOOTHING = 0.05
 INITIAL_HOLD_TIME_S = 0.5
+INITIAL_BATCH_HOLD_TIME_S = 2.0
 MIN_RETRY_AFTER_S = 0.1
 PREFIX_WEIGHT = 0.6  # of the cached fraction; the free fraction has weight 1
 MAX_BATCH_QUEUE = 4096
@@ -47,9 +48,14 @@
 
     Online requests are served in the order of ``OnlineQueue``, batch requests by
     earliest due time. Runners that failed recently are ejected for a while.
+
+    Parameters
+    ----------
+    batch_rule : str, optional
+        Name of the rule that tells which batch requests go before late ones.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, batch_rule: str = "in_time_first") -> None:
         self._slots_by_runner: dict[RunnerId, int] = {}
         self._versions = RunnerVersions()
         self._online_held_by_id: dict[RequestId, HeldSlot] = {}
@@ -58,11 +64,12 @@
         self._used_by_runner: Counter[RunnerId] = Counter()
         self._online_by_runner: Counter[RunnerId] = Counter()
         self._waiting_online = OnlineQueue()
-        self._waiting_batch = BatchQueue()
+        self._waiting_batch = BatchQueue(batch_rule)
         self._prefix_cache = PrefixCacheEstimate()
         self._ejection = OutlierEjection(FAILURE_EJECTION)
         self._rate_limiter = RateLimiter()
-        self._mean_hold_s = INITIAL_HOLD_TIME_S
+        self._online_holds = HoldTimes(INITIAL_HOLD_TIME_S)
+        self._batch_holds = HoldTimes(INITIAL_BATCH_HOLD_TIME_S)
         self._unseen = UnseenRequests()
         self._batch_starts_at_s = 0.0
 
@@ -116,7 +123,7 @@
         if any(name not in excluded for name in self._slots_by_runner):
             return None
         reason = "runners_failed" if self._slots_by_runner else "no_runner"
-        return RefuseSlot(request_id, reason, self._mean_hold_s)
+        return RefuseSlot(request_id, reason, self._online_holds.mean_s)
 
     def submit(self, ticket: SlotTicket, now_s: float) -> list[SlotEffect]:
         """Grant a request a slot, queue it or refuse it.
@@ -170,14 +177,16 @@
         """Free the slot of a request, or remove the request from the queue."""
         self._waiting_online.discard(request_id)
         self._waiting_batch.discard(request_id)
+        was_revoked = request_id in self._revoked_ids
         self._revoked_ids.discard(request_id)
         held = self._online_held_by_id.pop(request_id, None)
         if held is not None:
             self._online_by_runner[held.runner_id] -= 1
-            sample_s = now_s - held.since_s
-            self._mean_hold_s += HOLD_TIME_SMOOTHING * (sample_s - self._mean_hold_s)
+            self._online_holds.observe(now_s - held.since_s)
         else:
             held = self._batch_held_by_id.pop(request_id, None)
+            if held is not None and not was_revoked:
+                self._batch_holds.observe(now_s - held.since_s)
         if held is not None:
             self._used_by_runner[held.runner_id] -= 1
             self._unseen.record_release(held.runner_id, now_s)
@@ -214,7 +223,8 @@
         """Return the state for the diagnostic dump."""
         return {
             **self.counts._asdict(),
-            "hold_s": round(self._mean_hold_s, 4),
+            "hold_s": round(self._online_holds.mean_s, 4),
+            "batch_hold_s": round(self._batch_holds.mean_s, 4),
             "used_by_runner": dict(self._used_by_runner),
             "slots_by_runner": dict(self._slots_by_runner),
             "unseen_by_runner": dict(self._unseen.n_by_runner),
@@ -239,7 +249,7 @@
                     self._rate_limiter.limit_per_s(runner_id),
                 )
             )
-        return WaitForecast(supplies, self._mean_hold_s)
+        return WaitForecast(supplies, self._online_holds.mean_s)
 
     def _dispatch(self, now_s: float) -> list[SlotEffect]:
         """Grant free slots; revoke batch slots if online requests still wait.
@@ -397,7 +407,10 @@
         )
         n_available = sum(free_by_runner.values()) - n_reserved
         skipped: list[SlotTicket] = []
-        while n_available > 0 and (ticket := self._waiting_batch.pop()) is not None:
+        while n_available > 0:
+            ticket = self._waiting_batch.pop(now_s, self._batch_holds.high_s)
+            if ticket is None:
+                break
             runner_id = self._choose_runner(ticket, free_by_runner)
             if runner_id is None:
                 skipped.append(ticket)
