--- a/libs/gateway/src/damaskjunction/gateway/runners/suspect_registry.py
+++ b/libs/gateway/src/damaskjunction/gateway/runners/suspect_registry.py
@@ -23,7 +23,7 @@
     stable_hash,
 )
 from damaskjunction.gateway.store.kind_state import KindState
-from damaskjunction.node import cancel_tasks
+from damaskjunction.node import cancel_tasks, supervise
 from damaskjunction.platform import (
     ObjectChange,
     ObjectConflictError,
@@ -80,7 +80,9 @@
 
     async def start(self) -> None:
         """Start writing suspects to the store as they change."""
-        self._writing = asyncio.ensure_future(self._write_changes())
+        self._writing = asyncio.ensure_future(
+            supervise("suspects", self._write_changes)
+        )
 
     async def close(self) -> None:
         """Stop writing."""
--- a/libs/gateway/src/damaskjunction/gateway/store/host_registry.py
+++ b/libs/gateway/src/damaskjunction/gateway/store/host_registry.py
@@ -16,7 +16,7 @@
     read_text,
 )
 from damaskjunction.gateway.store.kind_state import KindState
-from damaskjunction.node import HostView, Membership, cancel_tasks
+from damaskjunction.node import HostView, Membership, cancel_tasks, supervise
 from damaskjunction.platform import (
     ObjectChange,
     ObjectConflictError,
@@ -80,7 +80,9 @@
 
     async def start(self) -> None:
         """Start registering this host, and again whenever its entry is not right."""
-        self._registration = asyncio.ensure_future(self._register())
+        self._registration = asyncio.ensure_future(
+            supervise("own entry", self._register)
+        )
 
     async def close(self) -> None:
         """Stop registering."""
@@ -141,7 +143,9 @@
             logger.warning(
                 "own entry not right", extra={"is_listed": known is not None}
             )
-            self._registration = asyncio.ensure_future(self._register())
+            self._registration = asyncio.ensure_future(
+                supervise("own entry", self._register)
+            )
 
     def _apply_all(self, objects: tuple[PlatformObject, ...]) -> None:
         self._hosts_by_id.clear()
--- a/libs/gateway/src/damaskjunction/gateway/versions/stored_origins.py
+++ b/libs/gateway/src/damaskjunction/gateway/versions/stored_origins.py
@@ -15,7 +15,7 @@
 from damaskjunction.gateway.state import ServingState
 from damaskjunction.gateway.versions.stream_origins import StreamOriginKeeper
 from damaskjunction.gateway.versions.version_registry import VersionRegistry
-from damaskjunction.node import cancel_tasks
+from damaskjunction.node import cancel_tasks, supervise
 from damaskjunction.platform import ObjectConflictError, PlatformObject, StoreClient
 from damaskjunction.routing import (
     GroupWrite,
@@ -88,7 +88,9 @@
 
     async def start(self) -> None:
         """Start storing the origins of the services whose home is this host."""
-        self._writing = asyncio.ensure_future(self._write_groups())
+        self._writing = asyncio.ensure_future(
+            supervise("stream origins", self._write_groups)
+        )
 
     async def close(self) -> None:
         """Stop writing, and the read under way."""
--- a/libs/gateway/src/damaskjunction/gateway/versions/version_registry.py
+++ b/libs/gateway/src/damaskjunction/gateway/versions/version_registry.py
@@ -24,7 +24,7 @@
 )
 from damaskjunction.gateway.state import ServingState
 from damaskjunction.gateway.store.kind_state import KindState
-from damaskjunction.node import cancel_tasks
+from damaskjunction.node import cancel_tasks, supervise
 from damaskjunction.platform import (
     ObjectChange,
     ObjectConflictError,
@@ -103,7 +103,9 @@
 
     async def start(self) -> None:
         """Start reviewing the records of the services whose home is this host."""
-        self._reviewing = asyncio.ensure_future(self._review_records())
+        self._reviewing = asyncio.ensure_future(
+            supervise("software versions", self._review_records)
+        )
         self._subscription = self._timers.every(REVIEW_PERIOD_S, self._review_due.set)
 
     async def close(self) -> None:
--- a/libs/node/src/damaskjunction/node/__init__.py
+++ b/libs/node/src/damaskjunction/node/__init__.py
@@ -15,7 +15,7 @@
 from damaskjunction.node.membership.membership import Membership
 from damaskjunction.node.runners.connection_probe import refuses_connections
 from damaskjunction.node.state import HostView
-from damaskjunction.node.tasks import TaskSet, cancel_tasks
+from damaskjunction.node.tasks import TaskSet, cancel_tasks, supervise
 
 __all__ = [
     "Component",
@@ -29,4 +29,5 @@
     "cancel_tasks",
     "open_udp_endpoint",
     "refuses_connections",
+    "supervise",
 ]
--- a/libs/node/src/damaskjunction/node/membership/membership.py
+++ b/libs/node/src/damaskjunction/node/membership/membership.py
@@ -36,7 +36,7 @@
     open_udp_endpoint,
 )
 from damaskjunction.node.state import HostView
-from damaskjunction.node.tasks import cancel_tasks
+from damaskjunction.node.tasks import cancel_tasks, supervise
 from damaskjunction.telemetry import Metrics
 from damaskjunction.wire import (
     DecodeError,
@@ -120,7 +120,9 @@
         """Bind the socket and start probing."""
         self._endpoint = await self._open_endpoint(self._view.own.probe, self._receive)
         self._tick_timer = self._timers.every(Timing().tick_s, self._on_tick)
-        self._sync_task = asyncio.ensure_future(self._sync_members())
+        self._sync_task = asyncio.ensure_future(
+            supervise("member lists", self._sync_members)
+        )
 
     async def close(self) -> None:
         """Stop probing and release the socket."""
--- a/libs/node/src/damaskjunction/node/tasks.py
+++ b/libs/node/src/damaskjunction/node/tasks.py
@@ -3,8 +3,15 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Coroutine, Iterable
-from typing import Any
+import logging
+from collections.abc import Awaitable, Callable, Coroutine, Iterable
+from typing import Any, TypeAlias
+
+logger = logging.getLogger(__name__)
+
+RESTART_DELAY_S = 0.5
+
+Work: TypeAlias = Callable[[], Awaitable[None]]
 
 
 async def cancel_tasks(tasks: Iterable[asyncio.Future[Any]]) -> None:
@@ -15,6 +22,32 @@
     await asyncio.gather(*cancelled, return_exceptions=True)
 
 
+async def supervise(name: str, work: Work) -> None:
+    """Run work that goes on until it is cancelled; start it again when it fails.
+
+    An unexpected error, such as one odd message, costs the step at which it came.
+
+    Parameters
+    ----------
+    name : str
+        Name of the work in the log.
+    work : callable
+        Coroutine function that does the work.
+    """
+    while True:
+        try:
+            await run_once(name, work)
+            return
+        except Exception:
+            logger.exception("work failed, started again", extra={"work": name})
+        await asyncio.sleep(RESTART_DELAY_S)
+
+
+async def run_once(name: str, work: Work) -> None:
+    """Run supervised work up to its end or its failure."""
+    await work()
+
+
 class TaskSet:
     """Background tasks, referenced until they end or ``close`` cancels them."""
 
