--- a/libs/gateway/features/change_feed_components.feature
+++ b/libs/gateway/features/change_feed_components.feature
@@ -30,9 +30,10 @@
     When a reader that knows revision 7 requests the feed during a store outage
     Then the source sends no changes and reports that it lost the store
 
-  Scenario: A source that has lost the store refuses readers at once
+  Scenario: A source that has lost the store soon refuses readers
+    # It may have it back at its next probe, 0.4 s later
     When a reader that knows revision 1 requests the feed of a source without the store
-    Then the source reports that it lost the store within 0.1 s
+    Then the source reports that it lost the store within 0.75 s
 
   Scenario: The proof that the store responds expires while the next probe is pending
     Given a host that has proved that the store responds
--- a/libs/gateway/src/damaskjunction/gateway/store/change_feed.py
+++ b/libs/gateway/src/damaskjunction/gateway/store/change_feed.py
@@ -29,7 +29,7 @@
 from damaskjunction.gateway.store.kind_follower import KindFollower
 from damaskjunction.gateway.store.kind_state import KindState
 from damaskjunction.membership import choose_feed_sources
-from damaskjunction.node import HostView, PeerHandlers, TaskSet, cancel_tasks
+from damaskjunction.node import HostView, PeerHandlers, TaskSet, cancel_tasks, supervise
 from damaskjunction.platform import StoreTransport
 from damaskjunction.routing import EjectionPolicy, OutlierEjection
 from damaskjunction.wire import KindNews, KindSeen, NewsAsk, PeerLinks
@@ -44,10 +44,11 @@
 SILENCE_TIMEOUT_S = 0.9
 FALLBACK_FRACTION = 0.2  # of the time in which changes have to reach this host
 MIN_STABLE_S = 5.0  # a failure after a longer read does not lengthen the ejection
-STARTUP_DELAY_S = 0.8
+STARTUP_DELAY_S = 1.5  # for the other hosts and their powers to be known
 REVIEW_PERIOD_S = 3.0
 REFUSING_STATUSES = (429, 503)
 # A source that stays cut off from the store is rarely tried: its readers leave another.
+RECOVERY_FACTOR = 2.0  # of the fallback delay, after the store was lost
 EJECTION_POLICY = EjectionPolicy(n_failures=1, base_s=2.0, limit_s=30.0)
 MIN_PROBE_FAILURES = 2  # after which a source has lost the store
 
@@ -135,7 +136,7 @@
         The other hosts are known by then. Hosts that started at once and all watched
         the store would wake each other with their own entries.
         """
-        self._task = asyncio.ensure_future(self._run())
+        self._task = asyncio.ensure_future(supervise("change feed", self._run))
         self._subscriptions = [
             self._timers.every(PROBE_PERIOD_S, self._start_probe),
             self._timers.every(REVIEW_PERIOD_S, self._review),
@@ -166,7 +167,8 @@
         await self._take_snapshot()
         while True:
             source = self._choose_source()
-            if source is None or self._server.n_readers:
+            is_needed = self._server.n_readers and not self._is_recovering
+            if source is None or is_needed:
                 self._watch()
                 await self._wait_for_review()
                 continue
@@ -254,23 +256,36 @@
         if self._n_probe_failures:
             self._n_probe_failures = 0
             self._prefer_sources()
-        if not self._is_following and self._timers.now() >= self._may_follow_at_s:
-            self._is_following = True
-            for follower in self._followers:
-                await follower.start()
+        if self._is_following:
+            return
+        if self._is_recovering:
+            self._review_due.set()  # a source may have become available
+            return
+        self._is_following = True
+        for follower in self._followers:
+            await follower.start()
+
+    @property
+    def _is_recovering(self) -> bool:
+        """Whether the store is back, and this host still waits for another source."""
+        return self._timers.now() < self._may_follow_at_s
 
     def _prefer_sources(self) -> None:
         """Ask other hosts again, since the store that was lost is back for them too.
 
         If all hosts followed it at once, each would list all objects. This host does so
-        if no other one has delivered after the usual delay.
+        if no other one has delivered by the time in which they recover.
         """
         sources = self._sources()
-        if sources[0].host_id == self._view.own.host_id or self._server.n_readers:
+        if sources[0].host_id == self._view.own.host_id:
             return
         for host in sources:
             self._ejection.record_success(host.host_id)
-        self._may_follow_at_s = self._timers.now() + self._fallback_delay_s
+        if self._reading is not None and not self._source_id:
+            self._reading.cancel()  # it may wait for a host that waits as well
+        self._may_follow_at_s = self._timers.now() + RECOVERY_FACTOR * (
+            self._fallback_delay_s
+        )
         self._review_due.set()
 
     async def _record_store_failure(self, failure: str) -> None:
@@ -302,7 +317,7 @@
     def _request_watch(self) -> None:
         """Switch to watching the store, since another host asks for the feed."""
         self._watch()
-        if self._reading is not None:
+        if self._reading is not None and not self._is_recovering:
             self._reading.cancel()
 
     def _catch_up(self, kind: str) -> None:
@@ -337,6 +352,9 @@
             if self._timers.now() - started_at_s > MIN_STABLE_S:
                 self._ejection.record_success(source.host_id)
             self._record_source_failure(source, repr(error))
+        except Exception as error:
+            logger.exception("changes not applied", extra={"host": source.host_id})
+            self._record_source_failure(source, repr(error))
         finally:
             self._former_source_id, self._source_id = self._source_id, ""
             self._schedule_fallback()
--- a/libs/gateway/src/damaskjunction/gateway/store/change_feed_server.py
+++ b/libs/gateway/src/damaskjunction/gateway/store/change_feed_server.py
@@ -32,6 +32,7 @@
 
 HEARTBEAT_S = 0.3
 READY_TIMEOUT_S = 0.8
+LOST_TIMEOUT_S = 0.7  # after failed probes; the next one comes before
 MAX_QUEUED_UPDATES = 256  # the feed of a reader further behind is ended
 MAX_LOGGED_ENTRIES = 5
 NEVER_FAILED_S = -1.0
@@ -113,14 +114,13 @@
         Raises
         ------
         RequestError
-            After ``READY_TIMEOUT_S``, or at once if the store is known to be lost.
+            After ``READY_TIMEOUT_S``, or sooner if the store is known to be lost.
         """
         self._request_watch()
-        if self._is_store_lost():
-            raise RequestError(Outcome.NOT_RUN, "store_lost")
+        timeout_s = LOST_TIMEOUT_S if self._is_store_lost() else READY_TIMEOUT_S
         requested: set[str] = set()
         try:
-            async with asyncio.timeout(READY_TIMEOUT_S):
+            async with asyncio.timeout(timeout_s):
                 while not self._is_store_live() or (
                     behind := self._kinds_behind(request)
                 ):
--- a/libs/gateway/src/damaskjunction/gateway/store/relayed_transport.py
+++ b/libs/gateway/src/damaskjunction/gateway/store/relayed_transport.py
@@ -117,7 +117,10 @@
 
     async def probe(self) -> StoreReply:
         """Send a cheap call over the direct transport."""
-        return await self._direct.probe()
+        reply = await self._direct.probe()
+        if reply.status not in REFUSING_STATUSES:
+            self._record_direct(is_working=True, reason="probe succeeded")
+        return reply
 
     async def _send_hedged(
         self, direct: asyncio.Task[StoreReply] | None, call: StoreCall
@@ -158,14 +161,11 @@
 
     async def _probe_direct(self) -> None:
         try:
-            reply = await self._direct.probe()
+            await self.probe()
         except PlatformError as error:
             logger.debug(
                 "direct probe of the store failed", extra={"error": str(error)}
             )
-            return
-        if reply.status not in REFUSING_STATUSES:
-            self._record_direct(is_working=True, reason="probe succeeded")
 
     def to_document(self) -> dict[str, Any]:
         """Return the state for the dump."""
