--- a/libs/gateway/src/damaskjunction/gateway/store/change_feed.py
+++ b/libs/gateway/src/damaskjunction/gateway/store/change_feed.py
@@ -28,6 +28,10 @@
 )
 from damaskjunction.gateway.store.kind_follower import KindFollower
 from damaskjunction.gateway.store.kind_state import KindState
+from damaskjunction.gateway.store.store_availability import (
+    PROBE_PERIOD_S,
+    StoreAvailability,
+)
 from damaskjunction.membership import choose_feed_sources
 from damaskjunction.node import HostView, PeerHandlers, TaskSet, cancel_tasks, supervise
 from damaskjunction.platform import StoreTransport
@@ -37,9 +41,6 @@
 logger = logging.getLogger(__name__)
 
 LANE = "news"
-PROBE_PERIOD_S = 0.4
-MAX_PROBE_AGE_S = 0.9
-MAX_PROBE_BACKOFF_S = 1.6  # of a host from which no other one reads
 FIRST_MESSAGE_TIMEOUT_S = 1.0
 SILENCE_TIMEOUT_S = 0.9
 FALLBACK_FRACTION = 0.2  # of the time in which changes have to reach this host
@@ -47,10 +48,9 @@
 STARTUP_DELAY_S = 1.5  # for the other hosts and their powers to be known
 REVIEW_PERIOD_S = 3.0
 REFUSING_STATUSES = (429, 503)
-# A source that stays cut off from the store is rarely tried: its readers leave another.
 RECOVERY_FACTOR = 2.0  # of the fallback delay, after the store was lost
+# A source that stays cut off from the store is rarely tried: its readers leave another.
 EJECTION_POLICY = EjectionPolicy(n_failures=1, base_s=2.0, limit_s=30.0)
-MIN_PROBE_FAILURES = 2  # after which a source has lost the store
 
 
 class ChangeFeed:
@@ -95,11 +95,14 @@
         self._transport = transport
         self._timers = timers
         self._fallback_delay_s = FALLBACK_FRACTION * drain_s
+        self._availability = StoreAvailability(
+            RECOVERY_FACTOR * self._fallback_delay_s, rng
+        )
         self._server = ChangeFeedServer(
             self._states_by_kind,
             timers,
             is_store_live=self._is_store_live,
-            is_store_lost=lambda: self._n_probe_failures >= MIN_PROBE_FAILURES,
+            is_store_lost=lambda: self._availability.is_lost,
             request_watch=self._request_watch,
             catch_up=self._catch_up,
         )
@@ -109,11 +112,6 @@
         self._former_source_id: HostId = ""
         self._is_watching = False
         self._is_following = False
-        self._probed_at_s = float("-inf")
-        self._rng = rng
-        self._n_probe_failures = 0
-        self._next_probe_at_s = float("-inf")
-        self._may_follow_at_s = float("-inf")
         self._task: asyncio.Task[None] | None = None
         self._reading: asyncio.Task[None] | None = None
         self._probe: asyncio.Task[None] | None = None
@@ -219,22 +217,22 @@
 
     async def _stop_watching(self) -> None:
         self._is_watching = self._is_following = False
-        self._probed_at_s = float("-inf")
+        self._availability.forget()
         for follower in self._followers:
             await follower.close()
 
     def _is_store_live(self) -> bool:
-        age_s = self._timers.now() - self._probed_at_s
         return (
             self._is_following
-            and age_s <= MAX_PROBE_AGE_S
+            and self._availability.is_proved(self._timers.now())
             and all(follower.is_current for follower in self._followers)
         )
 
     def _start_probe(self) -> None:
         if not self._is_watching or not (self._probe is None or self._probe.done()):
             return
-        if self._timers.now() >= self._next_probe_at_s or self._server.n_readers:
+        is_needed = self._is_first_source or self._server.n_readers
+        if is_needed or self._availability.is_probe_due(self._timers.now()):
             self._probe = asyncio.ensure_future(self._probe_store())
 
     async def _probe_store(self) -> None:
@@ -250,11 +248,10 @@
         if failure:
             await self._record_store_failure(failure)
             return
-        self._probed_at_s = sent_at_s
+        is_back = self._availability.record_answer(sent_at_s)
         self._server.notify_progress()
         self._ejection.record_success(self._view.own.host_id)
-        if self._n_probe_failures:
-            self._n_probe_failures = 0
+        if is_back and not self._is_first_source:
             self._prefer_sources()
         if self._is_following:
             return
@@ -267,8 +264,11 @@
 
     @property
     def _is_recovering(self) -> bool:
-        """Whether the store is back, and this host still waits for another source."""
-        return self._timers.now() < self._may_follow_at_s
+        return self._availability.is_recovering(self._timers.now())
+
+    @property
+    def _is_first_source(self) -> bool:
+        return self._sources()[0].host_id == self._view.own.host_id
 
     def _prefer_sources(self) -> None:
         """Ask other hosts again, since the store that was lost is back for them too.
@@ -276,16 +276,11 @@
         If all hosts followed it at once, each would list all objects. This host does so
         if no other one has delivered by the time in which they recover.
         """
-        sources = self._sources()
-        if sources[0].host_id == self._view.own.host_id:
-            return
-        for host in sources:
+        for host in self._sources():
             self._ejection.record_success(host.host_id)
         if self._reading is not None and not self._source_id:
             self._reading.cancel()  # it may wait for a host that waits as well
-        self._may_follow_at_s = self._timers.now() + RECOVERY_FACTOR * (
-            self._fallback_delay_s
-        )
+        self._availability.start_recovery(self._timers.now())
         self._review_due.set()
 
     async def _record_store_failure(self, failure: str) -> None:
@@ -294,26 +289,16 @@
         The store's history may lack the changes missed meanwhile.
         """
         own_id = self._view.own.host_id
-        self._back_off_probes()
         if self._is_following:
             logger.warning("store does not answer", extra={"reason": failure})
         self._is_following = False
-        self._probed_at_s = float("-inf")
+        self._availability.record_failure(self._timers.now())
         for follower in self._followers:
             await follower.close()
             follower.state.record_store_failure(self._timers.now())
         self._ejection.record_failure(own_id, self._timers.now())
         self._review_due.set()
 
-    def _back_off_probes(self) -> None:
-        self._n_probe_failures += 1
-        backoff_s = min(
-            PROBE_PERIOD_S * 2.0 ** min(self._n_probe_failures, 8), MAX_PROBE_BACKOFF_S
-        )
-        if self._sources()[0].host_id != self._view.own.host_id:
-            jitter = self._rng.uniform(0.5, 1.0)
-            self._next_probe_at_s = self._timers.now() + backoff_s * jitter
-
     def _request_watch(self) -> None:
         """Switch to watching the store, since another host asks for the feed."""
         self._watch()
@@ -373,8 +358,6 @@
         extra = {"host": source.host_id, "former_host": self._former_source_id}
         logger.info("news of the store heard from host", extra=extra)
         self._source_id = source.host_id
-        self._n_probe_failures = 0
-        self._next_probe_at_s = self._may_follow_at_s = float("-inf")
         self._cancel_fallback()
         await self._stop_watching()
 
--- a/libs/routing/features/steps/slot_pool_machine.py
+++ b/libs/routing/features/steps/slot_pool_machine.py
@@ -30,7 +30,7 @@
     def _record_held(self, ticket, runner_id, now_s):
         super()._record_held(ticket, runner_id, now_s)
         if ticket.request_id.endswith("7"):
-            self._used_by_runner[runner_id] -= 1
+            self._held.used_by_runner[runner_id] -= 1
 
 
 class BatchFirstPool(SlotPool):
--- a/libs/routing/src/damaskjunction/routing/slots.py
+++ b/libs/routing/src/damaskjunction/routing/slots.py
@@ -7,21 +7,19 @@
 
 from __future__ import annotations
 
-from collections import Counter
 from collections.abc import Collection, Iterable, Mapping
 
 from damaskjunction.core import RequestId, RunnerId, WorkClass
 from damaskjunction.routing.batch_queue import BatchQueue
 from damaskjunction.routing.batch_reserve import n_reserved_slots
 from damaskjunction.routing.ejection import EjectionPolicy, OutlierEjection
-from damaskjunction.routing.hold_times import HoldTimes
+from damaskjunction.routing.held_slots import HeldSlots
 from damaskjunction.routing.online_queue import OnlineQueue
 from damaskjunction.routing.prefix_cache import PrefixCacheEstimate
 from damaskjunction.routing.rate_limits import BATCH_TOKENS, RateLimiter, RunnerLimit
 from damaskjunction.routing.slot_demand import SlotDemand
 from damaskjunction.routing.slot_types import (
     GrantSlot,
-    HeldSlot,
     RefuseSlot,
     RevokeSlot,
     SlotCounts,
@@ -32,8 +30,6 @@
 from damaskjunction.routing.unseen_requests import UnseenRequests
 from damaskjunction.routing.wait_forecast import RunnerSupply, WaitForecast
 
-INITIAL_HOLD_TIME_S = 0.5
-INITIAL_BATCH_HOLD_TIME_S = 2.0
 MIN_RETRY_AFTER_S = 0.1
 PREFIX_WEIGHT = 0.6  # of the cached fraction; the free fraction has weight 1
 MAX_BATCH_QUEUE = 4096
@@ -58,18 +54,12 @@
     def __init__(self, *, batch_rule: str = "in_time_first") -> None:
         self._slots_by_runner: dict[RunnerId, int] = {}
         self._versions = RunnerVersions()
-        self._online_held_by_id: dict[RequestId, HeldSlot] = {}
-        self._batch_held_by_id: dict[RequestId, HeldSlot] = {}
-        self._revoked_ids: set[RequestId] = set()
-        self._used_by_runner: Counter[RunnerId] = Counter()
-        self._online_by_runner: Counter[RunnerId] = Counter()
+        self._held = HeldSlots()
         self._waiting_online = OnlineQueue()
         self._waiting_batch = BatchQueue(batch_rule)
         self._prefix_cache = PrefixCacheEstimate()
         self._ejection = OutlierEjection(FAILURE_EJECTION)
         self._rate_limiter = RateLimiter()
-        self._online_holds = HoldTimes(INITIAL_HOLD_TIME_S)
-        self._batch_holds = HoldTimes(INITIAL_BATCH_HOLD_TIME_S)
         self._unseen = UnseenRequests()
         self._batch_starts_at_s = 0.0
 
@@ -78,8 +68,8 @@
         """Current counts of slots, their holders and waiting requests."""
         return SlotCounts(
             sum(self._slots_by_runner.values()),
-            len(self._online_held_by_id),
-            len(self._batch_held_by_id),
+            len(self._held.online_by_id),
+            len(self._held.batch_by_id),
             len(self._waiting_online),
             len(self._waiting_batch),
         )
@@ -123,7 +113,7 @@
         if any(name not in excluded for name in self._slots_by_runner):
             return None
         reason = "runners_failed" if self._slots_by_runner else "no_runner"
-        return RefuseSlot(request_id, reason, self._online_holds.mean_s)
+        return RefuseSlot(request_id, reason, self._held.online_times.mean_s)
 
     def submit(self, ticket: SlotTicket, now_s: float) -> list[SlotEffect]:
         """Grant a request a slot, queue it or refuse it.
@@ -156,7 +146,7 @@
         self, runner_id: RunnerId, n_requests: int, now_s: float
     ) -> list[SlotEffect]:
         """Process a runner's own count of requests."""
-        n_held = self._used_by_runner[runner_id]
+        n_held = self._held.used_by_runner[runner_id]
         self._unseen.observe_report(runner_id, n_requests, n_held, now_s)
         return self._dispatch(now_s)
 
@@ -177,18 +167,8 @@
         """Free the slot of a request, or remove the request from the queue."""
         self._waiting_online.discard(request_id)
         self._waiting_batch.discard(request_id)
-        was_revoked = request_id in self._revoked_ids
-        self._revoked_ids.discard(request_id)
-        held = self._online_held_by_id.pop(request_id, None)
+        held = self._held.remove(request_id, now_s)
         if held is not None:
-            self._online_by_runner[held.runner_id] -= 1
-            self._online_holds.observe(now_s - held.since_s)
-        else:
-            held = self._batch_held_by_id.pop(request_id, None)
-            if held is not None and not was_revoked:
-                self._batch_holds.observe(now_s - held.since_s)
-        if held is not None:
-            self._used_by_runner[held.runner_id] -= 1
             self._unseen.record_release(held.runner_id, now_s)
         return self._dispatch(now_s)
 
@@ -223,9 +203,9 @@
         """Return the state for the diagnostic dump."""
         return {
             **self.counts._asdict(),
-            "hold_s": round(self._online_holds.mean_s, 4),
-            "batch_hold_s": round(self._batch_holds.mean_s, 4),
-            "used_by_runner": dict(self._used_by_runner),
+            "hold_s": round(self._held.online_times.mean_s, 4),
+            "batch_hold_s": round(self._held.batch_times.mean_s, 4),
+            "used_by_runner": dict(self._held.used_by_runner),
             "slots_by_runner": dict(self._slots_by_runner),
             "unseen_by_runner": dict(self._unseen.n_by_runner),
             "limit_per_s_by_runner": self._rate_limiter.to_document(),
@@ -244,12 +224,12 @@
             supplies.append(
                 RunnerSupply(
                     n_slots,
-                    n_slots - self._online_by_runner[runner_id],
+                    n_slots - self._held.online_by_runner[runner_id],
                     self._rate_limiter.tokens(runner_id, now_s),
                     self._rate_limiter.limit_per_s(runner_id),
                 )
             )
-        return WaitForecast(supplies, self._online_holds.mean_s)
+        return WaitForecast(supplies, self._held.online_times.mean_s)
 
     def _dispatch(self, now_s: float) -> list[SlotEffect]:
         """Grant free slots; revoke batch slots if online requests still wait.
@@ -295,7 +275,7 @@
         return free_by_runner
 
     def _n_free_slots(self, runner_id: RunnerId) -> int:
-        n_taken = self._used_by_runner[runner_id] + self._unseen.n_at(runner_id)
+        n_taken = self._held.used_by_runner[runner_id] + self._unseen.n_at(runner_id)
         return self._slots_by_runner[runner_id] - n_taken
 
     def _choose_runner(
@@ -360,13 +340,7 @@
     def _record_held(
         self, ticket: SlotTicket, runner_id: RunnerId, now_s: float
     ) -> None:
-        held = HeldSlot(ticket, runner_id, now_s)
-        if ticket.work_class is WorkClass.ONLINE:
-            self._online_held_by_id[ticket.request_id] = held
-            self._online_by_runner[runner_id] += 1
-        else:
-            self._batch_held_by_id[ticket.request_id] = held
-        self._used_by_runner[runner_id] += 1
+        self._held.add(ticket, runner_id, now_s)
         self._prefix_cache.record(runner_id, ticket.parts)
 
     def _revoke(self, demand: SlotDemand, now_s: float) -> list[SlotEffect]:
@@ -375,18 +349,18 @@
         Slots that are revoked but not released yet count towards the demand. Those of
         runners that take no request now are left, as they would help nobody.
         """
-        for request_id in self._revoked_ids:
-            demand.take(self._batch_held_by_id[request_id].runner_id)
+        for request_id in self._held.revoked_ids:
+            demand.take(self._held.batch_by_id[request_id].runner_id)
         effects: list[SlotEffect] = []
-        for request_id, held in reversed(self._batch_held_by_id.items()):
+        for request_id, held in reversed(self._held.batch_by_id.items()):
             if demand.is_met:
                 break
-            if request_id in self._revoked_ids:
+            if request_id in self._held.revoked_ids:
                 continue
             has_tokens = self._rate_limiter.tokens(held.runner_id, now_s) >= 1.0
             if has_tokens and demand.take(held.runner_id):
                 effects.append(RevokeSlot(request_id))
-        self._revoked_ids.update(effect.request_id for effect in effects)
+        self._held.revoked_ids.update(effect.request_id for effect in effects)
         return effects
 
     def _grant_batch(
@@ -408,7 +382,7 @@
         n_available = sum(free_by_runner.values()) - n_reserved
         skipped: list[SlotTicket] = []
         while n_available > 0:
-            ticket = self._waiting_batch.pop(now_s, self._batch_holds.high_s)
+            ticket = self._waiting_batch.pop(now_s, self._held.batch_times.high_s)
             if ticket is None:
                 break
             runner_id = self._choose_runner(ticket, free_by_runner)
