--- a/libs/gateway/features/change_feed_components.feature
+++ b/libs/gateway/features/change_feed_components.feature
@@ -53,6 +53,13 @@
       | watch  |
       | change |
 
+  Scenario: A source that starts lists all objects once
+    Given a follower of the kind whose nothing fails unexpectedly once
+    When it takes a snapshot and follows the store from there
+    And "b" is added to the store
+    Then the follower knows "b"
+    And it has listed all objects 1 time in all
+
   Scenario: A host that starts reads the store once, and follows it only as a source
     When a host starts whose source is another one
     Then it has listed all objects 1 time and not followed the store
--- a/libs/gateway/features/steps/change_feed_component_steps.py
+++ b/libs/gateway/features/steps/change_feed_component_steps.py
@@ -222,6 +222,7 @@
         self.failing = failing
         self.known = set()
         self.added = asyncio.Event()
+        self.n_lists = 0
 
     def _fail_once(self, what):
         if self.failing == what:
@@ -229,6 +230,7 @@
             raise KeyError(what)
 
     async def list_all(self, kind):
+        self.n_lists += 1
         self._fail_once("list")
         objects = (make_object("b", 8),) if self.added.is_set() else ()
         return ObjectPage(objects, "", 8 if objects else 5)
@@ -261,6 +263,22 @@
     context.asyncio_runner.run(work())
 
 
+@when("it takes a snapshot and follows the store from there")
+def follow_from_snapshot(context):
+    async def work():
+        await context.follower.close()
+        context.store.n_lists = 0
+        await context.follower.take_snapshot()
+        await context.follower.start()
+
+    context.asyncio_runner.run(work())
+
+
+@then("it has listed all objects {count:d} time in all")
+def check_lists(context, count):
+    assert context.store.n_lists == count, context.store.n_lists
+
+
 @when('"{name}" is added to the store')
 def add_to_store(context, name):
     context.store.added.set()
--- a/libs/gateway/src/damaskjunction/gateway/store/kind_follower.py
+++ b/libs/gateway/src/damaskjunction/gateway/store/kind_follower.py
@@ -53,6 +53,7 @@
         self._task: asyncio.Task[None] | None = None
         self._n_failures = 0
         self._is_current = False
+        self._snapshot_revision: Revision | None = None
 
     @property
     def is_current(self) -> bool:
@@ -62,13 +63,15 @@
     async def start(self) -> None:
         """Start with a list of all objects, even if a revision is already known.
 
-        The store may lose changes after a known revision without reporting it.
+        The store may lose changes after a known revision without reporting it. Only a
+        snapshot that was taken just before is gone on from.
         """
         self._task = asyncio.ensure_future(self._run())
 
     async def close(self) -> None:
         """Stop following; the state keeps the last objects."""
         self._is_current = False
+        self._snapshot_revision = None
         task, self._task = self._task, None
         if task is not None:
             await cancel_tasks([task])
@@ -76,7 +79,7 @@
     async def take_snapshot(self) -> None:
         """List all objects once, if the store answers, without following them."""
         try:
-            await self._list()
+            self._snapshot_revision = await self._list()
         except PlatformError as error:
             extra = {"kind": self.state.kind, "error": str(error)}
             logger.warning("no snapshot of the store", extra=extra)
@@ -89,7 +92,8 @@
         await self.start()
 
     async def _run(self) -> None:
-        since: Revision | None = None
+        since, self._snapshot_revision = self._snapshot_revision, None
+        self._is_current = since is not None
         while True:
             try:
                 if since is None:
