--- a/libs/gateway/features/steps/left_lying_steps.py
+++ b/libs/gateway/features/steps/left_lying_steps.py
@@ -43,7 +43,7 @@
 
     async def work():
         pool = home(context).home._pool(SERVICE)
-        pool._used_by_runner["r1"] += SLOTS
+        pool._held.used_by_runner["r1"] += SLOTS
 
     context.runner.run(work())
 
--- a/libs/gateway/features/steps/owed_fleet_steps.py
+++ b/libs/gateway/features/steps/owed_fleet_steps.py
@@ -327,7 +327,7 @@
     await start_home(home)
     if home._state.view.own.host_id == HOSTS[0]:
         pool = home._pool(SERVICE)
-        pool._used_by_runner.update(dict.fromkeys(RUNNERS, SLOTS))
+        pool._held.used_by_runner.update(dict.fromkeys(RUNNERS, SLOTS))
 
 
 def acquire_for_ever(client, ask, on_ask, is_wanted):
--- a/libs/gateway/src/damaskjunction/gateway/store/followed_kinds.py
+++ b/libs/gateway/src/damaskjunction/gateway/store/followed_kinds.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from damaskjunction.gateway.jobs.job_repository import JobRepository
@@ -49,7 +50,6 @@
         The kinds of the system's own that others own.
     """
     runners = KindState(RUNNERS_KIND, state.replace_runners, state.apply_runner_change)
-    state.set_outage_source(lambda: runners.failed_at_s)
     configuration = KindState(
         CONFIGURATION_KIND,
         state.apply_configurations,
@@ -61,6 +61,8 @@
         job_repository.apply_change,
         without_items,
     )
+    states = (configuration, runners, hosts, suspects, versions, jobs)
+    state.set_outage_source(lambda: latest_failure_s(states))
     return (
         FollowedKind(CONFIGURATION_COALESCE_S, configuration),
         FollowedKind(RUNNERS_COALESCE_S, runners),
@@ -69,3 +71,12 @@
         FollowedKind(VERSIONS_COALESCE_S, versions),
         FollowedKind(JOBS_COALESCE_S, jobs),
     )
+
+
+def latest_failure_s(states: Iterable[KindState]) -> float | None:
+    """Return when a call for any kind failed last, None if none has.
+
+    An outage may fall between two calls for one kind.
+    """
+    times_s = [s.failed_at_s for s in states if s.failed_at_s is not None]
+    return max(times_s, default=None)
