--- a/libs/routing/features/steps/batch_overload_steps.py
+++ b/libs/routing/features/steps/batch_overload_steps.py
@@ -65,12 +65,11 @@
 def n_best(times):
     """Return how many requests the best order ends in time.
 
-    Each slot serves whole requests, one after another, from the first arrival until the
-    last request is due.
+    The slots are filled from the first arrival until the last request is due.
     """
     n_slots = N_RUNNERS * N_SLOTS_EACH - N_RESERVED
     n_requests = int(times * n_slots / MEAN_WORK_S * ARRIVALS_S)
-    return min(n_requests, n_slots * int((ARRIVALS_S + DUE_S) / MEAN_WORK_S))
+    return min(n_requests, n_slots * (ARRIVALS_S + DUE_S) / MEAN_WORK_S)
 
 
 def n_in_time(served):
--- a/tools/check.py
+++ b/tools/check.py
@@ -94,7 +94,7 @@
         for element in feature.get("elements", []):
             if element["type"] == "background" or element["status"] == "skipped":
                 continue
-            name = f"{suite}: {feature['name']}: {element['name']}"
+            name = f"{suite}: {feature['name']}: {element['name'].strip()}"
             results.append(Result(name, scenario_failure(element, log)))
     return results
 
