--- a/review/rig.py
+++ b/review/rig.py
@@ -200,6 +200,8 @@
                 await asyncio.sleep(3600)
             await asyncio.sleep(0.004)
             status, document = await self._do(method, kind, name, sub, query, body)
+            if method == "GET" and (reader.at_eof() or reader.exception()):
+                return  # the watch was ended by its host meanwhile
             if method != "GET":
                 self.done(label, method, kind, name, status)
             if self.loses_answer(label, kind, "Watch" in query, document):
