--- a/review/rig.py
+++ b/review/rig.py
@@ -146,10 +146,16 @@
         self.objects: dict[str, dict[str, dict]] = {}
         self.events: list[tuple[int, str, dict, bool]] = []
         self._changed = asyncio.Event()
+        self._waiting: list[tuple[str, str, asyncio.StreamReader]] = []
         self.fault = lambda *call: None
         self.done = lambda *call: None
         self.loses_answer = lambda host, kind, is_watch, document: False
 
+    def watchers(self, kind: str) -> list[str]:
+        """Return the machines that wait for changes of a kind."""
+        return sorted(label for label, watched, reader in self._waiting
+                      if watched == kind and not (reader.at_eof() or reader.exception()))
+
     def put(self, kind: str, name: str, spec=None, status=None) -> dict:
         old = self.objects.setdefault(kind, {}).get(name)
         self.revision += 1
@@ -199,7 +205,12 @@
             if fault and fault[0] == "silent":
                 await asyncio.sleep(3600)
             await asyncio.sleep(0.004)
-            status, document = await self._do(method, kind, name, sub, query, body)
+            call = (label, kind if "Watch" in query else "", reader)
+            self._waiting.append(call)
+            try:
+                status, document = await self._do(method, kind, name, sub, query, body)
+            finally:
+                self._waiting.remove(call)
             if method == "GET" and (reader.at_eof() or reader.exception()):
                 return  # the watch was ended by its host meanwhile
             if method != "GET":
