--- a/review/rig.py
+++ b/review/rig.py
@@ -564,11 +564,17 @@
     record = Record(Path(folder))
     is_troubled = os.environ.get("TROUBLE", "1") != "0"
     record(f"with{'' if is_troubled else 'out'} the disruption")
+
+    async def run() -> bool:
+        task = asyncio.current_task()
+        assert task is not None
+        # The case ends its processes also when its time is up.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+        return await case(record, is_troubled)
+
     try:
-        held = asyncio.run(case(record, is_troubled))
-    except SystemExit:
-        raise
-    except Exception as error:  # noqa: BLE001
+        held = asyncio.run(run())
+    except (Exception, asyncio.CancelledError) as error:  # noqa: BLE001
         record(f"the case could not run: {error!r}")
         raise SystemExit(2) from None
     record("the rule held" if held else "the rule was BROKEN")
