Take a write to the store as undone only if both ways left it undone

Cause: a write is made directly and through another host. When neither way brought a response, the outcome of the direct call alone was reported. That one was refused, so it had no effect; the relayed one was done and not answered. The log did not tell the two outcomes apart, so a write that gets no response now logs both.

Change: the less certain of the two failures counts. A refusal stands only if both ways are known to have had no effect.

Looked at for the same: the outcome of an online request over its attempts, of a request at a home of the product's own protocol, of the repeated put of JobStore and of relays tried one after another; each keeps the worst outcome.

--- /dev/null
+++ b/libs/gateway/features/steps/two_way_steps.py
@@ -0,0 +1,96 @@
+"""Steps of the feature on calls to the store that are made two ways."""
+
+from __future__ import annotations
+
+import random
+from types import SimpleNamespace
+
+from behave import given, then, when
+from fake_homes import make_host
+from fleet_helpers import run
+
+from damaskjunction.core import (
+    ManualTimers,
+    Outcome,
+    PlatformUnavailableError,
+    PlatformUnknownError,
+    RequestError,
+)
+from damaskjunction.gateway.store.relayed_transport import RelayedTransport
+from damaskjunction.platform import StoreClient, StoreReply
+from damaskjunction.wire import StoreAnswer
+
+STORED = b'{"Metadata": {"Name": "j1", "Revision": 7, "CreateRev": 7}, "Spec": {}}'
+STATUSES_BY_FATE = {"done": 200, "turned away": 503}
+
+
+class FakeDirect:
+    """The direct transport; ``fate`` is what becomes of each call."""
+
+    def __init__(self, fate):
+        self.fate = fate
+
+    async def send(self, method, target, body, stall_s):
+        if self.fate == "refused":
+            raise PlatformUnavailableError("connection refused")
+        if self.fate == "unanswered":
+            raise PlatformUnknownError("connection reset")
+        return StoreReply(STATUSES_BY_FATE[self.fate], STORED)
+
+
+class FakeRelays:
+    """The links to other hosts; ``fate`` is what becomes of each relayed call."""
+
+    def __init__(self, fate):
+        self.fate = fate
+
+    async def ask(self, address, lane, call):
+        if self.fate == "refused":
+            raise RequestError(Outcome.NOT_RUN, "store_lost")
+        if self.fate == "unanswered":
+            raise RequestError(Outcome.UNKNOWN, "link_lost")
+        return StoreAnswer(STATUSES_BY_FATE[self.fate], STORED)
+
+
+def make_view():
+    own, other = make_host(1, "h1"), make_host(2, "h2")
+    return SimpleNamespace(own=own, serving_hosts=lambda: [own, other])
+
+
+async def outcome_of(call):
+    try:
+        await call
+    except PlatformUnavailableError:
+        return "unavailable"
+    except PlatformUnknownError:
+        return "unknown"
+    return "done"
+
+
+@given("a host whose direct {call} the store is {direct}, and {relayed} through others")
+def make_transport(context, call, direct, relayed):
+    own_way, others = FakeDirect("turned away"), FakeRelays("turned away")
+    transport = RelayedTransport(
+        own_way, make_view(), others, ManualTimers(), random.Random(1)
+    )
+    context.client = StoreClient(transport)
+    if direct == "not made":
+        # An earlier call shows that the direct way does not work; no other takes it.
+        run(context, outcome_of(context.client.get("jobs", "j0")))
+        direct = "done"
+    own_way.fate, others.fate = direct, relayed
+
+
+@when("it writes to the store")
+def write(context):
+    context.outcome = run(context, outcome_of(context.client.create("jobs", "j1", {})))
+
+
+@when("it reads from the store")
+def read(context):
+    context.outcome = run(context, outcome_of(context.client.get("jobs", "j1")))
+
+
+@then("the outcome of the {call} is {outcome}")
+def check_outcome(context, call, outcome):
+    assert context.outcome == outcome, context.outcome
--- a/libs/gateway/src/damaskjunction/gateway/store/relayed_transport.py
+++ b/libs/gateway/src/damaskjunction/gateway/store/relayed_transport.py
@@ -129,8 +129,10 @@
 
         Raises
         ------
-        PlatformUnavailableError, PlatformUnknownError
-            When neither gets a response.
+        PlatformUnavailableError
+            When neither gets a response, and neither call had an effect.
+        PlatformUnknownError
+            When neither gets a response, and either may have had an effect.
         """
         if direct is not None and direct.done() and _has_response(direct):
             return direct.result()
@@ -150,7 +152,24 @@
                         return task.result()
         finally:
             await cancel_tasks([relayed])
-        return (direct or relayed).result()
+        return self._merge_failures(call, direct, relayed)
+
+    def _merge_failures(
+        self,
+        call: StoreCall,
+        direct: asyncio.Task[StoreReply] | None,
+        relayed: asyncio.Task[StoreReply],
+    ) -> StoreReply:
+        """Return the refusal of a call, or raise the less certain of two failures."""
+        if call.method != "GET":
+            extra = {
+                "call": f"{call.method} {call.target}",
+                "direct": "not made" if direct is None else _describe(direct),
+                "relayed": _describe(relayed),
+            }
+            logger.warning("write to the store not acknowledged", extra=extra)
+        unknown = [task for task in (direct, relayed) if task and _is_unknown(task)]
+        return (*unknown, direct or relayed)[0].result()
 
     def _hedge_delay_s(self) -> float:
         return max(MIN_HEDGE_DELAY_S, HEDGE_DELAY_FACTOR * self._latency_s)
@@ -255,3 +274,14 @@
     if task.cancelled() or task.exception() is not None:
         return False
     return task.result().status not in REFUSING_STATUSES
+
+
+def _is_unknown(task: asyncio.Task[StoreReply]) -> bool:
+    """Return whether a call that failed may have had an effect."""
+    return isinstance(task.exception(), PlatformUnknownError)
+
+
+def _describe(task: asyncio.Task[StoreReply]) -> str:
+    """Return what became of a call that got no response, for logs."""
+    error = task.exception()
+    return f"status {task.result().status}" if error is None else repr(error)
