Do not refuse the end of a job as undone where it may have been stored

Callers saw (by test): the end of a batch job whose write got no response was answered 503, which promises that nothing was done, and the job could end.

Cause: one handler made 503 of both failures of the store, where the submission of a job told them apart.

Change: an end whose write may have been done is answered 502, as a submission.

Measured: the example "unanswered" of the new outline got 503 before, 502 now.

--- a/libs/gateway/features/steps/two_way_steps.py
+++ b/libs/gateway/features/steps/two_way_steps.py
@@ -7,7 +7,9 @@
 
 from behave import given, then, when
 from fake_homes import make_host
+from fake_store import FakeStore
 from fleet_helpers import run
+from job_worker_steps import make_items, make_record
 
 from damaskjunction.core import (
     ManualTimers,
@@ -16,8 +18,11 @@
     PlatformUnknownError,
     RequestError,
 )
+from damaskjunction.gateway.jobs.job_front import JobFront
+from damaskjunction.gateway.jobs.job_repository import JobRepository
 from damaskjunction.gateway.store.relayed_transport import RelayedTransport
-from damaskjunction.platform import StoreClient, StoreReply
+from damaskjunction.http import BodyReader, Request
+from damaskjunction.platform import JOB_PATH_PREFIX, StoreClient, StoreReply
 from damaskjunction.wire import StoreAnswer
 
 STORED = b'{"Metadata": {"Name": "j1", "Revision": 7, "CreateRev": 7}, "Spec": {}}'
@@ -94,3 +99,33 @@
 @then("the outcome of the {call} is {outcome}")
 def check_outcome(context, call, outcome):
     assert context.outcome == outcome, context.outcome
+
+
+# Ends of jobs
+
+
+@given("a job whose end is {fate} to the store")
+def make_job_to_end(context, fate):
+    store = FakeStore()
+    jobs = JobRepository(store)
+    run(context, jobs.accept(make_record("j1", ["i1"]), make_items(["i1"])))
+    store.is_away = fate == "refused"
+    store.loses_answers = fate == "unanswered"
+
+    class Notifier:
+        async def announce(self, job):
+            """Tell no host."""
+
+    context.front = JobFront(jobs, None, Notifier(), state=None, timers=ManualTimers())
+
+
+@when("a caller ends the job")
+def end_job(context):
+    path = JOB_PATH_PREFIX + "j1"
+    request = Request("DELETE", path, {}, {}, BodyReader(None, 0), path)
+    context.response = run(context, context.front.serve(request))
+
+
+@then("the caller is answered with {status:d}")
+def check_answer(context, status):
+    assert context.response.status == status, context.response
--- a/libs/gateway/features/two_ways_to_store.feature
+++ b/libs/gateway/features/two_ways_to_store.feature
@@ -36,3 +36,15 @@
       | refused     | unanswered  |
       | unanswered  | refused     |
       | turned away | unanswered  |
+
+  # Guards against the promise that a job was not ended, where it may have been
+  Scenario Outline: The end of a job is refused as not done only if it provably was not
+    Given a job whose end is <written> to the store
+    When a caller ends the job
+    Then the caller is answered with <status>
+
+    Examples:
+      | written      | status |
+      | refused      | 503    |
+      | unanswered   | 502    |
+      | done         | 200    |
--- a/libs/gateway/src/damaskjunction/gateway/jobs/job_front.py
+++ b/libs/gateway/src/damaskjunction/gateway/jobs/job_front.py
@@ -10,6 +10,7 @@
     JobId,
     PlatformError,
     PlatformUnavailableError,
+    PlatformUnknownError,
     Timers,
     rendezvous_order,
 )
@@ -124,9 +125,8 @@
             return refusal_response(Refusal.BAD_REQUEST, str(error), request_id=job_id)
         except PlatformUnavailableError as error:
             return self._refuse(job_id, error)
-        except PlatformError as error:
-            self._log("unknown", job_id, error=str(error))
-            return refusal_response(Refusal.UNKNOWN, "the store did not respond")
+        except PlatformUnknownError as error:
+            return self._answer_unknown(job_id, error)
         self._log("accepted", job_id, n_items=len(items), tokens=record.n_tokens)
         return Response(202)
 
@@ -149,8 +149,10 @@
                     return await self._cancel(path.removeprefix(JOB_PATH_PREFIX))
             if path.startswith(ITEM_PATH_PREFIX) and request.method == "GET":
                 return await self._read_item(decode_item_query(request))
-        except PlatformError as error:
+        except PlatformUnavailableError as error:
             return self._refuse(path.rpartition("/")[2], error)
+        except PlatformUnknownError as error:
+            return self._answer_unknown(path.rpartition("/")[2], error)
         return None
 
     async def _read(self, query: ResultsQuery) -> Response:
@@ -208,7 +210,13 @@
             self._log("lookup failed", job_id, error=str(error))
             return None
 
-    def _refuse(self, job_id: JobId, error: PlatformError) -> Response:
+    def _answer_unknown(self, job_id: JobId, error: PlatformUnknownError) -> Response:
+        """Respond to a request of which it is not known whether it took effect."""
+        self._log("unknown", job_id, error=str(error))
+        return refusal_response(Refusal.UNKNOWN, "the store did not respond")
+
+    def _refuse(self, job_id: JobId, error: PlatformUnavailableError) -> Response:
+        """Refuse a request that had no effect."""
         self._log("request failed", job_id, error=str(error))
         return refusal_response(
             Refusal.NOT_RUN, "the store is unavailable", retry_after_s=RETRY_AFTER_S
