Do not report a stored cancellation as not made when a later step fails

Callers of the product's own interface saw (by test): 503 "not_cancelled" for a cancellation that was stored, when the platform failed as the job's chunks or its place in the queue were read after it.

Cause: the failures of all steps of a cancellation came as one error, which the route took for that of the first.

Change: once the cancellation is stored, later failures are logged, and the caller gets 202, "cancelling", as for a holder that can't be reached.

--- a/libs/node/src/damaskjunction/node/jobs/job_cancel.py
+++ b/libs/node/src/damaskjunction/node/jobs/job_cancel.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 
 from damaskjunction.batch import ChunkState, JobDocument, JobState, decode
 from damaskjunction.core import (
@@ -10,6 +11,7 @@
     EntryHost,
     HostId,
     JobId,
+    PlatformError,
     PlatformUnavailableError,
     RequestError,
     Timers,
@@ -20,6 +22,8 @@
 from damaskjunction.node.state import HostView
 from damaskjunction.wire import PeerLinks, StopJob
 
+logger = logging.getLogger(__name__)
+
 CONTROL_LANE = "control"
 STOP_TIMEOUT_S = 1.0
 STOP_RETRY_INTERVAL_S = 0.5
@@ -63,12 +67,15 @@
         """Cancel a job; return its record and whether its work has ended.
 
         Work has ended once each host that held a chunk of the job has confirmed it, or
-        once a full lease duration has passed since the cancellation was stored.
+        once a full lease duration has passed since the cancellation was stored. It may
+        not have ended as long as the chunks can't be read.
 
         Raises
         ------
-        PlatformError
-            When the cancellation was not stored, or the chunks can't be read.
+        PlatformUnavailableError
+            When the cancellation was not stored.
+        PlatformUnknownError
+            When it may have been stored.
         """
         job = await self._store_cancelled(job_id)
         if job["state"] != JobState.CANCELLED:
@@ -76,9 +83,15 @@
         now_s = self._timers.now()
         cancelled_at_s = self._cancelled_at_s_by_job.setdefault(job_id, now_s)
         leases_expired_at_s = cancelled_at_s + self._view.configuration.batch.lease_s
-        has_ended = await self._stop_holders(job, leases_expired_at_s)
+        try:
+            has_ended = await self._stop_holders(job, leases_expired_at_s)
+            if has_ended:
+                await self._store.remove_from_queue(job_id)
+        except PlatformError as error:
+            extra = {"job": job_id, "error": str(error)}
+            logger.warning("holders of a cancelled job not stopped", extra=extra)
+            return job, False
         if has_ended:
-            await self._store.remove_from_queue(job_id)
             self._cancelled_at_s_by_job.pop(job_id, None)
         return job, has_ended
 
