Do not take an unreadable object under a job's id for proof that it was refused

Cause: the object in a 409 was read as if it were the result of a read, whose failure means that nothing was done.

Change: an object that a write was answered with and that can't be read leaves the outcome of the write unknown, for 409 as for 200.

--- a/libs/gateway/features/steps/two_way_steps.py
+++ b/libs/gateway/features/steps/two_way_steps.py
@@ -101,6 +101,15 @@
     assert context.outcome == outcome, context.outcome
 
 
+@given("a host to whose write the store answers that the object exists, illegibly")
+def make_illegible_answer(context):
+    class Transport:
+        async def send(self, method, target, body, stall_s):
+            return StoreReply(409, b"{")
+
+    context.client = StoreClient(Transport())
+
+
 # Ends of jobs
 
 
--- a/libs/gateway/features/two_ways_to_store.feature
+++ b/libs/gateway/features/two_ways_to_store.feature
@@ -37,6 +37,12 @@
       | unanswered  | refused     |
       | turned away | unanswered  |
 
+  # Guards against a refusal of a job that the store holds
+  Scenario: A job whose id is taken by an object that can't be read may be accepted
+    Given a host to whose write the store answers that the object exists, illegibly
+    When it writes to the store
+    Then the outcome of the write is unknown
+
   # Guards against the promise that a job was not ended, where it may have been
   Scenario Outline: The end of a job is refused as not done only if it provably was not
     Given a job whose end is <written> to the store
--- a/libs/platform/src/damaskjunction/platform/store.py
+++ b/libs/platform/src/damaskjunction/platform/store.py
@@ -193,15 +193,13 @@
         if reply.status == 404:
             raise ObjectConflictError(f"{kind}/{name} does not exist", None)
         if reply.status == 409:
-            current = decode_object(kind, reply.body)
+            # The object may be this call's own, written by a hedge of it.
             raise ObjectConflictError(
-                f"{kind}/{name} has another revision or already exists", current
+                f"{kind}/{name} has another revision or already exists",
+                _read_written(kind, reply.body),
             )
         check_write(reply.status)
-        try:
-            return decode_object(kind, reply.body)
-        except PlatformUnavailableError as error:
-            raise PlatformUnknownError(str(error)) from None
+        return _read_written(kind, reply.body)
 
     async def _call(
         self,
@@ -231,6 +229,20 @@
         counts[result] = counts.get(result, 0) + 1
 
 
+def _read_written(kind: str, body: bytes) -> PlatformObject:
+    """Return the object that a write was answered with.
+
+    Raises
+    ------
+    PlatformUnknownError
+        If it can't be read, so that it is not known what is stored.
+    """
+    try:
+        return decode_object(kind, body)
+    except PlatformUnavailableError as error:
+        raise PlatformUnknownError(str(error)) from None
+
+
 def _call_label(method: str, target: str) -> str:
     """Return the label under which a call is counted: method (or WATCH) and kind."""
     kind = target.removeprefix(OBJECTS_PATH + "/").partition("?")[0].partition("/")[0]
