Keep a runner without an entry only until entries are back after an outage

Cause: entries may expire in an outage and return within about 2 s of its end, so removals were deferred by 2.2 s each while a read had failed in the last 4 s. The failed read stood for an outage, and the time of the removal for that of the outage's end. A removal 3.4 s after the outage can't be an expiry; and a watch that was cut off while the store was well deferred removals just so.

Change: hosts record when the store answers, themselves or the host that they read from. A silence of 1.5 renewal intervals or more is an outage; a removal is deferred until 2.2 s after its end, at once over after that. A reader takes an outage from its source only if it heard nothing itself meanwhile. While the store is away once more, runners whose time is not up are kept.

The scenario in which only the watcher observes an outage is replaced by an outage that hosts read about: one that other hosts did not notice did not make entries expire. The outage in which an entry expires lasts the entry's life now.

Ruled out: late news of the removal. In the record of the case before, requests to the runner go on for 2.2 s at each host, from the moment of the removal.

--- a/libs/gateway/features/online.feature
+++ b/libs/gateway/features/online.feature
@@ -126,6 +126,13 @@
     Then a caller still gets status 200 for "/look/1" at each host
     And runner "p1" is removed within 3 s
 
+  # Guards against requests to a runner that left well after an outage (review/5)
+  Scenario: A runner that leaves after an outage is not taken for one that is to return
+    Given plain runners "p1"
+    And the store refuses every call
+    When the entry of runner "p1" is removed 3.4 s after the store is back
+    Then runner "p1" is removed within 1 s
+
   Scenario: A request that crashes engines is refused after three crashes
     Given engines "e1,e2,e3"
     And every engine crashes on each request
--- a/libs/gateway/features/steps/change_feed_component_steps.py
+++ b/libs/gateway/features/steps/change_feed_component_steps.py
@@ -22,6 +22,7 @@
 )
 from damaskjunction.gateway.store.kind_follower import KindFollower
 from damaskjunction.gateway.store.kind_state import KindState
+from damaskjunction.gateway.store.store_contact import StoreContact
 from damaskjunction.node import HostView, PeerHandlers
 from damaskjunction.platform import (
     ObjectChange,
@@ -94,6 +95,7 @@
         handlers = PeerHandlers()
         feed = ChangeFeedServer(
             {"kind": context.state},
+            StoreContact(LoopTimers()),
             LoopTimers(),
             is_store_live=lambda: not is_known,
             is_store_lost=lambda: is_known,
@@ -181,6 +183,7 @@
         links,
         SilentTransport(),
         context.timers,
+        contact=StoreContact(context.timers),
         drain_s=2.0,
         rng=random.Random(1),
     )
@@ -256,7 +259,7 @@
         store = context.store = OnceFailing(what)
         state = KindState("kind", store.apply_all, store.apply_change)
         rng = random.Random(1)
-        context.follower = KindFollower(store, LoopTimers(), state, rng=rng)
+        context.follower = KindFollower(store, state, rng=rng)
         await context.follower.start()
         await asyncio.sleep(0.01)
 
@@ -346,6 +349,7 @@
         SilentLinks(),
         AnsweringTransport(),
         timers,
+        contact=StoreContact(timers),
         drain_s=2.0,
         rng=random.Random(1),
     )
--- a/libs/gateway/features/steps/change_feed_steps.py
+++ b/libs/gateway/features/steps/change_feed_steps.py
@@ -135,13 +135,15 @@
     run(context, context.platform.wait_for(are_known))
 
 
-@when('the entry of "{name}" expires while only the watcher observes a store outage')
-def expire_runner_entry(context, name):
+@when('the entry of "{name}" expires in an outage of the store of {duration_s:g} s')
+def expire_runner_entry(context, name, duration_s):
+    store = context.platform.store
+    store.refuse_calls()
+    run(context, asyncio.sleep(duration_s))
+    store.remove("servers", name)
+    store.faults["refuse"] = 0
+    wait_for_single_watcher(context)
     context.watcher = watcher_of(context)
-    followers = context.platform.hosts[context.watcher]._change_feed._followers
-    for follower in followers:
-        follower.state.record_store_failure(context.platform.timers.now())
-    context.platform.store.remove("servers", name)
 
 
 def known_to_readers(context, name):
--- a/libs/gateway/features/steps/store_entry_steps.py
+++ b/libs/gateway/features/steps/store_entry_steps.py
@@ -14,6 +14,7 @@
 )
 
 QUIET_PERIOD_S = 0.5
+ENTRY_LIFETIME_S = 3.6
 
 
 @when('the operator adds the route "{prefix}" as version {version:d}')
@@ -110,13 +111,17 @@
     run(context, context.platform.add_runner(name, PLAIN, slots=8))
 
 
-@when('the entry of runner "{name}" expires and the store is back')
-def expire_entry(context, name):
+def wait_out_outage(context):
+    """Let the store be away for as long as an entry takes to expire."""
+
     def is_lost():
         return all(h.has_lost_store for h in context.platform.hosts.values())
 
     run(context, context.platform.wait_for(is_lost))
-    context.platform.store.remove("servers", name)
+    run(context, asyncio.sleep(ENTRY_LIFETIME_S))
+
+
+def restore_store(context):
     context.platform.store.faults["refuse"] = 0
 
     def is_back():
@@ -125,6 +130,21 @@
     run(context, context.platform.wait_for(is_back))
 
 
+@when('the entry of runner "{name}" expires and the store is back')
+def expire_entry(context, name):
+    wait_out_outage(context)
+    context.platform.store.remove("servers", name)
+    restore_store(context)
+
+
+@when('the entry of runner "{name}" is removed {delay_s:g} s after the store is back')
+def remove_after_outage(context, name, delay_s):
+    wait_out_outage(context)
+    restore_store(context)
+    run(context, asyncio.sleep(delay_s))
+    context.platform.store.remove("servers", name)
+
+
 @then('runner "{name}" is removed within {limit_s:g} s')
 def check_removed(context, name, limit_s):
     async def work():
--- a/libs/gateway/src/damaskjunction/gateway/root.py
+++ b/libs/gateway/src/damaskjunction/gateway/root.py
@@ -34,6 +34,7 @@
 from damaskjunction.gateway.store.kind_follower import KindFollower
 from damaskjunction.gateway.store.relayed_transport import RelayedTransport
 from damaskjunction.gateway.store.retirements import RetirementHandler
+from damaskjunction.gateway.store.store_contact import StoreContact
 from damaskjunction.gateway.versions.stored_origins import StoredOrigins
 from damaskjunction.gateway.versions.stream_origins import StreamOriginKeeper
 from damaskjunction.gateway.versions.take_ups import TakeUpResolver
@@ -100,10 +101,8 @@
             self._direct_transport, self.view, self._links, timers, rng
         )
         self._store = StoreClient(transport)
-        leaving = LeavingRunners(settings.drain_s, settings.max_skew_s)
-        self.state = ServingState(
-            self.view, timers, settings.regions_by_data_centre, leaving
-        )
+        self._contact = StoreContact(timers, settings.renewal_interval_s)
+        self.state = self._make_state()
         handlers = PeerHandlers()
         transport.register(handlers)
         self._membership = self._make_membership(own, rng, handlers)
@@ -111,7 +110,7 @@
         runner_faults = RunnerFaults(access.diagnosis)
         self._runner_client = RunnerClient(
             timers,
-            leaving,
+            self.state.leaving,
             connector=access.connector,
             may_have_ended=access.diagnosis.may_have_ended,
         )
@@ -218,7 +217,7 @@
             self._change_feed,
             self._worker,
             JobCleaner(job_repository, self.view, timers, settings.result_retention_s),
-            RetirementHandler(self._store, self.view, timers, rng),
+            RetirementHandler(self._store, self.view, rng),
             *servers,
             self._caller_server,
         )
@@ -307,6 +306,17 @@
         reader.register(handlers)
         return JobFront(jobs, reader, notifier, state=self.state, timers=timers)
 
+    def _make_state(self) -> ServingState:
+        settings = self._settings
+        leaving = LeavingRunners(settings.drain_s, settings.max_skew_s)
+        return ServingState(
+            self.view,
+            self._timers,
+            settings.regions_by_data_centre,
+            leaving,
+            self._contact,
+        )
+
     def _make_change_feed(
         self, transport: RelayedTransport, rng: random.Random
     ) -> ChangeFeed:
@@ -320,10 +330,10 @@
         followers = [
             KindFollower(
                 self._store,
-                self._timers,
                 kind.state,
                 rng=rng,
                 coalesce_s=kind.coalesce_s,
+                on_answer=self._contact.record_answer,
             )
             for kind in followed
         ]
@@ -333,6 +343,7 @@
             self._links,
             transport,
             self._timers,
+            contact=self._contact,
             drain_s=self._settings.drain_s,
             rng=rng,
         )
--- a/libs/gateway/src/damaskjunction/gateway/state.py
+++ b/libs/gateway/src/damaskjunction/gateway/state.py
@@ -19,6 +19,7 @@
 )
 from damaskjunction.core.units import MILLISECOND_S
 from damaskjunction.gateway.slots.home_ranking import HomeRanking
+from damaskjunction.gateway.store.store_contact import StoreContact
 from damaskjunction.membership import FleetView
 from damaskjunction.node import HostView
 from damaskjunction.platform import (
@@ -37,9 +38,6 @@
 
 logger = logging.getLogger(__name__)
 
-REMOVAL_DELAY_S = 2.2
-RECENT_OUTAGE_S = 4.0
-
 
 class ServingState:
     """The active routes and the runners, both read from the platform's store alone.
@@ -54,6 +52,8 @@
         Region of each data centre.
     leaving : LeavingRunners
         The runners that have said that they leave.
+    contact : StoreContact, optional
+        Tells of outages of the store, in which entries expire.
 
     ``homes`` ranks the known hosts as homes of slots.
     """
@@ -64,6 +64,7 @@
         timers: Timers,
         regions_by_data_centre: Mapping[str, Region],
         leaving: LeavingRunners,
+        contact: StoreContact | None = None,
     ) -> None:
         self.view = view
         self.homes = HomeRanking(view)
@@ -79,11 +80,7 @@
         self._former_entries = FormerEntries()
         self._max_wall_offset_s = float("-inf")
         self._removals_by_id: dict[RunnerId, Subscription] = {}
-        self._store_failed_at: Callable[[], float | None] = lambda: None
-
-    def set_outage_source(self, store_failed_at: Callable[[], float | None]) -> None:
-        """Set the function that returns when a read of the runners last failed."""
-        self._store_failed_at = store_failed_at
+        self._contact = contact or StoreContact(timers)
 
     def runners_of(
         self, service: ServiceName, may_serve: Callable[[Runner], bool] | None = None
@@ -247,32 +244,34 @@
             self._former_entries.record(former, current, self._timers.now())
 
     def _remove_or_defer(self, runner_id: RunnerId) -> None:
-        """Remove a runner; after a recent outage of the store, defer the removal.
+        """Remove a runner, unless its entry may have expired in an outage of the store.
 
-        Entries can expire during the outage; the delay lets the runner write its
-        entry again.
+        It is then kept for as long as the runner may still write its entry again.
         """
         if runner_id not in self._runners_by_id or runner_id in self._removals_by_id:
             return
-        now_s = self._timers.now()
-        failed_at_s = self._store_failed_at()
-        runner = self._runners_by_id[runner_id]
-        if (
-            failed_at_s is None
-            or now_s - failed_at_s > RECENT_OUTAGE_S
-            or runner.state is HostState.LEAVING
-        ):
+        is_leaving = self._runners_by_id[runner_id].state is HostState.LEAVING
+        if is_leaving or not self._defer_removal(runner_id):
             self._remove_runner(runner_id)
-            return
-        logger.info("runner's entry expired", extra={"runner": runner_id})
+
+    def _defer_removal(self, runner_id: RunnerId) -> bool:
+        """Defer a removal if the entry may be written again; return whether it may."""
+        delay_s = self._contact.expired_until_s() - self._timers.now()
+        if delay_s <= 0:
+            return False
+        extra = {"runner": runner_id, "kept_s": round(delay_s, 3)}
+        logger.info("runner's entry may have expired", extra=extra)
         self._removals_by_id[runner_id] = self._timers.once(
-            REMOVAL_DELAY_S, lambda: self._finish_removal(runner_id)
+            delay_s, lambda: self._finish_removal(runner_id)
         )
+        return True
 
     def _finish_removal(self, runner_id: RunnerId) -> None:
-        self._removals_by_id.pop(runner_id, None)
-        self._remove_runner(runner_id)
-        self._publish_runners()
+        """Remove a runner whose time is up, unless the store is away once more."""
+        del self._removals_by_id[runner_id]
+        if not self._defer_removal(runner_id):
+            self._remove_runner(runner_id)
+            self._publish_runners()
 
     def _cancel_removal(self, runner_id: RunnerId) -> None:
         removal = self._removals_by_id.pop(runner_id, None)
--- a/libs/gateway/src/damaskjunction/gateway/store/change_feed.py
+++ b/libs/gateway/src/damaskjunction/gateway/store/change_feed.py
@@ -32,6 +32,7 @@
     PROBE_PERIOD_S,
     StoreAvailability,
 )
+from damaskjunction.gateway.store.store_contact import StoreContact
 from damaskjunction.membership import choose_feed_sources
 from damaskjunction.node import HostView, PeerHandlers, TaskSet, cancel_tasks, supervise
 from damaskjunction.platform import StoreTransport
@@ -68,6 +69,8 @@
         Probes the store.
     timers : Timers
         The process's timer service.
+    contact : StoreContact
+        Is told of each sign that the store answers.
     drain_s : float
         Seconds within which a change has to reach this host. When its source fails,
         this host watches the store itself after ``FALLBACK_FRACTION`` of them.
@@ -83,6 +86,7 @@
         transport: StoreTransport,
         timers: Timers,
         *,
+        contact: StoreContact,
         drain_s: float,
         rng: random.Random,
     ) -> None:
@@ -93,6 +97,7 @@
         self._view = view
         self._links = links
         self._transport = transport
+        self._contact = contact
         self._timers = timers
         self._fallback_delay_s = FALLBACK_FRACTION * drain_s
         self._availability = StoreAvailability(
@@ -100,6 +105,7 @@
         )
         self._server = ChangeFeedServer(
             self._states_by_kind,
+            contact,
             timers,
             is_store_live=self._is_store_live,
             is_store_lost=lambda: self._availability.is_lost,
@@ -248,6 +254,7 @@
         if failure:
             await self._record_store_failure(failure)
             return
+        self._contact.record_answer()
         is_back = self._availability.record_answer(sent_at_s)
         self._server.notify_progress()
         self._ejection.record_success(self._view.own.host_id)
@@ -295,7 +302,6 @@
         self._availability.record_failure(self._timers.now())
         for follower in self._followers:
             await follower.close()
-            follower.state.record_store_failure(self._timers.now())
         self._ejection.record_failure(own_id, self._timers.now())
         self._review_due.set()
 
@@ -333,6 +339,8 @@
                     timeout_s = SILENCE_TIMEOUT_S
                 if isinstance(message, KindNews):
                     self._apply(message)
+                else:
+                    self._contact.record_heartbeat()
         except (RequestError, TimeoutError, StopAsyncIteration, ValueError) as error:
             if self._timers.now() - started_at_s > MIN_STABLE_S:
                 self._ejection.record_success(source.host_id)
@@ -362,12 +370,12 @@
         await self._stop_watching()
 
     def _apply(self, update: KindNews) -> None:
+        ago_s = update.failed_ago_s
+        self._contact.record_news(ago_s if ago_s >= 0 else None)
         decoded = decode_changes(update)
         state = self._states_by_kind.get(decoded.kind)
         if state is None:
             return
-        if update.failed_ago_s >= 0:
-            state.record_store_failure(self._timers.now() - update.failed_ago_s)
         if not decoded.is_snapshot:
             state.apply_changes(decoded.changes, decoded.revision)
             return
--- a/libs/gateway/src/damaskjunction/gateway/store/change_feed_server.py
+++ b/libs/gateway/src/damaskjunction/gateway/store/change_feed_server.py
@@ -24,6 +24,7 @@
     split_array,
 )
 from damaskjunction.gateway.store.kind_state import KindState, KindUpdate
+from damaskjunction.gateway.store.store_contact import StoreContact
 from damaskjunction.node import PeerHandlers
 from damaskjunction.platform import ObjectChange, PlatformObject
 from damaskjunction.wire import KindNews, NewsAsk, NoNews, Reply
@@ -35,7 +36,7 @@
 LOST_TIMEOUT_S = 0.7  # after failed probes; the next one comes before
 MAX_QUEUED_UPDATES = 256  # the feed of a reader further behind is ended
 MAX_LOGGED_ENTRIES = 5
-NEVER_FAILED_S = -1.0
+NO_OUTAGE_S = -1.0
 
 
 class ChangeFeedServer:
@@ -45,6 +46,8 @@
     ----------
     states_by_kind : mapping
         The objects to serve, by kind.
+    contact : StoreContact
+        Tells of the last outage of the store.
     timers : Timers
         The process's timer service.
     is_store_live : callable
@@ -60,6 +63,7 @@
     def __init__(
         self,
         states_by_kind: Mapping[str, KindState],
+        contact: StoreContact,
         timers: Timers,
         *,
         is_store_live: Callable[[], bool],
@@ -68,6 +72,7 @@
         catch_up: Callable[[str], None],
     ) -> None:
         self._states_by_kind = states_by_kind
+        self._contact = contact
         self._timers = timers
         self._is_store_live = is_store_live
         self._is_store_lost = is_store_lost
@@ -173,14 +178,13 @@
                 queue.put_nowait(message)
 
     def _encode(self, update: KindUpdate) -> KindNews:
-        failed_at_s = self._states_by_kind[update.kind].failed_at_s
-        failed_ago_s = (
-            NEVER_FAILED_S if failed_at_s is None else self._timers.now() - failed_at_s
-        )
+        ended_ago_s = self._contact.outage_ended_ago_s
+        if ended_ago_s is None:
+            ended_ago_s = NO_OUTAGE_S
         entries = [[*change.object[1:], change.is_removed] for change in update.changes]
         encoded = json.dumps(entries, separators=(",", ":")).encode()
         return KindNews(
-            update.kind, update.revision, update.is_snapshot, failed_ago_s, encoded
+            update.kind, update.revision, update.is_snapshot, ended_ago_s, encoded
         )
 
 
--- a/libs/gateway/src/damaskjunction/gateway/store/followed_kinds.py
+++ b/libs/gateway/src/damaskjunction/gateway/store/followed_kinds.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
 from typing import NamedTuple
 
 from damaskjunction.gateway.jobs.job_repository import JobRepository
@@ -61,8 +60,6 @@
         job_repository.apply_change,
         without_items,
     )
-    states = (configuration, runners, hosts, suspects, versions, jobs)
-    state.set_outage_source(lambda: latest_failure_s(states))
     return (
         FollowedKind(CONFIGURATION_COALESCE_S, configuration),
         FollowedKind(RUNNERS_COALESCE_S, runners),
@@ -71,12 +68,3 @@
         FollowedKind(VERSIONS_COALESCE_S, versions),
         FollowedKind(JOBS_COALESCE_S, jobs),
     )
-
-
-def latest_failure_s(states: Iterable[KindState]) -> float | None:
-    """Return when a call for any kind failed last, None if none has.
-
-    An outage may fall between two calls for one kind.
-    """
-    times_s = [s.failed_at_s for s in states if s.failed_at_s is not None]
-    return max(times_s, default=None)
--- a/libs/gateway/src/damaskjunction/gateway/store/kind_follower.py
+++ b/libs/gateway/src/damaskjunction/gateway/store/kind_follower.py
@@ -5,8 +5,9 @@
 import asyncio
 import logging
 import random
+from collections.abc import Callable
 
-from damaskjunction.core import PlatformError, Revision, Timers
+from damaskjunction.core import PlatformError, Revision
 from damaskjunction.gateway.store.kind_state import KindState
 from damaskjunction.node import cancel_tasks
 from damaskjunction.platform import HistoryGoneError, StoreClient
@@ -25,8 +26,6 @@
     ----------
     store : StoreClient
         The platform's store.
-    timers : Timers
-        The process's timer service.
     state : KindState
         Receives the objects and their changes.
     rng : random.Random
@@ -34,22 +33,24 @@
     coalesce_s : float, optional
         Seconds to wait after a change before the next watch, so that a burst of
         changes costs one call.
+    on_answer : callable, optional
+        Called with each answer of the store, before its objects are applied.
     """
 
     def __init__(
         self,
         store: StoreClient,
-        timers: Timers,
         state: KindState,
         *,
         rng: random.Random,
         coalesce_s: float = 0.0,
+        on_answer: Callable[[], None] = lambda: None,
     ) -> None:
         self.state = state
         self._store = store
-        self._timers = timers
         self._rng = rng
         self._coalesce_s = coalesce_s
+        self._on_answer = on_answer
         self._task: asyncio.Task[None] | None = None
         self._n_failures = 0
         self._is_current = False
@@ -130,6 +131,7 @@
         return found.store_revision
 
     def _record_success(self) -> None:
+        self._on_answer()
         if self._n_failures:
             extra = {"kind": self.state.kind, "n_failures": self._n_failures}
             logger.info("store regained", extra=extra)
@@ -142,6 +144,5 @@
             logger.warning("store lost", extra=extra)
         self._n_failures += 1
         self._is_current = False
-        self.state.record_store_failure(self._timers.now())
         limit_s = BACKOFF_BASE_S * 2.0 ** min(self._n_failures, 8)
         await asyncio.sleep(min(limit_s, BACKOFF_LIMIT_S) * self._rng.uniform(0.5, 1.0))
--- a/libs/gateway/src/damaskjunction/gateway/store/kind_state.py
+++ b/libs/gateway/src/damaskjunction/gateway/store/kind_state.py
@@ -46,17 +46,12 @@
     ) -> None:
         self.kind = kind
         self.revision: Revision = 0
-        self.failed_at_s: float | None = None
         self._apply_all = apply_all
         self._apply_change = apply_change
         self._strip = strip
         self._objects_by_name: dict[str, PlatformObject] = {}
         self._observers: list[Callable[[KindUpdate], None]] = []
 
-    def record_store_failure(self, at_s: float) -> None:
-        """Record when a call to the store failed."""
-        self.failed_at_s = at_s
-
     def replace_all(
         self, objects: tuple[PlatformObject, ...], revision: Revision
     ) -> None:
--- a/libs/gateway/src/damaskjunction/gateway/store/retirements.py
+++ b/libs/gateway/src/damaskjunction/gateway/store/retirements.py
@@ -9,7 +9,7 @@
 import logging
 import random
 
-from damaskjunction.core import PlatformError, Timers, rendezvous_order
+from damaskjunction.core import PlatformError, rendezvous_order
 from damaskjunction.gateway.store.kind_follower import KindFollower
 from damaskjunction.gateway.store.kind_state import KindState
 from damaskjunction.node import HostView, TaskSet
@@ -36,18 +36,13 @@
         The platform's store.
     view : HostView
         The known hosts, of which rendezvous hashing picks one to follow requests.
-    timers : Timers
-        The process's timer service.
     rng : random.Random
         Source of the jitter of retries.
     """
 
-    def __init__(
-        self, store: StoreClient, view: HostView, timers: Timers, rng: random.Random
-    ) -> None:
+    def __init__(self, store: StoreClient, view: HostView, rng: random.Random) -> None:
         self._store = store
         self._view = view
-        self._timers = timers
         self._rng = rng
         self._follower: KindFollower | None = None
         self._tasks = TaskSet()
@@ -70,7 +65,6 @@
         if is_chosen and self._follower is None:
             self._follower = KindFollower(
                 self._store,
-                self._timers,
                 KindState(RETIREMENTS_KIND, self._complete_all, self._complete_changed),
                 rng=self._rng,
             )
--- a/libs/platform/src/damaskjunction/platform/settings_file.py
+++ b/libs/platform/src/damaskjunction/platform/settings_file.py
@@ -23,6 +23,7 @@
 DEFAULT_MAX_DESCRIPTORS = 4096
 DEFAULT_STOP_GRACE_S = 8.0
 DEFAULT_RESULT_RETENTION_S = 120.0
+DEFAULT_RENEWAL_INTERVAL_S = 1.2
 
 
 class ProcessSettings(NamedTuple):
@@ -35,7 +36,8 @@
     ``store`` is the address of the platform's store. ``stop_grace_s`` is the time
     between the stop request and the kill, and ``result_retention_s`` the time for which
     results must stay readable. ``drain_s`` is the time for which a leaving runner still
-    serves, and ``max_skew_s`` the largest difference of clocks. ``n_cores`` is the
+    serves, ``max_skew_s`` the largest difference of clocks, and ``renewal_interval_s``
+    the time between a runner's renewals of its entry in the store. ``n_cores`` is the
     number of processor cores that the process may use, scaled to cores of the usual
     speed. ``max_descriptors`` limits the open file descriptors. The settings file has
     no key for ``metrics_port``.
@@ -59,6 +61,7 @@
     n_cores: float = 1.0
     drain_s: float = DEFAULT_DRAIN_S
     max_skew_s: float = DEFAULT_MAX_SKEW_S
+    renewal_interval_s: float = DEFAULT_RENEWAL_INTERVAL_S
 
 
 class _SettingsReader:
@@ -165,6 +168,7 @@
         * reader.number("Limits.Cores", 1.0),
         drain_s=reader.seconds("Bounds.DrainMs", DEFAULT_DRAIN_S),
         max_skew_s=reader.seconds("Bounds.SkewMaxMs", DEFAULT_MAX_SKEW_S),
+        renewal_interval_s=reader.seconds("HeartbeatMs", DEFAULT_RENEWAL_INTERVAL_S),
     )
     raise_findings(f"{source}: invalid settings", reader.findings)
     return settings
--- a/libs/wire/src/damaskjunction/wire/news.py
+++ b/libs/wire/src/damaskjunction/wire/news.py
@@ -27,8 +27,8 @@
 class KindNews(NamedTuple):
     """Changed objects of a kind, or all of them if ``is_whole``.
 
-    ``entries`` is a JSON list of objects. ``failed_ago_s`` is the time in seconds since
-    the store last failed to respond for this kind, -1 if it never failed.
+    ``entries`` is a JSON list of objects. ``failed_ago_s`` is the time in seconds
+    since the end of the last outage of the store that the sender knows of, -1 if none.
     """
 
     kind: str
