Bound what responses keep in sum, and serve others while peers flood this process

The report: a faulty runner sent bytes that were no answer, without end, until the caller closed; the machine kept them all and ran out of memory, and the requests of other clients there ended with it. Here (by test): 40 such bodies at once took 248 MB, where a process has 150 or 300; chunks of one or two bytes kept the event loop for 14 to 31 s, so that time-outs of 3 s came late and a sound peer was asked 3 times in that time; empty events of an item were kept without limit.

Cause: bounds for each response, not for all (8 MiB each, 64 items of 8 MiB of characters, not counting empty events); work in proportion to the chunks, not the bytes, without giving way; event parsers that copied all they had for each chunk; and idle connections that were read though nothing was due on them. Ruled out, as they were bounded before: heads, interim heads, chunk headers and extensions, trailers (16 KiB each); a single body, report or event.

Change: - ReceiveBudget: all bodies, incomplete events and texts of items of a host together keep an eighth of the process's memory at most; the largest is given up first, so small ones are served. A text that is dropped begins afresh. - BacklogTurns: connections with more data than were read go on one at a time, in each iteration of the loop. Chunks that arrive together are one part. - Event parsers search each byte once. A length above the limit is refused. - The event loop reads 32 KiB at once and holds twice that for a connection; it reads none from idle ones, and those that can't be used are closed within 2 s.

--- a/libs/gateway/features/simulated_host.py
+++ b/libs/gateway/features/simulated_host.py
@@ -27,6 +27,7 @@
     VERSIONS_KIND,
     VersionRegistry,
 )
+from damaskjunction.http import ReceiveBudget
 from damaskjunction.node import HostView, PeerHandlers, cancel_tasks
 from damaskjunction.platform import JOBS_KIND, RUNNERS_KIND, CallerRequest, ObjectChange
 from damaskjunction.routing import (
@@ -195,6 +196,7 @@
             metrics=metrics,
             rng=rng,
             version_registry=self.versions,
+            budget=ReceiveBudget(),
         )
         self.jobs = JobRepository(self.store)
         self.worker = JobWorker(self.jobs, context)
--- a/libs/gateway/features/simulated_runners.py
+++ b/libs/gateway/features/simulated_runners.py
@@ -73,6 +73,9 @@
         self._n_known = last_event_id or 0
         runner.running.append(item_id)
 
+    def keep(self, n_bytes):
+        """Bound nothing."""
+
     def set_pacer(self, pacer):
         return
 
--- a/libs/gateway/features/steps/item_place_steps.py
+++ b/libs/gateway/features/steps/item_place_steps.py
@@ -26,6 +26,7 @@
     RunnerFailedError,
 )
 from damaskjunction.gateway.state import ServingState
+from damaskjunction.http import ReceiveBudget
 from damaskjunction.node import HostView, cancel_tasks
 from damaskjunction.routing import LeavingRunners, Route, RouteKind, WeightedService
 from damaskjunction.telemetry import Metrics
@@ -112,6 +113,7 @@
         timers=context.timers,
         metrics=Metrics(),
         rng=random.Random(1),
+        budget=ReceiveBudget(),
     )
     context.state = state
     context.runner = runner_type(dispatch, back_off)
--- /dev/null
+++ b/libs/gateway/features/steps/item_text_steps.py
@@ -0,0 +1,109 @@
+"""Steps of the feature on the texts of items that are not whole."""
+
+from __future__ import annotations
+
+from behave import given, then, when
+from fake_homes import make_host
+
+from damaskjunction.batch import BatchItem
+from damaskjunction.core import Address, ManualTimers, Runner, ServiceKind
+from damaskjunction.gateway.jobs.item_progress import ItemProgress
+from damaskjunction.gateway.jobs.owed_items import OwedItem
+from damaskjunction.gateway.state import ServingState
+from damaskjunction.http import BrokenResponseError, RawEvent, ReceiveBudget
+from damaskjunction.node import HostView
+from damaskjunction.routing import LeavingRunners
+
+MAX_EVENTS = 10_000
+
+
+def kept_bytes(context):
+    return sum(progress.n_bytes for progress in context.items)
+
+
+def add_event(context, progress, text):
+    number = (progress.last_event_id or 0) + 1
+    progress.add_event(RawEvent(b"", number, text), context.runner)
+
+
+@given(
+    "{count:d} items with texts of {size:d} bytes each, and a budget of {limit:d} bytes"
+)
+def make_items(context, count, size, limit):
+    timers = ManualTimers()
+    state = ServingState(HostView(make_host(1, "h1")), timers, {}, LeavingRunners())
+    budget = ReceiveBudget(limit)
+    context.runner = Runner(
+        "r1",
+        "r1",
+        "z1",
+        Address("10.0.0.9", 1),
+        ServiceKind.ENGINE,
+        "llm",
+        version="v1",
+    )
+    context.items = []
+    for number in range(count):
+        item = BatchItem(f"i{number}", "/night/x", {}, b"", 1)
+        owed = OwedItem(item.item_id, "j1", timers)
+        progress = ItemProgress(item, owed, state, timers, budget=budget)
+        context.items.append(progress)
+        add_event(context, progress, "x" * (size // 2))
+        add_event(context, progress, "y" * (size // 2))
+
+
+@when("one of them gets events {size:d} characters long without end")
+def grow_one(context, size):
+    context.is_given_up = False
+    try:
+        for _ in range(MAX_EVENTS):
+            add_event(context, context.items[0], "z" * size)
+    except BrokenResponseError:
+        context.is_given_up = True
+
+
+@when("all of them get events of {size:d} characters in turn, {count:d} times")
+def grow_all(context, size, count):
+    context.most_bytes = 0
+    for _ in range(count):
+        for progress in context.items:
+            try:
+                add_event(context, progress, "z" * size)
+            except BrokenResponseError:
+                progress.end_attempt()
+            context.most_bytes = max(context.most_bytes, kept_bytes(context))
+
+
+@when("its stream ends")
+def end_stream(context):
+    context.is_whole = True
+    try:
+        context.items[0].check_kept()
+    except BrokenResponseError:
+        context.is_whole = False
+
+
+@then("the item is not whole")
+def check_not_whole(context):
+    assert not context.is_whole
+
+
+@then("its attempt is given up, and its next attempt begins afresh")
+def check_given_up(context):
+    assert context.is_given_up
+    progress = context.items[0]
+    assert (progress.texts, progress.last_event_id) == ([], None)
+    progress.end_attempt()
+    add_event(context, progress, "first")
+    assert progress.texts == ["first"]
+
+
+@then("at most {limit:d} bytes are kept, and the other items have their texts")
+def check_others(context, limit):
+    assert kept_bytes(context) <= limit, kept_bytes(context)
+    assert all(len(progress.texts) == 2 for progress in context.items[1:])
+
+
+@then("at most {limit:d} bytes are kept")
+def check_kept(context, limit):
+    assert context.most_bytes <= limit, context.most_bytes
--- a/libs/gateway/features/steps/item_version_faults.py
+++ b/libs/gateway/features/steps/item_version_faults.py
@@ -21,8 +21,8 @@
 class AnyVersionProgress(ItemProgress):
     """Injected fault: an item goes on at any version."""
 
-    def __init__(self, *arguments):
-        super().__init__(*arguments)
+    def __init__(self, *arguments, **options):
+        super().__init__(*arguments, **options)
         self.version.check = lambda runner: None
 
     def version_to_keep(self, service, runners):
--- a/libs/gateway/features/steps/item_version_machine.py
+++ b/libs/gateway/features/steps/item_version_machine.py
@@ -32,7 +32,7 @@
 )
 from damaskjunction.gateway.slots.queue_waits import MAX_WAIT_S
 from damaskjunction.gateway.state import ServingState
-from damaskjunction.http import RawEvent
+from damaskjunction.http import RawEvent, ReceiveBudget
 from damaskjunction.node import HostView
 from damaskjunction.platform import ObjectChange, PlatformObject
 from damaskjunction.routing import (
@@ -106,7 +106,9 @@
     def new_progress(self, name):
         item = BatchItem(name, "/night/x", {}, b"", 1)
         owed = OwedItem(name, "j1", self.timers)
-        return self.progress_type(item, owed, self.state, self.timers)
+        return self.progress_type(
+            item, owed, self.state, self.timers, budget=ReceiveBudget()
+        )
 
     def write_entry(self, name, is_removed=False):
         process = self.processes[name]
--- a/libs/gateway/features/steps/job_worker_steps.py
+++ b/libs/gateway/features/steps/job_worker_steps.py
@@ -30,6 +30,7 @@
     ResultSegment,
 )
 from damaskjunction.gateway.jobs.result_writer import ResultWriter
+from damaskjunction.http import ReceiveBudget
 from damaskjunction.platform import (
     JOBS_KIND,
     RESULTS_KIND,
@@ -103,6 +104,7 @@
             metrics=self.metrics,
             rng=random.Random(1),
             version_registry=None,
+            budget=ReceiveBudget(),
         )
         self.jobs = JobRepository(self.store)
         self.worker = JobWorker(self.jobs, context)
--- a/libs/gateway/src/damaskjunction/gateway/dispatch_context.py
+++ b/libs/gateway/src/damaskjunction/gateway/dispatch_context.py
@@ -15,11 +15,15 @@
 from damaskjunction.gateway.versions.stream_origins import StreamOriginKeeper
 from damaskjunction.gateway.versions.take_ups import TakeUpResolver
 from damaskjunction.gateway.versions.version_registry import VersionRegistry
+from damaskjunction.http import ReceiveBudget
 from damaskjunction.telemetry import Metrics
 
 
 class DispatchContext(NamedTuple):
-    """What the senders of requests share; ``state`` has the routes and runners."""
+    """What the senders of requests share.
+
+    ``state`` has the routes and runners, ``budget`` bounds what is kept of responses.
+    """
 
     state: ServingState
     slot_client: SlotClient
@@ -33,3 +37,4 @@
     timers: Timers
     metrics: Metrics
     rng: random.Random
+    budget: ReceiveBudget
--- a/libs/gateway/src/damaskjunction/gateway/jobs/item_progress.py
+++ b/libs/gateway/src/damaskjunction/gateway/jobs/item_progress.py
@@ -4,6 +4,7 @@
 
 import logging
 import math
+import sys
 from collections.abc import Sequence
 
 from damaskjunction.batch import BatchItem
@@ -17,13 +18,14 @@
 from damaskjunction.gateway.slots.queue_waits import MAX_WAIT_S
 from damaskjunction.gateway.state import ServingState
 from damaskjunction.gateway.versions.stream_version import StreamVersion
-from damaskjunction.http import RawEvent
+from damaskjunction.http import RawEvent, ReceiveBudget
 from damaskjunction.routing import ItemWait, runners_at
 
 logger = logging.getLogger(__name__)
 
 # An item waits no longer for runners of its version while others serve.
 VERSION_WAIT_S = MAX_WAIT_S
+EVENT_OVERHEAD_BYTES = 8  # of a text in the list of them
 
 
 class ItemProgress:
@@ -43,17 +45,25 @@
         The known runners.
     timers : Timers
         The process's timer service.
+    budget : ReceiveBudget
+        Bounds what is kept of the texts of all items.
     """
 
     def __init__(
-        self, item: BatchItem, owed: OwedItem, state: ServingState, timers: Timers
+        self,
+        item: BatchItem,
+        owed: OwedItem,
+        state: ServingState,
+        timers: Timers,
+        *,
+        budget: ReceiveBudget,
     ) -> None:
         self.item = item
         self.owed = owed
         self.version = StreamVersion(item.item_id, state, timers)
         self.texts: list[str] = []
         self.last_event_id: int | None = None
-        self.n_characters = 0
+        self.n_bytes = 0
         self.n_failures = 0
         self.n_crashes = 0
         self.excluded_runners: set[RunnerId] = set()
@@ -63,6 +73,12 @@
         self._is_advanced = False  # in the present attempt
         self._denied_by: set[RunnerId] = set()  # since the last event
         self._paused_at_s = self.started_at_s
+        self._budget = budget
+        self._kept = budget.open(self._drop_text)
+
+    def close(self) -> None:
+        """Count the item's text no more."""
+        self._kept.close()
 
     def add_event(
         self, event: RawEvent, runner: Runner, *, is_proved: bool = False
@@ -70,7 +86,13 @@
         """Add the next event of the output, which a runner wrote.
 
         ``is_proved`` says that its process has told that it is the one listed.
+
+        Raises
+        ------
+        BrokenResponseError
+            When the text was dropped, as those of all items were too large together.
         """
+        self.check_kept()
         if not self._is_advanced:
             self._is_advanced = True
             if runner.runner_id in self._denied_by:
@@ -78,9 +100,14 @@
             self.version.record_answer(runner, is_proved=is_proved)
         self.last_event_id = event.event_id
         self.texts.append(event.data)
-        self.n_characters += len(event.data)
+        self.n_bytes += EVENT_OVERHEAD_BYTES + sys.getsizeof(event.data)
         self.n_crashes = 0
         self._denied_by.clear()
+        self._kept.resize(self.n_bytes)
+
+    def check_kept(self) -> None:
+        """Raise ``BrokenResponseError`` if the text was dropped in this attempt."""
+        self._kept.check()
 
     def record_denial(self, runner_id: RunnerId) -> None:
         """Record that a runner is not known to have the version listed for it."""
@@ -96,6 +123,8 @@
 
     def end_attempt(self) -> None:
         """Record that an attempt has ended without the whole text."""
+        if self._kept.is_revoked:
+            self._kept = self._budget.open(self._drop_text)
         if self._is_advanced:
             self._is_advanced = False
             self._paused_at_s = self._timers.now()
@@ -150,6 +179,9 @@
         """Record that no slot was granted in time; all runners may be tried again."""
         self.excluded_runners.clear()
 
+    def _drop_text(self) -> None:
+        self.begin_afresh("the texts of all items are too large")
+
     def begin_afresh(self, reason: str) -> None:
         """Drop what has been made of the text, and the version with it."""
         extra = {
@@ -162,4 +194,6 @@
         self._denied_by.clear()
         self.texts.clear()
         self.last_event_id = None
-        self.n_characters = 0
+        self.n_bytes = 0
+        if not self._kept.is_revoked:
+            self._kept.resize(0)
--- a/libs/gateway/src/damaskjunction/gateway/jobs/item_runner.py
+++ b/libs/gateway/src/damaskjunction/gateway/jobs/item_runner.py
@@ -47,7 +47,7 @@
 ATTEMPT_TIMEOUT_S = 60.0  # to get a slot, and again for the runner's work
 STALL_TIMEOUT_S = 3.0
 READ_INTERVAL_S = 50 * MILLISECOND_S  # of the events of all items
-MAX_OUTPUT_CHARACTERS = 8 * MIB
+MAX_OUTPUT_BYTES = 8 * MIB
 N_PROMPT_RETRIES = 3
 RETRY_DELAY_S = 0.5  # doubles with each further crash
 MAX_RETRY_DELAY_S = 2.0
@@ -88,21 +88,20 @@
         self._runner_faults = context.runner_faults
         self._timers = context.timers
         self._metrics = context.metrics
+        self._budget = context.budget
         self._back_off = back_off
         self._read_pacer = ReadPacer(context.timers, READ_INTERVAL_S)
         self._places_by_service: dict[ServiceName, asyncio.Semaphore] = {}
 
     async def run(self, job: StoredJob, item: BatchItem, owed: OwedItem) -> ItemResult:
         """Run an item, retrying at other runners, until it has a result."""
-        progress = ItemProgress(item, owed, self._state, self._timers)
-        outcome = AttemptOutcome(False, False, "")
-        while not outcome.is_final:
-            await self._delay_after_crashes(progress)
-            route = await self._wait_for_route(job, progress)
-            if route is None:
-                outcome = AttemptOutcome(False, True, "retention over")
-            else:
-                outcome = await self._run_with_retries(job, route, progress)
+        progress = ItemProgress(
+            item, owed, self._state, self._timers, budget=self._budget
+        )
+        try:
+            outcome = await self._run_to_end(job, progress)
+        finally:
+            progress.close()
         text = "\n".join(progress.texts) if outcome.is_whole else ""
         extra = {
             "job": job.record.job_id,
@@ -113,6 +112,19 @@
         self._metrics.count("items", is_whole=str(outcome.is_whole))
         return ItemResult(item.item_id, outcome.is_whole, text)
 
+    async def _run_to_end(
+        self, job: StoredJob, progress: ItemProgress
+    ) -> AttemptOutcome:
+        """Return the final outcome of an item."""
+        outcome = AttemptOutcome(False, False, "")
+        while not outcome.is_final:
+            await self._delay_after_crashes(progress)
+            route = await self._wait_for_route(job, progress)
+            if route is None:
+                return AttemptOutcome(False, True, "retention over")
+            outcome = await self._run_with_retries(job, route, progress)
+        return outcome
+
     async def _wait_for_route(
         self, job: StoredJob, progress: ItemProgress
     ) -> Route | None:
@@ -322,6 +334,7 @@
         try:
             async for chunk in response.body.chunks():
                 part = check.feed(chunk)
+                response.body.keep(check.n_buffered)
                 event_at_s = self._timers.now() if part.events else event_at_s
                 if self._timers.now() - event_at_s > STALL_TIMEOUT_S:
                     raise BrokenResponseError("no event, though bytes arrive")
@@ -333,8 +346,9 @@
                     raise RunnerFailedError(
                         Outcome.RAN, "foreign_event", part.fault, is_fault=True
                     )
-                if progress.n_characters > MAX_OUTPUT_CHARACTERS:
+                if progress.n_bytes > MAX_OUTPUT_BYTES:
                     raise BrokenResponseError("the output is too large")
+            progress.check_kept()
         except BrokenResponseError as error:
             raise RunnerFailedError(
                 Outcome.RAN, "stream_cut", str(error), is_fault=True
--- a/libs/gateway/src/damaskjunction/gateway/requests/request_execution.py
+++ b/libs/gateway/src/damaskjunction/gateway/requests/request_execution.py
@@ -176,6 +176,7 @@
             async for chunk in runner_response.body.chunks():
                 inactivity_timer.touch()
                 part = check.feed(chunk)
+                runner_response.body.keep(check.n_buffered)
                 self._last_event_id = check.last_event_id
                 if part.events:
                     self._attempts.record_events(len(part.events))
--- a/libs/gateway/src/damaskjunction/gateway/requests/stream_check.py
+++ b/libs/gateway/src/damaskjunction/gateway/requests/stream_check.py
@@ -43,6 +43,11 @@
         """The last event that is known, None before the first."""
         return self._last_event_id
 
+    @property
+    def n_buffered(self) -> int:
+        """Bytes of the event that is not complete."""
+        return self._parser.n_buffered
+
     def feed(self, data: bytes) -> StreamPart:
         """Add bytes of the answer and return the events that they complete.
 
--- a/libs/gateway/src/damaskjunction/gateway/root.py
+++ b/libs/gateway/src/damaskjunction/gateway/root.py
@@ -42,6 +42,7 @@
 from damaskjunction.http import (
     HttpLimits,
     HttpServer,
+    ReceiveBudget,
 )
 from damaskjunction.membership import FailureDetector, Timing, first_incarnation
 from damaskjunction.node import Component, HostView, Membership, PeerHandlers
@@ -61,6 +62,7 @@
 # The configured limit is on headers; the server also counts the request line.
 REQUEST_LINE_ALLOWANCE_BYTES = 8 * KIB
 CALLER_DESCRIPTOR_FRACTION = 0.6  # of the file descriptors of the process
+RECEIVED_MEMORY_FRACTION = 0.125  # of the memory of the process
 TUNNEL_DESCRIPTOR_FRACTION = 0.1  # of the file descriptors of the process
 DESCRIPTORS_PER_TUNNEL = 2
 # A runner that leaves gets no requests over a tunnel that was opened before.
@@ -113,6 +115,7 @@
             self.state.leaving,
             connector=access.connector,
             may_have_ended=access.diagnosis.may_have_ended,
+            budget=ReceiveBudget(int(RECEIVED_MEMORY_FRACTION * settings.memory_bytes)),
         )
         origin = f"{settings.host_id}.{start_ms}"
         self._suspects = suspects = SuspectRegistry(
@@ -182,6 +185,7 @@
             timers,
             self.metrics,
             rng,
+            self._runner_client.budget,
         )
         online_handler = OnlineHandler(context)
         self.job_repository = job_repository = JobRepository(self._store)
--- a/libs/gateway/src/damaskjunction/gateway/runners/runner_client.py
+++ b/libs/gateway/src/damaskjunction/gateway/runners/runner_client.py
@@ -29,6 +29,7 @@
     Connector,
     HttpClient,
     PeerQuery,
+    ReceiveBudget,
     ResponseHead,
     StalledResponseError,
 )
@@ -73,6 +74,8 @@
         Opens the connections, direct ones by default.
     may_have_ended : callable, optional
         Returns whether the process at an address may have ended.
+    budget : ReceiveBudget, optional
+        Bounds what is kept of all responses.
     """
 
     def __init__(
@@ -82,12 +85,14 @@
         *,
         connector: Connector | None = None,
         may_have_ended: Callable[[Address], Awaitable[bool]] = refuses_connections,
+        budget: ReceiveBudget | None = None,
     ) -> None:
         self._client = HttpClient(
             timers,
             connect_timeout_s=CONNECT_TIMEOUT_S,
             idle_timeout_s=IDLE_TIMEOUT_S,
             connector=connector,
+            budget=budget,
         )
         self._may_have_ended = may_have_ended
         self._timers = timers
@@ -100,6 +105,11 @@
         """Number of connections opened so far."""
         return self._client.n_connections_opened
 
+    @property
+    def budget(self) -> ReceiveBudget:
+        """Bounds what is kept of all responses."""
+        return self._client.budget
+
     def close(self) -> None:
         """Close the idle connections."""
         self._client.close()
--- a/libs/http/src/damaskjunction/http/__init__.py
+++ b/libs/http/src/damaskjunction/http/__init__.py
@@ -29,13 +29,19 @@
 )
 from damaskjunction.http.pacing import ReadPacer
 from damaskjunction.http.peer_query import PeerQuery
+from damaskjunction.http.receive_budget import KeptBytes, ReceiveBudget
 from damaskjunction.http.routes import Handler, Routes
 from damaskjunction.http.server import HttpServer
-from damaskjunction.http.sockets import enable_tcp_keepalive
+from damaskjunction.http.sockets import (
+    RECEIVE_BUFFER_BYTES,
+    bound_receive_buffer,
+    enable_tcp_keepalive,
+)
 
 __all__ = [
     "EVENT_STREAM_TYPE",
     "JSON_TYPE",
+    "RECEIVE_BUFFER_BYTES",
     "BodyReader",
     "BrokenResponseError",
     "ClientResponse",
@@ -49,6 +55,7 @@
     "HttpError",
     "HttpLimits",
     "HttpServer",
+    "KeptBytes",
     "OpenConnection",
     "OtherPeerError",
     "PeerQuery",
@@ -56,11 +63,13 @@
     "RawEvent",
     "RawEventParser",
     "ReadPacer",
+    "ReceiveBudget",
     "Request",
     "Response",
     "ResponseHead",
     "Routes",
     "StalledResponseError",
+    "bound_receive_buffer",
     "enable_tcp_keepalive",
     "encode_event",
     "read_json",
--- a/libs/http/src/damaskjunction/http/client.py
+++ b/libs/http/src/damaskjunction/http/client.py
@@ -5,10 +5,12 @@
 import asyncio
 import ssl
 from collections.abc import AsyncGenerator, Callable, Mapping
+from contextlib import aclosing
 
-from damaskjunction.core import Address, Timers
+from damaskjunction.core import Address, Subscription, Timers, parse_digits
 from damaskjunction.core.types import EMPTY
 from damaskjunction.core.units import MIB
+from damaskjunction.http.backlog import BacklogTurns
 from damaskjunction.http.connection import (
     DEFAULT_STALL_TIMEOUT_S,
     Connection,
@@ -21,10 +23,12 @@
 )
 from damaskjunction.http.pacing import ReadPacer
 from damaskjunction.http.peer_query import PeerQuery, is_usable_after
+from damaskjunction.http.receive_budget import KeptBytes, ReceiveBudget
 
 DEFAULT_CONNECT_TIMEOUT_S = 2.0
 DEFAULT_IDLE_TIMEOUT_S = 20.0
 DEFAULT_MAX_BODY_BYTES = 64 * MIB
+SWEEP_INTERVAL_S = 2.0
 
 
 class HttpClient:
@@ -46,6 +50,8 @@
         TLS context; without one, connections are plain TCP.
     connector : Connector, optional
         Opens the connections, in place of TCP connections with the above timeout.
+    budget : ReceiveBudget, optional
+        Bounds what is kept of all responses; one for this client by default.
     """
 
     def __init__(
@@ -56,11 +62,15 @@
         idle_timeout_s: float = DEFAULT_IDLE_TIMEOUT_S,
         tls: ssl.SSLContext | None = None,
         connector: Connector | None = None,
+        budget: ReceiveBudget | None = None,
     ) -> None:
         self._timers = timers
         self._idle_timeout_s = idle_timeout_s
         self._connector = connector or DirectConnector(connect_timeout_s, tls)
+        self._turns = BacklogTurns()
+        self.budget = budget or ReceiveBudget()
         self._idle_by_address: dict[Address, list[Connection]] = {}
+        self._sweep: Subscription | None = None
         self.n_connections_opened = 0
 
     async def send(
@@ -124,6 +134,8 @@
 
     def close(self) -> None:
         """Close all idle connections."""
+        if self._sweep is not None:
+            self._sweep.cancel()
         for connections in self._idle_by_address.values():
             for connection in connections:
                 connection.abort()
@@ -135,6 +147,9 @@
             connection.abort()
             return
         connection.idle_since_s = self._timers.now()
+        connection.pause()
+        if self._sweep is None:
+            self._sweep = self._timers.once(SWEEP_INTERVAL_S, self._close_unusable)
         connections = self._idle_by_address.setdefault(connection.address, [])
         while connections and not self._is_usable(connections[0]):
             connections.pop(0).abort()
@@ -181,11 +196,29 @@
         while connections:
             connection = connections.pop()
             if self._is_usable(connection):
+                connection.resume()
                 return connection
             connection.abort()
         self._idle_by_address.pop(address, None)
         return None
 
+    def _close_unusable(self) -> None:
+        """Close the idle connections that can't be used again.
+
+        Their peers may send on them without end, or may not be asked again at all.
+        """
+        self._sweep = None
+        idle_by_address, self._idle_by_address = self._idle_by_address, {}
+        for address, connections in idle_by_address.items():
+            usable = [c for c in connections if self._is_usable(c)]
+            for connection in connections:
+                if connection not in usable:
+                    connection.abort()
+            if usable:
+                self._idle_by_address[address] = usable
+        if self._idle_by_address:
+            self._sweep = self._timers.once(SWEEP_INTERVAL_S, self._close_unusable)
+
     def _is_usable(self, connection: Connection) -> bool:
         idle_s = self._timers.now() - connection.idle_since_s
         timeout_s = min(self._idle_timeout_s, connection.keep_alive_timeout_s)
@@ -194,7 +227,7 @@
     async def _connect(self, address: Address) -> Connection:
         opened = await self._connector.connect(address)
         self.n_connections_opened += 1
-        return Connection(address, *opened)
+        return Connection(address, opened, self._turns)
 
 
 class ClientResponse:
@@ -215,6 +248,7 @@
         self.is_relayed = connection.is_relayed
         self._connection: Connection | None = connection
         self._client = client
+        self._kept: KeptBytes | None = None
 
     @property
     def ends_with_connection(self) -> bool:
@@ -236,13 +270,29 @@
         if self._connection is not None:
             self._connection.pacer = pacer
 
+    def keep(self, n_bytes: int) -> None:
+        """Tell how many bytes of the body the reader keeps at present.
+
+        When all responses together keep too many, the one with the most is given up.
+
+        Raises
+        ------
+        BrokenResponseError
+            When it is this one.
+        """
+        if self._kept is None and n_bytes:
+            self._kept = self._client.budget.open(self._abort)
+        if self._kept is not None:
+            self._kept.resize(n_bytes)
+
     async def chunks(self) -> AsyncGenerator[bytes, None]:
-        """Yield the body in chunks as they arrive.
+        """Yield the body in parts as they arrive.
 
         Raises
         ------
         BrokenResponseError
-            When the connection closes or stalls before the end of the body.
+            When the connection closes or stalls before the end of the body, or too
+            much of it is kept.
         """
         connection = self._connection
         if connection is None:
@@ -250,10 +300,13 @@
         try:
             while (chunk := await connection.read_body()) is not None:
                 yield chunk
+            if self._kept is not None:
+                self._kept.check()  # its connection was closed, which is no end
         except BaseException:
             self.close()
             raise
         self._connection = None
+        self._end_keeping()
         self._client.release(connection)
 
     async def read(self, max_bytes: int = DEFAULT_MAX_BODY_BYTES) -> bytes:
@@ -265,18 +318,28 @@
             When the connection closes or stalls before the end of the body, or the body
             has more than ``max_bytes``.
         """
-        chunks = []
-        n_left = max_bytes
-        async for chunk in self.chunks():
-            n_left -= len(chunk)
-            if n_left < 0:
-                self.close()
-                raise BrokenResponseError("the body is too large")
-            chunks.append(chunk)
-        return b"".join(chunks)
+        body = bytearray()
+        if (parse_digits(self.headers.get("content-length", "")) or 0) > max_bytes:
+            self.close()
+            raise BrokenResponseError("the body is too large")
+        async with aclosing(self.chunks()) as chunks:
+            async for chunk in chunks:
+                body += chunk
+                if len(body) > max_bytes:
+                    raise BrokenResponseError("the body is too large")
+                self.keep(len(body))
+        return bytes(body)
 
     def close(self) -> None:
         """Abort the connection unless the body has been read to its end."""
+        self._end_keeping()
+        self._abort()
+
+    def _abort(self) -> None:
         if self._connection is not None:
             self._connection.abort()
             self._connection = None
+
+    def _end_keeping(self) -> None:
+        if self._kept is not None:
+            self._kept.close()
--- a/libs/http/src/damaskjunction/http/connection.py
+++ b/libs/http/src/damaskjunction/http/connection.py
@@ -4,12 +4,15 @@
 
 import asyncio
 import math
-from collections.abc import Callable, Hashable, Mapping
-from typing import NamedTuple, cast
+from collections.abc import Hashable, Mapping
+from typing import NamedTuple, TypeAlias, cast
 
 import h11
 
 from damaskjunction.core import Address, parse_digits
+from damaskjunction.core.units import KIB
+from damaskjunction.http.backlog import BacklogTurns
+from damaskjunction.http.connector import OpenConnection
 from damaskjunction.http.messages import BrokenResponseError, StalledResponseError
 from damaskjunction.http.pacing import ReadPacer
 from damaskjunction.http.protocol import (
@@ -20,7 +23,10 @@
 from damaskjunction.http.sockets import has_waiting_bytes
 from damaskjunction.http.stalls import StallTimer
 
-READ_BYTES = 64 * 1024
+ProtocolEvent: TypeAlias = h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]
+
+READ_BYTES = 32 * KIB
+MAX_CHUNKS_AT_ONCE = 64  # handling so many takes about as long as a read
 DEFAULT_STALL_TIMEOUT_S = 30.0
 MAX_INTERIM_HEADS = 8
 KEEP_ALIVE_TIMEOUT_FRACTION = 0.5
@@ -37,29 +43,40 @@
     """A client connection, used for one request at a time.
 
     ``peer`` is the process at its other end, None while that is not known.
+
+    Parameters
+    ----------
+    address : Address
+        The address to which it leads.
+    opened : OpenConnection
+        The open connection.
+    turns : BacklogTurns
+        The turns of all connections of the client.
     """
 
     def __init__(
         self,
         address: Address,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-        may_reuse: Callable[[], bool],
-        is_relayed: bool,
+        opened: OpenConnection,
+        turns: BacklogTurns,
     ) -> None:
         self.address = address
-        self.is_relayed = is_relayed
+        self.is_relayed = opened.is_relayed
         self.n_requests = 0
         self.idle_since_s = 0.0
         self.peer: Hashable | None = None
         self.keep_alive_timeout_s = math.inf
-        self._reader = reader
-        self._writer = writer
-        self._may_reuse = may_reuse
+        self._reader = opened.reader
+        self._writer = opened.writer
+        self._may_reuse = opened.may_reuse
         self._protocol = h11.Connection(h11.CLIENT)
         self.stall_s = DEFAULT_STALL_TIMEOUT_S
         self.pacer: ReadPacer | None = None
-        self._stall_timer = StallTimer(reader)
+        self._stall_timer = StallTimer(opened.reader)
+        self._turns = turns
+        self._has_backlog = False
+        self._kept_event: ProtocolEvent | None = None
+        self._failure: h11.RemoteProtocolError | None = None
 
     async def exchange(
         self,
@@ -97,13 +114,30 @@
             raise StalledResponseError(detail) from None
 
     async def read_body(self) -> bytes | None:
-        """Return the next chunk of the body, or None at its end."""
-        while True:
-            event = await self._next_event()
-            if isinstance(event, h11.Data):
-                return bytes(event.data)
-            if isinstance(event, h11.EndOfMessage):
-                return None
+        """Return the next part of the body, or None at its end.
+
+        Chunks that have arrived together are one part.
+        """
+        event: ProtocolEvent
+        event = await self._next_event()
+        if not isinstance(event, h11.Data):
+            return None
+        chunks = []
+        while isinstance(event, h11.Data):
+            chunks.append(bytes(event.data))
+            if len(chunks) == MAX_CHUNKS_AT_ONCE:
+                self._has_backlog = True
+                return b"".join(chunks)
+            event = self._take_next_chunk()
+        return b"".join(chunks)
+
+    def pause(self) -> None:
+        """Leave what arrives to the kernel, while the connection is idle."""
+        self._transport.pause_reading()
+
+    def resume(self) -> None:
+        """Read what arrives."""
+        self._transport.resume_reading()
 
     def prepare_for_reuse(self) -> bool:
         """Prepare for the next request; return whether the connection is reusable."""
@@ -131,6 +165,10 @@
         self._stall_timer.close()
         self._writer.transport.abort()
 
+    @property
+    def _transport(self) -> asyncio.Transport:
+        return cast(asyncio.Transport, self._writer.transport)
+
     async def _read_head(self) -> ResponseHead:
         for _ in range(1 + MAX_INTERIM_HEADS):
             event = await self._next_event()
@@ -153,25 +191,58 @@
 
     async def _pause_reading(self, pacer: ReadPacer) -> None:
         """Leave what arrives to the kernel until the next reads of the pacer."""
-        transport = cast(asyncio.Transport, self._writer.transport)
-        transport.pause_reading()
+        self.pause()
         try:
             await pacer.wait()
         finally:
-            transport.resume_reading()
+            self.resume()
+
+    def _take_event(self) -> ProtocolEvent:
+        """Return the next event of what has been read.
+
+        Raises
+        ------
+        h11.RemoteProtocolError
+            When the peer does not keep to the protocol.
+        """
+        if self._failure is not None:
+            raise self._failure
+        event, self._kept_event = self._kept_event, None
+        return self._protocol.next_event() if event is None else event
+
+    def _take_next_chunk(
+        self,
+    ) -> ProtocolEvent:
+        """Return the next event of what has been read if it is a chunk.
+
+        Another one, or a failure, is kept until the chunks before it are handled.
+        """
+        try:
+            event = self._protocol.next_event()
+        except h11.RemoteProtocolError as error:
+            self._failure = error
+            return h11.NEED_DATA
+        if not isinstance(event, h11.Data) and event is not h11.NEED_DATA:
+            self._kept_event = event
+        return event
 
     async def _next_event(self) -> h11.Event:
+        if self._has_backlog:
+            self._has_backlog = False
+            await self._turns.wait()
         try:
-            while (event := self._protocol.next_event()) is h11.NEED_DATA:
+            while (event := self._take_event()) is h11.NEED_DATA:
                 if self.pacer is not None:
                     await self._pause_reading(self.pacer)
+                if self._has_unread_data():
+                    await self._turns.wait()
                 data = await self._stall_timer.read(READ_BYTES, self.stall_s)
                 self._protocol.receive_data(data)
         except TimeoutError:
             detail = f"{self.address}: no data received for {self.stall_s:.3f} s"
             raise StalledResponseError(detail) from None
         except (OSError, h11.RemoteProtocolError) as error:
-            raise BrokenResponseError(f"{self.address}: {error!r}") from None
+            raise BrokenResponseError(f"{self.address}: {error!r:.200}") from None
         if isinstance(event, h11.ConnectionClosed) or event is h11.PAUSED:
             raise BrokenResponseError(f"{self.address}: closed before end of response")
         assert isinstance(event, h11.Event)
--- a/libs/http/src/damaskjunction/http/connector.py
+++ b/libs/http/src/damaskjunction/http/connector.py
@@ -9,7 +9,11 @@
 
 from damaskjunction.core import Address
 from damaskjunction.http.messages import ConnectFailedError
-from damaskjunction.http.sockets import enable_tcp_keepalive
+from damaskjunction.http.sockets import (
+    RECEIVE_BUFFER_BYTES,
+    bound_receive_buffer,
+    enable_tcp_keepalive,
+)
 
 
 def _is_always_reusable() -> bool:
@@ -61,9 +65,13 @@
         try:
             async with asyncio.timeout(self._timeout_s):
                 reader, writer = await asyncio.open_connection(
-                    address.ip, address.port, ssl=self._tls
+                    address.ip,
+                    address.port,
+                    ssl=self._tls,
+                    limit=RECEIVE_BUFFER_BYTES,
                 )
         except (OSError, TimeoutError) as error:
             raise ConnectFailedError(f"cannot connect to {address}: {error}") from None
         enable_tcp_keepalive(writer)
+        bound_receive_buffer(writer)
         return OpenConnection(reader, writer)
--- a/libs/http/src/damaskjunction/http/events.py
+++ b/libs/http/src/damaskjunction/http/events.py
@@ -9,6 +9,7 @@
 from damaskjunction.http.messages import BrokenResponseError
 
 MAX_EVENT_BYTES = 1 * MIB
+EVENT_END = b"\n\n"
 
 
 class Event(NamedTuple):
@@ -23,11 +24,49 @@
     return f"event: {event.name}\ndata: {event.data}\n\n".encode()
 
 
+class _EventSplitter:
+    """Splits a stream into the blocks that are its events.
+
+    Each byte is searched once, however small the pieces are in which it arrives.
+    """
+
+    def __init__(self) -> None:
+        self._buffer = bytearray()
+
+    @property
+    def n_buffered(self) -> int:
+        """Bytes of the event that is not complete."""
+        return len(self._buffer)
+
+    def feed(self, data: bytes) -> list[bytes]:
+        """Add a piece of the stream and return the blocks that it completes.
+
+        Raises
+        ------
+        BrokenResponseError
+            When an event is larger than ``MAX_EVENT_BYTES``.
+        """
+        n_searched = max(0, len(self._buffer) - 1)
+        self._buffer += data
+        blocks = []
+        if self._buffer.find(EVENT_END, n_searched) >= 0:
+            *blocks, rest = bytes(self._buffer).split(EVENT_END)
+            self._buffer = bytearray(rest)
+        if len(self._buffer) > MAX_EVENT_BYTES:
+            raise BrokenResponseError("an event is too large")
+        return blocks
+
+
 class EventParser:
     """Incremental parser that turns chunks of a stream into events."""
 
     def __init__(self) -> None:
-        self._buffer = b""
+        self._splitter = _EventSplitter()
+
+    @property
+    def n_buffered(self) -> int:
+        """Bytes of the event that is not complete."""
+        return self._splitter.n_buffered
 
     def feed(self, data: bytes) -> list[Event]:
         """Add a chunk of the stream and return the events that it completes.
@@ -37,11 +76,9 @@
         BrokenResponseError
             When an event is larger than ``MAX_EVENT_BYTES``.
         """
-        *blocks, self._buffer = (self._buffer + data).split(b"\n\n")
-        _check_size(self._buffer)
         return [
             _parse_event(block.decode(errors="replace"))
-            for block in blocks
+            for block in self._splitter.feed(data)
             if block.strip()
         ]
 
@@ -58,11 +95,6 @@
     return Event(name, "\n".join(data))
 
 
-def _check_size(incomplete_event: bytes) -> None:
-    if len(incomplete_event) > MAX_EVENT_BYTES:
-        raise BrokenResponseError("an event is too large")
-
-
 class RawEvent(NamedTuple):
     """A complete event with its bytes as received.
 
@@ -78,12 +110,17 @@
     """Incremental parser that keeps the bytes of each event as received."""
 
     def __init__(self) -> None:
-        self._buffer = b""
+        self._splitter = _EventSplitter()
+
+    @property
+    def n_buffered(self) -> int:
+        """Bytes of the event that is not complete."""
+        return self._splitter.n_buffered
 
     @property
     def is_between_events(self) -> bool:
         """Whether the stream so far ends at the end of an event."""
-        return not self._buffer
+        return not self.n_buffered
 
     def feed(self, data: bytes) -> list[RawEvent]:
         """Add a chunk of the stream and return the events that it completes.
@@ -93,9 +130,7 @@
         BrokenResponseError
             When an event is larger than ``MAX_EVENT_BYTES``.
         """
-        *blocks, self._buffer = (self._buffer + data).split(b"\n\n")
-        _check_size(self._buffer)
-        return [_parse_raw_event(block) for block in blocks]
+        return [_parse_raw_event(block) for block in self._splitter.feed(data)]
 
 
 def _parse_raw_event(block: bytes) -> RawEvent:
--- a/libs/http/src/damaskjunction/http/peer_query.py
+++ b/libs/http/src/damaskjunction/http/peer_query.py
@@ -63,9 +63,9 @@
 
 async def _ask_peer(query: PeerQuery, connection: Connection) -> Hashable | None:
     head = await connection.exchange("GET", query.target, EMPTY, b"", query.timeout_s)
-    body = b""
+    body = bytearray()
     while (chunk := await connection.read_body()) is not None:
         body += chunk
         if len(body) > query.max_bytes:
             raise BrokenResponseError(f"{connection.address}: the body is too large")
-    return query.decode(head, body)
+    return query.decode(head, bytes(body))
--- /dev/null
+++ b/libs/http/src/damaskjunction/http/receive_budget.py
@@ -0,0 +1,93 @@
+"""A bound on the bytes that all responses of a process hold at once."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from damaskjunction.core.units import MIB
+from damaskjunction.http.messages import BrokenResponseError
+
+DEFAULT_BUDGET_BYTES = 64 * MIB
+
+
+class ReceiveBudget:
+    """Bounds what is kept of received data, over all that keep some.
+
+    It answers peers that send without end, many at once. When all together keep too
+    much, the one that keeps most is given up, so that small responses are served.
+
+    Parameters
+    ----------
+    limit_bytes : int, optional
+        Bytes that are kept at once.
+    """
+
+    def __init__(self, limit_bytes: int = DEFAULT_BUDGET_BYTES) -> None:
+        self._limit_bytes = limit_bytes
+        self._all_kept: set[KeptBytes] = set()
+        self.n_bytes = 0
+
+    def open(self, on_revoked: Callable[[], None]) -> KeptBytes:
+        """Return the account of one that keeps data.
+
+        ``on_revoked`` is called when it has to drop what it keeps.
+        """
+        kept = KeptBytes(self, on_revoked)
+        self._all_kept.add(kept)
+        return kept
+
+    def count(self, kept: KeptBytes, n_added: int) -> None:
+        """Count bytes of an open account; revoke the largest while over the limit."""
+        if kept not in self._all_kept:
+            return
+        self.n_bytes += n_added
+        while self.n_bytes > self._limit_bytes:
+            max(self._all_kept, key=lambda kept: kept.n_bytes).revoke()
+
+    def remove(self, kept: KeptBytes) -> None:
+        """Remove an account, with all that it has counted."""
+        if kept in self._all_kept:
+            self._all_kept.remove(kept)
+            self.n_bytes -= kept.n_bytes
+
+
+class KeptBytes:
+    """What one response, or one item, keeps of the data it has received.
+
+    Use ``ReceiveBudget.open``; ``close`` ends it.
+    """
+
+    def __init__(self, budget: ReceiveBudget, on_revoked: Callable[[], None]) -> None:
+        self._budget = budget
+        self._on_revoked = on_revoked
+        self.n_bytes = 0
+        self.is_revoked = False
+
+    def resize(self, n_bytes: int) -> None:
+        """Set how many bytes are kept now.
+
+        Raises
+        ------
+        BrokenResponseError
+            If the account is revoked: the data must be dropped.
+        """
+        self.check()
+        n_added, self.n_bytes = n_bytes - self.n_bytes, n_bytes
+        self._budget.count(self, n_added)
+        self.check()
+
+    def check(self) -> None:
+        """Raise ``BrokenResponseError`` if the account is revoked."""
+        if self.is_revoked:
+            raise BrokenResponseError("all responses together are too large")
+
+    def revoke(self) -> None:
+        """Count the bytes no more; its holder drops them."""
+        self.close()
+        self.is_revoked = True
+        self._on_revoked()
+
+    def close(self) -> None:
+        """End the account."""
+        self._budget.remove(self)
+        self.n_bytes = 0
--- a/libs/http/src/damaskjunction/http/sockets.py
+++ b/libs/http/src/damaskjunction/http/sockets.py
@@ -6,9 +6,12 @@
 import select
 import socket
 
+from damaskjunction.core.units import KIB
+
 TCP_KEEPALIVE_IDLE_S = 1
 TCP_KEEPALIVE_INTERVAL_S = 1
 N_TCP_KEEPALIVE_PROBES = 3
+RECEIVE_BUFFER_BYTES = 32 * KIB
 
 
 def enable_tcp_keepalive(writer: asyncio.StreamWriter) -> None:
@@ -24,6 +27,16 @@
     )
 
 
+def bound_receive_buffer(writer: asyncio.StreamWriter) -> None:
+    """Bound what the event loop reads at once from a connection that is not read.
+
+    It stops reading when its reader has twice ``RECEIVE_BUFFER_BYTES``.
+    """
+    # The bytes read at once are no public setting; the default is 256 KiB.
+    if hasattr(writer.transport, "max_size"):
+        writer.transport.max_size = RECEIVE_BUFFER_BYTES
+
+
 def has_waiting_bytes(writer: asyncio.StreamWriter) -> bool:
     """Return whether the kernel holds bytes, an end or an error of a connection.
 
--- a/libs/node/src/damaskjunction/node/runners/protocols.py
+++ b/libs/node/src/damaskjunction/node/runners/protocols.py
@@ -181,7 +181,9 @@
         async with aclosing(response.chunks()) as chunks:
             async for data in chunks:
                 response.set_stall_timeout(TOKEN_STALL_S)
-                for event in parser.feed(data):
+                events = parser.feed(data)
+                response.keep(parser.n_buffered)
+                for event in events:
                     yield event
     except BrokenResponseError as error:
         raise RequestError(Outcome.UNKNOWN, "runner_lost", str(error)) from None
--- a/libs/node/src/damaskjunction/node/serving/home.py
+++ b/libs/node/src/damaskjunction/node/serving/home.py
@@ -18,7 +18,7 @@
     WorkClass,
     WorkspaceSpec,
 )
-from damaskjunction.http import Connector, HttpClient
+from damaskjunction.http import Connector, HttpClient, ReceiveBudget
 from damaskjunction.node.runners.crashes import CrashTracker
 from damaskjunction.node.runners.protocols import (
     AnswerMessage,
@@ -92,9 +92,13 @@
         self._crashes = crashes
         self._timers = timers
         self._metrics = metrics
+        budget = ReceiveBudget()
         self._clients_by_class = {
             work_class: HttpClient(
-                timers, idle_timeout_s=CONNECTION_IDLE_TIMEOUT_S, connector=connector
+                timers,
+                idle_timeout_s=CONNECTION_IDLE_TIMEOUT_S,
+                connector=connector,
+                budget=budget,
             )
             for work_class in WorkClass
         }
--- a/libs/platform/src/damaskjunction/platform/settings_file.py
+++ b/libs/platform/src/damaskjunction/platform/settings_file.py
@@ -15,7 +15,7 @@
     SourceLocation,
     raise_findings,
 )
-from damaskjunction.core.units import MILLISECOND_S
+from damaskjunction.core.units import MIB, MILLISECOND_S
 from damaskjunction.routing import DEFAULT_DRAIN_S, DEFAULT_MAX_SKEW_S
 
 SETTINGS_VARIABLE = "DAMASKJUNCTION_SETTINGS"
@@ -24,6 +24,7 @@
 DEFAULT_STOP_GRACE_S = 8.0
 DEFAULT_RESULT_RETENTION_S = 120.0
 DEFAULT_RENEWAL_INTERVAL_S = 1.2
+DEFAULT_MEMORY_BYTES = 256 * MIB
 
 
 class ProcessSettings(NamedTuple):
@@ -37,7 +38,8 @@
     between the stop request and the kill, and ``result_retention_s`` the time for which
     results must stay readable. ``drain_s`` is the time for which a leaving runner still
     serves, ``max_skew_s`` the largest difference of clocks, and ``renewal_interval_s``
-    the time between a runner's renewals of its entry in the store. ``n_cores`` is the
+    the time between a runner's renewals of its entry in the store. ``memory_bytes`` is
+    the memory beyond which the process is killed. ``n_cores`` is the
     number of processor cores that the process may use, scaled to cores of the usual
     speed. ``max_descriptors`` limits the open file descriptors. The settings file has
     no key for ``metrics_port``.
@@ -59,6 +61,7 @@
     stop_grace_s: float = DEFAULT_STOP_GRACE_S
     result_retention_s: float = DEFAULT_RESULT_RETENTION_S
     n_cores: float = 1.0
+    memory_bytes: float = DEFAULT_MEMORY_BYTES
     drain_s: float = DEFAULT_DRAIN_S
     max_skew_s: float = DEFAULT_MAX_SKEW_S
     renewal_interval_s: float = DEFAULT_RENEWAL_INTERVAL_S
@@ -166,6 +169,7 @@
         result_retention_s=reader.number("Bounds.StatusS", DEFAULT_RESULT_RETENTION_S),
         n_cores=reader.number("Limits.CpuShare", 1.0)
         * reader.number("Limits.Cores", 1.0),
+        memory_bytes=MIB * reader.number("Limits.MemoryMb", DEFAULT_MEMORY_BYTES / MIB),
         drain_s=reader.seconds("Bounds.DrainMs", DEFAULT_DRAIN_S),
         max_skew_s=reader.seconds("Bounds.SkewMaxMs", DEFAULT_MAX_SKEW_S),
         renewal_interval_s=reader.seconds("HeartbeatMs", DEFAULT_RENEWAL_INTERVAL_S),
--- a/libs/relay/src/damaskjunction/relay/direct.py
+++ b/libs/relay/src/damaskjunction/relay/direct.py
@@ -8,7 +8,11 @@
 
 from damaskjunction.core import Address, HostId
 from damaskjunction.core.units import MILLISECOND_S
-from damaskjunction.http import enable_tcp_keepalive
+from damaskjunction.http import (
+    RECEIVE_BUFFER_BYTES,
+    bound_receive_buffer,
+    enable_tcp_keepalive,
+)
 from damaskjunction.routing import Reach
 
 PROOF_S = 30 * MILLISECOND_S  # for which a connection has to last
@@ -35,8 +39,11 @@
 
 async def open_connection(address: Address) -> Streams:
     """Open a connection to a runner; raises OSError when it fails."""
-    streams = Streams(*await asyncio.open_connection(*address))
+    streams = Streams(
+        *await asyncio.open_connection(*address, limit=RECEIVE_BUFFER_BYTES)
+    )
     enable_tcp_keepalive(streams.writer)
+    bound_receive_buffer(streams.writer)
     return streams
 
 
--- a/libs/relay/src/damaskjunction/relay/tunnel.py
+++ b/libs/relay/src/damaskjunction/relay/tunnel.py
@@ -5,7 +5,11 @@
 import asyncio
 
 from damaskjunction.core import Address
-from damaskjunction.http import enable_tcp_keepalive
+from damaskjunction.http import (
+    RECEIVE_BUFFER_BYTES,
+    bound_receive_buffer,
+    enable_tcp_keepalive,
+)
 from damaskjunction.relay.direct import Attempt, Streams
 from damaskjunction.routing import Reach
 from damaskjunction.wire import DecodeError, TunnelDecoder, encode_tunnel_ask
@@ -77,7 +81,7 @@
     A relay that gives no answer within ``timeout_s`` seconds is one of unknown reach.
     """
     loop = asyncio.get_running_loop()
-    reader = asyncio.StreamReader(loop=loop)
+    reader = asyncio.StreamReader(limit=RECEIVE_BUFFER_BYTES, loop=loop)
     transport: asyncio.Transport | None = None
     try:
         async with asyncio.timeout(timeout_s):
@@ -95,6 +99,7 @@
         raise
     if reach is Reach.CONNECTED:
         enable_tcp_keepalive(writer)
+        bound_receive_buffer(writer)
         return Attempt(reach, Streams(reader, writer))
     if transport is not None:
         transport.abort()
