Give no two batch jobs the same name for an object of their results

Cause: the results of a job were stored as JOB, JOB.1, JOB.2, so that the second object of one job may be the first of another; a conflict there was taken for an own segment.

Change: the first object of a job whose id ends in a dot and digits is JOB.0, so each name belongs to one job. Other names stay, for upgrades side by side.

--- a/libs/gateway/features/fake_store.py
+++ b/libs/gateway/features/fake_store.py
@@ -43,6 +43,10 @@
         known = await self._check_revision(kind, name, revision)
         return self._put(kind, name, known.content, status)
 
+    async def delete(self, kind, name):
+        await self._check()
+        self._objects_by_key.pop((kind, name), None)
+
     def find(self, kind, name):
         """Return an object, None if there is none, even while the store is away."""
         return self._objects_by_key.get((kind, name))
--- a/libs/gateway/features/job_store.feature
+++ b/libs/gateway/features/job_store.feature
@@ -35,6 +35,20 @@
       | 1000000,100                 |
       | 299000,299000,100,700000,10 |
 
+  # Guards against results of one job that are listed under another (review/1)
+  Scenario Outline: Jobs share no results, whatever their ids
+    Given a store whose objects hold 1048576 bytes
+    When the jobs "<ids>" each have results of 3 segments
+    Then each of them has its own results alone
+    And the results of the first are deleted without those of the others
+
+    Examples:
+      | ids                               |
+      | digest,digest.1                   |
+      | digest.1,digest                   |
+      | a,a.0,a.1,a.1.0,a.1.1,a.0.0,a.1.2 |
+      | a.,a..1,.1,1,a.01,a.1             |
+
   Scenario: A result that no object of the store holds keeps back no other result
     Given a store whose objects hold 1048576 bytes
     When results of "2000000,100,400000,100" bytes are written at once
--- a/libs/gateway/features/steps/job_store_steps.py
+++ b/libs/gateway/features/steps/job_store_steps.py
@@ -20,6 +20,7 @@
 from damaskjunction.gateway.jobs.result_repository import (
     ResultRepository,
     ResultSegment,
+    segment_name,
 )
 from damaskjunction.gateway.jobs.result_writer import ResultWriter
 from damaskjunction.node import HostView, cancel_tasks
@@ -65,10 +66,6 @@
     return ItemResult(f"i{number}", True, "text")
 
 
-def segment_name(job_id, index):
-    return f"{job_id}.{index}" if index else job_id
-
-
 @given('the job "{job_id}" has {count:d} full segments of results in the store')
 def store_segments(context, job_id, count):
     context.store = FakeStore()
@@ -139,6 +136,40 @@
     check_results(context, count)
 
 
+def make_own_results(job_id):
+    return [ItemResult(f"{job_id}-{number}", True, "text") for number in range(3)]
+
+
+@when('the jobs "{ids}" each have results of 3 segments')
+def write_segments_of_jobs(context, ids):
+    context.ids = ids.split(",")
+    for index in range(3):
+        for job_id in context.ids:
+            segment = ResultSegment((make_own_results(job_id)[index],), index < 2)
+            run(context, context.results.write(job_id, index, segment))
+
+
+def read_afresh(context, job_id):
+    segments = run(context, ResultRepository(context.store).read(job_id))
+    return [result for segment in segments for result in segment.results]
+
+
+@then("each of them has its own results alone")
+def check_own_results(context):
+    for job_id in context.ids:
+        found = read_afresh(context, job_id)
+        assert found == make_own_results(job_id), (job_id, found)
+
+
+@then("the results of the first are deleted without those of the others")
+def check_deleted(context):
+    first, *others = context.ids
+    run(context, ResultRepository(context.store).delete(first))
+    assert read_afresh(context, first) == []
+    for job_id in others:
+        assert read_afresh(context, job_id) == make_own_results(job_id), job_id
+
+
 @given("a store whose objects hold {count:d} bytes")
 def make_bounded_store(context, count):
     context.store = FakeStore()
--- a/libs/gateway/src/damaskjunction/gateway/jobs/result_repository.py
+++ b/libs/gateway/src/damaskjunction/gateway/jobs/result_repository.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from collections import OrderedDict
 from itertools import islice
 from typing import NamedTuple
@@ -25,6 +26,8 @@
 
 MAX_CACHED_JOBS = 64  # beside those that are pinned
 
+_SEGMENT_SUFFIX = re.compile(r"\.[0-9]+\Z")  # of the name of a later segment
+
 
 class ResultSegment(NamedTuple):
     """Consecutive results of a job that share an object of the store.
@@ -78,7 +81,7 @@
     async def delete(self, job_id: JobId) -> None:
         """Delete the results of a job from the store."""
         for index in range(len(await self.read(job_id))):
-            await self._store.delete(RESULTS_KIND, _segment_name(job_id, index))
+            await self._store.delete(RESULTS_KIND, segment_name(job_id, index))
 
     def cached(self, job_id: JobId) -> tuple[ItemResult, ...]:
         """Return the cached results; the store may have more."""
@@ -112,7 +115,7 @@
         """Append the segments that follow those in the list."""
         is_full = True
         while is_full:
-            name = _segment_name(job_id, len(segments))
+            name = segment_name(job_id, len(segments))
             stored = await self._store.get(RESULTS_KIND, name)
             if stored is None:
                 return
@@ -130,7 +133,7 @@
             When the segment was not, or may not have been, written.
         """
         segments = list(self.cached_segments(job_id))
-        name = _segment_name(job_id, index)
+        name = segment_name(job_id, index)
         results = encode_result_list(segment.results)
         content = {"results": results, "is_full": segment.is_full}
         self._unsettled_ids.add(job_id)
@@ -189,5 +192,11 @@
     return ResultSegment(results, is_full, stored.revision)
 
 
-def _segment_name(job_id: JobId, index: int) -> str:
-    return f"{job_id}.{index}" if index else job_id
+def segment_name(job_id: JobId, index: int) -> str:
+    """Return the name of a segment, which no other job has for one of its own.
+
+    The first segment goes by the job's id, unless that could be a later segment's name.
+    """
+    if index or _SEGMENT_SUFFIX.search(job_id):
+        return f"{job_id}.{index}"
+    return job_id
