Keep what a client has sent when the stream before it ends in the same turn

Cause: bytes that the watcher of a stream's client had read were dropped if the stream ended in the same turn of the event loop.

Change: they go to the parser in any case; only an end of the client before the stream's end still breaks the stream off.

--- a/libs/http/features/server.feature
+++ b/libs/http/features/server.feature
@@ -49,3 +49,15 @@
     Given a server that echoes bodies of at most 1000 bytes
     When the server drains beside an idle connection
     Then the server ends its draining within 2 s
+
+  # Guards against a request whose head is dropped, so that its body is run as one
+  Scenario Outline: What a client pipelines behind a stream is not lost
+    Given a connection on which a response is streamed
+    When <first> of another request arrives as the stream ends, and the rest later
+    Then that request is handled with its body, and no other one
+
+    Examples:
+      | first              |
+      | the head           |
+      | a part of the head |
+      | all but the end    |
--- a/libs/http/src/damaskjunction/http/server_connection.py
+++ b/libs/http/src/damaskjunction/http/server_connection.py
@@ -225,9 +225,10 @@
         watcher = asyncio.ensure_future(self._reader.read(READ_BYTES))
         try:
             await asyncio.wait((sender, watcher), return_when=asyncio.FIRST_COMPLETED)
-            if watcher.done() and not sender.done():
+            if watcher.done():
+                # Also bytes that came as the stream ended belong to the next request.
                 self._protocol.receive_data(watcher.result())
-                if not watcher.result():
+                if not (watcher.result() or sender.done()):
                     raise ConnectionResetError("the peer closed the connection")
             await sender
         finally:
