Bound how long a watch of the store may be silent unnoticed

Cause: after one lost answer a connection returns nothing further. Watches waited 28 s with a stall timeout of 30 s, and probes over other connections were taken for proof that they heard all changes.

Change: a watch waits 2 s, so its own stall timeout shows it 4 s after it began.

--- a/libs/gateway/features/change_feed_components.feature
+++ b/libs/gateway/features/change_feed_components.feature
@@ -35,6 +35,12 @@
     When a reader that knows revision 1 requests the feed of a source without the store
     Then the source reports that it lost the store within 0.75 s
 
+  # Guards against requests that go by an old manifest for 28 s (review/4)
+  Scenario: A watch whose connection has fallen silent is given up soon
+    Given a store that answers a list, and falls silent on the connection of a watch
+    When a change is made just after that
+    Then the follower knows it within 4.5 s
+
   Scenario: The proof that the store responds expires while the next probe is pending
     Given a host that has proved that the store responds
     When 0.8 s pass without a response from the store
--- a/libs/gateway/features/steps/change_feed_component_steps.py
+++ b/libs/gateway/features/steps/change_feed_component_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import random
 import time
 
@@ -25,10 +26,12 @@
 from damaskjunction.gateway.store.store_contact import StoreContact
 from damaskjunction.node import HostView, PeerHandlers
 from damaskjunction.platform import (
+    DirectTransport,
     ObjectChange,
     ObjectChanges,
     ObjectPage,
     PlatformObject,
+    StoreClient,
     StoreReply,
 )
 from damaskjunction.wire import KindSeen, NewsAsk, NoNews, PeerLinks
@@ -380,3 +383,69 @@
 def check_following(context, count):
     counts = (context.follower.n_snapshots, context.follower.n_starts)
     assert counts == (count, 1), counts
+
+
+class SilentWatchStore:
+    """A store that answers lists, and nothing on the connection of the first watch."""
+
+    def __init__(self):
+        self.revision = 5
+        self.has_watch = asyncio.Event()
+
+    async def serve(self, reader, writer):
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                if b"Watch=" in head:
+                    self.has_watch.set()
+                    await asyncio.sleep(60.0)
+                name = f"o{self.revision}"
+                stored = {"Metadata": {"Name": name, "Revision": self.revision}}
+                page = {"Items": [stored], "CurrentRev": self.revision}
+                body = json.dumps(page).encode()
+                head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+                writer.write(head + body)
+        except (OSError, asyncio.IncompleteReadError):
+            writer.close()
+
+
+@given("a store that answers a list, and falls silent on the connection of a watch")
+def make_silent_store(context):
+    async def work():
+        context.silent_store = SilentWatchStore()
+        context.server = await asyncio.start_server(
+            context.silent_store.serve, "127.0.0.1", 0
+        )
+        address = Address(*context.server.sockets[0].getsockname())
+        context.transport = DirectTransport(address, LoopTimers())
+        client = StoreClient(context.transport)
+        context.has_change = asyncio.Event()
+
+        def apply_all(objects):
+            if [stored.name for stored in objects] == ["o6"]:
+                context.has_change.set()
+
+        state = KindState("kind", apply_all, lambda change: None)
+        context.follower = KindFollower(client, state, rng=random.Random(1))
+        await context.follower.start()
+        async with asyncio.timeout(5.0):
+            await context.silent_store.has_watch.wait()
+
+    context.asyncio_runner.run(work())
+
+
+@when("a change is made just after that")
+def change_unseen(context):
+    context.silent_store.revision = 6
+
+
+@then("the follower knows it within {limit_s:g} s")
+def check_follower_knows(context, limit_s):
+    async def work():
+        async with asyncio.timeout(limit_s):
+            await context.has_change.wait()
+        await context.follower.close()
+        context.transport.close()
+        context.server.close()
+
+    context.asyncio_runner.run(work())
--- a/libs/gateway/src/damaskjunction/gateway/store/kind_follower.py
+++ b/libs/gateway/src/damaskjunction/gateway/store/kind_follower.py
@@ -14,7 +14,9 @@
 
 logger = logging.getLogger(__name__)
 
-WATCH_WAIT_S = 28.0
+# A watch whose connection has fallen silent is known by its stall timeout alone, so its
+# wait bounds for how long changes are missed.
+WATCH_WAIT_S = 2.0
 BACKOFF_BASE_S = 0.1
 BACKOFF_LIMIT_S = 0.8
 
