Cancel a request whose client resets its connection

A reset is an end now, as a close is.

Measured: the new scenario failed before (not cancelled in 2 s) and passes now.

--- a/libs/http/features/server.feature
+++ b/libs/http/features/server.feature
@@ -49,6 +49,12 @@
     When a client sends a request and disconnects
     Then the handler is cancelled within 2 s
 
+  # Guards against work for a client that has reset its connection
+  Scenario: A handler is cancelled when its client resets the connection
+    Given a server whose handler never returns
+    When a client sends a request and resets its connection
+    Then the handler is cancelled within 2 s
+
   Scenario Outline: A request that arrives as the server drains is answered
     Given a server that echoes bodies of at most 1000 bytes
     When the server drains just after a request was sent on <connection>
--- a/libs/http/features/steps/server_steps.py
+++ b/libs/http/features/steps/server_steps.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 import socket
+import struct
 
 from behave import given, then, when
 
@@ -177,11 +178,24 @@
 
 @when("a client sends a request and disconnects")
 def request_and_disconnect(context):
+    request_and_leave(context, is_reset=False)
+
+
+@when("a client sends a request and resets its connection")
+def request_and_reset(context):
+    request_and_leave(context, is_reset=True)
+
+
+def request_and_leave(context, *, is_reset):
     async def send_and_close():
         _, writer = await asyncio.open_connection(*context.address)
         writer.write(b"GET /wait HTTP/1.1\r\nHost: a\r\n\r\n")
         await writer.drain()
         await wait_until(lambda: context.server.n_connections == 1)
+        if is_reset:
+            linger = struct.pack("ii", 1, 0)
+            client = writer.get_extra_info("socket")
+            client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
         writer.close()
 
     run(context, send_and_close())
--- a/libs/http/src/damaskjunction/http/server_connection.py
+++ b/libs/http/src/damaskjunction/http/server_connection.py
@@ -146,12 +146,13 @@
     async def _cancel_on_disconnect(self, handler: asyncio.Future[Response]) -> None:
         """Cancel the handler if the peer disconnects before the response."""
         await self._body_consumed.wait()
-        data = await self._reader.read(READ_BYTES)
-        if data:
-            self._protocol.receive_data(data)
-            return
-        self._protocol.receive_data(b"")
-        handler.cancel()
+        try:
+            data = await self._reader.read(READ_BYTES)
+        except OSError:
+            data = b""  # a reset is an end, too
+        self._protocol.receive_data(data)
+        if not data:
+            handler.cancel()
 
     def _to_request(self, head: h11.Request) -> Request:
         if len(head.headers) > self._limits.n_headers:
