--- a/libs/gateway/features/job_store.feature
+++ b/libs/gateway/features/job_store.feature
@@ -49,6 +49,20 @@
       | a,a.0,a.1,a.1.0,a.1.1,a.0.0,a.1.2 |
       | a.,a..1,.1,1,a.01,a.1             |
 
+  # Guards against a job that is accepted and then can't be read or ended
+  Scenario Outline: A job is found by its id as it is escaped in a path
+    Given a store whose objects hold 1048576 bytes
+    When the job "<id>" is accepted beside a host's callers
+    Then callers find it under "<escaped>", and can end it
+
+    Examples:
+      | id                | escaped               |
+      | digest:2026-12-05 | digest%3A2026-12-05   |
+      | digest:2026-12-05 | digest:2026-12-05     |
+      | a/b               | a%2Fb                 |
+      | a%2Fb             | a%252Fb               |
+      | a b+c             | a%20b+c               |
+
   Scenario: A result that no object of the store holds keeps back no other result
     Given a store whose objects hold 1048576 bytes
     When results of "2000000,100,400000,100" bytes are written at once
--- a/libs/gateway/features/steps/job_store_steps.py
+++ b/libs/gateway/features/steps/job_store_steps.py
@@ -23,8 +23,15 @@
     segment_name,
 )
 from damaskjunction.gateway.jobs.result_writer import ResultWriter
+from damaskjunction.http import BodyReader, Request
 from damaskjunction.node import HostView, cancel_tasks
-from damaskjunction.platform import RESULTS_KIND, CallerRequest, encode_result_list
+from damaskjunction.platform import (
+    ITEM_PATH_PREFIX,
+    JOB_PATH_PREFIX,
+    RESULTS_KIND,
+    CallerRequest,
+    encode_result_list,
+)
 from damaskjunction.routing import Route, RouteKind
 
 
@@ -299,3 +306,32 @@
 @then("the store has been called {count:d} times")
 def check_calls(context, count):
     assert context.n_calls == count, context.n_calls
+
+
+@when('the job "{job_id}" is accepted beside a host\'s callers')
+def accept_named_job(context, job_id):
+    jobs = JobRepository(context.store)
+    run(context, jobs.accept(make_record(job_id, ["i1"]), make_items(["i1"])))
+
+    class Reader:
+        async def read(self, job, after, wait_s):
+            return ()
+
+    class Notifier:
+        async def announce(self, job):
+            """Tell no host."""
+
+    context.front = JobFront(
+        jobs, Reader(), Notifier(), state=None, timers=ManualTimers()
+    )
+
+
+@then('callers find it under "{escaped}", and can end it')
+def check_found(context, escaped):
+    def call(method, path, query):
+        request = Request(method, path, query, {}, BodyReader(None, 0), path)
+        return run(context, context.front.serve(request)).status
+
+    assert call("GET", JOB_PATH_PREFIX + escaped, {}) == 200
+    assert call("GET", ITEM_PATH_PREFIX + escaped, {"Id": "i1"}) == 200
+    assert call("DELETE", JOB_PATH_PREFIX + escaped, {}) == 200
--- a/libs/gateway/src/damaskjunction/gateway/jobs/job_front.py
+++ b/libs/gateway/src/damaskjunction/gateway/jobs/job_front.py
@@ -30,6 +30,7 @@
     ResultsQuery,
     decode_item_query,
     decode_job,
+    decode_job_id,
     decode_results_query,
     refusal_response,
     results_response,
@@ -146,7 +147,7 @@
                 if request.method == "GET":
                     return await self._read(decode_results_query(request))
                 if request.method == "DELETE":
-                    return await self._cancel(path.removeprefix(JOB_PATH_PREFIX))
+                    return await self._cancel(decode_job_id(path, JOB_PATH_PREFIX))
             if path.startswith(ITEM_PATH_PREFIX) and request.method == "GET":
                 return await self._read_item(decode_item_query(request))
         except PlatformUnavailableError as error:
--- a/libs/platform/src/damaskjunction/platform/jobs.py
+++ b/libs/platform/src/damaskjunction/platform/jobs.py
@@ -6,6 +6,7 @@
 import json
 from collections.abc import Iterable, Mapping, Sequence
 from typing import Any, NamedTuple
+from urllib.parse import unquote
 
 from damaskjunction.batch import (
     BatchItem,
@@ -123,9 +124,14 @@
     item_id: str
 
 
+def decode_job_id(path: str, prefix: str) -> JobId:
+    """Return the id of the job in a path; it may be escaped there."""
+    return unquote(path.removeprefix(prefix))
+
+
 def decode_item_query(request: Request) -> ItemQuery:
     """Decode a read of an item's body."""
-    job_id = request.path.removeprefix(ITEM_PATH_PREFIX)
+    job_id = decode_job_id(request.path, ITEM_PATH_PREFIX)
     return ItemQuery(job_id, request.query.get("Id", ""))
 
 
@@ -134,7 +140,7 @@
     after = request.query.get("After", "0")
     wait = request.headers.get(WAIT_MS_HEADER, "0")
     return ResultsQuery(
-        request.path.removeprefix(JOB_PATH_PREFIX),
+        decode_job_id(request.path, JOB_PATH_PREFIX),
         parse_digits(after) or 0,
         (parse_digits(wait) or 0) * MILLISECOND_S,
     )
