--- a/libs/gateway/src/damaskjunction/gateway/store/followed_kinds.py
+++ b/libs/gateway/src/damaskjunction/gateway/store/followed_kinds.py
@@ -21,9 +21,7 @@
 SUSPECTS_COALESCE_S = 0.2
 VERSIONS_COALESCE_S = 0.05
 URGENT_WATCH_WAIT_S = 2.5  # of kinds whose changes have to be in force within seconds
-VERSIONS_WATCH_WAIT_S = (
-    3.0  # within the allowance for lag of ``routing.version_ledger``
-)
+VERSIONS_WATCH_WAIT_S = 3.0  # within the lag that the ledger of versions allows for
 WATCH_WAIT_S = 8.0
 
 
