Take short outages for outages too, and silence alone for none

A host that heard of the store through another one hears up to 1.2 s into an outage, saw less than the 1.8 s of silence that made an outage, and removed all runners whose entries had lapsed.

An outage is now a silence of 0.8 s or more in which the store was seen to fail: by a call of this host, or by a source that says so. A source that dies or a host that stands still shows no such sign. The renewal interval is not needed any more.

--- a/libs/gateway/features/steps/store_contact_steps.py
+++ b/libs/gateway/features/steps/store_contact_steps.py
@@ -15,7 +15,6 @@
 RUNNER = "r1"
 ANSWER_INTERVAL_S = 0.4
 STEP_S = 0.1
-RENEWAL_INTERVAL_S = 1.2
 
 
 class Rig:
@@ -23,7 +22,7 @@
 
     def __init__(self):
         self.timers = ManualTimers(start_s=100.0)
-        self.contact = StoreContact(self.timers, RENEWAL_INTERVAL_S)
+        self.contact = StoreContact(self.timers)
         self.state = ServingState(
             HostView(make_host(1, "h1")),
             self.timers,
@@ -60,9 +59,11 @@
         for _ in range(round(duration_s / STEP_S)):
             self.timers.advance(STEP_S)
 
-    def fall_silent(self, duration_s):
+    def fall_silent(self, duration_s, *, is_failing=True):
         """Let the time pass without contact, up to the first sign of it."""
         self.is_away = True
+        if is_failing:
+            self.contact.record_failure()
         self.pass_time(duration_s)
         self.is_away = False
 
@@ -92,6 +93,14 @@
     rig.record_contact()
 
 
+@when("the host hears nothing for {silence_s:g} s, and sees no call of the store fail")
+def stand_still(context, silence_s):
+    rig = context.rig
+    rig.record_contact()
+    rig.fall_silent(silence_s, is_failing=False)
+    rig.record_contact()
+
+
 @when("it hears nothing for {silence_s:g} s, and the other host tells of {outage}")
 def hear_of_outage(context, silence_s, outage):
     ages_s = {
--- a/libs/gateway/features/store_contact.feature
+++ b/libs/gateway/features/store_contact.feature
@@ -20,8 +20,9 @@
       | 2.4   | 0    |
       | 3.4   | 0    |
 
-  # Guards against the same after a read that failed while the store was well
-  Scenario Outline: No entry expires in a short silence
+  # Guards against the same after a read that failed while the store was well, and
+  # against the loss of all runners whose entries expire in an outage of two seconds
+  Scenario Outline: A short outage is one, a failed call beside others is none
     When the store answers nothing for <silence> s
     And the entry is gone 0 s after that
     Then the runner is known for <kept> s more
@@ -29,8 +30,19 @@
     Examples:
       | silence | kept |
       | 0.5     | 0    |
-      | 1.5     | 0    |
-      | 2.5     | 2.2  |
+      | 1       | 2.2  |
+      | 2.3     | 2.2  |
+
+  # Guards against the same when a host, or the one that it reads from, stood still
+  Scenario Outline: A silence without a sign that the store fails is no outage
+    When the host hears nothing for <silence> s, and sees no call of the store fail
+    And the entry is gone 0 s after that
+    Then the runner is known for 0 s more
+
+    Examples:
+      | silence |
+      | 1       |
+      | 4.5     |
 
   Scenario: An entry that returns keeps its runner
     When the store answers nothing for 4.5 s
--- a/libs/gateway/src/damaskjunction/gateway/root.py
+++ b/libs/gateway/src/damaskjunction/gateway/root.py
@@ -103,7 +103,7 @@
             self._direct_transport, self.view, self._links, timers, rng
         )
         self._store = StoreClient(transport)
-        self._contact = StoreContact(timers, settings.renewal_interval_s)
+        self._contact = StoreContact(timers)
         self.state = self._make_state()
         handlers = PeerHandlers()
         transport.register(handlers)
@@ -339,6 +339,7 @@
                 watch_wait_s=kind.watch_wait_s,
                 coalesce_s=kind.coalesce_s,
                 on_answer=self._contact.record_answer,
+                on_failure=self._contact.record_failure,
             )
             for kind in followed
         ]
--- a/libs/gateway/src/damaskjunction/gateway/store/change_feed.py
+++ b/libs/gateway/src/damaskjunction/gateway/store/change_feed.py
@@ -23,6 +23,7 @@
     Timers,
 )
 from damaskjunction.gateway.store.change_feed_server import (
+    STORE_LOST,
     ChangeFeedServer,
     decode_changes,
 )
@@ -70,7 +71,7 @@
     timers : Timers
         The process's timer service.
     contact : StoreContact
-        Is told of each sign that the store answers.
+        Is told of each sign that the store answers or fails.
     drain_s : float
         Seconds within which a change has to reach this host. When its source fails,
         this host watches the store itself after ``FALLBACK_FRACTION`` of them.
@@ -300,6 +301,7 @@
             logger.warning("store does not answer", extra={"reason": failure})
         self._is_following = False
         self._availability.record_failure(self._timers.now())
+        self._contact.record_failure()
         for follower in self._followers:
             await follower.close()
         self._ejection.record_failure(own_id, self._timers.now())
@@ -344,6 +346,8 @@
         except (RequestError, TimeoutError, StopAsyncIteration, ValueError) as error:
             if self._timers.now() - started_at_s > MIN_STABLE_S:
                 self._ejection.record_success(source.host_id)
+            if isinstance(error, RequestError) and error.reason == STORE_LOST:
+                self._contact.record_failure()
             self._record_source_failure(source, repr(error))
         except Exception as error:
             logger.exception("changes not applied", extra={"host": source.host_id})
--- a/libs/gateway/src/damaskjunction/gateway/store/change_feed_server.py
+++ b/libs/gateway/src/damaskjunction/gateway/store/change_feed_server.py
@@ -37,6 +37,7 @@
 MAX_QUEUED_UPDATES = 256  # the feed of a reader further behind is ended
 MAX_LOGGED_ENTRIES = 5
 NO_OUTAGE_S = -1.0
+STORE_LOST = "store_lost"  # why a source does not serve its readers
 
 
 class ChangeFeedServer:
@@ -136,7 +137,7 @@
                         requested |= behind
                     await progress.wait()
         except TimeoutError:
-            raise RequestError(Outcome.NOT_RUN, "store_lost") from None
+            raise RequestError(Outcome.NOT_RUN, STORE_LOST) from None
 
     def _kinds_behind(self, request: NewsAsk) -> set[str]:
         """Return the kinds of which the reader knows a newer revision."""
@@ -166,7 +167,7 @@
     ) -> None:
         while queue.qsize() <= MAX_QUEUED_UPDATES:
             if not self._is_store_live():
-                raise RequestError(Outcome.NOT_RUN, "store_lost")
+                raise RequestError(Outcome.NOT_RUN, STORE_LOST)
             await reply(await queue.get())
         raise RequestError(Outcome.NOT_RUN, "too_slow")
 
--- a/libs/gateway/src/damaskjunction/gateway/store/kind_follower.py
+++ b/libs/gateway/src/damaskjunction/gateway/store/kind_follower.py
@@ -37,6 +37,8 @@
         changes costs one call.
     on_answer : callable, optional
         Called with each answer of the store, before its objects are applied.
+    on_failure : callable, optional
+        Called when a call fails.
     """
 
     def __init__(
@@ -48,6 +50,7 @@
         watch_wait_s: float,
         coalesce_s: float = 0.0,
         on_answer: Callable[[], None] = lambda: None,
+        on_failure: Callable[[], None] = lambda: None,
     ) -> None:
         self.state = state
         self._store = store
@@ -55,6 +58,7 @@
         self._watch_wait_s = watch_wait_s
         self._coalesce_s = coalesce_s
         self._on_answer = on_answer
+        self._on_failure = on_failure
         self._task: asyncio.Task[None] | None = None
         self._n_failures = 0
         self._is_current = False
@@ -148,5 +152,6 @@
             logger.warning("store lost", extra=extra)
         self._n_failures += 1
         self._is_current = False
+        self._on_failure()
         limit_s = BACKOFF_BASE_S * 2.0 ** min(self._n_failures, 8)
         await asyncio.sleep(min(limit_s, BACKOFF_LIMIT_S) * self._rng.uniform(0.5, 1.0))
--- a/libs/gateway/src/damaskjunction/gateway/store/store_contact.py
+++ b/libs/gateway/src/damaskjunction/gateway/store/store_contact.py
@@ -6,12 +6,8 @@
 
 from damaskjunction.core import Timers
 
-DEFAULT_RENEWAL_INTERVAL_S = 1.2
-# An entry expires after three intervals without a renewal. The last one may have been
-# an interval before the outage, whose start is learned up to half of one too late.
-MIN_OUTAGE_INTERVALS = 1.5
 RENEWAL_DELAY_S = 2.2  # after an outage, for a runner to write its entry again
-MIN_SILENCE_S = 1.0  # longer than the pauses between answers in calm
+MIN_OUTAGE_S = 0.8  # longer than the pauses between answers in calm
 CLOCK_TOLERANCE_S = 0.5  # the age of an outage is told with the latency of a link
 
 
@@ -19,22 +15,20 @@
     """Tells until when an entry that is missing may have expired in an outage.
 
     It answers outages after which live runners are missing for a moment, and runners
-    that are removed soon after one: only the end of the outage tells them apart.
+    that are removed soon after one: only the end of the outage tells them apart. An
+    outage is a time without answers in which the store was seen to fail; without such
+    a sign, this host or the one that it reads from has stood still.
 
     Parameters
     ----------
     timers : Timers
         The process's timer service.
-    renewal_interval_s : float, optional
-        Seconds between the renewals of a runner's entry.
     """
 
-    def __init__(
-        self, timers: Timers, renewal_interval_s: float = DEFAULT_RENEWAL_INTERVAL_S
-    ) -> None:
+    def __init__(self, timers: Timers) -> None:
         self._timers = timers
-        self._min_outage_s = MIN_OUTAGE_INTERVALS * renewal_interval_s
         self._answered_at_s = math.inf  # no answer yet, so none is missing
+        self._has_failed = False  # since the last answer
         self._silent_from_s = self._silent_until_s = -math.inf
         self._outage_ended_at_s = -math.inf
 
@@ -51,14 +45,18 @@
         It is in the past unless there is an outage, or was one just before.
         """
         now_s = self._timers.now()
-        if now_s - self._answered_at_s >= self._min_outage_s:
+        if self._is_away(now_s):
             return now_s + RENEWAL_DELAY_S
         return self._outage_ended_at_s + RENEWAL_DELAY_S
 
+    def record_failure(self) -> None:
+        """Record that a call of the store failed, here or at a host to read from."""
+        self._has_failed = True
+
     def record_answer(self) -> None:
         """Record that the store has answered a call of this host."""
         now_s = self._timers.now()
-        if now_s - self._answered_at_s >= self._min_outage_s:
+        if self._is_away(now_s):
             self._outage_ended_at_s = now_s
         self._record_contact(now_s)
 
@@ -82,8 +80,13 @@
         was_silent = self._silent_from_s < ended_at_s <= latest_s
         self._outage_ended_at_s = ended_at_s if was_silent else -math.inf
 
+    def _is_away(self, now_s: float) -> bool:
+        is_silent = now_s - self._answered_at_s >= MIN_OUTAGE_S
+        return is_silent and self._has_failed
+
     def _record_contact(self, now_s: float) -> None:
-        if now_s - self._answered_at_s > MIN_SILENCE_S:
+        self._has_failed = False
+        if now_s - self._answered_at_s >= MIN_OUTAGE_S:
             self._silent_from_s = self._answered_at_s
             self._silent_until_s = now_s
         self._answered_at_s = now_s
--- a/libs/platform/src/damaskjunction/platform/settings_file.py
+++ b/libs/platform/src/damaskjunction/platform/settings_file.py
@@ -23,7 +23,6 @@
 DEFAULT_MAX_DESCRIPTORS = 4096
 DEFAULT_STOP_GRACE_S = 8.0
 DEFAULT_RESULT_RETENTION_S = 120.0
-DEFAULT_RENEWAL_INTERVAL_S = 1.2
 DEFAULT_MEMORY_BYTES = 256 * MIB
 
 
@@ -37,9 +36,8 @@
     ``store`` is the address of the platform's store. ``stop_grace_s`` is the time
     between the stop request and the kill, and ``result_retention_s`` the time for which
     results must stay readable. ``drain_s`` is the time for which a leaving runner still
-    serves, ``max_skew_s`` the largest difference of clocks, and ``renewal_interval_s``
-    the time between a runner's renewals of its entry in the store. ``memory_bytes`` is
-    the memory beyond which the process is killed. ``n_cores`` is the
+    serves, and ``max_skew_s`` the largest difference of clocks. ``memory_bytes`` is the
+    memory beyond which the process is killed. ``n_cores`` is the
     number of processor cores that the process may use, scaled to cores of the usual
     speed. ``max_descriptors`` limits the open file descriptors. The settings file has
     no key for ``metrics_port``.
@@ -64,7 +62,6 @@
     memory_bytes: float = DEFAULT_MEMORY_BYTES
     drain_s: float = DEFAULT_DRAIN_S
     max_skew_s: float = DEFAULT_MAX_SKEW_S
-    renewal_interval_s: float = DEFAULT_RENEWAL_INTERVAL_S
 
 
 class _SettingsReader:
@@ -172,7 +169,6 @@
         memory_bytes=MIB * reader.number("Limits.MemoryMb", DEFAULT_MEMORY_BYTES / MIB),
         drain_s=reader.seconds("Bounds.DrainMs", DEFAULT_DRAIN_S),
         max_skew_s=reader.seconds("Bounds.SkewMaxMs", DEFAULT_MAX_SKEW_S),
-        renewal_interval_s=reader.seconds("HeartbeatMs", DEFAULT_RENEWAL_INTERVAL_S),
     )
     raise_findings(f"{source}: invalid settings", reader.findings)
     return settings
