--- a/libs/gateway/src/damaskjunction/gateway/store/change_feed.py
+++ b/libs/gateway/src/damaskjunction/gateway/store/change_feed.py
@@ -51,7 +51,7 @@
 REVIEW_PERIOD_S = 3.0
 REFUSING_STATUSES = (429, 503)
 RECOVERY_FACTOR = 2.0  # of the fallback delay, after the store was lost
-# A source that stays cut off from the store is rarely tried: its readers leave another.
+# A source that stays cut off from the store is rarely asked: its readers leave another.
 EJECTION_POLICY = EjectionPolicy(n_failures=1, base_s=2.0, limit_s=30.0)
 
 
--- a/libs/lab/src/damaskjunction/lab/relay_cost.py
+++ b/libs/lab/src/damaskjunction/lab/relay_cost.py
@@ -107,7 +107,7 @@
     try:
         request = await reader.readuntil(b"\r\n\r\n")
     except asyncio.IncompleteReadError:
-        return  # a connection that was only tried
+        return  # a connection that was only probed
     n_events = int(request.split()[1][1:])
     writer.write(RESPONSE_HEAD % (n_events * len(EVENT)))
     for _ in range(n_events):
--- a/libs/routing/src/damaskjunction/routing/limits.py
+++ b/libs/routing/src/damaskjunction/routing/limits.py
@@ -29,7 +29,7 @@
 GROWTH_THRESHOLD = 0.9  # fraction of the token interval target
 BATCH_DECREASE_THRESHOLD = 0.8  # fraction of the target, for online intervals
 GROWTH_DELAY_S = 1.0  # since the last decrease
-REGROWTH_DELAY_S = 5.0  # before a level that was too high is tried again
+REGROWTH_DELAY_S = 5.0  # before a level that was too high is allowed again
 MAX_REGROWTH_DELAY_S = 60.0
 
 
--- a/libs/routing/src/damaskjunction/routing/rate_limits.py
+++ b/libs/routing/src/damaskjunction/routing/rate_limits.py
@@ -15,7 +15,7 @@
 from damaskjunction.core.units import MINUTE_S
 
 NO_LIMIT_PER_S = math.inf
-# A runner that takes less is still tried so often, to see when its limit ends.
+# A runner that takes less is still sent so many, to see when its limit ends.
 MIN_RATE_PER_S = 0.25
 BURST_S = 0.5  # of the limit's requests; at least MIN_BURST
 MIN_BURST = 2.0
--- a/libs/routing/src/damaskjunction/routing/runner_paths.py
+++ b/libs/routing/src/damaskjunction/routing/runner_paths.py
@@ -14,7 +14,7 @@
 
 from damaskjunction.core import Address, HostId
 
-DIRECT_HEAD_START_S = 0.1  # before a relay is tried as well
+DIRECT_HEAD_START_S = 0.1  # before a relay is asked as well
 DIRECT_RETRY_S = 1.0  # between direct tries over a path that is cut
 TROUBLE_S = 2.0  # after a path was cut or regained
 RELAY_EXCLUSION_S = 2.0
