Keep the names of results that the build in production looks for

Names are as before. Objects tell their job, and a segment whose name another job has taken is stored under a kind of its own, where each name has a number.

--- a/libs/gateway/features/job_store.feature
+++ b/libs/gateway/features/job_store.feature
@@ -49,6 +49,22 @@
       | a,a.0,a.1,a.1.0,a.1.1,a.0.0,a.1.2 |
       | a.,a..1,.1,1,a.01,a.1             |
 
+  # Guards against results that one of two builds side by side does not find
+  Scenario Outline: Results are where hosts of a former build look for them
+    Given a former build has written <count> segments of the job "<id>"
+    When this build reads them and writes the segments that follow
+    Then each of them has its own results alone
+    And a former build finds all 3 segments where it looks for them
+
+    Examples:
+      | id       | count |
+      | digest   | 0     |
+      | digest   | 1     |
+      | digest   | 3     |
+      | digest.1 | 0     |
+      | digest.1 | 1     |
+      | digest.1 | 2     |
+
   # Guards against a job that is accepted and then can't be read or ended
   Scenario Outline: A job is found by its id as it is escaped in a path
     Given a store whose objects hold 1048576 bytes
--- a/libs/gateway/features/steps/job_store_steps.py
+++ b/libs/gateway/features/steps/job_store_steps.py
@@ -30,6 +30,7 @@
     JOB_PATH_PREFIX,
     RESULTS_KIND,
     CallerRequest,
+    decode_result_list,
     encode_result_list,
 )
 from damaskjunction.routing import Route, RouteKind
@@ -79,14 +80,16 @@
     context.job_id = job_id
     for index in range(count):
         content = {"results": encode_result_list([make_result(index)]), "is_full": True}
-        name = segment_name(job_id, index)
+        name = segment_name(RESULTS_KIND, job_id, index)
         run(context, context.store.create(RESULTS_KIND, name, content))
 
 
 @given("a host has cached the first {count:d} of them")
 def cache_segments(context, count):
     context.results = ResultRepository(context.store)
-    missing = context.store.hide(RESULTS_KIND, segment_name(context.job_id, count))
+    missing = context.store.hide(
+        RESULTS_KIND, segment_name(RESULTS_KIND, context.job_id, count)
+    )
     run(context, context.results.read(context.job_id))
     context.store.show(missing)
 
@@ -335,3 +338,38 @@
     assert call("GET", JOB_PATH_PREFIX + escaped, {}) == 200
     assert call("GET", ITEM_PATH_PREFIX + escaped, {"Id": "i1"}) == 200
     assert call("DELETE", JOB_PATH_PREFIX + escaped, {}) == 200
+
+
+# Beside hosts of a former build
+
+
+@given('a former build has written {count:d} segments of the job "{job_id}"')
+def write_as_former_build(context, count, job_id):
+    context.store = FakeStore()
+    context.ids = [job_id]
+    for index in range(count):
+        result = make_own_results(job_id)[index]
+        content = {"results": encode_result_list([result]), "is_full": index < 2}
+        name = segment_name(RESULTS_KIND, job_id, index)
+        run(context, context.store.create(RESULTS_KIND, name, content))
+
+
+@when("this build reads them and writes the segments that follow")
+def write_on(context):
+    context.results = ResultRepository(context.store)
+    (job_id,) = context.ids
+    n_known = len(run(context, context.results.read(job_id)))
+    for index in range(n_known, 3):
+        segment = ResultSegment((make_own_results(job_id)[index],), index < 2)
+        assert run(context, context.results.write(job_id, index, segment))
+
+
+@then("a former build finds all {count:d} segments where it looks for them")
+def check_as_former_build(context, count):
+    (job_id,) = context.ids
+    for index in range(count):
+        stored = context.store.find(
+            RESULTS_KIND, f"{job_id}.{index}" if index else job_id
+        )
+        found = decode_result_list(stored.content["results"])
+        assert found == (make_own_results(job_id)[index],), found
--- a/libs/gateway/src/damaskjunction/gateway/jobs/result_repository.py
+++ b/libs/gateway/src/damaskjunction/gateway/jobs/result_repository.py
@@ -4,6 +4,7 @@
 
 import re
 from collections import OrderedDict
+from collections.abc import Mapping
 from itertools import islice
 from typing import NamedTuple
 
@@ -16,6 +17,7 @@
     read_bool,
 )
 from damaskjunction.platform import (
+    DISPLACED_RESULTS_KIND,
     RESULTS_KIND,
     ObjectConflictError,
     PlatformObject,
@@ -33,12 +35,14 @@
     """Consecutive results of a job that share an object of the store.
 
     No results are added to one that ``is_full``, and another may follow it.
-    ``revision`` is that of the object, 0 for one that is not stored yet.
+    ``revision`` is that of the object, 0 for one that is not stored yet, and ``kind``
+    its kind.
     """
 
     results: tuple[ItemResult, ...]
     is_full: bool
     revision: Revision = 0
+    kind: str = RESULTS_KIND
 
 
 class ResultRepository:
@@ -80,8 +84,9 @@
 
     async def delete(self, job_id: JobId) -> None:
         """Delete the results of a job from the store."""
-        for index in range(len(await self.read(job_id))):
-            await self._store.delete(RESULTS_KIND, segment_name(job_id, index))
+        for index, segment in enumerate(await self.read(job_id)):
+            name = segment_name(segment.kind, job_id, index)
+            await self._store.delete(segment.kind, name)
 
     def cached(self, job_id: JobId) -> tuple[ItemResult, ...]:
         """Return the cached results; the store may have more."""
@@ -115,12 +120,19 @@
         """Append the segments that follow those in the list."""
         is_full = True
         while is_full:
-            name = segment_name(job_id, len(segments))
-            stored = await self._store.get(RESULTS_KIND, name)
-            if stored is None:
+            segment = await self._find(job_id, len(segments))
+            if segment is None:
                 return
-            segments.append(_decode_segment(stored))
-            is_full = segments[-1].is_full
+            segments.append(segment)
+            is_full = segment.is_full
+
+    async def _find(self, job_id: JobId, index: int) -> ResultSegment | None:
+        """Return a segment from the store, None if it does not exist."""
+        for kind in _kinds_of(job_id, index):
+            stored = await self._store.get(kind, segment_name(kind, job_id, index))
+            if stored is not None and _is_own(stored, job_id):
+                return _decode_segment(stored)
+        return None
 
     async def write(self, job_id: JobId, index: int, segment: ResultSegment) -> bool:
         """Write a segment; return False on a conflict with another write.
@@ -133,17 +145,18 @@
             When the segment was not, or may not have been, written.
         """
         segments = list(self.cached_segments(job_id))
-        name = segment_name(job_id, index)
         results = encode_result_list(segment.results)
-        content = {"results": results, "is_full": segment.is_full}
+        content = {"results": results, "is_full": segment.is_full, "job": job_id}
         self._unsettled_ids.add(job_id)
         try:
             if index < len(segments):
+                kind, revision = segments[index].kind, segments[index].revision
+                name = segment_name(kind, job_id, index)
                 stored = await self._store.replace(
-                    RESULTS_KIND, name, content, revision=segments[index].revision
+                    kind, name, content, revision=revision
                 )
             else:
-                stored = await self._store.create(RESULTS_KIND, name, content)
+                stored = await self._create(job_id, index, content)
         except ObjectConflictError as error:
             self._unsettled_ids.discard(job_id)
             if error.current is not None:
@@ -151,10 +164,29 @@
                 self._cache(job_id, [*segments[:index], current])
             return False
         self._unsettled_ids.discard(job_id)
-        written = segment._replace(revision=stored.revision)
+        written = segment._replace(revision=stored.revision, kind=stored.kind)
         self._cache(job_id, [*segments[:index], written])
         return True
 
+    async def _create(
+        self, job_id: JobId, index: int, content: Mapping[str, object]
+    ) -> PlatformObject:
+        """Create a segment, elsewhere if another job's has its name.
+
+        Raises as ``StoreClient.create`` does.
+        """
+        *others, last = _kinds_of(job_id, index)
+        for kind in others:
+            name = segment_name(kind, job_id, index)
+            try:
+                return await self._store.create(kind, name, content)
+            except ObjectConflictError as error:
+                if error.current is None or _is_own(error.current, job_id):
+                    raise
+        return await self._store.create(
+            last, segment_name(last, job_id, index), content
+        )
+
     def _cache(self, job_id: JobId, segments: list[ResultSegment]) -> None:
         """Cache the first segments of a job, but for those known at later revisions."""
         known = self._segments_by_id.setdefault(job_id, [])
@@ -189,14 +221,33 @@
     except SHAPE_ERRORS as error:
         detail = f"results {stored.name} are malformed: {error!r}"
         raise PlatformUnavailableError(detail) from None
-    return ResultSegment(results, is_full, stored.revision)
+    return ResultSegment(results, is_full, stored.revision, stored.kind)
+
+
+def segment_name(kind: str, job_id: JobId, index: int) -> str:
+    """Return the name of a segment among the objects of a kind.
+
+    Of ``RESULTS_KIND`` a later segment may have the name of another job's first one.
+    """
+    if kind == RESULTS_KIND and not index:
+        return job_id
+    return f"{job_id}.{index}"
 
 
-def segment_name(job_id: JobId, index: int) -> str:
-    """Return the name of a segment, which no other job has for one of its own.
+def _kinds_of(job_id: JobId, index: int) -> tuple[str, ...]:
+    """Return the kinds of which a segment may be, in order of preference.
 
-    The first segment goes by the job's id, unless that could be a later segment's name.
+    The second one has room for it where another job has its name among the first.
     """
     if index or _SEGMENT_SUFFIX.search(job_id):
-        return f"{job_id}.{index}"
-    return job_id
+        return RESULTS_KIND, DISPLACED_RESULTS_KIND
+    return (RESULTS_KIND,)
+
+
+def _is_own(stored: PlatformObject, job_id: JobId) -> bool:
+    """Return whether a segment is one of a job.
+
+    Builds before this one do not tell whose it is, and take it for their own.
+    """
+    content = stored.content
+    return not isinstance(content, dict) or content.get("job", job_id) == job_id
--- a/libs/platform/src/damaskjunction/platform/__init__.py
+++ b/libs/platform/src/damaskjunction/platform/__init__.py
@@ -24,6 +24,7 @@
 )
 from damaskjunction.platform.jobs import (
     BODIES_KIND,
+    DISPLACED_RESULTS_KIND,
     ITEM_PATH_PREFIX,
     JOB_PATH_PREFIX,
     JOBS_KIND,
@@ -100,6 +101,7 @@
     "BODIES_KIND",
     "CONFIGURATION_KIND",
     "CONFIGURATION_NAME",
+    "DISPLACED_RESULTS_KIND",
     "ITEM_PATH_PREFIX",
     "JOBS_KIND",
     "JOB_PATH_PREFIX",
--- a/libs/platform/src/damaskjunction/platform/jobs.py
+++ b/libs/platform/src/damaskjunction/platform/jobs.py
@@ -52,6 +52,7 @@
 JOBS_KIND = "batch-jobs"
 BODIES_KIND = "batch-bodies"
 RESULTS_KIND = "batch-results"
+DISPLACED_RESULTS_KIND = "batch-results-displaced"
 MAX_PAGE_BYTES = 900_000
 
 
