Give up what the peer sent that sent most, not what is largest

Who could be harmed: a sound runner whose one large answer is larger than each of a faulty runner's many. When all kept bytes are too many, the largest part of the peer that sent most of them is given up now, so the faulty one loses its own.

Measured: the new scenario failed with the order before (by size alone), and passes; the other examples of the budget and of items' texts pass.

--- a/libs/gateway/src/damaskjunction/gateway/jobs/item_progress.py
+++ b/libs/gateway/src/damaskjunction/gateway/jobs/item_progress.py
@@ -103,6 +103,7 @@
         self.n_bytes += EVENT_OVERHEAD_BYTES + sys.getsizeof(event.data)
         self.n_crashes = 0
         self._denied_by.clear()
+        self._kept.peer = runner.address
         self._kept.resize(self.n_bytes)
 
     def check_kept(self) -> None:
--- a/libs/http/features/floods.feature
+++ b/libs/http/features/floods.feature
@@ -47,6 +47,13 @@
       | 300,300,300 | 400  | 400      |
       | 500,400,100 | 450  | 500      |
 
+  # Guards against the loss of a sound peer's large response to a faulty one's many
+  Scenario: The peer that sent most of what is kept loses its own parts
+    Given a budget of 1000 bytes of which responses of a sound peer keep 400
+    When 20 responses of a faulty peer keep 50 bytes more each
+    Then at most 1000 bytes are counted as kept
+    And none of the sound peer's is given up
+
   Scenario: What is kept no more leaves its room to others
     Given a budget of 1000 bytes of which responses keep 600,300
     When the first response is read to its end
--- a/libs/http/features/steps/flood_steps.py
+++ b/libs/http/features/steps/flood_steps.py
@@ -69,9 +69,9 @@
 # The budget
 
 
-def keep(context, n_bytes):
+def keep(context, n_bytes, peer="a"):
     revoked = []
-    kept = context.budget.open(lambda: revoked.append(n_bytes))
+    kept = context.budget.open(lambda: revoked.append(n_bytes), peer)
     context.revoked.append(revoked)
     try:
         kept.resize(n_bytes)
@@ -87,6 +87,24 @@
     context.kept = [keep(context, int(size)) for size in sizes.split(",")]
 
 
+@given("a budget of {limit:d} bytes of which responses of a sound peer keep {size:d}")
+def make_budget_of_sound_peer(context, limit, size):
+    context.budget = ReceiveBudget(limit)
+    context.revoked = []
+    context.kept = [keep(context, size, "sound")]
+
+
+@when("{count:d} responses of a faulty peer keep {size:d} bytes more each")
+def keep_many(context, count, size):
+    for _ in range(count):
+        keep(context, size, "faulty")
+
+
+@then("none of the sound peer's is given up")
+def check_sound_kept(context):
+    assert not context.kept[0].is_revoked
+
+
 @when("another response keeps {size:d}")
 def keep_more(context, size):
     keep(context, size)
--- a/libs/http/src/damaskjunction/http/client.py
+++ b/libs/http/src/damaskjunction/http/client.py
@@ -248,6 +248,7 @@
         self.is_relayed = connection.is_relayed
         self._connection: Connection | None = connection
         self._client = client
+        self._address = connection.address
         self._kept: KeptBytes | None = None
 
     @property
@@ -273,7 +274,8 @@
     def keep(self, n_bytes: int) -> None:
         """Tell how many bytes of the body the reader keeps at present.
 
-        When all responses together keep too many, the one with the most is given up.
+        When all responses together keep too many, the largest is given up of the peer
+        that sent most.
 
         Raises
         ------
@@ -281,7 +283,7 @@
             When it is this one.
         """
         if self._kept is None and n_bytes:
-            self._kept = self._client.budget.open(self._abort)
+            self._kept = self._client.budget.open(self._abort, self._address)
         if self._kept is not None:
             self._kept.resize(n_bytes)
 
--- a/libs/http/src/damaskjunction/http/receive_budget.py
+++ b/libs/http/src/damaskjunction/http/receive_budget.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections import Counter
+from collections.abc import Callable, Hashable
 
 from damaskjunction.core.units import MIB
 from damaskjunction.http.messages import BrokenResponseError
@@ -14,7 +15,8 @@
     """Bounds what is kept of received data, over all that keep some.
 
     It answers peers that send without end, many at once. When all together keep too
-    much, the one that keeps most is given up, so that small responses are served.
+    much, the largest part of the peer that sent most of it is given up, so that what
+    sound peers send is kept, be it small or large.
 
     Parameters
     ----------
@@ -27,12 +29,12 @@
         self._all_kept: set[KeptBytes] = set()
         self.n_bytes = 0
 
-    def open(self, on_revoked: Callable[[], None]) -> KeptBytes:
-        """Return the account of one that keeps data.
+    def open(self, on_revoked: Callable[[], None], peer: Hashable = None) -> KeptBytes:
+        """Return the account of one that keeps data of a peer.
 
         ``on_revoked`` is called when it has to drop what it keeps.
         """
-        kept = KeptBytes(self, on_revoked)
+        kept = KeptBytes(self, on_revoked, peer)
         self._all_kept.add(kept)
         return kept
 
@@ -42,7 +44,16 @@
             return
         self.n_bytes += n_added
         while self.n_bytes > self._limit_bytes:
-            max(self._all_kept, key=lambda kept: kept.n_bytes).revoke()
+            self._most_to_blame().revoke()
+
+    def _most_to_blame(self) -> KeptBytes:
+        """Return the largest account of the peer of which most is kept."""
+        n_bytes_by_peer: Counter[Hashable] = Counter()
+        for kept in self._all_kept:
+            n_bytes_by_peer[kept.peer] += kept.n_bytes
+        return max(
+            self._all_kept, key=lambda kept: (n_bytes_by_peer[kept.peer], kept.n_bytes)
+        )
 
     def remove(self, kept: KeptBytes) -> None:
         """Remove an account, with all that it has counted."""
@@ -54,10 +65,13 @@
 class KeptBytes:
     """What one response, or one item, keeps of the data it has received.
 
-    Use ``ReceiveBudget.open``; ``close`` ends it.
+    Use ``ReceiveBudget.open``; ``close`` ends it. ``peer`` has sent the data.
     """
 
-    def __init__(self, budget: ReceiveBudget, on_revoked: Callable[[], None]) -> None:
+    def __init__(
+        self, budget: ReceiveBudget, on_revoked: Callable[[], None], peer: Hashable
+    ) -> None:
+        self.peer = peer
         self._budget = budget
         self._on_revoked = on_revoked
         self.n_bytes = 0
