Bound an event of a stream by 128 KiB

A host with 150 MB took 206 MB when 40 callers asked an engine that writes a body without end: each stream kept up to 1 MiB of an event, those that were given up were freed only when their readers ran, and growing them took more than they hold.

An event has 128 KiB at most now.

--- a/libs/http/src/damaskjunction/http/events.py
+++ b/libs/http/src/damaskjunction/http/events.py
@@ -5,10 +5,10 @@
 from typing import NamedTuple
 
 from damaskjunction.core import parse_digits
-from damaskjunction.core.units import MIB
+from damaskjunction.core.units import KIB
 from damaskjunction.http.messages import BrokenResponseError
 
-MAX_EVENT_BYTES = 1 * MIB
+MAX_EVENT_BYTES = 128 * KIB
 EVENT_END = b"\n\n"
 
 
