--- a/libs/gateway/src/damaskjunction/gateway/root.py
+++ b/libs/gateway/src/damaskjunction/gateway/root.py
@@ -62,7 +62,7 @@
 # The configured limit is on headers; the server also counts the request line.
 REQUEST_LINE_ALLOWANCE_BYTES = 8 * KIB
 CALLER_DESCRIPTOR_FRACTION = 0.6  # of the file descriptors of the process
-RECEIVED_MEMORY_FRACTION = 0.125  # of the memory of the process
+RECEIVED_MEMORY_FRACTION = 0.0625  # of the memory of the process
 TUNNEL_DESCRIPTOR_FRACTION = 0.1  # of the file descriptors of the process
 DESCRIPTORS_PER_TUNNEL = 2
 # A runner that leaves gets no requests over a tunnel that was opened before.
