--- a/libs/http/src/damaskjunction/http/connection.py
+++ b/libs/http/src/damaskjunction/http/connection.py
@@ -186,12 +186,17 @@
                 self.keep_alive_timeout_s = KEEP_ALIVE_TIMEOUT_FRACTION * timeout_s
 
     async def _pause_reading(self, pacer: ReadPacer) -> None:
-        """Leave what arrives to the kernel until the next reads of the pacer."""
+        """Leave what arrives to the kernel until the next reads of the pacer.
+
+        While read data are left, no more is read: the stream reader, which stops
+        reading at its limit, would not notice that another one has resumed it.
+        """
         self.pause()
         try:
             await pacer.wait()
         finally:
-            self.resume()
+            if not self._has_unread_data():
+                self.resume()
 
     def _take_event(self) -> ProtocolEvent:
         """Return the next event of what has been read.
