--- a/libs/http/features/flood_reader.py
+++ b/libs/http/features/flood_reader.py
@@ -1,7 +1,7 @@
 """A process that sends requests to a peer that floods it, and to a sound one.
 
-Usage: ``flood_reader.py FLOOD_PORT SOUND_PORT N_REQUESTS IS_STREAM``. It prints what
-came of them as JSON.
+Usage: ``flood_reader.py FLOOD_PORT SOUND_PORT N_REQUESTS READING``. It prints what
+came of them as JSON. READING is ``body``, ``stream`` or ``paced stream``.
 """
 
 from __future__ import annotations
@@ -19,6 +19,7 @@
     BrokenResponseError,
     HttpClient,
     RawEventParser,
+    ReadPacer,
     ReceiveBudget,
 )
 
@@ -26,6 +27,7 @@
 MAX_BODY_BYTES = 8 * MIB
 REQUEST_TIMEOUT_S = 3.0
 SOUND_INTERVAL_S = 0.02
+PACE_S = 0.05
 IDLE_S = 2.6  # until idle connections that can't be used are closed
 
 
@@ -39,14 +41,18 @@
     return len(os.listdir("/proc/self/fd"))
 
 
-async def _read(client: HttpClient, address: Address, is_stream: bool) -> str:
+async def _read(
+    client: HttpClient, address: Address, reading: str, pacer: ReadPacer
+) -> str:
     """Return what came of a request: its end, an error or its timeout."""
     try:
         async with asyncio.timeout(REQUEST_TIMEOUT_S):
             response = await client.send(address, "GET", "/", stall_s=2.0)
-            if not is_stream:
+            if reading == "body":
                 await response.read(MAX_BODY_BYTES)
                 return "whole"
+            if reading == "paced stream":
+                response.set_pacer(pacer)
             parser = RawEventParser()
             async for part in response.chunks():
                 parser.feed(part)
@@ -56,7 +62,8 @@
         return type(error).__name__
 
 
-async def _main(flooding: Address, sound: Address, n: int, is_stream: bool) -> None:
+async def _main(flooding: Address, sound: Address, n: int, reading: str) -> None:
+    pacer = ReadPacer(LoopTimers(), PACE_S)
     client = HttpClient(LoopTimers(), budget=ReceiveBudget(BUDGET_BYTES))
     other_client = HttpClient(LoopTimers())
     sound_s = []
@@ -73,7 +80,7 @@
     user = asyncio.ensure_future(use_sound_peer())
     began_at_s = time.monotonic()
     outcomes = await asyncio.gather(
-        *(_read(client, flooding, is_stream) for _ in range(n))
+        *(_read(client, flooding, reading, pacer) for _ in range(n))
     )
     took_s = time.monotonic() - began_at_s
     if "whole" in outcomes:
@@ -98,4 +105,4 @@
 
 if __name__ == "__main__":
     first, second = (Address("127.0.0.1", int(port)) for port in sys.argv[1:3])
-    asyncio.run(_main(first, second, int(sys.argv[3]), sys.argv[4] == "stream"))
+    asyncio.run(_main(first, second, int(sys.argv[3]), sys.argv[4]))
--- a/libs/http/features/floods.feature
+++ b/libs/http/features/floods.feature
@@ -26,6 +26,19 @@
       | one event in small chunks |
       | empty events              |
 
+  # Guards against a reader that is full and read on all the same
+  Scenario Outline: Paced responses without end are read no faster than they are handled
+    Given a peer that answers each request with <flood> without end
+    When 40 paced requests are sent to it at once, and others to a sound peer
+    Then each of the 40 is given up within 4 s
+    And each request to the sound peer is answered within 1 s
+    And the process has taken at most 48 MB of memory more
+
+    Examples:
+      | flood                     |
+      | one event                 |
+      | one event in small chunks |
+
   # Guards against memory and descriptors that idle connections take
   Scenario: Idle connections on which a peer goes on to send are closed
     Given a peer that answers each request with bytes after the response without end
--- a/libs/http/features/steps/flood_steps.py
+++ b/libs/http/features/steps/flood_steps.py
@@ -22,6 +22,16 @@
 
 @when("{n:d} requests are sent to it at once, and others to a sound peer")
 def send_requests(context, n):
+    is_stream = "event" in context.flood
+    flood(context, n, "stream" if is_stream else "body")
+
+
+@when("{n:d} paced requests are sent to it at once, and others to a sound peer")
+def send_paced_requests(context, n):
+    flood(context, n, "paced stream")
+
+
+def flood(context, n, reading):
     peer = subprocess.Popen(
         [sys.executable, FOLDER / "flood_peer.py", context.flood],
         stdin=subprocess.PIPE,
@@ -30,9 +40,8 @@
     )
     with peer:
         ports = peer.stdout.readline().split()
-        kind = "stream" if "event" in context.flood else "body"
         reader = subprocess.run(
-            [sys.executable, FOLDER / "flood_reader.py", *ports, str(n), kind],
+            [sys.executable, FOLDER / "flood_reader.py", *ports, str(n), reading],
             capture_output=True,
             text=True,
             timeout=READER_TIMEOUT_S,
