Test that an item whose text was dropped fails also when its stream ends

The scenario called the check itself and would have passed without its use. It reads a stream that ends just after the drop now, and fails without the check.

--- a/libs/gateway/features/item_texts.feature
+++ b/libs/gateway/features/item_texts.feature
@@ -21,6 +21,5 @@
 
   Scenario: An item whose text was dropped does not end as whole
     Given 40 items with texts of 2000 bytes each, and a budget of 200000 bytes
-    When one of them gets events 100 characters long without end
-    And its stream ends
+    When the stream of one of them ends, just after its text was dropped
     Then the item is not whole
--- a/libs/gateway/features/steps/item_text_steps.py
+++ b/libs/gateway/features/steps/item_text_steps.py
@@ -2,13 +2,18 @@
 
 from __future__ import annotations
 
+from types import SimpleNamespace
+
 from behave import given, then, when
 from fake_homes import make_host
+from fleet_helpers import run
 
 from damaskjunction.batch import BatchItem
 from damaskjunction.core import Address, ManualTimers, Runner, ServiceKind
 from damaskjunction.gateway.jobs.item_progress import ItemProgress
+from damaskjunction.gateway.jobs.item_runner import ItemRunner
 from damaskjunction.gateway.jobs.owed_items import OwedItem
+from damaskjunction.gateway.runners.runner_responses import RunnerFailedError
 from damaskjunction.gateway.state import ServingState
 from damaskjunction.http import BrokenResponseError, RawEvent, ReceiveBudget
 from damaskjunction.node import HostView
@@ -74,12 +79,37 @@
             context.most_bytes = max(context.most_bytes, kept_bytes(context))
 
 
-@when("its stream ends")
+class EndingBody:
+    """The body of an answer of two events; ``on_event`` is called after the first."""
+
+    def __init__(self, on_event):
+        self._on_event = on_event
+
+    def set_pacer(self, pacer):
+        """Read at once."""
+
+    def keep(self, n_bytes):
+        """Bound nothing."""
+
+    async def chunks(self):
+        yield b"id: 1\ndata: one\n\nid: 2\ndata: two\n\n"
+        self._on_event()
+
+
+@when("the stream of one of them ends, just after its text was dropped")
 def end_stream(context):
+    progress = context.items[0]
+    progress.begin_afresh("test")
+
+    body = EndingBody(progress._kept.revoke)
+    response = SimpleNamespace(
+        body=body, runner=context.runner, is_process_proved=False
+    )
+    runner = SimpleNamespace(_timers=ManualTimers(), _read_pacer=None)
     context.is_whole = True
     try:
-        context.items[0].check_kept()
-    except BrokenResponseError:
+        run(context, ItemRunner._collect(runner, progress, response))
+    except RunnerFailedError:
         context.is_whole = False
 
 
