--- a/libs/gateway/features/flooding_runner.py
+++ b/libs/gateway/features/flooding_runner.py
@@ -9,30 +9,12 @@
 import asyncio
 import sys
 
+from damaskjunction.standins.floods import FLOODS_BY_NAME
+
 REPORT_TARGET = b" /damaskjunction/report "
 REPORT = b'{"Running": 0, "Waiting": 0}'
-BLOCK_BYTES = 64 * 1024
 LARGE_TEXT = b"x" * 20_000
-
-
 answered: list[bytes] = []
-
-
-def _repeat(part: bytes) -> bytes:
-    return part * (BLOCK_BYTES // len(part))
-
-
-CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
-# What follows the common lines of the head once, and what is then repeated.
-FLOODS = {
-    "header lines": (b"", _repeat(b"X-A: " + b"a" * 500 + b"\r\n")),
-    "a chunk header": (CHUNKED, _repeat(b"0")),
-    "trailers": (CHUNKED + b"0\r\n", _repeat(b"X-T: " + b"t" * 500 + b"\r\n")),
-    "a body": (b"\r\n", _repeat(b"x")),
-    "chunks of two bytes": (CHUNKED, _repeat(b"2\r\nab\r\n")),
-    "one event in small chunks": (CHUNKED, _repeat(b"2\r\nxx\r\n")),
-    "empty events without an id": (b"\r\n", _repeat(b"data:\n\n")),
-}
 # The texts of events that are numbered, as those of a stream have to be.
 EVENT_TEXTS = {"small events": b"", "large events": LARGE_TEXT}
 EVENTS_AT_ONCE = {"small events": 4000, "large events": 4}
@@ -52,11 +34,10 @@
         b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
         b"X-Request-Id: " + request_id + b"\r\nX-Response-Stamp: s\r\n"
     )
-    if flood in FLOODS:
-        first, repeated = FLOODS[flood]
-        writer.write(common + first)
+    if flood in FLOODS_BY_NAME:
+        writer.write(common + FLOODS_BY_NAME[flood].first)
         while True:
-            writer.write(repeated)
+            writer.write(FLOODS_BY_NAME[flood].repeated)
             await writer.drain()
     writer.write(common + b"\r\n")
     number = int(_header_of(head, b"last-event-id") or 0)
--- a/libs/gateway/features/flooding_runners.feature
+++ b/libs/gateway/features/flooding_runners.feature
@@ -17,7 +17,7 @@
       | engine        | trailers                     |
       | engine        | a body                       |
       | engine        | one event in small chunks    |
-      | engine        | empty events without an id   |
+      | engine        | empty events                 |
       | plain service | header lines                 |
       | plain service | a chunk header               |
       | plain service | trailers                     |
--- a/libs/http/features/flood_peer.py
+++ b/libs/http/features/flood_peer.py
@@ -8,52 +8,36 @@
 import asyncio
 import sys
 
+from damaskjunction.standins.floods import FLOODS_BY_NAME
+
 HEAD = b"HTTP/1.1 200 OK\r\n"
+INTERIM_HEAD = b"HTTP/1.1 100 Continue\r\n"
 SOUND_RESPONSE = HEAD + b"Content-Length: 2\r\n\r\nok"
-CHUNKED_HEAD = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 REQUEST_END = b"\r\n\r\n"
-BLOCK_BYTES = 64 * 1024
 IDLE_S = 0.3  # until bytes follow a whole response
+AFTER_RESPONSE = "bytes after the response"
+INTERIM_HEADS = "interim heads"
 
 
-def _repeat(part: bytes) -> bytes:
-    return part * (BLOCK_BYTES // len(part))
-
-
-# What is sent first, and what is then repeated without end.
-FLOODS = {
-    "header lines": (HEAD, _repeat(b"X-A: " + b"a" * 500 + b"\r\n")),
-    "one header line": (HEAD + b"X-A: ", _repeat(b"a")),
-    "interim heads": (b"", _repeat(b"HTTP/1.1 100 Continue\r\n\r\n")),
-    "a body": (HEAD + b"\r\n", _repeat(b"x")),
-    "a body of a known length": (
-        HEAD + b"Content-Length: 99999999999\r\n\r\n",
-        _repeat(b"x"),
-    ),
-    "chunks of two bytes": (CHUNKED_HEAD, _repeat(b"2\r\nab\r\n")),
-    "chunks of one byte": (CHUNKED_HEAD, _repeat(b"1\r\na\r\n")),
-    "a chunk header": (CHUNKED_HEAD, _repeat(b"0")),
-    "a chunk extension": (CHUNKED_HEAD + b"5;", _repeat(b"e")),
-    "trailers": (CHUNKED_HEAD + b"0\r\n", _repeat(b"X-T: " + b"t" * 500 + b"\r\n")),
-    "one event": (CHUNKED_HEAD, b"10000\r\n" + _repeat(b"x") + b"\r\n"),
-    "one event in small chunks": (CHUNKED_HEAD, _repeat(b"2\r\nxx\r\n")),
-    "empty events": (HEAD + b"\r\n", _repeat(b"data:\n\n")),
-    "bytes after the response": (SOUND_RESPONSE, _repeat(b"x")),
-}
+async def _write_without_end(writer: asyncio.StreamWriter, flood: str) -> None:
+    if flood == AFTER_RESPONSE:
+        writer.write(SOUND_RESPONSE)
+        await asyncio.sleep(IDLE_S)
+        flood = "a body"
+    else:
+        writer.write(INTERIM_HEAD if flood == INTERIM_HEADS else HEAD)
+        writer.write(FLOODS_BY_NAME[flood].first)
+    while True:
+        writer.write(FLOODS_BY_NAME[flood].repeated)
+        await writer.drain()
 
 
 async def _flood(
     reader: asyncio.StreamReader, writer: asyncio.StreamWriter, flood: str
 ) -> None:
-    first, repeated = FLOODS[flood]
     try:
         await reader.readuntil(REQUEST_END)
-        writer.write(first)
-        if first.endswith(SOUND_RESPONSE):
-            await asyncio.sleep(IDLE_S)
-        while True:
-            writer.write(repeated)
-            await writer.drain()
+        await _write_without_end(writer, flood)
     except (OSError, asyncio.IncompleteReadError):
         writer.close()
 
