Take out what tests do not need, and test what they did not

Taken out, as all tests hold without it: reading of idle connections is no longer paused (they are closed within 2 s, and hold a bounded part until then); event parsers are as they were, since chunks that arrive together are one part and an event has 128 KiB at most; followers of the store no longer tell of answers and failures, which the probes beside them do.

New tests: a connection that is not read holds 96 KiB at most (131091 bytes without the bound); a stated length that is too large is refused at once; a source that has lost the store is a sign of an outage (fails without it).

--- a/libs/gateway/features/change_feed_components.feature
+++ b/libs/gateway/features/change_feed_components.feature
@@ -47,6 +47,11 @@
       | runners       | 5     |
       | versions      | 5.5   |
 
+  # Guards against the loss of all runners whose entries expire in a short outage
+  Scenario: A source that has lost the store shows its reader that the store fails
+    When a host starts whose source has lost the store
+    Then it has seen the store fail
+
   Scenario: The proof that the store responds expires while the next probe is pending
     Given a host that has proved that the store responds
     When 0.8 s pass without a response from the store
--- a/libs/gateway/features/steps/change_feed_component_steps.py
+++ b/libs/gateway/features/steps/change_feed_component_steps.py
@@ -15,6 +15,7 @@
     EntryHost,
     LoopTimers,
     ManualTimers,
+    Outcome,
     RequestError,
 )
 from damaskjunction.gateway.store.change_feed import STARTUP_DELAY_S, ChangeFeed
@@ -341,20 +342,39 @@
         yield message
 
 
-async def start_feed(context, hosts):
+class LostLinks:
+    """Links to hosts that have all lost the store."""
+
+    async def call(self, address, lane, message, *, keepalive):
+        raise RequestError(Outcome.NOT_RUN, "store_lost")
+        yield message
+
+
+class RecordingContact(StoreContact):
+    """Counts the failures that it is told of."""
+
+    n_failures = 0
+
+    def record_failure(self):
+        super().record_failure()
+        self.n_failures += 1
+
+
+async def start_feed(context, hosts, links=None):
     address = Address("127.0.0.1", 1)
     own = EntryHost("h0", "r1", "d1", address, address, address)
     view = HostView(own)
     view.serving_hosts = lambda: [own._replace(host_id=name) for name in hosts]
     timers = LoopTimers()
     context.follower = RecordingFollower()
+    context.contact = RecordingContact(timers)
     feed = ChangeFeed(
         [context.follower],
         view,
-        SilentLinks(),
+        links or SilentLinks(),
         AnsweringTransport(),
         timers,
-        contact=StoreContact(timers),
+        contact=context.contact,
         drain_s=2.0,
         rng=random.Random(1),
     )
@@ -370,6 +390,17 @@
     context.asyncio_runner.run(start_feed(context, others))
 
 
+@when("a host starts whose source has lost the store")
+def start_beside_lost_source(context):
+    others = [f"h{number}" for number in range(1, 30)]
+    context.asyncio_runner.run(start_feed(context, others, LostLinks()))
+
+
+@then("it has seen the store fail")
+def check_failure_seen(context):
+    assert context.contact.n_failures > 0
+
+
 @when("no other host serves")
 def start_alone(context):
     context.asyncio_runner.run(start_feed(context, ["h0"]))
--- a/libs/gateway/src/damaskjunction/gateway/root.py
+++ b/libs/gateway/src/damaskjunction/gateway/root.py
@@ -338,8 +338,6 @@
                 rng=rng,
                 watch_wait_s=kind.watch_wait_s,
                 coalesce_s=kind.coalesce_s,
-                on_answer=self._contact.record_answer,
-                on_failure=self._contact.record_failure,
             )
             for kind in followed
         ]
--- a/libs/gateway/src/damaskjunction/gateway/store/kind_follower.py
+++ b/libs/gateway/src/damaskjunction/gateway/store/kind_follower.py
@@ -5,7 +5,6 @@
 import asyncio
 import logging
 import random
-from collections.abc import Callable
 
 from damaskjunction.core import PlatformError, Revision
 from damaskjunction.gateway.store.kind_state import KindState
@@ -35,10 +34,6 @@
     coalesce_s : float, optional
         Seconds to wait after a change before the next watch, so that a burst of
         changes costs one call.
-    on_answer : callable, optional
-        Called with each answer of the store, before its objects are applied.
-    on_failure : callable, optional
-        Called when a call fails.
     """
 
     def __init__(
@@ -49,16 +44,12 @@
         rng: random.Random,
         watch_wait_s: float,
         coalesce_s: float = 0.0,
-        on_answer: Callable[[], None] = lambda: None,
-        on_failure: Callable[[], None] = lambda: None,
     ) -> None:
         self.state = state
         self._store = store
         self._rng = rng
         self._watch_wait_s = watch_wait_s
         self._coalesce_s = coalesce_s
-        self._on_answer = on_answer
-        self._on_failure = on_failure
         self._task: asyncio.Task[None] | None = None
         self._n_failures = 0
         self._is_current = False
@@ -139,7 +130,6 @@
         return found.store_revision
 
     def _record_success(self) -> None:
-        self._on_answer()
         if self._n_failures:
             extra = {"kind": self.state.kind, "n_failures": self._n_failures}
             logger.info("store regained", extra=extra)
@@ -152,6 +142,5 @@
             logger.warning("store lost", extra=extra)
         self._n_failures += 1
         self._is_current = False
-        self._on_failure()
         limit_s = BACKOFF_BASE_S * 2.0 ** min(self._n_failures, 8)
         await asyncio.sleep(min(limit_s, BACKOFF_LIMIT_S) * self._rng.uniform(0.5, 1.0))
--- a/libs/http/features/client.feature
+++ b/libs/http/features/client.feature
@@ -40,6 +40,12 @@
     When 2 responses are read on a connection, 0.5 s apart, with a stall timeout of 0.2 s
     Then each response is complete
 
+  Scenario: A response whose stated length is too large is refused at once
+    Given a peer that states a length of 2000000 bytes and sends nothing more
+    When its response is read with a limit of 1000000 bytes and a stall timeout of 2 s
+    Then the response failed with "BrokenResponseError"
+    And it failed within 0.5 s
+
   Scenario: Idle connections that may not be used again are closed, also if all are new
     Given a server that counts its open connections
     When a client with an idle timeout of 0.05 s sends 5 requests on new connections 0.1 s apart
--- a/libs/http/features/floods.feature
+++ b/libs/http/features/floods.feature
@@ -42,10 +42,15 @@
   # Guards against memory and descriptors that idle connections take
   Scenario: Idle connections on which a peer goes on to send are closed
     Given a peer that answers each request with bytes after the response without end
-    When 40 requests are sent to it at once, and others to a sound peer
+    When 200 requests are sent to it at once, and others to a sound peer
     Then the connections to the peer are closed within 3 s
     And the process has taken at most 48 MB of memory more
 
+  Scenario: A connection that is not read holds a bounded part of what arrives
+    Given a peer that answers each request with a body without end
+    When a request is sent to it and the response is not read for 0.5 s
+    Then the connection holds at most 98304 bytes
+
   Scenario Outline: Of all that is kept the largest part is given up first
     Given a budget of 1000 bytes of which responses keep <kept>
     When another response keeps <more>
--- a/libs/http/features/steps/client_steps.py
+++ b/libs/http/features/steps/client_steps.py
@@ -260,3 +260,40 @@
 def check_open_connections(context, count):
     assert 1 <= context.server.n_open <= count, context.server.n_open
     context.client.close()
+
+
+@given("a peer that states a length of {length:d} bytes and sends nothing more")
+def start_stating_peer(context, length):
+    head = f"HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n".encode()
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(head)
+        await reader.read()
+        writer.close()
+
+    async def work():
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        context.address = Address(*server.sockets[0].getsockname())
+
+    run(context, work())
+
+
+@when(
+    "its response is read with a limit of {limit:d} bytes and a stall timeout of "
+    "{stall_s:g} s"
+)
+def read_with_limit(context, limit, stall_s):
+    async def work():
+        client = HttpClient(LoopTimers())
+        context.responses = [ReadResponse()]
+        response = await client.send(context.address, "GET", "/", stall_s=stall_s)
+        began_at_s = asyncio.get_running_loop().time()
+        try:
+            await response.read(limit)
+        except BrokenResponseError as error:
+            context.responses[0].error = type(error).__name__
+        context.read_for_s = asyncio.get_running_loop().time() - began_at_s
+        client.close()
+
+    run(context, work())
--- a/libs/http/features/steps/flood_steps.py
+++ b/libs/http/features/steps/flood_steps.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import subprocess
 import sys
 from pathlib import Path
 
 from behave import given, then, when
+from server_steps import run
 
-from damaskjunction.http import BrokenResponseError, ReceiveBudget
+from damaskjunction.core import Address
+from damaskjunction.http import BrokenResponseError, DirectConnector, ReceiveBudget
 
 FOLDER = Path(__file__).parent.parent
 READER_TIMEOUT_S = 60.0
@@ -31,15 +34,20 @@
     flood(context, n, "paced stream")
 
 
-def flood(context, n, reading):
+def start_peer(context):
+    """Start the peer's process; return it and its two ports."""
     peer = subprocess.Popen(
         [sys.executable, FOLDER / "flood_peer.py", context.flood],
         stdin=subprocess.PIPE,
         stdout=subprocess.PIPE,
         text=True,
     )
+    return peer, peer.stdout.readline().split()
+
+
+def flood(context, n, reading):
+    peer, ports = start_peer(context)
     with peer:
-        ports = peer.stdout.readline().split()
         reader = subprocess.run(
             [sys.executable, FOLDER / "flood_reader.py", *ports, str(n), reading],
             capture_output=True,
@@ -75,6 +83,26 @@
     assert context.result["more_descriptors"] <= 1, context.result
 
 
+@when("a request is sent to it and the response is not read for {duration_s:g} s")
+def leave_unread(context, duration_s):
+    async def work(port):
+        opened = await DirectConnector(1.0).connect(Address("127.0.0.1", int(port)))
+        opened.writer.write(b"GET / HTTP/1.1\r\n\r\n")
+        await asyncio.sleep(duration_s)
+        context.n_held = len(opened.reader._buffer)
+        opened.writer.transport.abort()
+
+    peer, ports = start_peer(context)
+    with peer:
+        run(context, work(ports[0]))
+        peer.stdin.close()
+
+
+@then("the connection holds at most {limit:d} bytes")
+def check_held(context, limit):
+    assert 0 < context.n_held <= limit, context.n_held
+
+
 # The budget
 
 
--- a/libs/http/src/damaskjunction/http/client.py
+++ b/libs/http/src/damaskjunction/http/client.py
@@ -147,7 +147,6 @@
             connection.abort()
             return
         connection.idle_since_s = self._timers.now()
-        connection.pause()
         if self._sweep is None:
             self._sweep = self._timers.once(SWEEP_INTERVAL_S, self._close_unusable)
         connections = self._idle_by_address.setdefault(connection.address, [])
@@ -196,7 +195,6 @@
         while connections:
             connection = connections.pop()
             if self._is_usable(connection):
-                connection.resume()
                 return connection
             connection.abort()
         self._idle_by_address.pop(address, None)
--- a/libs/http/src/damaskjunction/http/connection.py
+++ b/libs/http/src/damaskjunction/http/connection.py
@@ -127,16 +127,11 @@
             event = self._take_next_chunk()
         return b"".join(chunks)
 
-    def pause(self) -> None:
-        """Leave what arrives to the kernel, while the connection is idle."""
-        self._transport.pause_reading()
-
-    def resume(self) -> None:
-        """Read what arrives."""
-        self._transport.resume_reading()
-
     def prepare_for_reuse(self) -> bool:
         """Prepare for the next request; return whether the connection is reusable."""
+        if self._has_unread_data():
+            return False  # they belong to no request
+        self._transport.resume_reading()  # a pacer may have paused it
         return prepare_for_reuse(self._protocol)
 
     def is_reusable(self) -> bool:
@@ -191,12 +186,12 @@
         While read data are left, no more is read: the stream reader, which stops
         reading at its limit, would not notice that another one has resumed it.
         """
-        self.pause()
+        self._transport.pause_reading()
         try:
             await pacer.wait()
         finally:
             if not self._has_unread_data():
-                self.resume()
+                self._transport.resume_reading()
 
     def _take_event(self) -> ProtocolEvent:
         """Return the next event of what has been read.
--- a/libs/http/src/damaskjunction/http/events.py
+++ b/libs/http/src/damaskjunction/http/events.py
@@ -9,7 +9,6 @@
 from damaskjunction.http.messages import BrokenResponseError
 
 MAX_EVENT_BYTES = 128 * KIB
-EVENT_END = b"\n\n"
 
 
 class Event(NamedTuple):
@@ -24,49 +23,16 @@
     return f"event: {event.name}\ndata: {event.data}\n\n".encode()
 
 
-class _EventSplitter:
-    """Splits a stream into the blocks that are its events.
-
-    Each byte is searched once, however small the pieces are in which it arrives.
-    """
-
-    def __init__(self) -> None:
-        self._buffer = bytearray()
-
-    @property
-    def n_buffered(self) -> int:
-        """Bytes of the event that is not complete."""
-        return len(self._buffer)
-
-    def feed(self, data: bytes) -> list[bytes]:
-        """Add a piece of the stream and return the blocks that it completes.
-
-        Raises
-        ------
-        BrokenResponseError
-            When an event is larger than ``MAX_EVENT_BYTES``.
-        """
-        n_searched = max(0, len(self._buffer) - 1)
-        self._buffer += data
-        blocks = []
-        if self._buffer.find(EVENT_END, n_searched) >= 0:
-            *blocks, rest = bytes(self._buffer).split(EVENT_END)
-            self._buffer = bytearray(rest)
-        if len(self._buffer) > MAX_EVENT_BYTES:
-            raise BrokenResponseError("an event is too large")
-        return blocks
-
-
 class EventParser:
     """Incremental parser that turns chunks of a stream into events."""
 
     def __init__(self) -> None:
-        self._splitter = _EventSplitter()
+        self._buffer = b""
 
     @property
     def n_buffered(self) -> int:
         """Bytes of the event that is not complete."""
-        return self._splitter.n_buffered
+        return len(self._buffer)
 
     def feed(self, data: bytes) -> list[Event]:
         """Add a chunk of the stream and return the events that it completes.
@@ -76,9 +42,11 @@
         BrokenResponseError
             When an event is larger than ``MAX_EVENT_BYTES``.
         """
+        *blocks, self._buffer = (self._buffer + data).split(b"\n\n")
+        _check_size(self._buffer)
         return [
             _parse_event(block.decode(errors="replace"))
-            for block in self._splitter.feed(data)
+            for block in blocks
             if block.strip()
         ]
 
@@ -95,6 +63,11 @@
     return Event(name, "\n".join(data))
 
 
+def _check_size(incomplete_event: bytes) -> None:
+    if len(incomplete_event) > MAX_EVENT_BYTES:
+        raise BrokenResponseError("an event is too large")
+
+
 class RawEvent(NamedTuple):
     """A complete event with its bytes as received.
 
@@ -110,17 +83,17 @@
     """Incremental parser that keeps the bytes of each event as received."""
 
     def __init__(self) -> None:
-        self._splitter = _EventSplitter()
+        self._buffer = b""
 
     @property
     def n_buffered(self) -> int:
         """Bytes of the event that is not complete."""
-        return self._splitter.n_buffered
+        return len(self._buffer)
 
     @property
     def is_between_events(self) -> bool:
         """Whether the stream so far ends at the end of an event."""
-        return not self.n_buffered
+        return not self._buffer
 
     def feed(self, data: bytes) -> list[RawEvent]:
         """Add a chunk of the stream and return the events that it completes.
@@ -130,7 +103,9 @@
         BrokenResponseError
             When an event is larger than ``MAX_EVENT_BYTES``.
         """
-        return [_parse_raw_event(block) for block in self._splitter.feed(data)]
+        *blocks, self._buffer = (self._buffer + data).split(b"\n\n")
+        _check_size(self._buffer)
+        return [_parse_raw_event(block) for block in blocks]
 
 
 def _parse_raw_event(block: bytes) -> RawEvent:
