--- a/libs/http/features/floods.feature
+++ b/libs/http/features/floods.feature
@@ -26,6 +26,12 @@
       | one event in small chunks |
       | empty events              |
 
+  # Guards against connections that each take a while, all in one turn of the loop
+  Scenario: Full connections are handled one after another
+    Given a peer that answers each request with empty events without end
+    When 160 requests are sent to it at once, and others to a sound peer
+    Then each request to the sound peer is answered within 1 s
+
   # Guards against a reader that is full and read on all the same
   Scenario Outline: Paced responses without end are read no faster than they are handled
     Given a peer that answers each request with <flood> without end
--- a/libs/http/src/damaskjunction/http/backlog.py
+++ b/libs/http/src/damaskjunction/http/backlog.py
@@ -1,4 +1,4 @@
-"""Turns of the connections on which more data wait than were read at once."""
+"""Turns of the connections that have more data at hand than are handled at once."""
 
 from __future__ import annotations
 
--- a/libs/http/src/damaskjunction/http/connection.py
+++ b/libs/http/src/damaskjunction/http/connection.py
@@ -228,9 +228,9 @@
             while (event := self._take_event()) is h11.NEED_DATA:
                 if self.pacer is not None:
                     await self._pause_reading(self.pacer)
-                if self._has_unread_data():
-                    await self._turns.wait()
                 data = await self._stall_timer.read(READ_BYTES, self.stall_s)
+                if len(data) == READ_BYTES:
+                    await self._turns.wait()
                 self._protocol.receive_data(data)
         except TimeoutError:
             detail = f"{self.address}: no data received for {self.stall_s:.3f} s"
