Test that streams outlast the silence of all runners

Cause: no test made all runners of a service silent at once; stand-ins could stall single streams only, and went on to send reports. Change: stand-ins of runners can stand still as whole processes, beginning at a place of their work, and go on later. The feature has them do so before the head, before the first event, between events and in plain bodies, beside changes of the configuration, with another runner that gets free, is dead, or comes too late.

--- a/libs/gateway/features/platform_fleet.py
+++ b/libs/gateway/features/platform_fleet.py
@@ -157,6 +157,11 @@
         self.raw_runners[name] = runner
         await self._start_runner(runner)
 
+    def list_runner(self, name: str, service: str) -> None:
+        """List a runner at an address where nothing listens."""
+        address = self._addresses.pop()
+        RunnerStandin(name, address, service, self.store).register_in_store("ready")
+
     async def _start_runner(self, runner: RunnerStandin | RawRunnerStandin) -> None:
         name = runner.runner_id
         await runner.start()
--- /dev/null
+++ b/libs/gateway/features/steps/silent_runner_steps.py
@@ -0,0 +1,253 @@
+"""Steps on runners that are silent for a while."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import NamedTuple
+
+from behave import given, then, when
+from fleet_helpers import received, run
+from owed_items_steps import pool_document
+from platform_fleet import (
+    ENGINE,
+    PLAIN,
+    ROUTES,
+    Reply,
+    event_ids,
+    make_configuration,
+    make_route,
+)
+
+from damaskjunction.standins import RunnerStandin, Standstill
+
+N_PLAIN_SLOTS = 8
+HEAD_DELAY_S = 0.1
+MAX_NOTICE_S = 0.05  # until a runner has noticed that a connection was closed
+AFTER_S = 0.05
+DEAD_ADDRESS_OWNER = "dead"
+
+
+class Load(NamedTuple):
+    """Requests, the place at which runners stand still, and for how long."""
+
+    duration: str
+    place: str
+    count: int
+    path: str
+    left_s: float
+
+
+class TimedReply(NamedTuple):
+    """A response and the seconds that it took."""
+
+    request_id: str
+    reply: Reply
+    took_s: float
+
+
+@given('engines "{names}" of {n_events:d} events that can stand still')
+def add_engines(context, names, n_events):
+    context.n_events = n_events
+    for name in names.split(","):
+        options = {"n_events": n_events, "delay_s": HEAD_DELAY_S}
+        run(context, context.platform.add_runner(name, ENGINE, **options))
+
+
+@given('plain runners "{names}" that can stand still')
+def add_plain(context, names):
+    context.n_events = 0
+    for name in names.split(","):
+        run(context, context.platform.add_runner(name, PLAIN, slots=N_PLAIN_SLOTS))
+
+
+@given("the first engine that runs a stream breaks it after event {number:d}")
+def break_first(context, number):
+    runners = context.platform.runners.values()
+    for runner in runners:
+        runner.faults["break_after"] = number
+
+    async def mend_others():
+        await context.platform.wait_for(lambda: any(r.recorded_runs for r in runners))
+        for runner in runners:
+            if not runner.recorded_runs:
+                runner.faults["break_after"] = 0
+
+    context.beside = mend_others
+
+
+@when(
+    '{who} for {duration} at "{place}" of {count:d} request for "{path}" '
+    "with {left_s:g} s left"
+)
+@when(
+    '{who} for {duration} at "{place}" of {count:d} requests for "{path}" '
+    "with {left_s:g} s left"
+)
+def stand_still(context, who, **values):
+    load = Load(**values)
+    is_of_one = {"all stand still": False, "one stands still": True}[who]
+    n_awaited = 1 if is_of_one else load.count
+    context.standstill = Standstill(load.place, n_awaited, is_of_one=is_of_one)
+    for runner in context.platform.runners.values():
+        runner.standstill = context.standstill
+    beside = getattr(context, "beside", None)
+
+    async def hold():
+        await context.standstill.wait_for_begin()
+        if load.duration != "good":
+            await asyncio.sleep(float(load.duration.removesuffix(" s")))
+            context.standstill.end()
+
+    async def work():
+        calls = [
+            asyncio.ensure_future(call(context.platform, number, load))
+            for number in range(load.count)
+        ]
+        others = [asyncio.ensure_future(hold())]
+        if beside is not None:
+            others.append(asyncio.ensure_future(beside()))
+        context.timed_replies = await asyncio.gather(*calls)
+        await asyncio.gather(*others)
+
+    run(context, work())
+
+
+async def call(platform, number, load):
+    request_id = f"q{number}"
+    began_at_s = platform.timers.now()
+    reply = await platform.call(
+        f"h{number % 2}",
+        "POST",
+        f"{load.path}{number}",
+        headers={"X-Deadline-Ms": str(int(load.left_s * 1000))},
+        request_id=request_id,
+    )
+    return TimedReply(request_id, reply, platform.timers.now() - began_at_s)
+
+
+@when(
+    'all stand still for {duration} at "{place}" of {count:d} requests for "{path}" '
+    "with {left_s:g} s left, and {change} comes into force {when_}"
+)
+def change_beside(context, change, when_, **values):
+    platform = context.platform
+    routes = {
+        "a new route": [*ROUTES, make_route("new", "/new/", "idempotent", PLAIN)],
+        "other timeouts": [{**route, "TimeoutMs": 4500} for route in ROUTES],
+        "a new version": ROUTES,
+    }[change]
+
+    async def put_in_force():
+        platform.store.put("config", "main", make_configuration(2, routes))
+        hosts = platform.hosts.values()
+        await platform.wait_for(lambda: all(h.state.table.version == 2 for h in hosts))
+
+    async def change_later():
+        await context.standstill.wait_for_begin()
+        duration_s = float(values["duration"].removesuffix(" s"))
+        wait_s = {"during": duration_s / 2, "after": duration_s + AFTER_S}[when_]
+        await asyncio.sleep(wait_s)
+        await put_in_force()
+
+    if when_ == "before":
+        run(context, put_in_force())
+    else:
+        context.beside = change_later
+    stand_still(context, "all stand still", **values)
+
+
+@when(
+    'all stand still for {duration} at "{place}" of {count:d} requests for "{path}" '
+    "with {left_s:g} s left, and a dead engine is listed"
+)
+def list_dead(context, **values):
+    async def list_when_silent():
+        await context.standstill.wait_for_begin()
+        context.platform.list_runner(DEAD_ADDRESS_OWNER, ENGINE)
+
+    context.beside = list_when_silent
+    stand_still(context, "all stand still", **values)
+
+
+@then("each request is answered completely")
+def check_answers(context):
+    expected = list(range(1, context.n_events + 1))
+    wrong = [
+        (timed.request_id, timed.reply.status, timed.reply.body[-40:], timed.took_s)
+        for timed in context.timed_replies
+        if timed.reply.status != 200
+        or not timed.reply.is_complete
+        or event_ids(timed.reply.body) != expected
+    ]
+    assert not wrong, wrong
+    if not context.n_events:
+        for timed in context.timed_replies:
+            assert timed.reply.body.decode() == timed.request_id, timed
+
+
+def runs_by_request(context):
+    ids = [timed.request_id for timed in context.timed_replies]
+    return {request_id: received(context, request_id) for request_id in ids}
+
+
+@then("each ran once")
+def check_runs(context):
+    repeated = [runs for runs in runs_by_request(context).values() if len(runs) != 1]
+    assert not repeated, repeated
+
+
+@then("{count:d} of the requests ran twice, the second time after event {number:d}")
+def check_repeated(context, count, number):
+    runs = [runs for runs in runs_by_request(context).values() if len(runs) > 1]
+    places = [sorted(last for _, last in entries) for entries in runs]
+    assert places == [["", str(number)]] * count, runs
+
+
+@then("all slots are free within {limit_s:g} s")
+def check_slots(context, limit_s):
+    async def work():
+        async with asyncio.timeout(limit_s):
+            await context.platform.wait_for(
+                lambda: not any(pool_document(context)["used_by_runner"].values())
+            )
+
+    run(context, work())
+
+
+def runs_of(context):
+    """Return the runner that stood still, and the one that had the request then."""
+    runners: list[RunnerStandin] = [
+        runner for runner in context.platform.runners.values() if runner.recorded_runs
+    ]
+    assert len(runners) == 2, [runner.recorded_runs for runner in runners]
+    return sorted(runners, key=lambda runner: runner.run_times_s[0])
+
+
+@then("the request began at another runner within {limit_s:g} s of silence")
+def check_left(context, limit_s):
+    _, second = runs_of(context)
+    silent_s = second.run_times_s[0] - context.standstill.began_at_s
+    assert silent_s <= limit_s, silent_s
+
+
+@then("its first run had ended before")
+def check_order(context):
+    first, second = runs_of(context)
+    assert first.run_ends_s, "the first run goes on"
+    overlap_s = first.run_ends_s[0] - second.run_times_s[0]
+    assert overlap_s <= MAX_NOTICE_S, overlap_s
+
+
+@then(
+    "each answer breaks off after event {number:d}, between {min_s:g} s and {max_s:g} s"
+)
+def check_deadline(context, number, min_s, max_s):
+    expected = list(range(1, number + 1))
+    wrong = [
+        (timed.request_id, event_ids(timed.reply.body), timed.took_s)
+        for timed in context.timed_replies
+        if timed.reply.is_complete
+        or event_ids(timed.reply.body) != expected
+        or not min_s <= timed.took_s <= max_s
+    ]
+    assert not wrong, wrong
--- a/libs/standins/src/damaskjunction/standins/__init__.py
+++ b/libs/standins/src/damaskjunction/standins/__init__.py
@@ -56,6 +56,7 @@
 from damaskjunction.standins.proxy import Mode, ProxyStandin
 from damaskjunction.standins.raw_runner import RawRequest, RawRunnerStandin
 from damaskjunction.standins.runner import RUNNERS_KIND, RunnerStandin
+from damaskjunction.standins.standstill import Standstill
 from damaskjunction.standins.store import StoreStandin
 
 __all__ = [
@@ -86,6 +87,7 @@
     "RawRunnerStandin",
     "RunnerGroup",
     "RunnerStandin",
+    "Standstill",
     "StoreStandin",
     "allocate_addresses",
     "caller_headers",
--- a/libs/standins/src/damaskjunction/standins/runner.py
+++ b/libs/standins/src/damaskjunction/standins/runner.py
@@ -18,6 +18,13 @@
     to_json_response,
 )
 from damaskjunction.standins.faults import Faults
+from damaskjunction.standins.standstill import (
+    BEFORE_EVENTS,
+    BEFORE_HEAD,
+    IN_BODY,
+    IN_REPORT,
+    Standstill,
+)
 from damaskjunction.standins.store import StoreStandin
 
 RUNNERS_KIND = "servers"
@@ -86,7 +93,10 @@
     version : str, optional
         Version of its software, which is the type of its events; empty to state none.
     delay_s : float, optional
-        Seconds that a plain answer takes.
+        Seconds before the head of an answer.
+
+    A ``standstill`` holds the runner for as long as it lasts. ``run_ends_s`` are the
+    times at which the runs of its streams ended.
     """
 
     def __init__(
@@ -114,6 +124,8 @@
         self.peak_running = 0
         self.recorded_runs: list[tuple[RequestId, str]] = []
         self.run_times_s: list[float] = []
+        self.run_ends_s: list[float] = []
+        self.standstill: Standstill | None = None
         self.headers_by_request: dict[RequestId, dict[str, str]] = {}
         self.faults = Faults(
             "break_after",
@@ -198,6 +210,7 @@
     async def _respond(self, request: Request) -> Response:
         if request.path == REPORT_PATH:
             await request.body.read()  # the connection can be used again
+            await self._reach(IN_REPORT)
             n_running = self.n_running + self.faults["foreign"]
             report = {"Running": n_running, "Waiting": 0}
             if self.born_ms:
@@ -215,6 +228,8 @@
         self.record_run(request_id, last_event_id)
         self.headers_by_request[request_id] = dict(headers)
         await self._fail_without_answer()
+        await asyncio.sleep(self._delay_s)
+        await self._reach(BEFORE_HEAD)
         response_headers = {"X-Request-Id": request_id, "X-Response-Stamp": request_id}
         if self.faults["limit_per_s"]:
             response_headers["Server-Limit"] = str(self.faults["limit_per_s"])
@@ -225,14 +240,24 @@
             status = 422 if self.faults["impossible"] else int(failure)
             return Response(status, b"no", headers=response_headers)
         if not self._n_events and not self.faults["endless"]:
-            await asyncio.sleep(self._delay_s)
-            return Response(200, request_id.encode(), "text/plain", response_headers)
+            text = request_id.encode()
+            answer = text if self.standstill is None else self._write_parts(text)
+            return Response(200, answer, "text/plain", response_headers)
         after = int(last_event_id) if last_event_id else 0
         events = self._stream_events(after, body, self._is_deadly(headers))
         if self.faults["endless"]:
             events = self._write_without_end()
         return Response(200, events, "text/event-stream", response_headers)
 
+    async def _reach(self, place: str) -> None:
+        if self.standstill is not None:
+            await self.standstill.reach(self.runner_id, place)
+
+    async def _write_parts(self, text: bytes) -> AsyncIterator[bytes]:
+        yield text[:1]
+        await self._reach(IN_BODY)
+        yield text[1:]
+
     async def _write_without_end(self) -> AsyncIterator[bytes]:
         while True:
             yield b"x" * ENDLESS_CHUNK_BYTES
@@ -257,6 +282,7 @@
         self.n_running += 1
         self.peak_running = max(self.peak_running, self.n_running)
         try:
+            await self._reach(BEFORE_EVENTS)
             for number in range(after + 1, self._n_events + 1):
                 await asyncio.sleep(EVENT_INTERVAL_S)
                 if is_deadly:
@@ -267,7 +293,9 @@
                 mark = f"event: {self.version}\n" if self.version else ""
                 text = self.event_text(number, body)
                 yield f"{mark}id: {number}\ndata: {text}\n\n".encode()
+                await self._reach(f"event {number}")
                 if self.faults["break_after"] and number >= self.faults["break_after"]:
                     raise ConnectionResetError("injected fault: stream aborted")
         finally:
             self.n_running -= 1
+            self.run_ends_s.append(asyncio.get_running_loop().time())
