Keep a request at a silent runner until another one is ready

Cause: a host took 0.4 s without an event for a failed runner. It closed the connection and gave the slot back, and only then asked for another one. With all runners silent the home refused that as overloaded, and the stream was given up with seconds left. Class: a timeout taken for proof of a failure, and what is held let go of before its replacement is.

Change: silence begins a search (StandbySearch): another runner is chosen, its slot held under an id of its own, and its process has to answer, or a plain one to accept a connection. Until then the first keeps the request and its slot; once it is heard again the search is dropped and its ejection ends (RunnerWatch). The first connection is closed before the request goes on elsewhere. Waits on slow callers count as silence of a runner no more. A stream that lost its runner asks again while it has time, when it is refused for want of capacity; a new request waits for runners that were only silent as long as for a slot. `explain` shows the lines of asks for further slots.

--- a/libs/cli/src/damaskjunction/cli/explain.py
+++ b/libs/cli/src/damaskjunction/cli/explain.py
@@ -12,6 +12,7 @@
 
 from damaskjunction.cli.command import ExitCode, register_command
 from damaskjunction.cli.output import print_json
+from damaskjunction.core import original_request_id
 
 ID_FIELDS = ("request", "job", "item")
 RESOURCE_FIELDS = ("runner", "host")
@@ -119,7 +120,8 @@
 
 
 def _ids(line: LogLine) -> set[Any]:
-    return {line.fields[field] for field in ID_FIELDS if field in line.fields}
+    ids = {line.fields[field] for field in ID_FIELDS if field in line.fields}
+    return ids | {original_request_id(str(name)) for name in ids}
 
 
 def _read_log_files(files: list[Path]) -> Iterator[LogLine]:
--- a/libs/core/src/damaskjunction/core/__init__.py
+++ b/libs/core/src/damaskjunction/core/__init__.py
@@ -31,6 +31,10 @@
 )
 from damaskjunction.core.hashing import rendezvous_order, stable_hash
 from damaskjunction.core.registry import Registry, UnknownNameError
+from damaskjunction.core.request_ids import (
+    original_request_id,
+    standby_request_id,
+)
 from damaskjunction.core.timers import (
     LoopTimers,
     ManualTimers,
@@ -109,6 +113,7 @@
     "WorkClass",
     "WorkspaceName",
     "WorkspaceSpec",
+    "original_request_id",
     "parse_digits",
     "parse_json",
     "parse_json_or_none",
@@ -124,4 +129,5 @@
     "split_array",
     "split_object",
     "stable_hash",
+    "standby_request_id",
 ]
--- a/libs/gateway/src/damaskjunction/gateway/requests/answer_stream.py
+++ b/libs/gateway/src/damaskjunction/gateway/requests/answer_stream.py
@@ -1,12 +1,11 @@
-"""The answer of a runner as it arrives: its progress, its pauses and its body."""
+"""The answer of a runner as it arrives: its progress and its body."""
 
 from __future__ import annotations
 
 from collections.abc import AsyncGenerator, AsyncIterator, Awaitable, Callable
 
-from damaskjunction.core import Subscription, Timers
+from damaskjunction.core import Timers
 
-FIRST_EVENT_TIMEOUT_S = 0.6
 # A runner that has been answering a request for so long is not crashed by it.
 ANSWERING_S = 0.2
 
@@ -71,34 +70,3 @@
         """Abort the stream and release what the request holds."""
         await self._events.aclose()
         await self._release()
-
-
-class InactivityTimer:
-    """Calls back once when ``touch`` was not called for FIRST_EVENT_TIMEOUT_S."""
-
-    def __init__(self, timers: Timers, callback: Callable[[], None]) -> None:
-        self._timers = timers
-        self._callback = callback
-        self._last_activity_at_s = timers.now()
-        self._subscription: Subscription | None = timers.once(
-            FIRST_EVENT_TIMEOUT_S, self._check
-        )
-
-    def touch(self) -> None:
-        """Restart the timeout."""
-        self._last_activity_at_s = self._timers.now()
-
-    def cancel(self) -> None:
-        """Cancel the callback."""
-        if self._subscription is not None:
-            self._subscription.cancel()
-
-    def _check(self) -> None:
-        idle_s = self._timers.now() - self._last_activity_at_s
-        if idle_s < FIRST_EVENT_TIMEOUT_S:
-            self._subscription = self._timers.once(
-                FIRST_EVENT_TIMEOUT_S - idle_s, self._check
-            )
-            return
-        self._subscription = None
-        self._callback()
--- a/libs/gateway/src/damaskjunction/gateway/requests/request_attempts.py
+++ b/libs/gateway/src/damaskjunction/gateway/requests/request_attempts.py
@@ -4,10 +4,11 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable, Coroutine
 from functools import partial
+from typing import Any, TypeVar
 
-from damaskjunction.core import Outcome, Runner, RunnerId
+from damaskjunction.core import Outcome, RequestError, Runner, RunnerId
 from damaskjunction.core.units import MILLISECOND_S
 from damaskjunction.gateway.dispatch_context import DispatchContext
 from damaskjunction.gateway.requests.answer_stream import AnswerProgress
@@ -16,10 +17,17 @@
     AttemptHistory,
 )
 from damaskjunction.gateway.requests.runner_selector import (
+    QUEUE_WAIT_FRACTION,
+    Assignment,
     RoutedRequest,
     RunnerSelector,
 )
-from damaskjunction.gateway.requests.stall_timeouts import head_stall_timeout_s
+from damaskjunction.gateway.requests.runner_watch import RunnerWatch
+from damaskjunction.gateway.requests.silence_limits import (
+    event_silence_limit_s,
+    head_silence_limit_s,
+)
+from damaskjunction.gateway.requests.standby_search import StandbySearch, pause_after
 from damaskjunction.gateway.runners.crash_reporter import LostRequest
 from damaskjunction.gateway.runners.runner_responses import (
     CONNECTION_LOST_REASONS,
@@ -28,10 +36,12 @@
 )
 from damaskjunction.gateway.slots.slot import Slot
 from damaskjunction.gateway.versions.stream_version import StreamVersion
-from damaskjunction.routing import RouteKind
+from damaskjunction.routing import NO_RUNNER_LEFT, RouteKind
 
 logger = logging.getLogger(__name__)
 
+T = TypeVar("T")
+
 HOP_ALLOWANCE_S = 2 * MILLISECOND_S  # subtracted from the runner's remaining time
 DIAGNOSIS_WAIT_S = 0.1
 
@@ -39,6 +49,9 @@
 class RequestAttempts:
     """The attempts at one request, one at a time, until ``release``.
 
+    A runner that falls silent keeps the request, and its slot, until another runner is
+    ready to take it over; the connection to the first is closed before that.
+
     Parameters
     ----------
     context : DispatchContext
@@ -61,9 +74,8 @@
         self._routed = routed
         self.history = AttemptHistory(routed.route)
         self.n_events = 0
-        self._slot: Slot | None = None
-        self._runner_id: RunnerId = ""
-        self._runner: Runner | None = None
+        self._n_heard = 0  # silences that have ended
+        self._assignment: Assignment | None = None
         self._response: RunnerResponse | None = None
         self._progress = AnswerProgress(context.timers)
         self._version = StreamVersion(
@@ -73,6 +85,20 @@
             routed.origin,
             context.origin_keeper.record if routed.route.is_resumable else None,
         )
+        self._is_process_checked = (
+            routed.route.is_resumable and context.state.has_engines(routed.service)
+        )
+        self._search = StandbySearch(
+            context.runner_client,
+            selector,
+            routed,
+            self._version,
+            self._check_version,
+            is_process_checked=self._is_process_checked,
+        )
+        self._watch = RunnerWatch(
+            context.timers, self._report_silence, self._report_heard, selector.release
+        )
 
     @property
     def remaining_s(self) -> float:
@@ -96,43 +122,87 @@
         RunnerFailedError
             When the attempt has failed.
         """
-        routed = self._routed
-        runner = await self._choose_runner()
+        routed, history = self._routed, self.history
+        assignment = self._watch.take_replacement()
+        if assignment is None:
+            assignment = await self._selector.assign(
+                routed, history.excluded, self._version.required
+            )
+        self._assignment, self._progress = assignment, AnswerProgress(self._timers)
+        runner = assignment.runner
         self._check_version(runner)
         remaining_s = self.remaining_s
         if remaining_s < MIN_REMAINING_S:
             raise RunnerFailedError(Outcome.NOT_RUN, "no_time_left")
-        self._runner, self._progress = runner, AnswerProgress(self._timers)
-        home_id = self._slot.home_id if self._slot is not None else ""
-        self.log("sent", home=home_id, left_ms=round(remaining_s * 1000.0))
-        self._response = await self._context.runner_client.send(
+        self.log("sent", home=assignment.home_id, left_ms=round(remaining_s * 1000.0))
+        limit_s = head_silence_limit_s(routed.route, history, remaining_s)
+        work = self._context.runner_client.send(
             runner,
             routed.request,
             remaining_s=remaining_s - HOP_ALLOWANCE_S,
-            stall_s=head_stall_timeout_s(routed.route, self.history.n_run, remaining_s),
+            stall_s=remaining_s,
             last_event_id=last_event_id,
             new_connection=not routed.route.may_repeat
-            or self._runner_id in self.history.excluded,
+            or runner.runner_id in history.tried,
             is_stream=routed.route.kind is RouteKind.STREAM,
-            is_process_checked=routed.route.is_resumable
-            and self._context.state.has_engines(routed.service),
+            is_process_checked=self._is_process_checked,
+            on_sent=partial(self._watch.expect, limit_s),
         )
+        self._response = await self._watch.wait_for(work)
         return self._response
 
-    async def _choose_runner(self) -> Runner:
-        """Return the runner for an attempt, and hold it or a slot of it."""
-        routed, selector = self._routed, self._selector
-        excluded, version = self.history.excluded, self._version.required
-        if not selector.uses_slots(routed):
-            runner = selector.choose_runner(routed, excluded, version)
-            self._runner_id = runner.runner_id
-            return runner
-        self._slot = await selector.acquire_slot(routed, excluded, version)
-        self._runner_id = self._slot.runner_id
-        found = self._context.state.find_runner(routed.service, self._runner_id)
-        if found is None:
-            raise RunnerFailedError(Outcome.NOT_RUN, "runner_gone")
-        return found
+    async def read_part(self, work: Awaitable[T]) -> T:
+        """Return the next part of a stream, unless the runner is left before.
+
+        Raises
+        ------
+        RunnerFailedError
+            When the runner is left for another one, which ``begin`` uses.
+        """
+        limit_s = event_silence_limit_s(
+            self._routed.route, self.history, self._is_begun, self.remaining_s
+        )
+        return await self._watch.wait_for(work, limit_s)
+
+    async def read_body(self) -> bytes:
+        """Return the body of a plain answer, unless the runner is left before.
+
+        Raises
+        ------
+        RunnerFailedError
+            When it is not whole, or the runner is left for another one.
+        """
+        response = self._response
+        assert response is not None
+        remaining_s = max(0.0, self.remaining_s)
+        limit_s = head_silence_limit_s(self._routed.route, self.history, remaining_s)
+        work = self._context.runner_client.read_body(
+            response, remaining_s, partial(self._watch.expect, limit_s)
+        )
+        return await self._watch.wait_for(work, limit_s)
+
+    def are_others_silent(self, refusal: RequestError) -> bool:
+        """Return whether a request gets no runner only since some are silent.
+
+        It is worth waiting for them as long as for a slot.
+        """
+        routed, history = self._routed, self.history
+        time_s = routed.deadline_at_s - routed.started_at_s
+        may_wait = self.remaining_s > (1.0 - QUEUE_WAIT_FRACTION) * time_s
+        is_silence = refusal.reason == NO_RUNNER_LEFT and bool(history.silent)
+        return is_silence and may_wait and self.may_retry
+
+    async def wait_for_capacity(self, refusal: RequestError) -> None:
+        """Wait until another attempt may get a runner; all may be tried again then."""
+        await self._end_attempt()
+        if refusal.reason == NO_RUNNER_LEFT:
+            self.history.excluded.clear()
+        await pause_after(refusal)
+
+    @property
+    def _is_begun(self) -> bool:
+        """Whether an event of the present runner has arrived."""
+        return self._progress.answering_s is not None
 
     def _check_version(self, runner: Runner) -> None:
         """Check that a runner may begin the stream, or go on with it.
@@ -161,7 +231,8 @@
 
     async def record_failure(self, error: RunnerFailedError) -> None:
         """Record that the attempt has failed, and release what it holds."""
-        self.history.record_failure(self._runner_id, error)
+        runner_id = self._runner_id or error.runner_id
+        self.history.record_failure(runner_id, error)
         if error.is_fault:
             self.record_fault(error.reason)
         self.log(
@@ -174,15 +245,17 @@
         )
         if error.reason in CONNECTION_LOST_REASONS:
             await self._report_lost()
-        await self.release()
+        await self._end_attempt()
 
     async def _report_lost(self) -> None:
         """Report a lost connection; before a retry, wait until it is diagnosed."""
-        if self._runner is None:
+        if self._assignment is None:
             return
         is_answered = self._progress.is_answered
         lost = LostRequest(self._routed.traits, is_answered)
-        diagnosis = self._context.crash_reporter.report_lost(self._runner, lost)
+        diagnosis = self._context.crash_reporter.report_lost(
+            self._assignment.runner, lost
+        )
         if not is_answered and self.may_retry:
             await asyncio.wait([diagnosis], timeout=DIAGNOSIS_WAIT_S)
             self.history.n_crashes += diagnosis.done() and diagnosis.result()
@@ -201,14 +274,39 @@
         If the response comes over a path that is cut, the slot is given back: the
         runner's report tells whether it still works on the request.
         """
-        if self._runner is not None:
-            accuse = self._health_recorder(is_well=False)
-            response, slot = self._response, self._slot
-            is_direct = response is not None and not response.body.is_relayed
-            on_path_cut = slot.close if slot is not None and is_direct else None
-            self._context.runner_faults.record(
-                self._runner, reason, accuse, on_path_cut
-            )
+        self._accuse(reason, self._health_recorder(is_well=False))
+
+    def _accuse(self, reason: str, accuse: Callable[[], None]) -> None:
+        assignment, response = self._assignment, self._response
+        if assignment is None:
+            return
+        is_direct = response is not None and not response.body.is_relayed
+        slot = assignment.slot
+        on_path_cut = slot.close if slot is not None and is_direct else None
+        self._context.runner_faults.record(
+            assignment.runner, reason, accuse, on_path_cut
+        )
+
+    def _report_silence(self) -> Coroutine[Any, Any, Assignment] | None:
+        """Report a runner that has fallen silent; return the search for another one."""
+        may_leave = self.history.may_retry_after_run(self.remaining_s)
+        self.log("runner silent", n_events=self.n_events, may_leave=may_leave)
+        self._context.metrics.count("runner_silences", may_leave=str(may_leave))
+        accuse, n_heard = self._health_recorder(is_well=False), self._n_heard
+
+        def accuse_unless_heard() -> None:
+            if self._n_heard == n_heard:
+                accuse()
+
+        self._accuse("silent", accuse_unless_heard)
+        if not may_leave:
+            return None
+        return self._search.find({*self.history.excluded, self._runner_id})
+
+    def _report_heard(self) -> None:
+        self._n_heard += 1
+        self.log("runner heard again", n_events=self.n_events)
+        self._record_health(is_well=True)
 
     def _health_recorder(self, is_well: bool) -> Callable[[], None]:
         """Return what records the health of the present attempt's runner."""
@@ -222,22 +320,34 @@
 
     def _report_answered(self) -> None:
         """Report once that the runner answers the request, where a crash accuses it."""
-        if self._slot is not None and self._slot.watched:
+        slot = self._slot
+        if slot is not None and slot.watched:
             reporter = self._context.crash_reporter
-            reporter.report_answered(self._routed.service, self._slot.watched)
-            self._slot.watched = ()
+            reporter.report_answered(self._routed.service, slot.watched)
+            slot.watched = ()
 
-    async def release(self) -> None:
-        """Abort the response in flight and release the slot or the runner."""
+    @property
+    def _runner_id(self) -> RunnerId:
+        """The runner of the present attempt, empty if there is none."""
+        return self._assignment.runner.runner_id if self._assignment else ""
+
+    @property
+    def _slot(self) -> Slot | None:
+        return self._assignment.slot if self._assignment else None
+
+    async def _end_attempt(self) -> None:
+        """Abort the response in flight and release the runner."""
         if self._response is not None:
             self._response.body.close()
             self._response = None
-        slot, self._slot = self._slot, None
-        runner_id, self._runner_id = self._runner_id, ""
-        if slot is not None:
-            await slot.close()
-        elif runner_id:
-            self._selector.release_runner(runner_id)
+        assignment, self._assignment = self._assignment, None
+        if assignment is not None:
+            await self._selector.release(assignment)
+
+    async def release(self) -> None:
+        """End the attempt, and the search for another runner."""
+        await self._end_attempt()
+        await self._watch.close()
 
     def log(self, event: str, **fields: object) -> None:
         """Log an event of the request, with what is known of the attempt."""
--- a/libs/gateway/src/damaskjunction/gateway/requests/request_execution.py
+++ b/libs/gateway/src/damaskjunction/gateway/requests/request_execution.py
@@ -3,13 +3,11 @@
 from __future__ import annotations
 
 from collections.abc import AsyncGenerator
+from contextlib import aclosing
 
 from damaskjunction.core import Outcome, RequestError
 from damaskjunction.gateway.dispatch_context import DispatchContext
-from damaskjunction.gateway.requests.answer_stream import (
-    InactivityTimer,
-    StreamBody,
-)
+from damaskjunction.gateway.requests.answer_stream import StreamBody
 from damaskjunction.gateway.requests.attempt_history import (
     MIN_REMAINING_S,
 )
@@ -19,18 +17,18 @@
     RoutedRequest,
     RunnerSelector,
 )
-from damaskjunction.gateway.requests.stall_timeouts import (
-    gap_stall_timeout_s,
-    head_stall_timeout_s,
-)
 from damaskjunction.gateway.requests.stream_check import StreamCheck
 from damaskjunction.gateway.runners.runner_responses import (
     RunnerFailedError,
     RunnerResponse,
 )
-from damaskjunction.http import BrokenResponseError, Response
+from damaskjunction.http import (
+    BrokenResponseError,
+    Response,
+    StalledResponseError,
+)
 from damaskjunction.platform import Refusal, caller_response, refusal_response
-from damaskjunction.routing import RouteKind
+from damaskjunction.routing import CAPACITY_REASONS, RouteKind
 
 
 class RequestExecution:
@@ -49,7 +47,6 @@
     def __init__(
         self, context: DispatchContext, selector: RunnerSelector, routed: RoutedRequest
     ) -> None:
-        self._timers = context.timers
         self._runner_client = context.runner_client
         self._routed = routed
         self._attempts = RequestAttempts(context, selector, routed)
@@ -74,7 +71,9 @@
             try:
                 return await self._run_attempt()
             except RequestError as error:
-                return self._refuse(error.reason, error.retry_after_s)
+                if not self._attempts.are_others_silent(error):
+                    return self._refuse(error.reason, error.retry_after_s)
+                await self._attempts.wait_for_capacity(error)
             except RunnerFailedError as error:
                 await self._attempts.record_failure(error)
                 if not self._attempts.may_retry:
@@ -91,9 +90,7 @@
                 None,
                 runner_response.head.headers,
             )
-        body = await self._runner_client.read_body(
-            runner_response, max(0.0, self._attempts.remaining_s)
-        )
+        body = await self._attempts.read_body()
         may_retry = self._history.may_retry_failed_response(self._attempts.remaining_s)
         if status >= 500 and may_retry:
             raise RunnerFailedError(Outcome.RAN, "failed", f"{status}")
@@ -134,12 +131,11 @@
 
     async def events(self) -> AsyncGenerator[bytes, None]:
         """Yield complete events, resuming at another runner where that is allowed."""
-        inactivity_timer = InactivityTimer(self._timers, self._report_stall)
         is_ended = False
         try:
             while True:
                 try:
-                    async for data in self._read_events(inactivity_timer):
+                    async for data in self._read_events():
                         yield data
                     break
                 except RunnerFailedError as error:
@@ -156,43 +152,32 @@
                 self._attempts.log(
                     "abandoned by its caller", n_events=self._attempts.n_events
                 )
-            inactivity_timer.cancel()
             await self._attempts.release()
 
-    async def _read_events(
-        self, inactivity_timer: InactivityTimer
-    ) -> AsyncGenerator[bytes, None]:
+    async def _read_events(self) -> AsyncGenerator[bytes, None]:
         runner_response = self._stream
         assert runner_response is not None
         check = StreamCheck(self._last_event_id)
-        runner_response.body.set_stall_timeout(
-            head_stall_timeout_s(
-                self._routed.route,
-                self._history.n_run,
-                self._attempts.remaining_s,
-            )
-        )
+        runner_response.body.set_stall_timeout(self._attempts.remaining_s)
         try:
-            async for chunk in runner_response.body.chunks():
-                inactivity_timer.touch()
-                part = check.feed(chunk)
-                runner_response.body.keep(check.n_buffered)
-                self._last_event_id = check.last_event_id
-                if part.events:
-                    self._attempts.record_events(len(part.events))
-                    yield b"".join(event.raw for event in part.events)
-                if part.fault:
-                    raise RunnerFailedError(
-                        Outcome.RAN, "foreign_event", part.fault, is_fault=True
-                    )
-                remaining_s = self._attempts.remaining_s
-                if remaining_s <= 0:
-                    raise RunnerFailedError(Outcome.RAN, "no_time_left")
-                runner_response.body.set_stall_timeout(
-                    gap_stall_timeout_s(
-                        self._routed.route, self._history.n_run, remaining_s
-                    )
-                )
+            async with aclosing(runner_response.body.chunks()) as chunks:
+                while chunk := await self._attempts.read_part(anext(chunks, b"")):
+                    part = check.feed(chunk)
+                    runner_response.body.keep(check.n_buffered)
+                    self._last_event_id = check.last_event_id
+                    if part.events:
+                        self._attempts.record_events(len(part.events))
+                        yield b"".join(event.raw for event in part.events)
+                    if part.fault:
+                        raise RunnerFailedError(
+                            Outcome.RAN, "foreign_event", part.fault, is_fault=True
+                        )
+                    remaining_s = self._attempts.remaining_s
+                    if remaining_s <= 0:
+                        raise RunnerFailedError(Outcome.RAN, "no_time_left")
+                    runner_response.body.set_stall_timeout(remaining_s)
+        except StalledResponseError as error:
+            raise RunnerFailedError(Outcome.RAN, "silent", str(error)) from None
         except BrokenResponseError as error:
             raise RunnerFailedError(
                 Outcome.RAN, "stream_cut", str(error), is_fault=True
@@ -212,9 +197,12 @@
         while self._routed.route.is_resumable and self._attempts.may_retry:
             try:
                 runner_response = await self._attempts.begin(self._last_event_id)
-            except RequestError as request_error:
-                self._attempts.log("not resumed", reason=request_error.reason)
-                break
+            except RequestError as refusal:
+                self._attempts.log("not resumed", reason=refusal.reason)
+                if refusal.reason not in CAPACITY_REASONS:
+                    break
+                await self._attempts.wait_for_capacity(refusal)
+                continue
             except RunnerFailedError as failure:
                 await self._attempts.record_failure(failure)
                 continue
@@ -232,8 +220,3 @@
             "stream given up", reason=error.reason, n_events=self._attempts.n_events
         )
         raise ConnectionAbortedError(error.reason)
-
-    def _report_stall(self) -> None:
-        """Report a runner that stalls as unhealthy; its response may still arrive."""
-        self._attempts.log("runner silent", n_events=self._attempts.n_events)
-        self._attempts.record_fault("silent")
--- a/libs/gateway/src/damaskjunction/gateway/requests/runner_selector.py
+++ b/libs/gateway/src/damaskjunction/gateway/requests/runner_selector.py
@@ -2,20 +2,25 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from typing import NamedTuple
 
 from damaskjunction.core import (
+    HostId,
     Outcome,
     RequestError,
     Runner,
     RunnerId,
     ServiceName,
     WorkClass,
+    standby_request_id,
 )
 from damaskjunction.gateway.dispatch_context import DispatchContext
+from damaskjunction.gateway.runners.runner_responses import RunnerFailedError
 from damaskjunction.gateway.slots.slot import Slot
 from damaskjunction.platform import CallerRequest
 from damaskjunction.routing import (
+    NO_RUNNER_LEFT,
     EjectionPolicy,
     OutlierEjection,
     Route,
@@ -57,6 +62,18 @@
         return (*self.request.shared_parts, self.fingerprint)
 
 
+class Assignment(NamedTuple):
+    """A runner that is held for an attempt, by ``slot`` if the home has chosen it."""
+
+    runner: Runner
+    slot: Slot | None
+
+    @property
+    def home_id(self) -> HostId:
+        """The home of the slot, empty without one."""
+        return self.slot.home_id if self.slot is not None else ""
+
+
 class RunnerSelector:
     """Selects runners: engines by slots, plain ones by the requests of this host alone.
 
@@ -77,21 +94,66 @@
         self._n_in_flight_by_runner: dict[RunnerId, int] = {}
         self._ejection = OutlierEjection(PLAIN_EJECTION)
 
-    async def acquire_slot(
-        self, routed: RoutedRequest, excluded: set[RunnerId], version: str
-    ) -> Slot:
-        """Acquire a slot of a runner for an attempt.
+    async def assign(
+        self,
+        routed: RoutedRequest,
+        excluded: Collection[RunnerId],
+        version: str,
+        n_standbys: int = 0,
+    ) -> Assignment:
+        """Hold a runner for an attempt until ``release``.
 
-        Only runners of the software ``version`` may be chosen, unless it is empty.
+        Parameters
+        ----------
+        routed : RoutedRequest
+            The request.
+        excluded : collection of str
+            Runners that must not be chosen.
+        version : str
+            Software version that the runner has to be of, unless it is empty.
+        n_standbys : int, optional
+            Number of the ask among those that are made while another runner has the
+            request, 0 for any other ask.
 
         Raises
         ------
         RequestError
-            ``NOT_RUN`` when no slot is granted in time.
+            ``NOT_RUN`` when no runner is free in time.
+        RunnerFailedError
+            ``NOT_RUN`` when the home has chosen a runner that is not known here.
         """
+        if not self.uses_slots(routed):
+            return Assignment(self._choose_runner(routed, excluded, version), None)
+        slot = await self._acquire_slot(routed, excluded, version, n_standbys)
+        runner = self._state.find_runner(routed.service, slot.runner_id)
+        if runner is None:
+            await slot.close()
+            raise RunnerFailedError(
+                Outcome.NOT_RUN, "runner_gone", runner_id=slot.runner_id
+            )
+        return Assignment(runner, slot)
+
+    async def release(self, assignment: Assignment) -> None:
+        """Release a runner."""
+        if assignment.slot is not None:
+            await assignment.slot.close()
+        else:
+            self._release_runner(assignment.runner.runner_id)
+
+    async def _acquire_slot(
+        self,
+        routed: RoutedRequest,
+        excluded: Collection[RunnerId],
+        version: str,
+        n_standbys: int,
+    ) -> Slot:
+        """Acquire a slot; one of each request id is held at a home at a time."""
+        request_id = routed.request.request_id
         remaining_s = routed.deadline_at_s - self._timers.now()
         ask = SlotAsk(
-            request_id=routed.request.request_id,
+            request_id=(
+                standby_request_id(request_id, n_standbys) if n_standbys else request_id
+            ),
             service_name=routed.service,
             work_class=WorkClass.ONLINE,
             parts=routed.request.shared_parts,
@@ -150,8 +212,8 @@
         else:
             self._ejection.record_failure(runner_id, self._timers.now())
 
-    def choose_runner(
-        self, routed: RoutedRequest, excluded: set[RunnerId], version: str
+    def _choose_runner(
+        self, routed: RoutedRequest, excluded: Collection[RunnerId], version: str
     ) -> Runner:
         """Return the plain runner with the fewest requests of this host per slot.
 
@@ -176,7 +238,7 @@
         runners = self._state.runners_of(routed.service, may_serve)
         runners = list(self._ejection.healthy(runners, lambda r: r.runner_id, now_s))
         if not runners:
-            reason = "runners_failed" if excluded else "no_runner"
+            reason = NO_RUNNER_LEFT if excluded else "no_runner"
             raise RequestError(Outcome.NOT_RUN, reason, retry_after_s=RETRY_AFTER_S)
         self._rng.shuffle(runners)
         counts = self._n_in_flight_by_runner
@@ -186,7 +248,7 @@
         counts[runner.runner_id] = counts.get(runner.runner_id, 0) + 1
         return runner
 
-    def release_runner(self, runner_id: RunnerId) -> None:
+    def _release_runner(self, runner_id: RunnerId) -> None:
         """Stop counting a request against a plain runner."""
         counts = self._n_in_flight_by_runner
         counts[runner_id] -= 1
--- /dev/null
+++ b/libs/gateway/src/damaskjunction/gateway/requests/standby_search.py
@@ -0,0 +1,126 @@
+"""The search for a runner that can take a request over from one that is silent."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable, Collection
+
+from damaskjunction.core import RequestError, Runner, RunnerId
+from damaskjunction.gateway.requests.runner_selector import (
+    Assignment,
+    RoutedRequest,
+    RunnerSelector,
+)
+from damaskjunction.gateway.runners.runner_client import RunnerClient
+from damaskjunction.gateway.runners.runner_responses import RunnerFailedError
+from damaskjunction.gateway.versions.stream_version import StreamVersion
+from damaskjunction.routing import CAPACITY_REASONS
+
+logger = logging.getLogger(__name__)
+
+MIN_PAUSE_S = 0.1  # after an ask that was refused
+MAX_PAUSE_S = 0.5
+
+
+class StandbySearch:
+    """Finds runners that are ready for a request that another one still has.
+
+    Parameters
+    ----------
+    runner_client : RunnerClient
+        Connects to the runners.
+    selector : RunnerSelector
+        Selects the runners.
+    routed : RoutedRequest
+        The request.
+    version : StreamVersion
+        Tells the version that the runners have to be of.
+    check : callable
+        Raises an error for a runner that must not have the request.
+    is_process_checked : bool
+        Whether only the process may have it that the runner's entry lists.
+    """
+
+    def __init__(
+        self,
+        runner_client: RunnerClient,
+        selector: RunnerSelector,
+        routed: RoutedRequest,
+        version: StreamVersion,
+        check: Callable[[Runner], None],
+        *,
+        is_process_checked: bool,
+    ) -> None:
+        self._runner_client = runner_client
+        self._selector = selector
+        self._routed = routed
+        self._version = version
+        self._check = check
+        self._is_process_checked = is_process_checked
+        self._n_asks = 0
+
+    async def find(self, excluded: Collection[RunnerId]) -> Assignment:
+        """Hold a runner that is ready, and return it.
+
+        Asks again as long as there is none. Runners that prove not to be ready are
+        left out until all others are.
+
+        Raises
+        ------
+        RequestError
+            ``NOT_RUN`` when no other runner may have the request.
+        """
+        unready: set[RunnerId] = set()
+        while True:
+            try:
+                return await self._hold_ready({*excluded, *unready})
+            except RunnerFailedError as error:
+                unready.add(error.runner_id)
+                self._log("runner not ready", error.reason, error.runner_id)
+            except RequestError as error:
+                self._log("no other runner free", error.reason)
+                if error.reason not in CAPACITY_REASONS:
+                    raise
+                unready.clear()
+                await pause_after(error)
+
+    async def _hold_ready(self, excluded: Collection[RunnerId]) -> Assignment:
+        """Hold the next runner, if it is ready.
+
+        Raises
+        ------
+        RequestError
+            ``NOT_RUN`` when no runner is free in time.
+        RunnerFailedError
+            ``NOT_RUN``, with the runner's id, when it is not ready.
+        """
+        self._n_asks += 1
+        assignment = await self._selector.assign(
+            self._routed, excluded, self._version.required, self._n_asks
+        )
+        runner = assignment.runner
+        try:
+            self._check(runner)
+            await self._runner_client.prepare(
+                runner, is_process_checked=self._is_process_checked
+            )
+        except RunnerFailedError as error:
+            await self._selector.release(assignment)
+            raise RunnerFailedError(
+                error.outcome, error.reason, error.detail, runner_id=runner.runner_id
+            ) from None
+        except BaseException:
+            await self._selector.release(assignment)
+            raise
+        return assignment
+
+    def _log(self, event: str, reason: str, runner_id: RunnerId = "") -> None:
+        request_id = self._routed.request.request_id
+        extra = {"request": request_id, "reason": reason, "runner": runner_id}
+        logger.info(f"request {event}", extra=extra)
+
+
+async def pause_after(refusal: RequestError) -> None:
+    """Wait until it makes sense to ask again after a refusal for want of capacity."""
+    await asyncio.sleep(min(max(refusal.retry_after_s, MIN_PAUSE_S), MAX_PAUSE_S))
--- a/libs/gateway/src/damaskjunction/gateway/runners/runner_client.py
+++ b/libs/gateway/src/damaskjunction/gateway/runners/runner_client.py
@@ -125,6 +125,7 @@
         new_connection: bool = False,
         is_stream: bool = False,
         is_process_checked: bool = False,
+        on_sent: Callable[[], None] | None = None,
     ) -> RunnerResponse:
         """Send a request and return once the head of the response has arrived.
 
@@ -148,6 +149,8 @@
         is_process_checked : bool, optional
             Send the request only to the process that the runner's entry lists. Its
             report tells, which is asked for once on each connection.
+        on_sent : callable, optional
+            Called once connected, right before the request is sent.
 
         Raises
         ------
@@ -173,6 +176,7 @@
                 body=request.body,
                 stall_s=stall_s,
                 new_connection=new_connection or not request.request_id,
+                before_send=on_sent,
                 peer_query=query,
             )
         except ConnectFailedError as error:
@@ -198,6 +202,27 @@
             self._record_limit(runner.runner_id, NO_LIMIT_PER_S)
         return RunnerResponse(runner, head, response, is_process_checked)
 
+    async def prepare(self, runner: Runner, *, is_process_checked: bool) -> None:
+        """Keep a connection to a runner ready for the next request.
+
+        Parameters
+        ----------
+        runner : Runner
+            The runner.
+        is_process_checked : bool
+            Ask the runner now for its process, which has to be the listed one.
+
+        Raises
+        ------
+        RunnerFailedError
+            ``NOT_RUN`` when there is no connection, or no such process answers.
+        """
+        query = self._process_query(runner) if is_process_checked else None
+        try:
+            await self._client.prepare(runner.address, query)
+        except ConnectFailedError as error:
+            raise not_connected(error) from None
+
     def _record_limit(self, runner_id: RunnerId, limit_per_s: float) -> None:
         now_s = self._timers.now()
         if self.observed_limits.record(runner_id, limit_per_s, now_s):
@@ -284,9 +309,12 @@
         )
 
     async def read_body(
-        self, runner_response: RunnerResponse, timeout_s: float
+        self,
+        runner_response: RunnerResponse,
+        timeout_s: float,
+        on_data: Callable[[], None] | None = None,
     ) -> bytes:
-        """Return the complete body of a response.
+        """Return the complete body of a response; ``on_data`` is called for each part.
 
         Raises
         ------
@@ -296,8 +324,14 @@
         """
         try:
             async with asyncio.timeout(timeout_s):
-                body = await runner_response.body.read(MAX_RESPONSE_BYTES)
-        except (BrokenResponseError, TimeoutError) as error:
+                body = await runner_response.body.read(
+                    MAX_RESPONSE_BYTES, on_data=on_data
+                )
+        except (StalledResponseError, TimeoutError) as error:
+            raise RunnerFailedError(
+                Outcome.RAN, "silent", repr(error), is_fault=True
+            ) from None
+        except BrokenResponseError as error:
             raise RunnerFailedError(
                 Outcome.RAN, "answer_cut", repr(error), is_fault=True
             ) from None
--- a/libs/gateway/src/damaskjunction/gateway/runners/runner_responses.py
+++ b/libs/gateway/src/damaskjunction/gateway/runners/runner_responses.py
@@ -4,12 +4,19 @@
 
 from typing import NamedTuple
 
-from damaskjunction.core import DamaskjunctionError, Outcome, RequestId, Runner
+from damaskjunction.core import (
+    DamaskjunctionError,
+    Outcome,
+    RequestId,
+    Runner,
+    RunnerId,
+)
 from damaskjunction.http import (
     EVENT_STREAM_TYPE,
     ClientResponse,
     ConnectFailedError,
     OtherPeerError,
+    PeerSilentError,
     PeerUnknownError,
 )
 from damaskjunction.platform import RunnerReport, RunnerResponseHead
@@ -24,17 +31,28 @@
     """A call to a runner ended without a response that can be forwarded.
 
     ``outcome`` tells whether the runner worked on the request. ``is_fault`` is set
-    when the failure counts against the runner's health.
+    when the failure counts against the runner's health, ``is_silence`` when the runner
+    has sent nothing that speaks against it. ``runner_id`` is the runner's if it had not
+    been assigned yet.
     """
 
     def __init__(
-        self, outcome: Outcome, reason: str, detail: str = "", *, is_fault: bool = False
+        self,
+        outcome: Outcome,
+        reason: str,
+        detail: str = "",
+        *,
+        is_fault: bool = False,
+        is_silence: bool = False,
+        runner_id: RunnerId = "",
     ) -> None:
         super().__init__(f"{reason}: {detail}" if detail else reason)
         self.outcome = outcome
         self.reason = reason
         self.detail = detail
         self.is_fault = is_fault
+        self.is_silence = is_silence
+        self.runner_id = runner_id
 
 
 class RunnerResponse(NamedTuple):
@@ -61,7 +79,13 @@
     is_fault = reason != "other_process"
     if isinstance(error, RunnerUnreachableError):
         is_fault = error.verdict is not RunnerVerdict.PATH_CUT
-    return RunnerFailedError(Outcome.NOT_RUN, reason, str(error), is_fault=is_fault)
+    return RunnerFailedError(
+        Outcome.NOT_RUN,
+        reason,
+        str(error),
+        is_fault=is_fault,
+        is_silence=isinstance(error, PeerSilentError),
+    )
 
 
 def check_origin(
--- a/libs/http/src/damaskjunction/http/client.py
+++ b/libs/http/src/damaskjunction/http/client.py
@@ -19,7 +19,7 @@
 from damaskjunction.http.connector import Connector, DirectConnector
 from damaskjunction.http.messages import (
     BrokenResponseError,
-    PeerUnknownError,
+    PeerSilentError,
 )
 from damaskjunction.http.pacing import ReadPacer
 from damaskjunction.http.peer_query import PeerQuery, is_usable_after
@@ -132,6 +132,26 @@
             raise
         return ClientResponse(head, connection, self)
 
+    async def prepare(
+        self, address: Address, peer_query: PeerQuery | None = None
+    ) -> None:
+        """Keep a connection ready for the next request to a server.
+
+        With a query, the server is asked now, also on a connection where it was before.
+
+        Raises
+        ------
+        ConnectFailedError
+            The connection could not be opened, or has not the expected peer.
+        """
+        if peer_query is None:
+            connection = await self._acquire(address, new_connection=False)
+        else:
+            connection = await self._acquire_to(
+                peer_query, address, new_connection=False, is_asked_now=True
+            )
+        self._keep_idle(connection)
+
     def close(self) -> None:
         """Close all idle connections."""
         if self._sweep is not None:
@@ -146,6 +166,9 @@
         if not connection.prepare_for_reuse():
             connection.abort()
             return
+        self._keep_idle(connection)
+
+    def _keep_idle(self, connection: Connection) -> None:
         connection.idle_since_s = self._timers.now()
         if self._sweep is None:
             self._sweep = self._timers.once(SWEEP_INTERVAL_S, self._close_unusable)
@@ -159,19 +182,33 @@
         return connection or await self._connect(address)
 
     async def _acquire_to(
-        self, query: PeerQuery, address: Address, new_connection: bool
+        self,
+        query: PeerQuery,
+        address: Address,
+        new_connection: bool,
+        *,
+        is_asked_now: bool = False,
     ) -> Connection:
-        """Return a connection to the expected peer, in the time of the query."""
+        """Return a connection to the expected peer, in the time of the query.
+
+        With ``is_asked_now`` an answer that an idle connection had before is not used.
+        """
         try:
             async with asyncio.timeout(query.timeout_s):
                 connection = await self._acquire(address, new_connection)
-                if await is_usable_after(query, connection):
-                    return connection
-                connection.abort()
-                return await self._connect_before(query, address)
+                if is_asked_now:
+                    connection.peer = None
+                return await self._verify(query, connection)
         except TimeoutError:
             detail = f"{address}: not told in {query.timeout_s:.3f} s"
-            raise PeerUnknownError(detail) from None
+            raise PeerSilentError(detail) from None
+
+    async def _verify(self, query: PeerQuery, connection: Connection) -> Connection:
+        """Return a connection to the expected peer, this one if it is still usable."""
+        if await is_usable_after(query, connection):
+            return connection
+        connection.abort()
+        return await self._connect_before(query, connection.address)
 
     async def _connect_before(self, query: PeerQuery, address: Address) -> Connection:
         """Return a connection that was opened before a query on another one.
@@ -309,8 +346,13 @@
         self._end_keeping()
         self._client.release(connection)
 
-    async def read(self, max_bytes: int = DEFAULT_MAX_BODY_BYTES) -> bytes:
-        """Return the complete body.
+    async def read(
+        self,
+        max_bytes: int = DEFAULT_MAX_BODY_BYTES,
+        *,
+        on_data: Callable[[], None] | None = None,
+    ) -> bytes:
+        """Return the complete body; ``on_data`` is called for each part of it.
 
         Raises
         ------
@@ -324,6 +366,8 @@
             raise BrokenResponseError("the body is too large")
         async with aclosing(self.chunks()) as chunks:
             async for chunk in chunks:
+                if on_data is not None:
+                    on_data()
                 body += chunk
                 if len(body) > max_bytes:
                     raise BrokenResponseError("the body is too large")
--- a/libs/http/src/damaskjunction/http/messages.py
+++ b/libs/http/src/damaskjunction/http/messages.py
@@ -64,6 +64,10 @@
     """The peer of a connection did not identify itself; no request was sent."""
 
 
+class PeerSilentError(PeerUnknownError):
+    """The peer of a connection did not answer in time; no request was sent."""
+
+
 class OtherPeerError(ConnectFailedError):
     """The peer of a connection is not the expected one; no request was sent."""
 
--- a/libs/routing/src/damaskjunction/routing/__init__.py
+++ b/libs/routing/src/damaskjunction/routing/__init__.py
@@ -122,6 +122,8 @@
     trusted_reach,
 )
 from damaskjunction.routing.slot_types import (
+    CAPACITY_REASONS,
+    NO_RUNNER_LEFT,
     GrantSlot,
     RefuseSlot,
     RevokeSlot,
@@ -167,6 +169,7 @@
 from damaskjunction.routing.wait_forecast import RunnerSupply, WaitForecast
 
 __all__ = [
+    "CAPACITY_REASONS",
     "DEFAULT_DRAIN_S",
     "DEFAULT_MAX_SKEW_S",
     "DIRECT_HEAD_START_S",
@@ -174,6 +177,7 @@
     "EXCLUSIVE_RUNS",
     "MAX_WITNESSES",
     "NO_LIMIT_PER_S",
+    "NO_RUNNER_LEFT",
     "SHARED_RUNS",
     "AdaptiveLimits",
     "AdmissionController",
--- a/libs/routing/src/damaskjunction/routing/slot_types.py
+++ b/libs/routing/src/damaskjunction/routing/slot_types.py
@@ -6,6 +6,10 @@
 
 from damaskjunction.core import RequestId, RunnerId, WorkClass
 
+NO_RUNNER_LEFT = "runners_failed"  # why a request that excludes all got no slot
+# Why a request got no slot that may get one later.
+CAPACITY_REASONS = ("overloaded", NO_RUNNER_LEFT, "no_runner", "no_home")
+
 
 class SlotTicket(NamedTuple):
     """A request for a slot.
--- a/libs/routing/src/damaskjunction/routing/slots.py
+++ b/libs/routing/src/damaskjunction/routing/slots.py
@@ -19,6 +19,7 @@
 from damaskjunction.routing.rate_limits import BATCH_TOKENS, RateLimiter, RunnerLimit
 from damaskjunction.routing.slot_demand import SlotDemand
 from damaskjunction.routing.slot_types import (
+    NO_RUNNER_LEFT,
     GrantSlot,
     RefuseSlot,
     RevokeSlot,
@@ -112,7 +113,7 @@
         excluded = self._excluded_runners(ticket)
         if any(name not in excluded for name in self._slots_by_runner):
             return None
-        reason = "runners_failed" if self._slots_by_runner else "no_runner"
+        reason = NO_RUNNER_LEFT if self._slots_by_runner else "no_runner"
         return RefuseSlot(request_id, reason, self._held.online_times.mean_s)
 
     def submit(self, ticket: SlotTicket, now_s: float) -> list[SlotEffect]:
