Keep the folder of each failed soak

Cause: a soak that was run again with the same seed deleted the folder of the first run, and a failed scenario was copied over that of an earlier one. A scenario that ended by a timeout kept no folder at all. Change: each soak makes a folder of its own, "SEED", then "SEED-2" and so on, and deletes it only after a run without violations. The command prints the folder that it keeps.

--- a/libs/lab/features/soak.feature
+++ b/libs/lab/features/soak.feature
@@ -68,6 +68,11 @@
     Then its report tells "it waited 30% of the time and at most 40%"
     And its report tells "hosts 45% of the time and at most 80%"
 
+  Scenario: A soak run again with the same seed keeps the folder of the first
+    Given the kept folder of a soak that failed
+    When soaks with the same seed get their folders
+    Then each has an empty folder of its own, and the first is as it was
+
   Scenario: The fault schedule depends only on the seed
     Then seed 7 always gives the same schedule, and seed 8 a different one
 
--- a/libs/lab/features/steps/soak_steps.py
+++ b/libs/lab/features/steps/soak_steps.py
@@ -19,6 +19,7 @@
     describe_own_process,
     faults,
     find_violations,
+    make_folder,
     run_soak,
 )
 
@@ -134,13 +135,32 @@
 
     async def run_in(folder):
         async with asyncio.timeout(SOAK_LIMIT_S):
-            return await run_soak(options, Path(folder))
+            return await run_soak(options, folder)
 
-    with tempfile.TemporaryDirectory() as folder:
-        context.report = asyncio.run(run_in(folder))
-        if context.report.violations:
-            kept = KEPT_FOLDER / f"{kinds}-{seed}"
-            shutil.copytree(folder, kept, dirs_exist_ok=True)
+    folder = make_folder(KEPT_FOLDER, f"{kinds}-{seed}")
+    context.report = asyncio.run(run_in(folder))
+    if not context.report.violations:
+        shutil.rmtree(folder)
+
+
+@given("the kept folder of a soak that failed")
+def make_kept_folder(context):
+    context.parent = Path(tempfile.mkdtemp(prefix="damaskjunction-"))
+    context.add_cleanup(shutil.rmtree, context.parent)
+    context.kept = make_folder(context.parent, "all-7")
+    (context.kept / "history.txt").write_text("first")
+
+
+@when("soaks with the same seed get their folders")
+def make_same_folders(context):
+    context.folders = [make_folder(context.parent, "all-7") for _ in range(2)]
+
+
+@then("each has an empty folder of its own, and the first is as it was")
+def check_folders(context):
+    assert len({context.kept, *context.folders}) == 3, context.folders
+    assert not any(list(folder.iterdir()) for folder in context.folders)
+    assert (context.kept / "history.txt").read_text() == "first"
 
 
 @then("no guarantee was violated")
--- a/libs/lab/features/steps/soak_upgrade_steps.py
+++ b/libs/lab/features/steps/soak_upgrade_steps.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import shutil
-import tempfile
 import tomllib
 from pathlib import Path
 
@@ -17,6 +16,7 @@
     MixedBuilds,
     SoakOptions,
     export_build,
+    make_folder,
     run_soak,
 )
 
@@ -56,8 +56,7 @@
         context.scenario.skip(f"the history is not there: {error}")
         return
     options = SoakOptions(seed, FAULT_PERIOD_S, n_hosts, former_build=former)
-    with tempfile.TemporaryDirectory() as folder:
-        context.report = asyncio.run(run_soak(options, Path(folder)))
-        if context.report.violations:
-            kept = KEPT_FOLDER / f"upgrade-{seed}"
-            shutil.copytree(folder, kept, dirs_exist_ok=True)
+    folder = make_folder(KEPT_FOLDER, f"upgrade-{seed}")
+    context.report = asyncio.run(run_soak(options, folder))
+    if not context.report.violations:
+        shutil.rmtree(folder)
--- a/libs/lab/src/damaskjunction/lab/__main__.py
+++ b/libs/lab/src/damaskjunction/lab/__main__.py
@@ -27,7 +27,12 @@
 from damaskjunction.lab.experiments import ExperimentOptions, experiments
 from damaskjunction.lab.playground import run_playground
 from damaskjunction.lab.report import format_table, write_report
-from damaskjunction.lab.soak import SoakOptions, export_build, run_soak
+from damaskjunction.lab.soak import (
+    SoakOptions,
+    export_build,
+    make_folder,
+    run_soak,
+)
 from damaskjunction.standins import deployments
 
 
@@ -86,8 +91,8 @@
 def _run_soaks(arguments: argparse.Namespace) -> int:
     """Run a soak for each seed; return how many violated a guarantee.
 
-    The settings and logs of its hosts are in a folder, which is deleted if no guarantee
-    was violated; otherwise ``schedule.txt`` in it lists the injected faults.
+    Settings and logs of its hosts are in a folder of its own, which is deleted if no
+    guarantee was violated; otherwise ``schedule.txt`` in it lists the injected faults.
     """
     n_violated = 0
     former_build = None
@@ -95,9 +100,7 @@
         former_build = asyncio.run(export_build(arguments.upgrade_from))
     for seed in range(arguments.seed, arguments.seed + arguments.runs):
         print(f"seed {seed}: {arguments.seconds:g} s of faults", flush=True)
-        folder = arguments.keep / str(seed)
-        shutil.rmtree(folder, ignore_errors=True)
-        folder.mkdir(parents=True)
+        folder = make_folder(arguments.keep, str(seed))
         options = SoakOptions(
             seed,
             arguments.seconds,
@@ -110,6 +113,8 @@
         report = asyncio.run(run_soak(options, folder))
         for violation in report.violations:
             print(f"seed {seed} violation: {violation}")
+        if report.violations:
+            print(f"seed {seed}: kept in {folder}")
         print(f"seed {seed}: the soak's own process: {report.own_process}")
         print(f"seed {seed}: {report.figures}", flush=True)
         if report.violations:
--- a/libs/lab/src/damaskjunction/lab/soak/__init__.py
+++ b/libs/lab/src/damaskjunction/lab/soak/__init__.py
@@ -17,6 +17,7 @@
     kills_all_hosts,
     variant,
 )
+from damaskjunction.lab.soak.folders import make_folder
 from damaskjunction.lab.soak.history import (
     Call,
     Cancellation,
@@ -98,6 +99,7 @@
     "find_violations",
     "first_tries_in",
     "kills_all_hosts",
+    "make_folder",
     "make_schedule",
     "plan_release",
     "run_soak",
