Soak: count answers that are lost beside a silence of the runners

Cause: "answers arrive" left out each request during which the process of the runners stalled, as all runners are silent to the hosts then. Change: the excuse is gone. Spans in which engines are paused count as those beside planned work do. Beside a silence (a pause or a stall) a request may end unanswered once seven tenths of its time are used, beside a stop of a host once its deadline is over; without a silence its time is no excuse, as before. Test: the step "a request is cut while the process of the runners stalls" expected no violation, now it expects one. Four new cases of a violation and two of none stand on both sides of the bounds.

--- a/libs/lab/features/soak.feature
+++ b/libs/lab/features/soak.feature
@@ -45,6 +45,10 @@
       | a host sends to a runner whose entry says that it leaves | drained runners are left |
       | a request that ran in calm gets no answer                | answers arrive           |
       | a host that restarts cuts a request that runs            | answers arrive           |
+      | a request is cut while the process of the runners stalls | answers arrive           |
+      | a request is cut while engines are paused                | answers arrive           |
+      | a request is cut late in its time without a silence      | answers arrive           |
+      | a host that stops cuts a request before its deadline while engines are paused | answers arrive |
       | most requests at a host that is cut off fail             | cut hosts serve          |
       | most requests at other hosts fail during a cut           | cuts harm no others      |
       | a sound request is refused as crashing runners           | sound requests are served |
@@ -104,8 +108,13 @@
     Given a history without violations
     When a request that crashes its runner cuts a request that runs
     Then no check reports a violation
+
+  Scenario: Requests whose time is over may end without an answer beside a silence
+    Given a history without violations
+    When a request is cut late in its time while engines are paused
+    Then no check reports a violation
     Given a history without violations
-    When a request is cut while the process of the runners stalls
+    When a host that stops cuts a request after its deadline while engines are paused
     Then no check reports a violation
 
   Scenario: Requests may fail at a host that has just been cut off, or by other faults
--- a/libs/lab/features/steps/soak_request_steps.py
+++ b/libs/lab/features/steps/soak_request_steps.py
@@ -145,9 +145,10 @@
     context.history.peaks.append(MemoryPeak("h0", 200 * 1024 * 1024))
 
 
-def add_lost_answer(history, at_s):
+def add_lost_answer(history, at_s, after_s=1.0):
     add_rooms(history, 20)
     add_call(history, "order-1", status=0, body=b"", is_complete=False, at_s=at_s)
+    history.calls[-1] = history.calls[-1]._replace(ended_at_s=at_s + after_s)
     add_run(history, "order-1", at_s=at_s)
 
 
@@ -179,3 +180,38 @@
 def add_lost_answer_in_stall(context):
     add_lost_answer(context.history, 8.0)
     context.history.stalls.append(Stall(8.0, 8.6))
+
+
+def add_lost_answer_in_pause(history, after_s):
+    add_lost_answer(history, 8.0, after_s)
+    history.fault_spans += [
+        FaultSpan("engines paused", 8.1, 9.8),
+        FaultSpan("configuration changed", 8.0, 8.2),
+    ]
+
+
+@when("a request is cut while engines are paused")
+def add_lost_answer_in_short_pause(context):
+    add_lost_answer_in_pause(context.history, 1.5)
+
+
+@when("a request is cut late in its time while engines are paused")
+def add_late_end_of_answer(context):
+    add_lost_answer_in_pause(context.history, 3.6)
+
+
+@when("a host that stops cuts a request before its deadline while engines are paused")
+def add_lost_answer_in_stop_and_pause(context):
+    add_lost_answer_in_pause(context.history, 4.8)
+    context.history.fault_spans.append(FaultSpan("host restarted", 8.0, 12.5))
+
+
+@when("a host that stops cuts a request after its deadline while engines are paused")
+def add_lost_answer_after_deadline(context):
+    add_lost_answer_in_pause(context.history, 5.1)
+    context.history.fault_spans.append(FaultSpan("host restarted", 8.0, 13.5))
+
+
+@when("a request is cut late in its time without a silence")
+def add_late_end_in_calm(context):
+    add_lost_answer(context.history, 8.0, 5.1)
--- a/libs/lab/src/damaskjunction/lab/soak/answers.py
+++ b/libs/lab/src/damaskjunction/lab/soak/answers.py
@@ -3,23 +3,29 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
+from damaskjunction.lab.soak.callers import DEADLINE_S
 from damaskjunction.lab.soak.checks import checks
 from damaskjunction.lab.soak.history import DEADLY_PREFIX, Call, History, Run
-from damaskjunction.lab.soak.owed import calm_spans
+from damaskjunction.lab.soak.owed import Span, calm_spans
 
 # Faults in which no request that a runner got may lose its answer.
-PLANNED_KINDS = ("configuration changed", "host restarted")
+PAUSE_KIND = "engines paused"
+STOP_KIND = "host restarted"
+PLANNED_KINDS = ("configuration changed", STOP_KIND, PAUSE_KIND)
 CRASH_S = 1.0  # from a deadly request until its runner is back
+MAX_USED_FRACTION = 0.7  # of a request's time, beside a silence
 
 
 @checks.register("answers arrive")
 def check_answers(history: History) -> Iterator[str]:
     """Find requests that a sound runner got and whose answer did not arrive whole.
 
-    Only requests in calm or beside planned stops of hosts count, and none during which
-    the process of the runners stalled: to the hosts all runners are silent then.
+    Only requests in calm, beside planned stops of hosts and changes of the
+    configuration, and beside pauses of engines count. A silence of runners is no reason
+    to end an answer, whether a fault or a stall of their process brings it, unless the
+    time of the request is over.
     """
     spans = calm_spans(history, PLANNED_KINDS)
     runs_by_id: dict[str, list[Run]] = defaultdict(list)
@@ -34,13 +40,9 @@
             span.since_s <= call.sent_at_s and call.ended_at_s <= span.until_s
             for span in spans
         )
-        is_stalled = any(
-            stall.since_s <= call.ended_at_s and call.sent_at_s <= stall.until_s
-            for stall in history.stalls
-        )
         if (
             is_checked
-            and not is_stalled
+            and not _is_out_of_time(call, history)
             and not _is_broken_off(call, runs, deadly_runs)
         ):
             wait_s = call.ended_at_s - call.sent_at_s
@@ -50,6 +52,30 @@
             )
 
 
+def _is_out_of_time(call: Call, history: History) -> bool:
+    """Return whether a silence used up the time of a request.
+
+    That is its deadline while a host stops, and else a part of its time before.
+    """
+    silences = [Span(stall.since_s, stall.until_s) for stall in history.stalls]
+    stops = []
+    for fault in history.fault_spans:
+        if fault.kind == PAUSE_KIND:
+            silences.append(Span(fault.since_s, fault.until_s))
+        elif fault.kind == STOP_KIND:
+            stops.append(Span(fault.since_s, fault.until_s))
+    max_used_s = DEADLINE_S * (1.0 if _is_beside(call, stops) else MAX_USED_FRACTION)
+    is_used_up = call.ended_at_s - call.sent_at_s >= max_used_s
+    return is_used_up and _is_beside(call, silences)
+
+
+def _is_beside(call: Call, spans: Iterable[Span]) -> bool:
+    return any(
+        span.since_s <= call.ended_at_s and call.sent_at_s <= span.until_s
+        for span in spans
+    )
+
+
 def _is_broken_off(call: Call, runs: list[Run], deadly_runs: list[Run]) -> bool:
     """Return whether a deadly request ended one of the call's runners meanwhile."""
     life_ids = {run.life_id for run in runs}
