Soak: pause engines beside changes of the configuration

Change: the fault "engines paused" pauses all engines, half of them or one, for 0.5 to 2.5 s in series, with a change before, in or after each pause: a version of the configuration with other routes, other timeouts or another idle time, or SIGHUP to a host. Streams that begin in the series are slower, so that pauses meet them. The kinds of the seeds in soak.feature and soak_upgrade.feature do without it, so their schedules stay.

--- a/libs/lab/features/steps/soak_steps.py
+++ b/libs/lab/features/steps/soak_steps.py
@@ -42,11 +42,14 @@
     "store troubled",
 )
 CUT_KINDS = ("hosts cut off", "host cut off in part")
+PAUSE_KIND = "engines paused"
+LATER_KINDS = (*CUT_KINDS, PAUSE_KIND)
 # The kinds that the schedules of seeds chose from, by name.
 KINDS_BY_NAME = {
     "all": (),
-    "earlier": tuple(kind for kind in sorted(faults) if kind not in CUT_KINDS),
+    "earlier": tuple(kind for kind in sorted(faults) if kind not in LATER_KINDS),
     "cuts": CUT_KINDS,
+    "pauses": (PAUSE_KIND, "configuration changed", "host restarted"),
     "first": FIRST_KINDS,
     "leaving": ("runner leaves", "engines released"),
     "refused": ("refusals repeated", "runner lost"),
--- a/libs/lab/features/steps/soak_upgrade_steps.py
+++ b/libs/lab/features/steps/soak_upgrade_steps.py
@@ -16,6 +16,7 @@
     MixedBuilds,
     SoakOptions,
     export_build,
+    faults,
     make_folder,
     run_soak,
 )
@@ -23,6 +24,7 @@
 ROOT = Path(__file__).resolve().parents[4]
 KEPT_FOLDER = Path("build/soak")
 FAULT_PERIOD_S = 3.0  # the rest of the roll is calm
+LATER_KIND = "engines paused"  # the schedule is that without it
 
 
 def add_failures(history, n_served, n_failed):
@@ -55,7 +57,10 @@
     except BuildError as error:
         context.scenario.skip(f"the history is not there: {error}")
         return
-    options = SoakOptions(seed, FAULT_PERIOD_S, n_hosts, former_build=former)
+    kinds = tuple(kind for kind in sorted(faults) if kind != LATER_KIND)
+    options = SoakOptions(
+        seed, FAULT_PERIOD_S, n_hosts, kinds=kinds, former_build=former
+    )
     folder = make_folder(KEPT_FOLDER, f"upgrade-{seed}")
     context.report = asyncio.run(run_soak(options, folder))
     if not context.report.violations:
--- a/libs/lab/src/damaskjunction/lab/soak/__init__.py
+++ b/libs/lab/src/damaskjunction/lab/soak/__init__.py
@@ -5,6 +5,7 @@
 import damaskjunction.lab.soak.cut_faults
 import damaskjunction.lab.soak.link_faults
 import damaskjunction.lab.soak.owed
+import damaskjunction.lab.soak.pause_faults
 import damaskjunction.lab.soak.releases
 import damaskjunction.lab.soak.upgrade  # noqa: F401 - register faults and checks
 from damaskjunction.lab.soak.builds import Build, BuildError, export_build
--- a/libs/lab/src/damaskjunction/lab/soak/configuration.py
+++ b/libs/lab/src/damaskjunction/lab/soak/configuration.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from typing import Any
+from typing import Any, NamedTuple
 
 from damaskjunction.standins import (
     BATCH_ROUTE,
+    LONG_TIMEOUT,
     ONCE_ROUTE,
     RESUMABLE_ROUTE,
     RETRYABLE_ROUTE,
+    SHORT_IDLE_TIME,
     make_configuration,
     make_route,
 )
@@ -28,15 +30,40 @@
 )
 
 
-def make_soak_configuration(version: int) -> dict[str, Any]:
+class ConfigurationChange(NamedTuple):
+    """What a version of the configuration has besides its own route."""
+
+    route_options: Mapping[str, Any] = {}
+    limits: Mapping[str, Any] = {}
+
+
+ROUTES_CHANGE = "routes"
+configuration_changes: Mapping[str, ConfigurationChange] = {
+    ROUTES_CHANGE: ConfigurationChange(),
+    "timeouts": ConfigurationChange(route_options=LONG_TIMEOUT),
+    "idle time": ConfigurationChange(limits=SHORT_IDLE_TIME),
+}
+
+
+def make_soak_configuration(
+    version: int, change: str = ROUTES_CHANGE
+) -> dict[str, Any]:
     """Return a configuration with a route of each kind and a route ``v{version}``."""
+    route_options, limits = configuration_changes[change]
     routes = [
-        make_route(name, HOST_NAME, f"/{name}/", kind, service, **options)
+        make_route(
+            name, HOST_NAME, f"/{name}/", kind, service, **{**options, **route_options}
+        )
         for name, kind, service, options in (
             *_ROUTES,
             (f"v{version}", "idempotent", PLAIN, RETRYABLE_ROUTE),
         )
     ]
     return make_configuration(
-        version, routes, engine=ENGINE, plain=PLAIN, slots=ENGINE_SLOTS
+        version,
+        routes,
+        engine=ENGINE,
+        plain=PLAIN,
+        slots=ENGINE_SLOTS,
+        limits=limits,
     )
--- a/libs/lab/src/damaskjunction/lab/soak/rig.py
+++ b/libs/lab/src/damaskjunction/lab/soak/rig.py
@@ -21,6 +21,7 @@
     ENGINE_SLOTS,
     PLAIN,
     PLAIN_SLOTS,
+    ROUTES_CHANGE,
     make_soak_configuration,
 )
 from damaskjunction.lab.soak.crash_reports import read_crash_reports
@@ -409,9 +410,8 @@
         await runner.close()
         self.store.remove(RUNNERS_KIND, runner.runner_id)
 
-    def write_configuration(self) -> None:
-        """Write the next version of the configuration to the store."""
+    def write_configuration(self, change: str = ROUTES_CHANGE) -> None:
+        """Write the next version of the configuration, with a change, to the store."""
         self.configuration_version += 1
-        self.store.put(
-            "config", "main", make_soak_configuration(self.configuration_version)
-        )
+        version = self.configuration_version
+        self.store.put("config", "main", make_soak_configuration(version, change))
--- a/libs/lab/src/damaskjunction/lab/soak/runners.py
+++ b/libs/lab/src/damaskjunction/lab/soak/runners.py
@@ -95,6 +95,11 @@
         The paths to its endpoint.
     life_id : str
         Identifies it among all runners of the soak, also those with the same id.
+
+    Attributes
+    ----------
+    event_interval_s : float
+        Seconds to wait after each event of a stream, besides the usual.
     """
 
     def __init__(
@@ -108,6 +113,7 @@
     ):
         super().__init__(*args, **kwargs)
         self.life_id = life_id
+        self.event_interval_s = 0.0
         self._leaves_at_s: float | None = None
         self._drains_at_s: float | None = None
         self._history = history
@@ -173,7 +179,7 @@
         headers = {**response.headers, LIFE_HEADER: self.life_id}
         response = response._replace(headers=headers)
         if not isinstance(response.body, bytes):
-            interval_s = 0.0
+            interval_s = self.event_interval_s
             if request_id.startswith(ITEM_PREFIX):
                 interval_s = ITEM_EVENT_INTERVAL_S
             end = partial(self._record_end, request_id, 200)
--- a/libs/standins/src/damaskjunction/standins/platform_documents.py
+++ b/libs/standins/src/damaskjunction/standins/platform_documents.py
@@ -22,6 +22,8 @@
     "MaxAttempts": 3,
     "GapAimMs": 200,  # target interval between tokens
 }
+LONG_TIMEOUT: Mapping[str, Any] = {"TimeoutMs": 8000}
+SHORT_IDLE_TIME: Mapping[str, Any] = {"IdleTimeoutMs": 2000}  # of callers
 BATCH_ROUTE: Mapping[str, Any] = {
     "MaxAttempts": 3,
     "CompletionTargetMs": 20_000,
@@ -88,6 +90,7 @@
     engine: str,
     plain: str,
     slots: int = 2,
+    limits: Mapping[str, Any] = {},
 ) -> dict[str, Any]:
     """Return a configuration with an engine service and a plain service."""
     engine_description = {"Slots": slots, "KvCapacity": 100_000}
@@ -95,7 +98,7 @@
         "Version": version,
         "Routes": routes,
         "Services": [{"Name": engine, "Engine": engine_description}, {"Name": plain}],
-        "Limits": {},
+        "Limits": limits,
     }
 
 
