--- a/libs/lab/features/soak.feature
+++ b/libs/lab/features/soak.feature
@@ -153,9 +153,10 @@
     Then no guarantee was violated
 
     Examples: short
-      | seed | kinds | seconds |
-      | 1    | earlier | 16    |
-      | 4101 | cuts    | 8       |
+      | seed  | kinds   | seconds |
+      | 1     | earlier | 16      |
+      | 4101  | cuts    | 8       |
+      | 43306 | pauses  | 8       |
 
     # 403: an item whose attempts were aborted three times by broken network paths was
     # never attempted again.
