Test requests that come while all runners are silent, and asks that are withdrawn

Cause: the feature on silent runners began all requests before the silence, did not look at the home's queue after it, and did not count the runs of requests that may run once only. Change: a request comes 0.3 s after the silence began, on each kind of route; the home's queue is looked at 0.2 s after the silence; requests for /order/ ran once.

--- a/libs/gateway/features/silent_runners.feature
+++ b/libs/gateway/features/silent_runners.feature
@@ -25,6 +25,7 @@
     Given plain runners "p1,p2" that can stand still
     When all stand still for 1.2 s at "<place>" of 4 requests for "<path>" with 2 s left
     Then each request is answered completely
+    And those of "/order/" ran once
 
     Examples:
       | path    | place           |
@@ -56,6 +57,7 @@
     When one stands still for 0.7 s at "event 4" of 4 requests for "/alert/" with 4 s left
     Then each request is answered completely
     And each ran once
+    And 0.2 s after the silence no request waited for a slot
     And all slots are free within 1 s
 
   Scenario Outline: A runner that stays silent is left as soon as another is free
@@ -95,6 +97,23 @@
     When all stand still for 1.2 s at "event 8" of 1 request for "/alert/" with 4 s left
     Then each request is answered completely
 
+  Scenario Outline: A request that comes while all runners are silent is answered
+    Given engines "e1,e2" of 20 events that can stand still
+    And plain runners "p1,p2" beside them
+    When all stand still for 1.2 s at "event 4" of 2 requests for "/alert/" with 4 s left, and one for "<path>" comes 0.3 s later
+    Then the late request is answered completely
+
+    Examples:
+      | path     |
+      | /ask/    |
+      | /look/   |
+      | /order/  |
+
+    Examples: of runners whose process is asked for first
+      | path     |
+      | /alert/  |
+      | /urgent/ |
+
   Scenario Outline: No stream is cut before its deadline while all runners are silent
     Given engines "e1,e2" of 20 events that can stand still
     When all stand still for good at "event 4" of 4 requests for "<path>" with 1.5 s left
--- a/libs/gateway/features/steps/silent_runner_steps.py
+++ b/libs/gateway/features/steps/silent_runner_steps.py
@@ -24,6 +24,8 @@
 HEAD_DELAY_S = 0.1
 MAX_NOTICE_S = 0.05  # until a runner has noticed that a connection was closed
 AFTER_S = 0.05
+SETTLE_S = 0.2
+LATE_NUMBER = 9
 DEAD_ADDRESS_OWNER = "dead"
 
 
@@ -54,8 +56,13 @@
 
 
 @given('plain runners "{names}" that can stand still')
-def add_plain(context, names):
+def add_plain_alone(context, names):
     context.n_events = 0
+    add_plain(context, names)
+
+
+@given('plain runners "{names}" beside them')
+def add_plain(context, names):
     for name in names.split(","):
         run(context, context.platform.add_runner(name, PLAIN, slots=N_PLAIN_SLOTS))
 
@@ -84,7 +91,7 @@
     "with {left_s:g} s left"
 )
 def stand_still(context, who, **values):
-    load = Load(**values)
+    load = context.load = Load(**values)
     is_of_one = {"all stand still": False, "one stands still": True}[who]
     n_awaited = 1 if is_of_one else load.count
     context.standstill = Standstill(load.place, n_awaited, is_of_one=is_of_one)
@@ -97,6 +104,8 @@
         if load.duration != "good":
             await asyncio.sleep(float(load.duration.removesuffix(" s")))
             context.standstill.end()
+            await asyncio.sleep(SETTLE_S)
+            context.pool_after = pool_document(context)
 
     async def work():
         calls = [
@@ -251,3 +260,40 @@
         or not min_s <= timed.took_s <= max_s
     ]
     assert not wrong, wrong
+
+
+@then('those of "{path}" ran once')
+def check_runs_of(context, path):
+    if context.load.path == path:
+        check_runs(context)
+
+
+@then("0.2 s after the silence no request waited for a slot")
+def check_withdrawn(context):
+    assert not context.pool_after["n_online_waiting"], context.pool_after
+
+
+@when(
+    'all stand still for {duration} at "{place}" of {count:d} requests for "{path}" '
+    "with {left_s:g} s left, and one for "
+    '"{late_path}" comes {after_s:g} s later'
+)
+def send_late(context, late_path, after_s, **values):
+    async def send_when_silent():
+        await context.standstill.wait_for_begin()
+        await asyncio.sleep(after_s)
+        late = Load(**{**values, "path": late_path})
+        context.late_reply = await call(context.platform, LATE_NUMBER, late)
+
+    context.beside = send_when_silent
+    stand_still(context, "all stand still", **values)
+
+
+@then("the late request is answered completely")
+def check_late(context):
+    request_id, reply, took_s = context.late_reply
+    n_events = len(event_ids(reply.body))
+    told = (request_id, reply.status, n_events, reply.is_complete, reply.body[-60:])
+    is_plain = context.late_reply.reply.body == request_id.encode()
+    is_whole = is_plain or n_events == context.n_events
+    assert reply.status == 200 and reply.is_complete and is_whole, (told, took_s)
