Count an attempt at a silent runner as one when a slot is asked for again

What callers saw: a new request for a resumable route, while all runners were silent, ended with 503 overloaded after 1.4 s, with 2.6 s left of its time.

Cause: once its exclusions were lifted, the ask for a slot counted as a first one, which is refused when it can't start by its goal; the goal had passed. Change: an ask is repeated when a runner has been tried, excluded or not.

--- a/libs/gateway/src/damaskjunction/gateway/requests/request_attempts.py
+++ b/libs/gateway/src/damaskjunction/gateway/requests/request_attempts.py
@@ -126,7 +126,10 @@
         assignment = self._watch.take_replacement()
         if assignment is None:
             assignment = await self._selector.assign(
-                routed, history.excluded, self._version.required
+                routed,
+                history.excluded,
+                self._version.required,
+                is_repeated=bool(history.tried),
             )
         self._assignment, self._progress = assignment, AnswerProgress(self._timers)
         runner = assignment.runner
--- a/libs/gateway/src/damaskjunction/gateway/requests/runner_selector.py
+++ b/libs/gateway/src/damaskjunction/gateway/requests/runner_selector.py
@@ -99,6 +99,8 @@
         routed: RoutedRequest,
         excluded: Collection[RunnerId],
         version: str,
+        *,
+        is_repeated: bool,
         n_standbys: int = 0,
     ) -> Assignment:
         """Hold a runner for an attempt until ``release``.
@@ -111,6 +113,8 @@
             Runners that must not be chosen.
         version : str
             Software version that the runner has to be of, unless it is empty.
+        is_repeated : bool
+            Whether another runner has been tried before.
         n_standbys : int, optional
             Number of the ask among those that are made while another runner has the
             request, 0 for any other ask.
@@ -124,7 +128,9 @@
         """
         if not self.uses_slots(routed):
             return Assignment(self._choose_runner(routed, excluded, version), None)
-        slot = await self._acquire_slot(routed, excluded, version, n_standbys)
+        slot = await self._acquire_slot(
+            routed, excluded, version, is_repeated, n_standbys
+        )
         runner = self._state.find_runner(routed.service, slot.runner_id)
         if runner is None:
             await slot.close()
@@ -145,6 +151,7 @@
         routed: RoutedRequest,
         excluded: Collection[RunnerId],
         version: str,
+        is_repeated: bool,
         n_standbys: int,
     ) -> Slot:
         """Acquire a slot; one of each request id is held at a home at a time."""
@@ -165,7 +172,7 @@
             goal_in_s=routed.started_at_s
             + START_GOAL_FRACTION * routed.route.latency_goal_s
             - self._timers.now(),
-            is_repeated=routed.is_repeated or bool(excluded),
+            is_repeated=routed.is_repeated or is_repeated,
             fingerprint=routed.fingerprint,
             software_version=version,
         )
--- a/libs/gateway/src/damaskjunction/gateway/requests/standby_search.py
+++ b/libs/gateway/src/damaskjunction/gateway/requests/standby_search.py
@@ -97,7 +97,11 @@
         """
         self._n_asks += 1
         assignment = await self._selector.assign(
-            self._routed, excluded, self._version.required, self._n_asks
+            self._routed,
+            excluded,
+            self._version.required,
+            is_repeated=True,
+            n_standbys=self._n_asks,
         )
         runner = assignment.runner
         try:
