Leave the silent runner of an item once another one is ready for it

Cause: an item whose runner sent nothing for 3 s closed its connection and gave its slot back, also when all runners were silent and went on a moment later. Each such item was sent again, up to three times in a silence of 5 s. Change: the runner is asked for a report after 2 s. If it does not answer, it keeps the item and its slot after 3 s, while a slot of another runner is asked for under an id of its own. The first run is closed once the other runner has answered, too; the search is dropped when the first one is heard or answers again. After 10 s of search the item waits for a slot as before. A runner that answers, but sends nothing of the item, is left after 3 s as before. The 14 features on items, jobs and slots pass. The bound of 10 s has no test.

--- a/libs/gateway/features/platform_fleet.py
+++ b/libs/gateway/features/platform_fleet.py
@@ -92,6 +92,7 @@
         self._excluded_hosts: list[GatewayProcess] = []
         self.settings: dict[str, ProcessSettings] = {}
         self.proxies: dict[str, ProxyStandin] = {}
+        self.runner_proxies: dict[str, ProxyStandin] = {}
         self._client = HttpClient(self.timers)
 
     async def start(self, n_hosts: int) -> None:
@@ -115,9 +116,10 @@
             await host.close()
         for runner in (*self.runners.values(), *self.raw_runners.values()):
             await runner.close()
-        for proxy in self.proxies.values():
+        proxies = (*self.proxies.values(), *self.runner_proxies.values())
+        for proxy in proxies:
             proxy.set_mode(Mode.CLOSED)
-        for proxy in self.proxies.values():
+        for proxy in proxies:
             await proxy.close()
         self._client.close()
         await self.store.close()
@@ -146,6 +148,18 @@
         self.runners[name] = runner
         await self._start_runner(runner)
 
+    async def add_proxied_runner(self, name: str, service: str, **options: Any) -> None:
+        """Start a runner behind a proxy of its own, as ``add_runner`` does."""
+        advertised, address = self._addresses.pop(), self._addresses.pop()
+        proxy = ProxyStandin(advertised, address)
+        await proxy.start()
+        self.runner_proxies[name] = proxy
+        runner = RunnerStandin(
+            name, address, service, self.store, advertised=advertised, **options
+        )
+        self.runners[name] = runner
+        await self._start_runner(runner)
+
     async def add_raw_runner(
         self, name: str, service: str, script: str, **options: Any
     ) -> None:
--- a/libs/gateway/features/steps/item_text_steps.py
+++ b/libs/gateway/features/steps/item_text_steps.py
@@ -10,8 +10,8 @@
 
 from damaskjunction.batch import BatchItem
 from damaskjunction.core import Address, ManualTimers, Runner, ServiceKind
+from damaskjunction.gateway.jobs.item_events import collect_events
 from damaskjunction.gateway.jobs.item_progress import ItemProgress
-from damaskjunction.gateway.jobs.item_runner import ItemRunner
 from damaskjunction.gateway.jobs.owed_items import OwedItem
 from damaskjunction.gateway.runners.runner_responses import RunnerFailedError
 from damaskjunction.gateway.state import ServingState
@@ -105,10 +105,9 @@
     response = SimpleNamespace(
         body=body, runner=context.runner, is_process_proved=False
     )
-    runner = SimpleNamespace(_timers=ManualTimers(), _read_pacer=None)
     context.is_whole = True
     try:
-        run(context, ItemRunner._collect(runner, progress, response))
+        run(context, collect_events(progress, response, ManualTimers()))
     except RunnerFailedError:
         context.is_whole = False
 
--- a/libs/gateway/src/damaskjunction/gateway/jobs/item_progress.py
+++ b/libs/gateway/src/damaskjunction/gateway/jobs/item_progress.py
@@ -15,6 +15,7 @@
     Timers,
 )
 from damaskjunction.gateway.jobs.owed_items import OwedItem
+from damaskjunction.gateway.jobs.silence_watch import Hearing
 from damaskjunction.gateway.slots.queue_waits import MAX_WAIT_S
 from damaskjunction.gateway.state import ServingState
 from damaskjunction.gateway.versions.stream_version import StreamVersion
@@ -33,7 +34,8 @@
 
     ``last_event_id`` is where the next attempt resumes. ``n_crashes`` counts the
     crashed attempts since the last event, ``n_failures`` the responses with status 500.
-    ``version`` is the software version that the text has to keep.
+    ``version`` is the software version that the text has to keep. ``hearing`` tells
+    when the present runner was heard last.
 
     Parameters
     ----------
@@ -68,6 +70,7 @@
         self.n_crashes = 0
         self.excluded_runners: set[RunnerId] = set()
         self.runners_tried: set[RunnerId] = set()
+        self.hearing = Hearing(timers)
         self._timers = timers
         self.started_at_s = timers.now()
         self._is_advanced = False  # in the present attempt
--- a/libs/gateway/src/damaskjunction/gateway/jobs/item_runner.py
+++ b/libs/gateway/src/damaskjunction/gateway/jobs/item_runner.py
@@ -5,6 +5,9 @@
 import asyncio
 import logging
 import math
+from collections.abc import Collection
+from functools import partial
+from itertools import count
 from typing import NamedTuple
 
 from damaskjunction.batch import BatchItem, ItemResult
@@ -16,25 +19,23 @@
     WorkClass,
     stable_hash,
 )
-from damaskjunction.core.units import MIB, MILLISECOND_S
+from damaskjunction.core.units import MILLISECOND_S
 from damaskjunction.gateway.dispatch_context import DispatchContext
+from damaskjunction.gateway.jobs.item_events import collect_events
 from damaskjunction.gateway.jobs.item_progress import ItemProgress
 from damaskjunction.gateway.jobs.job_repository import StoredJob
 from damaskjunction.gateway.jobs.owed_items import ItemNeed, ItemState, OwedItem
 from damaskjunction.gateway.jobs.result_writer import BackOff
-from damaskjunction.gateway.requests.stream_check import StreamCheck
+from damaskjunction.gateway.jobs.runner_probes import RunnerProbes
+from damaskjunction.gateway.jobs.silence_watch import SilenceWatch
 from damaskjunction.gateway.runners.runner_responses import (
     CONNECTION_LOST_REASONS,
     RunnerFailedError,
-    RunnerResponse,
 )
 from damaskjunction.gateway.slots.slot import Slot
 from damaskjunction.gateway.slots.slot_client import WITHDRAWN
 from damaskjunction.gateway.versions.stream_version import ADMISSION_REASONS
-from damaskjunction.http import (
-    BrokenResponseError,
-    ReadPacer,
-)
+from damaskjunction.http import ReadPacer
 from damaskjunction.node import cancel_tasks
 from damaskjunction.platform import item_request
 from damaskjunction.routing import Route
@@ -45,9 +46,7 @@
 MAX_ITEMS_AT_ONCE = 64  # of one service, on one host
 ROUTE_POLL_S = 1.0
 ATTEMPT_TIMEOUT_S = 60.0  # to get a slot, and again for the runner's work
-STALL_TIMEOUT_S = 3.0
 READ_INTERVAL_S = 50 * MILLISECOND_S  # of the events of all items
-MAX_OUTPUT_BYTES = 8 * MIB
 N_PROMPT_RETRIES = 3
 RETRY_DELAY_S = 0.5  # doubles with each further crash
 MAX_RETRY_DELAY_S = 2.0
@@ -90,6 +89,7 @@
         self._metrics = context.metrics
         self._budget = context.budget
         self._back_off = back_off
+        self._probes = RunnerProbes(context)
         self._read_pacer = ReadPacer(context.timers, READ_INTERVAL_S)
         self._places_by_service: dict[ServiceName, asyncio.Semaphore] = {}
 
@@ -204,22 +204,56 @@
     async def _attempt(
         self, job: StoredJob, route: Route, progress: ItemProgress
     ) -> AttemptOutcome:
+        """Run an item at a runner, or at others while that one is silent."""
         try:
-            slot = await self._acquire_slot(job, route, progress)
+            slot: Slot | None = await self._acquire_slot(job, route, progress)
         except RequestError as error:
             return AttemptOutcome(False, False, error.reason)
         except TimeoutError:
             progress.end_slot_wait()
             return AttemptOutcome(False, False, "version_busy")
         progress.excluded_runners.clear()
+        while slot is not None:
+            outcome, slot = await self._run_at(job, route, progress, slot)
+        return outcome
+
+    async def _run_at(
+        self, job: StoredJob, route: Route, progress: ItemProgress, slot: Slot
+    ) -> tuple[AttemptOutcome, Slot | None]:
+        """Run an item at the runner of a slot, which is released.
+
+        Returns the slot of another runner if that has to take the item over.
+        """
+        watch = self._make_watch(job, route, progress, slot)
+        try:
+            outcome = await self._run_watched(job, route, progress, slot, watch)
+            return outcome, None if outcome.is_final else watch.take_replacement()
+        finally:
+            await watch.close()
+
+    async def _run_watched(
+        self,
+        job: StoredJob,
+        route: Route,
+        progress: ItemProgress,
+        slot: Slot,
+        watch: SilenceWatch,
+    ) -> AttemptOutcome:
         progress.owed.enter(ItemState.RUNNING, place=slot.runner_id)
+        progress.hearing.begin()
         revoked = asyncio.ensure_future(slot.revoked.wait())
         work = asyncio.ensure_future(self._send_and_collect(job, route, progress, slot))
+        left = asyncio.ensure_future(watch.wait_until_left())
         try:
-            await asyncio.wait((revoked, work), return_when=asyncio.FIRST_COMPLETED)
-            if not work.done():
+            await asyncio.wait(
+                (revoked, work, left), return_when=asyncio.FIRST_COMPLETED
+            )
+            if work.done():
+                return work.result()
+            if revoked.done():
                 return AttemptOutcome(False, False, "revoked")
-            return work.result()
+            left.result()
+            raise _silent(progress, is_fault=not watch.has_replacement)
         except RunnerFailedError as error:
             if error.outcome is not Outcome.NOT_RUN:
                 progress.owed.record_work()
@@ -232,10 +266,43 @@
             progress.end_attempt()
             progress.owed.enter(ItemState.CLOSING, place=slot.runner_id)
             try:
-                await cancel_tasks([work, revoked])
+                await cancel_tasks([work, revoked, left])
             finally:
                 await slot.close()
 
+    def _make_watch(
+        self, job: StoredJob, route: Route, progress: ItemProgress, slot: Slot
+    ) -> SilenceWatch:
+        """Return the watch that may take an item from the runner of a slot."""
+        service = route.service_for(stable_hash(progress.item.item_id))
+        item_id = progress.item.item_id
+        numbers = count(1)
+
+        def make_ask(avoid: Collection[RunnerId]) -> SlotAsk | None:
+            present = self._find_route(job)
+            if (
+                present is None
+                or present.service_for(stable_hash(item_id)) != service
+                or self._remaining_s(job, progress) <= 0
+            ):
+                return None
+            version = progress.version.required
+            ask = self._make_ask(job, route, progress, version, tuple(sorted(avoid)))
+            return ask._replace(request_id=f"{item_id}~{next(numbers)}")
+
+        def record_silence() -> None:
+            self._record_fault(route, progress, slot.runner_id, "silent")
+
+        return SilenceWatch(
+            progress.hearing,
+            slot.runner_id,
+            self._probes,
+            self._slot_client,
+            make_ask=make_ask,
+            find_runner=partial(self._state.find_runner, service),
+            on_silence=record_silence,
+        )
+
     async def _acquire_slot(
         self, job: StoredJob, route: Route, progress: ItemProgress
     ) -> Slot:
@@ -248,22 +315,11 @@
         TimeoutError
             When no slot at the item's version was granted in time.
         """
-        record = job.record
         service = route.service_for(stable_hash(progress.item.item_id))
         runners = self._state.runners_of(service)
         version = progress.version_to_keep(service, runners)
-        request = item_request(progress.item, record.host)
-        due_at_s = record.sent_at_s + route.completion_target_s
-        ask = SlotAsk(
-            request_id=progress.item.item_id,
-            service_name=service,
-            work_class=WorkClass.BATCH,
-            parts=request.shared_parts,
-            avoid=progress.runners_to_avoid(runners, version),
-            start_within_s=ATTEMPT_TIMEOUT_S,
-            due_in_s=due_at_s - self._timers.wall(),
-            software_version=version,
-        )
+        avoid = progress.runners_to_avoid(runners, version)
+        ask = self._make_ask(job, route, progress, version, avoid)
         progress.owed.need = ItemNeed(service, version, ask.avoid)
         async with asyncio.timeout(progress.slot_wait_limit_s(version)):
             return await self._slot_client.acquire(
@@ -274,6 +330,28 @@
                 lambda: self._find_route(job) == route,
             )
 
+    def _make_ask(
+        self,
+        job: StoredJob,
+        route: Route,
+        progress: ItemProgress,
+        version: str,
+        avoid: tuple[RunnerId, ...],
+    ) -> SlotAsk:
+        """Return an item's ask for a slot at a runner of a version."""
+        record = job.record
+        due_at_s = record.sent_at_s + route.completion_target_s
+        return SlotAsk(
+            request_id=progress.item.item_id,
+            service_name=route.service_for(stable_hash(progress.item.item_id)),
+            work_class=WorkClass.BATCH,
+            parts=item_request(progress.item, record.host).shared_parts,
+            avoid=avoid,
+            start_within_s=ATTEMPT_TIMEOUT_S,
+            due_in_s=due_at_s - self._timers.wall(),
+            software_version=version,
+        )
+
     async def _send_and_collect(
         self, job: StoredJob, route: Route, progress: ItemProgress, slot: Slot
     ) -> AttemptOutcome:
@@ -299,13 +377,14 @@
             runner,
             item_request(progress.item, job.record.host),
             remaining_s=ATTEMPT_TIMEOUT_S,
-            stall_s=STALL_TIMEOUT_S,
+            stall_s=ATTEMPT_TIMEOUT_S,
             last_event_id=progress.last_event_id,
             new_connection=is_repeated,
             is_stream=True,
             is_process_checked=self._state.has_engines(service)
             and progress.is_process_checked(runner),
         )
+        progress.hearing.record()
         try:
             if runner_response.head.status != 200:
                 await self._runner_client.read_body(runner_response, ATTEMPT_TIMEOUT_S)
@@ -317,7 +396,8 @@
                 )
             try:
                 async with asyncio.timeout(ATTEMPT_TIMEOUT_S):
-                    await self._collect(progress, runner_response)
+                    runner_response.body.set_pacer(self._read_pacer)
+                    await collect_events(progress, runner_response, self._timers)
             except TimeoutError:
                 raise RunnerFailedError(Outcome.RAN, "no_end", is_fault=True) from None
             await self._runner_client.check_end(runner_response)
@@ -327,34 +407,6 @@
         self._slot_client.report_health(RunnerSeen(service, slot.runner_id, True))
         return AttemptOutcome(True, True, "whole")
 
-    async def _collect(self, progress: ItemProgress, response: RunnerResponse) -> None:
-        check = StreamCheck(progress.last_event_id)
-        event_at_s = self._timers.now()
-        response.body.set_pacer(self._read_pacer)
-        try:
-            async for chunk in response.body.chunks():
-                part = check.feed(chunk)
-                response.body.keep(check.n_buffered)
-                event_at_s = self._timers.now() if part.events else event_at_s
-                if self._timers.now() - event_at_s > STALL_TIMEOUT_S:
-                    raise BrokenResponseError("no event, though bytes arrive")
-                for event in part.events:
-                    progress.add_event(
-                        event, response.runner, is_proved=response.is_process_proved
-                    )
-                if part.fault:
-                    raise RunnerFailedError(
-                        Outcome.RAN, "foreign_event", part.fault, is_fault=True
-                    )
-                if progress.n_bytes > MAX_OUTPUT_BYTES:
-                    raise BrokenResponseError("the output is too large")
-            progress.check_kept()
-        except BrokenResponseError as error:
-            raise RunnerFailedError(
-                Outcome.RAN, "stream_cut", str(error), is_fault=True
-            ) from None
-        check.check_end()
-
     def _record_fault(
         self, route: Route, progress: ItemProgress, runner_id: RunnerId, reason: str
     ) -> None:
@@ -388,3 +440,12 @@
             "last_event_id": progress.last_event_id,
         }
         logger.info("item attempt failed", extra=extra)
+
+
+def _silent(progress: ItemProgress, *, is_fault: bool) -> RunnerFailedError:
+    """Return the failure of a run whose runner fell silent."""
+    if progress.hearing.n_parts:
+        return RunnerFailedError(
+            Outcome.RAN, "stream_cut", "stalled", is_fault=is_fault
+        )
+    return RunnerFailedError(Outcome.UNKNOWN, "silent", is_fault=is_fault)
