Log what a home knows of its slots when it refuses requests at once

Cause: a home logged its slots only while online requests wait for them. One whose slots are all taken, or counted by mistake, may refuse requests without a wait, and wrote nothing: a refusal as overloaded could not be told from a wrong count.

--- a/libs/gateway/src/damaskjunction/gateway/slots/slot_home.py
+++ b/libs/gateway/src/damaskjunction/gateway/slots/slot_home.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import logging
+import math
+from collections.abc import Iterable
 from typing import Any
 
 from damaskjunction.core import (
@@ -125,6 +127,7 @@
         self._report_polls: Subscription | None = None
         self._expiry: Subscription | None = None
         self._warned_at_s = 0.0
+        self._refused_at_s = -math.inf
         self._polls = TaskSet()
         state.view.subscribe(self._apply_view)
         version_registry.subscribe(self._apply_view)
@@ -183,7 +186,9 @@
             self._apply_effects([refusal])
         else:
             reservation.watched = self._suspects.watched(ask.service_name, ask.traits)
-            self._apply_effects(pool.submit(ticket, now_s))
+            effects = pool.submit(ticket, now_s)
+            self._log_refusals(ask.service_name, pool, effects)
+            self._apply_effects(effects)
         return reservation
 
     def _refusal_of_suspect(self, ask: SlotAsk) -> RefuseSlot | None:
@@ -319,6 +324,18 @@
         else:
             logger.info("batch items wait for slots", extra=extra)
 
+    def _log_refusals(
+        self, service: ServiceName, pool: SlotPool, effects: Iterable[SlotEffect]
+    ) -> None:
+        """Log why requests get no slot, once in a while."""
+        reasons = [e.reason for e in effects if isinstance(e, RefuseSlot)]
+        now_s = self._timers.now()
+        if not reasons or now_s - self._refused_at_s <= QUEUE_WARNING_PERIOD_S:
+            return
+        self._refused_at_s = now_s
+        extra = {"service": service, "reason": reasons[0], **pool.to_document()}
+        logger.warning("requests refused by home", extra=extra)
+
     def _poll_reports(self) -> None:
         """Poll the runners of the services that are asked for here.
 
