Ask for each further slot of an item under an id of its own

Cause: the watch of each run numbered its asks from 1. The slot at the second runner of an item was held under the id of the next ask, and a home closes a slot whose id is asked for again. Change: the item counts its asks.

--- a/libs/gateway/src/damaskjunction/gateway/jobs/item_progress.py
+++ b/libs/gateway/src/damaskjunction/gateway/jobs/item_progress.py
@@ -35,7 +35,8 @@
     ``last_event_id`` is where the next attempt resumes. ``n_crashes`` counts the
     crashed attempts since the last event, ``n_failures`` the responses with status 500.
     ``version`` is the software version that the text has to keep. ``hearing`` tells
-    when the present runner was heard last.
+    when the present runner was heard last, and ``n_standbys`` counts the asks for slots
+    of others meanwhile.
 
     Parameters
     ----------
@@ -71,6 +72,7 @@
         self.excluded_runners: set[RunnerId] = set()
         self.runners_tried: set[RunnerId] = set()
         self.hearing = Hearing(timers)
+        self.n_standbys = 0
         self._timers = timers
         self.started_at_s = timers.now()
         self._is_advanced = False  # in the present attempt
--- a/libs/gateway/src/damaskjunction/gateway/jobs/item_runner.py
+++ b/libs/gateway/src/damaskjunction/gateway/jobs/item_runner.py
@@ -7,7 +7,6 @@
 import math
 from collections.abc import Collection
 from functools import partial
-from itertools import count
 from typing import NamedTuple
 
 from damaskjunction.batch import BatchItem, ItemResult
@@ -18,6 +17,7 @@
     ServiceName,
     WorkClass,
     stable_hash,
+    standby_request_id,
 )
 from damaskjunction.core.units import MILLISECOND_S
 from damaskjunction.gateway.dispatch_context import DispatchContext
@@ -276,7 +276,6 @@
         """Return the watch that may take an item from the runner of a slot."""
         service = route.service_for(stable_hash(progress.item.item_id))
         item_id = progress.item.item_id
-        numbers = count(1)
 
         def make_ask(avoid: Collection[RunnerId]) -> SlotAsk | None:
             present = self._find_route(job)
@@ -288,7 +287,10 @@
                 return None
             version = progress.version.required
             ask = self._make_ask(job, route, progress, version, tuple(sorted(avoid)))
-            return ask._replace(request_id=f"{item_id}~{next(numbers)}")
+            progress.n_standbys += 1
+            return ask._replace(
+                request_id=standby_request_id(item_id, progress.n_standbys)
+            )
 
         def record_silence() -> None:
             self._record_fault(route, progress, slot.runner_id, "silent")
