Soak: let the grace of a stopped host end where the rule lets it end

LOST does not count requests that were sent no later than 3 s after the SIGTERM and are still at a runner in the last sixth of the grace. Change: beside a silence the check lets such a request end. It goes by the SIGTERM of the request's own host, which the history tells now; before, a stop of any host gave a request all its time.

--- a/libs/lab/features/soak.feature
+++ b/libs/lab/features/soak.feature
@@ -49,6 +49,7 @@
       | a request is cut while engines are paused                | answers arrive           |
       | a request is cut late in its time without a silence      | answers arrive           |
       | a host that stops cuts a request before its deadline while engines are paused | answers arrive |
+      | a host that stops cuts a request that was sent late in its grace | answers arrive |
       | most requests at a host that is cut off fail             | cut hosts serve          |
       | most requests at other hosts fail during a cut           | cuts harm no others      |
       | a sound request is refused as crashing runners           | sound requests are served |
@@ -116,6 +117,9 @@
     Given a history without violations
     When a host that stops cuts a request after its deadline while engines are paused
     Then no check reports a violation
+    Given a history without violations
+    When a host cuts a request at the end of its grace while engines are paused
+    Then no check reports a violation
 
   Scenario: Requests may fail at a host that has just been cut off, or by other faults
     Given a history without violations
--- a/libs/lab/src/damaskjunction/lab/soak/history.py
+++ b/libs/lab/src/damaskjunction/lab/soak/history.py
@@ -163,6 +163,13 @@
     at_s: float
 
 
+class HostStop(NamedTuple):
+    """A SIGTERM to a host's process."""
+
+    host: HostId
+    at_s: float
+
+
 class HostExit(NamedTuple):
     """The end of a host's process after ``age_s``, and the signals that it had got."""
 
@@ -281,6 +288,7 @@
         self.stalls: list[Stall] = []
         self.processor_uses: list[ProcessorUse] = []
         self.disturbances: list[HostDisturbance] = []
+        self.stops: list[HostStop] = []
         self.exits: list[HostExit] = []
         self.host_views_by_item: dict[str, str] = {}
         self.limits: list[NamedLimit] = []
--- a/libs/lab/src/damaskjunction/lab/soak/rig.py
+++ b/libs/lab/src/damaskjunction/lab/soak/rig.py
@@ -30,6 +30,7 @@
     HostCut,
     HostDisturbance,
     HostExit,
+    HostStop,
     MemoryPeak,
     Room,
 )
@@ -309,6 +310,8 @@
         """
         self._record_memory(name)
         process = self.processes[name]
+        if signal_number is signal.SIGTERM:
+            self.history.stops.append(HostStop(name, self.timers.now()))
         self._send_signals(process, signal.SIGCONT, signal_number)
         try:
             async with asyncio.timeout(STOP_TIMEOUT_S):
--- a/libs/lab/src/damaskjunction/lab/soak/soak.py
+++ b/libs/lab/src/damaskjunction/lab/soak/soak.py
@@ -146,6 +146,7 @@
         history.runs,
         history.run_ends,
         history.disturbances,
+        history.stops,
         history.exits,
         history.crash_reports,
         history.runner_ends,
