Take hosts that leave for other hosts when a runner is judged

Cause: a host counted only the others that accept work. When all of them left, or were said to, it judged runners alone, and took refusals on its own cut path for crashes. In soak h0 heard within 50 ms that its last two other hosts leave (its links to them were broken), and was cut off from all runners 0.8 s later: "ended" for six living runners, two recorded as crashed. Change: all other known hosts count. Those that leave are no relays for requests, and are asked as witnesses after the others. While none of them answers, nothing is proved. A runner that ends while all others leave and are silent is not ejected until they are gone.

--- a/libs/gateway/features/runner_faults.feature
+++ b/libs/gateway/features/runner_faults.feature
@@ -16,3 +16,16 @@
       | no_report     | path_cut | is not  | is     |
       | silent        | unknown  | is not  | is not |
       | foreign_event | path_cut | is      | is not |
+
+  Scenario: A host beside others that leave and do not answer takes no cut path for a crash
+    Given a fleet of 1 hosts on the platform
+    And engines "e1,e2" that can stand still
+    And the host "h0" knows another one that leaves and does not answer
+    When all engines refuse the connections of "h0"
+    Then "h0" diagnoses the engine "e1" as "unknown"
+
+  Scenario: A host that has no others judges alone
+    Given a fleet of 1 hosts on the platform
+    And engines "e1,e2" that can stand still
+    When all engines refuse the connections of "h0"
+    Then "h0" diagnoses the engine "e1" as "ended"
--- a/libs/gateway/features/steps/runner_fault_steps.py
+++ b/libs/gateway/features/steps/runner_fault_steps.py
@@ -6,9 +6,12 @@
 from types import SimpleNamespace
 
 from behave import given, then, when
+from fleet_helpers import run
 
+from damaskjunction.core import Address, HostState
 from damaskjunction.gateway.runners.runner_faults import RunnerFaults
 from damaskjunction.routing import RunnerVerdict
+from damaskjunction.standins import Mode
 
 
 class FixedDiagnosis:
@@ -54,3 +57,26 @@
 def check_calls(context, accused, freed):
     expected = ["accused"] * (accused == "is") + ["freed"] * (freed == "is")
     assert context.calls == expected, context.calls
+
+
+@given('the host "{name}" knows another one that leaves and does not answer')
+def add_leaving_host(context, name):
+    view = context.platform.hosts[name].view
+    leaving = view.own._replace(
+        host_id="leaving", peer=Address("127.0.0.1", 1), state=HostState.LEAVING
+    )
+    view.apply_hosts([view.own, leaving])
+
+
+@when('all engines refuse the connections of "{name}"')
+def refuse_connections(context, name):
+    for proxy in context.platform.runner_proxies.values():
+        proxy.set_mode(Mode.REFUSING)
+
+
+@then('"{name}" diagnoses the engine "{engine}" as "{verdict}"')
+def check_diagnosis(context, name, engine, verdict):
+    host = context.platform.hosts[name]
+    address = host.view.fleet.runners_by_id[engine].address
+    found = run(context, host._access.diagnosis.diagnose(address))
+    assert found is RunnerVerdict(verdict), found
--- a/libs/gateway/src/damaskjunction/gateway/root.py
+++ b/libs/gateway/src/damaskjunction/gateway/root.py
@@ -285,7 +285,7 @@
         settings = self._settings
         n_descriptors = TUNNEL_DESCRIPTOR_FRACTION * settings.max_descriptors
         access = RunnerAccess(
-            self._other_hosts,
+            self.view.other_hosts,
             self.state.may_use,
             self.state.runner_addresses,
             timers=self._timers,
@@ -298,10 +298,6 @@
         self.dump.sections.register("runner_paths")(access.to_document)
         return access
 
-    def _other_hosts(self) -> list[EntryHost]:
-        own_id = self.view.own.host_id
-        return [h for h in self.view.serving_hosts() if h.host_id != own_id]
-
     def _make_job_front(self, handlers: PeerHandlers) -> JobFront:
         jobs, timers = self.job_repository, self._timers
         notifier = CancellationNotifier(jobs, self.view, self._links)
--- a/libs/node/src/damaskjunction/node/shared_dependencies.py
+++ b/libs/node/src/damaskjunction/node/shared_dependencies.py
@@ -5,7 +5,7 @@
 import random
 from typing import NamedTuple
 
-from damaskjunction.core import EntryHost, LoopTimers, Timers, stable_hash
+from damaskjunction.core import LoopTimers, Timers, stable_hash
 from damaskjunction.http import Routes
 from damaskjunction.node.components import PeerHandlers
 from damaskjunction.node.state import HostView
@@ -60,12 +60,8 @@
 def _make_runner_access(
     view: HostView, timers: LoopTimers, metrics: Metrics, rng: random.Random
 ) -> RunnerAccess:
-    def other_hosts() -> list[EntryHost]:
-        own_id = view.own.host_id
-        return [host for host in view.serving_hosts() if host.host_id != own_id]
-
     access = RunnerAccess(
-        other_hosts,
+        view.other_hosts,
         lambda address: address in view.runner_addresses(),
         lambda: sorted(view.runner_addresses()),
         timers=timers,
--- a/libs/node/src/damaskjunction/node/state.py
+++ b/libs/node/src/damaskjunction/node/state.py
@@ -163,6 +163,11 @@
             hosts = [host for host in hosts if host.host_id != own_id]
         return hosts
 
+    def other_hosts(self) -> list[EntryHost]:
+        """Return all other known hosts, also those that leave, sorted by id."""
+        hosts = sorted(self.fleet.hosts_by_id.values())
+        return [host for host in hosts if host.host_id != self.own.host_id]
+
     def record_listed_state(self, hosts: Iterable[EntryHost]) -> None:
         """Record whether the platform's host list marks this host as leaving."""
         own_id = self.own.host_id
--- a/libs/relay/src/damaskjunction/relay/access.py
+++ b/libs/relay/src/damaskjunction/relay/access.py
@@ -22,7 +22,7 @@
     Parameters
     ----------
     others : callable
-        Returns the other hosts that accept work.
+        Returns all other known hosts, also those that leave.
     may_relay : callable
         Returns whether the runner at an address may be used.
     runner_addresses : callable
--- a/libs/relay/src/damaskjunction/relay/relays.py
+++ b/libs/relay/src/damaskjunction/relay/relays.py
@@ -6,7 +6,7 @@
 import random
 from collections.abc import AsyncGenerator, Callable, Sequence
 
-from damaskjunction.core import Address, EntryHost, Timers
+from damaskjunction.core import Address, EntryHost, HostState, Timers
 from damaskjunction.relay.direct import Attempt, abort, discard, proved
 from damaskjunction.relay.tunnel import open_tunnel
 from damaskjunction.routing import Reach, RunnerPaths
@@ -24,7 +24,8 @@
     paths : RunnerPaths
         Ranks the hosts by what came of former asks.
     others : callable
-        Returns the other hosts that accept work.
+        Returns all other known hosts. Those that leave are no relays, and witnesses
+        only after the others.
     timers : Timers
         The process's timer service.
     rng : random.Random
@@ -54,7 +55,7 @@
         The next host is asked when one has failed, and after ``RELAY_STAGGER_S``. When
         the generator is closed, the asks that are not answered are given up.
         """
-        hosts = self._ordered()[:MAX_RELAYS]
+        hosts = [host for host in self._ordered() if _is_live(host)][:MAX_RELAYS]
         waiting: set[asyncio.Task[Attempt]] = set()
         try:
             while hosts or waiting:
@@ -85,9 +86,14 @@
         order = self._paths.relay_order(
             list(hosts_by_id), self._rng, self._timers.now()
         )
-        return [hosts_by_id[host_id] for host_id in order]
+        hosts = [hosts_by_id[host_id] for host_id in order]
+        return sorted(hosts, key=lambda host: not _is_live(host))
 
     async def _ask(self, host: EntryHost, runner: Address) -> Attempt:
         attempt = await open_tunnel(host.peer, runner, RELAY_TIMEOUT_S)
         self._paths.record_relay(host.host_id, attempt.reach, self._timers.now())
         return attempt._replace(relay=host.host_id)
+
+
+def _is_live(host: EntryHost) -> bool:
+    return host.state is HostState.LIVE
--- a/libs/routing/src/damaskjunction/routing/runner_paths.py
+++ b/libs/routing/src/damaskjunction/routing/runner_paths.py
@@ -74,7 +74,8 @@
     others : sequence of Reach
         What came of the attempts of other hosts.
     n_others : int
-        Number of other hosts. Without any, this host's own view decides.
+        Number of other known hosts, also of those that leave. Without any, this host's
+        own view decides.
     """
     if direct is Reach.CONNECTED:
         return RunnerVerdict.LIVES
