Revoke no batch slot of an ejected runner

Cause: slots were revoked for waiting online requests in the order of their grants, also those of runners that are ejected for silence or failures and are given no request. The item lost its run, the online request still waited, and no other slot was revoked for it. Change: only batch slots of runners that take requests now are revoked. Above the panic threshold all do, as for grants. Result: the scenario failed before (the slot of the ejected runner was revoked) and passes; the feature of slots passes.

--- a/libs/routing/features/slots.feature
+++ b/libs/routing/features/slots.feature
@@ -248,3 +248,17 @@
     And batch requests "b1,b2,b3,b4" ask for slots
     And 1 s passes
     Then 3 are granted
+
+  Scenario: No batch slot of an ejected runner is revoked, as that would help nobody
+    Given a pool with runners "a:2,b:2,c:2"
+    When batch request "b1" holds a slot of "a"
+    And batch request "b2" holds a slot of "a"
+    And batch request "b3" holds a slot of "b"
+    And batch request "b4" holds a slot of "b"
+    And batch request "b5" holds a slot of "c"
+    And batch request "b6" holds a slot of "c"
+    And runner "c" fails a request
+    And online requests "r1" ask for slots
+    Then "b4" are revoked
+    When the revoked slots are released
+    Then "r1" are granted
--- a/libs/routing/src/damaskjunction/routing/slots.py
+++ b/libs/routing/src/damaskjunction/routing/slots.py
@@ -353,10 +353,11 @@
         for request_id in self._held.revoked_ids:
             demand.take(self._held.batch_by_id[request_id].runner_id)
         effects: list[SlotEffect] = []
+        usable = set(self._ejection.healthy(list(self._slots_by_runner), str, now_s))
         for request_id, held in reversed(self._held.batch_by_id.items()):
             if demand.is_met:
                 break
-            if request_id in self._held.revoked_ids:
+            if request_id in self._held.revoked_ids or held.runner_id not in usable:
                 continue
             has_tokens = self._rate_limiter.tokens(held.runner_id, now_s) >= 1.0
             if has_tokens and demand.take(held.runner_id):
