Judge an answer without length by what is seen of its runner after its end

Cause: whether the runner of an answer without a length has ended was told by a verdict of the last 0.5 s (a path that was cut), or by a diagnosis under way, both from before the end: half of a stream counted as whole when its runner crashed just after it was reached through another host. Change: a diagnosis that began before is awaited, and another one made. Whether a stream of half its events that was seen once in a soak came this way is not known: no logs were kept.

--- a/libs/relay/features/relay.feature
+++ b/libs/relay/features/relay.feature
@@ -91,6 +91,17 @@
       | the others do not answer     | "r0" has ended     | unknown  |
       | nobody is cut off            | all have ended     | ended    |
 
+  Scenario: A verdict before a runner ended does not tell that it lives
+    Given "h0" is cut off from the runners, whose connections are refused
+    Then "h0" diagnoses "r0" as path_cut
+    When "r0" ends
+    Then "r0" may have ended, as "h0" sees it
+
+  Scenario: A diagnosis that began before a runner ended does not tell that it lives
+    Given "h0" is cut off from the runners, whose connections are silent
+    When "r0" ends 0.25 s after "h0" began to diagnose it
+    Then "r0" may have ended, as "h0" sees it
+
   Scenario: Requests to a silent runner fail as such, also when no more may be hedged
     Given no host reaches "r0", whose connections are silent
     When "h0" sends 14 requests to "r0"
--- a/libs/relay/features/steps/relay_steps.py
+++ b/libs/relay/features/steps/relay_steps.py
@@ -225,6 +225,29 @@
     assert found is RunnerVerdict(verdict), found
 
 
+@when('"{runner}" ends')
+def end_runner(context, runner):
+    context.fleet.runners[runner].close()
+
+
+@when('"{runner}" ends {delay_s:g} s after "{name}" began to diagnose it')
+def end_during_diagnosis(context, runner, delay_s, name):
+    async def work():
+        diagnosis = context.fleet.hosts[name].access.diagnosis
+        address = context.fleet.address(runner)
+        context.earlier = asyncio.ensure_future(diagnosis.diagnose(address))
+        await asyncio.sleep(delay_s)
+        context.fleet.runners[runner].close()
+
+    run(context, work())
+
+
+@then('"{runner}" may have ended, as "{name}" sees it')
+def check_may_have_ended(context, runner, name):
+    diagnosis = context.fleet.hosts[name].access.diagnosis
+    assert run(context, diagnosis.may_have_ended(context.fleet.address(runner)))
+
+
 @given('no host reaches "{name}", whose connections are silent')
 def silence_runner(context, name):
     address = context.fleet.address(name)
--- a/libs/relay/src/damaskjunction/relay/diagnosis.py
+++ b/libs/relay/src/damaskjunction/relay/diagnosis.py
@@ -77,9 +77,15 @@
         return await self.diagnose(address) is RunnerVerdict.ENDED
 
     async def may_have_ended(self, address: Address) -> bool:
-        """Return whether nobody is known to reach a runner."""
+        """Return whether nobody is known to reach a runner from now on.
+
+        What was seen of it before proves nothing: it may have ended since.
+        """
+        earlier = self._diagnoses_by_address.get(address)
+        if earlier is not None:
+            await asyncio.wait((earlier,))
         reached = (RunnerVerdict.LIVES, RunnerVerdict.PATH_CUT)
-        return await self.diagnose(address) not in reached
+        return await self._begin_or_join(address) not in reached
 
     def may_accuse(self, verdict: RunnerVerdict) -> bool:
         """Return whether a failed request counts against a runner's health.
@@ -97,6 +103,9 @@
         failed = self._failed_by_address.get(address)
         if failed is not None and now_s - failed.at_s < REPEAT_S:
             return failed.verdict
+        return await self._begin_or_join(address)
+
+    async def _begin_or_join(self, address: Address) -> RunnerVerdict:
         task = self._diagnoses_by_address.get(address)
         if task is None:
             task = asyncio.ensure_future(self._diagnose(address))
