Let a silent runner keep its request until another one answers it, on node

Cause: a home gave up a stream after 2 s without a token, and its entry sent the request elsewhere only then. A silence of 2.5 s of all engines made others take the slots, and the entry's next attempt was refused as overloaded: the caller's stream ended with an error, or ran a second time. Change: the home tells the entry of a silence (RunnerSilent) and keeps the run. The entry asks another home for a standby. That home admits it, checks that its runner's process answers, and sends it. Its first token lets the entry close the silent run and go on with the other; a token of the silent runner before that closes the standby. A suspect that runs alone is given up as before. A host of the former build takes RunnerSilent for a bad reply and retries, as it did.

--- a/libs/node/features/online/steps/streams.py
+++ b/libs/node/features/online/steps/streams.py
@@ -18,10 +18,10 @@
 class Stream:
     """Streamed answer, read in a background task."""
 
-    def __init__(self, deployed, host_id, prompt, n_tokens):
+    def __init__(self, deployed, host_id, prompt, n_tokens, **options):
         self.deployed = deployed
         self.host_id = host_id
-        self.document = {"prompt": prompt, "max_tokens": n_tokens}
+        self.document = {"prompt": prompt, "max_tokens": n_tokens, **options}
         self.body = b""
         self.request_id = ""
         self.response = None
--- a/libs/node/src/damaskjunction/node/runners/protocols.py
+++ b/libs/node/src/damaskjunction/node/runners/protocols.py
@@ -27,24 +27,20 @@
     EventParser,
     HttpClient,
 )
+from damaskjunction.node.runners.silence import AnswerMessage, SilenceLimits
 from damaskjunction.routing import (
-    AnswerPart,
     Forward,
     PlainAnswer,
-    RunnerLoad,
     StreamEnd,
     Token,
 )
 
 logger = logging.getLogger(__name__)
 
-AnswerMessage: TypeAlias = AnswerPart | RunnerLoad
-
-FIRST_TOKEN_STALL_S = 3.0
-TOKEN_STALL_S = 2.0
+ENGINE_LIMITS = SilenceLimits(first_s=2.75, next_s=1.75)
+PLAIN_LIMITS = SilenceLimits(first_s=4.75, next_s=4.75)
 MAX_ANSWER_BYTES = 8 * MIB
 MAX_REPORT_BYTES = 256 * KIB
-PLAIN_STALL_S = 5.0
 MAX_TOKENS = 2**31 - 1  # as messages to other hosts can hold
 NOT_STARTED_STATUSES = frozenset((404, 405, 409, 429, 503))
 CONTROL_STALL_S = 1.0
@@ -90,10 +86,15 @@
 ]
 StreamCancel: TypeAlias = Callable[[HttpClient, Runner, str], Awaitable[None]]
 LoadReport: TypeAlias = Callable[[HttpClient, Runner], Awaitable[int]]
+RunnerCheck: TypeAlias = Callable[[HttpClient, Runner], Awaitable[None]]
 
 runner_protocols: Registry[RunnerProtocol] = Registry("runner protocol")
 stream_cancels: Registry[StreamCancel] = Registry("stream cancel")
 load_reports: Registry[LoadReport] = Registry("load report")
+runner_checks: Registry[RunnerCheck] = Registry("runner check")
+silence_limits: Registry[SilenceLimits] = Registry("silence limits")
+silence_limits.register("engine")(ENGINE_LIMITS)
+silence_limits.register("plain")(PLAIN_LIMITS)
 
 
 async def _send_request(
@@ -145,6 +146,8 @@
 ) -> AsyncGenerator[AnswerMessage, None]:
     """Yield the tokens of an engine's answer and its end-of-stream message.
 
+    A silent engine keeps its request until the deadline, except one that runs alone.
+
     Raises
     ------
     RequestError
@@ -154,7 +157,10 @@
     document["stream_id"] = stream.stream_id
     document["from_token"] = forward.from_token
     body = json.dumps(document).encode()
-    stall_s = min(FIRST_TOKEN_STALL_S, forward.deadline_s)
+    stall_s = token_stall_s = forward.deadline_s
+    if forward.alone:
+        stall_s = min(ENGINE_LIMITS.first_s, stall_s)
+        token_stall_s = ENGINE_LIMITS.next_s
     response = await _send_request(
         client, runner, forward, body, stream, stall_s=stall_s
     )
@@ -162,7 +168,7 @@
         response.close()
         raise _refusal_error(response.status)
     is_ended = False
-    async with aclosing(_read_events(response, stall_s)) as events:
+    async with aclosing(_read_events(response, stall_s, token_stall_s)) as events:
         async for event in events:
             is_ended = is_ended or event.name == "end"
             yield _message_from_event(event, forward.attempt)
@@ -172,7 +178,7 @@
 
 
 async def _read_events(
-    response: ClientResponse, first_stall_s: float
+    response: ClientResponse, first_stall_s: float, stall_s: float
 ) -> AsyncGenerator[Event, None]:
     """Yield the events of a stream; the first has a stall timeout of its own."""
     parser = EventParser()
@@ -180,7 +186,7 @@
     try:
         async with aclosing(response.chunks()) as chunks:
             async for data in chunks:
-                response.set_stall_timeout(TOKEN_STALL_S)
+                response.set_stall_timeout(stall_s)
                 events = parser.feed(data)
                 response.keep(parser.n_buffered)
                 for event in events:
@@ -217,8 +223,8 @@
 ) -> AsyncGenerator[AnswerMessage, None]:
     """Yield the response of a plain service as one message.
 
-    An idempotent call fails after ``PLAIN_STALL_S`` without data, early enough to be
-    retried. Any other call may take until its deadline, since it cannot be retried.
+    An idempotent call that runs alone fails after some seconds without data, early
+    enough to be retried. Any other call may take until its deadline.
 
     Raises
     ------
@@ -226,8 +232,8 @@
         When the answer is incomplete.
     """
     stall_s = forward.deadline_s
-    if forward.idempotent:
-        stall_s = min(PLAIN_STALL_S, stall_s)
+    if forward.idempotent and forward.alone:
+        stall_s = min(PLAIN_LIMITS.first_s, stall_s)
     response = await _send_request(
         client, runner, forward, forward.body, stream, stall_s=stall_s
     )
@@ -276,11 +282,38 @@
     RequestError
         When the engine sends no valid report.
     """
+    return await _read_load(client, runner)
+
+
+async def _read_load(
+    client: HttpClient, runner: Runner, *, new_connection: bool = False
+) -> int:
     try:
         response = await client.send(
-            runner.address, "GET", "/v1/load", stall_s=CONTROL_STALL_S
+            runner.address,
+            "GET",
+            "/v1/load",
+            stall_s=CONTROL_STALL_S,
+            new_connection=new_connection,
         )
         document = parse_json(await response.read(MAX_REPORT_BYTES))
         return read_integer(document["running"], least=0)
     except (ConnectFailedError, BrokenResponseError, *SHAPE_ERRORS) as error:
         raise RequestError(Outcome.NOT_RUN, "no_report", str(error)) from None
+
+
+@runner_checks.register("engine")
+async def check_engine(client: HttpClient, runner: Runner) -> None:
+    """Check that the process of an engine answers, on a new connection.
+
+    Raises
+    ------
+    RequestError
+        ``NOT_RUN`` when it does not.
+    """
+    await _read_load(client, runner, new_connection=True)
+
+
+@runner_checks.register("plain")
+async def skip_plain_check(client: HttpClient, runner: Runner) -> None:
+    """Do nothing, since a plain service has no report to ask for."""
--- a/libs/node/src/damaskjunction/node/serving/entry.py
+++ b/libs/node/src/damaskjunction/node/serving/entry.py
@@ -18,13 +18,19 @@
 )
 from damaskjunction.core.units import MILLISECOND_S
 from damaskjunction.node.runners.crashes import CrashTracker
-from damaskjunction.node.runners.protocols import AnswerMessage
+from damaskjunction.node.runners.silence import AnswerMessage
 from damaskjunction.node.serving.caller_request import CallerRequest
 from damaskjunction.node.serving.demand import DemandMeter
 from damaskjunction.node.serving.home import Home
 from damaskjunction.node.serving.late_answers import next_message
 from damaskjunction.node.serving.request_routes import RequestRoute, RequestRoutes
 from damaskjunction.node.serving.selection import RunnerSelector
+from damaskjunction.node.serving.standby import (
+    EntryMessage,
+    Standby,
+    search_standby,
+    wait_for_either,
+)
 from damaskjunction.routing import (
     AnswerAssembly,
     AnswerPart,
@@ -33,6 +39,7 @@
     GiveUp,
     RetryBudget,
     RunnerLoad,
+    RunnerSilent,
     Verdict,
     fingerprint_of,
 )
@@ -60,6 +67,7 @@
         self.assembly = AnswerAssembly(request.from_token)
         self.tried_runners: set[RunnerId] = set()
         self.route: RequestRoute | None = None
+        self.messages: AsyncGenerator[EntryMessage, None] | None = None
 
 
 class RequestRouter:
@@ -191,26 +199,99 @@
         state.route = self._routes.choose(
             state.request, state.tried_runners, exclusive=is_suspect
         )
-        forward = _make_forward(state, remaining_s, exclusive=is_suspect)
-        async with aclosing(self._forward(state.route, forward)) as messages:
-            while (message := await self._next_message(state, messages)) is not None:
+        forward = _make_forward(state, state.route, remaining_s, exclusive=is_suspect)
+        state.messages = self._forward(state.route, forward)
+        try:
+            while (message := await self._next_part(state)) is not None:
                 delivered = state.assembly.accept(message)
                 if delivered is not None:
                     yield delivered
+        finally:
+            await state.messages.aclose()
         state.assembly.check_complete()
         self._routes.record_success(state.route)
 
-    async def _next_message(
-        self, state: _RequestState, messages: AsyncGenerator[AnswerPart, None]
-    ) -> AnswerPart | None:
+    async def _next_part(self, state: _RequestState) -> AnswerPart | None:
+        """Return the next part of an answer, None after the last.
+
+        A silent runner keeps the request until another has begun to answer it.
+        """
+        message = await self._next_message(state)
+        if not isinstance(message, RunnerSilent):
+            return message
+        tried: set[RunnerId] = set()
+        heard = asyncio.ensure_future(self._next_heard(state))
+        search = asyncio.ensure_future(
+            search_standby(
+                state.request.request_id, lambda: self._open_standby(state, tried)
+            )
+        )
+        standby = await wait_for_either(heard, search)
+        if standby is None:
+            return heard.result()
+        await self._take_over(state, standby)
+        return standby.first
+
+    async def _next_heard(self, state: _RequestState) -> AnswerPart | None:
+        while isinstance(message := await self._next_message(state), RunnerSilent):
+            pass
+        return message
+
+    async def _open_standby(
+        self, state: _RequestState, tried: set[RunnerId]
+    ) -> Standby | None:
+        """Return an attempt at another runner that has begun to answer.
+
+        It is None if there may be none.
+
+        Raises
+        ------
+        RequestError
+            When the attempt failed.
+        """
+        assert state.route is not None
+        is_suspect = self._crashes.check(state.fingerprint) is Verdict.SUSPECT
+        if is_suspect or not state.attempts.begin_standby():
+            return None
+        number = state.attempts.number
+        tried.add(state.route.runner.runner_id)
+        route = self._routes.choose(state.request, tried, exclusive=False)
+        tried.add(route.runner.runner_id)
+        remaining_s = state.attempts.next_hop_s(self._timers.now())
+        forward = _make_forward(state, route, remaining_s, exclusive=False)
+        messages = self._forward(route, forward._replace(standby=True))
+        try:
+            first = await anext(messages, None)
+            if first is None or isinstance(first, RunnerSilent):
+                raise RequestError(Outcome.UNKNOWN, "runner_silent")
+            return Standby(number, route, messages, first)
+        except BaseException as error:
+            await messages.aclose()
+            if isinstance(error, RequestError):
+                self._routes.record_failure(route, error.reason, tried)
+            raise
+
+    async def _take_over(self, state: _RequestState, standby: Standby) -> None:
+        """Leave the silent runner and go on with the standby."""
+        assert state.messages is not None
+        await state.messages.aclose()
+        state.messages = standby.messages
+        self._record_failure(state, RequestError(Outcome.RAN, "runner_silent"))
+        self._metrics.count("request_retries_total", reason="runner_silent")
+        state.route = standby.route
+        state.attempts.use_standby()
+        state.assembly.begin_attempt(standby.number)
+
+    async def _next_message(self, state: _RequestState) -> EntryMessage | None:
         """Return the next message of an attempt, None after the last.
 
         The home enforces the deadline too. The entry waits ``DEADLINE_GRACE_S`` longer,
         so that the home's error, which says whether the request ran, arrives first.
         """
+        assert state.messages is not None
         timeout_s = state.attempts.remaining_s(self._timers.now())
         try:
-            return await next_message(messages, timeout_s, DEADLINE_GRACE_S)
+            return await next_message(state.messages, timeout_s, DEADLINE_GRACE_S)
         except TimeoutError:
             is_started = state.assembly.next_position > state.request.from_token
             outcome = Outcome.RAN if is_started else Outcome.UNKNOWN
@@ -218,7 +299,7 @@
 
     async def _forward(
         self, route: RequestRoute, forward: Forward
-    ) -> AsyncGenerator[AnswerPart, None]:
+    ) -> AsyncGenerator[EntryMessage, None]:
         loads = self._selection.loads
         loads.begin_request(route.runner.runner_id)
         try:
@@ -253,14 +334,17 @@
 
 
 def _make_forward(
-    state: _RequestState, remaining_s: float, *, exclusive: bool
+    state: _RequestState,
+    route: RequestRoute,
+    remaining_s: float,
+    *,
+    exclusive: bool,
 ) -> Forward:
     request = state.request
-    assert state.route is not None
     return Forward(
         request_id=request.request_id,
         attempt=state.attempts.number,
-        runner_id=state.route.runner.runner_id,
+        runner_id=route.runner.runner_id,
         service_name=request.service,
         workspace=request.workspace,
         work_class=request.work_class,
--- a/libs/node/src/damaskjunction/node/serving/home.py
+++ b/libs/node/src/damaskjunction/node/serving/home.py
@@ -21,13 +21,15 @@
 from damaskjunction.http import Connector, HttpClient, ReceiveBudget
 from damaskjunction.node.runners.crashes import CrashTracker
 from damaskjunction.node.runners.protocols import (
-    AnswerMessage,
     RunnerStream,
+    runner_checks,
     runner_protocols,
+    silence_limits,
     stream_cancels,
 )
 from damaskjunction.node.runners.reports import LoadReader
 from damaskjunction.node.runners.runner_occupancy import RunnerGuard
+from damaskjunction.node.runners.silence import AnswerMessage, tell_silence
 from damaskjunction.node.serving.admission_controllers import AdmissionControllers
 from damaskjunction.node.serving.home_request import HomeRequest
 from damaskjunction.node.serving.selection import RunnerSelector
@@ -42,6 +44,7 @@
     Preempt,
     Refuse,
     RunnerLoad,
+    RunnerSilent,
     Token,
 )
 from damaskjunction.telemetry import Metrics
@@ -52,6 +55,8 @@
 ADMISSION_WAIT_SECONDS = "admission_wait_seconds"
 
 CONNECTION_IDLE_TIMEOUT_S = 1.0
+# Runners that were silent together may go on one after another.
+STANDBY_PAUSE_S = 0.25
 
 logger = logging.getLogger(__name__)
 
@@ -209,15 +214,16 @@
             forward = forward._replace(from_token=position)
             begin_s = self._timers.now()
             await request.wait_for_admission()
+            waited_s = self._timers.now() - begin_s
             self._metrics.observe_duration(
-                ADMISSION_WAIT_SECONDS,
-                self._timers.now() - begin_s,
-                work_class=work_class.value,
+                ADMISSION_WAIT_SECONDS, waited_s, work_class=work_class.value
             )
             stream = RunnerStream(
                 f"{request_id}.{send_number}" if send_number else request_id
             )
             try:
+                if forward.standby:
+                    await self._check_standby(runner, waited_s)
                 async with aclosing(
                     self._send_once(controller, runner, forward, request, stream)
                 ) as answer:
@@ -233,6 +239,17 @@
             request.reset_admission()
             self._apply(controller.requeue(request_id, self._timers.now()))
 
+    async def _check_standby(self, runner: Runner, waited_s: float) -> None:
+        """Check that a runner lives, and leave the silent one time to go on, too.
+
+        Raises
+        ------
+        RequestError
+            ``NOT_RUN`` when the runner does not answer.
+        """
+        await runner_checks.get(runner.kind.value)(self._control_client, runner)
+        await asyncio.sleep(max(0.0, STANDBY_PAUSE_S - waited_s))
+
     async def _send_once(
         self,
         controller: AdmissionController,
@@ -242,18 +259,16 @@
         stream: RunnerStream,
     ) -> AsyncGenerator[AnswerMessage, None]:
         """Send a request to its runner once and yield the messages of the answer."""
-        client = self._clients_by_class[forward.work_class]
         request_id = request.ticket.request_id
-        protocol = runner_protocols.get(runner.kind.value)
         is_ended = False
         request.attach(stream)
         try:
-            async with aclosing(protocol(client, runner, forward, stream)) as answer:
+            async with aclosing(self._read_answer(runner, forward, stream)) as answer:
                 async for message in answer:
                     if isinstance(message, Token):
                         now_s = self._timers.now()
                         self._apply(controller.observe_token(request_id, now_s))
-                    else:
+                    elif not isinstance(message, RunnerSilent):
                         is_ended = True
                         yield _runner_load(runner, controller)
                     yield message
@@ -264,6 +279,21 @@
             if stream.is_sent and not is_ended:
                 self._cancel_at_runner(runner, stream)
 
+    async def _read_answer(
+        self, runner: Runner, forward: Forward, stream: RunnerStream
+    ) -> AsyncGenerator[AnswerMessage, None]:
+        """Yield the messages of an answer; of a request that may move, silences too."""
+        client = self._clients_by_class[forward.work_class]
+        protocol = runner_protocols.get(runner.kind.value)
+        limits = silence_limits.get(runner.kind.value)
+        async with aclosing(protocol(client, runner, forward, stream)) as messages:
+            answer = messages
+            if forward.idempotent and not forward.alone:
+                answer = tell_silence(messages, forward.attempt, limits)
+            async with aclosing(answer):
+                async for message in answer:
+                    yield message
+
     def _cancel_at_runner(self, runner: Runner, stream: RunnerStream) -> None:
         cancel = stream_cancels.get(runner.kind.value)
         task = asyncio.ensure_future(
--- a/libs/node/src/damaskjunction/node/serving/request_routes.py
+++ b/libs/node/src/damaskjunction/node/serving/request_routes.py
@@ -30,6 +30,7 @@
         "runner_unreachable",
         "runner_refused",
         "runner_crashed",
+        "runner_silent",
         "stream_cut",
         "unknown_runner",
     )
--- a/libs/routing/src/damaskjunction/routing/__init__.py
+++ b/libs/routing/src/damaskjunction/routing/__init__.py
@@ -68,6 +68,7 @@
     Forward,
     PlainAnswer,
     RunnerLoad,
+    RunnerSilent,
     StreamEnd,
     Token,
 )
@@ -243,6 +244,7 @@
     "RunnerLoad",
     "RunnerLoads",
     "RunnerPaths",
+    "RunnerSilent",
     "RunnerSupply",
     "RunnerVerdict",
     "RunnerVersions",
--- a/libs/routing/src/damaskjunction/routing/messages.py
+++ b/libs/routing/src/damaskjunction/routing/messages.py
@@ -19,7 +19,8 @@
     ``deadline_s`` is the request's remaining time in seconds. ``from_token`` is the
     index of the first token wanted, above 0 when an interrupted answer is resumed.
     ``fingerprint`` is the hash that equal requests share. A request with ``alone`` set
-    needs exclusive use of the runner while it runs.
+    needs exclusive use of the runner while it runs. A ``standby`` takes over from a
+    silent runner; it is sent only after its own runner has shown that it lives.
     """
 
     request_id: RequestId
@@ -36,6 +37,13 @@
     from_token: int = 0
     fingerprint: str = ""
     alone: bool = False
+    standby: bool = False
+
+
+class RunnerSilent(NamedTuple):
+    """Tells that the runner of a request is silent; it keeps the request."""
+
+    attempt: int
 
 
 class Token(NamedTuple):
--- a/libs/routing/src/damaskjunction/routing/retries.py
+++ b/libs/routing/src/damaskjunction/routing/retries.py
@@ -108,6 +108,7 @@
     ) -> None:
         self.number = 0
         self._n_not_run = 0
+        self._n_standbys = 0  # that were not used
         self.outcome = Outcome.NOT_RUN
         self._idempotent = idempotent
         self._deadline_at_s = deadline_at_s
@@ -121,8 +122,30 @@
         It is ``HOP_ALLOWANCE_S`` less than the remaining time, at least 0.
         """
         self.number += 1
+        return self.next_hop_s(now_s)
+
+    def next_hop_s(self, now_s: float) -> float:
+        """Return the timeout for the next hop of an attempt, in seconds."""
         return max(0.0, self.remaining_s(now_s) - HOP_ALLOWANCE_S)
 
+    def begin_standby(self) -> bool:
+        """Start an attempt that may replace the current one, if one may.
+
+        It is not counted unless ``use_standby`` is called.
+        """
+        if not self._idempotent or self._n_counted >= MAX_ATTEMPTS:
+            return False
+        if not self._budget.take_retry(NOT_RUN_COST):
+            return False
+        self.number += 1
+        self._n_standbys += 1
+        return True
+
+    def use_standby(self) -> None:
+        """Count the standby, which has replaced the attempt before."""
+        self._n_standbys -= 1
+        self.outcome = worst_outcome(self.outcome, Outcome.RAN)
+
     def remaining_s(self, now_s: float) -> float:
         """Return the seconds until the request's deadline, at least 0."""
         return max(0.0, self._deadline_at_s - now_s)
@@ -150,10 +173,15 @@
             outcome, error.reason, error.detail, retry_after_s=error.retry_after_s
         )
 
+    @property
+    def _n_counted(self) -> int:
+        """Attempts that may have run."""
+        return self.number - self._n_not_run - self._n_standbys
+
     def _may_retry(self, error: RequestError, next_at_s: float) -> bool:
         if error.reason in NON_RETRYABLE_REASONS or next_at_s >= self._deadline_at_s:
             return False
-        if self.number - self._n_not_run >= MAX_ATTEMPTS:
+        if self._n_counted >= MAX_ATTEMPTS:
             return False
         is_exempt = error.reason in BUDGET_EXEMPT_REASONS
         if self._n_not_run >= MAX_ATTEMPTS_NOT_RUN and not is_exempt:
--- a/libs/wire/src/damaskjunction/wire/messages.py
+++ b/libs/wire/src/damaskjunction/wire/messages.py
@@ -14,6 +14,7 @@
     Forward,
     PlainAnswer,
     RunnerLoad,
+    RunnerSilent,
     StreamEnd,
     Token,
     VerdictNews,
@@ -90,6 +91,7 @@
     StreamEnd,
     PlainAnswer,
     RunnerLoad,
+    RunnerSilent,
     VerdictNews,
 ):
     register_message(_message_type)
--- a/libs/wire/src/damaskjunction/wire/peer.thrift
+++ b/libs/wire/src/damaskjunction/wire/peer.thrift
@@ -32,6 +32,12 @@
   12: i32 from_token
   13: string fingerprint
   14: bool alone
+  15: bool standby
+}
+
+// The runner of a request is silent; it keeps the request.
+struct RunnerSilent {
+  1: i32 attempt
 }
 
 // A token of an engine's response.
