Take no late turn of the event loop for a stall of the peer

Cause: after a late turn the stall timer was due in the same turn in which data had arrived; every later read of the connection failed. A sound peer was given up, where this process had stood still. Reports of runners, tokens on node and calls of the store still have short stall timeouts. Change: the timer does nothing while received data wait to be read. Result: the scenario failed before (TimeoutError on the next read, 1 run), passes.

--- a/libs/http/features/client.feature
+++ b/libs/http/features/client.feature
@@ -50,3 +50,9 @@
     Given a server that counts its open connections
     When a client with an idle timeout of 0.05 s sends 5 requests on new connections 0.1 s apart
     Then at most 2 connections to the server are open
+
+  Scenario: Data that come while the process is late are no stall
+    Given a read with a stall timeout of 0.1 s
+    When the process stands still for 0.2 s, and data are there then
+    Then the read returns them
+    And so does the next read
--- a/libs/http/src/damaskjunction/http/connection.py
+++ b/libs/http/src/damaskjunction/http/connection.py
@@ -21,7 +21,7 @@
     prepare_for_reuse,
 )
 from damaskjunction.http.sockets import has_waiting_bytes
-from damaskjunction.http.stalls import StallTimer
+from damaskjunction.http.stalls import StallTimer, has_unread_data
 
 ProtocolEvent: TypeAlias = h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]
 
@@ -129,7 +129,7 @@
 
     def prepare_for_reuse(self) -> bool:
         """Prepare for the next request; return whether the connection is reusable."""
-        if self._has_unread_data():
+        if has_unread_data(self._reader):
             return False  # they belong to no request
         self._transport.resume_reading()  # a pacer may have paused it
         return prepare_for_reuse(self._protocol)
@@ -143,14 +143,10 @@
         # Bytes after a complete response belong to no request.
         return not (
             self._protocol.trailing_data[0]
-            or self._has_unread_data()
+            or has_unread_data(self._reader)
             or has_waiting_bytes(self._writer)
         )
 
-    def _has_unread_data(self) -> bool:
-        # StreamReader has no public way to look at its buffer.
-        return bool(getattr(self._reader, "_buffer", b""))
-
     def abort(self) -> None:
         """Close the connection at once, without flushing unsent data."""
         self._stall_timer.close()
@@ -190,7 +186,7 @@
         try:
             await pacer.wait()
         finally:
-            if not self._has_unread_data():
+            if not has_unread_data(self._reader):
                 self._transport.resume_reading()
 
     def _take_event(self) -> ProtocolEvent:
--- a/libs/http/src/damaskjunction/http/stalls.py
+++ b/libs/http/src/damaskjunction/http/stalls.py
@@ -10,6 +10,12 @@
 PRECISION_S = MILLISECOND_S
 
 
+def has_unread_data(reader: asyncio.StreamReader) -> bool:
+    """Return whether data were received that nobody has read."""
+    # StreamReader has no public way to look at its buffer.
+    return bool(getattr(reader, "_buffer", b""))
+
+
 class StallTimer:
     """Fails the reads of a stream that wait for data beyond their timeout.
 
@@ -57,6 +63,8 @@
 
     def _check(self) -> None:
         self._handle = None
+        if has_unread_data(self._reader):
+            return  # they came while the loop was late; the next read schedules again
         if self._stalls_at_s <= self._loop.time():
             self._reader.set_exception(TimeoutError())
         elif self._stalls_at_s != math.inf:
