Leave a silent runner for one that is ready, and for no other

Cause, by review and test: (1) an ask that had waited 3 s could be granted the silent runner itself, and the request was moved from it to the same one. (2) A part of a body that came as the search ended released what was found, and the runner was left all the same. (3) An item was moved to a slot whose runner had not answered yet when the search ended, or to none when its route was gone for a moment. (4) When all runners go on together, their reports come before the next events, and requests swapped their runners. Change: (1) such a grant is given back and asked for again; (2) what is found is kept once the runner is being left; (3) only a slot of a runner that answered counts, and the search goes on while the item is not wanted elsewhere; (4) where the other runner was not ready at once, the first has 0.2 s to be heard.

--- a/libs/gateway/src/damaskjunction/gateway/jobs/item_runner.py
+++ b/libs/gateway/src/damaskjunction/gateway/jobs/item_runner.py
@@ -277,14 +277,14 @@
         service = route.service_for(stable_hash(progress.item.item_id))
         item_id = progress.item.item_id
 
-        def make_ask(avoid: Collection[RunnerId]) -> SlotAsk | None:
+        def is_wanted() -> bool:
             present = self._find_route(job)
-            if (
-                present is None
-                or present.service_for(stable_hash(item_id)) != service
-                or self._remaining_s(job, progress) <= 0
-            ):
-                return None
+            is_same = present is not None and service == present.service_for(
+                stable_hash(item_id)
+            )
+            return is_same and self._remaining_s(job, progress) > 0
+
+        def make_ask(avoid: Collection[RunnerId]) -> SlotAsk:
             version = progress.version.required
             ask = self._make_ask(job, route, progress, version, tuple(sorted(avoid)))
             progress.n_standbys += 1
@@ -301,6 +301,7 @@
             self._probes,
             self._slot_client,
             make_ask=make_ask,
+            is_wanted=is_wanted,
             find_runner=partial(self._state.find_runner, service),
             on_silence=record_silence,
         )
--- a/libs/gateway/src/damaskjunction/gateway/jobs/silence_watch.py
+++ b/libs/gateway/src/damaskjunction/gateway/jobs/silence_watch.py
@@ -80,8 +80,9 @@
     slot_client : SlotClient
         Acquires the slots.
     make_ask : callable
-        Returns the ask for a slot of another runner than those given; None when the
-        item needs none any more.
+        Returns the ask for a slot of another runner than those given.
+    is_wanted : callable
+        Returns whether another runner may have the item at present.
     find_runner : callable
         Returns a known runner by its id, else None.
     on_silence : callable
@@ -95,7 +96,8 @@
         probes: RunnerProbes,
         slot_client: SlotClient,
         *,
-        make_ask: Callable[[Collection[RunnerId]], SlotAsk | None],
+        make_ask: Callable[[Collection[RunnerId]], SlotAsk],
+        is_wanted: Callable[[], bool],
         find_runner: Callable[[RunnerId], Runner | None],
         on_silence: Callable[[], None],
     ) -> None:
@@ -104,6 +106,7 @@
         self._probes = probes
         self._slot_client = slot_client
         self._make_ask = make_ask
+        self._is_wanted = is_wanted
         self._find_runner = find_runner
         self._on_silence = on_silence
         self._held: Slot | None = None
@@ -188,21 +191,39 @@
             await asyncio.sleep(PROBE_PAUSE_S)
 
     async def _hold_other(self) -> None:
-        """Hold a slot of a runner that answers; hold none if none is needed."""
+        """Hold a slot of a runner that answers, as soon as there is one."""
         unready: set[RunnerId] = {self._runner_id}
-        while (ask := self._make_ask(unready)) is not None:
-            try:
-                self._held = await self._slot_client.acquire(
-                    ask, lambda home: None, lambda: self._make_ask(()) is not None
-                )
-                if await self._is_ready(self._held):
-                    return
-                unready.add(self._held.runner_id)
-                await self.close()
-            except RequestError:
-                unready = {self._runner_id}
+        while True:
+            if self._is_wanted():
+                try:
+                    self._held = await self._acquire_ready(unready)
+                except RequestError:
+                    unready = {self._runner_id}
+            if self._held is not None:
+                return
             await asyncio.sleep(PROBE_PAUSE_S)
 
+    async def _acquire_ready(self, unready: set[RunnerId]) -> Slot | None:
+        """Return a slot of another runner, None if it does not answer.
+
+        Raises
+        ------
+        RequestError
+            When no slot is granted.
+        """
+        slot = await self._slot_client.acquire(
+            self._make_ask(unready), lambda home: None, self._is_wanted
+        )
+        is_ready = False
+        try:
+            is_ready = await self._is_ready(slot)
+        finally:
+            if not is_ready:
+                await slot.close()
+        if not is_ready:
+            unready.add(slot.runner_id)
+        return slot if is_ready else None
+
     async def _is_ready(self, slot: Slot) -> bool:
         runner = self._find_runner(slot.runner_id)
         if runner is None or runner.runner_id == self._runner_id:
--- a/libs/gateway/src/damaskjunction/gateway/requests/request_attempts.py
+++ b/libs/gateway/src/damaskjunction/gateway/requests/request_attempts.py
@@ -94,6 +94,7 @@
             routed,
             self._version,
             self._check_version,
+            timers=context.timers,
             is_process_checked=self._is_process_checked,
         )
         self._watch = RunnerWatch(
--- a/libs/gateway/src/damaskjunction/gateway/requests/runner_watch.py
+++ b/libs/gateway/src/damaskjunction/gateway/requests/runner_watch.py
@@ -105,11 +105,14 @@
         self._timer = SilenceTimer(timers, self._report_silence)
         self._scope: asyncio.Timeout | None = None
         self._search: asyncio.Task[S] | None = None
+        self._is_left = False  # from the end of the search to that of the wait
         self._abandoned: set[asyncio.Task[None]] = set()
         self.is_silent = False
 
     def expect(self, limit_s: float) -> None:
         """Expect to hear from the runner within a time; it has just been heard."""
+        if self._is_left:
+            return
         self._record_heard()
         self._timer.begin(limit_s)
 
@@ -145,6 +148,7 @@
             raise
         finally:
             self._scope = None
+            self._is_left = False
             self._timer.end()
         self._record_heard()
         return result
@@ -181,6 +185,7 @@
         if search.cancelled() or search.exception() is not None or not self._scope:
             self._abandon_search()
         else:
+            self._is_left = True
             self._scope.reschedule(asyncio.get_running_loop().time())
 
     def _abandon_search(self) -> None:
--- a/libs/gateway/src/damaskjunction/gateway/requests/standby_search.py
+++ b/libs/gateway/src/damaskjunction/gateway/requests/standby_search.py
@@ -6,7 +6,7 @@
 import logging
 from collections.abc import Callable, Collection
 
-from damaskjunction.core import RequestError, Runner, RunnerId
+from damaskjunction.core import Outcome, RequestError, Runner, RunnerId, Timers
 from damaskjunction.gateway.requests.runner_selector import (
     Assignment,
     RoutedRequest,
@@ -15,12 +15,15 @@
 from damaskjunction.gateway.runners.runner_client import RunnerClient
 from damaskjunction.gateway.runners.runner_responses import RunnerFailedError
 from damaskjunction.gateway.versions.stream_version import StreamVersion
-from damaskjunction.routing import CAPACITY_REASONS
+from damaskjunction.routing import CAPACITY_REASONS, NO_RUNNER_LEFT
 
 logger = logging.getLogger(__name__)
 
 MIN_PAUSE_S = 0.1  # after an ask that was refused
 MAX_PAUSE_S = 0.5
+# A runner that is ready at once was not silent together with the first one.
+READY_AT_ONCE_S = 0.1
+RETURN_TIME_S = 0.2  # in which the first one may send its next part
 
 
 class StandbySearch:
@@ -38,6 +41,8 @@
         Tells the version that the runners have to be of.
     check : callable
         Raises an error for a runner that must not have the request.
+    timers : Timers
+        The process's timer service.
     is_process_checked : bool
         Whether only the process may have it that the runner's entry lists.
     """
@@ -50,8 +55,10 @@
         version: StreamVersion,
         check: Callable[[Runner], None],
         *,
+        timers: Timers,
         is_process_checked: bool,
     ) -> None:
+        self._timers = timers
         self._runner_client = runner_client
         self._selector = selector
         self._routed = routed
@@ -64,7 +71,8 @@
         """Hold a runner that is ready, and return it.
 
         Asks again as long as there is none. Runners that prove not to be ready are
-        left out until all others are.
+        left out until all others are. If runners were silent together, the first one
+        has time to be heard before another one is returned.
 
         Raises
         ------
@@ -74,7 +82,7 @@
         unready: set[RunnerId] = set()
         while True:
             try:
-                return await self._hold_ready({*excluded, *unready})
+                return await self._hold_ready(excluded, unready)
             except RunnerFailedError as error:
                 unready.add(error.runner_id)
                 self._log("runner not ready", error.reason, error.runner_id)
@@ -85,7 +93,9 @@
                 unready.clear()
                 await pause_after(error)
 
-    async def _hold_ready(self, excluded: Collection[RunnerId]) -> Assignment:
+    async def _hold_ready(
+        self, excluded: Collection[RunnerId], unready: Collection[RunnerId]
+    ) -> Assignment:
         """Hold the next runner, if it is ready.
 
         Raises
@@ -98,17 +108,23 @@
         self._n_asks += 1
         assignment = await self._selector.assign(
             self._routed,
-            excluded,
+            {*excluded, *unready},
             self._version.required,
             is_repeated=True,
             n_standbys=self._n_asks,
         )
         runner = assignment.runner
         try:
+            if runner.runner_id in excluded:  # the home may grant it after a long wait
+                raise RequestError(Outcome.NOT_RUN, NO_RUNNER_LEFT)
             self._check(runner)
+            began_at_s = self._timers.now()
             await self._runner_client.prepare(
                 runner, is_process_checked=self._is_process_checked
             )
+            took_s = self._timers.now() - began_at_s
+            if unready or took_s > READY_AT_ONCE_S:
+                await asyncio.sleep(RETURN_TIME_S)
         except RunnerFailedError as error:
             await self._selector.release(assignment)
             raise RunnerFailedError(
