Take no slot asked for beside another one for a sample of hold times

Cause: a request whose runner is silent asks for a slot of another runner under an id of its own, and gives it back when the first runner is heard. Each such slot counted as a request that held its slot for no time: ten of them lowered the mean of 0.5 s to 0.3. Change: asks of that form of id are no samples. The id is made in one place.

--- a/libs/core/src/damaskjunction/core/__init__.py
+++ b/libs/core/src/damaskjunction/core/__init__.py
@@ -32,6 +32,7 @@
 from damaskjunction.core.hashing import rendezvous_order, stable_hash
 from damaskjunction.core.registry import Registry, UnknownNameError
 from damaskjunction.core.request_ids import (
+    is_standby_request_id,
     original_request_id,
     standby_request_id,
 )
@@ -113,6 +114,7 @@
     "WorkClass",
     "WorkspaceName",
     "WorkspaceSpec",
+    "is_standby_request_id",
     "original_request_id",
     "parse_digits",
     "parse_json",
--- a/libs/gateway/features/silent_items.feature
+++ b/libs/gateway/features/silent_items.feature
@@ -37,3 +37,11 @@
       | fault                                   | limit_s |
       | are dead without an end, new ones go on | 4.5     |
       | are dead for its items only             | 4.5     |
+
+  Scenario: A job that is cancelled while its items ask for other runners leaves no slot held
+    Given engines "e1,e2" that can stand still
+    When the job "j1" of 3 items is submitted at "h0"
+    And all engines stand still for good while 3 items of the job run
+    And 4 slots are held or asked for
+    And the job "j1" is cancelled at "h0"
+    Then no slot is held
--- a/libs/gateway/features/steps/silent_item_steps.py
+++ b/libs/gateway/features/steps/silent_item_steps.py
@@ -42,6 +42,22 @@
     run(context, stand_still(context, names, silence_s, count))
 
 
+@when("all engines stand still for good while {count:d} items of the job run")
+def let_all_stop(context, count):
+    async def work():
+        await context.platform.wait_for(lambda: n_running(context) == count)
+        for proxy in context.platform.runner_proxies.values():
+            proxy.set_mode(Mode.PAUSED)
+
+    run(context, work())
+
+
+@when("{count:d} slots are held or asked for")
+def wait_for_asks(context, count):
+    work = context.platform.wait_for(lambda: n_held_or_asked(context) >= count)
+    run(context, work)
+
+
 @when('engine "{name}" stands still for good while {count:d} items of the job run')
 def let_one_stand_still(context, name, count):
     async def work():
@@ -78,16 +94,17 @@
     run(context, work())
 
 
+def n_held_or_asked(context):
+    pools = [
+        pool
+        for host in context.platform.hosts.values()
+        for pool in host.dump.to_document()["slots"].values()
+    ]
+    return sum(pool["n_batch"] + pool["n_batch_waiting"] for pool in pools)
+
+
 @then("no slot is held")
 def check_slots_released(context):
     """Check the pools of all hosts: a slot may be released right after the result."""
-
-    def all_released():
-        pools = [
-            pool
-            for host in context.platform.hosts.values()
-            for pool in host.dump.to_document()["slots"].values()
-        ]
-        return not any(pool["n_batch"] for pool in pools)
-
-    run(context, context.platform.wait_for(all_released))
+    work = context.platform.wait_for(lambda: n_held_or_asked(context) == 0)
+    run(context, work)
--- a/libs/routing/features/slots.feature
+++ b/libs/routing/features/slots.feature
@@ -262,3 +262,15 @@
     Then "b4" are revoked
     When the revoked slots are released
     Then "r1" are granted
+
+  Scenario Outline: A slot held beside another one is no sample of how long requests take
+    Given a pool with runners "a:4"
+    When <class> "q1" ask for slots
+    And 10 slots are asked for beside that of "q1" and given back at once, as <class>
+    Then no time for which slots are held has changed
+    And "q1" alone holds a slot
+
+    Examples:
+      | class           |
+      | online requests |
+      | batch requests  |
--- a/libs/routing/features/steps/slot_steps.py
+++ b/libs/routing/features/steps/slot_steps.py
@@ -349,3 +349,32 @@
 def check_batch_entries(context, count):
     n_entries = context.pool._waiting_batch.n_entries
     assert n_entries <= count, n_entries
+
+
+@when(
+    '{count:d} slots are asked for beside that of "{request_id}" and given back at '
+    "once, as {kind} requests"
+)
+def hold_beside(context, count, request_id, kind):
+    context.hold_times = hold_times(context)
+    for number in range(1, count + 1):
+        submit_requests(context, f"{request_id}~{number}", WorkClass(kind))
+        release_slot(context, f"{request_id}~{number}")
+
+
+def hold_times(context):
+    document = context.pool.to_document()
+    return document["hold_s"], document["batch_hold_s"]
+
+
+@then("no time for which slots are held has changed")
+def check_hold_times(context):
+    assert hold_times(context) == context.hold_times, hold_times(context)
+
+
+@then('"{request_id}" alone holds a slot')
+def check_holds_alone(context, request_id):
+    document = context.pool.to_document()
+    assert document["n_online"] + document["n_batch"] == 1, document
+    record_effects(context, context.pool.release(request_id, context.now_s))
+    assert not any(context.pool.to_document()["used_by_runner"].values())
--- a/libs/routing/src/damaskjunction/routing/held_slots.py
+++ b/libs/routing/src/damaskjunction/routing/held_slots.py
@@ -4,7 +4,12 @@
 
 from collections import Counter
 
-from damaskjunction.core import RequestId, RunnerId, WorkClass
+from damaskjunction.core import (
+    RequestId,
+    RunnerId,
+    WorkClass,
+    is_standby_request_id,
+)
 from damaskjunction.routing.hold_times import HoldTimes
 from damaskjunction.routing.slot_types import HeldSlot, SlotTicket
 
@@ -41,17 +46,20 @@
     def remove(self, request_id: RequestId, now_s: float) -> HeldSlot | None:
         """Remove and return the slot of a request, None if it holds none.
 
-        A batch request whose slot was revoked is no sample of how long they take.
+        A batch request whose slot was revoked is no sample of how long they take, nor
+        is a slot that was asked for beside another one.
         """
-        was_revoked = request_id in self.revoked_ids
+        is_standby = is_standby_request_id(request_id)
+        is_sample = request_id not in self.revoked_ids and not is_standby
         self.revoked_ids.discard(request_id)
         held = self.online_by_id.pop(request_id, None)
         if held is not None:
             self.online_by_runner[held.runner_id] -= 1
-            self.online_times.observe(now_s - held.since_s)
+            if is_sample:
+                self.online_times.observe(now_s - held.since_s)
         else:
             held = self.batch_by_id.pop(request_id, None)
-            if held is not None and not was_revoked:
+            if held is not None and is_sample:
                 self.batch_times.observe(now_s - held.since_s)
         if held is not None:
             self.used_by_runner[held.runner_id] -= 1
