Test silences beside changes that touch the requests themselves

Cause: the feature on silent runners played changes that leave the routes of the silent streams as they are, one silence each, and all slots taken. Change: the route of the streams is lost, has shorter timeouts or fewer attempts, or their service fewer slots; the runners' entries are lost; all hosts are told to stop; the home of the slots is lost; one silence comes after another; slots are free.

--- a/libs/gateway/features/silent_runners.feature
+++ b/libs/gateway/features/silent_runners.feature
@@ -52,6 +52,56 @@
       | a new version  | during |
       | a new version  | after  |
 
+    Examples: that touch the requests themselves
+      | change                  | when   |
+      | the loss of their route | during |
+      | the loss of their route | after  |
+      | shorter timeouts        | during |
+      | fewer attempts          | during |
+      | fewer slots             | during |
+
+  Scenario: Streams are not cut while runners are silent and their entries are lost
+    Given engines "e1,e2" of 20 events that can stand still
+    When all stand still for 1.2 s at "event 4" of 4 requests for "/alert/" with 4 s left, and the entries of all are lost
+    Then each request is answered completely
+    And each ran once
+
+  Scenario Outline: Streams are not cut while all runners are silent and slots are free
+    Given engines "e1,e2" of 20 events that can stand still
+    When all stand still for <duration> s at "<place>" of 2 requests for "/alert/" with 4 s left
+    Then each request is answered completely
+    And all slots are free within 1 s
+
+    Examples:
+      | place   | duration |
+      | event 4 | 0.6      |
+      | event 4 | 1.2      |
+      | event 0 | 1.2      |
+
+  Scenario: Streams are not cut while runners are silent and their host is told to stop
+    Given engines "e1,e2" of 20 events that can stand still
+    When all stand still for 1.2 s at "event 4" of 4 requests for "/alert/" with 4 s left, and all hosts are told to stop
+    Then each request is answered completely
+
+  Scenario: Streams are not cut while runners are silent and the home of their slots is lost
+    Given engines "e1,e2" of 20 events that can stand still
+    When all stand still for 1.2 s at "event 4" of 4 requests for "/alert/" with 4 s left, and their home is lost
+    Then each request is answered completely
+    And each ran once
+    And all slots are free within 1 s
+
+  Scenario Outline: Streams are not cut by one silence of all runners after another
+    Given engines "e1,e2" of 20 events that can stand still
+    When all stand still for <duration> s at "event 4" of 4 requests for "<path>" with 4 s left, and again at "event 8"
+    Then each request is answered completely
+    And each ran once
+
+    Examples:
+      | path     | duration |
+      | /alert/  | 0.6      |
+      | /urgent/ | 0.6      |
+      | /alert/  | 1.0      |
+
   Scenario: A stream stays at a runner that is heard again while another is looked for
     Given engines "e1,e2" of 60 events that can stand still
     When one stands still for 0.7 s at "event 4" of 4 requests for "/alert/" with 4 s left
--- a/libs/gateway/features/steps/silence_log_steps.py
+++ b/libs/gateway/features/steps/silence_log_steps.py
@@ -7,7 +7,7 @@
 from behave import given, then, when
 from fleet_helpers import run
 from owed_items_steps import pool_document
-from silent_runner_steps import LATE_NUMBER, Load, call
+from silent_runner_steps import ENTRIES, LATE_NUMBER, Load, call
 
 SILENT = "request runner silent"
 REFUSED = "requests refused by home"
@@ -62,7 +62,7 @@
 @when('a request for "{path}" comes with {left_s:g} s left')
 def send_one(context, path, left_s):
     load = Load("", "", 1, path, left_s)
-    run(context, call(context.platform, LATE_NUMBER, load))
+    run(context, call(context.platform, ENTRIES, LATE_NUMBER, load))
 
 
 @then('the log of "{request_id}" has in turn:')
--- a/libs/gateway/features/steps/silent_runner_steps.py
+++ b/libs/gateway/features/steps/silent_runner_steps.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import NamedTuple
 
+from batch_steps import home_of_engines
 from behave import given, then, when
 from fleet_helpers import received, run
 from owed_items_steps import pool_document
@@ -18,7 +19,7 @@
     make_route,
 )
 
-from damaskjunction.standins import RunnerStandin, Standstill
+from damaskjunction.standins import RUNNERS_KIND, RunnerStandin, Standstill
 
 N_PLAIN_SLOTS = 8
 HEAD_DELAY_S = 0.1
@@ -26,6 +27,7 @@
 AFTER_S = 0.05
 SETTLE_S = 0.2
 LATE_NUMBER = 9
+ENTRIES = ("h0", "h1")
 DEAD_ADDRESS_OWNER = "dead"
 
 
@@ -98,18 +100,20 @@
     for runner in context.platform.runners.values():
         runner.standstill = context.standstill
     beside = getattr(context, "beside", None)
+    entries = getattr(context, "entries", ENTRIES)
 
     async def hold():
         await context.standstill.wait_for_begin()
         if load.duration != "good":
             await asyncio.sleep(float(load.duration.removesuffix(" s")))
             context.standstill.end()
+        if is_of_one and context.standstill.is_over:
             await asyncio.sleep(SETTLE_S)
             context.pool_after = pool_document(context)
 
     async def work():
         calls = [
-            asyncio.ensure_future(call(context.platform, number, load))
+            asyncio.ensure_future(call(context.platform, entries, number, load))
             for number in range(load.count)
         ]
         others = [asyncio.ensure_future(hold())]
@@ -121,11 +125,11 @@
     run(context, work())
 
 
-async def call(platform, number, load):
+async def call(platform, entries, number, load):
     request_id = f"q{number}"
     began_at_s = platform.timers.now()
     reply = await platform.call(
-        f"h{number % 2}",
+        entries[number % len(entries)],
         "POST",
         f"{load.path}{number}",
         headers={"X-Deadline-Ms": str(int(load.left_s * 1000))},
@@ -140,14 +144,20 @@
 )
 def change_beside(context, change, when_, **values):
     platform = context.platform
+    new_route = make_route("new", "/new/", "idempotent", PLAIN)
     routes = {
-        "a new route": [*ROUTES, make_route("new", "/new/", "idempotent", PLAIN)],
+        "a new route": [*ROUTES, new_route],
         "other timeouts": [{**route, "TimeoutMs": 4500} for route in ROUTES],
-        "a new version": ROUTES,
-    }[change]
+        "shorter timeouts": [{**route, "TimeoutMs": 500} for route in ROUTES],
+        "fewer attempts": [{**route, "MaxAttempts": 1} for route in ROUTES],
+        "the loss of their route": [new_route],
+    }.get(change, ROUTES)
+    document = make_configuration(2, routes)
+    if change == "fewer slots":
+        document["Services"][0]["Engine"]["Slots"] = 1
 
     async def put_in_force():
-        platform.store.put("config", "main", make_configuration(2, routes))
+        platform.store.put("config", "main", document)
         hosts = platform.hosts.values()
         await platform.wait_for(lambda: all(h.state.table.version == 2 for h in hosts))
 
@@ -178,6 +188,77 @@
     stand_still(context, "all stand still", **values)
 
 
+@when(
+    'all stand still for {duration} at "{place}" of {count:d} requests for "{path}" '
+    "with {left_s:g} s left, and the entries of all are lost"
+)
+def lose_entries(context, **values):
+    platform = context.platform
+
+    async def lose_when_silent():
+        await context.standstill.wait_for_begin()
+        for name in platform.runners:
+            platform.store.remove(RUNNERS_KIND, name)
+        views = [host.view for host in platform.hosts.values()]
+        await platform.wait_for(lambda: not any(v.fleet.runners_by_id for v in views))
+
+    context.beside = lose_when_silent
+    stand_still(context, "all stand still", **values)
+
+
+@when(
+    'all stand still for {duration} at "{place}" of {count:d} requests for "{path}" '
+    "with {left_s:g} s left, and all hosts are told to stop"
+)
+def stop_hosts(context, **values):
+    hosts = context.platform.hosts.values()
+
+    async def stop_when_silent():
+        await context.standstill.wait_for_begin()
+        await asyncio.gather(*(host.drain() for host in hosts))
+
+    context.beside = stop_when_silent
+    stand_still(context, "all stand still", **values)
+
+
+@when(
+    'all stand still for {duration} at "{place}" of {count:d} requests for "{path}" '
+    "with {left_s:g} s left, and their home is lost"
+)
+def lose_home(context, **values):
+    platform = context.platform
+    home_id = home_of_engines(context).host_id
+    context.entries = [name for name in platform.hosts if name != home_id]
+
+    async def lose_when_silent():
+        await context.standstill.wait_for_begin()
+        await platform.kill_host(home_id)
+
+    context.beside = lose_when_silent
+    stand_still(context, "all stand still", **values)
+
+
+@when(
+    'all stand still for {duration} at "{place}" of {count:d} requests for "{path}" '
+    'with {left_s:g} s left, and again at "{next_place}"'
+)
+def stand_still_twice(context, next_place, **values):
+    runners = context.platform.runners.values()
+
+    async def repeat():
+        first = context.standstill
+        await first.wait_for_begin()
+        again = Standstill(next_place, int(values["count"]))
+        for runner in runners:
+            runner.standstill = again
+        await again.wait_for_begin()
+        await asyncio.sleep(float(values["duration"].removesuffix(" s")))
+        again.end()
+
+    context.beside = repeat
+    stand_still(context, "all stand still", **values)
+
+
 @then("each request is answered completely")
 def check_answers(context):
     expected = list(range(1, context.n_events + 1))
@@ -214,11 +295,15 @@
 
 @then("all slots are free within {limit_s:g} s")
 def check_slots(context, limit_s):
+    hosts = context.platform.hosts.values()
+
+    def are_free():
+        pools = [host.dump.to_document()["slots"].get(ENGINE, {}) for host in hosts]
+        return not any(sum(pool.get("used_by_runner", {}).values()) for pool in pools)
+
     async def work():
         async with asyncio.timeout(limit_s):
-            await context.platform.wait_for(
-                lambda: not any(pool_document(context)["used_by_runner"].values())
-            )
+            await context.platform.wait_for(are_free)
 
     run(context, work())
 
@@ -283,7 +368,7 @@
         await context.standstill.wait_for_begin()
         await asyncio.sleep(after_s)
         late = Load(**{**values, "path": late_path})
-        context.late_reply = await call(context.platform, LATE_NUMBER, late)
+        context.late_reply = await call(context.platform, ENTRIES, LATE_NUMBER, late)
 
     context.beside = send_when_silent
     stand_still(context, "all stand still", **values)
--- a/libs/standins/src/damaskjunction/standins/standstill.py
+++ b/libs/standins/src/damaskjunction/standins/standstill.py
@@ -39,6 +39,11 @@
         self._over = asyncio.Event()
         self.began_at_s = 0.0
 
+    @property
+    def is_over(self) -> bool:
+        """Whether the runners go on again."""
+        return self._over.is_set()
+
     async def wait_for_begin(self) -> None:
         """Return once the runners stand still."""
         await self._begun.wait()
