--- a/libs/node/features/batch/batch.feature
+++ b/libs/node/features/batch/batch.feature
@@ -79,3 +79,16 @@
     Given a fleet with leases of 60 s
     When a job with invalid lines 2 and 4 is submitted
     Then the job is refused with findings at lines 2 and 4
+
+  Scenario Outline: Every engine stands still while items are in flight
+    Given a fleet with leases of 60 s
+    And an accepted job of 60 items of 100 tokens
+    When items are in flight
+    And every engine stands still for <still_s> s
+    Then the job completes with the right result for each item
+    And each of 60 items was sent to an engine once
+
+    Examples:
+      | still_s |
+      | 1       |
+      | 2.5     |
--- a/libs/node/features/batch/steps/batch_steps.py
+++ b/libs/node/features/batch/steps/batch_steps.py
@@ -31,9 +31,10 @@
     context.job = run(context, context.rig.submit("night", n_items))
 
 
-@given("an accepted job of 1 item of {n_tokens:d} tokens")
-def submit_long_item(context, n_tokens):
-    submitted = context.rig.submit("night", 1, n_tokens=n_tokens)
+@given("an accepted job of {n_items:d} item of {n_tokens:d} tokens")
+@given("an accepted job of {n_items:d} items of {n_tokens:d} tokens")
+def submit_long_items(context, n_items, n_tokens):
+    submitted = context.rig.submit("night", n_items, n_tokens=n_tokens)
     context.job = run(context, submitted)
 
 
@@ -85,6 +86,33 @@
     run(context, rig.fleet.wait_for(has_items_in_flight, "items are in flight"))
 
 
+@when("every engine stands still for {still_s:g} s")
+def still_engines(context, still_s):
+    rig = context.rig
+    for engine in rig.engines:
+        rig.fleet.freeze(engine)
+    run(context, asyncio.sleep(still_s))
+    for engine in rig.engines:
+        rig.fleet.resume(engine)
+
+
+@then("each of {count:d} items was sent to an engine once")
+def check_item_runs(context, count):
+    rig = context.rig
+
+    async def read_attempts():
+        attempts = set()
+        for engine in rig.engines:
+            document = (await rig.fleet.call(engine, "GET", "/test/runs")).to_json()
+            # A preempted run goes on under its id with a further number.
+            names = [name.split(".") for name in document["runs_by_id"]]
+            attempts.update((name[0], name[1]) for name in names)
+        return attempts
+
+    attempts = run(context, read_attempts())
+    assert len(attempts) == count, len(attempts)
+
+
 @when("the first engine is killed and restarted")
 def restart_engine(context):
     engine = context.rig.engines[0]
