Test that a silent relay ends no answer in its middle

Cause: none found; a tunnel has no timeout of its own once it is open. Change: a test; the peers' connections go through proxies that stand still.

--- a/libs/relay/features/relay.feature
+++ b/libs/relay/features/relay.feature
@@ -46,6 +46,17 @@
     When "h0" sends 1 requests to "r0" and its relay ends before the answer
     Then the answer of "h0" broke off
 
+  Scenario Outline: A silence in the middle of a relayed answer ends nothing
+    Given "h0" is cut off from the runners, whose connections are refused
+    And "r0" <framing>
+    When "h0" sends 1 requests to "r0" and its relay is silent for <still_s> s before the answer
+    Then "h0" has 1 whole answers, none later than 4 s
+
+    Examples:
+      | framing                          | still_s |
+      | pauses in the middle of answers  | 1       |
+      | pauses in the middle of answers  | 1.8     |
+
   Scenario: An answer without length that ends with its connection is whole
     Given "h0" is cut off from the runners, whose connections are refused
     And "r0" ends its answers with the connection
--- a/libs/relay/features/steps/relay_fleet.py
+++ b/libs/relay/features/steps/relay_fleet.py
@@ -12,12 +12,13 @@
 from damaskjunction.http import HttpClient
 from damaskjunction.relay import Attempt, DirectPath, RunnerAccess
 from damaskjunction.routing import Reach
-from damaskjunction.standins import allocate_addresses
+from damaskjunction.standins import ProxyStandin, allocate_addresses
 from damaskjunction.telemetry import Metrics
 from damaskjunction.wire import PeerServer
 
 HALF, REST = b"first half, ", b"second half"
 HEAD = b"HTTP/1.1 200 OK\r\n"
+PAUSE_S = 0.4
 
 
 RESET_AT_ONCE = "reset at once"
@@ -101,6 +102,12 @@
             head = HEAD + b"Content-Length: %d\r\n\r\n" % length
             writer.write(head + HALF + REST)
             return
+        if self.framing == "pause":
+            length = len(HALF + REST)
+            writer.write(HEAD + b"Content-Length: %d\r\n\r\n" % length + HALF)
+            await asyncio.sleep(PAUSE_S)
+            writer.write(REST)
+            return
         writer.write(HEAD + b"\r\n" + HALF)
         await writer.drain()
         if self.framing == "half":
@@ -129,6 +136,7 @@
         self.runners = {name: ScriptedRunner(addresses.pop()) for name in runner_names}
         self.listed = {runner.address for runner in self.runners.values()}
         self.hosts = {}
+        self.proxies = []
         for name in host_names:
             self.hosts[name] = Host(name, addresses.pop(), self)
 
@@ -138,7 +146,18 @@
         for host in self.hosts.values():
             await host.server.start()
 
+    async def put_proxies_before_peers(self):
+        """Let hosts reach one another through proxies, which may fall silent."""
+        for host in self.hosts.values():
+            (address,) = allocate_addresses(1)
+            proxy = ProxyStandin(address, host.entry.peer)
+            await proxy.start()
+            self.proxies.append(proxy)
+            host.entry = host.entry._replace(peer=address)
+
     async def close(self):
+        for proxy in self.proxies:
+            await proxy.close()
         for host in self.hosts.values():
             host.client.close()
             await host.access.diagnosis.close()
--- a/libs/relay/features/steps/relay_steps.py
+++ b/libs/relay/features/steps/relay_steps.py
@@ -5,15 +5,17 @@
 import asyncio
 
 from behave import given, then, when
-from relay_fleet import HALF, REST, RelayFleet
+from relay_fleet import HALF, PAUSE_S, REST, RelayFleet
 
 from damaskjunction.http import BrokenResponseError
 from damaskjunction.relay import RunnerUnreachableError
 from damaskjunction.routing import Reach, RunnerVerdict
+from damaskjunction.standins import Mode
 
 FRAMINGS = {
     "sends half of an answer without length, and goes on to live": "half",
     "ends its answers with the connection": "connection",
+    "pauses in the middle of answers": "pause",
     "resets its connection in the middle of an answer without length": "reset",
 }
 CUT_HOSTS = {
@@ -148,6 +150,29 @@
     context.answers = [(run(context, send()), 0.0)]
 
 
+@when(
+    '"{name}" sends 1 requests to "{runner}" and its relay is silent for {still_s:g} s '
+    "before the answer"
+)
+def silence_relay(context, name, runner, still_s):
+    async def send():
+        fleet = context.fleet
+        host, address = fleet.hosts[name], fleet.address(runner)
+        await fleet.put_proxies_before_peers()
+        answer = asyncio.ensure_future(timed_request(host, address))
+        await asyncio.sleep(PAUSE_S / 2)
+        for proxy in fleet.proxies:
+            proxy.set_mode(Mode.PAUSED)
+        await asyncio.sleep(still_s)
+        assert not answer.done()
+        for proxy in fleet.proxies:
+            proxy.set_mode(Mode.PASS)
+        assert sum(proxy.n_accepted for proxy in fleet.proxies) == 1
+        return await answer
+
+    context.answers = [run(context, send())]
+
+
 @then('the answer of "{name}" broke off')
 def check_broken(context, name):
     ((answer, _),) = context.answers
