--- a/libs/membership/features/membership.feature
+++ b/libs/membership/features/membership.feature
@@ -27,6 +27,21 @@
     Then it is in every view within 10 s
     And it never declared a host dead
 
+  Scenario Outline: A host that is silent for a short time is declared dead by nobody
+    Given 30 hosts with seed <seed>
+    When host "host-003" is frozen for <still_s> s
+    Then it is in every view within 0 s
+    When it is resumed
+    And 30 s pass
+    Then no host was ever declared dead
+
+    Examples:
+      | seed | still_s |
+      | 1    | 1       |
+      | 2    | 1       |
+      | 1    | 2       |
+      | 2    | 3       |
+
   Scenario: A one-way partition between two hosts removes no host from a view
     Given 20 hosts with seed 3
     When datagrams from "host-001" to "host-002" are dropped
