Describe silent runners of node, and list streams whose home stands still

Cause: a link without a pong for 1 s is aborted, and the entry sends its streams to another home before that one holds a place; not fixed.

--- a/libs/node/features/online/silent_runners.feature
+++ b/libs/node/features/online/silent_runners.feature
@@ -60,3 +60,15 @@
       | path          |
       | /battery/7    |
       | /pace-alert/7 |
+
+  Scenario Outline: The home of the engines stands still in the middle of streams
+    Given a running "small" fleet
+    And streams with a deadline of 8.5 s
+    When 20 streams of 100 tokens run through other hosts and, after 10, a home stands still for <still_s> s
+    Then every answer that has begun is complete
+    And no engine ran a stream twice
+
+    Examples:
+      | still_s |
+      | 0.7     |
+      | 1.5     |
--- a/libs/node/features/online/steps/silence_steps.py
+++ b/libs/node/features/online/steps/silence_steps.py
@@ -10,6 +10,7 @@
 from delivery_steps import call_service
 from streams import PROMPT, Stream, engines, nth_host_id, run_counts
 
+from damaskjunction.routing import home_of
 from damaskjunction.standins.scenarios import assert_complete, run
 
 SENT_AFTER_S = 0.2
@@ -20,9 +21,9 @@
     context.stream_options = {"deadline_s": deadline_s}
 
 
-def make_streams(context, n_streams, n_tokens):
-    """Start streams through all hosts in turn."""
-    hosts = list(context.deployed.hosts_by_id)
+def make_streams(context, n_streams, n_tokens, without=""):
+    """Start streams through all hosts but one in turn."""
+    hosts = [host_id for host_id in context.deployed.hosts_by_id if host_id != without]
     context.prompt, context.n_tokens = PROMPT, n_tokens
     options = context.stream_options if "stream_options" in context else {}
     return [
@@ -69,6 +70,22 @@
     run(context, act())
 
 
+@when(
+    "{n_streams:d} streams of {n_tokens:d} tokens run through other hosts and, after "
+    "{count:d}, a home stands still for {still_s:g} s"
+)
+def still_home(context, n_streams, n_tokens, count, still_s):
+    async def act():
+        hosts = context.deployed.hosts_by_id.values()
+        home = home_of(engines(context.deployed)[0], hosts).host_id
+        streams = make_streams(context, n_streams, n_tokens, without=home)
+        await asyncio.gather(*(stream.wait_for_events(count) for stream in streams[:4]))
+        await stand_still(context, [home], still_s)
+        await finish_streams(context, streams)
+
+    run(context, act())
+
+
 @when(
     "{n_streams:d} streams of {n_tokens:d} tokens are asked for while every engine "
     "stands still for {still_s:g} s"
