--- a/libs/gateway/features/runner_watch.feature
+++ b/libs/gateway/features/runner_replaced.feature
@@ -1,4 +1,4 @@
-Feature: The watch over a runner that a request waits for
+Feature: The moment at which a silent runner is replaced
 
   Scenario: A runner that is heard in time is not looked after
     Given a wait for a runner that is heard after 0.05 s
--- a/libs/gateway/features/steps/runner_watch_steps.py
+++ b/libs/gateway/features/steps/runner_replaced_steps.py
@@ -1,4 +1,4 @@
-"""Steps on the watch over a runner that a request waits for."""
+"""Steps on the moment at which a silent runner is replaced."""
 
 from __future__ import annotations
 
--- a/libs/gateway/src/damaskjunction/gateway/jobs/item_events.py
+++ b/libs/gateway/src/damaskjunction/gateway/jobs/item_events.py
@@ -30,12 +30,12 @@
     event_at_s = timers.now()
     try:
         async for chunk in response.body.chunks():
-            if progress.hearing.silent_s >= STALL_TIMEOUT_S:
-                event_at_s = timers.now()  # it may send the rest of an event first
             progress.hearing.record()
             part = check.feed(chunk)
             response.body.keep(check.n_buffered)
             event_at_s = timers.now() if part.events else event_at_s
+            # After a silence it may send the rest of an event first.
+            event_at_s = max(event_at_s, progress.hearing.silence_ended_at_s)
             if timers.now() - event_at_s > STALL_TIMEOUT_S:
                 raise BrokenResponseError("no event, though bytes arrive")
             for event in part.events:
--- a/libs/gateway/src/damaskjunction/gateway/jobs/silence_watch.py
+++ b/libs/gateway/src/damaskjunction/gateway/jobs/silence_watch.py
@@ -27,7 +27,7 @@
 
 
 class Hearing:
-    """When a runner was heard last, from its first byte on.
+    """When a runner was heard last, and when its last long silence ended.
 
     Parameters
     ----------
@@ -43,16 +43,19 @@
     def begin(self) -> None:
         """Begin to listen to a runner."""
         self.n_parts = 0
-        self._at_s = self._timers.now()
+        self._at_s = self.silence_ended_at_s = self._timers.now()
 
     def record(self) -> None:
         """Record that the runner has sent something."""
         self.n_parts += 1
-        self.restart()
+        if self.silent_s >= STALL_TIMEOUT_S:
+            self.restart()
+        self._at_s = self._timers.now()
+        self._heard.set()
 
     def restart(self) -> None:
         """Count the silence from now on."""
-        self._at_s = self._timers.now()
+        self._at_s = self.silence_ended_at_s = self._timers.now()
         self._heard.set()
 
     @property
--- a/libs/gateway/src/damaskjunction/gateway/requests/attempt_history.py
+++ b/libs/gateway/src/damaskjunction/gateway/requests/attempt_history.py
@@ -49,11 +49,7 @@
 
     def may_retry(self, remaining_s: float) -> bool:
         """Return whether another attempt may follow with so much time left."""
-        if (
-            remaining_s < MIN_REMAINING_S
-            or len(self.excluded) >= MAX_RUNNERS_TRIED
-            or self.n_crashes >= MAX_CRASHES
-        ):
+        if not self._has_attempts(remaining_s):
             return False
         if self.outcome is Outcome.NOT_RUN:
             return True
@@ -64,7 +60,14 @@
         return (
             self._route.may_repeat
             and self.n_run + 1 < self._route.max_attempts
-            and remaining_s >= MIN_REMAINING_S
+            and self._has_attempts(remaining_s)
+        )
+
+    def _has_attempts(self, remaining_s: float) -> bool:
+        return (
+            remaining_s >= MIN_REMAINING_S
+            and len(self.excluded) < MAX_RUNNERS_TRIED
+            and self.n_crashes < MAX_CRASHES
         )
 
     def may_retry_failed_response(self, remaining_s: float) -> bool:
--- a/libs/gateway/src/damaskjunction/gateway/requests/request_attempts.py
+++ b/libs/gateway/src/damaskjunction/gateway/requests/request_attempts.py
@@ -275,20 +275,27 @@
     def record_fault(self, reason: str) -> None:
         """Report a runner as unhealthy if the failure proves to be its own.
 
-        If the response comes over a path that is cut, the slot is given back: the
-        runner's report tells whether it still works on the request.
+        Nothing comes of it if a silent runner is heard meanwhile. If the response comes
+        over a path that is cut, the slot is given back: the runner's report tells
+        whether it still works on the request.
         """
-        self._accuse(reason, self._health_recorder(is_well=False))
-
-    def _accuse(self, reason: str, accuse: Callable[[], None]) -> None:
+        accuse, n_heard = self._health_recorder(is_well=False), self._n_heard
         assignment, response = self._assignment, self._response
         if assignment is None:
             return
         is_direct = response is not None and not response.body.is_relayed
-        slot = assignment.slot
-        on_path_cut = slot.close if slot is not None and is_direct else None
+        slot = assignment.slot if is_direct else None
+
+        def accuse_unless_heard() -> None:
+            if self._n_heard == n_heard:
+                accuse()
+
+        async def free_slot_unless_heard() -> None:
+            if slot is not None and self._n_heard == n_heard:
+                await slot.close()
+
         self._context.runner_faults.record(
-            assignment.runner, reason, accuse, on_path_cut
+            assignment.runner, reason, accuse_unless_heard, free_slot_unless_heard
         )
 
     def _report_silence(self) -> Coroutine[Any, Any, Assignment] | None:
@@ -296,13 +303,7 @@
         may_leave = self.history.may_retry_after_run(self.remaining_s)
         self.log("runner silent", n_events=self.n_events, may_leave=may_leave)
         self._context.metrics.count("runner_silences", may_leave=str(may_leave))
-        accuse, n_heard = self._health_recorder(is_well=False), self._n_heard
-
-        def accuse_unless_heard() -> None:
-            if self._n_heard == n_heard:
-                accuse()
-
-        self._accuse("silent", accuse_unless_heard)
+        self.record_fault("silent")
         if not may_leave:
             return None
         return self._search.find({*self.history.excluded, self._runner_id})
@@ -350,8 +351,10 @@
 
     async def release(self) -> None:
         """End the attempt, and the search for another runner."""
-        await self._end_attempt()
-        await self._watch.close()
+        try:
+            await self._end_attempt()
+        finally:
+            await self._watch.close()
 
     def log(self, event: str, **fields: object) -> None:
         """Log an event of the request, with what is known of the attempt."""
