Test that runners are asked now whether they are ready for a request

Cause: no test told whether a runner that stands still, and has a kept connection on which it answered before, counts as ready to take over a stream. Change: scenarios on the client of runners: the report is asked for on each call, the connection is kept for the request, and a runner that is silent, ended, another process or malformed is not ready.

--- a/libs/gateway/features/runner_client.feature
+++ b/libs/gateway/features/runner_client.feature
@@ -91,3 +91,56 @@
     And the engine starts again at 2000 after its next report
     And 1 requests to its listed process are sent one after another
     Then all failed as not run with "other_process"
+
+  Scenario: A runner that is ready gets the next request on the connection where it was asked
+    Given a client of an engine that was born at 1000
+    When its listed process is asked whether it is ready
+    Then it is ready
+    When 1 requests to its listed process are sent one after another
+    Then all were answered, and the engine was asked for 1 report
+
+  Scenario: A runner is asked whether it is ready although it was asked for its process before
+    Given a client of an engine that was born at 1000
+    When 1 requests to its listed process are sent one after another
+    And its listed process is asked whether it is ready
+    And 1 requests to its listed process are sent one after another
+    Then all were answered, and the engine was asked for 2 reports
+
+  Scenario Outline: A runner that does not answer on a kept connection is not ready
+    Given a client of an engine that was born at 1000
+    When 1 requests to its listed process are sent one after another
+    And its reports are "<reports>"
+    And its listed process is asked whether it is ready
+    Then it is not ready for "process_unknown"
+    And none took longer than 0.5 s
+    When its reports are "true"
+    And 1 requests to its listed process are sent one after another
+    Then all were answered, and the engine was asked for 3 reports
+
+    Examples:
+      | reports   |
+      | malformed |
+      | refused   |
+      | silent    |
+
+  Scenario: A runner that has started again is not ready
+    Given a client of an engine that was born at 1000
+    When 1 requests to its listed process are sent one after another
+    And the engine starts again at 2000
+    And its listed process is asked whether it is ready
+    Then it is not ready for "other_process"
+
+  Scenario: A runner that has ended is not ready
+    Given a client of an engine that was born at 1000
+    When 1 requests to its listed process are sent one after another
+    And the engine ends
+    And its listed process is asked whether it is ready
+    Then it is not ready for "no_connection"
+
+  Scenario: A runner that closes its connection after the report is ready on another one
+    Given a client of an engine that was born at 1000
+    When the engine closes the connections of its next 1 reports
+    And its listed process is asked whether it is ready
+    Then it is ready
+    When 1 requests to its listed process are sent one after another
+    Then all were answered, and the engine was asked for 2 reports
