Name what takes over from a silent runner the same everywhere, and its timer apart

Cause: standby, replacement and other runner named one thing, and the watch had its timer in its module. Change: it is a standby; SilenceTimer has a module. An item whose engines stand still one after another has a scenario, for the ids of its asks.

--- a/libs/gateway/features/silent_items.feature
+++ b/libs/gateway/features/silent_items.feature
@@ -45,3 +45,11 @@
     And 4 slots are held or asked for
     And the job "j1" is cancelled at "h0"
     Then no slot is held
+
+  Scenario: An item whose engines stand still one after another goes on at a third
+    Given engines "e1,e2,e3" that can stand still
+    When the job "j1" of 1 items is submitted at "h0"
+    And the engine that runs the item stands still for good
+    And the engine that runs the item stands still for good
+    Then each host returns the same 1 complete results of "j1"
+    And no slot is held
--- a/libs/gateway/features/steps/runner_replaced_steps.py
+++ b/libs/gateway/features/steps/runner_replaced_steps.py
@@ -62,7 +62,7 @@
             self.outcome = "cancelled"
         except RunnerFailedError as error:
             self.outcome = error.reason
-            self.taken = watch.take_replacement()
+            self.taken = watch.take_standby()
         await watch.close()
 
     @property
--- a/libs/gateway/features/steps/runner_watch_steps.py
+++ b/libs/gateway/features/steps/runner_watch_steps.py
@@ -8,7 +8,8 @@
 from fleet_helpers import run
 
 from damaskjunction.core import ManualTimers, Outcome
-from damaskjunction.gateway.requests.runner_watch import RunnerWatch, SilenceTimer
+from damaskjunction.gateway.requests.runner_watch import RunnerWatch
+from damaskjunction.gateway.requests.silence_timer import SilenceTimer
 from damaskjunction.gateway.runners.runner_responses import RunnerFailedError
 
 LIMIT_S = 0.4
@@ -258,7 +259,7 @@
 
 @then('the replacement is "{name}", and nothing was released')
 def check_replacement(context, name):
-    assert context.platform.watch.take_replacement() == name
+    assert context.platform.watch.take_standby() == name
     check_released(context, [])
 
 
@@ -279,7 +280,7 @@
 
 
 def check_none(context, released):
-    assert context.platform.watch.take_replacement() is None
+    assert context.platform.watch.take_standby() is None
     check_released(context, released)
 
 
--- a/libs/gateway/features/steps/silent_item_steps.py
+++ b/libs/gateway/features/steps/silent_item_steps.py
@@ -52,6 +52,24 @@
     run(context, work())
 
 
+@when("the engine that runs the item stands still for good")
+def let_present_one_stop(context):
+    platform = context.platform
+    stopped = context.__dict__.setdefault("stopped", set())
+
+    def running():
+        runners = platform.runners.items()
+        return [name for name, r in runners if r.n_running and name not in stopped]
+
+    async def work():
+        await platform.wait_for(running)
+        (name,) = running()
+        stopped.add(name)
+        platform.runner_proxies[name].set_mode(Mode.PAUSED)
+
+    run(context, work())
+
+
 @when("{count:d} slots are held or asked for")
 def wait_for_asks(context, count):
     work = context.platform.wait_for(lambda: n_held_or_asked(context) >= count)
--- a/libs/gateway/src/damaskjunction/gateway/jobs/item_runner.py
+++ b/libs/gateway/src/damaskjunction/gateway/jobs/item_runner.py
@@ -227,7 +227,7 @@
         watch = self._make_watch(job, route, progress, slot)
         try:
             outcome = await self._run_watched(job, route, progress, slot, watch)
-            return outcome, None if outcome.is_final else watch.take_replacement()
+            return outcome, None if outcome.is_final else watch.take_standby()
         finally:
             await watch.close()
 
@@ -253,7 +253,7 @@
             if revoked.done():
                 return AttemptOutcome(False, False, "revoked")
             left.result()
-            raise _silent(progress, is_fault=not watch.has_replacement)
+            raise _silent(progress, is_fault=not watch.has_standby)
         except RunnerFailedError as error:
             if error.outcome is not Outcome.NOT_RUN:
                 progress.owed.record_work()
--- a/libs/gateway/src/damaskjunction/gateway/jobs/silence_watch.py
+++ b/libs/gateway/src/damaskjunction/gateway/jobs/silence_watch.py
@@ -115,18 +115,18 @@
         self._held: Slot | None = None
 
     @property
-    def has_replacement(self) -> bool:
+    def has_standby(self) -> bool:
         """Whether the slot of another runner is held."""
         return self._held is not None
 
-    def take_replacement(self) -> Slot | None:
+    def take_standby(self) -> Slot | None:
         """Return the slot of a runner that is ready; the caller has to close it."""
         held, self._held = self._held, None
         return held
 
     async def close(self) -> None:
         """Release the slot of another runner, if one is held."""
-        if (held := self.take_replacement()) is not None:
+        if (held := self.take_standby()) is not None:
             await held.close()
 
     async def wait_until_left(self) -> None:
--- a/libs/gateway/src/damaskjunction/gateway/requests/request_attempts.py
+++ b/libs/gateway/src/damaskjunction/gateway/requests/request_attempts.py
@@ -124,7 +124,7 @@
             When the attempt has failed.
         """
         routed, history = self._routed, self.history
-        assignment = self._watch.take_replacement()
+        assignment = self._watch.take_standby()
         if assignment is None:
             assignment = await self._selector.assign(
                 routed,
--- a/libs/gateway/src/damaskjunction/gateway/requests/runner_watch.py
+++ b/libs/gateway/src/damaskjunction/gateway/requests/runner_watch.py
@@ -1,4 +1,4 @@
-"""The watch over a runner that a request waits for, and over its replacement.
+"""The watch over a runner that a request waits for, and over its standby.
 
 Silence is no failure: the runner keeps the request until another one is ready for it.
 """
@@ -7,12 +7,11 @@
 
 import asyncio
 import logging
-import math
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any, Generic, TypeVar
 
-from damaskjunction.core import Outcome, Subscription, Timers
-from damaskjunction.core.units import MILLISECOND_S
+from damaskjunction.core import Outcome, Timers
+from damaskjunction.gateway.requests.silence_timer import SilenceTimer
 from damaskjunction.gateway.runners.runner_responses import RunnerFailedError
 
 logger = logging.getLogger(__name__)
@@ -20,76 +19,21 @@
 T = TypeVar("T")
 S = TypeVar("S")
 
-PRECISION_S = MILLISECOND_S
-
-
-class SilenceTimer:
-    """Calls back when a wait lasts longer than its limit, once for each wait.
-
-    One timer of the service is left as it is while waits end in time.
-
-    Parameters
-    ----------
-    timers : Timers
-        The process's timer service.
-    callback : callable
-        Called at the limit.
-    """
-
-    def __init__(self, timers: Timers, callback: Callable[[], None]) -> None:
-        self._timers = timers
-        self._callback = callback
-        self._silent_at_s = math.inf  # while nothing is waited for
-        self._due_at_s = math.inf
-        self._subscription: Subscription | None = None
-
-    def begin(self, limit_s: float) -> None:
-        """Begin a wait, in place of the one before."""
-        self._silent_at_s = self._timers.now() + limit_s
-        if self._due_at_s > self._silent_at_s + PRECISION_S:
-            self._schedule()
-
-    def end(self) -> None:
-        """End the wait."""
-        self._silent_at_s = math.inf
-
-    def close(self) -> None:
-        """Cancel the timer."""
-        self.end()
-        if self._subscription is not None:
-            self._subscription.cancel()
-
-    def _schedule(self) -> None:
-        if self._subscription is not None:
-            self._subscription.cancel()
-        self._due_at_s = self._silent_at_s
-        delay_s = self._due_at_s - self._timers.now()
-        self._subscription = self._timers.once(delay_s, self._check)
-
-    def _check(self) -> None:
-        self._due_at_s = math.inf
-        self._subscription = None
-        if self._silent_at_s <= self._timers.now() + PRECISION_S:
-            self.end()
-            self._callback()
-        elif self._silent_at_s != math.inf:
-            self._schedule()
-
 
 class RunnerWatch(Generic[S]):
-    """Waits for a runner; while it is silent, prepares its replacement.
+    """Waits for a runner; while it is silent, prepares a standby.
 
     Parameters
     ----------
     timers : Timers
         The process's timer service.
     on_silence : callable
-        Called when a runner falls silent. Returns the search for its replacement, None
-        if it must not be replaced.
+        Called when a runner falls silent. Returns the search for a standby, None
+        if it must not be left.
     on_heard : callable
         Called when a silent runner is heard again.
     release : callable
-        Releases a replacement that is not needed.
+        Releases a standby that is not needed.
     """
 
     def __init__(
@@ -117,7 +61,7 @@
         self._timer.begin(limit_s)
 
     async def wait_for(self, work: Awaitable[T], limit_s: float | None = None) -> T:
-        """Return what a runner sends, or leave it once its replacement is ready.
+        """Return what a runner sends, or leave it once a standby is ready.
 
         Parameters
         ----------
@@ -153,8 +97,8 @@
         self._record_heard()
         return result
 
-    def take_replacement(self) -> S | None:
-        """Return the replacement of the runner that was left; the caller owns it."""
+    def take_standby(self) -> S | None:
+        """Return the standby of the runner that was left; the caller owns it."""
         search, self._search = self._search, None
         return None if search is None else search.result()
 
@@ -179,7 +123,7 @@
             self._search.add_done_callback(self._leave)
 
     def _leave(self, search: asyncio.Task[S]) -> None:
-        """Leave the runner if a search has found its replacement."""
+        """Leave the runner if a search has found a standby."""
         if search is not self._search:
             return
         if search.cancelled() or search.exception() is not None or not self._scope:
@@ -204,4 +148,4 @@
         if error is None:
             await self._release(search.result())
         else:
-            logger.info("no replacement", extra={"error": repr(error)})
+            logger.info("no standby", extra={"error": repr(error)})
