Abort no link for the time in which this process stood still

Cause: a host whose own loop was late by over 1 s took the pongs that waited to be read for missing, and aborted a sound link with all its calls: slots of running requests were freed, the home doubted. Change: a check that comes late counts the silence from itself on.

--- a/libs/wire/features/links.feature
+++ b/libs/wire/features/links.feature
@@ -34,3 +34,19 @@
     Then the calling end sends no pings
     When the call is abandoned
     Then the peer has no call in progress
+
+  Scenario: A link is not aborted since this process stood still
+    Given a connection with keepalive whose peer answers
+    When this process stands still for 1.5 s
+    Then the connection is kept
+    When the peer is silent for 0.9 s
+    Then the connection is kept
+    When the peer is silent for 0.5 s
+    Then the connection is aborted
+
+  Scenario: A link whose peer is silent is aborted
+    Given a connection with keepalive whose peer answers
+    When the peer is silent for 0.9 s
+    Then the connection is kept
+    When the peer is silent for 0.5 s
+    Then the connection is aborted
--- a/libs/wire/src/damaskjunction/wire/channel.py
+++ b/libs/wire/src/damaskjunction/wire/channel.py
@@ -21,6 +21,7 @@
 
 MAX_FRAME_BYTES = 4 * MIB
 PING_INTERVAL_S = 0.25
+MAX_CHECK_INTERVAL_S = 2 * PING_INTERVAL_S
 KEEPALIVE_TIMEOUT_S = 1.0
 WINDOW_REPLIES = 64
 CREDIT_REPLIES = 32
@@ -112,6 +113,7 @@
         # Until the first pong, ``pong_age_s`` exceeds every limit on it.
         self._last_pong_at_s = -KEEPALIVE_TIMEOUT_S
         self._keepalive_since_s = 0.0
+        self._checked_at_s = 0.0
         self._keepalive: Subscription | None = None
         self._pending_pong: asyncio.Future[None] | None = None
 
@@ -135,7 +137,7 @@
     def start_keepalive(self) -> None:
         """Start sending pings; abort the connection when pongs stop arriving."""
         if self._keepalive is None:
-            self._keepalive_since_s = self._timers.now()
+            self._keepalive_since_s = self._checked_at_s = self._timers.now()
             self._keepalive = self._timers.every(PING_INTERVAL_S, self._check_keepalive)
 
     def stop_keepalive(self) -> None:
@@ -202,8 +204,12 @@
             self._pending_pong = None
 
     def _check_keepalive(self) -> None:
+        now_s = self._timers.now()
+        if now_s - self._checked_at_s > MAX_CHECK_INTERVAL_S:
+            self._keepalive_since_s = now_s  # this process stood still: pongs may wait
+        self._checked_at_s = now_s
         last_alive_at_s = max(self._last_pong_at_s, self._keepalive_since_s)
-        silent_s = self._timers.now() - last_alive_at_s
+        silent_s = now_s - last_alive_at_s
         if silent_s > KEEPALIVE_TIMEOUT_S:
             logger.warning("link went silent", extra={"silent_s": round(silent_s, 3)})
             self.abort()
