Let others wait though a request waits for a second slot in vain

Cause: requests at silent runners ask for a second slot; when such asks waited in vain, the home took its queue for starving and refused callers' retries at once. Change: asks for further slots do not count there.

--- a/libs/routing/features/slots.feature
+++ b/libs/routing/features/slots.feature
@@ -220,6 +220,15 @@
     When repeated online requests "late2" ask for slots
     Then "late2" are refused with a retry delay
 
+  Scenario: A request that waits for a second slot in vain lets others wait
+    Given a pool with runners "a:1"
+    When online requests "r0" ask for slots
+    And repeated online requests "r0~1" ask for slots
+    And new requests keep the slot of "a" busy for 2.5 s
+    Then "r0~1" are refused with a retry delay
+    When repeated online requests "late2" ask for slots
+    Then nothing is refused
+
   Scenario: Batch requests that ask again and again in vain take no further memory
     Given a pool with runners "a:2"
     When online requests "r1,r2" ask for slots
--- a/libs/routing/src/damaskjunction/routing/online_queue.py
+++ b/libs/routing/src/damaskjunction/routing/online_queue.py
@@ -4,7 +4,7 @@
 
 import math
 
-from damaskjunction.core import RequestId
+from damaskjunction.core import RequestId, is_standby_request_id
 from damaskjunction.routing.slot_types import SlotTicket
 from damaskjunction.routing.wait_forecast import WaitForecast
 
@@ -35,7 +35,7 @@
 
     def add(self, ticket: SlotTicket, now_s: float) -> None:
         """Add a request."""
-        if _rank(ticket, now_s) and not self._is_low_rank_waiting(now_s):
+        if _gives_way(ticket, now_s) and not self._is_low_rank_waiting(now_s):
             self._low_rank_waits_since_s = now_s
         self._tickets_by_id[ticket.request_id] = ticket
 
@@ -46,7 +46,7 @@
     def take(self, ticket: SlotTicket, now_s: float) -> None:
         """Remove a request that is served."""
         del self._tickets_by_id[ticket.request_id]
-        if _rank(ticket, now_s):
+        if _gives_way(ticket, now_s):
             self._low_rank_waits_since_s = now_s
 
     def place_of(self, ticket: SlotTicket, now_s: float) -> int:
@@ -80,7 +80,7 @@
         """Remove and return the requests that are not expected to start in time."""
         late_by_id = self._expected_late(forecast, now_s)
         if now_s - self._low_rank_waits_since_s > STARVATION_S and any(
-            _rank(ticket, now_s) for ticket in late_by_id.values()
+            _gives_way(ticket, now_s) for ticket in late_by_id.values()
         ):
             self._starved_at_s = now_s
         is_starving = self._is_starving(now_s)
@@ -106,13 +106,18 @@
         return late_by_id
 
     def _is_low_rank_waiting(self, now_s: float) -> bool:
-        return any(_rank(t, now_s) for t in self._tickets_by_id.values())
+        return any(_gives_way(t, now_s) for t in self._tickets_by_id.values())
 
     def _is_starving(self, now_s: float) -> bool:
         """Return whether requests that gave way have lately waited in vain."""
         return now_s - self._starved_at_s <= STARVATION_S
 
 
+def _gives_way(ticket: SlotTicket, now_s: float) -> bool:
+    """Return whether a request without a slot waits behind new ones."""
+    return _rank(ticket, now_s) > 0 and not is_standby_request_id(ticket.request_id)
+
+
 def _rank(ticket: SlotTicket, now_s: float) -> int:
     """Return 0 for a new request, 1 for a repeated one and 2 for one that is late too.
 
