Let a search for a standby use runners that failed before once no other is left

Cause: with two runners, one that had been left in an earlier silence was never asked again, though sound: the search kept the exclusions of earlier attempts. Read in review. Change: the search lifts them when no runner is left; the silent runner stays out. No test of its own.

--- a/libs/gateway/src/damaskjunction/gateway/requests/request_attempts.py
+++ b/libs/gateway/src/damaskjunction/gateway/requests/request_attempts.py
@@ -306,7 +306,7 @@
         self.record_fault("silent")
         if not may_leave:
             return None
-        return self._search.find({*self.history.excluded, self._runner_id})
+        return self._search.find(self._runner_id, self.history.excluded)
 
     def _report_heard(self) -> None:
         self._n_heard += 1
--- a/libs/gateway/src/damaskjunction/gateway/requests/standby_search.py
+++ b/libs/gateway/src/damaskjunction/gateway/requests/standby_search.py
@@ -67,34 +67,35 @@
         self._is_process_checked = is_process_checked
         self._n_asks = 0
 
-    async def find(self, excluded: Collection[RunnerId]) -> Assignment:
-        """Hold a runner that is ready, and return it.
+    async def find(self, silent: RunnerId, failed: Collection[RunnerId]) -> Assignment:
+        """Hold another runner than the silent one that is ready, and return it.
 
-        Asks again as long as there is none. Runners that prove not to be ready are
-        left out until all others are. If runners were silent together, the first one
-        has time to be heard before another one is returned.
+        Asks again as long as there is none. Runners that failed the request before, or
+        prove not to be ready, are left out until all others are. If runners were silent
+        together, the first one has time to be heard before another one is returned.
 
         Raises
         ------
         RequestError
             ``NOT_RUN`` when no other runner may have the request.
         """
-        unready: set[RunnerId] = set()
+        avoided, n_unready = set(failed), 0
         while True:
             try:
-                return await self._hold_ready(excluded, unready)
+                return await self._hold_ready(silent, avoided, n_unready > 0)
             except RunnerFailedError as error:
-                unready.add(error.runner_id)
+                avoided.add(error.runner_id)
+                n_unready += 1
                 self._log("runner not ready", error.reason, error.runner_id)
             except RequestError as error:
                 self._log("no other runner free", error.reason)
                 if error.reason not in CAPACITY_REASONS:
                     raise
-                unready.clear()
+                avoided.clear()
                 await pause_after(error)
 
     async def _hold_ready(
-        self, excluded: Collection[RunnerId], unready: Collection[RunnerId]
+        self, silent: RunnerId, avoided: Collection[RunnerId], others_were_silent: bool
     ) -> Assignment:
         """Hold the next runner, if it is ready.
 
@@ -108,14 +109,14 @@
         self._n_asks += 1
         assignment = await self._selector.assign(
             self._routed,
-            {*excluded, *unready},
+            {silent, *avoided},
             self._version.required,
             is_repeated=True,
             n_standbys=self._n_asks,
         )
         runner = assignment.runner
         try:
-            if runner.runner_id in excluded:  # the home may grant it after a long wait
+            if runner.runner_id == silent:  # the home may grant it after a long wait
                 raise RequestError(Outcome.NOT_RUN, NO_RUNNER_LEFT)
             self._check(runner)
             began_at_s = self._timers.now()
@@ -123,7 +124,7 @@
                 runner, is_process_checked=self._is_process_checked
             )
             took_s = self._timers.now() - began_at_s
-            if unready or took_s > READY_AT_ONCE_S:
+            if others_were_silent or took_s > READY_AT_ONCE_S:
                 await asyncio.sleep(RETURN_TIME_S)
         except RunnerFailedError as error:
             await self._selector.release(assignment)
