--- a/libs/gateway/features/item_texts.feature
+++ b/libs/gateway/features/item_texts.feature
@@ -19,6 +19,11 @@
     When all of them get events of 100 characters in turn, 200 times
     Then at most 200000 bytes are kept
 
+  Scenario: An item is not given up as its first bytes after a silence are part of an event
+    Given 1 items with texts of 2000 bytes each, and a budget of 200000 bytes
+    When its runner is silent for 3.5 s, answers a probe, and sends an event in two parts
+    Then its attempt has not failed
+
   Scenario: An item whose text was dropped does not end as whole
     Given 40 items with texts of 2000 bytes each, and a budget of 200000 bytes
     When the stream of one of them ends, just after its text was dropped
--- a/libs/gateway/features/steps/item_text_steps.py
+++ b/libs/gateway/features/steps/item_text_steps.py
@@ -20,6 +20,7 @@
 from damaskjunction.routing import LeavingRunners
 
 MAX_EVENTS = 10_000
+PACE_S = 0.05  # between reads
 
 
 def kept_bytes(context):
@@ -35,7 +36,7 @@
     "{count:d} items with texts of {size:d} bytes each, and a budget of {limit:d} bytes"
 )
 def make_items(context, count, size, limit):
-    timers = ManualTimers()
+    timers = context.timers = ManualTimers()
     state = ServingState(HostView(make_host(1, "h1")), timers, {}, LeavingRunners())
     budget = ReceiveBudget(limit)
     context.runner = Runner(
@@ -96,6 +97,45 @@
         self._on_event()
 
 
+class SilentBody(EndingBody):
+    """The body of an answer that is silent for a while before an event in two parts."""
+
+    async def chunks(self):
+        self._on_event()
+        yield b"id: 1\n"
+        yield b"data: one\n\n"
+
+
+@when(
+    "its runner is silent for {silent_s:g} s, answers a probe, and sends an event in "
+    "two parts"
+)
+def send_after_silence(context, silent_s):
+    progress = context.items[0]
+    progress.begin_afresh("test")
+    timers = context.timers
+
+    def be_silent():
+        timers.advance(silent_s)
+        progress.hearing.restart()
+        timers.advance(PACE_S)
+
+    response = SimpleNamespace(
+        body=SilentBody(be_silent), runner=context.runner, is_process_proved=False
+    )
+    progress.hearing.begin()
+    context.error = None
+    try:
+        run(context, collect_events(progress, response, timers))
+    except RunnerFailedError as error:
+        context.error = error
+
+
+@then("its attempt has not failed")
+def check_not_failed(context):
+    assert context.error is None, context.error
+
+
 @when("the stream of one of them ends, just after its text was dropped")
 def end_stream(context):
     progress = context.items[0]
