Give the slots of items a module, and cancel the probes of runners at the end

Change: ItemSlots acquires slots and makes the watch; RunnerProbes has close, called by the job worker; standby_number. No decision changed.

--- a/libs/gateway/src/damaskjunction/gateway/jobs/item_runner.py
+++ b/libs/gateway/src/damaskjunction/gateway/jobs/item_runner.py
@@ -5,8 +5,6 @@
 import asyncio
 import logging
 import math
-from collections.abc import Collection
-from functools import partial
 from typing import NamedTuple
 
 from damaskjunction.batch import BatchItem, ItemResult
@@ -15,18 +13,16 @@
     RequestError,
     RunnerId,
     ServiceName,
-    WorkClass,
     stable_hash,
-    standby_request_id,
 )
 from damaskjunction.core.units import MILLISECOND_S
 from damaskjunction.gateway.dispatch_context import DispatchContext
 from damaskjunction.gateway.jobs.item_events import collect_events
 from damaskjunction.gateway.jobs.item_progress import ItemProgress
+from damaskjunction.gateway.jobs.item_slots import ATTEMPT_TIMEOUT_S, ItemSlots
 from damaskjunction.gateway.jobs.job_repository import StoredJob
-from damaskjunction.gateway.jobs.owed_items import ItemNeed, ItemState, OwedItem
+from damaskjunction.gateway.jobs.owed_items import ItemState, OwedItem
 from damaskjunction.gateway.jobs.result_writer import BackOff
-from damaskjunction.gateway.jobs.runner_probes import RunnerProbes
 from damaskjunction.gateway.jobs.silence_watch import SilenceWatch
 from damaskjunction.gateway.runners.runner_responses import (
     CONNECTION_LOST_REASONS,
@@ -39,13 +35,12 @@
 from damaskjunction.node import cancel_tasks
 from damaskjunction.platform import item_request
 from damaskjunction.routing import Route
-from damaskjunction.wire import RunnerSeen, SlotAsk
+from damaskjunction.wire import RunnerSeen
 
 logger = logging.getLogger(__name__)
 
 MAX_ITEMS_AT_ONCE = 64  # of one service, on one host
 ROUTE_POLL_S = 1.0
-ATTEMPT_TIMEOUT_S = 60.0  # to get a slot, and again for the runner's work
 READ_INTERVAL_S = 50 * MILLISECOND_S  # of the events of all items
 N_PROMPT_RETRIES = 3
 RETRY_DELAY_S = 0.5  # doubles with each further crash
@@ -89,10 +84,14 @@
         self._metrics = context.metrics
         self._budget = context.budget
         self._back_off = back_off
-        self._probes = RunnerProbes(context)
+        self._slots = ItemSlots(context, self._find_route, self._remaining_s)
         self._read_pacer = ReadPacer(context.timers, READ_INTERVAL_S)
         self._places_by_service: dict[ServiceName, asyncio.Semaphore] = {}
 
+    async def close(self) -> None:
+        """Cancel the probes of runners."""
+        await self._slots.close()
+
     async def run(self, job: StoredJob, item: BatchItem, owed: OwedItem) -> ItemResult:
         """Run an item, retrying at other runners, until it has a result."""
         progress = ItemProgress(
@@ -206,7 +205,7 @@
     ) -> AttemptOutcome:
         """Run an item at a runner, or at others while that one is silent."""
         try:
-            slot: Slot | None = await self._acquire_slot(job, route, progress)
+            slot: Slot | None = await self._slots.acquire(job, route, progress)
         except RequestError as error:
             return AttemptOutcome(False, False, error.reason)
         except TimeoutError:
@@ -224,7 +223,13 @@
 
         Returns the slot of another runner if that has to take the item over.
         """
-        watch = self._make_watch(job, route, progress, slot)
+        watch = self._slots.watch(
+            job,
+            route,
+            progress,
+            slot,
+            lambda: self._record_fault(route, progress, slot.runner_id, "silent"),
+        )
         try:
             outcome = await self._run_watched(job, route, progress, slot, watch)
             return outcome, None if outcome.is_final else watch.take_standby()
@@ -270,91 +275,6 @@
             finally:
                 await slot.close()
 
-    def _make_watch(
-        self, job: StoredJob, route: Route, progress: ItemProgress, slot: Slot
-    ) -> SilenceWatch:
-        """Return the watch that may take an item from the runner of a slot."""
-        service = route.service_for(stable_hash(progress.item.item_id))
-        item_id = progress.item.item_id
-
-        def is_wanted() -> bool:
-            present = self._find_route(job)
-            is_same = present is not None and service == present.service_for(
-                stable_hash(item_id)
-            )
-            return is_same and self._remaining_s(job, progress) > 0
-
-        def make_ask(avoid: Collection[RunnerId]) -> SlotAsk:
-            version = progress.version.required
-            ask = self._make_ask(job, route, progress, version, tuple(sorted(avoid)))
-            progress.n_standbys += 1
-            return ask._replace(
-                request_id=standby_request_id(item_id, progress.n_standbys)
-            )
-
-        def record_silence() -> None:
-            self._record_fault(route, progress, slot.runner_id, "silent")
-
-        return SilenceWatch(
-            progress.hearing,
-            slot.runner_id,
-            self._probes,
-            self._slot_client,
-            make_ask=make_ask,
-            is_wanted=is_wanted,
-            find_runner=partial(self._state.find_runner, service),
-            on_silence=record_silence,
-        )
-
-    async def _acquire_slot(
-        self, job: StoredJob, route: Route, progress: ItemProgress
-    ) -> Slot:
-        """Acquire a slot at a runner that may go on with the item.
-
-        Raises
-        ------
-        RequestError
-            ``NOT_RUN`` when the slot is refused.
-        TimeoutError
-            When no slot at the item's version was granted in time.
-        """
-        service = route.service_for(stable_hash(progress.item.item_id))
-        runners = self._state.runners_of(service)
-        version = progress.version_to_keep(service, runners)
-        avoid = progress.runners_to_avoid(runners, version)
-        ask = self._make_ask(job, route, progress, version, avoid)
-        progress.owed.need = ItemNeed(service, version, ask.avoid)
-        async with asyncio.timeout(progress.slot_wait_limit_s(version)):
-            return await self._slot_client.acquire(
-                ask,
-                lambda home: progress.owed.enter(
-                    ItemState.WAITING_FOR_SLOT, place=home
-                ),
-                lambda: self._find_route(job) == route,
-            )
-
-    def _make_ask(
-        self,
-        job: StoredJob,
-        route: Route,
-        progress: ItemProgress,
-        version: str,
-        avoid: tuple[RunnerId, ...],
-    ) -> SlotAsk:
-        """Return an item's ask for a slot at a runner of a version."""
-        record = job.record
-        due_at_s = record.sent_at_s + route.completion_target_s
-        return SlotAsk(
-            request_id=progress.item.item_id,
-            service_name=route.service_for(stable_hash(progress.item.item_id)),
-            work_class=WorkClass.BATCH,
-            parts=item_request(progress.item, record.host).shared_parts,
-            avoid=avoid,
-            start_within_s=ATTEMPT_TIMEOUT_S,
-            due_in_s=due_at_s - self._timers.wall(),
-            software_version=version,
-        )
-
     async def _send_and_collect(
         self, job: StoredJob, route: Route, progress: ItemProgress, slot: Slot
     ) -> AttemptOutcome:
--- a/libs/gateway/src/damaskjunction/gateway/jobs/job_worker.py
+++ b/libs/gateway/src/damaskjunction/gateway/jobs/job_worker.py
@@ -97,6 +97,7 @@
             self._check.cancel()
         await self._placement_check.close()
         await cancel_tasks(self._tasks_by_job.values())
+        await self._runner.close()
         await self._takeovers.close()
         await self.owed_items.close()
 
--- a/libs/gateway/src/damaskjunction/gateway/jobs/runner_probes.py
+++ b/libs/gateway/src/damaskjunction/gateway/jobs/runner_probes.py
@@ -7,6 +7,7 @@
 from damaskjunction.core import Address, Runner
 from damaskjunction.gateway.dispatch_context import DispatchContext
 from damaskjunction.gateway.runners.runner_responses import RunnerFailedError
+from damaskjunction.node import cancel_tasks
 
 
 class RunnerProbes:
@@ -23,6 +24,10 @@
         self._runner_client = context.runner_client
         self._probes_by_address: dict[Address, asyncio.Task[bool]] = {}
 
+    async def close(self) -> None:
+        """Cancel the probes under way."""
+        await cancel_tasks(self._probes_by_address.values())
+
     def has_report(self, runner: Runner) -> bool:
         """Return whether a runner is of a kind that can be asked for a report."""
         return self._state.has_engines(runner.service)
--- a/libs/gateway/src/damaskjunction/gateway/requests/runner_selector.py
+++ b/libs/gateway/src/damaskjunction/gateway/requests/runner_selector.py
@@ -101,7 +101,7 @@
         version: str,
         *,
         is_repeated: bool,
-        n_standbys: int = 0,
+        standby_number: int = 0,
     ) -> Assignment:
         """Hold a runner for an attempt until ``release``.
 
@@ -115,7 +115,7 @@
             Software version that the runner has to be of, unless it is empty.
         is_repeated : bool
             Whether another runner has been tried before.
-        n_standbys : int, optional
+        standby_number : int, optional
             Number of the ask among those that are made while another runner has the
             request, 0 for any other ask.
 
@@ -129,7 +129,7 @@
         if not self.uses_slots(routed):
             return Assignment(self._choose_runner(routed, excluded, version), None)
         slot = await self._acquire_slot(
-            routed, excluded, version, is_repeated, n_standbys
+            routed, excluded, version, is_repeated, standby_number
         )
         runner = self._state.find_runner(routed.service, slot.runner_id)
         if runner is None:
@@ -152,14 +152,16 @@
         excluded: Collection[RunnerId],
         version: str,
         is_repeated: bool,
-        n_standbys: int,
+        standby_number: int,
     ) -> Slot:
         """Acquire a slot; one of each request id is held at a home at a time."""
         request_id = routed.request.request_id
         remaining_s = routed.deadline_at_s - self._timers.now()
         ask = SlotAsk(
             request_id=(
-                standby_request_id(request_id, n_standbys) if n_standbys else request_id
+                standby_request_id(request_id, standby_number)
+                if standby_number
+                else request_id
             ),
             service_name=routed.service,
             work_class=WorkClass.ONLINE,
--- a/libs/gateway/src/damaskjunction/gateway/requests/standby_search.py
+++ b/libs/gateway/src/damaskjunction/gateway/requests/standby_search.py
@@ -65,7 +65,7 @@
         self._version = version
         self._check = check
         self._is_process_checked = is_process_checked
-        self._n_asks = 0
+        self._standby_number = 0
 
     async def find(self, silent: RunnerId, failed: Collection[RunnerId]) -> Assignment:
         """Hold another runner than the silent one that is ready, and return it.
@@ -106,13 +106,13 @@
         RunnerFailedError
             ``NOT_RUN``, with the runner's id, when it is not ready.
         """
-        self._n_asks += 1
+        self._standby_number += 1
         assignment = await self._selector.assign(
             self._routed,
             {silent, *avoided},
             self._version.required,
             is_repeated=True,
-            n_standbys=self._n_asks,
+            standby_number=self._standby_number,
         )
         runner = assignment.runner
         try:
