--- a/tools/check.py
+++ b/tools/check.py
@@ -19,7 +19,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 COMMAND_TIMEOUT_S = 600.0
-MAX_PARALLEL_FEATURES = 4
+MAX_PARALLEL_FEATURES = 6
 MAX_EXCERPT_CHARACTERS = 4000
 KNOWN_RED_PREFIX = "test:"
 SLOW_TAG = "matrix"
