Close a stand-in proxy whose connections were reset at that moment

Its text was cut off, so that it was this one is inferred: the rig kills the hosts, whose connections are reset, and closes its proxies at once. A proxy set SO_LINGER on connections that were reset some turns of the loop before, when their sockets are closed already: EBADF. Ruled out: an error in the steps before (the report's first traceback ends in the close), partial lines of the hosts' logs (whole lines are written at once). Change: a socket that is closed already gets no reset. The report of a failed scenario keeps the beginning, which has the error, as well as the end of the logs; when no step failed, what the hooks printed.

--- a/libs/standins/src/damaskjunction/standins/proxy.py
+++ b/libs/standins/src/damaskjunction/standins/proxy.py
@@ -225,7 +225,8 @@
 
 
 def _reset(writer: asyncio.StreamWriter) -> None:
-    """Close a connection with a RST."""
+    """Close a connection with a RST, unless its peer has reset it."""
     end: socket.socket = writer.get_extra_info("socket")
-    end.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    if end.fileno() >= 0:
+        end.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
     writer.transport.abort()
--- a/tools/check.py
+++ b/tools/check.py
@@ -14,7 +14,7 @@
 import sys
 import tempfile
 from pathlib import Path
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 ROOT = Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
@@ -84,10 +84,11 @@
     ]
 
 
-def read_scenarios(suite: str, report: Path, log: str) -> list[Result]:
+def read_scenarios(suite: str, report: Path, log: str, output: str) -> list[Result]:
     """Return a result per scenario from behave's JSON report and plain log.
 
-    Skipped scenarios have none.
+    Skipped scenarios have none. ``output`` is what behave printed, such as the errors
+    of hooks.
     """
     results = []
     for feature in json.loads(report.read_text()):
@@ -95,17 +96,36 @@
             if element["type"] == "background" or element["status"] == "skipped":
                 continue
             name = f"{suite}: {feature['name']}: {element['name'].strip()}"
-            results.append(Result(name, scenario_failure(element, log)))
+            results.append(Result(name, scenario_failure(element, log, output)))
     return results
 
 
-def scenario_failure(element: dict[str, object], log: str) -> str | None:
-    """Return the log excerpt of a scenario that did not pass, or None if it passed."""
+def scenario_failure(element: dict[str, Any], log: str, output: str) -> str | None:
+    """Return the log excerpt of a scenario that did not pass, or None if it passed.
+
+    When no step failed, a hook did, of which behave's output tells.
+    """
     if element["status"] == "passed":
         return None
+    statuses = {step.get("result", {}).get("status") for step in element["steps"]}
+    if statuses <= {"passed", None}:
+        return shorten(output)
     start = log.find(f": {element['name']}\n")
-    excerpt = log[start:].partition("\n  Scenario")[0]
-    return excerpt[-MAX_EXCERPT_CHARACTERS:]
+    return shorten(log[start:].partition("\n  Scenario")[0])
+
+
+def shorten(text: str) -> str:
+    """Return a text without its middle if it is long.
+
+    Its beginning has the error, its end the last lines of the logs.
+    """
+    if len(text) <= 2 * MAX_EXCERPT_CHARACTERS:
+        return text
+    n_left_out = len(text) - 2 * MAX_EXCERPT_CHARACTERS
+    return (
+        f"{text[:MAX_EXCERPT_CHARACTERS]}\n[{n_left_out} characters left out]\n"
+        f"{text[-MAX_EXCERPT_CHARACTERS:]}"
+    )
 
 
 async def run_feature(
@@ -129,7 +149,8 @@
         async with semaphore:
             completed = await run_command(*command, *format_arguments)
         try:
-            results = read_scenarios(name, report, plain_log.read_text())
+            log = plain_log.read_text()
+            results = read_scenarios(name, report, log, completed.output)
         except (OSError, ValueError):
             return [Result(f"{name}: {feature.stem}: behave", completed.output)]
     if completed.code != 0 and all(result.failure is None for result in results):
