Let two soaks export the former build at the same time

Cause: both wrote to one unfinished folder, and the second could not rename it over the first ("Directory not empty"), seen when three runs of the upgrade scenario began together. Change: each export has an unfinished folder of its own; the folder that is there first is taken.

--- a/libs/lab/src/damaskjunction/lab/soak/builds.py
+++ b/libs/lab/src/damaskjunction/lab/soak/builds.py
@@ -6,6 +6,7 @@
 import io
 import os
 import tarfile
+import tempfile
 from enum import StrEnum
 from pathlib import Path
 
@@ -47,13 +48,24 @@
     archive, error_text = await process.communicate()
     if process.returncode != 0:
         raise BuildError(f"commit {commit!r}: {error_text.decode().strip()}")
-    unfinished = target.with_suffix(".unfinished")
-    with tarfile.open(fileobj=io.BytesIO(archive)) as members:
-        members.extractall(unfinished, filter="data")
-    unfinished.rename(target)
+    _extract(archive, target)
     return target
 
 
+def _extract(archive: bytes, target: Path) -> None:
+    """Write an archive's files to a folder, which another soak may do, too."""
+    target.parent.mkdir(parents=True, exist_ok=True)
+    with tempfile.TemporaryDirectory(dir=target.parent) as unfinished:
+        sources = Path(unfinished) / "sources"
+        with tarfile.open(fileobj=io.BytesIO(archive)) as members:
+            members.extractall(sources, filter="data")
+        try:
+            sources.rename(target)
+        except OSError:
+            if not target.exists():
+                raise
+
+
 def python_path(sources: Path) -> str:
     """Return the module search path that a process of a build runs with."""
     paths = sorted(str(path.resolve()) for path in sources.glob("libs/*/src"))
