Node: search for standbys as long as the runner is silent, never at itself

Change: no runner is its own standby; a search pauses twice as long after each refusal, goes on after a want of budget or a suspicion, and leaves a fifth of the budget to attempts that have failed; errors in it are logged; a standby is closed when its caller leaves. A Forward tells whether its entry accepts silences (new field 16, default false); for one that does not, silence fails the attempt as in the build in production.

--- a/libs/node/src/damaskjunction/node/runners/protocols.py
+++ b/libs/node/src/damaskjunction/node/runners/protocols.py
@@ -27,7 +27,11 @@
     EventParser,
     HttpClient,
 )
-from damaskjunction.node.runners.silence import AnswerMessage, SilenceLimits
+from damaskjunction.node.runners.silence import (
+    AnswerMessage,
+    SilenceLimits,
+    tell_silence,
+)
 from damaskjunction.routing import (
     Forward,
     PlainAnswer,
@@ -97,6 +101,32 @@
 silence_limits.register("plain")(PLAIN_LIMITS)
 
 
+async def read_answer(
+    client: HttpClient, runner: Runner, forward: Forward, stream: RunnerStream
+) -> AsyncGenerator[AnswerMessage, None]:
+    """Yield the messages of an answer; of a request that may move, silences too.
+
+    Raises
+    ------
+    RequestError
+        When the answer is incomplete.
+    """
+    protocol = runner_protocols.get(runner.kind.value)
+    async with aclosing(protocol(client, runner, forward, stream)) as messages:
+        answer = messages
+        if _keeps_request(forward):
+            limits = silence_limits.get(runner.kind.value)
+            answer = tell_silence(messages, forward.attempt, limits)
+        async with aclosing(answer):
+            async for message in answer:
+                yield message
+
+
+def _keeps_request(forward: Forward) -> bool:
+    """Return whether a silent runner keeps a request until another one takes over."""
+    return forward.idempotent and forward.accepts_silence and not forward.alone
+
+
 async def _send_request(
     client: HttpClient,
     runner: Runner,
@@ -146,7 +176,7 @@
 ) -> AsyncGenerator[AnswerMessage, None]:
     """Yield the tokens of an engine's answer and its end-of-stream message.
 
-    A silent engine keeps its request until the deadline, except one that runs alone.
+    A silent engine keeps its request until the deadline if the request may move.
 
     Raises
     ------
@@ -158,7 +188,7 @@
     document["from_token"] = forward.from_token
     body = json.dumps(document).encode()
     stall_s = token_stall_s = forward.deadline_s
-    if forward.alone:
+    if not _keeps_request(forward):
         stall_s = min(ENGINE_LIMITS.first_s, stall_s)
         token_stall_s = ENGINE_LIMITS.next_s
     response = await _send_request(
@@ -223,7 +253,7 @@
 ) -> AsyncGenerator[AnswerMessage, None]:
     """Yield the response of a plain service as one message.
 
-    An idempotent call that runs alone fails after some seconds without data, early
+    An idempotent call that may not move fails after some seconds without data, early
     enough to be retried. Any other call may take until its deadline.
 
     Raises
@@ -232,7 +262,7 @@
         When the answer is incomplete.
     """
     stall_s = forward.deadline_s
-    if forward.idempotent and forward.alone:
+    if forward.idempotent and not _keeps_request(forward):
         stall_s = min(PLAIN_LIMITS.first_s, stall_s)
     response = await _send_request(
         client, runner, forward, forward.body, stream, stall_s=stall_s
--- a/libs/node/src/damaskjunction/node/serving/entry.py
+++ b/libs/node/src/damaskjunction/node/serving/entry.py
@@ -250,13 +250,17 @@
             When the attempt failed.
         """
         assert state.route is not None
-        is_suspect = self._crashes.check(state.fingerprint) is Verdict.SUSPECT
-        if is_suspect or not state.attempts.begin_standby():
+        if not state.attempts.may_take_over:
             return None
-        number = state.attempts.number
-        tried.add(state.route.runner.runner_id)
+        if self._crashes.check(state.fingerprint) is Verdict.SUSPECT:
+            raise RequestError(Outcome.NOT_RUN, "suspect")
+        silent = state.route.runner.runner_id
+        tried.add(silent)
         route = self._routes.choose(state.request, tried, exclusive=False)
         tried.add(route.runner.runner_id)
+        if route.runner.runner_id == silent:
+            raise RequestError(Outcome.NOT_RUN, "no_runner")
+        number = state.attempts.begin_standby()
         remaining_s = state.attempts.next_hop_s(self._timers.now())
         forward = _make_forward(state, route, remaining_s, exclusive=False)
         messages = self._forward(route, forward._replace(standby=True))
@@ -273,9 +277,9 @@
 
     async def _take_over(self, state: _RequestState, standby: Standby) -> None:
         """Leave the silent runner and go on with the standby."""
-        assert state.messages is not None
-        await state.messages.aclose()
-        state.messages = standby.messages
+        silent, state.messages = state.messages, standby.messages
+        assert silent is not None
+        await silent.aclose()
         self._record_failure(state, RequestError(Outcome.RAN, "runner_silent"))
         self._metrics.count("request_retries_total", reason="runner_silent")
         state.route = standby.route
@@ -356,4 +360,5 @@
         from_token=state.assembly.next_position,
         fingerprint=state.fingerprint,
         alone=exclusive,
+        accepts_silence=True,
     )
--- a/libs/node/src/damaskjunction/node/serving/home.py
+++ b/libs/node/src/damaskjunction/node/serving/home.py
@@ -22,14 +22,13 @@
 from damaskjunction.node.runners.crashes import CrashTracker
 from damaskjunction.node.runners.protocols import (
     RunnerStream,
+    read_answer,
     runner_checks,
-    runner_protocols,
-    silence_limits,
     stream_cancels,
 )
 from damaskjunction.node.runners.reports import LoadReader
 from damaskjunction.node.runners.runner_occupancy import RunnerGuard
-from damaskjunction.node.runners.silence import AnswerMessage, tell_silence
+from damaskjunction.node.runners.silence import AnswerMessage
 from damaskjunction.node.serving.admission_controllers import AdmissionControllers
 from damaskjunction.node.serving.home_request import HomeRequest
 from damaskjunction.node.serving.selection import RunnerSelector
@@ -263,7 +262,8 @@
         is_ended = False
         request.attach(stream)
         try:
-            async with aclosing(self._read_answer(runner, forward, stream)) as answer:
+            client = self._clients_by_class[forward.work_class]
+            async with aclosing(read_answer(client, runner, forward, stream)) as answer:
                 async for message in answer:
                     if isinstance(message, Token):
                         now_s = self._timers.now()
@@ -279,21 +279,6 @@
             if stream.is_sent and not is_ended:
                 self._cancel_at_runner(runner, stream)
 
-    async def _read_answer(
-        self, runner: Runner, forward: Forward, stream: RunnerStream
-    ) -> AsyncGenerator[AnswerMessage, None]:
-        """Yield the messages of an answer; of a request that may move, silences too."""
-        client = self._clients_by_class[forward.work_class]
-        protocol = runner_protocols.get(runner.kind.value)
-        limits = silence_limits.get(runner.kind.value)
-        async with aclosing(protocol(client, runner, forward, stream)) as messages:
-            answer = messages
-            if forward.idempotent and not forward.alone:
-                answer = tell_silence(messages, forward.attempt, limits)
-            async with aclosing(answer):
-                async for message in answer:
-                    yield message
-
     def _cancel_at_runner(self, runner: Runner, stream: RunnerStream) -> None:
         cancel = stream_cancels.get(runner.kind.value)
         task = asyncio.ensure_future(
--- a/libs/node/src/damaskjunction/node/serving/standby.py
+++ b/libs/node/src/damaskjunction/node/serving/standby.py
@@ -12,7 +12,8 @@
 from damaskjunction.node.tasks import cancel_tasks
 from damaskjunction.routing import AnswerPart, RunnerSilent
 
-SEARCH_PAUSE_S = 0.1
+SEARCH_PAUSE_S = 0.1  # after the first refusal; it doubles with each one
+MAX_SEARCH_PAUSE_S = 0.8
 
 logger = logging.getLogger(__name__)
 
@@ -31,15 +32,22 @@
 async def search_standby(
     request_id: str, open_standby: Callable[[], Awaitable[Standby | None]]
 ) -> Standby | None:
-    """Return a standby, or None when no further one may be tried."""
+    """Return a standby, or None when no further one may be tried.
+
+    An unexpected error ends the search, not the request.
+    """
+    pause_s = SEARCH_PAUSE_S
     while True:
+        details = {"request_id": request_id}
         try:
             return await open_standby()
         except RequestError as error:
-            details = {"request_id": request_id, "reason": error.reason}
-            logger.info("no standby", extra=details)
-            pause_s = max(SEARCH_PAUSE_S, error.retry_after_s)
-        await asyncio.sleep(pause_s)
+            logger.info("no standby", extra={**details, "reason": error.reason})
+            await asyncio.sleep(max(pause_s, error.retry_after_s))
+        except Exception:
+            logger.exception("search for a standby failed", extra=details)
+            return None
+        pause_s = min(2.0 * pause_s, MAX_SEARCH_PAUSE_S)
 
 
 async def wait_for_either(
@@ -54,13 +62,13 @@
         standby = search.result() if search.done() else None
         if standby is None:
             await asyncio.wait((heard,))
+        elif not heard.done() or heard.exception() is not None:
+            await cancel_tasks((heard,))
+            return standby
     except BaseException:
         await cancel_tasks((heard, search))
         await _close_found(search)
         raise
-    if standby is not None and (not heard.done() or heard.exception() is not None):
-        await cancel_tasks((heard,))
-        return standby
     await cancel_tasks((search,))
     await _close_found(search)
     return None
--- a/libs/routing/src/damaskjunction/routing/messages.py
+++ b/libs/routing/src/damaskjunction/routing/messages.py
@@ -20,7 +20,8 @@
     index of the first token wanted, above 0 when an interrupted answer is resumed.
     ``fingerprint`` is the hash that equal requests share. A request with ``alone`` set
     needs exclusive use of the runner while it runs. A ``standby`` takes over from a
-    silent runner; it is sent only after its own runner has shown that it lives.
+    silent runner; it is sent only after its own engine has shown that it lives. An
+    entry that ``accepts_silence`` takes ``RunnerSilent`` among the replies.
     """
 
     request_id: RequestId
@@ -38,6 +39,7 @@
     fingerprint: str = ""
     alone: bool = False
     standby: bool = False
+    accepts_silence: bool = False
 
 
 class RunnerSilent(NamedTuple):
--- a/libs/routing/src/damaskjunction/routing/retries.py
+++ b/libs/routing/src/damaskjunction/routing/retries.py
@@ -20,6 +20,7 @@
 BACKOFF_BASE_S = 10 * MILLISECOND_S
 BACKOFF_LIMIT_S = 0.5
 HOP_ALLOWANCE_S = 2 * MILLISECOND_S
+STANDBY_RESERVE_SHARE = 0.2  # of the budget, kept from standbys
 
 NON_RETRYABLE_REASONS = frozenset(
     ("overloaded", "deadline", "quarantined", "crashes_runner", "bad_message")
@@ -57,12 +58,13 @@
         """Credit the budget for a new request."""
         self.balance = min(self.max_balance, self.balance + self.share)
 
-    def take_retry(self, cost: float = 1.0) -> bool:
+    def take_retry(self, cost: float = 1.0, reserve: float = 0.0) -> bool:
         """Withdraw a retry from the balance; return whether the balance sufficed.
 
-        ``cost`` is below 1 after an attempt that caused no work at any runner.
+        ``cost`` is below 1 after an attempt that caused no work at any runner, and
+        ``reserve`` has to be left.
         """
-        if self.balance < cost:
+        if self.balance - cost < reserve:
             return False
         self.balance -= cost
         return True
@@ -128,18 +130,28 @@
         """Return the timeout for the next hop of an attempt, in seconds."""
         return max(0.0, self.remaining_s(now_s) - HOP_ALLOWANCE_S)
 
-    def begin_standby(self) -> bool:
-        """Start an attempt that may replace the current one, if one may.
+    @property
+    def may_take_over(self) -> bool:
+        """Whether another attempt may replace the current one."""
+        return self._idempotent and self._n_counted < MAX_ATTEMPTS
+
+    def begin_standby(self) -> int:
+        """Start an attempt that may replace the current one; return its number.
+
+        It is not counted unless ``use_standby`` is called. Standbys leave a part of
+        the budget to attempts that have failed.
 
-        It is not counted unless ``use_standby`` is called.
+        Raises
+        ------
+        RequestError
+            ``NOT_RUN`` while the budget is too low.
         """
-        if not self._idempotent or self._n_counted >= MAX_ATTEMPTS:
-            return False
-        if not self._budget.take_retry(NOT_RUN_COST):
-            return False
+        reserve = self._budget.max_balance * STANDBY_RESERVE_SHARE
+        if not self._budget.take_retry(NOT_RUN_COST, reserve):
+            raise RequestError(Outcome.NOT_RUN, "retry_budget")
         self.number += 1
         self._n_standbys += 1
-        return True
+        return self.number
 
     def use_standby(self) -> None:
         """Count the standby, which has replaced the attempt before."""
--- a/libs/wire/src/damaskjunction/wire/peer.thrift
+++ b/libs/wire/src/damaskjunction/wire/peer.thrift
@@ -33,6 +33,7 @@
   13: string fingerprint
   14: bool alone
   15: bool standby
+  16: bool accepts_silence
 }
 
 // The runner of a request is silent; it keeps the request.
