--- a/libs/gateway/src/damaskjunction/gateway/requests/request_attempts.py
+++ b/libs/gateway/src/damaskjunction/gateway/requests/request_attempts.py
@@ -49,8 +49,9 @@
 class RequestAttempts:
     """The attempts at one request, one at a time, until ``release``.
 
-    A runner that falls silent keeps the request, and its slot, until another runner is
-    ready to take it over; the connection to the first is closed before that.
+    A runner that falls silent keeps the request until another runner is ready to take
+    it over; the connection to the first is closed before that. It keeps its slot, too,
+    unless the path to it proves to be cut.
 
     Parameters
     ----------
--- a/libs/gateway/src/damaskjunction/gateway/requests/runner_watch.py
+++ b/libs/gateway/src/damaskjunction/gateway/requests/runner_watch.py
@@ -51,7 +51,7 @@
         self._search: asyncio.Task[S] | None = None
         self._is_left = False  # from the end of the search to that of the wait
         self._abandoned: set[asyncio.Task[None]] = set()
-        self.is_silent = False
+        self._is_silent = False
 
     def expect(self, limit_s: float) -> None:
         """Expect to hear from the runner within a time; it has just been heard."""
@@ -83,7 +83,7 @@
             async with scope:
                 result = await work
         except BaseException as error:
-            self.is_silent = False
+            self._is_silent = False
             if isinstance(error, TimeoutError) and scope.expired():
                 raise RunnerFailedError(
                     Outcome.UNKNOWN, "silent", is_silence=True
@@ -111,12 +111,12 @@
 
     def _record_heard(self) -> None:
         self._abandon_search()
-        if self.is_silent:
-            self.is_silent = False
+        if self._is_silent:
+            self._is_silent = False
             self._on_heard()
 
     def _report_silence(self) -> None:
-        self.is_silent = True
+        self._is_silent = True
         search = self._on_silence()
         if search is not None:
             self._search = asyncio.ensure_future(search)
--- a/libs/gateway/src/damaskjunction/gateway/requests/silence_limits.py
+++ b/libs/gateway/src/damaskjunction/gateway/requests/silence_limits.py
@@ -34,7 +34,8 @@
 ) -> float:
     """Return the limit before the next event of a stream, in seconds.
 
-    ``is_begun`` says that the runner has sent an event before.
+    ``is_begun`` says that the runner has sent an event before. Of a runner that must
+    not be left, it is the time after which its silence is reported.
     """
     if not history.may_retry_after_run(remaining_s):
         return FIRST_EVENT_LIMIT_S
--- a/libs/node/src/damaskjunction/node/serving/entry.py
+++ b/libs/node/src/damaskjunction/node/serving/entry.py
@@ -63,6 +63,7 @@
     ) -> None:
         self.request = request
         self.attempts = attempts
+        self.attempt_number = 0  # of the attempt that has the request
         self.fingerprint = fingerprint
         self.assembly = AnswerAssembly(request.from_token)
         self.tried_runners: set[RunnerId] = set()
@@ -185,7 +186,7 @@
             "attempt failed",
             extra={
                 "request_id": state.request.request_id,
-                "attempt": state.attempts.number,
+                "attempt": state.attempt_number,
                 "runner": route.runner.runner_id,
                 "reason": error.reason,
                 "outcome": error.outcome.value,
@@ -194,7 +195,8 @@
 
     async def _attempt(self, state: _RequestState) -> AsyncGenerator[AnswerPart, None]:
         remaining_s = state.attempts.begin_attempt(self._timers.now())
-        state.assembly.begin_attempt(state.attempts.number)
+        state.attempt_number = state.attempts.number
+        state.assembly.begin_attempt(state.attempt_number)
         is_suspect = self._crashes.check(state.fingerprint) is Verdict.SUSPECT
         state.route = self._routes.choose(
             state.request, state.tried_runners, exclusive=is_suspect
@@ -284,6 +286,7 @@
         self._metrics.count("request_retries_total", reason="runner_silent")
         state.route = standby.route
         state.attempts.use_standby()
+        state.attempt_number = standby.number
         state.assembly.begin_attempt(standby.number)
 
     async def _next_message(self, state: _RequestState) -> EntryMessage | None:
