Give the routing library a folder for each kind of decision

Cause: the library was one flat folder of 38 modules, and each new decision added to it.

Change: modules move to admission, slots, runners, versions and crashes; the public names of the library stay as they are. No behaviour changes.

--- a/libs/gateway/features/steps/owed_fleet_steps.py
+++ b/libs/gateway/features/steps/owed_fleet_steps.py
@@ -29,9 +29,13 @@
     WeightedService,
     slots,
 )
-from damaskjunction.routing.rate_limits import BATCH_TOKENS, MIN_BURST, MIN_RATE_PER_S
-from damaskjunction.routing.slots import FAILURE_EJECTION
-from damaskjunction.routing.version_ledger import VersionLedger
+from damaskjunction.routing.slots.rate_limits import (
+    BATCH_TOKENS,
+    MIN_BURST,
+    MIN_RATE_PER_S,
+)
+from damaskjunction.routing.slots.slots import FAILURE_EJECTION
+from damaskjunction.routing.versions.version_ledger import VersionLedger
 
 HOSTS = ("a", "b", "c")
 RUNNERS = ("r1", "r2")
--- a/libs/routing/src/damaskjunction/routing/__init__.py
+++ b/libs/routing/src/damaskjunction/routing/__init__.py
@@ -1,6 +1,6 @@
 """Admission, runner selection, concurrency limits, retries and answer assembly."""
 
-from damaskjunction.routing.admission import (
+from damaskjunction.routing.admission.admission import (
     AdmissionController,
     AdmissionEffect,
     AdmissionState,
@@ -8,35 +8,46 @@
     Preempt,
     Refuse,
 )
+from damaskjunction.routing.admission.limits import (
+    AdaptiveLimits,
+    ConcurrencyLimits,
+    FixedLimits,
+    LatencyTargets,
+)
+from damaskjunction.routing.admission.policies import (
+    AdmissionPolicy,
+    LimitInput,
+    admission_policies,
+)
+from damaskjunction.routing.admission.queues import (
+    AdmissionTicket,
+    FairQueue,
+)
 from damaskjunction.routing.answers import (
     AnswerAssembly,
     AnswerPart,
 )
-from damaskjunction.routing.choice import (
-    ChoiceInput,
-    runner_choices,
-)
-from damaskjunction.routing.crash_evidence import (
+from damaskjunction.routing.crashes.crash_evidence import (
     CrashEvidence,
     CrashReport,
     RequestTraits,
 )
-from damaskjunction.routing.crash_policies import (
+from damaskjunction.routing.crashes.crash_policies import (
     EXCLUSIVE_RUNS,
     SHARED_RUNS,
     CrashPolicy,
     Suspect,
     suspect_rules,
 )
-from damaskjunction.routing.ejection import (
-    EjectionPolicy,
-    OutlierEjection,
+from damaskjunction.routing.crashes.exclusive_access import (
+    GrantAccess,
+    SharedExclusiveLock,
 )
-from damaskjunction.routing.exclusive_access import GrantAccess, SharedExclusiveLock
-from damaskjunction.routing.fingerprints import fingerprint_of
-from damaskjunction.routing.homes import (
-    home_of,
-    slot_homes,
+from damaskjunction.routing.crashes.fingerprints import fingerprint_of
+from damaskjunction.routing.crashes.quarantine import (
+    Quarantine,
+    Verdict,
+    VerdictNews,
 )
 from damaskjunction.routing.idempotency import (
     Claim,
@@ -49,21 +60,6 @@
     TakeOverClaim,
     resolve_claim,
 )
-from damaskjunction.routing.leaving_runners import (
-    DEFAULT_DRAIN_S,
-    DEFAULT_MAX_SKEW_S,
-    LeavingNotice,
-    LeavingRunners,
-)
-from damaskjunction.routing.limits import (
-    AdaptiveLimits,
-    ConcurrencyLimits,
-    FixedLimits,
-    LatencyTargets,
-)
-from damaskjunction.routing.loads import (
-    RunnerLoads,
-)
 from damaskjunction.routing.messages import (
     Forward,
     PlainAnswer,
@@ -72,26 +68,6 @@
     StreamEnd,
     Token,
 )
-from damaskjunction.routing.policies import (
-    AdmissionPolicy,
-    LimitInput,
-    admission_policies,
-)
-from damaskjunction.routing.quarantine import (
-    Quarantine,
-    Verdict,
-    VerdictNews,
-)
-from damaskjunction.routing.queues import (
-    AdmissionTicket,
-    FairQueue,
-)
-from damaskjunction.routing.rate_limits import (
-    NO_LIMIT_PER_S,
-    LimitObservations,
-    RateLimiter,
-    RunnerLimit,
-)
 from damaskjunction.routing.retries import (
     Attempts,
     GiveUp,
@@ -110,8 +86,32 @@
     WeightedService,
     make_route_table,
 )
-from damaskjunction.routing.runner_entries import FormerEntries, SupersededProcesses
-from damaskjunction.routing.runner_paths import (
+from damaskjunction.routing.runners.choice import (
+    ChoiceInput,
+    runner_choices,
+)
+from damaskjunction.routing.runners.ejection import (
+    EjectionPolicy,
+    OutlierEjection,
+)
+from damaskjunction.routing.runners.homes import (
+    home_of,
+    slot_homes,
+)
+from damaskjunction.routing.runners.leaving_runners import (
+    DEFAULT_DRAIN_S,
+    DEFAULT_MAX_SKEW_S,
+    LeavingNotice,
+    LeavingRunners,
+)
+from damaskjunction.routing.runners.loads import (
+    RunnerLoads,
+)
+from damaskjunction.routing.runners.runner_entries import (
+    FormerEntries,
+    SupersededProcesses,
+)
+from damaskjunction.routing.runners.runner_paths import (
     DIRECT_HEAD_START_S,
     DIRECT_RETRY_S,
     MAX_WITNESSES,
@@ -122,7 +122,13 @@
     judge_runner,
     trusted_reach,
 )
-from damaskjunction.routing.slot_types import (
+from damaskjunction.routing.slots.rate_limits import (
+    NO_LIMIT_PER_S,
+    LimitObservations,
+    RateLimiter,
+    RunnerLimit,
+)
+from damaskjunction.routing.slots.slot_types import (
     CAPACITY_REASONS,
     NO_RUNNER_LEFT,
     GrantSlot,
@@ -132,9 +138,10 @@
     SlotEffect,
     SlotTicket,
 )
-from damaskjunction.routing.slots import SlotPool
+from damaskjunction.routing.slots.slots import SlotPool
+from damaskjunction.routing.slots.wait_forecast import RunnerSupply, WaitForecast
 from damaskjunction.routing.stop_schedule import StopSchedule
-from damaskjunction.routing.stream_continuation import (
+from damaskjunction.routing.versions.stream_continuation import (
     Denial,
     ItemWait,
     StreamFacts,
@@ -147,27 +154,26 @@
     runner_denial,
     take_up_denial,
 )
-from damaskjunction.routing.stream_groups import (
+from damaskjunction.routing.versions.stream_groups import (
     GroupWrite,
     StoredGroup,
     StreamGroups,
     stored_origins,
 )
-from damaskjunction.routing.stream_versions import (
+from damaskjunction.routing.versions.stream_versions import (
     OriginMemory,
     RunnerVersions,
     StreamOrigin,
     listed_versions,
     runners_at,
 )
-from damaskjunction.routing.version_ledger import (
+from damaskjunction.routing.versions.version_ledger import (
     ClosedVersion,
     VersionLedger,
     VersionRecord,
     stream_lives,
     unknown_record,
 )
-from damaskjunction.routing.wait_forecast import RunnerSupply, WaitForecast
 
 __all__ = [
     "CAPACITY_REASONS",
--- /dev/null
+++ b/libs/routing/src/damaskjunction/routing/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Admission control of single runners by their homes."""
--- a/libs/routing/src/damaskjunction/routing/admission.py
+++ b/libs/routing/src/damaskjunction/routing/admission/admission.py
@@ -6,8 +6,8 @@
 from typing import NamedTuple, TypeAlias
 
 from damaskjunction.core import RequestId, WorkClass, WorkspaceName
-from damaskjunction.routing.limits import ConcurrencyLimits, LatencyTargets
-from damaskjunction.routing.queues import AdmissionTicket, FairQueue
+from damaskjunction.routing.admission.limits import ConcurrencyLimits, LatencyTargets
+from damaskjunction.routing.admission.queues import AdmissionTicket, FairQueue
 
 MAX_ONLINE_QUEUE = 64
 MAX_BATCH_QUEUE = 64
--- a/libs/routing/src/damaskjunction/routing/policies.py
+++ b/libs/routing/src/damaskjunction/routing/admission/policies.py
@@ -6,13 +6,13 @@
 from typing import NamedTuple, TypeAlias
 
 from damaskjunction.core import EntryHost, Registry, Runner
-from damaskjunction.routing.homes import home_of
-from damaskjunction.routing.limits import (
+from damaskjunction.routing.admission.limits import (
     AdaptiveLimits,
     ConcurrencyLimits,
     FixedLimits,
     LatencyTargets,
 )
+from damaskjunction.routing.runners.homes import home_of
 
 
 class LimitInput(NamedTuple):
--- /dev/null
+++ b/libs/routing/src/damaskjunction/routing/crashes/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that crash runners."""
--- a/libs/routing/src/damaskjunction/routing/crash_evidence.py
+++ b/libs/routing/src/damaskjunction/routing/crashes/crash_evidence.py
@@ -20,7 +20,7 @@
 
 from damaskjunction.core import RunnerId, ServiceName
 from damaskjunction.core.units import HOUR_S
-from damaskjunction.routing.crash_policies import (
+from damaskjunction.routing.crashes.crash_policies import (
     SHARED_RUNS,
     Crash,
     CrashPolicy,
--- a/libs/routing/src/damaskjunction/routing/quarantine.py
+++ b/libs/routing/src/damaskjunction/routing/crashes/quarantine.py
@@ -15,12 +15,12 @@
 from types import MappingProxyType
 from typing import NamedTuple, TypeVar
 
-from damaskjunction.routing.crash_evidence import (
+from damaskjunction.routing.crashes.crash_evidence import (
     CrashEvidence,
     CrashReport,
     RequestTraits,
 )
-from damaskjunction.routing.crash_policies import (
+from damaskjunction.routing.crashes.crash_policies import (
     EXCLUSIVE_RUNS,
     CrashPolicy,
     Suspect,
--- /dev/null
+++ b/libs/routing/src/damaskjunction/routing/runners/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of runners, and what hosts know of their state."""
--- /dev/null
+++ b/libs/routing/src/damaskjunction/routing/slots/__init__.py
@@ -0,0 +1,1 @@
+"""Allocation of the slots of a service by its home."""
--- a/libs/routing/src/damaskjunction/routing/batch_queue.py
+++ b/libs/routing/src/damaskjunction/routing/slots/batch_queue.py
@@ -7,7 +7,7 @@
 from typing import TypeAlias
 
 from damaskjunction.core import Registry, RequestId
-from damaskjunction.routing.slot_types import SlotTicket
+from damaskjunction.routing.slots.slot_types import SlotTicket
 
 MAX_LEFT_BEHIND = 64  # entries, beside one for each waiting request
 N_GRANTS_PER_LATE = (
--- a/libs/routing/src/damaskjunction/routing/held_slots.py
+++ b/libs/routing/src/damaskjunction/routing/slots/held_slots.py
@@ -10,8 +10,8 @@
     WorkClass,
     is_standby_request_id,
 )
-from damaskjunction.routing.hold_times import HoldTimes
-from damaskjunction.routing.slot_types import HeldSlot, SlotTicket
+from damaskjunction.routing.slots.hold_times import HoldTimes
+from damaskjunction.routing.slots.slot_types import HeldSlot, SlotTicket
 
 INITIAL_ONLINE_HOLD_S = 0.5
 INITIAL_BATCH_HOLD_S = 2.0
--- a/libs/routing/src/damaskjunction/routing/online_queue.py
+++ b/libs/routing/src/damaskjunction/routing/slots/online_queue.py
@@ -5,8 +5,8 @@
 import math
 
 from damaskjunction.core import RequestId, is_standby_request_id
-from damaskjunction.routing.slot_types import SlotTicket
-from damaskjunction.routing.wait_forecast import WaitForecast
+from damaskjunction.routing.slots.slot_types import SlotTicket
+from damaskjunction.routing.slots.wait_forecast import WaitForecast
 
 STARVATION_S = 1.0  # for so long, what waited in vain predicts the next
 REPEATED_RANK = 1
--- a/libs/routing/src/damaskjunction/routing/slot_demand.py
+++ b/libs/routing/src/damaskjunction/routing/slots/slot_demand.py
@@ -6,8 +6,8 @@
 from collections.abc import Iterable
 
 from damaskjunction.core import RunnerId
-from damaskjunction.routing.slot_types import SlotTicket
-from damaskjunction.routing.stream_versions import RunnerVersions
+from damaskjunction.routing.slots.slot_types import SlotTicket
+from damaskjunction.routing.versions.stream_versions import RunnerVersions
 
 
 class SlotDemand:
--- a/libs/routing/src/damaskjunction/routing/slots.py
+++ b/libs/routing/src/damaskjunction/routing/slots/slots.py
@@ -10,15 +10,19 @@
 from collections.abc import Collection, Iterable, Mapping
 
 from damaskjunction.core import RequestId, RunnerId, WorkClass
-from damaskjunction.routing.batch_queue import BatchQueue
-from damaskjunction.routing.batch_reserve import n_reserved_slots
-from damaskjunction.routing.ejection import EjectionPolicy, OutlierEjection
-from damaskjunction.routing.held_slots import HeldSlots
-from damaskjunction.routing.online_queue import OnlineQueue
-from damaskjunction.routing.prefix_cache import PrefixCacheEstimate
-from damaskjunction.routing.rate_limits import BATCH_TOKENS, RateLimiter, RunnerLimit
-from damaskjunction.routing.slot_demand import SlotDemand
-from damaskjunction.routing.slot_types import (
+from damaskjunction.routing.runners.ejection import EjectionPolicy, OutlierEjection
+from damaskjunction.routing.runners.prefix_cache import PrefixCacheEstimate
+from damaskjunction.routing.slots.batch_queue import BatchQueue
+from damaskjunction.routing.slots.batch_reserve import n_reserved_slots
+from damaskjunction.routing.slots.held_slots import HeldSlots
+from damaskjunction.routing.slots.online_queue import OnlineQueue
+from damaskjunction.routing.slots.rate_limits import (
+    BATCH_TOKENS,
+    RateLimiter,
+    RunnerLimit,
+)
+from damaskjunction.routing.slots.slot_demand import SlotDemand
+from damaskjunction.routing.slots.slot_types import (
     NO_RUNNER_LEFT,
     GrantSlot,
     RefuseSlot,
@@ -27,9 +31,9 @@
     SlotEffect,
     SlotTicket,
 )
-from damaskjunction.routing.stream_versions import RunnerVersions
-from damaskjunction.routing.unseen_requests import UnseenRequests
-from damaskjunction.routing.wait_forecast import RunnerSupply, WaitForecast
+from damaskjunction.routing.slots.unseen_requests import UnseenRequests
+from damaskjunction.routing.slots.wait_forecast import RunnerSupply, WaitForecast
+from damaskjunction.routing.versions.stream_versions import RunnerVersions
 
 MIN_RETRY_AFTER_S = 0.1
 PREFIX_WEIGHT = 0.6  # of the cached fraction; the free fraction has weight 1
--- /dev/null
+++ b/libs/routing/src/damaskjunction/routing/versions/__init__.py
@@ -0,0 +1,1 @@
+"""Software versions of the runners that serve a stream."""
--- a/libs/routing/src/damaskjunction/routing/stream_continuation.py
+++ b/libs/routing/src/damaskjunction/routing/versions/stream_continuation.py
@@ -14,7 +14,7 @@
 
 from damaskjunction.core import RequestId, Runner, ServiceName
 from damaskjunction.core.units import MILLISECOND_S
-from damaskjunction.routing.stream_versions import StreamOrigin, runners_at
+from damaskjunction.routing.versions.stream_versions import StreamOrigin, runners_at
 
 CLOCK_DIFFERENCE_S = 5.0  # between the clocks of a host and a runner
 
--- a/libs/routing/src/damaskjunction/routing/stream_groups.py
+++ b/libs/routing/src/damaskjunction/routing/versions/stream_groups.py
@@ -11,7 +11,10 @@
 from typing import NamedTuple
 
 from damaskjunction.core import RequestId, Revision, ServiceName
-from damaskjunction.routing.stream_versions import MAX_STREAMS_KNOWN, StreamOrigin
+from damaskjunction.routing.versions.stream_versions import (
+    MAX_STREAMS_KNOWN,
+    StreamOrigin,
+)
 
 N_GROUPS = 8
 MAX_GROUP_STREAMS = MAX_STREAMS_KNOWN // N_GROUPS
