Carry the workspace and the data centre of a request to the home of its slots

Cause: neither rate limits, fair order nor the choice by data centre can be decided from what a home is told of a request.

Change: WorkspaceSpec holds the limits and priority of a workspace, RouteTable the workspaces, Route whether it is public; SlotAsk and SlotTicket name the workspace and the asking host's data centre. Both fields of the message are new, with empty defaults. Nothing decides by them yet.

--- a/libs/core/src/damaskjunction/core/types.py
+++ b/libs/core/src/damaskjunction/core/types.py
@@ -165,12 +165,17 @@
     """A workspace (tenant): its weight under contention and its callers' keys.
 
     ``share`` is the fair-share weight; ``key_digests`` are hexadecimal SHA-256 digests
-    of the callers' API keys.
+    of the callers' API keys. All hosts together admit ``requests_per_s`` requests a
+    second of its callers and ``burst`` more at once; 0 requests a second means no
+    limit. ``priority`` goes before that of a route; None leaves the route's.
     """
 
     name: WorkspaceName
     share: float = 1.0
     key_digests: tuple[str, ...] = ()
+    requests_per_s: float = 0.0
+    burst: float = 0.0
+    priority: int | None = None
 
 
 class BatchSpec(NamedTuple):
--- a/libs/gateway/src/damaskjunction/gateway/jobs/item_slots.py
+++ b/libs/gateway/src/damaskjunction/gateway/jobs/item_slots.py
@@ -136,4 +136,5 @@
             start_within_s=ATTEMPT_TIMEOUT_S,
             due_in_s=due_at_s - self._timers.wall(),
             software_version=version,
+            data_centre=self._state.view.own.data_centre,
         )
--- a/libs/gateway/src/damaskjunction/gateway/requests/runner_selector.py
+++ b/libs/gateway/src/damaskjunction/gateway/requests/runner_selector.py
@@ -13,6 +13,7 @@
     RunnerId,
     ServiceName,
     WorkClass,
+    WorkspaceName,
     standby_request_id,
 )
 from damaskjunction.gateway.dispatch_context import DispatchContext
@@ -44,7 +45,8 @@
 
     ``is_repeated`` is set when the request seems to be a retry by its caller.
     ``fingerprint`` is the hash that equal requests share. ``origin`` is that of the
-    stream which the caller takes up, None for a new request.
+    stream which the caller takes up, None for a new request. ``workspace`` is that of
+    the caller's key, empty without one.
     """
 
     request: CallerRequest
@@ -55,6 +57,7 @@
     is_repeated: bool
     fingerprint: str
     origin: StreamOrigin | None = None
+    workspace: WorkspaceName = ""
 
     @property
     def traits(self) -> tuple[str, ...]:
@@ -177,6 +180,8 @@
             is_repeated=routed.is_repeated or is_repeated,
             fingerprint=routed.fingerprint,
             software_version=version,
+            workspace=routed.workspace,
+            data_centre=self._state.view.own.data_centre,
         )
         return await self._slot_client.acquire(ask)
 
--- a/libs/gateway/src/damaskjunction/gateway/slots/slot_home.py
+++ b/libs/gateway/src/damaskjunction/gateway/slots/slot_home.py
@@ -167,6 +167,8 @@
             now_s + ask.goal_in_s,
             ask.is_repeated,
             ask.software_version,
+            ask.workspace,
+            ask.data_centre,
         )
         self._state.record_leaving(ask.leaving)
         self._start_expiry()
--- a/libs/routing/src/damaskjunction/routing/routes.py
+++ b/libs/routing/src/damaskjunction/routing/routes.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from enum import StrEnum
 from typing import NamedTuple
 
-from damaskjunction.core import Revision, ServiceName
+from damaskjunction.core import Revision, ServiceName, WorkspaceName, WorkspaceSpec
 from damaskjunction.core.types import EMPTY
 
 HASH_RANGE = 1 << 32
@@ -36,7 +36,8 @@
     the goal for the interval between two tokens of a stream. ``completion_target_s``
     counts from the submission of a batch job. ``max_waiting_tokens`` bounds the tokens
     of accepted batch items that wait; 0 means no bound. ``retention_s`` is how long an
-    item may be retried, counted from the submission of its job.
+    item may be retried, counted from the submission of its job. A request on a route
+    that is not ``is_public`` needs the key of a workspace, if there are workspaces.
     """
 
     name: str
@@ -53,6 +54,7 @@
     completion_target_s: float = 0.0
     retention_s: float = 0.0
     max_waiting_tokens: int = 0
+    is_public: bool = False
 
     @property
     def may_repeat(self) -> bool:
@@ -102,6 +104,7 @@
     routes_by_host: Mapping[str, tuple[Route, ...]] = EMPTY
     services_by_name: Mapping[ServiceName, BackendSpec] = EMPTY
     limits: CallerLimits = CallerLimits()
+    workspaces_by_name: Mapping[WorkspaceName, WorkspaceSpec] = EMPTY
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching prefix of ``path``, if any."""
@@ -124,6 +127,7 @@
     routes: list[Route],
     services: list[BackendSpec],
     limits: CallerLimits,
+    workspaces: Iterable[WorkspaceSpec] = (),
 ) -> RouteTable:
     """Return a route table in which each host's longest prefixes come first."""
     routes_by_host: dict[str, list[Route]] = {}
@@ -134,4 +138,5 @@
         {host: tuple(listed) for host, listed in routes_by_host.items()},
         {service.name: service for service in services},
         limits,
+        {workspace.name: workspace for workspace in workspaces},
     )
--- a/libs/routing/src/damaskjunction/routing/slots/slot_types.py
+++ b/libs/routing/src/damaskjunction/routing/slots/slot_types.py
@@ -4,7 +4,13 @@
 
 from typing import NamedTuple, TypeAlias
 
-from damaskjunction.core import RequestId, RunnerId, WorkClass
+from damaskjunction.core import (
+    DataCentre,
+    RequestId,
+    RunnerId,
+    WorkClass,
+    WorkspaceName,
+)
 
 NO_RUNNER_LEFT = "runners_failed"  # why a request that excludes all got no slot
 # Why a request got no slot that may get one later.
@@ -20,7 +26,8 @@
     ``goal_at_s`` to meet its latency goal; batch requests are served by earliest
     ``due_at_s``. ``is_repeated`` says that an earlier submission or attempt of it was
     refused or failed. Only runners of ``software_version`` may be given it, unless that
-    is empty.
+    is empty. ``workspace`` is that of its caller, and ``data_centre`` that of the host
+    which asks; both are empty if unknown.
     """
 
     request_id: RequestId
@@ -32,6 +39,8 @@
     goal_at_s: float = 0.0
     is_repeated: bool = False
     software_version: str = ""
+    workspace: WorkspaceName = ""
+    data_centre: DataCentre = ""
 
 
 class HeldSlot(NamedTuple):
--- a/libs/wire/src/damaskjunction/wire/peer.thrift
+++ b/libs/wire/src/damaskjunction/wire/peer.thrift
@@ -227,6 +227,8 @@
   12: list<RunnerLimit> limits
   13: string software_version
   14: list<LeavingNotice> leaving
+  15: string workspace
+  16: string data_centre
 }
 
 // The slot is granted: the request may be sent to the runner.
--- a/libs/wire/src/damaskjunction/wire/slots.py
+++ b/libs/wire/src/damaskjunction/wire/slots.py
@@ -4,7 +4,14 @@
 
 from typing import NamedTuple
 
-from damaskjunction.core import RequestId, RunnerId, ServiceName, WorkClass
+from damaskjunction.core import (
+    DataCentre,
+    RequestId,
+    RunnerId,
+    ServiceName,
+    WorkClass,
+    WorkspaceName,
+)
 from damaskjunction.routing import (
     CrashReport,
     LeavingNotice,
@@ -30,7 +37,8 @@
     ``fingerprint`` is equal for equal requests. ``limits`` are the rate limits that
     runners of the service have named to the asking host, and ``leaving`` tells which
     of them it knows to leave. Only runners of ``software_version`` may be given the
-    request, unless that is empty.
+    request, unless that is empty. ``workspace`` is that of the caller, and
+    ``data_centre`` that of the asking host; both are empty if unknown.
     """
 
     request_id: RequestId
@@ -47,6 +55,8 @@
     limits: tuple[RunnerLimit, ...] = ()
     software_version: str = ""
     leaving: tuple[LeavingNotice, ...] = ()
+    workspace: WorkspaceName = ""
+    data_centre: DataCentre = ""
 
     @property
     def traits(self) -> tuple[str, ...]:
