Report the silence of a runner that has a stream's only attempt

Cause: a stream that may not be tried again had no limit before the head of its answer.

Change: the silence of such a runner is reported after the limit for the first event; the stream stays there. An ask for a slot says whether it is for the only attempt, for the choice of the runner.

--- a/libs/gateway/src/damaskjunction/gateway/requests/request_attempts.py
+++ b/libs/gateway/src/damaskjunction/gateway/requests/request_attempts.py
@@ -132,6 +132,7 @@
                 history.excluded,
                 self._version.required,
                 is_repeated=bool(history.tried),
+                is_only_attempt=not history.may_retry_after_run(self.remaining_s),
             )
         self._assignment, self._progress = assignment, AnswerProgress(self._timers)
         runner = assignment.runner
--- a/libs/gateway/src/damaskjunction/gateway/requests/runner_selector.py
+++ b/libs/gateway/src/damaskjunction/gateway/requests/runner_selector.py
@@ -104,6 +104,7 @@
         version: str,
         *,
         is_repeated: bool,
+        is_only_attempt: bool = False,
         standby_number: int = 0,
     ) -> Assignment:
         """Hold a runner for an attempt until ``release``.
@@ -118,6 +119,8 @@
             Software version that the runner has to be of, unless it is empty.
         is_repeated : bool
             Whether another runner has been tried before.
+        is_only_attempt : bool, optional
+            Whether no other runner may have the request once this one has begun it.
         standby_number : int, optional
             Number of the ask among those that are made while another runner has the
             request, 0 for any other ask.
@@ -131,8 +134,9 @@
         """
         if not self.uses_slots(routed):
             return Assignment(self._choose_runner(routed, excluded, version), None)
-        slot = await self._acquire_slot(
-            routed, excluded, version, is_repeated, standby_number
+        ask = self._make_ask(routed, excluded, version, is_repeated, standby_number)
+        slot = await self._slot_client.acquire(
+            ask._replace(is_only_attempt=is_only_attempt)
         )
         runner = self._state.find_runner(routed.service, slot.runner_id)
         if runner is None:
@@ -149,18 +153,18 @@
         else:
             self._release_runner(assignment.runner.runner_id)
 
-    async def _acquire_slot(
+    def _make_ask(
         self,
         routed: RoutedRequest,
         excluded: Collection[RunnerId],
         version: str,
         is_repeated: bool,
         standby_number: int,
-    ) -> Slot:
-        """Acquire a slot; one of each request id is held at a home at a time."""
+    ) -> SlotAsk:
+        """Return an ask; one slot of each request id is held at a home at a time."""
         request_id = routed.request.request_id
         remaining_s = routed.deadline_at_s - self._timers.now()
-        ask = SlotAsk(
+        return SlotAsk(
             request_id=(
                 standby_request_id(request_id, standby_number)
                 if standby_number
@@ -183,7 +187,6 @@
             workspace=routed.workspace,
             data_centre=self._state.view.own.data_centre,
         )
-        return await self._slot_client.acquire(ask)
 
     def uses_slots(self, routed: RoutedRequest) -> bool:
         """Return whether a request needs a slot from the home of its service.
--- a/libs/gateway/src/damaskjunction/gateway/requests/silence_limits.py
+++ b/libs/gateway/src/damaskjunction/gateway/requests/silence_limits.py
@@ -20,12 +20,14 @@
 ) -> float:
     """Return the limit before a response's head, and in a plain body, in seconds.
 
-    There is none when the runner must not be left.
+    Of a stream whose runner must not be left, it is the time after which the silence
+    is reported, so that others are spared the runner. A plain answer that may not be
+    asked for again has no limit.
     """
-    if not history.may_retry_after_run(remaining_s):
-        return math.inf
     if route.kind is RouteKind.STREAM:
         return _first_event_limit_s(route)
+    if not history.may_retry_after_run(remaining_s):
+        return math.inf
     return max(MIN_RESPONSE_LIMIT_S, RESPONSE_TIME_FRACTION * remaining_s)
 
 
--- a/libs/gateway/src/damaskjunction/gateway/slots/slot_home.py
+++ b/libs/gateway/src/damaskjunction/gateway/slots/slot_home.py
@@ -169,6 +169,7 @@
             ask.software_version,
             ask.workspace,
             ask.data_centre,
+            ask.is_only_attempt,
         )
         self._state.record_leaving(ask.leaving)
         self._start_expiry()
--- a/libs/routing/src/damaskjunction/routing/slots/slot_types.py
+++ b/libs/routing/src/damaskjunction/routing/slots/slot_types.py
@@ -27,7 +27,8 @@
     ``due_at_s``. ``is_repeated`` says that an earlier submission or attempt of it was
     refused or failed. Only runners of ``software_version`` may be given it, unless that
     is empty. ``workspace`` is that of its caller, and ``data_centre`` that of the host
-    which asks; both are empty if unknown.
+    which asks; both are empty if unknown. ``is_only_attempt`` says that no other runner
+    may have the request once this one has begun it.
     """
 
     request_id: RequestId
@@ -41,6 +42,7 @@
     software_version: str = ""
     workspace: WorkspaceName = ""
     data_centre: DataCentre = ""
+    is_only_attempt: bool = False
 
 
 class HeldSlot(NamedTuple):
--- a/libs/wire/src/damaskjunction/wire/peer.thrift
+++ b/libs/wire/src/damaskjunction/wire/peer.thrift
@@ -229,6 +229,7 @@
   14: list<LeavingNotice> leaving
   15: string workspace
   16: string data_centre
+  17: bool is_only_attempt
 }
 
 // The slot is granted: the request may be sent to the runner.
--- a/libs/wire/src/damaskjunction/wire/slots.py
+++ b/libs/wire/src/damaskjunction/wire/slots.py
@@ -39,6 +39,8 @@
     of them it knows to leave. Only runners of ``software_version`` may be given the
     request, unless that is empty. ``workspace`` is that of the caller, and
     ``data_centre`` that of the asking host; both are empty if unknown.
+    ``is_only_attempt`` says that no other runner may have the request once one has
+    begun it.
     """
 
     request_id: RequestId
@@ -57,6 +59,7 @@
     leaving: tuple[LeavingNotice, ...] = ()
     workspace: WorkspaceName = ""
     data_centre: DataCentre = ""
+    is_only_attempt: bool = False
 
     @property
     def traits(self) -> tuple[str, ...]:
