Serve callers by the keys of their workspaces

Cause: the configuration may list workspaces with API keys, of which the host process knew nothing: a request with any key ran, its key reached the runner, and the runner was told no workspace.

Change: the keys (kept as digests) and the public routes are decoded. Where workspaces are configured, a request on a route that is not public needs a known key, or is answered 401 without a run; the log and the counter `refusals` tell why. Runners get the workspace and never the key, for requests and batch items alike. A job's record names its workspace, at the end of the stored document; only callers with a key of it reach the job, and the bound on waiting tokens is each workspace's own. The look-up of a key is one function for both front ends. Without workspaces nothing changes.

--- a/libs/batch/src/damaskjunction/batch/records.py
+++ b/libs/batch/src/damaskjunction/batch/records.py
@@ -14,7 +14,7 @@
 from collections.abc import Iterable, Mapping, Sequence
 from typing import NamedTuple
 
-from damaskjunction.core import HostId, JobId
+from damaskjunction.core import HostId, JobId, WorkspaceName
 
 SEGMENT_BYTES = 600_000  # estimated size above which a new results segment is started
 RESULT_OVERHEAD_BYTES = 40  # of each result's JSON, beside its id and text
@@ -38,7 +38,8 @@
     completion target counts. ``tokens`` lists the number of tokens of each item.
     ``n_parts`` is the number of additional objects that store the items, or 0 if the
     items are stored with the record. ``owner`` is the host that accepted the job and
-    runs its items until another host takes over.
+    runs its items until another host takes over. ``workspace`` is that of the key that
+    it was submitted with, empty without one.
     """
 
     job_id: JobId
@@ -49,6 +50,7 @@
     tokens: tuple[int, ...]
     n_parts: int
     owner: HostId
+    workspace: WorkspaceName = ""
 
     @property
     def n_tokens(self) -> int:
--- a/libs/gateway/features/platform_fleet.py
+++ b/libs/gateway/features/platform_fleet.py
@@ -46,9 +46,11 @@
     return standins.make_route(name, HOST_NAME, prefix, kind, service, **more)
 
 
-def make_configuration(version: int, routes: list[Any]) -> Any:
+def make_configuration(version: int, routes: list[Any], **more: Any) -> Any:
     """Return a configuration with an engine service and a plain service."""
-    return standins.make_configuration(version, routes, engine=ENGINE, plain=PLAIN)
+    return standins.make_configuration(
+        version, routes, engine=ENGINE, plain=PLAIN, **more
+    )
 
 
 URGENT = {"Resumable": True, "GapAimMs": 100, "MaxAttempts": 4}
--- a/libs/gateway/src/damaskjunction/gateway/front_end.py
+++ b/libs/gateway/src/damaskjunction/gateway/front_end.py
@@ -8,6 +8,7 @@
 from damaskjunction.gateway.jobs.job_front import JobFront
 from damaskjunction.gateway.requests.online import OnlineHandler, deadline_at_s
 from damaskjunction.gateway.state import ServingState
+from damaskjunction.gateway.unauthorized import UnauthorizedError
 from damaskjunction.http import Request, Response
 from damaskjunction.platform import (
     ADDRESSES_PATH,
@@ -15,11 +16,21 @@
     CallerRequest,
     Refusal,
     addresses_response,
+    authorization_of,
     decode_request,
+    for_workspace,
     readiness_response,
     refusal_response,
+    request_id_of,
+)
+from damaskjunction.routing import (
+    Caller,
+    Route,
+    RouteKind,
+    RouteTable,
+    StopSchedule,
+    identify_caller,
 )
-from damaskjunction.routing import Route, RouteKind, StopSchedule
 from damaskjunction.telemetry import Metrics
 
 logger = logging.getLogger(__name__)
@@ -73,9 +84,25 @@
             return refusal_response(
                 Refusal.NOT_RUN, "no configuration yet", retry_after_s=RETRY_AFTER_S
             )
-        response = await self._jobs.serve(request)
-        if response is not None:
-            return response
+        caller = identify_caller(table, authorization_of(request.headers))
+        try:
+            response = await self._jobs.serve(request, caller)
+            if response is not None:
+                return response
+            return await self._serve_on_route(request, table, caller)
+        except UnauthorizedError as error:
+            return self._refuse_unauthorized(request, table, error)
+
+    async def _serve_on_route(
+        self, request: Request, table: RouteTable, caller: Caller
+    ) -> Response:
+        """Return the response to a request that a route matches, or to an unknown one.
+
+        Raises
+        ------
+        UnauthorizedError
+            When the route needs the key of a workspace.
+        """
         caller_request = decode_request(request, await request.body.read())
         route = table.find(caller_request.host, caller_request.path)
         if route is None:
@@ -89,11 +116,31 @@
             return refusal_response(
                 Refusal.NO_ROUTE, "no such route", request_id=caller_request.request_id
             )
+        if not caller.may_use(route):
+            raise UnauthorizedError(caller.denial)
+        workspace = caller.workspace
+        if caller.is_restricted:
+            caller_request = for_workspace(caller_request, caller.workspace_name)
         if route.kind is RouteKind.BATCH:
-            return await self._jobs.submit(caller_request, route)
+            return await self._jobs.submit(caller_request, route, caller)
         if not self._has_time_for(caller_request, route):
             return self._refuse_while_leaving(caller_request, route)
-        return await self._online_handler.serve(caller_request, route)
+        return await self._online_handler.serve(caller_request, route, workspace)
+
+    def _refuse_unauthorized(
+        self, request: Request, table: RouteTable, error: UnauthorizedError
+    ) -> Response:
+        request_id = request_id_of(request.headers)
+        reason = error.denial.value
+        extra = {
+            "request": request_id,
+            "path": request.path,
+            "reason": reason,
+            "version": table.version,
+        }
+        logger.info("request unauthorized", extra=extra)
+        self._metrics.count("refusals", reason=reason)
+        return refusal_response(Refusal.UNAUTHORIZED, reason, request_id=request_id)
 
     def _has_time_for(self, request: CallerRequest, route: Route) -> bool:
         """Return whether an online request ends before this host is to stop."""
--- a/libs/gateway/src/damaskjunction/gateway/jobs/item_runner.py
+++ b/libs/gateway/src/damaskjunction/gateway/jobs/item_runner.py
@@ -19,6 +19,7 @@
 from damaskjunction.gateway.dispatch_context import DispatchContext
 from damaskjunction.gateway.jobs.item_events import collect_events
 from damaskjunction.gateway.jobs.item_progress import ItemProgress
+from damaskjunction.gateway.jobs.item_requests import make_item_request
 from damaskjunction.gateway.jobs.item_slots import ATTEMPT_TIMEOUT_S, ItemSlots
 from damaskjunction.gateway.jobs.job_repository import StoredJob
 from damaskjunction.gateway.jobs.owed_items import ItemState, OwedItem
@@ -33,7 +34,6 @@
 from damaskjunction.gateway.versions.stream_version import ADMISSION_REASONS
 from damaskjunction.http import ReadPacer
 from damaskjunction.node import cancel_tasks
-from damaskjunction.platform import item_request
 from damaskjunction.routing import Route
 from damaskjunction.wire import RunnerSeen
 
@@ -298,7 +298,7 @@
         progress.runners_tried.add(runner.runner_id)
         runner_response = await self._runner_client.send(
             runner,
-            item_request(progress.item, job.record.host),
+            make_item_request(progress.item, job.record, self._state.table),
             remaining_s=ATTEMPT_TIMEOUT_S,
             stall_s=ATTEMPT_TIMEOUT_S,
             last_event_id=progress.last_event_id,
--- a/libs/gateway/src/damaskjunction/gateway/jobs/item_slots.py
+++ b/libs/gateway/src/damaskjunction/gateway/jobs/item_slots.py
@@ -136,5 +136,6 @@
             start_within_s=ATTEMPT_TIMEOUT_S,
             due_in_s=due_at_s - self._timers.wall(),
             software_version=version,
+            workspace=record.workspace,
             data_centre=self._state.view.own.data_centre,
         )
--- a/libs/gateway/src/damaskjunction/gateway/jobs/job_front.py
+++ b/libs/gateway/src/damaskjunction/gateway/jobs/job_front.py
@@ -19,6 +19,7 @@
 from damaskjunction.gateway.jobs.job_repository import JobRepository, StoredJob
 from damaskjunction.gateway.jobs.result_reader import ResultReader
 from damaskjunction.gateway.state import ServingState
+from damaskjunction.gateway.unauthorized import UnauthorizedError
 from damaskjunction.http import Request, Response
 from damaskjunction.platform import (
     ITEM_PATH_PREFIX,
@@ -35,12 +36,13 @@
     refusal_response,
     results_response,
 )
-from damaskjunction.routing import Route
+from damaskjunction.routing import Caller, Route, has_public_jobs
 
 logger = logging.getLogger(__name__)
 
 MAX_WAIT_S = 1.0
 RETRY_AFTER_S = 0.4
+ANYBODY = Caller()  # while no workspaces are configured
 QUEUE_FULL_RETRY_AFTER_S = 2.0
 
 
@@ -76,7 +78,9 @@
         self._state = state
         self._timers = timers
 
-    async def submit(self, request: CallerRequest, route: Route) -> Response:
+    async def submit(
+        self, request: CallerRequest, route: Route, caller: Caller = ANYBODY
+    ) -> Response:
         """Accept a job; once this returns 202, the job is stored and will be run."""
         job_id = request.request_id
         try:
@@ -85,18 +89,32 @@
             return refusal_response(Refusal.BAD_REQUEST, str(error), request_id=job_id)
         if not job_id:
             return refusal_response(Refusal.BAD_REQUEST, "the job has no request id")
-        if job_id in self._jobs.jobs_by_id:
-            self._log("already accepted", job_id)
-            return Response(202)
+        known = self._jobs.jobs_by_id.get(job_id)
+        if known is not None:
+            return self._answer_again(known, caller)
         n_tokens = sum(item.n_tokens for item in items)
-        if self._exceeds_token_limit(route, n_tokens):
-            return await self._refuse_over_limit(job_id, n_tokens)
-        return await self._accept(request, route, items)
+        if self._exceeds_token_limit(route, caller, n_tokens):
+            return await self._refuse_over_limit(job_id, caller, n_tokens)
+        return await self._accept(request, route, items, caller)
 
-    async def _refuse_over_limit(self, job_id: JobId, n_tokens: int) -> Response:
-        """Reject a job over the token limit, unless another host has accepted it."""
-        if await self._try_find(job_id) is not None:
+    def _answer_again(self, job: StoredJob, caller: Caller) -> Response:
+        """Respond to a job under an id that was accepted before."""
+        record = job.record
+        if caller.may_have_sent(record.workspace):
+            self._log("already accepted", record.job_id)
             return Response(202)
+        self._log("refused", record.job_id, reason="id_of_another_workspace")
+        return refusal_response(
+            Refusal.BAD_REQUEST, "the id is in use", request_id=record.job_id
+        )
+
+    async def _refuse_over_limit(
+        self, job_id: JobId, caller: Caller, n_tokens: int
+    ) -> Response:
+        """Reject a job over the token limit, unless another host has accepted it."""
+        known = await self._try_find(job_id)
+        if known is not None:
+            return self._answer_again(known, caller)
         self._log("refused", job_id, reason="too_many_tokens_wait", tokens=n_tokens)
         return refusal_response(
             Refusal.TOO_MUCH,
@@ -106,7 +124,11 @@
         )
 
     async def _accept(
-        self, request: CallerRequest, route: Route, items: tuple[BatchItem, ...]
+        self,
+        request: CallerRequest,
+        route: Route,
+        items: tuple[BatchItem, ...],
+        caller: Caller,
     ) -> Response:
         job_id = request.request_id
         record = JobRecord(
@@ -118,9 +140,10 @@
             tuple(item.n_tokens for item in items),
             0,
             self._choose_owner(job_id),
+            caller.workspace_name,
         )
         try:
-            await self._jobs.accept(record, items)
+            stored = await self._jobs.accept(record, items)
         except JobTooLargeError as error:
             self._log("refused", job_id, reason="too_large", detail=str(error))
             return refusal_response(Refusal.BAD_REQUEST, str(error), request_id=job_id)
@@ -128,6 +151,8 @@
             return self._refuse(job_id, error)
         except PlatformUnknownError as error:
             return self._answer_unknown(job_id, error)
+        if not caller.may_have_sent(stored.record.workspace):
+            return self._answer_again(stored, caller)
         self._log("accepted", job_id, n_items=len(items), tokens=record.n_tokens)
         return Response(202)
 
@@ -139,34 +164,67 @@
             return view.own.host_id
         return rendezvous_order(f"job/{job_id}", weighted_hosts)[0]
 
-    async def serve(self, request: Request) -> Response | None:
-        """Handle a request on a stored job; return None for any other request."""
+    async def serve(
+        self, request: Request, caller: Caller = ANYBODY
+    ) -> Response | None:
+        """Handle a request on a stored job; return None for any other request.
+
+        Raises
+        ------
+        UnauthorizedError
+            When the caller needs the key of a workspace.
+        """
         path = request.path
         try:
             if path.startswith(JOB_PATH_PREFIX):
                 if request.method == "GET":
-                    return await self._read(decode_results_query(request))
+                    return await self._read(decode_results_query(request), caller)
                 if request.method == "DELETE":
-                    return await self._cancel(decode_job_id(path, JOB_PATH_PREFIX))
+                    job_id = decode_job_id(path, JOB_PATH_PREFIX)
+                    return await self._cancel(job_id, caller)
             if path.startswith(ITEM_PATH_PREFIX) and request.method == "GET":
-                return await self._read_item(decode_item_query(request))
+                return await self._read_item(decode_item_query(request), caller)
         except PlatformUnavailableError as error:
             return self._refuse(path.rpartition("/")[2], error)
         except PlatformUnknownError as error:
             return self._answer_unknown(path.rpartition("/")[2], error)
         return None
 
-    async def _read(self, query: ResultsQuery) -> Response:
-        job = await self._jobs.find(query.job_id)
+    async def _find(self, job_id: JobId, caller: Caller) -> StoredJob | None:
+        """Return a job that a caller may reach, None if there is no such job.
+
+        Raises
+        ------
+        UnauthorizedError
+            When the caller needs the key of a workspace.
+        """
+        if not caller.is_restricted:
+            return await self._jobs.find(job_id)
+        table = self._state.table
+        if caller.denial is not None and not has_public_jobs(table):
+            raise UnauthorizedError(caller.denial)
+        job = await self._jobs.find(job_id)
+        route = None if job is None else table.find_by_name(job.record.route_name)
+        is_public = route is not None and route.is_public
+        if job is not None and caller.may_reach_job(
+            job.record.workspace, is_public=is_public
+        ):
+            return job
+        if caller.denial is not None:
+            raise UnauthorizedError(caller.denial)
+        return None
+
+    async def _read(self, query: ResultsQuery, caller: Caller) -> Response:
+        job = await self._find(query.job_id, caller)
         if job is None:
             return _no_such_job(query.job_id)
         wait_s = min(query.wait_s, MAX_WAIT_S)
         results = await self._reader.read(job, query.after, wait_s)
         return results_response(len(job.record.item_ids), query.after, results)
 
-    async def _read_item(self, query: ItemQuery) -> Response:
+    async def _read_item(self, query: ItemQuery, caller: Caller) -> Response:
         job_id, item_id = query
-        job = await self._jobs.find(job_id)
+        job = await self._find(job_id, caller)
         if job is None:
             return _no_such_job(job_id)
         for item in await self._jobs.items(job_id):
@@ -174,15 +232,18 @@
                 return Response(200, item.body, "application/octet-stream")
         return refusal_response(Refusal.NO_ROUTE, f"no item {item_id!r}")
 
-    async def _cancel(self, job_id: JobId) -> Response:
-        job = await self._jobs.update_status(job_id, is_ended=True)
+    async def _cancel(self, job_id: JobId, caller: Caller) -> Response:
+        job = await self._find(job_id, caller)
+        if job is not None:
+            job = await self._jobs.update_status(job_id, is_ended=True)
         if job is None:
             return _no_such_job(job_id)
         await self._notifier.announce(job)
         self._log("ended", job_id)
         return Response(200)
 
-    def _exceeds_token_limit(self, route: Route, n_tokens: int) -> bool:
+    def _exceeds_token_limit(self, route: Route, caller: Caller, n_tokens: int) -> bool:
+        """Return whether tokens exceed what the caller's workspace may have waiting."""
         limit = route.max_waiting_tokens
         if not limit:
             return False
@@ -190,6 +251,10 @@
             self._queued_tokens(job)
             for job in self._jobs.open_jobs()
             if job.record.route_name == route.name
+            and (
+                not caller.is_restricted
+                or job.record.workspace == caller.workspace_name
+            )
         )
         return n_queued_tokens + n_tokens > limit
 
--- a/libs/gateway/src/damaskjunction/gateway/requests/online.py
+++ b/libs/gateway/src/damaskjunction/gateway/requests/online.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from damaskjunction.core import RequestError, stable_hash
+from damaskjunction.core import RequestError, WorkspaceSpec, stable_hash
 from damaskjunction.gateway.dispatch_context import DispatchContext
 from damaskjunction.gateway.requests.request_execution import RequestExecution
 from damaskjunction.gateway.requests.runner_selector import (
@@ -11,7 +11,7 @@
 )
 from damaskjunction.http import Response
 from damaskjunction.platform import CallerRequest, Refusal, refusal_response
-from damaskjunction.routing import Route, RouteKind, fingerprint_of
+from damaskjunction.routing import Route, RouteKind, fingerprint_of, prioritize
 
 DEFAULT_DEADLINE_S = 30.0
 RETRY_TIMEOUT_FRACTION = 0.98  # of the longest time stated on the route
@@ -41,8 +41,14 @@
         self._selector = RunnerSelector(context)
         self._longest_timeout_s_by_route: dict[str, float] = {}
 
-    async def serve(self, request: CallerRequest, route: Route) -> Response:
-        """Return the response to a request on a route."""
+    async def serve(
+        self,
+        request: CallerRequest,
+        route: Route,
+        workspace: WorkspaceSpec | None = None,
+    ) -> Response:
+        """Return the response to a request on a route, sent by a workspace if any."""
+        route = prioritize(route, workspace)
         now_s = self._context.timers.now()
         origin = None
         if request.last_event_id is not None and route.kind is RouteKind.STREAM:
@@ -66,6 +72,7 @@
             is_repeated,
             fingerprint,
             origin,
+            "" if workspace is None else workspace.name,
         )
         response = await RequestExecution(self._context, self._selector, routed).run()
         metrics = self._context.metrics
--- a/libs/node/src/damaskjunction/node/serving/caller_routes.py
+++ b/libs/node/src/damaskjunction/node/serving/caller_routes.py
@@ -35,7 +35,7 @@
 from damaskjunction.node.serving.claims import CallClaims
 from damaskjunction.node.serving.metering import RequestRunner
 from damaskjunction.node.state import HostView
-from damaskjunction.routing import AnswerPart, PlainAnswer, StreamEnd, Token
+from damaskjunction.routing import AnswerPart, PlainAnswer, StreamEnd, Token, bearer_key
 
 logger = logging.getLogger(__name__)
 
@@ -59,8 +59,8 @@
     """
     if not view.is_ready:
         raise HttpError(503, "no_configuration", "this host has no configuration yet")
-    scheme, _, key = request.headers.get("authorization", "").partition(" ")
-    workspace = view.workspace_of_key(key) if scheme.lower() == "bearer" else None
+    key = bearer_key(request.headers.get("authorization", ""))
+    workspace = view.workspace_of_key(key)
     if workspace is None:
         raise HttpError(401, "unknown_key", "send 'Authorization: Bearer <key>'")
     return workspace
--- a/libs/node/src/damaskjunction/node/state.py
+++ b/libs/node/src/damaskjunction/node/state.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import hashlib
 from collections.abc import Callable, Collection, Iterable, Mapping
 
 from damaskjunction.core import (
@@ -20,6 +19,7 @@
 )
 from damaskjunction.membership import FleetView
 from damaskjunction.placement import RunnerState, RunnerStatus, assignment_state
+from damaskjunction.routing import WorkspaceKeys
 
 
 class HostView:
@@ -42,7 +42,7 @@
         self.is_draining = False
         self.is_listed_leaving = False
         self.statuses_by_runner: dict[RunnerId, RunnerStatus] = {}
-        self._workspaces_by_digest: dict[str, WorkspaceName] = {}
+        self._keys = WorkspaceKeys()
         self._addresses_fleet: FleetView | None = None
         self._runner_addresses: frozenset[Address] = frozenset()
         self._observers: list[Callable[[], None]] = []
@@ -61,11 +61,8 @@
         if configuration.revision <= self.configuration.revision:
             return False
         self.configuration = configuration
-        self._workspaces_by_digest = {
-            digest: workspace.name
-            for workspace in configuration.workspaces_by_name.values()
-            for digest in workspace.key_digests
-        }
+        workspaces = configuration.workspaces_by_name.values()
+        self._keys = WorkspaceKeys.from_workspaces(workspaces)
         self._notify_observers()
         return True
 
@@ -100,8 +97,8 @@
 
     def workspace_of_key(self, key: str) -> WorkspaceName | None:
         """Return the workspace of an API key, None for an unknown key."""
-        digest = hashlib.sha256(key.encode()).hexdigest()
-        return self._workspaces_by_digest.get(digest)
+        workspace = self._keys.find(key)
+        return None if workspace is None else workspace.name
 
     def runner_addresses(self) -> frozenset[Address]:
         """Return the addresses of the runners that are not leaving."""
--- a/libs/platform/src/damaskjunction/platform/__init__.py
+++ b/libs/platform/src/damaskjunction/platform/__init__.py
@@ -66,6 +66,7 @@
     host_name,
     readiness_response,
     refusal_response,
+    request_id_of,
     runner_headers,
 )
 from damaskjunction.platform.settings_file import (
@@ -95,6 +96,10 @@
     StoredObject,
     WatchResult,
 )
+from damaskjunction.platform.workspaces import (
+    authorization_of,
+    for_workspace,
+)
 
 __all__ = [
     "ADDRESSES_PATH",
@@ -141,6 +146,7 @@
     "StoredObject",
     "WatchResult",
     "addresses_response",
+    "authorization_of",
     "caller_response",
     "decode_configuration",
     "decode_host_list",
@@ -166,11 +172,13 @@
     "encode_status",
     "entry_host_from_document",
     "entry_host_to_document",
+    "for_workspace",
     "host_name",
     "item_request",
     "read_settings",
     "readiness_response",
     "refusal_response",
+    "request_id_of",
     "results_response",
     "runner_from_document",
     "runner_headers",
--- a/libs/platform/src/damaskjunction/platform/configuration.py
+++ b/libs/platform/src/damaskjunction/platform/configuration.py
@@ -16,6 +16,7 @@
     SourceLocation,
     read_address,
     read_integer,
+    read_list,
     read_number,
     read_text,
 )
@@ -23,6 +24,7 @@
 from damaskjunction.platform.header_values import read_header_value
 from damaskjunction.platform.requests import read_start_time
 from damaskjunction.platform.store_objects import PlatformObject
+from damaskjunction.platform.workspaces import decode_workspace
 from damaskjunction.routing import (
     BackendSpec,
     CallerLimits,
@@ -53,7 +55,7 @@
 
 
 def decode_configuration(stored: PlatformObject) -> RouteTable:
-    """Decode the routes, services and limits of a configuration object.
+    """Decode the routes, services, limits and workspaces of a configuration object.
 
     Raises
     ------
@@ -65,7 +67,10 @@
         routes = [_decode_route(entry) for entry in document.get("Routes") or []]
         services = [_decode_service(entry) for entry in document.get("Services") or []]
         limits = _decode_limits(document.get("Limits") or {})
-        return make_route_table(int(document["Version"]), routes, services, limits)
+        workspaces = map(decode_workspace, read_list(document.get("Tenants") or []))
+        return make_route_table(
+            int(document["Version"]), routes, services, limits, workspaces
+        )
     except SHAPE_ERRORS as error:
         location = SourceLocation(f"{stored.kind}/{stored.name}")
         raise FindingError(
@@ -98,6 +103,7 @@
         retention_s=float(entry.get("RetentionS") or 0.0),
         # The format names this bound "Cap", as it does other bounds.
         max_waiting_tokens=int(entry.get("Cap") or 0),
+        is_public=bool(entry.get("Public")),
     )
 
 
--- a/libs/platform/src/damaskjunction/platform/jobs.py
+++ b/libs/platform/src/damaskjunction/platform/jobs.py
@@ -101,7 +101,10 @@
 
 
 def item_request(item: BatchItem, host: str) -> CallerRequest:
-    """Return an item as a request that can be sent to a runner."""
+    """Return an item as a request that can be sent to a runner.
+
+    A key among its headers is the caller's, see ``for_workspace``.
+    """
     parts = item.headers.get("x-prompt-prefix", "").split(",")
     return CallerRequest(
         request_id=item.item_id,
@@ -213,6 +216,7 @@
         "n_parts": record.n_parts,
         "owner": record.owner,
         "items": encode_items(items),
+        "workspace": record.workspace,
     }
 
 
@@ -245,6 +249,7 @@
             tokens,
             read_integer(content["n_parts"], least=0, most=len(item_ids)),
             read_text(content["owner"]),
+            read_text(content.get("workspace", "")),
         )
     except SHAPE_ERRORS as error:
         raise MalformedError(f"malformed job: {error!r}") from None
--- a/libs/platform/src/damaskjunction/platform/requests.py
+++ b/libs/platform/src/damaskjunction/platform/requests.py
@@ -131,6 +131,7 @@
     NOT_RUN = "not_run"
     TOO_MUCH = "too_much"
     NO_ROUTE = "no_route"
+    UNAUTHORIZED = "unauthorized"
     BAD_REQUEST = "bad_request"
     UNKNOWN = "unknown"
     TIMED_OUT = "timed_out"
@@ -140,6 +141,7 @@
     Refusal.NOT_RUN: 503,
     Refusal.TOO_MUCH: 429,
     Refusal.NO_ROUTE: 404,
+    Refusal.UNAUTHORIZED: 401,
     Refusal.BAD_REQUEST: 400,
     Refusal.UNKNOWN: 502,
     Refusal.TIMED_OUT: 504,
@@ -154,7 +156,7 @@
         for part in headers.get(PROMPT_PARTS_HEADER, "").split(",")
     )
     return CallerRequest(
-        request_id=headers.get(REQUEST_ID_HEADER, ""),
+        request_id=request_id_of(headers),
         method=request.method,
         target=request.target,
         path=request.path,
@@ -178,6 +180,11 @@
     }
 
 
+def request_id_of(headers: Mapping[str, str]) -> RequestId:
+    """Return the id of a request, empty if it has none."""
+    return headers.get(REQUEST_ID_HEADER, "")
+
+
 def host_name(headers: Mapping[str, str]) -> str:
     """Return the Host header without the port, in lower case."""
     return headers.get("host", "").partition(":")[0].lower()
--- a/libs/routing/src/damaskjunction/routing/__init__.py
+++ b/libs/routing/src/damaskjunction/routing/__init__.py
@@ -174,6 +174,18 @@
     stream_lives,
     unknown_record,
 )
+from damaskjunction.routing.workspaces.callers import (
+    Caller,
+    KeyDenial,
+    has_public_jobs,
+    identify_caller,
+    prioritize,
+)
+from damaskjunction.routing.workspaces.keys import (
+    WorkspaceKeys,
+    bearer_key,
+    digest_of_key,
+)
 
 __all__ = [
     "CAPACITY_REASONS",
@@ -197,6 +209,7 @@
     "AnswerPart",
     "Attempts",
     "BackendSpec",
+    "Caller",
     "CallerLimits",
     "ChoiceInput",
     "Claim",
@@ -220,6 +233,7 @@
     "GrantSlot",
     "GroupWrite",
     "ItemWait",
+    "KeyDenial",
     "LatencyTargets",
     "LeavingNotice",
     "LeavingRunners",
@@ -276,15 +290,21 @@
     "VersionRecord",
     "WaitForecast",
     "WeightedService",
+    "WorkspaceKeys",
     "admission_policies",
     "are_writers_proved",
+    "bearer_key",
+    "digest_of_key",
     "fingerprint_of",
+    "has_public_jobs",
     "home_of",
+    "identify_caller",
     "item_denial",
     "judge_runner",
     "listed_versions",
     "make_route_table",
     "origin_of",
+    "prioritize",
     "proven_version",
     "required_version",
     "resolve_claim",
--- a/libs/routing/src/damaskjunction/routing/routes.py
+++ b/libs/routing/src/damaskjunction/routing/routes.py
@@ -8,6 +8,7 @@
 
 from damaskjunction.core import Revision, ServiceName, WorkspaceName, WorkspaceSpec
 from damaskjunction.core.types import EMPTY
+from damaskjunction.routing.workspaces.keys import WorkspaceKeys
 
 HASH_RANGE = 1 << 32
 
@@ -98,13 +99,17 @@
 
 
 class RouteTable(NamedTuple):
-    """One version of the operators' route configuration."""
+    """One version of the operators' route configuration.
+
+    ``keys`` are those of its workspaces.
+    """
 
     version: Revision = 0
     routes_by_host: Mapping[str, tuple[Route, ...]] = EMPTY
     services_by_name: Mapping[ServiceName, BackendSpec] = EMPTY
     limits: CallerLimits = CallerLimits()
     workspaces_by_name: Mapping[WorkspaceName, WorkspaceSpec] = EMPTY
+    keys: WorkspaceKeys = WorkspaceKeys()
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching prefix of ``path``, if any."""
@@ -130,6 +135,7 @@
     workspaces: Iterable[WorkspaceSpec] = (),
 ) -> RouteTable:
     """Return a route table in which each host's longest prefixes come first."""
+    workspaces_by_name = {workspace.name: workspace for workspace in workspaces}
     routes_by_host: dict[str, list[Route]] = {}
     for route in sorted(routes, key=lambda route: -len(route.path_prefix)):
         routes_by_host.setdefault(route.host, []).append(route)
@@ -138,5 +144,6 @@
         {host: tuple(listed) for host, listed in routes_by_host.items()},
         {service.name: service for service in services},
         limits,
-        {workspace.name: workspace for workspace in workspaces},
+        workspaces_by_name,
+        WorkspaceKeys.from_workspaces(workspaces_by_name.values()),
     )
--- a/libs/standins/src/damaskjunction/standins/__init__.py
+++ b/libs/standins/src/damaskjunction/standins/__init__.py
@@ -45,6 +45,7 @@
     SHORT_IDLE_TIME,
     caller_headers,
     job_path,
+    key_headers,
     make_configuration,
     make_job,
     make_prompt_header,
@@ -52,6 +53,7 @@
     make_resume_headers,
     make_route,
     make_settings_text,
+    make_workspace,
     read_results,
 )
 from damaskjunction.standins.ports import allocate_addresses
@@ -99,6 +101,7 @@
     "deployments",
     "encode_refusal",
     "job_path",
+    "key_headers",
     "make_configuration",
     "make_job",
     "make_prompt_header",
@@ -106,6 +109,7 @@
     "make_resume_headers",
     "make_route",
     "make_settings_text",
+    "make_workspace",
     "parse_events",
     "read_results",
     "run_command",
--- a/libs/standins/src/damaskjunction/standins/platform_documents.py
+++ b/libs/standins/src/damaskjunction/standins/platform_documents.py
@@ -91,6 +91,7 @@
     plain: str,
     slots: int = 2,
     limits: Mapping[str, Any] = {},
+    workspaces: Sequence[Mapping[str, Any]] = (),
 ) -> dict[str, Any]:
     """Return a configuration with an engine service and a plain service."""
     engine_description = {"Slots": slots, "KvCapacity": 100_000}
@@ -99,9 +100,20 @@
         "Routes": routes,
         "Services": [{"Name": engine, "Engine": engine_description}, {"Name": plain}],
         "Limits": limits,
+        **({"Tenants": list(workspaces)} if workspaces else {}),
     }
 
 
+def make_workspace(name: str, *keys: str, **more: Any) -> dict[str, Any]:
+    """Return a workspace for the configuration; ``more`` adds keys of the format."""
+    return {"Name": name, "ApiKeys": list(keys), **more}
+
+
+def key_headers(key: str) -> dict[str, str]:
+    """Return the header of a caller that has a workspace's key, none if it is empty."""
+    return {"Authorization": f"Bearer {key}"} if key else {}
+
+
 def make_settings_text(
     name: str,
     ip: str,
