List the hosts again while a host that starts is not listed itself

Cause: hosts that start at once read the list of hosts before most are in it.

Change: a host that is not in the list it has read reads it once more a second after its start. One that restarts is listed already. The first look at the store has a module of its own.

--- a/libs/gateway/src/damaskjunction/gateway/store/change_feed.py
+++ b/libs/gateway/src/damaskjunction/gateway/store/change_feed.py
@@ -29,6 +29,7 @@
 )
 from damaskjunction.gateway.store.kind_follower import KindFollower
 from damaskjunction.gateway.store.kind_state import KindState
+from damaskjunction.gateway.store.startup_snapshot import take_snapshots
 from damaskjunction.gateway.store.store_availability import (
     PROBE_PERIOD_S,
     StoreAvailability,
@@ -47,7 +48,6 @@
 SILENCE_TIMEOUT_S = 0.9
 FALLBACK_FRACTION = 0.2  # of the time in which changes have to reach this host
 MIN_STABLE_S = 5.0  # a failure after a longer read does not lengthen the ejection
-STARTUP_DELAY_S = 1.5  # for the other hosts and their powers to be known
 REVIEW_PERIOD_S = 3.0
 REFUSING_STATUSES = (429, 503)
 RECOVERY_FACTOR = 2.0  # of the fallback delay, after the store was lost
@@ -169,7 +169,7 @@
         }
 
     async def _run(self) -> None:
-        await self._take_snapshot()
+        await take_snapshots(self._followers)
         while True:
             source = self._choose_source()
             is_needed = self._server.n_readers and not self._is_recovering
@@ -181,17 +181,6 @@
             await asyncio.wait([self._reading])
             self._reading = None
 
-    async def _take_snapshot(self) -> None:
-        """List all objects, for ``STARTUP_DELAY_S`` at most; return after that."""
-        snapshots = [
-            asyncio.ensure_future(follower.take_snapshot())
-            for follower in self._followers
-        ]
-        try:
-            await asyncio.sleep(STARTUP_DELAY_S)
-        finally:
-            await cancel_tasks(snapshots)
-
     async def _wait_for_review(self) -> None:
         """Wait for ``REVIEW_PERIOD_S``, or until the store fails."""
         self._review_due.clear()
