Choose runners by data centre and learnt speed, and tell callers near hosts first

Cause: a runner was chosen by free slots and cached prefix alone, so two of three requests went to another data centre whether or not that gained anything, and a runner that takes 1.7 times as long got slots as if it were even. Callers in a fleet of more than 64 hosts were all told of the same 64.

Change: RunnerPreference chooses for the home of a service by expected completion: free slots, the relative duration that a runner has shown, what it has cached, and the cost of leaving the data centre of the host that asks, as a share of a runner's slots. Load leaves in the measure in which both places end equally late. PlainRunners chooses for a host alone: a data centre keeps what its slots are a share for. hosts_for_caller puts the caller's data centre first where not all hosts can be told. Data centres with fewer than 4 runners or 10 hosts are served as before, as is a host that doesn't name its data centre. Log lines of the home of slots have a module of their own.

--- a/libs/gateway/src/damaskjunction/gateway/front_end.py
+++ b/libs/gateway/src/damaskjunction/gateway/front_end.py
@@ -11,7 +11,9 @@
 from damaskjunction.http import Request, Response
 from damaskjunction.platform import (
     ADDRESSES_PATH,
+    MAX_ADDRESSES,
     READINESS_PATH,
+    ZONE_PARAMETER,
     CallerRequest,
     Refusal,
     addresses_response,
@@ -19,7 +21,7 @@
     readiness_response,
     refusal_response,
 )
-from damaskjunction.routing import Route, RouteKind, StopSchedule
+from damaskjunction.routing import Route, RouteKind, StopSchedule, hosts_for_caller
 from damaskjunction.telemetry import Metrics
 
 logger = logging.getLogger(__name__)
@@ -131,9 +133,11 @@
         """Return the addresses of the live hosts that callers may connect to."""
         if request.path != ADDRESSES_PATH:
             return refusal_response(Refusal.NO_ROUTE, "nothing is served there")
-        addresses = [
-            host.caller
+        live = [
+            host
             for host in self._state.view.serving_hosts()
             if host.state is HostState.LIVE
         ]
-        return addresses_response(addresses, ADDRESSES_TTL_S)
+        data_centre = request.query.get(ZONE_PARAMETER, "")
+        hosts = hosts_for_caller(live, data_centre, MAX_ADDRESSES)
+        return addresses_response([host.caller for host in hosts], ADDRESSES_TTL_S)
--- a/libs/gateway/src/damaskjunction/gateway/requests/runner_selector.py
+++ b/libs/gateway/src/damaskjunction/gateway/requests/runner_selector.py
@@ -17,6 +17,7 @@
     standby_request_id,
 )
 from damaskjunction.gateway.dispatch_context import DispatchContext
+from damaskjunction.gateway.requests.host_counts import HostCounts
 from damaskjunction.gateway.runners.runner_responses import RunnerFailedError
 from damaskjunction.gateway.slots.slot import Slot
 from damaskjunction.platform import CallerRequest
@@ -24,6 +25,7 @@
     NO_RUNNER_LEFT,
     EjectionPolicy,
     OutlierEjection,
+    PlainRunners,
     Route,
     RouteKind,
     StreamOrigin,
@@ -66,10 +68,14 @@
 
 
 class Assignment(NamedTuple):
-    """A runner that is held for an attempt, by ``slot`` if the home has chosen it."""
+    """A runner that is held for an attempt, by ``slot`` if the home has chosen it.
+
+    ``since_s`` is the time on the ``Timers`` clock from which on it is held.
+    """
 
     runner: Runner
     slot: Slot | None
+    since_s: float = 0.0
 
     @property
     def home_id(self) -> HostId:
@@ -93,8 +99,11 @@
         self._version_registry = context.version_registry
         self._observed_limits = context.runner_client.observed_limits
         self._timers = context.timers
-        self._rng = context.rng
-        self._n_in_flight_by_runner: dict[RunnerId, int] = {}
+        self._metrics = context.metrics
+        self._host_counts = HostCounts(context.state.view)
+        self._plain_runners = PlainRunners(
+            context.state.view.own.data_centre, context.rng
+        )
         self._ejection = OutlierEjection(PLAIN_EJECTION)
 
     async def assign(
@@ -130,7 +139,8 @@
             ``NOT_RUN`` when the home has chosen a runner that is not known here.
         """
         if not self.uses_slots(routed):
-            return Assignment(self._choose_runner(routed, excluded, version), None)
+            chosen = self._choose_runner(routed, excluded, version)
+            return self._assignment(chosen, None)
         slot = await self._acquire_slot(
             routed, excluded, version, is_repeated, standby_number
         )
@@ -140,14 +150,23 @@
             raise RunnerFailedError(
                 Outcome.NOT_RUN, "runner_gone", runner_id=slot.runner_id
             )
-        return Assignment(runner, slot)
+        return self._assignment(runner, slot)
+
+    def _assignment(self, runner: Runner, slot: Slot | None) -> Assignment:
+        """Return a runner that is held from now on, and count where it is."""
+        own = self._state.view.own.data_centre
+        place = "inside" if runner.data_centre == own else "outside"
+        self._metrics.count("runner_assignments", place=place)
+        return Assignment(runner, slot, self._timers.now())
 
     async def release(self, assignment: Assignment) -> None:
         """Release a runner."""
         if assignment.slot is not None:
             await assignment.slot.close()
         else:
-            self._release_runner(assignment.runner.runner_id)
+            now_s = self._timers.now()
+            duration_s = now_s - assignment.since_s
+            self._plain_runners.end(assignment.runner, duration_s, now_s)
 
     async def _acquire_slot(
         self,
@@ -225,11 +244,12 @@
             self._ejection.record_success(runner_id)
         else:
             self._ejection.record_failure(runner_id, self._timers.now())
+            self._plain_runners.forget(runner_id)
 
     def _choose_runner(
         self, routed: RoutedRequest, excluded: Collection[RunnerId], version: str
     ) -> Runner:
-        """Return the plain runner with the fewest requests of this host per slot.
+        """Return the plain runner that suits this host best, and count the request.
 
         Only runners of the software ``version`` may be chosen, unless it is empty.
 
@@ -254,20 +274,8 @@
         if not runners:
             reason = NO_RUNNER_LEFT if excluded else "no_runner"
             raise RequestError(Outcome.NOT_RUN, reason, retry_after_s=RETRY_AFTER_S)
-        self._rng.shuffle(runners)
-        counts = self._n_in_flight_by_runner
-        runner = min(
-            runners, key=lambda r: counts.get(r.runner_id, 0) / max(1, r.slots)
-        )
-        counts[runner.runner_id] = counts.get(runner.runner_id, 0) + 1
-        return runner
-
-    def _release_runner(self, runner_id: RunnerId) -> None:
-        """Stop counting a request against a plain runner."""
-        counts = self._n_in_flight_by_runner
-        counts[runner_id] -= 1
-        if not counts[runner_id]:
-            del counts[runner_id]
+        n_hosts = self._host_counts.by_data_centre()
+        return self._plain_runners.begin(runners, n_hosts, now_s)
 
 
 def _caller_timeout_s(route: Route) -> float:
--- a/libs/gateway/src/damaskjunction/gateway/slots/slot_home.py
+++ b/libs/gateway/src/damaskjunction/gateway/slots/slot_home.py
@@ -4,8 +4,6 @@
 
 import asyncio
 import logging
-import math
-from collections.abc import Iterable
 from typing import Any
 
 from damaskjunction.core import (
@@ -25,6 +23,7 @@
     RunnerFailedError,
 )
 from damaskjunction.gateway.runners.suspect_registry import SuspectRegistry
+from damaskjunction.gateway.slots.slot_home_log import SlotHomeLog
 from damaskjunction.gateway.state import ServingState
 from damaskjunction.gateway.versions.version_registry import VersionRegistry
 from damaskjunction.node import PeerHandlers, TaskSet
@@ -51,8 +50,6 @@
 
 EXPIRY_PERIOD_S = 0.1
 REPORT_POLL_PERIOD_S = 0.5
-QUEUE_WARNING_PERIOD_S = 1.0
-BATCH_QUEUE_LOG_PERIOD_S = 5.0
 REPORT_TIMEOUT_S = 0.4
 REPLACED_RETRY_AFTER_S = 0.3
 
@@ -126,8 +123,7 @@
         self._home_services: set[ServiceName] = set()
         self._report_polls: Subscription | None = None
         self._expiry: Subscription | None = None
-        self._warned_at_s = 0.0
-        self._refused_at_s = -math.inf
+        self._log = SlotHomeLog()
         self._polls = TaskSet()
         state.view.subscribe(self._apply_view)
         version_registry.subscribe(self._apply_view)
@@ -189,7 +185,7 @@
         else:
             reservation.watched = self._suspects.watched(ask.service_name, ask.traits)
             effects = pool.submit(ticket, now_s)
-            self._log_refusals(ask.service_name, pool, effects)
+            self._log.log_refusals(ask.service_name, pool, effects, now_s)
             self._apply_effects(effects)
         return reservation
 
@@ -266,9 +262,12 @@
             for runner in runners
         }
         versions = RunnerVersions({r.runner_id: r.version for r in runners})
+        data_centres = {r.runner_id: r.data_centre for r in runners}
         self._runners_by_service[service] = known
-        now_s = self._timers.now()
-        self._apply_effects(pool.set_runners(slots_by_runner, now_s, versions))
+        effects = pool.set_runners(
+            slots_by_runner, self._timers.now(), versions, data_centres
+        )
+        self._apply_effects(effects)
 
     def _update_runners(self, service: ServiceName, pool: SlotPool) -> None:
         """Apply which runners leave, as told by them or by other hosts."""
@@ -308,35 +307,9 @@
         for service, pool in self._pools_by_service.items():
             self._update_runners(service, pool)
             self._apply_effects(pool.expire(now_s))
-            counts = pool.counts
-            if counts.n_online_waiting or counts.n_batch_waiting:
-                self._log_queue(service, pool, now_s)
-
-    def _log_queue(self, service: ServiceName, pool: SlotPool, now_s: float) -> None:
-        """Log a queue, once in a while: one of online requests more often."""
-        has_online = pool.counts.n_online_waiting > 0
-        period_s = QUEUE_WARNING_PERIOD_S if has_online else BATCH_QUEUE_LOG_PERIOD_S
-        if now_s - self._warned_at_s <= period_s:
-            return
-        self._warned_at_s = now_s
-        is_home = service in self._home_services
-        extra = {"service": service, "is_home": is_home, **pool.to_document()}
-        if has_online:
-            logger.warning("online requests wait for slots", extra=extra)
-        else:
-            logger.info("batch items wait for slots", extra=extra)
-
-    def _log_refusals(
-        self, service: ServiceName, pool: SlotPool, effects: Iterable[SlotEffect]
-    ) -> None:
-        """Log why requests get no slot, once in a while."""
-        reasons = [e.reason for e in effects if isinstance(e, RefuseSlot)]
-        now_s = self._timers.now()
-        if not reasons or now_s - self._refused_at_s <= QUEUE_WARNING_PERIOD_S:
-            return
-        self._refused_at_s = now_s
-        extra = {"service": service, "reason": reasons[0], **pool.to_document()}
-        logger.warning("requests refused by home", extra=extra)
+            is_home = service in self._home_services
+            self._log.log_queue(service, pool, now_s, is_home=is_home)
+            self._log.log_leaving(service, pool, now_s)
 
     def _poll_reports(self) -> None:
         """Poll the runners of the services that are asked for here.
--- a/libs/platform/src/damaskjunction/platform/__init__.py
+++ b/libs/platform/src/damaskjunction/platform/__init__.py
@@ -51,8 +51,10 @@
 )
 from damaskjunction.platform.requests import (
     ADDRESSES_PATH,
+    MAX_ADDRESSES,
     READINESS_PATH,
     REPORT_PATH,
+    ZONE_PARAMETER,
     CallerRequest,
     Refusal,
     RunnerReport,
@@ -105,6 +107,7 @@
     "ITEM_PATH_PREFIX",
     "JOBS_KIND",
     "JOB_PATH_PREFIX",
+    "MAX_ADDRESSES",
     "MAX_PAGE_BYTES",
     "READINESS_PATH",
     "REPORT_PATH",
@@ -112,6 +115,7 @@
     "RETIREMENTS_KIND",
     "RUNNERS_KIND",
     "SETTINGS_VARIABLE",
+    "ZONE_PARAMETER",
     "BadJobError",
     "CallerRequest",
     "DirectTransport",
--- a/libs/routing/src/damaskjunction/routing/__init__.py
+++ b/libs/routing/src/damaskjunction/routing/__init__.py
@@ -86,6 +86,7 @@
     WeightedService,
     make_route_table,
 )
+from damaskjunction.routing.runners.caller_hosts import hosts_for_caller
 from damaskjunction.routing.runners.choice import (
     ChoiceInput,
     runner_choices,
@@ -107,6 +108,7 @@
 from damaskjunction.routing.runners.loads import (
     RunnerLoads,
 )
+from damaskjunction.routing.runners.plain_runners import PlainRunners
 from damaskjunction.routing.runners.runner_entries import (
     FormerEntries,
     SupersededProcesses,
@@ -122,6 +124,7 @@
     judge_runner,
     trusted_reach,
 )
+from damaskjunction.routing.runners.runner_scores import runner_scores
 from damaskjunction.routing.slots.rate_limits import (
     NO_LIMIT_PER_S,
     LimitObservations,
@@ -229,6 +232,7 @@
     "OutlierEjection",
     "PathPlan",
     "PlainAnswer",
+    "PlainRunners",
     "Preempt",
     "Quarantine",
     "RateLimiter",
@@ -280,6 +284,7 @@
     "are_writers_proved",
     "fingerprint_of",
     "home_of",
+    "hosts_for_caller",
     "item_denial",
     "judge_runner",
     "listed_versions",
@@ -290,6 +295,7 @@
     "resolve_claim",
     "runner_choices",
     "runner_denial",
+    "runner_scores",
     "runners_at",
     "slot_homes",
     "stored_origins",
--- /dev/null
+++ b/libs/routing/src/damaskjunction/routing/runners/runner_speeds.py
@@ -0,0 +1,87 @@
+"""Relative speeds of runners, learnt from how long their requests take."""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+from typing import NamedTuple
+
+from damaskjunction.core import RunnerId
+from damaskjunction.routing.slots.hold_times import HoldTimes
+
+HALF_LIFE_S = 5.0  # after which a sample counts half
+PRIOR_WEIGHT = 4.0  # samples as which the assumption of an even runner counts
+MIN_RATIO, MAX_RATIO = 0.25, 4.0  # bounds of a sample; failures end at once or hang
+TOLERANCE = 0.15  # by which runners of the same kind differ
+
+
+class _Samples(NamedTuple):
+    """Sum and weight of the samples of a runner, as of ``at_s``."""
+
+    total: float
+    weight: float
+    at_s: float
+
+
+class RunnerSpeeds:
+    """How long each runner takes for a request, in relation to all runners.
+
+    A sample is the duration of a request divided by the mean duration of its kind. A
+    runner without recent samples counts as even, so that a slow one is tried again.
+
+    Parameters
+    ----------
+    half_life_s : float, optional
+        Time in seconds after which a sample counts half.
+    """
+
+    def __init__(self, half_life_s: float = HALF_LIFE_S) -> None:
+        self._half_life_s = half_life_s
+        self._samples_by_runner: dict[RunnerId, _Samples] = {}
+
+    def observe(
+        self, runner_id: RunnerId, duration_s: float, times: HoldTimes, now_s: float
+    ) -> None:
+        """Take the duration of a request of the kind of ``times`` into account."""
+        if not times.is_learnt or times.mean_s <= 0:
+            return
+        ratio = min(MAX_RATIO, max(MIN_RATIO, duration_s / times.mean_s))
+        former = self._samples_by_runner.get(runner_id, _Samples(0.0, 0.0, now_s))
+        kept = self._kept_share(former, now_s)
+        self._samples_by_runner[runner_id] = _Samples(
+            former.total * kept + ratio, former.weight * kept + 1.0, now_s
+        )
+
+    def time_factor(self, runner_id: RunnerId, now_s: float) -> float:
+        """Return the expected duration at a runner, relative to the mean.
+
+        A difference within ``TOLERANCE`` counts as none.
+        """
+        samples = self._samples_by_runner.get(runner_id)
+        if samples is None:
+            return 1.0
+        kept = self._kept_share(samples, now_s)
+        weight = samples.weight * kept + PRIOR_WEIGHT
+        gap = (samples.total * kept + PRIOR_WEIGHT) / weight - 1.0
+        if gap > 0:
+            return 1.0 + max(0.0, gap - TOLERANCE)
+        return 1.0 + min(0.0, gap + TOLERANCE)
+
+    def forget(self, runner_id: RunnerId) -> None:
+        """Drop what is known of a runner that failed, as its requests ended early."""
+        self._samples_by_runner.pop(runner_id, None)
+
+    def retain_runners(self, runner_ids: Collection[RunnerId]) -> None:
+        """Drop what is known of all runners not in ``runner_ids``."""
+        for runner_id in self._samples_by_runner.keys() - set(runner_ids):
+            del self._samples_by_runner[runner_id]
+
+    def to_document(self) -> dict[RunnerId, float]:
+        """Return the relative durations by runner, as of their last samples."""
+        return {
+            runner_id: round(self.time_factor(runner_id, samples.at_s), 2)
+            for runner_id, samples in sorted(self._samples_by_runner.items())
+        }
+
+    def _kept_share(self, samples: _Samples, now_s: float) -> float:
+        """Return the share of the weight of samples that is left."""
+        return float(0.5 ** (max(0.0, now_s - samples.at_s) / self._half_life_s))
--- a/libs/routing/src/damaskjunction/routing/slots/held_slots.py
+++ b/libs/routing/src/damaskjunction/routing/slots/held_slots.py
@@ -10,6 +10,7 @@
     WorkClass,
     is_standby_request_id,
 )
+from damaskjunction.routing.runners.runner_speeds import RunnerSpeeds
 from damaskjunction.routing.slots.hold_times import HoldTimes
 from damaskjunction.routing.slots.slot_types import HeldSlot, SlotTicket
 
@@ -32,6 +33,12 @@
         self.online_by_runner: Counter[RunnerId] = Counter()
         self.online_times = HoldTimes(INITIAL_ONLINE_HOLD_S)
         self.batch_times = HoldTimes(INITIAL_BATCH_HOLD_S)
+        self.speeds = RunnerSpeeds()
+
+    def times_of(self, work_class: WorkClass) -> HoldTimes:
+        """Return the hold times of a work class."""
+        is_online = work_class is WorkClass.ONLINE
+        return self.online_times if is_online else self.batch_times
 
     def add(self, ticket: SlotTicket, runner_id: RunnerId, now_s: float) -> None:
         """Record that a request holds a slot of a runner from now on."""
@@ -55,12 +62,15 @@
         held = self.online_by_id.pop(request_id, None)
         if held is not None:
             self.online_by_runner[held.runner_id] -= 1
-            if is_sample:
-                self.online_times.observe(now_s - held.since_s)
         else:
             held = self.batch_by_id.pop(request_id, None)
-            if held is not None and is_sample:
-                self.batch_times.observe(now_s - held.since_s)
         if held is not None:
             self.used_by_runner[held.runner_id] -= 1
+            if is_sample:
+                self._observe_duration(held, now_s)
         return held
+
+    def _observe_duration(self, held: HeldSlot, now_s: float) -> None:
+        times, duration_s = self.times_of(held.ticket.work_class), now_s - held.since_s
+        self.speeds.observe(held.runner_id, duration_s, times, now_s)
+        times.observe(duration_s)
--- a/libs/routing/src/damaskjunction/routing/slots/rate_limits.py
+++ b/libs/routing/src/damaskjunction/routing/slots/rate_limits.py
@@ -139,6 +139,17 @@
         """Return whether a runner has named a limit that still holds."""
         return self._limited_bucket(runner_id) is not None
 
+    def preferred(
+        self, runner_ids: list[RunnerId], *, are_limited: bool
+    ) -> list[RunnerId]:
+        """Return the runners with a limit or those without one, all if there are none.
+
+        A limit counts starts, and a start serves a batch request for longer, so those
+        with a limit suit batch while both classes wait.
+        """
+        preferred = [r for r in runner_ids if self.is_limited(r) == are_limited]
+        return preferred or runner_ids
+
     def _limited_bucket(self, runner_id: RunnerId) -> _Bucket | None:
         """Return the bucket of a runner with a limit, None for any other."""
         bucket = self._buckets_by_runner.get(runner_id)
--- a/libs/routing/src/damaskjunction/routing/slots/slots.py
+++ b/libs/routing/src/damaskjunction/routing/slots/slots.py
@@ -9,9 +9,9 @@
 
 from collections.abc import Collection, Iterable, Mapping
 
-from damaskjunction.core import RequestId, RunnerId, WorkClass
+from damaskjunction.core import DataCentre, RequestId, RunnerId, WorkClass
 from damaskjunction.routing.runners.ejection import EjectionPolicy, OutlierEjection
-from damaskjunction.routing.runners.prefix_cache import PrefixCacheEstimate
+from damaskjunction.routing.runners.runner_preference import RunnerPreference
 from damaskjunction.routing.slots.batch_queue import BatchQueue
 from damaskjunction.routing.slots.batch_reserve import n_reserved_slots
 from damaskjunction.routing.slots.held_slots import HeldSlots
@@ -36,7 +36,6 @@
 from damaskjunction.routing.versions.stream_versions import RunnerVersions
 
 MIN_RETRY_AFTER_S = 0.1
-PREFIX_WEIGHT = 0.6  # of the cached fraction; the free fraction has weight 1
 MAX_BATCH_QUEUE = 4096
 TAKEOVER_GRACE_S = 0.4
 VERSION_GONE = "version_gone"  # the reason of a refusal
@@ -54,15 +53,22 @@
     ----------
     batch_rule : str, optional
         Name of the rule that tells which batch requests go before late ones.
+    runner_score : str, optional
+        Name of the score by which runners are compared.
     """
 
-    def __init__(self, *, batch_rule: str = "in_time_first") -> None:
+    def __init__(
+        self,
+        *,
+        batch_rule: str = "in_time_first",
+        runner_score: str = "expected_completion",
+    ) -> None:
         self._slots_by_runner: dict[RunnerId, int] = {}
         self._versions = RunnerVersions()
         self._held = HeldSlots()
         self._waiting_online = OnlineQueue()
         self._waiting_batch = BatchQueue(batch_rule)
-        self._prefix_cache = PrefixCacheEstimate()
+        self._preference = RunnerPreference(runner_score, self._held.speeds)
         self._ejection = OutlierEjection(FAILURE_EJECTION)
         self._rate_limiter = RateLimiter()
         self._unseen = UnseenRequests()
@@ -79,19 +85,25 @@
             len(self._waiting_batch),
         )
 
+    @property
+    def n_starts_by_place(self) -> Mapping[str, int]:
+        """Requests given to runners inside and outside the asker's data centre."""
+        return self._preference.n_starts_by_place
+
     def set_runners(
         self,
         slots_by_runner: Mapping[RunnerId, int],
         now_s: float,
         versions: RunnerVersions = RunnerVersions(),  # noqa: B008 - never changed
+        data_centres: Mapping[RunnerId, DataCentre] = {},
     ) -> list[SlotEffect]:
-        """Replace the usable runners, their slot counts and their software versions.
+        """Replace the usable runners, their slot counts, versions and data centres.
 
         Requests that wait for runners of which none is left are refused.
         """
         self._versions = versions
         self._slots_by_runner = dict(sorted(slots_by_runner.items()))
-        self._prefix_cache.retain_runners(slots_by_runner)
+        self._preference.set_runners(self._slots_by_runner, data_centres)
         self._rate_limiter.retain_runners(slots_by_runner)
         self._unseen.retain_runners(slots_by_runner)
         return [*self._refuse_unservable(), *self._dispatch(now_s)]
@@ -178,12 +190,12 @@
         return self._dispatch(now_s)
 
     def record_failure(self, runner_id: RunnerId, now_s: float) -> float:
-        """Eject a runner that failed a request, and forget its cached prefixes.
+        """Eject a runner that failed a request, and forget its cache and speed.
 
         Returns for how many seconds it is ejected.
         """
         self._ejection.record_failure(runner_id, now_s)
-        self._prefix_cache.forget(runner_id)
+        self._preference.forget(runner_id)
         return self._ejection.ejected(now_s).get(runner_id, 0.0)
 
     def record_success(self, runner_id: RunnerId) -> None:
@@ -208,6 +220,7 @@
         """Return the state for the diagnostic dump."""
         return {
             **self.counts._asdict(),
+            **self._preference.to_document(),
             "hold_s": round(self._held.online_times.mean_s, 4),
             "batch_hold_s": round(self._held.batch_times.mean_s, 4),
             "used_by_runner": dict(self._held.used_by_runner),
@@ -261,7 +274,7 @@
         for ticket in self._waiting_online.in_service_order(now_s):
             if not free_by_runner:
                 break
-            runner_id = self._choose_runner(ticket, free_by_runner)
+            runner_id = self._choose_runner(ticket, free_by_runner, now_s)
             if runner_id is None:
                 continue
             self._waiting_online.take(ticket, now_s)
@@ -284,36 +297,20 @@
         return self._slots_by_runner[runner_id] - n_taken
 
     def _choose_runner(
-        self, ticket: SlotTicket, free_by_runner: Mapping[RunnerId, int]
+        self,
+        ticket: SlotTicket,
+        free_by_runner: Mapping[RunnerId, int],
+        now_s: float,
     ) -> RunnerId | None:
-        """Return the runner with the best score of cached prefix and free slots."""
-        best: tuple[float, str] | None = None
+        """Return the runner that suits a request best among those with free slots."""
         excluded = self._excluded_runners(ticket)
         candidates = [name for name in free_by_runner if name not in excluded]
-        for runner_id in self._preferred_by_limit(ticket, candidates):
-            n_free = self._n_free_slots(runner_id)
-            score = n_free / self._slots_by_runner[runner_id]
-            score += PREFIX_WEIGHT * self._prefix_cache.cached_share(
-                runner_id, ticket.parts
-            )
-            if best is None or score > best[0]:
-                best = (score, runner_id)
-        return best[1] if best is not None else None
-
-    def _preferred_by_limit(
-        self, ticket: SlotTicket, candidates: list[RunnerId]
-    ) -> list[RunnerId]:
-        """Return the limited candidates for batch, the others for online requests.
-
-        A limit counts starts, and a start serves a batch request for longer. Online
-        requests take any candidate when no batch request waits.
-        """
         is_batch = ticket.work_class is WorkClass.BATCH
-        if not is_batch and not self._waiting_batch:
-            return candidates
-        limiter = self._rate_limiter
-        preferred = [c for c in candidates if limiter.is_limited(c) == is_batch]
-        return preferred or candidates
+        if is_batch or self._waiting_batch:
+            candidates = self._rate_limiter.preferred(candidates, are_limited=is_batch)
+        n_free_by_runner = {name: self._n_free_slots(name) for name in candidates}
+        duration_s = self._held.times_of(ticket.work_class).mean_s
+        return self._preference.choose(ticket, n_free_by_runner, duration_s, now_s)
 
     def _excluded_runners(self, ticket: SlotTicket) -> tuple[RunnerId, ...]:
         """Return the runners that must not be given a request.
@@ -346,7 +343,7 @@
         self, ticket: SlotTicket, runner_id: RunnerId, now_s: float
     ) -> None:
         self._held.add(ticket, runner_id, now_s)
-        self._prefix_cache.record(runner_id, ticket.parts)
+        self._preference.record_start(ticket, runner_id)
 
     def _revoke(self, demand: SlotDemand, now_s: float) -> list[SlotEffect]:
         """Revoke the latest granted batch slots, as many as online requests want.
@@ -391,7 +388,7 @@
             ticket = self._waiting_batch.pop(now_s, self._held.batch_times.high_s)
             if ticket is None:
                 break
-            runner_id = self._choose_runner(ticket, free_by_runner)
+            runner_id = self._choose_runner(ticket, free_by_runner, now_s)
             if runner_id is None:
                 skipped.append(ticket)
                 continue
