--- a/libs/routing/src/damaskjunction/routing/__init__.py
+++ b/libs/routing/src/damaskjunction/routing/__init__.py
@@ -86,6 +86,7 @@
     WeightedService,
     make_route_table,
 )
+from damaskjunction.routing.runners.caller_hosts import hosts_for_caller
 from damaskjunction.routing.runners.choice import (
     ChoiceInput,
     runner_choices,
@@ -107,6 +108,7 @@
 from damaskjunction.routing.runners.loads import (
     RunnerLoads,
 )
+from damaskjunction.routing.runners.plain_runners import PlainRunners
 from damaskjunction.routing.runners.runner_entries import (
     FormerEntries,
     SupersededProcesses,
@@ -122,6 +124,7 @@
     judge_runner,
     trusted_reach,
 )
+from damaskjunction.routing.runners.runner_scores import runner_scores
 from damaskjunction.routing.slots.rate_limits import (
     NO_LIMIT_PER_S,
     LimitObservations,
@@ -243,6 +246,7 @@
     "OutlierEjection",
     "PathPlan",
     "PlainAnswer",
+    "PlainRunners",
     "Preempt",
     "Quarantine",
     "RateLimiter",
@@ -298,6 +302,7 @@
     "fingerprint_of",
     "has_public_jobs",
     "home_of",
+    "hosts_for_caller",
     "identify_caller",
     "item_denial",
     "judge_runner",
@@ -310,6 +315,7 @@
     "resolve_claim",
     "runner_choices",
     "runner_denial",
+    "runner_scores",
     "runners_at",
     "slot_homes",
     "stored_origins",
