Test the batch jobs of workspaces on real hosts, and log how many keys are in force

Cause: nothing showed that items run on behalf of their job's workspace, or that another workspace reaches no job.

--- a/libs/gateway/features/steps/workspace_steps.py
+++ b/libs/gateway/features/steps/workspace_steps.py
@@ -6,12 +6,15 @@
 
 from behave import given, then, when
 from fleet_helpers import clear_stream_faults, received, run
-from platform_fleet import PLAIN, ROUTES, make_configuration, make_route
+from platform_fleet import ENGINE, PLAIN, ROUTES, make_configuration, make_route
 
 from damaskjunction.standins import key_headers, make_workspace
 
 POLL_S = 0.05
-PUBLIC_ROUTES = [make_route("open", "/open/", "idempotent", PLAIN, Public=True)]
+PUBLIC_ROUTES = [
+    make_route("open", "/open/", "idempotent", PLAIN, Public=True),
+    make_route("open-night", "/open-night/", "batch", ENGINE, Public=True),
+]
 KEY_HEADER, WORKSPACE_HEADER = "authorization", "x-tenant"
 
 
--- a/libs/gateway/src/damaskjunction/gateway/state.py
+++ b/libs/gateway/src/damaskjunction/gateway/state.py
@@ -190,7 +190,12 @@
             return
         if table.version <= self.table.version:
             return
-        extra = {"version": table.version, "former_version": self.table.version}
+        extra = {
+            "version": table.version,
+            "former_version": self.table.version,
+            "n_workspaces": len(table.workspaces_by_name),
+            "n_keys": len(table.keys.workspaces_by_digest),
+        }
         logger.info("configuration in force", extra=extra)
         self.table = table
         self.view.apply_configuration(Configuration(revision=table.version))
--- a/libs/platform/features/steps/workspace_steps.py
+++ b/libs/platform/features/steps/workspace_steps.py
@@ -6,10 +6,16 @@
 
 from behave import given, then, use_step_matcher, when
 from decoding_steps import ROUTES, SERVICES, decode_table
+from landed_object_steps import RECORD
 
 from damaskjunction.core import FindingError
 from damaskjunction.http import BodyReader, Request
-from damaskjunction.platform import decode_request, for_workspace
+from damaskjunction.platform import (
+    decode_record,
+    decode_request,
+    encode_record,
+    for_workspace,
+)
 from damaskjunction.routing import digest_of_key
 
 use_step_matcher("re")  # values may be empty
@@ -71,4 +77,15 @@
     assert context.request.headers == expected, context.request.headers
 
 
+@when('the record of a job of "(.*)" is stored and read')
+def store_record(context, workspace):
+    content = encode_record(RECORD._replace(workspace=workspace), ())
+    context.record = decode_record(RECORD.job_id, content)
+
+
+@then('it is of "(.*)"')
+def check_record(context, workspace):
+    assert context.record == RECORD._replace(workspace=workspace), context.record
+
+
 use_step_matcher("parse")
--- a/libs/platform/features/workspaces.feature
+++ b/libs/platform/features/workspaces.feature
@@ -42,3 +42,7 @@
       | workspace |
       | w1        |
       |           |
+
+  Scenario: The record of a job names its workspace
+    When the record of a job of "w1" is stored and read
+    Then it is of "w1"
--- a/libs/standins/src/damaskjunction/standins/platform_documents.py
+++ b/libs/standins/src/damaskjunction/standins/platform_documents.py
@@ -152,19 +152,21 @@
     path: str,
     tokens: int = 10,
     has_own_bodies: bool = False,
+    headers: Mapping[str, str] = {},
 ) -> bytes:
     """Return the request body that submits a job of ``n_items`` items.
 
     The items have the ids ``JOB_ID-0``, ``JOB_ID-1`` and so on. Each states a count of
     ``tokens`` and a prompt of 2 parts, of which all items share the first. All have the
-    same body, or their ids as bodies if ``has_own_bodies``.
+    same body, or their ids as bodies if ``has_own_bodies``. ``headers`` are further
+    headers of each.
     """
     item_ids = [f"{job_id}-{number}" for number in range(n_items)]
     items = [
         {
             "Id": item_id,
             "Path": path,
-            "Headers": {"X-Prompt-Prefix": f"a:5,{number}:5"},
+            "Headers": {"X-Prompt-Prefix": f"a:5,{number}:5", **headers},
             "Body": _encode_body(item_id if has_own_bodies else "item"),
             "Tokens": tokens,
         }
