Test that a job accepted elsewhere is no other workspace's job

Cause: taking the check after the conditional write out failed no test: the hosts of the feature had heard of the job before.

Change: a host that has not heard of the job submits it to a store that has it.

Measured: job_store passes (30 scenarios); without the check 1 of 30 fails.

--- a/libs/gateway/features/job_store.feature
+++ b/libs/gateway/features/job_store.feature
@@ -100,3 +100,15 @@
       | 1     | bodies of 900000 bytes   |
       | 1     | headers of 1100000 bytes |
       | 200   | ids of 6000 bytes        |
+
+  # Guards against the job of one workspace that passes for the same one of another
+  Scenario Outline: A job that another host has just accepted is so from its workspace alone
+    Given a job of "<owner>" that another host has just accepted
+    When the same job comes from "<workspace>" to a host that has not heard of it
+    Then it is answered with <status>
+
+    Examples:
+      | owner | workspace | status |
+      | clubs | clubs     | 202    |
+      | clubs | buggies   | 400    |
+      | none  | buggies   | 202    |
--- a/libs/gateway/features/steps/workspace_job_steps.py
+++ b/libs/gateway/features/steps/workspace_job_steps.py
@@ -3,11 +3,21 @@
 from __future__ import annotations
 
 import json
+from types import SimpleNamespace
 
-from behave import then, when
+from behave import given, then, when
+from fake_homes import make_host
+from fake_store import FakeStore
 from fleet_helpers import run, set_faults
+from job_worker_steps import make_items, make_record
 from workspace_steps import assert_told, put_workspaces, wait_for_version
 
+from damaskjunction.core import ManualTimers, WorkspaceSpec
+from damaskjunction.gateway.jobs.job_front import JobFront
+from damaskjunction.gateway.jobs.job_repository import JobRepository
+from damaskjunction.node import HostView
+from damaskjunction.platform import CallerRequest
+from damaskjunction.routing import Caller, Route, RouteKind
 from damaskjunction.standins import job_path, key_headers, make_job
 
 OWN_HEADERS = {"Authorization": "Bearer k2", "X-Tenant": "buggies"}
@@ -109,3 +119,28 @@
                     assert str(reply.status) == row[name], (row, name, host, reply)
 
     run(context, work())
+
+
+# Beside a host that accepts the same job
+
+
+@given('a job of "{owner}" that another host has just accepted')
+def accept_elsewhere(context, owner):
+    context.store = FakeStore()
+    workspace = "" if owner == "none" else owner
+    record = make_record("j1", ["i1"])._replace(workspace=workspace)
+    run(context, JobRepository(context.store).accept(record, make_items(["i1"])))
+
+
+@when('the same job comes from "{workspace}" to a host that has not heard of it')
+def submit_again(context, workspace):
+    body = make_job("j1", 1, path="/night/x")
+    request = CallerRequest(
+        "j1", "POST", "/night/", "/night/", "h", None, (), 0, None, {}, body
+    )
+    route = Route("night", "h", "/", RouteKind.BATCH, (), 5, 1)
+    state = SimpleNamespace(view=HostView(make_host(1, "own")))
+    jobs = JobRepository(context.store)
+    front = JobFront(jobs, None, None, state=state, timers=ManualTimers())
+    caller = Caller(WorkspaceSpec(workspace))
+    context.response = run(context, front.submit(request, route, caller))
