Let the fault of runners with limits patch the module of the slot pool

Cause: the routing library's folder of slots took the name that the step imported, so the scenario ended in an AttributeError.

Change: the step imports the module from its folder.

Measured: the scenario of owed_fleet.feature that injects the fault passes again.

--- a/libs/gateway/features/steps/owed_fleet_steps.py
+++ b/libs/gateway/features/steps/owed_fleet_steps.py
@@ -27,8 +27,8 @@
     NO_LIMIT_PER_S,
     LeavingRunners,
     WeightedService,
-    slots,
 )
+from damaskjunction.routing.slots import slots
 from damaskjunction.routing.slots.rate_limits import (
     BATCH_TOKENS,
     MIN_BURST,
