Order, refuse and delay requests for slots by the shares of their workspaces

Cause: the home of slots ordered requests by rank and goal alone. While one workspace sent many times its usual, requests of all others were refused as often as its own.

Change: a request is within the share of its workspace, allowed by it, or over it (workspaces/fair_shares.py: max-min over recent demand, with an equal part as floor and the usual demand above it). Within goes before allowed, and that before over. When not all can start in time, the newest of the workspace that wants most above its share gives way. Refused callers of a workspace come back one after another, at the pace of its share. A batch item that can't end in time with an equal part of the slots counts as due when it would; those near their due time go first as before. Requests without a workspace are served as before.

--- a/libs/gateway/src/damaskjunction/gateway/slots/slot_home.py
+++ b/libs/gateway/src/damaskjunction/gateway/slots/slot_home.py
@@ -25,6 +25,7 @@
     RunnerFailedError,
 )
 from damaskjunction.gateway.runners.suspect_registry import SuspectRegistry
+from damaskjunction.gateway.slots.slot_tickets import slot_ticket
 from damaskjunction.gateway.state import ServingState
 from damaskjunction.gateway.versions.version_registry import VersionRegistry
 from damaskjunction.node import PeerHandlers, TaskSet
@@ -35,7 +36,6 @@
     RunnerVersions,
     SlotEffect,
     SlotPool,
-    SlotTicket,
 )
 from damaskjunction.wire import (
     Noted,
@@ -157,19 +157,7 @@
         a slot that was granted by another home.
         """
         now_s = self._timers.now()
-        ticket = SlotTicket(
-            ask.request_id,
-            ask.work_class,
-            tuple(ask.parts),
-            tuple(ask.avoid),
-            now_s + ask.start_within_s,
-            now_s + ask.due_in_s,
-            now_s + ask.goal_in_s,
-            ask.is_repeated,
-            ask.software_version,
-            ask.workspace,
-            ask.data_centre,
-        )
+        ticket = slot_ticket(ask, now_s)
         self._state.record_leaving(ask.leaving)
         self._start_expiry()
         pool = self._pool(ask.service_name)
@@ -267,6 +255,8 @@
         }
         versions = RunnerVersions({r.runner_id: r.version for r in runners})
         self._runners_by_service[service] = known
+        workspaces = self._state.table.workspaces_by_name.values()
+        pool.set_shares({w.name: w.share for w in workspaces if w.share > 0})
         now_s = self._timers.now()
         self._apply_effects(pool.set_runners(slots_by_runner, now_s, versions))
 
--- /dev/null
+++ b/libs/routing/features/steps/fair_order_steps.py
@@ -0,0 +1,173 @@
+"""Steps of the feature on the fair order of workspaces."""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections import Counter
+
+from behave import given, then, when
+from workspace_load import RATES, play
+
+from damaskjunction.core import WorkClass
+from damaskjunction.routing import GrantSlot, SlotPool, SlotTicket
+
+BATCH_WORK_S, BATCH_DUE_S, BATCH_ARRIVALS_S = 5.0, 18.0, 30.0
+N_BATCH_SLOTS = 37  # of 40; the rest is the reserve
+
+
+@given("the pool is not told the workspaces")
+def tell_nothing(context):
+    context.is_told = False
+
+
+@given("the weight of {workspace} is {weight:g}")
+def set_weight(context, workspace, weight):
+    context.weights = {workspace: weight}
+
+
+@when("{hot} send {times:g} times their usual")
+def play_hot(context, hot, times):
+    context.hot = list(RATES) if hot == "all" else hot.split(", ")
+    factors = dict.fromkeys(context.hot, times)
+    is_told = getattr(context, "is_told", True)
+    weights = getattr(context, "weights", None)
+    context.usual = play({}, is_told=is_told, weights=weights)
+    context.found = play(factors, is_told=is_told, weights=weights)
+    context.untold = play(factors, is_told=False)
+
+
+def others(context):
+    return [workspace for workspace in RATES if workspace not in context.hot]
+
+
+@then(
+    "each other workspace has {share:g} of the answers in time that it has without them"
+)
+def check_others(context, share):
+    for name in others(context):
+        n_usual, n_found = context.usual.n_in_goal[name], context.found.n_in_goal[name]
+        assert n_found >= share * n_usual, (name, n_found, n_usual)
+
+
+@then("nobody's slots stay unused: at least {share:g} of what is served in any order")
+def check_use(context, share):
+    n_found = context.found.n_served.total()
+    assert n_found >= share * context.untold.n_served.total(), n_found
+
+
+@then("some other workspace has less than {share:g} of the answers in time")
+def check_loss(context, share):
+    worst = min(context.found.share_in_goal(name) for name in others(context))
+    assert worst < share, worst
+
+
+@then("{workspace} has at least the answers in time that it has at its usual")
+def check_hot(context, workspace):
+    n_found = context.found.n_in_goal[workspace]
+    assert n_found >= context.usual.n_in_goal[workspace], n_found
+
+
+@then("{first} has at least twice as many answers as {second}")
+def check_weight(context, first, second):
+    n_served = context.found.n_served
+    assert n_served[first] >= 2 * n_served[second], n_served
+
+
+@then("in no second more than {count:d} calls of a workspace are told to come back")
+def check_returns(context, count):
+    n_by_second = Counter((name, int(at_s)) for name, at_s in context.found.returns)
+    assert n_by_second
+    assert max(n_by_second.values()) <= count, n_by_second.most_common(3)
+
+
+@then("each workspace is served at least half as often as all")
+def check_none_starves(context):
+    found = context.found
+    of_all = found.n_served.total() / found.n_asked.total()
+    for name in RATES:
+        assert found.n_served[name] / found.n_asked[name] >= 0.5 * of_all, name
+
+
+# Batch requests
+
+
+def batch_ticket(request_id, due_at_s, workspace):
+    return SlotTicket(
+        request_id, WorkClass.BATCH, (), (), due_at_s, due_at_s, workspace=workspace
+    )
+
+
+@when(
+    "batch requests come at {load:g} of what 40 slots can do, "
+    'and {rate:d} a second of "dump"'
+)
+def play_batch(context, load, rate):
+    rng = random.Random(1)
+    n_requests = int(load * N_BATCH_SLOTS / BATCH_WORK_S * BATCH_ARRIVALS_S)
+    names = [f"w{n % 10}:{n}" for n in range(n_requests)]
+    names += [f"dump:{n}" for n in range(int(rate * BATCH_ARRIVALS_S))]
+    events = [(rng.uniform(0.0, BATCH_ARRIVALS_S), name, False) for name in names]
+    heapq.heapify(events)
+    pool = SlotPool()
+    pool.set_runners({f"r{n}": 5 for n in range(8)}, 0.0)
+    context.n_asked = Counter(e[1].split(":")[0] for e in events)
+    context.n_in_time = Counter()
+    due_at_s = {}
+    while events:
+        now_s, request_id, is_end = heapq.heappop(events)
+        workspace = request_id.split(":")[0]
+        if is_end:
+            context.n_in_time[workspace] += now_s <= due_at_s[request_id]
+            effects = pool.release(request_id, now_s)
+        else:
+            due_at_s[request_id] = now_s + BATCH_DUE_S
+            ticket = batch_ticket(request_id, due_at_s[request_id], workspace)
+            effects = pool.submit(ticket, now_s)
+        for effect in effects:
+            assert isinstance(effect, GrantSlot), effect
+            ends_at_s = now_s + rng.uniform(0.8, 1.2) * BATCH_WORK_S
+            heapq.heappush(events, (ends_at_s, effect.request_id, True))
+
+
+@then(
+    'at least {share:g} of the others end in time, and of "dump" as many as slots are '
+    "left"
+)
+def check_batch(context, share):
+    n_dump = context.n_in_time.pop("dump")
+    n_asked = context.n_asked.total() - context.n_asked["dump"]
+    assert context.n_in_time.total() >= share * n_asked, (context.n_in_time, n_asked)
+    n_left = 0.5 * N_BATCH_SLOTS * BATCH_ARRIVALS_S / BATCH_WORK_S
+    assert n_dump >= n_left, (n_dump, n_left)
+
+
+def wait_behind(context, tickets):
+    """Let requests wait for the only slot for batch, and make it free."""
+    pool = SlotPool()
+    pool.set_runners({"r": 2}, 0.0)
+    pool.submit(batch_ticket("first", 5.0, "first"), 0.0)
+    for ticket in tickets:
+        assert not pool.submit(ticket, 0.0), ticket
+    context.granted = pool.release("first", 1.0)
+
+
+@given('batch requests of "{a}" due in {a_s:g} s and of "{b}" due in {b_s:g} s wait')
+def wait_two(context, a, a_s, b, b_s):
+    wait_behind(
+        context, [batch_ticket(f"{n}:1", s, n) for n, s in ((a, a_s), (b, b_s))]
+    )
+
+
+@given(
+    '{n:d} batch requests of "{name}" due in {a_s:g} s wait, and one due in {b_s:g} s'
+)
+def wait_many(context, n, name, a_s, b_s):
+    many = [batch_ticket(f"{name}:{number}", a_s, name) for number in range(n)]
+    wait_behind(context, [*many, batch_ticket("other:1", b_s, "other")])
+
+
+@then('the one of "{workspace}" goes first')
+@then('one of "{workspace}" goes first')
+def check_first(context, workspace):
+    assert context.granted[0].request_id.startswith(f"{workspace}:"), context.granted
--- a/libs/routing/src/damaskjunction/routing/slots/held_slots.py
+++ b/libs/routing/src/damaskjunction/routing/slots/held_slots.py
@@ -12,6 +12,7 @@
 )
 from damaskjunction.routing.slots.hold_times import HoldTimes
 from damaskjunction.routing.slots.slot_types import HeldSlot, SlotTicket
+from damaskjunction.routing.workspaces.fair_shares import FairShares
 
 INITIAL_ONLINE_HOLD_S = 0.5
 INITIAL_BATCH_HOLD_S = 2.0
@@ -22,9 +23,15 @@
 
     ``batch_by_id`` is in the order of the grants. ``revoked_ids`` are batch requests
     whose slot is revoked and not released yet.
+
+    Parameters
+    ----------
+    shares : FairShares
+        Is told for how long online requests of each workspace hold a slot.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, shares: FairShares) -> None:
+        self._shares = shares
         self.online_by_id: dict[RequestId, HeldSlot] = {}
         self.batch_by_id: dict[RequestId, HeldSlot] = {}
         self.revoked_ids: set[RequestId] = set()
@@ -56,7 +63,9 @@
         if held is not None:
             self.online_by_runner[held.runner_id] -= 1
             if is_sample:
-                self.online_times.observe(now_s - held.since_s)
+                hold_s = now_s - held.since_s
+                self.online_times.observe(hold_s)
+                self._shares.record_hold(held.ticket.workspace, hold_s)
         else:
             held = self.batch_by_id.pop(request_id, None)
             if held is not None and is_sample:
--- a/libs/routing/src/damaskjunction/routing/slots/slots.py
+++ b/libs/routing/src/damaskjunction/routing/slots/slots.py
@@ -9,33 +9,38 @@
 
 from collections.abc import Collection, Iterable, Mapping
 
-from damaskjunction.core import RequestId, RunnerId, WorkClass
+from damaskjunction.core import RequestId, RunnerId, WorkClass, WorkspaceName
 from damaskjunction.routing.runners.ejection import EjectionPolicy, OutlierEjection
 from damaskjunction.routing.runners.prefix_cache import PrefixCacheEstimate
 from damaskjunction.routing.slots.batch_queue import BatchQueue
 from damaskjunction.routing.slots.batch_reserve import n_reserved_slots
 from damaskjunction.routing.slots.held_slots import HeldSlots
 from damaskjunction.routing.slots.online_queue import OnlineQueue
+from damaskjunction.routing.slots.overload_refusals import (
+    MIN_RETRY_AFTER_S,
+    OverloadRefusals,
+)
 from damaskjunction.routing.slots.rate_limits import (
     BATCH_TOKENS,
     RateLimiter,
     RunnerLimit,
 )
+from damaskjunction.routing.slots.revocations import revoke_batch
+from damaskjunction.routing.slots.runner_supplies import runner_supplies
 from damaskjunction.routing.slots.slot_demand import SlotDemand
 from damaskjunction.routing.slots.slot_types import (
     NO_RUNNER_LEFT,
     GrantSlot,
     RefuseSlot,
-    RevokeSlot,
     SlotCounts,
     SlotEffect,
     SlotTicket,
 )
 from damaskjunction.routing.slots.unseen_requests import UnseenRequests
-from damaskjunction.routing.slots.wait_forecast import RunnerSupply, WaitForecast
+from damaskjunction.routing.slots.wait_forecast import WaitForecast
 from damaskjunction.routing.versions.stream_versions import RunnerVersions
+from damaskjunction.routing.workspaces.fair_shares import FairShares
 
-MIN_RETRY_AFTER_S = 0.1
 PREFIX_WEIGHT = 0.6  # of the cached fraction; the free fraction has weight 1
 MAX_BATCH_QUEUE = 4096
 TAKEOVER_GRACE_S = 0.4
@@ -59,8 +64,10 @@
     def __init__(self, *, batch_rule: str = "in_time_first") -> None:
         self._slots_by_runner: dict[RunnerId, int] = {}
         self._versions = RunnerVersions()
-        self._held = HeldSlots()
-        self._waiting_online = OnlineQueue()
+        self._shares = FairShares()
+        self._held = HeldSlots(self._shares)
+        self._waiting_online = OnlineQueue(self._shares)
+        self._refusals = OverloadRefusals(self._waiting_online, self._shares)
         self._waiting_batch = BatchQueue(batch_rule)
         self._prefix_cache = PrefixCacheEstimate()
         self._ejection = OutlierEjection(FAILURE_EJECTION)
@@ -79,6 +86,10 @@
             len(self._waiting_batch),
         )
 
+    def set_shares(self, weights_by_workspace: Mapping[WorkspaceName, float]) -> None:
+        """Set the weights of the workspaces under contention; others have 1."""
+        self._shares.set_weights(weights_by_workspace)
+
     def set_runners(
         self,
         slots_by_runner: Mapping[RunnerId, int],
@@ -131,14 +142,19 @@
         if ticket.work_class is WorkClass.BATCH:
             if len(self._waiting_batch) >= MAX_BATCH_QUEUE:
                 return [RefuseSlot(ticket.request_id, "overloaded", 1.0)]
-            self._waiting_batch.add(ticket)
+            self._add_batch(ticket, now_s)
             return self._dispatch(now_s)
         forecast = self._forecast(now_s, self._excluded_runners(ticket))
-        wait_s = forecast.wait_s(self._waiting_online.place_of(ticket, now_s))
-        if now_s + wait_s > self._waiting_online.latest_start_s(ticket, now_s):
-            return self._refuse([ticket], now_s)
-        self._waiting_online.add(ticket, now_s)
-        return self._dispatch(now_s)
+        refused = self._waiting_online.admit(ticket, forecast, now_s)
+        if refused is None:
+            return self._dispatch(now_s)
+        refusals = self._refuse([refused], now_s)
+        return refusals if refused is ticket else [*refusals, *self._dispatch(now_s)]
+
+    def _add_batch(self, ticket: SlotTicket, now_s: float) -> None:
+        n_slots = sum(self._slots_by_runner.values()) - len(self._held.online_by_id)
+        work_s = self._held.batch_times.mean_s
+        self._waiting_batch.add(ticket, now_s, work_s, n_slots)
 
     def start_takeover(self, now_s: float) -> None:
         """Start as the home, and grant no batch slots for ``TAKEOVER_GRACE_S``.
@@ -194,15 +210,14 @@
         """Refuse online requests that can't start in time, and forget old reports."""
         self._unseen.forget_old(now_s)
         effects = self._dispatch(now_s)
+        self._shares.update(self._forecast(now_s).n_served_at_once, now_s)
         if not self._waiting_online:
             return effects
         late = self._waiting_online.remove_late(self._forecast(now_s), now_s)
         return [*effects, *self._refuse(late, now_s)]
 
     def _refuse(self, tickets: list[SlotTicket], now_s: float) -> list[SlotEffect]:
-        wait_s = self._forecast(now_s).wait_s(len(self._waiting_online))
-        retry_after_s = max(MIN_RETRY_AFTER_S, wait_s)
-        return [RefuseSlot(t.request_id, "overloaded", retry_after_s) for t in tickets]
+        return [*self._refusals.refuse(tickets, self._forecast(now_s), now_s)]
 
     def to_document(self) -> dict[str, object]:
         """Return the state for the diagnostic dump."""
@@ -214,26 +229,19 @@
             "slots_by_runner": dict(self._slots_by_runner),
             "unseen_by_runner": dict(self._unseen.n_by_runner),
             "limit_per_s_by_runner": self._rate_limiter.to_document(),
+            **self._refusals.to_document(),
         }
 
     def _forecast(self, now_s: float, avoid: Collection[RunnerId] = ()) -> WaitForecast:
-        """Return the forecast of waits for the runners that are not to be avoided.
-
-        Batch requests give way, so only online ones count as held.
-        """
-        supplies = []
-        for runner_id, slots in self._slots_by_runner.items():
-            if runner_id in avoid:
-                continue
-            n_slots = max(0, slots - self._unseen.n_at(runner_id))
-            supplies.append(
-                RunnerSupply(
-                    n_slots,
-                    n_slots - self._held.online_by_runner[runner_id],
-                    self._rate_limiter.tokens(runner_id, now_s),
-                    self._rate_limiter.limit_per_s(runner_id),
-                )
-            )
+        """Return the forecast of waits for the runners that are not to be avoided."""
+        slots_by_runner = {
+            runner_id: max(0, slots - self._unseen.n_at(runner_id))
+            for runner_id, slots in self._slots_by_runner.items()
+            if runner_id not in avoid
+        }
+        supplies = runner_supplies(
+            slots_by_runner, self._held, self._rate_limiter, now_s
+        )
         return WaitForecast(supplies, self._held.online_times.mean_s)
 
     def _dispatch(self, now_s: float) -> list[SlotEffect]:
@@ -349,25 +357,8 @@
         self._prefix_cache.record(runner_id, ticket.parts)
 
     def _revoke(self, demand: SlotDemand, now_s: float) -> list[SlotEffect]:
-        """Revoke the latest granted batch slots, as many as online requests want.
-
-        Slots that are revoked but not released yet count towards the demand. Those of
-        runners that take no request now are left, as they would help nobody.
-        """
-        for request_id in self._held.revoked_ids:
-            demand.take(self._held.batch_by_id[request_id].runner_id)
-        effects: list[SlotEffect] = []
         usable = set(self._ejection.healthy(list(self._slots_by_runner), str, now_s))
-        for request_id, held in reversed(self._held.batch_by_id.items()):
-            if demand.is_met:
-                break
-            if request_id in self._held.revoked_ids or held.runner_id not in usable:
-                continue
-            has_tokens = self._rate_limiter.tokens(held.runner_id, now_s) >= 1.0
-            if has_tokens and demand.take(held.runner_id):
-                effects.append(RevokeSlot(request_id))
-        self._held.revoked_ids.update(effect.request_id for effect in effects)
-        return effects
+        return [*revoke_batch(self._held, demand, usable, self._rate_limiter, now_s)]
 
     def _grant_batch(
         self, free_by_runner: dict[RunnerId, int], now_s: float
@@ -398,5 +389,5 @@
             effects.append(self._grant(ticket, runner_id, free_by_runner, now_s))
             n_available -= 1
         for ticket in skipped:
-            self._waiting_batch.add(ticket)
+            self._add_batch(ticket, now_s)
         return effects
--- a/libs/routing/src/damaskjunction/routing/slots/wait_forecast.py
+++ b/libs/routing/src/damaskjunction/routing/slots/wait_forecast.py
@@ -43,12 +43,21 @@
     """
 
     def __init__(self, supplies: Sequence[RunnerSupply], mean_hold_s: float) -> None:
+        self.mean_hold_s = mean_hold_s
         self._hold_s = HOLD_TIME_MARGIN * mean_hold_s
         self._limited = [s for s in supplies if s.tokens != math.inf]
         unlimited = [s for s in supplies if s.tokens == math.inf]
         self._n_free = sum(s.n_free for s in unlimited)
         self._n_slots = sum(s.n_slots for s in unlimited)
 
+    @property
+    def n_served_at_once(self) -> float:
+        """Number of online requests that can run at a time, limits considered."""
+        return self._n_slots + sum(
+            min(supply.n_slots, supply.limit_per_s * self.mean_hold_s)
+            for supply in self._limited
+        )
+
     def wait_s(self, place: int) -> float:
         """Return the wait in seconds of the request behind ``place`` others."""
         n_starts = place + 1
--- /dev/null
+++ b/libs/routing/src/damaskjunction/routing/workspaces/__init__.py
@@ -0,0 +1,1 @@
+"""Workspaces: their keys, limits and shares."""
