--- a/libs/routing/src/damaskjunction/routing/slots/held_slots.py
+++ b/libs/routing/src/damaskjunction/routing/slots/held_slots.py
@@ -13,6 +13,7 @@
 from damaskjunction.routing.runners.runner_speeds import RunnerSpeeds
 from damaskjunction.routing.slots.hold_times import HoldTimes
 from damaskjunction.routing.slots.slot_types import HeldSlot, SlotTicket
+from damaskjunction.routing.workspaces.fair_shares import FairShares
 
 INITIAL_ONLINE_HOLD_S = 0.5
 INITIAL_BATCH_HOLD_S = 2.0
@@ -23,9 +24,15 @@
 
     ``batch_by_id`` is in the order of the grants. ``revoked_ids`` are batch requests
     whose slot is revoked and not released yet.
+
+    Parameters
+    ----------
+    shares : FairShares
+        Is told for how long online requests of each workspace hold a slot.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, shares: FairShares) -> None:
+        self._shares = shares
         self.online_by_id: dict[RequestId, HeldSlot] = {}
         self.batch_by_id: dict[RequestId, HeldSlot] = {}
         self.revoked_ids: set[RequestId] = set()
@@ -62,6 +69,9 @@
         held = self.online_by_id.pop(request_id, None)
         if held is not None:
             self.online_by_runner[held.runner_id] -= 1
+            if is_sample:
+                hold_s = now_s - held.since_s
+                self._shares.record_hold(held.ticket.workspace, hold_s)
         else:
             held = self.batch_by_id.pop(request_id, None)
         if held is not None:
