Decide by one host for each workspace what all hosts may send of its requests

Cause: a host knows only what it admitted itself, so a workspace that sends through many hosts exceeds its limit.

A token bucket at the home of a workspace counts its requests. A host that takes over starts with few tokens; one that has just joined or woken passes asks to the host before it; a part of a fleet that is cut off counts for the share of hosts that it sees; a host that is asked in place of a silent home grants few requests.

--- /dev/null
+++ b/libs/routing/features/steps/workspace_limit_steps.py
@@ -0,0 +1,257 @@
+"""Steps of the feature on the limits of workspaces over all hosts."""
+
+from __future__ import annotations
+
+from itertools import pairwise
+
+import quota_fleet
+from behave import given, then, when
+
+from damaskjunction.core import WorkspaceSpec
+from damaskjunction.routing import (
+    CounterPlace,
+    FleetShare,
+    PermitAsk,
+    QuotaBounds,
+    RequestCounter,
+    allotment_of,
+)
+
+HOT = ("w0", "w1", "w5", "w20", "w60")
+ROLL_STEPS = 20
+OWN_HOME = CounterPlace(is_home=True, is_settled=True, share=1.0, since_s=0.0)
+
+
+class FullBuckets(RequestCounter):
+    """Injected fault: a host that takes over grants a whole burst."""
+
+    def _first_tokens(self, workspace, allotment, share):
+        return allotment.burst
+
+
+class WholeShare(FleetShare):
+    """Injected fault: each part of the fleet counts for all of it."""
+
+    def share(self, now_s):
+        return 1.0
+
+
+class HastyHost(FleetShare):
+    """Injected fault: a host counts before the others agree that it does."""
+
+    def is_settled(self, now_s):
+        return True
+
+
+class GenerousStandIn(RequestCounter):
+    """Injected fault: a host grants all that it is asked in place of another."""
+
+    def _stand_in(self, ask, allotment, now_s):
+        return self.count(ask, allotment, OWN_HOME, now_s)
+
+
+TYPES_BY_FAULT = {
+    "start with a full bucket": (FullBuckets, FleetShare),
+    "count for the whole fleet": (RequestCounter, WholeShare),
+    "count as soon as they have started": (RequestCounter, HastyHost),
+    "grant all in place of a silent home": (GenerousStandIn, FleetShare),
+}
+
+
+@given("a simulated fleet of {n_hosts:d} hosts and 88 workspaces, seeds 0 to {last:d}")
+def describe_fleet(context, n_hosts, last):
+    context.n_hosts, context.seeds = n_hosts, range(last + 1)
+    context.types = (RequestCounter, FleetShare)
+
+
+@given("its hosts {fault}")
+def inject_fault(context, fault):
+    context.types = TYPES_BY_FAULT[fault]
+
+
+@when("five workspaces send six times their use")
+def start_fleets(context):
+    context.broken = []
+    context.fleets = [
+        quota_fleet.SimulatedFleet(context.n_hosts, seed, *context.types)
+        for seed in context.seeds
+    ]
+    for fleet in context.fleets:
+        fleet.factor.update(dict.fromkeys(HOT, 6.0))
+
+
+def run_trouble(context, trouble):
+    for fleet in context.fleets:
+        try:
+            fleet.run(6.0)
+            trouble(fleet)
+            fleet.run(5.0)
+        except quota_fleet.LimitBrokenError as error:
+            context.broken.append(error)
+
+
+def one_by_one(harm):
+    def trouble(fleet):
+        for number in range(6):
+            home = fleet.order[fleet.rng.choice(HOT)][0]
+            harm(fleet, home if number % 2 else fleet.rng.choice(fleet.names))
+            fleet.run(4.0)
+
+    return trouble
+
+
+def half_of(fleet):
+    return fleet.rng.sample(fleet.names, len(fleet.names) // 2)
+
+
+@when("nothing else happens")
+def trouble_none(context):
+    run_trouble(context, lambda fleet: fleet.run(5.0))
+
+
+@when("hosts are killed, those that count before all")
+def trouble_kills(context):
+    run_trouble(context, one_by_one(lambda fleet, name: fleet.kill(name)))
+
+
+@when("hosts freeze, those that count before all")
+def trouble_freezes(context):
+    def freeze(fleet, name):
+        fleet.freeze(name, fleet.rng.uniform(1.2, 5.0))
+
+    run_trouble(context, one_by_one(freeze))
+
+
+@when("hosts are cut off, those that count before all")
+def trouble_cuts(context):
+    run_trouble(context, one_by_one(lambda fleet, name: fleet.cut([name], 3.0)))
+
+
+@when("half of the hosts are cut off from the others")
+def trouble_halves(context):
+    def cut(fleet):
+        fleet.cut(half_of(fleet), 10.0)
+        fleet.run(15.0)
+
+    run_trouble(context, cut)
+
+
+@when("all hosts are replaced in turn")
+def trouble_roll(context):
+    def roll(fleet):
+        names = fleet.rng.sample(fleet.names, len(fleet.names))
+        size = max(1, len(names) // ROLL_STEPS)
+        for start in range(0, len(names), size):
+            for name in names[start : start + size]:
+                fleet.replace(name)
+            fleet.run(1.0)
+
+    run_trouble(context, roll)
+
+
+@when("half of the hosts are killed at once")
+def trouble_herd(context):
+    def kill(fleet):
+        for name in half_of(fleet):
+            fleet.kill(name, 3.0)
+        fleet.run(10.0)
+
+    run_trouble(context, kill)
+
+
+@when("half of the hosts run a former build")
+def trouble_old(context):
+    for fleet in context.fleets:
+        for name in half_of(fleet):
+            fleet.hosts[name].is_old = True
+    run_trouble(context, lambda fleet: fleet.run(10.0))
+
+
+@then("in no window are more requests sent than the limits allow")
+def check_bound(context):
+    assert not context.broken, context.broken
+    for fleet in context.fleets:
+        print(fleet.summary())
+
+
+@then("in some window more requests are sent than the limits allow")
+def check_fault_found(context):
+    assert context.broken
+
+
+@then("at least {share:g} of what the usual workspaces may send is granted")
+def check_usual(context, share):
+    for fleet in context.fleets:
+        found = fleet.served_share(fleet.use.keys() - set(HOT))
+        assert found >= share, found
+
+
+@then("at least {share:g} of what the hot workspaces may send is granted")
+def check_hot(context, share):
+    for fleet in context.fleets:
+        found = fleet.served_share(HOT)
+        assert found >= share, found
+
+
+@then("a request takes {n_messages:g} messages at most on average")
+def check_messages(context, n_messages):
+    for fleet in context.fleets:
+        found = fleet.counts["messages"] / fleet.counts["asked"]
+        assert found <= n_messages, found
+
+
+def set_limit(context, rate_per_s, burst):
+    workspace = WorkspaceSpec("w", requests_per_s=rate_per_s, burst=burst)
+    context.allotment = allotment_of(workspace, QuotaBounds())
+
+
+def count(context, n_requests, n_uncounted=0):
+    ask = PermitAsk("w", n_uncounted=n_uncounted)
+    return [
+        context.counter.count(ask, context.allotment, OWN_HOME, 100.0)
+        for _ in range(n_requests)
+    ]
+
+
+@given("a workspace limited to {rate_per_s:g} requests a second and {burst:g} at once")
+def limit_workspace(context, rate_per_s, burst):
+    context.counter = RequestCounter("h0")
+    set_limit(context, rate_per_s, burst)
+
+
+@when("its limit is set to {rate_per_s:g} requests a second and {burst:g} at once")
+def change_limit(context, rate_per_s, burst):
+    set_limit(context, rate_per_s, burst)
+
+
+@when("{n_requests:d} of its requests come at once")
+def send_requests(context, n_requests):
+    context.replies = count(context, n_requests)
+
+
+@when("a host asks that has sent {n_uncounted:d} requests without asking")
+def send_uncounted(context, n_uncounted):
+    count(context, 1, n_uncounted)
+
+
+@then("{n_granted:d} of them are granted")
+def check_granted(context, n_granted):
+    found = sum(not reply.reason for reply in context.replies)
+    assert found == n_granted, found
+
+
+@then(
+    "the others are told to come back at most {gap_s:g} s apart, within {within_s:g} s"
+)
+def check_spread(context, gap_s, within_s):
+    times = sorted(r.retry_after_s for r in context.replies if r.reason)
+    assert times[-1] <= within_s, times
+    gaps = [b - a for a, b in pairwise(times)]
+    assert max(gaps) <= gap_s, gaps
+    assert min(gaps) > 0, gaps
+
+
+@then("a workspace with 0 requests a second has no allotment")
+def check_no_allotment(context):
+    workspace = WorkspaceSpec("w", burst=5.0)
+    assert allotment_of(workspace, QuotaBounds()) is None
