Ask the host that counts for a workspace before a request is sent

Cause: nothing asked for the permits that routing/workspaces decides on.

Change: QuotaGate asks the home of a workspace for each request of a workspace with a limit, the next host when it does not answer within 0.12 s, and after 0.24 s decides alone. A host of a former build refuses the message and is left out. Bounds.QuotaWindowS, QuotaOver and QuotaSlack are settings. FrontEnd admits a request by its workspace, of which it knows none yet. Servers and HTTP limits are made in a module of their own, so that the root shrinks.

--- a/libs/gateway/src/damaskjunction/gateway/front_end.py
+++ b/libs/gateway/src/damaskjunction/gateway/front_end.py
@@ -4,8 +4,9 @@
 
 import logging
 
-from damaskjunction.core import HostState, Timers
+from damaskjunction.core import HostState, Timers, WorkspaceSpec
 from damaskjunction.gateway.jobs.job_front import JobFront
+from damaskjunction.gateway.quotas.quota_gate import QuotaGate
 from damaskjunction.gateway.requests.online import OnlineHandler, deadline_at_s
 from damaskjunction.gateway.state import ServingState
 from damaskjunction.http import Request, Response
@@ -40,6 +41,8 @@
         Serves online requests.
     jobs : JobFront
         Serves requests on batch jobs.
+    quota_gate : QuotaGate
+        Holds workspaces to their limits.
     metrics : Metrics
         Counts refusals.
     timers : Timers
@@ -51,12 +54,15 @@
         state: ServingState,
         online_handler: OnlineHandler,
         jobs: JobFront,
+        quota_gate: QuotaGate,
+        *,
         metrics: Metrics,
         timers: Timers,
     ) -> None:
         self._state = state
         self._online_handler = online_handler
         self._jobs = jobs
+        self._quota_gate = quota_gate
         self._metrics = metrics
         self._timers = timers
         self._stop_schedule: StopSchedule | None = None
@@ -93,7 +99,17 @@
             return await self._jobs.submit(caller_request, route)
         if not self._has_time_for(caller_request, route):
             return self._refuse_while_leaving(caller_request, route)
-        return await self._online_handler.serve(caller_request, route)
+        return await self._serve_online(caller_request, route)
+
+    async def _serve_online(
+        self,
+        request: CallerRequest,
+        route: Route,
+        workspace: WorkspaceSpec | None = None,
+    ) -> Response:
+        """Return the response to an online request, which counts for its workspace."""
+        refusal = await self._quota_gate.admit(workspace, request.request_id)
+        return refusal or await self._online_handler.serve(request, route)
 
     def _has_time_for(self, request: CallerRequest, route: Route) -> bool:
         """Return whether an online request ends before this host is to stop."""
--- /dev/null
+++ b/libs/gateway/src/damaskjunction/gateway/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Limits on the requests of workspaces over all hosts together."""
--- a/libs/gateway/src/damaskjunction/gateway/root.py
+++ b/libs/gateway/src/damaskjunction/gateway/root.py
@@ -7,19 +7,16 @@
 import random
 
 from damaskjunction.core import Address, EntryHost, LoopTimers, stable_hash
-from damaskjunction.core.units import KIB
 from damaskjunction.gateway.dispatch_context import DispatchContext
 from damaskjunction.gateway.front_end import FrontEnd
-from damaskjunction.gateway.inspection import (
-    make_inspection_routes,
-    register_sections,
-)
+from damaskjunction.gateway.inspection import register_sections
 from damaskjunction.gateway.jobs.cancellation_notifier import CancellationNotifier
 from damaskjunction.gateway.jobs.job_cleaner import JobCleaner
 from damaskjunction.gateway.jobs.job_front import JobFront
 from damaskjunction.gateway.jobs.job_repository import JobRepository
 from damaskjunction.gateway.jobs.job_worker import JobWorker
 from damaskjunction.gateway.jobs.result_reader import ResultReader
+from damaskjunction.gateway.quotas.quota_gate import QuotaGate
 from damaskjunction.gateway.requests.online import OnlineHandler
 from damaskjunction.gateway.runners.crash_reporter import CrashReporter
 from damaskjunction.gateway.runners.runner_client import RunnerClient
@@ -39,11 +36,8 @@
 from damaskjunction.gateway.versions.stream_origins import StreamOriginKeeper
 from damaskjunction.gateway.versions.take_ups import TakeUpResolver
 from damaskjunction.gateway.versions.version_registry import VersionRegistry
-from damaskjunction.http import (
-    HttpLimits,
-    HttpServer,
-    ReceiveBudget,
-)
+from damaskjunction.gateway.wiring import http_limits, make_servers
+from damaskjunction.http import HttpServer, ReceiveBudget
 from damaskjunction.membership import FailureDetector, Timing, first_incarnation
 from damaskjunction.node import Component, HostView, Membership, PeerHandlers
 from damaskjunction.platform import (
@@ -59,9 +53,6 @@
 logger = logging.getLogger(__name__)
 
 TIMING = Timing(probe_period_s=0.5, ack_timeout_s=0.2, suspicion_timeout_s=1.0)
-# The configured limit is on headers; the server also counts the request line.
-REQUEST_LINE_ALLOWANCE_BYTES = 8 * KIB
-CALLER_DESCRIPTOR_FRACTION = 0.6  # of the file descriptors of the process
 RECEIVED_MEMORY_FRACTION = 0.0625  # of the memory of the process
 TUNNEL_DESCRIPTOR_FRACTION = 0.1  # of the file descriptors of the process
 DESCRIPTORS_PER_TUNNEL = 2
@@ -191,8 +182,14 @@
         self.job_repository = job_repository = JobRepository(self._store)
         self._worker = JobWorker(job_repository, context)
         jobs = self._make_job_front(handlers)
+        self.quota_gate = self._make_quota_gate(handlers)
         self._front_end = front_end = FrontEnd(
-            self.state, online_handler, jobs, self.metrics, timers
+            self.state,
+            online_handler,
+            jobs,
+            self.quota_gate,
+            metrics=self.metrics,
+            timers=timers,
         )
         self._caller_server = HttpServer(settings.caller, front_end.serve)
         self._peer_server = PeerServer(
@@ -203,7 +200,6 @@
         )
         self._change_feed = self._make_change_feed(transport, rng)
         self._change_feed.register(handlers)
-        servers = self._make_servers(front_end)
         self._register_dump_sections(home, slot_client, transport)
         self.view.subscribe(self._apply_http_limits)
         self._components: tuple[Component, ...] = (
@@ -215,6 +211,7 @@
             crash_reporter,
             runner_faults,
             home,
+            self.quota_gate,
             self._peer_server,
             self._membership,
             self._host_registry,
@@ -222,7 +219,7 @@
             self._worker,
             JobCleaner(job_repository, self.view, timers, settings.result_retention_s),
             RetirementHandler(self._store, self.view, rng),
-            *servers,
+            *make_servers(settings, front_end, self.metrics, self.dump),
             self._caller_server,
         )
 
@@ -306,6 +303,17 @@
         reader.register(handlers)
         return JobFront(jobs, reader, notifier, state=self.state, timers=timers)
 
+    def _make_quota_gate(self, handlers: PeerHandlers) -> QuotaGate:
+        gate = QuotaGate(
+            self.state,
+            self._links,
+            self._timers,
+            self.metrics,
+            bounds=self._settings.quota_bounds,
+        )
+        gate.register(handlers)
+        return gate
+
     def _make_state(self) -> ServingState:
         settings = self._settings
         leaving = LeavingRunners(settings.drain_s, settings.max_skew_s)
@@ -372,19 +380,6 @@
 
         return membership
 
-    def _make_servers(self, front_end: FrontEnd) -> list[HttpServer]:
-        settings = self._settings
-        servers = []
-        if settings.readiness is not None:
-            servers.append(HttpServer(settings.readiness, front_end.serve_readiness))
-        if settings.directory is not None:
-            servers.append(HttpServer(settings.directory, front_end.serve_addresses))
-        if settings.metrics_port:
-            address = Address(settings.ip, settings.metrics_port)
-            routes = make_inspection_routes(self.metrics, self.dump)
-            servers.append(HttpServer(address, routes.handle))
-        return servers
-
     def _register_dump_sections(
         self, home: SlotHome, slot_client: SlotClient, transport: RelayedTransport
     ) -> None:
@@ -395,6 +390,7 @@
             "suspects": self._suspects.to_document,
             "software_versions": self._version_registry.to_document,
             "stream_origins": self._origin_keeper.to_document,
+            "quotas": self.quota_gate.to_document,
             "slot_desk": slot_client.to_document,
             "open_jobs": self._worker.to_document,
             "owed_items": self._worker.owed_items.to_document,
@@ -410,15 +406,5 @@
         self.metrics.gauge("store_calls", lambda: float(sum(counts.values())))
 
     def _apply_http_limits(self) -> None:
-        limits = self.state.table.limits
-        self._caller_server.set_limits(
-            HttpLimits(
-                header_bytes=limits.header_bytes + REQUEST_LINE_ALLOWANCE_BYTES,
-                n_connections=int(
-                    CALLER_DESCRIPTOR_FRACTION * self._settings.max_descriptors
-                ),
-                body_bytes=limits.body_bytes,
-                header_timeout_s=limits.header_timeout_s,
-                keep_alive_timeout_s=limits.idle_timeout_s,
-            )
-        )
+        limits = http_limits(self.state.table.limits, self._settings.max_descriptors)
+        self._caller_server.set_limits(limits)
--- a/libs/platform/features/decoding.feature
+++ b/libs/platform/features/decoding.feature
@@ -17,6 +17,16 @@
     And the key "Bounds.SkewMaxMs" is missing
     Then leaving runners serve for 2 s and clocks differ by at most 5 s
 
+  Scenario: The bounds on the limits of workspaces are decoded
+    Given the settings of an entry host
+    When the key "Bounds.QuotaWindowS" is "4"
+    And the key "Bounds.QuotaSlack" is "7"
+    Then limits may be exceeded by 0.1 and 7 requests in 4 s
+    When the key "Bounds.QuotaOver" is "0.25"
+    And the key "Bounds.QuotaWindowS" is missing
+    And the key "Bounds.QuotaSlack" is missing
+    Then limits may be exceeded by 0.25 and 20 requests in 5 s
+
   Scenario Outline: A runner says in its answers that it leaves
     Given a runner's answer with the header "<name>" as "<value>"
     Then the runner leaves: <is_leaving>
--- a/libs/platform/features/steps/decoding_steps.py
+++ b/libs/platform/features/steps/decoding_steps.py
@@ -93,6 +93,12 @@
     assert (settings.drain_s, settings.max_skew_s) == (drain_s, max_skew_s), settings
 
 
+@then("limits may be exceeded by {over:g} and {slack:g} requests in {window_s:g} s")
+def check_quota_bounds(context, over, slack, window_s):
+    bounds = decode_context_settings(context).quota_bounds
+    assert bounds == (window_s, over, slack), bounds
+
+
 @given('a runner\'s answer with the header "{name}" as "{value}"')
 @given('a runner\'s answer with the header "{name}" as ""')
 def make_answer(context, name, value=""):
--- a/libs/platform/src/damaskjunction/platform/settings_file.py
+++ b/libs/platform/src/damaskjunction/platform/settings_file.py
@@ -16,7 +16,11 @@
     raise_findings,
 )
 from damaskjunction.core.units import MIB, MILLISECOND_S
-from damaskjunction.routing import DEFAULT_DRAIN_S, DEFAULT_MAX_SKEW_S
+from damaskjunction.routing import (
+    DEFAULT_DRAIN_S,
+    DEFAULT_MAX_SKEW_S,
+    QuotaBounds,
+)
 
 SETTINGS_VARIABLE = "DAMASKJUNCTION_SETTINGS"
 DEFAULT_METRICS_PORT = 9464
@@ -39,8 +43,9 @@
     serves, and ``max_skew_s`` the largest difference of clocks. ``memory_bytes`` is the
     memory beyond which the process is killed. ``n_cores`` is the
     number of processor cores that the process may use, scaled to cores of the usual
-    speed. ``max_descriptors`` limits the open file descriptors. The settings file has
-    no key for ``metrics_port``.
+    speed. ``max_descriptors`` limits the open file descriptors. ``quota_bounds`` tells
+    how far workspaces may exceed their limits. The settings file has no key for
+    ``metrics_port``.
     """
 
     host_id: HostId
@@ -62,6 +67,7 @@
     memory_bytes: float = DEFAULT_MEMORY_BYTES
     drain_s: float = DEFAULT_DRAIN_S
     max_skew_s: float = DEFAULT_MAX_SKEW_S
+    quota_bounds: QuotaBounds = QuotaBounds()
 
 
 class _SettingsReader:
@@ -169,11 +175,21 @@
         memory_bytes=MIB * reader.number("Limits.MemoryMb", DEFAULT_MEMORY_BYTES / MIB),
         drain_s=reader.seconds("Bounds.DrainMs", DEFAULT_DRAIN_S),
         max_skew_s=reader.seconds("Bounds.SkewMaxMs", DEFAULT_MAX_SKEW_S),
+        quota_bounds=_read_quota_bounds(reader),
     )
     raise_findings(f"{source}: invalid settings", reader.findings)
     return settings
 
 
+def _read_quota_bounds(reader: _SettingsReader) -> QuotaBounds:
+    default = QuotaBounds()
+    return QuotaBounds(
+        window_s=reader.number("Bounds.QuotaWindowS", default.window_s),
+        over=reader.number("Bounds.QuotaOver", default.over),
+        slack=reader.number("Bounds.QuotaSlack", default.slack),
+    )
+
+
 def read_settings(path: Path) -> ProcessSettings:
     """Read settings from a file; raises OSError, or FindingsError if invalid."""
     return decode_settings(path.read_text(), str(path))
--- a/libs/routing/src/damaskjunction/routing/__init__.py
+++ b/libs/routing/src/damaskjunction/routing/__init__.py
@@ -175,9 +175,6 @@
     unknown_record,
 )
 from damaskjunction.routing.workspaces.allotments import (
-    DEFAULT_OVER,
-    DEFAULT_SLACK,
-    DEFAULT_WINDOW_S,
     Allotment,
     QuotaBounds,
     allotment_of,
@@ -198,15 +195,13 @@
     passed_ask,
 )
 from damaskjunction.routing.workspaces.request_counter import RequestCounter
+from damaskjunction.routing.workspaces.uncounted_requests import UncountedRequests
 
 __all__ = [
     "ASK_LIMIT_S",
     "CAPACITY_REASONS",
     "DEFAULT_DRAIN_S",
     "DEFAULT_MAX_SKEW_S",
-    "DEFAULT_OVER",
-    "DEFAULT_SLACK",
-    "DEFAULT_WINDOW_S",
     "DIRECT_HEAD_START_S",
     "DIRECT_RETRY_S",
     "EXCLUSIVE_RUNS",
@@ -309,6 +304,7 @@
     "Suspect",
     "TakeOverClaim",
     "Token",
+    "UncountedRequests",
     "Verdict",
     "VerdictNews",
     "VersionLedger",
--- a/libs/routing/src/damaskjunction/routing/workspaces/counter_choice.py
+++ b/libs/routing/src/damaskjunction/routing/workspaces/counter_choice.py
@@ -13,7 +13,7 @@
 # A host of a former build refuses asks; a new one may take its place.
 UNABLE_S = 10.0
 MAX_ASKED = 6  # within ``ASK_LIMIT_S``
-ASK_LIMIT_S = 0.2  # then a host decides alone
+ASK_LIMIT_S = 0.24  # then a host decides alone
 
 
 class CounterChoice:
--- a/libs/routing/src/damaskjunction/routing/workspaces/fleet_share.py
+++ b/libs/routing/src/damaskjunction/routing/workspaces/fleet_share.py
@@ -44,7 +44,7 @@
         self._settles_at_s = now_s + SETTLE_S
         self._observed_at_s = now_s
         self._shares: deque[_ShareAt] = deque()
-        self.stable_since_s = now_s
+        self._changed_at_s = now_s
 
     @property
     def n_known(self) -> int:
@@ -63,7 +63,8 @@
         if live != self._live_ids:
             for host_id in self._live_ids - live:
                 self._lost_at_by_id[host_id] = now_s
-            self._live_ids, self.stable_since_s = live, now_s
+            self._live_ids = live
+            self.record_change(now_s)
         self._forget_lost(live.union(leaving_ids), now_s)
         self._record_share(len(live) / self.n_known, now_s)
 
@@ -82,9 +83,13 @@
         is_back = bool(self._shares) and self._shares[-1].share >= MOST_OF_FLEET
         return not is_back or self.share(now_s) >= HALF_OF_FLEET
 
+    def record_change(self, now_s: float) -> None:
+        """Record that hosts are ranked anew as homes."""
+        self._changed_at_s = now_s
+
     def counts_since_s(self) -> float:
         """Return when this host last settled or saw the live hosts change."""
-        return max(self.stable_since_s, self._settles_at_s)
+        return max(self._changed_at_s, self._settles_at_s)
 
     def _detect_pause(self, now_s: float) -> None:
         if now_s - self._observed_at_s > MAX_PAUSE_S:
--- a/libs/wire/src/damaskjunction/wire/__init__.py
+++ b/libs/wire/src/damaskjunction/wire/__init__.py
@@ -43,6 +43,7 @@
     OriginFound,
     StreamOrigins,
 )
+from damaskjunction.wire.quotas import PermitAsk, PermitReply
 from damaskjunction.wire.sessions import CallHandler, PeerServer, Reply
 from damaskjunction.wire.slots import (
     Noted,
@@ -86,6 +87,8 @@
     "OriginFound",
     "PeerLinks",
     "PeerServer",
+    "PermitAsk",
+    "PermitReply",
     "PlacementQuery",
     "Reply",
     "ResultsAsk",
--- a/libs/wire/src/damaskjunction/wire/peer.thrift
+++ b/libs/wire/src/damaskjunction/wire/peer.thrift
@@ -364,3 +364,18 @@
 struct TunnelReply {
   1: string reach
 }
+
+// Asks whether a request of a workspace may be sent to a runner; the receiver counts in
+// place of the unsettled hosts.
+struct PermitAsk {
+  1: string workspace
+  2: list<string> unsettled
+  3: i32 n_hops
+  4: i32 n_uncounted
+}
+
+// Whether the request may be sent; reason is empty then.
+struct PermitReply {
+  1: string reason
+  2: double retry_after_s
+}
