--- a/libs/routing/src/damaskjunction/routing/__init__.py
+++ b/libs/routing/src/damaskjunction/routing/__init__.py
@@ -177,6 +177,11 @@
     stream_lives,
     unknown_record,
 )
+from damaskjunction.routing.workspaces.allotments import (
+    Allotment,
+    QuotaBounds,
+    allotment_of,
+)
 from damaskjunction.routing.workspaces.callers import (
     Caller,
     KeyDenial,
@@ -184,13 +189,31 @@
     identify_caller,
     prioritize,
 )
+from damaskjunction.routing.workspaces.counter_choice import (
+    ASK_LIMIT_S,
+    CounterChoice,
+)
+from damaskjunction.routing.workspaces.fleet_share import FleetShare
 from damaskjunction.routing.workspaces.keys import (
     WorkspaceKeys,
     bearer_key,
     digest_of_key,
 )
+from damaskjunction.routing.workspaces.permits import (
+    OVER_LIMIT,
+    UNCERTAIN_LIMIT,
+    AskStep,
+    CounterPlace,
+    PermitAsk,
+    PermitReply,
+    next_step,
+    passed_ask,
+)
+from damaskjunction.routing.workspaces.request_counter import RequestCounter
+from damaskjunction.routing.workspaces.uncounted_requests import UncountedRequests
 
 __all__ = [
+    "ASK_LIMIT_S",
     "CAPACITY_REASONS",
     "DEFAULT_DRAIN_S",
     "DEFAULT_MAX_SKEW_S",
@@ -200,7 +223,9 @@
     "MAX_WITNESSES",
     "NO_LIMIT_PER_S",
     "NO_RUNNER_LEFT",
+    "OVER_LIMIT",
     "SHARED_RUNS",
+    "UNCERTAIN_LIMIT",
     "AdaptiveLimits",
     "AdmissionController",
     "AdmissionEffect",
@@ -208,8 +233,10 @@
     "AdmissionState",
     "AdmissionTicket",
     "Admit",
+    "Allotment",
     "AnswerAssembly",
     "AnswerPart",
+    "AskStep",
     "Attempts",
     "BackendSpec",
     "Caller",
@@ -220,6 +247,8 @@
     "ClaimState",
     "ClosedVersion",
     "ConcurrencyLimits",
+    "CounterChoice",
+    "CounterPlace",
     "CrashEvidence",
     "CrashPolicy",
     "CrashReport",
@@ -229,6 +258,7 @@
     "FailCall",
     "FairQueue",
     "FixedLimits",
+    "FleetShare",
     "FormerEntries",
     "Forward",
     "GiveUp",
@@ -245,10 +275,13 @@
     "OriginMemory",
     "OutlierEjection",
     "PathPlan",
+    "PermitAsk",
+    "PermitReply",
     "PlainAnswer",
     "PlainRunners",
     "Preempt",
     "Quarantine",
+    "QuotaBounds",
     "RateLimiter",
     "Reach",
     "RecheckClaim",
@@ -256,6 +289,7 @@
     "RefuseSlot",
     "RejectKeyReuse",
     "ReplayAnswer",
+    "RequestCounter",
     "RequestTraits",
     "Retry",
     "RetryBudget",
@@ -288,6 +322,7 @@
     "Suspect",
     "TakeOverClaim",
     "Token",
+    "UncountedRequests",
     "Verdict",
     "VerdictNews",
     "VersionLedger",
@@ -296,6 +331,7 @@
     "WeightedService",
     "WorkspaceKeys",
     "admission_policies",
+    "allotment_of",
     "are_writers_proved",
     "bearer_key",
     "digest_of_key",
@@ -308,7 +344,9 @@
     "judge_runner",
     "listed_versions",
     "make_route_table",
+    "next_step",
     "origin_of",
+    "passed_ask",
     "prioritize",
     "proven_version",
     "required_version",
