--- a/libs/gateway/features/steps/flooding_runner_steps.py
+++ b/libs/gateway/features/steps/flooding_runner_steps.py
@@ -4,31 +4,23 @@
 
 import asyncio
 import itertools
-import os
 import subprocess
 import sys
-import tempfile
 import time
 from pathlib import Path
 
 from behave import given, then, when
 from fleet_helpers import run
-from platform_fleet import ENGINE, PLAIN, PlatformFleet, make_configuration
+from own_process_fleet import HOST, PAUSE_S, OwnProcessFleet
+from platform_fleet import ENGINE, PLAIN, make_configuration
 from platform_fleet import ROUTES as FLEET_ROUTES
 
-from damaskjunction import standins
-from damaskjunction.core import Address
-from damaskjunction.platform import ProcessSettings
 from damaskjunction.standins.runner import make_entry
 
 FOLDER = Path(__file__).parent.parent
-PORTS = {"caller": 20001, "readiness": 20002, "directory": 20003, "peer": 20010}
-HOST = "h0"
 FAULTY, SOUND = "faulty", "sound"
 SLOTS = 64
 SERVICES = {"engine": ENGINE, "plain service": PLAIN}
-PATHS = {ENGINE: "/ask/1", PLAIN: "/look/1"}
-PAUSE_S = 0.05
 FLOODED_S = 2.5
 JOB, N_ITEMS = "flooded", 40
 ROUTES = [
@@ -37,51 +29,14 @@
 ]
 
 
-class FloodedFleet(PlatformFleet):
+class FloodedFleet(OwnProcessFleet):
     """A fleet whose host, and whose faulty runner, are processes of their own."""
 
     def __init__(self, memory_mb):
-        super().__init__(0)
-        self._folder = tempfile.TemporaryDirectory()
-        self.memory_mb = memory_mb
-        self.host = None
-        self.faulty = None
-
-    async def start(self):
-        await self.store.start()
         document = make_configuration(1, ROUTES)
         document["Services"][0]["Engine"]["Slots"] = SLOTS
-        self.store.put("config", "main", document)
-        number = os.getpid() % 60_000
-        ip = f"127.78.{number // 250}.{number % 250 + 1}"
-        text = standins.make_settings_text(
-            HOST, ip, "z1", ports=PORTS, store=self._store_address, stop_grace_s=3.0
-        )
-        path = Path(self._folder.name) / "host.conf"
-        path.write_text(f"{text}Limits.MemoryMb={self.memory_mb}\n")
-        self._start_host_process(path)
-        addresses = {name: Address(ip, port) for name, port in PORTS.items()}
-        self.settings[HOST] = ProcessSettings(
-            HOST,
-            "r1",
-            "z1",
-            ip,
-            addresses["caller"],
-            addresses["readiness"],
-            addresses["directory"],
-            PORTS["peer"],
-            (),
-            self._store_address,
-            {"z1": "r1"},
-        )
-
-    def _start_host_process(self, path):
-        self.host = subprocess.Popen(
-            [sys.executable, "-m", "damaskjunction.gateway", "host"],
-            stdout=subprocess.DEVNULL,
-            stderr=subprocess.DEVNULL,
-            env={**os.environ, "DAMASKJUNCTION_SETTINGS": str(path)},
-        )
+        super().__init__(document, {"Limits.MemoryMb": memory_mb})
+        self.faulty = None
 
     def start_faulty(self, service, flood):
         address = self._addresses.pop()
@@ -101,31 +56,11 @@
         self.store.remove("servers", FAULTY)
         return int(output)
 
-    async def wait_until_served(self, service):
-        async with asyncio.timeout(20.0):
-            # No host in this process tells of a change.
-            while (await self.ask(service, "first"))[0] != 200:  # noqa: ASYNC110
-                await asyncio.sleep(PAUSE_S)
-
-    async def ask(self, service, request_id):
-        """Return the status, 0 if the answer is incomplete, and the time it took."""
-        began_at_s = time.monotonic()
-        reply = await self.call(HOST, "POST", PATHS[service], request_id=request_id)
-        status = reply.status if reply.is_complete else 0
-        return status, time.monotonic() - began_at_s
-
-    def peak_memory_mb(self):
-        lines = Path(f"/proc/{self.host.pid}/status").read_text().splitlines()
-        line = next(line for line in lines if line.startswith("VmHWM"))
-        return int(line.split()[1]) / 1024
-
     async def close(self):
-        for process in (self.host, self.faulty):
-            if process is not None and process.returncode is None:
-                process.kill()
-                process.communicate()
+        if self.faulty is not None and self.faulty.returncode is None:
+            self.faulty.kill()
+            self.faulty.communicate()
         await super().close()
-        self._folder.cleanup()
 
 
 @given("a host with {memory_mb:d} MB of memory, sound runners but for the {service}")
--- a/tools/check.py
+++ b/tools/check.py
@@ -23,6 +23,7 @@
 MAX_EXCERPT_CHARACTERS = 4000
 KNOWN_RED_PREFIX = "test:"
 SLOW_TAG = "matrix"
+ALONE_TAG = "alone"  # features that measure a process of their own
 
 
 class Result(NamedTuple):
@@ -158,14 +159,27 @@
     return results
 
 
+def is_run_alone(feature: Path) -> bool:
+    """Return whether the first line of a feature's file has ``ALONE_TAG``."""
+    with feature.open() as file:
+        return f"@{ALONE_TAG}" in file.readline().split()
+
+
 async def run_features(tags: str) -> list[Result]:
-    """Run the features of all libraries, ``MAX_PARALLEL_FEATURES`` at a time."""
-    semaphore = asyncio.Semaphore(MAX_PARALLEL_FEATURES)
+    """Run the features of all libraries, ``MAX_PARALLEL_FEATURES`` at a time.
+
+    Those that are run alone come last, one after the other.
+    """
     features = sorted(ROOT.glob("libs/*/features/**/*.feature"))
-    results_per_feature = await asyncio.gather(
-        *(run_feature(f, tags, semaphore) for f in features)
-    )
-    return [result for results in results_per_feature for result in results]
+    results: list[Result] = []
+    for is_alone, n_parallel in ((False, MAX_PARALLEL_FEATURES), (True, 1)):
+        semaphore = asyncio.Semaphore(n_parallel)
+        chosen = [f for f in features if is_run_alone(f) is is_alone]
+        results_per_feature = await asyncio.gather(
+            *(run_feature(f, tags, semaphore) for f in chosen)
+        )
+        results += [result for found in results_per_feature for result in found]
+    return results
 
 
 def read_known_red_names() -> set[str]:
