Bound what clients make a host keep

For each request of a connection one more block was read into the parser, however many earlier ones waited for their answers; bodies were bounded one by one and not in sum; connections of some servers were not bounded; answers that nobody read kept their connection open after its time.

- What comes ahead of an answer is read up to 16 KiB and fed to the parser only when it has nothing left; behind that, the end of a connection is polled for.
- ClientMemory counts bodies, unread answers, incomplete heads and full connections of all servers of a host, 0.2 of its memory or the largest body.
Stalled ones are dropped first, then uploads are refused with 503 and Retry-After; small bodies need no room.
- ClientConnections bounds the connections of all servers to 0.4 of the descriptors; a new one takes the place of that which has waited longest for its client.
- A client that does not read is cut off after the stall timeout, heads and bodies have a bound on their whole time (408), buffers of the kernel are bounded.

--- a/libs/gateway/src/damaskjunction/gateway/root.py
+++ b/libs/gateway/src/damaskjunction/gateway/root.py
@@ -7,7 +7,7 @@
 import random
 
 from damaskjunction.core import Address, EntryHost, LoopTimers, stable_hash
-from damaskjunction.core.units import KIB
+from damaskjunction.gateway.client_servers import ClientServers
 from damaskjunction.gateway.dispatch_context import DispatchContext
 from damaskjunction.gateway.front_end import FrontEnd
 from damaskjunction.gateway.inspection import (
@@ -39,11 +39,7 @@
 from damaskjunction.gateway.versions.stream_origins import StreamOriginKeeper
 from damaskjunction.gateway.versions.take_ups import TakeUpResolver
 from damaskjunction.gateway.versions.version_registry import VersionRegistry
-from damaskjunction.http import (
-    HttpLimits,
-    HttpServer,
-    ReceiveBudget,
-)
+from damaskjunction.http import ReceiveBudget
 from damaskjunction.membership import FailureDetector, Timing, first_incarnation
 from damaskjunction.node import Component, HostView, Membership, PeerHandlers
 from damaskjunction.platform import (
@@ -59,9 +55,6 @@
 logger = logging.getLogger(__name__)
 
 TIMING = Timing(probe_period_s=0.5, ack_timeout_s=0.2, suspicion_timeout_s=1.0)
-# The configured limit is on headers; the server also counts the request line.
-REQUEST_LINE_ALLOWANCE_BYTES = 8 * KIB
-CALLER_DESCRIPTOR_FRACTION = 0.6  # of the file descriptors of the process
 RECEIVED_MEMORY_FRACTION = 0.0625  # of the memory of the process
 TUNNEL_DESCRIPTOR_FRACTION = 0.1  # of the file descriptors of the process
 DESCRIPTORS_PER_TUNNEL = 2
@@ -194,7 +187,8 @@
         self._front_end = front_end = FrontEnd(
             self.state, online_handler, jobs, self.metrics, timers
         )
-        self._caller_server = HttpServer(settings.caller, front_end.serve)
+        inspection = make_inspection_routes(self.metrics, self.dump)
+        self._servers = ClientServers(settings, front_end, inspection, self.metrics)
         self._peer_server = PeerServer(
             peer, timers, handlers.handle, access.tunnel_server.serve
         )
@@ -203,7 +197,6 @@
         )
         self._change_feed = self._make_change_feed(transport, rng)
         self._change_feed.register(handlers)
-        servers = self._make_servers(front_end)
         self._register_dump_sections(home, slot_client, transport)
         self.view.subscribe(self._apply_http_limits)
         self._components: tuple[Component, ...] = (
@@ -222,8 +215,7 @@
             self._worker,
             JobCleaner(job_repository, self.view, timers, settings.result_retention_s),
             RetirementHandler(self._store, self.view, rng),
-            *servers,
-            self._caller_server,
+            self._servers,
         )
 
     @property
@@ -253,13 +245,13 @@
         schedule = StopSchedule(now_s, self._settings.stop_grace_s)
         self.view.start_draining()
         self._front_end.begin_stop(schedule)
-        self._caller_server.disable_keep_alive()
+        self._servers.caller.disable_keep_alive()
         leaving = asyncio.ensure_future(self._leave(schedule.items_until_s - now_s))
         await asyncio.sleep(schedule.listens_until_s - now_s)
         try:
             async with asyncio.timeout(schedule.ends_at_s - self._timers.now()):
                 await leaving
-                await self._caller_server.drain()
+                await self._servers.caller.drain()
                 await self._access.tunnel_server.drain()
         except TimeoutError:
             logger.warning("requests aborted at the end of the stop grace period")
@@ -372,19 +364,6 @@
 
         return membership
 
-    def _make_servers(self, front_end: FrontEnd) -> list[HttpServer]:
-        settings = self._settings
-        servers = []
-        if settings.readiness is not None:
-            servers.append(HttpServer(settings.readiness, front_end.serve_readiness))
-        if settings.directory is not None:
-            servers.append(HttpServer(settings.directory, front_end.serve_addresses))
-        if settings.metrics_port:
-            address = Address(settings.ip, settings.metrics_port)
-            routes = make_inspection_routes(self.metrics, self.dump)
-            servers.append(HttpServer(address, routes.handle))
-        return servers
-
     def _register_dump_sections(
         self, home: SlotHome, slot_client: SlotClient, transport: RelayedTransport
     ) -> None:
@@ -410,15 +389,4 @@
         self.metrics.gauge("store_calls", lambda: float(sum(counts.values())))
 
     def _apply_http_limits(self) -> None:
-        limits = self.state.table.limits
-        self._caller_server.set_limits(
-            HttpLimits(
-                header_bytes=limits.header_bytes + REQUEST_LINE_ALLOWANCE_BYTES,
-                n_connections=int(
-                    CALLER_DESCRIPTOR_FRACTION * self._settings.max_descriptors
-                ),
-                body_bytes=limits.body_bytes,
-                header_timeout_s=limits.header_timeout_s,
-                keep_alive_timeout_s=limits.idle_timeout_s,
-            )
-        )
+        self._servers.apply_limits(self.state.table.limits)
--- a/libs/http/src/damaskjunction/http/__init__.py
+++ b/libs/http/src/damaskjunction/http/__init__.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 server and client on h11, server-sent events and request routing."""
 
 from damaskjunction.http.client import ClientResponse, HttpClient
+from damaskjunction.http.client_guard import ClientGuard
 from damaskjunction.http.connection import ResponseHead
 from damaskjunction.http.connector import Connector, DirectConnector, OpenConnection
 from damaskjunction.http.events import (
@@ -45,6 +46,7 @@
     "RECEIVE_BUFFER_BYTES",
     "BodyReader",
     "BrokenResponseError",
+    "ClientGuard",
     "ClientResponse",
     "ConnectFailedError",
     "Connector",
--- /dev/null
+++ b/libs/http/src/damaskjunction/http/client_connections.py
@@ -0,0 +1,69 @@
+"""A bound on the connections that all clients of a process keep open at once."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+
+class ClientConnection(Protocol):
+    """What is known of an open connection.
+
+    ``waits_since_s`` is since when it waits for its client to send or to read, None
+    while it does not. ``n_served`` is the number of requests that were served on it.
+    """
+
+    waits_since_s: float | None
+    n_served: int
+
+    def evict(self) -> None:
+        """Close the connection."""
+
+
+class ClientConnections:
+    """Decides which connection is closed when a new one finds no room.
+
+    It is one that waits for its client: one on which no request was served yet, if
+    there is any, and the one that has waited longest among them.
+
+    Parameters
+    ----------
+    limit : int, optional
+        Connections that are open at once; None for any number.
+    """
+
+    def __init__(self, limit: int | None = None) -> None:
+        self.limit = limit
+        self._connections: dict[ClientConnection, None] = {}
+        self.n_evicted = 0
+        self.n_refused = 0
+
+    @property
+    def n_open(self) -> int:
+        """Number of open connections."""
+        return len(self._connections)
+
+    def try_add(self, connection: ClientConnection) -> bool:
+        """Add a connection; return False if it has to be closed."""
+        if self.limit is not None and self.n_open >= self.limit:
+            victim = self._longest_waiting()
+            if victim is None:
+                self.n_refused += 1
+                return False
+            self.n_evicted += 1
+            del self._connections[victim]
+            victim.evict()
+        self._connections[connection] = None
+        return True
+
+    def remove(self, connection: ClientConnection) -> None:
+        """Remove a connection that is closed, or was evicted."""
+        self._connections.pop(connection, None)
+
+    def _longest_waiting(self) -> ClientConnection | None:
+        waiting = (
+            (connection.n_served > 0, connection.waits_since_s, number, connection)
+            for number, connection in enumerate(self._connections)
+            if connection.waits_since_s is not None
+        )
+        *_, victim = min(waiting, default=(None,))
+        return victim
--- /dev/null
+++ b/libs/http/src/damaskjunction/http/client_guard.py
@@ -0,0 +1,51 @@
+"""What the servers of a process share to bound what clients make it keep."""
+
+from __future__ import annotations
+
+import logging
+import math
+from collections.abc import Callable
+
+from damaskjunction.http.client_connections import ClientConnections
+from damaskjunction.http.client_memory import DEFAULT_LIMIT_BYTES, ClientMemory
+
+REPORT_INTERVAL_S = 1.0
+
+logger = logging.getLogger(__name__)
+
+
+class ClientGuard:
+    """Bounds on the memory and the connections of all clients of a process.
+
+    Parameters
+    ----------
+    now : callable
+        Returns the current time in seconds.
+    memory_bytes : int, optional
+        Bytes that are held for all clients at once.
+    max_connections : int, optional
+        Connections that are open at once; None for any number.
+    """
+
+    def __init__(
+        self,
+        now: Callable[[], float],
+        *,
+        memory_bytes: int = DEFAULT_LIMIT_BYTES,
+        max_connections: int | None = None,
+    ) -> None:
+        self._now = now
+        self.memory = ClientMemory(now, memory_bytes)
+        self.connections = ClientConnections(max_connections)
+        self._reported_at_s = -math.inf
+        self._n_unreported = 0
+
+    def report(self, peer: str, reason: str) -> None:
+        """Log that a client was refused or dropped, once in ``REPORT_INTERVAL_S``."""
+        now_s = self._now()
+        if now_s - self._reported_at_s < REPORT_INTERVAL_S:
+            self._n_unreported += 1
+            return
+        extra = {"peer": peer, "reason": reason, "n_others": self._n_unreported}
+        logger.warning("client refused or dropped", extra=extra)
+        self._reported_at_s, self._n_unreported = now_s, 0
--- a/libs/http/src/damaskjunction/http/messages.py
+++ b/libs/http/src/damaskjunction/http/messages.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import AsyncIterator, Callable, Mapping
 from typing import Any, NamedTuple
 
 from damaskjunction.core import DamaskjunctionError, Outcome, RequestError
@@ -18,7 +18,8 @@
     """Limits that keep a single peer from exhausting the process's resources.
 
     Sizes are in bytes, times in seconds. A stall timeout is the longest time without
-    progress in reading a body or in writing a response.
+    progress in reading a body or in writing a response. A body that takes longer than
+    ``body_grace_s`` has to come with ``min_body_bytes_per_s`` on the whole.
     """
 
     header_bytes: int = 16 * KIB
@@ -29,6 +30,12 @@
     body_stall_timeout_s: float = 30.0
     keep_alive_timeout_s: float = 75.0
     write_stall_timeout_s: float = 30.0
+    body_grace_s: float = 60.0
+    min_body_bytes_per_s: float = 1.0 * KIB
+
+    def body_timeout_s(self, n_received: int) -> float:
+        """Return the time in which the next byte of a body has to come."""
+        return self.body_grace_s + n_received / self.min_body_bytes_per_s
 
 
 class HttpError(DamaskjunctionError):
@@ -89,11 +96,20 @@
         The body as it arrives.
     limit_bytes : int
         Maximum size of the body in bytes.
+    keep : callable, optional
+        Takes how many bytes of the body are kept so far, and raises if too many are;
+        it is called with ``is_whole`` when they are the complete body.
     """
 
-    def __init__(self, chunks: AsyncIterator[bytes], limit_bytes: int) -> None:
+    def __init__(
+        self,
+        chunks: AsyncIterator[bytes],
+        limit_bytes: int,
+        keep: Callable[[int, bool], None] | None = None,
+    ) -> None:
         self._chunks = chunks
         self._limit_bytes = limit_bytes
+        self._keep = keep
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yield the body in chunks as they arrive.
@@ -117,9 +133,21 @@
         Raises
         ------
         HttpError
-            With status 413, when the body exceeds the limit.
+            With status 413, when the body exceeds the limit, or 503, when there is no
+            room for it.
         """
-        return b"".join([chunk async for chunk in self.chunks()])
+        parts: list[bytes] = []
+        size = 0
+        async for chunk in self.chunks():
+            size += len(chunk)
+            self._count(size)
+            parts.append(chunk)
+        self._count(size, is_whole=True)
+        return b"".join(parts)
+
+    def _count(self, n_kept: int, *, is_whole: bool = False) -> None:
+        if self._keep is not None:
+            self._keep(n_kept, is_whole)
 
 
 class Request(NamedTuple):
@@ -177,9 +205,12 @@
 
 
 def error_response(error: HttpError) -> Response:
-    """Return the response for ``error``."""
+    """Return the response for ``error``; ``retry_after_s`` is a header, too."""
     document = {"reason": error.reason, "detail": error.detail, **error.extra}
-    return to_json_response({"error": document}, status=error.status)
+    headers = {}
+    if "retry_after_s" in error.extra:
+        headers["Retry-After"] = str(error.extra["retry_after_s"])
+    return to_json_response({"error": document}, status=error.status, headers=headers)
 
 
 STATUS_BY_OUTCOME: Mapping[Outcome, int] = {
--- a/libs/http/src/damaskjunction/http/server.py
+++ b/libs/http/src/damaskjunction/http/server.py
@@ -4,15 +4,27 @@
 
 import asyncio
 import logging
+import socket
 import ssl
 
 import h11
 
 from damaskjunction.core import Address
+from damaskjunction.core.units import KIB
+from damaskjunction.http.client_guard import ClientGuard
 from damaskjunction.http.messages import HttpLimits
-from damaskjunction.http.server_connection import RequestHandler, ServerConnection
-
-N_ACCEPT_PASSES = 2  # of the loop, to accept what the kernel has connected
+from damaskjunction.http.server_connection import (
+    WRITE_HIGH_WATER_BYTES,
+    RequestHandler,
+    ServerConnection,
+)
+from damaskjunction.http.sockets import bound_kernel_buffers, bound_receive_buffer
+
+STREAM_LIMIT_BYTES = 16 * KIB
+BACKLOG = 1024
+N_ACCEPTED_AT_ONCE = 32
+# Of the loop, to accept what the kernel has connected.
+N_ACCEPT_PASSES = 1 + BACKLOG // N_ACCEPTED_AT_ONCE
 
 logger = logging.getLogger(__name__)
 
@@ -31,6 +43,8 @@
         Limits on connections, headers, bodies and idle times.
     tls : ssl.SSLContext, optional
         TLS context; without one, the server speaks plain HTTP.
+    guard : ClientGuard, optional
+        Bounds that all servers of the process share.
     """
 
     def __init__(
@@ -40,11 +54,13 @@
         *,
         limits: HttpLimits | None = None,
         tls: ssl.SSLContext | None = None,
+        guard: ClientGuard | None = None,
     ) -> None:
         self.address = address
         self._handle = handle
         self._limits = limits or HttpLimits()
         self._tls = tls
+        self._guard = guard
         self._server: asyncio.Server | None = None
         self._connections_by_task: dict[asyncio.Task[None], ServerConnection] = {}
         self._is_draining = False
@@ -57,13 +73,19 @@
 
     async def start(self) -> None:
         """Start listening and serving."""
+        if self._guard is None:
+            self._guard = ClientGuard(asyncio.get_running_loop().time)
+        listener = socket.create_server(self.address)
+        bound_kernel_buffers(listener)
         self._server = await asyncio.start_server(
             self._serve_connection,
-            self.address.ip,
-            self.address.port,
+            sock=listener,
             ssl=self._tls,
-            backlog=1024,
+            limit=STREAM_LIMIT_BYTES,
+            # The event loop accepts so many in one of its iterations.
+            backlog=N_ACCEPTED_AT_ONCE,
         )
+        listener.listen(BACKLOG)
 
     def set_limits(self, limits: HttpLimits) -> None:
         """Set the limits for connections accepted from now on."""
@@ -107,19 +129,32 @@
             writer.close()
             return
         task = asyncio.current_task()
-        assert task is not None
-        connection = ServerConnection(reader, writer, self._handle, self._limits)
+        assert task is not None and self._guard is not None
+        connection = ServerConnection(
+            reader, writer, self._handle, self._limits, self._guard
+        )
+        if not self._guard.connections.try_add(connection):
+            connection.evict()
+            return
+        bound_receive_buffer(writer)
+        writer.transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
         connection.is_keep_alive_disabled = self._is_keep_alive_disabled
         if self._is_draining:
             connection.begin_close()
         self._connections_by_task[task] = connection
         try:
-            while await connection.serve_request():
-                pass
+            await self._serve_requests(connection)
+            await connection.close()
         except asyncio.CancelledError:
             pass  # cancelled by close()
-        except (OSError, TimeoutError, h11.ProtocolError) as error:
-            logger.debug("connection ended", extra={"error": repr(error)})
         finally:
             del self._connections_by_task[task]
+            self._guard.connections.remove(connection)
             writer.close()
+
+    async def _serve_requests(self, connection: ServerConnection) -> None:
+        try:
+            while await connection.serve_request():
+                pass
+        except (OSError, TimeoutError, h11.ProtocolError) as error:
+            logger.debug("connection ended", extra={"error": repr(error)})
--- a/libs/http/src/damaskjunction/http/server_connection.py
+++ b/libs/http/src/damaskjunction/http/server_connection.py
@@ -11,6 +11,9 @@
 import h11
 
 from damaskjunction.core import RequestError
+from damaskjunction.core.units import KIB
+from damaskjunction.http.client_guard import ClientGuard
+from damaskjunction.http.client_memory import SMALL_BYTES, Holding
 from damaskjunction.http.messages import (
     JSON_TYPE,
     BodyReader,
@@ -26,18 +29,27 @@
     encode_headers,
     prepare_for_reuse,
 )
+from damaskjunction.http.read_ahead import FULL_BYTES, AheadReader
 
 RequestHandler: TypeAlias = Callable[[Request], Awaitable[Response]]
+ProtocolEvent: TypeAlias = h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]
 
 LINGER_S = 0.2  # in which a connection that is to close still takes a request
-READ_BYTES = 64 * 1024
-WRITE_HIGH_WATER_BYTES = 32 * 1024
+READ_BYTES = 64 * KIB
+READ_HEAD_BYTES = 16 * KIB
+WRITE_HIGH_WATER_BYTES = 32 * KIB
+WRITE_BYTES = 64 * KIB
+DISCARD_S = 1.0  # in which the rest of a refused body is read and dropped
 
 logger = logging.getLogger(__name__)
 
 
 class ServerConnection:
-    """An accepted connection, which serves one request after the other."""
+    """An accepted connection, which serves one request after the other.
+
+    ``waits_since_s`` is since when it waits for its client to send or to read, None
+    while it does not. ``n_served`` is the number of requests that were served.
+    """
 
     def __init__(
         self,
@@ -45,11 +57,19 @@
         writer: asyncio.StreamWriter,
         handle: RequestHandler,
         limits: HttpLimits,
+        guard: ClientGuard | None = None,
     ) -> None:
-        self._reader = reader
+        self._loop = asyncio.get_running_loop()
+        self._guard = guard or ClientGuard(self._loop.time)
+        self._reader = AheadReader(reader, writer, self._guard.memory)
         self._writer = writer
         self._handle = handle
         self._limits = limits
+        self.waits_since_s: float | None = self._loop.time()
+        self.n_served = 0
+        self._is_stalled = False
+        self._body: Holding | None = None
+        self._body_timeout: asyncio.Timeout | None = None
         self._protocol = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.header_bytes
         )
@@ -62,7 +82,57 @@
         """Take at most one more request; its first bytes have ``LINGER_S`` to come."""
         self.is_keep_alive_disabled = self._is_closing = True
         if self._idle_timeout is not None:
-            self._idle_timeout.reschedule(asyncio.get_running_loop().time() + LINGER_S)
+            self._idle_timeout.reschedule(self._loop.time() + LINGER_S)
+
+    def evict(self) -> None:
+        """Close the connection at once: another one needs its room."""
+        self._guard.report(self._peer(), "too many connections")
+        self._writer.transport.abort()
+
+    async def close(self) -> None:
+        """Close the connection; what was written has a bounded time to be read."""
+        self.waits_since_s = self._loop.time()
+        transport = self._writer.transport
+        try:
+            if not self._is_stalled:
+                await self._discard_body()
+                self._writer.close()
+                if transport.get_write_buffer_size():
+                    async with asyncio.timeout(self._limits.write_stall_timeout_s):
+                        await self._writer.wait_closed()
+        except (OSError, TimeoutError):
+            pass
+        finally:
+            if self._is_stalled or transport.get_write_buffer_size():
+                transport.abort()
+            self._writer.close()
+
+    async def _discard_body(self) -> None:
+        """Drop the rest of a body, which would reset the connection if left unread.
+
+        The client would not get the response then.
+        """
+        states = (self._protocol.their_state, self._protocol.our_state)
+        if states[0] is not h11.SEND_BODY or states[1] is h11.SEND_RESPONSE:
+            return
+        if self._writer.is_closing() or not self._writer.can_write_eof():
+            return
+        self._writer.write_eof()
+        try:
+            async with asyncio.timeout(DISCARD_S):
+                while await self._reader.read(READ_BYTES):
+                    pass
+        except TimeoutError:
+            return
+
+    def _peer(self) -> str:
+        name = self._writer.get_extra_info("peername")
+        return f"{name[0]}:{name[1]}" if name else ""
+
+    def _drop(self, reason: str) -> None:
+        self._guard.report(self._peer(), reason)
+        self._is_stalled = True
+        self._writer.transport.abort()
 
     async def serve_request(self) -> bool:
         """Serve one request; return whether the connection can serve another."""
@@ -75,6 +145,16 @@
             return False
         self._body_consumed.clear()
         self._consume_empty_body(head)
+        try:
+            if not await self._answer(head):
+                return False
+        finally:
+            self._release_body()
+        self.n_served += 1
+        return prepare_for_reuse(self._protocol)
+
+    async def _answer(self, head: h11.Request) -> bool:
+        """Answer a request; return False if the peer has gone before."""
         response = await self._respond(head)
         if response is None:
             return False
@@ -82,33 +162,42 @@
             await self._send(head, response)
         finally:
             await _close_body(response)
-        return prepare_for_reuse(self._protocol)
+        return True
 
     async def _read_head(self) -> h11.Request | None:
-        is_idle = True
-        while True:
+        event = self._protocol.next_event()
+        if event is h11.NEED_DATA:
+            self.waits_since_s = self._loop.time()
+            self._protocol.receive_data(await self._read_when_idle())
             event = self._protocol.next_event()
-            if isinstance(event, h11.Request):
-                return event
-            if event is not h11.NEED_DATA:
-                return None
-            data = await (self._read_when_idle() if is_idle else self._read_more())
-            is_idle = False
-            self._protocol.receive_data(data)
+            if event is h11.NEED_DATA:
+                event = await self._read_rest_of_head()
+        self.waits_since_s = None
+        return event if isinstance(event, h11.Request) else None
+
+    async def _read_rest_of_head(self) -> ProtocolEvent:
+        holding = self._guard.memory.open(lambda: self._drop("slow head"))
+        holding.resize(READ_HEAD_BYTES)
+        event: ProtocolEvent = h11.NEED_DATA
+        try:
+            async with asyncio.timeout(self._limits.header_timeout_s):
+                while event is h11.NEED_DATA:
+                    data = await self._reader.read(READ_HEAD_BYTES)
+                    self._protocol.receive_data(data)
+                    event = self._protocol.next_event()
+        finally:
+            holding.close()
+        return event
 
     async def _read_when_idle(self) -> bytes:
         """Read the first bytes of a request; raise when none come in time."""
         timeout_s = LINGER_S if self._is_closing else self._limits.keep_alive_timeout_s
         try:
             async with asyncio.timeout(timeout_s) as self._idle_timeout:
-                return await self._reader.read(READ_BYTES)
+                return await self._reader.read(READ_HEAD_BYTES)
         finally:
             self._idle_timeout = None
 
-    async def _read_more(self) -> bytes:
-        async with asyncio.timeout(self._limits.header_timeout_s):
-            return await self._reader.read(READ_BYTES)
-
     async def _respond(self, head: h11.Request) -> Response | None:
         """Run the handler; return None if the peer disconnects meanwhile."""
         try:
@@ -146,13 +235,8 @@
     async def _cancel_on_disconnect(self, handler: asyncio.Future[Response]) -> None:
         """Cancel the handler if the peer disconnects before the response."""
         await self._body_consumed.wait()
-        try:
-            data = await self._reader.read(READ_BYTES)
-        except OSError:
-            data = b""  # a reset is an end, too
-        self._protocol.receive_data(data)
-        if not data:
-            handler.cancel()
+        await self._reader.wait_for_disconnect()
+        handler.cancel()
 
     def _to_request(self, head: h11.Request) -> Request:
         if len(head.headers) > self._limits.n_headers:
@@ -165,7 +249,7 @@
         target = head.target.decode("ascii")
         path, query_text = _split_target(target)
         headers = decode_headers(head.headers)
-        body = BodyReader(self._body_chunks(), self._limits.body_bytes)
+        body = BodyReader(self._body_chunks(), self._limits.body_bytes, self._keep_body)
         query = dict(parse_qsl(query_text, keep_blank_values=True))
         method = head.method.decode("ascii")
         return Request(method, path, query, headers, body, target)
@@ -175,17 +259,68 @@
             await self._write(
                 h11.InformationalResponse(status_code=100, headers=[], reason=b"")
             )
+        began_at_s, n_received = self._loop.time(), 0
         while not self._body_consumed.is_set():
-            event = self._protocol.next_event()
+            event = self._next_body_event()
             if isinstance(event, h11.Data):
+                n_received += len(event.data)
                 yield bytes(event.data)
             elif event is h11.NEED_DATA:
-                async with asyncio.timeout(self._limits.body_stall_timeout_s):
-                    data = await self._reader.read(READ_BYTES)
-                self._protocol.receive_data(data)
+                ends_at_s = began_at_s + self._limits.body_timeout_s(n_received)
+                self._protocol.receive_data(await self._read_body(ends_at_s))
             else:
                 self._body_consumed.set()
 
+    def _next_body_event(self) -> ProtocolEvent:
+        try:
+            return self._protocol.next_event()
+        except h11.RemoteProtocolError as error:
+            raise HttpError(400, "bad_request", str(error)) from None
+
+    async def _read_body(self, ends_at_s: float) -> bytes:
+        """Read a part of a body.
+
+        Raises
+        ------
+        HttpError
+            With status 408 when none comes in time, or 503 when the body is dropped.
+        """
+        self.waits_since_s = now_s = self._loop.time()
+        until_s = min(now_s + self._limits.body_stall_timeout_s, ends_at_s)
+        try:
+            async with asyncio.timeout_at(until_s) as self._body_timeout:
+                return await self._reader.read(READ_BYTES)
+        except TimeoutError:
+            if self._body is not None:
+                self._body.check()
+            self._guard.report(self._peer(), "slow body")
+            raise HttpError(408, "body_timeout", "the body came too slowly") from None
+        finally:
+            self.waits_since_s = self._body_timeout = None
+
+    def _keep_body(self, n_bytes: int, is_whole: bool) -> None:
+        """Count the bytes of the body that are kept; raise when there is no room."""
+        if n_bytes <= SMALL_BYTES:
+            return
+        if self._body is None:
+            self._body = self._guard.memory.open(self._drop_body)
+        try:
+            self._body.request(n_bytes)
+        except HttpError:
+            self._guard.report(self._peer(), "no room for a body")
+            raise
+        if is_whole:
+            self._body.fix()
+
+    def _drop_body(self) -> None:
+        if self._body_timeout is not None:
+            self._body_timeout.reschedule(self._loop.time())
+
+    def _release_body(self) -> None:
+        if self._body is not None:
+            self._body.close()
+            self._body = None
+
     def _consume_empty_body(self, head: h11.Request) -> None:
         """Consume the end of a request without a body.
 
@@ -220,14 +355,11 @@
     async def _send_stream(self, chunks: AsyncIterator[bytes]) -> None:
         """Stream chunks to the peer; raise when it disconnects."""
         sender = asyncio.ensure_future(self._send_chunks(chunks))
-        watcher = asyncio.ensure_future(self._reader.read(READ_BYTES))
+        watcher = asyncio.ensure_future(self._reader.wait_for_disconnect())
         try:
             await asyncio.wait((sender, watcher), return_when=asyncio.FIRST_COMPLETED)
-            if watcher.done():
-                # Also bytes that came as the stream ended belong to the next request.
-                self._protocol.receive_data(watcher.result())
-                if not (watcher.result() or sender.done()):
-                    raise ConnectionResetError("the peer closed the connection")
+            if not sender.done():
+                raise ConnectionResetError("the peer closed the connection")
             await sender
         finally:
             sender.cancel()
@@ -259,11 +391,34 @@
         data = self._protocol.send(event)
         if not data:
             return
-        self._writer.write(data)
-        if self._writer.transport.get_write_buffer_size() <= WRITE_HIGH_WATER_BYTES:
-            return
-        async with asyncio.timeout(self._limits.write_stall_timeout_s):
-            await self._writer.drain()
+        view = memoryview(data)
+        for begin in range(0, len(data), WRITE_BYTES):
+            self._writer.write(view[begin : begin + WRITE_BYTES])
+            n_buffered = self._writer.transport.get_write_buffer_size()
+            if n_buffered > WRITE_HIGH_WATER_BYTES:
+                await self._wait_until_read(FULL_BYTES + len(data))
+
+    async def _wait_until_read(self, n_held: int) -> None:
+        """Wait until the client has read most of what was written.
+
+        Raises
+        ------
+        TimeoutError
+            When it does not, for the time that the limits give it.
+        """
+        holding = self._guard.memory.open(lambda: self._drop("unread answers"))
+        holding.resize(n_held)
+        self.waits_since_s = self._loop.time()
+        try:
+            async with asyncio.timeout(self._limits.write_stall_timeout_s):
+                await self._writer.drain()
+        except TimeoutError:
+            self._is_stalled = True
+            self._guard.report(self._peer(), "unread answers")
+            raise
+        finally:
+            self.waits_since_s = None
+            holding.close()
 
 
 def _split_target(target: str) -> tuple[str, str]:
--- a/libs/http/src/damaskjunction/http/sockets.py
+++ b/libs/http/src/damaskjunction/http/sockets.py
@@ -12,6 +12,7 @@
 TCP_KEEPALIVE_INTERVAL_S = 1
 N_TCP_KEEPALIVE_PROBES = 3
 RECEIVE_BUFFER_BYTES = 32 * KIB
+KERNEL_BUFFER_BYTES = 128 * KIB
 
 
 def enable_tcp_keepalive(writer: asyncio.StreamWriter) -> None:
@@ -46,3 +47,19 @@
     poller = select.poll()
     poller.register(tcp_socket, select.POLLIN)
     return bool(poller.poll(0))
+
+
+def has_hung_up(writer: asyncio.StreamWriter) -> bool:
+    """Return whether the peer has closed a connection, also behind unread bytes."""
+    if writer.transport.is_closing():
+        return True
+    tcp_socket: socket.socket = writer.get_extra_info("socket")
+    poller = select.poll()
+    poller.register(tcp_socket, select.POLLRDHUP)
+    return bool(poller.poll(0))
+
+
+def bound_kernel_buffers(listener: socket.socket) -> None:
+    """Bound what the kernel holds for each connection that a socket accepts."""
+    for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+        listener.setsockopt(socket.SOL_SOCKET, option, KERNEL_BUFFER_BYTES)
