--- a/libs/gateway/src/damaskjunction/gateway/root.py
+++ b/libs/gateway/src/damaskjunction/gateway/root.py
@@ -7,9 +7,10 @@
 import random
 
 from damaskjunction.core import Address, EntryHost, LoopTimers, stable_hash
+from damaskjunction.gateway.client_servers import ClientServers
 from damaskjunction.gateway.dispatch_context import DispatchContext
 from damaskjunction.gateway.front_end import FrontEnd
-from damaskjunction.gateway.inspection import register_sections
+from damaskjunction.gateway.inspection import make_inspection_routes, register_sections
 from damaskjunction.gateway.jobs.cancellation_notifier import CancellationNotifier
 from damaskjunction.gateway.jobs.job_cleaner import JobCleaner
 from damaskjunction.gateway.jobs.job_front import JobFront
@@ -36,8 +37,7 @@
 from damaskjunction.gateway.versions.stream_origins import StreamOriginKeeper
 from damaskjunction.gateway.versions.take_ups import TakeUpResolver
 from damaskjunction.gateway.versions.version_registry import VersionRegistry
-from damaskjunction.gateway.wiring import http_limits, make_servers
-from damaskjunction.http import HttpServer, ReceiveBudget
+from damaskjunction.http import ReceiveBudget
 from damaskjunction.membership import FailureDetector, Timing, first_incarnation
 from damaskjunction.node import Component, HostView, Membership, PeerHandlers
 from damaskjunction.platform import (
@@ -191,7 +191,13 @@
             metrics=self.metrics,
             timers=timers,
         )
-        self._caller_server = HttpServer(settings.caller, front_end.serve)
+        self._servers = ClientServers(
+            settings,
+            front_end,
+            make_inspection_routes(self.metrics, self.dump),
+            timers,
+            self.metrics,
+        )
         self._peer_server = PeerServer(
             peer, timers, handlers.handle, access.tunnel_server.serve
         )
@@ -219,8 +225,7 @@
             self._worker,
             JobCleaner(job_repository, self.view, timers, settings.result_retention_s),
             RetirementHandler(self._store, self.view, rng),
-            *make_servers(settings, front_end, self.metrics, self.dump),
-            self._caller_server,
+            self._servers,
         )
 
     @property
@@ -250,13 +255,13 @@
         schedule = StopSchedule(now_s, self._settings.stop_grace_s)
         self.view.start_draining()
         self._front_end.begin_stop(schedule)
-        self._caller_server.disable_keep_alive()
+        self._servers.caller.disable_keep_alive()
         leaving = asyncio.ensure_future(self._leave(schedule.items_until_s - now_s))
         await asyncio.sleep(schedule.listens_until_s - now_s)
         try:
             async with asyncio.timeout(schedule.ends_at_s - self._timers.now()):
                 await leaving
-                await self._caller_server.drain()
+                await self._servers.caller.drain()
                 await self._access.tunnel_server.drain()
         except TimeoutError:
             logger.warning("requests aborted at the end of the stop grace period")
@@ -406,5 +411,4 @@
         self.metrics.gauge("store_calls", lambda: float(sum(counts.values())))
 
     def _apply_http_limits(self) -> None:
-        limits = http_limits(self.state.table.limits, self._settings.max_descriptors)
-        self._caller_server.set_limits(limits)
+        self._servers.apply_limits(self.state.table.limits)
