Let shares count only while not all requests can start in time

Change: standing counts for a second after a request that would start too late. A waiting new request that others overtake is refused as soon as it would miss its goal.

--- a/libs/routing/src/damaskjunction/routing/slots/online_queue.py
+++ b/libs/routing/src/damaskjunction/routing/slots/online_queue.py
@@ -11,6 +11,7 @@
 from damaskjunction.routing.workspaces.fair_shares import FairShares, Standing
 
 STARVATION_S = 1.0  # for so long, what waited in vain predicts the next
+CONTENTION_S = 1.0  # after a request that would start too late, standing counts
 REPEATED_RANK = 1
 LATE_RANK = 2
 
@@ -28,9 +29,9 @@
 
     New requests go first, then repeated ones, then repeated ones that are late, by
     ``start_by_s``. Repeated requests give way to new ones; when they wait in vain, the
-    next ones of their standing are not let wait for ``STARVATION_S``. Those of
-    workspaces that want more than their share go behind all others, and last those that
-    came when it was used up.
+    next ones of their standing are not let wait for ``STARVATION_S``. While
+    not all can start in time, those of workspaces that want more than their share go
+    behind all others, and last those that came when it was used up.
 
     Parameters
     ----------
@@ -44,6 +45,7 @@
         self.last_yield: YieldDocument | None = None
         self._tickets_by_id: dict[RequestId, SlotTicket] = {}
         self._standing_by_id: dict[RequestId, Standing] = {}
+        self._contended_until_s = -math.inf
         self._low_rank_waits_since_s = dict.fromkeys(Standing, -math.inf)
         self._starved_at_s = dict.fromkeys(Standing, -math.inf)
 
@@ -70,11 +72,14 @@
                 now_s,
                 is_new=not ticket.is_repeated,
             )
-        n_ahead = max(self.place_of(ticket, now_s), self._n_ahead_of(ticket, now_s))
+        place = self.place_of(ticket, now_s)
+        if now_s + forecast.wait_s(place) > _latest_wanted_s(ticket):
+            self._contended_until_s = now_s + CONTENTION_S
+        n_ahead = max(place, self._n_ahead_of(ticket, now_s))
         if self._starts_in_time(ticket, n_ahead, forecast, now_s):
             self._add(ticket, now_s)
             return None
-        newest = self._newest_above(ticket)
+        newest = self._newest_above(ticket, now_s)
         n_ahead = self._n_ahead_of(ticket, now_s, without=newest)
         is_in_time = self._starts_in_time(ticket, n_ahead, forecast, now_s)
         if newest is None or not is_in_time:
@@ -88,23 +93,29 @@
     def _starts_in_time(
         self, ticket: SlotTicket, n_ahead: int, forecast: WaitForecast, now_s: float
     ) -> bool:
-        wait_s = forecast.wait_s(n_ahead) * self._shares.stretch(self._standing(ticket))
+        wait_s = forecast.wait_s(n_ahead) * self._shares.stretch(
+            self._standing(ticket, now_s)
+        )
         return now_s + wait_s <= self.latest_start_s(ticket, now_s)
 
-    def _newest_above(self, ticket: SlotTicket) -> SlotTicket | None:
+    def _newest_above(self, ticket: SlotTicket, now_s: float) -> SlotTicket | None:
         """Return the newest request that is to give way to another one, if any."""
         newest_first = reversed(self._tickets_by_id.values())
-        newest = max(newest_first, key=self._above_share, default=ticket)
-        is_above = self._above_share(newest) > self._above_share(ticket)
+        newest = max(
+            newest_first, key=lambda t: self._above_share(t, now_s), default=ticket
+        )
+        is_above = self._above_share(newest, now_s) > self._above_share(ticket, now_s)
         return newest if is_above else None
 
-    def _above_share(self, ticket: SlotTicket) -> tuple[Standing, float]:
-        standing = self._standing(ticket)
+    def _above_share(self, ticket: SlotTicket, now_s: float) -> tuple[Standing, float]:
+        standing = self._standing(ticket, now_s)
         if standing is Standing.WITHIN:
             return standing, 0.0
         return standing, self._shares.excess(ticket.workspace)
 
-    def _standing(self, ticket: SlotTicket) -> Standing:
+    def _standing(self, ticket: SlotTicket, now_s: float) -> Standing:
+        if now_s > self._contended_until_s:
+            return Standing.WITHIN
         return self._standing_by_id.get(ticket.request_id, Standing.WITHIN)
 
     def _n_ahead_of(
@@ -118,7 +129,7 @@
         )
 
     def _precedence(self, ticket: SlotTicket, now_s: float) -> tuple[Standing, int]:
-        return self._standing(ticket), _rank(ticket, now_s)
+        return self._standing(ticket, now_s), _rank(ticket, now_s)
 
     def _record_yield(self, ticket: SlotTicket, other: SlotTicket) -> None:
         self.n_yielded += 1
@@ -129,7 +140,7 @@
         )
 
     def _add(self, ticket: SlotTicket, now_s: float) -> None:
-        standing = self._standing(ticket)
+        standing = self._standing(ticket, now_s)
         if _gives_way(ticket, now_s) and not self._is_low_rank_waiting(standing, now_s):
             self._low_rank_waits_since_s[standing] = now_s
         self._tickets_by_id[ticket.request_id] = ticket
@@ -142,7 +153,7 @@
     def take(self, ticket: SlotTicket, now_s: float) -> None:
         """Remove a request that is served."""
         if _gives_way(ticket, now_s):
-            self._low_rank_waits_since_s[self._standing(ticket)] = now_s
+            self._low_rank_waits_since_s[self._standing(ticket, now_s)] = now_s
         self.discard(ticket.request_id)
 
     def place_of(self, ticket: SlotTicket, now_s: float) -> int:
@@ -153,10 +164,10 @@
         rank = _rank(ticket, now_s)
         return sum(_rank(t, now_s) <= rank for t in self._tickets_by_id.values())
 
-    def n_within_share(self) -> int:
+    def n_within_share(self, now_s: float) -> int:
         """Return how many requests are within the share of their workspace."""
         return sum(
-            self._standing(ticket) is Standing.WITHIN
+            self._standing(ticket, now_s) is Standing.WITHIN
             for ticket in self._tickets_by_id.values()
         )
 
@@ -165,11 +176,12 @@
 
         A new one may wait for its latency goal, which a repeated one has missed.
         """
-        standing = self._standing(ticket)
+        standing = self._standing(ticket, now_s)
         if _rank(ticket, now_s) and self._is_starving(standing, now_s):
             return now_s
-        may_be_late = ticket.is_repeated and standing is not Standing.OVER
-        return ticket.start_by_s if may_be_late else ticket.goal_at_s
+        return (
+            ticket.goal_at_s if standing is Standing.OVER else _latest_wanted_s(ticket)
+        )
 
     def in_service_order(self, now_s: float) -> list[SlotTicket]:
         """Return the waiting requests in the order in which they are served."""
@@ -185,17 +197,20 @@
     def remove_late(self, forecast: WaitForecast, now_s: float) -> list[SlotTicket]:
         """Remove and return the requests that are not expected to start in time."""
         late_by_id = self._expected_late(forecast, now_s)
+        if late_by_id:
+            self._contended_until_s = now_s + CONTENTION_S
+            late_by_id = self._expected_late(forecast, now_s)
         for ticket in late_by_id.values():
-            waits_since_s = self._low_rank_waits_since_s[self._standing(ticket)]
+            waits_since_s = self._low_rank_waits_since_s[self._standing(ticket, now_s)]
             if _gives_way(ticket, now_s) and now_s - waits_since_s > STARVATION_S:
-                self._starved_at_s[self._standing(ticket)] = now_s
+                self._starved_at_s[self._standing(ticket, now_s)] = now_s
         removed = [
             ticket
             for ticket in self._tickets_by_id.values()
             if ticket.request_id in late_by_id
             or (
                 _rank(ticket, now_s)
-                and self._is_starving(self._standing(ticket), now_s)
+                and self._is_starving(self._standing(ticket, now_s), now_s)
             )
         ]
         for ticket in removed:
@@ -208,15 +223,25 @@
         late_by_id: dict[RequestId, SlotTicket] = {}
         n_ahead = 0
         for ticket in self.in_service_order(now_s):
-            if now_s + forecast.wait_s(n_ahead) > ticket.start_by_s:
+            if now_s + forecast.wait_s(n_ahead) > self._let_wait_until_s(ticket, now_s):
                 late_by_id[ticket.request_id] = ticket
             else:
                 n_ahead += 1
         return late_by_id
 
+    def _let_wait_until_s(self, ticket: SlotTicket, now_s: float) -> float:
+        """Return the latest start of a waiting request.
+
+        One that others overtake is refused when it would miss its goal: late, it would
+        take the slot of one that can still be in time.
+        """
+        if ticket.is_repeated or self._standing(ticket, now_s) is Standing.WITHIN:
+            return ticket.start_by_s
+        return ticket.goal_at_s
+
     def _is_low_rank_waiting(self, standing: Standing, now_s: float) -> bool:
         return any(
-            self._standing(ticket) is standing and _gives_way(ticket, now_s)
+            self._standing(ticket, now_s) is standing and _gives_way(ticket, now_s)
             for ticket in self._tickets_by_id.values()
         )
 
@@ -225,6 +250,11 @@
         return now_s - self._starved_at_s[standing] <= STARVATION_S
 
 
+def _latest_wanted_s(ticket: SlotTicket) -> float:
+    """Return the latest start of a request by the terms of its caller."""
+    return ticket.start_by_s if ticket.is_repeated else ticket.goal_at_s
+
+
 def _gives_way(ticket: SlotTicket, now_s: float) -> bool:
     """Return whether a request without a slot waits behind new ones."""
     return _rank(ticket, now_s) > 0 and not is_standby_request_id(ticket.request_id)
--- a/libs/routing/src/damaskjunction/routing/slots/overload_refusals.py
+++ b/libs/routing/src/damaskjunction/routing/slots/overload_refusals.py
@@ -66,7 +66,7 @@
         return self._return_times.book(
             ticket.request_id,
             ticket.workspace,
-            forecast.wait_s(self._queue.n_within_share()),
+            forecast.wait_s(self._queue.n_within_share(now_s)),
             forecast.mean_hold_s / share,
             now_s,
         )
