--- a/libs/routing/features/steps/fair_order_steps.py
+++ b/libs/routing/features/steps/fair_order_steps.py
@@ -2,18 +2,17 @@
 
 from __future__ import annotations
 
-import heapq
 import random
 from collections import Counter
 
+from batch_load import MEAN_WORK_S, N_BATCH_SLOTS, Asked, batch_ticket
+from batch_load import play as play_load
 from behave import given, then, when
 from workspace_load import RATES, play
 
-from damaskjunction.core import WorkClass
-from damaskjunction.routing import GrantSlot, SlotPool, SlotTicket
+from damaskjunction.routing import SlotPool
 
-BATCH_WORK_S, BATCH_DUE_S, BATCH_ARRIVALS_S = 5.0, 18.0, 30.0
-N_BATCH_SLOTS = 37  # of 40; the rest is the reserve
+BATCH_ARRIVALS_S = 30.0
 
 
 @given("the pool is not told the workspaces")
@@ -105,42 +104,17 @@
 # Batch requests
 
 
-def batch_ticket(request_id, due_at_s, workspace):
-    return SlotTicket(
-        request_id, WorkClass.BATCH, (), (), due_at_s, due_at_s, workspace=workspace
-    )
-
-
 @when(
     "batch requests come at {load:g} of what 40 slots can do, "
     'and {rate:d} a second of "dump"'
 )
 def play_batch(context, load, rate):
     rng = random.Random(1)
-    n_requests = int(load * N_BATCH_SLOTS / BATCH_WORK_S * BATCH_ARRIVALS_S)
-    names = [f"w{n % 10}:{n}" for n in range(n_requests)]
-    names += [f"dump:{n}" for n in range(int(rate * BATCH_ARRIVALS_S))]
-    events = [(rng.uniform(0.0, BATCH_ARRIVALS_S), name, False) for name in names]
-    heapq.heapify(events)
-    pool = SlotPool()
-    pool.set_runners({f"r{n}": 5 for n in range(8)}, 0.0)
-    context.n_asked = Counter(e[1].split(":")[0] for e in events)
-    context.n_in_time = Counter()
-    due_at_s = {}
-    while events:
-        now_s, request_id, is_end = heapq.heappop(events)
-        workspace = request_id.split(":")[0]
-        if is_end:
-            context.n_in_time[workspace] += now_s <= due_at_s[request_id]
-            effects = pool.release(request_id, now_s)
-        else:
-            due_at_s[request_id] = now_s + BATCH_DUE_S
-            ticket = batch_ticket(request_id, due_at_s[request_id], workspace)
-            effects = pool.submit(ticket, now_s)
-        for effect in effects:
-            assert isinstance(effect, GrantSlot), effect
-            ends_at_s = now_s + rng.uniform(0.8, 1.2) * BATCH_WORK_S
-            heapq.heappush(events, (ends_at_s, effect.request_id, True))
+    n_others = int(load * N_BATCH_SLOTS / MEAN_WORK_S * BATCH_ARRIVALS_S)
+    names = [f"w{n % 10}" for n in range(n_others)]
+    names += ["dump"] * int(rate * BATCH_ARRIVALS_S)
+    requests = [Asked(rng.uniform(0.0, BATCH_ARRIVALS_S), name) for name in names]
+    context.served = play_load(requests, rng)
 
 
 @then(
@@ -148,10 +122,10 @@
     "left"
 )
 def check_batch(context, share):
-    n_dump = context.n_in_time.pop("dump")
-    n_asked = context.n_asked.total() - context.n_asked["dump"]
-    assert context.n_in_time.total() >= share * n_asked, (context.n_in_time, n_asked)
-    n_left = 0.5 * N_BATCH_SLOTS * BATCH_ARRIVALS_S / BATCH_WORK_S
+    others = [s.is_in_time for s in context.served if s.workspace != "dump"]
+    assert sum(others) >= share * len(others), (sum(others), len(others))
+    n_dump = sum(s.is_in_time for s in context.served if s.workspace == "dump")
+    n_left = 0.5 * N_BATCH_SLOTS * BATCH_ARRIVALS_S / MEAN_WORK_S
     assert n_dump >= n_left, (n_dump, n_left)
 
 
