--- a/libs/routing/features/fair_order.feature
+++ b/libs/routing/features/fair_order.feature
@@ -47,10 +47,10 @@
     When batch requests come at 0.5 of what 40 slots can do, and 40 a second of "dump"
     Then at least 0.9 of the others end in time, and of "dump" as many as slots are left
 
-  Scenario: Batch requests without overload go by due time whatever their workspace
-    Given batch requests of "b" due in 10 s and of "a" due in 9 s wait
-    Then the one of "a" goes first
+  Scenario: Batch requests that can all end in time go by due time alone
+    Given one batch request each of "a,b" due in 26 s wait, and 12 of "dump" due in 25 s
+    Then the first 12 granted are of "dump"
 
   Scenario: A batch request near its due time goes first whoever sent it
-    Given 200 batch requests of "dump" due in 6 s wait, and one due in 30 s
-    Then one of "dump" goes first
+    Given one batch request each of "a,b" due in 30 s wait, and 200 of "dump" due in 6 s
+    Then the first 1 granted are of "dump"
--- a/libs/routing/features/steps/fair_order_steps.py
+++ b/libs/routing/features/steps/fair_order_steps.py
@@ -129,32 +129,25 @@
     assert n_dump >= n_left, (n_dump, n_left)
 
 
-def wait_behind(context, tickets):
-    """Let requests wait for the only slot for batch, and make it free."""
-    pool = SlotPool()
-    pool.set_runners({"r": 2}, 0.0)
-    pool.submit(batch_ticket("first", 5.0, "first"), 0.0)
-    for ticket in tickets:
-        assert not pool.submit(ticket, 0.0), ticket
-    context.granted = pool.release("first", 1.0)
-
-
-@given('batch requests of "{a}" due in {a_s:g} s and of "{b}" due in {b_s:g} s wait')
-def wait_two(context, a, a_s, b, b_s):
-    wait_behind(
-        context, [batch_ticket(f"{n}:1", s, n) for n, s in ((a, a_s), (b, b_s))]
-    )
-
-
 @given(
-    '{n:d} batch requests of "{name}" due in {a_s:g} s wait, and one due in {b_s:g} s'
+    'one batch request each of "{names}" due in {due_s:g} s wait, '
+    'and {count:d} of "dump" due in {dump_due_s:g} s'
 )
-def wait_many(context, n, name, a_s, b_s):
-    many = [batch_ticket(f"{name}:{number}", a_s, name) for number in range(n)]
-    wait_behind(context, [*many, batch_ticket("other:1", b_s, "other")])
+def let_wait(context, names, due_s, count, dump_due_s):
+    """Let requests wait for the only slot for batch."""
+    context.pool = SlotPool()
+    context.pool.set_runners({"r": 2}, 0.0)
+    tickets = [batch_ticket("first", 5.0, "first")]
+    tickets += [batch_ticket(name, due_s, name) for name in names.split(",")]
+    tickets += [batch_ticket(f"d{n}", dump_due_s, "dump") for n in range(count)]
+    for ticket in tickets:
+        context.pool.submit(ticket, 0.0)
 
 
-@then('the one of "{workspace}" goes first')
-@then('one of "{workspace}" goes first')
-def check_first(context, workspace):
-    assert context.granted[0].request_id.startswith(f"{workspace}:"), context.granted
+@then('the first {count:d} granted are of "dump"')
+def check_first(context, count):
+    ended = "first"
+    for _ in range(count):
+        (granted,) = context.pool.release(ended, 1.0)
+        assert granted.request_id.startswith("d"), granted
+        ended = granted.request_id
