--- a/libs/gateway/src/damaskjunction/gateway/slots/slot_home_log.py
+++ b/libs/gateway/src/damaskjunction/gateway/slots/slot_home_log.py
@@ -5,6 +5,7 @@
 import logging
 import math
 from collections.abc import Iterable
+from typing import NamedTuple
 
 from damaskjunction.core import ServiceName
 from damaskjunction.routing import RefuseSlot, SlotEffect, SlotPool
@@ -18,14 +19,21 @@
 MIN_STARTS = 20  # below which a share says little
 
 
+class _Look(NamedTuple):
+    """The starts of a service up to ``at_s``."""
+
+    at_s: float
+    n_inside: int
+    n_outside: int
+
+
 class SlotHomeLog:
     """Logs queues, refusals and requests that leave data centres, once in a while."""
 
     def __init__(self) -> None:
         self._warned_at_s = 0.0
         self._refused_at_s = -math.inf
-        self._starts_at_s_by_service: dict[ServiceName, float] = {}
-        self._starts_by_service: dict[ServiceName, dict[str, int]] = {}
+        self._looks_by_service: dict[ServiceName, _Look] = {}
 
     def log_queue(
         self, service: ServiceName, pool: SlotPool, now_s: float, *, is_home: bool
@@ -62,17 +70,16 @@
 
     def log_leaving(self, service: ServiceName, pool: SlotPool, now_s: float) -> None:
         """Log that many requests went to runners outside the asker's data centre."""
-        since_s = self._starts_at_s_by_service.setdefault(service, now_s)
-        if now_s - since_s < LEAVING_LOG_PERIOD_S:
+        former = self._looks_by_service.get(service)
+        if former is not None and now_s - former.at_s < LEAVING_LOG_PERIOD_S:
+            return
+        starts = pool.n_starts_by_place
+        look = _Look(now_s, starts.get("inside", 0), starts.get("outside", 0))
+        self._looks_by_service[service] = look
+        if former is None:
             return
-        starts = dict(pool.n_starts_by_place)
-        former = self._starts_by_service.get(service, {})
-        self._starts_at_s_by_service[service] = now_s
-        self._starts_by_service[service] = starts
-        n_inside, n_outside = (
-            starts.get(place, 0) - former.get(place, 0)
-            for place in ("inside", "outside")
-        )
+        n_inside = look.n_inside - former.n_inside
+        n_outside = look.n_outside - former.n_outside
         n_starts = n_inside + n_outside
         if n_starts < MIN_STARTS or n_outside < COMMON_OUTSIDE_SHARE * n_starts:
             return
