--- a/libs/gateway/src/damaskjunction/gateway/quotas/quota_gate.py
+++ b/libs/gateway/src/damaskjunction/gateway/quotas/quota_gate.py
@@ -75,6 +75,9 @@
             metrics=metrics,
         )
         state.view.subscribe(self._forget_workspaces)
+        metrics.gauge(
+            "quota_buckets_started_over", lambda: float(self._counter.n_started_over)
+        )
 
     async def start(self) -> None:
         """Observe the fleet from now on."""
--- a/libs/routing/src/damaskjunction/routing/workspaces/request_counter.py
+++ b/libs/routing/src/damaskjunction/routing/workspaces/request_counter.py
@@ -46,6 +46,7 @@
     n_refused: int = 0
     n_stand_in: int = 0
     n_alone: int = 0
+    n_started_over: int = 0
 
 
 class RequestCounter:
@@ -64,6 +65,12 @@
         self._stand_in_times_by_workspace: dict[WorkspaceName, deque[float]] = {}
         self._counts_by_workspace: dict[WorkspaceName, _Counts] = {}
 
+    @property
+    def n_started_over(self) -> int:
+        """How often a bucket was filled anew, since another host may have counted."""
+        counts = self._counts_by_workspace.values()
+        return sum(entry.n_started_over for entry in counts)
+
     def count(
         self, ask: PermitAsk, allotment: Allotment, place: CounterPlace, now_s: float
     ) -> PermitReply:
@@ -102,9 +109,11 @@
             since_s = place.since_s
         first = min(first, capacity)
         bucket = self._buckets_by_workspace.get(ask.workspace)
-        if bucket is None:
-            bucket = _Bucket(first, now_s)
-        most = capacity if bucket.filled_at_s >= since_s else first
+        is_kept = bucket is not None and bucket.filled_at_s >= since_s
+        if not is_kept:
+            self._add_counts(ask.workspace, n_started_over=1)
+        bucket = bucket or _Bucket(first, now_s)
+        most = capacity if is_kept else first
         bucket = _refill(bucket, rate_per_s, most, now_s)
         return bucket._replace(tokens=max(bucket.tokens - ask.n_uncounted, -capacity))
 
