--- a/libs/http/features/server.feature
+++ b/libs/http/features/server.feature
@@ -83,3 +83,9 @@
       | the head           |
       | a part of the head |
       | all but the end    |
+
+  # Guards against answers that wait for the acknowledgement of their head
+  Scenario: What is written on a connection is sent at once
+    Given a server that echoes bodies of at most 1000 bytes
+    When a client has a kept connection
+    Then the server does not delay small segments on it
--- a/libs/http/features/steps/server_steps.py
+++ b/libs/http/features/steps/server_steps.py
@@ -299,3 +299,16 @@
 @then('the path is "{path}" and the query ""')
 def check_path_alone(context, path):
     check_path(context, path, "")
+
+
+@when("a client has a kept connection")
+def keep_connection(context):
+    _, context.kept_writer = run(context, open_kept_connection(context))
+
+
+@then("the server does not delay small segments on it")
+def check_no_delay(context):
+    (connection,) = vars(context.server)["_connections_by_task"].values()
+    served = vars(connection)["_writer"].get_extra_info("socket")
+    assert served.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+    context.kept_writer.close()
--- a/libs/http/src/damaskjunction/http/connection.py
+++ b/libs/http/src/damaskjunction/http/connection.py
@@ -26,6 +26,7 @@
 ProtocolEvent: TypeAlias = h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]
 
 READ_BYTES = 32 * KIB
+WRITE_BYTES = 64 * KIB
 MAX_CHUNKS_AT_ONCE = 64  # handling so many takes about as long as a read
 DEFAULT_STALL_TIMEOUT_S = 30.0
 MAX_INTERIM_HEADS = 8
@@ -95,12 +96,9 @@
         request = h11.Request(
             method=method, target=target, headers=encode_headers(request_headers)
         )
-        send = self._protocol.send
-        parts = (request, h11.Data(data=body), h11.EndOfMessage())
-        self._writer.write(b"".join(send(part) or b"" for part in parts))
         try:
             async with asyncio.timeout(stall_s):
-                await self._writer.drain()
+                await self._send(request, body)
         except (OSError, TimeoutError) as error:
             raise BrokenResponseError(f"{self.address}: {error!r}") from None
         try:
@@ -110,6 +108,19 @@
             detail = f"{self.address}: no complete head in {stall_s:.3f} s"
             raise StalledResponseError(detail) from None
 
+    async def _send(self, request: h11.Request, body: bytes) -> None:
+        """Send a request; a large body is not copied as a whole."""
+        send = self._protocol.send
+        parts = (request, h11.Data(data=body), h11.EndOfMessage())
+        written = [send(part) or b"" for part in parts]
+        if len(body) <= WRITE_BYTES:
+            written = [b"".join(written)]
+        for data in written:
+            view = memoryview(data)
+            for begin in range(0, len(data), WRITE_BYTES):
+                self._writer.write(view[begin : begin + WRITE_BYTES])
+                await self._writer.drain()
+
     async def read_body(self) -> bytes | None:
         """Return the next part of the body, or None at its end.
 
--- a/libs/http/src/damaskjunction/http/server.py
+++ b/libs/http/src/damaskjunction/http/server.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-import socket
 import ssl
 
 import h11
@@ -18,7 +17,7 @@
     RequestHandler,
     ServerConnection,
 )
-from damaskjunction.http.sockets import bound_kernel_buffers, bound_receive_buffer
+from damaskjunction.http.sockets import bound_receive_buffer, open_listener
 
 STREAM_LIMIT_BYTES = 16 * KIB
 BACKLOG = 1024
@@ -75,8 +74,7 @@
         """Start listening and serving."""
         if self._guard is None:
             self._guard = ClientGuard(asyncio.get_running_loop().time)
-        listener = socket.create_server(self.address)
-        bound_kernel_buffers(listener)
+        listener = open_listener(self.address)
         self._server = await asyncio.start_server(
             self._serve_connection,
             sock=listener,
--- a/libs/http/src/damaskjunction/http/server_connection.py
+++ b/libs/http/src/damaskjunction/http/server_connection.py
@@ -391,12 +391,19 @@
         data = self._protocol.send(event)
         if not data:
             return
+        if len(data) <= WRITE_BYTES:
+            self._writer.write(data)
+            await self._wait_while_full(len(data))
+            return
         view = memoryview(data)
         for begin in range(0, len(data), WRITE_BYTES):
             self._writer.write(view[begin : begin + WRITE_BYTES])
-            n_buffered = self._writer.transport.get_write_buffer_size()
-            if n_buffered > WRITE_HIGH_WATER_BYTES:
-                await self._wait_until_read(FULL_BYTES + len(data))
+            await self._wait_while_full(len(data))
+
+    async def _wait_while_full(self, n_held: int) -> None:
+        n_buffered = self._writer.transport.get_write_buffer_size()
+        if n_buffered > WRITE_HIGH_WATER_BYTES:
+            await self._wait_until_read(FULL_BYTES + n_held)
 
     async def _wait_until_read(self, n_held: int) -> None:
         """Wait until the client has read most of what was written.
--- a/libs/http/src/damaskjunction/http/sockets.py
+++ b/libs/http/src/damaskjunction/http/sockets.py
@@ -6,6 +6,7 @@
 import select
 import socket
 
+from damaskjunction.core import Address
 from damaskjunction.core.units import KIB
 
 TCP_KEEPALIVE_IDLE_S = 1
@@ -59,7 +60,17 @@
     return bool(poller.poll(0))
 
 
-def bound_kernel_buffers(listener: socket.socket) -> None:
-    """Bound what the kernel holds for each connection that a socket accepts."""
-    for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
-        listener.setsockopt(socket.SOL_SOCKET, option, KERNEL_BUFFER_BYTES)
+def open_listener(address: Address) -> socket.socket:
+    """Return a socket that listens; the kernel holds little for what it accepts."""
+    # Without the protocol, asyncio would not turn off Nagle's algorithm.
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
+    try:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+            listener.setsockopt(socket.SOL_SOCKET, option, KERNEL_BUFFER_BYTES)
+        listener.bind(address)
+        listener.listen()
+    except OSError:
+        listener.close()
+        raise
+    return listener
