Send requests with one attempt to runners that have not failed lately

Cause: a success ends the ejection of a runner, and one that fails a part of its requests answers the others.

Others are placed as before, and so are the probe.

--- a/libs/routing/src/damaskjunction/routing/runners/runner_preference.py
+++ b/libs/routing/src/damaskjunction/routing/runners/runner_preference.py
@@ -6,6 +6,7 @@
 from collections.abc import Mapping
 
 from damaskjunction.core import DataCentre, RunnerId
+from damaskjunction.routing.runners.doubts import RunnerDoubts
 from damaskjunction.routing.runners.leaving_cost import RunnerPlaces, leaving_cost
 from damaskjunction.routing.runners.prefix_cache import PrefixCacheEstimate
 from damaskjunction.routing.runners.runner_scores import RunnerFigures, runner_scores
@@ -32,6 +33,7 @@
         self.n_starts_by_place: Counter[str] = Counter()
         self._score = runner_scores.get(score)
         self._prefix_cache = PrefixCacheEstimate()
+        self._doubts = RunnerDoubts()
         self._places = RunnerPlaces({})
         self._slots_by_runner: Mapping[RunnerId, int] = {}
 
@@ -44,6 +46,7 @@
         self._slots_by_runner = slots_by_runner
         self._places = RunnerPlaces(data_centres)
         self._prefix_cache.retain_runners(slots_by_runner)
+        self._doubts.retain_runners(slots_by_runner)
         self._speeds.retain_runners(slots_by_runner)
 
     def choose(
@@ -77,12 +80,22 @@
                 self._speeds.time_factor(runner_id, now_s),
                 is_local and self._places.is_outside(runner_id, ticket.data_centre),
                 cost,
+                self._doubt(ticket, runner_id, now_s),
             )
             score = self._score(figures)
             if best is None or score > best[0]:
                 best = (score, runner_id)
         return best[1] if best is not None else None
 
+    def _doubt(self, ticket: SlotTicket, runner_id: RunnerId, now_s: float) -> float:
+        """Return the doubt about a runner that matters for a request.
+
+        One that may be tried again is a probe for a runner in doubt.
+        """
+        if not ticket.is_only_attempt:
+            return 0.0
+        return self._doubts.level(runner_id, now_s)
+
     def record_start(self, ticket: SlotTicket, runner_id: RunnerId) -> None:
         """Record that a runner is given a request."""
         self._prefix_cache.record(runner_id, ticket.parts)
@@ -90,8 +103,12 @@
             is_outside = self._places.is_outside(runner_id, ticket.data_centre)
             self.n_starts_by_place["outside" if is_outside else "inside"] += 1
 
-    def forget(self, runner_id: RunnerId) -> None:
-        """Drop what is known of a runner that failed and may have restarted."""
+    def record_failure(self, runner_id: RunnerId, now_s: float) -> None:
+        """Doubt a runner that failed, and drop what is known of it.
+
+        It may have restarted.
+        """
+        self._doubts.record_failure(runner_id, now_s)
         self._prefix_cache.forget(runner_id)
         self._speeds.forget(runner_id)
 
--- a/libs/routing/src/damaskjunction/routing/slots/slots.py
+++ b/libs/routing/src/damaskjunction/routing/slots/slots.py
@@ -217,7 +217,7 @@
         Returns for how many seconds it is ejected.
         """
         self._ejection.record_failure(runner_id, now_s)
-        self._preference.forget(runner_id)
+        self._preference.record_failure(runner_id, now_s)
         return self._ejection.ejected(now_s).get(runner_id, 0.0)
 
     def record_success(self, runner_id: RunnerId) -> None:
