Learn speeds from a mean without an assumed start, and mind jitter

Cause: a runner with a rate limit got no request while the mean duration was still near the 0.5 s that it starts from: the others looked fast beside that mean and were given all. One long request, or a few ms of jitter, could also cost an idle runner its requests for seconds.

Change: RunnerSpeeds keeps its own mean by kind of request, of samples alone; 10 ms are added to each duration, a sample counts at most 2.5, an even runner as ten samples, and differences beyond the tolerance count in full. A host learns the speeds of plain runners with a half-life of 30 s.

--- a/libs/routing/features/data_centres.feature
+++ b/libs/routing/features/data_centres.feature
@@ -48,6 +48,11 @@
       | 0.5  | 0.2 to 0.59 |
       | 1.0  | 0.4 to 0.7  |
 
+  Scenario: A runner without requests is no slower than those that have been given all
+    Given a pool of "x1" in "x" and "x2" in "x"
+    When 200 requests of 0.003 s each are given to "x2", and no time is known yet
+    Then a prompt with parts "p" of a host in "x" gets a slot of "x1"
+
   Scenario Outline: Without enough to go by, runners are chosen as before
     When data centres ask for 0.4, 0.4, 0.4 of even runners' slots for 3 s <without>
     Then the runners chosen are those chosen by free slots alone
--- a/libs/routing/features/steps/data_centre_steps.py
+++ b/libs/routing/features/steps/data_centre_steps.py
@@ -251,9 +251,28 @@
     )
     (grant,) = context.pool.submit(ticket._replace(data_centre=asker), 0.0)
     context.pool.release(grant.request_id, 0.1)
+    context.runner_id = grant.runner_id
     return context.place_of[grant.runner_id]
 
 
+@when(
+    '{n:d} requests of {duration_s:g} s each are given to "{runner}",'
+    " and no time is known yet"
+)
+def give_all(context, n, duration_s, runner):
+    for number in range(n):
+        due_s = number + 9.0
+        ticket = SlotTicket(f"p{number}", WorkClass.ONLINE, (), (), due_s, due_s)
+        context.pool.adopt(ticket, runner, 0.1 * number)
+        context.pool.release(ticket.request_id, 0.1 * number + duration_s)
+
+
+@then('a prompt with parts "{parts}" of a host in "{asker}" gets a slot of "{runner}"')
+def check_runner(context, parts, asker, runner):
+    ask_placed(context, parts, asker)
+    assert context.runner_id == runner, context.runner_id
+
+
 @then('a prompt with parts "{parts}" of a host in "{asker}" gets a slot in "{place}"')
 def check_place(context, parts, asker, place):
     found = ask_placed(context, parts, asker)
--- a/libs/routing/src/damaskjunction/routing/runners/plain_runners.py
+++ b/libs/routing/src/damaskjunction/routing/runners/plain_runners.py
@@ -6,14 +6,12 @@
 from collections import Counter
 from collections.abc import Mapping, Sequence
 
-from damaskjunction.core import DataCentre, Runner, RunnerId, ServiceName
+from damaskjunction.core import DataCentre, Runner, RunnerId
 from damaskjunction.routing.runners.data_centre_weights import data_centre_weights
 from damaskjunction.routing.runners.runner_speeds import RunnerSpeeds
-from damaskjunction.routing.slots.hold_times import HoldTimes
 
-SPEED_HALF_LIFE_S = 15.0  # one host sees few requests
+SPEED_HALF_LIFE_S = 30.0  # one host sees few requests
 LEAVING_COST = 0.25  # of a runner's slots, taken by this host alone
-INITIAL_DURATION_S = 0.1
 
 
 class PlainRunners:
@@ -32,7 +30,6 @@
         self._rng = rng
         self._n_in_flight: Counter[RunnerId] = Counter()
         self._speeds = RunnerSpeeds(SPEED_HALF_LIFE_S)
-        self._times_by_service: dict[ServiceName, HoldTimes] = {}
 
     def begin(
         self,
@@ -64,11 +61,7 @@
     def end(self, runner: Runner, duration_s: float, now_s: float) -> None:
         """Stop counting a request, and learn from how long it took."""
         runner_id = runner.runner_id
-        times = self._times_by_service.setdefault(
-            runner.service, HoldTimes(INITIAL_DURATION_S)
-        )
-        self._speeds.observe(runner_id, duration_s, times, now_s)
-        times.observe(duration_s)
+        self._speeds.observe(runner_id, runner.service, duration_s, now_s)
         self._n_in_flight[runner_id] -= 1
         if not self._n_in_flight[runner_id]:
             del self._n_in_flight[runner_id]
--- a/libs/routing/src/damaskjunction/routing/runners/runner_speeds.py
+++ b/libs/routing/src/damaskjunction/routing/runners/runner_speeds.py
@@ -6,11 +6,12 @@
 from typing import NamedTuple
 
 from damaskjunction.core import RunnerId
-from damaskjunction.routing.slots.hold_times import HoldTimes
 
 HALF_LIFE_S = 5.0  # after which a sample counts half
-PRIOR_WEIGHT = 4.0  # samples as which the assumption of an even runner counts
-MIN_RATIO, MAX_RATIO = 0.25, 4.0  # bounds of a sample; failures end at once or hang
+SMOOTHING = 0.05  # weight of a new duration in the mean of its kind
+PRIOR_WEIGHT = 10.0  # samples as which the assumption of an even runner counts
+MIN_RATIO, MAX_RATIO = 0.4, 2.5  # bounds of a sample; one alone tells nothing
+JITTER_S = 0.01  # of hosts and links, in any duration
 TOLERANCE = 0.15  # by which runners of the same kind differ
 
 
@@ -22,6 +23,13 @@
     at_s: float
 
 
+class _Durations(NamedTuple):
+    """Sum and weight of the latest durations of a kind of request at all runners."""
+
+    total_s: float = 0.0
+    weight: float = 0.0
+
+
 class RunnerSpeeds:
     """How long each runner takes for a request, in relation to all runners.
 
@@ -37,20 +45,31 @@
     def __init__(self, half_life_s: float = HALF_LIFE_S) -> None:
         self._half_life_s = half_life_s
         self._samples_by_runner: dict[RunnerId, _Samples] = {}
+        self._durations_by_kind: dict[str, _Durations] = {}
 
     def observe(
-        self, runner_id: RunnerId, duration_s: float, times: HoldTimes, now_s: float
+        self, runner_id: RunnerId, kind: str, duration_s: float, now_s: float
     ) -> None:
-        """Take the duration of a request of the kind of ``times`` into account."""
-        if not times.is_learnt or times.mean_s <= 0:
-            return
-        ratio = min(MAX_RATIO, max(MIN_RATIO, duration_s / times.mean_s))
+        """Take the duration of a request of a kind into account."""
+        mean_s = self._update_mean(kind, duration_s)
+        ratio = (duration_s + JITTER_S) / (mean_s + JITTER_S)
+        ratio = min(MAX_RATIO, max(MIN_RATIO, ratio))
         former = self._samples_by_runner.get(runner_id, _Samples(0.0, 0.0, now_s))
         kept = self._kept_share(former, now_s)
         self._samples_by_runner[runner_id] = _Samples(
             former.total * kept + ratio, former.weight * kept + 1.0, now_s
         )
 
+    def _update_mean(self, kind: str, duration_s: float) -> float:
+        """Add a duration and return the mean, which the first ones alone make up."""
+        former = self._durations_by_kind.get(kind, _Durations())
+        updated = _Durations(
+            former.total_s * (1 - SMOOTHING) + duration_s,
+            former.weight * (1 - SMOOTHING) + 1.0,
+        )
+        self._durations_by_kind[kind] = updated
+        return updated.total_s / updated.weight
+
     def time_factor(self, runner_id: RunnerId, now_s: float) -> float:
         """Return the expected duration at a runner, relative to the mean.
 
@@ -61,10 +80,8 @@
             return 1.0
         kept = self._kept_share(samples, now_s)
         weight = samples.weight * kept + PRIOR_WEIGHT
-        gap = (samples.total * kept + PRIOR_WEIGHT) / weight - 1.0
-        if gap > 0:
-            return 1.0 + max(0.0, gap - TOLERANCE)
-        return 1.0 + min(0.0, gap + TOLERANCE)
+        factor = (samples.total * kept + PRIOR_WEIGHT) / weight
+        return 1.0 if abs(factor - 1.0) <= TOLERANCE else factor
 
     def forget(self, runner_id: RunnerId) -> None:
         """Drop what is known of a runner that failed, as its requests ended early."""
--- a/libs/routing/src/damaskjunction/routing/slots/held_slots.py
+++ b/libs/routing/src/damaskjunction/routing/slots/held_slots.py
@@ -71,6 +71,6 @@
         return held
 
     def _observe_duration(self, held: HeldSlot, now_s: float) -> None:
-        times, duration_s = self.times_of(held.ticket.work_class), now_s - held.since_s
-        self.speeds.observe(held.runner_id, duration_s, times, now_s)
-        times.observe(duration_s)
+        work_class, duration_s = held.ticket.work_class, now_s - held.since_s
+        self.speeds.observe(held.runner_id, work_class, duration_s, now_s)
+        self.times_of(work_class).observe(duration_s)
--- a/libs/routing/src/damaskjunction/routing/slots/hold_times.py
+++ b/libs/routing/src/damaskjunction/routing/slots/hold_times.py
@@ -4,15 +4,12 @@
 
 SMOOTHING = 0.05  # weight of a new sample in the mean
 DEVIATION_SMOOTHING = 0.1  # weight of a new sample in the mean deviation
-MIN_SAMPLES = 60  # after which the initial mean has 0.05 of its weight left
 N_DEVIATIONS = 2.0  # above the mean; few requests hold their slot for longer
 
 
 class HoldTimes:
     """Smoothed mean and mean deviation of hold times, in seconds.
 
-    ``is_learnt`` says that the initial mean has lost its weight.
-
     Parameters
     ----------
     initial_s : float
@@ -20,15 +17,9 @@
     """
 
     def __init__(self, initial_s: float) -> None:
-        self.n_samples = 0
         self.mean_s = initial_s
         self._deviation_s = 0.0
 
-    @property
-    def is_learnt(self) -> bool:
-        """Whether the mean is that of samples."""
-        return self.n_samples >= MIN_SAMPLES
-
     @property
     def high_s(self) -> float:
         """A hold time that few requests exceed."""
@@ -36,7 +27,6 @@
 
     def observe(self, sample_s: float) -> None:
         """Take a request's hold time into account."""
-        self.n_samples += 1
         gap_s = sample_s - self.mean_s
         self.mean_s += SMOOTHING * gap_s
         self._deviation_s += DEVIATION_SMOOTHING * (abs(gap_s) - self._deviation_s)
