--- a/libs/routing/src/damaskjunction/routing/runners/runner_speeds.py
+++ b/libs/routing/src/damaskjunction/routing/runners/runner_speeds.py
@@ -80,10 +80,8 @@
             return 1.0
         kept = self._kept_share(samples, now_s)
         weight = samples.weight * kept + PRIOR_WEIGHT
-        gap = (samples.total * kept + PRIOR_WEIGHT) / weight - 1.0
-        if gap > 0:
-            return 1.0 + max(0.0, gap - TOLERANCE)
-        return 1.0 + min(0.0, gap + TOLERANCE)
+        factor = (samples.total * kept + PRIOR_WEIGHT) / weight
+        return 1.0 if abs(factor - 1.0) <= TOLERANCE else factor
 
     def forget(self, runner_id: RunnerId) -> None:
         """Drop what is known of a runner that failed, as its requests ended early."""
