Let a host that has just started grant few requests, and others count until it settles

Cause: in a roll of nine hosts, each new host that knew no others granted as much as a host that stands in for another, and two hosts counted in place of unsettled ones. A host that settled since its share of the fleet fell started with the tokens of the time before.

Change: such a host grants a twentieth of the tolerance. Asks pass three unsettled hosts, not two, and a bucket that counts in place of others is kept for 0.3 s only. The time at which a host was last unsettled counts as a change. The simulation shows all hosts each other after cuts that overlap.

--- a/libs/gateway/src/damaskjunction/gateway/quotas/counter_view.py
+++ b/libs/gateway/src/damaskjunction/gateway/quotas/counter_view.py
@@ -72,9 +72,11 @@
     def place_for(self, ask: PermitAsk) -> CounterPlace:
         """Return the place of this host among those that may count for an ask."""
         now_s, share = self._timers.now(), self._fleet_share
-        home_id = self.choice.home_of(self._ranked(ask.workspace), ask.unsettled, now_s)
+        own_id, ranked = self._state.view.own.host_id, self._ranked(ask.workspace)
+        skipped = (*ask.unsettled, own_id)
         return CounterPlace(
-            is_home=home_id == self._state.view.own.host_id,
+            is_home=self.choice.home_of(ranked, ask.unsettled, now_s) == own_id,
+            has_next=bool(self.choice.home_of(ranked, skipped, now_s)),
             is_settled=share.is_settled(now_s),
             share=share.share(now_s),
             since_s=max(share.counts_since_s(), self.choice.changed_at_s),
--- a/libs/routing/features/steps/quota_fleet.py
+++ b/libs/routing/features/steps/quota_fleet.py
@@ -171,9 +171,8 @@
     def _regroup(self, names, group, late_s):
         for name in names:
             self.hosts[name].group = group
-        others = [name for name in self.names if name not in set(names)]
-        self._show(names, others, late_s)
-        self._show(others, names, late_s)
+        self._show(names, self.names, late_s)
+        self._show(self.names, names, late_s)
 
     # Requests
 
@@ -268,8 +267,10 @@
 
     def _place(self, host, ranked, ask):
         share, now_s = host.fleet_share, self.now_s
+        skipped = (*ask.unsettled, host.name)
         return CounterPlace(
             host.choice.home_of(ranked, ask.unsettled, now_s) == host.name,
+            bool(host.choice.home_of(ranked, skipped, now_s)),
             share.is_settled(now_s),
             share.share(now_s),
             max(share.counts_since_s(), host.choice.changed_at_s),
--- a/libs/routing/features/steps/workspace_limit_steps.py
+++ b/libs/routing/features/steps/workspace_limit_steps.py
@@ -12,6 +12,7 @@
     CounterPlace,
     FleetShare,
     PermitAsk,
+    PermitReply,
     QuotaBounds,
     RequestCounter,
     allotment_of,
@@ -19,7 +20,9 @@
 
 HOT = ("w0", "w1", "w5", "w20", "w60")
 ROLL_STEPS = 20
-OWN_HOME = CounterPlace(is_home=True, is_settled=True, share=1.0, since_s=0.0)
+OWN_HOME = CounterPlace(
+    is_home=True, has_next=False, is_settled=True, share=1.0, since_s=0.0
+)
 
 
 class FullBuckets(RequestCounter):
@@ -46,8 +49,8 @@
 class GenerousStandIn(RequestCounter):
     """Injected fault: a host grants all that it is asked in place of another."""
 
-    def _stand_in(self, ask, allotment, now_s):
-        return self.count(ask, allotment, OWN_HOME, now_s)
+    def _stand_in(self, ask, window_s, max_requests, now_s):
+        return PermitReply("")
 
 
 TYPES_BY_FAULT = {
--- a/libs/routing/src/damaskjunction/routing/workspaces/fleet_share.py
+++ b/libs/routing/src/damaskjunction/routing/workspaces/fleet_share.py
@@ -45,6 +45,7 @@
         self._observed_at_s = now_s
         self._shares: deque[_ShareAt] = deque()
         self._changed_at_s = now_s
+        self._unsettled_at_s = now_s
 
     @property
     def n_known(self) -> int:
@@ -67,6 +68,8 @@
             self.record_change(now_s)
         self._forget_lost(live.union(leaving_ids), now_s)
         self._record_share(len(live) / self.n_known, now_s)
+        if not self.is_settled(now_s):
+            self._unsettled_at_s = now_s
 
     def share(self, now_s: float) -> float:
         """Return the fraction of the fleet that this host may count for.
@@ -89,7 +92,7 @@
 
     def counts_since_s(self) -> float:
         """Return when this host last settled or saw the live hosts change."""
-        return max(self._changed_at_s, self._settles_at_s)
+        return max(self._changed_at_s, self._settles_at_s, self._unsettled_at_s)
 
     def _detect_pause(self, now_s: float) -> None:
         if now_s - self._observed_at_s > MAX_PAUSE_S:
--- a/libs/routing/src/damaskjunction/routing/workspaces/permits.py
+++ b/libs/routing/src/damaskjunction/routing/workspaces/permits.py
@@ -7,8 +7,8 @@
 
 from damaskjunction.core import HostId, WorkspaceName
 
-MAX_HOPS = 4
-MAX_UNSETTLED = 2
+MAX_HOPS = 6
+MAX_UNSETTLED = 3
 
 
 class PermitAsk(NamedTuple):
@@ -40,11 +40,13 @@
     """The place of a host among those that may count for a workspace.
 
     ``is_home`` tells whether the host comes first as far as it knows, but for the
-    unsettled hosts of an ask, and ``share`` the fraction of the fleet that it may count
-    for. The hosts that it knows are the same since ``since_s``.
+    unsettled hosts of an ask, ``has_next`` whether another one comes after it, and
+    ``share`` the fraction of the fleet that it may count for. The hosts that it knows
+    are the same since ``since_s``.
     """
 
     is_home: bool
+    has_next: bool
     is_settled: bool
     share: float
     since_s: float
@@ -52,10 +54,11 @@
     def is_acting(self, ask: PermitAsk) -> bool:
         """Return whether the host counts with the whole limit of the workspace.
 
-        When all hosts have just started, the third one does.
+        When all hosts have just started, the fourth one does, or the last.
         """
-        may_count = self.is_settled or len(ask.unsettled) >= MAX_UNSETTLED
-        return self.is_home and may_count
+        is_last = bool(ask.unsettled) and not self.has_next
+        is_late = is_last or len(ask.unsettled) >= MAX_UNSETTLED
+        return self.is_home and (self.is_settled or is_late)
 
 
 class AskStep(StrEnum):
--- a/libs/routing/src/damaskjunction/routing/workspaces/request_counter.py
+++ b/libs/routing/src/damaskjunction/routing/workspaces/request_counter.py
@@ -26,7 +26,8 @@
 # on the home of a workspace, and for requests that are sent to several runners.
 START_FRACTION = 0.15  # the first tokens of a host that takes over
 STAND_IN_FRACTION = 0.2  # granted in place of the home in a window
-MAX_FOREIGN_PAUSE_S = 1.0  # between two asks passed on by a host that is to take over
+UNSETTLED_FRACTION = 0.05  # the same by a host that has just started
+MAX_FOREIGN_PAUSE_S = 0.3  # between two asks passed on by a host that is to take over
 HASH_RANGE = 1 << 64
 UNCERTAIN_RETRY_AFTER_S = 0.3
 
@@ -79,7 +80,9 @@
         A host that should not count for the workspace grants few requests.
         """
         if not place.is_acting(ask):
-            return self._stand_in(ask, allotment, now_s)
+            fraction = STAND_IN_FRACTION if place.is_settled else UNSETTLED_FRACTION
+            max_requests = max(1, int(fraction * allotment.tolerance))
+            return self._stand_in(ask, allotment.window_s, max_requests, now_s)
         rate_per_s = allotment.rate_per_s * place.share
         bucket = self._filled_bucket(ask, allotment, place, now_s)
         bucket, reply = _take(bucket, rate_per_s, allotment.window_s, now_s)
@@ -164,12 +167,12 @@
         return document
 
     def _stand_in(
-        self, ask: PermitAsk, allotment: Allotment, now_s: float
+        self, ask: PermitAsk, window_s: float, max_requests: int, now_s: float
     ) -> PermitReply:
         times = self._stand_in_times_by_workspace.setdefault(ask.workspace, deque())
-        while times and now_s - times[0] > allotment.window_s:
+        while times and now_s - times[0] > window_s:
             times.popleft()
-        if len(times) >= max(1, int(STAND_IN_FRACTION * allotment.tolerance)):
+        if len(times) >= max_requests:
             return PermitReply(UNCERTAIN_LIMIT, UNCERTAIN_RETRY_AFTER_S)
         times.append(now_s)
         self._add_counts(ask.workspace, n_stand_in=1)
