Try the limits of workspaces in histories of mixed troubles

Cause: each trouble was tried by itself.

Change: a row of the feature in which hosts that count are killed, replaced, frozen or cut off, and fleets halved, in a seeded order while earlier troubles last.

--- a/libs/routing/features/steps/quota_fleet.py
+++ b/libs/routing/features/steps/quota_fleet.py
@@ -132,6 +132,11 @@
     def _reaches(self, host, other):
         return other.is_up and not other.is_frozen and host.group == other.group
 
+    def is_calm(self, name):
+        host = self.hosts[name]
+        is_running = host.is_up and not host.is_frozen and not host.is_leaving
+        return is_running and not host.group
+
     def kill(self, name, down_s=4.0):
         self.hosts[name].is_up = False
         self._show(self.names, [name], LOST_LATE_S)
--- a/libs/routing/features/steps/workspace_limit_steps.py
+++ b/libs/routing/features/steps/workspace_limit_steps.py
@@ -110,6 +110,21 @@
     fleet.run(10.0)
 
 
+def mix(fleet):
+    harms = (
+        fleet.kill,
+        fleet.replace,
+        lambda name: fleet.freeze(name, fleet.rng.uniform(1.2, 5.0)),
+        lambda name: fleet.cut([name], fleet.rng.uniform(1.0, 4.0)),
+        lambda name: fleet.cut(half_of(fleet), 3.0),
+    )
+    for _ in range(8):
+        name = fleet.order[fleet.rng.choice(HOT)][0]
+        if fleet.is_calm(name):
+            fleet.rng.choice(harms)(name)
+        fleet.run(fleet.rng.choice((0.5, 1.0, 2.0, 4.0)))
+
+
 def half_of(fleet):
     return fleet.rng.sample(fleet.names, len(fleet.names) // 2)
 
@@ -123,6 +138,7 @@
     "half killed": kill_half,
     "all replaced": replace_all,
     "half of a former build": roll_back_half,
+    "troubled at random": mix,
 }
 
 
--- a/libs/routing/features/workspace_limits.feature
+++ b/libs/routing/features/workspace_limits.feature
@@ -24,6 +24,7 @@
       | 77    | 0     | all replaced           | 0.95  | 0.95 | 1.3      |
       | 77    | 0     | half killed            | 0.95  | 0.85 | 1.3      |
       | 77    | 0     | half of a former build | 0.95  | 0.95 | 1.3      |
+      | 9     | 3     | troubled at random     | 0.85  | 0.75 | 1.5      |
 
   Scenario Outline: The simulation finds hosts that break the limit
     Given a simulated fleet of 9 hosts and 88 workspaces, seeds 0 to 2
