--- a/libs/routing/features/steps/workspace_limit_steps.py
+++ b/libs/routing/features/steps/workspace_limit_steps.py
@@ -12,6 +12,7 @@
     CounterPlace,
     FleetShare,
     PermitAsk,
+    PermitReply,
     QuotaBounds,
     RequestCounter,
     allotment_of,
@@ -19,7 +20,9 @@
 
 HOT = ("w0", "w1", "w5", "w20", "w60")
 ROLL_STEPS = 20
-OWN_HOME = CounterPlace(is_home=True, is_settled=True, share=1.0, since_s=0.0)
+OWN_HOME = CounterPlace(
+    is_home=True, has_next=False, is_settled=True, share=1.0, since_s=0.0
+)
 
 
 class FullBuckets(RequestCounter):
@@ -46,8 +49,8 @@
 class GenerousStandIn(RequestCounter):
     """Injected fault: a host grants all that it is asked in place of another."""
 
-    def _stand_in(self, ask, allotment, now_s):
-        return self.count(ask, allotment, OWN_HOME, now_s)
+    def _stand_in(self, ask, window_s, max_requests, now_s):
+        return PermitReply("")
 
 
 TYPES_BY_FAULT = {
@@ -107,6 +110,21 @@
     fleet.run(10.0)
 
 
+def mix(fleet):
+    harms = (
+        fleet.kill,
+        fleet.replace,
+        lambda name: fleet.freeze(name, fleet.rng.uniform(1.2, 5.0)),
+        lambda name: fleet.cut([name], fleet.rng.uniform(1.0, 4.0)),
+        lambda name: fleet.cut(half_of(fleet), 3.0),
+    )
+    for _ in range(8):
+        name = fleet.order[fleet.rng.choice(HOT)][0]
+        if fleet.is_calm(name):
+            fleet.rng.choice(harms)(name)
+        fleet.run(fleet.rng.choice((0.5, 1.0, 2.0, 4.0)))
+
+
 def half_of(fleet):
     return fleet.rng.sample(fleet.names, len(fleet.names) // 2)
 
@@ -120,6 +138,7 @@
     "half killed": kill_half,
     "all replaced": replace_all,
     "half of a former build": roll_back_half,
+    "troubled at random": mix,
 }
 
 
