Let the soak send requests of workspaces, and check what runners are told

Cause: under faults, in take-ups, standbys and take-overs of jobs, nothing checked that runners are told the workspace of the key, and are given no key.

Change: the soak's configuration has two workspaces; callers and submitters of jobs send their keys; the check `workspaces are told` compares what runners were told. It says nothing of soaks in which a former build serves too, since that may know no workspaces.

--- a/libs/lab/features/soak.feature
+++ b/libs/lab/features/soak.feature
@@ -56,6 +56,8 @@
       | a sound request is refused as crashing runners           | sound requests are served |
       | a host records a crash of a runner that runs on          | crashes are true         |
       | most requests fail in calm while two builds serve        | builds serve together    |
+      | a runner is told another workspace than the caller's     | workspaces are told      |
+      | a runner of an item is given the key                     | workspaces are told      |
 
   Scenario: The end of an answer is recorded, also of one that nobody reads
     Then the end of an answer is recorded once when 0 of its 2 events are read
--- a/libs/lab/features/steps/soak_request_steps.py
+++ b/libs/lab/features/steps/soak_request_steps.py
@@ -88,6 +88,21 @@
     add_run(context.history, "look-777")
 
 
+@when("a runner is told another workspace than the caller's")
+def add_run_of_other_workspace(context):
+    add_call(context.history, "look-94")
+    context.history.workspaces_by_id["look-94"] = "clubs"
+    run = Run("look-94", "e1", 1.0, -1, workspace="buggies")
+    context.history.runs.append(run)
+
+
+@when("a runner of an item is given the key")
+def add_run_with_key(context):
+    context.history.workspaces_by_id["job1"] = "clubs"
+    run = Run("job1-0", "e1", 1.0, -1, workspace="clubs", has_key=True)
+    context.history.runs.append(run)
+
+
 @when("requests fail in the fault-free period")
 def add_failed_calls(context):
     for number in range(10):
--- a/libs/lab/src/damaskjunction/lab/soak/callers.py
+++ b/libs/lab/src/damaskjunction/lab/soak/callers.py
@@ -27,6 +27,7 @@
     SoakRig,
 )
 from damaskjunction.lab.soak.runners import ITEM_PREFIX, LIFE_HEADER
+from damaskjunction.lab.soak.workspaces import workspace_headers
 from damaskjunction.node import cancel_tasks
 from damaskjunction.standins import (
     caller_headers,
@@ -202,6 +203,7 @@
         headers = {
             **caller_headers(attempt.request_id, DEADLINE_S),
             **make_prompt_header([*parts, first_id]),
+            **workspace_headers(self._rig.history, attempt.request_id),
         }
         if attempt.resumed_id:
             headers |= make_resume_headers(first_id, attempt.last_event_id)
@@ -292,9 +294,10 @@
     ) -> bool:
         """Submit a job to random hosts until one accepts it; return whether one did."""
         body = make_job(job_id, n_items, path="/night/x", has_own_bodies=True)
+        key = workspace_headers(self._rig.history, job_id)
         for _ in range(MAX_SUBMISSIONS):
             host = self._rng.choice(hosts or self._rig.host_names)
-            headers = caller_headers(job_id, DEADLINE_S)
+            headers = caller_headers(job_id, DEADLINE_S) | key
             answer = await self._send_request(host, "POST", "/night/", headers, body)
             now_s = self._rig.timers.now()
             self._rig.history.submissions.append(
@@ -314,20 +317,21 @@
         overlap. A job to be cancelled is read until a host confirms the cancellation.
         """
         n_read = 0
+        key = workspace_headers(self._rig.history, job_id)
         is_to_cancel = self._rng.random() < cancelled_fraction
         if is_to_cancel:
             self._rig.history.jobs_to_cancel.add(job_id)
         while True:
             host = self._rng.choice(self._rig.host_names)
             if is_to_cancel:
-                answer = await self._send_request(host, "DELETE", job_path(job_id), {})
+                answer = await self._send_request(host, "DELETE", job_path(job_id), key)
                 if answer.status == 200:
                     cancellation = Cancellation(job_id, self._rig.timers.now())
                     self._rig.history.cancellations.append(cancellation)
                     return
             after = self._rng.randint(0, n_read)
             target, headers = make_results_request(job_id, after, LONG_POLL_S)
-            answer = await self._send_request(host, "GET", target, headers)
+            answer = await self._send_request(host, "GET", target, headers | key)
             if answer.status == 200 and answer.is_complete:
                 total, results = read_results(answer.body)
                 at_s = self._rig.timers.now()
--- a/libs/lab/src/damaskjunction/lab/soak/configuration.py
+++ b/libs/lab/src/damaskjunction/lab/soak/configuration.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping
 from typing import Any, NamedTuple
 
+from damaskjunction.lab.soak.workspaces import make_workspaces
 from damaskjunction.standins import (
     BATCH_ROUTE,
     LONG_TIMEOUT,
@@ -66,4 +67,5 @@
         plain=PLAIN,
         slots=ENGINE_SLOTS,
         limits=limits,
+        workspaces=make_workspaces(),
     )
--- a/libs/lab/src/damaskjunction/lab/soak/history.py
+++ b/libs/lab/src/damaskjunction/lab/soak/history.py
@@ -9,7 +9,7 @@
 import signal
 from typing import NamedTuple
 
-from damaskjunction.core import HostId, JobId, RequestId, RunnerId
+from damaskjunction.core import HostId, JobId, RequestId, RunnerId, WorkspaceName
 
 DEADLY_PREFIX = "deadly-"  # of the ids of requests that crash runners
 
@@ -66,7 +66,8 @@
     """A request that a runner began to process.
 
     ``last_event_id`` is the event after which a stream resumes, -1 for a new one.
-    ``life_id`` tells runners with the same id apart.
+    ``life_id`` tells runners with the same id apart. ``workspace`` is what the runner
+    was told, None if that was not recorded, and ``has_key`` whether it was given a key.
     """
 
     request_id: RequestId
@@ -74,6 +75,8 @@
     at_s: float
     last_event_id: int
     life_id: str = ""
+    workspace: WorkspaceName | None = None
+    has_key: bool = False
 
 
 class RunEnd(NamedTuple):
@@ -275,6 +278,8 @@
         Jobs whose cancellation was asked for, acknowledged or not.
     host_views_by_item : dict of str to str
         What hosts said of an item that is stuck, for the report of it.
+    workspaces_by_id : dict of str to str
+        The workspaces with whose keys requests and jobs were sent.
     """
 
     def __init__(self, n_events: int) -> None:
@@ -299,6 +304,7 @@
         self.reloads: list[HostReload] = []
         self.exits: list[HostExit] = []
         self.host_views_by_item: dict[str, str] = {}
+        self.workspaces_by_id: dict[str, WorkspaceName] = {}
         self.limits: list[NamedLimit] = []
         self.peaks: list[MemoryPeak] = []
         self.fault_free_period = FaultFreePeriod(0.0, 0.0)
--- a/libs/lab/src/damaskjunction/lab/soak/runners.py
+++ b/libs/lab/src/damaskjunction/lab/soak/runners.py
@@ -27,6 +27,7 @@
 
 ITEM_PREFIX = "job"  # of the ids of batch items
 ITEM_EVENT_INTERVAL_S = 0.1  # besides that of all streams
+WORKSPACE_HEADER, KEY_HEADER = "x-tenant", "authorization"
 LIFE_HEADER = "X-Soak-Runner"  # in each answer: the life of the runner that wrote it
 
 
@@ -162,7 +163,16 @@
         """Record that the processing of a request begins."""
         super().record_run(request_id, last_event_id)
         last = int(last_event_id) if last_event_id else -1
-        run = Run(request_id, self.runner_id, self._timers.now(), last, self.life_id)
+        headers = self.headers_by_request[request_id]
+        run = Run(
+            request_id,
+            self.runner_id,
+            self._timers.now(),
+            last,
+            self.life_id,
+            headers.get(WORKSPACE_HEADER, ""),
+            KEY_HEADER in headers,
+        )
         self._history.runs.append(run)
 
     def event_text(self, number: int, body: bytes) -> str:
