--- a/libs/gateway/features/greedy_clients.feature
+++ b/libs/gateway/features/greedy_clients.feature
@@ -33,6 +33,14 @@
     Then the host is within its memory and half of its descriptors
     And an ordinary request and a readiness probe are answered
 
+  # Guards against texts of jobs that wait for runners, without any bound
+  Scenario: Large jobs that nobody runs
+    When 60 jobs of 1800 KB are submitted, one after another
+    Then the host is within its memory and half of its descriptors
+    And those that were not accepted were refused with status 429
+    And an ordinary request and a readiness probe are answered
+    And a job of 2 small items is accepted
+
   Scenario Outline: Connections without a request
     When 400 clients connect to the <address> address and send part of a head
     Then the host is within its memory and half of its descriptors
--- a/libs/gateway/features/steps/greedy_client_steps.py
+++ b/libs/gateway/features/steps/greedy_client_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 from behave import given, then, when
 from fleet_helpers import run
 from greedy_crowd import (
@@ -16,9 +17,11 @@
 from own_process_fleet import HOST, PATHS, OwnProcessFleet
 from platform_fleet import PLAIN, ROUTES, make_configuration
 
-from damaskjunction.core.units import MIB
+from damaskjunction.core.units import KIB, MIB
+from damaskjunction.standins import make_job
 
 HEADER_BYTES = 8192
+N_ITEMS = 20  # of a large job
 PART_OF_HEAD = b"GET / HTTP/1.1\r\nX-Part: "
 WAYS = {"with a length": body_with_length, "in chunks": body_in_chunks}
 
@@ -76,6 +79,38 @@
     send_at_once(context, address, [[PART_OF_HEAD] for _ in range(count)])
 
 
+@when("{count:d} jobs of {size_kb:d} KB are submitted, one after another")
+def submit_jobs(context, count, size_kb):
+    async def work():
+        context.statuses = []
+        for number in range(count):
+            body = make_large_job(f"j{number}", size_kb * KIB)
+            reply = await context.platform.call(
+                HOST, "POST", "/night/", body=body, request_id=f"j{number}"
+            )
+            context.statuses.append(reply.status)
+
+    run(context, work())
+
+
+def make_large_job(job_id, n_bytes):
+    document = json.loads(make_job(job_id, N_ITEMS, path="/night/x"))
+    for item in document["Items"]:
+        item["Body"] = "AAAA" * (n_bytes // N_ITEMS // 4)
+    return json.dumps(document).encode()
+
+
+@then("those that were not accepted were refused with status {status:d}")
+def check_refused(context, status):
+    assert set(context.statuses) == {202, status}, context.statuses
+
+
+@then("a job of {count:d} small items is accepted")
+def check_small_job(context, count):
+    reply = run(context, context.platform.submit(HOST, "small", count))
+    assert reply.status == 202, reply
+
+
 @then("the host is within its memory and half of its descriptors")
 def check_bounds(context):
     platform = context.platform
