Bound the items of jobs that a host holds

The host that runs a job holds its items until they are done, and kept those of 24 jobs besides, whatever their size. Only the tokens of a route's jobs were bounded.

Items are counted now: 0.2 of the memory for jobs that run, half as much for items kept to be read again.

--- a/libs/gateway/features/steps/greedy_client_steps.py
+++ b/libs/gateway/features/steps/greedy_client_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+
 from behave import given, then, when
 from fleet_helpers import run
 from greedy_crowd import (
--- a/libs/gateway/src/damaskjunction/gateway/jobs/job_front.py
+++ b/libs/gateway/src/damaskjunction/gateway/jobs/job_front.py
@@ -90,17 +90,23 @@
             return Response(202)
         n_tokens = sum(item.n_tokens for item in items)
         if self._exceeds_token_limit(route, n_tokens):
-            return await self._refuse_over_limit(job_id, n_tokens)
+            return await self._refuse_too_much(
+                job_id, "too_many_tokens_wait", tokens=n_tokens
+            )
+        if not self._jobs.memory.has_room(items):
+            return await self._refuse_too_much(job_id, "too_many_items_held")
         return await self._accept(request, route, items)
 
-    async def _refuse_over_limit(self, job_id: JobId, n_tokens: int) -> Response:
-        """Reject a job over the token limit, unless another host has accepted it."""
+    async def _refuse_too_much(
+        self, job_id: JobId, reason: str, **fields: object
+    ) -> Response:
+        """Reject a job for which there is no room, unless it was accepted elsewhere."""
         if await self._try_find(job_id) is not None:
             return Response(202)
-        self._log("refused", job_id, reason="too_many_tokens_wait", tokens=n_tokens)
+        self._log("refused", job_id, reason=reason, **fields)
         return refusal_response(
             Refusal.TOO_MUCH,
-            "too many tokens are queued",
+            reason.replace("_", " "),
             request_id=job_id,
             retry_after_s=QUEUE_FULL_RETRY_AFTER_S,
         )
@@ -119,8 +125,11 @@
             0,
             self._choose_owner(job_id),
         )
+        self._jobs.memory.hold(job_id, items)
+        is_held = False
         try:
-            await self._jobs.accept(record, items)
+            job = await self._jobs.accept(record, items)
+            is_held = job.is_open and job.owner == self._state.view.own.host_id
         except JobTooLargeError as error:
             self._log("refused", job_id, reason="too_large", detail=str(error))
             return refusal_response(Refusal.BAD_REQUEST, str(error), request_id=job_id)
@@ -128,6 +137,9 @@
             return self._refuse(job_id, error)
         except PlatformUnknownError as error:
             return self._answer_unknown(job_id, error)
+        finally:
+            if not is_held:
+                self._jobs.memory.release(job_id)
         self._log("accepted", job_id, n_items=len(items), tokens=record.n_tokens)
         return Response(202)
 
--- a/libs/gateway/src/damaskjunction/gateway/jobs/job_parts.py
+++ b/libs/gateway/src/damaskjunction/gateway/jobs/job_parts.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 from damaskjunction.batch import BatchItem, JobRecord
 from damaskjunction.core import DamaskjunctionError
 from damaskjunction.core.units import MIB
@@ -53,6 +55,11 @@
     return [tuple(part) for part in parts]
 
 
+def items_bytes(items: Iterable[BatchItem]) -> int:
+    """Return about how many bytes items take as they are stored."""
+    return sum(_item_bytes(item) for item in items)
+
+
 def _item_bytes(item: BatchItem) -> int:
     """Estimate the size of an item as it is stored, its body in base64."""
     strings = (item.item_id, item.path, *item.headers, *item.headers.values())
--- a/libs/gateway/src/damaskjunction/gateway/jobs/job_repository.py
+++ b/libs/gateway/src/damaskjunction/gateway/jobs/job_repository.py
@@ -20,7 +20,12 @@
     PlatformUnknownError,
     Revision,
 )
-from damaskjunction.gateway.jobs.job_parts import check_sizes, split_items
+from damaskjunction.gateway.jobs.job_memory import JobMemory
+from damaskjunction.gateway.jobs.job_parts import (
+    check_sizes,
+    items_bytes,
+    split_items,
+)
 from damaskjunction.gateway.jobs.result_repository import ResultRepository
 from damaskjunction.platform import (
     BODIES_KIND,
@@ -69,13 +74,17 @@
     ----------
     store : StoreClient
         The platform's store.
+    memory : JobMemory, optional
+        Bounds the items that are held.
     """
 
-    def __init__(self, store: StoreClient) -> None:
+    def __init__(self, store: StoreClient, memory: JobMemory | None = None) -> None:
         self._store = store
+        self.memory = memory or JobMemory()
         self.jobs_by_id: dict[JobId, StoredJob] = {}
         self.results = ResultRepository(store)
         self._items_by_id: OrderedDict[JobId, tuple[BatchItem, ...]] = OrderedDict()
+        self._n_cached_bytes_by_id: dict[JobId, int] = {}
         self._created_ids: set[JobId] = set()
         self._creations_by_id: dict[JobId, asyncio.Event] = {}
         self._observers: list[Callable[[JobId], None]] = []
@@ -130,6 +139,7 @@
         self.jobs_by_id.pop(job_id, None)
         self.results.evict(job_id)
         self._items_by_id.pop(job_id, None)
+        self._n_cached_bytes_by_id.pop(job_id, None)
         self._created_ids.discard(job_id)
 
     # Jobs
@@ -246,8 +256,13 @@
 
     def _cache_items(self, job_id: JobId, items: tuple[BatchItem, ...]) -> None:
         self._items_by_id[job_id] = items
-        while len(self._items_by_id) > MAX_JOBS_WITH_CACHED_ITEMS:
-            self._items_by_id.popitem(last=False)
+        self._n_cached_bytes_by_id[job_id] = items_bytes(items)
+        while (
+            len(self._items_by_id) > MAX_JOBS_WITH_CACHED_ITEMS
+            or sum(self._n_cached_bytes_by_id.values()) > self.memory.cache_bytes
+        ):
+            oldest_id, _ = self._items_by_id.popitem(last=False)
+            del self._n_cached_bytes_by_id[oldest_id]
 
     async def update_status(self, job_id: JobId, **changes: object) -> StoredJob | None:
         """Update fields of a job's status; return None if there is no such job.
--- a/libs/gateway/src/damaskjunction/gateway/jobs/job_worker.py
+++ b/libs/gateway/src/damaskjunction/gateway/jobs/job_worker.py
@@ -193,6 +193,7 @@
             self._ids_with_cached_results.discard(job_id)
             self._ids_without_former_owner.discard(job_id)
             self._jobs.results.unpin(job_id)
+            self._jobs.memory.release(job_id)
         if not done.cancelled() and done.exception() is not None:
             logger.error("job failed", exc_info=done.exception(), extra={"job": job_id})
 
@@ -244,6 +245,7 @@
     async def _run_job(self, job: StoredJob) -> None:
         job_id = job.record.job_id
         items = await self._retry(self._jobs.items, job_id)
+        self._jobs.memory.hold(job_id, items)
         self._jobs.results.pin(job_id)
         if await self._jobs.pop_created(job_id):
             self._ids_without_former_owner.add(job_id)
--- a/libs/gateway/src/damaskjunction/gateway/root.py
+++ b/libs/gateway/src/damaskjunction/gateway/root.py
@@ -17,6 +17,7 @@
 from damaskjunction.gateway.jobs.cancellation_notifier import CancellationNotifier
 from damaskjunction.gateway.jobs.job_cleaner import JobCleaner
 from damaskjunction.gateway.jobs.job_front import JobFront
+from damaskjunction.gateway.jobs.job_memory import JobMemory
 from damaskjunction.gateway.jobs.job_repository import JobRepository
 from damaskjunction.gateway.jobs.job_worker import JobWorker
 from damaskjunction.gateway.jobs.result_reader import ResultReader
@@ -55,6 +56,7 @@
 logger = logging.getLogger(__name__)
 
 TIMING = Timing(probe_period_s=0.5, ack_timeout_s=0.2, suspicion_timeout_s=1.0)
+JOB_MEMORY_FRACTION = 0.2  # of the memory of the process
 RECEIVED_MEMORY_FRACTION = 0.0625  # of the memory of the process
 TUNNEL_DESCRIPTOR_FRACTION = 0.1  # of the file descriptors of the process
 DESCRIPTORS_PER_TUNNEL = 2
@@ -181,7 +183,9 @@
             self._runner_client.budget,
         )
         online_handler = OnlineHandler(context)
-        self.job_repository = job_repository = JobRepository(self._store)
+        self.job_repository = job_repository = JobRepository(
+            self._store, JobMemory(int(JOB_MEMORY_FRACTION * settings.memory_bytes))
+        )
         self._worker = JobWorker(job_repository, context)
         jobs = self._make_job_front(handlers)
         self._front_end = front_end = FrontEnd(
@@ -383,6 +387,9 @@
             "store_calls": lambda: counts,
         }
         register_sections(self.dump, documents_by_name)
+        job_memory = self.job_repository.memory
+        self.metrics.gauge("job_held_bytes", lambda: float(job_memory.n_bytes))
+        self.metrics.gauge("jobs_refused_room", lambda: float(job_memory.n_refused))
         self.metrics.gauge(
             "runner_connects", lambda: float(self._runner_client.n_connections_opened)
         )
