--- a/libs/http/features/heads.feature
+++ b/libs/http/features/heads.feature
@@ -47,6 +47,9 @@
       | "HTTP/1.1 200 OK\r\nX A: b\r\n\r\n"                               |
       | "HTTP/1.1 20 OK\r\n\r\n"                                          |
       | "\xff\xfe\r\n\r\n"                                                |
+      | "HTTP/1.1 000 OK\r\nContent-Length: 5\r\n\r\n"                      |
+      | "HTTP/1.1 600 OK\r\nContent-Length: 5\r\n\r\n"                      |
+      | "HTTP/1.1 999 OK\r\nContent-Length: 5\r\n\r\n"                      |
 
   Scenario: An odd announcement of the time that a connection is kept is not believed
     Given a server whose answer begins with "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=\xb2\r\nContent-Length: 5\r\n\r\n"
--- a/libs/http/src/damaskjunction/http/connection.py
+++ b/libs/http/src/damaskjunction/http/connection.py
@@ -30,6 +30,7 @@
 MAX_CHUNKS_AT_ONCE = 64  # handling so many takes about as long as a read
 DEFAULT_STALL_TIMEOUT_S = 30.0
 MAX_INTERIM_HEADS = 8
+STATUS_CODES = range(200, 600)  # of responses; the parser takes larger ones, too
 KEEP_ALIVE_TIMEOUT_FRACTION = 0.5
 
 
@@ -171,6 +172,9 @@
         for _ in range(1 + MAX_INTERIM_HEADS):
             event = await self._next_event()
             if isinstance(event, h11.Response):
+                if event.status_code not in STATUS_CODES:
+                    detail = f"{self.address}: status {event.status_code}"
+                    raise BrokenResponseError(detail)
                 headers = decode_headers(event.headers)
                 self._apply_keep_alive_timeout(headers.get("keep-alive", ""))
                 return ResponseHead(event.status_code, headers)
