--- a/libs/gateway/src/damaskjunction/gateway/jobs/job_front.py
+++ b/libs/gateway/src/damaskjunction/gateway/jobs/job_front.py
@@ -94,7 +94,11 @@
             return self._answer_again(known, caller)
         n_tokens = sum(item.n_tokens for item in items)
         if self._exceeds_token_limit(route, caller, n_tokens):
-            return await self._refuse_over_limit(job_id, caller, n_tokens)
+            return await self._refuse_too_much(
+                job_id, caller, "too_many_tokens_wait", tokens=n_tokens
+            )
+        if not self._jobs.memory.has_room(items):
+            return await self._refuse_too_much(job_id, caller, "too_many_items_held")
         return await self._accept(request, route, items, caller)
 
     def _answer_again(self, job: StoredJob, caller: Caller) -> Response:
@@ -108,17 +112,17 @@
             Refusal.BAD_REQUEST, "the id is in use", request_id=record.job_id
         )
 
-    async def _refuse_over_limit(
-        self, job_id: JobId, caller: Caller, n_tokens: int
+    async def _refuse_too_much(
+        self, job_id: JobId, caller: Caller, reason: str, **fields: object
     ) -> Response:
-        """Reject a job over the token limit, unless another host has accepted it."""
+        """Reject a job for which there is no room, unless it was accepted elsewhere."""
         known = await self._try_find(job_id)
         if known is not None:
             return self._answer_again(known, caller)
-        self._log("refused", job_id, reason="too_many_tokens_wait", tokens=n_tokens)
+        self._log("refused", job_id, reason=reason, **fields)
         return refusal_response(
             Refusal.TOO_MUCH,
-            "too many tokens are queued",
+            reason.replace("_", " "),
             request_id=job_id,
             retry_after_s=QUEUE_FULL_RETRY_AFTER_S,
         )
@@ -142,8 +146,11 @@
             self._choose_owner(job_id),
             caller.workspace_name,
         )
+        self._jobs.memory.hold(job_id, items)
+        is_held = False
         try:
             stored = await self._jobs.accept(record, items)
+            is_held = stored.is_open and stored.owner == self._state.view.own.host_id
         except JobTooLargeError as error:
             self._log("refused", job_id, reason="too_large", detail=str(error))
             return refusal_response(Refusal.BAD_REQUEST, str(error), request_id=job_id)
@@ -151,6 +158,9 @@
             return self._refuse(job_id, error)
         except PlatformUnknownError as error:
             return self._answer_unknown(job_id, error)
+        finally:
+            if not is_held:
+                self._jobs.memory.release(job_id)
         if not caller.may_have_sent(stored.record.workspace):
             return self._answer_again(stored, caller)
         self._log("accepted", job_id, n_items=len(items), tokens=record.n_tokens)
