Count requests that run once more against the limit of their workspace

Cause: a second attempt at another runner had no permit and was not counted, though the limit is on what reaches runners.

Change: it is told to the host that counts with the next ask for a permit; it is never refused. The type of a limit is named quota.

--- a/libs/gateway/features/steps/quota_steps.py
+++ b/libs/gateway/features/steps/quota_steps.py
@@ -9,7 +9,7 @@
 
 from damaskjunction.core import WorkspaceSpec
 from damaskjunction.gateway.quotas.quota_gate import QuotaGate
-from damaskjunction.routing import QuotaBounds, allotment_of
+from damaskjunction.routing import QuotaBounds, quota_of
 
 
 @given(
@@ -115,7 +115,7 @@
 
 
 def max_in_window(context):
-    return allotment_of(context.workspace, QuotaBounds()).max_in_window
+    return quota_of(context.workspace, QuotaBounds()).max_in_window
 
 
 @then("at least {count:d} of them are admitted, and no more than a window allows")
--- a/libs/gateway/src/damaskjunction/gateway/dispatch_context.py
+++ b/libs/gateway/src/damaskjunction/gateway/dispatch_context.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from damaskjunction.core import Timers
+from damaskjunction.gateway.quotas.quota_gate import QuotaGate
 from damaskjunction.gateway.runners.crash_reporter import CrashReporter
 from damaskjunction.gateway.runners.runner_client import RunnerClient
 from damaskjunction.gateway.runners.runner_faults import RunnerFaults
@@ -22,7 +23,8 @@
 class DispatchContext(NamedTuple):
     """What the senders of requests share.
 
-    ``state`` has the routes and runners, ``budget`` bounds what is kept of responses.
+    ``state`` has the routes and runners, ``budget`` bounds what is kept of responses,
+    and ``quota_gate`` is told of requests that run once more.
     """
 
     state: ServingState
@@ -38,3 +40,4 @@
     metrics: Metrics
     rng: random.Random
     budget: ReceiveBudget
+    quota_gate: QuotaGate
--- a/libs/gateway/src/damaskjunction/gateway/quotas/permit_home.py
+++ b/libs/gateway/src/damaskjunction/gateway/quotas/permit_home.py
@@ -13,9 +13,9 @@
     PermitReply,
     QuotaBounds,
     RequestCounter,
-    allotment_of,
     next_step,
     passed_ask,
+    quota_of,
 )
 from damaskjunction.telemetry import Metrics
 from damaskjunction.wire import Reply
@@ -82,11 +82,11 @@
             if reply is not None:
                 return reply
         workspace = self._state.table.workspaces_by_name.get(ask.workspace)
-        allotment = workspace and allotment_of(workspace, self._bounds)
-        if allotment is None:
+        quota = workspace and quota_of(workspace, self._bounds)
+        if quota is None:
             return GRANTED
         place = self._view.place_for(ask)
-        return self._counter.count(ask, allotment, place, self._timers.now())
+        return self._counter.count(ask, quota, place, self._timers.now())
 
     async def _pass_on(self, ask: PermitAsk, step: AskStep) -> PermitReply | None:
         passed = passed_ask(ask, step, self._own_id)
--- a/libs/gateway/src/damaskjunction/gateway/quotas/quota_gate.py
+++ b/libs/gateway/src/damaskjunction/gateway/quotas/quota_gate.py
@@ -16,13 +16,13 @@
 from damaskjunction.routing import (
     ASK_LIMIT_S,
     OVER_LIMIT,
-    Allotment,
     PermitAsk,
     PermitReply,
+    Quota,
     QuotaBounds,
     RequestCounter,
     UncountedRequests,
-    allotment_of,
+    quota_of,
 )
 from damaskjunction.telemetry import Metrics
 from damaskjunction.wire import PeerLinks
@@ -97,18 +97,20 @@
         """Return the refusal of a request, None if it may be sent to a runner."""
         if workspace is None:
             return None
-        allotment = allotment_of(workspace, self._bounds)
-        if allotment is None:
+        quota = quota_of(workspace, self._bounds)
+        if quota is None:
             return None
         began_at_s = self._timers.now()
-        reply = await self._ask(workspace.name, allotment)
+        reply = await self._ask(workspace.name, quota)
         took_s = self._timers.now() - began_at_s
         self._metrics.observe_duration("permit_wait_s", took_s)
         return self._refuse(workspace.name, request_id, reply) if reply.reason else None
 
     def record_repeat(self, workspace: WorkspaceName) -> None:
-        """Count one more run of a request that had a permit."""
-        self._uncounted.record(workspace, self._timers.now())
+        """Count one more run of a request, which had a permit if it needs one."""
+        spec = self._state.table.workspaces_by_name.get(workspace)
+        if spec is not None and quota_of(spec, self._bounds) is not None:
+            self._uncounted.record(workspace, self._timers.now())
 
     def to_document(self) -> dict[str, Any]:
         """Return the state for the dump."""
@@ -117,7 +119,7 @@
             "workspaces": self._counter.to_document(),
         }
 
-    async def _ask(self, workspace: WorkspaceName, allotment: Allotment) -> PermitReply:
+    async def _ask(self, workspace: WorkspaceName, quota: Quota) -> PermitReply:
         """Return the reply of the first host that answers, else that of this one."""
         began_at_s = self._timers.now()
         n_uncounted = self._uncounted.take(workspace, began_at_s)
@@ -131,9 +133,7 @@
             if self._timers.now() - began_at_s >= ASK_LIMIT_S:
                 break
         now_s = self._timers.now()
-        reply = self._counter.count_alone(
-            workspace, allotment, self._view.n_hosts, now_s
-        )
+        reply = self._counter.count_alone(workspace, quota, self._view.n_hosts, now_s)
         n_uncounted += not reply.reason
         self._uncounted.record(workspace, now_s, n_uncounted)
         self._metrics.count("permits_alone", result=reply.reason or "granted")
--- a/libs/gateway/src/damaskjunction/gateway/requests/request_attempts.py
+++ b/libs/gateway/src/damaskjunction/gateway/requests/request_attempts.py
@@ -141,6 +141,8 @@
         if remaining_s < MIN_REMAINING_S:
             raise RunnerFailedError(Outcome.NOT_RUN, "no_time_left")
         self.log("sent", home=assignment.home_id, left_ms=round(remaining_s * 1000.0))
+        if history.tried:
+            self._context.quota_gate.record_repeat(routed.workspace)
         limit_s = head_silence_limit_s(routed.route, history, remaining_s)
         work = self._context.runner_client.send(
             runner,
--- a/libs/gateway/src/damaskjunction/gateway/root.py
+++ b/libs/gateway/src/damaskjunction/gateway/root.py
@@ -165,6 +165,7 @@
             timers=timers,
             metrics=self.metrics,
         )
+        self.quota_gate = self._make_quota_gate(handlers)
         context = DispatchContext(
             self.state,
             slot_client,
@@ -179,6 +180,7 @@
             self.metrics,
             rng,
             self._runner_client.budget,
+            self.quota_gate,
         )
         online_handler = OnlineHandler(context)
         self.job_repository = job_repository = JobRepository(
@@ -186,7 +188,6 @@
         )
         self._worker = JobWorker(job_repository, context)
         jobs = self._make_job_front(handlers)
-        self.quota_gate = self._make_quota_gate(handlers)
         self._front_end = front_end = FrontEnd(
             self.state,
             online_handler,
--- a/libs/routing/features/steps/quota_fleet.py
+++ b/libs/routing/features/steps/quota_fleet.py
@@ -20,9 +20,9 @@
     PermitAsk,
     QuotaBounds,
     RequestCounter,
-    allotment_of,
     next_step,
     passed_ask,
+    quota_of,
 )
 
 START_S = 1000.0
@@ -222,7 +222,7 @@
 
     def _ask_first(self, host, workspace):
         ask = PermitAsk(workspace)
-        allotment = allotment_of(self.specs[workspace], BOUNDS)
+        quota = quota_of(self.specs[workspace], BOUNDS)
         for name in host.choice.candidates(self._ranked(host, workspace), self.now_s):
             reply = self._send(host, name, ask)
             if reply is not None:
@@ -231,7 +231,7 @@
                 break
         self.counts["alone"] += 1
         n_known = host.fleet_share.n_known
-        return host.counter.count_alone(workspace, allotment, n_known, self.now_s)
+        return host.counter.count_alone(workspace, quota, n_known, self.now_s)
 
     def _ranked(self, host, workspace):
         return [
@@ -267,8 +267,8 @@
             if reply is not None:
                 return reply
         place = self._place(host, ranked, ask)
-        allotment = allotment_of(self.specs[ask.workspace], BOUNDS)
-        return host.counter.count(ask, allotment, place, self.now_s)
+        quota = quota_of(self.specs[ask.workspace], BOUNDS)
+        return host.counter.count(ask, quota, place, self.now_s)
 
     def _place(self, host, ranked, ask):
         share, now_s = host.fleet_share, self.now_s
@@ -316,7 +316,7 @@
         sent.append(self.now_s)
         while self.now_s - sent[0] > BOUNDS.window_s:
             sent.popleft()
-        allowed = allotment_of(self.specs[workspace], BOUNDS).max_in_window
+        allowed = quota_of(self.specs[workspace], BOUNDS).max_in_window
         self.worst = max(self.worst, len(sent) / allowed)
         if len(sent) > allowed:
             raise LimitBrokenError(workspace, len(sent), allowed, self.now_s)
--- a/libs/routing/features/steps/workspace_limit_steps.py
+++ b/libs/routing/features/steps/workspace_limit_steps.py
@@ -15,7 +15,7 @@
     PermitReply,
     QuotaBounds,
     RequestCounter,
-    allotment_of,
+    quota_of,
 )
 
 HOT = ("w0", "w1", "w5", "w20", "w60")
@@ -28,8 +28,8 @@
 class FullBuckets(RequestCounter):
     """Injected fault: a host that takes over grants a whole burst."""
 
-    def _first_tokens(self, workspace, allotment, share):
-        return allotment.burst
+    def _first_tokens(self, workspace, quota, share):
+        return quota.burst
 
 
 class WholeShare(FleetShare):
@@ -192,13 +192,13 @@
 
 def set_limit(context, rate_per_s, burst):
     workspace = WorkspaceSpec("w", requests_per_s=rate_per_s, burst=burst)
-    context.allotment = allotment_of(workspace, QuotaBounds())
+    context.quota = quota_of(workspace, QuotaBounds())
 
 
 def count(context, n_requests, n_uncounted=0):
     ask = PermitAsk("w", n_uncounted=n_uncounted)
     return [
-        context.counter.count(ask, context.allotment, OWN_HOME, 100.0)
+        context.counter.count(ask, context.quota, OWN_HOME, 100.0)
         for _ in range(n_requests)
     ]
 
@@ -241,7 +241,7 @@
     assert min(gaps) > 0, gaps
 
 
-@then("a workspace with 0 requests a second has no allotment")
-def check_no_allotment(context):
+@then("a workspace with 0 requests a second has no quota")
+def check_no_quota(context):
     workspace = WorkspaceSpec("w", burst=5.0)
-    assert allotment_of(workspace, QuotaBounds()) is None
+    assert quota_of(workspace, QuotaBounds()) is None
--- a/libs/routing/features/workspace_limits.feature
+++ b/libs/routing/features/workspace_limits.feature
@@ -58,5 +58,5 @@
     And 60 of its requests come at once
     Then 3 of them are granted
 
-  Scenario: A workspace without a limit has no allotment
-    Then a workspace with 0 requests a second has no allotment
+  Scenario: A workspace without a limit has no quota
+    Then a workspace with 0 requests a second has no quota
--- a/libs/routing/src/damaskjunction/routing/__init__.py
+++ b/libs/routing/src/damaskjunction/routing/__init__.py
@@ -177,11 +177,6 @@
     stream_lives,
     unknown_record,
 )
-from damaskjunction.routing.workspaces.allotments import (
-    Allotment,
-    QuotaBounds,
-    allotment_of,
-)
 from damaskjunction.routing.workspaces.callers import (
     Caller,
     KeyDenial,
@@ -209,6 +204,11 @@
     next_step,
     passed_ask,
 )
+from damaskjunction.routing.workspaces.quotas import (
+    Quota,
+    QuotaBounds,
+    quota_of,
+)
 from damaskjunction.routing.workspaces.request_counter import RequestCounter
 from damaskjunction.routing.workspaces.uncounted_requests import UncountedRequests
 
@@ -233,7 +233,6 @@
     "AdmissionState",
     "AdmissionTicket",
     "Admit",
-    "Allotment",
     "AnswerAssembly",
     "AnswerPart",
     "AskStep",
@@ -281,6 +280,7 @@
     "PlainRunners",
     "Preempt",
     "Quarantine",
+    "Quota",
     "QuotaBounds",
     "RateLimiter",
     "Reach",
@@ -331,7 +331,6 @@
     "WeightedService",
     "WorkspaceKeys",
     "admission_policies",
-    "allotment_of",
     "are_writers_proved",
     "bearer_key",
     "digest_of_key",
@@ -349,6 +348,7 @@
     "passed_ask",
     "prioritize",
     "proven_version",
+    "quota_of",
     "required_version",
     "resolve_claim",
     "runner_choices",
--- a/libs/routing/src/damaskjunction/routing/workspaces/allotments.py
+++ b/libs/routing/src/damaskjunction/routing/workspaces/quotas.py
@@ -23,7 +23,7 @@
     slack: float = DEFAULT_SLACK
 
 
-class Allotment(NamedTuple):
+class Quota(NamedTuple):
     """The limit of a workspace, and the requests by which it may be exceeded.
 
     In any ``window_s`` seconds they are ``over``, a fraction of the limit, and
@@ -47,10 +47,10 @@
         return self.rate_per_s * self.window_s + self.burst + self.tolerance
 
 
-def allotment_of(workspace: WorkspaceSpec, bounds: QuotaBounds) -> Allotment | None:
-    """Return the allotment of a workspace, None if it has no limit."""
+def quota_of(workspace: WorkspaceSpec, bounds: QuotaBounds) -> Quota | None:
+    """Return the quota of a workspace, None if it has no limit."""
     rate_per_s, burst = workspace.requests_per_s, workspace.burst
     if rate_per_s <= 0:
         return None
     over = bounds.over * (rate_per_s * bounds.window_s + burst)
-    return Allotment(rate_per_s, burst, over, bounds.slack, bounds.window_s)
+    return Quota(rate_per_s, burst, over, bounds.slack, bounds.window_s)
--- a/libs/routing/src/damaskjunction/routing/workspaces/request_counter.py
+++ b/libs/routing/src/damaskjunction/routing/workspaces/request_counter.py
@@ -12,7 +12,6 @@
 from typing import Any, NamedTuple
 
 from damaskjunction.core import HostId, WorkspaceName, stable_hash
-from damaskjunction.routing.workspaces.allotments import Allotment
 from damaskjunction.routing.workspaces.permits import (
     OVER_LIMIT,
     UNCERTAIN_LIMIT,
@@ -20,6 +19,7 @@
     PermitAsk,
     PermitReply,
 )
+from damaskjunction.routing.workspaces.quotas import Quota
 
 BURST_SLACK_FRACTION = 0.25  # of the slack, added to the burst
 # Parts of the tolerance. What is left of it is for the time in which hosts don't agree
@@ -73,7 +73,7 @@
         return sum(entry.n_started_over for entry in counts)
 
     def count(
-        self, ask: PermitAsk, allotment: Allotment, place: CounterPlace, now_s: float
+        self, ask: PermitAsk, quota: Quota, place: CounterPlace, now_s: float
     ) -> PermitReply:
         """Grant or refuse a request.
 
@@ -81,11 +81,11 @@
         """
         if not place.is_acting(ask):
             fraction = STAND_IN_FRACTION if place.is_settled else UNSETTLED_FRACTION
-            max_requests = max(1, int(fraction * allotment.tolerance))
-            return self._stand_in(ask, allotment.window_s, max_requests, now_s)
-        rate_per_s = allotment.rate_per_s * place.share
-        bucket = self._filled_bucket(ask, allotment, place, now_s)
-        bucket, reply = _take(bucket, rate_per_s, allotment.window_s, now_s)
+            max_requests = max(1, int(fraction * quota.tolerance))
+            return self._stand_in(ask, quota.window_s, max_requests, now_s)
+        rate_per_s = quota.rate_per_s * place.share
+        bucket = self._filled_bucket(ask, quota, place, now_s)
+        bucket, reply = _take(bucket, rate_per_s, quota.window_s, now_s)
         self._buckets_by_workspace[ask.workspace] = bucket
         self._add_counts(
             ask.workspace,
@@ -95,17 +95,17 @@
         return reply
 
     def _filled_bucket(
-        self, ask: PermitAsk, allotment: Allotment, place: CounterPlace, now_s: float
+        self, ask: PermitAsk, quota: Quota, place: CounterPlace, now_s: float
     ) -> _Bucket:
         """Return the bucket of a workspace with the tokens that it has now.
 
         If another host may have counted since it was used, it is filled no further
         than the bucket of a host that takes over.
         """
-        rate_per_s = allotment.rate_per_s * place.share
-        burst = allotment.burst + BURST_SLACK_FRACTION * allotment.slack
+        rate_per_s = quota.rate_per_s * place.share
+        burst = quota.burst + BURST_SLACK_FRACTION * quota.slack
         capacity = max(1.0, burst * place.share)
-        first = self._first_tokens(ask.workspace, allotment, place.share)
+        first = self._first_tokens(ask.workspace, quota, place.share)
         since_s = now_s - MAX_FOREIGN_PAUSE_S
         if not ask.unsettled:
             first += rate_per_s * max(0.0, now_s - place.since_s)
@@ -123,7 +123,7 @@
     def count_alone(
         self,
         workspace: WorkspaceName,
-        allotment: Allotment,
+        quota: Quota,
         n_hosts: int,
         now_s: float,
     ) -> PermitReply:
@@ -132,14 +132,14 @@
         All hosts together then keep the limit, each with an equal share.
         """
         share = 1.0 / max(1, n_hosts)
-        rate_per_s = allotment.rate_per_s * share
+        rate_per_s = quota.rate_per_s * share
         bucket = self._own_buckets_by_workspace.get(workspace)
         if bucket is None:
-            first = self._first_tokens(workspace, allotment, share)
+            first = self._first_tokens(workspace, quota, share)
             bucket = _Bucket(first, now_s)
-        capacity = max(1.0, allotment.burst * share)
+        capacity = max(1.0, quota.burst * share)
         bucket = _refill(bucket, rate_per_s, capacity, now_s)
-        bucket, reply = _take(bucket, rate_per_s, allotment.window_s, now_s)
+        bucket, reply = _take(bucket, rate_per_s, quota.window_s, now_s)
         self._own_buckets_by_workspace[workspace] = bucket
         if reply.reason:
             return PermitReply(UNCERTAIN_LIMIT, UNCERTAIN_RETRY_AFTER_S)
@@ -184,14 +184,14 @@
         self._counts_by_workspace[workspace] = counts._replace(**added)
 
     def _first_tokens(
-        self, workspace: WorkspaceName, allotment: Allotment, share: float
+        self, workspace: WorkspaceName, quota: Quota, share: float
     ) -> float:
         """Return the tokens of a new bucket.
 
         Shares of less than a request are filled up at different times on the hosts.
         """
         phase = stable_hash(self._own_id, workspace) / HASH_RANGE
-        return max(START_FRACTION * allotment.tolerance * share, phase)
+        return max(START_FRACTION * quota.tolerance * share, phase)
 
 
 def _refill(
