Mend what a reading of the joined parts found

Cause: a reader who had written none of the parts found that a dropped body could raise in another client's upload, that speeds of plain runners were kept for ever, that requests counted as starved by another standing than they were kept by, that a stream under way was closed before an idle connection, that counts of runs were lost with a caller who left, and a log line for each request while no host counts. A property test whose draws depend on the loaded modules missed its injected fault again with 300 runs.

Change: these are mended; the test plays four seeds of 150 runs each, with and without a fault. Names say units and leave the platform's words in its library.

--- a/libs/gateway/src/damaskjunction/gateway/front_end.py
+++ b/libs/gateway/src/damaskjunction/gateway/front_end.py
@@ -13,9 +13,9 @@
 from damaskjunction.http import Request, Response
 from damaskjunction.platform import (
     ADDRESSES_PATH,
+    DATA_CENTRE_PARAMETER,
     MAX_ADDRESSES,
     READINESS_PATH,
-    ZONE_PARAMETER,
     CallerRequest,
     Refusal,
     addresses_response,
@@ -199,6 +199,6 @@
             for host in self._state.view.serving_hosts()
             if host.state is HostState.LIVE
         ]
-        data_centre = request.query.get(ZONE_PARAMETER, "")
+        data_centre = request.query.get(DATA_CENTRE_PARAMETER, "")
         hosts = hosts_for_caller(live, data_centre, MAX_ADDRESSES)
         return addresses_response([host.caller for host in hosts], ADDRESSES_TTL_S)
--- a/libs/gateway/src/damaskjunction/gateway/quotas/permit_home.py
+++ b/libs/gateway/src/damaskjunction/gateway/quotas/permit_home.py
@@ -8,6 +8,7 @@
 from damaskjunction.gateway.state import ServingState
 from damaskjunction.node import PeerHandlers
 from damaskjunction.routing import (
+    GRANTED,
     AskStep,
     PermitAsk,
     PermitReply,
@@ -20,8 +21,6 @@
 from damaskjunction.telemetry import Metrics
 from damaskjunction.wire import Reply
 
-GRANTED = PermitReply("")
-
 
 class PermitHome:
     """Counts asks for permits, or passes them on to the host that counts.
--- a/libs/gateway/src/damaskjunction/gateway/quotas/quota_gate.py
+++ b/libs/gateway/src/damaskjunction/gateway/quotas/quota_gate.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
+import math
 from typing import Any
 
 from damaskjunction.core import RequestId, Timers, WorkspaceName, WorkspaceSpec
@@ -29,6 +31,8 @@
 
 logger = logging.getLogger(__name__)
 
+ALONE_WARNING_PERIOD_S = 1.0
+
 
 class QuotaGate:
     """Admits requests of workspaces with a limit by the host that counts for them.
@@ -61,6 +65,7 @@
         self._metrics = metrics
         self._bounds = bounds
         self._own_id = state.view.own.host_id
+        self._warned_at_s = -math.inf
         self._uncounted = UncountedRequests(bounds.window_s)
         self._counter = RequestCounter(self._own_id)
         self._view = view = CounterView(state, timers)
@@ -74,7 +79,7 @@
             timers=timers,
             metrics=metrics,
         )
-        state.view.subscribe(self._forget_workspaces)
+        state.view.subscribe(self._retain_workspaces)
         metrics.gauge(
             "quota_buckets_started_over", lambda: float(self._counter.n_started_over)
         )
@@ -123,6 +128,28 @@
         """Return the reply of the first host that answers, else that of this one."""
         began_at_s = self._timers.now()
         n_uncounted = self._uncounted.take(workspace, began_at_s)
+        try:
+            reply = await self._ask_hosts(workspace, n_uncounted, began_at_s)
+        except asyncio.CancelledError:
+            self._uncounted.record(workspace, began_at_s, n_uncounted)
+            raise
+        if reply is not None:
+            return reply
+        now_s = self._timers.now()
+        reply = self._counter.count_alone(workspace, quota, self._view.n_hosts, now_s)
+        n_uncounted += not reply.reason
+        self._uncounted.record(workspace, now_s, n_uncounted)
+        self._metrics.count("permits_alone", result=reply.reason or "granted")
+        if now_s - self._warned_at_s > ALONE_WARNING_PERIOD_S:
+            self._warned_at_s = now_s
+            extra = {"workspace": workspace, "reason": reply.reason}
+            logger.warning("no host counts for workspace", extra=extra)
+        return reply
+
+    async def _ask_hosts(
+        self, workspace: WorkspaceName, n_uncounted: int, began_at_s: float
+    ) -> PermitReply | None:
+        """Return the reply of the first host that answers, None if none does."""
         ask = PermitAsk(workspace, n_uncounted=n_uncounted)
         for host_id in self._view.candidates(workspace):
             if host_id == self._own_id:
@@ -132,14 +159,7 @@
                 return reply
             if self._timers.now() - began_at_s >= ASK_LIMIT_S:
                 break
-        now_s = self._timers.now()
-        reply = self._counter.count_alone(workspace, quota, self._view.n_hosts, now_s)
-        n_uncounted += not reply.reason
-        self._uncounted.record(workspace, now_s, n_uncounted)
-        self._metrics.count("permits_alone", result=reply.reason or "granted")
-        extra = {"workspace": workspace, "reason": reply.reason}
-        logger.warning("no host counts for workspace", extra=extra)
-        return reply
+        return None
 
     def _refuse(
         self, workspace: WorkspaceName, request_id: RequestId, reply: PermitReply
@@ -162,5 +182,5 @@
             retry_after_s=reply.retry_after_s,
         )
 
-    def _forget_workspaces(self) -> None:
+    def _retain_workspaces(self) -> None:
         self._counter.retain_workspaces(self._state.table.workspaces_by_name.keys())
--- a/libs/http/src/damaskjunction/http/server_connection.py
+++ b/libs/http/src/damaskjunction/http/server_connection.py
@@ -48,7 +48,7 @@
     """An accepted connection, which serves one request after the other.
 
     ``waits_since_s`` is since when it waits for its client to send or to read, None
-    while it does not. ``n_served`` is the number of requests that were served.
+    while it does not. ``n_served`` is the number of requests that have begun.
     """
 
     def __init__(
@@ -81,7 +81,7 @@
     def begin_close(self) -> None:
         """Take at most one more request; its first bytes have ``LINGER_S`` to come."""
         self.is_keep_alive_disabled = self._is_closing = True
-        if self._idle_timeout is not None:
+        if self._idle_timeout is not None and not self._idle_timeout.expired():
             self._idle_timeout.reschedule(self._loop.time() + LINGER_S)
 
     def evict(self) -> None:
@@ -143,6 +143,7 @@
             return False
         if head is None:
             return False
+        self.n_served += 1
         self._body_consumed.clear()
         self._consume_empty_body(head)
         try:
@@ -150,7 +151,6 @@
                 return False
         finally:
             self._release_body()
-        self.n_served += 1
         return prepare_for_reuse(self._protocol)
 
     async def _answer(self, head: h11.Request) -> bool:
@@ -313,7 +313,7 @@
             self._body.fix()
 
     def _drop_body(self) -> None:
-        if self._body_timeout is not None:
+        if self._body_timeout is not None and not self._body_timeout.expired():
             self._body_timeout.reschedule(self._loop.time())
 
     def _release_body(self) -> None:
--- a/libs/platform/src/damaskjunction/platform/__init__.py
+++ b/libs/platform/src/damaskjunction/platform/__init__.py
@@ -51,10 +51,10 @@
 )
 from damaskjunction.platform.requests import (
     ADDRESSES_PATH,
+    DATA_CENTRE_PARAMETER,
     MAX_ADDRESSES,
     READINESS_PATH,
     REPORT_PATH,
-    ZONE_PARAMETER,
     CallerRequest,
     Refusal,
     RunnerReport,
@@ -108,6 +108,7 @@
     "BODIES_KIND",
     "CONFIGURATION_KIND",
     "CONFIGURATION_NAME",
+    "DATA_CENTRE_PARAMETER",
     "DISPLACED_RESULTS_KIND",
     "ITEM_PATH_PREFIX",
     "JOBS_KIND",
@@ -120,7 +121,6 @@
     "RETIREMENTS_KIND",
     "RUNNERS_KIND",
     "SETTINGS_VARIABLE",
-    "ZONE_PARAMETER",
     "BadJobError",
     "CallerRequest",
     "DirectTransport",
--- a/libs/platform/src/damaskjunction/platform/requests.py
+++ b/libs/platform/src/damaskjunction/platform/requests.py
@@ -25,7 +25,7 @@
 REPORT_PATH = "/damaskjunction/report"
 READINESS_PATH = "/damaskjunction/readiness"
 ADDRESSES_PATH = "/damaskjunction/resolve"
-ZONE_PARAMETER = "Zone"  # the data centre of the caller that asks for addresses
+DATA_CENTRE_PARAMETER = "Zone"  # the data centre of the caller that asks for addresses
 MAX_ADDRESSES = 64
 MAX_REPORTED = 1_000_000
 
--- a/libs/routing/features/steps/stream_version_machine.py
+++ b/libs/routing/features/steps/stream_version_machine.py
@@ -26,6 +26,7 @@
 VERSIONS = ("v1", "v2", "v3")
 HOSTS = ("h0", "h1", "h2")
 N_STEPS = 40
+SEEDS = (1, 2, 3, 4)
 STEP_S = 0.5
 STREAM_LIFE_S = 5.0
 MAX_LAG_S = 2.0
@@ -228,4 +229,4 @@
 
 
 def run_machine(fault, n_examples):
-    run_deterministic(MACHINE_TYPES[fault], n_examples, N_STEPS)
+    run_deterministic(MACHINE_TYPES[fault], n_examples, N_STEPS, SEEDS)
--- a/libs/routing/features/steps/stream_version_steps.py
+++ b/libs/routing/features/steps/stream_version_steps.py
@@ -15,7 +15,7 @@
 )
 
 
-@then('{count:d} runs of releases and take-ups with "{fault}" find a fault')
+@then('4 times {count:d} runs of releases and take-ups with "{fault}" find a fault')
 def check_machine_finds(context, count, fault):
     try:
         stream_version_machine.run_machine(fault, count)
@@ -24,7 +24,7 @@
     raise AssertionError(f"injected fault was not found: {fault}")
 
 
-@then('{count:d} runs of releases and take-ups with "{fault}" find no fault')
+@then('4 times {count:d} runs of releases and take-ups with "{fault}" find no fault')
 def check_machine_clean(context, count, fault):
     stream_version_machine.run_machine(fault, count)
 
--- a/libs/routing/features/stream_versions.feature
+++ b/libs/routing/features/stream_versions.feature
@@ -2,7 +2,7 @@
   A stream goes on only at the software version that wrote its first event.
 
   Scenario Outline: Random releases, kills and take-ups find an injected fault
-    Then 300 runs of releases and take-ups with "<fault>" find a fault
+    Then 4 times 150 runs of releases and take-ups with "<fault>" find a fault
 
     Examples:
       | fault                                     |
@@ -11,7 +11,7 @@
       | the only version listed is taken as proof |
 
   Scenario: Random releases, kills and take-ups never join two versions in a stream
-    Then 300 runs of releases and take-ups with "none" find no fault
+    Then 4 times 150 runs of releases and take-ups with "none" find no fault
 
   Scenario Outline: A runner that restarts at another version leaves a stream unproved
     Given a stream that version "v1" of a process born at 1000 s began at 1020 s
--- a/libs/routing/src/damaskjunction/routing/__init__.py
+++ b/libs/routing/src/damaskjunction/routing/__init__.py
@@ -195,6 +195,7 @@
     digest_of_key,
 )
 from damaskjunction.routing.workspaces.permits import (
+    GRANTED,
     OVER_LIMIT,
     UNCERTAIN_LIMIT,
     AskStep,
@@ -220,6 +221,7 @@
     "DIRECT_HEAD_START_S",
     "DIRECT_RETRY_S",
     "EXCLUSIVE_RUNS",
+    "GRANTED",
     "MAX_WITNESSES",
     "NO_LIMIT_PER_S",
     "NO_RUNNER_LEFT",
--- a/libs/routing/src/damaskjunction/routing/runners/leaving_cost.py
+++ b/libs/routing/src/damaskjunction/routing/runners/leaving_cost.py
@@ -8,7 +8,7 @@
 from damaskjunction.core import DataCentre, RunnerId
 
 ROUND_TRIP_S = 0.002  # between data centres of a region
-BYTES_PRICE = 0.05  # share of a request's duration which its bytes outside are worth
+TRAFFIC_COST = 0.05  # of the bytes outside, as a share of a request's duration
 FULL_SLOWDOWN = 0.25  # by which a full runner is slower than an empty one
 MAX_LEAVING_COST = 0.5
 MIN_LOCAL_RUNNERS = 4  # with fewer, one request more or less outweighs a trip
@@ -18,7 +18,7 @@
     """Return the cost of leaving the data centre, as a share of a runner's slots.
 
     It is the share by which a runner inside may be more occupied than one outside
-    before the requests of both end equally late, trip and price included.
+    before the requests of both end equally late, trip and traffic included.
 
     Parameters
     ----------
@@ -28,7 +28,7 @@
     if duration_s <= 0:
         return MAX_LEAVING_COST
     trip_share = ROUND_TRIP_S / duration_s
-    return min(MAX_LEAVING_COST, (trip_share + BYTES_PRICE) / FULL_SLOWDOWN)
+    return min(MAX_LEAVING_COST, (trip_share + TRAFFIC_COST) / FULL_SLOWDOWN)
 
 
 class RunnerPlaces:
--- a/libs/routing/src/damaskjunction/routing/runners/runner_speeds.py
+++ b/libs/routing/src/damaskjunction/routing/runners/runner_speeds.py
@@ -12,6 +12,7 @@
 PRIOR_WEIGHT = 10.0  # samples as which the assumption of an even runner counts
 MIN_RATIO, MAX_RATIO = 0.4, 2.5  # bounds of a sample; one alone tells nothing
 JITTER_S = 0.01  # of hosts and links, in any duration
+MAX_TRACKED = 4096  # runners, the latest ones
 TOLERANCE = 0.15  # by which runners of the same kind differ
 
 
@@ -54,11 +55,13 @@
         mean_s = self._update_mean(kind, duration_s)
         ratio = (duration_s + JITTER_S) / (mean_s + JITTER_S)
         ratio = min(MAX_RATIO, max(MIN_RATIO, ratio))
-        former = self._samples_by_runner.get(runner_id, _Samples(0.0, 0.0, now_s))
+        former = self._samples_by_runner.pop(runner_id, _Samples(0.0, 0.0, now_s))
         kept = self._kept_share(former, now_s)
         self._samples_by_runner[runner_id] = _Samples(
             former.total * kept + ratio, former.weight * kept + 1.0, now_s
         )
+        if len(self._samples_by_runner) > MAX_TRACKED:
+            del self._samples_by_runner[next(iter(self._samples_by_runner))]
 
     def _update_mean(self, kind: str, duration_s: float) -> float:
         """Add a duration and return the mean, which the first ones alone make up."""
--- a/libs/routing/src/damaskjunction/routing/slots/online_queue.py
+++ b/libs/routing/src/damaskjunction/routing/slots/online_queue.py
@@ -139,8 +139,15 @@
             for_workspace=other.workspace,
         )
 
+    def _own_standing(self, ticket: SlotTicket) -> Standing:
+        """Return how a request stands to its share, also while slots are not short.
+
+        What waits in vain is kept by it, as it does not change while a request waits.
+        """
+        return self._standing_by_id.get(ticket.request_id, Standing.WITHIN)
+
     def _add(self, ticket: SlotTicket, now_s: float) -> None:
-        standing = self._standing(ticket, now_s)
+        standing = self._own_standing(ticket)
         if _gives_way(ticket, now_s) and not self._is_low_rank_waiting(standing, now_s):
             self._low_rank_waits_since_s[standing] = now_s
         self._tickets_by_id[ticket.request_id] = ticket
@@ -153,7 +160,7 @@
     def take(self, ticket: SlotTicket, now_s: float) -> None:
         """Remove a request that is served."""
         if _gives_way(ticket, now_s):
-            self._low_rank_waits_since_s[self._standing(ticket, now_s)] = now_s
+            self._low_rank_waits_since_s[self._own_standing(ticket)] = now_s
         self.discard(ticket.request_id)
 
     def place_of(self, ticket: SlotTicket, now_s: float) -> int:
@@ -176,12 +183,11 @@
 
         A new one may wait for its latency goal, which a repeated one has missed.
         """
-        standing = self._standing(ticket, now_s)
-        if _rank(ticket, now_s) and self._is_starving(standing, now_s):
+        own_standing = self._own_standing(ticket)
+        if _rank(ticket, now_s) and self._is_starving(own_standing, now_s):
             return now_s
-        return (
-            ticket.goal_at_s if standing is Standing.OVER else _latest_wanted_s(ticket)
-        )
+        is_over = self._standing(ticket, now_s) is Standing.OVER
+        return ticket.goal_at_s if is_over else _latest_wanted_s(ticket)
 
     def in_service_order(self, now_s: float) -> list[SlotTicket]:
         """Return the waiting requests in the order in which they are served."""
@@ -201,16 +207,16 @@
             self._contended_until_s = now_s + CONTENTION_S
             late_by_id = self._expected_late(forecast, now_s)
         for ticket in late_by_id.values():
-            waits_since_s = self._low_rank_waits_since_s[self._standing(ticket, now_s)]
+            waits_since_s = self._low_rank_waits_since_s[self._own_standing(ticket)]
             if _gives_way(ticket, now_s) and now_s - waits_since_s > STARVATION_S:
-                self._starved_at_s[self._standing(ticket, now_s)] = now_s
+                self._starved_at_s[self._own_standing(ticket)] = now_s
         removed = [
             ticket
             for ticket in self._tickets_by_id.values()
             if ticket.request_id in late_by_id
             or (
                 _rank(ticket, now_s)
-                and self._is_starving(self._standing(ticket, now_s), now_s)
+                and self._is_starving(self._own_standing(ticket), now_s)
             )
         ]
         for ticket in removed:
@@ -241,7 +247,7 @@
 
     def _is_low_rank_waiting(self, standing: Standing, now_s: float) -> bool:
         return any(
-            self._standing(ticket, now_s) is standing and _gives_way(ticket, now_s)
+            self._own_standing(ticket) is standing and _gives_way(ticket, now_s)
             for ticket in self._tickets_by_id.values()
         )
 
--- a/libs/routing/src/damaskjunction/routing/workspaces/counter_choice.py
+++ b/libs/routing/src/damaskjunction/routing/workspaces/counter_choice.py
@@ -33,7 +33,7 @@
 
     def mark_unable(self, host_id: HostId, now_s: float) -> None:
         """Leave out a host that does not know what to do with an ask."""
-        if host_id not in self._unable_until_by_id:
+        if self._unable_until_by_id.get(host_id, 0.0) <= now_s:
             self.changed_at_s = now_s
         self._unable_until_by_id[host_id] = now_s + UNABLE_S
 
--- a/libs/routing/src/damaskjunction/routing/workspaces/permits.py
+++ b/libs/routing/src/damaskjunction/routing/workspaces/permits.py
@@ -32,6 +32,7 @@
     retry_after_s: float = 0.0
 
 
+GRANTED = PermitReply("")
 OVER_LIMIT = "over_limit"  # the workspace has used its limit
 UNCERTAIN_LIMIT = "limit_uncertain"  # the host that knows can't be reached
 
--- a/libs/routing/src/damaskjunction/routing/workspaces/quotas.py
+++ b/libs/routing/src/damaskjunction/routing/workspaces/quotas.py
@@ -7,8 +7,8 @@
 from damaskjunction.core import WorkspaceSpec
 
 DEFAULT_WINDOW_S = 5.0
-DEFAULT_OVER = 0.1
-DEFAULT_SLACK = 20.0
+DEFAULT_OVER_FRACTION = 0.1
+DEFAULT_SLACK_REQUESTS = 20.0
 
 
 class QuotaBounds(NamedTuple):
@@ -19,8 +19,8 @@
     """
 
     window_s: float = DEFAULT_WINDOW_S
-    over: float = DEFAULT_OVER
-    slack: float = DEFAULT_SLACK
+    over: float = DEFAULT_OVER_FRACTION
+    slack: float = DEFAULT_SLACK_REQUESTS
 
 
 class Quota(NamedTuple):
--- a/libs/routing/src/damaskjunction/routing/workspaces/request_counter.py
+++ b/libs/routing/src/damaskjunction/routing/workspaces/request_counter.py
@@ -13,6 +13,7 @@
 
 from damaskjunction.core import HostId, WorkspaceName, stable_hash
 from damaskjunction.routing.workspaces.permits import (
+    GRANTED,
     OVER_LIMIT,
     UNCERTAIN_LIMIT,
     CounterPlace,
@@ -31,8 +32,6 @@
 HASH_RANGE = 1 << 64
 UNCERTAIN_RETRY_AFTER_S = 0.3
 
-GRANTED = PermitReply("")
-
 
 class _Bucket(NamedTuple):
     """Token bucket; ``retry_at_s`` is the last time named to a refused caller."""
