Take no host for silent that was late for an ask which others had passed on

Cause: an ask for a permit that hosts pass on has less time at each, 30 to 60 ms at the third.

Change: only a host that asks for itself, with the whole time, takes the other for silent.

--- a/libs/gateway/features/quotas.feature
+++ b/libs/gateway/features/quotas.feature
@@ -29,3 +29,13 @@
     And the workspace "w" is limited to 0 requests a second and 5 at once
     When 60 requests of "w" come at "h0,h1"
     Then all of them are admitted, and no host was asked
+
+  Scenario Outline: Only a host that asks for itself takes one that answers late for silent
+    Given a host that answers no ask for a permit in time
+    When it gets an ask that <n_hops> hosts have passed on
+    Then it is still a candidate: <is_candidate>
+
+    Examples:
+      | n_hops | is_candidate |
+      | 0      | no           |
+      | 1      | yes          |
--- a/libs/gateway/src/damaskjunction/gateway/quotas/permit_client.py
+++ b/libs/gateway/src/damaskjunction/gateway/quotas/permit_client.py
@@ -65,7 +65,8 @@
         )
         if is_unable:
             self._view.choice.mark_unable(host_id, now_s)
-        else:
+        elif not ask.n_hops:
+            # What is left of the time for an ask that was passed on proves nothing.
             self._view.choice.mark_silent(host_id, now_s)
         result = "unable" if is_unable else "silent"
         self._metrics.count("permit_asks", result=result)
