Hold the tests of shares and limits to their aims, and log clients that read no end

Two errors while a connection is closed were dropped without a line.

Change: the bounds are the aims again. A connection that ends before its client has read all is logged.

--- a/libs/http/src/damaskjunction/http/server_connection.py
+++ b/libs/http/src/damaskjunction/http/server_connection.py
@@ -100,8 +100,8 @@
                 if transport.get_write_buffer_size():
                     async with asyncio.timeout(self._limits.write_stall_timeout_s):
                         await self._writer.wait_closed()
-        except (OSError, TimeoutError):
-            pass
+        except (OSError, TimeoutError) as error:
+            self._log_unread(error)
         finally:
             if self._is_stalled or transport.get_write_buffer_size():
                 transport.abort()
@@ -122,8 +122,13 @@
             async with asyncio.timeout(DISCARD_S):
                 while await self._reader.read(READ_BYTES):
                     pass
-        except TimeoutError:
-            return
+        except TimeoutError as error:
+            self._log_unread(error)
+
+    def _log_unread(self, error: Exception) -> None:
+        """Log that a client may not have read the end of its last answer."""
+        extra = {"peer": self._peer(), "error": repr(error)}
+        logger.debug("connection closed before its client had read all", extra=extra)
 
     def _peer(self) -> str:
         name = self._writer.get_extra_info("peername")
--- a/libs/routing/features/data_centres.feature
+++ b/libs/routing/features/data_centres.feature
@@ -85,7 +85,7 @@
 
   Scenario: A plain runner that is slow gets less
     When a host gives 3000 requests to plain runners that take 1.0, 1.0, 1.7 times 0.1 s
-    Then the last of them gets from 0.18 to 0.31 of the requests
+    Then the last of them gets from 0.18 to 0.3 of the requests
 
   Scenario Outline: Callers are told of hosts of their data centre first
     When a caller in "<zone>" asks where to connect and "x,y,z" have <hosts> hosts
--- a/libs/routing/features/fair_order.feature
+++ b/libs/routing/features/fair_order.feature
@@ -45,7 +45,7 @@
 
   Scenario: A workspace that sends many batch requests does not hold up others
     When batch requests come at 0.5 of what 40 slots can do, and 40 a second of "dump"
-    Then at least 0.9 of the others end in time, and of "dump" as many as slots are left
+    Then at least 0.95 of the others end in time, and of "dump" as many as slots are left
 
   Scenario: Batch requests that can all end in time go by due time alone
     Given one batch request each of "a,b" due in 26 s wait, and 12 of "dump" due in 25 s
