Do not list the hosts once more at the start

Cause: it was to keep hosts that start at once from watching the store.

Change: taken out again, with its scenario. The first look at the store keeps its module.

Measured: gateway change_feed_components passes.

--- a/libs/gateway/features/change_feed_components.feature
+++ b/libs/gateway/features/change_feed_components.feature
@@ -82,7 +82,3 @@
     Then it has listed all objects 1 time and not followed the store
     When no other host serves
     Then it has listed all objects 1 time and follows the store
-
-  Scenario: A host that is not listed yet lists the hosts that start with it again
-    When a host starts that is not listed yet
-    Then it has listed all objects 2 times and not followed the store
--- a/libs/gateway/features/steps/change_feed_component_steps.py
+++ b/libs/gateway/features/steps/change_feed_component_steps.py
@@ -313,13 +313,8 @@
 class RecordingFollower:
     """A follower that counts what it is asked to do."""
 
-    def __init__(self, is_partial=False):
-        self.state = KindState(
-            "kind",
-            lambda objects: None,
-            lambda change: None,
-            is_partial=lambda: is_partial,
-        )
+    def __init__(self):
+        self.state = KindState("kind", lambda objects: None, lambda change: None)
         self.is_current = True
         self.n_snapshots = self.n_starts = 0
 
@@ -366,13 +361,13 @@
         self.n_failures += 1
 
 
-async def start_feed(context, hosts, links=None, *, is_partial=False):
+async def start_feed(context, hosts, links=None):
     address = Address("127.0.0.1", 1)
     own = EntryHost("h0", "r1", "d1", address, address, address)
     view = HostView(own)
     view.serving_hosts = lambda: [own._replace(host_id=name) for name in hosts]
     timers = LoopTimers()
-    context.follower = RecordingFollower(is_partial)
+    context.follower = RecordingFollower()
     context.contact = RecordingContact(timers)
     feed = ChangeFeed(
         [context.follower],
@@ -396,12 +391,6 @@
     context.asyncio_runner.run(start_feed(context, others))
 
 
-@when("a host starts that is not listed yet")
-def start_unlisted(context):
-    others = [f"h{number}" for number in range(1, 30)]
-    context.asyncio_runner.run(start_feed(context, others, is_partial=True))
-
-
 @when("a host starts whose source has lost the store")
 def start_beside_lost_source(context):
     others = [f"h{number}" for number in range(1, 30)]
@@ -418,7 +407,6 @@
     context.asyncio_runner.run(start_feed(context, ["h0"]))
 
 
-@then("it has listed all objects {count:d} times and not followed the store")
 @then("it has listed all objects {count:d} time and not followed the store")
 def check_snapshot_alone(context, count):
     counts = (context.follower.n_snapshots, context.follower.n_starts)
--- a/libs/gateway/src/damaskjunction/gateway/store/host_registry.py
+++ b/libs/gateway/src/damaskjunction/gateway/store/host_registry.py
@@ -74,13 +74,7 @@
         self._n_cores = n_cores
         self._hosts_by_id: dict[HostId, EntryHost] = {}
         self._power_by_host: dict[HostId, float] = {}
-        self.state = KindState(
-            HOSTS_KIND,
-            self._apply_all,
-            self._apply_change,
-            # Hosts that start at once with this one are not listed either.
-            is_partial=lambda: own.host_id not in self._hosts_by_id,
-        )
+        self.state = KindState(HOSTS_KIND, self._apply_all, self._apply_change)
         self._registration: asyncio.Task[None] | None = None
         self._is_leaving = False
 
--- a/libs/gateway/src/damaskjunction/gateway/store/kind_state.py
+++ b/libs/gateway/src/damaskjunction/gateway/store/kind_state.py
@@ -35,8 +35,6 @@
         Applies one change.
     strip : callable, optional
         Strips an object of what other hosts do not need.
-    is_partial : callable, optional
-        Returns whether the objects show that others are about to be added.
     """
 
     def __init__(
@@ -45,10 +43,8 @@
         apply_all: ApplyAll,
         apply_change: ApplyChange,
         strip: StripObject = lambda stored: stored,
-        is_partial: Callable[[], bool] = lambda: False,
     ) -> None:
         self.kind = kind
-        self.is_partial = is_partial
         self.revision: Revision = 0
         self._apply_all = apply_all
         self._apply_change = apply_change
