--- a/review/rig2.py
+++ b/review/rig2.py
@@ -657,11 +657,6 @@
                                      "Models": [{"Name": "m"}]}}
 
 
-def has_trouble() -> bool:
-    """Return whether the disruption is to be made."""
-    return os.environ.get("TROUBLE", "1") != "0"
-
-
 def run(case, folder: Path) -> None:
     """Run a case; exit with 1 if the rule was broken, 0 if it held, 2 if not run."""
     import tempfile
