Split the server's connection into what receives and what answers

ServerConnection was one class of 387 lines in a file of 468: it read heads and bodies, watched for the caller's end, wrote answers and streams and counted memory. RequestReader and ResponseWriter have one of these jobs each, ClientEnd tells whether the client is waited for and drops it; the connection joins them. No behaviour is meant to change: the features of http pass as before (server, client_memory, heads, floods and the others).

--- a/libs/http/src/damaskjunction/http/client_connections.py
+++ b/libs/http/src/damaskjunction/http/client_connections.py
@@ -6,14 +6,15 @@
 
 
 class ClientConnection(Protocol):
-    """What is known of an open connection.
+    """What is known of an open connection."""
 
-    ``waits_since_s`` is since when it waits for its client to send or to read, None
-    while it does not. ``n_served`` is the number of requests that were served on it.
-    """
+    @property
+    def waits_since_s(self) -> float | None:
+        """Since when it waits for its client, None while it does not."""
 
-    waits_since_s: float | None
-    n_served: int
+    @property
+    def n_served(self) -> int:
+        """Number of requests that were served on it."""
 
     def evict(self) -> None:
         """Close the connection."""
--- a/libs/http/src/damaskjunction/http/server.py
+++ b/libs/http/src/damaskjunction/http/server.py
@@ -12,11 +12,8 @@
 from damaskjunction.core.units import KIB
 from damaskjunction.http.client_guard import ClientGuard
 from damaskjunction.http.messages import HttpLimits
-from damaskjunction.http.server_connection import (
-    WRITE_HIGH_WATER_BYTES,
-    RequestHandler,
-    ServerConnection,
-)
+from damaskjunction.http.response_writer import WRITE_HIGH_WATER_BYTES
+from damaskjunction.http.server_connection import RequestHandler, ServerConnection
 from damaskjunction.http.sockets import bound_receive_buffer, open_listener
 
 STREAM_LIMIT_BYTES = 16 * KIB
