Keep bodies in small chunks as bytes, and let others go on between their chunks

Callers saw: while some clients sent bodies of legal size in chunks of a few bytes, nobody else was answered, neither callers nor readiness probes, and an ordinary request got 503 after they had stopped. The host took 155 to 250 MB of its 80.

Cause: BodyReader.read kept one object for each chunk, which takes 33 bytes and a pointer beside its data, while the account counts the data alone. And all chunks of a block of 64 KiB were handled without giving the event loop back, some 10 us each.

The body is one growing buffer now. At most 64 chunks are handled at once; then the connection waits for its turn, one connection in each turn of the loop, as responses of runners already did. What waits unhandled meanwhile counts in the account.

A single body of 2 MB in chunks of 16 bytes, and of 1 MB in chunks of 3, is served before and after.

--- a/libs/gateway/features/greedy_crowd.py
+++ b/libs/gateway/features/greedy_crowd.py
@@ -11,6 +11,7 @@
 
 HOST_NAME = "caddies.example"
 PIECE_BYTES = 64 * KIB
+SMALL_PIECE_BYTES = 1 * KIB  # for what a host takes slowly
 AHEAD_BYTES = 12 * MIB  # of requests that one client sends ahead
 BUFFER_BYTES = 4 * KIB
 QUIET_S = 1.0
@@ -41,12 +42,18 @@
         n_left -= n_piece
 
 
-def body_in_chunks(path: str, n_bytes: int, n_short: int) -> Iterator[bytes]:
+def body_in_chunks(
+    path: str,
+    n_bytes: int,
+    n_short: int,
+    chunk_bytes: int = KIB,
+    piece_bytes: int = PIECE_BYTES,
+) -> Iterator[bytes]:
     """Return the pieces of a request whose body comes in small chunks."""
     yield _request("POST", path, "Transfer-Encoding: chunked\r\n")
-    chunk = b"400\r\n" + b"x" * KIB + b"\r\n"
-    n_chunks = (n_bytes - n_short) // KIB
-    n_at_once = PIECE_BYTES // KIB
+    chunk = b"%x\r\n%b\r\n" % (chunk_bytes, b"x" * chunk_bytes)
+    n_chunks = (n_bytes - n_short) // chunk_bytes
+    n_at_once = piece_bytes // chunk_bytes
     for _ in range(n_chunks // n_at_once):
         yield chunk * n_at_once
     yield chunk * (n_chunks % n_at_once)
@@ -78,6 +85,15 @@
         sending.cancel()
         await asyncio.gather(sending, return_exceptions=True)
 
+    async def send_for(
+        self, seconds: float, clients: Sequence[Iterable[bytes]]
+    ) -> None:
+        """Send the pieces of each client, all at the same time, for a while at most."""
+        sending = asyncio.gather(*(self._send(pieces) for pieces in clients))
+        await asyncio.wait([sending], timeout=seconds)
+        sending.cancel()
+        await asyncio.gather(sending, return_exceptions=True)
+
     async def _send(self, pieces: Iterable[bytes]) -> None:
         loop = asyncio.get_running_loop()
         client = socket.socket()
--- a/libs/gateway/features/steps/greedy_client_steps.py
+++ b/libs/gateway/features/steps/greedy_client_steps.py
@@ -7,7 +7,9 @@
 from behave import given, then, when
 from fleet_helpers import run
 from greedy_crowd import (
+    PIECE_BYTES,
     SHORT_BYTES,
+    SMALL_PIECE_BYTES,
     GreedyCrowd,
     ask_whole,
     body_in_chunks,
@@ -18,11 +20,13 @@
 from own_process_fleet import HOST, PATHS, OwnProcessFleet
 from platform_fleet import PLAIN, ROUTES, make_configuration
 
+from damaskjunction.core import Address
 from damaskjunction.core.units import KIB, MIB
 from damaskjunction.standins import make_job
 
 HEADER_BYTES = 8192
 N_ITEMS = 20  # of a large job
+SMALL_CHUNKS_S = 15.0  # in which a crowd sends bodies in small chunks
 PART_OF_HEAD = b"GET / HTTP/1.1\r\nX-Part: "
 WAYS = {"with a length": body_with_length, "in chunks": body_in_chunks}
 
@@ -31,9 +35,9 @@
     "a host with {memory_mb:d} MB of memory and {n_fds:d} descriptors, and bodies of "
     "{body_mb:d} MB"
 )
-def start_host(context, memory_mb, n_fds, body_mb):
+def start_host(context, memory_mb, n_fds, body_mb, routes=ROUTES):
     context.memory_mb, context.n_fds = memory_mb, n_fds
-    document = make_configuration(1, ROUTES)
+    document = make_configuration(1, routes)
     document["Limits"] = {"HeaderBytes": HEADER_BYTES, "BodyBytes": body_mb * MIB}
     settings = {"Limits.MemoryMb": memory_mb, "Limits.MaxFds": n_fds}
     context.platform = OwnProcessFleet(document, settings)
@@ -46,13 +50,27 @@
     run(context, work())
 
 
-def send_at_once(context, address, clients):
+@given(
+    "a host with {memory_mb:d} MB of memory and {n_fds:d} descriptors, and no cap on "
+    "jobs"
+)
+def start_host_without_cap(context, memory_mb, n_fds):
+    routes = [{**route, "Cap": 0} for route in ROUTES]
+    start_host(context, memory_mb, n_fds, 2, routes)
+
+
+def send_at_once(context, address, clients, seconds=None):
     """Let a client send each of the streams of pieces, all at the same time."""
-    crowd = GreedyCrowd(getattr(context.platform.settings[HOST], address))
+    if isinstance(address, str):
+        address = getattr(context.platform.settings[HOST], address)
+    crowd = GreedyCrowd(address)
     context.add_cleanup(crowd.close)
 
     async def work():
-        await crowd.send(clients)
+        if seconds is None:
+            await crowd.send(clients)
+        else:
+            await crowd.send_for(seconds, clients)
         await context.platform.wait_until_at_rest()
 
     run(context, work())
@@ -75,6 +93,19 @@
     send_at_once(context, "caller", bodies)
 
 
+@when(
+    "{count:d} clients stop short of the end of a body of {body_mb:d} MB in chunks of "
+    '{chunk_bytes:d} bytes to "{path}"'
+)
+def send_small_chunks(context, count, body_mb, chunk_bytes, path):
+    n_bytes = body_mb * MIB
+    bodies = [
+        body_in_chunks(path, n_bytes, SHORT_BYTES, chunk_bytes, SMALL_PIECE_BYTES)
+        for _ in range(count)
+    ]
+    send_at_once(context, "caller", bodies, SMALL_CHUNKS_S)
+
+
 @when("{count:d} clients connect to the {address} address and send part of a head")
 def send_part(context, count, address):
     send_at_once(context, address, [[PART_OF_HEAD] for _ in range(count)])
@@ -94,6 +125,48 @@
     run(context, work())
 
 
+@when("{count:d} jobs of {n_items:d} small items are submitted, one after another")
+def submit_small_jobs(context, count, n_items):
+    async def work():
+        context.statuses = []
+        for number in range(count):
+            reply = await context.platform.submit(HOST, f"j{number}", n_items)
+            context.statuses.append(reply.status)
+
+    run(context, work())
+
+
+@when("{count:d} documents of {size_mb:d} MB of empty lists come as jobs")
+def send_empty_lists(context, count, size_mb):
+    entries = b",".join([b"[]"] * (size_mb * MIB // 3 - 10))
+    body = b'{"Items":[%b]}' % entries
+
+    async def work():
+        for number in range(count):
+            await context.platform.call(
+                HOST, "POST", "/night/", body=body, request_id=f"e{number}"
+            )
+
+    run(context, work())
+
+
+@when("{count:d} peers send all but the end of a frame of {frame_mb:d} MB")
+def send_frames(context, count, frame_mb):
+    n_bytes = frame_mb * MIB
+    frame = [n_bytes.to_bytes(4), *[bytes(PIECE_BYTES)] * (n_bytes // PIECE_BYTES - 1)]
+    send_to_peer_port(context, [frame for _ in range(count)])
+
+
+@when("{count:d} peers connect and send one byte")
+def send_one_byte(context, count):
+    send_to_peer_port(context, [[b"\0"] for _ in range(count)])
+
+
+def send_to_peer_port(context, clients):
+    settings = context.platform.settings[HOST]
+    send_at_once(context, Address(settings.ip, settings.peer_port), clients)
+
+
 def make_large_job(job_id, n_bytes):
     document = json.loads(make_job(job_id, N_ITEMS, path="/night/x"))
     for item in document["Items"]:
@@ -136,8 +209,14 @@
     if size.startswith("headers"):
         pieces = large_head(PATHS[PLAIN], int(size.split()[2]))
     else:
-        make_body = body_in_chunks if size.endswith("chunks") else body_with_length
-        pieces = make_body(PATHS[PLAIN], int(size.split()[3]) * MIB, 0)
+        words = size.split()
+        n_bytes = int(words[3]) * MIB
+        if words[-1] == "bytes":
+            pieces = body_in_chunks(PATHS[PLAIN], n_bytes, 0, int(words[-2]))
+        elif words[-1] == "chunks":
+            pieces = body_in_chunks(PATHS[PLAIN], n_bytes, 0)
+        else:
+            pieces = body_with_length(PATHS[PLAIN], n_bytes, 0)
     address = context.platform.settings[HOST].caller
     context.status = run(context, ask_whole(address, pieces))
 
--- a/libs/http/src/damaskjunction/http/client_guard.py
+++ b/libs/http/src/damaskjunction/http/client_guard.py
@@ -6,6 +6,7 @@
 import math
 from collections.abc import Callable
 
+from damaskjunction.http.backlog import BacklogTurns
 from damaskjunction.http.client_connections import ClientConnections
 from damaskjunction.http.client_memory import DEFAULT_LIMIT_BYTES, ClientMemory
 
@@ -15,7 +16,10 @@
 
 
 class ClientGuard:
-    """Bounds on the memory and the connections of all clients of a process.
+    """Bounds on what all clients of a process make it hold and do.
+
+    ``turns`` are those of the connections that have more at hand than is handled at
+    once, so that no client keeps the event loop.
 
     Parameters
     ----------
@@ -37,6 +41,7 @@
         self._now = now
         self.memory = ClientMemory(now, memory_bytes)
         self.connections = ClientConnections(max_connections)
+        self.turns = BacklogTurns()
         self._reported_at_s = -math.inf
         self._n_unreported = 0
 
--- a/libs/http/src/damaskjunction/http/messages.py
+++ b/libs/http/src/damaskjunction/http/messages.py
@@ -136,14 +136,12 @@
             With status 413, when the body exceeds the limit, or 503, when there is no
             room for it.
         """
-        parts: list[bytes] = []
-        size = 0
+        body = bytearray()
         async for chunk in self.chunks():
-            size += len(chunk)
-            self._count(size)
-            parts.append(chunk)
-        self._count(size, is_whole=True)
-        return b"".join(parts)
+            body += chunk
+            self._count(len(body))
+        self._count(len(body), is_whole=True)
+        return bytes(body)
 
     def _count(self, n_kept: int, *, is_whole: bool = False) -> None:
         if self._keep is not None:
--- a/libs/http/src/damaskjunction/http/request_reader.py
+++ b/libs/http/src/damaskjunction/http/request_reader.py
@@ -11,16 +11,18 @@
 
 from damaskjunction.core.units import KIB
 from damaskjunction.http.client_end import ClientEnd
-from damaskjunction.http.client_memory import SMALL_BYTES, ClientMemory, Holding
+from damaskjunction.http.client_guard import ClientGuard
+from damaskjunction.http.client_memory import SMALL_BYTES, Holding
 from damaskjunction.http.messages import BodyReader, HttpError, HttpLimits, Request
 from damaskjunction.http.protocol import decode_headers
-from damaskjunction.http.read_ahead import AheadReader
+from damaskjunction.http.read_ahead import FULL_BYTES, AheadReader
 
 ProtocolEvent: TypeAlias = h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]
 
 LINGER_S = 0.2  # in which a connection that is to close still takes a request
 READ_BYTES = 64 * KIB
 READ_HEAD_BYTES = 16 * KIB
+MAX_CHUNKS_AT_ONCE = 64  # handling so many takes about as long as a request
 DISCARD_S = 1.0  # in which the rest of a refused body is read and dropped
 
 
@@ -39,8 +41,8 @@
         The client that is waited for.
     limits : HttpLimits
         Limits on heads, bodies and idle times.
-    memory : ClientMemory
-        Counts what is held for clients.
+    guard : ClientGuard
+        Bounds on all clients of the process.
     send_continue : callable
         Asks the client to send its body.
     """
@@ -52,7 +54,7 @@
         client: ClientEnd,
         *,
         limits: HttpLimits,
-        memory: ClientMemory,
+        guard: ClientGuard,
         send_continue: Callable[[], Awaitable[None]],
     ) -> None:
         self._loop = asyncio.get_running_loop()
@@ -60,7 +62,8 @@
         self._protocol = protocol
         self._client = client
         self._limits = limits
-        self._memory = memory
+        self._memory = guard.memory
+        self._turns = guard.turns
         self._send_continue = send_continue
         self.has_read_body = asyncio.Event()
         self._body: Holding | None = None
@@ -172,24 +175,61 @@
     async def _body_chunks(self) -> AsyncIterator[bytes]:
         if self._protocol.they_are_waiting_for_100_continue:
             await self._send_continue()
-        began_at_s, n_received = self._loop.time(), 0
+        began_at_s, n_received, n_at_once = self._loop.time(), 0, 0
         while not self.has_read_body.is_set():
-            event = self._next_body_event()
+            chunks, event = self._take_chunks(MAX_CHUNKS_AT_ONCE - n_at_once)
+            n_at_once += len(chunks)
+            if chunks:
+                part = b"".join(chunks)
+                n_received += len(part)
+                yield part
             if isinstance(event, h11.Data):
-                n_received += len(event.data)
-                yield bytes(event.data)
+                await self._wait_for_turn()
+                n_at_once = 0
             elif event is h11.NEED_DATA:
                 ends_at_s = began_at_s + self._limits.body_timeout_s(n_received)
                 self._protocol.receive_data(await self._read_body(ends_at_s))
             else:
                 self.has_read_body.set()
 
+    def _take_chunks(self, max_chunks: int) -> tuple[list[bytes], ProtocolEvent]:
+        """Return the next chunks that have arrived, and the last event.
+
+        That is data only if ``max_chunks`` have been taken.
+        """
+        chunks: list[bytes] = []
+        event: ProtocolEvent = h11.NEED_DATA
+        while len(chunks) < max_chunks:
+            event = self._next_body_event()
+            if not isinstance(event, h11.Data):
+                break
+            chunks.append(bytes(event.data))
+        return chunks, event
+
     def _next_body_event(self) -> ProtocolEvent:
         try:
             return self._protocol.next_event()
         except h11.RemoteProtocolError as error:
             raise HttpError(400, "bad_request", str(error)) from None
 
+    async def _wait_for_turn(self) -> None:
+        """Let others go on before the rest of what has arrived is handled.
+
+        What waits there counts as well.
+
+        Raises
+        ------
+        HttpError
+            With status 503 when there is no room for it, or the body is dropped.
+        """
+        if self._body is None:
+            self._body = self._memory.open(self._drop_body)
+        self._request_room(self._body, self._body.n_bytes + FULL_BYTES)
+        try:
+            await self._turns.wait()
+        finally:
+            self._body.resize(max(self._body.n_bytes - FULL_BYTES, 0))
+
     async def _read_body(self, ends_at_s: float) -> bytes:
         """Read a part of a body.
 
@@ -217,13 +257,16 @@
             return
         if self._body is None:
             self._body = self._memory.open(self._drop_body)
+        self._request_room(self._body, n_bytes)
+        if is_whole:
+            self._body.fix()
+
+    def _request_room(self, body: Holding, n_bytes: int) -> None:
         try:
-            self._body.request(n_bytes)
+            body.request(n_bytes)
         except HttpError:
             self._client.report("no room for a body")
             raise
-        if is_whole:
-            self._body.fix()
 
     def _drop_body(self) -> None:
         if self._body_timeout is not None and not self._body_timeout.expired():
--- a/libs/http/src/damaskjunction/http/server_connection.py
+++ b/libs/http/src/damaskjunction/http/server_connection.py
@@ -67,7 +67,7 @@
             self._protocol,
             self._client,
             limits=limits,
-            memory=guard.memory,
+            guard=guard,
             send_continue=self._responses.send_continue,
         )
         self.n_served = 0
