Count the values of a caller's document before it is parsed

Callers saw: one body of legal size ended a host. A job of 2 MB that is a list of empty lists took 95 MB of the 80 of its machine, 4 MB some 110 MB beside the 36 at rest.

Cause: json makes an object of 56 bytes or more of two bytes of text, and its depth check a list of all of them again, before the number of items (200 at most) is looked at.

Commas and opening brackets outside of strings are counted first, which takes no memory. A job may hold 20,000 values, a hundred for each of its 200 items; a request's document for hosts of damaskjunction.node the same number. A job of 200 items with 60 headers each is decoded as before.

--- a/libs/core/features/decoding.feature
+++ b/libs/core/features/decoding.feature
@@ -37,6 +37,22 @@
       | "{"a": 1, "a": 2}"          | "{'a': 2}"      |
       | of a list nested 30 deep    | a list          |
 
+  # Guards against texts that take many times their bytes once they are parsed
+  Scenario Outline: The values of a text are counted before it is parsed
+    When the JSON text <text> is checked to hold at most 3 values
+    Then it is <decision>
+
+    Examples:
+      | text                    | decision |
+      | "[1,2]"                 | accepted |
+      | "[1,2,3]"               | refused  |
+      | "{"a": 1, "b": 2}"      | accepted |
+      | "{"a": 1, "b": [2]}"    | refused  |
+      | "[[],[]]"               | refused  |
+      | "["a,b,c,d,[{"]"        | accepted |
+      | "["a\",,,,[{", 1]"      | accepted |
+      | of a list nested 40 deep | refused |
+
   Scenario Outline: The elements of an array are told apart whatever they hold
     When an array of 1, <element> and 2 is split
     Then its elements are 1, that one and 2
--- a/libs/core/features/steps/decoding_steps.py
+++ b/libs/core/features/steps/decoding_steps.py
@@ -9,6 +9,7 @@
 from damaskjunction.core import (
     Address,
     MalformedError,
+    check_n_values,
     parse_json,
     read_address,
     split_array,
@@ -48,6 +49,16 @@
     keep_value(context, parse_json, text_of(text))
 
 
+@when("the JSON text {text} is checked to hold at most {most:d} values")
+def count_values(context, text, most):
+    keep_value(context, lambda data: check_n_values(data, most), text_of(text))
+
+
+@then("it is accepted")
+def check_accepted(context):
+    assert context.value is None, repr(context.value)[:200]
+
+
 @when('the address "" is read')
 @when('the address "{text}" is read')
 def read_text_as_address(context, text=""):
--- a/libs/core/src/damaskjunction/core/__init__.py
+++ b/libs/core/src/damaskjunction/core/__init__.py
@@ -3,6 +3,7 @@
 from damaskjunction.core.decoding import (
     SHAPE_ERRORS,
     MalformedError,
+    check_n_values,
     parse_digits,
     parse_json,
     parse_json_or_none,
@@ -114,6 +115,7 @@
     "WorkClass",
     "WorkspaceName",
     "WorkspaceSpec",
+    "check_n_values",
     "is_standby_request_id",
     "original_request_id",
     "parse_digits",
--- a/libs/core/src/damaskjunction/core/decoding.py
+++ b/libs/core/src/damaskjunction/core/decoding.py
@@ -36,6 +36,7 @@
 _STRING = rb'"[^"\\]*+(?:\\.[^"\\]*+)*+"'
 _STRINGS = re.compile(_STRING, re.DOTALL)
 _SPACE = b" \t\r\n"
+_VALUE_MARKS = (b",", b"[", b"{")  # each value but one begins at, or after, one of them
 _OPENERS = rb"(?P<openers>(?:[\[{]\s*+(?:" + _STRING + rb"\s*+:\s*+)?+)++)"
 _CLOSERS = rb"(?P<closers>(?:[\]}]\s*+)++)"
 _INNER_MARK = re.compile(
@@ -89,6 +90,26 @@
     return value
 
 
+def check_n_values(data: bytes, most: int) -> None:
+    """Check how many values a JSON text holds before it is parsed.
+
+    A value of two bytes takes some 60 bytes once it is parsed.
+
+    Raises
+    ------
+    MalformedError
+        If it holds more than ``most``, keys of objects left out of account.
+    """
+    if _count_marks(data) < most:
+        return
+    if _count_marks(_STRINGS.sub(b"", data)) >= most:
+        raise MalformedError(f"more than {most} values")
+
+
+def _count_marks(data: bytes) -> int:
+    return sum(data.count(mark) for mark in _VALUE_MARKS)
+
+
 def parse_json_or_none(data: bytes) -> Any:
     """Return the value of a JSON text, None if it can't be read."""
     try:
--- a/libs/http/src/damaskjunction/http/messages.py
+++ b/libs/http/src/damaskjunction/http/messages.py
@@ -6,12 +6,18 @@
 from collections.abc import AsyncIterator, Callable, Mapping
 from typing import Any, NamedTuple
 
-from damaskjunction.core import DamaskjunctionError, Outcome, RequestError
+from damaskjunction.core import (
+    DamaskjunctionError,
+    Outcome,
+    RequestError,
+    check_n_values,
+)
 from damaskjunction.core.types import EMPTY
 from damaskjunction.core.units import KIB, MIB
 
 JSON_TYPE = "application/json"
 EVENT_STREAM_TYPE = "text/event-stream"
+MAX_DOCUMENT_VALUES = 20_000  # of a request's document
 
 
 class HttpLimits(NamedTuple):
@@ -189,10 +195,11 @@
     ------
     HttpError
         With status 400 and the line and column of the error, when the body is not
-        JSON.
+        JSON or holds more than ``MAX_DOCUMENT_VALUES``.
     """
     body = await request.body.read()
     try:
+        check_n_values(body, MAX_DOCUMENT_VALUES)
         return json.loads(body)
     except (ValueError, RecursionError) as error:
         place = {
--- a/libs/platform/features/decoding.feature
+++ b/libs/platform/features/decoding.feature
@@ -128,6 +128,11 @@
     Given a job as "{}"
     Then decoding fails
 
+  # Guards against bounds on the values of a job that refuse a large one
+  Scenario: A job of many items with many headers is decoded
+    Given a job of 200 items, each with 60 headers
+    Then it has 200 items
+
   Scenario: A job and its results survive a round trip through storage
     Given a job of 3 items
     Then its record and items are equal after a round trip
--- a/libs/platform/features/steps/decoding_steps.py
+++ b/libs/platform/features/steps/decoding_steps.py
@@ -291,12 +291,13 @@
 
 
 @given("a job of {count:d} items")
-def make_job(context, count):
+@given("a job of {count:d} items, each with {n_headers:d} headers")
+def make_job(context, count, n_headers=1):
     entries = [
         {
             "Id": f"i{number}",
             "Path": "/n/1",
-            "Headers": {"X-Model": "m"},
+            "Headers": {f"X-Model-{n}": "m,m" for n in range(n_headers)},
             "Body": base64.b64encode(bytes([number, 255])).decode(),
             "Tokens": 7,
         }
@@ -305,6 +306,11 @@
     context.items = decode_job(json.dumps({"Items": entries}).encode())
 
 
+@then("it has {count:d} items")
+def check_count(context, count):
+    assert len(context.items) == count
+
+
 @then("its record and items are equal after a round trip")
 def check_job_round_trip(context):
     names = tuple(item.item_id for item in context.items)
--- a/libs/platform/src/damaskjunction/platform/jobs.py
+++ b/libs/platform/src/damaskjunction/platform/jobs.py
@@ -20,6 +20,7 @@
     DamaskjunctionError,
     JobId,
     MalformedError,
+    check_n_values,
     parse_digits,
     parse_json,
     read_bool,
@@ -48,6 +49,7 @@
 WAIT_MS_HEADER = "x-wait-ms"
 # Of a job under JOB_PATH_PREFIX; jobs under /v1/jobs have a limit of their own.
 MAX_JOB_ITEMS = 200
+MAX_JOB_VALUES = 100 * MAX_JOB_ITEMS  # with all fields and headers of the items
 
 JOBS_KIND = "batch-jobs"
 BODIES_KIND = "batch-bodies"
@@ -74,9 +76,11 @@
     Raises
     ------
     BadJobError
-        If the body is malformed, or has no items or more than ``MAX_JOB_ITEMS``.
+        If the body is malformed, or has no items or more than ``MAX_JOB_ITEMS``, or
+        more than ``MAX_JOB_VALUES`` in all.
     """
     try:
+        check_n_values(body, MAX_JOB_VALUES)
         entries = read_list(parse_json(body)["Items"])
         items = tuple(_decode_item(entry) for entry in entries)
         if len({item.item_id for item in items}) < len(items):
