Begin the items of jobs few at a time, and count what each costs while it waits

Callers saw: jobs that wait for runners ended a host. 150 jobs of 100 small items, accepted one after another without a cap on tokens, took 186 MB of the 80 of its machine.

Cause: each item had two tasks, an event queue and its progress from the moment its job ran, some 10 KB, while at most 64 of a service are at runners. JobMemory counted the text alone, and jobs of 16 KiB at most without any bound.

ItemFeed begins at most 128 items of a route and service at a time, in the order in which they came to it: those of a job that came later begin after the last of the one before, as they got their places before. JobMemory counts 1 KiB for each item beside its text, and small jobs find room up to 1.5 of the limit. The time that an item has been owed, and the end of its retention, count from when its job began to run here, as before. The metric items_waiting counts those that have not begun.

--- a/libs/gateway/features/steps/job_worker_steps.py
+++ b/libs/gateway/features/steps/job_worker_steps.py
@@ -96,7 +96,11 @@
         view = FakeView(FakeHomes(()))
         view.fleet = SimpleNamespace(hosts_by_id={OWN: view.own})
         context = SimpleNamespace(
-            state=SimpleNamespace(view=view, has_engines=lambda service: False),
+            state=SimpleNamespace(
+                view=view,
+                has_engines=lambda service: False,
+                table=SimpleNamespace(find_by_name=lambda name: None),
+            ),
             slot_client=None,
             runner_client=None,
             runner_faults=None,
--- a/libs/gateway/src/damaskjunction/gateway/jobs/item_progress.py
+++ b/libs/gateway/src/damaskjunction/gateway/jobs/item_progress.py
@@ -74,10 +74,10 @@
         self.hearing = Hearing(timers)
         self.n_standbys = 0
         self._timers = timers
-        self.started_at_s = timers.now()
+        self.started_at_s = timers.now() - owed.waited_s
         self._is_advanced = False  # in the present attempt
         self._denied_by: set[RunnerId] = set()  # since the last event
-        self._paused_at_s = self.started_at_s
+        self._paused_at_s = timers.now()
         self._budget = budget
         self._kept = budget.open(self._drop_text)
 
--- a/libs/gateway/src/damaskjunction/gateway/jobs/job_memory.py
+++ b/libs/gateway/src/damaskjunction/gateway/jobs/job_memory.py
@@ -9,7 +9,9 @@
 from damaskjunction.core.units import KIB, MIB
 from damaskjunction.gateway.jobs.job_parts import items_bytes
 
-SMALL_JOB_BYTES = 16 * KIB  # that need no room
+SMALL_JOB_BYTES = 16 * KIB  # that find room beyond the limit
+HARD_LIMIT_FACTOR = 1.5
+ITEM_BYTES = 1 * KIB  # of an item that waits, beside its text
 DEFAULT_LIMIT_BYTES = 64 * MIB
 CACHE_FRACTION = 0.5  # of the limit, for items that are only kept to be read again
 
@@ -36,21 +38,27 @@
     def has_room(self, items: Sequence[BatchItem]) -> bool:
         """Return whether the items find room; count the refusal if not.
 
-        A small job always does, and so does one when no other is held.
+        A small job does up to ``HARD_LIMIT_FACTOR`` of the limit, and any job when no
+        other is held.
         """
-        n_added = items_bytes(items)
-        if n_added <= SMALL_JOB_BYTES or not self.n_bytes:
-            return True
-        has_room = self.n_bytes + n_added <= self._limit_bytes
+        n_added = _held_bytes(items)
+        limit_bytes = self._limit_bytes
+        if n_added <= SMALL_JOB_BYTES:
+            limit_bytes = int(HARD_LIMIT_FACTOR * limit_bytes)
+        has_room = not self.n_bytes or self.n_bytes + n_added <= limit_bytes
         self.n_refused += not has_room
         return has_room
 
     def hold(self, job_id: JobId, items: Sequence[BatchItem]) -> None:
         """Count the items of a job, also when there is no room."""
         self.release(job_id)
-        self._n_bytes_by_id[job_id] = n_bytes = items_bytes(items)
+        self._n_bytes_by_id[job_id] = n_bytes = _held_bytes(items)
         self.n_bytes += n_bytes
 
     def release(self, job_id: JobId) -> None:
         """Count the items of a job no more."""
         self.n_bytes -= self._n_bytes_by_id.pop(job_id, 0)
+
+
+def _held_bytes(items: Sequence[BatchItem]) -> int:
+    return items_bytes(items) + ITEM_BYTES * len(items)
--- a/libs/gateway/src/damaskjunction/gateway/jobs/job_worker.py
+++ b/libs/gateway/src/damaskjunction/gateway/jobs/job_worker.py
@@ -4,7 +4,8 @@
 
 import asyncio
 import logging
-from collections.abc import Awaitable, Callable, Sequence
+from collections import defaultdict
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 from typing import TypeAlias, TypedDict, TypeVar
 
 from damaskjunction.batch import BatchItem, ItemResult, TakeoverWatch
@@ -14,8 +15,10 @@
     PlatformError,
     Subscription,
     rendezvous_order,
+    stable_hash,
 )
 from damaskjunction.gateway.dispatch_context import DispatchContext
+from damaskjunction.gateway.jobs.item_feed import ItemFeed, ItemLine
 from damaskjunction.gateway.jobs.item_runner import ItemRunner
 from damaskjunction.gateway.jobs.job_repository import JobRepository, StoredJob
 from damaskjunction.gateway.jobs.owed_items import ItemState, OwedItem, OwedItems
@@ -77,6 +80,7 @@
         self._ids_without_former_owner: set[JobId] = set()
         self._takeover_watch = TakeoverWatch(context.state.view.own.host_id)
         self._runner = ItemRunner(context, self.back_off)
+        self._feed = ItemFeed()
         self.owed_items = OwedItems(context.timers, context.metrics)
         self._placement_check = PlacementCheck(context, self.owed_items)
         self._check: Subscription | None = None
@@ -84,6 +88,7 @@
         self.is_draining = False
         job_repository.subscribe(self._on_job_change)
         context.metrics.gauge("jobs_without_owner", self._n_without_owner)
+        context.metrics.gauge("items_waiting", lambda: float(self._feed.n_waiting))
 
     async def start(self) -> None:
         """Start the periodic check for orphaned jobs, after ``FIRST_CHECK_DELAY_S``."""
@@ -151,6 +156,7 @@
         results = self._jobs.results.cached(job.record.job_id)
         found_ids = {result.item_id for result in results}
         found_ids |= self.owed_items.ids_of(job.record.job_id)
+        found_ids |= self._feed.waiting_ids_of(job.record.job_id)
         return [item_id for item_id in job.record.item_ids if item_id not in found_ids]
 
     def _n_without_owner(self) -> float:
@@ -268,11 +274,28 @@
         job_id = job.record.job_id
         writer = ResultWriter(self._jobs.results, job_id, self.back_off, len(items))
         logger.info("job runs", extra={"job": job_id, "n_remaining": len(items)})
+        since_s = self._timers.now()
         async with asyncio.TaskGroup() as group:
-            for item in items:
-                group.create_task(self._run_item(job, item, writer))
+
+            def begin(item: BatchItem) -> asyncio.Task[None]:
+                return group.create_task(self._run_item(job, item, writer, since_s))
+
+            for line, line_items in self._by_line(job, items).items():
+                group.create_task(self._feed.feed(line, job_id, line_items, begin))
         await writer.flush()
 
+    def _by_line(
+        self, job: StoredJob, items: Sequence[BatchItem]
+    ) -> Mapping[ItemLine, Sequence[BatchItem]]:
+        """Return the items of a job by the line in which they wait to begin."""
+        route_name = job.record.route_name
+        route = self._state.table.find_by_name(route_name)
+        items_by_line: defaultdict[ItemLine, list[BatchItem]] = defaultdict(list)
+        for item in items:
+            service = route.service_for(stable_hash(item.item_id)) if route else ""
+            items_by_line[ItemLine(route_name, service)].append(item)
+        return items_by_line
+
     async def _mark_done(self, job_id: JobId) -> None:
         await self._jobs.update_status(job_id, is_done=True)
 
@@ -294,9 +317,10 @@
         await asyncio.sleep(max_delay_s * self._rng.uniform(0.5, 1.0))
 
     async def _run_item(
-        self, job: StoredJob, item: BatchItem, writer: ResultWriter
+        self, job: StoredJob, item: BatchItem, writer: ResultWriter, since_s: float
     ) -> None:
-        with self.owed_items.track(job.record.job_id, item.item_id) as owed:
+        job_id = job.record.job_id
+        with self.owed_items.track(job_id, item.item_id, since_s) as owed:
             result = await self._run_until_result(job, item, owed)
             owed.enter(ItemState.STORING)
             await writer.add(result)
--- a/libs/gateway/src/damaskjunction/gateway/jobs/owed_items.py
+++ b/libs/gateway/src/damaskjunction/gateway/jobs/owed_items.py
@@ -90,11 +90,18 @@
 
     ``place`` is the host or the runner that the item is at, ``reason`` the outcome of
     its last attempt. ``run`` is what runs it; it is cancelled when the item stays in a
-    state for longer than that lasts. ``need`` is what its last ask for a slot was for,
+    state for longer than that lasts. ``waited_s`` are the seconds for which it was owed
+    before it began. ``need`` is what its last ask for a slot was for,
     ``asked_home`` the host that it was sent to.
     """
 
-    def __init__(self, item_id: str, job_id: JobId, timers: Timers) -> None:
+    def __init__(
+        self,
+        item_id: str,
+        job_id: JobId,
+        timers: Timers,
+        since_s: float | None = None,
+    ) -> None:
         self.item_id = item_id
         self.job_id = job_id
         self.run: asyncio.Future[ItemResult] | None = None
@@ -104,7 +111,9 @@
         self.need = ItemNeed()
         self.asked_home: HostId = ""
         self._timers = timers
-        self._owed_at_s = timers.now()
+        begun_at_s = timers.now()
+        self._owed_at_s = begun_at_s if since_s is None else since_s
+        self.waited_s = begun_at_s - self._owed_at_s
         self._changed_at_s = self._owed_at_s
         self._at_runner_until_s = self._owed_at_s
         self.logged_at_s = self._owed_at_s
@@ -235,9 +244,11 @@
         return 0.0 if oldest is None else oldest.owed_s
 
     @contextmanager
-    def track(self, job_id: JobId, item_id: str) -> Iterator[OwedItem]:
-        """Track an item until the end of the block."""
-        item = OwedItem(item_id, job_id, self._timers)
+    def track(
+        self, job_id: JobId, item_id: str, since_s: float | None = None
+    ) -> Iterator[OwedItem]:
+        """Track an item until the end of the block; it is owed since a time, or now."""
+        item = OwedItem(item_id, job_id, self._timers, since_s)
         self._items[item] = None
         try:
             yield item
