Let all that a host holds for others draw on one account of its memory

Callers saw: crowds of several kinds at once took 86 MB of the 80 of a machine, though each kind alone stayed within its bound.

Cause: clients, items of jobs, cached items and responses each had a fixed fraction of the memory of their own, 0.56 to 0.76 in sum, half as much again for what is owed, beside 36 MB at rest; open connections, and bodies up to 16 KiB, were counted nowhere.

Connections count 16 KiB each, small bodies count too and find room up to 1.5 of the limits, as small jobs do. The gauge held_bytes shows the sum.

--- a/libs/core/src/damaskjunction/core/__init__.py
+++ b/libs/core/src/damaskjunction/core/__init__.py
@@ -31,6 +31,7 @@
     raise_findings,
 )
 from damaskjunction.core.hashing import rendezvous_order, stable_hash
+from damaskjunction.core.memory_account import MemoryAccount, MemoryPart
 from damaskjunction.core.registry import Registry, UnknownNameError
 from damaskjunction.core.request_ids import (
     is_standby_request_id,
@@ -91,6 +92,8 @@
     "LoopTimers",
     "MalformedError",
     "ManualTimers",
+    "MemoryAccount",
+    "MemoryPart",
     "ModelSpec",
     "Outcome",
     "PlacementSpec",
--- /dev/null
+++ b/libs/gateway/features/greedy_crowds_together.feature
@@ -0,0 +1,13 @@
+@alone
+Feature: Crowds of several kinds at once end no host
+  Each kind has a bound; what counts is their sum. A host is a process of its own here.
+
+  # Guards against bounds that hold one by one and not together
+  Scenario: Jobs, whole bodies, bodies short of their end and requests ahead
+    Given a host with 80 MB of memory and 300 descriptors, and bodies of 2 MB
+    When 60 jobs of 1800 KB are submitted, one after another
+    And 40 clients send a body of 2 MB with a length
+    And 40 clients send all but the end of a body of 2 MB in chunks
+    And 12 clients send requests ahead to the caller for "/nowhere"
+    Then the host is within its memory and half of its descriptors
+    And an ordinary request and a readiness probe are answered
--- a/libs/gateway/features/steps/item_text_steps.py
+++ b/libs/gateway/features/steps/item_text_steps.py
@@ -9,7 +9,7 @@
 from fleet_helpers import run
 
 from damaskjunction.batch import BatchItem
-from damaskjunction.core import Address, ManualTimers, Runner, ServiceKind
+from damaskjunction.core import Address, ManualTimers, MemoryPart, Runner, ServiceKind
 from damaskjunction.gateway.jobs.item_events import collect_events
 from damaskjunction.gateway.jobs.item_progress import ItemProgress
 from damaskjunction.gateway.jobs.owed_items import OwedItem
@@ -38,7 +38,7 @@
 def make_items(context, count, size, limit):
     timers = context.timers = ManualTimers()
     state = ServingState(HostView(make_host(1, "h1")), timers, {}, LeavingRunners())
-    budget = ReceiveBudget(limit)
+    budget = ReceiveBudget(MemoryPart(limit))
     context.runner = Runner(
         "r1",
         "r1",
--- a/libs/gateway/src/damaskjunction/gateway/client_servers.py
+++ b/libs/gateway/src/damaskjunction/gateway/client_servers.py
@@ -6,6 +6,7 @@
 from damaskjunction.core.units import KIB
 from damaskjunction.gateway.front_end import FrontEnd
 from damaskjunction.http import ClientGuard, HttpLimits, HttpServer, Routes
+from damaskjunction.node import CLIENT_FRACTION, MemoryShares
 from damaskjunction.platform import ProcessSettings
 from damaskjunction.routing import CallerLimits
 from damaskjunction.telemetry import Metrics
@@ -13,7 +14,6 @@
 # The configured limit is on headers; the server also counts the request line.
 REQUEST_LINE_ALLOWANCE_BYTES = 8 * KIB
 CLIENT_DESCRIPTOR_FRACTION = 0.4  # of the file descriptors of the process
-CLIENT_MEMORY_FRACTION = 0.2  # of the memory of the process
 MAX_BODY_MEMORY_FRACTION = 0.4
 
 
@@ -24,6 +24,8 @@
     ----------
     settings : ProcessSettings
         Addresses, memory and descriptors.
+    memory : MemoryShares
+        Counts what is held for clients.
     front_end : FrontEnd
         Serves requests.
     inspection : Routes
@@ -37,8 +39,10 @@
     def __init__(
         self,
         settings: ProcessSettings,
+        memory: MemoryShares,
         front_end: FrontEnd,
         inspection: Routes,
+        *,
         timers: Timers,
         metrics: Metrics,
     ) -> None:
@@ -47,7 +51,8 @@
         max_connections = int(CLIENT_DESCRIPTOR_FRACTION * settings.max_descriptors)
         self._guard = guard = ClientGuard(
             timers.now,
-            memory_bytes=int(CLIENT_MEMORY_FRACTION * settings.memory_bytes),
+            memory=memory.clients,
+            connection_memory=memory.connections,
             max_connections=max_connections,
         )
         self.caller = HttpServer(settings.caller, front_end.serve, guard=guard)
@@ -63,18 +68,18 @@
             for address, handle in handlers.items()
             if address is not None
         ]
-        memory, connections = guard.memory, guard.connections
-        metrics.gauge("client_held_bytes", lambda: float(memory.n_bytes))
+        clients, connections = guard.memory, guard.connections
+        metrics.gauge("client_held_bytes", lambda: float(clients.part.n_bytes))
         metrics.gauge("client_connections", lambda: float(connections.n_open))
-        metrics.gauge("clients_refused", lambda: float(memory.n_refused))
-        metrics.gauge("clients_dropped", lambda: float(memory.n_dropped))
+        metrics.gauge("clients_refused", lambda: float(clients.n_refused))
+        metrics.gauge("clients_dropped", lambda: float(clients.n_dropped))
         metrics.gauge("connections_evicted", lambda: float(connections.n_evicted))
 
     def apply_limits(self, limits: CallerLimits) -> None:
         """Apply the configured limits; one body of the largest size finds room."""
         settings = self._settings
-        self._guard.memory.limit_bytes = max(
-            int(CLIENT_MEMORY_FRACTION * settings.memory_bytes),
+        self._guard.memory.part.limit_bytes = max(
+            int(CLIENT_FRACTION * settings.memory_bytes),
             min(
                 limits.body_bytes,
                 int(MAX_BODY_MEMORY_FRACTION * settings.memory_bytes),
--- a/libs/gateway/src/damaskjunction/gateway/jobs/job_memory.py
+++ b/libs/gateway/src/damaskjunction/gateway/jobs/job_memory.py
@@ -5,34 +5,36 @@
 from collections.abc import Sequence
 
 from damaskjunction.batch import BatchItem
-from damaskjunction.core import JobId
+from damaskjunction.core import JobId, MemoryPart
 from damaskjunction.core.units import KIB, MIB
 from damaskjunction.gateway.jobs.job_parts import items_bytes
 
 SMALL_JOB_BYTES = 16 * KIB  # that find room beyond the limit
 HARD_LIMIT_FACTOR = 1.5
-ITEM_BYTES = 1 * KIB  # of an item that waits, beside its text
+ITEM_BYTES = 2 * KIB  # of an item that waits, beside its text
 DEFAULT_LIMIT_BYTES = 64 * MIB
-CACHE_FRACTION = 0.5  # of the limit, for items that are only kept to be read again
+DEFAULT_CACHE_BYTES = 32 * MIB
 
 
 class JobMemory:
     """Decides whether a host has room for the items of another job.
 
-    It holds the items of the jobs that it runs until they are done. ``cache_bytes``
-    are those of items that it may keep besides.
+    It holds the items of the jobs that it runs until they are done.
 
     Parameters
     ----------
-    limit_bytes : int, optional
-        Bytes of items that are held at once.
+    held : MemoryPart, optional
+        Counts the items of the jobs that are run.
+    cached : MemoryPart, optional
+        Counts the items that are kept besides, to be read again.
     """
 
-    def __init__(self, limit_bytes: int = DEFAULT_LIMIT_BYTES) -> None:
-        self._limit_bytes = limit_bytes
-        self.cache_bytes = int(CACHE_FRACTION * limit_bytes)
+    def __init__(
+        self, held: MemoryPart | None = None, cached: MemoryPart | None = None
+    ) -> None:
+        self.held = held or MemoryPart(DEFAULT_LIMIT_BYTES)
+        self.cached = cached or MemoryPart(DEFAULT_CACHE_BYTES)
         self._n_bytes_by_id: dict[JobId, int] = {}
-        self.n_bytes = 0
         self.n_refused = 0
 
     def has_room(self, items: Sequence[BatchItem]) -> bool:
@@ -42,10 +44,9 @@
         other is held.
         """
         n_added = _held_bytes(items)
-        limit_bytes = self._limit_bytes
-        if n_added <= SMALL_JOB_BYTES:
-            limit_bytes = int(HARD_LIMIT_FACTOR * limit_bytes)
-        has_room = not self.n_bytes or self.n_bytes + n_added <= limit_bytes
+        factor = HARD_LIMIT_FACTOR if n_added <= SMALL_JOB_BYTES else 1.0
+        is_first = not self.held.n_bytes
+        has_room = is_first or self.held.has_room(n_added, factor=factor)
         self.n_refused += not has_room
         return has_room
 
@@ -53,11 +54,11 @@
         """Count the items of a job, also when there is no room."""
         self.release(job_id)
         self._n_bytes_by_id[job_id] = n_bytes = _held_bytes(items)
-        self.n_bytes += n_bytes
+        self.held.change(n_bytes)
 
     def release(self, job_id: JobId) -> None:
         """Count the items of a job no more."""
-        self.n_bytes -= self._n_bytes_by_id.pop(job_id, 0)
+        self.held.change(-self._n_bytes_by_id.pop(job_id, 0))
 
 
 def _held_bytes(items: Sequence[BatchItem]) -> int:
--- a/libs/gateway/src/damaskjunction/gateway/jobs/job_repository.py
+++ b/libs/gateway/src/damaskjunction/gateway/jobs/job_repository.py
@@ -138,8 +138,7 @@
     def _evict(self, job_id: JobId) -> None:
         self.jobs_by_id.pop(job_id, None)
         self.results.evict(job_id)
-        self._items_by_id.pop(job_id, None)
-        self._n_cached_bytes_by_id.pop(job_id, None)
+        self._drop_cached(job_id)
         self._created_ids.discard(job_id)
 
     # Jobs
@@ -255,14 +254,19 @@
         return items
 
     def _cache_items(self, job_id: JobId, items: tuple[BatchItem, ...]) -> None:
+        self._drop_cached(job_id)
         self._items_by_id[job_id] = items
-        self._n_cached_bytes_by_id[job_id] = items_bytes(items)
-        while (
+        self._n_cached_bytes_by_id[job_id] = n_bytes = items_bytes(items)
+        self.memory.cached.change(n_bytes)
+        while self._items_by_id and (
             len(self._items_by_id) > MAX_JOBS_WITH_CACHED_ITEMS
-            or sum(self._n_cached_bytes_by_id.values()) > self.memory.cache_bytes
+            or not self.memory.cached.has_room()
         ):
-            oldest_id, _ = self._items_by_id.popitem(last=False)
-            del self._n_cached_bytes_by_id[oldest_id]
+            self._drop_cached(next(iter(self._items_by_id)))
+
+    def _drop_cached(self, job_id: JobId) -> None:
+        self._items_by_id.pop(job_id, None)
+        self.memory.cached.change(-self._n_cached_bytes_by_id.pop(job_id, 0))
 
     async def update_status(self, job_id: JobId, **changes: object) -> StoredJob | None:
         """Update fields of a job's status; return None if there is no such job.
--- a/libs/gateway/src/damaskjunction/gateway/root.py
+++ b/libs/gateway/src/damaskjunction/gateway/root.py
@@ -40,7 +40,13 @@
 from damaskjunction.gateway.versions.version_registry import VersionRegistry
 from damaskjunction.http import ReceiveBudget
 from damaskjunction.membership import FailureDetector, Timing, first_incarnation
-from damaskjunction.node import Component, HostView, Membership, PeerHandlers
+from damaskjunction.node import (
+    Component,
+    HostView,
+    Membership,
+    PeerHandlers,
+    share_memory,
+)
 from damaskjunction.platform import (
     DirectTransport,
     ProcessSettings,
@@ -54,8 +60,6 @@
 logger = logging.getLogger(__name__)
 
 TIMING = Timing(probe_period_s=0.5, ack_timeout_s=0.2, suspicion_timeout_s=1.0)
-JOB_MEMORY_FRACTION = 0.2  # of the memory of the process
-RECEIVED_MEMORY_FRACTION = 0.0625  # of the memory of the process
 TUNNEL_DESCRIPTOR_FRACTION = 0.1  # of the file descriptors of the process
 DESCRIPTORS_PER_TUNNEL = 2
 # A runner that leaves gets no requests over a tunnel that was opened before.
@@ -78,6 +82,7 @@
         rng = random.Random(stable_hash(settings.host_id, str(start_ms)))
         self._settings = settings
         self._timers = timers
+        self._memory = share_memory(settings.memory_bytes)
         peer = Address(settings.ip, settings.peer_port)
         own = EntryHost(
             settings.host_id,
@@ -108,11 +113,10 @@
             self.state.leaving,
             connector=access.connector,
             may_have_ended=access.diagnosis.may_have_ended,
-            budget=ReceiveBudget(int(RECEIVED_MEMORY_FRACTION * settings.memory_bytes)),
+            budget=ReceiveBudget(self._memory.responses),
         )
-        origin = f"{settings.host_id}.{start_ms}"
         self._suspects = suspects = SuspectRegistry(
-            self._store, timers, self.metrics, origin
+            self._store, timers, self.metrics, f"{settings.host_id}.{start_ms}"
         )
         self._version_registry = version_registry = VersionRegistry(
             self._store, self.state, timers, self.metrics
@@ -184,7 +188,7 @@
         )
         online_handler = OnlineHandler(context)
         self.job_repository = job_repository = JobRepository(
-            self._store, JobMemory(int(JOB_MEMORY_FRACTION * settings.memory_bytes))
+            self._store, JobMemory(self._memory.jobs, self._memory.cached_items)
         )
         self._worker = JobWorker(job_repository, context)
         jobs = self._make_job_front(handlers)
@@ -198,10 +202,11 @@
         )
         self._servers = ClientServers(
             settings,
+            self._memory,
             front_end,
             make_inspection_routes(self.metrics, self.dump),
-            timers,
-            self.metrics,
+            timers=timers,
+            metrics=self.metrics,
         )
         self._peer_server = PeerServer(
             peer, timers, handlers.handle, access.tunnel_server.serve
@@ -411,7 +416,9 @@
         }
         register_sections(self.dump, documents_by_name)
         job_memory = self.job_repository.memory
-        self.metrics.gauge("job_held_bytes", lambda: float(job_memory.n_bytes))
+        account = self._memory.account
+        self.metrics.gauge("held_bytes", lambda: float(account.n_bytes))
+        self.metrics.gauge("job_held_bytes", lambda: float(job_memory.held.n_bytes))
         self.metrics.gauge("jobs_refused_room", lambda: float(job_memory.n_refused))
         self.metrics.gauge(
             "runner_connects", lambda: float(self._runner_client.n_connections_opened)
--- a/libs/http/features/client_memory.feature
+++ b/libs/http/features/client_memory.feature
@@ -16,6 +16,22 @@
       | 40,40    | 3,2     | 90    | kept     | 1,2     |
       | 40,40    | 3,2     | 101   | refused  | 1,2     |
 
+  # Guards against bounds that hold one by one and not together
+  Scenario Outline: What other parts of the process hold counts as well
+    Given room for 100 KB, of which clients hold 40 KB since 0 s
+    And room for 150 KB of all parts together, of which others hold <others> KB
+    When an upload asks for <asked> KB
+    Then the upload is <decision>; dropped are the clients <dropped>
+
+    Examples:
+      | others | asked | decision | dropped |
+      | 0      | 60    | kept     | none    |
+      | 50     | 60    | kept     | none    |
+      | 51     | 60    | refused  | none    |
+      | 120    | 16    | kept     | none    |
+      | 170    | 16    | kept     | 1       |
+      | 210    | 16    | refused  | 1       |
+
   # Guards against requests that are answered 503 though they run
   Scenario: What is in use is not dropped
     Given room for 100 KB, of which clients hold 90 KB since 9 s
--- a/libs/http/features/flood_reader.py
+++ b/libs/http/features/flood_reader.py
@@ -13,7 +13,7 @@
 import time
 from pathlib import Path
 
-from damaskjunction.core import Address, LoopTimers
+from damaskjunction.core import Address, LoopTimers, MemoryPart
 from damaskjunction.core.units import MIB
 from damaskjunction.http import (
     BrokenResponseError,
@@ -64,7 +64,7 @@
 
 async def _main(flooding: Address, sound: Address, n: int, reading: str) -> None:
     pacer = ReadPacer(LoopTimers(), PACE_S)
-    client = HttpClient(LoopTimers(), budget=ReceiveBudget(BUDGET_BYTES))
+    client = HttpClient(LoopTimers(), budget=ReceiveBudget(MemoryPart(BUDGET_BYTES)))
     other_client = HttpClient(LoopTimers())
     sound_s = []
 
--- a/libs/http/features/steps/client_memory_steps.py
+++ b/libs/http/features/steps/client_memory_steps.py
@@ -7,6 +7,7 @@
 
 from behave import given, then, when
 
+from damaskjunction.core import MemoryAccount
 from damaskjunction.core.units import KIB
 from damaskjunction.http import HttpError
 from damaskjunction.http.client_connections import ClientConnections
@@ -24,7 +25,9 @@
 @given("room for {limit:d} KB, of which clients hold {held} KB since {ages} s")
 def make_memory(context, limit, held, ages):
     context.now_s = 0.0
-    context.memory = ClientMemory(lambda: context.now_s, limit * KIB)
+    context.account = MemoryAccount(1000 * limit * KIB)
+    part = context.account.open_part("clients", limit * KIB)
+    context.memory = ClientMemory(lambda: context.now_s, part)
     context.dropped, context.holdings = [], []
     for number, size in enumerate(numbers(held), 1):
         context.now_s = NOW_S - numbers(ages)[number - 1]
@@ -34,6 +37,12 @@
     context.now_s = NOW_S
 
 
+@given("room for {limit:d} KB of all parts together, of which others hold {held:d} KB")
+def limit_all(context, limit, held):
+    context.account.limit_bytes = limit * KIB
+    context.account.open_part("others", limit * KIB).change(held * KIB)
+
+
 @when("what they hold is in use")
 def fix(context):
     for holding in context.holdings:
@@ -52,10 +61,15 @@
         context.decision = "kept"
 
 
-@then("it is {decision}, and dropped are the clients {dropped}")
-def check(context, decision, dropped):
+@then("the upload is {decision}; dropped are the clients {dropped}")
+def check_upload(context, decision, dropped):
     assert context.decision == decision, context.decision
     assert (",".join(context.dropped) or "none") == dropped, context.dropped
+
+
+@then("it is {decision}, and dropped are the clients {dropped}")
+def check(context, decision, dropped):
+    check_upload(context, decision, dropped)
     assert context.memory.has_room()
 
 
--- a/libs/http/features/steps/flood_steps.py
+++ b/libs/http/features/steps/flood_steps.py
@@ -11,7 +11,7 @@
 from behave import given, then, when
 from server_steps import run
 
-from damaskjunction.core import Address
+from damaskjunction.core import Address, MemoryPart
 from damaskjunction.http import BrokenResponseError, DirectConnector, ReceiveBudget
 
 FOLDER = Path(__file__).parent.parent
@@ -119,14 +119,14 @@
 
 @given("a budget of {limit:d} bytes of which responses keep {sizes}")
 def make_budget(context, limit, sizes):
-    context.budget = ReceiveBudget(limit)
+    context.budget = ReceiveBudget(MemoryPart(limit))
     context.revoked = []
     context.kept = [keep(context, int(size)) for size in sizes.split(",")]
 
 
 @given("a budget of {limit:d} bytes of which responses of a sound peer keep {size:d}")
 def make_budget_of_sound_peer(context, limit, size):
-    context.budget = ReceiveBudget(limit)
+    context.budget = ReceiveBudget(MemoryPart(limit))
     context.revoked = []
     context.kept = [keep(context, size, "sound")]
 
--- a/libs/http/src/damaskjunction/http/client_connections.py
+++ b/libs/http/src/damaskjunction/http/client_connections.py
@@ -4,6 +4,11 @@
 
 from typing import Protocol
 
+from damaskjunction.core import MemoryPart
+from damaskjunction.core.units import KIB
+
+CONNECTION_BYTES = 16 * KIB  # of an open connection that holds nothing else
+
 
 class ClientConnection(Protocol):
     """What is known of an open connection."""
@@ -30,10 +35,15 @@
     ----------
     limit : int, optional
         Connections that are open at once; None for any number.
+    part : MemoryPart, optional
+        Counts ``CONNECTION_BYTES`` for each of them.
     """
 
-    def __init__(self, limit: int | None = None) -> None:
+    def __init__(
+        self, limit: int | None = None, part: MemoryPart | None = None
+    ) -> None:
         self.limit = limit
+        self._part = part
         self._connections: dict[ClientConnection, None] = {}
         self.n_evicted = 0
         self.n_refused = 0
@@ -51,14 +61,21 @@
                 self.n_refused += 1
                 return False
             self.n_evicted += 1
-            del self._connections[victim]
+            self.remove(victim)
             victim.evict()
         self._connections[connection] = None
+        self._count(CONNECTION_BYTES)
         return True
 
     def remove(self, connection: ClientConnection) -> None:
         """Remove a connection that is closed, or was evicted."""
-        self._connections.pop(connection, None)
+        if connection in self._connections:
+            del self._connections[connection]
+            self._count(-CONNECTION_BYTES)
+
+    def _count(self, n_added: int) -> None:
+        if self._part is not None:
+            self._part.change(n_added)
 
     def _longest_waiting(self) -> ClientConnection | None:
         waiting = (
--- a/libs/http/src/damaskjunction/http/client_guard.py
+++ b/libs/http/src/damaskjunction/http/client_guard.py
@@ -6,9 +6,10 @@
 import math
 from collections.abc import Callable
 
+from damaskjunction.core import MemoryPart
 from damaskjunction.http.backlog import BacklogTurns
 from damaskjunction.http.client_connections import ClientConnections
-from damaskjunction.http.client_memory import DEFAULT_LIMIT_BYTES, ClientMemory
+from damaskjunction.http.client_memory import ClientMemory
 
 REPORT_INTERVAL_S = 1.0
 
@@ -25,8 +26,10 @@
     ----------
     now : callable
         Returns the current time in seconds.
-    memory_bytes : int, optional
-        Bytes that are held for all clients at once.
+    memory : MemoryPart, optional
+        Counts what is held for all clients.
+    connection_memory : MemoryPart, optional
+        Counts the open connections.
     max_connections : int, optional
         Connections that are open at once; None for any number.
     """
@@ -35,12 +38,13 @@
         self,
         now: Callable[[], float],
         *,
-        memory_bytes: int = DEFAULT_LIMIT_BYTES,
+        memory: MemoryPart | None = None,
+        connection_memory: MemoryPart | None = None,
         max_connections: int | None = None,
     ) -> None:
         self._now = now
-        self.memory = ClientMemory(now, memory_bytes)
-        self.connections = ClientConnections(max_connections)
+        self.memory = ClientMemory(now, memory)
+        self.connections = ClientConnections(max_connections, connection_memory)
         self.turns = BacklogTurns()
         self._reported_at_s = -math.inf
         self._n_unreported = 0
--- a/libs/http/src/damaskjunction/http/client_memory.py
+++ b/libs/http/src/damaskjunction/http/client_memory.py
@@ -4,11 +4,12 @@
 
 from collections.abc import Callable
 
+from damaskjunction.core import MemoryPart
 from damaskjunction.core.units import KIB, MIB
 from damaskjunction.http.messages import HttpError
 
 DEFAULT_LIMIT_BYTES = 64 * MIB
-SMALL_BYTES = 16 * KIB  # that need no room
+SMALL_BYTES = 16 * KIB  # that find room up to the limit by HARD_LIMIT_FACTOR
 STALLED_S = 1.0
 HARD_LIMIT_FACTOR = 1.5
 RETRY_AFTER_S = 1.0
@@ -19,9 +20,10 @@
 
     While all together hold too much, those are dropped first that have made no
     progress for ``STALLED_S``, the longest one at first. If there is none, the upload
-    that needs more room is refused. What is owed to a client, such as an answer that it
-    does not read, is not refused; it counts, and is dropped when it has stalled, or
-    when everything together exceeds the limit by ``HARD_LIMIT_FACTOR``.
+    that needs more room is refused, a small one only when everything together exceeds
+    the limit by ``HARD_LIMIT_FACTOR``. What is owed to a client, such as an answer that
+    it does not read, is not refused; it counts, and is dropped when it has stalled, or
+    beyond that factor.
 
     ``n_dropped`` and ``n_refused`` count both since the start.
 
@@ -29,17 +31,16 @@
     ----------
     now : callable
         Returns the current time in seconds.
-    limit_bytes : int, optional
-        Bytes that are held at once.
+    part : MemoryPart, optional
+        Counts the bytes that are held, and limits them.
     """
 
     def __init__(
-        self, now: Callable[[], float], limit_bytes: int = DEFAULT_LIMIT_BYTES
+        self, now: Callable[[], float], part: MemoryPart | None = None
     ) -> None:
         self._now = now
-        self.limit_bytes = limit_bytes
+        self.part = part or MemoryPart(DEFAULT_LIMIT_BYTES)
         self._holdings: set[Holding] = set()
-        self.n_bytes = 0
         self.n_dropped = 0
         self.n_refused = 0
 
@@ -51,20 +52,20 @@
 
     def change(self, holding: Holding, n_added: int) -> None:
         """Count bytes of an open holding; drop stalled ones while over the limit."""
-        self.n_bytes += n_added
+        self.part.change(n_added)
         holding.progressed_at_s = now_s = self._now()
         if n_added <= 0:
             return
-        while self.n_bytes > self.limit_bytes:
+        while not self.part.has_room():
             victim = self._longest_stalled(now_s, holding)
             if victim is None:
                 return
             self.n_dropped += 1
             victim.drop()
 
-    def has_room(self) -> bool:
-        """Return whether the holdings are within the limit."""
-        return self.n_bytes <= self.limit_bytes
+    def has_room(self, *, is_small: bool = False) -> bool:
+        """Return whether the holdings are within the limit of (small) uploads."""
+        return self.part.has_room(factor=HARD_LIMIT_FACTOR if is_small else 1.0)
 
     def _longest_stalled(self, now_s: float, asking: Holding) -> Holding | None:
         candidates = [
@@ -76,14 +77,14 @@
             return None
         oldest = min(candidates, key=lambda holding: holding.progressed_at_s)
         is_stalled = now_s - oldest.progressed_at_s >= STALLED_S
-        is_urgent = self.n_bytes > HARD_LIMIT_FACTOR * self.limit_bytes
+        is_urgent = not self.part.has_room(factor=HARD_LIMIT_FACTOR)
         return oldest if is_stalled or is_urgent else None
 
     def remove(self, holding: Holding) -> None:
         """Remove a holding, with all that it has counted."""
         if holding in self._holdings:
             self._holdings.remove(holding)
-            self.n_bytes -= holding.n_bytes
+            self.part.change(-holding.n_bytes)
 
 
 class Holding:
@@ -115,7 +116,8 @@
             With status 503 if there is no room, or if the holding was dropped.
         """
         self.resize(n_bytes)
-        if not self.is_dropped and not self._memory.has_room():
+        is_small = n_bytes <= SMALL_BYTES
+        if not self.is_dropped and not self._memory.has_room(is_small=is_small):
             self._memory.n_refused += 1
             self.close()
             self.is_dropped = True
--- a/libs/http/src/damaskjunction/http/receive_budget.py
+++ b/libs/http/src/damaskjunction/http/receive_budget.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from collections.abc import Callable, Hashable
 
+from damaskjunction.core import MemoryPart
 from damaskjunction.core.units import MIB
 from damaskjunction.http.messages import BrokenResponseError
 
@@ -20,14 +21,18 @@
 
     Parameters
     ----------
-    limit_bytes : int, optional
-        Bytes that are kept at once.
+    part : MemoryPart, optional
+        Counts the bytes that are kept; its own limit holds for them.
     """
 
-    def __init__(self, limit_bytes: int = DEFAULT_BUDGET_BYTES) -> None:
-        self._limit_bytes = limit_bytes
+    def __init__(self, part: MemoryPart | None = None) -> None:
+        self._part = part or MemoryPart(DEFAULT_BUDGET_BYTES)
         self._all_kept: set[KeptBytes] = set()
-        self.n_bytes = 0
+
+    @property
+    def n_bytes(self) -> int:
+        """Bytes that are kept now."""
+        return self._part.n_bytes
 
     def open(self, on_revoked: Callable[[], None], peer: Hashable = None) -> KeptBytes:
         """Return the account of one that keeps data of a peer.
@@ -42,8 +47,8 @@
         """Count bytes of an open account; revoke the largest while over the limit."""
         if kept not in self._all_kept:
             return
-        self.n_bytes += n_added
-        while self.n_bytes > self._limit_bytes:
+        self._part.change(n_added)
+        while self.n_bytes > self._part.limit_bytes:
             self._most_to_blame().revoke()
 
     def _most_to_blame(self) -> KeptBytes:
@@ -59,7 +64,7 @@
         """Remove an account, with all that it has counted."""
         if kept in self._all_kept:
             self._all_kept.remove(kept)
-            self.n_bytes -= kept.n_bytes
+            self._part.change(-kept.n_bytes)
 
 
 class KeptBytes:
--- a/libs/http/src/damaskjunction/http/request_reader.py
+++ b/libs/http/src/damaskjunction/http/request_reader.py
@@ -12,7 +12,7 @@
 from damaskjunction.core.units import KIB
 from damaskjunction.http.client_end import ClientEnd
 from damaskjunction.http.client_guard import ClientGuard
-from damaskjunction.http.client_memory import SMALL_BYTES, Holding
+from damaskjunction.http.client_memory import Holding
 from damaskjunction.http.messages import BodyReader, HttpError, HttpLimits, Request
 from damaskjunction.http.protocol import decode_headers
 from damaskjunction.http.read_ahead import FULL_BYTES, AheadReader
@@ -253,7 +253,7 @@
 
     def _keep_body(self, n_bytes: int, is_whole: bool) -> None:
         """Count the bytes of the body that are kept; raise when there is no room."""
-        if n_bytes <= SMALL_BYTES:
+        if not n_bytes:
             return
         if self._body is None:
             self._body = self._memory.open(self._drop_body)
--- a/libs/node/src/damaskjunction/node/__init__.py
+++ b/libs/node/src/damaskjunction/node/__init__.py
@@ -13,21 +13,29 @@
     open_udp_endpoint,
 )
 from damaskjunction.node.membership.membership import Membership
+from damaskjunction.node.memory_shares import (
+    CLIENT_FRACTION,
+    MemoryShares,
+    share_memory,
+)
 from damaskjunction.node.runners.connection_probe import refuses_connections
 from damaskjunction.node.state import HostView
 from damaskjunction.node.tasks import TaskSet, cancel_tasks, supervise
 
 __all__ = [
+    "CLIENT_FRACTION",
     "Component",
     "DatagramEndpoint",
     "DatagramEndpointFactory",
     "DatagramHandler",
     "HostView",
     "Membership",
+    "MemoryShares",
     "PeerHandlers",
     "TaskSet",
     "cancel_tasks",
     "open_udp_endpoint",
     "refuses_connections",
+    "share_memory",
     "supervise",
 ]
