--- a/libs/wire/features/codec.feature
+++ b/libs/wire/features/codec.feature
@@ -18,6 +18,18 @@
     When a list that declares 2000000000 zero-byte elements is decoded
     Then each input gave a message or a decode error
 
+  # Guards against a frame that keeps the event loop for seconds
+  Scenario Outline: A list of many small elements takes few steps to check
+    When a list of <count> elements of type <kind>, <size> bytes each, is checked
+    Then it is <decision> in less than 100 steps
+
+    Examples:
+      | kind | size | count   | decision |
+      | 2    | 1    | 4000000 | accepted |
+      | 10   | 8    | 500000  | accepted |
+      | 12   | 1    | 4000000 | refused  |
+      | 11   | 4    | 1000000 | refused  |
+
   Scenario Outline: A message with a text that is not UTF-8 or a number that is none is refused
     When each <part> of each kind of message is replaced by <odd>
     Then each such message gave a decode error
--- a/libs/wire/features/steps/codec_steps.py
+++ b/libs/wire/features/steps/codec_steps.py
@@ -5,6 +5,7 @@
 import math
 import random
 import struct
+import sys
 import tracemalloc
 from enum import StrEnum
 from importlib.resources import files
@@ -26,9 +27,11 @@
     encode_message,
     message_types,
 )
+from damaskjunction.wire.layout import LayoutError, check_struct
 from damaskjunction.wire.schema import read_structs
 from damaskjunction.wire.structs import load_structs
 
+LIST_TYPE = 15
 EXAMPLES = (
     Failure("not_run", "overloaded", "later", 1.0),
     HostStatus("a-1", 7, 3, "serving"),
@@ -142,6 +145,31 @@
     assert sum(context.outcomes.values()) == context.n_decoded, context.outcomes
 
 
+@when("a list of {count:d} elements of type {kind:d}, {size:d} bytes each, is checked")
+def check_list(context, count, kind, size):
+    field = struct.pack("!bhbi", LIST_TYPE, 1, kind, count)
+    data = field + bytes(size * count) + b"\0"
+    context.n_steps = 0
+
+    def count_step(frame, event, argument):
+        context.n_steps += event == "call"
+
+    sys.setprofile(count_step)
+    try:
+        check_struct(data)
+        context.decision = "accepted"
+    except LayoutError:
+        context.decision = "refused"
+    finally:
+        sys.setprofile(None)
+
+
+@then("it is {decision} in less than {count:d} steps")
+def check_steps(context, decision, count):
+    assert context.decision == decision, context.decision
+    assert context.n_steps < count, context.n_steps
+
+
 @when("a list that declares {count:d} zero-byte elements is decoded")
 def decode_list(context, count):
     reset_outcomes(context)
