Bound what peers make a host hold at the port between hosts

Callers saw: whoever reaches that port ended a host or cut it off. 40 peers that sent a frame of 4 MiB short of its end took 194 MB of 80; 400 that sent one byte had 415 of 300 descriptors, and nobody else was accepted; 20 peers that sent 100 calls of an unknown kind of 60 KB and read no answer took 100 MB.

Cause: frames were read whole without an account, connections had no bound, answers were written without regard to whether they are read, and a failure quoted all of what the peer had sent.

Frames above 16 KiB count as they arrive, calls in progress with their message, and answers that are not read; without room the connection ends, or the call is refused as not run. Connections have 0.2 of the descriptors; a new one takes the place of the one that has waited longest, those that never served a call first. All draw on the account of the host. peer_held_bytes, peer_connections and peers_evicted show it; the log names the peer. The three belong together: each is the account at one place of the connection.

--- a/libs/gateway/features/steps/greedy_client_steps.py
+++ b/libs/gateway/features/steps/greedy_client_steps.py
@@ -23,6 +23,8 @@
 from damaskjunction.core import Address
 from damaskjunction.core.units import KIB, MIB
 from damaskjunction.standins import make_job
+from damaskjunction.wire.channel import Operation, frame_bytes
+from damaskjunction.wire.codec import Frame
 
 HEADER_BYTES = 8192
 N_ITEMS = 20  # of a large job
@@ -162,6 +164,18 @@
     send_to_peer_port(context, [[b"\0"] for _ in range(count)])
 
 
+@when(
+    "{count:d} peers send {n_calls:d} calls of {size_kb:d} KB of an unknown kind, and "
+    "read nothing"
+)
+def send_calls(context, count, n_calls, size_kb):
+    calls = [
+        frame_bytes(Frame(number, Operation.CALL, "x" * size_kb * KIB))
+        for number in range(n_calls)
+    ]
+    send_to_peer_port(context, [calls for _ in range(count)])
+
+
 def send_to_peer_port(context, clients):
     settings = context.platform.settings[HOST]
     send_at_once(context, Address(settings.ip, settings.peer_port), clients)
--- a/libs/gateway/src/damaskjunction/gateway/root.py
+++ b/libs/gateway/src/damaskjunction/gateway/root.py
@@ -38,7 +38,7 @@
 from damaskjunction.gateway.versions.stream_origins import StreamOriginKeeper
 from damaskjunction.gateway.versions.take_ups import TakeUpResolver
 from damaskjunction.gateway.versions.version_registry import VersionRegistry
-from damaskjunction.http import ReceiveBudget
+from damaskjunction.http import ClientGuard, ReceiveBudget
 from damaskjunction.membership import FailureDetector, Timing, first_incarnation
 from damaskjunction.node import (
     Component,
@@ -60,6 +60,7 @@
 logger = logging.getLogger(__name__)
 
 TIMING = Timing(probe_period_s=0.5, ack_timeout_s=0.2, suspicion_timeout_s=1.0)
+PEER_DESCRIPTOR_FRACTION = 0.2  # of the file descriptors of the process
 TUNNEL_DESCRIPTOR_FRACTION = 0.1  # of the file descriptors of the process
 DESCRIPTORS_PER_TUNNEL = 2
 # A runner that leaves gets no requests over a tunnel that was opened before.
@@ -209,7 +210,11 @@
             metrics=self.metrics,
         )
         self._peer_server = PeerServer(
-            peer, timers, handlers.handle, access.tunnel_server.serve
+            peer,
+            timers,
+            handlers.handle,
+            access.tunnel_server.serve,
+            guard=self._make_peer_guard(),
         )
         self._host_registry = HostRegistry(
             self._store, own, self._membership, self.view, settings.n_cores
@@ -310,6 +315,20 @@
         self.dump.sections.register("runner_paths")(access.to_document)
         return access
 
+    def _make_peer_guard(self) -> ClientGuard:
+        n_descriptors = PEER_DESCRIPTOR_FRACTION * self._settings.max_descriptors
+        guard = ClientGuard(
+            self._timers.now,
+            memory=self._memory.links,
+            connection_memory=self._memory.connections,
+            max_connections=int(n_descriptors),
+        )
+        memory, connections = guard.memory, guard.connections
+        self.metrics.gauge("peer_held_bytes", lambda: float(memory.part.n_bytes))
+        self.metrics.gauge("peer_connections", lambda: float(connections.n_open))
+        self.metrics.gauge("peers_evicted", lambda: float(connections.n_evicted))
+        return guard
+
     def _make_job_front(self, handlers: PeerHandlers) -> JobFront:
         jobs, timers = self.job_repository, self._timers
         notifier = CancellationNotifier(jobs, self.view, self._links)
--- a/libs/http/src/damaskjunction/http/__init__.py
+++ b/libs/http/src/damaskjunction/http/__init__.py
@@ -1,7 +1,10 @@
 """HTTP/1.1 server and client on h11, server-sent events and request routing."""
 
+from damaskjunction.http.backlog import BacklogTurns
 from damaskjunction.http.client import ClientResponse, HttpClient
+from damaskjunction.http.client_end import ClientEnd
 from damaskjunction.http.client_guard import ClientGuard
+from damaskjunction.http.client_memory import SMALL_BYTES, ClientMemory, Holding
 from damaskjunction.http.connection import ResponseHead
 from damaskjunction.http.connector import Connector, DirectConnector, OpenConnection
 from damaskjunction.http.events import (
@@ -44,9 +47,13 @@
     "EVENT_STREAM_TYPE",
     "JSON_TYPE",
     "RECEIVE_BUFFER_BYTES",
+    "SMALL_BYTES",
+    "BacklogTurns",
     "BodyReader",
     "BrokenResponseError",
+    "ClientEnd",
     "ClientGuard",
+    "ClientMemory",
     "ClientResponse",
     "ConnectFailedError",
     "Connector",
@@ -54,6 +61,7 @@
     "Event",
     "EventParser",
     "Handler",
+    "Holding",
     "HttpClient",
     "HttpError",
     "HttpLimits",
--- a/libs/http/src/damaskjunction/http/client_memory.py
+++ b/libs/http/src/damaskjunction/http/client_memory.py
@@ -63,9 +63,9 @@
             self.n_dropped += 1
             victim.drop()
 
-    def has_room(self, *, is_small: bool = False) -> bool:
-        """Return whether the holdings are within the limit of (small) uploads."""
-        return self.part.has_room(factor=HARD_LIMIT_FACTOR if is_small else 1.0)
+    def has_room(self, *, is_favoured: bool = False) -> bool:
+        """Return whether the holdings are within the limit of (favoured) ones."""
+        return self.part.has_room(factor=HARD_LIMIT_FACTOR if is_favoured else 1.0)
 
     def _longest_stalled(self, now_s: float, asking: Holding) -> Holding | None:
         candidates = [
@@ -107,6 +107,18 @@
         n_added, self.n_bytes = n_bytes - self.n_bytes, n_bytes
         self._memory.change(self, n_added)
 
+    def try_resize(self, n_bytes: int, *, is_favoured: bool = False) -> bool:
+        """Set how many bytes are held; drop them and return False without room.
+
+        Favoured ones find room up to the limit by ``HARD_LIMIT_FACTOR``.
+        """
+        self.resize(n_bytes)
+        if not self.is_dropped and not self._memory.has_room(is_favoured=is_favoured):
+            self._memory.n_refused += 1
+            self.close()
+            self.is_dropped = True
+        return not self.is_dropped
+
     def request(self, n_bytes: int) -> None:
         """Set how many bytes of an upload are held.
 
@@ -115,12 +127,7 @@
         HttpError
             With status 503 if there is no room, or if the holding was dropped.
         """
-        self.resize(n_bytes)
-        is_small = n_bytes <= SMALL_BYTES
-        if not self.is_dropped and not self._memory.has_room(is_small=is_small):
-            self._memory.n_refused += 1
-            self.close()
-            self.is_dropped = True
+        self.try_resize(n_bytes, is_favoured=n_bytes <= SMALL_BYTES)
         self.check()
 
     def fix(self) -> None:
--- a/libs/lab/src/damaskjunction/lab/soak/proxied_host.py
+++ b/libs/lab/src/damaskjunction/lab/soak/proxied_host.py
@@ -24,8 +24,9 @@
 class ProxiedPeerServer(PeerServer):
     """A server for calls from other hosts, behind a proxy."""
 
-    def __init__(self, address: Address, *args: Any) -> None:
-        super().__init__(Address(address.ip, address.port + LINK_PORT_OFFSET), *args)
+    def __init__(self, address: Address, *args: Any, **options: Any) -> None:
+        own = Address(address.ip, address.port + LINK_PORT_OFFSET)
+        super().__init__(own, *args, **options)
 
 
 def redirect_to_paths(listed_ip: str, path_ip: str) -> None:
--- a/libs/wire/src/damaskjunction/wire/channel.py
+++ b/libs/wire/src/damaskjunction/wire/channel.py
@@ -9,7 +9,8 @@
 from enum import IntEnum
 
 from damaskjunction.core import Subscription, Timers
-from damaskjunction.core.units import MIB
+from damaskjunction.core.units import KIB, MIB
+from damaskjunction.http import SMALL_BYTES, ClientMemory, Holding
 from damaskjunction.wire.codec import (
     DecodeError,
     Frame,
@@ -20,6 +21,7 @@
 logger = logging.getLogger(__name__)
 
 MAX_FRAME_BYTES = 4 * MIB
+READ_BYTES = 64 * KIB
 PING_INTERVAL_S = 0.25
 MAX_CHECK_INTERVAL_S = 2 * PING_INTERVAL_S
 KEEPALIVE_TIMEOUT_S = 1.0
@@ -67,20 +69,54 @@
     return _LENGTH.pack(len(data)) + data
 
 
-async def read_frame(reader: asyncio.StreamReader) -> Frame:
+class NoRoomError(ConnectionError):
+    """The peer's bytes find no room in the memory for those of all peers."""
+
+
+async def read_frame(
+    reader: asyncio.StreamReader, holding: Holding | None = None
+) -> Frame:
     """Return the next frame of a connection.
 
+    Parameters
+    ----------
+    reader : asyncio.StreamReader
+        The connection.
+    holding : Holding, optional
+        Counts a frame of more than ``SMALL_BYTES`` as it arrives.
+
     Raises
     ------
     DecodeError
         If the bytes are no valid frame.
+    NoRoomError
+        If there is no room for the frame.
     OSError, asyncio.IncompleteReadError
         If the connection ends before.
     """
     (length,) = _LENGTH.unpack(await reader.readexactly(_LENGTH.size))
     if length > MAX_FRAME_BYTES:
         raise DecodeError(f"frame of {length} bytes is too large")
-    return decode_frame(await reader.readexactly(length))
+    if holding is None or length <= SMALL_BYTES:
+        return decode_frame(await reader.readexactly(length))
+    try:
+        return decode_frame(await _read_counted(reader, length, holding))
+    finally:
+        holding.resize(0)
+
+
+async def _read_counted(
+    reader: asyncio.StreamReader, length: int, holding: Holding
+) -> bytes:
+    data = bytearray()
+    while len(data) < length:
+        part = await reader.read(min(READ_BYTES, length - len(data)))
+        if not part:
+            raise asyncio.IncompleteReadError(bytes(data), length)
+        data += part
+        if not holding.try_resize(len(data)):
+            raise NoRoomError("no room for a frame")
+    return bytes(data)
 
 
 class Channel:
@@ -97,6 +133,9 @@
         The process's timer service.
     handle_frame : callable
         Receives each frame that is neither a ping nor a pong.
+    memory : ClientMemory, optional
+        Counts what is received, and what the peer does not read; without it, neither
+        is bounded.
     """
 
     def __init__(
@@ -105,11 +144,15 @@
         writer: asyncio.StreamWriter,
         timers: Timers,
         handle_frame: Callable[[Frame], None],
+        *,
+        memory: ClientMemory | None = None,
     ) -> None:
         self._reader = reader
         self._writer = writer
         self._timers = timers
         self._handle_frame = handle_frame
+        self._received = None if memory is None else memory.open(self.abort)
+        self._unread = None if memory is None else memory.open(self.abort)
         # Until the first pong, ``pong_age_s`` exceeds every limit on it.
         self._last_pong_at_s = -KEEPALIVE_TIMEOUT_S
         self._keepalive_since_s = 0.0
@@ -155,6 +198,21 @@
             If the peer would reject the frame; nothing was written.
         """
         self._writer.write(frame_bytes(frame))
+        self._count_unread()
+
+    def _count_unread(self) -> None:
+        """Count what the peer has not read; abort the connection without room."""
+        unread = self._unread
+        if unread is None:
+            return
+        n_bytes = self._writer.transport.get_write_buffer_size()
+        if n_bytes <= SMALL_BYTES:
+            n_bytes = 0
+        if n_bytes != unread.n_bytes and not unread.try_resize(
+            n_bytes, is_favoured=True
+        ):
+            logger.warning("peer reads too little", extra={"unread_bytes": n_bytes})
+            self.abort()
 
     async def drain(self) -> None:
         """Wait while the connection's buffer is full."""
@@ -170,8 +228,7 @@
         try:
             if first is not None:
                 self._dispatch(first)
-            while True:
-                self._dispatch(await read_frame(self._reader))
+            await self._receive()
         except (OSError, asyncio.IncompleteReadError):
             pass  # the connection was closed by either end
         except DecodeError as error:
@@ -179,6 +236,14 @@
         finally:
             self.abort()
             self._fail_pending_pong()
+            for holding in (self._received, self._unread):
+                if holding is not None:
+                    holding.close()
+
+    async def _receive(self) -> None:
+        """Handle frames one after the other."""
+        while True:
+            self._dispatch(await read_frame(self._reader, self._received))
 
     def _dispatch(self, frame: Frame) -> None:
         if frame.operation == Operation.PING:
--- a/libs/wire/src/damaskjunction/wire/sessions.py
+++ b/libs/wire/src/damaskjunction/wire/sessions.py
@@ -8,11 +8,19 @@
 from typing import TypeAlias
 
 from damaskjunction.core import Address, Outcome, RequestError, Timers
+from damaskjunction.core.units import KIB
+from damaskjunction.http import (
+    ClientEnd,
+    ClientGuard,
+    Holding,
+    bound_receive_buffer,
+)
 from damaskjunction.wire.channel import (
     CREDIT_REPLIES,
     WINDOW_REPLIES,
     Channel,
     FrameTooLargeError,
+    NoRoomError,
     Operation,
 )
 from damaskjunction.wire.codec import (
@@ -28,6 +36,9 @@
 logger = logging.getLogger(__name__)
 
 MAX_CALLS = 1024  # in progress on one connection
+CALL_BYTES = 4 * KIB  # of a call in progress, beside its message
+STREAM_LIMIT_BYTES = 32 * KIB
+MAX_DETAIL_CHARACTERS = 200  # of a failure, which may quote what the peer has sent
 
 Reply: TypeAlias = Callable[[Message], Awaitable[None]]
 CallHandler: TypeAlias = Callable[[Message, Reply], Awaitable[None]]
@@ -51,6 +62,8 @@
     serve_tunnel : callable, optional
         Serves a tunnel to a runner on a connection until it ends. Without it, none is
         opened.
+    guard : ClientGuard, optional
+        Bounds on all that connect to this server.
     """
 
     def __init__(
@@ -59,9 +72,12 @@
         timers: Timers,
         handle: CallHandler,
         serve_tunnel: TunnelHandler | None = None,
+        *,
+        guard: ClientGuard | None = None,
     ) -> None:
         self._address = address
         self._timers = timers
+        self._guard = guard or ClientGuard(timers.now)
         self._handle = handle
         self._serve_tunnel = serve_tunnel
         self._server: asyncio.Server | None = None
@@ -70,7 +86,11 @@
     async def start(self) -> None:
         """Start listening and serving."""
         self._server = await asyncio.start_server(
-            self._serve, self._address.ip, self._address.port, backlog=1024
+            self._serve,
+            self._address.ip,
+            self._address.port,
+            backlog=1024,
+            limit=STREAM_LIMIT_BYTES,
         )
 
     async def drain(self) -> None:
@@ -88,25 +108,50 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        peer = _Peer(ClientEnd(writer, self._guard, self._timers.now), writer)
+        if not self._guard.connections.try_add(peer):
+            peer.evict()
+            return
+        bound_receive_buffer(writer)
         try:
-            first, ask = await read_tunnel_ask(reader)
-            if ask is None:
-                await self._serve_calls(first, reader, writer)
-            elif self._serve_tunnel is not None:
-                await self._serve_tunnel(ask, reader, writer)
+            await self._serve_peer(peer, reader, writer)
+        except NoRoomError as error:
+            peer.end.report(str(error))
         except (OSError, asyncio.IncompleteReadError):
             pass  # the connection was closed by either end
         except DecodeError as error:
-            logger.warning("peer sent an invalid frame", extra={"error": str(error)})
+            extra = {"peer": peer.end.name, "error": str(error)}
+            logger.warning("peer sent an invalid frame", extra=extra)
         except asyncio.CancelledError:
             pass  # the event loop is shutting down
         finally:
+            self._guard.connections.remove(peer)
             writer.transport.abort()
 
+    async def _serve_peer(
+        self, peer: _Peer, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        received = self._guard.memory.open(lambda: peer.end.drop("slow frame"))
+        try:
+            first, ask = await read_tunnel_ask(reader, received)
+        finally:
+            received.close()
+        if ask is None:
+            await self._serve_calls(peer, first, reader, writer)
+        elif self._serve_tunnel is not None:
+            peer.begin_work()
+            await self._serve_tunnel(ask, reader, writer)
+
     async def _serve_calls(
-        self, first: Frame, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        peer: _Peer,
+        first: Frame,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
     ) -> None:
-        session = _Session(reader, writer, self._timers, self._handle)
+        session = _Session(
+            peer, reader, writer, self._timers, handle=self._handle, guard=self._guard
+        )
         self._sessions.add(session)
         try:
             await session.run(first)
@@ -114,10 +159,35 @@
             self._sessions.discard(session)
 
 
+class _Peer:
+    """The other end of a connection, which may have to make room for another one."""
+
+    def __init__(self, end: ClientEnd, writer: asyncio.StreamWriter) -> None:
+        self.end = end
+        self.n_served = 0
+        self._writer = writer
+
+    @property
+    def waits_since_s(self) -> float | None:
+        """Since when nothing is done for the peer, None while something is."""
+        return self.end.waits_since_s
+
+    def begin_work(self) -> None:
+        """Note that a call, or a tunnel, is served."""
+        self.n_served += 1
+        self.end.end_wait()
+
+    def evict(self) -> None:
+        """Close the connection at once: another one needs its room."""
+        self.end.report("too many connections")
+        self._writer.transport.abort()
+
+
 class _ServerCall:
     """One call in progress at the server end."""
 
-    def __init__(self) -> None:
+    def __init__(self, holding: Holding) -> None:
+        self.holding = holding
         self.credit = WINDOW_REPLIES
         self.credit_added = asyncio.Event()
         self.task: asyncio.Task[None] | None = None
@@ -140,12 +210,23 @@
 
     def __init__(
         self,
+        peer: _Peer,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         timers: Timers,
+        *,
         handle: CallHandler,
+        guard: ClientGuard,
     ) -> None:
-        self._channel = Channel(reader, writer, timers, self._handle_frame)
+        self._peer = peer
+        self._guard = guard
+        self._channel = Channel(
+            reader,
+            writer,
+            timers,
+            self._handle_frame,
+            memory=guard.memory,
+        )
         self._handle = handle
         self._calls_by_id: dict[int, _ServerCall] = {}
 
@@ -179,22 +260,33 @@
             call.task.cancel()
 
     def _start_call(self, frame: Frame) -> None:
-        if len(self._calls_by_id) >= MAX_CALLS:
-            failure = Failure(
-                Outcome.NOT_RUN, "overloaded", "too many calls in progress", 1.0
-            )
-            self._send(frame.call_id, failure)
-            self._channel.send(Frame(frame.call_id, Operation.END))
+        holding = self._guard.memory.open(self.close)
+        n_bytes = CALL_BYTES + len(frame.body)
+        has_room = holding.try_resize(n_bytes, is_favoured=True)
+        if not has_room or len(self._calls_by_id) >= MAX_CALLS:
+            holding.close()
+            self._refuse(frame)
             return
-        call = _ServerCall()
+        holding.fix()
+        call = _ServerCall(holding)
         self._calls_by_id[frame.call_id] = call
+        self._peer.begin_work()
         self._channel.start_keepalive()
         call.task = asyncio.ensure_future(self._run_call(frame, call))
         call.task.add_done_callback(lambda _: self._finish_call(frame.call_id))
 
+    def _refuse(self, frame: Frame) -> None:
+        self._peer.end.report("too many calls")
+        failure = Failure(
+            Outcome.NOT_RUN, "overloaded", "too many calls in progress", 1.0
+        )
+        self._send(frame.call_id, failure)
+        self._channel.send(Frame(frame.call_id, Operation.END))
+
     def _finish_call(self, call_id: int) -> None:
-        del self._calls_by_id[call_id]
+        self._calls_by_id.pop(call_id).holding.close()
         if not self._calls_by_id:
+            self._peer.end.begin_wait()
             self._channel.stop_keepalive()
 
     async def _run_call(self, frame: Frame, call: _ServerCall) -> None:
@@ -208,7 +300,8 @@
         except RequestError as error:
             self._send(frame.call_id, Failure.from_error(error))
         except DecodeError as error:
-            failure = Failure(Outcome.NOT_RUN, "bad_message", str(error), 0.0)
+            detail = str(error)[:MAX_DETAIL_CHARACTERS]
+            failure = Failure(Outcome.NOT_RUN, "bad_message", detail, 0.0)
             self._send(frame.call_id, failure)
         except FrameTooLargeError as error:
             failure = Failure(Outcome.RAN, "answer_too_large", str(error), 0.0)
--- a/libs/wire/src/damaskjunction/wire/tunnels.py
+++ b/libs/wire/src/damaskjunction/wire/tunnels.py
@@ -13,6 +13,7 @@
 from typing import NamedTuple
 
 from damaskjunction.core import Address
+from damaskjunction.http import Holding
 from damaskjunction.routing import Reach
 from damaskjunction.wire.channel import Operation, frame_bytes, read_frame
 from damaskjunction.wire.codec import (
@@ -129,10 +130,12 @@
 
 
 async def read_tunnel_ask(
-    reader: asyncio.StreamReader,
+    reader: asyncio.StreamReader, holding: Holding | None = None
 ) -> tuple[Frame, OpenTunnel | None]:
     """Return the first frame of a connection, and the ask for a tunnel if it is one.
 
+    ``holding`` counts a large frame as it arrives.
+
     Raises
     ------
     DecodeError
@@ -140,7 +143,7 @@
     OSError, asyncio.IncompleteReadError
         If the connection ends before.
     """
-    frame = await read_frame(reader)
+    frame = await read_frame(reader, holding)
     if frame.operation != Operation.TUNNEL:
         return frame, None
     message = decode_message(frame.kind, frame.body)
