End a link whose peer reuses the id of a call in progress

Found by reading for what one peer may make a process hold: calls under an id that is in use replaced the former one in the table, so that neither the bound of 1,024 calls on a connection nor their end applied to it; each went on as a task of its own, and its end raised KeyError.

Such a frame is invalid now and ends the connection, with a log line that names the peer. Hosts never reuse an id on a connection.

--- a/libs/wire/features/links.feature
+++ b/libs/wire/features/links.feature
@@ -50,3 +50,10 @@
     Then the connection is kept
     When the peer is silent for 0.5 s
     Then the connection is aborted
+
+  # Guards against calls in progress beyond the bound on their number
+  Scenario: A call under the id of one in progress ends the connection
+    Given a peer that answers each call with 1000 replies
+    When calls of the ids 7, 8 and 7 are sent on one connection
+    Then that connection is closed
+    And the peer has no call in progress
--- a/libs/wire/features/steps/links_steps.py
+++ b/libs/wire/features/steps/links_steps.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
+from collections import Counter
+from unittest.mock import patch
 
 from behave import given, then, when
 
@@ -10,9 +13,13 @@
 from damaskjunction.routing import Token
 from damaskjunction.standins import allocate_addresses
 from damaskjunction.standins.scenarios import run
-from damaskjunction.wire import PeerLinks, PeerServer
+from damaskjunction.wire import Frame, PeerLinks, PeerServer, encode_message
+from damaskjunction.wire import channel as wire_channel
+from damaskjunction.wire.channel import Channel, Operation, frame_bytes
 
 LANE = "online"
+CLOSE_TIMEOUT_S = 20.0
+READ_BYTES = 65536
 
 
 class CountingTimers(LoopTimers):
@@ -150,3 +157,63 @@
 def check_timers(context):
     run(context, context.peer.drain())
     assert context.timers.n_pending() == 1, context.timers.n_pending()
+
+
+@when("calls of the ids {first:d}, {second:d} and {third:d} are sent on one connection")
+def send_calls(context, first, second, third):
+    body = encode_message(Token(1, 0, "x"))
+    frames = [
+        frame_bytes(Frame(number, Operation.CALL, Token.__name__, body))
+        for number in (first, second, third)
+    ]
+
+    async def work():
+        reader, writer = await asyncio.open_connection(*context.address)
+        writer.write(b"".join(frames))
+        async with asyncio.timeout(CLOSE_TIMEOUT_S):
+            while await reader.read(READ_BYTES):
+                pass
+        writer.close()
+        return True
+
+    context.is_closed = run(context, work())
+
+
+@then("that connection is closed")
+def check_closed(context):
+    assert context.is_closed
+
+
+@when("{count:d} pings are sent on one connection at once")
+def send_pings(context, count):
+    pongs_by_turn = Counter()
+    turn = itertools.count()
+    number = [next(turn)]
+
+    def count_turn():
+        number[0] = next(turn)
+        asyncio.get_running_loop().call_soon(count_turn)
+
+    def send(self, frame):
+        pongs_by_turn[number[0]] += frame.operation == Operation.PONG
+        send_frame(self, frame)
+
+    async def work():
+        count_turn()
+        _, writer = await asyncio.open_connection(*context.address)
+        writer.write(frame_bytes(Frame(0, Operation.PING)) * count)
+        async with asyncio.timeout(CLOSE_TIMEOUT_S):
+            while sum(pongs_by_turn.values()) < count:  # noqa: ASYNC110 - a turn each
+                await asyncio.sleep(0)
+        writer.close()
+
+    send_frame = Channel.send
+    with patch.object(wire_channel.Channel, "send", send):
+        run(context, work())
+    context.pongs_by_turn = pongs_by_turn
+
+
+@then("at most {count:d} of them are answered in one turn of the event loop")
+def check_pongs(context, count):
+    most = max(context.pongs_by_turn.values())
+    assert most <= count, most
--- a/libs/wire/src/damaskjunction/wire/sessions.py
+++ b/libs/wire/src/damaskjunction/wire/sessions.py
@@ -260,6 +260,8 @@
             call.task.cancel()
 
     def _start_call(self, frame: Frame) -> None:
+        if frame.call_id in self._calls_by_id:
+            raise DecodeError(f"call {frame.call_id} is in progress")
         holding = self._guard.memory.open(self.close)
         n_bytes = CALL_BYTES + len(frame.body)
         has_room = holding.try_resize(n_bytes, is_favoured=True)
