Let other work go on between the frames of a link

Found by reading for how long one block of a peer's bytes may keep the loop: frames that had arrived together were handled without giving the event loop back, up to 5,000 pings in a block of 128 KiB.

After 64 frames a link waits for its turn, one link in each turn of the loop; links that are called share no turns with those that call.

Evidence: links.feature counts pongs in each turn of the loop and reads no clock; before 3,000 of 3,000 in one turn, now 64 at most.

--- a/libs/wire/features/links.feature
+++ b/libs/wire/features/links.feature
@@ -57,3 +57,9 @@
     When calls of the ids 7, 8 and 7 are sent on one connection
     Then that connection is closed
     And the peer has no call in progress
+
+  # Guards against a connection that keeps the event loop for all frames of a block
+  Scenario: Other work goes on between the frames of a block
+    Given a peer that answers each call with 1 replies
+    When 3000 pings are sent on one connection at once
+    Then at most 64 of them are answered in one turn of the event loop
--- a/libs/wire/src/damaskjunction/wire/channel.py
+++ b/libs/wire/src/damaskjunction/wire/channel.py
@@ -10,7 +10,7 @@
 
 from damaskjunction.core import Subscription, Timers
 from damaskjunction.core.units import KIB, MIB
-from damaskjunction.http import SMALL_BYTES, ClientMemory, Holding
+from damaskjunction.http import SMALL_BYTES, BacklogTurns, ClientMemory, Holding
 from damaskjunction.wire.codec import (
     DecodeError,
     Frame,
@@ -21,6 +21,7 @@
 logger = logging.getLogger(__name__)
 
 MAX_FRAME_BYTES = 4 * MIB
+MAX_FRAMES_AT_ONCE = 64  # before other connections have their turn
 READ_BYTES = 64 * KIB
 PING_INTERVAL_S = 0.25
 MAX_CHECK_INTERVAL_S = 2 * PING_INTERVAL_S
@@ -133,6 +134,8 @@
         The process's timer service.
     handle_frame : callable
         Receives each frame that is neither a ping nor a pong.
+    turns : BacklogTurns, optional
+        The turns of connections that have many frames at hand; all have one by default.
     memory : ClientMemory, optional
         Counts what is received, and what the peer does not read; without it, neither
         is bounded.
@@ -145,12 +148,14 @@
         timers: Timers,
         handle_frame: Callable[[Frame], None],
         *,
+        turns: BacklogTurns | None = None,
         memory: ClientMemory | None = None,
     ) -> None:
         self._reader = reader
         self._writer = writer
         self._timers = timers
         self._handle_frame = handle_frame
+        self._turns = turns or BacklogTurns()
         self._received = None if memory is None else memory.open(self.abort)
         self._unread = None if memory is None else memory.open(self.abort)
         # Until the first pong, ``pong_age_s`` exceeds every limit on it.
@@ -228,6 +233,7 @@
         try:
             if first is not None:
                 self._dispatch(first)
+                await self._turns.wait()
             await self._receive()
         except (OSError, asyncio.IncompleteReadError):
             pass  # the connection was closed by either end
@@ -241,9 +247,11 @@
                     holding.close()
 
     async def _receive(self) -> None:
-        """Handle frames one after the other."""
+        """Handle frames; after so many that may all have arrived, let others go on."""
         while True:
-            self._dispatch(await read_frame(self._reader, self._received))
+            for _ in range(MAX_FRAMES_AT_ONCE):
+                self._dispatch(await read_frame(self._reader, self._received))
+            await self._turns.wait()
 
     def _dispatch(self, frame: Frame) -> None:
         if frame.operation == Operation.PING:
--- a/libs/wire/src/damaskjunction/wire/sessions.py
+++ b/libs/wire/src/damaskjunction/wire/sessions.py
@@ -225,6 +225,7 @@
             writer,
             timers,
             self._handle_frame,
+            turns=guard.turns,
             memory=guard.memory,
         )
         self._handle = handle
