Accept few connections at once at the port between hosts

Found while the bound on its connections was tested at a host of node: 211 descriptors were open at a bound of 60, right after 400 peers had connected.

Cause: asyncio accepts as many connections in one iteration of the loop as its backlog says, 1,024 here, before the first of them is looked at, so that the bound could be exceeded by as many. Their kernel buffers grew as the kernel liked, and count as memory of the process while they are not read.

The listener is made as that of the HTTP server: 32 are accepted at once, and the kernel holds 128 KiB in each direction.

--- a/libs/http/src/damaskjunction/http/__init__.py
+++ b/libs/http/src/damaskjunction/http/__init__.py
@@ -41,6 +41,7 @@
     RECEIVE_BUFFER_BYTES,
     bound_receive_buffer,
     enable_tcp_keepalive,
+    open_listener,
 )
 
 __all__ = [
@@ -84,6 +85,7 @@
     "bound_receive_buffer",
     "enable_tcp_keepalive",
     "encode_event",
+    "open_listener",
     "read_json",
     "request_error_document",
     "to_json_response",
--- a/libs/wire/src/damaskjunction/wire/sessions.py
+++ b/libs/wire/src/damaskjunction/wire/sessions.py
@@ -14,6 +14,7 @@
     ClientGuard,
     Holding,
     bound_receive_buffer,
+    open_listener,
 )
 from damaskjunction.wire.channel import (
     CREDIT_REPLIES,
@@ -38,6 +39,8 @@
 MAX_CALLS = 1024  # in progress on one connection
 CALL_BYTES = 4 * KIB  # of a call in progress, beside its message
 STREAM_LIMIT_BYTES = 32 * KIB
+BACKLOG = 1024
+N_ACCEPTED_AT_ONCE = 32
 MAX_DETAIL_CHARACTERS = 200  # of a failure, which may quote what the peer has sent
 
 Reply: TypeAlias = Callable[[Message], Awaitable[None]]
@@ -85,13 +88,15 @@
 
     async def start(self) -> None:
         """Start listening and serving."""
+        listener = open_listener(self._address)
         self._server = await asyncio.start_server(
             self._serve,
-            self._address.ip,
-            self._address.port,
-            backlog=1024,
+            sock=listener,
             limit=STREAM_LIMIT_BYTES,
+            # The event loop accepts so many in one of its iterations.
+            backlog=N_ACCEPTED_AT_ONCE,
         )
+        listener.listen(BACKLOG)
 
     async def drain(self) -> None:
         """Wait until no call is in progress."""
