Bound what clients and peers make a host of node hold by its settings

Callers saw: a host of damaskjunction.node could not be told its memory. On a machine of 100 MB, 40 clients with bodies of 4 MB short of their end took 105 and 110 MB, in chunks of 8 bytes 198 MB; 400 clients that sent one byte had 356 and 414 descriptors open; 40 frames of 4 MiB short of their end took 194 MB, and three documents of empty lists 145 MB.

Cause: the account was a constant of 64 MiB a server and 4,096 connections, and the port between hosts had none.

The settings memory_mb and max_descriptors say what the process has; by default 1024 MB and 10,240 descriptors, with which nothing is bounded lower than before. From them follow the same shares and guards as those of a host on the platform (memory_shares, guards), which the two composition roots share. peers_cut counts those who were refused or dropped by their address and the reason.

The crowds' code moved to standins, for both.

--- a/libs/gateway/features/own_process_fleet.py
+++ b/libs/gateway/features/own_process_fleet.py
@@ -22,9 +22,6 @@
 PATHS = {ENGINE: "/ask/1", PLAIN: "/look/1"}
 PAUSE_S = 0.05
 START_TIMEOUT_S = 20.0
-REST_S = 4.0
-SAMPLE_S = 0.01
-N_ASLEEP = 12  # samples in a row for which a host at rest does not run
 
 
 class OwnProcessFleet(PlatformFleet):
@@ -93,20 +90,6 @@
         status = reply.status if reply.is_complete else 0
         return status, time.monotonic() - began_at_s
 
-    async def wait_until_at_rest(self) -> None:
-        """Return once the host has nothing to do, has ended or ``REST_S`` are over."""
-        n_asleep = 0
-        for _ in range(int(REST_S / SAMPLE_S)):
-            await asyncio.sleep(SAMPLE_S)
-            if n_asleep >= N_ASLEEP or self.host.poll() is not None:
-                return
-            n_asleep = n_asleep + 1 if self._is_asleep() else 0
-
-    def _is_asleep(self) -> bool:
-        """Return whether the host neither runs nor waits for a processor."""
-        text = Path(f"/proc/{self.host.pid}/stat").read_text()
-        return text.rpartition(") ")[2].startswith("S")
-
     def peak_memory_mb(self) -> float:
         """Return the most memory that the host has had at once."""
         lines = Path(f"/proc/{self.host.pid}/status").read_text().splitlines()
--- a/libs/gateway/features/steps/greedy_client_steps.py
+++ b/libs/gateway/features/steps/greedy_client_steps.py
@@ -6,23 +6,24 @@
 
 from behave import given, then, when
 from fleet_helpers import run
-from greedy_crowd import (
-    PIECE_BYTES,
+from own_process_fleet import HOST, PATHS, OwnProcessFleet
+from platform_fleet import PLAIN, ROUTES, make_configuration
+
+from damaskjunction.core import Address
+from damaskjunction.core.units import KIB, MIB
+from damaskjunction.standins import make_job
+from damaskjunction.standins.greedy_crowd import (
     SHORT_BYTES,
     SMALL_PIECE_BYTES,
     GreedyCrowd,
     ask_whole,
     body_in_chunks,
     body_with_length,
+    frame_short_of_its_end,
     large_head,
     requests_ahead,
+    wait_until_at_rest,
 )
-from own_process_fleet import HOST, PATHS, OwnProcessFleet
-from platform_fleet import PLAIN, ROUTES, make_configuration
-
-from damaskjunction.core import Address
-from damaskjunction.core.units import KIB, MIB
-from damaskjunction.standins import make_job
 from damaskjunction.wire.channel import Operation, frame_bytes
 from damaskjunction.wire.codec import Frame
 
@@ -73,7 +74,7 @@
             await crowd.send(clients)
         else:
             await crowd.send_for(seconds, clients)
-        await context.platform.wait_until_at_rest()
+        await wait_until_at_rest(context.platform.host.pid)
 
     run(context, work())
 
@@ -102,7 +103,9 @@
 def send_small_chunks(context, count, body_mb, chunk_bytes, path):
     n_bytes = body_mb * MIB
     bodies = [
-        body_in_chunks(path, n_bytes, SHORT_BYTES, chunk_bytes, SMALL_PIECE_BYTES)
+        body_in_chunks(
+            path, n_bytes, SHORT_BYTES, chunk_bytes, piece_bytes=SMALL_PIECE_BYTES
+        )
         for _ in range(count)
     ]
     send_at_once(context, "caller", bodies, SMALL_CHUNKS_S)
@@ -155,8 +158,7 @@
 @when("{count:d} peers send all but the end of a frame of {frame_mb:d} MB")
 def send_frames(context, count, frame_mb):
     n_bytes = frame_mb * MIB
-    frame = [n_bytes.to_bytes(4), *[bytes(PIECE_BYTES)] * (n_bytes // PIECE_BYTES - 1)]
-    send_to_peer_port(context, [frame for _ in range(count)])
+    send_to_peer_port(context, [frame_short_of_its_end(n_bytes) for _ in range(count)])
 
 
 @when("{count:d} peers connect and send one byte")
--- a/libs/gateway/src/damaskjunction/gateway/client_servers.py
+++ b/libs/gateway/src/damaskjunction/gateway/client_servers.py
@@ -2,18 +2,16 @@
 
 from __future__ import annotations
 
-from damaskjunction.core import Address, Timers
+from damaskjunction.core import Address
 from damaskjunction.core.units import KIB
 from damaskjunction.gateway.front_end import FrontEnd
 from damaskjunction.http import ClientGuard, HttpLimits, HttpServer, Routes
-from damaskjunction.node import CLIENT_FRACTION, MemoryShares
+from damaskjunction.node import CLIENT_FRACTION
 from damaskjunction.platform import ProcessSettings
 from damaskjunction.routing import CallerLimits
-from damaskjunction.telemetry import Metrics
 
 # The configured limit is on headers; the server also counts the request line.
 REQUEST_LINE_ALLOWANCE_BYTES = 8 * KIB
-CLIENT_DESCRIPTOR_FRACTION = 0.4  # of the file descriptors of the process
 MAX_BODY_MEMORY_FRACTION = 0.4
 
 
@@ -24,37 +22,24 @@
     ----------
     settings : ProcessSettings
         Addresses, memory and descriptors.
-    memory : MemoryShares
-        Counts what is held for clients.
     front_end : FrontEnd
         Serves requests.
     inspection : Routes
         Metrics and the dump.
-    timers : Timers
-        The current time.
-    metrics : Metrics
-        Shows what is held for clients.
+    guard : ClientGuard
+        Bounds on all clients.
     """
 
     def __init__(
         self,
         settings: ProcessSettings,
-        memory: MemoryShares,
         front_end: FrontEnd,
         inspection: Routes,
-        *,
-        timers: Timers,
-        metrics: Metrics,
+        guard: ClientGuard,
     ) -> None:
         assert settings.caller is not None
         self._settings = settings
-        max_connections = int(CLIENT_DESCRIPTOR_FRACTION * settings.max_descriptors)
-        self._guard = guard = ClientGuard(
-            timers.now,
-            memory=memory.clients,
-            connection_memory=memory.connections,
-            max_connections=max_connections,
-        )
+        self._guard = guard
         self.caller = HttpServer(settings.caller, front_end.serve, guard=guard)
         handlers = {
             settings.readiness: front_end.serve_readiness,
@@ -68,12 +53,6 @@
             for address, handle in handlers.items()
             if address is not None
         ]
-        clients, connections = guard.memory, guard.connections
-        metrics.gauge("client_held_bytes", lambda: float(clients.part.n_bytes))
-        metrics.gauge("client_connections", lambda: float(connections.n_open))
-        metrics.gauge("clients_refused", lambda: float(clients.n_refused))
-        metrics.gauge("clients_dropped", lambda: float(clients.n_dropped))
-        metrics.gauge("connections_evicted", lambda: float(connections.n_evicted))
 
     def apply_limits(self, limits: CallerLimits) -> None:
         """Apply the configured limits; one body of the largest size finds room."""
--- a/libs/gateway/src/damaskjunction/gateway/root.py
+++ b/libs/gateway/src/damaskjunction/gateway/root.py
@@ -38,13 +38,14 @@
 from damaskjunction.gateway.versions.stream_origins import StreamOriginKeeper
 from damaskjunction.gateway.versions.take_ups import TakeUpResolver
 from damaskjunction.gateway.versions.version_registry import VersionRegistry
-from damaskjunction.http import ClientGuard, ReceiveBudget
+from damaskjunction.http import ReceiveBudget
 from damaskjunction.membership import FailureDetector, Timing, first_incarnation
 from damaskjunction.node import (
     Component,
     HostView,
     Membership,
     PeerHandlers,
+    make_guards,
     share_memory,
 )
 from damaskjunction.platform import (
@@ -60,7 +61,6 @@
 logger = logging.getLogger(__name__)
 
 TIMING = Timing(probe_period_s=0.5, ack_timeout_s=0.2, suspicion_timeout_s=1.0)
-PEER_DESCRIPTOR_FRACTION = 0.2  # of the file descriptors of the process
 TUNNEL_DESCRIPTOR_FRACTION = 0.1  # of the file descriptors of the process
 DESCRIPTORS_PER_TUNNEL = 2
 # A runner that leaves gets no requests over a tunnel that was opened before.
@@ -94,8 +94,7 @@
             peer,
         )
         self.view = HostView(own)
-        self.metrics = Metrics()
-        self.dump = StateDump()
+        self.metrics, self.dump = Metrics(), StateDump()
         self._links = PeerLinks(timers)
         self._direct_transport = DirectTransport(settings.store, timers)
         transport = RelayedTransport(
@@ -201,20 +200,21 @@
             metrics=self.metrics,
             timers=timers,
         )
+        guards = make_guards(
+            self._memory, settings.max_descriptors, timers, self.metrics
+        )
         self._servers = ClientServers(
             settings,
-            self._memory,
             front_end,
             make_inspection_routes(self.metrics, self.dump),
-            timers=timers,
-            metrics=self.metrics,
+            guards.clients,
         )
         self._peer_server = PeerServer(
             peer,
             timers,
             handlers.handle,
             access.tunnel_server.serve,
-            guard=self._make_peer_guard(),
+            guard=guards.peers,
         )
         self._host_registry = HostRegistry(
             self._store, own, self._membership, self.view, settings.n_cores
@@ -315,20 +315,6 @@
         self.dump.sections.register("runner_paths")(access.to_document)
         return access
 
-    def _make_peer_guard(self) -> ClientGuard:
-        n_descriptors = PEER_DESCRIPTOR_FRACTION * self._settings.max_descriptors
-        guard = ClientGuard(
-            self._timers.now,
-            memory=self._memory.links,
-            connection_memory=self._memory.connections,
-            max_connections=int(n_descriptors),
-        )
-        memory, connections = guard.memory, guard.connections
-        self.metrics.gauge("peer_held_bytes", lambda: float(memory.part.n_bytes))
-        self.metrics.gauge("peer_connections", lambda: float(connections.n_open))
-        self.metrics.gauge("peers_evicted", lambda: float(connections.n_evicted))
-        return guard
-
     def _make_job_front(self, handlers: PeerHandlers) -> JobFront:
         jobs, timers = self.job_repository, self._timers
         notifier = CancellationNotifier(jobs, self.view, self._links)
@@ -435,8 +421,6 @@
         }
         register_sections(self.dump, documents_by_name)
         job_memory = self.job_repository.memory
-        account = self._memory.account
-        self.metrics.gauge("held_bytes", lambda: float(account.n_bytes))
         self.metrics.gauge("job_held_bytes", lambda: float(job_memory.held.n_bytes))
         self.metrics.gauge("jobs_refused_room", lambda: float(job_memory.n_refused))
         self.metrics.gauge(
--- a/libs/http/src/damaskjunction/http/client_guard.py
+++ b/libs/http/src/damaskjunction/http/client_guard.py
@@ -12,6 +12,8 @@
 from damaskjunction.http.client_memory import ClientMemory
 
 REPORT_INTERVAL_S = 1.0
+MAX_PEERS_NAMED = 64  # by the counter of those that were cut
+OTHER_PEERS = "others"
 
 logger = logging.getLogger(__name__)
 
@@ -32,6 +34,9 @@
         Counts the open connections.
     max_connections : int, optional
         Connections that are open at once; None for any number.
+    on_cut : callable, optional
+        Takes the IP address of a client that was refused or dropped, and the reason.
+        Beyond ``MAX_PEERS_NAMED`` addresses it gets ``OTHER_PEERS`` in their place.
     """
 
     def __init__(
@@ -41,8 +46,11 @@
         memory: MemoryPart | None = None,
         connection_memory: MemoryPart | None = None,
         max_connections: int | None = None,
+        on_cut: Callable[[str, str], None] = lambda peer, reason: None,
     ) -> None:
         self._now = now
+        self._on_cut = on_cut
+        self._named_peers: set[str] = set()
         self.memory = ClientMemory(now, memory)
         self.connections = ClientConnections(max_connections, connection_memory)
         self.turns = BacklogTurns()
@@ -50,7 +58,11 @@
         self._n_unreported = 0
 
     def report(self, peer: str, reason: str) -> None:
-        """Log that a client was refused or dropped, once in ``REPORT_INTERVAL_S``."""
+        """Count that a client was refused or dropped; log it at intervals.
+
+        There is a line in each ``REPORT_INTERVAL_S`` at most.
+        """
+        self._on_cut(self._counted_name(peer), reason)
         now_s = self._now()
         if now_s - self._reported_at_s < REPORT_INTERVAL_S:
             self._n_unreported += 1
@@ -58,3 +70,11 @@
         extra = {"peer": peer, "reason": reason, "n_others": self._n_unreported}
         logger.warning("client refused or dropped", extra=extra)
         self._reported_at_s, self._n_unreported = now_s, 0
+
+    def _counted_name(self, peer: str) -> str:
+        name = peer.rpartition(":")[0]
+        if name not in self._named_peers:
+            if len(self._named_peers) >= MAX_PEERS_NAMED:
+                return OTHER_PEERS
+            self._named_peers.add(name)
+        return name
--- a/libs/node/src/damaskjunction/node/__init__.py
+++ b/libs/node/src/damaskjunction/node/__init__.py
@@ -6,6 +6,7 @@
 """
 
 from damaskjunction.node.components import Component, PeerHandlers
+from damaskjunction.node.guards import HostGuards, make_guards
 from damaskjunction.node.membership.datagrams import (
     DatagramEndpoint,
     DatagramEndpointFactory,
@@ -28,12 +29,14 @@
     "DatagramEndpoint",
     "DatagramEndpointFactory",
     "DatagramHandler",
+    "HostGuards",
     "HostView",
     "Membership",
     "MemoryShares",
     "PeerHandlers",
     "TaskSet",
     "cancel_tasks",
+    "make_guards",
     "open_udp_endpoint",
     "refuses_connections",
     "share_memory",
--- a/libs/node/src/damaskjunction/node/root.py
+++ b/libs/node/src/damaskjunction/node/root.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 from typing import NamedTuple
 
-from damaskjunction.http import HttpServer
+from damaskjunction.http import HttpLimits, HttpServer, ReceiveBudget
 from damaskjunction.membership import FailureDetector, first_incarnation
 from damaskjunction.node.admin.admin import Admin
 from damaskjunction.node.admin.services import ServiceRoutes
@@ -108,13 +108,20 @@
         online = _wire_online(shared)
         control = _wire_control(shared, online, open_endpoint)
         batch = _wire_batch(shared, online)
-        callers = HttpServer(settings.caller, shared.routes.handle)
+        guards = shared.guards
+        callers = HttpServer(
+            settings.caller,
+            shared.routes.handle,
+            limits=HttpLimits(n_connections=settings.max_descriptors),
+            guard=guards.clients,
+        )
         self._runner_access = access = shared.runner_access
         peers = PeerServer(
             settings.peer,
             shared.timers,
             shared.peer_handlers.handle,
             access.tunnel_server.serve,
+            guard=guards.peers,
         )
         self._shutdown = GracefulShutdown(
             shared.view,
@@ -171,7 +178,15 @@
         diagnosis=shared.runner_access.diagnosis,
     )
     connector = shared.runner_access.connector
-    home = Home(view, selection, crashes, timers, metrics, connector=connector)
+    home = Home(
+        view,
+        selection,
+        crashes,
+        timers,
+        metrics,
+        connector=connector,
+        budget=ReceiveBudget(shared.memory.responses),
+    )
     demand = DemandMeter()
     meter = Meter(view, timers, metrics)
     router = RequestRouter(
--- a/libs/node/src/damaskjunction/node/serving/home.py
+++ b/libs/node/src/damaskjunction/node/serving/home.py
@@ -80,6 +80,8 @@
         Records admissions and queueing times.
     connector : Connector
         Opens connections to runners.
+    budget : ReceiveBudget
+        Bounds what is kept of all answers.
     """
 
     def __init__(
@@ -91,12 +93,12 @@
         metrics: Metrics,
         *,
         connector: Connector,
+        budget: ReceiveBudget,
     ) -> None:
         self._view = view
         self._crashes = crashes
         self._timers = timers
         self._metrics = metrics
-        budget = ReceiveBudget()
         self._clients_by_class = {
             work_class: HttpClient(
                 timers,
--- a/libs/node/src/damaskjunction/node/shared_dependencies.py
+++ b/libs/node/src/damaskjunction/node/shared_dependencies.py
@@ -6,8 +6,11 @@
 from typing import NamedTuple
 
 from damaskjunction.core import LoopTimers, Timers, stable_hash
+from damaskjunction.core.units import MIB
 from damaskjunction.http import Routes
 from damaskjunction.node.components import PeerHandlers
+from damaskjunction.node.guards import HostGuards, make_guards
+from damaskjunction.node.memory_shares import MemoryShares, share_memory
 from damaskjunction.node.state import HostView
 from damaskjunction.platform import PlatformClient
 from damaskjunction.relay import RunnerAccess
@@ -33,6 +36,8 @@
     routes: Routes
     peer_handlers: PeerHandlers
     runner_access: RunnerAccess
+    memory: MemoryShares
+    guards: HostGuards
 
 
 def make_shared(settings: HostSettings) -> SharedDependencies:
@@ -42,6 +47,7 @@
     rng = random.Random(stable_hash(settings.seed or settings.host_id))
     access = _make_runner_access(view, timers, metrics, rng)
     dump.sections.register("runner_paths")(access.to_document)
+    memory = share_memory(settings.memory_mb * MIB)
     return SharedDependencies(
         settings=settings,
         view=view,
@@ -54,6 +60,8 @@
         routes=Routes(),
         peer_handlers=PeerHandlers(),
         runner_access=access,
+        memory=memory,
+        guards=make_guards(memory, settings.max_descriptors, timers, metrics),
     )
 
 
--- a/libs/settings/src/damaskjunction/settings/host.py
+++ b/libs/settings/src/damaskjunction/settings/host.py
@@ -9,12 +9,19 @@
 from damaskjunction.settings.parsing import parse
 from damaskjunction.settings.readers import (
     KeyedNode,
+    integer,
     read_address,
     read_name,
     read_text,
 )
 from damaskjunction.settings.schema import Field, list_of, read_fields
 
+DEFAULT_MEMORY_MB = 1024
+DEFAULT_MAX_DESCRIPTORS = 10_240
+MIN_MEMORY_MB = 64
+MIN_DESCRIPTORS = 100
+MAX_LIMIT = 1_000_000
+
 
 class HostSettings(NamedTuple):
     """The settings of a host; ``HOST_FIELDS`` describes each of them."""
@@ -32,6 +39,8 @@
     seed: str = ""
     seeds: tuple[Address, ...] = ()
     admission: str = "home"
+    memory_mb: int = DEFAULT_MEMORY_MB
+    max_descriptors: int = DEFAULT_MAX_DESCRIPTORS
 
     def to_entry_host(self) -> EntryHost:
         """Return the entry of this host in the host list."""
@@ -75,6 +84,18 @@
         "or least_reported_load",
         "home",
     ),
+    Field(
+        "memory_mb",
+        integer(MIN_MEMORY_MB, MAX_LIMIT),
+        "MB of memory of the process, from which follows what it holds for clients",
+        DEFAULT_MEMORY_MB,
+    ),
+    Field(
+        "max_descriptors",
+        integer(MIN_DESCRIPTORS, MAX_LIMIT),
+        "file descriptors of the process, from which follow its connections",
+        DEFAULT_MAX_DESCRIPTORS,
+    ),
 )
 
 
--- a/libs/standins/src/damaskjunction/standins/greedy_crowd.py
+++ b/libs/standins/src/damaskjunction/standins/greedy_crowd.py
@@ -5,6 +5,7 @@
 import asyncio
 import socket
 from collections.abc import Iterable, Iterator, Sequence
+from pathlib import Path
 
 from damaskjunction.core import Address
 from damaskjunction.core.units import KIB, MIB
@@ -16,12 +17,15 @@
 BUFFER_BYTES = 4 * KIB
 QUIET_S = 1.0
 MAX_QUIETS = 5
+REST_S = 4.0
+SAMPLE_S = 0.01
+N_ASLEEP = 12  # samples in a row for which a process at rest does not run
 SHORT_BYTES = 1000  # by which a body stops short of its end
 
 
-def _request(method: str, path: str, more: str = "") -> bytes:
+def _request(method: str, path: str, headers: str = "") -> bytes:
     head = f"{method} {path} HTTP/1.1\r\nHost: {HOST_NAME}\r\nX-Request-Id: g\r\n"
-    return f"{head}{more}\r\n".encode()
+    return f"{head}{headers}\r\n".encode()
 
 
 def requests_ahead(path: str) -> Iterator[bytes]:
@@ -32,9 +36,11 @@
         yield piece
 
 
-def body_with_length(path: str, n_bytes: int, n_short: int) -> Iterator[bytes]:
+def body_with_length(
+    path: str, n_bytes: int, n_short: int, headers: str = ""
+) -> Iterator[bytes]:
     """Return the pieces of a request whose body lacks its last ``n_short`` bytes."""
-    yield _request("POST", path, f"Content-Length: {n_bytes}\r\n")
+    yield _request("POST", path, f"{headers}Content-Length: {n_bytes}\r\n")
     n_left = n_bytes - n_short
     while n_left > 0:
         n_piece = min(PIECE_BYTES, n_left)
@@ -47,10 +53,12 @@
     n_bytes: int,
     n_short: int,
     chunk_bytes: int = KIB,
+    *,
     piece_bytes: int = PIECE_BYTES,
+    headers: str = "",
 ) -> Iterator[bytes]:
     """Return the pieces of a request whose body comes in small chunks."""
-    yield _request("POST", path, "Transfer-Encoding: chunked\r\n")
+    yield _request("POST", path, f"{headers}Transfer-Encoding: chunked\r\n")
     chunk = b"%x\r\n%b\r\n" % (chunk_bytes, b"x" * chunk_bytes)
     n_chunks = (n_bytes - n_short) // chunk_bytes
     n_at_once = piece_bytes // chunk_bytes
@@ -115,6 +123,25 @@
             client.close()
 
 
+async def wait_until_at_rest(process_id: int) -> None:
+    """Return once a process has nothing to do, has ended or ``REST_S`` are over."""
+    n_asleep = 0
+    for _ in range(int(REST_S / SAMPLE_S)):
+        await asyncio.sleep(SAMPLE_S)
+        if n_asleep >= N_ASLEEP:
+            return
+        n_asleep = n_asleep + 1 if _is_asleep(process_id) else 0
+
+
+def _is_asleep(process_id: int) -> bool:
+    """Return whether a process neither runs nor waits for a processor."""
+    try:
+        text = Path(f"/proc/{process_id}/stat").read_text()
+    except OSError:
+        return True  # it has ended
+    return text.rpartition(") ")[2].startswith("S")
+
+
 async def ask_whole(address: Address, pieces: Iterable[bytes]) -> int:
     """Send one request and return the status of its answer, 0 without one."""
     try:
@@ -133,6 +160,13 @@
         writer.close()
 
 
+def frame_short_of_its_end(n_bytes: int) -> Iterator[bytes]:
+    """Return most of a frame that a host would send to another one."""
+    yield n_bytes.to_bytes(4)
+    for _ in range(n_bytes // PIECE_BYTES - 1):
+        yield bytes(PIECE_BYTES)
+
+
 def large_head(path: str, n_bytes: int) -> Iterator[bytes]:
     """Return a request whose headers have ``n_bytes``."""
     n_pad = n_bytes - 100
