Bound the requests that wait for answers of plain runners

Callers saw: each client costs a host a second descriptor, that of the connection to its runner, so that 1,500 clients whose runner does not answer took 2,821 of 4,100; with those of other hosts a host could have none left, and nobody is accepted then.

Cause: connections of clients and of peers are bounded, those to plain runners followed from the requests; streams have the slots of their runners.

At most 0.25 of the descriptors are requests at plain runners, half of that for one service, so that a runner that stands still holds up no other service. Beyond that a request is refused with 503 and a Retry-After time before it is sent anywhere. With 4,100 descriptors that is 1,025 and 512 requests at once on one host. plain_requests and plain_requests_refused show it.

--- a/libs/gateway/features/greedy_crowds_together.feature
+++ b/libs/gateway/features/greedy_crowds_together.feature
@@ -11,3 +11,13 @@
     And 12 clients send requests ahead to the caller for "/nowhere"
     Then the host is within its memory and half of its descriptors
     And an ordinary request and a readiness probe are answered
+
+  # Guards against clients that cost a second descriptor, that of their runner
+  Scenario: Requests that a runner does not answer, beside connections of peers
+    Given a host with 80 MB of memory and 300 descriptors, and bodies of 2 MB
+    And the runner answers nothing
+    When 120 clients send a small body and wait
+    And 400 peers connect and send one byte
+    Then the host is within its memory and its descriptors
+    When the clients leave and the runner answers again
+    Then an ordinary request and a readiness probe are answered
--- a/libs/gateway/features/steps/greedy_client_steps.py
+++ b/libs/gateway/features/steps/greedy_client_steps.py
@@ -29,6 +29,7 @@
 
 HEADER_BYTES = 8192
 N_ITEMS = 20  # of a large job
+SMALL_BYTES = 15_000  # of a body that needs no room
 SMALL_CHUNKS_S = 15.0  # in which a crowd sends bodies in small chunks
 PART_OF_HEAD = b"GET / HTTP/1.1\r\nX-Part: "
 WAYS = {"with a length": body_with_length, "in chunks": body_in_chunks}
@@ -40,6 +41,7 @@
 )
 def start_host(context, memory_mb, n_fds, body_mb, routes=ROUTES):
     context.memory_mb, context.n_fds = memory_mb, n_fds
+    context.crowds = []
     document = make_configuration(1, routes)
     document["Limits"] = {"HeaderBytes": HEADER_BYTES, "BodyBytes": body_mb * MIB}
     settings = {"Limits.MemoryMb": memory_mb, "Limits.MaxFds": n_fds}
@@ -68,6 +70,7 @@
         address = getattr(context.platform.settings[HOST], address)
     crowd = GreedyCrowd(address)
     context.add_cleanup(crowd.close)
+    context.crowds.append(crowd)
 
     async def work():
         if seconds is None:
@@ -111,6 +114,25 @@
     send_at_once(context, "caller", bodies, SMALL_CHUNKS_S)
 
 
+@given("the runner answers nothing")
+def mute_runner(context):
+    context.platform.runners["sound"].faults["mute"] = True
+
+
+@when("the clients leave and the runner answers again")
+def end_crowds(context):
+    for crowd in context.crowds:
+        crowd.close()
+    context.platform.runners["sound"].faults["mute"] = False
+    run(context, wait_until_at_rest(context.platform.host.pid))
+
+
+@when("{count:d} clients send a small body and wait")
+def send_small(context, count):
+    bodies = [body_with_length(PATHS[PLAIN], SMALL_BYTES, 0) for _ in range(count)]
+    send_at_once(context, "caller", bodies)
+
+
 @when("{count:d} clients connect to the {address} address and send part of a head")
 def send_part(context, count, address):
     send_at_once(context, address, [[PART_OF_HEAD] for _ in range(count)])
@@ -203,12 +225,18 @@
 
 @then("the host is within its memory and half of its descriptors")
 def check_bounds(context):
+    check_limits(context, context.n_fds / 2)
+
+
+@then("the host is within its memory and its descriptors")
+def check_limits(context, max_open=None):
+    max_open = max_open or context.n_fds
     platform = context.platform
     assert platform.host.poll() is None, "the host has ended"
     peak_mb, n_open = platform.peak_memory_mb(), platform.n_descriptors()
     print(f"peak memory {peak_mb:.0f} MB, {n_open} descriptors")
     assert peak_mb <= context.memory_mb, peak_mb
-    assert n_open <= context.n_fds / 2, n_open
+    assert n_open <= max_open, n_open
 
 
 @then("an ordinary request and a readiness probe are answered")
--- a/libs/gateway/src/damaskjunction/gateway/requests/online.py
+++ b/libs/gateway/src/damaskjunction/gateway/requests/online.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+import logging
+from contextlib import AbstractContextManager, nullcontext
+
 from damaskjunction.core import RequestError, WorkspaceSpec, stable_hash
 from damaskjunction.gateway.dispatch_context import DispatchContext
+from damaskjunction.gateway.requests.plain_places import PlainPlaces
 from damaskjunction.gateway.requests.request_execution import RequestExecution
 from damaskjunction.gateway.requests.runner_selector import (
     RoutedRequest,
@@ -13,6 +17,8 @@
 from damaskjunction.platform import CallerRequest, Refusal, refusal_response
 from damaskjunction.routing import Route, RouteKind, fingerprint_of, prioritize
 
+logger = logging.getLogger(__name__)
+
 DEFAULT_DEADLINE_S = 30.0
 RETRY_TIMEOUT_FRACTION = 0.98  # of the longest time stated on the route
 
@@ -34,10 +40,13 @@
     ----------
     context : DispatchContext
         The dependencies for sending requests to runners.
+    plain_places : PlainPlaces
+        Bounds the requests at plain runners.
     """
 
-    def __init__(self, context: DispatchContext) -> None:
+    def __init__(self, context: DispatchContext, plain_places: PlainPlaces) -> None:
         self._context = context
+        self._plain_places = plain_places
         self._selector = RunnerSelector(context)
         self._longest_timeout_s_by_route: dict[str, float] = {}
 
@@ -55,7 +64,7 @@
             try:
                 origin = await self._context.take_ups.resolve(request, route)
             except RequestError as error:
-                return self._refuse(request, error)
+                return self._refuse(request, error, route.kind)
         service = (
             route.service_for(stable_hash(request.request_id))
             if origin is None
@@ -74,7 +83,13 @@
             origin,
             "" if workspace is None else workspace.name,
         )
-        response = await RequestExecution(self._context, self._selector, routed).run()
+        try:
+            place = self._take_place(routed)
+        except RequestError as error:
+            return self._refuse(request, error, route.kind)
+        with place:
+            execution = RequestExecution(self._context, self._selector, routed)
+            response = await execution.run()
         metrics = self._context.metrics
         status, kind = str(response.status), route.kind.value
         metrics.count("requests", kind=kind, status=status)
@@ -82,9 +97,22 @@
         metrics.observe_duration("answer_head_s", took_s, kind=kind)
         return response
 
-    def _refuse(self, request: CallerRequest, error: RequestError) -> Response:
-        kind = RouteKind.STREAM.value
-        self._context.metrics.count("requests", kind=kind, status="503")
+    def _take_place(self, routed: RoutedRequest) -> AbstractContextManager[None]:
+        """Return the place of a request; streams have the slots of their runners."""
+        if routed.route.kind is RouteKind.STREAM:
+            return nullcontext()
+        return self._plain_places.take(routed.service)
+
+    def _refuse(
+        self, request: CallerRequest, error: RequestError, kind: RouteKind
+    ) -> Response:
+        extra = {
+            "request": request.request_id,
+            "reason": error.reason,
+            "detail": error.detail,
+        }
+        logger.info("refused", extra=extra)
+        self._context.metrics.count("requests", kind=kind.value, status="503")
         return refusal_response(
             Refusal.NOT_RUN,
             error.reason,
--- a/libs/gateway/src/damaskjunction/gateway/root.py
+++ b/libs/gateway/src/damaskjunction/gateway/root.py
@@ -20,6 +20,7 @@
 from damaskjunction.gateway.jobs.result_reader import ResultReader
 from damaskjunction.gateway.quotas.quota_gate import QuotaGate
 from damaskjunction.gateway.requests.online import OnlineHandler
+from damaskjunction.gateway.requests.plain_places import PlainPlaces
 from damaskjunction.gateway.runners.crash_reporter import CrashReporter
 from damaskjunction.gateway.runners.runner_client import RunnerClient
 from damaskjunction.gateway.runners.runner_faults import RunnerFaults
@@ -61,6 +62,7 @@
 logger = logging.getLogger(__name__)
 
 TIMING = Timing(probe_period_s=0.5, ack_timeout_s=0.2, suspicion_timeout_s=1.0)
+RUNNER_DESCRIPTOR_FRACTION = 0.25  # of the file descriptors of the process
 TUNNEL_DESCRIPTOR_FRACTION = 0.1  # of the file descriptors of the process
 DESCRIPTORS_PER_TUNNEL = 2
 # A runner that leaves gets no requests over a tunnel that was opened before.
@@ -186,7 +188,7 @@
             self._runner_client.budget,
             self.quota_gate,
         )
-        online_handler = OnlineHandler(context)
+        online_handler = OnlineHandler(context, self._make_plain_places())
         self.job_repository = job_repository = JobRepository(
             self._store, JobMemory(self._memory.jobs, self._memory.cached_items)
         )
@@ -315,6 +317,13 @@
         self.dump.sections.register("runner_paths")(access.to_document)
         return access
 
+    def _make_plain_places(self) -> PlainPlaces:
+        limit = RUNNER_DESCRIPTOR_FRACTION * self._settings.max_descriptors
+        places = PlainPlaces(int(limit))
+        self.metrics.gauge("plain_requests", lambda: float(places.n_taken))
+        self.metrics.gauge("plain_requests_refused", lambda: float(places.n_refused))
+        return places
+
     def _make_job_front(self, handlers: PeerHandlers) -> JobFront:
         jobs, timers = self.job_repository, self._timers
         notifier = CancellationNotifier(jobs, self.view, self._links)
