--- a/libs/node/src/damaskjunction/node/guards.py
+++ b/libs/node/src/damaskjunction/node/guards.py
@@ -4,7 +4,7 @@
 
 from typing import NamedTuple
 
-from damaskjunction.core import Timers
+from damaskjunction.core import MemoryPart, Timers
 from damaskjunction.http import ClientGuard
 from damaskjunction.node.memory_shares import MemoryShares
 from damaskjunction.telemetry import Metrics
@@ -33,20 +33,17 @@
     def count_cut(peer: str, reason: str) -> None:
         metrics.count("peers_cut", peer=peer, reason=reason)
 
-    clients = ClientGuard(
-        timers.now,
-        memory=memory.clients,
-        connection_memory=memory.connections,
-        max_connections=int(CLIENT_DESCRIPTOR_FRACTION * max_descriptors),
-        on_cut=count_cut,
-    )
-    peers = ClientGuard(
-        timers.now,
-        memory=memory.links,
-        connection_memory=memory.connections,
-        max_connections=int(PEER_DESCRIPTOR_FRACTION * max_descriptors),
-        on_cut=count_cut,
-    )
+    def make_guard(part: MemoryPart, fraction: float) -> ClientGuard:
+        return ClientGuard(
+            timers.now,
+            memory=part,
+            connection_memory=memory.connections,
+            max_connections=int(fraction * max_descriptors),
+            on_cut=count_cut,
+        )
+
+    clients = make_guard(memory.clients, CLIENT_DESCRIPTOR_FRACTION)
+    peers = make_guard(memory.links, PEER_DESCRIPTOR_FRACTION)
     account = memory.account
     metrics.gauge("held_bytes", lambda: float(account.n_bytes))
     _show(metrics, "client", clients)
