--- a/libs/http/features/client_memory.feature
+++ b/libs/http/features/client_memory.feature
@@ -52,6 +52,12 @@
       | 0.1,no,no | 1,0,0  | 1       |
       | no,no,no  | 0,0,0  | none    |
 
+  # Guards against a counter for each address that somebody comes from
+  Scenario: Those who were cut are counted by address, and the log names them at intervals
+    Given a guard of clients
+    When 100 clients of different addresses are cut, each 3 times
+    Then 64 addresses are counted 3 times each, and the others 108 times together
+
   # Guards against a parser that is fed a block for each request that is answered
   Scenario: Requests ahead of an answer are read no further than a bound
     Given a server whose handler never returns
--- a/libs/http/features/steps/client_memory_steps.py
+++ b/libs/http/features/steps/client_memory_steps.py
@@ -4,12 +4,13 @@
 
 import asyncio
 import socket
+from collections import Counter
 
 from behave import given, then, when
 
 from damaskjunction.core import MemoryAccount
 from damaskjunction.core.units import KIB
-from damaskjunction.http import HttpError
+from damaskjunction.http import ClientGuard, HttpError
 from damaskjunction.http.client_connections import ClientConnections
 from damaskjunction.http.client_memory import ClientMemory
 
@@ -73,6 +74,32 @@
     assert context.memory.has_room()
 
 
+@given("a guard of clients")
+def make_guard(context):
+    context.cuts_by_peer = Counter()
+
+    def count(peer, reason):
+        context.cuts_by_peer[peer] += 1
+
+    context.guard = ClientGuard(lambda: NOW_S, on_cut=count)
+
+
+@when("{count:d} clients of different addresses are cut, each {times:d} times")
+def cut_clients(context, count, times):
+    for number in range(count * times):
+        context.guard.report(f"10.0.0.{number % count}:{number}", "slow body")
+
+
+@then(
+    "{count:d} addresses are counted {times:d} times each, and the others {rest:d} "
+    "times together"
+)
+def check_cuts(context, count, times, rest):
+    counts = dict(context.cuts_by_peer)
+    assert counts.pop("others") == rest, context.cuts_by_peer
+    assert set(counts.values()) == {times} and len(counts) == count, counts
+
+
 @given(
     "room for {limit:d} connections, that wait for their clients since {waits} s and "
     "have served {served} requests"
