--- a/libs/gateway/features/greedy_crowds_together.feature
+++ b/libs/gateway/features/greedy_crowds_together.feature
@@ -12,6 +12,16 @@
     Then the host is within its memory and half of its descriptors
     And an ordinary request and a readiness probe are answered
 
+  Scenario: Jobs, whole bodies, frames of peers and calls that nobody reads the answers of
+    Given a host with 80 MB of memory and 300 descriptors, and bodies of 2 MB
+    When 60 jobs of 1800 KB are submitted, one after another
+    And 40 clients send a body of 2 MB with a length
+    And 40 peers send all but the end of a frame of 4 MB
+    And 20 peers send 100 calls of 60 KB of an unknown kind, and read nothing
+    And 40 clients send all but the end of a body of 2 MB in chunks
+    Then the host is within its memory and its descriptors
+    And an ordinary request and a readiness probe are answered
+
   # Guards against clients that cost a second descriptor, that of their runner
   Scenario: Requests that a runner does not answer, beside connections of peers
     Given a host with 80 MB of memory and 300 descriptors, and bodies of 2 MB
--- a/libs/wire/features/links.feature
+++ b/libs/wire/features/links.feature
@@ -63,3 +63,9 @@
     Given a peer that answers each call with 1 replies
     When 3000 pings are sent on one connection at once
     Then at most 64 of them are answered in one turn of the event loop
+
+  # Guards against answers that pile up for a peer that reads none
+  Scenario: A peer that reads nothing is cut off
+    Given a peer that has 100 KB for all that it holds
+    When 60000 pings are sent on one connection, and no answer is read
+    Then that connection is closed
--- a/libs/wire/features/steps/links_steps.py
+++ b/libs/wire/features/steps/links_steps.py
@@ -4,12 +4,16 @@
 
 import asyncio
 import itertools
+import socket
+import time
 from collections import Counter
 from unittest.mock import patch
 
 from behave import given, then, when
 
-from damaskjunction.core import LoopTimers, RequestError
+from damaskjunction.core import LoopTimers, MemoryPart, RequestError
+from damaskjunction.core.units import KIB
+from damaskjunction.http import ClientGuard
 from damaskjunction.routing import Token
 from damaskjunction.standins import allocate_addresses
 from damaskjunction.standins.scenarios import run
@@ -20,6 +24,8 @@
 LANE = "online"
 CLOSE_TIMEOUT_S = 20.0
 READ_BYTES = 65536
+SMALL_BUFFER_BYTES = 4096
+POLL_S = 0.02
 
 
 class CountingTimers(LoopTimers):
@@ -43,8 +49,14 @@
         return sum(not entry.is_cancelled for entry in self.subscriptions)
 
 
+@given("a peer that has {room_kb:d} KB for all that it holds")
+def start_peer_with_room(context, room_kb):
+    guard = ClientGuard(time.monotonic, memory=MemoryPart(room_kb * KIB))
+    start_peer(context, 1, guard)
+
+
 @given("a peer that answers each call with {count:d} replies")
-def start_peer(context, count):
+def start_peer(context, count, guard=None):
     context.n_sent_by_name = {}
     context.n_running = 0
 
@@ -60,7 +72,7 @@
     async def start():
         (address,) = allocate_addresses(1)
         context.timers = CountingTimers()
-        context.peer = PeerServer(address, context.timers, answer)
+        context.peer = PeerServer(address, context.timers, answer, guard=guard)
         context.links = PeerLinks(context.timers)
         context.address = address
         await context.peer.start()
@@ -217,3 +229,32 @@
 def check_pongs(context, count):
     most = max(context.pongs_by_turn.values())
     assert most <= count, most
+
+
+@when("{count:d} pings are sent on one connection, and no answer is read")
+def send_unread_pings(context, count):
+    pings = frame_bytes(Frame(0, Operation.PING)) * count
+
+    async def work():
+        client = socket.socket()
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
+        client.setblocking(False)
+        loop = asyncio.get_running_loop()
+        try:
+            await loop.sock_connect(client, context.address)
+            async with asyncio.timeout(CLOSE_TIMEOUT_S):
+                await loop.sock_sendall(client, pings)
+                return await wait_until_reset(client)
+        except ConnectionError:
+            return True
+        finally:
+            client.close()
+
+    context.is_closed = run(context, work())
+
+
+async def wait_until_reset(client):
+    """Return whether the peer resets a connection on which nothing is read."""
+    while not client.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):  # noqa: ASYNC110
+        await asyncio.sleep(POLL_S)
+    return True
