Name the peer when a link is cut for want of room

Read in this work's own diff: a frame after the first that found no room, and answers that were not read, ended a link without a line that names the peer; only the first frame of a connection did.

--- a/libs/wire/src/damaskjunction/wire/channel.py
+++ b/libs/wire/src/damaskjunction/wire/channel.py
@@ -139,6 +139,8 @@
     memory : ClientMemory, optional
         Counts what is received, and what the peer does not read; without it, neither
         is bounded.
+    on_cut : callable, optional
+        Takes the reason for which the connection is aborted when there is no room.
     """
 
     def __init__(
@@ -150,14 +152,19 @@
         *,
         turns: BacklogTurns | None = None,
         memory: ClientMemory | None = None,
+        on_cut: Callable[[str], None] = lambda reason: None,
     ) -> None:
+        self._on_cut = on_cut
         self._reader = reader
         self._writer = writer
         self._timers = timers
         self._handle_frame = handle_frame
         self._turns = turns or BacklogTurns()
-        self._received = None if memory is None else memory.open(self.abort)
-        self._unread = None if memory is None else memory.open(self.abort)
+        self._received: Holding | None = None
+        self._unread: Holding | None = None
+        if memory is not None:
+            self._received = memory.open(lambda: self._cut("slow frame"))
+            self._unread = memory.open(lambda: self._cut("unread answers"))
         # Until the first pong, ``pong_age_s`` exceeds every limit on it.
         self._last_pong_at_s = -KEEPALIVE_TIMEOUT_S
         self._keepalive_since_s = 0.0
@@ -216,8 +223,7 @@
         if n_bytes != unread.n_bytes and not unread.try_resize(
             n_bytes, is_favoured=True
         ):
-            logger.warning("peer reads too little", extra={"unread_bytes": n_bytes})
-            self.abort()
+            self._cut("unread answers")
 
     async def drain(self) -> None:
         """Wait while the connection's buffer is full."""
@@ -228,6 +234,10 @@
         self.stop_keepalive()
         self._writer.transport.abort()
 
+    def _cut(self, reason: str) -> None:
+        self._on_cut(reason)
+        self.abort()
+
     async def run(self, first: Frame | None = None) -> None:
         """Receive frames until the connection ends; ``first`` was received before."""
         try:
@@ -235,10 +245,14 @@
                 self._dispatch(first)
                 await self._turns.wait()
             await self._receive()
+        except NoRoomError as error:
+            self._cut(str(error))
         except (OSError, asyncio.IncompleteReadError):
             pass  # the connection was closed by either end
         except DecodeError as error:
-            logger.warning("peer sent an invalid frame", extra={"error": str(error)})
+            address = self._writer.get_extra_info("peername")
+            extra = {"peer": str(address), "error": str(error)}
+            logger.warning("peer sent an invalid frame", extra=extra)
         finally:
             self.abort()
             self._fail_pending_pong()
--- a/libs/wire/src/damaskjunction/wire/sessions.py
+++ b/libs/wire/src/damaskjunction/wire/sessions.py
@@ -232,6 +232,7 @@
             self._handle_frame,
             turns=guard.turns,
             memory=guard.memory,
+            on_cut=peer.end.report,
         )
         self._handle = handle
         self._calls_by_id: dict[int, _ServerCall] = {}
