Count nothing for a holding that has ended

Read in this work's own diff: bytes of a holding that was resized after its end were counted and never taken back, so that the account would have filled up for good.

A holding that has ended, or was dropped, ignores its size; a body that waits for its turn keeps its own holding in hand.

Evidence: client_memory.feature, the new scenario failed before (the upload was refused); the features of http and links pass.

--- a/libs/http/features/client_memory.feature
+++ b/libs/http/features/client_memory.feature
@@ -32,6 +32,13 @@
       | 170    | 16    | kept     | 1       |
       | 210    | 16    | refused  | 1       |
 
+  # Guards against bytes that are counted for ever
+  Scenario: What has ended counts nothing more
+    Given room for 100 KB, of which clients hold 40,40 KB since 0,0 s
+    When what they hold ends, and is resized to 90 KB after that
+    And an upload asks for 100 KB
+    Then it is kept, and dropped are the clients none
+
   # Guards against requests that are answered 503 though they run
   Scenario: What is in use is not dropped
     Given room for 100 KB, of which clients hold 90 KB since 9 s
--- a/libs/http/features/steps/client_memory_steps.py
+++ b/libs/http/features/steps/client_memory_steps.py
@@ -50,6 +50,13 @@
         holding.fix()
 
 
+@when("what they hold ends, and is resized to {size:d} KB after that")
+def end_and_resize(context, size):
+    for holding in context.holdings:
+        holding.close()
+        holding.resize(size * KIB)
+
+
 @when("an upload asks for {asked:d} KB")
 def ask(context, asked):
     upload = context.memory.open(lambda: None)
--- a/libs/http/src/damaskjunction/http/client_memory.py
+++ b/libs/http/src/damaskjunction/http/client_memory.py
@@ -64,7 +64,7 @@
             victim.drop()
 
     def has_room(self, *, is_favoured: bool = False) -> bool:
-        """Return whether the holdings are within the limit of (favoured) ones."""
+        """Return whether there is room; favoured ones find it beyond the limit."""
         return self.part.has_room(factor=HARD_LIMIT_FACTOR if is_favoured else 1.0)
 
     def _longest_stalled(self, now_s: float, asking: Holding) -> Holding | None:
@@ -99,10 +99,11 @@
         self.n_bytes = 0
         self.is_fixed = False
         self.is_dropped = False
+        self._is_closed = False
 
     def resize(self, n_bytes: int) -> None:
         """Set how many bytes are held, also when there is no room."""
-        if self.is_dropped:
+        if self._is_closed:
             return
         n_added, self.n_bytes = n_bytes - self.n_bytes, n_bytes
         self._memory.change(self, n_added)
@@ -147,6 +148,7 @@
         self._on_dropped()
 
     def close(self) -> None:
-        """End the holding."""
+        """End the holding; it counts nothing from now on."""
         self._memory.remove(self)
+        self._is_closed = True
         self.n_bytes = 0
--- a/libs/http/src/damaskjunction/http/request_reader.py
+++ b/libs/http/src/damaskjunction/http/request_reader.py
@@ -230,13 +230,12 @@
         HttpError
             With status 503 when there is no room for it, or the body is dropped.
         """
-        if self._body is None:
-            self._body = self._memory.open(self._drop_body)
-        self._request_room(self._body, self._body.n_bytes + FULL_BYTES)
+        body = self._open_body()
+        self._request_room(body, body.n_bytes + FULL_BYTES)
         try:
             await self._turns.wait()
         finally:
-            self._body.resize(max(self._body.n_bytes - FULL_BYTES, 0))
+            body.resize(max(body.n_bytes - FULL_BYTES, 0))
 
     async def _read_body(self, ends_at_s: float) -> bytes:
         """Read a part of a body.
@@ -263,11 +262,16 @@
         """Count the bytes of the body that are kept; raise when there is no room."""
         if not n_bytes:
             return
+        body = self._open_body()
+        self._request_room(body, n_bytes)
+        if is_whole:
+            body.fix()
+
+    def _open_body(self) -> Holding:
+        """Return what counts the present body."""
         if self._body is None:
             self._body = self._memory.open(self._drop_body)
-        self._request_room(self._body, n_bytes)
-        if is_whole:
-            self._body.fix()
+        return self._body
 
     def _request_room(self, body: Holding, n_bytes: int) -> None:
         try:
