--- a/libs/gateway/features/steps/greedy_client_steps.py
+++ b/libs/gateway/features/steps/greedy_client_steps.py
@@ -241,8 +241,11 @@
 
 @then("an ordinary request and a readiness probe are answered")
 def check_ordinary(context):
-    status, _ = run(context, context.platform.ask(PLAIN, "ordinary"))
-    assert status == 200, status
+    reply = run(
+        context,
+        context.platform.call(HOST, "POST", PATHS[PLAIN], request_id="ordinary"),
+    )
+    assert reply.status == 200 and reply.is_complete, reply
     readiness = run(context, context.platform.fetch_readiness(HOST))
     assert readiness == 200, readiness
     assert context.platform.host.poll() is None, "the host has ended"
